--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Programs go to bin/. `make test` is what CI runs; `make help` lists the rest.
+GO ?= go
+BIN := bin
+
+.PHONY: help build test lint prove demo measure clean
+
+help: ## list the targets
+	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
+
+build: ## build the daemon, the tool and the stand-ins into bin/
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test: build ## unit and property tests, then the process-level proofs
+	$(GO) test ./internal/... ./cmd/...
+	$(MAKE) prove
+
+prove: build ## process-level proofs with real processes
+	$(GO) test -count=1 ./test/...
+
+lint: ## gofmt, vet, staticcheck
+	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "gofmt wants:"; echo "$$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+clean: ## remove bin/
+	rm -rf $(BIN)
