--- /dev/null
+++ b/internal/wire/pool.go
@@ -0,0 +1,99 @@
+package wire
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+)
+
+// idleTimeout is how long an unused outgoing session is kept. Connections are
+// made on demand: at 600 replicas, a ping to each would use up a daemon's whole
+// budget for control traffic.
+const idleTimeout = 30 * time.Second
+
+// Pool keeps one outgoing session for each address.
+type Pool struct {
+	opts Options
+	dial singleflight.Group
+
+	mu       sync.Mutex
+	sessions map[string]*Session
+	closed   bool
+}
+
+// NewPool returns an empty pool.
+func NewPool(opts Options) *Pool {
+	return &Pool{opts: opts, sessions: make(map[string]*Session)}
+}
+
+// Get returns the open session to address, or opens one.
+func (p *Pool) Get(ctx context.Context, address string) (*Session, error) {
+	if s := p.open(address); s != nil {
+		return s, nil
+	}
+	v, err, _ := p.dial.Do(address, func() (any, error) {
+		if s := p.open(address); s != nil {
+			return s, nil
+		}
+		s, err := Dial(ctx, address, p.opts)
+		if err != nil {
+			return nil, err
+		}
+		p.keep(address, s)
+		return s, nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return v.(*Session), nil
+}
+
+func (p *Pool) open(address string) *Session {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.sessions[address]
+	if s == nil || s.ctx.Err() != nil {
+		return nil
+	}
+	return s
+}
+
+func (p *Pool) keep(address string, s *Session) {
+	p.mu.Lock()
+	closed := p.closed
+	if !closed {
+		p.sessions[address] = s
+	}
+	p.mu.Unlock()
+	if closed {
+		s.Close(ErrClosed)
+	}
+}
+
+// Sweep closes sessions that were not written to for idleTimeout, except those
+// that busy reports, and forgets ended ones.
+func (p *Pool) Sweep(now time.Time, busy func(*Session) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, s := range p.sessions {
+		idle := now.Sub(s.idleSince()) > idleTimeout && !busy(s)
+		if idle {
+			s.Close(ErrClosed)
+		}
+		if idle || s.ctx.Err() != nil {
+			delete(p.sessions, address)
+		}
+	}
+}
+
+// Close ends every session.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, s := range p.sessions {
+		s.Close(ErrClosed)
+	}
+}
--- /dev/null
+++ b/internal/wire/session.go
@@ -0,0 +1,340 @@
+package wire
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// Path is where a daemon serves its peers.
+	Path = "/skylark/v1/session"
+	// MaxFrame bounds one frame; a Run carries a whole prompt.
+	MaxFrame = 8 << 20
+	// openTimeout bounds the opening handshake.
+	openTimeout = 3 * time.Second
+	// writeTimeout bounds one frame's write. A peer that is stopped fills its
+	// socket's buffers; without the bound one such peer would hold the lock of
+	// every stream on its session for ever.
+	writeTimeout = 5 * time.Second
+	// pingInterval and pingTimeout find a peer that is half-open: its host is
+	// gone or cut off but no reset ever arrives. The session would otherwise
+	// look alive until the kernel gives up, minutes later.
+	pingInterval = 2 * time.Second
+	pingTimeout  = 2 * time.Second
+	nonceBytes   = 16
+)
+
+var (
+	// ErrClosed is returned for a session that has ended.
+	ErrClosed = errors.New("wire: session closed")
+	// ErrUnauthenticated is returned when the peer doesn't have the fleet key.
+	ErrUnauthenticated = errors.New("wire: peer not authenticated")
+)
+
+// Handler gets what arrives on a session, one call at a time in order of
+// arrival. Handle must not block: it would hold up every stream of the session.
+type Handler interface {
+	// Handle takes a message; ref is not 0 if a reply is expected.
+	Handle(s *Session, ref uint32, m Message)
+	// Closed is called once, after the last Handle.
+	Closed(s *Session, err error)
+}
+
+// Options are what both ends of a session need.
+type Options struct {
+	// Key is the fleet's shared key.
+	Key []byte
+	// Self is called at each opening, since the configuration offset changes.
+	Self func() Identity
+	// Handler gets the messages.
+	Handler Handler
+}
+
+// Session is an open connection to one peer. Its methods may be called from any
+// goroutine.
+type Session struct {
+	conn   *websocket.Conn
+	peer   Identity
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
+	mu      sync.Mutex
+	lastRef uint32
+	calls   map[uint32]chan Message
+	used    time.Time
+}
+
+// Dial opens a session to the daemon at address ("ip:port").
+func Dial(ctx context.Context, address string, opts Options) (*Session, error) {
+	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	conn, resp, err := websocket.Dial(openCtx, "ws://"+address+Path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("wire: dial %s: %w", address, err)
+	}
+	if resp != nil && resp.Body != nil {
+		resp.Body.Close()
+	}
+	conn.SetReadLimit(MaxFrame)
+	peer, err := openDialer(openCtx, conn, opts)
+	if err != nil {
+		conn.CloseNow()
+		return nil, fmt.Errorf("wire: open to %s: %w", address, err)
+	}
+	return start(conn, peer, opts.Handler), nil
+}
+
+// Accept serves one peer's session on an HTTP request and returns when it ends.
+func Accept(w http.ResponseWriter, r *http.Request, opts Options) error {
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return fmt.Errorf("wire: accept %s: %w", r.RemoteAddr, err)
+	}
+	conn.SetReadLimit(MaxFrame)
+	openCtx, cancel := context.WithTimeout(r.Context(), openTimeout)
+	defer cancel()
+	peer, err := openAcceptor(openCtx, conn, opts)
+	if err != nil {
+		conn.CloseNow()
+		return fmt.Errorf("wire: open from %s: %w", r.RemoteAddr, err)
+	}
+	s := start(conn, peer, opts.Handler)
+	<-s.ctx.Done()
+	return context.Cause(s.ctx)
+}
+
+func openDialer(ctx context.Context, conn *websocket.Conn, opts Options) (Identity, error) {
+	var ch Challenge
+	if err := readOpening(ctx, conn, &ch); err != nil {
+		return Identity{}, err
+	}
+	self := opts.Self()
+	hello := &Hello{Identity: self, MAC: identityMAC(opts.Key, ch.Nonce, self)}
+	if err := writeFrame(ctx, conn, 0, hello); err != nil {
+		return Identity{}, err
+	}
+	var welcome Welcome
+	if err := readOpening(ctx, conn, &welcome); err != nil {
+		return Identity{}, err
+	}
+	if !hmac.Equal(welcome.MAC, identityMAC(opts.Key, hello.MAC, ch.Identity)) {
+		return Identity{}, ErrUnauthenticated
+	}
+	return ch.Identity, nil
+}
+
+func openAcceptor(ctx context.Context, conn *websocket.Conn, opts Options) (Identity, error) {
+	self := opts.Self()
+	ch := &Challenge{Nonce: make([]byte, nonceBytes), Identity: self}
+	rand.Read(ch.Nonce)
+	if err := writeFrame(ctx, conn, 0, ch); err != nil {
+		return Identity{}, err
+	}
+	var hello Hello
+	if err := readOpening(ctx, conn, &hello); err != nil {
+		return Identity{}, err
+	}
+	if !hmac.Equal(hello.MAC, identityMAC(opts.Key, ch.Nonce, hello.Identity)) {
+		return Identity{}, ErrUnauthenticated
+	}
+	welcome := &Welcome{MAC: identityMAC(opts.Key, hello.MAC, self)}
+	return hello.Identity, writeFrame(ctx, conn, 0, welcome)
+}
+
+// identityMAC binds an identity to the other side's fresh bytes, so that an
+// opening can't be replayed.
+func identityMAC(key, fresh []byte, id Identity) []byte {
+	mac := hmac.New(sha256.New, key)
+	mac.Write(fresh)
+	body, err := cbor.Marshal(id)
+	if err != nil {
+		panic(err) // Identity has only strings and integers
+	}
+	mac.Write(body)
+	return mac.Sum(nil)
+}
+
+func readOpening[M any, P interface {
+	*M
+	Message
+}](ctx context.Context, conn *websocket.Conn, into P) error {
+	_, frame, err := conn.Read(ctx)
+	if err != nil {
+		return fmt.Errorf("wire: opening: %w", err)
+	}
+	_, m, err := Decode(frame)
+	if err != nil {
+		return err
+	}
+	got, ok := m.(P)
+	if !ok {
+		return fmt.Errorf("%w: %T in the opening", ErrMalformed, m)
+	}
+	*into = *got
+	return nil
+}
+
+func writeFrame(ctx context.Context, conn *websocket.Conn, ref uint32, m Message) error {
+	frame, err := Encode(ref, m)
+	if err != nil {
+		return err
+	}
+	return conn.Write(ctx, websocket.MessageBinary, frame)
+}
+
+func start(conn *websocket.Conn, peer Identity, h Handler) *Session {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	s := &Session{conn: conn, peer: peer, ctx: ctx, cancel: cancel, calls: make(map[uint32]chan Message), used: time.Now()}
+	go s.read(h)
+	go s.keepalive()
+	return s
+}
+
+func (s *Session) read(h Handler) {
+	err := s.readAll(h)
+	s.cancel(err)
+	s.conn.CloseNow()
+	h.Closed(s, err)
+}
+
+func (s *Session) readAll(h Handler) error {
+	for {
+		_, frame, err := s.conn.Read(s.ctx)
+		if err != nil {
+			return fmt.Errorf("%w: read: %v", ErrClosed, err)
+		}
+		ref, m, err := Decode(frame)
+		if err != nil {
+			return err
+		}
+		if !s.deliverReply(ref, m) {
+			h.Handle(s, ref, m)
+		}
+	}
+}
+
+// deliverReply hands a reply to the call that waits for it. References of the
+// two directions are told apart by the message: only replies match a call.
+func (s *Session) deliverReply(ref uint32, m Message) bool {
+	if ref == 0 || !isReply(m) {
+		return false
+	}
+	s.mu.Lock()
+	ch, ok := s.calls[ref]
+	delete(s.calls, ref)
+	s.mu.Unlock()
+	if ok {
+		ch <- m
+	}
+	return true // a reply that nobody waits for any more is dropped
+}
+
+func isReply(m Message) bool {
+	switch m.(type) {
+	case *Decision, *Resolved, *ConfigState, *Status, *Explanation, *Drained, *Failure:
+		return true
+	}
+	return false
+}
+
+func (s *Session) keepalive() {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		ctx, cancel := context.WithTimeout(s.ctx, pingTimeout)
+		err := s.conn.Ping(ctx)
+		cancel()
+		if err != nil {
+			s.Close(fmt.Errorf("%w: no answer to ping: %v", ErrClosed, err))
+			return
+		}
+	}
+}
+
+// Peer returns who is at the other end, as authenticated at the opening.
+func (s *Session) Peer() Identity { return s.peer }
+
+// Done is closed when the session has ended.
+func (s *Session) Done() <-chan struct{} { return s.ctx.Done() }
+
+// Close ends the session.
+func (s *Session) Close(cause error) {
+	s.cancel(cause)
+	s.conn.CloseNow()
+}
+
+// Send writes a message that has no reply. After an error the session is closed
+// and the peer may or may not have got the message.
+func (s *Session) Send(m Message) error { return s.write(0, m) }
+
+// Reply answers the message that came with ref.
+func (s *Session) Reply(ref uint32, m Message) error { return s.write(ref, m) }
+
+func (s *Session) write(ref uint32, m Message) error {
+	if s.ctx.Err() != nil {
+		return context.Cause(s.ctx)
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, writeTimeout)
+	defer cancel()
+	if err := writeFrame(ctx, s.conn, ref, m); err != nil {
+		err = fmt.Errorf("%w: write: %v", ErrClosed, err)
+		s.Close(err)
+		return err
+	}
+	s.mu.Lock()
+	s.used = time.Now()
+	s.mu.Unlock()
+	return nil
+}
+
+// Call sends a request and waits for its reply. A Failure comes back as it is.
+func (s *Session) Call(ctx context.Context, m Message) (Message, error) {
+	ch := make(chan Message, 1)
+	s.mu.Lock()
+	s.lastRef++
+	if s.lastRef == 0 {
+		s.lastRef = 1
+	}
+	ref := s.lastRef
+	s.calls[ref] = ch
+	s.mu.Unlock()
+	defer s.forget(ref)
+	if err := s.write(ref, m); err != nil {
+		return nil, err
+	}
+	select {
+	case reply := <-ch:
+		return reply, nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wire: call %T: %w", m, ctx.Err())
+	case <-s.ctx.Done():
+		return nil, context.Cause(s.ctx)
+	}
+}
+
+func (s *Session) forget(ref uint32) {
+	s.mu.Lock()
+	delete(s.calls, ref)
+	s.mu.Unlock()
+}
+
+func (s *Session) idleSince() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.used
+}
