Ping idle sessions less often than awaited ones

Cause: 31 peers of a group, pinged every 2 s, would cost more control traffic than their heartbeats. Sessions that a call or a held stream waits on keep the 2 s ping; others get one in 10 s.

--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -72,13 +72,13 @@
 	}
 }
 
-// Sweep closes sessions that were not written to for idleTimeout, except those
-// that busy reports, and forgets ended ones.
-func (p *Pool) Sweep(now time.Time, busy func(*Session) bool) {
+// Sweep closes sessions that nobody waits on and that were not written to for
+// idleTimeout, and forgets ended ones.
+func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, s := range p.sessions {
-		idle := now.Sub(s.idleSince()) > idleTimeout && !busy(s)
+		idle := now.Sub(s.idleSince()) > idleTimeout && !s.awaited()
 		if idle {
 			s.Close(ErrClosed)
 		}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -31,7 +31,11 @@
 	// look alive until the kernel gives up, minutes later.
 	pingInterval = 2 * time.Second
 	pingTimeout  = 2 * time.Second
-	nonceBytes   = 16
+	// idlePings is how many intervals pass between pings while nothing waits
+	// on the session. Peers of a group keep a session each; pinging all of them
+	// at the full rate would cost more than the heartbeats themselves.
+	idlePings  = 5
+	nonceBytes = 16
 )
 
 var (
@@ -71,6 +75,7 @@
 	mu      sync.Mutex
 	lastRef uint32
 	calls   map[uint32]chan Message
+	holds   int
 	used    time.Time
 }
 
@@ -250,12 +255,15 @@
 func (s *Session) keepalive() {
 	ticker := time.NewTicker(pingInterval)
 	defer ticker.Stop()
-	for {
+	for tick := 1; ; tick++ {
 		select {
 		case <-s.ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		if !s.awaited() && tick%idlePings != 0 {
+			continue
+		}
 		ctx, cancel := context.WithTimeout(s.ctx, pingTimeout)
 		err := s.conn.Ping(ctx)
 		cancel()
@@ -266,6 +274,26 @@
 	}
 }
 
+// Hold marks that somebody waits for the peer, as the receiver of a stream
+// does, so that a half-open session is found within seconds. The returned
+// function ends it and may be called more than once.
+func (s *Session) Hold() (release func()) {
+	s.mu.Lock()
+	s.holds++
+	s.mu.Unlock()
+	return sync.OnceFunc(func() {
+		s.mu.Lock()
+		s.holds--
+		s.mu.Unlock()
+	})
+}
+
+func (s *Session) awaited() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holds > 0 || len(s.calls) > 0
+}
+
 // Peer returns who is at the other end, as authenticated at the opening.
 func (s *Session) Peer() Identity { return s.peer }
 
