State what a chunk carries and when Cancel counts

Cause: entry and endpoint need one reading of Chunk.Data and of a Cancel that crosses a Resume through another entry. Doc comments only; nothing was run beyond the build.

--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -222,7 +222,9 @@
 }
 
 // Chunk is one piece of an answer. Seq numbers the pieces of one request's
-// answer from 0, without gaps, across attempts.
+// answer from 0, without gaps, across attempts. Of a chat answer, Data is the
+// UTF-8 text of one delta (the entry makes the caller's events of it; finish
+// reason and usage come with End); of a service call, bytes of the body.
 type Chunk struct {
 	Attempt AttemptID `cbor:"1,keyasint"`
 	Seq     uint64    `cbor:"2,keyasint"`
@@ -253,7 +255,11 @@
 	Seq     uint64    `cbor:"2,keyasint"`
 }
 
-// Cancel ends an attempt that nobody waits for.
+// Cancel ends an attempt that nobody waits for. The entry sends it when a caller
+// of a whole answer hangs up, and for a stream when nobody has resumed it within
+// the grace. The executor ignores it on any session but the one that the attempt
+// was last run or resumed on: through another entry the caller may be back. For
+// an attempt whose session is lost, the executor waits the grace out itself.
 type Cancel struct {
 	Attempt AttemptID `cbor:"1,keyasint"`
 }
