--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,57 @@
+// Package telemetry is what a daemon shows of itself: JSON log lines, one line
+// for each routing or placement decision, and metrics on a local HTTP page.
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+
+	"skylarklead/internal/settings"
+	"skylarklead/internal/wire"
+)
+
+// Telemetry bundles what both roles report through.
+type Telemetry struct {
+	Log       *slog.Logger
+	Decisions *Decisions
+	Metrics   *Metrics
+	// Epoch is this process's; it is drawn once, at the start.
+	Epoch wire.Epoch
+}
+
+// New returns the telemetry of one process; log lines go to w.
+func New(s *settings.Settings, w io.Writer) (*Telemetry, error) {
+	epoch := wire.Epoch(rand.Uint64())
+	log, err := NewLogger(s, epoch, w)
+	if err != nil {
+		return nil, err
+	}
+	return &Telemetry{
+		Log:       log,
+		Decisions: NewDecisions(log, s.ID),
+		Metrics:   NewMetrics(),
+		Epoch:     epoch,
+	}, nil
+}
+
+// NewLogger returns a logger of JSON lines with the instance's attributes. An
+// empty level in the settings means "info".
+func NewLogger(s *settings.Settings, epoch wire.Epoch, w io.Writer) (*slog.Logger, error) {
+	var level slog.Level
+	if s.LogLevel != "" {
+		if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+			return nil, fmt.Errorf("telemetry: log level: %w", err)
+		}
+	}
+	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})
+	return slog.New(handler).With(
+		"instance", s.ID,
+		"role", s.Role,
+		"epoch", FormatEpoch(epoch),
+	), nil
+}
+
+// FormatEpoch renders an epoch as 16 hex digits, as it stands in logs.
+func FormatEpoch(epoch wire.Epoch) string { return fmt.Sprintf("%016x", uint64(epoch)) }
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -62,15 +62,18 @@
 	Self func() Identity
 	// Handler gets the messages.
 	Handler Handler
+	// Traffic counts the sessions' bytes; nil counts nothing.
+	Traffic *Traffic
 }
 
 // Session is an open connection to one peer. Its methods may be called from any
 // goroutine.
 type Session struct {
-	conn   *websocket.Conn
-	peer   Identity
-	ctx    context.Context
-	cancel context.CancelCauseFunc
+	conn    *websocket.Conn
+	peer    Identity
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	traffic *Traffic
 
 	mu      sync.Mutex
 	lastRef uint32
@@ -96,7 +99,7 @@
 		conn.CloseNow()
 		return nil, fmt.Errorf("wire: open to %s: %w", address, err)
 	}
-	return start(conn, peer, opts.Handler), nil
+	return start(conn, peer, opts), nil
 }
 
 // Accept serves one peer's session on an HTTP request and returns when it ends.
@@ -113,7 +116,7 @@
 		conn.CloseNow()
 		return fmt.Errorf("wire: open from %s: %w", r.RemoteAddr, err)
 	}
-	s := start(conn, peer, opts.Handler)
+	s := start(conn, peer, opts)
 	<-s.ctx.Done()
 	return context.Cause(s.ctx)
 }
@@ -197,10 +200,18 @@
 	return conn.Write(ctx, websocket.MessageBinary, frame)
 }
 
-func start(conn *websocket.Conn, peer Identity, h Handler) *Session {
+func start(conn *websocket.Conn, peer Identity, opts Options) *Session {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	s := &Session{conn: conn, peer: peer, ctx: ctx, cancel: cancel, calls: make(map[uint32]chan Message), used: time.Now()}
-	go s.read(h)
+	s := &Session{
+		conn:    conn,
+		peer:    peer,
+		ctx:     ctx,
+		cancel:  cancel,
+		traffic: opts.Traffic,
+		calls:   make(map[uint32]chan Message),
+		used:    time.Now(),
+	}
+	go s.read(opts.Handler)
 	go s.keepalive()
 	return s
 }
@@ -222,6 +233,7 @@
 		if err != nil {
 			return err
 		}
+		s.traffic.received(m, len(frame))
 		if !s.deliverReply(ref, m) {
 			h.Handle(s, ref, m)
 		}
@@ -319,11 +331,16 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, writeTimeout)
 	defer cancel()
-	if err := writeFrame(ctx, s.conn, ref, m); err != nil {
+	frame, err := Encode(ref, m)
+	if err != nil {
+		return err
+	}
+	if err := s.conn.Write(ctx, websocket.MessageBinary, frame); err != nil {
 		err = fmt.Errorf("%w: write: %v", ErrClosed, err)
 		s.Close(err)
 		return err
 	}
+	s.traffic.sent(m, len(frame))
 	s.mu.Lock()
 	s.used = time.Now()
 	s.mu.Unlock()
