Add the platform's clients and stand-in

Clients for the log and the instance list, with errors that tell an append without effect from one that may have had it; a stand-in of the log, the instance list and the weight store with its faults by a control endpoint.

--- /dev/null
+++ b/cmd/skylark-standin/main.go
@@ -0,0 +1,32 @@
+// Command skylark-standin stands in for what surrounds the daemons, in tests and
+// demonstrations only.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+// subcommands are what the program can stand in for.
+var subcommands = []*cli.Command{
+	platformCommand(),
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	root := &cli.Command{
+		Name:     "skylark-standin",
+		Usage:    "stand in for the platform, engines, services and callers (development only)",
+		Commands: subcommands,
+	}
+	if err := root.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "skylark-standin:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/platform/log.go
@@ -0,0 +1,255 @@
+// Package platform has the clients for what the platform runs: the append-only
+// log and the instance list (docs/INTERFACE.md, section 4). Its errors tell an
+// append that had no effect from one that may have had it.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// MaxPage is the most records that one read asks for.
+	MaxPage = 1000
+	// maxAnswer bounds an answer's body in bytes.
+	maxAnswer = 64 << 20
+	// readGrace is how long a long poll's answer may take beyond its wait.
+	readGrace = 5 * time.Second
+	// defaultRetryAfter stands in when a refusal doesn't say when to come back.
+	defaultRetryAfter = time.Second
+)
+
+// Record is one record of a stream.
+type Record struct {
+	// Offset is its place in its stream, from 1.
+	Offset uint64 `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+// Page is the answer to a read.
+type Page struct {
+	// Records are in offset order; none means that the reader has caught up.
+	Records []Record `json:"records"`
+	// Oldest is the lowest offset that the log still keeps.
+	Oldest uint64 `json:"oldest"`
+	// Next is where the next read goes on.
+	Next uint64 `json:"next"`
+}
+
+// Log is a client of the platform's log. It is safe for concurrent use.
+type Log struct {
+	base    string
+	appends *http.Client
+	reads   *http.Client
+}
+
+// NewLog returns a client of the log at base, "http://ip:port". It makes no
+// connection yet.
+func NewLog(base string) *Log {
+	return &Log{
+		base:    strings.TrimSuffix(base, "/"),
+		appends: newAppendClient(),
+		reads:   newReadClient(),
+	}
+}
+
+// newAppendClient returns a client that sends each request at most once.
+//
+// A transport that reuses connections sends some requests again by itself when
+// a reused connection breaks, and one that follows redirects sends the body
+// again. A lost answer would then put the same records on the log twice, seen
+// as two offsets for one append. A connection for each append rules the first
+// out (nothing is ever reused), and tells "never connected" from "answer lost".
+// The log takes a few hundred appends a second from the whole fleet, so the
+// handshakes are few.
+func newAppendClient() *http.Client {
+	return &http.Client{
+		Transport:     &http.Transport{DisableKeepAlives: true},
+		CheckRedirect: refuseRedirect,
+	}
+}
+
+func newReadClient() *http.Client {
+	return &http.Client{
+		Transport:     &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute},
+		CheckRedirect: refuseRedirect,
+	}
+}
+
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close closes idle connections.
+func (l *Log) Close() {
+	l.appends.CloseIdleConnections()
+	l.reads.CloseIdleConnections()
+}
+
+type appendBody struct {
+	Records [][]byte `json:"records"`
+}
+
+type appendAnswer struct {
+	First uint64 `json:"first"`
+	Last  uint64 `json:"last"`
+}
+
+// Append puts records on a stream, all or none, and returns the first one's
+// offset; the others follow it. Its errors match ErrNotAppended (a
+// *RateLimitedError among them) or ErrAppendUnknown, never both.
+func (l *Log) Append(ctx context.Context, stream string, records [][]byte) (uint64, error) {
+	if len(records) == 0 {
+		return 0, fmt.Errorf("%w: no records", ErrNotAppended)
+	}
+	body, err := json.Marshal(appendBody{Records: records})
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrNotAppended, err)
+	}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace),
+		http.MethodPost, l.streamURL(stream), bytes.NewReader(body))
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrNotAppended, err)
+	}
+	req.GetBody = nil // the body can't be sent a second time
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := l.appends.Do(req)
+	if err != nil {
+		if connected.Load() {
+			return 0, fmt.Errorf("%w: %w", ErrAppendUnknown, err)
+		}
+		return 0, fmt.Errorf("%w: %w", ErrNotAppended, err)
+	}
+	defer resp.Body.Close()
+	return appendResult(resp, len(records))
+}
+
+func appendResult(resp *http.Response, n int) (uint64, error) {
+	switch {
+	case resp.StatusCode == http.StatusOK:
+	case resp.StatusCode == http.StatusTooManyRequests:
+		return 0, &RateLimitedError{RetryAfter: retryAfter(resp)}
+	case resp.StatusCode == http.StatusServiceUnavailable, resp.StatusCode/100 == 4:
+		return 0, fmt.Errorf("%w: log answered %s", ErrNotAppended, resp.Status)
+	default:
+		return 0, fmt.Errorf("%w: log answered %s", ErrAppendUnknown, resp.Status)
+	}
+	var answer appendAnswer
+	if err := decode(resp, &answer); err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrAppendUnknown, err)
+	}
+	if answer.First == 0 || answer.Last != answer.First+uint64(n)-1 {
+		return 0, fmt.Errorf("%w: log answered offsets %d to %d for %d records",
+			ErrAppendUnknown, answer.First, answer.Last, n)
+	}
+	return answer.First, nil
+}
+
+// Read returns at most limit records of a stream from an offset on. With none
+// there yet it waits for the first one up to wait; zero asks for an answer at
+// once. Its errors are a *RetainedError, or match ErrUnavailable.
+func (l *Log) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
+	defer cancel()
+	query := url.Values{
+		"from":    {strconv.FormatUint(from, 10)},
+		"max":     {strconv.Itoa(limit)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	var page Page
+	if err := get(ctx, l.reads, l.streamURL(stream)+"?"+query.Encode(), &page); err != nil {
+		return Page{}, err
+	}
+	return page, page.check(from)
+}
+
+// check refuses a page that would let a reader skip or repeat a record. A gap
+// would be a claim or configuration record that this reader alone never sees;
+// it is better seen as an unavailable log.
+func (p Page) check(from uint64) error {
+	want := from
+	for _, r := range p.Records {
+		if r.Offset != want {
+			return fmt.Errorf("%w: log answered offset %d in place of %d", ErrUnavailable, r.Offset, want)
+		}
+		want++
+	}
+	if p.Next != want {
+		return fmt.Errorf("%w: log goes on at %d in place of %d", ErrUnavailable, p.Next, want)
+	}
+	return nil
+}
+
+func (l *Log) streamURL(stream string) string {
+	return l.base + "/v1/streams/" + url.PathEscape(stream) + "/records"
+}
+
+// get fetches a JSON answer.
+func get(ctx context.Context, client *http.Client, address string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusGone:
+		return goneError(resp)
+	case http.StatusTooManyRequests:
+		return &RateLimitedError{RetryAfter: retryAfter(resp)}
+	default:
+		return fmt.Errorf("%w: %s answered %s", ErrUnavailable, req.URL.Path, resp.Status)
+	}
+	if err := decode(resp, into); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return nil
+}
+
+func goneError(resp *http.Response) error {
+	var body struct {
+		Oldest uint64 `json:"oldest"`
+	}
+	if err := decode(resp, &body); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return &RetainedError{Oldest: body.Oldest}
+}
+
+var errTooLong = errors.New("answer is too long")
+
+func decode(resp *http.Response, into any) error {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil {
+		return err
+	}
+	if len(data) > maxAnswer {
+		return errTooLong
+	}
+	return json.Unmarshal(data, into)
+}
+
+// retryAfter reads the header Retry-After, whole seconds in the standard's form;
+// the log's own fractions are taken too.
+func retryAfter(resp *http.Response) time.Duration {
+	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if err != nil || seconds < 0 {
+		return defaultRetryAfter
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/internal/platform/tail.go
@@ -0,0 +1,88 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// tailWait is how long one poll of Tail waits for a record.
+	tailWait = 20 * time.Second
+	// minBackoff and maxBackoff bound the pause after a failed poll.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 5 * time.Second
+)
+
+// Tail calls f with every record of a stream from an offset on, in order and
+// once each, until ctx ends, f fails, or the offset is past retention. It
+// returns ctx's error, f's error or a *RetainedError. An outage of the log is
+// waited out.
+func (l *Log) Tail(ctx context.Context, stream string, from uint64, f func(Record) error) error {
+	var pause backoff
+	for {
+		asked := time.Now()
+		page, err := l.Read(ctx, stream, from, MaxPage, tailWait)
+		var retained *RetainedError
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case errors.As(err, &retained):
+			return err
+		case err != nil:
+			slog.Debug("log read failed", "stream", stream, "from", from, "error", err)
+			if err := pause.wait(ctx, err); err != nil {
+				return err
+			}
+			continue
+		}
+		if len(page.Records) == 0 && time.Since(asked) < minBackoff {
+			// A log that doesn't hold long polls would be asked in a tight loop,
+			// seen as a busy core on each side.
+			if err := pause.wait(ctx, nil); err != nil {
+				return err
+			}
+			continue
+		}
+		pause.reset()
+		for _, r := range page.Records {
+			if err := f(r); err != nil {
+				return err
+			}
+		}
+		from = page.Next
+	}
+}
+
+// backoff is the pause between failed tries: doubled each time, with full
+// jitter. Without jitter a whole fleet that saw the same outage begin would come
+// back at the same moments and keep the log over its limit.
+type backoff struct {
+	bound time.Duration
+}
+
+func (b *backoff) reset() { b.bound = 0 }
+
+// wait sleeps for the next pause, no shorter than a rate limit's own word.
+func (b *backoff) wait(ctx context.Context, cause error) error {
+	b.bound = min(max(2*b.bound, minBackoff), maxBackoff)
+	pause := minBackoff/2 + rand.N(b.bound)
+	var limited *RateLimitedError
+	if errors.As(cause, &limited) {
+		pause += limited.RetryAfter
+	}
+	return sleep(ctx, pause)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,289 @@
+// Package platform stands in for the platform in tests and demonstrations: the
+// append-only log, the lagging instance list and the weight store of
+// docs/INTERFACE.md, section 4, with faults that a control endpoint switches. It
+// keeps all in memory.
+//
+// The control endpoint: POST /control merges fields of Control and answers with
+// all of them; PUT /control/instances, PUT and DELETE /control/instances/{id}
+// change the true list of instances (with ?now=1 also what is shown at once);
+// GET /control/log tells what every stream keeps.
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
+
+	client "skylarklead/internal/platform"
+)
+
+// maxBody bounds a request's body in bytes.
+const maxBody = 16 << 20
+
+// Options are what a stand-in starts with.
+type Options struct {
+	Control   Control
+	Instances []client.Instance
+	// Seed is of the faults that come by chance.
+	Seed uint64
+	// Now is the clock, time.Now if nil.
+	Now func() time.Time
+}
+
+// Server is the stand-in as an http.Handler.
+type Server struct {
+	http.Handler
+	records   *records
+	instances *instances
+	weights   weights
+	appends   *rate.Limiter
+
+	mu      sync.Mutex
+	control Control
+	changed chan struct{} // closed when control changes
+	random  *rand.Rand
+}
+
+// New returns a stand-in.
+func New(o Options) *Server {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	s := &Server{
+		records:   newRecords(o.Now),
+		instances: newInstances(o.Now, o.Instances),
+		appends:   rate.NewLimiter(rate.Inf, 0),
+		changed:   make(chan struct{}),
+		random:    rand.New(rand.NewPCG(o.Seed, 0)),
+	}
+	s.setControl(o.Control)
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/streams/{stream}/records", s.handleAppend).Methods(http.MethodPost)
+	r.HandleFunc("/v1/streams/{stream}/records", s.handleRead).Methods(http.MethodGet)
+	r.HandleFunc("/v1/instances", s.handleInstances).Methods(http.MethodGet)
+	r.HandleFunc("/v1/weights/{model}/{version}", s.handleWeights).Methods(http.MethodGet)
+	r.HandleFunc("/control", s.handleControl).Methods(http.MethodGet, http.MethodPost)
+	r.HandleFunc("/control/log", s.handleDump).Methods(http.MethodGet)
+	r.HandleFunc("/control/instances", s.handleSetInstances).Methods(http.MethodPut)
+	r.HandleFunc("/control/instances/{id}", s.handlePutInstance).Methods(http.MethodPut)
+	r.HandleFunc("/control/instances/{id}", s.handleRemoveInstance).Methods(http.MethodDelete)
+	s.Handler = r
+	return s
+}
+
+// snapshot returns the control now, and a channel closed when it changes.
+func (s *Server) snapshot() (Control, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.control, s.changed
+}
+
+func (s *Server) setControl(c Control) {
+	limit := rate.Limit(c.AppendsPerSecond)
+	if limit == 0 {
+		limit = rate.Inf
+	}
+	s.appends.SetLimit(limit)
+	s.appends.SetBurst(c.AppendBurst)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances.freeze(c.ListFrozen, milliseconds(s.control.LagMS))
+	s.control = c
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// loses tells whether the answer to an append gets lost.
+func (s *Server) loses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.control.LoseNextAnswers > 0 {
+		s.control.LoseNextAnswers--
+		return true
+	}
+	return s.random.Float64() < s.control.LoseAnswerProbability
+}
+
+func (s *Server) handleAppend(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Records [][]byte `json:"records"`
+	}
+	if !readJSON(w, r, &body) {
+		return
+	}
+	if len(body.Records) == 0 {
+		fail(w, http.StatusBadRequest, "no records")
+		return
+	}
+	control, _ := s.snapshot()
+	if !pause(r, control.SlowMS) {
+		return
+	}
+	control, _ = s.snapshot()
+	if control.LogDown || control.AppendDown {
+		fail(w, http.StatusServiceUnavailable, "log is down")
+		return
+	}
+	if !s.appends.Allow() {
+		w.Header().Set("Retry-After", "1")
+		fail(w, http.StatusTooManyRequests, "over the append limit")
+		return
+	}
+	first, last := s.records.append(mux.Vars(r)["stream"], body.Records)
+	pause(r, control.SlowAnswerMS)
+	if s.loses() {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, map[string]uint64{"first": first, "last": last})
+}
+
+func (s *Server) handleRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(queryOr(r, "from", "1"), 10, 64)
+	limit, err2 := strconv.Atoi(queryOr(r, "max", strconv.Itoa(client.MaxPage)))
+	wait, err3 := strconv.Atoi(queryOr(r, "wait_ms", "0"))
+	if err != nil || err2 != nil || err3 != nil || limit < 1 {
+		fail(w, http.StatusBadRequest, "from, max and wait_ms are numbers")
+		return
+	}
+	limit = min(limit, client.MaxPage)
+	control, _ := s.snapshot()
+	if !pause(r, control.SlowMS) {
+		return
+	}
+	deadline := time.NewTimer(milliseconds(wait))
+	defer deadline.Stop()
+	for late := wait == 0; ; {
+		control, changed := s.snapshot()
+		if control.LogDown || control.ReadDown {
+			fail(w, http.StatusServiceUnavailable, "log is down")
+			return
+		}
+		page, grown, err := s.records.read(mux.Vars(r)["stream"], from, limit, control.retention())
+		if err != nil {
+			writeJSON(w, http.StatusGone, map[string]uint64{"oldest": page.Oldest})
+			return
+		}
+		if len(page.Records) > 0 || late {
+			writeJSON(w, http.StatusOK, page)
+			return
+		}
+		select {
+		case <-grown:
+		case <-changed:
+		case <-deadline.C:
+			late = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) handleDump(w http.ResponseWriter, _ *http.Request) {
+	control, _ := s.snapshot()
+	writeJSON(w, http.StatusOK, s.records.dump(control.retention()))
+}
+
+func (s *Server) handleInstances(w http.ResponseWriter, _ *http.Request) {
+	control, _ := s.snapshot()
+	if control.ListDown {
+		fail(w, http.StatusServiceUnavailable, "list is down")
+		return
+	}
+	list := s.instances.shown(milliseconds(control.LagMS))
+	writeJSON(w, http.StatusOK, client.InstanceList{Instances: list})
+}
+
+func (s *Server) handleWeights(w http.ResponseWriter, r *http.Request) {
+	control, _ := s.snapshot()
+	if s.weights.fetch(r.Context(), milliseconds(control.WeightsMS), control.WeightsBound) != nil {
+		return
+	}
+	vars := mux.Vars(r)
+	writeJSON(w, http.StatusOK, map[string]string{"model": vars["model"], "version": vars["version"]})
+}
+
+func (s *Server) handleControl(w http.ResponseWriter, r *http.Request) {
+	control, _ := s.snapshot()
+	if r.Method == http.MethodPost {
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+		if err == nil {
+			control, err = control.merge(data)
+		}
+		if err != nil {
+			fail(w, http.StatusBadRequest, err.Error())
+			return
+		}
+		s.setControl(control)
+	}
+	writeJSON(w, http.StatusOK, control)
+}
+
+func (s *Server) handleSetInstances(w http.ResponseWriter, r *http.Request) {
+	var body client.InstanceList
+	if !readJSON(w, r, &body) {
+		return
+	}
+	s.instances.set(body.Instances, r.URL.Query().Has("now"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) handlePutInstance(w http.ResponseWriter, r *http.Request) {
+	var body client.Instance
+	if !readJSON(w, r, &body) {
+		return
+	}
+	body.ID = mux.Vars(r)["id"]
+	s.instances.put(body, r.URL.Query().Has("now"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) handleRemoveInstance(w http.ResponseWriter, r *http.Request) {
+	s.instances.remove(mux.Vars(r)["id"], r.URL.Query().Has("now"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// pause waits ms milliseconds; false means that the caller has gone.
+func pause(r *http.Request, ms int) bool {
+	if ms <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(milliseconds(ms)):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func queryOr(r *http.Request, name, fallback string) string {
+	if v := r.URL.Query().Get(name); v != "" {
+		return v
+	}
+	return fallback
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(into)
+	if err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // a caller that has gone needs no answer
+}
+
+func fail(w http.ResponseWriter, status int, message string) {
+	writeJSON(w, status, map[string]any{"error": map[string]string{"message": message}})
+}
