--- /dev/null
+++ b/internal/engine/call.go
@@ -0,0 +1,79 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// call makes one control call. Orders and imports go over a fresh connection,
+// since the caller has to know whether they were sent; reads share connections.
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	client := c.shared
+	if method == http.MethodPost {
+		client = c.once
+	}
+	req, err := newCall(method, c.base+path, in)
+	if err != nil {
+		return err
+	}
+	resp, err := sendOnce(ctx, client, req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusConflict {
+		return conflict(path, resp)
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return refusal(resp)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxControlBody)).Decode(out); err != nil {
+		return fmt.Errorf("%w: %s %s: %w", ErrLost, method, path, unexpected(err))
+	}
+	return nil
+}
+
+func newCall(method, url string, in any) (*http.Request, error) {
+	if in == nil {
+		return newRequest(method, url, nil)
+	}
+	body, err := json.Marshal(in)
+	if err != nil {
+		return nil, fmt.Errorf("%w: encode: %w", ErrNotSent, err)
+	}
+	req, err := newRequest(method, url, oneShot{bytes.NewReader(body)})
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	return req, nil
+}
+
+func newRequest(method, url string, body io.Reader) (*http.Request, error) {
+	req, err := http.NewRequest(method, url, body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return req, nil
+}
+
+// conflict reads a 409, which means stale for an order and other weights for an
+// import.
+func conflict(path string, resp *http.Response) error {
+	if path != "/v1/orders" {
+		return fmt.Errorf("%w: %w", ErrConflict, refusal(resp))
+	}
+	var stale StaleFence
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBody)).Decode(&stale); err != nil {
+		return fmt.Errorf("%w: 409 to an order: %w", ErrMalformed, err)
+	}
+	return &StaleFenceError{Fence: stale.Fence}
+}
--- /dev/null
+++ b/internal/engine/sse.go
@@ -0,0 +1,66 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"strconv"
+)
+
+// maxSSELine bounds one line of an event stream in bytes: a cache event of a
+// whole evicted prompt of 100,000 tokens stays below it.
+const maxSSELine = 1 << 20
+
+// sseEvent is one server-sent event.
+type sseEvent struct {
+	id    uint64
+	hasID bool
+	data  []byte
+}
+
+// sseReader reads server-sent events of one data line each.
+type sseReader struct{ lines *bufio.Scanner }
+
+func newSSEReader(r io.Reader) *sseReader {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, 4<<10), maxSSELine)
+	return &sseReader{lines: lines}
+}
+
+// next returns the next whole event. A stream that ends before an event's empty
+// line gives io.ErrUnexpectedEOF, and io.EOF between events.
+func (r *sseReader) next() (sseEvent, error) {
+	var event sseEvent
+	started := false
+	for r.lines.Scan() {
+		line := r.lines.Bytes()
+		if len(line) == 0 {
+			if started {
+				return event, nil
+			}
+			continue
+		}
+		field, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(field) {
+		case "data":
+			event.data = bytes.Clone(value)
+			started = true
+		case "id":
+			id, err := strconv.ParseUint(string(value), 10, 64)
+			if err != nil {
+				return event, fmt.Errorf("%w: event id: %w", ErrMalformed, err)
+			}
+			event.id, event.hasID = id, true
+			started = true
+		}
+	}
+	if err := r.lines.Err(); err != nil {
+		return event, err
+	}
+	if started {
+		return event, io.ErrUnexpectedEOF
+	}
+	return event, io.EOF
+}
