settings: load and check the settings file, all mistakes at once

Cause: a daemon needs its settings checked at start, with file, line, field and what would be right; encoding/json stops at the first mistake and has neither lines nor unknown-field hints.

Change: package strictjson decodes JSON with comments by its syntax tree (hujson) into structs and collects every problem; settings.Parse adds its own checks and defaults.

--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,224 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+
+	"skylarklead/internal/strictjson"
+)
+
+const (
+	minFleetKeyBytes = 32
+	// maxBodyBound keeps a caller's body within one frame between processes.
+	maxBodyBound = 4 << 20
+	wantAddress  = `"ip:port" by IP number, such as "127.0.0.1:7001"`
+	wantURL      = `a base URL by IP number, such as "http://127.0.0.1:7000"`
+)
+
+var (
+	logLevels = []string{"debug", "info", "warn", "error"}
+	roles     = []string{"entry", "endpoint"}
+	kinds     = []string{"engine", "service"}
+)
+
+// checker adds the problems that the types alone don't show.
+type checker struct {
+	doc *strictjson.Document
+	s   *Settings
+	// listens has the field that each listening address was first given in.
+	listens map[netip.AddrPort]string
+}
+
+func (c *checker) check() {
+	if !c.doc.OK() && !c.doc.Has("id") && !c.doc.Has("role") {
+		return // not a settings file at all: one problem is enough
+	}
+	c.listens = map[netip.AddrPort]string{}
+	s := c.s
+	c.required("id", s.ID)
+	c.oneOf("role", s.Role, roles)
+	c.required("failure_domain", s.FailureDomain)
+	c.listen("listen", s.Listen)
+	if c.doc.Has("advertise") {
+		c.peer("advertise", s.Advertise)
+	} else if strings.HasPrefix(s.Listen, "0.0.0.0:") || strings.HasPrefix(s.Listen, "[::]:") {
+		c.doc.Add("listen", fmt.Sprintf("%q can't be dialled by peers", s.Listen), `"advertise" beside it, or one address`)
+	}
+	if s.Metrics != "" {
+		c.listen("metrics", s.Metrics)
+	}
+	c.fleetKey()
+	c.oneOf("log_level", s.LogLevel, logLevels)
+	c.baseURL("platform.log", s.Platform.Log)
+	c.baseURL("platform.instances", s.Platform.Instances)
+	c.positive("platform.retention", s.Platform.Retention)
+	c.bootstrap()
+	c.roles()
+}
+
+func (c *checker) bootstrap() {
+	for i, p := range c.s.Bootstrap.Peers {
+		path := fmt.Sprintf("bootstrap.peers[%d]", i)
+		c.peer(path, p)
+		if slices.Contains(c.s.Bootstrap.Peers[:i], p) {
+			c.doc.Add(path, fmt.Sprintf("%q is there twice", p), "each peer once")
+		}
+	}
+}
+
+// roles checks that the role and its own part agree and checks that part.
+func (c *checker) roles() {
+	s := c.s
+	if s.Entry != nil {
+		c.entry(s.Entry)
+	}
+	if s.Endpoint != nil {
+		c.endpoint(s.Endpoint)
+	}
+	switch {
+	case s.Entry != nil && s.Endpoint != nil:
+		c.doc.Add("endpoint", "is given beside \"entry\"", "the one that the role names")
+	case s.Entry == nil && s.Endpoint == nil:
+		c.doc.Add("", `neither "entry" nor "endpoint" is given`, "the one that the role names")
+	case s.Role == "entry" && s.Entry == nil:
+		c.doc.Add("role", `is "entry" but the settings have "endpoint"`, `role "endpoint", or a part "entry"`)
+	case s.Role == "endpoint" && s.Endpoint == nil:
+		c.doc.Add("role", `is "endpoint" but the settings have "entry"`, `role "entry", or a part "endpoint"`)
+	}
+}
+
+func (c *checker) entry(e *Entry) {
+	c.listen("entry.listen", e.Listen)
+	if e.TLS != nil {
+		c.required("entry.tls.certificate", e.TLS.Certificate)
+		c.required("entry.tls.key", e.TLS.Key)
+	}
+	if e.MaxBody <= 0 || e.MaxBody > maxBodyBound {
+		c.doc.Add("entry.max_body", fmt.Sprintf("is %d", e.MaxBody), fmt.Sprintf("bytes from 1 to %d", maxBodyBound))
+	}
+	c.positive("entry.hedge_after", e.HedgeAfter)
+	c.positive("entry.request_timeout", e.RequestTimeout)
+	c.share("entry.retry_share", e.RetryShare)
+	c.required("entry.policy", e.Policy)
+}
+
+func (c *checker) endpoint(e *Endpoint) {
+	c.required("endpoint.group", e.Group)
+	c.oneOf("endpoint.kind", e.Kind, kinds)
+	c.baseURL("endpoint.backend", e.Backend)
+	c.atLeastOne("endpoint.max_running", float64(e.MaxRunning))
+	if e.MaxQueue < 0 {
+		c.doc.Add("endpoint.max_queue", fmt.Sprintf("is %d", e.MaxQueue), "0 or more")
+	}
+	c.share("endpoint.small_reserve", e.SmallReserve)
+	c.atLeastOne("endpoint.prefill_tokens_per_second", e.PrefillTokensPerSecond)
+	c.positive("endpoint.decode_token_time", e.DecodeTokenTime)
+	c.atLeastOne("endpoint.cache_tokens", float64(e.CacheTokens))
+	c.positive("endpoint.heartbeat", e.Heartbeat)
+	if e.SuspectAfter <= e.Heartbeat {
+		c.doc.Add("endpoint.suspect_after",
+			fmt.Sprintf("%v is not more than the heartbeat, %v, so that every peer would be suspected", e.SuspectAfter.D(), e.Heartbeat.D()),
+			"about three heartbeats")
+	}
+}
+
+func (c *checker) required(path, value string) {
+	if value == "" {
+		c.doc.Add(path, "is missing or empty", "a value")
+	}
+}
+
+func (c *checker) oneOf(path, value string, allowed []string) {
+	if !slices.Contains(allowed, value) {
+		c.doc.Add(path, fmt.Sprintf("%q is not known", value), `"`+strings.Join(allowed, `" or "`)+`"`)
+	}
+}
+
+func (c *checker) positive(path string, d Duration) {
+	if d <= 0 {
+		c.doc.Add(path, "is "+d.D().String(), "more than 0s")
+	}
+}
+
+func (c *checker) atLeastOne(path string, n float64) {
+	if !(n >= 1) {
+		c.doc.Add(path, fmt.Sprintf("is %v", n), "1 or more")
+	}
+}
+
+func (c *checker) share(path string, n float64) {
+	if !(n >= 0 && n <= 1) {
+		c.doc.Add(path, fmt.Sprintf("is %v", n), "a share from 0 to 1")
+	}
+}
+
+// address parses "ip:port" and reports it if it isn't.
+func (c *checker) address(path, value string) (netip.AddrPort, bool) {
+	a, err := netip.ParseAddrPort(value)
+	switch {
+	case err != nil:
+		c.doc.Add(path, fmt.Sprintf("%q is not an address", value), wantAddress)
+	case a.Port() == 0:
+		c.doc.Add(path, fmt.Sprintf("%q has port 0", value), "a port that peers can be told")
+	default:
+		return a, true
+	}
+	return a, false
+}
+
+func (c *checker) listen(path, value string) {
+	a, ok := c.address(path, value)
+	if !ok {
+		return
+	}
+	for b, other := range c.listens {
+		anyHost := a.Addr().IsUnspecified() || b.Addr().IsUnspecified()
+		if a == b || (a.Port() == b.Port() && anyHost) {
+			c.doc.Add(path, fmt.Sprintf("%q is already taken by %s", value, other), "an address of its own")
+			return
+		}
+	}
+	c.listens[a] = path
+}
+
+// peer checks an address that others dial.
+func (c *checker) peer(path, value string) {
+	if a, ok := c.address(path, value); ok && a.Addr().IsUnspecified() {
+		c.doc.Add(path, fmt.Sprintf("%q can't be dialled", value), wantAddress)
+	}
+}
+
+func (c *checker) baseURL(path, value string) {
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.User != nil || u.RawQuery != "" || u.Fragment != "" {
+		c.doc.Add(path, fmt.Sprintf("%q is not a base URL", value), wantURL)
+		return
+	}
+	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
+		c.doc.Add(path, fmt.Sprintf("%q doesn't name its host by IP number", value), wantURL)
+	}
+}
+
+func (c *checker) fleetKey() {
+	want := fmt.Sprintf("%d bytes or more in hex, the same in the whole fleet", minFleetKeyBytes)
+	key, err := hex.DecodeString(c.s.FleetKey)
+	switch {
+	case err != nil:
+		c.doc.Add("fleet_key", "is not hex", want)
+	case len(key) < minFleetKeyBytes:
+		c.doc.Add("fleet_key", fmt.Sprintf("has %d bytes", len(key)), want)
+	}
+}
+
+// Key returns the fleet key's bytes.
+func (s *Settings) Key() []byte {
+	key, err := hex.DecodeString(s.FleetKey)
+	if err != nil {
+		return nil // Parse has refused such a key
+	}
+	return key
+}
