--- /dev/null
+++ b/internal/attempt/budget.go
@@ -0,0 +1,85 @@
+package attempt
+
+import "time"
+
+// Extra is why work is sent a second time.
+type Extra uint8
+
+// The kinds of extra work, which share one budget.
+const (
+	ExtraRetry Extra = iota
+	ExtraHedge
+	ExtraResend
+	extraKinds
+)
+
+// BudgetParams size a Budget.
+type BudgetParams struct {
+	// Share is extra work as a share of requests, 0 to 1.
+	Share float64
+	// Floor is extra work allowed per second however little traffic there is.
+	Floor float64
+	// Burst bounds what can be saved up.
+	Burst float64
+	// SaturationHold is how long the budget stays off after a report of
+	// saturation.
+	SaturationHold time.Duration
+}
+
+// DefaultBudgetParams keep 410 entries' floors together at 41 extra requests a
+// second, 3 % of a peak of 1,300.
+var DefaultBudgetParams = BudgetParams{Share: 0.2, Floor: 0.1, Burst: 10, SaturationHold: 2 * time.Second}
+
+// Budget limits retries, hedges and re-sends together to a share of recent
+// requests, so that failures of one cause don't multiply into load. Over any
+// time t with n requests it allows at most Burst + Share*n + Floor*t.
+type Budget struct {
+	params   BudgetParams
+	tokens   float64
+	at       time.Duration
+	offUntil time.Duration
+	spent    [extraKinds]uint64
+	refused  uint64
+}
+
+// NewBudget returns a full budget.
+func NewBudget(p BudgetParams) *Budget { return &Budget{params: p, tokens: p.Burst} }
+
+// Request counts one request of a caller.
+func (b *Budget) Request(now time.Duration) {
+	b.refill(now)
+	b.tokens = min(b.tokens+b.params.Share, b.params.Burst)
+}
+
+// Allow takes one extra piece of work out of the budget, or refuses it.
+func (b *Budget) Allow(kind Extra, now time.Duration) bool {
+	b.refill(now)
+	if b.Off(now) || b.tokens < 1 {
+		b.refused++
+		return false
+	}
+	b.tokens--
+	b.spent[kind]++
+	return true
+}
+
+// Saturated says that the group refuses work for lack of room. Extra work then
+// only displaces first attempts.
+func (b *Budget) Saturated(now time.Duration) { b.offUntil = now + b.params.SaturationHold }
+
+// Off reports whether the budget is off for saturation.
+func (b *Budget) Off(now time.Duration) bool { return now < b.offUntil }
+
+// Spent returns how much extra work of a kind was allowed, Refused how much was
+// not.
+func (b *Budget) Spent(kind Extra) uint64 { return b.spent[kind] }
+
+// Refused returns how often the budget said no.
+func (b *Budget) Refused() uint64 { return b.refused }
+
+func (b *Budget) refill(now time.Duration) {
+	if now > b.at {
+		b.tokens = min(b.tokens+b.params.Floor*(now-b.at).Seconds(), b.params.Burst)
+		b.at = now
+	}
+}
--- /dev/null
+++ b/internal/attempt/poison.go
@@ -0,0 +1,316 @@
+package attempt
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"skylarklead/internal/wire"
+)
+
+// PoisonParams bound what one request may do to the engines.
+type PoisonParams struct {
+	// Limit is the strikes at which a request is given up, 2 or more.
+	Limit int
+	// Pardons is how often a completion clears a request's strikes. Without a
+	// bound, a request that crashes every other engine would go on for ever.
+	Pardons uint32
+	// Memory is how long a strike is remembered after the last crash.
+	Memory time.Duration
+	// Max bounds the fingerprints remembered.
+	Max int
+	// Beat bounds the strikes in one heartbeat.
+	Beat int
+}
+
+// DefaultPoisonParams remember for an hour.
+var DefaultPoisonParams = PoisonParams{Limit: 2, Pardons: 2, Memory: time.Hour, Max: 4096, Beat: 32}
+
+// VerdictKind is how a request may run.
+type VerdictKind uint8
+
+// The verdicts.
+const (
+	// Clear: it runs beside others.
+	Clear VerdictKind = iota
+	// Alone: it has been running when an engine crashed; nothing may run beside
+	// it, so that a second crash is conclusive.
+	Alone
+	// GivenUp: it is not run again for RetryAfter.
+	GivenUp
+)
+
+var verdictNames = [...]string{"clear", "alone", "given_up"}
+
+// String names the verdict as decision records have it.
+func (k VerdictKind) String() string { return verdictNames[k] }
+
+// Verdict is what a Poison says of a request.
+type Verdict struct {
+	Kind       VerdictKind
+	RetryAfter time.Duration
+}
+
+// Refusal is the final answer to a request that was given up.
+func (v Verdict) Refusal() *wire.Refusal {
+	return &wire.Refusal{
+		Code: wire.CodeGivenUp, Message: "this request crashed the engines that ran it",
+		Ran: wire.NotRun, RetryAfterMs: v.RetryAfter.Milliseconds(),
+	}
+}
+
+// suspicion is what is held against one fingerprint.
+//
+// Invariant: (generation, count) only grows in lexical order, and givenUp is
+// never unset, until the whole is forgotten after PoisonParams.Memory.
+type suspicion struct {
+	count      int
+	generation uint32
+	givenUp    bool
+	struck     time.Duration
+	changed    time.Duration
+}
+
+// Poison remembers which requests were running when engines crashed. Every
+// endpoint process of a group has one: it judges as an owner, guards its own
+// engine as an executor, and merges what its peers' heartbeats tell.
+//
+// Bound: with the strikes heard by all, a request that crashes every engine it
+// runs on crashes Limit of them in Memory: the first crash, shared with whatever
+// ran beside it, and Limit-1 alone. Copies that already ran on k other engines
+// when the first crash happened, and owners that have not heard of it yet, add
+// at most one crash each. A request that sometimes completes crashes at most
+// Pardons more.
+type Poison struct {
+	params  PoisonParams
+	known   map[uint64]*suspicion
+	running map[uint64]int
+	total   int
+	waiting map[uint64]bool
+	cursor  uint64
+}
+
+// NewPoison returns an empty memory.
+func NewPoison(p PoisonParams) *Poison {
+	return &Poison{params: p, known: map[uint64]*suspicion{}, running: map[uint64]int{}, waiting: map[uint64]bool{}}
+}
+
+// Judge tells how a request may run.
+func (p *Poison) Judge(fingerprint uint64, now time.Duration) Verdict {
+	s := p.live(fingerprint, now)
+	switch {
+	case s == nil || s.count == 0 && !s.givenUp:
+		return Verdict{Kind: Clear}
+	case s.givenUp:
+		return Verdict{Kind: GivenUp, RetryAfter: s.struck + p.params.Memory - now}
+	default:
+		return Verdict{Kind: Alone}
+	}
+}
+
+// Gate is whether an executor may hand a request to its engine now.
+type Gate uint8
+
+// The gate's answers.
+const (
+	// GateOpen: it is counted as running; call Ended when it no longer is.
+	GateOpen Gate = iota
+	// GateWait: ask again when something has ended.
+	GateWait
+	// GateShut: it was given up.
+	GateShut
+)
+
+// Start asks to hand a request to this process's engine. A suspect waits until
+// nothing runs, and holds back everything else until it has ended or was
+// withdrawn.
+func (p *Poison) Start(fingerprint uint64, now time.Duration) Gate {
+	switch p.Judge(fingerprint, now).Kind {
+	case GivenUp:
+		delete(p.waiting, fingerprint)
+		return GateShut
+	case Alone:
+		if p.total > 0 {
+			p.waiting[fingerprint] = true
+			return GateWait
+		}
+		delete(p.waiting, fingerprint)
+	default:
+		delete(p.waiting, fingerprint)
+		if len(p.waiting) > 0 || p.aloneRuns(now) {
+			return GateWait
+		}
+	}
+	p.running[fingerprint]++
+	p.total++
+	return GateOpen
+}
+
+// Withdraw says that a request that had to wait waits no longer.
+func (p *Poison) Withdraw(fingerprint uint64) { delete(p.waiting, fingerprint) }
+
+func (p *Poison) aloneRuns(now time.Duration) bool {
+	if p.total != 1 {
+		return false
+	}
+	for f := range p.running {
+		return p.Judge(f, now).Kind != Clear
+	}
+	return false
+}
+
+// Ended says that a request is no longer at the engine. completed clears its
+// strikes.
+func (p *Poison) Ended(fingerprint uint64, completed bool, now time.Duration) {
+	if p.running[fingerprint] == 0 {
+		return
+	}
+	p.total--
+	if p.running[fingerprint]--; p.running[fingerprint] == 0 {
+		delete(p.running, fingerprint)
+	}
+	s := p.live(fingerprint, now)
+	if !completed || s == nil || s.givenUp || s.count == 0 || s.generation >= p.params.Pardons {
+		return
+	}
+	s.generation++
+	s.count = 0
+	s.changed = now
+}
+
+// Crashed says that this process's engine was lost with all that it ran. Only a
+// request that ran alone gets more than a first strike: one that happened to run
+// beside two different culprits must not be given up in their place.
+func (p *Poison) Crashed(now time.Duration) []wire.Strike {
+	alone := p.total == 1
+	strikes := make([]wire.Strike, 0, len(p.running))
+	for f := range p.running {
+		s := p.live(f, now)
+		if s == nil {
+			s = p.remember(f, now)
+		}
+		if s.count == 0 || alone {
+			s.count++
+		}
+		s.givenUp = s.givenUp || s.count >= p.params.Limit
+		s.struck, s.changed = now, now
+		strikes = append(strikes, s.strike(f, now))
+	}
+	clear(p.running)
+	p.total = 0
+	slices.SortFunc(strikes, func(a, b wire.Strike) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return strikes
+}
+
+// Heard merges a peer's strikes. Merging is idempotent and in any order.
+func (p *Poison) Heard(strikes []wire.Strike, now time.Duration) {
+	for _, h := range strikes {
+		struck := now - millis(max(h.AgeMs, 0))
+		if now-struck >= p.params.Memory {
+			continue
+		}
+		s := p.live(h.Fingerprint, now)
+		if s == nil {
+			s = p.remember(h.Fingerprint, now)
+			s.struck = struck
+		}
+		s.merge(h, struck, now)
+	}
+}
+
+func (s *suspicion) merge(h wire.Strike, struck, now time.Duration) {
+	newer := h.Generation > s.generation || h.Generation == s.generation && h.Count > s.count
+	if newer {
+		s.generation, s.count = h.Generation, h.Count
+	}
+	if newer || h.GivenUp && !s.givenUp {
+		s.changed = now
+		s.struck = max(s.struck, struck)
+	}
+	s.givenUp = s.givenUp || h.GivenUp
+}
+
+// Strikes returns what to put into the next heartbeat: the latest changes first,
+// then the others in turn, so that a peer that missed some gets them again.
+func (p *Poison) Strikes(now time.Duration) []wire.Strike {
+	p.sweep(now)
+	if len(p.known) == 0 {
+		return nil
+	}
+	fingerprints := make([]uint64, 0, len(p.known))
+	for f := range p.known {
+		fingerprints = append(fingerprints, f)
+	}
+	slices.SortFunc(fingerprints, func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(p.known[b].changed, p.known[a].changed), cmp.Compare(a, b))
+	})
+	if fresh := p.params.Beat / 2; len(fingerprints) > p.params.Beat {
+		rest := fingerprints[fresh:]
+		slices.Sort(rest)
+		at, _ := slices.BinarySearch(rest, p.cursor+1)
+		rest = slices.Concat(rest[at:], rest[:at])[:p.params.Beat-fresh]
+		p.cursor = rest[len(rest)-1]
+		fingerprints = slices.Concat(fingerprints[:fresh], rest)
+	}
+	strikes := make([]wire.Strike, len(fingerprints))
+	for i, f := range fingerprints {
+		strikes[i] = p.known[f].strike(f, now)
+	}
+	return strikes
+}
+
+func (s *suspicion) strike(fingerprint uint64, now time.Duration) wire.Strike {
+	return wire.Strike{
+		Fingerprint: fingerprint, Count: s.count, GivenUp: s.givenUp,
+		Generation: s.generation, AgeMs: (now - s.struck).Milliseconds(),
+	}
+}
+
+// live returns a suspicion that is not too old.
+func (p *Poison) live(fingerprint uint64, now time.Duration) *suspicion {
+	s, ok := p.known[fingerprint]
+	if !ok || now-s.struck >= p.params.Memory {
+		return nil
+	}
+	return s
+}
+
+func (p *Poison) remember(fingerprint uint64, now time.Duration) *suspicion {
+	if len(p.known) >= p.params.Max {
+		p.sweep(now)
+		p.evict()
+	}
+	s := &suspicion{struck: now, changed: now}
+	p.known[fingerprint] = s
+	return s
+}
+
+func (p *Poison) sweep(now time.Duration) {
+	for f, s := range p.known {
+		if now-s.struck >= p.params.Memory {
+			delete(p.known, f)
+		}
+	}
+}
+
+// evict makes room by forgetting the oldest suspicion, given-up ones last.
+func (p *Poison) evict() {
+	if len(p.known) < p.params.Max {
+		return
+	}
+	var oldest uint64
+	var at *suspicion
+	for f, s := range p.known {
+		if at == nil || s.before(at) {
+			oldest, at = f, s
+		}
+	}
+	delete(p.known, oldest)
+}
+
+func (s *suspicion) before(t *suspicion) bool {
+	if s.givenUp != t.givenUp {
+		return t.givenUp
+	}
+	return s.struck < t.struck
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -319,6 +319,12 @@
 	Fingerprint uint64 `cbor:"1,keyasint"`
 	Count       int    `cbor:"2,keyasint"`
 	GivenUp     bool   `cbor:"3,keyasint,omitempty"`
+	// Generation counts how often a completion cleared the strikes; a higher one
+	// outdoes any Count of a lower one.
+	Generation uint32 `cbor:"4,keyasint,omitempty"`
+	// AgeMs is how long ago the last engine crashed, so that strikes passed to
+	// and fro still expire.
+	AgeMs int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Heartbeat goes from each endpoint process to the others of its group.
