Prove that an append is sent at most once and a follower misses nothing

Cause guarded against: an HTTP transport sends a request again by itself when a reused connection breaks, so a lost answer would put a claim on the log twice. Each append has its own connection, no body to send again and follows no redirect.

Ruled out: trusting that a POST is never sent again. It is, once a request has an Idempotency-Key header; and a redirect with status 307 sends any body again.

The tests also found the stand-in's limiter starting empty when its limit was set after its making; it is now made anew when the limits change.

--- /dev/null
+++ b/internal/platform/log_test.go
@@ -0,0 +1,300 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"skylarklead/internal/platform"
+	standin "skylarklead/internal/standin/platform"
+)
+
+// fixture is a stand-in behind a client.
+type fixture struct {
+	*platform.Log
+	t      *testing.T
+	url    string
+	opened atomic.Int64 // connections
+	gets   atomic.Int64 // reads that reached the log
+}
+
+func newFixture(t *testing.T, control standin.Control) *fixture {
+	t.Helper()
+	f := &fixture{t: t}
+	log := standin.New(standin.Options{Control: control})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			f.gets.Add(1)
+		}
+		log.ServeHTTP(w, r)
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			f.opened.Add(1)
+		}
+	}
+	server.Start()
+	f.url = server.URL
+	f.Log = platform.NewLog(server.URL)
+	t.Cleanup(func() { f.Close(); server.CloseClientConnections(); server.Close() })
+	return f
+}
+
+func (f *fixture) control(body string) {
+	f.t.Helper()
+	resp, err := http.Post(f.url+"/control", "application/json", bytes.NewBufferString(body))
+	if err != nil || resp.StatusCode != http.StatusOK {
+		f.t.Fatalf("control %s: %v %v", body, resp, err)
+	}
+	resp.Body.Close()
+}
+
+func (f *fixture) mustAppend(data ...string) uint64 {
+	f.t.Helper()
+	first, err := f.Append(f.t.Context(), "config", byteSlices(data))
+	if err != nil {
+		f.t.Fatalf("append %v: %v", data, err)
+	}
+	return first
+}
+
+// waitForReads waits until n more reads have reached the log.
+func (f *fixture) waitForReads(n int64) {
+	f.t.Helper()
+	want := f.gets.Load() + n
+	for deadline := time.Now().Add(10 * time.Second); f.gets.Load() < want; {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%d reads in place of %d", f.gets.Load(), want)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func byteSlices(data []string) [][]byte {
+	var all [][]byte
+	for _, d := range data {
+		all = append(all, []byte(d))
+	}
+	return all
+}
+
+func TestAppendAndRead(t *testing.T) {
+	f := newFixture(t, standin.Control{})
+	if first := f.mustAppend("a", "b"); first != 1 {
+		t.Errorf("first append at %d", first)
+	}
+	if first := f.mustAppend("c"); first != 3 {
+		t.Errorf("second append at %d", first)
+	}
+	page, err := f.Read(t.Context(), "config", 2, 10, 0)
+	if err != nil || len(page.Records) != 2 || page.Oldest != 1 || page.Next != 4 {
+		t.Fatalf("read: %+v, %v", page, err)
+	}
+	if r := page.Records[1]; r.Offset != 3 || string(r.Data) != "c" {
+		t.Errorf("last record: %+v", r)
+	}
+	page, err = f.Read(t.Context(), "config", 4, 10, 0)
+	if err != nil || len(page.Records) != 0 || page.Next != 4 {
+		t.Errorf("read at the end: %+v, %v", page, err)
+	}
+}
+
+// Symptom: a claim stands on the log twice, and its second copy is taken for
+// another process's.
+// Sequence: an append succeeds and leaves a warm connection; the next one takes
+// effect, and its connection is closed before the answer.
+// Cause: an HTTP transport sends a request again by itself when a reused
+// connection breaks.
+func TestAppendLostAnswerIsSentOnce(t *testing.T) {
+	f := newFixture(t, standin.Control{})
+	f.mustAppend("before")
+	f.control(`{"lose_next_answers":1}`)
+	_, err := f.Append(t.Context(), "config", byteSlices([]string{"lost"}))
+	if !errors.Is(err, platform.ErrAppendUnknown) || errors.Is(err, platform.ErrNotAppended) {
+		t.Errorf("lost answer: %v", err)
+	}
+	page, err := f.Read(t.Context(), "config", 1, 10, 0)
+	if err != nil || len(page.Records) != 2 {
+		t.Errorf("log has %+v, %v", page, err)
+	}
+}
+
+// Symptom: an append whose answer was lost is told as "not appended".
+// Sequence: the log closes an idle connection while an append goes out on it.
+// Cause: on a reused connection nobody can tell whether the request arrived.
+func TestAppendNeverReusesAConnection(t *testing.T) {
+	f := newFixture(t, standin.Control{})
+	for range 3 {
+		f.mustAppend("a")
+	}
+	if n := f.opened.Load(); n != 3 {
+		t.Errorf("3 appends over %d connections", n)
+	}
+}
+
+func TestAppendErrors(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer http.HandlerFunc
+		want   error
+	}{
+		{"down", status(http.StatusServiceUnavailable), platform.ErrNotAppended},
+		{"limit", status(http.StatusTooManyRequests), platform.ErrNotAppended},
+		{"bad request", status(http.StatusBadRequest), platform.ErrNotAppended},
+		{"internal error", status(http.StatusInternalServerError), platform.ErrAppendUnknown},
+		{"gateway", status(http.StatusBadGateway), platform.ErrAppendUnknown},
+		{"redirect", func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "/other", http.StatusTemporaryRedirect)
+		}, platform.ErrAppendUnknown},
+		{"not JSON", func(w http.ResponseWriter, _ *http.Request) {
+			w.Write([]byte("hello"))
+		}, platform.ErrAppendUnknown},
+		{"wrong count", func(w http.ResponseWriter, _ *http.Request) {
+			w.Write([]byte(`{"first":4,"last":5}`))
+		}, platform.ErrAppendUnknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var requests atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				requests.Add(1)
+				test.answer(w, r)
+			}))
+			defer server.Close()
+			_, err := platform.NewLog(server.URL).Append(t.Context(), "s", byteSlices([]string{"a"}))
+			other := platform.ErrNotAppended
+			if test.want == other {
+				other = platform.ErrAppendUnknown
+			}
+			if !errors.Is(err, test.want) || errors.Is(err, other) {
+				t.Errorf("got %v", err)
+			}
+			if n := requests.Load(); n != 1 {
+				t.Errorf("sent %d times", n)
+			}
+		})
+	}
+}
+
+func status(code int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
+}
+
+func TestAppendWithoutLog(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+	log := platform.NewLog("http://" + listener.Addr().String())
+	if _, err := log.Append(t.Context(), "s", byteSlices([]string{"a"})); !errors.Is(err, platform.ErrNotAppended) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestAppendOverTheLimit(t *testing.T) {
+	f := newFixture(t, standin.Control{AppendsPerSecond: 1e-6, AppendBurst: 1})
+	f.mustAppend("a")
+	_, err := f.Append(t.Context(), "config", byteSlices([]string{"b"}))
+	var limited *platform.RateLimitedError
+	if !errors.As(err, &limited) || limited.RetryAfter != time.Second || !errors.Is(err, platform.ErrNotAppended) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestReadPastRetention(t *testing.T) {
+	f := newFixture(t, standin.Control{RetentionCount: 2})
+	f.mustAppend("a", "b", "c", "d")
+	_, err := f.Read(t.Context(), "config", 2, 10, 0)
+	var retained *platform.RetainedError
+	if !errors.As(err, &retained) || retained.Oldest != 3 {
+		t.Errorf("got %v", err)
+	}
+	if err := f.Tail(t.Context(), "config", 1, func(platform.Record) error { return nil }); !errors.As(err, &retained) {
+		t.Errorf("tail: %v", err)
+	}
+}
+
+// Symptom: a follower misses the record that was appended during an outage.
+// Sequence: a long poll waits, the log goes down, comes back, and grows.
+// Cause: the poll's failure ends the follower, or moves its offset.
+func TestTailGoesOnAfterOutage(t *testing.T) {
+	f := newFixture(t, standin.Control{})
+	f.mustAppend("a")
+	errDone := errors.New("done")
+	seen := make(chan platform.Record, 3)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- f.Tail(t.Context(), "config", 1, func(r platform.Record) error {
+			seen <- r
+			if r.Offset == 3 {
+				return errDone
+			}
+			return nil
+		})
+	}()
+	<-seen
+	f.control(`{"log_down":true}`)
+	if _, err := f.Read(t.Context(), "config", 1, 1, 0); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("read in an outage: %v", err)
+	}
+	f.waitForReads(2) // by then the follower has met the outage
+	f.control(`{"log_down":false}`)
+	f.mustAppend("b", "c")
+	if err := <-ended; !errors.Is(err, errDone) {
+		t.Fatalf("tail: %v", err)
+	}
+	for want := uint64(2); want <= 3; want++ {
+		if r := <-seen; r.Offset != want {
+			t.Errorf("got offset %d, want %d", r.Offset, want)
+		}
+	}
+}
+
+// Symptom: a follower's state lacks one accepted record for ever.
+// Sequence: the log answers with a page that starts past the offset asked for.
+// Cause: a reader that trusts the page's own offsets steps over the gap.
+func TestReadRefusesGaps(t *testing.T) {
+	for _, body := range []string{
+		`{"records":[{"offset":6}],"oldest":1,"next":7}`,
+		`{"records":[{"offset":5},{"offset":5}],"oldest":1,"next":7}`,
+		`{"records":[{"offset":5}],"oldest":1,"next":9}`,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Write([]byte(body))
+		}))
+		_, err := platform.NewLog(server.URL).Read(t.Context(), "s", 5, 10, 0)
+		if !errors.Is(err, platform.ErrUnavailable) {
+			t.Errorf("%s: %v", body, err)
+		}
+		server.Close()
+	}
+}
+
+func TestInstancesPoll(t *testing.T) {
+	server := httptest.NewServer(standin.New(standin.Options{
+		Instances: []platform.Instance{{ID: "e1", Role: platform.RoleEndpoint, State: platform.StateLive}},
+	}))
+	defer server.Close()
+	instances := platform.NewInstances(server.URL)
+	defer instances.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	polls := 0
+	instances.Poll(ctx, time.Millisecond, func(list []platform.Instance, err error) {
+		if err != nil || len(list) != 1 || list[0].ID != "e1" {
+			t.Errorf("poll: %v, %v", list, err)
+		}
+		if polls++; polls == 2 {
+			cancel()
+		}
+	})
+	if polls != 2 {
+		t.Errorf("%d polls", polls)
+	}
+}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -43,10 +43,10 @@
 	records   *records
 	instances *instances
 	weights   weights
-	appends   *rate.Limiter
 
 	mu      sync.Mutex
 	control Control
+	appends *rate.Limiter
 	changed chan struct{} // closed when control changes
 	random  *rand.Rand
 }
@@ -59,7 +59,6 @@
 	s := &Server{
 		records:   newRecords(o.Now),
 		instances: newInstances(o.Now, o.Instances),
-		appends:   rate.NewLimiter(rate.Inf, 0),
 		changed:   make(chan struct{}),
 		random:    rand.New(rand.NewPCG(o.Seed, 0)),
 	}
@@ -86,20 +85,30 @@
 }
 
 func (s *Server) setControl(c Control) {
-	limit := rate.Limit(c.AppendsPerSecond)
-	if limit == 0 {
-		limit = rate.Inf
-	}
-	s.appends.SetLimit(limit)
-	s.appends.SetBurst(c.AppendBurst)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.appends == nil || c.AppendsPerSecond != s.control.AppendsPerSecond || c.AppendBurst != s.control.AppendBurst {
+		s.appends = newLimiter(c)
+	}
 	s.instances.freeze(c.ListFrozen, milliseconds(s.control.LagMS))
 	s.control = c
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+func newLimiter(c Control) *rate.Limiter {
+	if c.AppendsPerSecond == 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(c.AppendsPerSecond), c.AppendBurst)
+}
+
+func (s *Server) allowsAppend() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.appends.Allow()
+}
+
 // loses tells whether the answer to an append gets lost.
 func (s *Server) loses() bool {
 	s.mu.Lock()
@@ -131,7 +140,7 @@
 		fail(w, http.StatusServiceUnavailable, "log is down")
 		return
 	}
-	if !s.appends.Allow() {
+	if !s.allowsAppend() {
 		w.Header().Set("Retry-After", "1")
 		fail(w, http.StatusTooManyRequests, "over the append limit")
 		return
