Add the decision packages route, admit and cachemap

The owner's router (rendezvous, table, filter, score, pick, heat), the baselines behind one interface, the endpoint's admission core, and the picture of an engine's cache, all pure.

--- /dev/null
+++ b/internal/admit/core.go
@@ -0,0 +1,273 @@
+package admit
+
+import (
+	"time"
+
+	"skylarklead/internal/wire"
+)
+
+// Reasons of a Start.
+const (
+	reasonFree    = "free_place"
+	reasonReserve = "reserve"
+	reasonAlone   = "runs_alone"
+)
+
+// maxBypass is how often an item that is due but finds no KV room may be passed
+// by items of organisations that use little. Beyond it everyone waits for it:
+// a stream of short requests would otherwise starve a long one for ever.
+const maxBypass = 16
+
+// Core decides for one engine.
+type Core struct {
+	params    Params
+	queue     fairQueue
+	entries   map[ID]*entry
+	room      *KVRoom
+	speed     speed
+	seq       uint64
+	running   int
+	exclusive bool
+	draining  bool
+	// outstanding sums the expected output tokens of all items, uncached the
+	// prompt tokens of the waiting ones.
+	outstanding int
+	uncached    int
+}
+
+// NewCore returns a Core with nothing waiting or running.
+func NewCore(p Params) *Core {
+	p = p.withDefaults()
+	return &Core{
+		params:  p,
+		queue:   fairQueue{orgs: make(map[string]*organisation)},
+		entries: make(map[ID]*entry),
+		room:    NewKVRoom(p.KV),
+		speed:   newSpeed(float64(p.MaxRunning)),
+	}
+}
+
+// Arrive takes a new item. An ID that is already here is ignored.
+func (c *Core) Arrive(now time.Duration, item Item) []Action {
+	if _, known := c.entries[item.ID]; known {
+		return nil
+	}
+	if c.draining {
+		return []Action{Refuse{item.ID, wire.CodeDraining, 0, "this endpoint is leaving"}}
+	}
+	e := c.newEntry(now, item)
+	if refusal := c.overQuota(e); refusal != nil {
+		return []Action{*refusal}
+	}
+	c.add(e)
+	actions := c.dispatch(now, nil)
+	if e.running {
+		return actions
+	}
+	return c.dispatch(now, c.shed(now, e, actions))
+}
+
+// Finish ends a running item and tells what it used.
+func (c *Core) Finish(now time.Duration, id ID, actual Actual) []Action {
+	e := c.entries[id]
+	if e == nil || !e.running {
+		return nil
+	}
+	c.stop(now, e)
+	cost := 0.0
+	if actual.Ran {
+		cost = c.params.cost(actual.UncachedTokens, actual.OutputTokens)
+		e.org.output.observe(actual.OutputTokens)
+		c.speed.finished(cost)
+	}
+	c.queue.correct(e.org, cost-e.cost)
+	if c.running == 0 && c.queue.length == 0 {
+		c.queue.rest()
+	}
+	return c.dispatch(now, nil)
+}
+
+// Cancel withdraws an item that nobody waits for. One that runs stays until
+// Finish.
+func (c *Core) Cancel(now time.Duration, id ID) []Action {
+	e := c.entries[id]
+	if e == nil || e.running {
+		return nil
+	}
+	c.drop(e)
+	return c.dispatch(now, nil)
+}
+
+// Tick refuses what can no longer make its deadline. Call it every 100 ms or so.
+func (c *Core) Tick(now time.Duration) []Action {
+	c.speed.advance(now, c.busy())
+	var actions []Action
+	for _, e := range c.late(now) {
+		c.drop(e)
+		actions = append(actions, c.refusal(e, wire.CodeDeadline, "deadline passed while waiting"))
+	}
+	return c.dispatch(now, actions)
+}
+
+// Drain refuses all that arrives from now on. What waits still runs.
+func (c *Core) Drain() { c.draining = true }
+
+// HandBack refuses all that waits, for a drain whose time is short: the callers'
+// entries place it elsewhere.
+func (c *Core) HandBack() []Action {
+	var actions []Action
+	for len(c.queue.waiting) > 0 {
+		e := c.queue.waiting[0].queue[0]
+		c.drop(e)
+		actions = append(actions, Refuse{e.item.ID, wire.CodeDraining, 0, "this endpoint is leaving"})
+	}
+	return actions
+}
+
+// Summary is the admission's part of a load summary.
+type Summary struct {
+	Running       int
+	Queued        int
+	QueuedTokens  int
+	DecodeTokens  int
+	Saturated     bool
+	Organisations int
+}
+
+// Summary returns the present load.
+func (c *Core) Summary() Summary {
+	return Summary{
+		Running:       c.running,
+		Queued:        c.queue.length,
+		QueuedTokens:  c.uncached,
+		DecodeTokens:  c.outstanding,
+		Saturated:     c.queue.length > 0 && c.running >= c.params.MaxRunning-c.params.reserved(),
+		Organisations: len(c.queue.waiting),
+	}
+}
+
+func (c *Core) newEntry(now time.Duration, item Item) *entry {
+	c.seq++
+	o := c.queue.organisation(&item)
+	e := &entry{item: item, org: o, seq: c.seq, arrived: now}
+	mean, deviation := o.output.expect(item.MaxTokens)
+	e.expected = item.ExpectedTokens
+	if e.expected <= 0 {
+		e.expected = int(mean)
+	}
+	e.kv = demand{
+		prompt:    item.UncachedTokens,
+		most:      item.MaxTokens,
+		mean:      float64(e.expected),
+		deviation: deviation,
+	}
+	e.cost = c.params.cost(item.UncachedTokens, e.expected)
+	return e
+}
+
+func (c *Core) add(e *entry) {
+	c.entries[e.item.ID] = e
+	c.queue.push(e)
+	c.outstanding += e.expected
+	c.uncached += e.item.UncachedTokens
+}
+
+// drop forgets a waiting entry.
+func (c *Core) drop(e *entry) {
+	delete(c.entries, e.item.ID)
+	c.queue.remove(e)
+	c.outstanding -= e.expected
+	c.uncached -= e.item.UncachedTokens
+}
+
+// dispatch starts all that may start and appends it to actions.
+func (c *Core) dispatch(now time.Duration, actions []Action) []Action {
+	c.speed.advance(now, c.busy())
+	for c.running < c.params.MaxRunning && !c.exclusive {
+		o := c.queue.next(c.mayRun)
+		if o == nil {
+			return actions
+		}
+		e := c.fitting(o)
+		if e == nil {
+			return actions
+		}
+		actions = append(actions, c.start(now, e))
+	}
+	return actions
+}
+
+// mayRun reports whether an organisation may take another place. The last
+// reserved places are only for organisations that have few: were they open to
+// all, one organisation's backlog would fill every place with long answers, and
+// a small one's request would wait for one of them to end although the queue
+// is fair.
+func (c *Core) mayRun(o *organisation) bool {
+	reserved := c.params.reserved()
+	free := c.params.MaxRunning - c.running
+	return free > reserved || o.running < reserved
+}
+
+// fitting returns the item to start when o is due: its head, or the head of an
+// organisation that uses little when o's has no KV room. It returns nil when all
+// must wait.
+func (c *Core) fitting(o *organisation) *entry {
+	head := o.queue[0]
+	if head.item.Exclusive {
+		if c.running > 0 {
+			return nil
+		}
+		return head
+	}
+	if c.running == 0 || c.room.Fits(head.kv) {
+		return head
+	}
+	if head.bypassed >= maxBypass {
+		return nil
+	}
+	other := c.queue.next(func(other *organisation) bool {
+		e := other.queue[0]
+		return other != o && c.mayRun(other) && other.running < c.params.reserved() &&
+			!e.item.Exclusive && c.room.Fits(e.kv)
+	})
+	if other == nil {
+		return nil
+	}
+	head.bypassed++
+	return other.queue[0]
+}
+
+func (c *Core) start(now time.Duration, e *entry) Action {
+	reason := reasonFree
+	if c.params.MaxRunning-c.running <= c.params.reserved() {
+		reason = reasonReserve
+	}
+	if e.item.Exclusive {
+		c.exclusive = true
+		reason = reasonAlone
+	}
+	c.queue.charge(e)
+	c.queue.remove(e)
+	c.uncached -= e.item.UncachedTokens
+	e.running = true
+	e.org.running++
+	c.running++
+	c.room.Add(e.kv)
+	return Start{e.item.ID, now - e.arrived, reason}
+}
+
+// stop forgets a running entry.
+func (c *Core) stop(now time.Duration, e *entry) {
+	c.speed.advance(now, c.busy())
+	delete(c.entries, e.item.ID)
+	e.org.running--
+	c.running--
+	c.outstanding -= e.expected
+	c.room.Remove(e.kv)
+	if e.item.Exclusive {
+		c.exclusive = false
+	}
+}
+
+// busy reports whether the engine is kept as busy as admission lets it be.
+func (c *Core) busy() bool { return c.queue.length > 0 }
--- /dev/null
+++ b/internal/admit/core_test.go
@@ -0,0 +1,124 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"skylarklead/internal/wire"
+)
+
+func item(n int, organisation string) Item {
+	return Item{
+		ID:             ID{byte(n), byte(n >> 8)},
+		Organisation:   organisation,
+		UncachedTokens: 1000,
+		MaxTokens:      100,
+		ExpectedTokens: 50,
+	}
+}
+
+func started(actions []Action) []ID {
+	var ids []ID
+	for _, a := range actions {
+		if s, ok := a.(Start); ok {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+func refused(actions []Action) []Refuse {
+	var list []Refuse
+	for _, a := range actions {
+		if r, ok := a.(Refuse); ok {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// Symptom: a hospice's question waits behind an appeal's backlog.
+// Sequence: a large organisation fills every place and the queue; a small one
+// asks once.
+// Cause: places and queue are first come, first served.
+func TestSmallOrganisationIsNotBehindBacklog(t *testing.T) {
+	c := NewCore(Params{MaxRunning: 4, SmallReserve: 0.25, MaxQueue: 100})
+	for n := range 50 {
+		c.Arrive(0, item(n, "large"))
+	}
+	if got := c.Summary().Running; got != 3 {
+		t.Fatalf("large one runs %d, want all but the reserve, 3", got)
+	}
+	if ids := started(c.Arrive(0, item(100, "small"))); len(ids) != 1 {
+		t.Fatalf("small one's item did not start: %v", ids)
+	}
+	c.Arrive(0, item(101, "small"))
+	ids := started(c.Finish(time.Second, item(100, "").ID, Actual{Ran: true}))
+	if len(ids) != 1 || ids[0] != item(101, "").ID {
+		t.Errorf("after the first the second starts at once, got %v", ids)
+	}
+}
+
+func TestFullQueueShedsTheLargest(t *testing.T) {
+	c := NewCore(Params{MaxRunning: 1, MaxQueue: 4})
+	for n := range 5 {
+		c.Arrive(0, item(n, "large"))
+	}
+	list := refused(c.Arrive(0, item(9, "small")))
+	if len(list) != 1 || list[0].ID != item(4, "").ID || list[0].Code != wire.CodeOverloaded {
+		t.Fatalf("refused %v, want the large one's newest", list)
+	}
+	if list[0].RetryAfter <= 0 {
+		t.Error("no Retry-After")
+	}
+}
+
+func TestDeadlineThatCannotBeMetIsRefusedOnArrival(t *testing.T) {
+	c := NewCore(Params{MaxRunning: 1, PrefillTokensPerSecond: 1000})
+	c.Arrive(0, item(1, "a"))
+	c.Arrive(0, item(2, "a"))
+	late := item(3, "a")
+	late.Deadline = 500 * time.Millisecond
+	list := refused(c.Arrive(0, late))
+	if len(list) != 1 || list[0].Code != wire.CodeDeadline {
+		t.Fatalf("refused %v, want the late one", list)
+	}
+}
+
+// Symptom: a request that crashes engines takes others down with it.
+// Sequence: a suspect is sent again and runs beside other requests.
+// Cause: it was not kept apart.
+func TestSuspectRunsAlone(t *testing.T) {
+	c := NewCore(Params{MaxRunning: 4})
+	c.Arrive(0, item(1, "a"))
+	suspect := item(2, "b")
+	suspect.Exclusive = true
+	if ids := started(c.Arrive(0, suspect)); len(ids) != 0 {
+		t.Fatal("started beside another")
+	}
+	if ids := started(c.Finish(1, item(1, "").ID, Actual{Ran: true})); len(ids) != 1 {
+		t.Fatal("did not start alone")
+	}
+	if ids := started(c.Arrive(2, item(3, "a"))); len(ids) != 0 {
+		t.Fatal("another started beside the suspect")
+	}
+	if ids := started(c.Finish(3, suspect.ID, Actual{Ran: true})); len(ids) != 1 {
+		t.Fatal("the next did not start after it")
+	}
+}
+
+func TestDrainRefusesNewAndRunsWaiting(t *testing.T) {
+	c := NewCore(Params{MaxRunning: 1})
+	c.Arrive(0, item(1, "a"))
+	c.Arrive(0, item(2, "a"))
+	c.Drain()
+	if list := refused(c.Arrive(0, item(3, "a"))); len(list) != 1 || list[0].Code != wire.CodeDraining {
+		t.Fatalf("refused %v", list)
+	}
+	if ids := started(c.Finish(1, item(1, "").ID, Actual{Ran: true})); len(ids) != 1 {
+		t.Fatal("what waited did not run")
+	}
+	if list := refused(c.HandBack()); len(list) != 0 {
+		t.Fatalf("handed back %v, nothing waits", list)
+	}
+}
--- /dev/null
+++ b/internal/admit/queue.go
@@ -0,0 +1,167 @@
+package admit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// entry is an item that waits or runs.
+type entry struct {
+	item     Item
+	org      *organisation
+	seq      uint64
+	arrived  time.Duration
+	expected int     // output tokens
+	cost     float64 // ms
+	running  bool
+	bypassed int
+	kv       demand
+}
+
+func compareEntries(a, b *entry) int {
+	if c := cmp.Compare(a.item.Priority, b.item.Priority); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.seq, b.seq)
+}
+
+// organisation is the state of one organisation at this endpoint.
+type organisation struct {
+	name    string
+	weight  float64
+	queue   []*entry // by priority, then arrival
+	queued  float64  // cost of queue, ms
+	running int
+	// start is the virtual time at which its next item is due.
+	start  float64
+	output lengths
+}
+
+func (o *organisation) push(e *entry) {
+	at, _ := slices.BinarySearchFunc(o.queue, e, compareEntries)
+	o.queue = slices.Insert(o.queue, at, e)
+	o.queued += e.cost
+}
+
+func (o *organisation) remove(e *entry) {
+	at, found := slices.BinarySearchFunc(o.queue, e, compareEntries)
+	if !found {
+		return
+	}
+	o.queue = slices.Delete(o.queue, at, at+1)
+	o.queued -= e.cost
+	if len(o.queue) == 0 {
+		o.queued = 0
+	}
+}
+
+func (o *organisation) idle() bool { return o.running == 0 && len(o.queue) == 0 }
+
+// fairQueue is start-time fair queueing (Goyal, Vin, Cheng 1996) over work: each
+// organisation's next item is due at the virtual time at which its last one has
+// used up the organisation's share, and the earliest due goes first. An
+// organisation that comes after a pause is due at the present virtual time, ahead
+// of any backlog, and gains nothing from having been away.
+type fairQueue struct {
+	virtual float64
+	latest  float64 // greatest start of any organisation
+	orgs    map[string]*organisation
+	waiting []*organisation // those with a queue
+	length  int
+	cost    float64 // of all queues, ms
+}
+
+// maxIdle bounds the organisations remembered without any item.
+const maxIdle = 4096
+
+func (q *fairQueue) organisation(item *Item) *organisation {
+	o := q.orgs[item.Organisation]
+	if o == nil {
+		if len(q.orgs) >= maxIdle {
+			q.forgetIdle()
+		}
+		o = &organisation{name: item.Organisation}
+		q.orgs[item.Organisation] = o
+	}
+	o.weight = item.Weight
+	if !(o.weight > 0) || math.IsInf(o.weight, 0) {
+		o.weight = 1
+	}
+	return o
+}
+
+// forgetIdle drops organisations that have nothing here and owe nothing.
+func (q *fairQueue) forgetIdle() {
+	for name, o := range q.orgs {
+		if o.idle() && o.start <= q.virtual {
+			delete(q.orgs, name)
+		}
+	}
+}
+
+func (q *fairQueue) push(e *entry) {
+	o := e.org
+	if len(o.queue) == 0 {
+		o.start = max(o.start, q.virtual)
+		q.waiting = append(q.waiting, o)
+	}
+	o.push(e)
+	q.length++
+	q.cost += e.cost
+}
+
+func (q *fairQueue) remove(e *entry) {
+	e.org.remove(e)
+	q.length--
+	q.cost -= e.cost
+	if len(e.org.queue) > 0 {
+		return
+	}
+	at := slices.Index(q.waiting, e.org)
+	q.waiting = slices.Delete(q.waiting, at, at+1)
+	if q.length == 0 {
+		q.cost = 0
+	}
+}
+
+// charge moves virtual time to e's start and its organisation's next start
+// beyond e's cost.
+func (q *fairQueue) charge(e *entry) {
+	o := e.org
+	q.virtual = max(q.virtual, o.start)
+	o.start = max(o.start, q.virtual) + e.cost/o.weight
+	q.latest = max(q.latest, o.start)
+}
+
+// rest ends a busy period: with nothing left to share, nobody owes anything.
+func (q *fairQueue) rest() { q.virtual = max(q.virtual, q.latest) }
+
+// correct settles the difference between a charged and an actual cost.
+func (q *fairQueue) correct(o *organisation, delta float64) {
+	o.start = max(q.virtual, o.start+delta/o.weight)
+	q.latest = max(q.latest, o.start)
+}
+
+// next returns the waiting organisation that is due first among those that pass.
+func (q *fairQueue) next(pass func(*organisation) bool) *organisation {
+	var first *organisation
+	for _, o := range q.waiting {
+		if first != nil && !due(o, first) {
+			continue
+		}
+		if pass(o) {
+			first = o
+		}
+	}
+	return first
+}
+
+// due reports whether a goes before b: earliest virtual start, then arrival.
+func due(a, b *organisation) bool {
+	if a.start != b.start {
+		return a.start < b.start
+	}
+	return a.queue[0].seq < b.queue[0].seq
+}
--- /dev/null
+++ b/internal/admit/shed.go
@@ -0,0 +1,150 @@
+package admit
+
+import (
+	"math"
+	"time"
+
+	"skylarklead/internal/wire"
+)
+
+// Bounds of Retry-After.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = time.Minute
+)
+
+// overQuota refuses an item of an organisation that has its bound here already.
+func (c *Core) overQuota(e *entry) *Refuse {
+	o := e.org
+	limit := e.item.MaxInFlight
+	if limit > 0 && o.running+len(o.queue) >= limit {
+		r := c.refusal(e, wire.CodeOverloaded, "organisation is at its bound of requests in flight")
+		return &r
+	}
+	if len(o.queue) >= c.params.queueShare() {
+		r := c.refusal(e, wire.CodeOverloaded, "organisation has its share of the queue")
+		return &r
+	}
+	return nil
+}
+
+// shed refuses e if it can't be served in time, and makes room when the queue is
+// full. Serving what its caller no longer waits for is what makes goodput fall
+// past saturation, so such a request is refused now, while its caller can still
+// go elsewhere.
+func (c *Core) shed(now time.Duration, e *entry, actions []Action) []Action {
+	wait := c.expectedWait(e)
+	if e.item.Deadline > 0 && now+wait+duration(c.params.prefill(e.item.UncachedTokens)) > e.item.Deadline {
+		c.drop(e)
+		return append(actions, c.refusal(e, wire.CodeDeadline, "the queue is longer than its deadline"))
+	}
+	if wait > c.params.MaxWait {
+		c.drop(e)
+		return append(actions, c.refusal(e, wire.CodeOverloaded, "the queue is longer than the longest wait"))
+	}
+	if c.queue.length <= c.params.MaxQueue {
+		return actions
+	}
+	victim := c.victim()
+	c.drop(victim)
+	return append(actions, c.refusal(victim, wire.CodeOverloaded, "the queue is full; its organisation has most waiting"))
+}
+
+// victim is the least urgent item of the organisation with most work waiting for
+// its weight.
+func (c *Core) victim() *entry {
+	largest := c.queue.waiting[0]
+	for _, o := range c.queue.waiting[1:] {
+		if o.queued/o.weight > largest.queued/largest.weight {
+			largest = o
+		}
+	}
+	return largest.queue[len(largest.queue)-1]
+}
+
+// expectedWait is how long a waiting item will wait: the work before it in its
+// own organisation's queue, and what the others get in the meantime.
+func (c *Core) expectedWait(e *entry) time.Duration {
+	own := 0.0
+	for _, other := range e.org.queue {
+		if other == e {
+			break
+		}
+		own += other.cost
+	}
+	ahead := own
+	for _, o := range c.queue.waiting {
+		if o != e.org {
+			ahead += min(o.queued, max(own, e.cost)*o.weight/e.org.weight)
+		}
+	}
+	return duration(ahead / c.speed.rate())
+}
+
+func (c *Core) refusal(e *entry, code wire.Code, reason string) Refuse {
+	return Refuse{e.item.ID, code, c.retryAfter(), reason}
+}
+
+// retryAfter is the time in which the present queue drains.
+func (c *Core) retryAfter() time.Duration {
+	drain := duration(c.queue.cost / c.speed.rate())
+	return min(maxRetryAfter, max(minRetryAfter, drain))
+}
+
+// late returns the waiting entries that can't have a first token by their
+// deadline even if they start now.
+func (c *Core) late(now time.Duration) []*entry {
+	var late []*entry
+	for _, o := range c.queue.waiting {
+		for _, e := range o.queue {
+			first := now + duration(c.params.prefill(e.item.UncachedTokens))
+			if e.item.Deadline > 0 && first > e.item.Deadline {
+				late = append(late, e)
+			}
+		}
+	}
+	return late
+}
+
+// speed measures how much work, in milliseconds of engine time, the engine gets
+// done each millisecond while requests wait for it.
+type speed struct {
+	done  float64
+	spent float64 // ms
+	at    time.Duration
+	busy  bool
+}
+
+const (
+	// speedMemory is how much waiting time the measurement looks back on, in
+	// milliseconds; speedPrior is the weight of the starting guess.
+	speedMemory = 10000
+	speedPrior  = 1000
+)
+
+func newSpeed(guess float64) speed {
+	return speed{done: guess * speedPrior, spent: speedPrior}
+}
+
+// advance accounts the time since the last event.
+func (s *speed) advance(now time.Duration, busy bool) {
+	if s.busy && now > s.at {
+		elapsed := ms(now - s.at)
+		keep := math.Exp(-elapsed / speedMemory)
+		s.done *= keep
+		s.spent = s.spent*keep + elapsed
+	}
+	s.at = max(s.at, now)
+	s.busy = busy
+}
+
+func (s *speed) finished(cost float64) {
+	if s.busy {
+		s.done += cost
+	}
+}
+
+// minSpeed keeps estimates finite while an engine stands still.
+const minSpeed = 0.05
+
+func (s *speed) rate() float64 { return max(minSpeed, s.done/s.spent) }
--- /dev/null
+++ b/internal/cachemap/picture.go
@@ -0,0 +1,315 @@
+package cachemap
+
+import (
+	"slices"
+	"time"
+
+	"skylarklead/internal/prefix"
+)
+
+// identity names whose blocks a picture is of.
+type identity struct {
+	incarnation string
+	weights     string
+}
+
+// Mark is a moment in a picture's history.
+type Mark uint64
+
+// Picture is what an engine is believed to hold.
+type Picture struct {
+	params Params
+	// blocks has for each resident block when it was last confirmed.
+	blocks map[prefix.Hash]Mark
+	roots  roots
+	doubts doubts
+	stream stream
+
+	identity identity
+	// since is when identity was learnt, weightsSeq the event that showed its
+	// weights. With observed set, a load report or an answer showed them, and
+	// before are the weights until then.
+	since      time.Duration
+	weightsSeq uint64
+	observed   bool
+	before     string
+	retired    []string // past incarnations
+
+	clock     Mark
+	voidedAt  Mark
+	removedAt Mark
+}
+
+// maxRetired bounds the incarnations remembered as past.
+const maxRetired = 8
+
+// New returns an empty Picture.
+func New(p Params) *Picture {
+	p = p.withDefaults()
+	return &Picture{
+		params: p,
+		blocks: make(map[prefix.Hash]Mark),
+		roots:  newRoots(p.MaxRoots),
+		stream: stream{next: 1},
+	}
+}
+
+// Next is the sequence number to open the event stream from.
+func (p *Picture) Next() uint64 { return p.stream.next }
+
+// Connected notes that the event stream was opened at from: Next, or a Resync's
+// From. The first event that follows is the first that the engine still has.
+func (p *Picture) Connected(from uint64) { p.stream.connect(from) }
+
+// Apply takes one event of the stream.
+func (p *Picture) Apply(now time.Duration, e Event) []Action {
+	past, ok := p.identify(now, e)
+	if !ok {
+		return nil
+	}
+	p.Tick(now)
+	step := p.stream.take(e.Seq)
+	switch step.kind {
+	case stepDuplicate:
+		return nil
+	case stepGap:
+		return p.gap(now, e, step)
+	case stepSkip:
+		p.cast(now, doubt{from: step.from, last: step.last, unfillable: true})
+	}
+	p.clock++
+	if !past {
+		p.change(e)
+	}
+	p.doubts.settle(p.stream.next)
+	return nil
+}
+
+// identify moves to a new identity if that is what e shows. It reports whether e
+// is of past weights, so that it only counts in the sequence, and whether e
+// belongs to a live incarnation at all.
+func (p *Picture) identify(now time.Duration, e Event) (past, ok bool) {
+	id := identity{e.Incarnation, e.Weights}
+	if id == p.identity {
+		p.observed = false
+		return false, true
+	}
+	if e.Incarnation != p.identity.incarnation {
+		if slices.Contains(p.retired, e.Incarnation) {
+			return false, false
+		}
+		p.void(now, id)
+		return false, true
+	}
+	if e.Seq < p.weightsSeq || (p.observed && e.Weights == p.before) {
+		return true, true
+	}
+	if e.Seq < p.stream.next {
+		return true, true
+	}
+	p.void(now, id)
+	p.weightsSeq = e.Seq
+	return false, true
+}
+
+// Observe takes an engine's identity from its load report or an answer's
+// headers, as it was age ago. It reports whether the picture was voided.
+func (p *Picture) Observe(now, age time.Duration, incarnation, weights string) bool {
+	id := identity{incarnation, weights}
+	if id == p.identity || incarnation == "" || slices.Contains(p.retired, incarnation) {
+		return false
+	}
+	first := p.identity == identity{}
+	if !first && now-age <= p.since {
+		return false
+	}
+	before := p.identity
+	p.void(now, id)
+	if before.incarnation == incarnation {
+		p.observed = true
+		p.before = before.weights
+	}
+	return true
+}
+
+// void empties the picture for a new identity. An engine that came back holds
+// nothing of what it had, and blocks of other weights must not be used; a picture
+// that kept them would draw requests here for nothing.
+func (p *Picture) void(now time.Duration, id identity) {
+	if p.identity.incarnation != id.incarnation {
+		p.retire(p.identity.incarnation)
+		p.stream.restart()
+		p.weightsSeq = 0
+	}
+	p.identity = id
+	p.since = now
+	p.observed = false
+	p.clear()
+	p.clock++
+	p.voidedAt = p.clock
+}
+
+func (p *Picture) retire(incarnation string) {
+	if incarnation == "" {
+		return
+	}
+	p.retired = append(p.retired, incarnation)
+	if len(p.retired) > maxRetired {
+		p.retired = slices.Delete(p.retired, 0, 1)
+	}
+}
+
+// gap handles an event that came before its predecessors. Removals are taken at
+// once, since claiming less is always safe; what was stored waits for the replay,
+// which brings it again in its order.
+func (p *Picture) gap(now time.Duration, e Event, s step) []Action {
+	p.clock++
+	switch e.Kind {
+	case Removed:
+		p.removeAll(e.Hashes)
+	case Cleared:
+		p.clearBlocks()
+	}
+	p.cast(now, doubt{from: s.from, last: s.last})
+	if !s.ask {
+		return nil
+	}
+	return []Action{Resync{From: s.from}}
+}
+
+// cast notes doubt on all that is confirmed so far.
+func (p *Picture) cast(now time.Duration, d doubt) {
+	p.clock++
+	d.before = p.clock
+	d.until = now + p.params.DoubtLife
+	p.doubts.cast(d)
+}
+
+// change applies an event that is in order.
+func (p *Picture) change(e Event) {
+	switch e.Kind {
+	case Stored:
+		for _, h := range e.Hashes {
+			p.store(h, p.clock)
+		}
+	case Removed:
+		p.removeAll(e.Hashes)
+	case Cleared:
+		p.clear()
+	}
+}
+
+func (p *Picture) store(h prefix.Hash, at Mark) {
+	if _, held := p.blocks[h]; !held {
+		if len(p.blocks) >= p.params.MaxBlocks {
+			p.shrink()
+		}
+		p.roots.changed(h)
+	}
+	p.blocks[h] = at
+}
+
+func (p *Picture) removeAll(hashes []prefix.Hash) {
+	p.removedAt = p.clock
+	for _, h := range hashes {
+		p.remove(h)
+	}
+}
+
+func (p *Picture) remove(h prefix.Hash) {
+	if _, held := p.blocks[h]; held {
+		delete(p.blocks, h)
+		p.roots.changed(h)
+	}
+}
+
+// clear empties the picture. With nothing claimed there is nothing to doubt.
+func (p *Picture) clear() {
+	p.clearBlocks()
+	p.doubts.clear()
+}
+
+func (p *Picture) clearBlocks() {
+	p.removedAt = p.clock
+	clear(p.blocks)
+	p.roots.allChanged()
+}
+
+// shrink forgets the quarter of the blocks that were confirmed longest ago.
+func (p *Picture) shrink() {
+	marks := make([]Mark, 0, len(p.blocks))
+	for _, m := range p.blocks {
+		marks = append(marks, m)
+	}
+	slices.Sort(marks)
+	p.dropBefore(marks[len(marks)/4] + 1)
+}
+
+func (p *Picture) dropBefore(bound Mark) {
+	for h, m := range p.blocks {
+		if m < bound {
+			p.remove(h)
+		}
+	}
+}
+
+// Tick ages out doubtful blocks. Call it every second or so.
+func (p *Picture) Tick(now time.Duration) {
+	if bound := p.doubts.expire(now); bound > 0 {
+		p.dropBefore(bound)
+	}
+}
+
+// Len returns the number of blocks believed resident.
+func (p *Picture) Len() int { return len(p.blocks) }
+
+// Doubtful reports whether an event was missed that nothing has made up for yet.
+func (p *Picture) Doubtful() bool { return p.doubts.bound() > 0 }
+
+// Resident returns how many tokens of a chain the engine holds in a row from its
+// start, and whether any of them are in doubt.
+func (p *Picture) Resident(chain []prefix.Hash) (tokens int, doubtful bool) {
+	bound := p.doubts.bound()
+	for i, h := range chain {
+		at, held := p.blocks[h]
+		if !held {
+			return i * prefix.BlockTokens, doubtful
+		}
+		doubtful = doubtful || at < bound
+	}
+	return len(chain) * prefix.BlockTokens, doubtful
+}
+
+// Mark returns the present moment, to be kept while a request runs.
+func (p *Picture) Mark() Mark { return p.clock + 1 }
+
+// Correct takes an answer's own count of cached tokens for a request that was
+// handed to the engine at mark. Blocks within the count were resident then;
+// those beyond it were not, but for any stored since.
+func (p *Picture) Correct(mark Mark, chain []prefix.Hash, cachedTokens int) {
+	if mark <= p.voidedAt {
+		return
+	}
+	cached := min(len(chain), cachedTokens/prefix.BlockTokens)
+	for _, h := range chain[:cached] {
+		p.confirm(h, mark)
+	}
+	for _, h := range chain[cached:] {
+		if at, held := p.blocks[h]; held && at < mark {
+			p.remove(h)
+		}
+	}
+}
+
+// confirm notes that a block was resident at mark. One that the picture lacks is
+// added only if nothing that came since may have removed it.
+func (p *Picture) confirm(h prefix.Hash, mark Mark) {
+	at, held := p.blocks[h]
+	if held {
+		p.blocks[h] = max(at, mark-1)
+		return
+	}
+	if p.removedAt < mark && p.doubts.bound() < mark {
+		p.store(h, mark-1)
+	}
+}
--- /dev/null
+++ b/internal/route/decide_test.go
@@ -0,0 +1,118 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"skylarklead/internal/prefix"
+	"skylarklead/internal/wire"
+)
+
+func group(n int) []Endpoint {
+	list := make([]Endpoint, n)
+	for i := range list {
+		list[i] = Endpoint{
+			ID:            fmt.Sprintf("ledger-llm-%d", i),
+			Epoch:         wire.Epoch(i + 1),
+			FailureDomain: "hobart-a",
+			Alive:         true,
+			HasLoad:       true,
+			Load:          wire.Load{EngineUp: true, Incarnation: "i1", Version: "v1", Model: "m"},
+		}
+	}
+	return list
+}
+
+func query(charter int) *Query {
+	return &Query{Ask: wire.Ask{
+		Organisation: "huon",
+		Model:        "m",
+		Version:      "v1",
+		Levels: []prefix.Level{
+			{Hash: 1, Tokens: 2000},
+			{Hash: prefix.Hash(100 + charter), Tokens: 4000},
+		},
+		PromptTokens: 4100,
+		MaxTokens:    100,
+	}}
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func TestSamePrefixGoesToItsHolder(t *testing.T) {
+	r, rng, endpoints := NewRouter(Params{}), newRand(), group(8)
+	first := r.Decide(0, rng, query(1), endpoints)
+	for i := range 10 {
+		now := time.Duration(i+1) * 2 * time.Second
+		got := r.Decide(now, rng, query(1), endpoints)
+		if got.Executor != first.Executor || got.PredictedCached != 4000 {
+			t.Fatalf("decision %d: %s with %d cached, want %s with 4000", i, got.Executor, got.PredictedCached, first.Executor)
+		}
+	}
+}
+
+func TestFilterNamesTheReason(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Endpoint, *Query)
+		want   string
+	}{
+		{"dead", func(e *Endpoint, _ *Query) { e.Alive = false }, excludedDead},
+		{"leaving", func(e *Endpoint, _ *Query) { e.Leaving = true }, excludedLeaving},
+		{"quarantined", func(e *Endpoint, _ *Query) { e.Quarantined = true }, excludedQuarantined},
+		{"engine down", func(e *Endpoint, _ *Query) { e.Load.EngineUp = false }, excludedEngineDown},
+		{"other model", func(e *Endpoint, _ *Query) { e.Load.Model = "other" }, excludedModel},
+		{"other version", func(e *Endpoint, _ *Query) { e.Load.Version = "v2" }, excludedVersion},
+		{"failed there", func(e *Endpoint, q *Query) { q.Exclude = []string{e.ID} }, excludedFailed},
+		{"crashed it", func(e *Endpoint, q *Query) { q.Crashed = []string{e.ID} }, excludedCrashed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			endpoints, q := group(1), query(1)
+			tt.change(&endpoints[0], q)
+			got := NewRouter(Params{}).Decide(0, newRand(), q, endpoints)
+			if got.Refusal == nil || got.Refusal.Code != wire.CodeNoEndpoint || got.Refusal.Ran != wire.NotRun {
+				t.Fatalf("refusal = %+v", got.Refusal)
+			}
+			if got.Candidates[0].Excluded != tt.want {
+				t.Errorf("excluded = %q, want %q", got.Candidates[0].Excluded, tt.want)
+			}
+		})
+	}
+}
+
+// Symptom: a restarted engine draws its old prefixes and computes them all anew.
+// Sequence: the holder's engine crashes and comes back with a new incarnation.
+// Cause: the owner still believes in the blocks of the old one.
+func TestNewIncarnationVoidsHolder(t *testing.T) {
+	r, rng, endpoints := NewRouter(Params{}), newRand(), group(4)
+	first := r.Decide(0, rng, query(1), endpoints)
+	for i := range endpoints {
+		if endpoints[i].ID == first.Executor {
+			endpoints[i].Load.Incarnation = "i2"
+		}
+	}
+	if got := r.Decide(time.Second, rng, query(1), endpoints); got.PredictedCached != 0 {
+		t.Fatalf("predicted %d cached tokens at an engine that came back empty", got.PredictedCached)
+	}
+}
+
+// Symptom: one endpoint gets a second's worth of requests while others idle.
+// Sequence: many requests with different prefixes come between two load reports.
+// Cause: each decision sees the same old load.
+func TestHerdBetweenLoadReportsSpreads(t *testing.T) {
+	r, rng, endpoints := NewRouter(Params{}), newRand(), group(8)
+	count := map[string]int{}
+	for i := range 80 {
+		q := query(1)
+		q.Levels = []prefix.Level{{Hash: prefix.Hash(1000 + i), Tokens: 4000}}
+		count[r.Decide(time.Duration(i)*time.Millisecond, rng, q, endpoints).Executor]++
+	}
+	for id, n := range count {
+		if n > 20 {
+			t.Errorf("%s got %d of 80", id, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/rendezvous.go
@@ -0,0 +1,75 @@
+package route
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"skylarklead/internal/prefix"
+)
+
+// ranked is one ID with its weight for a key.
+type ranked struct {
+	id     string
+	weight uint64
+}
+
+// Order returns ids by descending rendezvous weight for key: the first is the
+// owner, the next takes over when it is gone. It does not depend on the order
+// of ids, and removing an ID moves only the keys that it was first for.
+func Order(key uint64, ids []string) []string {
+	all := make([]ranked, len(ids))
+	for i, id := range ids {
+		all[i] = ranked{id, weight(key, id)}
+	}
+	slices.SortFunc(all, compareRanked)
+	order := make([]string, len(all))
+	for i, r := range all {
+		order[i] = r.id
+	}
+	return order
+}
+
+// First returns the first of Order(key, ids) without allocating, or "" if ids
+// is empty.
+func First(key uint64, ids []string) string {
+	var best ranked
+	for i, id := range ids {
+		r := ranked{id, weight(key, id)}
+		if i == 0 || compareRanked(r, best) < 0 {
+			best = r
+		}
+	}
+	return best.id
+}
+
+// OwnerKey is the rendezvous key of a request. It is the hash of the first
+// level, so that one owner sees all the prefixes nested in it; a request with no
+// level is keyed by its organisation and model.
+func OwnerKey(organisation, model string, levels []prefix.Level) uint64 {
+	if len(levels) > 0 {
+		return uint64(levels[0].Hash)
+	}
+	return xxhash.Sum64String(organisation + "\x00" + model)
+}
+
+// compareRanked sorts by descending weight; IDs break ties so that every process
+// agrees.
+func compareRanked(a, b ranked) int {
+	if c := cmp.Compare(b.weight, a.weight); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.id, b.id)
+}
+
+func weight(key uint64, id string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var buf [8]byte
+	binary.LittleEndian.PutUint64(buf[:], key)
+	_, _ = d.Write(buf[:])
+	_, _ = d.WriteString(id)
+	return d.Sum64()
+}
