--- /dev/null
+++ b/internal/endpoint/drain.go
@@ -0,0 +1,57 @@
+package endpoint
+
+import (
+	"time"
+
+	"skylarklead/internal/wire"
+)
+
+// drainState is whether this endpoint takes no new work, and whether the process
+// ends once the last stream has.
+type drainState struct {
+	leaving  bool
+	stopping bool
+	finished chan struct{}
+}
+
+func newDrainState() drainState { return drainState{finished: make(chan struct{})} }
+
+// onDrain takes an operator's order to leave.
+func (e *Endpoint) onDrain(s *wire.Session, ref uint32, m *wire.Drain) {
+	if m.Endpoint != e.settings.ID {
+		refusal := wire.Refusal{Code: wire.CodeBadRequest, Message: "not this endpoint", Ran: wire.NotRun}
+		e.reply(s, ref, &wire.Failure{Refusal: refusal})
+		return
+	}
+	e.leave("order of " + s.Peer().ID)
+	e.reply(s, ref, &wire.Drained{Endpoint: m.Endpoint, InFlight: e.attempts.inFlight()})
+}
+
+// leave stops new work, for good.
+func (e *Endpoint) leave(reason string) {
+	if e.drain.leaving {
+		return
+	}
+	e.drain.leaving = true
+	e.log.Info("leaving", "reason", reason, "in_flight", e.attempts.inFlight())
+}
+
+// stopWhenDrained is the answer to SIGTERM.
+func (e *Endpoint) stopWhenDrained() {
+	e.drain.stopping = true
+	e.leave("signal")
+	e.checkDrained()
+}
+
+// checkDrained ends the process when it is to stop and no stream is open.
+func (e *Endpoint) checkDrained() {
+	if !e.drain.stopping || e.attempts.inFlight() > 0 {
+		return
+	}
+	select {
+	case <-e.drain.finished:
+	default:
+		e.log.Info("drained", "uptime", time.Since(e.started).String())
+		close(e.drain.finished)
+	}
+}
--- /dev/null
+++ b/internal/endpoint/server.go
@@ -0,0 +1,104 @@
+package endpoint
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"skylarklead/internal/wire"
+)
+
+const readHeaderTimeout = 5 * time.Second
+
+var errFlooded = errors.New("endpoint: too many messages wait")
+
+// listen serves peers and /healthz on the settings' address.
+func listen(e *Endpoint, options wire.Options) (*http.Server, error) {
+	listener, err := net.Listen("tcp", e.settings.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("endpoint: listen: %w", err)
+	}
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.HandleFunc(wire.Path, func(w http.ResponseWriter, r *http.Request) { e.accept(w, r, options) })
+	server := &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			e.log.Error("listener ended", "error", err)
+		}
+	}()
+	return server, nil
+}
+
+func (e *Endpoint) accept(w http.ResponseWriter, r *http.Request, options wire.Options) {
+	err := wire.Accept(w, r, options)
+	switch {
+	case errors.Is(err, wire.ErrUnauthenticated), errors.Is(err, wire.ErrMalformed):
+		e.tel.Metrics.Count("peers_cut_off", 1)
+		e.log.Warn("peer cut off", "remote", r.RemoteAddr, "error", err)
+	default:
+		e.log.Debug("session ended", "remote", r.RemoteAddr, "error", err)
+	}
+}
+
+// peerHandler hands what arrives on sessions to the loop.
+type peerHandler struct{ e *Endpoint }
+
+// Handle implements wire.Handler.
+func (h peerHandler) Handle(s *wire.Session, ref uint32, m wire.Message) {
+	if !h.e.loop.post(func() { h.e.handle(s, ref, m) }) {
+		// A dropped Run or Resolve would leave its sender waiting; the end of
+		// the session tells it at once.
+		s.Close(errFlooded)
+	}
+}
+
+// Closed implements wire.Handler.
+func (h peerHandler) Closed(s *wire.Session, err error) {
+	h.e.loop.must(func() { h.e.sessionLost(s, err) })
+}
+
+func (e *Endpoint) handle(s *wire.Session, ref uint32, m wire.Message) {
+	switch m := m.(type) {
+	case *wire.Ask:
+		e.onAsk(s, ref, m)
+	case *wire.Run:
+		e.onRun(s, m)
+	case *wire.Credit:
+		e.onCredit(s, m)
+	case *wire.Cancel:
+		e.onCancel(s, m)
+	case *wire.Resume:
+		e.onResume(s, m)
+	case *wire.Resolve:
+		e.onResolve(s, ref, m)
+	case *wire.StatusRequest:
+		e.reply(s, ref, e.status())
+	case *wire.ExplainRequest:
+		e.reply(s, ref, &wire.Explanation{Records: e.tel.Decisions.Explain(m.Request)})
+	case *wire.Drain:
+		e.onDrain(s, ref, m)
+	default:
+		e.dropped("unexpected", s, "type", fmt.Sprintf("%T", m))
+	}
+}
+
+// dropped counts and logs a message that matches nothing.
+func (e *Endpoint) dropped(reason string, s *wire.Session, attrs ...any) {
+	e.tel.Metrics.Dropped.Inc(1)
+	attrs = append([]any{"reason", reason, "peer", s.Peer().ID}, attrs...)
+	e.log.Info("message dropped", attrs...)
+}
+
+// reply answers off the loop, since a stopped peer holds a write up for seconds.
+func (e *Endpoint) reply(s *wire.Session, ref uint32, m wire.Message) {
+	go func() {
+		if err := s.Reply(ref, m); err != nil {
+			e.log.Debug("reply not sent", "peer", s.Peer().ID, "error", err)
+		}
+	}()
+}
