Endpoint: run at the engine, stream with credit, resume, resolve, drain

Seen to fail without the mechanism: fence not kept (the attempt ran after not_run), engine connection taken for the engine (answer cut after one word), incarnation not compared (three words of two engines joined), chunks dropped with their session (resume unknown), drain not waiting (test timed out). Missing: instructions from the configuration, owner's decision, heartbeats, fair admission, idempotency claims, orders; Ask answers with this endpoint.

--- a/cmd/skylarkd/main.go
+++ b/cmd/skylarkd/main.go
@@ -44,7 +44,7 @@
 }
 
 func run(ctx context.Context, c *cli.Command) error {
-	s, err := load(c.String("config"))
+	s, err := settings.Load(c.String("config"))
 	if err != nil {
 		return cli.Exit(err.Error(), exitSettings)
 	}
--- a/internal/endpoint/ask.go
+++ b/internal/endpoint/ask.go
@@ -10,7 +10,7 @@
 	decision := &wire.Decision{
 		Request:  ask.Request,
 		Owner:    e.settings.ID,
-		Executor: wire.Target{Endpoint: e.settings.ID, Address: e.address(), Epoch: e.tel.Epoch},
+		Executor: wire.Target{Endpoint: e.settings.ID, Address: e.settings.Advertise, Epoch: e.tel.Epoch},
 		Reason:   "owner",
 	}
 	e.tel.Decisions.Record(wire.DecisionRecord{
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -10,8 +10,6 @@
 
 import (
 	"context"
-	"encoding/hex"
-	"fmt"
 	"log/slog"
 	"time"
 
@@ -42,12 +40,8 @@
 
 // Run serves peers until ctx ends and the last stream has.
 func Run(ctx context.Context, s *settings.Settings, tel *telemetry.Telemetry) error {
-	key, err := hex.DecodeString(s.FleetKey)
-	if err != nil {
-		return fmt.Errorf("endpoint: fleet key: %w", err)
-	}
 	e := newEndpoint(s, tel)
-	options := wire.Options{Key: key, Self: e.identity, Handler: peerHandler{e}, Traffic: tel.Metrics.Traffic}
+	options := wire.Options{Key: s.Key(), Self: e.identity, Handler: peerHandler{e}, Traffic: tel.Metrics.Traffic}
 	e.pool = wire.NewPool(options)
 	defer e.pool.Close()
 	server, err := listen(e, options)
@@ -96,15 +90,8 @@
 		Epoch:         e.tel.Epoch,
 		FailureDomain: e.settings.FailureDomain,
 		Group:         e.settings.Endpoint.Group,
-		Address:       e.address(),
-	}
-}
-
-func (e *Endpoint) address() string {
-	if e.settings.Advertise != "" {
-		return e.settings.Advertise
+		Address:       e.settings.Advertise,
 	}
-	return e.settings.Listen
 }
 
 func (e *Endpoint) startBackground(ctx context.Context) {
--- /dev/null
+++ b/internal/endpoint/harness_test.go
@@ -0,0 +1,294 @@
+package endpoint
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"skylarklead/internal/engine"
+	"skylarklead/internal/prefix"
+	"skylarklead/internal/settings"
+	"skylarklead/internal/telemetry"
+	"skylarklead/internal/wire"
+)
+
+const patience = 10 * time.Second
+
+var fleetKey = make([]byte, 32)
+
+// fakeEngine streams words[0], words[1], … and waits at each for step, if set.
+type fakeEngine struct {
+	*httptest.Server
+	words []string
+	step  chan struct{}
+
+	mu          sync.Mutex
+	incarnation string
+	runs        map[string]int
+	canceled    map[string]bool
+	cut         map[string]bool // streams whose connection is cut after one word
+	bodies      []engine.Completion
+}
+
+func newFakeEngine(t *testing.T, words ...string) *fakeEngine {
+	f := &fakeEngine{
+		words:       words,
+		incarnation: "i1",
+		runs:        map[string]int{},
+		canceled:    map[string]bool{},
+		cut:         map[string]bool{},
+	}
+	m := http.NewServeMux()
+	m.HandleFunc("POST /v1/chat/completions", f.complete)
+	m.HandleFunc("GET /v1/streams/{id}", f.resume)
+	m.HandleFunc("DELETE /v1/streams/{id}", f.cancel)
+	m.HandleFunc("GET /v1/load", f.load)
+	f.Server = httptest.NewServer(m)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func (f *fakeEngine) complete(w http.ResponseWriter, r *http.Request) {
+	var body engine.Completion
+	json.NewDecoder(r.Body).Decode(&body)
+	id := r.Header.Get(engine.HeaderRequestID)
+	f.mu.Lock()
+	f.runs[id]++
+	f.bodies = append(f.bodies, body)
+	f.mu.Unlock()
+	f.stream(w, r, id, 0)
+}
+
+func (f *fakeEngine) resume(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.Atoi(r.FormValue("from"))
+	id := r.PathValue("id")
+	f.mu.Lock()
+	_, known := f.runs[id]
+	f.mu.Unlock()
+	if !known {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	f.stream(w, r, id, from)
+}
+
+func (f *fakeEngine) cancel(_ http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.canceled[r.PathValue("id")] = true
+}
+
+func (f *fakeEngine) load(w http.ResponseWriter, _ *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	json.NewEncoder(w).Encode(engine.Load{Incarnation: f.incarnation, Model: "m", Version: "v1", Weights: "v1"})
+}
+
+func (f *fakeEngine) stream(w http.ResponseWriter, r *http.Request, id string, from int) {
+	f.mu.Lock()
+	w.Header().Set(engine.HeaderIncarnation, f.incarnation)
+	f.mu.Unlock()
+	w.WriteHeader(http.StatusOK)
+	w.(http.Flusher).Flush()
+	for i := from; i < len(f.words); i++ {
+		if f.step != nil {
+			select {
+			case <-f.step:
+			case <-r.Context().Done():
+				return
+			}
+		}
+		fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", i, f.words[i])
+		w.(http.Flusher).Flush()
+		if f.takeCut(id) {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}],"+
+		"\"usage\":{\"prompt_tokens\":32,\"completion_tokens\":%d,\"prompt_tokens_details\":{\"cached_tokens\":16}}}\n\n",
+		len(f.words), len(f.words))
+	io.WriteString(w, "data: [DONE]\n\n")
+}
+
+func (f *fakeEngine) takeCut(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	cut := f.cut[id]
+	delete(f.cut, id)
+	return cut
+}
+
+func (f *fakeEngine) ran(id wire.AttemptID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[id.String()]
+}
+
+// process is an endpoint process under test.
+type process struct {
+	t       *testing.T
+	address string
+	tel     *telemetry.Telemetry
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+func startProcess(t *testing.T, backend string, change func(*settings.Settings)) *process {
+	t.Helper()
+	s := &settings.Settings{
+		ID: "ep-1", Role: "endpoint", FailureDomain: "d1", Listen: freeAddress(t),
+		FleetKey: hex.EncodeToString(fleetKey), LogLevel: "error",
+		Platform: settings.Platform{Log: "http://127.0.0.1:1", Instances: "http://127.0.0.1:1"},
+		Endpoint: &settings.Endpoint{
+			Group: "g", Kind: settings.DefaultKind, Backend: backend,
+			MaxRunning: 4, MaxQueue: 8, SmallReserve: 0.25,
+			PrefillTokensPerSecond: settings.DefaultPrefillRate, DecodeTokenTime: settings.DefaultDecodeTime,
+			CacheTokens: settings.DefaultCacheTokens, Heartbeat: settings.DefaultHeartbeat,
+			SuspectAfter: settings.DefaultSuspectAfter,
+		},
+	}
+	if change != nil {
+		change(s)
+	}
+	s.Advertise = s.Listen
+	tel, err := telemetry.New(s, testWriter{t})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	p := &process{t: t, address: s.Listen, tel: tel, stop: stop, ended: make(chan error, 1)}
+	go func() { p.ended <- Run(ctx, s, tel) }()
+	t.Cleanup(stop)
+	waitFor(t, "the listener", func() bool {
+		resp, err := http.Get("http://" + s.Listen + "/healthz")
+		if err == nil {
+			resp.Body.Close()
+		}
+		return err == nil
+	})
+	return p
+}
+
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(line []byte) (int, error) { return len(line), nil }
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+		time.Sleep(5 * time.Millisecond) // between looks at the condition
+	}
+}
+
+// entry is the other end of a session.
+type entry struct {
+	t        *testing.T
+	session  *wire.Session
+	messages chan wire.Message
+}
+
+func (p *process) dial(id string) *entry {
+	p.t.Helper()
+	n := &entry{t: p.t, messages: make(chan wire.Message, 1024)}
+	self := func() wire.Identity { return wire.Identity{ID: id, Role: wire.RoleEntry} }
+	s, err := wire.Dial(context.Background(), p.address, wire.Options{Key: fleetKey, Self: self, Handler: n})
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	n.session = s
+	p.t.Cleanup(func() { s.Close(wire.ErrClosed) })
+	return n
+}
+
+func (n *entry) Handle(_ *wire.Session, _ uint32, m wire.Message) { n.messages <- m }
+func (n *entry) Closed(*wire.Session, error)                      { close(n.messages) }
+
+func (n *entry) send(m wire.Message) {
+	n.t.Helper()
+	if err := n.session.Send(m); err != nil {
+		n.t.Fatal(err)
+	}
+}
+
+func (n *entry) call(m wire.Message) wire.Message {
+	n.t.Helper()
+	ctx, stop := context.WithTimeout(context.Background(), patience)
+	defer stop()
+	reply, err := n.session.Call(ctx, m)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	return reply
+}
+
+// next returns the next message that isn't a heartbeat.
+func (n *entry) next() wire.Message {
+	n.t.Helper()
+	select {
+	case m, ok := <-n.messages:
+		if !ok {
+			n.t.Fatal("the session ended")
+		}
+		return m
+	case <-time.After(patience):
+		n.t.Fatal("no message came")
+	}
+	return nil
+}
+
+// answer reads one attempt's chunks up to its End, from seq on.
+func (n *entry) answer(seq uint64) (string, *wire.End) {
+	n.t.Helper()
+	text := ""
+	for {
+		switch m := n.next().(type) {
+		case *wire.Start:
+		case *wire.Chunk:
+			if m.Seq != seq {
+				n.t.Fatalf("chunk %d where %d was due", m.Seq, seq)
+			}
+			seq++
+			text += string(m.Data)
+		case *wire.End:
+			if m.Seq != seq {
+				n.t.Fatalf("end at %d where %d was due", m.Seq, seq)
+			}
+			return text, m
+		default:
+			n.t.Fatalf("unexpected %T", m)
+		}
+	}
+}
+
+func attemptID(n byte) wire.AttemptID { return wire.AttemptID{15: n} }
+
+func chat(n byte) *wire.Run {
+	return &wire.Run{
+		Attempt: attemptID(n), Request: fmt.Sprintf("r%d", n), Organisation: "org", Group: "g",
+		Model: "m", Version: "v1", Messages: []prefix.Message{{Role: "user", Content: "question"}},
+		MaxTokens: 16, Window: 100, Fingerprint: uint64(n),
+	}
+}
--- /dev/null
+++ b/internal/endpoint/run_test.go
@@ -0,0 +1,204 @@
+package endpoint
+
+import (
+	"testing"
+
+	"skylarklead/internal/settings"
+	"skylarklead/internal/wire"
+)
+
+func TestRunStreamsTheAnswer(t *testing.T) {
+	f := newFakeEngine(t, "one ", "two ", "three")
+	n := startProcess(t, f.URL, nil).dial("entry-1")
+	n.send(chat(1))
+	text, end := n.answer(0)
+	if text != "one two three" || end.Outcome != wire.Done || end.CachedTokens != 16 {
+		t.Fatalf("got %q, %+v", text, end)
+	}
+}
+
+func TestCreditBoundsWhatIsSent(t *testing.T) {
+	f := newFakeEngine(t, "a", "b", "c", "d")
+	n := startProcess(t, f.URL, nil).dial("entry-1")
+	run := chat(1)
+	run.Window = 2
+	n.send(run)
+	n.next() // Start
+	n.next()
+	n.next()
+	// Another attempt on the same session passes the one that waits for credit.
+	n.send(chat(2))
+	if text, end := n.answer(0); text != "abcd" || end.Attempt != attemptID(2) {
+		t.Fatalf("got %q, %+v", text, end)
+	}
+	n.send(&wire.Credit{Attempt: run.Attempt, Seq: 9})
+	if text, end := n.answer(2); text != "cd" || end.Outcome != wire.Done {
+		t.Fatalf("got %q, %+v", text, end)
+	}
+}
+
+// Symptom: a caller whose entry died gets a cut answer, though its stream lived.
+// Sequence: the session is lost after two chunks; the caller comes back through
+// another entry with the last number it had.
+// Cause: an answer's chunks were known to the lost session alone.
+func TestResumeOnAnotherSession(t *testing.T) {
+	f := newFakeEngine(t, "a", "b", "c", "d")
+	f.step = make(chan struct{}, 8)
+	p := startProcess(t, f.URL, nil)
+	n := p.dial("entry-1")
+	n.send(chat(1))
+	f.step <- struct{}{}
+	f.step <- struct{}{}
+	n.next() // Start
+	n.next()
+	n.next()
+	n.session.Close(wire.ErrClosed)
+	other := p.dial("entry-2")
+	other.send(&wire.Resume{Attempt: attemptID(1), Epoch: p.tel.Epoch, Seq: 1, Window: 10})
+	close(f.step)
+	if text, end := other.answer(1); text != "bcd" || end.Outcome != wire.Done {
+		t.Fatalf("got %q, %+v", text, end)
+	}
+	if f.ran(attemptID(1)) != 1 {
+		t.Fatalf("ran %d times", f.ran(attemptID(1)))
+	}
+}
+
+// Symptom: an answer ends early although the engine goes on generating it.
+// Sequence: the connection to the engine is cut after a word; the engine lives.
+// Cause: a lost connection was taken for a lost engine.
+func TestEngineConnectionLost(t *testing.T) {
+	f := newFakeEngine(t, "a", "b", "c")
+	f.cut[attemptID(1).String()] = true
+	n := startProcess(t, f.URL, nil).dial("entry-1")
+	n.send(chat(1))
+	text, end := n.answer(0)
+	if text != "abc" || end.Outcome != wire.Done || f.ran(attemptID(1)) != 1 {
+		t.Fatalf("got %q, %+v, %d runs", text, end, f.ran(attemptID(1)))
+	}
+}
+
+// Symptom: a caller is told done, or waits for ever, after its engine died.
+// Sequence: the engine dies after a word and comes back as another incarnation.
+// Cause: an engine's stream belongs to one incarnation.
+func TestEngineCrash(t *testing.T) {
+	f := newFakeEngine(t, "a", "b", "c")
+	f.step = make(chan struct{}, 8)
+	f.cut[attemptID(1).String()] = true
+	n := startProcess(t, f.URL, nil).dial("entry-1")
+	n.send(chat(1))
+	n.next() // Start
+	f.mu.Lock()
+	f.incarnation = "i2"
+	f.mu.Unlock()
+	close(f.step)
+	text, end := n.answer(0)
+	if text != "a" || end.Outcome != wire.Unknown || !end.EngineCrashed {
+		t.Fatalf("got %q, %+v", text, end)
+	}
+}
+
+// Symptom: a caller is told not_run, and its payment runs nevertheless.
+// Sequence: a session stalls with a Run on it; the entry asks on another one
+// what became of the attempt, and is told not_run; then the Run arrives.
+// Cause: what was answered to Resolve wasn't kept.
+func TestResolveFencesAnUnseenAttempt(t *testing.T) {
+	f := newFakeEngine(t, "a")
+	p := startProcess(t, f.URL, nil)
+	n := p.dial("entry-1")
+	resolve := &wire.Resolve{Attempt: attemptID(1), Epoch: p.tel.Epoch}
+	if r := n.call(resolve).(*wire.Resolved); r.Outcome != wire.NotRun || r.Running {
+		t.Fatalf("got %+v", r)
+	}
+	n.send(chat(1))
+	if _, end := n.answer(0); end.Outcome != wire.NotRun {
+		t.Fatalf("got %+v", end)
+	}
+	if f.ran(attemptID(1)) != 0 {
+		t.Fatal("a fenced attempt ran")
+	}
+}
+
+func TestResolveOfAnotherEpoch(t *testing.T) {
+	f := newFakeEngine(t, "a")
+	p := startProcess(t, f.URL, nil)
+	n := p.dial("entry-1")
+	r := n.call(&wire.Resolve{Attempt: attemptID(1), Epoch: p.tel.Epoch + 1}).(*wire.Resolved)
+	if r.Outcome != wire.Unknown || r.Running {
+		t.Fatalf("got %+v", r)
+	}
+}
+
+func TestDoubledRunIsDropped(t *testing.T) {
+	f := newFakeEngine(t, "a")
+	n := startProcess(t, f.URL, nil).dial("entry-1")
+	n.send(chat(1))
+	n.send(chat(1))
+	n.send(chat(2))
+	n.answer(0)
+	n.answer(0)
+	if f.ran(attemptID(1)) != 1 {
+		t.Fatalf("ran %d times", f.ran(attemptID(1)))
+	}
+}
+
+func TestCancelReachesTheEngine(t *testing.T) {
+	f := newFakeEngine(t, "a", "b")
+	f.step = make(chan struct{})
+	p := startProcess(t, f.URL, nil)
+	n := p.dial("entry-1")
+	n.send(chat(1))
+	n.next() // Start
+	p.dial("entry-2").send(&wire.Cancel{Attempt: attemptID(1)})
+	n.send(&wire.Cancel{Attempt: attemptID(1)})
+	if _, end := n.answer(0); end.Code != wire.CodeCanceled {
+		t.Fatalf("got %+v", end)
+	}
+	waitFor(t, "the engine's cancel", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.canceled[attemptID(1).String()]
+	})
+}
+
+// Symptom: a rolling restart cuts answers.
+// Sequence: SIGTERM arrives while an answer is being generated.
+// Cause: the process ended with its context in place of its last stream.
+func TestDrainCutsNothing(t *testing.T) {
+	f := newFakeEngine(t, "a", "b")
+	f.step = make(chan struct{}, 8)
+	p := startProcess(t, f.URL, nil)
+	n := p.dial("entry-1")
+	n.send(chat(1))
+	n.next() // Start
+	p.stop()
+	waitFor(t, "the refusal", func() bool { return n.call(&wire.StatusRequest{}).(*wire.Status).Leaving })
+	n.send(chat(2))
+	if _, end := n.answer(0); end.Outcome != wire.NotRun || end.Code != wire.CodeDraining {
+		t.Fatalf("got %+v", end)
+	}
+	close(f.step)
+	if text, end := n.answer(0); text != "ab" || end.Outcome != wire.Done {
+		t.Fatalf("got %q, %+v", text, end)
+	}
+	if err := <-p.ended; err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestQueueOverflowIsRefused(t *testing.T) {
+	f := newFakeEngine(t, "a")
+	f.step = make(chan struct{})
+	n := startProcess(t, f.URL, func(s *settings.Settings) {
+		s.Endpoint.MaxRunning = 1
+		s.Endpoint.MaxQueue = 1
+	}).dial("entry-1")
+	n.send(chat(1))
+	n.next() // Start
+	n.send(chat(2))
+	n.send(chat(3))
+	if _, end := n.answer(0); end.Attempt != attemptID(3) || end.Code != wire.CodeOverloaded || end.RetryAfterMs == 0 {
+		t.Fatalf("got %+v", end)
+	}
+	close(f.step)
+}
