Endpoint test: read one attempt's answer at a time

Cause: TestDoubledRunIsDropped read two attempts' interleaved chunks as one answer and failed in 1 of 2 runs. Both are now read in turn; the check of runs is as before.

--- a/internal/endpoint/run_test.go
+++ b/internal/endpoint/run_test.go
@@ -134,8 +134,8 @@
 	n := startProcess(t, f.URL, nil).dial("entry-1")
 	n.send(chat(1))
 	n.send(chat(1))
-	n.send(chat(2))
 	n.answer(0)
+	n.send(chat(2))
 	n.answer(0)
 	if f.ran(attemptID(1)) != 1 {
 		t.Fatalf("ran %d times", f.ran(attemptID(1)))
