Add the stand-in engine

Batching, a prefix cache of limited memory, cache events with gaps, lagged load, orders, KV transfer and faults on demand, with the engine's own account of hits and runs. A reset engine closes its listener and comes back as a new incarnation, so that callers see a refused connection as they would from a dead process. ImportKV now tells how many blocks the engine took.

--- a/cmd/skylark-standin/main.go
+++ b/cmd/skylark-standin/main.go
@@ -15,6 +15,7 @@
 // subcommands are what the program can stand in for.
 var subcommands = []*cli.Command{
 	platformCommand(),
+	engineCommand(),
 	serviceCommand(),
 }
 
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -155,6 +155,11 @@
 	CacheSalt   string `json:"cache_salt,omitempty"`
 }
 
+// Imported answers an import: how many of its blocks the engine now has.
+type Imported struct {
+	Blocks int `json:"blocks"`
+}
+
 // KVQuery names the blocks to export.
 type KVQuery struct {
 	Hashes Hashes `json:"hashes"`
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -160,10 +160,12 @@
 	return kv, err
 }
 
-// ImportKV gives the engine exported blocks. It is an ErrConflict when the
-// engine has other weights.
-func (c *Client) ImportKV(ctx context.Context, kv KV) error {
-	return c.call(ctx, http.MethodPost, "/v1/kv/import", kv, nil)
+// ImportKV gives the engine exported blocks, and returns how many of them it now
+// has. It is an ErrConflict when the engine has other weights.
+func (c *Client) ImportKV(ctx context.Context, kv KV) (int, error) {
+	var imported Imported
+	err := c.call(ctx, http.MethodPost, "/v1/kv/import", kv, &imported)
+	return imported.Blocks, err
 }
 
 // Events calls fn for each cache event from number from on, until ctx or the
--- /dev/null
+++ b/internal/standin/engine/cache_test.go
@@ -0,0 +1,74 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"skylarklead/internal/prefix"
+)
+
+// Whatever runs, the cache keeps its bound, no block outlives its parent, and
+// blocks in use stay.
+func TestCacheInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCache(rapid.IntRange(4, 24).Draw(t, "total"))
+		type run struct{ chain []prefix.Hash }
+		var runs []run
+		t.Repeat(map[string]func(*rapid.T){
+			"start": func(t *rapid.T) {
+				chain := drawChain(t)
+				hits := chain[:c.match(chain)]
+				c.acquire(hits)
+				if !c.reserve(len(chain) - len(hits)) {
+					c.release(hits, time.Time{})
+					return
+				}
+				c.trim()
+				for i := len(hits); i < len(chain); i++ {
+					parent := prefix.Hash(0)
+					if i > 0 {
+						parent = chain[i-1]
+					}
+					c.store(chain[i], parent, origin{})
+				}
+				runs = append(runs, run{chain})
+			},
+			"end": func(t *rapid.T) {
+				if len(runs) == 0 {
+					t.Skip("nothing runs")
+				}
+				i := rapid.IntRange(0, len(runs)-1).Draw(t, "run")
+				c.release(runs[i].chain, time.Time{})
+				runs = append(runs[:i], runs[i+1:]...)
+			},
+			"": func(t *rapid.T) {
+				if len(c.blocks) > c.total || c.reserved != 0 {
+					t.Fatalf("%d blocks and %d reserved of %d", len(c.blocks), c.reserved, c.total)
+				}
+				for _, b := range c.blocks {
+					if b.parent != 0 && c.blocks[b.parent] == nil {
+						t.Fatalf("block %x outlived its parent", b.hash)
+					}
+				}
+				for _, r := range runs {
+					if c.match(r.chain) != len(r.chain) {
+						t.Fatal("a block in use was evicted")
+					}
+				}
+			},
+		})
+	})
+}
+
+// drawChain returns a path in a small tree, so that prefixes are shared.
+func drawChain(t *rapid.T) []prefix.Hash {
+	var chain []prefix.Hash
+	h := prefix.Hash(1)
+	for range rapid.IntRange(1, 8).Draw(t, "length") {
+		h = h*4 + prefix.Hash(rapid.IntRange(0, 2).Draw(t, "branch"))
+		chain = append(chain, h)
+	}
+	return chain
+}
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,247 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+
+	api "skylarklead/internal/engine"
+	"skylarklead/internal/prefix"
+	"skylarklead/internal/standin/answer"
+)
+
+func TestCompletion(t *testing.T) {
+	r := newRig(t, fast())
+	messages := prompt("charter", "echo:q1 what is left?")
+	want := answer.Expected(messages, 20)
+
+	text, usage := r.complete(query("a", "huon", messages, 20))
+	if text != want {
+		t.Errorf("answer %q, want %q", text, want)
+	}
+	if usage == nil || usage.PromptTokens != prefix.Tokens(messages) || usage.CompletionTokens != 20 || usage.PromptTokensDetails.CachedTokens != 0 {
+		t.Errorf("usage %+v", usage)
+	}
+
+	text, usage = r.complete(query("b", "huon", messages, 20))
+	cached := usage.PromptTokensDetails.CachedTokens
+	if text != want || cached < 60*prefix.BlockTokens || cached >= usage.PromptTokens {
+		t.Errorf("second answer %q, cached %d of %d", text, cached, usage.PromptTokens)
+	}
+
+	partial := query("c", "huon", messages, 13)
+	partial.Partial = answer.Expected(messages, 7)
+	if text, _ = r.complete(partial); partial.Partial+text != want {
+		t.Errorf("continued answer %q, want %q", partial.Partial+text, want)
+	}
+
+	a := r.account()
+	if a.Requests["a"].Runs != 1 || a.Requests["b"].CachedTokens != cached || a.Totals.Runs != 3 || a.Totals.HitsBySalt["huon"] < cached {
+		t.Errorf("account %+v", a)
+	}
+}
+
+func TestCacheIsolation(t *testing.T) {
+	r := newRig(t, fast())
+	messages := prompt("charter", "q")
+	r.complete(query("a", "huon", messages, 1))
+	if _, usage := r.complete(query("b", "nakhla", messages, 1)); usage.PromptTokensDetails.CachedTokens != 0 {
+		t.Errorf("another organisation hit %+v", usage)
+	}
+	if _, err := r.client.Order(r.context(), api.Order{Fence: 1, Op: api.OpLoadVersion, Version: "v2"}); err != nil {
+		t.Fatal(err)
+	}
+	r.eventually("v2 is loaded", func() bool {
+		state, err := r.client.Orders(r.context())
+		return err == nil && !state.Loading && state.Version == "v2"
+	})
+	if n := r.account().ResidentBlocks; n != 0 {
+		t.Errorf("%d blocks of the old weights", n)
+	}
+	if _, usage := r.complete(query("c", "huon", messages, 1)); usage.PromptTokensDetails.CachedTokens != 0 {
+		t.Errorf("new weights hit %+v", usage)
+	}
+	if n := r.account().Totals.ForeignHits; n != 0 {
+		t.Errorf("%d foreign hits", n)
+	}
+}
+
+func TestResumeAndCancel(t *testing.T) {
+	settings := fast()
+	settings.StepMs = 5
+	r := newRig(t, settings)
+	messages := prompt("charter", "q")
+	ctx, cut := context.WithCancel(r.context())
+	s, err := r.client.Complete(ctx, query("cut/1", "huon", messages, 60))
+	if err != nil {
+		t.Fatal(err)
+	}
+	have := ""
+	for range 3 {
+		event, err := s.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		have += event.Text
+	}
+	cut()
+	if _, err := s.Next(); !errors.Is(err, api.ErrLost) {
+		t.Errorf("cut stream: %v", err)
+	}
+	if s, err = r.client.Resume(r.context(), "cut/1", 3); err != nil {
+		t.Fatal(err)
+	}
+	rest, _, err := drain(s)
+	if want := answer.Expected(messages, 60); err != nil || have+rest != want {
+		t.Errorf("resumed %q, %v, want %q", have+rest, err, want)
+	}
+	if _, err := r.client.Resume(r.context(), "none", 0); !errors.Is(err, api.ErrGone) {
+		t.Errorf("resume of nothing: %v", err)
+	}
+
+	s, err = r.client.Complete(r.context(), query("long", "huon", messages, 5000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if err := r.client.Cancel(r.context(), "long"); err != nil {
+			t.Errorf("cancel: %v", err)
+		}
+	}
+	if _, _, err := drain(s); !errors.Is(err, api.ErrLost) {
+		t.Errorf("cancelled stream: %v", err)
+	}
+	if a := r.account(); !a.Requests["long"].Cancelled || a.Running != 0 {
+		t.Errorf("account %+v, running %d", a.Requests["long"], a.Running)
+	}
+}
+
+// A stream that nobody comes back to is cancelled after its resume time.
+func TestAbandonedStream(t *testing.T) {
+	settings := fast()
+	settings.ResumeMs = 1
+	r := newRig(t, settings)
+	ctx, cut := context.WithCancel(r.context())
+	if _, err := r.client.Complete(ctx, query("x", "huon", prompt("charter", "q"), 20_000)); err != nil {
+		t.Fatal(err)
+	}
+	cut()
+	r.eventually("it is cancelled", func() bool { return r.account().Requests["x"].Cancelled })
+}
+
+func TestOrders(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		settings := fast()
+		settings.CheckFencing = checks
+		r := newRig(t, settings)
+		if _, err := r.client.Order(r.context(), api.Order{Fence: 7, Op: api.OpSetRole, Role: "decode"}); err != nil {
+			t.Fatal(err)
+		}
+		_, err := r.client.Order(r.context(), api.Order{Fence: 6, Op: api.OpSetRole, Role: "prefill"})
+		var stale *api.StaleFenceError
+		if checks && (!errors.Is(err, api.ErrStaleFence) || !errors.As(err, &stale) || stale.Fence != 7) {
+			t.Errorf("checking engine: %v", err)
+		}
+		if a := r.account(); !checks && (err != nil || a.Totals.StaleOrders != 1) {
+			t.Errorf("ignoring engine: %v, %+v", err, a.Totals)
+		}
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	r := newRig(t, fast())
+	wrong := query("a", "huon", prompt("charter", "q"), 1)
+	wrong.Model = "other"
+	if _, err := r.client.Complete(r.context(), wrong); !errors.Is(err, api.ErrNotSent) || errors.Is(err, api.ErrLoading) {
+		t.Errorf("wrong model: %v", err)
+	}
+	r.control(`{"load_ms": 60000}`)
+	if state, err := r.client.Order(r.context(), api.Order{Fence: 1, Op: api.OpLoadVersion, Version: "v2"}); err != nil || !state.Loading {
+		t.Fatalf("order: %+v, %v", state, err)
+	}
+	_, err := r.client.Complete(r.context(), query("b", "huon", prompt("charter", "q"), 1))
+	if !errors.Is(err, api.ErrLoading) || !errors.Is(err, api.ErrNotSent) {
+		t.Errorf("while loading: %v", err)
+	}
+	if a := r.account(); a.Totals.Runs != 0 {
+		t.Errorf("refused requests ran: %+v", a.Totals)
+	}
+}
+
+// Symptom: a stream ends without its explicit end and the cache is empty.
+// Sequence: a prompt with the fatal text starts beside another stream.
+// Cause: the engine crashes, drops all connections and comes back empty.
+func TestCrash(t *testing.T) {
+	r := newRig(t, fast())
+	r.control(`{"crash_on": "fatal"}`)
+	before := r.account().Incarnation
+	other, err := r.client.Complete(r.context(), query("other", "huon", prompt("charter", "q"), 20_000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := other.Next(); err != nil {
+		t.Fatal(err)
+	}
+	s, err := r.client.Complete(r.context(), query("poison", "huon", prompt("charter", "fatal"), 1))
+	if err == nil {
+		_, err = s.Next()
+	}
+	if !errors.Is(err, api.ErrLost) {
+		t.Errorf("poison: %v", err)
+	}
+	if _, _, err := drain(other); !errors.Is(err, api.ErrLost) {
+		t.Errorf("other: %v", err)
+	}
+	r.eventually("the engine is back", func() bool {
+		load, err := r.client.Load(r.context())
+		return err == nil && load.Incarnation != before
+	})
+	a := r.account()
+	crashed := a.Crashed[before]
+	slices.Sort(crashed)
+	if a.ResidentBlocks != 0 || a.Totals.Crashes != 1 || !slices.Equal(crashed, []string{"other", "poison"}) {
+		t.Errorf("account %+v", a)
+	}
+}
+
+func TestPriority(t *testing.T) {
+	var queue []*request
+	for i, p := range []int{0, 1, -1, 0, -1} {
+		queue = enqueue(queue, &request{priority: p, arrival: uint64(i)})
+	}
+	var got []uint64
+	for _, r := range queue {
+		got = append(got, r.arrival)
+	}
+	if want := []uint64{2, 4, 0, 3, 1}; !slices.Equal(got, want) {
+		t.Errorf("order %v, want %v", got, want)
+	}
+}
+
+func TestExportImport(t *testing.T) {
+	from, to := newRig(t, fast()), newRig(t, fast())
+	messages := prompt("charter", "q")
+	from.complete(query("a", "huon", messages, 1))
+	root := prefix.Salt{Organisation: "huon", Model: "m", Weights: "v1"}.Root()
+	chain := prefix.Chain(root, prefix.Flatten(messages))
+	kv, err := from.client.ExportKV(from.context(), chain)
+	if err != nil || len(kv.Hashes) != len(chain) {
+		t.Fatalf("export of %d blocks: %d, %v", len(chain), len(kv.Hashes), err)
+	}
+	kv.CacheSalt = "nakhla"
+	if n, err := to.client.ImportKV(to.context(), kv); err != nil || n != 0 {
+		t.Errorf("import under another salt: %d, %v", n, err)
+	}
+	kv.CacheSalt = "huon"
+	if n, err := to.client.ImportKV(to.context(), kv); err != nil || n != len(chain) {
+		t.Errorf("import: %d of %d, %v", n, len(chain), err)
+	}
+	if _, usage := to.complete(query("b", "huon", messages, 1)); usage.PromptTokensDetails.CachedTokens == 0 {
+		t.Error("imported blocks weren't hit")
+	}
+	kv.Weights = "v0"
+	if _, err := to.client.ImportKV(to.context(), kv); !errors.Is(err, api.ErrConflict) {
+		t.Errorf("import of other weights: %v", err)
+	}
+}
