Add a fault-injecting TCP proxy for the process-level proofs

Cuts, freezes, delays, drops one direction (half-open), refuses connections, and loses replies after the effect. Direction and request to lose are chosen by the test, so that a lost append answer doesn't hit a long poll by chance.

--- /dev/null
+++ b/internal/faultproxy/faultproxy_test.go
@@ -0,0 +1,146 @@
+package faultproxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// echo answers each line with the same line in capitals and counts the lines.
+func echo(t *testing.T) (address string, lines <-chan string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	got := make(chan string, 100)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				sc := bufio.NewScanner(conn)
+				for sc.Scan() {
+					got <- sc.Text()
+					io.WriteString(conn, strings.ToUpper(sc.Text())+"\n")
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), got
+}
+
+func proxied(t *testing.T) (*Proxy, net.Conn, *bufio.Reader, <-chan string) {
+	t.Helper()
+	target, lines := echo(t)
+	p, err := Listen("127.0.0.1:0", target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	conn, r := dial(t, p)
+	return p, conn, r, lines
+}
+
+func dial(t *testing.T, p *Proxy) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+func wantLine(t *testing.T, conn net.Conn, r *bufio.Reader, want string) {
+	t.Helper()
+	conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	got, err := r.ReadString('\n')
+	if err != nil || got != want+"\n" {
+		t.Fatalf("read %q, %v; want %q", got, err, want)
+	}
+}
+
+func wantSilence(t *testing.T, conn net.Conn, r *bufio.Reader) {
+	t.Helper()
+	conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if got, err := r.ReadString('\n'); err == nil {
+		t.Fatalf("read %q; want nothing", got)
+	} else if ne, ok := err.(net.Error); !ok || !ne.Timeout() {
+		t.Fatalf("read failed with %v; want a timeout", err)
+	}
+}
+
+func wantEnd(t *testing.T, conn net.Conn, r *bufio.Reader) {
+	t.Helper()
+	conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	_, err := r.ReadString('\n')
+	if ne, ok := err.(net.Error); err == nil || ok && ne.Timeout() {
+		t.Fatalf("read ended with %v; want the connection's end", err)
+	}
+}
+
+func TestPassAndFreeze(t *testing.T) {
+	p, conn, r, _ := proxied(t)
+	io.WriteString(conn, "one\n")
+	wantLine(t, conn, r, "ONE")
+	p.Freeze()
+	io.WriteString(conn, "two\n")
+	wantSilence(t, conn, r)
+	p.Thaw()
+	wantLine(t, conn, r, "TWO")
+}
+
+func TestHalfOpen(t *testing.T) {
+	p, conn, r, lines := proxied(t)
+	p.Drop(Down, true)
+	io.WriteString(conn, "one\n")
+	if got := <-lines; got != "one" {
+		t.Fatalf("target got %q", got)
+	}
+	wantSilence(t, conn, r)
+	p.Drop(Down, false)
+	wantEnd(t, conn, r)
+}
+
+func TestLostReply(t *testing.T) {
+	p, conn, r, lines := proxied(t)
+	other, otherReader := dial(t, p)
+	p.LoseReplies(1, []byte("append"))
+	io.WriteString(other, "read\n")
+	wantLine(t, other, otherReader, "READ")
+	io.WriteString(conn, "append\n")
+	wantEnd(t, conn, r)
+	if got := []string{<-lines, <-lines}; got[1] != "append" || p.Lost() != 1 {
+		t.Fatalf("target got %q, lost %d", got, p.Lost())
+	}
+}
+
+func TestCutRefuseDelay(t *testing.T) {
+	p, conn, r, _ := proxied(t)
+	p.Delay(Up, 50*time.Millisecond)
+	began := time.Now()
+	io.WriteString(conn, "late\n")
+	wantLine(t, conn, r, "LATE")
+	if took := time.Since(began); took < 50*time.Millisecond {
+		t.Fatalf("took %v", took)
+	}
+	p.Cut()
+	wantEnd(t, conn, r)
+	p.Refuse(true)
+	if refused, err := net.Dial("tcp", p.Address()); err == nil {
+		defer refused.Close() // the reset may come only after the connection is made
+		wantEnd(t, refused, bufio.NewReader(refused))
+	}
+}
