Prove sessions, authentication and the codec under failure

Tests of sessions behind the fault proxy (half-open either way, frozen, cut), of peers without the key on either side, a replayed opening, a malformed peer beside a good one, and a fuzz target of the decoder with a seed of every kind.

--- /dev/null
+++ b/internal/wire/codec_test.go
@@ -0,0 +1,128 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"skylarklead/internal/prefix"
+)
+
+var (
+	texts  = rapid.StringN(0, 40, 200)
+	levels = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) prefix.Level {
+		return prefix.Level{Hash: prefix.Hash(rapid.Uint64().Draw(t, "hash")), Tokens: rapid.IntRange(0, 1<<20).Draw(t, "tokens")}
+	}), 1, 8)
+	attempts = rapid.Custom(func(t *rapid.T) (a AttemptID) {
+		copy(a[:], rapid.SliceOfN(rapid.Byte(), len(a), len(a)).Draw(t, "attempt"))
+		return a
+	})
+)
+
+// drawMessage returns a message of any kind; the ones with most fields are drawn
+// in full.
+func drawMessage(t *rapid.T) Message {
+	kind := Kind(rapid.IntRange(int(kindChallenge), int(kindFailure)).Draw(t, "kind"))
+	m := newMessage[kind]()
+	switch m := m.(type) {
+	case *Ask:
+		m.Request, m.Organisation, m.Levels = texts.Draw(t, "request"), texts.Draw(t, "org"), levels.Draw(t, "levels")
+		m.Fingerprint, m.DeadlineMs = rapid.Uint64().Draw(t, "fingerprint"), rapid.Int64().Draw(t, "deadline")
+		m.Exclude = rapid.SliceOfN(texts, 1, 4).Draw(t, "exclude")
+	case *Run:
+		m.Attempt, m.Request, m.Partial = attempts.Draw(t, "attempt"), texts.Draw(t, "request"), texts.Draw(t, "partial")
+		m.Messages = []prefix.Message{{Role: texts.Draw(t, "role"), Content: texts.Draw(t, "content")}}
+		m.FirstSeq, m.Window = rapid.Uint64().Draw(t, "seq"), rapid.Uint32().Draw(t, "window")
+	case *Chunk:
+		m.Attempt, m.Seq = attempts.Draw(t, "attempt"), rapid.Uint64().Draw(t, "seq")
+		m.Data = rapid.SliceOfN(rapid.Byte(), 1, 100).Draw(t, "data")
+	case *End:
+		m.Attempt, m.Seq, m.Outcome = attempts.Draw(t, "attempt"), rapid.Uint64().Draw(t, "seq"), Unknown
+		m.Message, m.Redirect = texts.Draw(t, "message"), &Target{Endpoint: texts.Draw(t, "id")}
+	}
+	return m
+}
+
+func TestEveryMessageComesBackAsSent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sent, ref := drawMessage(t), rapid.Uint32().Draw(t, "ref")
+		frame, err := Encode(ref, sent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		gotRef, got, err := Decode(frame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if gotRef != ref || !reflect.DeepEqual(got, sent) {
+			t.Fatalf("sent %d %+v, got %d %+v", ref, sent, gotRef, got)
+		}
+	})
+}
+
+func TestKindsAreComplete(t *testing.T) {
+	for kind := kindChallenge; kind <= kindFailure; kind++ {
+		if m := newMessage[kind](); m.kind() != kind {
+			t.Errorf("kind %d constructs %T of kind %d", kind, m, m.kind())
+		}
+	}
+}
+
+// Symptom: a daemon runs out of memory or dies on one frame.
+// Sequence: a peer sends a frame that claims more than it holds, nests deeply or
+// has no known kind.
+// Cause: decoding without bounds.
+func TestMalformedFrames(t *testing.T) {
+	deep := append(bytes.Repeat([]byte{0x81}, 1000), 0x00)
+	for name, frame := range map[string][]byte{
+		"empty":           {},
+		"not an array":    {0xa0},
+		"unknown kind":    {0x83, 0x18, 0xff, 0x00, 0xa0},
+		"kind zero":       {0x83, 0x00, 0x00, 0xa0},
+		"body of no map":  {0x83, 0x04, 0x00, 0x61, 'x'},
+		"truncated":       {0x83, 0x04, 0x00},
+		"trailing bytes":  {0x83, 0x04, 0x00, 0xa0, 0x00},
+		"array too large": {0x83, 0x04, 0x00, 0xa1, 0x06, 0x9b, 0, 0, 0, 1, 0, 0, 0, 0},
+		"nested":          append([]byte{0x83, 0x04, 0x00}, deep...),
+		"indefinite":      {0x9f, 0x04, 0x00, 0xa0, 0xff},
+		"doubled field":   {0x83, 0x04, 0x00, 0xa2, 0x01, 0x61, 'a', 0x01, 0x61, 'b'},
+	} {
+		if _, m, err := Decode(frame); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%s: got %T, %v", name, m, err)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for kind := kindChallenge; kind <= kindFailure; kind++ {
+		frame, err := Encode(uint32(kind), newMessage[kind]())
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
+	}
+	full, _ := Encode(1, &Run{
+		Request: "r", Messages: []prefix.Message{{Role: "user", Content: "c"}},
+		Levels: []prefix.Level{{Hash: 1, Tokens: 16}}, Call: &Call{Method: "POST", Path: "/pay"},
+	})
+	f.Add(full)
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		ref, m, err := Decode(frame)
+		if err != nil {
+			if !errors.Is(err, ErrMalformed) {
+				t.Fatalf("error of another layer: %v", err)
+			}
+			return
+		}
+		again, err := Encode(ref, m)
+		if err != nil {
+			t.Fatalf("decoded %T can't be encoded: %v", m, err)
+		}
+		if _, _, err := Decode(again); err != nil {
+			t.Fatalf("own encoding of %T can't be decoded: %v", m, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/wire/session_test.go
@@ -0,0 +1,374 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"go.uber.org/goleak"
+
+	"skylarklead/internal/faultproxy"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 20 * time.Second
+
+var fleetKey = []byte("0123456789abcdef0123456789abcdef")
+
+// end is one side of a session: it records what arrives and answers Ask.
+type end struct {
+	id   string
+	key  []byte
+	hold chan struct{} // Ask is answered when it is closed; at once if nil
+
+	mu       sync.Mutex
+	sessions []*Session
+	got      []Message
+	closed   chan error
+}
+
+func newEnd(id string) *end { return &end{id: id, key: fleetKey, closed: make(chan error, 100)} }
+
+func (e *end) options() Options {
+	return Options{Key: e.key, Self: func() Identity { return Identity{ID: e.id, Role: RoleEndpoint, Epoch: 7} }, Handler: e}
+}
+
+func (e *end) Handle(s *Session, ref uint32, m Message) {
+	e.mu.Lock()
+	e.sessions = append(e.sessions, s)
+	e.got = append(e.got, m)
+	e.mu.Unlock()
+	if ask, ok := m.(*Ask); ok {
+		go func() {
+			if e.hold != nil {
+				<-e.hold
+			}
+			s.Reply(ref, &Decision{Request: ask.Request})
+		}()
+	}
+}
+
+func (e *end) Closed(_ *Session, err error) { e.closed <- err }
+
+func (e *end) received() []Message {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Message(nil), e.got...)
+}
+
+func (e *end) serve(t *testing.T) (address string, accepted <-chan error) {
+	t.Helper()
+	errs := make(chan error, 100)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		errs <- Accept(w, r, e.options())
+	}))
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://"), errs
+}
+
+func (e *end) dial(t *testing.T, address string) *Session {
+	t.Helper()
+	s, err := Dial(context.Background(), address, e.options())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		s.Close(ErrClosed)
+		<-e.closed
+	})
+	return s
+}
+
+func await[T any](t *testing.T, what string, ch <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(patience):
+		t.Fatalf("no %s in %v", what, patience)
+	}
+	panic("unreachable")
+}
+
+func call(s *Session, request string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	m, err := s.Call(ctx, &Ask{Request: request})
+	if err != nil {
+		return "", err
+	}
+	return m.(*Decision).Request, nil
+}
+
+func TestSessionOpens(t *testing.T) {
+	acceptor, dialer := newEnd("b"), newEnd("a")
+	address, _ := acceptor.serve(t)
+	s := dialer.dial(t, address)
+	if s.Peer().ID != "b" || s.Peer().Epoch != 7 {
+		t.Errorf("peer is %+v", s.Peer())
+	}
+	if got, err := call(s, "one"); err != nil || got != "one" {
+		t.Errorf("call: %q, %v", got, err)
+	}
+	acceptor.mu.Lock()
+	back := acceptor.sessions[0]
+	acceptor.mu.Unlock()
+	if back.Peer().ID != "a" {
+		t.Errorf("acceptor sees %+v", back.Peer())
+	}
+}
+
+// Symptom: a caller gets another caller's answer.
+// Sequence: many calls are in flight on one session and are answered in an order
+// of the peer's own.
+// Cause: replies matched to calls by order of arrival in place of reference.
+func TestRepliesMatchTheirCalls(t *testing.T) {
+	acceptor, dialer := newEnd("b"), newEnd("a")
+	address, _ := acceptor.serve(t)
+	s := dialer.dial(t, address)
+	var calls sync.WaitGroup
+	for i := range 200 {
+		calls.Go(func() {
+			request := strings.Repeat("x", i)
+			if got, err := call(s, request); err != nil || got != request {
+				t.Errorf("call %d: %d bytes, %v", i, len(got), err)
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// Symptom: whoever reaches a daemon's port can send it orders.
+// Sequence: a peer without the fleet's key opens a session, from either side.
+// Cause: an opening that isn't authenticated in both directions.
+func TestUnauthenticatedPeerIsCutOff(t *testing.T) {
+	stranger := newEnd("s")
+	stranger.key = []byte("another key of thirty-two bytes.")
+	for _, tc := range []struct {
+		name             string
+		acceptor, dialer *end
+	}{
+		{"dialer has no key", newEnd("b"), stranger},
+		{"acceptor has no key", stranger, newEnd("a")},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			address, accepted := tc.acceptor.serve(t)
+			if _, err := Dial(context.Background(), address, tc.dialer.options()); err == nil {
+				t.Error("session opened")
+			}
+			if err := await(t, "end of accept", accepted); err == nil {
+				t.Error("accept returned no error")
+			}
+			if got := tc.acceptor.received(); len(got) != 0 {
+				t.Errorf("handled %v", got)
+			}
+		})
+	}
+}
+
+// Symptom: an entry hands a charity's prompt to whoever took an endpoint's address.
+// Sequence: an acceptor without the key takes every Hello and sends a Welcome of
+// its own making.
+// Cause: a dialer that doesn't check the acceptor's MAC.
+func TestImpostorAcceptorIsRefused(t *testing.T) {
+	impostor := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		defer conn.CloseNow()
+		writeFrame(r.Context(), conn, 0, &Challenge{Nonce: make([]byte, nonceBytes), Identity: Identity{ID: "b"}})
+		var hello Hello
+		if readOpening(r.Context(), conn, &hello) == nil {
+			writeFrame(r.Context(), conn, 0, &Welcome{MAC: hello.MAC})
+		}
+	}))
+	defer impostor.Close()
+	_, err := Dial(context.Background(), strings.TrimPrefix(impostor.URL, "http://"), newEnd("a").options())
+	if !errors.Is(err, ErrUnauthenticated) {
+		t.Errorf("dial: %v", err)
+	}
+}
+
+// Symptom: an eavesdropper's copy of an old opening lets it in.
+// Sequence: the Hello of an earlier session is sent again.
+// Cause: a MAC that doesn't cover the acceptor's fresh nonce.
+func TestReplayedHelloIsRefused(t *testing.T) {
+	acceptor := newEnd("b")
+	address, accepted := acceptor.serve(t)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	self := Identity{ID: "a"}
+	var old *Hello
+	for range 2 {
+		conn, _, err := websocket.Dial(ctx, "ws://"+address+Path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.CloseNow()
+		var ch Challenge
+		if err := readOpening(ctx, conn, &ch); err != nil {
+			t.Fatal(err)
+		}
+		if old == nil {
+			old = &Hello{Identity: self, MAC: identityMAC(fleetKey, ch.Nonce, self)}
+			conn.CloseNow()
+			await(t, "end of accept", accepted)
+			continue
+		}
+		if err := writeFrame(ctx, conn, 0, old); err != nil {
+			t.Fatal(err)
+		}
+		if err := await(t, "end of accept", accepted); !errors.Is(err, ErrUnauthenticated) {
+			t.Errorf("accept: %v", err)
+		}
+	}
+}
+
+// Symptom: one broken peer takes down the streams of others.
+// Sequence: an authenticated peer sends bytes that are no message while another
+// session has a call in flight.
+// Cause: a decoding error handled for the process in place of the session.
+func TestMalformedPeerHarmsNoOther(t *testing.T) {
+	acceptor := newEnd("b")
+	acceptor.hold = make(chan struct{})
+	address, _ := acceptor.serve(t)
+	good, bad := newEnd("good"), newEnd("bad")
+	goodSession, badSession := good.dial(t, address), bad.dial(t, address)
+	answer := make(chan string, 1)
+	go func() {
+		got, _ := call(goodSession, "kept")
+		answer <- got
+	}()
+	for len(acceptor.received()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := badSession.conn.Write(context.Background(), websocket.MessageBinary, []byte{0x83, 0x18, 0xff, 0, 0xf6}); err != nil {
+		t.Fatal(err)
+	}
+	if err := await(t, "end of the bad session", acceptor.closed); !errors.Is(err, ErrMalformed) {
+		t.Errorf("closed with %v", err)
+	}
+	close(acceptor.hold)
+	if got := await(t, "answer", answer); got != "kept" {
+		t.Errorf("good session's call got %q", got)
+	}
+}
+
+// Symptom: a stream hangs for minutes after a host is gone.
+// Sequence: the peer's packets are lost in one direction or both; no reset comes.
+// Cause: no ping, or one whose answer isn't waited for.
+func TestHalfOpenSessionIsFound(t *testing.T) {
+	for name, fault := range map[string]func(*faultproxy.Proxy){
+		"replies lost":  func(p *faultproxy.Proxy) { p.Drop(faultproxy.Down, true) },
+		"requests lost": func(p *faultproxy.Proxy) { p.Drop(faultproxy.Up, true) },
+		"frozen":        (*faultproxy.Proxy).Freeze,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			acceptor, dialer := newEnd("b"), newEnd("a")
+			address, _ := acceptor.serve(t)
+			p, err := faultproxy.Listen("127.0.0.1:0", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(p.Close)
+			s := dialer.dial(t, p.Address())
+			if _, err := call(s, "before"); err != nil {
+				t.Fatal(err)
+			}
+			fault(p)
+			if _, err := call(s, "after"); !errors.Is(err, ErrClosed) {
+				t.Errorf("call: %v", err)
+			}
+			p.Cut()
+		})
+	}
+}
+
+// Symptom: a request written to a session that is being cut is waited for until
+// the caller's deadline.
+// Sequence: the session ends between the write and the reply.
+// Cause: a call that waits for its reply alone.
+func TestCutEndsCalls(t *testing.T) {
+	acceptor, dialer := newEnd("b"), newEnd("a")
+	acceptor.hold = make(chan struct{})
+	defer close(acceptor.hold)
+	address, _ := acceptor.serve(t)
+	s := dialer.dial(t, address)
+	result := make(chan error, 1)
+	go func() {
+		_, err := call(s, "cut")
+		result <- err
+	}()
+	for len(acceptor.received()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.Close(ErrClosed)
+	if err := await(t, "end of the call", result); !errors.Is(err, ErrClosed) {
+		t.Errorf("call: %v", err)
+	}
+}
+
+func TestMessagesKeepTheirOrder(t *testing.T) {
+	acceptor, dialer := newEnd("b"), newEnd("a")
+	address, _ := acceptor.serve(t)
+	s := dialer.dial(t, address)
+	const n = 500
+	for i := range n {
+		if err := s.Send(&Chunk{Seq: uint64(i), Data: bytes.Repeat([]byte{byte(i)}, i)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := call(s, "flush"); err != nil {
+		t.Fatal(err)
+	}
+	for i, m := range acceptor.received()[:n] {
+		if c := m.(*Chunk); c.Seq != uint64(i) || len(c.Data) != i {
+			t.Fatalf("message %d is chunk %d of %d bytes", i, c.Seq, len(c.Data))
+		}
+	}
+}
+
+func TestPoolSharesAndReplacesSessions(t *testing.T) {
+	acceptor, dialer := newEnd("b"), newEnd("a")
+	address, _ := acceptor.serve(t)
+	pool := NewPool(dialer.options())
+	var mu sync.Mutex
+	seen := map[*Session]bool{}
+	var gets sync.WaitGroup
+	for range 20 {
+		gets.Go(func() {
+			s, err := pool.Get(context.Background(), address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			mu.Lock()
+			seen[s] = true
+			mu.Unlock()
+		})
+	}
+	gets.Wait()
+	if len(seen) != 1 {
+		t.Fatalf("%d sessions for one address", len(seen))
+	}
+	for s := range seen {
+		s.Close(ErrClosed)
+		<-dialer.closed
+		next, err := pool.Get(context.Background(), address)
+		if err != nil || next == s {
+			t.Fatalf("after the end: %v, the ended session again: %v", err, next == s)
+		}
+	}
+	pool.Close()
+	<-dialer.closed
+}
