Decide idempotency claims, leases, permits and engine orders

attempt.Once runs a key at most once by claims on the group's log stream, attempt.Registry answers Resolve, and lease has the order lease of an engine and the load permits by one rule of offsets.

--- /dev/null
+++ b/internal/attempt/claims.go
@@ -0,0 +1,170 @@
+package attempt
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"skylarklead/internal/wire"
+)
+
+// KeyDigest stands for an organisation's idempotency key: the first 16 bytes of
+// a cryptographic digest of both.
+type KeyDigest [16]byte
+
+// ClaimBatch is one record of the log stream claims.GROUP, all of one process.
+// Its parts apply in the order of the fields.
+//
+// A claim is known by the offset of its record, so a batch has each key once.
+type ClaimBatch struct {
+	Endpoint string     `cbor:"1,keyasint"`
+	Epoch    wire.Epoch `cbor:"2,keyasint"`
+	Settles  []Settle   `cbor:"3,keyasint,omitempty"`
+	Carries  []Carry    `cbor:"4,keyasint,omitempty"`
+	Claims   []Claim    `cbor:"5,keyasint,omitempty"`
+}
+
+// Claim says that the batch's process wants to run a key. The lowest offset
+// wins.
+type Claim struct {
+	Key         KeyDigest `cbor:"1,keyasint"`
+	Fingerprint uint64    `cbor:"2,keyasint"`
+	// AgeMs is the key's age where the key tells its birth, else 0.
+	AgeMs int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Settle is the winner's word on the claim at offset Claim. Done keeps it for
+// good; NotRun releases the key: the winner has not run it under this claim and
+// never will.
+type Settle struct {
+	Key     KeyDigest    `cbor:"1,keyasint"`
+	Claim   uint64       `cbor:"2,keyasint"`
+	Outcome wire.Outcome `cbor:"3,keyasint"`
+}
+
+// Carry repeats what the log says of an undated key before retention takes the
+// records that say it.
+type Carry struct {
+	Key         KeyDigest  `cbor:"1,keyasint"`
+	Fingerprint uint64     `cbor:"2,keyasint"`
+	Endpoint    string     `cbor:"3,keyasint"`
+	Epoch       wire.Epoch `cbor:"4,keyasint"`
+	Claim       uint64     `cbor:"5,keyasint"`
+	// Done is set when the claim was settled as done.
+	Done bool `cbor:"6,keyasint,omitempty"`
+	// AgeMs is how long ago the key was first claimed.
+	AgeMs int64 `cbor:"7,keyasint,omitempty"`
+}
+
+// ErrClaims is wrapped by errors about a record of claims.GROUP that can't be
+// read. Every reader skips the same records.
+var ErrClaims = errors.New("attempt: malformed claims record")
+
+// maxBatch bounds the claims, settles and carries of one record each.
+const maxBatch = 256
+
+var claimsMode = mustClaimsMode()
+
+func mustClaimsMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxBatch,
+		MaxMapPairs:      16,
+		MaxNestedLevels:  6,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options above are constants
+	}
+	return mode
+}
+
+// EncodeClaims returns the record of a batch.
+func EncodeClaims(b *ClaimBatch) ([]byte, error) {
+	data, err := cbor.Marshal(b)
+	if err != nil {
+		return nil, fmt.Errorf("attempt: encode claims: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeClaims reads a record. Errors wrap ErrClaims.
+func DecodeClaims(data []byte) (*ClaimBatch, error) {
+	b := new(ClaimBatch)
+	if err := claimsMode.Unmarshal(data, b); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrClaims, err)
+	}
+	if b.Endpoint == "" || b.Epoch == 0 {
+		return nil, fmt.Errorf("%w: no process", ErrClaims)
+	}
+	return b, nil
+}
+
+// KeyedRun is one sending of a request that may run at most once.
+type KeyedRun struct {
+	Attempt     wire.AttemptID
+	Key         KeyDigest
+	Fingerprint uint64
+	// Age is the key's age, 0 where it isn't known.
+	Age        time.Duration
+	Redirected bool
+}
+
+// Result is the answer of a finished key, kept for its next sender.
+type Result struct {
+	Status      int
+	ContentType string
+	Chunks      [][]byte
+	End         wire.End
+}
+
+func (r *Result) size() int {
+	n := len(r.ContentType) + len(r.End.Message)
+	for _, c := range r.Chunks {
+		n += len(c)
+	}
+	return n
+}
+
+// OnceAction is what a Once asks its process to do.
+type OnceAction interface{ onceAction() }
+
+// AppendClaims appends Data to claims.GROUP and reports the result by Appended,
+// AppendFailed or AppendUnknown with the same Batch.
+type AppendClaims struct {
+	Batch uint64
+	Data  []byte
+}
+
+// Execute hands the attempt to the back end, and then reports Finished.
+type Execute struct {
+	Attempt wire.AttemptID
+	Key     KeyDigest
+}
+
+// Attach answers Attempt with all of what the running attempt To gets.
+type Attach struct {
+	Attempt wire.AttemptID
+	To      wire.AttemptID
+}
+
+// Replay answers Attempt with a kept result.
+type Replay struct {
+	Attempt wire.AttemptID
+	Result  *Result
+}
+
+// Answer ends Attempt without running it here. A Redirect lacks its address.
+type Answer struct {
+	Attempt wire.AttemptID
+	End     wire.End
+}
+
+func (AppendClaims) onceAction() {}
+func (Execute) onceAction()      {}
+func (Attach) onceAction()       {}
+func (Replay) onceAction()       {}
+func (Answer) onceAction()       {}
--- /dev/null
+++ b/internal/attempt/once.go
@@ -0,0 +1,406 @@
+package attempt
+
+import (
+	"time"
+
+	"skylarklead/internal/wire"
+)
+
+// OnceParams time a Once.
+type OnceParams struct {
+	// Retention is how long the log keeps a record. Keys that tell an age of half
+	// of it are refused.
+	Retention time.Duration
+	// ClaimBound is how long a sending waits for its claim to be decided.
+	ClaimBound time.Duration
+	// FreshFor is for how long after the last complete read of the log a refusal
+	// says not_run. Later the process can't exclude that an earlier sending of the
+	// key ran elsewhere, and says unknown.
+	FreshFor time.Duration
+	// HoldFor is how long a claim won for nobody is kept before it is released.
+	HoldFor time.Duration
+	// Interval is the least time between two appends, which share what the log
+	// takes among all processes. SettleDelay lets settles ride on claims.
+	Interval    time.Duration
+	SettleDelay time.Duration
+	// MaxBackoff bounds the wait after failed appends.
+	MaxBackoff time.Duration
+	// RetryAfter is when a caller may come back after a passing refusal.
+	RetryAfter time.Duration
+	// Horizon is how long an undated key is remembered, MaxUndated how many.
+	Horizon    time.Duration
+	MaxUndated int
+	// ResultBytes bounds the answers kept.
+	ResultBytes int
+}
+
+// DefaultOnceParams are for a log that keeps records for an hour.
+var DefaultOnceParams = OnceParams{
+	Retention: time.Hour, ClaimBound: time.Second, FreshFor: 10 * time.Second,
+	HoldFor: 5 * time.Second, Interval: 25 * time.Millisecond, SettleDelay: 250 * time.Millisecond,
+	MaxBackoff: time.Second, RetryAfter: 2 * time.Second,
+	Horizon: 24 * time.Hour, MaxUndated: 1 << 16, ResultBytes: 16 << 20,
+}
+
+// mine is what this process did with a key that it has claimed.
+type mine uint8
+
+const (
+	mineNone mine = iota
+	mineNotRun
+	mineRunning
+	mineDone
+	mineUnknown
+	// mineReleasing: a release may be on the log, so the key must not run under
+	// the claim any more.
+	mineReleasing
+)
+
+// claiming is how far this process's own claim of a key has got.
+type claiming uint8
+
+const (
+	claimIdle claiming = iota
+	claimQueued
+	claimAppending
+	// claimDoubt: the append was answered or its answer lost; reading the log
+	// decides.
+	claimDoubt
+)
+
+// keyState is what is known of one key.
+//
+// Invariants: winner is the log's verdict as of Once.position; mine is beyond
+// mineNotRun only after Execute, and never returns to it but by the back end's
+// word that nothing was handed on; claim progress says nothing of who has won.
+type keyState struct {
+	key         KeyDigest
+	fingerprint uint64
+	dated       bool
+	born        time.Duration
+	loggedAt    time.Duration
+	winner      winner
+	releasedAt  uint64
+	mine        mine
+	idleSince   time.Duration
+	attempt     wire.AttemptID
+	result      *Result
+	claim       claiming
+	doubtAt     time.Duration
+	waiters     []waiter
+}
+
+// winner is the process whose claim stands; offset 0 is none.
+type winner struct {
+	offset   uint64
+	endpoint string
+	epoch    wire.Epoch
+	done     bool
+}
+
+type waiter struct {
+	KeyedRun
+	since time.Duration
+}
+
+type deadline struct {
+	at      time.Duration
+	key     KeyDigest
+	attempt wire.AttemptID
+}
+
+// peer is what is known of another process that may have claimed keys.
+type peer struct {
+	epoch wire.Epoch
+	past  map[wire.Epoch]bool
+	down  bool
+}
+
+// Once runs each idempotency key at most once in its group.
+//
+// The claims on the log decide, lowest offset first, so a process may run a key
+// only after it has read its own claim with everything before it. Process memory
+// says whether the key was run under that claim; the memory is lost with the
+// epoch, and with it the right to run.
+type Once struct {
+	params    OnceParams
+	self      string
+	epoch     wire.Epoch
+	keys      map[KeyDigest]*keyState
+	peers     map[string]*peer
+	deadlines []deadline
+	position  uint64
+	caughtUp  bool
+	freshAt   time.Duration
+	outbox    outbox
+	doubts    []*keyState
+	idle      []*keyState
+	results   []*keyState
+	kept      int
+	carrier   bool
+	leaving   bool
+	sweepAt   time.Duration
+	malformed uint64
+	out       []OnceAction
+}
+
+// NewOnce returns the state of a process that has read nothing of the log yet.
+func NewOnce(self string, epoch wire.Epoch, params OnceParams) *Once {
+	return &Once{
+		params: params, self: self, epoch: epoch,
+		keys: map[KeyDigest]*keyState{}, peers: map[string]*peer{},
+	}
+}
+
+// Position is the offset of the last record taken; read on from the next one.
+func (o *Once) Position() uint64 { return o.position }
+
+// Keys is the number of keys remembered, Malformed that of records skipped.
+func (o *Once) Keys() int { return len(o.keys) }
+
+// Malformed is told in Keys.
+func (o *Once) Malformed() uint64 { return o.malformed }
+
+// Run takes one sending of a keyed request.
+func (o *Once) Run(r KeyedRun, now time.Duration) []OnceAction {
+	if r.Age >= o.params.Retention/2 {
+		// Its claim may be gone from the log: that it has not run can't be known.
+		o.answer(r.Attempt, wire.Unknown, wire.CodeKeyTooOld, "the idempotency key is too old", 0)
+		return o.take(now)
+	}
+	k := o.key(r.Key, now)
+	if k.attempt == r.Attempt && k.mine != mineNone || k.waits(r.Attempt) {
+		return o.take(now) // the same Run, doubled on its way
+	}
+	o.decide(k, waiter{KeyedRun: r, since: now}, now)
+	if k.waits(r.Attempt) {
+		o.deadlines = append(o.deadlines, deadline{at: now + o.params.ClaimBound, key: r.Key, attempt: r.Attempt})
+	}
+	return o.take(now)
+}
+
+// Withdraw says that nobody waits for the attempt any more.
+func (o *Once) Withdraw(key KeyDigest, a wire.AttemptID) {
+	if k, ok := o.keys[key]; ok {
+		k.dropWaiter(a)
+	}
+}
+
+// Finished says what came of an executed key. NotRun is for a back end that was
+// never handed the request.
+func (o *Once) Finished(key KeyDigest, ran wire.Outcome, result *Result, now time.Duration) []OnceAction {
+	k, ok := o.keys[key]
+	if !ok || k.mine != mineRunning {
+		return o.take(now)
+	}
+	switch ran {
+	case wire.Done:
+		k.mine = mineDone
+		k.winner.done = true
+		o.keep(k, result)
+		o.outbox.settle(k, wire.Done, now)
+	case wire.NotRun:
+		o.rest(k, now)
+	default:
+		k.mine = mineUnknown
+	}
+	return o.take(now)
+}
+
+// PeerEpoch says which epoch of an endpoint lives now; what its earlier ones
+// claimed and did not settle has an unknown outcome for good.
+func (o *Once) PeerEpoch(endpoint string, epoch wire.Epoch) {
+	p := o.peer(endpoint)
+	p.down = false
+	if p.epoch != epoch && p.epoch != 0 {
+		p.past[p.epoch] = true
+	}
+	p.epoch = epoch
+}
+
+// PeerDown says that an endpoint isn't reachable.
+func (o *Once) PeerDown(endpoint string) { o.peer(endpoint).down = true }
+
+// SetCarrier makes this process the one of its group that carries undated keys
+// forward. Two at once do no harm; none for half of the retention would.
+func (o *Once) SetCarrier(carrier bool) { o.carrier = carrier }
+
+// Leave takes no new keys and releases those that were claimed and not run, so
+// that other endpoints may run them. Held counts what is still to be released.
+func (o *Once) Leave(now time.Duration) []OnceAction {
+	o.leaving = true
+	o.releaseIdle(now)
+	return o.take(now)
+}
+
+// Held is the number of claims won and neither run nor released.
+func (o *Once) Held() int {
+	n := 0
+	for _, k := range o.keys {
+		if o.isMine(k) && (k.mine == mineNotRun || k.mine == mineReleasing) {
+			n++
+		}
+	}
+	return n
+}
+
+// decide answers one sending, or makes it wait.
+func (o *Once) decide(k *keyState, w waiter, now time.Duration) {
+	taken := k.winner.offset != 0 || k.claim != claimIdle && len(k.waiters) > 0
+	ranHere := o.isMine(k) && (k.mine == mineRunning || k.mine == mineDone)
+	switch {
+	case !o.caughtUp && !ranHere:
+		k.waiters = append(k.waiters, w)
+	case taken && k.fingerprint != w.Fingerprint:
+		o.answer(w.Attempt, wire.NotRun, wire.CodeKeyConflict, "the idempotency key was used with another request", 0)
+	case k.winner.offset == 0:
+		o.want(k, w)
+	case o.isMine(k):
+		o.decideMine(k, w, now)
+	default:
+		o.decideOther(k, w)
+	}
+}
+
+// want queues a claim for a key that nobody has.
+func (o *Once) want(k *keyState, w waiter) {
+	if o.leaving {
+		o.answer(w.Attempt, wire.NotRun, wire.CodeDraining, "the endpoint is leaving", o.params.RetryAfter)
+		return
+	}
+	k.waiters = append(k.waiters, w)
+	k.fingerprint = w.Fingerprint
+	k.dated = w.Age > 0
+	k.born = w.since - w.Age
+	if k.claim == claimIdle {
+		k.claim = claimQueued
+		o.outbox.claims = append(o.outbox.claims, k)
+	}
+}
+
+func (o *Once) decideMine(k *keyState, w waiter, now time.Duration) {
+	switch k.mine {
+	case mineNotRun:
+		if o.leaving {
+			o.answer(w.Attempt, wire.NotRun, wire.CodeDraining, "the endpoint is leaving", o.params.RetryAfter)
+			return
+		}
+		k.mine, k.attempt = mineRunning, w.Attempt
+		o.out = append(o.out, Execute{Attempt: w.Attempt, Key: k.key})
+	case mineRunning:
+		o.out = append(o.out, Attach{Attempt: w.Attempt, To: k.attempt})
+	case mineDone:
+		if k.result != nil {
+			o.out = append(o.out, Replay{Attempt: w.Attempt, Result: k.result})
+			return
+		}
+		o.answerDone(w.Attempt)
+	case mineReleasing:
+		k.waiters = append(k.waiters, w)
+	default:
+		o.answer(w.Attempt, wire.Unknown, wire.CodeUnknownOutcome, "the request may have run", 0)
+	}
+}
+
+// decideOther answers for a key that another process has claimed: only that
+// process knows more, and only in the epoch that claimed it.
+func (o *Once) decideOther(k *keyState, w waiter) {
+	p := o.peers[k.winner.endpoint]
+	gone := k.winner.endpoint == o.self || p != nil && p.past[k.winner.epoch]
+	down := p != nil && p.down
+	switch {
+	case k.winner.done && (gone || down || w.Redirected):
+		o.answerDone(w.Attempt)
+	case gone:
+		o.answer(w.Attempt, wire.Unknown, wire.CodeUnknownOutcome, "the process that claimed the request is gone", 0)
+	case down || w.Redirected:
+		o.answer(w.Attempt, wire.Unknown, wire.CodeUnknownOutcome, "the process that claimed the request can't be reached", o.params.RetryAfter)
+	default:
+		o.out = append(o.out, Answer{Attempt: w.Attempt, End: wire.End{
+			Attempt: w.Attempt, Outcome: wire.Unknown, Message: "claimed by another endpoint",
+			Redirect: &wire.Target{Endpoint: k.winner.endpoint, Epoch: k.winner.epoch},
+		}})
+	}
+}
+
+func (o *Once) answerDone(a wire.AttemptID) {
+	o.answer(a, wire.Done, wire.CodeKeyConflict, "the request has run; its answer is not kept", 0)
+}
+
+func (o *Once) answer(a wire.AttemptID, ran wire.Outcome, code wire.Code, message string, after time.Duration) {
+	o.out = append(o.out, Answer{Attempt: a, End: wire.End{
+		Attempt: a, Outcome: ran, Code: code, Message: message, RetryAfterMs: after.Milliseconds(),
+	}})
+}
+
+// redecide decides all that wait for a key.
+func (o *Once) redecide(k *keyState, now time.Duration) {
+	waiters := k.waiters
+	k.waiters = nil
+	for _, w := range waiters {
+		o.decide(k, w, now)
+	}
+}
+
+func (o *Once) isMine(k *keyState) bool {
+	return k.winner.offset != 0 && k.winner.endpoint == o.self && k.winner.epoch == o.epoch
+}
+
+// rest marks a key as won and not run.
+func (o *Once) rest(k *keyState, now time.Duration) {
+	k.mine, k.idleSince = mineNotRun, now
+	o.idle = append(o.idle, k)
+}
+
+// keep stores a result and forgets the oldest ones beyond the bound.
+func (o *Once) keep(k *keyState, result *Result) {
+	if result == nil || result.size() > o.params.ResultBytes {
+		return
+	}
+	k.result = result
+	o.kept += result.size()
+	o.results = append(o.results, k)
+	for o.kept > o.params.ResultBytes {
+		oldest := o.results[0]
+		o.results = o.results[1:]
+		o.kept -= oldest.result.size()
+		oldest.result = nil
+	}
+}
+
+func (o *Once) key(d KeyDigest, now time.Duration) *keyState {
+	k, ok := o.keys[d]
+	if !ok {
+		k = &keyState{key: d, born: now, loggedAt: now}
+		o.keys[d] = k
+	}
+	return k
+}
+
+func (o *Once) peer(endpoint string) *peer {
+	p, ok := o.peers[endpoint]
+	if !ok {
+		p = &peer{past: map[wire.Epoch]bool{}}
+		o.peers[endpoint] = p
+	}
+	return p
+}
+
+func (k *keyState) waits(a wire.AttemptID) bool {
+	for _, w := range k.waiters {
+		if w.Attempt == a {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *keyState) dropWaiter(a wire.AttemptID) bool {
+	for i, w := range k.waiters {
+		if w.Attempt == a {
+			k.waiters = append(k.waiters[:i:i], k.waiters[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/attempt/registry.go
@@ -0,0 +1,105 @@
+package attempt
+
+import (
+	"time"
+
+	"skylarklead/internal/wire"
+)
+
+// Arrival is what an executor may do with a Run.
+type Arrival uint8
+
+// The arrivals.
+const (
+	// ArrivalNew: run it.
+	ArrivalNew Arrival = iota
+	// ArrivalDoubled: it was taken before; drop the message.
+	ArrivalDoubled
+	// ArrivalFenced: its sender was told that it has not run; drop the message.
+	ArrivalFenced
+)
+
+type attemptState uint8
+
+const (
+	attemptRunning attemptState = iota
+	attemptFenced
+	attemptEnded
+)
+
+type registered struct {
+	state   attemptState
+	outcome wire.Outcome
+}
+
+type expiry struct {
+	at      time.Duration
+	attempt wire.AttemptID
+}
+
+// Registry remembers the attempts that an executor has seen, so that a Run that
+// comes late or twice is not run again, and Resolve is answered truthfully.
+//
+// Invariant: an attempt for which not_run was said is never new again while it
+// is remembered.
+type Registry struct {
+	memory   time.Duration
+	attempts map[wire.AttemptID]registered
+	expiries []expiry
+}
+
+// NewRegistry remembers ended and fenced attempts for memory, which has to exceed
+// the longest time that a message may be under way.
+func NewRegistry(memory time.Duration) *Registry {
+	return &Registry{memory: memory, attempts: map[wire.AttemptID]registered{}}
+}
+
+// Arrive takes a Run.
+func (r *Registry) Arrive(a wire.AttemptID, now time.Duration) Arrival {
+	r.expire(now)
+	if known, ok := r.attempts[a]; ok {
+		if known.state == attemptFenced {
+			return ArrivalFenced
+		}
+		return ArrivalDoubled
+	}
+	r.attempts[a] = registered{state: attemptRunning, outcome: wire.Unknown}
+	return ArrivalNew
+}
+
+// End records an attempt's outcome.
+func (r *Registry) End(a wire.AttemptID, outcome wire.Outcome, now time.Duration) {
+	r.put(a, registered{state: attemptEnded, outcome: outcome}, now)
+}
+
+// Resolve answers what became of an attempt. One not seen is fenced.
+func (r *Registry) Resolve(a wire.AttemptID, now time.Duration) *wire.Resolved {
+	r.expire(now)
+	known, ok := r.attempts[a]
+	switch {
+	case !ok:
+		r.put(a, registered{state: attemptFenced, outcome: wire.NotRun}, now)
+		return &wire.Resolved{Attempt: a, Outcome: wire.NotRun}
+	case known.state == attemptRunning:
+		return &wire.Resolved{Attempt: a, Outcome: wire.Unknown, Running: true}
+	default:
+		return &wire.Resolved{Attempt: a, Outcome: known.outcome}
+	}
+}
+
+// Len is the number of attempts remembered.
+func (r *Registry) Len() int { return len(r.attempts) }
+
+func (r *Registry) put(a wire.AttemptID, state registered, now time.Duration) {
+	r.attempts[a] = state
+	r.expiries = append(r.expiries, expiry{at: now + r.memory, attempt: a})
+}
+
+func (r *Registry) expire(now time.Duration) {
+	n := 0
+	for n < len(r.expiries) && r.expiries[n].at <= now {
+		delete(r.attempts, r.expiries[n].attempt)
+		n++
+	}
+	r.expiries = r.expiries[n:]
+}
--- /dev/null
+++ b/internal/lease/permits.go
@@ -0,0 +1,100 @@
+package lease
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Permit is one process's wish for one of a group's permits to load weights.
+// It claims one free permit at a time and keeps what it gets until Done.
+type Permit struct {
+	leases *Leases
+	rng    *rand.Rand
+	count  int
+	wanted bool
+	name   Name
+}
+
+// NewPermit returns a permit out of count, on the leases of the same process.
+func NewPermit(leases *Leases, count int, rng *rand.Rand) *Permit {
+	return &Permit{leases: leases, rng: rng, count: count}
+}
+
+// SetCount takes the group's configured number of permits. A permit held beyond
+// it is kept until Done.
+func (p *Permit) SetCount(count int) { p.count = count }
+
+// Want asks for a permit.
+func (p *Permit) Want(now time.Duration) []Action {
+	p.wanted = true
+	return p.Tick(now)
+}
+
+// Check reports whether weights may be loaded right now.
+func (p *Permit) Check(now time.Duration) bool {
+	if !p.wanted || p.name == "" {
+		return false
+	}
+	_, ok := p.leases.Check(p.name, now)
+	return ok
+}
+
+// Done gives the permit back.
+func (p *Permit) Done(now time.Duration) []Action {
+	p.wanted = false
+	if p.name == "" {
+		return nil
+	}
+	name := p.name
+	p.name = ""
+	return p.leases.Drop(name, now)
+}
+
+// Tick looks for a permit that can be claimed when there is none, or when the
+// one that was tried went to another process.
+func (p *Permit) Tick(now time.Duration) []Action {
+	if !p.wanted || p.leases.Holds(p.name, now) {
+		return nil
+	}
+	if p.name != "" && p.leases.Tries(p.name, now) {
+		return nil
+	}
+	var out []Action
+	if p.name != "" {
+		out = p.leases.Drop(p.name, now)
+		p.name = ""
+	}
+	if n, ok := p.free(now); ok {
+		p.name = n
+		out = append(out, p.leases.Want(n, now)...)
+	}
+	return out
+}
+
+// free picks one of the claimable permits at random: a herd that all took the
+// first one would need as many rounds as it has members.
+func (p *Permit) free(now time.Duration) (Name, bool) {
+	var names []Name
+	for i := range p.count {
+		if n := PermitName(i); p.leases.claimable(n, now) {
+			names = append(names, n)
+		}
+	}
+	if len(names) == 0 || !p.leases.caughtUp {
+		return "", false
+	}
+	return names[p.rng.IntN(len(names))], true
+}
+
+// Holds reports whether a lease is granted to this process and not over.
+func (l *Leases) Holds(n Name, now time.Duration) bool {
+	h, ok := l.held[n]
+	return ok && h.fence != 0 && now < h.until
+}
+
+// Tries reports whether this process's claim of a lease is under way or could be
+// made now.
+func (l *Leases) Tries(n Name, now time.Duration) bool {
+	h, ok := l.held[n]
+	return ok && h.wanted && (h.pending != 0 || l.claimable(n, now))
+}
