--- a/internal/standin/engine/limits_test.go
+++ b/internal/standin/engine/limits_test.go
@@ -38,6 +38,31 @@
 	}
 }
 
+// Callers that come together with one charter share its prefill.
+func TestPrefillIsShared(t *testing.T) {
+	settings := fast()
+	settings.PrefillChunk = 4 * prefix.BlockTokens
+	settings.CacheTokens = 400 * prefix.BlockTokens
+	r := newRig(t, settings)
+	var streams []*api.Stream
+	for i := range 4 {
+		s, err := r.client.Complete(r.context(), query(fmt.Sprint(i), "huon", prompt("charter", "q"), 1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		streams = append(streams, s)
+	}
+	for _, s := range streams {
+		if _, _, err := drain(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	whole := prefix.Tokens(prompt("charter", "q"))
+	if n := r.account().Totals.ComputedTokens; n > 2*whole {
+		t.Errorf("computed %d tokens for 4 prompts of %d", n, whole)
+	}
+}
+
 // Weights load at the pace of the weight store, and a request that was taken
 // under the old ones ends under them.
 func TestLoadWaitsForStoreAndRunningRequest(t *testing.T) {
