--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -35,7 +35,9 @@
 	queued  float64  // cost of queue, ms
 	running int
 	// start is the virtual time at which its next item is due.
-	start  float64
+	start float64
+	// served numbers its last start among all.
+	served uint64
 	output lengths
 }
 
@@ -67,6 +69,7 @@
 type fairQueue struct {
 	virtual float64
 	latest  float64 // greatest start of any organisation
+	starts  uint64
 	orgs    map[string]*organisation
 	waiting []*organisation // those with a queue
 	length  int
@@ -130,6 +133,8 @@
 // beyond e's cost.
 func (q *fairQueue) charge(e *entry) {
 	o := e.org
+	q.starts++
+	o.served = q.starts
 	q.virtual = max(q.virtual, o.start)
 	o.start = max(o.start, q.virtual) + e.cost/o.weight
 	q.latest = max(q.latest, o.start)
@@ -158,10 +163,16 @@
 	return first
 }
 
-// due reports whether a goes before b: earliest virtual start, then arrival.
+// due reports whether a goes before b: earliest virtual start, then least
+// recently served, then arrival. The second matters because a cost that is
+// settled downwards can bring a backlog's start back to that of a newcomer,
+// which would then wait behind it again and again.
 func due(a, b *organisation) bool {
 	if a.start != b.start {
 		return a.start < b.start
 	}
+	if a.served != b.served {
+		return a.served < b.served
+	}
 	return a.queue[0].seq < b.queue[0].seq
 }
--- a/internal/cachemap/picture.go
+++ b/internal/cachemap/picture.go
@@ -113,30 +113,35 @@
 }
 
 // Observe takes an engine's identity from its load report or an answer's
-// headers, as it was age ago. It reports whether the picture was voided.
-func (p *Picture) Observe(now, age time.Duration, incarnation, weights string) bool {
+// headers, as it was age ago. A new engine's events are asked for from the first.
+func (p *Picture) Observe(now, age time.Duration, incarnation, weights string) []Action {
 	id := identity{incarnation, weights}
 	if id == p.identity || incarnation == "" || slices.Contains(p.retired, incarnation) {
-		return false
-	}
-	first := p.identity == identity{}
-	if !first && now-age <= p.since {
-		return false
+		return nil
 	}
 	before := p.identity
+	if before == (identity{}) {
+		p.void(now, id)
+		return nil
+	}
+	if now-age <= p.since {
+		return nil
+	}
 	p.void(now, id)
 	if before.incarnation == incarnation {
 		p.observed = true
 		p.before = before.weights
+		return nil
 	}
-	return true
+	p.stream.asked = true
+	return []Action{Resync{From: p.stream.next}}
 }
 
 // void empties the picture for a new identity. An engine that came back holds
 // nothing of what it had, and blocks of other weights must not be used; a picture
 // that kept them would draw requests here for nothing.
 func (p *Picture) void(now time.Duration, id identity) {
-	if p.identity.incarnation != id.incarnation {
+	if p.identity.incarnation != id.incarnation && p.identity.incarnation != "" {
 		p.retire(p.identity.incarnation)
 		p.stream.restart()
 		p.weightsSeq = 0
@@ -150,9 +155,6 @@
 }
 
 func (p *Picture) retire(incarnation string) {
-	if incarnation == "" {
-		return
-	}
 	p.retired = append(p.retired, incarnation)
 	if len(p.retired) > maxRetired {
 		p.retired = slices.Delete(p.retired, 0, 1)
@@ -177,8 +179,12 @@
 	return []Action{Resync{From: s.from}}
 }
 
-// cast notes doubt on all that is confirmed so far.
+// cast notes doubt on all that is confirmed so far. A gap that nothing can fill
+// is no reason to doubt an empty picture.
 func (p *Picture) cast(now time.Duration, d doubt) {
+	if d.unfillable && len(p.blocks) == 0 {
+		return
+	}
 	p.clock++
 	d.before = p.clock
 	d.until = now + p.params.DoubtLife
