Endpoint: follow the log's configuration, resync from Observe

A resync was thought of only for events; a first load report may ask for one too, before any event stream is open. Interim: the log alone is followed, not peers. Run: go test -race -count=2 ./internal/endpoint, green.

--- a/internal/endpoint/config.go
+++ b/internal/endpoint/config.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	configStream = "config"
 	// behindTimeout bounds the wait for a configuration as new as a Run's, and
 	// behindPause the pause between looks.
 	behindTimeout = 2 * time.Second
@@ -30,6 +31,15 @@
 	return t
 }
 
+func (t *logTail) run(ctx context.Context) error {
+	state := config.NewState()
+	return t.log.Tail(ctx, configStream, 1, func(r platform.Record) error {
+		state, _ = state.Apply(r.Offset, r.Data)
+		t.state.Store(state)
+		return nil
+	})
+}
+
 // state is the newest accepted configuration; it is shared.
 func (e *Endpoint) state() *config.State { return e.config.state.Load() }
 
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -129,6 +129,11 @@
 
 func (e *Endpoint) startBackground(ctx context.Context) {
 	go e.tickUntil(ctx)
+	go func() {
+		if err := e.config.run(ctx); ctx.Err() == nil {
+			e.log.Error("configuration is no longer followed", "error", err)
+		}
+	}()
 	instances := platform.NewInstances(e.settings.Platform.Instances)
 	go instances.Poll(ctx, listInterval, func(list []platform.Instance, err error) {
 		e.loop.must(func() { e.onList(list, err) })
--- a/internal/endpoint/enginewatch.go
+++ b/internal/endpoint/enginewatch.go
@@ -71,9 +71,7 @@
 	}
 	now := e.now()
 	age := time.Duration(load.AgeMs) * time.Millisecond
-	if e.picture.Observe(now, age, load.Incarnation, load.Weights) {
-		e.log.Info("cache picture void", "incarnation", load.Incarnation, "weights", load.Weights)
-	}
+	e.resync(e.picture.Observe(now, age, load.Incarnation, load.Weights))
 	w.up, w.missed = true, 0
 	w.incarnation, w.model, w.version = load.Incarnation, load.Model, load.Version
 	w.load, w.loadAt = load, now-age
@@ -131,18 +129,24 @@
 }
 
 func (e *Endpoint) onCacheEvent(event engine.CacheEvent) {
-	actions := e.picture.Apply(e.now(), cachemap.Event{
+	e.resync(e.picture.Apply(e.now(), cachemap.Event{
 		Seq:         event.Seq,
 		Incarnation: event.Incarnation,
 		Weights:     event.Weights,
 		Kind:        cachemap.Kind(event.Type),
 		Hashes:      []prefix.Hash(event.Hashes),
-	})
+	}))
+}
+
+// resync opens the event stream anew where the picture wants it.
+func (e *Endpoint) resync(actions []cachemap.Action) {
 	for _, action := range actions {
 		if resync, ok := action.(cachemap.Resync); ok && e.watch.from == 0 {
 			e.tel.Metrics.Count("cache_resyncs", 1)
 			e.watch.from = resync.From
-			e.watch.cancel()
+			if e.watch.cancel != nil {
+				e.watch.cancel()
+			}
 		}
 	}
 }
