--- a/cmd/skylarkd/main.go
+++ b/cmd/skylarkd/main.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"skylarklead/internal/endpoint"
+	"skylarklead/internal/entry"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/telemetry"
 )
@@ -77,6 +78,8 @@
 
 func runRole(ctx context.Context, s *settings.Settings, tel *telemetry.Telemetry) error {
 	switch s.Role {
+	case "entry":
+		return entry.Run(ctx, s, tel)
 	case "endpoint":
 		return endpoint.Run(ctx, s, tel)
 	}
--- a/internal/endpoint/server.go
+++ b/internal/endpoint/server.go
@@ -76,8 +76,6 @@
 		e.onResume(s, m)
 	case *wire.Resolve:
 		e.onResolve(s, ref, m)
-	case *wire.Heartbeat:
-		e.onHeartbeat(s, m)
 	case *wire.StatusRequest:
 		e.reply(s, ref, e.status())
 	case *wire.ExplainRequest:
--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,8 +9,8 @@
 	"skylarklead/internal/wire"
 )
 
-// callPiece is the size of the pieces of a service's answer in bytes.
-const callPiece = 16 << 10
+// callChunk is the size of the pieces of a service's answer in bytes.
+const callChunk = 32 << 10
 
 // runCall sends a call to the plain service, once, and returns how it ended.
 func (e *Endpoint) runCall(ctx context.Context, j job) wire.End {
@@ -30,29 +29,26 @@
 		return wire.End{Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome, Message: "service's answer was lost"}
 	}
 	defer resp.Body.Close()
-	j.stream.begin(resp.Status, resp.ContentType)
-	if err := copyPieces(ctx, j.stream, resp.Body); err != nil {
+	j.stream.begin(&wire.Start{Attempt: j.run.Attempt, Status: resp.Status, ContentType: resp.ContentType})
+	if err := copyChunks(ctx, j.stream, resp.Body); err != nil {
 		return wire.End{Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome, Message: "service's answer was cut"}
 	}
 	return wire.End{Outcome: wire.Done}
 }
 
-func copyPieces(ctx context.Context, st *stream, body io.Reader) error {
-	buf := make([]byte, callPiece)
+func copyChunks(ctx context.Context, st *stream, body io.Reader) error {
 	for {
-		n, err := body.Read(buf)
+		buf := make([]byte, callChunk)
+		n, err := io.ReadFull(body, buf)
 		if n > 0 {
-			if err := st.waitRoom(ctx); err != nil {
-				return err
-			}
-			if err := st.add(bytes.Clone(buf[:n])); err != nil {
+			if err := st.add(ctx, buf[:n]); err != nil {
 				return err
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, engine.ErrLost):
 			return nil
-		}
-		if err != nil {
+		case err != nil:
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/entry/body.go
@@ -0,0 +1,164 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"skylarklead/internal/prefix"
+)
+
+const (
+	// maxMessages bounds the messages of one chat request.
+	maxMessages = 4096
+	// maxPriority bounds the priority either way.
+	maxPriority = 1000
+)
+
+// roles are the message roles that engines know. Anything else could write the
+// prompt's own markers into the flattened text, and so match another prompt's
+// cached blocks.
+var roles = map[string]bool{"system": true, "developer": true, "user": true, "assistant": true, "tool": true}
+
+// chatBody is a parsed chat-completions body.
+type chatBody struct {
+	// Model and Version are split from "model" or "model@version".
+	Model, Version string
+	Messages       []prefix.Message
+	Stream         bool
+	IncludeUsage   bool
+	// MaxTokens is 0 if the caller states none.
+	MaxTokens int
+	Priority  int
+}
+
+// chatJSON is the body on the wire. Fields that OpenAI clients send and that the
+// system doesn't use are ignored.
+type chatJSON struct {
+	Model               string        `json:"model"`
+	Messages            []messageJSON `json:"messages"`
+	Stream              bool          `json:"stream"`
+	MaxTokens           *int          `json:"max_tokens"`
+	MaxCompletionTokens *int          `json:"max_completion_tokens"`
+	Priority            int           `json:"priority"`
+	N                   *int          `json:"n"`
+	StreamOptions       *struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+type messageJSON struct {
+	Role    string      `json:"role"`
+	Content contentJSON `json:"content"`
+}
+
+// contentJSON is a string, or a list of text parts that are put together.
+type contentJSON string
+
+var errContent = errors.New(`content must be a string or a list of {"type":"text","text":…}`)
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *contentJSON) UnmarshalJSON(data []byte) error {
+	var text string
+	if data[0] == '"' {
+		if err := json.Unmarshal(data, &text); err != nil {
+			return err
+		}
+		*c = contentJSON(text)
+		return nil
+	}
+	var parts []struct {
+		Type string  `json:"type"`
+		Text *string `json:"text"`
+	}
+	if data[0] != '[' || json.Unmarshal(data, &parts) != nil {
+		return errContent
+	}
+	var b strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" || p.Text == nil {
+			return errContent
+		}
+		b.WriteString(*p.Text)
+	}
+	*c = contentJSON(b.String())
+	return nil
+}
+
+// parseChat reads a chat-completions body. Its errors are made for the caller:
+// they name the field, or the byte where the JSON is wrong.
+func parseChat(data []byte) (*chatBody, error) {
+	var raw chatJSON
+	dec := json.NewDecoder(bytes.NewReader(data))
+	if err := dec.Decode(&raw); err != nil {
+		return nil, explainJSON(err, len(data))
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return nil, fmt.Errorf("more than one JSON value, the second after byte %d", dec.InputOffset())
+	}
+	return raw.check()
+}
+
+func explainJSON(err error, size int) error {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		return fmt.Errorf("bad JSON at byte %d: %w", syntax.Offset, err)
+	case errors.As(err, &kind):
+		return fmt.Errorf("field %q at byte %d must be %s, not %s", kind.Field, kind.Offset, kind.Type, kind.Value)
+	case errors.Is(err, io.EOF):
+		return errors.New("empty body")
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return fmt.Errorf("JSON ends early at byte %d", size)
+	}
+	return err
+}
+
+func (c *chatJSON) check() (*chatBody, error) {
+	body := &chatBody{Stream: c.Stream, Priority: c.Priority}
+	body.IncludeUsage = c.StreamOptions != nil && c.StreamOptions.IncludeUsage
+	body.Model, body.Version, _ = strings.Cut(c.Model, "@")
+	if body.Model == "" {
+		return nil, errors.New(`field "model" is missing`)
+	}
+	if c.N != nil && *c.N != 1 {
+		return nil, errors.New(`field "n" must be 1`)
+	}
+	if c.Priority < -maxPriority || c.Priority > maxPriority {
+		return nil, fmt.Errorf(`field "priority" must be from %d to %d`, -maxPriority, maxPriority)
+	}
+	limit := c.MaxTokens
+	if limit == nil {
+		limit = c.MaxCompletionTokens
+	}
+	if limit != nil {
+		if *limit < 1 {
+			return nil, errors.New(`field "max_tokens" must be 1 or more`)
+		}
+		body.MaxTokens = *limit
+	}
+	messages, err := checkMessages(c.Messages)
+	body.Messages = messages
+	return body, err
+}
+
+func checkMessages(raw []messageJSON) ([]prefix.Message, error) {
+	if len(raw) == 0 {
+		return nil, errors.New(`field "messages" is missing or empty`)
+	}
+	if len(raw) > maxMessages {
+		return nil, fmt.Errorf(`field "messages" has more than %d messages`, maxMessages)
+	}
+	messages := make([]prefix.Message, len(raw))
+	for i, m := range raw {
+		if !roles[m.Role] {
+			return nil, fmt.Errorf("messages[%d]: unknown role %q", i, m.Role)
+		}
+		messages[i] = prefix.Message{Role: m.Role, Content: string(m.Content)}
+	}
+	return messages, nil
+}
--- /dev/null
+++ b/internal/entry/chat.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/config"
+	"skylarklead/internal/prefix"
+	"skylarklead/internal/wire"
+)
+
+// chat serves POST /v1/chat/completions.
+func (e *Entry) chat(w http.ResponseWriter, r *http.Request, req *request) *Error {
+	data, refusal := e.readBody(w, r)
+	if refusal != nil {
+		return refusal
+	}
+	body, err := parseChat(data)
+	if err != nil {
+		return refuse(wire.CodeBadRequest, "%v", err)
+	}
+	j, refusal := chatJob(req, body)
+	if refusal != nil {
+		return refusal
+	}
+	e.drive(r.Context(), j, e.ask, newAnswerSink(w, req, body))
+	return nil
+}
+
+func newAnswerSink(w http.ResponseWriter, req *request, body *chatBody) sink {
+	shape := newChatShape(req.id, body.Model)
+	if body.Stream {
+		return newSSESink(w, shape, req.id, body.IncludeUsage)
+	}
+	return newChatSink(w, shape, req.id)
+}
+
+// chatJob checks a chat request against the configuration.
+func chatJob(req *request, body *chatBody) (*job, *Error) {
+	model, version, refusal := allowedModel(req, body)
+	if refusal != nil {
+		return nil, refusal
+	}
+	j := &job{
+		request:    req,
+		group:      model.Group,
+		model:      model.ID,
+		version:    version,
+		messages:   body.Messages,
+		priority:   body.Priority,
+		maxTokens:  boundTokens(body.MaxTokens, model.MaxTokens),
+		repeatable: req.key == nil,
+		resumable:  body.Stream,
+		receiver:   attempt.NewReceiver(window),
+	}
+	prompt := wholePrompt(req.organisation, body.Messages)
+	salt := prefix.Salt{Organisation: req.organisation.ID, Model: j.model, Weights: j.version}
+	j.levels = prefix.Levels(salt.Root(), prompt)
+	j.promptTokens = prefix.Tokens(prompt)
+	j.fingerprint = chatFingerprint(j)
+	return j, nil
+}
+
+func allowedModel(req *request, body *chatBody) (*config.Model, string, *Error) {
+	model := req.state.Models[body.Model]
+	if model == nil {
+		return nil, "", refuse(wire.CodeUnknownModel, "unknown model %q", body.Model)
+	}
+	version := body.Version
+	if version == "" {
+		version = model.Version
+	}
+	if !slices.Contains(model.Versions, version) && version != model.Version {
+		return nil, "", refuse(wire.CodeUnknownModel, "model %q has no version %q", body.Model, version)
+	}
+	if !req.organisation.Allows(model.ID, version) {
+		return nil, "", refuse(wire.CodeForbiddenModel, "organisation may not use %s@%s", model.ID, version)
+	}
+	return model, version, nil
+}
+
+// boundTokens keeps an answer within the model's bound; 0 is no bound.
+func boundTokens(asked, bound int) int {
+	if asked == 0 || bound > 0 && asked > bound {
+		return bound
+	}
+	return asked
+}
+
+// wholePrompt puts the organisation's standing instructions before the caller's
+// messages, as the executor does, so that both hash the same bytes.
+func wholePrompt(o *config.Organisation, messages []prefix.Message) []prefix.Message {
+	prompt := make([]prefix.Message, 0, len(o.Instructions)+len(messages))
+	for _, text := range o.Instructions {
+		prompt = append(prompt, prefix.Message{Role: "system", Content: text})
+	}
+	return append(prompt, messages...)
+}
+
+// chatFingerprint is the same when the same request is sent again.
+func chatFingerprint(j *job) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(j.organisation.ID + "\x00" + j.model + "\x00" + j.version + "\x00")
+	_, _ = d.Write(prefix.Flatten(j.messages))
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/entry/directory.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"skylarklead/internal/member"
+	"skylarklead/internal/platform"
+	"skylarklead/internal/wire"
+)
+
+// directory is the entry's view of the endpoint processes, shared by its
+// requests.
+type directory struct {
+	now func() time.Duration
+
+	mu   sync.Mutex
+	view *member.View
+}
+
+func newDirectory(self string, now func() time.Duration) *directory {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &directory{now: now, view: member.NewView(self, member.DefaultParams, rng)}
+}
+
+// listed takes the platform's list.
+func (d *directory) listed(list []platform.Instance) {
+	var endpoints []member.Instance
+	for _, in := range list {
+		if in.Role != platform.RoleEndpoint {
+			continue
+		}
+		endpoints = append(endpoints, member.Instance{
+			ID:            in.ID,
+			Address:       in.Address,
+			FailureDomain: in.FailureDomain,
+			Group:         in.Group,
+			Leaving:       in.State == platform.StateLeaving,
+		})
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.view.Listed(endpoints, d.now())
+}
+
+// empty reports whether no endpoint is known.
+func (d *directory) empty() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.view.Members(d.now())) == 0
+}
+
+// live returns a group's endpoints that may get work, in order of ID. If none
+// seems reachable, all that aren't leaving are tried: an entry whose own link was
+// cut for a moment would otherwise refuse callers after it is back.
+func (d *directory) live(group string) []member.Member {
+	now := d.now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	usable := d.view.AppendUsable(nil, group, now)
+	if len(usable) == 0 {
+		usable = slices.DeleteFunc(d.view.Members(now), func(m member.Member) bool {
+			return m.Group != group || m.State == member.Leaving
+		})
+	}
+	slices.SortFunc(usable, func(a, b member.Member) int { return strings.Compare(a.ID, b.ID) })
+	return usable
+}
+
+// lookup finds an endpoint by its ID.
+func (d *directory) lookup(id string) (member.Member, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view.Get(id, d.now())
+}
+
+// failed takes a failed connection or an answer that didn't come.
+func (d *directory) failed(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.view.Failed(id, d.now())
+}
+
+// seen takes what a session's opening showed.
+func (d *directory) seen(peer wire.Identity) {
+	if peer.Role != wire.RoleEndpoint {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.view.EpochSeen(peer.ID, peer.Epoch, d.now())
+}
+
+// left takes an endpoint's own word that it is leaving.
+func (d *directory) left(id string, epoch wire.Epoch) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.view.Left(id, epoch, d.now())
+}
+
+// reported takes an owner's word on endpoints of its group.
+func (d *directory) reported(ids []string) {
+	if len(ids) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.view.Reported(ids, d.now())
+}
+
+// status lists what is thought of each endpoint.
+func (d *directory) status() []wire.MemberStatus {
+	now := d.now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	members := d.view.Members(now)
+	list := make([]wire.MemberStatus, len(members))
+	for i, m := range members {
+		list[i] = wire.MemberStatus{ID: m.ID, State: m.State.String(), AgeMs: (now - m.Since).Milliseconds()}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/entry/harness_test.go
@@ -0,0 +1,333 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"skylarklead/internal/config"
+	"skylarklead/internal/platform"
+	"skylarklead/internal/settings"
+	"skylarklead/internal/telemetry"
+	"skylarklead/internal/wire"
+)
+
+const (
+	patience = 10 * time.Second
+	testKey  = "k-foodbank"
+)
+
+var fleetKey = strings.Repeat("ab", 32)
+
+// until polls for a condition.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !ok(); {
+		if time.Now().After(deadline) {
+			t.Fatalf("never: %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// static is a configuration that doesn't change.
+type static struct{ state *config.State }
+
+func (s static) State() *config.State { return s.state }
+func (s static) Ready() <-chan struct{} {
+	ready := make(chan struct{})
+	close(ready)
+	return ready
+}
+func (static) Source() string            { return "test" }
+func (static) LogReachable() bool        { return true }
+func (static) Run(context.Context) error { return nil }
+func (static) Fetch(*wire.ConfigFetch) (*wire.ConfigState, error) {
+	return &wire.ConfigState{}, nil
+}
+
+func testState(t *testing.T) *config.State {
+	t.Helper()
+	digest := sha256.Sum256([]byte(testKey))
+	records := []config.Record{
+		{Kind: config.KindModel, Key: "ledger-llm", Body: json.RawMessage(`{"group":"llm","versions":["v1","v2"],"version":"v1","max_tokens":64}`)},
+		{Kind: config.KindModel, Key: "other-llm", Body: json.RawMessage(`{"group":"llm","versions":["v1"],"version":"v1"}`)},
+		{Kind: config.KindService, Key: "portal", Body: json.RawMessage(`{"group":"portal","repeatable":["/balance"],"key_required":["/payments"]}`)},
+		{Kind: config.KindService, Key: "foreign", Body: json.RawMessage(`{"group":"portal"}`)},
+		{Kind: config.KindOrganisation, Key: "foodbank", Body: json.RawMessage(fmt.Sprintf(
+			`{"key_digests":[%q],"models":[{"name":"ledger-llm","versions":["v1"]}],"services":["portal"],"instructions":["Rules."]}`,
+			hex.EncodeToString(digest[:])))},
+	}
+	state := config.NewState()
+	for i, r := range records {
+		r.Schema = config.MaxSchema
+		data, err := r.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		next, verdict := state.Apply(uint64(i+1), data)
+		if next.Revision(r.Kind, r.Key) == 0 {
+			t.Fatalf("record %s: %+v", r.Name(), verdict)
+		}
+		state = next
+	}
+	return state
+}
+
+// executor is an endpoint process with scripted answers.
+type executor struct {
+	id      string
+	epoch   wire.Epoch
+	address string
+	server  *http.Server
+	// script gets every message; it runs on a goroutine of its own for each.
+	script func(s *wire.Session, ref uint32, m wire.Message)
+
+	mu       sync.Mutex
+	got      []wire.Message
+	sessions []*wire.Session
+}
+
+func (x *executor) Handle(s *wire.Session, ref uint32, m wire.Message) {
+	x.mu.Lock()
+	x.got = append(x.got, m)
+	x.sessions = append(x.sessions, s)
+	x.mu.Unlock()
+	go x.script(s, ref, m)
+}
+
+func (x *executor) Closed(*wire.Session, error) {}
+
+// cut ends every session that a message came over.
+func (x *executor) cut() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, s := range x.sessions {
+		s.Close(wire.ErrClosed)
+	}
+}
+
+// count counts the messages of one type.
+func count[M wire.Message](x *executor) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	n := 0
+	for _, m := range x.got {
+		if _, ok := m.(M); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// last returns the last message of one type.
+func last[M wire.Message](x *executor) (found M) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, m := range x.got {
+		if m, ok := m.(M); ok {
+			found = m
+		}
+	}
+	return found
+}
+
+// restart ends the process and starts it again at once under the next epoch.
+func (x *executor) restart(t *testing.T) {
+	x.server.Close()
+	x.cut()
+	x.epoch++
+	x.listen(t)
+}
+
+func (x *executor) listen(t *testing.T) {
+	address := x.address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	key, _ := hex.DecodeString(fleetKey)
+	if x.address == "" {
+		x.address = listener.Addr().String()
+	}
+	self := wire.Identity{ID: x.id, Role: wire.RoleEndpoint, Epoch: x.epoch, Address: x.address}
+	options := wire.Options{Key: key, Self: func() wire.Identity { return self }, Handler: x}
+	x.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = wire.Accept(w, r, options)
+	})}
+	go x.server.Serve(listener)
+	t.Cleanup(func() { x.server.Close() })
+}
+
+// newExecutor starts an executor of the group "llm" or "portal".
+func newExecutor(t *testing.T, id string, script func(x *executor, s *wire.Session, ref uint32, m wire.Message)) *executor {
+	t.Helper()
+	x := &executor{id: id, epoch: 7}
+	x.script = func(s *wire.Session, ref uint32, m wire.Message) { script(x, s, ref, m) }
+	x.listen(t)
+	return x
+}
+
+// decide answers an Ask with x itself.
+func (x *executor) decide(s *wire.Session, ref uint32, m *wire.Ask) {
+	_ = s.Reply(ref, &wire.Decision{
+		Request: m.Request, Owner: x.id, Reason: "test",
+		Executor: wire.Target{Endpoint: x.id, Address: x.address, Epoch: x.epoch},
+	})
+}
+
+// words answers a Run or Resume with the numbered words from first on.
+func words(s *wire.Session, id wire.AttemptID, first, until, total uint64) {
+	_ = s.Send(&wire.Start{Attempt: id, Status: http.StatusOK})
+	for seq := first; seq < until; seq++ {
+		_ = s.Send(&wire.Chunk{Attempt: id, Seq: seq, Data: fmt.Appendf(nil, "w%d ", seq)})
+	}
+	if until == total {
+		_ = s.Send(&wire.End{Attempt: id, Seq: total, Outcome: wire.Done, CompletionTokens: int(total)})
+	}
+}
+
+func wantWords(total int) string {
+	var b strings.Builder
+	for i := range total {
+		fmt.Fprintf(&b, "w%d ", i)
+	}
+	return b.String()
+}
+
+// newTestEntry returns an entry before executors, and its callers' server.
+func newTestEntry(t *testing.T, group string, executors ...*executor) (*Entry, *httptest.Server) {
+	t.Helper()
+	s := &settings.Settings{
+		ID: "entry-1", Role: "entry", FailureDomain: "hobart-a", FleetKey: fleetKey,
+		Entry: &settings.Entry{
+			MaxBody: 64 << 10, HedgeAfter: settings.Duration(50 * time.Millisecond),
+			ResumeGrace:    settings.Duration(200 * time.Millisecond),
+			RequestTimeout: settings.Duration(patience), RetryShare: 0.2,
+		},
+	}
+	tel, err := telemetry.New(s, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := newEntry(s, tel)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.config = static{testState(t)}
+	list := make([]platform.Instance, len(executors))
+	for i, x := range executors {
+		list[i] = platform.Instance{ID: x.id, Role: platform.RoleEndpoint, Address: x.address, Group: group, State: platform.StateLive}
+	}
+	e.directory.listed(list)
+	server := httptest.NewServer(e.callers())
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		e.pool.Close()
+	})
+	return e, server
+}
+
+// post sends a caller's request.
+func post(t *testing.T, ctx context.Context, url, body string, headers ...string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return send(t, r, headers...)
+}
+
+func send(t *testing.T, r *http.Request, headers ...string) *http.Response {
+	t.Helper()
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+const (
+	streamBody = `{"model":"ledger-llm","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+	wholeBody  = `{"model":"ledger-llm","messages":[{"role":"user","content":"hi"}]}`
+)
+
+// sse is what a caller got of a stream.
+type sse struct {
+	text, lastID string
+	done         bool
+	failure      *errorFields
+}
+
+// readSSE reads all events of a stream.
+func readSSE(t *testing.T, resp *http.Response) sse {
+	t.Helper()
+	return readEvents(t, bufio.NewScanner(resp.Body), 0)
+}
+
+// readEvents reads at most limit events, all of them if limit is 0.
+func readEvents(t *testing.T, lines *bufio.Scanner, limit int) (got sse) {
+	t.Helper()
+	failing := false
+	for lines.Scan() {
+		line := lines.Text()
+		switch {
+		case strings.HasPrefix(line, "id: "):
+			got.lastID = line[4:]
+		case line == "event: error":
+			failing = true
+		case line == "data: [DONE]":
+			got.done = true
+		case strings.HasPrefix(line, "data: ") && failing:
+			var e errorBody
+			if err := json.Unmarshal([]byte(line[6:]), &e); err != nil {
+				t.Fatal(err)
+			}
+			got.failure = &e.Error
+		case strings.HasPrefix(line, "data: "):
+			var c chunkJSON
+			if err := json.Unmarshal([]byte(line[6:]), &c); err != nil {
+				t.Fatal(err)
+			}
+			for _, choice := range c.Choices {
+				got.text += choice.Delta.Content
+			}
+			if limit--; limit == 0 {
+				return got
+			}
+		}
+	}
+	return got
+}
+
+// readError reads the error shape of an answer that is refused as a whole.
+func readError(t *testing.T, resp *http.Response) errorFields {
+	t.Helper()
+	var e errorBody
+	if err := json.NewDecoder(resp.Body).Decode(&e); err != nil {
+		t.Fatal(err)
+	}
+	return e.Error
+}
--- /dev/null
+++ b/internal/entry/job.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"time"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/prefix"
+	"skylarklead/internal/wire"
+)
+
+// job is one request on its way to an answer. One goroutine owns it.
+type job struct {
+	*request
+	group string
+	// model and version are empty for a call to a plain service.
+	model, version string
+	messages       []prefix.Message
+	call           *wire.Call
+	levels         []prefix.Level
+	promptTokens   int
+	maxTokens      int
+	priority       int
+	fingerprint    uint64
+	// repeatable requests may be run again after an unknown outcome.
+	repeatable bool
+	// resumable ones go on for a grace after their caller has hung up.
+	resumable bool
+	// resumed ones were begun by an earlier request.
+	resumed bool
+
+	// receiver puts the answer's chunks in order across attempts; answer is the
+	// text that the caller has already.
+	receiver *attempt.Receiver
+	answer   []byte
+	// exclude are endpoints that this request failed at, crashed those of them
+	// whose engine crashed meanwhile.
+	exclude, crashed []string
+	attempts         int
+	// decision is where the request was last sent, and why.
+	decision   wire.Decision
+	firstToken time.Duration
+}
+
+// remaining is how long the caller will still wait.
+func (j *job) remaining() time.Duration { return time.Until(j.deadline) }
+
+func (j *job) ask(failureDomain string) *wire.Ask {
+	return &wire.Ask{
+		Request:       j.id,
+		Organisation:  j.organisation.ID,
+		Group:         j.group,
+		Model:         j.model,
+		Version:       j.version,
+		Levels:        j.levels,
+		PromptTokens:  j.promptTokens,
+		MaxTokens:     j.maxTokens,
+		Priority:      j.priority,
+		Fingerprint:   j.fingerprint,
+		DeadlineMs:    max(j.remaining().Milliseconds(), 1),
+		Exclude:       j.exclude,
+		Crashed:       j.crashed,
+		FailureDomain: failureDomain,
+	}
+}
+
+// run is the message of a new attempt.
+func (j *job) run(a attempt.Run) *wire.Run {
+	run := &wire.Run{
+		Attempt:      a.Attempt,
+		Request:      j.id,
+		Organisation: j.organisation.ID,
+		Group:        j.group,
+		Model:        j.model,
+		Version:      j.version,
+		Messages:     j.messages,
+		Call:         j.call,
+		Levels:       j.levels,
+		PromptTokens: j.promptTokens,
+		MaxTokens:    j.maxTokens,
+		Priority:     j.priority,
+		Fingerprint:  j.fingerprint,
+		DeadlineMs:   max(j.remaining().Milliseconds(), 1),
+		FirstSeq:     a.FirstSeq,
+		Key:          j.key,
+		Window:       window,
+		Owner:        j.decision.Owner,
+		Suspect:      a.Suspect,
+		ConfigOffset: j.state.Offset,
+		Redirected:   a.Redirected,
+	}
+	if j.call != nil {
+		return run
+	}
+	run.Partial = string(j.answer)
+	if len(j.organisation.Instructions) > 0 {
+		run.Instructions = j.organisation.Offset
+	}
+	return run
+}
--- /dev/null
+++ b/internal/entry/link.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	mathrand "math/rand/v2"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/wire"
+)
+
+var (
+	errEpochGone = errors.New("executor restarted")
+	errOverflow  = errors.New("executor sent more than its window")
+	errMoved     = errors.New("address belongs to another instance now")
+)
+
+// link is an attempt's way to its executor.
+type link struct {
+	id      wire.AttemptID
+	session *wire.Session
+	peer    wire.Identity
+	mailbox *mailbox
+	// release ends the hold on the session, which makes it notice a peer that is
+	// half-open.
+	release func()
+}
+
+func (e *Entry) openLink(id wire.AttemptID, session *wire.Session) *link {
+	l := &link{id: id, peer: session.Peer(), mailbox: e.hub.open(id), release: func() {}}
+	l.move(session)
+	e.inFlight.begin(l.peer.ID)
+	return l
+}
+
+// move goes on over another session.
+func (l *link) move(session *wire.Session) {
+	l.release()
+	l.session = session
+	l.release = session.Hold()
+}
+
+func (e *Entry) closeLink(l *link) {
+	l.release()
+	e.hub.close(l.id, l.mailbox)
+	e.inFlight.finish(l.peer.ID)
+}
+
+// sessionTo opens a session to a target and checks that the address is still its.
+func (e *Entry) sessionTo(ctx context.Context, target wire.Target) (*wire.Session, error) {
+	session, err := e.session(ctx, target.Address)
+	if err != nil {
+		if ctx.Err() == nil {
+			e.directory.failed(target.Endpoint)
+		}
+		return nil, err
+	}
+	if session.Peer().ID != target.Endpoint {
+		return nil, fmt.Errorf("%w: %s is %s", errMoved, target.Address, session.Peer().ID)
+	}
+	return session, nil
+}
+
+// sameEpoch opens a session to the very process that a target names; no other
+// one can know its attempts.
+func (e *Entry) sameEpoch(ctx context.Context, target wire.Target) (*wire.Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	session, err := e.sessionTo(ctx, target)
+	if err != nil {
+		return nil, err
+	}
+	if session.Peer().Epoch != target.Epoch {
+		return nil, errEpochGone
+	}
+	return session, nil
+}
+
+// resolveAt asks an executor what became of an attempt.
+func (e *Entry) resolveAt(ctx context.Context, a attempt.Resolve) (*wire.Resolved, wire.Epoch, error) {
+	session, err := e.sameEpoch(ctx, a.Target)
+	if err != nil {
+		return nil, 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	answer, err := session.Call(ctx, &wire.Resolve{Attempt: a.Attempt, Epoch: a.Target.Epoch})
+	if err != nil {
+		return nil, 0, fmt.Errorf("entry: resolve: %w", err)
+	}
+	resolved, ok := answer.(*wire.Resolved)
+	if !ok {
+		return nil, 0, fmt.Errorf("entry: %T in answer to Resolve", answer)
+	}
+	return resolved, session.Peer().Epoch, nil
+}
+
+// resume is the message that asks for an attempt's chunks again.
+func (j *job) resume(id wire.AttemptID, epoch wire.Epoch, seq uint64) *wire.Resume {
+	return &wire.Resume{Attempt: id, Epoch: epoch, Seq: seq, Window: window, Organisation: j.organisation.ID}
+}
+
+// newAttemptSource returns the generator of one request's attempt IDs, seeded so
+// that no other request in the fleet has the same ones.
+func newAttemptSource() *mathrand.Rand {
+	var seed [32]byte
+	rand.Read(seed[:])
+	return mathrand.New(mathrand.NewChaCha8(seed))
+}
--- /dev/null
+++ b/internal/entry/policy.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"skylarklead/internal/member"
+	"skylarklead/internal/route"
+	"skylarklead/internal/wire"
+)
+
+// chooser places chat requests at the entry itself, by a baseline policy. It is
+// there to measure against.
+type chooser struct {
+	now func() time.Duration
+
+	mu     sync.Mutex
+	policy route.Chooser
+	rng    *rand.Rand
+}
+
+// newChooser returns nil for the policy that asks a prefix's owner.
+func newChooser(policy string, now func() time.Duration) (*chooser, error) {
+	if policy == "" || route.Policy(policy) == route.PolicyOwner {
+		return nil, nil
+	}
+	p, err := route.NewChooser(route.Policy(policy))
+	if err != nil {
+		return nil, fmt.Errorf("entry: settings: %w", err)
+	}
+	return &chooser{now: now, policy: p, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}, nil
+}
+
+func (c *chooser) choose(j *job, live []member.Member) *wire.Decision {
+	endpoints := make([]route.Endpoint, len(live))
+	for i, m := range live {
+		endpoints[i] = route.Endpoint{ID: m.ID, FailureDomain: m.FailureDomain, Alive: true}
+	}
+	c.mu.Lock()
+	choice := c.policy.Choose(c.now(), c.rng, &route.Query{Ask: *j.ask("")}, endpoints)
+	c.mu.Unlock()
+	at := slices.IndexFunc(live, func(m member.Member) bool { return m.ID == choice.Executor })
+	if at < 0 {
+		return noEndpoint(j)
+	}
+	return &wire.Decision{
+		Request:         j.id,
+		Executor:        wire.Target{Endpoint: live[at].ID, Address: live[at].Address},
+		Reason:          choice.Reason,
+		PredictedCached: choice.PredictedCached,
+	}
+}
+
+// finished tells the policy that a request it placed is over.
+func (c *chooser) finished(j *job, endpoint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.policy.Finished(c.now(), endpoint, &route.Query{Ask: *j.ask("")})
+}
--- /dev/null
+++ b/internal/entry/refuse_test.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"skylarklead/internal/wire"
+)
+
+// Symptom: bad callers cost engine time, or get an error that tells nothing.
+// Sequence: each kind of bad request, against an executor that counts what
+// reaches it.
+// Cause: everything that can be checked is checked before an Ask is sent.
+func TestRefusals(t *testing.T) {
+	x := newExecutor(t, "ep-1", func(*executor, *wire.Session, uint32, wire.Message) {})
+	_, server := newTestEntry(t, "llm", x)
+	chat := "/v1/chat/completions"
+	for _, tt := range []struct {
+		name, path, body string
+		headers          []string
+		status           int
+		code             wire.Code
+	}{
+		{"no key", chat, wholeBody, []string{"Authorization", ""}, 401, wire.CodeUnauthorized},
+		{"wrong key", chat, wholeBody, []string{"Authorization", "Bearer nope"}, 401, wire.CodeUnauthorized},
+		{"bad JSON", chat, `{"model":`, nil, 400, wire.CodeBadRequest},
+		{"too large", chat, strings.Repeat(" ", 65<<10), nil, 413, wire.CodeTooLarge},
+		{"unknown model", chat, strings.ReplaceAll(wholeBody, "ledger-llm", "none"), nil, 404, wire.CodeUnknownModel},
+		{"unknown version", chat, strings.ReplaceAll(wholeBody, "ledger-llm", "ledger-llm@v9"), nil, 404, wire.CodeUnknownModel},
+		{"forbidden version", chat, strings.ReplaceAll(wholeBody, "ledger-llm", "ledger-llm@v2"), nil, 403, wire.CodeForbiddenModel},
+		{"another's model", chat, strings.ReplaceAll(wholeBody, "ledger-llm", "other-llm"), nil, 403, wire.CodeForbiddenModel},
+		{"bad deadline", chat, wholeBody, []string{"X-Deadline-Ms", "soon"}, 400, wire.CodeBadRequest},
+		{"another's service", "/v1/services/foreign/a", "", nil, 404, wire.CodeUnknownService},
+		{"no idempotency key", "/v1/services/portal/payments/7", "", nil, 400, wire.CodeBadRequest},
+		{"dotted path", "/v1/services/portal/balance/%2e%2e/payments", "", nil, 400, wire.CodeBadRequest},
+		{"no endpoint", "/v1/services/portal/balance", "", nil, 503, wire.CodeNoEndpoint},
+		{"no such path", "/v2", "", nil, 404, wire.CodeBadRequest},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			resp := post(t, context.Background(), server.URL+tt.path, tt.body, tt.headers...)
+			got := readError(t, resp)
+			if resp.StatusCode != tt.status || got.Code != tt.code || got.Ran != wire.NotRun {
+				t.Errorf("got %d %+v", resp.StatusCode, got)
+			}
+			if got.RequestID == "" || got.RequestID != resp.Header.Get("X-Request-Id") {
+				t.Errorf("request ID %q beside %q", got.RequestID, resp.Header.Get("X-Request-Id"))
+			}
+			if got.RetryAfterMs > 0 && resp.Header.Get("Retry-After") == "" {
+				t.Error("no Retry-After")
+			}
+		})
+	}
+	if n := count[wire.Message](x); n != 0 {
+		t.Errorf("%d messages reached the executor", n)
+	}
+}
+
+// Symptom: a request of an upload that broke off runs, or holds its connection.
+// Sequence: a caller announces 1000 bytes, sends some of them and closes its side.
+// Cause: the body is read whole before anything else is done with it.
+func TestTruncatedUpload(t *testing.T) {
+	x := newExecutor(t, "ep-1", func(*executor, *wire.Session, uint32, wire.Message) {})
+	_, server := newTestEntry(t, "llm", x)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, err = conn.Write([]byte("POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer " + testKey +
+		"\r\nContent-Length: 1000\r\n\r\n" + wholeBody))
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.(*net.TCPConn).CloseWrite()
+	conn.SetReadDeadline(time.Now().Add(patience))
+	answer := make([]byte, 4096)
+	n, _ := conn.Read(answer)
+	if !strings.Contains(string(answer[:n]), "cut off") {
+		t.Errorf("answer %q", answer[:n])
+	}
+	if n := count[wire.Message](x); n != 0 {
+		t.Errorf("%d messages reached the executor", n)
+	}
+}
+
+// Symptom: a payment runs twice, or is reported as not run although it did.
+// Sequence: the executor takes the call and is killed before it answers; its next
+// epoch can't know.
+// Cause: a call that may not be repeated is sent once, and what only a dead
+// process knew is "unknown".
+func TestCallRunsOnce(t *testing.T) {
+	script := func(x *executor, _ *wire.Session, _ uint32, m wire.Message) {
+		if _, ok := m.(*wire.Run); ok {
+			x.restart(t)
+		}
+	}
+	x, y := newExecutor(t, "portal-1", script), newExecutor(t, "portal-2", script)
+	_, server := newTestEntry(t, "portal", x, y)
+	resp := post(t, context.Background(), server.URL+"/v1/services/portal/pledges/7", "pay")
+	got := readError(t, resp)
+	if got.Ran != wire.Unknown || resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("got %d %+v", resp.StatusCode, got)
+	}
+	if n := count[*wire.Run](x) + count[*wire.Run](y); n != 1 {
+		t.Errorf("%d runs", n)
+	}
+}
+
+// Symptom: one stopped process adds seconds to every request that it owns.
+// Sequence: the first owner takes the Ask and never answers.
+// Cause: without the hedge the entry would wait for the whole of askTimeout.
+func TestFrozenOwnerIsHedged(t *testing.T) {
+	var frozen atomic.Value
+	frozen.Store("")
+	script := func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Ask:
+			if x.id != frozen.Load() {
+				x.decide(s, ref, m)
+			}
+		case *wire.Run:
+			words(s, m.Attempt, 0, totalWords, totalWords)
+		}
+	}
+	a, b := newExecutor(t, "ep-a", script), newExecutor(t, "ep-b", script)
+	e, server := newTestEntry(t, "llm", a, b)
+	for _, id := range []string{"ep-a", "ep-b"} {
+		frozen.Store(id)
+		resp := post(t, context.Background(), server.URL+"/v1/chat/completions", wholeBody)
+		if resp.StatusCode != http.StatusOK || resp.Header.Get("X-Executor") == id {
+			t.Errorf("%s frozen: status %d by %s", id, resp.StatusCode, resp.Header.Get("X-Executor"))
+		}
+	}
+	if n := e.tel.Metrics.Hedges.Count(); n != 1 {
+		t.Errorf("%d hedges, want one, for the owner", n)
+	}
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,110 @@
+package entry
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"skylarklead/internal/config"
+	"skylarklead/internal/wire"
+)
+
+const (
+	maxRequestID = 64
+	maxKey       = 255
+	maxDeadline  = 24 * time.Hour
+	bearer       = "Bearer "
+)
+
+// request is what is common to all callers' requests.
+type request struct {
+	id           string
+	state        *config.State
+	organisation *config.Organisation
+	received     time.Time
+	// deadline is when the caller stops waiting.
+	deadline time.Time
+	// key is the digest of organisation and idempotency key, nil if none.
+	key []byte
+}
+
+// requestID returns the caller's request ID if it is safe to log and pass on,
+// otherwise a new one.
+func requestID(r *http.Request) string {
+	id := r.Header.Get("X-Request-Id")
+	if validRequestID(id) {
+		return id
+	}
+	return newRequestID()
+}
+
+func newRequestID() string {
+	var raw [12]byte
+	rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
+func validRequestID(id string) bool {
+	if id == "" || len(id) > maxRequestID {
+		return false
+	}
+	for _, c := range []byte(id) {
+		letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		if !letter && (c < '0' || c > '9') && !strings.ContainsRune("-_.", rune(c)) {
+			return false
+		}
+	}
+	return true
+}
+
+// authenticate finds the organisation of the request's API key. Records hold
+// only the key's digest.
+func authenticate(state *config.State, r *http.Request) (*config.Organisation, *Error) {
+	header := r.Header.Get("Authorization")
+	if len(header) <= len(bearer) || !strings.EqualFold(header[:len(bearer)], bearer) {
+		return nil, refuse(wire.CodeUnauthorized, "header Authorization must be %q and an API key", bearer)
+	}
+	digest := sha256.Sum256([]byte(strings.TrimSpace(header[len(bearer):])))
+	organisation := state.OrganisationByKey(hex.EncodeToString(digest[:]))
+	if organisation == nil {
+		return nil, refuse(wire.CodeUnauthorized, "unknown API key")
+	}
+	return organisation, nil
+}
+
+// deadlineOf returns how long the caller will wait.
+func deadlineOf(r *http.Request, byDefault time.Duration) (time.Duration, *Error) {
+	text := r.Header.Get("X-Deadline-Ms")
+	if text == "" {
+		return byDefault, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 1 || ms > maxDeadline.Milliseconds() {
+		return 0, refuse(wire.CodeBadRequest, "header X-Deadline-Ms must be from 1 to %d", maxDeadline.Milliseconds())
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// idempotencyKey returns the digest of the organisation and the caller's key, so
+// that two organisations never share one.
+func idempotencyKey(r *http.Request, organisation string) ([]byte, *Error) {
+	values := r.Header.Values("Idempotency-Key")
+	if len(values) == 0 {
+		return nil, nil
+	}
+	key := values[0]
+	if len(values) > 1 || key == "" || len(key) > maxKey {
+		return nil, refuse(wire.CodeBadRequest, "header Idempotency-Key must be given once, with 1 to %d characters", maxKey)
+	}
+	for _, c := range []byte(key) {
+		if c < 0x20 || c > 0x7e {
+			return nil, refuse(wire.CodeBadRequest, "header Idempotency-Key must be printable ASCII")
+		}
+	}
+	digest := sha256.Sum256([]byte(organisation + "\x00" + key))
+	return digest[:], nil
+}
--- /dev/null
+++ b/internal/entry/resume.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/wire"
+)
+
+const (
+	reasonResume = "resume"
+	// resumeTries bounds how often a resumed stream's session may be lost.
+	resumeTries = 3
+)
+
+// resume serves GET /v1/streams: it takes over the stream that Last-Event-ID
+// names, whichever entry it began at. The stream itself is at its executor; this
+// entry knows nothing of it but the caller's word.
+func (e *Entry) resume(w http.ResponseWriter, r *http.Request, req *request) *Error {
+	at, err := parseEventID(r.Header.Get("Last-Event-ID"))
+	if err != nil {
+		return refuse(wire.CodeBadRequest, "header Last-Event-ID: %v", err)
+	}
+	executor, ok := e.directory.lookup(at.executor)
+	if !ok {
+		return lostStream("its executor is not known any more")
+	}
+	target := wire.Target{Endpoint: executor.ID, Address: executor.Address, Epoch: at.epoch}
+	j := &job{
+		request:  req,
+		group:    executor.Group,
+		resumed:  true,
+		receiver: attempt.NewReceiver(window),
+		attempts: 1,
+		decision: wire.Decision{Executor: target, Reason: reasonResume},
+	}
+	j.receiver.BeginAt(at.attempt, at.seq+1)
+	life := e.newLife(r.Context(), req.deadline, e.settings.Entry.ResumeGrace.D())
+	defer life.cancel(nil)
+	e.tel.Metrics.Requests.Mark(1)
+	out := newSSESink(w, newChatShape(req.id, ""), req.id, false)
+	s := &resumption{answer: &answer{e: e, job: j, out: out}, life: life, target: target}
+	s.run(at.attempt)
+	return nil
+}
+
+func lostStream(message string) *Error {
+	return &Error{Code: wire.CodeUnknownOutcome, Message: "the stream can't be gone on with: " + message, Ran: wire.Unknown}
+}
+
+// resumption is a stream that was resumed by its caller. Without the request's
+// body it can't be run elsewhere: when its executor is gone, so is the stream.
+type resumption struct {
+	*answer
+	life   *life
+	target wire.Target
+}
+
+func (s *resumption) run(id wire.AttemptID) {
+	for range resumeTries {
+		session, err := s.e.sameEpoch(s.life, s.target)
+		if errors.Is(err, errEpochGone) {
+			s.fail(lostStream("its executor was restarted"))
+			return
+		}
+		if err != nil {
+			s.life.sleep(attempt.DefaultPlanParams.Backoff)
+			continue
+		}
+		l := s.e.openLink(id, session)
+		s.job.receiver.Resumed()
+		// A failed write closes the session, which follow sees.
+		_ = session.Send(s.job.resume(id, s.target.Epoch, s.job.receiver.Next()))
+		over := s.follow(l)
+		s.e.closeLink(l)
+		if over {
+			return
+		}
+	}
+	s.fail(lostStream("its executor can't be reached"))
+}
+
+// follow delivers the stream until its end; it returns false if it has to be
+// resumed once more.
+func (s *resumption) follow(l *link) bool {
+	for {
+		gap := time.NewTimer(gapCheck)
+		select {
+		case a := <-l.mailbox.arrivals:
+			got, err := s.take(l, a)
+			if err != nil {
+				return s.wait(l)
+			}
+			if got.end != nil {
+				s.conclude(got.end)
+				return true
+			}
+		case <-gap.C:
+			if s.job.receiver.MustResume(s.e.now()) {
+				return false
+			}
+		case <-l.session.Done():
+			return false
+		case <-l.mailbox.overflowed:
+			return false
+		case <-l.mailbox.superseded:
+			return true
+		case <-s.life.away:
+			return s.wait(l)
+		case <-s.life.Done():
+			return s.expire(l)
+		}
+		gap.Stop()
+	}
+}
+
+// wait keeps the stream for a caller who may come back once more.
+func (s *resumption) wait(l *link) bool {
+	grace := time.NewTimer(s.life.grace)
+	defer grace.Stop()
+	select {
+	case <-l.mailbox.superseded:
+		return true
+	case <-grace.C:
+	case <-s.life.Done():
+	}
+	return s.expire(l)
+}
+
+// expire ends a stream that nobody has waited for in time.
+func (s *resumption) expire(l *link) bool {
+	cause := context.Cause(s.life)
+	if errors.Is(cause, errStopping) {
+		return true // the executor counts the grace
+	}
+	_ = l.session.Send(&wire.Cancel{Attempt: l.id}) // a lost session ends it as well
+	if errors.Is(cause, errDeadline) {
+		s.fail(&Error{Code: wire.CodeDeadline, Message: "the deadline has passed", Ran: wire.Unknown})
+		return true
+	}
+	s.fail(&Error{Code: wire.CodeCanceled, Message: "the caller has gone", Ran: wire.Unknown})
+	return true
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gorilla/mux"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/config"
+	"skylarklead/internal/member"
+	"skylarklead/internal/route"
+	"skylarklead/internal/wire"
+)
+
+const (
+	reasonIdempotencyKey = "idempotency_key"
+	reasonLeastBusy      = "least_busy"
+)
+
+// service serves /v1/services/{service}/{path}.
+func (e *Entry) service(w http.ResponseWriter, r *http.Request, req *request) *Error {
+	service, refusal := allowedService(req, mux.Vars(r)["service"])
+	if refusal != nil {
+		return refusal
+	}
+	path, refusal := servicePath(mux.Vars(r)["path"])
+	if refusal != nil {
+		return refusal
+	}
+	if req.key == nil && underAny(service.KeyRequired, path) {
+		return refuse(wire.CodeBadRequest, "%s needs the header Idempotency-Key", path)
+	}
+	body, refusal := e.readBody(w, r)
+	if refusal != nil {
+		return refusal
+	}
+	j := serviceJob(req, service, r, path, body)
+	e.drive(r.Context(), j, e.placeService, newServiceSink(w, req.id))
+	return nil
+}
+
+func allowedService(req *request, name string) (*config.Service, *Error) {
+	service := req.state.Services[name]
+	if service == nil || !slices.Contains(req.organisation.Services, name) {
+		return nil, refuse(wire.CodeUnknownService, "unknown service %q", name)
+	}
+	return service, nil
+}
+
+// servicePath returns the decoded path of a call, with its leading slash. Paths
+// that a back end may read as another one ("." and "..", empty segments, encoded
+// slashes, control bytes) are refused: "/balance/../payment" would otherwise pass
+// as a call that may be repeated.
+func servicePath(encoded string) (string, *Error) {
+	path, err := url.PathUnescape(encoded)
+	if err != nil {
+		return "", refuse(wire.CodeBadRequest, "path: %v", err)
+	}
+	if strings.Count(path, "/") != strings.Count(encoded, "/") || strings.ContainsFunc(path, unsafePathRune) {
+		return "", refuse(wire.CodeBadRequest, "path has an encoded separator or a control byte")
+	}
+	for i, segment := range strings.Split(path, "/") {
+		last := i == strings.Count(path, "/")
+		if segment == "." || segment == ".." || segment == "" && !last {
+			return "", refuse(wire.CodeBadRequest, "path has an empty or dotted segment")
+		}
+	}
+	return "/" + path, nil
+}
+
+func unsafePathRune(c rune) bool {
+	return c < 0x20 || c == 0x7f || c == '\\' || c == '?' || c == '#' || c == '%'
+}
+
+// underAny reports whether path is one of prefixes or below one.
+func underAny(prefixes []string, path string) bool {
+	return slices.ContainsFunc(prefixes, func(p string) bool {
+		p = "/" + strings.Trim(p, "/")
+		return p == "/" || path == p || strings.HasPrefix(path, p+"/")
+	})
+}
+
+func serviceJob(req *request, service *config.Service, r *http.Request, path string, body []byte) *job {
+	target := (&url.URL{Path: path}).EscapedPath()
+	if r.URL.RawQuery != "" {
+		target += "?" + r.URL.RawQuery
+	}
+	j := &job{
+		request: req,
+		group:   service.Group,
+		call: &wire.Call{
+			Service:     service.ID,
+			Method:      r.Method,
+			Path:        target,
+			ContentType: r.Header.Get("Content-Type"),
+			Body:        body,
+		},
+		repeatable: req.key == nil && underAny(service.Repeatable, path),
+		receiver:   attempt.NewReceiver(window),
+	}
+	j.fingerprint = callFingerprint(j)
+	return j
+}
+
+// callFingerprint is the same when the same call is sent again.
+func callFingerprint(j *job) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(j.organisation.ID + "\x00" + j.call.Service + "\x00" + j.call.Method + "\x00" + j.call.Path + "\x00")
+	_, _ = d.Write(j.call.Body)
+	return d.Sum64()
+}
+
+// placeService picks an executor for a call. Calls with one idempotency key go to
+// one endpoint, whichever entry they come through, so that a doubled call usually
+// meets the first one there; others go where this entry has the fewest in flight.
+func (e *Entry) placeService(_ context.Context, j *job) *wire.Decision {
+	live := e.directory.live(j.group)
+	live = slices.DeleteFunc(live, func(m member.Member) bool { return slices.Contains(j.exclude, m.ID) })
+	if len(live) == 0 {
+		return noEndpoint(j)
+	}
+	chosen, reason := e.leastBusy(live), reasonLeastBusy
+	if j.key != nil {
+		chosen, reason = byKey(j.key, live), reasonIdempotencyKey
+	}
+	return &wire.Decision{
+		Request:  j.id,
+		Executor: wire.Target{Endpoint: chosen.ID, Address: chosen.Address},
+		Reason:   reason,
+	}
+}
+
+func byKey(key []byte, live []member.Member) member.Member {
+	ids := make([]string, len(live))
+	for i, m := range live {
+		ids[i] = m.ID
+	}
+	first := route.First(xxhash.Sum64(key), ids)
+	return live[slices.Index(ids, first)]
+}
+
+// leastBusy starts at random, so that entries don't all favour one endpoint.
+func (e *Entry) leastBusy(live []member.Member) member.Member {
+	offset := rand.IntN(len(live))
+	best := live[offset]
+	for i := range live {
+		m := live[(offset+i)%len(live)]
+		if e.inFlight.at(m.ID) < e.inFlight.at(best.ID) {
+			best = m
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/entry/sink.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"skylarklead/internal/telemetry"
+	"skylarklead/internal/wire"
+)
+
+// stallTimeout is how long a caller may leave its socket full. One who stops
+// reading would otherwise hold its stream, and the engine's place, for ever.
+const stallTimeout = 10 * time.Second
+
+// sink is a caller's side of an answer. Its methods are called by one goroutine,
+// and end or fail is called once, last.
+type sink interface {
+	// start announces an attempt's executor and, for a service, its answer's
+	// status and content type.
+	start(executor string, s *wire.Start) error
+	// chunk delivers the next piece of the answer.
+	chunk(at eventID, data []byte) error
+	// end completes the answer.
+	end(e *wire.End) error
+	// fail ends the answer with an explicit error.
+	fail(e *Error)
+}
+
+// eventID is the id of one SSE event: it names who can resume the stream, and
+// from where.
+type eventID struct {
+	executor string
+	epoch    wire.Epoch
+	attempt  wire.AttemptID
+	seq      uint64
+}
+
+// String returns EXECUTOR/EPOCH/ATTEMPT/SEQ.
+func (id eventID) String() string {
+	return fmt.Sprintf("%s/%s/%s/%d", id.executor, telemetry.FormatEpoch(id.epoch), id.attempt, id.seq)
+}
+
+// parseEventID reads what String wrote.
+func parseEventID(text string) (id eventID, err error) {
+	parts := strings.Split(text, "/")
+	if len(parts) != 4 || parts[0] == "" {
+		return id, errors.New("must be EXECUTOR/EPOCH/ATTEMPT/SEQ")
+	}
+	id.executor = parts[0]
+	epoch, err := strconv.ParseUint(parts[1], 16, 64)
+	if err != nil {
+		return id, errors.New("EPOCH must be a hex number")
+	}
+	id.epoch = wire.Epoch(epoch)
+	if id.attempt, err = wire.ParseAttemptID(parts[2]); err != nil {
+		return id, errors.New("ATTEMPT must be 32 hex digits")
+	}
+	if id.seq, err = strconv.ParseUint(parts[3], 10, 64); err != nil {
+		return id, errors.New("SEQ must be a number")
+	}
+	return id, nil
+}
+
+// writer writes to a caller with a bound on each write.
+type writer struct {
+	w  http.ResponseWriter
+	rc *http.ResponseController
+}
+
+func newWriter(w http.ResponseWriter) writer {
+	return writer{w: w, rc: http.NewResponseController(w)}
+}
+
+// flush writes data through to the caller.
+func (w writer) flush(data []byte) error {
+	if err := w.rc.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
+		return fmt.Errorf("%w: %v", errCaller, err)
+	}
+	if _, err := w.w.Write(data); err != nil {
+		return fmt.Errorf("%w: %v", errCaller, err)
+	}
+	if err := w.rc.Flush(); err != nil {
+		return fmt.Errorf("%w: %v", errCaller, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/stream_test.go
@@ -0,0 +1,206 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	"skylarklead/internal/wire"
+)
+
+const totalWords = 40
+
+// Symptom: an answer with pieces twice or missing after a short network fault.
+// Sequence: the session is cut in mid-stream; the executor has sent pieces that
+// the entry hasn't got; on the new session it sends some of them again, and a
+// piece of another caller's attempt arrives crossed.
+// Cause: without Resume from the next piece and dropping by attempt and number,
+// the caller would get what comes as it comes.
+func TestStreamSurvivesCutSession(t *testing.T) {
+	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Ask:
+			x.decide(s, ref, m)
+		case *wire.Run:
+			words(s, m.Attempt, 0, 10, totalWords)
+			x.cut()
+		case *wire.Resume:
+			_ = s.Send(&wire.Chunk{Attempt: wire.AttemptID{9}, Seq: m.Seq, Data: []byte("crossed")})
+			_ = s.Send(&wire.Chunk{Attempt: m.Attempt, Seq: m.Seq - 1, Data: []byte("doubled")})
+			words(s, m.Attempt, m.Seq, totalWords, totalWords)
+		case *wire.Resolve:
+			_ = s.Reply(ref, &wire.Resolved{Attempt: m.Attempt, Running: true})
+		}
+	})
+	_, server := newTestEntry(t, "llm", x)
+	resp := post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody)
+	got := readSSE(t, resp)
+	if !got.done || got.text != wantWords(totalWords) {
+		t.Errorf("got %q, done %v, failure %+v", got.text, got.done, got.failure)
+	}
+	if n := count[*wire.Run](x); n != 1 {
+		t.Errorf("%d runs", n)
+	}
+}
+
+// Symptom: a stream that just stops when its endpoint process dies.
+// Sequence: the executor is killed in mid-stream and restarted at once under the
+// same ID with a new epoch, which knows nothing of the attempt.
+// Cause: only the same epoch can resume; the entry has to go on elsewhere from
+// the text that the caller already has.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	var executors []*executor
+	script := func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Ask:
+			decided := executors[0]
+			if slices.Contains(m.Exclude, decided.id) {
+				decided = executors[1]
+			}
+			decided.decide(s, ref, m)
+		case *wire.Run:
+			if x == executors[1] {
+				words(s, m.Attempt, m.FirstSeq, totalWords, totalWords)
+				return
+			}
+			words(s, m.Attempt, 0, 10, totalWords)
+		}
+	}
+	executors = append(executors, newExecutor(t, "ep-a", script), newExecutor(t, "ep-b", script))
+	_, server := newTestEntry(t, "llm", executors...)
+	resp := post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody)
+	lines := bufio.NewScanner(resp.Body)
+	first := readEvents(t, lines, 10)
+	executors[0].restart(t)
+	second := readEvents(t, lines, 0)
+	if !second.done || first.text+second.text != wantWords(totalWords) {
+		t.Errorf("got %q and then %q, done %v, failure %+v", first.text, second.text, second.done, second.failure)
+	}
+	if run := last[*wire.Run](executors[1]); run == nil || run.FirstSeq != 10 || run.Partial != first.text {
+		t.Errorf("went on by %+v", run)
+	}
+}
+
+// Symptom: a caller takes a cut answer for a whole one.
+// Sequence: every attempt of a stream dies in the middle until the budget or the
+// attempts are used up.
+// Cause: a stream that ends without [DONE] and without an error event can't be
+// told from a whole one by clients that ignore [DONE].
+func TestStreamEndsExplicitly(t *testing.T) {
+	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Ask:
+			x.decide(s, ref, m)
+		case *wire.Run:
+			words(s, m.Attempt, m.FirstSeq, m.FirstSeq+2, totalWords)
+			_ = s.Send(&wire.End{Attempt: m.Attempt, Seq: m.FirstSeq + 2, Outcome: wire.Unknown})
+		}
+	})
+	_, server := newTestEntry(t, "llm", x)
+	resp := post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody)
+	got := readSSE(t, resp)
+	if got.done || got.failure == nil || got.failure.Ran != wire.Unknown {
+		t.Errorf("done %v, failure %+v", got.done, got.failure)
+	}
+	if !strings.HasPrefix(wantWords(totalWords), got.text) {
+		t.Errorf("text out of order: %q", got.text)
+	}
+}
+
+// Symptom: the engine computes for callers who are long gone, or cuts streams of
+// callers who come back.
+// Sequence: one caller hangs up on a stream and stays away; another comes back
+// within the grace through this entry, with Last-Event-ID.
+// Cause: Cancel has to wait for the grace, and a resume has to call it off.
+func TestHangUp(t *testing.T) {
+	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Ask:
+			x.decide(s, ref, m)
+		case *wire.Run:
+			words(s, m.Attempt, 0, 5, totalWords)
+		case *wire.Resume:
+			words(s, m.Attempt, m.Seq, totalWords, totalWords)
+		}
+	})
+	_, server := newTestEntry(t, "llm", x)
+
+	t.Run("away", func(t *testing.T) {
+		ctx, hangUp := context.WithCancel(context.Background())
+		resp := post(t, ctx, server.URL+"/v1/chat/completions", streamBody)
+		readEvents(t, bufio.NewScanner(resp.Body), 5)
+		hangUp()
+		until(t, "canceled", func() bool { return count[*wire.Cancel](x) == 1 })
+		if got, want := last[*wire.Cancel](x).Attempt, last[*wire.Run](x).Attempt; got != want {
+			t.Errorf("canceled %v, want %v", got, want)
+		}
+	})
+	t.Run("back", func(t *testing.T) {
+		before := count[*wire.Cancel](x)
+		ctx, hangUp := context.WithCancel(context.Background())
+		resp := post(t, ctx, server.URL+"/v1/chat/completions", streamBody)
+		first := readEvents(t, bufio.NewScanner(resp.Body), 5)
+		hangUp()
+		r, _ := http.NewRequest(http.MethodGet, server.URL+"/v1/streams", nil)
+		second := readSSE(t, send(t, r, "Last-Event-ID", first.lastID))
+		if !second.done || first.text+second.text != wantWords(totalWords) {
+			t.Errorf("got %q and then %q", first.text, second.text)
+		}
+		if n := count[*wire.Cancel](x) - before; n != 0 {
+			t.Errorf("%d cancels of a stream that was resumed", n)
+		}
+	})
+	t.Run("whole answer", func(t *testing.T) {
+		before, runs := count[*wire.Cancel](x), count[*wire.Run](x)
+		ctx, hangUp := context.WithCancel(context.Background())
+		go func() {
+			until(t, "run", func() bool { return count[*wire.Run](x) > runs })
+			hangUp()
+		}()
+		r, _ := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/v1/chat/completions", strings.NewReader(wholeBody))
+		r.Header.Set("Authorization", "Bearer "+testKey)
+		if resp, err := http.DefaultClient.Do(r); err == nil {
+			resp.Body.Close()
+			t.Error("answered")
+		}
+		until(t, "canceled", func() bool { return count[*wire.Cancel](x) > before })
+	})
+}
+
+// Symptom: all streams of a session stall when one caller stops reading.
+// Sequence: one caller reads nothing of a long answer, whose executor doesn't
+// even keep to the window; another one's short answers go over the same session.
+// Cause: a session has one reader; it must never wait for one stream's mailbox.
+func TestSlowCallerStallsNobody(t *testing.T) {
+	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Ask:
+			x.decide(s, ref, m)
+		case *wire.Run:
+			if m.MaxTokens == 1 {
+				words(s, m.Attempt, 0, totalWords, totalWords)
+				return
+			}
+			big := []byte(strings.Repeat("x", 32<<10))
+			for seq := m.FirstSeq; seq < m.FirstSeq+8*window; seq++ {
+				_ = s.Send(&wire.Chunk{Attempt: m.Attempt, Seq: seq, Data: big})
+			}
+		}
+	})
+	_, server := newTestEntry(t, "llm", x)
+	slow := post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody)
+	if _, err := io.ReadFull(slow.Body, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	for range 5 {
+		resp := post(t, context.Background(), server.URL+"/v1/chat/completions",
+			`{"model":"ledger-llm","stream":true,"max_tokens":1,"messages":[{"role":"user","content":"hi"}]}`)
+		if got := readSSE(t, resp); !got.done || got.text != wantWords(totalWords) {
+			t.Errorf("got %q, failure %+v", got.text, got.failure)
+		}
+	}
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"log/slog"
 	"maps"
 	"net/http"
 	"os"
@@ -113,8 +112,6 @@
 		panic(http.ErrAbortHandler)
 	}
 	count, faults := s.count(r.Header)
-	// The log is the account that outlives a crash of the process.
-	slog.Info("run", "request", r.Header.Get(engine.HeaderRequestID))
 	if faults.CrashAfterRun {
 		s.exit(1)
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/hex"
+	"fmt"
 
 	"skylarklead/internal/prefix"
 )
@@ -28,6 +29,15 @@
 // String returns the ID in hex.
 func (a AttemptID) String() string { return hex.EncodeToString(a[:]) }
 
+// ParseAttemptID reads what String wrote.
+func ParseAttemptID(text string) (a AttemptID, err error) {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != len(a) {
+		return a, fmt.Errorf("wire: attempt ID %q is not %d hex digits", text, 2*len(a))
+	}
+	return AttemptID(raw), nil
+}
+
 // Epoch is drawn at random when a process starts. Whatever was learnt from one
 // epoch (load, cache picture, attempts) is void in another.
 type Epoch uint64
@@ -272,6 +282,9 @@
 	Epoch   Epoch     `cbor:"2,keyasint"`
 	Seq     uint64    `cbor:"3,keyasint"`
 	Window  uint32    `cbor:"4,keyasint"`
+	// Organisation is who asks for the stream; the executor answers Unknown if
+	// the attempt is another organisation's.
+	Organisation string `cbor:"5,keyasint,omitempty"`
 }
 
 // Resolve asks what became of an attempt whose session was lost. An attempt that
@@ -304,8 +317,6 @@
 	Version         string `cbor:"11,keyasint,omitempty" json:"version"`
 	PictureAgeMs    int64  `cbor:"12,keyasint,omitempty" json:"picture_age_ms"`
 	PictureDoubtful bool   `cbor:"13,keyasint,omitempty" json:"picture_doubtful"`
-	// Organisations is how many organisations have requests waiting.
-	Organisations int `cbor:"14,keyasint,omitempty" json:"organisations"`
 }
 
 // Resident says that an endpoint's engine holds a level's blocks, Tokens of it
