--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 # Programs go to bin/. `make test` is what CI runs; `make help` lists the rest.
 GO ?= go
 BIN := bin
+FUZZTIME ?= 30s
 
-.PHONY: help build test lint prove demo measure clean
+.PHONY: help build test lint prove fuzz demo measure clean
 
 help: ## list the targets
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -17,6 +18,14 @@
 prove: build ## process-level proofs with real processes
 	$(GO) test -count=1 ./test/...
 
+fuzz: ## each fuzz target for FUZZTIME (30s)
+	@$(GO) list -f '{{.Dir}}' ./internal/... ./cmd/... | while read -r dir; do \
+		grep -ho '^func Fuzz[A-Za-z0-9]*' "$$dir"/*_test.go 2>/dev/null | sed 's/^func //' | while read -r target; do \
+			echo "$$dir $$target"; \
+			$(GO) test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) -parallel 4 "$$dir" || exit 1; \
+		done || exit 1; \
+	done
+
 lint: ## gofmt, vet, staticcheck
 	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "gofmt wants:"; echo "$$out"; exit 1; fi
 	$(GO) vet ./...
--- a/cmd/skylark-standin/main.go
+++ b/cmd/skylark-standin/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -22,6 +23,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	slog.SetDefault(slog.New(slog.NewJSONHandler(os.Stderr, nil)))
 	root := &cli.Command{
 		Name:     "skylark-standin",
 		Usage:    "stand in for the platform, engines, services and callers (development only)",
--- /dev/null
+++ b/internal/endpoint/admission.go
@@ -0,0 +1,158 @@
+package endpoint
+
+import (
+	"slices"
+	"time"
+
+	"skylarklead/internal/admit"
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/prefix"
+	"skylarklead/internal/route"
+	"skylarklead/internal/wire"
+)
+
+// callCost stands for a plain service's call in the fair queue, in tokens.
+const callCost = 1
+
+// arrive lets an attempt wait for its turn.
+func (e *Endpoint) arrive(a *execution) {
+	now := e.now()
+	verdict := e.poison.Judge(a.run.Fingerprint, now)
+	if verdict.Kind == attempt.GivenUp && a.run.Call == nil {
+		e.end(a, endOf(verdict.Refusal()))
+		return
+	}
+	item := admit.Item{
+		ID:             a.id,
+		Organisation:   a.run.Organisation,
+		Priority:       a.run.Priority,
+		MaxTokens:      max(a.run.MaxTokens, callCost),
+		UncachedTokens: e.predict(a),
+		Exclusive:      a.run.Call == nil && (a.run.Suspect || verdict.Kind == attempt.Alone),
+	}
+	if a.run.Call != nil {
+		item.ExpectedTokens = callCost
+	}
+	if o := e.state().Organisations[a.run.Organisation]; o != nil {
+		item.Weight = o.Weight
+		item.MaxInFlight = o.MaxInFlight
+	}
+	if a.run.DeadlineMs > 0 {
+		item.Deadline = now + time.Duration(a.run.DeadlineMs)*time.Millisecond
+	}
+	e.perform(e.admission.Arrive(now, item))
+}
+
+// predict notes what the engine is believed to hold of a prompt, and returns
+// the tokens that it will have to compute.
+func (e *Endpoint) predict(a *execution) int {
+	if a.run.Call != nil {
+		return callCost
+	}
+	salt := prefix.Salt{Organisation: a.run.Organisation, Model: a.run.Model, Weights: a.run.Version}
+	a.chain = prefix.Chain(salt.Root(), prefix.Flatten(a.messages))
+	a.predicted, _ = e.picture.Resident(a.chain)
+	e.picture.Track(route.OwnerKey(a.run.Organisation, a.run.Model, a.run.Levels), a.run.Levels)
+	return max(0, prefix.Tokens(a.messages)-a.predicted)
+}
+
+// perform does what the admission core asks for.
+func (e *Endpoint) perform(actions []admit.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case admit.Start:
+			a := e.executions[action.ID]
+			a.phase = phaseHeld
+			e.held = append(e.held, a)
+		case admit.Refuse:
+			e.end(e.executions[action.ID], wire.End{
+				Outcome:      wire.NotRun,
+				Code:         action.Code,
+				Message:      action.Reason,
+				RetryAfterMs: action.RetryAfter.Milliseconds(),
+			})
+		}
+	}
+	e.startHeld()
+}
+
+// startHeld hands admitted attempts to the back end, as far as suspects allow:
+// one of them runs alone.
+func (e *Endpoint) startHeld() {
+	held := e.held
+	e.held = nil
+	for _, a := range held {
+		if a.phase != phaseHeld {
+			continue
+		}
+		switch e.guard(a) {
+		case attempt.GateOpen:
+			e.start(a)
+		case attempt.GateWait:
+			e.held = append(e.held, a)
+		case attempt.GateShut:
+			e.end(a, endOf(e.poison.Judge(a.run.Fingerprint, e.now()).Refusal()))
+			e.perform(e.admission.Finish(e.now(), a.id, admit.Actual{}))
+		}
+	}
+}
+
+func (e *Endpoint) guard(a *execution) attempt.Gate {
+	if a.run.Call != nil {
+		return attempt.GateOpen
+	}
+	return e.poison.Start(a.run.Fingerprint, e.now())
+}
+
+// finished takes an attempt off the back end.
+func (e *Endpoint) finished(a *execution, end wire.End) {
+	now := e.now()
+	if a.run.Call == nil {
+		if end.EngineCrashed {
+			e.engineCrashed(a.incarnation)
+		}
+		e.poison.Ended(a.run.Fingerprint, end.Outcome == wire.Done, now)
+		e.learn(a, end)
+	}
+	ran := end.Outcome != wire.NotRun
+	actual := admit.Actual{
+		UncachedTokens: max(0, end.PromptTokens-end.CachedTokens),
+		OutputTokens:   end.CompletionTokens,
+		Ran:            ran,
+	}
+	e.end(a, end)
+	e.perform(e.admission.Finish(now, a.id, actual))
+}
+
+// learn corrects the cache picture by an answer's own account.
+func (e *Endpoint) learn(a *execution, end wire.End) {
+	if end.PromptTokens == 0 {
+		return
+	}
+	e.picture.Correct(a.mark, a.chain, end.CachedTokens)
+	e.router.Finished(e.now(), route.Finished{
+		Endpoint:     e.settings.ID,
+		Epoch:        e.tel.Epoch,
+		Organisation: a.run.Organisation,
+		Levels:       a.run.Levels,
+		CachedTokens: end.CachedTokens,
+		PromptTokens: end.PromptTokens,
+		Ran:          true,
+	})
+}
+
+// withdraw takes an attempt that hasn't been handed over out of the queue.
+func (e *Endpoint) withdraw(a *execution) {
+	switch a.phase {
+	case phaseWaiting:
+		e.perform(e.admission.Cancel(e.now(), a.id))
+	case phaseHeld:
+		e.held = slices.DeleteFunc(e.held, func(b *execution) bool { return a == b })
+		e.poison.Withdraw(a.run.Fingerprint)
+		e.perform(e.admission.Finish(e.now(), a.id, admit.Actual{}))
+	}
+}
+
+func endOf(r *wire.Refusal) wire.End {
+	return wire.End{Outcome: r.Ran, Code: r.Code, Message: r.Message, RetryAfterMs: r.RetryAfterMs}
+}
--- a/internal/endpoint/ask.go
+++ b/internal/endpoint/ask.go
@@ -1,17 +1,50 @@
 package endpoint
 
 import (
+	"slices"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/route"
 	"skylarklead/internal/telemetry"
 	"skylarklead/internal/wire"
 )
 
 // onAsk decides, as an owner, where a request runs.
 func (e *Endpoint) onAsk(s *wire.Session, ref uint32, ask *wire.Ask) {
+	now := e.now()
+	verdict := e.poison.Judge(ask.Fingerprint, now)
+	crashes := len(ask.Crashed)
+	query := &route.Query{
+		Ask:     *ask,
+		Suspect: verdict.Kind == attempt.Alone || crashes > 0,
+		GivenUp: verdict.Kind == attempt.GivenUp || crashes >= attempt.DefaultPoisonParams.Limit,
+	}
+	result := e.router.Decide(now, e.rng, query, e.endpoints())
 	decision := &wire.Decision{
-		Request:  ask.Request,
-		Owner:    e.settings.ID,
-		Executor: wire.Target{Endpoint: e.settings.ID, Address: e.settings.Advertise, Epoch: e.tel.Epoch},
-		Reason:   "owner",
+		Request:         ask.Request,
+		Owner:           e.settings.ID,
+		Reason:          result.Reason,
+		PredictedCached: result.PredictedCached,
+		Candidates:      result.Candidates,
+		Refusal:         result.Refusal,
+		Suspect:         result.Suspect,
+		Unavailable:     e.unavailable(),
+	}
+	switch {
+	case verdict.Kind == attempt.GivenUp:
+		decision.Refusal = verdict.Refusal() // it tells when to come back
+	case result.Refusal == nil:
+		decision.Executor = e.target(result.Executor)
+	}
+	e.recordRoute(ask, decision)
+	e.reply(s, ref, decision)
+}
+
+func (e *Endpoint) recordRoute(ask *wire.Ask, decision *wire.Decision) {
+	reason := decision.Reason
+	if decision.Refusal != nil {
+		reason = string(decision.Refusal.Code)
+		e.tel.Metrics.Refused(decision.Refusal.Code)
 	}
 	e.tel.Decisions.Record(wire.DecisionRecord{
 		Request:         ask.Request,
@@ -19,9 +52,8 @@
 		Organisation:    ask.Organisation,
 		Owner:           e.settings.ID,
 		Executor:        decision.Executor.Endpoint,
-		Reason:          decision.Reason,
+		Reason:          reason,
 		PredictedCached: decision.PredictedCached,
-		Candidates:      decision.Candidates,
+		Candidates:      slices.Clone(decision.Candidates),
 	})
-	e.reply(s, ref, decision)
 }
--- a/internal/endpoint/completion.go
+++ b/internal/endpoint/completion.go
@@ -12,102 +12,99 @@
 
 const (
 	// engineResumes is how often in a row a stream's lost connection is made
-	// again without a new event, resumePause the pause between.
+	// again, resumePause the pause between.
 	engineResumes = 5
 	resumePause   = 100 * time.Millisecond
 	cancelTimeout = 2 * time.Second
+	loadTimeout   = time.Second
 )
 
+var errCrashed = errors.New("endpoint: engine crashed")
+
 // completion is one run at the engine.
 type completion struct {
 	job
-	engine *engine.Client
-	id     string
-	end    wire.End
+	engine     *engine.Client
+	id         string
+	end        wire.End
+	firstToken func()
 }
 
 // runCompletion runs a prompt at the engine and returns how it ended.
 func (e *Endpoint) runCompletion(ctx context.Context, j job) wire.End {
 	c := &completion{job: j, engine: e.engine, id: j.run.Attempt.String()}
-	st, err := c.engine.Complete(ctx, e.prompt(j.run, c.id))
-	if err != nil {
-		return c.notBegun(ctx, err)
+	c.firstToken = func() { e.tel.Metrics.FirstToken(j.run.Organisation, time.Since(j.begun)) }
+	st, err := c.engine.Complete(ctx, c.request())
+	if errors.Is(err, engine.ErrNotSent) {
+		return c.notRun(err)
+	}
+	if err != nil && ctx.Err() == nil {
+		// The answer's header was lost, but the engine may live and have it.
+		st, err = c.resume(ctx, 0)
+	}
+	if err == nil {
+		j.stream.begin(0, "")
+		err = c.follow(ctx, st)
 	}
-	j.stream.begin(&wire.Start{Attempt: j.run.Attempt})
-	err = c.follow(ctx, st, e.firstToken(j))
 	return c.ended(ctx, err)
 }
 
-func (e *Endpoint) prompt(run *wire.Run, id string) engine.Request {
+func (c *completion) request() engine.Request {
 	return engine.Request{
-		ID:        id,
-		Model:     run.Model,
-		Messages:  run.Messages,
-		Partial:   run.Partial,
-		MaxTokens: run.MaxTokens,
-		Priority:  run.Priority,
-		CacheSalt: run.Organisation,
+		ID:        c.id,
+		Model:     c.run.Model,
+		Messages:  c.messages,
+		Partial:   c.run.Partial,
+		MaxTokens: c.run.MaxTokens,
+		Priority:  c.run.Priority,
+		CacheSalt: c.run.Organisation,
 	}
 }
 
-func (e *Endpoint) firstToken(j job) func() {
-	return func() { e.tel.Metrics.FirstToken(j.run.Organisation, time.Since(j.begun)) }
-}
-
-// notBegun tells how a request ended whose answer never began.
-func (c *completion) notBegun(ctx context.Context, err error) wire.End {
-	if ctx.Err() != nil {
-		c.cancelAtEngine()
-		return wire.End{Outcome: wire.Unknown, Code: wire.CodeCanceled}
-	}
+// notRun tells why the engine didn't take a request.
+func (c *completion) notRun(err error) wire.End {
+	end := wire.End{Outcome: wire.NotRun, Code: wire.CodeNotRun, Message: "engine is not ready"}
 	var refused *engine.RefusedError
-	switch {
-	case errors.As(err, &refused) && !errors.Is(err, engine.ErrLoading) && refused.Status < 500:
-		return wire.End{Outcome: wire.NotRun, Code: wire.CodeBadRequest, Message: refused.Message}
-	case errors.Is(err, engine.ErrNotSent):
-		return wire.End{Outcome: wire.NotRun, Code: wire.CodeNotRun, Message: "engine is not ready"}
+	if errors.As(err, &refused) {
+		end.RetryAfterMs = refused.RetryAfter.Milliseconds()
+		if refused.Code == engine.CodeBadRequest {
+			end.Code, end.Message = wire.CodeBadRequest, refused.Message
+		}
 	}
-	return wire.End{Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome, EngineCrashed: true}
+	return end
 }
 
 // follow reads the stream to its end, and through losses of the connection that
 // the engine outlives. It returns nil at the explicit end.
-func (c *completion) follow(ctx context.Context, st *engine.Stream, first func()) error {
+func (c *completion) follow(ctx context.Context, st *engine.Stream) error {
 	for {
-		before := st.NextSeq()
-		err := c.read(ctx, st, first)
+		c.incarnation = st.Incarnation
+		err := c.read(st)
 		st.Close()
-		if err == nil || ctx.Err() != nil || errors.Is(err, engine.ErrMalformed) {
+		if !errors.Is(err, engine.ErrLost) || ctx.Err() != nil {
 			return err
 		}
-		if st.NextSeq() > 0 && before == 0 {
-			first = func() {}
-		}
-		if st, err = c.resume(ctx, st.NextSeq(), st.Incarnation); err != nil {
+		if st, err = c.resume(ctx, st.NextSeq()); err != nil {
 			return err
 		}
 	}
 }
 
-var errCrashed = errors.New("endpoint: engine crashed")
-
-// resume goes on with the stream at the engine. An engine that refuses the
-// connection, has another incarnation or has lost the stream has crashed.
-func (c *completion) resume(ctx context.Context, from uint64, incarnation string) (*engine.Stream, error) {
+// resume goes on with the stream at the engine. A stream of another incarnation
+// is refused: its events would be another run's.
+func (c *completion) resume(ctx context.Context, from uint64) (*engine.Stream, error) {
 	var err error
 	for range engineResumes {
 		var st *engine.Stream
 		st, err = c.engine.Resume(ctx, c.id, from)
 		switch {
-		case err == nil && st.Incarnation != incarnation:
+		case err == nil && c.incarnation != "" && st.Incarnation != c.incarnation:
 			st.Close()
 			return nil, errCrashed
 		case err == nil:
 			return st, nil
-		case errors.Is(err, engine.ErrGone):
-			return nil, errCrashed
-		case ctx.Err() != nil:
-			return nil, ctx.Err()
+		case errors.Is(err, engine.ErrGone), ctx.Err() != nil:
+			return nil, err
 		}
 		select {
 		case <-ctx.Done():
@@ -118,7 +115,7 @@
 	return nil, errors.Join(errCrashed, err)
 }
 
-func (c *completion) read(ctx context.Context, st *engine.Stream, first func()) error {
+func (c *completion) read(st *engine.Stream) error {
 	for {
 		event, err := st.Next()
 		if errors.Is(err, io.EOF) {
@@ -127,42 +124,69 @@
 		if err != nil {
 			return err
 		}
-		if event.Text != "" {
-			if event.Seq == 0 {
-				first()
-			}
-			if err := c.stream.add(ctx, []byte(event.Text)); err != nil {
-				return err
-			}
-		}
-		if event.FinishReason != "" {
-			c.end.FinishReason = event.FinishReason
-		}
-		if u := event.Usage; u != nil {
-			c.end.PromptTokens = u.PromptTokens
-			c.end.CachedTokens = u.PromptTokensDetails.CachedTokens
-			c.end.CompletionTokens = u.CompletionTokens
+		if err := c.take(event); err != nil {
+			return err
 		}
 	}
 }
 
+func (c *completion) take(event engine.Event) error {
+	if event.FinishReason != "" {
+		c.end.FinishReason = event.FinishReason
+	}
+	if u := event.Usage; u != nil {
+		c.end.PromptTokens = u.PromptTokens
+		c.end.CachedTokens = u.PromptTokensDetails.CachedTokens
+		c.end.CompletionTokens = u.CompletionTokens
+	}
+	if event.Text == "" {
+		return nil
+	}
+	if c.firstToken != nil {
+		c.firstToken()
+		c.firstToken = nil
+	}
+	return c.stream.add([]byte(event.Text))
+}
+
 func (c *completion) ended(ctx context.Context, err error) wire.End {
 	end := c.end
-	switch {
-	case err == nil:
+	if err == nil {
 		end.Outcome = wire.Done
+		return end
+	}
+	end.Outcome = wire.Unknown
+	end.Code = wire.CodeUnknownOutcome
+	switch {
 	case ctx.Err() != nil:
+		end.Code = wire.CodeCanceled
 		c.cancelAtEngine()
-		end.Outcome, end.Code = wire.Unknown, wire.CodeCanceled
-	case errors.Is(err, errCrashed):
-		end.Outcome, end.Code, end.EngineCrashed = wire.Unknown, wire.CodeUnknownOutcome, true
-	default:
+	case errors.Is(err, errCut):
+		end.Code, end.Message = wire.CodeCanceled, "the caller stopped reading"
 		c.cancelAtEngine()
-		end.Outcome, end.Code, end.Message = wire.Unknown, wire.CodeUnknownOutcome, "engine's answer is malformed"
+	case errors.Is(err, engine.ErrMalformed):
+		end.Message = "engine's answer is malformed"
+		c.cancelAtEngine()
+	default:
+		end.EngineCrashed = c.crashed(err)
+		end.Message = "engine was lost"
 	}
 	return end
 }
 
+// crashed reports whether the engine that ran this was lost. One that lives and
+// merely has no such stream has not crashed, and nothing is held against the
+// request then.
+func (c *completion) crashed(err error) bool {
+	if errors.Is(err, errCrashed) {
+		return true
+	}
+	ctx, stop := context.WithTimeout(context.Background(), loadTimeout)
+	defer stop()
+	load, err := c.engine.Load(ctx)
+	return err != nil || c.incarnation != "" && load.Incarnation != c.incarnation
+}
+
 // cancelAtEngine frees the engine from a stream that nobody reads.
 func (c *completion) cancelAtEngine() {
 	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
--- a/internal/endpoint/drain.go
+++ b/internal/endpoint/drain.go
@@ -24,7 +24,7 @@
 		return
 	}
 	e.leave("order of " + s.Peer().ID)
-	e.reply(s, ref, &wire.Drained{Endpoint: m.Endpoint, InFlight: e.attempts.inFlight()})
+	e.reply(s, ref, &wire.Drained{Endpoint: m.Endpoint, InFlight: e.executions.inFlight()})
 }
 
 // leave stops new work, for good.
@@ -33,7 +33,9 @@
 		return
 	}
 	e.drain.leaving = true
-	e.log.Info("leaving", "reason", reason, "in_flight", e.attempts.inFlight())
+	e.admission.Drain()
+	e.beatAll()
+	e.log.Info("leaving", "reason", reason, "in_flight", e.executions.inFlight())
 }
 
 // stopWhenDrained is the answer to SIGTERM.
@@ -45,7 +47,7 @@
 
 // checkDrained ends the process when it is to stop and no stream is open.
 func (e *Endpoint) checkDrained() {
-	if !e.drain.stopping || e.attempts.inFlight() > 0 {
+	if !e.drain.stopping || e.executions.inFlight() > 0 {
 		return
 	}
 	select {
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -11,9 +11,15 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
+	"skylarklead/internal/admit"
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/cachemap"
 	"skylarklead/internal/engine"
+	"skylarklead/internal/platform"
+	"skylarklead/internal/route"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/telemetry"
 	"skylarklead/internal/wire"
@@ -22,20 +28,40 @@
 // tickInterval is how often the loop looks at what is due.
 const tickInterval = 100 * time.Millisecond
 
+// kindService is settings.Endpoint.Kind of a plain service.
+const kindService = "service"
+
 // Endpoint is the running role.
 type Endpoint struct {
+	// These are shared and don't change.
 	settings *settings.Settings
 	tel      *telemetry.Telemetry
 	log      *slog.Logger
 	started  time.Time
 	loop     *mailbox
 	pool     *wire.Pool
-	engine   *engine.Client
-	service  *engine.Service
+	config   *logTail
+	engine   *engine.Client  // nil beside a plain service
+	service  *engine.Service // nil beside an engine
 
-	attempts attemptTable
-	gate     gate
-	drain    drainState
+	// The decisions.
+	rng       *rand.Rand
+	router    *route.Router
+	admission *admit.Core
+	poison    *attempt.Poison
+	registry  *attempt.Registry
+	picture   *cachemap.Picture
+	group     group
+
+	// executions run or can be resumed; held ones are admitted and wait for
+	// others to leave the engine.
+	executions executionTable
+	held       []*execution
+	watch      engineWatch
+	drain      drainState
+	beatSeq    uint64
+	// rootsTold is the picture's root version up to which owners are told.
+	rootsTold uint64
 }
 
 // Run serves peers until ctx ends and the last stream has.
@@ -52,21 +78,30 @@
 	// Streams outlive ctx, which only begins the drain.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	context.AfterFunc(ctx, func() { e.loop.post(e.stopWhenDrained) })
+	context.AfterFunc(ctx, func() { e.loop.must(e.stopWhenDrained) })
 	e.startBackground(work)
 	e.loop.run(work, e.drain.finished)
 	return nil
 }
 
 func newEndpoint(s *settings.Settings, tel *telemetry.Telemetry) *Endpoint {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	e := &Endpoint{
-		settings: s,
-		tel:      tel,
-		log:      tel.Log,
-		started:  time.Now(),
-		loop:     newMailbox(),
-		attempts: newAttemptTable(),
-		drain:    newDrainState(),
+		settings:   s,
+		tel:        tel,
+		log:        tel.Log,
+		started:    time.Now(),
+		loop:       newMailbox(),
+		config:     newLogTail(s.Platform.Log),
+		rng:        rng,
+		router:     route.NewRouter(route.ParamsOf(s.Endpoint)),
+		admission:  admit.NewCore(admit.ParamsOf(s.Endpoint)),
+		poison:     attempt.NewPoison(attempt.DefaultPoisonParams),
+		registry:   attempt.NewRegistry(outcomeTime),
+		picture:    cachemap.New(cachemap.Params{}),
+		group:      newGroup(s.ID, s.Endpoint.Heartbeat.D(), s.Endpoint.SuspectAfter.D(), rng),
+		executions: make(executionTable),
+		drain:      newDrainState(),
 	}
 	if s.Endpoint.Kind == kindService {
 		e.service = engine.NewService(s.Endpoint.Backend)
@@ -76,9 +111,6 @@
 	return e
 }
 
-// kindService is settings.Endpoint.Kind of a plain service.
-const kindService = "service"
-
 // now is the time that decisions go by: monotonic since the process started.
 func (e *Endpoint) now() time.Duration { return time.Since(e.started) }
 
@@ -91,11 +123,25 @@
 		FailureDomain: e.settings.FailureDomain,
 		Group:         e.settings.Endpoint.Group,
 		Address:       e.settings.Advertise,
+		ConfigOffset:  e.state().Offset,
 	}
 }
 
 func (e *Endpoint) startBackground(ctx context.Context) {
 	go e.tickUntil(ctx)
+	go func() {
+		if err := e.config.run(ctx); ctx.Err() == nil {
+			e.log.Error("configuration is no longer followed", "error", err)
+		}
+	}()
+	instances := platform.NewInstances(e.settings.Platform.Instances)
+	go instances.Poll(ctx, listInterval, func(list []platform.Instance, err error) {
+		e.loop.must(func() { e.onList(list, err) })
+	})
+	if e.engine != nil {
+		go e.watchEngine(ctx)
+		go e.watchEvents(ctx)
+	}
 }
 
 func (e *Endpoint) tickUntil(ctx context.Context) {
@@ -112,7 +158,11 @@
 }
 
 func (e *Endpoint) tick() {
-	e.expireAttempts()
+	now := e.now()
+	e.expireExecutions()
+	e.perform(e.admission.Tick(now))
+	e.picture.Tick(now)
+	e.beat()
 	e.pool.Sweep(time.Now())
 	e.checkDrained()
 }
--- /dev/null
+++ b/internal/endpoint/enginewatch.go
@@ -0,0 +1,176 @@
+package endpoint
+
+import (
+	"context"
+	"time"
+
+	"skylarklead/internal/cachemap"
+	"skylarklead/internal/engine"
+	"skylarklead/internal/prefix"
+	"skylarklead/internal/wire"
+)
+
+const (
+	// loadInterval is how often the engine's load report is read; after
+	// missedLoads failures in a row the engine counts as down.
+	loadInterval = 250 * time.Millisecond
+	missedLoads  = 2
+	// eventsPause is the pause before the event stream is opened again.
+	eventsPause = 200 * time.Millisecond
+)
+
+// engineWatch is what is known of the engine.
+type engineWatch struct {
+	up          bool
+	missed      int
+	incarnation string
+	model       string
+	version     string
+	load        engine.Load
+	loadAt      time.Duration
+	// crashed is the last incarnation that was found lost.
+	crashed string
+	// from is where a resync wants the event stream, 0 for none; cancel ends the
+	// present stream.
+	from   uint64
+	cancel context.CancelFunc
+}
+
+// watchEngine polls the load report until ctx ends.
+func (e *Endpoint) watchEngine(ctx context.Context) {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		callCtx, stop := context.WithTimeout(ctx, loadTimeout)
+		load, err := e.engine.Load(callCtx)
+		stop()
+		e.loop.must(func() { e.onLoad(load, err) })
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Endpoint) onLoad(load engine.Load, err error) {
+	w := &e.watch
+	if err != nil {
+		w.missed++
+		if w.missed >= missedLoads && w.up {
+			w.up = false
+			e.log.Warn("engine down", "error", err)
+		}
+		return
+	}
+	if w.incarnation != "" && load.Incarnation != w.incarnation {
+		e.engineCrashed(w.incarnation)
+	}
+	if !w.up {
+		e.log.Info("engine up", "incarnation", load.Incarnation, "model", load.Model, "version", load.Version)
+	}
+	now := e.now()
+	age := time.Duration(load.AgeMs) * time.Millisecond
+	e.resync(e.picture.Observe(now, age, load.Incarnation, load.Weights))
+	w.up, w.missed = true, 0
+	w.incarnation, w.model, w.version = load.Incarnation, load.Model, load.Version
+	w.load, w.loadAt = load, now-age
+}
+
+// engineCrashed puts a strike on all that ran on a lost incarnation, once.
+func (e *Endpoint) engineCrashed(incarnation string) {
+	if incarnation == "" || incarnation == e.watch.crashed {
+		return
+	}
+	e.watch.crashed = incarnation
+	strikes := e.poison.Crashed(e.now())
+	e.tel.Metrics.Count("engine_crashes", 1)
+	e.log.Warn("engine crashed", "incarnation", incarnation, "struck", len(strikes))
+	if len(strikes) > 0 {
+		// An owner that hasn't heard would send a suspect beside others, or to
+		// one engine more than the bound.
+		e.beatAll()
+	}
+}
+
+// watchEvents follows the engine's cache events until ctx ends.
+func (e *Endpoint) watchEvents(ctx context.Context) {
+	for ctx.Err() == nil {
+		streamCtx, cancel := context.WithCancel(ctx)
+		from := make(chan uint64, 1)
+		e.loop.must(func() { from <- e.openEvents(cancel) })
+		select {
+		case <-ctx.Done():
+		case start := <-from:
+			err := e.engine.Events(streamCtx, start, func(event engine.CacheEvent) error {
+				e.loop.must(func() { e.onCacheEvent(event) })
+				return nil
+			})
+			e.log.Debug("cache events ended", "error", err)
+		}
+		cancel()
+		select {
+		case <-ctx.Done():
+		case <-time.After(eventsPause):
+		}
+	}
+}
+
+// openEvents returns where the event stream that is about to be opened starts.
+func (e *Endpoint) openEvents(cancel context.CancelFunc) uint64 {
+	from := e.watch.from
+	if from == 0 {
+		from = e.picture.Next()
+	}
+	e.watch.from = 0
+	e.watch.cancel = cancel
+	e.picture.Connected(from)
+	return from
+}
+
+func (e *Endpoint) onCacheEvent(event engine.CacheEvent) {
+	e.resync(e.picture.Apply(e.now(), cachemap.Event{
+		Seq:         event.Seq,
+		Incarnation: event.Incarnation,
+		Weights:     event.Weights,
+		Kind:        cachemap.Kind(event.Type),
+		Hashes:      []prefix.Hash(event.Hashes),
+	}))
+}
+
+// resync opens the event stream anew where the picture wants it.
+func (e *Endpoint) resync(actions []cachemap.Action) {
+	for _, action := range actions {
+		if resync, ok := action.(cachemap.Resync); ok && e.watch.from == 0 {
+			e.tel.Metrics.Count("cache_resyncs", 1)
+			e.watch.from = resync.From
+			if e.watch.cancel != nil {
+				e.watch.cancel()
+			}
+		}
+	}
+}
+
+// load is this endpoint's load summary.
+func (e *Endpoint) load() wire.Load {
+	summary := e.admission.Summary()
+	load := wire.Load{
+		Running:      summary.Running,
+		Queued:       summary.Queued,
+		QueuedTokens: summary.QueuedTokens,
+		DecodeTokens: summary.DecodeTokens,
+		Saturated:    summary.Saturated,
+		EngineUp:     true,
+	}
+	if e.engine == nil {
+		return load
+	}
+	w := &e.watch
+	load.EngineUp = w.up
+	load.Incarnation, load.Model, load.Version = w.incarnation, w.model, w.version
+	load.CacheUsed = w.load.KVUsedBlocks * prefix.BlockTokens
+	load.CacheTotal = w.load.KVTotalBlocks * prefix.BlockTokens
+	load.PictureDoubtful = e.picture.Doubtful()
+	load.PictureAgeMs = (e.now() - w.loadAt).Milliseconds()
+	return load
+}
--- /dev/null
+++ b/internal/endpoint/executions.go
@@ -0,0 +1,113 @@
+package endpoint
+
+import (
+	"context"
+	"time"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/cachemap"
+	"skylarklead/internal/prefix"
+	"skylarklead/internal/wire"
+)
+
+const (
+	// replayTime is how long an ended attempt's pieces can still be resumed.
+	replayTime = 30 * time.Second
+	// outcomeTime is how long an attempt's outcome is remembered, far longer
+	// than any entry waits for one. Forgotten sooner, an attempt that ran would
+	// look unseen to a Resolve, which would answer a false not_run.
+	outcomeTime = time.Hour
+)
+
+// phase is how far an execution has come.
+type phase int
+
+// The phases. A held attempt has its place but waits for others to leave the
+// engine.
+const (
+	phaseWaiting phase = iota
+	phaseHeld
+	phaseRunning
+	phaseEnded
+)
+
+// execution is an attempt that runs here, or did until its stream's pieces are
+// dropped.
+type execution struct {
+	id    wire.AttemptID
+	run   *wire.Run
+	phase phase
+	// session is the one that the attempt was last run or resumed on, nil once
+	// that is lost.
+	session   *wire.Session
+	endedAt   time.Duration
+	delivered bool
+	stream    *stream
+	stop      context.CancelCauseFunc // ends the back end's work
+	stopPump  context.CancelFunc
+
+	// messages is the whole prompt, chain its blocks; predicted is how many of
+	// its tokens the engine was believed to hold when the attempt arrived, mark
+	// the picture's moment when it was handed to the engine.
+	messages  []prefix.Message
+	chain     []prefix.Hash
+	predicted int
+	mark      cachemap.Mark
+	// incarnation is the engine's when the attempt was handed to it.
+	incarnation string
+}
+
+// open reports whether a graceful stop has to wait for the execution.
+func (a *execution) open() bool {
+	return a.phase != phaseEnded || !a.delivered
+}
+
+// executionTable has what runs here or can still be resumed.
+type executionTable map[wire.AttemptID]*execution
+
+func (t executionTable) inFlight() int {
+	n := 0
+	for _, a := range t {
+		if a.open() {
+			n++
+		}
+	}
+	return n
+}
+
+// expireExecutions gives up streams that nobody reads or came back for, and
+// drops the pieces of old ones.
+func (e *Endpoint) expireExecutions() {
+	now := e.now()
+	for _, a := range e.executions {
+		cut := a.stream.cut()
+		switch {
+		case cut != attempt.CutNone:
+			e.abandon(a, cut)
+		case a.phase == phaseEnded && now-a.endedAt > replayTime:
+			e.free(a)
+		}
+	}
+}
+
+// abandon gives a stream up. A call to a plain service is left to end by itself:
+// cutting it would undo nothing, and its outcome can still be asked for.
+func (e *Endpoint) abandon(a *execution, cut attempt.Cut) {
+	if a.phase == phaseEnded {
+		e.free(a)
+		return
+	}
+	if a.run.Call != nil && a.phase == phaseRunning && cut == attempt.CutAbandoned {
+		return
+	}
+	e.cancelExecution(a, string(cut))
+}
+
+// free forgets an ended execution; the registry keeps its outcome.
+func (e *Endpoint) free(a *execution) {
+	a.stopPump()
+	if a.session != nil {
+		a.stream.detach(a.session)
+	}
+	delete(e.executions, a.id)
+}
--- /dev/null
+++ b/internal/endpoint/group.go
@@ -0,0 +1,153 @@
+package endpoint
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"skylarklead/internal/member"
+	"skylarklead/internal/platform"
+	"skylarklead/internal/route"
+	"skylarklead/internal/wire"
+)
+
+// listInterval is how often the platform's instance list is read.
+const listInterval = 2 * time.Second
+
+// group is what this process knows of the other endpoints of its group.
+type group struct {
+	view  *member.View
+	peers map[string]*peer
+}
+
+// peer is what a member's heartbeats told, and what ours have told it.
+type peer struct {
+	load     wire.Load
+	loadAt   time.Duration
+	hasLoad  bool
+	sending  bool
+	epoch    wire.Epoch
+	unsent   map[uint64]int // residents to be told, by hash
+	fullSent time.Duration  // when all residents were last sent; 0 is never
+}
+
+func newGroup(self string, heartbeat, suspectAfter time.Duration, rng *rand.Rand) group {
+	params := member.DefaultParams
+	params.Heartbeats = true
+	params.Interval = heartbeat
+	params.SuspectAfter = suspectAfter
+	params.DeadAfter = max(params.DeadAfter, 2*suspectAfter)
+	return group{view: member.NewView(self, params, rng), peers: make(map[string]*peer)}
+}
+
+func (g *group) peer(id string) *peer {
+	p := g.peers[id]
+	if p == nil {
+		p = &peer{unsent: make(map[uint64]int)}
+		g.peers[id] = p
+	}
+	return p
+}
+
+// onList takes the platform's instance list, which proposes members only.
+func (e *Endpoint) onList(list []platform.Instance, err error) {
+	if err != nil {
+		e.log.Debug("instance list not read", "error", err)
+		return
+	}
+	var listed []member.Instance
+	for _, i := range list {
+		leaving := i.State == platform.StateLeaving
+		switch {
+		case i.ID == e.settings.ID && leaving:
+			e.leave("instance list")
+		case i.ID != e.settings.ID && i.Role == platform.RoleEndpoint && i.Group == e.settings.Endpoint.Group:
+			listed = append(listed, member.Instance{
+				ID:            i.ID,
+				Address:       i.Address,
+				FailureDomain: i.FailureDomain,
+				Group:         i.Group,
+				Leaving:       leaving,
+			})
+		}
+	}
+	e.group.view.Listed(listed, e.now())
+}
+
+// epochSeen notes a peer's epoch; what was learnt of an earlier one is void.
+func (e *Endpoint) epochSeen(peer wire.Identity) {
+	if peer.Role != wire.RoleEndpoint || peer.Group != e.settings.Endpoint.Group || peer.ID == e.settings.ID {
+		return
+	}
+	if e.group.view.EpochSeen(peer.ID, peer.Epoch, e.now()) {
+		e.forgetPeer(peer.ID)
+		e.log.Info("peer restarted", "peer", peer.ID)
+	}
+}
+
+func (e *Endpoint) forgetPeer(id string) {
+	delete(e.group.peers, id)
+	e.router.EndpointGone(id)
+}
+
+// endpoints is the group as the router sees it, this endpoint included.
+func (e *Endpoint) endpoints() []route.Endpoint {
+	now := e.now()
+	all := []route.Endpoint{{
+		ID:            e.settings.ID,
+		Epoch:         e.tel.Epoch,
+		FailureDomain: e.settings.FailureDomain,
+		Alive:         true,
+		Leaving:       e.drain.leaving,
+		Load:          e.load(),
+		HasLoad:       true,
+	}}
+	for _, m := range e.group.view.Members(now) {
+		endpoint := route.Endpoint{
+			ID:            m.ID,
+			Epoch:         m.Epoch,
+			FailureDomain: m.FailureDomain,
+			Alive:         m.Usable(),
+			Leaving:       m.State == member.Leaving,
+		}
+		if p := e.group.peers[m.ID]; p != nil && p.hasLoad {
+			endpoint.Load, endpoint.LoadAge, endpoint.HasLoad = p.load, now-p.loadAt, true
+		}
+		all = append(all, endpoint)
+	}
+	return all
+}
+
+// target is where an endpoint of the group takes its Runs.
+func (e *Endpoint) target(id string) wire.Target {
+	if id == e.settings.ID {
+		return wire.Target{Endpoint: id, Address: e.settings.Advertise, Epoch: e.tel.Epoch}
+	}
+	m, _ := e.group.view.Get(id, e.now())
+	return wire.Target{Endpoint: id, Address: m.Address, Epoch: m.Epoch}
+}
+
+// unavailable lists who takes no new work, so that entries stop sending to them
+// before the instance list says so.
+func (e *Endpoint) unavailable() []string {
+	var ids []string
+	if e.drain.leaving {
+		ids = append(ids, e.settings.ID)
+	}
+	for _, m := range e.group.view.Members(e.now()) {
+		if m.State == member.Dead || m.State == member.Leaving {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+// usableIDs are this endpoint and the members that may be owners.
+func (e *Endpoint) usableIDs() []string {
+	ids := []string{e.settings.ID}
+	for _, m := range e.group.view.AppendUsable(nil, e.settings.Endpoint.Group, e.now()) {
+		ids = append(ids, m.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/endpoint/group_test.go
@@ -0,0 +1,155 @@
+package endpoint
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"skylarklead/internal/platform"
+	"skylarklead/internal/prefix"
+	"skylarklead/internal/settings"
+	standin "skylarklead/internal/standin/platform"
+	"skylarklead/internal/wire"
+)
+
+// startGroup starts one endpoint process for each engine, with a live instance
+// list, and waits until all know each other.
+func startGroup(t *testing.T, engines ...*fakeEngine) []*process {
+	t.Helper()
+	addresses := make([]string, len(engines))
+	var list []platform.Instance
+	for i := range engines {
+		addresses[i] = freeAddress(t)
+		list = append(list, platform.Instance{
+			ID: fmt.Sprintf("ep-%d", i+1), Role: platform.RoleEndpoint, Address: addresses[i],
+			FailureDomain: "d1", Group: "g", State: platform.StateLive,
+		})
+	}
+	server := httptest.NewServer(standin.New(standin.Options{Control: standin.Defaults(), Instances: list}))
+	t.Cleanup(server.Close)
+	var group []*process
+	for i, f := range engines {
+		group = append(group, startProcess(t, f.URL, func(s *settings.Settings) {
+			s.ID = list[i].ID
+			s.Listen = addresses[i]
+			s.Platform = settings.Platform{Log: server.URL, Instances: server.URL}
+			s.Endpoint.Heartbeat = settings.Duration(20 * time.Millisecond)
+			s.Endpoint.SuspectAfter = settings.Duration(time.Second)
+		}))
+	}
+	for _, p := range group {
+		n := p.dial("watcher")
+		waitFor(t, "the group", func() bool {
+			d := n.call(ask(1)).(*wire.Decision)
+			usable := 0
+			for _, c := range d.Candidates {
+				if c.Excluded == "" {
+					usable++
+				}
+			}
+			return usable == len(engines)
+		})
+	}
+	return group
+}
+
+func ask(n byte) *wire.Ask {
+	return &wire.Ask{
+		Request: fmt.Sprintf("r%d", n), Organisation: "org", Group: "g", Model: "m", Version: "v1",
+		Levels: []prefix.Level{{Hash: prefix.Hash(n), Tokens: 160}}, PromptTokens: 200, MaxTokens: 16,
+		Fingerprint: uint64(n),
+	}
+}
+
+// Symptom: a leaving endpoint still gets new work half a minute later.
+// Sequence: an endpoint is told to drain; the instance list goes on calling it
+// live; entries ask another owner.
+// Cause: only the list was believed.
+func TestLeavingEndpointIsNotChosen(t *testing.T) {
+	group := startGroup(t, newFakeEngine(t, "a"), newFakeEngine(t, "a"))
+	leaving, owner := group[1].dial("entry-1"), group[0].dial("entry-1")
+	leaving.call(&wire.Drain{Endpoint: "ep-2"})
+	waitFor(t, "the owner to know", func() bool {
+		d := owner.call(ask(1)).(*wire.Decision)
+		return len(d.Unavailable) == 1 && d.Unavailable[0] == "ep-2"
+	})
+	for n := range byte(20) {
+		// A leaving endpoint still answers as an owner.
+		for _, asked := range []*entry{leaving, owner} {
+			if d := asked.call(ask(n)).(*wire.Decision); d.Executor.Endpoint != "ep-1" || d.Refusal != nil {
+				t.Fatalf("got %+v, refusal %+v", d, d.Refusal)
+			}
+		}
+	}
+	leaving.send(chat(1))
+	if _, end := leaving.answer(0); end.Outcome != wire.NotRun || end.Redirect == nil || end.Redirect.Endpoint != "ep-1" {
+		t.Fatalf("got %+v", end)
+	}
+}
+
+func TestEndpointOfADeadEngineIsNotChosen(t *testing.T) {
+	dead := newFakeEngine(t, "a")
+	group := startGroup(t, newFakeEngine(t, "a"), dead)
+	owner := group[0].dial("entry-1")
+	dead.Close()
+	waitFor(t, "the owner to know", func() bool {
+		for _, c := range owner.call(ask(1)).(*wire.Decision).Candidates {
+			if c.Endpoint == "ep-2" && c.Excluded != "" {
+				return true
+			}
+		}
+		return false
+	})
+	for n := range byte(20) {
+		if d := owner.call(ask(n)).(*wire.Decision); d.Executor.Endpoint != "ep-1" {
+			t.Fatalf("got %+v", d)
+		}
+	}
+}
+
+// Symptom: one request, sent again by its caller, crashes engine after engine.
+// Sequence: it crashes one engine; asked for again at another owner it is run
+// beside others; it crashes a second engine; it is asked for a third time.
+// Cause: an engine's crash was known to the process beside it alone.
+func TestStrikesReachTheGroup(t *testing.T) {
+	engines := []*fakeEngine{newFakeEngine(t, "a", "b"), newFakeEngine(t, "a", "b"), newFakeEngine(t, "a", "b")}
+	group := startGroup(t, engines...)
+	owner := group[2].dial("entry-1")
+	for i := range 2 {
+		run := chat(byte(i + 1))
+		run.Fingerprint = 7
+		f := engines[i]
+		f.step = make(chan struct{})
+		f.cut[run.Attempt.String()] = true
+		n := group[i].dial("entry-1")
+		n.send(run)
+		n.next() // Start
+		f.mu.Lock()
+		f.incarnation = "i2"
+		f.mu.Unlock()
+		close(f.step)
+		if _, end := n.answer(0); !end.EngineCrashed {
+			t.Fatalf("got %+v", end)
+		}
+		again := ask(9)
+		again.Fingerprint = 7
+		waitFor(t, "the owner to judge", func() bool {
+			d := owner.call(again).(*wire.Decision)
+			if i == 0 {
+				return d.Suspect && d.Refusal == nil
+			}
+			return d.Refusal != nil && d.Refusal.Code == wire.CodeGivenUp && d.Refusal.RetryAfterMs > 0
+		})
+	}
+}
+
+func TestExplainTellsTheDecisions(t *testing.T) {
+	group := startGroup(t, newFakeEngine(t, "a"), newFakeEngine(t, "a"))
+	n := group[0].dial("entry-1")
+	n.call(ask(5))
+	records := n.call(&wire.ExplainRequest{Request: "r5"}).(*wire.Explanation).Records
+	if len(records) != 1 || records[0].Owner != "ep-1" || len(records[0].Candidates) != 2 {
+		t.Fatalf("got %+v", records)
+	}
+}
--- /dev/null
+++ b/internal/endpoint/heartbeat.go
@@ -0,0 +1,182 @@
+package endpoint
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"skylarklead/internal/cachemap"
+	"skylarklead/internal/member"
+	"skylarklead/internal/prefix"
+	"skylarklead/internal/route"
+	"skylarklead/internal/wire"
+)
+
+const (
+	// maxResidents bounds the changed residents of one heartbeat; the rest goes
+	// with the next ones. A heartbeat then stays below two kilobytes.
+	maxResidents = 64
+	// fullInterval is how often all residents are told again. Ownership moves
+	// with membership, and a lost heartbeat takes its changes with it; both
+	// would show as an owner that sends a prefix to engines without it.
+	fullInterval = 30 * time.Second
+	// ownersTold is how many in rendezvous order are told of a resident: the
+	// owner, and the next, who is asked when the owner is slow.
+	ownersTold       = 2
+	heartbeatTimeout = 2 * time.Second
+)
+
+// beat sends the heartbeats that are due.
+func (e *Endpoint) beat() {
+	now := e.now()
+	beats := e.group.view.Tick(now)
+	if len(beats) > 0 {
+		e.sendBeats(beats)
+	}
+}
+
+// beatAll tells the whole group at once what can't wait.
+func (e *Endpoint) beatAll() {
+	var beats []member.Beat
+	for _, m := range e.group.view.Members(e.now()) {
+		if m.Address != "" {
+			beats = append(beats, member.Beat{ID: m.ID, Address: m.Address})
+		}
+	}
+	e.sendBeats(beats)
+}
+
+func (e *Endpoint) sendBeats(beats []member.Beat) {
+	e.collectResidents()
+	strikes := e.poison.Strikes(e.now())
+	load := e.load()
+	for _, b := range beats {
+		p := e.group.peer(b.ID)
+		if p.sending {
+			continue // it doesn't take the last one: more would only pile up
+		}
+		p.sending = true
+		e.beatSeq++
+		hb := &wire.Heartbeat{
+			ID:           e.settings.ID,
+			Epoch:        e.tel.Epoch,
+			Seq:          e.beatSeq,
+			Leaving:      e.drain.leaving,
+			ConfigOffset: e.state().Offset,
+			Load:         load,
+			Strikes:      strikes,
+		}
+		hb.Residents, hb.Full = e.residentsFor(b.ID, p)
+		go e.sendBeat(b, hb)
+	}
+}
+
+func (e *Endpoint) sendBeat(b member.Beat, hb *wire.Heartbeat) {
+	ctx, stop := context.WithTimeout(context.Background(), heartbeatTimeout)
+	defer stop()
+	s, err := e.pool.Get(ctx, b.Address)
+	if err == nil {
+		err = s.Send(hb)
+	}
+	e.loop.must(func() {
+		e.group.peer(b.ID).sending = false
+		if err != nil {
+			e.group.peer(b.ID).fullSent = 0
+			e.group.view.Failed(b.ID, e.now())
+			return
+		}
+		e.epochSeen(s.Peer())
+		e.heardOffset(s, s.Peer().ConfigOffset)
+	})
+}
+
+// collectResidents shares out what has changed in the cache picture among the
+// owners concerned, this endpoint always being one.
+func (e *Endpoint) collectResidents() {
+	changed, next := e.picture.RootsSince(e.rootsTold)
+	e.rootsTold = next
+	if len(changed) == 0 {
+		return
+	}
+	ids := e.usableIDs()
+	own := make([]wire.Resident, 0, len(changed))
+	for _, root := range changed {
+		own = append(own, root.Resident)
+		for _, id := range owners(root, ids) {
+			if id != e.settings.ID {
+				e.group.peer(id).unsent[uint64(root.Resident.Hash)] = root.Resident.Tokens
+			}
+		}
+	}
+	e.advertised(e.settings.ID, e.tel.Epoch, e.watch.incarnation, e.watch.version, own, false)
+}
+
+func owners(root cachemap.Root, ids []string) []string {
+	order := route.Order(root.Owner, ids)
+	return order[:min(ownersTold, len(order))]
+}
+
+// residentsFor returns what to tell a peer now, and whether it is all there is.
+func (e *Endpoint) residentsFor(id string, p *peer) (residents []wire.Resident, full bool) {
+	now := e.now()
+	if p.fullSent == 0 || now-p.fullSent > fullInterval {
+		p.fullSent = now
+		clear(p.unsent)
+		return e.allResidents(id), true
+	}
+	for hash, tokens := range p.unsent {
+		if len(residents) == maxResidents {
+			break
+		}
+		residents = append(residents, wire.Resident{Hash: prefix.Hash(hash), Tokens: tokens})
+		delete(p.unsent, hash)
+	}
+	return residents, false
+}
+
+func (e *Endpoint) allResidents(id string) []wire.Resident {
+	all, _ := e.picture.RootsSince(0)
+	ids := e.usableIDs()
+	if !slices.Contains(ids, id) {
+		// It isn't usable yet only because its own heartbeat is still to come.
+		ids = append(ids, id)
+	}
+	var residents []wire.Resident
+	for _, root := range all {
+		if root.Resident.Tokens > 0 && slices.Contains(owners(root, ids), id) {
+			residents = append(residents, root.Resident)
+		}
+	}
+	return residents
+}
+
+// onHeartbeat takes a peer's heartbeat.
+func (e *Endpoint) onHeartbeat(s *wire.Session, hb *wire.Heartbeat) {
+	from := s.Peer()
+	if hb.ID != from.ID || hb.Epoch != from.Epoch || from.Group != e.settings.Endpoint.Group {
+		e.dropped("heartbeat of another", s, "claimed", hb.ID)
+		return
+	}
+	e.epochSeen(from)
+	now := e.now()
+	if !e.group.view.Heard(hb, now) {
+		e.dropped("late heartbeat", s)
+		return
+	}
+	p := e.group.peer(hb.ID)
+	p.load, p.loadAt, p.hasLoad, p.epoch = hb.Load, now, true, hb.Epoch
+	e.poison.Heard(hb.Strikes, now)
+	e.advertised(hb.ID, hb.Epoch, hb.Load.Incarnation, hb.Load.Version, hb.Residents, hb.Full)
+	e.heardOffset(s, hb.ConfigOffset)
+}
+
+func (e *Endpoint) advertised(id string, epoch wire.Epoch, incarnation, version string, residents []wire.Resident, full bool) {
+	e.router.Advertised(e.now(), route.Advertised{
+		Endpoint:    id,
+		Epoch:       epoch,
+		Incarnation: incarnation,
+		Version:     version,
+		Residents:   residents,
+		Full:        full,
+	})
+}
--- a/internal/endpoint/run.go
+++ b/internal/endpoint/run.go
@@ -5,7 +5,9 @@
 	"errors"
 	"time"
 
-	"skylarklead/internal/telemetry"
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/prefix"
+	"skylarklead/internal/route"
 	"skylarklead/internal/wire"
 )
 
@@ -16,8 +18,12 @@
 
 // onRun takes a request that this process is to execute.
 func (e *Endpoint) onRun(s *wire.Session, run *wire.Run) {
-	if known := e.attempts[run.Attempt]; known != nil {
-		e.onKnownRun(s, run, known)
+	switch e.registry.Arrive(run.Attempt, e.now()) {
+	case attempt.ArrivalDoubled:
+		e.dropped("doubled run", s, "attempt", run.Attempt.String())
+		return
+	case attempt.ArrivalFenced:
+		e.refuseFenced(s, run)
 		return
 	}
 	a := e.open(s, run)
@@ -25,35 +31,29 @@
 		e.end(a, *refusal)
 		return
 	}
-	e.admit(a)
+	e.configure(s, a)
 }
 
-// onKnownRun handles a Run whose attempt isn't new. A fenced one has been
-// answered not_run and must not run; a doubled one is dropped.
-func (e *Endpoint) onKnownRun(s *wire.Session, run *wire.Run, known *attempt) {
-	if known.phase != phaseFenced {
-		e.dropped("doubled run", s, "attempt", run.Attempt.String())
-		return
-	}
+// refuseFenced ends a Run whose attempt was answered not_run before it came.
+func (e *Endpoint) refuseFenced(s *wire.Session, run *wire.Run) {
 	e.dropped("fenced run", s, "attempt", run.Attempt.String())
 	end := &wire.End{Attempt: run.Attempt, Seq: run.FirstSeq, Outcome: wire.NotRun, Code: wire.CodeNotRun}
 	go s.Send(end) // the sender has its answer from Resolve already
 }
 
 // open enters a new attempt in the table and starts to serve its stream.
-func (e *Endpoint) open(s *wire.Session, run *wire.Run) *attempt {
+func (e *Endpoint) open(s *wire.Session, run *wire.Run) *execution {
 	ctx, stopPump := context.WithCancel(context.Background())
-	a := &attempt{
+	a := &execution{
 		id:       run.Attempt,
 		run:      run,
 		phase:    phaseWaiting,
 		session:  s,
-		begunAt:  e.now(),
-		stream:   newStream(run, s),
+		stream:   newStream(run, s, e.now),
 		stop:     func(error) {},
 		stopPump: stopPump,
 	}
-	e.attempts[run.Attempt] = a
+	e.executions[run.Attempt] = a
 	e.tel.Metrics.Requests.Mark(1)
 	go a.stream.pump(ctx, func(s *wire.Session) {
 		e.loop.must(func() { a.delivered = a.delivered || a.session == s })
@@ -80,49 +80,50 @@
 	return nil
 }
 
-// redirect names another endpoint for a request, or nil.
-func (e *Endpoint) redirect(*wire.Run) *wire.Target { return nil }
-
-// gate is what runs and what waits.
-type gate struct {
-	running int
-	queue   []*attempt
-}
-
-func (e *Endpoint) admit(a *attempt) {
-	if len(e.gate.queue) >= e.settings.Endpoint.MaxQueue && e.gate.running >= e.settings.Endpoint.MaxRunning {
-		e.end(a, wire.End{Outcome: wire.NotRun, Code: wire.CodeOverloaded, RetryAfterMs: 1000})
-		return
+// redirect names another endpoint for a request that was not run here, or nil.
+func (e *Endpoint) redirect(run *wire.Run) *wire.Target {
+	if run.Redirected {
+		return nil
 	}
-	e.gate.queue = append(e.gate.queue, a)
-	e.startAdmitted()
-}
-
-func (e *Endpoint) startAdmitted() {
-	for len(e.gate.queue) > 0 && e.gate.running < e.settings.Endpoint.MaxRunning {
-		a := e.gate.queue[0]
-		e.gate.queue = e.gate.queue[1:]
-		if a.phase != phaseWaiting {
-			continue
-		}
-		e.gate.running++
-		e.start(a)
+	query := &route.Query{
+		Ask: wire.Ask{
+			Request:      run.Request,
+			Organisation: run.Organisation,
+			Group:        run.Group,
+			Model:        run.Model,
+			Version:      run.Version,
+			Levels:       run.Levels,
+			PromptTokens: run.PromptTokens,
+			MaxTokens:    run.MaxTokens,
+			Priority:     run.Priority,
+			DeadlineMs:   run.DeadlineMs,
+			Exclude:      []string{e.settings.ID},
+		},
+		Suspect: run.Suspect,
+	}
+	result := e.router.Decide(e.now(), e.rng, query, e.endpoints())
+	if result.Refusal != nil || result.Executor == e.settings.ID {
+		return nil
 	}
+	target := e.target(result.Executor)
+	return &target
 }
 
 // start hands an admitted attempt to the back end.
-func (e *Endpoint) start(a *attempt) {
+func (e *Endpoint) start(a *execution) {
 	ctx, stop := context.WithCancelCause(context.Background())
 	a.phase = phaseRunning
 	a.stop = stop
-	job := job{run: a.run, stream: a.stream, begun: time.Now()}
+	a.mark = e.picture.Mark()
+	a.incarnation = e.watch.incarnation
+	j := job{run: a.run, messages: a.messages, stream: a.stream, begun: time.Now(), incarnation: a.incarnation}
 	go func() {
 		defer stop(nil)
 		var end wire.End
-		if a.run.Call != nil {
-			end = e.runCall(ctx, job)
+		if j.run.Call != nil {
+			end = e.runCall(ctx, j)
 		} else {
-			end = e.runCompletion(ctx, job)
+			end = e.runCompletion(ctx, j)
 		}
 		e.loop.must(func() { e.finished(a, end) })
 	}()
@@ -130,51 +131,21 @@
 
 // job is what a run on the back end needs; it is shared with the goroutine.
 type job struct {
-	run    *wire.Run
-	stream *stream
-	begun  time.Time
-}
-
-// finished takes an attempt off the back end.
-func (e *Endpoint) finished(a *attempt, end wire.End) {
-	e.gate.running--
-	e.end(a, end)
-	e.startAdmitted()
+	run         *wire.Run
+	messages    []prefix.Message
+	stream      *stream
+	begun       time.Time
+	incarnation string
 }
 
 // end settles an attempt's outcome and sends its End.
-func (e *Endpoint) end(a *attempt, end wire.End) {
+func (e *Endpoint) end(a *execution, end wire.End) {
 	if a.phase == phaseEnded {
 		return
 	}
 	a.phase = phaseEnded
-	a.outcome = end.Outcome
 	a.endedAt = e.now()
+	e.registry.End(a.id, end.Outcome, a.endedAt)
 	a.stream.finish(end)
-	e.account(a.run, end)
-}
-
-func (e *Endpoint) account(run *wire.Run, end wire.End) {
-	reason := string(end.Code)
-	if end.Code == wire.CodeNone {
-		reason = string(end.Outcome)
-	}
-	e.tel.Decisions.Record(wire.DecisionRecord{
-		Request:      run.Request,
-		Kind:         telemetry.KindRun,
-		Organisation: run.Organisation,
-		Owner:        run.Owner,
-		Executor:     e.settings.ID,
-		Reason:       reason,
-		ActualCached: end.CachedTokens,
-		Outcome:      end.Outcome,
-	})
-	if end.Code != wire.CodeNone {
-		e.tel.Metrics.Refused(end.Code)
-	}
-	if end.Outcome == wire.Done {
-		e.tel.Metrics.Completed.Mark(1)
-		e.tel.Metrics.Tokens.Mark(int64(end.CompletionTokens))
-		e.tel.Metrics.Prompt(end.PromptTokens, end.CachedTokens, 0)
-	}
+	e.account(a, end)
 }
--- a/internal/endpoint/server.go
+++ b/internal/endpoint/server.go
@@ -76,6 +76,8 @@
 		e.onResume(s, m)
 	case *wire.Resolve:
 		e.onResolve(s, ref, m)
+	case *wire.Heartbeat:
+		e.onHeartbeat(s, m)
 	case *wire.StatusRequest:
 		e.reply(s, ref, e.status())
 	case *wire.ExplainRequest:
--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -9,8 +10,8 @@
 	"skylarklead/internal/wire"
 )
 
-// callChunk is the size of the pieces of a service's answer in bytes.
-const callChunk = 32 << 10
+// callPiece is the size of the pieces of a service's answer in bytes.
+const callPiece = 16 << 10
 
 // runCall sends a call to the plain service, once, and returns how it ended.
 func (e *Endpoint) runCall(ctx context.Context, j job) wire.End {
@@ -29,26 +30,29 @@
 		return wire.End{Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome, Message: "service's answer was lost"}
 	}
 	defer resp.Body.Close()
-	j.stream.begin(&wire.Start{Attempt: j.run.Attempt, Status: resp.Status, ContentType: resp.ContentType})
-	if err := copyChunks(ctx, j.stream, resp.Body); err != nil {
+	j.stream.begin(resp.Status, resp.ContentType)
+	if err := copyPieces(ctx, j.stream, resp.Body); err != nil {
 		return wire.End{Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome, Message: "service's answer was cut"}
 	}
 	return wire.End{Outcome: wire.Done}
 }
 
-func copyChunks(ctx context.Context, st *stream, body io.Reader) error {
+func copyPieces(ctx context.Context, st *stream, body io.Reader) error {
+	buf := make([]byte, callPiece)
 	for {
-		buf := make([]byte, callChunk)
-		n, err := io.ReadFull(body, buf)
+		n, err := body.Read(buf)
 		if n > 0 {
-			if err := st.add(ctx, buf[:n]); err != nil {
+			if err := st.waitRoom(ctx); err != nil {
+				return err
+			}
+			if err := st.add(bytes.Clone(buf[:n])); err != nil {
 				return err
 			}
 		}
-		switch {
-		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, engine.ErrLost):
+		if errors.Is(err, io.EOF) {
 			return nil
-		case err != nil:
+		}
+		if err != nil {
 			return err
 		}
 	}
--- a/internal/endpoint/status.go
+++ b/internal/endpoint/status.go
@@ -2,11 +2,24 @@
 
 import "skylarklead/internal/wire"
 
+// status is what skylarkctl shows of this process.
 func (e *Endpoint) status() *wire.Status {
-	return &wire.Status{
-		Identity: e.identity(),
-		Leaving:  e.drain.leaving,
-		InFlight: e.attempts.inFlight(),
-		UptimeMs: e.now().Milliseconds(),
+	now := e.now()
+	status := &wire.Status{
+		Identity:      e.identity(),
+		Leaving:       e.drain.leaving,
+		ConfigOffset:  e.state().Offset,
+		Load:          e.load(),
+		InFlight:      e.executions.inFlight(),
+		UptimeMs:      now.Milliseconds(),
+		UnknownSchema: len(e.state().Opaque),
 	}
+	for _, m := range e.group.view.Members(now) {
+		status.Members = append(status.Members, wire.MemberStatus{
+			ID:    m.ID,
+			State: m.State.String(),
+			AgeMs: (now - m.Since).Milliseconds(),
+		})
+	}
+	return status
 }
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -2,55 +2,75 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"time"
 
+	"skylarklead/internal/attempt"
 	"skylarklead/internal/wire"
 )
 
-// maxUnsent bounds in bytes what is read from the back end ahead of the
-// receiver. A slow caller holds up its own stream there, and no other.
-const maxUnsent = 1 << 20
+const (
+	// maxUnsent bounds in bytes what is read of a plain service's answer ahead
+	// of the receiver. A slow caller holds up its own answer there, no other.
+	maxUnsent = 64 << 10
+	// callBytes bounds what is kept of a plain service's answer: a window of
+	// pieces and maxUnsent more fit well.
+	callBytes = 8 << 20
+)
+
+// errCut is what a back end's work ends with when its stream was cut off.
+var errCut = errors.New("endpoint: stream cut off")
 
-// stream is one attempt's answer: the chunks, kept so that they can be sent
-// again on another session, and where sending stands. It is shared between the
-// reader of the back end, the pump that sends, and the loop.
-//
-// Invariants: chunks[i] has sequence number first+i; next is at most
-// first+len(chunks); nothing is sent at or past credit.
+// stream is one attempt's answer on its way to the session that takes it. It is
+// shared between the reader of the back end, the pump that sends, and the loop.
 type stream struct {
-	attempt wire.AttemptID
-	wake    chan struct{}
-
-	mu       sync.Mutex
-	first    uint64
-	chunks   [][]byte
-	unsent   int // bytes of chunks at or past the highest number ever sent
-	sentUpTo uint64
-	session  *wire.Session
-	release  func()
-	next     uint64
-	credit   uint64
-	start    *wire.Start
-	end      *wire.End
-	endSent  bool
-	room     chan struct{} // closed and replaced when unsent shrinks
+	now  func() time.Duration
+	wake chan struct{}
+
+	mu      sync.Mutex
+	sender  *attempt.Sender
+	session *wire.Session
+	release func()
+	// outbox is what the sender wants sent on session, in order.
+	outbox []wire.Message
+	// unsent are the bytes produced of pieces numbered unsentFrom and up, which
+	// no session was ever given.
+	unsent     int
+	unsentFrom uint64
+	room       chan struct{} // closed and replaced when unsent shrinks
 }
 
-func newStream(run *wire.Run, s *wire.Session) *stream {
+func newStream(run *wire.Run, s *wire.Session, now func() time.Duration) *stream {
+	limits := attempt.DefaultSenderLimits
+	if run.Call != nil {
+		limits.Bytes = callBytes
+	}
 	return &stream{
-		attempt:  run.Attempt,
-		wake:     make(chan struct{}, 1),
-		first:    run.FirstSeq,
-		sentUpTo: run.FirstSeq,
-		session:  s,
-		release:  s.Hold(),
-		next:     run.FirstSeq,
-		credit:   run.FirstSeq + uint64(run.Window),
-		room:     make(chan struct{}),
+		now:        now,
+		wake:       make(chan struct{}, 1),
+		sender:     attempt.NewSender(run.Attempt, run.FirstSeq, run.Window, limits),
+		session:    s,
+		release:    s.Hold(),
+		unsentFrom: run.FirstSeq,
+		room:       make(chan struct{}),
 	}
 }
 
-func (st *stream) signal() {
+// queue takes what the sender wants sent; mu is held.
+func (st *stream) queue(out attempt.Output) {
+	st.outbox = append(st.outbox, out.Send...)
+	for _, m := range out.Send {
+		if chunk, ok := m.(*wire.Chunk); ok && chunk.Seq >= st.unsentFrom {
+			st.unsentFrom = chunk.Seq + 1
+			st.unsent -= len(chunk.Data)
+		}
+	}
+	if len(out.Send) == 0 {
+		return
+	}
+	close(st.room)
+	st.room = make(chan struct{})
 	select {
 	case st.wake <- struct{}{}:
 	default:
@@ -58,26 +78,35 @@
 }
 
 // begin queues the Start.
-func (st *stream) begin(start *wire.Start) {
+func (st *stream) begin(status int, contentType string) {
 	st.mu.Lock()
-	st.start = start
-	st.mu.Unlock()
-	st.signal()
+	defer st.mu.Unlock()
+	st.queue(st.sender.Start(status, contentType))
 }
 
-// add appends a chunk; it blocks while too much is unsent, until ctx ends.
-func (st *stream) add(ctx context.Context, data []byte) error {
+// add appends a piece. The error is errCut when the receiver has left too much
+// unread.
+func (st *stream) add(data []byte) error {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.unsent += len(data)
+	out := st.sender.Produce(data, st.now())
+	st.queue(out)
+	if out.Cut != attempt.CutNone {
+		return errCut
+	}
+	return nil
+}
+
+// waitRoom blocks while too much is unsent, until ctx ends.
+func (st *stream) waitRoom(ctx context.Context) error {
 	for {
 		st.mu.Lock()
-		if st.unsent < maxUnsent {
-			st.chunks = append(st.chunks, data)
-			st.unsent += len(data)
-			st.mu.Unlock()
-			st.signal()
+		full, room := st.unsent >= maxUnsent, st.room
+		st.mu.Unlock()
+		if !full {
 			return nil
 		}
-		room := st.room
-		st.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			return context.Cause(ctx)
@@ -86,45 +115,36 @@
 	}
 }
 
-// finish sets the explicit end; only the first call counts. It reports whether
-// this was the first.
-func (st *stream) finish(end wire.End) bool {
+// finish sets the explicit end.
+func (st *stream) finish(end wire.End) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if st.end != nil {
-		return false
+	if !st.sender.Ended() {
+		st.queue(st.sender.Finish(end, st.now()))
 	}
-	end.Attempt = st.attempt
-	end.Seq = st.first + uint64(len(st.chunks))
-	st.end = &end
-	st.signal()
-	return true
 }
 
-// grant moves the credit forward; an old one changes nothing.
-func (st *stream) grant(upTo uint64) {
+// grant lets pieces below seq be sent.
+func (st *stream) grant(seq uint64) {
 	st.mu.Lock()
-	st.credit = max(st.credit, upTo)
-	st.mu.Unlock()
-	st.signal()
+	defer st.mu.Unlock()
+	st.queue(st.sender.Credit(seq, st.now()))
 }
 
-// attach sends from seq on to another session. It reports false when the chunks
-// from seq on aren't there.
+// attach sends from piece seq on to another session. It reports false when that
+// piece isn't there.
 func (st *stream) attach(s *wire.Session, seq uint64, window uint32) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if seq < st.first || seq > st.first+uint64(len(st.chunks)) {
+	out, ok := st.sender.Resume(seq, window, st.now())
+	if !ok {
 		return false
 	}
 	st.release()
 	st.session = s
 	st.release = s.Hold()
-	st.next = seq
-	st.credit = seq + uint64(window)
-	st.start = nil
-	st.endSent = false
-	st.signal()
+	st.outbox = nil
+	st.queue(out)
 	return true
 }
 
@@ -136,18 +156,16 @@
 		return
 	}
 	st.session = nil
+	st.outbox = nil
 	st.release()
+	st.sender.Detach(st.now())
 }
 
-// drop frees the chunks; the stream can't be resumed after.
-func (st *stream) drop() {
+// cut reports whether and why the stream has to be given up.
+func (st *stream) cut() attempt.Cut {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.first += uint64(len(st.chunks))
-	st.next = st.first
-	st.chunks = nil
-	st.session = nil
-	st.release()
+	return st.sender.Tick(st.now())
 }
 
 // pump sends until ctx ends. delivered is called each time an End was written.
@@ -172,37 +190,13 @@
 	}
 }
 
-// take returns the next message that may be sent and counts it as sent. One that
-// is then lost with its session is asked for again by Resume.
 func (st *stream) take() (*wire.Session, wire.Message) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	limit := st.first + uint64(len(st.chunks))
-	switch {
-	case st.session == nil:
+	if st.session == nil || len(st.outbox) == 0 {
 		return nil, nil
-	case st.start != nil:
-		m := st.start
-		st.start = nil
-		return st.session, m
-	case st.next < limit && st.next < st.credit:
-		m := &wire.Chunk{Attempt: st.attempt, Seq: st.next, Data: st.chunks[st.next-st.first]}
-		st.next++
-		st.countSent(len(m.Data))
-		return st.session, m
-	case st.end != nil && st.next == limit && !st.endSent:
-		st.endSent = true
-		return st.session, st.end
-	}
-	return nil, nil
-}
-
-func (st *stream) countSent(bytes int) {
-	if st.next <= st.sentUpTo {
-		return // sent again
 	}
-	st.sentUpTo = st.next
-	st.unsent -= bytes
-	close(st.room)
-	st.room = make(chan struct{})
+	m := st.outbox[0]
+	st.outbox = st.outbox[1:]
+	return st.session, m
 }
--- /dev/null
+++ b/internal/engine/stream_test.go
@@ -0,0 +1,84 @@
+package engine
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// serve returns the base URL of a server.
+func serve(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+const (
+	first  = "id: 0\ndata: {\"choices\":[{\"delta\":{\"content\":\"a \"}}]}\n\n"
+	second = "id: 1\ndata: {\"choices\":[{\"delta\":{\"content\":\"b \"},\"finish_reason\":\"length\"}]}\n\n"
+	usage  = "id: 2\ndata: {\"choices\":[],\"usage\":{\"prompt_tokens\":9}}\n\n"
+	end    = "data: [DONE]\n\n"
+)
+
+// A stream is whole, or its reader is told that it isn't.
+func TestStreamIsWholeOrAnError(t *testing.T) {
+	cases := []struct {
+		name string
+		body string
+		text string
+		want error
+	}{
+		{"whole", first + second + usage + end, "a b ", io.EOF},
+		{"comments and other fields", ": hello\nevent: x\n\n" + first + second + usage + end, "a b ", io.EOF},
+		{"cut between events", first + second, "a b ", ErrLost},
+		{"cut inside an event", first + strings.TrimSuffix(second, "\n"), "a ", ErrLost},
+		{"cut inside the end", first + "data: [DONE]", "a ", ErrLost},
+		{"empty", "", "", ErrLost},
+		{"one missing", first + usage + end, "a ", ErrMalformed},
+		{"one doubled", first + first, "a ", ErrMalformed},
+		{"no number", "data: {}\n\n", "", ErrMalformed},
+		{"bad number", "id: x\ndata: {}\n\n", "", ErrMalformed},
+		{"not JSON", "id: 0\ndata: {\n\n", "", ErrMalformed},
+		{"endless line", "id: 0\ndata: " + strings.Repeat("x", maxSSELine+1) + "\n\n", "", ErrLost},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			base := serve(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, c.body) })
+			s, err := NewClient(base).Complete(testContext(t), Request{ID: "r"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			text := ""
+			for err == nil {
+				var event Event
+				event, err = s.Next()
+				text += event.Text
+			}
+			if text != c.text || !errors.Is(err, c.want) || c.want != io.EOF && errors.Is(err, io.EOF) {
+				t.Errorf("got %q, %v; want %q, %v", text, err, c.text, c.want)
+			}
+		})
+	}
+}
+
+// A service's answer that is cut short is an error, not a short answer.
+func TestServiceAnswerCutShort(t *testing.T) {
+	base := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "10")
+		io.WriteString(w, "half")
+		panic(http.ErrAbortHandler)
+	})
+	answer, err := NewService(base).Call(testContext(t), ServiceRequest{Method: http.MethodGet, Path: "/"})
+	if err == nil {
+		defer answer.Body.Close()
+		_, err = io.ReadAll(answer.Body)
+	}
+	if !errors.Is(err, ErrLost) {
+		t.Errorf("cut answer: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/engine/transport_test.go
@@ -0,0 +1,181 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"skylarklead/internal/prefix"
+)
+
+const testDeadline = 10 * time.Second
+
+// lossyServer answers the path /warm and drops the connection of any other
+// request once it has read it whole. It counts those.
+type lossyServer struct {
+	base string
+	lost atomic.Int64
+}
+
+func newLossyServer(t *testing.T) *lossyServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	s := &lossyServer{base: "http://" + listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *lossyServer) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if req.URL.Path != "/warm" {
+			s.lost.Add(1)
+			return
+		}
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Symptom: a payment runs twice under one key.
+// Sequence: a connection is kept from an earlier call; the service reads the
+// payment and dies before it answers.
+// Cause: net/http sends a request with an Idempotency-Key again by itself when
+// a kept connection is lost.
+func TestLostCallIsSentOnce(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodPut} {
+		server := newLossyServer(t)
+		client := NewService(server.base)
+		warm, err := client.Call(testContext(t), ServiceRequest{Method: http.MethodGet, Path: "/warm"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, warm.Body)
+		warm.Body.Close()
+		_, err = client.Call(testContext(t), ServiceRequest{
+			ID: "r", Key: "k", Method: method, Path: "/pay", Body: []byte(`{"amount":1}`),
+		})
+		if !errors.Is(err, ErrLost) || errors.Is(err, ErrNotSent) {
+			t.Errorf("%s: %v", method, err)
+		}
+		if n := server.lost.Load(); n != 1 {
+			t.Errorf("%s: sent %d times", method, n)
+		}
+	}
+}
+
+// Symptom: a prompt runs twice; a refusal claims that it didn't run.
+// Sequence: the engine reads the prompt and dies before it answers.
+// Cause: the outcome of a request that was sent is unknown.
+func TestLostCompletionIsUnknown(t *testing.T) {
+	server := newLossyServer(t)
+	client := NewClient(server.base)
+	defer client.Close()
+	_, err := client.Complete(testContext(t), Request{ID: "r", Messages: []prefix.Message{{Role: "user", Content: "q"}}})
+	if !errors.Is(err, ErrLost) || errors.Is(err, ErrNotSent) {
+		t.Errorf("completion: %v", err)
+	}
+	_, err = client.Order(testContext(t), Order{Fence: 1, Op: OpSetRole})
+	if !errors.Is(err, ErrLost) || errors.Is(err, ErrNotSent) {
+		t.Errorf("order: %v", err)
+	}
+	if n := server.lost.Load(); n != 2 {
+		t.Errorf("sent %d times in all", n)
+	}
+}
+
+// Symptom: a request is told to be of unknown outcome though it can't have run.
+// Sequence: nothing listens any more, or the caller has already hung up.
+// Cause: without a connection nothing was sent.
+func TestNothingSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	base := "http://" + listener.Addr().String()
+	listener.Close()
+	_, err = NewService(base).Call(testContext(t), ServiceRequest{Method: http.MethodPost, Path: "/"})
+	if !errors.Is(err, ErrNotSent) || errors.Is(err, ErrLost) {
+		t.Errorf("refused dial: %v", err)
+	}
+	server := newLossyServer(t)
+	ctx, cancel := context.WithCancel(testContext(t))
+	cancel()
+	_, err = NewService(server.base).Call(ctx, ServiceRequest{Method: http.MethodPost, Path: "/pay"})
+	if !errors.Is(err, ErrNotSent) || !errors.Is(err, context.Canceled) {
+		t.Errorf("cancelled: %v", err)
+	}
+	if n := server.lost.Load(); n != 0 {
+		t.Errorf("sent %d times", n)
+	}
+}
+
+func TestRefusalsByStatus(t *testing.T) {
+	cases := []struct {
+		status int
+		body   string
+		want   []error
+		not    []error
+	}{
+		{400, `{"error":{"code":"bad_request"}}`, []error{ErrNotSent}, []error{ErrLost, ErrLoading}},
+		{503, `{"error":{"code":"loading"}}`, []error{ErrNotSent, ErrLoading}, []error{ErrLost}},
+		{503, `not JSON`, []error{ErrNotSent}, []error{ErrLost, ErrLoading}},
+		{500, `{}`, []error{ErrLost}, []error{ErrNotSent}},
+		{502, ``, []error{ErrLost}, []error{ErrNotSent}},
+		{307, ``, []error{ErrLost}, []error{ErrNotSent}},
+	}
+	for _, c := range cases {
+		base := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Location", "/elsewhere")
+			w.Header().Set("Retry-After", "3")
+			w.WriteHeader(c.status)
+			io.WriteString(w, c.body)
+		})
+		_, err := NewClient(base).Complete(testContext(t), Request{ID: "r"})
+		for _, want := range c.want {
+			if !errors.Is(err, want) {
+				t.Errorf("%d %s: %v isn't %v", c.status, c.body, err, want)
+			}
+		}
+		for _, not := range c.not {
+			if errors.Is(err, not) {
+				t.Errorf("%d %s: %v is %v", c.status, c.body, err, not)
+			}
+		}
+		var refused *RefusedError
+		if errors.As(err, &refused) && refused.RetryAfter != 3*time.Second {
+			t.Errorf("%d: Retry-After %v", c.status, refused.RetryAfter)
+		}
+	}
+}
--- a/internal/route/decide.go
+++ b/internal/route/decide.go
@@ -1,13 +1,10 @@
 package route
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"skylarklead/internal/wire"
 )
 
 // Why a candidate was filtered out, as candidates and logs show it.
@@ -39,65 +36,28 @@
 	excluded string
 	cached   int
 	wait     float64 // ms
+	copying  float64 // ms, of computing what it lacks, harm to others included
 	score    float64 // ms
-	holder   bool
-	full     bool // the organisation is over its share of this cache
-}
-
-// Router decides for the prefixes that its process owns.
-type Router struct {
-	params  Params
-	table   *Table
-	scratch []candidate
-	cached  []int32 // by slot, tokens of this query
-}
-
-// NewRouter returns a Router that knows nothing yet.
-func NewRouter(p Params) *Router {
-	r := &Router{params: p.withDefaults()}
-	r.table = newTable(&r.params)
-	return r
-}
-
-// Table returns the router's table, for explanations and tests.
-func (r *Router) Table() *Table { return r.table }
-
-// Finished takes the engine's own account of a request.
-func (r *Router) Finished(now time.Duration, f Finished) {
-	s, ok := r.table.bySlot[f.Endpoint]
-	if !ok || r.table.slots[s].epoch != f.Epoch || !f.Ran {
-		return
-	}
-	r.table.finished(now, organisationHash(f.Organisation), f.Levels, s)
-	r.table.slots[s].served.add(now, r.params.HeatHalfLife, float64(f.CachedTokens))
+	holder   bool    // of the prefix that binds the query
+	active   bool    // among the holders in use
+	rank     uint64  // of a holder, in rendezvous order
+	full     bool    // the organisation is over its share of this cache
 }
 
-// Advertised takes an endpoint's word on what its engine holds.
-func (r *Router) Advertised(now time.Duration, a Advertised) {
-	s := r.table.slotOf(a.Endpoint)
-	r.table.identify(s, a.Epoch, a.Incarnation, a.Version)
-	r.table.advertised(now, s, a)
-}
-
-// EndpointGone forgets an endpoint.
-func (r *Router) EndpointGone(endpoint string) { r.table.gone(endpoint) }
-
 // Decide picks the executor of q. Endpoints is the whole group, in any order.
 func (r *Router) Decide(now time.Duration, rng *rand.Rand, q *Query, endpoints []Endpoint) Result {
 	if q.GivenUp {
-		return Result{Reason: "given_up", Refusal: &wire.Refusal{
-			Code: wire.CodeGivenUp, Message: "the request crashed several engines", Ran: wire.Unknown,
-		}}
+		return refuseGivenUp()
 	}
 	r.filter(q, endpoints)
 	r.findCached(now, q)
 	r.score(now, q, endpoints)
-	best, reason := r.pick(now, rng, q)
-	if best < 0 {
+	chosen, reason := r.pick(now, rng, q, endpoints)
+	if chosen < 0 {
 		return r.refuse(endpoints)
 	}
-	r.commit(now, q, best)
-	return r.result(best, reason, q, endpoints)
+	r.commit(now, q, chosen)
+	return r.result(chosen, reason, q, endpoints)
 }
 
 // filter fills scratch with all endpoints and says which can't run q.
@@ -107,6 +67,7 @@
 		e := &endpoints[i]
 		s := r.table.slotOf(e.ID)
 		r.table.identify(s, e.Epoch, e.Load.Incarnation, e.Load.Version)
+		r.learnOutput(&e.Load)
 		r.scratch = append(r.scratch, candidate{
 			endpoint: i,
 			slot:     s,
@@ -180,133 +141,106 @@
 	return n
 }
 
-// score sets the expected milliseconds to first token at each candidate, with
-// what the placement costs others.
-func (r *Router) score(now time.Duration, q *Query, endpoints []Endpoint) {
-	p := &r.params
-	owner := organisationHash(q.Organisation)
-	for i := range r.scratch {
-		c := &r.scratch[i]
-		if c.excluded != "" {
-			continue
-		}
-		e := &endpoints[c.endpoint]
-		uncached := float64(q.PromptTokens - c.cached)
-		c.wait = r.wait(now, c, e)
-		c.score = uncached/p.PrefillTokensPerSecond*1000 + c.wait
-		if q.FailureDomain != "" && e.FailureDomain != q.FailureDomain {
-			c.score += 2 * ms(p.CrossingCost)
-		}
-		c.score += uncached * r.evictionPrice(now, c, e)
-		total := r.cacheTokens(e)
-		held := r.table.shares[shareKey{owner, c.slot}]
-		c.full = !c.holder && float64(held)+uncached > p.MaxShare*float64(total)
-	}
-}
-
-// wait estimates the time until a place and the prefill before it are free.
-func (r *Router) wait(now time.Duration, c *candidate, e *Endpoint) float64 {
-	p := &r.params
-	w := r.table.slots[c.slot].pending.since(now, e.LoadAge)
-	prefill := float64(e.Load.QueuedTokens + w.prefill)
-	wait := prefill / p.PrefillTokensPerSecond * 1000
-	requests := e.Load.Running + e.Load.Queued + w.requests
-	over := requests + 1 - p.MaxRunning
-	if over <= 0 || requests == 0 {
-		return wait
-	}
-	mean := float64(e.Load.DecodeTokens+w.decode) / float64(requests)
-	return wait + float64(over)/float64(p.MaxRunning)*mean*ms(p.DecodeTokenTime)
-}
-
-// evictionPrice is the harm, in milliseconds for each token stored, of evicting
-// what the engine holds: the prefill that an evicted token would have saved
-// within the horizon, weighted by how full the cache is.
-func (r *Router) evictionPrice(now time.Duration, c *candidate, e *Endpoint) float64 {
-	p := &r.params
-	total := float64(r.cacheTokens(e))
-	pressure := 1.0
-	if e.Load.CacheTotal > 0 {
-		used := float64(e.Load.CacheUsed) / float64(e.Load.CacheTotal)
-		pressure = min(1, max(0, (used-freeCache)/(1-freeCache)))
-	}
-	rate := r.table.slots[c.slot].served.rate(now, p.HeatHalfLife)
-	hits := min(1, rate/total*p.CacheHorizon.Seconds())
-	return pressure * hits / p.PrefillTokensPerSecond * 1000
-}
-
-// freeCache is the used share below which storing evicts nothing.
-const freeCache = 0.8
-
-func (r *Router) cacheTokens(e *Endpoint) int {
-	if e.Load.CacheTotal > 0 {
-		return e.Load.CacheTotal
-	}
-	return r.params.CacheTokens
-}
-
 // pick chooses among the candidates that are left.
-func (r *Router) pick(now time.Duration, rng *rand.Rand, q *Query) (int, string) {
-	all := r.best(rng, func(*candidate) bool { return true })
-	if all < 0 {
-		return -1, ""
+func (r *Router) pick(now time.Duration, rng *rand.Rand, q *Query, endpoints []Endpoint) (int, string) {
+	best := r.best(rng, func(*candidate) bool { return true })
+	if best < 0 || len(q.Levels) == 0 {
+		return best, reasonLoad
 	}
 	if q.Suspect {
-		return r.quietest(), reasonSuspect
+		return r.quietest(endpoints), reasonSuspect
 	}
-	if len(q.Levels) == 0 {
-		return all, reasonLoad
+	if r.holders() == 0 {
+		if inShare := r.best(rng, func(c *candidate) bool { return !c.full }); inShare >= 0 {
+			return inShare, reasonNew
+		}
+		return best, reasonNew
 	}
-	inShare := r.best(rng, func(c *candidate) bool { return !c.full })
-	if inShare < 0 {
-		inShare = all
+	return r.amongHolders(now, rng, q, endpoints)
+}
+
+// amongHolders keeps a prefix on the holders in use unless their number is to
+// grow, or the best of them would cost more than another endpoint by a wide
+// margin.
+func (r *Router) amongHolders(now time.Duration, rng *rand.Rand, q *Query, endpoints []Endpoint) (int, string) {
+	h := r.heat(r.keyNode(q))
+	inUse := r.activate(q, h, endpoints)
+	held := r.best(rng, func(c *candidate) bool { return c.active })
+	other := r.best(rng, func(c *candidate) bool { return !c.active && !c.full })
+	if other < 0 {
+		return held, reasonHolder
 	}
-	held := r.best(rng, func(c *candidate) bool { return c.holder })
-	if held < 0 {
-		return inShare, reasonNew
+	here, there := &r.scratch[held], &r.scratch[other]
+	h.observe(now, &r.params, view{
+		held:    inUse,
+		wait:    here.wait,
+		saving:  here.wait - there.wait,
+		copying: there.copying - here.copying,
+		work:    r.engineMs(q, here.cached),
+	})
+	switch {
+	case inUse < h.holders && there.wait < here.wait:
+		return other, reasonWidened
+	case here.score > spillFactor*there.score+ms(r.params.WidenWait):
+		return other, reasonSpill
 	}
-	return r.amongHolders(now, q, held, inShare)
+	return held, reasonHolder
 }
 
-// amongHolders keeps a prefix on its holders unless its holder set is to grow,
-// or the best of them would cost more than computing it elsewhere by a wide
-// margin.
-func (r *Router) amongHolders(now time.Duration, q *Query, held, other int) (int, string) {
-	p := &r.params
-	n := r.keyNode(q)
+// spillFactor is how much worse the best holder must be than another endpoint
+// for a single request to leave the holder set.
+const spillFactor = 2
+
+func (r *Router) heat(n int32) *heat {
 	h := r.table.heats[n]
 	if h == nil {
-		h = &heat{}
+		h = &heat{holders: 1}
 		r.table.heats[n] = h
 	}
+	return h
+}
+
+// holders counts the candidates that hold the prefix and can run the query.
+func (r *Router) holders() int {
 	count := 0
 	for i := range r.scratch {
 		if r.scratch[i].excluded == "" && r.scratch[i].holder {
 			count++
 		}
 	}
-	best := &r.scratch[held]
-	h.observe(now, p, r.cost(q, best.cached), best.wait, count)
-	if r.scratch[other].holder || r.scratch[other].score >= best.score {
-		return held, reasonHolder
-	}
-	if count < h.holders {
-		return other, reasonWidened
+	return count
+}
+
+// activate marks the holders in use, as many as the prefix is to have. When it
+// has more, the ones first in rendezvous order stay, so that every decision
+// leaves out the same ones and their copies can age out.
+func (r *Router) activate(q *Query, h *heat, endpoints []Endpoint) int {
+	count := r.holders()
+	spare := max(0, count-h.holders)
+	key := uint64(q.Levels[min(1, len(q.Levels)-1)].Hash)
+	for i := range r.scratch {
+		c := &r.scratch[i]
+		c.active = c.excluded == "" && c.holder
+		if c.active && spare > 0 {
+			c.rank = weight(key, endpoints[c.endpoint].ID)
+		}
 	}
-	if best.score > spillFactor*r.scratch[other].score+ms(p.WidenWait) {
-		return other, reasonSpill
+	for range spare {
+		r.scratch[r.lowestRank()].active = false
 	}
-	return held, reasonHolder
+	return count - spare
 }
 
-// spillFactor is how much worse the best holder must be than another endpoint
-// for a single request to leave the holder set.
-const spillFactor = 2
-
-// cost is a request's engine time in milliseconds.
-func (r *Router) cost(q *Query, cached int) float64 {
-	uncached := float64(q.PromptTokens - cached)
-	return uncached/r.params.PrefillTokensPerSecond*1000 + float64(q.MaxTokens)/2*ms(r.params.DecodeTokenTime)
+// lowestRank returns the active candidate that is last in rendezvous order.
+func (r *Router) lowestRank() int {
+	lowest := -1
+	for i := range r.scratch {
+		c := &r.scratch[i]
+		if c.active && (lowest < 0 || c.rank < r.scratch[lowest].rank) {
+			lowest = i
+		}
+	}
+	return lowest
 }
 
 // best returns the candidate with the lowest score among those that pass, any
@@ -334,13 +268,15 @@
 	return chosen
 }
 
-// quietest returns the candidate with the least work to lose.
-func (r *Router) quietest() int {
-	chosen := -1
+// quietest returns the candidate with the fewest requests to lose.
+func (r *Router) quietest(endpoints []Endpoint) int {
+	chosen, least := -1, 0
 	for i := range r.scratch {
 		c := &r.scratch[i]
-		if c.excluded == "" && (chosen < 0 || c.wait < r.scratch[chosen].wait) {
-			chosen = i
+		load := &endpoints[c.endpoint].Load
+		requests := load.Running + load.Queued
+		if c.excluded == "" && (chosen < 0 || requests < least) {
+			chosen, least = i, requests
 		}
 	}
 	return chosen
@@ -349,87 +285,11 @@
 // commit notes the decision in the table and as work in flight.
 func (r *Router) commit(now time.Duration, q *Query, chosen int) {
 	c := &r.scratch[chosen]
-	r.table.decided(now, organisationHash(q.Organisation), q.Levels, c.slot)
-	r.table.slots[c.slot].pending.add(now, work{
-		requests: 1,
-		prefill:  q.PromptTokens - c.cached,
-		decode:   q.MaxTokens / 2,
-	})
-}
-
-// result explains a decision.
-func (r *Router) result(chosen int, reason string, q *Query, endpoints []Endpoint) Result {
-	c := r.scratch[chosen]
-	e := &endpoints[c.endpoint]
-	return Result{
-		Executor:        e.ID,
-		Epoch:           e.Epoch,
-		Reason:          reason,
-		PredictedCached: c.cached,
-		Suspect:         q.Suspect,
-		Candidates:      r.explain(chosen, endpoints),
-	}
-}
-
-// explain lists the chosen candidate, then the others by score, the excluded
-// ones last.
-func (r *Router) explain(chosen int, endpoints []Endpoint) []wire.Candidate {
-	if chosen >= 0 {
-		r.scratch[0], r.scratch[chosen] = r.scratch[chosen], r.scratch[0]
-	}
-	rest := r.scratch
-	if chosen >= 0 {
-		rest = rest[1:]
-	}
-	slices.SortFunc(rest, compareCandidates)
-	n := min(len(r.scratch), MaxCandidates)
-	list := make([]wire.Candidate, n)
-	for i := range list {
-		c := &r.scratch[i]
-		list[i] = wire.Candidate{
-			Endpoint:     endpoints[c.endpoint].ID,
-			Excluded:     c.excluded,
-			Score:        c.score,
-			CachedTokens: c.cached,
-			WaitMs:       c.wait,
-		}
-	}
-	return list
-}
-
-func compareCandidates(a, b candidate) int {
-	if (a.excluded == "") != (b.excluded == "") {
-		if a.excluded == "" {
-			return -1
-		}
-		return 1
-	}
-	switch {
-	case a.score < b.score:
-		return -1
-	case a.score > b.score:
-		return 1
-	}
-	return a.endpoint - b.endpoint
-}
-
-// refuse says that no endpoint can run the request, and why.
-func (r *Router) refuse(endpoints []Endpoint) Result {
-	why := "the group has no endpoint"
-	if len(r.scratch) > 0 {
-		why = fmt.Sprintf("none of %d endpoints can run it, the first is %s", len(r.scratch), r.scratch[0].excluded)
-	}
-	return Result{
-		Reason:     "no_endpoint",
-		Candidates: r.explain(-1, endpoints),
-		Refusal: &wire.Refusal{
-			Code:         wire.CodeNoEndpoint,
-			Message:      why,
-			Ran:          wire.NotRun,
-			RetryAfterMs: noEndpointRetryAfter.Milliseconds(),
-		},
-	}
+	owner := organisationHash(q.Organisation)
+	service := r.engineMs(q, c.cached)
+	s := &r.table.slots[c.slot]
+	s.pending.add(now, float64(q.PromptTokens-c.cached)*r.prefillMs(), service)
+	s.served.add(now, r.params.HeatHalfLife, float64(c.cached))
+	r.flights.add(now, shareKey{owner, c.slot}, service)
+	r.table.decided(now, owner, q.Levels, c.slot)
 }
-
-// noEndpointRetryAfter is about the time in which a group finds a new member.
-const noEndpointRetryAfter = 2 * time.Second
--- a/internal/route/heat.go
+++ b/internal/route/heat.go
@@ -30,29 +30,41 @@
 
 // heat is how hot one prefix is and how many endpoints are to hold it.
 //
-// Holders are added when the wait at the best of them is over one threshold and
-// taken away when it has stayed under a lower one for a time. A single threshold
-// would flap: each narrowing raises the wait that caused the widening, and each
-// round of it computes the prefix again.
+// A holder is added when the wait at the best one is over a threshold and a new
+// copy would save more waiting within the horizon than it costs to compute. It is
+// taken away when the wait has stayed under a lower threshold for a time and the
+// others can carry the work. A single threshold would flap: each narrowing raises
+// the wait that caused the widening, and each round computes the prefix again.
 type heat struct {
 	work      meter // milliseconds of engine time
+	requests  meter
 	holders   int
 	changedAt time.Duration
 	lowSince  time.Duration
 	low       bool
 }
 
-// observe notes one request of cost milliseconds whose best holder has a wait of
-// waitMs, and moves the number of holders. held is how many hold it now.
-func (h *heat) observe(now time.Duration, p *Params, cost, waitMs float64, held int) {
-	h.work.add(now, p.HeatHalfLife, cost)
+// view is what one decision sees of a prefix's holders. Times are in
+// milliseconds.
+type view struct {
+	held    int     // holders in use
+	wait    float64 // at the best of them
+	saving  float64 // of that wait, if the request went to a new holder
+	copying float64 // cost of a new copy, harm included
+	work    float64 // engine time of the request
+}
+
+// observe notes one request and moves the number of holders.
+func (h *heat) observe(now time.Duration, p *Params, v view) {
+	h.work.add(now, p.HeatHalfLife, v.work)
+	h.requests.add(now, p.HeatHalfLife, 1)
 	h.holders = max(h.holders, 1)
-	if waitMs > ms(p.WidenWait) {
+	if v.wait > ms(p.WidenWait) {
 		h.low = false
-		h.widen(now, p, held)
+		h.widen(now, p, v)
 		return
 	}
-	if waitMs > ms(p.NarrowWait) {
+	if v.wait > ms(p.NarrowWait) {
 		h.low = false
 		return
 	}
@@ -65,10 +77,14 @@
 	}
 }
 
-// widen adds a holder, at most one each WidenHold, and only when the last one
-// that was added is there.
-func (h *heat) widen(now time.Duration, p *Params, held int) {
-	if held < h.holders || (h.changedAt > 0 && now-h.changedAt < p.WidenHold) {
+// widen adds a holder, at most one each WidenHold, when the last one that was
+// added is there and a new one pays off.
+func (h *heat) widen(now time.Duration, p *Params, v view) {
+	if v.held < h.holders || (h.holders > 1 && now-h.changedAt < p.WidenHold) {
+		return
+	}
+	expected := h.requests.rate(now, p.HeatHalfLife) * p.CacheHorizon.Seconds()
+	if expected*v.saving <= v.copying {
 		return
 	}
 	h.holders++
--- /dev/null
+++ b/internal/route/heat_test.go
@@ -0,0 +1,161 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"skylarklead/internal/prefix"
+	"skylarklead/internal/wire"
+)
+
+// load sets the queue of the named endpoints and idles the others.
+func load(endpoints []Endpoint, queuedTokens int, busy map[string]bool) {
+	for i := range endpoints {
+		endpoints[i].Load.QueuedTokens = 0
+		if busy[endpoints[i].ID] {
+			endpoints[i].Load.QueuedTokens = queuedTokens
+		}
+	}
+}
+
+// drive decides for one prefix at a steady rate while the busy endpoints report
+// the given queue, and returns how many times each endpoint computed it.
+func drive(r *Router, endpoints []Endpoint, from, until, every time.Duration, queuedTokens int, busy map[string]bool) map[string]int {
+	rng := newRand()
+	computed := map[string]int{}
+	for now := from; now < until; now += every {
+		load(endpoints, queuedTokens, busy)
+		got := r.Decide(now, rng, query(1), endpoints)
+		if got.PredictedCached < 4000 {
+			computed[got.Executor]++
+		}
+	}
+	return computed
+}
+
+func activeHolders(r *Router) int { return r.heat(r.keyNode(query(1))).holders }
+
+// Symptom: an appeal's callers wait at one endpoint while others idle.
+// Sequence: a prefix gets hot; its only holder's queue grows.
+// Cause: the holder set doesn't follow the heat.
+func TestHotPrefixWidensAndCoolOneNarrows(t *testing.T) {
+	r, endpoints := NewRouter(Params{}), group(8)
+	first := r.Decide(0, newRand(), query(1), endpoints)
+	busy := map[string]bool{first.Executor: true}
+	// 50 requests a second of 1.25 s each fill about 63 places, 16 an endpoint.
+	drive(r, endpoints, 20*time.Millisecond, 2*time.Second, 20*time.Millisecond, 6000, busy)
+	if got := activeHolders(r); got < 4 || got > 6 {
+		t.Fatalf("%d holders after two hot seconds, want 4 to 6", got)
+	}
+	rng := newRand()
+	for now := 2 * time.Second; now < 70*time.Second; now += time.Second {
+		load(endpoints, 0, nil)
+		r.Decide(now, rng, query(1), endpoints)
+	}
+	if got := activeHolders(r); got != 1 {
+		t.Errorf("%d holders after a long cool time, want 1", got)
+	}
+}
+
+// Symptom: a warm prefix is computed again and again at ever other endpoints.
+// Sequence: the wait at its holder swings about the threshold.
+// Cause: one threshold both widens and narrows.
+func TestHolderSetDoesNotFlap(t *testing.T) {
+	r, endpoints := NewRouter(Params{}), group(8)
+	first := r.Decide(0, newRand(), query(1), endpoints)
+	busy := map[string]bool{first.Executor: true}
+	total := 0
+	for i := range 40 {
+		queued := 600
+		if i%2 == 1 {
+			queued = 1800
+		}
+		from := time.Duration(i)*time.Second + 20*time.Millisecond
+		for _, n := range drive(r, endpoints, from, from+900*time.Millisecond, 200*time.Millisecond, queued, busy) {
+			total += n
+		}
+	}
+	if total > 2 {
+		t.Errorf("the prefix was computed %d times in 40 swings", total)
+	}
+}
+
+// Symptom: everyone else's blocks are evicted at one endpoint.
+// Sequence: one organisation brings one new charter after another.
+// Cause: its first level draws them all to where that is held.
+func TestShareOfOneCacheIsBounded(t *testing.T) {
+	const cacheTokens, charters = 100000, 60
+	r, endpoints := NewRouter(Params{CacheTokens: cacheTokens, MaxShare: 0.3}), group(8)
+	rng := newRand()
+	for i := range charters {
+		r.Decide(time.Duration(i)*time.Second/4, rng, query(i), endpoints)
+	}
+	for k, tokens := range r.table.shares {
+		if tokens > cacheTokens*3/10+4100 {
+			t.Errorf("share of %d tokens at slot %d", tokens, k.slot)
+		}
+	}
+}
+
+// Symptom: a hospice's prefix is computed anew at another endpoint although its
+// holder would have served it at once.
+// Sequence: a large organisation's backlog fills the holder's queue.
+// Cause: the whole queue is taken for the small one's wait.
+func TestBacklogOfAnotherDoesNotMoveSmallOrganisation(t *testing.T) {
+	r, rng, endpoints := NewRouter(Params{}), newRand(), group(8)
+	first := r.Decide(0, rng, query(1), endpoints)
+	for i := range endpoints {
+		if endpoints[i].ID == first.Executor {
+			endpoints[i].Load.Running = DefaultMaxRunning
+			endpoints[i].Load.Queued = 200
+			endpoints[i].Load.DecodeTokens = 200 * 20
+			endpoints[i].Load.Organisations = 1
+		}
+	}
+	got := r.Decide(5*time.Second, rng, query(1), endpoints)
+	if got.Executor != first.Executor {
+		t.Errorf("moved to %s: %+v", got.Executor, got.Candidates)
+	}
+}
+
+func TestPendingTracksWhatIsInService(t *testing.T) {
+	tests := []struct {
+		name     string
+		every    time.Duration
+		service  float64
+		age      time.Duration
+		low, top float64 // bounds of the change since the report
+	}{
+		{"steady short requests change nothing", 50 * time.Millisecond, 200, time.Second, -1, 1},
+		{"long requests add up", 50 * time.Millisecond, 1e6, time.Second, 20, 23},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var p pending
+			now := time.Duration(0)
+			for ; now < 5*time.Second; now += tt.every {
+				p.add(now, 0, tt.service)
+			}
+			change, _ := p.unreported(now, tt.age)
+			if change.requests < tt.low || change.requests > tt.top {
+				t.Errorf("change = %.1f, want %.0f to %.0f", change.requests, tt.low, tt.top)
+			}
+		})
+	}
+}
+
+func TestAdvertisementsTeachARestartedOwner(t *testing.T) {
+	r, rng, endpoints := NewRouter(Params{}), newRand(), group(4)
+	q := query(1)
+	r.Advertised(0, Advertised{
+		Endpoint: endpoints[2].ID, Epoch: endpoints[2].Epoch, Incarnation: "i1", Version: "v1", Full: true,
+		Residents: []wire.Resident{{Hash: q.Levels[0].Hash, Tokens: 2000}, {Hash: q.Levels[1].Hash, Tokens: 4000}},
+	})
+	if got := r.Decide(time.Second, rng, q, endpoints); got.Executor != endpoints[2].ID || got.PredictedCached != 4000 {
+		t.Fatalf("%s with %d cached", got.Executor, got.PredictedCached)
+	}
+	r.Advertised(time.Minute, Advertised{Endpoint: endpoints[2].ID, Epoch: endpoints[2].Epoch, Full: true})
+	if held := r.Table().Holds(time.Minute, endpoints[2].ID, prefix.Hash(101)); held != 0 {
+		t.Errorf("still holds %d tokens after a full report without it", held)
+	}
+}
--- /dev/null
+++ b/internal/route/router.go
@@ -0,0 +1,127 @@
+package route
+
+import (
+	"time"
+
+	"skylarklead/internal/wire"
+)
+
+// Router decides for the prefixes that its process owns.
+type Router struct {
+	params  Params
+	table   *Table
+	scratch []candidate
+	cached  []int32 // by slot, tokens of this query
+	flights flights
+	output  float64 // mean expected output of the group's requests, tokens
+}
+
+// NewRouter returns a Router that knows nothing yet.
+func NewRouter(p Params) *Router {
+	r := &Router{params: p.withDefaults()}
+	r.table = newTable(&r.params)
+	r.flights = make(flights)
+	return r
+}
+
+// Table returns the router's table, for explanations and tests.
+func (r *Router) Table() *Table { return r.table }
+
+// Finished takes the engine's own account of a request: what it had cached, and
+// that it now holds the whole prompt.
+func (r *Router) Finished(now time.Duration, f Finished) {
+	s, ok := r.table.bySlot[f.Endpoint]
+	if !ok || r.table.slots[s].epoch != f.Epoch || !f.Ran {
+		return
+	}
+	r.table.finished(now, organisationHash(f.Organisation), f.Levels, s)
+}
+
+// Advertised takes an endpoint's word on what its engine holds.
+func (r *Router) Advertised(now time.Duration, a Advertised) {
+	s := r.table.slotOf(a.Endpoint)
+	r.table.identify(s, a.Epoch, a.Incarnation, a.Version)
+	r.table.advertised(now, s, a)
+}
+
+// EndpointGone forgets an endpoint.
+func (r *Router) EndpointGone(endpoint string) {
+	if s, ok := r.table.bySlot[endpoint]; ok {
+		r.flights.dropSlot(s)
+	}
+	r.table.gone(endpoint)
+}
+
+// learnOutput takes the mean expected output from a load summary.
+func (r *Router) learnOutput(l *wire.Load) {
+	requests := l.Running + l.Queued
+	if requests == 0 || l.DecodeTokens == 0 {
+		return
+	}
+	mean := float64(l.DecodeTokens) / float64(requests)
+	if r.output == 0 {
+		r.output = mean
+	}
+	r.output += outputMemory * (mean - r.output)
+}
+
+// outputMemory is the share of the newest load summary in the mean output.
+const outputMemory = 0.02
+
+// expectedOutput is how many tokens q will probably generate.
+func (r *Router) expectedOutput(q *Query) float64 {
+	most := float64(q.MaxTokens)
+	if r.output == 0 || r.output > most {
+		return most / 2
+	}
+	return r.output
+}
+
+// flight is an organisation's requests in service at one endpoint, decaying with
+// their mean service time.
+type flight struct {
+	requests float64
+	service  float64 // ms
+	at       time.Duration
+}
+
+// flights are by organisation and slot.
+type flights map[shareKey]flight
+
+// maxFlights bounds the map; beyond it those that have ended are forgotten.
+const maxFlights = 8192
+
+func (f flights) read(now time.Duration, k shareKey) float64 {
+	v, ok := f[k]
+	if !ok {
+		return 0
+	}
+	p := pending{value: amount{requests: v.requests}, at: v.at, service: v.service}
+	return p.read(now).requests
+}
+
+func (f flights) add(now time.Duration, k shareKey, service float64) {
+	if len(f) >= maxFlights {
+		f.sweep(now)
+	}
+	f[k] = flight{f.read(now, k) + 1, max(1, service), now}
+}
+
+func (f flights) sweep(now time.Duration) {
+	for k := range f {
+		if f.read(now, k) < endedFlight {
+			delete(f, k)
+		}
+	}
+}
+
+// endedFlight is the expected number of requests below which none is left.
+const endedFlight = 0.05
+
+func (f flights) dropSlot(s uint16) {
+	for k := range f {
+		if k.slot == s {
+			delete(f, k)
+		}
+	}
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -40,7 +40,6 @@
 	known       bool
 	pending     pending
 	served      meter // tokens served from its cache
-	cacheTokens int
 }
 
 // shareKey names an organisation's share of one slot's cache.
@@ -317,9 +316,11 @@
 
 // decided notes that the levels will be resident at slot s.
 func (t *Table) decided(now time.Duration, organisation uint64, levels []prefix.Level, s uint16) {
+	t.sweep(now)
 	parent := 0
 	for _, l := range levels {
 		n := t.touch(organisation, l, parent)
+		t.expire(now, n)
 		parent = l.Tokens
 		if h := t.find(n, s); h != nil && h.confirmed && int(h.tokens) >= l.Tokens && t.live(now, h) {
 			continue
@@ -328,6 +329,37 @@
 	}
 }
 
+// sweepNodes is how many of the oldest nodes one decision looks at.
+const sweepNodes = 4
+
+// sweep forgets the oldest nodes that nobody holds any more. Left in place they
+// would count against their organisation's share of caches that no longer hold
+// them.
+func (t *Table) sweep(now time.Duration) {
+	for range sweepNodes {
+		n := t.oldest
+		if n == none {
+			return
+		}
+		t.expire(now, n)
+		if t.nodes[n].holders != none {
+			return
+		}
+		t.evict(n)
+	}
+}
+
+// expire removes the holders of a node that no longer count.
+func (t *Table) expire(now time.Duration, n int32) {
+	for h := t.nodes[n].holders; h != none; {
+		next := t.holders[h].next
+		if !t.live(now, &t.holders[h]) {
+			t.setHolder(now, n, t.holders[h].slot, 0, false)
+		}
+		h = next
+	}
+}
+
 func (t *Table) find(n int32, s uint16) *holder {
 	for h := t.nodes[n].holders; h != none; h = t.holders[h].next {
 		if t.holders[h].slot == s {
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -87,8 +87,9 @@
 	CacheTokens int
 	// CrossingCost is the one-way delay between failure domains.
 	CrossingCost time.Duration
-	// CacheHorizon is how long a block stays useful once stored; harm counts the
-	// hits that an evicted block would have had in that time.
+	// CacheHorizon is how long a block stays useful once stored: a new copy must
+	// pay off within it, and harm counts the hits that an evicted block would
+	// have had in that time.
 	CacheHorizon time.Duration
 	// HeatHalfLife is the half-life of the rates.
 	HeatHalfLife time.Duration
@@ -126,8 +127,8 @@
 	DefaultWidenHold              = 250 * time.Millisecond
 	DefaultMaxShare               = 0.5
 	DefaultMaxNodes               = 16384
-	DefaultPredictionLife         = 10 * time.Second
-	DefaultConfirmedLife          = 10 * time.Minute
+	DefaultPredictionLife         = 30 * time.Second
+	DefaultConfirmedLife          = 2 * time.Minute
 	DefaultTieMargin              = 2 * time.Millisecond
 )
 
--- a/internal/standin/engine/events_test.go
+++ b/internal/standin/engine/events_test.go
@@ -91,3 +91,28 @@
 	r.control(`{"evict_after_ms": 1}`)
 	r.eventually("all is evicted", func() bool { return r.account().ResidentBlocks == 0 })
 }
+
+// An event is seen only once it is as old as the delay, and a load report is at
+// least as old as the lag.
+func TestDelays(t *testing.T) {
+	settings := fast()
+	settings.EventDelayMs, settings.LoadLagMs = 60_000, 1_000
+	e := New(Options{Model: "m", Version: "v1", Settings: settings})
+	e.publish(api.BlocksStored, []prefix.Hash{1})
+	reader := e.readEvents(1)
+	published := e.events.buffer[0].visibleAt.Add(-milliseconds(60_000))
+	if ready, _, after := e.poll(reader, published.Add(milliseconds(59_000))); len(ready) != 0 || after != milliseconds(1_000) {
+		t.Errorf("%d events early, look again after %v", len(ready), after)
+	}
+	if ready, _, _ := e.poll(reader, published.Add(milliseconds(60_000))); len(ready) != 1 {
+		t.Errorf("%d events once due", len(ready))
+	}
+	for second := range 5 {
+		now := published.Add(milliseconds(int64(second) * 1_000))
+		e.orders.state.Role = fmt.Sprint(second)
+		e.sample(now)
+		if load := e.lagged(now); second > 0 && (load.Role != fmt.Sprint(second-1) || load.AgeMs != 1_000) {
+			t.Errorf("report in second %d: %+v", second, load)
+		}
+	}
+}
--- a/internal/standin/engine/step.go
+++ b/internal/standin/engine/step.go
@@ -72,45 +72,51 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.expireBlocks(now)
-	e.admit(now)
 	e.switchWeights()
-	if len(e.running) == 0 {
-		return nil
-	}
 	s := &step{incarnation: e.incarnation, prefill: map[*request]int{}}
 	for _, r := range e.running {
 		if r.prefillLeft() == 0 {
 			s.decode = append(s.decode, r)
 		}
 	}
-	total := e.sharePrefill(s)
+	total := e.sharePrefill(s, now)
+	if len(e.running) == 0 {
+		return nil
+	}
 	decoding := e.settings.StepMs + e.settings.StepPerRequestMs*float64(len(s.decode))
 	prefilling := float64(total) / e.settings.PrefillTokensPerSecond * 1000
 	s.duration = time.Duration(max(decoding, prefilling) * float64(time.Millisecond))
 	return s
 }
 
-// sharePrefill gives the step's prefill tokens to requests in order of start.
-func (e *Engine) sharePrefill(s *step) (total int) {
+// sharePrefill gives the step's prefill tokens to requests in order of start,
+// and starts waiting ones as long as some are left. A request that would get
+// none isn't started, so that it finds in the cache what those before it are
+// still computing.
+func (e *Engine) sharePrefill(s *step, now time.Time) (total int) {
 	budget := max(1, e.settings.PrefillChunk-len(s.decode))
-	for _, r := range e.running {
-		n := min(r.prefillLeft(), budget-total)
-		if n > 0 {
+	share := func(r *request) {
+		if n := min(r.prefillLeft(), budget-total); n > 0 {
 			s.prefill[r] = n
 			total += n
 		}
 	}
+	for _, r := range e.running {
+		share(r)
+	}
+	for total < budget && e.startNext(now) {
+		share(e.running[len(e.running)-1])
+	}
 	return total
 }
 
-// admit starts waiting requests as far as batch and cache have room. The first
-// one that doesn't fit holds back the others, so that none starves.
-func (e *Engine) admit(now time.Time) {
-	for len(e.waiting) > 0 && len(e.running) < e.settings.MaxBatch {
-		if !e.start(e.waiting[0], now) {
-			return
-		}
+// startNext starts the first waiting request if batch and cache have room. One
+// that doesn't fit holds back those behind it, so that none starves.
+func (e *Engine) startNext(now time.Time) bool {
+	if len(e.waiting) == 0 || len(e.running) >= e.settings.MaxBatch {
+		return false
 	}
+	return e.start(e.waiting[0], now)
 }
 
 func (e *Engine) start(r *request, now time.Time) bool {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"log/slog"
 	"maps"
 	"net/http"
 	"os"
@@ -112,6 +113,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	count, faults := s.count(r.Header)
+	// The log is the account that outlives a crash of the process.
+	slog.Info("run", "request", r.Header.Get(engine.HeaderRequestID))
 	if faults.CrashAfterRun {
 		s.exit(1)
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -317,6 +317,8 @@
 	Version         string `cbor:"11,keyasint,omitempty" json:"version"`
 	PictureAgeMs    int64  `cbor:"12,keyasint,omitempty" json:"picture_age_ms"`
 	PictureDoubtful bool   `cbor:"13,keyasint,omitempty" json:"picture_doubtful"`
+	// Organisations is how many organisations have requests waiting.
+	Organisations int `cbor:"14,keyasint,omitempty" json:"organisations"`
 }
 
 // Resident says that an endpoint's engine holds a level's blocks, Tokens of it
--- /dev/null
+++ b/test/harness/build.go
@@ -0,0 +1,85 @@
+// Package harness starts clusters of real processes for the proofs: daemons,
+// stand-ins and fault proxies between them, on loopback addresses of their own.
+package harness
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// TagsVariable names an environment variable with build tags for the programs:
+// a proof is seen to fail on a build whose mechanism a tag takes out.
+const TagsVariable = "SKYLARK_TAGS"
+
+var binaries = sync.OnceValues(buildBinaries)
+
+// buildBinaries builds the programs from the working tree, so that a proof never
+// runs an old bin/.
+func buildBinaries() (string, error) {
+	mod, err := exec.Command("go", "env", "GOMOD").Output()
+	if err != nil {
+		return "", fmt.Errorf("harness: go env: %w", err)
+	}
+	dir, err := os.MkdirTemp("", "skylark-proofs-")
+	if err != nil {
+		return "", fmt.Errorf("harness: %w", err)
+	}
+	cmd := exec.Command("go", "build", "-tags", os.Getenv(TagsVariable), "-o", dir+"/", "./cmd/...")
+	cmd.Dir = filepath.Dir(strings.TrimSpace(string(mod)))
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return dir, fmt.Errorf("harness: build: %w\n%s", err, out)
+	}
+	return dir, nil
+}
+
+// Main runs the tests of a package and removes the programs after them.
+func Main(m *testing.M) {
+	code := m.Run()
+	if dir, _ := binaries(); dir != "" {
+		os.RemoveAll(dir)
+	}
+	os.Exit(code)
+}
+
+// Program returns the path of one of the programs.
+func Program(t testing.TB, name string) string {
+	t.Helper()
+	dir, err := binaries()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return filepath.Join(dir, name)
+}
+
+// hosts counts the loopback hosts handed out. Outgoing connections come from
+// 127.0.0.1, so a port that is free on another host stays free until its process
+// listens on it.
+var hosts atomic.Uint32
+
+const (
+	firstHost = 2
+	lastHost  = 250
+)
+
+func newHost() string {
+	n := hosts.Add(1) + uint32(os.Getpid()) // two runs at once rarely share a host
+	return fmt.Sprintf("127.0.0.%d", firstHost+n%(lastHost-firstHost+1))
+}
+
+// freeAddress returns "ip:port" that nothing listens on.
+func freeAddress(t testing.TB, host string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- /dev/null
+++ b/test/harness/client.go
@@ -0,0 +1,283 @@
+package harness
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"skylarklead/internal/prefix"
+	"skylarklead/internal/wire"
+)
+
+// Caller is a customer's program: it sends requests to one entry and checks what
+// comes back.
+type Caller struct {
+	// URL is the entry's base URL, Key the organisation's API key.
+	URL, Key string
+}
+
+// Chat is one chat completion.
+type Chat struct {
+	Model     string
+	Messages  []prefix.Message
+	MaxTokens int
+	Headers   map[string]string
+	// Event, if set, is called after each event with the number so far.
+	Event func(n int)
+}
+
+// Answer is what a caller got.
+type Answer struct {
+	Status    int
+	RequestID string
+	Executor  string
+	Text      string
+	Events    int
+	// LastID is the last event's id.
+	LastID string
+	// Ended is set by the explicit end of a stream, or by a whole body.
+	Ended bool
+	// Failure is the explicit error, nil if none.
+	Failure *Failure
+	// Cached is the number of prompt tokens served from cache, if told.
+	Cached int
+	// Run is the run number that the stand-in service tells.
+	Run int
+	// Lost is how the connection failed without an explicit end.
+	Lost error
+	// FirstByte is the time to the first event or to the body.
+	FirstByte time.Duration
+	// RetryAfter is the response header.
+	RetryAfter string
+}
+
+// Failure is the error shape of docs/INTERFACE.md, section 1.
+type Failure struct {
+	Code         wire.Code    `json:"code"`
+	Message      string       `json:"message"`
+	Ran          wire.Outcome `json:"ran"`
+	RetryAfterMs int64        `json:"retry_after_ms"`
+	RequestID    string       `json:"request_id"`
+}
+
+// String sums the answer up for a failed proof.
+func (a Answer) String() string {
+	return fmt.Sprintf("status %d, request %s, %d events, %d bytes, ended %v, failure %+v, lost %v",
+		a.Status, a.RequestID, a.Events, len(a.Text), a.Ended, a.Failure, a.Lost)
+}
+
+type chatBody struct {
+	Model     string           `json:"model"`
+	Messages  []prefix.Message `json:"messages"`
+	MaxTokens int              `json:"max_tokens"`
+	Stream    bool             `json:"stream"`
+}
+
+type chunkBody struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage *struct {
+		Details struct {
+			Cached int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+type failureBody struct {
+	Error Failure `json:"error"`
+}
+
+var httpClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// Chat posts a streamed chat completion.
+func (c Caller) Chat(ctx context.Context, chat Chat) Answer {
+	body, err := json.Marshal(chatBody{Model: chat.Model, Messages: chat.Messages, MaxTokens: chat.MaxTokens, Stream: true})
+	if err != nil {
+		panic(err) // strings and integers
+	}
+	return c.stream(ctx, http.MethodPost, "/v1/chat/completions", body, chat.Headers, chat.Event)
+}
+
+// Resume asks for the rest of a stream after the event lastID.
+func (c Caller) Resume(ctx context.Context, lastID string) Answer {
+	return c.stream(ctx, http.MethodGet, "/v1/streams", nil, map[string]string{"Last-Event-ID": lastID}, nil)
+}
+
+func (c Caller) stream(ctx context.Context, method, path string, body []byte, headers map[string]string, event func(int)) Answer {
+	began := time.Now()
+	resp, err := c.do(ctx, method, path, body, headers)
+	if err != nil {
+		return Answer{Lost: err}
+	}
+	defer resp.Body.Close()
+	a := answerOf(resp)
+	if resp.StatusCode != http.StatusOK {
+		a.readFailure(resp.Body)
+		return a
+	}
+	a.readEvents(resp.Body, began, event)
+	return a
+}
+
+func (c Caller) do(ctx context.Context, method, path string, body []byte, headers map[string]string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	req.Header.Set("Content-Type", "application/json")
+	for k, v := range headers {
+		req.Header.Set(k, v)
+	}
+	return httpClient.Do(req)
+}
+
+func answerOf(resp *http.Response) Answer {
+	return Answer{
+		Status:     resp.StatusCode,
+		RequestID:  resp.Header.Get("X-Request-Id"),
+		Executor:   resp.Header.Get("X-Executor"),
+		RetryAfter: resp.Header.Get("Retry-After"),
+	}
+}
+
+func (a *Answer) readFailure(body io.Reader) {
+	var f failureBody
+	if err := json.NewDecoder(body).Decode(&f); err != nil {
+		a.Lost = fmt.Errorf("error body: %w", err)
+		return
+	}
+	a.Failure = &f.Error
+}
+
+var errOrder = errors.New("harness: events out of order")
+
+// readEvents reads a stream to its explicit end and checks that the sequence
+// numbers in the event ids have no gap.
+func (a *Answer) readEvents(body io.Reader, began time.Time, event func(int)) {
+	sc := bufio.NewScanner(body)
+	sc.Buffer(nil, 4<<20)
+	kind, id := "", ""
+	for sc.Scan() {
+		field, value, _ := strings.Cut(sc.Text(), ":")
+		value = strings.TrimPrefix(value, " ")
+		switch field {
+		case "id":
+			id = value
+		case "event":
+			kind = value
+		case "data":
+			if a.Events == 0 {
+				a.FirstByte = time.Since(began)
+			}
+			if a.take(kind, id, value) {
+				return
+			}
+			if event != nil {
+				event(a.Events)
+			}
+		case "":
+			kind = ""
+		}
+	}
+	a.Lost = sc.Err()
+	if a.Lost == nil {
+		a.Lost = io.ErrUnexpectedEOF
+	}
+}
+
+// take handles one event's data and reports whether the stream is over.
+func (a *Answer) take(kind, id, data string) bool {
+	if data == "[DONE]" {
+		a.Ended = true
+		return true
+	}
+	if kind == "error" {
+		a.readFailure(strings.NewReader(data))
+		return true
+	}
+	var chunk chunkBody
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		a.Lost = err
+		return true
+	}
+	if chunk.Usage != nil {
+		a.Cached = chunk.Usage.Details.Cached
+	}
+	if len(chunk.Choices) == 0 || chunk.Choices[0].Delta.Content == "" {
+		return false
+	}
+	if a.Lost = follows(a.LastID, id); a.Lost != nil {
+		return true
+	}
+	a.LastID = id
+	a.Text += chunk.Choices[0].Delta.Content
+	a.Events++
+	return false
+}
+
+// follows checks that the sequence number at the end of id is the next one.
+func follows(last, id string) error {
+	n, err := seqOf(id)
+	if err != nil {
+		return err
+	}
+	if last == "" {
+		return nil
+	}
+	if before, _ := seqOf(last); n != before+1 {
+		return fmt.Errorf("%w: %s after %s", errOrder, id, last)
+	}
+	return nil
+}
+
+func seqOf(id string) (uint64, error) {
+	n, err := strconv.ParseUint(id[strings.LastIndexByte(id, '/')+1:], 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("harness: event id %q: %w", id, err)
+	}
+	return n, nil
+}
+
+// Call posts to a path of the plain service. The request ID names the call in
+// the service's own count; key is the Idempotency-Key, empty for none.
+func (c Caller) Call(ctx context.Context, path, requestID, key string) Answer {
+	headers := map[string]string{"X-Request-Id": requestID}
+	if key != "" {
+		headers["Idempotency-Key"] = key
+	}
+	began := time.Now()
+	body, _ := json.Marshal(map[string]string{"echo": requestID})
+	resp, err := c.do(ctx, http.MethodPost, "/v1/services/"+Service+path, body, headers)
+	if err != nil {
+		return Answer{Lost: err}
+	}
+	defer resp.Body.Close()
+	a := answerOf(resp)
+	a.FirstByte = time.Since(began)
+	if resp.StatusCode != http.StatusOK {
+		a.readFailure(resp.Body)
+		return a
+	}
+	var got struct {
+		Echo string `json:"echo"`
+		Run  int    `json:"run"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&got); err != nil {
+		a.Lost = err
+		return a
+	}
+	a.Text, a.Run, a.Ended = got.Echo, got.Run, true
+	return a
+}
--- /dev/null
+++ b/test/harness/cluster.go
@@ -0,0 +1,266 @@
+package harness
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"skylarklead/internal/faultproxy"
+	"skylarklead/internal/platform"
+	"skylarklead/internal/settings"
+)
+
+const (
+	// Group, Model and Version are what the engines of a cluster serve.
+	Group   = "ledger-llm"
+	Model   = "ledger-llm"
+	Version = "v1"
+	// ServiceGroup and Service are the plain service's.
+	ServiceGroup = "portal"
+	Service      = "portal"
+
+	fleetKey = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
+)
+
+// Options say what a cluster is made of.
+type Options struct {
+	Engines, Services, Entries int
+	// EngineArgs and PlatformArgs are added to the stand-ins' arguments.
+	EngineArgs, PlatformArgs []string
+	// Organisations are published; Foodbank and Hospice if nil.
+	Organisations []Organisation
+	// Lag is how far the instance list is behind.
+	Lag time.Duration
+	// Settings, if set, changes each daemon's settings before its start.
+	Settings func(*settings.Settings)
+}
+
+// Node is a daemon with the proxies around it.
+type Node struct {
+	*Process
+	ID       string
+	Settings *settings.Settings
+	// Platform stands between the daemon and the platform, Peer between its
+	// peers and it, Backend between it and its engine or service.
+	Platform, Peer, Backend *faultproxy.Proxy
+	// Engine is the engine or service, nil for an entry.
+	Engine *Backend
+}
+
+// Backend is a stand-in engine or service.
+type Backend struct {
+	*Process
+	Address string
+}
+
+// Cluster is a running fleet and its platform.
+type Cluster struct {
+	t         testing.TB
+	options   Options
+	host      string
+	dir       string
+	Platform  *Backend
+	Endpoints []*Node
+	Services  []*Node
+	Entries   []*Node
+	// Revisions has the offset of each organisation's record at the start.
+	Revisions map[string]uint64
+	orgs      []Organisation
+}
+
+// limit bounds the clusters that run at once: the machine is shared.
+var limit = make(chan struct{}, 4)
+
+// Start starts a cluster and waits until every process is up and the records are
+// in force. Everything ends with the test.
+func Start(t testing.TB, o Options) *Cluster {
+	t.Helper()
+	limit <- struct{}{}
+	t.Cleanup(func() { <-limit })
+	c := &Cluster{t: t, options: o, host: newHost(), dir: t.TempDir(), orgs: o.Organisations, Revisions: map[string]uint64{}}
+	if c.orgs == nil {
+		c.orgs = []Organisation{Foodbank, Hospice}
+	}
+	c.startPlatform()
+	c.publishAll()
+	for i := range o.Engines {
+		c.Endpoints = append(c.Endpoints, c.addEndpoint(fmt.Sprintf("endpoint-%d", i), "engine"))
+	}
+	for i := range o.Services {
+		c.Services = append(c.Services, c.addEndpoint(fmt.Sprintf("service-%d", i), "service"))
+	}
+	for i := range o.Entries {
+		c.Entries = append(c.Entries, c.addEntry(fmt.Sprintf("entry-%d", i)))
+	}
+	for _, n := range c.Nodes() {
+		c.AwaitUp(n)
+	}
+	c.awaitServing()
+	return c
+}
+
+// Nodes returns all daemons.
+func (c *Cluster) Nodes() []*Node {
+	nodes := append([]*Node{}, c.Endpoints...)
+	nodes = append(nodes, c.Services...)
+	return append(nodes, c.Entries...)
+}
+
+func (c *Cluster) startPlatform() {
+	address := freeAddress(c.t, c.host)
+	args := []string{Program(c.t, "skylark-standin"), "platform", "--listen", address, "--lag", c.options.Lag.String()}
+	c.Platform = &Backend{
+		Process: StartProcess(c.t, "platform", append(args, c.options.PlatformArgs...)...),
+		Address: address,
+	}
+	c.awaitListening(c.Platform)
+}
+
+func (c *Cluster) awaitListening(b *Backend) {
+	c.t.Helper()
+	Await(c.t, b.Name+" to listen", func() bool {
+		conn, err := net.Dial("tcp", b.Address)
+		if err != nil {
+			return false
+		}
+		conn.Close()
+		return true
+	})
+}
+
+func (c *Cluster) addEndpoint(id, kind string) *Node {
+	s := c.newSettings(id, "endpoint")
+	n := &Node{ID: id, Settings: s, Engine: c.startBackend(id, kind)}
+	n.Backend = c.Proxy(n.Engine.Address)
+	group := Group
+	if kind == "service" {
+		group = ServiceGroup
+	}
+	s.Endpoint = &settings.Endpoint{
+		Group:                  group,
+		Kind:                   kind,
+		Backend:                "http://" + n.Backend.Address(),
+		MaxRunning:             settings.DefaultMaxRunning,
+		MaxQueue:               settings.DefaultMaxQueue,
+		SmallReserve:           settings.DefaultSmallReserve,
+		PrefillTokensPerSecond: settings.DefaultPrefillRate,
+		DecodeTokenTime:        settings.DefaultDecodeTime,
+		CacheTokens:            settings.DefaultCacheTokens,
+		Heartbeat:              settings.Duration(200 * time.Millisecond),
+		SuspectAfter:           settings.Duration(time.Second),
+	}
+	c.startNode(n)
+	return n
+}
+
+func (c *Cluster) startBackend(id, kind string) *Backend {
+	address := freeAddress(c.t, c.host)
+	args := []string{Program(c.t, "skylark-standin"), kind, "--listen", address}
+	if kind == "engine" {
+		args = append(args, "--model", Model, "--version", Version, "--platform", "http://"+c.Platform.Address)
+		args = append(args, c.options.EngineArgs...)
+	}
+	b := &Backend{Process: StartProcess(c.t, kind+" of "+id, args...), Address: address}
+	c.awaitListening(b)
+	return b
+}
+
+func (c *Cluster) addEntry(id string) *Node {
+	s := c.newSettings(id, "entry")
+	s.Entry = &settings.Entry{
+		Listen:         freeAddress(c.t, c.host),
+		MaxBody:        settings.DefaultMaxBody,
+		HedgeAfter:     settings.DefaultHedgeAfter,
+		ResumeGrace:    settings.DefaultResumeGrace,
+		RequestTimeout: settings.Duration(30 * time.Second),
+		RetryShare:     settings.DefaultRetryShare,
+		Policy:         settings.DefaultPolicy,
+	}
+	n := &Node{ID: id, Settings: s}
+	c.startNode(n)
+	return n
+}
+
+func (c *Cluster) newSettings(id, role string) *settings.Settings {
+	return &settings.Settings{
+		ID:            id,
+		Role:          role,
+		FailureDomain: "hobart-a",
+		Listen:        freeAddress(c.t, c.host),
+		FleetKey:      fleetKey,
+		LogLevel:      "debug",
+		Platform:      settings.Platform{Retention: settings.DefaultRetention},
+	}
+}
+
+func (c *Cluster) startNode(n *Node) {
+	s := n.Settings
+	n.Peer = c.Proxy(s.Listen)
+	s.Advertise = n.Peer.Address()
+	n.Platform = c.Proxy(c.Platform.Address)
+	s.Platform.Log = "http://" + n.Platform.Address()
+	s.Platform.Instances = s.Platform.Log
+	if c.options.Settings != nil {
+		c.options.Settings(s)
+	}
+	file := filepath.Join(c.dir, n.ID+".json")
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err == nil {
+		err = os.WriteFile(file, data, 0o600)
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.Register(n, platform.StateLive)
+	n.Process = StartProcess(c.t, n.ID, Program(c.t, "skylarkd"), "--config", file)
+}
+
+// Proxy starts a fault proxy before target.
+func (c *Cluster) Proxy(target string) *faultproxy.Proxy {
+	c.t.Helper()
+	p, err := faultproxy.Listen(c.host+":0", target)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(p.Close)
+	return p
+}
+
+// AwaitUp waits until a daemon answers on its listening address.
+func (c *Cluster) AwaitUp(n *Node) {
+	c.t.Helper()
+	Await(c.t, n.ID+" to be up", func() bool {
+		return getOK("http://" + n.Settings.Listen + "/healthz")
+	})
+}
+
+// Caller returns an organisation's caller at an entry.
+func (c *Cluster) Caller(entry *Node, o Organisation) Caller {
+	return Caller{URL: "http://" + entry.Settings.Entry.Listen, Key: o.Key}
+}
+
+// ByID returns the daemon of this ID, or nil.
+func (c *Cluster) ByID(id string) *Node {
+	for _, n := range c.Nodes() {
+		if n.ID == id {
+			return n
+		}
+	}
+	return nil
+}
+
+// EndpointOf returns the endpoint that the answer's X-Executor names.
+func (c *Cluster) EndpointOf(a Answer) *Node {
+	c.t.Helper()
+	id, _, _ := strings.Cut(a.Executor, "/")
+	n := c.ByID(id)
+	if n == nil {
+		c.t.Fatalf("no endpoint %q", a.Executor)
+	}
+	return n
+}
--- /dev/null
+++ b/test/harness/control.go
@@ -0,0 +1,100 @@
+package harness
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"skylarklead/internal/platform"
+	"skylarklead/internal/standin/engine"
+	"skylarklead/internal/standin/service"
+)
+
+func getOK(url string) bool {
+	resp, err := httpClient.Get(url)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// request sends JSON to a stand-in and decodes its answer into out, if not nil.
+func request(method, url string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := httpClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("%s %s: %s: %s", method, url, resp.Status, data)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(data, out)
+}
+
+// Control merges faults into a stand-in.
+func (c *Cluster) Control(b *Backend, faults map[string]any) {
+	c.t.Helper()
+	if err := request(http.MethodPost, "http://"+b.Address+"/control", faults, nil); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// Account returns an engine's own account.
+func (c *Cluster) Account(b *Backend) (account engine.Account) {
+	c.t.Helper()
+	if err := request(http.MethodGet, "http://"+b.Address+"/control/account", nil, &account); err != nil {
+		c.t.Fatal(err)
+	}
+	return account
+}
+
+// Runs returns a service's own count of runs.
+func (c *Cluster) Runs(b *Backend) (runs service.Runs) {
+	c.t.Helper()
+	if err := request(http.MethodGet, "http://"+b.Address+"/control/runs", nil, &runs); err != nil {
+		c.t.Fatal(err)
+	}
+	return runs
+}
+
+// Register puts a daemon on the true instance list. What processes are shown
+// lags by Options.Lag.
+func (c *Cluster) Register(n *Node, state string) {
+	c.t.Helper()
+	instance := platform.Instance{
+		ID:            n.ID,
+		Role:          n.Settings.Role,
+		Address:       n.Settings.Advertise,
+		FailureDomain: n.Settings.FailureDomain,
+		State:         state,
+	}
+	if n.Settings.Endpoint != nil {
+		instance.Group = n.Settings.Endpoint.Group
+	}
+	now := ""
+	if n.Process == nil {
+		now = "?now=1" // the fleet of the cluster's start is shown at once
+	}
+	url := "http://" + c.Platform.Address + "/control/instances/" + n.ID + now
+	if err := request(http.MethodPut, url, instance, nil); err != nil {
+		c.t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/test/harness/records.go
@@ -0,0 +1,89 @@
+package harness
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"skylarklead/internal/config"
+	"skylarklead/internal/platform"
+)
+
+// configStream is the log's stream of configuration records.
+const configStream = "config"
+
+// Record returns a record of schema 2 with this body.
+func Record(kind config.Kind, key string, base uint64, body any) config.Record {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // bodies are maps of strings and numbers
+	}
+	return config.Record{Schema: 2, Kind: kind, Key: key, Base: base, Operator: "proof", Body: data}
+}
+
+// ModelRecord returns the record that gives the cluster's model a version.
+func ModelRecord(base uint64, version string) config.Record {
+	return Record(config.KindModel, Model, base, map[string]any{
+		"group": Group, "versions": []string{"v1", "v2"}, "version": version, "max_tokens": 4096,
+	})
+}
+
+// Record returns o's record.
+func (o Organisation) Record(base uint64) config.Record {
+	digest := sha256.Sum256([]byte(o.Key))
+	return Record(config.KindOrganisation, o.ID, base, map[string]any{
+		"key_digests":  []string{hex.EncodeToString(digest[:])},
+		"models":       []map[string]any{{"name": Model}},
+		"services":     []string{Service},
+		"instructions": o.Instructions,
+	})
+}
+
+// Publish appends a record straight to the platform and returns its offset.
+func (c *Cluster) Publish(r config.Record) uint64 {
+	c.t.Helper()
+	data, err := r.Encode()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	log := platform.NewLog("http://" + c.Platform.Address)
+	defer log.Close()
+	offset, err := log.Append(context.Background(), configStream, [][]byte{data})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return offset
+}
+
+// publishAll publishes what every cluster has.
+func (c *Cluster) publishAll() {
+	for _, group := range []string{Group, ServiceGroup} {
+		c.Publish(Record(config.KindGroup, group, 0, map[string]any{"load_permits": 3}))
+	}
+	c.Publish(ModelRecord(0, Version))
+	c.Publish(Record(config.KindService, Service, 0, map[string]any{
+		"group": ServiceGroup, "repeatable": []string{"/balance"}, "key_required": []string{"/pay"},
+	}))
+	for _, o := range c.orgs {
+		c.Revisions[o.ID] = c.Publish(o.Record(0))
+	}
+}
+
+// awaitServing waits until every entry serves the last organisation.
+func (c *Cluster) awaitServing() {
+	c.t.Helper()
+	last := c.orgs[len(c.orgs)-1]
+	for _, entry := range c.Entries {
+		for _, n := range c.Endpoints[:min(1, len(c.Endpoints))] {
+			Await(c.t, entry.ID+" to serve by "+n.ID, func() bool {
+				return c.Caller(entry, last).Chat(context.Background(), Ask("ready", 1)).Ended
+			})
+		}
+		for _, n := range c.Services[:min(1, len(c.Services))] {
+			Await(c.t, entry.ID+" to serve by "+n.ID, func() bool {
+				return c.Caller(entry, last).Call(context.Background(), "/balance", "ready", "").Ended
+			})
+		}
+	}
+}
