--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -128,6 +128,7 @@
 			e.tel.Log.Warn("peer cut off", "remote", r.RemoteAddr, "error", err)
 		}
 	})
+	r.HandleFunc("/healthz", e.healthz).Methods(http.MethodGet, http.MethodHead)
 	return &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
