--- a/internal/admit/core.go
+++ b/internal/admit/core.go
@@ -25,6 +25,7 @@
 	entries   map[ID]*entry
 	room      *KVRoom
 	speed     speed
+	present   present
 	seq       uint64
 	running   int
 	exclusive bool
@@ -33,6 +34,9 @@
 	// prompt tokens of the waiting ones.
 	outstanding int
 	uncached    int
+	// prefillUntil is when the engine will have computed the prompts that it has
+	// been given; it computes them one after another.
+	prefillUntil time.Duration
 }
 
 // NewCore returns a Core with nothing waiting or running.
@@ -126,20 +130,25 @@
 
 // Summary is the admission's part of a load summary.
 type Summary struct {
-	Running       int
-	Queued        int
-	QueuedTokens  int
-	DecodeTokens  int
-	Saturated     bool
+	Running int
+	Queued  int
+	// QueuedTokens are the prompt tokens still to be computed, of waiting items
+	// and, by estimate, of running ones.
+	QueuedTokens int
+	// DecodeTokens are the expected output tokens of all items.
+	DecodeTokens int
+	Saturated    bool
+	// Organisations is how many have items waiting.
 	Organisations int
 }
 
-// Summary returns the present load.
+// Summary returns the load as of the last event.
 func (c *Core) Summary() Summary {
+	prefilling := c.backlog(c.speed.at).Seconds() * c.params.PrefillTokensPerSecond
 	return Summary{
 		Running:       c.running,
 		Queued:        c.queue.length,
-		QueuedTokens:  c.uncached,
+		QueuedTokens:  c.uncached + int(prefilling),
 		DecodeTokens:  c.outstanding,
 		Saturated:     c.queue.length > 0 && c.running >= c.params.MaxRunning-c.params.reserved(),
 		Organisations: len(c.queue.waiting),
@@ -155,6 +164,7 @@
 	if e.expected <= 0 {
 		e.expected = int(mean)
 	}
+	e.latestStart = c.latestStart(now, e, mean+serviceMargin*deviation)
 	e.kv = demand{
 		prompt:    item.UncachedTokens,
 		most:      item.MaxTokens,
@@ -168,6 +178,7 @@
 func (c *Core) add(e *entry) {
 	c.entries[e.item.ID] = e
 	c.queue.push(e)
+	c.present.update(e.org)
 	c.outstanding += e.expected
 	c.uncached += e.item.UncachedTokens
 }
@@ -176,6 +187,7 @@
 func (c *Core) drop(e *entry) {
 	delete(c.entries, e.item.ID)
 	c.queue.remove(e)
+	c.present.update(e.org)
 	c.outstanding -= e.expected
 	c.uncached -= e.item.UncachedTokens
 }
@@ -183,35 +195,35 @@
 // dispatch starts all that may start and appends it to actions.
 func (c *Core) dispatch(now time.Duration, actions []Action) []Action {
 	c.speed.advance(now, c.busy())
-	for c.running < c.params.MaxRunning && !c.exclusive {
-		o := c.queue.next(c.mayRun)
+	for c.queue.length > 0 && c.running < c.params.MaxRunning && !c.exclusive {
+		shares := c.shares(now)
+		o := c.queue.next(func(o *organisation) bool { return c.mayRun(&shares, o) })
 		if o == nil {
 			return actions
 		}
-		e := c.fitting(o)
+		e := c.fitting(&shares, o)
 		if e == nil {
 			return actions
 		}
-		actions = append(actions, c.start(now, e))
+		actions = append(actions, c.start(now, e, shares.light(e.org)))
 	}
 	return actions
 }
 
 // mayRun reports whether an organisation may take another place. The last
-// reserved places are only for organisations that have few: were they open to
-// all, one organisation's backlog would fill every place with long answers, and
-// a small one's request would wait for one of them to end although the queue
-// is fair.
-func (c *Core) mayRun(o *organisation) bool {
-	reserved := c.params.reserved()
+// reserved places are only for those that use less than their share: were they
+// open to all, one organisation's backlog would fill every place with long
+// answers, and a small one's request would wait for one of them to end although
+// the queue is fair.
+func (c *Core) mayRun(s *shares, o *organisation) bool {
 	free := c.params.MaxRunning - c.running
-	return free > reserved || o.running < reserved
+	return free > c.params.reserved() || s.light(o)
 }
 
 // fitting returns the item to start when o is due: its head, or the head of an
 // organisation that uses little when o's has no KV room. It returns nil when all
 // must wait.
-func (c *Core) fitting(o *organisation) *entry {
+func (c *Core) fitting(s *shares, o *organisation) *entry {
 	head := o.queue[0]
 	if head.item.Exclusive {
 		if c.running > 0 {
@@ -227,8 +239,7 @@
 	}
 	other := c.queue.next(func(other *organisation) bool {
 		e := other.queue[0]
-		return other != o && c.mayRun(other) && other.running < c.params.reserved() &&
-			!e.item.Exclusive && c.room.Fits(e.kv)
+		return other != o && s.light(other) && !e.item.Exclusive && c.room.Fits(e.kv)
 	})
 	if other == nil {
 		return nil
@@ -237,31 +248,41 @@
 	return other.queue[0]
 }
 
-func (c *Core) start(now time.Duration, e *entry) Action {
-	reason := reasonFree
+func (c *Core) start(now time.Duration, e *entry, light bool) Action {
+	a := Start{ID: e.item.ID, Waited: now - e.arrived, Reason: reasonFree, EnginePriority: PriorityHeavy}
+	if light {
+		a.EnginePriority = PriorityLight
+	}
 	if c.params.MaxRunning-c.running <= c.params.reserved() {
-		reason = reasonReserve
+		a.Reason = reasonReserve
 	}
 	if e.item.Exclusive {
 		c.exclusive = true
-		reason = reasonAlone
+		a.Reason = reasonAlone
 	}
 	c.queue.charge(e)
 	c.queue.remove(e)
 	c.uncached -= e.item.UncachedTokens
+	c.prefillUntil = now + c.backlog(now) + duration(c.params.prefill(e.item.UncachedTokens))
 	e.running = true
-	e.org.running++
 	c.running++
 	c.room.Add(e.kv)
-	return Start{e.item.ID, now - e.arrived, reason}
+	c.setRunning(now, e.org, e.org.running+1)
+	return a
+}
+
+func (c *Core) setRunning(now time.Duration, o *organisation, running int) {
+	o.running = running
+	o.use.set(now, running)
+	c.present.update(o)
 }
 
 // stop forgets a running entry.
 func (c *Core) stop(now time.Duration, e *entry) {
 	c.speed.advance(now, c.busy())
 	delete(c.entries, e.item.ID)
-	e.org.running--
 	c.running--
+	c.setRunning(now, e.org, e.org.running-1)
 	c.outstanding -= e.expected
 	c.room.Remove(e.kv)
 	if e.item.Exclusive {
@@ -269,5 +290,8 @@
 	}
 }
 
+// backlog is how long the engine will compute the prompts that it has.
+func (c *Core) backlog(now time.Duration) time.Duration { return max(0, c.prefillUntil-now) }
+
 // busy reports whether the engine is kept as busy as admission lets it be.
 func (c *Core) busy() bool { return c.queue.length > 0 }
--- a/internal/admit/kv.go
+++ b/internal/admit/kv.go
@@ -116,10 +116,13 @@
 	l.variance = (1 - share) * (l.variance + share*delta*delta)
 }
 
+// known reports whether enough outputs were seen.
+func (l *lengths) known() bool { return l.seen >= lengthsTrust }
+
 // expect returns the expected output and its deviation. Before enough outputs
 // are seen it is half of the bound, with a quarter as deviation.
 func (l *lengths) expect(most int) (mean, deviation float64) {
-	if l.seen < lengthsTrust {
+	if !l.known() {
 		return float64(most) / 2, float64(most) / 4
 	}
 	mean = l.mean
--- a/internal/admit/property_test.go
+++ b/internal/admit/property_test.go
@@ -238,7 +238,9 @@
 			break
 		}
 	}
-	if s := b.core.Summary(); s.DecodeTokens != 0 || s.QueuedTokens != 0 || b.core.queue.cost != 0 {
+	b.now += time.Hour // past the estimated end of any prefill
+	b.take(b.core.Tick(b.now))
+	if s := b.core.Summary(); s != (Summary{}) || b.core.queue.cost != 0 || len(b.core.present.list) != 0 {
 		b.t.Fatalf("left over: %+v, cost %f", s, b.core.queue.cost)
 	}
 }
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -18,6 +18,8 @@
 	running  bool
 	bypassed int
 	kv       demand
+	// latestStart is when it must have started to make its deadline.
+	latestStart time.Duration
 }
 
 func compareEntries(a, b *entry) int {
@@ -34,6 +36,7 @@
 	queue   []*entry // by priority, then arrival
 	queued  float64  // cost of queue, ms
 	running int
+	use     use
 	// start is the virtual time at which its next item is due.
 	start float64
 	// served numbers its last start among all.
--- a/internal/admit/shed.go
+++ b/internal/admit/shed.go
@@ -34,7 +34,7 @@
 // go elsewhere.
 func (c *Core) shed(now time.Duration, e *entry, actions []Action) []Action {
 	wait := c.expectedWait(e)
-	if e.item.Deadline > 0 && now+wait+duration(c.params.prefill(e.item.UncachedTokens)) > e.item.Deadline {
+	if now+wait+c.backlog(now) > e.latestStart {
 		c.drop(e)
 		return append(actions, c.refusal(e, wire.CodeDeadline, "the queue is longer than its deadline"))
 	}
@@ -50,6 +50,28 @@
 	return append(actions, c.refusal(victim, wire.CodeOverloaded, "the queue is full; its organisation has most waiting"))
 }
 
+// serviceMargin is how many standard deviations over the mean an output may be
+// for an item still to make its deadline. Past saturation every item starts about
+// as late as it may; with no margin, half of them would end too late and their
+// work would be for nothing.
+const serviceMargin = 2
+
+// latestStart is when an item with an output of likely tokens must start. It may
+// always wait for half of its time: the length is an estimate, and one that is
+// much too long would otherwise refuse all that could correct it.
+func (c *Core) latestStart(now time.Duration, e *entry, likely float64) time.Duration {
+	deadline := e.item.Deadline
+	if deadline <= 0 {
+		return math.MaxInt64
+	}
+	prefill := duration(c.params.prefill(e.item.UncachedTokens))
+	service := prefill
+	if e.org.output.known() {
+		service += duration(likely * ms(c.params.DecodeTokenTime))
+	}
+	return deadline - max(prefill, min(service, (deadline-now)/2))
+}
+
 // victim is the least urgent item of the organisation with most work waiting for
 // its weight.
 func (c *Core) victim() *entry {
@@ -91,14 +113,12 @@
 	return min(maxRetryAfter, max(minRetryAfter, drain))
 }
 
-// late returns the waiting entries that can't have a first token by their
-// deadline even if they start now.
+// late returns the waiting entries that are too late to start.
 func (c *Core) late(now time.Duration) []*entry {
 	var late []*entry
 	for _, o := range c.queue.waiting {
 		for _, e := range o.queue {
-			first := now + duration(c.params.prefill(e.item.UncachedTokens))
-			if e.item.Deadline > 0 && first > e.item.Deadline {
+			if now > e.latestStart {
 				late = append(late, e)
 			}
 		}
--- a/internal/admit/types.go
+++ b/internal/admit/types.go
@@ -52,8 +52,18 @@
 	Waited time.Duration
 	// Reason is why it could start, for the decision's log line.
 	Reason string
+	// EnginePriority is the priority to hand it to the engine with, lower is
+	// sooner. It is by the organisation's use, not by what the caller wished: a
+	// caller's priority orders its own organisation's items only.
+	EnginePriority int
 }
 
+// Engine priorities of organisations within and over their share.
+const (
+	PriorityLight = 0
+	PriorityHeavy = 1
+)
+
 // Refuse ends an item that has not run and will not.
 type Refuse struct {
 	ID         ID
@@ -70,8 +80,8 @@
 	MaxRunning int
 	MaxQueue   int
 	// SmallReserve is the share of running places and of the queue kept for
-	// organisations that use little, 0 to 1. The reserved places stay empty
-	// while only large ones wait: that is its price.
+	// organisations that use less than their share, 0 to 1. The reserved places
+	// stay empty while only others wait: that is its price.
 	SmallReserve float64
 	// PrefillTokensPerSecond and DecodeTokenTime turn tokens into engine time.
 	PrefillTokensPerSecond float64
--- a/internal/cachemap/roots.go
+++ b/internal/cachemap/roots.go
@@ -22,8 +22,8 @@
 	version uint64 // when its residency last changed
 }
 
-// roots are the levels that requests here have named, least recently named last
-// to be remembered.
+// roots are the levels that requests here have named, the least recently named
+// forgotten first.
 type roots struct {
 	max     int
 	index   map[prefix.Hash]*list.Element
@@ -35,15 +35,10 @@
 	return roots{max: most, index: make(map[prefix.Hash]*list.Element), recent: list.New()}
 }
 
-func (r *roots) track(owner uint64, levels []prefix.Level) {
-	var parent prefix.Hash
-	for _, l := range levels {
-		r.trackOne(owner, l, parent)
-		parent = l.Hash
-	}
-}
-
-func (r *roots) trackOne(owner uint64, l prefix.Level, parent prefix.Hash) {
+// trackOne remembers a level. One that isn't resident yet is only reported once
+// it is: its owner, who has just sent the request, must not be told that the
+// blocks are missing when they are about to be computed.
+func (r *roots) trackOne(owner uint64, l prefix.Level, parent prefix.Hash, resident bool) {
 	if at, ok := r.index[l.Hash]; ok {
 		r.recent.MoveToFront(at)
 		return
@@ -53,8 +48,12 @@
 		delete(r.index, last.Value.(*root).level.Hash)
 		r.recent.Remove(last)
 	}
-	r.version++
-	r.index[l.Hash] = r.recent.PushFront(&root{l, parent, owner, r.version})
+	var version uint64
+	if resident {
+		r.version++
+		version = r.version
+	}
+	r.index[l.Hash] = r.recent.PushFront(&root{l, parent, owner, version})
 }
 
 // changed notes that the block h came or went.
@@ -74,7 +73,14 @@
 
 // Track remembers the levels of a request that came here. Owner is its
 // rendezvous key (route.OwnerKey).
-func (p *Picture) Track(owner uint64, levels []prefix.Level) { p.roots.track(owner, levels) }
+func (p *Picture) Track(owner uint64, levels []prefix.Level) {
+	var parent prefix.Hash
+	for _, l := range levels {
+		_, resident := p.blocks[l.Hash]
+		p.roots.trackOne(owner, l, parent, resident)
+		parent = l.Hash
+	}
+}
 
 // RootVersion is the version to ask RootsSince for changes from now on.
 func (p *Picture) RootVersion() uint64 { return p.roots.version }
@@ -90,7 +96,7 @@
 		}
 		tokens := p.rootTokens(r)
 		if version == 0 && tokens == 0 {
-			continue
+			continue // a full report lists only what is there
 		}
 		changed = append(changed, Root{r.owner, wire.Resident{Hash: r.level.Hash, Tokens: tokens}})
 	}
--- a/internal/route/decide.go
+++ b/internal/route/decide.go
@@ -144,12 +144,12 @@
 // pick chooses among the candidates that are left.
 func (r *Router) pick(now time.Duration, rng *rand.Rand, q *Query, endpoints []Endpoint) (int, string) {
 	best := r.best(rng, func(*candidate) bool { return true })
+	if best >= 0 && q.Suspect {
+		return r.quietest(endpoints), reasonSuspect
+	}
 	if best < 0 || len(q.Levels) == 0 {
 		return best, reasonLoad
 	}
-	if q.Suspect {
-		return r.quietest(endpoints), reasonSuspect
-	}
 	if r.holders() == 0 {
 		if inShare := r.best(rng, func(c *candidate) bool { return !c.full }); inShare >= 0 {
 			return inShare, reasonNew
@@ -163,7 +163,7 @@
 // grow, or the best of them would cost more than another endpoint by a wide
 // margin.
 func (r *Router) amongHolders(now time.Duration, rng *rand.Rand, q *Query, endpoints []Endpoint) (int, string) {
-	h := r.heat(r.keyNode(q))
+	h := r.heat(now, r.keyNode(q))
 	inUse := r.activate(q, h, endpoints)
 	held := r.best(rng, func(c *candidate) bool { return c.active })
 	other := r.best(rng, func(c *candidate) bool { return !c.active && !c.full })
@@ -174,7 +174,7 @@
 	h.observe(now, &r.params, view{
 		held:    inUse,
 		wait:    here.wait,
-		saving:  here.wait - there.wait,
+		other:   there.wait,
 		copying: there.copying - here.copying,
 		work:    r.engineMs(q, here.cached),
 	})
@@ -191,10 +191,10 @@
 // for a single request to leave the holder set.
 const spillFactor = 2
 
-func (r *Router) heat(n int32) *heat {
+func (r *Router) heat(now time.Duration, n int32) *heat {
 	h := r.table.heats[n]
 	if h == nil {
-		h = &heat{holders: 1}
+		h = &heat{holders: 1, wait: smooth{at: now}}
 		r.table.heats[n] = h
 	}
 	return h
--- a/internal/route/heat.go
+++ b/internal/route/heat.go
@@ -28,6 +28,22 @@
 	return m.read(now, halfLife) * math.Ln2 / halfLife.Seconds()
 }
 
+// smooth is a value smoothed over waitMemory. A prefix that is just being
+// computed makes those behind it wait for a moment; a copy made for that would
+// be ready no sooner.
+type smooth struct {
+	value float64
+	at    time.Duration
+}
+
+const waitMemory = 500 * time.Millisecond
+
+func (s *smooth) add(now time.Duration, v float64) {
+	share := 1 - math.Exp(-float64(now-s.at)/float64(waitMemory))
+	s.value += max(0, share) * (v - s.value)
+	s.at = now
+}
+
 // heat is how hot one prefix is and how many endpoints are to hold it.
 //
 // A holder is added when the wait at the best one is over a threshold and a new
@@ -38,6 +54,7 @@
 type heat struct {
 	work      meter // milliseconds of engine time
 	requests  meter
+	wait      smooth // milliseconds, at the best holder
 	holders   int
 	changedAt time.Duration
 	lowSince  time.Duration
@@ -49,7 +66,7 @@
 type view struct {
 	held    int     // holders in use
 	wait    float64 // at the best of them
-	saving  float64 // of that wait, if the request went to a new holder
+	other   float64 // wait at the best of the rest
 	copying float64 // cost of a new copy, harm included
 	work    float64 // engine time of the request
 }
@@ -58,13 +75,13 @@
 func (h *heat) observe(now time.Duration, p *Params, v view) {
 	h.work.add(now, p.HeatHalfLife, v.work)
 	h.requests.add(now, p.HeatHalfLife, 1)
-	h.holders = max(h.holders, 1)
-	if v.wait > ms(p.WidenWait) {
+	h.wait.add(now, v.wait)
+	if h.wait.value > ms(p.WidenWait) {
 		h.low = false
 		h.widen(now, p, v)
 		return
 	}
-	if v.wait > ms(p.NarrowWait) {
+	if h.wait.value > ms(p.NarrowWait) {
 		h.low = false
 		return
 	}
@@ -84,7 +101,7 @@
 		return
 	}
 	expected := h.requests.rate(now, p.HeatHalfLife) * p.CacheHorizon.Seconds()
-	if expected*v.saving <= v.copying {
+	if expected*(h.wait.value-v.other) <= v.copying {
 		return
 	}
 	h.holders++
--- a/internal/route/heat_test.go
+++ b/internal/route/heat_test.go
@@ -33,7 +33,7 @@
 	return computed
 }
 
-func activeHolders(r *Router) int { return r.heat(r.keyNode(query(1))).holders }
+func activeHolders(r *Router) int { return r.heat(0, r.keyNode(query(1))).holders }
 
 // Symptom: an appeal's callers wait at one endpoint while others idle.
 // Sequence: a prefix gets hot; its only holder's queue grows.
@@ -118,6 +118,45 @@
 	}
 }
 
+// Symptom: each new prefix is computed at two engines.
+// Sequence: a request is sent to an engine; a report that the engine lacks its
+// prefix, made before the request came there, arrives; the next request follows.
+// Cause: the report is taken for newer than the decision.
+func TestReportOlderThanDecisionDoesNotWithdraw(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		r, rng, endpoints := NewRouter(Params{}), newRand(), group(8)
+		q := query(1)
+		first := r.Decide(10*time.Second, rng, q, endpoints)
+		report := Advertised{Endpoint: first.Executor, Epoch: first.Epoch, Incarnation: "i1", Full: full}
+		if !full {
+			report.Residents = []wire.Resident{{Hash: q.Levels[0].Hash}, {Hash: q.Levels[1].Hash}}
+		}
+		r.Advertised(10*time.Second+200*time.Millisecond, report)
+		got := r.Decide(10*time.Second+300*time.Millisecond, rng, q, endpoints)
+		if got.Executor != first.Executor {
+			t.Errorf("full %v: the second went to %s, the first to %s", full, got.Executor, first.Executor)
+		}
+		r.Advertised(20*time.Second, report)
+		if held := r.Table().Holds(20*time.Second, first.Executor, q.Levels[1].Hash); held != 0 {
+			t.Errorf("full %v: still holds %d tokens after a later report", full, held)
+		}
+	}
+}
+
+// Symptom: a new prefix is computed at two engines as soon as it gets busy.
+// Sequence: some requests for it come while the first of them is computing it.
+// Cause: the wait for that is taken for a queue that stays.
+func TestPrefixBeingComputedDoesNotWiden(t *testing.T) {
+	r, rng, endpoints := NewRouter(Params{}), newRand(), group(8)
+	used := map[string]bool{}
+	for i := range 20 {
+		used[r.Decide(time.Second+time.Duration(i)*10*time.Millisecond, rng, query(1), endpoints).Executor] = true
+	}
+	if len(used) != 1 {
+		t.Errorf("computed at %d engines", len(used))
+	}
+}
+
 func TestPendingTracksWhatIsInService(t *testing.T) {
 	tests := []struct {
 		name     string
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -25,6 +25,7 @@
 // holder says that the engine of a slot holds tokens of a node in a row.
 type holder struct {
 	at        uint32 // milliseconds, when confirmed or predicted
+	decided   uint32 // milliseconds, when a request was last sent there
 	tokens    int32
 	next      int32
 	slot      uint16
@@ -104,7 +105,7 @@
 	if h.confirmed {
 		life = t.params.ConfirmedLife
 	}
-	age := uint32(now/time.Millisecond) - h.at
+	age := millis(now) - h.at
 	return time.Duration(age)*time.Millisecond <= life
 }
 
@@ -288,7 +289,7 @@
 	}
 	h.tokens = int32(tokens)
 	h.confirmed = confirmed
-	h.at = uint32(now / time.Millisecond)
+	h.at = millis(now)
 }
 
 func (t *Table) newHolder() int32 {
@@ -322,13 +323,15 @@
 		n := t.touch(organisation, l, parent)
 		t.expire(now, n)
 		parent = l.Tokens
-		if h := t.find(n, s); h != nil && h.confirmed && int(h.tokens) >= l.Tokens && t.live(now, h) {
-			continue
+		if h := t.find(n, s); h == nil || !h.confirmed || int(h.tokens) < l.Tokens {
+			t.setHolder(now, n, s, l.Tokens, false)
 		}
-		t.setHolder(now, n, s, l.Tokens, false)
+		t.find(n, s).decided = millis(now)
 	}
 }
 
+func millis(now time.Duration) uint32 { return uint32(now / time.Millisecond) }
+
 // sweepNodes is how many of the oldest nodes one decision looks at.
 const sweepNodes = 4
 
@@ -383,35 +386,40 @@
 // ones are added too, so that a restarted owner learns what its group holds.
 func (t *Table) advertised(now time.Duration, s uint16, a Advertised) {
 	if a.Full {
-		t.withdraw(now, s)
+		for n := t.newest; n != none; n = t.nodes[n].next {
+			t.withdraw(now, n, s)
+		}
 	}
 	for _, r := range a.Residents {
 		n, ok := t.index[r.Hash]
-		if !ok {
-			if r.Tokens == 0 {
-				continue
-			}
+		switch {
+		case r.Tokens > 0 && !ok:
 			n = t.touch(0, prefix.Level{Hash: r.Hash, Tokens: r.Tokens}, 0)
+			t.setHolder(now, n, s, r.Tokens, true)
+		case r.Tokens > 0:
+			t.setHolder(now, n, s, r.Tokens, true)
+		case ok:
+			t.withdraw(now, n, s)
 		}
-		t.setHolder(now, n, s, r.Tokens, true)
 	}
 }
 
-// withdraw removes what slot s was believed to hold, but for fresh predictions:
-// the requests behind those had not reached the engine when it reported.
-func (t *Table) withdraw(now time.Duration, s uint16) {
-	fresh := uint32(freshPrediction / time.Millisecond)
-	for n := t.newest; n != none; n = t.nodes[n].next {
-		h := t.find(n, s)
-		if h == nil {
-			continue
-		}
-		if !h.confirmed && uint32(now/time.Millisecond)-h.at < fresh {
-			continue
-		}
-		t.setHolder(now, n, s, 0, false)
+// withdraw takes a slot's word that it doesn't hold a node, unless a request for
+// it was sent there a moment ago: the report is then older than the request,
+// which brings the blocks back. Taking it would send the next request for a new
+// prefix to another engine, which would compute it a second time.
+func (t *Table) withdraw(now time.Duration, n int32, s uint16) {
+	h := t.find(n, s)
+	if h == nil {
+		return
+	}
+	if time.Duration(millis(now)-h.decided)*time.Millisecond < freshDecision && h.decided > 0 {
+		h.confirmed = false
+		return
 	}
+	t.setHolder(now, n, s, 0, false)
 }
 
-// freshPrediction is how long a prediction stands against a full report.
-const freshPrediction = 3 * time.Second
+// freshDecision is how long a decision stands against a report to the contrary:
+// the age of a report and the time to compute a prompt.
+const freshDecision = 2500 * time.Millisecond
