Endpoint: idempotency keys by claims on the log

A leaving endpoint still takes keyed runs to their claim: that it refuses a new sending does not tell that the key never ran. Taking a lost append answer for no append did NOT fail TestKeyRunsOnceInTheGroup: the process's second claim of the key is void either way; the test shows the outcome, not that branch.

--- a/internal/endpoint/admission.go
+++ b/internal/endpoint/admission.go
@@ -145,6 +145,9 @@
 func (e *Endpoint) withdraw(a *execution) {
 	switch a.phase {
 	case phaseWaiting:
+		if key, ok := keyDigest(a.run.Key); ok {
+			e.claims.once.Withdraw(key, a.id)
+		}
 		e.perform(e.admission.Cancel(e.now(), a.id))
 	case phaseHeld:
 		e.held = slices.DeleteFunc(e.held, func(b *execution) bool { return a == b })
--- a/internal/endpoint/config.go
+++ b/internal/endpoint/config.go
@@ -25,8 +25,8 @@
 	state atomic.Pointer[config.State]
 }
 
-func newLogTail(base string) *logTail {
-	t := &logTail{log: platform.NewLog(base)}
+func newLogTail(log *platform.Log) *logTail {
+	t := &logTail{log: log}
 	t.state.Store(config.NewState())
 	return t
 }
@@ -49,12 +49,14 @@
 // configure makes sure that the configuration is as new as the sender's before
 // the prompt is built: with older standing instructions the answer would follow
 // rules that an operator has already replaced.
-func (e *Endpoint) configure(s *wire.Session, a *execution) {
-	if e.state().Offset >= a.run.ConfigOffset {
+func (e *Endpoint) configure(a *execution) {
+	if a.run.Call != nil || e.state().Offset >= a.run.ConfigOffset {
 		e.prepare(a)
 		return
 	}
-	e.heardOffset(s, a.run.ConfigOffset)
+	if a.session != nil {
+		e.heardOffset(a.session, a.run.ConfigOffset)
+	}
 	ctx, stop := context.WithTimeout(context.Background(), behindTimeout)
 	a.stop = func(error) { stop() }
 	go func() {
--- a/internal/endpoint/drain.go
+++ b/internal/endpoint/drain.go
@@ -10,6 +10,7 @@
 // ends once the last stream has.
 type drainState struct {
 	leaving  bool
+	since    time.Duration
 	stopping bool
 	finished chan struct{}
 }
@@ -33,7 +34,9 @@
 		return
 	}
 	e.drain.leaving = true
+	e.drain.since = e.now()
 	e.admission.Drain()
+	e.performOnce(e.claims.once.Leave(e.now()))
 	e.beatAll()
 	e.log.Info("leaving", "reason", reason, "in_flight", e.executions.inFlight())
 }
@@ -50,6 +53,10 @@
 	if !e.drain.stopping || e.executions.inFlight() > 0 {
 		return
 	}
+	if e.claims.once.Held() > 0 && e.now()-e.drain.since < releaseTimeout {
+		// A claim that dies with this process unreleased blocks its key for good.
+		return
+	}
 	select {
 	case <-e.drain.finished:
 	default:
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -41,8 +41,10 @@
 	loop     *mailbox
 	pool     *wire.Pool
 	config   *logTail
-	engine   *engine.Client  // nil beside a plain service
-	service  *engine.Service // nil beside an engine
+	// platformLog is the platform's log.
+	platformLog *platform.Log
+	engine      *engine.Client  // nil beside a plain service
+	service     *engine.Service // nil beside an engine
 
 	// The decisions.
 	rng       *rand.Rand
@@ -57,6 +59,7 @@
 	// others to leave the engine.
 	executions executionTable
 	held       []*execution
+	claims     claims
 	watch      engineWatch
 	drain      drainState
 	beatSeq    uint64
@@ -92,7 +95,6 @@
 		log:        tel.Log,
 		started:    time.Now(),
 		loop:       newMailbox(),
-		config:     newLogTail(s.Platform.Log),
 		rng:        rng,
 		router:     route.NewRouter(route.ParamsOf(s.Endpoint)),
 		admission:  admit.NewCore(admit.ParamsOf(s.Endpoint)),
@@ -103,6 +105,9 @@
 		executions: make(executionTable),
 		drain:      newDrainState(),
 	}
+	e.platformLog = platform.NewLog(s.Platform.Log)
+	e.config = newLogTail(e.platformLog)
+	e.claims = e.newClaims()
 	if s.Endpoint.Kind == kindService {
 		e.service = engine.NewService(s.Endpoint.Backend)
 	} else {
@@ -129,6 +134,7 @@
 
 func (e *Endpoint) startBackground(ctx context.Context) {
 	go e.tickUntil(ctx)
+	go e.claims.reader.run(ctx)
 	go func() {
 		if err := e.config.run(ctx); ctx.Err() == nil {
 			e.log.Error("configuration is no longer followed", "error", err)
@@ -162,6 +168,7 @@
 	e.expireExecutions()
 	e.perform(e.admission.Tick(now))
 	e.picture.Tick(now)
+	e.tellClaims()
 	e.beat()
 	e.pool.Sweep(time.Now())
 	e.checkDrained()
--- a/internal/endpoint/executions.go
+++ b/internal/endpoint/executions.go
@@ -23,11 +23,12 @@
 type phase int
 
 // The phases. A held attempt has its place but waits for others to leave the
-// engine.
+// engine; a following one gets the answer of another with its idempotency key.
 const (
 	phaseWaiting phase = iota
 	phaseHeld
 	phaseRunning
+	phaseFollowing
 	phaseEnded
 )
 
@@ -42,6 +43,10 @@
 	session   *wire.Session
 	endedAt   time.Duration
 	delivered bool
+	// claimed is set while the attempt runs under an idempotency key; followers
+	// get its answer too.
+	claimed   bool
+	followers []*execution
 	stream    *stream
 	stop      context.CancelCauseFunc // ends the back end's work
 	stopPump  context.CancelFunc
@@ -90,17 +95,17 @@
 	}
 }
 
-// abandon gives a stream up. A call to a plain service is left to end by itself:
-// cutting it would undo nothing, and its outcome can still be asked for.
+// abandon gives a stream up. A call to a plain service that nobody reads is left
+// to end by itself: cutting it would undo nothing, and its outcome can still be
+// asked for.
 func (e *Endpoint) abandon(a *execution, cut attempt.Cut) {
-	if a.phase == phaseEnded {
+	switch {
+	case a.phase == phaseEnded:
 		e.free(a)
-		return
+	case a.run.Call != nil && a.phase == phaseRunning && cut == attempt.CutAbandoned:
+	default:
+		e.cancelExecution(a, string(cut))
 	}
-	if a.run.Call != nil && a.phase == phaseRunning && cut == attempt.CutAbandoned {
-		return
-	}
-	e.cancelExecution(a, string(cut))
 }
 
 // free forgets an ended execution; the registry keeps its outcome.
--- /dev/null
+++ b/internal/endpoint/once.go
@@ -0,0 +1,210 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/member"
+	"skylarklead/internal/platform"
+	"skylarklead/internal/wire"
+)
+
+const (
+	// appendTimeout bounds an append to the log.
+	appendTimeout = 3 * time.Second
+	// releaseTimeout bounds how long a stopping process waits for its claims to
+	// be released.
+	releaseTimeout = 3 * time.Second
+)
+
+// claims wires idempotency keys to the log stream claims.GROUP.
+type claims struct {
+	once   *attempt.Once
+	reader *logReader
+	timer  *time.Timer
+}
+
+func (e *Endpoint) newClaims() claims {
+	params := attempt.DefaultOnceParams
+	if retention := e.settings.Platform.Retention.D(); retention > 0 {
+		params.Retention = retention
+	}
+	c := claims{once: attempt.NewOnce(e.settings.ID, e.tel.Epoch, params)}
+	c.timer = time.AfterFunc(time.Hour, func() {
+		e.loop.must(func() { e.performOnce(e.claims.once.Tick(e.now())) })
+	})
+	c.reader = &logReader{
+		log:    e.platformLog,
+		stream: "claims." + e.settings.Endpoint.Group,
+		loop:   e.loop,
+		now:    e.now,
+		poke:   make(chan struct{}, 1),
+		record: func(offset uint64, data []byte) {
+			e.performOnce(e.claims.once.Record(offset, data, e.now()))
+		},
+		caughtUp: func(started time.Duration) {
+			e.performOnce(e.claims.once.CaughtUp(started, e.now()))
+		},
+		gap: func(oldest uint64) {
+			e.performOnce(e.claims.once.Gap(oldest, e.now()))
+		},
+		oldest: func(uint64) {},
+	}
+	return c
+}
+
+// claim lets an attempt with an idempotency key run if the key is its own.
+func (e *Endpoint) claim(a *execution) {
+	key, ok := keyDigest(a.run.Key)
+	if !ok {
+		e.end(a, wire.End{Outcome: wire.NotRun, Code: wire.CodeBadRequest, Message: "malformed key digest"})
+		return
+	}
+	e.performOnce(e.claims.once.Run(attempt.KeyedRun{
+		Attempt:     a.id,
+		Key:         key,
+		Fingerprint: a.run.Fingerprint,
+		Age:         time.Duration(a.run.KeyAgeMs) * time.Millisecond,
+		Redirected:  a.run.Redirected,
+	}, e.now()))
+}
+
+func keyDigest(key []byte) (d attempt.KeyDigest, ok bool) {
+	return d, copy(d[:], key) == len(d)
+}
+
+// performOnce does what the claims ask for.
+func (e *Endpoint) performOnce(actions []attempt.OnceAction) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case attempt.AppendClaims:
+			go e.appendClaims(action)
+		case attempt.Execute:
+			e.execute(action)
+		case attempt.Attach:
+			e.attach(action)
+		case attempt.Replay:
+			e.replay(action)
+		case attempt.Answer:
+			e.answer(action)
+		}
+	}
+	e.claims.timer.Reset(e.claims.once.Wake(e.now()) - e.now())
+}
+
+func (e *Endpoint) appendClaims(action attempt.AppendClaims) {
+	ctx, stop := context.WithTimeout(context.Background(), appendTimeout)
+	defer stop()
+	_, err := e.platformLog.Append(ctx, e.claims.reader.stream, [][]byte{action.Data})
+	e.loop.must(func() { e.performOnce(e.appended(action.Batch, err)) })
+}
+
+func (e *Endpoint) appended(batch uint64, err error) []attempt.OnceAction {
+	now := e.now()
+	var limited *platform.RateLimitedError
+	switch {
+	case err == nil:
+		return e.claims.once.Appended(batch, now)
+	case errors.As(err, &limited):
+		return e.claims.once.AppendFailed(batch, limited.RetryAfter, now)
+	case errors.Is(err, platform.ErrNotAppended):
+		e.log.Warn("claims not appended", "error", err)
+		return e.claims.once.AppendFailed(batch, 0, now)
+	}
+	e.log.Warn("answer to claims lost", "error", err)
+	e.claims.reader.readNow()
+	return e.claims.once.AppendUnknown(batch, now)
+}
+
+// execute runs the attempt whose claim has won.
+func (e *Endpoint) execute(action attempt.Execute) {
+	a := e.executions[action.Attempt]
+	if a == nil || a.phase != phaseWaiting {
+		e.performOnce(e.claims.once.Finished(action.Key, wire.NotRun, nil, e.now()))
+		return
+	}
+	a.claimed = true
+	a.stream.record()
+	e.configure(a)
+}
+
+// settleClaim tells the claims what came of an attempt that they let run.
+func (e *Endpoint) settleClaim(a *execution, end wire.End) {
+	key, _ := keyDigest(a.run.Key)
+	result := a.stream.recorded(end)
+	e.performOnce(e.claims.once.Finished(key, end.Outcome, result, e.now()))
+}
+
+// attach gives an attempt the answer of the one that runs under its key.
+func (e *Endpoint) attach(action attempt.Attach) {
+	a, to := e.executions[action.Attempt], e.executions[action.To]
+	if a == nil || a.phase != phaseWaiting {
+		return
+	}
+	if to == nil || !to.stream.follow(a.stream) {
+		e.end(a, wire.End{Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome, Message: "the request runs already"})
+		return
+	}
+	a.phase = phaseFollowing
+	to.followers = append(to.followers, a)
+}
+
+// replay gives an attempt the kept answer of its key.
+func (e *Endpoint) replay(action attempt.Replay) {
+	a := e.executions[action.Attempt]
+	if a == nil || a.phase != phaseWaiting {
+		return
+	}
+	a.stream.begin(action.Result.Status, action.Result.ContentType)
+	for _, piece := range action.Result.Chunks {
+		if err := a.stream.add(piece); err != nil {
+			break // the end that follows tells how many there were
+		}
+	}
+	e.end(a, action.Result.End)
+}
+
+// answer ends an attempt that isn't run here.
+func (e *Endpoint) answer(action attempt.Answer) {
+	a := e.executions[action.Attempt]
+	if a == nil || a.phase != phaseWaiting {
+		return
+	}
+	end := action.End
+	if end.Redirect != nil {
+		end.Redirect = e.sameProcess(end.Redirect)
+	}
+	if end.Outcome == wire.Unknown && end.Redirect == nil && end.Code == wire.CodeNone {
+		end.Code = wire.CodeUnknownOutcome
+	}
+	e.end(a, end)
+}
+
+// sameProcess completes the address of a process, or returns nil if that epoch
+// isn't known to live: only the process that claimed a key can answer for it.
+func (e *Endpoint) sameProcess(t *wire.Target) *wire.Target {
+	m, ok := e.group.view.Get(t.Endpoint, e.now())
+	if !ok || m.Epoch != t.Epoch || m.Address == "" {
+		return nil
+	}
+	return &wire.Target{Endpoint: t.Endpoint, Address: m.Address, Epoch: t.Epoch}
+}
+
+// tellClaims tells the claims about the group: whose epochs live, and whether
+// this process is the one that carries old claims forward.
+func (e *Endpoint) tellClaims() {
+	once := e.claims.once
+	for _, m := range e.group.view.Members(e.now()) {
+		switch m.State {
+		case member.Alive, member.Leaving:
+			if m.Epoch != 0 {
+				once.PeerEpoch(m.ID, m.Epoch)
+			}
+		case member.Suspect, member.Dead:
+			once.PeerDown(m.ID)
+		}
+	}
+	once.SetCarrier(!e.drain.leaving && e.usableIDs()[0] == e.settings.ID)
+}
--- /dev/null
+++ b/internal/endpoint/once_test.go
@@ -0,0 +1,222 @@
+package endpoint
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"skylarklead/internal/engine"
+	"skylarklead/internal/platform"
+	"skylarklead/internal/settings"
+	standin "skylarklead/internal/standin/platform"
+	"skylarklead/internal/wire"
+)
+
+// fakeService counts the runs of each request and answers with their number.
+type fakeService struct {
+	*httptest.Server
+	mu   sync.Mutex
+	runs map[string]int
+	hold chan struct{} // each call waits for it, if set
+}
+
+func newFakeService(t *testing.T) *fakeService {
+	f := &fakeService{runs: map[string]int{}}
+	f.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		f.mu.Lock()
+		f.runs[string(body)]++
+		n := f.runs[string(body)]
+		f.mu.Unlock()
+		if f.hold != nil {
+			<-f.hold
+		}
+		w.WriteHeader(http.StatusCreated)
+		fmt.Fprintf(w, "%s run %d by %s", body, n, r.Header.Get(engine.HeaderRequestID))
+	}))
+	t.Cleanup(f.Close)
+	return f
+}
+
+func (f *fakeService) ran(body string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[body]
+}
+
+// keyedGroup is service endpoints before one service, with a log.
+type keyedGroup struct {
+	service  *fakeService
+	platform *httptest.Server
+	members  []*process
+	start    func(i int) *process
+}
+
+func startKeyedGroup(t *testing.T, n int) *keyedGroup {
+	t.Helper()
+	g := &keyedGroup{service: newFakeService(t)}
+	var list []platform.Instance
+	for i := range n {
+		list = append(list, platform.Instance{
+			ID: fmt.Sprintf("ep-%d", i+1), Role: platform.RoleEndpoint, Address: freeAddress(t),
+			FailureDomain: "d1", Group: "g", State: platform.StateLive,
+		})
+	}
+	g.platform = httptest.NewServer(standin.New(standin.Options{Control: standin.Defaults(), Instances: list}))
+	t.Cleanup(g.platform.Close)
+	g.start = func(i int) *process {
+		return startProcess(t, g.service.URL, func(s *settings.Settings) {
+			s.ID, s.Listen = list[i].ID, list[i].Address
+			s.Platform = settings.Platform{Log: g.platform.URL, Instances: g.platform.URL}
+			s.Endpoint.Kind = kindService
+			s.Endpoint.Heartbeat = settings.Duration(20 * time.Millisecond)
+			s.Endpoint.SuspectAfter = settings.Duration(time.Second)
+		})
+	}
+	for i := range n {
+		g.members = append(g.members, g.start(i))
+	}
+	return g
+}
+
+func (g *keyedGroup) control(t *testing.T, fault string) {
+	t.Helper()
+	resp, err := http.Post(g.platform.URL+"/control", "application/json", bytes.NewReader([]byte(fault)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("control answered %s", resp.Status)
+	}
+}
+
+func payment(n byte, key byte) *wire.Run {
+	return &wire.Run{
+		Attempt: attemptID(n), Request: fmt.Sprintf("r%d", n), Organisation: "org", Group: "g",
+		Call:        &wire.Call{Service: "s", Method: http.MethodPost, Path: "/pay", Body: []byte{'k', '0' + key}},
+		Fingerprint: uint64(key), Key: bytes.Repeat([]byte{key}, 32), Window: 100,
+	}
+}
+
+func TestKeyIsAnsweredAgain(t *testing.T) {
+	g := startKeyedGroup(t, 1)
+	n := g.members[0].dial("entry-1")
+	n.send(payment(1, 1))
+	first, end := n.answer(0)
+	if first != "k1 run 1 by r1" || end.Outcome != wire.Done {
+		t.Fatalf("got %q, %+v", first, end)
+	}
+	n.send(payment(2, 1))
+	if again, end := n.answer(0); again != first || end.Outcome != wire.Done {
+		t.Fatalf("got %q, %+v", again, end)
+	}
+	conflicting := payment(3, 1)
+	conflicting.Fingerprint = 99
+	n.send(conflicting)
+	if _, end := n.answer(0); end.Code != wire.CodeKeyConflict {
+		t.Fatalf("got %+v", end)
+	}
+}
+
+// Symptom: a payment is made twice.
+// Sequence: a caller's answer is late; it sends the same key again through
+// another entry while the first sending still runs.
+// Cause: a key was looked up only among finished calls.
+func TestSecondSenderGetsTheRunningAnswer(t *testing.T) {
+	g := startKeyedGroup(t, 1)
+	g.service.hold = make(chan struct{})
+	one, two := g.members[0].dial("entry-1"), g.members[0].dial("entry-2")
+	one.send(payment(1, 1))
+	waitFor(t, "the run", func() bool { return g.service.ran("k1") == 1 })
+	two.send(payment(2, 1))
+	resolve := &wire.Resolve{Attempt: attemptID(2), Epoch: g.members[0].tel.Epoch}
+	waitFor(t, "the second sending", func() bool { return two.call(resolve).(*wire.Resolved).Running })
+	close(g.service.hold)
+	first, _ := one.answer(0)
+	second, end := two.answer(0)
+	if first != second || end.Outcome != wire.Done || g.service.ran("k1") != 1 {
+		t.Fatalf("got %q and %q, %+v, %d runs", first, second, end, g.service.ran("k1"))
+	}
+}
+
+// Symptom: a pledge letter goes out twice.
+// Sequence: the same key is sent to two endpoints at the same moment, and one
+// answer of the log is lost after its effect.
+// Cause: each endpoint knew only its own senders, or took a lost answer for a
+// lost append.
+func TestKeyRunsOnceInTheGroup(t *testing.T) {
+	g := startKeyedGroup(t, 3)
+	g.control(t, `{"lose_next_answers": 1}`)
+	var senders []*entry
+	for i, p := range g.members {
+		n := p.dial("entry-1")
+		n.send(payment(byte(i+1), 1))
+		senders = append(senders, n)
+	}
+	done := 0
+	for _, n := range senders {
+		_, end := n.answer(0)
+		switch {
+		case end.Outcome == wire.Done:
+			done++
+		case end.Outcome == wire.NotRun:
+			t.Fatalf("not_run was said of a key that ran: %+v", end)
+		}
+	}
+	if done != 1 || g.service.ran("k1") != 1 {
+		t.Fatalf("%d done, %d runs", done, g.service.ran("k1"))
+	}
+}
+
+// Symptom: a payment runs although its caller was told that it did not.
+// Sequence: the log is out; a keyed call is refused; the log comes back.
+// Cause: the call stayed queued behind the outage.
+func TestLogOutageRefusesAndNothingRunsLater(t *testing.T) {
+	g := startKeyedGroup(t, 1)
+	n := g.members[0].dial("entry-1")
+	n.send(payment(1, 1))
+	n.answer(0)
+	g.control(t, `{"log_down": true}`)
+	n.send(payment(2, 2))
+	_, end := n.answer(0)
+	if end.Code != wire.CodeLogUnavailable || end.Outcome != wire.NotRun {
+		t.Fatalf("got %+v", end)
+	}
+	g.control(t, `{"log_down": false}`)
+	sending := byte(3)
+	waitFor(t, "the log", func() bool {
+		n.send(payment(sending, 3))
+		sending++
+		_, end := n.answer(0)
+		return end.Outcome == wire.Done
+	})
+	if g.service.ran("k2") != 0 {
+		t.Fatal("a refused call ran")
+	}
+}
+
+// Symptom: a payment is made again after a restart.
+// Sequence: a process stops while a call runs; its successor, with empty memory,
+// gets the same key.
+// Cause: what a key's claim says was forgotten with the process.
+func TestKeyOfAnEarlierEpochIsNotRunAgain(t *testing.T) {
+	g := startKeyedGroup(t, 1)
+	n := g.members[0].dial("entry-1")
+	n.send(payment(1, 1))
+	n.answer(0)
+	g.members[0].stop()
+	if err := <-g.members[0].ended; err != nil {
+		t.Fatal(err)
+	}
+	again := g.start(0).dial("entry-1")
+	again.send(payment(2, 1))
+	if _, end := again.answer(0); end.Outcome == wire.NotRun || g.service.ran("k1") != 1 {
+		t.Fatalf("got %+v, %d runs", end, g.service.ran("k1"))
+	}
+}
--- a/internal/endpoint/resume.go
+++ b/internal/endpoint/resume.go
@@ -26,10 +26,19 @@
 
 func (e *Endpoint) cancelExecution(a *execution, reason string) {
 	switch a.phase {
+	case phaseFollowing:
+		e.end(a, wire.End{Outcome: wire.Unknown, Code: wire.CodeCanceled, Message: reason})
 	case phaseWaiting, phaseHeld:
 		e.withdraw(a)
-		e.end(a, wire.End{Outcome: wire.NotRun, Code: wire.CodeCanceled, Message: reason})
+		outcome := wire.NotRun
+		if len(a.run.Key) > 0 && !a.claimed {
+			outcome = wire.Unknown // an earlier sending of its key may have run
+		}
+		e.end(a, wire.End{Outcome: outcome, Code: wire.CodeCanceled, Message: reason})
 	case phaseRunning:
+		if a.claimed {
+			return // it runs once, and its key's next sender wants the answer
+		}
 		e.log.Info("attempt canceled", "request", a.run.Request, "attempt", a.id.String(), "reason", reason)
 		a.stop(errCanceled)
 	}
--- a/internal/endpoint/run.go
+++ b/internal/endpoint/run.go
@@ -31,7 +31,11 @@
 		e.end(a, *refusal)
 		return
 	}
-	e.configure(s, a)
+	if len(run.Key) > 0 {
+		e.claim(a)
+		return
+	}
+	e.configure(a)
 }
 
 // refuseFenced ends a Run whose attempt was answered not_run before it came.
@@ -69,7 +73,9 @@
 		isCall != (e.service != nil),
 		isCall == (len(run.Messages) > 0):
 		return &wire.End{Outcome: wire.NotRun, Code: wire.CodeBadRequest, Message: "not for this endpoint"}
-	case e.drain.leaving:
+	case e.drain.leaving && len(run.Key) == 0:
+		// A key may have run already, here or elsewhere; only its claim can tell
+		// whether not_run would be true.
 		return &wire.End{
 			Outcome:      wire.NotRun,
 			Code:         wire.CodeDraining,
@@ -148,4 +154,11 @@
 	e.registry.End(a.id, end.Outcome, a.endedAt)
 	a.stream.finish(end)
 	e.account(a, end)
+	for _, f := range a.followers {
+		e.end(f, end)
+	}
+	if a.claimed {
+		a.claimed = false
+		e.settleClaim(a, end)
+	}
 }
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -39,6 +39,7 @@
 	unsent     int
 	unsentFrom uint64
 	room       chan struct{} // closed and replaced when unsent shrinks
+	recording  *recording    // nil but for an answer under an idempotency key
 }
 
 func newStream(run *wire.Run, s *wire.Session, now func() time.Duration) *stream {
@@ -81,6 +82,7 @@
 func (st *stream) begin(status int, contentType string) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.recording.begin(status, contentType)
 	st.queue(st.sender.Start(status, contentType))
 }
 
@@ -89,6 +91,7 @@
 func (st *stream) add(data []byte) error {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.recording.add(data)
 	st.unsent += len(data)
 	out := st.sender.Produce(data, st.now())
 	st.queue(out)
@@ -103,6 +106,10 @@
 	for {
 		st.mu.Lock()
 		full, room := st.unsent >= maxUnsent, st.room
+		if st.recording != nil {
+			// The first sender may be gone, and others want the answer.
+			full = full && !st.recording.whole()
+		}
 		st.mu.Unlock()
 		if !full {
 			return nil
