Entry: drain without a cut, endpoints from bootstrap peers, age of keys

Cause: away callers' streams held a drain for their whole grace; an entry that started without the platform's list served nobody; key_too_old needs a key's age. Change: shutDown closes the listener at once and waits for answers however long; the directory is filled from bootstrap peers' identity and status while there has been no list (wire.MemberStatus gains address, group, failure domain: additive); an Idempotency-Key that is a UUID of version 7 tells its age. Run: go test -race -count=2 ./internal/entry: pass.

--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -17,13 +17,16 @@
 type directory struct {
 	now func() time.Duration
 
+	// known is closed when there is a first endpoint.
+	known chan struct{}
+
 	mu   sync.Mutex
 	view *member.View
 }
 
 func newDirectory(self string, now func() time.Duration) *directory {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &directory{now: now, view: member.NewView(self, member.DefaultParams, rng)}
+	return &directory{now: now, known: make(chan struct{}), view: member.NewView(self, member.DefaultParams, rng)}
 }
 
 // listed takes the platform's list.
@@ -44,13 +47,21 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.view.Listed(endpoints, d.now())
+	select {
+	case <-d.known:
+	default:
+		if len(endpoints) > 0 {
+			close(d.known)
+		}
+	}
 }
 
 // empty reports whether no endpoint is known.
 func (d *directory) empty() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.view.Members(d.now())) == 0
+	// A bootstrap peer that was only dialled has no group yet.
+	return !slices.ContainsFunc(d.view.Members(d.now()), func(m member.Member) bool { return m.Group != "" })
 }
 
 // live returns a group's endpoints that may get work, in order of ID. If none
@@ -119,7 +130,14 @@
 	members := d.view.Members(now)
 	list := make([]wire.MemberStatus, len(members))
 	for i, m := range members {
-		list[i] = wire.MemberStatus{ID: m.ID, State: m.State.String(), AgeMs: (now - m.Since).Milliseconds()}
+		list[i] = wire.MemberStatus{
+			ID:            m.ID,
+			State:         m.State.String(),
+			AgeMs:         (now - m.Since).Milliseconds(),
+			Address:       m.Address,
+			Group:         m.Group,
+			FailureDomain: m.FailureDomain,
+		}
 	}
 	return list
 }
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -71,22 +71,22 @@
 	return d.inFlight
 }
 
-// shutdownTimeout bounds closing connections that have no request any more.
-const shutdownTimeout = 2 * time.Second
-
 // shutDown ends a server without cutting a request: it says that it is not
 // ready, waits for the balancer to turn away, refuses what still comes, and
 // returns when the last answer is out.
 func (e *Entry) shutDown(server *http.Server) {
 	e.drain.announce()
+	server.SetKeepAlivesEnabled(false)
 	e.tel.Log.Info("draining", "in_flight", e.drain.count())
 	time.Sleep(e.settings.Entry.DrainDelay.D())
 	e.drain.refuse()
-	<-e.drain.idle
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		server.Close()
+	// Streams whose callers are gone are left to their executors' grace.
+	close(e.stopping)
+	// Closes the listener, and waits for answers however long they take: to cut
+	// one would be worse than to exit late.
+	if err := server.Shutdown(context.Background()); err != nil {
+		e.tel.Log.Warn("callers' listener", "error", err)
 	}
+	<-e.drain.idle
 	e.tel.Log.Info("drained")
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,14 +14,13 @@
 	"time"
 
 	"skylarklead/internal/attempt"
-	"skylarklead/internal/platform"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/telemetry"
 	"skylarklead/internal/wire"
 )
 
-// pollInstances is how often the platform's list is fetched.
-const pollInstances = 2 * time.Second
+// awaitEndpoints is how long the callers' listener waits for the first endpoint.
+const awaitEndpoints = 5 * time.Second
 
 // Entry is one entry process.
 type Entry struct {
@@ -36,7 +35,7 @@
 	chooser   *chooser
 	options   wire.Options
 	pool      *wire.Pool
-	// stopping is closed when the last request in flight has been answered.
+	// stopping is closed when new requests begin to be refused.
 	stopping   chan struct{}
 	background sync.WaitGroup
 
@@ -101,9 +100,7 @@
 	defer e.background.Wait()
 	defer e.pool.Close()
 	defer stop()
-	select {
-	case <-e.config.Ready():
-	case <-ctx.Done():
+	if !e.awaitReady(ctx) {
 		return nil
 	}
 	server, err := e.callerServer()
@@ -148,16 +145,23 @@
 	}
 }
 
-// pollInstances keeps the directory up to date. While the list can't be read the
-// last one stays; what became of its endpoints is learnt by talking to them.
-func (e *Entry) pollInstances(ctx context.Context) {
-	client := platform.NewInstances(e.settings.Platform.Instances)
-	defer client.Close()
-	client.Poll(ctx, pollInstances, func(list []platform.Instance, err error) {
-		if err != nil {
-			e.tel.Log.Warn("instance list can't be read", "error", err)
-			return
-		}
-		e.directory.listed(list)
-	})
+// awaitReady waits until there is a configuration and an endpoint is known, so
+// that the first caller after listening is served. A fleet without endpoints is
+// waited for only so long: its callers get errors that say so.
+func (e *Entry) awaitReady(ctx context.Context) bool {
+	select {
+	case <-e.config.Ready():
+	case <-ctx.Done():
+		return false
+	}
+	patience := time.NewTimer(awaitEndpoints)
+	defer patience.Stop()
+	select {
+	case <-e.directory.known:
+	case <-patience.C:
+		e.tel.Log.Warn("no endpoint is known yet")
+	case <-ctx.Done():
+		return false
+	}
+	return true
 }
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -82,6 +82,7 @@
 		DeadlineMs:   max(j.remaining().Milliseconds(), 1),
 		FirstSeq:     a.FirstSeq,
 		Key:          j.key,
+		KeyAgeMs:     j.keyAge.Milliseconds(),
 		Window:       window,
 		Owner:        j.decision.Owner,
 		Suspect:      a.Suspect,
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -28,8 +29,10 @@
 	received     time.Time
 	// deadline is when the caller stops waiting.
 	deadline time.Time
-	// key is the digest of organisation and idempotency key, nil if none.
-	key []byte
+	// key is the digest of organisation and idempotency key, nil if none; keyAge
+	// is how old the key is, 0 if it doesn't say.
+	key    []byte
+	keyAge time.Duration
 }
 
 // requestID returns the caller's request ID if it is safe to log and pass on,
@@ -90,21 +93,39 @@
 }
 
 // idempotencyKey returns the digest of the organisation and the caller's key, so
-// that two organisations never share one.
-func idempotencyKey(r *http.Request, organisation string) ([]byte, *Error) {
+// that two organisations never share one, and the key's age.
+func idempotencyKey(r *http.Request, organisation string) ([]byte, time.Duration, *Error) {
 	values := r.Header.Values("Idempotency-Key")
 	if len(values) == 0 {
-		return nil, nil
+		return nil, 0, nil
 	}
 	key := values[0]
 	if len(values) > 1 || key == "" || len(key) > maxKey {
-		return nil, refuse(wire.CodeBadRequest, "header Idempotency-Key must be given once, with 1 to %d characters", maxKey)
+		return nil, 0, refuse(wire.CodeBadRequest, "header Idempotency-Key must be given once, with 1 to %d characters", maxKey)
 	}
 	for _, c := range []byte(key) {
 		if c < 0x20 || c > 0x7e {
-			return nil, refuse(wire.CodeBadRequest, "header Idempotency-Key must be printable ASCII")
+			return nil, 0, refuse(wire.CodeBadRequest, "header Idempotency-Key must be printable ASCII")
 		}
 	}
 	digest := sha256.Sum256([]byte(organisation + "\x00" + key))
-	return digest[:], nil
+	return digest[:], keyAge(key, time.Now()), nil
+}
+
+// uuidV7 matches the UUIDs that begin with their time of birth, in milliseconds
+// since 1970 (RFC 9562, section 5.7).
+var uuidV7 = regexp.MustCompile(`^([0-9a-fA-F]{8})-([0-9a-fA-F]{4})-7[0-9a-fA-F]{3}-[89abAB][0-9a-fA-F]{3}-[0-9a-fA-F]{12}$`)
+
+// keyAge returns the age of a key that tells its birth, else 0. What is kept of
+// keys is kept for hours, so the caller's clock may well be minutes off.
+func keyAge(key string, now time.Time) time.Duration {
+	match := uuidV7.FindStringSubmatch(key)
+	if match == nil {
+		return 0
+	}
+	ms, err := strconv.ParseInt(match[1]+match[2], 16, 64)
+	if err != nil {
+		return 0
+	}
+	return max(now.Sub(time.UnixMilli(ms)), 0)
 }
--- a/internal/entry/request_test.go
+++ b/internal/entry/request_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -43,7 +44,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			r := &http.Request{Header: http.Header{tt.header: {tt.value}}}
 			_, badDeadline := deadlineOf(r, 1)
-			_, badKey := idempotencyKey(r, "foodbank")
+			_, _, badKey := idempotencyKey(r, "foodbank")
 			if ok := badDeadline == nil && badKey == nil; ok != tt.ok {
 				t.Errorf("accepted: %v", ok)
 			}
@@ -53,13 +54,27 @@
 
 func TestKeysOfTwoOrganisationsDiffer(t *testing.T) {
 	r := &http.Request{Header: http.Header{"Idempotency-Key": {"pay-7"}}}
-	a, _ := idempotencyKey(r, "foodbank")
-	b, _ := idempotencyKey(r, "hospice")
+	a, _, _ := idempotencyKey(r, "foodbank")
+	b, _, _ := idempotencyKey(r, "hospice")
 	if string(a) == string(b) {
 		t.Error("two organisations share an idempotency key")
 	}
 }
 
+func TestKeyAge(t *testing.T) {
+	now := time.UnixMilli(0x0192_0000_0000 + 5000)
+	for key, want := range map[string]time.Duration{
+		"01920000-0000-7abc-8def-0123456789ab": 5 * time.Second,
+		"01920000-ffff-7abc-8def-0123456789ab": 0, // a clock ahead of ours
+		"01920000-0000-4abc-8def-0123456789ab": 0, // version 4 tells no time
+		"pay-7":                                0,
+	} {
+		if got := keyAge(key, now); got != want {
+			t.Errorf("keyAge(%q) = %v, want %v", key, got, want)
+		}
+	}
+}
+
 func TestEventIDRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		id := eventID{
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -117,14 +117,14 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	key, refusal := idempotencyKey(r, organisation.ID)
+	key, age, refusal := idempotencyKey(r, organisation.ID)
 	if refusal != nil {
 		return nil, refusal
 	}
 	now := time.Now()
 	return &request{
 		id: id, state: state, organisation: organisation,
-		received: now, deadline: now.Add(wait), key: key,
+		received: now, deadline: now.Add(wait), key: key, keyAge: age,
 	}, nil
 }
 
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -390,6 +390,11 @@
 	ID    string `cbor:"1,keyasint" json:"id"`
 	State string `cbor:"2,keyasint" json:"state"`
 	AgeMs int64  `cbor:"3,keyasint" json:"age_ms"`
+	// Address, Group and FailureDomain let a process that can't read the
+	// platform's list learn of the endpoints from a peer.
+	Address       string `cbor:"4,keyasint,omitempty" json:"address,omitempty"`
+	Group         string `cbor:"5,keyasint,omitempty" json:"group,omitempty"`
+	FailureDomain string `cbor:"6,keyasint,omitempty" json:"failure_domain,omitempty"`
 }
 
 // ExplainRequest asks for the decisions that a process remembers of a request.
