Endpoint: keep the engine's weights equal to the configuration's

Cause: nothing loaded a published version. The process beside the engine now orders it under its order lease and one of the group's load permits, checks both again right before the order, reads the state back, and logs each placement decision. While weights load the endpoint counts as down for new work; a request for other weights than the engine has is refused not_run with another endpoint's name; an answer that begins under other weights is canceled. Seen to fail without the mechanism: permits not checked before the order nor before its wish (two loaded at once with one permit; either check alone held it back), versions not compared (the request was handed to the engine).

--- a/internal/endpoint/admission.go
+++ b/internal/endpoint/admission.go
@@ -79,12 +79,22 @@
 // startHeld hands admitted attempts to the back end, as far as suspects allow:
 // one of them runs alone.
 func (e *Endpoint) startHeld() {
+	if e.placement.loading {
+		return // the engine would refuse them
+	}
 	held := e.held
 	e.held = nil
 	for _, a := range held {
 		if a.phase != phaseHeld {
 			continue
 		}
+		if e.otherWeights(a) {
+			end := wire.End{Outcome: wire.NotRun, Code: wire.CodeNotRun, Message: "engine has other weights"}
+			end.Redirect = e.redirect(a.run)
+			e.end(a, end)
+			e.perform(e.admission.Finish(e.now(), a.id, admit.Actual{}))
+			continue
+		}
 		switch e.guard(a) {
 		case attempt.GateOpen:
 			e.start(a)
@@ -97,6 +107,13 @@
 	}
 }
 
+// otherWeights reports whether the engine's weights have changed since the
+// request was sent here. It would be answered by a version that it didn't ask
+// for.
+func (e *Endpoint) otherWeights(a *execution) bool {
+	return a.run.Call == nil && a.run.Version != "" && e.watch.version != "" && a.run.Version != e.watch.version
+}
+
 func (e *Endpoint) guard(a *execution) attempt.Gate {
 	if a.run.Call != nil {
 		return attempt.GateOpen
--- a/internal/endpoint/completion.go
+++ b/internal/endpoint/completion.go
@@ -19,7 +19,11 @@
 	loadTimeout   = time.Second
 )
 
-var errCrashed = errors.New("endpoint: engine crashed")
+var (
+	errCrashed = errors.New("endpoint: engine crashed")
+	// errOtherWeights is an answer that began under weights other than asked for.
+	errOtherWeights = errors.New("endpoint: engine has other weights")
+)
 
 // completion is one run at the engine.
 type completion struct {
@@ -42,6 +46,10 @@
 		// The answer's header was lost, but the engine may live and have it.
 		st, err = c.resume(ctx, 0)
 	}
+	if err == nil && st.Weights != "" && j.run.Version != "" && st.Weights != j.run.Version {
+		st.Close()
+		err = errOtherWeights
+	}
 	if err == nil {
 		j.stream.begin(0, "")
 		err = c.follow(ctx, st)
@@ -164,6 +172,9 @@
 	case errors.Is(err, errCut):
 		end.Code, end.Message = wire.CodeCanceled, "the caller stopped reading"
 		c.cancelAtEngine()
+	case errors.Is(err, errOtherWeights):
+		end.Message = "engine has other weights"
+		c.cancelAtEngine()
 	case errors.Is(err, engine.ErrMalformed):
 		end.Message = "engine's answer is malformed"
 		c.cancelAtEngine()
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -60,6 +60,7 @@
 	executions executionTable
 	held       []*execution
 	claims     claims
+	placement  placement
 	watch      engineWatch
 	drain      drainState
 	beatSeq    uint64
@@ -108,6 +109,7 @@
 	e.platformLog = platform.NewLog(s.Platform.Log)
 	e.config = newLogTail(e.platformLog)
 	e.claims = e.newClaims()
+	e.placement = e.newPlacement()
 	if s.Endpoint.Kind == kindService {
 		e.service = engine.NewService(s.Endpoint.Backend)
 	} else {
@@ -147,6 +149,7 @@
 	if e.engine != nil {
 		go e.watchEngine(ctx)
 		go e.watchEvents(ctx)
+		go e.placement.reader.run(ctx)
 	}
 }
 
@@ -169,6 +172,7 @@
 	e.perform(e.admission.Tick(now))
 	e.picture.Tick(now)
 	e.tellClaims()
+	e.place()
 	e.beat()
 	e.pool.Sweep(time.Now())
 	e.checkDrained()
--- a/internal/endpoint/enginewatch.go
+++ b/internal/endpoint/enginewatch.go
@@ -73,7 +73,13 @@
 	age := time.Duration(load.AgeMs) * time.Millisecond
 	e.resync(e.picture.Observe(now, age, load.Incarnation, load.Weights))
 	w.up, w.missed = true, 0
-	w.incarnation, w.model, w.version = load.Incarnation, load.Model, load.Version
+	w.incarnation = load.Incarnation
+	if !e.placement.loading && now-age > e.placement.doneAt {
+		// The lagging report names the old weights for a while after the engine
+		// was read back with the new ones. Believed, it would start the orders
+		// over again.
+		w.model, w.version = load.Model, load.Version
+	}
 	w.load, w.loadAt = load, now-age
 }
 
@@ -166,7 +172,7 @@
 		return load
 	}
 	w := &e.watch
-	load.EngineUp = w.up
+	load.EngineUp = w.up && !e.placement.loading
 	load.Incarnation, load.Model, load.Version = w.incarnation, w.model, w.version
 	load.CacheUsed = w.load.KVUsedBlocks * prefix.BlockTokens
 	load.CacheTotal = w.load.KVTotalBlocks * prefix.BlockTokens
--- /dev/null
+++ b/internal/endpoint/orders.go
@@ -0,0 +1,255 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"skylarklead/internal/config"
+	"skylarklead/internal/engine"
+	"skylarklead/internal/lease"
+	"skylarklead/internal/telemetry"
+	"skylarklead/internal/wire"
+)
+
+const (
+	// orderPoll is how often the engine's state is read while it changes.
+	orderPoll = 250 * time.Millisecond
+	// orderTimeout bounds an order's way to the engine. It stays below
+	// lease.Params.OrderMargin, so that an order arrives under its lease or not
+	// at all.
+	orderTimeout = 1500 * time.Millisecond
+	// orderFresh is how long after the check of the lease an order may be
+	// written. A process that was stopped in between must not send it: another
+	// holder may have given newer orders since.
+	orderFresh = 200 * time.Millisecond
+)
+
+var errStaleCheck = errors.New("endpoint: paused between the lease's check and the order")
+
+// placement keeps the engine's weights equal to the configuration's.
+type placement struct {
+	leases *lease.Leases
+	permit *lease.Permit
+	orders *lease.Orders
+	name   lease.Name
+	reader *logReader
+	// want is what the engine is to have loaded; active is set until it has.
+	want   lease.Order
+	active bool
+	// loading is set from the order until the engine is read back with it.
+	loading bool
+	// doneAt is when the engine was last read back with the wanted weights.
+	doneAt time.Duration
+}
+
+func (e *Endpoint) newPlacement() placement {
+	name := lease.OrderName(e.settings.ID)
+	leases := lease.NewLeases(e.settings.ID, e.tel.Epoch, lease.DefaultParams, e.rng)
+	return placement{
+		leases: leases,
+		permit: lease.NewPermit(leases, config.DefaultLoadPermits, e.rng),
+		orders: lease.NewOrders(leases, name, orderPoll),
+		name:   name,
+		reader: &logReader{
+			log:    e.platformLog,
+			stream: "leases." + e.settings.Endpoint.Group,
+			loop:   e.loop,
+			now:    e.now,
+			poke:   make(chan struct{}, 1),
+			record: func(offset uint64, data []byte) {
+				e.performLease(leases.Record(offset, data, e.now()))
+			},
+			caughtUp: func(time.Duration) { e.performLease(leases.CaughtUp(e.now())) },
+			gap:      func(oldest uint64) { e.performLease(leases.Gap(oldest, e.now())) },
+			oldest:   leases.Oldest,
+		},
+	}
+}
+
+// place compares the engine with the configuration and goes on with what is
+// under way.
+func (e *Endpoint) place() {
+	if e.engine == nil {
+		return
+	}
+	p := &e.placement
+	now := e.now()
+	if want, ok := e.wantedWeights(); ok && (!p.active || p.want != want) {
+		p.want, p.active = want, true
+		e.log.Info("weights wanted", "model", want.Model, "version", want.Version,
+			"has_model", e.watch.model, "has_version", e.watch.version)
+	}
+	if !p.active {
+		e.performLease(p.leases.Tick(now))
+		return
+	}
+	if g := e.state().Groups[e.settings.Endpoint.Group]; g != nil {
+		p.permit.SetCount(g.LoadPermits)
+	}
+	e.performLease(p.leases.Want(p.name, now))
+	e.performLease(p.permit.Want(now))
+	e.performLease(p.permit.Tick(now))
+	if p.permit.Check(now) || p.loading {
+		e.performOrders(p.orders.Want(p.want, now))
+	}
+}
+
+// wantedWeights returns the order that the configuration asks for, if the engine
+// that is up has something else.
+func (e *Endpoint) wantedWeights() (lease.Order, bool) {
+	model := e.wantedModel()
+	if model == nil || !e.watch.up || e.drain.leaving {
+		return lease.Order{}, false
+	}
+	order := lease.Order{Op: string(engine.OpLoadVersion), Model: model.ID, Version: model.Version}
+	if model.ID != e.watch.model {
+		order.Op = string(engine.OpLoadModel)
+	}
+	return order, model.ID != e.watch.model || model.Version != e.watch.version
+}
+
+// wantedModel is the group's model: the one that the engine has if the group has
+// several, else the first by name.
+func (e *Endpoint) wantedModel() *config.Model {
+	var first *config.Model
+	for _, m := range e.state().Models {
+		switch {
+		case m.Group != e.settings.Endpoint.Group || m.Version == "":
+		case m.ID == e.watch.model:
+			return m
+		case first == nil || m.ID < first.ID:
+			first = m
+		}
+	}
+	return first
+}
+
+func (e *Endpoint) performLease(actions []lease.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case lease.Append:
+			go e.appendLease(action)
+		case lease.Granted:
+			e.log.Info("lease granted", "lease", string(action.Name), "fence", action.Fence)
+		case lease.Lost:
+			e.log.Warn("lease lost", "lease", string(action.Name))
+		}
+	}
+}
+
+func (e *Endpoint) appendLease(action lease.Append) {
+	ctx, stop := context.WithTimeout(context.Background(), appendTimeout)
+	defer stop()
+	_, err := e.platformLog.Append(ctx, e.placement.reader.stream, [][]byte{action.Data})
+	if err == nil {
+		return // it shows in the stream
+	}
+	e.loop.must(func() {
+		e.log.Warn("lease record not appended", "error", err)
+		e.performLease(e.placement.leases.Failed(action.Seq, e.now()))
+	})
+}
+
+func (e *Endpoint) performOrders(actions []lease.OrderAction) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case lease.ReadBack:
+			go e.readBack()
+		case lease.SendOrder:
+			e.sendOrder(action)
+		case lease.OrderDone:
+			e.orderDone(action.Order)
+		}
+	}
+}
+
+func (e *Endpoint) readBack() {
+	ctx, stop := context.WithTimeout(context.Background(), orderTimeout)
+	defer stop()
+	state, err := e.engine.Orders(ctx)
+	e.loop.must(func() {
+		now := e.now()
+		if err != nil {
+			e.placement.orders.ReadFailed(now)
+			return
+		}
+		want := e.placement.want
+		e.performOrders(e.placement.orders.Observe(lease.Observed{
+			Fence:   state.Fence,
+			Matches: !state.Loading && state.Model == want.Model && state.Version == want.Version,
+			Loading: state.Loading,
+		}, now))
+	})
+}
+
+// sendOrder gives the engine an order, if the leases hold right now.
+func (e *Endpoint) sendOrder(action lease.SendOrder) {
+	p := &e.placement
+	now := e.now()
+	if fence, ok := p.leases.Check(p.name, now); !ok || fence != action.Fence || !p.permit.Check(now) {
+		p.orders.Unanswered(now)
+		return
+	}
+	p.loading = true
+	e.recordPlacement(action, "ordered")
+	go func() {
+		err := e.writeOrder(action, now)
+		e.loop.must(func() { e.orderAnswered(action, err) })
+	}()
+}
+
+func (e *Endpoint) writeOrder(action lease.SendOrder, checked time.Duration) error {
+	if e.now()-checked > orderFresh {
+		return errStaleCheck
+	}
+	ctx, stop := context.WithTimeout(context.Background(), orderTimeout)
+	defer stop()
+	_, err := e.engine.Order(ctx, engine.Order{
+		Fence:   action.Fence,
+		Op:      engine.Op(action.Order.Op),
+		Model:   action.Order.Model,
+		Version: action.Order.Version,
+	})
+	return err
+}
+
+func (e *Endpoint) orderAnswered(action lease.SendOrder, err error) {
+	now := e.now()
+	switch {
+	case err == nil:
+		e.placement.orders.Answered(now)
+	case errors.Is(err, engine.ErrStaleFence):
+		e.recordPlacement(action, "stale_fence")
+		e.placement.orders.Refused(now)
+	case errors.Is(err, engine.ErrNotSent), errors.Is(err, errStaleCheck):
+		e.recordPlacement(action, "not_sent")
+		e.placement.orders.Answered(now) // reading back goes on from there
+	default:
+		e.recordPlacement(action, "answer_lost")
+		e.placement.orders.Unanswered(now)
+	}
+}
+
+func (e *Endpoint) orderDone(order lease.Order) {
+	p := &e.placement
+	now := e.now()
+	p.active, p.loading = false, false
+	p.doneAt = now
+	e.watch.model, e.watch.version = order.Model, order.Version
+	e.recordPlacement(lease.SendOrder{Order: order}, "in_force")
+	e.performLease(p.permit.Done(now))
+	e.performLease(p.leases.Drop(p.name, now))
+	e.startHeld()
+}
+
+func (e *Endpoint) recordPlacement(action lease.SendOrder, reason string) {
+	o := action.Order
+	e.tel.Decisions.Record(wire.DecisionRecord{
+		Request:  fmt.Sprintf("%s:%s@%s", o.Op, o.Model, o.Version),
+		Kind:     telemetry.KindPlacement,
+		Executor: e.settings.ID,
+		Reason:   reason,
+	})
+}
--- /dev/null
+++ b/internal/endpoint/orders_test.go
@@ -0,0 +1,100 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"skylarklead/internal/engine"
+	"skylarklead/internal/platform"
+	"skylarklead/internal/settings"
+	standinengine "skylarklead/internal/standin/engine"
+	standin "skylarklead/internal/standin/platform"
+	"skylarklead/internal/wire"
+)
+
+// startStandinEngine runs the stand-in engine with model m at version v1.
+func startStandinEngine(t *testing.T) string {
+	t.Helper()
+	e := standinengine.New(standinengine.Options{Model: "m", Version: "v1", Settings: standinengine.Defaults()})
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	ready := make(chan string, 1)
+	go e.Serve(ctx, "127.0.0.1:0", func(address string) { ready <- address })
+	select {
+	case address := <-ready:
+		return "http://" + address
+	case <-time.After(patience):
+		t.Fatal("the engine doesn't listen")
+	}
+	return ""
+}
+
+func publish(t *testing.T, base string, records ...string) uint64 {
+	t.Helper()
+	var data [][]byte
+	for _, r := range records {
+		data = append(data, []byte(r))
+	}
+	first, err := platform.NewLog(base).Append(context.Background(), configStream, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return first
+}
+
+// Symptom: after a new version is published, engines go on with the old one, or
+// all of a group load at once and none serves.
+// Sequence: a model's record changes its version; two replicas share one permit.
+// Cause: nothing but the processes beside the engines gives them orders.
+func TestEnginesGetTheConfiguredWeights(t *testing.T) {
+	server := httptest.NewServer(standin.New(standin.Options{Control: standin.Defaults()}))
+	t.Cleanup(server.Close)
+	var processes []*process
+	var engines []*engine.Client
+	for i := range 2 {
+		backend := startStandinEngine(t)
+		engines = append(engines, engine.NewClient(backend))
+		processes = append(processes, startProcess(t, backend, func(s *settings.Settings) {
+			s.ID = fmt.Sprintf("ep-%d", i+1)
+			s.Platform = settings.Platform{Log: server.URL, Instances: server.URL}
+		}))
+	}
+	publish(t, server.URL,
+		`{"schema":2,"kind":"group","key":"g","base":0,"body":{"load_permits":1}}`,
+		`{"schema":2,"kind":"model","key":"m","base":0,"body":{"group":"g","versions":["v1","v2"],"version":"v2"}}`)
+	waitFor(t, "the new weights", func() bool {
+		loading, loaded := 0, 0
+		for _, c := range engines {
+			state, err := c.Orders(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if state.Loading {
+				loading++
+			}
+			if state.Version == "v2" {
+				loaded++
+			}
+		}
+		if loading > 1 {
+			t.Fatal("more load at once than there are permits")
+		}
+		return loaded == len(engines)
+	})
+	for _, p := range processes {
+		n := p.dial("tool")
+		waitFor(t, "the decision's record", func() bool {
+			x := n.call(&wire.ExplainRequest{Request: "load_version:m@v2"}).(*wire.Explanation)
+			return slices.ContainsFunc(x.Records, func(r wire.DecisionRecord) bool { return r.Reason == "in_force" })
+		})
+		run := chat(1)
+		n.send(run)
+		if _, end := n.answer(0); end.Outcome != wire.NotRun {
+			t.Fatalf("a request for v1 ran under v2: %+v", end)
+		}
+	}
+}
