Entry: go on after a cut with the tokens that are left

Cause: after a kill of the endpoint process, of the engine, and a freeze, the answer had 130 deltas in place of 120: the next attempt was sent the whole max_tokens although the caller already had ten tokens. Ruled out: doubled pieces (the first 120 were right, by digest). Change: Run.MaxTokens counts new tokens (said in wire now); an answer that has all of them and lacks only its end isn't run again. A try to reach an executor takes at most 1 s, not 2 s.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -85,6 +85,9 @@
 		return
 	}
 	j := a.job
+	if j.call == nil {
+		end.CompletionTokens += int(j.before)
+	}
 	if err := a.out.end(end); err != nil {
 		a.e.tel.Log.Info("caller left before the end", "request", j.id, "error", err)
 	}
--- a/internal/entry/drive.go
+++ b/internal/entry/drive.go
@@ -11,7 +11,7 @@
 
 const (
 	// tryTimeout bounds one try to reach an executor again.
-	tryTimeout = 2 * time.Second
+	tryTimeout = time.Second
 	// gapCheck is how often a stream is checked for chunks that don't come.
 	gapCheck = 250 * time.Millisecond
 	// reasonRedirected is the reason's suffix when an executor passed a request on.
@@ -137,6 +137,11 @@
 func (d *drive) run(a attempt.Run) []attempt.Action {
 	d.release()
 	d.noteTarget(a)
+	if d.job.full(a.FirstSeq) {
+		d.conclude(&wire.End{Outcome: wire.Done, FinishReason: finishLength})
+		d.left = true
+		return nil
+	}
 	session, err := d.e.sessionTo(d.life, a.Target)
 	if err != nil {
 		d.e.tel.Log.Warn("executor can't be reached", "request", d.job.id, "executor", a.Target.Endpoint, "error", err)
@@ -159,6 +164,7 @@
 		d.job.decision.Reason += reasonRedirected
 	}
 	d.job.decision.Executor = a.Target
+	d.job.before = a.FirstSeq
 }
 
 func (d *drive) resume(a attempt.Resume) []attempt.Action {
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -36,6 +36,8 @@
 	// whose engine crashed meanwhile.
 	exclude, crashed []string
 	attempts         int
+	// before is how many pieces came from attempts before the last one.
+	before uint64
 	// decision is where the request was last sent, and why.
 	decision   wire.Decision
 	firstToken time.Duration
@@ -63,6 +65,21 @@
 	}
 }
 
+// tokensLeft is how many tokens an answer may still have after its first pieces,
+// each of which is a token or more; 0 is no bound.
+func (j *job) tokensLeft(pieces uint64) int {
+	if j.maxTokens == 0 {
+		return 0
+	}
+	return max(j.maxTokens-int(pieces), 1)
+}
+
+// full reports whether the caller has all the tokens that were asked for: only
+// the end is missing, and another attempt would add a token too many.
+func (j *job) full(pieces uint64) bool {
+	return j.call == nil && j.maxTokens > 0 && pieces >= uint64(j.maxTokens)
+}
+
 // run is the message of a new attempt.
 func (j *job) run(a attempt.Run) *wire.Run {
 	run := &wire.Run{
@@ -76,7 +93,7 @@
 		Call:         j.call,
 		Levels:       j.levels,
 		PromptTokens: j.promptTokens,
-		MaxTokens:    j.maxTokens,
+		MaxTokens:    j.tokensLeft(a.FirstSeq),
 		Priority:     j.priority,
 		Fingerprint:  j.fingerprint,
 		DeadlineMs:   max(j.remaining().Milliseconds(), 1),
--- a/internal/entry/sse.go
+++ b/internal/entry/sse.go
@@ -9,6 +9,9 @@
 	"skylarklead/internal/wire"
 )
 
+// finishLength is the finish reason of an answer that reached max_tokens.
+const finishLength = "length"
+
 // chatShape is what every part of a chat answer repeats.
 type chatShape struct {
 	id      string
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -80,7 +80,7 @@
 	if !second.done || first.text+second.text != wantWords(totalWords) {
 		t.Errorf("got %q and then %q, done %v, failure %+v", first.text, second.text, second.done, second.failure)
 	}
-	if run := last[*wire.Run](executors[1]); run == nil || run.FirstSeq != 10 || run.Partial != first.text {
+	if run := last[*wire.Run](executors[1]); run == nil || run.FirstSeq != 10 || run.Partial != first.text || run.MaxTokens != 64-10 {
 		t.Errorf("went on by %+v", run)
 	}
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -201,10 +201,11 @@
 	Instructions uint64         `cbor:"9,keyasint,omitempty"`
 	Levels       []prefix.Level `cbor:"10,keyasint,omitempty"`
 	PromptTokens int            `cbor:"11,keyasint,omitempty"`
-	MaxTokens    int            `cbor:"12,keyasint,omitempty"`
-	Priority     int            `cbor:"13,keyasint,omitempty"`
-	Fingerprint  uint64         `cbor:"14,keyasint,omitempty"`
-	DeadlineMs   int64          `cbor:"15,keyasint,omitempty"`
+	// MaxTokens counts new tokens, without those of Partial.
+	MaxTokens   int    `cbor:"12,keyasint,omitempty"`
+	Priority    int    `cbor:"13,keyasint,omitempty"`
+	Fingerprint uint64 `cbor:"14,keyasint,omitempty"`
+	DeadlineMs  int64  `cbor:"15,keyasint,omitempty"`
 	// Partial is what the caller already has of a cut answer; the engine goes on
 	// from there. Chunks are numbered from FirstSeq.
 	Partial  string `cbor:"16,keyasint,omitempty"`
