Add the load generator and the two workloads

An open-loop generator: each organisation draws its arrivals and prompts from a source of its own, times count from the scheduled arrival, every answer is checked against the stand-in engine's function of its prompt.

Not yet run against an entry process: none has landed.

--- /dev/null
+++ b/cmd/skylark-standin/load.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"skylarklead/internal/standin/load"
+)
+
+// exitFaults is the exit code of a run with a wrong, cut or missing answer, or
+// with requests that weren't sent.
+const exitFaults = 3
+
+// loadCommand runs the load generator.
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "load",
+		Usage:     "callers of several organisations, arriving by their own clock",
+		ArgsUsage: "WORKLOAD-FILE",
+		Description: "Progress goes to stderr each second, a table to stdout at the end. The exit\n" +
+			"code is 3 if an answer was wrong, cut or missing.",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "print-records", Usage: "only print the workload's configuration records, one a line"},
+			&cli.StringSliceFlag{Name: "entry", Usage: "base `URL` of an entry, again for each"},
+			&cli.Float64Flag{Name: "rate", Usage: "arrivals a second in place of the workload's"},
+			&cli.DurationFlag{Name: "duration", Value: 30 * time.Second, Usage: "how long requests arrive"},
+			&cli.DurationFlag{Name: "warmup", Usage: "how much of it is left out of the report"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of arrivals and prompts"},
+			&cli.StringSliceFlag{Name: "only", Usage: "`ORGANISATION` or class that calls, again for each"},
+			&cli.DurationFlag{Name: "shift-at", Usage: "when popular texts change places"},
+			&cli.DurationFlag{Name: "change-at", Usage: "when each organisation's first charter gets a new text"},
+			&cli.StringFlag{Name: "burst", Usage: "`ORGANISATION` whose rate is multiplied"},
+			&cli.Float64Flag{Name: "burst-factor", Value: 10, Usage: "by what"},
+			&cli.DurationFlag{Name: "burst-from", Usage: "from when"},
+			&cli.DurationFlag{Name: "burst-until", Usage: "until when, the end if 0"},
+			&cli.IntFlag{Name: "retry-after", Usage: "how often a request refused as not run is sent again when it may come back"},
+			&cli.DurationFlag{Name: "timeout", Value: time.Minute, Usage: "of one request"},
+			&cli.DurationFlag{Name: "goal", Value: 880 * time.Millisecond, Usage: "time to first token that counts into goodput"},
+			&cli.DurationFlag{Name: "health-every", Value: 200 * time.Millisecond, Usage: "how often entries are asked whether they are ready, 0 for never"},
+			&cli.StringFlag{Name: "json", Usage: "`FILE` for the report"},
+			&cli.StringFlag{Name: "trace", Usage: "`FILE` for each request's result, one JSON object a line"},
+		},
+		Action: runLoad,
+	}
+}
+
+func runLoad(ctx context.Context, c *cli.Command) error {
+	w, err := load.Read(c.Args().First())
+	if err != nil {
+		return err
+	}
+	if c.Bool("print-records") {
+		return printRecords(os.Stdout, w)
+	}
+	options := loadOptions(c)
+	closeTrace, err := trace(c.String("trace"), &options)
+	if err != nil {
+		return err
+	}
+	report, err := load.Run(ctx, w, options)
+	if err != nil {
+		return err
+	}
+	if err := closeTrace(); err != nil {
+		return err
+	}
+	return writeReport(report, c.String("json"))
+}
+
+func loadOptions(c *cli.Command) load.Options {
+	o := load.Options{
+		Entries:  c.StringSlice("entry"),
+		Rate:     c.Float64("rate"),
+		Duration: c.Duration("duration"),
+		Warmup:   c.Duration("warmup"),
+		Seed:     c.Uint64("seed"),
+		Only:     c.StringSlice("only"),
+		ShiftAt:  c.Duration("shift-at"),
+		ChangeAt: c.Duration("change-at"),
+		Burst: load.Burst{
+			Organisation: c.String("burst"),
+			Factor:       c.Float64("burst-factor"),
+			From:         c.Duration("burst-from"),
+			Until:        c.Duration("burst-until"),
+		},
+		RetryAfter:  c.Int("retry-after"),
+		Timeout:     c.Duration("timeout"),
+		Goal:        c.Duration("goal"),
+		HealthEvery: c.Duration("health-every"),
+		Progress:    os.Stderr,
+	}
+	if o.Burst.Until == 0 {
+		o.Burst.Until = o.Duration
+	}
+	return o
+}
+
+// trace sends results to a file; the function it returns closes it.
+func trace(file string, o *load.Options) (func() error, error) {
+	if file == "" {
+		return func() error { return nil }, nil
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return nil, err
+	}
+	buffered := bufio.NewWriter(f)
+	encoder := json.NewEncoder(buffered)
+	// A failed write stays in the buffer's writer, and Flush returns it.
+	o.OnResult = func(r load.Result) { _ = encoder.Encode(r) }
+	return func() error {
+		if err := buffered.Flush(); err != nil {
+			return err
+		}
+		return f.Close()
+	}, nil
+}
+
+func writeReport(report *load.Report, file string) error {
+	if file != "" {
+		data, err := json.MarshalIndent(report, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(file, append(data, '\n'), 0o644); err != nil {
+			return err
+		}
+	}
+	if err := report.Table(os.Stdout); err != nil {
+		return err
+	}
+	if !report.OK() {
+		return cli.Exit("an answer was wrong, cut or missing", exitFaults)
+	}
+	return nil
+}
+
+func printRecords(out io.Writer, w load.Workload) error {
+	records, err := load.Records(w)
+	if err != nil {
+		return err
+	}
+	for _, r := range records {
+		line, err := json.Marshal(r)
+		if err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintln(out, string(line)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/skylark-standin/main.go
+++ b/cmd/skylark-standin/main.go
@@ -18,6 +18,7 @@
 	platformCommand(),
 	engineCommand(),
 	serviceCommand(),
+	loadCommand(),
 }
 
 func main() {
--- /dev/null
+++ b/internal/standin/load/workload.go
@@ -0,0 +1,177 @@
+// Package load is a seeded open-loop load generator for tests and measurements:
+// callers of several organisations whose prompts share nested prefixes. It
+// checks every answer byte by byte.
+//
+// Requests arrive by their own clock, whether earlier ones were answered or not,
+// and times are counted from the scheduled arrival: a system that stalls sees
+// its stall in every request that should have been sent meanwhile.
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"skylarklead/internal/strictjson"
+)
+
+// Workload is who calls, how often and with what.
+type Workload struct {
+	Name string `json:"name"`
+	// Rate is the arrivals a second of all organisations together.
+	Rate float64 `json:"rate"`
+	// Records are configuration records that the workload needs besides those
+	// of its organisations.
+	Records       []Record       `json:"records"`
+	Organisations []Organisation `json:"organisations"`
+}
+
+// Classes of organisations in reports.
+const (
+	ClassSmall = "small"
+	ClassLarge = "large"
+)
+
+// Organisation is one customer.
+type Organisation struct {
+	ID    string `json:"id"`
+	Class string `json:"class"`
+	// APIKey is its key in clear text; it is good for stand-ins only.
+	APIKey string `json:"api_key"`
+	// Share is its part of all arrivals, relative to the other shares.
+	Share float64 `json:"share"`
+	// Instructions are its standing instructions, the most widely shared first.
+	// Its configuration record carries their texts and the router puts them
+	// before each prompt.
+	Instructions []Instruction `json:"instructions"`
+	// Weight and MaxInFlight go into its configuration record.
+	Weight      float64   `json:"weight"`
+	MaxInFlight int       `json:"max_in_flight"`
+	Requests    []Request `json:"requests"`
+}
+
+// Instruction is Text(Seed, Tokens).
+type Instruction struct {
+	Seed   string `json:"seed"`
+	Tokens int    `json:"tokens"`
+}
+
+// Request is one kind of an organisation's requests: exactly one of Chat and
+// Call is set.
+type Request struct {
+	Name string `json:"name"`
+	// Share is its part of the organisation's arrivals, relative to the others.
+	Share float64 `json:"share"`
+	Chat  *Chat   `json:"chat"`
+	Call  *Call   `json:"call"`
+}
+
+// Chat is a streamed chat completion over nested prefixes: a charter, one of its
+// cases, and a question that is new each time.
+type Chat struct {
+	Model    string `json:"model"`
+	Priority int    `json:"priority"`
+	Charter  Shared `json:"charter"`
+	Case     Shared `json:"case"`
+	// QuestionTokens is the length of the question.
+	QuestionTokens int `json:"question_tokens"`
+	// MinTokens and MaxTokens bound the length of an answer, drawn uniformly.
+	MinTokens int `json:"min_tokens"`
+	MaxTokens int `json:"max_tokens"`
+	// DeadlineMS is how long the caller will wait, 0 for no word about it.
+	DeadlineMS int `json:"deadline_ms"`
+}
+
+// Shared is a set of texts that requests have in common.
+type Shared struct {
+	// Tokens is the length of each; 0 leaves the level out.
+	Tokens int `json:"tokens"`
+	// Count is how many there are, under each text of the level above.
+	Count int `json:"count"`
+	// Skew is the exponent of their popularity by Zipf's law; 0 makes all alike.
+	Skew float64 `json:"skew"`
+}
+
+// Call is a call to a plain service. Its body has a field "echo", which the
+// answer has to repeat.
+type Call struct {
+	Service string `json:"service"`
+	Path    string `json:"path"`
+	// Keyed calls carry an Idempotency-Key of their own.
+	Keyed bool `json:"keyed"`
+	// Tokens is the length of the rest of the body.
+	Tokens     int `json:"tokens"`
+	DeadlineMS int `json:"deadline_ms"`
+}
+
+// Read reads a workload file, JSON with comments, and checks it.
+func Read(file string) (Workload, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Workload{}, fmt.Errorf("load: %w", err)
+	}
+	var w Workload
+	doc := strictjson.Decode(data, file, &w)
+	w.check(doc)
+	if err := doc.Err(); err != nil {
+		return Workload{}, fmt.Errorf("load: %w", err)
+	}
+	return w, nil
+}
+
+func (w *Workload) check(doc *strictjson.Document) {
+	if w.Rate <= 0 {
+		doc.Add("rate", fmt.Sprintf("is %v", w.Rate), "arrivals a second, above 0")
+	}
+	if len(w.Organisations) == 0 {
+		doc.Add("organisations", "is empty", "at least one")
+	}
+	for i, o := range w.Organisations {
+		path := fmt.Sprintf("organisations[%d]", i)
+		if o.Class != ClassSmall && o.Class != ClassLarge {
+			doc.Add(path+".class", fmt.Sprintf("is %q", o.Class), `"small" or "large"`)
+		}
+		if o.Share <= 0 {
+			doc.Add(path+".share", fmt.Sprintf("is %v", o.Share), "above 0")
+		}
+		if len(o.Requests) == 0 {
+			doc.Add(path+".requests", "is empty", "at least one")
+		}
+		for j, r := range o.Requests {
+			r.check(doc, fmt.Sprintf("%s.requests[%d]", path, j))
+		}
+	}
+}
+
+func (r *Request) check(doc *strictjson.Document, path string) {
+	if r.Share <= 0 {
+		doc.Add(path+".share", fmt.Sprintf("is %v", r.Share), "above 0")
+	}
+	if (r.Chat == nil) == (r.Call == nil) {
+		doc.Add(path, "has both or none of chat and call", "one of them")
+		return
+	}
+	if r.Chat == nil {
+		return
+	}
+	if r.Chat.MinTokens < 1 || r.Chat.MaxTokens < r.Chat.MinTokens {
+		doc.Add(path+".chat.max_tokens", fmt.Sprintf("is %d", r.Chat.MaxTokens), "at least min_tokens, which is at least 1")
+	}
+	r.Chat.Charter.check(doc, path+".chat.charter")
+	r.Chat.Case.check(doc, path+".chat.case")
+}
+
+func (s *Shared) check(doc *strictjson.Document, path string) {
+	if s.Tokens > 0 && s.Count < 1 {
+		doc.Add(path+".count", fmt.Sprintf("is %d", s.Count), "at least 1")
+	}
+}
+
+// Record is a configuration record.
+type Record struct {
+	Schema int             `json:"schema"`
+	Kind   string          `json:"kind"`
+	Key    string          `json:"key"`
+	Base   uint64          `json:"base"`
+	Body   json.RawMessage `json:"body"`
+}
--- a/internal/standin/platform/instances.go
+++ b/internal/standin/platform/instances.go
@@ -24,7 +24,7 @@
 }
 
 func newInstances(now func() time.Time, list []client.Instance) *instances {
-	return &instances{now: now, versions: []version{{list: list}}}
+	return &instances{now: now, versions: []version{{list: append([]client.Instance{}, list...)}}}
 }
 
 // set replaces the truth; at once, also what is shown.
