Load: print records as the configuration takes them, ask for usage, label runs

Answers' own count of cached tokens comes only with include_usage. A label keeps the idempotency keys of two runs with one seed apart.

--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"skylarklead/internal/config"
 	"skylarklead/internal/prefix"
 	"skylarklead/internal/standin/answer"
 )
@@ -208,5 +209,16 @@
 		if err != nil || len(records) != len(w.Records)+8 {
 			t.Errorf("%s: %d records, %v", name, len(records), err)
 		}
+		state := config.NewState()
+		for i, r := range records {
+			data, err := r.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			var verdict config.Verdict
+			if state, verdict = state.Apply(uint64(i+1), data); !verdict.Accepted {
+				t.Errorf("%s: %s: %+v", name, r.Name(), verdict)
+			}
+		}
 	}
 }
--- a/internal/standin/load/options.go
+++ b/internal/standin/load/options.go
@@ -17,6 +17,9 @@
 	// Warmup is how much of Duration is left out of the report.
 	Warmup time.Duration
 	Seed   uint64
+	// Label goes into request IDs and idempotency keys. Two runs with one seed
+	// before the same fleet need two labels: a key used twice is refused.
+	Label string
 	// Only has the IDs or classes of the organisations that call, all if empty.
 	Only []string
 	// ShiftAt is when each organisation's popular texts change places; 0 is never.
--- a/internal/standin/load/plan.go
+++ b/internal/standin/load/plan.go
@@ -110,7 +110,7 @@
 
 func (s *source) arrival(at time.Duration, n int) arrival {
 	a := arrival{at: at, organisation: s.org}
-	a.token = fmt.Sprintf("%d-%s-%d", s.options.Seed, s.org.ID, n)
+	a.token = fmt.Sprintf("%s%d-%s-%d", s.options.Label, s.options.Seed, s.org.ID, n)
 	weights := make([]float64, len(s.org.Requests))
 	for i := range weights {
 		weights[i] = s.org.Requests[i].Share
--- a/internal/standin/load/prompt.go
+++ b/internal/standin/load/prompt.go
@@ -57,6 +57,12 @@
 	Stream    bool             `json:"stream"`
 	MaxTokens int              `json:"max_tokens"`
 	Priority  int              `json:"priority,omitempty"`
+	// StreamOptions ask for the usage, which tells the cached tokens.
+	StreamOptions streamOptions `json:"stream_options"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
 }
 
 // callBody is the body of a service call.
@@ -78,6 +84,8 @@
 		Stream:    true,
 		MaxTokens: a.maxTokens,
 		Priority:  chat.Priority,
+
+		StreamOptions: streamOptions{IncludeUsage: true},
 	})
 	return "/v1/chat/completions", body, err
 }
--- a/internal/standin/load/records.go
+++ b/internal/standin/load/records.go
@@ -6,31 +6,46 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+
+	"skylarklead/internal/config"
 )
 
 // recordSchema is the schema version of the records that Records makes.
-const recordSchema = 1
+const recordSchema = 2
 
 // organisationBody is the body of an organisation's configuration record.
 type organisationBody struct {
-	KeyDigests   []string            `json:"key_digests"`
-	Models       map[string][]string `json:"models"`
-	Services     []string            `json:"services"`
-	Instructions []string            `json:"instructions"`
-	Weight       float64             `json:"weight,omitempty"`
-	MaxInFlight  int                 `json:"max_in_flight,omitempty"`
+	KeyDigests   []string    `json:"key_digests"`
+	Models       []modelName `json:"models,omitempty"`
+	Services     []string    `json:"services,omitempty"`
+	Instructions []string    `json:"instructions,omitempty"`
+	Weight       float64     `json:"weight,omitempty"`
+	Limits       *limits     `json:"limits,omitempty"`
+}
+
+type modelName struct {
+	Name string `json:"name"`
+}
+
+type limits struct {
+	MaxInFlight int `json:"max_in_flight"`
 }
 
 // Records returns the configuration records that a workload needs: its own and
 // one for each of its organisations, with the same texts that its prompts have.
-func Records(w Workload) ([]Record, error) {
+func Records(w Workload) ([]config.Record, error) {
 	records := slices.Clone(w.Records)
 	for _, o := range w.Organisations {
 		body, err := json.Marshal(organisationRecord(&o))
 		if err != nil {
 			return nil, fmt.Errorf("load: organisation %s: %w", o.ID, err)
 		}
-		records = append(records, Record{Schema: recordSchema, Kind: "organisation", Key: o.ID, Body: body})
+		records = append(records, config.Record{
+			Schema: recordSchema,
+			Kind:   config.KindOrganisation,
+			Key:    o.ID,
+			Body:   body,
+		})
 	}
 	return records, nil
 }
@@ -38,21 +53,28 @@
 func organisationRecord(o *Organisation) organisationBody {
 	digest := sha256.Sum256([]byte(o.APIKey))
 	body := organisationBody{
-		KeyDigests:  []string{hex.EncodeToString(digest[:])},
-		Models:      map[string][]string{},
-		Services:    []string{},
-		Weight:      o.Weight,
-		MaxInFlight: o.MaxInFlight,
+		KeyDigests: []string{hex.EncodeToString(digest[:])},
+		Weight:     o.Weight,
+	}
+	if o.MaxInFlight > 0 {
+		body.Limits = &limits{MaxInFlight: o.MaxInFlight}
 	}
 	for _, i := range o.Instructions {
 		body.Instructions = append(body.Instructions, Text(i.Seed, i.Tokens))
 	}
 	for _, r := range o.Requests {
-		if r.Chat != nil {
-			body.Models[r.Chat.Model] = []string{}
-		} else if !slices.Contains(body.Services, r.Call.Service) {
-			body.Services = append(body.Services, r.Call.Service)
+		if r.Chat == nil {
+			body.Services = addOnce(body.Services, r.Call.Service)
+		} else {
+			body.Models = addOnce(body.Models, modelName{r.Chat.Model})
 		}
 	}
 	return body
 }
+
+func addOnce[T comparable](list []T, item T) []T {
+	if slices.Contains(list, item) {
+		return list
+	}
+	return append(list, item)
+}
--- a/internal/standin/load/workload.go
+++ b/internal/standin/load/workload.go
@@ -8,10 +8,10 @@
 package load
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 
+	"skylarklead/internal/config"
 	"skylarklead/internal/strictjson"
 )
 
@@ -22,8 +22,8 @@
 	Rate float64 `json:"rate"`
 	// Records are configuration records that the workload needs besides those
 	// of its organisations.
-	Records       []Record       `json:"records"`
-	Organisations []Organisation `json:"organisations"`
+	Records       []config.Record `json:"records"`
+	Organisations []Organisation  `json:"organisations"`
 }
 
 // Classes of organisations in reports.
@@ -166,12 +166,3 @@
 		doc.Add(path+".count", fmt.Sprintf("is %d", s.Count), "at least 1")
 	}
 }
-
-// Record is a configuration record.
-type Record struct {
-	Schema int             `json:"schema"`
-	Kind   string          `json:"kind"`
-	Key    string          `json:"key"`
-	Base   uint64          `json:"base"`
-	Body   json.RawMessage `json:"body"`
-}
