follow: keep the configuration up to date from log, peers or a file

Cause: a process that reads only the log starts with nothing when the log is down, falls behind when it alone is cut off, and finds nothing once retention has passed.

Change: package follow. The log's tail, peers asked at the start and while the log is away, peers heard to be newer, a bootstrap file after one second; the state never goes back.

One written late by a stopped process covers less than it seems to.

--- /dev/null
+++ b/internal/config/schedule.go
@@ -0,0 +1,77 @@
+package config
+
+import "time"
+
+const (
+	// firstSnapshotShare of the retention after its start, a process that has
+	// seen no snapshot arrive takes it that one is due.
+	firstSnapshotShare = 48
+	// snapshotSpreadShare of the retention is what ranks are spread over.
+	snapshotSpreadShare = 8
+	// sampleShare of the retention is the distance of samples.
+	sampleShare = 64
+)
+
+// SnapshotSchedule tells when a process is to write a snapshot: when the oldest
+// record that a new reader needs may be half a retention old. It compares no
+// clocks; it counts from when this process itself knew that the record wasn't on
+// the log yet. What was there before its start has an unknown age, so a snapshot
+// is then due soon: a fleet whose processes all live for less than half a
+// retention would otherwise never write one, and lose its configuration.
+//
+// Ranks spread the processes out, so that usually one writes and the others see
+// it. Doubles do no harm. Times are monotonic, since the process's start.
+type SnapshotSchedule struct {
+	retention time.Duration
+	spread    time.Duration
+	due       time.Duration
+	samples   []sample
+}
+
+// sample says that the log ended at offset at the time at.
+type sample struct {
+	offset uint64
+	at     time.Duration
+}
+
+// NewSnapshotSchedule starts at the time start; rank is 0 to 1 and differs among
+// the processes.
+func NewSnapshotSchedule(retention, start time.Duration, rank float64) *SnapshotSchedule {
+	spread := time.Duration(rank * float64(retention/snapshotSpreadShare))
+	return &SnapshotSchedule{
+		retention: retention,
+		spread:    spread,
+		due:       start + retention/firstSnapshotShare + spread,
+	}
+}
+
+// CaughtUp notes that the log ended at offset at the time at.
+func (c *SnapshotSchedule) CaughtUp(offset uint64, at time.Duration) {
+	if n := len(c.samples); n > 0 && at-c.samples[n-1].at < c.retention/sampleShare {
+		return
+	}
+	c.samples = append(c.samples, sample{offset: offset, at: at})
+	if len(c.samples) > sampleShare {
+		c.samples = c.samples[1:]
+	}
+}
+
+// Saw notes a whole snapshot on the log. It counts by the age of the first
+// record after AsOf, which a reader needs beside it: a snapshot may be written
+// long after its state was taken, by a process that was stopped between.
+func (c *SnapshotSchedule) Saw(asOf uint64) {
+	for i := len(c.samples) - 1; i >= 0; i-- {
+		if s := c.samples[i]; s.offset <= asOf {
+			c.due = max(c.due, s.at+c.retention/2+c.spread)
+			return
+		}
+	}
+}
+
+// Wrote puts the next try off, in case the snapshot isn't seen on the log.
+func (c *SnapshotSchedule) Wrote(at time.Duration) {
+	c.due = max(c.due, at+c.retention/sampleShare)
+}
+
+// Due returns when to write.
+func (c *SnapshotSchedule) Due() time.Duration { return c.due }
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -108,9 +108,27 @@
 	missing int
 }
 
-// Add takes the record of an accepted Verdict. It returns the state once the last
-// part of a snapshot is there. Errors wrap ErrState.
-func (a *Assembler) Add(r Record) (*State, error) {
+// Snapshot is a whole encoded state from the log.
+type Snapshot struct {
+	AsOf uint64
+	Data []byte
+}
+
+// Decode returns the snapshot's state. Errors wrap ErrState.
+func (p *Snapshot) Decode() (*State, error) {
+	s, err := DecodeState(p.Data)
+	if err != nil {
+		return nil, err
+	}
+	if s.Offset != p.AsOf {
+		return nil, fmt.Errorf("%w: a snapshot as of %d of a state at %d", ErrState, p.AsOf, s.Offset)
+	}
+	return s, nil
+}
+
+// Add takes the record of an accepted Verdict. It returns a snapshot once its
+// last part is there, else nil. Errors wrap ErrState.
+func (a *Assembler) Add(r Record) (*Snapshot, error) {
 	part, ok := r.parsed.(*SnapshotPart)
 	if !ok {
 		return nil, nil
@@ -127,14 +145,7 @@
 		return nil, nil
 	}
 	delete(a.open, part.ID)
-	s, err := DecodeState(bytes.Join(o.parts, nil))
-	if err != nil {
-		return nil, err
-	}
-	if s.Offset != part.AsOf {
-		return nil, fmt.Errorf("%w: a snapshot as of %d of a state at %d", ErrState, part.AsOf, s.Offset)
-	}
-	return s, nil
+	return &Snapshot{AsOf: part.AsOf, Data: bytes.Join(o.parts, nil)}, nil
 }
 
 func (a *Assembler) opened(part *SnapshotPart) *openSnapshot {
--- a/internal/config/snapshot_test.go
+++ b/internal/config/snapshot_test.go
@@ -84,7 +84,11 @@
 				continue
 			}
 			found++
-			if picture(t, got) != picture(t, s) {
+			state, err := got.Decode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if picture(t, state) != picture(t, s) {
 				t.Fatal("the snapshot differs from its state")
 			}
 		}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,207 @@
+// Package follow keeps a process's configuration up to date: from the platform's
+// log, from peers while the log can't be reached, and from a bootstrap file when
+// neither answers at the start. The state that it hands out never goes back to a
+// lower offset.
+package follow
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"log/slog"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"skylarklead/internal/config"
+	"skylarklead/internal/platform"
+	"skylarklead/internal/wire"
+)
+
+const (
+	// Stream is the log's stream of configuration records.
+	Stream = "config"
+	// bootstrapAfter is how long the log and the peers may take at the start.
+	bootstrapAfter = time.Second
+	// logWait is how long one read of the log waits for a record.
+	logWait = 10 * time.Second
+	// minPause and maxPause bound the pause after a failed read.
+	minPause = 100 * time.Millisecond
+	maxPause = 3 * time.Second
+	// peerPause is the time between questions to peers without the log.
+	peerPause = 2 * time.Second
+	// fetchTimeout bounds one question to a peer.
+	fetchTimeout = 5 * time.Second
+	// tailGrace is how long the log gets to bring what a peer already has.
+	tailGrace = 100 * time.Millisecond
+	// maxAnswer keeps a state within one frame. A longer one would break the
+	// session and every stream on it.
+	maxAnswer = wire.MaxFrame - 4096
+)
+
+// Source is where the present state came from.
+type Source string
+
+// The sources.
+const (
+	SourceNone      Source = ""
+	SourceLog       Source = "log"
+	SourcePeer      Source = "peer"
+	SourceBootstrap Source = "bootstrap"
+)
+
+// ErrTooLarge is returned for a state that doesn't fit into one frame.
+var ErrTooLarge = errors.New("follow: the state is too large for one message")
+
+// Log is the part of platform.Log that a Follower uses.
+type Log interface {
+	Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.Page, error)
+	Append(ctx context.Context, stream string, records [][]byte) (uint64, error)
+}
+
+// Fetch asks one peer for what is newer than the offset after.
+type Fetch func(ctx context.Context, after uint64) (*wire.ConfigState, error)
+
+// Options are what a Follower needs.
+type Options struct {
+	Log Log
+	// Peers returns whom to ask, the best ones first. It is called at the start
+	// and again while the log can't be reached.
+	Peers func(ctx context.Context) []Fetch
+	// Bootstrap is the file of an exported state, empty for none.
+	Bootstrap string
+	// Retention is how long the log keeps a record.
+	Retention time.Duration
+	// Process is the process's unique name; it ranks who writes snapshots.
+	Process string
+	Logger  *slog.Logger
+}
+
+// Follower follows the configuration. Its methods may be called from any
+// goroutine.
+type Follower struct {
+	opts    Options
+	started time.Time
+	state   atomic.Pointer[config.State]
+	source  atomic.Value
+	logUp   atomic.Bool
+	ready   chan struct{}
+	encoded encodedCache
+
+	// mu orders changes of state.
+	mu sync.Mutex
+
+	hearsay hearsay
+}
+
+// New returns a Follower that has no state until Run gets one.
+func New(opts Options) *Follower {
+	f := &Follower{opts: opts, started: time.Now(), ready: make(chan struct{})}
+	f.source.Store(SourceNone)
+	return f
+}
+
+// Current returns the newest accepted state, or nil if there is none yet.
+func (f *Follower) Current() *config.State { return f.state.Load() }
+
+// State is Current.
+func (f *Follower) State() *config.State { return f.Current() }
+
+// Ready is closed once there is a state to serve from.
+func (f *Follower) Ready() <-chan struct{} { return f.ready }
+
+// Source returns where the present state came from.
+func (f *Follower) Source() string { return string(f.source.Load().(Source)) }
+
+// LogReachable reports whether the last read of the log was answered.
+func (f *Follower) LogReachable() bool { return f.logUp.Load() }
+
+// Wait returns when there is a state to serve from, or ctx's error.
+func (f *Follower) Wait(ctx context.Context) error {
+	select {
+	case <-f.ready:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Run follows until ctx ends and returns its error.
+func (f *Follower) Run(ctx context.Context) error {
+	var tasks sync.WaitGroup
+	tasks.Go(func() { f.followPeers(ctx) })
+	tasks.Go(func() { f.bootstrapLate(ctx) })
+	tasks.Go(func() { f.followHearsay(ctx) })
+	newTail(f).run(ctx)
+	tasks.Wait()
+	return ctx.Err()
+}
+
+// offset is the present state's offset, 0 without one.
+func (f *Follower) offset() uint64 {
+	if s := f.state.Load(); s != nil {
+		return s.Offset
+	}
+	return 0
+}
+
+// adopt makes s the present state if it is newer, or the first.
+func (f *Follower) adopt(s *config.State, source Source) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.adoptLocked(s, source)
+}
+
+func (f *Follower) adoptLocked(s *config.State, source Source) bool {
+	old := f.state.Load()
+	if old != nil && s.Offset <= old.Offset {
+		if s.Offset == old.Offset && source == SourceLog {
+			f.source.Store(source)
+		}
+		return false
+	}
+	f.state.Store(s)
+	f.source.Store(source)
+	if old == nil {
+		close(f.ready)
+	}
+	f.opts.Logger.Info("configuration in force", "offset", s.Offset, "source", string(source),
+		"organisations", len(s.Organisations), "unknown_schema", len(s.Opaque))
+	return true
+}
+
+// Offer merges what a peer, or a file, has. An older state changes nothing.
+func (f *Follower) Offer(encoded []byte, source Source) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	base := f.state.Load()
+	if base == nil {
+		base = config.NewState()
+	}
+	merged, err := base.Merge(encoded)
+	if err != nil {
+		return err
+	}
+	f.adoptLocked(merged, source)
+	return nil
+}
+
+// now is the time since the start, by the monotonic clock.
+func (f *Follower) now() time.Duration { return time.Since(f.started) }
+
+// rank spreads processes evenly over 0 to 1.
+func (f *Follower) rank() float64 {
+	h := fnv.New64a()
+	h.Write([]byte(f.opts.Process))
+	return float64(h.Sum64()) / math.MaxUint64
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,244 @@
+package follow
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"skylarklead/internal/config"
+	"skylarklead/internal/platform"
+	standin "skylarklead/internal/standin/platform"
+	"skylarklead/internal/wire"
+)
+
+const patience = 10 * time.Second
+
+type fixture struct {
+	t   *testing.T
+	url string
+	log *platform.Log
+}
+
+func newFixture(t *testing.T, control standin.Control) *fixture {
+	t.Helper()
+	server := httptest.NewServer(standin.New(standin.Options{Control: control}))
+	f := &fixture{t: t, url: server.URL, log: platform.NewLog(server.URL)}
+	t.Cleanup(func() { f.log.Close(); server.CloseClientConnections(); server.Close() })
+	return f
+}
+
+func (f *fixture) control(body string) {
+	f.t.Helper()
+	resp, err := http.Post(f.url+"/control", "application/json", bytes.NewBufferString(body))
+	if err != nil || resp.StatusCode != http.StatusOK {
+		f.t.Fatalf("control %s: %v %v", body, resp, err)
+	}
+	resp.Body.Close()
+}
+
+// publish appends a change of the group "g" and returns its offset.
+func (f *fixture) publish(base uint64) uint64 {
+	f.t.Helper()
+	record := fmt.Appendf(nil, `{"schema":1,"kind":"group","key":"g","base":%d,"body":{"load_permits":%d}}`, base, base+1)
+	offset, err := f.log.Append(f.t.Context(), Stream, [][]byte{record})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return offset
+}
+
+func (f *fixture) follow(opts Options) *Follower {
+	if opts.Log == nil {
+		opts.Log = f.log
+	}
+	if opts.Retention == 0 {
+		opts.Retention = time.Hour
+	}
+	opts.Logger = slog.New(slog.DiscardHandler)
+	follower := New(opts)
+	ctx, cancel := context.WithCancel(f.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.Run(ctx)
+	}()
+	f.t.Cleanup(func() { cancel(); <-done })
+	return follower
+}
+
+func until(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("not seen: " + what)
+		}
+	}
+}
+
+func (f *fixture) reaches(follower *Follower, offset uint64, source Source) {
+	f.t.Helper()
+	until(f.t, fmt.Sprintf("offset %d from %s", offset, source), func() bool {
+		return follower.offset() >= offset && follower.Source() == string(source)
+	})
+}
+
+// from is a peer that answers out of another follower.
+func from(peer *Follower) Fetch {
+	return func(_ context.Context, after uint64) (*wire.ConfigState, error) {
+		return peer.Fetch(&wire.ConfigFetch{After: after})
+	}
+}
+
+// cutLog is a log that can't be reached.
+type cutLog struct{}
+
+var errCut = errors.New("cut off")
+
+func (cutLog) Read(context.Context, string, uint64, int, time.Duration) (platform.Page, error) {
+	return platform.Page{}, errCut
+}
+
+func (cutLog) Append(context.Context, string, [][]byte) (uint64, error) { return 0, errCut }
+
+func TestFollowsLog(t *testing.T) {
+	f := newFixture(t, standin.Control{})
+	first := f.publish(0)
+	follower := f.follow(Options{})
+	f.reaches(follower, first, SourceLog)
+	second := f.publish(first)
+	f.reaches(follower, second, SourceLog)
+	if got := follower.Current().Groups["g"].LoadPermits; got != int(first)+1 {
+		t.Errorf("load permits %d", got)
+	}
+	if !follower.LogReachable() {
+		t.Error("the log counts as not reachable")
+	}
+}
+
+// Symptom: a process cut off from the log goes on with an old configuration.
+// Sequence: the log is cut at one process only; operators publish; other
+// processes talk to it. Cause: it would learn of changes from the log alone.
+func TestFollowsPeersWithoutLog(t *testing.T) {
+	f := newFixture(t, standin.Control{})
+	first := f.publish(0)
+	peer := f.follow(Options{})
+	f.reaches(peer, first, SourceLog)
+	cut := f.follow(Options{Log: cutLog{}, Peers: func(context.Context) []Fetch { return []Fetch{from(peer)} }})
+	f.reaches(cut, first, SourcePeer)
+	second := f.publish(first)
+	f.reaches(peer, second, SourceLog)
+	cut.Heard(second, from(peer))
+	f.reaches(cut, second, SourcePeer)
+	if cut.LogReachable() {
+		t.Error("the log counts as reachable")
+	}
+}
+
+// Symptom: a configuration reverts after it was in force. Sequence: a process
+// asks a peer that is behind, or is sent an old state. Cause: whoever answers
+// last would win.
+func TestNeverGoesBack(t *testing.T) {
+	f := newFixture(t, standin.Control{})
+	first := f.publish(0)
+	stale := f.follow(Options{})
+	f.reaches(stale, first, SourceLog)
+	old, err := config.EncodeState(stale.Current())
+	if err != nil {
+		t.Fatal(err)
+	}
+	second := f.publish(first)
+	follower := f.follow(Options{Log: cutLog{}})
+	f.reaches(stale, second, SourceLog)
+	follower.Heard(second, from(stale))
+	f.reaches(follower, second, SourcePeer)
+	if err := follower.Offer(old, SourcePeer); err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := config.DecodeState(old)
+	if err != nil {
+		t.Fatal(err)
+	}
+	follower.adopt(decoded, SourceLog)
+	if got := follower.offset(); got != second {
+		t.Errorf("offset went back to %d", got)
+	}
+}
+
+// Symptom: after all processes were replaced during an outage of the log nobody
+// serves. Sequence: log down, every peer new as well. Cause: nothing is left that
+// knows the configuration but the operators' exported file.
+func TestBootstrapFile(t *testing.T) {
+	f := newFixture(t, standin.Control{})
+	first := f.publish(0)
+	before := f.follow(Options{})
+	f.reaches(before, first, SourceLog)
+	exported, err := config.EncodeState(before.Current())
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "state")
+	if err := os.WriteFile(file, exported, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.control(`{"log_down":true}`)
+	follower := f.follow(Options{Bootstrap: file})
+	f.reaches(follower, first, SourceBootstrap)
+	f.control(`{"log_down":false}`)
+	f.reaches(follower, f.publish(first), SourceLog)
+}
+
+// Symptom: a process that starts after retention has passed has no
+// configuration. Sequence: records, a snapshot, the log drops what is before it.
+// Cause: the first records are gone.
+func TestSnapshotOutlivesRetention(t *testing.T) {
+	f := newFixture(t, standin.Control{})
+	last := uint64(0)
+	for range 5 {
+		last = f.publish(last)
+	}
+	// A retention this short makes the first snapshot due at once.
+	writer := f.follow(Options{Process: "writer", Retention: 50 * time.Millisecond})
+	until(t, "a snapshot on the log", func() bool { return writer.offset() > last })
+	f.control(`{"retention_count":2}`)
+	after := f.publish(last)
+	f.control(`{"retention_count":0}`)
+	f.reaches(writer, after, SourceLog)
+	page, err := f.log.Read(t.Context(), Stream, 1, 1, 0)
+	var retained *platform.RetainedError
+	if !errors.As(err, &retained) {
+		t.Fatalf("the log still has its first record: %v %v", page, err)
+	}
+	late := f.follow(Options{Process: "late"})
+	f.reaches(late, after, SourceLog)
+	if late.Current().Groups["g"].Offset != after {
+		t.Errorf("group %+v, want the one at %d", late.Current().Groups["g"], after)
+	}
+}
+
+// Symptom: a process behind retention serves less than what is in force.
+// Sequence: a snapshot written late by a stopped process claims an offset whose
+// next records are gone already. Cause: applying the rest of the log on it would
+// leave a gap.
+func TestSnapshotWithGapIsNotUsed(t *testing.T) {
+	s := config.NewState()
+	s, _ = s.Apply(1, []byte(`{"schema":1,"kind":"group","key":"g","base":0,"body":{}}`))
+	records, err := config.SnapshotRecords(s, "late")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := []platform.Record{{Offset: 9, Data: records[0]}}
+	if got := newestSnapshot(log, 9); got != nil {
+		t.Errorf("used the snapshot as of %d on a log that starts at 9", got.AsOf)
+	}
+	if got := newestSnapshot(log, 2); got == nil {
+		t.Error("didn't use the snapshot that the log continues")
+	}
+}
--- /dev/null
+++ b/internal/follow/peers.go
@@ -0,0 +1,206 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"skylarklead/internal/config"
+	"skylarklead/internal/platform"
+	"skylarklead/internal/settings"
+	"skylarklead/internal/wire"
+)
+
+// firstPeers is how many peers are asked at once at the start.
+const firstPeers = 3
+
+// listPatience bounds the wait for the instance list, which may be down together
+// with the log: the fixed peers are asked without it then.
+const listPatience = 500 * time.Millisecond
+
+// PeerFetch returns the Fetch that asks the daemon at address.
+func PeerFetch(pool *wire.Pool, address string) Fetch {
+	return func(ctx context.Context, after uint64) (*wire.ConfigState, error) {
+		session, err := pool.Get(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return SessionFetch(session)(ctx, after)
+	}
+}
+
+// SessionFetch returns the Fetch that asks the peer of an open session.
+func SessionFetch(session *wire.Session) Fetch {
+	return func(ctx context.Context, after uint64) (*wire.ConfigState, error) {
+		reply, err := session.Call(ctx, &wire.ConfigFetch{After: after})
+		if err != nil {
+			return nil, err
+		}
+		switch reply := reply.(type) {
+		case *wire.ConfigState:
+			return reply, nil
+		case *wire.Failure:
+			return nil, fmt.Errorf("follow: peer %s: %s", session.Peer().ID, reply.Refusal.Message)
+		}
+		return nil, fmt.Errorf("follow: peer %s answered with %T", session.Peer().ID, reply)
+	}
+}
+
+// Fetch answers a peer's ConfigFetch: with nothing if it has as much.
+func (f *Follower) Fetch(m *wire.ConfigFetch) (*wire.ConfigState, error) {
+	s := f.Current()
+	if s == nil || s.Offset <= m.After {
+		return &wire.ConfigState{}, nil
+	}
+	data, err := f.encoded.since(s, m.After)
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > maxAnswer {
+		return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(data))
+	}
+	return &wire.ConfigState{Offset: s.Offset, State: data}, nil
+}
+
+// encodedCache keeps the last whole state as encoded. After a restart of many
+// processes each peer is asked for the same one by several of them.
+type encodedCache struct {
+	mu     sync.Mutex
+	offset uint64
+	data   []byte
+}
+
+func (c *encodedCache) since(s *config.State, after uint64) ([]byte, error) {
+	if after > 0 {
+		return config.EncodeSince(s, after)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.data != nil && c.offset == s.Offset {
+		return c.data, nil
+	}
+	data, err := config.EncodeState(s)
+	if err != nil {
+		return nil, err
+	}
+	c.offset, c.data = s.Offset, data
+	return data, nil
+}
+
+// ask fetches from one peer and merges what it has.
+func (f *Follower) ask(ctx context.Context, fetch Fetch) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	answer, err := fetch(ctx, f.offset())
+	if err != nil || len(answer.State) == 0 {
+		return err
+	}
+	return f.Offer(answer.State, SourcePeer)
+}
+
+// followPeers asks several peers at the start and then, while the log can't be
+// reached, one at a time. Messages from peers with a newer state bring it sooner
+// (Heard); this finds it for a process that nobody talks to.
+func (f *Follower) followPeers(ctx context.Context) {
+	if f.opts.Peers == nil {
+		return
+	}
+	f.askSeveral(ctx, f.opts.Peers(ctx))
+	for {
+		pause(ctx, peerPause/2+rand.N(peerPause))
+		if ctx.Err() != nil {
+			return
+		}
+		if f.LogReachable() && f.Current() != nil {
+			continue
+		}
+		if peers := f.opts.Peers(ctx); len(peers) > 0 {
+			f.askOne(ctx, peers[rand.IntN(len(peers))])
+		}
+	}
+}
+
+func (f *Follower) askSeveral(ctx context.Context, peers []Fetch) {
+	var asked sync.WaitGroup
+	for _, fetch := range peers[:min(firstPeers, len(peers))] {
+		asked.Go(func() { f.askOne(ctx, fetch) })
+	}
+	asked.Wait()
+}
+
+func (f *Follower) askOne(ctx context.Context, fetch Fetch) {
+	if err := f.ask(ctx, fetch); err != nil && ctx.Err() == nil {
+		f.opts.Logger.Debug("peer gave no configuration", "error", err)
+	}
+}
+
+// bootstrapLate reads the bootstrap file when neither the log nor a peer has
+// brought a state in time.
+func (f *Follower) bootstrapLate(ctx context.Context) {
+	if f.opts.Bootstrap == "" {
+		return
+	}
+	pause(ctx, bootstrapAfter)
+	if ctx.Err() != nil || f.Current() != nil {
+		return
+	}
+	data, err := os.ReadFile(f.opts.Bootstrap)
+	if err == nil {
+		err = f.Offer(data, SourceBootstrap)
+	}
+	if err != nil {
+		f.opts.Logger.Error("bootstrap file can't be used", "file", f.opts.Bootstrap, "error", err)
+	}
+}
+
+// FromSettings returns the Follower of a daemon.
+func FromSettings(s *settings.Settings, log Log, instances *platform.Instances, pool *wire.Pool, logger *slog.Logger) *Follower {
+	return New(Options{
+		Log:       log,
+		Peers:     Neighbours(pool, s.Bootstrap.Peers, instances.List, s.FailureDomain, s.Advertise),
+		Bootstrap: s.Bootstrap.File,
+		Retention: s.Platform.Retention.D(),
+		Process:   s.ID,
+		Logger:    logger,
+	})
+}
+
+// Neighbours returns a Peers function over fixed addresses and the instance list,
+// those of the same failure domain first, others in random order so that a herd
+// of restarted processes doesn't ask the same few.
+func Neighbours(pool *wire.Pool, fixed []string, list func(context.Context) ([]platform.Instance, error), domain, self string) func(context.Context) []Fetch {
+	return func(ctx context.Context) []Fetch {
+		near, far := append([]string(nil), fixed...), []string(nil)
+		listCtx, cancel := context.WithTimeout(ctx, listPatience)
+		instances, err := list(listCtx)
+		cancel()
+		if err != nil {
+			instances = nil // the fixed ones are left
+		}
+		for _, i := range instances {
+			switch {
+			case i.Address == self:
+			case i.FailureDomain == domain:
+				near = append(near, i.Address)
+			default:
+				far = append(far, i.Address)
+			}
+		}
+		return fetches(pool, near, far)
+	}
+}
+
+func fetches(pool *wire.Pool, groups ...[]string) []Fetch {
+	var all []Fetch
+	for _, addresses := range groups {
+		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		for _, a := range addresses {
+			all = append(all, PeerFetch(pool, a))
+		}
+	}
+	return all
+}
