--- a/internal/endpoint/drain.go
+++ b/internal/endpoint/drain.go
@@ -9,8 +9,10 @@
 // drainState is whether this endpoint takes no new work, and whether the process
 // ends once the last stream has.
 type drainState struct {
-	leaving  bool
-	since    time.Duration
+	leaving bool
+	since   time.Duration
+	// lastEnd is when the last End was written.
+	lastEnd  time.Duration
 	stopping bool
 	finished chan struct{}
 }
@@ -48,11 +50,20 @@
 	e.checkDrained()
 }
 
+// exitLinger is how long the process stays after its last stream's end was sent.
+// A process that exits with bytes of a peer unread resets the connection, and the
+// reset overtakes what the peer has not read yet: a graceful stop would cut the
+// very answer that it waited for.
+const exitLinger = 300 * time.Millisecond
+
 // checkDrained ends the process when it is to stop and no stream is open.
 func (e *Endpoint) checkDrained() {
 	if !e.drain.stopping || e.executions.inFlight() > 0 {
 		return
 	}
+	if e.now()-e.drain.lastEnd < exitLinger {
+		return
+	}
 	if e.claims.once.Held() > 0 && e.now()-e.drain.since < releaseTimeout {
 		// A claim that dies with this process unreleased blocks its key for good.
 		return
--- a/internal/endpoint/resume.go
+++ b/internal/endpoint/resume.go
@@ -47,7 +47,8 @@
 // onResume sends an attempt's chunks again, on this session.
 func (e *Endpoint) onResume(s *wire.Session, m *wire.Resume) {
 	a := e.executions[m.Attempt]
-	if m.Epoch != e.tel.Epoch || a == nil || !a.stream.attach(s, m.Seq, m.Window) {
+	known := a != nil && m.Epoch == e.tel.Epoch && m.Organisation == a.run.Organisation
+	if !known || !a.stream.attach(s, m.Seq, m.Window) {
 		e.dropped("resume of an unknown attempt", s, "attempt", m.Attempt.String())
 		end := &wire.End{Attempt: m.Attempt, Seq: m.Seq, Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome}
 		go s.Send(end) // lost only with the session, which tells as much
--- a/internal/endpoint/run.go
+++ b/internal/endpoint/run.go
@@ -60,7 +60,10 @@
 	e.executions[run.Attempt] = a
 	e.tel.Metrics.Requests.Mark(1)
 	go a.stream.pump(ctx, func(s *wire.Session) {
-		e.loop.must(func() { a.delivered = a.delivered || a.session == s })
+		e.loop.must(func() {
+			a.delivered = a.delivered || a.session == s
+			e.drain.lastEnd = e.now()
+		})
 	})
 	return a
 }
