--- /dev/null
+++ b/internal/entry/actions.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/wire"
+)
+
+const (
+	// tryTimeout bounds one try to reach an executor again.
+	tryTimeout = time.Second
+	// reasonRedirected is the reason's suffix when an executor passed a request on.
+	reasonRedirected = "+redirect"
+)
+
+func (d *drive) ask(a attempt.Ask) []attempt.Action {
+	d.life.sleep(a.After)
+	d.job.exclude, d.job.crashed = a.Exclude, a.Crashed
+	d.unchoose()
+	decision := d.place(d.life, d.job)
+	if d.life.Err() != nil {
+		return d.over()
+	}
+	if decision == nil {
+		return d.step(attempt.AskFailed{})
+	}
+	d.job.decision = *decision
+	if d.e.chooser != nil && d.job.call == nil {
+		d.chosen = decision.Executor.Endpoint
+	}
+	return d.step(attempt.Asked{Decision: decision})
+}
+
+func (d *drive) run(a attempt.Run) []attempt.Action {
+	d.release()
+	d.noteTarget(a)
+	if d.job.full(a.FirstSeq) {
+		d.conclude(&wire.End{Outcome: wire.Done, FinishReason: finishLength})
+		d.left = true
+		return nil
+	}
+	session, err := d.e.sessionTo(d.life, a.Target)
+	if err != nil {
+		d.e.tel.Log.Warn("executor can't be reached", "request", d.job.id, "executor", a.Target.Endpoint, "error", err)
+		return d.step(attempt.NotSent{Attempt: a.Attempt})
+	}
+	d.live = d.e.openLink(a.Attempt, session)
+	d.job.receiver.Begin(a.Attempt)
+	actions := d.step(attempt.Sent{Attempt: a.Attempt, Epoch: session.Peer().Epoch})
+	// A failed write closes the session, which await sees.
+	_ = session.Send(d.job.run(a))
+	return actions
+}
+
+func (d *drive) noteTarget(a attempt.Run) {
+	d.job.attempts++
+	if d.job.attempts > 1 {
+		d.e.tel.Metrics.Retries.Inc(1)
+	}
+	if a.Redirected {
+		d.job.decision.Reason += reasonRedirected
+	}
+	d.job.decision.Executor = a.Target
+	d.job.before = a.FirstSeq
+}
+
+func (d *drive) resume(a attempt.Resume) []attempt.Action {
+	d.life.sleep(a.After)
+	session, err := d.e.sameEpoch(d.life, a.Target)
+	if err != nil {
+		return d.step(attempt.ResumeFailed{Attempt: a.Attempt, EpochGone: errors.Is(err, errEpochGone)})
+	}
+	d.live.move(session)
+	d.job.receiver.Resumed()
+	actions := d.step(attempt.ResumeOpened{Attempt: a.Attempt})
+	// A failed write closes the session, which await sees.
+	_ = session.Send(d.job.resume(a.Attempt, a.Target.Epoch, a.Seq))
+	d.e.tel.Log.Info("stream resumed", "request", d.job.id, "executor", a.Target.Endpoint, "seq", a.Seq)
+	return actions
+}
+
+func (d *drive) resolve(a attempt.Resolve) []attempt.Action {
+	d.life.sleep(a.After)
+	answer, epoch, err := d.e.resolveAt(d.life, a)
+	if err != nil {
+		return d.step(attempt.ResumeFailed{Attempt: a.Attempt, EpochGone: errors.Is(err, errEpochGone)})
+	}
+	return d.step(attempt.Resolved{Epoch: epoch, Answer: answer})
+}
+
+// cancel tells the executor in the background: it may be behind a cut link, and
+// the caller's final answer doesn't wait for it.
+func (d *drive) cancel(a attempt.Cancel) {
+	e := d.e
+	e.background.Go(func() {
+		ctx, done := context.WithTimeout(context.Background(), tryTimeout)
+		defer done()
+		session, err := e.sameEpoch(ctx, a.Target)
+		if err == nil {
+			_ = session.Send(&wire.Cancel{Attempt: a.Attempt}) // the executor's own grace ends it
+		}
+	})
+}
--- /dev/null
+++ b/internal/entry/place_test.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"skylarklead/internal/route"
+	"skylarklead/internal/wire"
+)
+
+func TestPolicies(t *testing.T) {
+	script := func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Ask:
+			x.decide(s, ref, m)
+		case *wire.Run:
+			words(s, m.Attempt, 0, 1, 1)
+		}
+	}
+	a, b := newExecutor(t, "ep-a", script), newExecutor(t, "ep-b", script)
+	for _, policy := range []route.Policy{
+		route.PolicyOwner, route.PolicyRandom, route.PolicyRoundRobin, route.PolicyLeastLoaded,
+		route.PolicyWholePrompt, route.PolicyBoundedLoad, route.PolicyPrefixTables,
+	} {
+		e, server := newTestEntry(t, "llm", a, b)
+		var err error
+		if e.chooser, err = newChooser(string(policy), e.now); err != nil {
+			t.Fatal(err)
+		}
+		asks := count[*wire.Ask](a) + count[*wire.Ask](b)
+		resp := post(t, context.Background(), server.URL+"/v1/chat/completions", wholeBody)
+		if resp.StatusCode != http.StatusOK {
+			t.Errorf("%s: status %d", policy, resp.StatusCode)
+		}
+		asked := count[*wire.Ask](a)+count[*wire.Ask](b) > asks
+		if want := policy == route.PolicyOwner; asked != want {
+			t.Errorf("%s: an owner was asked: %v", policy, asked)
+		}
+	}
+	if _, err := newChooser("fastest", func() time.Duration { return 0 }); err == nil {
+		t.Error("an unknown policy was accepted")
+	}
+}
+
+// Symptom: a request travels to and fro between endpoints that disagree.
+// Sequence: each of two executors redirects to the other.
+// Cause: only one redirect may be followed.
+func TestRedirectIsFollowedOnce(t *testing.T) {
+	var executors []*executor
+	script := func(x *executor, s *wire.Session, _ uint32, m wire.Message) {
+		run, ok := m.(*wire.Run)
+		if !ok {
+			return
+		}
+		other := executors[0]
+		if x == other {
+			other = executors[1]
+		}
+		target := &wire.Target{Endpoint: other.id, Address: other.address}
+		_ = s.Send(&wire.End{Attempt: run.Attempt, Outcome: wire.NotRun, Redirect: target})
+	}
+	executors = append(executors, newExecutor(t, "portal-1", script), newExecutor(t, "portal-2", script))
+	_, server := newTestEntry(t, "portal", executors...)
+	got := readError(t, post(t, context.Background(), server.URL+"/v1/services/portal/pledges", ""))
+	if got.Ran != wire.NotRun {
+		t.Errorf("got %+v", got)
+	}
+	runs := count[*wire.Run](executors[0]) + count[*wire.Run](executors[1])
+	redirected := 0
+	for _, x := range executors {
+		if run := last[*wire.Run](x); run != nil && run.Redirected {
+			redirected++
+		}
+	}
+	if runs != 2 || redirected != 1 {
+		t.Errorf("%d runs, %d of them redirected", runs, redirected)
+	}
+}
+
+// Symptom: the same payment, sent through two entries at once, is claimed twice
+// and one of its callers waits for the log.
+// Sequence: one idempotency key through two entries.
+// Cause: calls with one key have to go to one endpoint, whichever entry they come
+// through.
+func TestOneKeyOneEndpoint(t *testing.T) {
+	script := func(_ *executor, s *wire.Session, _ uint32, m wire.Message) {
+		if m, ok := m.(*wire.Run); ok {
+			words(s, m.Attempt, 0, 1, 1)
+		}
+	}
+	x, y := newExecutor(t, "portal-1", script), newExecutor(t, "portal-2", script)
+	_, one := newTestEntry(t, "portal", x, y)
+	_, two := newTestEntry(t, "portal", y, x)
+	for _, key := range []string{"a", "b", "c", "d", "e", "f"} {
+		first := post(t, context.Background(), one.URL+"/v1/services/portal/payments/7", "pay", "Idempotency-Key", key)
+		second := post(t, context.Background(), two.URL+"/v1/services/portal/payments/7", "pay", "Idempotency-Key", key)
+		if a, b := first.Header.Get("X-Executor"), second.Header.Get("X-Executor"); a == "" || a != b {
+			t.Errorf("key %s went to %q and %q", key, a, b)
+		}
+	}
+}
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -51,6 +51,11 @@
 	return &Error{Code: wire.CodeUnknownOutcome, Message: "the stream can't be gone on with: " + message, Ran: wire.Unknown}
 }
 
+// supersededError ends a stream whose rest goes to a later resume.
+func supersededError() *Error {
+	return &Error{Code: wire.CodeCanceled, Message: "the stream was taken over by a resume", Ran: wire.Unknown}
+}
+
 // resumption is a stream that was resumed by its caller. Without the request's
 // body it can't be run elsewhere: when its executor is gone, so is the stream.
 type resumption struct {
@@ -107,6 +112,7 @@
 		case <-l.mailbox.overflowed:
 			return false
 		case <-l.mailbox.superseded:
+			s.fail(supersededError())
 			return true
 		case <-s.life.away:
 			return s.wait(l)
@@ -123,6 +129,7 @@
 	defer grace.Stop()
 	select {
 	case <-l.mailbox.superseded:
+		s.fail(supersededError())
 		return true
 	case <-grace.C:
 	case <-s.life.Done():
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -154,6 +154,19 @@
 			t.Errorf("%d cancels of a stream that was resumed", n)
 		}
 	})
+	t.Run("still there", func(t *testing.T) {
+		resp := post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody)
+		lines := bufio.NewScanner(resp.Body)
+		first := readEvents(t, lines, 5)
+		r, _ := http.NewRequest(http.MethodGet, server.URL+"/v1/streams", nil)
+		second := readSSE(t, send(t, r, "Last-Event-ID", first.lastID))
+		if !second.done || first.text+second.text != wantWords(totalWords) {
+			t.Errorf("got %q and then %q", first.text, second.text)
+		}
+		if left := readEvents(t, lines, 0); left.done || left.failure == nil || left.failure.Code != wire.CodeCanceled {
+			t.Errorf("the first caller's stream ended with %+v", left)
+		}
+	})
 	t.Run("whole answer", func(t *testing.T) {
 		before, runs := count[*wire.Cancel](x), count[*wire.Run](x)
 		ctx, hangUp := context.WithCancel(context.Background())
