skylarkctl: configuration, status, explain and drain

Cause: operators had no tool; a lost append answer left them guessing and the loser of a race wasn't told.

Change: cmd/skylarkctl over internal/ctl. publish fills bases from what is in force, tries the records locally, appends them with a nonce each and reads the log back until each one's verdict is known; status, explain and drain ask processes over sessions of the inner protocol. Exit codes 0, 2, 3, 4. follow.ReadLog reads the log once with its verdicts, State.Keys lists keys.

Seen to fail first: without reading back TestLostAnswer, TestRace and TestPublishAndShow; without looking at the verdict TestRace. go test ./internal/ctl ./internal/follow passes.

--- /dev/null
+++ b/cmd/skylarkctl/main.go
@@ -0,0 +1,20 @@
+// Command skylarkctl is the operators' tool: it checks and publishes
+// configuration, shows what is in force where, explains routing decisions and
+// drains endpoints.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"skylarklead/internal/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := ctl.Run(ctx, os.Args, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -1,6 +1,10 @@
 package config
 
-import "slices"
+import (
+	"maps"
+	"slices"
+	"strings"
+)
 
 // Organisation is a customer: who may call, what, and what goes before every
 // prompt of theirs.
@@ -124,6 +128,27 @@
 	return max(s.records[n].Offset, s.Opaque[n].Offset, s.Void[n], s.Deleted[n])
 }
 
+// Keys returns the keys of a kind in order: those with a record in force, kept,
+// or void.
+func (s *State) Keys(kind Kind) []string {
+	seen := map[string]bool{}
+	collect := func(n string) {
+		if k, key, _ := strings.Cut(n, "/"); k == string(kind) {
+			seen[key] = true
+		}
+	}
+	for n := range s.records {
+		collect(n)
+	}
+	for n := range s.Opaque {
+		collect(n)
+	}
+	for n := range s.Void {
+		collect(n)
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
 // RecordInForce returns the record that is in force for the key.
 func (s *State) RecordInForce(kind Kind, key string) (Entry, bool) {
 	e, ok := s.records[name(kind, key)]
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,109 @@
+// Package ctl has the commands of skylarkctl.
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes of skylarkctl.
+const (
+	ExitOK = 0
+	// ExitUsage: the command or a file was wrong; nothing was done.
+	ExitUsage = 2
+	// ExitRefused: what was asked for was refused, or isn't there.
+	ExitRefused = 3
+	// ExitUnreachable: the platform or the process gave no answer.
+	ExitUnreachable = 4
+)
+
+// The errors of commands, by exit code. An error that matches none is bad use.
+var (
+	errRefused     = errors.New("refused")
+	errUnreachable = errors.New("unreachable")
+)
+
+const defaultTimeout = 10 * time.Second
+
+// Run runs the tool with the arguments, the first of which is its name, and
+// returns the exit code.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	err := root(out, errOut).Run(ctx, args)
+	if err != nil {
+		fmt.Fprintln(errOut, "skylarkctl:", err)
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, errRefused):
+		return ExitRefused
+	case errors.Is(err, errUnreachable):
+		return ExitUnreachable
+	}
+	return ExitUsage
+}
+
+func root(out, errOut io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:      "skylarkctl",
+		Usage:     "operate a skylarklead fleet",
+		Writer:    out,
+		ErrWriter: errOut,
+		Suggest:   true,
+		// The library would print the error and end the process by itself.
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		OnUsageError:          func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err },
+		EnableShellCompletion: true,
+		ConfigureShellCompletionCommand: func(c *cli.Command) {
+			c.Hidden = false
+			c.Usage = "print a completion script for bash, zsh, fish or pwsh"
+		},
+		Description: "Exit codes: 0 done; 2 bad use or a bad file; 3 refused or not there;\n" +
+			"4 the platform or the process can't be reached.\n\n" +
+			"  export SKYLARK_PLATFORM=http://127.0.0.1:7000 SKYLARK_FLEET_KEY=…\n" +
+			"  skylarkctl config publish examples/huon-ledger/records.json\n" +
+			"  skylarkctl status",
+		Commands: []*cli.Command{configCommand(), statusCommand(), explainCommand(), drainCommand()},
+	}
+}
+
+// withArgs makes an action that takes from least to most arguments.
+func withArgs(least, most int, action cli.ActionFunc) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		if n := c.Args().Len(); n < least || n > most {
+			return fmt.Errorf("usage: skylarkctl %s %s", c.FullName()[len("skylarkctl "):], c.ArgsUsage)
+		}
+		ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+		defer cancel()
+		return action(ctx, c)
+	}
+}
+
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "output", Aliases: []string{"o"}, Value: "table", Usage: "`FORMAT`, table or json",
+		Validator: func(v string) error {
+			if v != "table" && v != "json" {
+				return fmt.Errorf("%q is not a format; want table or json", v)
+			}
+			return nil
+		},
+	}
+}
+
+func timeoutFlag() cli.Flag {
+	return &cli.DurationFlag{Name: "timeout", Value: defaultTimeout, Usage: "how long to try, such as 10s"}
+}
+
+func platformFlag() cli.Flag {
+	return &cli.StringFlag{Name: "platform", Usage: "base `URL` of the platform", Sources: cli.EnvVars("SKYLARK_PLATFORM")}
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,212 @@
+package ctl
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"skylarklead/internal/config"
+	"skylarklead/internal/follow"
+	"skylarklead/internal/platform"
+	standin "skylarklead/internal/standin/platform"
+	"skylarklead/internal/wire"
+)
+
+const records = `[
+  // the group first
+  {"schema": 1, "kind": "group", "key": "g", "body": {"load_permits": 3}},
+  {"schema": 2, "kind": "model", "key": "m", "body": {"group": "g", "versions": ["v1"], "version": "v1"}},
+]`
+
+type fixture struct {
+	t       *testing.T
+	url     string
+	file    string
+	before  func() // called before each append reaches the log
+	handler http.Handler
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{t: t, file: filepath.Join(t.TempDir(), "records.json")}
+	f.handler = standin.New(standin.Options{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && strings.HasSuffix(r.URL.Path, "/records") && f.before != nil {
+			f.before()
+		}
+		f.handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	f.url = server.URL
+	f.write(records)
+	return f
+}
+
+func (f *fixture) write(text string) {
+	f.t.Helper()
+	if err := os.WriteFile(f.file, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fixture) run(want int, args ...string) string {
+	f.t.Helper()
+	f.t.Setenv("SKYLARK_PLATFORM", f.url)
+	var out, errOut bytes.Buffer
+	got := Run(f.t.Context(), append([]string{"skylarkctl"}, args...), &out, &errOut)
+	if got != want {
+		f.t.Fatalf("skylarkctl %v: exit %d, want %d\n%s%s", args, got, want, &out, &errOut)
+	}
+	return out.String() + errOut.String()
+}
+
+func (f *fixture) contains(text, want string) {
+	f.t.Helper()
+	if !strings.Contains(text, want) {
+		f.t.Errorf("no %q in:\n%s", want, text)
+	}
+}
+
+func TestPublishAndShow(t *testing.T) {
+	f := newFixture(t)
+	f.contains(f.run(ExitOK, "config", "check", f.file), "2 records are good")
+	f.contains(f.run(ExitOK, "config", "diff", f.file), "create group/g")
+	f.contains(f.run(ExitOK, "config", "publish", "--operator", "ada", f.file), "in_force")
+	f.contains(f.run(ExitOK, "config", "publish", f.file), "unchanged")
+	f.contains(f.run(ExitOK, "config", "list"), "ada")
+	f.contains(f.run(ExitOK, "config", "get", "model", "m"), `"version": "v1"`)
+	f.write(strings.Replace(records, `: 3`, `: 2`, 1))
+	f.contains(f.run(ExitOK, "config", "diff", f.file), `+     "load_permits": 2`)
+	f.run(ExitOK, "config", "publish", f.file)
+	var events []event
+	if err := json.Unmarshal([]byte(f.run(ExitOK, "config", "history", "-o", "json", "group", "g")), &events); err != nil {
+		t.Fatal(err)
+	}
+	if len(events) != 2 || events[1].Base != events[0].Offset || events[1].Verdict.Reason != config.ReasonInForce {
+		t.Errorf("history %+v", events)
+	}
+	exported := filepath.Join(t.TempDir(), "state")
+	f.run(ExitOK, "config", "export", "-o", exported)
+	data, err := os.ReadFile(exported)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s, err := config.DecodeState(data); err != nil || s.Groups["g"].LoadPermits != 2 {
+		t.Errorf("exported %+v: %v", s, err)
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	f := newFixture(t)
+	f.run(ExitUsage, "config", "publish")
+	f.run(ExitUsage, "config", "frobnicate")
+	f.run(ExitUsage, "status", "--colour")
+	f.run(ExitUsage, "config", "list", "-o", "xml")
+	f.run(ExitUsage, "config", "get", "grup", "g")
+	f.write(strings.Replace(records, "load_permits", "load_permit", 1))
+	f.contains(f.run(ExitUsage, "config", "check", f.file), `records.json:3: body.load_permit: unknown field; want "load_permits"?`)
+	f.run(ExitRefused, "config", "get", "group", "g")
+	f.write(`{"schema": 1, "kind": "group", "key": "g", "base": 7, "body": {}}`)
+	f.contains(f.run(ExitRefused, "config", "publish", f.file), "stale_base")
+	f.run(ExitUnreachable, "config", "list", "--platform", "http://127.0.0.1:1")
+}
+
+// Symptom: an operator doesn't know whether a change was published, publishes it
+// again and undoes a colleague's. Sequence: the append takes effect and its
+// answer is lost. Cause: only the answer told the outcome.
+func TestLostAnswer(t *testing.T) {
+	f := newFixture(t)
+	resp, err := http.Post(f.url+"/control", "application/json", strings.NewReader(`{"lose_next_answers":1}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	f.contains(f.run(ExitOK, "config", "publish", f.file), "in_force")
+	log := platform.NewLog(f.url)
+	defer log.Close()
+	h, err := follow.ReadLog(t.Context(), log)
+	if err != nil || len(h.Records) != 2 {
+		t.Errorf("%d records on the log, want 2: %v", len(h.Records), err)
+	}
+}
+
+// Symptom: two operators both believe that their change is in force. Sequence:
+// the second one's record reaches the log between the first one's look and
+// append. Cause: the loser isn't told.
+func TestRace(t *testing.T) {
+	f := newFixture(t)
+	f.run(ExitOK, "config", "publish", f.file)
+	var once sync.Once
+	f.before = func() {
+		once.Do(func() {
+			body := strings.NewReader(`{"records":["` + rival + `"]}`)
+			r := httptest.NewRequest(http.MethodPost, "/v1/streams/config/records", body)
+			f.handler.ServeHTTP(httptest.NewRecorder(), r)
+		})
+	}
+	f.write(`{"schema": 1, "kind": "group", "key": "g", "body": {"load_permits": 5}}`)
+	f.contains(f.run(ExitRefused, "config", "publish", f.file), "the winner is at offset 3")
+}
+
+// rival is {"schema":1,"kind":"group","key":"g","base":1,"body":{}} in base64.
+const rival = "eyJzY2hlbWEiOjEsImtpbmQiOiJncm91cCIsImtleSI6ImciLCJiYXNlIjoxLCJib2R5Ijp7fX0="
+
+var fleetKey = strings.Repeat("ab", 32)
+
+// daemon answers the tool as a daemon would.
+type daemon struct{ drained bool }
+
+func (d *daemon) Handle(s *wire.Session, ref uint32, m wire.Message) {
+	var answer wire.Message
+	switch m := m.(type) {
+	case *wire.StatusRequest:
+		answer = &wire.Status{Identity: d.identity(), Leaving: d.drained, ConfigOffset: 7, ConfigSource: "peer"}
+	case *wire.ExplainRequest:
+		e := &wire.Explanation{}
+		if m.Request == "r1" {
+			e.Records = []wire.DecisionRecord{{Request: "r1", Kind: "route", Reason: "cached", Candidates: []wire.Candidate{{Endpoint: "ep-2", Excluded: "leaving"}}}}
+		}
+		answer = e
+	case *wire.Drain:
+		d.drained = true
+		answer = &wire.Drained{Endpoint: m.Endpoint}
+	}
+	_ = s.Reply(ref, answer)
+}
+
+func (d *daemon) Closed(*wire.Session, error) {}
+
+func (d *daemon) identity() wire.Identity {
+	return wire.Identity{ID: "ep-1", Role: wire.RoleEndpoint, FailureDomain: "hobart-a", Group: "g"}
+}
+
+func TestFleetCommands(t *testing.T) {
+	f := newFixture(t)
+	t.Setenv("SKYLARK_FLEET_KEY", fleetKey)
+	d := &daemon{}
+	key, err := hex.DecodeString(fleetKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = wire.Accept(w, r, wire.Options{Key: key, Self: d.identity, Handler: d})
+	}))
+	defer server.Close()
+	at := "--address=" + strings.TrimPrefix(server.URL, "http://")
+	f.contains(f.run(ExitOK, "status", at), "hobart-a")
+	f.contains(f.run(ExitOK, "explain", at, "r1"), "leaving")
+	f.run(ExitRefused, "explain", at, "r2")
+	f.contains(f.run(ExitOK, "drain", "--wait", at, "ep-1"), "takes no new work")
+	f.contains(f.run(ExitOK, "status", "-o", "json", at), `"leaving": true`)
+	f.run(ExitRefused, "drain", at, "ep-9")
+	f.run(ExitUnreachable, "status", "--address=127.0.0.1:1")
+	f.run(ExitUnreachable, "status", "--fleet-key="+strings.Repeat("cd", 32), at)
+	f.run(ExitUsage, "status", "--fleet-key=xyz", at)
+}
--- /dev/null
+++ b/internal/ctl/drain.go
@@ -0,0 +1,75 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"skylarklead/internal/wire"
+)
+
+func drainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "drain", Usage: "order an endpoint process to take no new work, for good", ArgsUsage: "ENDPOINT",
+		Description: "  skylarkctl drain ledger-llm-07\n  skylarkctl drain --wait ledger-llm-07",
+		Flags:       append(fleetFlags(), &cli.BoolFlag{Name: "wait", Usage: "until nothing is in flight there"}),
+		Action:      withArgs(1, 1, drain),
+	}
+}
+
+func drain(ctx context.Context, c *cli.Command) error {
+	f, err := openFleet(ctx, c)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	endpoint := c.Args().First()
+	address, err := f.find(ctx, endpoint)
+	if err != nil {
+		return err
+	}
+	for {
+		drained, err := f.drainOnce(ctx, address, endpoint)
+		if err != nil {
+			return err
+		}
+		if !c.Bool("wait") || drained.InFlight == 0 {
+			return show(c, drained, func(w io.Writer) {
+				fmt.Fprintf(w, "%s takes no new work; %d in flight\n", drained.Endpoint, drained.InFlight)
+			})
+		}
+		if sleep(ctx, readBackPause) != nil {
+			return fmt.Errorf("%w: %s still has %d in flight", errRefused, endpoint, drained.InFlight)
+		}
+	}
+}
+
+func (f *fleet) drainOnce(ctx context.Context, address, endpoint string) (*wire.Drained, error) {
+	message, err := f.ask(ctx, address, &wire.Drain{Endpoint: endpoint})
+	if err != nil {
+		return nil, err
+	}
+	drained, ok := message.(*wire.Drained)
+	if !ok {
+		return nil, fmt.Errorf("%w: answered with %T", errRefused, message)
+	}
+	return drained, nil
+}
+
+// find returns the endpoint's address. With addresses given by hand the processes
+// are asked who they are.
+func (f *fleet) find(ctx context.Context, endpoint string) (string, error) {
+	for _, p := range f.peers {
+		if p.ID == endpoint {
+			return p.Address, nil
+		}
+	}
+	for _, s := range f.statuses(ctx) {
+		if s.ID == endpoint && s.Status != nil {
+			return s.Address, nil
+		}
+	}
+	return "", fmt.Errorf("%w: no instance %s is known", errRefused, endpoint)
+}
--- /dev/null
+++ b/internal/follow/history.go
@@ -0,0 +1,87 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"skylarklead/internal/config"
+	"skylarklead/internal/platform"
+)
+
+// History is all that the log has of the configuration.
+type History struct {
+	// Base is the state before the first record that can be judged: an empty one,
+	// or a snapshot's.
+	Base *config.State
+	// Records are all that the log keeps. Those at or before Base's offset can't
+	// be judged any more.
+	Records []config.Entry
+	// State is the state after the last record.
+	State *config.State
+	// Verdicts belong to Records; those that can't be judged have no Reason.
+	Verdicts []config.Verdict
+}
+
+// ReadLog reads the whole log once.
+func ReadLog(ctx context.Context, log Log) (*History, error) {
+	h := &History{Base: config.NewState()}
+	records, err := readAll(ctx, log, 1)
+	var retained *platform.RetainedError
+	if errors.As(err, &retained) {
+		records, err = readAll(ctx, log, retained.Oldest)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if retained != nil {
+		snapshot := newestSnapshot(records, retained.Oldest)
+		if snapshot == nil {
+			return nil, fmt.Errorf("%w: oldest is %d", errNoSnapshot, retained.Oldest)
+		}
+		if h.Base, err = snapshot.Decode(); err != nil {
+			return nil, err
+		}
+	}
+	h.judge(records)
+	return h, nil
+}
+
+// ReadSince reads what the log has after a state.
+func ReadSince(ctx context.Context, log Log, s *config.State) (*History, error) {
+	records, err := readAll(ctx, log, s.Offset+1)
+	if err != nil {
+		return nil, err
+	}
+	h := &History{Base: s}
+	h.judge(records)
+	return h, nil
+}
+
+func (h *History) judge(records []platform.Record) {
+	for _, r := range records {
+		h.Records = append(h.Records, config.Entry{Offset: r.Offset, Data: r.Data})
+	}
+	h.State, h.Verdicts = h.Base.ApplyAll(h.Records)
+	for i, e := range h.Records {
+		if e.Offset <= h.Base.Offset {
+			h.Verdicts[i] = config.Verdict{}
+		}
+	}
+}
+
+// readAll reads a log from an offset to its end.
+func readAll(ctx context.Context, log Log, from uint64) ([]platform.Record, error) {
+	var all []platform.Record
+	for {
+		page, err := log.Read(ctx, Stream, from, platform.MaxPage, 0)
+		if err != nil {
+			return nil, err
+		}
+		if len(page.Records) == 0 {
+			return all, nil
+		}
+		all = append(all, page.Records...)
+		from = page.Next
+	}
+}
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -151,7 +151,7 @@
 // restore starts again where retention has taken records that weren't read yet:
 // from the newest snapshot that the log still continues.
 func (t *tail) restore(ctx context.Context, oldest uint64) error {
-	records, err := t.readAll(ctx, oldest)
+	records, err := readAll(ctx, t.f.opts.Log, oldest)
 	if err != nil {
 		return err
 	}
@@ -171,21 +171,6 @@
 	return nil
 }
 
-func (t *tail) readAll(ctx context.Context, from uint64) ([]platform.Record, error) {
-	var all []platform.Record
-	for {
-		page, err := t.f.opts.Log.Read(ctx, Stream, from, platform.MaxPage, 0)
-		if err != nil {
-			return nil, err
-		}
-		if len(page.Records) == 0 {
-			return all, nil
-		}
-		all = append(all, page.Records...)
-		from = page.Next
-	}
-}
-
 // newestSnapshot returns the newest whole snapshot which the log, from oldest on,
 // continues without a gap; nil if there is none.
 func newestSnapshot(records []platform.Record, oldest uint64) *config.Snapshot {
