Platform client: a line at each end of an outage; stand-ins' page and properties

A follower that had lost the log said so only at the debug level of the default logger; it now writes one line when it loses the log and one when it has it back, to the logger that its owner sets.

--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -49,6 +50,10 @@
 
 // Log is a client of the platform's log. It is safe for concurrent use.
 type Log struct {
+	// Logger gets a line when a follower loses the log and when it has it back;
+	// nil for none. It is set before the first call.
+	Logger *slog.Logger
+
 	base    string
 	appends *http.Client
 	reads   *http.Client
--- a/internal/platform/log_test.go
+++ b/internal/platform/log_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -226,6 +228,8 @@
 // Cause: the poll's failure ends the follower, or moves its offset.
 func TestTailGoesOnAfterOutage(t *testing.T) {
 	f := newFixture(t, standin.Control{})
+	var lines bytes.Buffer
+	f.Logger = slog.New(slog.NewTextHandler(&lines, nil))
 	f.mustAppend("a")
 	errDone := errors.New("done")
 	seen := make(chan platform.Record, 3)
@@ -250,6 +254,9 @@
 	if err := <-ended; !errors.Is(err, errDone) {
 		t.Fatalf("tail: %v", err)
 	}
+	if text := lines.String(); strings.Count(text, "log unavailable") != 1 || strings.Count(text, "available again") != 1 {
+		t.Errorf("lines of the outage:\n%s", text)
+	}
 	for want := uint64(2); want <= 3; want++ {
 		if r := <-seen; r.Offset != want {
 			t.Errorf("got offset %d, want %d", r.Offset, want)
--- a/internal/platform/tail.go
+++ b/internal/platform/tail.go
@@ -22,6 +22,7 @@
 // waited out.
 func (l *Log) Tail(ctx context.Context, stream string, from uint64, f func(Record) error) error {
 	var pause backoff
+	outage := outageLog{logger: l.Logger, stream: stream}
 	for {
 		asked := time.Now()
 		page, err := l.Read(ctx, stream, from, MaxPage, tailWait)
@@ -32,12 +33,13 @@
 		case errors.As(err, &retained):
 			return err
 		case err != nil:
-			slog.Debug("log read failed", "stream", stream, "from", from, "error", err)
+			outage.failed(from, err)
 			if err := pause.wait(ctx, err); err != nil {
 				return err
 			}
 			continue
 		}
+		outage.over(from)
 		if len(page.Records) == 0 && time.Since(asked) < minBackoff {
 			// A log that doesn't hold long polls would be asked in a tight loop,
 			// seen as a busy core on each side.
@@ -56,6 +58,34 @@
 	}
 }
 
+// outageLog writes one line at an outage's start and one at its end, however
+// many polls fail between.
+type outageLog struct {
+	logger *slog.Logger
+	stream string
+	since  time.Time // zero while the log answers
+}
+
+func (o *outageLog) failed(from uint64, err error) {
+	if !o.since.IsZero() {
+		return
+	}
+	o.since = time.Now()
+	if o.logger != nil {
+		o.logger.Warn("log unavailable", "stream", o.stream, "from", from, "error", err)
+	}
+}
+
+func (o *outageLog) over(from uint64) {
+	if o.since.IsZero() {
+		return
+	}
+	if o.logger != nil {
+		o.logger.Info("log available again", "stream", o.stream, "from", from, "after_ms", time.Since(o.since).Milliseconds())
+	}
+	o.since = time.Time{}
+}
+
 // backoff is the pause between failed tries: doubled each time, with full
 // jitter. Without jitter a whole fleet that saw the same outage begin would come
 // back at the same moments and keep the log over its limit.
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -139,6 +139,27 @@
 	}
 }
 
+func TestBalancerTakesTurns(t *testing.T) {
+	b := newBalancer([]string{"a", "b/", "c"})
+	take := func(n int) (got string) {
+		for range n {
+			got += b.next()
+		}
+		return got
+	}
+	if got := take(6); got != "bcabca" {
+		t.Errorf("all ready: %s", got)
+	}
+	b.unready["b"] = true
+	if got := take(4); got != "caca" {
+		t.Errorf("b not ready: %s", got)
+	}
+	b.unready["a"], b.unready["c"] = true, true
+	if got := take(3); len(got) != 3 {
+		t.Errorf("none ready: %s", got)
+	}
+}
+
 func TestStreamChecks(t *testing.T) {
 	prompt := []prefix.Message{{Role: "user", Content: "echo:t1 how much?"}}
 	a := answer.New(prompt)
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -1,10 +1,13 @@
 package platform
 
 import (
+	"bytes"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	client "skylarklead/internal/platform"
 )
 
@@ -35,6 +38,60 @@
 	}
 }
 
+// Whatever is appended, kept and read, a reader that follows the pages gets every
+// record once and in order, or is told what the oldest one is.
+func TestReadersMissNothingSilently(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newClock()
+		r := newRecords(c.now)
+		keep := retention{
+			age:   time.Duration(rapid.IntRange(0, 5).Draw(t, "age")) * time.Second,
+			count: rapid.IntRange(0, 8).Draw(t, "count"),
+		}
+		var written [][]byte
+		next := uint64(1)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				batch := rapid.SliceOfN(rapid.SliceOfN(rapid.Byte(), 0, 3), 1, 4).Draw(t, "batch")
+				if first, _ := r.append("s", batch); first != uint64(len(written))+1 {
+					t.Fatalf("appended at %d, not %d", first, len(written)+1)
+				}
+				written = append(written, batch...)
+			case 1:
+				c.t = c.t.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			case 2:
+				next = follow(t, r, keep, next, written)
+			}
+		}
+	})
+}
+
+// follow reads one page as a reader at next would, and returns where it goes on.
+func follow(t *rapid.T, r *records, keep retention, next uint64, written [][]byte) uint64 {
+	limit := rapid.IntRange(1, 5).Draw(t, "limit")
+	page, _, err := r.read("s", next, limit, keep)
+	if err != nil {
+		if page.Oldest <= next || page.Oldest > uint64(len(written))+1 {
+			t.Fatalf("read %d: told that %d is the oldest", next, page.Oldest)
+		}
+		return page.Oldest
+	}
+	for _, record := range page.Records {
+		if record.Offset != next || !bytes.Equal(record.Data, written[next-1]) {
+			t.Fatalf("read %+v in place of %d", record, next)
+		}
+		next++
+	}
+	if page.Next != next || len(page.Records) > limit {
+		t.Fatalf("page of %d goes on at %d, not %d", len(page.Records), page.Next, next)
+	}
+	if len(page.Records) == 0 && next != uint64(len(written))+1 {
+		t.Fatalf("empty page at %d of %d", next, len(written))
+	}
+	return next
+}
+
 func TestListLagsAndFreezes(t *testing.T) {
 	c := newClock()
 	const lag = 10 * time.Second
