--- a/internal/admit/core_test.go
+++ b/internal/admit/core_test.go
@@ -122,3 +122,114 @@
 		t.Fatalf("handed back %v, nothing waits", list)
 	}
 }
+
+// Symptom: everyone waits while one organisation's backlog runs.
+// Sequence: it was away for long, then sends many requests at once.
+// Cause: the time that it was away counts in its favour.
+func TestBeingAwayEarnsNothing(t *testing.T) {
+	c := NewCore(Params{MaxRunning: 1, MaxQueue: 200, MaxWait: time.Hour})
+	c.Arrive(0, item(500, "away"))
+	n := 0
+	next := item(500, "")
+	finish := func() []ID {
+		ids := started(c.Finish(time.Second, next.ID, Actual{UncachedTokens: 1000, OutputTokens: 50, Ran: true}))
+		if len(ids) == 1 {
+			next.ID = ids[0]
+		}
+		return ids
+	}
+	for n < 60 {
+		n++
+		c.Arrive(0, item(n, "steady"))
+	}
+	for range 30 {
+		finish()
+	}
+	for i := range 40 {
+		c.Arrive(0, item(100+i, "away"))
+	}
+	away := 0
+	for range 20 {
+		for _, id := range finish() {
+			if id[0] >= 100 {
+				away++
+			}
+		}
+	}
+	if away < 9 || away > 11 {
+		t.Errorf("%d of 20 turns, want half", away)
+	}
+}
+
+// Symptom: an organisation gets more than its share.
+// Sequence: its outputs are far longer than announced.
+// Cause: the fair queue counts what was expected.
+func TestActualCostIsSettled(t *testing.T) {
+	c := NewCore(Params{MaxRunning: 1, MaxQueue: 200, MaxWait: time.Hour})
+	owner := map[ID]string{}
+	for n := range 80 {
+		i := item(n, []string{"modest", "greedy"}[n%2])
+		owner[i.ID] = i.Organisation
+		c.Arrive(0, i)
+	}
+	next := item(0, "").ID
+	turns := map[string]int{}
+	for range 40 {
+		output := 50
+		if owner[next] == "greedy" {
+			output = 150
+		}
+		for _, next = range started(c.Finish(0, next, Actual{UncachedTokens: 1000, OutputTokens: output, Ran: true})) {
+			turns[owner[next]]++
+		}
+	}
+	if turns["modest"] < 2*turns["greedy"] {
+		t.Errorf("turns %v, want about three to one", turns)
+	}
+}
+
+// Symptom: all requests of one organisation are refused for ever.
+// Sequence: some of its answers were so long that an answer like them would miss
+// the usual deadline.
+// Cause: the estimate refuses everything that could correct it.
+func TestLongEstimateDoesNotRefuseForEver(t *testing.T) {
+	c := NewCore(Params{MaxRunning: 1})
+	for n := range 8 {
+		c.Arrive(0, item(n, "a"))
+		c.Finish(0, item(n, "").ID, Actual{UncachedTokens: 1000, OutputTokens: 1000, Ran: true})
+	}
+	c.Arrive(0, item(100, "b"))
+	waits := item(101, "a")
+	waits.MaxTokens = 1000
+	waits.Deadline = 10 * time.Second
+	if list := refused(c.Arrive(0, waits)); len(list) != 0 {
+		t.Errorf("refused behind one short item: %v", list)
+	}
+}
+
+// Symptom: a long request never starts.
+// Sequence: the KV cache is nearly full; short ones keep taking the rest.
+// Cause: they may pass it without end.
+func TestBypassIsBounded(t *testing.T) {
+	c := NewCore(Params{MaxRunning: 4, SmallReserve: 0.5, KVTokens: 3000, MaxQueue: 1000})
+	c.Arrive(0, item(1, "first")) // takes 1100
+	long := item(2, "long")
+	long.UncachedTokens = 2500
+	c.Arrive(0, long)
+	passed := 0
+	for n := 10; n < 100; n++ {
+		i := item(n, "short")
+		ids := started(c.Arrive(0, i))
+		passed += len(ids)
+		for _, id := range ids {
+			c.Finish(0, id, Actual{Ran: true})
+		}
+	}
+	if passed == 0 || passed > maxBypass {
+		t.Fatalf("%d passed, the bound is %d", passed, maxBypass)
+	}
+	ids := started(c.Finish(0, item(1, "").ID, Actual{Ran: true}))
+	if len(ids) == 0 || ids[0] != long.ID {
+		t.Errorf("started %v, want the long one first", ids)
+	}
+}
--- a/internal/admit/property_test.go
+++ b/internal/admit/property_test.go
@@ -203,6 +203,11 @@
 					b.take(b.core.Finish(b.now, id, Actual{Ran: true}))
 				}
 			},
+			"finish what waits": func(t *rapid.T) {
+				if id, ok := anyOf(t, b.waiting); ok {
+					b.take(b.core.Finish(b.now, id, Actual{Ran: true}))
+				}
+			},
 			"cancel": func(t *rapid.T) {
 				if id, ok := anyOf(t, b.waiting); ok {
 					b.cancel(id)
--- a/internal/route/heat_test.go
+++ b/internal/route/heat_test.go
@@ -80,6 +80,56 @@
 	}
 }
 
+// Symptom: copies of a prefix come and go, each computed anew.
+// Sequence: a widened prefix's wait falls, but not for long or not by much.
+// Cause: one threshold both widens and narrows, at once.
+func TestNarrowingNeedsALongLowWait(t *testing.T) {
+	params := Params{}.withDefaults()
+	tests := []struct {
+		name  string
+		wait  float64 // ms
+		work  float64 // ms of engine time a request
+		until time.Duration
+		want  int
+	}{
+		{"between the thresholds", 40, 100, time.Minute, 2},
+		{"low for a short time", 0, 100, 9 * time.Second, 2},
+		{"low for long", 0, 100, 12 * time.Second, 1},
+		{"low, but too much work for one", 0, 60000, time.Minute, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := heat{holders: 2}
+			for now := time.Duration(0); now < tt.until; now += 100 * time.Millisecond {
+				h.observe(now, &params, view{held: 2, wait: tt.wait, work: tt.work, copying: 100})
+			}
+			if h.holders != tt.want {
+				t.Errorf("%d holders, want %d", h.holders, tt.want)
+			}
+		})
+	}
+}
+
+// Symptom: prefixes that are asked for now and then are held everywhere and evict
+// what is hot.
+// Sequence: a cool prefix's holder is busy with others.
+// Cause: a wait alone adds a holder.
+func TestCoolPrefixDoesNotWiden(t *testing.T) {
+	params := Params{}.withDefaults()
+	for _, tt := range []struct {
+		every time.Duration
+		wider bool
+	}{{5 * time.Second, false}, {50 * time.Millisecond, true}} {
+		h := heat{holders: 1}
+		for now := time.Duration(0); now < time.Minute; now += tt.every {
+			h.observe(now, &params, view{held: h.holders, wait: 100, work: 100, copying: 400})
+		}
+		if wider := h.holders > 1; wider != tt.wider {
+			t.Errorf("asked for every %v: %d holders", tt.every, h.holders)
+		}
+	}
+}
+
 // Symptom: everyone else's blocks are evicted at one endpoint.
 // Sequence: one organisation brings one new charter after another.
 // Cause: its first level draws them all to where that is held.
@@ -198,3 +248,22 @@
 		t.Errorf("still holds %d tokens after a full report without it", held)
 	}
 }
+
+func TestConfirmedOutlivesPredicted(t *testing.T) {
+	r, rng, endpoints := NewRouter(Params{}), newRand(), group(4)
+	q := query(1)
+	got := r.Decide(0, rng, q, endpoints)
+	r.Finished(time.Second, Finished{Endpoint: got.Executor, Epoch: got.Epoch, Organisation: q.Organisation,
+		Levels: q.Levels[:1], Ran: true})
+	later := time.Second + DefaultPredictionLife + time.Millisecond
+	if held := r.Table().Holds(later, got.Executor, q.Levels[1].Hash); held != 0 {
+		t.Errorf("a prediction stands after its life: %d tokens", held)
+	}
+	if held := r.Table().Holds(later, got.Executor, q.Levels[0].Hash); held != 2000 {
+		t.Errorf("a confirmed level holds %d tokens", held)
+	}
+	r.Decide(2*time.Second, rng, q, endpoints)
+	if held := r.Table().Holds(later+2*time.Second, got.Executor, q.Levels[0].Hash); held != 2000 {
+		t.Errorf("a decision made a confirmed level a prediction")
+	}
+}
