--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -23,6 +23,8 @@
 	logLevels = []string{"debug", "info", "warn", "error"}
 	roles     = []string{"entry", "endpoint"}
 	kinds     = []string{"engine", "service"}
+	// policies are those of package route, which imports this one.
+	policies = []string{"owner", "random", "round_robin", "least_loaded", "rendezvous_prompt", "rendezvous_bounded", "prefix_tables"}
 )
 
 // checker adds the problems that the types alone don't show.
@@ -103,7 +105,7 @@
 	c.positive("entry.hedge_after", e.HedgeAfter)
 	c.positive("entry.request_timeout", e.RequestTimeout)
 	c.share("entry.retry_share", e.RetryShare)
-	c.required("entry.policy", e.Policy)
+	c.oneOf("entry.policy", e.Policy, policies)
 }
 
 func (c *checker) endpoint(e *Endpoint) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -71,6 +71,7 @@
 		{"both parts", [2]string{`"entry": {`, wholeEndpoint + `}, "entry": {`}, `endpoint: is given beside "entry"`},
 		{"twice", [2]string{`"id"`, `"id": "x", "id"`}, `settings.json:2: id: given twice`},
 		{"peer twice", [2]string{`["127.0.0.1:7002"]`, `["127.0.0.1:7002", "127.0.0.1:7002"]`}, `bootstrap.peers[1]: "127.0.0.1:7002" is there twice`},
+		{"policy", [2]string{`8080"`, `8080", "policy": "onwer"`}, `entry.policy: "onwer" is not known; want "owner" or "random"`},
 		{"reserve", endpoint(`, "small_reserve": -0.1`), `endpoint.small_reserve: is -0.1; want a share from 0 to 1`},
 		{"suspect", endpoint(`, "suspect_after": "1s"`), `endpoint.suspect_after: 1s is not more than the heartbeat, 1s`},
 		{"syntax", [2]string{`"id":`, `"id"`}, `settings.json:2: column 8: `},
