Measure policies with real processes at the users' sizes

Cause: nothing told whether the routing is better than a plain balancer's. A settings file written by a program has no null for bootstrap.peers now; the checker refused it.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,9 @@
 		done || exit 1; \
 	done
 
+measure: build ## every scenario, policy and seed; hours (MEASURE="--scenario steady --seeds 1" for less)
+	$(BIN)/skylark-measure $(MEASURE)
+
 lint: ## gofmt, vet, staticcheck
 	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "gofmt wants:"; echo "$$out"; exit 1; fi
 	$(GO) vet ./...
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,7 +43,7 @@
 // answers.
 type Bootstrap struct {
 	// Peers are "ip:port" of processes to ask before the instance list is known.
-	Peers []string `json:"peers"`
+	Peers []string `json:"peers,omitempty"`
 	// File is an exported configuration state (skylarkctl config export).
 	File string `json:"file"`
 }
--- a/internal/standin/engine/account.go
+++ b/internal/standin/engine/account.go
@@ -176,11 +176,12 @@
 // JournalKind is a change of the cache.
 type JournalKind string
 
+// The kinds of changes.
 const (
-	journalComputed JournalKind = "computed"
-	journalImported JournalKind = "imported"
-	journalRemoved  JournalKind = "removed"
-	journalCleared  JournalKind = "cleared"
+	JournalComputed JournalKind = "computed"
+	JournalImported JournalKind = "imported"
+	JournalRemoved  JournalKind = "removed"
+	JournalCleared  JournalKind = "cleared"
 )
 
 // JournalEntry is an exact change of the cache. TimeUs is wall time in
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -74,7 +74,7 @@
 	e.cache = newCache(e.settings.cacheBlocks())
 	e.events = newEventLog()
 	e.orders = newOrders(e.options)
-	e.record(journalCleared, nil)
+	e.record(JournalCleared, nil)
 }
 
 // crash ends the process, or the incarnation. The caller holds the lock.
@@ -193,9 +193,9 @@
 	if len(hashes) == 0 {
 		return
 	}
-	kind := journalImported
+	kind := JournalImported
 	if computed {
-		kind = journalComputed
+		kind = JournalComputed
 	}
 	e.record(kind, hashes)
 	e.publish(api.BlocksStored, hashes)
@@ -205,7 +205,7 @@
 	if len(hashes) == 0 {
 		return
 	}
-	e.record(journalRemoved, hashes)
+	e.record(JournalRemoved, hashes)
 	e.publish(api.BlocksRemoved, hashes)
 }
 
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -142,7 +142,7 @@
 	o.state.Loading = false
 	o.state.Model, o.state.Version = o.target.model, o.target.version
 	e.cache = newCache(e.settings.cacheBlocks())
-	e.record(journalCleared, nil)
+	e.record(JournalCleared, nil)
 	e.publish(api.CacheCleared, nil)
 }
 
