--- a/internal/standin/load/caller.go
+++ b/internal/standin/load/caller.go
@@ -108,6 +108,9 @@
 		}
 	} else {
 		deadline = a.request.Chat.DeadlineMS
+		if c.options.Deadline > 0 {
+			deadline = int(c.options.Deadline.Milliseconds())
+		}
 	}
 	if deadline > 0 {
 		req.Header.Set("X-Deadline-Ms", strconv.Itoa(deadline))
--- a/internal/standin/load/options.go
+++ b/internal/standin/load/options.go
@@ -30,6 +30,9 @@
 	Burst    Burst
 	// Timeout bounds one request, 60 s if 0.
 	Timeout time.Duration
+	// Deadline is how long the callers of chats say that they will wait, in
+	// place of the workload's word, 0 to keep that.
+	Deadline time.Duration
 	// RetryAfter is how often a request that was refused as not run, with a time
 	// to come back, is sent again after that time.
 	RetryAfter int
