Entry: leave dead and stopped executors without spending the budget

A stopped executor was found out by pings only. Ruled out: the endpoints' drain (each exited 0 with nothing cut). Change: a decision counts once the entry has a session to its executor; endpoints unreachable from here or leaving are named in Ask.Exclude; a quiet stream asks its executor for a sign of life. A try to reach an executor takes at most 0.5 s. Seen to fail by a mutant each: not tried before the plan, owner not told, no sign of life.

--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"skylarklead/internal/attempt"
@@ -10,17 +11,19 @@
 )
 
 const (
-	// tryTimeout bounds one try to reach an executor again.
-	tryTimeout = time.Second
+	// tryTimeout bounds one try to reach an executor again; between failure domains
+	// an opening takes some 5 ms.
+	tryTimeout = 500 * time.Millisecond
+	// maxPlacings bounds how many executors in a row may turn out to be unreachable.
+	maxPlacings = 4
 	// reasonRedirected is the reason's suffix when an executor passed a request on.
 	reasonRedirected = "+redirect"
 )
 
 func (d *drive) ask(a attempt.Ask) []attempt.Action {
 	d.life.sleep(a.After)
-	d.job.exclude, d.job.crashed = a.Exclude, a.Crashed
-	d.unchoose()
-	decision := d.place(d.life, d.job)
+	d.job.exclude, d.job.crashed = slices.Clone(a.Exclude), a.Crashed
+	decision := d.placeReachable()
 	if d.life.Err() != nil {
 		return d.over()
 	}
@@ -28,12 +31,44 @@
 		return d.step(attempt.AskFailed{})
 	}
 	d.job.decision = *decision
-	if d.e.chooser != nil && d.job.call == nil {
-		d.chosen = decision.Executor.Endpoint
-	}
 	return d.step(attempt.Asked{Decision: decision})
 }
 
+// placeReachable asks until it is told an executor that this entry can reach. An
+// owner learns of a dead endpoint later than an entry that dials it; if each such
+// decision cost the request an attempt, a rolling restart would use up the retry
+// budget, seen as "not_run" refusals beside endpoints with room.
+func (d *drive) placeReachable() *wire.Decision {
+	for range maxPlacings {
+		d.unchoose()
+		decision := d.place(d.life, d.job)
+		if decision == nil || decision.Refusal != nil || d.life.Err() != nil {
+			return decision
+		}
+		if d.e.chooser != nil && d.job.call == nil {
+			d.chosen = decision.Executor.Endpoint
+		}
+		if d.reach(decision.Executor) {
+			return decision
+		}
+		d.job.exclude = append(d.job.exclude, decision.Executor.Endpoint)
+	}
+	return nil
+}
+
+// reach opens the session that a Run to target will take.
+func (d *drive) reach(target wire.Target) bool {
+	ctx, cancel := context.WithTimeout(d.life, tryTimeout)
+	defer cancel()
+	_, err := d.e.sessionTo(ctx, target)
+	if err == nil || d.life.Err() != nil {
+		return err == nil
+	}
+	d.e.directory.failed(target.Endpoint)
+	d.e.tel.Log.Warn("executor can't be reached", "request", d.job.id, "executor", target.Endpoint, "error", err)
+	return false
+}
+
 func (d *drive) run(a attempt.Run) []attempt.Action {
 	d.release()
 	d.noteTarget(a)
@@ -44,7 +79,6 @@
 	}
 	session, err := d.e.sessionTo(d.life, a.Target)
 	if err != nil {
-		d.e.tel.Log.Warn("executor can't be reached", "request", d.job.id, "executor", a.Target.Endpoint, "error", err)
 		return d.step(attempt.NotSent{Attempt: a.Attempt})
 	}
 	d.live = d.e.openLink(a.Attempt, session)
--- a/internal/entry/ask.go
+++ b/internal/entry/ask.go
@@ -82,6 +82,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	question := j.ask(e.settings.FailureDomain)
+	question.Exclude = append(e.directory.shunned(j.group), question.Exclude...)
 	owners := order[:min(maxOwners, len(order))]
 	replies := make(chan reply, len(owners))
 	asked, answered := 0, 0
--- a/internal/entry/await.go
+++ b/internal/entry/await.go
@@ -8,9 +8,6 @@
 	"skylarklead/internal/wire"
 )
 
-// gapCheck is how often a stream is checked for chunks that don't come.
-const gapCheck = 250 * time.Millisecond
-
 // await waits for what happens next to the live attempt.
 func (d *drive) await() []attempt.Action {
 	l := d.live
@@ -28,6 +25,7 @@
 	case <-l.session.Done():
 		return d.step(attempt.SessionLost{Attempt: l.id})
 	case <-gap.C:
+		d.e.look(l)
 		if d.job.receiver.MustResume(d.e.now()) {
 			return d.step(attempt.SessionLost{Attempt: l.id})
 		}
@@ -78,6 +76,7 @@
 }
 
 func (d *drive) arrived(a arrival) []attempt.Action {
+	d.live.quiet = 0
 	got, err := d.take(d.live, a)
 	if err != nil {
 		return d.undeliverable(err)
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -81,6 +81,30 @@
 	return usable
 }
 
+// shunned returns a group's endpoints that can't be reached from here or have said
+// that they leave: an owner, which may not know yet, is not to choose them. With
+// nothing else left in the group none are.
+func (d *directory) shunned(group string) []string {
+	now := d.now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var shunned []string
+	others := 0
+	for _, m := range d.view.Members(now) {
+		switch {
+		case m.Group != group:
+		case m.State == member.Dead || m.State == member.Leaving:
+			shunned = append(shunned, m.ID)
+		default:
+			others++
+		}
+	}
+	if others == 0 {
+		return nil
+	}
+	return shunned
+}
+
 // lookup finds an endpoint by its ID.
 func (d *directory) lookup(id string) (member.Member, bool) {
 	d.mu.Lock()
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -5,7 +5,9 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"math"
 	mathrand "math/rand/v2"
+	"time"
 
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/wire"
@@ -15,6 +17,16 @@
 	errEpochGone = errors.New("executor restarted")
 	errOverflow  = errors.New("executor sent more than its window")
 	errMoved     = errors.New("address belongs to another instance now")
+	errSilent    = errors.New("executor gives no sign of life")
+)
+
+const (
+	// gapCheck is how often a quiet stream is looked at.
+	gapCheck = 250 * time.Millisecond
+	// quietChecks is how many looks in a row find nothing new before the executor
+	// is asked for a sign of life, within signTimeout.
+	quietChecks = 4
+	signTimeout = 500 * time.Millisecond
 )
 
 // link is an attempt's way to its executor.
@@ -26,6 +38,8 @@
 	// release ends the hold on the session, which makes it notice a peer that is
 	// half-open.
 	release func()
+	// quiet counts the looks since something came.
+	quiet int
 }
 
 func (e *Entry) openLink(id wire.AttemptID, session *wire.Session) *link {
@@ -42,6 +56,26 @@
 	l.release = session.Hold()
 }
 
+// look is called each gapCheck in which nothing came. A process that is stopped
+// keeps its connections open: its streams would stall until the session's pings
+// find out, seconds that count against the caller's first token. One that merely
+// computes answers the question at once.
+func (e *Entry) look(l *link) {
+	l.quiet++
+	if l.quiet%quietChecks != 0 {
+		return
+	}
+	session := l.session
+	e.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), signTimeout)
+		defer cancel()
+		nothingNewer := &wire.ConfigFetch{After: math.MaxUint64}
+		if _, err := session.Call(ctx, nothingNewer); err != nil {
+			session.Close(errSilent)
+		}
+	})
+}
+
 func (e *Entry) closeLink(l *link) {
 	l.release()
 	e.hub.close(l.id, l.mailbox)
@@ -52,9 +86,6 @@
 func (e *Entry) sessionTo(ctx context.Context, target wire.Target) (*wire.Session, error) {
 	session, err := e.session(ctx, target.Address)
 	if err != nil {
-		if ctx.Err() == nil {
-			e.directory.failed(target.Endpoint)
-		}
 		return nil, err
 	}
 	if session.Peer().ID != target.Endpoint {
--- a/internal/entry/place_test.go
+++ b/internal/entry/place_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/platform"
 	"skylarklead/internal/route"
 	"skylarklead/internal/wire"
 )
@@ -101,3 +104,47 @@
 		}
 	}
 }
+
+// Symptom: "not_run" refusals beside endpoints with room, in a rolling restart.
+// Sequence: an owner goes on choosing an endpoint that has just exited; the retry
+// budget is spent.
+// Cause: only the entry that dials an endpoint knows at once that it is gone; its
+// owner has to be told, and that must not take from the budget.
+func TestDeadExecutorCostsNoBudget(t *testing.T) {
+	var dead *executor
+	script := func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Ask:
+			if slices.Contains(m.Exclude, dead.id) {
+				x.decide(s, ref, m)
+				return
+			}
+			dead.decide(s, ref, m)
+		case *wire.Run:
+			words(s, m.Attempt, 0, 1, 1)
+		}
+	}
+	dead = newExecutor(t, "ep-dead", script)
+	live := newExecutor(t, "ep-live", script)
+	e, server := newTestEntry(t, "llm", live)
+	e.directory.listed([]platform.Instance{
+		endpointInstance(live.id, live.address, "llm", ""),
+		endpointInstance(dead.id, dead.address, "llm", ""),
+	})
+	// The directory's clock stands still, so that no backoff lapses meanwhile.
+	now := e.now()
+	e.directory.now = func() time.Duration { return now }
+	dead.server.Close()
+	for e.budget.Allow(attempt.ExtraRetry, e.now()) {
+	}
+	for range 3 {
+		resp := post(t, context.Background(), server.URL+"/v1/chat/completions", wholeBody)
+		if resp.StatusCode != http.StatusOK {
+			t.Errorf("got %d %+v", resp.StatusCode, readError(t, resp))
+		}
+	}
+	// Later requests tell the owner at once.
+	if n := count[*wire.Ask](live); n > 5 {
+		t.Errorf("%d questions for three requests", n)
+	}
+}
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -95,6 +95,7 @@
 		gap := time.NewTimer(gapCheck)
 		select {
 		case a := <-l.mailbox.arrivals:
+			l.quiet = 0
 			got, err := s.take(l, a)
 			if err != nil {
 				return s.wait(l)
@@ -104,6 +105,7 @@
 				return true
 			}
 		case <-gap.C:
+			s.e.look(l)
 			if s.job.receiver.MustResume(s.e.now()) {
 				return false
 			}
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -85,6 +85,35 @@
 	}
 }
 
+// Symptom: a request waits for many seconds for its first token.
+// Sequence: its executor is stopped just after it has taken the Run; the kernel
+// keeps the connection open.
+// Cause: nothing is lost or refused, so only a question that stays unanswered shows
+// that the process is not at work.
+func TestStoppedExecutorIsLeft(t *testing.T) {
+	var executors []*executor
+	script := func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Ask:
+			decided := executors[0]
+			if slices.Contains(m.Exclude, decided.id) {
+				decided = executors[1]
+			}
+			decided.decide(s, ref, m)
+		case *wire.Run:
+			if x == executors[1] {
+				words(s, m.Attempt, 0, totalWords, totalWords)
+			}
+		}
+	}
+	executors = append(executors, newExecutor(t, "ep-a", script), newExecutor(t, "ep-b", script))
+	_, server := newTestEntry(t, "llm", executors...)
+	got := readSSE(t, post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody))
+	if !got.done || got.text != wantWords(totalWords) {
+		t.Errorf("got %q, done %v, failure %+v", got.text, got.done, got.failure)
+	}
+}
+
 // Symptom: a caller takes a cut answer for a whole one.
 // Sequence: every attempt of a stream dies in the middle until the budget or the
 // attempts are used up.
