Entry: follow the configuration by log, peers and bootstrap file

Cause: an entry that couldn't reach the log had no configuration, and none that was newer. Change: follow.Follower in place of the log's tail; an entry asks whoever it hears to be ahead, at a session's opening or by wire.Decision.ConfigOffset (new field, filled in by the owner).

--- a/internal/endpoint/ask.go
+++ b/internal/endpoint/ask.go
@@ -29,6 +29,7 @@
 		Refusal:         result.Refusal,
 		Suspect:         result.Suspect,
 		Unavailable:     e.unavailable(),
+		ConfigOffset:    e.state().Offset,
 	}
 	switch {
 	case verdict.Kind == attempt.GivenUp:
--- a/internal/entry/ask.go
+++ b/internal/entry/ask.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/follow"
 	"skylarklead/internal/member"
 	"skylarklead/internal/route"
 	"skylarklead/internal/wire"
@@ -155,6 +156,7 @@
 	}
 	switch m := answer.(type) {
 	case *wire.Decision:
+		e.config.Heard(m.ConfigOffset, follow.SessionFetch(session))
 		return m, nil
 	case *wire.Failure:
 		return &wire.Decision{Request: question.Request, Refusal: &m.Refusal}, nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/follow"
+	"skylarklead/internal/platform"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/telemetry"
 	"skylarklead/internal/wire"
@@ -76,8 +78,9 @@
 	e.directory = newDirectory(s.ID, e.now)
 	e.options = wire.Options{Key: s.Key(), Self: e.self, Handler: e, Traffic: tel.Metrics.Traffic}
 	e.pool = wire.NewPool(e.options)
-	e.config, err = newConfiguration(e)
-	return e, err
+	instances := platform.NewInstances(s.Platform.Instances)
+	e.config = follow.FromSettings(s, platform.NewLog(s.Platform.Log), instances, e.pool, tel.Log)
+	return e, nil
 }
 
 // now is the monotonic time since this process began.
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -58,6 +58,9 @@
 		Ran:        end.Outcome,
 		RetryAfter: time.Duration(end.RetryAfterMs) * time.Millisecond,
 	}
+	if e.Message == "" {
+		e.Message = "its endpoint gave no reason"
+	}
 	if e.Code != wire.CodeNone {
 		return e
 	}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"skylarklead/internal/config"
+	"skylarklead/internal/follow"
 	"skylarklead/internal/platform"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/telemetry"
@@ -51,9 +52,10 @@
 	close(ready)
 	return ready
 }
-func (static) Source() string            { return "test" }
-func (static) LogReachable() bool        { return true }
-func (static) Run(context.Context) error { return nil }
+func (static) Source() string             { return "test" }
+func (static) LogReachable() bool         { return true }
+func (static) Run(context.Context) error  { return nil }
+func (static) Heard(uint64, follow.Fetch) {}
 func (static) Fetch(*wire.ConfigFetch) (*wire.ConfigState, error) {
 	return &wire.ConfigState{}, nil
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/gorilla/mux"
 
+	"skylarklead/internal/follow"
 	"skylarklead/internal/wire"
 )
 
@@ -44,7 +45,7 @@
 	go func() {
 		session, err := e.pool.Get(context.WithoutCancel(ctx), address)
 		if err == nil {
-			e.directory.seen(session.Peer())
+			e.noteSession(session)
 		}
 		got <- result{session, err}
 	}()
@@ -56,6 +57,12 @@
 	}
 }
 
+// noteSession takes what a session's opening showed of the peer.
+func (e *Entry) noteSession(s *wire.Session) {
+	e.directory.seen(s.Peer())
+	e.config.Heard(s.Peer().ConfigOffset, follow.SessionFetch(s))
+}
+
 // Handle implements wire.Handler; it never blocks.
 func (e *Entry) Handle(s *wire.Session, ref uint32, m wire.Message) {
 	switch m := m.(type) {
@@ -78,6 +85,7 @@
 
 // answer replies to what peers and the tool ask of an entry.
 func (e *Entry) answer(s *wire.Session, ref uint32, m wire.Message) {
+	e.noteSession(s)
 	if ref == 0 {
 		e.tel.Log.Warn("unexpected message", "peer", s.Peer().ID, "type", fmt.Sprintf("%T", m))
 		return
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -174,6 +174,8 @@
 	Suspect bool `cbor:"8,keyasint,omitempty"`
 	// Unavailable lists the group's endpoints that are dead or leaving.
 	Unavailable []string `cbor:"9,keyasint,omitempty"`
+	// ConfigOffset is the owner's: an entry that is behind fetches from it.
+	ConfigOffset uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Call is a call to a plain service.
