follow: fetch a state from a peer in parts

Cause: at 11,000 organisations of 1,000 bytes of instructions a state is 6.5 MB encoded. In one frame it holds up every stream of its session, and one beyond 8 MB breaks the session.

Change: ConfigFetch and ConfigState get optional fields for parts of 256 kB (additive; a message without them is as before). The peer keeps its last four answers, so that its state may move on meanwhile.

--- /dev/null
+++ b/internal/follow/exchange.go
@@ -0,0 +1,124 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"skylarklead/internal/config"
+	"skylarklead/internal/wire"
+)
+
+// Fetch answers a peer's ConfigFetch: with nothing if it has as much.
+func (f *Follower) Fetch(m *wire.ConfigFetch) (*wire.ConfigState, error) {
+	if m.Part > 0 {
+		return f.answers.part(m)
+	}
+	s := f.Current()
+	if s == nil || s.Offset <= m.After {
+		return &wire.ConfigState{}, nil
+	}
+	a, err := f.answers.since(s, m.After)
+	if err != nil {
+		return nil, err
+	}
+	return a.part(0)
+}
+
+// answer is an encoded state, or what is new of it after an offset.
+type answer struct {
+	offset, after uint64
+	data          []byte
+}
+
+func (a *answer) parts() int { return (len(a.data) + partBytes - 1) / partBytes }
+
+func (a *answer) part(i int) (*wire.ConfigState, error) {
+	parts := a.parts()
+	if parts > maxParts {
+		return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(a.data))
+	}
+	if i < 0 || i >= parts {
+		return nil, fmt.Errorf("follow: part %d of %d", i, parts)
+	}
+	data := a.data[i*partBytes : min((i+1)*partBytes, len(a.data))]
+	return &wire.ConfigState{Offset: a.offset, State: data, Parts: parts}, nil
+}
+
+// cachedAnswers is enough for peers that are behind by different offsets to get
+// all parts of theirs.
+const cachedAnswers = 4
+
+// answerCache keeps the last answers. After a restart of many processes each
+// peer is asked for the same whole state by several of them, in parts.
+type answerCache struct {
+	mu      sync.Mutex
+	answers []*answer
+}
+
+func (c *answerCache) since(s *config.State, after uint64) (*answer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a := c.find(s.Offset, after); a != nil {
+		return a, nil
+	}
+	data, err := config.EncodeSince(s, after)
+	if err != nil {
+		return nil, err
+	}
+	a := &answer{offset: s.Offset, after: after, data: data}
+	c.answers = append(c.answers, a)
+	if len(c.answers) > cachedAnswers {
+		c.answers = c.answers[1:]
+	}
+	return a, nil
+}
+
+func (c *answerCache) find(offset, after uint64) *answer {
+	for _, a := range c.answers {
+		if a.offset == offset && a.after == after {
+			return a
+		}
+	}
+	return nil
+}
+
+func (c *answerCache) part(m *wire.ConfigFetch) (*wire.ConfigState, error) {
+	c.mu.Lock()
+	a := c.find(m.Offset, m.After)
+	c.mu.Unlock()
+	if a == nil {
+		return nil, ErrMoved
+	}
+	return a.part(m.Part)
+}
+
+// ask fetches from one peer and merges what it has.
+func (f *Follower) ask(ctx context.Context, fetch Fetch) error {
+	after := f.offset()
+	first, err := fetchPart(ctx, fetch, &wire.ConfigFetch{After: after})
+	if err != nil || len(first.State) == 0 {
+		return err
+	}
+	if first.Parts > maxParts {
+		return fmt.Errorf("%w: %d parts", ErrTooLarge, first.Parts)
+	}
+	data := append([]byte(nil), first.State...)
+	for i := 1; i < first.Parts; i++ {
+		next, err := fetchPart(ctx, fetch, &wire.ConfigFetch{After: after, Part: i, Offset: first.Offset})
+		if err != nil {
+			return err
+		}
+		if next.Offset != first.Offset || next.Parts != first.Parts {
+			return ErrMoved
+		}
+		data = append(data, next.State...)
+	}
+	return f.Offer(data, SourcePeer)
+}
+
+func fetchPart(ctx context.Context, fetch Fetch, m *wire.ConfigFetch) (*wire.ConfigState, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	return fetch(ctx, m)
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -35,9 +35,10 @@
 	fetchTimeout = 5 * time.Second
 	// tailGrace is how long the log gets to bring what a peer already has.
 	tailGrace = 100 * time.Millisecond
-	// maxAnswer keeps a state within one frame. A longer one would break the
-	// session and every stream on it.
-	maxAnswer = wire.MaxFrame - 4096
+	// partBytes bounds one part of an answer to a peer.
+	partBytes = 256 << 10
+	// maxParts bounds what an answer can make us keep.
+	maxParts = 512
 )
 
 // Source is where the present state came from.
@@ -51,8 +52,13 @@
 	SourceBootstrap Source = "bootstrap"
 )
 
-// ErrTooLarge is returned for a state that doesn't fit into one frame.
-var ErrTooLarge = errors.New("follow: the state is too large for one message")
+var (
+	// ErrTooLarge is returned for a state of more than maxParts parts.
+	ErrTooLarge = errors.New("follow: the state is too large")
+	// ErrMoved is returned when a peer no longer has the state of which it has
+	// given some parts. It is asked anew later.
+	ErrMoved = errors.New("follow: the peer's state has moved on")
+)
 
 // Log is the part of platform.Log that a Follower uses.
 type Log interface {
@@ -60,8 +66,8 @@
 	Append(ctx context.Context, stream string, records [][]byte) (uint64, error)
 }
 
-// Fetch asks one peer for what is newer than the offset after.
-type Fetch func(ctx context.Context, after uint64) (*wire.ConfigState, error)
+// Fetch asks one peer.
+type Fetch func(ctx context.Context, m *wire.ConfigFetch) (*wire.ConfigState, error)
 
 // Options are what a Follower needs.
 type Options struct {
@@ -87,7 +93,7 @@
 	source  atomic.Value
 	logUp   atomic.Bool
 	ready   chan struct{}
-	encoded encodedCache
+	answers answerCache
 
 	// mu orders changes of state.
 	mu sync.Mutex
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -92,8 +93,8 @@
 
 // from is a peer that answers out of another follower.
 func from(peer *Follower) Fetch {
-	return func(_ context.Context, after uint64) (*wire.ConfigState, error) {
-		return peer.Fetch(&wire.ConfigFetch{After: after})
+	return func(_ context.Context, m *wire.ConfigFetch) (*wire.ConfigState, error) {
+		return peer.Fetch(m)
 	}
 }
 
@@ -142,6 +143,45 @@
 	}
 }
 
+// A state of several parts arrives whole though the peer's state moves on while
+// the parts are fetched.
+func TestStateInParts(t *testing.T) {
+	f := newFixture(t, standin.Control{})
+	rng := rand.New(rand.NewPCG(1, 1))
+	var last uint64
+	for i := range 3 {
+		text := make([]byte, 200<<10)
+		for j := range text {
+			text[j] = byte('a' + rng.IntN(26))
+		}
+		record := fmt.Appendf(nil, `{"schema":1,"kind":"organisation","key":"o%d","base":0,"body":{"instructions":%q}}`, i, text)
+		offset, err := f.log.Append(t.Context(), Stream, [][]byte{record})
+		if err != nil {
+			t.Fatal(err)
+		}
+		last = offset
+	}
+	peer := f.follow(Options{})
+	f.reaches(peer, last, SourceLog)
+	parts := 0
+	moving := func(_ context.Context, m *wire.ConfigFetch) (*wire.ConfigState, error) {
+		answer, err := peer.Fetch(m)
+		if parts++; parts == 1 {
+			f.reaches(peer, f.publish(0), SourceLog)
+		}
+		return answer, err
+	}
+	cut := f.follow(Options{Log: cutLog{}})
+	cut.Heard(last, moving)
+	f.reaches(cut, last, SourcePeer)
+	if parts < 2 {
+		t.Errorf("the state came in %d part", parts)
+	}
+	if o := cut.Current().Organisations["o2"]; o == nil || len(o.Instructions[0]) != 200<<10 {
+		t.Error("the state isn't whole")
+	}
+}
+
 // Symptom: a configuration reverts after it was in force. Sequence: a process
 // asks a peer that is behind, or is sent an old state. Cause: whoever answers
 // last would win.
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"skylarklead/internal/config"
 	"skylarklead/internal/platform"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
@@ -24,19 +23,19 @@
 
 // PeerFetch returns the Fetch that asks the daemon at address.
 func PeerFetch(pool *wire.Pool, address string) Fetch {
-	return func(ctx context.Context, after uint64) (*wire.ConfigState, error) {
+	return func(ctx context.Context, m *wire.ConfigFetch) (*wire.ConfigState, error) {
 		session, err := pool.Get(ctx, address)
 		if err != nil {
 			return nil, err
 		}
-		return SessionFetch(session)(ctx, after)
+		return SessionFetch(session)(ctx, m)
 	}
 }
 
 // SessionFetch returns the Fetch that asks the peer of an open session.
 func SessionFetch(session *wire.Session) Fetch {
-	return func(ctx context.Context, after uint64) (*wire.ConfigState, error) {
-		reply, err := session.Call(ctx, &wire.ConfigFetch{After: after})
+	return func(ctx context.Context, m *wire.ConfigFetch) (*wire.ConfigState, error) {
+		reply, err := session.Call(ctx, m)
 		if err != nil {
 			return nil, err
 		}
@@ -50,58 +49,6 @@
 	}
 }
 
-// Fetch answers a peer's ConfigFetch: with nothing if it has as much.
-func (f *Follower) Fetch(m *wire.ConfigFetch) (*wire.ConfigState, error) {
-	s := f.Current()
-	if s == nil || s.Offset <= m.After {
-		return &wire.ConfigState{}, nil
-	}
-	data, err := f.encoded.since(s, m.After)
-	if err != nil {
-		return nil, err
-	}
-	if len(data) > maxAnswer {
-		return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(data))
-	}
-	return &wire.ConfigState{Offset: s.Offset, State: data}, nil
-}
-
-// encodedCache keeps the last whole state as encoded. After a restart of many
-// processes each peer is asked for the same one by several of them.
-type encodedCache struct {
-	mu     sync.Mutex
-	offset uint64
-	data   []byte
-}
-
-func (c *encodedCache) since(s *config.State, after uint64) ([]byte, error) {
-	if after > 0 {
-		return config.EncodeSince(s, after)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.data != nil && c.offset == s.Offset {
-		return c.data, nil
-	}
-	data, err := config.EncodeState(s)
-	if err != nil {
-		return nil, err
-	}
-	c.offset, c.data = s.Offset, data
-	return data, nil
-}
-
-// ask fetches from one peer and merges what it has.
-func (f *Follower) ask(ctx context.Context, fetch Fetch) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	answer, err := fetch(ctx, f.offset())
-	if err != nil || len(answer.State) == 0 {
-		return err
-	}
-	return f.Offer(answer.State, SourcePeer)
-}
-
 // followPeers asks several peers at the start and then, while the log can't be
 // reached, one at a time. Messages from peers with a newer state bring it sooner
 // (Heard); this finds it for a process that nobody talks to.
