Endpoint: follow the configuration by log, peers and bootstrap file

Cause: the endpoint process read the log alone. Cut off from it, it kept an old configuration for ever; after the log's retention a restarted one had none. It didn't answer a peer's ConfigFetch, and its status named no addresses of its group, so an entry that restarted in an outage learnt no more than its fixed peers. An entry's status left out the records of newer schemas that it keeps.

Change: the endpoint uses follow.Follower, notes what peers have (Heard), answers ConfigFetch off its loop; status tells source, log and addresses. The test's stream name is follow.Stream now that the package's own constant is gone.

--- a/internal/endpoint/config.go
+++ b/internal/endpoint/config.go
@@ -2,49 +2,52 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"skylarklead/internal/config"
-	"skylarklead/internal/platform"
+	"skylarklead/internal/follow"
 	"skylarklead/internal/prefix"
 	"skylarklead/internal/wire"
 )
 
 const (
-	configStream = "config"
 	// behindTimeout bounds the wait for a configuration as new as a Run's, and
 	// behindPause the pause between looks.
 	behindTimeout = 2 * time.Second
 	behindPause   = 20 * time.Millisecond
 )
 
-// logTail follows the log alone.
-type logTail struct {
-	log   *platform.Log
-	state atomic.Pointer[config.State]
-}
+// empty stands for the configuration before there is any.
+var empty = config.NewState()
 
-func newLogTail(log *platform.Log) *logTail {
-	t := &logTail{log: log}
-	t.state.Store(config.NewState())
-	return t
+// state is the newest accepted configuration; it is shared.
+func (e *Endpoint) state() *config.State {
+	if s := e.config.State(); s != nil {
+		return s
+	}
+	return empty
 }
 
-func (t *logTail) run(ctx context.Context) error {
-	state := config.NewState()
-	return t.log.Tail(ctx, configStream, 1, func(r platform.Record) error {
-		state, _ = state.Apply(r.Offset, r.Data)
-		t.state.Store(state)
-		return nil
-	})
+// heardOffset notes the configuration that a peer has. One that is cut off from
+// the log would otherwise go on by what operators have already replaced.
+func (e *Endpoint) heardOffset(s *wire.Session, offset uint64) {
+	e.config.Heard(offset, follow.SessionFetch(s))
 }
 
-// state is the newest accepted configuration; it is shared.
-func (e *Endpoint) state() *config.State { return e.config.state.Load() }
-
-// heardOffset notes the configuration that a peer has.
-func (e *Endpoint) heardOffset(*wire.Session, uint64) {}
+// onConfigFetch answers a peer that is behind. Encoding a large state takes too
+// long for the loop.
+func (e *Endpoint) onConfigFetch(s *wire.Session, ref uint32, m *wire.ConfigFetch) {
+	go func() {
+		answer, err := e.config.Fetch(m)
+		if err != nil {
+			e.log.Warn("configuration not told to a peer", "peer", s.Peer().ID, "error", err)
+			refusal := wire.Refusal{Code: wire.CodeInternal, Message: err.Error(), Ran: wire.NotRun}
+			e.reply(s, ref, &wire.Failure{Refusal: refusal})
+			return
+		}
+		e.reply(s, ref, answer)
+	}()
+}
 
 // configure makes sure that the configuration is as new as the sender's before
 // the prompt is built: with older standing instructions the answer would follow
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -18,6 +18,7 @@
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/cachemap"
 	"skylarklead/internal/engine"
+	"skylarklead/internal/follow"
 	"skylarklead/internal/platform"
 	"skylarklead/internal/route"
 	"skylarklead/internal/settings"
@@ -40,7 +41,7 @@
 	started  time.Time
 	loop     *mailbox
 	pool     *wire.Pool
-	config   *logTail
+	config   *follow.Follower
 	// platformLog is the platform's log.
 	platformLog *platform.Log
 	engine      *engine.Client  // nil beside a plain service
@@ -74,6 +75,8 @@
 	options := wire.Options{Key: s.Key(), Self: e.identity, Handler: peerHandler{e}, Traffic: tel.Metrics.Traffic}
 	e.pool = wire.NewPool(options)
 	defer e.pool.Close()
+	instances := platform.NewInstances(s.Platform.Instances)
+	e.config = follow.FromSettings(s, e.platformLog, instances, e.pool, e.log)
 	server, err := listen(e, options)
 	if err != nil {
 		return err
@@ -83,7 +86,7 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	context.AfterFunc(ctx, func() { e.loop.must(e.stopWhenDrained) })
-	e.startBackground(work)
+	e.startBackground(work, instances)
 	e.loop.run(work, e.drain.finished)
 	return nil
 }
@@ -107,7 +110,6 @@
 		drain:      newDrainState(),
 	}
 	e.platformLog = platform.NewLog(s.Platform.Log)
-	e.config = newLogTail(e.platformLog)
 	e.claims = e.newClaims()
 	e.placement = e.newPlacement()
 	if s.Endpoint.Kind == kindService {
@@ -134,15 +136,14 @@
 	}
 }
 
-func (e *Endpoint) startBackground(ctx context.Context) {
+func (e *Endpoint) startBackground(ctx context.Context, instances *platform.Instances) {
 	go e.tickUntil(ctx)
 	go e.claims.reader.run(ctx)
 	go func() {
-		if err := e.config.run(ctx); ctx.Err() == nil {
+		if err := e.config.Run(ctx); ctx.Err() == nil {
 			e.log.Error("configuration is no longer followed", "error", err)
 		}
 	}()
-	instances := platform.NewInstances(e.settings.Platform.Instances)
 	go instances.Poll(ctx, listInterval, func(list []platform.Instance, err error) {
 		e.loop.must(func() { e.onList(list, err) })
 	})
--- a/internal/endpoint/orders_test.go
+++ b/internal/endpoint/orders_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"skylarklead/internal/engine"
+	"skylarklead/internal/follow"
 	"skylarklead/internal/platform"
 	"skylarklead/internal/settings"
 	standinengine "skylarklead/internal/standin/engine"
@@ -39,7 +40,7 @@
 	for _, r := range records {
 		data = append(data, []byte(r))
 	}
-	first, err := platform.NewLog(base).Append(context.Background(), configStream, data)
+	first, err := platform.NewLog(base).Append(context.Background(), follow.Stream, data)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/endpoint/server.go
+++ b/internal/endpoint/server.go
@@ -78,6 +78,8 @@
 		e.onResolve(s, ref, m)
 	case *wire.Heartbeat:
 		e.onHeartbeat(s, m)
+	case *wire.ConfigFetch:
+		e.onConfigFetch(s, ref, m)
 	case *wire.StatusRequest:
 		e.reply(s, ref, e.status())
 	case *wire.ExplainRequest:
--- a/internal/endpoint/status.go
+++ b/internal/endpoint/status.go
@@ -9,6 +9,8 @@
 		Identity:      e.identity(),
 		Leaving:       e.drain.leaving,
 		ConfigOffset:  e.state().Offset,
+		ConfigSource:  e.config.Source(),
+		LogReachable:  e.config.LogReachable(),
 		Load:          e.load(),
 		InFlight:      e.executions.inFlight(),
 		UptimeMs:      now.Milliseconds(),
@@ -16,9 +18,12 @@
 	}
 	for _, m := range e.group.view.Members(now) {
 		status.Members = append(status.Members, wire.MemberStatus{
-			ID:    m.ID,
-			State: m.State.String(),
-			AgeMs: (now - m.Since).Milliseconds(),
+			ID:            m.ID,
+			State:         m.State.String(),
+			AgeMs:         (now - m.Since).Milliseconds(),
+			Address:       m.Address,
+			Group:         m.Group,
+			FailureDomain: m.FailureDomain,
 		})
 	}
 	return status
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"math"
 	mathrand "math/rand/v2"
 	"time"
 
@@ -68,7 +69,8 @@
 	e.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), signTimeout)
 		defer cancel()
-		if _, err := session.Call(ctx, &wire.StatusRequest{}); err != nil {
+		nothingNewer := &wire.ConfigFetch{After: math.MaxUint64}
+		if _, err := session.Call(ctx, nothingNewer); err != nil {
 			session.Close(errSilent)
 		}
 	})
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -115,15 +115,20 @@
 }
 
 func (e *Entry) status() *wire.Status {
+	unknownSchema := 0
+	if state := e.config.State(); state != nil {
+		unknownSchema = len(state.Opaque)
+	}
 	return &wire.Status{
-		Identity:     e.self(),
-		Leaving:      e.drain.draining(),
-		ConfigOffset: e.self().ConfigOffset,
-		ConfigSource: e.config.Source(),
-		Members:      e.directory.status(),
-		InFlight:     e.drain.count(),
-		UptimeMs:     e.now().Milliseconds(),
-		LogReachable: e.config.LogReachable(),
+		Identity:      e.self(),
+		Leaving:       e.drain.draining(),
+		ConfigOffset:  e.self().ConfigOffset,
+		ConfigSource:  e.config.Source(),
+		Members:       e.directory.status(),
+		InFlight:      e.drain.count(),
+		UptimeMs:      e.now().Milliseconds(),
+		LogReachable:  e.config.LogReachable(),
+		UnknownSchema: unknownSchema,
 	}
 }
 
