--- /dev/null
+++ b/test/harness/extra.go
@@ -0,0 +1,182 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"skylarklead/internal/config"
+	api "skylarklead/internal/engine"
+	"skylarklead/internal/platform"
+	"skylarklead/internal/settings"
+	"skylarklead/internal/wire"
+)
+
+// CtlResult is what a run of skylarkctl showed.
+type CtlResult struct {
+	Code        int
+	Out, ErrOut string
+}
+
+// Ctl runs skylarkctl against the cluster's platform.
+func (c *Cluster) Ctl(args ...string) CtlResult {
+	c.t.Helper()
+	cmd := exec.Command(Program(c.t, "skylarkctl"), args...)
+	cmd.Env = append(os.Environ(),
+		"SKYLARK_PLATFORM=http://"+c.Platform.Address,
+		"SKYLARK_FLEET_KEY="+fleetKey,
+	)
+	var out, errOut bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errOut
+	err := cmd.Run()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		c.t.Errorf("skylarkctl: %v", err)
+	}
+	return CtlResult{Code: cmd.ProcessState.ExitCode(), Out: out.String(), ErrOut: errOut.String()}
+}
+
+// RecordFile writes records as an operator's file and returns its path.
+func (c *Cluster) RecordFile(name string, records ...config.Record) string {
+	c.t.Helper()
+	data, err := json.Marshal(records)
+	path := filepath.Join(c.dir, name)
+	if err == nil {
+		err = os.WriteFile(path, data, 0o600)
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return path
+}
+
+// Status returns what a daemon says of itself, or nil if it doesn't answer.
+func (c *Cluster) Status(n *Node) *wire.Status {
+	c.t.Helper()
+	var all []struct {
+		Status *wire.Status `json:"status"`
+	}
+	r := c.Ctl("status", "--address", n.Settings.Listen, "-o", "json")
+	if json.Unmarshal([]byte(r.Out), &all) != nil || len(all) != 1 {
+		return nil
+	}
+	return all[0].Status
+}
+
+// CutOffPlatform makes the platform unreachable for one daemon until Heal.
+func (n *Node) CutOffPlatform() {
+	n.Platform.Refuse(true)
+	n.Platform.Cut()
+}
+
+// Supervise starts a back end again whenever it has ended, as the platform does,
+// until the returned function is called.
+func (b *Backend) Supervise() (stop func()) {
+	done, over := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(over)
+		for {
+			select {
+			case <-done:
+				return
+			case <-b.Ended():
+				b.Restart()
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		<-over
+	}
+}
+
+// Replace starts a second daemon with a daemon's identity beside the same back
+// end, as a platform does that took the first one for dead.
+func (c *Cluster) Replace(n *Node) *Node {
+	c.t.Helper()
+	s := *n.Settings
+	s.Listen = freeAddress(c.t, c.host)
+	if n.Settings.Endpoint != nil {
+		endpoint := *n.Settings.Endpoint
+		s.Endpoint = &endpoint
+	}
+	twin := &Node{ID: n.ID, Settings: &s, Engine: n.Engine}
+	if twin.Engine != nil {
+		twin.Backend = c.Proxy(twin.Engine.Address)
+		s.Endpoint.Backend = "http://" + twin.Backend.Address()
+	}
+	c.startNode(twin)
+	c.AwaitUp(twin)
+	return twin
+}
+
+// EngineState returns what an engine has loaded, by its own word.
+func (c *Cluster) EngineState(b *Backend) (state api.State) {
+	c.t.Helper()
+	if err := request(http.MethodGet, "http://"+b.Address+"/v1/orders", nil, &state); err != nil {
+		c.t.Fatal(err)
+	}
+	return state
+}
+
+// LogRecords returns what a stream of the platform's log still has.
+func (c *Cluster) LogRecords(stream string) []platform.Record {
+	c.t.Helper()
+	log := platform.NewLog("http://" + c.Platform.Address)
+	defer log.Close()
+	from := uint64(1)
+	for {
+		page, err := log.Read(context.Background(), stream, from, platform.MaxPage, 0)
+		var retained *platform.RetainedError
+		if errors.As(err, &retained) {
+			from = retained.Oldest
+			continue
+		}
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		return page.Records
+	}
+}
+
+// AwaitListening waits until a TCP connection to address is taken.
+func AwaitListening(t testing.TB, address string) {
+	t.Helper()
+	Await(t, address+" to listen", func() bool {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			return false
+		}
+		conn.Close()
+		return true
+	})
+}
+
+// Ready reports whether an entry tells the balancer to send callers.
+func (n *Node) Ready() bool { return getOK("http://" + n.Settings.Entry.Listen + "/readyz") }
+
+// AddInstance puts any instance on the true list, shown at once.
+func (c *Cluster) AddInstance(i platform.Instance) {
+	c.t.Helper()
+	url := "http://" + c.Platform.Address + "/control/instances/" + i.ID + "?now=1"
+	if err := request(http.MethodPut, url, i, nil); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// BootstrapFile returns where the cluster's daemons look for an exported state
+// if o's Settings is WithBootstrap of the same directory.
+func BootstrapFile(dir string) string { return filepath.Join(dir, "state.bootstrap") }
+
+// WithBootstrap returns a settings function that names the bootstrap file in dir.
+func WithBootstrap(dir string) func(*settings.Settings) {
+	return func(s *settings.Settings) { s.Bootstrap.File = BootstrapFile(dir) }
+}
