measure: slopes of a daemon's use, for the capacity page

Change: 'skylark-measure slopes KIND' measures one thing at a time: group size idle and loaded, requests and tokens, streams, configuration, the platform's reads, claims, starts. Daemons' own counts, and the kernel's account of their sockets through ss, since the daemons count frames without headers.

--- a/cmd/skylark-measure/main.go
+++ b/cmd/skylark-measure/main.go
@@ -42,7 +42,8 @@
 			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "folder of the programs"},
 			&cli.StringFlag{Name: "out", Value: "docs/measurements", Usage: "folder of the results"},
 		},
-		Action: run,
+		Commands: []*cli.Command{slopes()},
+		Action:   run,
 	}
 }
 
--- /dev/null
+++ b/cmd/skylark-measure/slopes.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"skylarklead/internal/measure"
+)
+
+// slopes are the figures that docs/CAPACITY.md is worked out from.
+func slopes() *cli.Command {
+	return &cli.Command{
+		Name:      "slopes",
+		Usage:     "measure how a daemon's use grows with one thing at a time",
+		ArgsUsage: "group|request|stream|configuration|platform|claims|start ...",
+		Flags: []cli.Flag{
+			&cli.IntSliceFlag{Name: "sizes", Value: []int{2, 4, 8, 16, 32}, Usage: "members of a group"},
+			&cli.FloatFlag{Name: "rate", Value: 2.2, Usage: "requests a second for each member"},
+			&cli.IntFlag{Name: "repeats", Value: 2, Usage: "how often each point is measured"},
+			&cli.DurationFlag{Name: "window", Value: 20 * time.Second, Usage: "how long each point is measured"},
+			&cli.DurationFlag{Name: "warmup", Value: 5 * time.Second, Usage: "how long it runs before"},
+			&cli.BoolFlag{Name: "keep", Usage: "leave settings and logs in the folder for temporary files"},
+			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "folder of the programs"},
+			&cli.StringFlag{Name: "out", Value: "docs/capacity", Usage: "folder of the results"},
+		},
+		Action: runSlopes,
+	}
+}
+
+func runSlopes(ctx context.Context, c *cli.Command) error {
+	o := measure.SlopeOptions{
+		Bin: c.String("bin"), Window: c.Duration("window"), Warmup: c.Duration("warmup"), Keep: c.Bool("keep"),
+	}
+	repeats, progress := c.Int("repeats"), os.Stderr
+	kinds := map[string]func() (any, error){
+		"group": func() (any, error) {
+			return measure.GroupSlopes(ctx, c.IntSlice("sizes"), c.Float("rate"), repeats, progress, o)
+		},
+		"request":       func() (any, error) { return measure.RequestSlopes(ctx, repeats, progress, o) },
+		"stream":        func() (any, error) { return measure.StreamSlopes(ctx, repeats, progress, o) },
+		"configuration": func() (any, error) { return measure.ConfigurationSlopes(progress) },
+		"platform":      func() (any, error) { return measure.PlatformSlopes(ctx, progress, o) },
+		"claims":        func() (any, error) { return measure.ClaimSlopes(ctx, progress, o) },
+		"start":         func() (any, error) { return measure.StartSlopes(ctx, progress, o) },
+	}
+	args := c.Args().Slice()
+	if len(args) == 0 {
+		return fmt.Errorf("which slopes: %s", c.ArgsUsage)
+	}
+	for _, kind := range args {
+		if kinds[kind] == nil {
+			return fmt.Errorf("no slopes of %q, only %s", kind, c.ArgsUsage)
+		}
+	}
+	for _, kind := range slices.Compact(args) {
+		points, err := kinds[kind]()
+		if err != nil {
+			return err
+		}
+		if err := measure.SaveSlopes(c.String("out"), kind, points); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/measure/slopes_claims.go
@@ -0,0 +1,153 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"syscall"
+	"time"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/config"
+	"skylarklead/internal/platform"
+	"skylarklead/internal/standin/load"
+)
+
+// ClaimPoint is what idempotency keys cost the log at one rate.
+type ClaimPoint struct {
+	Replicas int     `json:"replicas"`
+	Rate     float64 `json:"rate"`
+	Seconds  float64 `json:"seconds"`
+	// Answered is how many calls were answered, Claims and Settles how many
+	// stand on the log in Records, one an append, of Bytes together.
+	Answered int                  `json:"answered"`
+	Outcomes map[load.Outcome]int `json:"outcomes"`
+	Records  int                  `json:"records"`
+	Claims   int                  `json:"claims"`
+	Settles  int                  `json:"settles"`
+	Bytes    int                  `json:"bytes"`
+	// Calls are the callers' times for a whole answer.
+	Calls load.Times `json:"calls"`
+	// CPU is the replicas' share of a core, Platform their reads of it on the wire.
+	Endpoint RoleUse `json:"endpoint"`
+	Entry    RoleUse `json:"entry"`
+}
+
+// ClaimSlopes measures calls with idempotency keys at several rates over groups
+// of two sizes.
+func ClaimSlopes(ctx context.Context, progress io.Writer, o SlopeOptions) ([]ClaimPoint, error) {
+	var points []ClaimPoint
+	for _, replicas := range []int{4, 16} {
+		for _, rate := range []float64{10, 50, 200} {
+			p, err := claimPoint(ctx, replicas, rate, o)
+			if err != nil {
+				return points, err
+			}
+			points = append(points, p)
+			fmt.Fprintf(progress, "%d replicas, %.0f/s: %d answered, %d records, %d claims, %d settles, %d bytes, p50 %.0f ms, p99 %.0f ms, cpu %.4f, platform %.0f B/s, %v\n",
+				p.Replicas, p.Rate, p.Answered, p.Records, p.Claims, p.Settles, p.Bytes, p.Calls.P50, p.Calls.P99,
+				p.Endpoint.CPU.Median, p.Endpoint.Platform.Median, p.Outcomes)
+		}
+	}
+	return points, nil
+}
+
+func claimWorkload() load.Workload {
+	return load.Workload{
+		Name: "claims", Rate: 1,
+		Records: []config.Record{
+			{Schema: 2, Kind: config.KindGroup, Key: slopeServices, Body: json.RawMessage(`{"load_permits":1}`)},
+			{Schema: 2, Kind: config.KindService, Key: slopeServices,
+				Body: json.RawMessage(`{"group":"slopes-calls","key_required":["/payments"]}`)},
+		},
+		Organisations: []load.Organisation{{
+			ID: "organisation-slopes", Class: load.ClassLarge, APIKey: slopeKey, Share: 1, Weight: 1,
+			Requests: []load.Request{{Name: "payment", Share: 1, Call: &load.Call{
+				Service: slopeServices, Path: "payments", Keyed: true, Tokens: 60,
+			}}},
+		}},
+	}
+}
+
+func claimPoint(ctx context.Context, replicas int, rate float64, o SlopeOptions) (p ClaimPoint, err error) {
+	dir, remove, err := tempDir(o.Keep)
+	if err != nil {
+		return p, err
+	}
+	defer remove()
+	s := slopeFleet{members: 0, entries: 2}
+	d := s.deployment()
+	d.Services = replicas
+	f, err := StartFleet(ctx, d, claimWorkload(), FleetOptions{Bin: o.Bin, Dir: dir, Policy: PolicyOwner, Settings: withRoom})
+	if err != nil {
+		return p, err
+	}
+	defer f.Close()
+	before, err := f.use()
+	if err != nil {
+		return p, err
+	}
+	report, err := load.Run(ctx, claimWorkload(), load.Options{Entries: f.EntryURLs(), Duration: o.Window, Seed: 1, Rate: rate})
+	if err != nil {
+		return p, err
+	}
+	if err := pause(ctx, time.Second); err != nil { // the last settles
+		return p, err
+	}
+	after, err := f.use()
+	if err != nil {
+		return p, err
+	}
+	p = ClaimPoint{Replicas: replicas, Rate: rate, Seconds: o.Window.Seconds(),
+		Outcomes: report.All.Outcomes, Calls: report.All.Calls, Answered: int(report.All.Calls.Count)}
+	p.Endpoint, p.Entry = roleUse(f.Services, before, after), roleUse(f.Entries, before, after)
+	return p, f.readClaims(ctx, &p)
+}
+
+func (f *Fleet) readClaims(ctx context.Context, p *ClaimPoint) error {
+	log := platform.NewLog(f.base)
+	defer log.Close()
+	for from := uint64(1); ; {
+		page, err := log.Read(ctx, "claims."+slopeServices, from, platform.MaxPage, 0)
+		if err != nil {
+			return err
+		}
+		if len(page.Records) == 0 {
+			return nil
+		}
+		for _, r := range page.Records {
+			batch, err := attempt.DecodeClaims(r.Data)
+			if err != nil {
+				return err
+			}
+			p.Records++
+			p.Bytes += len(r.Data)
+			p.Claims += len(batch.Claims)
+			p.Settles += len(batch.Settles)
+		}
+		from = page.Next
+	}
+}
+
+// tempDir makes a folder for settings and logs.
+func tempDir(keep bool) (dir string, remove func(), err error) {
+	dir, err = os.MkdirTemp("", "skylark-slopes-")
+	if err != nil {
+		return "", nil, fmt.Errorf("measure: %w", err)
+	}
+	if keep {
+		return dir, func() {}, nil
+	}
+	return dir, func() { os.RemoveAll(dir) }, nil
+}
+
+// processSeconds is the processor time that this process has used.
+func processSeconds() float64 {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return (time.Duration(usage.Utime.Nano()) + time.Duration(usage.Stime.Nano())).Seconds()
+}
--- /dev/null
+++ b/internal/measure/slopes_configuration.go
@@ -0,0 +1,142 @@
+package measure
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"time"
+
+	"skylarklead/internal/config"
+	"skylarklead/internal/standin/load"
+)
+
+// ConfigurationPoint is the cost of a configuration of so many organisations.
+type ConfigurationPoint struct {
+	Organisations int `json:"organisations"`
+	// Instructions is the bytes of each one's standing instructions.
+	Instructions int `json:"instruction_bytes"`
+	// RecordBytes is all records as they stand on the log.
+	RecordBytes int `json:"record_bytes"`
+	// StateBytes is what the state adds to the heap.
+	StateBytes int64 `json:"state_heap_bytes"`
+	// Encoded is the whole state as it goes between processes and into a
+	// snapshot, compressed; Change is one changed record as it goes to a peer.
+	Encoded int `json:"encoded_bytes"`
+	Change  int `json:"change_bytes"`
+	// Times of one processor: to apply all records from the log, to encode the
+	// state, to decode it, to apply one more record, and to encode one change.
+	ApplyAll     float64 `json:"apply_all_seconds"`
+	Encode       float64 `json:"encode_seconds"`
+	Decode       float64 `json:"decode_seconds"`
+	ApplyOne     float64 `json:"apply_one_seconds"`
+	EncodeChange float64 `json:"encode_change_seconds"`
+	// Failed is set when the state can't be encoded or decoded.
+	Failed string `json:"failed,omitempty"`
+}
+
+// targetOrganisations is the number of letter 1.
+const targetOrganisations = 11_000
+
+// ConfigurationSlopes measures states of several sizes in this process.
+func ConfigurationSlopes(progress io.Writer) ([]ConfigurationPoint, error) {
+	var points []ConfigurationPoint
+	for _, organisations := range []int{1000, targetOrganisations} {
+		for _, instructions := range []int{1 << 10, 4 << 10, 16 << 10} {
+			p, err := configurationPoint(organisations, instructions)
+			if err != nil {
+				return points, err
+			}
+			points = append(points, p)
+			fmt.Fprintf(progress, "%+v\n", p)
+		}
+	}
+	return points, nil
+}
+
+func configurationPoint(organisations, instructions int) (ConfigurationPoint, error) {
+	p := ConfigurationPoint{Organisations: organisations, Instructions: instructions}
+	entries := make([]config.Entry, organisations)
+	for i := range entries {
+		data, err := organisationRecord(i, 0, instructions)
+		if err != nil {
+			return p, err
+		}
+		p.RecordBytes += len(data)
+		entries[i] = config.Entry{Offset: uint64(i + 1), Data: data}
+	}
+	before := heapBytes()
+	var state *config.State
+	p.ApplyAll = timed(func() { state, _ = config.NewState().ApplyAll(entries) })
+	// The records themselves are part of the state: it keeps them whole.
+	p.StateBytes = heapBytes() - before + int64(p.RecordBytes)
+	if len(state.Organisations) != organisations {
+		return p, fmt.Errorf("measure: %d of %d records accepted", len(state.Organisations), organisations)
+	}
+	p.change(state, instructions)
+	var encoded []byte
+	var err error
+	p.Encode = timed(func() { encoded, err = config.EncodeState(state) })
+	p.Encoded = len(encoded)
+	if err != nil {
+		p.Failed = err.Error()
+		return p, nil
+	}
+	p.Decode = timed(func() { _, err = config.DecodeState(encoded) })
+	if err != nil {
+		p.Failed = err.Error()
+	}
+	runtime.KeepAlive(entries)
+	return p, nil
+}
+
+func (p *ConfigurationPoint) change(state *config.State, instructions int) {
+	data, err := organisationRecord(0, 1, instructions)
+	if err != nil {
+		p.Failed = err.Error()
+		return
+	}
+	var next *config.State
+	p.ApplyOne = timed(func() { next, _ = state.Apply(state.Offset+1, data) })
+	var encoded []byte
+	p.EncodeChange = timed(func() { encoded, err = config.EncodeSince(next, state.Offset) })
+	if err != nil {
+		p.Failed = err.Error()
+	}
+	p.Change = len(encoded)
+}
+
+// organisationRecord is a record of schema 2 with generated instructions: a
+// quarter shared by all of a firm's customers, the rest its own.
+func organisationRecord(i int, base uint64, instructions int) ([]byte, error) {
+	const tokenBytes = 4
+	id := fmt.Sprintf("organisation-%05d", i)
+	body, err := json.Marshal(map[string]any{
+		"key_digests": []string{fmt.Sprintf("%064x", i+1)},
+		"models":      []map[string]string{{"name": "model-a"}, {"name": "model-b"}},
+		"instructions": []string{
+			load.Text("firm", instructions/4/tokenBytes),
+			load.Text(id, instructions*3/4/tokenBytes),
+		},
+		"weight": 1,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("measure: %w", err)
+	}
+	r := config.Record{Schema: 2, Kind: config.KindOrganisation, Key: id, Base: base, Operator: "slopes", Body: body}
+	return r.Encode()
+}
+
+func timed(f func()) float64 {
+	start := time.Now()
+	f()
+	return time.Since(start).Seconds()
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- /dev/null
+++ b/internal/measure/slopes_fleet.go
@@ -0,0 +1,70 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+)
+
+// GroupSlopes measures groups of the given sizes, idle and under a rate of
+// requests that grows with the group, each so often.
+func GroupSlopes(ctx context.Context, sizes []int, ratePerMember float64, repeats int, progress io.Writer, o SlopeOptions) ([]SlopePoint, error) {
+	var fleets []slopeFleet
+	for _, n := range sizes {
+		idle := slopeFleet{members: n, entries: 1, answerTokens: 16, stepMs: 5}
+		busy := idle
+		busy.rate = ratePerMember * float64(n)
+		fleets = append(fleets, idle, busy)
+	}
+	return measurePoints(ctx, fleets, repeats, progress, o)
+}
+
+// RequestSlopes measures processor time against requests and tokens: short
+// answers at several rates, then one rate with longer answers.
+func RequestSlopes(ctx context.Context, repeats int, progress io.Writer, o SlopeOptions) ([]SlopePoint, error) {
+	const members, entries = 4, 1
+	var fleets []slopeFleet
+	for _, rate := range []float64{0, 25, 50, 100} {
+		fleets = append(fleets, slopeFleet{members: members, entries: entries, rate: rate, answerTokens: 4, stepMs: 5})
+	}
+	for _, tokens := range []int{50, 100, 200, 400} {
+		fleets = append(fleets, slopeFleet{members: members, entries: entries, rate: 10, answerTokens: tokens, stepMs: 10})
+	}
+	return measurePoints(ctx, fleets, repeats, progress, o)
+}
+
+// StreamSlopes measures memory against streams in flight: long answers of slow
+// engines, so that about rate × answer time are open.
+func StreamSlopes(ctx context.Context, repeats int, progress io.Writer, o SlopeOptions) ([]SlopePoint, error) {
+	var fleets []slopeFleet
+	for _, rate := range []float64{1, 5, 10, 20} {
+		fleets = append(fleets, slopeFleet{members: 4, entries: 1, rate: rate, answerTokens: 400, stepMs: 25})
+	}
+	return measurePoints(ctx, fleets, repeats, progress, o)
+}
+
+func measurePoints(ctx context.Context, fleets []slopeFleet, repeats int, progress io.Writer, o SlopeOptions) ([]SlopePoint, error) {
+	var points []SlopePoint
+	for repeat := range repeats {
+		for _, s := range fleets {
+			p, err := measurePoint(ctx, s, o)
+			if err != nil {
+				return points, err
+			}
+			p.Repeat = repeat + 1
+			points = append(points, p)
+			fmt.Fprintf(progress, "members %d rate %.0f answer %d: %.0f requests %.0f tokens %.0f in flight in %.1f s, outcomes %v\n",
+				p.Members, p.Rate, p.AnswerTokens, p.Requests, p.Tokens, p.InFlight, p.Seconds, p.Outcomes)
+			writeUse(progress, "endpoint", p.Endpoint)
+			writeUse(progress, "entry", p.Entry)
+		}
+	}
+	return points, nil
+}
+
+func writeUse(w io.Writer, role string, u RoleUse) {
+	const mega = 1 << 20
+	fmt.Fprintf(w, "  %-8s cpu %.4f control %.0f+%.0f B/s data %.0f B/s sessions %.0f B/s platform %.0f B/s sockets %.0f rss %.1f MB\n",
+		role, u.CPU.Median, u.ControlSent.Median, u.ControlReceived.Median, u.Data.Median,
+		u.Sessions.Median, u.Platform.Median, u.Sockets.Median, u.RSS.Median/mega)
+}
--- /dev/null
+++ b/internal/measure/slopes_use.go
@@ -0,0 +1,176 @@
+package measure
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"time"
+
+	"skylarklead/internal/settings"
+)
+
+// withRoom lets an endpoint run whatever the slopes ask of it.
+func withRoom(s *settings.Settings) {
+	if s.Endpoint != nil {
+		s.Endpoint.MaxRunning = 1024
+		s.Endpoint.MaxQueue = 4096
+	}
+}
+
+// use reads all daemons.
+func (f *Fleet) use() (map[string]use, error) {
+	sockets, err := readSockets()
+	if err != nil {
+		return nil, err
+	}
+	uses := map[string]use{}
+	for _, n := range f.daemons() {
+		u := use{at: time.Now(), sockets: map[string]socket{}}
+		if err := getJSON(n.metrics+"/metrics.json", &u.page); err != nil {
+			return nil, err
+		}
+		pid := n.daemon.cmd.Process.Pid
+		if u.rss, err = residentBytes(pid); err != nil {
+			return nil, err
+		}
+		for _, s := range sockets[pid] {
+			s.kind = f.kindOf(n, s)
+			u.sockets[s.local+" "+s.remote] = s
+		}
+		uses[n.id] = u
+	}
+	return uses, nil
+}
+
+func (f *Fleet) kindOf(n *node, s socket) socketKind {
+	switch {
+	case s.remote == strings.TrimPrefix(f.base, "http://"), s.remote == strings.TrimPrefix(f.views[n.settings.FailureDomain], "http://"):
+		return socketPlatform
+	case n.address != "" && s.remote == n.address:
+		return socketOther
+	case s.local == strings.TrimPrefix(n.metrics, "http://"):
+		return socketOther
+	case n.settings.Entry != nil && s.local == n.settings.Entry.Listen:
+		return socketOther
+	}
+	return socketPeer
+}
+
+type socketKind uint8
+
+const (
+	socketOther socketKind = iota
+	// socketPeer carries sessions, socketPlatform reads of log and list.
+	socketPeer
+	socketPlatform
+)
+
+// socket is the kernel's account of one open TCP connection.
+type socket struct {
+	kind                  socketKind
+	local, remote         string
+	bytesOut, bytesIn     float64
+	segmentsOut, segments float64
+}
+
+// headerBytes are those of IP and TCP with timestamps on each segment.
+const headerBytes = 52
+
+func (s socket) wire() float64 {
+	return s.bytesOut + s.bytesIn + headerBytes*(s.segmentsOut+s.segments)
+}
+
+// wireBytes is the growth over the sockets that are open at both moments.
+func wireBytes(before, after map[string]socket, kind socketKind) (sum float64) {
+	for key, a := range after {
+		if b, ok := before[key]; ok && a.kind == kind {
+			sum += a.wire() - b.wire()
+		}
+	}
+	return sum
+}
+
+func countSockets(sockets map[string]socket, kind socketKind) (n int) {
+	for _, s := range sockets {
+		if s.kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// readSockets asks ss, of iproute2, for the loopback's open connections, by
+// process ID. The daemons count frames only, without handshakes and headers.
+func readSockets() (map[int][]socket, error) {
+	out, err := exec.Command("ss", "-tinpHO", "state", "established", "src", "127.0.0.1").Output()
+	if err != nil {
+		return nil, fmt.Errorf("measure: ss: %w", err)
+	}
+	sockets := map[int][]socket{}
+	for line := range bytes.Lines(out) {
+		pid, s, ok := parseSocket(string(line))
+		if ok {
+			sockets[pid] = append(sockets[pid], s)
+		}
+	}
+	return sockets, nil
+}
+
+func parseSocket(line string) (pid int, s socket, ok bool) {
+	fields := strings.Fields(line)
+	var addresses []string
+	for _, field := range fields {
+		if _, _, err := net.SplitHostPort(field); err == nil && strings.HasPrefix(field, "127.") {
+			addresses = append(addresses, field)
+		}
+		name, text, found := strings.Cut(field, ":")
+		if name == "users" {
+			_, rest, _ := strings.Cut(field, "pid=")
+			digits, _, _ := strings.Cut(rest, ",")
+			pid, _ = strconv.Atoi(digits)
+		}
+		if !found {
+			continue
+		}
+		n, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			continue
+		}
+		switch name {
+		case "bytes_sent":
+			s.bytesOut = n
+		case "bytes_received":
+			s.bytesIn = n
+		case "segs_out":
+			s.segmentsOut = n
+		case "segs_in":
+			s.segments = n
+		}
+	}
+	if len(addresses) != 2 || pid == 0 {
+		return 0, s, false
+	}
+	s.local, s.remote = addresses[0], addresses[1]
+	return pid, s, true
+}
+
+// residentBytes is a process's resident memory.
+func residentBytes(pid int) (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0, fmt.Errorf("measure: %w", err)
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < 2 {
+		return 0, fmt.Errorf("measure: statm of %d: %q", pid, data)
+	}
+	pages, err := strconv.ParseFloat(fields[1], 64)
+	if err != nil {
+		return 0, fmt.Errorf("measure: statm of %d: %w", pid, err)
+	}
+	return pages * float64(os.Getpagesize()), nil
+}
