Prove the plan's outcomes true

A model of three executors whose inboxes outlive the sessions that filled them, with lost and doubled messages, restarts, redirects, crashes and executors that answer for their predecessor. Checked: what may not be repeated runs at most once, not_run is said only when nothing ran nor will, each request has exactly one final answer and gets it once things go well again.

--- /dev/null
+++ b/internal/attempt/plan_test.go
@@ -0,0 +1,392 @@
+package attempt
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"skylarklead/internal/wire"
+)
+
+// modelExecutor is an endpoint process as a plan meets it. Its inbox may be read
+// long after the session that filled it was lost.
+type modelExecutor struct {
+	epoch    wire.Epoch
+	registry *Registry
+	inbox    []Run
+	running  []wire.AttemptID
+	down     bool
+}
+
+// planWorld is one request's plan, its executors and what is under way.
+type planWorld struct {
+	t         *rapid.T
+	now       time.Duration
+	plan      *Plan
+	executors []*modelExecutor
+	todo      []Action
+	events    []Event
+	handed    map[wire.AttemptID]bool
+	runs      int
+	crashes   int
+	finish    *Finish
+	epochs    wire.Epoch
+}
+
+func newPlanWorld(t *rapid.T, spec Spec) *planWorld {
+	w := &planWorld{t: t, now: time.Second, handed: map[wire.AttemptID]bool{}}
+	for range 3 {
+		w.executors = append(w.executors, &modelExecutor{})
+		w.restart(len(w.executors) - 1)
+	}
+	rng := rand.New(rand.NewPCG(uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")), 1))
+	w.plan = NewPlan(spec, DefaultPlanParams, NewBudget(DefaultBudgetParams), rng)
+	w.take(w.plan.Begin(w.now))
+	return w
+}
+
+func (w *planWorld) restart(i int) {
+	w.epochs++
+	*w.executors[i] = modelExecutor{epoch: w.epochs, registry: NewRegistry(time.Hour)}
+}
+
+func (w *planWorld) take(actions []Action) {
+	for _, a := range actions {
+		if f, ok := a.(Finish); ok {
+			if w.finish != nil {
+				w.t.Fatalf("finished twice")
+			}
+			w.finish = &f
+			continue
+		}
+		if w.finish != nil {
+			w.t.Fatalf("%T after the final answer", a)
+		}
+		w.todo = append(w.todo, a)
+	}
+}
+
+func (w *planWorld) event(e Event) { w.take(w.plan.Step(e, w.now)) }
+
+// act carries out the oldest action, with good or bad luck.
+func (w *planWorld) act(luck int) {
+	if len(w.todo) == 0 {
+		return
+	}
+	action := w.todo[0]
+	w.todo = w.todo[1:]
+	switch a := action.(type) {
+	case Ask:
+		w.ask(luck)
+	case Run:
+		w.runAt(a, luck)
+	case Resolve:
+		w.reach(a.Target, a.Attempt, luck, func(e *modelExecutor) {
+			w.events = append(w.events, Resolved{Epoch: e.epoch, Answer: e.registry.Resolve(a.Attempt, w.now)})
+		})
+	case Resume:
+		w.reach(a.Target, a.Attempt, luck, func(e *modelExecutor) {
+			w.event(ResumeOpened{Attempt: a.Attempt})
+			known, ok := e.registry.attempts[a.Attempt]
+			if !ok || known.state != attemptRunning {
+				outcome := wire.Unknown
+				if ok {
+					outcome = known.outcome
+				}
+				w.end(e, wire.End{Attempt: a.Attempt, Outcome: outcome})
+			}
+		})
+	}
+}
+
+func (w *planWorld) ask(luck int) {
+	switch luck {
+	case 0:
+		w.event(AskFailed{})
+	case 1:
+		w.event(Asked{Decision: &wire.Decision{Refusal: &wire.Refusal{Code: wire.CodeOverloaded, Ran: wire.NotRun}}})
+	default:
+		i := rapid.IntRange(0, len(w.executors)-1).Draw(w.t, "executor")
+		w.event(Asked{Decision: &wire.Decision{Executor: wire.Target{Endpoint: fmt.Sprint(i)}}})
+	}
+}
+
+func (w *planWorld) at(target wire.Target) *modelExecutor {
+	var i int
+	fmt.Sscan(target.Endpoint, &i)
+	return w.executors[i]
+}
+
+func (w *planWorld) runAt(r Run, luck int) {
+	e := w.at(r.Target)
+	if luck == 0 || e.down {
+		w.event(NotSent{Attempt: r.Attempt})
+		return
+	}
+	w.event(Sent{Attempt: r.Attempt, Epoch: e.epoch})
+	if luck != 1 { // else the write is lost
+		e.inbox = append(e.inbox, r)
+	}
+	if luck == 3 {
+		e.inbox = append(e.inbox, r) // doubled on its way
+	}
+	if luck == 1 || luck == 2 {
+		w.events = append(w.events, SessionLost{Attempt: r.Attempt})
+	}
+}
+
+func (w *planWorld) reach(target wire.Target, a wire.AttemptID, luck int, do func(*modelExecutor)) {
+	e := w.at(target)
+	switch {
+	case luck <= 1 || e.down:
+		w.event(ResumeFailed{Attempt: a})
+	case e.epoch != target.Epoch && luck > 3: // else it answers for its predecessor
+		w.event(ResumeFailed{Attempt: a, EpochGone: true})
+	default:
+		do(e)
+	}
+}
+
+// receive lets an executor read the oldest Run of its inbox.
+func (w *planWorld) receive(i, luck int) {
+	e := w.executors[i]
+	if len(e.inbox) == 0 {
+		return
+	}
+	r := e.inbox[0]
+	e.inbox = e.inbox[1:]
+	if e.registry.Arrive(r.Attempt, w.now) != ArrivalNew {
+		return
+	}
+	switch {
+	case luck == 0:
+		e.registry.End(r.Attempt, wire.NotRun, w.now)
+		w.end(e, wire.End{Attempt: r.Attempt, Outcome: wire.NotRun, Code: wire.CodeDraining})
+	case luck == 1 && !r.Redirected:
+		e.registry.End(r.Attempt, wire.NotRun, w.now)
+		w.end(e, wire.End{Attempt: r.Attempt, Outcome: wire.NotRun, Redirect: &wire.Target{Endpoint: fmt.Sprint((i + 1) % 3)}})
+	default:
+		w.handed[r.Attempt] = true
+		w.runs++
+		e.running = append(e.running, r.Attempt)
+		w.events = append(w.events, Started{Attempt: r.Attempt})
+	}
+}
+
+func (w *planWorld) end(e *modelExecutor, end wire.End) {
+	w.events = append(w.events, Ended{Epoch: e.epoch, End: &end})
+}
+
+func (w *planWorld) complete(i, luck int) {
+	e := w.executors[i]
+	if len(e.running) == 0 {
+		return
+	}
+	a := e.running[0]
+	e.running = e.running[1:]
+	end := wire.End{Attempt: a, Outcome: wire.Done}
+	if luck == 0 {
+		w.crashes++
+		end.Outcome, end.EngineCrashed = wire.Unknown, true
+	}
+	e.registry.End(a, end.Outcome, w.now)
+	w.end(e, end)
+}
+
+func (w *planWorld) step(kind string, luck int) {
+	i := rapid.IntRange(0, len(w.executors)-1).Draw(w.t, "which")
+	switch kind {
+	case "act":
+		w.act(luck)
+	case "news":
+		if len(w.events) > 0 {
+			e := w.events[0]
+			w.events = w.events[1:]
+			w.event(e)
+		}
+	case "lost news":
+		if len(w.events) > 0 {
+			w.events = w.events[1:]
+			w.event(SessionLost{Attempt: w.plan.Attempt()})
+		}
+	case "double news":
+		if len(w.events) > 0 {
+			w.event(w.events[0])
+		}
+	case "receive":
+		w.receive(i, luck)
+	case "complete":
+		w.complete(i, luck)
+	case "restart":
+		w.restart(i)
+		w.events = append(w.events, SessionLost{Attempt: w.plan.Attempt()})
+	case "cut":
+		w.event(SessionLost{Attempt: w.plan.Attempt()})
+	case "down":
+		w.executors[i].down = !w.executors[i].down
+	case "deadline":
+		if luck == 0 {
+			w.event(DeadlinePassed{})
+		}
+	case "hang up":
+		if luck == 0 {
+			w.event(CallerGone{})
+			w.event(GraceOver{})
+		}
+	}
+	w.now += 10 * time.Millisecond
+}
+
+func (w *planWorld) check(spec Spec) {
+	if !spec.Repeatable && w.runs > 1 {
+		w.t.Fatalf("a request that may not be repeated ran %d times", w.runs)
+	}
+	if w.finish == nil {
+		return
+	}
+	if r := w.finish.Refusal; r != nil && r.Ran == wire.NotRun && w.runs > 0 {
+		w.t.Fatalf("not_run (%s) said of a request that ran %d times", r.Code, w.runs)
+	}
+	if w.finish.Refusal == nil && w.finish.End.Outcome != wire.Done {
+		w.t.Fatalf("finished by %+v", w.finish.End)
+	}
+}
+
+// Symptom: a payment is made twice; a request that ran is called not_run; a
+// caller waits for ever.
+// Sequence: sessions are cut before and after a Run arrives, its answer is lost
+// or doubled, executors restart, redirect, crash, can't be reached; the caller
+// hangs up or its deadline passes.
+// Cause looked for: taking silence, or another epoch's word, for not_run.
+func TestPlanOutcomesAreTrue(t *testing.T) {
+	kinds := []string{
+		"nothing", "act", "act", "act", "news", "news", "lost news", "double news", "receive", "receive", "receive",
+		"complete", "complete", "restart", "cut", "down", "deadline", "hang up",
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		spec := Spec{Repeatable: rapid.Bool().Draw(t, "repeatable"), Continuable: true}
+		w := newPlanWorld(t, spec)
+		for range 60 {
+			w.step(rapid.SampledFrom(kinds).Draw(t, "step"), rapid.IntRange(0, 9).Draw(t, "luck"))
+			w.check(spec)
+		}
+		if w.crashes > DefaultPlanParams.Crashes && w.runs > DefaultPlanParams.Runs {
+			t.Fatalf("%d crashes in %d runs", w.crashes, w.runs)
+		}
+		w.settle(spec)
+	})
+}
+
+// settle lets all that is under way arrive, with good luck from here on.
+func (w *planWorld) settle(spec Spec) {
+	for range 300 {
+		w.act(9)
+		w.step("news", 9)
+		for i, e := range w.executors {
+			e.down = false
+			w.receive(i, 9)
+			w.complete(i, 9)
+		}
+		w.check(spec)
+	}
+	if w.finish == nil {
+		w.t.Fatalf("the caller has no answer: phase %d", w.plan.phase)
+	}
+}
+
+func TestPlanGivesUpAtOnceWithWhenToComeBack(t *testing.T) {
+	budget := NewBudget(DefaultBudgetParams)
+	p := NewPlan(Spec{Repeatable: true, Continuable: true}, DefaultPlanParams, budget, rand.New(rand.NewPCG(1, 1)))
+	p.Begin(0)
+	var last []Action
+	for i := range DefaultPlanParams.Crashes {
+		run := p.Step(Asked{Decision: &wire.Decision{Executor: wire.Target{Endpoint: fmt.Sprint(i)}}}, 0)[0].(Run)
+		p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
+		last = p.Step(Ended{Epoch: 1, End: &wire.End{Attempt: run.Attempt, Outcome: wire.Unknown, EngineCrashed: true}}, 0)
+	}
+	finish, ok := last[0].(Finish)
+	if !ok || finish.Refusal.Code != wire.CodeGivenUp || finish.Refusal.RetryAfterMs == 0 || finish.Refusal.Ran != wire.Unknown {
+		t.Fatalf("after %d crashes: %+v", DefaultPlanParams.Crashes, last)
+	}
+}
+
+// Symptom: a payment is called not_run and was made.
+// Sequence: its executor is killed while it runs it; the process that comes back
+// at the same address says not_run of an attempt that it has never seen.
+// Cause: an end taken without a look at the epoch that speaks.
+func TestPlanDoesNotBelieveAnotherEpoch(t *testing.T) {
+	p := NewPlan(Spec{}, DefaultPlanParams, NewBudget(DefaultBudgetParams), rand.New(rand.NewPCG(1, 1)))
+	p.Begin(0)
+	run := p.Step(Asked{Decision: &wire.Decision{}}, 0)[0].(Run)
+	p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
+	out := p.Step(Ended{Epoch: 2, End: &wire.End{Attempt: run.Attempt, Outcome: wire.NotRun}}, 0)
+	if f, ok := out[0].(Finish); !ok || f.Refusal.Ran != wire.Unknown || f.Refusal.Code != wire.CodeUnknownOutcome {
+		t.Fatalf("got %+v", out)
+	}
+}
+
+// Symptom: a caller waits until its deadline for an executor that is gone.
+// Sequence: its host is lost; nothing answers at its address any more.
+// Cause: tries to resolve or resume without a bound.
+func TestPlanStopsTryingToReachALostExecutor(t *testing.T) {
+	for _, test := range []struct {
+		repeatable bool
+		tries      int
+		want       string
+	}{
+		{true, DefaultPlanParams.ResumeTries, "[attempt.Cancel attempt.Ask]"},
+		{false, DefaultPlanParams.ResolveTries, "[attempt.Finish]"},
+	} {
+		p := NewPlan(Spec{Repeatable: test.repeatable}, DefaultPlanParams, NewBudget(DefaultBudgetParams), rand.New(rand.NewPCG(1, 1)))
+		p.Begin(0)
+		run := p.Step(Asked{Decision: &wire.Decision{}}, 0)[0].(Run)
+		p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
+		out := p.Step(SessionLost{Attempt: run.Attempt}, 0)
+		for range test.tries {
+			out = p.Step(ResumeFailed{Attempt: run.Attempt}, 0)
+		}
+		var types []string
+		for _, a := range out {
+			types = append(types, fmt.Sprintf("%T", a))
+		}
+		if got := fmt.Sprint(types); got != test.want {
+			t.Errorf("repeatable %v, after %d tries: %s", test.repeatable, test.tries, got)
+		}
+	}
+}
+
+func TestPlanGoesOnFromWhatTheCallerHas(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		spec Spec
+		want string
+	}{
+		{"a completion is continued", Spec{Repeatable: true, Continuable: true}, "attempt.Ask"},
+		{"a service's answer that was begun isn't", Spec{Repeatable: true}, "attempt.Finish"},
+		{"nor is a call that may not be repeated", Spec{Continuable: true}, "attempt.Finish"},
+	} {
+		p := NewPlan(test.spec, DefaultPlanParams, NewBudget(DefaultBudgetParams), rand.New(rand.NewPCG(1, 1)))
+		p.Begin(0)
+		run := p.Step(Asked{Decision: &wire.Decision{Executor: wire.Target{Endpoint: "a"}}}, 0)[0].(Run)
+		p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
+		p.Step(Started{Attempt: run.Attempt}, 0)
+		p.Step(ChunkDelivered{Next: 7}, 0)
+		resume := p.Step(SessionLost{Attempt: run.Attempt}, 0)[0].(Resume)
+		if resume.Seq != 7 {
+			t.Errorf("%s: resumed from %d", test.name, resume.Seq)
+		}
+		out := p.Step(ResumeFailed{Attempt: run.Attempt, EpochGone: true}, 0)
+		if got := fmt.Sprintf("%T", out[0]); got != test.want {
+			t.Errorf("%s: got %s", test.name, got)
+		}
+		if ask, ok := out[0].(Ask); ok && (len(ask.Exclude) != 1 || ask.Exclude[0] != "a") {
+			t.Errorf("%s: excluded %v", test.name, ask.Exclude)
+		}
+		if again := p.Step(Asked{Decision: &wire.Decision{Executor: wire.Target{Endpoint: "b"}}}, 0); len(again) > 0 && again[0].(Run).FirstSeq != 7 {
+			t.Errorf("%s: %+v", test.name, again)
+		}
+	}
+}
