--- a/internal/endpoint/enginewatch.go
+++ b/internal/endpoint/enginewatch.go
@@ -74,7 +74,7 @@
 	e.resync(e.picture.Observe(now, age, load.Incarnation, load.Weights))
 	w.up, w.missed = true, 0
 	w.incarnation = load.Incarnation
-	if !e.placement.loading && now-age > e.placement.doneAt {
+	if !e.placement.loading && (e.placement.doneAt == 0 || now-age > e.placement.doneAt) {
 		// The lagging report names the old weights for a while after the engine
 		// was read back with the new ones. Believed, it would start the orders
 		// over again.
