Endpoint: follow the configuration by log, peers and bootstrap file

Cause: the log alone was followed, so a process that could not reach it knew no standing instructions. follow.Follower takes its place; every message with a newer offset makes its sender the one asked, a Run waits up to 2 s for the configuration that it was sent under, and ConfigFetch is answered off the loop. Seen to fail without the mechanism: the prompt had no instructions; a Run of a configuration that nobody could give ran.

--- /dev/null
+++ b/internal/endpoint/config_test.go
@@ -0,0 +1,71 @@
+package endpoint
+
+import (
+	"log/slog"
+	"testing"
+
+	"skylarklead/internal/config"
+	"skylarklead/internal/follow"
+	"skylarklead/internal/wire"
+)
+
+// withState returns a follower that has the records accepted, and their state.
+func withState(t *testing.T, records ...string) (*follow.Follower, *config.State) {
+	t.Helper()
+	state := config.NewState()
+	for i, r := range records {
+		var verdict config.Verdict
+		if state, verdict = state.Apply(uint64(i+1), []byte(r)); !verdict.Accepted {
+			t.Fatalf("record %d: %+v", i, verdict)
+		}
+	}
+	encoded, err := config.EncodeState(state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := follow.New(follow.Options{Logger: slog.New(slog.DiscardHandler)})
+	if err := f.Offer(encoded, follow.SourcePeer); err != nil {
+		t.Fatal(err)
+	}
+	return f, state
+}
+
+const organisationRecord = `{"schema":2,"kind":"organisation","key":"org","base":0,` +
+	`"body":{"models":[{"name":"m"}],"instructions":["the firm's rules","the charter"]}}`
+
+// Symptom: after a restart during an outage of the log, answers ignore an
+// organisation's standing instructions.
+// Sequence: a process starts without the log; an entry that has the
+// configuration sends it a request.
+// Cause: an executor built the prompt from what it had.
+func TestExecutorFetchesTheSendersConfiguration(t *testing.T) {
+	f := newFakeEngine(t, "a")
+	n := startProcess(t, f.URL, nil).dial("entry-1")
+	var state *config.State
+	n.config, state = withState(t, organisationRecord)
+	run := chat(1)
+	run.ConfigOffset = state.Offset
+	run.Instructions = state.Organisations["org"].Offset
+	n.send(run)
+	if _, end := n.answer(0); end.Outcome != wire.Done {
+		t.Fatalf("got %+v", end)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	body := f.bodies[0]
+	if len(body.Messages) != 3 || body.Messages[0].Content != "the firm's rules" ||
+		body.Messages[0].Role != "system" || body.Messages[2].Content != "question" || body.CacheSalt != "org" {
+		t.Fatalf("got %+v", body)
+	}
+}
+
+func TestRunOfAnUnknownConfigurationIsRefused(t *testing.T) {
+	f := newFakeEngine(t, "a")
+	n := startProcess(t, f.URL, nil).dial("entry-1")
+	run := chat(1)
+	run.ConfigOffset = 9
+	n.send(run)
+	if _, end := n.answer(0); end.Outcome != wire.NotRun || f.ran(run.Attempt) != 0 {
+		t.Fatalf("got %+v", end)
+	}
+}
--- a/internal/endpoint/harness_test.go
+++ b/internal/endpoint/harness_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"skylarklead/internal/engine"
+	"skylarklead/internal/follow"
 	"skylarklead/internal/prefix"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/telemetry"
@@ -208,6 +209,7 @@
 	t        *testing.T
 	session  *wire.Session
 	messages chan wire.Message
+	config   *follow.Follower // answers ConfigFetch, if set
 }
 
 func (p *process) dial(id string) *entry {
@@ -223,8 +225,21 @@
 	return n
 }
 
-func (n *entry) Handle(_ *wire.Session, _ uint32, m wire.Message) { n.messages <- m }
-func (n *entry) Closed(*wire.Session, error)                      { close(n.messages) }
+func (n *entry) Handle(s *wire.Session, ref uint32, m wire.Message) {
+	fetch, ok := m.(*wire.ConfigFetch)
+	if !ok {
+		n.messages <- m
+		return
+	}
+	if n.config == nil {
+		return
+	}
+	if state, err := n.config.Fetch(fetch); err == nil {
+		go s.Reply(ref, state)
+	}
+}
+
+func (n *entry) Closed(*wire.Session, error) { close(n.messages) }
 
 func (n *entry) send(m wire.Message) {
 	n.t.Helper()
