--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -67,10 +68,13 @@
 
 // Encode returns the record as it goes onto the log.
 func (r *Record) Encode() ([]byte, error) {
-	data, err := json.Marshal(r)
-	if err != nil {
+	var buf bytes.Buffer
+	enc := json.NewEncoder(&buf)
+	enc.SetEscapeHTML(false) // texts stay readable on the log
+	if err := enc.Encode(r); err != nil {
 		return nil, fmt.Errorf("config: encode %s: %w", r.Name(), err)
 	}
+	data := bytes.TrimSuffix(buf.Bytes(), []byte{'\n'})
 	if len(data) > MaxRecord {
 		return nil, fmt.Errorf("config: %s has %d bytes, more than %d", r.Name(), len(data), MaxRecord)
 	}
--- a/internal/config/schedule_test.go
+++ b/internal/config/schedule_test.go
@@ -51,3 +51,37 @@
 		t.Errorf("due at %v, want %v", c.Due(), want)
 	}
 }
+
+// Of many processes usually one writes: in ten retentions little more than the
+// two a retention that are needed.
+func TestScheduleOfManyWritesFew(t *testing.T) {
+	const (
+		retention = 24 * time.Hour
+		step      = retention / 2000
+		processes = 50
+	)
+	all := make([]*SnapshotSchedule, processes)
+	for i := range all {
+		all[i] = NewSnapshotSchedule(retention, 0, float64(i)/processes)
+	}
+	offset, written := uint64(1), 0
+	for now := time.Duration(0); now < 10*retention; now += step {
+		end := offset // what all of them see at this step
+		for _, c := range all {
+			c.CaughtUp(end, now)
+			if now >= c.Due() {
+				c.Wrote(now)
+				written++
+				offset++
+			}
+		}
+		if offset > end {
+			for _, c := range all {
+				c.Saw(end)
+			}
+		}
+	}
+	if written < 19 || written > 25 {
+		t.Errorf("%d snapshots in ten retentions, want about 20", written)
+	}
+}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -22,6 +22,7 @@
 const records = `[
   // the group first
   {"schema": 1, "kind": "group", "key": "g", "body": {"load_permits": 3}},
+  {"schema": 1, "kind": "organisation", "key": "o", "body": {"instructions": "Ledger & Sons <rules>"}},
   {"schema": 2, "kind": "model", "key": "m", "body": {"group": "g", "versions": ["v1"], "version": "v1"}},
 ]`
 
@@ -76,10 +77,12 @@
 
 func TestPublishAndShow(t *testing.T) {
 	f := newFixture(t)
-	f.contains(f.run(ExitOK, "config", "check", f.file), "2 records are good")
+	f.contains(f.run(ExitOK, "config", "check", f.file), "3 records are good")
 	f.contains(f.run(ExitOK, "config", "diff", f.file), "create group/g")
 	f.contains(f.run(ExitOK, "config", "publish", "--operator", "ada", f.file), "in_force")
-	f.contains(f.run(ExitOK, "config", "publish", f.file), "unchanged")
+	if again := f.run(ExitOK, "config", "publish", f.file); strings.Count(again, "unchanged") != 3 {
+		t.Errorf("publishing again changed something:\n%s", again)
+	}
 	f.contains(f.run(ExitOK, "config", "list"), "ada")
 	f.contains(f.run(ExitOK, "config", "get", "model", "m"), `"version": "v1"`)
 	f.write(strings.Replace(records, `: 3`, `: 2`, 1))
@@ -132,8 +135,8 @@
 	log := platform.NewLog(f.url)
 	defer log.Close()
 	h, err := follow.ReadLog(t.Context(), log)
-	if err != nil || len(h.Records) != 2 {
-		t.Errorf("%d records on the log, want 2: %v", len(h.Records), err)
+	if err != nil || len(h.Records) != 3 {
+		t.Errorf("%d records on the log, want 3: %v", len(h.Records), err)
 	}
 }
 
@@ -152,7 +155,7 @@
 		})
 	}
 	f.write(`{"schema": 1, "kind": "group", "key": "g", "body": {"load_permits": 5}}`)
-	f.contains(f.run(ExitRefused, "config", "publish", f.file), "the winner is at offset 3")
+	f.contains(f.run(ExitRefused, "config", "publish", f.file), "the winner is at offset 4")
 }
 
 // rival is {"schema":1,"kind":"group","key":"g","base":1,"body":{}} in base64.
--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -68,12 +68,19 @@
 	return ch
 }
 
-// content is the part of a record that says what is to be.
+// content is the part of a record that says what is to be, with fields in order
+// and characters escaped in one way.
 func content(r *config.Record) string {
+	var body any
+	if len(r.Body) > 0 {
+		if err := json.Unmarshal(r.Body, &body); err != nil {
+			return err.Error()
+		}
+	}
 	return pretty(struct {
-		Schema int             `json:"schema"`
-		Body   json.RawMessage `json:"body,omitempty"`
-	}{r.Schema, r.Body})
+		Schema int `json:"schema"`
+		Body   any `json:"body,omitempty"`
+	}{r.Schema, body})
 }
 
 func pretty(value any) string {
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -21,6 +22,8 @@
 	readBackPause = 200 * time.Millisecond
 	// appendAgainAfter is how long a record is looked for before it is sent again.
 	appendAgainAfter = 2 * time.Second
+	// appendBatch is how many records go into one append.
+	appendBatch = 100
 )
 
 func publishCommand() *cli.Command {
@@ -152,13 +155,18 @@
 	return nil
 }
 
+// appendOnce sends all in order, a batch at a time, up to the first failure.
 func appendOnce(ctx context.Context, log *platform.Log, pending []*result) error {
-	records := make([][]byte, len(pending))
-	for i, res := range pending {
-		records[i] = res.encoded
+	for batch := range slices.Chunk(pending, appendBatch) {
+		records := make([][]byte, len(batch))
+		for i, res := range batch {
+			records[i] = res.encoded
+		}
+		if _, err := log.Append(ctx, follow.Stream, records); err != nil {
+			return err
+		}
 	}
-	_, err := log.Append(ctx, follow.Stream, records)
-	return err
+	return nil
 }
 
 func unresolved(results []*result) []*result {
--- a/internal/endpoint/completion.go
+++ b/internal/endpoint/completion.go
@@ -15,6 +15,11 @@
 	// again, resumePause the pause between.
 	engineResumes = 5
 	resumePause   = 100 * time.Millisecond
+	// engineSilence is how long a begun answer may pause before its connection is
+	// made again. An engine that is stopped, or whose host is cut off, sends no
+	// reset: the stream would hang to its caller's deadline though another
+	// endpoint could go on with it. To a live engine, asking again is harmless.
+	engineSilence = 2 * time.Second
 	cancelTimeout = 2 * time.Second
 	loadTimeout   = time.Second
 )
@@ -124,8 +129,16 @@
 }
 
 func (c *completion) read(st *engine.Stream) error {
+	silence := time.AfterFunc(engineSilence, func() { st.Close() })
+	defer silence.Stop()
 	for {
+		if st.NextSeq() == 0 {
+			silence.Stop() // queueing and prefill may take long
+		} else {
+			silence.Reset(engineSilence)
+		}
 		event, err := st.Next()
+		silence.Stop() // a slow caller is no silence of the engine's
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	resp, err := sendOnce(ctx, c.once, req)
+	resp, err := sendOnce(ctx, c.shared, req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -14,6 +14,10 @@
 const (
 	dialTimeout = time.Second
 	idleTimeout = 30 * time.Second
+	// headerTimeout bounds the wait for an answer to a request that may be
+	// repeated. A stopped engine still accepts connections, and would otherwise
+	// hold up a resume or a look at its load for ever.
+	headerTimeout = 2 * time.Second
 )
 
 // onceClient returns a client that sends a request at most once.
@@ -40,9 +44,10 @@
 func sharedClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			IdleConnTimeout:    idleTimeout,
-			DisableCompression: true,
+			DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			IdleConnTimeout:       idleTimeout,
+			ResponseHeaderTimeout: headerTimeout,
+			DisableCompression:    true,
 		},
 		CheckRedirect: noRedirect,
 	}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
-	"math"
 	mathrand "math/rand/v2"
 	"time"
 
@@ -69,8 +68,7 @@
 	e.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), signTimeout)
 		defer cancel()
-		nothingNewer := &wire.ConfigFetch{After: math.MaxUint64}
-		if _, err := session.Call(ctx, nothingNewer); err != nil {
+		if _, err := session.Call(ctx, &wire.StatusRequest{}); err != nil {
 			session.Close(errSilent)
 		}
 	})
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -114,6 +114,35 @@
 	}
 }
 
+// Symptom: streams of a busy executor are cut and resumed over and over.
+// Sequence: a long prefill: nothing comes for seconds, but the process is at work.
+// Cause: silence alone is no sign that it is stopped; it has to be asked, in a way
+// that every endpoint process answers.
+func TestQuietExecutorIsWaitedFor(t *testing.T) {
+	asked := make(chan struct{}, 8)
+	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Ask:
+			x.decide(s, ref, m)
+		case *wire.StatusRequest:
+			_ = s.Reply(ref, &wire.Status{})
+			asked <- struct{}{}
+		case *wire.Run:
+			<-asked
+			<-asked
+			words(s, m.Attempt, 0, totalWords, totalWords)
+		}
+	})
+	_, server := newTestEntry(t, "llm", x)
+	got := readSSE(t, post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody))
+	if !got.done || got.text != wantWords(totalWords) {
+		t.Errorf("got %q, done %v, failure %+v", got.text, got.done, got.failure)
+	}
+	if runs, resolves := count[*wire.Run](x), count[*wire.Resolve](x); runs != 1 || resolves != 0 {
+		t.Errorf("%d runs, %d resolves", runs, resolves)
+	}
+}
+
 // Symptom: a caller takes a cut answer for a whole one.
 // Sequence: every attempt of a stream dies in the middle until the budget or the
 // attempts are used up.
--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -195,6 +195,7 @@
 		FleetKey:      fleetKey,
 		LogLevel:      "debug",
 		Platform:      settings.Platform{Retention: settings.DefaultRetention},
+		Bootstrap:     settings.Bootstrap{Peers: []string{}},
 	}
 }
 
@@ -235,10 +236,23 @@
 func (c *Cluster) AwaitUp(n *Node) {
 	c.t.Helper()
 	Await(c.t, n.ID+" to be up", func() bool {
-		return getOK("http://" + n.Settings.Listen + "/healthz")
+		select {
+		case <-n.Ended():
+			c.t.Fatalf("%s ended with code %d", n.ID, n.ExitCode())
+		default:
+		}
+		return getOK("http://" + n.httpAddress() + "/healthz")
 	})
 }
 
+// httpAddress is where the balancer, or a peer, asks after the daemon.
+func (n *Node) httpAddress() string {
+	if n.Settings.Entry != nil {
+		return n.Settings.Entry.Listen
+	}
+	return n.Settings.Listen
+}
+
 // Caller returns an organisation's caller at an entry.
 func (c *Cluster) Caller(entry *Node, o Organisation) Caller {
 	return Caller{URL: "http://" + entry.Settings.Entry.Listen, Key: o.Key}
--- a/test/harness/control.go
+++ b/test/harness/control.go
@@ -57,6 +57,13 @@
 	}
 }
 
+// Crash makes an engine drop everything it holds and come back empty, within the
+// same process. The answer goes down with its connections.
+func (c *Cluster) Crash(b *Backend) {
+	body := map[string]any{"crash": true, "crash_mode": "reset"}
+	_ = request(http.MethodPost, "http://"+b.Address+"/control", body, nil)
+}
+
 // Account returns an engine's own account.
 func (c *Cluster) Account(b *Backend) (account engine.Account) {
 	c.t.Helper()
--- a/test/harness/records.go
+++ b/test/harness/records.go
@@ -75,15 +75,26 @@
 	c.t.Helper()
 	last := c.orgs[len(c.orgs)-1]
 	for _, entry := range c.Entries {
-		for _, n := range c.Endpoints[:min(1, len(c.Endpoints))] {
-			Await(c.t, entry.ID+" to serve by "+n.ID, func() bool {
-				return c.Caller(entry, last).Chat(context.Background(), Ask("ready", 1)).Ended
-			})
+		caller := c.Caller(entry, last)
+		if len(c.Endpoints) > 0 {
+			c.awaitAnswer(entry.ID, func() Answer { return caller.Chat(context.Background(), Ask("ready", 1)) })
 		}
-		for _, n := range c.Services[:min(1, len(c.Services))] {
-			Await(c.t, entry.ID+" to serve by "+n.ID, func() bool {
-				return c.Caller(entry, last).Call(context.Background(), "/balance", "ready", "").Ended
-			})
+		if len(c.Services) > 0 {
+			c.awaitAnswer(entry.ID, func() Answer { return caller.Call(context.Background(), "/balance", "ready", "") })
 		}
 	}
 }
+
+func (c *Cluster) awaitAnswer(entry string, ask func() Answer) {
+	c.t.Helper()
+	var a Answer
+	c.t.Cleanup(func() {
+		if !a.Ended {
+			c.t.Logf("%s last answered: %v", entry, a)
+		}
+	})
+	Await(c.t, entry+" to serve", func() bool {
+		a = ask()
+		return a.Ended
+	})
+}
--- /dev/null
+++ b/test/promise2_streams_test.go
@@ -0,0 +1,99 @@
+package test
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"skylarklead/internal/faultproxy"
+	"skylarklead/internal/settings"
+	"skylarklead/test/harness"
+)
+
+const (
+	streams      = 6
+	streamTokens = 120
+	// faultAt is the event at which every stream is when the fault comes.
+	faultAt = 8
+	// outage is longer than it takes to find a silent peer.
+	outage = 6 * time.Second
+)
+
+// Symptom: a treasurer's answer stops in the middle, has a hole or a doubled
+// part, or hangs.
+// Sequence: streams are running on one endpoint; then one process, connection or
+// direction of it fails.
+// Cause: a stream bound to its connection or process; chunks without sequence
+// numbers; an end that is inferred from silence.
+func TestPromise2StreamsAreWhole(t *testing.T) {
+	faults := []struct {
+		name  string
+		fault func(c *harness.Cluster, n *harness.Node)
+	}{
+		{"endpoint process killed", func(_ *harness.Cluster, n *harness.Node) { n.Kill() }},
+		{"endpoint process stopped", func(_ *harness.Cluster, n *harness.Node) { n.Stop() }},
+		{"engine killed", func(_ *harness.Cluster, n *harness.Node) { n.Engine.Kill() }},
+		{"engine restarts empty", func(c *harness.Cluster, n *harness.Node) { c.Crash(n.Engine) }},
+		{"link cut", func(_ *harness.Cluster, n *harness.Node) { n.Peer.Cut() }},
+		{"link frozen", func(_ *harness.Cluster, n *harness.Node) {
+			n.Peer.Freeze()
+			time.AfterFunc(outage, n.Peer.Thaw)
+		}},
+		{"half-open towards the endpoint", func(_ *harness.Cluster, n *harness.Node) { n.Peer.Drop(faultproxy.Up, true) }},
+		{"half-open towards the entry", func(_ *harness.Cluster, n *harness.Node) { n.Peer.Drop(faultproxy.Down, true) }},
+		{"late messages", func(_ *harness.Cluster, n *harness.Node) { n.Peer.Delay(faultproxy.Down, 300*time.Millisecond) }},
+		{"engine connection cut", func(_ *harness.Cluster, n *harness.Node) { n.Backend.Cut() }},
+		{"engine half-open", func(_ *harness.Cluster, n *harness.Node) { n.Backend.Drop(faultproxy.Down, true) }},
+		{"engine stopped", func(_ *harness.Cluster, n *harness.Node) { n.Engine.Stop() }},
+		{"cut twice", func(_ *harness.Cluster, n *harness.Node) {
+			n.Peer.Cut()
+			time.AfterFunc(300*time.Millisecond, n.Peer.Cut)
+		}},
+	}
+	for _, tc := range faults {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			streamsUnder(t, tc.fault)
+		})
+	}
+}
+
+func streamsUnder(t *testing.T, fault func(*harness.Cluster, *harness.Node)) {
+	c := harness.Start(t, harness.Options{Engines: 2, Entries: 1, Settings: retryFreely})
+	caller := c.Caller(c.Entries[0], harness.Foodbank)
+	first := c.EndpointOf(caller.Chat(t.Context(), harness.Ask("warm", 1)))
+	var ready atomic.Int32
+	var calls sync.WaitGroup
+	for i := range streams {
+		calls.Go(func() {
+			chat := harness.Ask(fmt.Sprintf("stream-%d", i), streamTokens)
+			chat.Event = func(n int) {
+				if n == faultAt {
+					ready.Add(1)
+				}
+			}
+			a := caller.Chat(t.Context(), chat)
+			if err := harness.Foodbank.Check(chat, a); err != nil {
+				t.Errorf("stream %d: %v", i, err)
+			} else if a.Failure != nil {
+				t.Errorf("stream %d was given up though an endpoint is left: %v", i, a)
+			}
+		})
+	}
+	harness.Await(t, "every stream to run", func() bool { return ready.Load() == streams })
+	fault(c, first)
+	calls.Wait()
+	if t.Failed() {
+		t.Logf("the fault was at %s", first.ID)
+	}
+}
+
+// retryFreely lets every stream of a proof be retried at once; the budget has
+// tests of its own.
+func retryFreely(s *settings.Settings) {
+	if s.Entry != nil {
+		s.Entry.RetryShare = 1
+	}
+}
