--- a/internal/follow/exchange.go
+++ b/internal/follow/exchange.go
@@ -14,7 +14,7 @@
 	if m.Part > 0 {
 		return f.answers.part(m)
 	}
-	s := f.Current()
+	s := f.State()
 	if s == nil || s.Offset <= m.After {
 		return &wire.ConfigState{}, nil
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -108,11 +108,8 @@
 	return f
 }
 
-// Current returns the newest accepted state, or nil if there is none yet.
-func (f *Follower) Current() *config.State { return f.state.Load() }
-
-// State is Current.
-func (f *Follower) State() *config.State { return f.Current() }
+// State returns the newest accepted state, or nil if there is none yet.
+func (f *Follower) State() *config.State { return f.state.Load() }
 
 // Ready is closed once there is a state to serve from.
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -116,7 +116,7 @@
 	f.reaches(follower, first, SourceLog)
 	second := f.publish(first)
 	f.reaches(follower, second, SourceLog)
-	if got := follower.Current().Groups["g"].LoadPermits; got != int(first)+1 {
+	if got := follower.State().Groups["g"].LoadPermits; got != int(first)+1 {
 		t.Errorf("load permits %d", got)
 	}
 	if !follower.LogReachable() {
@@ -177,7 +177,7 @@
 	if parts < 2 {
 		t.Errorf("the state came in %d part", parts)
 	}
-	if o := cut.Current().Organisations["o2"]; o == nil || len(o.Instructions[0]) != 200<<10 {
+	if o := cut.State().Organisations["o2"]; o == nil || len(o.Instructions[0]) != 200<<10 {
 		t.Error("the state isn't whole")
 	}
 }
@@ -190,7 +190,7 @@
 	first := f.publish(0)
 	stale := f.follow(Options{})
 	f.reaches(stale, first, SourceLog)
-	old, err := config.EncodeState(stale.Current())
+	old, err := config.EncodeState(stale.State())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -220,7 +220,7 @@
 	first := f.publish(0)
 	before := f.follow(Options{})
 	f.reaches(before, first, SourceLog)
-	exported, err := config.EncodeState(before.Current())
+	exported, err := config.EncodeState(before.State())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -258,8 +258,8 @@
 	}
 	late := f.follow(Options{Process: "late"})
 	f.reaches(late, after, SourceLog)
-	if late.Current().Groups["g"].Offset != after {
-		t.Errorf("group %+v, want the one at %d", late.Current().Groups["g"], after)
+	if late.State().Groups["g"].Offset != after {
+		t.Errorf("group %+v, want the one at %d", late.State().Groups["g"], after)
 	}
 }
 
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -62,7 +62,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if f.LogReachable() && f.Current() != nil {
+		if f.LogReachable() && f.State() != nil {
 			continue
 		}
 		if peers := f.opts.Peers(ctx); len(peers) > 0 {
@@ -92,7 +92,7 @@
 		return
 	}
 	pause(ctx, bootstrapAfter)
-	if ctx.Err() != nil || f.Current() != nil {
+	if ctx.Err() != nil || f.State() != nil {
 		return
 	}
 	data, err := os.ReadFile(f.opts.Bootstrap)
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -104,7 +104,7 @@
 
 // takeNewer goes on from a state that peers have brought meanwhile.
 func (t *tail) takeNewer() {
-	if s := t.f.Current(); s != nil && s.Offset > t.state.Offset {
+	if s := t.f.State(); s != nil && s.Offset > t.state.Offset {
 		t.state = s
 	}
 }
