Read the instance list again only when it has changed

Cause: every daemon reads the whole list each 2 s. At 1,010 instances one poll is 154,350 bytes, 77 KB/s against the 7 KB/s that a daemon's control may be, and 3.1 ms of a processor to decode.

Change: the client sends back the list's ETag and takes 304 for no change. A platform without tags is read as before. The stand-in tags its lists.

--- a/internal/measure/slopes.go
+++ b/internal/measure/slopes.go
@@ -17,6 +17,7 @@
 
 // Spread sums up one figure over the daemons of a role.
 type Spread struct {
+	Mean   float64 `json:"mean"`
 	Median float64 `json:"median"`
 	Min    float64 `json:"min"`
 	Max    float64 `json:"max"`
@@ -27,7 +28,13 @@
 		return Spread{}
 	}
 	slices.SortFunc(values, cmp.Compare[float64])
-	return Spread{Median: values[len(values)/2], Min: values[0], Max: values[len(values)-1]}
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return Spread{
+		Mean: sum / float64(len(values)), Median: values[len(values)/2], Min: values[0], Max: values[len(values)-1],
+	}
 }
 
 // RoleUse is what the daemons of a role used in one window.
--- a/internal/measure/slopes_fleet.go
+++ b/internal/measure/slopes_fleet.go
@@ -65,6 +65,6 @@
 func writeUse(w io.Writer, role string, u RoleUse) {
 	const mega = 1 << 20
 	fmt.Fprintf(w, "  %-8s cpu %.4f control %.0f+%.0f B/s data %.0f B/s sessions %.0f B/s platform %.0f B/s sockets %.0f rss %.1f MB\n",
-		role, u.CPU.Median, u.ControlSent.Median, u.ControlReceived.Median, u.Data.Median,
-		u.Sessions.Median, u.Platform.Median, u.Sockets.Median, u.RSS.Median/mega)
+		role, u.CPU.Mean, u.ControlSent.Mean, u.ControlReceived.Mean, u.Data.Mean,
+		u.Sessions.Mean, u.Platform.Mean, u.Sockets.Mean, u.RSS.Mean/mega)
 }
--- a/internal/measure/slopes_platform.go
+++ b/internal/measure/slopes_platform.go
@@ -16,10 +16,13 @@
 // PlatformPoint is what reads of the platform cost a daemon and the platform.
 type PlatformPoint struct {
 	Instances int `json:"instances"`
-	// ListBytes is one poll of the instance list, request and answer;
-	// ListSeconds the client's processor time for it.
-	ListBytes   float64 `json:"list_bytes"`
-	ListSeconds float64 `json:"list_cpu_seconds"`
+	// ListBytes is one poll of the instance list, request and answer, that
+	// brings the list; ListUnchanged one that finds it unchanged. The seconds are
+	// the client's processor time for each.
+	ListBytes            float64 `json:"list_bytes"`
+	ListSeconds          float64 `json:"list_cpu_seconds"`
+	ListUnchanged        float64 `json:"list_unchanged_bytes"`
+	ListUnchangedSeconds float64 `json:"list_unchanged_cpu_seconds"`
 	// PollBytes is one long poll of a log stream that brings nothing.
 	PollBytes float64 `json:"idle_poll_bytes"`
 	// RecordBytes is what a reader gets for one record of Record bytes.
@@ -101,20 +104,35 @@
 }
 
 func (p *PlatformPoint) list(ctx context.Context, r *relay) error {
-	client := platform.NewInstances(r.url())
-	defer client.Close()
-	if _, err := client.List(ctx); err != nil { // opens the connection
-		return err
-	}
 	before, cpu := r.bytes(), processSeconds()
 	for range platformReads {
-		list, err := client.List(ctx)
-		if err != nil || len(list) != p.Instances {
-			return fmt.Errorf("measure: list of %d, want %d: %w", len(list), p.Instances, err)
+		if err := p.readList(ctx, platform.NewInstances(r.url()), 1); err != nil {
+			return err
 		}
 	}
 	p.ListBytes = (r.bytes() - before) / platformReads
 	p.ListSeconds = (processSeconds() - cpu) / platformReads
+	before, cpu = r.bytes(), processSeconds()
+	if err := p.readList(ctx, platform.NewInstances(r.url()), platformReads+1); err != nil {
+		return err
+	}
+	p.ListUnchanged = (r.bytes() - before - p.ListBytes) / platformReads
+	p.ListUnchangedSeconds = (processSeconds() - cpu - p.ListSeconds) / platformReads
+	return nil
+}
+
+// readList reads the list so often with one client.
+func (p *PlatformPoint) readList(ctx context.Context, client *platform.Instances, times int) error {
+	defer client.Close()
+	for range times {
+		list, err := client.List(ctx)
+		if err != nil {
+			return err
+		}
+		if len(list) != p.Instances {
+			return fmt.Errorf("measure: list of %d, want %d", len(list), p.Instances)
+		}
+	}
 	return nil
 }
 
--- a/internal/measure/slopes_start.go
+++ b/internal/measure/slopes_start.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -100,7 +101,7 @@
 		if len(batch) < publishBatch && i < p.Organisations-1 {
 			continue
 		}
-		offset, err := log.Append(ctx, "config", batch)
+		offset, err := appendPatiently(ctx, log, batch)
 		if err != nil {
 			return 0, err
 		}
@@ -112,6 +113,20 @@
 	return first, nil
 }
 
+// appendPatiently comes back when the log says so.
+func appendPatiently(ctx context.Context, log *platform.Log, batch [][]byte) (uint64, error) {
+	for {
+		offset, err := log.Append(ctx, "config", batch)
+		var limited *platform.RateLimitedError
+		if !errors.As(err, &limited) {
+			return offset, err
+		}
+		if err := pause(ctx, limited.RetryAfter); err != nil {
+			return 0, err
+		}
+	}
+}
+
 func (p *StartPoint) start(ctx context.Context, f *Fleet, last uint64) error {
 	endpoint, err := f.startEndpoint("engine", slopeGroup, 0)
 	if err != nil {
@@ -124,11 +139,11 @@
 		return err
 	}
 	f.Entries = append(f.Entries, entry)
-	if err := f.awaitReady(ctx); err != nil {
+	readyz := "http://" + entry.settings.Entry.Listen + "/readyz"
+	if err := await(ctx, "the entry", func() bool { return isOK(readyz) }); err != nil {
 		return err
 	}
-	// awaitReady ends with a fixed pause of two heartbeats.
-	p.Ready = (time.Since(begun) - 2*time.Second).Seconds()
+	p.Ready = time.Since(begun).Seconds()
 	for _, n := range []*node{endpoint, entry} {
 		if err := await(ctx, n.id+" to have its configuration", func() bool { return offsetInForce(ctx, n) >= last }); err != nil {
 			return err
--- a/internal/platform/instances.go
+++ b/internal/platform/instances.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -42,6 +45,15 @@
 type Instances struct {
 	base   string
 	client *http.Client
+
+	mu   sync.Mutex
+	last taggedList
+}
+
+// taggedList is the last list that came with an ETag.
+type taggedList struct {
+	tag  string
+	list []Instance
 }
 
 // NewInstances returns a client of the list at base, "http://ip:port".
@@ -54,14 +66,54 @@
 
 // List returns the list as the platform shows it now. Its errors match
 // ErrUnavailable.
+//
+// Every process reads the list every few seconds, and at a thousand instances it
+// is longer than all other control traffic together. A platform that tags its
+// answers is asked for a changed list only.
 func (i *Instances) List(ctx context.Context) ([]Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	last := i.lastTagged()
+	resp, err := i.request(ctx, last.tag)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer resp.Body.Close()
+	switch {
+	case resp.StatusCode == http.StatusNotModified && last.tag != "":
+		return slices.Clone(last.list), nil
+	case resp.StatusCode != http.StatusOK:
+		return nil, fmt.Errorf("%w: instance list answered %s", ErrUnavailable, resp.Status)
+	}
 	var list InstanceList
-	if err := get(ctx, i.client, i.base+"/v1/instances", &list); err != nil {
+	if err := decode(resp, &list); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	i.keep(taggedList{tag: resp.Header.Get("ETag"), list: list.Instances})
+	return slices.Clone(list.Instances), nil
+}
+
+func (i *Instances) request(ctx context.Context, tag string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, i.base+"/v1/instances", nil)
+	if err != nil {
 		return nil, err
 	}
-	return list.Instances, nil
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
+	return i.client.Do(req)
+}
+
+func (i *Instances) lastTagged() taggedList {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.last
+}
+
+func (i *Instances) keep(l taggedList) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.last = l
 }
 
 // Poll calls f with the list, or the error in its place, at once and then about
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -10,6 +10,8 @@
 package platform
 
 import (
+	"encoding/json"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -17,6 +19,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 
@@ -195,14 +198,29 @@
 	writeJSON(w, http.StatusOK, s.records.dump(control.retention()))
 }
 
-func (s *Server) handleInstances(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) handleInstances(w http.ResponseWriter, r *http.Request) {
 	control, _ := s.snapshot()
 	if control.ListDown {
 		fail(w, http.StatusServiceUnavailable, "list is down")
 		return
 	}
-	list := s.instances.shown(milliseconds(control.LagMS))
-	writeJSON(w, http.StatusOK, client.InstanceList{Instances: list})
+	list := client.InstanceList{Instances: s.instances.shown(milliseconds(control.LagMS))}
+	tag := listTag(list)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+// listTag changes with the list as shown.
+func listTag(list client.InstanceList) string {
+	data, err := json.Marshal(list)
+	if err != nil {
+		panic(err) // plain strings can be encoded
+	}
+	return fmt.Sprintf("\"%016x\"", xxhash.Sum64(data))
 }
 
 func (s *Server) handleWeights(w http.ResponseWriter, r *http.Request) {
