--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -3,10 +3,22 @@
 import (
 	"bufio"
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"testing"
+	"time"
 
+	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
 )
 
@@ -88,3 +100,81 @@
 		t.Errorf("found %v", found)
 	}
 }
+
+// writeCertificate writes a self-signed certificate for 127.0.0.1 and its key.
+func writeCertificate(t *testing.T) (*settings.TLS, *x509.CertPool) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		NotAfter:     time.Now().Add(time.Hour),
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	private, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	files := &settings.TLS{Certificate: filepath.Join(t.TempDir(), "cert.pem"), Key: filepath.Join(t.TempDir(), "key.pem")}
+	for file, block := range map[string]*pem.Block{
+		files.Certificate: {Type: "CERTIFICATE", Bytes: certificate},
+		files.Key:         {Type: "EC PRIVATE KEY", Bytes: private},
+	} {
+		if err := os.WriteFile(file, pem.EncodeToMemory(block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	pool := x509.NewCertPool()
+	parsed, err := x509.ParseCertificate(certificate)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool.AddCert(parsed)
+	return files, pool
+}
+
+func TestServesTLS(t *testing.T) {
+	e, _ := newTestEntry(t, "llm")
+	files, pool := writeCertificate(t)
+	e.settings.Entry.TLS = files
+	e.settings.Entry.Listen = "127.0.0.1:0"
+	server, err := e.callerServer()
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := e.listenCallers()
+	if err != nil {
+		t.Fatal(err)
+	}
+	go e.serve(server, listener)
+	t.Cleanup(func() { server.Close() })
+	client := &http.Client{Transport: &http.Transport{
+		TLSClientConfig:   &tls.Config{RootCAs: pool},
+		ForceAttemptHTTP2: true,
+		DisableKeepAlives: true,
+	}}
+	resp, err := client.Get("https://" + listener.Addr().String() + "/healthz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK || resp.TLS == nil {
+		t.Errorf("status %d, TLS %v", resp.StatusCode, resp.TLS)
+	}
+	if plain, err := http.Get("http://" + listener.Addr().String() + "/healthz"); err == nil {
+		plain.Body.Close()
+		if plain.StatusCode == http.StatusOK {
+			t.Error("served without TLS as well")
+		}
+	}
+	files.Key = files.Certificate
+	if _, err := e.callerServer(); err == nil {
+		t.Error("a certificate without its key was accepted")
+	}
+}
