Serve the old version until half of a group has the new one

Cause: a changed version of a model's record sent all requests that name none to the new weights at once. No engine had them for a second, and then the first few got everything. Ruled out: one owner choosing the version within its decision. The prompt's levels are salted by the version, so the request has to be asked for again, or no engine's cache is found. Change: Ask.AnyVersion and Decision.Version (additive); the owner names the version that most of the group has; the entry, if the organisation may use it, asks again under it. A pinned version is never replaced. Seen to fail without the mechanism: TestOldVersionServes... got the one engine that had the new weights. Tests: endpoint, entry, wire green with -race.

--- a/internal/endpoint/ask.go
+++ b/internal/endpoint/ask.go
@@ -19,7 +19,12 @@
 		Suspect: verdict.Kind == attempt.Alone || crashes > 0,
 		GivenUp: verdict.Kind == attempt.GivenUp || crashes >= attempt.DefaultPoisonParams.Limit,
 	}
-	result := e.router.Decide(now, e.rng, query, e.endpoints())
+	endpoints := e.endpoints()
+	if version := e.otherVersion(ask, endpoints); version != "" {
+		e.reply(s, ref, e.askOther(ask, version))
+		return
+	}
+	result := e.router.Decide(now, e.rng, query, endpoints)
 	decision := &wire.Decision{
 		Request:         ask.Request,
 		Owner:           e.settings.ID,
--- a/internal/endpoint/group_test.go
+++ b/internal/endpoint/group_test.go
@@ -28,12 +28,14 @@
 	}
 	server := httptest.NewServer(standin.New(standin.Options{Control: standin.Defaults(), Instances: list}))
 	t.Cleanup(server.Close)
+	publish(t, server.URL, organisationRecord,
+		`{"schema":2,"kind":"model","key":"m","base":0,"body":{"group":"g","versions":["v1","v2"],"version":"v2"}}`)
 	var group []*process
 	for i, f := range engines {
 		group = append(group, startProcess(t, f.URL, func(s *settings.Settings) {
 			s.ID = list[i].ID
 			s.Listen = addresses[i]
-			s.Platform = settings.Platform{Log: server.URL, Instances: server.URL}
+			s.Platform = settings.Platform{Log: server.URL, Instances: server.URL, Retention: settings.DefaultRetention}
 			s.Endpoint.Heartbeat = settings.Duration(20 * time.Millisecond)
 			s.Endpoint.SuspectAfter = settings.Duration(time.Second)
 		}))
@@ -153,3 +155,33 @@
 		t.Fatalf("got %+v", records)
 	}
 }
+
+// Symptom: callers are refused, then wait for seconds, whenever a new version is
+// published.
+// Sequence: the record names v2 while most engines still have v1; requests that
+// name no version ask for v2.
+// Cause: the few engines that have the new weights already got all requests.
+func TestOldVersionServesUntilHalfHaveTheNewOne(t *testing.T) {
+	engines := []*fakeEngine{newFakeEngine(t, "a"), newFakeEngine(t, "a"), newFakeEngine(t, "a")}
+	owner := startGroup(t, engines...)[0].dial("entry-1")
+	anyVersion, pinned := ask(1), ask(1)
+	anyVersion.Version, anyVersion.AnyVersion = "v2", true
+	pinned.Version = "v2"
+	load := func(f *fakeEngine) {
+		f.mu.Lock()
+		f.version = "v2"
+		f.mu.Unlock()
+	}
+	load(engines[2])
+	waitFor(t, "the first new engine", func() bool {
+		return owner.call(pinned).(*wire.Decision).Executor.Endpoint == "ep-3"
+	})
+	if d := owner.call(anyVersion).(*wire.Decision); d.Version != "v1" || d.Refusal == nil {
+		t.Fatalf("got %+v", d)
+	}
+	load(engines[1])
+	waitFor(t, "the new version", func() bool {
+		d := owner.call(anyVersion).(*wire.Decision)
+		return d.Version == "" && d.Refusal == nil && d.Executor.Endpoint != "ep-1"
+	})
+}
--- a/internal/endpoint/harness_test.go
+++ b/internal/endpoint/harness_test.go
@@ -34,6 +34,7 @@
 
 	mu          sync.Mutex
 	incarnation string
+	version     string
 	runs        map[string]int
 	canceled    map[string]bool
 	cut         map[string]bool // streams whose connection is cut after one word
@@ -44,6 +45,7 @@
 	f := &fakeEngine{
 		words:       words,
 		incarnation: "i1",
+		version:     "v1",
 		runs:        map[string]int{},
 		canceled:    map[string]bool{},
 		cut:         map[string]bool{},
@@ -91,7 +93,7 @@
 func (f *fakeEngine) load(w http.ResponseWriter, _ *http.Request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	json.NewEncoder(w).Encode(engine.Load{Incarnation: f.incarnation, Model: "m", Version: "v1", Weights: "v1"})
+	json.NewEncoder(w).Encode(engine.Load{Incarnation: f.incarnation, Model: "m", Version: f.version, Weights: f.version})
 }
 
 func (f *fakeEngine) stream(w http.ResponseWriter, r *http.Request, id string, from int) {
@@ -148,7 +150,7 @@
 	s := &settings.Settings{
 		ID: "ep-1", Role: "endpoint", FailureDomain: "d1", Listen: freeAddress(t),
 		FleetKey: hex.EncodeToString(fleetKey), LogLevel: "error",
-		Platform: settings.Platform{Log: "http://127.0.0.1:1", Instances: "http://127.0.0.1:1"},
+		Platform: settings.Platform{Log: "http://127.0.0.1:1", Instances: "http://127.0.0.1:1", Retention: settings.DefaultRetention},
 		Endpoint: &settings.Endpoint{
 			Group: "g", Kind: settings.DefaultKind, Backend: backend,
 			MaxRunning: 4, MaxQueue: 8, SmallReserve: 0.25,
--- a/internal/endpoint/once_test.go
+++ b/internal/endpoint/once_test.go
@@ -72,7 +72,7 @@
 	g.start = func(i int) *process {
 		return startProcess(t, g.service.URL, func(s *settings.Settings) {
 			s.ID, s.Listen = list[i].ID, list[i].Address
-			s.Platform = settings.Platform{Log: g.platform.URL, Instances: g.platform.URL}
+			s.Platform = settings.Platform{Log: g.platform.URL, Instances: g.platform.URL, Retention: settings.DefaultRetention}
 			s.Endpoint.Kind = kindService
 			s.Endpoint.Heartbeat = settings.Duration(20 * time.Millisecond)
 			s.Endpoint.SuspectAfter = settings.Duration(time.Second)
--- a/internal/endpoint/orders_test.go
+++ b/internal/endpoint/orders_test.go
@@ -61,7 +61,7 @@
 		engines = append(engines, engine.NewClient(backend))
 		processes = append(processes, startProcess(t, backend, func(s *settings.Settings) {
 			s.ID = fmt.Sprintf("ep-%d", i+1)
-			s.Platform = settings.Platform{Log: server.URL, Instances: server.URL}
+			s.Platform = settings.Platform{Log: server.URL, Instances: server.URL, Retention: settings.DefaultRetention}
 		}))
 	}
 	publish(t, server.URL,
--- /dev/null
+++ b/internal/endpoint/versions.go
@@ -0,0 +1,76 @@
+package endpoint
+
+import (
+	"maps"
+	"slices"
+
+	"skylarklead/internal/route"
+	"skylarklead/internal/wire"
+)
+
+// otherVersion returns the version that a request which named none should ask
+// for in place of the configured one, or "" to go on with that.
+//
+// When a model's record changes its version, a few engines at a time load the
+// new weights. Sent to the new version from the first moment, all requests would
+// find no engine, and then crowd on the first few that have it, which shows as
+// refusals and a long time to first token until the last one has loaded. So the
+// old version serves until half of the group has the new one.
+func (e *Endpoint) otherVersion(ask *wire.Ask, endpoints []route.Endpoint) string {
+	if !ask.AnyVersion {
+		return ""
+	}
+	counts := make(map[string]int)
+	total := 0
+	for i := range endpoints {
+		if version := servedVersion(ask.Model, &endpoints[i]); version != "" && e.mayUse(ask, version) {
+			counts[version]++
+			total++
+		}
+	}
+	if 2*counts[ask.Version] >= total {
+		return ""
+	}
+	most := ""
+	for _, version := range slices.Sorted(maps.Keys(counts)) {
+		if version != ask.Version && (most == "" || counts[version] > counts[most]) {
+			most = version
+		}
+	}
+	return most
+}
+
+// servedVersion is the version of a model that an endpoint would run now, or "".
+func servedVersion(model string, e *route.Endpoint) string {
+	if !e.Alive || e.Leaving || !e.HasLoad || !e.Load.EngineUp || e.Load.Model != model {
+		return ""
+	}
+	return e.Load.Version
+}
+
+// mayUse reports whether the configuration lets an organisation use a version.
+func (e *Endpoint) mayUse(ask *wire.Ask, version string) bool {
+	model := e.state().Models[ask.Model]
+	organisation := e.state().Organisations[ask.Organisation]
+	return model != nil && organisation != nil &&
+		slices.Contains(model.Versions, version) && organisation.Allows(ask.Model, version)
+}
+
+// askOther refuses to place a request under the version that it asked for, and
+// names the one to ask for.
+func (e *Endpoint) askOther(ask *wire.Ask, version string) *wire.Decision {
+	return &wire.Decision{
+		Request: ask.Request,
+		Owner:   e.settings.ID,
+		Reason:  "other_version",
+		Version: version,
+		Refusal: &wire.Refusal{
+			Code:         wire.CodeNoEndpoint,
+			Message:      "most of the group has version " + version,
+			Ran:          wire.NotRun,
+			RetryAfterMs: drainRetryAfter.Milliseconds(),
+		},
+		Unavailable:  e.unavailable(),
+		ConfigOffset: e.state().Offset,
+	}
+}
--- a/internal/entry/ask.go
+++ b/internal/entry/ask.go
@@ -37,9 +37,21 @@
 	if e.chooser != nil {
 		return e.chooser.choose(j, live)
 	}
+	decision := e.askOwners(ctx, j, ownerOrder(j, live))
+	if decision == nil || !j.mayUse(decision.Version) {
+		return decision
+	}
+	// The group's engines are changing versions, and most have another one. Its
+	// prefixes have other owners.
+	j.useVersion(decision.Version)
 	return e.askOwners(ctx, j, ownerOrder(j, live))
 }
 
+// mayUse reports whether the request may be run under another version.
+func (j *job) mayUse(version string) bool {
+	return j.anyVersion && version != "" && version != j.version && j.organisation.Allows(j.model, version)
+}
+
 func noEndpoint(j *job) *wire.Decision {
 	return &wire.Decision{Request: j.id, Refusal: &wire.Refusal{
 		Code:         wire.CodeNoEndpoint,
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -49,6 +49,7 @@
 		group:      model.Group,
 		model:      model.ID,
 		version:    version,
+		anyVersion: body.Version == "",
 		messages:   body.Messages,
 		priority:   body.Priority,
 		maxTokens:  boundTokens(body.MaxTokens, model.MaxTokens),
@@ -56,14 +57,19 @@
 		resumable:  body.Stream,
 		receiver:   attempt.NewReceiver(window),
 	}
-	prompt := wholePrompt(req.organisation, body.Messages)
-	salt := prefix.Salt{Organisation: req.organisation.ID, Model: j.model, Weights: j.version}
-	j.levels = prefix.Levels(salt.Root(), prompt)
-	j.promptTokens = prefix.Tokens(prompt)
+	j.promptTokens = prefix.Tokens(wholePrompt(req.organisation, body.Messages))
 	j.fingerprint = chatFingerprint(j)
+	j.useVersion(version)
 	return j, nil
 }
 
+// useVersion sets the version to ask for; its weights salt the prompt's levels.
+func (j *job) useVersion(version string) {
+	j.version = version
+	salt := prefix.Salt{Organisation: j.organisation.ID, Model: j.model, Weights: version}
+	j.levels = prefix.Levels(salt.Root(), wholePrompt(j.organisation, j.messages))
+}
+
 func allowedModel(req *request, body *chatBody) (*config.Model, string, *Error) {
 	model := req.state.Models[body.Model]
 	if model == nil {
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -14,13 +14,15 @@
 	group string
 	// model and version are empty for a call to a plain service.
 	model, version string
-	messages       []prefix.Message
-	call           *wire.Call
-	levels         []prefix.Level
-	promptTokens   int
-	maxTokens      int
-	priority       int
-	fingerprint    uint64
+	// anyVersion is set when the caller named no version.
+	anyVersion   bool
+	messages     []prefix.Message
+	call         *wire.Call
+	levels       []prefix.Level
+	promptTokens int
+	maxTokens    int
+	priority     int
+	fingerprint  uint64
 	// repeatable requests may be run again after an unknown outcome.
 	repeatable bool
 	// resumable ones go on for a grace after their caller has hung up.
@@ -62,6 +64,7 @@
 		Exclude:       j.exclude,
 		Crashed:       j.crashed,
 		FailureDomain: failureDomain,
+		AnyVersion:    j.anyVersion,
 	}
 }
 
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -142,6 +142,9 @@
 	Crashed []string `cbor:"13,keyasint,omitempty"`
 	// Entry is the asking entry's failure domain.
 	FailureDomain string `cbor:"14,keyasint,omitempty"`
+	// AnyVersion is set when the caller named no version: while the group's
+	// engines change theirs, the one that most of them have will do.
+	AnyVersion bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Candidate explains what was thought of one endpoint.
@@ -176,6 +179,9 @@
 	Unavailable []string `cbor:"9,keyasint,omitempty"`
 	// ConfigOffset is the owner's: an entry that is behind fetches from it.
 	ConfigOffset uint64 `cbor:"10,keyasint,omitempty"`
+	// Version comes with a Refusal: the entry is to ask again for this version of
+	// the model, with levels of its salt.
+	Version string `cbor:"11,keyasint,omitempty"`
 }
 
 // Call is a call to a plain service.
