Route: follow each endpoint's queue between reports, bind to charters

And the second level bound the requests, which is all that an organisation sends where it has two messages of instructions, so hot charters were copied to every holder. Change: occupancy.go follows each endpoint as a queue with its places from each report on (own decisions when made, others at the rate between reports, departures by the places in use); places taken cost a little before they are all taken; the binding level is the deepest one held that is two thirds of what the request shares. pending.go is gone; its test is replaced by one against a true queue, over four loads. The holder set's tests no longer report idle endpoints that they load at the same time.

--- a/internal/route/decide.go
+++ b/internal/route/decide.go
@@ -117,28 +117,37 @@
 			}
 		}
 	}
-	key := r.keyNode(q)
+	r.key = r.keyNode(now, q)
 	for i := range r.scratch {
 		c := &r.scratch[i]
 		c.cached = min(int(r.cached[c.slot]), q.PromptTokens)
-		if key != none {
-			h := t.find(key, c.slot)
+		if r.key != none {
+			h := t.find(r.key, c.slot)
 			c.holder = h != nil && t.live(now, h)
 		}
 	}
 }
 
-// keyNode is the node whose holder set binds q: its second level if it has one,
-// else its first. Deeper levels are single cases, too cool to need a set.
-func (r *Router) keyNode(q *Query) int32 {
+// maxKeyLevel is the deepest level that may bind a query; deeper ones are too
+// cool to need a holder set.
+const maxKeyLevel = 2
+
+// keyNode is the node whose holder set binds q: the deepest level with a holder,
+// if it is at least two thirds of all that q shares. A new case thus goes to where its
+// charter is held, while a new charter is placed freely: what it has in common
+// with its organisation's others is no reason to have them all in one cache.
+func (r *Router) keyNode(now time.Duration, q *Query) int32 {
 	if len(q.Levels) == 0 {
 		return none
 	}
-	n, ok := r.table.index[q.Levels[min(1, len(q.Levels)-1)].Hash]
-	if !ok {
-		return none
+	shared := q.Levels[len(q.Levels)-1].Tokens
+	for i := min(maxKeyLevel, len(q.Levels)-1); i >= 0; i-- {
+		n, ok := r.table.index[q.Levels[i].Hash]
+		if ok && 3*q.Levels[i].Tokens >= 2*shared && r.table.held(now, n) {
+			return n
+		}
 	}
-	return n
+	return none
 }
 
 // pick chooses among the candidates that are left.
@@ -163,8 +172,8 @@
 // grow, or the best of them would cost more than another endpoint by a wide
 // margin.
 func (r *Router) amongHolders(now time.Duration, rng *rand.Rand, q *Query, endpoints []Endpoint) (int, string) {
-	h := r.heat(now, r.keyNode(q))
-	inUse := r.activate(q, h, endpoints)
+	h := r.heat(now, r.key)
+	inUse := r.activate(h, endpoints)
 	held := r.best(rng, func(c *candidate) bool { return c.active })
 	other := r.best(rng, func(c *candidate) bool { return !c.active && !c.full })
 	if other < 0 {
@@ -214,10 +223,10 @@
 // activate marks the holders in use, as many as the prefix is to have. When it
 // has more, the ones first in rendezvous order stay, so that every decision
 // leaves out the same ones and their copies can age out.
-func (r *Router) activate(q *Query, h *heat, endpoints []Endpoint) int {
+func (r *Router) activate(h *heat, endpoints []Endpoint) int {
 	count := r.holders()
 	spare := max(0, count-h.holders)
-	key := uint64(q.Levels[min(1, len(q.Levels)-1)].Hash)
+	key := uint64(r.table.nodes[r.key].hash)
 	for i := range r.scratch {
 		c := &r.scratch[i]
 		c.active = c.excluded == "" && c.holder
@@ -286,10 +295,9 @@
 func (r *Router) commit(now time.Duration, q *Query, chosen int) {
 	c := &r.scratch[chosen]
 	owner := organisationHash(q.Organisation)
-	service := r.engineMs(q, c.cached)
 	s := &r.table.slots[c.slot]
-	s.pending.add(now, float64(q.PromptTokens-c.cached)*r.prefillMs(), service)
+	s.occupancy.add(now, float64(q.PromptTokens-c.cached)*r.prefillMs())
 	s.served.add(now, r.params.HeatHalfLife, float64(c.cached))
-	r.flights.add(now, shareKey{owner, c.slot}, service)
+	r.flights.add(now, shareKey{owner, c.slot}, c.wait+r.serviceMs(q))
 	r.table.decided(now, owner, q.Levels, c.slot)
 }
--- a/internal/route/doc.go
+++ b/internal/route/doc.go
@@ -2,8 +2,8 @@
 //
 // The entry names a request's owner by rendezvous hashing (rendezvous.go). The
 // owner's Router keeps what it has learnt about who holds which prefix
-// (table.go), how hot each prefix is (heat.go) and what it has itself sent
-// where since the last load report (pending.go), and decides in three steps:
+// (table.go), how hot each prefix is (heat.go) and how much work is where between
+// load reports (occupancy.go), and decides in three steps:
 // filter, score, pick (decide.go). The baselines to measure against are in
 // baseline.go.
 //
--- a/internal/route/heat_test.go
+++ b/internal/route/heat_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -8,13 +9,12 @@
 	"skylarklead/internal/wire"
 )
 
-// load sets the queue of the named endpoints and idles the others.
+// load sets the reported queue of the named endpoints. The others have no report,
+// so that the router's own account of what it sent there stands.
 func load(endpoints []Endpoint, queuedTokens int, busy map[string]bool) {
 	for i := range endpoints {
-		endpoints[i].Load.QueuedTokens = 0
-		if busy[endpoints[i].ID] {
-			endpoints[i].Load.QueuedTokens = queuedTokens
-		}
+		endpoints[i].HasLoad = busy[endpoints[i].ID]
+		endpoints[i].Load.QueuedTokens = queuedTokens
 	}
 }
 
@@ -33,7 +33,7 @@
 	return computed
 }
 
-func activeHolders(r *Router) int { return r.heat(0, r.keyNode(query(1))).holders }
+func activeHolders(r *Router) int { return r.heat(0, r.key).holders }
 
 // Symptom: an appeal's callers wait at one endpoint while others idle.
 // Sequence: a prefix gets hot; its only holder's queue grows.
@@ -207,27 +207,51 @@
 	}
 }
 
-func TestPendingTracksWhatIsInService(t *testing.T) {
+// trueQueue is an endpoint with places that serves exponentially in the mean, in
+// fluid steps of a millisecond.
+type trueQueue struct{ requests, places, service float64 }
+
+func (q *trueQueue) step(arrived float64) {
+	q.requests += arrived - min(q.requests, q.places)/q.service
+}
+
+// Symptom: all requests of a second go to one endpoint, those of the next to
+// another.
+// Sequence: load reports come once a second; an endpoint is reported idle, another
+// with a queue that is gone soon after.
+// Cause: reports are taken for the present.
+func TestOccupancyFollowsTheQueueBetweenReports(t *testing.T) {
 	tests := []struct {
-		name     string
-		every    time.Duration
-		service  float64
-		age      time.Duration
-		low, top float64 // bounds of the change since the report
+		name                 string
+		own, others, service float64 // requests a second, ms
 	}{
-		{"steady short requests change nothing", 50 * time.Millisecond, 200, time.Second, -1, 1},
-		{"long requests add up", 50 * time.Millisecond, 1e6, time.Second, 20, 23},
+		{"short requests, steady", 20, 0, 200},
+		{"long requests, steady", 4, 0, 3000},
+		{"others too", 10, 20, 300},
+		{"past what its places can do", 60, 0, 400},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var p pending
-			now := time.Duration(0)
-			for ; now < 5*time.Second; now += tt.every {
-				p.add(now, 0, tt.service)
-			}
-			change, _ := p.unreported(now, tt.age)
-			if change.requests < tt.low || change.requests > tt.top {
-				t.Errorf("change = %.1f, want %.0f to %.0f", change.requests, tt.low, tt.top)
+			const places = 16
+			q := trueQueue{places: places, service: tt.service}
+			var o occupancy
+			due := 0.0
+			for i := range 8000 {
+				now := time.Duration(i) * time.Millisecond
+				q.step(tt.others / 1000)
+				if i%1000 == 999 {
+					o.report(now, now, amount{requests: q.requests}, places, tt.service)
+				}
+				if due += tt.own / 1000; due >= 1 {
+					due--
+					q.step(1)
+					o.advance(now, places, tt.service)
+					o.add(now, 0)
+				}
+				o.advance(now, places, tt.service)
+				if i > 4000 && math.Abs(o.value.requests-q.requests) > 2+q.requests/10 {
+					t.Fatalf("after %v: %.1f estimated, %.1f there", now, o.value.requests, q.requests)
+				}
 			}
 		})
 	}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"time"
 
 	"skylarklead/internal/wire"
@@ -12,6 +13,7 @@
 	table   *Table
 	scratch []candidate
 	cached  []int32 // by slot, tokens of this query
+	key     int32   // the node that binds this query, or none
 	flights flights
 	output  float64 // mean expected output of the group's requests, tokens
 }
@@ -96,8 +98,7 @@
 	if !ok {
 		return 0
 	}
-	p := pending{value: amount{requests: v.requests}, at: v.at, service: v.service}
-	return p.read(now).requests
+	return v.requests * math.Exp(-ms(max(0, now-v.at))/v.service)
 }
 
 func (f flights) add(now time.Duration, k shareKey, service float64) {
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -31,18 +31,30 @@
 func (r *Router) prefillMs() float64 { return 1000 / r.params.PrefillTokensPerSecond }
 
 // wait estimates the milliseconds until a place is free and the prefill before
-// it is done: the endpoint's report, and what this process has sent since.
+// it is done. Below the number of places it is a small cost that rises with the
+// places taken: others' work that this process doesn't know of may take the rest.
 func (r *Router) wait(now time.Duration, q *Query, owner uint64, c *candidate, e *Endpoint) float64 {
-	change, own := r.table.slots[c.slot].pending.unreported(now, e.LoadAge)
-	prefill := max(own.prefill, float64(e.Load.QueuedTokens)*r.prefillMs()+change.prefill)
-	requests := max(own.requests, float64(e.Load.Running+e.Load.Queued)+change.requests)
-	places := float64(r.params.MaxRunning)
-	over := requests + 1 - places
-	if over <= 0 {
-		return prefill
+	places, service := float64(r.params.MaxRunning), r.serviceMs(q)
+	o := &r.table.slots[c.slot].occupancy
+	if e.HasLoad {
+		o.report(now, now-e.LoadAge, amount{
+			requests: float64(e.Load.Running + e.Load.Queued),
+			prefill:  float64(e.Load.QueuedTokens) * r.prefillMs(),
+		}, places, service)
 	}
-	over = min(over, r.turns(now, shareKey{owner, c.slot}, e))
-	return prefill + over/places*r.expectedOutput(q)*ms(r.params.DecodeTokenTime)
+	o.advance(now, places, service)
+	turn := service / places
+	use := min(1, o.value.requests/places)
+	wait := o.value.prefill + turn*use*use*use
+	if over := o.value.requests + 1 - places; over > 0 {
+		wait += turn * min(over, r.turns(now, shareKey{owner, c.slot}, e))
+	}
+	return wait
+}
+
+// serviceMs is how long a request takes a place, in the mean.
+func (r *Router) serviceMs(q *Query) float64 {
+	return max(minService, r.expectedOutput(q)*ms(r.params.DecodeTokenTime))
 }
 
 // turns bounds how many requests are served before one of this organisation at
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -39,7 +39,7 @@
 	incarnation string
 	version     string
 	known       bool
-	pending     pending
+	occupancy   occupancy
 	served      meter // tokens served from its cache
 }
 
@@ -141,7 +141,7 @@
 		differs(l.incarnation, incarnation) || differs(l.version, version))
 	if changed {
 		t.dropSlot(s)
-		l.pending = pending{}
+		l.occupancy = occupancy{}
 		l.served = meter{}
 		l.incarnation = ""
 		l.version = ""
@@ -363,6 +363,16 @@
 	}
 }
 
+// held reports whether any slot holds a node.
+func (t *Table) held(now time.Duration, n int32) bool {
+	for h := t.nodes[n].holders; h != none; h = t.holders[h].next {
+		if t.live(now, &t.holders[h]) {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Table) find(n int32, s uint16) *holder {
 	for h := t.nodes[n].holders; h != none; h = t.holders[h].next {
 		if t.holders[h].slot == s {
