Entry: keep to a resumed stream over a bad link, bound what is in flight

Cause: a stream resumed by Last-Event-ID was given up after three lost sessions, however much of it had come; nothing bounded the callers' bodies in memory. Change: six tries in a row without a new chunk, with doubled pauses; 4096 requests in flight, more get overloaded, not_run. An answer without a piece has no time to first token. Seen to fail without the reset and without the bound.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -94,7 +94,7 @@
 	m := a.e.tel.Metrics
 	m.Completed.Mark(1)
 	m.Tokens.Mark(int64(end.CompletionTokens))
-	if j.call == nil && !j.resumed {
+	if j.call == nil && !j.resumed && j.firstToken > 0 {
 		m.FirstToken(j.organisation.ID, j.firstToken)
 		m.Prompt(end.PromptTokens, end.CachedTokens, j.decision.PredictedCached)
 	}
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -5,6 +5,17 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"skylarklead/internal/wire"
+)
+
+const (
+	// maxInFlight bounds the memory that callers' bodies and streams can take: a
+	// hundred times what an entry has at the target load.
+	maxInFlight = 4096
+	// drainRetry is when a caller turned away here may come back: soon, since the
+	// balancer will pick another entry.
+	drainRetry = time.Second
 )
 
 // drain counts the requests in flight and turns new ones away once the process
@@ -19,15 +30,18 @@
 
 func newDrain() *drain { return &drain{idle: make(chan struct{})} }
 
-// enter admits a request; it must leave.
-func (d *drain) enter() bool {
+// enter admits a request, which must leave, or tells why not.
+func (d *drain) enter() *Error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.refusing {
-		return false
+		return refuse(wire.CodeDraining, "this entry is shutting down").after(drainRetry)
+	}
+	if d.inFlight >= maxInFlight {
+		return refuse(wire.CodeOverloaded, "this entry has %d requests in flight", d.inFlight).after(drainRetry)
 	}
 	d.inFlight++
-	return true
+	return nil
 }
 
 func (d *drain) leave() {
--- a/internal/entry/refuse_test.go
+++ b/internal/entry/refuse_test.go
@@ -60,6 +60,27 @@
 	}
 }
 
+// Symptom: an entry runs out of memory under a flood of slow callers.
+// Sequence: as many requests as the bound are in flight; one more comes.
+// Cause: each holds its body; without a bound the callers decide how much.
+func TestInFlightIsBounded(t *testing.T) {
+	e, server := newTestEntry(t, "llm")
+	for range maxInFlight {
+		if refusal := e.drain.enter(); refusal != nil {
+			t.Fatal(refusal)
+		}
+	}
+	resp := post(t, context.Background(), server.URL+"/v1/chat/completions", wholeBody)
+	if got := readError(t, resp); got.Code != wire.CodeOverloaded || got.Ran != wire.NotRun {
+		t.Errorf("got %+v", got)
+	}
+	e.drain.leave()
+	resp = post(t, context.Background(), server.URL+"/v1/chat/completions", wholeBody)
+	if got := readError(t, resp); got.Code != wire.CodeNoEndpoint {
+		t.Errorf("with room again: %+v", got)
+	}
+}
+
 // Symptom: a request of an upload that broke off runs, or holds its connection.
 // Sequence: a caller announces 1000 bytes, sends some of them and closes its side.
 // Cause: the body is read whole before anything else is done with it.
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -12,8 +12,9 @@
 
 const (
 	reasonResume = "resume"
-	// resumeTries bounds how often a resumed stream's session may be lost.
-	resumeTries = 3
+	// resumeTries bounds how often in a row a resumed stream's executor may be out
+	// of reach; with doubled pauses they last some seconds.
+	resumeTries = 6
 )
 
 // resume serves GET /v1/streams: it takes over the stream that Last-Event-ID
@@ -64,32 +65,47 @@
 	target wire.Target
 }
 
+// run takes the stream over, again while sessions break and chunks still come.
 func (s *resumption) run(id wire.AttemptID) {
-	for range resumeTries {
+	pause := attempt.DefaultPlanParams.Backoff
+	for tries := 0; tries < resumeTries && s.life.Err() == nil; tries++ {
 		session, err := s.e.sameEpoch(s.life, s.target)
 		if errors.Is(err, errEpochGone) {
 			s.fail(lostStream("its executor was restarted"))
 			return
 		}
 		if err != nil {
-			s.life.sleep(attempt.DefaultPlanParams.Backoff)
+			s.life.sleep(pause)
+			pause *= 2
 			continue
 		}
-		l := s.e.openLink(id, session)
-		s.job.receiver.Resumed()
-		// A failed write closes the session, which follow sees.
-		_ = session.Send(s.job.resume(id, s.target.Epoch, s.job.receiver.Next()))
-		over := s.follow(l)
-		s.e.closeLink(l)
-		if over {
+		before := s.job.receiver.Next()
+		if s.takeOver(id, session) {
 			return
 		}
+		if s.job.receiver.Next() > before {
+			tries, pause = 0, attempt.DefaultPlanParams.Backoff
+		}
+	}
+	if s.life.Err() != nil {
+		s.expire()
+		return
 	}
 	s.fail(lostStream("its executor can't be reached"))
 }
 
-// follow delivers the stream until its end; it returns false if it has to be
-// resumed once more.
+// takeOver delivers the stream over one session; it returns false if it has to be
+// taken over once more.
+func (s *resumption) takeOver(id wire.AttemptID, session *wire.Session) bool {
+	l := s.e.openLink(id, session)
+	defer s.e.closeLink(l)
+	s.job.receiver.Resumed()
+	// A failed write closes the session, which follow sees.
+	_ = session.Send(s.job.resume(id, s.target.Epoch, s.job.receiver.Next()))
+	return s.follow(l)
+}
+
+// follow is takeOver's waiting.
 func (s *resumption) follow(l *link) bool {
 	for {
 		gap := time.NewTimer(gapCheck)
@@ -119,7 +135,7 @@
 		case <-s.life.away:
 			return s.wait(l)
 		case <-s.life.Done():
-			return s.expire(l)
+			return s.abandon(l)
 		}
 		gap.Stop()
 	}
@@ -136,20 +152,23 @@
 	case <-grace.C:
 	case <-s.life.Done():
 	}
-	return s.expire(l)
+	return s.abandon(l)
 }
 
-// expire ends a stream that nobody has waited for in time.
-func (s *resumption) expire(l *link) bool {
-	cause := context.Cause(s.life)
-	if errors.Is(cause, errStopping) {
-		return true // the executor counts the grace
+// abandon cancels a stream that nobody has waited for in time.
+func (s *resumption) abandon(l *link) bool {
+	if !errors.Is(context.Cause(s.life), errStopping) { // the executor counts the grace then
+		_ = l.session.Send(&wire.Cancel{Attempt: l.id}) // a lost session ends it as well
 	}
-	_ = l.session.Send(&wire.Cancel{Attempt: l.id}) // a lost session ends it as well
-	if errors.Is(cause, errDeadline) {
+	s.expire()
+	return true
+}
+
+// expire tells the caller, if it is still there, why the stream ends.
+func (s *resumption) expire() {
+	if errors.Is(context.Cause(s.life), errDeadline) {
 		s.fail(&Error{Code: wire.CodeDeadline, Message: "the deadline has passed", Ran: wire.Unknown})
-		return true
+		return
 	}
 	s.fail(&Error{Code: wire.CodeCanceled, Message: "the caller has gone", Ran: wire.Unknown})
-	return true
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -24,9 +24,6 @@
 	// deadlineGrace is how long past its deadline a request waits for the
 	// executor's own word, which may be a true "not_run".
 	deadlineGrace = 250 * time.Millisecond
-	// drainRetry is when a caller refused by a draining entry may come back: at
-	// once in effect, since the balancer will pick another entry.
-	drainRetry = time.Second
 )
 
 // callers returns the handler of the callers' interface.
@@ -89,8 +86,8 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := requestID(r)
 		w.Header().Set("X-Request-Id", id)
-		if !e.drain.enter() {
-			e.refused(w, r, id, refuse(wire.CodeDraining, "this entry is shutting down").after(drainRetry))
+		if refusal := e.drain.enter(); refusal != nil {
+			e.refused(w, r, id, refusal)
 			return
 		}
 		defer e.drain.leave()
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -242,6 +242,38 @@
 	})
 }
 
+// Symptom: a resumed stream ends with an error though its executor lives.
+// Sequence: the session of the resumed stream is cut again and again, and each
+// time some more of the stream has come.
+// Cause: the bound on tries is for an executor out of reach, not for the length of
+// a stream over a bad link.
+func TestResumedStreamSurvivesCuts(t *testing.T) {
+	const perSession = 3
+	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Ask:
+			x.decide(s, ref, m)
+		case *wire.Run:
+			words(s, m.Attempt, 0, 5, totalWords)
+		case *wire.Resume:
+			upTo := min(m.Seq+perSession, totalWords)
+			words(s, m.Attempt, m.Seq, upTo, totalWords)
+			if upTo < totalWords {
+				s.Close(wire.ErrClosed)
+			}
+		}
+	})
+	_, server := newTestEntry(t, "llm", x)
+	ctx, hangUp := context.WithCancel(context.Background())
+	first := readEvents(t, bufio.NewScanner(post(t, ctx, server.URL+"/v1/chat/completions", streamBody).Body), 5)
+	hangUp()
+	r, _ := http.NewRequest(http.MethodGet, server.URL+"/v1/streams", nil)
+	second := readSSE(t, send(t, r, "Last-Event-ID", first.lastID))
+	if !second.done || first.text+second.text != wantWords(totalWords) {
+		t.Errorf("got %q and then %q, failure %+v", first.text, second.text, second.failure)
+	}
+}
+
 // Symptom: all streams of a session stall when one caller stops reading.
 // Sequence: one caller reads nothing of a long answer, whose executor doesn't
 // even keep to the window; another one's short answers go over the same session.
