Give each test run loopback hosts of its own

Cause: TestPromise5NotRunIsTrue failed once in a run beside others: the platform refused connections although it had just been seen to listen, and had logged nothing yet. Hosts were counted from the process ID modulo 249, so two runs at once could share one, take the same free port there, and see each other's listener. Ruled out: a connection to itself (these come from 127.0.0.1). Change: the process ID's two bytes name the network, so runs don't share hosts.

--- a/test/harness/build.go
+++ b/test/harness/build.go
@@ -66,11 +66,16 @@
 const (
 	firstHost = 2
 	lastHost  = 250
+	octet     = 256
 )
 
+// newHost returns a loopback host of this process's own network: two test runs
+// at once must not take the same free port of one host for two of their
+// processes, and each then meet the other's.
 func newHost() string {
-	n := hosts.Add(1) + uint32(os.Getpid()) // two runs at once rarely share a host
-	return fmt.Sprintf("127.0.0.%d", firstHost+n%(lastHost-firstHost+1))
+	pid := os.Getpid()
+	n := hosts.Add(1) % (lastHost - firstHost + 1)
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/octet%(octet-1), pid%octet, firstHost+n)
 }
 
 // freeAddress returns "ip:port" that nothing listens on.
