--- a/internal/attempt/poison.go
+++ b/internal/attempt/poison.go
@@ -17,6 +17,12 @@
 	Pardons uint32
 	// Memory is how long a strike is remembered after the last crash.
 	Memory time.Duration
+	// AloneWait is how long a waiting suspect holds back others, AloneGap how
+	// long they run freely after a suspect has ended. A crash makes suspects of
+	// all that it cut off; without a gap they would take an engine one after the
+	// other while everybody else waits.
+	AloneWait time.Duration
+	AloneGap  time.Duration
 	// Max bounds the fingerprints remembered.
 	Max int
 	// Beat bounds the strikes in one heartbeat.
@@ -24,7 +30,10 @@
 }
 
 // DefaultPoisonParams remember for an hour.
-var DefaultPoisonParams = PoisonParams{Limit: 2, Pardons: 2, Memory: time.Hour, Max: 4096, Beat: 32}
+var DefaultPoisonParams = PoisonParams{
+	Limit: 2, Pardons: 2, Memory: time.Hour,
+	AloneWait: 30 * time.Second, AloneGap: 5 * time.Second, Max: 4096, Beat: 32,
+}
 
 // VerdictKind is how a request may run.
 type VerdictKind uint8
@@ -86,13 +95,16 @@
 	known   map[uint64]*suspicion
 	running map[uint64]int
 	total   int
-	waiting map[uint64]bool
-	cursor  uint64
+	// waiting has the suspects that asked to run, and since when.
+	waiting map[uint64]time.Duration
+	// freeUntil is the end of the gap after a suspect's run.
+	freeUntil time.Duration
+	cursor    uint64
 }
 
 // NewPoison returns an empty memory.
 func NewPoison(p PoisonParams) *Poison {
-	return &Poison{params: p, known: map[uint64]*suspicion{}, running: map[uint64]int{}, waiting: map[uint64]bool{}}
+	return &Poison{params: p, known: map[uint64]*suspicion{}, running: map[uint64]int{}, waiting: map[uint64]time.Duration{}}
 }
 
 // Judge tells how a request may run.
@@ -122,8 +134,8 @@
 )
 
 // Start asks to hand a request to this process's engine. A suspect waits until
-// nothing runs, and holds back everything else until it has ended or was
-// withdrawn.
+// nothing runs, and holds back everything else until it has ended, was withdrawn
+// or has waited for AloneWait. Two copies of one request count as two.
 func (p *Poison) Start(fingerprint uint64, now time.Duration) Gate {
 	switch p.Judge(fingerprint, now).Kind {
 	case GivenUp:
@@ -131,13 +143,15 @@
 		return GateShut
 	case Alone:
 		if p.total > 0 {
-			p.waiting[fingerprint] = true
+			if _, ok := p.waiting[fingerprint]; !ok {
+				p.waiting[fingerprint] = now
+			}
 			return GateWait
 		}
 		delete(p.waiting, fingerprint)
 	default:
 		delete(p.waiting, fingerprint)
-		if len(p.waiting) > 0 || p.aloneRuns(now) {
+		if p.heldBack(now) || p.aloneRuns(now) {
 			return GateWait
 		}
 	}
@@ -149,6 +163,19 @@
 // Withdraw says that a request that had to wait waits no longer.
 func (p *Poison) Withdraw(fingerprint uint64) { delete(p.waiting, fingerprint) }
 
+func (p *Poison) heldBack(now time.Duration) bool {
+	if now < p.freeUntil {
+		return false
+	}
+	for f, since := range p.waiting {
+		if now-since < p.params.AloneWait {
+			return true
+		}
+		delete(p.waiting, f) // whoever asked for it is gone, or gave up
+	}
+	return false
+}
+
 func (p *Poison) aloneRuns(now time.Duration) bool {
 	if p.total != 1 {
 		return false
@@ -165,6 +192,9 @@
 	if p.running[fingerprint] == 0 {
 		return
 	}
+	if p.aloneRuns(now) {
+		p.freeUntil = now + p.params.AloneGap
+	}
 	p.total--
 	if p.running[fingerprint]--; p.running[fingerprint] == 0 {
 		delete(p.running, fingerprint)
--- /dev/null
+++ b/internal/attempt/poison_test.go
@@ -0,0 +1,296 @@
+package attempt
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"skylarklead/internal/wire"
+)
+
+// Fingerprints of the model: the first two crash every engine that runs them,
+// the third every other one, the rest are innocent.
+const (
+	deadly      = 0
+	deadlyToo   = 1
+	flaky       = 2
+	innocents   = 3
+	modelPrints = 8
+)
+
+// poisonWorld is a group of endpoint processes, each before its engine. Each
+// judges for itself; what they tell one another may be late.
+type poisonWorld struct {
+	t       *rapid.T
+	now     time.Duration
+	group   []*Poison
+	engines []map[uint64]int
+	news    []modelNews
+	crashes map[uint64]int
+	local   []map[uint64]int
+	flips   int
+}
+
+type modelNews struct {
+	to      int
+	strikes []wire.Strike
+}
+
+func newPoisonWorld(t *rapid.T, n int) *poisonWorld {
+	w := &poisonWorld{t: t, now: time.Second, crashes: map[uint64]int{}}
+	for range n {
+		w.group = append(w.group, NewPoison(DefaultPoisonParams))
+		w.engines = append(w.engines, map[uint64]int{})
+		w.local = append(w.local, map[uint64]int{})
+	}
+	return w
+}
+
+func (w *poisonWorld) start(i int, f uint64) {
+	before := w.running(i)
+	if w.group[i].Start(f, w.now) != GateOpen {
+		return
+	}
+	if w.group[i].Judge(f, w.now).Kind == Alone && before > 0 {
+		w.t.Fatalf("a suspect was started beside %d others", before)
+	}
+	w.engines[i][f]++
+}
+
+func (w *poisonWorld) running(i int) int {
+	n := 0
+	for _, c := range w.engines[i] {
+		n += c
+	}
+	return n
+}
+
+// end lets a request end as is its nature.
+func (w *poisonWorld) end(i int, f uint64) {
+	if w.engines[i][f] == 0 {
+		return
+	}
+	if f == flaky {
+		w.flips++
+	}
+	if f == deadly || f == deadlyToo || f == flaky && w.flips%2 == 1 {
+		w.crash(i, f)
+		return
+	}
+	w.engines[i][f]--
+	w.group[i].Ended(f, true, w.now)
+}
+
+func (w *poisonWorld) crash(i int, culprit uint64) {
+	w.crashes[culprit]++
+	w.local[i][culprit]++
+	strikes := w.group[i].Crashed(w.now)
+	clear(w.engines[i])
+	for to := range w.group {
+		if to != i {
+			w.news = append(w.news, modelNews{to, strikes})
+		}
+	}
+}
+
+func (w *poisonWorld) hear(n int) {
+	if n < len(w.news) {
+		w.group[w.news[n].to].Heard(w.news[n].strikes, w.now)
+		w.news = append(w.news[:n:n], w.news[n+1:]...)
+	}
+}
+
+func (w *poisonWorld) beat(from int) {
+	strikes := w.group[from].Strikes(w.now)
+	for to := range w.group {
+		if to != from {
+			w.group[to].Heard(strikes, w.now)
+		}
+	}
+}
+
+func (w *poisonWorld) step() {
+	i := rapid.IntRange(0, len(w.group)-1).Draw(w.t, "endpoint")
+	f := uint64(rapid.IntRange(0, modelPrints-1).Draw(w.t, "request"))
+	switch rapid.SampledFrom([]string{"nothing", "start", "start", "start", "end", "end", "beat", "hear", "withdraw", "time"}).Draw(w.t, "step") {
+	case "start":
+		w.start(i, f)
+	case "end":
+		w.end(i, f)
+	case "beat":
+		w.beat(i)
+	case "hear":
+		w.hear(rapid.IntRange(0, 3).Draw(w.t, "which"))
+	case "withdraw":
+		w.group[i].Withdraw(f)
+	case "time":
+		w.now += time.Second
+	}
+}
+
+// Symptom: one request takes down engine after engine, or an innocent one is
+// refused for an hour in its place.
+// Sequence: two requests crash each engine that runs them, one every other; their
+// callers and those of innocent ones send them again and again to any endpoint;
+// news of crashes comes late, in any order, or only by heartbeats.
+// Cause looked for: strikes that are lost, cleared without a bound, or counted
+// against what ran beside the culprit.
+func TestPoisonIsBoundedAndInnocentsAreNotGivenUp(t *testing.T) {
+	p := DefaultPoisonParams
+	rapid.Check(t, func(t *rapid.T) {
+		w := newPoisonWorld(t, 4)
+		for range 300 {
+			w.step()
+		}
+		for i := range w.group {
+			for f := uint64(innocents); f < modelPrints; f++ {
+				if w.group[i].Judge(f, w.now).Kind == GivenUp {
+					t.Fatalf("innocent request %d is given up at endpoint %d", f, i)
+				}
+			}
+			if n := w.local[i][deadly]; n > p.Limit {
+				t.Fatalf("%d crashes by one request at one endpoint, even unheard", n)
+			}
+			if n := w.local[i][flaky]; n > p.Limit+int(p.Pardons) {
+				t.Fatalf("%d crashes at one endpoint by a request that sometimes completes", n)
+			}
+		}
+	})
+}
+
+// Symptom: copies of one request sent to many endpoints at once crash them all
+// again and again.
+// Bound: engines that ran a copy when the first one crashed, and Limit-1 more.
+func TestPoisonCrashesOverTheGroupWhenStrikesAreHeard(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newPoisonWorld(t, 5)
+		copies := rapid.IntRange(1, 5).Draw(t, "copies")
+		for i := range copies {
+			w.start(i, deadly)
+		}
+		for range 100 {
+			i := rapid.IntRange(0, 4).Draw(t, "endpoint")
+			if rapid.Bool().Draw(t, "end") {
+				w.end(i, deadly)
+			} else if w.crashes[deadly] > 0 {
+				// Suspects have one owner, who sends them to one executor.
+				w.start(0, deadly)
+			}
+			for len(w.news) > 0 {
+				w.hear(0)
+			}
+		}
+		if limit := copies + DefaultPoisonParams.Limit - 1; w.crashes[deadly] > limit {
+			t.Fatalf("%d crashes with %d copies at first", w.crashes[deadly], copies)
+		}
+	})
+}
+
+// Symptom: a request given up once is refused for ever.
+// Sequence: peers tell one another of it until long after.
+// Cause: news that don't age.
+func TestStrikesPassedToAndFroExpire(t *testing.T) {
+	w := newPoisonWorld(nil, 3)
+	for range DefaultPoisonParams.Limit {
+		w.start(0, deadly)
+		w.crash(0, deadly)
+	}
+	w.now += 30 * time.Second
+	w.beat(0)
+	v := w.group[1].Judge(deadly, w.now)
+	if v.Kind != GivenUp || v.RetryAfter <= 0 || v.RetryAfter > DefaultPoisonParams.Memory {
+		t.Fatalf("given up by a peer: %+v", v)
+	}
+	for range int(DefaultPoisonParams.Memory/time.Second) + 1 {
+		w.now += time.Second
+		for i := range w.group {
+			w.beat(i)
+		}
+	}
+	for i, p := range w.group {
+		if got := p.Judge(deadly, w.now); got.Kind != Clear {
+			t.Errorf("endpoint %d after its time: %+v", i, got)
+		}
+	}
+}
+
+// Symptom: a request that crashes every other engine does so for ever, each
+// completion clearing it.
+func TestCompletionsClearABoundedNumberOfTimes(t *testing.T) {
+	w := newPoisonWorld(nil, 1)
+	for range 100 {
+		w.start(0, flaky)
+		w.end(0, flaky)
+	}
+	if limit := DefaultPoisonParams.Limit + int(DefaultPoisonParams.Pardons); w.crashes[flaky] != limit {
+		t.Errorf("%d crashes, want %d", w.crashes[flaky], limit)
+	}
+}
+
+// Symptom: a request that was cleared stays a suspect.
+// Sequence: it completes at one endpoint; another, which has not heard of that,
+// still tells of its strike.
+// Cause: merging by the larger count alone.
+func TestAClearedStrikeOutdoesOlderNews(t *testing.T) {
+	a, b := NewPoison(DefaultPoisonParams), NewPoison(DefaultPoisonParams)
+	a.Start(innocents, 0)
+	old := a.Crashed(0)
+	b.Heard(old, 0)
+	a.Start(innocents, 0)
+	a.Ended(innocents, true, 0)
+	b.Heard(a.Strikes(0), 0)
+	b.Heard(old, 0)
+	a.Heard(old, 0)
+	if a.Judge(innocents, 0).Kind != Clear || b.Judge(innocents, 0).Kind != Clear {
+		t.Errorf("after completion: %v and %v", a.Judge(innocents, 0).Kind, b.Judge(innocents, 0).Kind)
+	}
+}
+
+// Symptom: an engine stands idle although requests wait for it.
+// Sequence: a suspect waited to run alone; its caller hung up unnoticed.
+func TestASuspectHoldsBackOthersForAWhileOnly(t *testing.T) {
+	p := NewPoison(DefaultPoisonParams)
+	p.Start(innocents, 0)
+	p.Crashed(0)
+	p.Start(innocents+1, 0)
+	if p.Start(innocents, 0) != GateWait || p.Start(innocents+2, 0) != GateWait {
+		t.Error("a suspect doesn't hold back others")
+	}
+	if p.Start(innocents+2, DefaultPoisonParams.AloneWait) != GateOpen {
+		t.Error("a suspect that nobody asks for holds back others for good")
+	}
+	p.Ended(innocents+1, true, 0)
+	p.Ended(innocents+2, true, 0)
+	now := DefaultPoisonParams.AloneWait
+	if p.Start(innocents, now) != GateOpen || p.Start(innocents+1, now) != GateWait {
+		t.Error("a suspect doesn't run alone")
+	}
+	p.Ended(innocents, false, now)
+	p.Start(innocents+3, now)
+	p.Start(innocents, now)
+	if p.Start(innocents+1, now) != GateOpen {
+		t.Error("suspects leave no gap for others")
+	}
+}
+
+func TestHeartbeatsCarryAllStrikesInTurn(t *testing.T) {
+	p := NewPoison(DefaultPoisonParams)
+	for f := range uint64(100) {
+		p.Start(f, 0)
+	}
+	p.Crashed(0)
+	told := map[uint64]bool{}
+	for range 10 {
+		beat := p.Strikes(time.Second)
+		if len(beat) > DefaultPoisonParams.Beat {
+			t.Fatalf("%d strikes in one heartbeat", len(beat))
+		}
+		for _, s := range beat {
+			told[s.Fingerprint] = true
+		}
+	}
+	if len(told) != 100 {
+		t.Errorf("told %d of 100", len(told))
+	}
+}
