Endpoint: bound replays, notice an unreachable engine at once, own group only

Cause: pieces of ended attempts were kept 30 s whatever their size: 8 MB answers at a few dozen calls a second are gigabytes. A refused connection to the engine was taken for a down engine only after two load reports, and until then requests came to be refused. Change: 32 MB of replays, oldest delivered first; a refused connection marks the engine down and tells the group; a request that the engine didn't take names another endpoint; an Ask for another group is refused. Seen to fail without the mechanism: TestReplaysAreBounded waited in vain. The other changes have no test of their own here. Run: go test -race ./internal/endpoint, green.

--- a/internal/endpoint/admission.go
+++ b/internal/endpoint/admission.go
@@ -133,6 +133,9 @@
 		e.learn(a, end)
 	}
 	ran := end.Outcome != wire.NotRun
+	if a.run.Call == nil && end.Code == wire.CodeNotRun {
+		end.Redirect = e.redirect(a.run)
+	}
 	actual := admit.Actual{
 		UncachedTokens: max(0, end.PromptTokens-end.CachedTokens),
 		OutputTokens:   end.CompletionTokens,
--- a/internal/endpoint/ask.go
+++ b/internal/endpoint/ask.go
@@ -11,6 +11,11 @@
 
 // onAsk decides, as an owner, where a request runs.
 func (e *Endpoint) onAsk(s *wire.Session, ref uint32, ask *wire.Ask) {
+	if ask.Group != e.settings.Endpoint.Group {
+		refusal := wire.Refusal{Code: wire.CodeBadRequest, Message: "not this endpoint's group", Ran: wire.NotRun}
+		e.reply(s, ref, &wire.Failure{Refusal: refusal})
+		return
+	}
 	now := e.now()
 	verdict := e.poison.Judge(ask.Fingerprint, now)
 	crashes := len(ask.Crashed)
--- a/internal/endpoint/completion.go
+++ b/internal/endpoint/completion.go
@@ -45,6 +45,9 @@
 	c.firstToken = func() { e.tel.Metrics.FirstToken(j.run.Organisation, time.Since(j.begun)) }
 	st, err := c.engine.Complete(ctx, c.request())
 	if errors.Is(err, engine.ErrNotSent) {
+		if isUnreachable(err) {
+			e.loop.must(func() { e.engineUnreachable(err) })
+		}
 		return c.notRun(err)
 	}
 	if err != nil && ctx.Err() == nil {
@@ -74,6 +77,12 @@
 	}
 }
 
+// isUnreachable tells an engine that can't be connected to from one that refuses.
+func isUnreachable(err error) bool {
+	var refused *engine.RefusedError
+	return !errors.As(err, &refused)
+}
+
 // notRun tells why the engine didn't take a request.
 func (c *completion) notRun(err error) wire.End {
 	end := wire.End{Outcome: wire.NotRun, Code: wire.CodeNotRun, Message: "engine is not ready"}
--- a/internal/endpoint/enginewatch.go
+++ b/internal/endpoint/enginewatch.go
@@ -53,13 +53,22 @@
 	}
 }
 
+// engineUnreachable takes a connection's failure for a sign as good as missed
+// load reports: until the next one, requests would only come to be refused.
+func (e *Endpoint) engineUnreachable(err error) {
+	if e.watch.up {
+		e.watch.up = false
+		e.log.Warn("engine down", "error", err)
+		e.beatAll()
+	}
+}
+
 func (e *Endpoint) onLoad(load engine.Load, err error) {
 	w := &e.watch
 	if err != nil {
 		w.missed++
-		if w.missed >= missedLoads && w.up {
-			w.up = false
-			e.log.Warn("engine down", "error", err)
+		if w.missed >= missedLoads {
+			e.engineUnreachable(err)
 		}
 		return
 	}
--- a/internal/endpoint/executions.go
+++ b/internal/endpoint/executions.go
@@ -1,7 +1,9 @@
 package endpoint
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"skylarklead/internal/attempt"
@@ -13,6 +15,10 @@
 const (
 	// replayTime is how long an ended attempt's pieces can still be resumed.
 	replayTime = 30 * time.Second
+	// maxReplayBytes bounds the pieces of ended attempts that are kept for that
+	// long. Large answers of a plain service would otherwise fill memory at a few
+	// dozen calls a second.
+	maxReplayBytes = 32 << 20
 	// outcomeTime is how long an attempt's outcome is remembered, far longer
 	// than any entry waits for one. Forgotten sooner, an attempt that ran would
 	// look unseen to a Resolve, which would answer a false not_run.
@@ -87,6 +93,7 @@
 // drops the pieces of old ones.
 func (e *Endpoint) expireExecutions() {
 	now := e.now()
+	e.trimReplays()
 	for _, a := range e.executions {
 		cut := a.stream.cut()
 		switch {
@@ -98,6 +105,32 @@
 	}
 }
 
+// trimReplays drops the pieces of the oldest delivered attempts until the rest
+// is within maxReplayBytes.
+func (e *Endpoint) trimReplays() {
+	var delivered []*execution
+	kept := 0
+	for _, a := range e.executions {
+		if a.phase == phaseEnded {
+			kept += a.stream.bytes()
+			if a.delivered {
+				delivered = append(delivered, a)
+			}
+		}
+	}
+	if kept <= maxReplayBytes {
+		return
+	}
+	slices.SortFunc(delivered, func(a, b *execution) int { return cmp.Compare(a.endedAt, b.endedAt) })
+	for _, a := range delivered {
+		if kept <= maxReplayBytes {
+			return
+		}
+		kept -= a.stream.bytes()
+		e.free(a)
+	}
+}
+
 // abandon gives a stream up. A call to a plain service that nobody reads is left
 // to end by itself: cutting it would undo nothing, and its outcome can still be
 // asked for.
--- a/internal/endpoint/resume.go
+++ b/internal/endpoint/resume.go
@@ -1,6 +1,10 @@
 package endpoint
 
 import (
+	"context"
+	"errors"
+	"log/slog"
+
 	"skylarklead/internal/wire"
 )
 
@@ -70,7 +74,11 @@
 
 // sessionLost keeps the session's attempts for the grace.
 func (e *Endpoint) sessionLost(s *wire.Session, err error) {
-	e.log.Debug("session lost", "peer", s.Peer().ID, "error", err)
+	level := slog.LevelDebug
+	if errors.Is(err, wire.ErrMalformed) {
+		level = slog.LevelWarn
+	}
+	e.log.Log(context.Background(), level, "session lost", "peer", s.Peer().ID, "error", err)
 	for _, a := range e.executions {
 		if a.session != s {
 			continue
--- a/internal/endpoint/run_test.go
+++ b/internal/endpoint/run_test.go
@@ -1,7 +1,11 @@
 package endpoint
 
 import (
+	"bytes"
 	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/coder/websocket"
@@ -268,3 +272,36 @@
 		t.Fatalf("%d messages dropped and counted", dropped)
 	}
 }
+
+// Symptom: a daemon's memory grows to gigabytes beside a busy service.
+// Sequence: many calls with large answers end within half a minute.
+// Cause: every ended attempt's pieces are kept for that time.
+func TestReplaysAreBounded(t *testing.T) {
+	large := bytes.Repeat([]byte("x"), 4<<20)
+	f := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body) // else the server resets the connection
+		w.Write(large)
+	}))
+	t.Cleanup(f.Close)
+	p := startProcess(t, f.URL, func(s *settings.Settings) { s.Endpoint.Kind = kindService })
+	n := p.dial("entry-1")
+	const calls = 12
+	for i := range byte(calls) {
+		run := payment(i+1, 0)
+		run.Key = nil
+		run.Window = 1 << 20
+		n.send(run)
+		if text, end := n.answer(0); len(text) != len(large) || end.Outcome != wire.Done {
+			t.Fatalf("%d bytes, %+v", len(text), end)
+		}
+	}
+	resumable := func(i byte) bool {
+		n.send(&wire.Resume{Attempt: attemptID(i), Epoch: p.tel.Epoch, Window: 1 << 20, Organisation: "org"})
+		_, end := n.answer(0)
+		return end.Outcome == wire.Done
+	}
+	if !resumable(calls) {
+		t.Fatal("the last answer can't be resumed")
+	}
+	waitFor(t, "the oldest to be dropped", func() bool { return !resumable(1) })
+}
--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -32,6 +32,7 @@
 	defer resp.Body.Close()
 	j.stream.begin(resp.Status, resp.ContentType)
 	if err := copyPieces(ctx, j.stream, resp.Body); err != nil {
+		e.log.Warn("service's answer was cut", "request", j.run.Request, "error", err)
 		return wire.End{Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome, Message: "service's answer was cut"}
 	}
 	return wire.End{Outcome: wire.Done}
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -175,6 +175,13 @@
 	return st.sender.Tick(st.now())
 }
 
+// bytes is the size of the pieces kept.
+func (st *stream) bytes() int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.sender.Bytes()
+}
+
 // pump sends until ctx ends. delivered is called each time an End was written.
 func (st *stream) pump(ctx context.Context, delivered func(*wire.Session)) {
 	for {
