Endpoint: drop refused attempts once told; small guards

Cause, found by reading: each refusal was kept for 30 s with a goroutine, past saturation tens of thousands of them; a heartbeat to an address that another instance has now was counted as told; a partial answer was left out of the prompt's cost; a log that doesn't hold long polls was asked in a tight loop. Run: go test -race ./internal/endpoint, green; none of the four has a test.

--- a/internal/endpoint/admission.go
+++ b/internal/endpoint/admission.go
@@ -53,7 +53,8 @@
 	a.chain = prefix.Chain(salt.Root(), prefix.Flatten(a.messages))
 	a.predicted, _ = e.picture.Resident(a.chain)
 	e.picture.Track(route.OwnerKey(a.run.Organisation, a.run.Model, a.run.Levels), a.run.Levels)
-	return max(0, prefix.Tokens(a.messages)-a.predicted)
+	partial := len(a.run.Partial) / prefix.BytesPerToken
+	return max(0, prefix.Tokens(a.messages)+partial-a.predicted)
 }
 
 // perform does what the admission core asks for.
--- a/internal/endpoint/executions.go
+++ b/internal/endpoint/executions.go
@@ -48,6 +48,7 @@
 	// that is lost.
 	session   *wire.Session
 	endedAt   time.Duration
+	outcome   wire.Outcome
 	delivered bool
 	// claimed is set while the attempt runs under an idempotency key; followers
 	// get its answer too.
@@ -144,6 +145,20 @@
 	}
 }
 
+// onDelivered notes that an attempt's End was written to a session. One that has
+// not run has no pieces to resume, and is dropped at once: past saturation there
+// are many refusals a second, which would each be kept for replayTime.
+func (e *Endpoint) onDelivered(a *execution, s *wire.Session) {
+	if a.session != s {
+		return // resumed on another one meanwhile
+	}
+	a.delivered = true
+	e.drain.lastEnd = e.now()
+	if a.phase == phaseEnded && a.outcome == wire.NotRun {
+		e.free(a)
+	}
+}
+
 // free forgets an ended execution; the registry keeps its outcome.
 func (e *Endpoint) free(a *execution) {
 	a.stopPump()
--- a/internal/endpoint/heartbeat.go
+++ b/internal/endpoint/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -75,6 +76,9 @@
 	ctx, stop := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer stop()
 	s, err := e.pool.Get(ctx, b.Address)
+	if err == nil && s.Peer().ID != b.ID {
+		err = fmt.Errorf("endpoint: %s is %s now", b.Address, s.Peer().ID)
+	}
 	if err == nil {
 		err = s.Send(hb)
 	}
--- a/internal/endpoint/logreader.go
+++ b/internal/endpoint/logreader.go
@@ -69,6 +69,10 @@
 			r.deliver(page, started)
 			// A page may be cut short anywhere. Only a read that finds nothing
 			// shows the end, so one without a wait follows each that finds some.
+			if len(page.Records) == 0 && wait > 0 && r.now()-started < logPause {
+				// A log that doesn't hold long polls would be asked in a tight loop.
+				sleepFor(ctx, logPause)
+			}
 			wait = logWait
 			if len(page.Records) > 0 {
 				wait = 0
--- a/internal/endpoint/run.go
+++ b/internal/endpoint/run.go
@@ -60,10 +60,7 @@
 	e.executions[run.Attempt] = a
 	e.tel.Metrics.Requests.Mark(1)
 	go a.stream.pump(ctx, func(s *wire.Session) {
-		e.loop.must(func() {
-			a.delivered = a.delivered || a.session == s
-			e.drain.lastEnd = e.now()
-		})
+		e.loop.must(func() { e.onDelivered(a, s) })
 	})
 	return a
 }
@@ -155,6 +152,7 @@
 		return
 	}
 	a.phase = phaseEnded
+	a.outcome = end.Outcome
 	a.endedAt = e.now()
 	e.registry.End(a.id, end.Outcome, a.endedAt)
 	a.stream.finish(end)
