Route: a small organisation's wait is a turn, cases stay where they are

Their prefixes had been copied to up to seven endpoints, since others' backlogs and one slow observation counted as their wait, and the large one's cases had evicted the rest. Change: an organisation with less than its share waits for one place at most; else the whole queue counts, with the places that are not reserved; one observation moves the smoothed wait by a fifth at most; the eviction price rises with the organisation's share of that cache.

--- a/internal/route/heat.go
+++ b/internal/route/heat.go
@@ -36,11 +36,16 @@
 	at    time.Duration
 }
 
-const waitMemory = 500 * time.Millisecond
+const (
+	waitMemory = 500 * time.Millisecond
+	// maxWaitShare bounds the share of one observation, however long ago the
+	// last one was: a single one says nothing of what stays.
+	maxWaitShare = 0.2
+)
 
 func (s *smooth) add(now time.Duration, v float64) {
 	share := 1 - math.Exp(-float64(now-s.at)/float64(waitMemory))
-	s.value += max(0, share) * (v - s.value)
+	s.value += min(maxWaitShare, max(0, share)) * (v - s.value)
 	s.at = now
 }
 
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // score sets the expected milliseconds to first token at each candidate, with
 // what the placement costs others.
@@ -16,14 +19,15 @@
 
 func (r *Router) scoreOne(now time.Duration, q *Query, owner uint64, c *candidate, e *Endpoint) {
 	p := &r.params
+	k := shareKey{owner, c.slot}
 	uncached := float64(q.PromptTokens - c.cached)
-	c.wait = r.wait(now, q, owner, c, e)
-	c.copying = uncached*r.prefillMs() + uncached*r.evictionPrice(now, c, e)
+	c.wait = r.wait(now, q, k, e)
+	c.copying = uncached * (r.prefillMs() + r.evictionPrice(now, k, e))
 	c.score = c.wait + c.copying
 	if q.FailureDomain != "" && e.FailureDomain != q.FailureDomain {
 		c.score += 2 * ms(p.CrossingCost)
 	}
-	held := r.table.shares[shareKey{owner, c.slot}]
+	held := r.table.shares[k]
 	c.full = !c.holder && float64(held)+uncached > p.MaxShare*r.cacheTokens(e)
 }
 
@@ -33,9 +37,9 @@
 // wait estimates the milliseconds until a place is free and the prefill before
 // it is done. Below the number of places it is a small cost that rises with the
 // places taken: others' work that this process doesn't know of may take the rest.
-func (r *Router) wait(now time.Duration, q *Query, owner uint64, c *candidate, e *Endpoint) float64 {
-	places, service := float64(r.params.MaxRunning), r.serviceMs(q)
-	o := &r.table.slots[c.slot].occupancy
+func (r *Router) wait(now time.Duration, q *Query, k shareKey, e *Endpoint) float64 {
+	places, service := r.params.openPlaces(), r.serviceMs(q)
+	o := &r.table.slots[k.slot].occupancy
 	if e.HasLoad {
 		o.report(now, now-e.LoadAge, amount{
 			requests: float64(e.Load.Running + e.Load.Queued),
@@ -45,11 +49,17 @@
 	o.advance(now, places, service)
 	turn := service / places
 	use := min(1, o.value.requests/places)
-	wait := o.value.prefill + turn*use*use*use
-	if over := o.value.requests + 1 - places; over > 0 {
-		wait += turn * min(over, r.turns(now, shareKey{owner, c.slot}, e))
+	rising := turn * use * use * use
+	if r.light(now, k, e) {
+		return rising + o.value.prefill/max(1, o.value.requests) + turn*max(0, min(1, o.value.requests+1-places))
 	}
-	return wait
+	return rising + o.value.prefill + turn*max(0, o.value.requests+1-places)
+}
+
+// openPlaces is how many places are not reserved for organisations that use
+// little.
+func (p *Params) openPlaces() float64 {
+	return max(1, math.Floor(float64(p.MaxRunning)*(1-p.SmallReserve)))
 }
 
 // serviceMs is how long a request takes a place, in the mean.
@@ -57,24 +67,21 @@
 	return max(minService, r.expectedOutput(q)*ms(r.params.DecodeTokenTime))
 }
 
-// turns bounds how many requests are served before one of this organisation at
-// a fair queue: its own that wait there, each with one turn of every other
-// organisation. Without it a small organisation would be sent away from the
-// holder of its prefix by a backlog that it never has to wait for.
-func (r *Router) turns(now time.Duration, k shareKey, e *Endpoint) float64 {
-	waiting := float64(e.Load.Organisations)
-	if waiting == 0 {
-		return float64(e.Load.Running + e.Load.Queued + r.params.MaxRunning)
-	}
-	share := float64(r.params.MaxRunning) / (waiting + 1)
-	ownWaiting := max(0, r.flights.read(now, k)-share)
-	return 1 + ownWaiting*(waiting+1)
+// light reports whether an organisation has less than its share of an endpoint's
+// places. It then takes a reserved place, or the next one that is free, and its
+// prompts are computed first. Without this a small organisation would be sent away
+// from the holder of its prefix by a backlog that it never has to wait for.
+func (r *Router) light(now time.Duration, k shareKey, e *Endpoint) bool {
+	others := float64(max(1, e.Load.Organisations))
+	return r.flights.read(now, k) < float64(r.params.MaxRunning)/(others+1)
 }
 
 // evictionPrice is the harm, in milliseconds for each token stored, of evicting
 // what the engine holds: the prefill that an evicted token would have saved
-// within the horizon, weighted by how full the cache is.
-func (r *Router) evictionPrice(now time.Duration, c *candidate, e *Endpoint) float64 {
+// within the horizon, weighted by how full the cache is. It rises with the share
+// of the cache that the organisation already has, so that a hot one's cases stay
+// where they are and don't fill every cache that holds its charters.
+func (r *Router) evictionPrice(now time.Duration, k shareKey, e *Endpoint) float64 {
 	p := &r.params
 	pressure := 1.0
 	if e.Load.CacheTotal > 0 {
@@ -84,11 +91,17 @@
 	if pressure == 0 {
 		return 0
 	}
-	rate := r.table.slots[c.slot].served.rate(now, p.HeatHalfLife)
-	hits := min(1, rate/r.cacheTokens(e)*p.CacheHorizon.Seconds())
-	return pressure * hits * r.prefillMs()
+	total := r.cacheTokens(e)
+	rate := r.table.slots[k.slot].served.rate(now, p.HeatHalfLife)
+	hits := min(1, rate/total*p.CacheHorizon.Seconds())
+	share := float64(r.table.shares[k]) / (p.MaxShare * total)
+	return pressure * (hits + crowding*max(0, share-0.5)) * r.prefillMs()
 }
 
+// crowding is how steeply the price rises with the share beyond half of what is
+// allowed: at the whole of it a token costs twice more than its prefill.
+const crowding = 4
+
 // freeCache is the used share below which storing evicts nothing.
 const freeCache = 0.8
 
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -83,6 +83,9 @@
 	PrefillTokensPerSecond float64
 	DecodeTokenTime        time.Duration
 	MaxRunning             int
+	// SmallReserve is the share of places that admission keeps for organisations
+	// that use little, 0 to 1.
+	SmallReserve float64
 	// CacheTokens is an engine's cache size where its load doesn't say.
 	CacheTokens int
 	// CrossingCost is the one-way delay between failure domains.
@@ -139,6 +142,7 @@
 		PrefillTokensPerSecond: s.PrefillTokensPerSecond,
 		DecodeTokenTime:        s.DecodeTokenTime.D(),
 		MaxRunning:             s.MaxRunning,
+		SmallReserve:           s.SmallReserve,
 		CacheTokens:            s.CacheTokens,
 	}
 }
