Count late ends of crashed runs apart; take a whole window after Resume

Two faults, both met by reading how the roles use the package.

Poison: an executor reports the end of each run, also of those that a crash took. Such an end, told after a copy of the same request had been started anew, was taken for the copy's, and others were started beside a suspect. Ruled out: dropping them by time, since an end may be told at any time.

Receiver: since Resumed returns what is left of the window, a peer that still asks for a whole one had pieces dropped that it was sent, seen as a resume after every slow read. Asking with Resumed's window remains what bounds a caller that doesn't read.

--- a/internal/attempt/poison.go
+++ b/internal/attempt/poison.go
@@ -95,6 +95,9 @@
 	known   map[uint64]*suspicion
 	running map[uint64]int
 	total   int
+	// lost counts the runs that a crash took and that Ended has yet to be told
+	// of, by fingerprint.
+	lost map[uint64]int
 	// waiting has the suspects that asked to run, and since when.
 	waiting map[uint64]time.Duration
 	// freeUntil is the end of the gap after a suspect's run.
@@ -104,7 +107,7 @@
 
 // NewPoison returns an empty memory.
 func NewPoison(p PoisonParams) *Poison {
-	return &Poison{params: p, known: map[uint64]*suspicion{}, running: map[uint64]int{}, waiting: map[uint64]time.Duration{}}
+	return &Poison{params: p, known: map[uint64]*suspicion{}, running: map[uint64]int{}, lost: map[uint64]int{}, waiting: map[uint64]time.Duration{}}
 }
 
 // Judge tells how a request may run.
@@ -186,9 +189,17 @@
 	return false
 }
 
-// Ended says that a request is no longer at the engine. completed clears its
-// strikes.
+// Ended says that a request is no longer at the engine; it is called once for
+// each GateOpen, also for what a crash took. completed clears the strikes.
 func (p *Poison) Ended(fingerprint uint64, completed bool, now time.Duration) {
+	if p.lost[fingerprint] > 0 {
+		// The end of a run before the crash. Taken for that of a copy started
+		// since, it would let others start beside a suspect.
+		if p.lost[fingerprint]--; p.lost[fingerprint] == 0 {
+			delete(p.lost, fingerprint)
+		}
+		return
+	}
 	if p.running[fingerprint] == 0 {
 		return
 	}
@@ -214,7 +225,8 @@
 func (p *Poison) Crashed(now time.Duration) []wire.Strike {
 	alone := p.total == 1
 	strikes := make([]wire.Strike, 0, len(p.running))
-	for f := range p.running {
+	for f, n := range p.running {
+		p.lost[f] += n
 		s := p.live(f, now)
 		if s == nil {
 			s = p.remember(f, now)
--- a/internal/attempt/receiver.go
+++ b/internal/attempt/receiver.go
@@ -37,7 +37,7 @@
 // Receiver puts the pieces of one request's answer in order across attempts.
 //
 // Invariants: every piece below next was delivered exactly once, in order;
-// pending holds only pieces in (next, next+window); a piece of an attempt other
+// pending holds only pieces in (next, next+window), or below credit; a piece of an attempt other
 // than live is never taken.
 type Receiver struct {
 	live    wire.AttemptID
@@ -144,7 +144,7 @@
 	if r.end != nil && m.Seq >= r.end.Seq {
 		return DropContradicting
 	}
-	if m.Seq >= r.credit {
+	if m.Seq >= max(r.credit, r.next+r.window) {
 		return DropBeyondWindow
 	}
 	return Taken
