Give a measured fleet a loopback host of its own

Cause: in a run beside others one daemon was gone when its metrics page was read. Its port had been found free on 127.0.0.1, where outgoing connections take their ports too; its listener then failed. Not seen directly: the folder of that run was not kept. Ruled out: a panic (a second run with its logs kept had none). Change: ports come from a host named after the process ID.

--- a/internal/measure/process.go
+++ b/internal/measure/process.go
@@ -65,26 +65,34 @@
 	return p.start()
 }
 
-// ports hands out free loopback ports. A port is reserved by listening on it
-// until its process is about to start.
+// ports hands out free ports of a loopback host. The host is this process's own:
+// outgoing connections come from 127.0.0.1, so that none of them, and no other
+// fleet, takes a port before the process that it was found for listens on it.
 type ports struct {
 	mu   sync.Mutex
 	used map[int]bool
 }
 
+const octet = 256
+
+func host() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 1+pid/octet%(octet-1), pid%octet)
+}
+
 func (p *ports) address() (string, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", host()+":0")
 		if err != nil {
 			return "", fmt.Errorf("measure: free port: %w", err)
 		}
-		port := l.Addr().(*net.TCPAddr).Port
+		address := l.Addr().(*net.TCPAddr)
 		l.Close()
-		if !p.used[port] {
-			p.used[port] = true
-			return fmt.Sprintf("127.0.0.1:%d", port), nil
+		if !p.used[address.Port] {
+			p.used[address.Port] = true
+			return address.String(), nil
 		}
 	}
 }
