make demo: a small fleet on loopback, started, used, shown and stopped

Cause: the README named a target that didn't exist; a newcomer had no way to see the whole path without writing settings by hand.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,9 @@
 measure: build ## every scenario, policy and seed; hours (MEASURE="--scenario steady --seeds 1" for less)
 	$(BIN)/skylark-measure $(MEASURE)
 
+demo: build ## a small fleet on loopback with a few requests (KEEP=1 leaves it running)
+	@KEEP=$(KEEP) scripts/demo.sh
+
 lint: ## gofmt, vet, staticcheck
 	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "gofmt wants:"; echo "$$out"; exit 1; fi
 	$(GO) vet ./...
