Send a keyed request again after a loss, and say done when it is known

Cause: a request with an idempotency key whose executor was lost was answered unknown_outcome at once, although the claims let it be sent again without a second run: another executor runs it if it had not been claimed, or knows from the log that it is done. And an answer lost after its executor had said done was called unknown.

Ruled out: sending again from the middle of an answer, since a replay begins at its start; sending again after an executor's own unknown_outcome of a key, which is the claims' last word.

Seen to fail without each: no second sending and done forgotten (directed tests), running taken for done and a loss that doesn't count (property).

--- a/internal/attempt/plan.go
+++ b/internal/attempt/plan.go
@@ -13,6 +13,9 @@
 type Spec struct {
 	// Repeatable requests may run more than once.
 	Repeatable bool
+	// Keyed requests have an idempotency key: they aren't repeatable, but may be
+	// sent more than once, for the claims let one of the sendings run.
+	Keyed bool
 	// Continuable answers can be gone on with from what the caller already has.
 	// Completions are; a plain service's answer isn't, for a second run may
 	// answer in other bytes.
@@ -77,6 +80,8 @@
 	sent    bool
 	started bool
 	tainted bool
+	// ran is set once an executor has said that an attempt is done.
+	ran bool
 	// redirected is set while the live attempt follows a redirect.
 	redirected bool
 	suspect    bool
@@ -218,7 +223,7 @@
 	if p.target.Endpoint != "" && !slices.Contains(p.exclude, p.target.Endpoint) {
 		p.exclude = append(p.exclude, p.target.Endpoint)
 	}
-	canContinue := p.next == 0 || p.spec.Continuable
+	canContinue := p.next == 0 || p.spec.Continuable && p.spec.Repeatable
 	if !canContinue || p.runs >= p.params.Runs || !p.budget.Allow(kind, now) {
 		return p.refuse(code, message, max(retryAfter, p.params.RetryAfter))
 	}
@@ -249,13 +254,17 @@
 }
 
 // refuse gives the final answer. It says not_run only if no attempt may have
-// run and the caller has nothing of an answer.
+// run and the caller has nothing of an answer; done if the answer was lost after
+// an executor had said so.
 func (p *Plan) refuse(code wire.Code, message string, retryAfter time.Duration) []Action {
 	ran := wire.NotRun
 	if p.tainted || p.next > 0 {
 		ran = wire.Unknown
 	}
-	if ran == wire.Unknown && code == wire.CodeNotRun {
+	if p.ran {
+		ran = wire.Done
+	}
+	if ran != wire.NotRun && code == wire.CodeNotRun {
 		code = wire.CodeUnknownOutcome
 	}
 	return p.finish(nil, &wire.Refusal{Code: code, Message: message, Ran: ran, RetryAfterMs: retryAfter.Milliseconds()})
--- a/internal/attempt/plan_outcome.go
+++ b/internal/attempt/plan_outcome.go
@@ -75,7 +75,8 @@
 		p.tainted = true
 		return p.refuse(wire.CodeGivenUp, "the request crashed the engines that ran it", p.params.GivenUpFor)
 	}
-	if end.Code != wire.CodeNone && final(end.Code) && end.Code != wire.CodeUnknownOutcome {
+	claimsSay := p.spec.Keyed && end.Code == wire.CodeUnknownOutcome
+	if end.Code != wire.CodeNone && final(end.Code) && (end.Code != wire.CodeUnknownOutcome || claimsSay) {
 		p.tainted = true
 		return p.refuse(end.Code, end.Message, millis(end.RetryAfterMs))
 	}
@@ -87,9 +88,11 @@
 }
 
 // lostSaying: nothing more can be learnt of the live attempt, which may have run.
+// A keyed request is sent again: another executor runs it if the lost one hadn't
+// claimed the key, and else knows from the claims what can be known.
 func (p *Plan) lostSaying(message string, retryAfter time.Duration, now time.Duration) []Action {
 	p.tainted = true
-	if !p.spec.Repeatable {
+	if !p.spec.Repeatable && !p.spec.Keyed {
 		return p.refuse(wire.CodeUnknownOutcome, message, retryAfter)
 	}
 	return p.elsewhere(wire.CodeUnknownOutcome, message, retryAfter, ExtraRetry, now)
@@ -124,6 +127,7 @@
 	}
 	if e.Answer.Running || e.Answer.Outcome == wire.Done {
 		p.started = true
+		p.ran = e.Answer.Outcome == wire.Done
 		return p.reach(0)
 	}
 	if e.Answer.Outcome == wire.NotRun {
--- a/internal/attempt/plan_test.go
+++ b/internal/attempt/plan_test.go
@@ -162,6 +162,13 @@
 		return
 	}
 	switch {
+	case w.plan.spec.Keyed && w.runs > 0: // the claims let one sending run
+		end := wire.End{Attempt: r.Attempt, Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome}
+		if luck > 4 {
+			end.Outcome, end.Code = wire.Done, wire.CodeKeyConflict
+		}
+		e.registry.End(r.Attempt, end.Outcome, w.now)
+		w.end(e, end)
 	case luck == 0:
 		e.registry.End(r.Attempt, wire.NotRun, w.now)
 		w.end(e, wire.End{Attempt: r.Attempt, Outcome: wire.NotRun, Code: wire.CodeDraining})
@@ -250,6 +257,9 @@
 	if r := w.finish.Refusal; r != nil && r.Ran == wire.NotRun && w.runs > 0 {
 		w.t.Fatalf("not_run (%s) said of a request that ran %d times", r.Code, w.runs)
 	}
+	if r := w.finish.Refusal; r != nil && r.Ran == wire.Done && w.runs == 0 {
+		w.t.Fatalf("done (%s) said of a request that did not run", r.Code)
+	}
 	if w.finish.Refusal == nil && w.finish.End.Outcome != wire.Done {
 		w.t.Fatalf("finished by %+v", w.finish.End)
 	}
@@ -267,7 +277,7 @@
 		"complete", "complete", "restart", "cut", "down", "deadline", "hang up",
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		spec := Spec{Repeatable: rapid.Bool().Draw(t, "repeatable"), Continuable: true}
+		spec := rapid.SampledFrom([]Spec{{Continuable: true}, {Repeatable: true, Continuable: true}, {Keyed: true}}).Draw(t, "spec")
 		w := newPlanWorld(t, spec)
 		for range 60 {
 			w.step(rapid.SampledFrom(kinds).Draw(t, "step"), rapid.IntRange(0, 9).Draw(t, "luck"))
@@ -313,6 +323,40 @@
 	}
 }
 
+// Symptom: a payment whose executor was killed is answered unknown_outcome although
+// it had run and that is on the log, or had not been claimed at all.
+// Sequence: the executor is killed; the entry learns that its epoch is gone.
+// Cause: a keyed request given up at the first loss, with the claims not asked.
+func TestPlanSendsAKeyedRequestAgainAfterALoss(t *testing.T) {
+	p := NewPlan(Spec{Keyed: true}, DefaultPlanParams, NewBudget(DefaultBudgetParams), rand.New(rand.NewPCG(1, 1)))
+	p.Begin(0)
+	run := p.Step(Asked{Decision: &wire.Decision{}}, 0)[0].(Run)
+	p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
+	p.Step(SessionLost{Attempt: run.Attempt}, 0)
+	if _, ok := p.Step(ResumeFailed{Attempt: run.Attempt, EpochGone: true}, 0)[0].(Ask); !ok {
+		t.Fatal("not sent again")
+	}
+	again := p.Step(Asked{Decision: &wire.Decision{}}, 0)[0].(Run)
+	p.Step(Sent{Attempt: again.Attempt, Epoch: 1}, 0)
+	refused := &wire.End{Attempt: again.Attempt, Outcome: wire.NotRun, Code: wire.CodeLogUnavailable}
+	if f := p.Step(Ended{Epoch: 1, End: refused}, 0)[0].(Finish); f.Refusal.Ran != wire.Unknown {
+		t.Errorf("the first sending may have run, but %s is said", f.Refusal.Ran)
+	}
+}
+
+func TestPlanSaysDoneOfAnAnswerThatWasLost(t *testing.T) {
+	p := NewPlan(Spec{}, DefaultPlanParams, NewBudget(DefaultBudgetParams), rand.New(rand.NewPCG(1, 1)))
+	p.Begin(0)
+	run := p.Step(Asked{Decision: &wire.Decision{}}, 0)[0].(Run)
+	p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
+	p.Step(SessionLost{Attempt: run.Attempt}, 0)
+	p.Step(Resolved{Epoch: 1, Answer: &wire.Resolved{Attempt: run.Attempt, Outcome: wire.Done}}, 0)
+	f := p.Step(ResumeFailed{Attempt: run.Attempt, EpochGone: true}, 0)[0].(Finish)
+	if f.Refusal.Ran != wire.Done {
+		t.Errorf("%s is said of a request that is known to have run", f.Refusal.Ran)
+	}
+}
+
 // Symptom: a payment is called not_run and was made.
 // Sequence: its executor is killed while it runs it; the process that comes back
 // at the same address says not_run of an attempt that it has never seen.
