Route: endpoints tell who is heavy there; copies only of what takes places

Change: load summaries name the waiting organisations over their share (Heavy) and the mean share of output tokens in the most allowed (OutputShare), both optional; admission and routing expect output as that share of max_tokens; the owner counts work in requests of the mean service time; a holder is added only if the prefix's own work takes a fifth of its holders' places.

--- a/internal/admit/core.go
+++ b/internal/admit/core.go
@@ -25,6 +25,7 @@
 	entries   map[ID]*entry
 	room      *KVRoom
 	speed     speed
+	output    lengths // of all organisations
 	present   present
 	seq       uint64
 	running   int
@@ -81,7 +82,8 @@
 	cost := 0.0
 	if actual.Ran {
 		cost = c.params.cost(actual.UncachedTokens, actual.OutputTokens)
-		e.org.output.observe(actual.OutputTokens)
+		e.org.output.observe(actual.OutputTokens, e.item.MaxTokens)
+		c.output.observe(actual.OutputTokens, e.item.MaxTokens)
 		c.speed.finished(cost)
 	}
 	c.queue.correct(e.org, cost-e.cost)
@@ -138,14 +140,40 @@
 	// DecodeTokens are the expected output tokens of all items.
 	DecodeTokens int
 	Saturated    bool
-	// Organisations is how many have items waiting.
+	// Organisations is how many have items waiting, Heavy those of them that have
+	// more than their share here.
 	Organisations int
+	Heavy         []string
+	// OutputShare is the mean of output tokens over the most allowed, 0 if not
+	// known yet.
+	OutputShare float64
 }
 
+// heavy lists the waiting organisations that have more than their share.
+func (c *Core) heavy() []string {
+	shares := c.shares(c.speed.at)
+	var names []string
+	for _, o := range c.queue.waiting {
+		if len(names) < maxHeavy && !shares.light(o) {
+			names = append(names, o.name)
+		}
+	}
+	return names
+}
+
+// maxHeavy bounds the names in a load summary.
+const maxHeavy = 8
+
 // Summary returns the load as of the last event.
 func (c *Core) Summary() Summary {
 	prefilling := c.backlog(c.speed.at).Seconds() * c.params.PrefillTokensPerSecond
+	share := 0.0
+	if c.output.known() {
+		share = c.output.mean
+	}
 	return Summary{
+		Heavy:         c.heavy(),
+		OutputShare:   share,
 		Running:       c.running,
 		Queued:        c.queue.length,
 		QueuedTokens:  c.uncached + int(prefilling),
--- a/internal/admit/kv.go
+++ b/internal/admit/kv.go
@@ -30,7 +30,9 @@
 // Remove ends it.
 func (r *KVRoom) Remove(d demand) { r.taken -= d.prompt + d.most }
 
-// lengths learns the mean and deviation of an organisation's outputs.
+// lengths learns the mean and deviation of outputs as a share of the most
+// allowed. Callers ask for short classifications and long replies by that bound,
+// so the share varies far less than the length.
 type lengths struct {
 	seen     int
 	mean     float64
@@ -44,10 +46,14 @@
 	lengthsTrust = 4
 )
 
-func (l *lengths) observe(tokens int) {
+func (l *lengths) observe(tokens, most int) {
+	if most <= 0 {
+		return
+	}
+	value := min(1, float64(tokens)/float64(most))
 	l.seen = min(l.seen+1, lengthsMemory)
 	share := 1 / float64(l.seen)
-	delta := float64(tokens) - l.mean
+	delta := value - l.mean
 	l.mean += share * delta
 	l.variance = (1 - share) * (l.variance + share*delta*delta)
 }
@@ -61,9 +67,5 @@
 	if !l.known() {
 		return float64(most) / 2, float64(most) / 4
 	}
-	mean = l.mean
-	if most > 0 {
-		mean = min(mean, float64(most))
-	}
-	return mean, math.Sqrt(l.variance)
+	return l.mean * float64(most), math.Sqrt(l.variance) * float64(most)
 }
--- a/internal/endpoint/enginewatch.go
+++ b/internal/endpoint/enginewatch.go
@@ -7,6 +7,7 @@
 	"skylarklead/internal/cachemap"
 	"skylarklead/internal/engine"
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/route"
 	"skylarklead/internal/wire"
 )
 
@@ -177,8 +178,12 @@
 		Saturated:    summary.Saturated,
 		// Owners tell by it how long an organisation's turn will take.
 		Organisations: summary.Organisations,
+		OutputShare:   summary.OutputShare,
 		EngineUp:      true,
 	}
+	for _, name := range summary.Heavy {
+		load.Heavy = append(load.Heavy, route.OrganisationHash(name))
+	}
 	if e.engine == nil {
 		return load
 	}
--- a/internal/route/decide.go
+++ b/internal/route/decide.go
@@ -294,9 +294,12 @@
 // commit notes the decision in the table and as work in flight.
 func (r *Router) commit(now time.Duration, q *Query, chosen int) {
 	c := &r.scratch[chosen]
-	owner := organisationHash(q.Organisation)
+	owner := OrganisationHash(q.Organisation)
 	s := &r.table.slots[c.slot]
-	s.occupancy.add(now, float64(q.PromptTokens-c.cached)*r.prefillMs())
+	s.occupancy.add(now, amount{
+		requests: r.serviceMs(q) / r.meanServiceMs(q),
+		prefill:  float64(q.PromptTokens-c.cached) * r.prefillMs(),
+	})
 	s.served.add(now, r.params.HeatHalfLife, float64(c.cached))
 	r.flights.add(now, shareKey{owner, c.slot}, c.wait+r.serviceMs(q))
 	r.table.decided(now, owner, q.Levels, c.slot)
--- a/internal/route/heat.go
+++ b/internal/route/heat.go
@@ -105,6 +105,9 @@
 	if v.held < h.holders || (h.holders > 1 && now-h.changedAt < p.WidenHold) {
 		return
 	}
+	if h.places(now, p) < widenUse*float64(v.held*p.MaxRunning) {
+		return
+	}
 	expected := h.requests.rate(now, p.HeatHalfLife) * p.CacheHorizon.Seconds()
 	if expected*(h.wait.value-v.other) <= v.copying {
 		return
@@ -118,8 +121,7 @@
 	if h.holders <= 1 {
 		return
 	}
-	places := h.work.rate(now, p.HeatHalfLife) / 1000
-	if places > narrowUse*float64((h.holders-1)*p.MaxRunning) {
+	if h.places(now, p) > narrowUse*float64((h.holders-1)*p.MaxRunning) {
 		return
 	}
 	h.holders--
@@ -127,6 +129,17 @@
 	h.lowSince = now
 }
 
-// narrowUse is the share of the remaining holders' places that a prefix's work
-// may take for one to be given up.
-const narrowUse = 0.35
+// places is how many places the prefix's work takes in the mean.
+func (h *heat) places(now time.Duration, p *Params) float64 {
+	return h.work.rate(now, p.HeatHalfLife) / 1000
+}
+
+const (
+	// widenUse is the share of its holders' places that a prefix's own work must
+	// take for another holder. Below it the prefix isn't what they are busy with,
+	// and copies of it would be used too seldom to stay.
+	widenUse = 0.2
+	// narrowUse is the share of the remaining holders' places that a prefix's
+	// work may take for one to be given up.
+	narrowUse = 0.35
+)
--- a/internal/route/occupancy.go
+++ b/internal/route/occupancy.go
@@ -21,7 +21,8 @@
 	minService   = 10 // ms
 )
 
-// amount is work at an endpoint: requests, and milliseconds of prefill.
+// amount is work at an endpoint: requests of the group's mean service time, and
+// milliseconds of prefill.
 type amount struct {
 	requests float64
 	prefill  float64
@@ -82,16 +83,16 @@
 }
 
 // add notes a decision of this process.
-func (o *occupancy) add(now time.Duration, prefill float64) {
-	o.value.requests++
-	o.value.prefill += prefill
+func (o *occupancy) add(now time.Duration, v amount) {
+	o.value.requests += v.requests
+	o.value.prefill += v.prefill
 	tick := int64(now / arrivalTick)
 	a := &o.history[tick%arrivalTicks]
 	if a.tick != tick {
 		*a = arrivals{tick: tick}
 	}
-	a.sum.requests++
-	a.sum.prefill += prefill
+	a.sum.requests += v.requests
+	a.sum.prefill += v.prefill
 }
 
 // report takes a load report as of reportAt; one that is known already is
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -15,7 +15,10 @@
 	cached  []int32 // by slot, tokens of this query
 	key     int32   // the node that binds this query, or none
 	flights flights
-	output  float64 // mean expected output of the group's requests, tokens
+	// output is the mean expected output of the group's requests in tokens,
+	// outputShare the mean of output over the most allowed; 0 is not known.
+	output      float64
+	outputShare float64
 }
 
 // NewRouter returns a Router that knows nothing yet.
@@ -36,7 +39,7 @@
 	if !ok || r.table.slots[s].epoch != f.Epoch || !f.Ran {
 		return
 	}
-	r.table.finished(now, organisationHash(f.Organisation), f.Levels, s)
+	r.table.finished(now, OrganisationHash(f.Organisation), f.Levels, s)
 }
 
 // Advertised takes an endpoint's word on what its engine holds.
@@ -54,31 +57,39 @@
 	r.table.gone(endpoint)
 }
 
-// learnOutput takes the mean expected output from a load summary.
+// learnOutput takes the mean expected output, and its share of the most allowed,
+// from a load summary.
 func (r *Router) learnOutput(l *wire.Load) {
-	requests := l.Running + l.Queued
-	if requests == 0 || l.DecodeTokens == 0 {
-		return
+	if l.OutputShare > 0 {
+		learn(&r.outputShare, l.OutputShare)
 	}
-	mean := float64(l.DecodeTokens) / float64(requests)
-	if r.output == 0 {
-		r.output = mean
+	if requests := l.Running + l.Queued; requests > 0 && l.DecodeTokens > 0 {
+		learn(&r.output, float64(l.DecodeTokens)/float64(requests))
 	}
-	r.output += outputMemory * (mean - r.output)
 }
 
-// outputMemory is the share of the newest load summary in the mean output.
+func learn(value *float64, newest float64) {
+	if *value == 0 {
+		*value = newest
+	}
+	*value += outputMemory * (newest - *value)
+}
+
+// outputMemory is the share of the newest load summary in what is learnt.
 const outputMemory = 0.02
 
 // expectedOutput is how many tokens q will probably generate.
 func (r *Router) expectedOutput(q *Query) float64 {
-	most := float64(q.MaxTokens)
-	if r.output == 0 || r.output > most {
-		return most / 2
+	share := r.outputShare
+	if share == 0 {
+		share = defaultOutputShare
 	}
-	return r.output
+	return share * float64(q.MaxTokens)
 }
 
+// defaultOutputShare is used until an endpoint has told one.
+const defaultOutputShare = 0.5
+
 // flight is an organisation's requests in service at one endpoint, decaying with
 // their mean service time.
 type flight struct {
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -2,13 +2,16 @@
 
 import (
 	"math"
+	"slices"
 	"time"
+
+	"skylarklead/internal/wire"
 )
 
 // score sets the expected milliseconds to first token at each candidate, with
 // what the placement costs others.
 func (r *Router) score(now time.Duration, q *Query, endpoints []Endpoint) {
-	owner := organisationHash(q.Organisation)
+	owner := OrganisationHash(q.Organisation)
 	for i := range r.scratch {
 		c := &r.scratch[i]
 		if c.excluded == "" {
@@ -38,13 +41,10 @@
 // it is done. Below the number of places it is a small cost that rises with the
 // places taken: others' work that this process doesn't know of may take the rest.
 func (r *Router) wait(now time.Duration, q *Query, k shareKey, e *Endpoint) float64 {
-	places, service := r.params.openPlaces(), r.serviceMs(q)
+	places, service := r.params.openPlaces(), r.meanServiceMs(q)
 	o := &r.table.slots[k.slot].occupancy
 	if e.HasLoad {
-		o.report(now, now-e.LoadAge, amount{
-			requests: float64(e.Load.Running + e.Load.Queued),
-			prefill:  float64(e.Load.QueuedTokens) * r.prefillMs(),
-		}, places, service)
+		o.report(now, now-e.LoadAge, r.reported(&e.Load), places, service)
 	}
 	o.advance(now, places, service)
 	turn := service / places
@@ -56,24 +56,45 @@
 	return rising + o.value.prefill + turn*max(0, o.value.requests+1-places)
 }
 
+// reported is the work of a load summary, in requests of mean output.
+func (r *Router) reported(l *wire.Load) amount {
+	requests := float64(l.Running + l.Queued)
+	if r.output > 0 {
+		requests = float64(l.DecodeTokens) / r.output
+	}
+	return amount{requests: requests, prefill: float64(l.QueuedTokens) * r.prefillMs()}
+}
+
 // openPlaces is how many places are not reserved for organisations that use
 // little.
 func (p *Params) openPlaces() float64 {
 	return max(1, math.Floor(float64(p.MaxRunning)*(1-p.SmallReserve)))
 }
 
-// serviceMs is how long a request takes a place, in the mean.
+// serviceMs is how long q will take a place.
 func (r *Router) serviceMs(q *Query) float64 {
 	return max(minService, r.expectedOutput(q)*ms(r.params.DecodeTokenTime))
 }
 
-// light reports whether an organisation has less than its share of an endpoint's
-// places. It then takes a reserved place, or the next one that is free, and its
-// prompts are computed first. Without this a small organisation would be sent away
-// from the holder of its prefix by a backlog that it never has to wait for.
+// meanServiceMs is the mean over the group's requests, of q if there is none.
+func (r *Router) meanServiceMs(q *Query) float64 {
+	if r.output == 0 {
+		return r.serviceMs(q)
+	}
+	return max(minService, r.output*ms(r.params.DecodeTokenTime))
+}
+
+// light reports whether an organisation waits for a place at most: it takes a
+// reserved one or the next that is free, and its prompts are computed first. It
+// does unless the endpoint has told that it has more than its share there, or has
+// half of the places by what was sent since. Without this a small organisation
+// would be sent away from the holder of its prefix by a backlog that it never has
+// to wait for.
 func (r *Router) light(now time.Duration, k shareKey, e *Endpoint) bool {
-	others := float64(max(1, e.Load.Organisations))
-	return r.flights.read(now, k) < float64(r.params.MaxRunning)/(others+1)
+	if slices.Contains(e.Load.Heavy, k.owner) {
+		return false
+	}
+	return r.flights.read(now, k) < float64(r.params.MaxRunning)/2
 }
 
 // evictionPrice is the harm, in milliseconds for each token stored, of evicting
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -109,7 +109,8 @@
 	return time.Duration(age)*time.Millisecond <= life
 }
 
-func organisationHash(organisation string) uint64 { return xxhash.Sum64String(organisation) }
+// OrganisationHash names an organisation in load summaries and shares.
+func OrganisationHash(organisation string) uint64 { return xxhash.Sum64String(organisation) }
 
 func (t *Table) slotOf(endpoint string) uint16 {
 	if s, ok := t.bySlot[endpoint]; ok {
