--- a/cmd/skylark-measure/slopes.go
+++ b/cmd/skylark-measure/slopes.go
@@ -17,9 +17,10 @@
 	return &cli.Command{
 		Name:      "slopes",
 		Usage:     "measure how a daemon's use grows with one thing at a time",
-		ArgsUsage: "group|request|stream|configuration|platform|claims|start ...",
+		ArgsUsage: "group|request|stream|configuration|platform|claims|start|session ...",
 		Flags: []cli.Flag{
 			&cli.IntSliceFlag{Name: "sizes", Value: []int{2, 4, 8, 16, 32}, Usage: "members of a group"},
+			&cli.IntSliceFlag{Name: "sessions", Value: []int{0, 100, 200, 400}, Usage: "sessions to one daemon"},
 			&cli.FloatFlag{Name: "rate", Value: 2.2, Usage: "requests a second for each member"},
 			&cli.IntFlag{Name: "repeats", Value: 2, Usage: "how often each point is measured"},
 			&cli.DurationFlag{Name: "window", Value: 20 * time.Second, Usage: "how long each point is measured"},
@@ -47,6 +48,7 @@
 		"platform":      func() (any, error) { return measure.PlatformSlopes(ctx, progress, o) },
 		"claims":        func() (any, error) { return measure.ClaimSlopes(ctx, progress, o) },
 		"start":         func() (any, error) { return measure.StartSlopes(ctx, progress, o) },
+		"session":       func() (any, error) { return measure.SessionSlopes(ctx, c.IntSlice("sessions"), progress, o) },
 	}
 	args := c.Args().Slice()
 	if len(args) == 0 {
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -8,10 +8,11 @@
 	"golang.org/x/sync/singleflight"
 )
 
-// idleTimeout is how long an unused outgoing session is kept. Connections are
-// made on demand: at 600 replicas, a ping to each would use up a daemon's whole
-// budget for control traffic.
-const idleTimeout = 30 * time.Second
+// idleTimeout is how long an unused outgoing session is kept. Sessions are opened
+// on demand, but at three requests a second over 600 replicas each is used only
+// every few minutes: aged out sooner, nearly every request would open one, which
+// costs more than keeping it (idlePingInterval).
+const idleTimeout = 10 * time.Minute
 
 // Pool keeps one outgoing session for each address.
 type Pool struct {
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -26,16 +26,7 @@
 	// socket's buffers; without the bound one such peer would hold the lock of
 	// every stream on its session for ever.
 	writeTimeout = 5 * time.Second
-	// pingInterval and pingTimeout find a peer that is half-open: its host is
-	// gone or cut off but no reset ever arrives. The session would otherwise
-	// look alive until the kernel gives up, minutes later.
-	pingInterval = 2 * time.Second
-	pingTimeout  = 2 * time.Second
-	// idlePings is how many intervals pass between pings while nothing waits
-	// on the session. Peers of a group keep a session each; pinging all of them
-	// at the full rate would cost more than the heartbeats themselves.
-	idlePings  = 5
-	nonceBytes = 16
+	nonceBytes   = 16
 )
 
 var (
@@ -73,6 +64,7 @@
 	peer    Identity
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
+	pulse   *pulse
 	traffic *Traffic
 
 	mu      sync.Mutex
@@ -87,7 +79,8 @@
 func Dial(ctx context.Context, address string, opts Options) (*Session, error) {
 	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	conn, resp, err := websocket.Dial(openCtx, "ws://"+address+Path, nil)
+	p := newPulse()
+	conn, resp, err := websocket.Dial(openCtx, "ws://"+address+Path, &websocket.DialOptions{OnPingReceived: p.pinged})
 	if err != nil {
 		return nil, fmt.Errorf("wire: dial %s: %w", address, err)
 	}
@@ -100,12 +93,16 @@
 		conn.CloseNow()
 		return nil, fmt.Errorf("wire: open to %s: %w", address, err)
 	}
-	return start(conn, peer, opts), nil
+	return start(conn, peer, p, opts), nil
 }
 
 // Accept serves one peer's session on an HTTP request and returns when it ends.
 func Accept(w http.ResponseWriter, r *http.Request, opts Options) error {
-	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	p := newPulse()
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{
+		CompressionMode: websocket.CompressionDisabled,
+		OnPingReceived:  p.pinged,
+	})
 	if err != nil {
 		return fmt.Errorf("wire: accept %s: %w", r.RemoteAddr, err)
 	}
@@ -117,7 +114,7 @@
 		conn.CloseNow()
 		return fmt.Errorf("wire: open from %s: %w", r.RemoteAddr, err)
 	}
-	s := start(conn, peer, opts)
+	s := start(conn, peer, p, opts)
 	<-s.ctx.Done()
 	return context.Cause(s.ctx)
 }
@@ -201,13 +198,14 @@
 	return conn.Write(ctx, websocket.MessageBinary, frame)
 }
 
-func start(conn *websocket.Conn, peer Identity, opts Options) *Session {
+func start(conn *websocket.Conn, peer Identity, p *pulse, opts Options) *Session {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	s := &Session{
 		conn:    conn,
 		peer:    peer,
 		ctx:     ctx,
 		cancel:  cancel,
+		pulse:   p,
 		traffic: opts.Traffic,
 		calls:   make(map[uint32]chan Message),
 		used:    time.Now(),
@@ -230,6 +228,7 @@
 		if err != nil {
 			return fmt.Errorf("%w: read: %v", ErrClosed, err)
 		}
+		s.pulse.beat()
 		ref, m, err := Decode(frame)
 		if err != nil {
 			return err
@@ -280,28 +279,6 @@
 	return false
 }
 
-func (s *Session) keepalive() {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
-	for tick := 1; ; tick++ {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if !s.awaited() && tick%idlePings != 0 {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(s.ctx, pingTimeout)
-		err := s.conn.Ping(ctx)
-		cancel()
-		if err != nil {
-			s.Close(fmt.Errorf("%w: no answer to ping: %v", ErrClosed, err))
-			return
-		}
-	}
-}
-
 // Hold marks that somebody waits for the peer, as the receiver of a stream
 // does, so that a half-open session is found within seconds. The returned
 // function ends it and may be called more than once.
