--- a/internal/attempt/plan_test.go
+++ b/internal/attempt/plan_test.go
@@ -344,16 +344,25 @@
 	}
 }
 
-func TestPlanSaysDoneOfAnAnswerThatWasLost(t *testing.T) {
-	p := NewPlan(Spec{}, DefaultPlanParams, NewBudget(DefaultBudgetParams), rand.New(rand.NewPCG(1, 1)))
-	p.Begin(0)
-	run := p.Step(Asked{Decision: &wire.Decision{}}, 0)[0].(Run)
-	p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
-	p.Step(SessionLost{Attempt: run.Attempt}, 0)
-	p.Step(Resolved{Epoch: 1, Answer: &wire.Resolved{Attempt: run.Attempt, Outcome: wire.Done}}, 0)
-	f := p.Step(ResumeFailed{Attempt: run.Attempt, EpochGone: true}, 0)[0].(Finish)
-	if f.Refusal.Ran != wire.Done {
-		t.Errorf("%s is said of a request that is known to have run", f.Refusal.Ran)
+func TestPlanSaysDoneOfALostAnswerOnlyWhenItWasSaid(t *testing.T) {
+	for _, test := range []struct {
+		answer wire.Resolved
+		want   wire.Outcome
+	}{
+		{wire.Resolved{Outcome: wire.Done}, wire.Done},
+		{wire.Resolved{Outcome: wire.Unknown, Running: true}, wire.Unknown},
+	} {
+		p := NewPlan(Spec{}, DefaultPlanParams, NewBudget(DefaultBudgetParams), rand.New(rand.NewPCG(1, 1)))
+		p.Begin(0)
+		run := p.Step(Asked{Decision: &wire.Decision{}}, 0)[0].(Run)
+		p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
+		p.Step(SessionLost{Attempt: run.Attempt}, 0)
+		test.answer.Attempt = run.Attempt
+		p.Step(Resolved{Epoch: 1, Answer: &test.answer}, 0)
+		f := p.Step(ResumeFailed{Attempt: run.Attempt, EpochGone: true}, 0)[0].(Finish)
+		if f.Refusal.Ran != test.want {
+			t.Errorf("after %+v: %s is said, want %s", test.answer, f.Refusal.Ran, test.want)
+		}
 	}
 }
 
