--- a/internal/attempt/plan_test.go
+++ b/internal/attempt/plan_test.go
@@ -99,13 +99,21 @@
 // at the same address says not_run of an attempt that it has never seen.
 // Cause: an end taken without a look at the epoch that speaks.
 func TestPlanDoesNotBelieveAnotherEpoch(t *testing.T) {
-	p := NewPlan(Spec{}, DefaultPlanParams, NewBudget(DefaultBudgetParams), rand.New(rand.NewPCG(1, 1)))
-	p.Begin(0)
-	run := p.Step(Asked{Decision: &wire.Decision{}}, 0)[0].(Run)
-	p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
-	out := p.Step(Ended{Epoch: 2, End: &wire.End{Attempt: run.Attempt, Outcome: wire.NotRun}}, 0)
-	if f, ok := out[0].(Finish); !ok || f.Refusal.Ran != wire.Unknown || f.Refusal.Code != wire.CodeUnknownOutcome {
-		t.Fatalf("got %+v", out)
+	for name, word := range map[string]func(wire.AttemptID) Event{
+		"an end": func(a wire.AttemptID) Event { return Ended{Epoch: 2, End: &wire.End{Attempt: a, Outcome: wire.NotRun}} },
+		"resolved": func(a wire.AttemptID) Event {
+			return Resolved{Epoch: 2, Answer: &wire.Resolved{Attempt: a, Outcome: wire.NotRun}}
+		},
+	} {
+		p := NewPlan(Spec{}, DefaultPlanParams, NewBudget(DefaultBudgetParams), rand.New(rand.NewPCG(1, 1)))
+		p.Begin(0)
+		run := p.Step(Asked{Decision: &wire.Decision{}}, 0)[0].(Run)
+		p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
+		p.Step(SessionLost{Attempt: run.Attempt}, 0)
+		out := p.Step(word(run.Attempt), 0)
+		if f, ok := out[0].(Finish); !ok || f.Refusal.Ran != wire.Unknown || f.Refusal.Code != wire.CodeUnknownOutcome {
+			t.Errorf("%s: got %+v", name, out)
+		}
 	}
 }
 
@@ -139,6 +147,26 @@
 	}
 }
 
+// Symptom: one request goes round all endpoints of a group that drain or fail.
+// Cause: a budget that has saved up, and no bound for the one request.
+func TestPlanBoundsTheRunsOfOneRequest(t *testing.T) {
+	p := NewPlan(Spec{Repeatable: true}, DefaultPlanParams, NewBudget(DefaultBudgetParams), rand.New(rand.NewPCG(1, 1)))
+	out := p.Begin(0)
+	runs := 0
+	for !p.Final() {
+		if _, ok := out[0].(Ask); !ok {
+			t.Fatalf("got %+v", out)
+		}
+		run := p.Step(Asked{Decision: &wire.Decision{}}, 0)[0].(Run)
+		runs++
+		p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
+		out = p.Step(Ended{Epoch: 1, End: &wire.End{Attempt: run.Attempt, Outcome: wire.NotRun, Code: wire.CodeDraining}}, 0)
+	}
+	if runs != DefaultPlanParams.Runs || out[0].(Finish).Refusal.Ran != wire.NotRun {
+		t.Errorf("%d runs, then %+v", runs, out[0])
+	}
+}
+
 func TestPlanGoesOnFromWhatTheCallerHas(t *testing.T) {
 	for _, test := range []struct {
 		name string
