Entry: test slow uploads and callers that stop reading

Cause: both bounds stood untested, for they last 10 s and more. Change: they are fields of Entry (timeouts), which tests shorten; the defaults are as before. Seen to fail by a mutant each: no deadline for the body, none for writes.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -26,11 +26,11 @@
 	if refusal != nil {
 		return refusal
 	}
-	e.drive(r.Context(), j, e.ask, newAnswerSink(w, req, body))
+	e.drive(r.Context(), j, e.ask, newAnswerSink(e.newWriter(w), req, body))
 	return nil
 }
 
-func newAnswerSink(w http.ResponseWriter, req *request, body *chatBody) sink {
+func newAnswerSink(w writer, req *request, body *chatBody) sink {
 	shape := newChatShape(req.id, body.Model)
 	if body.Stream {
 		return newSSESink(w, shape, req.id, body.IncludeUsage)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,6 +37,7 @@
 	chooser   *chooser
 	options   wire.Options
 	pool      *wire.Pool
+	timeouts  timeouts
 	// stopping is closed when new requests begin to be refused.
 	stopping   chan struct{}
 	background sync.WaitGroup
@@ -66,6 +67,7 @@
 		hub:      newHub(tel),
 		inFlight: newInFlight(),
 		drain:    newDrain(),
+		timeouts: defaultTimeouts,
 		stopping: make(chan struct{}),
 	}
 	var err error
--- a/internal/entry/refuse_test.go
+++ b/internal/entry/refuse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -109,6 +110,58 @@
 	}
 }
 
+// Symptom: an entry has no connections left for honest callers.
+// Sequence: a caller sends its header and part of its body, and nothing more.
+// Cause: without a bound on the upload's time it keeps its connection for ever.
+func TestSlowUploadIsCutOff(t *testing.T) {
+	e, server := newTestEntry(t, "llm")
+	e.timeouts.body = 20 * time.Millisecond
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, err = conn.Write([]byte("POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer " + testKey +
+		"\r\nContent-Length: 1000\r\n\r\n{"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.SetReadDeadline(time.Now().Add(patience))
+	answer, err := io.ReadAll(conn) // to the end of the connection
+	if err != nil || !strings.Contains(string(answer), "cut off after 1 bytes") {
+		t.Errorf("answer %q, %v", answer, err)
+	}
+}
+
+// Symptom: an engine's place is taken for ever by a caller that reads nothing.
+// Sequence: a long answer fills the caller's socket; the caller stays connected.
+// Cause: nothing fails until a write has a bound.
+func TestStalledCallerIsCutOff(t *testing.T) {
+	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+		big := []byte(strings.Repeat("x", 64<<10))
+		flood := func(id wire.AttemptID, from, to uint64) {
+			for seq := from; seq < to; seq++ {
+				_ = s.Send(&wire.Chunk{Attempt: id, Seq: seq, Data: big})
+			}
+		}
+		switch m := m.(type) {
+		case *wire.Ask:
+			x.decide(s, ref, m)
+		case *wire.Run:
+			flood(m.Attempt, 0, window)
+		case *wire.Credit:
+			flood(m.Attempt, m.Seq-window/2, m.Seq)
+		}
+	})
+	e, server := newTestEntry(t, "llm", x)
+	e.timeouts.stall = 50 * time.Millisecond
+	resp := post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody)
+	until(t, "canceled", func() bool { return count[*wire.Cancel](x) > 0 })
+	if _, err := io.Copy(io.Discard, resp.Body); err == nil {
+		t.Error("the cut answer looks whole")
+	}
+}
+
 // Symptom: a payment runs twice, or is reported as not run although it did.
 // Sequence: the executor takes the call and is killed before it answers; its next
 // epoch can't know.
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -42,7 +42,7 @@
 	life := e.newLife(r.Context(), req.deadline, e.settings.Entry.ResumeGrace.D())
 	defer life.cancel(nil)
 	e.tel.Metrics.Requests.Mark(1)
-	out := newSSESink(w, newChatShape(req.id, ""), req.id, false)
+	out := newSSESink(e.newWriter(w), newChatShape(req.id, ""), req.id, false)
 	s := &resumption{answer: &answer{e: e, job: j, out: out}, life: life, target: target}
 	s.run(at.attempt)
 	return nil
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -15,10 +15,9 @@
 )
 
 const (
-	// readHeaderTimeout and bodyTimeout bound a caller that sends a byte now and
+	// readHeaderTimeout bounds a caller that sends a byte of its header now and
 	// then to keep connections occupied.
 	readHeaderTimeout = 5 * time.Second
-	bodyTimeout       = 15 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
 	// deadlineGrace is how long past its deadline a request waits for the
@@ -26,6 +25,18 @@
 	deadlineGrace = 250 * time.Millisecond
 )
 
+// timeouts bound callers that are slow on purpose or by accident.
+type timeouts struct {
+	// body is how long an upload may take; connections would otherwise be kept
+	// occupied by a byte now and then.
+	body time.Duration
+	// stall is how long a caller may leave its socket full. One who stops reading
+	// would otherwise hold its stream, and the engine's place, for ever.
+	stall time.Duration
+}
+
+var defaultTimeouts = timeouts{body: 15 * time.Second, stall: 10 * time.Second}
+
 // callers returns the handler of the callers' interface.
 func (e *Entry) callers() http.Handler {
 	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
@@ -136,7 +147,7 @@
 // readBody reads a caller's body within its bounds of size and time.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Error) {
 	rc := http.NewResponseController(w)
-	if err := rc.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+	if err := rc.SetReadDeadline(time.Now().Add(e.timeouts.body)); err != nil {
 		return nil, refuse(wire.CodeInternal, "read deadline: %v", err)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.settings.Entry.MaxBody))
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -41,7 +41,7 @@
 		return refusal
 	}
 	j := serviceJob(req, service, r, path, body)
-	e.drive(r.Context(), j, e.placeService, newServiceSink(w, req.id))
+	e.drive(r.Context(), j, e.placeService, newServiceSink(e.newWriter(w), req.id))
 	return nil
 }
 
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -12,10 +12,6 @@
 	"skylarklead/internal/wire"
 )
 
-// stallTimeout is how long a caller may leave its socket full. One who stops
-// reading would otherwise hold its stream, and the engine's place, for ever.
-const stallTimeout = 10 * time.Second
-
 // sink is a caller's side of an answer. Its methods are called by one goroutine,
 // and end or fail is called once, last.
 type sink interface {
@@ -67,17 +63,18 @@
 
 // writer writes to a caller with a bound on each write.
 type writer struct {
-	w  http.ResponseWriter
-	rc *http.ResponseController
+	w     http.ResponseWriter
+	rc    *http.ResponseController
+	stall time.Duration
 }
 
-func newWriter(w http.ResponseWriter) writer {
-	return writer{w: w, rc: http.NewResponseController(w)}
+func (e *Entry) newWriter(w http.ResponseWriter) writer {
+	return writer{w: w, rc: http.NewResponseController(w), stall: e.timeouts.stall}
 }
 
 // flush writes data through to the caller.
 func (w writer) flush(data []byte) error {
-	if err := w.rc.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
+	if err := w.rc.SetWriteDeadline(time.Now().Add(w.stall)); err != nil {
 		return fmt.Errorf("%w: %v", errCaller, err)
 	}
 	if _, err := w.w.Write(data); err != nil {
--- a/internal/entry/sse.go
+++ b/internal/entry/sse.go
@@ -80,8 +80,8 @@
 	begun     bool
 }
 
-func newSSESink(w http.ResponseWriter, shape chatShape, requestID string, usage bool) *sseSink {
-	return &sseSink{writer: newWriter(w), chatShape: shape, requestID: requestID, usage: usage}
+func newSSESink(w writer, shape chatShape, requestID string, usage bool) *sseSink {
+	return &sseSink{writer: w, chatShape: shape, requestID: requestID, usage: usage}
 }
 
 func (s *sseSink) start(executor string, _ *wire.Start) error {
--- a/internal/entry/whole.go
+++ b/internal/entry/whole.go
@@ -59,8 +59,8 @@
 	chatShape
 }
 
-func newChatSink(w http.ResponseWriter, shape chatShape, requestID string) *chatSink {
-	return &chatSink{wholeSink: wholeSink{writer: newWriter(w), requestID: requestID}, chatShape: shape}
+func newChatSink(w writer, shape chatShape, requestID string) *chatSink {
+	return &chatSink{wholeSink: wholeSink{writer: w, requestID: requestID}, chatShape: shape}
 }
 
 type answerChoiceJSON struct {
@@ -98,8 +98,8 @@
 // serviceSink answers a call to a plain service with what the service said.
 type serviceSink struct{ wholeSink }
 
-func newServiceSink(w http.ResponseWriter, requestID string) *serviceSink {
-	return &serviceSink{wholeSink{writer: newWriter(w), requestID: requestID}}
+func newServiceSink(w writer, requestID string) *serviceSink {
+	return &serviceSink{wholeSink{writer: w, requestID: requestID}}
 }
 
 func (s *serviceSink) end(*wire.End) error {
