--- a/internal/attempt/once.go
+++ b/internal/attempt/once.go
@@ -23,7 +23,8 @@
 	// takes among all processes. SettleDelay lets settles ride on claims.
 	Interval    time.Duration
 	SettleDelay time.Duration
-	// MaxBackoff bounds the wait after failed appends.
+	// MaxBackoff bounds the wait after failed appends. It stays below ClaimBound,
+	// or sendings made when the log is back are refused for the last failure.
 	MaxBackoff time.Duration
 	// RetryAfter is when a caller may come back after a passing refusal.
 	RetryAfter time.Duration
@@ -38,7 +39,7 @@
 var DefaultOnceParams = OnceParams{
 	Retention: time.Hour, ClaimBound: time.Second, FreshFor: 10 * time.Second,
 	HoldFor: 5 * time.Second, Interval: 25 * time.Millisecond, SettleDelay: 250 * time.Millisecond,
-	MaxBackoff: time.Second, RetryAfter: 2 * time.Second,
+	MaxBackoff: 500 * time.Millisecond, RetryAfter: 2 * time.Second,
 	Horizon: 24 * time.Hour, MaxUndated: 1 << 16, ResultBytes: 16 << 20,
 }
 
