Ask again when no endpoint is left for a moment; tell when an endpoint is ready

Ruled out: budget (none was asked for), drain of the entries (those callers were at a ready one).

Change: the plan asks again after its backoff, about all endpoints, when an owner refuses with no_endpoint, as often as it asks in a row without an answer. Endpoint processes answer /readyz: ready when the back end is up and each usable peer has had a heartbeat of this epoch. Whoever restarts a fleet waits for it; /healthz was answered before any peer knew of the new epoch.

--- a/internal/attempt/plan.go
+++ b/internal/attempt/plan.go
@@ -167,6 +167,14 @@
 	}
 	if d.Refusal != nil {
 		p.noteSaturation(d.Refusal.Code, now)
+		if d.Refusal.Code == wire.CodeNoEndpoint && p.asks < p.params.Asks {
+			// In a rolling restart a request can meet each endpoint while that one
+			// is away: one left, the next one leaves, the last has no engine yet.
+			// Its caller would be refused though the first is back. Asking has no
+			// effect, so it is asked again, about all of them.
+			p.exclude = nil
+			return p.ask(p.wait(p.asks))
+		}
 		return p.refuse(d.Refusal.Code, d.Refusal.Message, millis(d.Refusal.RetryAfterMs))
 	}
 	p.asks = 0
--- a/internal/endpoint/group.go
+++ b/internal/endpoint/group.go
@@ -18,6 +18,9 @@
 type group struct {
 	view  *member.View
 	peers map[string]*peer
+	// listRead is set once the instance list was asked for, whether or not it
+	// answered.
+	listRead bool
 }
 
 // peer is what a member's heartbeats told, and what ours have told it.
@@ -26,6 +29,7 @@
 	loadAt   time.Duration
 	hasLoad  bool
 	sending  bool
+	told     bool // a heartbeat of ours was sent
 	epoch    wire.Epoch
 	unsent   map[uint64]int // residents to be told, by hash
 	fullSent time.Duration  // when all residents were last sent; 0 is never
@@ -51,6 +55,7 @@
 
 // onList takes the platform's instance list, which proposes members only.
 func (e *Endpoint) onList(list []platform.Instance, err error) {
+	e.group.listRead = true
 	if err != nil {
 		e.log.Debug("instance list not read", "error", err)
 		return
--- a/internal/endpoint/heartbeat.go
+++ b/internal/endpoint/heartbeat.go
@@ -90,6 +90,7 @@
 			return
 		}
 		e.epochSeen(s.Peer())
+		e.group.peer(b.ID).told = true
 		e.heardOffset(s, s.Peer().ConfigOffset)
 	})
 }
--- a/internal/endpoint/server.go
+++ b/internal/endpoint/server.go
@@ -24,6 +24,7 @@
 	}
 	r := mux.NewRouter()
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.HandleFunc("/readyz", e.readyz)
 	r.HandleFunc(wire.Path, func(w http.ResponseWriter, r *http.Request) { e.accept(w, r, options) })
 	server := &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout}
 	go func() {
@@ -34,6 +35,35 @@
 	return server, nil
 }
 
+// readyz tells whoever restarts the fleet whether to go on with the next process.
+func (e *Endpoint) readyz(w http.ResponseWriter, r *http.Request) {
+	ready := make(chan bool, 1)
+	e.loop.must(func() { ready <- e.ready() })
+	select {
+	case ok := <-ready:
+		if !ok {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	case <-r.Context().Done():
+	}
+}
+
+// ready reports whether the group can count on this endpoint: its back end is up
+// and every peer has had a heartbeat of this epoch. A peer that hasn't still takes
+// it for leaving. If the next process stopped now, there might be nobody left that
+// an owner would choose, and callers would be refused in a rolling restart.
+func (e *Endpoint) ready() bool {
+	if e.drain.leaving || !e.group.listRead || !e.load().EngineUp {
+		return false
+	}
+	for _, m := range e.group.view.Members(e.now()) {
+		if m.Usable() && !e.group.peer(m.ID).told {
+			return false
+		}
+	}
+	return true
+}
+
 func (e *Endpoint) accept(w http.ResponseWriter, r *http.Request, options wire.Options) {
 	err := wire.Accept(w, r, options)
 	switch {
