--- a/cmd/skylarkd/main.go
+++ b/cmd/skylarkd/main.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -19,25 +21,49 @@
 
 // Exit codes.
 const (
-	exitFailed   = 1
-	exitSettings = 2
+	exitOK     = 0
+	exitFailed = 1
+	// exitUsage: the command line or the settings were wrong; nothing was started.
+	exitUsage = 2
 )
 
+// errServe marks what failed after the settings were found good.
+var errServe = errors.New("stopped")
+
 func main() {
-	if err := command().Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "skylarkd:", err)
-		os.Exit(exitFailed)
+	os.Exit(execute(context.Background(), os.Args, os.Stdout, os.Stderr))
+}
+
+// execute runs the daemon with the arguments, the first of which is its name,
+// and returns the exit code.
+func execute(ctx context.Context, args []string, out, errOut io.Writer) int {
+	err := command(out, errOut).Run(ctx, args)
+	if err == nil {
+		return exitOK
 	}
+	fmt.Fprintln(errOut, "skylarkd:", err)
+	if errors.Is(err, errServe) {
+		return exitFailed
+	}
+	return exitUsage
 }
 
-func command() *cli.Command {
+func command(out, errOut io.Writer) *cli.Command {
 	return &cli.Command{
-		Name:  "skylarkd",
-		Usage: "route language-model traffic with long shared prompts",
+		Name:      "skylarkd",
+		Usage:     "route language-model traffic with long shared prompts",
+		UsageText: "skylarkd --config FILE [--check]",
+		Writer:    out,
+		ErrWriter: errOut,
+		// The library would print the help for each mistake.
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err },
 		Description: "SIGTERM drains: new work is refused, nothing in flight is cut, and the\n" +
-			"process exits when its last stream has ended.",
+			"process exits when its last stream has ended.\n\n" +
+			"  skylarkd --config entry.json --check\n" +
+			"  skylarkd --config entry.json 2>>entry.log\n\n" +
+			"Exit codes: 0 done; 1 failed after the start; 2 bad use or bad settings.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Usage: "settings `FILE`, JSON with comments", Required: true},
+			&cli.StringFlag{Name: "config", Usage: "settings `FILE`, JSON with comments"},
 			&cli.BoolFlag{Name: "check", Usage: "only check the settings"},
 		},
 		Action: run,
@@ -45,17 +71,26 @@
 }
 
 func run(ctx context.Context, c *cli.Command) error {
+	if c.Args().Present() {
+		return fmt.Errorf("unexpected argument %q; usage: skylarkd --config FILE [--check]", c.Args().First())
+	}
+	if c.String("config") == "" {
+		return errors.New("--config FILE is missing; examples/ has settings to begin with")
+	}
 	s, err := settings.Load(c.String("config"))
 	if err != nil {
-		return cli.Exit(err.Error(), exitSettings)
+		return err
 	}
 	if c.Bool("check") {
-		fmt.Println("settings are good")
+		fmt.Fprintln(c.Root().Writer, "settings are good")
 		return nil
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return serve(ctx, s)
+	if err := serve(ctx, s); err != nil {
+		return fmt.Errorf("%w: %w", errServe, err)
+	}
+	return nil
 }
 
 func serve(ctx context.Context, s *settings.Settings) error {
--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/url"
 	"os"
 	"slices"
 	"strings"
@@ -55,10 +56,15 @@
 }
 
 func platformURL(c *cli.Command) (string, error) {
-	if u := c.String("platform"); u != "" {
-		return u, nil
+	given := c.String("platform")
+	if given == "" {
+		return "", fmt.Errorf("the platform's address is missing: --platform URL or SKYLARK_PLATFORM")
 	}
-	return "", fmt.Errorf("the platform's address is missing: --platform URL or SKYLARK_PLATFORM")
+	u, err := url.Parse(given)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return "", fmt.Errorf("the platform's address %q is no URL such as http://127.0.0.1:7000", given)
+	}
+	return given, nil
 }
 
 func openLog(c *cli.Command) (*platform.Log, error) {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
@@ -166,7 +167,10 @@
 var fleetKey = strings.Repeat("ab", 32)
 
 // daemon answers the tool as a daemon would.
-type daemon struct{ drained bool }
+type daemon struct {
+	drained bool
+	role    wire.Role // an endpoint's if empty
+}
 
 func (d *daemon) Handle(s *wire.Session, ref uint32, m wire.Message) {
 	var answer wire.Message
@@ -189,7 +193,7 @@
 func (d *daemon) Closed(*wire.Session, error) {}
 
 func (d *daemon) identity() wire.Identity {
-	return wire.Identity{ID: "ep-1", Role: wire.RoleEndpoint, FailureDomain: "hobart-a", Group: "g"}
+	return wire.Identity{ID: "ep-1", Role: cmp.Or(d.role, wire.RoleEndpoint), FailureDomain: "hobart-a", Group: "g"}
 }
 
 func TestFleetCommands(t *testing.T) {
@@ -214,4 +218,22 @@
 	f.run(ExitUnreachable, "status", "--address=127.0.0.1:1")
 	f.run(ExitUnreachable, "status", "--fleet-key="+strings.Repeat("cd", 32), at)
 	f.run(ExitUsage, "status", "--fleet-key=xyz", at)
+	f.contains(f.run(ExitUnreachable, "status", "--fleet-key="+strings.Repeat("cd", 32), at), "is this the fleet's key?")
+	f.contains(f.run(ExitUsage, "status", "--platform=localhost:7000"), "is no URL")
+	d.role = wire.RoleEntry
+	f.contains(f.run(ExitRefused, "drain", at, "ep-1"), "ep-1 is an entry; SIGTERM drains it")
+}
+
+func TestStatusOfASilentInstance(t *testing.T) {
+	up := instanceStatus{ID: "ep-1", Status: &wire.Status{Identity: wire.Identity{ID: "ep-1", Role: wire.RoleEndpoint}}}
+	down := instanceStatus{ID: "ep-2", Error: "unreachable: a long cause that must not widen the columns"}
+	var table strings.Builder
+	statusTable(&table, []instanceStatus{down, up})
+	lines := strings.Split(strings.TrimSpace(table.String()), "\n")
+	if heads, cells := strings.Count(lines[0], "\t"), strings.Count(lines[1], "\t"); heads != cells {
+		t.Errorf("the silent instance has %d cells, the head %d", cells+1, heads+1)
+	}
+	if want := "ep-2: no answer: " + down.Error; lines[len(lines)-1] != want {
+		t.Errorf("the last line is %q, want %q", lines[len(lines)-1], want)
+	}
 }
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -63,13 +63,20 @@
 func (f *fleet) find(ctx context.Context, endpoint string) (string, error) {
 	for _, p := range f.peers {
 		if p.ID == endpoint {
-			return p.Address, nil
+			return p.Address, endpointOnly(p.ID, wire.Role(p.Role))
 		}
 	}
 	for _, s := range f.statuses(ctx) {
 		if s.ID == endpoint && s.Status != nil {
-			return s.Address, nil
+			return s.Address, endpointOnly(s.ID, s.Status.Identity.Role)
 		}
 	}
 	return "", fmt.Errorf("%w: no instance %s is known", errRefused, endpoint)
 }
+
+func endpointOnly(id string, role wire.Role) error {
+	if role == wire.RoleEntry {
+		return fmt.Errorf("%w: %s is an entry; SIGTERM drains it", errRefused, id)
+	}
+	return nil
+}
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/hex"
+	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"sync"
 
@@ -103,6 +105,10 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	session, err := f.pool.Get(ctx, address)
+	if errors.Is(err, io.EOF) {
+		// A process closes the connection of a peer that doesn't prove the key.
+		return nil, fmt.Errorf("%w: %s cut the connection at its opening; is this the fleet's key?", errUnreachable, address)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errUnreachable, err)
 	}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -76,15 +77,27 @@
 	return fmt.Errorf("%w: none of %d instances answered", errUnreachable, len(all))
 }
 
+var statusHeads = []any{
+	"ID", "ROLE", "DOMAIN", "GROUP", "EPOCH", "CONFIG", "SOURCE", "LOG", "LEAVING",
+	"IN FLIGHT", "RUNNING", "QUEUED", "CACHE", "PICTURE", "UP",
+}
+
+// statusTable has a row for each instance, and the errors of those that didn't
+// answer below it, where they don't widen a column.
 func statusTable(w io.Writer, all []instanceStatus) {
-	row(w, "ID", "ROLE", "DOMAIN", "GROUP", "EPOCH", "CONFIG", "SOURCE", "LOG", "LEAVING", "IN FLIGHT", "RUNNING", "QUEUED", "CACHE", "PICTURE", "UP")
+	row(w, statusHeads...)
 	for _, s := range all {
 		if s.Status == nil {
-			row(w, s.ID, "-", "-", "-", "-", "no answer: "+s.Error)
+			row(w, append([]any{s.ID}, slices.Repeat([]any{"-"}, len(statusHeads)-1)...)...)
 			continue
 		}
 		row(w, cells(s.Status)...)
 	}
+	for _, s := range all {
+		if s.Status == nil {
+			fmt.Fprintf(w, "%s: no answer: %s\n", s.ID, s.Error)
+		}
+	}
 }
 
 func cells(s *wire.Status) []any {
--- a/internal/endpoint/once_test.go
+++ b/internal/endpoint/once_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -22,15 +23,17 @@
 	*httptest.Server
 	mu   sync.Mutex
 	runs map[string]int
-	hold chan struct{} // each call waits for it, if set
+	keys map[string]string // the Idempotency-Key that came with each body
+	hold chan struct{}     // each call waits for it, if set
 }
 
 func newFakeService(t *testing.T) *fakeService {
-	f := &fakeService{runs: map[string]int{}}
+	f := &fakeService{runs: map[string]int{}, keys: map[string]string{}}
 	f.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		f.mu.Lock()
 		f.runs[string(body)]++
+		f.keys[string(body)] = r.Header.Get(engine.HeaderIdempotencyKey)
 		n := f.runs[string(body)]
 		f.mu.Unlock()
 		if f.hold != nil {
@@ -124,6 +127,21 @@
 	}
 }
 
+// Symptom: a service that looks up idempotency keys itself runs a call again.
+// Sequence: a keyed call comes with its request ID only.
+// Cause: the key that entries send along was not handed on.
+func TestServiceGetsTheKey(t *testing.T) {
+	g := startKeyedGroup(t, 1)
+	n := g.members[0].dial("entry-1")
+	n.send(payment(1, 1))
+	n.answer(0)
+	g.service.mu.Lock()
+	defer g.service.mu.Unlock()
+	if got, want := g.service.keys["k1"], strings.Repeat("01", 32); got != want {
+		t.Errorf("the service got key %q, want %q", got, want)
+	}
+}
+
 // Symptom: a payment is made twice.
 // Sequence: a caller's answer is late; it sends the same key again through
 // another entry while the first sending still runs.
--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/hex"
 	"errors"
 	"io"
 
@@ -18,6 +19,7 @@
 	call := j.run.Call
 	resp, err := e.service.Call(ctx, engine.ServiceRequest{
 		ID:          j.run.Request,
+		Key:         hex.EncodeToString(j.run.Key),
 		Method:      call.Method,
 		Path:        call.Path,
 		ContentType: call.ContentType,
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"reflect"
 	"strings"
 
 	"skylarklead/internal/prefix"
@@ -109,7 +110,7 @@
 	case errors.As(err, &syntax):
 		return fmt.Errorf("bad JSON at byte %d: %w", syntax.Offset, err)
 	case errors.As(err, &kind):
-		return fmt.Errorf("field %q at byte %d must be %s, not %s", kind.Field, kind.Offset, kind.Type, kind.Value)
+		return fmt.Errorf("%s at byte %d must be %s, not %s", fieldName(kind.Field), kind.Offset, jsonKind(kind.Type), kind.Value)
 	case errors.Is(err, io.EOF):
 		return errors.New("empty body")
 	case errors.Is(err, io.ErrUnexpectedEOF):
@@ -118,6 +119,30 @@
 	return err
 }
 
+func fieldName(field string) string {
+	if field == "" {
+		return "the body"
+	}
+	return fmt.Sprintf("field %q", field)
+}
+
+// jsonKind names what JSON has to have for a Go type.
+func jsonKind(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Pointer:
+		return jsonKind(t.Elem())
+	case reflect.Struct, reflect.Map:
+		return "an object"
+	case reflect.Slice, reflect.Array:
+		return "a list"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int, reflect.Int64:
+		return "a whole number"
+	}
+	return "a " + t.Kind().String()
+}
+
 func (c *chatJSON) check() (*chatBody, error) {
 	body := &chatBody{Stream: c.Stream, Priority: c.Priority}
 	body.IncludeUsage = c.StreamOptions != nil && c.StreamOptions.IncludeUsage
