--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -68,7 +68,8 @@
 	Endpoints []*Node
 	Services  []*Node
 	Entries   []*Node
-	// Revisions has the offset of each organisation's record at the start.
+	// Revisions has the offsets of the organisations' and the model's records at
+	// the start, by key.
 	Revisions map[string]uint64
 	orgs      []Organisation
 }
@@ -104,6 +105,9 @@
 	return c
 }
 
+// T is the test that the cluster belongs to.
+func (c *Cluster) T() testing.TB { return c.t }
+
 // Nodes returns all daemons.
 func (c *Cluster) Nodes() []*Node {
 	nodes := append([]*Node{}, c.Endpoints...)
--- a/test/harness/records.go
+++ b/test/harness/records.go
@@ -61,7 +61,7 @@
 	for _, group := range []string{Group, ServiceGroup} {
 		c.Publish(Record(config.KindGroup, group, 0, map[string]any{"load_permits": 3}))
 	}
-	c.Publish(ModelRecord(0, Version))
+	c.Revisions[Model] = c.Publish(ModelRecord(0, Version))
 	c.Publish(Record(config.KindService, Service, 0, map[string]any{
 		"group": ServiceGroup, "repeatable": []string{"/balance"}, "key_required": []string{"/pay"},
 	}))
