--- a/test/harness/build.go
+++ b/test/harness/build.go
@@ -67,24 +67,15 @@
 	firstHost = 2
 	lastHost  = 250
 	octet     = 256
-	// proxiesHost is the host of all fault proxies. They take any free port, and
-	// on a cluster's own host could take one handed out to a process that doesn't
-	// listen yet.
-	proxiesHost = 1
 )
 
-func proxyHost() string { return loopback(proxiesHost) }
-
 // newHost returns a loopback host of this process's own network: two test runs
 // at once must not take the same free port of one host for two of their
 // processes, and each then meet the other's.
 func newHost() string {
-	return loopback(firstHost + hosts.Add(1)%(lastHost-firstHost+1))
-}
-
-func loopback(n uint32) string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid/octet%(octet-1), pid%octet, n)
+	n := hosts.Add(1) % (lastHost - firstHost + 1)
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/octet%(octet-1), pid%octet, firstHost+n)
 }
 
 // handedOut has the addresses that processes were told to listen on. The kernel
