Route: the suspects of one crash spread over the group

Cause: all that ran at a crashed engine came back within a moment and went to the one endpoint last reported quietest, to run there alone one after another. Change: the quietest by the followed queue, where a suspect counts as every place. Seen to fail before: 8 suspects went to one endpoint in the new test.

--- a/internal/route/decide.go
+++ b/internal/route/decide.go
@@ -154,7 +154,7 @@
 func (r *Router) pick(now time.Duration, rng *rand.Rand, q *Query, endpoints []Endpoint) (int, string) {
 	best := r.best(rng, func(*candidate) bool { return true })
 	if best >= 0 && q.Suspect {
-		return r.quietest(endpoints), reasonSuspect
+		return r.quietest(), reasonSuspect
 	}
 	if best < 0 || len(q.Levels) == 0 {
 		return best, reasonLoad
@@ -277,13 +277,12 @@
 	return chosen
 }
 
-// quietest returns the candidate with the fewest requests to lose.
-func (r *Router) quietest(endpoints []Endpoint) int {
-	chosen, least := -1, 0
+// quietest returns the candidate with the least work to lose.
+func (r *Router) quietest() int {
+	chosen, least := -1, 0.0
 	for i := range r.scratch {
 		c := &r.scratch[i]
-		load := &endpoints[c.endpoint].Load
-		requests := load.Running + load.Queued
+		requests := r.table.slots[c.slot].occupancy.value.requests
 		if c.excluded == "" && (chosen < 0 || requests < least) {
 			chosen, least = i, requests
 		}
@@ -296,8 +295,14 @@
 	c := &r.scratch[chosen]
 	owner := OrganisationHash(q.Organisation)
 	s := &r.table.slots[c.slot]
+	requests := r.serviceMs(q) / r.meanServiceMs(q)
+	if q.Suspect {
+		// It runs alone and so takes every place. Counted as one request, all
+		// the suspects of a crash would queue for the same quiet endpoint.
+		requests *= float64(r.params.MaxRunning)
+	}
 	s.occupancy.add(now, amount{
-		requests: r.serviceMs(q) / r.meanServiceMs(q),
+		requests: requests,
 		prefill:  float64(q.PromptTokens-c.cached) * r.prefillMs(),
 	})
 	s.served.add(now, r.params.HeatHalfLife, float64(c.cached))
--- a/internal/route/decide_test.go
+++ b/internal/route/decide_test.go
@@ -116,3 +116,24 @@
 		}
 	}
 }
+
+// Symptom: after a crash some callers wait for seconds.
+// Sequence: what ran at the crashed engine is sent again, all within a moment; each
+// of it runs alone.
+// Cause: all of it goes to the one endpoint that was last reported quietest.
+func TestSuspectsOfACrashSpread(t *testing.T) {
+	r, rng, endpoints := NewRouter(Params{}), newRand(), group(8)
+	for i := range endpoints {
+		endpoints[i].Load.Running = 1 + i
+		endpoints[i].Load.DecodeTokens = 50 * (1 + i)
+	}
+	used := map[string]int{}
+	for i := range 8 {
+		q := query(i)
+		q.Suspect = true
+		used[r.Decide(time.Second+time.Duration(i)*time.Millisecond, rng, q, endpoints).Executor]++
+	}
+	if len(used) != len(endpoints) {
+		t.Errorf("8 suspects went to %v", used)
+	}
+}
