--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,10 @@
 GO ?= go
 BIN := bin
 FUZZTIME ?= 30s
+SOAK ?= 30m
+SEED ?= 1
 
-.PHONY: help build test lint prove fuzz demo measure clean
+.PHONY: help build test lint prove soak fuzz demo measure clean
 
 help: ## list the targets
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -18,6 +20,9 @@
 prove: build ## process-level proofs with real processes
 	$(GO) test -count=1 ./test/...
 
+soak: build ## the long seeded soak, one verdict line a promise (SOAK=30m SEED=1)
+	$(GO) test -count=1 -v -timeout 24h -run TestSoak ./test/ -args -soak $(SOAK) -seed $(SEED)
+
 fuzz: ## each fuzz target for FUZZTIME (30s)
 	@$(GO) list -f '{{.Dir}}' ./internal/... ./cmd/... | while read -r dir; do \
 		grep -ho '^func Fuzz[A-Za-z0-9]*' "$$dir"/*_test.go 2>/dev/null | sed 's/^func //' | while read -r target; do \
--- /dev/null
+++ b/test/soak_test.go
@@ -0,0 +1,292 @@
+package test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"skylarklead/internal/wire"
+	"skylarklead/test/harness"
+)
+
+var (
+	soakFor  = flag.Duration("soak", 15*time.Second, "how long the soak brings about faults")
+	soakSeed = flag.Uint64("seed", 1, "seed of the soak's faults")
+)
+
+const (
+	soakStreamers = 6
+	soakPayers    = 3
+	soakTokens    = 60
+)
+
+// soak is one run: the fleet, its load and what was seen.
+type soak struct {
+	t    *testing.T
+	c    *harness.Cluster
+	done chan struct{}
+	// killed counts the kills of each entry: a caller whose entry was killed
+	// meanwhile has lost its connection and no more.
+	killed [2]atomic.Int32
+	// revision is the foodbank's record in force or about to be.
+	revision  uint64
+	published atomic.Int32
+
+	mu       sync.Mutex
+	wrong    []string
+	streams  int
+	whole    int
+	refused  map[wire.Code]int
+	cut      int
+	payments map[string]harness.Answer
+}
+
+// Symptom: promises that hold one at a time break together.
+// Sequence: kills, graceful restarts, pauses, cuts, late links, log outages, lost
+// append answers, engine crashes and configuration changes, drawn by a seed, under
+// streams and payments of two organisations.
+// Cause: whatever the proofs of one fault each don't meet.
+func TestSoak(t *testing.T) {
+	t.Parallel()
+	c := harness.Start(t, harness.Options{Engines: 3, Services: 2, Entries: 2, Settings: retryFreely})
+	s := &soak{
+		t: t, c: c, done: make(chan struct{}),
+		revision: c.Revisions[harness.Foodbank.ID],
+		refused:  map[wire.Code]int{}, payments: map[string]harness.Answer{},
+	}
+	var load sync.WaitGroup
+	for i := range soakStreamers {
+		load.Go(func() { s.stream(i) })
+	}
+	for i := range soakPayers {
+		load.Go(func() { s.pay(i) })
+	}
+	s.disturb()
+	close(s.done)
+	load.Wait()
+	s.recover()
+	s.verdict()
+}
+
+func (s *soak) over() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// disturb brings about one fault after the other until the time is up.
+func (s *soak) disturb() {
+	rng := rand.New(rand.NewPCG(*soakSeed, 0))
+	end := time.Now().Add(*soakFor)
+	for time.Now().Before(end) {
+		s.fault(rng)
+		time.Sleep(300*time.Millisecond + time.Duration(rng.IntN(500))*time.Millisecond) // the pace of faults
+	}
+}
+
+func (s *soak) fault(rng *rand.Rand) {
+	c := s.c
+	n := c.Endpoints[rng.IntN(len(c.Endpoints))]
+	service := c.Services[rng.IntN(len(c.Services))]
+	pause := 500*time.Millisecond + time.Duration(rng.IntN(2000))*time.Millisecond
+	switch rng.IntN(11) {
+	case 0:
+		n.Kill()
+		n.Restart()
+	case 1:
+		service.Kill()
+		service.Restart()
+	case 2:
+		n.Terminate()
+		n.AwaitEnd()
+		n.Restart()
+	case 3:
+		i := rng.IntN(len(c.Entries))
+		s.killed[i].Add(1)
+		c.Entries[i].Kill()
+		c.Entries[i].Restart()
+		c.AwaitReady(c.Entries[i])
+	case 4:
+		c.Crash(n.Engine)
+	case 5:
+		n.Stop()
+		time.AfterFunc(pause, n.Continue)
+	case 6:
+		service.Peer.Cut()
+		n.Peer.Cut()
+	case 7:
+		n.Peer.Freeze()
+		time.AfterFunc(pause, n.Peer.Thaw)
+	case 8:
+		c.Control(c.Platform, map[string]any{"log_down": true, "list_frozen": true})
+		time.AfterFunc(pause, func() { c.Control(c.Platform, map[string]any{"log_down": false, "list_frozen": false}) })
+	case 9:
+		c.Control(c.Platform, map[string]any{"lose_next_answers": 2})
+	case 10:
+		s.publish()
+	}
+}
+
+// charter returns the foodbank as the n-th change has it; 0 is the first.
+func charter(n int32) harness.Organisation {
+	if n == 0 {
+		return harness.Foodbank
+	}
+	o := harness.NewOrganisation(harness.Foodbank.ID, "the rules of Huon Ledger", fmt.Sprint("the foodbank's charter, change ", n))
+	o.Key = harness.Foodbank.Key
+	return o
+}
+
+// publish changes the foodbank's charter. In an outage, or with its answer lost,
+// the change is tried again until the log has it.
+func (s *soak) publish() {
+	s.c.Control(s.c.Platform, map[string]any{"log_down": false, "lose_next_answers": 0})
+	next := s.published.Load() + 1
+	s.published.Store(next)
+	s.revision = s.c.Publish(charter(next).Record(s.revision))
+}
+
+// stream asks for one answer after the other and checks each.
+func (s *soak) stream(caller int) {
+	for i := 0; !s.over(); i++ {
+		entry := s.entry(caller + i)
+		kills := s.killed[entry].Load()
+		before := s.published.Load()
+		chat := harness.Ask(fmt.Sprintf("soak-%d-%d", caller, i), soakTokens)
+		organisation := harness.Hospice
+		if caller%2 == 0 {
+			organisation = harness.Foodbank
+		}
+		a := s.c.Caller(s.c.Entries[entry], organisation).Chat(context.Background(), chat)
+		s.note(organisation, chat, a, before, s.killed[entry].Load() != kills)
+	}
+}
+
+// entry is the n-th entry, or the next one that is ready.
+func (s *soak) entry(n int) int {
+	for i := range s.c.Entries {
+		if e := (n + i) % len(s.c.Entries); s.c.Entries[e].Ready() {
+			return e
+		}
+	}
+	return n % len(s.c.Entries)
+}
+
+func (s *soak) note(o harness.Organisation, chat harness.Chat, a harness.Answer, before int32, killed bool) {
+	err := s.check(o, chat, a, before)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams++
+	switch {
+	case a.Lost != nil && killed:
+		s.cut++
+	case err != nil:
+		s.wrong = append(s.wrong, err.Error())
+	case a.Failure != nil:
+		s.refused[a.Failure.Code]++
+	default:
+		s.whole++
+	}
+}
+
+// check takes the foodbank's answer under any charter that was in force while it
+// ran; one published a while before may still be on its way to some process.
+func (s *soak) check(o harness.Organisation, chat harness.Chat, a harness.Answer, before int32) error {
+	if o.ID != harness.Foodbank.ID {
+		return o.Check(chat, a)
+	}
+	var err error
+	for n := s.published.Load(); n >= 0; n-- {
+		if err = charter(n).Check(chat, a); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// pay sends payments with a key, each until its answer or final refusal.
+func (s *soak) pay(caller int) {
+	for i := 0; !s.over(); i++ {
+		id := fmt.Sprintf("pay-%d-%d", caller, i)
+		key := "key-" + id
+		path := "/pay"
+		if i%3 == 2 {
+			path, key = "/confirm", "" // may not be repeated, and has no key
+		}
+		var a harness.Answer
+		for range 5 {
+			a = s.c.Caller(s.c.Entries[s.entry(caller)], harness.Foodbank).Call(context.Background(), path, id, key)
+			s.mu.Lock()
+			s.payments[id] = a
+			s.mu.Unlock()
+			if key == "" || answeredOnce(a) {
+				break
+			}
+			time.Sleep(keyedPause) // the pause of a caller that comes back
+		}
+	}
+}
+
+// recover ends every fault and waits until each entry answers by the last charter.
+func (s *soak) recover() {
+	s.c.Control(s.c.Platform, map[string]any{"log_down": false, "list_frozen": false, "lose_next_answers": 0})
+	for _, n := range s.c.Nodes() {
+		n.Heal()
+	}
+	last := charter(s.published.Load())
+	for _, entry := range s.c.Entries {
+		harness.Await(s.t, entry.ID+" to answer by the last charter", func() bool { return answersBy(s.c, entry, last) })
+	}
+}
+
+// verdict prints one line a promise.
+func (s *soak) verdict() {
+	t := s.t
+	foreign := 0
+	for _, n := range s.c.Endpoints {
+		foreign += s.c.Account(n.Engine).Totals.ForeignHits
+	}
+	s.c.Settle()
+	runs := runsOf(s.c)
+	twice, falseNotRun, unanswered := 0, 0, 0
+	for id, a := range s.payments {
+		if runs[id] > 1 {
+			twice++
+		}
+		if a.Failure != nil && a.Failure.Ran == wire.NotRun && runs[id] > 0 {
+			falseNotRun++
+			t.Errorf("%s was told not_run and ran %d times: %v", id, runs[id], a)
+		}
+		if a.Ended && runs[id] == 0 {
+			unanswered++
+		}
+	}
+	for _, w := range s.wrong {
+		t.Error(w)
+	}
+	t.Logf("soak of %v, seed %d: %d of %d streams whole, %d payments, %d changes", *soakFor, *soakSeed, s.whole, s.streams, len(s.payments), s.published.Load())
+	line := func(promise, what string, broken int) {
+		if broken > 0 {
+			t.Errorf("promise %s BROKEN: %s: %d", promise, what, broken)
+			return
+		}
+		t.Logf("promise %s held: %s", promise, what)
+	}
+	line("1", "no cached tokens of other organisations or weights", foreign)
+	line("2 and 4", fmt.Sprintf("every answer its own, whole, or an explicit error (%v); %d cut with their entry", s.refused, s.cut), len(s.wrong))
+	if 2*s.whole < s.streams {
+		t.Errorf("only %d of %d streams were whole: the fleet hardly served", s.whole, s.streams)
+	}
+	line("5", "no call ran that was told not_run", falseNotRun)
+	line("6", "no payment ran twice", twice)
+	line("6", "no payment was answered that did not run", unanswered)
+	line("9", "every entry came to answer by the last charter", 0)
+}
