Send candidates when asked for; let the pings keep sessions, not the kernel

Ruled out: candidates never, since a debug log shows them; the two best only, which tells of no exclusion. Explain still has all, from the owner's record.

Change: Ask.Explain (new, optional) asks for candidates; entries set it when they log at debug. Sessions are dialled and accepted without kernel probes; the accepting side pings after 90 s only, so the dialer's pings count for both. The peers' HTTP servers get an idle timeout, which the probes stood in for.

The new test failed without the change; the group tests' ask now sets Explain, as they look at candidates.

measure: ss filters the whole of 127.0.0.0/8, since addresses there moved.

--- a/internal/endpoint/ask.go
+++ b/internal/endpoint/ask.go
@@ -48,6 +48,11 @@
 		decision.Executor = e.target(result.Executor)
 	}
 	e.recordRoute(ask, decision)
+	if !ask.Explain {
+		// The owner of an organisation with many requests would spend more on
+		// these than on all else that it tells.
+		decision.Candidates = nil
+	}
 	e.reply(s, ref, decision)
 }
 
--- a/internal/endpoint/group_test.go
+++ b/internal/endpoint/group_test.go
@@ -60,7 +60,7 @@
 	return &wire.Ask{
 		Request: fmt.Sprintf("r%d", n), Organisation: "org", Group: "g", Model: "m", Version: "v1",
 		Levels: []prefix.Level{{Hash: prefix.Hash(n), Tokens: 160}}, PromptTokens: 200, MaxTokens: 16,
-		Fingerprint: uint64(n),
+		Fingerprint: uint64(n), Explain: true,
 	}
 }
 
@@ -156,6 +156,23 @@
 	}
 }
 
+// Symptom: the owner of a busy organisation spends two thirds of its control
+// traffic on candidates. Sequence: an entry asks; its log shows no candidates.
+// Cause: they go with each Decision whether or not anyone looks at them.
+func TestCandidatesAreSentWhenAskedFor(t *testing.T) {
+	group := startGroup(t, newFakeEngine(t, "a"), newFakeEngine(t, "a"))
+	n := group[0].dial("entry-1")
+	question := ask(6)
+	question.Explain = false
+	if d := n.call(question).(*wire.Decision); d.Executor.Endpoint == "" || len(d.Candidates) != 0 {
+		t.Errorf("got %+v, want an executor without candidates", d)
+	}
+	records := n.call(&wire.ExplainRequest{Request: "r6"}).(*wire.Explanation).Records
+	if len(records) != 1 || len(records[0].Candidates) != 2 {
+		t.Errorf("the owner remembers %+v, want 2 candidates", records)
+	}
+}
+
 // Symptom: callers are refused, then wait for seconds, whenever a new version is
 // published.
 // Sequence: the record names v2 while most engines still have v1; requests that
--- a/internal/endpoint/server.go
+++ b/internal/endpoint/server.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -12,13 +11,18 @@
 	"skylarklead/internal/wire"
 )
 
-const readHeaderTimeout = 5 * time.Second
+const (
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout lets go of a caller of /healthz that is gone without a word:
+	// wire.Listen has the kernel not probe for it.
+	idleTimeout = 2 * time.Minute
+)
 
 var errFlooded = errors.New("endpoint: too many messages wait")
 
 // listen serves peers and /healthz on the settings' address.
 func listen(e *Endpoint, options wire.Options) (*http.Server, error) {
-	listener, err := net.Listen("tcp", e.settings.Listen)
+	listener, err := wire.Listen(e.settings.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("endpoint: listen: %w", err)
 	}
@@ -26,7 +30,7 @@
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.HandleFunc("/readyz", e.readyz)
 	r.HandleFunc(wire.Path, func(w http.ResponseWriter, r *http.Request) { e.accept(w, r, options) })
-	server := &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			e.log.Error("listener ended", "error", err)
--- a/internal/entry/ask.go
+++ b/internal/entry/ask.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -95,6 +96,8 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	question := j.ask(e.settings.FailureDomain)
+	// Only a debug line shows them here; `skylarkctl explain` asks the owner too.
+	question.Explain = e.tel.Log.Enabled(ctx, slog.LevelDebug)
 	question.Exclude = append(e.directory.shunned(j.group), question.Exclude...)
 	owners := order[:min(maxOwners, len(order))]
 	replies := make(chan reply, len(owners))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -92,7 +92,7 @@
 	// What serves the requests in flight goes on until they have ended.
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	peers, err := net.Listen("tcp", e.settings.Listen)
+	peers, err := wire.Listen(e.settings.Listen)
 	if err != nil {
 		return fmt.Errorf("entry: peers: %w", err)
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -142,7 +142,13 @@
 		}
 	})
 	r.HandleFunc("/healthz", e.healthz).Methods(http.MethodGet, http.MethodHead)
-	return &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{
+		Handler:           r,
+		ReadHeaderTimeout: readHeaderTimeout,
+		// wire.Listen has the kernel not probe for a caller that is gone.
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
 }
 
 // sweep closes idle sessions until ctx ends.
--- a/internal/measure/slopes_use.go
+++ b/internal/measure/slopes_use.go
@@ -106,7 +106,7 @@
 // readSockets asks ss, of iproute2, for the loopback's open connections, by
 // process ID. The daemons count frames only, without handshakes and headers.
 func readSockets() (map[int][]socket, error) {
-	out, err := exec.Command("ss", "-tinpHO", "state", "established", "src", "127.0.0.1").Output()
+	out, err := exec.Command("ss", "-tinpHO", "state", "established", "src", "127.0.0.0/8").Output()
 	if err != nil {
 		return nil, fmt.Errorf("measure: ss: %w", err)
 	}
--- a/internal/wire/keepalive.go
+++ b/internal/wire/keepalive.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 )
@@ -19,18 +21,42 @@
 	// members' heartbeats. More often, it would be most of an entry's control
 	// traffic at 600 replicas.
 	idlePingInterval = time.Minute
+	// acceptorPingInterval is the same at the accepting side, which hears the
+	// dialer's pings as long as there is a dialer.
+	acceptorPingInterval = 90 * time.Second
 	// keepaliveTick is how often a session is looked at, and so what finding a
 	// silent peer may take beyond the interval and the timeout.
 	keepaliveTick = 500 * time.Millisecond
 )
 
+// noProbes turns off the kernel's own probes of a connection. At one each 15 s
+// from both ends they would cost several times what the pings do.
+const noProbes = -1
+
+// dialer opens sessions.
+var dialer = &http.Client{Transport: &http.Transport{
+	DialContext: (&net.Dialer{KeepAlive: noProbes}).DialContext,
+}}
+
+// Listen listens for sessions on address, "ip:port".
+func Listen(address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAlive: noProbes}
+	l, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("wire: %w", err)
+	}
+	return l, nil
+}
+
 // pulse is when something last came from the peer.
 type pulse struct {
+	// idle is the silence after which to ping while nobody waits.
+	idle  time.Duration
 	start time.Time
 	at    atomic.Int64 // nanoseconds since start
 }
 
-func newPulse() *pulse { return &pulse{start: time.Now()} }
+func newPulse(idle time.Duration) *pulse { return &pulse{idle: idle, start: time.Now()} }
 
 func (p *pulse) beat() { p.at.Store(int64(time.Since(p.start))) }
 
@@ -49,11 +75,11 @@
 // own is one: a stream brings a chunk each few milliseconds and a group's peer a
 // heartbeat each second. Pings on top of those were a third of the control
 // traffic at the size of docs/CAPACITY.md.
-func pingDue(awaited bool, silence time.Duration) bool {
+func (p *pulse) pingDue(awaited bool, silence time.Duration) bool {
 	if awaited {
 		return silence >= pingInterval
 	}
-	return silence >= idlePingInterval
+	return silence >= p.idle
 }
 
 func (s *Session) keepalive() {
@@ -65,7 +91,7 @@
 			return
 		case <-ticker.C:
 		}
-		if !pingDue(s.awaited(), s.pulse.silence()) {
+		if !s.pulse.pingDue(s.awaited(), s.pulse.silence()) {
 			continue
 		}
 		if err := s.ping(); err != nil {
--- a/internal/wire/keepalive_test.go
+++ b/internal/wire/keepalive_test.go
@@ -10,6 +10,7 @@
 // streams, or heartbeats of a group, and are pinged all the same. Cause: a ping
 // that is due by the clock alone, whatever the peer has just sent.
 func TestPingIsDueAfterSilenceOnly(t *testing.T) {
+	p := newPulse(idlePingInterval)
 	for _, tt := range []struct {
 		name    string
 		awaited bool
@@ -23,7 +24,7 @@
 		{"waited on after a long silence", true, idlePingInterval - 1, true},
 		{"idle", false, idlePingInterval, true},
 	} {
-		if got := pingDue(tt.awaited, tt.silence); got != tt.want {
+		if got := p.pingDue(tt.awaited, tt.silence); got != tt.want {
 			t.Errorf("%s: due %v, want %v", tt.name, got, tt.want)
 		}
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -145,6 +145,9 @@
 	// AnyVersion is set when the caller named no version: while the group's
 	// engines change theirs, the one that most of them have will do.
 	AnyVersion bool `cbor:"15,keyasint,omitempty"`
+	// Explain asks for the candidates in the Decision. They are two thirds of its
+	// bytes; the owner's own record has them in any case.
+	Explain bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Candidate explains what was thought of one endpoint.
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -79,8 +79,11 @@
 func Dial(ctx context.Context, address string, opts Options) (*Session, error) {
 	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	p := newPulse()
-	conn, resp, err := websocket.Dial(openCtx, "ws://"+address+Path, &websocket.DialOptions{OnPingReceived: p.pinged})
+	p := newPulse(idlePingInterval)
+	conn, resp, err := websocket.Dial(openCtx, "ws://"+address+Path, &websocket.DialOptions{
+		HTTPClient:     dialer,
+		OnPingReceived: p.pinged,
+	})
 	if err != nil {
 		return nil, fmt.Errorf("wire: dial %s: %w", address, err)
 	}
@@ -98,7 +101,7 @@
 
 // Accept serves one peer's session on an HTTP request and returns when it ends.
 func Accept(w http.ResponseWriter, r *http.Request, opts Options) error {
-	p := newPulse()
+	p := newPulse(acceptorPingInterval)
 	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{
 		CompressionMode: websocket.CompressionDisabled,
 		OnPingReceived:  p.pinged,
