Pass the caller's sampling parameters through to the engine

Cause: the entry read the fields of the body that it needs and dropped the others, so temperature, top_p, stop, seed, response_format and the like had no effect. The fingerprint covered model, version and messages only, so two requests under one idempotency key that differed in max_tokens were one.

The fingerprint covers max_tokens and the parameters too. An answer of a fixed form (response_format, guided_...) isn't continued after its caller has some of it, since an engine would begin the form anew.

The stand-in's account shows the fields that it ignores.

--- a/internal/endpoint/completion.go
+++ b/internal/endpoint/completion.go
@@ -67,13 +67,14 @@
 
 func (c *completion) request() engine.Request {
 	return engine.Request{
-		ID:        c.id,
-		Model:     c.run.Model,
-		Messages:  c.messages,
-		Partial:   c.run.Partial,
-		MaxTokens: c.run.MaxTokens,
-		Priority:  c.priority,
-		CacheSalt: c.run.Organisation,
+		ID:         c.id,
+		Model:      c.run.Model,
+		Messages:   c.messages,
+		Partial:    c.run.Partial,
+		MaxTokens:  c.run.MaxTokens,
+		Priority:   c.priority,
+		CacheSalt:  c.run.Organisation,
+		Parameters: c.run.Parameters,
 	}
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -17,6 +17,7 @@
 	"net/url"
 	"strconv"
 
+	"skylarklead/internal/parameters"
 	"skylarklead/internal/prefix"
 )
 
@@ -38,6 +39,8 @@
 	Priority int
 	// CacheSalt isolates cached prefixes: the organisation's ID.
 	CacheSalt string
+	// Parameters are a caller's further fields, as package parameters picks them.
+	Parameters []byte
 }
 
 // Client talks to one engine. It may be used by many goroutines.
@@ -59,9 +62,9 @@
 // is there. Errors: ErrNotSent (a *RefusedError if the engine said so, which
 // may be ErrLoading), ErrLost. The stream's connection ends with ctx.
 func (c *Client) Complete(ctx context.Context, r Request) (*Stream, error) {
-	body, err := json.Marshal(r.completion())
+	body, err := r.body()
 	if err != nil {
-		return nil, fmt.Errorf("%w: encode: %w", ErrNotSent, err)
+		return nil, err
 	}
 	req, err := http.NewRequest(http.MethodPost, c.base+"/v1/chat/completions", oneShot{bytes.NewReader(body)})
 	if err != nil {
@@ -81,6 +84,20 @@
 	return newStream(resp, 0), nil
 }
 
+// body is what is sent. Parameters that can't be read are the request's fault,
+// not the engine's: no other endpoint would do better with them.
+func (r Request) body() ([]byte, error) {
+	ours, err := json.Marshal(r.completion())
+	if err != nil {
+		return nil, fmt.Errorf("%w: encode: %w", ErrNotSent, err)
+	}
+	body, err := parameters.Merge(ours, r.Parameters)
+	if err != nil {
+		return nil, &RefusedError{Status: http.StatusBadRequest, Code: CodeBadRequest, Message: err.Error()}
+	}
+	return body, nil
+}
+
 func (r Request) completion() Completion {
 	body := Completion{
 		Model:         r.Model,
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -9,6 +9,7 @@
 	"reflect"
 	"strings"
 
+	"skylarklead/internal/parameters"
 	"skylarklead/internal/prefix"
 )
 
@@ -34,10 +35,11 @@
 	// MaxTokens is 0 if the caller states none.
 	MaxTokens int
 	Priority  int
+	// Parameters are the fields for the engine, as package parameters picks them.
+	Parameters []byte
 }
 
-// chatJSON is the body on the wire. Fields that OpenAI clients send and that the
-// system doesn't use are ignored.
+// chatJSON is what the system reads of the body on the wire.
 type chatJSON struct {
 	Model               string        `json:"model"`
 	Messages            []messageJSON `json:"messages"`
@@ -100,7 +102,12 @@
 	if _, err := dec.Token(); err != io.EOF {
 		return nil, fmt.Errorf("more than one JSON value, the second after byte %d", dec.InputOffset())
 	}
-	return raw.check()
+	body, err := raw.check()
+	if err != nil {
+		return nil, err
+	}
+	body.Parameters, err = parameters.Pick(data)
+	return body, err
 }
 
 func explainJSON(err error, size int) error {
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -3,11 +3,13 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/config"
+	"skylarklead/internal/parameters"
 	"skylarklead/internal/prefix"
 	"skylarklead/internal/wire"
 )
@@ -45,17 +47,19 @@
 		return nil, refusal
 	}
 	j := &job{
-		request:    req,
-		group:      model.Group,
-		model:      model.ID,
-		version:    version,
-		anyVersion: body.Version == "",
-		messages:   body.Messages,
-		priority:   body.Priority,
-		maxTokens:  boundTokens(body.MaxTokens, model.MaxTokens),
-		repeatable: req.key == nil,
-		resumable:  body.Stream,
-		receiver:   attempt.NewReceiver(window),
+		request:     req,
+		group:       model.Group,
+		model:       model.ID,
+		version:     version,
+		anyVersion:  body.Version == "",
+		messages:    body.Messages,
+		priority:    body.Priority,
+		maxTokens:   boundTokens(body.MaxTokens, model.MaxTokens),
+		repeatable:  req.key == nil,
+		resumable:   body.Stream,
+		receiver:    attempt.NewReceiver(window),
+		parameters:  body.Parameters,
+		continuable: !parameters.Structured(body.Parameters),
 	}
 	j.promptTokens = prefix.Tokens(wholePrompt(req.organisation, body.Messages))
 	j.fingerprint = chatFingerprint(j)
@@ -106,10 +110,13 @@
 	return append(prompt, messages...)
 }
 
-// chatFingerprint is the same when the same request is sent again.
+// chatFingerprint is the same when the same request is sent again. It covers all
+// of the body that the answer depends on; the messages come last, since nothing
+// before them can have a zero byte in it.
 func chatFingerprint(j *job) uint64 {
 	d := xxhash.New()
 	_, _ = d.WriteString(j.organisation.ID + "\x00" + j.model + "\x00" + j.version + "\x00")
+	_, _ = d.WriteString(strconv.Itoa(j.maxTokens) + "\x00" + string(j.parameters) + "\x00")
 	_, _ = d.Write(prefix.Flatten(j.messages))
 	return d.Sum64()
 }
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -23,8 +23,12 @@
 	maxTokens    int
 	priority     int
 	fingerprint  uint64
+	// parameters are the caller's fields for the engine.
+	parameters []byte
 	// repeatable requests may be run again after an unknown outcome.
 	repeatable bool
+	// continuable ones can be gone on with from the half of their answer.
+	continuable bool
 	// resumable ones go on for a grace after their caller has hung up.
 	resumable bool
 	// resumed ones were begun by an earlier request.
@@ -108,6 +112,7 @@
 		Suspect:      a.Suspect,
 		ConfigOffset: j.state.Offset,
 		Redirected:   a.Redirected,
+		Parameters:   j.parameters,
 	}
 	if j.call != nil {
 		return run
--- /dev/null
+++ b/internal/entry/parameters_test.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"skylarklead/internal/parameters"
+	"skylarklead/internal/wire"
+)
+
+const sampledBody = `{"model":"ledger-llm","stream":true,"messages":[{"role":"user","content":"hi"}],` +
+	`"temperature":0.2,"stop":["w7"],"seed":7,"cache_salt":"other","user":"u-1"}`
+
+// Symptom: a caller's temperature, stop and seed have no effect, or only until
+// its endpoint dies.
+// Sequence: the executor restarts in mid-stream; the answer goes on elsewhere.
+// Cause: the entry read the fields it needs and dropped the others.
+func TestParametersGoWithEveryRun(t *testing.T) {
+	const want = `{"seed":7,"stop":["w7"],"temperature":0.2,"user":"u-1"}`
+	var runs []*wire.Run
+	var executors []*executor
+	script := func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Ask:
+			decided := executors[min(len(m.Exclude), 1)]
+			decided.decide(s, ref, m)
+		case *wire.Run:
+			if x == executors[1] {
+				words(s, m.Attempt, m.FirstSeq, totalWords, totalWords)
+				return
+			}
+			words(s, m.Attempt, 0, 10, totalWords)
+			x.restart(t)
+		}
+	}
+	executors = append(executors, newExecutor(t, "ep-a", script), newExecutor(t, "ep-b", script))
+	_, server := newTestEntry(t, "llm", executors...)
+	got := readSSE(t, post(t, context.Background(), server.URL+"/v1/chat/completions", sampledBody))
+	if !got.done {
+		t.Fatalf("got %+v", got)
+	}
+	runs = append(runs, last[*wire.Run](executors[0]), last[*wire.Run](executors[1]))
+	for i, run := range runs {
+		if string(run.Parameters) != want {
+			t.Errorf("run %d has %s", i, run.Parameters)
+		}
+	}
+	if runs[1].Partial == "" || runs[0].Fingerprint != runs[1].Fingerprint {
+		t.Errorf("went on by %+v", runs[1])
+	}
+}
+
+// Symptom: a caller that asked for JSON gets two halves that don't fit.
+// Sequence: the executor of a structured answer restarts in mid-stream.
+// Cause: an engine that goes on from a half begins the asked form anew.
+func TestStructuredAnswerIsNotContinued(t *testing.T) {
+	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Ask:
+			x.decide(s, ref, m)
+		case *wire.Run:
+			words(s, m.Attempt, m.FirstSeq, m.FirstSeq+10, totalWords)
+			if m.FirstSeq == 0 {
+				x.restart(t)
+			}
+		}
+	})
+	_, server := newTestEntry(t, "llm", x)
+	body := strings.Replace(sampledBody, `"seed":7`, `"response_format":{"type":"json_object"}`, 1)
+	got := readSSE(t, post(t, context.Background(), server.URL+"/v1/chat/completions", body))
+	if got.done || got.failure == nil || got.failure.Ran != wire.Unknown || count[*wire.Run](x) != 1 {
+		t.Errorf("got %+v, failure %+v, %d runs", got, got.failure, count[*wire.Run](x))
+	}
+}
+
+func TestParametersAreBounded(t *testing.T) {
+	body := strings.Replace(wholeBody, "{", `{"stop":"`+strings.Repeat("x", parameters.MaxBytes)+`",`, 1)
+	if _, err := parseChat([]byte(body)); err == nil {
+		t.Error("accepted")
+	}
+	_, server := newTestEntry(t, "llm")
+	deep := strings.Replace(wholeBody, "{", `{"x":`+strings.Repeat("[", 100)+strings.Repeat("]", 100)+`,`, 1)
+	resp := post(t, context.Background(), server.URL+"/v1/chat/completions", deep)
+	if e := readError(t, resp); resp.StatusCode != http.StatusBadRequest || !strings.Contains(e.Message, "nested") {
+		t.Errorf("got %d %+v", resp.StatusCode, e)
+	}
+}
+
+// Symptom: a key's second sending with another body gets the first one's answer.
+// Sequence: the bodies differ in one field that isn't a message.
+// Cause: a fingerprint of the messages alone.
+func TestFingerprintCoversTheBody(t *testing.T) {
+	state := testState(t)
+	req := &request{state: state, organisation: state.Organisations["foodbank"]}
+	fingerprint := func(fields string) uint64 {
+		body, err := parseChat([]byte(`{"model":"ledger-llm","messages":[{"role":"user","content":"hi"}]` + fields + `}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		j, refusal := chatJob(req, body)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		return j.fingerprint
+	}
+	seen := map[uint64]string{}
+	for _, fields := range []string{``, `,"seed":1`, `,"seed":2`, `,"seed":2,"top_p":1`, `,"max_tokens":5`} {
+		f := fingerprint(fields)
+		if other, ok := seen[f]; ok {
+			t.Errorf("%q and %q have one fingerprint", fields, other)
+		}
+		seen[f] = fields
+	}
+	if fingerprint(`,"seed":2,"top_p":1`) != fingerprint(`, "top_p" : 1, "stream":true, "seed":2`) {
+		t.Error("the same request in another order has another fingerprint")
+	}
+}
--- a/internal/standin/engine/account.go
+++ b/internal/standin/engine/account.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"encoding/json"
 	"log/slog"
 	"maps"
 	"time"
@@ -36,6 +37,8 @@
 	Cancelled        bool   `json:"cancelled"`
 	// Runs counts how often it started.
 	Runs int `json:"runs"`
+	// Parameters are the body's fields that the stand-in ignores.
+	Parameters map[string]json.RawMessage `json:"parameters,omitempty"`
 }
 
 // Totals sum over all runs.
@@ -95,6 +98,7 @@
 		Weights:      r.origin.Weights,
 		Incarnation:  r.origin.Incarnation,
 		Runs:         record.Runs + 1,
+		Parameters:   r.parameters,
 	}
 	a.live[r] = true
 	a.totals.Runs++
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -93,7 +93,7 @@
 }
 
 // submit queues a request.
-func (e *Engine) submit(id string, body *api.Completion) (*request, error) {
+func (e *Engine) submit(id string, body *completionBody) (*request, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err := e.accepts(body); err != nil {
@@ -111,7 +111,7 @@
 	return r, nil
 }
 
-func (e *Engine) accepts(body *api.Completion) error {
+func (e *Engine) accepts(body *completionBody) error {
 	switch {
 	case e.orders.state.Loading:
 		return unavailable(api.CodeLoading, "weights are loading")
--- a/internal/standin/engine/request.go
+++ b/internal/standin/engine/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -28,6 +29,7 @@
 	root     prefix.Hash
 	chain    []prefix.Hash
 
+	parameters   map[string]json.RawMessage
 	promptTokens int
 	maxTokens    int
 	answer       answer.Answer
@@ -53,7 +55,28 @@
 	expiry   *time.Timer
 }
 
-func newRequest(id string, body *api.Completion, from origin) *request {
+// completionBody is a completion with the fields that the stand-in ignores.
+type completionBody struct {
+	api.Completion
+	parameters map[string]json.RawMessage
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (b *completionBody) UnmarshalJSON(data []byte) error {
+	if err := json.Unmarshal(data, &b.Completion); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, &b.parameters); err != nil {
+		return err
+	}
+	for i := range reflect.TypeFor[api.Completion]().NumField() {
+		name, _, _ := strings.Cut(reflect.TypeFor[api.Completion]().Field(i).Tag.Get("json"), ",")
+		delete(b.parameters, name)
+	}
+	return nil
+}
+
+func newRequest(id string, body *completionBody, from origin) *request {
 	r := &request{
 		id:           id,
 		model:        body.Model,
@@ -62,6 +85,7 @@
 		root:         prefix.Salt{Organisation: from.Salt, Model: body.Model, Weights: from.Weights}.Root(),
 		promptTokens: prefix.Tokens(body.Messages),
 		maxTokens:    body.MaxTokens,
+		parameters:   body.parameters,
 		changed:      make(chan struct{}),
 	}
 	text := prefix.Flatten(body.Messages)
--- a/internal/standin/engine/streams.go
+++ b/internal/standin/engine/streams.go
@@ -19,7 +19,7 @@
 )
 
 func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
-	var body api.Completion
+	var body completionBody
 	if !readBody(w, r, &body) {
 		return
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -233,6 +233,9 @@
 	// Redirected is set when an executor has already passed this request on;
 	// it is then not passed on again.
 	Redirected bool `cbor:"24,keyasint,omitempty"`
+	// Parameters are the caller's fields for the engine, as package parameters
+	// picks them: a JSON object of at most parameters.MaxBytes, empty if none.
+	Parameters []byte `cbor:"25,keyasint,omitempty"`
 }
 
 // Start says that the request was handed to the engine or service and that its
