--- a/internal/attempt/claims.go
+++ b/internal/attempt/claims.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"skylarklead/internal/strictcbor"
 	"skylarklead/internal/wire"
 )
 
@@ -65,22 +66,7 @@
 // maxBatch bounds the claims, settles and carries of one record each.
 const maxBatch = 256
 
-var claimsMode = mustClaimsMode()
-
-func mustClaimsMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements: maxBatch,
-		MaxMapPairs:      16,
-		MaxNestedLevels:  6,
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-		TagsMd:           cbor.TagsForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err) // the options above are constants
-	}
-	return mode
-}
+var claimsMode = strictcbor.Decoder(strictcbor.Bounds{ArrayElements: maxBatch, MapPairs: 16, NestedLevels: 6})
 
 // EncodeClaims returns the record of a batch.
 func EncodeClaims(b *ClaimBatch) ([]byte, error) {
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -7,6 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"skylarklead/internal/wait"
 	"skylarklead/internal/wire"
 )
 
@@ -40,7 +41,7 @@
 				fmt.Fprintf(w, "%s takes no new work; %d in flight\n", drained.Endpoint, drained.InFlight)
 			})
 		}
-		if sleep(ctx, readBackPause) != nil {
+		if wait.For(ctx, readBackPause) != nil {
 			return fmt.Errorf("%w: %s still has %d in flight", errRefused, endpoint, drained.InFlight)
 		}
 	}
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -15,6 +15,7 @@
 	"skylarklead/internal/config"
 	"skylarklead/internal/follow"
 	"skylarklead/internal/platform"
+	"skylarklead/internal/wait"
 )
 
 const (
@@ -151,7 +152,7 @@
 		if pending = unresolved(pending); len(pending) == 0 {
 			return nil
 		}
-		if err := sleep(ctx, readBackPause); err != nil {
+		if err := wait.For(ctx, readBackPause); err != nil {
 			return fmt.Errorf("%w: it is not known whether the records were published, publishing again is safe: %w", errUnreachable, lastErr)
 		}
 	}
@@ -224,14 +225,3 @@
 	}
 	return last
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"skylarklead/internal/platform"
+	"skylarklead/internal/wait"
 	"skylarklead/internal/wire"
 )
 
@@ -138,7 +139,7 @@
 			fmt.Fprintf(c.Root().ErrWriter, "offset %d is in force at every live instance\n", offset)
 			return nil
 		}
-		if sleep(ctx, readBackPause) != nil {
+		if wait.For(ctx, readBackPause) != nil {
 			return fmt.Errorf("%w: published, but offset %d isn't known to be in force at %v", errUnreachable, offset, behind)
 		}
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -16,6 +16,7 @@
 
 	"skylarklead/internal/config"
 	"skylarklead/internal/platform"
+	"skylarklead/internal/wait"
 	"skylarklead/internal/wire"
 )
 
@@ -201,10 +202,5 @@
 }
 
 func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	_ = wait.For(ctx, d) // who waits looks at ctx next
 }
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -16,6 +16,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"skylarklead/internal/strictcbor"
 	"skylarklead/internal/wire"
 )
 
@@ -63,20 +64,7 @@
 // skips the same records.
 var ErrRecord = errors.New("lease: malformed record")
 
-var recordMode = mustRecordMode()
-
-func mustRecordMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxMapPairs: 16,
-		DupMapKey:   cbor.DupMapKeyEnforcedAPF,
-		IndefLength: cbor.IndefLengthForbidden,
-		TagsMd:      cbor.TagsForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err) // the options above are constants
-	}
-	return mode
-}
+var recordMode = strictcbor.Decoder(strictcbor.Bounds{MapPairs: 16})
 
 // Encode returns the bytes of a record.
 func Encode(r *Record) ([]byte, error) {
--- a/internal/platform/instances.go
+++ b/internal/platform/instances.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"skylarklead/internal/wait"
 )
 
 // Roles and states of instances, as the platform's list gives them.
@@ -127,7 +129,7 @@
 		}
 		f(list, err)
 		pause := every - every/10 + rand.N(every/5+1)
-		if sleep(ctx, pause) != nil {
+		if wait.For(ctx, pause) != nil {
 			return
 		}
 	}
--- a/internal/platform/tail.go
+++ b/internal/platform/tail.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"math/rand/v2"
 	"time"
+
+	"skylarklead/internal/wait"
 )
 
 const (
@@ -103,16 +105,5 @@
 	if errors.As(cause, &limited) {
 		pause += limited.RetryAfter
 	}
-	return sleep(ctx, pause)
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return wait.For(ctx, pause)
 }
--- a/internal/standin/engine/step.go
+++ b/internal/standin/engine/step.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/wait"
 )
 
 // expireEvery is how often an idle engine looks for blocks to evict by age.
@@ -58,12 +59,7 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	_ = wait.For(ctx, d) // who waits looks at ctx next
 }
 
 // plan starts waiting requests and shares the next step out. It returns nil if
--- a/internal/standin/load/balancer.go
+++ b/internal/standin/load/balancer.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"skylarklead/internal/wait"
 )
 
 // healthTimeout bounds one question for an entry's readiness.
@@ -49,7 +51,7 @@
 	defer client.CloseIdleConnections()
 	for _, e := range b.entries {
 		wg.Go(func() {
-			for sleep(ctx, every) {
+			for wait.For(ctx, every) == nil {
 				ready := isReady(ctx, client, e)
 				b.mu.Lock()
 				b.unready[e] = !ready
--- a/internal/standin/load/caller.go
+++ b/internal/standin/load/caller.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"skylarklead/internal/wait"
 )
 
 // maxAnswer bounds the body of an answer that isn't a stream, in bytes.
@@ -44,7 +46,7 @@
 		r.Resent = resent
 		r.Total = time.Since(start)
 		again := r.Outcome == Refused && r.Ran == "not_run" && r.retryAfter > 0
-		if !again || resent == c.options.RetryAfter || !sleep(ctx, r.retryAfter) {
+		if !again || resent == c.options.RetryAfter || wait.For(ctx, r.retryAfter) != nil {
 			return r
 		}
 	}
@@ -160,14 +162,3 @@
 		r.end(OK, "")
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/standin/load/run.go
+++ b/internal/standin/load/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"skylarklead/internal/wait"
 )
 
 // Run sends a workload's requests and returns what came of them, once the last
@@ -39,7 +41,7 @@
 	for i := range arrivals {
 		a := &arrivals[i]
 		due := start.Add(a.at)
-		if !sleep(ctx, time.Until(due)) {
+		if wait.For(ctx, time.Until(due)) != nil {
 			return
 		}
 		if !t.begin(time.Since(due)) {
--- a/internal/standin/load/tally.go
+++ b/internal/standin/load/tally.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"skylarklead/internal/wait"
 )
 
 // Bounds of the histograms, in microseconds, and their digits.
@@ -151,7 +153,7 @@
 
 // progress writes a line each second until ctx ends.
 func (t *tally) progress(ctx context.Context) {
-	for s := 1; sleep(ctx, time.Second); s++ {
+	for s := 1; wait.For(ctx, time.Second) == nil; s++ {
 		t.mu.Lock()
 		g, inFlight := t.second, t.inFlight
 		t.second = newGroup()
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"skylarklead/internal/strictcbor"
 )
 
 // Kind is the number that stands for a message type on the wire. Numbers are
@@ -111,22 +113,9 @@
 	maxNestedLevels  = 8
 )
 
-var decMode = mustDecMode()
-
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements: maxArrayElements,
-		MaxMapPairs:      maxMapPairs,
-		MaxNestedLevels:  maxNestedLevels,
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-		TagsMd:           cbor.TagsForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err) // the options above are constants
-	}
-	return mode
-}
+var decMode = strictcbor.Decoder(strictcbor.Bounds{
+	ArrayElements: maxArrayElements, MapPairs: maxMapPairs, NestedLevels: maxNestedLevels,
+})
 
 // Encode returns the frame of a message.
 func Encode(ref uint32, m Message) ([]byte, error) {
