--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -18,7 +18,7 @@
 stop_tries=150  # of 0.1 s
 
 dir=          # settings, logs and process IDs of this run
-used_ports=' '
+next_port=$((10000 + RANDOM % 600 * 32))
 
 title() { printf '\n== %s\n' "$*"; }
 
@@ -30,14 +30,16 @@
 # open_port tells whether something listens on a loopback port.
 open_port() { (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
 
-# free_port sets port to a loopback port that nothing listens on. It stays below
-# the ports that systems give to outgoing connections, so that none takes it
-# before its process listens.
+# free_port sets port to the next loopback port that nothing listens on. The ports
+# of a run begin at a random multiple of 32, so that two demos that start at the
+# same time hardly ever take the same one. They stay below the ports that systems
+# give to outgoing connections: none of those takes one before its process listens.
 free_port() {
-	while port=$((10000 + RANDOM % 20000)); do
-		[[ $used_ports != *" $port "* ]] && ! open_port "$port" && break
+	port=$next_port
+	while open_port "$port"; do
+		port=$((port + 1))
 	done
-	used_ports+="$port "
+	next_port=$((port + 1))
 }
 
 # start NAME PROGRAM ARGS... runs a program with its log in the folder.
