follow: ask on at the start until a peer has a state

Cause: only three peers were asked at the start. After a failure of a whole site those may be gone or as empty as the asker; then the process started from its bootstrap file beside a peer that knew better, and took keys that had been taken back.

Change: peers are asked three at a time, one after the other, until one has brought a state, 48 at most.

--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -14,8 +14,13 @@
 	"skylarklead/internal/wire"
 )
 
-// firstPeers is how many peers are asked at once at the start.
-const firstPeers = 3
+const (
+	// firstPeers is how many peers are asked at once at the start.
+	firstPeers = 3
+	// maxFirstPeers is how many are asked one after the other while none of
+	// them has a state.
+	maxFirstPeers = 48
+)
 
 // listPatience bounds the wait for the instance list, which may be down together
 // with the log: the fixed peers are asked without it then.
@@ -71,12 +76,28 @@
 	}
 }
 
+// askSeveral asks peers, a few at once, until one of them has brought a state.
+// After a failure of a whole site most are gone or as empty as this process. With
+// only the first few asked, it would start from an old bootstrap file, and take
+// keys that were taken back, beside a peer that knows better.
 func (f *Follower) askSeveral(ctx context.Context, peers []Fetch) {
-	var asked sync.WaitGroup
-	for _, fetch := range peers[:min(firstPeers, len(peers))] {
-		asked.Go(func() { f.askOne(ctx, fetch) })
+	next := make(chan Fetch, maxFirstPeers)
+	for _, fetch := range peers[:min(maxFirstPeers, len(peers))] {
+		next <- fetch
+	}
+	close(next)
+	var asking sync.WaitGroup
+	for range firstPeers {
+		asking.Go(func() {
+			for fetch := range next {
+				f.askOne(ctx, fetch)
+				if f.State() != nil || ctx.Err() != nil {
+					return
+				}
+			}
+		})
 	}
-	asked.Wait()
+	asking.Wait()
 }
 
 func (f *Follower) askOne(ctx context.Context, fetch Fetch) {
