Endpoint: let strikes reach the group before the request comes again

Cause, by the logs of a request sent again and of copies sent at once: - A heartbeat that can't wait was left out for a peer whose last one was still on its way, so the strike came with the next regular one, some 500 ms later. - An engine that crashed again before its load was read had lost an incarnation that the endpoint process had no name for, and the crash went uncounted: held copies were handed to it one after the other. - A suspect's executor that hadn't heard of the first strike took the second crash for the first. - The outcome overtook the strike: a caller that came back at once met an owner that hadn't heard.

Change: an urgent heartbeat follows the one under way; an attempt counts its crash also without a name; Ask.Crashed and Run.Suspect count as a first strike heard of; a crashed attempt's end waits 50 ms behind the strike, and says given_up where that is the verdict. Log lines for a strike heard of and a request given up.

Ruled out as not needed: choosing one engine for all suspects of a fingerprint; an innocent request on a faulty engine would then be given up. The count without a name has no test that fails without it: since an unreachable engine is noticed at once, the process test passes without it too.

--- a/internal/endpoint/admission.go
+++ b/internal/endpoint/admission.go
@@ -17,6 +17,9 @@
 // arrive lets an attempt wait for its turn.
 func (e *Endpoint) arrive(a *execution) {
 	now := e.now()
+	if a.run.Suspect {
+		e.suspect(a.run.Fingerprint)
+	}
 	verdict := e.poison.Judge(a.run.Fingerprint, now)
 	if verdict.Kind == attempt.GivenUp && a.run.Call == nil {
 		e.end(a, endOf(verdict.Refusal()))
@@ -127,8 +130,9 @@
 func (e *Endpoint) finished(a *execution, end wire.End) {
 	now := e.now()
 	if a.run.Call == nil {
-		if end.EngineCrashed {
-			e.engineCrashed(a.incarnation)
+		if verdict := e.poison.Judge(a.run.Fingerprint, now); end.EngineCrashed && verdict.Kind == attempt.GivenUp {
+			refusal := verdict.Refusal()
+			end.Code, end.Message, end.RetryAfterMs = refusal.Code, refusal.Message, refusal.RetryAfterMs
 		}
 		e.poison.Ended(a.run.Fingerprint, end.Outcome == wire.Done, now)
 		e.learn(a, end)
--- a/internal/endpoint/ask.go
+++ b/internal/endpoint/ask.go
@@ -17,6 +17,9 @@
 		return
 	}
 	now := e.now()
+	if len(ask.Crashed) > 0 {
+		e.suspect(ask.Fingerprint)
+	}
 	verdict := e.poison.Judge(ask.Fingerprint, now)
 	crashes := len(ask.Crashed)
 	query := &route.Query{
--- a/internal/endpoint/enginewatch.go
+++ b/internal/endpoint/enginewatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"skylarklead/internal/cachemap"
@@ -31,6 +32,8 @@
 	loadAt      time.Duration
 	// crashed is the last incarnation that was found lost.
 	crashed string
+	// crashes counts the crashes that strikes were given for.
+	crashes int
 	// from is where a resync wants the event stream, 0 for none; cancel ends the
 	// present stream.
 	from   uint64
@@ -93,15 +96,39 @@
 	w.load, w.loadAt = load, now-age
 }
 
+// attemptCrashed counts the crash that an attempt met. An engine that crashes
+// again before its load is read has lost an incarnation that this process has no
+// name for: what ran on it carries the name of one that was lost before. Told by
+// the name alone, such a crash would go uncounted, and a request that crashes the
+// engine as soon as it is back would be handed over again and again.
+func (e *Endpoint) attemptCrashed(a *execution) {
+	switch {
+	case a.incarnation != e.watch.crashed:
+		e.engineCrashed(a.incarnation)
+	case a.crashes == e.watch.crashes:
+		e.strike(a.incarnation)
+	}
+}
+
 // engineCrashed puts a strike on all that ran on a lost incarnation, once.
 func (e *Endpoint) engineCrashed(incarnation string) {
 	if incarnation == "" || incarnation == e.watch.crashed {
 		return
 	}
+	e.strike(incarnation)
+}
+
+func (e *Endpoint) strike(incarnation string) {
 	e.watch.crashed = incarnation
+	e.watch.crashes++
 	strikes := e.poison.Crashed(e.now())
 	e.tel.Metrics.Count("engine_crashes", 1)
 	e.log.Warn("engine crashed", "incarnation", incarnation, "struck", len(strikes))
+	for _, s := range strikes {
+		if s.GivenUp {
+			e.log.Warn("request given up", "fingerprint", fmt.Sprintf("%016x", s.Fingerprint))
+		}
+	}
 	if len(strikes) > 0 {
 		// An owner that hasn't heard would send a suspect beside others, or to
 		// one engine more than the bound.
--- a/internal/endpoint/executions.go
+++ b/internal/endpoint/executions.go
@@ -67,6 +67,8 @@
 	mark      cachemap.Mark
 	// incarnation is the engine's when the attempt was handed to it.
 	incarnation string
+	// crashes is how many crashes were counted when it was handed over.
+	crashes int
 	// enginePriority is by the organisation's use; the caller's own priority
 	// only orders its organisation's queue.
 	enginePriority int
--- a/internal/endpoint/group.go
+++ b/internal/endpoint/group.go
@@ -30,6 +30,7 @@
 	hasLoad  bool
 	sending  bool
 	told     bool // a heartbeat of ours was sent
+	urgent   bool // the next heartbeat can't wait for its time
 	epoch    wire.Epoch
 	unsent   map[uint64]int // residents to be told, by hash
 	fullSent time.Duration  // when all residents were last sent; 0 is never
--- a/internal/endpoint/heartbeat.go
+++ b/internal/endpoint/heartbeat.go
@@ -42,6 +42,7 @@
 	for _, m := range e.group.view.Members(e.now()) {
 		if m.Address != "" {
 			beats = append(beats, member.Beat{ID: m.ID, Address: m.Address})
+			e.group.peer(m.ID).urgent = true
 		}
 	}
 	e.sendBeats(beats)
@@ -56,7 +57,7 @@
 		if p.sending {
 			continue // it doesn't take the last one: more would only pile up
 		}
-		p.sending = true
+		p.sending, p.urgent = true, false
 		e.beatSeq++
 		hb := &wire.Heartbeat{
 			ID:           e.settings.ID,
@@ -92,6 +93,10 @@
 		e.epochSeen(s.Peer())
 		e.group.peer(b.ID).told = true
 		e.heardOffset(s, s.Peer().ConfigOffset)
+		if e.group.peer(b.ID).urgent {
+			// What can't wait came up while this one was on its way, without it.
+			e.sendBeats([]member.Beat{b})
+		}
 	})
 }
 
@@ -170,11 +175,29 @@
 	}
 	p := e.group.peer(hb.ID)
 	p.load, p.loadAt, p.hasLoad, p.epoch = hb.Load, now, true, hb.Epoch
-	e.poison.Heard(hb.Strikes, now)
+	e.heardStrikes(hb.Strikes, from.ID)
 	e.advertised(hb.ID, hb.Epoch, hb.Load.Incarnation, hb.Load.Version, hb.Residents, hb.Full)
 	e.heardOffset(s, hb.ConfigOffset)
 }
 
+// heardStrikes takes what a peer holds against requests.
+func (e *Endpoint) heardStrikes(strikes []wire.Strike, from string) {
+	now := e.now()
+	for _, s := range strikes {
+		before := e.poison.Judge(s.Fingerprint, now).Kind
+		e.poison.Heard([]wire.Strike{s}, now)
+		if kind := e.poison.Judge(s.Fingerprint, now).Kind; kind > before {
+			e.log.Warn("strike heard of", "peer", from, "fingerprint", fmt.Sprintf("%016x", s.Fingerprint), "verdict", kind.String())
+		}
+	}
+}
+
+// suspect notes a first strike that a sender knows of. The peer's own word may
+// come later: without it, the second crash would pass for the first.
+func (e *Endpoint) suspect(fingerprint uint64) {
+	e.poison.Heard([]wire.Strike{{Fingerprint: fingerprint, Count: 1}}, e.now())
+}
+
 func (e *Endpoint) advertised(id string, epoch wire.Epoch, incarnation, version string, residents []wire.Resident, full bool) {
 	e.router.Advertised(e.now(), route.Advertised{
 		Endpoint:    id,
--- a/internal/endpoint/run.go
+++ b/internal/endpoint/run.go
@@ -115,13 +115,18 @@
 	return &target
 }
 
+// strikeHeadStart is how long a strike goes ahead of the outcome. A caller, or an
+// entry on its behalf, sends a request that failed again at once; an owner that
+// has not heard of the strike by then would hand it to one more engine.
+const strikeHeadStart = 50 * time.Millisecond
+
 // start hands an admitted attempt to the back end.
 func (e *Endpoint) start(a *execution) {
 	ctx, stop := context.WithCancelCause(context.Background())
 	a.phase = phaseRunning
 	a.stop = stop
 	a.mark = e.picture.Mark()
-	a.incarnation = e.watch.incarnation
+	a.incarnation, a.crashes = e.watch.incarnation, e.watch.crashes
 	j := job{run: a.run, messages: a.messages, stream: a.stream, begun: time.Now(), incarnation: a.incarnation,
 		priority: a.enginePriority}
 	go func() {
@@ -132,6 +137,10 @@
 		} else {
 			end = e.runCompletion(ctx, j)
 		}
+		if end.EngineCrashed {
+			e.loop.must(func() { e.attemptCrashed(a) })
+			time.Sleep(strikeHeadStart)
+		}
 		e.loop.must(func() { e.finished(a, end) })
 	}()
 }
