--- a/test/harness/extra.go
+++ b/test/harness/extra.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"testing"
-	"time"
 
 	"skylarklead/internal/config"
 	api "skylarklead/internal/engine"
@@ -147,17 +146,14 @@
 	}
 }
 
-// AwaitListening waits until a TCP connection to address is taken.
-func AwaitListening(t testing.TB, address string) {
+// Unused returns an address on the host of another one that nothing listens on.
+func Unused(t testing.TB, address string) string {
 	t.Helper()
-	Await(t, address+" to listen", func() bool {
-		conn, err := net.DialTimeout("tcp", address, time.Second)
-		if err != nil {
-			return false
-		}
-		conn.Close()
-		return true
-	})
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return freeAddress(t, host)
 }
 
 // Ready reports whether an entry tells the balancer to send callers.
--- /dev/null
+++ b/test/poison_test.go
@@ -0,0 +1,247 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/wire"
+	"skylarklead/test/harness"
+)
+
+const (
+	// fatal is the text that crashes an engine.
+	fatal = "a-fatal-enquiry"
+	// bystanders are callers whose streams run on the engines meanwhile.
+	bystanders = 6
+	// maxTries is how often a caller comes back at most.
+	maxTries = 5
+)
+
+// poisonCluster starts a cluster whose engines crash on fatal, and restarts those
+// that exit.
+func poisonCluster(t *testing.T, mode string) *harness.Cluster {
+	control := fmt.Sprintf(`{"crash_on":%q,"crash_mode":%q}`, fatal, mode)
+	c := harness.Start(t, harness.Options{Engines: 4, Entries: 3, EngineArgs: []string{"--control", control}})
+	for _, n := range c.Endpoints {
+		t.Cleanup(n.Engine.Supervise())
+	}
+	return c
+}
+
+// crashes is how often the engines have crashed, by their own logs, which outlive
+// their processes.
+func crashes(c *harness.Cluster) int {
+	total := 0
+	for _, n := range c.Endpoints {
+		total += n.Engine.Count("crash")
+	}
+	return total
+}
+
+// runBystanders sends other callers' requests again and again. The returned
+// function ends that. The test fails unless each answer is whole or, where
+// mayComeBack, says explicitly when to come back and is whole in the end.
+func runBystanders(t *testing.T, c *harness.Cluster, mayComeBack bool) (stop func()) {
+	var over atomic.Bool
+	var whole, told atomic.Int64
+	var callers sync.WaitGroup
+	for i := range bystanders {
+		callers.Go(func() {
+			for n := 0; !over.Load(); n++ {
+				chat := harness.Ask(fmt.Sprintf("bystander-%d-%d", i, n), 40)
+				a := c.Caller(c.Entries[i%len(c.Entries)], harness.Hospice).Chat(context.Background(), chat)
+				for try := 0; try < maxTries && mayComeBack && a.Failure != nil && a.Failure.RetryAfterMs > 0 && harness.Hospice.Check(chat, a) == nil; try++ {
+					told.Add(1)
+					time.Sleep(time.Duration(a.Failure.RetryAfterMs) * time.Millisecond)
+					a = c.Caller(c.Entries[i%len(c.Entries)], harness.Hospice).Chat(context.Background(), chat)
+				}
+				if err := harness.Hospice.Check(chat, a); err != nil || a.Failure != nil {
+					t.Errorf("bystander %d, request %d: %v, %v", i, n, err, a)
+					continue
+				}
+				whole.Add(1)
+			}
+		})
+	}
+	return func() {
+		over.Store(true)
+		callers.Wait()
+		t.Logf("%d whole answers to bystanders, who were told to come back %d times", whole.Load(), told.Load())
+	}
+}
+
+// checkGivenUp fails the test unless a is the final answer to a request that was
+// given up, with when to come back: in the header, or in the error event of a
+// stream whose header was out before the engine crashed.
+func checkGivenUp(t *testing.T, what string, a harness.Answer) {
+	t.Helper()
+	if a.Failure == nil || a.Failure.Code != wire.CodeGivenUp || a.Failure.RetryAfterMs <= 0 {
+		t.Errorf("%s: %v; want given_up and when to come back", what, a)
+		return
+	}
+	if seconds, err := strconv.Atoi(a.RetryAfter); a.Status != http.StatusOK && (err != nil || seconds <= 0) {
+		t.Errorf("%s: %v, Retry-After %q", what, a, a.RetryAfter)
+	}
+}
+
+// checkRefused is checkGivenUp of a request that reached no engine.
+func checkRefused(t *testing.T, what string, a harness.Answer) {
+	t.Helper()
+	checkGivenUp(t, what, a)
+	if a.Status == http.StatusOK || a.Failure != nil && a.Failure.Ran != wire.NotRun {
+		t.Errorf("%s: %v; want a refusal before it ran", what, a)
+	}
+}
+
+// awaitHeard waits until every endpoint process has given the request up, or
+// heard that another has.
+func awaitHeard(t *testing.T, c *harness.Cluster) {
+	t.Helper()
+	harness.Await(t, "all endpoint processes to have heard", func() bool {
+		heard := 0
+		for _, n := range c.Endpoints {
+			heard += min(1, n.Count("strike heard of", "verdict", "given_up")+n.Count("request given up"))
+		}
+		return heard == len(c.Endpoints)
+	})
+}
+
+// Symptom: engines crash one after the other, and everyone's streams with them.
+// Sequence: one request crashes each engine that runs it; its caller sends it
+// again through one entry after the other, while others use the engines.
+// Cause: the request is retried elsewhere like one that was unlucky, and nobody
+// remembers it.
+func TestPoisonSentAgain(t *testing.T) {
+	t.Parallel()
+	for _, mode := range []string{"exit", "reset"} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			c := poisonCluster(t, mode)
+			stop := runBystanders(t, c, false)
+			defer stop()
+			first := c.Caller(c.Entries[0], harness.Foodbank).Chat(t.Context(), harness.Ask(fatal, 10))
+			checkGivenUp(t, "sent first", first)
+			awaitHeard(t, c)
+			const again = 12
+			for i := range again {
+				entry := c.Entries[i%len(c.Entries)]
+				began := time.Now()
+				a := c.Caller(entry, harness.Foodbank).Chat(t.Context(), harness.Ask(fatal, 10))
+				checkRefused(t, fmt.Sprintf("sent again, time %d, by %s", i+1, entry.ID), a)
+				t.Logf("sent again, time %d: refused after %v", i+1, time.Since(began).Round(time.Millisecond))
+			}
+			if n := crashes(c); n < 1 || n > attempt.DefaultPoisonParams.Limit {
+				t.Errorf("%d crashes; want 1 to %d", n, attempt.DefaultPoisonParams.Limit)
+			}
+		})
+	}
+}
+
+// sendUntilFinal sends the fatal request, comes back as told while the answer says
+// so, and returns the final one.
+func sendUntilFinal(t *testing.T, caller harness.Caller) harness.Answer {
+	for try := 0; ; try++ {
+		a := caller.Chat(t.Context(), harness.Ask(fatal, 10))
+		if a.Failure == nil || a.Failure.Code == wire.CodeGivenUp || a.Failure.RetryAfterMs <= 0 || try == maxTries {
+			return a
+		}
+		t.Logf("a copy was told to come back: %v", a)
+		time.Sleep(time.Duration(a.Failure.RetryAfterMs) * time.Millisecond)
+	}
+}
+
+// Symptom: as above, though each caller sends the request only once.
+// Sequence: many copies of one request come through all entries at once.
+// Cause: copies that wait or run elsewhere aren't held back by the first crash.
+func TestPoisonManyCopiesAtOnce(t *testing.T) {
+	t.Parallel()
+	for _, mode := range []string{"exit", "reset"} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			c := poisonCluster(t, mode)
+			stop := runBystanders(t, c, true)
+			defer stop()
+			// A few for each entry: they share its retry budget with the bystanders.
+			const copies = 9
+			answers := make([]harness.Answer, copies)
+			var callers sync.WaitGroup
+			for i := range copies {
+				callers.Go(func() {
+					entry := c.Entries[i%len(c.Entries)]
+					answers[i] = sendUntilFinal(t, c.Caller(entry, harness.Foodbank))
+				})
+			}
+			callers.Wait()
+			for i, a := range answers {
+				checkGivenUp(t, fmt.Sprintf("copy %d", i), a)
+			}
+			// By internal/attempt: the limit, one for each other engine on which a
+			// copy ran already, and one for each whose process hadn't heard.
+			bound := attempt.DefaultPoisonParams.Limit + 2*(len(c.Endpoints)-1)
+			atOnce := crashes(c)
+			t.Logf("%d crashes for %d copies at once", atOnce, copies)
+			if atOnce < 1 || atOnce > bound {
+				t.Errorf("%d crashes; want 1 to %d", atOnce, bound)
+			}
+			awaitHeard(t, c)
+			for _, entry := range c.Entries {
+				a := c.Caller(entry, harness.Foodbank).Chat(t.Context(), harness.Ask(fatal, 10))
+				checkRefused(t, "sent again by "+entry.ID, a)
+			}
+			if n := crashes(c); n != atOnce {
+				t.Errorf("%d more crashes after it was given up", n-atOnce)
+			}
+		})
+	}
+}
+
+// Symptom: a caller's harmless request gets given up.
+// Sequence: it runs beside the fatal one at the first crash, and again later.
+// Cause: whatever ran on an engine that crashed is held guilty.
+func TestPoisonClearsBystanders(t *testing.T) {
+	t.Parallel()
+	c := poisonCluster(t, "reset")
+	// Both prompts begin alike, so both go to the same engine.
+	chat := harness.Ask("harmless", 200)
+	started := make(chan struct{})
+	var once sync.Once
+	chat.Event = func(int) { once.Do(func() { close(started) }) }
+	done := make(chan harness.Answer, 1)
+	go func() { done <- c.Caller(c.Entries[0], harness.Foodbank).Chat(context.Background(), chat) }()
+	<-started
+	a := c.Caller(c.Entries[1], harness.Foodbank).Chat(t.Context(), harness.Ask(fatal, 10))
+	checkGivenUp(t, "the fatal request", a)
+	if a := <-done; a.Failure != nil || harness.Foodbank.Check(chat, a) != nil {
+		t.Errorf("the harmless request beside it: %v", a)
+	}
+	chat.Event = nil
+	for _, entry := range c.Entries {
+		if a := c.Caller(entry, harness.Foodbank).Chat(t.Context(), chat); a.Failure != nil || harness.Foodbank.Check(chat, a) != nil {
+			t.Errorf("the harmless request again, by %s: %v", entry.ID, a)
+		}
+	}
+	if !strings.Contains(struckAt(c), "2") {
+		t.Log("the two requests didn't share an engine at the crash: ", struckAt(c))
+	}
+}
+
+// struckAt returns how many requests each crash found running.
+func struckAt(c *harness.Cluster) string {
+	var struck []string
+	for _, n := range c.Endpoints {
+		for _, line := range n.Lines() {
+			if line.Is("engine crashed") {
+				struck = append(struck, fmt.Sprint(line["struck"]))
+			}
+		}
+	}
+	return strings.Join(struck, " ")
+}
