--- a/internal/admit/core_test.go
+++ b/internal/admit/core_test.go
@@ -60,13 +60,14 @@
 }
 
 func TestSummaryNamesTheHeavy(t *testing.T) {
-	c := NewCore(Params{MaxRunning: 4, SmallReserve: 0.25, MaxQueue: 100})
-	c.Arrive(0, item(100, "small"))
+	c := NewCore(Params{MaxRunning: 4, MaxQueue: 100})
 	for n := range 20 {
 		c.Arrive(0, item(n, "large"))
 	}
 	c.Tick(20 * time.Second)
-	if got := c.Summary(); len(got.Heavy) != 1 || got.Heavy[0] != "large" {
+	c.Arrive(20*time.Second, item(100, "small"))
+	got := c.Summary()
+	if got.Organisations != 2 || len(got.Heavy) != 1 || got.Heavy[0] != "large" {
 		t.Errorf("heavy = %v of %d waiting organisations", got.Heavy, got.Organisations)
 	}
 }
@@ -247,3 +248,21 @@
 		t.Errorf("started %v, want the long one first", ids)
 	}
 }
+
+// Symptom: a large organisation takes the places kept for small ones.
+// Sequence: it has few running at a moment, but has used much for long.
+// Cause: only the moment counts.
+func TestMeanUseDecidesWhoIsLight(t *testing.T) {
+	large := &organisation{weight: 1}
+	large.use.set(0, 8)
+	large.use.set(30*time.Second, 1)
+	large.running = 1
+	s := shares{now: 31 * time.Second, places: 16, weights: 4}
+	if s.light(large) {
+		t.Errorf("light with a mean use of %.1f of 16 places among four", large.use.read(s.now))
+	}
+	s.now = 3 * time.Minute
+	if !s.light(large) {
+		t.Error("not light minutes later")
+	}
+}
--- a/internal/route/heat_test.go
+++ b/internal/route/heat_test.go
@@ -135,6 +135,20 @@
 	}
 }
 
+func TestOneObservationMovesTheWaitLittle(t *testing.T) {
+	var s smooth
+	s.add(time.Hour, 100)
+	if s.value > 100*maxWaitShare {
+		t.Errorf("%.0f after one observation of 100", s.value)
+	}
+	for i := range 40 {
+		s.add(time.Hour+time.Duration(i)*time.Second, 100)
+	}
+	if s.value < 99 {
+		t.Errorf("%.0f after many", s.value)
+	}
+}
+
 // Symptom: everyone else's blocks are evicted at one endpoint.
 // Sequence: one organisation brings one new charter after another.
 // Cause: its first level draws them all to where that is held.
--- /dev/null
+++ b/internal/route/score_test.go
@@ -0,0 +1,98 @@
+package route
+
+import (
+	"testing"
+	"time"
+)
+
+// scored returns what the router thinks of the first endpoint for a new charter.
+func scored(r *Router, now time.Duration, endpoints []Endpoint) candidate {
+	q := query(50)
+	r.filter(q, endpoints)
+	r.findCached(now, q)
+	r.score(now, q, endpoints)
+	return r.scratch[0]
+}
+
+func TestScoreRisesWith(t *testing.T) {
+	now := 10 * time.Second
+	huon := OrganisationHash("huon")
+	tests := []struct {
+		name   string
+		change func(r *Router, e *Endpoint)
+		part   func(candidate) float64
+	}{
+		{"places taken", func(_ *Router, e *Endpoint) { e.Load.Running = 12 },
+			func(c candidate) float64 { return c.wait }},
+		{"a backlog, if the organisation is heavy there", func(_ *Router, e *Endpoint) {
+			e.Load.Queued = 100
+			e.Load.Heavy = []uint64{huon}
+		}, func(c candidate) float64 { return c.wait - 500 }},
+		{"prompts to be computed", func(_ *Router, e *Endpoint) { e.Load.QueuedTokens = 2000 },
+			func(c candidate) float64 { return c.wait }},
+		{"what is served from that cache", func(r *Router, _ *Endpoint) {
+			r.table.slots[0].served.add(now, r.params.HeatHalfLife, 1e6)
+		}, func(c candidate) float64 { return c.copying }},
+		{"the organisation's share of that cache", func(r *Router, _ *Endpoint) {
+			r.table.shares[shareKey{huon, 0}] = int(0.9 * r.params.MaxShare * float64(r.params.CacheTokens))
+		}, func(c candidate) float64 { return c.copying }},
+		{"the crossing", func(_ *Router, e *Endpoint) { e.FailureDomain = "kingston-b" },
+			func(c candidate) float64 { return c.score }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			calm := scored(NewRouter(Params{}), now, group(1))
+			r, endpoints := NewRouter(Params{}), group(1)
+			r.filter(query(50), endpoints)
+			tt.change(r, &endpoints[0])
+			q := query(50)
+			q.FailureDomain = "hobart-a"
+			r.filter(q, endpoints)
+			r.findCached(now, q)
+			r.score(now, q, endpoints)
+			if got, was := tt.part(r.scratch[0]), tt.part(calm); got <= was || got <= 0 {
+				t.Errorf("%.1f, %.1f without", got, was)
+			}
+		})
+	}
+}
+
+func TestOverItsShareIsFull(t *testing.T) {
+	r, endpoints := NewRouter(Params{}), group(1)
+	if scored(r, 0, endpoints).full {
+		t.Fatal("full with nothing there")
+	}
+	r.table.shares[shareKey{OrganisationHash("huon"), 0}] = int(DefaultMaxShare * DefaultCacheTokens)
+	if !scored(r, 0, endpoints).full {
+		t.Error("not full at its share")
+	}
+}
+
+// Symptom: after a prefix has cooled its copies all stay in use.
+// Sequence: it is held by more endpoints than it is to have.
+// Cause: every holder goes on being chosen.
+func TestSpareHoldersAreLeftOut(t *testing.T) {
+	r, rng, endpoints := NewRouter(Params{}), newRand(), group(8)
+	q := query(1)
+	r.Decide(0, rng, q, endpoints)
+	for _, e := range endpoints[:4] {
+		r.Finished(time.Second, Finished{Endpoint: e.ID, Epoch: e.Epoch, Organisation: q.Organisation, Levels: q.Levels, Ran: true})
+	}
+	used := map[string]bool{}
+	for i := range 20 {
+		used[r.Decide(time.Duration(2+i)*time.Second, rng, q, endpoints).Executor] = true
+	}
+	if len(used) != 1 {
+		t.Errorf("%d holders in use, want 1", len(used))
+	}
+}
+
+func TestOldReportIsTakenOnce(t *testing.T) {
+	var o occupancy
+	o.report(time.Second, time.Second, amount{requests: 4}, 16, 1e6)
+	o.add(time.Second, amount{requests: 1})
+	o.report(time.Second+time.Millisecond, time.Second, amount{requests: 4}, 16, 1e6)
+	if o.value.requests < 4.9 {
+		t.Errorf("%.1f requests, the decision since the report is forgotten", o.value.requests)
+	}
+}
