--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/url"
-	"os"
 	"slices"
 	"strings"
 
@@ -34,15 +33,7 @@
 			logCommand("list", "list what is in force", "[KIND]", "config list model", 0, 1, list),
 			logCommand("diff", "show what publishing a file would change", "FILE", "config diff records.json", 1, 1, diff),
 			logCommand("history", "show every record on the log and what became of it", "[KIND KEY]", "config history group ledger-llm", 0, 2, history),
-			{
-				Name: "export", Usage: "write the state in force to a file for bootstrap.file",
-				Description: "  skylarkctl config export -o state.bootstrap",
-				Flags: []cli.Flag{
-					&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Required: true, Usage: "`FILE`"},
-					platformFlag(), timeoutFlag(),
-				},
-				Action: withArgs(0, 0, export),
-			},
+			exportCommand(),
 		},
 	}
 }
@@ -244,19 +235,3 @@
 		}
 	})
 }
-
-func export(ctx context.Context, c *cli.Command) error {
-	h, err := readHistory(ctx, c)
-	if err != nil {
-		return err
-	}
-	data, err := config.EncodeState(h.State)
-	if err != nil {
-		return err
-	}
-	if err := os.WriteFile(c.String("output"), data, 0o600); err != nil {
-		return err
-	}
-	fmt.Fprintf(c.Root().Writer, "state as of offset %d, %d bytes\n", h.State.Offset, len(data))
-	return nil
-}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -169,6 +169,7 @@
 // daemon answers the tool as a daemon would.
 type daemon struct {
 	drained bool
+	state   []byte    // encoded configuration
 	role    wire.Role // an endpoint's if empty
 }
 
@@ -183,6 +184,8 @@
 			e.Records = []wire.DecisionRecord{{Request: "r1", Kind: "route", Reason: "cached", Candidates: []wire.Candidate{{Endpoint: "ep-2", Excluded: "leaving"}}}}
 		}
 		answer = e
+	case *wire.ConfigFetch:
+		answer = &wire.ConfigState{Offset: 3, State: d.state, Parts: 1}
 	case *wire.Drain:
 		d.drained = true
 		answer = &wire.Drained{Endpoint: m.Endpoint}
@@ -196,6 +199,45 @@
 	return wire.Identity{ID: "ep-1", Role: cmp.Or(d.role, wire.RoleEndpoint), FailureDomain: "hobart-a", Group: "g"}
 }
 
+// serve returns the flag that names the daemon's address.
+func (d *daemon) serve(t *testing.T, key []byte) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = wire.Accept(w, r, wire.Options{Key: key, Self: d.identity, Handler: d})
+	}))
+	t.Cleanup(server.Close)
+	return "--address=" + strings.TrimPrefix(server.URL, "http://")
+}
+
+// Symptom: new instances can't be given a bootstrap file when they need one.
+// Sequence: the log is out; an operator exports the state for the next image.
+// Cause: the state was read from the log only.
+func TestExportFromAProcessInAnOutage(t *testing.T) {
+	f := newFixture(t)
+	t.Setenv("SKYLARK_FLEET_KEY", fleetKey)
+	key, err := hex.DecodeString(fleetKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.run(ExitOK, "config", "publish", f.file)
+	whole := filepath.Join(t.TempDir(), "whole")
+	f.run(ExitOK, "config", "export", "-o", whole)
+	state, err := os.ReadFile(whole)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old, empty := &daemon{state: state}, &daemon{}
+	f.url = "http://127.0.0.1:1"
+	exported := filepath.Join(t.TempDir(), "exported")
+	f.run(ExitUnreachable, "config", "export", "-o", exported)
+	f.run(ExitUnreachable, "config", "export", "--address=127.0.0.1:1", "-o", exported)
+	f.run(ExitRefused, "config", "export", empty.serve(t, key), "-o", exported)
+	f.run(ExitOK, "config", "export", "--address=127.0.0.1:1", empty.serve(t, key), old.serve(t, key), "-o", exported)
+	got, err := os.ReadFile(exported)
+	if err != nil || !bytes.Equal(got, state) {
+		t.Errorf("exported %d bytes, want the log's %d: %v", len(got), len(state), err)
+	}
+}
+
 func TestFleetCommands(t *testing.T) {
 	f := newFixture(t)
 	t.Setenv("SKYLARK_FLEET_KEY", fleetKey)
@@ -204,11 +246,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_ = wire.Accept(w, r, wire.Options{Key: key, Self: d.identity, Handler: d})
-	}))
-	defer server.Close()
-	at := "--address=" + strings.TrimPrefix(server.URL, "http://")
+	at := d.serve(t, key)
 	f.contains(f.run(ExitOK, "status", at), "hobart-a")
 	f.contains(f.run(ExitOK, "explain", at, "r1"), "leaving")
 	f.run(ExitRefused, "explain", at, "r2")
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -21,11 +21,18 @@
 func fleetFlags() []cli.Flag {
 	return []cli.Flag{
 		outputFlag(), platformFlag(), timeoutFlag(),
-		&cli.StringSliceFlag{Name: "address", Usage: "`IP:PORT` of a process to ask, in place of the instance list"},
-		&cli.StringFlag{Name: "fleet-key", Usage: "the fleet's shared `KEY` in hex", Sources: cli.EnvVars("SKYLARK_FLEET_KEY")},
+		addressFlag(), fleetKeyFlag(),
 	}
 }
 
+func addressFlag() cli.Flag {
+	return &cli.StringSliceFlag{Name: "address", Usage: "`IP:PORT` of a process to ask, in place of the instance list"}
+}
+
+func fleetKeyFlag() cli.Flag {
+	return &cli.StringFlag{Name: "fleet-key", Usage: "the fleet's shared `KEY` in hex", Sources: cli.EnvVars("SKYLARK_FLEET_KEY")}
+}
+
 // fleet asks processes over sessions of the inner protocol.
 type fleet struct {
 	pool  *wire.Pool
--- a/internal/follow/exchange.go
+++ b/internal/follow/exchange.go
@@ -95,26 +95,35 @@
 
 // ask fetches from one peer and merges what it has.
 func (f *Follower) ask(ctx context.Context, fetch Fetch) error {
-	after := f.offset()
-	first, err := fetchPart(ctx, fetch, &wire.ConfigFetch{After: after})
-	if err != nil || len(first.State) == 0 {
+	data, err := FetchState(ctx, fetch, f.offset())
+	if err != nil || len(data) == 0 {
 		return err
 	}
+	return f.Offer(data, SourcePeer)
+}
+
+// FetchState returns what a peer has in force after an offset, encoded by package
+// config; nothing if it has as much.
+func FetchState(ctx context.Context, fetch Fetch, after uint64) ([]byte, error) {
+	first, err := fetchPart(ctx, fetch, &wire.ConfigFetch{After: after})
+	if err != nil {
+		return nil, err
+	}
 	if first.Parts > maxParts {
-		return fmt.Errorf("%w: %d parts", ErrTooLarge, first.Parts)
+		return nil, fmt.Errorf("%w: %d parts", ErrTooLarge, first.Parts)
 	}
 	data := append([]byte(nil), first.State...)
 	for i := 1; i < first.Parts; i++ {
 		next, err := fetchPart(ctx, fetch, &wire.ConfigFetch{After: after, Part: i, Offset: first.Offset})
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if next.Offset != first.Offset || next.Parts != first.Parts {
-			return ErrMoved
+			return nil, ErrMoved
 		}
 		data = append(data, next.State...)
 	}
-	return f.Offer(data, SourcePeer)
+	return data, nil
 }
 
 func fetchPart(ctx context.Context, fetch Fetch, m *wire.ConfigFetch) (*wire.ConfigState, error) {
