Entry: a resume's window counts what the caller has not taken

Cause: each Resume asked for a whole window, whatever of the last one still waited for the caller, and dropped what Receiver.Resumed returns. Today the entry delivers before it resumes, so the two are equal but after a failed write; nothing kept it so.

Change: the message is made in one place, of the receiver's next piece and window.

--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -108,10 +108,9 @@
 		return d.step(attempt.ResumeFailed{Attempt: a.Attempt, EpochGone: errors.Is(err, errEpochGone)})
 	}
 	d.live.move(session)
-	d.job.receiver.Resumed()
 	actions := d.step(attempt.ResumeOpened{Attempt: a.Attempt})
 	// A failed write closes the session, which await sees.
-	_ = session.Send(d.job.resume(a.Attempt, a.Target.Epoch, a.Seq))
+	_ = session.Send(d.job.resume(a.Attempt, a.Target.Epoch))
 	d.e.tel.Log.Info("stream resumed", "request", d.job.id, "executor", a.Target.Endpoint, "seq", a.Seq)
 	return actions
 }
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -129,9 +129,16 @@
 	return resolved, session.Peer().Epoch, nil
 }
 
-// resume is the message that asks for an attempt's chunks again.
-func (j *job) resume(id wire.AttemptID, epoch wire.Epoch, seq uint64) *wire.Resume {
-	return &wire.Resume{Attempt: id, Epoch: epoch, Seq: seq, Window: window, Organisation: j.organisation.ID}
+// resume makes the message that asks for the attempt's chunks again from the next
+// one on. What the caller has not taken yet counts against the new window.
+func (j *job) resume(id wire.AttemptID, epoch wire.Epoch) *wire.Resume {
+	return &wire.Resume{
+		Attempt:      id,
+		Epoch:        epoch,
+		Seq:          j.receiver.Next(),
+		Window:       j.receiver.Resumed(),
+		Organisation: j.organisation.ID,
+	}
 }
 
 // newAttemptSource returns the generator of one request's attempt IDs, seeded so
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -99,9 +99,8 @@
 func (s *resumption) takeOver(id wire.AttemptID, session *wire.Session) bool {
 	l := s.e.openLink(id, session)
 	defer s.e.closeLink(l)
-	s.job.receiver.Resumed()
 	// A failed write closes the session, which follow sees.
-	_ = session.Send(s.job.resume(id, s.target.Epoch, s.job.receiver.Next()))
+	_ = session.Send(s.job.resume(id, s.target.Epoch))
 	return s.follow(l)
 }
 
