A stream that its engine goes on with outlives caller and endpoint process

Cause: an attempt was known to the epoch that took its Run alone. A caller that came back with Last-Event-ID after its endpoint process had been restarted got unknown_outcome, although the engine goes on with the stream for its resume time.

Ruled out: the attempt's ID as permission (it stands in logs); piece numbers from the caller's word; taking up continuations, whose first number nothing tells.

Change: the entry asks the executor whatever its epoch; a Resume of another epoch makes the endpoint process ask its engine for the stream. It takes it up only if the engine says that it was begun under the asking organisation's salt (new, optional response header X-Cache-Salt) and only from the attempt's first piece (a continuation is now named ATTEMPT.FIRST at the engine). Anything else is unknown_outcome, as before, and leaves the engine's stream as it is.

--- a/internal/endpoint/completion.go
+++ b/internal/endpoint/completion.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"time"
 
 	"skylarklead/internal/engine"
@@ -41,7 +42,7 @@
 
 // runCompletion runs a prompt at the engine and returns how it ended.
 func (e *Endpoint) runCompletion(ctx context.Context, j job) wire.End {
-	c := &completion{job: j, engine: e.engine, id: j.run.Attempt.String()}
+	c := &completion{job: j, engine: e.engine, id: streamName(j.run)}
 	c.firstToken = func() { e.tel.Metrics.FirstToken(j.run.Organisation, time.Since(j.begun)) }
 	st, err := c.engine.Complete(ctx, c.request())
 	if errors.Is(err, engine.ErrNotSent) {
@@ -65,6 +66,16 @@
 	return c.ended(ctx, err)
 }
 
+// streamName names a run at the engine. One that doesn't begin with its answer's
+// first piece says so: after a restart nothing else here tells the number of a
+// stream's first piece.
+func streamName(run *wire.Run) string {
+	if run.FirstSeq == 0 {
+		return run.Attempt.String()
+	}
+	return run.Attempt.String() + "." + strconv.FormatUint(run.FirstSeq, 10)
+}
+
 func (c *completion) request() engine.Request {
 	return engine.Request{
 		ID:         c.id,
--- a/internal/endpoint/executions.go
+++ b/internal/endpoint/executions.go
@@ -54,9 +54,11 @@
 	// get its answer too.
 	claimed   bool
 	followers []*execution
-	stream    *stream
-	stop      context.CancelCauseFunc // ends the back end's work
-	stopPump  context.CancelFunc
+	// adoptedFrom is the epoch that the attempt began in, if not in this one.
+	adoptedFrom wire.Epoch
+	stream      *stream
+	stop        context.CancelCauseFunc // ends the back end's work
+	stopPump    context.CancelFunc
 
 	// messages is the whole prompt, chain its blocks; predicted is how many of
 	// its tokens the engine was believed to hold when the attempt arrived, mark
--- a/internal/endpoint/resume.go
+++ b/internal/endpoint/resume.go
@@ -51,17 +51,30 @@
 // onResume sends an attempt's chunks again, on this session.
 func (e *Endpoint) onResume(s *wire.Session, m *wire.Resume) {
 	a := e.executions[m.Attempt]
-	known := a != nil && m.Epoch == e.tel.Epoch && m.Organisation == a.run.Organisation
+	if e.mayAdopt(m) {
+		go e.adopt(s, m)
+		return
+	}
+	known := a != nil && a.isOf(m.Epoch, e.tel.Epoch) && m.Organisation == a.run.Organisation
 	if !known || !a.stream.attach(s, m.Seq, m.Window) {
-		e.dropped("resume of an unknown attempt", s, "attempt", m.Attempt.String())
-		end := &wire.End{Attempt: m.Attempt, Seq: m.Seq, Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome}
-		go s.Send(end) // lost only with the session, which tells as much
+		e.refuseResume(s, m)
 		return
 	}
 	a.session = s
 	a.delivered = false
 }
 
+// isOf reports whether an attempt of the asked epoch is the one that runs here.
+func (a *execution) isOf(asked, own wire.Epoch) bool {
+	return asked == own || a.adoptedFrom != 0 && asked == a.adoptedFrom
+}
+
+func (e *Endpoint) refuseResume(s *wire.Session, m *wire.Resume) {
+	e.dropped("resume of an unknown attempt", s, "attempt", m.Attempt.String())
+	end := &wire.End{Attempt: m.Attempt, Seq: m.Seq, Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome}
+	go s.Send(end) // lost only with the session, which tells as much
+}
+
 // onResolve tells what became of an attempt, and fences an unseen one.
 func (e *Endpoint) onResolve(s *wire.Session, ref uint32, m *wire.Resolve) {
 	if m.Epoch != e.tel.Epoch {
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -13,6 +13,7 @@
 	HeaderRequestID      = "X-Request-Id"
 	HeaderIncarnation    = "X-Engine-Incarnation"
 	HeaderWeights        = "X-Weights-Version"
+	HeaderCacheSalt      = "X-Cache-Salt"
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -24,6 +24,9 @@
 	// Incarnation and Weights are the engine's when the request began to run.
 	Incarnation string
 	Weights     string
+	// Salt is the cache salt that the request began with, empty if the engine
+	// doesn't tell.
+	Salt string
 
 	body   io.ReadCloser
 	events *sseReader
@@ -34,6 +37,7 @@
 	return &Stream{
 		Incarnation: resp.Header.Get(HeaderIncarnation),
 		Weights:     resp.Header.Get(HeaderWeights),
+		Salt:        resp.Header.Get(HeaderCacheSalt),
 		body:        resp.Body,
 		events:      newSSEReader(resp.Body),
 		next:        from,
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -58,7 +58,8 @@
 }
 
 // resumption is a stream that was resumed by its caller. Without the request's
-// body it can't be run elsewhere: when its executor is gone, so is the stream.
+// body it can't be run elsewhere. When its executor was restarted, the new process
+// is asked all the same: its engine may still go on with the stream.
 type resumption struct {
 	*answer
 	life   *life
@@ -69,11 +70,7 @@
 func (s *resumption) run(id wire.AttemptID) {
 	pause := attempt.DefaultPlanParams.Backoff
 	for tries := 0; tries < resumeTries && s.life.Err() == nil; tries++ {
-		session, err := s.e.sameEpoch(s.life, s.target)
-		if errors.Is(err, errEpochGone) {
-			s.fail(lostStream("its executor was restarted"))
-			return
-		}
+		session, err := s.reach()
 		before := s.job.receiver.Next()
 		if err == nil && s.takeOver(id, session) {
 			return
@@ -94,6 +91,13 @@
 	s.fail(lostStream("its executor can't be reached"))
 }
 
+// reach opens a session to the executor, whichever its epoch is now.
+func (s *resumption) reach() (*wire.Session, error) {
+	ctx, cancel := context.WithTimeout(s.life, tryTimeout)
+	defer cancel()
+	return s.e.sessionTo(ctx, s.target)
+}
+
 // takeOver delivers the stream over one session; it returns false if it has to be
 // taken over once more.
 func (s *resumption) takeOver(id wire.AttemptID, session *wire.Session) bool {
@@ -116,7 +120,7 @@
 				return s.wait(l)
 			}
 			if got.end != nil {
-				s.conclude(got.end)
+				s.ended(l, got.end)
 				return true
 			}
 		case <-gap.C:
@@ -140,6 +144,14 @@
 	}
 }
 
+func (s *resumption) ended(l *link, end *wire.End) {
+	if end.Outcome == wire.Unknown && end.Message == "" && l.peer.Epoch != s.target.Epoch {
+		s.fail(lostStream("its executor was restarted"))
+		return
+	}
+	s.conclude(end)
+}
+
 // wait keeps the stream for a caller who may come back once more.
 func (s *resumption) wait(l *link) bool {
 	grace := time.NewTimer(s.life.grace)
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -242,6 +242,46 @@
 	})
 }
 
+// Symptom: a caller who comes back is told that its stream is lost, while the
+// engine goes on with it.
+// Sequence: the executor has been restarted when the caller resumes; once the new
+// process has adopted the stream, once it has not.
+// Cause: an entry that asks no process but that of the epoch in Last-Event-ID.
+func TestResumeAtRestartedExecutor(t *testing.T) {
+	for _, adopts := range []bool{true, false} {
+		x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+			switch m := m.(type) {
+			case *wire.Ask:
+				x.decide(s, ref, m)
+			case *wire.Run:
+				words(s, m.Attempt, 0, 5, totalWords)
+			case *wire.Resume:
+				if adopts && m.Epoch == x.epoch-1 && m.Organisation == "foodbank" {
+					words(s, m.Attempt, m.Seq, totalWords, totalWords)
+					return
+				}
+				_ = s.Send(&wire.End{Attempt: m.Attempt, Seq: m.Seq, Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome})
+			}
+		})
+		_, server := newTestEntry(t, "llm", x)
+		ctx, hangUp := context.WithCancel(context.Background())
+		first := readEvents(t, bufio.NewScanner(post(t, ctx, server.URL+"/v1/chat/completions", streamBody).Body), 5)
+		hangUp()
+		x.restart(t)
+		r, _ := http.NewRequest(http.MethodGet, server.URL+"/v1/streams", nil)
+		resp := send(t, r, "Last-Event-ID", first.lastID)
+		if !adopts {
+			if e := readError(t, resp); e.Code != wire.CodeUnknownOutcome || !strings.Contains(e.Message, "restarted") {
+				t.Errorf("got %+v", e)
+			}
+			continue
+		}
+		if second := readSSE(t, resp); !second.done || first.text+second.text != wantWords(totalWords) {
+			t.Errorf("got %q and then %q, failure %+v", first.text, second.text, second.failure)
+		}
+	}
+}
+
 // Symptom: a resumed stream ends with an error though its executor lives.
 // Sequence: the session of the resumed stream is cut again and again, and each
 // time some more of the stream has come.
--- a/internal/standin/engine/streams.go
+++ b/internal/standin/engine/streams.go
@@ -88,6 +88,7 @@
 	w.Header().Set("Content-Type", contentEvents)
 	w.Header().Set(api.HeaderIncarnation, req.origin.Incarnation)
 	w.Header().Set(api.HeaderWeights, req.origin.Weights)
+	w.Header().Set(api.HeaderCacheSalt, req.origin.Salt)
 	flusher := http.NewResponseController(w)
 	for {
 		_ = flusher.Flush()
