--- a/internal/ctl/files.go
+++ b/internal/ctl/files.go
@@ -39,9 +39,13 @@
 	if err != nil {
 		return nil, err
 	}
+	texts := split(data)
+	if len(texts) == 0 {
+		return nil, fmt.Errorf("%s: the list is empty; want a record or a list of records", path)
+	}
 	var sources []source
 	var problems []error
-	for _, text := range split(data) {
+	for _, text := range texts {
 		s, err := parseSource(text, path)
 		problems = append(problems, err)
 		sources = append(sources, s)
