skylark-measure idle: what entry and endpoint process add on an idle path

One stand-in engine, endpoint process and entry without delays between them; one warm prompt, sequential requests in turn straight to the engine and through, the order swapped each pair, answers checked.

--- a/cmd/skylark-measure/main.go
+++ b/cmd/skylark-measure/main.go
@@ -42,7 +42,7 @@
 			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "folder of the programs"},
 			&cli.StringFlag{Name: "out", Value: "docs/measurements", Usage: "folder of the results"},
 		},
-		Commands: []*cli.Command{slopes()},
+		Commands: []*cli.Command{slopes(), idle()},
 		Action:   run,
 	}
 }
--- /dev/null
+++ b/internal/measure/idle.go
@@ -0,0 +1,210 @@
+package measure
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"skylarklead/internal/engine"
+	"skylarklead/internal/prefix"
+	"skylarklead/internal/standin/answer"
+	"skylarklead/internal/standin/load"
+)
+
+const (
+	// idleWarmup is how many pairs are sent before those that count.
+	idleWarmup = 20
+	idleTokens = 4
+	idleStepMs = 1
+)
+
+// IdleOptions say how the idle path is measured.
+type IdleOptions struct {
+	// Bin is the folder of the programs.
+	Bin string
+	// Requests is how many are sent each way.
+	Requests int
+	Keep     bool
+}
+
+// Quantiles of times in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50_ms"`
+	P95 float64 `json:"p95_ms"`
+	P99 float64 `json:"p99_ms"`
+}
+
+// Idle is the time to the first token of one warm prompt, one request at a time,
+// straight from the engine and through entry and endpoint process.
+type Idle struct {
+	Requests int `json:"requests"`
+	// PromptTokens of each request, CachedTokens of them from the engine's cache.
+	PromptTokens int       `json:"prompt_tokens"`
+	CachedTokens int       `json:"cached_tokens"`
+	Straight     Quantiles `json:"straight"`
+	Through      Quantiles `json:"through"`
+	// Added is of the differences within each pair of neighbouring requests.
+	Added Quantiles `json:"added"`
+	// LoadBefore and LoadAfter are the machine's load average over one minute.
+	LoadBefore float64 `json:"load_average_before"`
+	LoadAfter  float64 `json:"load_average_after"`
+}
+
+// MeasureIdle starts one engine, endpoint process and entry, without delays
+// between them, and sends requests either way in turn.
+func MeasureIdle(ctx context.Context, o IdleOptions) (*Idle, error) {
+	dir, remove, err := tempDir(o.Keep)
+	if err != nil {
+		return nil, err
+	}
+	defer remove()
+	s := slopeFleet{members: 1, entries: 1, answerTokens: idleTokens, stepMs: idleStepMs}
+	result := &Idle{Requests: o.Requests, LoadBefore: loadAverage()}
+	f, err := StartFleet(ctx, s.deployment(), s.workload(), FleetOptions{
+		Bin: o.Bin, Dir: dir, Policy: PolicyOwner, Engine: s.engine(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	if err := result.measure(ctx, newIdlePaths(f, s)); err != nil {
+		return nil, err
+	}
+	result.LoadAfter = loadAverage()
+	return result, nil
+}
+
+func (r *Idle) measure(ctx context.Context, p idlePaths) error {
+	var straight, through, added []float64
+	for i := range idleWarmup + r.Requests {
+		pair, err := p.pair(ctx, i)
+		if err != nil {
+			return fmt.Errorf("measure: idle request %d: %w", i, err)
+		}
+		if i < idleWarmup {
+			continue
+		}
+		straight = append(straight, milliseconds(pair.straight.firstToken))
+		through = append(through, milliseconds(pair.through.firstToken))
+		added = append(added, milliseconds(pair.through.firstToken-pair.straight.firstToken))
+		r.PromptTokens, r.CachedTokens = pair.through.usage.PromptTokens, pair.through.usage.PromptTokensDetails.CachedTokens
+	}
+	r.Straight, r.Through, r.Added = quantilesOf(straight), quantilesOf(through), quantilesOf(added)
+	return nil
+}
+
+// idlePaths are the two ways to the engine.
+type idlePaths struct {
+	engine, entry string
+	salt          string
+	instructions  []prefix.Message
+	messages      []prefix.Message
+}
+
+func newIdlePaths(f *Fleet, s slopeFleet) idlePaths {
+	organisation := s.workload().Organisations[0]
+	p := idlePaths{engine: "http://" + f.Engines[0].address, entry: f.EntryURLs()[0], salt: organisation.ID}
+	for _, i := range organisation.Instructions {
+		p.instructions = append(p.instructions, prefix.Message{Role: "system", Content: load.Text(i.Seed, i.Tokens)})
+	}
+	p.messages = []prefix.Message{
+		{Role: "system", Content: load.Text("idle-charter", 800)},
+		{Role: "user", Content: load.Text("idle-question", 300)},
+	}
+	return p
+}
+
+// idlePair is one request each way.
+type idlePair struct{ straight, through timedAnswer }
+
+// pair sends the two in turns of order, so that neither always finds the caches
+// of processor and engine as the other has left them.
+func (p idlePaths) pair(ctx context.Context, i int) (pair idlePair, err error) {
+	ways := []func() error{
+		func() (err error) { pair.straight, err = p.straight(ctx, i); return err },
+		func() (err error) { pair.through, err = p.through(ctx, i); return err },
+	}
+	if i%2 == 1 {
+		slices.Reverse(ways)
+	}
+	for _, way := range ways {
+		if err := way(); err != nil {
+			return pair, err
+		}
+	}
+	return pair, nil
+}
+
+func (p idlePaths) straight(ctx context.Context, i int) (timedAnswer, error) {
+	header := http.Header{engine.HeaderRequestID: {fmt.Sprintf("straight-%d", i)}}
+	return p.send(ctx, p.engine, header, p.body(slices.Concat(p.instructions, p.messages), p.salt))
+}
+
+func (p idlePaths) through(ctx context.Context, i int) (timedAnswer, error) {
+	header := http.Header{"X-Request-Id": {fmt.Sprintf("through-%d", i)}, "Authorization": {"Bearer " + slopeKey}}
+	return p.send(ctx, p.entry, header, p.body(p.messages, ""))
+}
+
+func (p idlePaths) body(messages []prefix.Message, salt string) engine.Completion {
+	return engine.Completion{
+		Model: slopeGroup, Messages: messages, Stream: true, MaxTokens: idleTokens, CacheSalt: salt,
+		StreamOptions: engine.StreamOptions{IncludeUsage: true},
+	}
+}
+
+// send makes one request and checks its answer, for the time of a wrong one means
+// nothing.
+func (p idlePaths) send(ctx context.Context, base string, header http.Header, body engine.Completion) (timedAnswer, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return timedAnswer{}, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/chat/completions", bytes.NewReader(data))
+	if err != nil {
+		return timedAnswer{}, err
+	}
+	req.Header = header
+	req.Header.Set("Content-Type", "application/json")
+	got, err := timeAnswer(req)
+	if err != nil {
+		return got, err
+	}
+	if want := answer.Expected(slices.Concat(p.instructions, p.messages), idleTokens); got.text != want {
+		return got, fmt.Errorf("%s answered %q, want %q", base, got.text, want)
+	}
+	return got, nil
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// quantilesOf takes the nearest rank.
+func quantilesOf(values []float64) Quantiles {
+	sorted := slices.Sorted(slices.Values(values))
+	rank := func(q float64) float64 {
+		if len(sorted) == 0 {
+			return 0
+		}
+		return sorted[max(int(math.Ceil(q*float64(len(sorted)))), 1)-1]
+	}
+	return Quantiles{P50: rank(0.5), P95: rank(0.95), P99: rank(0.99)}
+}
+
+// loadAverage is the machine's over the last minute, -1 if it can't be read.
+func loadAverage() float64 {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return -1
+	}
+	var average float64
+	if _, err := fmt.Sscan(strings.TrimSpace(string(data)), &average); err != nil {
+		return -1
+	}
+	return average
+}
