Go on with an answer under the instructions that it was begun under

Cause: an answer that was cut and went on at another endpoint got the standing instructions in force there by then. Ruled out: lost, doubled or crossed pieces (all 60 events were there, in order).

Change: an attempt that goes on from what the caller has carries the whole prompt, instructions included, as the request had them when it came.

Left: an executor whose configuration was newer than the entry's when the answer began is still gone on from with the entry's; Start doesn't tell which record was used.

--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -118,7 +118,13 @@
 		return run
 	}
 	run.Partial = string(j.answer)
-	if len(j.organisation.Instructions) > 0 {
+	switch {
+	case a.FirstSeq > 0:
+		// The answer goes on under the instructions that it was begun under. An
+		// operator may have replaced them since; the executor, which only has the
+		// newest, would end by one charter what was begun by another.
+		run.Messages = wholePrompt(j.organisation, j.messages)
+	case len(j.organisation.Instructions) > 0:
 		run.Instructions = j.organisation.Offset
 	}
 	return run
