--- a/test/promise2_streams_test.go
+++ b/test/promise2_streams_test.go
@@ -97,3 +97,37 @@
 		s.Entry.RetryShare = 1
 	}
 }
+
+// Symptom: a letter begins by one charter and ends by another.
+// Sequence: an operator changes the charter while an answer is under way; every
+// process has the change; then the answer's endpoint process is killed.
+// Cause: an answer gone on with under the instructions in force by then, not those
+// that it was begun under.
+func TestPromise2AnswerKeepsItsCharter(t *testing.T) {
+	t.Parallel()
+	c := harness.Start(t, harness.Options{Engines: 2, Entries: 1, Settings: retryFreely})
+	caller := c.Caller(c.Entries[0], harness.Foodbank)
+	running := make(chan struct{})
+	chat := harness.Ask("charter", 600)
+	chat.Event = func(n int) {
+		if n == faultAt {
+			close(running)
+		}
+	}
+	answer := make(chan harness.Answer, 1)
+	executor := c.EndpointOf(caller.Chat(t.Context(), harness.Ask("warm", 1)))
+	go func() { answer <- caller.Chat(t.Context(), chat) }()
+	<-running
+	c.Publish(charter(1).Record(c.Revisions[harness.Foodbank.ID]))
+	for _, n := range c.Nodes() {
+		harness.Await(t, n.ID+" to have the change", func() bool {
+			s := c.Status(n)
+			return s != nil && s.ConfigOffset > c.Revisions[harness.Hospice.ID]
+		})
+	}
+	executor.Kill()
+	a := <-answer
+	if err := harness.Foodbank.Check(chat, a); err != nil || a.Failure != nil {
+		t.Errorf("%v, %v", err, a)
+	}
+}
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -209,7 +210,23 @@
 			return nil
 		}
 	}
-	return err
+	return fmt.Errorf("%w; %s", err, s.origin(chat, a))
+}
+
+// origin tells under which charters a wrong answer's first and last pieces were
+// generated.
+func (s *soak) origin(chat harness.Chat, a harness.Answer) string {
+	first, last := "none", "none"
+	for n := range s.published.Load() + 1 {
+		want := charter(n).Expected(chat)
+		if strings.HasPrefix(want, a.Text[:min(len(a.Text), 20)]) {
+			first = fmt.Sprint(n)
+		}
+		if strings.HasSuffix(want, a.Text[max(len(a.Text)-20, 0):]) {
+			last = fmt.Sprint(n)
+		}
+	}
+	return fmt.Sprintf("begun under charter %s, ended under %s", first, last)
 }
 
 // pay sends payments with a key, each until its answer or final refusal.
