Entry: begin a structured answer that is given whole again

Cause: an answer of a fixed form isn't continued, which refused also the callers who ask for it in one piece, though they have none of it when its executor is lost.

Change: such an answer starts anew at the next piece number; what was collected is thrown away and doesn't count as tokens. job.resumable is now job.streamed, for the two decisions that hang on it. TestStructuredWholeAnswerBeginsAgain fails without it.

--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -71,8 +71,11 @@
 
 func (d *drive) run(a attempt.Run) []attempt.Action {
 	d.release()
+	if a.FirstSeq > 0 && d.job.structured {
+		d.beginAgain(a.FirstSeq)
+	}
 	d.noteTarget(a)
-	if d.job.full(a.FirstSeq) {
+	if d.job.full() {
 		d.conclude(&wire.End{Outcome: wire.Done, FinishReason: finishLength})
 		d.left = true
 		return nil
@@ -98,7 +101,17 @@
 		d.job.decision.Reason += reasonRedirected
 	}
 	d.job.decision.Executor = a.Target
-	d.job.before = a.FirstSeq
+	d.job.before = a.FirstSeq - d.job.discarded
+}
+
+// beginAgain makes the answer start anew at piece next. Only an answer that is
+// given whole can: of a stream, the caller has the first half already, and the
+// plan doesn't run it again.
+func (d *drive) beginAgain(next uint64) {
+	d.job.beganAgain(next)
+	if out, ok := d.out.(discarder); ok {
+		out.discard()
+	}
 }
 
 func (d *drive) resume(a attempt.Resume) []attempt.Action {
--- a/internal/entry/await.go
+++ b/internal/entry/await.go
@@ -105,7 +105,7 @@
 		return nil
 	}
 	d.e.tel.Log.Info("caller can't be written to", "request", d.job.id, "error", err)
-	if !d.job.resumable {
+	if !d.job.streamed {
 		d.step(attempt.CallerGone{})
 		return d.step(attempt.GraceOver{})
 	}
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -47,19 +47,19 @@
 		return nil, refusal
 	}
 	j := &job{
-		request:     req,
-		group:       model.Group,
-		model:       model.ID,
-		version:     version,
-		anyVersion:  body.Version == "",
-		messages:    body.Messages,
-		priority:    body.Priority,
-		maxTokens:   boundTokens(body.MaxTokens, model.MaxTokens),
-		repeatable:  req.key == nil,
-		resumable:   body.Stream,
-		receiver:    attempt.NewReceiver(window),
-		parameters:  body.Parameters,
-		continuable: !parameters.Structured(body.Parameters),
+		request:    req,
+		group:      model.Group,
+		model:      model.ID,
+		version:    version,
+		anyVersion: body.Version == "",
+		messages:   body.Messages,
+		priority:   body.Priority,
+		maxTokens:  boundTokens(body.MaxTokens, model.MaxTokens),
+		repeatable: req.key == nil,
+		streamed:   body.Stream,
+		receiver:   attempt.NewReceiver(window),
+		parameters: body.Parameters,
+		structured: parameters.Structured(body.Parameters),
 	}
 	j.promptTokens = prefix.Tokens(wholePrompt(req.organisation, body.Messages))
 	j.fingerprint = chatFingerprint(j)
--- a/internal/entry/drive.go
+++ b/internal/entry/drive.go
@@ -31,13 +31,13 @@
 func (e *Entry) drive(caller context.Context, j *job, place placer, out sink) {
 	d := &drive{answer: &answer{e: e, job: j, out: out}, place: place}
 	grace := time.Duration(0)
-	if j.resumable {
+	if j.streamed {
 		grace = e.settings.Entry.ResumeGrace.D()
 	}
 	d.life = e.newLife(caller, j.deadline, grace)
 	defer d.life.cancel(nil)
 	e.tel.Metrics.Requests.Mark(1)
-	spec := attempt.Spec{Repeatable: j.repeatable, Keyed: j.key != nil, Continuable: j.continuable}
+	spec := attempt.Spec{Repeatable: j.repeatable, Keyed: j.key != nil, Continuable: j.continuable()}
 	d.plan = attempt.NewPlan(spec, attempt.DefaultPlanParams, e.budget, newAttemptSource())
 	defer d.release()
 	defer d.unchoose()
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -27,10 +27,12 @@
 	parameters []byte
 	// repeatable requests may be run again after an unknown outcome.
 	repeatable bool
-	// continuable ones can be gone on with from the half of their answer.
-	continuable bool
-	// resumable ones go on for a grace after their caller has hung up.
-	resumable bool
+	// structured answers have a form from their first character on; they can't be
+	// gone on with from the half.
+	structured bool
+	// streamed ones are given to the caller piece by piece. They can be resumed,
+	// and so go on for a grace after their caller has hung up.
+	streamed bool
 	// resumed ones were begun by an earlier request.
 	resumed bool
 
@@ -42,8 +44,9 @@
 	// whose engine crashed meanwhile.
 	exclude, crashed []string
 	attempts         int
-	// before is how many pieces came from attempts before the last one.
-	before uint64
+	// before is how many pieces of the answer came from attempts before the last
+	// one, discarded how many earlier ones aren't part of the answer any more.
+	before, discarded uint64
 	// decision is where the request was last sent, and why.
 	decision   wire.Decision
 	firstToken time.Duration
@@ -72,19 +75,31 @@
 	}
 }
 
-// tokensLeft is how many tokens an answer may still have after its first pieces,
-// each of which is a token or more; 0 is no bound.
-func (j *job) tokensLeft(pieces uint64) int {
+// continuable reports whether the answer can be gone on with after its first
+// pieces, or begun again because its caller has none of them.
+func (j *job) continuable() bool {
+	return j.call == nil && (!j.structured || !j.streamed)
+}
+
+// beganAgain throws the pieces before next away: the answer starts anew there.
+func (j *job) beganAgain(next uint64) {
+	j.answer = nil
+	j.discarded = next
+}
+
+// tokensLeft is how many tokens an answer may still have after the attempts so
+// far, each piece of which is a token or more; 0 is no bound.
+func (j *job) tokensLeft() int {
 	if j.maxTokens == 0 {
 		return 0
 	}
-	return max(j.maxTokens-int(pieces), 1)
+	return max(j.maxTokens-int(j.before), 1)
 }
 
 // full reports whether the caller has all the tokens that were asked for: only
 // the end is missing, and another attempt would add a token too many.
-func (j *job) full(pieces uint64) bool {
-	return j.call == nil && j.maxTokens > 0 && pieces >= uint64(j.maxTokens)
+func (j *job) full() bool {
+	return j.call == nil && j.maxTokens > 0 && j.before >= uint64(j.maxTokens)
 }
 
 // run is the message of a new attempt.
@@ -100,7 +115,7 @@
 		Call:         j.call,
 		Levels:       j.levels,
 		PromptTokens: j.promptTokens,
-		MaxTokens:    j.tokensLeft(a.FirstSeq),
+		MaxTokens:    j.tokensLeft(),
 		Priority:     j.priority,
 		Fingerprint:  j.fingerprint,
 		DeadlineMs:   max(j.remaining().Milliseconds(), 1),
--- a/internal/entry/parameters_test.go
+++ b/internal/entry/parameters_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"strings"
 	"testing"
@@ -75,6 +76,41 @@
 	}
 }
 
+// Symptom: a caller that asked for JSON in one piece is refused, or gets two halves
+// that don't fit, though nothing of the answer was given to it.
+// Sequence: the executor of a structured answer restarts after ten pieces.
+// Cause: pieces that only the entry has, taken for pieces that the caller has.
+func TestStructuredWholeAnswerBeginsAgain(t *testing.T) {
+	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.Ask:
+			x.decide(s, ref, m)
+		case *wire.Run:
+			if m.FirstSeq == 0 {
+				words(s, m.Attempt, 0, 10, totalWords)
+				x.restart(t)
+				return
+			}
+			_ = s.Send(&wire.Chunk{Attempt: m.Attempt, Seq: m.FirstSeq, Data: []byte(`{"a":`)})
+			_ = s.Send(&wire.Chunk{Attempt: m.Attempt, Seq: m.FirstSeq + 1, Data: []byte(`1}`)})
+			_ = s.Send(&wire.End{Attempt: m.Attempt, Seq: m.FirstSeq + 2, Outcome: wire.Done, CompletionTokens: 2})
+		}
+	})
+	_, server := newTestEntry(t, "llm", x)
+	body := strings.Replace(wholeBody, "{", `{"guided_json":{},`, 1)
+	resp := post(t, context.Background(), server.URL+"/v1/chat/completions", body)
+	var got answerJSON
+	if err := json.NewDecoder(resp.Body).Decode(&got); err != nil || len(got.Choices) != 1 {
+		t.Fatalf("got %d %+v, %v", resp.StatusCode, got, err)
+	}
+	if text := got.Choices[0].Message.Content; text != `{"a":1}` || got.Usage.CompletionTokens != 2 {
+		t.Errorf("got %q, %+v", text, got.Usage)
+	}
+	if run := last[*wire.Run](x); run.FirstSeq == 0 || run.Partial != "" || run.MaxTokens != 64 {
+		t.Errorf("began again by %+v", run)
+	}
+}
+
 func TestParametersAreBounded(t *testing.T) {
 	body := strings.Replace(wholeBody, "{", `{"stop":"`+strings.Repeat("x", parameters.MaxBytes)+`",`, 1)
 	if _, err := parseChat([]byte(body)); err == nil {
--- a/internal/entry/whole.go
+++ b/internal/entry/whole.go
@@ -41,6 +41,11 @@
 	return nil
 }
 
+// discarder is a sink whose caller has nothing of the answer yet.
+type discarder interface{ discard() }
+
+func (s *wholeSink) discard() { s.body = nil }
+
 func (s *wholeSink) fail(e *Error) { e.write(s.w, s.requestID) }
 
 func (s *wholeSink) send(status int, contentType string, body []byte) error {
