Entry: the question to a request's owners has its own type

askOwners kept five counters and a closure in 42 lines. They are an inquiry now, in a file of its own with what asks one owner and judges its reply; askOwners only waits. Behaviour is meant to be the same.

--- a/internal/entry/ask.go
+++ b/internal/entry/ask.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"log/slog"
 	"slices"
 	"time"
 
 	"skylarklead/internal/attempt"
-	"skylarklead/internal/follow"
 	"skylarklead/internal/member"
 	"skylarklead/internal/route"
 	"skylarklead/internal/wire"
@@ -82,55 +79,30 @@
 	return append(order, failed...)
 }
 
-// reply is one owner's answer to an Ask.
-type reply struct {
-	from     member.Member
-	decision *wire.Decision
-	err      error
-}
-
 // askOwners asks the first of order, and the next ones when it is slow, frozen
 // or gone. An Ask has no effect, so the first decision wins and the others are
-// dropped.
+// dropped. Nil means that all refused, each for itself alone.
 func (e *Entry) askOwners(ctx context.Context, j *job, order []member.Member) *wire.Decision {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	question := j.ask(e.settings.FailureDomain)
-	// Only a debug line shows them here; `skylarkctl explain` asks the owner too.
-	question.Explain = e.tel.Log.Enabled(ctx, slog.LevelDebug)
-	question.Exclude = append(e.directory.shunned(j.group), question.Exclude...)
-	owners := order[:min(maxOwners, len(order))]
-	replies := make(chan reply, len(owners))
-	asked, answered := 0, 0
-	askNext := func() {
-		if asked < len(owners) {
-			go e.askOne(ctx, owners[asked], question, replies)
-			asked++
-		}
-	}
-	askNext()
+	q := e.newInquiry(ctx, j, order[:min(maxOwners, len(order))])
+	q.askNext(ctx)
 	hedge := time.NewTicker(e.settings.Entry.HedgeAfter.D())
 	defer hedge.Stop()
-	refusedByAll := true
-	for answered < len(owners) {
+	for q.open() {
 		select {
-		case r := <-replies:
-			answered++
-			if e.settles(r) {
+		case r := <-q.replies:
+			if q.take(r) {
 				return r.decision
 			}
-			refusedByAll = refusedByAll && r.err == nil
-			askNext()
+			q.askNext(ctx)
 		case <-hedge.C:
-			if asked < len(owners) && e.mayHedge() {
-				e.tel.Metrics.Hedges.Inc(1)
-				askNext()
-			}
+			q.hedge(ctx)
 		case <-ctx.Done():
 			return withoutDecision(j, order)
 		}
 	}
-	if refusedByAll {
+	if q.refusedByAll() {
 		return nil
 	}
 	return withoutDecision(j, order)
@@ -150,63 +122,3 @@
 		Reason:   reasonNoDecision,
 	}
 }
-
-func (e *Entry) askOne(ctx context.Context, to member.Member, question *wire.Ask, replies chan<- reply) {
-	decision, err := e.askAt(ctx, to, question)
-	if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
-		e.directory.failed(to.ID)
-		e.tel.Log.Warn("owner didn't answer", "request", question.Request, "owner", to.ID, "error", err)
-	}
-	replies <- reply{from: to, decision: decision, err: err}
-}
-
-func (e *Entry) askAt(ctx context.Context, to member.Member, question *wire.Ask) (*wire.Decision, error) {
-	session, err := e.session(ctx, to.Address)
-	if err != nil {
-		return nil, err
-	}
-	answer, err := session.Call(ctx, question)
-	if err != nil {
-		return nil, err
-	}
-	switch m := answer.(type) {
-	case *wire.Decision:
-		e.config.Heard(m.ConfigOffset, follow.SessionFetch(session))
-		return m, nil
-	case *wire.Failure:
-		return &wire.Decision{Request: question.Request, Refusal: &m.Refusal}, nil
-	}
-	return nil, fmt.Errorf("entry: %T in answer to an Ask", answer)
-}
-
-// settles reports whether a reply decides where the request runs, or that it
-// doesn't. A refusal that speaks only for its sender, such as that it is leaving,
-// settles nothing.
-func (e *Entry) settles(r reply) bool {
-	if r.err != nil {
-		return false
-	}
-	d := r.decision
-	if d.Refusal != nil {
-		if d.Refusal.Code == wire.CodeDraining {
-			e.directory.left(r.from.ID, r.from.Epoch)
-		}
-		return !ownRefusal(d.Refusal.Code)
-	}
-	e.directory.reported(d.Unavailable)
-	if d.Executor.Address == "" {
-		known, ok := e.directory.lookup(d.Executor.Endpoint)
-		d.Executor.Address = known.Address
-		return ok
-	}
-	return true
-}
-
-// ownRefusal reports whether a refusal says nothing of other owners.
-func ownRefusal(code wire.Code) bool {
-	switch code {
-	case wire.CodeDraining, wire.CodeNotRun, wire.CodeInternal, wire.CodeBadRequest:
-		return true
-	}
-	return false
-}
