--- a/internal/admit/core.go
+++ b/internal/admit/core.go
@@ -141,7 +141,7 @@
 	DecodeTokens int
 	Saturated    bool
 	// Organisations is how many have items waiting, Heavy those of them that have
-	// more than their share here.
+	// more than their share or a backlog of their own here.
 	Organisations int
 	Heavy         []string
 	// OutputShare is the mean of output tokens over the most allowed, 0 if not
@@ -149,20 +149,27 @@
 	OutputShare float64
 }
 
-// heavy lists the waiting organisations that have more than their share.
+// heavy lists the waiting organisations whose next item will wait for more than
+// one place: those that have more than their share, or several items waiting.
 func (c *Core) heavy() []string {
 	shares := c.shares(c.speed.at)
 	var names []string
 	for _, o := range c.queue.waiting {
-		if len(names) < maxHeavy && !shares.light(o) {
+		if len(names) < maxHeavy && (len(o.queue) >= backlog || !shares.light(o)) {
 			names = append(names, o.name)
 		}
 	}
 	return names
 }
 
-// maxHeavy bounds the names in a load summary.
-const maxHeavy = 8
+const (
+	// maxHeavy bounds the names in a load summary.
+	maxHeavy = 8
+	// backlog is how many waiting items of one organisation are a backlog of its
+	// own. Three that share an engine evenly are each within their share there,
+	// however long their queues.
+	backlog = 2
+)
 
 // Summary returns the load as of the last event.
 func (c *Core) Summary() Summary {
--- a/internal/admit/core_test.go
+++ b/internal/admit/core_test.go
@@ -72,6 +72,20 @@
 	}
 }
 
+// Symptom: an endpoint's queue grows for seconds while others are idle.
+// Sequence: three organisations share it evenly and all have a backlog there.
+// Cause: each is within its share, so their owners think that it waits for one
+// place at most.
+func TestOwnBacklogIsHeavyWithinTheShare(t *testing.T) {
+	c := NewCore(Params{MaxRunning: 6, MaxQueue: 100})
+	for n := range 30 {
+		c.Arrive(0, item(n, []string{"a", "b", "c"}[n%3]))
+	}
+	if got := c.Summary(); len(got.Heavy) != 3 {
+		t.Errorf("heavy = %v of three with backlogs", got.Heavy)
+	}
+}
+
 func TestFullQueueShedsTheLargest(t *testing.T) {
 	c := NewCore(Params{MaxRunning: 1, MaxQueue: 4})
 	for n := range 5 {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -334,8 +334,9 @@
 	PictureDoubtful bool   `cbor:"13,keyasint,omitempty" json:"picture_doubtful"`
 	// Organisations is how many organisations have requests waiting.
 	Organisations int `cbor:"14,keyasint,omitempty" json:"organisations"`
-	// Heavy are those of them that have more than their share here, by
-	// route.OrganisationHash: their requests wait for the whole queue.
+	// Heavy are those of them that have more than their share or a backlog of
+	// their own here, by route.OrganisationHash: their requests wait for the whole
+	// queue.
 	Heavy []uint64 `cbor:"15,keyasint,omitempty" json:"heavy,omitempty"`
 	// OutputShare is the mean of output tokens over the most allowed.
 	OutputShare float64 `cbor:"16,keyasint,omitempty" json:"output_share"`
