--- a/internal/parameters/parameters.go
+++ b/internal/parameters/parameters.go
@@ -118,7 +118,8 @@
 	if err := enc.Encode(fields); err != nil {
 		return nil, fmt.Errorf("parameters: %w", err)
 	}
-	return bytes.TrimSuffix(b.Bytes(), []byte("\n")), nil
+	// JSON is UTF-8, and not every engine's reader lets other bytes pass as Go's does.
+	return bytes.ToValidUTF8(bytes.TrimSuffix(b.Bytes(), []byte("\n")), []byte("\ufffd")), nil
 }
 
 // depth is how deep valid JSON is nested.
--- a/internal/parameters/parameters_test.go
+++ b/internal/parameters/parameters_test.go
@@ -21,6 +21,7 @@
 		{"folded letters", `{"me\u017fsages":[],"cache_\u017falt":"x","STREAM":false}`, ``},
 		{"round the system", `{"kv_transfer_params":{},"request_id":"x","prompt":"x","chat_template":"x"}`, ``},
 		{"no text in the answer", `{"tools":[{}],"tool_choice":"auto","logprobs":true,"seed":3}`, `{"seed":3}`},
+		{"not UTF-8", "{\"stop\":\"a\xffb\"}", "{\"stop\":\"a\ufffdb\"}"},
 		{"null", `null`, ``},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
