Ask a peer that a request failed at for a sign of life; look each quarter second

Cause: a stopped endpoint process kept its place in the group for SuspectAfter (3 s), and every owner went on sending requests there though an entry had given it up. Change: an owner asks the endpoints in Ask.Exclude for a sign of life (0.4 s, once a second each), takes a silent one out until its next heartbeat, and tells the group, whose members ask for themselves (Heartbeat.Silent, additive). An entry that gets no sign of life shuns the endpoint at once. A spared look is repeated a quarter of a second later. Seen to fail without the mechanism: TestStoppedPeerIsOutAfterItsFirstFailure waited in vain. Run: go test -race of endpoint and entry, green.

--- a/internal/endpoint/ask.go
+++ b/internal/endpoint/ask.go
@@ -27,6 +27,7 @@
 		Suspect: verdict.Kind == attempt.Alone || crashes > 0,
 		GivenUp: verdict.Kind == attempt.GivenUp || crashes >= attempt.DefaultPoisonParams.Limit,
 	}
+	e.probe(ask.Exclude, true)
 	endpoints := e.endpoints()
 	if version := e.otherVersion(ask, endpoints); version != "" {
 		e.reply(s, ref, e.askOther(ask, version))
--- a/internal/endpoint/group.go
+++ b/internal/endpoint/group.go
@@ -29,8 +29,11 @@
 	loadAt   time.Duration
 	hasLoad  bool
 	sending  bool
-	told     bool // a heartbeat of ours was sent
-	urgent   bool // the next heartbeat can't wait for its time
+	told     bool     // a heartbeat of ours was sent
+	urgent   bool     // the next heartbeat can't wait for its time
+	silent   []string // members to be named as silent in the next heartbeat
+	probing  bool
+	probedAt time.Duration // when it was last asked for a sign of life; 0 is never
 	epoch    wire.Epoch
 	unsent   map[uint64]int // residents to be told, by hash
 	fullSent time.Duration  // when all residents were last sent; 0 is never
--- a/internal/endpoint/heartbeat.go
+++ b/internal/endpoint/heartbeat.go
@@ -37,7 +37,19 @@
 }
 
 // beatAll tells the whole group at once what can't wait.
-func (e *Endpoint) beatAll() {
+func (e *Endpoint) beatAll() { e.sendBeats(e.everyone()) }
+
+// tellSilent tells the whole group of a member that gave no sign of life.
+func (e *Endpoint) tellSilent(id string) {
+	for _, p := range e.group.peers {
+		if !slices.Contains(p.silent, id) {
+			p.silent = append(p.silent, id)
+		}
+	}
+	e.beatAll()
+}
+
+func (e *Endpoint) everyone() []member.Beat {
 	var beats []member.Beat
 	for _, m := range e.group.view.Members(e.now()) {
 		if m.Address != "" {
@@ -45,7 +57,7 @@
 			e.group.peer(m.ID).urgent = true
 		}
 	}
-	e.sendBeats(beats)
+	return beats
 }
 
 func (e *Endpoint) sendBeats(beats []member.Beat) {
@@ -67,7 +79,9 @@
 			ConfigOffset: e.state().Offset,
 			Load:         load,
 			Strikes:      strikes,
+			Silent:       p.silent,
 		}
+		p.silent = nil
 		hb.Residents, hb.Full = e.residentsFor(b.ID, p)
 		go e.sendBeat(b, hb)
 	}
@@ -178,6 +192,7 @@
 	e.heardStrikes(hb.Strikes, from.ID)
 	e.advertised(hb.ID, hb.Epoch, hb.Load.Incarnation, hb.Load.Version, hb.Residents, hb.Full)
 	e.heardOffset(s, hb.ConfigOffset)
+	e.probe(hb.Silent, false)
 }
 
 // heardStrikes takes what a peer holds against requests.
--- /dev/null
+++ b/internal/endpoint/probe_test.go
@@ -0,0 +1,67 @@
+package endpoint
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"skylarklead/internal/platform"
+	"skylarklead/internal/settings"
+	standin "skylarklead/internal/standin/platform"
+	"skylarklead/internal/wire"
+)
+
+// deaf is a peer that takes sessions and messages and never answers, as a
+// stopped process looks from outside.
+type deaf struct{}
+
+func (deaf) Handle(*wire.Session, uint32, wire.Message) {}
+func (deaf) Closed(*wire.Session, error)                {}
+
+// Symptom: for seconds after a process has stopped, each request sent to it
+// waits until its entry gives it up.
+// Sequence: a peer is stopped right after a heartbeat; an entry gives up on it
+// and asks the owner again, with the peer as failed; other entries ask.
+// Cause: only the silence of SuspectAfter took a peer out of the group.
+func TestStoppedPeerIsOutAfterItsFirstFailure(t *testing.T) {
+	peer := wire.Identity{ID: "ep-2", Role: wire.RoleEndpoint, Epoch: 7, Group: "g"}
+	options := wire.Options{Key: fleetKey, Self: func() wire.Identity { return peer }, Handler: deaf{}}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { wire.Accept(w, r, options) }))
+	t.Cleanup(server.Close)
+	list := []platform.Instance{{
+		ID: "ep-2", Role: platform.RoleEndpoint, Address: server.Listener.(*net.TCPListener).Addr().String(),
+		FailureDomain: "d1", Group: "g", State: platform.StateLive,
+	}}
+	instances := httptest.NewServer(standin.New(standin.Options{Control: standin.Defaults(), Instances: list}))
+	t.Cleanup(instances.Close)
+	f := newFakeEngine(t, "a")
+	p := startProcess(t, f.URL, func(s *settings.Settings) {
+		s.Platform.Instances = instances.URL
+		s.Endpoint.SuspectAfter = settings.Duration(time.Hour)
+	})
+	session, err := wire.Dial(context.Background(), p.address, options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	load := wire.Load{EngineUp: true, Model: "m", Version: "v1", Incarnation: "i1"}
+	if err := session.Send(&wire.Heartbeat{ID: peer.ID, Epoch: peer.Epoch, Seq: 1, Load: load}); err != nil {
+		t.Fatal(err)
+	}
+	n := p.dial("entry-1")
+	excluded := func(m *wire.Ask) string {
+		for _, c := range n.call(m).(*wire.Decision).Candidates {
+			if c.Endpoint == peer.ID {
+				return c.Excluded
+			}
+		}
+		return "unknown"
+	}
+	waitFor(t, "the peer to be usable", func() bool { return excluded(ask(1)) == "" })
+	again := ask(2)
+	again.Exclude = []string{peer.ID}
+	n.call(again)
+	waitFor(t, "the peer to be out for others", func() bool { return excluded(ask(3)) == "dead" })
+}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -61,18 +61,17 @@
 // computes answers the question at once.
 func (e *Entry) look(l *link) {
 	l.quiet++
-	if l.quiet%quietChecks != 0 {
-		return
-	}
 	session := l.session
-	if time.Since(session.Heard()) < quietChecks*gapCheck {
-		return // another of its streams heard from it
+	if l.quiet < quietChecks || time.Since(session.Heard()) < quietChecks*gapCheck {
+		return // it may be that another of its streams heard from it
 	}
+	l.quiet = 0
 	e.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), signTimeout)
 		defer cancel()
 		if _, err := session.Call(ctx, &wire.StatusRequest{}); err != nil {
 			session.Close(errSilent)
+			e.directory.failed(session.Peer().ID) // others needn't find out for themselves
 		}
 	})
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -375,6 +375,9 @@
 	Strikes      []Strike   `cbor:"8,keyasint,omitempty"`
 	// Full marks that Residents is all there is for the receiver, not a change.
 	Full bool `cbor:"9,keyasint,omitempty"`
+	// Silent names members that gave the sender no sign of life when asked; the
+	// receiver asks them itself.
+	Silent []string `cbor:"10,keyasint,omitempty"`
 }
 
 // ConfigFetch asks for accepted configuration newer than After.
