--- a/test/poison_test.go
+++ b/test/poison_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
 	"skylarklead/test/harness"
 )
@@ -245,3 +246,31 @@
 	}
 	return strings.Join(struck, " ")
 }
+
+// Symptom: one request crashes one engine again and again.
+// Sequence: copies of it wait at one endpoint process; the engine is back at once
+// each time, before its load is read again.
+// Cause: crashes are told apart by the incarnations that load reports name; of
+// one that was lost before its first report nobody knows the name.
+func TestPoisonCrashesBeforeTheNextLoadReport(t *testing.T) {
+	t.Parallel()
+	control := fmt.Sprintf(`{"crash_on":%q,"crash_mode":"reset","restart_ms":1}`, fatal)
+	c := harness.Start(t, harness.Options{
+		Engines: 1, Entries: 1, EngineArgs: []string{"--control", control},
+		Settings: func(s *settings.Settings) {
+			if s.Endpoint != nil {
+				s.Endpoint.MaxRunning = 1
+			}
+		},
+	})
+	caller := c.Caller(c.Entries[0], harness.Foodbank)
+	var copies sync.WaitGroup
+	for range 8 {
+		copies.Go(func() { caller.Chat(context.Background(), harness.Ask(fatal, 10)) })
+	}
+	copies.Wait()
+	checkRefused(t, "a later sending", caller.Chat(t.Context(), harness.Ask(fatal, 10)))
+	if n := crashes(c); n != attempt.DefaultPoisonParams.Limit {
+		t.Errorf("%d crashes; want %d", n, attempt.DefaultPoisonParams.Limit)
+	}
+}
