Bound the tries to resume at a silent engine by time

Cause: five tries of 2 s each at a stopped engine kept its streams' callers waiting for some ten seconds after the two of silence. Ruled out for the rest of the time: the entry; streams of a lost engine go on one at a time, as suspects of a crash.

Change: no try begins later than 3 s after the first. Refused connections still get all five.

--- a/internal/endpoint/completion.go
+++ b/internal/endpoint/completion.go
@@ -16,6 +16,10 @@
 	// again, resumePause the pause between.
 	engineResumes = 5
 	resumePause   = 100 * time.Millisecond
+	// resumeBound is how long that may go on. A refused connection fails at once,
+	// but each try at a stopped engine takes the wait for its header, and the
+	// caller of a cut stream waits for them all.
+	resumeBound = 3 * time.Second
 	// engineSilence is how long a begun answer may pause before its connection is
 	// made again. An engine that is stopped, or whose host is cut off, sends no
 	// reset: the stream would hang to its caller's deadline though another
@@ -128,7 +132,8 @@
 // is refused: its events would be another run's.
 func (c *completion) resume(ctx context.Context, from uint64) (*engine.Stream, error) {
 	var err error
-	for range engineResumes {
+	begun := time.Now()
+	for try := 0; try < engineResumes && time.Since(begun) < resumeBound; try++ {
 		var st *engine.Stream
 		st, err = c.engine.Resume(ctx, c.id, from)
 		switch {
