Run a request alone after two crashes, give it up after three

Cause: a crash made a suspect of all that the engine ran, and each suspect had an engine emptied for itself. After a restart of half of a group that took seconds from everybody's first token. Ruled out: the cold caches (the hit rate was the same), the retry budget (8 retries). Change: with one strike a request runs beside others; alone from the second, given up at the third. AloneFrom = Limit - 1, so the rule of before is Limit 2.

--- a/internal/attempt/plan.go
+++ b/internal/attempt/plan.go
@@ -48,7 +48,7 @@
 // DefaultPlanParams resolve for about 13 s, longer than a peer's freeze takes
 // to be noticed.
 var DefaultPlanParams = PlanParams{
-	Asks: 4, Runs: 4, Crashes: 2, ResumeTries: 2, ResolveTries: 10,
+	Asks: 4, Runs: 4, Crashes: DefaultPoisonParams.Limit, ResumeTries: 2, ResolveTries: 10,
 	Backoff: 50 * time.Millisecond, MaxBackoff: 2 * time.Second,
 	RetryAfter: time.Second, GivenUpFor: time.Hour,
 }
--- a/internal/attempt/poison.go
+++ b/internal/attempt/poison.go
@@ -10,7 +10,8 @@
 
 // PoisonParams bound what one request may do to the engines.
 type PoisonParams struct {
-	// Limit is the strikes at which a request is given up, 2 or more.
+	// Limit is the strikes at which a request is given up, 2 or more. It runs
+	// alone from one strike less on, so that the last crash is conclusive.
 	Limit int
 	// Pardons is how often a completion clears a request's strikes. Without a
 	// bound, a request that crashes every other engine would go on for ever.
@@ -31,10 +32,16 @@
 
 // DefaultPoisonParams remember for an hour.
 var DefaultPoisonParams = PoisonParams{
-	Limit: 2, Pardons: 2, Memory: time.Hour,
+	Limit: 3, Pardons: 2, Memory: time.Hour,
 	AloneWait: 30 * time.Second, AloneGap: 5 * time.Second, Max: 4096, Beat: 32,
 }
 
+// AloneFrom is the strikes from which on a request runs alone. With Limit at 2,
+// every request that a crash cut off would take an engine for itself, though
+// nearly all crashes have another cause: a restart of half a group then holds up
+// everybody for seconds. One strike more costs a deadly request one more crash.
+func (p PoisonParams) AloneFrom() int { return p.Limit - 1 }
+
 // VerdictKind is how a request may run.
 type VerdictKind uint8
 
@@ -42,8 +49,8 @@
 const (
 	// Clear: it runs beside others.
 	Clear VerdictKind = iota
-	// Alone: it has been running when an engine crashed; nothing may run beside
-	// it, so that a second crash is conclusive.
+	// Alone: it has been running when engines crashed; nothing may run beside it,
+	// so that one more crash is conclusive.
 	Alone
 	// GivenUp: it is not run again for RetryAfter.
 	GivenUp
@@ -85,10 +92,10 @@
 // engine as an executor, and merges what its peers' heartbeats tell.
 //
 // Bound: with the strikes heard by all, a request that crashes every engine it
-// runs on crashes Limit of them in Memory: the first crash, shared with whatever
-// ran beside it, and Limit-1 alone. Copies that already ran on k other engines
-// when the first crash happened, and owners that have not heard of it yet, add
-// at most one crash each. A request that sometimes completes crashes at most
+// runs on crashes Limit of them in Memory: Limit-1 crashes shared with whatever
+// ran beside it, and one alone. Copies that already ran on k other engines when
+// one of the shared crashes happened, and owners that have not heard of it yet,
+// add at most one crash each, for each of the Limit-1. A request that sometimes completes crashes at most
 // Pardons more.
 type Poison struct {
 	params  PoisonParams
@@ -114,12 +121,12 @@
 func (p *Poison) Judge(fingerprint uint64, now time.Duration) Verdict {
 	s := p.live(fingerprint, now)
 	switch {
-	case s == nil || s.count == 0 && !s.givenUp:
-		return Verdict{Kind: Clear}
-	case s.givenUp:
+	case s != nil && s.givenUp:
 		return Verdict{Kind: GivenUp, RetryAfter: s.struck + p.params.Memory - now}
-	default:
+	case s != nil && s.count >= p.params.AloneFrom():
 		return Verdict{Kind: Alone}
+	default:
+		return Verdict{Kind: Clear}
 	}
 }
 
@@ -220,8 +227,8 @@
 }
 
 // Crashed says that this process's engine was lost with all that it ran. Only a
-// request that ran alone gets more than a first strike: one that happened to run
-// beside two different culprits must not be given up in their place.
+// request that ran alone gets the last strike: one that happened to run beside
+// different culprits must not be given up in their place.
 func (p *Poison) Crashed(now time.Duration) []wire.Strike {
 	alone := p.total == 1
 	strikes := make([]wire.Strike, 0, len(p.running))
@@ -231,7 +238,7 @@
 		if s == nil {
 			s = p.remember(f, now)
 		}
-		if s.count == 0 || alone {
+		if s.count < p.params.AloneFrom() || alone {
 			s.count++
 		}
 		s.givenUp = s.givenUp || s.count >= p.params.Limit
--- a/internal/attempt/poison_test.go
+++ b/internal/attempt/poison_test.go
@@ -276,9 +276,11 @@
 // Sequence: a suspect waited to run alone; its caller hung up unnoticed.
 func TestASuspectHoldsBackOthersForAWhileOnly(t *testing.T) {
 	p := NewPoison(DefaultPoisonParams)
-	p.Start(innocents, 0)
-	p.Crashed(0)
-	p.Ended(innocents, false, 0)
+	for range DefaultPoisonParams.AloneFrom() {
+		p.Start(innocents, 0)
+		p.Crashed(0)
+		p.Ended(innocents, false, 0)
+	}
 	p.Start(innocents+1, 0)
 	if p.Start(innocents, 0) != GateWait || p.Start(innocents+2, 0) != GateWait {
 		t.Error("a suspect doesn't hold back others")
--- a/internal/endpoint/admission.go
+++ b/internal/endpoint/admission.go
@@ -18,7 +18,7 @@
 func (e *Endpoint) arrive(a *execution) {
 	now := e.now()
 	if a.run.Suspect {
-		e.suspect(a.run.Fingerprint)
+		e.struck(a.run.Fingerprint, attempt.DefaultPoisonParams.AloneFrom())
 	}
 	verdict := e.poison.Judge(a.run.Fingerprint, now)
 	if verdict.Kind == attempt.GivenUp && a.run.Call == nil {
--- a/internal/endpoint/ask.go
+++ b/internal/endpoint/ask.go
@@ -17,14 +17,14 @@
 		return
 	}
 	now := e.now()
-	if len(ask.Crashed) > 0 {
-		e.suspect(ask.Fingerprint)
+	crashes := len(ask.Crashed)
+	if crashes > 0 {
+		e.struck(ask.Fingerprint, crashes)
 	}
 	verdict := e.poison.Judge(ask.Fingerprint, now)
-	crashes := len(ask.Crashed)
 	query := &route.Query{
 		Ask:     *ask,
-		Suspect: verdict.Kind == attempt.Alone || crashes > 0,
+		Suspect: verdict.Kind == attempt.Alone,
 		GivenUp: verdict.Kind == attempt.GivenUp || crashes >= attempt.DefaultPoisonParams.Limit,
 	}
 	e.probe(ask.Exclude, true)
--- a/internal/endpoint/heartbeat.go
+++ b/internal/endpoint/heartbeat.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"skylarklead/internal/attempt"
 	"skylarklead/internal/cachemap"
 	"skylarklead/internal/member"
 	"skylarklead/internal/prefix"
@@ -207,10 +208,11 @@
 	}
 }
 
-// suspect notes a first strike that a sender knows of. The peer's own word may
-// come later: without it, the second crash would pass for the first.
-func (e *Endpoint) suspect(fingerprint uint64) {
-	e.poison.Heard([]wire.Strike{{Fingerprint: fingerprint, Count: 1}}, e.now())
+// struck notes strikes that a sender knows of. The peer's own word may come
+// later: without it, a later crash would pass for an earlier one.
+func (e *Endpoint) struck(fingerprint uint64, crashes int) {
+	count := min(crashes, attempt.DefaultPoisonParams.AloneFrom())
+	e.poison.Heard([]wire.Strike{{Fingerprint: fingerprint, Count: count}}, e.now())
 }
 
 func (e *Endpoint) advertised(id string, epoch wire.Epoch, incarnation, version string, residents []wire.Resident, full bool) {
