Endpoint: a load report's age counts from when it was asked for

TestEnginesGetTheConfiguredWeights failed twice under load. Cause: a report's age was counted from when its answer was read. On a busy machine an answer that was asked for before new weights came into force is read after it, counts as newer, and the process believes in the old weights again: a request for those is handed over and ends unknown ("engine has other weights") in place of not_run, and the order is given once more. A fault of the product.

Ruled out: a race of memory (-race, 20 runs with GOMAXPROCS=1, none failed); load alone: 24 copies beside each other (480 runs) and 40 beside 12 busy loops (1,600 runs), GOMAXPROCS=1, -race: none failed, so it wasn't seen again as it came.

--- a/internal/endpoint/enginewatch.go
+++ b/internal/endpoint/enginewatch.go
@@ -46,9 +46,10 @@
 	defer ticker.Stop()
 	for {
 		callCtx, stop := context.WithTimeout(ctx, loadTimeout)
+		asked := e.now()
 		load, err := e.engine.Load(callCtx)
 		stop()
-		e.loop.must(func() { e.onLoad(load, err) })
+		e.loop.must(func() { e.onLoad(asked, load, err) })
 		select {
 		case <-ctx.Done():
 			return
@@ -67,7 +68,10 @@
 	}
 }
 
-func (e *Endpoint) onLoad(load engine.Load, err error) {
+// onLoad takes a load report that was asked for at asked. Its age counts from
+// there: on a busy machine an answer takes longer than the report is old, and one
+// from before a change would count as from after it.
+func (e *Endpoint) onLoad(asked time.Duration, load engine.Load, err error) {
 	w := &e.watch
 	if err != nil {
 		w.missed++
@@ -83,17 +87,17 @@
 		e.log.Info("engine up", "incarnation", load.Incarnation, "model", load.Model, "version", load.Version)
 	}
 	now := e.now()
-	age := time.Duration(load.AgeMs) * time.Millisecond
-	e.resync(e.picture.Observe(now, age, load.Incarnation, load.Weights))
+	at := asked - time.Duration(load.AgeMs)*time.Millisecond
+	e.resync(e.picture.Observe(now, now-at, load.Incarnation, load.Weights))
 	w.up, w.missed = true, 0
 	w.incarnation = load.Incarnation
-	if !e.placement.loading && (e.placement.doneAt == 0 || now-age > e.placement.doneAt) {
+	if !e.placement.loading && (e.placement.doneAt == 0 || at > e.placement.doneAt) {
 		// The lagging report names the old weights for a while after the engine
 		// was read back with the new ones. Believed, it would start the orders
 		// over again.
 		w.model, w.version = load.Model, load.Version
 	}
-	w.load, w.loadAt = load, now-age
+	w.load, w.loadAt = load, at
 }
 
 // attemptCrashed counts the crash that an attempt met. An engine that crashes
