Endpoint: an engine that answers nothing is noticed, and what waits for it goes on elsewhere

What happened until now, by the code: a request that waits for the answer's header or its first token has no bound at the engine, so it waited for the thaw (6.1 s for a freeze of 6 s); in the middle of an answer 2 s of silence closed the connection, five tries to resume took 2 s each, and then the engine counted as crashed (12.5 s in all) and the request as a suspect. The load polls already told the group after 2 s, but nothing that ran or came after looked at that.

Now an engine that has missed two looks at its load by timeout (750 ms each) and gave nobody a token for 1 s counts as frozen. Repeatable attempts without a token for 1 s end unknown, without EngineCrashed, so that their entries go on elsewhere with what the caller has; what has not been handed over ends not_run with a redirect. What has an idempotency key, or was taken over from an earlier epoch, waits, a minute at the most for a resume, and silence alone is never taken for a crash. At the thaw the runs left behind are cancelled at the engine. They count as running until then, so that an engine that comes back as another incarnation gives them their strike, and one that merely paused doesn't.

--- a/internal/endpoint/admission.go
+++ b/internal/endpoint/admission.go
@@ -93,8 +93,8 @@
 		if a.phase != phaseHeld {
 			continue
 		}
-		if e.otherWeights(a) {
-			end := wire.End{Outcome: wire.NotRun, Code: wire.CodeNotRun, Message: "engine has other weights"}
+		if why := e.notForEngine(a); why != "" {
+			end := wire.End{Outcome: wire.NotRun, Code: wire.CodeNotRun, Message: why}
 			end.Redirect = e.redirect(a.run)
 			e.end(a, end)
 			e.perform(e.admission.Finish(e.now(), a.id, admit.Actual{}))
@@ -112,6 +112,17 @@
 	}
 }
 
+// notForEngine returns why an admitted attempt isn't handed over, empty if it is.
+func (e *Endpoint) notForEngine(a *execution) string {
+	switch {
+	case e.watch.freeze.on:
+		return "engine doesn't answer"
+	case e.otherWeights(a):
+		return "engine has other weights"
+	}
+	return ""
+}
+
 // otherWeights reports whether the engine's weights have changed since the
 // request was sent here. It would be answered by a version that it didn't ask
 // for.
@@ -134,7 +145,7 @@
 			refusal := verdict.Refusal()
 			end.Code, end.Message, end.RetryAfterMs = refusal.Code, refusal.Message, refusal.RetryAfterMs
 		}
-		e.poison.Ended(a.run.Fingerprint, end.Outcome == wire.Done, now)
+		e.offEngine(a, end)
 		e.learn(a, end)
 	}
 	ran := end.Outcome != wire.NotRun
--- a/internal/endpoint/completion.go
+++ b/internal/endpoint/completion.go
@@ -25,8 +25,14 @@
 	// reset: the stream would hang to its caller's deadline though another
 	// endpoint could go on with it. To a live engine, asking again is harmless.
 	engineSilence = 2 * time.Second
+	// silentWait bounds in all how long what can't be run elsewhere waits for a
+	// silent engine: one whose host is gone never answers, and a drain would not
+	// end.
+	silentWait    = time.Minute
 	cancelTimeout = 2 * time.Second
-	loadTimeout   = time.Second
+	// loadTimeout bounds a look at the load; missedLoads of them in a row tell a
+	// frozen engine within two seconds.
+	loadTimeout = 750 * time.Millisecond
 )
 
 var (
@@ -130,10 +136,17 @@
 
 // resume goes on with the stream at the engine. A stream of another incarnation
 // is refused: its events would be another run's.
+//
+// A frozen engine answers nothing, and what can't be run elsewhere waits for it:
+// given up after a few tries, it would end unknown though its answer is there.
 func (c *completion) resume(ctx context.Context, from uint64) (*engine.Stream, error) {
 	var err error
 	begun := time.Now()
-	for try := 0; try < engineResumes && time.Since(begun) < resumeBound; try++ {
+	bound := silentWait
+	if c.repeatable {
+		bound = resumeBound
+	}
+	for tries := 0; tries < engineResumes && time.Since(begun) < bound; {
 		var st *engine.Stream
 		st, err = c.engine.Resume(ctx, c.id, from)
 		switch {
@@ -145,12 +158,18 @@
 		case errors.Is(err, engine.ErrGone), ctx.Err() != nil:
 			return nil, err
 		}
+		if c.repeatable || !engine.IsSilent(err) {
+			tries++
+		}
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-time.After(resumePause):
 		}
 	}
+	if engine.IsSilent(err) {
+		return nil, err
+	}
 	return nil, errors.Join(errCrashed, err)
 }
 
@@ -205,6 +224,8 @@
 	end.Outcome = wire.Unknown
 	end.Code = wire.CodeUnknownOutcome
 	switch {
+	case errors.Is(context.Cause(ctx), errFrozen):
+		end.Message = "engine doesn't answer" // it is cancelled once it does
 	case ctx.Err() != nil:
 		end.Code = wire.CodeCanceled
 		c.cancelAtEngine()
@@ -225,8 +246,8 @@
 }
 
 // crashed reports whether the engine that ran this was lost. One that lives and
-// merely has no such stream has not crashed, and nothing is held against the
-// request then.
+// merely has no such stream has not crashed, nor has one that keeps silent;
+// nothing is held against the request then.
 func (c *completion) crashed(err error) bool {
 	if errors.Is(err, errCrashed) {
 		return true
@@ -234,7 +255,10 @@
 	ctx, stop := context.WithTimeout(context.Background(), loadTimeout)
 	defer stop()
 	load, err := c.engine.Load(ctx)
-	return err != nil || c.incarnation != "" && load.Incarnation != c.incarnation
+	if err != nil {
+		return !engine.IsSilent(err)
+	}
+	return c.incarnation != "" && load.Incarnation != c.incarnation
 }
 
 // cancelAtEngine frees the engine from a stream that nobody reads.
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -170,6 +170,7 @@
 func (e *Endpoint) tick() {
 	now := e.now()
 	e.expireExecutions()
+	e.endFrozen()
 	e.perform(e.admission.Tick(now))
 	e.picture.Tick(now)
 	e.tellClaims()
--- a/internal/endpoint/enginewatch.go
+++ b/internal/endpoint/enginewatch.go
@@ -34,6 +34,7 @@
 	crashed string
 	// crashes counts the crashes that strikes were given for.
 	crashes int
+	freeze  freeze
 	// from is where a resync wants the event stream, 0 for none; cancel ends the
 	// present stream.
 	from   uint64
@@ -77,6 +78,7 @@
 		w.missed++
 		if w.missed >= missedLoads {
 			e.engineUnreachable(err)
+			e.lookForFreeze(err)
 		}
 		return
 	}
@@ -86,6 +88,7 @@
 	if !w.up {
 		e.log.Info("engine up", "incarnation", load.Incarnation, "model", load.Model, "version", load.Version)
 	}
+	e.thawed()
 	now := e.now()
 	at := asked - time.Duration(load.AgeMs)*time.Millisecond
 	e.resync(e.picture.Observe(now, now-at, load.Incarnation, load.Weights))
--- a/internal/endpoint/executions.go
+++ b/internal/endpoint/executions.go
@@ -67,6 +67,7 @@
 	chain     []prefix.Hash
 	predicted int
 	mark      cachemap.Mark
+	startedAt time.Duration
 	// incarnation is the engine's when the attempt was handed to it.
 	incarnation string
 	// crashes is how many crashes were counted when it was handed over.
@@ -81,6 +82,13 @@
 	return a.phase != phaseEnded || !a.delivered
 }
 
+// repeatable reports whether the attempt's entry can run it elsewhere: not a call
+// to a plain service, one under an idempotency key, or a stream that an earlier
+// epoch began.
+func (a *execution) repeatable() bool {
+	return a.run.Call == nil && len(a.run.Key) == 0 && a.adoptedFrom == 0
+}
+
 // executionTable has what runs here or can still be resumed.
 type executionTable map[wire.AttemptID]*execution
 
--- /dev/null
+++ b/internal/endpoint/freeze_test.go
@@ -0,0 +1,160 @@
+package endpoint
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"skylarklead/internal/settings"
+	standin "skylarklead/internal/standin/platform"
+	"skylarklead/internal/wire"
+)
+
+// longFreeze outlasts a test's patience: what happens within it was not the thaw.
+const longFreeze = `{"freeze_ms": 60000}`
+
+func controlEngine(t *testing.T, backend, body string) {
+	t.Helper()
+	resp, err := http.Post(backend+"/control", "application/json", strings.NewReader(body))
+	if err != nil && strings.Contains(body, "crash") {
+		return // the answer to a crash may be lost with the connection
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if answer, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusOK {
+		t.Fatalf("control: %s", answer)
+	}
+}
+
+// engineAccount is the stand-in's own record of what it was asked to do.
+func engineAccount(t *testing.T, backend string) string {
+	t.Helper()
+	resp, err := http.Get(backend + "/control/account")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	account, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(account)
+}
+
+// Symptom: while an engine is frozen, callers wait for it: as long as it is frozen
+// for their first token, or 12.5 s in the middle of an answer, and are then made
+// suspects of a crash.
+// Sequence: an engine that runs a request stops, keeping its connections.
+// Cause: only a lost connection ended an attempt, and an engine that resumes no
+// stream for long counted as crashed.
+func TestFrozenEngine(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name string
+		// midway has the engine freeze after the first piece.
+		midway bool
+		// after is what becomes of the engine; struck whether that is held against
+		// the request.
+		after  string
+		struck bool
+	}{
+		{"before the answer, and thaws", false, `{"freeze_ms": 1}`, false},
+		{"midway, and thaws", true, `{"freeze_ms": 1}`, false},
+		{"midway, and is restarted", true, `{"freeze_ms": 1, "crash": true, "crash_mode": "reset"}`, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			backend := startStandinEngine(t)
+			p := startProcess(t, backend, nil)
+			n := p.dial("entry-1")
+			up := func() bool { return n.call(&wire.StatusRequest{}).(*wire.Status).Load.EngineUp }
+			waitFor(t, "the engine", up)
+			controlEngine(t, backend, `{"step_ms": 20}`)
+			if !c.midway {
+				controlEngine(t, backend, longFreeze)
+			}
+			// One crash is known already, so that one more makes a suspect.
+			again := ask(1)
+			again.Crashed = []string{"ep-9"}
+			suspect := func() bool { return n.call(again).(*wire.Decision).Suspect }
+			if suspect() {
+				t.Fatal("a suspect before it ran")
+			}
+			run := chat(1)
+			run.MaxTokens = 500
+			n.send(run)
+			if c.midway {
+				n.next() // Start
+				n.next()
+				controlEngine(t, backend, longFreeze)
+			}
+			end := n.end()
+			if end.Outcome != wire.Unknown || end.Code != wire.CodeUnknownOutcome || end.EngineCrashed {
+				t.Fatalf("got %+v", end)
+			}
+			if up() {
+				t.Error("a frozen engine is told to be up")
+			}
+			n.send(chat(2))
+			if end := n.end(); end.Outcome != wire.NotRun {
+				t.Errorf("new work: got %+v", end)
+			}
+			if suspect() {
+				t.Error("a freeze is held against the request")
+			}
+			controlEngine(t, backend, c.after)
+			waitFor(t, "the engine to be back", up)
+			if suspect() != c.struck {
+				t.Errorf("suspect: %v, want %v", !c.struck, c.struck)
+			}
+			if c.midway && !c.struck {
+				waitFor(t, "the engine's cancel", func() bool {
+					return strings.Contains(engineAccount(t, backend), `"cancelled":true`)
+				})
+			}
+		})
+	}
+}
+
+// Symptom: a payment-like request is ended as unknown for a pause of its engine.
+// Sequence: an engine freezes and thaws with two requests on it, one of which has
+// an idempotency key.
+// Cause: what can't be run elsewhere was given up as what can.
+func TestFrozenEngineKeepsWhatCannotBeRepeated(t *testing.T) {
+	t.Parallel()
+	server := httptest.NewServer(standin.New(standin.Options{Control: standin.Defaults()}))
+	t.Cleanup(server.Close)
+	backend := startStandinEngine(t)
+	p := startProcess(t, backend, func(s *settings.Settings) {
+		s.Platform = settings.Platform{Log: server.URL, Instances: server.URL, Retention: settings.DefaultRetention}
+	})
+	n := p.dial("entry-1")
+	controlEngine(t, backend, `{"step_ms": 20, "resume_ms": 60000}`)
+	for i := range byte(2) {
+		run := chat(i + 1)
+		run.MaxTokens = 100
+		if i == 0 {
+			run.Key = []byte(fmt.Sprintf("%032d", 1))
+		}
+		n.send(run)
+	}
+	started := 0
+	for started < 2 {
+		if _, ok := n.next().(*wire.Start); ok {
+			started++
+		}
+	}
+	controlEngine(t, backend, `{"freeze_ms": 5000}`)
+	ends := []*wire.End{n.end(), n.end()}
+	if ends[0].Attempt != attemptID(2) || ends[0].Outcome != wire.Unknown || ends[0].EngineCrashed {
+		t.Errorf("repeatable: got %+v", ends[0])
+	}
+	if ends[1].Attempt != attemptID(1) || ends[1].Outcome != wire.Done {
+		t.Errorf("with a key: got %+v", ends[1])
+	}
+}
--- a/internal/endpoint/run.go
+++ b/internal/endpoint/run.go
@@ -124,11 +124,12 @@
 func (e *Endpoint) start(a *execution) {
 	ctx, stop := context.WithCancelCause(context.Background())
 	a.phase = phaseRunning
+	a.startedAt = e.now()
 	a.stop = stop
 	a.mark = e.picture.Mark()
 	a.incarnation, a.crashes = e.watch.incarnation, e.watch.crashes
 	j := job{run: a.run, messages: a.messages, stream: a.stream, begun: time.Now(), incarnation: a.incarnation,
-		priority: a.enginePriority}
+		priority: a.enginePriority, repeatable: a.repeatable()}
 	go func() {
 		defer stop(nil)
 		var end wire.End
@@ -153,6 +154,7 @@
 	begun       time.Time
 	incarnation string
 	priority    int
+	repeatable  bool
 }
 
 // end settles an attempt's outcome and sends its End.
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -38,6 +38,7 @@
 	// no session was ever given.
 	unsent     int
 	unsentFrom uint64
+	addedAt    time.Duration // when the last piece came, 0 for never
 	room       chan struct{} // closed and replaced when unsent shrinks
 	recording  *recording    // nil but for an answer under an idempotency key
 }
@@ -93,7 +94,8 @@
 	defer st.mu.Unlock()
 	st.recording.add(data)
 	st.unsent += len(data)
-	out := st.sender.Produce(data, st.now())
+	st.addedAt = st.now()
+	out := st.sender.Produce(data, st.addedAt)
 	st.queue(out)
 	if out.Cut != attempt.CutNone {
 		return errCut
@@ -101,6 +103,13 @@
 	return nil
 }
 
+// lastPiece is when the back end last gave a piece, 0 for never.
+func (st *stream) lastPiece() time.Duration {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.addedAt
+}
+
 // waitRoom blocks while too much is unsent, until ctx ends.
 func (st *stream) waitRoom(ctx context.Context) error {
 	for {
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -30,6 +30,13 @@
 	ErrMalformed = errors.New("engine: malformed answer")
 )
 
+// IsSilent tells a back end that didn't answer in time, but kept its connections,
+// from one that refused or was lost.
+func IsSilent(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // RefusedError is the back end's refusal before it ran the request.
 type RefusedError struct {
 	Status     int
