Endpoint: log when a peer goes down or comes back and why, and when the engine does

The states were kept, shown by skylarkctl and told nowhere. Now "peer suspect" or "peer dead" (warn: peer, why, silent_ms) when a member gets no new work any more, "peer back" (why, down_ms) once it was heard again: going by the backoff of a failed connection would tell of a dead peer's return several times a second. "engine up" after "engine down" is a warning too and has down_ms; the first one stays info.

The test failed with the peers' lines off, and passes 20 of 20 with them.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -173,6 +173,7 @@
 	e.endFrozen()
 	e.perform(e.admission.Tick(now))
 	e.picture.Tick(now)
+	e.logPeers()
 	e.tellClaims()
 	e.place()
 	e.beat()
--- a/internal/endpoint/enginewatch.go
+++ b/internal/endpoint/enginewatch.go
@@ -24,6 +24,7 @@
 // engineWatch is what is known of the engine.
 type engineWatch struct {
 	up          bool
+	downAt      time.Duration // when it went down, 0 for never
 	missed      int
 	incarnation string
 	model       string
@@ -63,7 +64,7 @@
 // load reports: until the next one, requests would only come to be refused.
 func (e *Endpoint) engineUnreachable(err error) {
 	if e.watch.up {
-		e.watch.up = false
+		e.watch.up, e.watch.downAt = false, e.now()
 		e.log.Warn("engine down", "error", err)
 		e.beatAll()
 	}
@@ -86,7 +87,7 @@
 		e.engineCrashed(w.incarnation)
 	}
 	if !w.up {
-		e.log.Info("engine up", "incarnation", load.Incarnation, "model", load.Model, "version", load.Version)
+		e.logEngineUp(load)
 	}
 	e.thawed()
 	now := e.now()
@@ -103,6 +104,17 @@
 	w.load, w.loadAt = load, at
 }
 
+// logEngineUp tells of an engine's first answer, or of the first after it was down.
+func (e *Endpoint) logEngineUp(load engine.Load) {
+	attrs := []any{"incarnation", load.Incarnation, "model", load.Model, "version", load.Version}
+	if e.watch.downAt == 0 {
+		e.log.Info("engine up", attrs...)
+		return
+	}
+	down := e.now() - e.watch.downAt
+	e.log.Warn("engine up", append(attrs, "down_ms", down.Milliseconds())...)
+}
+
 // attemptCrashed counts the crash that an attempt met. An engine that crashes
 // again before its load is read has lost an incarnation that this process has no
 // name for: what ran on it carries the name of one that was lost before. Told by
--- a/internal/endpoint/enginewatch_test.go
+++ b/internal/endpoint/enginewatch_test.go
@@ -1,11 +1,13 @@
 package endpoint
 
 import (
+	"errors"
+	"strings"
 	"testing"
 	"time"
 
 	"skylarklead/internal/engine"
-	"skylarklead/internal/telemetry"
+	"skylarklead/internal/wire"
 )
 
 // Symptom: on a busy machine an engine with new weights is taken for one with the
@@ -15,12 +17,6 @@
 // report's answer, from before, is read late.
 // Cause: a report's age was counted from when it was read.
 func TestLateLoadReportNamesOldWeights(t *testing.T) {
-	s := processSettings(t, "http://127.0.0.1:1")
-	s.Advertise = s.Listen
-	tel, err := telemetry.New(s, testWriter{t})
-	if err != nil {
-		t.Fatal(err)
-	}
 	const second = time.Second
 	for _, c := range []struct {
 		name        string
@@ -32,8 +28,7 @@
 		{"asked after, but as of before", 3 * second, 2 * second, 1500, "v2"},
 		{"asked after, as of after", 3 * second, 2 * second, 200, "v1"},
 	} {
-		e := newEndpoint(s, tel)
-		e.started = time.Now().Add(-time.Minute)
+		e, _ := newTestEndpoint(t)
 		e.watch.model, e.watch.version = "m", "v2"
 		e.placement.doneAt = c.done
 		e.onLoad(c.asked, engine.Load{Incarnation: "i1", Model: "m", Version: "v1", AgeMs: c.ageMs}, nil)
@@ -42,3 +37,67 @@
 		}
 	}
 }
+
+// Symptom: an operator finds nothing in the log of why an endpoint got no work.
+// Sequence: its peer falls silent, is reported or can't be reached, or its engine
+// goes down; all come back.
+// Cause: only the states were kept.
+func TestDownAndUpAreLogged(t *testing.T) {
+	e, log := newTestEndpoint(t)
+	logged := func(what string, words ...string) {
+		t.Helper()
+		lines := strings.TrimSpace(log.String())
+		log.Reset()
+		if len(words) == 0 && lines == "" {
+			return
+		}
+		for _, w := range append(words, `"level":"WARN"`) {
+			if len(words) == 0 || strings.Count(lines, w) != 1 {
+				t.Errorf("%s: want one line with %q, got %q", what, words, lines)
+				return
+			}
+		}
+	}
+	view := e.group.view
+	seq := uint64(0)
+	heard := func() {
+		seq++
+		view.Heard(&wire.Heartbeat{ID: "ep-2", Epoch: 1, Seq: seq}, e.now())
+	}
+	heard()
+	e.logPeers()
+	logged("first heard")
+	for _, c := range []struct {
+		why, msg string
+		down     func()
+	}{
+		{"reported_unavailable", "peer suspect", func() { view.Reported([]string{"ep-2"}, e.now()) }},
+		{"connection_failed", "peer dead", func() { view.Failed("ep-2", e.now()) }},
+		{"silent", "peer suspect", func() { e.started = e.started.Add(-4 * time.Second) }},
+	} {
+		c.down()
+		e.logPeers()
+		logged(c.why, c.msg, `"peer":"ep-2"`, `"why":"`+c.why+`"`)
+		e.logPeers()
+		logged("still down")
+		heard()
+		e.logPeers()
+		logged("heard again", "peer back", `"peer":"ep-2"`, "down_ms")
+	}
+	view.Failed("ep-2", e.now())
+	e.logPeers()
+	log.Reset()
+	e.started = e.started.Add(-time.Second) // its backoff is over, but it wasn't heard
+	e.logPeers()
+	logged("only tried again")
+
+	load := engine.Load{Incarnation: "i1", Model: "m", Version: "v1"}
+	e.onLoad(e.now(), load, nil)
+	logged("first answer")
+	for range 3 {
+		e.onLoad(e.now(), load, errors.New("refused"))
+	}
+	logged("engine down", "engine down", "refused")
+	e.onLoad(e.now(), load, nil)
+	logged("engine up", "engine up", "down_ms")
+}
--- a/internal/endpoint/group.go
+++ b/internal/endpoint/group.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,6 +19,8 @@
 type group struct {
 	view  *member.View
 	peers map[string]*peer
+	// down has the members that the log says are down, and since when.
+	down map[string]time.Duration
 	// listRead is set once the instance list was asked for, whether or not it
 	// answered.
 	listRead bool
@@ -45,7 +48,7 @@
 	params.Interval = heartbeat
 	params.SuspectAfter = suspectAfter
 	params.DeadAfter = max(params.DeadAfter, 2*suspectAfter)
-	return group{view: member.NewView(self, params, rng), peers: make(map[string]*peer)}
+	return group{view: member.NewView(self, params, rng), peers: make(map[string]*peer), down: make(map[string]time.Duration)}
 }
 
 func (g *group) peer(id string) *peer {
@@ -99,6 +102,30 @@
 	e.router.EndpointGone(id)
 }
 
+// logPeers tells of members that get no new work from now on, or do again.
+//
+// A failed connection takes a member out for fractions of a second at a time. It
+// counts as back only once it was heard: the log would tell of a dead peer's
+// return several times a second otherwise.
+func (e *Endpoint) logPeers() {
+	now := e.now()
+	maps.DeleteFunc(e.group.down, func(id string, _ time.Duration) bool {
+		_, known := e.group.view.Get(id, now)
+		return !known
+	})
+	for _, m := range e.group.view.Members(now) {
+		since, down := e.group.down[m.ID]
+		switch {
+		case !down && (m.State == member.Suspect || m.State == member.Dead):
+			e.group.down[m.ID] = now
+			e.log.Warn("peer "+m.State.String(), "peer", m.ID, "why", string(m.Why), "silent_ms", (now - m.Since).Milliseconds())
+		case down && m.Usable() && m.Since >= since:
+			delete(e.group.down, m.ID)
+			e.log.Warn("peer back", "peer", m.ID, "why", string(m.Why), "down_ms", (now - since).Milliseconds())
+		}
+	}
+}
+
 // endpoints is the group as the router sees it, this endpoint included.
 func (e *Endpoint) endpoints() []route.Endpoint {
 	now := e.now()
--- a/internal/endpoint/harness_test.go
+++ b/internal/endpoint/harness_test.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"bytes"
 	"context"
 	"encoding/hex"
 	"encoding/json"
@@ -186,6 +187,21 @@
 	return p
 }
 
+// newTestEndpoint returns an endpoint that isn't running, an hour old, and its log.
+func newTestEndpoint(t *testing.T) (*Endpoint, *bytes.Buffer) {
+	t.Helper()
+	s := processSettings(t, "http://127.0.0.1:1")
+	s.Advertise, s.LogLevel = s.Listen, "warn"
+	log := &bytes.Buffer{}
+	tel, err := telemetry.New(s, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := newEndpoint(s, tel)
+	e.started = time.Now().Add(-time.Hour)
+	return e, log
+}
+
 type testWriter struct{ t *testing.T }
 
 func (w testWriter) Write(line []byte) (int, error) { return len(line), nil }
