--- a/internal/endpoint/enginewatch_test.go
+++ b/internal/endpoint/enginewatch_test.go
@@ -46,8 +46,7 @@
 	e, log := newTestEndpoint(t)
 	logged := func(what string, words ...string) {
 		t.Helper()
-		lines := strings.TrimSpace(log.String())
-		log.Reset()
+		lines := log.take()
 		if len(words) == 0 && lines == "" {
 			return
 		}
@@ -86,7 +85,7 @@
 	}
 	view.Failed("ep-2", e.now())
 	e.logPeers()
-	log.Reset()
+	log.take()
 	e.started = e.started.Add(-time.Second) // its backoff is over, but it wasn't heard
 	e.logPeers()
 	logged("only tried again")
@@ -101,3 +100,22 @@
 	e.onLoad(e.now(), load, nil)
 	logged("engine up", "engine up", "down_ms")
 }
+
+// Symptom: requests go to an endpoint for half a second only to be refused.
+// Sequence: its engine's port is closed while a connection that the looks at the
+// load go over is still there.
+// Cause: the engine went by its load reports alone.
+func TestUnreachableEngineIsDownAtOnce(t *testing.T) {
+	f := newFakeEngine(t, "a")
+	p := startProcess(t, f.URL, nil)
+	n := p.dial("entry-1")
+	waitFor(t, "the engine", func() bool { return n.call(&wire.StatusRequest{}).(*wire.Status).Load.EngineUp })
+	f.Listener.Close()
+	n.send(chat(1))
+	if end := n.end(); end.Outcome != wire.NotRun {
+		t.Fatalf("got %+v", end)
+	}
+	if log := p.log.take(); !strings.Contains(log, "engine down") {
+		t.Fatalf("not noticed: %s", log)
+	}
+}
--- a/internal/endpoint/harness_test.go
+++ b/internal/endpoint/harness_test.go
@@ -141,6 +141,7 @@
 type process struct {
 	t       *testing.T
 	address string
+	log     *testLog
 	tel     *telemetry.Telemetry
 	stop    context.CancelFunc
 	ended   chan error
@@ -150,7 +151,7 @@
 	t.Helper()
 	return &settings.Settings{
 		ID: "ep-1", Role: "endpoint", FailureDomain: "d1", Listen: freeAddress(t),
-		FleetKey: hex.EncodeToString(fleetKey), LogLevel: "error",
+		FleetKey: hex.EncodeToString(fleetKey), LogLevel: "warn",
 		Platform: settings.Platform{Log: "http://127.0.0.1:1", Instances: "http://127.0.0.1:1", Retention: settings.DefaultRetention},
 		Endpoint: &settings.Endpoint{
 			Group: "g", Kind: settings.DefaultKind, Backend: backend,
@@ -169,12 +170,13 @@
 		change(s)
 	}
 	s.Advertise = s.Listen
-	tel, err := telemetry.New(s, testWriter{t})
+	log := &testLog{}
+	tel, err := telemetry.New(s, log)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &process{t: t, address: s.Listen, tel: tel, stop: stop, ended: make(chan error, 1)}
+	p := &process{t: t, address: s.Listen, log: log, tel: tel, stop: stop, ended: make(chan error, 1)}
 	go func() { p.ended <- Run(ctx, s, tel) }()
 	t.Cleanup(stop)
 	waitFor(t, "the listener", func() bool {
@@ -188,11 +190,11 @@
 }
 
 // newTestEndpoint returns an endpoint that isn't running, an hour old, and its log.
-func newTestEndpoint(t *testing.T) (*Endpoint, *bytes.Buffer) {
+func newTestEndpoint(t *testing.T) (*Endpoint, *testLog) {
 	t.Helper()
 	s := processSettings(t, "http://127.0.0.1:1")
-	s.Advertise, s.LogLevel = s.Listen, "warn"
-	log := &bytes.Buffer{}
+	s.Advertise = s.Listen
+	log := &testLog{}
 	tel, err := telemetry.New(s, log)
 	if err != nil {
 		t.Fatal(err)
@@ -202,9 +204,26 @@
 	return e, log
 }
 
-type testWriter struct{ t *testing.T }
+// testLog keeps what a process logs.
+type testLog struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+func (l *testLog) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines.Write(line)
+}
 
-func (w testWriter) Write(line []byte) (int, error) { return len(line), nil }
+// take returns what was logged since it was last asked.
+func (l *testLog) take() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lines := l.lines.String()
+	l.lines.Reset()
+	return lines
+}
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
--- a/internal/endpoint/run_test.go
+++ b/internal/endpoint/run_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/coder/websocket"
 
@@ -193,6 +194,56 @@
 	}
 }
 
+// Symptom: the last answer before a graceful stop is cut.
+// Sequence: its end is written to a peer, and the process exits at once.
+// Cause: exit resets connections, and the reset overtakes what wasn't read yet.
+func TestExitLingersAfterTheLastEnd(t *testing.T) {
+	e, _ := newTestEndpoint(t)
+	ended := func() bool {
+		e.checkDrained()
+		select {
+		case <-e.drain.finished:
+			return true
+		default:
+			return false
+		}
+	}
+	e.drain.lastEnd = e.now() + time.Minute // no wait of the machine's counts
+	if e.drain.stopping = true; ended() {
+		t.Fatal("ended with its last end just sent")
+	}
+	e.started = e.started.Add(-time.Minute - exitLinger)
+	if !ended() {
+		t.Fatal("doesn't end")
+	}
+}
+
+// Symptom: a request runs on an engine that its caller's group doesn't have.
+// Sequence: an entry with an old list asks, or sends a Run, to a process that has
+// changed its group or kind.
+// Cause: a process took what it was sent.
+func TestWhatIsNotForThisEndpointIsRefused(t *testing.T) {
+	f := newFakeEngine(t, "a")
+	n := startProcess(t, f.URL, nil).dial("entry-1")
+	for i, change := range []func(*wire.Run){
+		func(r *wire.Run) { r.Group = "other" },
+		func(r *wire.Run) { r.Call, r.Messages = &wire.Call{Service: "s"}, nil },
+		func(r *wire.Run) { r.Messages = nil },
+	} {
+		run := chat(byte(i + 1))
+		change(run)
+		n.send(run)
+		if end := n.end(); end.Outcome != wire.NotRun || end.Code != wire.CodeBadRequest || f.ran(run.Attempt) > 0 {
+			t.Errorf("run %d: got %+v, %d runs", i, end, f.ran(run.Attempt))
+		}
+	}
+	question := ask(1)
+	question.Group = "other"
+	if f, ok := n.call(question).(*wire.Failure); !ok || f.Refusal.Code != wire.CodeBadRequest {
+		t.Errorf("ask: got %+v", f)
+	}
+}
+
 func TestQueueOverflowIsRefused(t *testing.T) {
 	f := newFakeEngine(t, "a")
 	f.step = make(chan struct{})
