--- a/internal/endpoint/admission.go
+++ b/internal/endpoint/admission.go
@@ -96,8 +96,7 @@
 		if why := e.notForEngine(a); why != "" {
 			end := wire.End{Outcome: wire.NotRun, Code: wire.CodeNotRun, Message: why}
 			end.Redirect = e.redirect(a.run)
-			e.end(a, end)
-			e.perform(e.admission.Finish(e.now(), a.id, admit.Actual{}))
+			e.dismiss(a, end)
 			continue
 		}
 		switch e.guard(a) {
@@ -106,12 +105,17 @@
 		case attempt.GateWait:
 			e.held = append(e.held, a)
 		case attempt.GateShut:
-			e.end(a, endOf(e.poison.Judge(a.run.Fingerprint, e.now()).Refusal()))
-			e.perform(e.admission.Finish(e.now(), a.id, admit.Actual{}))
+			e.dismiss(a, endOf(e.poison.Judge(a.run.Fingerprint, e.now()).Refusal()))
 		}
 	}
 }
 
+// dismiss ends an admitted attempt that was not handed to the back end.
+func (e *Endpoint) dismiss(a *execution, end wire.End) {
+	e.end(a, end)
+	e.perform(e.admission.Finish(e.now(), a.id, admit.Actual{}))
+}
+
 // notForEngine returns why an admitted attempt isn't handed over, empty if it is.
 func (e *Endpoint) notForEngine(a *execution) string {
 	switch {
--- a/internal/endpoint/ask.go
+++ b/internal/endpoint/ask.go
@@ -16,23 +16,34 @@
 		e.reply(s, ref, &wire.Failure{Refusal: refusal})
 		return
 	}
-	now := e.now()
-	crashes := len(ask.Crashed)
-	if crashes > 0 {
+	if crashes := len(ask.Crashed); crashes > 0 {
 		e.struck(ask.Fingerprint, crashes)
 	}
-	verdict := e.poison.Judge(ask.Fingerprint, now)
-	query := &route.Query{
-		Ask:     *ask,
-		Suspect: verdict.Kind == attempt.Alone,
-		GivenUp: verdict.Kind == attempt.GivenUp || crashes >= attempt.DefaultPoisonParams.Limit,
-	}
 	e.probe(ask.Exclude, true)
 	endpoints := e.endpoints()
 	if version := e.otherVersion(ask, endpoints); version != "" {
 		e.reply(s, ref, e.askOther(ask, version))
 		return
 	}
+	decision := e.decide(ask, endpoints)
+	e.recordRoute(ask, decision)
+	if !ask.Explain {
+		// The owner of an organisation with many requests would spend more on
+		// these than on all else that it tells.
+		decision.Candidates = nil
+	}
+	e.reply(s, ref, decision)
+}
+
+// decide lets the router choose, under what is held against the request.
+func (e *Endpoint) decide(ask *wire.Ask, endpoints []route.Endpoint) *wire.Decision {
+	now := e.now()
+	verdict := e.poison.Judge(ask.Fingerprint, now)
+	query := &route.Query{
+		Ask:     *ask,
+		Suspect: verdict.Kind == attempt.Alone,
+		GivenUp: verdict.Kind == attempt.GivenUp || len(ask.Crashed) >= attempt.DefaultPoisonParams.Limit,
+	}
 	result := e.router.Decide(now, e.rng, query, endpoints)
 	decision := &wire.Decision{
 		Request:         ask.Request,
@@ -51,13 +62,7 @@
 	case result.Refusal == nil:
 		decision.Executor = e.target(result.Executor)
 	}
-	e.recordRoute(ask, decision)
-	if !ask.Explain {
-		// The owner of an organisation with many requests would spend more on
-		// these than on all else that it tells.
-		decision.Candidates = nil
-	}
-	e.reply(s, ref, decision)
+	return decision
 }
 
 func (e *Endpoint) recordRoute(ask *wire.Ask, decision *wire.Decision) {
--- a/internal/endpoint/completion.go
+++ b/internal/endpoint/completion.go
@@ -30,9 +30,6 @@
 	// end.
 	silentWait    = time.Minute
 	cancelTimeout = 2 * time.Second
-	// loadTimeout bounds a look at the load; missedLoads of them in a row tell a
-	// frozen engine within two seconds.
-	loadTimeout = 750 * time.Millisecond
 )
 
 var (
--- a/internal/endpoint/enginewatch.go
+++ b/internal/endpoint/enginewatch.go
@@ -17,6 +17,9 @@
 	// missedLoads failures in a row the engine counts as down.
 	loadInterval = 250 * time.Millisecond
 	missedLoads  = 2
+	// loadTimeout bounds a look at the load; with missedLoads it tells a frozen
+	// engine within two seconds.
+	loadTimeout = 750 * time.Millisecond
 	// eventsPause is the pause before the event stream is opened again.
 	eventsPause = 200 * time.Millisecond
 )
