--- a/cmd/skylark-measure/main.go
+++ b/cmd/skylark-measure/main.go
@@ -40,6 +40,7 @@
 			&cli.IntFlag{Name: "at-once", Value: 1, Usage: "runs side by side; they share the machine"},
 			&cli.BoolFlag{Name: "keep", Usage: "leave each run's settings and logs in the folder for temporary files"},
 			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "folder of the programs"},
+			&cli.BoolFlag{Name: "append", Usage: "add to the runs that the folder of the results has"},
 			&cli.StringFlag{Name: "out", Value: "docs/measurements", Usage: "folder of the results"},
 		},
 		Commands: []*cli.Command{slopes(), idle()},
@@ -63,7 +64,14 @@
 	o := measure.Options{
 		Bin: c.String("bin"), Duration: c.Duration("duration"), Warmup: c.Duration("warmup"), Keep: c.Bool("keep"),
 	}
+	var before []*measure.Run
+	if c.Bool("append") {
+		if before, err = measure.LoadRuns(c.String("out")); err != nil {
+			return err
+		}
+	}
 	runs, failed := runAll(ctx, jobs, o, max(1, c.Int("at-once")))
+	runs = append(before, runs...)
 	if len(runs) > 0 {
 		if err := measure.Save(c.String("out"), runs); err != nil {
 			return err
--- a/internal/measure/table.go
+++ b/internal/measure/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -13,6 +14,9 @@
 	"skylarklead/internal/standin/load"
 )
 
+// runsFile has the runs that a table was made of.
+const runsFile = "runs.json"
+
 // Row is the median of a policy's runs of one scenario over the seeds.
 type Row struct {
 	Deployment, Scenario, Policy string
@@ -122,7 +126,7 @@
 	if err != nil {
 		return fmt.Errorf("measure: %w", err)
 	}
-	if err := os.WriteFile(filepath.Join(dir, "runs.json"), append(data, '\n'), 0o644); err != nil {
+	if err := os.WriteFile(filepath.Join(dir, runsFile), append(data, '\n'), 0o644); err != nil {
 		return fmt.Errorf("measure: %w", err)
 	}
 	table, err := os.Create(filepath.Join(dir, "table.md"))
@@ -140,6 +144,22 @@
 	return plots(dir, rows)
 }
 
+// LoadRuns reads the runs that Save wrote into dir, none if it has none.
+func LoadRuns(dir string) ([]*Run, error) {
+	data, err := os.ReadFile(filepath.Join(dir, runsFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("measure: %w", err)
+	}
+	var runs []*Run
+	if err := json.Unmarshal(data, &runs); err != nil {
+		return nil, fmt.Errorf("measure: %s of %s: %w", runsFile, dir, err)
+	}
+	return runs, nil
+}
+
 // withoutHistograms leaves out the encoded histograms, some kilobytes each.
 func withoutHistograms(runs []*Run) []*Run {
 	slim := make([]*Run, len(runs))
