measure: no port twice in one process

The fleets share a host, and each kept its own list of ports handed out, so one could be offered a port of the other's that nothing listened on yet. Change: one list for the process.

--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -47,7 +47,6 @@
 type Fleet struct {
 	deployment Deployment
 	options    FleetOptions
-	ports      ports
 	platform   *process
 	base       string // the platform's URL
 	crossing   *crossing
@@ -61,7 +60,7 @@
 // StartFleet starts a deployment with the records of a workload, and waits until
 // it serves.
 func StartFleet(ctx context.Context, d Deployment, w load.Workload, o FleetOptions) (*Fleet, error) {
-	f := &Fleet{deployment: d, options: o, ports: ports{used: map[int]bool{}}, views: map[string]string{}}
+	f := &Fleet{deployment: d, options: o, views: map[string]string{}}
 	if err := f.startAll(ctx, w); err != nil {
 		f.Close()
 		return nil, err
@@ -101,7 +100,7 @@
 }
 
 func (f *Fleet) startPlatform(ctx context.Context) error {
-	address, err := f.ports.address()
+	address, err := freeAddresses.next()
 	if err != nil {
 		return err
 	}
@@ -147,7 +146,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if n.address, err = f.ports.address(); err != nil {
+	if n.address, err = freeAddresses.next(); err != nil {
 		return nil, err
 	}
 	args := []string{kind, "--listen", n.address}
@@ -183,7 +182,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listen, err := f.ports.address()
+	listen, err := freeAddresses.next()
 	if err != nil {
 		return nil, err
 	}
@@ -200,11 +199,11 @@
 }
 
 func (f *Fleet) newNode(id, role string, i int) (*node, error) {
-	listen, err := f.ports.address()
+	listen, err := freeAddresses.next()
 	if err != nil {
 		return nil, err
 	}
-	metrics, err := f.ports.address()
+	metrics, err := freeAddresses.next()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/measure/process.go
+++ b/internal/measure/process.go
@@ -65,14 +65,17 @@
 	return p.start()
 }
 
-// ports hands out free ports of a loopback host. The host is this process's own:
-// outgoing connections come from 127.0.0.1, so that none of them, and no other
-// fleet, takes a port before the process that it was found for listens on it.
+// ports hands out free ports of a loopback host, each once. The host is this
+// process's own: outgoing connections come from 127.0.0.1, so that none of them
+// takes a port before the process that it was found for listens on it.
 type ports struct {
 	mu   sync.Mutex
 	used map[int]bool
 }
 
+// freeAddresses is shared by all fleets of this process, since their host is.
+var freeAddresses = ports{used: map[int]bool{}}
+
 const octet = 256
 
 func host() string {
@@ -80,7 +83,7 @@
 	return fmt.Sprintf("127.%d.%d.1", 1+pid/octet%(octet-1), pid%octet)
 }
 
-func (p *ports) address() (string, error) {
+func (p *ports) next() (string, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for {
--- a/internal/measure/slopes_platform.go
+++ b/internal/measure/slopes_platform.go
@@ -54,7 +54,6 @@
 	f := &Fleet{
 		deployment: Deployment{Domains: []string{"domain-a"}, LoadsAtOnce: 3},
 		options:    FleetOptions{Bin: o.Bin, Dir: dir},
-		ports:      ports{used: map[int]bool{}},
 		views:      map[string]string{},
 	}
 	defer f.Close()
--- a/internal/measure/slopes_start.go
+++ b/internal/measure/slopes_start.go
@@ -66,7 +66,6 @@
 	f := &Fleet{
 		deployment: s.deployment(),
 		options:    FleetOptions{Bin: o.Bin, Dir: dir, Policy: PolicyOwner, Engine: s.engine(), Settings: withRoom},
-		ports:      ports{used: map[int]bool{}},
 		views:      map[string]string{},
 	}
 	defer f.Close()
