--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -11,6 +11,7 @@
 	"skylarklead/internal/standin/engine"
 	"skylarklead/internal/standin/load"
 	"skylarklead/internal/telemetry"
+	"skylarklead/internal/wait"
 )
 
 // Options are what all runs of a table share.
@@ -107,7 +108,7 @@
 	var wg sync.WaitGroup
 	timed := func(after time.Duration, do func() error) {
 		wg.Go(func() {
-			if err := pause(ctx, after); err == nil {
+			if err := wait.For(ctx, after); err == nil {
 				err = do()
 				if err != nil {
 					fault = err
@@ -145,15 +146,6 @@
 	return rate
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (r *Run) fill(report *load.Report, before, after sample) {
 	r.PromptTokens = after.prompt - before.prompt
 	r.HitRate = ratio(after.cached-before.cached, r.PromptTokens)
--- a/internal/measure/slopes.go
+++ b/internal/measure/slopes.go
@@ -13,6 +13,7 @@
 	"skylarklead/internal/config"
 	"skylarklead/internal/standin/load"
 	"skylarklead/internal/telemetry"
+	"skylarklead/internal/wait"
 )
 
 // Spread sums up one figure over the daemons of a role.
@@ -175,14 +176,14 @@
 		})
 		loaded <- err
 	}()
-	if err := pause(ctx, o.Warmup); err != nil {
+	if err := wait.For(ctx, o.Warmup); err != nil {
 		return p, err
 	}
 	before, err := f.use()
 	if err != nil {
 		return p, err
 	}
-	if err := pause(ctx, o.Window); err != nil {
+	if err := wait.For(ctx, o.Window); err != nil {
 		return p, err
 	}
 	after, err := f.use()
--- a/internal/measure/slopes_claims.go
+++ b/internal/measure/slopes_claims.go
@@ -13,6 +13,7 @@
 	"skylarklead/internal/config"
 	"skylarklead/internal/platform"
 	"skylarklead/internal/standin/load"
+	"skylarklead/internal/wait"
 )
 
 // ClaimPoint is what idempotency keys cost the log at one rate.
@@ -93,7 +94,7 @@
 	if err != nil {
 		return p, err
 	}
-	if err := pause(ctx, time.Second); err != nil { // the last settles
+	if err := wait.For(ctx, time.Second); err != nil { // the last settles
 		return p, err
 	}
 	after, err := f.use()
--- a/internal/measure/slopes_platform.go
+++ b/internal/measure/slopes_platform.go
@@ -11,6 +11,7 @@
 
 	"skylarklead/internal/platform"
 	"skylarklead/internal/settings"
+	"skylarklead/internal/wait"
 )
 
 // PlatformPoint is what reads of the platform cost a daemon and the platform.
@@ -186,7 +187,7 @@
 		}()
 	}
 	reading.Wait()
-	if err := pause(ctx, time.Second); err != nil {
+	if err := wait.For(ctx, time.Second); err != nil {
 		return 0, err
 	}
 	start := time.Now()
--- a/internal/measure/slopes_session.go
+++ b/internal/measure/slopes_session.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 
+	"skylarklead/internal/wait"
 	"skylarklead/internal/wire"
 )
 
@@ -70,7 +71,7 @@
 	if err != nil {
 		return p, err
 	}
-	if err := pause(ctx, o.Window); err != nil {
+	if err := wait.For(ctx, o.Window); err != nil {
 		return p, err
 	}
 	after, err := f.use()
--- a/internal/measure/slopes_start.go
+++ b/internal/measure/slopes_start.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"skylarklead/internal/platform"
+	"skylarklead/internal/wait"
 	"skylarklead/internal/wire"
 )
 
@@ -120,7 +121,7 @@
 		if !errors.As(err, &limited) {
 			return offset, err
 		}
-		if err := pause(ctx, limited.RetryAfter); err != nil {
+		if err := wait.For(ctx, limited.RetryAfter); err != nil {
 			return 0, err
 		}
 	}
@@ -217,7 +218,7 @@
 			if base, err = log.Append(ctx, "config", [][]byte{data}); err != nil {
 				return err
 			}
-			if err := pause(ctx, 100*time.Millisecond); err != nil {
+			if err := wait.For(ctx, 100*time.Millisecond); err != nil {
 				return err
 			}
 		}
