Stand-in engine: read a cut stream to its error before it is judged

Sequence: the engine sent its fourth piece (a step is 5 ms) between the third Next and the cut; the piece was in the client's buffer already, so the next Next gave it, without error, as it should. Ruled out: the client losing the error (a Next later gives ErrLost); the engine ending the stream (60 pieces take 300 ms). Change: the test reads on until the first error, which must be ErrLost as before; 600 tokens and an engine slowed down around the cut keep the answer from ending.

--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -67,13 +67,16 @@
 	}
 }
 
+// Pieces that came before the cut are still read after it, so the cut is told by
+// the first error. The engine is slowed down meanwhile: the answer can't end first.
 func TestResumeAndCancel(t *testing.T) {
+	const tokens = 600
 	settings := fast()
 	settings.StepMs = 5
 	r := newRig(t, settings)
 	messages := prompt("charter", "q")
 	ctx, cut := context.WithCancel(r.context())
-	s, err := r.client.Complete(ctx, query("cut/1", "huon", messages, 60))
+	s, err := r.client.Complete(ctx, query("cut/1", "huon", messages, tokens))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -85,15 +88,17 @@
 		}
 		have += event.Text
 	}
+	r.control(`{"step_ms": 1000}`)
 	cut()
-	if _, err := s.Next(); !errors.Is(err, api.ErrLost) {
+	if _, _, err := drain(s); !errors.Is(err, api.ErrLost) {
 		t.Errorf("cut stream: %v", err)
 	}
+	r.control(`{"step_ms": 1}`)
 	if s, err = r.client.Resume(r.context(), "cut/1", 3); err != nil {
 		t.Fatal(err)
 	}
 	rest, _, err := drain(s)
-	if want := answer.Expected(messages, 60); err != nil || have+rest != want {
+	if want := answer.Expected(messages, tokens); err != nil || have+rest != want {
 		t.Errorf("resumed %q, %v, want %q", have+rest, err, want)
 	}
 	if _, err := r.client.Resume(r.context(), "none", 0); !errors.Is(err, api.ErrGone) {
