Admission: an organisation's share of the group; standing backlogs kept within a target

Five small organisations that together ask for half of what the group can do had about half of their requests refused, at the endpoints that hold their charters: a large one has a share of each endpoint, a small one of those alone. Queues were as long as the callers' 3 s allow (largest organisation: waits of 395 ms at the median, 2.4 s at the 95th percentile), and the expected wait was too low by 118 to 328 ms at the median of those that waited for 100 ms. All refusals were deadline/not_run, so the entries' budget for hedges stayed on: 401 hedges at twice saturation, no retries.

Change: a weight is divided by the number of endpoints that have a backlog of the organisation, as heartbeats tell already (Load.Heavy). An organisation that has had a queue for a second is refused on arrival, as overloaded, what would get its first token after half of first_token_target (new setting, 880 ms) by the pace at which its own requests start; Retry-After is that wait. What has nothing of its own before it is never refused so.

--- a/internal/admit/core.go
+++ b/internal/admit/core.go
@@ -217,6 +217,7 @@
 func (c *Core) drop(e *entry) {
 	delete(c.entries, e.item.ID)
 	c.queue.remove(e)
+	e.org.noteQueue(c.speed.at)
 	c.present.update(e.org)
 	c.outstanding -= e.expected
 	c.uncached -= e.item.UncachedTokens
@@ -323,7 +324,9 @@
 		a.Reason = reasonAlone
 	}
 	c.queue.charge(e)
+	e.org.pace.finished(e.cost)
 	c.queue.remove(e)
+	e.org.noteQueue(now)
 	c.uncached -= e.item.UncachedTokens
 	c.prefillUntil = now + c.backlog(now) + duration(c.params.prefill(e.item.UncachedTokens))
 	e.running = true
--- a/internal/admit/core_test.go
+++ b/internal/admit/core_test.go
@@ -112,6 +112,37 @@
 	}
 }
 
+// Symptom: past saturation every answer comes just before its caller's deadline.
+// Sequence: for minutes an organisation asks for more than its part of the engine.
+// Cause: its queue is as long as its callers' patience.
+func TestStandingBacklogIsKeptWithinTheTarget(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		at      time.Duration
+		own     string
+		refused int
+	}{
+		{"burst", 0, "large", 0},
+		{"standing backlog", 2 * time.Second, "large", 1},
+		{"nothing of its own waits", 2 * time.Second, "small", 0},
+	} {
+		c := NewCore(Params{MaxRunning: 1, MaxQueue: 100, FirstTokenTarget: 2 * time.Second})
+		for n := range 20 {
+			c.Arrive(0, item(n, "large"))
+		}
+		c.Finish(test.at, item(0, "").ID, Actual{UncachedTokens: 1000, OutputTokens: 50, Ran: true})
+		list := refused(c.Arrive(test.at, item(100, test.own)))
+		if len(list) != test.refused {
+			t.Errorf("%s: refused %v, want %d", test.name, list, test.refused)
+		}
+		for _, r := range list {
+			if r.Code != wire.CodeOverloaded || r.RetryAfter < 10*time.Second {
+				t.Errorf("%s: %+v doesn't tell of 19 items, one of which starts each second or two", test.name, r)
+			}
+		}
+	}
+}
+
 // Symptom: a request that crashes engines takes others down with it.
 // Sequence: a suspect is sent again and runs beside other requests.
 // Cause: it was not kept apart.
--- a/internal/admit/property_test.go
+++ b/internal/admit/property_test.go
@@ -55,14 +55,26 @@
 		case Refuse:
 			b.leaveQueue(a.ID, "refusal")
 			b.ended[a.ID] = true
-			if a.Code == "" || a.Reason == "" {
+			if a.Code == "" || a.Reason == "" || a.RetryAfter > maxRetryAfter {
 				b.t.Fatalf("refusal without code or reason: %+v", a)
 			}
+			if a.Reason == reasonStanding && (a.RetryAfter < minRetryAfter || !b.waits(b.items[a.ID].Organisation)) {
+				b.t.Fatalf("refused for a backlog that isn't there: %+v", a)
+			}
 		}
 	}
 	b.check()
 }
 
+func (b *bench) waits(organisation string) bool {
+	for id := range b.waiting {
+		if b.items[id].Organisation == organisation {
+			return true
+		}
+	}
+	return false
+}
+
 func (b *bench) leaveQueue(id ID, what string) {
 	if !b.waiting[id] {
 		b.t.Fatalf("%s of an item that doesn't wait: running %v, ended %v", what, b.running[id], b.ended[id])
@@ -298,20 +310,23 @@
 	})
 }
 
-// Two organisations that both always wait get work by their weights, up to one
-// item of each (the bound of start-time fair queueing).
+// Two organisations that both always wait get work by their weights, of which one
+// with backlogs at other endpoints has a part here, up to one item of each (the bound
+// of start-time fair queueing).
 func TestBackloggedShareByWeight(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := Params{MaxRunning: rapid.IntRange(1, 4).Draw(t, "places"), MaxQueue: 1000, MaxWait: 24 * time.Hour}
 		b := newBench(t, p)
 		weights := map[string]float64{"a": 1, "b": rapid.SampledFrom([]float64{1, 2, 3}).Draw(t, "weight")}
+		elsewhere := map[string]int{"b": rapid.IntRange(0, 2).Draw(t, "elsewhere")}
+		here := map[string]float64{"a": 1, "b": weights["b"] / float64(1+elsewhere["b"])}
 		most := map[string]float64{}
 		for range 100 {
 			for _, name := range []string{"a", "b"} {
 				i := drawItem(t, name)
-				i.Weight = weights[name]
+				i.Weight, i.Elsewhere = weights[name], elsewhere[name]
 				i.ExpectedTokens = i.MaxTokens
-				most[name] = max(most[name], b.params.cost(i.UncachedTokens, i.MaxTokens)/i.Weight)
+				most[name] = max(most[name], b.params.cost(i.UncachedTokens, i.MaxTokens)/here[name])
 				b.arrive(i)
 			}
 		}
@@ -323,7 +338,7 @@
 			b.finish(id, Actual{UncachedTokens: i.UncachedTokens, OutputTokens: i.MaxTokens, Ran: true})
 		}
 		for _, i := range b.starts[from:] {
-			got[i.Organisation] += b.params.cost(i.UncachedTokens, i.MaxTokens) / i.Weight
+			got[i.Organisation] += b.params.cost(i.UncachedTokens, i.MaxTokens) / here[i.Organisation]
 		}
 		if gap := got["a"] - got["b"]; gap > most["a"]+most["b"] || -gap > most["a"]+most["b"] {
 			t.Fatalf("work by weight: %v, largest items %v", got, most)
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -37,7 +37,12 @@
 	queue   []*entry // by priority, then arrival
 	queued  float64  // cost of queue, ms
 	running int
-	use     use
+	// waitingSince is when queue was last empty for a standingInterval, emptiedAt
+	// when it last became so.
+	waitingSince, emptiedAt time.Duration
+	// pace is the work that it starts while it has a queue.
+	pace speed
+	use  use
 	// start is the virtual time at which its next item is due.
 	start float64
 	// served numbers its last start among all.
@@ -63,6 +68,26 @@
 	}
 }
 
+// ahead is the cost of what goes before e in its queue.
+func (o *organisation) ahead(e *entry) float64 {
+	cost := 0.0
+	for _, other := range o.queue {
+		if other == e {
+			break
+		}
+		cost += other.cost
+	}
+	return cost
+}
+
+// noteQueue notes whether the queue has become empty.
+func (o *organisation) noteQueue(now time.Duration) {
+	o.pace.advance(now, len(o.queue) > 0)
+	if len(o.queue) == 0 {
+		o.emptiedAt = max(o.emptiedAt, now)
+	}
+}
+
 func (o *organisation) idle() bool { return o.running == 0 && len(o.queue) == 0 }
 
 // fairQueue is start-time fair queueing (Goyal, Vin, Cheng 1996) over work: each
@@ -89,16 +114,27 @@
 		if len(q.orgs) >= maxIdle {
 			q.forgetIdle()
 		}
-		o = &organisation{name: item.Organisation}
+		o = &organisation{name: item.Organisation, pace: speed{memory: paceMemory}}
 		q.orgs[item.Organisation] = o
 	}
-	o.weight = item.Weight
-	if !(o.weight > 0) || math.IsInf(o.weight, 0) {
-		o.weight = 1
-	}
+	o.weight = item.weight()
 	return o
 }
 
+// weight is the organisation's weight at this endpoint. An organisation with a
+// backlog at every endpoint would get a full share from each, and a small one,
+// whose prefixes are in few caches, one full share in all: at the endpoints that
+// hold them it would be crowded out, though it asks for less than its share of the
+// group. One would see its requests wait and be refused beside a large one's. The
+// sum of an organisation's weights over the group is thus bounded.
+func (i *Item) weight() float64 {
+	w := i.Weight
+	if !(w > 0) || math.IsInf(w, 0) {
+		w = 1
+	}
+	return w / float64(1+max(0, i.Elsewhere))
+}
+
 // forgetIdle drops organisations that have nothing here and owe nothing.
 func (q *fairQueue) forgetIdle() {
 	for name, o := range q.orgs {
@@ -112,6 +148,10 @@
 	o := e.org
 	if len(o.queue) == 0 {
 		o.start = max(o.start, q.virtual)
+		if e.arrived-o.emptiedAt > standingInterval {
+			o.waitingSince = e.arrived
+		}
+		o.pace.advance(e.arrived, true)
 		q.waiting = append(q.waiting, o)
 	}
 	o.push(e)
--- a/internal/admit/shed.go
+++ b/internal/admit/shed.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -34,6 +35,10 @@
 // go elsewhere.
 func (c *Core) shed(now time.Duration, e *entry, actions []Action) []Action {
 	wait := c.expectedWait(e)
+	if own := c.ownWait(now, e); own > c.params.FirstTokenTarget/2 {
+		c.drop(e)
+		return append(actions, Refuse{e.item.ID, wire.CodeOverloaded, clampRetryAfter(own), reasonStanding})
+	}
 	if now+wait+c.backlog(now) > e.latestStart {
 		c.drop(e)
 		return append(actions, c.refusal(e, wire.CodeDeadline, "the queue is longer than its deadline"))
@@ -50,6 +55,33 @@
 	return append(actions, c.refusal(victim, wire.CodeOverloaded, "the queue is full; its organisation has most waiting"))
 }
 
+// standingInterval is how long an organisation must have had a queue, without a
+// pause of that length, for it to be a standing backlog rather than a burst.
+const standingInterval = time.Second
+
+// reasonStanding is of requests refused for their own organisation's backlog.
+const reasonStanding = "its organisation's backlog is too long for the first-token target"
+
+// ownWait is the expected time to first token of e behind a standing backlog of its
+// own organisation, by the pace at which that starts; 0 without one.
+//
+// However long a standing queue is, as many of its requests are answered. Past
+// saturation it would grow to what the callers' deadlines allow, and every answer
+// would come late; one would see goodput fall and waits close to the deadlines. So
+// it is kept to half of the target: the rest is for the estimate's error and for the
+// engine. A burst may wait for longer. So may an organisation that has nothing of
+// its own before it, since what it would wait for is others' backlogs.
+func (c *Core) ownWait(now time.Duration, e *entry) time.Duration {
+	o := e.org
+	ahead := o.ahead(e)
+	if ahead == 0 || now-o.waitingSince < standingInterval {
+		return 0
+	}
+	o.pace.advance(now, true)
+	start := duration((ahead + e.cost) / o.pace.rate())
+	return start + c.backlog(now) + duration(c.params.prefill(e.item.UncachedTokens))
+}
+
 // serviceMargin is how many standard deviations over the mean an output may be
 // for an item still to make its deadline. Past saturation every item starts about
 // as late as it may; with no margin, half of them would end too late and their
@@ -87,13 +119,7 @@
 // expectedWait is how long a waiting item will wait: the work before it in its
 // own organisation's queue, and what the others get in the meantime.
 func (c *Core) expectedWait(e *entry) time.Duration {
-	own := 0.0
-	for _, other := range e.org.queue {
-		if other == e {
-			break
-		}
-		own += other.cost
-	}
+	own := e.org.ahead(e)
 	ahead := own
 	for _, o := range c.queue.waiting {
 		if o != e.org {
@@ -109,8 +135,11 @@
 
 // retryAfter is the time in which the present queue drains.
 func (c *Core) retryAfter() time.Duration {
-	drain := duration(c.queue.cost / c.speed.rate())
-	return min(maxRetryAfter, max(minRetryAfter, drain))
+	return clampRetryAfter(duration(c.queue.cost / c.speed.rate()))
+}
+
+func clampRetryAfter(d time.Duration) time.Duration {
+	return min(maxRetryAfter, max(minRetryAfter, d))
 }
 
 // late returns the waiting entries that are too late to start.
@@ -129,10 +158,11 @@
 // speed measures how much work, in milliseconds of engine time, the engine gets
 // done each millisecond while requests wait for it.
 type speed struct {
-	done  float64
-	spent float64 // ms
-	at    time.Duration
-	busy  bool
+	memory float64 // ms, speedMemory if 0
+	done   float64
+	spent  float64 // ms
+	at     time.Duration
+	busy   bool
 }
 
 const (
@@ -140,6 +170,8 @@
 	// milliseconds; speedPrior is the weight of the starting guess.
 	speedMemory = 10000
 	speedPrior  = 1000
+	// paceMemory is the same for one organisation.
+	paceMemory = 5000
 )
 
 func newSpeed(guess float64) speed {
@@ -150,7 +182,7 @@
 func (s *speed) advance(now time.Duration, busy bool) {
 	if s.busy && now > s.at {
 		elapsed := ms(now - s.at)
-		keep := math.Exp(-elapsed / speedMemory)
+		keep := math.Exp(-elapsed / cmp.Or(s.memory, speedMemory))
 		s.done *= keep
 		s.spent = s.spent*keep + elapsed
 	}
@@ -167,4 +199,4 @@
 // minSpeed keeps estimates finite while an engine stands still.
 const minSpeed = 0.05
 
-func (s *speed) rate() float64 { return max(minSpeed, s.done/s.spent) }
+func (s *speed) rate() float64 { return max(minSpeed, s.done/max(1, s.spent)) }
--- a/internal/admit/types.go
+++ b/internal/admit/types.go
@@ -17,6 +17,9 @@
 	Organisation string
 	// Weight is the organisation's share in the fair queue, 1 if 0.
 	Weight float64
+	// Elsewhere is how many other endpoints of the group have a backlog of the
+	// organisation. Its weight is shared out among all of them.
+	Elsewhere int
 	// MaxInFlight bounds the organisation's items here, waiting and running; 0
 	// is no bound.
 	MaxInFlight int
@@ -86,6 +89,9 @@
 	// PrefillTokensPerSecond and DecodeTokenTime turn tokens into engine time.
 	PrefillTokensPerSecond float64
 	DecodeTokenTime        time.Duration
+	// FirstTokenTarget bounds the expected time to first token of an organisation
+	// with a standing backlog.
+	FirstTokenTarget time.Duration
 	// MaxWait bounds the expected wait of an item without a deadline.
 	MaxWait time.Duration
 	// KVTokens bounds the tokens that running items may take, prompts and longest
@@ -99,6 +105,7 @@
 	DefaultMaxQueue               = 256
 	DefaultPrefillTokensPerSecond = 20000
 	DefaultDecodeTokenTime        = 25 * time.Millisecond
+	DefaultFirstTokenTarget       = 880 * time.Millisecond
 	DefaultMaxWait                = 30 * time.Second
 )
 
@@ -108,6 +115,7 @@
 		MaxRunning:             s.MaxRunning,
 		MaxQueue:               s.MaxQueue,
 		SmallReserve:           s.SmallReserve,
+		FirstTokenTarget:       s.FirstTokenTarget.D(),
 		PrefillTokensPerSecond: s.PrefillTokensPerSecond,
 		DecodeTokenTime:        s.DecodeTokenTime.D(),
 	}
@@ -126,6 +134,9 @@
 	if p.DecodeTokenTime <= 0 {
 		p.DecodeTokenTime = DefaultDecodeTokenTime
 	}
+	if p.FirstTokenTarget <= 0 {
+		p.FirstTokenTarget = DefaultFirstTokenTarget
+	}
 	if p.MaxWait <= 0 {
 		p.MaxWait = DefaultMaxWait
 	}
--- a/internal/endpoint/admission.go
+++ b/internal/endpoint/admission.go
@@ -40,12 +40,26 @@
 		item.Weight = o.Weight
 		item.MaxInFlight = o.MaxInFlight
 	}
+	item.Elsewhere = e.backlogsElsewhere(a.run.Organisation)
 	if a.run.DeadlineMs > 0 {
 		item.Deadline = now + time.Duration(a.run.DeadlineMs)*time.Millisecond
 	}
 	e.perform(e.admission.Arrive(now, item))
 }
 
+// backlogsElsewhere counts the other endpoints of the group that have told of a
+// backlog of an organisation.
+func (e *Endpoint) backlogsElsewhere(organisation string) int {
+	hash, count := route.OrganisationHash(organisation), 0
+	since := e.now() - e.settings.Endpoint.SuspectAfter.D()
+	for _, p := range e.group.peers {
+		if p.hasLoad && p.loadAt >= since && slices.Contains(p.load.Heavy, hash) {
+			count++
+		}
+	}
+	return count
+}
+
 // predict notes what the engine is believed to hold of a prompt, and returns
 // the tokens that it will have to compute.
 func (e *Endpoint) predict(a *execution) int {
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -168,6 +168,7 @@
 		MaxRunning:             settings.DefaultMaxRunning,
 		MaxQueue:               settings.DefaultMaxQueue,
 		SmallReserve:           settings.DefaultSmallReserve,
+		FirstTokenTarget:       settings.DefaultFirstToken,
 		PrefillTokensPerSecond: settings.DefaultPrefillRate,
 		DecodeTokenTime:        settings.DefaultDecodeTime,
 		CacheTokens:            settings.DefaultCacheTokens,
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -20,6 +20,7 @@
 	DefaultMaxRunning     = 16
 	DefaultMaxQueue       = 256
 	DefaultSmallReserve   = 0.25
+	DefaultFirstToken     = Duration(880 * time.Millisecond)
 	DefaultPrefillRate    = 20000
 	DefaultDecodeTime     = Duration(10 * time.Millisecond)
 	DefaultCacheTokens    = 40000
@@ -54,6 +55,7 @@
 	fill(doc, "endpoint.max_running", &e.MaxRunning, DefaultMaxRunning)
 	fill(doc, "endpoint.max_queue", &e.MaxQueue, DefaultMaxQueue)
 	fill(doc, "endpoint.small_reserve", &e.SmallReserve, DefaultSmallReserve)
+	fill(doc, "endpoint.first_token_target", &e.FirstTokenTarget, DefaultFirstToken)
 	fill(doc, "endpoint.prefill_tokens_per_second", &e.PrefillTokensPerSecond, DefaultPrefillRate)
 	fill(doc, "endpoint.decode_token_time", &e.DecodeTokenTime, DefaultDecodeTime)
 	fill(doc, "endpoint.cache_tokens", &e.CacheTokens, DefaultCacheTokens)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -93,6 +93,9 @@
 	// SmallReserve is the share of running places kept for organisations that
 	// use little, 0 to 1.
 	SmallReserve float64 `json:"small_reserve"`
+	// FirstTokenTarget is the time to first token beyond which requests of an
+	// organisation with a standing backlog are refused on arrival.
+	FirstTokenTarget Duration `json:"first_token_target"`
 	// PrefillTokensPerSecond and DecodeTokenTime are the engine's speeds.
 	PrefillTokensPerSecond float64  `json:"prefill_tokens_per_second"`
 	DecodeTokenTime        Duration `json:"decode_token_time"`
