Admission: pace over two seconds

Cause: what the pace of five seconds ago let in comes late when others have come since. Change: paceMemory 5 s to 2 s.

--- a/internal/admit/shed.go
+++ b/internal/admit/shed.go
@@ -171,7 +171,7 @@
 	speedMemory = 10000
 	speedPrior  = 1000
 	// paceMemory is the same for one organisation.
-	paceMemory = 5000
+	paceMemory = 2000
 )
 
 func newSpeed(guess float64) speed {
