--- a/cmd/skylarkd/main.go
+++ b/cmd/skylarkd/main.go
@@ -64,7 +64,7 @@
 			"Exit codes: 0 done; 1 failed after the start; 2 bad use or bad settings.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "config", Usage: "settings `FILE`, JSON with comments"},
-			&cli.BoolFlag{Name: "check", Usage: "only check the settings"},
+			&cli.BoolFlag{Name: "check", Usage: "only check the settings and the files that they name"},
 		},
 		Action: run,
 	}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -9,29 +9,36 @@
 	"skylarklead/internal/strictjson"
 )
 
-// Load reads and checks the settings file at path. The error is a
-// strictjson.Problems with every mistake in it, or tells why the file can't be
-// read.
+// Load reads and checks the settings file at path and the files that it names. The
+// error is a strictjson.Problems with every mistake in them, or tells why the
+// settings can't be read.
 func Load(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	return Parse(data, path)
+	c := parse(data, path)
+	c.files()
+	return c.result()
 }
 
-// Parse checks settings; name is the file's name in errors. It fills in the
-// defaults of what data leaves out.
-func Parse(data []byte, name string) (*Settings, error) {
+// Parse checks settings, but no file that they name; name is the file's name in
+// errors. It fills in the defaults of what data leaves out.
+func Parse(data []byte, name string) (*Settings, error) { return parse(data, name).result() }
+
+func parse(data []byte, name string) *checker {
 	s := &Settings{}
-	doc := strictjson.Decode(data, name, s)
-	s.fillDefaults(doc)
-	c := &checker{doc: doc, s: s}
+	c := &checker{doc: strictjson.Decode(data, name, s), s: s}
+	s.fillDefaults(c.doc)
 	c.check()
-	if err := doc.Err(); err != nil {
+	return c
+}
+
+func (c *checker) result() (*Settings, error) {
+	if err := c.doc.Err(); err != nil {
 		return nil, err
 	}
-	return s, nil
+	return c.s, nil
 }
 
 // UnmarshalJSON accepts a string such as "250ms". A bare number is refused: its
