Refuse what a chat body asks for and the system can't serve

Cause: parameters.Pick dropped tools, logprobs, cache_salt and their like in silence, so that a caller that gave tools took an answer made without them for the model's choice. Ruled out: passing tools through, since wire.Chunk carries text only and an answer by tool calls would come out empty. Change: Pick names the first such field (bad_request, not_run); values that ask for nothing are left out as before, since client libraries send them unasked. tool_calls, function_call and tool_call_id of a message likewise. Tests: three table cases that held the silence to be right became cases of TestPickRefusesWhatIsNotSupported, which wants the field's name; the process test wants 400 for a foreign cache_salt, no engine request by it, and as before the organisation's own salt at the engine. They fail without the mechanism.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -56,6 +56,24 @@
 type messageJSON struct {
 	Role    string      `json:"role"`
 	Content contentJSON `json:"content"`
+	// These are refused: without the tools that they belong to, the prompt would
+	// not be what the caller means.
+	ToolCalls    []json.RawMessage `json:"tool_calls"`
+	FunctionCall any               `json:"function_call"`
+	ToolCallID   string            `json:"tool_call_id"`
+}
+
+// unsupported names a message's field that can't be served, "" if there is none.
+func (m *messageJSON) unsupported() string {
+	switch {
+	case len(m.ToolCalls) > 0:
+		return "tool_calls"
+	case m.FunctionCall != nil:
+		return "function_call"
+	case m.ToolCallID != "":
+		return "tool_call_id"
+	}
+	return ""
 }
 
 // contentJSON is a string, or a list of text parts that are put together.
@@ -190,6 +208,9 @@
 		if !roles[m.Role] {
 			return nil, fmt.Errorf("messages[%d]: unknown role %q", i, m.Role)
 		}
+		if field := m.unsupported(); field != "" {
+			return nil, fmt.Errorf("messages[%d]: %q is not supported", i, field)
+		}
 		messages[i] = prefix.Message{Role: m.Role, Content: string(m.Content)}
 	}
 	return messages, nil
--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -31,6 +31,10 @@
 		{"negative limit", `{"model":"m","messages":[{"role":"user","content":"a"}],"max_tokens":-1}`, "max_tokens"},
 		{"fraction", `{"model":"m","messages":[{"role":"user","content":"a"}],"max_tokens":1.5}`, "max_tokens"},
 		{"many answers", `{"model":"m","messages":[{"role":"user","content":"a"}],"n":2}`, `"n" must be 1`},
+		{"tools", `{"model":"m","messages":[{"role":"user","content":"a"}],"tools":[{"type":"function"}]}`, `field "tools" is not supported`},
+		{"another's cache", `{"model":"m","messages":[{"role":"user","content":"a"}],"cache_salt":"other"}`, `field "cache_salt" is not supported`},
+		{"tool calls", `{"model":"m","messages":[{"role":"assistant","content":"","tool_calls":[{}]}]}`, `messages[0]: "tool_calls" is not supported`},
+		{"tool's answer", `{"model":"m","messages":[{"role":"user","content":"a"},{"role":"tool","content":"4","tool_call_id":"c"}]}`, `messages[1]: "tool_call_id" is not supported`},
 		{"priority", `{"model":"m","messages":[{"role":"user","content":"a"}],"priority":100000}`, "priority"},
 	}
 	for _, tt := range tests {
--- a/internal/entry/parameters_test.go
+++ b/internal/entry/parameters_test.go
@@ -12,7 +12,7 @@
 )
 
 const sampledBody = `{"model":"ledger-llm","stream":true,"messages":[{"role":"user","content":"hi"}],` +
-	`"temperature":0.2,"stop":["w7"],"seed":7,"cache_salt":"other","user":"u-1"}`
+	`"temperature":0.2,"stop":["w7"],"seed":7,"cache_salt":null,"user":"u-1"}`
 
 // Symptom: a caller's temperature, stop and seed have no effect, or only until
 // its endpoint dies.
--- a/internal/parameters/parameters.go
+++ b/internal/parameters/parameters.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -27,18 +28,20 @@
 var (
 	ErrTooLarge = fmt.Errorf("fields beside messages have more than %d bytes", MaxBytes)
 	ErrTooDeep  = fmt.Errorf("fields beside messages are nested deeper than %d", maxNesting)
+	// ErrUnsupported is wrapped with the field's name.
+	ErrUnsupported = errors.New("not supported")
 )
 
-// own are the fields that the system reads or sets.
+// own are the fields that the system reads from the caller.
 var own = []string{
 	"model", "messages", "stream", "stream_options", "max_tokens", "max_completion_tokens", "priority", "n",
-	"cache_salt", "continue_final_message", "add_generation_prompt",
 }
 
-// kept are fields that would get round the system at some engines: the name of
-// the stream, cache content of another request, or a prompt other than the one
-// whose prefixes were hashed.
+// kept are fields that would get round the system at some engines: what the
+// endpoint sets, the name of the stream, cache content of another request, or a
+// prompt other than the one whose prefixes were hashed.
 var kept = []string{
+	"cache_salt", "continue_final_message", "add_generation_prompt",
 	"request_id", "kv_transfer_params", "prompt", "prompt_embeds", "prompt_token_ids",
 	"chat_template", "chat_template_kwargs", "documents", "echo",
 }
@@ -51,22 +54,53 @@
 	"use_beam_search", "best_of", "return_token_ids", "return_tokens_as_token_ids",
 }
 
+// refused are the fields that the caller is told are not supported, unless their
+// value asks for nothing. Dropped in silence, a caller that gave tools would take
+// an answer made without them for the model's choice not to use any.
+var refused = slices.Concat(kept, unanswerable)
+
+// idle are values that ask for nothing, by field; "" has those of every field.
+// Client libraries send them unasked.
+var idle = map[string][]string{
+	"":                      {`null`, `false`, `0`, `""`, `[]`, `{}`},
+	"add_generation_prompt": {`true`},
+	"parallel_tool_calls":   {`true`},
+	"tool_choice":           {`"none"`, `"auto"`},
+	"function_call":         {`"none"`, `"auto"`},
+	"modalities":            {`["text"]`},
+	"best_of":               {`1`},
+}
+
 // held are all fields that aren't passed through.
-var held = slices.Concat(own, kept, unanswerable)
+var held = slices.Concat(own, refused)
+
+// IsHeld reports whether a field isn't passed through.
+func IsHeld(name string) bool { return find(held, name) != "" }
 
-// IsHeld reports whether a field isn't passed through. It compares without case: readers that ignore it, Go's among them, would
-// otherwise take a caller's "Cache_Salt" for ours.
-func IsHeld(name string) bool {
-	return slices.ContainsFunc(held, func(h string) bool { return strings.EqualFold(h, name) })
+// find returns the field of a list that a caller's name stands for, "" if none. It
+// compares without case: readers that ignore it, Go's among them, would otherwise
+// take a caller's "Cache_Salt" for ours.
+func find(list []string, name string) string {
+	if i := slices.IndexFunc(list, func(h string) bool { return strings.EqualFold(h, name) }); i >= 0 {
+		return list[i]
+	}
+	return ""
 }
 
 // Pick returns the fields of a JSON object that are passed through, nil if there
-// are none. Of a field that is there twice, the last one counts.
+// are none, or tells which field isn't supported. Of a field that is there twice,
+// the last one counts.
 func Pick(body []byte) ([]byte, error) {
-	fields, err := pass(body)
-	if err != nil || len(fields) == 0 {
+	fields, err := decode(body)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkSupported(fields); err != nil {
 		return nil, err
 	}
+	if fields = withoutHeld(fields); len(fields) == 0 {
+		return nil, nil
+	}
 	picked, err := encode(fields)
 	if err != nil {
 		return nil, err
@@ -101,16 +135,43 @@
 	return append(merged, ours[1:]...), nil
 }
 
+// checkSupported names the first field, by name, that can't be served.
+func checkSupported(fields map[string]json.RawMessage) error {
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		if field := find(refused, name); field != "" && !isIdle(field, fields[name]) {
+			return fmt.Errorf("field %q is %w", name, ErrUnsupported)
+		}
+	}
+	return nil
+}
+
+func isIdle(field string, value json.RawMessage) bool {
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, value); err != nil {
+		return false
+	}
+	return slices.Contains(idle[""], compact.String()) || slices.Contains(idle[field], compact.String())
+}
+
 // pass returns the fields of an object that aren't held.
 func pass(object []byte) (map[string]json.RawMessage, error) {
+	fields, err := decode(object)
+	return withoutHeld(fields), err
+}
+
+func decode(object []byte) (map[string]json.RawMessage, error) {
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(object, &fields); err != nil {
 		return nil, fmt.Errorf("parameters: %w", err)
 	}
-	maps.DeleteFunc(fields, func(name string, _ json.RawMessage) bool { return IsHeld(name) })
 	return fields, nil
 }
 
+func withoutHeld(fields map[string]json.RawMessage) map[string]json.RawMessage {
+	maps.DeleteFunc(fields, func(name string, _ json.RawMessage) bool { return IsHeld(name) })
+	return fields
+}
+
 func encode(fields map[string]json.RawMessage) ([]byte, error) {
 	var b bytes.Buffer
 	enc := json.NewEncoder(&b)
--- a/internal/parameters/parameters_test.go
+++ b/internal/parameters/parameters_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -17,10 +18,8 @@
 		{"text as it is", `{"stop":["<|a|>","\u00e9&"]}`, `{"stop":["<|a|>","\u00e9&"]}`},
 		{"layout", "{ \"logit_bias\" : { \"7\" : -1 } }", `{"logit_bias":{"7":-1}}`},
 		{"the last of two", `{"seed":1,"seed":2}`, `{"seed":2}`},
-		{"another's cache", `{"cache_salt":"other","Cache_Salt":"other","cache_\u0073alt":"other","continue_final_message":true}`, ``},
-		{"folded letters", `{"me\u017fsages":[],"cache_\u017falt":"x","STREAM":false}`, ``},
-		{"round the system", `{"kv_transfer_params":{},"request_id":"x","prompt":"x","chat_template":"x"}`, ``},
-		{"no text in the answer", `{"tools":[{}],"tool_choice":"auto","logprobs":true,"seed":3}`, `{"seed":3}`},
+		{"folded letters", `{"me\u017fsages":[],"cache_\u017falt":null,"STREAM":false}`, ``},
+		{"asks for nothing", `{"tools":[ ],"tool_choice":"auto","logprobs":false,"top_logprobs":null,"best_of":1,"modalities":[ "text" ],"kv_transfer_params":{},"seed":3}`, `{"seed":3}`},
 		{"not UTF-8", "{\"stop\":\"a\xffb\"}", "{\"stop\":\"a\ufffdb\"}"},
 		{"null", `null`, ``},
 	} {
@@ -33,6 +32,36 @@
 	}
 }
 
+// Symptom: a caller that gave tools gets an answer made without them, and takes
+// it for the model's choice to use none; one that asked for logprobs finds none.
+// Sequence: its body has a field that is neither ours nor may go to the engine.
+// Cause: such fields were dropped in silence.
+func TestPickRefusesWhatIsNotSupported(t *testing.T) {
+	for name, body := range map[string]string{
+		"cache_salt":             `{"cache_salt":"other"}`,
+		"Cache_Salt":             `{"Cache_Salt":"other"}`,
+		"cache_salt, escaped":    `{"cache_\u0073alt":"other"}`,
+		"cache_\u017falt":        `{"cache_\u017falt":"x"}`,
+		"continue_final_message": `{"continue_final_message":true}`,
+		"request_id":             `{"request_id":"x"}`,
+		"prompt":                 `{"seed":1,"prompt":"x"}`,
+		"chat_template":          `{"chat_template":"x"}`,
+		"kv_transfer_params":     `{"kv_transfer_params":{"a":1}}`,
+		"tools":                  `{"tools":[{}]}`,
+		"tool_choice":            `{"tool_choice":"required"}`,
+		"logprobs":               `{"logprobs":true,"seed":3}`,
+		"top_logprobs":           `{"top_logprobs":2}`,
+		"modalities":             `{"modalities":["audio"]}`,
+		"best_of":                `{"best_of":2}`,
+	} {
+		field, _, _ := strings.Cut(name, ",")
+		picked, err := Pick([]byte(body))
+		if !errors.Is(err, ErrUnsupported) || !strings.Contains(err.Error(), strconv.Quote(field)) || picked != nil {
+			t.Errorf("%s: got %s, %v", name, picked, err)
+		}
+	}
+}
+
 func TestPickIsBounded(t *testing.T) {
 	nested := func(n int) string { return strings.Repeat("[", n) + strings.Repeat("]", n) }
 	for _, tt := range []struct {
--- a/test/parameters_test.go
+++ b/test/parameters_test.go
@@ -14,25 +14,42 @@
 
 // TestParametersReachTheEngine sends sampling parameters through entry and
 // endpoint process, and reads them from the engine's own account. They must not
-// set what the endpoint sets, the cache's salt first of all.
+// set what the endpoint sets, the cache's salt first of all: that is refused.
 func TestParametersReachTheEngine(t *testing.T) {
 	t.Parallel()
 	c := harness.Start(t, harness.Options{Engines: 1, Entries: 1})
 	caller := c.Caller(c.Entries[0], harness.Foodbank)
-	body := `{"model":"` + harness.Ask("x", 1).Model + `","messages":[{"role":"user","content":"x"}],"max_tokens":2,` +
-		`"temperature":0.25,"seed":11,"stop":["<|"],"cache_salt":"other","Cache_Salt":"other"}`
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, caller.URL+"/v1/chat/completions", bytes.NewBufferString(body))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Header.Set("Authorization", "Bearer "+caller.Key)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	if text, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != http.StatusOK {
-		t.Fatalf("%s: %s, %v", resp.Status, text, err)
+	// post sends the fields beside a message and returns the answer's status.
+	post := func(fields string) int {
+		body := `{"model":"` + harness.Ask("x", 1).Model + `","messages":[{"role":"user","content":"x"}],"max_tokens":2,` + fields + `}`
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, caller.URL+"/v1/chat/completions", bytes.NewBufferString(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+caller.Key)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%s: %s", resp.Status, text)
+		return resp.StatusCode
+	}
+	const sampling = `"temperature":0.25,"seed":11,"stop":["<|"],`
+	for _, salt := range []string{`"cache_salt":"other"`, `"Cache_Salt":"other"`} {
+		if status := post(sampling + salt); status != http.StatusBadRequest {
+			t.Errorf("%s is answered by %d", salt, status)
+		}
+	}
+	if n := len(c.Account(c.Endpoints[0].Engine).Requests); n != 0 {
+		t.Errorf("%d refused requests cost engine time", n)
+	}
+	if status := post(sampling + `"cache_salt":null,"Cache_Salt":""`); status != http.StatusOK {
+		t.Fatalf("answered by %d", status)
 	}
 	var found []engine.Record
 	for _, r := range c.Account(c.Endpoints[0].Engine).Requests {
