A process whose fleet key no peer takes isn't ready, and says so

Cause: an entry or endpoint with another key reads its configuration from the log and answered /readyz with 200, though every peer cut it off; the dialer saw a bare EOF, as of a crash, and nobody dialled before the first caller came. Ruled out: counting what comes in without the key (anybody may do that), and taking one refusal for one's own fault (one odd process would make its whole group unready). Change: the acceptor closes with a status of its own, which the dialer turns to ErrUnauthenticated; wire.Openings keeps by address who lets this process in; Pool.Prove dials up to three listed peers while none has. /readyz, the status message and skylarkctl status tell the reason, an error line names the setting. A lone first process is ready as before; peers out of reach are no case of it. The new tests fail to build or to pass without the mechanism.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -259,7 +260,7 @@
 	f.run(ExitUnreachable, "status", "--address=127.0.0.1:1")
 	f.run(ExitUnreachable, "status", "--fleet-key="+strings.Repeat("cd", 32), at)
 	f.run(ExitUsage, "status", "--fleet-key=xyz", at)
-	f.contains(f.run(ExitUnreachable, "status", "--fleet-key="+strings.Repeat("cd", 32), at), "is this the fleet's key?")
+	f.contains(f.run(ExitUnreachable, "status", "--fleet-key="+strings.Repeat("cd", 32), at), "refused the tool's key; is this the fleet's key?")
 	f.contains(f.run(ExitUsage, "status", "--platform=localhost:7000"), "is no URL")
 	d.role = wire.RoleEntry
 	f.contains(f.run(ExitRefused, "drain", at, "ep-1"), "ep-1 is an entry; SIGTERM drains it")
@@ -267,14 +268,16 @@
 
 func TestStatusOfASilentInstance(t *testing.T) {
 	up := instanceStatus{ID: "ep-1", Status: &wire.Status{Identity: wire.Identity{ID: "ep-1", Role: wire.RoleEndpoint}}}
+	unready := instanceStatus{ID: "ep-3", Status: &wire.Status{Identity: wire.Identity{ID: "ep-3"}, NotReady: wire.KeyRefused}}
 	down := instanceStatus{ID: "ep-2", Error: "unreachable: a long cause that must not widen the columns"}
 	var table strings.Builder
-	statusTable(&table, []instanceStatus{down, up})
+	statusTable(&table, []instanceStatus{down, up, unready})
 	lines := strings.Split(strings.TrimSpace(table.String()), "\n")
 	if heads, cells := strings.Count(lines[0], "\t"), strings.Count(lines[1], "\t"); heads != cells {
 		t.Errorf("the silent instance has %d cells, the head %d", cells+1, heads+1)
 	}
-	if want := "ep-2: no answer: " + down.Error; lines[len(lines)-1] != want {
-		t.Errorf("the last line is %q, want %q", lines[len(lines)-1], want)
+	want := []string{"ep-2: no answer: " + down.Error, "ep-3: not ready: " + wire.KeyRefused}
+	if got := lines[len(lines)-2:]; !slices.Equal(got, want) {
+		t.Errorf("the last lines are %q, want %q", got, want)
 	}
 }
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -112,8 +112,11 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	session, err := f.pool.Get(ctx, address)
+	if errors.Is(err, wire.ErrUnauthenticated) {
+		return nil, fmt.Errorf("%w: %s refused the tool's key; is this the fleet's key? If others answer, its fleet_key is wrong", errUnreachable, address)
+	}
 	if errors.Is(err, io.EOF) {
-		// A process closes the connection of a peer that doesn't prove the key.
+		// What a process of an earlier build does with a peer without the key.
 		return nil, fmt.Errorf("%w: %s cut the connection at its opening; is this the fleet's key?", errUnreachable, address)
 	}
 	if err != nil {
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -83,8 +83,8 @@
 	"IN FLIGHT", "RUNNING", "QUEUED", "CACHE", "PICTURE", "UP",
 }
 
-// statusTable has a row for each instance, and the errors of those that didn't
-// answer below it, where they don't widen a column.
+// statusTable has a row for each instance, and what is wrong with those that
+// didn't answer or aren't ready below it, where they don't widen a column.
 func statusTable(w io.Writer, all []instanceStatus) {
 	row(w, statusHeads...)
 	for _, s := range all {
@@ -95,8 +95,11 @@
 		row(w, cells(s.Status)...)
 	}
 	for _, s := range all {
-		if s.Status == nil {
+		switch {
+		case s.Status == nil:
 			fmt.Fprintf(w, "%s: no answer: %s\n", s.ID, s.Error)
+		case s.Status.NotReady != "":
+			fmt.Fprintf(w, "%s: not ready: %s\n", s.ID, s.Status.NotReady)
 		}
 	}
 }
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -41,6 +41,7 @@
 	started  time.Time
 	loop     *mailbox
 	pool     *wire.Pool
+	openings *wire.Openings
 	config   *follow.Follower
 	// platformLog is the platform's log.
 	platformLog *platform.Log
@@ -72,7 +73,7 @@
 // Run serves peers until ctx ends and the last stream has.
 func Run(ctx context.Context, s *settings.Settings, tel *telemetry.Telemetry) error {
 	e := newEndpoint(s, tel)
-	options := wire.Options{Key: s.Key(), Self: e.identity, Handler: peerHandler{e}, Traffic: tel.Metrics.Traffic}
+	options := wire.Options{Key: s.Key(), Self: e.identity, Handler: peerHandler{e}, Traffic: tel.Metrics.Traffic, Openings: e.openings}
 	e.pool = wire.NewPool(options)
 	defer e.pool.Close()
 	instances := platform.NewInstances(s.Platform.Instances)
@@ -99,6 +100,7 @@
 		log:        tel.Log,
 		started:    time.Now(),
 		loop:       newMailbox(),
+		openings:   wire.NewOpenings(),
 		rng:        rng,
 		router:     route.NewRouter(route.ParamsOf(s.Endpoint)),
 		admission:  admit.NewCore(admit.ParamsOf(s.Endpoint)),
@@ -146,6 +148,8 @@
 	}()
 	go instances.Poll(ctx, listInterval, func(list []platform.Instance, err error) {
 		e.loop.must(func() { e.onList(list, err) })
+		e.pool.Prove(ctx, platform.Others(list, e.settings.ID))
+		e.tel.NoteKey(e.openings)
 	})
 	if e.engine != nil {
 		go e.watchEngine(ctx)
--- a/internal/endpoint/group_test.go
+++ b/internal/endpoint/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,9 +14,9 @@
 	"skylarklead/internal/wire"
 )
 
-// startGroup starts one endpoint process for each engine, with a live instance
-// list, and waits until all know each other.
-func startGroup(t *testing.T, engines ...*fakeEngine) []*process {
+// startEndpoints starts one endpoint process for each engine, with a live instance
+// list; change may be nil.
+func startEndpoints(t *testing.T, change func(i int, s *settings.Settings), engines ...*fakeEngine) []*process {
 	t.Helper()
 	addresses := make([]string, len(engines))
 	var list []platform.Instance
@@ -38,8 +39,18 @@
 			s.Platform = settings.Platform{Log: server.URL, Instances: server.URL, Retention: settings.DefaultRetention}
 			s.Endpoint.Heartbeat = settings.Duration(20 * time.Millisecond)
 			s.Endpoint.SuspectAfter = settings.Duration(time.Second)
+			if change != nil {
+				change(i, s)
+			}
 		}))
 	}
+	return group
+}
+
+// startGroup starts endpoint processes and waits until all know each other.
+func startGroup(t *testing.T, engines ...*fakeEngine) []*process {
+	t.Helper()
+	group := startEndpoints(t, nil, engines...)
 	for _, p := range group {
 		n := p.dial("watcher")
 		waitFor(t, "the group", func() bool {
@@ -210,3 +221,28 @@
 		return d.Version == "" && d.Refusal == nil && d.Executor.Endpoint != "ep-1"
 	})
 }
+
+// Symptom: an endpoint with a wrong fleet key answers ready and serves nobody.
+// Sequence: it starts beside two others; its configuration comes from the log.
+// Cause: readiness looked at what the process knows, not at who lets it in.
+func TestWrongKeyIsNotReady(t *testing.T) {
+	f := newFakeEngine(t, "a")
+	const odd = 1
+	group := startEndpoints(t, func(i int, s *settings.Settings) {
+		if i == odd {
+			s.FleetKey = strings.Repeat("cd", 32)
+		}
+	}, f, f, f)
+	for i, p := range group {
+		want := ""
+		if i == odd {
+			want = wire.KeyRefused
+		}
+		waitFor(t, fmt.Sprintf("process %d to say %q", i, want), func() bool { return p.notReady() == want })
+	}
+	if log := group[odd].log.take(); !strings.Contains(log, `"setting":"fleet_key"`) {
+		t.Errorf("the setting isn't named: %s", log)
+	}
+	n := group[0].dial("tool")
+	waitFor(t, "a status without a reason", func() bool { return n.call(&wire.StatusRequest{}).(*wire.Status).NotReady == "" })
+}
--- a/internal/endpoint/harness_test.go
+++ b/internal/endpoint/harness_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -189,6 +190,21 @@
 	return p
 }
 
+// notReady is what /readyz gives for a reason, "" if the process is ready.
+func (p *process) notReady() string {
+	p.t.Helper()
+	resp, err := http.Get("http://" + p.address + "/readyz")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	reason, err := io.ReadAll(resp.Body)
+	if err != nil || (resp.StatusCode == http.StatusOK) != (len(reason) == 0) {
+		p.t.Fatalf("%d %q, %v", resp.StatusCode, reason, err)
+	}
+	return strings.TrimSpace(string(reason))
+}
+
 // newTestEndpoint returns an endpoint that isn't running, an hour old, and its log.
 func newTestEndpoint(t *testing.T) (*Endpoint, *testLog) {
 	t.Helper()
--- a/internal/endpoint/server.go
+++ b/internal/endpoint/server.go
@@ -41,31 +41,40 @@
 
 // readyz tells whoever restarts the fleet whether to go on with the next process.
 func (e *Endpoint) readyz(w http.ResponseWriter, r *http.Request) {
-	ready := make(chan bool, 1)
-	e.loop.must(func() { ready <- e.ready() })
+	answer := make(chan string, 1)
+	e.loop.must(func() { answer <- e.notReady() })
 	select {
-	case ok := <-ready:
-		if !ok {
-			w.WriteHeader(http.StatusServiceUnavailable)
+	case reason := <-answer:
+		if reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
 		}
 	case <-r.Context().Done():
 	}
 }
 
-// ready reports whether the group can count on this endpoint: its back end is up
-// and every peer has had a heartbeat of this epoch. A peer that hasn't still takes
-// it for leaving. If the next process stopped now, there might be nobody left that
-// an owner would choose, and callers would be refused in a rolling restart.
-func (e *Endpoint) ready() bool {
-	if e.drain.leaving || !e.group.listRead || !e.load().EngineUp {
-		return false
+// notReady is why the group can't count on this endpoint, "" if it can: its back
+// end is up and every peer has had a heartbeat of this epoch. A peer that hasn't
+// still takes it for leaving. If the next process stopped now, there might be
+// nobody left that an owner would choose, and callers would be refused in a rolling
+// restart. The first process of all has nobody to ask: it is ready by its back end
+// alone.
+func (e *Endpoint) notReady() string {
+	switch {
+	case e.drain.leaving:
+		return "leaving"
+	case len(e.openings.Refusers()) > 0:
+		return wire.KeyRefused
+	case !e.group.listRead:
+		return "instance list not asked yet"
+	case !e.load().EngineUp:
+		return "back end is down or loads weights"
 	}
 	for _, m := range e.group.view.Members(e.now()) {
 		if m.Usable() && !e.group.peer(m.ID).told {
-			return false
+			return m.ID + " had no heartbeat yet"
 		}
 	}
-	return true
+	return ""
 }
 
 func (e *Endpoint) accept(w http.ResponseWriter, r *http.Request, options wire.Options) {
--- a/internal/endpoint/status.go
+++ b/internal/endpoint/status.go
@@ -15,6 +15,7 @@
 		InFlight:      e.executions.inFlight(),
 		UptimeMs:      now.Milliseconds(),
 		UnknownSchema: len(e.state().Opaque),
+		NotReady:      e.notReady(),
 	}
 	for _, m := range e.group.view.Members(now) {
 		status.Members = append(status.Members, wire.MemberStatus{
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -15,6 +15,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,6 +77,42 @@
 	<-drained
 }
 
+// Symptom: the balancer sends callers to an entry that can serve none of them.
+// Sequence: an entry with a wrong key reads its configuration from the log.
+// Cause: readiness looked at what the process knows, not at who lets it in.
+func TestReadiness(t *testing.T) {
+	x := newExecutor(t, "ep-1", nil)
+	for _, tt := range []struct {
+		name, want string
+		executors  []*executor
+		prepare    func(e *Entry)
+	}{
+		{"ready", "ready", []*executor{x}, func(e *Entry) { e.pool.Prove(context.Background(), []string{x.address}) }},
+		{"peer can't be reached", "ready", []*executor{x}, func(e *Entry) { e.pool.Prove(context.Background(), []string{"127.0.0.1:1"}) }},
+		{"nobody asked yet", "ready", []*executor{x}, func(*Entry) {}},
+		{"lone", "no endpoint known", nil, func(*Entry) {}},
+		{"wrong key", wire.KeyRefused, []*executor{x}, func(e *Entry) {
+			e.options.Key = []byte("another")
+			e.pool = wire.NewPool(e.options)
+			e.pool.Prove(context.Background(), []string{x.address})
+		}},
+		{"draining", "draining", []*executor{x}, func(e *Entry) { e.drain.announce() }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			e, _ := newTestEntry(t, "llm", tt.executors...)
+			tt.prepare(e)
+			w := httptest.NewRecorder()
+			e.readyz(w, nil)
+			if got := strings.TrimSpace(w.Body.String()); got != tt.want || (w.Code == http.StatusOK) != (got == "ready") {
+				t.Errorf("%d %q", w.Code, got)
+			}
+			if reason := e.status().NotReady; reason != strings.TrimPrefix(tt.want, "ready") {
+				t.Errorf("the status says %q", reason)
+			}
+		})
+	}
+}
+
 // Symptom: an entry that restarts while the platform is down refuses every caller
 // until the platform is back.
 // Sequence: the instance list can't be read; the settings name an endpoint process
--- a/internal/entry/instances.go
+++ b/internal/entry/instances.go
@@ -25,6 +25,10 @@
 	defer client.Close()
 	client.Poll(ctx, pollEvery, func(list []platform.Instance, err error) {
 		if err == nil {
+			// Before the first endpoint is known the callers' port is closed: an
+			// entry with a wrong key never says that it is ready.
+			e.pool.Prove(ctx, platform.Others(list, e.settings.ID))
+			e.tel.NoteKey(e.options.Openings)
 			e.directory.listed(list)
 			return
 		}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -129,6 +129,7 @@
 		UptimeMs:      e.now().Milliseconds(),
 		LogReachable:  e.config.LogReachable(),
 		UnknownSchema: unknownSchema,
+		NotReady:      e.notReady(),
 	}
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -169,16 +169,28 @@
 
 // readyz tells the balancer whether to send callers here.
 func (e *Entry) readyz(w http.ResponseWriter, _ *http.Request) {
+	if reason := e.notReady(); reason != "" {
+		writePlain(w, http.StatusServiceUnavailable, reason+"\n")
+		return
+	}
+	writePlain(w, http.StatusOK, "ready\n")
+}
+
+// notReady is why callers are to be sent elsewhere, "" if they aren't. Peers that
+// merely can't be reached are no reason: callers get a better answer here than
+// from a balancer that has nowhere left to send them.
+func (e *Entry) notReady() string {
 	switch {
 	case e.drain.draining():
-		writePlain(w, http.StatusServiceUnavailable, "draining\n")
+		return "draining"
+	case len(e.options.Openings.Refusers()) > 0:
+		return wire.KeyRefused
 	case e.config.State() == nil:
-		writePlain(w, http.StatusServiceUnavailable, "no configuration yet\n")
+		return "no configuration yet"
 	case e.directory.empty():
-		writePlain(w, http.StatusServiceUnavailable, "no endpoint known\n")
-	default:
-		writePlain(w, http.StatusOK, "ready\n")
+		return "no endpoint known"
 	}
+	return ""
 }
 
 func writePlain(w http.ResponseWriter, status int, text string) {
--- a/internal/platform/instances.go
+++ b/internal/platform/instances.go
@@ -37,6 +37,17 @@
 	State string `json:"state"`
 }
 
+// Others returns the addresses of all instances but self.
+func Others(list []Instance, self string) []string {
+	var addresses []string
+	for _, i := range list {
+		if i.ID != self {
+			addresses = append(addresses, i.Address)
+		}
+	}
+	return addresses
+}
+
 // InstanceList is the list's shape on the wire.
 type InstanceList struct {
 	Instances []Instance `json:"instances"`
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -27,6 +27,9 @@
 	// every stream on its session for ever.
 	writeTimeout = 5 * time.Second
 	nonceBytes   = 16
+	// statusUnauthenticated is the close status of a session whose dialer didn't
+	// prove the fleet key; an end without a word looks like a crash.
+	statusUnauthenticated websocket.StatusCode = 4401
 )
 
 var (
@@ -55,6 +58,8 @@
 	Handler Handler
 	// Traffic counts the sessions' bytes; nil counts nothing.
 	Traffic *Traffic
+	// Openings keeps which peers take Key; nil keeps nothing.
+	Openings *Openings
 }
 
 // Session is an open connection to one peer. Its methods may be called from any
@@ -98,9 +103,10 @@
 	peer, err := openDialer(openCtx, conn, opts)
 	if err != nil {
 		conn.CloseNow()
+		opts.Openings.failed(address, err)
 		return nil, fmt.Errorf("wire: open to %s: %w", address, err)
 	}
-	return start(conn, peer, p, opts), nil
+	return start(conn, peer, address, p, opts), nil
 }
 
 // Accept serves one peer's session on an HTTP request and returns when it ends.
@@ -118,10 +124,13 @@
 	defer cancel()
 	peer, err := openAcceptor(openCtx, conn, opts)
 	if err != nil {
+		if errors.Is(err, ErrUnauthenticated) {
+			_ = conn.Close(statusUnauthenticated, "not the fleet's key") // it may be gone
+		}
 		conn.CloseNow()
 		return fmt.Errorf("wire: open from %s: %w", r.RemoteAddr, err)
 	}
-	s := start(conn, peer, p, opts)
+	s := start(conn, peer, peer.Address, p, opts)
 	<-s.ctx.Done()
 	return context.Cause(s.ctx)
 }
@@ -137,7 +146,11 @@
 		return Identity{}, err
 	}
 	var welcome Welcome
-	if err := readOpening(ctx, conn, &welcome); err != nil {
+	err := readOpening(ctx, conn, &welcome)
+	if websocket.CloseStatus(err) == statusUnauthenticated {
+		return Identity{}, fmt.Errorf("%w: it refused this process's key", ErrUnauthenticated)
+	}
+	if err != nil {
 		return Identity{}, err
 	}
 	if !hmac.Equal(welcome.MAC, identityMAC(opts.Key, hello.MAC, ch.Identity)) {
@@ -205,7 +218,7 @@
 	return conn.Write(ctx, websocket.MessageBinary, frame)
 }
 
-func start(conn *websocket.Conn, peer Identity, p *pulse, opts Options) *Session {
+func start(conn *websocket.Conn, peer Identity, address string, p *pulse, opts Options) *Session {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	s := &Session{
 		conn:    conn,
@@ -219,15 +232,16 @@
 
 		waitBegan: make(chan struct{}, 1),
 	}
-	go s.read(opts.Handler)
+	go s.read(opts.Handler, opts.Openings.opened(peer, address))
 	go s.keepalive()
 	return s
 }
 
-func (s *Session) read(h Handler) {
+func (s *Session) read(h Handler, ended func()) {
 	err := s.readAll(h)
 	s.cancel(err)
 	s.conn.CloseNow()
+	ended()
 	h.Closed(s, err)
 }
 
--- a/internal/wire/status.go
+++ b/internal/wire/status.go
@@ -15,6 +15,8 @@
 	UptimeMs      int64          `cbor:"8,keyasint" json:"uptime_ms"`
 	LogReachable  bool           `cbor:"9,keyasint" json:"log_reachable"`
 	UnknownSchema int            `cbor:"10,keyasint,omitempty" json:"unknown_schema"`
+	// NotReady is why /readyz answers 503, empty if it doesn't.
+	NotReady string `cbor:"11,keyasint,omitempty" json:"not_ready,omitempty"`
 }
 
 // MemberStatus is one process's view of another.
