Budget for extra work: a refusal turns it off for the organisation refused

Cause: every `overloaded`, also one for an organisation's own bound or backlog, turned retries and hedges off for two seconds for all requests of the entry. Change: Saturated, Off and Allow name the organisation; 4,096 are remembered. The tests call them so; the property is the same. The new test fails without it by its signature.

--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -1,6 +1,9 @@
 package attempt
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Extra is why work is sent a second time.
 type Extra uint8
@@ -21,8 +24,8 @@
 	Floor float64
 	// Burst bounds what can be saved up.
 	Burst float64
-	// SaturationHold is how long the budget stays off after a report of
-	// saturation.
+	// SaturationHold is how long the budget stays off for an organisation after
+	// its work was refused for lack of room.
 	SaturationHold time.Duration
 }
 
@@ -37,13 +40,15 @@
 	params   BudgetParams
 	tokens   float64
 	at       time.Duration
-	offUntil time.Duration
+	offUntil map[string]time.Duration // by organisation
 	spent    [extraKinds]uint64
 	refused  uint64
 }
 
 // NewBudget returns a full budget.
-func NewBudget(p BudgetParams) *Budget { return &Budget{params: p, tokens: p.Burst} }
+func NewBudget(p BudgetParams) *Budget {
+	return &Budget{params: p, tokens: p.Burst, offUntil: make(map[string]time.Duration)}
+}
 
 // Request counts one request of a caller.
 func (b *Budget) Request(now time.Duration) {
@@ -51,10 +56,11 @@
 	b.tokens = min(b.tokens+b.params.Share, b.params.Burst)
 }
 
-// Allow takes one extra piece of work out of the budget, or refuses it.
-func (b *Budget) Allow(kind Extra, now time.Duration) bool {
+// Allow takes one extra piece of an organisation's work out of the budget, or
+// refuses it.
+func (b *Budget) Allow(kind Extra, organisation string, now time.Duration) bool {
 	b.refill(now)
-	if b.Off(now) || b.tokens < 1 {
+	if b.Off(organisation, now) || b.tokens < 1 {
 		b.refused++
 		return false
 	}
@@ -63,12 +69,26 @@
 	return true
 }
 
-// Saturated says that the group refuses work for lack of room. Extra work then
-// only displaces first attempts.
-func (b *Budget) Saturated(now time.Duration) { b.offUntil = now + b.params.SaturationHold }
+// maxOff bounds the organisations for which the budget is off.
+const maxOff = 4096
 
-// Off reports whether the budget is off for saturation.
-func (b *Budget) Off(now time.Duration) bool { return now < b.offUntil }
+// Saturated says that an organisation's work was refused for lack of room. Its
+// extra work would then only displace its first attempts. Others go on: were the
+// budget off for all, a small organisation whose engine has crashed would be
+// refused a retry since a large one asks for more than its share.
+func (b *Budget) Saturated(organisation string, now time.Duration) {
+	if len(b.offUntil) >= maxOff {
+		maps.DeleteFunc(b.offUntil, func(_ string, until time.Duration) bool { return until <= now })
+	}
+	if len(b.offUntil) < maxOff {
+		b.offUntil[organisation] = now + b.params.SaturationHold
+	}
+}
+
+// Off reports whether the budget is off for an organisation.
+func (b *Budget) Off(organisation string, now time.Duration) bool {
+	return now < b.offUntil[organisation]
+}
 
 // Spent returns how much extra work of a kind was allowed, Refused how much was
 // not.
--- a/internal/attempt/budget_test.go
+++ b/internal/attempt/budget_test.go
@@ -12,6 +12,7 @@
 // Cause looked for: extra work that no share of the requests bounds.
 func TestBudgetBoundsExtraWork(t *testing.T) {
 	p := DefaultBudgetParams
+	organisations := rapid.SampledFrom([]string{"a", "b"})
 	rapid.Check(t, func(t *rapid.T) {
 		b := NewBudget(p)
 		now := time.Duration(0)
@@ -24,13 +25,15 @@
 			case 1:
 				now += time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond
 			case 2:
-				if b.Allow(Extra(rapid.IntRange(0, int(extraKinds)-1).Draw(t, "kind")), now) {
+				kind := Extra(rapid.IntRange(0, int(extraKinds)-1).Draw(t, "kind"))
+				if b.Allow(kind, organisations.Draw(t, "organisation"), now) {
 					extra++
 				}
 			case 3:
 				if rapid.IntRange(0, 9).Draw(t, "saturated") == 0 {
-					b.Saturated(now)
-					if b.Allow(ExtraRetry, now+p.SaturationHold-1) {
+					refused := organisations.Draw(t, "refused")
+					b.Saturated(refused, now)
+					if b.Allow(ExtraRetry, refused, now+p.SaturationHold-1) {
 						t.Fatalf("extra work while saturated")
 					}
 				}
@@ -42,3 +45,21 @@
 		}
 	})
 }
+
+// Symptom: a small organisation's request fails with the one engine that crashed.
+// Sequence: a large one is refused for its backlog; the engine of the small one's
+// request crashes.
+// Cause: the budget is off for everybody, so the request isn't run again.
+func TestRefusalsOfOneOrganisationLeaveOthersTheirRetries(t *testing.T) {
+	b := NewBudget(DefaultBudgetParams)
+	b.Saturated("large", 0)
+	if b.Allow(ExtraRetry, "large", time.Second) {
+		t.Error("the large one's refused work is sent again")
+	}
+	if !b.Allow(ExtraRetry, "small", time.Second) {
+		t.Error("the small one is refused a retry")
+	}
+	if !b.Allow(ExtraRetry, "large", DefaultBudgetParams.SaturationHold) {
+		t.Error("the large one is refused retries for ever")
+	}
+}
--- a/internal/attempt/plan.go
+++ b/internal/attempt/plan.go
@@ -11,6 +11,8 @@
 
 // Spec is what a plan has to know of its request.
 type Spec struct {
+	// Organisation is whose request it is.
+	Organisation string
 	// Repeatable requests may run more than once.
 	Repeatable bool
 	// Keyed requests have an idempotency key: they aren't repeatable, but may be
@@ -232,7 +234,7 @@
 		p.exclude = append(p.exclude, p.target.Endpoint)
 	}
 	canContinue := p.next == 0 || p.spec.Continuable && p.spec.Repeatable
-	if !canContinue || p.runs >= p.params.Runs || !p.budget.Allow(kind, now) {
+	if !canContinue || p.runs >= p.params.Runs || !p.budget.Allow(kind, p.spec.Organisation, now) {
 		return p.refuse(code, message, max(retryAfter, p.params.RetryAfter))
 	}
 	p.asks = 0
@@ -285,7 +287,7 @@
 
 func (p *Plan) noteSaturation(code wire.Code, now time.Duration) {
 	if code == wire.CodeOverloaded {
-		p.budget.Saturated(now)
+		p.budget.Saturated(p.spec.Organisation, now)
 	}
 }
 
--- a/internal/attempt/step_bench_test.go
+++ b/internal/attempt/step_bench_test.go
@@ -105,6 +105,6 @@
 	for b.Loop() {
 		now += time.Millisecond
 		budget.Request(now)
-		budget.Allow(ExtraRetry, now)
+		budget.Allow(ExtraRetry, "", now)
 	}
 }
--- a/internal/entry/ask.go
+++ b/internal/entry/ask.go
@@ -108,10 +108,10 @@
 	return withoutDecision(j, order)
 }
 
-func (e *Entry) mayHedge() bool {
+func (e *Entry) mayHedge(organisation string) bool {
 	e.budgetMu.Lock()
 	defer e.budgetMu.Unlock()
-	return e.budget.Allow(attempt.ExtraHedge, e.now())
+	return e.budget.Allow(attempt.ExtraHedge, organisation, e.now())
 }
 
 // withoutDecision runs the request at the head of the rendezvous order.
--- a/internal/entry/drive.go
+++ b/internal/entry/drive.go
@@ -37,7 +37,12 @@
 	d.life = e.newLife(caller, j.deadline, grace)
 	defer d.life.cancel(nil)
 	e.tel.Metrics.Requests.Mark(1)
-	spec := attempt.Spec{Repeatable: j.repeatable, Keyed: j.key != nil, Continuable: j.continuable()}
+	spec := attempt.Spec{
+		Organisation: j.organisation.ID,
+		Repeatable:   j.repeatable,
+		Keyed:        j.key != nil,
+		Continuable:  j.continuable(),
+	}
 	d.plan = attempt.NewPlan(spec, attempt.DefaultPlanParams, e.budget, newAttemptSource())
 	defer d.release()
 	defer d.unchoose()
--- a/internal/entry/inquiry.go
+++ b/internal/entry/inquiry.go
@@ -52,7 +52,7 @@
 
 // hedge asks one more owner beside those that are slow, if the budget allows it.
 func (q *inquiry) hedge(ctx context.Context) {
-	if q.asked < len(q.owners) && q.e.mayHedge() {
+	if q.asked < len(q.owners) && q.e.mayHedge(q.question.Organisation) {
 		q.e.tel.Metrics.Hedges.Inc(1)
 		q.askNext(ctx)
 	}
--- a/internal/entry/place_test.go
+++ b/internal/entry/place_test.go
@@ -135,7 +135,7 @@
 	now := e.now()
 	e.directory.now = func() time.Duration { return now }
 	dead.server.Close()
-	for e.budget.Allow(attempt.ExtraRetry, e.now()) {
+	for e.budget.Allow(attempt.ExtraRetry, "", e.now()) {
 	}
 	for range 3 {
 		resp := post(t, context.Background(), server.URL+"/v1/chat/completions", wholeBody)
