--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -42,10 +42,12 @@
 	FirstToken    map[string]load.Times `json:"first_token"`
 	BetweenTokens load.Times            `json:"between_tokens"`
 	Outcomes      map[load.Outcome]int  `json:"outcomes"`
-	Refusals      map[string]int        `json:"refusals"`
-	Goodput       float64               `json:"goodput_per_second"`
-	Retries       int                   `json:"retries"`
-	Hedges        int                   `json:"hedges"`
+	// ClassOutcomes are by class.
+	ClassOutcomes map[string]map[load.Outcome]int `json:"class_outcomes"`
+	Refusals      map[string]int                  `json:"refusals"`
+	Goodput       float64                         `json:"goodput_per_second"`
+	Retries       int                             `json:"retries"`
+	Hedges        int                             `json:"hedges"`
 	// RecoveryMs is how long after the middle of the run the hit rate of the
 	// callers' answers was back at 90 % of what it was before; -1 if never.
 	RecoveryMs int64 `json:"recovery_ms"`
@@ -150,8 +152,10 @@
 	r.PromptTokens = after.prompt - before.prompt
 	r.HitRate = ratio(after.cached-before.cached, r.PromptTokens)
 	r.FirstToken = map[string]load.Times{}
+	r.ClassOutcomes = map[string]map[load.Outcome]int{}
 	for class, g := range report.Classes {
 		r.FirstToken[class] = g.FirstToken
+		r.ClassOutcomes[class] = g.Outcomes
 	}
 	r.FirstToken["all"] = report.All.FirstToken
 	r.BetweenTokens = report.All.BetweenTokens
