Admission: the pace of a backlog counts starts

Cause: as expected work, the pace was up to ten times too high for seconds: the first estimates are half of max_tokens (500 here, 60 came), and what they had started stayed in the mean. Change: the pace counts starts, and the wait the items before.

--- a/internal/admit/core.go
+++ b/internal/admit/core.go
@@ -324,7 +324,7 @@
 		a.Reason = reasonAlone
 	}
 	c.queue.charge(e)
-	e.org.pace.finished(e.cost)
+	e.org.pace.finished(1)
 	c.queue.remove(e)
 	e.org.noteQueue(now)
 	c.uncached -= e.item.UncachedTokens
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -40,7 +40,8 @@
 	// waitingSince is when queue was last empty for a standingInterval, emptiedAt
 	// when it last became so.
 	waitingSince, emptiedAt time.Duration
-	// pace is the work that it starts while it has a queue.
+	// pace is how many items it starts while it has a queue. Not their work: as a
+	// sum of estimates it would be far off for seconds after the first estimates.
 	pace speed
 	use  use
 	// start is the virtual time at which its next item is due.
@@ -68,18 +69,6 @@
 	}
 }
 
-// ahead is the cost of what goes before e in its queue.
-func (o *organisation) ahead(e *entry) float64 {
-	cost := 0.0
-	for _, other := range o.queue {
-		if other == e {
-			break
-		}
-		cost += other.cost
-	}
-	return cost
-}
-
 // noteQueue notes whether the queue has become empty.
 func (o *organisation) noteQueue(now time.Duration) {
 	o.pace.advance(now, len(o.queue) > 0)
--- a/internal/admit/shed.go
+++ b/internal/admit/shed.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"skylarklead/internal/wire"
@@ -73,12 +74,12 @@
 // its own before it, since what it would wait for is others' backlogs.
 func (c *Core) ownWait(now time.Duration, e *entry) time.Duration {
 	o := e.org
-	ahead := o.ahead(e)
+	ahead := slices.Index(o.queue, e)
 	if ahead == 0 || now-o.waitingSince < standingInterval {
 		return 0
 	}
 	o.pace.advance(now, true)
-	start := duration((ahead + e.cost) / o.pace.rate())
+	start := duration(float64(ahead+1) / max(minPace, o.pace.mean()))
 	return start + c.backlog(now) + duration(c.params.prefill(e.item.UncachedTokens))
 }
 
@@ -119,7 +120,13 @@
 // expectedWait is how long a waiting item will wait: the work before it in its
 // own organisation's queue, and what the others get in the meantime.
 func (c *Core) expectedWait(e *entry) time.Duration {
-	own := e.org.ahead(e)
+	own := 0.0
+	for _, other := range e.org.queue {
+		if other == e {
+			break
+		}
+		own += other.cost
+	}
 	ahead := own
 	for _, o := range c.queue.waiting {
 		if o != e.org {
@@ -155,8 +162,8 @@
 	return late
 }
 
-// speed measures how much work, in milliseconds of engine time, the engine gets
-// done each millisecond while requests wait for it.
+// speed measures how much is done each millisecond while requests wait for it: work
+// of the engine in milliseconds of its time, or starts of one organisation.
 type speed struct {
 	memory float64 // ms, speedMemory if 0
 	done   float64
@@ -172,6 +179,8 @@
 	speedPrior  = 1000
 	// paceMemory is the same for one organisation.
 	paceMemory = 2000
+	// minPace is a start in ten seconds.
+	minPace = 0.0001
 )
 
 func newSpeed(guess float64) speed {
@@ -199,4 +208,6 @@
 // minSpeed keeps estimates finite while an engine stands still.
 const minSpeed = 0.05
 
-func (s *speed) rate() float64 { return max(minSpeed, s.done/max(1, s.spent)) }
+func (s *speed) rate() float64 { return max(minSpeed, s.mean()) }
+
+func (s *speed) mean() float64 { return s.done / max(1, s.spent) }
