Weights: one replica of a group goes on serving, whatever load_permits says

Cause: permits bound how many replicas load and didn't look at who is left: with as many permits as replicas the whole group loaded at once, and requests of those seconds were refused as no_endpoint or not_run. Ruled out: cutting the number of permits to one below the replicas, which each process would count from its own view of the group; two views that differ by one would empty it. A share of the group as a field of its record: an older build would refuse the record. Change: Permit.Spared. Of those that hold permits the later grant waits for the earlier, in the log's order, and takes it for not serving; a replica loads while one other serves by heartbeat and has no earlier permit. Checked again right before the order. A process that finds its engine loading by an order from before its own start says that the engine is down. config check and publish warn. TestEnginesGetTheConfiguredWeights has both numbers of permits as cases; its processes are on the instance list now, as in a fleet.

--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -24,9 +24,10 @@
 		Commands: []*cli.Command{
 			{
 				Name: "check", Usage: "check files without publishing them", ArgsUsage: "FILE…",
-				Description: "  skylarkctl config check examples/huon-ledger/records.json",
-				Flags:       []cli.Flag{outputFlag(), timeoutFlag()},
-				Action:      withArgs(1, anyNumber, check),
+				Description: "With --platform it also holds each group's load_permits against its replicas.\n\n" +
+					"  skylarkctl config check examples/huon-ledger/records.json",
+				Flags:  []cli.Flag{outputFlag(), platformFlag(), timeoutFlag()},
+				Action: withArgs(1, anyNumber, check),
 			},
 			publishCommand(),
 			logCommand("get", "show the record in force for a key", "KIND KEY", "config get organisation river-hospice", 2, 2, get),
@@ -83,11 +84,18 @@
 	return h, nil
 }
 
-func check(_ context.Context, c *cli.Command) error {
+func check(ctx context.Context, c *cli.Command) error {
 	sources, err := readFiles(c.Args().Slice())
 	if err != nil {
 		return err
 	}
+	if c.String("platform") != "" {
+		base, err := platformURL(c)
+		if err != nil {
+			return err
+		}
+		warnPermits(ctx, c.Root().ErrWriter, base, sources)
+	}
 	return show(c, map[string]int{"records": len(sources)}, func(w io.Writer) {
 		fmt.Fprintf(w, "%d records are good\n", len(sources))
 	})
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -39,7 +39,13 @@
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{t: t, file: filepath.Join(t.TempDir(), "records.json")}
-	f.handler = standin.New(standin.Options{})
+	f.handler = standin.New(standin.Options{Instances: []platform.Instance{
+		{ID: "ep-1", Role: platform.RoleEndpoint, Group: "g", State: platform.StateLive},
+		{ID: "ep-2", Role: platform.RoleEndpoint, Group: "g", State: platform.StateLive},
+		{ID: "ep-3", Role: platform.RoleEndpoint, Group: "g", State: platform.StateLive},
+		{ID: "ep-4", Role: platform.RoleEndpoint, Group: "g", State: platform.StateLeaving},
+		{ID: "ep-5", Role: platform.RoleEndpoint, Group: "lone", State: platform.StateLive},
+	}})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost && strings.HasSuffix(r.URL.Path, "/records") && f.before != nil {
 			f.before()
@@ -110,6 +116,27 @@
 	}
 }
 
+// Symptom: a weight change leaves one replica with the whole group's requests, or
+// none. Sequence: a group's load_permits is its number of replicas. Cause: nothing
+// held the one against the other.
+func TestPermitsAreHeldAgainstReplicas(t *testing.T) {
+	f := newFixture(t)
+	const warning = "warning: group/g: load_permits is 3 and the group has 3 replicas; at most 2 load at once, and 1 would serve alone"
+	f.contains(f.run(ExitOK, "config", "check", f.file), warning)
+	f.contains(f.run(ExitOK, "config", "publish", f.file), warning)
+	f.write(`[{"schema": 2, "kind": "group", "key": "g", "body": {"load_permits": 2}}, {"schema": 2, "kind": "group", "key": "lone", "body": {}}]`)
+	if text := f.run(ExitOK, "config", "check", f.file); strings.Contains(text, "warning") {
+		t.Errorf("warned without need: %s", text)
+	}
+	f.write(records)
+	f.url = "http://127.0.0.1:1"
+	f.contains(f.run(ExitOK, "config", "check", f.file), "load_permits not held against the instance list")
+	f.url = ""
+	if text := f.run(ExitOK, "config", "check", f.file); strings.Contains(text, "warning") {
+		t.Errorf("warned without a platform: %s", text)
+	}
+}
+
 func TestExitCodes(t *testing.T) {
 	f := newFixture(t)
 	f.run(ExitUsage, "config", "publish")
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -75,6 +75,7 @@
 	for _, text := range after.Dangling() {
 		fmt.Fprintln(c.Root().ErrWriter, "warning:", text)
 	}
+	warnPermits(ctx, c.Root().ErrWriter, c.String("platform"), sources)
 	if err := appendAll(ctx, log, h.State, results); err != nil {
 		return err
 	}
--- a/internal/endpoint/group_test.go
+++ b/internal/endpoint/group_test.go
@@ -15,8 +15,8 @@
 )
 
 // startEndpoints starts one endpoint process for each engine, with a live instance
-// list; change may be nil.
-func startEndpoints(t *testing.T, change func(i int, s *settings.Settings), engines ...*fakeEngine) []*process {
+// list, and returns the platform's address; change may be nil.
+func startEndpoints(t *testing.T, change func(i int, s *settings.Settings), engines ...string) (group []*process, url string) {
 	t.Helper()
 	addresses := make([]string, len(engines))
 	var list []platform.Instance
@@ -29,11 +29,8 @@
 	}
 	server := httptest.NewServer(standin.New(standin.Options{Control: standin.Defaults(), Instances: list}))
 	t.Cleanup(server.Close)
-	publish(t, server.URL, organisationRecord,
-		`{"schema":2,"kind":"model","key":"m","base":0,"body":{"group":"g","versions":["v1","v2"],"version":"v2"}}`)
-	var group []*process
-	for i, f := range engines {
-		group = append(group, startProcess(t, f.URL, func(s *settings.Settings) {
+	for i, backend := range engines {
+		group = append(group, startProcess(t, backend, func(s *settings.Settings) {
 			s.ID = list[i].ID
 			s.Listen = addresses[i]
 			s.Platform = settings.Platform{Log: server.URL, Instances: server.URL, Retention: settings.DefaultRetention}
@@ -44,13 +41,19 @@
 			}
 		}))
 	}
-	return group
+	return group, server.URL
 }
 
 // startGroup starts endpoint processes and waits until all know each other.
 func startGroup(t *testing.T, engines ...*fakeEngine) []*process {
 	t.Helper()
-	group := startEndpoints(t, nil, engines...)
+	var backends []string
+	for _, f := range engines {
+		backends = append(backends, f.URL)
+	}
+	group, url := startEndpoints(t, nil, backends...)
+	publish(t, url, organisationRecord,
+		`{"schema":2,"kind":"model","key":"m","base":0,"body":{"group":"g","versions":["v1","v2"],"version":"v2"}}`)
 	for _, p := range group {
 		n := p.dial("watcher")
 		waitFor(t, "the group", func() bool {
@@ -228,11 +231,11 @@
 func TestWrongKeyIsNotReady(t *testing.T) {
 	f := newFakeEngine(t, "a")
 	const odd = 1
-	group := startEndpoints(t, func(i int, s *settings.Settings) {
+	group, _ := startEndpoints(t, func(i int, s *settings.Settings) {
 		if i == odd {
 			s.FleetKey = strings.Repeat("cd", 32)
 		}
-	}, f, f, f)
+	}, f.URL, f.URL, f.URL)
 	for i, p := range group {
 		want := ""
 		if i == odd {
--- a/internal/endpoint/orders.go
+++ b/internal/endpoint/orders.go
@@ -40,6 +40,8 @@
 	active bool
 	// loading is set from the order until the engine is read back with it.
 	loading bool
+	// waits is set while the permit is held and the group can't spare this replica.
+	waits bool
 	// doneAt is when the engine was last read back with the wanted weights.
 	doneAt time.Duration
 }
@@ -91,11 +93,35 @@
 	e.performLease(p.leases.Want(p.name, now))
 	e.performLease(p.permit.Want(now))
 	e.performLease(p.permit.Tick(now))
-	if p.permit.Check(now) || p.loading {
+	if e.mayLoad() || p.loading {
 		e.performOrders(p.orders.Want(p.want, now))
 	}
 }
 
+// mayLoad reports whether the engine may load weights right now: under a permit,
+// and with enough of the group left to serve.
+func (e *Endpoint) mayLoad() bool {
+	p := &e.placement
+	now := e.now()
+	if !p.permit.Check(now) {
+		p.waits = false
+		return false
+	}
+	others := e.group.view.Members(now)
+	var serving []string
+	for _, m := range others {
+		if peer := e.group.peers[m.ID]; m.Usable() && peer != nil && peer.hasLoad && peer.load.EngineUp {
+			serving = append(serving, m.ID)
+		}
+	}
+	spared := e.group.listRead && p.permit.Spared(len(others), serving)
+	if !spared && !p.waits {
+		e.log.Warn("weights wait: no other replica would serve meanwhile", "others", len(others), "serving", serving)
+	}
+	p.waits = !spared
+	return spared
+}
+
 // wantedWeights returns the order that the configuration asks for, if the engine
 // that is up has something else.
 func (e *Endpoint) wantedWeights() (lease.Order, bool) {
@@ -176,6 +202,11 @@
 			return
 		}
 		want := e.placement.want
+		if state.Loading {
+			// The order of a process before this one: the group must not count on
+			// this engine, or the next one would load as well.
+			e.placement.loading = true
+		}
 		e.performOrders(e.placement.orders.Observe(lease.Observed{
 			Fence:   state.Fence,
 			Matches: !state.Loading && state.Model == want.Model && state.Version == want.Version,
@@ -188,7 +219,7 @@
 func (e *Endpoint) sendOrder(action lease.SendOrder) {
 	p := &e.placement
 	now := e.now()
-	if fence, ok := p.leases.Check(p.name, now); !ok || fence != action.Fence || !p.permit.Check(now) {
+	if fence, ok := p.leases.Check(p.name, now); !ok || fence != action.Fence || !e.mayLoad() {
 		p.orders.Unanswered(now)
 		return
 	}
--- a/internal/endpoint/orders_test.go
+++ b/internal/endpoint/orders_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http/httptest"
 	"slices"
 	"testing"
 	"time"
@@ -11,9 +10,7 @@
 	"skylarklead/internal/engine"
 	"skylarklead/internal/follow"
 	"skylarklead/internal/platform"
-	"skylarklead/internal/settings"
 	standinengine "skylarklead/internal/standin/engine"
-	standin "skylarklead/internal/standin/platform"
 	"skylarklead/internal/wire"
 )
 
@@ -58,23 +55,24 @@
 
 // Symptom: after a new version is published, engines go on with the old one, or
 // all of a group load at once and none serves.
-// Sequence: a model's record changes its version; two replicas share one permit.
-// Cause: nothing but the processes beside the engines gives them orders.
+// Sequence: a model's record changes its version; two replicas share one permit, or
+// have one each.
+// Cause: nothing but the processes beside the engines gives them orders; permits
+// alone don't look at who is left.
 func TestEnginesGetTheConfiguredWeights(t *testing.T) {
-	server := httptest.NewServer(standin.New(standin.Options{Control: standin.Defaults()}))
-	t.Cleanup(server.Close)
-	var processes []*process
+	for permits := 1; permits <= 2; permits++ {
+		t.Run(fmt.Sprintf("permits %d", permits), func(t *testing.T) { getWeights(t, permits) })
+	}
+}
+
+func getWeights(t *testing.T, permits int) {
+	backends := []string{startStandinEngine(t), startStandinEngine(t)}
 	var engines []*engine.Client
-	for i := range 2 {
-		backend := startStandinEngine(t)
+	for _, backend := range backends {
 		engines = append(engines, engine.NewClient(backend))
-		processes = append(processes, startProcess(t, backend, func(s *settings.Settings) {
-			s.ID = fmt.Sprintf("ep-%d", i+1)
-			s.Platform = settings.Platform{Log: server.URL, Instances: server.URL, Retention: settings.DefaultRetention}
-		}))
 	}
-	publish(t, server.URL,
-		`{"schema":2,"kind":"group","key":"g","base":0,"body":{"load_permits":1}}`,
+	processes, url := startEndpoints(t, nil, backends...)
+	publish(t, url, fmt.Sprintf(`{"schema":2,"kind":"group","key":"g","base":0,"body":{"load_permits":%d}}`, permits),
 		`{"schema":2,"kind":"model","key":"m","base":0,"body":{"group":"g","versions":["v1","v2"],"version":"v2"}}`)
 	waitFor(t, "the new weights", func() bool {
 		loading, loaded := 0, 0
@@ -92,7 +90,7 @@
 		}
 		if loading > 1 && isLoading(t, engines[0]) {
 			// The first was seen loading before and after the second was.
-			t.Fatal("more load at once than there are permits")
+			t.Fatal("both load at once")
 		}
 		return loaded == len(engines)
 	})
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -27,19 +27,21 @@
 // world is a group of processes that share a log. It may be down, lose answers
 // and apply appends long after their sender gave them up.
 type world struct {
-	t      *rapid.T
-	now    time.Duration
-	log    [][]byte
-	up     bool
-	limbo  [][]byte
-	procs  []*proc
-	epoch  wire.Epoch
-	order  Name
-	orders []uint64
+	t     *rapid.T
+	now   time.Duration
+	log   [][]byte
+	up    bool
+	limbo [][]byte
+	procs []*proc
+	epoch wire.Epoch
+	// permits is the group's number of permits to load.
+	permits int
+	order   Name
+	orders  []uint64
 }
 
-func newWorld(t *rapid.T, n int) *world {
-	w := &world{t: t, now: time.Minute, up: true, order: OrderName("endpoint-0")}
+func newWorld(t *rapid.T, n, permits int) *world {
+	w := &world{t: t, now: time.Minute, up: true, permits: permits, order: OrderName("endpoint-0")}
 	for i := range n {
 		w.procs = append(w.procs, &proc{})
 		w.restart(i)
@@ -55,7 +57,7 @@
 	rng := rand.New(rand.NewPCG(uint64(w.epoch), 7))
 	l := NewLeases(fmt.Sprintf("endpoint-%d", i), w.epoch, DefaultParams, rng)
 	*w.procs[i] = proc{
-		leases: l, permit: NewPermit(l, 2, rng),
+		leases: l, permit: NewPermit(l, w.permits, rng),
 		base: time.Duration(rapid.IntRange(0, 1000).Draw(w.t, "base")) * time.Second,
 		rate: 1 + float64(rapid.IntRange(-2, 2).Draw(w.t, "drift"))/100,
 	}
@@ -126,25 +128,42 @@
 	}
 }
 
-// check fails when two processes may use one lease at the same moment.
+// check fails when two processes may use one lease at the same moment, or when all
+// may load weights, each of them having last heard that all others serve.
 func (w *world) check() {
-	orders, permits := 0, 0
+	orders, permits, loading := 0, 0, 0
 	for i, p := range w.procs {
 		if _, ok := p.leases.Check(w.order, w.clock(i)); ok {
 			orders++
 		}
 		if p.permit.Check(w.clock(i)) {
 			permits++
+			if p.permit.Spared(len(w.procs)-1, w.others(i)) {
+				loading++
+			}
 		}
 	}
 	if orders > 1 {
 		w.t.Fatalf("%d processes hold the order lease", orders)
 	}
-	if permits > 2 {
-		w.t.Fatalf("%d processes hold 2 permits", permits)
+	if permits > w.permits {
+		w.t.Fatalf("%d processes hold %d permits", permits, w.permits)
+	}
+	if loading >= len(w.procs) {
+		w.t.Fatalf("all of %d processes load weights", loading)
 	}
 }
 
+// others are the IDs of all processes but one.
+func (w *world) others(self int) (ids []string) {
+	for i := range w.procs {
+		if i != self {
+			ids = append(ids, fmt.Sprintf("endpoint-%d", i))
+		}
+	}
+	return ids
+}
+
 func (w *world) run() {
 	kinds := []string{
 		"nothing", "order", "order", "permit", "permit", "done", "drop", "append", "append", "append", "append", "read", "read",
@@ -207,7 +226,7 @@
 }
 
 // Symptom: two processes order one engine, or three replicas load weights where
-// two may.
+// two may; or nobody in the group serves, since there are as many permits.
 // Sequence: a holder is stopped past its lease and goes on; renewals and claims
 // are refused, lose their answers or land long after they were sent; the log is
 // down; processes restart.
@@ -215,15 +234,55 @@
 // sending of what the log took, or a claim on a lease that was renewed.
 func TestLeasesAndPermitsAreExclusive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, 3)
+		w := newWorld(t, 3, rapid.IntRange(2, 3).Draw(t, "permits"))
 		w.run()
 	})
 }
 
+func TestSpared(t *testing.T) {
+	w := &world{now: time.Minute, up: true, permits: 3, order: OrderName("endpoint-0")}
+	for i := range 3 {
+		rng := rand.New(rand.NewPCG(uint64(i), 7))
+		l := NewLeases(fmt.Sprintf("endpoint-%d", i), 1, DefaultParams, rng)
+		w.procs = append(w.procs, &proc{leases: l, permit: NewPermit(l, w.permits, rng), rate: 1})
+	}
+	w.pump()
+	spared := func(i, others int, serving ...string) bool { return w.procs[i].permit.Spared(others, serving) }
+	if spared(0, 0) {
+		t.Error("spared without a permit")
+	}
+	for i, p := range w.procs {
+		w.do(i, p.permit.Want(w.clock(i)))
+		for range 9 {
+			w.now += time.Second / 4
+			w.pump()
+		}
+	}
+	const a, b, c = "endpoint-0", "endpoint-1", "endpoint-2"
+	for _, tt := range []struct {
+		name    string
+		self    int
+		others  int
+		serving []string
+		want    bool
+	}{
+		{"first of three", 0, 2, []string{b, c}, true},
+		{"second", 1, 2, []string{a, c}, true},
+		{"last", 2, 2, []string{a, b}, false},
+		{"the other is down", 0, 1, nil, false},
+		{"one has no permit", 2, 3, []string{a, b, "endpoint-3"}, true},
+		{"alone in the group", 2, 0, nil, true},
+	} {
+		if got := spared(tt.self, tt.others, tt.serving...); got != tt.want {
+			t.Errorf("%s: %v", tt.name, got)
+		}
+	}
+}
+
 // Symptom: nobody can load weights any more after an outage.
 func TestLeasesAreGrantedOnceTheLogIsBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, 3)
+		w := newWorld(t, 3, 2)
 		w.run()
 		w.up = true
 		last := rapid.IntRange(0, 2).Draw(t, "wanting")
@@ -254,7 +313,7 @@
 // Cause: without the fencing number the engine can't tell the two apart.
 func TestNoOlderOrderTakesEffectAfterANewerOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, 3)
+		w := newWorld(t, 3, 2)
 		w.run()
 		arrived := rapid.Permutation(w.orders).Draw(t, "arrival")
 		var newest uint64
@@ -288,7 +347,7 @@
 // Cause looked for: a rule that needs records which are gone.
 func TestReadersFromAnyOffsetAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, 3)
+		w := newWorld(t, 3, 2)
 		w.run()
 		if len(w.log) == 0 {
 			return
@@ -326,7 +385,7 @@
 // Cause: counting the first renewal from when the second was sent.
 func TestRenewalCountsFromItsOwnSending(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, 2)
+		w := newWorld(t, 2, 2)
 		w.procs[0].rate, w.procs[1].rate = 1, 1
 		w.pump()
 		w.do(0, w.procs[0].leases.Want(w.order, w.clock(0)))
--- a/internal/lease/permits.go
+++ b/internal/lease/permits.go
@@ -39,6 +39,32 @@
 	return ok
 }
 
+// KeepServing is how many of a group's replicas go on serving while others load,
+// whatever the number of permits.
+const KeepServing = 1
+
+// Spared reports whether the group can do without this replica while it loads.
+// Others are the group's other replicas, up or not; serving are those of them that
+// take work.
+//
+// Permits alone bound only how many load. With as many permits as replicas all
+// would load at once, and each request of those seconds would be refused. Of two
+// that hold permits the one with the later grant waits for the earlier, and takes
+// it for not serving; the log has one order for all. A group of one has no choice.
+func (p *Permit) Spared(others int, serving []string) bool {
+	own, held := p.leases.table.Holder(p.name)
+	if !held {
+		return false
+	}
+	left := 0
+	for _, id := range serving {
+		if !p.leases.table.loadsBefore(id, own.Fence) {
+			left++
+		}
+	}
+	return left >= min(KeepServing, others)
+}
+
 // Done gives the permit back.
 func (p *Permit) Done(now time.Duration) []Action {
 	p.wanted = false
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -13,6 +13,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -27,7 +28,11 @@
 func OrderName(endpoint string) Name { return Name("order/" + endpoint) }
 
 // PermitName is the lease of the n-th permit to load weights.
-func PermitName(n int) Name { return Name(fmt.Sprintf("load/%d", n)) }
+func PermitName(n int) Name { return Name(fmt.Sprintf("%s%d", permitPrefix, n)) }
+
+const permitPrefix = "load/"
+
+func isPermit(n Name) bool { return strings.HasPrefix(string(n), permitPrefix) }
 
 // Kind is what a record does.
 type Kind uint8
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -111,6 +111,16 @@
 	return *e.grant, true
 }
 
+// loadsBefore reports whether a process has a permit that was granted before fence.
+func (t *Table) loadsBefore(holder string, fence uint64) bool {
+	for name, e := range t.entries {
+		if isPermit(name) && e.grant != nil && e.grant.Holder == holder && e.grant.Fence < fence {
+			return true
+		}
+	}
+	return false
+}
+
 // ClaimableAt returns from when on a lease may be claimed: at once if it is free,
 // else when its last record has stood for the whole duration and the margin.
 func (t *Table) ClaimableAt(n Name, margin time.Duration) time.Duration {
