entry's tests: one script type for executors, one caller

Cause: each of 26 executors had its own switch over messages, most of them with the same answer to Ask, and each request its own four lines of HTTP.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bufio"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -29,25 +28,19 @@
 // Cause: the server may stop only when the last answer is out.
 func TestDrainCutsNothing(t *testing.T) {
 	goOn := make(chan struct{})
-	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-		switch m := m.(type) {
-		case *wire.Ask:
-			x.decide(s, ref, m)
-		case *wire.Run:
-			words(s, m.Attempt, 0, 5, totalWords)
-			<-goOn
-			words(s, m.Attempt, 5, totalWords, totalWords)
-		}
-	})
-	e, server := newTestEntry(t, "llm", x)
-	resp := post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody)
-	lines := bufio.NewScanner(resp.Body)
+	x := newExecutor(t, "ep-1", runs(func(_ *executor, s *wire.Session, m *wire.Run) {
+		words(s, m.Attempt, 0, 5, totalWords)
+		<-goOn
+		words(s, m.Attempt, 5, totalWords, totalWords)
+	}))
+	e, c := newTestEntry(t, "llm", x)
+	lines, _ := c.open()
 	first := readEvents(t, lines, 5)
 
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
-		e.shutDown(server.Config)
+		e.shutDown(c.Config)
 	}()
 	until(t, "refusing", func() bool {
 		e.drain.mu.Lock()
@@ -70,10 +63,7 @@
 	default:
 	}
 	close(goOn)
-	second := readEvents(t, lines, 0)
-	if !second.done || first.text+second.text != wantWords(totalWords) {
-		t.Errorf("got %q and then %q, failure %+v", first.text, second.text, second.failure)
-	}
+	wantWhole(t, first, readEvents(t, lines, 0))
 	<-drained
 }
 
@@ -81,7 +71,7 @@
 // Sequence: an entry with a wrong key reads its configuration from the log.
 // Cause: readiness looked at what the process knows, not at who lets it in.
 func TestReadiness(t *testing.T) {
-	x := newExecutor(t, "ep-1", nil)
+	x := newExecutor(t, "ep-1", script{})
 	for _, tt := range []struct {
 		name, want string
 		executors  []*executor
@@ -119,14 +109,14 @@
 // and another entry.
 // Cause: peers know the endpoints as well as the list does.
 func TestEndpointsFromPeers(t *testing.T) {
-	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
+	x := newExecutor(t, "ep-1", script{other: func(_ *executor, s *wire.Session, ref uint32, m wire.Message) {
 		if _, ok := m.(*wire.StatusRequest); ok {
 			_ = s.Reply(ref, &wire.Status{Members: []wire.MemberStatus{
 				{ID: "ep-2", Address: "127.0.0.1:2", Group: "llm"},
 				{ID: "ep-3"}, // an older peer tells no address
 			}})
 		}
-	})
+	}})
 	e, _ := newTestEntry(t, "llm")
 	e.settings.Bootstrap.Peers = []string{x.address, "127.0.0.1:1"}
 	found := map[string]string{}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -12,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -94,8 +94,7 @@
 	epoch   wire.Epoch
 	address string
 	server  *http.Server
-	// script gets every message; it runs on a goroutine of its own for each.
-	script func(s *wire.Session, ref uint32, m wire.Message)
+	script  script
 
 	mu       sync.Mutex
 	got      []wire.Message
@@ -107,7 +106,83 @@
 	x.got = append(x.got, m)
 	x.sessions = append(x.sessions, s)
 	x.mu.Unlock()
-	go x.script(s, ref, m)
+	go x.play(s, ref, m)
+}
+
+// script is what an executor does; each message is played on a goroutine of its
+// own. An executor without ask decides for itself; any other message that its
+// script lacks is taken and not answered.
+type script struct {
+	ask    func(x *executor, s *wire.Session, ref uint32, m *wire.Ask)
+	run    func(x *executor, s *wire.Session, m *wire.Run)
+	resume func(x *executor, s *wire.Session, m *wire.Resume)
+	other  func(x *executor, s *wire.Session, ref uint32, m wire.Message)
+}
+
+func (x *executor) play(s *wire.Session, ref uint32, m wire.Message) {
+	switch m := m.(type) {
+	case *wire.Ask:
+		if x.script.ask == nil {
+			x.decide(s, ref, m)
+			return
+		}
+		x.script.ask(x, s, ref, m)
+		return
+	case *wire.Run:
+		if x.script.run != nil {
+			x.script.run(x, s, m)
+		}
+	case *wire.Resume:
+		if x.script.resume != nil {
+			x.script.resume(x, s, m)
+		}
+	}
+	if x.script.other != nil {
+		x.script.other(x, s, ref, m)
+	}
+}
+
+// runs scripts an executor that decides for itself and answers each Run by run.
+func runs(run func(x *executor, s *wire.Session, m *wire.Run)) script { return script{run: run} }
+
+// answers is the script of an executor that answers all words at once.
+var answers = runs(func(_ *executor, s *wire.Session, m *wire.Run) {
+	words(s, m.Attempt, m.FirstSeq, totalWords, totalWords)
+})
+
+// begins returns the run of an executor that answers the first words only.
+func begins(n uint64) func(*executor, *wire.Session, *wire.Run) {
+	return func(_ *executor, s *wire.Session, m *wire.Run) { words(s, m.Attempt, 0, n, totalWords) }
+}
+
+// goesOn is the resume of an executor that has the rest of the words.
+func goesOn(_ *executor, s *wire.Session, m *wire.Resume) {
+	words(s, m.Attempt, m.Seq, totalWords, totalWords)
+}
+
+// newPair starts two executors. Both choose the first until it is excluded; it
+// runs as given, and the second answers all words.
+func newPair(t *testing.T, run func(x *executor, s *wire.Session, m *wire.Run)) []*executor {
+	t.Helper()
+	var pair []*executor
+	both := script{
+		ask: func(_ *executor, s *wire.Session, ref uint32, m *wire.Ask) {
+			chosen := pair[0]
+			if slices.Contains(m.Exclude, chosen.id) {
+				chosen = pair[1]
+			}
+			chosen.decide(s, ref, m)
+		},
+		run: func(x *executor, s *wire.Session, m *wire.Run) {
+			if x == pair[0] {
+				run(x, s, m)
+				return
+			}
+			answers.run(x, s, m)
+		},
+	}
+	pair = append(pair, newExecutor(t, "ep-a", both), newExecutor(t, "ep-b", both))
+	return pair
 }
 
 func (x *executor) Closed(*wire.Session, error) {}
@@ -178,10 +253,9 @@
 }
 
 // newExecutor starts an executor of the group "llm" or "portal".
-func newExecutor(t *testing.T, id string, script func(x *executor, s *wire.Session, ref uint32, m wire.Message)) *executor {
+func newExecutor(t *testing.T, id string, script script) *executor {
 	t.Helper()
-	x := &executor{id: id, epoch: 7}
-	x.script = func(s *wire.Session, ref uint32, m wire.Message) { script(x, s, ref, m) }
+	x := &executor{id: id, epoch: 7, script: script}
 	x.listen(t)
 	return x
 }
@@ -205,6 +279,13 @@
 	}
 }
 
+// flood sends large chunks from one number to before another.
+func flood(s *wire.Session, id wire.AttemptID, from, to uint64, bytes int) {
+	for seq := from; seq < to; seq++ {
+		_ = s.Send(&wire.Chunk{Attempt: id, Seq: seq, Data: []byte(strings.Repeat("x", bytes))})
+	}
+}
+
 func wantWords(total int) string {
 	var b strings.Builder
 	for i := range total {
@@ -213,8 +294,14 @@
 	return b.String()
 }
 
-// newTestEntry returns an entry before executors, and its callers' server.
-func newTestEntry(t *testing.T, group string, executors ...*executor) (*Entry, *httptest.Server) {
+// caller sends requests to an entry's callers' server.
+type caller struct {
+	*testing.T
+	*httptest.Server
+}
+
+// newTestEntry returns an entry before executors, and a caller of it.
+func newTestEntry(t *testing.T, group string, executors ...*executor) (*Entry, *caller) {
 	t.Helper()
 	s := &settings.Settings{
 		ID: "entry-1", Role: "entry", FailureDomain: "hobart-a", FleetKey: fleetKey,
@@ -244,33 +331,93 @@
 		server.Close()
 		e.pool.Close()
 	})
-	return e, server
+	return e, &caller{t, server}
 }
 
-// post sends a caller's request.
-func post(t *testing.T, ctx context.Context, url, body string, headers ...string) *http.Response {
-	t.Helper()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(body)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return send(t, r, headers...)
+// Paths of the callers' interface.
+const (
+	chatPath     = "/v1/chat/completions"
+	paymentsPath = "/v1/services/portal/payments/7"
+)
+
+// chat sends a chat completion.
+func (c *caller) chat(body string, headers ...string) *http.Response {
+	c.Helper()
+	return c.post(context.Background(), chatPath, body, headers...)
 }
 
-func send(t *testing.T, r *http.Request, headers ...string) *http.Response {
-	t.Helper()
+// post sends a request; headers are names and values in turn.
+func (c *caller) post(ctx context.Context, path, body string, headers ...string) *http.Response {
+	c.Helper()
+	return c.send(ctx, http.MethodPost, path, body, headers...)
+}
+
+func (c *caller) send(ctx context.Context, method, path, body string, headers ...string) *http.Response {
+	c.Helper()
+	r, err := http.NewRequestWithContext(ctx, method, c.URL+path, strings.NewReader(body))
+	if err != nil {
+		c.Fatal(err)
+	}
 	r.Header.Set("Authorization", "Bearer "+testKey)
 	for i := 0; i+1 < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		t.Fatal(err)
+		c.Fatal(err)
 	}
-	t.Cleanup(func() { resp.Body.Close() })
+	c.Cleanup(func() { resp.Body.Close() })
 	return resp
 }
 
+// open begins a stream, which the caller hangs up on by calling hangUp.
+func (c *caller) open() (lines *bufio.Scanner, hangUp func()) {
+	c.Helper()
+	ctx, hangUp := context.WithCancel(context.Background())
+	c.Cleanup(hangUp)
+	return bufio.NewScanner(c.post(ctx, chatPath, streamBody).Body), hangUp
+}
+
+// resume comes back to a stream.
+func (c *caller) resume(lastID string) *http.Response {
+	c.Helper()
+	return c.send(context.Background(), http.MethodGet, "/v1/streams", "", "Last-Event-ID", lastID)
+}
+
+// stream reads the whole answer to a chat completion that is to be streamed.
+func (c *caller) stream(body string) sse {
+	c.Helper()
+	return readSSE(c.T, c.chat(body))
+}
+
+// wantWhole fails unless the parts of a stream are all words up to its end.
+func wantWhole(t *testing.T, parts ...sse) {
+	t.Helper()
+	text := ""
+	for _, part := range parts {
+		text += part.text
+	}
+	if end := parts[len(parts)-1]; !end.done || text != wantWords(totalWords) {
+		t.Errorf("got %q in %d parts, done %v, failure %+v", text, len(parts), end.done, end.failure)
+	}
+}
+
+// upload opens a connection and sends the head of a request with 1000 bytes of
+// body, of which it sends some.
+func (c *caller) upload(body string) *net.TCPConn {
+	c.Helper()
+	conn, err := net.Dial("tcp", c.Listener.Addr().String())
+	if err != nil {
+		c.Fatal(err)
+	}
+	c.Cleanup(func() { conn.Close() })
+	conn.SetReadDeadline(time.Now().Add(patience))
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer %s\r\nContent-Length: 1000\r\n\r\n%s", chatPath, testKey, body); err != nil {
+		c.Fatal(err)
+	}
+	return conn.(*net.TCPConn)
+}
+
 const (
 	streamBody = `{"model":"ledger-llm","stream":true,"messages":[{"role":"user","content":"hi"}]}`
 	wholeBody  = `{"model":"ledger-llm","messages":[{"role":"user","content":"hi"}]}`
--- a/internal/entry/parameters_test.go
+++ b/internal/entry/parameters_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -20,29 +19,15 @@
 // Cause: the entry read the fields it needs and dropped the others.
 func TestParametersGoWithEveryRun(t *testing.T) {
 	const want = `{"seed":7,"stop":["w7"],"temperature":0.2,"user":"u-1"}`
-	var runs []*wire.Run
-	var executors []*executor
-	script := func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-		switch m := m.(type) {
-		case *wire.Ask:
-			decided := executors[min(len(m.Exclude), 1)]
-			decided.decide(s, ref, m)
-		case *wire.Run:
-			if x == executors[1] {
-				words(s, m.Attempt, m.FirstSeq, totalWords, totalWords)
-				return
-			}
-			words(s, m.Attempt, 0, 10, totalWords)
-			x.restart(t)
-		}
-	}
-	executors = append(executors, newExecutor(t, "ep-a", script), newExecutor(t, "ep-b", script))
-	_, server := newTestEntry(t, "llm", executors...)
-	got := readSSE(t, post(t, context.Background(), server.URL+"/v1/chat/completions", sampledBody))
-	if !got.done {
+	pair := newPair(t, func(x *executor, s *wire.Session, m *wire.Run) {
+		words(s, m.Attempt, 0, 10, totalWords)
+		x.restart(t)
+	})
+	_, c := newTestEntry(t, "llm", pair...)
+	if got := c.stream(sampledBody); !got.done {
 		t.Fatalf("got %+v", got)
 	}
-	runs = append(runs, last[*wire.Run](executors[0]), last[*wire.Run](executors[1]))
+	runs := []*wire.Run{last[*wire.Run](pair[0]), last[*wire.Run](pair[1])}
 	for i, run := range runs {
 		if string(run.Parameters) != want {
 			t.Errorf("run %d has %s", i, run.Parameters)
@@ -57,20 +42,15 @@
 // Sequence: the executor of a structured answer restarts in mid-stream.
 // Cause: an engine that goes on from a half begins the asked form anew.
 func TestStructuredAnswerIsNotContinued(t *testing.T) {
-	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-		switch m := m.(type) {
-		case *wire.Ask:
-			x.decide(s, ref, m)
-		case *wire.Run:
-			words(s, m.Attempt, m.FirstSeq, m.FirstSeq+10, totalWords)
-			if m.FirstSeq == 0 {
-				x.restart(t)
-			}
+	x := newExecutor(t, "ep-1", runs(func(x *executor, s *wire.Session, m *wire.Run) {
+		words(s, m.Attempt, m.FirstSeq, m.FirstSeq+10, totalWords)
+		if m.FirstSeq == 0 {
+			x.restart(t)
 		}
-	})
-	_, server := newTestEntry(t, "llm", x)
+	}))
+	_, c := newTestEntry(t, "llm", x)
 	body := strings.Replace(sampledBody, `"seed":7`, `"response_format":{"type":"json_object"}`, 1)
-	got := readSSE(t, post(t, context.Background(), server.URL+"/v1/chat/completions", body))
+	got := c.stream(body)
 	if got.done || got.failure == nil || got.failure.Ran != wire.Unknown || count[*wire.Run](x) != 1 {
 		t.Errorf("got %+v, failure %+v, %d runs", got, got.failure, count[*wire.Run](x))
 	}
@@ -81,24 +61,19 @@
 // Sequence: the executor of a structured answer restarts after ten pieces.
 // Cause: pieces that only the entry has, taken for pieces that the caller has.
 func TestStructuredWholeAnswerBeginsAgain(t *testing.T) {
-	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-		switch m := m.(type) {
-		case *wire.Ask:
-			x.decide(s, ref, m)
-		case *wire.Run:
-			if m.FirstSeq == 0 {
-				words(s, m.Attempt, 0, 10, totalWords)
-				x.restart(t)
-				return
-			}
-			_ = s.Send(&wire.Chunk{Attempt: m.Attempt, Seq: m.FirstSeq, Data: []byte(`{"a":`)})
-			_ = s.Send(&wire.Chunk{Attempt: m.Attempt, Seq: m.FirstSeq + 1, Data: []byte(`1}`)})
-			_ = s.Send(&wire.End{Attempt: m.Attempt, Seq: m.FirstSeq + 2, Outcome: wire.Done, CompletionTokens: 2})
+	x := newExecutor(t, "ep-1", runs(func(x *executor, s *wire.Session, m *wire.Run) {
+		if m.FirstSeq == 0 {
+			words(s, m.Attempt, 0, 10, totalWords)
+			x.restart(t)
+			return
 		}
-	})
-	_, server := newTestEntry(t, "llm", x)
+		_ = s.Send(&wire.Chunk{Attempt: m.Attempt, Seq: m.FirstSeq, Data: []byte(`{"a":`)})
+		_ = s.Send(&wire.Chunk{Attempt: m.Attempt, Seq: m.FirstSeq + 1, Data: []byte(`1}`)})
+		_ = s.Send(&wire.End{Attempt: m.Attempt, Seq: m.FirstSeq + 2, Outcome: wire.Done, CompletionTokens: 2})
+	}))
+	_, c := newTestEntry(t, "llm", x)
 	body := strings.Replace(wholeBody, "{", `{"guided_json":{},`, 1)
-	resp := post(t, context.Background(), server.URL+"/v1/chat/completions", body)
+	resp := c.chat(body)
 	var got answerJSON
 	if err := json.NewDecoder(resp.Body).Decode(&got); err != nil || len(got.Choices) != 1 {
 		t.Fatalf("got %d %+v, %v", resp.StatusCode, got, err)
@@ -116,9 +91,9 @@
 	if _, err := parseChat([]byte(body)); err == nil {
 		t.Error("accepted")
 	}
-	_, server := newTestEntry(t, "llm")
+	_, c := newTestEntry(t, "llm")
 	deep := strings.Replace(wholeBody, "{", `{"x":`+strings.Repeat("[", 100)+strings.Repeat("]", 100)+`,`, 1)
-	resp := post(t, context.Background(), server.URL+"/v1/chat/completions", deep)
+	resp := c.chat(deep)
 	if e := readError(t, resp); resp.StatusCode != http.StatusBadRequest || !strings.Contains(e.Message, "nested") {
 		t.Errorf("got %d %+v", resp.StatusCode, e)
 	}
--- a/internal/entry/place_test.go
+++ b/internal/entry/place_test.go
@@ -14,26 +14,18 @@
 )
 
 func TestPolicies(t *testing.T) {
-	script := func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-		switch m := m.(type) {
-		case *wire.Ask:
-			x.decide(s, ref, m)
-		case *wire.Run:
-			words(s, m.Attempt, 0, 1, 1)
-		}
-	}
-	a, b := newExecutor(t, "ep-a", script), newExecutor(t, "ep-b", script)
+	a, b := newExecutor(t, "ep-a", answers), newExecutor(t, "ep-b", answers)
 	for _, policy := range []route.Policy{
 		route.PolicyOwner, route.PolicyRandom, route.PolicyRoundRobin, route.PolicyLeastLoaded,
 		route.PolicyWholePrompt, route.PolicyBoundedLoad, route.PolicyPrefixTables,
 	} {
-		e, server := newTestEntry(t, "llm", a, b)
+		e, c := newTestEntry(t, "llm", a, b)
 		var err error
 		if e.chooser, err = newChooser(string(policy), e.now); err != nil {
 			t.Fatal(err)
 		}
 		asks := count[*wire.Ask](a) + count[*wire.Ask](b)
-		resp := post(t, context.Background(), server.URL+"/v1/chat/completions", wholeBody)
+		resp := c.chat(wholeBody)
 		if resp.StatusCode != http.StatusOK {
 			t.Errorf("%s: status %d", policy, resp.StatusCode)
 		}
@@ -52,21 +44,17 @@
 // Cause: only one redirect may be followed.
 func TestRedirectIsFollowedOnce(t *testing.T) {
 	var executors []*executor
-	script := func(x *executor, s *wire.Session, _ uint32, m wire.Message) {
-		run, ok := m.(*wire.Run)
-		if !ok {
-			return
-		}
+	script := runs(func(x *executor, s *wire.Session, run *wire.Run) {
 		other := executors[0]
 		if x == other {
 			other = executors[1]
 		}
 		target := &wire.Target{Endpoint: other.id, Address: other.address}
 		_ = s.Send(&wire.End{Attempt: run.Attempt, Outcome: wire.NotRun, Redirect: target})
-	}
+	})
 	executors = append(executors, newExecutor(t, "portal-1", script), newExecutor(t, "portal-2", script))
-	_, server := newTestEntry(t, "portal", executors...)
-	got := readError(t, post(t, context.Background(), server.URL+"/v1/services/portal/pledges", ""))
+	_, c := newTestEntry(t, "portal", executors...)
+	got := readError(t, c.post(context.Background(), "/v1/services/portal/pledges", ""))
 	if got.Ran != wire.NotRun {
 		t.Errorf("got %+v", got)
 	}
@@ -88,17 +76,12 @@
 // Cause: calls with one key have to go to one endpoint, whichever entry they come
 // through.
 func TestOneKeyOneEndpoint(t *testing.T) {
-	script := func(_ *executor, s *wire.Session, _ uint32, m wire.Message) {
-		if m, ok := m.(*wire.Run); ok {
-			words(s, m.Attempt, 0, 1, 1)
-		}
-	}
-	x, y := newExecutor(t, "portal-1", script), newExecutor(t, "portal-2", script)
+	x, y := newExecutor(t, "portal-1", answers), newExecutor(t, "portal-2", answers)
 	_, one := newTestEntry(t, "portal", x, y)
 	_, two := newTestEntry(t, "portal", y, x)
 	for _, key := range []string{"a", "b", "c", "d", "e", "f"} {
-		first := post(t, context.Background(), one.URL+"/v1/services/portal/payments/7", "pay", "Idempotency-Key", key)
-		second := post(t, context.Background(), two.URL+"/v1/services/portal/payments/7", "pay", "Idempotency-Key", key)
+		first := one.post(context.Background(), paymentsPath, "pay", "Idempotency-Key", key)
+		second := two.post(context.Background(), paymentsPath, "pay", "Idempotency-Key", key)
 		if a, b := first.Header.Get("X-Executor"), second.Header.Get("X-Executor"); a == "" || a != b {
 			t.Errorf("key %s went to %q and %q", key, a, b)
 		}
@@ -112,21 +95,15 @@
 // owner has to be told, and that must not take from the budget.
 func TestDeadExecutorCostsNoBudget(t *testing.T) {
 	var dead *executor
-	script := func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-		switch m := m.(type) {
-		case *wire.Ask:
-			if slices.Contains(m.Exclude, dead.id) {
-				x.decide(s, ref, m)
-				return
-			}
-			dead.decide(s, ref, m)
-		case *wire.Run:
-			words(s, m.Attempt, 0, 1, 1)
+	script := script{run: answers.run, ask: func(x *executor, s *wire.Session, ref uint32, m *wire.Ask) {
+		if !slices.Contains(m.Exclude, dead.id) {
+			x = dead
 		}
-	}
+		x.decide(s, ref, m)
+	}}
 	dead = newExecutor(t, "ep-dead", script)
 	live := newExecutor(t, "ep-live", script)
-	e, server := newTestEntry(t, "llm", live)
+	e, c := newTestEntry(t, "llm", live)
 	e.directory.listed([]platform.Instance{
 		endpointInstance(live.id, live.address, "llm", ""),
 		endpointInstance(dead.id, dead.address, "llm", ""),
@@ -138,7 +115,7 @@
 	for e.budget.Allow(attempt.ExtraRetry, e.now()) {
 	}
 	for range 3 {
-		resp := post(t, context.Background(), server.URL+"/v1/chat/completions", wholeBody)
+		resp := c.chat(wholeBody)
 		if resp.StatusCode != http.StatusOK {
 			t.Errorf("got %d %+v", resp.StatusCode, readError(t, resp))
 		}
--- a/internal/entry/refuse_test.go
+++ b/internal/entry/refuse_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -18,24 +17,23 @@
 // reaches it.
 // Cause: everything that can be checked is checked before an Ask is sent.
 func TestRefusals(t *testing.T) {
-	x := newExecutor(t, "ep-1", func(*executor, *wire.Session, uint32, wire.Message) {})
-	_, server := newTestEntry(t, "llm", x)
-	chat := "/v1/chat/completions"
+	x := newExecutor(t, "ep-1", script{})
+	_, c := newTestEntry(t, "llm", x)
 	for _, tt := range []struct {
 		name, path, body string
 		headers          []string
 		status           int
 		code             wire.Code
 	}{
-		{"no key", chat, wholeBody, []string{"Authorization", ""}, 401, wire.CodeUnauthorized},
-		{"wrong key", chat, wholeBody, []string{"Authorization", "Bearer nope"}, 401, wire.CodeUnauthorized},
-		{"bad JSON", chat, `{"model":`, nil, 400, wire.CodeBadRequest},
-		{"too large", chat, strings.Repeat(" ", 65<<10), nil, 413, wire.CodeTooLarge},
-		{"unknown model", chat, strings.ReplaceAll(wholeBody, "ledger-llm", "none"), nil, 404, wire.CodeUnknownModel},
-		{"unknown version", chat, strings.ReplaceAll(wholeBody, "ledger-llm", "ledger-llm@v9"), nil, 404, wire.CodeUnknownModel},
-		{"forbidden version", chat, strings.ReplaceAll(wholeBody, "ledger-llm", "ledger-llm@v2"), nil, 403, wire.CodeForbiddenModel},
-		{"another's model", chat, strings.ReplaceAll(wholeBody, "ledger-llm", "other-llm"), nil, 403, wire.CodeForbiddenModel},
-		{"bad deadline", chat, wholeBody, []string{"X-Deadline-Ms", "soon"}, 400, wire.CodeBadRequest},
+		{"no key", chatPath, wholeBody, []string{"Authorization", ""}, 401, wire.CodeUnauthorized},
+		{"wrong key", chatPath, wholeBody, []string{"Authorization", "Bearer nope"}, 401, wire.CodeUnauthorized},
+		{"bad JSON", chatPath, `{"model":`, nil, 400, wire.CodeBadRequest},
+		{"too large", chatPath, strings.Repeat(" ", 65<<10), nil, 413, wire.CodeTooLarge},
+		{"unknown model", chatPath, strings.ReplaceAll(wholeBody, "ledger-llm", "none"), nil, 404, wire.CodeUnknownModel},
+		{"unknown version", chatPath, strings.ReplaceAll(wholeBody, "ledger-llm", "ledger-llm@v9"), nil, 404, wire.CodeUnknownModel},
+		{"forbidden version", chatPath, strings.ReplaceAll(wholeBody, "ledger-llm", "ledger-llm@v2"), nil, 403, wire.CodeForbiddenModel},
+		{"another's model", chatPath, strings.ReplaceAll(wholeBody, "ledger-llm", "other-llm"), nil, 403, wire.CodeForbiddenModel},
+		{"bad deadline", chatPath, wholeBody, []string{"X-Deadline-Ms", "soon"}, 400, wire.CodeBadRequest},
 		{"another's service", "/v1/services/foreign/a", "", nil, 404, wire.CodeUnknownService},
 		{"no idempotency key", "/v1/services/portal/payments/7", "", nil, 400, wire.CodeBadRequest},
 		{"dotted path", "/v1/services/portal/balance/%2e%2e/payments", "", nil, 400, wire.CodeBadRequest},
@@ -43,7 +41,7 @@
 		{"no such path", "/v2", "", nil, 404, wire.CodeBadRequest},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			resp := post(t, context.Background(), server.URL+tt.path, tt.body, tt.headers...)
+			resp := c.post(context.Background(), tt.path, tt.body, tt.headers...)
 			got := readError(t, resp)
 			if resp.StatusCode != tt.status || got.Code != tt.code || got.Ran != wire.NotRun {
 				t.Errorf("got %d %+v", resp.StatusCode, got)
@@ -65,18 +63,18 @@
 // Sequence: as many requests as the bound are in flight; one more comes.
 // Cause: each holds its body; without a bound the callers decide how much.
 func TestInFlightIsBounded(t *testing.T) {
-	e, server := newTestEntry(t, "llm")
+	e, c := newTestEntry(t, "llm")
 	for range maxInFlight {
 		if refusal := e.drain.enter(); refusal != nil {
 			t.Fatal(refusal)
 		}
 	}
-	resp := post(t, context.Background(), server.URL+"/v1/chat/completions", wholeBody)
+	resp := c.chat(wholeBody)
 	if got := readError(t, resp); got.Code != wire.CodeOverloaded || got.Ran != wire.NotRun {
 		t.Errorf("got %+v", got)
 	}
 	e.drain.leave()
-	resp = post(t, context.Background(), server.URL+"/v1/chat/completions", wholeBody)
+	resp = c.chat(wholeBody)
 	if got := readError(t, resp); got.Code != wire.CodeNoEndpoint {
 		t.Errorf("with room again: %+v", got)
 	}
@@ -86,20 +84,10 @@
 // Sequence: a caller announces 1000 bytes, sends some of them and closes its side.
 // Cause: the body is read whole before anything else is done with it.
 func TestTruncatedUpload(t *testing.T) {
-	x := newExecutor(t, "ep-1", func(*executor, *wire.Session, uint32, wire.Message) {})
-	_, server := newTestEntry(t, "llm", x)
-	conn, err := net.Dial("tcp", server.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	_, err = conn.Write([]byte("POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer " + testKey +
-		"\r\nContent-Length: 1000\r\n\r\n" + wholeBody))
-	if err != nil {
-		t.Fatal(err)
-	}
-	conn.(*net.TCPConn).CloseWrite()
-	conn.SetReadDeadline(time.Now().Add(patience))
+	x := newExecutor(t, "ep-1", script{})
+	_, c := newTestEntry(t, "llm", x)
+	conn := c.upload(wholeBody)
+	conn.CloseWrite()
 	answer := make([]byte, 4096)
 	n, _ := conn.Read(answer)
 	if !strings.Contains(string(answer[:n]), "cut off") {
@@ -114,19 +102,9 @@
 // Sequence: a caller sends its header and part of its body, and nothing more.
 // Cause: without a bound on the upload's time it keeps its connection for ever.
 func TestSlowUploadIsCutOff(t *testing.T) {
-	e, server := newTestEntry(t, "llm")
+	e, c := newTestEntry(t, "llm")
 	e.timeouts.body = 20 * time.Millisecond
-	conn, err := net.Dial("tcp", server.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	_, err = conn.Write([]byte("POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer " + testKey +
-		"\r\nContent-Length: 1000\r\n\r\n{"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	conn.SetReadDeadline(time.Now().Add(patience))
+	conn := c.upload("{")
 	answer, err := io.ReadAll(conn) // to the end of the connection
 	if err != nil || !strings.Contains(string(answer), "cut off after 1 bytes") {
 		t.Errorf("answer %q, %v", answer, err)
@@ -137,25 +115,17 @@
 // Sequence: a long answer fills the caller's socket; the caller stays connected.
 // Cause: nothing fails until a write has a bound.
 func TestStalledCallerIsCutOff(t *testing.T) {
-	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-		big := []byte(strings.Repeat("x", 64<<10))
-		flood := func(id wire.AttemptID, from, to uint64) {
-			for seq := from; seq < to; seq++ {
-				_ = s.Send(&wire.Chunk{Attempt: id, Seq: seq, Data: big})
+	x := newExecutor(t, "ep-1", script{
+		run: func(_ *executor, s *wire.Session, m *wire.Run) { flood(s, m.Attempt, 0, window, 64<<10) },
+		other: func(_ *executor, s *wire.Session, _ uint32, m wire.Message) {
+			if m, ok := m.(*wire.Credit); ok {
+				flood(s, m.Attempt, m.Seq-window/2, m.Seq, 64<<10)
 			}
-		}
-		switch m := m.(type) {
-		case *wire.Ask:
-			x.decide(s, ref, m)
-		case *wire.Run:
-			flood(m.Attempt, 0, window)
-		case *wire.Credit:
-			flood(m.Attempt, m.Seq-window/2, m.Seq)
-		}
+		},
 	})
-	e, server := newTestEntry(t, "llm", x)
+	e, c := newTestEntry(t, "llm", x)
 	e.timeouts.stall = 50 * time.Millisecond
-	resp := post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody)
+	resp := c.chat(streamBody)
 	until(t, "canceled", func() bool { return count[*wire.Cancel](x) > 0 })
 	if _, err := io.Copy(io.Discard, resp.Body); err == nil {
 		t.Error("the cut answer looks whole")
@@ -168,14 +138,10 @@
 // Cause: a call that may not be repeated is sent once, and what only a dead
 // process knew is "unknown".
 func TestCallRunsOnce(t *testing.T) {
-	script := func(x *executor, _ *wire.Session, _ uint32, m wire.Message) {
-		if _, ok := m.(*wire.Run); ok {
-			x.restart(t)
-		}
-	}
+	script := runs(func(x *executor, _ *wire.Session, _ *wire.Run) { x.restart(t) })
 	x, y := newExecutor(t, "portal-1", script), newExecutor(t, "portal-2", script)
-	_, server := newTestEntry(t, "portal", x, y)
-	resp := post(t, context.Background(), server.URL+"/v1/services/portal/pledges/7", "pay")
+	_, c := newTestEntry(t, "portal", x, y)
+	resp := c.post(context.Background(), "/v1/services/portal/pledges/7", "pay")
 	got := readError(t, resp)
 	if got.Ran != wire.Unknown || resp.StatusCode != http.StatusBadGateway {
 		t.Errorf("got %d %+v", resp.StatusCode, got)
@@ -191,21 +157,16 @@
 func TestFrozenOwnerIsHedged(t *testing.T) {
 	var frozen atomic.Value
 	frozen.Store("")
-	script := func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-		switch m := m.(type) {
-		case *wire.Ask:
-			if x.id != frozen.Load() {
-				x.decide(s, ref, m)
-			}
-		case *wire.Run:
-			words(s, m.Attempt, 0, totalWords, totalWords)
+	script := script{run: answers.run, ask: func(x *executor, s *wire.Session, ref uint32, m *wire.Ask) {
+		if x.id != frozen.Load() {
+			x.decide(s, ref, m)
 		}
-	}
+	}}
 	a, b := newExecutor(t, "ep-a", script), newExecutor(t, "ep-b", script)
-	e, server := newTestEntry(t, "llm", a, b)
+	e, c := newTestEntry(t, "llm", a, b)
 	for _, id := range []string{"ep-a", "ep-b"} {
 		frozen.Store(id)
-		resp := post(t, context.Background(), server.URL+"/v1/chat/completions", wholeBody)
+		resp := c.chat(wholeBody)
 		if resp.StatusCode != http.StatusOK || resp.Header.Get("X-Executor") == id {
 			t.Errorf("%s frozen: status %d by %s", id, resp.StatusCode, resp.Header.Get("X-Executor"))
 		}
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 
@@ -21,27 +20,24 @@
 // Cause: without Resume from the next piece and dropping by attempt and number,
 // the caller would get what comes as it comes.
 func TestStreamSurvivesCutSession(t *testing.T) {
-	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-		switch m := m.(type) {
-		case *wire.Ask:
-			x.decide(s, ref, m)
-		case *wire.Run:
+	x := newExecutor(t, "ep-1", script{
+		run: func(x *executor, s *wire.Session, m *wire.Run) {
 			words(s, m.Attempt, 0, 10, totalWords)
 			x.cut()
-		case *wire.Resume:
+		},
+		resume: func(x *executor, s *wire.Session, m *wire.Resume) {
 			_ = s.Send(&wire.Chunk{Attempt: wire.AttemptID{9}, Seq: m.Seq, Data: []byte("crossed")})
 			_ = s.Send(&wire.Chunk{Attempt: m.Attempt, Seq: m.Seq - 1, Data: []byte("doubled")})
-			words(s, m.Attempt, m.Seq, totalWords, totalWords)
-		case *wire.Resolve:
-			_ = s.Reply(ref, &wire.Resolved{Attempt: m.Attempt, Running: true})
-		}
+			goesOn(x, s, m)
+		},
+		other: func(_ *executor, s *wire.Session, ref uint32, m wire.Message) {
+			if m, ok := m.(*wire.Resolve); ok {
+				_ = s.Reply(ref, &wire.Resolved{Attempt: m.Attempt, Running: true})
+			}
+		},
 	})
-	_, server := newTestEntry(t, "llm", x)
-	resp := post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody)
-	got := readSSE(t, resp)
-	if !got.done || got.text != wantWords(totalWords) {
-		t.Errorf("got %q, done %v, failure %+v", got.text, got.done, got.failure)
-	}
+	_, c := newTestEntry(t, "llm", x)
+	wantWhole(t, c.stream(streamBody))
 	if n := count[*wire.Run](x); n != 1 {
 		t.Errorf("%d runs", n)
 	}
@@ -53,34 +49,13 @@
 // Cause: only the same epoch can resume; the entry has to go on elsewhere from
 // the text that the caller already has.
 func TestStreamGoesOnElsewhere(t *testing.T) {
-	var executors []*executor
-	script := func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-		switch m := m.(type) {
-		case *wire.Ask:
-			decided := executors[0]
-			if slices.Contains(m.Exclude, decided.id) {
-				decided = executors[1]
-			}
-			decided.decide(s, ref, m)
-		case *wire.Run:
-			if x == executors[1] {
-				words(s, m.Attempt, m.FirstSeq, totalWords, totalWords)
-				return
-			}
-			words(s, m.Attempt, 0, 10, totalWords)
-		}
-	}
-	executors = append(executors, newExecutor(t, "ep-a", script), newExecutor(t, "ep-b", script))
-	_, server := newTestEntry(t, "llm", executors...)
-	resp := post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody)
-	lines := bufio.NewScanner(resp.Body)
+	pair := newPair(t, begins(10))
+	_, c := newTestEntry(t, "llm", pair...)
+	lines, _ := c.open()
 	first := readEvents(t, lines, 10)
-	executors[0].restart(t)
-	second := readEvents(t, lines, 0)
-	if !second.done || first.text+second.text != wantWords(totalWords) {
-		t.Errorf("got %q and then %q, done %v, failure %+v", first.text, second.text, second.done, second.failure)
-	}
-	if run := last[*wire.Run](executors[1]); run == nil || run.FirstSeq != 10 || run.Partial != first.text || run.MaxTokens != 64-10 {
+	pair[0].restart(t)
+	wantWhole(t, first, readEvents(t, lines, 0))
+	if run := last[*wire.Run](pair[1]); run == nil || run.FirstSeq != 10 || run.Partial != first.text || run.MaxTokens != 64-10 {
 		t.Errorf("went on by %+v", run)
 	}
 }
@@ -91,27 +66,8 @@
 // Cause: nothing is lost or refused, so only a question that stays unanswered shows
 // that the process is not at work.
 func TestStoppedExecutorIsLeft(t *testing.T) {
-	var executors []*executor
-	script := func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-		switch m := m.(type) {
-		case *wire.Ask:
-			decided := executors[0]
-			if slices.Contains(m.Exclude, decided.id) {
-				decided = executors[1]
-			}
-			decided.decide(s, ref, m)
-		case *wire.Run:
-			if x == executors[1] {
-				words(s, m.Attempt, 0, totalWords, totalWords)
-			}
-		}
-	}
-	executors = append(executors, newExecutor(t, "ep-a", script), newExecutor(t, "ep-b", script))
-	_, server := newTestEntry(t, "llm", executors...)
-	got := readSSE(t, post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody))
-	if !got.done || got.text != wantWords(totalWords) {
-		t.Errorf("got %q, done %v, failure %+v", got.text, got.done, got.failure)
-	}
+	_, c := newTestEntry(t, "llm", newPair(t, func(*executor, *wire.Session, *wire.Run) {})...)
+	wantWhole(t, c.stream(streamBody))
 }
 
 // Symptom: streams of a busy executor are cut and resumed over and over.
@@ -120,24 +76,21 @@
 // that every endpoint process answers.
 func TestQuietExecutorIsWaitedFor(t *testing.T) {
 	asked := make(chan struct{}, 8)
-	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-		switch m := m.(type) {
-		case *wire.Ask:
-			x.decide(s, ref, m)
-		case *wire.StatusRequest:
-			_ = s.Reply(ref, &wire.Status{})
-			asked <- struct{}{}
-		case *wire.Run:
+	x := newExecutor(t, "ep-1", script{
+		run: func(x *executor, s *wire.Session, m *wire.Run) {
 			<-asked
 			<-asked
-			words(s, m.Attempt, 0, totalWords, totalWords)
-		}
+			answers.run(x, s, m)
+		},
+		other: func(_ *executor, s *wire.Session, ref uint32, m wire.Message) {
+			if _, ok := m.(*wire.StatusRequest); ok {
+				_ = s.Reply(ref, &wire.Status{})
+				asked <- struct{}{}
+			}
+		},
 	})
-	_, server := newTestEntry(t, "llm", x)
-	got := readSSE(t, post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody))
-	if !got.done || got.text != wantWords(totalWords) {
-		t.Errorf("got %q, done %v, failure %+v", got.text, got.done, got.failure)
-	}
+	_, c := newTestEntry(t, "llm", x)
+	wantWhole(t, c.stream(streamBody))
 	if runs, resolves := count[*wire.Run](x), count[*wire.Resolve](x); runs != 1 || resolves != 0 {
 		t.Errorf("%d runs, %d resolves", runs, resolves)
 	}
@@ -149,18 +102,11 @@
 // Cause: a stream that ends without [DONE] and without an error event can't be
 // told from a whole one by clients that ignore [DONE].
 func TestStreamEndsExplicitly(t *testing.T) {
-	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-		switch m := m.(type) {
-		case *wire.Ask:
-			x.decide(s, ref, m)
-		case *wire.Run:
-			words(s, m.Attempt, m.FirstSeq, m.FirstSeq+2, totalWords)
-			_ = s.Send(&wire.End{Attempt: m.Attempt, Seq: m.FirstSeq + 2, Outcome: wire.Unknown})
-		}
-	})
-	_, server := newTestEntry(t, "llm", x)
-	resp := post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody)
-	got := readSSE(t, resp)
+	_, c := newTestEntry(t, "llm", newExecutor(t, "ep-1", runs(func(_ *executor, s *wire.Session, m *wire.Run) {
+		words(s, m.Attempt, m.FirstSeq, m.FirstSeq+2, totalWords)
+		_ = s.Send(&wire.End{Attempt: m.Attempt, Seq: m.FirstSeq + 2, Outcome: wire.Unknown})
+	})))
+	got := c.stream(streamBody)
 	if got.done || got.failure == nil || got.failure.Ran != wire.Unknown {
 		t.Errorf("done %v, failure %+v", got.done, got.failure)
 	}
@@ -175,22 +121,12 @@
 // within the grace through this entry, with Last-Event-ID.
 // Cause: Cancel has to wait for the grace, and a resume has to call it off.
 func TestHangUp(t *testing.T) {
-	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-		switch m := m.(type) {
-		case *wire.Ask:
-			x.decide(s, ref, m)
-		case *wire.Run:
-			words(s, m.Attempt, 0, 5, totalWords)
-		case *wire.Resume:
-			words(s, m.Attempt, m.Seq, totalWords, totalWords)
-		}
-	})
-	_, server := newTestEntry(t, "llm", x)
+	x := newExecutor(t, "ep-1", script{run: begins(5), resume: goesOn})
+	_, c := newTestEntry(t, "llm", x)
 
 	t.Run("away", func(t *testing.T) {
-		ctx, hangUp := context.WithCancel(context.Background())
-		resp := post(t, ctx, server.URL+"/v1/chat/completions", streamBody)
-		readEvents(t, bufio.NewScanner(resp.Body), 5)
+		lines, hangUp := c.open()
+		readEvents(t, lines, 5)
 		hangUp()
 		until(t, "canceled", func() bool { return count[*wire.Cancel](x) == 1 })
 		if got, want := last[*wire.Cancel](x).Attempt, last[*wire.Run](x).Attempt; got != want {
@@ -199,28 +135,18 @@
 	})
 	t.Run("back", func(t *testing.T) {
 		before := count[*wire.Cancel](x)
-		ctx, hangUp := context.WithCancel(context.Background())
-		resp := post(t, ctx, server.URL+"/v1/chat/completions", streamBody)
-		first := readEvents(t, bufio.NewScanner(resp.Body), 5)
+		lines, hangUp := c.open()
+		first := readEvents(t, lines, 5)
 		hangUp()
-		r, _ := http.NewRequest(http.MethodGet, server.URL+"/v1/streams", nil)
-		second := readSSE(t, send(t, r, "Last-Event-ID", first.lastID))
-		if !second.done || first.text+second.text != wantWords(totalWords) {
-			t.Errorf("got %q and then %q", first.text, second.text)
-		}
+		wantWhole(t, first, readSSE(t, c.resume(first.lastID)))
 		if n := count[*wire.Cancel](x) - before; n != 0 {
 			t.Errorf("%d cancels of a stream that was resumed", n)
 		}
 	})
 	t.Run("still there", func(t *testing.T) {
-		resp := post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody)
-		lines := bufio.NewScanner(resp.Body)
+		lines, _ := c.open()
 		first := readEvents(t, lines, 5)
-		r, _ := http.NewRequest(http.MethodGet, server.URL+"/v1/streams", nil)
-		second := readSSE(t, send(t, r, "Last-Event-ID", first.lastID))
-		if !second.done || first.text+second.text != wantWords(totalWords) {
-			t.Errorf("got %q and then %q", first.text, second.text)
-		}
+		wantWhole(t, first, readSSE(t, c.resume(first.lastID)))
 		if left := readEvents(t, lines, 0); left.done || left.failure == nil || left.failure.Code != wire.CodeCanceled {
 			t.Errorf("the first caller's stream ended with %+v", left)
 		}
@@ -232,7 +158,7 @@
 			until(t, "run", func() bool { return count[*wire.Run](x) > runs })
 			hangUp()
 		}()
-		r, _ := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/v1/chat/completions", strings.NewReader(wholeBody))
+		r, _ := http.NewRequestWithContext(ctx, http.MethodPost, c.URL+chatPath, strings.NewReader(wholeBody))
 		r.Header.Set("Authorization", "Bearer "+testKey)
 		if resp, err := http.DefaultClient.Do(r); err == nil {
 			resp.Body.Close()
@@ -249,35 +175,23 @@
 // Cause: an entry that asks no process but that of the epoch in Last-Event-ID.
 func TestResumeAtRestartedExecutor(t *testing.T) {
 	for _, adopts := range []bool{true, false} {
-		x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-			switch m := m.(type) {
-			case *wire.Ask:
-				x.decide(s, ref, m)
-			case *wire.Run:
-				words(s, m.Attempt, 0, 5, totalWords)
-			case *wire.Resume:
-				if adopts && m.Epoch == x.epoch-1 && m.Organisation == "foodbank" {
-					words(s, m.Attempt, m.Seq, totalWords, totalWords)
-					return
-				}
-				_ = s.Send(&wire.End{Attempt: m.Attempt, Seq: m.Seq, Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome})
+		x := newExecutor(t, "ep-1", script{run: begins(5), resume: func(x *executor, s *wire.Session, m *wire.Resume) {
+			if adopts && m.Epoch == x.epoch-1 && m.Organisation == "foodbank" {
+				goesOn(x, s, m)
+				return
 			}
-		})
-		_, server := newTestEntry(t, "llm", x)
-		ctx, hangUp := context.WithCancel(context.Background())
-		first := readEvents(t, bufio.NewScanner(post(t, ctx, server.URL+"/v1/chat/completions", streamBody).Body), 5)
+			_ = s.Send(&wire.End{Attempt: m.Attempt, Seq: m.Seq, Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome})
+		}})
+		_, c := newTestEntry(t, "llm", x)
+		lines, hangUp := c.open()
+		first := readEvents(t, lines, 5)
 		hangUp()
 		x.restart(t)
-		r, _ := http.NewRequest(http.MethodGet, server.URL+"/v1/streams", nil)
-		resp := send(t, r, "Last-Event-ID", first.lastID)
-		if !adopts {
-			if e := readError(t, resp); e.Code != wire.CodeUnknownOutcome || !strings.Contains(e.Message, "restarted") {
-				t.Errorf("got %+v", e)
-			}
-			continue
-		}
-		if second := readSSE(t, resp); !second.done || first.text+second.text != wantWords(totalWords) {
-			t.Errorf("got %q and then %q, failure %+v", first.text, second.text, second.failure)
+		resp := c.resume(first.lastID)
+		if adopts {
+			wantWhole(t, first, readSSE(t, resp))
+		} else if e := readError(t, resp); e.Code != wire.CodeUnknownOutcome || !strings.Contains(e.Message, "restarted") {
+			t.Errorf("got %+v", e)
 		}
 	}
 }
@@ -289,35 +203,25 @@
 // a stream over a bad link.
 func TestResumedStreamSurvivesCuts(t *testing.T) {
 	const perSession = 3
-	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-		switch m := m.(type) {
-		case *wire.Ask:
-			x.decide(s, ref, m)
-		case *wire.Run:
-			words(s, m.Attempt, 0, 5, totalWords)
-		case *wire.Resume:
-			words(s, m.Attempt, m.Seq, min(m.Seq+perSession, totalWords), totalWords)
-		}
-	})
-	_, server := newTestEntry(t, "llm", x)
-	ctx, hangUp := context.WithCancel(context.Background())
-	first := readEvents(t, bufio.NewScanner(post(t, ctx, server.URL+"/v1/chat/completions", streamBody).Body), 5)
+	x := newExecutor(t, "ep-1", script{run: begins(5), resume: func(_ *executor, s *wire.Session, m *wire.Resume) {
+		words(s, m.Attempt, m.Seq, min(m.Seq+perSession, totalWords), totalWords)
+	}})
+	_, c := newTestEntry(t, "llm", x)
+	lines, hangUp := c.open()
+	first := readEvents(t, lines, 5)
 	hangUp()
-	r, _ := http.NewRequest(http.MethodGet, server.URL+"/v1/streams", nil)
-	lines := bufio.NewScanner(send(t, r, "Last-Event-ID", first.lastID).Body)
-	text := first.text
-	for len(text) < len(wantWords(totalWords)) {
+	lines = bufio.NewScanner(c.resume(first.lastID).Body)
+	got := first
+	for len(got.text) < len(wantWords(totalWords)) {
 		part := readEvents(t, lines, perSession)
-		if text += part.text; part.text == "" {
-			t.Fatalf("stopped after %q: %+v", text, part.failure)
+		if got.text += part.text; part.text == "" {
+			t.Fatalf("stopped after %q: %+v", got.text, part.failure)
 		}
-		if len(text) < len(wantWords(totalWords)) {
+		if len(got.text) < len(wantWords(totalWords)) {
 			x.cut()
 		}
 	}
-	if end := readEvents(t, lines, 0); !end.done || text != wantWords(totalWords) {
-		t.Errorf("got %q, failure %+v", text, end.failure)
-	}
+	wantWhole(t, got, readEvents(t, lines, 0))
 }
 
 // Symptom: all streams of a session stall when one caller stops reading.
@@ -325,31 +229,17 @@
 // even keep to the window; another one's short answers go over the same session.
 // Cause: a session has one reader; it must never wait for one stream's mailbox.
 func TestSlowCallerStallsNobody(t *testing.T) {
-	x := newExecutor(t, "ep-1", func(x *executor, s *wire.Session, ref uint32, m wire.Message) {
-		switch m := m.(type) {
-		case *wire.Ask:
-			x.decide(s, ref, m)
-		case *wire.Run:
-			if m.MaxTokens == 1 {
-				words(s, m.Attempt, 0, totalWords, totalWords)
-				return
-			}
-			big := []byte(strings.Repeat("x", 32<<10))
-			for seq := m.FirstSeq; seq < m.FirstSeq+8*window; seq++ {
-				_ = s.Send(&wire.Chunk{Attempt: m.Attempt, Seq: seq, Data: big})
-			}
-		}
-	})
-	_, server := newTestEntry(t, "llm", x)
-	slow := post(t, context.Background(), server.URL+"/v1/chat/completions", streamBody)
-	if _, err := io.ReadFull(slow.Body, make([]byte, 1)); err != nil {
+	_, c := newTestEntry(t, "llm", newExecutor(t, "ep-1", runs(func(x *executor, s *wire.Session, m *wire.Run) {
+		if m.MaxTokens == 1 {
+			answers.run(x, s, m)
+			return
+		}
+		flood(s, m.Attempt, m.FirstSeq, m.FirstSeq+8*window, 32<<10)
+	})))
+	if _, err := io.ReadFull(c.chat(streamBody).Body, make([]byte, 1)); err != nil {
 		t.Fatal(err)
 	}
 	for range 5 {
-		resp := post(t, context.Background(), server.URL+"/v1/chat/completions",
-			`{"model":"ledger-llm","stream":true,"max_tokens":1,"messages":[{"role":"user","content":"hi"}]}`)
-		if got := readSSE(t, resp); !got.done || got.text != wantWords(totalWords) {
-			t.Errorf("got %q, failure %+v", got.text, got.failure)
-		}
+		wantWhole(t, c.stream(strings.Replace(streamBody, "{", `{"max_tokens":1,`, 1)))
 	}
 }
