endpoint's tests: one harness for platform, stand-in engine and session

Cause: three ways to start a listed group, two to start the stand-in engine, two to set its faults; the same five lines before and three after most answers. Change: startPlatform, startMember, control and engineAccount serve all; beside and started for one process with a session; want, refused, decision, status and skip on the session. No test, subtest or condition is gone; refused also wants that no text came.

--- a/internal/endpoint/config_test.go
+++ b/internal/endpoint/config_test.go
@@ -39,8 +39,7 @@
 // configuration sends it a request.
 // Cause: an executor built the prompt from what it had.
 func TestExecutorFetchesTheSendersConfiguration(t *testing.T) {
-	f := newFakeEngine(t, "a")
-	n := startProcess(t, f.URL, nil).dial("entry-1")
+	f, _, n := beside(t, "a")
 	var state *config.State
 	n.config, state = withState(t, organisationRecord)
 	run := chat(1)
@@ -60,8 +59,7 @@
 }
 
 func TestRunOfAnUnknownConfigurationIsRefused(t *testing.T) {
-	f := newFakeEngine(t, "a")
-	n := startProcess(t, f.URL, nil).dial("entry-1")
+	f, _, n := beside(t, "a")
 	run := chat(1)
 	run.ConfigOffset = 9
 	n.send(run)
--- a/internal/endpoint/enginewatch_test.go
+++ b/internal/endpoint/enginewatch_test.go
@@ -106,10 +106,8 @@
 // load go over is still there.
 // Cause: the engine went by its load reports alone.
 func TestUnreachableEngineIsDownAtOnce(t *testing.T) {
-	f := newFakeEngine(t, "a")
-	p := startProcess(t, f.URL, nil)
-	n := p.dial("entry-1")
-	waitFor(t, "the engine", func() bool { return n.call(&wire.StatusRequest{}).(*wire.Status).Load.EngineUp })
+	f, p, n := beside(t, "a")
+	waitFor(t, "the engine", func() bool { return n.status().Load.EngineUp })
 	f.Listener.Close()
 	n.send(chat(1))
 	if end := n.end(); end.Outcome != wire.NotRun {
--- a/internal/endpoint/freeze_test.go
+++ b/internal/endpoint/freeze_test.go
@@ -2,50 +2,15 @@
 
 import (
 	"fmt"
-	"io"
-	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"skylarklead/internal/settings"
-	standin "skylarklead/internal/standin/platform"
 	"skylarklead/internal/wire"
 )
 
 // longFreeze outlasts a test's patience: what happens within it was not the thaw.
 const longFreeze = `{"freeze_ms": 60000}`
 
-func controlEngine(t *testing.T, backend, body string) {
-	t.Helper()
-	resp, err := http.Post(backend+"/control", "application/json", strings.NewReader(body))
-	if err != nil && strings.Contains(body, "crash") {
-		return // the answer to a crash may be lost with the connection
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	if answer, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusOK {
-		t.Fatalf("control: %s", answer)
-	}
-}
-
-// engineAccount is the stand-in's own record of what it was asked to do.
-func engineAccount(t *testing.T, backend string) string {
-	t.Helper()
-	resp, err := http.Get(backend + "/control/account")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	account, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(account)
-}
-
 // Symptom: while an engine is frozen, callers wait for it: as long as it is frozen
 // for their first token, or 12.5 s in the middle of an answer, and are then made
 // suspects of a crash.
@@ -72,16 +37,16 @@
 			backend := startStandinEngine(t)
 			p := startProcess(t, backend, nil)
 			n := p.dial("entry-1")
-			up := func() bool { return n.call(&wire.StatusRequest{}).(*wire.Status).Load.EngineUp }
+			up := func() bool { return n.status().Load.EngineUp }
 			waitFor(t, "the engine", up)
-			controlEngine(t, backend, `{"step_ms": 20}`)
+			control(t, backend, `{"step_ms": 20}`)
 			if !c.midway {
-				controlEngine(t, backend, longFreeze)
+				control(t, backend, longFreeze)
 			}
 			// One crash is known already, so that one more makes a suspect.
 			again := ask(1)
 			again.Crashed = []string{"ep-9"}
-			suspect := func() bool { return n.call(again).(*wire.Decision).Suspect }
+			suspect := func() bool { return n.decision(again).Suspect }
 			if suspect() {
 				t.Fatal("a suspect before it ran")
 			}
@@ -91,7 +56,7 @@
 			if c.midway {
 				n.next() // Start
 				n.next()
-				controlEngine(t, backend, longFreeze)
+				control(t, backend, longFreeze)
 			}
 			end := n.end()
 			if end.Outcome != wire.Unknown || end.Code != wire.CodeUnknownOutcome || end.EngineCrashed {
@@ -107,15 +72,13 @@
 			if suspect() {
 				t.Error("a freeze is held against the request")
 			}
-			controlEngine(t, backend, c.after)
+			control(t, backend, c.after)
 			waitFor(t, "the engine to be back", up)
 			if suspect() != c.struck {
 				t.Errorf("suspect: %v, want %v", !c.struck, c.struck)
 			}
 			if c.midway && !c.struck {
-				waitFor(t, "the engine's cancel", func() bool {
-					return strings.Contains(engineAccount(t, backend), `"cancelled":true`)
-				})
+				waitFor(t, "the engine's cancel", func() bool { return engineAccount(t, backend).Requests[run.Attempt.String()].Cancelled })
 			}
 		})
 	}
@@ -127,14 +90,10 @@
 // Cause: what can't be run elsewhere was given up as what can.
 func TestFrozenEngineKeepsWhatCannotBeRepeated(t *testing.T) {
 	t.Parallel()
-	server := httptest.NewServer(standin.New(standin.Options{Control: standin.Defaults()}))
-	t.Cleanup(server.Close)
 	backend := startStandinEngine(t)
-	p := startProcess(t, backend, func(s *settings.Settings) {
-		s.Platform = settings.Platform{Log: server.URL, Instances: server.URL, Retention: settings.DefaultRetention}
-	})
+	p := startProcess(t, backend, func(s *settings.Settings) { s.Platform = platformOf(t, nil) })
 	n := p.dial("entry-1")
-	controlEngine(t, backend, `{"step_ms": 20, "resume_ms": 60000}`)
+	control(t, backend, `{"step_ms": 20, "resume_ms": 60000}`)
 	for i := range byte(2) {
 		run := chat(i + 1)
 		run.MaxTokens = 100
@@ -149,7 +108,7 @@
 			started++
 		}
 	}
-	controlEngine(t, backend, `{"freeze_ms": 5000}`)
+	control(t, backend, `{"freeze_ms": 5000}`)
 	ends := []*wire.End{n.end(), n.end()}
 	if ends[0].Attempt != attemptID(2) || ends[0].Outcome != wire.Unknown || ends[0].EngineCrashed {
 		t.Errorf("repeatable: got %+v", ends[0])
--- a/internal/endpoint/group_test.go
+++ b/internal/endpoint/group_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -10,7 +9,6 @@
 	"skylarklead/internal/platform"
 	"skylarklead/internal/prefix"
 	"skylarklead/internal/settings"
-	standin "skylarklead/internal/standin/platform"
 	"skylarklead/internal/wire"
 )
 
@@ -18,30 +16,26 @@
 // list, and returns the platform's address; change may be nil.
 func startEndpoints(t *testing.T, change func(i int, s *settings.Settings), engines ...string) (group []*process, url string) {
 	t.Helper()
-	addresses := make([]string, len(engines))
-	var list []platform.Instance
-	for i := range engines {
-		addresses[i] = freeAddress(t)
-		list = append(list, platform.Instance{
-			ID: fmt.Sprintf("ep-%d", i+1), Role: platform.RoleEndpoint, Address: addresses[i],
-			FailureDomain: "d1", Group: "g", State: platform.StateLive,
-		})
-	}
-	server := httptest.NewServer(standin.New(standin.Options{Control: standin.Defaults(), Instances: list}))
-	t.Cleanup(server.Close)
+	services, list := startPlatform(t, len(engines))
 	for i, backend := range engines {
-		group = append(group, startProcess(t, backend, func(s *settings.Settings) {
-			s.ID = list[i].ID
-			s.Listen = addresses[i]
-			s.Platform = settings.Platform{Log: server.URL, Instances: server.URL, Retention: settings.DefaultRetention}
-			s.Endpoint.Heartbeat = settings.Duration(20 * time.Millisecond)
-			s.Endpoint.SuspectAfter = settings.Duration(time.Second)
+		group = append(group, startMember(t, backend, services, list[i], func(s *settings.Settings) {
 			if change != nil {
 				change(i, s)
 			}
 		}))
 	}
-	return group, server.URL
+	return group, services.Log
+}
+
+// startMember starts a listed endpoint process with fast heartbeats.
+func startMember(t *testing.T, backend string, services settings.Platform, self platform.Instance, change func(*settings.Settings)) *process {
+	t.Helper()
+	return startProcess(t, backend, func(s *settings.Settings) {
+		s.ID, s.Listen, s.Platform = self.ID, self.Address, services
+		s.Endpoint.Heartbeat = settings.Duration(20 * time.Millisecond)
+		s.Endpoint.SuspectAfter = settings.Duration(time.Second)
+		change(s)
+	})
 }
 
 // startGroup starts endpoint processes and waits until all know each other.
@@ -57,7 +51,7 @@
 	for _, p := range group {
 		n := p.dial("watcher")
 		waitFor(t, "the group", func() bool {
-			d := n.call(ask(1)).(*wire.Decision)
+			d := n.decision(ask(1))
 			usable := 0
 			for _, c := range d.Candidates {
 				if c.Excluded == "" {
@@ -87,13 +81,13 @@
 	leaving, owner := group[1].dial("entry-1"), group[0].dial("entry-1")
 	leaving.call(&wire.Drain{Endpoint: "ep-2"})
 	waitFor(t, "the owner to know", func() bool {
-		d := owner.call(ask(1)).(*wire.Decision)
+		d := owner.decision(ask(1))
 		return len(d.Unavailable) == 1 && d.Unavailable[0] == "ep-2"
 	})
 	for n := range byte(20) {
 		// A leaving endpoint still answers as an owner.
 		for _, asked := range []*entry{leaving, owner} {
-			if d := asked.call(ask(n)).(*wire.Decision); d.Executor.Endpoint != "ep-1" || d.Refusal != nil {
+			if d := asked.decision(ask(n)); d.Executor.Endpoint != "ep-1" || d.Refusal != nil {
 				t.Fatalf("got %+v, refusal %+v", d, d.Refusal)
 			}
 		}
@@ -110,7 +104,7 @@
 	owner := group[0].dial("entry-1")
 	dead.Close()
 	waitFor(t, "the owner to know", func() bool {
-		for _, c := range owner.call(ask(1)).(*wire.Decision).Candidates {
+		for _, c := range owner.decision(ask(1)).Candidates {
 			if c.Endpoint == "ep-2" && c.Excluded != "" {
 				return true
 			}
@@ -118,7 +112,7 @@
 		return false
 	})
 	for n := range byte(20) {
-		if d := owner.call(ask(n)).(*wire.Decision); d.Executor.Endpoint != "ep-1" {
+		if d := owner.decision(ask(n)); d.Executor.Endpoint != "ep-1" {
 			t.Fatalf("got %+v", d)
 		}
 	}
@@ -137,15 +131,11 @@
 		run.Fingerprint = 7
 		f := engines[at]
 		f.step = make(chan struct{})
-		f.mu.Lock()
-		f.cut[run.Attempt.String()] = true
-		f.mu.Unlock()
+		f.change(func() { f.cut[run.Attempt.String()] = true })
 		n := group[at].dial("entry-1")
 		n.send(run)
 		n.next() // Start
-		f.mu.Lock()
-		f.incarnation = fmt.Sprint("restart-", i)
-		f.mu.Unlock()
+		f.change(func() { f.incarnation = fmt.Sprint("restart-", i) })
 		close(f.step)
 		if _, end := n.answer(0); !end.EngineCrashed {
 			t.Fatalf("got %+v", end)
@@ -155,7 +145,7 @@
 		for _, p := range group {
 			owner := p.dial("entry-1")
 			waitFor(t, "an owner to judge", func() bool {
-				d := owner.call(again).(*wire.Decision)
+				d := owner.decision(again)
 				switch i {
 				case 0:
 					return !d.Suspect && d.Refusal == nil
@@ -186,7 +176,7 @@
 	n := group[0].dial("entry-1")
 	question := ask(6)
 	question.Explain = false
-	if d := n.call(question).(*wire.Decision); d.Executor.Endpoint == "" || len(d.Candidates) != 0 {
+	if d := n.decision(question); d.Executor.Endpoint == "" || len(d.Candidates) != 0 {
 		t.Errorf("got %+v, want an executor without candidates", d)
 	}
 	records := n.call(&wire.ExplainRequest{Request: "r6"}).(*wire.Explanation).Records
@@ -206,21 +196,17 @@
 	anyVersion, pinned := ask(1), ask(1)
 	anyVersion.Version, anyVersion.AnyVersion = "v2", true
 	pinned.Version = "v2"
-	load := func(f *fakeEngine) {
-		f.mu.Lock()
-		f.version = "v2"
-		f.mu.Unlock()
-	}
+	load := func(f *fakeEngine) { f.change(func() { f.version = "v2" }) }
 	load(engines[2])
 	waitFor(t, "the first new engine", func() bool {
-		return owner.call(pinned).(*wire.Decision).Executor.Endpoint == "ep-3"
+		return owner.decision(pinned).Executor.Endpoint == "ep-3"
 	})
-	if d := owner.call(anyVersion).(*wire.Decision); d.Version != "v1" || d.Refusal == nil {
+	if d := owner.decision(anyVersion); d.Version != "v1" || d.Refusal == nil {
 		t.Fatalf("got %+v", d)
 	}
 	load(engines[1])
 	waitFor(t, "the new version", func() bool {
-		d := owner.call(anyVersion).(*wire.Decision)
+		d := owner.decision(anyVersion)
 		return d.Version == "" && d.Refusal == nil && d.Executor.Endpoint != "ep-1"
 	})
 }
@@ -247,5 +233,5 @@
 		t.Errorf("the setting isn't named: %s", log)
 	}
 	n := group[0].dial("tool")
-	waitFor(t, "a status without a reason", func() bool { return n.call(&wire.StatusRequest{}).(*wire.Status).NotReady == "" })
+	waitFor(t, "a status without a reason", func() bool { return n.status().NotReady == "" })
 }
--- a/internal/endpoint/harness_test.go
+++ b/internal/endpoint/harness_test.go
@@ -18,8 +18,10 @@
 
 	"skylarklead/internal/engine"
 	"skylarklead/internal/follow"
+	"skylarklead/internal/platform"
 	"skylarklead/internal/prefix"
 	"skylarklead/internal/settings"
+	standin "skylarklead/internal/standin/platform"
 	"skylarklead/internal/telemetry"
 	"skylarklead/internal/wire"
 )
@@ -31,6 +33,7 @@
 // fakeEngine streams words[0], words[1], … and waits at each for step, if set.
 type fakeEngine struct {
 	*httptest.Server
+	t     *testing.T
 	words []string
 	step  chan struct{}
 
@@ -45,6 +48,7 @@
 
 func newFakeEngine(t *testing.T, words ...string) *fakeEngine {
 	f := &fakeEngine{
+		t:           t,
 		words:       words,
 		incarnation: "i1",
 		version:     "v1",
@@ -132,10 +136,24 @@
 	return cut
 }
 
-func (f *fakeEngine) ran(id wire.AttemptID) int {
+func (f *fakeEngine) ran(id wire.AttemptID) (runs int) {
+	f.change(func() { runs = f.runs[id.String()] })
+	return runs
+}
+
+// change does something to the engine under its lock.
+func (f *fakeEngine) change(do func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.runs[id.String()]
+	do()
+}
+
+// wantRuns fails unless the attempt ran that often.
+func (f *fakeEngine) wantRuns(attempt byte, want int) {
+	f.t.Helper()
+	if got := f.ran(attemptID(attempt)); got != want {
+		f.t.Fatalf("attempt %d ran %d times, want %d", attempt, got, want)
+	}
 }
 
 // process is an endpoint process under test.
@@ -164,6 +182,43 @@
 	}
 }
 
+// startPlatform runs a stand-in platform that lists n endpoints of the group, at
+// free addresses, and returns the settings for it.
+func startPlatform(t *testing.T, n int) (settings.Platform, []platform.Instance) {
+	t.Helper()
+	var list []platform.Instance
+	for i := range n {
+		list = append(list, platform.Instance{
+			ID: fmt.Sprintf("ep-%d", i+1), Role: platform.RoleEndpoint, Address: freeAddress(t),
+			FailureDomain: "d1", Group: "g", State: platform.StateLive,
+		})
+	}
+	return platformOf(t, list), list
+}
+
+func platformOf(t *testing.T, list []platform.Instance) settings.Platform {
+	t.Helper()
+	server := httptest.NewServer(standin.New(standin.Options{Control: standin.Defaults(), Instances: list}))
+	t.Cleanup(server.Close)
+	return settings.Platform{Log: server.URL, Instances: server.URL, Retention: settings.DefaultRetention}
+}
+
+// control sets faults of a stand-in.
+func control(t *testing.T, base, body string) {
+	t.Helper()
+	resp, err := http.Post(base+"/control", "application/json", strings.NewReader(body))
+	if err != nil && strings.Contains(body, "crash") {
+		return // the answer to a crash may be lost with the connection
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if answer, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusOK {
+		t.Fatalf("control: %s", answer)
+	}
+}
+
 func startProcess(t *testing.T, backend string, change func(*settings.Settings)) *process {
 	t.Helper()
 	s := processSettings(t, backend)
@@ -205,6 +260,32 @@
 	return strings.TrimSpace(string(reason))
 }
 
+// beside starts a process beside a fake engine with these words, and a session.
+func beside(t *testing.T, words ...string) (*fakeEngine, *process, *entry) {
+	t.Helper()
+	f := newFakeEngine(t, words...)
+	p := startProcess(t, f.URL, nil)
+	return f, p, p.dial("entry-1")
+}
+
+// started is beside with the first word still to come for attempt 1, which has
+// begun. The engine waits for a step before each word.
+func started(t *testing.T, words ...string) (*fakeEngine, *process, *entry) {
+	t.Helper()
+	return startedWith(t, nil, words...)
+}
+
+func startedWith(t *testing.T, change func(*settings.Settings), words ...string) (*fakeEngine, *process, *entry) {
+	t.Helper()
+	f := newFakeEngine(t, words...)
+	f.step = make(chan struct{}, 8)
+	p := startProcess(t, f.URL, change)
+	n := p.dial("entry-1")
+	n.send(chat(1))
+	n.skip(1)
+	return f, p, n
+}
+
 // newTestEndpoint returns an endpoint that isn't running, an hour old, and its log.
 func newTestEndpoint(t *testing.T) (*Endpoint, *testLog) {
 	t.Helper()
@@ -356,6 +437,46 @@
 	}
 }
 
+// want reads an answer from seq on, and fails unless it is text and ends as told.
+func (n *entry) want(seq uint64, text string, outcome wire.Outcome) *wire.End {
+	n.t.Helper()
+	got, end := n.answer(seq)
+	if got != text || end.Outcome != outcome {
+		n.t.Fatalf("got %q, %+v, want %q, %s", got, end, text, outcome)
+	}
+	return end
+}
+
+// refused reads the end of a Run that must not have run, by code if one is given.
+func (n *entry) refused(code ...wire.Code) *wire.End {
+	n.t.Helper()
+	end := n.want(0, "", wire.NotRun)
+	if len(code) > 0 && end.Code != code[0] {
+		n.t.Fatalf("got %+v, want %s", end, code[0])
+	}
+	return end
+}
+
+// skip reads that many messages, the Start first.
+func (n *entry) skip(messages int) {
+	n.t.Helper()
+	for range messages {
+		n.next()
+	}
+}
+
+// decision asks an owner.
+func (n *entry) decision(m *wire.Ask) *wire.Decision {
+	n.t.Helper()
+	return n.call(m).(*wire.Decision)
+}
+
+// status asks a process for its status.
+func (n *entry) status() *wire.Status {
+	n.t.Helper()
+	return n.call(&wire.StatusRequest{}).(*wire.Status)
+}
+
 // end reads up to the next End, of whatever attempt.
 func (n *entry) end() *wire.End {
 	n.t.Helper()
--- a/internal/endpoint/once_test.go
+++ b/internal/endpoint/once_test.go
@@ -9,12 +9,9 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"skylarklead/internal/engine"
-	"skylarklead/internal/platform"
 	"skylarklead/internal/settings"
-	standin "skylarklead/internal/standin/platform"
 	"skylarklead/internal/wire"
 )
 
@@ -55,31 +52,17 @@
 // keyedGroup is service endpoints before one service, with a log.
 type keyedGroup struct {
 	service  *fakeService
-	platform *httptest.Server
+	platform string
 	members  []*process
 	start    func(i int) *process
 }
 
 func startKeyedGroup(t *testing.T, n int) *keyedGroup {
 	t.Helper()
-	g := &keyedGroup{service: newFakeService(t)}
-	var list []platform.Instance
-	for i := range n {
-		list = append(list, platform.Instance{
-			ID: fmt.Sprintf("ep-%d", i+1), Role: platform.RoleEndpoint, Address: freeAddress(t),
-			FailureDomain: "d1", Group: "g", State: platform.StateLive,
-		})
-	}
-	g.platform = httptest.NewServer(standin.New(standin.Options{Control: standin.Defaults(), Instances: list}))
-	t.Cleanup(g.platform.Close)
+	services, list := startPlatform(t, n)
+	g := &keyedGroup{service: newFakeService(t), platform: services.Log}
 	g.start = func(i int) *process {
-		return startProcess(t, g.service.URL, func(s *settings.Settings) {
-			s.ID, s.Listen = list[i].ID, list[i].Address
-			s.Platform = settings.Platform{Log: g.platform.URL, Instances: g.platform.URL, Retention: settings.DefaultRetention}
-			s.Endpoint.Kind = kindService
-			s.Endpoint.Heartbeat = settings.Duration(20 * time.Millisecond)
-			s.Endpoint.SuspectAfter = settings.Duration(time.Second)
-		})
+		return startMember(t, g.service.URL, services, list[i], func(s *settings.Settings) { s.Endpoint.Kind = kindService })
 	}
 	for i := range n {
 		g.members = append(g.members, g.start(i))
@@ -87,18 +70,6 @@
 	return g
 }
 
-func (g *keyedGroup) control(t *testing.T, fault string) {
-	t.Helper()
-	resp, err := http.Post(g.platform.URL+"/control", "application/json", bytes.NewReader([]byte(fault)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		t.Fatalf("control answered %s", resp.Status)
-	}
-}
-
 func payment(n byte, key byte) *wire.Run {
 	return &wire.Run{
 		Attempt: attemptID(n), Request: fmt.Sprintf("r%d", n), Organisation: "org", Group: "g",
@@ -111,14 +82,10 @@
 	g := startKeyedGroup(t, 1)
 	n := g.members[0].dial("entry-1")
 	n.send(payment(1, 1))
-	first, end := n.answer(0)
-	if first != "k1 run 1 by r1" || end.Outcome != wire.Done {
-		t.Fatalf("got %q, %+v", first, end)
-	}
+	const first = "k1 run 1 by r1"
+	n.want(0, first, wire.Done)
 	n.send(payment(2, 1))
-	if again, end := n.answer(0); again != first || end.Outcome != wire.Done {
-		t.Fatalf("got %q, %+v", again, end)
-	}
+	n.want(0, first, wire.Done)
 	conflicting := payment(3, 1)
 	conflicting.Fingerprint = 99
 	n.send(conflicting)
@@ -170,7 +137,7 @@
 // lost append.
 func TestKeyRunsOnceInTheGroup(t *testing.T) {
 	g := startKeyedGroup(t, 3)
-	g.control(t, `{"lose_next_answers": 1}`)
+	control(t, g.platform, `{"lose_next_answers": 1}`)
 	var senders []*entry
 	for i, p := range g.members {
 		n := p.dial("entry-1")
@@ -200,13 +167,10 @@
 	n := g.members[0].dial("entry-1")
 	n.send(payment(1, 1))
 	n.answer(0)
-	g.control(t, `{"log_down": true}`)
+	control(t, g.platform, `{"log_down": true}`)
 	n.send(payment(2, 2))
-	_, end := n.answer(0)
-	if end.Code != wire.CodeLogUnavailable || end.Outcome != wire.NotRun {
-		t.Fatalf("got %+v", end)
-	}
-	g.control(t, `{"log_down": false}`)
+	n.refused(wire.CodeLogUnavailable)
+	control(t, g.platform, `{"log_down": false}`)
 	sending := byte(3)
 	waitFor(t, "the log", func() bool {
 		n.send(payment(sending, 3))
--- a/internal/endpoint/orders_test.go
+++ b/internal/endpoint/orders_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"slices"
 	"testing"
-	"time"
 
 	"skylarklead/internal/engine"
 	"skylarklead/internal/follow"
@@ -14,21 +15,48 @@
 	"skylarklead/internal/wire"
 )
 
-// startStandinEngine runs the stand-in engine with model m at version v1.
+// startStandinEngine runs the stand-in engine with model m at version v1 and
+// returns its base URL. Its load report lags.
 func startStandinEngine(t *testing.T) string {
 	t.Helper()
-	e := standinengine.New(standinengine.Options{Model: "m", Version: "v1", Settings: standinengine.Defaults()})
+	return serveStandin(t, standinengine.Defaults())
+}
+
+// startStandin runs one whose load report is as of now.
+func startStandin(t *testing.T) string {
+	t.Helper()
+	settings := standinengine.Defaults()
+	settings.LoadLagMs = 0
+	return serveStandin(t, settings)
+}
+
+func serveStandin(t *testing.T, settings standinengine.Settings) string {
+	t.Helper()
+	e := standinengine.New(standinengine.Options{Model: "m", Version: "v1", Role: "mixed", Seed: 1, Settings: settings})
 	ctx, stop := context.WithCancel(context.Background())
-	t.Cleanup(stop)
-	ready := make(chan string, 1)
-	go e.Serve(ctx, "127.0.0.1:0", func(address string) { ready <- address })
-	select {
-	case address := <-ready:
-		return "http://" + address
-	case <-time.After(patience):
-		t.Fatal("the engine doesn't listen")
+	address, served := make(chan string, 1), make(chan error, 1)
+	go func() { served <- e.Serve(ctx, "127.0.0.1:0", func(a string) { address <- a }) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return "http://" + <-address
+}
+
+// engineAccount is the stand-in's own record of what it was asked to do.
+func engineAccount(t *testing.T, base string) (account standinengine.Account) {
+	t.Helper()
+	resp, err := http.Get(base + "/control/account")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&account); err != nil {
+		t.Fatal(err)
 	}
-	return ""
+	return account
 }
 
 func publish(t *testing.T, base string, records ...string) uint64 {
--- a/internal/endpoint/probe_test.go
+++ b/internal/endpoint/probe_test.go
@@ -10,7 +10,6 @@
 
 	"skylarklead/internal/platform"
 	"skylarklead/internal/settings"
-	standin "skylarklead/internal/standin/platform"
 	"skylarklead/internal/wire"
 )
 
@@ -35,11 +34,9 @@
 		ID: "ep-2", Role: platform.RoleEndpoint, Address: server.Listener.(*net.TCPListener).Addr().String(),
 		FailureDomain: "d1", Group: "g", State: platform.StateLive,
 	}}
-	instances := httptest.NewServer(standin.New(standin.Options{Control: standin.Defaults(), Instances: list}))
-	t.Cleanup(instances.Close)
 	f := newFakeEngine(t, "a")
 	p := startProcess(t, f.URL, func(s *settings.Settings) {
-		s.Platform.Instances = instances.URL
+		s.Platform.Instances = platformOf(t, list).Instances
 		s.Endpoint.SuspectAfter = settings.Duration(time.Hour)
 	})
 	session, err := wire.Dial(context.Background(), p.address, options)
@@ -52,7 +49,7 @@
 	}
 	n := p.dial("entry-1")
 	excluded := func(m *wire.Ask) string {
-		for _, c := range n.call(m).(*wire.Decision).Candidates {
+		for _, c := range n.decision(m).Candidates {
 			if c.Endpoint == peer.ID {
 				return c.Excluded
 			}
--- a/internal/endpoint/run_test.go
+++ b/internal/endpoint/run_test.go
@@ -16,33 +16,26 @@
 )
 
 func TestRunStreamsTheAnswer(t *testing.T) {
-	f := newFakeEngine(t, "one ", "two ", "three")
-	n := startProcess(t, f.URL, nil).dial("entry-1")
+	_, _, n := beside(t, "one ", "two ", "three")
 	n.send(chat(1))
-	text, end := n.answer(0)
-	if text != "one two three" || end.Outcome != wire.Done || end.CachedTokens != 16 {
-		t.Fatalf("got %q, %+v", text, end)
+	if end := n.want(0, "one two three", wire.Done); end.CachedTokens != 16 {
+		t.Fatalf("got %+v", end)
 	}
 }
 
 func TestCreditBoundsWhatIsSent(t *testing.T) {
-	f := newFakeEngine(t, "a", "b", "c", "d")
-	n := startProcess(t, f.URL, nil).dial("entry-1")
+	_, _, n := beside(t, "a", "b", "c", "d")
 	run := chat(1)
 	run.Window = 2
 	n.send(run)
-	n.next() // Start
-	n.next()
-	n.next()
+	n.skip(3)
 	// Another attempt on the same session passes the one that waits for credit.
 	n.send(chat(2))
 	if text, end := n.answer(0); text != "abcd" || end.Attempt != attemptID(2) {
 		t.Fatalf("got %q, %+v", text, end)
 	}
 	n.send(&wire.Credit{Attempt: run.Attempt, Seq: 9})
-	if text, end := n.answer(2); text != "cd" || end.Outcome != wire.Done {
-		t.Fatalf("got %q, %+v", text, end)
-	}
+	n.want(2, "cd", wire.Done)
 }
 
 // Symptom: a caller whose entry died gets a cut answer, though its stream lived.
@@ -50,59 +43,38 @@
 // another entry with the last number it had.
 // Cause: an answer's chunks were known to the lost session alone.
 func TestResumeOnAnotherSession(t *testing.T) {
-	f := newFakeEngine(t, "a", "b", "c", "d")
-	f.step = make(chan struct{}, 8)
-	p := startProcess(t, f.URL, nil)
-	n := p.dial("entry-1")
-	n.send(chat(1))
+	f, p, n := started(t, "a", "b", "c", "d")
 	f.step <- struct{}{}
 	f.step <- struct{}{}
-	n.next() // Start
-	n.next()
-	n.next()
+	n.skip(2)
 	n.session.Close(wire.ErrClosed)
 	other := p.dial("entry-2")
 	other.send(&wire.Resume{Attempt: attemptID(1), Epoch: p.tel.Epoch, Seq: 1, Window: 10, Organisation: "org"})
 	close(f.step)
-	if text, end := other.answer(1); text != "bcd" || end.Outcome != wire.Done {
-		t.Fatalf("got %q, %+v", text, end)
-	}
-	if f.ran(attemptID(1)) != 1 {
-		t.Fatalf("ran %d times", f.ran(attemptID(1)))
-	}
+	other.want(1, "bcd", wire.Done)
+	f.wantRuns(1, 1)
 }
 
 // Symptom: an answer ends early although the engine goes on generating it.
 // Sequence: the connection to the engine is cut after a word; the engine lives.
 // Cause: a lost connection was taken for a lost engine.
 func TestEngineConnectionLost(t *testing.T) {
-	f := newFakeEngine(t, "a", "b", "c")
-	f.cut[attemptID(1).String()] = true
-	n := startProcess(t, f.URL, nil).dial("entry-1")
+	f, _, n := beside(t, "a", "b", "c")
+	f.change(func() { f.cut[attemptID(1).String()] = true })
 	n.send(chat(1))
-	text, end := n.answer(0)
-	if text != "abc" || end.Outcome != wire.Done || f.ran(attemptID(1)) != 1 {
-		t.Fatalf("got %q, %+v, %d runs", text, end, f.ran(attemptID(1)))
-	}
+	n.want(0, "abc", wire.Done)
+	f.wantRuns(1, 1)
 }
 
 // Symptom: a caller is told done, or waits for ever, after its engine died.
 // Sequence: the engine dies after a word and comes back as another incarnation.
 // Cause: an engine's stream belongs to one incarnation.
 func TestEngineCrash(t *testing.T) {
-	f := newFakeEngine(t, "a", "b", "c")
-	f.step = make(chan struct{}, 8)
-	f.cut[attemptID(1).String()] = true
-	n := startProcess(t, f.URL, nil).dial("entry-1")
-	n.send(chat(1))
-	n.next() // Start
-	f.mu.Lock()
-	f.incarnation = "i2"
-	f.mu.Unlock()
+	f, _, n := started(t, "a", "b", "c")
+	f.change(func() { f.cut[attemptID(1).String()], f.incarnation = true, "i2" })
 	close(f.step)
-	text, end := n.answer(0)
-	if text != "a" || end.Outcome != wire.Unknown || !end.EngineCrashed {
-		t.Fatalf("got %q, %+v", text, end)
+	if end := n.want(0, "a", wire.Unknown); !end.EngineCrashed {
+		t.Fatalf("got %+v", end)
 	}
 }
 
@@ -111,26 +83,18 @@
 // what became of the attempt, and is told not_run; then the Run arrives.
 // Cause: what was answered to Resolve wasn't kept.
 func TestResolveFencesAnUnseenAttempt(t *testing.T) {
-	f := newFakeEngine(t, "a")
-	p := startProcess(t, f.URL, nil)
-	n := p.dial("entry-1")
+	f, p, n := beside(t, "a")
 	resolve := &wire.Resolve{Attempt: attemptID(1), Epoch: p.tel.Epoch}
 	if r := n.call(resolve).(*wire.Resolved); r.Outcome != wire.NotRun || r.Running {
 		t.Fatalf("got %+v", r)
 	}
 	n.send(chat(1))
-	if _, end := n.answer(0); end.Outcome != wire.NotRun {
-		t.Fatalf("got %+v", end)
-	}
-	if f.ran(attemptID(1)) != 0 {
-		t.Fatal("a fenced attempt ran")
-	}
+	n.refused()
+	f.wantRuns(1, 0)
 }
 
 func TestResolveOfAnotherEpoch(t *testing.T) {
-	f := newFakeEngine(t, "a")
-	p := startProcess(t, f.URL, nil)
-	n := p.dial("entry-1")
+	_, p, n := beside(t, "a")
 	r := n.call(&wire.Resolve{Attempt: attemptID(1), Epoch: p.tel.Epoch + 1}).(*wire.Resolved)
 	if r.Outcome != wire.Unknown || r.Running {
 		t.Fatalf("got %+v", r)
@@ -138,34 +102,25 @@
 }
 
 func TestDoubledRunIsDropped(t *testing.T) {
-	f := newFakeEngine(t, "a")
-	n := startProcess(t, f.URL, nil).dial("entry-1")
+	f, _, n := beside(t, "a")
 	n.send(chat(1))
 	n.send(chat(1))
 	n.answer(0)
 	n.send(chat(2))
 	n.answer(0)
-	if f.ran(attemptID(1)) != 1 {
-		t.Fatalf("ran %d times", f.ran(attemptID(1)))
-	}
+	f.wantRuns(1, 1)
 }
 
 func TestCancelReachesTheEngine(t *testing.T) {
-	f := newFakeEngine(t, "a", "b")
-	f.step = make(chan struct{})
-	p := startProcess(t, f.URL, nil)
-	n := p.dial("entry-1")
-	n.send(chat(1))
-	n.next() // Start
+	f, p, n := started(t, "a", "b")
 	p.dial("entry-2").send(&wire.Cancel{Attempt: attemptID(1)})
 	n.send(&wire.Cancel{Attempt: attemptID(1)})
 	if _, end := n.answer(0); end.Code != wire.CodeCanceled {
 		t.Fatalf("got %+v", end)
 	}
-	waitFor(t, "the engine's cancel", func() bool {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		return f.canceled[attemptID(1).String()]
+	waitFor(t, "the engine's cancel", func() (canceled bool) {
+		f.change(func() { canceled = f.canceled[attemptID(1).String()] })
+		return canceled
 	})
 }
 
@@ -173,22 +128,13 @@
 // Sequence: SIGTERM arrives while an answer is being generated.
 // Cause: the process ended with its context in place of its last stream.
 func TestDrainCutsNothing(t *testing.T) {
-	f := newFakeEngine(t, "a", "b")
-	f.step = make(chan struct{}, 8)
-	p := startProcess(t, f.URL, nil)
-	n := p.dial("entry-1")
-	n.send(chat(1))
-	n.next() // Start
+	f, p, n := started(t, "a", "b")
 	p.stop()
-	waitFor(t, "the refusal", func() bool { return n.call(&wire.StatusRequest{}).(*wire.Status).Leaving })
+	waitFor(t, "the refusal", func() bool { return n.status().Leaving })
 	n.send(chat(2))
-	if _, end := n.answer(0); end.Outcome != wire.NotRun || end.Code != wire.CodeDraining {
-		t.Fatalf("got %+v", end)
-	}
+	n.refused(wire.CodeDraining)
 	close(f.step)
-	if text, end := n.answer(0); text != "ab" || end.Outcome != wire.Done {
-		t.Fatalf("got %q, %+v", text, end)
-	}
+	n.want(0, "ab", wire.Done)
 	if err := <-p.ended; err != nil {
 		t.Fatal(err)
 	}
@@ -223,8 +169,7 @@
 // changed its group or kind.
 // Cause: a process took what it was sent.
 func TestWhatIsNotForThisEndpointIsRefused(t *testing.T) {
-	f := newFakeEngine(t, "a")
-	n := startProcess(t, f.URL, nil).dial("entry-1")
+	f, _, n := beside(t, "a")
 	for i, change := range []func(*wire.Run){
 		func(r *wire.Run) { r.Group = "other" },
 		func(r *wire.Run) { r.Call, r.Messages = &wire.Call{Service: "s"}, nil },
@@ -245,14 +190,7 @@
 }
 
 func TestQueueOverflowIsRefused(t *testing.T) {
-	f := newFakeEngine(t, "a")
-	f.step = make(chan struct{})
-	n := startProcess(t, f.URL, func(s *settings.Settings) {
-		s.Endpoint.MaxRunning = 1
-		s.Endpoint.MaxQueue = 1
-	}).dial("entry-1")
-	n.send(chat(1))
-	n.next() // Start
+	f, _, n := startedWith(t, func(s *settings.Settings) { s.Endpoint.MaxRunning, s.Endpoint.MaxQueue = 1, 1 }, "a")
 	n.send(chat(2))
 	n.send(chat(3))
 	if _, end := n.answer(0); end.Attempt != attemptID(3) || end.Code != wire.CodeOverloaded || end.RetryAfterMs == 0 {
@@ -265,21 +203,12 @@
 // Sequence: it comes back with a Last-Event-ID that isn't its own.
 // Cause: an attempt's ID alone was taken for the right to its stream.
 func TestResumeByAnotherOrganisation(t *testing.T) {
-	f := newFakeEngine(t, "a", "b")
-	f.step = make(chan struct{})
-	p := startProcess(t, f.URL, nil)
-	n := p.dial("entry-1")
-	n.send(chat(1))
-	n.next() // Start
+	f, p, n := started(t, "a", "b")
 	other := p.dial("entry-2")
 	other.send(&wire.Resume{Attempt: attemptID(1), Epoch: p.tel.Epoch, Window: 10, Organisation: "other"})
-	if text, end := other.answer(0); text != "" || end.Outcome != wire.Unknown {
-		t.Fatalf("got %q, %+v", text, end)
-	}
+	other.want(0, "", wire.Unknown)
 	close(f.step)
-	if text, end := n.answer(0); text != "ab" || end.Outcome != wire.Done {
-		t.Fatalf("got %q, %+v", text, end)
-	}
+	n.want(0, "ab", wire.Done)
 }
 
 // Symptom: one bad peer takes down the streams of all.
@@ -287,12 +216,7 @@
 // that match nothing come while an answer streams.
 // Cause: a session's failure wasn't kept to it.
 func TestBadPeersHarmNoOther(t *testing.T) {
-	f := newFakeEngine(t, "a", "b")
-	f.step = make(chan struct{})
-	p := startProcess(t, f.URL, nil)
-	n := p.dial("entry-1")
-	n.send(chat(1))
-	n.next() // Start
+	f, p, n := started(t, "a", "b")
 	stranger := wire.Options{Key: []byte("another key"), Self: func() wire.Identity { return wire.Identity{} }, Handler: n}
 	if _, err := wire.Dial(context.Background(), p.address, stranger); err == nil {
 		t.Fatal("a peer without the key was let in")
@@ -312,13 +236,9 @@
 	odd.send(&wire.End{Attempt: attemptID(1)})
 	odd.send(&wire.Heartbeat{ID: "ep-9"})
 	odd.send(&wire.Run{Attempt: attemptID(9)})
-	if _, end := odd.answer(0); end.Outcome != wire.NotRun || end.Code != wire.CodeBadRequest {
-		t.Fatalf("got %+v", end)
-	}
+	odd.refused(wire.CodeBadRequest)
 	close(f.step)
-	if text, end := n.answer(0); text != "ab" || end.Outcome != wire.Done {
-		t.Fatalf("got %q, %+v", text, end)
-	}
+	n.want(0, "ab", wire.Done)
 	if dropped := p.tel.Metrics.Dropped.Count(); dropped != 3 {
 		t.Fatalf("%d messages dropped and counted", dropped)
 	}
