fleet_keys: a fleet goes from one key to another without a stop

Cause: a process knew one key, so that two with different ones refused each other; changing it meant to stop all. Ruled out: a key that comes by the log, since the log is where a process without the key already gets in. Change: settings fleet_keys, up to four, in place of fleet_key: the first is proved when dialling, all are accepted; the acceptor answers by the dialer's key. Test: every pair of the four steps side by side, both ways; neighbours talk, and who lacks the dialer's key refuses it.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -73,7 +73,7 @@
 // Run serves peers until ctx ends and the last stream has.
 func Run(ctx context.Context, s *settings.Settings, tel *telemetry.Telemetry) error {
 	e := newEndpoint(s, tel)
-	options := wire.Options{Key: s.Key(), Self: e.identity, Handler: peerHandler{e}, Traffic: tel.Metrics.Traffic, Openings: e.openings}
+	options := wire.Options{Key: s.Key(), AlsoAccept: s.AlsoAccepted(), Self: e.identity, Handler: peerHandler{e}, Traffic: tel.Metrics.Traffic, Openings: e.openings}
 	e.pool = wire.NewPool(options)
 	defer e.pool.Close()
 	instances := platform.NewInstances(s.Platform.Instances)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"encoding/hex"
 	"fmt"
 	"net/netip"
 	"net/url"
@@ -12,7 +11,6 @@
 )
 
 const (
-	minFleetKeyBytes = 32
 	// maxBodyBound keeps a caller's body within one frame between processes.
 	maxBodyBound = 4 << 20
 	wantAddress  = `"ip:port" by IP number, such as "127.0.0.1:7001"`
@@ -53,7 +51,7 @@
 	if s.Metrics != "" {
 		c.listen("metrics", s.Metrics)
 	}
-	c.fleetKey()
+	c.fleetKeys()
 	c.oneOf("log_level", s.LogLevel, logLevels)
 	c.baseURL("platform.log", s.Platform.Log)
 	c.baseURL("platform.instances", s.Platform.Instances)
@@ -204,23 +202,3 @@
 		c.doc.Add(path, fmt.Sprintf("%q doesn't name its host by IP number", value), wantURL)
 	}
 }
-
-func (c *checker) fleetKey() {
-	want := fmt.Sprintf("%d bytes or more in hex, the same in the whole fleet", minFleetKeyBytes)
-	key, err := hex.DecodeString(c.s.FleetKey)
-	switch {
-	case err != nil:
-		c.doc.Add("fleet_key", "is not hex", want)
-	case len(key) < minFleetKeyBytes:
-		c.doc.Add("fleet_key", fmt.Sprintf("has %d bytes", len(key)), want)
-	}
-}
-
-// Key returns the fleet key's bytes.
-func (s *Settings) Key() []byte {
-	key, err := hex.DecodeString(s.FleetKey)
-	if err != nil {
-		return nil // Parse has refused such a key
-	}
-	return key
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,6 +21,9 @@
 	Metrics string `json:"metrics"`
 	// FleetKey is the fleet's shared key, 32 bytes or more in hex.
 	FleetKey string `json:"fleet_key"`
+	// FleetKeys stand in for FleetKey while the fleet goes from one key to another:
+	// the first is used to dial, all are accepted.
+	FleetKeys []string `json:"fleet_keys"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `json:"log_level"`
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -25,6 +25,22 @@
 
 const wholeEndpoint = `"endpoint": {"group": "g", "backend": "http://127.0.0.1:9000", "heartbeat": "1s"`
 
+const (
+	oneKey   = `"fleet_key": "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"`
+	otherKey = "ff112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+)
+
+func TestFleetKeys(t *testing.T) {
+	_, plain, _ := strings.Cut(strings.Trim(oneKey, `"`), `: "`)
+	s, err := Parse([]byte(strings.Replace(whole, oneKey, `"fleet_keys": ["`+otherKey+`", "`+plain+`"]`, 1)), "s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if also := s.AlsoAccepted(); s.Key()[0] != 0xff || len(also) != 1 || also[0][0] != 0 {
+		t.Errorf("dials by %x, also accepts %x", s.Key(), also)
+	}
+}
+
 func TestDefaults(t *testing.T) {
 	s, err := Parse([]byte(whole), "whole.json")
 	if err != nil {
@@ -40,8 +56,8 @@
 	if *s.Entry != want {
 		t.Errorf("entry: got %+v, want %+v", *s.Entry, want)
 	}
-	if len(s.Key()) != 32 {
-		t.Errorf("key has %d bytes", len(s.Key()))
+	if len(s.Key()) != 32 || len(s.AlsoAccepted()) != 0 {
+		t.Errorf("key has %d bytes, %d others", len(s.Key()), len(s.AlsoAccepted()))
 	}
 }
 
@@ -64,6 +80,11 @@
 		{"any host", [2]string{`"listen": "127.0.0.1:7001"`, `"listen": "0.0.0.0:7001"`}, `listen: "0.0.0.0:7001" can't be dialled by peers`},
 		{"share", [2]string{`8080"`, `8080", "retry_share": 1.5`}, `entry.retry_share: is 1.5; want a share from 0 to 1`},
 		{"short key", [2]string{`00112233445566778899aabbccddeeff0`, `0`}, `settings.json:6: fleet_key: has 16 bytes; want 32 bytes or more in hex`},
+		{"two sorts of keys", [2]string{`"fleet_key"`, `"fleet_keys": ["` + otherKey + `"], "fleet_key"`}, `fleet_keys: is given beside "fleet_key"; want one of the two`},
+		{"short second key", [2]string{oneKey, `"fleet_keys": ["` + otherKey + `", "00"]`}, `settings.json:6: fleet_keys[1]: has 1 bytes`},
+		{"key twice", [2]string{oneKey, `"fleet_keys": ["` + otherKey + `", "` + otherKey + `"]`}, `fleet_keys[1]: is there twice`},
+		{"many keys", [2]string{oneKey, `"fleet_keys": ["", "", "", "", ""]`}, `fleet_keys: has 5 keys; want 4 at the most`},
+		{"no keys", [2]string{oneKey, `"fleet_keys": []`}, `fleet_key: has 0 bytes`},
 		{"key not hex", [2]string{`"0011`, `"zz11`}, `settings.json:6: fleet_key: is not hex`},
 		{"role", [2]string{`"role": "entry"`, `"role": "endpoint"`}, `settings.json:3: role: is "endpoint" but the settings have "entry"`},
 		{"unknown role", [2]string{`"role": "entry"`, `"role": "router"`}, `role: "router" is not known; want "entry" or "endpoint"`},
--- a/internal/telemetry/key.go
+++ b/internal/telemetry/key.go
@@ -12,6 +12,6 @@
 		t.Log.Info("fleet key accepted", "setting", "fleet_key")
 	default:
 		t.Log.Error("fleet key refused by each peer that answered; not ready until one takes it",
-			"setting", "fleet_key", "refused_by", refusers, "do", "compare fleet_key with theirs, then restart")
+			"setting", "fleet_key", "refused_by", refusers, "do", "compare fleet_key (or fleet_keys) with theirs, then restart")
 	}
 }
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,8 +51,11 @@
 
 // Options are what both ends of a session need.
 type Options struct {
-	// Key is the fleet's shared key.
+	// Key is the fleet's shared key. A dialer proves it.
 	Key []byte
+	// AlsoAccept are further keys that a dialer may prove instead, so that a fleet
+	// can go from one key to another process by process.
+	AlsoAccept [][]byte
 	// Self is called at each opening, since the configuration offset changes.
 	Self func() Identity
 	// Handler gets the messages.
@@ -170,13 +174,25 @@
 	if err := readOpening(ctx, conn, &hello); err != nil {
 		return Identity{}, err
 	}
-	if !hmac.Equal(hello.MAC, identityMAC(opts.Key, ch.Nonce, hello.Identity)) {
+	key, ok := opts.proven(&hello, ch.Nonce)
+	if !ok {
 		return Identity{}, ErrUnauthenticated
 	}
-	welcome := &Welcome{MAC: identityMAC(opts.Key, hello.MAC, self)}
+	// By the dialer's own key: it may not have any other of ours.
+	welcome := &Welcome{MAC: identityMAC(key, hello.MAC, self)}
 	return hello.Identity, writeFrame(ctx, conn, 0, welcome)
 }
 
+// proven returns the accepted key that a Hello was made with.
+func (o *Options) proven(hello *Hello, nonce []byte) ([]byte, bool) {
+	for _, key := range slices.Concat([][]byte{o.Key}, o.AlsoAccept) {
+		if hmac.Equal(hello.MAC, identityMAC(key, nonce, hello.Identity)) {
+			return key, true
+		}
+	}
+	return nil, false
+}
+
 // identityMAC binds an identity to the other side's fresh bytes, so that an
 // opening can't be replayed.
 func identityMAC(key, fresh []byte, id Identity) []byte {
--- a/internal/wire/session_test.go
+++ b/internal/wire/session_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -27,6 +28,7 @@
 type end struct {
 	id   string
 	key  []byte
+	also [][]byte
 	hold chan struct{} // Ask is answered when it is closed; at once if nil
 
 	mu       sync.Mutex
@@ -38,7 +40,7 @@
 func newEnd(id string) *end { return &end{id: id, key: fleetKey, closed: make(chan error, 100)} }
 
 func (e *end) options() Options {
-	return Options{Key: e.key, Self: func() Identity { return Identity{ID: e.id, Role: RoleEndpoint, Epoch: 7} }, Handler: e}
+	return Options{Key: e.key, AlsoAccept: e.also, Self: func() Identity { return Identity{ID: e.id, Role: RoleEndpoint, Epoch: 7} }, Handler: e}
 }
 
 func (e *end) Handle(s *Session, ref uint32, m Message) {
@@ -146,6 +148,34 @@
 	calls.Wait()
 }
 
+// Symptom: a fleet has to be stopped as a whole to change its key.
+// Sequence: each process in turn is restarted with the next step's keys; any two
+// that stand side by side meanwhile dial each other.
+// Cause: a process that knew one key refused the other's.
+func TestFleetKeyIsRotated(t *testing.T) {
+	old, next := fleetKey, []byte("another key of thirty-two bytes.")
+	steps := [][][]byte{{old}, {old, next}, {next, old}, {next}}
+	with := func(keys [][]byte) *end {
+		e := newEnd("e")
+		e.key, e.also = keys[0], keys[1:]
+		return e
+	}
+	for i, dialer := range steps {
+		for j, acceptor := range steps {
+			address, _ := with(acceptor).serve(t)
+			s, err := Dial(context.Background(), address, with(dialer).options())
+			if err == nil {
+				s.Close(ErrClosed)
+			}
+			// Two steps apart the one may lack what the other dials by.
+			known := slices.ContainsFunc(acceptor, func(key []byte) bool { return bytes.Equal(key, dialer[0]) })
+			if (err == nil) != known || !known && max(i-j, j-i) < 2 {
+				t.Errorf("step %d dials step %d: %v", i, j, err)
+			}
+		}
+	}
+}
+
 // Symptom: whoever reaches a daemon's port can send it orders.
 // Sequence: a peer without the fleet's key opens a session, from either side.
 // Cause: an opening that isn't authenticated in both directions.
