--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -65,7 +65,7 @@
 		EnableShellCompletion: true,
 		ConfigureShellCompletionCommand: func(c *cli.Command) {
 			c.Hidden = false
-			c.Usage = "print a completion script for bash, zsh, fish or pwsh"
+			c.Usage = "print a completion script for bash"
 		},
 		Description: "Exit codes: 0 done; 2 bad use or a bad file; 3 refused or not there;\n" +
 			"4 the platform or the process can't be reached.\n\n" +
