Wait for a claim as long as it helps: half of the caller's patience, less in an outage

Cause: a sending waited one second for its claim whatever its caller and the log did. At 1500 ms for each read and append a claim takes 3 to 4.5 s, so all were refused (24 in 8 s); an outage of 3 s refused calls (78) that could have run at its end.

Change: a sending waits for half of what its caller still waits, 8 s at most. While appends fail, nobody is refused in the first 5 s and each sending waits a second after that, as before. not_run is still said only if the log was read to its end shortly before, now within 9 s before the sending came: a second before the refusal of old, so as strict to the caller's earlier sendings, and a longer wait doesn't make it unknown.

Ruled out: waiting for the end of any outage (the queue comes back as a herd).

At 5000 ms calls are refused, truthfully. The proof of a slow platform now allows no refusal at 1500 ms.

--- a/internal/attempt/claims.go
+++ b/internal/attempt/claims.go
@@ -95,7 +95,10 @@
 	Key         KeyDigest
 	Fingerprint uint64
 	// Age is the key's age, 0 where it isn't known.
-	Age        time.Duration
+	Age time.Duration
+	// Patience is how long its caller still waits for the answer, 0 where it isn't
+	// known.
+	Patience   time.Duration
 	Redirected bool
 }
 
--- a/internal/attempt/once.go
+++ b/internal/attempt/once.go
@@ -11,11 +11,15 @@
 	// Retention is how long the log keeps a record. Keys that tell an age of half
 	// of it are refused.
 	Retention time.Duration
-	// ClaimBound is how long a sending waits for its claim to be decided.
+	// ClaimBound is how long a sending waits for its claim to be decided at most,
+	// if its caller has the patience for it.
 	ClaimBound time.Duration
-	// FreshFor is for how long after the last complete read of the log a refusal
-	// says not_run. Later the process can't exclude that an earlier sending of the
-	// key ran elsewhere, and says unknown.
+	// OutageGrace is how long from the first failed append on nobody is refused
+	// for it, OutageWait how long a sending waits in an outage that goes on.
+	OutageGrace, OutageWait time.Duration
+	// FreshFor is for how long after the last complete read of the log a sending
+	// that comes, and is refused, hears not_run. Later the process can't exclude
+	// that an earlier sending of the key ran elsewhere, and says unknown.
 	FreshFor time.Duration
 	// HoldFor is how long a claim won for nobody is kept before it is released.
 	HoldFor time.Duration
@@ -23,7 +27,7 @@
 	// takes among all processes. SettleDelay lets settles ride on claims.
 	Interval    time.Duration
 	SettleDelay time.Duration
-	// MaxBackoff bounds the wait after failed appends. It stays below ClaimBound,
+	// MaxBackoff bounds the wait after failed appends. It stays below OutageWait,
 	// or sendings made when the log is back are refused for the last failure.
 	MaxBackoff time.Duration
 	// RetryAfter is when a caller may come back after a passing refusal.
@@ -37,7 +41,8 @@
 
 // DefaultOnceParams are for a log that keeps records for an hour.
 var DefaultOnceParams = OnceParams{
-	Retention: time.Hour, ClaimBound: time.Second, FreshFor: 10 * time.Second,
+	Retention: time.Hour, ClaimBound: 8 * time.Second, FreshFor: 9 * time.Second,
+	OutageGrace: 5 * time.Second, OutageWait: time.Second,
 	HoldFor: 5 * time.Second, Interval: 25 * time.Millisecond, SettleDelay: 250 * time.Millisecond,
 	MaxBackoff: 500 * time.Millisecond, RetryAfter: 2 * time.Second,
 	Horizon: 24 * time.Hour, MaxUndated: 1 << 16, ResultBytes: 16 << 20,
@@ -104,12 +109,6 @@
 	since time.Duration
 }
 
-type deadline struct {
-	at      time.Duration
-	key     KeyDigest
-	attempt wire.AttemptID
-}
-
 // peer is what is known of another process that may have claimed keys.
 type peer struct {
 	epoch wire.Epoch
@@ -134,15 +133,18 @@
 	caughtUp  bool
 	freshAt   time.Duration
 	outbox    outbox
-	doubts    []*keyState
-	idle      []*keyState
-	results   []*keyState
-	kept      int
-	carrier   bool
-	leaving   bool
-	sweepAt   time.Duration
-	malformed uint64
-	out       []OnceAction
+	// failingSince is when the first of the latest appends failed, if all since
+	// did; 0 if the last one succeeded.
+	failingSince time.Duration
+	doubts       []*keyState
+	idle         []*keyState
+	results      []*keyState
+	kept         int
+	carrier      bool
+	leaving      bool
+	sweepAt      time.Duration
+	malformed    uint64
+	out          []OnceAction
 }
 
 // NewOnce returns the state of a process that has read nothing of the log yet.
@@ -175,7 +177,7 @@
 	}
 	o.decide(k, waiter{KeyedRun: r, since: now}, now)
 	if k.waits(r.Attempt) {
-		o.deadlines = append(o.deadlines, deadline{at: now + o.params.ClaimBound, key: r.Key, attempt: r.Attempt})
+		o.bound(r, now)
 	}
 	return o.take(now)
 }
--- a/internal/attempt/once_log.go
+++ b/internal/attempt/once_log.go
@@ -166,6 +166,7 @@
 func (o *Once) Appended(batch uint64, now time.Duration) []OnceAction {
 	if b := o.outbox.answered(batch); b != nil {
 		o.outbox.pace(now + o.params.Interval)
+		o.failingSince = 0
 		o.doubt(b, now)
 	}
 	return o.take(now)
@@ -179,6 +180,7 @@
 		return o.take(now)
 	}
 	o.outbox.backOff(o.params, retryAfter, now)
+	o.failing(now)
 	for _, k := range b.claims {
 		if k.claim == claimAppending {
 			k.claim = claimIdle
@@ -197,6 +199,7 @@
 func (o *Once) AppendUnknown(batch uint64, now time.Duration) []OnceAction {
 	if b := o.outbox.answered(batch); b != nil {
 		o.outbox.backOff(o.params, 0, now)
+		o.failing(now)
 		o.doubt(b, now)
 	}
 	return o.take(now)
@@ -220,13 +223,7 @@
 // Tick refuses what has waited too long, releases idle claims, carries undated
 // keys and sends what is due.
 func (o *Once) Tick(now time.Duration) []OnceAction {
-	for len(o.deadlines) > 0 && o.deadlines[0].at <= now {
-		d := o.deadlines[0]
-		o.deadlines = o.deadlines[1:]
-		if k, ok := o.keys[d.key]; ok && k.dropWaiter(d.attempt) {
-			o.refuseOutage(d.attempt, now)
-		}
-	}
+	o.refuseLate(now)
 	o.releaseIdle(now)
 	if now >= o.sweepAt {
 		o.sweepAt = now + o.params.Retention/64
@@ -235,16 +232,6 @@
 	return o.take(now)
 }
 
-// refuseOutage: the claim isn't decided, so this sending has not run, and it
-// will not: should the claim turn up as the winner, it waits for a later caller.
-func (o *Once) refuseOutage(a wire.AttemptID, now time.Duration) {
-	ran := wire.NotRun
-	if !o.caughtUp || now-o.freshAt > o.params.FreshFor {
-		ran = wire.Unknown
-	}
-	o.answer(a, ran, wire.CodeLogUnavailable, "the log is not available; send the same key again", o.params.RetryAfter)
-}
-
 // releaseIdle releases claims that nobody came for, all of them when leaving.
 func (o *Once) releaseIdle(now time.Duration) {
 	kept := o.idle[:0]
--- a/internal/attempt/once_model_test.go
+++ b/internal/attempt/once_model_test.go
@@ -11,7 +11,8 @@
 )
 
 var testOnceParams = OnceParams{
-	Retention: 2 * time.Minute, ClaimBound: time.Second, FreshFor: 5 * time.Second,
+	Retention: 2 * time.Minute, ClaimBound: 2 * time.Second, FreshFor: 5 * time.Second,
+	OutageGrace: 1500 * time.Millisecond, OutageWait: 500 * time.Millisecond,
 	HoldFor: 3 * time.Second, Interval: 20 * time.Millisecond, SettleDelay: 100 * time.Millisecond,
 	MaxBackoff: time.Second, RetryAfter: time.Second,
 	Horizon: 10 * time.Minute, MaxUndated: 100, ResultBytes: 1 << 10,
@@ -69,6 +70,8 @@
 	ran      bool
 	notRun   bool
 	code     wire.Code
+	// until is when it has to be decided or refused.
+	until time.Duration
 }
 
 // onceWorld is a group of processes that get the same keys from many entries.
@@ -117,8 +120,14 @@
 		w.more++
 	}
 	a := wire.AttemptID{w.attempts, w.more, 1}
-	w.sendings[a] = &sending{key: key, proc: proc}
-	r := KeyedRun{Attempt: a, Key: KeyDigest{byte(key), 1}, Fingerprint: uint64(key), Redirected: redirected}
+	// Without one, at an even attempt, a sending waits for ClaimBound.
+	patience := time.Duration(w.attempts%2) * time.Duration(w.attempts) * 20 * time.Millisecond
+	s := &sending{key: key, proc: proc, until: w.now + testOnceParams.ClaimBound}
+	if patience > 0 {
+		s.until = min(s.until, w.now+patience/2)
+	}
+	w.sendings[a] = s
+	r := KeyedRun{Attempt: a, Key: KeyDigest{byte(key), 1}, Fingerprint: uint64(key), Patience: patience, Redirected: redirected}
 	if w.dated {
 		if w.born[key] == 0 {
 			w.born[key] = w.now
@@ -278,6 +287,12 @@
 	for i, p := range w.procs {
 		w.do(i, p.once.Tick(w.now))
 	}
+	for a, s := range w.sendings {
+		k := w.procs[s.proc].once.keys[KeyDigest{byte(s.key), 1}]
+		if w.now >= s.until && k != nil && k.waits(a) {
+			w.t.Fatalf("a sending waits at %v; it was to be refused at %v", w.now, s.until)
+		}
+	}
 }
 
 func (w *onceWorld) tell(i, j int) {
--- a/internal/attempt/once_test.go
+++ b/internal/attempt/once_test.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -127,6 +128,50 @@
 	}
 }
 
+// Symptom: payments are refused in an outage that is over before their callers
+// would have given up, or wait in vain for all of a long one.
+// Cause: one fixed wait for slow logs, short outages and long ones.
+func TestOnceWaitsAsLongAsItHelps(t *testing.T) {
+	const s, ms = time.Second, time.Millisecond
+	for _, c := range []struct {
+		name             string
+		fails, came      time.Duration
+		patience, refuse time.Duration
+	}{
+		{"slow log", 0, 10 * s, 0, 10*s + testOnceParams.ClaimBound},
+		{"slow log, impatient caller", 0, 10 * s, 600 * ms, 10*s + 300*ms},
+		{"outage begins while it waits", 10*s + 100*ms, 10 * s, 0, 11*s + 600*ms},
+		{"came early in an outage", 10 * s, 10*s + 100*ms, 0, 11*s + 500*ms},
+		{"came late in an outage", 10 * s, 13 * s, 0, 13*s + 500*ms},
+		{"outage, impatient caller", 10 * s, 13 * s, 200 * ms, 13*s + 100*ms},
+	} {
+		o := NewOnce("endpoint-0", 1, testOnceParams)
+		o.CaughtUp(c.came, c.came)
+		fail := func(now time.Duration) {
+			batch := o.Run(KeyedRun{Attempt: wire.AttemptID{9}, Key: KeyDigest{9}}, now)[0].(AppendClaims).Batch
+			o.AppendFailed(batch, time.Hour, now)
+		}
+		r := KeyedRun{Attempt: wire.AttemptID{1}, Key: KeyDigest{1}, Patience: c.patience}
+		if c.fails != 0 && c.fails <= c.came {
+			fail(c.fails)
+			o.Run(r, c.came)
+		} else if out := o.Run(r, c.came); c.fails != 0 {
+			o.AppendFailed(out[0].(AppendClaims).Batch, time.Hour, c.fails)
+		}
+		refused := func(now time.Duration) bool {
+			return slices.ContainsFunc(o.Tick(now), func(a OnceAction) bool {
+				answer, ok := a.(Answer)
+				return ok && answer.Attempt == r.Attempt && answer.End.Code == wire.CodeLogUnavailable
+			})
+		}
+		if refused(c.refuse - 1) {
+			t.Errorf("%s: refused before %v", c.name, c.refuse)
+		} else if !refused(c.refuse) {
+			t.Errorf("%s: not refused at %v", c.name, c.refuse)
+		}
+	}
+}
+
 func TestMalformedClaimsAreSkipped(t *testing.T) {
 	o := NewOnce("endpoint-0", 1, testOnceParams)
 	o.Record(1, []byte("not a record"), 0)
--- a/internal/endpoint/once.go
+++ b/internal/endpoint/once.go
@@ -67,6 +67,7 @@
 		Key:         key,
 		Fingerprint: a.run.Fingerprint,
 		Age:         time.Duration(a.run.KeyAgeMs) * time.Millisecond,
+		Patience:    time.Duration(a.run.DeadlineMs) * time.Millisecond,
 		Redirected:  a.run.Redirected,
 	}, e.now()))
 }
--- a/test/herd_test.go
+++ b/test/herd_test.go
@@ -20,10 +20,11 @@
 	// slowSpell is how long the platform is slow: long beside what a process
 	// polls the list and reads the log in, short beside CI.
 	slowSpell = 8 * time.Second
-	// slowMs leaves a call with an idempotency key time for its claim, verySlowMs
-	// doesn't: an append and its reading back take longer than a sending waits.
+	// At slowMs and verySlowMs a call with an idempotency key gets its claim while
+	// its caller waits, at hopelessMs it can't: an append times out.
 	slowMs     = 300
 	verySlowMs = 1500
+	hopelessMs = 5000
 )
 
 // traffic is callers who send chats, calls that may be repeated and calls that
@@ -144,8 +145,9 @@
 
 // Symptom: callers are refused while engines and services are idle.
 // Sequence: under load the platform takes a third of a second, then more than a
-// second, for each read and append. Calls that may run only once need a claim on
-// the log; they alone may be refused when it takes too long, truthfully.
+// second, then five, for each read and append. Calls that may run only once need a
+// claim on the log; they alone may be refused, truthfully, and only when it takes
+// longer than their callers could wait.
 // Cause: a request waits for the platform, or processes are taken for dead since
 // the platform doesn't tell of them.
 func TestHerdPlatformSlow(t *testing.T) {
@@ -155,11 +157,13 @@
 	defer tr.stop()
 	tr.steady.Store(true)
 	tr.awaitWhole("traffic", steadyRequests)
-	for _, ms := range []int{slowMs, verySlowMs} {
-		tr.noClaims.Store(ms == verySlowMs)
+	for _, ms := range []int{slowMs, verySlowMs, hopelessMs} {
+		tr.noClaims.Store(ms == hopelessMs)
 		c.Control(c.Platform, map[string]any{"slow_ms": ms})
 		spell, before := time.Now(), tr.whole.Load()
-		harness.Await(t, "the slow spell to pass", func() bool { return time.Since(spell) > slowSpell })
+		harness.Await(t, "the slow spell to pass", func() bool {
+			return time.Since(spell) > slowSpell && (ms != hopelessMs || tr.refused.Load() > 0)
+		})
 		tr.awaitWhole("traffic in the slow spell", steadyRequests)
 		t.Logf("%d whole answers in %v of a platform that takes %d ms, %d calls with a key refused",
 			tr.whole.Load()-before, time.Since(spell).Round(time.Second), ms, tr.refused.Load())
