wire: a message type of a newer build doesn't end the session

Cause: a frame of an unknown kind counted as malformed and ended the session, with the calls and streams on it; in a rolling restart to a build with a new message it would end again and again. Unknown fields were skipped already.

Change: kinds past this build's last are skipped after the opening; in the opening, and kind zero, they are refused as before. A reply of an unknown kind leaves its call to its own deadline.

--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -39,6 +39,8 @@
 	kindDrain
 	kindDrained
 	kindFailure
+
+	kindLast = kindFailure
 )
 
 func (*Challenge) kind() Kind      { return kindChallenge }
@@ -106,6 +108,10 @@
 // ErrMalformed is wrapped by every error about a frame that can't be decoded.
 var ErrMalformed = errors.New("wire: malformed message")
 
+// errUnknownKind is a message of a type that this build doesn't have. It wraps
+// ErrMalformed: an opening with it is refused.
+var errUnknownKind = fmt.Errorf("%w: unknown kind", ErrMalformed)
+
 // Bounds on what a peer can make us build from one frame.
 const (
 	maxArrayElements = 1 << 16
@@ -137,6 +143,9 @@
 		return 0, nil, fmt.Errorf("%w: frame: %v", ErrMalformed, err)
 	}
 	construct, ok := newMessage[env.Kind]
+	if !ok && env.Kind > kindLast {
+		return 0, nil, fmt.Errorf("%w %d", errUnknownKind, env.Kind)
+	}
 	if !ok {
 		return 0, nil, fmt.Errorf("%w: kind %d", ErrMalformed, env.Kind)
 	}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -253,6 +253,12 @@
 		}
 		s.pulse.beat()
 		ref, m, err := Decode(frame)
+		if errors.Is(err, errUnknownKind) {
+			// In a rolling restart a newer build sends what this one doesn't know.
+			// Ended for it, the session would take the calls and streams on it
+			// along, and the next one too. A call waits for its own deadline.
+			continue
+		}
 		if err != nil {
 			return err
 		}
