Poison proofs: a bystander that is given up fails at once

Cause: told to come back in an hour, it slept for that: on a build with nothing held against the fatal request the proof hung in place of failing (31 and 47 crashes).

--- a/test/poison_test.go
+++ b/test/poison_test.go
@@ -61,7 +61,7 @@
 			for n := 0; !over.Load(); n++ {
 				chat := harness.Ask(fmt.Sprintf("bystander-%d-%d", i, n), 40)
 				a := c.Caller(c.Entries[i%len(c.Entries)], o).Chat(context.Background(), chat)
-				for try := 0; try < maxTries && mayComeBack && a.Failure != nil && a.Failure.RetryAfterMs > 0 && o.Check(chat, a) == nil; try++ {
+				for try := 0; try < maxTries && mayComeBack && toldToComeBack(a) && o.Check(chat, a) == nil; try++ {
 					told.Add(1)
 					time.Sleep(time.Duration(a.Failure.RetryAfterMs) * time.Millisecond)
 					a = c.Caller(c.Entries[i%len(c.Entries)], o).Chat(context.Background(), chat)
@@ -148,12 +148,17 @@
 	}
 }
 
+// toldToComeBack reports whether a caller was told to send its request again soon.
+func toldToComeBack(a harness.Answer) bool {
+	return a.Failure != nil && a.Failure.Code != wire.CodeGivenUp && a.Failure.RetryAfterMs > 0
+}
+
 // sendUntilFinal sends the fatal request, comes back as told while the answer says
 // so, and returns the final one.
 func sendUntilFinal(t *testing.T, caller harness.Caller) harness.Answer {
 	for try := 0; ; try++ {
 		a := caller.Chat(t.Context(), harness.Ask(fatal, 10))
-		if a.Failure == nil || a.Failure.Code == wire.CodeGivenUp || a.Failure.RetryAfterMs <= 0 || try == maxTries {
+		if !toldToComeBack(a) || try == maxTries {
 			return a
 		}
 		t.Logf("a copy was told to come back: %v", a)
