--- a/cmd/skylarkd/main_test.go
+++ b/cmd/skylarkd/main_test.go
@@ -13,24 +13,17 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"skylarklead/test/kit"
 )
 
 // keyPair makes a certificate and its key, in PEM.
 func keyPair(t *testing.T) (certificate, key string) {
 	t.Helper()
-	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
+	private := kit.Must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))(t)
 	template := &x509.Certificate{SerialNumber: big.NewInt(1)}
-	issued, err := x509.CreateCertificate(rand.Reader, template, template, private.Public(), private)
-	if err != nil {
-		t.Fatal(err)
-	}
-	encoded, err := x509.MarshalPKCS8PrivateKey(private)
-	if err != nil {
-		t.Fatal(err)
-	}
+	issued := kit.Must(x509.CreateCertificate(rand.Reader, template, template, private.Public(), private))(t)
+	encoded := kit.Must(x509.MarshalPKCS8PrivateKey(private))(t)
 	block := func(kind string, data []byte) string {
 		return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}))
 	}
@@ -39,14 +32,9 @@
 
 func TestExitCodes(t *testing.T) {
 	good := filepath.Join("..", "..", "examples", "huon-ledger", "entry.json")
-	text, err := os.ReadFile(good)
-	if err != nil {
-		t.Fatal(err)
-	}
+	text := kit.Must(os.ReadFile(good))(t)
 	bad := filepath.Join(t.TempDir(), "entry.json")
-	if err := os.WriteFile(bad, bytes.Replace(text, []byte("hedge_after"), []byte("hedge_afer"), 1), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	kit.OK(t, os.WriteFile(bad, bytes.Replace(text, []byte("hedge_after"), []byte("hedge_afer"), 1), 0o600))
 	dir := t.TempDir()
 	// tls writes settings whose callers' TLS has the two contents.
 	tls := func(name, certificate, key string) string {
@@ -62,9 +50,7 @@
 		}
 		field := fmt.Sprintf("\"entry\": {\n\"tls\": {\"certificate\": %q,\n\"key\": %q},", files["certificate"], files["key"])
 		path := filepath.Join(dir, name)
-		if err := os.WriteFile(path, bytes.Replace(text, []byte("\"entry\": {"), []byte(field), 1), 0o600); err != nil {
-			t.Fatal(err)
-		}
+		kit.OK(t, os.WriteFile(path, bytes.Replace(text, []byte("\"entry\": {"), []byte(field), 1), 0o600))
 		return path
 	}
 	certificate, key := keyPair(t)
--- a/internal/config/apply_test.go
+++ b/internal/config/apply_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"skylarklead/test/kit"
 )
 
 // draft draws records as careless and racing operators would write them.
@@ -127,10 +129,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		entries := draft{newest: MaxSchema + 1, clash: true}.log(t)
 		at := rapid.IntRange(0, len(entries)).Draw(t, "at")
-		restored, err := DecodeState(encoded(t, replay(NewState(), entries[:at])))
-		if err != nil {
-			t.Fatal(err)
-		}
+		restored := kit.Must(DecodeState(encoded(t, replay(NewState(), entries[:at]))))(t)
 		all := replay(NewState(), entries)
 		if picture(t, replay(restored, entries[at:])) != picture(t, all) {
 			t.Fatal("snapshot and rest differ from the whole log")
@@ -147,14 +146,8 @@
 		own := rapid.IntRange(0, len(entries)).Draw(t, "own")
 		after := rapid.IntRange(0, own).Draw(t, "after")
 		peer, s := replay(NewState(), entries[:to]), replay(NewState(), entries[:own])
-		changes, err := EncodeSince(peer, uint64(after))
-		if err != nil {
-			t.Fatal(err)
-		}
-		merged, err := s.Merge(changes)
-		if err != nil {
-			t.Fatal(err)
-		}
+		changes := kit.Must(EncodeSince(peer, uint64(after)))(t)
+		merged := kit.Must(s.Merge(changes))(t)
 		if newer := replay(NewState(), entries[:max(to, own)]); picture(t, merged) != picture(t, newer) {
 			t.Fatalf("got  %s\nwant %s", picture(t, merged), picture(t, newer))
 		}
@@ -204,10 +197,7 @@
 			}
 		}
 		own := rapid.IntRange(0, len(entries)).Draw(t, "own")
-		merged, err := replay(NewState(), entries[:own]).Merge(encoded(t, old))
-		if err != nil {
-			t.Fatal(err)
-		}
+		merged := kit.Must(replay(NewState(), entries[:own]).Merge(encoded(t, old)))(t)
 		if picture(t, merged) != picture(t, newer) {
 			t.Fatalf("from the older build's state %s\nfrom the log %s", picture(t, merged), picture(t, newer))
 		}
@@ -228,10 +218,7 @@
 	if m := old.Models["m"]; m.Version != "v1" || len(old.Opaque) != 2 {
 		t.Fatalf("older build: model %+v, %d kept", m, len(old.Opaque))
 	}
-	upgraded, err := DecodeState(encoded(t, old))
-	if err != nil {
-		t.Fatal(err)
-	}
+	upgraded := kit.Must(DecodeState(encoded(t, old)))(t)
 	if want := replay(NewState(), log); picture(t, upgraded) != picture(t, want) {
 		t.Fatalf("got %+v, want %+v", upgraded, want)
 	}
@@ -282,14 +269,8 @@
 	}
 	moving := `"` + strings.Repeat("d", 64) + `"`
 	log := []Entry{{1, with("old", 0, moving)}, {2, with("old", 1, "")}, {3, with("new", 0, moving)}, {4, with("old", 2, "")}}
-	changes, err := EncodeSince(replay(NewState(), log), 1)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s, err := replay(NewState(), log[:1]).Merge(changes)
-	if err != nil {
-		t.Fatal(err)
-	}
+	changes := kit.Must(EncodeSince(replay(NewState(), log), 1))(t)
+	s := kit.Must(replay(NewState(), log[:1]).Merge(changes))(t)
 	if o := s.OrganisationByKey(strings.Repeat("d", 64)); o == nil || o.ID != "new" {
 		t.Errorf("the key belongs to %+v", o)
 	}
--- a/internal/config/record_test.go
+++ b/internal/config/record_test.go
@@ -7,6 +7,8 @@
 	"reflect"
 	"strings"
 	"testing"
+
+	"skylarklead/test/kit"
 )
 
 func TestRecordMistakes(t *testing.T) {
@@ -50,10 +52,7 @@
 		f.Fatal("no seeds:", err)
 	}
 	for _, path := range seeds {
-		data, err := os.ReadFile(path)
-		if err != nil {
-			f.Fatal(err)
-		}
+		data := kit.Must(os.ReadFile(path))(f)
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -68,8 +67,6 @@
 		if errors.Is(err, ErrEnvelope) && v.Reason != ReasonMalformed {
 			t.Fatalf("no envelope but %+v", v)
 		}
-		if _, err := DecodeState(encoded(t, s)); err != nil {
-			t.Fatal(err)
-		}
+		kit.Must(DecodeState(encoded(t, s)))(t)
 	})
 }
--- a/internal/config/snapshot_test.go
+++ b/internal/config/snapshot_test.go
@@ -12,6 +12,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"skylarklead/test/kit"
 )
 
 // words returns text that compresses about as well as prose does.
@@ -43,10 +45,7 @@
 	tb.Helper()
 	all := make([]Record, len(records))
 	for i, data := range records {
-		r, err := ParseRecord(data, "part")
-		if err != nil {
-			tb.Fatal(err)
-		}
+		r := kit.Must(ParseRecord(data, "part"))(tb)
 		all[i] = r
 	}
 	return all
@@ -55,14 +54,8 @@
 // Two writers' parts stand mixed on the log, one writer dies halfway.
 func TestAssembler(t *testing.T) {
 	s, _ := NewState().ApplyAll(organisations(t, 10, 400))
-	records, err := snapshotRecords(s, "first", 500)
-	if err != nil {
-		t.Fatal(err)
-	}
-	parts, err := snapshotRecords(s, "second", 500)
-	if err != nil {
-		t.Fatal(err)
-	}
+	records := kit.Must(snapshotRecords(s, "first", 500))(t)
+	parts := kit.Must(snapshotRecords(s, "second", 500))(t)
 	first, second := parsed(t, records), parsed(t, parts)
 	if len(first) < 3 {
 		t.Fatalf("only %d parts", len(first))
@@ -77,18 +70,12 @@
 		var a Assembler
 		found := 0
 		for _, r := range log {
-			got, err := a.Add(r)
-			if err != nil {
-				t.Fatal(err)
-			}
+			got := kit.Must(a.Add(r))(t)
 			if got == nil {
 				continue
 			}
 			found++
-			state, err := got.Decode()
-			if err != nil {
-				t.Fatal(err)
-			}
+			state := kit.Must(got.Decode())(t)
 			if picture(t, state) != picture(t, s) {
 				t.Fatal("the snapshot differs from its state")
 			}
@@ -122,10 +109,7 @@
 	peer, _ := own.Apply(3, []byte(`{"schema":1,"kind":"organisation","key":"org-00000","base":1,"delete":true}`))
 	peer, _ = peer.Apply(4, []byte(`{"schema":9,"kind":"group","key":"g","base":0,"body":1}`))
 	for _, after := range []uint64{0, 2} {
-		body, err := encMode.Marshal(peer.contentsSince(after))
-		if err != nil {
-			f.Fatal(err)
-		}
+		body := kit.Must(encMode.Marshal(peer.contentsSince(after)))(f)
 		f.Add(body, uint64(4), after)
 	}
 	f.Fuzz(func(t *testing.T, body []byte, offset, after uint64) {
@@ -133,10 +117,7 @@
 		if err != nil {
 			t.Skip("not CBOR")
 		}
-		data, err := compress(whole)
-		if err != nil {
-			t.Fatal(err)
-		}
+		data := kit.Must(compress(whole))(t)
 		merged, err := own.Merge(data)
 		if err != nil {
 			return
@@ -144,9 +125,7 @@
 		if merged.Offset < own.Offset {
 			t.Fatalf("offset went back to %d", merged.Offset)
 		}
-		if _, err := DecodeState(encoded(t, merged)); err != nil {
-			t.Fatal(err)
-		}
+		kit.Must(DecodeState(encoded(t, merged)))(t)
 	})
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -19,6 +19,7 @@
 	"skylarklead/internal/platform"
 	standin "skylarklead/internal/standin/platform"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 const records = `[
@@ -60,9 +61,7 @@
 
 func (f *fixture) write(text string) {
 	f.t.Helper()
-	if err := os.WriteFile(f.file, []byte(text), 0o600); err != nil {
-		f.t.Fatal(err)
-	}
+	kit.OK(f.t, os.WriteFile(f.file, []byte(text), 0o600))
 }
 
 func (f *fixture) run(want int, args ...string) string {
@@ -99,18 +98,13 @@
 	f.contains(f.run(ExitOK, "config", "diff", f.file), `+     "load_permits": 2`)
 	f.run(ExitOK, "config", "publish", f.file)
 	var events []event
-	if err := json.Unmarshal([]byte(f.run(ExitOK, "config", "history", "-o", "json", "group", "g")), &events); err != nil {
-		t.Fatal(err)
-	}
+	kit.OK(t, json.Unmarshal([]byte(f.run(ExitOK, "config", "history", "-o", "json", "group", "g")), &events))
 	if len(events) != 2 || events[1].Base != events[0].Offset || events[1].Verdict.Reason != config.ReasonInForce {
 		t.Errorf("history %+v", events)
 	}
 	exported := filepath.Join(t.TempDir(), "state")
 	f.run(ExitOK, "config", "export", "-o", exported)
-	data, err := os.ReadFile(exported)
-	if err != nil {
-		t.Fatal(err)
-	}
+	data := kit.Must(os.ReadFile(exported))(t)
 	if s, err := config.DecodeState(data); err != nil || s.Groups["g"].LoadPermits != 2 {
 		t.Errorf("exported %+v: %v", s, err)
 	}
@@ -160,11 +154,7 @@
 // answer is lost. Cause: only the answer told the outcome.
 func TestLostAnswer(t *testing.T) {
 	f := newFixture(t)
-	resp, err := http.Post(f.url+"/control", "application/json", strings.NewReader(`{"lose_next_answers":1}`))
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp.Body.Close()
+	kit.Control(t, f.url, `{"lose_next_answers":1}`)
 	f.contains(f.run(ExitOK, "config", "publish", f.file), "in_force")
 	log := platform.NewLog(f.url)
 	defer log.Close()
@@ -245,17 +235,11 @@
 func TestExportFromAProcessInAnOutage(t *testing.T) {
 	f := newFixture(t)
 	t.Setenv("SKYLARK_FLEET_KEY", fleetKey)
-	key, err := hex.DecodeString(fleetKey)
-	if err != nil {
-		t.Fatal(err)
-	}
+	key := kit.Must(hex.DecodeString(fleetKey))(t)
 	f.run(ExitOK, "config", "publish", f.file)
 	whole := filepath.Join(t.TempDir(), "whole")
 	f.run(ExitOK, "config", "export", "-o", whole)
-	state, err := os.ReadFile(whole)
-	if err != nil {
-		t.Fatal(err)
-	}
+	state := kit.Must(os.ReadFile(whole))(t)
 	old, empty := &daemon{state: state}, &daemon{}
 	f.url = "http://127.0.0.1:1"
 	exported := filepath.Join(t.TempDir(), "exported")
@@ -273,10 +257,7 @@
 	f := newFixture(t)
 	t.Setenv("SKYLARK_FLEET_KEY", fleetKey)
 	d := &daemon{}
-	key, err := hex.DecodeString(fleetKey)
-	if err != nil {
-		t.Fatal(err)
-	}
+	key := kit.Must(hex.DecodeString(fleetKey))(t)
 	at := d.serve(t, key)
 	f.contains(f.run(ExitOK, "status", at), "hobart-a")
 	f.contains(f.run(ExitOK, "explain", at, "r1"), "leaving")
--- a/internal/ctl/examples_test.go
+++ b/internal/ctl/examples_test.go
@@ -6,13 +6,11 @@
 
 	"skylarklead/internal/config"
 	"skylarklead/internal/settings"
+	"skylarklead/test/kit"
 )
 
 func TestExampleSettings(t *testing.T) {
-	paths, err := filepath.Glob("../../examples/*/*.json")
-	if err != nil {
-		t.Fatal(err)
-	}
+	paths := kit.Must(filepath.Glob("../../examples/*/*.json"))(t)
 	checked := 0
 	for _, path := range paths {
 		if filepath.Base(path) == "records.json" || filepath.Base(filepath.Dir(path)) == "workloads" {
@@ -31,10 +29,7 @@
 // Every example record is accepted on an empty log, and nothing dangles.
 func TestExampleRecords(t *testing.T) {
 	for _, deployment := range []string{"huon-ledger", "nakhla"} {
-		sources, err := readFile("../../examples/" + deployment + "/records.json")
-		if err != nil {
-			t.Fatal(err)
-		}
+		sources := kit.Must(readFile("../../examples/" + deployment + "/records.json"))(t)
 		_, s, err := prepare(config.NewState(), sources, "test")
 		if err != nil {
 			t.Fatal(err)
--- a/internal/endpoint/config_test.go
+++ b/internal/endpoint/config_test.go
@@ -7,6 +7,7 @@
 	"skylarklead/internal/config"
 	"skylarklead/internal/follow"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 // withState returns a follower that has the records accepted, and their state.
@@ -19,14 +20,9 @@
 			t.Fatalf("record %d: %+v", i, verdict)
 		}
 	}
-	encoded, err := config.EncodeState(state)
-	if err != nil {
-		t.Fatal(err)
-	}
+	encoded := kit.Must(config.EncodeState(state))(t)
 	f := follow.New(follow.Options{Logger: slog.New(slog.DiscardHandler)})
-	if err := f.Offer(encoded, follow.SourcePeer); err != nil {
-		t.Fatal(err)
-	}
+	kit.OK(t, f.Offer(encoded, follow.SourcePeer))
 	return f, state
 }
 
--- a/internal/endpoint/enginewatch_test.go
+++ b/internal/endpoint/enginewatch_test.go
@@ -8,6 +8,7 @@
 
 	"skylarklead/internal/engine"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 // Symptom: on a busy machine an engine with new weights is taken for one with the
@@ -107,7 +108,7 @@
 // Cause: the engine went by its load reports alone.
 func TestUnreachableEngineIsDownAtOnce(t *testing.T) {
 	f, p, n := beside(t, "a")
-	waitFor(t, "the engine", func() bool { return n.status().Load.EngineUp })
+	kit.Until(t, "the engine", func() bool { return n.status().Load.EngineUp })
 	f.Listener.Close()
 	n.send(chat(1))
 	if end := n.end(); end.Outcome != wire.NotRun {
--- a/internal/endpoint/freeze_test.go
+++ b/internal/endpoint/freeze_test.go
@@ -5,7 +5,9 @@
 	"testing"
 
 	"skylarklead/internal/settings"
+	standinengine "skylarklead/internal/standin/engine"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 // longFreeze outlasts a test's patience: what happens within it was not the thaw.
@@ -38,10 +40,10 @@
 			p := startProcess(t, backend, nil)
 			n := p.dial("entry-1")
 			up := func() bool { return n.status().Load.EngineUp }
-			waitFor(t, "the engine", up)
-			control(t, backend, `{"step_ms": 20}`)
+			kit.Until(t, "the engine", up)
+			kit.Control(t, backend, `{"step_ms": 20}`)
 			if !c.midway {
-				control(t, backend, longFreeze)
+				kit.Control(t, backend, longFreeze)
 			}
 			// One crash is known already, so that one more makes a suspect.
 			again := ask(1)
@@ -56,7 +58,7 @@
 			if c.midway {
 				n.next() // Start
 				n.next()
-				control(t, backend, longFreeze)
+				kit.Control(t, backend, longFreeze)
 			}
 			end := n.end()
 			if end.Outcome != wire.Unknown || end.Code != wire.CodeUnknownOutcome || end.EngineCrashed {
@@ -72,13 +74,15 @@
 			if suspect() {
 				t.Error("a freeze is held against the request")
 			}
-			control(t, backend, c.after)
-			waitFor(t, "the engine to be back", up)
+			kit.Control(t, backend, c.after)
+			kit.Until(t, "the engine to be back", up)
 			if suspect() != c.struck {
 				t.Errorf("suspect: %v, want %v", !c.struck, c.struck)
 			}
 			if c.midway && !c.struck {
-				waitFor(t, "the engine's cancel", func() bool { return engineAccount(t, backend).Requests[run.Attempt.String()].Cancelled })
+				kit.Until(t, "the engine's cancel", func() bool {
+					return kit.Get[standinengine.Account](t, backend+"/control/account").Requests[run.Attempt.String()].Cancelled
+				})
 			}
 		})
 	}
@@ -93,7 +97,7 @@
 	backend := startStandinEngine(t)
 	p := startProcess(t, backend, func(s *settings.Settings) { s.Platform = platformOf(t, nil) })
 	n := p.dial("entry-1")
-	control(t, backend, `{"step_ms": 20, "resume_ms": 60000}`)
+	kit.Control(t, backend, `{"step_ms": 20, "resume_ms": 60000}`)
 	for i := range byte(2) {
 		run := chat(i + 1)
 		run.MaxTokens = 100
@@ -108,7 +112,7 @@
 			started++
 		}
 	}
-	control(t, backend, `{"freeze_ms": 5000}`)
+	kit.Control(t, backend, `{"freeze_ms": 5000}`)
 	ends := []*wire.End{n.end(), n.end()}
 	if ends[0].Attempt != attemptID(2) || ends[0].Outcome != wire.Unknown || ends[0].EngineCrashed {
 		t.Errorf("repeatable: got %+v", ends[0])
--- a/internal/endpoint/group_test.go
+++ b/internal/endpoint/group_test.go
@@ -10,6 +10,7 @@
 	"skylarklead/internal/prefix"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 // startEndpoints starts one endpoint process for each engine, with a live instance
@@ -50,7 +51,7 @@
 		`{"schema":2,"kind":"model","key":"m","base":0,"body":{"group":"g","versions":["v1","v2"],"version":"v2"}}`)
 	for _, p := range group {
 		n := p.dial("watcher")
-		waitFor(t, "the group", func() bool {
+		kit.Until(t, "the group", func() bool {
 			d := n.decision(ask(1))
 			usable := 0
 			for _, c := range d.Candidates {
@@ -80,7 +81,7 @@
 	group := startGroup(t, newFakeEngine(t, "a"), newFakeEngine(t, "a"))
 	leaving, owner := group[1].dial("entry-1"), group[0].dial("entry-1")
 	leaving.call(&wire.Drain{Endpoint: "ep-2"})
-	waitFor(t, "the owner to know", func() bool {
+	kit.Until(t, "the owner to know", func() bool {
 		d := owner.decision(ask(1))
 		return len(d.Unavailable) == 1 && d.Unavailable[0] == "ep-2"
 	})
@@ -103,7 +104,7 @@
 	group := startGroup(t, newFakeEngine(t, "a"), dead)
 	owner := group[0].dial("entry-1")
 	dead.Close()
-	waitFor(t, "the owner to know", func() bool {
+	kit.Until(t, "the owner to know", func() bool {
 		for _, c := range owner.decision(ask(1)).Candidates {
 			if c.Endpoint == "ep-2" && c.Excluded != "" {
 				return true
@@ -144,7 +145,7 @@
 		again.Fingerprint = 7
 		for _, p := range group {
 			owner := p.dial("entry-1")
-			waitFor(t, "an owner to judge", func() bool {
+			kit.Until(t, "an owner to judge", func() bool {
 				d := owner.decision(again)
 				switch i {
 				case 0:
@@ -198,14 +199,14 @@
 	pinned.Version = "v2"
 	load := func(f *fakeEngine) { f.change(func() { f.version = "v2" }) }
 	load(engines[2])
-	waitFor(t, "the first new engine", func() bool {
+	kit.Until(t, "the first new engine", func() bool {
 		return owner.decision(pinned).Executor.Endpoint == "ep-3"
 	})
 	if d := owner.decision(anyVersion); d.Version != "v1" || d.Refusal == nil {
 		t.Fatalf("got %+v", d)
 	}
 	load(engines[1])
-	waitFor(t, "the new version", func() bool {
+	kit.Until(t, "the new version", func() bool {
 		d := owner.decision(anyVersion)
 		return d.Version == "" && d.Refusal == nil && d.Executor.Endpoint != "ep-1"
 	})
@@ -227,11 +228,11 @@
 		if i == odd {
 			want = wire.KeyRefused
 		}
-		waitFor(t, fmt.Sprintf("process %d to say %q", i, want), func() bool { return p.notReady() == want })
+		kit.Until(t, fmt.Sprintf("process %d to say %q", i, want), func() bool { return p.notReady() == want })
 	}
 	if log := group[odd].log.take(); !strings.Contains(log, `"setting":"fleet_key"`) {
 		t.Errorf("the setting isn't named: %s", log)
 	}
 	n := group[0].dial("tool")
-	waitFor(t, "a status without a reason", func() bool { return n.status().NotReady == "" })
+	kit.Until(t, "a status without a reason", func() bool { return n.status().NotReady == "" })
 }
--- a/internal/endpoint/harness_test.go
+++ b/internal/endpoint/harness_test.go
@@ -24,10 +24,9 @@
 	standin "skylarklead/internal/standin/platform"
 	"skylarklead/internal/telemetry"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
-const patience = 10 * time.Second
-
 var fleetKey = make([]byte, 32)
 
 // fakeEngine streams words[0], words[1], … and waits at each for step, if set.
@@ -203,22 +202,6 @@
 	return settings.Platform{Log: server.URL, Instances: server.URL, Retention: settings.DefaultRetention}
 }
 
-// control sets faults of a stand-in.
-func control(t *testing.T, base, body string) {
-	t.Helper()
-	resp, err := http.Post(base+"/control", "application/json", strings.NewReader(body))
-	if err != nil && strings.Contains(body, "crash") {
-		return // the answer to a crash may be lost with the connection
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	if answer, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusOK {
-		t.Fatalf("control: %s", answer)
-	}
-}
-
 func startProcess(t *testing.T, backend string, change func(*settings.Settings)) *process {
 	t.Helper()
 	s := processSettings(t, backend)
@@ -227,15 +210,12 @@
 	}
 	s.Advertise = s.Listen
 	log := &testLog{}
-	tel, err := telemetry.New(s, log)
-	if err != nil {
-		t.Fatal(err)
-	}
+	tel := kit.Must(telemetry.New(s, log))(t)
 	ctx, stop := context.WithCancel(context.Background())
 	p := &process{t: t, address: s.Listen, log: log, tel: tel, stop: stop, ended: make(chan error, 1)}
 	go func() { p.ended <- Run(ctx, s, tel) }()
 	t.Cleanup(stop)
-	waitFor(t, "the listener", func() bool {
+	kit.Until(t, "the listener", func() bool {
 		resp, err := http.Get("http://" + s.Listen + "/healthz")
 		if err == nil {
 			resp.Body.Close()
@@ -248,10 +228,7 @@
 // notReady is what /readyz gives for a reason, "" if the process is ready.
 func (p *process) notReady() string {
 	p.t.Helper()
-	resp, err := http.Get("http://" + p.address + "/readyz")
-	if err != nil {
-		p.t.Fatal(err)
-	}
+	resp := kit.Must(http.Get("http://" + p.address + "/readyz"))(p.t)
 	defer resp.Body.Close()
 	reason, err := io.ReadAll(resp.Body)
 	if err != nil || (resp.StatusCode == http.StatusOK) != (len(reason) == 0) {
@@ -292,10 +269,7 @@
 	s := processSettings(t, "http://127.0.0.1:1")
 	s.Advertise = s.Listen
 	log := &testLog{}
-	tel, err := telemetry.New(s, log)
-	if err != nil {
-		t.Fatal(err)
-	}
+	tel := kit.Must(telemetry.New(s, log))(t)
 	e := newEndpoint(s, tel)
 	e.started = time.Now().Add(-time.Hour)
 	return e, log
@@ -324,25 +298,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := kit.Must(net.Listen("tcp", "127.0.0.1:0"))(t)
 	defer l.Close()
 	return l.Addr().String()
 }
 
-func waitFor(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	deadline := time.Now().Add(patience)
-	for !ok() {
-		if time.Now().After(deadline) {
-			t.Fatalf("waited in vain for %s", what)
-		}
-		time.Sleep(5 * time.Millisecond) // between looks at the condition
-	}
-}
-
 // entry is the other end of a session.
 type entry struct {
 	t        *testing.T
@@ -355,10 +315,7 @@
 	p.t.Helper()
 	n := &entry{t: p.t, messages: make(chan wire.Message, 1024)}
 	self := func() wire.Identity { return wire.Identity{ID: id, Role: wire.RoleEntry} }
-	s, err := wire.Dial(context.Background(), p.address, wire.Options{Key: fleetKey, Self: self, Handler: n})
-	if err != nil {
-		p.t.Fatal(err)
-	}
+	s := kit.Must(wire.Dial(context.Background(), p.address, wire.Options{Key: fleetKey, Self: self, Handler: n}))(p.t)
 	n.session = s
 	p.t.Cleanup(func() { s.Close(wire.ErrClosed) })
 	return n
@@ -382,19 +339,14 @@
 
 func (n *entry) send(m wire.Message) {
 	n.t.Helper()
-	if err := n.session.Send(m); err != nil {
-		n.t.Fatal(err)
-	}
+	kit.OK(n.t, n.session.Send(m))
 }
 
 func (n *entry) call(m wire.Message) wire.Message {
 	n.t.Helper()
-	ctx, stop := context.WithTimeout(context.Background(), patience)
+	ctx, stop := context.WithTimeout(context.Background(), kit.Patience)
 	defer stop()
-	reply, err := n.session.Call(ctx, m)
-	if err != nil {
-		n.t.Fatal(err)
-	}
+	reply := kit.Must(n.session.Call(ctx, m))(n.t)
 	return reply
 }
 
@@ -407,7 +359,7 @@
 			n.t.Fatal("the session ended")
 		}
 		return m
-	case <-time.After(patience):
+	case <-time.After(kit.Patience):
 		n.t.Fatal("no message came")
 	}
 	return nil
--- a/internal/endpoint/once_test.go
+++ b/internal/endpoint/once_test.go
@@ -13,6 +13,7 @@
 	"skylarklead/internal/engine"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 // fakeService counts the runs of each request and answers with their number.
@@ -118,10 +119,10 @@
 	g.service.hold = make(chan struct{})
 	one, two := g.members[0].dial("entry-1"), g.members[0].dial("entry-2")
 	one.send(payment(1, 1))
-	waitFor(t, "the run", func() bool { return g.service.ran("k1") == 1 })
+	kit.Until(t, "the run", func() bool { return g.service.ran("k1") == 1 })
 	two.send(payment(2, 1))
 	resolve := &wire.Resolve{Attempt: attemptID(2), Epoch: g.members[0].tel.Epoch}
-	waitFor(t, "the second sending", func() bool { return two.call(resolve).(*wire.Resolved).Running })
+	kit.Until(t, "the second sending", func() bool { return two.call(resolve).(*wire.Resolved).Running })
 	close(g.service.hold)
 	first, _ := one.answer(0)
 	second, end := two.answer(0)
@@ -137,7 +138,7 @@
 // lost append.
 func TestKeyRunsOnceInTheGroup(t *testing.T) {
 	g := startKeyedGroup(t, 3)
-	control(t, g.platform, `{"lose_next_answers": 1}`)
+	kit.Control(t, g.platform, `{"lose_next_answers": 1}`)
 	var senders []*entry
 	for i, p := range g.members {
 		n := p.dial("entry-1")
@@ -167,12 +168,12 @@
 	n := g.members[0].dial("entry-1")
 	n.send(payment(1, 1))
 	n.answer(0)
-	control(t, g.platform, `{"log_down": true}`)
+	kit.Control(t, g.platform, `{"log_down": true}`)
 	n.send(payment(2, 2))
 	n.refused(wire.CodeLogUnavailable)
-	control(t, g.platform, `{"log_down": false}`)
+	kit.Control(t, g.platform, `{"log_down": false}`)
 	sending := byte(3)
-	waitFor(t, "the log", func() bool {
+	kit.Until(t, "the log", func() bool {
 		n.send(payment(sending, 3))
 		sending++
 		_, end := n.answer(0)
@@ -193,9 +194,7 @@
 	n.send(payment(1, 1))
 	n.answer(0)
 	g.members[0].stop()
-	if err := <-g.members[0].ended; err != nil {
-		t.Fatal(err)
-	}
+	kit.OK(t, <-g.members[0].ended)
 	again := g.start(0).dial("entry-1")
 	again.send(payment(2, 1))
 	if _, end := again.answer(0); end.Outcome == wire.NotRun || g.service.ran("k1") != 1 {
--- a/internal/endpoint/orders_test.go
+++ b/internal/endpoint/orders_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"slices"
 	"testing"
 
@@ -13,6 +11,7 @@
 	"skylarklead/internal/platform"
 	standinengine "skylarklead/internal/standin/engine"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 // startStandinEngine runs the stand-in engine with model m at version v1 and
@@ -45,39 +44,19 @@
 	return "http://" + <-address
 }
 
-// engineAccount is the stand-in's own record of what it was asked to do.
-func engineAccount(t *testing.T, base string) (account standinengine.Account) {
-	t.Helper()
-	resp, err := http.Get(base + "/control/account")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(&account); err != nil {
-		t.Fatal(err)
-	}
-	return account
-}
-
 func publish(t *testing.T, base string, records ...string) uint64 {
 	t.Helper()
 	var data [][]byte
 	for _, r := range records {
 		data = append(data, []byte(r))
 	}
-	first, err := platform.NewLog(base).Append(context.Background(), follow.Stream, data)
-	if err != nil {
-		t.Fatal(err)
-	}
+	first := kit.Must(platform.NewLog(base).Append(context.Background(), follow.Stream, data))(t)
 	return first
 }
 
 func isLoading(t *testing.T, c *engine.Client) bool {
 	t.Helper()
-	state, err := c.Orders(context.Background())
-	if err != nil {
-		t.Fatal(err)
-	}
+	state := kit.Must(c.Orders(context.Background()))(t)
 	return state.Loading
 }
 
@@ -102,13 +81,10 @@
 	processes, url := startEndpoints(t, nil, backends...)
 	publish(t, url, fmt.Sprintf(`{"schema":2,"kind":"group","key":"g","base":0,"body":{"load_permits":%d}}`, permits),
 		`{"schema":2,"kind":"model","key":"m","base":0,"body":{"group":"g","versions":["v1","v2"],"version":"v2"}}`)
-	waitFor(t, "the new weights", func() bool {
+	kit.Until(t, "the new weights", func() bool {
 		loading, loaded := 0, 0
 		for _, c := range engines {
-			state, err := c.Orders(context.Background())
-			if err != nil {
-				t.Fatal(err)
-			}
+			state := kit.Must(c.Orders(context.Background()))(t)
 			if state.Loading {
 				loading++
 			}
@@ -124,7 +100,7 @@
 	})
 	for _, p := range processes {
 		n := p.dial("tool")
-		waitFor(t, "the decision's record", func() bool {
+		kit.Until(t, "the decision's record", func() bool {
 			x := n.call(&wire.ExplainRequest{Request: "load_version:m@v2"}).(*wire.Explanation)
 			return slices.ContainsFunc(x.Records, func(r wire.DecisionRecord) bool { return r.Reason == "in_force" })
 		})
--- a/internal/endpoint/parameters_test.go
+++ b/internal/endpoint/parameters_test.go
@@ -3,7 +3,9 @@
 import (
 	"testing"
 
+	standinengine "skylarklead/internal/standin/engine"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 // Symptom: temperature and stop have no effect.
@@ -18,7 +20,7 @@
 	if _, end := n.answer(0); end.Outcome != wire.Done {
 		t.Fatalf("ended with %+v", end)
 	}
-	got := engineAccount(t, base).Requests[run.Attempt.String()]
+	got := kit.Get[standinengine.Account](t, base+"/control/account").Requests[run.Attempt.String()]
 	if got.Salt != "org" || len(got.Parameters) != 2 || string(got.Parameters["temperature"]) != "0.2" {
 		t.Errorf("got %+v", got)
 	}
--- a/internal/endpoint/probe_test.go
+++ b/internal/endpoint/probe_test.go
@@ -11,6 +11,7 @@
 	"skylarklead/internal/platform"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 // deaf is a peer that takes sessions and messages and never answers, as a
@@ -39,14 +40,9 @@
 		s.Platform.Instances = platformOf(t, list).Instances
 		s.Endpoint.SuspectAfter = settings.Duration(time.Hour)
 	})
-	session, err := wire.Dial(context.Background(), p.address, options)
-	if err != nil {
-		t.Fatal(err)
-	}
+	session := kit.Must(wire.Dial(context.Background(), p.address, options))(t)
 	load := wire.Load{EngineUp: true, Model: "m", Version: "v1", Incarnation: "i1"}
-	if err := session.Send(&wire.Heartbeat{ID: peer.ID, Epoch: peer.Epoch, Seq: 1, Load: load}); err != nil {
-		t.Fatal(err)
-	}
+	kit.OK(t, session.Send(&wire.Heartbeat{ID: peer.ID, Epoch: peer.Epoch, Seq: 1, Load: load}))
 	n := p.dial("entry-1")
 	excluded := func(m *wire.Ask) string {
 		for _, c := range n.decision(m).Candidates {
@@ -56,9 +52,9 @@
 		}
 		return "unknown"
 	}
-	waitFor(t, "the peer to be usable", func() bool { return excluded(ask(1)) == "" })
+	kit.Until(t, "the peer to be usable", func() bool { return excluded(ask(1)) == "" })
 	again := ask(2)
 	again.Exclude = []string{peer.ID}
 	n.call(again)
-	waitFor(t, "the peer to be out for others", func() bool { return excluded(ask(3)) == "dead" })
+	kit.Until(t, "the peer to be out for others", func() bool { return excluded(ask(3)) == "dead" })
 }
--- a/internal/endpoint/run_test.go
+++ b/internal/endpoint/run_test.go
@@ -13,6 +13,7 @@
 
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 func TestRunStreamsTheAnswer(t *testing.T) {
@@ -118,7 +119,7 @@
 	if _, end := n.answer(0); end.Code != wire.CodeCanceled {
 		t.Fatalf("got %+v", end)
 	}
-	waitFor(t, "the engine's cancel", func() (canceled bool) {
+	kit.Until(t, "the engine's cancel", func() (canceled bool) {
 		f.change(func() { canceled = f.canceled[attemptID(1).String()] })
 		return canceled
 	})
@@ -130,14 +131,12 @@
 func TestDrainCutsNothing(t *testing.T) {
 	f, p, n := started(t, "a", "b")
 	p.stop()
-	waitFor(t, "the refusal", func() bool { return n.status().Leaving })
+	kit.Until(t, "the refusal", func() bool { return n.status().Leaving })
 	n.send(chat(2))
 	n.refused(wire.CodeDraining)
 	close(f.step)
 	n.want(0, "ab", wire.Done)
-	if err := <-p.ended; err != nil {
-		t.Fatal(err)
-	}
+	kit.OK(t, <-p.ended)
 }
 
 // Symptom: the last answer before a graceful stop is cut.
@@ -274,5 +273,5 @@
 	if !resumable(calls) {
 		t.Fatal("the last answer can't be resumed")
 	}
-	waitFor(t, "the oldest to be dropped", func() bool { return !resumable(1) })
+	kit.Until(t, "the oldest to be dropped", func() bool { return !resumable(1) })
 }
--- a/internal/engine/transport_test.go
+++ b/internal/engine/transport_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"skylarklead/internal/prefix"
+	"skylarklead/test/kit"
 )
 
 const testDeadline = 10 * time.Second
@@ -25,10 +26,7 @@
 
 func newLossyServer(t *testing.T) *lossyServer {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener := kit.Must(net.Listen("tcp", "127.0.0.1:0"))(t)
 	t.Cleanup(func() { listener.Close() })
 	s := &lossyServer{base: "http://" + listener.Addr().String()}
 	go func() {
--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"testing"
+
+	"skylarklead/test/kit"
 )
 
 func TestParseChat(t *testing.T) {
@@ -51,10 +53,7 @@
 }
 
 func TestParseChatKeepsText(t *testing.T) {
-	body, err := parseChat([]byte(`{"model":"m@v2","messages":[{"role":"user","content":[{"type":"text","text":"a"},{"type":"text","text":"b"}]}],"max_completion_tokens":9}`))
-	if err != nil {
-		t.Fatal(err)
-	}
+	body := kit.Must(parseChat([]byte(`{"model":"m@v2","messages":[{"role":"user","content":[{"type":"text","text":"a"},{"type":"text","text":"b"}]}],"max_completion_tokens":9}`)))(t)
 	if body.Model != "m" || body.Version != "v2" || body.MaxTokens != 9 || body.Messages[0].Content != "ab" {
 		t.Errorf("got %+v", body)
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -20,6 +20,7 @@
 
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 // Symptom: a rolling restart cuts answers.
@@ -42,7 +43,7 @@
 		defer close(drained)
 		e.shutDown(c.Config)
 	}()
-	until(t, "refusing", func() bool {
+	kit.Until(t, "refusing", func() bool {
 		e.drain.mu.Lock()
 		defer e.drain.mu.Unlock()
 		return e.drain.refusing
@@ -131,37 +132,23 @@
 // writeCertificate writes a self-signed certificate for 127.0.0.1 and its key.
 func writeCertificate(t *testing.T) (*settings.TLS, *x509.CertPool) {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
+	key := kit.Must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))(t)
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(1),
 		NotAfter:     time.Now().Add(time.Hour),
 		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
 	}
-	certificate, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	private, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
+	certificate := kit.Must(x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key))(t)
+	private := kit.Must(x509.MarshalECPrivateKey(key))(t)
 	files := &settings.TLS{Certificate: filepath.Join(t.TempDir(), "cert.pem"), Key: filepath.Join(t.TempDir(), "key.pem")}
 	for file, block := range map[string]*pem.Block{
 		files.Certificate: {Type: "CERTIFICATE", Bytes: certificate},
 		files.Key:         {Type: "EC PRIVATE KEY", Bytes: private},
 	} {
-		if err := os.WriteFile(file, pem.EncodeToMemory(block), 0o600); err != nil {
-			t.Fatal(err)
-		}
+		kit.OK(t, os.WriteFile(file, pem.EncodeToMemory(block), 0o600))
 	}
 	pool := x509.NewCertPool()
-	parsed, err := x509.ParseCertificate(certificate)
-	if err != nil {
-		t.Fatal(err)
-	}
+	parsed := kit.Must(x509.ParseCertificate(certificate))(t)
 	pool.AddCert(parsed)
 	return files, pool
 }
@@ -171,14 +158,8 @@
 	files, pool := writeCertificate(t)
 	e.settings.Entry.TLS = files
 	e.settings.Entry.Listen = "127.0.0.1:0"
-	server, err := e.callerServer()
-	if err != nil {
-		t.Fatal(err)
-	}
-	listener, err := e.listenCallers()
-	if err != nil {
-		t.Fatal(err)
-	}
+	server := kit.Must(e.callerServer())(t)
+	listener := kit.Must(e.listenCallers())(t)
 	go e.serve(server, listener)
 	t.Cleanup(func() { server.Close() })
 	client := &http.Client{Transport: &http.Transport{
@@ -186,10 +167,7 @@
 		ForceAttemptHTTP2: true,
 		DisableKeepAlives: true,
 	}}
-	resp, err := client.Get("https://" + listener.Addr().String() + "/healthz")
-	if err != nil {
-		t.Fatal(err)
-	}
+	resp := kit.Must(client.Get("https://" + listener.Addr().String() + "/healthz"))(t)
 	resp.Body.Close()
 	if resp.StatusCode != http.StatusOK || resp.TLS == nil {
 		t.Errorf("status %d, TLS %v", resp.StatusCode, resp.TLS)
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -23,26 +23,15 @@
 	"skylarklead/internal/settings"
 	"skylarklead/internal/telemetry"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 const (
-	patience = 10 * time.Second
-	testKey  = "k-foodbank"
+	testKey = "k-foodbank"
 )
 
 var fleetKey = strings.Repeat("ab", 32)
 
-// until polls for a condition.
-func until(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for deadline := time.Now().Add(patience); !ok(); {
-		if time.Now().After(deadline) {
-			t.Fatalf("never: %s", what)
-		}
-		time.Sleep(2 * time.Millisecond)
-	}
-}
-
 // static is a configuration that doesn't change.
 type static struct{ state *config.State }
 
@@ -75,10 +64,7 @@
 	state := config.NewState()
 	for i, r := range records {
 		r.Schema = config.MaxSchema
-		data, err := r.Encode()
-		if err != nil {
-			t.Fatal(err)
-		}
+		data := kit.Must(r.Encode())(t)
 		next, verdict := state.Apply(uint64(i+1), data)
 		if next.Revision(r.Kind, r.Key) == 0 {
 			t.Fatalf("record %s: %+v", r.Name(), verdict)
@@ -308,17 +294,11 @@
 		Entry: &settings.Entry{
 			MaxBody: 64 << 10, HedgeAfter: settings.Duration(50 * time.Millisecond),
 			ResumeGrace:    settings.Duration(200 * time.Millisecond),
-			RequestTimeout: settings.Duration(patience), RetryShare: 0.2,
+			RequestTimeout: settings.Duration(kit.Patience), RetryShare: 0.2,
 		},
 	}
-	tel, err := telemetry.New(s, io.Discard)
-	if err != nil {
-		t.Fatal(err)
-	}
-	e, err := newEntry(s, tel)
-	if err != nil {
-		t.Fatal(err)
-	}
+	tel := kit.Must(telemetry.New(s, io.Discard))(t)
+	e := kit.Must(newEntry(s, tel))(t)
 	e.config = static{testState(t)}
 	list := make([]platform.Instance, len(executors))
 	for i, x := range executors {
@@ -354,18 +334,12 @@
 
 func (c *caller) send(ctx context.Context, method, path, body string, headers ...string) *http.Response {
 	c.Helper()
-	r, err := http.NewRequestWithContext(ctx, method, c.URL+path, strings.NewReader(body))
-	if err != nil {
-		c.Fatal(err)
-	}
+	r := kit.Must(http.NewRequestWithContext(ctx, method, c.URL+path, strings.NewReader(body)))(c)
 	r.Header.Set("Authorization", "Bearer "+testKey)
 	for i := 0; i+1 < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		c.Fatal(err)
-	}
+	resp := kit.Must(http.DefaultClient.Do(r))(c)
 	c.Cleanup(func() { resp.Body.Close() })
 	return resp
 }
@@ -406,15 +380,10 @@
 // body, of which it sends some.
 func (c *caller) upload(body string) *net.TCPConn {
 	c.Helper()
-	conn, err := net.Dial("tcp", c.Listener.Addr().String())
-	if err != nil {
-		c.Fatal(err)
-	}
+	conn := kit.Must(net.Dial("tcp", c.Listener.Addr().String()))(c)
 	c.Cleanup(func() { conn.Close() })
-	conn.SetReadDeadline(time.Now().Add(patience))
-	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer %s\r\nContent-Length: 1000\r\n\r\n%s", chatPath, testKey, body); err != nil {
-		c.Fatal(err)
-	}
+	conn.SetReadDeadline(time.Now().Add(kit.Patience))
+	kit.Must(fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer %s\r\nContent-Length: 1000\r\n\r\n%s", chatPath, testKey, body))(c)
 	return conn.(*net.TCPConn)
 }
 
@@ -451,15 +420,11 @@
 			got.done = true
 		case strings.HasPrefix(line, "data: ") && failing:
 			var e errorBody
-			if err := json.Unmarshal([]byte(line[6:]), &e); err != nil {
-				t.Fatal(err)
-			}
+			kit.OK(t, json.Unmarshal([]byte(line[6:]), &e))
 			got.failure = &e.Error
 		case strings.HasPrefix(line, "data: "):
 			var c chunkJSON
-			if err := json.Unmarshal([]byte(line[6:]), &c); err != nil {
-				t.Fatal(err)
-			}
+			kit.OK(t, json.Unmarshal([]byte(line[6:]), &c))
 			for _, choice := range c.Choices {
 				got.text += choice.Delta.Content
 			}
@@ -475,8 +440,6 @@
 func readError(t *testing.T, resp *http.Response) errorFields {
 	t.Helper()
 	var e errorBody
-	if err := json.NewDecoder(resp.Body).Decode(&e); err != nil {
-		t.Fatal(err)
-	}
+	kit.OK(t, json.NewDecoder(resp.Body).Decode(&e))
 	return e.Error
 }
--- a/internal/entry/parameters_test.go
+++ b/internal/entry/parameters_test.go
@@ -8,6 +8,7 @@
 
 	"skylarklead/internal/parameters"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 const sampledBody = `{"model":"ledger-llm","stream":true,"messages":[{"role":"user","content":"hi"}],` +
@@ -106,10 +107,7 @@
 	state := testState(t)
 	req := &request{state: state, organisation: state.Organisations["foodbank"]}
 	fingerprint := func(fields string) uint64 {
-		body, err := parseChat([]byte(`{"model":"ledger-llm","messages":[{"role":"user","content":"hi"}]` + fields + `}`))
-		if err != nil {
-			t.Fatal(err)
-		}
+		body := kit.Must(parseChat([]byte(`{"model":"ledger-llm","messages":[{"role":"user","content":"hi"}]` + fields + `}`)))(t)
 		j, refusal := chatJob(req, body)
 		if refusal != nil {
 			t.Fatal(refusal)
--- a/internal/entry/refuse_test.go
+++ b/internal/entry/refuse_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 // Symptom: bad callers cost engine time, or get an error that tells nothing.
@@ -126,7 +127,7 @@
 	e, c := newTestEntry(t, "llm", x)
 	e.timeouts.stall = 50 * time.Millisecond
 	resp := c.chat(streamBody)
-	until(t, "canceled", func() bool { return count[*wire.Cancel](x) > 0 })
+	kit.Until(t, "canceled", func() bool { return count[*wire.Cancel](x) > 0 })
 	if _, err := io.Copy(io.Discard, resp.Body); err == nil {
 		t.Error("the cut answer looks whole")
 	}
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 const totalWords = 40
@@ -128,7 +129,7 @@
 		lines, hangUp := c.open()
 		readEvents(t, lines, 5)
 		hangUp()
-		until(t, "canceled", func() bool { return count[*wire.Cancel](x) == 1 })
+		kit.Until(t, "canceled", func() bool { return count[*wire.Cancel](x) == 1 })
 		if got, want := last[*wire.Cancel](x).Attempt, last[*wire.Run](x).Attempt; got != want {
 			t.Errorf("canceled %v, want %v", got, want)
 		}
@@ -155,7 +156,7 @@
 		before, runs := count[*wire.Cancel](x), count[*wire.Run](x)
 		ctx, hangUp := context.WithCancel(context.Background())
 		go func() {
-			until(t, "run", func() bool { return count[*wire.Run](x) > runs })
+			kit.Until(t, "run", func() bool { return count[*wire.Run](x) > runs })
 			hangUp()
 		}()
 		r, _ := http.NewRequestWithContext(ctx, http.MethodPost, c.URL+chatPath, strings.NewReader(wholeBody))
@@ -164,7 +165,7 @@
 			resp.Body.Close()
 			t.Error("answered")
 		}
-		until(t, "canceled", func() bool { return count[*wire.Cancel](x) > before })
+		kit.Until(t, "canceled", func() bool { return count[*wire.Cancel](x) > before })
 	})
 }
 
@@ -236,9 +237,7 @@
 		}
 		flood(s, m.Attempt, m.FirstSeq, m.FirstSeq+8*window, 32<<10)
 	})))
-	if _, err := io.ReadFull(c.chat(streamBody).Body, make([]byte, 1)); err != nil {
-		t.Fatal(err)
-	}
+	kit.Must(io.ReadFull(c.chat(streamBody).Body, make([]byte, 1)))(t)
 	for range 5 {
 		wantWhole(t, c.stream(strings.Replace(streamBody, "{", `{"max_tokens":1,`, 1)))
 	}
--- a/internal/faultproxy/faultproxy_test.go
+++ b/internal/faultproxy/faultproxy_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"skylarklead/test/kit"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -16,10 +18,7 @@
 // echo answers each line with the same line in capitals and counts the lines.
 func echo(t *testing.T) (address string, lines <-chan string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := kit.Must(net.Listen("tcp", "127.0.0.1:0"))(t)
 	t.Cleanup(func() { l.Close() })
 	got := make(chan string, 100)
 	go func() {
@@ -44,10 +43,7 @@
 func proxied(t *testing.T) (*Proxy, net.Conn, *bufio.Reader, <-chan string) {
 	t.Helper()
 	target, lines := echo(t)
-	p, err := Listen("127.0.0.1:0", target)
-	if err != nil {
-		t.Fatal(err)
-	}
+	p := kit.Must(Listen("127.0.0.1:0", target))(t)
 	t.Cleanup(p.Close)
 	conn, r := dial(t, p)
 	return p, conn, r, lines
@@ -55,10 +51,7 @@
 
 func dial(t *testing.T, p *Proxy) (net.Conn, *bufio.Reader) {
 	t.Helper()
-	conn, err := net.Dial("tcp", p.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
+	conn := kit.Must(net.Dial("tcp", p.Address()))(t)
 	t.Cleanup(func() { conn.Close() })
 	return conn, bufio.NewReader(conn)
 }
--- a/internal/lease/bench_test.go
+++ b/internal/lease/bench_test.go
@@ -4,14 +4,13 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"skylarklead/test/kit"
 )
 
 func BenchmarkTableApply(b *testing.B) {
 	t := NewTable()
-	data, err := Encode(&Record{Kind: KindRenew, Name: OrderName("endpoint-007"), Holder: "endpoint-007", Epoch: 1 << 63, Fence: 9, DurationMs: 10_000, Seq: 1})
-	if err != nil {
-		b.Fatal(err)
-	}
+	data := kit.Must(Encode(&Record{Kind: KindRenew, Name: OrderName("endpoint-007"), Holder: "endpoint-007", Epoch: 1 << 63, Fence: 9, DurationMs: 10_000, Seq: 1}))(b)
 	var offset uint64
 	b.ReportAllocs()
 	for b.Loop() {
@@ -36,10 +35,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	seed, err := Encode(&Record{Kind: KindClaim, Name: PermitName(1), Holder: "endpoint-0", Epoch: 1, DurationMs: 1000, Seq: 1})
-	if err != nil {
-		f.Fatal(err)
-	}
+	seed := kit.Must(Encode(&Record{Kind: KindClaim, Name: PermitName(1), Holder: "endpoint-0", Epoch: 1, DurationMs: 1000, Seq: 1}))(f)
 	f.Add(seed)
 	f.Add([]byte{0xa0})
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 // worldSteps is how many things happen in one run of the model.
@@ -365,10 +366,7 @@
 			if last < oldest {
 				claim.Supersedes, claim.Oldest = 0, oldest
 			}
-			data, err := Encode(claim)
-			if err != nil {
-				t.Fatal(err)
-			}
+			data := kit.Must(Encode(claim))(t)
 			_, a := whole.Apply(whole.Position()+1, data, w.now)
 			_, b := late.Apply(late.Position()+1, data, w.now)
 			if a != b || !a && claimFrom == whole {
--- a/internal/parameters/parameters_test.go
+++ b/internal/parameters/parameters_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"skylarklead/test/kit"
 )
 
 func TestPick(t *testing.T) {
@@ -89,14 +91,8 @@
 	const ours = `{"model":"m","cache_salt":"org","stream":true}`
 	names := rapid.OneOf(rapid.SampledFrom(held), rapid.Map(rapid.SampledFrom(held), strings.ToUpper), rapid.StringMatching(`[a-z_]{1,8}`))
 	rapid.Check(t, func(t *rapid.T) {
-		passed, err := json.Marshal(rapid.MapOf(names, rapid.Int()).Draw(t, "passed"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		merged, err := Merge([]byte(ours), passed)
-		if err != nil {
-			t.Fatal(err)
-		}
+		passed := kit.Must(json.Marshal(rapid.MapOf(names, rapid.Int()).Draw(t, "passed")))(t)
+		merged := kit.Must(Merge([]byte(ours), passed))(t)
 		var want, got map[string]any
 		if json.Unmarshal([]byte(ours), &want) != nil || json.Unmarshal(passed, &got) != nil {
 			t.Fatal("not JSON")
--- a/internal/platform/instances_test.go
+++ b/internal/platform/instances_test.go
@@ -10,6 +10,7 @@
 
 	"skylarklead/internal/platform"
 	standin "skylarklead/internal/standin/platform"
+	"skylarklead/test/kit"
 )
 
 // counted counts the bytes of a server's answers.
@@ -66,10 +67,7 @@
 
 func put(t *testing.T, url, body string) {
 	t.Helper()
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPut, url, strings.NewReader(body))
-	if err != nil {
-		t.Fatal(err)
-	}
+	req := kit.Must(http.NewRequestWithContext(t.Context(), http.MethodPut, url, strings.NewReader(body)))(t)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil || resp.StatusCode != http.StatusNoContent {
 		t.Fatalf("put %s: %v %v", url, resp, err)
--- a/internal/platform/log_test.go
+++ b/internal/platform/log_test.go
@@ -15,6 +15,7 @@
 
 	"skylarklead/internal/platform"
 	standin "skylarklead/internal/standin/platform"
+	"skylarklead/test/kit"
 )
 
 // fixture is a stand-in behind a client.
@@ -50,11 +51,7 @@
 
 func (f *fixture) control(body string) {
 	f.t.Helper()
-	resp, err := http.Post(f.url+"/control", "application/json", bytes.NewBufferString(body))
-	if err != nil || resp.StatusCode != http.StatusOK {
-		f.t.Fatalf("control %s: %v %v", body, resp, err)
-	}
-	resp.Body.Close()
+	kit.Control(f.t, f.url, body)
 }
 
 func (f *fixture) mustAppend(data ...string) uint64 {
@@ -189,10 +186,7 @@
 }
 
 func TestAppendWithoutLog(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener := kit.Must(net.Listen("tcp", "127.0.0.1:0"))(t)
 	listener.Close()
 	log := platform.NewLog("http://" + listener.Addr().String())
 	if _, err := log.Append(t.Context(), "s", byteSlices([]string{"a"})); !errors.Is(err, platform.ErrNotAppended) {
--- a/internal/settings/policy_test.go
+++ b/internal/settings/policy_test.go
@@ -8,14 +8,12 @@
 
 	"skylarklead/internal/route"
 	"skylarklead/internal/settings"
+	"skylarklead/test/kit"
 )
 
 // The settings accept every policy that the router has.
 func TestPoliciesOfRoute(t *testing.T) {
-	data, err := os.ReadFile("testdata/seeds/entry.json")
-	if err != nil {
-		t.Fatal(err)
-	}
+	data := kit.Must(os.ReadFile("testdata/seeds/entry.json"))(t)
 	for _, policy := range []route.Policy{
 		route.PolicyOwner, route.PolicyRandom, route.PolicyRoundRobin, route.PolicyLeastLoaded,
 		route.PolicyWholePrompt, route.PolicyBoundedLoad, route.PolicyPrefixTables,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"skylarklead/internal/strictjson"
+	"skylarklead/test/kit"
 )
 
 // whole is a settings file in which the tests change one thing each.
@@ -32,20 +33,14 @@
 
 func TestFleetKeys(t *testing.T) {
 	_, plain, _ := strings.Cut(strings.Trim(oneKey, `"`), `: "`)
-	s, err := Parse([]byte(strings.Replace(whole, oneKey, `"fleet_keys": ["`+otherKey+`", "`+plain+`"]`, 1)), "s")
-	if err != nil {
-		t.Fatal(err)
-	}
+	s := kit.Must(Parse([]byte(strings.Replace(whole, oneKey, `"fleet_keys": ["`+otherKey+`", "`+plain+`"]`, 1)), "s"))(t)
 	if also := s.AlsoAccepted(); s.Key()[0] != 0xff || len(also) != 1 || also[0][0] != 0 {
 		t.Errorf("dials by %x, also accepts %x", s.Key(), also)
 	}
 }
 
 func TestDefaults(t *testing.T) {
-	s, err := Parse([]byte(whole), "whole.json")
-	if err != nil {
-		t.Fatal(err)
-	}
+	s := kit.Must(Parse([]byte(whole), "whole.json"))(t)
 	if s.Advertise != s.Listen || s.LogLevel != "info" || s.Platform.Retention.D() != 24*time.Hour {
 		t.Errorf("process: %+v", s)
 	}
@@ -122,10 +117,7 @@
 		f.Fatal("no seeds:", err)
 	}
 	for _, path := range seeds {
-		data, err := os.ReadFile(path)
-		if err != nil {
-			f.Fatal(err)
-		}
+		data := kit.Must(os.ReadFile(path))(f)
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -9,6 +9,7 @@
 	api "skylarklead/internal/engine"
 	"skylarklead/internal/prefix"
 	"skylarklead/internal/standin/answer"
+	"skylarklead/test/kit"
 )
 
 func TestCompletion(t *testing.T) {
@@ -49,10 +50,8 @@
 	if _, usage := r.complete(query("b", "nakhla", messages, 1)); usage.PromptTokensDetails.CachedTokens != 0 {
 		t.Errorf("another organisation hit %+v", usage)
 	}
-	if _, err := r.client.Order(r.context(), api.Order{Fence: 1, Op: api.OpLoadVersion, Version: "v2"}); err != nil {
-		t.Fatal(err)
-	}
-	r.eventually("v2 is loaded", func() bool {
+	kit.Must(r.client.Order(r.context(), api.Order{Fence: 1, Op: api.OpLoadVersion, Version: "v2"}))(t)
+	kit.Until(r, "v2 is loaded", func() bool {
 		state, err := r.client.Orders(r.context())
 		return err == nil && !state.Loading && state.Version == "v2"
 	})
@@ -82,10 +81,7 @@
 	}
 	have := ""
 	for range 3 {
-		event, err := s.Next()
-		if err != nil {
-			t.Fatal(err)
-		}
+		event := kit.Must(s.Next())(t)
 		have += event.Text
 	}
 	r.control(`{"step_ms": 1000}`)
@@ -105,10 +101,7 @@
 		t.Errorf("resume of nothing: %v", err)
 	}
 
-	s, err = r.client.Complete(r.context(), query("long", "huon", messages, 5000))
-	if err != nil {
-		t.Fatal(err)
-	}
+	s = kit.Must(r.client.Complete(r.context(), query("long", "huon", messages, 5000)))(t)
 	for range 2 {
 		if err := r.client.Cancel(r.context(), "long"); err != nil {
 			t.Errorf("cancel: %v", err)
@@ -128,11 +121,9 @@
 	settings.ResumeMs = 1
 	r := newRig(t, settings)
 	ctx, cut := context.WithCancel(r.context())
-	if _, err := r.client.Complete(ctx, query("x", "huon", prompt("charter", "q"), 20_000)); err != nil {
-		t.Fatal(err)
-	}
+	kit.Must(r.client.Complete(ctx, query("x", "huon", prompt("charter", "q"), 20_000)))(t)
 	cut()
-	r.eventually("it is cancelled", func() bool { return r.account().Requests["x"].Cancelled })
+	kit.Until(r, "it is cancelled", func() bool { return r.account().Requests["x"].Cancelled })
 }
 
 func TestOrders(t *testing.T) {
@@ -140,9 +131,7 @@
 		settings := fast()
 		settings.CheckFencing = checks
 		r := newRig(t, settings)
-		if _, err := r.client.Order(r.context(), api.Order{Fence: 7, Op: api.OpSetRole, Role: "decode"}); err != nil {
-			t.Fatal(err)
-		}
+		kit.Must(r.client.Order(r.context(), api.Order{Fence: 7, Op: api.OpSetRole, Role: "decode"}))(t)
 		_, err := r.client.Order(r.context(), api.Order{Fence: 6, Op: api.OpSetRole, Role: "prefill"})
 		var stale *api.StaleFenceError
 		if checks && (!errors.Is(err, api.ErrStaleFence) || !errors.As(err, &stale) || stale.Fence != 7) {
@@ -181,13 +170,8 @@
 	r := newRig(t, fast())
 	r.control(`{"crash_on": "fatal"}`)
 	before := r.account().Incarnation
-	other, err := r.client.Complete(r.context(), query("other", "huon", prompt("charter", "q"), 20_000))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := other.Next(); err != nil {
-		t.Fatal(err)
-	}
+	other := kit.Must(r.client.Complete(r.context(), query("other", "huon", prompt("charter", "q"), 20_000)))(t)
+	kit.Must(other.Next())(t)
 	s, err := r.client.Complete(r.context(), query("poison", "huon", prompt("charter", "fatal"), 1))
 	if err == nil {
 		_, err = s.Next()
@@ -198,7 +182,7 @@
 	if _, _, err := drain(other); !errors.Is(err, api.ErrLost) {
 		t.Errorf("other: %v", err)
 	}
-	r.eventually("the engine is back", func() bool {
+	kit.Until(r, "the engine is back", func() bool {
 		load, err := r.client.Load(r.context())
 		return err == nil && load.Incarnation != before
 	})
--- a/internal/standin/engine/events_test.go
+++ b/internal/standin/engine/events_test.go
@@ -7,6 +7,7 @@
 
 	api "skylarklead/internal/engine"
 	"skylarklead/internal/prefix"
+	"skylarklead/test/kit"
 )
 
 var errEnough = errors.New("enough")
@@ -89,7 +90,7 @@
 		t.Fatal("nothing is resident")
 	}
 	r.control(`{"evict_after_ms": 1}`)
-	r.eventually("all is evicted", func() bool { return r.account().ResidentBlocks == 0 })
+	kit.Until(r, "all is evicted", func() bool { return r.account().ResidentBlocks == 0 })
 }
 
 // An event is seen only once it is as old as the delay, and a load report is at
--- a/internal/standin/engine/helpers_test.go
+++ b/internal/standin/engine/helpers_test.go
@@ -1,22 +1,17 @@
 package engine
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
-	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	api "skylarklead/internal/engine"
 	"skylarklead/internal/prefix"
+	"skylarklead/test/kit"
 )
 
-const testDeadline = 10 * time.Second
-
 // rig is a stand-in that serves, and its client.
 type rig struct {
 	*testing.T
@@ -54,46 +49,19 @@
 }
 
 func (r *rig) context() context.Context {
-	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
+	ctx, cancel := context.WithTimeout(context.Background(), kit.Patience)
 	r.Cleanup(cancel)
 	return ctx
 }
 
 func (r *rig) control(body string) {
 	r.Helper()
-	resp, err := http.Post(r.base+"/control", "application/json", bytes.NewBufferString(body))
-	if err != nil {
-		r.Fatal(err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		data, _ := io.ReadAll(resp.Body)
-		r.Fatalf("control %s: %d %s", body, resp.StatusCode, data)
-	}
+	kit.Control(r, r.base, body)
 }
 
 func (r *rig) account() Account {
 	r.Helper()
-	resp, err := http.Get(r.base + "/control/account?hashes=1")
-	if err != nil {
-		r.Fatal(err)
-	}
-	defer resp.Body.Close()
-	var a Account
-	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
-		r.Fatal(err)
-	}
-	return a
-}
-
-// eventually waits for a condition.
-func (r *rig) eventually(what string, condition func() bool) {
-	r.Helper()
-	for deadline := time.Now().Add(testDeadline); !condition(); time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
-			r.Fatalf("never: %s", what)
-		}
-	}
+	return kit.Get[Account](r, r.base+"/control/account?hashes=1")
 }
 
 // prompt has a shared prefix of 64 blocks and a question.
@@ -129,10 +97,7 @@
 
 func (r *rig) complete(q api.Request) (string, *api.Usage) {
 	r.Helper()
-	s, err := r.client.Complete(r.context(), q)
-	if err != nil {
-		r.Fatal(err)
-	}
+	s := kit.Must(r.client.Complete(r.context(), q))(r)
 	text, usage, err := drain(s)
 	if err != nil {
 		r.Fatal(err)
--- a/internal/standin/engine/limits_test.go
+++ b/internal/standin/engine/limits_test.go
@@ -11,6 +11,7 @@
 	api "skylarklead/internal/engine"
 	"skylarklead/internal/prefix"
 	"skylarklead/internal/standin/answer"
+	"skylarklead/test/kit"
 )
 
 // Requests that don't fit the cache together run one after the other.
@@ -20,10 +21,7 @@
 	r := newRig(t, settings)
 	var streams []*api.Stream
 	for i := range 3 {
-		s, err := r.client.Complete(r.context(), query(fmt.Sprint(i), "huon", prompt(fmt.Sprintf("charter%d", i), "q"), 30))
-		if err != nil {
-			t.Fatal(err)
-		}
+		s := kit.Must(r.client.Complete(r.context(), query(fmt.Sprint(i), "huon", prompt(fmt.Sprintf("charter%d", i), "q"), 30)))(t)
 		streams = append(streams, s)
 	}
 	for i, s := range streams {
@@ -46,10 +44,7 @@
 	r := newRig(t, settings)
 	var streams []*api.Stream
 	for i := range 4 {
-		s, err := r.client.Complete(r.context(), query(fmt.Sprint(i), "huon", prompt("charter", "q"), 1))
-		if err != nil {
-			t.Fatal(err)
-		}
+		s := kit.Must(r.client.Complete(r.context(), query(fmt.Sprint(i), "huon", prompt("charter", "q"), 1)))(t)
 		streams = append(streams, s)
 	}
 	for _, s := range streams {
@@ -75,15 +70,10 @@
 	defer store.Close()
 	r := newRig(t, fast())
 	r.engine.options.Platform = store.URL
-	s, err := r.client.Complete(r.context(), query("long", "huon", prompt("charter", "q"), 20_000))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := r.client.Order(r.context(), api.Order{Fence: 1, Op: api.OpLoadVersion, Version: "v2"}); err != nil {
-		t.Fatal(err)
-	}
+	s := kit.Must(r.client.Complete(r.context(), query("long", "huon", prompt("charter", "q"), 20_000)))(t)
+	kit.Must(r.client.Order(r.context(), api.Order{Fence: 1, Op: api.OpLoadVersion, Version: "v2"}))(t)
 	close(release)
-	r.eventually("the weights are fetched", func() bool {
+	kit.Until(r, "the weights are fetched", func() bool {
 		r.engine.mu.Lock()
 		defer r.engine.mu.Unlock()
 		return r.engine.orders.fetched
@@ -94,10 +84,8 @@
 	if event, err := s.Next(); err != nil || event.Text == "" {
 		t.Errorf("the running request: %+v, %v", event, err)
 	}
-	if err := r.client.Cancel(r.context(), "long"); err != nil {
-		t.Fatal(err)
-	}
-	r.eventually("v2 is loaded", func() bool {
+	kit.OK(t, r.client.Cancel(r.context(), "long"))
+	kit.Until(r, "v2 is loaded", func() bool {
 		state, err := r.client.Orders(r.context())
 		return err == nil && !state.Loading && state.Version == "v2"
 	})
@@ -108,9 +96,7 @@
 	r := newRig(t, fast())
 	start := time.Now()
 	r.control(`{"freeze_ms": 100}`)
-	if _, err := r.client.Load(r.context()); err != nil {
-		t.Fatal(err)
-	}
+	kit.Must(r.client.Load(r.context()))(t)
 	if took := time.Since(start); took < freeze {
 		t.Errorf("answered after %v of a freeze of %v", took, freeze)
 	}
@@ -128,9 +114,7 @@
 	root := prefix.Salt{Organisation: "huon", Model: "m", Weights: "v1"}.Root()
 	load := func(blocks ...exportedBlock) {
 		t.Helper()
-		if _, err := e.importKV(api.KV{Weights: "v1", CacheSalt: "huon"}, blocks, time.Time{}); err != nil {
-			t.Fatal(err)
-		}
+		kit.Must(e.importKV(api.KV{Weights: "v1", CacheSalt: "huon"}, blocks, time.Time{}))(t)
 	}
 	load(exportedBlock{Hash: 1, Parent: uint64(root)})
 	load(exportedBlock{Hash: 11, Parent: uint64(root)}, exportedBlock{Hash: 12, Parent: 11})
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -15,6 +15,7 @@
 	"skylarklead/internal/config"
 	"skylarklead/internal/prefix"
 	"skylarklead/internal/standin/answer"
+	"skylarklead/test/kit"
 )
 
 // fakeEntry answers as a router would, with the instructions of testWorkload.
@@ -232,10 +233,7 @@
 		}
 		state := config.NewState()
 		for i, r := range records {
-			data, err := r.Encode()
-			if err != nil {
-				t.Fatal(err)
-			}
+			data := kit.Must(r.Encode())(t)
 			var verdict config.Verdict
 			if state, verdict = state.Apply(uint64(i+1), data); !verdict.Accepted {
 				t.Errorf("%s: %s: %+v", name, r.Name(), verdict)
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -4,13 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"skylarklead/internal/engine"
+	"skylarklead/test/kit"
 )
 
 func TestRunsAndFaults(t *testing.T) {
@@ -31,37 +30,16 @@
 	if a, status, err := call(); err != nil || status != 200 || a != (Answer{Echo: "mine", Path: "/pay/now", Run: 1}) {
 		t.Errorf("answer %+v, %d, %v", a, status, err)
 	}
-	control(t, server.URL, `{"error_status": 500}`)
+	kit.Control(t, server.URL, `{"error_status": 500}`)
 	if a, status, err := call(); err != nil || status != 500 || a.Run != 2 {
 		t.Errorf("error answer %+v, %d, %v", a, status, err)
 	}
-	control(t, server.URL, `{"error_status": 0, "lose_answer": true}`)
+	kit.Control(t, server.URL, `{"error_status": 0, "lose_answer": true}`)
 	if _, _, err := call(); !errors.Is(err, engine.ErrLost) {
 		t.Errorf("lost answer: %v", err)
 	}
-	resp, err := http.Get(server.URL + "/control/runs")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	var runs Runs
-	if err := json.NewDecoder(resp.Body).Decode(&runs); err != nil {
-		t.Fatal(err)
-	}
+	runs := kit.Get[Runs](t, server.URL+"/control/runs")
 	if runs.ByRequest["r1"] != 3 || runs.ByKey["k1"] != 3 || runs.Total != 3 {
 		t.Errorf("runs %+v", runs)
 	}
 }
-
-func control(t *testing.T, base, body string) {
-	t.Helper()
-	resp, err := http.Post(base+"/control", "application/json", strings.NewReader(body))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		data, _ := io.ReadAll(resp.Body)
-		t.Fatalf("control %s: %s", body, data)
-	}
-}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -12,22 +12,18 @@
 
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 func TestDecisionLineAndExplanation(t *testing.T) {
 	var out bytes.Buffer
-	tel, err := New(&settings.Settings{ID: "ep-1", Role: "endpoint"}, &out)
-	if err != nil {
-		t.Fatal(err)
-	}
+	tel := kit.Must(New(&settings.Settings{ID: "ep-1", Role: "endpoint"}, &out))(t)
 	tel.Decisions.Record(wire.DecisionRecord{
 		Request: "r1", Kind: KindRoute, Organisation: "org", Owner: "ep-1", Executor: "ep-2",
 		Reason: "holder", PredictedCached: 160, ActualCached: 144,
 	})
 	var line map[string]any
-	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
-		t.Fatal(err)
-	}
+	kit.OK(t, json.Unmarshal(out.Bytes(), &line))
 	for key, want := range map[string]any{
 		"instance": "ep-1", "role": "endpoint", "epoch": FormatEpoch(tel.Epoch), "request": "r1",
 		"organisation": "org", "owner": "ep-1", "executor": "ep-2", "reason": "holder",
@@ -78,9 +74,7 @@
 		return w.Body.String()
 	}
 	var page Page
-	if err := json.Unmarshal([]byte(get("/metrics.json")), &page); err != nil {
-		t.Fatal(err)
-	}
+	kit.OK(t, json.Unmarshal([]byte(get("/metrics.json")), &page))
 	if page.Metrics["hit_rate"]["value"] != 0.75 || page.Metrics["refused_overloaded"]["count"] != 1.0 ||
 		page.Metrics["tokens_recomputed"]["count"] != 5.0 || page.FirstTokens["org"].Count != 1 {
 		t.Errorf("got %+v", page)
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"skylarklead/internal/prefix"
+	"skylarklead/test/kit"
 )
 
 var (
@@ -49,10 +50,7 @@
 func TestEveryMessageComesBackAsSent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sent, ref := drawMessage(t), rapid.Uint32().Draw(t, "ref")
-		frame, err := Encode(ref, sent)
-		if err != nil {
-			t.Fatal(err)
-		}
+		frame := kit.Must(Encode(ref, sent))(t)
 		gotRef, got, err := Decode(frame)
 		if err != nil {
 			t.Fatal(err)
@@ -98,10 +96,7 @@
 
 func FuzzDecode(f *testing.F) {
 	for kind := kindChallenge; kind <= kindFailure; kind++ {
-		frame, err := Encode(uint32(kind), newMessage[kind]())
-		if err != nil {
-			f.Fatal(err)
-		}
+		frame := kit.Must(Encode(uint32(kind), newMessage[kind]()))(f)
 		f.Add(frame)
 	}
 	full, _ := Encode(1, &Run{
--- a/internal/wire/keepalive_test.go
+++ b/internal/wire/keepalive_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"skylarklead/internal/faultproxy"
+	"skylarklead/test/kit"
 )
 
 // Symptom: half of an entry's control traffic is pings. Sequence: sessions carry
@@ -40,10 +41,7 @@
 func TestBeginOfAWaitWakesKeepalive(t *testing.T) {
 	acceptor, dialer := newEnd("b"), newEnd("a")
 	address, _ := acceptor.serve(t)
-	p, err := faultproxy.Listen("127.0.0.1:0", address)
-	if err != nil {
-		t.Fatal(err)
-	}
+	p := kit.Must(faultproxy.Listen("127.0.0.1:0", address))(t)
 	t.Cleanup(p.Close)
 	s := dialer.dial(t, p.Address())
 	p.Freeze()
@@ -57,9 +55,7 @@
 	acceptor, dialer := newEnd("b"), newEnd("a")
 	address, _ := acceptor.serve(t)
 	s := dialer.dial(t, address)
-	if _, err := call(s, "one"); err != nil {
-		t.Fatal(err)
-	}
+	kit.Must(call(s, "one"))(t)
 	if s.pulse.at.Load() == 0 {
 		t.Error("the reply was no sign of life to the dialer")
 	}
@@ -72,9 +68,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	if err := s.conn.Ping(ctx); err != nil {
-		t.Fatal(err)
-	}
+	kit.OK(t, s.conn.Ping(ctx))
 	if back.pulse.at.Load() <= heard {
 		t.Error("the ping was no sign of life to the acceptor")
 	}
--- a/internal/wire/session_test.go
+++ b/internal/wire/session_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"skylarklead/internal/faultproxy"
+	"skylarklead/test/kit"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -78,10 +79,7 @@
 
 func (e *end) dial(t *testing.T, address string) *Session {
 	t.Helper()
-	s, err := Dial(context.Background(), address, e.options())
-	if err != nil {
-		t.Fatal(err)
-	}
+	s := kit.Must(Dial(context.Background(), address, e.options()))(t)
 	t.Cleanup(func() {
 		s.Close(ErrClosed)
 		<-e.closed
@@ -245,18 +243,14 @@
 		}
 		defer conn.CloseNow()
 		var ch Challenge
-		if err := readOpening(ctx, conn, &ch); err != nil {
-			t.Fatal(err)
-		}
+		kit.OK(t, readOpening(ctx, conn, &ch))
 		if old == nil {
 			old = &Hello{Identity: self, MAC: identityMAC(fleetKey, ch.Nonce, self)}
 			conn.CloseNow()
 			await(t, "end of accept", accepted)
 			continue
 		}
-		if err := writeFrame(ctx, conn, 0, old); err != nil {
-			t.Fatal(err)
-		}
+		kit.OK(t, writeFrame(ctx, conn, 0, old))
 		if err := await(t, "end of accept", accepted); !errors.Is(err, ErrUnauthenticated) {
 			t.Errorf("accept: %v", err)
 		}
@@ -281,9 +275,7 @@
 	for len(acceptor.received()) == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	if err := badSession.conn.Write(context.Background(), websocket.MessageBinary, []byte{0x83, 0x18, 0xff, 0, 0xf6}); err != nil {
-		t.Fatal(err)
-	}
+	kit.OK(t, badSession.conn.Write(context.Background(), websocket.MessageBinary, []byte{0x83, 0x18, 0xff, 0, 0xf6}))
 	if err := await(t, "end of the bad session", acceptor.closed); !errors.Is(err, ErrMalformed) {
 		t.Errorf("closed with %v", err)
 	}
@@ -306,15 +298,10 @@
 			t.Parallel()
 			acceptor, dialer := newEnd("b"), newEnd("a")
 			address, _ := acceptor.serve(t)
-			p, err := faultproxy.Listen("127.0.0.1:0", address)
-			if err != nil {
-				t.Fatal(err)
-			}
+			p := kit.Must(faultproxy.Listen("127.0.0.1:0", address))(t)
 			t.Cleanup(p.Close)
 			s := dialer.dial(t, p.Address())
-			if _, err := call(s, "before"); err != nil {
-				t.Fatal(err)
-			}
+			kit.Must(call(s, "before"))(t)
 			fault(p)
 			if _, err := call(s, "after"); !errors.Is(err, ErrClosed) {
 				t.Errorf("call: %v", err)
@@ -354,13 +341,9 @@
 	s := dialer.dial(t, address)
 	const n = 500
 	for i := range n {
-		if err := s.Send(&Chunk{Seq: uint64(i), Data: bytes.Repeat([]byte{byte(i)}, i)}); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if _, err := call(s, "flush"); err != nil {
-		t.Fatal(err)
+		kit.OK(t, s.Send(&Chunk{Seq: uint64(i), Data: bytes.Repeat([]byte{byte(i)}, i)}))
 	}
+	kit.Must(call(s, "flush"))(t)
 	for i, m := range acceptor.received()[:n] {
 		if c := m.(*Chunk); c.Seq != uint64(i) || len(c.Data) != i {
 			t.Fatalf("message %d is chunk %d of %d bytes", i, c.Seq, len(c.Data))
