Tests: one maker of certificates, one opener of sessions

The key's PEM type in entry's TLS test is PRIVATE KEY now, as openssl writes it. No test or condition is gone.

--- a/cmd/skylarkd/main_test.go
+++ b/cmd/skylarkd/main_test.go
@@ -2,13 +2,7 @@
 
 import (
 	"bytes"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"encoding/pem"
 	"fmt"
-	"math/big"
 	"os"
 	"path/filepath"
 	"strings"
@@ -17,19 +11,6 @@
 	"skylarklead/test/kit"
 )
 
-// keyPair makes a certificate and its key, in PEM.
-func keyPair(t *testing.T) (certificate, key string) {
-	t.Helper()
-	private := kit.Must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))(t)
-	template := &x509.Certificate{SerialNumber: big.NewInt(1)}
-	issued := kit.Must(x509.CreateCertificate(rand.Reader, template, template, private.Public(), private))(t)
-	encoded := kit.Must(x509.MarshalPKCS8PrivateKey(private))(t)
-	block := func(kind string, data []byte) string {
-		return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}))
-	}
-	return block("CERTIFICATE", issued), block("PRIVATE KEY", encoded)
-}
-
 func TestExitCodes(t *testing.T) {
 	good := filepath.Join("..", "..", "examples", "huon-ledger", "entry.json")
 	text := kit.Must(os.ReadFile(good))(t)
@@ -38,23 +19,24 @@
 	dir := t.TempDir()
 	// tls writes settings whose callers' TLS has the two contents.
 	tls := func(name, certificate, key string) string {
-		files := map[string]string{"certificate": certificate, "key": key}
-		for field, content := range files {
-			files[field] = filepath.Join(dir, name+"."+field)
-			if err := os.WriteFile(files[field], []byte(content), 0o600); content != "" && err != nil {
-				t.Fatal(err)
-			}
-			if content == "" {
-				os.Remove(files[field])
+		field := `"entry": {` + "\n" + `"tls": {`
+		for kind, content := range map[string]string{"certificate": certificate, "key": key} {
+			path := filepath.Join(dir, name+"."+kind)
+			field += fmt.Sprintf("%q: %q, ", kind, path)
+			if content != "" {
+				kit.OK(t, os.WriteFile(path, []byte(content), 0o600))
 			}
 		}
-		field := fmt.Sprintf("\"entry\": {\n\"tls\": {\"certificate\": %q,\n\"key\": %q},", files["certificate"], files["key"])
 		path := filepath.Join(dir, name)
-		kit.OK(t, os.WriteFile(path, bytes.Replace(text, []byte("\"entry\": {"), []byte(field), 1), 0o600))
+		kit.OK(t, os.WriteFile(path, bytes.Replace(text, []byte(`"entry": {`), []byte(field+"},"), 1), 0o600))
 		return path
 	}
-	certificate, key := keyPair(t)
-	_, otherKey := keyPair(t)
+	pair := func() (string, string) {
+		certificate, key := kit.KeyPair(t)
+		return string(certificate), string(key)
+	}
+	certificate, key := pair()
+	_, otherKey := pair()
 	tests := []struct {
 		name string
 		args []string
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -2,21 +2,14 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"encoding/pem"
-	"math/big"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
@@ -129,33 +122,14 @@
 	}
 }
 
-// writeCertificate writes a self-signed certificate for 127.0.0.1 and its key.
-func writeCertificate(t *testing.T) (*settings.TLS, *x509.CertPool) {
-	t.Helper()
-	key := kit.Must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))(t)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1),
-		NotAfter:     time.Now().Add(time.Hour),
-		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
-	}
-	certificate := kit.Must(x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key))(t)
-	private := kit.Must(x509.MarshalECPrivateKey(key))(t)
-	files := &settings.TLS{Certificate: filepath.Join(t.TempDir(), "cert.pem"), Key: filepath.Join(t.TempDir(), "key.pem")}
-	for file, block := range map[string]*pem.Block{
-		files.Certificate: {Type: "CERTIFICATE", Bytes: certificate},
-		files.Key:         {Type: "EC PRIVATE KEY", Bytes: private},
-	} {
-		kit.OK(t, os.WriteFile(file, pem.EncodeToMemory(block), 0o600))
-	}
-	pool := x509.NewCertPool()
-	parsed := kit.Must(x509.ParseCertificate(certificate))(t)
-	pool.AddCert(parsed)
-	return files, pool
-}
-
 func TestServesTLS(t *testing.T) {
 	e, _ := newTestEntry(t, "llm")
-	files, pool := writeCertificate(t)
+	certificate, key := kit.KeyPair(t)
+	files := &settings.TLS{Certificate: filepath.Join(t.TempDir(), "cert.pem"), Key: filepath.Join(t.TempDir(), "key.pem")}
+	kit.OK(t, os.WriteFile(files.Certificate, certificate, 0o600))
+	kit.OK(t, os.WriteFile(files.Key, key, 0o600))
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(certificate)
 	e.settings.Entry.TLS = files
 	e.settings.Entry.Listen = "127.0.0.1:0"
 	server := kit.Must(e.callerServer())(t)
--- a/internal/wire/keepalive_test.go
+++ b/internal/wire/keepalive_test.go
@@ -52,9 +52,7 @@
 }
 
 func TestMessagesAndPingsAreSignsOfLife(t *testing.T) {
-	acceptor, dialer := newEnd("b"), newEnd("a")
-	address, _ := acceptor.serve(t)
-	s := dialer.dial(t, address)
+	acceptor, s := openSession(t)
 	kit.Must(call(s, "one"))(t)
 	if s.pulse.at.Load() == 0 {
 		t.Error("the reply was no sign of life to the dialer")
--- a/internal/wire/session_test.go
+++ b/internal/wire/session_test.go
@@ -87,6 +87,14 @@
 	return s
 }
 
+// openSession opens a session between two ends and returns the accepting one.
+func openSession(t *testing.T) (acceptor *end, s *Session) {
+	t.Helper()
+	acceptor = newEnd("b")
+	address, _ := acceptor.serve(t)
+	return acceptor, newEnd("a").dial(t, address)
+}
+
 func await[T any](t *testing.T, what string, ch <-chan T) T {
 	t.Helper()
 	select {
@@ -109,9 +117,7 @@
 }
 
 func TestSessionOpens(t *testing.T) {
-	acceptor, dialer := newEnd("b"), newEnd("a")
-	address, _ := acceptor.serve(t)
-	s := dialer.dial(t, address)
+	acceptor, s := openSession(t)
 	if s.Peer().ID != "b" || s.Peer().Epoch != 7 {
 		t.Errorf("peer is %+v", s.Peer())
 	}
@@ -131,9 +137,7 @@
 // of the peer's own.
 // Cause: replies matched to calls by order of arrival in place of reference.
 func TestRepliesMatchTheirCalls(t *testing.T) {
-	acceptor, dialer := newEnd("b"), newEnd("a")
-	address, _ := acceptor.serve(t)
-	s := dialer.dial(t, address)
+	_, s := openSession(t)
 	var calls sync.WaitGroup
 	for i := range 200 {
 		calls.Go(func() {
@@ -360,9 +364,7 @@
 }
 
 func TestMessagesKeepTheirOrder(t *testing.T) {
-	acceptor, dialer := newEnd("b"), newEnd("a")
-	address, _ := acceptor.serve(t)
-	s := dialer.dial(t, address)
+	acceptor, s := openSession(t)
 	const n = 500
 	for i := range n {
 		kit.OK(t, s.Send(&Chunk{Seq: uint64(i), Data: bytes.Repeat([]byte{byte(i)}, i)}))
