Settings that programs write are accepted again: fleet_keys and first_token_target

Symptom: every process-level proof failed at its start: 'fleet_keys: is null; want an array' and 'endpoint.first_token_target: is 0s'. Cause: the harness writes settings by encoding the struct; two new fields, left out there, were written as null and 0s, which the check refuses. It went unnoticed because one process test was run before fleet_keys came in and none after it, only the demo, which writes its files by hand. Change: both are left out when empty; a test writes settings and reads them back; it fails with either tag as it was.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,7 +23,7 @@
 	FleetKey string `json:"fleet_key"`
 	// FleetKeys stand in for FleetKey while the fleet goes from one key to another:
 	// the first is used to dial, all are accepted.
-	FleetKeys []string `json:"fleet_keys"`
+	FleetKeys []string `json:"fleet_keys,omitempty"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `json:"log_level"`
 
@@ -98,7 +98,7 @@
 	SmallReserve float64 `json:"small_reserve"`
 	// FirstTokenTarget is the time to first token beyond which requests of an
 	// organisation with a standing backlog are refused on arrival.
-	FirstTokenTarget Duration `json:"first_token_target"`
+	FirstTokenTarget Duration `json:"first_token_target,omitempty"`
 	// PrefillTokensPerSecond and DecodeTokenTime are the engine's speeds.
 	PrefillTokensPerSecond float64  `json:"prefill_tokens_per_second"`
 	DecodeTokenTime        Duration `json:"decode_token_time"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,9 +1,11 @@
 package settings
 
 import (
+	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -56,6 +58,26 @@
 	}
 }
 
+// Symptom: programs that write settings files for daemons, such as the proofs, have
+// them refused. Sequence: a field is added and left out there. Cause: a value that
+// stands for nothing is written as null or 0.
+func TestSettingsAreWrittenAsTheyAreRead(t *testing.T) {
+	endpoint := strings.NewReplacer(`"entry": {"listen": "127.0.0.1:8080"}`, wholeEndpoint+`}`, `"role": "entry"`, `"role": "endpoint"`).Replace(whole)
+	for _, text := range []string{whole, endpoint} {
+		s := kit.Must(Parse([]byte(text), "s"))(t)
+		if s.Endpoint != nil {
+			s.Endpoint.FirstTokenTarget = 0 // what a program that doesn't know it leaves
+		}
+		again := kit.Must(Parse(kit.Must(json.Marshal(s))(t), "again"))(t)
+		if s.Endpoint != nil {
+			s.Endpoint.FirstTokenTarget = DefaultFirstToken
+		}
+		if !reflect.DeepEqual(s, again) {
+			t.Errorf("wrote %+v, read %+v", s, again)
+		}
+	}
+}
+
 func TestMistakes(t *testing.T) {
 	endpoint := func(with string) [2]string {
 		return [2]string{`"entry": {"listen": "127.0.0.1:8080"}`, wholeEndpoint + with + `}`}
