Entry notes its key's state after each look at the list, read or not

Cause: with the platform's list out, bootstrap peers are dialled, and their refusal made the entry unready without the line that names the setting.

--- a/internal/entry/instances.go
+++ b/internal/entry/instances.go
@@ -24,21 +24,25 @@
 	client := platform.NewInstances(e.settings.Platform.Instances)
 	defer client.Close()
 	client.Poll(ctx, pollEvery, func(list []platform.Instance, err error) {
-		if err == nil {
-			// Before the first endpoint is known the callers' port is closed: an
-			// entry with a wrong key never says that it is ready.
-			e.pool.Prove(ctx, platform.Others(list, e.settings.ID))
-			e.tel.NoteKey(e.options.Openings)
-			e.directory.listed(list)
-			return
-		}
-		e.tel.Log.Warn("instance list can't be read", "error", err)
-		if e.directory.empty() {
-			e.directory.listed(e.askPeers(ctx))
-		}
+		e.onList(ctx, list, err)
+		e.tel.NoteKey(e.options.Openings)
 	})
 }
 
+func (e *Entry) onList(ctx context.Context, list []platform.Instance, err error) {
+	if err == nil {
+		// Before the first endpoint is known the callers' port is closed: an entry
+		// with a wrong key never says that it is ready.
+		e.pool.Prove(ctx, platform.Others(list, e.settings.ID))
+		e.directory.listed(list)
+		return
+	}
+	e.tel.Log.Warn("instance list can't be read", "error", err)
+	if e.directory.empty() {
+		e.directory.listed(e.askPeers(ctx))
+	}
+}
+
 // askPeers puts together what the bootstrap peers know of the endpoints.
 func (e *Entry) askPeers(ctx context.Context) []platform.Instance {
 	var mu sync.Mutex
