--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,14 +1,17 @@
 package settings
 
 import (
+	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
 
 	"skylarklead/internal/strictjson"
+	"skylarklead/test/kit"
 )
 
 // whole is a settings file in which the tests change one thing each.
@@ -32,20 +35,14 @@
 
 func TestFleetKeys(t *testing.T) {
 	_, plain, _ := strings.Cut(strings.Trim(oneKey, `"`), `: "`)
-	s, err := Parse([]byte(strings.Replace(whole, oneKey, `"fleet_keys": ["`+otherKey+`", "`+plain+`"]`, 1)), "s")
-	if err != nil {
-		t.Fatal(err)
-	}
+	s := kit.Must(Parse([]byte(strings.Replace(whole, oneKey, `"fleet_keys": ["`+otherKey+`", "`+plain+`"]`, 1)), "s"))(t)
 	if also := s.AlsoAccepted(); s.Key()[0] != 0xff || len(also) != 1 || also[0][0] != 0 {
 		t.Errorf("dials by %x, also accepts %x", s.Key(), also)
 	}
 }
 
 func TestDefaults(t *testing.T) {
-	s, err := Parse([]byte(whole), "whole.json")
-	if err != nil {
-		t.Fatal(err)
-	}
+	s := kit.Must(Parse([]byte(whole), "whole.json"))(t)
 	if s.Advertise != s.Listen || s.LogLevel != "info" || s.Platform.Retention.D() != 24*time.Hour {
 		t.Errorf("process: %+v", s)
 	}
@@ -61,6 +58,26 @@
 	}
 }
 
+// Symptom: programs that write settings files for daemons, such as the proofs, have
+// them refused. Sequence: a field is added and left out there. Cause: a value that
+// stands for nothing is written as null or 0.
+func TestSettingsAreWrittenAsTheyAreRead(t *testing.T) {
+	endpoint := strings.NewReplacer(`"entry": {"listen": "127.0.0.1:8080"}`, wholeEndpoint+`}`, `"role": "entry"`, `"role": "endpoint"`).Replace(whole)
+	for _, text := range []string{whole, endpoint} {
+		s := kit.Must(Parse([]byte(text), "s"))(t)
+		if s.Endpoint != nil {
+			s.Endpoint.FirstTokenTarget = 0 // what a program that doesn't know it leaves
+		}
+		again := kit.Must(Parse(kit.Must(json.Marshal(s))(t), "again"))(t)
+		if s.Endpoint != nil {
+			s.Endpoint.FirstTokenTarget = DefaultFirstToken
+		}
+		if !reflect.DeepEqual(s, again) {
+			t.Errorf("wrote %+v, read %+v", s, again)
+		}
+	}
+}
+
 func TestMistakes(t *testing.T) {
 	endpoint := func(with string) [2]string {
 		return [2]string{`"entry": {"listen": "127.0.0.1:8080"}`, wholeEndpoint + with + `}`}
@@ -122,10 +139,7 @@
 		f.Fatal("no seeds:", err)
 	}
 	for _, path := range seeds {
-		data, err := os.ReadFile(path)
-		if err != nil {
-			f.Fatal(err)
-		}
+		data := kit.Must(os.ReadFile(path))(f)
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
