route: organisations within their share wait for each other's prompts

The wait of an organisation within its share counted the prompts before its own divided by the number of requests. An engine computes prompts in their order and lets such an organisation pass those of heavy ones only; after a crash nobody is heavy.

Change: where the endpoint names no heavy organisation, all of the prompts count. With a heavy one it is as before.

What is left of the tail is work that two owners place at one endpoint without knowing of one another's.

--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -51,11 +51,24 @@
 	use := min(1, o.value.requests/places)
 	rising := turn * use * use * use
 	if r.light(now, k, e) {
-		return rising + o.value.prefill/max(1, o.value.requests) + turn*max(0, min(1, o.value.requests+1-places))
+		return rising + lightPrefill(o.value, e) + turn*max(0, min(1, o.value.requests+1-places))
 	}
 	return rising + o.value.prefill + turn*max(0, o.value.requests+1-places)
 }
 
+// lightPrefill is the prefill before a request of an organisation that uses little.
+// Engines compute prompts one after another and let it pass those of heavy
+// organisations only. Taken for a share of the backlog where nobody is heavy, as
+// after a crash, when everybody's prompts are computed anew, a holder with half a
+// second of prompts before it looks better than an idle engine that needs a tenth
+// of one to compute the prefix: all that it binds queues there.
+func lightPrefill(v amount, e *Endpoint) float64 {
+	if len(e.Load.Heavy) == 0 {
+		return v.prefill
+	}
+	return v.prefill / max(1, v.requests)
+}
+
 // reported is the work of a load summary, in requests of mean output.
 func (r *Router) reported(l *wire.Load) amount {
 	requests := float64(l.Running + l.Queued)
--- a/internal/route/score_test.go
+++ b/internal/route/score_test.go
@@ -96,3 +96,34 @@
 		t.Errorf("%.1f requests, the decision since the report is forgotten", o.value.requests)
 	}
 }
+
+// Symptom: after a crash one endpoint computes prompts for half a second while
+// others are idle, and the tail of the first token is at the end of its queue.
+// Sequence: what the crashed engine held is placed at one endpoint; all that is
+// bound to it follows before it is computed.
+// Cause: an organisation within its share counts a share of the prompts before its
+// own as its wait, though it passes those of heavy organisations only.
+func TestLightOrganisationWaitsForTheOthersLikeIt(t *testing.T) {
+	const other = 7
+	tests := []struct {
+		name  string
+		heavy []uint64
+		want  string
+	}{
+		{"nobody heavy", nil, "ledger-llm-1"},
+		{"another heavy", []uint64{other}, "ledger-llm-0"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r, rng, endpoints := NewRouter(Params{}), newRand(), group(2)
+			q := query(1)
+			r.Decide(0, rng, q, endpoints[:1])
+			l := &endpoints[0].Load
+			l.Running, l.DecodeTokens, l.QueuedTokens, l.Heavy = 8, 800, 10000, tt.heavy
+			got := r.Decide(2*time.Second, rng, q, endpoints)
+			if got.Executor != tt.want {
+				t.Errorf("%s for %q, want %s", got.Executor, got.Reason, tt.want)
+			}
+		})
+	}
+}
