endpoint: tell a risen backlog at once

Cause: in the half second after half of the engines restart, the owners of different prefixes place them anew at the same endpoints. An owner follows an endpoint by its own decisions and learns of others' with the next report, up to a second later.

Change: route.Backlog, pure, says when the prompt tokens to be computed have doubled and grown by 2,000 since the least after the last word, at most each 100 ms; the endpoint then sends its heartbeat to the group.

--- a/internal/endpoint/admission.go
+++ b/internal/endpoint/admission.go
@@ -44,6 +44,9 @@
 		item.Deadline = now + time.Duration(a.run.DeadlineMs)*time.Millisecond
 	}
 	e.perform(e.admission.Arrive(now, item))
+	if e.backlog.Rises(now, e.admission.Summary().QueuedTokens) {
+		e.beatAll()
+	}
 }
 
 // predict notes what the engine is believed to hold of a prompt, and returns
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -67,6 +67,7 @@
 	beatSeq    uint64
 	// rootsTold is the picture's root version up to which owners are told.
 	rootsTold uint64
+	backlog   route.Backlog
 }
 
 // Run serves peers until ctx ends and the last stream has.
