Heartbeats: a member sends ten in an interval, whatever its group's size

The period is now the interval up to ten peers and grows in proportion from there, up to tenfold. A heartbeat announces the time until the next one, and silence is judged by that: judged by the group's size as the hearer sees it, a member that knows of fewer peers suspected another that was alive (seen with the mechanism mutated). A heartbeat without it is of an older build and is judged as before.

What a period of a second kept short is told at once or kept apart: - a peer heard for the first time is told at once, or it would take us for silent until our next period; - a failed heartbeat is tried again within an interval; - a member that was found stopped stays out until it is heard or suspected: the 3 s of a report would have ended before the longer silence did; - an engine's new weights, and that it is loading some, are told at once, as its failure and return were.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -66,6 +66,7 @@
 	watch      engineWatch
 	drain      drainState
 	beatSeq    uint64
+	engineTold engineState
 	// rootsTold is the picture's root version up to which owners are told.
 	rootsTold uint64
 }
--- a/internal/endpoint/enginewatch.go
+++ b/internal/endpoint/enginewatch.go
@@ -69,7 +69,7 @@
 	if e.watch.up {
 		e.watch.up, e.watch.downAt = false, e.now()
 		e.log.Warn("engine down", "error", err)
-		e.beatAll()
+		e.tellEngine()
 	}
 }
 
@@ -96,7 +96,6 @@
 	now := e.now()
 	at := asked - time.Duration(load.AgeMs)*time.Millisecond
 	e.resync(e.picture.Observe(now, now-at, load.Incarnation, load.Weights))
-	news := !w.up || load.Incarnation != w.incarnation
 	w.up, w.missed = true, 0
 	w.incarnation = load.Incarnation
 	if !e.placement.loading && (e.placement.doneAt == 0 || at > e.placement.doneAt) {
@@ -106,11 +105,7 @@
 		w.model, w.version = load.Model, load.Version
 	}
 	w.load, w.loadAt = load, at
-	if news {
-		// Until they hear of it, owners place requests here for what the engine
-		// held before, or none at all.
-		e.beatAll()
-	}
+	e.tellEngine()
 }
 
 // logEngineUp tells of an engine's first answer, or of the first after it was down.
@@ -222,6 +217,17 @@
 	}
 }
 
+// engineState is what owners place by and must hear of at once.
+type engineState struct {
+	up                          bool
+	incarnation, model, version string
+}
+
+func (e *Endpoint) engineState() engineState {
+	w := &e.watch
+	return engineState{up: w.up && !e.placement.loading, incarnation: w.incarnation, model: w.model, version: w.version}
+}
+
 // load is this endpoint's load summary.
 func (e *Endpoint) load() wire.Load {
 	summary := e.admission.Summary()
@@ -243,8 +249,9 @@
 		return load
 	}
 	w := &e.watch
-	load.EngineUp = w.up && !e.placement.loading
-	load.Incarnation, load.Model, load.Version = w.incarnation, w.model, w.version
+	state := e.engineState()
+	load.EngineUp, load.Incarnation = state.up, state.incarnation
+	load.Model, load.Version = state.model, state.version
 	load.CacheUsed = w.load.KVUsedBlocks * prefix.BlockTokens
 	load.CacheTotal = w.load.KVTotalBlocks * prefix.BlockTokens
 	load.PictureDoubtful = e.picture.Doubtful()
--- a/internal/endpoint/heartbeat.go
+++ b/internal/endpoint/heartbeat.go
@@ -40,6 +40,16 @@
 // beatAll tells the whole group at once what can't wait.
 func (e *Endpoint) beatAll() { e.sendBeats(e.everyone()) }
 
+// tellEngine tells the whole group at once of an engine that is down, back, empty
+// or has other weights. Until they hear of it, owners place requests here for what
+// the engine held before, or none at all, for as long as a period of the group.
+func (e *Endpoint) tellEngine() {
+	if now := e.engineState(); now != e.engineTold {
+		e.engineTold = now
+		e.beatAll()
+	}
+}
+
 // tellSilent tells the whole group of a member that gave no sign of life.
 func (e *Endpoint) tellSilent(id string) {
 	for _, p := range e.group.peers {
@@ -51,12 +61,9 @@
 }
 
 func (e *Endpoint) everyone() []member.Beat {
-	var beats []member.Beat
-	for _, m := range e.group.view.Members(e.now()) {
-		if m.Address != "" {
-			beats = append(beats, member.Beat{ID: m.ID, Address: m.Address})
-			e.group.peer(m.ID).urgent = true
-		}
+	beats := e.group.view.Peers()
+	for _, b := range beats {
+		e.group.peer(b.ID).urgent = true
 	}
 	return beats
 }
@@ -81,6 +88,7 @@
 			Load:         load,
 			Strikes:      strikes,
 			Silent:       p.silent,
+			PeriodMs:     e.group.view.Announce(b.ID).Milliseconds(),
 		}
 		p.silent = nil
 		hb.Residents, hb.Full = e.residentsFor(b.ID, p)
--- a/internal/endpoint/orders.go
+++ b/internal/endpoint/orders.go
@@ -193,6 +193,7 @@
 		return
 	}
 	p.loading = true
+	e.tellEngine()
 	e.recordPlacement(action, "ordered")
 	go func() {
 		err := e.writeOrder(action, now)
@@ -238,6 +239,7 @@
 	p.active, p.loading = false, false
 	p.doneAt = now
 	e.watch.model, e.watch.version = order.Model, order.Version
+	e.tellEngine()
 	e.recordPlacement(lease.SendOrder{Order: order}, "in_force")
 	e.performLease(p.permit.Done(now))
 	e.performLease(p.leases.Drop(p.name, now))
--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -6,6 +6,16 @@
 	"time"
 )
 
+const (
+	// maxStretch bounds how many times Interval the period gets, and with it how
+	// long a silent peer of a very large group goes unnoticed. It is reached at
+	// maxStretch × PeersPerInterval peers; beyond, their bytes grow again.
+	maxStretch = 10
+	// maxAnnounced bounds what a peer may announce: one that says an hour by
+	// mistake would keep its place for three when it dies.
+	maxAnnounced = time.Minute
+)
+
 // Beat is a peer to send a heartbeat to.
 type Beat struct {
 	ID      string
@@ -17,20 +27,71 @@
 // is down is tried at its backoff, a leaving one is told until it is gone: it
 // still answers for what it runs.
 func (v *View) Tick(now time.Duration) []Beat {
-	var due []Beat
-	for _, r := range v.records {
-		if r.Address == "" || now < r.nextBeat || now < r.downUntil {
-			continue
-		}
+	due := v.beats(func(r *record) bool { return now >= r.nextBeat && now >= r.downUntil })
+	if len(due) == 0 {
+		return nil
+	}
+	period := v.period()
+	for _, b := range due {
+		r := v.records[b.ID]
+		wait := period
 		if r.nextBeat == 0 {
 			// The first one is sent at once: a peer that isn't told of us would
 			// hold us suspect.
-			r.nextBeat = now + time.Duration(v.rng.Int64N(int64(v.params.Interval)+1))
-		} else {
-			r.nextBeat = now + v.params.Interval
+			wait = time.Duration(v.rng.Int64N(int64(period) + 1))
 		}
-		due = append(due, Beat{ID: r.ID, Address: r.Address})
+		r.nextBeat, r.period = now+wait, period
 	}
-	slices.SortFunc(due, func(a, b Beat) int { return strings.Compare(a.ID, b.ID) })
 	return due
 }
+
+// Peers returns all that have an address, in order of ID, for what can't wait
+// until their heartbeats are due.
+func (v *View) Peers() []Beat { return v.beats(func(*record) bool { return true }) }
+
+// beats returns the peers with an address that are wanted. They are in order, so
+// that equal random numbers give equal phases.
+func (v *View) beats(wanted func(*record) bool) []Beat {
+	var beats []Beat
+	for _, r := range v.records {
+		if r.Address != "" && wanted(r) {
+			beats = append(beats, Beat{ID: r.ID, Address: r.Address})
+		}
+	}
+	slices.SortFunc(beats, func(a, b Beat) int { return strings.Compare(a.ID, b.ID) })
+	return beats
+}
+
+// Announce returns the period to announce in a heartbeat to a peer: the longest
+// time until the next one that is due to it. A peer judges silence by this and
+// not by the group's size as it sees it: while a group grows, two members know of
+// different sizes, and the one that knows of fewer would suspect the other.
+func (v *View) Announce(id string) time.Duration {
+	if r := v.records[id]; r != nil && r.period > 0 {
+		return r.period
+	}
+	return v.period()
+}
+
+// period is how often each peer is told: Interval while there are PeersPerInterval
+// at most, and then longer, so that the heartbeats sent in an Interval, and with
+// them a member's bytes, stay the same whatever the group's size.
+func (v *View) period() time.Duration {
+	peers := 0
+	for _, r := range v.records {
+		if r.Address != "" {
+			peers++
+		}
+	}
+	stretch := float64(peers) / float64(v.params.PeersPerInterval)
+	return scale(v.params.Interval, min(max(1, stretch), maxStretch))
+}
+
+// suspectAfter is the silence after which r is suspected. It leaves room for as
+// many lost heartbeats of the period that r announced as SuspectAfter does of
+// Interval.
+func (v *View) suspectAfter(r *record) time.Duration {
+	return scale(v.params.SuspectAfter, max(1, float64(r.announced)/float64(v.params.Interval)))
+}
+
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -75,10 +75,13 @@
 	// Heartbeats is set at a group's endpoints, which hear of each other; entries
 	// learn by connection failures and from owners instead.
 	Heartbeats bool
-	// Interval is how often a heartbeat goes to each peer.
-	Interval time.Duration
+	// Interval is how often a heartbeat goes to each peer, of PeersPerInterval at
+	// most. With more of them the period grows in proportion.
+	Interval         time.Duration
+	PeersPerInterval int
 	// SuspectAfter is the silence after which a peer gets no new work, DeadAfter
-	// that after which it counts as gone.
+	// that after which it counts as gone. Both grow with the period that the peer
+	// announces, if that is longer than Interval.
 	SuspectAfter time.Duration
 	DeadAfter    time.Duration
 	// BackoffMin and BackoffMax bound how long a failed connection keeps a member
@@ -97,10 +100,10 @@
 	ForgetAfter time.Duration
 }
 
-// DefaultParams notice a silent peer in 3 s and outlast a list that lags by half
-// a minute tenfold.
+// DefaultParams notice a silent peer in 3 s (in a group of up to 11) and outlast a
+// list that lags by half a minute tenfold.
 var DefaultParams = Params{
-	Interval: time.Second, SuspectAfter: 3 * time.Second, DeadAfter: 10 * time.Second,
+	Interval: time.Second, PeersPerInterval: 10, SuspectAfter: 3 * time.Second, DeadAfter: 10 * time.Second,
 	BackoffMin: 250 * time.Millisecond, BackoffMax: 10 * time.Second,
 	ReportedFor: 3 * time.Second, LeavingFor: 2 * time.Minute, ForgetAfter: 5 * time.Minute,
 }
@@ -125,6 +128,10 @@
 	downUntil     time.Duration
 	reportedUntil time.Duration
 	nextBeat      time.Duration
+	// period is the longest time until the next heartbeat to it, announced the one
+	// that it gave for its own; 0 is not known.
+	period    time.Duration
+	announced time.Duration
 }
 
 // View is one process's picture of the others.
@@ -165,7 +172,13 @@
 		return false
 	}
 	r.enter(hb.Epoch)
+	if !r.seen {
+		// It may hold us for silent until it hears us: at its start, a whole
+		// period that it doesn't know of yet.
+		r.nextBeat = 0
+	}
 	r.seen, r.heard, r.seq = true, now, hb.Seq
+	r.announced = min(time.Duration(hb.PeriodMs)*time.Millisecond, maxAnnounced)
 	r.failures, r.downUntil, r.reportedUntil = 0, 0, 0
 	if hb.Leaving {
 		r.leave(now)
@@ -216,14 +229,23 @@
 		r.failures++
 	}
 	r.downUntil = now + down/2 + time.Duration(v.rng.Int64N(int64(down/2)+1))
+	// What couldn't be told isn't left for a whole period of a large group.
+	r.nextBeat = min(r.nextBeat, now+v.params.Interval)
 }
 
 // Reported takes an owner's list of members that are dead or leaving. It holds
-// for a while only: the owner may be wrong, or out of date.
+// for a while only: the owner may be wrong, or out of date. In a group it holds
+// until the member is heard or suspected for its silence: a stopped process would
+// else get work again in between.
 func (v *View) Reported(ids []string, now time.Duration) {
 	for _, id := range ids {
-		if id != v.self {
-			v.record(id, now).reportedUntil = now + v.params.ReportedFor
+		if id == v.self {
+			continue
+		}
+		r := v.record(id, now)
+		r.reportedUntil = now + v.params.ReportedFor
+		if v.params.Heartbeats {
+			r.reportedUntil = max(r.reportedUntil, now+v.suspectAfter(r))
 		}
 	}
 }
@@ -287,9 +309,9 @@
 		return v.stateUnheard(r)
 	}
 	if !r.seen {
-		return v.bySilence(now-r.known, Unknown, ReasonListed, ReasonNeverHeard)
+		return v.bySilence(r, now-r.known, Unknown, ReasonListed, ReasonNeverHeard)
 	}
-	return v.bySilence(now-r.heard, Alive, ReasonHeard, ReasonSilent)
+	return v.bySilence(r, now-r.heard, Alive, ReasonHeard, ReasonSilent)
 }
 
 // lapsed reports whether an entry should try a leaving member again.
@@ -300,7 +322,7 @@
 // contradicts reports whether a member that the list calls leaving says
 // otherwise: a lagging list still speaks of the epoch before.
 func (v *View) contradicts(r *record, now time.Duration) bool {
-	return r.seen && now-r.heard < v.params.SuspectAfter
+	return r.seen && now-r.heard < v.suspectAfter(r)
 }
 
 func (v *View) stateUnheard(r *record) (State, Reason) {
@@ -310,11 +332,12 @@
 	return Unknown, ReasonListed
 }
 
-func (v *View) bySilence(silence time.Duration, fresh State, why, silent Reason) (State, Reason) {
+func (v *View) bySilence(r *record, silence time.Duration, fresh State, why, silent Reason) (State, Reason) {
+	suspect := v.suspectAfter(r)
 	switch {
-	case silence >= v.params.DeadAfter:
+	case silence >= max(v.params.DeadAfter, 2*suspect):
 		return Dead, silent
-	case silence >= v.params.SuspectAfter:
+	case silence >= suspect:
 		return Suspect, silent
 	}
 	return fresh, why
@@ -339,7 +362,7 @@
 	if changed {
 		r.past = [2]wire.Epoch{r.epoch, r.past[0]}
 		r.leaving = false
-		r.seen, r.seq = false, 0
+		r.seen, r.seq, r.announced = false, 0, 0
 		r.failures, r.downUntil, r.reportedUntil = 0, 0, 0
 	}
 	r.epoch = epoch
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -63,4 +63,7 @@
 	// Silent names members that gave the sender no sign of life when asked; the
 	// receiver asks them itself.
 	Silent []string `cbor:"10,keyasint,omitempty"`
+	// PeriodMs is within how many milliseconds the sender's next heartbeat goes to
+	// the receiver; 0 from builds that don't tell and send one a second.
+	PeriodMs int64 `cbor:"11,keyasint,omitempty"`
 }
