--- a/internal/endpoint/group_test.go
+++ b/internal/endpoint/group_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -10,7 +9,6 @@
 	"skylarklead/internal/platform"
 	"skylarklead/internal/prefix"
 	"skylarklead/internal/settings"
-	standin "skylarklead/internal/standin/platform"
 	"skylarklead/internal/wire"
 )
 
@@ -19,46 +17,45 @@
 const rare = time.Minute
 
 // startEndpoints starts one endpoint process for each engine, with a live instance
-// list; change may be nil.
-func startEndpoints(t *testing.T, change func(i int, s *settings.Settings), engines ...*fakeEngine) []*process {
+// list, and returns the platform's address; change may be nil.
+func startEndpoints(t *testing.T, change func(i int, s *settings.Settings), engines ...string) (group []*process, url string) {
 	t.Helper()
-	addresses := make([]string, len(engines))
-	var list []platform.Instance
-	for i := range engines {
-		addresses[i] = freeAddress(t)
-		list = append(list, platform.Instance{
-			ID: fmt.Sprintf("ep-%d", i+1), Role: platform.RoleEndpoint, Address: addresses[i],
-			FailureDomain: "d1", Group: "g", State: platform.StateLive,
-		})
-	}
-	server := httptest.NewServer(standin.New(standin.Options{Control: standin.Defaults(), Instances: list}))
-	t.Cleanup(server.Close)
-	publish(t, server.URL, organisationRecord,
-		`{"schema":2,"kind":"model","key":"m","base":0,"body":{"group":"g","versions":["v1","v2"],"version":"v2"}}`)
-	var group []*process
-	for i, f := range engines {
-		group = append(group, startProcess(t, f.URL, func(s *settings.Settings) {
-			s.ID = list[i].ID
-			s.Listen = addresses[i]
-			s.Platform = settings.Platform{Log: server.URL, Instances: server.URL, Retention: settings.DefaultRetention}
-			s.Endpoint.Heartbeat = settings.Duration(rare)
-			s.Endpoint.SuspectAfter = settings.Duration(3 * rare)
+	services, list := startPlatform(t, len(engines))
+	for i, backend := range engines {
+		group = append(group, startMember(t, backend, services, list[i], func(s *settings.Settings) {
 			if change != nil {
 				change(i, s)
 			}
 		}))
 	}
-	return group
+	return group, services.Log
+}
+
+// startMember starts a listed endpoint process with fast heartbeats.
+func startMember(t *testing.T, backend string, services settings.Platform, self platform.Instance, change func(*settings.Settings)) *process {
+	t.Helper()
+	return startProcess(t, backend, func(s *settings.Settings) {
+		s.ID, s.Listen, s.Platform = self.ID, self.Address, services
+		s.Endpoint.Heartbeat = settings.Duration(rare)
+		s.Endpoint.SuspectAfter = settings.Duration(3 * rare)
+		change(s)
+	})
 }
 
 // startGroup starts endpoint processes and waits until all know each other.
 func startGroup(t *testing.T, engines ...*fakeEngine) []*process {
 	t.Helper()
-	group := startEndpoints(t, nil, engines...)
+	var backends []string
+	for _, f := range engines {
+		backends = append(backends, f.URL)
+	}
+	group, url := startEndpoints(t, nil, backends...)
+	publish(t, url, organisationRecord,
+		`{"schema":2,"kind":"model","key":"m","base":0,"body":{"group":"g","versions":["v1","v2"],"version":"v2"}}`)
 	for _, p := range group {
 		n := p.dial("watcher")
 		waitFor(t, "the group", func() bool {
-			d := n.call(ask(1)).(*wire.Decision)
+			d := n.decision(ask(1))
 			usable := 0
 			for _, c := range d.Candidates {
 				if c.Excluded == "" {
@@ -88,13 +85,13 @@
 	leaving, owner := group[1].dial("entry-1"), group[0].dial("entry-1")
 	leaving.call(&wire.Drain{Endpoint: "ep-2"})
 	waitFor(t, "the owner to know", func() bool {
-		d := owner.call(ask(1)).(*wire.Decision)
+		d := owner.decision(ask(1))
 		return len(d.Unavailable) == 1 && d.Unavailable[0] == "ep-2"
 	})
 	for n := range byte(20) {
 		// A leaving endpoint still answers as an owner.
 		for _, asked := range []*entry{leaving, owner} {
-			if d := asked.call(ask(n)).(*wire.Decision); d.Executor.Endpoint != "ep-1" || d.Refusal != nil {
+			if d := asked.decision(ask(n)); d.Executor.Endpoint != "ep-1" || d.Refusal != nil {
 				t.Fatalf("got %+v, refusal %+v", d, d.Refusal)
 			}
 		}
@@ -111,7 +108,7 @@
 	owner := group[0].dial("entry-1")
 	dead.Close()
 	waitFor(t, "the owner to know", func() bool {
-		for _, c := range owner.call(ask(1)).(*wire.Decision).Candidates {
+		for _, c := range owner.decision(ask(1)).Candidates {
 			if c.Endpoint == "ep-2" && c.Excluded != "" {
 				return true
 			}
@@ -119,7 +116,7 @@
 		return false
 	})
 	for n := range byte(20) {
-		if d := owner.call(ask(n)).(*wire.Decision); d.Executor.Endpoint != "ep-1" {
+		if d := owner.decision(ask(n)); d.Executor.Endpoint != "ep-1" {
 			t.Fatalf("got %+v", d)
 		}
 	}
@@ -138,15 +135,11 @@
 		run.Fingerprint = 7
 		f := engines[at]
 		f.step = make(chan struct{})
-		f.mu.Lock()
-		f.cut[run.Attempt.String()] = true
-		f.mu.Unlock()
+		f.change(func() { f.cut[run.Attempt.String()] = true })
 		n := group[at].dial("entry-1")
 		n.send(run)
 		n.next() // Start
-		f.mu.Lock()
-		f.incarnation = fmt.Sprint("restart-", i)
-		f.mu.Unlock()
+		f.change(func() { f.incarnation = fmt.Sprint("restart-", i) })
 		close(f.step)
 		if _, end := n.answer(0); !end.EngineCrashed {
 			t.Fatalf("got %+v", end)
@@ -156,7 +149,7 @@
 		for _, p := range group {
 			owner := p.dial("entry-1")
 			waitFor(t, "an owner to judge", func() bool {
-				d := owner.call(again).(*wire.Decision)
+				d := owner.decision(again)
 				switch i {
 				case 0:
 					return !d.Suspect && d.Refusal == nil
@@ -187,7 +180,7 @@
 	n := group[0].dial("entry-1")
 	question := ask(6)
 	question.Explain = false
-	if d := n.call(question).(*wire.Decision); d.Executor.Endpoint == "" || len(d.Candidates) != 0 {
+	if d := n.decision(question); d.Executor.Endpoint == "" || len(d.Candidates) != 0 {
 		t.Errorf("got %+v, want an executor without candidates", d)
 	}
 	records := n.call(&wire.ExplainRequest{Request: "r6"}).(*wire.Explanation).Records
@@ -207,21 +200,17 @@
 	anyVersion, pinned := ask(1), ask(1)
 	anyVersion.Version, anyVersion.AnyVersion = "v2", true
 	pinned.Version = "v2"
-	load := func(f *fakeEngine) {
-		f.mu.Lock()
-		f.version = "v2"
-		f.mu.Unlock()
-	}
+	load := func(f *fakeEngine) { f.change(func() { f.version = "v2" }) }
 	load(engines[2])
 	waitFor(t, "the first new engine", func() bool {
-		return owner.call(pinned).(*wire.Decision).Executor.Endpoint == "ep-3"
+		return owner.decision(pinned).Executor.Endpoint == "ep-3"
 	})
-	if d := owner.call(anyVersion).(*wire.Decision); d.Version != "v1" || d.Refusal == nil {
+	if d := owner.decision(anyVersion); d.Version != "v1" || d.Refusal == nil {
 		t.Fatalf("got %+v", d)
 	}
 	load(engines[1])
 	waitFor(t, "the new version", func() bool {
-		d := owner.call(anyVersion).(*wire.Decision)
+		d := owner.decision(anyVersion)
 		return d.Version == "" && d.Refusal == nil && d.Executor.Endpoint != "ep-1"
 	})
 }
@@ -232,11 +221,11 @@
 func TestWrongKeyIsNotReady(t *testing.T) {
 	f := newFakeEngine(t, "a")
 	const odd = 1
-	group := startEndpoints(t, func(i int, s *settings.Settings) {
+	group, _ := startEndpoints(t, func(i int, s *settings.Settings) {
 		if i == odd {
 			s.FleetKey = strings.Repeat("cd", 32)
 		}
-	}, f, f, f)
+	}, f.URL, f.URL, f.URL)
 	for i, p := range group {
 		want := ""
 		if i == odd {
@@ -248,5 +237,5 @@
 		t.Errorf("the setting isn't named: %s", log)
 	}
 	n := group[0].dial("tool")
-	waitFor(t, "a status without a reason", func() bool { return n.call(&wire.StatusRequest{}).(*wire.Status).NotReady == "" })
+	waitFor(t, "a status without a reason", func() bool { return n.status().NotReady == "" })
 }
