--- a/internal/config/body.go
+++ b/internal/config/body.go
@@ -42,6 +42,9 @@
 	case KindGroup:
 		return parseGroup(doc, r)
 	case KindSnapshot:
+		if r.Key == snapshotMarkKey {
+			return parseSnapshotMark(doc)
+		}
 		return parseSnapshotPart(doc)
 	}
 	doc.Add("kind", fmt.Sprintf("%q is not known", r.Kind), wantKind)
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -54,7 +54,7 @@
 	Body     json.RawMessage `json:"body,omitempty"`
 
 	// parsed is the body as State has it: *Organisation, *Model, *Service,
-	// *Group or *SnapshotPart; nil for deletions and unknown schema versions.
+	// *Group, *SnapshotPart or *SnapshotMark; nil for deletions and unknown schema versions.
 	parsed any
 }
 
--- a/internal/config/schedule.go
+++ b/internal/config/schedule.go
@@ -25,7 +25,10 @@
 	retention time.Duration
 	spread    time.Duration
 	due       time.Duration
-	samples   []sample
+	// covered is until when the newest snapshot that is known of is young enough
+	// for everyone, 0 for none.
+	covered time.Duration
+	samples []sample
 }
 
 // sample says that the log ended at offset at the time at.
@@ -62,12 +65,31 @@
 func (c *SnapshotSchedule) Saw(asOf uint64) {
 	for i := len(c.samples) - 1; i >= 0; i-- {
 		if s := c.samples[i]; s.offset <= asOf {
-			c.due = max(c.due, s.at+c.retention/2+c.spread)
+			c.cover(s.at + c.retention/2)
 			return
 		}
 	}
 }
 
+// Told takes a peer's word that the newest snapshot is young enough for another
+// left. A process that was just started can't tell the age of what it finds, and
+// each would write a snapshot of its own although its peers have met one.
+func (c *SnapshotSchedule) Told(left, now time.Duration) {
+	if left > 0 {
+		c.cover(now + min(left, c.retention/2))
+	}
+}
+
+// Left returns for how long from now the newest snapshot known of is young enough,
+// 0 if it isn't or none is known. Ranks are no part of it, so it can be passed on
+// from process to process.
+func (c *SnapshotSchedule) Left(now time.Duration) time.Duration { return max(0, c.covered-now) }
+
+func (c *SnapshotSchedule) cover(until time.Duration) {
+	c.covered = max(c.covered, until)
+	c.due = max(c.due, c.covered+c.spread)
+}
+
 // Wrote puts the next try off, in case the snapshot isn't seen on the log.
 func (c *SnapshotSchedule) Wrote(at time.Duration) {
 	c.due = max(c.due, at+c.retention/sampleShare)
--- a/internal/config/schedule_test.go
+++ b/internal/config/schedule_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -15,10 +16,16 @@
 		offset := uint64(1)
 		needed := time.Duration(0) // when the oldest record still needed was appended
 		now := time.Duration(0)
+		var before *SnapshotSchedule
 		for now < 10*retention {
 			start := now
 			life := time.Duration(rapid.Int64Range(int64(retention/3), int64(3*retention)).Draw(t, "life"))
 			c := NewSnapshotSchedule(retention, start, rapid.Float64Range(0, 1).Draw(t, "rank"))
+			if before != nil && rapid.Bool().Draw(t, "told") {
+				// The word of a process that ended meanwhile took a while.
+				c.Told(before.Left(now), now+time.Minute)
+			}
+			before = c
 			for ; now < start+life; now += retention / 200 {
 				c.CaughtUp(offset, now)
 				if now >= c.Due() {
@@ -52,36 +59,64 @@
 	}
 }
 
-// Of many processes usually one writes: in ten retentions little more than the
-// two a retention that are needed.
+// Symptom: the log gets some fifteen snapshots a day where two are needed.
+// Sequence: of the fleet one process in eleven is replaced each day.
+// Cause: each new one has met no snapshot, and takes it that one is due.
+//
+// Of many processes usually one writes: in ten retentions little more than the two a
+// retention that are needed, whether or not processes are replaced.
 func TestScheduleOfManyWritesFew(t *testing.T) {
 	const (
 		retention = 24 * time.Hour
 		step      = retention / 2000
 		processes = 50
 	)
-	all := make([]*SnapshotSchedule, processes)
-	for i := range all {
-		all[i] = NewSnapshotSchedule(retention, 0, float64(i)/processes)
-	}
-	offset, written := uint64(1), 0
-	for now := time.Duration(0); now < 10*retention; now += step {
-		end := offset // what all of them see at this step
-		for _, c := range all {
-			c.CaughtUp(end, now)
-			if now >= c.Due() {
-				c.Wrote(now)
-				written++
-				offset++
-			}
+	for _, replaced := range []int{0, 50, 500} { // in ten retentions
+		rng := rand.New(rand.NewPCG(1, 1))
+		all := make([]*SnapshotSchedule, processes)
+		for i := range all {
+			all[i] = NewSnapshotSchedule(retention, 0, float64(i)/processes)
 		}
-		if offset > end {
+		offset, written := uint64(1), 0
+		for now := time.Duration(0); now < 10*retention; now += step {
+			if rng.IntN(20000) < replaced {
+				left := all[rng.IntN(processes)].Left(now)
+				i := rng.IntN(processes)
+				all[i] = NewSnapshotSchedule(retention, now, float64(i)/processes)
+				all[i].Told(left, now)
+			}
+			end := offset // what all of them see at this step
 			for _, c := range all {
-				c.Saw(end)
+				c.CaughtUp(end, now)
+				if now >= c.Due() {
+					c.Wrote(now)
+					written++
+					offset++
+				}
+			}
+			if offset > end {
+				for _, c := range all {
+					c.Saw(end)
+				}
 			}
 		}
+		if written < 19 || written > 25 {
+			t.Errorf("%d snapshots in ten retentions with %d processes replaced, want about 20", written, replaced)
+		}
+	}
+}
+
+// A peer's word is worth no more than a snapshot that was written just now.
+func TestScheduleBoundsWhatItIsTold(t *testing.T) {
+	c := NewSnapshotSchedule(48*time.Hour, 0, 0)
+	due := c.Due()
+	c.Told(0, time.Hour)
+	c.Told(-time.Hour, time.Hour)
+	if c.Due() != due {
+		t.Errorf("told of no snapshot, due at %v", c.Due())
 	}
-	if written < 19 || written > 25 {
-		t.Errorf("%d snapshots in ten retentions, want about 20", written)
+	c.Told(1000*time.Hour, time.Hour)
+	if want := 25 * time.Hour; c.Due() != want || c.Left(2*time.Hour) != want-2*time.Hour {
+		t.Errorf("due at %v with %v left, want %v", c.Due(), c.Left(2*time.Hour), want)
 	}
 }
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -12,6 +12,10 @@
 const (
 	// snapshotSchema is the schema of snapshot records.
 	snapshotSchema = 1
+	// snapshotKey is the key of parts, snapshotMarkKey that of marks. To builds that
+	// don't know marks they are invalid parts, which change nothing.
+	snapshotKey     = "state"
+	snapshotMarkKey = "written"
 	// snapshotPartBytes keeps a part, in base64, under MaxRecord.
 	snapshotPartBytes = 256 << 10
 	// maxSnapshotParts bounds what one snapshot may ask a reader to keep.
@@ -93,10 +97,45 @@
 	if err != nil {
 		return nil, fmt.Errorf("config: encode snapshot: %w", err)
 	}
-	r := Record{Schema: snapshotSchema, Kind: KindSnapshot, Key: "state", Operator: "skylarkd", Body: body}
+	return encodeSnapshot(snapshotKey, body)
+}
+
+func encodeSnapshot(key string, body json.RawMessage) ([]byte, error) {
+	r := Record{Schema: snapshotSchema, Kind: KindSnapshot, Key: key, Operator: "skylarkd", Body: body}
 	return r.Encode()
 }
 
+// SnapshotMark tells those who follow the configuration that all parts of a
+// snapshot are on the snapshots' own stream, so that they needn't read it.
+type SnapshotMark struct {
+	AsOf uint64 `json:"as_of"`
+	ID   string `json:"id"`
+}
+
+// Encode returns the mark's record.
+func (m SnapshotMark) Encode() ([]byte, error) {
+	body, err := json.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("config: encode snapshot mark: %w", err)
+	}
+	return encodeSnapshot(snapshotMarkKey, body)
+}
+
+func parseSnapshotMark(doc *strictjson.Document) *SnapshotMark {
+	var mark SnapshotMark
+	doc.DecodeField("body", &mark)
+	return &mark
+}
+
+// SnapshotMark returns the mark that a record is, if it is one.
+func (r *Record) SnapshotMark() (SnapshotMark, bool) {
+	mark, ok := r.parsed.(*SnapshotMark)
+	if !ok {
+		return SnapshotMark{}, false
+	}
+	return *mark, true
+}
+
 // Assembler puts snapshots together from the parts met on the log.
 type Assembler struct {
 	open map[string]*openSnapshot
--- a/internal/follow/exchange.go
+++ b/internal/follow/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"skylarklead/internal/config"
 	"skylarklead/internal/wire"
@@ -14,11 +15,20 @@
 	if m.Part > 0 {
 		return f.answers.part(m)
 	}
+	answer, err := f.firstPart(m.After)
+	if err != nil {
+		return nil, err
+	}
+	answer.SnapshotLeftMs = f.snapshots.left(f.now()).Milliseconds()
+	return answer, nil
+}
+
+func (f *Follower) firstPart(after uint64) (*wire.ConfigState, error) {
 	s := f.State()
-	if s == nil || s.Offset <= m.After {
+	if s == nil || s.Offset <= after {
 		return &wire.ConfigState{}, nil
 	}
-	a, err := f.answers.since(s, m.After)
+	a, err := f.answers.since(s, after)
 	if err != nil {
 		return nil, err
 	}
@@ -95,13 +105,25 @@
 
 // ask fetches from one peer and merges what it has.
 func (f *Follower) ask(ctx context.Context, fetch Fetch) error {
-	data, err := FetchState(ctx, fetch, f.offset())
+	data, err := FetchState(ctx, f.noting(fetch), f.offset())
 	if err != nil || len(data) == 0 {
 		return err
 	}
 	return f.Offer(data, SourcePeer)
 }
 
+// noting returns a Fetch that takes from answers how long the newest snapshot is
+// young enough.
+func (f *Follower) noting(fetch Fetch) Fetch {
+	return func(ctx context.Context, m *wire.ConfigFetch) (*wire.ConfigState, error) {
+		answer, err := fetch(ctx, m)
+		if err == nil {
+			f.snapshots.told(time.Duration(answer.SnapshotLeftMs)*time.Millisecond, f.now())
+		}
+		return answer, err
+	}
+}
+
 // FetchState returns what a peer has in force after an offset, encoded by package
 // config; nothing if it has as much.
 func FetchState(ctx context.Context, fetch Fetch, after uint64) ([]byte, error) {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -95,6 +95,8 @@
 	logUp   atomic.Bool
 	ready   chan struct{}
 	answers answerCache
+	// snapshots is when this process is to write the next one.
+	snapshots snapshots
 
 	// mu orders changes of state.
 	mu sync.Mutex
@@ -105,6 +107,7 @@
 // New returns a Follower that has no state until Run gets one.
 func New(opts Options) *Follower {
 	f := &Follower{opts: opts, started: time.Now(), ready: make(chan struct{})}
+	f.snapshots.schedule = config.NewSnapshotSchedule(opts.Retention, 0, f.rank())
 	f.source.Store(SourceNone)
 	return f
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -91,6 +91,21 @@
 	})
 }
 
+// meetsNoParts checks that followers meet marks of snapshots only.
+func (f *fixture) meetsNoParts() {
+	f.t.Helper()
+	page, err := f.log.Read(f.t.Context(), Stream, 1, platform.MaxPage, 0)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for _, r := range page.Records {
+		record, err := config.ParseRecord(r.Data, "record")
+		if _, mark := record.SnapshotMark(); err != nil || record.Kind == config.KindSnapshot && !mark {
+			f.t.Errorf("followers meet %s: %v", r.Data, err)
+		}
+	}
+}
+
 // from is a peer that answers out of another follower.
 func from(peer *Follower) Fetch {
 	return func(_ context.Context, m *wire.ConfigFetch) (*wire.ConfigState, error) {
@@ -247,6 +262,7 @@
 	// A retention this short makes the first snapshot due at once.
 	writer := f.follow(Options{Process: "writer", Retention: 50 * time.Millisecond})
 	until(t, "a snapshot on the log", func() bool { return writer.offset() > last })
+	f.meetsNoParts()
 	f.control(`{"retention_count":2}`)
 	after := f.publish(last)
 	f.control(`{"retention_count":0}`)
@@ -263,6 +279,51 @@
 	}
 }
 
+// Symptom: after an update of the fleet a process that starts has no configuration.
+// Sequence: builds that keep snapshots on the configuration's own stream wrote the
+// last one; retention passes. Cause: only the snapshots' stream is read.
+func TestSnapshotOfAnOlderBuildIsRead(t *testing.T) {
+	f := newFixture(t, standin.Control{})
+	first := f.publish(0)
+	old := f.follow(Options{})
+	f.reaches(old, first, SourceLog)
+	parts, err := config.SnapshotRecords(old.State(), "old")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.log.Append(t.Context(), Stream, parts); err != nil {
+		t.Fatal(err)
+	}
+	last := f.publish(first)
+	f.control(fmt.Sprintf(`{"retention_count":%d}`, len(parts)+1))
+	f.reaches(f.follow(Options{Process: "late"}), last, SourceLog)
+}
+
+// Symptom: each process that is started writes a snapshot of its own.
+// Sequence: a process meets the mark of one; another takes its state from this, a
+// third has as much from the log already and asks the second.
+// Cause: only who has met the last snapshot knows its age.
+func TestPeersTellOfTheSnapshot(t *testing.T) {
+	f := newFixture(t, standin.Control{})
+	first := f.publish(0)
+	peer := f.follow(Options{})
+	f.reaches(peer, first, SourceLog)
+	mark, err := config.SnapshotMark{AsOf: first, ID: "w"}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.log.Append(t.Context(), Stream, [][]byte{mark}); err != nil {
+		t.Fatal(err)
+	}
+	f.reaches(peer, first+1, SourceLog)
+	for _, opts := range []Options{{Log: cutLog{}}, {}} {
+		before := peer
+		opts.Peers = func(context.Context) []Fetch { return []Fetch{from(before)} }
+		peer = f.follow(opts)
+		until(t, "the peer's word", func() bool { return peer.snapshots.due()-peer.now() > 29*time.Minute })
+	}
+}
+
 // Symptom: a process behind retention serves less than what is in force.
 // Sequence: a snapshot written late by a stopped process claims an offset whose
 // next records are gone already. Cause: applying the rest of the log on it would
--- a/internal/follow/history.go
+++ b/internal/follow/history.go
@@ -26,16 +26,16 @@
 // ReadLog reads the whole log once.
 func ReadLog(ctx context.Context, log Log) (*History, error) {
 	h := &History{Base: config.NewState()}
-	records, err := readAll(ctx, log, 1)
+	records, err := readAll(ctx, log, Stream, 1, platform.MaxPage)
 	var retained *platform.RetainedError
+	var snapshot *config.Snapshot
 	if errors.As(err, &retained) {
-		records, err = readAll(ctx, log, retained.Oldest)
+		records, snapshot, err = readContinued(ctx, log, retained.Oldest)
 	}
 	if err != nil {
 		return nil, err
 	}
 	if retained != nil {
-		snapshot := newestSnapshot(records, retained.Oldest)
 		if snapshot == nil {
 			return nil, fmt.Errorf("%w: oldest is %d", errNoSnapshot, retained.Oldest)
 		}
@@ -49,7 +49,7 @@
 
 // ReadSince reads what the log has after a state.
 func ReadSince(ctx context.Context, log Log, s *config.State) (*History, error) {
-	records, err := readAll(ctx, log, s.Offset+1)
+	records, err := readAll(ctx, log, Stream, s.Offset+1, platform.MaxPage)
 	if err != nil {
 		return nil, err
 	}
@@ -70,11 +70,11 @@
 	}
 }
 
-// readAll reads a log from an offset to its end.
-func readAll(ctx context.Context, log Log, from uint64) ([]platform.Record, error) {
+// readAll reads a stream from an offset to its end, so many records at once.
+func readAll(ctx context.Context, log Log, stream string, from uint64, limit int) ([]platform.Record, error) {
 	var all []platform.Record
 	for {
-		page, err := log.Read(ctx, Stream, from, platform.MaxPage, 0)
+		page, err := log.Read(ctx, stream, from, limit, 0)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -11,28 +10,18 @@
 	"skylarklead/internal/platform"
 )
 
-// snapshotBatch is how many parts of a snapshot go into one append.
-const snapshotBatch = 4
-
-var errNoSnapshot = errors.New("follow: the log's oldest records are gone and it has no snapshot")
-
 // tail reads the log. It belongs to one goroutine.
 type tail struct {
-	f         *Follower
-	state     *config.State
-	schedule  *config.SnapshotSchedule
+	f     *Follower
+	state *config.State
+	// assembler takes snapshots of older builds, which are on the log itself.
 	assembler config.Assembler
 	caughtUp  bool
 	backoff   time.Duration
 }
 
 func newTail(f *Follower) *tail {
-	return &tail{
-		f:        f,
-		state:    config.NewState(),
-		schedule: config.NewSnapshotSchedule(f.opts.Retention, f.now(), f.rank()),
-		backoff:  minPause,
-	}
+	return &tail{f: f, state: config.NewState(), backoff: minPause}
 }
 
 func (t *tail) run(ctx context.Context) {
@@ -86,7 +75,7 @@
 	t.caughtUp = true
 	t.f.adopt(t.state, SourceLog)
 	if len(page.Records) == 0 {
-		t.schedule.CaughtUp(t.state.Offset, t.f.now())
+		t.f.snapshots.caughtUp(t.state.Offset, t.f.now())
 	}
 	return nil
 }
@@ -99,7 +88,7 @@
 	if t.state.Offset == 0 {
 		return logWait // nothing to write a snapshot of
 	}
-	return min(logWait, max(t.schedule.Due()-t.f.now(), minPause))
+	return min(logWait, max(t.f.snapshots.due()-t.f.now(), minPause))
 }
 
 // takeNewer goes on from a state that peers have brought meanwhile.
@@ -132,83 +121,3 @@
 	t.f.opts.Logger.Info("configuration record", "offset", offset, "record", v.Record.Name(),
 		"accepted", v.Accepted, "reason", string(v.Reason), "detail", v.Detail, "operator", v.Record.Operator)
 }
-
-func (t *tail) seeSnapshot(v config.Verdict) *config.Snapshot {
-	if v.Reason != config.ReasonSnapshot {
-		return nil
-	}
-	snapshot, err := t.assembler.Add(v.Record)
-	if err != nil {
-		t.f.opts.Logger.Warn("bad snapshot on the log", "error", err)
-		return nil
-	}
-	if snapshot != nil {
-		t.schedule.Saw(snapshot.AsOf)
-	}
-	return snapshot
-}
-
-// restore starts again where retention has taken records that weren't read yet:
-// from the newest snapshot that the log still continues.
-func (t *tail) restore(ctx context.Context, oldest uint64) error {
-	records, err := readAll(ctx, t.f.opts.Log, oldest)
-	if err != nil {
-		return err
-	}
-	snapshot := newestSnapshot(records, oldest)
-	if snapshot == nil {
-		return fmt.Errorf("%w: oldest is %d, needed is %d", errNoSnapshot, oldest, t.state.Offset+1)
-	}
-	restored, err := t.state.Merge(snapshot.Data)
-	if err != nil {
-		return err
-	}
-	t.f.opts.Logger.Info("configuration restored from a snapshot", "as_of", snapshot.AsOf, "oldest", oldest)
-	t.state = restored
-	t.apply(records)
-	t.caughtUp = true
-	t.f.adopt(t.state, SourceLog)
-	return nil
-}
-
-// newestSnapshot returns the newest whole snapshot which the log, from oldest on,
-// continues without a gap; nil if there is none.
-func newestSnapshot(records []platform.Record, oldest uint64) *config.Snapshot {
-	var assembler config.Assembler
-	var newest *config.Snapshot
-	for _, r := range records {
-		record, err := config.ParseRecord(r.Data, Stream)
-		if err != nil || record.Kind != config.KindSnapshot {
-			continue
-		}
-		snapshot, err := assembler.Add(record)
-		if err != nil || snapshot == nil || snapshot.AsOf+1 < oldest {
-			continue
-		}
-		if _, err := snapshot.Decode(); err != nil {
-			continue
-		}
-		if newest == nil || snapshot.AsOf > newest.AsOf {
-			newest = snapshot
-		}
-	}
-	return newest
-}
-
-// writeSnapshot appends one if it is due. A lost answer is no matter: if the
-// parts aren't met on the log, the next try writes them again.
-func (t *tail) writeSnapshot(ctx context.Context) {
-	now := t.f.now()
-	if !t.caughtUp || t.state.Offset == 0 || now < t.schedule.Due() {
-		return
-	}
-	t.schedule.Wrote(now)
-	id := fmt.Sprintf("%s-%016x", t.f.opts.Process, rand.Uint64())
-	records, err := config.SnapshotRecords(t.state, id)
-	for len(records) > 0 && err == nil {
-		n := min(snapshotBatch, len(records))
-		_, err = t.f.opts.Log.Append(ctx, Stream, records[:n])
-		records = records[n:]
-	}
-	t.f.opts.Logger.Info("snapshot written", "as_of", t.state.Offset, "id", id, "error", err)
-}
