--- a/internal/faultproxy/faultproxy_test.go
+++ b/internal/faultproxy/faultproxy_test.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
+
+	"skylarklead/test/kit"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -16,10 +19,7 @@
 // echo answers each line with the same line in capitals and counts the lines.
 func echo(t *testing.T) (address string, lines <-chan string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := kit.Must(net.Listen("tcp", "127.0.0.1:0"))(t)
 	t.Cleanup(func() { l.Close() })
 	got := make(chan string, 100)
 	go func() {
@@ -44,10 +44,7 @@
 func proxied(t *testing.T) (*Proxy, net.Conn, *bufio.Reader, <-chan string) {
 	t.Helper()
 	target, lines := echo(t)
-	p, err := Listen("127.0.0.1:0", target)
-	if err != nil {
-		t.Fatal(err)
-	}
+	p := kit.Must(Listen("127.0.0.1:0", target))(t)
 	t.Cleanup(p.Close)
 	conn, r := dial(t, p)
 	return p, conn, r, lines
@@ -55,10 +52,7 @@
 
 func dial(t *testing.T, p *Proxy) (net.Conn, *bufio.Reader) {
 	t.Helper()
-	conn, err := net.Dial("tcp", p.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
+	conn := kit.Must(net.Dial("tcp", p.Address()))(t)
 	t.Cleanup(func() { conn.Close() })
 	return conn, bufio.NewReader(conn)
 }
@@ -144,3 +138,26 @@
 		wantEnd(t, refused, bufio.NewReader(refused))
 	}
 }
+
+// Symptom: a proof cuts off every peer, or none, in place of one.
+// Sequence: one of two clients is frozen, and dials again; all are thawed.
+// Cause: a match by anything but the client's own address.
+func TestFreezeFrom(t *testing.T) {
+	p, conn, r, _ := proxied(t)
+	other, otherR := dial(t, p)
+	io.WriteString(conn, "one\n")
+	wantLine(t, conn, r, "ONE")
+	io.WriteString(other, "one\n")
+	wantLine(t, other, otherR, "ONE")
+	mine := other.LocalAddr().String()
+	p.FreezeFrom(func(client string) bool { return client == mine && DialledBy(os.Getpid(), client) })
+	io.WriteString(other, "two\n")
+	wantSilence(t, other, otherR)
+	io.WriteString(conn, "two\n")
+	wantLine(t, conn, r, "TWO")
+	if n := p.Frozen(); n != 1 || DialledBy(os.Getppid(), mine) {
+		t.Errorf("%d connections frozen; the parent has dialled %v", n, DialledBy(os.Getppid(), mine))
+	}
+	p.Thaw()
+	wantLine(t, other, otherR, "TWO")
+}
