Test harness: first_token_target

Cause: the harness writes every setting; since first_token_target it wrote 0s, which skylarkd refuses, so each test with real processes failed at its start. Change: the default, as for the others. test/: TestPromise5, NotRun, Herd and Poison pass (62 s).

--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -152,6 +152,7 @@
 		MaxRunning:             settings.DefaultMaxRunning,
 		MaxQueue:               settings.DefaultMaxQueue,
 		SmallReserve:           settings.DefaultSmallReserve,
+		FirstTokenTarget:       settings.DefaultFirstToken,
 		PrefillTokensPerSecond: settings.DefaultPrefillRate,
 		DecodeTokenTime:        settings.DefaultDecodeTime,
 		CacheTokens:            settings.DefaultCacheTokens,
