Weights: a process that knows of nobody isn't taken for alone

Cause: after a restart with the platform's list out a replica knows no other one until it is heard, and loaded as a group of one would; so would all of a group that was restarted then. Change: without a list since the start and without a peer heard, it waits. TestLoadsOnlyWithAnotherAtWork: list never read, list out, alone, unheard, loading, serving, silent; the first two fail without it.

--- a/internal/endpoint/group.go
+++ b/internal/endpoint/group.go
@@ -24,6 +24,8 @@
 	// listRead is set once the instance list was asked for, whether or not it
 	// answered.
 	listRead bool
+	// listed is set once it has answered: only then an empty group is one.
+	listed bool
 }
 
 // peer is what a member's heartbeats told, and what ours have told it.
@@ -67,6 +69,7 @@
 		e.log.Debug("instance list not read", "error", err)
 		return
 	}
+	e.group.listed = true
 	var listed []member.Instance
 	for _, i := range list {
 		leaving := i.State == platform.StateLeaving
--- a/internal/endpoint/orders_test.go
+++ b/internal/endpoint/orders_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	"skylarklead/internal/engine"
 	"skylarklead/internal/follow"
+	"skylarklead/internal/lease"
 	"skylarklead/internal/platform"
 	standinengine "skylarklead/internal/standin/engine"
 	"skylarklead/internal/wire"
@@ -60,6 +64,47 @@
 	return state.Loading
 }
 
+// Symptom: all replicas of a group load weights at once.
+// Sequence: they are restarted while the platform's list is out, or wait for one
+// that is listed and doesn't serve.
+// Cause: a process that knows of nobody took itself for alone.
+func TestLoadsOnlyWithAnotherAtWork(t *testing.T) {
+	e, log := newTestEndpoint(t)
+	p := &e.placement
+	p.leases.CaughtUp(e.now())
+	for _, a := range p.permit.Want(e.now()) {
+		p.leases.Record(1, a.(lease.Append).Data, e.now())
+	}
+	other := platform.Instance{ID: "ep-2", Role: platform.RoleEndpoint, Address: "127.0.0.1:1", Group: "g", State: platform.StateLive}
+	beat := func(seq uint64, up bool) {
+		hb := &wire.Heartbeat{ID: "ep-2", Epoch: 1, Seq: seq, Load: wire.Load{EngineUp: up}}
+		e.group.view.Heard(hb, e.now())
+		peer := e.group.peer("ep-2")
+		peer.load, peer.hasLoad = hb.Load, true
+	}
+	for _, step := range []struct {
+		name string
+		do   func()
+		want bool
+	}{
+		{"the list was never read", func() {}, false},
+		{"the list is out", func() { e.onList(nil, errors.New("out")) }, false},
+		{"alone by the list", func() { e.onList(nil, nil) }, true},
+		{"another is listed and was never heard", func() { e.onList([]platform.Instance{other}, nil) }, false},
+		{"it loads itself", func() { beat(1, false) }, false},
+		{"it serves", func() { beat(2, true) }, true},
+		{"it is silent, and the permit still held", func() { e.started = e.started.Add(-5 * time.Second) }, false},
+	} {
+		step.do()
+		if got := e.mayLoad(); got != step.want {
+			t.Errorf("%s: may load: %v", step.name, got)
+		}
+	}
+	if n := strings.Count(log.take(), "weights wait"); n != 3 {
+		t.Errorf("the log tells %d times that weights wait, want once each time it begins", n)
+	}
+}
+
 // Symptom: after a new version is published, engines go on with the old one, or
 // all of a group load at once and none serves.
 // Sequence: a model's record changes its version; two replicas share one permit, or
