--- a/internal/endpoint/admission_test.go
+++ b/internal/endpoint/admission_test.go
@@ -13,7 +13,6 @@
 	"skylarklead/internal/wire"
 )
 
-
 // Symptom: a large organisation crowds a small one out at the endpoints that hold
 // the small one's prefixes.
 // Sequence: it has a backlog at every endpoint of the group.
--- a/internal/endpoint/orders.go
+++ b/internal/endpoint/orders.go
@@ -209,6 +209,7 @@
 			// The order of a process before this one: the group must not count on
 			// this engine, or the next one would load as well.
 			e.placement.loading = true
+			e.tellEngine()
 		}
 		e.performOrders(e.placement.orders.Observe(lease.Observed{
 			Fence:   state.Fence,
