Proofs: an address is free when nothing answers there any more

Symptom: one of four runs of all proofs failed at a cluster's start: 'platform: not appended: … connection refused' after the platform had been seen to listen. Cause: the harness listens on a free port, closes it and hands it out; a process forked by another test at that moment keeps a copy of the listener until its exec, and its backlog took the connection that was to show the platform up. Ruled out: two runs with the same hosts (they go by process number).

Change: the address is handed out once a connection to it is refused.

--- a/test/harness/build.go
+++ b/test/harness/build.go
@@ -94,6 +94,12 @@
 		}
 		address := l.Addr().String()
 		l.Close()
+		// A process that another test starts at this moment has a copy of the
+		// listener until its exec. A cluster would take the copy for its platform that
+		// listens, or the platform would find the address in use.
+		for conn, err := net.Dial("tcp", address); err == nil; conn, err = net.Dial("tcp", address) {
+			conn.Close()
+		}
 		if _, taken := handedOut.LoadOrStore(address, true); !taken {
 			return address
 		}
