route: take out the quarantine filter, which nothing sets

Cause: Endpoint.Quarantined was read by the filter and set nowhere; only the table of TestFilterNamesTheReason filled it in. What it was meant for, keeping a request away from engines that it might crash, is done by suspects and strikes (package attempt), whose tests stand for the behaviour. Change: the field, its reason and the table's row are gone. The row tested a filter that has no way to be set; no other row changed.

--- a/internal/route/decide.go
+++ b/internal/route/decide.go
@@ -9,14 +9,13 @@
 
 // Why a candidate was filtered out, as candidates and logs show it.
 const (
-	excludedDead        = "dead"
-	excludedLeaving     = "leaving"
-	excludedEngineDown  = "engine_down"
-	excludedModel       = "other_model"
-	excludedVersion     = "other_version"
-	excludedFailed      = "already_failed"
-	excludedCrashed     = "crashed_by_request"
-	excludedQuarantined = "quarantined"
+	excludedDead       = "dead"
+	excludedLeaving    = "leaving"
+	excludedEngineDown = "engine_down"
+	excludedModel      = "other_model"
+	excludedVersion    = "other_version"
+	excludedFailed     = "already_failed"
+	excludedCrashed    = "crashed_by_request"
 )
 
 // Reasons of a decision.
@@ -82,8 +81,6 @@
 		return excludedDead
 	case e.Leaving:
 		return excludedLeaving
-	case e.Quarantined:
-		return excludedQuarantined
 	case slices.Contains(q.Crashed, e.ID):
 		return excludedCrashed
 	case slices.Contains(q.Exclude, e.ID):
--- a/internal/route/decide_test.go
+++ b/internal/route/decide_test.go
@@ -61,7 +61,6 @@
 	}{
 		{"dead", func(e *Endpoint, _ *Query) { e.Alive = false }, excludedDead},
 		{"leaving", func(e *Endpoint, _ *Query) { e.Leaving = true }, excludedLeaving},
-		{"quarantined", func(e *Endpoint, _ *Query) { e.Quarantined = true }, excludedQuarantined},
 		{"engine down", func(e *Endpoint, _ *Query) { e.Load.EngineUp = false }, excludedEngineDown},
 		{"other model", func(e *Endpoint, _ *Query) { e.Load.Model = "other" }, excludedModel},
 		{"other version", func(e *Endpoint, _ *Query) { e.Load.Version = "v2" }, excludedVersion},
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -28,8 +28,6 @@
 	FailureDomain string
 	Alive         bool
 	Leaving       bool
-	// Quarantined keeps all new requests away, such as after repeated crashes.
-	Quarantined bool
 	// Load is the last load summary, LoadAge its age. With HasLoad false there
 	// is none yet and the endpoint counts as idle and its engine as up.
 	Load    wire.Load
