endpoint: import a prefix from an engine that holds it, off by default

Cause: engines export and import KV cache (docs/INTERFACE.md section 2), and the client has both calls, but no daemon used them: a prefix that another engine holds was always computed again. Change: the owner names a donor in its decision if an endpoint is confirmed to hold more of the prompt than the executor is predicted to, and moving it is cheaper than computing it (route/donor.go, pure). The executor asks the donor's process for the blocks that it lacks, gives them to its engine and then hands the request over; whatever fails, after at most the time of computing them or 250 ms, the request is handed over all the same. Nothing counts as held until the engine's own event or answer says so. Bounds: 4 imports and 4 exports at once, 2,048 blocks, 4 MiB.

--- a/cmd/skylark-measure/main.go
+++ b/cmd/skylark-measure/main.go
@@ -38,6 +38,7 @@
 			&cli.DurationFlag{Name: "duration", Value: 30 * time.Second, Usage: "of each run's load"},
 			&cli.DurationFlag{Name: "warmup", Value: 8 * time.Second, Usage: "of it that isn't counted"},
 			&cli.IntFlag{Name: "at-once", Value: 1, Usage: "runs side by side; they share the machine"},
+			&cli.FloatFlag{Name: "transfer", Usage: "tokens a second that endpoints take an import of KV cache to move; 0 for none"},
 			&cli.BoolFlag{Name: "keep", Usage: "leave each run's settings and logs in the folder for temporary files"},
 			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "folder of the programs"},
 			&cli.BoolFlag{Name: "append", Usage: "add to the runs that the folder of the results has"},
@@ -63,6 +64,7 @@
 	}
 	o := measure.Options{
 		Bin: c.String("bin"), Duration: c.Duration("duration"), Warmup: c.Duration("warmup"), Keep: c.Bool("keep"),
+		Transfer: c.Float("transfer"),
 	}
 	var before []*measure.Run
 	if c.Bool("append") {
@@ -128,9 +130,9 @@
 				fmt.Fprintf(os.Stderr, "%s %s %s seed %d: %v\n", j.deployment.Name, j.scenario.Name, j.policy, j.seed, err)
 				return
 			}
-			fmt.Fprintf(os.Stderr, "%s %s %s seed %d: hit %.1f%% wasted %d of %d, small p99 %.0f ms, all p99 %.0f ms, %v\n",
+			fmt.Fprintf(os.Stderr, "%s %s %s seed %d: hit %.1f%% wasted %d of %d, small p99 %.0f ms, all p99 %.0f ms, %v, imports %v\n",
 				r.Deployment, r.Scenario, r.Policy, r.Seed, 100*r.HitRate, r.WastedTokens, r.PromptTokens,
-				r.FirstToken["small"].P99, r.FirstToken["all"].P99, r.Outcomes)
+				r.FirstToken["small"].P99, r.FirstToken["all"].P99, r.Outcomes, r.Imports)
 			results[i] = r
 		})
 	}
--- a/internal/endpoint/ask.go
+++ b/internal/endpoint/ask.go
@@ -61,6 +61,9 @@
 		decision.Refusal = verdict.Refusal() // it tells when to come back
 	case result.Refusal == nil:
 		decision.Executor = e.target(result.Executor)
+		if decision.Donor = result.Donor; decision.Donor != nil {
+			decision.Donor.Target = e.target(result.Donor.Target.Endpoint)
+		}
 	}
 	return decision
 }
@@ -71,7 +74,7 @@
 		reason = string(decision.Refusal.Code)
 		e.tel.Metrics.Refused(decision.Refusal.Code)
 	}
-	e.tel.Decisions.Record(wire.DecisionRecord{
+	record := wire.DecisionRecord{
 		Request:         ask.Request,
 		Kind:            telemetry.KindRoute,
 		Organisation:    ask.Organisation,
@@ -80,5 +83,9 @@
 		Reason:          reason,
 		PredictedCached: decision.PredictedCached,
 		Candidates:      slices.Clone(decision.Candidates),
-	})
+	}
+	if decision.Donor != nil {
+		record.Donor = decision.Donor.Target.Endpoint
+	}
+	e.tel.Decisions.Record(record)
 }
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -62,6 +62,7 @@
 	held       []*execution
 	claims     claims
 	placement  placement
+	transfers  transfers
 	watch      engineWatch
 	drain      drainState
 	beatSeq    uint64
--- a/internal/endpoint/run.go
+++ b/internal/endpoint/run.go
@@ -130,8 +130,10 @@
 	a.incarnation, a.crashes = e.watch.incarnation, e.watch.crashes
 	j := job{run: a.run, messages: a.messages, stream: a.stream, begun: time.Now(), incarnation: a.incarnation,
 		priority: a.enginePriority, repeatable: a.repeatable()}
+	imported := e.importFor(a)
 	go func() {
 		defer stop(nil)
+		imported.await(ctx)
 		var end wire.End
 		if j.run.Call != nil {
 			end = e.runCall(ctx, j)
--- a/internal/endpoint/server.go
+++ b/internal/endpoint/server.go
@@ -118,6 +118,8 @@
 		e.reply(s, ref, e.status())
 	case *wire.ExplainRequest:
 		e.reply(s, ref, &wire.Explanation{Records: e.tel.Decisions.Explain(m.Request)})
+	case *wire.Export:
+		e.onExport(s, ref, m)
 	case *wire.Drain:
 		e.onDrain(s, ref, m)
 	default:
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -132,6 +132,9 @@
 	if j.call != nil {
 		return run
 	}
+	if a.Target == j.decision.Executor {
+		run.Donor = j.decision.Donor
+	}
 	run.Partial = string(j.answer)
 	switch {
 	case a.FirstSeq > 0:
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -29,6 +29,8 @@
 	Policy   string
 	// Engine are settings of the stand-in engines, in the form of POST /control.
 	Engine map[string]any
+	// Transfer is the endpoints' TransferTokensPerSecond.
+	Transfer float64
 	// Settings, if set, changes each daemon's settings before its start.
 	Settings func(*settings.Settings)
 }
@@ -170,9 +172,12 @@
 		SmallReserve:           settings.DefaultSmallReserve,
 		PrefillTokensPerSecond: settings.DefaultPrefillRate,
 		DecodeTokenTime:        settings.DefaultDecodeTime,
-		CacheTokens:            settings.DefaultCacheTokens,
-		Heartbeat:              settings.DefaultHeartbeat,
-		SuspectAfter:           settings.DefaultSuspectAfter,
+
+		TransferTokensPerSecond: f.options.Transfer,
+
+		CacheTokens:  settings.DefaultCacheTokens,
+		Heartbeat:    settings.DefaultHeartbeat,
+		SuspectAfter: settings.DefaultSuspectAfter,
 	}
 	return n, f.startDaemon(n, group)
 }
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 	Duration, Warmup time.Duration
 	// Keep leaves the folder with settings and logs of each run.
 	Keep bool
+	// Transfer is the endpoints' TransferTokensPerSecond.
+	Transfer float64
 }
 
 // Run is the figures of one run.
@@ -54,6 +57,8 @@
 	Control   float64 `json:"control_bytes_per_second"`
 	EntryCPU  float64 `json:"entry_cpu"`
 	EngineCPU float64 `json:"endpoint_cpu"`
+	// Imports are the counters of KV cache imports, over all endpoints.
+	Imports map[string]int `json:"imports,omitempty"`
 	// LateMs is how late the generator itself was, 99th percentile.
 	LateMs float64 `json:"generator_late_p99_ms"`
 	// Valid is unset when requests were dropped by the generator.
@@ -69,6 +74,7 @@
 	control map[string]float64
 	retries float64
 	hedges  float64
+	imports map[string]int
 }
 
 // Measure starts a deployment, runs one scenario on it and stops it.
@@ -86,7 +92,7 @@
 	}
 	engines := map[string]any{"journal": true, "crash_mode": "reset"}
 	maps.Copy(engines, s.Engine)
-	f, err := StartFleet(ctx, d, w, FleetOptions{Bin: o.Bin, Dir: dir, Policy: policy, Engine: engines})
+	f, err := StartFleet(ctx, d, w, FleetOptions{Bin: o.Bin, Dir: dir, Policy: policy, Engine: engines, Transfer: o.Transfer})
 	if err != nil {
 		return nil, err
 	}
@@ -160,6 +166,10 @@
 	r.Goodput = report.All.GoodputPerSecond
 	r.Retries = int(after.retries - before.retries)
 	r.Hedges = int(after.hedges - before.hedges)
+	r.Imports = map[string]int{}
+	for name, count := range after.imports {
+		r.Imports[name] = count - before.imports[name]
+	}
 	r.LateMs = report.LateP99MS
 	r.Valid = report.Dropped == 0
 }
@@ -198,7 +208,7 @@
 
 // sample reads all accounts and metrics pages.
 func (f *Fleet) sample() (sample, error) {
-	s := sample{at: time.Now(), cpu: map[string]float64{}, control: map[string]float64{}}
+	s := sample{at: time.Now(), cpu: map[string]float64{}, control: map[string]float64{}, imports: map[string]int{}}
 	for _, n := range f.Engines {
 		var account engine.Account
 		if err := getJSON("http://"+n.address+"/control/account", &account); err != nil {
@@ -216,6 +226,11 @@
 		s.control[n.id] = value(page, "control_bytes_sent") + value(page, "control_bytes_received")
 		s.retries += value(page, "retries")
 		s.hedges += value(page, "hedges")
+		for name := range page.Metrics {
+			if strings.HasPrefix(name, "kv_") {
+				s.imports[name] += int(value(page, name))
+			}
+		}
 	}
 	return s, nil
 }
--- a/internal/route/decide.go
+++ b/internal/route/decide.go
@@ -55,8 +55,11 @@
 	if chosen < 0 {
 		return r.refuse(endpoints)
 	}
+	donor := r.donor(now, q, chosen, endpoints)
 	r.commit(now, q, chosen)
-	return r.result(chosen, reason, q, endpoints)
+	result := r.result(chosen, reason, q, endpoints)
+	result.Donor = donor
+	return result
 }
 
 // filter fills scratch with all endpoints and says which can't run q.
--- a/internal/route/property_test.go
+++ b/internal/route/property_test.go
@@ -105,7 +105,10 @@
 
 func TestRouterUnderChange(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := newFleet(rapid.IntRange(1, 6).Draw(t, "endpoints"), Params{MaxNodes: rapid.IntRange(4, 60).Draw(t, "nodes")})
+		f := newFleet(rapid.IntRange(1, 6).Draw(t, "endpoints"), Params{
+			MaxNodes:                rapid.IntRange(4, 60).Draw(t, "nodes"),
+			TransferTokensPerSecond: rapid.SampledFrom([]float64{0, 200000}).Draw(t, "transfer"),
+		})
 		index := rapid.IntRange(0, len(f.endpoints)-1)
 		var last *Query
 		var executor string
@@ -188,6 +191,7 @@
 			t.Fatalf("predicted %d tokens that %s never had", l.Tokens, got.Executor)
 		}
 	}
+	f.checkDonor(t, q, got)
 	for _, l := range q.Levels {
 		f.held[got.Executor][l.Hash] = true
 	}
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -42,6 +42,8 @@
 	Reason          string
 	PredictedCached int
 	Suspect         bool
+	// Donor is where the executor is to import the prefix from, nil for nowhere.
+	Donor *wire.Donor
 	// Candidates has the executor first, then the next best, then some of those
 	// that were filtered out, MaxCandidates at most.
 	Candidates []wire.Candidate
@@ -81,6 +83,10 @@
 	PrefillTokensPerSecond float64
 	DecodeTokenTime        time.Duration
 	MaxRunning             int
+	// TransferTokensPerSecond is the speed of export and import together, 0 for
+	// none; TransferSetup is what a transfer costs however short it is.
+	TransferTokensPerSecond float64
+	TransferSetup           time.Duration
 	// SmallReserve is the share of places that admission keeps for organisations
 	// that use little, 0 to 1.
 	SmallReserve float64
@@ -117,6 +123,7 @@
 const (
 	DefaultPrefillTokensPerSecond = 20000
 	DefaultDecodeTokenTime        = 25 * time.Millisecond
+	DefaultTransferSetup          = 5 * time.Millisecond
 	DefaultMaxRunning             = 16
 	DefaultCacheTokens            = 23000 * prefix.BlockTokens
 	DefaultCrossingCost           = 1500 * time.Microsecond
@@ -142,12 +149,15 @@
 		MaxRunning:             s.MaxRunning,
 		SmallReserve:           s.SmallReserve,
 		CacheTokens:            s.CacheTokens,
+
+		TransferTokensPerSecond: s.TransferTokensPerSecond,
 	}
 }
 
 func (p Params) withDefaults() Params {
 	setDefault(&p.PrefillTokensPerSecond, DefaultPrefillTokensPerSecond)
 	setDefault(&p.DecodeTokenTime, DefaultDecodeTokenTime)
+	setDefault(&p.TransferSetup, DefaultTransferSetup)
 	setDefault(&p.MaxRunning, DefaultMaxRunning)
 	setDefault(&p.CacheTokens, DefaultCacheTokens)
 	setDefault(&p.CrossingCost, DefaultCrossingCost)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -119,6 +119,10 @@
 	c.share("endpoint.small_reserve", e.SmallReserve)
 	c.atLeastOne("endpoint.prefill_tokens_per_second", e.PrefillTokensPerSecond)
 	c.positive("endpoint.decode_token_time", e.DecodeTokenTime)
+	if !(e.TransferTokensPerSecond >= 0) {
+		c.doc.Add("endpoint.transfer_tokens_per_second", fmt.Sprintf("is %v", e.TransferTokensPerSecond),
+			"0 for no import, or what the engines were measured to transfer")
+	}
 	c.atLeastOne("endpoint.cache_tokens", float64(e.CacheTokens))
 	c.positive("endpoint.heartbeat", e.Heartbeat)
 	if e.SuspectAfter <= e.Heartbeat {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -96,6 +96,9 @@
 	// PrefillTokensPerSecond and DecodeTokenTime are the engine's speeds.
 	PrefillTokensPerSecond float64  `json:"prefill_tokens_per_second"`
 	DecodeTokenTime        Duration `json:"decode_token_time"`
+	// TransferTokensPerSecond is how fast a prefix can be exported from one engine
+	// of the group and imported by another; 0 has every prefix computed.
+	TransferTokensPerSecond float64 `json:"transfer_tokens_per_second"`
 	// CacheTokens is the size of the engine's prefix cache.
 	CacheTokens int `json:"cache_tokens"`
 	// Heartbeat is how often the group is told; a peer silent for
--- a/internal/telemetry/decisions.go
+++ b/internal/telemetry/decisions.go
@@ -21,6 +21,8 @@
 	KindRequest = "request"
 	// KindRun is an executor's account of an attempt at its end.
 	KindRun = "run"
+	// KindImport is an executor's account of an import of cache blocks.
+	KindImport = "import"
 	// KindPlacement is an order to an engine.
 	KindPlacement = "placement"
 )
@@ -79,6 +81,9 @@
 	if rec.Outcome != "" {
 		attrs = append(attrs, slog.String("outcome", string(rec.Outcome)))
 	}
+	if rec.Donor != "" {
+		attrs = append(attrs, slog.String("donor", rec.Donor))
+	}
 	if len(rec.Candidates) > 0 && d.log.Enabled(context.Background(), slog.LevelDebug) {
 		attrs = append(attrs, slog.Any("candidates", rec.Candidates))
 	}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -39,6 +39,8 @@
 	kindDrain
 	kindDrained
 	kindFailure
+	kindExport
+	kindExported
 )
 
 func (*Challenge) kind() Kind      { return kindChallenge }
@@ -65,6 +67,8 @@
 func (*Drain) kind() Kind          { return kindDrain }
 func (*Drained) kind() Kind        { return kindDrained }
 func (*Failure) kind() Kind        { return kindFailure }
+func (*Export) kind() Kind         { return kindExport }
+func (*Exported) kind() Kind       { return kindExported }
 
 // newMessage has a constructor for each kind.
 var newMessage = map[Kind]func() Message{
@@ -92,6 +96,8 @@
 	kindDrain:          func() Message { return new(Drain) },
 	kindDrained:        func() Message { return new(Drained) },
 	kindFailure:        func() Message { return new(Failure) },
+	kindExport:         func() Message { return new(Export) },
+	kindExported:       func() Message { return new(Exported) },
 }
 
 // envelope is a frame: a CBOR array of kind, reference and body. Ref pairs a
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -25,7 +25,7 @@
 // drawMessage returns a message of any kind; the ones with most fields are drawn
 // in full.
 func drawMessage(t *rapid.T) Message {
-	kind := Kind(rapid.IntRange(int(kindChallenge), int(kindFailure)).Draw(t, "kind"))
+	kind := Kind(rapid.IntRange(int(kindChallenge), int(kindExported)).Draw(t, "kind"))
 	m := newMessage[kind]()
 	switch m := m.(type) {
 	case *Ask:
@@ -42,6 +42,9 @@
 	case *End:
 		m.Attempt, m.Seq, m.Outcome = attempts.Draw(t, "attempt"), rapid.Uint64().Draw(t, "seq"), Unknown
 		m.Message, m.Redirect = texts.Draw(t, "message"), &Target{Endpoint: texts.Draw(t, "id")}
+	case *Exported:
+		m.Incarnation, m.Hashes = texts.Draw(t, "incarnation"), []prefix.Hash{prefix.Hash(rapid.Uint64().Draw(t, "hash"))}
+		m.Blob = rapid.SliceOfN(rapid.Byte(), 1, 100).Draw(t, "blob")
 	}
 	return m
 }
@@ -64,7 +67,7 @@
 }
 
 func TestKindsAreComplete(t *testing.T) {
-	for kind := kindChallenge; kind <= kindFailure; kind++ {
+	for kind := kindChallenge; kind <= kindExported; kind++ {
 		if m := newMessage[kind](); m.kind() != kind {
 			t.Errorf("kind %d constructs %T of kind %d", kind, m, m.kind())
 		}
@@ -97,7 +100,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	for kind := kindChallenge; kind <= kindFailure; kind++ {
+	for kind := kindChallenge; kind <= kindExported; kind++ {
 		frame, err := Encode(uint32(kind), newMessage[kind]())
 		if err != nil {
 			f.Fatal(err)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -185,6 +185,9 @@
 	// Version comes with a Refusal: the entry is to ask again for this version of
 	// the model, with levels of its salt.
 	Version string `cbor:"11,keyasint,omitempty"`
+	// Donor holds more of the prompt than the executor, which is to import it;
+	// nil if there is none or computing is cheaper.
+	Donor *Donor `cbor:"12,keyasint,omitempty"`
 }
 
 // Call is a call to a plain service.
@@ -236,6 +239,8 @@
 	// Parameters are the caller's fields for the engine, as package parameters
 	// picks them: a JSON object of at most parameters.MaxBytes, empty if none.
 	Parameters []byte `cbor:"25,keyasint,omitempty"`
+	// Donor is the Decision's.
+	Donor *Donor `cbor:"26,keyasint,omitempty"`
 }
 
 // Start says that the request was handed to the engine or service and that its
@@ -453,6 +458,8 @@
 	Candidates      []Candidate `cbor:"10,keyasint,omitempty" json:"candidates,omitempty"`
 	Outcome         Outcome     `cbor:"11,keyasint,omitempty" json:"outcome,omitempty"`
 	AgeMs           int64       `cbor:"12,keyasint" json:"age_ms"`
+	// Donor is the endpoint that a prefix is, or was, to be imported from.
+	Donor string `cbor:"13,keyasint,omitempty" json:"donor,omitempty"`
 }
 
 // Drain orders an endpoint process to take no new work, for good.
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -282,7 +282,7 @@
 
 func isReply(m Message) bool {
 	switch m.(type) {
-	case *Decision, *Resolved, *ConfigState, *Status, *Explanation, *Drained, *Failure:
+	case *Decision, *Resolved, *ConfigState, *Status, *Explanation, *Drained, *Failure, *Exported:
 		return true
 	}
 	return false
--- a/internal/wire/traffic.go
+++ b/internal/wire/traffic.go
@@ -34,7 +34,7 @@
 
 func isData(m Message) bool {
 	switch m.(type) {
-	case *Run, *Start, *Chunk, *End, *Credit:
+	case *Run, *Start, *Chunk, *End, *Credit, *Export, *Exported:
 		return true
 	}
 	return false
