test: an import is of what was decided, and a leaving holder is a donor

Change: two proofs with real processes. In the first the test plays an entry and decides what happens between a decision and the export: the donor's engine crashes and holds the prefix again, its process is restarted, the weights change, the decision is another organisation's. In the second an endpoint is drained and the one that takes over imports from it, through the whole path. endpoint.transfer_wait (250ms) bounds the wait, so that the proofs don't hang on the machine's speed. Seen to fail: without the checks of the incarnation 1,024 tokens were cached from an engine that the decision didn't name; the same without those of the epoch. Ruled out: a leaving endpoint that has just refused the request as draining is among those that the entry excludes, and so no donor; whether it would answer is not known then.

--- a/internal/endpoint/transfer.go
+++ b/internal/endpoint/transfer.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// maxTransferWait bounds an import, however long computing would take.
-	maxTransferWait = 250 * time.Millisecond
 	// maxImports and maxExports bound the transfers at once, either way, and
 	// maxTransferBlocks the blocks of one. Past them prefixes are computed.
 	maxImports        = 4
@@ -92,7 +90,7 @@
 	}
 	hashes := a.chain[from:blocks]
 	computing := float64(len(hashes)*prefix.BlockTokens) / e.settings.Endpoint.PrefillTokensPerSecond
-	bound := min(maxTransferWait, time.Duration(computing*float64(time.Second)))
+	bound := min(e.settings.Endpoint.TransferWait.D(), time.Duration(computing*float64(time.Second)))
 	return &transfer{donor: d, run: a.run, hashes: hashes, bound: bound, done: make(chan struct{})}
 }
 
@@ -218,7 +216,7 @@
 	}
 	e.transfers.exports++
 	go func() {
-		ctx, stop := context.WithTimeout(context.Background(), maxTransferWait)
+		ctx, stop := context.WithTimeout(context.Background(), e.settings.Endpoint.TransferWait.D())
 		defer stop()
 		x := e.export(ctx, m)
 		e.loop.must(func() {
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -174,6 +174,7 @@
 		DecodeTokenTime:        settings.DefaultDecodeTime,
 
 		TransferTokensPerSecond: f.options.Transfer,
+		TransferWait:            settings.DefaultTransferWait,
 
 		CacheTokens:  settings.DefaultCacheTokens,
 		Heartbeat:    settings.DefaultHeartbeat,
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -123,6 +123,9 @@
 		c.doc.Add("endpoint.transfer_tokens_per_second", fmt.Sprintf("is %v", e.TransferTokensPerSecond),
 			"0 for no import, or what the engines were measured to transfer")
 	}
+	if e.TransferTokensPerSecond > 0 {
+		c.positive("endpoint.transfer_wait", e.TransferWait)
+	}
 	c.atLeastOne("endpoint.cache_tokens", float64(e.CacheTokens))
 	c.positive("endpoint.heartbeat", e.Heartbeat)
 	if e.SuspectAfter <= e.Heartbeat {
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -23,6 +23,7 @@
 	DefaultPrefillRate    = 20000
 	DefaultDecodeTime     = Duration(10 * time.Millisecond)
 	DefaultCacheTokens    = 40000
+	DefaultTransferWait   = Duration(250 * time.Millisecond)
 	DefaultHeartbeat      = Duration(time.Second)
 	DefaultSuspectAfter   = Duration(3 * time.Second)
 )
@@ -57,6 +58,7 @@
 	fill(doc, "endpoint.prefill_tokens_per_second", &e.PrefillTokensPerSecond, DefaultPrefillRate)
 	fill(doc, "endpoint.decode_token_time", &e.DecodeTokenTime, DefaultDecodeTime)
 	fill(doc, "endpoint.cache_tokens", &e.CacheTokens, DefaultCacheTokens)
+	fill(doc, "endpoint.transfer_wait", &e.TransferWait, DefaultTransferWait)
 	fill(doc, "endpoint.heartbeat", &e.Heartbeat, DefaultHeartbeat)
 	fill(doc, "endpoint.suspect_after", &e.SuspectAfter, DefaultSuspectAfter)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -99,6 +99,8 @@
 	// TransferTokensPerSecond is how fast a prefix can be exported from one engine
 	// of the group and imported by another; 0 has every prefix computed.
 	TransferTokensPerSecond float64 `json:"transfer_tokens_per_second"`
+	// TransferWait bounds what a request waits for an import.
+	TransferWait Duration `json:"transfer_wait"`
 	// CacheTokens is the size of the engine's prefix cache.
 	CacheTokens int `json:"cache_tokens"`
 	// Heartbeat is how often the group is told; a peer silent for
--- a/test/harness/extra.go
+++ b/test/harness/extra.go
@@ -176,3 +176,50 @@
 func WithBootstrap(dir string) func(*settings.Settings) {
 	return func(s *settings.Settings) { s.Bootstrap.File = BootstrapFile(dir) }
 }
+
+// Dial opens a session to a daemon, as an entry of another fleet member would.
+// Chats run on it are collected until their End.
+func (c *Cluster) Dial(n *Node) *Peer {
+	c.t.Helper()
+	p := &Peer{ends: make(chan *wire.End, 1)}
+	s, err := wire.Dial(context.Background(), n.Settings.Listen, wire.Options{
+		Key:     fleetKeyBytes(),
+		Self:    func() wire.Identity { return wire.Identity{ID: "test", Role: wire.RoleEntry, Epoch: 1} },
+		Handler: p,
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	p.Session = s
+	c.t.Cleanup(func() { s.Close(wire.ErrClosed) })
+	return p
+}
+
+func fleetKeyBytes() []byte {
+	s := settings.Settings{FleetKey: fleetKey}
+	return s.Key()
+}
+
+// Peer is a session of the test's own to a daemon.
+type Peer struct {
+	*wire.Session
+	ends chan *wire.End
+}
+
+// Handle implements wire.Handler.
+func (p *Peer) Handle(_ *wire.Session, _ uint32, m wire.Message) {
+	if end, ok := m.(*wire.End); ok {
+		p.ends <- end
+	}
+}
+
+// Closed implements wire.Handler.
+func (p *Peer) Closed(*wire.Session, error) { close(p.ends) }
+
+// Run sends a Run and returns its End, nil if the session ended before.
+func (p *Peer) Run(run *wire.Run) *wire.End {
+	if p.Send(run) != nil {
+		return nil
+	}
+	return <-p.ends
+}
