endpoint: tests of what an import takes and an export gives

A donor that doesn't answer, or answers for another process, engine, weights or prefix, and an engine that refuses the import, leave the request to be computed; an export goes by the engine's own word, not by a load report.

--- /dev/null
+++ b/internal/endpoint/transfer_test.go
@@ -0,0 +1,145 @@
+package endpoint
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"skylarklead/internal/engine"
+	"skylarklead/internal/prefix"
+	"skylarklead/internal/settings"
+	"skylarklead/internal/telemetry"
+	"skylarklead/internal/wire"
+)
+
+// fakeDonor answers each Export with what reply makes of a good answer, or not at
+// all if that is nil.
+type fakeDonor struct {
+	reply func(*wire.Exported) *wire.Exported
+}
+
+func (d fakeDonor) Closed(*wire.Session, error) {}
+
+func (d fakeDonor) Handle(s *wire.Session, ref uint32, m wire.Message) {
+	ask, ok := m.(*wire.Export)
+	if !ok {
+		return
+	}
+	good := &wire.Exported{Epoch: ask.Epoch, Incarnation: ask.Incarnation, Version: ask.Version, Hashes: ask.Hashes, Blob: []byte("x")}
+	if x := d.reply(good); x != nil {
+		go s.Reply(ref, x)
+	}
+}
+
+func startDonor(t *testing.T, d fakeDonor) string {
+	t.Helper()
+	self := wire.Identity{ID: "ep-2", Role: wire.RoleEndpoint, Epoch: 7, Group: "g"}
+	options := wire.Options{Key: fleetKey, Self: func() wire.Identity { return self }, Handler: d}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { wire.Accept(w, r, options) }))
+	t.Cleanup(server.Close)
+	return server.Listener.(*net.TCPListener).Addr().String()
+}
+
+// Symptom: a request hangs, or runs on blocks that nobody decided on.
+// Sequence: the executor asks the donor that the decision names; that answers
+// nothing, or for another process, engine, weights or prefix; or the executor's
+// own weights change before the import.
+// Cause: an import that is waited for without a bound, or taken unseen.
+func TestImportTakesOnlyWhatItAskedFor(t *testing.T) {
+	tests := []struct {
+		outcome string
+		status  int // of the engine's answer to the import
+		imports int32
+		reply   func(*wire.Exported) *wire.Exported
+	}{
+		{importDone, 200, 1, func(x *wire.Exported) *wire.Exported { return x }},
+		{importDonorLost, 200, 0, func(*wire.Exported) *wire.Exported { return nil }},
+		{"other_epoch", 200, 0, func(x *wire.Exported) *wire.Exported { x.Epoch++; return x }},
+		{"other_incarnation", 200, 0, func(x *wire.Exported) *wire.Exported { x.Incarnation = "i2"; return x }},
+		{"other_weights", 200, 0, func(x *wire.Exported) *wire.Exported { x.Version = "v2"; return x }},
+		{"other_weights", 409, 1, func(x *wire.Exported) *wire.Exported { return x }},
+		{importFailed, 500, 1, func(x *wire.Exported) *wire.Exported { return x }},
+		{"nothing_held", 200, 0, func(x *wire.Exported) *wire.Exported { x.Hashes = nil; return x }},
+		{importNotAsked, 200, 0, func(x *wire.Exported) *wire.Exported { x.Hashes = x.Hashes[1:]; return x }},
+		{"busy", 200, 0, func(*wire.Exported) *wire.Exported { return &wire.Exported{Refusal: wire.ExportBusy} }},
+	}
+	for _, test := range tests {
+		f := newFakeEngine(t, "a")
+		var imports atomic.Int32
+		mux := http.NewServeMux()
+		mux.Handle("/", f.Config.Handler)
+		mux.HandleFunc("POST /v1/kv/import", func(w http.ResponseWriter, r *http.Request) {
+			imports.Add(1)
+			w.WriteHeader(test.status)
+			json.NewEncoder(w).Encode(engine.Imported{Blocks: 2})
+		})
+		backend := httptest.NewServer(mux)
+		t.Cleanup(backend.Close)
+		p := startProcess(t, backend.URL, func(s *settings.Settings) {
+			s.Endpoint.TransferTokensPerSecond = 200000
+			s.Endpoint.TransferWait = settings.Duration(10 * time.Second)
+			s.Endpoint.PrefillTokensPerSecond = 10
+			if test.outcome == importDonorLost {
+				s.Endpoint.TransferWait = settings.Duration(time.Millisecond)
+			}
+		})
+		run := chat(1)
+		run.Messages = []prefix.Message{{Role: "system", Content: string(make([]byte, 2*prefix.BlockBytes))}, run.Messages[0]}
+		run.Levels = prefix.Levels(prefix.Salt{Organisation: run.Organisation, Model: run.Model, Weights: run.Version}.Root(), run.Messages)
+		run.Donor = &wire.Donor{
+			Target:      wire.Target{Endpoint: "ep-2", Address: startDonor(t, fakeDonor{test.reply}), Epoch: 7},
+			Incarnation: "i1", Version: "v1", Level: run.Levels[0],
+		}
+		n := p.dial("entry-1")
+		n.send(run)
+		if text, end := n.answer(0); text != "a" || end.Outcome != wire.Done {
+			t.Errorf("%s: %q, %+v", test.outcome, text, end)
+		}
+		var got string
+		waitFor(t, "the import's account", func() bool {
+			records := p.tel.Decisions.Explain(run.Request)
+			i := slices.IndexFunc(records, func(r wire.DecisionRecord) bool { return r.Kind == telemetry.KindImport })
+			if i >= 0 {
+				got = records[i].Reason
+			}
+			return i >= 0
+		})
+		if got != test.outcome || imports.Load() != test.imports {
+			t.Errorf("%s, want %s; %d imports", got, test.outcome, imports.Load())
+		}
+		p.stop()
+	}
+}
+
+// Symptom: a donor gives blocks that its decision doesn't cover.
+// Sequence: its engine crashes or changes weights; before the next load report
+// says so, an Export for what was before arrives.
+// Cause: an export that goes by the load report alone.
+func TestExportGoesByTheEnginesOwnWord(t *testing.T) {
+	asked := &wire.Export{Incarnation: "i1", Version: "v1", Hashes: []prefix.Hash{1}}
+	tests := []struct {
+		kv   engine.KV
+		want wire.ExportRefusal
+	}{
+		{engine.KV{Incarnation: "i1", Weights: "v1", Hashes: engine.Hashes{1}, Blob: []byte("x")}, ""},
+		{engine.KV{Incarnation: "i2", Weights: "v1", Hashes: engine.Hashes{1}, Blob: []byte("x")}, wire.ExportOtherIncarnation},
+		{engine.KV{Incarnation: "i1", Weights: "v2", Hashes: engine.Hashes{1}, Blob: []byte("x")}, wire.ExportOtherWeights},
+		{engine.KV{Incarnation: "i1", Weights: "v1", Hashes: engine.Hashes{1}, Blob: make([]byte, wire.MaxExportBytes+1)}, wire.ExportTooLarge},
+	}
+	for _, test := range tests {
+		e, _ := newTestEndpoint(t)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(test.kv) }))
+		t.Cleanup(server.Close)
+		e.engine = engine.NewClient(server.URL)
+		x := e.export(context.Background(), asked)
+		if x.Refusal != test.want || (test.want == "") != (len(x.Blob) > 0) {
+			t.Errorf("refusal %q with %d bytes, want %q", x.Refusal, len(x.Blob), test.want)
+		}
+	}
+}
