endpoint: the fake engine of the export's test reads its request

Ruled out: the client's bounds; the error is a reset by the peer. Change: the fake reads the body; a failed export is logged at debug.

--- a/internal/endpoint/transfer.go
+++ b/internal/endpoint/transfer.go
@@ -249,6 +249,7 @@
 	x := &wire.Exported{Epoch: e.tel.Epoch, Incarnation: kv.Incarnation, Version: kv.Weights, Hashes: kv.Hashes, Blob: kv.Blob}
 	switch {
 	case err != nil:
+		e.log.Debug("engine exported nothing", "error", err)
 		x.Refusal = wire.ExportFailed
 	case kv.Incarnation != m.Incarnation:
 		x.Refusal = wire.ExportOtherIncarnation
--- a/internal/endpoint/transfer_test.go
+++ b/internal/endpoint/transfer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -76,6 +77,7 @@
 		mux.Handle("/", f.Config.Handler)
 		mux.HandleFunc("POST /v1/kv/import", func(w http.ResponseWriter, r *http.Request) {
 			imports.Add(1)
+			io.Copy(io.Discard, r.Body)
 			w.WriteHeader(test.status)
 			json.NewEncoder(w).Encode(engine.Imported{Blocks: 2})
 		})
@@ -133,13 +135,16 @@
 		{engine.KV{Incarnation: "i1", Weights: "v1", Hashes: engine.Hashes{1}, Blob: make([]byte, wire.MaxExportBytes+1)}, wire.ExportTooLarge},
 	}
 	for _, test := range tests {
-		e, _ := newTestEndpoint(t)
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(test.kv) }))
+		e, log := newTestEndpoint(t)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body) // closed with a body unread, the connection is reset
+			json.NewEncoder(w).Encode(test.kv)
+		}))
 		t.Cleanup(server.Close)
 		e.engine = engine.NewClient(server.URL)
 		x := e.export(context.Background(), asked)
 		if x.Refusal != test.want || (test.want == "") != (len(x.Blob) > 0) {
-			t.Errorf("refusal %q with %d bytes, want %q", x.Refusal, len(x.Blob), test.want)
+			t.Errorf("refusal %q with %d bytes, want %q\n%s", x.Refusal, len(x.Blob), test.want, log.take())
 		}
 	}
 }
