--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -23,7 +23,7 @@
 
 // filledRouter has roots resident levels over a group.
 func filledRouter(roots int, endpoints []Endpoint) *Router {
-	r, rng := NewRouter(Params{}), newRand()
+	r, rng := NewRouter(Params{TransferTokensPerSecond: 200000}), newRand()
 	for i := 0; r.Table().Len() < roots; i++ {
 		q := rootQuery(i)
 		now := time.Duration(i) * time.Millisecond
