--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
 	"skylarklead/test/harness"
 )
@@ -54,7 +55,7 @@
 // Cause: whatever the proofs of one fault each don't meet.
 func TestSoak(t *testing.T) {
 	t.Parallel()
-	c := harness.Start(t, harness.Options{Engines: 3, Services: 2, Entries: 2, Settings: retryFreely})
+	c := harness.Start(t, harness.Options{Engines: 3, Services: 2, Entries: 2, Settings: soakSettings})
 	s := &soak{
 		t: t, c: c, done: make(chan struct{}),
 		revision: c.Revisions[harness.Foodbank.ID],
@@ -74,6 +75,14 @@
 	s.verdict()
 }
 
+func soakSettings(s *settings.Settings) {
+	retryFreely(s)
+	if s.Endpoint != nil {
+		s.Endpoint.TransferTokensPerSecond = 200_000
+		s.Endpoint.TransferWait = settings.DefaultTransferWait
+	}
+}
+
 func (s *soak) over() bool {
 	select {
 	case <-s.done:
@@ -267,9 +276,10 @@
 // verdict prints one line a promise.
 func (s *soak) verdict() {
 	t := s.t
-	foreign := 0
+	foreign, imports := 0, 0
 	for _, n := range s.c.Endpoints {
 		foreign += s.c.Account(n.Engine).Totals.ForeignHits
+		imports += n.Count("decision", "kind", "import", "reason", "imported")
 	}
 	s.c.Settle()
 	runs := runsOf(s.c)
@@ -289,7 +299,7 @@
 	for _, w := range s.wrong {
 		t.Error(w)
 	}
-	t.Logf("soak of %v, seed %d: %d of %d streams whole, %d payments, %d changes", *soakFor, *soakSeed, s.whole, s.streams, len(s.payments), s.published.Load())
+	t.Logf("soak of %v, seed %d: %d of %d streams whole, %d payments, %d changes, %d imports", *soakFor, *soakSeed, s.whole, s.streams, len(s.payments), s.published.Load(), imports)
 	line := func(promise, what string, broken int) {
 		if broken > 0 {
 			t.Errorf("promise %s BROKEN: %s: %d", promise, what, broken)
