--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -73,6 +73,8 @@
 		{"peer twice", [2]string{`["127.0.0.1:7002"]`, `["127.0.0.1:7002", "127.0.0.1:7002"]`}, `bootstrap.peers[1]: "127.0.0.1:7002" is there twice`},
 		{"policy", [2]string{`8080"`, `8080", "policy": "onwer"`}, `entry.policy: "onwer" is not known; want "owner" or "random"`},
 		{"reserve", endpoint(`, "small_reserve": -0.1`), `endpoint.small_reserve: is -0.1; want a share from 0 to 1`},
+		{"transfer", endpoint(`, "transfer_tokens_per_second": -1`), `endpoint.transfer_tokens_per_second: is -1; want 0 for no import`},
+		{"transfer wait", endpoint(`, "transfer_tokens_per_second": 1, "transfer_wait": "0s"`), `endpoint.transfer_wait: is 0s; want more than 0s`},
 		{"suspect", endpoint(`, "suspect_after": "1s"`), `endpoint.suspect_after: 1s is not more than the heartbeat, 1s`},
 		{"syntax", [2]string{`"id":`, `"id"`}, `settings.json:2: column 8: `},
 		{"type", [2]string{`"entry-1"`, `7`}, `settings.json:2: id: is 7; want a string`},
