--- a/internal/endpoint/admission.go
+++ b/internal/endpoint/admission.go
@@ -45,6 +45,9 @@
 		item.Deadline = now + time.Duration(a.run.DeadlineMs)*time.Millisecond
 	}
 	e.perform(e.admission.Arrive(now, item))
+	if e.backlog.Rises(now, e.admission.Summary().QueuedTokens) {
+		e.beatAll()
+	}
 }
 
 // backlogsElsewhere counts the other endpoints of the group that have told of a
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -67,8 +67,10 @@
 	watch      engineWatch
 	drain      drainState
 	beatSeq    uint64
+	engineTold engineState
 	// rootsTold is the picture's root version up to which owners are told.
 	rootsTold uint64
+	backlog   route.Backlog
 }
 
 // Run serves peers until ctx ends and the last stream has.
--- a/internal/endpoint/transfer_test.go
+++ b/internal/endpoint/transfer_test.go
@@ -17,6 +17,7 @@
 	"skylarklead/internal/settings"
 	"skylarklead/internal/telemetry"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 // fakeDonor answers each Export with what reply makes of a good answer, or not at
@@ -104,7 +105,7 @@
 			t.Errorf("%s: %q, %+v", test.outcome, text, end)
 		}
 		var got string
-		waitFor(t, "the import's account", func() bool {
+		kit.Until(t, "the import's account", func() bool {
 			records := p.tel.Decisions.Explain(run.Request)
 			i := slices.IndexFunc(records, func(r wire.DecisionRecord) bool { return r.Kind == telemetry.KindImport })
 			if i >= 0 {
