--- a/internal/route/decide.go
+++ b/internal/route/decide.go
@@ -9,14 +9,13 @@
 
 // Why a candidate was filtered out, as candidates and logs show it.
 const (
-	excludedDead        = "dead"
-	excludedLeaving     = "leaving"
-	excludedEngineDown  = "engine_down"
-	excludedModel       = "other_model"
-	excludedVersion     = "other_version"
-	excludedFailed      = "already_failed"
-	excludedCrashed     = "crashed_by_request"
-	excludedQuarantined = "quarantined"
+	excludedDead       = "dead"
+	excludedLeaving    = "leaving"
+	excludedEngineDown = "engine_down"
+	excludedModel      = "other_model"
+	excludedVersion    = "other_version"
+	excludedFailed     = "already_failed"
+	excludedCrashed    = "crashed_by_request"
 )
 
 // Reasons of a decision.
@@ -56,8 +55,11 @@
 	if chosen < 0 {
 		return r.refuse(endpoints)
 	}
+	donor := r.donor(now, q, chosen, endpoints)
 	r.commit(now, q, chosen)
-	return r.result(chosen, reason, q, endpoints)
+	result := r.result(chosen, reason, q, endpoints)
+	result.Donor = donor
+	return result
 }
 
 // filter fills scratch with all endpoints and says which can't run q.
@@ -82,8 +84,6 @@
 		return excludedDead
 	case e.Leaving:
 		return excludedLeaving
-	case e.Quarantined:
-		return excludedQuarantined
 	case slices.Contains(q.Crashed, e.ID):
 		return excludedCrashed
 	case slices.Contains(q.Exclude, e.ID):
