--- a/cmd/skylark-measure/slopes.go
+++ b/cmd/skylark-measure/slopes.go
@@ -17,14 +17,16 @@
 	return &cli.Command{
 		Name:      "slopes",
 		Usage:     "measure how a daemon's use grows with one thing at a time",
-		ArgsUsage: "group|request|stream|configuration|platform|claims|start|session ...",
+		ArgsUsage: "group|request|stream|token|configuration|platform|claims|start|session|spread ...",
 		Flags: []cli.Flag{
-			&cli.IntSliceFlag{Name: "sizes", Value: []int{2, 4, 8, 16, 32}, Usage: "members of a group"},
-			&cli.IntSliceFlag{Name: "sessions", Value: []int{0, 100, 200, 400}, Usage: "sessions to one daemon"},
+			&cli.IntSliceFlag{Name: "sizes", Value: []int{4, 8, 16, 32}, Usage: "members of a group"},
+			&cli.IntSliceFlag{Name: "sessions", Value: []int{50, 100, 200, 400}, Usage: "sessions to one daemon"},
+			&cli.IntSliceFlag{Name: "daemons", Value: []int{10, 30, 100, 300}, Usage: "daemons that a change spreads over"},
 			&cli.FloatFlag{Name: "rate", Value: 2.2, Usage: "requests a second for each member"},
 			&cli.IntFlag{Name: "repeats", Value: 2, Usage: "how often each point is measured"},
 			&cli.DurationFlag{Name: "window", Value: 20 * time.Second, Usage: "how long each point is measured"},
 			&cli.DurationFlag{Name: "warmup", Value: 5 * time.Second, Usage: "how long it runs before"},
+			&cli.StringFlag{Name: "lock", Usage: "`FILE` to lock during each point, so that measurements take turns"},
 			&cli.BoolFlag{Name: "keep", Usage: "leave settings and logs in the folder for temporary files"},
 			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "folder of the programs"},
 			&cli.StringFlag{Name: "out", Value: "docs/capacity", Usage: "folder of the results"},
@@ -35,7 +37,7 @@
 
 func runSlopes(ctx context.Context, c *cli.Command) error {
 	o := measure.SlopeOptions{
-		Bin: c.String("bin"), Window: c.Duration("window"), Warmup: c.Duration("warmup"), Keep: c.Bool("keep"),
+		Bin: c.String("bin"), Window: c.Duration("window"), Warmup: c.Duration("warmup"), Keep: c.Bool("keep"), Lock: c.String("lock"),
 	}
 	repeats, progress := c.Int("repeats"), os.Stderr
 	kinds := map[string]func() (any, error){
@@ -44,7 +46,9 @@
 		},
 		"request":       func() (any, error) { return measure.RequestSlopes(ctx, repeats, progress, o) },
 		"stream":        func() (any, error) { return measure.StreamSlopes(ctx, repeats, progress, o) },
-		"configuration": func() (any, error) { return measure.ConfigurationSlopes(progress) },
+		"configuration": func() (any, error) { return measure.ConfigurationSlopes(progress, o) },
+		"token":         func() (any, error) { return measure.TokenSlopes(ctx, progress, o) },
+		"spread":        func() (any, error) { return measure.SpreadSlopes(ctx, c.IntSlice("daemons"), progress, o) },
 		"platform":      func() (any, error) { return measure.PlatformSlopes(ctx, progress, o) },
 		"claims":        func() (any, error) { return measure.ClaimSlopes(ctx, progress, o) },
 		"start":         func() (any, error) { return measure.StartSlopes(ctx, progress, o) },
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -29,6 +29,9 @@
 	Policy   string
 	// Engine are settings of the stand-in engines, in the form of POST /control.
 	Engine map[string]any
+	// Prepare, if set, is called once the platform has the workload's records and
+	// before the first daemon starts.
+	Prepare func(ctx context.Context, f *Fleet) error
 	// Settings, if set, changes each daemon's settings before its start.
 	Settings func(*settings.Settings)
 }
@@ -75,6 +78,11 @@
 	if err := f.publish(ctx, w); err != nil {
 		return err
 	}
+	if f.options.Prepare != nil {
+		if err := f.options.Prepare(ctx, f); err != nil {
+			return err
+		}
+	}
 	for i := range f.deployment.Engines {
 		n, err := f.startEndpoint("engine", f.deployment.Group, i)
 		if err != nil {
--- a/internal/measure/idle.go
+++ b/internal/measure/idle.go
@@ -106,11 +106,13 @@
 	salt          string
 	instructions  []prefix.Message
 	messages      []prefix.Message
+	// tokens is the length of each answer.
+	tokens int
 }
 
 func newIdlePaths(f *Fleet, s slopeFleet) idlePaths {
 	organisation := s.workload().Organisations[0]
-	p := idlePaths{engine: "http://" + f.Engines[0].address, entry: f.EntryURLs()[0], salt: organisation.ID}
+	p := idlePaths{engine: "http://" + f.Engines[0].address, entry: f.EntryURLs()[0], salt: organisation.ID, tokens: s.answerTokens}
 	for _, i := range organisation.Instructions {
 		p.instructions = append(p.instructions, prefix.Message{Role: "system", Content: load.Text(i.Seed, i.Tokens)})
 	}
@@ -154,7 +156,7 @@
 
 func (p idlePaths) body(messages []prefix.Message, salt string) engine.Completion {
 	return engine.Completion{
-		Model: slopeGroup, Messages: messages, Stream: true, MaxTokens: idleTokens, CacheSalt: salt,
+		Model: slopeGroup, Messages: messages, Stream: true, MaxTokens: p.tokens, CacheSalt: salt,
 		StreamOptions: engine.StreamOptions{IncludeUsage: true},
 	}
 }
@@ -176,7 +178,7 @@
 	if err != nil {
 		return got, err
 	}
-	if want := answer.Expected(slices.Concat(p.instructions, p.messages), idleTokens); got.text != want {
+	if want := answer.Expected(slices.Concat(p.instructions, p.messages), p.tokens); got.text != want {
 		return got, fmt.Errorf("%s answered %q, want %q", base, got.text, want)
 	}
 	return got, nil
--- a/internal/measure/idle_answer.go
+++ b/internal/measure/idle_answer.go
@@ -15,8 +15,10 @@
 // timedAnswer is a streamed answer and the time from the request to its first text.
 type timedAnswer struct {
 	firstToken time.Duration
-	text       string
-	usage      engine.Usage
+	// arrivals are the times of all pieces of text.
+	arrivals []time.Duration
+	text     string
+	usage    engine.Usage
 }
 
 var errNoEnd = errors.New("measure: stream without its end")
@@ -65,8 +67,9 @@
 		a.usage = *chunk.Usage
 	}
 	for _, choice := range chunk.Choices {
-		if a.text == "" && choice.Delta.Content != "" {
-			a.firstToken = time.Since(began)
+		if choice.Delta.Content != "" {
+			a.arrivals = append(a.arrivals, time.Since(began))
+			a.firstToken = a.arrivals[0]
 		}
 		a.text += choice.Delta.Content
 	}
--- a/internal/measure/slopes.go
+++ b/internal/measure/slopes.go
@@ -4,13 +4,12 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"time"
 
 	"skylarklead/internal/config"
+	"skylarklead/internal/settings"
+	"skylarklead/internal/standin/engine"
 	"skylarklead/internal/standin/load"
 	"skylarklead/internal/telemetry"
 	"skylarklead/internal/wait"
@@ -69,12 +68,18 @@
 	Seconds      float64 `json:"seconds"`
 	// Requests and Tokens are what the entries count in the window; InFlight is
 	// at its end.
-	Requests float64              `json:"requests"`
-	Tokens   float64              `json:"tokens"`
-	InFlight float64              `json:"in_flight"`
-	Outcomes map[load.Outcome]int `json:"outcomes,omitempty"`
-	Endpoint RoleUse              `json:"endpoint"`
-	Entry    RoleUse              `json:"entry"`
+	Requests float64 `json:"requests"`
+	Tokens   float64 `json:"tokens"`
+	InFlight float64 `json:"in_flight"`
+	// Running and Waiting are the engines' own account at the window's end,
+	// EngineTokens what they produced in it.
+	Running      int                  `json:"engines_running"`
+	Waiting      int                  `json:"engines_waiting"`
+	EngineTokens int                  `json:"engines_tokens"`
+	CacheTokens  int                  `json:"cache_tokens,omitempty"`
+	Outcomes     map[load.Outcome]int `json:"outcomes,omitempty"`
+	Endpoint     RoleUse              `json:"endpoint"`
+	Entry        RoleUse              `json:"entry"`
 }
 
 // SlopeOptions are what all points of a run share.
@@ -84,6 +89,9 @@
 	// Window is how long each point is measured, Warmup how long it runs before.
 	Window, Warmup time.Duration
 	Keep           bool
+	// Lock is a file that is locked during each point, so that measurements of
+	// several processes take turns; empty for none.
+	Lock string
 }
 
 // slopeFleet is the shape and load of one point.
@@ -93,6 +101,8 @@
 	answerTokens     int
 	// stepMs is the engines' time for one token of all running requests.
 	stepMs float64
+	// cacheTokens is the room of engines and admission; 0 for their defaults.
+	cacheTokens int
 }
 
 const (
@@ -137,10 +147,30 @@
 
 // engine makes stand-in engines that are never the bottleneck.
 func (s slopeFleet) engine() map[string]any {
-	return map[string]any{
+	control := map[string]any{
 		"prefill_tokens_per_second": 2_000_000, "prefill_chunk": 100_000,
 		"step_ms": s.stepMs, "step_per_request_ms": 0, "max_batch": 1024,
 	}
+	if s.cacheTokens > 0 {
+		control["cache_tokens"] = s.cacheTokens
+	}
+	return control
+}
+
+// room lets an endpoint run whatever the slopes ask of it.
+func (s slopeFleet) room(to *settings.Settings) {
+	if to.Endpoint == nil {
+		return
+	}
+	to.Endpoint.MaxRunning, to.Endpoint.MaxQueue = 1024, 4096
+	if s.cacheTokens > 0 {
+		to.Endpoint.CacheTokens = s.cacheTokens
+	}
+}
+
+// fleet are the options of a fleet of this shape.
+func (s slopeFleet) fleet(dir string, o SlopeOptions) FleetOptions {
+	return FleetOptions{Bin: o.Bin, Dir: dir, Policy: PolicyOwner, Engine: s.engine(), Settings: s.room}
 }
 
 // measurePoint runs one small fleet and measures one window of it.
@@ -150,9 +180,7 @@
 		return p, err
 	}
 	defer remove()
-	f, err := StartFleet(ctx, s.deployment(), s.workload(), FleetOptions{
-		Bin: o.Bin, Dir: dir, Policy: PolicyOwner, Engine: s.engine(), Settings: withRoom,
-	})
+	f, err := StartFleet(ctx, s.deployment(), s.workload(), s.fleet(dir, o))
 	if err != nil {
 		return p, err
 	}
@@ -179,14 +207,14 @@
 	if err := wait.For(ctx, o.Warmup); err != nil {
 		return p, err
 	}
-	before, err := f.use()
+	before, enginesBefore, err := f.uses()
 	if err != nil {
 		return p, err
 	}
 	if err := wait.For(ctx, o.Window); err != nil {
 		return p, err
 	}
-	after, err := f.use()
+	after, engines, err := f.uses()
 	if err != nil {
 		return p, err
 	}
@@ -194,6 +222,8 @@
 		return p, err
 	}
 	p = f.point(s, before, after)
+	p.Running, p.Waiting = engines.Running, engines.Waiting
+	p.EngineTokens = engines.Totals.CompletionTokens - enginesBefore.Totals.CompletionTokens
 	if report != nil {
 		p.Outcomes = report.All.Outcomes
 	}
@@ -201,7 +231,7 @@
 }
 
 func (f *Fleet) point(s slopeFleet, before, after map[string]use) SlopePoint {
-	p := SlopePoint{Members: s.members, Entries: s.entries, Rate: s.rate, AnswerTokens: s.answerTokens}
+	p := SlopePoint{Members: s.members, Entries: s.entries, Rate: s.rate, AnswerTokens: s.answerTokens, CacheTokens: s.cacheTokens}
 	p.Endpoint = roleUse(f.Engines, before, after)
 	p.Entry = roleUse(f.Entries, before, after)
 	for _, n := range f.Entries {
@@ -214,6 +244,22 @@
 	return p
 }
 
+// uses reads all daemons, and the sum of the engines' accounts.
+func (f *Fleet) uses() (map[string]use, engine.Account, error) {
+	var sum engine.Account
+	for _, n := range f.Engines {
+		var account engine.Account
+		if err := getJSON("http://"+n.address+"/control/account", &account); err != nil {
+			return nil, sum, err
+		}
+		sum.Running += account.Running
+		sum.Waiting += account.Waiting
+		sum.Totals.CompletionTokens += account.Totals.CompletionTokens
+	}
+	daemons, err := f.use()
+	return daemons, sum, err
+}
+
 // use is what one daemon has used up to a moment.
 type use struct {
 	at      time.Time
@@ -250,18 +296,3 @@
 	r.RSS = collect(func(_, a use, _ float64) float64 { return a.rss })
 	return r
 }
-
-// SaveSlopes writes points, or whatever a run of slopes gave, as JSON.
-func SaveSlopes(dir, name string, points any) error {
-	data, err := json.MarshalIndent(points, "", "  ")
-	if err != nil {
-		return fmt.Errorf("measure: %w", err)
-	}
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return fmt.Errorf("measure: %w", err)
-	}
-	if err := os.WriteFile(filepath.Join(dir, name+".json"), append(data, '\n'), 0o644); err != nil {
-		return fmt.Errorf("measure: %w", err)
-	}
-	return nil
-}
--- a/internal/measure/slopes_claims.go
+++ b/internal/measure/slopes_claims.go
@@ -36,21 +36,23 @@
 	Entry    RoleUse `json:"entry"`
 }
 
-// ClaimSlopes measures calls with idempotency keys at several rates over groups
-// of two sizes.
+// claimReplicas is the size of the group that claims are measured in.
+const claimReplicas = 16
+
+// ClaimSlopes measures calls with idempotency keys: at the rates that are 1, 5,
+// 12 and 25 in a hundred of the target's requests, over one group.
 func ClaimSlopes(ctx context.Context, progress io.Writer, o SlopeOptions) ([]ClaimPoint, error) {
 	var points []ClaimPoint
-	for _, replicas := range []int{4, 16} {
-		for _, rate := range []float64{10, 50, 200} {
-			p, err := claimPoint(ctx, replicas, rate, o)
-			if err != nil {
-				return points, err
-			}
-			points = append(points, p)
-			fmt.Fprintf(progress, "%d replicas, %.0f/s: %d answered, %d records, %d claims, %d settles, %d bytes, p50 %.0f ms, p99 %.0f ms, cpu %.4f, platform %.0f B/s, %v\n",
-				p.Replicas, p.Rate, p.Answered, p.Records, p.Claims, p.Settles, p.Bytes, p.Calls.P50, p.Calls.P99,
-				p.Endpoint.CPU.Median, p.Endpoint.Platform.Median, p.Outcomes)
+	for _, rate := range []float64{13, 65, 156, 325} {
+		var p ClaimPoint
+		err := o.exclusively(func() (err error) { p, err = claimPoint(ctx, claimReplicas, rate, o); return err })
+		if err != nil {
+			return points, err
 		}
+		points = append(points, p)
+		fmt.Fprintf(progress, "%d replicas, %.0f/s: %d answered, %d records, %d claims, %d settles, %d bytes, p50 %.0f ms, p99 %.0f ms, cpu %.4f, platform %.0f B/s, %v\n",
+			p.Replicas, p.Rate, p.Answered, p.Records, p.Claims, p.Settles, p.Bytes, p.Calls.P50, p.Calls.P99,
+			p.Endpoint.CPU.Median, p.Endpoint.Platform.Median, p.Outcomes)
 	}
 	return points, nil
 }
@@ -81,7 +83,7 @@
 	s := slopeFleet{members: 0, entries: 2}
 	d := s.deployment()
 	d.Services = replicas
-	f, err := StartFleet(ctx, d, claimWorkload(), FleetOptions{Bin: o.Bin, Dir: dir, Policy: PolicyOwner, Settings: withRoom})
+	f, err := StartFleet(ctx, d, claimWorkload(), s.fleet(dir, o))
 	if err != nil {
 		return p, err
 	}
--- a/internal/measure/slopes_configuration.go
+++ b/internal/measure/slopes_configuration.go
@@ -38,18 +38,24 @@
 // targetOrganisations is the number of letter 1.
 const targetOrganisations = 11_000
 
+// configurationSizes are four counts of organisations, and the last one with
+// shorter and longer instructions, in bytes.
+var configurationSizes = []struct{ organisations, instructions int }{
+	{100, 4 << 10}, {1000, 4 << 10}, {4000, 4 << 10}, {targetOrganisations, 4 << 10},
+	{targetOrganisations, 1 << 10}, {targetOrganisations, 16 << 10},
+}
+
 // ConfigurationSlopes measures states of several sizes in this process.
-func ConfigurationSlopes(progress io.Writer) ([]ConfigurationPoint, error) {
+func ConfigurationSlopes(progress io.Writer, o SlopeOptions) ([]ConfigurationPoint, error) {
 	var points []ConfigurationPoint
-	for _, organisations := range []int{1000, targetOrganisations} {
-		for _, instructions := range []int{1 << 10, 4 << 10, 16 << 10} {
-			p, err := configurationPoint(organisations, instructions)
-			if err != nil {
-				return points, err
-			}
-			points = append(points, p)
-			fmt.Fprintf(progress, "%+v\n", p)
+	for _, size := range configurationSizes {
+		var p ConfigurationPoint
+		err := o.exclusively(func() (err error) { p, err = configurationPoint(size.organisations, size.instructions); return err })
+		if err != nil {
+			return points, err
 		}
+		points = append(points, p)
+		fmt.Fprintf(progress, "%+v\n", p)
 	}
 	return points, nil
 }
--- a/internal/measure/slopes_fleet.go
+++ b/internal/measure/slopes_fleet.go
@@ -33,13 +33,25 @@
 	return measurePoints(ctx, fleets, repeats, progress, o)
 }
 
+const (
+	// streamTokens and streamStepMs make an answer of 10 s.
+	streamTokens = 400
+	streamStepMs = 25
+	// streamRoom holds the prompts and answers of all streams of a point.
+	streamRoom = 4_000_000
+)
+
 // StreamSlopes measures memory against streams in flight: long answers of slow
 // engines, so that about rate × answer time are open.
 func StreamSlopes(ctx context.Context, repeats int, progress io.Writer, o SlopeOptions) ([]SlopePoint, error) {
 	var fleets []slopeFleet
 	for _, rate := range []float64{1, 5, 10, 20} {
-		fleets = append(fleets, slopeFleet{members: 4, entries: 1, rate: rate, answerTokens: 400, stepMs: 25})
+		fleets = append(fleets, slopeFleet{
+			members: 4, entries: 1, rate: rate, answerTokens: streamTokens, stepMs: streamStepMs, cacheTokens: streamRoom,
+		})
 	}
+	// Once more with the default room of engine and admission: streams queue then.
+	fleets = append(fleets, slopeFleet{members: 4, entries: 1, rate: 20, answerTokens: streamTokens, stepMs: streamStepMs})
 	return measurePoints(ctx, fleets, repeats, progress, o)
 }
 
@@ -47,14 +59,15 @@
 	var points []SlopePoint
 	for repeat := range repeats {
 		for _, s := range fleets {
-			p, err := measurePoint(ctx, s, o)
+			var p SlopePoint
+			err := o.exclusively(func() (err error) { p, err = measurePoint(ctx, s, o); return err })
 			if err != nil {
 				return points, err
 			}
 			p.Repeat = repeat + 1
 			points = append(points, p)
-			fmt.Fprintf(progress, "members %d rate %.0f answer %d: %.0f requests %.0f tokens %.0f in flight in %.1f s, outcomes %v\n",
-				p.Members, p.Rate, p.AnswerTokens, p.Requests, p.Tokens, p.InFlight, p.Seconds, p.Outcomes)
+			fmt.Fprintf(progress, "members %d rate %.0f answer %d: %.0f requests %.0f tokens %.0f in flight in %.1f s, engines %d running %d waiting %d tokens, outcomes %v\n",
+				p.Members, p.Rate, p.AnswerTokens, p.Requests, p.Tokens, p.InFlight, p.Seconds, p.Running, p.Waiting, p.EngineTokens, p.Outcomes)
 			writeUse(progress, "endpoint", p.Endpoint)
 			writeUse(progress, "entry", p.Entry)
 		}
--- a/internal/measure/slopes_platform.go
+++ b/internal/measure/slopes_platform.go
@@ -63,13 +63,14 @@
 	}
 	var points []PlatformPoint
 	registered := 0
-	for _, n := range []int{10, 100, targetDaemons} {
+	for _, n := range []int{10, 30, 100, 300, targetDaemons} {
 		for ; registered < n; registered++ {
 			if err := f.register(slopeInstance(registered), "group-with-a-name"); err != nil {
 				return points, err
 			}
 		}
-		p, err := f.platformPoint(ctx, n)
+		var p PlatformPoint
+		err := o.exclusively(func() (err error) { p, err = f.platformPoint(ctx, n); return err })
 		if err != nil {
 			return points, err
 		}
--- a/internal/measure/slopes_session.go
+++ b/internal/measure/slopes_session.go
@@ -31,7 +31,8 @@
 	var points []SessionPoint
 	for _, awaited := range []bool{false, true} {
 		for _, n := range counts {
-			p, err := sessionPoint(ctx, n, awaited, o)
+			var p SessionPoint
+			err := o.exclusively(func() (err error) { p, err = sessionPoint(ctx, n, awaited, o); return err })
 			if err != nil {
 				return points, err
 			}
@@ -50,9 +51,7 @@
 	}
 	defer remove()
 	s := slopeFleet{members: 1, entries: 1, answerTokens: 4, stepMs: 5}
-	f, err := StartFleet(ctx, s.deployment(), s.workload(), FleetOptions{
-		Bin: o.Bin, Dir: dir, Policy: PolicyOwner, Engine: s.engine(), Settings: withRoom,
-	})
+	f, err := StartFleet(ctx, s.deployment(), s.workload(), s.fleet(dir, o))
 	if err != nil {
 		return p, err
 	}
--- a/internal/measure/slopes_start.go
+++ b/internal/measure/slopes_start.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"skylarklead/internal/platform"
+	"skylarklead/internal/settings"
 	"skylarklead/internal/wait"
 	"skylarklead/internal/wire"
 )
@@ -30,6 +31,8 @@
 	EntryCPUSeconds    float64 `json:"entry_cpu_seconds"`
 	EntryRSS           float64 `json:"entry_rss"`
 	EntryPlatform      float64 `json:"entry_platform_bytes"`
+	// Restarts are of the entry alone, with the endpoint as the only peer.
+	Restarts []Restart `json:"restarts"`
 	// Changes were published one after another; each took ChangeCPU seconds of
 	// the entry's processor and ChangePlatform bytes from the platform.
 	Changes        int     `json:"changes"`
@@ -38,17 +41,32 @@
 	Failed         string  `json:"failed,omitempty"`
 }
 
+// Restart is the start of an entry that was killed.
+type Restart struct {
+	// First is the time from its start until it has answered a request, Whole
+	// until it has the log's last record in force, by its own log.
+	First float64 `json:"first_answer_seconds"`
+	Whole float64 `json:"whole_seconds"`
+	// Source is where its first configuration came from.
+	Source string `json:"source"`
+	// Platform and Peers are its bytes on the wire, both ways, once it is whole.
+	Platform float64 `json:"platform_bytes"`
+	Peers    float64 `json:"peer_bytes"`
+	CPU      float64 `json:"cpu_seconds"`
+}
+
+// startRestarts is how often the entry is restarted at each size.
+const startRestarts = 3
+
 // publishBatch keeps an append of records below the platform's bound on bodies.
 const publishBatch = 50
 
 // StartSlopes measures starts at several sizes of configuration.
 func StartSlopes(ctx context.Context, progress io.Writer, o SlopeOptions) ([]StartPoint, error) {
 	var points []StartPoint
-	for _, size := range []struct{ organisations, instructions int }{
-		{8, 4 << 10}, {1000, 4 << 10}, {targetOrganisations, 1 << 10}, {targetOrganisations, 4 << 10}, {targetOrganisations, 16 << 10},
-	} {
+	for _, size := range configurationSizes {
 		p := StartPoint{Organisations: size.organisations, Instructions: size.instructions}
-		if err := p.measure(ctx, o); err != nil {
+		if err := o.exclusively(func() error { return p.measure(ctx, o) }); err != nil {
 			p.Failed = err.Error()
 		}
 		points = append(points, p)
@@ -64,11 +82,9 @@
 	}
 	defer remove()
 	s := slopeFleet{members: 1, entries: 1, answerTokens: 4, stepMs: 5}
-	f := &Fleet{
-		deployment: s.deployment(),
-		options:    FleetOptions{Bin: o.Bin, Dir: dir, Policy: PolicyOwner, Engine: s.engine(), Settings: withRoom},
-		views:      map[string]string{},
-	}
+	options := s.fleet(dir, o)
+	options.Settings = func(to *settings.Settings) { s.room(to); to.LogLevel = "info" }
+	f := &Fleet{deployment: s.deployment(), options: options, views: map[string]string{}}
 	defer f.Close()
 	if err := f.startPlatform(ctx); err != nil {
 		return err
@@ -78,39 +94,92 @@
 	}
 	log := platform.NewLog(f.base)
 	defer log.Close()
-	first, err := p.publish(ctx, log)
+	first, bytes, err := publishOrganisations(ctx, log, p.Organisations, p.Instructions)
 	if err != nil {
 		return err
 	}
-	if err := p.start(ctx, f, first+uint64(p.Organisations)-1); err != nil {
+	p.RecordBytes = bytes
+	last := first + uint64(p.Organisations) - 1
+	if err := p.start(ctx, f, last); err != nil {
 		return err
 	}
+	for range startRestarts {
+		r, err := f.restart(ctx, newIdlePaths(f, s), last)
+		if err != nil {
+			return err
+		}
+		p.Restarts = append(p.Restarts, r)
+	}
 	return p.change(ctx, f, log, first, o)
 }
 
-// publish puts the organisations on the log and returns the first one's offset.
-func (p *StartPoint) publish(ctx context.Context, log *platform.Log) (first uint64, err error) {
+// restart kills the first entry and starts it again.
+func (f *Fleet) restart(ctx context.Context, paths idlePaths, last uint64) (r Restart, err error) {
+	n := f.Entries[0]
+	n.daemon.kill()
+	begun := time.Now()
+	if err := n.daemon.start(); err != nil {
+		return r, err
+	}
+	for i := 0; ; i++ {
+		_, err := paths.through(ctx, i)
+		if err == nil {
+			break
+		}
+		if time.Since(begun) > startTimeout {
+			return r, err
+		}
+		if err := wait.For(ctx, time.Millisecond); err != nil {
+			return r, err
+		}
+	}
+	r.First = time.Since(begun).Seconds()
+	var whole logLine
+	err = await(ctx, n.id+" to be whole", func() (ok bool) {
+		whole, ok = n.daemon.logged(begun, inForce(last))
+		return ok
+	})
+	if err != nil {
+		return r, err
+	}
+	r.Whole = whole.Time.Sub(begun).Seconds()
+	first, _ := n.daemon.logged(begun, inForce(1))
+	r.Source = first.Source
+	uses, err := f.use()
+	if err != nil {
+		return r, err
+	}
+	u := uses[n.id]
+	r.CPU = value(u.page, "cpu_seconds")
+	r.Platform = wireBytes(zeroed(u.sockets), u.sockets, socketPlatform)
+	r.Peers = wireBytes(zeroed(u.sockets), u.sockets, socketPeer)
+	return r, nil
+}
+
+// publishOrganisations puts so many organisations on the log and returns the
+// first one's offset and the bytes of all.
+func publishOrganisations(ctx context.Context, log *platform.Log, n, instructions int) (first uint64, size int, err error) {
 	var batch [][]byte
-	for i := range p.Organisations {
-		data, err := organisationRecord(i, 0, p.Instructions)
+	for i := range n {
+		data, err := organisationRecord(i, 0, instructions)
 		if err != nil {
-			return 0, err
+			return 0, 0, err
 		}
-		p.RecordBytes += len(data)
+		size += len(data)
 		batch = append(batch, data)
-		if len(batch) < publishBatch && i < p.Organisations-1 {
+		if len(batch) < publishBatch && i < n-1 {
 			continue
 		}
 		offset, err := appendPatiently(ctx, log, batch)
 		if err != nil {
-			return 0, err
+			return 0, 0, err
 		}
 		if first == 0 {
 			first = offset
 		}
 		batch = nil
 	}
-	return first, nil
+	return first, size, nil
 }
 
 // appendPatiently comes back when the log says so.
--- /dev/null
+++ b/internal/measure/slopes_token.go
@@ -0,0 +1,125 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+)
+
+// TokenPoint is so many streams at once of one engine at the target's rate, first
+// straight from the engine and then through one entry and one endpoint process.
+type TokenPoint struct {
+	Streams int     `json:"streams"`
+	Repeat  int     `json:"repeat"`
+	Tokens  int     `json:"tokens"`
+	Seconds float64 `json:"seconds"`
+	// EngineTokens is what the engine says that it produced for those through.
+	EngineTokens int `json:"engine_tokens"`
+	// CPU is a share of a core while the streams go through, Sessions the entry's
+	// bytes a second on its sessions.
+	EndpointCPU float64 `json:"endpoint_cpu"`
+	EntryCPU    float64 `json:"entry_cpu"`
+	Sessions    float64 `json:"entry_sessions_wire"`
+	// Gaps are the times between tokens of a stream, First those to the first.
+	GapsStraight  Quantiles `json:"gaps_straight"`
+	GapsThrough   Quantiles `json:"gaps_through"`
+	FirstStraight Quantiles `json:"first_token_straight"`
+	FirstThrough  Quantiles `json:"first_token_through"`
+}
+
+const (
+	// tokenAnswer is the length of each answer; at streamStepMs it takes 4 s.
+	tokenAnswer  = 160
+	tokenRepeats = 3
+)
+
+// TokenSlopes measures the path of tokens. All streams of a point begin together,
+// and the engine produces the tokens of all at once, so that they come in bursts.
+func TokenSlopes(ctx context.Context, progress io.Writer, o SlopeOptions) ([]TokenPoint, error) {
+	var points []TokenPoint
+	for _, n := range []int{8, 16, 33, 66} {
+		var measured []TokenPoint
+		err := o.exclusively(func() (err error) { measured, err = tokenPoints(ctx, n, o); return err })
+		if err != nil {
+			return points, err
+		}
+		for _, p := range measured {
+			fmt.Fprintf(progress, "%+v\n", p)
+		}
+		points = append(points, measured...)
+	}
+	return points, nil
+}
+
+func tokenPoints(ctx context.Context, streams int, o SlopeOptions) ([]TokenPoint, error) {
+	dir, remove, err := tempDir(o.Keep)
+	if err != nil {
+		return nil, err
+	}
+	defer remove()
+	s := slopeFleet{members: 1, entries: 1, answerTokens: tokenAnswer, stepMs: streamStepMs, cacheTokens: streamRoom}
+	f, err := StartFleet(ctx, s.deployment(), s.workload(), s.fleet(dir, o))
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	paths := newIdlePaths(f, s)
+	if _, err := paths.pair(ctx, 0); err != nil { // fills the caches
+		return nil, err
+	}
+	var points []TokenPoint
+	for repeat := range tokenRepeats {
+		p := TokenPoint{Streams: streams, Repeat: repeat + 1}
+		if err := p.measure(ctx, f, paths); err != nil {
+			return points, err
+		}
+		points = append(points, p)
+	}
+	return points, nil
+}
+
+func (p *TokenPoint) measure(ctx context.Context, f *Fleet, paths idlePaths) (err error) {
+	first := 1 + (p.Repeat-1)*p.Streams // of the request IDs
+	if p.FirstStraight, p.GapsStraight, err = p.together(ctx, first, paths.straight); err != nil {
+		return err
+	}
+	before, engineBefore, err := f.uses()
+	if err != nil {
+		return err
+	}
+	if p.FirstThrough, p.GapsThrough, err = p.together(ctx, first, paths.through); err != nil {
+		return err
+	}
+	after, engine, err := f.uses()
+	if err != nil {
+		return err
+	}
+	point := f.point(slopeFleet{}, before, after)
+	p.Seconds = point.Seconds
+	p.Tokens = p.Streams * paths.tokens
+	p.EngineTokens = engine.Totals.CompletionTokens - engineBefore.Totals.CompletionTokens
+	p.EndpointCPU, p.EntryCPU, p.Sessions = point.Endpoint.CPU.Mean, point.Entry.CPU.Mean, point.Entry.Sessions.Mean
+	return nil
+}
+
+// together sends all requests at once and waits for their ends.
+func (p *TokenPoint) together(ctx context.Context, first int, send func(context.Context, int) (timedAnswer, error)) (tokens, gaps Quantiles, err error) {
+	answers, errs := make([]timedAnswer, p.Streams), make([]error, p.Streams)
+	var sending sync.WaitGroup
+	for i := range p.Streams {
+		sending.Go(func() { answers[i], errs[i] = send(ctx, first+i) })
+	}
+	sending.Wait()
+	var firsts, between []float64
+	for i, a := range answers {
+		if errs[i] != nil {
+			return tokens, gaps, fmt.Errorf("measure: stream %d of %d: %w", i, p.Streams, errs[i])
+		}
+		firsts = append(firsts, milliseconds(a.firstToken))
+		for k := 1; k < len(a.arrivals); k++ {
+			between = append(between, milliseconds(a.arrivals[k]-a.arrivals[k-1]))
+		}
+	}
+	return quantilesOf(firsts), quantilesOf(between), nil
+}
--- a/internal/measure/slopes_use.go
+++ b/internal/measure/slopes_use.go
@@ -9,18 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"skylarklead/internal/settings"
 )
 
-// withRoom lets an endpoint run whatever the slopes ask of it.
-func withRoom(s *settings.Settings) {
-	if s.Endpoint != nil {
-		s.Endpoint.MaxRunning = 1024
-		s.Endpoint.MaxQueue = 4096
-	}
-}
-
 // use reads all daemons.
 func (f *Fleet) use() (map[string]use, error) {
 	sockets, err := readSockets()
@@ -38,7 +28,7 @@
 			return nil, err
 		}
 		for _, s := range sockets[pid] {
-			s.kind = f.kindOf(n, s)
+			s.kind = kindOf(n, s)
 			u.sockets[s.local+" "+s.remote] = s
 		}
 		uses[n.id] = u
@@ -46,9 +36,10 @@
 	return uses, nil
 }
 
-func (f *Fleet) kindOf(n *node, s socket) socketKind {
+func kindOf(n *node, s socket) socketKind {
 	switch {
-	case s.remote == strings.TrimPrefix(f.base, "http://"), s.remote == strings.TrimPrefix(f.views[n.settings.FailureDomain], "http://"):
+	case s.remote == strings.TrimPrefix(n.settings.Platform.Log, "http://"),
+		s.remote == strings.TrimPrefix(n.settings.Platform.Instances, "http://"):
 		return socketPlatform
 	case n.address != "" && s.remote == n.address:
 		return socketOther
