--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -38,7 +39,13 @@
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{t: t, file: filepath.Join(t.TempDir(), "records.json")}
-	f.handler = standin.New(standin.Options{})
+	f.handler = standin.New(standin.Options{Instances: []platform.Instance{
+		{ID: "ep-1", Role: platform.RoleEndpoint, Group: "g", State: platform.StateLive},
+		{ID: "ep-2", Role: platform.RoleEndpoint, Group: "g", State: platform.StateLive},
+		{ID: "ep-3", Role: platform.RoleEndpoint, Group: "g", State: platform.StateLive},
+		{ID: "ep-4", Role: platform.RoleEndpoint, Group: "g", State: platform.StateLeaving},
+		{ID: "ep-5", Role: platform.RoleEndpoint, Group: "lone", State: platform.StateLive},
+	}})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost && strings.HasSuffix(r.URL.Path, "/records") && f.before != nil {
 			f.before()
@@ -109,6 +116,27 @@
 	}
 }
 
+// Symptom: a weight change leaves one replica with the whole group's requests, or
+// none. Sequence: a group's load_permits is its number of replicas. Cause: nothing
+// held the one against the other.
+func TestPermitsAreHeldAgainstReplicas(t *testing.T) {
+	f := newFixture(t)
+	const warning = "warning: group/g: load_permits is 3 and the group has 3 replicas; at most 2 load at once, and 1 would serve alone"
+	f.contains(f.run(ExitOK, "config", "check", f.file), warning)
+	f.contains(f.run(ExitOK, "config", "publish", f.file), warning)
+	f.write(`[{"schema": 2, "kind": "group", "key": "g", "body": {"load_permits": 2}}, {"schema": 2, "kind": "group", "key": "lone", "body": {}}]`)
+	if text := f.run(ExitOK, "config", "check", f.file); strings.Contains(text, "warning") {
+		t.Errorf("warned without need: %s", text)
+	}
+	f.write(records)
+	f.url = "http://127.0.0.1:1"
+	f.contains(f.run(ExitOK, "config", "check", f.file), "load_permits not held against the instance list")
+	f.url = ""
+	if text := f.run(ExitOK, "config", "check", f.file); strings.Contains(text, "warning") {
+		t.Errorf("warned without a platform: %s", text)
+	}
+}
+
 func TestExitCodes(t *testing.T) {
 	f := newFixture(t)
 	f.run(ExitUsage, "config", "publish")
@@ -259,7 +287,7 @@
 	f.run(ExitUnreachable, "status", "--address=127.0.0.1:1")
 	f.run(ExitUnreachable, "status", "--fleet-key="+strings.Repeat("cd", 32), at)
 	f.run(ExitUsage, "status", "--fleet-key=xyz", at)
-	f.contains(f.run(ExitUnreachable, "status", "--fleet-key="+strings.Repeat("cd", 32), at), "is this the fleet's key?")
+	f.contains(f.run(ExitUnreachable, "status", "--fleet-key="+strings.Repeat("cd", 32), at), "refused the tool's key; is this the fleet's key?")
 	f.contains(f.run(ExitUsage, "status", "--platform=localhost:7000"), "is no URL")
 	d.role = wire.RoleEntry
 	f.contains(f.run(ExitRefused, "drain", at, "ep-1"), "ep-1 is an entry; SIGTERM drains it")
@@ -267,14 +295,16 @@
 
 func TestStatusOfASilentInstance(t *testing.T) {
 	up := instanceStatus{ID: "ep-1", Status: &wire.Status{Identity: wire.Identity{ID: "ep-1", Role: wire.RoleEndpoint}}}
+	unready := instanceStatus{ID: "ep-3", Status: &wire.Status{Identity: wire.Identity{ID: "ep-3"}, NotReady: wire.KeyRefused}}
 	down := instanceStatus{ID: "ep-2", Error: "unreachable: a long cause that must not widen the columns"}
 	var table strings.Builder
-	statusTable(&table, []instanceStatus{down, up})
+	statusTable(&table, []instanceStatus{down, up, unready})
 	lines := strings.Split(strings.TrimSpace(table.String()), "\n")
 	if heads, cells := strings.Count(lines[0], "\t"), strings.Count(lines[1], "\t"); heads != cells {
 		t.Errorf("the silent instance has %d cells, the head %d", cells+1, heads+1)
 	}
-	if want := "ep-2: no answer: " + down.Error; lines[len(lines)-1] != want {
-		t.Errorf("the last line is %q, want %q", lines[len(lines)-1], want)
+	want := []string{"ep-2: no answer: " + down.Error, "ep-3: not ready: " + wire.KeyRefused}
+	if got := lines[len(lines)-2:]; !slices.Equal(got, want) {
+		t.Errorf("the last lines are %q, want %q", got, want)
 	}
 }
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 	// every stream on its session for ever.
 	writeTimeout = 5 * time.Second
 	nonceBytes   = 16
+	// statusUnauthenticated is the close status of a session whose dialer didn't
+	// prove the fleet key; an end without a word looks like a crash.
+	statusUnauthenticated websocket.StatusCode = 4401
 )
 
 var (
@@ -47,14 +51,19 @@
 
 // Options are what both ends of a session need.
 type Options struct {
-	// Key is the fleet's shared key.
+	// Key is the fleet's shared key. A dialer proves it.
 	Key []byte
+	// AlsoAccept are further keys that a dialer may prove instead, so that a fleet
+	// can go from one key to another process by process.
+	AlsoAccept [][]byte
 	// Self is called at each opening, since the configuration offset changes.
 	Self func() Identity
 	// Handler gets the messages.
 	Handler Handler
 	// Traffic counts the sessions' bytes; nil counts nothing.
 	Traffic *Traffic
+	// Openings keeps which peers take Key; nil keeps nothing.
+	Openings *Openings
 }
 
 // Session is an open connection to one peer. Its methods may be called from any
@@ -98,9 +107,10 @@
 	peer, err := openDialer(openCtx, conn, opts)
 	if err != nil {
 		conn.CloseNow()
+		opts.Openings.failed(address, err)
 		return nil, fmt.Errorf("wire: open to %s: %w", address, err)
 	}
-	return start(conn, peer, p, opts), nil
+	return start(conn, peer, address, p, opts), nil
 }
 
 // Accept serves one peer's session on an HTTP request and returns when it ends.
@@ -118,10 +128,13 @@
 	defer cancel()
 	peer, err := openAcceptor(openCtx, conn, opts)
 	if err != nil {
+		if errors.Is(err, ErrUnauthenticated) {
+			_ = conn.Close(statusUnauthenticated, "not the fleet's key") // it may be gone
+		}
 		conn.CloseNow()
 		return fmt.Errorf("wire: open from %s: %w", r.RemoteAddr, err)
 	}
-	s := start(conn, peer, p, opts)
+	s := start(conn, peer, peer.Address, p, opts)
 	<-s.ctx.Done()
 	return context.Cause(s.ctx)
 }
@@ -137,7 +150,11 @@
 		return Identity{}, err
 	}
 	var welcome Welcome
-	if err := readOpening(ctx, conn, &welcome); err != nil {
+	err := readOpening(ctx, conn, &welcome)
+	if websocket.CloseStatus(err) == statusUnauthenticated {
+		return Identity{}, fmt.Errorf("%w: it refused this process's key", ErrUnauthenticated)
+	}
+	if err != nil {
 		return Identity{}, err
 	}
 	if !hmac.Equal(welcome.MAC, identityMAC(opts.Key, hello.MAC, ch.Identity)) {
@@ -157,13 +174,25 @@
 	if err := readOpening(ctx, conn, &hello); err != nil {
 		return Identity{}, err
 	}
-	if !hmac.Equal(hello.MAC, identityMAC(opts.Key, ch.Nonce, hello.Identity)) {
+	key, ok := opts.proven(&hello, ch.Nonce)
+	if !ok {
 		return Identity{}, ErrUnauthenticated
 	}
-	welcome := &Welcome{MAC: identityMAC(opts.Key, hello.MAC, self)}
+	// By the dialer's own key: it may not have any other of ours.
+	welcome := &Welcome{MAC: identityMAC(key, hello.MAC, self)}
 	return hello.Identity, writeFrame(ctx, conn, 0, welcome)
 }
 
+// proven returns the accepted key that a Hello was made with.
+func (o *Options) proven(hello *Hello, nonce []byte) ([]byte, bool) {
+	for _, key := range slices.Concat([][]byte{o.Key}, o.AlsoAccept) {
+		if hmac.Equal(hello.MAC, identityMAC(key, nonce, hello.Identity)) {
+			return key, true
+		}
+	}
+	return nil, false
+}
+
 // identityMAC binds an identity to the other side's fresh bytes, so that an
 // opening can't be replayed.
 func identityMAC(key, fresh []byte, id Identity) []byte {
@@ -205,7 +234,7 @@
 	return conn.Write(ctx, websocket.MessageBinary, frame)
 }
 
-func start(conn *websocket.Conn, peer Identity, p *pulse, opts Options) *Session {
+func start(conn *websocket.Conn, peer Identity, address string, p *pulse, opts Options) *Session {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	s := &Session{
 		conn:    conn,
@@ -219,15 +248,16 @@
 
 		waitBegan: make(chan struct{}, 1),
 	}
-	go s.read(opts.Handler)
+	go s.read(opts.Handler, opts.Openings.opened(peer, address))
 	go s.keepalive()
 	return s
 }
 
-func (s *Session) read(h Handler) {
+func (s *Session) read(h Handler, ended func()) {
 	err := s.readAll(h)
 	s.cancel(err)
 	s.conn.CloseNow()
+	ended()
 	h.Closed(s, err)
 }
 
@@ -239,6 +269,12 @@
 		}
 		s.pulse.beat()
 		ref, m, err := Decode(frame)
+		if errors.Is(err, errUnknownKind) {
+			// In a rolling restart a newer build sends what this one doesn't know.
+			// Ended for it, the session would take the calls and streams on it
+			// along, and the next one too. A call waits for its own deadline.
+			continue
+		}
 		if err != nil {
 			return err
 		}
