--- a/cmd/skylark-measure/slopes.go
+++ b/cmd/skylark-measure/slopes.go
@@ -46,7 +46,7 @@
 		},
 		"request":       func() (any, error) { return measure.RequestSlopes(ctx, repeats, progress, o) },
 		"stream":        func() (any, error) { return measure.StreamSlopes(ctx, repeats, progress, o) },
-		"configuration": func() (any, error) { return measure.ConfigurationSlopes(progress, o) },
+		"configuration": func() (any, error) { return measure.ConfigurationSlopes(ctx, progress, o) },
 		"token":         func() (any, error) { return measure.TokenSlopes(ctx, progress, o) },
 		"spread":        func() (any, error) { return measure.SpreadSlopes(ctx, c.IntSlice("daemons"), progress, o) },
 		"platform":      func() (any, error) { return measure.PlatformSlopes(ctx, progress, o) },
--- a/internal/measure/slopes_claims.go
+++ b/internal/measure/slopes_claims.go
@@ -45,7 +45,7 @@
 	var points []ClaimPoint
 	for _, rate := range []float64{13, 65, 156, 325} {
 		var p ClaimPoint
-		err := o.exclusively(func() (err error) { p, err = claimPoint(ctx, claimReplicas, rate, o); return err })
+		err := o.exclusively(ctx, func() (err error) { p, err = claimPoint(ctx, claimReplicas, rate, o); return err })
 		if err != nil {
 			return points, err
 		}
--- a/internal/measure/slopes_configuration.go
+++ b/internal/measure/slopes_configuration.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -46,11 +47,11 @@
 }
 
 // ConfigurationSlopes measures states of several sizes in this process.
-func ConfigurationSlopes(progress io.Writer, o SlopeOptions) ([]ConfigurationPoint, error) {
+func ConfigurationSlopes(ctx context.Context, progress io.Writer, o SlopeOptions) ([]ConfigurationPoint, error) {
 	var points []ConfigurationPoint
 	for _, size := range configurationSizes {
 		var p ConfigurationPoint
-		err := o.exclusively(func() (err error) { p, err = configurationPoint(size.organisations, size.instructions); return err })
+		err := o.exclusively(ctx, func() (err error) { p, err = configurationPoint(size.organisations, size.instructions); return err })
 		if err != nil {
 			return points, err
 		}
--- a/internal/measure/slopes_fleet.go
+++ b/internal/measure/slopes_fleet.go
@@ -60,7 +60,7 @@
 	for repeat := range repeats {
 		for _, s := range fleets {
 			var p SlopePoint
-			err := o.exclusively(func() (err error) { p, err = measurePoint(ctx, s, o); return err })
+			err := o.exclusively(ctx, func() (err error) { p, err = measurePoint(ctx, s, o); return err })
 			if err != nil {
 				return points, err
 			}
--- a/internal/measure/slopes_platform.go
+++ b/internal/measure/slopes_platform.go
@@ -70,7 +70,7 @@
 			}
 		}
 		var p PlatformPoint
-		err := o.exclusively(func() (err error) { p, err = f.platformPoint(ctx, n); return err })
+		err := o.exclusively(ctx, func() (err error) { p, err = f.platformPoint(ctx, n); return err })
 		if err != nil {
 			return points, err
 		}
--- a/internal/measure/slopes_save.go
+++ b/internal/measure/slopes_save.go
@@ -1,19 +1,20 @@
 package measure
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
-	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 )
 
 // Saved is a file of results.
 type Saved struct {
-	// Date is when the run ended, Commit the revision that the program was built
-	// from, with a plus if its sources were changed.
+	// Date is when the run ended, Commit the working tree's revision then.
 	Date   string          `json:"date"`
 	Commit string          `json:"commit"`
 	Points json.RawMessage `json:"points"`
@@ -51,27 +52,17 @@
 	return s, nil
 }
 
-// commit is the revision that this program was built from.
+// commit names the revision of the working tree, with "-dirty" if it was changed.
 func commit() string {
-	const short = 10
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
+	out, err := exec.Command("git", "describe", "--always", "--dirty", "--exclude=*").Output()
+	if err != nil {
 		return "unknown"
 	}
-	revision, changed := "unknown", ""
-	for _, s := range info.Settings {
-		switch {
-		case s.Key == "vcs.revision":
-			revision = s.Value[:min(short, len(s.Value))]
-		case s.Key == "vcs.modified" && s.Value == "true":
-			changed = "+"
-		}
-	}
-	return revision + changed
+	return strings.TrimSpace(string(out))
 }
 
 // exclusively does one point while it holds the lock, if there is one.
-func (o SlopeOptions) exclusively(do func() error) error {
+func (o SlopeOptions) exclusively(ctx context.Context, do func() error) error {
 	if o.Lock == "" {
 		return do()
 	}
@@ -79,8 +70,15 @@
 	if err != nil {
 		return fmt.Errorf("measure: %w", err)
 	}
+	locked := make(chan error, 1)
+	go func() { locked <- syscall.Flock(int(file.Fd()), syscall.LOCK_EX) }()
+	select {
+	case err = <-locked:
+	case <-ctx.Done(): // the goroutine goes on waiting until this process ends
+		return ctx.Err()
+	}
 	defer file.Close() // lets go of the lock
-	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX); err != nil {
+	if err != nil {
 		return fmt.Errorf("measure: lock: %w", err)
 	}
 	return do()
--- a/internal/measure/slopes_session.go
+++ b/internal/measure/slopes_session.go
@@ -32,7 +32,7 @@
 	for _, awaited := range []bool{false, true} {
 		for _, n := range counts {
 			var p SessionPoint
-			err := o.exclusively(func() (err error) { p, err = sessionPoint(ctx, n, awaited, o); return err })
+			err := o.exclusively(ctx, func() (err error) { p, err = sessionPoint(ctx, n, awaited, o); return err })
 			if err != nil {
 				return points, err
 			}
--- a/internal/measure/slopes_spread.go
+++ b/internal/measure/slopes_spread.go
@@ -71,7 +71,7 @@
 	var points []SpreadPoint
 	for _, n := range sizes {
 		p := SpreadPoint{Daemons: n, Organisations: spreadOrganisations, Instructions: spreadInstructions}
-		if err := o.exclusively(func() error { return p.measure(ctx, o) }); err != nil {
+		if err := o.exclusively(ctx, func() error { return p.measure(ctx, o) }); err != nil {
 			p.Failed = err.Error()
 		}
 		points = append(points, p)
--- a/internal/measure/slopes_start.go
+++ b/internal/measure/slopes_start.go
@@ -66,7 +66,7 @@
 	var points []StartPoint
 	for _, size := range configurationSizes {
 		p := StartPoint{Organisations: size.organisations, Instructions: size.instructions}
-		if err := o.exclusively(func() error { return p.measure(ctx, o) }); err != nil {
+		if err := o.exclusively(ctx, func() error { return p.measure(ctx, o) }); err != nil {
 			p.Failed = err.Error()
 		}
 		points = append(points, p)
--- a/internal/measure/slopes_token.go
+++ b/internal/measure/slopes_token.go
@@ -40,7 +40,7 @@
 	var points []TokenPoint
 	for _, n := range []int{8, 16, 33, 66} {
 		var measured []TokenPoint
-		err := o.exclusively(func() (err error) { measured, err = tokenPoints(ctx, n, o); return err })
+		err := o.exclusively(ctx, func() (err error) { measured, err = tokenPoints(ctx, n, o); return err })
 		if err != nil {
 			return points, err
 		}
