--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,10 @@
 FUZZTIME ?= 30s
 SOAK ?= 30m
 SEED ?= 1
+CAPACITY ?= docs/capacity
+SLOPES ?= spread start claims stream token configuration platform group request session
 
-.PHONY: help build test lint prove soak fuzz demo measure clean
+.PHONY: help build test lint prove soak fuzz demo measure capacity clean
 
 help: ## list the targets
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -34,6 +36,11 @@
 measure: build ## every scenario, policy and seed; hours (MEASURE="--scenario steady --seeds 1" for less)
 	$(BIN)/skylark-measure $(MEASURE)
 
+capacity: build ## the slopes of docs/CAPACITY.md into docs/capacity/, a quarter of an hour (LOCK=FILE: take turns)
+	$(GO) test -run '^$$' -bench . -benchmem -benchtime 100ms -count 3 ./internal/... > $(CAPACITY)/benchmarks.txt
+	$(BIN)/skylark-measure slopes --out $(CAPACITY) --lock "$(LOCK)" --window 8s --warmup 2s --repeats 1 $(SLOPES)
+	$(BIN)/skylark-measure table --out $(CAPACITY)
+
 demo: build ## a small fleet on loopback with a few requests (KEEP=1 leaves it running)
 	@KEEP=$(KEEP) scripts/demo.sh
 
--- a/cmd/skylark-measure/slopes.go
+++ b/cmd/skylark-measure/slopes.go
@@ -35,6 +35,18 @@
 	}
 }
 
+// table writes what docs/CAPACITY.md quotes.
+func table() *cli.Command {
+	return &cli.Command{
+		Name:  "table",
+		Usage: "fit the slopes that were measured and write them to table.md",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "out", Value: "docs/capacity", Usage: "folder of the results"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error { return measure.WriteTable(c.String("out")) },
+	}
+}
+
 func runSlopes(ctx context.Context, c *cli.Command) error {
 	o := measure.SlopeOptions{
 		Bin: c.String("bin"), Window: c.Duration("window"), Warmup: c.Duration("warmup"), Keep: c.Bool("keep"), Lock: c.String("lock"),
--- a/internal/measure/slopes_fleet.go
+++ b/internal/measure/slopes_fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"time"
 )
 
 // GroupSlopes measures groups of the given sizes, idle and under a rate of
@@ -37,6 +38,8 @@
 	// streamTokens and streamStepMs make an answer of 10 s.
 	streamTokens = 400
 	streamStepMs = 25
+	// streamWarmup is until as many end as begin.
+	streamWarmup = 11 * time.Second
 	// streamRoom holds the prompts and answers of all streams of a point.
 	streamRoom = 4_000_000
 )
@@ -44,6 +47,7 @@
 // StreamSlopes measures memory against streams in flight: long answers of slow
 // engines, so that about rate × answer time are open.
 func StreamSlopes(ctx context.Context, repeats int, progress io.Writer, o SlopeOptions) ([]SlopePoint, error) {
+	o.Warmup = max(o.Warmup, streamWarmup)
 	var fleets []slopeFleet
 	for _, rate := range []float64{1, 5, 10, 20} {
 		fleets = append(fleets, slopeFleet{
