settings: leave out fleet_keys where there are none

Cause: skylark-measure writes each daemon's settings by encoding/json; since fleet_keys exists it wrote null, and every daemon that it started ended with "fleet_keys: is null; want an array". Seen as "waiting for the entry: context deadline exceeded" in skylark-measure slopes start and spread. Change: omitempty. The new test fails without it (same message).

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,7 +23,7 @@
 	FleetKey string `json:"fleet_key"`
 	// FleetKeys stand in for FleetKey while the fleet goes from one key to another:
 	// the first is used to dial, all are accepted.
-	FleetKeys []string `json:"fleet_keys"`
+	FleetKeys []string `json:"fleet_keys,omitempty"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `json:"log_level"`
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
@@ -41,6 +42,23 @@
 	}
 }
 
+// Symptom: daemons that a tool starts with settings it has written end at once.
+// Sequence: settings without fleet_keys are written as JSON and read. Cause: what
+// isn't set was written as null, which is no array.
+func TestWrittenSettingsAreRead(t *testing.T) {
+	s, err := Parse([]byte(whole), "s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Parse(data, "written"); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestDefaults(t *testing.T) {
 	s, err := Parse([]byte(whole), "whole.json")
 	if err != nil {
