--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 	$(BIN)/skylark-measure $(MEASURE)
 
 capacity: build ## the slopes of docs/CAPACITY.md into docs/capacity/, a quarter of an hour (LOCK=FILE: take turns)
-	$(GO) test -run '^$$' -bench . -benchmem -benchtime 100ms -count 3 ./internal/... > $(CAPACITY)/benchmarks.txt
+	$(GO) test -run '^$$' -bench . -benchmem -benchtime 100ms -count 3 -p 1 ./internal/... > $(CAPACITY)/benchmarks.txt
 	$(BIN)/skylark-measure slopes --out $(CAPACITY) --lock "$(LOCK)" --window 8s --warmup 2s --repeats 1 $(SLOPES)
 	$(BIN)/skylark-measure table --out $(CAPACITY)
 
--- a/internal/measure/slopes_fleet.go
+++ b/internal/measure/slopes_fleet.go
@@ -35,28 +35,29 @@
 }
 
 const (
-	// streamTokens and streamStepMs make an answer of 10 s.
-	streamTokens = 400
+	// streamTokens and streamStepMs make an answer of 5 s.
+	streamTokens = 200
 	streamStepMs = 25
 	// streamWarmup is until as many end as begin.
-	streamWarmup = 11 * time.Second
+	streamWarmup = 6 * time.Second
 	// streamRoom holds the prompts and answers of all streams of a point.
 	streamRoom = 4_000_000
 )
 
 // StreamSlopes measures memory against streams in flight: long answers of slow
-// engines, so that about rate × answer time are open.
+// engines, so that about rate × answer time are open. The last point has answers
+// twice as long and the default room of engine and admission: streams queue there.
 func StreamSlopes(ctx context.Context, repeats int, progress io.Writer, o SlopeOptions) ([]SlopePoint, error) {
 	o.Warmup = max(o.Warmup, streamWarmup)
+	long := slopeFleet{members: 4, entries: 1, answerTokens: streamTokens, stepMs: streamStepMs, cacheTokens: streamRoom}
 	var fleets []slopeFleet
-	for _, rate := range []float64{1, 5, 10, 20} {
-		fleets = append(fleets, slopeFleet{
-			members: 4, entries: 1, rate: rate, answerTokens: streamTokens, stepMs: streamStepMs, cacheTokens: streamRoom,
-		})
+	for _, rate := range []float64{2, 10, 20, 40} {
+		s := long
+		s.rate = rate
+		fleets = append(fleets, s)
 	}
-	// Once more with the default room of engine and admission: streams queue then.
-	fleets = append(fleets, slopeFleet{members: 4, entries: 1, rate: 20, answerTokens: streamTokens, stepMs: streamStepMs})
-	return measurePoints(ctx, fleets, repeats, progress, o)
+	long.rate, long.answerTokens, long.cacheTokens = 20, 2*streamTokens, 0
+	return measurePoints(ctx, append(fleets, long), repeats, progress, o)
 }
 
 func measurePoints(ctx context.Context, fleets []slopeFleet, repeats int, progress io.Writer, o SlopeOptions) ([]SlopePoint, error) {
