--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -31,6 +31,9 @@
 	Engine map[string]any
 	// Transfer is the endpoints' TransferTokensPerSecond.
 	Transfer float64
+	// Prepare, if set, is called once the platform has the workload's records and
+	// before the first daemon starts.
+	Prepare func(ctx context.Context, f *Fleet) error
 	// Settings, if set, changes each daemon's settings before its start.
 	Settings func(*settings.Settings)
 }
@@ -77,6 +80,11 @@
 	if err := f.publish(ctx, w); err != nil {
 		return err
 	}
+	if f.options.Prepare != nil {
+		if err := f.options.Prepare(ctx, f); err != nil {
+			return err
+		}
+	}
 	for i := range f.deployment.Engines {
 		n, err := f.startEndpoint("engine", f.deployment.Group, i)
 		if err != nil {
