wire: an opening outlives whoever began it; follow: ask peers again before the old file

The pool opens one session for all who want one, by the context of whoever came first. That was the look for a peer that takes the fleet key, which ends when one does; a caller that hangs up does the same to other callers' requests. Ruled out: the survivor refusing (it never saw the question), a stale list. Change: the opening has the pool's context and its own bound, each caller waits by its own. Both tests fail without their part: 'the one that waited: context canceled'; 'starts with offset 1 from bootstrap, want 2'.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -158,6 +158,40 @@
 	}
 }
 
+// Symptom: after a failure of a whole site an entry takes a key that was taken back.
+// Sequence: the log is down, an old file is there; the one peer that has the newer
+// state fails the first question.
+// Cause: each peer is asked once, and then the file is read.
+func TestPeerThatFailsOnceIsAskedAgain(t *testing.T) {
+	f := newFixture(t, standin.Control{})
+	first := f.publish(0)
+	peer := f.follow(Options{})
+	f.reaches(peer, first, SourceLog)
+	exported, err := config.EncodeState(peer.State())
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "old")
+	if err := os.WriteFile(file, exported, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	second := f.publish(first)
+	f.reaches(peer, second, SourceLog)
+	failed := false
+	busy := func(_ context.Context, m *wire.ConfigFetch) (*wire.ConfigState, error) {
+		if !failed {
+			failed = true
+			return nil, errCut
+		}
+		return peer.Fetch(m)
+	}
+	cut := f.follow(Options{Log: cutLog{}, Bootstrap: file, Peers: func(context.Context) []Fetch { return []Fetch{busy} }})
+	<-cut.Ready()
+	if cut.offset() != second || cut.Source() != string(SourcePeer) {
+		t.Errorf("starts with offset %d from %s, want %d", cut.offset(), cut.Source(), second)
+	}
+}
+
 // A state of several parts arrives whole though the peer's state moves on while
 // the parts are fetched.
 func TestStateInParts(t *testing.T) {
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -61,7 +61,12 @@
 	if f.opts.Peers == nil {
 		return
 	}
-	f.askSeveral(ctx, f.opts.Peers(ctx))
+	for began := f.now(); f.State() == nil && f.now()-began < bootstrapAfter && ctx.Err() == nil; {
+		f.askSeveral(ctx, f.opts.Peers(ctx))
+		if f.State() == nil {
+			pause(ctx, minPause)
+		}
+	}
 	for {
 		pause(ctx, peerPause/2+rand.N(peerPause))
 		if ctx.Err() != nil {
@@ -76,7 +81,10 @@
 	}
 }
 
-// askSeveral asks peers, a few at once, until one of them has brought a state.
+// askSeveral asks peers, a few at once, until one of them has brought a state. It is
+// done again while the bootstrap file waits: the one that knows may be busy with a
+// herd, and fail the first time.
+//
 // After a failure of a whole site most are gone or as empty as this process. With
 // only the first few asked, it would start from an old bootstrap file, and take
 // keys that were taken back, beside a peer that knows better.
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -18,6 +19,9 @@
 type Pool struct {
 	opts Options
 	dial singleflight.Group
+	// ctx ends with the pool.
+	ctx  context.Context
+	stop context.CancelFunc
 
 	mu       sync.Mutex
 	sessions map[string]*Session
@@ -26,29 +30,40 @@
 
 // NewPool returns an empty pool.
 func NewPool(opts Options) *Pool {
-	return &Pool{opts: opts, sessions: make(map[string]*Session)}
+	ctx, stop := context.WithCancel(context.Background())
+	return &Pool{opts: opts, ctx: ctx, stop: stop, sessions: make(map[string]*Session)}
 }
 
 // Get returns the open session to address, or opens one.
+//
+// One opening serves all who wait for it, and goes on when one of them gives up. By
+// the context of whoever came first, a caller that hung up failed the others'
+// requests, and a peer's state went unread: "context canceled" in the log of a
+// process whose own wait hadn't ended.
 func (p *Pool) Get(ctx context.Context, address string) (*Session, error) {
 	if s := p.open(address); s != nil {
 		return s, nil
 	}
-	v, err, _ := p.dial.Do(address, func() (any, error) {
+	opened := p.dial.DoChan(address, func() (any, error) {
 		if s := p.open(address); s != nil {
 			return s, nil
 		}
-		s, err := Dial(ctx, address, p.opts)
+		s, err := Dial(p.ctx, address, p.opts)
 		if err != nil {
 			return nil, err
 		}
 		p.keep(address, s)
 		return s, nil
 	})
-	if err != nil {
-		return nil, err
+	select {
+	case r := <-opened:
+		if r.Err != nil {
+			return nil, r.Err
+		}
+		return r.Val.(*Session), nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wire: dial %s: %w", address, ctx.Err())
 	}
-	return v.(*Session), nil
 }
 
 func (p *Pool) open(address string) *Session {
@@ -93,6 +108,7 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.stop()
 	p.closed = true
 	for _, s := range p.sessions {
 		s.Close(ErrClosed)
--- a/internal/wire/session_test.go
+++ b/internal/wire/session_test.go
@@ -313,6 +313,41 @@
 	}
 }
 
+// Symptom: requests fail with "context canceled" though their own callers wait, and
+// a restarted process doesn't get a peer's state.
+// Sequence: two want a session to one peer; the first gives up while it is opened.
+// Cause: the opening was by the context of whoever came first.
+func TestOpeningOutlivesWhoBeganIt(t *testing.T) {
+	acceptor := newEnd("b")
+	reached, release := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		reached <- struct{}{}
+		<-release
+		_ = Accept(w, r, acceptor.options())
+	}))
+	t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	pool := NewPool(newEnd("a").options())
+	t.Cleanup(pool.Close)
+	hasty, giveUp := context.WithCancel(context.Background())
+	errs := make(chan error)
+	get := func(ctx context.Context) {
+		_, err := pool.Get(ctx, address)
+		errs <- err
+	}
+	go get(hasty)
+	<-reached
+	go get(context.Background())
+	giveUp()
+	if err := await(t, "the hasty one", errs); !errors.Is(err, context.Canceled) {
+		t.Errorf("the one that gave up: %v", err)
+	}
+	close(release)
+	if err := await(t, "the patient one", errs); err != nil {
+		t.Errorf("the one that waited: %v", err)
+	}
+}
+
 // Symptom: a stream hangs for minutes after a host is gone.
 // Sequence: the peer's packets are lost in one direction or both; no reset comes.
 // Cause: no ping, or one whose answer isn't waited for.
