One pacing for all who follow the log; an outage is two lines

Cause: three readers paced themselves in three ways. The configuration's wrote 'log not read' at each try of an outage, though its comment said once, went on in a tight loop where a log doesn't hold long polls, and didn't keep to a rate limit's Retry-After; those of claims and leases logged nothing; platform.Log.Tail had it right and no caller but its tests. Change: platform.Pacer, used by both readers; Tail, its logger and doubled pauses are gone. TestTailGoesOnAfterOutage is TestFollowsOnAfterOutage now, at the configuration's follower, with the same conditions; TestReadPastRetention no longer asks Tail, which passed the read's error on. Seen before the change: the process logs of TestPromise3RestartFromPeer have three 'log not read' of one outage in 0.5 s.

--- a/internal/endpoint/logreader.go
+++ b/internal/endpoint/logreader.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
+	"log/slog"
 	"time"
 
 	"skylarklead/internal/platform"
@@ -13,19 +13,19 @@
 	// logWait is how long one read of a log stream waits for a record. It bounds
 	// how old "nothing new" may be, so it stays below attempt.OnceParams.FreshFor.
 	logWait = 4 * time.Second
-	// logPause and maxLogPause bound the pause after a failed read.
-	logPause    = 100 * time.Millisecond
+	// maxLogPause bounds the pause after a failed read: calls with a key wait for it
+	// at an outage's end.
 	maxLogPause = 2 * time.Second
 )
 
-// logReader follows one stream of the platform's log for the loop. Unlike
-// platform.Log.Tail it tells when a read has reached the end, and goes on past
-// what retention took.
+// logReader follows one stream of the platform's log for the loop. It tells when a
+// read has reached the end, and goes on past what retention took.
 type logReader struct {
 	log    *platform.Log
 	stream string
 	loop   *mailbox
 	now    func() time.Duration
+	logger *slog.Logger
 
 	// These are called on the loop. caughtUp is told when the read began that
 	// found nothing more.
@@ -49,7 +49,7 @@
 func (r *logReader) run(ctx context.Context) {
 	from := uint64(1)
 	wait := time.Duration(0)
-	pause := logPause
+	pacer := platform.Pacer{Logger: r.logger, Stream: r.stream, MaxPause: maxLogPause}
 	for ctx.Err() == nil {
 		started := r.now()
 		page, err := r.read(ctx, from, wait)
@@ -61,18 +61,13 @@
 		case errors.Is(err, context.Canceled):
 			wait = 0 // poked
 		case err != nil:
-			sleepFor(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, maxLogPause)
+			pacer.Failed(ctx, err)
 		default:
-			pause = logPause
 			from = page.Next
 			r.deliver(page, started)
+			pacer.Answered(ctx, page, wait, r.now()-started)
 			// A page may be cut short anywhere. Only a read that finds nothing
 			// shows the end, so one without a wait follows each that finds some.
-			if len(page.Records) == 0 && wait > 0 && r.now()-started < logPause {
-				// A log that doesn't hold long polls would be asked in a tight loop.
-				sleepFor(ctx, logPause)
-			}
 			wait = logWait
 			if len(page.Records) > 0 {
 				wait = 0
@@ -111,10 +106,3 @@
 		}
 	})
 }
-
-func sleepFor(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/endpoint/once.go
+++ b/internal/endpoint/once.go
@@ -36,6 +36,7 @@
 		e.loop.must(func() { e.performOnce(e.claims.once.Tick(e.now())) })
 	})
 	c.reader = &logReader{
+		logger: e.log,
 		log:    e.platformLog,
 		stream: "claims." + e.settings.Endpoint.Group,
 		loop:   e.loop,
--- a/internal/endpoint/orders.go
+++ b/internal/endpoint/orders.go
@@ -55,6 +55,7 @@
 		orders: lease.NewOrders(leases, name, orderPoll),
 		name:   name,
 		reader: &logReader{
+			logger: e.log,
 			log:    e.platformLog,
 			stream: "leases." + e.settings.Endpoint.Group,
 			loop:   e.loop,
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -27,9 +27,8 @@
 	bootstrapAfter = time.Second
 	// logWait is how long one read of the log waits for a record.
 	logWait = 10 * time.Second
-	// minPause and maxPause bound the pause after a failed read.
+	// minPause is the least time between two questions, to peers or the log.
 	minPause = 100 * time.Millisecond
-	maxPause = 3 * time.Second
 	// peerPause is the time between questions to peers without the log.
 	peerPause = 2 * time.Second
 	// fetchTimeout bounds one question to a peer.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -158,6 +159,31 @@
 	}
 }
 
+// Symptom: a follower misses the record that was appended during an outage, or its
+// log is full of one outage's lines.
+// Sequence: a long poll waits, the log goes down, comes back, and grows.
+// Cause: the poll's failure ends the follower, or moves its offset.
+func TestFollowsOnAfterOutage(t *testing.T) {
+	f := newFixture(t, standin.Control{})
+	first := f.publish(0)
+	var lines bytes.Buffer
+	follower := New(Options{Log: f.log, Retention: time.Hour, Logger: slog.New(slog.NewTextHandler(&lines, nil))})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- follower.Run(ctx) }()
+	f.reaches(follower, first, SourceLog)
+	f.control(`{"log_down":true}`)
+	until(t, "the outage", func() bool { return !follower.LogReachable() })
+	f.control(`{"log_down":false}`)
+	second := f.publish(first)
+	f.reaches(follower, f.publish(second), SourceLog)
+	cancel()
+	<-ended
+	if text := lines.String(); strings.Count(text, "log not read") != 1 || strings.Count(text, "log reached") != 2 {
+		t.Errorf("lines of the outage:\n%s", text)
+	}
+}
+
 // Symptom: after a failure of a whole site an entry takes a key that was taken back.
 // Sequence: the log is down, an old file is there; the one peer that has the newer
 // state fails the first question.
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"skylarklead/internal/config"
@@ -17,58 +16,48 @@
 	// assembler takes snapshots of older builds, which are on the log itself.
 	assembler config.Assembler
 	caughtUp  bool
-	backoff   time.Duration
+	pacer     platform.Pacer
 }
 
 func newTail(f *Follower) *tail {
-	return &tail{f: f, state: config.NewState(), backoff: minPause}
+	return &tail{
+		f: f, state: config.NewState(),
+		pacer: platform.Pacer{Logger: f.opts.Logger, Stream: Stream},
+	}
 }
 
 func (t *tail) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := t.step(ctx)
+		began, wait := t.f.now(), t.wait()
+		page, err := t.step(ctx, wait)
 		if ctx.Err() != nil {
 			return
 		}
-		t.note(err)
+		t.f.logUp.Store(err == nil)
 		if err != nil {
-			pause(ctx, t.backoff/2+rand.N(t.backoff))
-			t.backoff = min(2*t.backoff, maxPause)
+			t.pacer.Failed(ctx, err)
 			continue
 		}
-		t.backoff = minPause
 		t.writeSnapshot(ctx)
+		t.pacer.Answered(ctx, page, wait, t.f.now()-began)
 	}
 }
 
-// note records whether the log answers and logs each change of that.
-func (t *tail) note(err error) {
-	up := err == nil
-	if t.f.logUp.Swap(up) == up && up {
-		return
-	}
-	if up {
-		t.f.opts.Logger.Info("log reached", "stream", Stream)
-		return
-	}
-	t.f.opts.Logger.Warn("log not read", "stream", Stream, "error", err)
-}
-
 // step reads one page, or starts again from a snapshot.
-func (t *tail) step(ctx context.Context) error {
+func (t *tail) step(ctx context.Context, wait time.Duration) (platform.Page, error) {
 	t.takeNewer()
 	from := t.state.Offset + 1
-	page, err := t.f.opts.Log.Read(ctx, Stream, from, platform.MaxPage, t.wait())
+	page, err := t.f.opts.Log.Read(ctx, Stream, from, platform.MaxPage, wait)
 	var retained *platform.RetainedError
 	if errors.As(err, &retained) {
-		return t.restore(ctx, retained.Oldest)
+		return page, t.restore(ctx, retained.Oldest)
 	}
 	if err != nil {
-		return err
+		return page, err
 	}
 	t.apply(page.Records)
 	if len(page.Records) > 0 && !t.caughtUp {
-		return nil
+		return page, nil
 	}
 	// At the start nothing is handed out before the end of the log is seen: a
 	// state from halfway would be served as if it were in force.
@@ -77,7 +66,7 @@
 	if len(page.Records) == 0 {
 		t.f.snapshots.caughtUp(t.state.Offset, t.f.now())
 	}
-	return nil
+	return page, nil
 }
 
 // wait is how long a read waits: not at all until the log's end was seen.
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -10,7 +10,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -50,10 +49,6 @@
 
 // Log is a client of the platform's log. It is safe for concurrent use.
 type Log struct {
-	// Logger gets a line when a follower loses the log and when it has it back;
-	// nil for none. It is set before the first call.
-	Logger *slog.Logger
-
 	base    string
 	appends *http.Client
 	reads   *http.Client
--- a/internal/platform/log_test.go
+++ b/internal/platform/log_test.go
@@ -1,14 +1,11 @@
 package platform_test
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,19 +21,12 @@
 	t      *testing.T
 	url    string
 	opened atomic.Int64 // connections
-	gets   atomic.Int64 // reads that reached the log
 }
 
 func newFixture(t *testing.T, control standin.Control) *fixture {
 	t.Helper()
 	f := &fixture{t: t}
-	log := standin.New(standin.Options{Control: control})
-	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method == http.MethodGet {
-			f.gets.Add(1)
-		}
-		log.ServeHTTP(w, r)
-	}))
+	server := httptest.NewUnstartedServer(standin.New(standin.Options{Control: control}))
 	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
 			f.opened.Add(1)
@@ -63,18 +53,6 @@
 	return first
 }
 
-// waitForReads waits until n more reads have reached the log.
-func (f *fixture) waitForReads(n int64) {
-	f.t.Helper()
-	want := f.gets.Load() + n
-	for deadline := time.Now().Add(10 * time.Second); f.gets.Load() < want; {
-		if time.Now().After(deadline) {
-			f.t.Fatalf("%d reads in place of %d", f.gets.Load(), want)
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
 func byteSlices(data []string) [][]byte {
 	var all [][]byte
 	for _, d := range data {
@@ -212,50 +190,6 @@
 	if !errors.As(err, &retained) || retained.Oldest != 3 {
 		t.Errorf("got %v", err)
 	}
-	if err := f.Tail(t.Context(), "config", 1, func(platform.Record) error { return nil }); !errors.As(err, &retained) {
-		t.Errorf("tail: %v", err)
-	}
-}
-
-// Symptom: a follower misses the record that was appended during an outage.
-// Sequence: a long poll waits, the log goes down, comes back, and grows.
-// Cause: the poll's failure ends the follower, or moves its offset.
-func TestTailGoesOnAfterOutage(t *testing.T) {
-	f := newFixture(t, standin.Control{})
-	var lines bytes.Buffer
-	f.Logger = slog.New(slog.NewTextHandler(&lines, nil))
-	f.mustAppend("a")
-	errDone := errors.New("done")
-	seen := make(chan platform.Record, 3)
-	ended := make(chan error, 1)
-	go func() {
-		ended <- f.Tail(t.Context(), "config", 1, func(r platform.Record) error {
-			seen <- r
-			if r.Offset == 3 {
-				return errDone
-			}
-			return nil
-		})
-	}()
-	<-seen
-	f.control(`{"log_down":true}`)
-	if _, err := f.Read(t.Context(), "config", 1, 1, 0); !errors.Is(err, platform.ErrUnavailable) {
-		t.Errorf("read in an outage: %v", err)
-	}
-	f.waitForReads(2) // by then the follower has met the outage
-	f.control(`{"log_down":false}`)
-	f.mustAppend("b", "c")
-	if err := <-ended; !errors.Is(err, errDone) {
-		t.Fatalf("tail: %v", err)
-	}
-	if text := lines.String(); strings.Count(text, "log unavailable") != 1 || strings.Count(text, "available again") != 1 {
-		t.Errorf("lines of the outage:\n%s", text)
-	}
-	for want := uint64(2); want <= 3; want++ {
-		if r := <-seen; r.Offset != want {
-			t.Errorf("got offset %d, want %d", r.Offset, want)
-		}
-	}
 }
 
 // Symptom: a follower's state lacks one accepted record for ever.
--- /dev/null
+++ b/internal/platform/pacer_test.go
@@ -0,0 +1,46 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"skylarklead/internal/platform"
+)
+
+// Symptom: followers and log are busy with nothing, a core each.
+// Sequence: a log that doesn't hold long polls answers each at once, empty.
+// Cause: the next read follows an answered one without a pause.
+func TestPacerSlowsReadsOfALogThatDoesNotWait(t *testing.T) {
+	var p platform.Pacer
+	began := time.Now()
+	for range 3 {
+		p.Answered(t.Context(), platform.Page{}, 10*time.Second, time.Millisecond)
+	}
+	if took := time.Since(began); took < 300*time.Millisecond {
+		t.Errorf("three empty answers in %v", took)
+	}
+}
+
+func TestPacerTellsAnOutageOnce(t *testing.T) {
+	var lines bytes.Buffer
+	p := platform.Pacer{Logger: slog.New(slog.NewTextHandler(&lines, nil)), Stream: "config"}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel() // no pause
+	for range 2 {
+		for range 3 {
+			p.Failed(ended, errors.New("out"))
+		}
+		for range 3 {
+			p.Answered(ended, platform.Page{}, 0, 0)
+		}
+	}
+	text := lines.String()
+	if strings.Count(text, "log not read") != 2 || strings.Count(text, "log reached") != 2 || !strings.Contains(text, "stream=config") {
+		t.Errorf("lines of two outages:\n%s", text)
+	}
+}
