endpoint.keep_serving: the share of a group that serves while others load

Cause: one replica is enough for no refusal on an idle group, not for a busy one. Change: a setting of the endpoint, 0 to 1, rounded up; at least one replica, and one may always load while all others serve. Cases in TestSpared and the settings'.

--- a/internal/endpoint/orders.go
+++ b/internal/endpoint/orders.go
@@ -117,9 +117,9 @@
 	// A process that was restarted without the list knows of nobody until it is
 	// heard; all of a group would take themselves for alone.
 	known := e.group.listed || len(others) > 0
-	spared := known && p.permit.Spared(len(others), serving)
+	spared := known && p.permit.Spared(len(others), serving, e.settings.Endpoint.KeepServing)
 	if !spared && !p.waits {
-		e.log.Warn("weights wait: no other replica would serve meanwhile", "list_read", e.group.listed, "others", len(others), "serving", serving)
+		e.log.Warn("weights wait: too few other replicas would serve meanwhile", "list_read", e.group.listed, "others", len(others), "serving", serving)
 	}
 	p.waits = !spared
 	return spared
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -139,7 +139,7 @@
 		}
 		if p.permit.Check(w.clock(i)) {
 			permits++
-			if p.permit.Spared(len(w.procs)-1, w.others(i)) {
+			if p.permit.Spared(len(w.procs)-1, w.others(i), 0) {
 				loading++
 			}
 		}
@@ -248,8 +248,7 @@
 		w.procs = append(w.procs, &proc{leases: l, permit: NewPermit(l, w.permits, rng), rate: 1})
 	}
 	w.pump()
-	spared := func(i, others int, serving ...string) bool { return w.procs[i].permit.Spared(others, serving) }
-	if spared(0, 0) {
+	if w.procs[0].permit.Spared(0, nil, 0) {
 		t.Error("spared without a permit")
 	}
 	for i, p := range w.procs {
@@ -265,16 +264,22 @@
 		self    int
 		others  int
 		serving []string
+		share   float64
 		want    bool
 	}{
-		{"first of three", 0, 2, []string{b, c}, true},
-		{"second", 1, 2, []string{a, c}, true},
-		{"last", 2, 2, []string{a, b}, false},
-		{"the other is down", 0, 1, nil, false},
-		{"one has no permit", 2, 3, []string{a, b, "endpoint-3"}, true},
-		{"alone in the group", 2, 0, nil, true},
+		{"first of three", 0, 2, []string{b, c}, 0, true},
+		{"second", 1, 2, []string{a, c}, 0, true},
+		{"last", 2, 2, []string{a, b}, 0, false},
+		{"the other is down", 0, 1, nil, 0, false},
+		{"one has no permit", 2, 3, []string{a, b, "endpoint-3"}, 0, true},
+		{"alone in the group", 2, 0, nil, 1, true},
+		{"a third of three", 1, 2, []string{a, c}, 1. / 3, true},
+		{"half of three, first", 0, 2, []string{b, c}, 0.5, true},
+		{"half of three, second", 1, 2, []string{a, c}, 0.5, false},
+		{"all, first", 0, 2, []string{b, c}, 1, true},
+		{"all, and one is down", 0, 2, []string{b}, 1, false},
 	} {
-		if got := spared(tt.self, tt.others, tt.serving...); got != tt.want {
+		if got := w.procs[tt.self].permit.Spared(tt.others, tt.serving, tt.share); got != tt.want {
 			t.Errorf("%s: %v", tt.name, got)
 		}
 	}
--- a/internal/lease/permits.go
+++ b/internal/lease/permits.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -39,19 +40,21 @@
 	return ok
 }
 
-// KeepServing is how many of a group's replicas go on serving while others load,
-// whatever the number of permits.
+// KeepServing is how many of a group's replicas go on serving at the least while
+// others load, whatever the number of permits.
 const KeepServing = 1
 
 // Spared reports whether the group can do without this replica while it loads.
 // Others are the group's other replicas, up or not; serving are those of them that
-// take work.
+// take work; share is the part of the group that is to go on serving, 0 to 1. As
+// many as that part, rounded up, serve, at least KeepServing; but one may always
+// load while all others serve.
 //
 // Permits alone bound only how many load. With as many permits as replicas all
 // would load at once, and each request of those seconds would be refused. Of two
 // that hold permits the one with the later grant waits for the earlier, and takes
 // it for not serving; the log has one order for all. A group of one has no choice.
-func (p *Permit) Spared(others int, serving []string) bool {
+func (p *Permit) Spared(others int, serving []string, share float64) bool {
 	own, held := p.leases.table.Holder(p.name)
 	if !held {
 		return false
@@ -62,7 +65,8 @@
 			left++
 		}
 	}
-	return left >= min(KeepServing, others)
+	keep := max(KeepServing, int(math.Ceil(share*float64(others+1))))
+	return left >= min(keep, others)
 }
 
 // Done gives the permit back.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -115,6 +115,7 @@
 		c.doc.Add("endpoint.max_queue", fmt.Sprintf("is %d", e.MaxQueue), "0 or more")
 	}
 	c.share("endpoint.small_reserve", e.SmallReserve)
+	c.share("endpoint.keep_serving", e.KeepServing)
 	c.positive("endpoint.first_token_target", e.FirstTokenTarget)
 	c.atLeastOne("endpoint.prefill_tokens_per_second", e.PrefillTokensPerSecond)
 	c.positive("endpoint.decode_token_time", e.DecodeTokenTime)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -104,6 +104,9 @@
 	DecodeTokenTime        Duration `json:"decode_token_time"`
 	// CacheTokens is the size of the engine's prefix cache.
 	CacheTokens int `json:"cache_tokens"`
+	// KeepServing is the share of the group that goes on serving while others load
+	// weights, 0 to 1; at least one replica does.
+	KeepServing float64 `json:"keep_serving"`
 	// Heartbeat is how often the group is told; a peer silent for
 	// SuspectAfter gets no new work.
 	Heartbeat    Duration `json:"heartbeat"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -111,6 +111,7 @@
 		{"peer twice", [2]string{`["127.0.0.1:7002"]`, `["127.0.0.1:7002", "127.0.0.1:7002"]`}, `bootstrap.peers[1]: "127.0.0.1:7002" is there twice`},
 		{"policy", [2]string{`8080"`, `8080", "policy": "onwer"`}, `entry.policy: "onwer" is not known; want "owner" or "random"`},
 		{"reserve", endpoint(`, "small_reserve": -0.1`), `endpoint.small_reserve: is -0.1; want a share from 0 to 1`},
+		{"keep serving", endpoint(`, "keep_serving": 2`), `endpoint.keep_serving: is 2; want a share from 0 to 1`},
 		{"suspect", endpoint(`, "suspect_after": "1s"`), `endpoint.suspect_after: 1s is not more than the heartbeat, 1s`},
 		{"syntax", [2]string{`"id":`, `"id"`}, `settings.json:2: column 8: `},
 		{"type", [2]string{`"entry-1"`, `7`}, `settings.json:2: id: is 7; want a string`},
