--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -119,6 +119,13 @@
 	c.positive("endpoint.first_token_target", e.FirstTokenTarget)
 	c.atLeastOne("endpoint.prefill_tokens_per_second", e.PrefillTokensPerSecond)
 	c.positive("endpoint.decode_token_time", e.DecodeTokenTime)
+	if !(e.TransferTokensPerSecond >= 0) {
+		c.doc.Add("endpoint.transfer_tokens_per_second", fmt.Sprintf("is %v", e.TransferTokensPerSecond),
+			"0 for no import, or what the engines were measured to transfer")
+	}
+	if e.TransferTokensPerSecond > 0 {
+		c.positive("endpoint.transfer_wait", e.TransferWait)
+	}
 	c.atLeastOne("endpoint.cache_tokens", float64(e.CacheTokens))
 	c.positive("endpoint.heartbeat", e.Heartbeat)
 	if e.SuspectAfter <= e.Heartbeat {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -41,6 +41,23 @@
 	}
 }
 
+// Symptom: daemons that a tool starts with settings it has written end at once.
+// Sequence: settings without fleet_keys are written as JSON and read. Cause: what
+// isn't set was written as null, which is no array.
+func TestWrittenSettingsAreRead(t *testing.T) {
+	s, err := Parse([]byte(whole), "s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Parse(data, "written"); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestDefaults(t *testing.T) {
 	s := kit.Must(Parse([]byte(whole), "whole.json"))(t)
 	if s.Advertise != s.Listen || s.LogLevel != "info" || s.Platform.Retention.D() != 24*time.Hour {
@@ -112,6 +129,8 @@
 		{"policy", [2]string{`8080"`, `8080", "policy": "onwer"`}, `entry.policy: "onwer" is not known; want "owner" or "random"`},
 		{"reserve", endpoint(`, "small_reserve": -0.1`), `endpoint.small_reserve: is -0.1; want a share from 0 to 1`},
 		{"keep serving", endpoint(`, "keep_serving": 2`), `endpoint.keep_serving: is 2; want a share from 0 to 1`},
+		{"transfer", endpoint(`, "transfer_tokens_per_second": -1`), `endpoint.transfer_tokens_per_second: is -1; want 0 for no import`},
+		{"transfer wait", endpoint(`, "transfer_tokens_per_second": 1, "transfer_wait": "0s"`), `endpoint.transfer_wait: is 0s; want more than 0s`},
 		{"suspect", endpoint(`, "suspect_after": "1s"`), `endpoint.suspect_after: 1s is not more than the heartbeat, 1s`},
 		{"syntax", [2]string{`"id":`, `"id"`}, `settings.json:2: column 8: `},
 		{"type", [2]string{`"entry-1"`, `7`}, `settings.json:2: id: is 7; want a string`},
--- a/internal/wire/asking.go
+++ b/internal/wire/asking.go
@@ -67,4 +67,7 @@
 	// Version comes with a Refusal: the entry is to ask again for this version of
 	// the model, with levels of its salt.
 	Version string `cbor:"11,keyasint,omitempty"`
+	// Donor holds more of the prompt than the executor, which is to import it;
+	// nil if there is none or computing is cheaper.
+	Donor *Donor `cbor:"12,keyasint,omitempty"`
 }
--- a/internal/wire/status.go
+++ b/internal/wire/status.go
@@ -55,6 +55,8 @@
 	Candidates      []Candidate `cbor:"10,keyasint,omitempty" json:"candidates,omitempty"`
 	Outcome         Outcome     `cbor:"11,keyasint,omitempty" json:"outcome,omitempty"`
 	AgeMs           int64       `cbor:"12,keyasint" json:"age_ms"`
+	// Donor is the endpoint that a prefix is, or was, to be imported from.
+	Donor string `cbor:"13,keyasint,omitempty" json:"donor,omitempty"`
 }
 
 // Drain orders an endpoint process to take no new work, for good.
