--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -37,10 +37,11 @@
 	queue   []*entry // by priority, then arrival
 	queued  float64  // cost of queue, ms
 	running int
-	// waitingSince is when queue was last empty for a standingInterval, emptiedAt
+	// waitingSince is when queue was last empty for a standingPause, emptiedAt
 	// when it last became so.
 	waitingSince, emptiedAt time.Duration
-	// pace is the work that it starts while it has a queue.
+	// pace is how many items it starts while it has a queue. Not their work: as a
+	// sum of estimates it would be far off for seconds after the first estimates.
 	pace speed
 	use  use
 	// start is the virtual time at which its next item is due.
@@ -68,18 +69,6 @@
 	}
 }
 
-// ahead is the cost of what goes before e in its queue.
-func (o *organisation) ahead(e *entry) float64 {
-	cost := 0.0
-	for _, other := range o.queue {
-		if other == e {
-			break
-		}
-		cost += other.cost
-	}
-	return cost
-}
-
 // noteQueue notes whether the queue has become empty.
 func (o *organisation) noteQueue(now time.Duration) {
 	o.pace.advance(now, len(o.queue) > 0)
@@ -148,7 +137,7 @@
 	o := e.org
 	if len(o.queue) == 0 {
 		o.start = max(o.start, q.virtual)
-		if e.arrived-o.emptiedAt > standingInterval {
+		if e.arrived-o.emptiedAt > standingPause {
 			o.waitingSince = e.arrived
 		}
 		o.pace.advance(e.arrived, true)
--- a/internal/endpoint/orders_test.go
+++ b/internal/endpoint/orders_test.go
@@ -2,17 +2,20 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
-	"net/http"
 	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	"skylarklead/internal/engine"
 	"skylarklead/internal/follow"
+	"skylarklead/internal/lease"
 	"skylarklead/internal/platform"
 	standinengine "skylarklead/internal/standin/engine"
 	"skylarklead/internal/wire"
+	"skylarklead/test/kit"
 )
 
 // startStandinEngine runs the stand-in engine with model m at version v1 and
@@ -45,42 +48,63 @@
 	return "http://" + <-address
 }
 
-// engineAccount is the stand-in's own record of what it was asked to do.
-func engineAccount(t *testing.T, base string) (account standinengine.Account) {
-	t.Helper()
-	resp, err := http.Get(base + "/control/account")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(&account); err != nil {
-		t.Fatal(err)
-	}
-	return account
-}
-
 func publish(t *testing.T, base string, records ...string) uint64 {
 	t.Helper()
 	var data [][]byte
 	for _, r := range records {
 		data = append(data, []byte(r))
 	}
-	first, err := platform.NewLog(base).Append(context.Background(), follow.Stream, data)
-	if err != nil {
-		t.Fatal(err)
-	}
+	first := kit.Must(platform.NewLog(base).Append(context.Background(), follow.Stream, data))(t)
 	return first
 }
 
 func isLoading(t *testing.T, c *engine.Client) bool {
 	t.Helper()
-	state, err := c.Orders(context.Background())
-	if err != nil {
-		t.Fatal(err)
-	}
+	state := kit.Must(c.Orders(context.Background()))(t)
 	return state.Loading
 }
 
+// Symptom: all replicas of a group load weights at once.
+// Sequence: they are restarted while the platform's list is out, or wait for one
+// that is listed and doesn't serve.
+// Cause: a process that knows of nobody took itself for alone.
+func TestLoadsOnlyWithAnotherAtWork(t *testing.T) {
+	e, log := newTestEndpoint(t)
+	p := &e.placement
+	p.leases.CaughtUp(e.now())
+	for _, a := range p.permit.Want(e.now()) {
+		p.leases.Record(1, a.(lease.Append).Data, e.now())
+	}
+	other := platform.Instance{ID: "ep-2", Role: platform.RoleEndpoint, Address: "127.0.0.1:1", Group: "g", State: platform.StateLive}
+	beat := func(seq uint64, up bool) {
+		hb := &wire.Heartbeat{ID: "ep-2", Epoch: 1, Seq: seq, Load: wire.Load{EngineUp: up}}
+		e.group.view.Heard(hb, e.now())
+		peer := e.group.peer("ep-2")
+		peer.load, peer.hasLoad = hb.Load, true
+	}
+	for _, step := range []struct {
+		name string
+		do   func()
+		want bool
+	}{
+		{"the list was never read", func() {}, false},
+		{"the list is out", func() { e.onList(nil, errors.New("out")) }, false},
+		{"alone by the list", func() { e.onList(nil, nil) }, true},
+		{"another is listed and was never heard", func() { e.onList([]platform.Instance{other}, nil) }, false},
+		{"it loads itself", func() { beat(1, false) }, false},
+		{"it serves", func() { beat(2, true) }, true},
+		{"it is silent, and the permit still held", func() { e.started = e.started.Add(-5 * time.Second) }, false},
+	} {
+		step.do()
+		if got := e.mayLoad(); got != step.want {
+			t.Errorf("%s: may load: %v", step.name, got)
+		}
+	}
+	if n := strings.Count(log.take(), "weights wait"); n != 3 {
+		t.Errorf("the log tells %d times that weights wait, want once each time it begins", n)
+	}
+}
+
 // Symptom: after a new version is published, engines go on with the old one, or
 // all of a group load at once and none serves.
 // Sequence: a model's record changes its version; two replicas share one permit, or
@@ -102,13 +126,10 @@
 	processes, url := startEndpoints(t, nil, backends...)
 	publish(t, url, fmt.Sprintf(`{"schema":2,"kind":"group","key":"g","base":0,"body":{"load_permits":%d}}`, permits),
 		`{"schema":2,"kind":"model","key":"m","base":0,"body":{"group":"g","versions":["v1","v2"],"version":"v2"}}`)
-	waitFor(t, "the new weights", func() bool {
+	kit.Until(t, "the new weights", func() bool {
 		loading, loaded := 0, 0
 		for _, c := range engines {
-			state, err := c.Orders(context.Background())
-			if err != nil {
-				t.Fatal(err)
-			}
+			state := kit.Must(c.Orders(context.Background()))(t)
 			if state.Loading {
 				loading++
 			}
@@ -124,7 +145,7 @@
 	})
 	for _, p := range processes {
 		n := p.dial("tool")
-		waitFor(t, "the decision's record", func() bool {
+		kit.Until(t, "the decision's record", func() bool {
 			x := n.call(&wire.ExplainRequest{Request: "load_version:m@v2"}).(*wire.Explanation)
 			return slices.ContainsFunc(x.Records, func(r wire.DecisionRecord) bool { return r.Reason == "in_force" })
 		})
--- a/internal/measure/slopes_fleet.go
+++ b/internal/measure/slopes_fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"time"
 )
 
 // GroupSlopes measures groups of the given sizes, idle and under a rate of
@@ -33,28 +34,45 @@
 	return measurePoints(ctx, fleets, repeats, progress, o)
 }
 
+const (
+	// streamTokens and streamStepMs make an answer of 5 s.
+	streamTokens = 200
+	streamStepMs = 25
+	// streamWarmup is until as many end as begin.
+	streamWarmup = 6 * time.Second
+	// streamRoom holds the prompts and answers of all streams of a point.
+	streamRoom = 4_000_000
+)
+
 // StreamSlopes measures memory against streams in flight: long answers of slow
-// engines, so that about rate × answer time are open.
+// engines, so that about rate × answer time are open. The last point has answers
+// twice as long and the default room of engine and admission: streams queue there.
 func StreamSlopes(ctx context.Context, repeats int, progress io.Writer, o SlopeOptions) ([]SlopePoint, error) {
+	o.Warmup = max(o.Warmup, streamWarmup)
+	long := slopeFleet{members: 4, entries: 1, answerTokens: streamTokens, stepMs: streamStepMs, cacheTokens: streamRoom}
 	var fleets []slopeFleet
-	for _, rate := range []float64{1, 5, 10, 20} {
-		fleets = append(fleets, slopeFleet{members: 4, entries: 1, rate: rate, answerTokens: 400, stepMs: 25})
+	for _, rate := range []float64{2, 10, 20, 40} {
+		s := long
+		s.rate = rate
+		fleets = append(fleets, s)
 	}
-	return measurePoints(ctx, fleets, repeats, progress, o)
+	long.rate, long.answerTokens, long.cacheTokens = 20, 2*streamTokens, 0
+	return measurePoints(ctx, append(fleets, long), repeats, progress, o)
 }
 
 func measurePoints(ctx context.Context, fleets []slopeFleet, repeats int, progress io.Writer, o SlopeOptions) ([]SlopePoint, error) {
 	var points []SlopePoint
 	for repeat := range repeats {
 		for _, s := range fleets {
-			p, err := measurePoint(ctx, s, o)
+			var p SlopePoint
+			err := o.exclusively(ctx, func() (err error) { p, err = measurePoint(ctx, s, o); return err })
 			if err != nil {
 				return points, err
 			}
 			p.Repeat = repeat + 1
 			points = append(points, p)
-			fmt.Fprintf(progress, "members %d rate %.0f answer %d: %.0f requests %.0f tokens %.0f in flight in %.1f s, outcomes %v\n",
-				p.Members, p.Rate, p.AnswerTokens, p.Requests, p.Tokens, p.InFlight, p.Seconds, p.Outcomes)
+			fmt.Fprintf(progress, "members %d rate %.0f answer %d: %.0f requests %.0f tokens %.0f in flight in %.1f s, engines %d running %d waiting %d tokens, outcomes %v\n",
+				p.Members, p.Rate, p.AnswerTokens, p.Requests, p.Tokens, p.InFlight, p.Seconds, p.Running, p.Waiting, p.EngineTokens, p.Outcomes)
 			writeUse(progress, "endpoint", p.Endpoint)
 			writeUse(progress, "entry", p.Entry)
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,7 +23,7 @@
 	FleetKey string `json:"fleet_key"`
 	// FleetKeys stand in for FleetKey while the fleet goes from one key to another:
 	// the first is used to dial, all are accepted.
-	FleetKeys []string `json:"fleet_keys"`
+	FleetKeys []string `json:"fleet_keys,omitempty"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `json:"log_level"`
 
@@ -98,10 +98,15 @@
 	SmallReserve float64 `json:"small_reserve"`
 	// FirstTokenTarget is the time to first token beyond which requests of an
 	// organisation with a standing backlog are refused on arrival.
-	FirstTokenTarget Duration `json:"first_token_target"`
+	FirstTokenTarget Duration `json:"first_token_target,omitempty"`
 	// PrefillTokensPerSecond and DecodeTokenTime are the engine's speeds.
 	PrefillTokensPerSecond float64  `json:"prefill_tokens_per_second"`
 	DecodeTokenTime        Duration `json:"decode_token_time"`
+	// TransferTokensPerSecond is how fast a prefix can be exported from one engine
+	// of the group and imported by another; 0 has every prefix computed.
+	TransferTokensPerSecond float64 `json:"transfer_tokens_per_second"`
+	// TransferWait bounds what a request waits for an import.
+	TransferWait Duration `json:"transfer_wait"`
 	// CacheTokens is the size of the engine's prefix cache.
 	CacheTokens int `json:"cache_tokens"`
 	// Heartbeat is how often the group is told; a peer silent for
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,14 +1,17 @@
 package settings
 
 import (
+	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
 
 	"skylarklead/internal/strictjson"
+	"skylarklead/test/kit"
 )
 
 // whole is a settings file in which the tests change one thing each.
@@ -32,20 +35,31 @@
 
 func TestFleetKeys(t *testing.T) {
 	_, plain, _ := strings.Cut(strings.Trim(oneKey, `"`), `: "`)
-	s, err := Parse([]byte(strings.Replace(whole, oneKey, `"fleet_keys": ["`+otherKey+`", "`+plain+`"]`, 1)), "s")
-	if err != nil {
-		t.Fatal(err)
-	}
+	s := kit.Must(Parse([]byte(strings.Replace(whole, oneKey, `"fleet_keys": ["`+otherKey+`", "`+plain+`"]`, 1)), "s"))(t)
 	if also := s.AlsoAccepted(); s.Key()[0] != 0xff || len(also) != 1 || also[0][0] != 0 {
 		t.Errorf("dials by %x, also accepts %x", s.Key(), also)
 	}
 }
 
-func TestDefaults(t *testing.T) {
-	s, err := Parse([]byte(whole), "whole.json")
+// Symptom: daemons that a tool starts with settings it has written end at once.
+// Sequence: settings without fleet_keys are written as JSON and read. Cause: what
+// isn't set was written as null, which is no array.
+func TestWrittenSettingsAreRead(t *testing.T) {
+	s, err := Parse([]byte(whole), "s")
 	if err != nil {
 		t.Fatal(err)
 	}
+	data, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Parse(data, "written"); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestDefaults(t *testing.T) {
+	s := kit.Must(Parse([]byte(whole), "whole.json"))(t)
 	if s.Advertise != s.Listen || s.LogLevel != "info" || s.Platform.Retention.D() != 24*time.Hour {
 		t.Errorf("process: %+v", s)
 	}
@@ -61,6 +75,26 @@
 	}
 }
 
+// Symptom: programs that write settings files for daemons, such as the proofs, have
+// them refused. Sequence: a field is added and left out there. Cause: a value that
+// stands for nothing is written as null or 0.
+func TestSettingsAreWrittenAsTheyAreRead(t *testing.T) {
+	endpoint := strings.NewReplacer(`"entry": {"listen": "127.0.0.1:8080"}`, wholeEndpoint+`}`, `"role": "entry"`, `"role": "endpoint"`).Replace(whole)
+	for _, text := range []string{whole, endpoint} {
+		s := kit.Must(Parse([]byte(text), "s"))(t)
+		if s.Endpoint != nil {
+			s.Endpoint.FirstTokenTarget = 0 // what a program that doesn't know it leaves
+		}
+		again := kit.Must(Parse(kit.Must(json.Marshal(s))(t), "again"))(t)
+		if s.Endpoint != nil {
+			s.Endpoint.FirstTokenTarget = DefaultFirstToken
+		}
+		if !reflect.DeepEqual(s, again) {
+			t.Errorf("wrote %+v, read %+v", s, again)
+		}
+	}
+}
+
 func TestMistakes(t *testing.T) {
 	endpoint := func(with string) [2]string {
 		return [2]string{`"entry": {"listen": "127.0.0.1:8080"}`, wholeEndpoint + with + `}`}
@@ -94,6 +128,8 @@
 		{"peer twice", [2]string{`["127.0.0.1:7002"]`, `["127.0.0.1:7002", "127.0.0.1:7002"]`}, `bootstrap.peers[1]: "127.0.0.1:7002" is there twice`},
 		{"policy", [2]string{`8080"`, `8080", "policy": "onwer"`}, `entry.policy: "onwer" is not known; want "owner" or "random"`},
 		{"reserve", endpoint(`, "small_reserve": -0.1`), `endpoint.small_reserve: is -0.1; want a share from 0 to 1`},
+		{"transfer", endpoint(`, "transfer_tokens_per_second": -1`), `endpoint.transfer_tokens_per_second: is -1; want 0 for no import`},
+		{"transfer wait", endpoint(`, "transfer_tokens_per_second": 1, "transfer_wait": "0s"`), `endpoint.transfer_wait: is 0s; want more than 0s`},
 		{"suspect", endpoint(`, "suspect_after": "1s"`), `endpoint.suspect_after: 1s is not more than the heartbeat, 1s`},
 		{"syntax", [2]string{`"id":`, `"id"`}, `settings.json:2: column 8: `},
 		{"type", [2]string{`"entry-1"`, `7`}, `settings.json:2: id: is 7; want a string`},
@@ -122,10 +158,7 @@
 		f.Fatal("no seeds:", err)
 	}
 	for _, path := range seeds {
-		data, err := os.ReadFile(path)
-		if err != nil {
-			f.Fatal(err)
-		}
+		data := kit.Must(os.ReadFile(path))(f)
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -3,6 +3,7 @@
 //
 // The messages are in opening.go (who is at the other end), asking.go (where to
 // run a request), running.go and stream.go (running it and its answer),
+// transfer.go (cache blocks from one engine to another),
 // heartbeat.go, configuration.go and status.go (for the tool); codec.go has
 // their frames, session.go the sessions, pool.go the connections that a process
 // keeps to its peers. No message carries a wall-clock time: durations are
--- a/internal/wire/running.go
+++ b/internal/wire/running.go
@@ -71,6 +71,8 @@
 	// Parameters are the caller's fields for the engine, as package parameters
 	// picks them: a JSON object of at most parameters.MaxBytes, empty if none.
 	Parameters []byte `cbor:"25,keyasint,omitempty"`
+	// Donor is the Decision's.
+	Donor *Donor `cbor:"26,keyasint,omitempty"`
 }
 
 // Cancel ends an attempt that nobody waits for. The entry sends it when a caller
