--- a/test/promise5_not_run_test.go
+++ b/test/promise5_not_run_test.go
@@ -46,6 +46,11 @@
 			time.AfterFunc(100*time.Millisecond, n.Kill)
 		}},
 		{name: "process killed and restarted", fault: func(_ *harness.Cluster, n *harness.Node) { harness.Bounce(n) }},
+		{name: "process killed and restarted twice", fault: func(c *harness.Cluster, n *harness.Node) {
+			harness.Bounce(n)
+			c.AwaitReady(n)
+			harness.Bounce(n)
+		}},
 		{name: "process killed with a queue", settings: oneAtATime, fault: func(_ *harness.Cluster, n *harness.Node) { n.Kill() }},
 		{name: "process drained with a queue", settings: oneAtATime, fault: func(_ *harness.Cluster, n *harness.Node) { n.Terminate() }},
 		{name: "process stopped for a while", fault: func(_ *harness.Cluster, n *harness.Node) { n.StopFor(outage) }},
--- a/test/promise6_once_test.go
+++ b/test/promise6_once_test.go
@@ -43,6 +43,14 @@
 			}
 		}, true},
 		{"log outage", func(c *harness.Cluster) { logOutage(c, 3*time.Second) }, true},
+		{"log outage twice", func(c *harness.Cluster) {
+			logOutage(c, time.Second)
+			time.AfterFunc(2*time.Second, func() { logOutage(c, time.Second) })
+		}, true},
+		{"entry killed in a log outage", func(c *harness.Cluster) {
+			logOutage(c, 3*time.Second)
+			harness.Bounce(c.Entries[0])
+		}, true},
 		{"log outage and endpoint restart", func(c *harness.Cluster) {
 			logOutage(c, 3*time.Second)
 			harness.Bounce(c.Services[0])
