--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -63,6 +63,7 @@
 	held       []*execution
 	claims     claims
 	placement  placement
+	transfers  transfers
 	watch      engineWatch
 	drain      drainState
 	beatSeq    uint64
