Proof of two log outages: the second comes when an append failed in the first

Now the first outage ends when an append has failed in it, and the second lasts until before the calls that are sent in it.

--- a/test/promise6_once_test.go
+++ b/test/promise6_once_test.go
@@ -44,8 +44,12 @@
 		}, true},
 		{"log outage", func(c *harness.Cluster) { logOutage(c, 3*time.Second) }, true},
 		{"log outage twice", func(c *harness.Cluster) {
-			logOutage(c, time.Second)
-			time.AfterFunc(2*time.Second, func() { logOutage(c, time.Second) })
+			c.Control(c.Platform, map[string]any{"log_down": true})
+			harness.Await(c.T(), "an append to fail", func() bool {
+				return c.Services[0].Count("claims not appended")+c.Services[1].Count("claims not appended") > 0
+			})
+			c.Control(c.Platform, map[string]any{"log_down": false})
+			logOutage(c, 3*time.Second) // ends before the calls that are sent in it
 		}, true},
 		{"entry killed in a log outage", func(c *harness.Cluster) {
 			logOutage(c, 3*time.Second)
