--- a/cmd/skylark-measure/slopes.go
+++ b/cmd/skylark-measure/slopes.go
@@ -19,7 +19,7 @@
 		Usage:     "measure how a daemon's use grows with one thing at a time",
 		ArgsUsage: "group|request|stream|token|configuration|platform|claims|start|session|spread ...",
 		Flags: []cli.Flag{
-			&cli.IntSliceFlag{Name: "sizes", Value: []int{4, 8, 16, 32}, Usage: "members of a group"},
+			&cli.IntSliceFlag{Name: "sizes", Value: []int{3, 6, 9, 16, 32}, Usage: "members of a group"},
 			&cli.IntSliceFlag{Name: "sessions", Value: []int{50, 100, 200, 400}, Usage: "sessions to one daemon"},
 			&cli.IntSliceFlag{Name: "daemons", Value: []int{10, 30, 100, 300}, Usage: "daemons that a change spreads over"},
 			&cli.FloatFlag{Name: "rate", Value: 2.2, Usage: "requests a second for each member"},
--- a/internal/measure/slopes_lines.go
+++ b/internal/measure/slopes_lines.go
@@ -1,6 +1,10 @@
 package measure
 
-import "math"
+import (
+	"math"
+
+	"skylarklead/internal/member"
+)
 
 // Units of the table.
 const (
@@ -28,9 +32,19 @@
 	return func(p SlopePoint) (float64, float64, bool) { return float64(p.Members - 1), y(p), p.Rate == 0 }
 }
 
+// perHeartbeat picks the same against the heartbeats that a member sends, and
+// hears, in a second: one to each peer, but no more in larger groups.
+func perHeartbeat(y func(SlopePoint) float64) func(SlopePoint) (float64, float64, bool) {
+	pick := idleGroup(y)
+	return func(p SlopePoint) (float64, float64, bool) {
+		x, y, ok := pick(p)
+		return min(x, float64(member.DefaultParams.PeersPerInterval)), y, ok
+	}
+}
+
 var groupLines = []line[SlopePoint]{
-	{"endpoint, sessions, wire", "B/s", "peer", idleGroup(func(p SlopePoint) float64 { return p.Endpoint.Sessions.Mean })},
-	{"endpoint, control frames", "B/s", "peer", idleGroup(func(p SlopePoint) float64 {
+	{"endpoint, sessions, wire", "B/s", "heartbeat/s each way", perHeartbeat(func(p SlopePoint) float64 { return p.Endpoint.Sessions.Mean })},
+	{"endpoint, control frames", "B/s", "heartbeat/s each way", perHeartbeat(func(p SlopePoint) float64 {
 		return p.Endpoint.ControlSent.Mean + p.Endpoint.ControlReceived.Mean
 	})},
 	{"endpoint, processor", "µs/s", "peer", idleGroup(func(p SlopePoint) float64 { return micro * p.Endpoint.CPU.Mean })},
