--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -158,6 +159,65 @@
 	}
 }
 
+// Symptom: a follower misses the record that was appended during an outage, or its
+// log is full of one outage's lines.
+// Sequence: a long poll waits, the log goes down, comes back, and grows.
+// Cause: the poll's failure ends the follower, or moves its offset.
+func TestFollowsOnAfterOutage(t *testing.T) {
+	f := newFixture(t, standin.Control{})
+	first := f.publish(0)
+	var lines bytes.Buffer
+	follower := New(Options{Log: f.log, Retention: time.Hour, Logger: slog.New(slog.NewTextHandler(&lines, nil))})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- follower.Run(ctx) }()
+	f.reaches(follower, first, SourceLog)
+	f.control(`{"log_down":true}`)
+	until(t, "the outage", func() bool { return !follower.LogReachable() })
+	f.control(`{"log_down":false}`)
+	second := f.publish(first)
+	f.reaches(follower, f.publish(second), SourceLog)
+	cancel()
+	<-ended
+	if text := lines.String(); strings.Count(text, "log not read") != 1 || strings.Count(text, "log reached") != 2 {
+		t.Errorf("lines of the outage:\n%s", text)
+	}
+}
+
+// Symptom: after a failure of a whole site an entry takes a key that was taken back.
+// Sequence: the log is down, an old file is there; the one peer that has the newer
+// state fails the first question.
+// Cause: each peer is asked once, and then the file is read.
+func TestPeerThatFailsOnceIsAskedAgain(t *testing.T) {
+	f := newFixture(t, standin.Control{})
+	first := f.publish(0)
+	peer := f.follow(Options{})
+	f.reaches(peer, first, SourceLog)
+	exported, err := config.EncodeState(peer.State())
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "old")
+	if err := os.WriteFile(file, exported, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	second := f.publish(first)
+	f.reaches(peer, second, SourceLog)
+	failed := false
+	busy := func(_ context.Context, m *wire.ConfigFetch) (*wire.ConfigState, error) {
+		if !failed {
+			failed = true
+			return nil, errCut
+		}
+		return peer.Fetch(m)
+	}
+	cut := f.follow(Options{Log: cutLog{}, Bootstrap: file, Peers: func(context.Context) []Fetch { return []Fetch{busy} }})
+	<-cut.Ready()
+	if cut.offset() != second || cut.Source() != string(SourcePeer) {
+		t.Errorf("starts with offset %d from %s, want %d", cut.offset(), cut.Source(), second)
+	}
+}
+
 // A state of several parts arrives whole though the peer's state moves on while
 // the parts are fetched.
 func TestStateInParts(t *testing.T) {
