--- a/cmd/skylark-measure/slopes.go
+++ b/cmd/skylark-measure/slopes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"slices"
@@ -21,6 +22,7 @@
 		Flags: []cli.Flag{
 			&cli.IntSliceFlag{Name: "sizes", Value: []int{3, 6, 9, 16, 32}, Usage: "members of a group"},
 			&cli.IntSliceFlag{Name: "sessions", Value: []int{50, 100, 200, 400}, Usage: "sessions to one daemon"},
+			&cli.IntSliceFlag{Name: "streams", Value: []int{8, 16, 33, 66}, Usage: "streams of one engine"},
 			&cli.IntSliceFlag{Name: "daemons", Value: []int{10, 30, 100, 300}, Usage: "daemons that a change spreads over"},
 			&cli.FloatFlag{Name: "rate", Value: 2.2, Usage: "requests a second for each member"},
 			&cli.IntFlag{Name: "repeats", Value: 2, Usage: "how often each point is measured"},
@@ -59,7 +61,7 @@
 		"request":       func() (any, error) { return measure.RequestSlopes(ctx, repeats, progress, o) },
 		"stream":        func() (any, error) { return measure.StreamSlopes(ctx, repeats, progress, o) },
 		"configuration": func() (any, error) { return measure.ConfigurationSlopes(ctx, progress, o) },
-		"token":         func() (any, error) { return measure.TokenSlopes(ctx, progress, o) },
+		"token":         func() (any, error) { return measure.TokenSlopes(ctx, c.IntSlice("streams"), progress, o) },
 		"spread":        func() (any, error) { return measure.SpreadSlopes(ctx, c.IntSlice("daemons"), progress, o) },
 		"platform":      func() (any, error) { return measure.PlatformSlopes(ctx, progress, o) },
 		"claims":        func() (any, error) { return measure.ClaimSlopes(ctx, progress, o) },
@@ -76,12 +78,10 @@
 		}
 	}
 	for _, kind := range slices.Compact(args) {
+		// Points that were measured before a failure are saved too.
 		points, err := kinds[kind]()
-		if err != nil {
-			return err
-		}
-		if err := measure.SaveSlopes(c.String("out"), kind, points); err != nil {
-			return err
+		if err := errors.Join(err, measure.SaveSlopes(c.String("out"), kind, points)); err != nil {
+			return fmt.Errorf("slopes of %s: %w", kind, err)
 		}
 	}
 	return nil
--- a/internal/measure/slopes_token.go
+++ b/internal/measure/slopes_token.go
@@ -34,11 +34,11 @@
 	tokenRepeats = 3
 )
 
-// TokenSlopes measures the path of tokens. All streams of a point begin together,
+// TokenSlopes measures the path of tokens of so many streams. All streams of a point begin together,
 // and the engine produces the tokens of all at once, so that they come in bursts.
-func TokenSlopes(ctx context.Context, progress io.Writer, o SlopeOptions) ([]TokenPoint, error) {
+func TokenSlopes(ctx context.Context, streams []int, progress io.Writer, o SlopeOptions) ([]TokenPoint, error) {
 	var points []TokenPoint
-	for _, n := range []int{8, 16, 33, 66} {
+	for _, n := range streams {
 		var measured []TokenPoint
 		err := o.exclusively(ctx, func() (err error) { measured, err = tokenPoints(ctx, n, o); return err })
 		if err != nil {
