--- a/internal/admit/core.go
+++ b/internal/admit/core.go
@@ -241,36 +241,14 @@
 	return actions
 }
 
-// mayRun reports whether an organisation may take another place. The last free
-// places are only for those that use less than their share: were they open to all,
-// one organisation's backlog would fill every place with long answers, and a small
-// one's request would wait for one of them to end although the queue is fair.
+// mayRun reports whether an organisation may take another place. The last
+// reserved places are only for those that use less than their share: were they
+// open to all, one organisation's backlog would fill every place with long
+// answers, and a small one's request would wait for one of them to end although
+// the queue is fair.
 func (c *Core) mayRun(s *shares, o *organisation) bool {
 	free := c.params.MaxRunning - c.running
-	return free > c.keptFree(s) || s.light(o)
-}
-
-// keptFree is how many free places are only for organisations that use little: the
-// reserve less what they have of it already, but never less than half of it. Kept
-// free as a whole beside those that run, it would leave a quarter of the engine idle
-// past saturation; with none free, the next small one's request would wait.
-func (c *Core) keptFree(s *shares) int {
-	reserved := c.params.reserved()
-	if c.params.MaxRunning-c.running > reserved {
-		return reserved // free enough, whoever runs
-	}
-	return max((reserved+1)/2, reserved-c.lightRunning(s))
-}
-
-// lightRunning is how many items of organisations that use little run.
-func (c *Core) lightRunning(s *shares) int {
-	running := 0
-	for _, o := range c.present.list {
-		if o.running > 0 && s.light(o) {
-			running += o.running
-		}
-	}
-	return running
+	return free > c.params.reserved() || s.light(o)
 }
 
 // fitting returns the item to start when o is due: its head, or the head of an
