--- a/cmd/skylarkd/main.go
+++ b/cmd/skylarkd/main.go
@@ -13,10 +13,12 @@
 
 	"github.com/urfave/cli/v3"
 
+	"skylarklead/internal/direct"
 	"skylarklead/internal/endpoint"
 	"skylarklead/internal/entry"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/telemetry"
+	"skylarklead/platform"
 )
 
 // Exit codes.
@@ -94,10 +96,13 @@
 }
 
 func serve(ctx context.Context, s *settings.Settings) error {
-	tel, err := telemetry.New(s, os.Stderr)
+	lines := telemetry.NewAsyncWriter(os.Stdout)
+	defer lines.Close()
+	tel, err := telemetry.New(s, lines)
 	if err != nil {
 		return err
 	}
+	tel.Metrics.Gauge("log_lines_dropped", lines.Dropped)
 	// The page outlives ctx, so that a drain can be watched on it.
 	if err := tel.Serve(context.WithoutCancel(ctx), s.Metrics); err != nil {
 		return err
@@ -117,6 +122,8 @@
 		return entry.Run(ctx, s, tel)
 	case "endpoint":
 		return endpoint.Run(ctx, s, tel)
+	case settings.RoleDirect:
+		return direct.Run(ctx, s, tel, platform.New(s.Direct.Store))
 	}
 	return fmt.Errorf("unknown role %q", s.Role)
 }
--- /dev/null
+++ b/internal/direct/answer.go
@@ -0,0 +1,159 @@
+package direct
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/fleet"
+	"skylarklead/internal/member"
+	"skylarklead/internal/upstream"
+)
+
+const (
+	// wholeLimit is the longest answer that is taken whole before any of it is passed
+	// on, in bytes. One that breaks off can then be asked for again.
+	wholeLimit = 256 << 10
+	eventType  = "text/event-stream"
+)
+
+// wholeAnswer is a replica's answer, complete.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// answer passes a replica's answer on, or tells why it can't be.
+func (j *job) answer(p *placed, x *upstream.Exchange) (loss attempt.Loss, done bool) {
+	head := j.entry.platform.Headers.Answer(x.Status, x.Header)
+	j.noteVersion(p, &head)
+	if head.NotRun {
+		j.noteRefusal(p, x, &head)
+		return attempt.LossNotRun, false
+	}
+	success := x.Status/100 == 2
+	if success && !head.Sealed {
+		return j.garbled(p), false
+	}
+	if success && strings.HasPrefix(x.Header.Get("Content-Type"), eventType) {
+		return j.stream(p, x)
+	}
+	whole, err := readWhole(x)
+	if err != nil {
+		return j.broken(p, err), false
+	}
+	if x.Status >= http.StatusInternalServerError {
+		j.worked(p)
+		if head.Sealed {
+			j.failure = whole
+		}
+		return attempt.LossFailed, false
+	}
+	j.worked(p)
+	j.pass(whole)
+	return 0, true
+}
+
+// readWhole reads a complete answer.
+func readWhole(x *upstream.Exchange) (*wholeAnswer, error) {
+	body, err := io.ReadAll(io.LimitReader(x.Body, wholeLimit))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) == wholeLimit {
+		return nil, io.ErrShortBuffer
+	}
+	return &wholeAnswer{status: x.Status, header: x.Header, body: body}, nil
+}
+
+// pass gives the caller a complete answer.
+func (j *job) pass(a *wholeAnswer) {
+	j.outcome = outcomeServed
+	if a.status/100 != 2 {
+		j.outcome, j.reason = outcomeFailed, "the replica's own answer"
+	}
+	j.status = a.status
+	j.first = j.entry.clock.now() - j.began
+	j.head(a.header)
+	j.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	j.w.WriteHeader(a.status)
+	_, _ = j.w.Write(a.body) // the caller may have gone
+}
+
+// head copies a replica's headers to the caller's answer.
+func (j *job) head(h http.Header) {
+	out := j.w.Header()
+	for name, values := range j.entry.platform.Headers.Return(h) {
+		out[name] = values
+	}
+	if j.entry.leaving() {
+		out.Set("Connection", "close")
+	}
+}
+
+// worked notes a good answer.
+func (j *job) worked(p *placed) {
+	s := j.entry.state
+	s.mu.Lock()
+	s.replicas.Worked(p.replica.ID, j.entry.clock.now())
+	s.mu.Unlock()
+}
+
+func (j *job) fault(p *placed, f member.Fault) {
+	s := j.entry.state
+	s.mu.Lock()
+	s.replicas.Faulty(p.replica.ID, f, j.entry.clock.now())
+	s.mu.Unlock()
+}
+
+// garbled takes an answer that nobody vouches for.
+func (j *job) garbled(p *placed) attempt.Loss {
+	j.fault(p, member.FaultGarbled)
+	return attempt.LossUnknown
+}
+
+// broken takes an answer that broke off.
+func (j *job) broken(p *placed, err error) attempt.Loss {
+	j.hands[len(j.hands)-1].err = err
+	if j.ctx.Err() == nil {
+		j.fault(p, member.FaultBroken)
+	}
+	return attempt.LossUnknown
+}
+
+// noteVersion takes the weights that an answer was begun on.
+func (j *job) noteVersion(p *placed, head *fleet.Answer) {
+	if j.asked.Model == "" || head.Version == 0 {
+		return
+	}
+	s := j.entry.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.board.Saw(p.replica.ID, j.asked.Model, head.Version, 0) {
+		s.feed.Emptied(p.replica.ID)
+	}
+}
+
+// noteRefusal learns from a replica that didn't run the request. Where it is the
+// expected one it has other weights than believed: the wanted ones most likely, as
+// versions only grow and a note about it was lost.
+func (j *job) noteRefusal(p *placed, x *upstream.Exchange, head *fleet.Answer) {
+	if !head.Misdirected {
+		return
+	}
+	e := j.entry
+	s := e.state
+	now := e.clock.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if head.Instance != "" && head.Instance != p.replica.ID {
+		s.replicas.Unreachable(p.replica.ID, now)
+		return
+	}
+	if j.asked.Model != "" && p.version < s.wanted[j.asked.Model] {
+		s.board.Saw(p.replica.ID, j.asked.Model, p.version+1, 0)
+	}
+}
--- /dev/null
+++ b/internal/direct/entry.go
@@ -0,0 +1,237 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"golang.org/x/sync/semaphore"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/fleet"
+	"skylarklead/internal/settings"
+	"skylarklead/internal/telemetry"
+	"skylarklead/internal/upstream"
+)
+
+const (
+	// configurationWait is how long callers' first connections wait in the kernel's
+	// queue for the configuration with its limits; they give up after a second.
+	configurationWait = 700 * time.Millisecond
+	// sweepEvery is the pause between looks at idle connections and lapsed replicas.
+	sweepEvery = 250 * time.Millisecond
+	// lastConnections is how long new connections are still taken after SIGTERM: the
+	// platform asks once a second and turns away after the second miss.
+	lastConnections = 2500 * time.Millisecond
+	// stopMargin is kept free of the time until the process is killed.
+	stopMargin = 500 * time.Millisecond
+	// bodyShare is the part of the memory, as its divisor, that callers' bodies may
+	// take.
+	bodyShare = 4
+	// budgetEntries is how many entries share the budget of extra work. None can
+	// count the others while the store is away, so the share is fixed.
+	budgetEntries = 8
+	// budgetMargin keeps a part of the allowed share free: requests that are counted
+	// here at their arrival are counted by replicas a little later.
+	budgetMargin = 0.75
+)
+
+// defaultLimits hold until the first configuration is known.
+var defaultLimits = fleet.Limits{
+	HeaderBytes:   16 << 10,
+	BodyBytes:     4 << 20,
+	HeaderTimeout: 3 * time.Second,
+	IdleTimeout:   15 * time.Second,
+}
+
+// Entry is a direct entry.
+type Entry struct {
+	settings *settings.Settings
+	tel      *telemetry.Telemetry
+	platform Platform
+	clock    clock
+	state    *state
+	pool     *upstream.Pool
+	rollouts *rollouts
+	bodies   *semaphore.Weighted
+	bodyRoom int64
+	draining chan struct{}
+}
+
+// Run serves callers until ctx ends, then drains and returns.
+func Run(ctx context.Context, s *settings.Settings, tel *telemetry.Telemetry, p Platform) error {
+	e := newEntry(s, tel, p)
+	front, err := net.Listen("tcp", s.Direct.Listen)
+	if err != nil {
+		return fmt.Errorf("direct: callers: %w", err)
+	}
+	ready, err := net.Listen("tcp", s.Direct.Ready)
+	if err != nil {
+		return fmt.Errorf("direct: readiness: %w", err)
+	}
+	return e.run(ctx, front, ready)
+}
+
+func newEntry(s *settings.Settings, tel *telemetry.Telemetry, p Platform) *Entry {
+	d := s.Direct
+	budget := attempt.BudgetParams{
+		Share:          d.RetryShare * budgetMargin,
+		Burst:          max(1, d.RetryExtra*budgetMargin/budgetEntries),
+		SaturationHold: 0,
+	}
+	room := int64(d.Memory) << 20 / bodyShare
+	e := &Entry{
+		settings: s,
+		tel:      tel,
+		platform: p,
+		clock:    clock{time.Now()},
+		state:    newState(budget),
+		pool:     upstream.NewPool(),
+		bodies:   semaphore.NewWeighted(room),
+		bodyRoom: room,
+		draining: make(chan struct{}),
+	}
+	e.rollouts = newRollouts(e)
+	return e
+}
+
+func (e *Entry) run(ctx context.Context, front, ready net.Listener) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var loops sync.WaitGroup
+	for _, loop := range []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep} {
+		loops.Go(func() { loop(background) })
+	}
+	readiness := e.serveReady(ready)
+	e.awaitConfiguration(ctx)
+	server := e.server()
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(front) }()
+	var err error
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		e.drain(server)
+	}
+	stop()
+	loops.Wait()
+	readiness.Close()
+	e.pool.Close()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// awaitConfiguration waits a little for the first configuration, whose limits the
+// server of callers takes.
+func (e *Entry) awaitConfiguration(ctx context.Context) {
+	deadline := time.NewTimer(configurationWait)
+	defer deadline.Stop()
+	for e.state.config.Load() == nil {
+		e.state.mu.Lock()
+		changed := e.state.changed
+		e.state.mu.Unlock()
+		if e.state.config.Load() != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *Entry) limits() fleet.Limits {
+	if c := e.state.config.Load(); c != nil {
+		return c.Limits
+	}
+	return defaultLimits
+}
+
+func (e *Entry) server() *http.Server {
+	limits := e.limits()
+	return &http.Server{
+		Handler:           http.HandlerFunc(e.serve),
+		ReadHeaderTimeout: limits.HeaderTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    limits.HeaderBytes,
+	}
+}
+
+// serveReady answers whether new connections may come.
+func (e *Entry) serveReady(l net.Listener) *http.Server {
+	r := mux.NewRouter()
+	r.HandleFunc(e.platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !e.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}).Methods(http.MethodGet)
+	server := &http.Server{Handler: r, ReadHeaderTimeout: defaultLimits.HeaderTimeout}
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			e.tel.Log.Error("readiness page ended", "error", err)
+		}
+	}()
+	return server
+}
+
+func (e *Entry) ready() bool {
+	select {
+	case <-e.draining:
+		return false
+	default:
+		return e.state.ready()
+	}
+}
+
+// drain ends the server without cutting a request: it says that it isn't ready,
+// still serves what comes until the platform has turned away, and waits for the
+// last answer as long as the platform lets it.
+func (e *Entry) drain(server *http.Server) {
+	began := time.Now()
+	close(e.draining)
+	e.tel.Log.Info("draining", "grace_ms", e.settings.Direct.Grace.D().Milliseconds())
+	grace := e.settings.Direct.Grace.D()
+	time.Sleep(min(lastConnections, grace/3))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopMargin))
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		e.tel.Log.Warn("requests cut at the end of the grace", "error", err)
+		server.Close()
+	}
+	e.tel.Log.Info("drained", "took_ms", time.Since(began).Milliseconds())
+}
+
+// sweep closes connections that are no longer of use and ends lapsed replicas.
+func (e *Entry) sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := e.clock.now()
+		e.state.mu.Lock()
+		removed := e.state.replicas.Tick(now)
+		for _, id := range removed {
+			e.state.board.Gone(id)
+		}
+		gone := make(map[string]bool)
+		e.state.mu.Unlock()
+		for _, id := range removed {
+			gone[id] = true
+			e.tel.Log.Info("replica gone", "replica", id, "reason", "not back after an outage of the store")
+		}
+		e.pool.Sweep(func(r upstream.Replica) bool { return !gone[r.ID] })
+	}
+}
--- /dev/null
+++ b/internal/direct/follow.go
@@ -0,0 +1,140 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"skylarklead/internal/fleet"
+	"skylarklead/internal/platform"
+	"skylarklead/internal/wait"
+)
+
+const (
+	// callTimeout bounds a call that doesn't wait: many times the store's usual
+	// answer, and a fraction of the seconds within which a change must be in force.
+	callTimeout = time.Second
+	// maxPause bounds the pause between tries while the store doesn't answer, so
+	// that what was missed is known soon after it is back.
+	maxPause = 400 * time.Millisecond
+	// operatorWait is how long a read for the operator's changes waits. A connection
+	// that has gone silent is noticed at its end.
+	operatorWait = 1500 * time.Millisecond
+	// replicasEvery is the pause between reads of the replicas' records, of which
+	// there are always new ones. A leaving replica must be left alone two seconds
+	// after its word.
+	replicasEvery = 500 * time.Millisecond
+	// entriesWait is like operatorWait for the entries' own topic.
+	entriesWait = 1500 * time.Millisecond
+	// afterOutage is how long a replica that fell off the list in an outage may take
+	// to come back: about two seconds of its first chance.
+	afterOutage = 2 * time.Second
+	// outageMemory is how long after an outage a removal may still be due to it.
+	outageMemory = 1500 * time.Millisecond
+)
+
+// follower keeps up with one topic of the store.
+type follower struct {
+	topic string
+	// keyed topics are read whole at the start and wherever records are missing.
+	keyed bool
+	// wait is how long a read waits for a record, every the pause between reads.
+	wait, every time.Duration
+	// whole takes all keys at once, record one change, caughtUp the end of a read
+	// that reached the end, skipped the oldest offset where earlier ones are gone.
+	whole    func(fleet.Page)
+	record   func(fleet.Record)
+	caughtUp func()
+	skipped  func(first uint64)
+
+	store fleet.Store
+	pacer platform.Pacer
+	next  uint64
+	known bool
+	// reachedAt is called after each answer.
+	reached func()
+	failed  func()
+}
+
+func newFollower(store fleet.Store, topic string, log *slog.Logger) *follower {
+	f := &follower{
+		store: store, topic: topic,
+		pacer: platform.Pacer{Logger: log, Stream: topic, MaxPause: maxPause},
+	}
+	nothing := func() {}
+	f.caughtUp, f.reached, f.failed = nothing, nothing, nothing
+	f.skipped = func(uint64) {}
+	return f
+}
+
+// run follows until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+			f.failed()
+			f.pacer.Failed(ctx, err)
+		}
+	}
+}
+
+func (f *follower) step(ctx context.Context) error {
+	if f.keyed && !f.known {
+		return f.readWhole(ctx)
+	}
+	return f.readOn(ctx)
+}
+
+func (f *follower) readWhole(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	page, err := f.store.Newest(ctx, f.topic)
+	if err != nil {
+		return err
+	}
+	f.reached()
+	f.whole(page)
+	f.next, f.known = page.Next, true
+	f.pacer.Answered(ctx, len(page.Records), 0, 0)
+	return nil
+}
+
+func (f *follower) readOn(ctx context.Context) error {
+	began := time.Now()
+	page, err := f.read(ctx)
+	if errors.Is(err, fleet.ErrStoreExpired) {
+		f.restart(page.First)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.reached()
+	for _, r := range page.Records {
+		f.record(r)
+	}
+	f.next = page.Next
+	if f.next >= page.End {
+		f.caughtUp()
+	}
+	f.pacer.Answered(ctx, len(page.Records), f.wait, time.Since(began))
+	if f.every > 0 {
+		_ = wait.For(ctx, f.every) // the loop looks at ctx next
+	}
+	return nil
+}
+
+func (f *follower) read(ctx context.Context) (fleet.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.wait+callTimeout)
+	defer cancel()
+	return f.store.Read(ctx, f.topic, f.next, f.wait)
+}
+
+// restart goes on where records are gone: with all keys, or from the oldest record.
+func (f *follower) restart(first uint64) {
+	f.known = false
+	if !f.keyed {
+		f.next = max(f.next, first)
+		f.skipped(f.next)
+	}
+}
--- /dev/null
+++ b/internal/direct/handon.go
@@ -0,0 +1,262 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/fleet"
+	"skylarklead/internal/member"
+	"skylarklead/internal/route"
+	"skylarklead/internal/upstream"
+)
+
+const (
+	// placeWait bounds how long a request waits for a replica that may take it: the
+	// time of a load of weights or a restart that is noticed.
+	placeWait = time.Second
+	// placeAgain is how often a waiting request looks by itself, for replicas whose
+	// time out is over.
+	placeAgain = 40 * time.Millisecond
+	// waitPart is the part of the time left, as its divisor, that may go to waiting.
+	waitPart = 3
+	// connectionShare is the part of a replica's connections, as its divisor, that
+	// one entry may open. Entries can't count each other while the store is away.
+	connectionShare = 4
+	// minConnections is what an entry may always open.
+	minConnections = 4
+)
+
+// placed is a replica that was picked for the request.
+type placed struct {
+	replica *fleet.Replica
+	choice  route.FeedChoice
+	version uint64
+}
+
+// handOn places the request until it has its answer.
+func (j *job) handOn() {
+	for {
+		p := j.place()
+		if p == nil {
+			j.unplaced()
+			return
+		}
+		loss, done := j.handOver(p)
+		if done {
+			return
+		}
+		if j.ctx.Err() != nil {
+			j.ended()
+			return
+		}
+		if !j.again(p, loss) {
+			return
+		}
+	}
+}
+
+// again takes a loss; it reports whether to place the request once more, and
+// answers it if not.
+func (j *job) again(p *placed, loss attempt.Loss) bool {
+	e := j.entry
+	e.state.mu.Lock()
+	next := j.forward.Lost(loss, e.clock.now())
+	e.state.mu.Unlock()
+	if next.Again {
+		e.tel.Metrics.Retries.Inc(1)
+		j.query.Exclude = append(j.query.Exclude, p.replica.ID)
+		return true
+	}
+	switch {
+	case j.first > 0:
+		// Part of the answer is with the caller. Only a cut tells it that the rest
+		// is missing.
+		j.cut(next.Reason)
+	case next.NotRun:
+		j.refuse(next.Reason, comeBack)
+	case j.failure != nil:
+		j.pass(j.failure)
+	default:
+		j.fail(http.StatusBadGateway, next.Reason)
+	}
+	return false
+}
+
+// unplaced answers a request that no replica may take.
+func (j *job) unplaced() {
+	switch {
+	case j.ctx.Err() != nil:
+		j.ended()
+	case j.first > 0:
+		j.cut("no replica to go on")
+	case j.failure != nil:
+		j.pass(j.failure)
+	case j.forward.Tainted():
+		j.fail(http.StatusBadGateway, "no replica to try again")
+	default:
+		j.refuse("no replica can take it", comeBack)
+	}
+}
+
+// ended answers a request whose time is over or whose caller has left.
+func (j *job) ended() {
+	switch {
+	case j.gone():
+		j.outcome, j.reason = outcomeLeft, "caller closed the connection"
+		panic(http.ErrAbortHandler)
+	case j.first > 0:
+		j.cut("time over")
+	default:
+		j.fail(http.StatusGatewayTimeout, "time over")
+	}
+}
+
+// cut breaks the answer off: it must not look complete.
+func (j *job) cut(reason string) {
+	j.outcome, j.reason = outcomeCut, reason
+	panic(http.ErrAbortHandler)
+}
+
+// place picks a replica, waiting a little for one if there is none. It returns nil
+// when none can take the request.
+func (j *job) place() *placed {
+	began := j.entry.clock.now()
+	limit := began + min(placeWait, j.left()/waitPart)
+	for {
+		p, changed := j.pick()
+		if p != nil || j.entry.clock.now() >= limit {
+			j.waited += j.entry.clock.now() - began
+			return p
+		}
+		timer := time.NewTimer(placeAgain)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-j.ctx.Done():
+			timer.Stop()
+			return nil
+		}
+		timer.Stop()
+	}
+}
+
+// pick picks a replica now. If there is none it returns what is closed when that
+// may have changed.
+func (j *job) pick() (*placed, <-chan struct{}) {
+	s := j.entry.state
+	now := j.entry.clock.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j.query.Wanted = s.wanted[j.asked.Model]
+	candidates := s.candidates(j.service, j.asked.Model, now)
+	choice, ok := s.feed.Pick(now, &j.query, candidates)
+	if !ok {
+		// Replicas that refused it once may take it now.
+		j.query.Exclude = nil
+		return nil, s.changed
+	}
+	s.feed.Placed(now, &j.query, &choice)
+	p := &placed{replica: s.replicas.Get(choice.ID), choice: choice}
+	if j.asked.Model != "" {
+		p.version = s.board.Version(choice.ID, j.asked.Model)
+	}
+	j.hands = append(j.hands, hand{
+		replica: choice.ID, reason: choice.Reason, score: choice.Score, load: choice.Load,
+		missed: choice.Missed, of: choice.Of, version: p.version,
+		recordMs: s.replicas.RecordAge(choice.ID, now).Milliseconds(),
+	})
+	return p, nil
+}
+
+// handOver sends the request to a replica and passes its answer on. If there is
+// none to pass on it tells why.
+func (j *job) handOver(p *placed) (loss attempt.Loss, done bool) {
+	e := j.entry
+	h := &j.hands[len(j.hands)-1]
+	began := e.clock.now()
+	startedFirst := j.first > 0
+	defer func() {
+		h.took = e.clock.now() - began
+		e.state.mu.Lock()
+		e.state.feed.Ended(&j.query, &p.choice, !startedFirst && j.first > 0)
+		e.state.mu.Unlock()
+	}()
+	j.forward.Placed()
+	ctx, cancel := context.WithCancel(j.ctx)
+	defer cancel()
+	x, err := e.pool.Do(ctx, upstream.Replica{ID: p.replica.ID, Address: p.replica.Address},
+		j.connections(), j.request(p), j.belongs)
+	if err != nil {
+		return j.sendFailed(p, h, err), false
+	}
+	defer x.Close()
+	loss, done = j.answer(p, x)
+	h.outcome = loss.String()
+	if done {
+		h.outcome = outcomeServed
+	}
+	return loss, done
+}
+
+// connections is this entry's share of a replica's connections.
+func (j *job) connections() int {
+	return max(minConnections, j.service.MaxConnections/connectionShare)
+}
+
+func (j *job) request(p *placed) *upstream.Request {
+	last := j.lastEvent()
+	over := &fleet.HandOver{
+		Replica:   p.replica.ID,
+		Deadline:  j.left(),
+		Version:   p.version,
+		Salt:      j.salt(p.version),
+		Priority:  j.priority(),
+		LastEvent: last,
+	}
+	if j.organisation != nil {
+		over.Organisation = j.organisation.Name
+	}
+	return &upstream.Request{
+		Method: j.r.Method,
+		Target: j.r.RequestURI,
+		Host:   j.r.Host,
+		Header: j.entry.platform.Headers.HandOver(j.r.Header, over),
+		Body:   j.body,
+	}
+}
+
+// belongs reports whether an answer is to this request.
+func (j *job) belongs(h http.Header) bool {
+	id := j.entry.platform.Headers.Answer(http.StatusOK, h).RequestID
+	return id == "" || id == j.asked.ID
+}
+
+// sendFailed takes a hand-over without an answer.
+func (j *job) sendFailed(p *placed, h *hand, err error) attempt.Loss {
+	e := j.entry
+	var send *upstream.SendError
+	loss := attempt.LossUnknown
+	if errors.As(err, &send) && !send.Sent {
+		loss = attempt.LossNotSent
+	}
+	h.outcome, h.err = loss.String(), err
+	if j.ctx.Err() != nil || errors.Is(err, upstream.ErrFull) {
+		return loss
+	}
+	now := e.clock.now()
+	e.state.mu.Lock()
+	var out time.Duration
+	if loss == attempt.LossNotSent {
+		out = e.state.replicas.Unreachable(p.replica.ID, now)
+	} else {
+		e.state.replicas.Faulty(p.replica.ID, member.FaultBroken, now)
+	}
+	e.state.mu.Unlock()
+	if out > 0 {
+		e.tel.Log.Warn("replica unreachable", "replica", p.replica.ID, "request", j.asked.ID, "out_ms", out.Milliseconds(), "error", err)
+	}
+	return loss
+}
--- /dev/null
+++ b/internal/direct/job.go
@@ -0,0 +1,148 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/fleet"
+	"skylarklead/internal/route"
+)
+
+// errTimeout ends a request whose time is over.
+var errTimeout = errors.New("direct: the request's time is over")
+
+// hand is one hand-over as the request's log line tells it.
+type hand struct {
+	replica  string
+	reason   string
+	score    float64
+	load     float64
+	missed   int
+	of       int
+	version  uint64
+	recordMs int64
+	outcome  string
+	err      error
+	took     time.Duration
+}
+
+// job is one request of a caller.
+type job struct {
+	entry  *Entry
+	w      http.ResponseWriter
+	r      *http.Request
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	config       *configuration
+	route        *fleet.Route
+	service      *fleet.Service
+	organisation *fleet.Organisation
+	asked        fleet.Request
+	body         []byte
+	began        time.Duration
+	// ends is when the request must have its final answer.
+	ends    time.Duration
+	forward *attempt.Forward
+	query   route.FeedQuery
+	// failure is a replica's own failure, passed on if nothing better comes.
+	failure *wholeAnswer
+
+	hands   []hand
+	waited  time.Duration
+	first   time.Duration
+	status  int
+	outcome string
+	reason  string
+	events  int
+	// lastID is the id of the last event that the caller was sent.
+	lastID  string
+	resumed int
+}
+
+// left is the time until the final answer is due.
+func (j *job) left() time.Duration { return j.ends - j.entry.clock.now() }
+
+// late reports whether the request's time is over, gone whether its caller left.
+func (j *job) late() bool { return errors.Is(context.Cause(j.ctx), errTimeout) }
+
+func (j *job) gone() bool { return j.ctx.Err() != nil && !j.late() }
+
+// log writes the request's line.
+func (j *job) log() {
+	e := j.entry
+	took := e.clock.now() - j.began
+	e.tel.Metrics.Requests.Mark(1)
+	e.tel.Metrics.Count("status_"+j.outcome, 1)
+	attrs := []slog.Attr{
+		slog.String("request", j.asked.ID),
+		slog.String("outcome", j.outcome),
+		slog.Int("status", j.status),
+		slog.Float64("took_ms", ms(took)),
+	}
+	if j.reason != "" {
+		attrs = append(attrs, slog.String("reason", j.reason))
+	}
+	if j.config != nil {
+		attrs = append(attrs, slog.Uint64("config", j.config.Version), slog.Int64("config_age_ms", (j.began-j.config.at).Milliseconds()))
+	}
+	if j.route != nil {
+		attrs = append(attrs, slog.String("route", j.route.Name), slog.String("kind", j.route.Kind.String()))
+	}
+	if j.service != nil {
+		attrs = append(attrs, slog.String("service", j.service.Name))
+	}
+	if j.organisation != nil {
+		attrs = append(attrs, slog.String("organisation", j.organisation.Name))
+	}
+	if j.waited > time.Millisecond {
+		attrs = append(attrs, slog.Float64("waited_ms", ms(j.waited)))
+	}
+	if j.first > 0 {
+		attrs = append(attrs, slog.Float64("first_ms", ms(j.first)))
+		e.tel.Metrics.FirstToken(j.route.Name, j.first)
+	}
+	if j.events > 0 {
+		attrs = append(attrs, slog.Int("events", j.events))
+	}
+	if j.resumed > 0 {
+		attrs = append(attrs, slog.Int("resumed", j.resumed))
+	}
+	for i := range j.hands {
+		attrs = append(attrs, j.hands[i].attr())
+	}
+	e.tel.Log.LogAttrs(context.Background(), slog.LevelInfo, "request", attrs...)
+}
+
+// attr renders a hand-over: what it was decided by, how old that was, and what
+// came of it.
+func (h *hand) attr() slog.Attr {
+	fields := []any{
+		slog.String("replica", h.replica),
+		slog.String("chosen", h.reason),
+		slog.Int("of", h.of),
+		slog.Float64("score_ms", round(h.score)),
+		slog.Float64("load_ms", round(h.load)),
+		slog.Int64("record_age_ms", h.recordMs),
+		slog.String("outcome", h.outcome),
+		slog.Float64("took_ms", ms(h.took)),
+	}
+	if h.missed > 0 {
+		fields = append(fields, slog.Int("missed_tokens", h.missed))
+	}
+	if h.version > 0 {
+		fields = append(fields, slog.Uint64("weights", h.version))
+	}
+	if h.err != nil {
+		fields = append(fields, slog.String("error", h.err.Error()))
+	}
+	return slog.Group("hand", fields...)
+}
+
+func ms(d time.Duration) float64 { return round(float64(d) / float64(time.Millisecond)) }
+
+func round(x float64) float64 { return float64(int64(x*10)) / 10 }
--- /dev/null
+++ b/internal/direct/rollouts.go
@@ -0,0 +1,383 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"skylarklead/internal/fleet"
+	"skylarklead/internal/lease"
+	"skylarklead/internal/rollout"
+	"skylarklead/internal/settings"
+	"skylarklead/internal/wire"
+)
+
+const (
+	// topicEntries is the entries' own topic: leases and notes of rollouts.
+	topicEntries = "skylark.entries"
+	// giverLease is the lease of the right to give orders.
+	giverLease = lease.Name("rollout")
+	// activeTick and idleTick are the pauses between looks at the rollouts.
+	activeTick = 25 * time.Millisecond
+	idleTick   = time.Second
+	// giverStays is how long others leave the lease to its last holder, whose orders
+	// need no time to settle; giverSpread spreads the first claims of all.
+	giverStays  = 500 * time.Millisecond
+	giverSpread = 100 * time.Millisecond
+	// lastGiverFor is how long a holder counts as the last one.
+	lastGiverFor = time.Minute
+)
+
+// leaseParams are for replicas that check fencing numbers: an old holder is refused
+// by them, so that a short lease is safe.
+var leaseParams = lease.Params{
+	Duration: 2 * time.Second, Margin: 300 * time.Millisecond, RenewBefore: 1200 * time.Millisecond,
+	OrderMargin: 400 * time.Millisecond, RetryMin: 50 * time.Millisecond, RetryMax: 400 * time.Millisecond,
+}
+
+// leaseParamsFor keeps two holders' orders apart by the platform's time where
+// replicas take any fencing number.
+func leaseParamsFor(d *settings.Direct) lease.Params {
+	p := leaseParams
+	if d.FencesChecked {
+		return p
+	}
+	apart := d.Lease.D()
+	p.Margin = apart / 3
+	p.OrderMargin = apart - p.Margin
+	p.Duration = p.OrderMargin + 2*time.Second
+	p.RenewBefore = p.Duration - 700*time.Millisecond
+	return p
+}
+
+// rollouts drives the changes of weights: it follows the entries' topic, and gives
+// the orders while this entry holds the lease.
+type rollouts struct {
+	entry  *Entry
+	wake   chan struct{}
+	follow func(context.Context)
+
+	mu          sync.Mutex
+	leases      *lease.Leases
+	cores       map[string]*rollout.Core
+	dueSince    time.Duration
+	lastGiver   string
+	lastGiverAt time.Duration
+	// foreignAt is when another holder was last heard.
+	foreignAt time.Duration
+	fence     uint64
+	holds     bool
+}
+
+func newRollouts(e *Entry) *rollouts {
+	id := e.settings.ID
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	r := &rollouts{
+		entry:  e,
+		wake:   make(chan struct{}, 1),
+		leases: lease.NewLeases(id, wire.Epoch(e.tel.Epoch), leaseParamsFor(e.settings.Direct), rng),
+		cores:  make(map[string]*rollout.Core),
+	}
+	r.follow = r.followEntries
+	return r
+}
+
+// poke has the rollouts looked at now.
+func (r *rollouts) poke() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// followEntries reads the entries' topic. Leases number records from 1.
+func (r *rollouts) followEntries(ctx context.Context) {
+	f := newFollower(r.entry.platform.Store, topicEntries, r.entry.tel.Log)
+	f.wait = entriesWait
+	f.record = r.take
+	f.skipped = func(first uint64) {
+		r.mu.Lock()
+		r.act(ctx, r.leases.Gap(first+1, bootTime()))
+		r.mu.Unlock()
+	}
+	f.caughtUp = func() {
+		r.mu.Lock()
+		r.act(ctx, r.leases.CaughtUp(bootTime()))
+		r.mu.Unlock()
+	}
+	f.run(ctx)
+}
+
+func (r *rollouts) take(record fleet.Record) {
+	e := r.entry
+	envelope, err := rollout.Decode(record.Value)
+	if err != nil {
+		e.tel.Metrics.Count("records_malformed", 1)
+		e.tel.Log.Error("entries' record skipped", "offset", record.Offset, "error", err)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if envelope.Lease != nil {
+		r.heardLease(envelope.Lease)
+		r.act(context.Background(), r.leases.Record(record.Offset+1, envelope.Lease, bootTime()))
+		r.poke()
+		return
+	}
+	r.heard(envelope.Note.Holder)
+	r.takeNote(envelope.Note)
+}
+
+func (r *rollouts) heardLease(data []byte) {
+	if l, err := lease.Decode(data); err == nil && l.Kind != lease.KindRelease {
+		r.heard(l.Holder)
+	}
+}
+
+func (r *rollouts) heard(holder string) {
+	now := r.entry.clock.now()
+	r.lastGiver, r.lastGiverAt = holder, now
+	if holder != r.entry.settings.ID {
+		r.foreignAt = now
+	}
+}
+
+// takeNote applies a note to what is believed of a replica.
+func (r *rollouts) takeNote(n *rollout.Note) {
+	e := r.entry
+	s := e.state
+	s.mu.Lock()
+	news := s.board.Take(n, e.clock.now())
+	if news {
+		s.feed.Emptied(n.Replica)
+	}
+	if n.Phase == rollout.PhaseServing {
+		s.signal()
+	}
+	s.mu.Unlock()
+	e.tel.Log.Info("weights note", "replica", n.Replica, "model", n.Model, "version", n.Version,
+		"phase", n.Phase.String(), "giver", n.Holder, "orders", n.Orders, "news", news)
+}
+
+// run looks at the rollouts until ctx ends.
+func (r *rollouts) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := idleTick
+		if r.step(ctx) {
+			pause = activeTick
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-r.wake:
+		}
+		timer.Stop()
+	}
+}
+
+// step advances all rollouts; it reports whether there is something under way.
+func (r *rollouts) step(ctx context.Context) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.entry.clock.now()
+	due := r.states(now)
+	if len(due) == 0 {
+		r.dueSince = 0
+		r.act(ctx, r.leases.Drop(giverLease, bootTime()))
+		return false
+	}
+	if r.dueSince == 0 {
+		r.dueSince = now + r.patience(now)
+	}
+	if now < r.dueSince || r.leaving() {
+		return true
+	}
+	r.act(ctx, r.leases.Want(giverLease, bootTime()))
+	fence, ok := r.leases.Check(giverLease, bootTime())
+	if !ok {
+		r.lost()
+		return true
+	}
+	if !r.holds || fence != r.fence {
+		r.lost()
+		r.holds, r.fence = true, fence
+		r.entry.tel.Log.Info("giving orders", "fence", fence, "foreign_heard_ms_ago", (now - r.foreignAt).Milliseconds())
+	}
+	if r.foreignAt > 0 && now-r.foreignAt < r.entry.settings.Direct.Lease.D() {
+		return true
+	}
+	for model, states := range due {
+		r.drive(ctx, model, r.cores[model].Step(now, fence, states))
+	}
+	return true
+}
+
+func (r *rollouts) leaving() bool { return r.entry.leaving() }
+
+// lost forgets what was under way when the lease ended.
+func (r *rollouts) lost() {
+	if !r.holds {
+		return
+	}
+	r.holds = false
+	for _, c := range r.cores {
+		c.Stop()
+	}
+	r.entry.tel.Log.Info("no longer giving orders", "fence", r.fence)
+}
+
+// patience is how long to leave the lease to others.
+func (r *rollouts) patience(now time.Duration) time.Duration {
+	spread := rand.N(giverSpread)
+	switch {
+	case r.lastGiver == r.entry.settings.ID:
+		return 0
+	case r.lastGiver != "" && now-r.lastGiverAt < lastGiverFor:
+		return giverStays + spread
+	}
+	return spread
+}
+
+// states returns the replicas of each model that has some to bring up to date.
+func (r *rollouts) states(now time.Duration) map[string][]rollout.State {
+	s := r.entry.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	due := make(map[string][]rollout.State)
+	for model, version := range s.wanted {
+		c := r.cores[model]
+		if c == nil {
+			c = rollout.NewCore(model, r.entry.settings.ID, rollout.DefaultParams)
+			r.cores[model] = c
+		}
+		c.Want(version)
+		states := s.states(model, now)
+		if c.Due(states) || c.Active() {
+			due[model] = states
+		}
+	}
+	return due
+}
+
+// act carries out what the leases ask for. The caller holds mu.
+func (r *rollouts) act(ctx context.Context, actions []lease.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case lease.Append:
+			go r.appendLease(ctx, a)
+		case lease.Granted:
+			r.entry.tel.Log.Info("lease granted", "lease", string(a.Name), "fence", a.Fence)
+		case lease.Lost:
+			r.entry.tel.Log.Warn("lease lost", "lease", string(a.Name))
+		}
+	}
+}
+
+func (r *rollouts) appendLease(ctx context.Context, a lease.Append) {
+	envelope := rollout.Envelope{Lease: a.Data}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	_, err := r.entry.platform.Store.Append(ctx, topicEntries, nil, [][]byte{envelope.Encode()})
+	if err == nil {
+		return
+	}
+	r.entry.tel.Log.Warn("lease record not written", "seq", a.Seq, "error", err)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.act(ctx, r.leases.Failed(a.Seq, bootTime()))
+}
+
+// drive carries out a rollout's actions. The caller holds mu.
+func (r *rollouts) drive(ctx context.Context, model string, actions []rollout.Action) {
+	var notes []rollout.Note
+	for _, a := range actions {
+		switch a := a.(type) {
+		case rollout.Announce:
+			notes = append(notes, a.Note)
+		case rollout.Give:
+			go r.give(ctx, model, a.Order)
+		case rollout.Ask:
+			go r.ask(ctx, model, a.Replica)
+		}
+	}
+	if len(notes) > 0 {
+		go r.announce(ctx, model, notes)
+	}
+}
+
+// announce writes notes; this entry heeds them at once.
+func (r *rollouts) announce(ctx context.Context, model string, notes []rollout.Note) {
+	records := make([][]byte, len(notes))
+	for i := range notes {
+		envelope := rollout.Envelope{Note: &notes[i]}
+		records[i] = envelope.Encode()
+		r.takeNote(&notes[i])
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	if _, err := r.entry.platform.Store.Append(ctx, topicEntries, nil, records); err != nil {
+		r.entry.tel.Log.Warn("notes not written", "model", model, "notes", len(notes), "error", err)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range notes {
+		r.cores[model].Announced(notes[i].Replica, r.entry.clock.now())
+	}
+	r.poke()
+}
+
+// errLeaseOver says that the lease ended between a decision and its order.
+var errLeaseOver = errors.New("direct: the lease is over")
+
+// give sends an order, if the lease still holds right before.
+func (r *rollouts) give(ctx context.Context, model string, o fleet.Order) {
+	e := r.entry
+	began := e.clock.now()
+	reply, err := fleet.ReplyNotSent, errLeaseOver
+	if r.stillHolds(o.Fence) {
+		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+		reply, err = e.platform.Replicas.Order(callCtx, &o)
+		cancel()
+	}
+	now := e.clock.now()
+	attrs := []any{"replica", o.Replica.ID, "model", model, "version", o.Version, "fence", o.Fence,
+		"expected", o.Expected, "reply", reply.String(), "took_ms", ms(now - began)}
+	if err != nil {
+		attrs = append(attrs, "error", err)
+	}
+	e.tel.Log.Info("order", attrs...)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cores[model].Replied(o.Replica.ID, reply, now) {
+		r.foreignAt = now
+		r.act(ctx, r.leases.Drop(giverLease, bootTime()))
+	}
+	r.poke()
+}
+
+func (r *rollouts) stillHolds(fence uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held, ok := r.leases.Check(giverLease, bootTime())
+	return ok && held == fence
+}
+
+// ask reads a replica's state.
+func (r *rollouts) ask(ctx context.Context, model string, replica *fleet.Replica) {
+	e := r.entry
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	report, err := e.platform.Replicas.Report(callCtx, replica)
+	cancel()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		e.tel.Log.Warn("replica gave no report", "replica", replica.ID, "error", err)
+		r.cores[model].ReportFailed(replica.ID, e.clock.now())
+		return
+	}
+	r.drive(ctx, model, r.cores[model].Reported(replica.ID, &report, e.clock.now()))
+}
--- /dev/null
+++ b/internal/direct/state.go
@@ -0,0 +1,123 @@
+package direct
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/fleet"
+	"skylarklead/internal/member"
+	"skylarklead/internal/rollout"
+	"skylarklead/internal/route"
+)
+
+// configuration is the one in force, with when it was taken.
+type configuration struct {
+	*fleet.Configuration
+	at time.Duration
+}
+
+// state is what an entry believes. The configuration is read without a lock; mu
+// guards the rest.
+type state struct {
+	config atomic.Pointer[configuration]
+
+	mu       sync.Mutex
+	replicas *member.Replicas
+	board    *rollout.Board
+	feed     *route.Feed
+	wanted   map[string]uint64 // version of each model
+	budgets  map[string]*attempt.Budget
+	// listed is set once the list of replicas was read whole.
+	listed bool
+	// changed is closed, and replaced, when more replicas may be usable.
+	changed chan struct{}
+	budget  attempt.BudgetParams
+}
+
+func newState(budget attempt.BudgetParams) *state {
+	return &state{
+		replicas: member.NewReplicas(member.DefaultReplicaParams),
+		board:    rollout.NewBoard(),
+		feed:     route.NewFeed(route.DefaultFeedParams),
+		wanted:   make(map[string]uint64),
+		budgets:  make(map[string]*attempt.Budget),
+		changed:  make(chan struct{}),
+		budget:   budget,
+	}
+}
+
+// signal wakes the requests that wait for a replica. The caller holds mu.
+func (s *state) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// budgetOf returns a service's budget of extra work. The caller holds mu.
+func (s *state) budgetOf(service string) *attempt.Budget {
+	b := s.budgets[service]
+	if b == nil {
+		b = attempt.NewBudget(s.budget)
+		s.budgets[service] = b
+	}
+	return b
+}
+
+// ready reports whether requests can be served: the configuration and the list of
+// replicas are known.
+func (s *state) ready() bool {
+	if s.config.Load() == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listed
+}
+
+// candidates lists the replicas of a service that may take a request for a model
+// ("" for plain services), doubtful ones marked. The caller holds mu.
+func (s *state) candidates(service *fleet.Service, model string, now time.Duration) []route.FeedCandidate {
+	var out []route.FeedCandidate
+	for _, id := range s.replicas.IDs() {
+		r := s.replicas.Get(id)
+		if r.Service != service.Name {
+			continue
+		}
+		health := s.replicas.Health(id, now)
+		if health > member.Doubtful {
+			continue
+		}
+		c := route.FeedCandidate{
+			ID: id, FailureDomain: r.FailureDomain, Slots: r.Slots,
+			Engine: service.Engine != nil, Doubtful: health == member.Doubtful,
+		}
+		if model != "" {
+			if s.board.Ordered(id, model, now) {
+				continue
+			}
+			c.Version = s.board.Version(id, model)
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// states lists the replicas of a model for its rollout. The caller holds mu.
+func (s *state) states(model string, now time.Duration) []rollout.State {
+	var out []rollout.State
+	for _, id := range s.replicas.IDs() {
+		r := s.replicas.Get(id)
+		if _, serves := r.Weights[model]; !serves || s.replicas.Draining(id) {
+			continue
+		}
+		out = append(out, rollout.State{
+			Replica:   r,
+			Version:   s.board.Version(id, model),
+			Orders:    s.board.Orders(id, model),
+			Reachable: s.replicas.Health(id, now) != member.Down,
+			Running:   s.feed.Running(id),
+		})
+	}
+	return out
+}
--- a/internal/endpoint/logreader.go
+++ b/internal/endpoint/logreader.go
@@ -65,7 +65,7 @@
 		default:
 			from = page.Next
 			r.deliver(page, started)
-			pacer.Answered(ctx, page, wait, r.now()-started)
+			pacer.Answered(ctx, len(page.Records), wait, r.now()-started)
 			// A page may be cut short anywhere. Only a read that finds nothing
 			// shows the end, so one without a wait follows each that finds some.
 			wait = logWait
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		t.writeSnapshot(ctx)
-		t.pacer.Answered(ctx, page, wait, t.f.now()-began)
+		t.pacer.Answered(ctx, len(page.Records), wait, t.f.now()-began)
 	}
 }
 
--- /dev/null
+++ b/internal/member/replicas.go
@@ -0,0 +1,270 @@
+package member
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"skylarklead/internal/fleet"
+)
+
+// ReplicaParams time what an entry makes of its own evidence about replicas that
+// it feeds directly.
+type ReplicaParams struct {
+	// BackoffMin and BackoffMax bound how long a replica that couldn't be reached
+	// gets no new work; it doubles with each failure in a row.
+	BackoffMin, BackoffMax time.Duration
+	// FaultHalfLife is how fast faults are forgotten, in time.
+	FaultHalfLife time.Duration
+	// FaultLimit is the weight of recent faults from which on a replica gets work
+	// only where no other can take it.
+	FaultLimit float64
+	// Tombstone is how long a replica that was taken off the list stays off, however
+	// old the records are that still name it.
+	Tombstone time.Duration
+}
+
+// DefaultReplicaParams try a replica that is down twice in the first second, as a
+// crash lasts seconds, and take three quick faults for more than chance.
+var DefaultReplicaParams = ReplicaParams{
+	BackoffMin: 250 * time.Millisecond, BackoffMax: 2 * time.Second,
+	FaultHalfLife: 2 * time.Second, FaultLimit: 2.5,
+	Tombstone: 2 * time.Minute,
+}
+
+// Fault is what went wrong at a replica that could be reached.
+type Fault uint8
+
+// The faults, by how much they say against the replica.
+const (
+	// FaultBroken: it broke a connection off with a request on it.
+	FaultBroken Fault = iota
+	// FaultMute: it didn't answer in time.
+	FaultMute
+	// FaultGarbled: what it sent is no answer.
+	FaultGarbled
+)
+
+// listed is what is known of one replica.
+//
+// Invariants: offset is that of the newest record taken; draining is never unset,
+// since an incarnation that leaves doesn't come back.
+type listed struct {
+	replica   *fleet.Replica
+	offset    uint64
+	recordAt  time.Duration
+	draining  bool
+	failures  int
+	downUntil time.Duration
+	// lapsesAt is when a replica that fell off the list during an outage of the
+	// store is taken as gone, 0 while it is on it.
+	lapsesAt time.Duration
+	faults   float64
+	faultsAt time.Duration
+}
+
+// Replicas is one entry's picture of the replicas. Their own records propose; what
+// the entry's connections meet decides for a while. It is pure and not safe for
+// concurrent use.
+type Replicas struct {
+	params ReplicaParams
+	known  map[string]*listed
+	// gone has the offset and time at which a replica was taken off the list.
+	gone map[string]goneRecord
+}
+
+type goneRecord struct {
+	offset uint64
+	at     time.Duration
+}
+
+// NewReplicas returns an empty picture.
+func NewReplicas(p ReplicaParams) *Replicas {
+	return &Replicas{params: p, known: map[string]*listed{}, gone: map[string]goneRecord{}}
+}
+
+// Put takes a replica's record and reports whether it changed anything but the
+// record's age. A record older than the newest one taken is ignored: a store that
+// serves stale reads for a while would otherwise bring a leaving replica back.
+func (v *Replicas) Put(r *fleet.Replica, offset uint64, now time.Duration) bool {
+	if g, ok := v.gone[r.ID]; ok {
+		if offset <= g.offset {
+			return false
+		}
+		delete(v.gone, r.ID)
+	}
+	l, ok := v.known[r.ID]
+	if !ok {
+		v.known[r.ID] = &listed{replica: r, offset: offset, recordAt: now, draining: r.Draining}
+		return true
+	}
+	if offset < l.offset {
+		return false
+	}
+	changed := !l.replica.Equal(r)
+	l.replica, l.offset, l.recordAt, l.lapsesAt = r, offset, now, 0
+	l.draining = l.draining || r.Draining
+	return changed
+}
+
+// Remove takes a replica off the list and reports whether it was on it.
+func (v *Replicas) Remove(id string, offset uint64, now time.Duration) bool {
+	l, ok := v.known[id]
+	if ok && offset < l.offset {
+		return false
+	}
+	v.gone[id] = goneRecord{offset: offset, at: now}
+	delete(v.known, id)
+	return ok
+}
+
+// Lapse says that a replica fell off the list in an outage of the store, in which
+// it could not renew its record. It counts as gone at the time given unless its
+// record is back by then: without that an outage of seconds would end with no
+// replica left to serve, although all of them run.
+func (v *Replicas) Lapse(id string, offset uint64, until time.Duration) {
+	l, ok := v.known[id]
+	if !ok || offset < l.offset {
+		return
+	}
+	l.offset, l.lapsesAt = offset, until
+}
+
+// Missing lists the known replicas that a full list doesn't have.
+func (v *Replicas) Missing(ids map[string]bool) []string {
+	var missing []string
+	for _, id := range v.IDs() {
+		if !ids[id] {
+			missing = append(missing, id)
+		}
+	}
+	return missing
+}
+
+// IDs lists the replicas in order.
+func (v *Replicas) IDs() []string { return slices.Sorted(maps.Keys(v.known)) }
+
+// Get returns a replica, nil if it isn't known.
+func (v *Replicas) Get(id string) *fleet.Replica {
+	if l := v.known[id]; l != nil {
+		return l.replica
+	}
+	return nil
+}
+
+// Draining reports whether a replica is leaving or gone.
+func (v *Replicas) Draining(id string) bool {
+	l := v.known[id]
+	return l == nil || l.draining
+}
+
+// RecordAge is how long ago a replica's newest record was read.
+func (v *Replicas) RecordAge(id string, now time.Duration) time.Duration {
+	if l := v.known[id]; l != nil {
+		return now - l.recordAt
+	}
+	return 0
+}
+
+// Unreachable says that no connection to a replica could be made, and returns how
+// long it gets no new work.
+func (v *Replicas) Unreachable(id string, now time.Duration) time.Duration {
+	l := v.known[id]
+	if l == nil {
+		return 0
+	}
+	if now < l.downUntil {
+		// Others failed at the same time; one failure counts once.
+		return l.downUntil - now
+	}
+	wait := min(v.params.BackoffMin<<min(l.failures, 8), v.params.BackoffMax)
+	l.failures++
+	l.downUntil = now + wait
+	return wait
+}
+
+// Faulty says that a request met a fault at a replica.
+func (v *Replicas) Faulty(id string, _ Fault, now time.Duration) {
+	l := v.known[id]
+	if l == nil {
+		return
+	}
+	l.faults = v.decayed(l, now) + 1
+	l.faultsAt = now
+}
+
+// Worked says that a replica answered a request as it should.
+func (v *Replicas) Worked(id string, now time.Duration) {
+	l := v.known[id]
+	if l == nil {
+		return
+	}
+	l.failures, l.downUntil = 0, 0
+	l.faults = max(0, v.decayed(l, now)-workedCredit)
+	l.faultsAt = now
+}
+
+// workedCredit is what one good answer takes off a replica's faults. A replica that
+// fails two requests of five stays above the limit; one that lost a single
+// connection with many requests is back after some answers.
+const workedCredit = 0.2
+
+func (v *Replicas) decayed(l *listed, now time.Duration) float64 {
+	if l.faults == 0 {
+		return 0
+	}
+	halves := float64(now-l.faultsAt) / float64(v.params.FaultHalfLife)
+	return l.faults * math.Exp2(-halves)
+}
+
+// Health is whether a replica may get new work.
+type Health uint8
+
+// The healths, best first.
+const (
+	Healthy Health = iota
+	// Doubtful replicas get work only where no healthy one can take it.
+	Doubtful
+	// Down replicas couldn't be reached a moment ago.
+	Down
+	// Left replicas are leaving or gone; they get nothing.
+	Left
+)
+
+var healthNames = [...]string{"healthy", "doubtful", "down", "left"}
+
+// String names the health as logs have it.
+func (h Health) String() string { return healthNames[h] }
+
+// Health returns what is thought of a replica now.
+func (v *Replicas) Health(id string, now time.Duration) Health {
+	l := v.known[id]
+	switch {
+	case l == nil || l.draining:
+		return Left
+	case now < l.downUntil:
+		return Down
+	case v.decayed(l, now) >= v.params.FaultLimit:
+		return Doubtful
+	}
+	return Healthy
+}
+
+// Tick removes replicas that have lapsed and forgets those that have been gone for
+// long. It returns those removed.
+func (v *Replicas) Tick(now time.Duration) []string {
+	var removed []string
+	for _, id := range v.IDs() {
+		if l := v.known[id]; l.lapsesAt != 0 && now >= l.lapsesAt {
+			v.Remove(id, l.offset, now)
+			removed = append(removed, id)
+		}
+	}
+	for id, g := range v.gone {
+		if now-g.at > v.params.Tombstone {
+			delete(v.gone, id)
+		}
+	}
+	return removed
+}
--- a/internal/platform/pacer.go
+++ b/internal/platform/pacer.go
@@ -53,15 +53,15 @@
 	_ = wait.For(ctx, pause) // who waits looks at ctx next
 }
 
-// Answered takes a read that was answered. One that was to wait for longer and came
+// Answered takes a read that was answered with so many records. One that was to wait for longer and came
 // back at once with nothing is followed by a pause: a log that doesn't hold long
 // polls would be asked in a tight loop, seen as a busy core on each side.
-func (p *Pacer) Answered(ctx context.Context, page Page, waited, took time.Duration) {
+func (p *Pacer) Answered(ctx context.Context, records int, waited, took time.Duration) {
 	if !p.reached {
 		p.log(slog.LevelInfo, "log reached", "after_ms", p.outage().Milliseconds())
 	}
 	p.reached, p.failing, p.pause = true, time.Time{}, 0
-	if len(page.Records) == 0 && waited >= minPause && took < minPause {
+	if records == 0 && waited >= minPause && took < minPause {
 		_ = wait.For(ctx, minPause) // who waits looks at ctx next
 	}
 }
--- /dev/null
+++ b/internal/rollout/board.go
@@ -0,0 +1,103 @@
+package rollout
+
+import "time"
+
+// OrderedFor is how long a replica stays without new work on the word of a note
+// that nothing has followed. Finishing what runs and loading takes a second or two;
+// a holder that was lost meanwhile leaves nobody to say that it is over.
+const OrderedFor = 6 * time.Second
+
+// slot is what is believed of one replica's weights of one model.
+//
+// Invariant: version and orders only grow, since an incarnation never goes back.
+type slot struct {
+	version   uint64
+	orders    uint64
+	orderedAt time.Duration
+	// target is the version of the order under way, 0 if none is.
+	target uint64
+}
+
+type slotKey struct{ replica, model string }
+
+// Board is one entry's belief of which weights each replica serves. Records,
+// notes and answers all speak of it, each late in its own way; the newest version
+// that any of them has named is taken.
+type Board struct {
+	slots map[slotKey]*slot
+}
+
+// NewBoard returns an empty board.
+func NewBoard() *Board { return &Board{slots: map[slotKey]*slot{}} }
+
+func (b *Board) slot(replica, model string) *slot {
+	k := slotKey{replica, model}
+	s := b.slots[k]
+	if s == nil {
+		s = &slot{}
+		b.slots[k] = s
+	}
+	return s
+}
+
+// Saw takes a version that a replica was seen to serve, and the number of orders
+// it has accepted if known. It reports whether the version is news.
+func (b *Board) Saw(replica, model string, version, orders uint64) bool {
+	s := b.slot(replica, model)
+	s.orders = max(s.orders, orders)
+	if version <= s.version {
+		return false
+	}
+	s.version = version
+	if version >= s.target {
+		s.target = 0
+	}
+	return true
+}
+
+// Take applies a note and reports whether the replica's version is news.
+func (b *Board) Take(n *Note, now time.Duration) bool {
+	if n.Phase == PhaseServing {
+		s := b.slot(n.Replica, n.Model)
+		if n.Version >= s.target {
+			s.target = 0
+		}
+		return b.Saw(n.Replica, n.Model, n.Version, n.Orders)
+	}
+	s := b.slot(n.Replica, n.Model)
+	if n.Version > s.version {
+		s.target, s.orderedAt = n.Version, now
+	}
+	return false
+}
+
+// Version is the version that a replica is believed to serve, 0 if unknown.
+func (b *Board) Version(replica, model string) uint64 {
+	if s := b.slots[slotKey{replica, model}]; s != nil {
+		return s.version
+	}
+	return 0
+}
+
+// Orders is how many orders a replica is known to have accepted.
+func (b *Board) Orders(replica, model string) uint64 {
+	if s := b.slots[slotKey{replica, model}]; s != nil {
+		return s.orders
+	}
+	return 0
+}
+
+// Ordered reports whether a replica is about to load or loading.
+func (b *Board) Ordered(replica, model string, now time.Duration) bool {
+	s := b.slots[slotKey{replica, model}]
+	return s != nil && s.target != 0 && now-s.orderedAt < OrderedFor
+}
+
+// Gone forgets a replica.
+func (b *Board) Gone(replica string) {
+	for k := range b.slots {
+		if k.replica == replica {
+			delete(b.slots, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rollout/core.go
@@ -0,0 +1,298 @@
+package rollout
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"skylarklead/internal/fleet"
+)
+
+// Params time a rollout.
+type Params struct {
+	// LoadShare is the part of a model's replicas that load at once, 0 to 1: the
+	// store of weights feeds a fifth of them without loads taking longer.
+	LoadShare float64
+	// DrainExtra is, as a part of those, how many more may finish their running
+	// requests meanwhile, so that a place to load is never idle.
+	DrainExtra float64
+	// Lead is the time from a note's acceptance to the order: the entries' long
+	// polls have brought it by then. NoteWait is how long an order waits for a note
+	// that the store doesn't accept: replicas then refuse what entries still send.
+	Lead, NoteWait time.Duration
+	// FirstPoll and Poll are when a replica that took an order is asked for its
+	// state. What it reports is a few hundred milliseconds old.
+	FirstPoll, Poll time.Duration
+	// Again is the pause before a replica is ordered again after a reply that
+	// leaves it as it was.
+	Again time.Duration
+	// GiveUp is when a replica that doesn't come out of its load frees its place.
+	GiveUp time.Duration
+	// Settle is how long another holder must have been silent before the first
+	// order: replicas that don't check fencing numbers must not hear two by turns.
+	Settle time.Duration
+}
+
+// DefaultParams suit loads of a second.
+var DefaultParams = Params{
+	LoadShare: 0.2, DrainExtra: 0.5, Lead: 20 * time.Millisecond, NoteWait: 400 * time.Millisecond,
+	FirstPoll: 700 * time.Millisecond, Poll: 150 * time.Millisecond,
+	Again: 400 * time.Millisecond, GiveUp: 8 * time.Second, Settle: 3 * time.Second,
+}
+
+// State is one replica of the model as the entry sees it now.
+type State struct {
+	Replica *fleet.Replica
+	// Version and Orders are as the Board has them.
+	Version uint64
+	Orders  uint64
+	// Reachable replicas can be given an order.
+	Reachable bool
+	// Running is how much this entry has there.
+	Running int
+}
+
+// Action is what a Core asks its entry to do: Announce, Give or Ask.
+type Action interface{ rolloutAction() }
+
+// Announce appends a note to the entries' topic.
+type Announce struct{ Note Note }
+
+// Give sends an order and reports Replied.
+type Give struct{ Order fleet.Order }
+
+// Ask asks a replica for its state and reports Reported or ReportFailed.
+type Ask struct{ Replica *fleet.Replica }
+
+func (Announce) rolloutAction() {}
+func (Give) rolloutAction()     {}
+func (Ask) rolloutAction()      {}
+
+type step uint8
+
+const (
+	stepAnnounced step = iota
+	stepGiven
+	stepLoading
+	stepPaused
+)
+
+// target is one replica that an order is under way for.
+type target struct {
+	replica *fleet.Replica
+	version uint64
+	orders  uint64
+	step    step
+	since   time.Duration
+	next    time.Duration
+	started time.Duration
+	asked   bool
+}
+
+// Core gives the orders for one model while its entry holds the lease.
+//
+// Invariant: at most one order is under way for a replica, and none is given
+// without a fence.
+type Core struct {
+	params  Params
+	holder  string
+	model   string
+	wanted  uint64
+	targets map[string]*target
+}
+
+// NewCore returns the rollout of a model by the holder named.
+func NewCore(model, holder string, p Params) *Core {
+	return &Core{params: p, holder: holder, model: model, targets: map[string]*target{}}
+}
+
+// Want sets the version to bring the replicas to. It never goes back.
+func (c *Core) Want(version uint64) { c.wanted = max(c.wanted, version) }
+
+// Wanted is the version that the replicas are brought to.
+func (c *Core) Wanted() uint64 { return c.wanted }
+
+// Due reports whether any replica is to be given an order.
+func (c *Core) Due(replicas []State) bool {
+	for i := range replicas {
+		if replicas[i].Version < c.wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// Stop drops all that is under way: the lease is over, and whatever was ordered
+// may or may not take place.
+func (c *Core) Stop() { clear(c.targets) }
+
+// Active reports whether orders are under way.
+func (c *Core) Active() bool { return len(c.targets) > 0 }
+
+// Step returns what to do next under the fence.
+func (c *Core) Step(now time.Duration, fence uint64, replicas []State) []Action {
+	var actions []Action
+	byID := make(map[string]*State, len(replicas))
+	for i := range replicas {
+		byID[replicas[i].Replica.ID] = &replicas[i]
+	}
+	for _, id := range c.ids() {
+		actions = append(actions, c.advance(now, fence, c.targets[id], byID[id])...)
+	}
+	return append(actions, c.begin(now, replicas)...)
+}
+
+func (c *Core) ids() []string {
+	ids := make([]string, 0, len(c.targets))
+	for id := range c.targets {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// advance moves one target on.
+func (c *Core) advance(now time.Duration, fence uint64, t *target, s *State) []Action {
+	if s == nil {
+		delete(c.targets, t.replica.ID)
+		return nil
+	}
+	if s.Version >= t.version {
+		delete(c.targets, t.replica.ID)
+		return []Action{Announce{c.note(t.replica.ID, s.Version, PhaseServing, s.Orders)}}
+	}
+	if now-t.started > c.params.GiveUp {
+		// It is taken up again like any other, behind those that haven't had a turn.
+		delete(c.targets, t.replica.ID)
+		return nil
+	}
+	if now < t.next {
+		return nil
+	}
+	switch t.step {
+	case stepAnnounced, stepPaused:
+		return c.give(now, fence, t, s)
+	case stepLoading:
+		if t.asked {
+			return nil
+		}
+		t.asked = true
+		return []Action{Ask{Replica: t.replica}}
+	}
+	return nil
+}
+
+// give orders the newest version, which may have been named since the note.
+func (c *Core) give(now time.Duration, fence uint64, t *target, s *State) []Action {
+	t.version = c.wanted
+	t.orders = max(t.orders, s.Orders)
+	t.step, t.since = stepGiven, now
+	return []Action{Give{Order: fleet.Order{
+		Replica: t.replica, Model: c.model, Version: t.version, Mode: fleet.ModeQueue,
+		Holder: c.holder, Fence: fence, Expected: t.orders,
+	}}}
+}
+
+// begin takes up replicas as far as places to load are free, those with the least
+// to finish first.
+func (c *Core) begin(now time.Duration, replicas []State) []Action {
+	free := c.places(len(replicas)) - len(c.targets)
+	if free <= 0 {
+		return nil
+	}
+	var due []*State
+	for i := range replicas {
+		s := &replicas[i]
+		if s.Version < c.wanted && s.Reachable && c.targets[s.Replica.ID] == nil {
+			due = append(due, s)
+		}
+	}
+	slices.SortFunc(due, func(a, b *State) int {
+		if d := cmp.Compare(a.Running, b.Running); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.Replica.ID, b.Replica.ID)
+	})
+	var actions []Action
+	for _, s := range due[:min(free, len(due))] {
+		c.targets[s.Replica.ID] = &target{
+			replica: s.Replica, version: c.wanted, orders: s.Orders,
+			step: stepAnnounced, since: now, started: now, next: now + c.params.NoteWait,
+		}
+		actions = append(actions, Announce{c.note(s.Replica.ID, c.wanted, PhaseOrdered, s.Orders)})
+	}
+	return actions
+}
+
+// places is how many replicas may be out of service at once. One of several
+// always serves on.
+func (c *Core) places(replicas int) int {
+	loads := max(1, int(float64(replicas)*c.params.LoadShare))
+	extra := int(float64(loads)*c.params.DrainExtra + 0.5)
+	return max(1, min(loads+extra, replicas-1))
+}
+
+func (c *Core) note(replica string, version uint64, phase Phase, orders uint64) Note {
+	return Note{Holder: c.holder, Replica: replica, Model: c.model, Version: version, Phase: phase, Orders: orders}
+}
+
+// Announced says that the note about a replica's order is on the topic.
+func (c *Core) Announced(id string, now time.Duration) {
+	if t := c.targets[id]; t != nil && t.step == stepAnnounced {
+		t.next = now + c.params.Lead
+	}
+}
+
+// Replied takes a replica's reply to an order. It reports true when the lease must
+// be given up: another holder has a higher fence.
+func (c *Core) Replied(id string, reply fleet.Reply, now time.Duration) (fenced bool) {
+	t := c.targets[id]
+	if t == nil || t.step != stepGiven {
+		return reply == fleet.ReplyFenced
+	}
+	switch reply {
+	case fleet.ReplyAccepted:
+		t.orders++
+		t.step, t.next, t.asked = stepLoading, now+c.params.FirstPoll, false
+	case fleet.ReplyHolds, fleet.ReplyConflict, fleet.ReplyUnknown:
+		// Its state tells: it may be loading for an order whose reply was lost.
+		t.step, t.next, t.asked = stepLoading, now, false
+	case fleet.ReplyFenced:
+		c.Stop()
+		return true
+	case fleet.ReplyMisdirected:
+		delete(c.targets, id)
+	default:
+		t.step, t.next = stepPaused, now+c.params.Again
+	}
+	return false
+}
+
+// Reported takes a replica's state. It returns the note to announce once the
+// version is in force.
+func (c *Core) Reported(id string, r *fleet.Report, now time.Duration) []Action {
+	t := c.targets[id]
+	if t == nil || !t.asked {
+		return nil
+	}
+	t.asked = false
+	t.orders = max(t.orders, r.Orders)
+	t.next = now + c.params.Poll
+	if version := r.Weights[c.model]; version >= t.version && !r.Busy {
+		delete(c.targets, id)
+		return []Action{Announce{c.note(id, version, PhaseServing, t.orders)}}
+	}
+	if r.Busy || now-t.since < c.params.FirstPoll {
+		// Not busy soon after the order may be older than the order.
+		return nil
+	}
+	t.step, t.next = stepPaused, now
+	return nil
+}
+
+// ReportFailed says that a replica's state couldn't be read.
+func (c *Core) ReportFailed(id string, now time.Duration) {
+	if t := c.targets[id]; t != nil {
+		t.asked, t.next = false, now+c.params.Again
+	}
+}
--- /dev/null
+++ b/internal/rollout/note.go
@@ -0,0 +1,73 @@
+package rollout
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"skylarklead/internal/strictcbor"
+)
+
+// Phase is where a replica is in a change of weights.
+type Phase uint8
+
+// The phases.
+const (
+	// PhaseOrdered: it is about to load, or loading, and takes no new work.
+	PhaseOrdered Phase = iota + 1
+	// PhaseServing: it runs requests on the version given.
+	PhaseServing
+)
+
+var phaseNames = [...]string{"", "ordered", "serving"}
+
+// String names the phase as logs have it.
+func (p Phase) String() string { return phaseNames[p] }
+
+// Note tells all entries what the holder of the lease does with a replica.
+type Note struct {
+	Holder  string `cbor:"1,keyasint"`
+	Replica string `cbor:"2,keyasint"`
+	Model   string `cbor:"3,keyasint"`
+	Version uint64 `cbor:"4,keyasint"`
+	Phase   Phase  `cbor:"5,keyasint"`
+	// Orders is the number of orders that the replica has accepted.
+	Orders uint64 `cbor:"6,keyasint,omitempty"`
+}
+
+// Envelope is one record of the entries' common topic: one of its fields is set.
+type Envelope struct {
+	Lease []byte `cbor:"1,keyasint,omitempty"`
+	Note  *Note  `cbor:"2,keyasint,omitempty"`
+}
+
+// ErrRecord is wrapped by errors about a record that can't be read.
+var ErrRecord = errors.New("rollout: malformed record")
+
+var recordMode = strictcbor.Decoder(strictcbor.Bounds{MapPairs: 16})
+
+// Encode returns the bytes of a record.
+func (e *Envelope) Encode() []byte {
+	data, err := cbor.Marshal(e)
+	if err != nil {
+		panic(err) // a record is made of plain values
+	}
+	return data
+}
+
+// Decode reads a record. Fields that a newer build adds are refused like any other
+// malformed record: all readers skip it. Errors wrap ErrRecord.
+func Decode(data []byte) (*Envelope, error) {
+	e := new(Envelope)
+	if err := recordMode.Unmarshal(data, e); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrRecord, err)
+	}
+	if (e.Lease == nil) == (e.Note == nil) {
+		return nil, fmt.Errorf("%w: not one of its kinds", ErrRecord)
+	}
+	if n := e.Note; n != nil && (n.Phase != PhaseOrdered && n.Phase != PhaseServing || n.Replica == "") {
+		return nil, fmt.Errorf("%w: phase %d of %q", ErrRecord, n.Phase, n.Replica)
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/route/feed.go
@@ -0,0 +1,272 @@
+package route
+
+import (
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// FeedParams weigh what a direct entry knows of the replicas that it feeds. Times
+// are engine time in milliseconds.
+type FeedParams struct {
+	// PrefillTokensPerMs is how fast an engine reads prompts.
+	PrefillTokensPerMs float64
+	// TokenMs is how much one running request slows an engine's others.
+	TokenMs float64
+	// Others is the load of other entries for each unit of one's own: they see the
+	// same mix and pick by the same rules, but what they place is not heard of.
+	Others float64
+	// HomeDoubt is the part of a shared prefix that is expected to be missing at its
+	// home when this entry has not sent it there.
+	HomeDoubt float64
+	// OldWeights is what it costs to begin on weights that are to be replaced.
+	OldWeights float64
+	// Doubtful is what a replica with recent faults is set back by.
+	Doubtful float64
+	// Crossing is the cost of another failure domain.
+	Crossing float64
+	// PlainMs is the work of a request at a plain service.
+	PlainMs float64
+	// Known bounds the prefixes remembered, KnownFor how long a cached prefix is
+	// believed to stay.
+	Known    int
+	KnownFor time.Duration
+}
+
+// DefaultFeedParams come from the engines' sheets: some 56 prompt tokens a
+// millisecond, a step of 4 ms that grows by a tenth with each running request, and
+// caches that turn over in ten seconds.
+var DefaultFeedParams = FeedParams{
+	PrefillTokensPerMs: 50, TokenMs: 2, Others: 2, HomeDoubt: 0.3,
+	OldWeights: 150, Doubtful: 1000, Crossing: 3, PlainMs: 60,
+	Known: 8192, KnownFor: 10 * time.Second,
+}
+
+// FeedQuery is a request as far as its place matters.
+type FeedQuery struct {
+	// Prefix names the shared part of the prompt with all that lets it be shared
+	// (model, version, isolation), "" if there is none.
+	Prefix       string
+	SharedTokens int
+	PromptTokens int
+	// OutputTokens is the expected output.
+	OutputTokens int
+	// FailureDomain is the entry's own.
+	FailureDomain string
+	// Wanted is the version of the weights to use if there is a choice, 0 for any.
+	Wanted uint64
+	// Exclude names replicas that have had the request.
+	Exclude []string
+}
+
+// FeedCandidate is a replica that may be picked.
+type FeedCandidate struct {
+	ID            string
+	FailureDomain string
+	Version       uint64
+	Slots         int
+	Engine        bool
+	Doubtful      bool
+}
+
+// FeedChoice is a pick with what decided it.
+type FeedChoice struct {
+	ID     string
+	Score  float64
+	Load   float64
+	Missed int
+	Reason string
+	Of     int
+}
+
+// Reasons of a feed's pick.
+const (
+	feedHeld  = "prefix_held"
+	feedHome  = "prefix_home"
+	feedSpill = "spill"
+	feedLeast = "least_loaded"
+)
+
+// feedLoad is what this entry has at a replica.
+type feedLoad struct {
+	reading float64 // ms of prompts being read
+	running int
+}
+
+// Feed picks replicas for an entry that hands requests to them itself. It knows
+// its own work there and where it has sent which prefixes. It is pure.
+type Feed struct {
+	params FeedParams
+	loads  map[string]*feedLoad
+	held   *lru.Cache[string, map[string]time.Duration]
+}
+
+// NewFeed returns a feed that knows of no load.
+func NewFeed(p FeedParams) *Feed {
+	held, err := lru.New[string, map[string]time.Duration](p.Known)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return &Feed{params: p, loads: map[string]*feedLoad{}, held: held}
+}
+
+// Pick returns the candidate with the lowest cost: what the engine has to read
+// before, what it has to read anew, and what speaks against the replica. It
+// returns false if all candidates are excluded.
+func (f *Feed) Pick(now time.Duration, q *FeedQuery, candidates []FeedCandidate) (FeedChoice, bool) {
+	home := f.home(q, candidates)
+	best, found := FeedChoice{Of: len(candidates)}, false
+	for i := range candidates {
+		c := &candidates[i]
+		if excluded(q.Exclude, c.ID) {
+			continue
+		}
+		choice := f.cost(now, q, c, c.ID == home)
+		if !found || choice.Score < best.Score {
+			choice.Of = len(candidates)
+			best, found = choice, true
+		}
+	}
+	return best, found
+}
+
+func excluded(ids []string, id string) bool {
+	for _, e := range ids {
+		if e == id {
+			return true
+		}
+	}
+	return false
+}
+
+// home is the replica that all entries send a prefix to when nothing else is
+// known.
+func (f *Feed) home(q *FeedQuery, candidates []FeedCandidate) string {
+	if q.Prefix == "" {
+		return ""
+	}
+	key := xxhash.Sum64String(q.Prefix)
+	best := ranked{}
+	for i := range candidates {
+		r := ranked{candidates[i].ID, weight(key, candidates[i].ID)}
+		if best.id == "" || compareRanked(r, best) < 0 {
+			best = r
+		}
+	}
+	return best.id
+}
+
+func (f *Feed) cost(now time.Duration, q *FeedQuery, c *FeedCandidate, home bool) FeedChoice {
+	out := FeedChoice{ID: c.ID, Reason: feedLeast}
+	out.Load = f.load(c)
+	out.Score = out.Load
+	if q.Prefix != "" {
+		out.Missed, out.Reason = f.missing(now, q, c.ID, home)
+		out.Score += float64(out.Missed) / f.params.PrefillTokensPerMs
+	}
+	if q.Wanted != 0 && c.Version < q.Wanted {
+		out.Score += f.params.OldWeights
+	}
+	if c.Doubtful {
+		out.Score += f.params.Doubtful
+	}
+	if c.FailureDomain != q.FailureDomain {
+		out.Score += f.params.Crossing
+	}
+	return out
+}
+
+// load is the expected wait at a replica.
+func (f *Feed) load(c *FeedCandidate) float64 {
+	l := f.loads[c.ID]
+	if l == nil {
+		return 0
+	}
+	others := 1 + f.params.Others
+	if !c.Engine {
+		return float64(l.running) * others * f.params.PlainMs / float64(max(1, c.Slots))
+	}
+	return others * (l.reading + float64(l.running)*f.params.TokenMs)
+}
+
+// missing is how many tokens of the shared prefix a replica is expected to read
+// anew.
+func (f *Feed) missing(now time.Duration, q *FeedQuery, id string, home bool) (int, string) {
+	if holders, ok := f.held.Peek(q.Prefix); ok {
+		if at, ok := holders[id]; ok && now-at <= f.params.KnownFor {
+			return 0, feedHeld
+		}
+	}
+	if home {
+		return int(f.params.HomeDoubt * float64(q.SharedTokens)), feedHome
+	}
+	return q.SharedTokens, feedSpill
+}
+
+// Placed notes that a request goes to a replica. Its end is told by Began and
+// Ended, with the same query and ID.
+func (f *Feed) Placed(now time.Duration, q *FeedQuery, choice *FeedChoice) {
+	l := f.loads[choice.ID]
+	if l == nil {
+		l = &feedLoad{}
+		f.loads[choice.ID] = l
+	}
+	l.running++
+	l.reading += f.reading(q, choice)
+	if q.Prefix == "" {
+		return
+	}
+	holders, ok := f.held.Get(q.Prefix)
+	if !ok {
+		holders = make(map[string]time.Duration, 1)
+		f.held.Add(q.Prefix, holders)
+	}
+	holders[choice.ID] = now
+}
+
+func (f *Feed) reading(q *FeedQuery, choice *FeedChoice) float64 {
+	fresh := q.PromptTokens - q.SharedTokens + choice.Missed
+	return float64(max(0, fresh)) / f.params.PrefillTokensPerMs
+}
+
+// Began notes that a request's prompt has been read.
+func (f *Feed) Began(q *FeedQuery, choice *FeedChoice) {
+	if l := f.loads[choice.ID]; l != nil {
+		l.reading = max(0, l.reading-f.reading(q, choice))
+	}
+}
+
+// Ended notes that a request is no longer at a replica; began tells whether Began
+// was called for it.
+func (f *Feed) Ended(q *FeedQuery, choice *FeedChoice, began bool) {
+	l := f.loads[choice.ID]
+	if l == nil {
+		return
+	}
+	if !began {
+		f.Began(q, choice)
+	}
+	if l.running--; l.running <= 0 {
+		delete(f.loads, choice.ID)
+	}
+}
+
+// Emptied forgets which prefixes a replica held: it was restarted or has loaded
+// other weights.
+func (f *Feed) Emptied(id string) {
+	for _, key := range f.held.Keys() {
+		if holders, ok := f.held.Peek(key); ok {
+			delete(holders, id)
+		}
+	}
+}
+
+// Running is how many requests of this entry are at a replica.
+func (f *Feed) Running(id string) int {
+	if l := f.loads[id]; l != nil {
+		return l.running
+	}
+	return 0
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -10,6 +10,9 @@
 	"skylarklead/internal/strictjson"
 )
 
+// RoleDirect is the role of an entry that feeds replicas itself.
+const RoleDirect = "direct"
+
 const (
 	// maxBodyBound keeps a caller's body within one frame between processes.
 	maxBodyBound = 4 << 20
@@ -19,7 +22,7 @@
 
 var (
 	logLevels = []string{"debug", "info", "warn", "error"}
-	roles     = []string{"entry", "endpoint"}
+	roles     = []string{"entry", "endpoint", RoleDirect}
 	kinds     = []string{"engine", "service"}
 	// policies are those of package route, which imports this one.
 	policies = []string{"owner", "random", "round_robin", "least_loaded", "rendezvous_prompt", "rendezvous_bounded", "prefix_tables"}
@@ -42,17 +45,21 @@
 	c.required("id", s.ID)
 	c.oneOf("role", s.Role, roles)
 	c.required("failure_domain", s.FailureDomain)
+	c.oneOf("log_level", s.LogLevel, logLevels)
+	if s.Metrics != "" {
+		c.listen("metrics", s.Metrics)
+	}
+	if s.Role == RoleDirect {
+		c.direct()
+		return
+	}
 	c.listen("listen", s.Listen)
 	if c.doc.Has("advertise") {
 		c.peer("advertise", s.Advertise)
 	} else if strings.HasPrefix(s.Listen, "0.0.0.0:") || strings.HasPrefix(s.Listen, "[::]:") {
 		c.doc.Add("listen", fmt.Sprintf("%q can't be dialled by peers", s.Listen), `"advertise" beside it, or one address`)
 	}
-	if s.Metrics != "" {
-		c.listen("metrics", s.Metrics)
-	}
 	c.fleetKeys()
-	c.oneOf("log_level", s.LogLevel, logLevels)
 	c.baseURL("platform.log", s.Platform.Log)
 	c.baseURL("platform.instances", s.Platform.Instances)
 	c.positive("platform.retention", s.Platform.Retention)
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -40,6 +40,9 @@
 	if e := s.Endpoint; e != nil {
 		e.fillDefaults(doc)
 	}
+	if d := s.Direct; d != nil {
+		d.fillDefaults(doc)
+	}
 }
 
 func (e *Entry) fillDefaults(doc *strictjson.Document) {
--- /dev/null
+++ b/internal/settings/direct.go
@@ -0,0 +1,74 @@
+package settings
+
+import (
+	"fmt"
+	"time"
+
+	"skylarklead/internal/strictjson"
+)
+
+// Direct has the settings of the role direct: an entry that hands requests to
+// replicas itself, on a platform where no process of the system stands beside them.
+type Direct struct {
+	// Listen is "ip:port" for callers, Ready the one on which the platform asks
+	// whether new connections may come.
+	Listen string `json:"listen"`
+	Ready  string `json:"ready"`
+	// Store is "ip:port" of the platform's store.
+	Store string `json:"store"`
+	// Grace is the time from SIGTERM until the process is killed.
+	Grace Duration `json:"grace"`
+	// RetryShare and RetryExtra bound what all entries together send a second time
+	// to one service in any RetryWindow: RetryShare of its requests, 0 to 1, and
+	// RetryExtra beside.
+	RetryShare  float64  `json:"retry_share"`
+	RetryExtra  float64  `json:"retry_extra"`
+	RetryWindow Duration `json:"retry_window"`
+	// Lease is for how long two givers of orders must not overlap. FencesChecked
+	// says that replicas refuse an old giver by themselves.
+	Lease         Duration `json:"lease"`
+	FencesChecked bool     `json:"fences_checked"`
+	// Memory is what the process may use, in MB.
+	Memory int `json:"memory_mb"`
+}
+
+// What a direct entry's settings that don't say otherwise get.
+const (
+	DefaultGrace       = Duration(8 * time.Second)
+	DefaultRetryWindow = Duration(10 * time.Second)
+	DefaultLease       = Duration(3 * time.Second)
+	DefaultMemory      = 128
+	// minMemory is what an idle entry needs, in MB.
+	minMemory = 32
+)
+
+func (d *Direct) fillDefaults(doc *strictjson.Document) {
+	fill(doc, "direct.grace", &d.Grace, DefaultGrace)
+	fill(doc, "direct.retry_share", &d.RetryShare, DefaultRetryShare)
+	fill(doc, "direct.retry_window", &d.RetryWindow, DefaultRetryWindow)
+	fill(doc, "direct.lease", &d.Lease, DefaultLease)
+	fill(doc, "direct.memory_mb", &d.Memory, DefaultMemory)
+}
+
+// direct checks a direct entry's settings. It has no part in the fleet's inner
+// protocol, so the addresses and keys for that aren't asked for.
+func (c *checker) direct() {
+	d := c.s.Direct
+	if d == nil {
+		c.doc.Add("direct", "is missing", `a part "direct" for the role`)
+		return
+	}
+	c.listen("direct.listen", d.Listen)
+	c.listen("direct.ready", d.Ready)
+	c.address("direct.store", d.Store)
+	c.positive("direct.grace", d.Grace)
+	c.positive("direct.retry_window", d.RetryWindow)
+	c.positive("direct.lease", d.Lease)
+	c.share("direct.retry_share", d.RetryShare)
+	if !(d.RetryExtra >= 0) {
+		c.doc.Add("direct.retry_extra", fmt.Sprintf("is %v", d.RetryExtra), "0 or more requests")
+	}
+	if d.Memory < minMemory {
+		c.doc.Add("direct.memory_mb", fmt.Sprintf("is %d", d.Memory), fmt.Sprintf("%d or more", minMemory))
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,7 +9,7 @@
 type Settings struct {
 	// ID is the instance's unique name.
 	ID string `json:"id"`
-	// Role is "entry" or "endpoint".
+	// Role is "entry", "endpoint" or "direct".
 	Role string `json:"role"`
 	// FailureDomain is where the instance stands, such as "hobart-a".
 	FailureDomain string `json:"failure_domain"`
@@ -30,6 +30,7 @@
 	Platform  Platform  `json:"platform"`
 	Entry     *Entry    `json:"entry"`
 	Endpoint  *Endpoint `json:"endpoint"`
+	Direct    *Direct   `json:"direct"`
 	Bootstrap Bootstrap `json:"bootstrap"`
 }
 
