Direct entry: oldest weights first, prefixes fetched, versions learnt from refusals

Cause: (1) each newly named version sent replicas that had just loaded round again while others stayed on the first; (2) every spill read its prefix anew; (3) an entry cut off from the store was refused at each try, until the budget was spent.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -31,7 +31,7 @@
 	head := j.entry.platform.Headers.Answer(x.Status, x.Header)
 	j.noteVersion(p, &head)
 	if head.NotRun {
-		j.noteRefusal(p, x, &head)
+		j.noteRefusal(p, &head)
 		return attempt.LossNotRun, false
 	}
 	success := x.Status/100 == 2
@@ -137,23 +137,24 @@
 	}
 }
 
-// noteRefusal learns from a replica that didn't run the request. Where it is the
-// expected one it has other weights than believed: the wanted ones most likely, as
-// versions only grow and a note about it was lost.
-func (j *job) noteRefusal(p *placed, x *upstream.Exchange, head *fleet.Answer) {
-	if !head.Misdirected {
-		return
-	}
+// noteRefusal learns from a replica that didn't run the request. If it is full or
+// busy with an order it is left alone for a moment. If it is the one expected and
+// still says that the request was for another, its weights are newer than believed:
+// versions only grow. An entry that is cut off from the store, and so hears no
+// notes, finds the version out in this way instead of being refused at each try.
+func (j *job) noteRefusal(p *placed, head *fleet.Answer) {
 	e := j.entry
 	s := e.state
 	now := e.clock.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if head.Instance != "" && head.Instance != p.replica.ID {
+	switch {
+	case !head.Misdirected:
+		s.replicas.Busy(p.replica.ID, now)
+	case head.Instance != "" && head.Instance != p.replica.ID:
 		s.replicas.Unreachable(p.replica.ID, now)
-		return
-	}
-	if j.asked.Model != "" && p.version < s.wanted[j.asked.Model] {
+	case j.asked.Model != "":
 		s.board.Saw(p.replica.ID, j.asked.Model, p.version+1, 0)
+		s.feed.Emptied(p.replica.ID)
 	}
 }
--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -34,6 +34,8 @@
 	replica *fleet.Replica
 	choice  route.FeedChoice
 	version uint64
+	// source is the address that a missing prefix is fetched from, "" for none.
+	source string
 }
 
 // handOn places the request until it has its answer.
@@ -163,6 +165,9 @@
 	if j.asked.Model != "" {
 		p.version = s.board.Version(choice.ID, j.asked.Model)
 	}
+	if r := s.replicas.Get(choice.Source); r != nil {
+		p.source = r.Address
+	}
 	j.hands = append(j.hands, hand{
 		replica: choice.ID, reason: choice.Reason, score: choice.Score, load: choice.Load,
 		missed: choice.Missed, of: choice.Of, version: p.version,
@@ -214,6 +219,7 @@
 		Version:   p.version,
 		Salt:      j.salt(p.version),
 		Priority:  j.priority(),
+		FetchFrom: p.source,
 		LastEvent: last,
 	}
 	if j.organisation != nil {
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -63,6 +63,9 @@
 	Salt string
 	// Priority is the rank at the engine, 0 first to 9.
 	Priority int
+	// FetchFrom is the address of a replica that is believed to hold shared parts
+	// under the same salt, "" for none.
+	FetchFrom string
 	// LastEvent resumes a stream after this event, "" from its start.
 	LastEvent string
 }
--- a/internal/member/replicas.go
+++ b/internal/member/replicas.go
@@ -15,6 +15,8 @@
 	// BackoffMin and BackoffMax bound how long a replica that couldn't be reached
 	// gets no new work; it doubles with each failure in a row.
 	BackoffMin, BackoffMax time.Duration
+	// BusyFor is how long a replica that refused a request gets no other.
+	BusyFor time.Duration
 	// FaultHalfLife is how fast faults are forgotten, in time.
 	FaultHalfLife time.Duration
 	// FaultLimit is the weight of recent faults from which on a replica gets work
@@ -28,7 +30,7 @@
 // DefaultReplicaParams try a replica that is down twice in the first second, as a
 // crash lasts seconds, and take three quick faults for more than chance.
 var DefaultReplicaParams = ReplicaParams{
-	BackoffMin: 250 * time.Millisecond, BackoffMax: 2 * time.Second,
+	BackoffMin: 250 * time.Millisecond, BackoffMax: 2 * time.Second, BusyFor: 200 * time.Millisecond,
 	FaultHalfLife: 2 * time.Second, FaultLimit: 2.5,
 	Tombstone: 2 * time.Minute,
 }
@@ -184,6 +186,14 @@
 	return wait
 }
 
+// Busy says that a replica refused a request since it is full or carries out an
+// order. It is left alone for a moment, and counts as sound.
+func (v *Replicas) Busy(id string, now time.Duration) {
+	if l := v.known[id]; l != nil {
+		l.downUntil = max(l.downUntil, now+v.params.BusyFor)
+	}
+}
+
 // Faulty says that a request met a fault at a replica.
 func (v *Replicas) Faulty(id string, _ Fault, now time.Duration) {
 	l := v.known[id]
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -35,7 +35,7 @@
 
 // DefaultParams suit loads of a second.
 var DefaultParams = Params{
-	LoadShare: 0.2, DrainExtra: 0.5, Lead: 20 * time.Millisecond, NoteWait: 400 * time.Millisecond,
+	LoadShare: 0.2, DrainExtra: 1.2, Lead: 20 * time.Millisecond, NoteWait: 400 * time.Millisecond,
 	FirstPoll: 700 * time.Millisecond, Poll: 150 * time.Millisecond,
 	Again: 400 * time.Millisecond, GiveUp: 8 * time.Second, Settle: 3 * time.Second,
 }
@@ -208,6 +208,12 @@
 		}
 	}
 	slices.SortFunc(due, func(a, b *State) int {
+		// The oldest first: with versions in quick succession each new one would
+		// otherwise send replicas that have just loaded round again, while one that was
+		// passed over serves its old weights beyond the time allowed.
+		if d := cmp.Compare(a.Version, b.Version); d != 0 {
+			return d
+		}
 		if d := cmp.Compare(a.Running, b.Running); d != 0 {
 			return d
 		}
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -73,10 +73,13 @@
 
 // FeedChoice is a pick with what decided it.
 type FeedChoice struct {
-	ID     string
-	Score  float64
-	Load   float64
+	ID    string
+	Score float64
+	Load  float64
+	// Missed is how many shared tokens the replica is expected to lack, Source a
+	// replica on the same weights that is believed to hold them, "" if none.
 	Missed int
+	Source string
 	Reason string
 	Of     int
 }
@@ -129,9 +132,49 @@
 			best, found = choice, true
 		}
 	}
+	if found && best.Missed > 0 {
+		best.Source = f.source(now, q, best.ID, candidates)
+	}
 	return best, found
 }
 
+// source is where a replica that lacks the prefix can fetch it from: the holder
+// that this entry used last, else the replica that comes first, of the others on
+// the same weights, in the order in which all entries look for its home. A guess
+// that fails costs a millisecond; reading the prefix anew costs fifty.
+func (f *Feed) source(now time.Duration, q *FeedQuery, chosen string, candidates []FeedCandidate) string {
+	version := versionOf(chosen, candidates)
+	holders, _ := f.held.Peek(q.Prefix)
+	latest, source := time.Duration(-1), ""
+	first := ranked{}
+	key := xxhash.Sum64String(q.Prefix)
+	for i := range candidates {
+		c := &candidates[i]
+		if c.ID == chosen || c.Version != version {
+			continue
+		}
+		if at, ok := holders[c.ID]; ok && now-at <= f.params.KnownFor && at > latest {
+			latest, source = at, c.ID
+		}
+		if r := (ranked{c.ID, weight(key, c.ID)}); first.id == "" || compareRanked(r, first) < 0 {
+			first = r
+		}
+	}
+	if source != "" {
+		return source
+	}
+	return first.id
+}
+
+func versionOf(id string, candidates []FeedCandidate) uint64 {
+	for i := range candidates {
+		if candidates[i].ID == id {
+			return candidates[i].Version
+		}
+	}
+	return 0
+}
+
 func excluded(ids []string, id string) bool {
 	for _, e := range ids {
 		if e == id {
