Rollout: replicas that don't answer give their place to others

Cause: dark replicas held the places to load until each of their calls had timed out, eight seconds for each.

--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -89,6 +89,10 @@
 	asked   bool
 }
 
+// maxAwayShift bounds the pause between tries at a replica that doesn't answer to
+// eight times Again.
+const maxAwayShift = 3
+
 // Core gives the orders for one model while its entry holds the lease.
 //
 // Invariant: at most one order is under way for a replica, and none is given
@@ -99,11 +103,20 @@
 	model   string
 	wanted  uint64
 	targets map[string]*target
+	// away has the replicas that didn't answer: how often in a row, and when they
+	// are tried next.
+	away map[string]absence
+}
+
+// absence is a replica that an order didn't reach, or that gave no report.
+type absence struct {
+	times int
+	until time.Duration
 }
 
 // NewCore returns the rollout of a model by the holder named.
 func NewCore(model, holder string, p Params) *Core {
-	return &Core{params: p, holder: holder, model: model, targets: map[string]*target{}}
+	return &Core{params: p, holder: holder, model: model, targets: map[string]*target{}, away: map[string]absence{}}
 }
 
 // Want sets the version to bring the replicas to. It never goes back.
@@ -112,6 +125,17 @@
 // Wanted is the version that the replicas are brought to.
 func (c *Core) Wanted() uint64 { return c.wanted }
 
+// leave gives the place of a replica that doesn't answer to another one. Dark
+// replicas would otherwise hold all places until each of their calls has timed out,
+// and those that run would serve old weights beyond the time allowed.
+func (c *Core) leave(id string, now time.Duration) {
+	delete(c.targets, id)
+	a := c.away[id]
+	a.until = now + c.params.Again<<min(a.times, maxAwayShift)
+	a.times++
+	c.away[id] = a
+}
+
 // Due reports whether any replica is to be given an order.
 func (c *Core) Due(replicas []State) bool {
 	for i := range replicas {
@@ -155,6 +179,7 @@
 func (c *Core) advance(now time.Duration, fence uint64, t *target, s *State) []Action {
 	if s == nil {
 		delete(c.targets, t.replica.ID)
+		delete(c.away, t.replica.ID)
 		return nil
 	}
 	if s.Version >= t.version {
@@ -162,8 +187,7 @@
 		return []Action{Announce{c.note(t.replica.ID, s.Version, PhaseServing, s.Orders)}}
 	}
 	if now-t.started > c.params.GiveUp {
-		// It is taken up again like any other, behind those that haven't had a turn.
-		delete(c.targets, t.replica.ID)
+		c.leave(t.replica.ID, now)
 		return nil
 	}
 	if now < t.next {
@@ -203,7 +227,8 @@
 	var due []*State
 	for i := range replicas {
 		s := &replicas[i]
-		if s.Version < c.wanted && s.Reachable && c.targets[s.Replica.ID] == nil {
+		id := s.Replica.ID
+		if s.Version < c.wanted && s.Reachable && c.targets[id] == nil && now >= c.away[id].until {
 			due = append(due, s)
 		}
 	}
@@ -266,8 +291,8 @@
 	case fleet.ReplyFenced:
 		c.Stop()
 		return true
-	case fleet.ReplyMisdirected:
-		delete(c.targets, id)
+	case fleet.ReplyMisdirected, fleet.ReplyNotSent:
+		c.leave(id, now)
 	default:
 		t.step, t.next = stepPaused, now+c.params.Again
 	}
@@ -282,6 +307,7 @@
 		return nil
 	}
 	t.asked = false
+	delete(c.away, id)
 	t.orders = max(t.orders, r.Orders)
 	t.next = now + c.params.Poll
 	if version := r.Weights[c.model]; version >= t.version && !r.Busy {
@@ -298,7 +324,7 @@
 
 // ReportFailed says that a replica's state couldn't be read.
 func (c *Core) ReportFailed(id string, now time.Duration) {
-	if t := c.targets[id]; t != nil {
-		t.asked, t.next = false, now+c.params.Again
+	if c.targets[id] != nil {
+		c.leave(id, now)
 	}
 }
