Rollout: a claim that lost to another doesn't silence its winner

Cause: every lease record of another entry counted as the word of a holder, also claims that lost, so that the winner waited three seconds for an order.

--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -121,8 +121,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if envelope.Lease != nil {
-		r.heardLease(envelope.Lease)
 		r.act(context.Background(), r.leases.Record(record.Offset+1, envelope.Lease, bootTime()))
+		// A claim that lost to another's says nothing: only who holds it may give orders.
+		if grant, held := r.leases.Table().Holder(giverLease); held {
+			r.heard(grant.Holder)
+		}
 		r.poke()
 		return
 	}
@@ -130,12 +133,6 @@
 	r.takeNote(envelope.Note)
 }
 
-func (r *rollouts) heardLease(data []byte) {
-	if l, err := lease.Decode(data); err == nil && l.Kind != lease.KindRelease {
-		r.heard(l.Holder)
-	}
-}
-
 func (r *rollouts) heard(holder string) {
 	now := r.entry.clock.now()
 	r.lastGiver, r.lastGiverAt = holder, now
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -35,7 +35,7 @@
 
 // DefaultParams suit loads of a second.
 var DefaultParams = Params{
-	LoadShare: 0.2, DrainExtra: 1.2, Lead: 20 * time.Millisecond, NoteWait: 400 * time.Millisecond,
+	LoadShare: 0.2, DrainExtra: 0.7, Lead: 20 * time.Millisecond, NoteWait: 400 * time.Millisecond,
 	FirstPoll: 700 * time.Millisecond, Poll: 150 * time.Millisecond,
 	Again: 400 * time.Millisecond, GiveUp: 8 * time.Second, Settle: 3 * time.Second,
 }
