Direct entry: prefixes kept in the store of kept cache

Cause: evictions and loads make replicas read shared parts anew; in a neighbour they can only be found where this entry sent them.

--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -34,8 +34,9 @@
 	replica *fleet.Replica
 	choice  route.FeedChoice
 	version uint64
-	// source is the address that a missing prefix is fetched from, "" for none.
-	source string
+	// source is the address that a missing prefix is fetched from, keep the store
+	// that it is saved to; "" for none.
+	source, keep string
 }
 
 // handOn places the request until it has its answer.
@@ -165,9 +166,7 @@
 	if j.asked.Model != "" {
 		p.version = s.board.Version(choice.ID, j.asked.Model)
 	}
-	if r := s.replicas.Get(choice.Source); r != nil {
-		p.source = r.Address
-	}
+	j.cacheSource(p)
 	j.hands = append(j.hands, hand{
 		replica: choice.ID, reason: choice.Reason, score: choice.Score, load: choice.Load,
 		missed: choice.Missed, of: choice.Of, version: p.version,
@@ -176,6 +175,24 @@
 	return p, nil
 }
 
+// keptTokens is the shared length from which on a prefix is kept in the store: below
+// it reading anew takes less than a fetch.
+const keptTokens = 512
+
+// cacheSource sets where the replica can fetch what it lacks of the prefix. The
+// caller holds the state's lock.
+func (j *job) cacheSource(p *placed) {
+	if j.query.SharedTokens < keptTokens {
+		return
+	}
+	p.keep = j.config.KeptCache()
+	if r := j.entry.state.replicas.Get(p.choice.Source); r != nil && (p.choice.SourceKnown || p.keep == "") {
+		p.source = r.Address
+		return
+	}
+	p.source = p.keep
+}
+
 // handOver sends the request to a replica and passes its answer on. If there is
 // none to pass on it tells why.
 func (j *job) handOver(p *placed) (loss attempt.Loss, done bool) {
@@ -220,6 +237,7 @@
 		Salt:      j.salt(p.version),
 		Priority:  j.priority(),
 		FetchFrom: p.source,
+		SaveTo:    p.keep,
 		LastEvent: last,
 	}
 	if j.organisation != nil {
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -140,6 +140,18 @@
 	return best
 }
 
+// KeptCache returns the address of the store of kept KV cache, "" if there is none.
+// Of several it is the first by name, so that all entries use the same one.
+func (c *Configuration) KeptCache() string {
+	name, address := "", ""
+	for _, s := range c.Services {
+		if s.StoreAddress != "" && (name == "" || s.Name < name) {
+			name, address = s.Name, s.StoreAddress
+		}
+	}
+	return address
+}
+
 // Models lists the models of all engines, each once.
 func (c *Configuration) Models() []string {
 	seen := map[string]bool{}
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -66,6 +66,8 @@
 	// FetchFrom is the address of a replica that is believed to hold shared parts
 	// under the same salt, "" for none.
 	FetchFrom string
+	// SaveTo is the address of the store that what is read goes to, "" for none.
+	SaveTo string
 	// LastEvent resumes a stream after this event, "" from its start.
 	LastEvent string
 }
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -80,8 +80,10 @@
 	// replica on the same weights that is believed to hold them, "" if none.
 	Missed int
 	Source string
-	Reason string
-	Of     int
+	// SourceKnown is set where this entry has sent the prefix to Source itself.
+	SourceKnown bool
+	Reason      string
+	Of          int
 }
 
 // Reasons of a feed's pick.
@@ -133,7 +135,7 @@
 		}
 	}
 	if found && best.Missed > 0 {
-		best.Source = f.source(now, q, best.ID, candidates)
+		best.Source, best.SourceKnown = f.source(now, q, best.ID, candidates)
 	}
 	return best, found
 }
@@ -142,10 +144,10 @@
 // that this entry used last, else the replica that comes first, of the others on
 // the same weights, in the order in which all entries look for its home. A guess
 // that fails costs a millisecond; reading the prefix anew costs fifty.
-func (f *Feed) source(now time.Duration, q *FeedQuery, chosen string, candidates []FeedCandidate) string {
+func (f *Feed) source(now time.Duration, q *FeedQuery, chosen string, candidates []FeedCandidate) (source string, known bool) {
 	version := versionOf(chosen, candidates)
 	holders, _ := f.held.Peek(q.Prefix)
-	latest, source := time.Duration(-1), ""
+	latest := time.Duration(-1)
 	first := ranked{}
 	key := xxhash.Sum64String(q.Prefix)
 	for i := range candidates {
@@ -161,9 +163,9 @@
 		}
 	}
 	if source != "" {
-		return source
+		return source, true
 	}
-	return first.id
+	return first.id, false
 }
 
 func versionOf(id string, candidates []FeedCandidate) uint64 {
