Direct entry: no request begins on weights that are overdue

Cause: replicas that came back from darkness, or that the rollout hadn't reached, still got requests beyond the time within which named weights must be in use.

--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -153,7 +153,7 @@
 	now := j.entry.clock.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j.query.Wanted = s.wanted[j.asked.Model]
+	j.query.Wanted = s.wanted(j.asked.Model)
 	candidates := s.candidates(j.service, j.asked.Model, now)
 	choice, ok := s.feed.Pick(now, &j.query, candidates)
 	if !ok {
--- a/internal/direct/operator.go
+++ b/internal/direct/operator.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/rollout"
 )
 
 // followOperator keeps the configuration and the wanted versions of weights.
@@ -59,14 +61,36 @@
 		"routes", len(c.Routes), "services", len(c.Services), "organisations", len(c.Organisations), "keys", len(c.Keys))
 }
 
+const (
+	// weightsMargin is kept off the time within which named weights must be in use:
+	// reading the name and handing a request over take some of it.
+	weightsMargin = 600 * time.Millisecond
+	// startGrace is how long an entry that has just started still uses weights that
+	// were to be replaced when it started.
+	startGrace = 3 * time.Second
+)
+
+// namedAt is when a version that is read now counts as named. One that was there at
+// the start may be long overdue; nobody says since when.
+func (e *Entry) namedAt(before uint64) time.Duration {
+	now := e.clock.now()
+	if before == 0 {
+		return now + startGrace - e.settings.Direct.WeightsWithin.D()
+	}
+	return now
+}
+
 func (e *Entry) takeWanted(w *fleet.Wanted, offset uint64) {
 	e.state.mu.Lock()
-	before := e.state.wanted[w.Model]
-	if w.Version > before {
-		e.state.wanted[w.Model] = w.Version
+	d := e.state.demands[w.Model]
+	if d == nil {
+		d = rollout.NewDemand(e.settings.Direct.WeightsWithin.D() - weightsMargin)
+		e.state.demands[w.Model] = d
 	}
+	before := d.Newest()
+	news := d.Named(w.Version, e.namedAt(before))
 	e.state.mu.Unlock()
-	if w.Version <= before {
+	if !news {
 		return
 	}
 	e.tel.Log.Info("weights wanted", "model", w.Model, "version", w.Version, "before", before, "offset", offset)
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -244,13 +244,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	due := make(map[string][]rollout.State)
-	for model, version := range s.wanted {
+	for model, demand := range s.demands {
 		c := r.cores[model]
 		if c == nil {
 			c = rollout.NewCore(model, r.entry.settings.ID, rollout.DefaultParams)
 			r.cores[model] = c
 		}
-		c.Want(version)
+		c.Want(demand.Newest())
 		states := s.states(model, now)
 		if c.Due(states) || c.Active() {
 			due[model] = states
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -27,7 +27,7 @@
 	replicas *member.Replicas
 	board    *rollout.Board
 	feed     *route.Feed
-	wanted   map[string]uint64 // version of each model
+	demands  map[string]*rollout.Demand // of each model
 	budgets  map[string]*attempt.Budget
 	// listed is set once the list of replicas was read whole.
 	listed bool
@@ -41,7 +41,7 @@
 		replicas: member.NewReplicas(member.DefaultReplicaParams),
 		board:    rollout.NewBoard(),
 		feed:     route.NewFeed(route.DefaultFeedParams),
-		wanted:   make(map[string]uint64),
+		demands:  make(map[string]*rollout.Demand),
 		budgets:  make(map[string]*attempt.Budget),
 		changed:  make(chan struct{}),
 		budget:   budget,
@@ -75,10 +75,23 @@
 	return s.listed
 }
 
+// wanted is the version of a model's weights to use, 0 if none was named. The
+// caller holds mu.
+func (s *state) wanted(model string) uint64 {
+	if d := s.demands[model]; d != nil {
+		return d.Newest()
+	}
+	return 0
+}
+
 // candidates lists the replicas of a service that may take a request for a model
 // ("" for plain services), doubtful ones marked. The caller holds mu.
 func (s *state) candidates(service *fleet.Service, model string, now time.Duration) []route.FeedCandidate {
 	var out []route.FeedCandidate
+	var oldest uint64
+	if d := s.demands[model]; d != nil {
+		oldest = d.Oldest(now)
+	}
 	for _, id := range s.replicas.IDs() {
 		r := s.replicas.Get(id)
 		if r.Service != service.Name {
@@ -97,6 +110,9 @@
 				continue
 			}
 			c.Version = s.board.Version(id, model)
+			if c.Version < oldest {
+				continue
+			}
 		}
 		out = append(out, c)
 	}
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -28,6 +28,9 @@
 	// says that replicas refuse an old giver by themselves.
 	Lease         Duration `json:"lease"`
 	FencesChecked bool     `json:"fences_checked"`
+	// WeightsWithin is the time from the naming of a version of weights until no
+	// request may begin on an older one.
+	WeightsWithin Duration `json:"weights_within"`
 	// Memory is what the process may use, in MB.
 	Memory int `json:"memory_mb"`
 }
@@ -37,6 +40,7 @@
 	DefaultGrace       = Duration(8 * time.Second)
 	DefaultRetryWindow = Duration(10 * time.Second)
 	DefaultLease       = Duration(3 * time.Second)
+	DefaultWeights     = Duration(10 * time.Second)
 	DefaultMemory      = 128
 	// minMemory is what an idle entry needs, in MB.
 	minMemory = 32
@@ -47,6 +51,7 @@
 	fill(doc, "direct.retry_share", &d.RetryShare, DefaultRetryShare)
 	fill(doc, "direct.retry_window", &d.RetryWindow, DefaultRetryWindow)
 	fill(doc, "direct.lease", &d.Lease, DefaultLease)
+	fill(doc, "direct.weights_within", &d.WeightsWithin, DefaultWeights)
 	fill(doc, "direct.memory_mb", &d.Memory, DefaultMemory)
 }
 
@@ -64,6 +69,7 @@
 	c.positive("direct.grace", d.Grace)
 	c.positive("direct.retry_window", d.RetryWindow)
 	c.positive("direct.lease", d.Lease)
+	c.positive("direct.weights_within", d.WeightsWithin)
 	c.share("direct.retry_share", d.RetryShare)
 	if !(d.RetryExtra >= 0) {
 		c.doc.Add("direct.retry_extra", fmt.Sprintf("is %v", d.RetryExtra), "0 or more requests")
