Direct entry: silent replicas are found by trying a connection

Cause: requests hung on dark replicas until the kernel gave up, and new ones were used to find out whether an unreachable replica is back.

--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -58,6 +58,7 @@
 	state    *state
 	pool     *upstream.Pool
 	rollouts *rollouts
+	watch    *watch
 	bodies   *semaphore.Weighted
 	bodyRoom int64
 	draining chan struct{}
@@ -97,13 +98,14 @@
 		draining: make(chan struct{}),
 	}
 	e.rollouts = newRollouts(e)
+	e.watch = newWatch(e)
 	return e
 }
 
 func (e *Entry) run(ctx context.Context, front, ready net.Listener) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep} {
+	for _, loop := range []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep, e.watch.run} {
 		loops.Go(func() { loop(background) })
 	}
 	readiness := e.serveReady(ready)
--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -37,6 +37,7 @@
 	// source is the address that a missing prefix is fetched from, keep the store
 	// that it is saved to; "" for none.
 	source, keep string
+	watched      *exchange
 }
 
 // handOn places the request until it has its answer.
@@ -209,6 +210,8 @@
 	j.forward.Placed()
 	ctx, cancel := context.WithCancel(j.ctx)
 	defer cancel()
+	p.watched = e.watch.begin(p.replica, j.route.Repeatable(), cancel)
+	defer e.watch.end(p.watched)
 	x, err := e.pool.Do(ctx, upstream.Replica{ID: p.replica.ID, Address: p.replica.Address},
 		j.connections(), j.request(p), j.belongs)
 	if err != nil {
@@ -270,17 +273,10 @@
 	if j.ctx.Err() != nil || errors.Is(err, upstream.ErrFull) {
 		return loss
 	}
-	now := e.clock.now()
-	e.state.mu.Lock()
-	var out time.Duration
 	if loss == attempt.LossNotSent {
-		out = e.state.replicas.Unreachable(p.replica.ID, now)
-	} else {
-		e.state.replicas.Faulty(p.replica.ID, member.FaultBroken, now)
-	}
-	e.state.mu.Unlock()
-	if out > 0 {
-		e.tel.Log.Warn("replica unreachable", "replica", p.replica.ID, "request", j.asked.ID, "out_ms", out.Milliseconds(), "error", err)
+		e.unreachable(p.replica, "request "+j.asked.ID, err)
+		return loss
 	}
+	j.fault(p, member.FaultBroken)
 	return loss
 }
--- /dev/null
+++ b/internal/direct/watch.go
@@ -0,0 +1,154 @@
+package direct
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"skylarklead/internal/fleet"
+	"skylarklead/internal/upstream"
+)
+
+const (
+	// watchEvery is the pause between looks at what is under way.
+	watchEvery = 100 * time.Millisecond
+	// silentAfter is how long a replica may send nothing to a request before a
+	// connection to it is tried. Nine of ten answers begin within it, and pauses
+	// between a stream's events are a tenth of it.
+	silentAfter = 450 * time.Millisecond
+)
+
+// exchange is one request under way at a replica.
+type exchange struct {
+	replica *fleet.Replica
+	// heard is when the replica last sent something.
+	heard      time.Time
+	repeatable bool
+	cancel     context.CancelFunc
+}
+
+// watch notices replicas that have fallen silent.
+//
+// A machine that loses power resets no connection. The kernel finds out after
+// seconds, and all that while requests hang on it, and new ones are sent after them
+// over connections that look idle; it is seen as timeouts at one replica while its
+// neighbours are free. So where a request hears nothing for a while a new connection
+// is tried: a replica that is only slow takes it at once. If it doesn't, it gets
+// no new work, and requests that may be repeated are taken from it.
+type watch struct {
+	entry *Entry
+	mu    sync.Mutex
+	under map[*exchange]struct{}
+}
+
+func newWatch(e *Entry) *watch { return &watch{entry: e, under: make(map[*exchange]struct{})} }
+
+// begin watches a request until the function that it returns is called.
+func (w *watch) begin(r *fleet.Replica, repeatable bool, cancel context.CancelFunc) *exchange {
+	x := &exchange{replica: r, heard: time.Now(), repeatable: repeatable, cancel: cancel}
+	w.mu.Lock()
+	w.under[x] = struct{}{}
+	w.mu.Unlock()
+	return x
+}
+
+func (w *watch) end(x *exchange) {
+	w.mu.Lock()
+	delete(w.under, x)
+	w.mu.Unlock()
+}
+
+// heard notes that the replica has sent something.
+func (w *watch) heard(x *exchange) {
+	w.mu.Lock()
+	x.heard = time.Now()
+	w.mu.Unlock()
+}
+
+// run looks for silent and unreachable replicas until ctx ends.
+func (w *watch) run(ctx context.Context) {
+	tick := time.NewTicker(watchEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, r := range w.due() {
+			go w.probe(ctx, r)
+		}
+	}
+}
+
+// due returns the replicas to which a connection is to be tried.
+func (w *watch) due() []*fleet.Replica {
+	s := w.entry.state
+	now := w.entry.clock.now()
+	silent := w.silent()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	due := s.replicas.Probes(now)
+	for _, r := range silent {
+		if s.replicas.Silent(r.ID, now) {
+			due = append(due, r)
+		}
+	}
+	return due
+}
+
+func (w *watch) silent() []*fleet.Replica {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var silent []*fleet.Replica
+	before := time.Now().Add(-silentAfter)
+	for x := range w.under {
+		if x.heard.Before(before) {
+			silent = append(silent, x.replica)
+		}
+	}
+	return silent
+}
+
+func (w *watch) probe(ctx context.Context, r *fleet.Replica) {
+	e := w.entry
+	if err := e.pool.Probe(ctx, upstream.Replica{ID: r.ID, Address: r.Address}); err != nil {
+		e.unreachable(r, "probe", err)
+		return
+	}
+	e.state.mu.Lock()
+	news := e.state.replicas.Reachable(r.ID)
+	if news {
+		e.state.signal()
+	}
+	e.state.mu.Unlock()
+	if news {
+		e.tel.Log.Info("replica reachable", "replica", r.ID)
+	}
+}
+
+// unreachable takes a connection that could not be made.
+func (e *Entry) unreachable(r *fleet.Replica, by string, err error) {
+	e.state.mu.Lock()
+	news := e.state.replicas.Unreachable(r.ID, e.clock.now())
+	e.state.mu.Unlock()
+	if !news {
+		return
+	}
+	taken := e.watch.take(r.ID)
+	e.tel.Log.Warn("replica unreachable", "replica", r.ID, "by", by, "taken_from_it", taken, "error", err)
+}
+
+// take breaks off the requests at a replica that may run again elsewhere.
+func (w *watch) take(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	taken := 0
+	for x := range w.under {
+		if x.replica.ID == id && x.repeatable {
+			x.cancel()
+			taken++
+		}
+	}
+	return taken
+}
--- a/internal/member/replicas.go
+++ b/internal/member/replicas.go
@@ -12,9 +12,11 @@
 // ReplicaParams time what an entry makes of its own evidence about replicas that
 // it feeds directly.
 type ReplicaParams struct {
-	// BackoffMin and BackoffMax bound how long a replica that couldn't be reached
-	// gets no new work; it doubles with each failure in a row.
+	// BackoffMin and BackoffMax bound the pause between tries to reach a replica; it
+	// doubles with each failure in a row.
 	BackoffMin, BackoffMax time.Duration
+	// CheckEvery is the least time between looks at a replica that is silent.
+	CheckEvery time.Duration
 	// BusyFor is how long a replica that refused a request gets no other.
 	BusyFor time.Duration
 	// FaultHalfLife is how fast faults are forgotten, in time.
@@ -27,10 +29,11 @@
 	Tombstone time.Duration
 }
 
-// DefaultReplicaParams try a replica that is down twice in the first second, as a
-// crash lasts seconds, and take three quick faults for more than chance.
+// DefaultReplicaParams try a replica that is down three times in the first second,
+// as a crash lasts seconds, and take three quick faults for more than chance.
 var DefaultReplicaParams = ReplicaParams{
-	BackoffMin: 250 * time.Millisecond, BackoffMax: 2 * time.Second, BusyFor: 200 * time.Millisecond,
+	BackoffMin: 200 * time.Millisecond, BackoffMax: 800 * time.Millisecond,
+	CheckEvery: 500 * time.Millisecond, BusyFor: 200 * time.Millisecond,
 	FaultHalfLife: 2 * time.Second, FaultLimit: 2.5,
 	Tombstone: 2 * time.Minute,
 }
@@ -53,12 +56,20 @@
 // Invariants: offset is that of the newest record taken; draining is never unset,
 // since an incarnation that leaves doesn't come back.
 type listed struct {
-	replica   *fleet.Replica
-	offset    uint64
-	recordAt  time.Duration
-	draining  bool
-	failures  int
-	downUntil time.Duration
+	replica  *fleet.Replica
+	offset   uint64
+	recordAt time.Duration
+	draining bool
+	failures int
+	// unreachable is set from a failed connection until one is made; probeAt is when
+	// one is tried next.
+	unreachable bool
+	probeAt     time.Duration
+	probing     bool
+	// busyUntil is how long it is left alone after it refused a request.
+	busyUntil time.Duration
+	// checkedAt is when it was last looked at for being silent.
+	checkedAt time.Duration
 	// lapsesAt is when a replica that fell off the list during an outage of the
 	// store is taken as gone, 0 while it is on it.
 	lapsesAt time.Duration
@@ -169,28 +180,63 @@
 	return 0
 }
 
-// Unreachable says that no connection to a replica could be made, and returns how
-// long it gets no new work.
-func (v *Replicas) Unreachable(id string, now time.Duration) time.Duration {
+// Unreachable says that no connection to a replica could be made. It gets no new
+// work until one is; Probes says when to try. It reports whether that is news.
+func (v *Replicas) Unreachable(id string, now time.Duration) bool {
+	l := v.known[id]
+	if l == nil || l.unreachable && !l.probing {
+		return false
+	}
+	news := !l.unreachable
+	l.probeAt = now + min(v.params.BackoffMin<<min(l.failures, 8), v.params.BackoffMax)
+	l.unreachable, l.probing = true, false
+	l.failures++
+	return news
+}
+
+// Reachable says that a connection to a replica was made. It reports whether that
+// is news.
+func (v *Replicas) Reachable(id string) bool {
 	l := v.known[id]
 	if l == nil {
-		return 0
+		return false
+	}
+	l.probing, l.failures = false, 0
+	news := l.unreachable
+	l.unreachable = false
+	return news
+}
+
+// Probes returns the unreachable replicas to which a connection is to be tried now.
+// Trying with a caller's request instead would hold that up for a timeout each time.
+func (v *Replicas) Probes(now time.Duration) []*fleet.Replica {
+	var due []*fleet.Replica
+	for _, id := range v.IDs() {
+		l := v.known[id]
+		if l.unreachable && !l.probing && now >= l.probeAt {
+			l.probing = true
+			due = append(due, l.replica)
+		}
 	}
-	if now < l.downUntil {
-		// Others failed at the same time; one failure counts once.
-		return l.downUntil - now
+	return due
+}
+
+// Silent says that a replica hasn't sent a byte to a request for long. It reports
+// whether to try a connection to it, which a dark one won't take.
+func (v *Replicas) Silent(id string, now time.Duration) bool {
+	l := v.known[id]
+	if l == nil || l.unreachable || now < l.checkedAt+v.params.CheckEvery {
+		return false
 	}
-	wait := min(v.params.BackoffMin<<min(l.failures, 8), v.params.BackoffMax)
-	l.failures++
-	l.downUntil = now + wait
-	return wait
+	l.checkedAt = now
+	return true
 }
 
 // Busy says that a replica refused a request since it is full or carries out an
 // order. It is left alone for a moment, and counts as sound.
 func (v *Replicas) Busy(id string, now time.Duration) {
 	if l := v.known[id]; l != nil {
-		l.downUntil = max(l.downUntil, now+v.params.BusyFor)
+		l.busyUntil = now + v.params.BusyFor
 	}
 }
 
@@ -210,7 +256,7 @@
 	if l == nil {
 		return
 	}
-	l.failures, l.downUntil = 0, 0
+	l.failures, l.unreachable = 0, false
 	l.faults = max(0, v.decayed(l, now)-workedCredit)
 	l.faultsAt = now
 }
@@ -236,7 +282,7 @@
 	Healthy Health = iota
 	// Doubtful replicas get work only where no healthy one can take it.
 	Doubtful
-	// Down replicas couldn't be reached a moment ago.
+	// Down replicas can't be reached, or have just refused a request.
 	Down
 	// Left replicas are leaving or gone; they get nothing.
 	Left
@@ -253,7 +299,7 @@
 	switch {
 	case l == nil || l.draining:
 		return Left
-	case now < l.downUntil:
+	case l.unreachable || now < l.busyUntil:
 		return Down
 	case v.decayed(l, now) >= v.params.FaultLimit:
 		return Doubtful
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -78,6 +78,26 @@
 	return nil, nil
 }
 
+// Probe opens a connection to a replica to see whether it takes one, and keeps it
+// for the next request.
+func (p *Pool) Probe(ctx context.Context, r Replica) error {
+	c, err := dial(ctx, r.Address)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	e := p.peers[r]
+	if e == nil {
+		e = &peer{}
+		p.peers[r] = e
+	}
+	e.open++
+	p.opened++
+	p.mu.Unlock()
+	p.put(r, c)
+	return nil
+}
+
 // release counts a connection as closed.
 func (p *Pool) release(r Replica) {
 	p.mu.Lock()
