Rollout: turns planned ahead, replicas that are given up are released

Cause: a replica stood idle for seconds while its last long stream ended, and one that didn't answer stayed without work for six seconds on the word of a note.

--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -150,7 +150,7 @@
 	if news {
 		s.feed.Emptied(n.Replica)
 	}
-	if n.Phase == rollout.PhaseServing {
+	if n.Phase == rollout.PhaseServing || n.Phase == rollout.PhaseReleased {
 		s.signal()
 	}
 	s.mu.Unlock()
@@ -349,7 +349,8 @@
 	e.tel.Log.Info("order", attrs...)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cores[model].Replied(o.Replica.ID, reply, now) {
+	r.drive(ctx, model, r.cores[model].Replied(o.Replica.ID, reply, now))
+	if reply == fleet.ReplyFenced {
 		r.foreignAt = now
 		r.act(ctx, r.leases.Drop(giverLease, bootTime()))
 	}
@@ -373,7 +374,7 @@
 	defer r.mu.Unlock()
 	if err != nil {
 		e.tel.Log.Warn("replica gave no report", "replica", replica.ID, "error", err)
-		r.cores[model].ReportFailed(replica.ID, e.clock.now())
+		r.drive(ctx, model, r.cores[model].ReportFailed(replica.ID, e.clock.now()))
 		return
 	}
 	r.drive(ctx, model, r.cores[model].Reported(replica.ID, &report, e.clock.now()))
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -207,6 +207,9 @@
 		OutputTokens:  j.asked.OutputTokens,
 		FailureDomain: j.entry.settings.FailureDomain,
 	}
+	if j.asked.ExpectedOutput > 0 {
+		q.OutputTokens = min(q.OutputTokens, j.asked.ExpectedOutput)
+	}
 	if shared := j.asked.Shared(); len(shared) > 0 {
 		q.Prefix = j.asked.Model + "/" + j.wall() + "/" + shared[len(shared)-1].ID
 	}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -110,6 +110,7 @@
 				continue
 			}
 			c.Version = s.board.Version(id, model)
+			c.Turn, c.Planned = s.board.Turn(id, model, now)
 			if c.Version < oldest {
 				continue
 			}
@@ -127,7 +128,9 @@
 		if _, serves := r.Weights[model]; !serves || s.replicas.Draining(id) {
 			continue
 		}
+		turn, planned := s.board.Turn(id, model, now)
 		out = append(out, rollout.State{
+			Turn: turn, Planned: planned,
 			Replica:   r,
 			Version:   s.board.Version(id, model),
 			Orders:    s.board.Orders(id, model),
--- a/internal/rollout/board.go
+++ b/internal/rollout/board.go
@@ -16,6 +16,9 @@
 	orderedAt time.Duration
 	// target is the version of the order under way, 0 if none is.
 	target uint64
+	// planned is the version that its turn at turnAt is for, 0 if none is planned.
+	planned uint64
+	turnAt  time.Duration
 }
 
 type slotKey struct{ replica, model string }
@@ -57,20 +60,37 @@
 
 // Take applies a note and reports whether the replica's version is news.
 func (b *Board) Take(n *Note, now time.Duration) bool {
-	if n.Phase == PhaseServing {
-		s := b.slot(n.Replica, n.Model)
+	s := b.slot(n.Replica, n.Model)
+	switch n.Phase {
+	case PhaseServing:
 		if n.Version >= s.target {
 			s.target = 0
 		}
 		return b.Saw(n.Replica, n.Model, n.Version, n.Orders)
-	}
-	s := b.slot(n.Replica, n.Model)
-	if n.Version > s.version {
-		s.target, s.orderedAt = n.Version, now
+	case PhaseReleased:
+		s.target = 0
+	case PhaseOrdered:
+		if n.Version > s.version {
+			s.target, s.orderedAt = n.Version, now
+		}
+	case PhasePlanned:
+		s.planned, s.turnAt = n.Version, now+time.Duration(n.AfterMs)*time.Millisecond
 	}
 	return false
 }
 
+// Turn is how long it is until a replica's planned order, if one is planned.
+func (b *Board) Turn(replica, model string, now time.Duration) (time.Duration, bool) {
+	s := b.slots[slotKey{replica, model}]
+	if s == nil || s.planned <= s.version || now > s.turnAt+planFor {
+		return 0, false
+	}
+	return max(0, s.turnAt-now), true
+}
+
+// planFor is how long after its time a planned turn is still believed to come.
+const planFor = 3 * time.Second
+
 // Version is the version that a replica is believed to serve, 0 if unknown.
 func (b *Board) Version(replica, model string) uint64 {
 	if s := b.slots[slotKey{replica, model}]; s != nil {
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -28,6 +29,8 @@
 	Again time.Duration
 	// GiveUp is when a replica that doesn't come out of its load frees its place.
 	GiveUp time.Duration
+	// Pace is the time between turns at one place to load.
+	Pace time.Duration
 	// Settle is how long another holder must have been silent before the first
 	// order: replicas that don't check fencing numbers must not hear two by turns.
 	Settle time.Duration
@@ -35,7 +38,7 @@
 
 // DefaultParams suit loads of a second.
 var DefaultParams = Params{
-	LoadShare: 0.2, DrainExtra: 0.7, Lead: 20 * time.Millisecond, NoteWait: 400 * time.Millisecond,
+	LoadShare: 0.2, DrainExtra: 0.5, Pace: 1200 * time.Millisecond, Lead: 20 * time.Millisecond, NoteWait: 400 * time.Millisecond,
 	FirstPoll: 700 * time.Millisecond, Poll: 150 * time.Millisecond,
 	Again: 400 * time.Millisecond, GiveUp: 8 * time.Second, Settle: 3 * time.Second,
 }
@@ -50,6 +53,17 @@
 	Reachable bool
 	// Running is how much this entry has there.
 	Running int
+	// Turn is the time until its planned turn, if Planned.
+	Turn    time.Duration
+	Planned bool
+}
+
+// turn orders replicas by their plan; those without one come last.
+func (s *State) turn() time.Duration {
+	if s.Planned {
+		return s.Turn
+	}
+	return math.MaxInt64
 }
 
 // Action is what a Core asks its entry to do: Announce, Give or Ask.
@@ -103,6 +117,8 @@
 	model   string
 	wanted  uint64
 	targets map[string]*target
+	// planned is the version that turns were last planned for.
+	planned uint64
 	// away has the replicas that didn't answer: how often in a row, and when they
 	// are tried next.
 	away map[string]absence
@@ -128,12 +144,13 @@
 // leave gives the place of a replica that doesn't answer to another one. Dark
 // replicas would otherwise hold all places until each of their calls has timed out,
 // and those that run would serve old weights beyond the time allowed.
-func (c *Core) leave(id string, now time.Duration) {
+func (c *Core) leave(id string, now time.Duration) []Action {
 	delete(c.targets, id)
 	a := c.away[id]
 	a.until = now + c.params.Again<<min(a.times, maxAwayShift)
 	a.times++
 	c.away[id] = a
+	return []Action{Announce{c.note(id, c.wanted, PhaseReleased, 0)}}
 }
 
 // Due reports whether any replica is to be given an order.
@@ -148,7 +165,10 @@
 
 // Stop drops all that is under way: the lease is over, and whatever was ordered
 // may or may not take place.
-func (c *Core) Stop() { clear(c.targets) }
+func (c *Core) Stop() {
+	clear(c.targets)
+	c.planned = 0
+}
 
 // Active reports whether orders are under way.
 func (c *Core) Active() bool { return len(c.targets) > 0 }
@@ -163,7 +183,10 @@
 	for _, id := range c.ids() {
 		actions = append(actions, c.advance(now, fence, c.targets[id], byID[id])...)
 	}
-	return append(actions, c.begin(now, replicas)...)
+	due := c.due(now, replicas)
+	places := c.places(replicas)
+	actions = append(actions, c.plan(due, places)...)
+	return append(actions, c.begin(now, due, places)...)
 }
 
 func (c *Core) ids() []string {
@@ -187,8 +210,7 @@
 		return []Action{Announce{c.note(t.replica.ID, s.Version, PhaseServing, s.Orders)}}
 	}
 	if now-t.started > c.params.GiveUp {
-		c.leave(t.replica.ID, now)
-		return nil
+		return c.leave(t.replica.ID, now)
 	}
 	if now < t.next {
 		return nil
@@ -217,13 +239,8 @@
 	}}}
 }
 
-// begin takes up replicas as far as places to load are free, those with the least
-// to finish first.
-func (c *Core) begin(now time.Duration, replicas []State) []Action {
-	free := c.places(len(replicas)) - len(c.targets)
-	if free <= 0 {
-		return nil
-	}
+// due lists the replicas to take up, in order.
+func (c *Core) due(now time.Duration, replicas []State) []*State {
 	var due []*State
 	for i := range replicas {
 		s := &replicas[i]
@@ -239,13 +256,40 @@
 		if d := cmp.Compare(a.Version, b.Version); d != 0 {
 			return d
 		}
+		if d := cmp.Compare(a.turn(), b.turn()); d != 0 {
+			return d
+		}
 		if d := cmp.Compare(a.Running, b.Running); d != 0 {
 			return d
 		}
 		return cmp.Compare(a.Replica.ID, b.Replica.ID)
 	})
+	return due
+}
+
+// plan tells all entries, once for each version, when each replica's turn comes.
+// Streams that would outlast it then go elsewhere, so that its turn finds it with
+// little to finish; without that a replica stands idle for seconds while its last
+// stream ends.
+func (c *Core) plan(due []*State, places int) []Action {
+	if c.planned >= c.wanted || len(due) == 0 {
+		return nil
+	}
+	c.planned = c.wanted
 	var actions []Action
-	for _, s := range due[:min(free, len(due))] {
+	for i, s := range due {
+		n := c.note(s.Replica.ID, c.wanted, PhasePlanned, 0)
+		n.AfterMs = (time.Duration(i/places) * c.params.Pace).Milliseconds()
+		actions = append(actions, Announce{n})
+	}
+	return actions
+}
+
+// begin takes up replicas as far as places to load are free.
+func (c *Core) begin(now time.Duration, due []*State, places int) []Action {
+	free := min(places-len(c.targets), len(due))
+	var actions []Action
+	for _, s := range due[:max(0, free)] {
 		c.targets[s.Replica.ID] = &target{
 			replica: s.Replica, version: c.wanted, orders: s.Orders,
 			step: stepAnnounced, since: now, started: now, next: now + c.params.NoteWait,
@@ -255,12 +299,18 @@
 	return actions
 }
 
-// places is how many replicas may be out of service at once. One of several
-// always serves on.
-func (c *Core) places(replicas int) int {
-	loads := max(1, int(float64(replicas)*c.params.LoadShare))
+// places is how many replicas may be out of service at once for their weights, of
+// those that can be reached. One of several always serves on.
+func (c *Core) places(replicas []State) int {
+	reachable := 0
+	for i := range replicas {
+		if replicas[i].Reachable {
+			reachable++
+		}
+	}
+	loads := max(1, int(float64(reachable)*c.params.LoadShare))
 	extra := int(float64(loads)*c.params.DrainExtra + 0.5)
-	return max(1, min(loads+extra, replicas-1))
+	return max(1, min(loads+extra, reachable-1))
 }
 
 func (c *Core) note(replica string, version uint64, phase Phase, orders uint64) Note {
@@ -274,12 +324,12 @@
 	}
 }
 
-// Replied takes a replica's reply to an order. It reports true when the lease must
-// be given up: another holder has a higher fence.
-func (c *Core) Replied(id string, reply fleet.Reply, now time.Duration) (fenced bool) {
+// Replied takes a replica's reply to an order. After ReplyFenced the lease must be
+// given up: another holder has a higher fence.
+func (c *Core) Replied(id string, reply fleet.Reply, now time.Duration) []Action {
 	t := c.targets[id]
 	if t == nil || t.step != stepGiven {
-		return reply == fleet.ReplyFenced
+		return nil
 	}
 	switch reply {
 	case fleet.ReplyAccepted:
@@ -290,13 +340,12 @@
 		t.step, t.next, t.asked = stepLoading, now, false
 	case fleet.ReplyFenced:
 		c.Stop()
-		return true
 	case fleet.ReplyMisdirected, fleet.ReplyNotSent:
-		c.leave(id, now)
+		return c.leave(id, now)
 	default:
 		t.step, t.next = stepPaused, now+c.params.Again
 	}
-	return false
+	return nil
 }
 
 // Reported takes a replica's state. It returns the note to announce once the
@@ -323,8 +372,9 @@
 }
 
 // ReportFailed says that a replica's state couldn't be read.
-func (c *Core) ReportFailed(id string, now time.Duration) {
-	if c.targets[id] != nil {
-		c.leave(id, now)
+func (c *Core) ReportFailed(id string, now time.Duration) []Action {
+	if c.targets[id] == nil {
+		return nil
 	}
+	return c.leave(id, now)
 }
--- a/internal/rollout/note.go
+++ b/internal/rollout/note.go
@@ -18,9 +18,15 @@
 	PhaseOrdered Phase = iota + 1
 	// PhaseServing: it runs requests on the version given.
 	PhaseServing
+	// PhaseReleased: no order is under way any more, and what it serves is unknown.
+	PhaseReleased
+	// PhasePlanned: its turn comes in AfterMs. Until then it takes work that ends
+	// before.
+	PhasePlanned
+	phaseEnd
 )
 
-var phaseNames = [...]string{"", "ordered", "serving"}
+var phaseNames = [...]string{"", "ordered", "serving", "released", "planned"}
 
 // String names the phase as logs have it.
 func (p Phase) String() string { return phaseNames[p] }
@@ -34,6 +40,8 @@
 	Phase   Phase  `cbor:"5,keyasint"`
 	// Orders is the number of orders that the replica has accepted.
 	Orders uint64 `cbor:"6,keyasint,omitempty"`
+	// AfterMs is the time until the replica's turn, in milliseconds.
+	AfterMs int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Envelope is one record of the entries' common topic: one of its fields is set.
@@ -66,7 +74,7 @@
 	if (e.Lease == nil) == (e.Note == nil) {
 		return nil, fmt.Errorf("%w: not one of its kinds", ErrRecord)
 	}
-	if n := e.Note; n != nil && (n.Phase != PhaseOrdered && n.Phase != PhaseServing || n.Replica == "") {
+	if n := e.Note; n != nil && (n.Phase < PhaseOrdered || n.Phase >= phaseEnd || n.Replica == "" || n.AfterMs < 0) {
 		return nil, fmt.Errorf("%w: phase %d of %q", ErrRecord, n.Phase, n.Replica)
 	}
 	return e, nil
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -21,6 +21,11 @@
 	// HomeDoubt is the part of a shared prefix that is expected to be missing at its
 	// home when this entry has not sent it there.
 	HomeDoubt float64
+	// Outlasts is the cost of each millisecond that a request is expected to outlast
+	// the replica's turn to load weights: the replica stands nearly idle meanwhile.
+	Outlasts float64
+	// OutputTokenMs is the expected time of an output token.
+	OutputTokenMs float64
 	// OldWeights is what it costs to begin on weights that are to be replaced.
 	OldWeights float64
 	// Doubtful is what a replica with recent faults is set back by.
@@ -40,7 +45,7 @@
 // caches that turn over in ten seconds.
 var DefaultFeedParams = FeedParams{
 	PrefillTokensPerMs: 50, TokenMs: 2, Others: 2, HomeDoubt: 0.3,
-	OldWeights: 150, Doubtful: 1000, Crossing: 3, PlainMs: 60,
+	Outlasts: 0.2, OutputTokenMs: 8, OldWeights: 150, Doubtful: 1000, Crossing: 3, PlainMs: 60,
 	Known: 8192, KnownFor: 10 * time.Second,
 }
 
@@ -69,6 +74,10 @@
 	Slots         int
 	Engine        bool
 	Doubtful      bool
+	// Turn is the time until the replica takes no more work to load other weights,
+	// if Planned.
+	Turn    time.Duration
+	Planned bool
 }
 
 // FeedChoice is a pick with what decided it.
@@ -214,6 +223,10 @@
 	if q.Wanted != 0 && c.Version < q.Wanted {
 		out.Score += f.params.OldWeights
 	}
+	if c.Planned {
+		duration := float64(q.OutputTokens) * f.params.OutputTokenMs
+		out.Score += f.params.Outlasts * max(0, duration-float64(c.Turn.Milliseconds()))
+	}
 	if c.Doubtful {
 		out.Score += f.params.Doubtful
 	}
