Direct entry: a version named live isn't taken for an old one

Cause: the first version ever named counted as there at the start, so that three seconds later all old weights were refused and two replicas of nine served all.

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -51,8 +51,9 @@
 	store fleet.Store
 	pacer platform.Pacer
 	next  uint64
-	known bool
-	// reachedAt is called after each answer.
+	// known is set once all keys were read, begun once they were for the first time.
+	known, begun bool
+	// reached is called after each answer, failed after each call without one.
 	reached func()
 	failed  func()
 }
@@ -94,7 +95,7 @@
 	}
 	f.reached()
 	f.whole(page)
-	f.next, f.known = page.Next, true
+	f.next, f.known, f.begun = page.Next, true, true
 	f.pacer.Answered(ctx, len(page.Records), 0, 0)
 	return nil
 }
--- a/internal/direct/operator.go
+++ b/internal/direct/operator.go
@@ -13,16 +13,18 @@
 	topic, _ := e.platform.Records.Topics()
 	f := newFollower(e.platform.Store, topic, e.tel.Log)
 	f.keyed, f.wait = true, operatorWait
-	f.record = e.takeOperator
+	f.record = func(r fleet.Record) { e.takeOperator(r, false) }
 	f.whole = func(page fleet.Page) {
 		for _, r := range page.Records {
-			e.takeOperator(r)
+			e.takeOperator(r, !f.begun)
 		}
 	}
 	f.run(ctx)
 }
 
-func (e *Entry) takeOperator(r fleet.Record) {
+// takeOperator takes a record of the operator; first says that it was there when the
+// entry first read any.
+func (e *Entry) takeOperator(r fleet.Record, first bool) {
 	if r.Value == nil {
 		e.tel.Log.Warn("operator's record removed; what it said stays in force", "key", r.Key, "offset", r.Offset)
 		return
@@ -35,7 +37,7 @@
 	case config != nil:
 		e.takeConfiguration(config, r.Offset)
 	case wanted != nil:
-		e.takeWanted(wanted, r.Offset)
+		e.takeWanted(wanted, r.Offset, first)
 	default:
 		e.tel.Log.Info("operator's record of an unknown kind skipped", "key", r.Key, "offset", r.Offset)
 	}
@@ -72,15 +74,15 @@
 
 // namedAt is when a version that is read now counts as named. One that was there at
 // the start may be long overdue; nobody says since when.
-func (e *Entry) namedAt(before uint64) time.Duration {
+func (e *Entry) namedAt(first bool) time.Duration {
 	now := e.clock.now()
-	if before == 0 {
+	if first {
 		return now + startGrace - e.settings.Direct.WeightsWithin.D()
 	}
 	return now
 }
 
-func (e *Entry) takeWanted(w *fleet.Wanted, offset uint64) {
+func (e *Entry) takeWanted(w *fleet.Wanted, offset uint64, first bool) {
 	e.state.mu.Lock()
 	d := e.state.demands[w.Model]
 	if d == nil {
@@ -88,7 +90,7 @@
 		e.state.demands[w.Model] = d
 	}
 	before := d.Newest()
-	news := d.Named(w.Version, e.namedAt(before))
+	news := d.Named(w.Version, e.namedAt(first))
 	e.state.mu.Unlock()
 	if !news {
 		return
