Rollouts go on while all entries are restarted in turn

Cause: a draining entry gave no orders but kept the lease, and each lease record of another entry was taken for one of its orders.

--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -62,6 +62,8 @@
 	bodies   *semaphore.Weighted
 	bodyRoom int64
 	draining chan struct{}
+	// ends is when a draining entry ends; it is set before draining is closed.
+	ends time.Time
 }
 
 // Run serves callers until ctx ends, then drains and returns.
@@ -199,11 +201,12 @@
 // last answer as long as the platform lets it.
 func (e *Entry) drain(server *http.Server) {
 	began := time.Now()
+	e.ends = began.Add(e.settings.Direct.Grace.D() - stopMargin)
 	close(e.draining)
 	e.tel.Log.Info("draining", "grace_ms", e.settings.Direct.Grace.D().Milliseconds())
 	grace := e.settings.Direct.Grace.D()
 	time.Sleep(min(lastConnections, grace/3))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), e.ends)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		e.tel.Log.Warn("requests cut at the end of the grace", "error", err)
@@ -212,6 +215,11 @@
 	e.tel.Log.Info("drained", "took_ms", time.Since(began).Milliseconds())
 }
 
+// leavesIn reports whether the entry is draining and ends within d.
+func (e *Entry) leavesIn(d time.Duration) bool {
+	return e.leaving() && time.Until(e.ends) < d
+}
+
 // sweep closes connections that are no longer of use and ends lapsed replicas.
 func (e *Entry) sweep(ctx context.Context) {
 	tick := time.NewTicker(sweepEvery)
--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -218,6 +218,7 @@
 		return j.sendFailed(p, h, err), false
 	}
 	defer x.Close()
+	h.status = x.Status
 	loss, done = j.answer(p, x)
 	h.outcome = loss.String()
 	if done {
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -26,6 +26,7 @@
 	version  uint64
 	recordMs int64
 	outcome  string
+	status   int
 	err      error
 	took     time.Duration
 }
@@ -134,6 +135,9 @@
 	if h.missed > 0 {
 		fields = append(fields, slog.Int("missed_tokens", h.missed))
 	}
+	if h.status != 0 {
+		fields = append(fields, slog.Int("status", h.status))
+	}
 	if h.version > 0 {
 		fields = append(fields, slog.Uint64("weights", h.version))
 	}
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -26,6 +26,16 @@
 	// need no time to settle; giverSpread spreads the first claims of all.
 	giverStays  = 500 * time.Millisecond
 	giverSpread = 100 * time.Millisecond
+	// giverLeaves is how long an entry that is shutting down leaves the lease to the
+	// others. It takes it if they all are: a rolling restart of all entries takes
+	// longer than weights may.
+	giverLeaves = 700 * time.Millisecond
+	// lastOrders is how long before its end such an entry gives the lease back, so
+	// that its last order has its reply.
+	lastOrders = 1200 * time.Millisecond
+	// orderDelay is how long after its note an order is given at the latest, as a
+	// rule.
+	orderDelay = 300 * time.Millisecond
 	// lastGiverFor is how long a holder counts as the last one.
 	lastGiverFor = time.Minute
 )
@@ -65,7 +75,7 @@
 	dueSince    time.Duration
 	lastGiver   string
 	lastGiverAt time.Duration
-	// foreignAt is when another holder was last heard.
+	// foreignAt is when another holder's latest order was heard of.
 	foreignAt time.Duration
 	fence     uint64
 	holds     bool
@@ -122,23 +132,16 @@
 	defer r.mu.Unlock()
 	if envelope.Lease != nil {
 		r.act(context.Background(), r.leases.Record(record.Offset+1, envelope.Lease, bootTime()))
-		// A claim that lost to another's says nothing: only who holds it may give orders.
 		if grant, held := r.leases.Table().Holder(giverLease); held {
-			r.heard(grant.Holder)
+			r.lastGiver, r.lastGiverAt = grant.Holder, r.entry.clock.now()
 		}
 		r.poke()
 		return
 	}
-	r.heard(envelope.Note.Holder)
-	r.takeNote(envelope.Note)
-}
-
-func (r *rollouts) heard(holder string) {
-	now := r.entry.clock.now()
-	r.lastGiver, r.lastGiverAt = holder, now
-	if holder != r.entry.settings.ID {
-		r.foreignAt = now
+	if n := envelope.Note; n.Phase == rollout.PhaseOrdered && n.Holder != r.entry.settings.ID {
+		r.foreignAt = r.entry.clock.now()
 	}
+	r.takeNote(envelope.Note)
 }
 
 // takeNote applies a note to what is believed of a replica.
@@ -189,7 +192,12 @@
 	if r.dueSince == 0 {
 		r.dueSince = now + r.patience(now)
 	}
-	if now < r.dueSince || r.leaving() {
+	if now < r.dueSince {
+		return true
+	}
+	if r.entry.leavesIn(lastOrders) {
+		r.lost()
+		r.act(ctx, r.leases.Drop(giverLease, bootTime()))
 		return true
 	}
 	r.act(ctx, r.leases.Want(giverLease, bootTime()))
@@ -203,7 +211,7 @@
 		r.holds, r.fence = true, fence
 		r.entry.tel.Log.Info("giving orders", "fence", fence, "foreign_heard_ms_ago", (now - r.foreignAt).Milliseconds())
 	}
-	if r.foreignAt > 0 && now-r.foreignAt < r.entry.settings.Direct.Lease.D() {
+	if r.foreignAt > 0 && now-r.foreignAt < r.entry.settings.Direct.Lease.D()+orderDelay {
 		return true
 	}
 	for model, states := range due {
@@ -212,8 +220,6 @@
 	return true
 }
 
-func (r *rollouts) leaving() bool { return r.entry.leaving() }
-
 // lost forgets what was under way when the lease ended.
 func (r *rollouts) lost() {
 	if !r.holds {
@@ -229,6 +235,9 @@
 // patience is how long to leave the lease to others.
 func (r *rollouts) patience(now time.Duration) time.Duration {
 	spread := rand.N(giverSpread)
+	if r.entry.leaving() {
+		spread += giverLeaves
+	}
 	switch {
 	case r.lastGiver == r.entry.settings.ID:
 		return 0
