--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -152,8 +152,7 @@
 	case !head.Misdirected:
 		s.replicas.Busy(p.replica.ID, now)
 	case head.Instance != "" && head.Instance != p.replica.ID:
-		// Its address belongs to another replica by now.
-		s.replicas.Unreachable(p.replica.ID, now)
+		e.replaced(p.replica, head.Instance)
 	case j.asked.Model != "":
 		s.board.Saw(p.replica.ID, j.asked.Model, p.version+1, 0)
 		s.feed.Emptied(p.replica.ID)
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -10,6 +10,7 @@
 // outage notes when the store last failed to answer the reader of replicas.
 type outage struct {
 	now      bool
+	beganAt  time.Duration
 	endedAt  time.Duration
 	happened bool
 }
@@ -25,10 +26,16 @@
 	f := newFollower(e.platform.Store, topic, e.tel.Log)
 	f.keyed, f.every = true, replicasEvery
 	out := &outage{}
-	f.failed = func() { out.now, out.happened = true, true }
+	f.failed = func() {
+		if !out.now {
+			out.now, out.happened, out.beganAt = true, true, e.clock.now()
+			e.watch.storeLost(out.beganAt)
+		}
+	}
 	f.reached = func() {
 		if out.now {
 			out.now, out.endedAt = false, e.clock.now()
+			e.watch.storeBack()
 		}
 	}
 	f.record = func(r fleet.Record) { e.takeReplica(r, out) }
--- /dev/null
+++ b/internal/direct/unheard.go
@@ -0,0 +1,132 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"skylarklead/internal/fleet"
+	"skylarklead/internal/rollout"
+)
+
+const (
+	// unheardAfter is how long the store may be silent before replicas are asked
+	// themselves: a second try has failed by then.
+	unheardAfter = 700 * time.Millisecond
+	// askEvery is the pause between questions to each replica. What they report is a
+	// few hundred milliseconds old anyway.
+	askEvery = 400 * time.Millisecond
+)
+
+// storeLost says that the store doesn't answer, storeBack that it does again.
+func (w *watch) storeLost(at time.Duration) {
+	w.mu.Lock()
+	w.lost, w.lostAt = true, at
+	w.mu.Unlock()
+}
+
+func (w *watch) storeBack() {
+	w.mu.Lock()
+	w.lost = false
+	w.mu.Unlock()
+}
+
+// unheard returns the replicas of models to ask for their state now.
+//
+// An entry that is cut off from the store hears no notes of a rollout. It would send
+// requests to replicas that load weights, or expect weights that have been replaced,
+// and each refusal takes from the budget that crashes need. So it asks.
+func (w *watch) unheard() []*fleet.Replica {
+	now := w.entry.clock.now()
+	w.mu.Lock()
+	due := w.lost && now-w.lostAt > unheardAfter && now-w.asked > askEvery
+	if due {
+		w.asked = now
+	}
+	w.mu.Unlock()
+	if !due {
+		return nil
+	}
+	s := w.entry.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var replicas []*fleet.Replica
+	for _, id := range s.replicas.IDs() {
+		if r := s.replicas.Get(id); len(r.Weights) > 0 {
+			replicas = append(replicas, r)
+		}
+	}
+	return replicas
+}
+
+// ask takes a replica's own word on its weights.
+func (w *watch) ask(ctx context.Context, r *fleet.Replica) {
+	e := w.entry
+	ctx, cancel := context.WithTimeout(ctx, askEvery)
+	defer cancel()
+	report, err := e.platform.Replicas.Report(ctx, r)
+	var other *fleet.MisdirectedError
+	switch {
+	case errors.As(err, &other):
+		e.replaced(r, other.Instance)
+	case err == nil:
+		e.takeReport(r, &report)
+	}
+}
+
+func (e *Entry) takeReport(r *fleet.Replica, report *fleet.Report) {
+	now := e.clock.now()
+	s := e.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for model, version := range report.Weights {
+		if s.board.Saw(r.ID, model, version, report.Orders) {
+			s.feed.Emptied(r.ID)
+		}
+		phase := rollout.PhaseReleased
+		if report.Busy {
+			phase = rollout.PhaseOrdered
+		}
+		s.board.Take(&rollout.Note{Replica: r.ID, Model: model, Version: version + 1, Phase: phase}, now)
+	}
+	if !report.Busy {
+		s.signal()
+	}
+}
+
+// replaced takes the word of another incarnation at a replica's address: the one
+// that was known is gone for good. The new one is asked what it is, as the list that
+// would tell may be out of reach; an address may also go to another service.
+func (e *Entry) replaced(r *fleet.Replica, instance string) {
+	go func() {
+		e.state.mu.Lock()
+		e.state.replicas.Replaced(r.ID, e.clock.now())
+		known := e.state.replicas.Get(instance) != nil
+		e.state.mu.Unlock()
+		e.tel.Log.Info("replica replaced", "replica", r.ID, "address", r.Address, "by", instance)
+		if instance == "" || known || len(r.Weights) == 0 {
+			return
+		}
+		e.adopt(r, instance)
+	}()
+}
+
+// adopt takes up a restarted replica of a model before the list tells of it, if it
+// serves the same models: their names belong to one service.
+func (e *Entry) adopt(old *fleet.Replica, instance string) {
+	ctx, cancel := context.WithTimeout(context.Background(), askEvery)
+	defer cancel()
+	fresh := *old
+	fresh.ID, fresh.Draining = instance, false
+	report, err := e.platform.Replicas.Report(ctx, &fresh)
+	if err != nil {
+		return // the list will tell
+	}
+	for model := range old.Weights {
+		if _, serves := report.Weights[model]; !serves {
+			return
+		}
+	}
+	fresh.Weights = report.Weights
+	e.putReplica(&fresh, 0)
+}
--- a/internal/direct/watch.go
+++ b/internal/direct/watch.go
@@ -39,6 +39,10 @@
 	entry *Entry
 	mu    sync.Mutex
 	under map[*exchange]struct{}
+	// lost is set while the store doesn't answer, since lostAt.
+	lost   bool
+	lostAt time.Duration
+	asked  time.Duration
 }
 
 func newWatch(e *Entry) *watch { return &watch{entry: e, under: make(map[*exchange]struct{})} }
@@ -78,6 +82,9 @@
 		for _, r := range w.due() {
 			go w.probe(ctx, r)
 		}
+		for _, r := range w.unheard() {
+			go w.ask(ctx, r)
+		}
 	}
 }
 
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "maps"
+import (
+	"maps"
+	"strconv"
+)
 
 // Replica is one incarnation of a back end, as it registered itself.
 type Replica struct {
@@ -23,6 +26,17 @@
 		r.Draining == o.Draining && maps.Equal(r.Weights, o.Weights)
 }
 
+// MisdirectedError says that another incarnation answered at a replica's address.
+type MisdirectedError struct {
+	// Instance is the one that answered, "" if it didn't say.
+	Instance string
+}
+
+// Error implements error.
+func (e *MisdirectedError) Error() string {
+	return "another incarnation answered: " + strconv.Quote(e.Instance)
+}
+
 // Report is what a replica answers when asked for its state. It is some hundred
 // milliseconds old.
 type Report struct {
--- a/internal/member/replicas.go
+++ b/internal/member/replicas.go
@@ -144,6 +144,15 @@
 	l.offset, l.lapsesAt = offset, until
 }
 
+// Replaced says that another incarnation has a replica's address: it is gone for
+// good, whatever its record says.
+func (v *Replicas) Replaced(id string, now time.Duration) {
+	if l := v.known[id]; l != nil {
+		v.gone[id] = goneRecord{offset: math.MaxUint64, at: now}
+		delete(v.known, id)
+	}
+}
+
 // Missing lists the known replicas that a full list doesn't have.
 func (v *Replicas) Missing(ids map[string]bool) []string {
 	var missing []string
