Rollout: the next replicas announced as places get free

Cause: turns planned ahead went by while streams that took four seconds in place of one held places up, so that long streams were kept off most replicas.

--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -142,6 +142,10 @@
 	}
 	j.outcome = outcomeServed
 	j.worked(p)
+	s := j.entry.state
+	s.mu.Lock()
+	s.feed.Streamed(&j.query, j.entry.clock.now()-j.began-j.first)
+	s.mu.Unlock()
 	return 0, true
 }
 
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -29,7 +29,7 @@
 	Again time.Duration
 	// GiveUp is when a replica that doesn't come out of its load frees its place.
 	GiveUp time.Duration
-	// Pace is the time between turns at one place to load.
+	// Pace is how long after its announcement a replica's turn is expected.
 	Pace time.Duration
 	// Settle is how long another holder must have been silent before the first
 	// order: replicas that don't check fencing numbers must not hear two by turns.
@@ -117,8 +117,8 @@
 	model   string
 	wanted  uint64
 	targets map[string]*target
-	// planned is the version that turns were last planned for.
-	planned uint64
+	// planned has the version that a replica was last announced to come next for.
+	planned map[string]uint64
 	// away has the replicas that didn't answer: how often in a row, and when they
 	// are tried next.
 	away map[string]absence
@@ -132,7 +132,7 @@
 
 // NewCore returns the rollout of a model by the holder named.
 func NewCore(model, holder string, p Params) *Core {
-	return &Core{params: p, holder: holder, model: model, targets: map[string]*target{}, away: map[string]absence{}}
+	return &Core{params: p, holder: holder, model: model, targets: map[string]*target{}, away: map[string]absence{}, planned: map[string]uint64{}}
 }
 
 // Want sets the version to bring the replicas to. It never goes back.
@@ -167,7 +167,7 @@
 // may or may not take place.
 func (c *Core) Stop() {
 	clear(c.targets)
-	c.planned = 0
+	clear(c.planned)
 }
 
 // Active reports whether orders are under way.
@@ -185,8 +185,9 @@
 	}
 	due := c.due(now, replicas)
 	places := c.places(replicas)
-	actions = append(actions, c.plan(due, places)...)
-	return append(actions, c.begin(now, due, places)...)
+	begun := max(0, min(places-len(c.targets), len(due)))
+	actions = append(actions, c.begin(now, due[:begun])...)
+	return append(actions, c.plan(due[begun:], places)...)
 }
 
 func (c *Core) ids() []string {
@@ -267,29 +268,28 @@
 	return due
 }
 
-// plan tells all entries, once for each version, when each replica's turn comes.
-// Streams that would outlast it then go elsewhere, so that its turn finds it with
-// little to finish; without that a replica stands idle for seconds while its last
-// stream ends.
+// plan tells all entries which replicas come next. Streams that would outlast their
+// turn then go elsewhere, so that it finds them with little to finish; without that
+// a replica stands idle for seconds while its last stream ends.
 func (c *Core) plan(due []*State, places int) []Action {
-	if c.planned >= c.wanted || len(due) == 0 {
-		return nil
-	}
-	c.planned = c.wanted
 	var actions []Action
-	for i, s := range due {
-		n := c.note(s.Replica.ID, c.wanted, PhasePlanned, 0)
-		n.AfterMs = (time.Duration(i/places) * c.params.Pace).Milliseconds()
+	for _, s := range due[:min(places, len(due))] {
+		id := s.Replica.ID
+		if c.planned[id] >= c.wanted {
+			continue
+		}
+		c.planned[id] = c.wanted
+		n := c.note(id, c.wanted, PhasePlanned, 0)
+		n.AfterMs = c.params.Pace.Milliseconds()
 		actions = append(actions, Announce{n})
 	}
 	return actions
 }
 
-// begin takes up replicas as far as places to load are free.
-func (c *Core) begin(now time.Duration, due []*State, places int) []Action {
-	free := min(places-len(c.targets), len(due))
+// begin takes replicas up.
+func (c *Core) begin(now time.Duration, due []*State) []Action {
 	var actions []Action
-	for _, s := range due[:max(0, free)] {
+	for _, s := range due {
 		c.targets[s.Replica.ID] = &target{
 			replica: s.Replica, version: c.wanted, orders: s.Orders,
 			step: stepAnnounced, since: now, started: now, next: now + c.params.NoteWait,
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -24,8 +24,9 @@
 	// Outlasts is the cost of each millisecond that a request is expected to outlast
 	// the replica's turn to load weights: the replica stands nearly idle meanwhile.
 	Outlasts float64
-	// OutputTokenMs is the expected time of an output token.
-	OutputTokenMs float64
+	// OutputTokenMs is the expected time of an output token until some were seen,
+	// Learning the weight of each stream's end in what is expected from then on.
+	OutputTokenMs, Learning float64
 	// OldWeights is what it costs to begin on weights that are to be replaced.
 	OldWeights float64
 	// Doubtful is what a replica with recent faults is set back by.
@@ -45,7 +46,7 @@
 // caches that turn over in ten seconds.
 var DefaultFeedParams = FeedParams{
 	PrefillTokensPerMs: 50, TokenMs: 2, Others: 2, HomeDoubt: 0.3,
-	Outlasts: 0.2, OutputTokenMs: 8, OldWeights: 150, Doubtful: 1000, Crossing: 3, PlainMs: 60,
+	Outlasts: 0.2, OutputTokenMs: 8, Learning: 0.05, OldWeights: 150, Doubtful: 1000, Crossing: 3, PlainMs: 60,
 	Known: 8192, KnownFor: 10 * time.Second,
 }
 
@@ -115,6 +116,8 @@
 	params FeedParams
 	loads  map[string]*feedLoad
 	held   *lru.Cache[string, map[string]time.Duration]
+	// tokenMs is the time of an output token, learnt from streams that have ended.
+	tokenMs float64
 }
 
 // NewFeed returns a feed that knows of no load.
@@ -123,7 +126,7 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &Feed{params: p, loads: map[string]*feedLoad{}, held: held}
+	return &Feed{params: p, loads: map[string]*feedLoad{}, held: held, tokenMs: p.OutputTokenMs}
 }
 
 // Pick returns the candidate with the lowest cost: what the engine has to read
@@ -224,7 +227,7 @@
 		out.Score += f.params.OldWeights
 	}
 	if c.Planned {
-		duration := float64(q.OutputTokens) * f.params.OutputTokenMs
+		duration := float64(q.OutputTokens) * f.tokenMs
 		out.Score += f.params.Outlasts * max(0, duration-float64(c.Turn.Milliseconds()))
 	}
 	if c.Doubtful {
@@ -311,6 +314,15 @@
 	}
 }
 
+// Streamed learns from a stream that took d from its first event to its end.
+func (f *Feed) Streamed(q *FeedQuery, d time.Duration) {
+	if q.OutputTokens <= 0 {
+		return
+	}
+	seen := float64(d) / float64(time.Millisecond) / float64(q.OutputTokens)
+	f.tokenMs += f.params.Learning * (seen - f.tokenMs)
+}
+
 // Emptied forgets which prefixes a replica held: it was restarted or has loaded
 // other weights.
 func (f *Feed) Emptied(id string) {
