A prefix is sent to the store of kept cache once, not with every request

Cause: with the shared parts each save carries the request's own part, which turned the store over in seconds.

--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -186,12 +186,15 @@
 	if j.query.SharedTokens < keptTokens {
 		return
 	}
-	p.keep = j.config.KeptCache()
-	if r := j.entry.state.replicas.Get(p.choice.Source); r != nil && (p.choice.SourceKnown || p.keep == "") {
+	s := j.entry.state
+	store := j.config.KeptCache()
+	if store != "" && s.feed.Keep(j.entry.clock.now(), j.query.Prefix, j.salt(p.version)) {
+		p.keep = store
+	}
+	p.source = store
+	if r := s.replicas.Get(p.choice.Source); r != nil && (p.choice.SourceKnown || store == "") {
 		p.source = r.Address
-		return
 	}
-	p.source = p.keep
 }
 
 // handOver sends the request to a replica and passes its answer on. If there is
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -39,6 +39,8 @@
 	// believed to stay.
 	Known    int
 	KnownFor time.Duration
+	// KeptFor is how long a prefix is believed to be in the store once it was sent.
+	KeptFor time.Duration
 }
 
 // DefaultFeedParams come from the engines' sheets: some 56 prompt tokens a
@@ -47,7 +49,7 @@
 var DefaultFeedParams = FeedParams{
 	PrefillTokensPerMs: 50, TokenMs: 2, Others: 2, HomeDoubt: 0.3,
 	Outlasts: 0.2, OutputTokenMs: 8, Learning: 0.05, OldWeights: 150, Doubtful: 1000, Crossing: 3, PlainMs: 60,
-	Known: 8192, KnownFor: 10 * time.Second,
+	Known: 8192, KnownFor: 10 * time.Second, KeptFor: 10 * time.Second,
 }
 
 // FeedQuery is a request as far as its place matters.
@@ -116,6 +118,8 @@
 	params FeedParams
 	loads  map[string]*feedLoad
 	held   *lru.Cache[string, map[string]time.Duration]
+	// kept has when a prefix was last sent to be kept in the store.
+	kept *lru.Cache[string, time.Duration]
 	// tokenMs is the time of an output token, learnt from streams that have ended.
 	tokenMs float64
 }
@@ -126,7 +130,11 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &Feed{params: p, loads: map[string]*feedLoad{}, held: held, tokenMs: p.OutputTokenMs}
+	kept, err := lru.New[string, time.Duration](p.Known)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return &Feed{params: p, kept: kept, loads: map[string]*feedLoad{}, held: held, tokenMs: p.OutputTokenMs}
 }
 
 // Pick returns the candidate with the lowest cost: what the engine has to read
@@ -314,6 +322,18 @@
 	}
 }
 
+// Keep reports whether a prefix, under a salt, is to be sent to the store of kept
+// cache, and notes that it is. With it goes the request's own part, which nobody
+// asks for again: sent each time, those would push all shared parts out.
+func (f *Feed) Keep(now time.Duration, prefix, salt string) bool {
+	key := salt + "|" + prefix
+	if at, ok := f.kept.Get(key); ok && now-at < f.params.KeptFor {
+		return false
+	}
+	f.kept.Add(key, now)
+	return true
+}
+
 // Streamed learns from a stream that took d from its first event to its end.
 func (f *Feed) Streamed(q *FeedQuery, d time.Duration) {
 	if q.OutputTokens <= 0 {
