Requests wait at their entry, behind a window that learns from times to begin

Cause: beyond what replicas can read, all requests queued there and all were late. Those that can still be in time go first, by priority and by what their organisation was given; the window bounds what an entry has unread at replicas.

--- /dev/null
+++ b/internal/admit/line.go
@@ -0,0 +1,148 @@
+package admit
+
+import (
+	"slices"
+	"time"
+)
+
+// Ticket is a request that waits at an entry for a place at any replica.
+type Ticket struct {
+	Organisation string
+	// Priority ranks requests, 0 first.
+	Priority int
+	// Work is what it asks of an engine, in milliseconds.
+	Work float64
+	// Arrived is when its caller sent it. OnTime is the latest start with which it
+	// still meets its objective, GiveUp the time from which waiting is pointless.
+	Arrived, OnTime, GiveUp time.Duration
+	// Value is the caller's own.
+	Value any
+
+	seq     uint64
+	waiting bool
+}
+
+// Line orders the requests that wait at an entry.
+//
+// Under a load that exceeds what replicas can do, first come first served has every
+// request wait until it is late: the queue grows to the callers' deadlines, and
+// nobody gets an answer in time although the engines work at their limit. So those
+// that can still be in time go first, by priority; those that can't any more get
+// what is left over. Within a rank the organisation that was given least goes
+// first, so that a large one's backlog is behind a small one's only request.
+type Line struct {
+	tickets []*Ticket
+	seq     uint64
+	given   map[string]*usage
+	forget  time.Duration
+}
+
+// usage is what an organisation was given lately, in milliseconds of work.
+type usage struct {
+	work float64
+	at   time.Duration
+}
+
+// usageHalfLife is how fast what an organisation was given is forgotten: some
+// seconds, the length of a burst.
+const usageHalfLife = 3 * time.Second
+
+// maxUsages bounds the organisations remembered. Those forgotten count as having
+// been given nothing.
+const maxUsages = 4096
+
+// NewLine returns an empty line.
+func NewLine() *Line { return &Line{given: make(map[string]*usage), forget: usageHalfLife} }
+
+// Len is the number of waiting tickets.
+func (l *Line) Len() int { return len(l.tickets) }
+
+// Work is what all that waits asks of the engines, in milliseconds.
+func (l *Line) Work() float64 {
+	total := 0.0
+	for _, t := range l.tickets {
+		total += t.Work
+	}
+	return total
+}
+
+// Add puts a ticket in the line.
+func (l *Line) Add(t *Ticket) {
+	l.seq++
+	t.seq, t.waiting = l.seq, true
+	l.tickets = append(l.tickets, t)
+}
+
+// Remove takes a ticket out of the line, if it is in it.
+func (l *Line) Remove(t *Ticket) {
+	if !t.waiting {
+		return
+	}
+	t.waiting = false
+	i := slices.Index(l.tickets, t)
+	l.tickets = slices.Delete(l.tickets, i, i+1)
+}
+
+// Next returns the ticket whose turn it is, nil if none waits. It stays in the line.
+func (l *Line) Next(now time.Duration) *Ticket {
+	var best *Ticket
+	for _, t := range l.tickets {
+		if best == nil || l.before(now, t, best) {
+			best = t
+		}
+	}
+	return best
+}
+
+func (l *Line) before(now time.Duration, a, b *Ticket) bool {
+	lateA, lateB := now > a.OnTime, now > b.OnTime
+	switch {
+	case lateA != lateB:
+		return lateB
+	case a.Priority != b.Priority:
+		return a.Priority < b.Priority
+	case a.Organisation != b.Organisation:
+		return l.used(a.Organisation, now) < l.used(b.Organisation, now)
+	}
+	return a.seq < b.seq
+}
+
+// Given notes that an organisation's work goes to a replica.
+func (l *Line) Given(organisation string, work float64, now time.Duration) {
+	u := l.given[organisation]
+	if u == nil {
+		if len(l.given) >= maxUsages {
+			clear(l.given)
+		}
+		u = &usage{}
+		l.given[organisation] = u
+	}
+	u.work = u.decayed(now, l.forget) + work
+	u.at = now
+}
+
+func (l *Line) used(organisation string, now time.Duration) float64 {
+	if u := l.given[organisation]; u != nil {
+		return u.decayed(now, l.forget)
+	}
+	return 0
+}
+
+func (u *usage) decayed(now, halfLife time.Duration) float64 {
+	return u.work * halves(now-u.at, halfLife)
+}
+
+// Expired takes out of the line and returns the tickets for which waiting is
+// pointless.
+func (l *Line) Expired(now time.Duration) []*Ticket {
+	var expired []*Ticket
+	for _, t := range l.tickets {
+		if now >= t.GiveUp {
+			expired = append(expired, t)
+		}
+	}
+	for _, t := range expired {
+		l.Remove(t)
+	}
+	return expired
+}
--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"skylarklead/internal/admit"
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/member"
@@ -14,14 +15,6 @@
 )
 
 const (
-	// placeWait bounds how long a request waits for a replica that may take it: the
-	// time of a load of weights or a restart that is noticed.
-	placeWait = time.Second
-	// placeAgain is how often a waiting request looks by itself, for replicas whose
-	// time out is over.
-	placeAgain = 40 * time.Millisecond
-	// waitPart is the part of the time left, as its divisor, that may go to waiting.
-	waitPart = 3
 	// connectionShare is the part of a replica's connections, as its divisor, that
 	// one entry may open. Entries can't count each other while the store is away.
 	connectionShare = 4
@@ -34,10 +27,15 @@
 	replica *fleet.Replica
 	choice  route.FeedChoice
 	version uint64
+	// at is when it was picked.
+	at time.Duration
 	// source is the address that a missing prefix is fetched from, keep the store
 	// that it is saved to; "" for none.
 	source, keep string
 	watched      *exchange
+	// window holds work of the request until it begins to be answered.
+	window *admit.Window
+	work   float64
 }
 
 // handOn places the request until it has its answer.
@@ -124,46 +122,19 @@
 	panic(http.ErrAbortHandler)
 }
 
-// place picks a replica, waiting a little for one if there is none. It returns nil
-// when none can take the request.
-func (j *job) place() *placed {
-	began := j.entry.clock.now()
-	limit := began + min(placeWait, j.left()/waitPart)
-	for {
-		p, changed := j.pick()
-		if p != nil || j.entry.clock.now() >= limit {
-			j.waited += j.entry.clock.now() - began
-			return p
-		}
-		timer := time.NewTimer(placeAgain)
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-j.ctx.Done():
-			timer.Stop()
-			return nil
-		}
-		timer.Stop()
-	}
-}
-
-// pick picks a replica now. If there is none it returns what is closed when that
-// may have changed.
-func (j *job) pick() (*placed, <-chan struct{}) {
+// pick picks a replica now, nil if there is none. The caller holds the state's lock.
+func (j *job) pick(now time.Duration) *placed {
 	s := j.entry.state
-	now := j.entry.clock.now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	j.query.Wanted = s.wanted(j.asked.Model)
 	candidates := s.candidates(j.service, j.asked.Model, now)
 	choice, ok := s.feed.Pick(now, &j.query, candidates)
 	if !ok {
 		// Replicas that refused it once may take it now.
 		j.query.Exclude = nil
-		return nil, s.changed
+		return nil
 	}
 	s.feed.Placed(now, &j.query, &choice)
-	p := &placed{replica: s.replicas.Get(choice.ID), choice: choice}
+	p := &placed{replica: s.replicas.Get(choice.ID), choice: choice, at: now}
 	if j.asked.Model != "" {
 		p.version = s.board.Version(choice.ID, j.asked.Model)
 	}
@@ -173,7 +144,7 @@
 		missed: choice.Missed, of: choice.Of, version: p.version,
 		recordMs: s.replicas.RecordAge(choice.ID, now).Milliseconds(),
 	})
-	return p, nil
+	return p
 }
 
 // keptTokens is the shared length from which on a prefix is kept in the store: below
@@ -208,6 +179,7 @@
 		h.took = e.clock.now() - began
 		e.state.mu.Lock()
 		e.state.feed.Ended(&j.query, &p.choice, !startedFirst && j.first > 0)
+		p.done()
 		e.state.mu.Unlock()
 	}()
 	j.forward.Placed()
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -29,6 +29,7 @@
 	feed     *route.Feed
 	demands  map[string]*rollout.Demand // of each model
 	budgets  map[string]*attempt.Budget
+	gates    map[string]*gate
 	// listed is set once the list of replicas was read whole.
 	listed bool
 	// changed is closed, and replaced, when more replicas may be usable.
@@ -43,6 +44,7 @@
 		feed:     route.NewFeed(route.DefaultFeedParams),
 		demands:  make(map[string]*rollout.Demand),
 		budgets:  make(map[string]*attempt.Budget),
+		gates:    make(map[string]*gate),
 		changed:  make(chan struct{}),
 		budget:   budget,
 	}
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -129,6 +129,12 @@
 	s := j.entry.state
 	s.mu.Lock()
 	s.feed.Began(&j.query, &p.choice)
+	now := j.entry.clock.now()
+	if p.window != nil {
+		p.window.Began(p.work, now-p.at, j.route.Objective, now)
+	}
+	p.done()
+	s.dispatch(s.gateOf(j.service), now)
 	s.mu.Unlock()
 }
 
--- a/internal/direct/watch.go
+++ b/internal/direct/watch.go
@@ -11,7 +11,7 @@
 
 const (
 	// watchEvery is the pause between looks at what is under way.
-	watchEvery = 100 * time.Millisecond
+	watchEvery = 50 * time.Millisecond
 	// silentAfter is how long a replica may send nothing to a request before a
 	// connection to it is tried. Nine of ten answers begin within it, and pauses
 	// between a stream's events are a tenth of it.
@@ -79,6 +79,9 @@
 			return
 		case <-tick.C:
 		}
+		w.entry.state.mu.Lock()
+		w.entry.state.dispatchAll(w.entry.clock.now())
+		w.entry.state.mu.Unlock()
 		for _, r := range w.due() {
 			go w.probe(ctx, r)
 		}
