Feed: waits that requests meet at a replica count as its load

An entry hears nothing of what others send; how much later than its own reading explains a request begins tells.

--- a/internal/admit/window.go
+++ b/internal/admit/window.go
@@ -24,7 +24,7 @@
 // DefaultWindowParams allow some hundred milliseconds of reading at each of a dozen
 // replicas at the start, and give a third of the objective to variation.
 var DefaultWindowParams = WindowParams{
-	Start: 2000, Min: 100, Max: 20000, Target: 0.65, Grow: 0.5, Shrink: 0.85, ShrinkEvery: 150 * time.Millisecond,
+	Start: 2000, Min: 100, Max: 20000, Target: 0.7, Grow: 0.5, Shrink: 0.85, ShrinkEvery: 150 * time.Millisecond,
 }
 
 // Window bounds the work that one entry has at the replicas of a service before its
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -234,7 +234,7 @@
 		e.state.mu.Lock()
 		removed := e.state.replicas.Tick(now)
 		for _, id := range removed {
-			e.state.board.Gone(id)
+			e.state.forget(id)
 		}
 		gone := make(map[string]bool)
 		e.state.mu.Unlock()
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -108,7 +108,7 @@
 		e.state.replicas.Lapse(id, offset, now+afterOutage)
 	} else {
 		removed = e.state.replicas.Remove(id, offset, now)
-		e.state.board.Gone(id)
+		e.state.forget(id)
 	}
 	e.state.mu.Unlock()
 	switch {
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -77,6 +77,12 @@
 	return s.listed
 }
 
+// forget drops what is known of a replica that is gone. The caller holds mu.
+func (s *state) forget(id string) {
+	s.board.Gone(id)
+	s.feed.Gone(id)
+}
+
 // wanted is the version of a model's weights to use, 0 if none was named. The
 // caller holds mu.
 func (s *state) wanted(model string) uint64 {
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -128,10 +128,11 @@
 	j.w.WriteHeader(x.Status)
 	s := j.entry.state
 	s.mu.Lock()
-	s.feed.Began(&j.query, &p.choice)
 	now := j.entry.clock.now()
+	s.feed.Began(now, &j.query, &p.choice, now-p.at)
 	if p.window != nil {
-		p.window.Began(p.work, now-p.at, j.route.Objective, now)
+		own := s.feed.OwnTime(&j.query, &p.choice)
+		p.window.Began(p.work, now-p.at-own, j.route.Objective-own, now)
 	}
 	p.done()
 	s.dispatch(s.gateOf(j.service), now)
--- a/internal/direct/unheard.go
+++ b/internal/direct/unheard.go
@@ -101,6 +101,7 @@
 	go func() {
 		e.state.mu.Lock()
 		e.state.replicas.Replaced(r.ID, e.clock.now())
+		e.state.forget(r.ID)
 		known := e.state.replicas.Get(instance) != nil
 		e.state.mu.Unlock()
 		e.tel.Log.Info("replica replaced", "replica", r.ID, "address", r.Address, "by", instance)
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -18,6 +19,10 @@
 	// Others is the load of other entries for each unit of one's own: they see the
 	// same mix and pick by the same rules, but what they place is not heard of.
 	Others float64
+	// LagHalfLife is how fast the waits that requests met at a replica are forgotten,
+	// LagLearning the weight of the latest.
+	LagHalfLife time.Duration
+	LagLearning float64
 	// HomeDoubt is the part of a shared prefix that is expected to be missing at its
 	// home when this entry has not sent it there.
 	HomeDoubt float64
@@ -48,6 +53,7 @@
 // caches that turn over in ten seconds.
 var DefaultFeedParams = FeedParams{
 	PrefillTokensPerMs: 50, TokenMs: 2, Others: 2, HomeDoubt: 0.3,
+	LagHalfLife: 400 * time.Millisecond, LagLearning: 0.4,
 	Outlasts: 0.2, OutputTokenMs: 8, Learning: 0.05, OldWeights: 150, Doubtful: 1000, Crossing: 3, PlainMs: 60,
 	Known: 8192, KnownFor: 10 * time.Second, KeptFor: 10 * time.Second,
 }
@@ -110,6 +116,10 @@
 type feedLoad struct {
 	reading float64 // ms of prompts being read
 	running int
+	// lag is by how much, in ms, a request lately began later than its own reading
+	// explains, as of lagAt.
+	lag   float64
+	lagAt time.Duration
 }
 
 // Feed picks replicas for an entry that hands requests to them itself. It knows
@@ -225,7 +235,7 @@
 
 func (f *Feed) cost(now time.Duration, q *FeedQuery, c *FeedCandidate, home bool) FeedChoice {
 	out := FeedChoice{ID: c.ID, Reason: feedLeast}
-	out.Load = f.load(c)
+	out.Load = f.load(now, c)
 	out.Score = out.Load
 	if q.Prefix != "" {
 		out.Missed, out.Reason = f.missing(now, q, c.ID, home)
@@ -248,7 +258,7 @@
 }
 
 // load is the expected wait at a replica.
-func (f *Feed) load(c *FeedCandidate) float64 {
+func (f *Feed) load(now time.Duration, c *FeedCandidate) float64 {
 	l := f.loads[c.ID]
 	if l == nil {
 		return 0
@@ -257,7 +267,16 @@
 	if !c.Engine {
 		return float64(l.running) * others * f.params.PlainMs / float64(max(1, c.Slots))
 	}
-	return others * (l.reading + float64(l.running)*f.params.TokenMs)
+	return others*(l.reading+float64(l.running)*f.params.TokenMs) + f.lag(l, now)
+}
+
+// lag is the wait that the others' load explains: this entry hears nothing of it
+// but how long its own requests wait.
+func (f *Feed) lag(l *feedLoad, now time.Duration) float64 {
+	if l.lag == 0 {
+		return 0
+	}
+	return l.lag * math.Exp2(-float64(now-l.lagAt)/float64(f.params.LagHalfLife))
 }
 
 // missing is how many tokens of the shared prefix a replica is expected to read
@@ -300,8 +319,27 @@
 	return float64(max(0, fresh)) / f.params.PrefillTokensPerMs
 }
 
-// Began notes that a request's prompt has been read.
-func (f *Feed) Began(q *FeedQuery, choice *FeedChoice) {
+// OwnTime is how long a replica with nothing else to do takes to read what it is
+// expected to lack of a request's prompt.
+func (f *Feed) OwnTime(q *FeedQuery, choice *FeedChoice) time.Duration {
+	return time.Duration(f.reading(q, choice) * float64(time.Millisecond))
+}
+
+// Began notes that a request's prompt has been read, in the time that it took since
+// it was placed.
+func (f *Feed) Began(now time.Duration, q *FeedQuery, choice *FeedChoice, took time.Duration) {
+	l := f.loads[choice.ID]
+	if l == nil {
+		return
+	}
+	f.read(q, choice)
+	waited := float64(took-f.OwnTime(q, choice)) / float64(time.Millisecond)
+	before := f.lag(l, now)
+	l.lag = before + f.params.LagLearning*(max(0, waited)-before)
+	l.lagAt = now
+}
+
+func (f *Feed) read(q *FeedQuery, choice *FeedChoice) {
 	if l := f.loads[choice.ID]; l != nil {
 		l.reading = max(0, l.reading-f.reading(q, choice))
 	}
@@ -315,11 +353,9 @@
 		return
 	}
 	if !began {
-		f.Began(q, choice)
-	}
-	if l.running--; l.running <= 0 {
-		delete(f.loads, choice.ID)
+		f.read(q, choice)
 	}
+	l.running--
 }
 
 // Keep reports whether a prefix, under a salt, is to be sent to the store of kept
@@ -343,6 +379,9 @@
 	f.tokenMs += f.params.Learning * (seen - f.tokenMs)
 }
 
+// Gone forgets a replica.
+func (f *Feed) Gone(id string) { delete(f.loads, id) }
+
 // Emptied forgets which prefixes a replica held: it was restarted or has loaded
 // other weights.
 func (f *Feed) Emptied(id string) {
