--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -25,11 +25,6 @@
 	configurationWait = 700 * time.Millisecond
 	// sweepEvery is the pause between looks at idle connections and lapsed replicas.
 	sweepEvery = 250 * time.Millisecond
-	// lastConnections is how long new connections are still taken after SIGTERM: the
-	// platform asks once a second and turns away after the second miss.
-	lastConnections = 2500 * time.Millisecond
-	// stopMargin is kept free of the time until the process is killed.
-	stopMargin = 500 * time.Millisecond
 	// bodyShare is the part of the memory, as its divisor, that callers' bodies may
 	// take.
 	bodyShare = 4
@@ -61,9 +56,7 @@
 	watch    *watch
 	bodies   *semaphore.Weighted
 	bodyRoom int64
-	draining chan struct{}
-	// ends is when a draining entry ends; it is set before draining is closed.
-	ends time.Time
+	drain    *drain
 }
 
 // Run serves callers until ctx ends, then drains and returns.
@@ -97,7 +90,7 @@
 		pool:     upstream.NewPool(),
 		bodies:   semaphore.NewWeighted(room),
 		bodyRoom: room,
-		draining: make(chan struct{}),
+		drain:    newDrain(),
 	}
 	e.rollouts = newRollouts(e)
 	e.watch = newWatch(e)
@@ -119,7 +112,7 @@
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
-		e.drain(server)
+		e.shutDown(server)
 	}
 	stop()
 	loops.Wait()
@@ -188,36 +181,7 @@
 }
 
 func (e *Entry) ready() bool {
-	select {
-	case <-e.draining:
-		return false
-	default:
-		return e.state.ready()
-	}
-}
-
-// drain ends the server without cutting a request: it says that it isn't ready,
-// still serves what comes until the platform has turned away, and waits for the
-// last answer as long as the platform lets it.
-func (e *Entry) drain(server *http.Server) {
-	began := time.Now()
-	e.ends = began.Add(e.settings.Direct.Grace.D() - stopMargin)
-	close(e.draining)
-	e.tel.Log.Info("draining", "grace_ms", e.settings.Direct.Grace.D().Milliseconds())
-	grace := e.settings.Direct.Grace.D()
-	time.Sleep(min(lastConnections, grace/3))
-	ctx, cancel := context.WithDeadline(context.Background(), e.ends)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		e.tel.Log.Warn("requests cut at the end of the grace", "error", err)
-		server.Close()
-	}
-	e.tel.Log.Info("drained", "took_ms", time.Since(began).Milliseconds())
-}
-
-// leavesIn reports whether the entry is draining and ends within d.
-func (e *Entry) leavesIn(d time.Duration) bool {
-	return e.leaving() && time.Until(e.ends) < d
+	return !e.leaving() && e.state.ready()
 }
 
 // sweep closes connections that are no longer of use and ends lapsed replicas.
--- a/internal/direct/gate.go
+++ b/internal/direct/gate.go
@@ -140,6 +140,9 @@
 		GiveUp:   now + time.Duration(float64(j.left())/waitShare),
 		Value:    j,
 	}
+	if began, _ := j.entry.drain.state(); !began.IsZero() && time.Since(began) > anyRequest {
+		t.GiveUp = min(t.GiveUp, now+drainWait)
+	}
 	if j.organisation != nil {
 		t.Organisation = j.organisation.Name
 	}
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -195,7 +195,7 @@
 	if now < r.dueSince {
 		return true
 	}
-	if r.entry.leavesIn(lastOrders) {
+	if r.entry.drain.endsWithin(lastOrders) {
 		r.lost()
 		r.act(ctx, r.leases.Drop(giverLease, bootTime()))
 		return true
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -44,6 +44,8 @@
 	if e.leaving() {
 		w.Header().Set("Connection", "close")
 	}
+	e.drain.enter()
+	defer e.drain.leave()
 	if !j.admit() {
 		return
 	}
@@ -55,15 +57,6 @@
 	j.run()
 }
 
-func (e *Entry) leaving() bool {
-	select {
-	case <-e.draining:
-		return true
-	default:
-		return false
-	}
-}
-
 // admit decides whether the request may be served at all.
 func (j *job) admit() bool {
 	e := j.entry
@@ -87,6 +80,9 @@
 		}
 	}
 	j.service = j.config.Services[j.pickService()]
+	if !j.endsInTime() {
+		return j.refuse("this entry is shutting down", comeBack)
+	}
 	j.bound()
 	return true
 }
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -245,8 +245,8 @@
 		out.Score += f.params.OldWeights
 	}
 	if c.Planned {
-		duration := float64(q.OutputTokens) * f.tokenMs
-		out.Score += f.params.Outlasts * max(0, duration-float64(c.Turn.Milliseconds()))
+		over := f.StreamTime(q) - c.Turn
+		out.Score += f.params.Outlasts * max(0, float64(over.Milliseconds()))
 	}
 	if c.Doubtful {
 		out.Score += f.params.Doubtful
@@ -370,6 +370,11 @@
 	return true
 }
 
+// StreamTime is how long a request's output is expected to take.
+func (f *Feed) StreamTime(q *FeedQuery) time.Duration {
+	return time.Duration(float64(q.OutputTokens) * f.tokenMs * float64(time.Millisecond))
+}
+
 // Streamed learns from a stream that took d from its first event to its end.
 func (f *Feed) Streamed(q *FeedQuery, d time.Duration) {
 	if q.OutputTokens <= 0 {
