Entries tell each other their loads

Cause: each entry placed requests by what it had at replicas itself; with 25 of them that says nothing, and requests queued at some replicas while others stood idle. They now exchange it over UDP twenty times a second.

--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -54,6 +54,7 @@
 	pool     *upstream.Pool
 	rollouts *rollouts
 	watch    *watch
+	peers    *peers
 	bodies   *semaphore.Weighted
 	bodyRoom int64
 	drain    *drain
@@ -70,6 +71,9 @@
 	if err != nil {
 		return fmt.Errorf("direct: readiness: %w", err)
 	}
+	if e.peers, err = newPeers(e); err != nil {
+		return err
+	}
 	return e.run(ctx, front, ready)
 }
 
@@ -100,7 +104,7 @@
 func (e *Entry) run(ctx context.Context, front, ready net.Listener) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep, e.watch.run} {
+	for _, loop := range []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep, e.watch.run, e.peers.run} {
 		loops.Go(func() { loop(background) })
 	}
 	readiness := e.serveReady(ready)
--- /dev/null
+++ b/internal/direct/peers.go
@@ -0,0 +1,218 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"skylarklead/internal/fleet"
+	"skylarklead/internal/route"
+	"skylarklead/internal/strictcbor"
+	"skylarklead/internal/wait"
+)
+
+const (
+	// topicPeers has a record for each entry: where the others reach it.
+	topicPeers = "keyed.skylark.peers"
+	// wordEvery is the pause between words to each peer: a fraction of the time that
+	// a prompt takes to be read. With many peers it grows, so that an entry sends no
+	// more than wordsPerSecond.
+	wordEvery      = 50 * time.Millisecond
+	wordsPerSecond = 200
+	// peerFresh is how long a peer's word counts.
+	peerFresh = 500 * time.Millisecond
+	// peerForgotten is when a silent peer's word is dropped.
+	peerForgotten = 10 * time.Second
+	// peersWait is how long a read for new peers waits.
+	peersWait = 10 * time.Second
+	// maxWord bounds a word, in bytes: what a datagram carries without fragments.
+	maxWord = 1400
+	// maxWordLoads bounds the replicas in a word so that it fits.
+	maxWordLoads = 48
+	// helloPause is the pause between tries to tell the others where this entry is.
+	helloPause = time.Second
+)
+
+// word is what an entry tells its peers.
+type word struct {
+	From  string     `cbor:"1,keyasint"`
+	Epoch uint64     `cbor:"2,keyasint"`
+	Seq   uint64     `cbor:"3,keyasint"`
+	Loads []wordLoad `cbor:"4,keyasint,omitempty"`
+}
+
+type wordLoad struct {
+	_         struct{} `cbor:",toarray"`
+	Replica   string
+	ReadingMs uint32
+	Running   uint32
+}
+
+var wordMode = strictcbor.Decoder(strictcbor.Bounds{MapPairs: 16})
+
+// peers exchanges loads with the other entries over UDP. A lost word costs nothing:
+// the next one says all again.
+type peers struct {
+	entry *Entry
+	conn  *net.UDPConn
+
+	mu    sync.Mutex
+	known map[string]netip.AddrPort
+	seq   uint64
+}
+
+func newPeers(e *Entry) (*peers, error) {
+	address, err := net.ResolveUDPAddr("udp4", e.settings.Direct.Peers)
+	if err != nil {
+		return nil, fmt.Errorf("direct: peers: %w", err)
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("direct: peers: %w", err)
+	}
+	return &peers{entry: e, conn: conn, known: make(map[string]netip.AddrPort)}, nil
+}
+
+// follow keeps the list of the other entries.
+func (p *peers) follow(ctx context.Context) {
+	f := newFollower(p.entry.platform.Store, topicPeers, p.entry.tel.Log)
+	f.keyed, f.wait = true, peersWait
+	f.record = p.take
+	f.whole = func(page fleet.Page) {
+		for _, r := range page.Records {
+			p.take(r)
+		}
+	}
+	f.run(ctx)
+}
+
+func (p *peers) take(r fleet.Record) {
+	if r.Key == p.entry.settings.ID {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.Value == nil {
+		delete(p.known, r.Key)
+		p.entry.tel.Log.Info("peer gone", "peer", r.Key, "offset", r.Offset)
+		return
+	}
+	address, err := netip.ParseAddrPort(string(r.Value))
+	if err != nil {
+		p.entry.tel.Log.Error("peer's record skipped", "peer", r.Key, "offset", r.Offset, "error", err)
+		return
+	}
+	p.known[r.Key] = address
+	p.entry.tel.Log.Info("peer listed", "peer", r.Key, "address", address.String(), "offset", r.Offset)
+}
+
+// hello tells the others where this entry is, until it is written.
+func (p *peers) hello(ctx context.Context) {
+	e := p.entry
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := e.platform.Store.Put(callCtx, topicPeers, e.settings.ID, []byte(e.settings.Direct.Peers))
+		cancel()
+		if err == nil {
+			return
+		}
+		e.tel.Log.Warn("address not told to peers", "error", err)
+		_ = wait.For(ctx, helloPause) // the loop looks at ctx next
+	}
+}
+
+// speak sends this entry's loads to the others until ctx ends.
+func (p *peers) speak(ctx context.Context) {
+	for wait.For(ctx, p.pause()) == nil {
+		data := p.word()
+		for _, address := range p.addresses() {
+			// A peer that can't be reached is no news here.
+			_, _ = p.conn.WriteToUDPAddrPort(data, address)
+		}
+	}
+}
+
+func (p *peers) addresses() []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]netip.AddrPort, 0, len(p.known))
+	for _, a := range p.known {
+		list = append(list, a)
+	}
+	return list
+}
+
+func (p *peers) pause() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(wordEvery, time.Duration(len(p.known))*time.Second/wordsPerSecond)
+}
+
+func (p *peers) word() []byte {
+	s := p.entry.state
+	s.mu.Lock()
+	loads := s.feed.Loads()
+	s.mu.Unlock()
+	p.seq++
+	w := word{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), Seq: p.seq}
+	for id, l := range loads {
+		if len(w.Loads) == maxWordLoads {
+			break
+		}
+		w.Loads = append(w.Loads, wordLoad{Replica: id, ReadingMs: uint32(l.Reading), Running: uint32(l.Running)})
+	}
+	data, err := cbor.Marshal(w)
+	if err != nil {
+		panic(err) // a word is made of plain values
+	}
+	return data
+}
+
+// listen takes the others' words until the socket is closed.
+func (p *peers) listen() {
+	buffer := make([]byte, maxWord)
+	for {
+		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an answer that a peer's port is closed
+		}
+		p.heard(buffer[:n])
+	}
+}
+
+func (p *peers) heard(data []byte) {
+	e := p.entry
+	var w word
+	if err := wordMode.Unmarshal(data, &w); err != nil || w.From == "" {
+		e.tel.Metrics.Count("peer_words_malformed", 1)
+		return
+	}
+	loads := make(map[string]route.Load, len(w.Loads))
+	for _, l := range w.Loads {
+		loads[l.Replica] = route.Load{Reading: float64(l.ReadingMs), Running: int(l.Running)}
+	}
+	e.state.mu.Lock()
+	e.state.feed.Heard(w.From, w.Epoch, w.Seq, loads, e.clock.now())
+	e.state.mu.Unlock()
+}
+
+// run exchanges loads until ctx ends.
+func (p *peers) run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
+	defer stop()
+	var loops sync.WaitGroup
+	for _, loop := range []func(context.Context){p.follow, p.hello, p.speak} {
+		loops.Go(func() { loop(ctx) })
+	}
+	p.listen()
+	loops.Wait()
+}
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -41,6 +41,9 @@
 	Newest(ctx context.Context, topic string) (Page, error)
 	// Read returns the records from an offset on; with none there it waits for one.
 	Read(ctx context.Context, topic string, from uint64, wait time.Duration) (Page, error)
+	// Put writes the newest record of a key of a keyed topic; without a value the key
+	// is dropped.
+	Put(ctx context.Context, topic, key string, value []byte) error
 	// Append puts records on a topic, all or none, and returns the first one's
 	// offset. With at set it has an effect only if the topic ends there.
 	Append(ctx context.Context, topic string, at *uint64, records [][]byte) (uint64, error)
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -19,6 +19,9 @@
 	// Others is the load of other entries for each unit of one's own: they see the
 	// same mix and pick by the same rules, but what they place is not heard of.
 	Others float64
+	// PeerFresh is how long another entry's word on its loads counts. While none was
+	// heard, Others stands in.
+	PeerFresh time.Duration
 	// LagHalfLife is how fast the waits that requests met at a replica are forgotten,
 	// LagLearning the weight of the latest.
 	LagHalfLife time.Duration
@@ -53,7 +56,7 @@
 // caches that turn over in ten seconds.
 var DefaultFeedParams = FeedParams{
 	PrefillTokensPerMs: 50, TokenMs: 2, Others: 2, HomeDoubt: 0.3,
-	LagHalfLife: 400 * time.Millisecond, LagLearning: 0.4,
+	PeerFresh: 500 * time.Millisecond, LagHalfLife: 400 * time.Millisecond, LagLearning: 0.4,
 	Outlasts: 0.2, OutputTokenMs: 8, Learning: 0.05, OldWeights: 150, Doubtful: 1000, Crossing: 3, PlainMs: 60,
 	Known: 8192, KnownFor: 10 * time.Second, KeptFor: 10 * time.Second,
 }
@@ -127,6 +130,7 @@
 type Feed struct {
 	params FeedParams
 	loads  map[string]*feedLoad
+	peers  *Peers
 	held   *lru.Cache[string, map[string]time.Duration]
 	// kept has when a prefix was last sent to be kept in the store.
 	kept *lru.Cache[string, time.Duration]
@@ -144,7 +148,7 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &Feed{params: p, kept: kept, loads: map[string]*feedLoad{}, held: held, tokenMs: p.OutputTokenMs}
+	return &Feed{params: p, peers: NewPeers(p.PeerFresh), kept: kept, loads: map[string]*feedLoad{}, held: held, tokenMs: p.OutputTokenMs}
 }
 
 // Pick returns the candidate with the lowest cost: what the engine has to read
@@ -259,15 +263,45 @@
 
 // load is the expected wait at a replica.
 func (f *Feed) load(now time.Duration, c *FeedCandidate) float64 {
-	l := f.loads[c.ID]
-	if l == nil {
-		return 0
+	sum, lag := f.total(now, c.ID), 0.0
+	if l := f.loads[c.ID]; l != nil {
+		lag = f.lag(l, now)
 	}
-	others := 1 + f.params.Others
 	if !c.Engine {
-		return float64(l.running) * others * f.params.PlainMs / float64(max(1, c.Slots))
+		return float64(sum.Running) * f.params.PlainMs / float64(max(1, c.Slots))
+	}
+	return sum.Reading + float64(sum.Running)*f.params.TokenMs + lag
+}
+
+// total is what this entry and its peers have at a replica. Where none is heard the
+// others are taken to have as much there as this one, each.
+func (f *Feed) total(now time.Duration, id string) Load {
+	var own Load
+	if l := f.loads[id]; l != nil {
+		own = Load{Reading: l.reading, Running: l.running}
+	}
+	if f.peers.Heard(now) == 0 {
+		others := 1 + f.params.Others
+		return Load{Reading: own.Reading * others, Running: int(float64(own.Running) * others)}
 	}
-	return others*(l.reading+float64(l.running)*f.params.TokenMs) + f.lag(l, now)
+	sum := f.peers.Load(id, now)
+	return Load{Reading: own.Reading + sum.Reading, Running: own.Running + sum.Running}
+}
+
+// Loads is what this entry has at each replica, for its peers.
+func (f *Feed) Loads() map[string]Load {
+	loads := make(map[string]Load, len(f.loads))
+	for id, l := range f.loads {
+		if l.running > 0 {
+			loads[id] = Load{Reading: l.reading, Running: l.running}
+		}
+	}
+	return loads
+}
+
+// Heard takes another entry's word on its loads.
+func (f *Feed) Heard(peer string, epoch, seq uint64, loads map[string]Load, now time.Duration) {
+	f.peers.Take(peer, epoch, seq, loads, now)
 }
 
 // lag is the wait that the others' load explains: this entry hears nothing of it
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -14,6 +14,8 @@
 	// whether new connections may come.
 	Listen string `json:"listen"`
 	Ready  string `json:"ready"`
+	// Peers is "ip:port", over UDP, for the other direct entries.
+	Peers string `json:"peers"`
 	// Store is "ip:port" of the platform's store.
 	Store string `json:"store"`
 	// Grace is the time from SIGTERM until the process is killed.
@@ -65,6 +67,7 @@
 	}
 	c.listen("direct.listen", d.Listen)
 	c.listen("direct.ready", d.Ready)
+	c.address("direct.peers", d.Peers)
 	c.address("direct.store", d.Store)
 	c.positive("direct.grace", d.Grace)
 	c.positive("direct.retry_window", d.RetryWindow)
