The load of a replica bounds what is sent there

With the others' loads known, a request waits at its entry while every replica has more unread work than two fifths of its objective; the window that learns stays for an entry that hears nobody.

--- a/internal/direct/gate.go
+++ b/internal/direct/gate.go
@@ -47,7 +47,7 @@
 func (s *state) dispatch(g *gate, now time.Duration) {
 	for {
 		t := g.line.Next(now)
-		if t == nil || g.window != nil && !g.window.Open(t.Work) {
+		if t == nil || g.window != nil && !s.feed.Informed(now) && !g.window.Open(t.Work) {
 			return
 		}
 		j := t.Value.(*job)
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -22,6 +22,8 @@
 	unknownBody = 256 << 10
 	// defaultDeadline bounds a request of which neither caller nor route says more.
 	defaultDeadline = 30 * time.Second
+	// loadShare is the part of its objective that a request may wait at a replica.
+	loadShare = 0.4
 	// comeBack is when a refused caller is told to return: after a load of weights
 	// or a restart has made a place free.
 	comeBack = 300 * time.Millisecond
@@ -203,6 +205,9 @@
 		OutputTokens:  j.asked.OutputTokens,
 		FailureDomain: j.entry.settings.FailureDomain,
 	}
+	if j.service.Engine != nil {
+		q.MaxLoad = loadShare * float64(j.route.Objective.Milliseconds())
+	}
 	if j.asked.ExpectedOutput > 0 {
 		q.OutputTokens = min(q.OutputTokens, j.asked.ExpectedOutput)
 	}
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -74,6 +74,9 @@
 	FailureDomain string
 	// Wanted is the version of the weights to use if there is a choice, 0 for any.
 	Wanted uint64
+	// MaxLoad is the wait, in milliseconds, beyond which a replica isn't picked while
+	// the others' loads are known; 0 is no bound.
+	MaxLoad float64
 	// Exclude names replicas that have had the request.
 	Exclude []string
 }
@@ -157,12 +160,16 @@
 func (f *Feed) Pick(now time.Duration, q *FeedQuery, candidates []FeedCandidate) (FeedChoice, bool) {
 	home := f.home(q, candidates)
 	best, found := FeedChoice{Of: len(candidates)}, false
+	bounded := q.MaxLoad > 0 && f.Informed(now)
 	for i := range candidates {
 		c := &candidates[i]
 		if excluded(q.Exclude, c.ID) {
 			continue
 		}
 		choice := f.cost(now, q, c, c.ID == home)
+		if bounded && choice.Load > q.MaxLoad {
+			continue
+		}
 		if !found || choice.Score < best.Score {
 			choice.Of = len(candidates)
 			best, found = choice, true
@@ -273,6 +280,9 @@
 	return sum.Reading + float64(sum.Running)*f.params.TokenMs + lag
 }
 
+// Informed reports whether the others' loads are known.
+func (f *Feed) Informed(now time.Duration) bool { return f.peers.Heard(now) > 0 }
+
 // total is what this entry and its peers have at a replica. Where none is heard the
 // others are taken to have as much there as this one, each.
 func (f *Feed) total(now time.Duration, id string) Load {
