--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -8,7 +8,6 @@
 
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/platform"
-	"skylarklead/internal/wait"
 )
 
 const (
@@ -20,13 +19,15 @@
 	maxPause = 400 * time.Millisecond
 	// operatorWait is how long a read for the operator's changes waits. A connection
 	// that has gone silent is noticed at its end.
-	operatorWait = 1500 * time.Millisecond
-	// replicasEvery is the pause between reads of the replicas' records, of which
-	// there are always new ones. A leaving replica must be left alone two seconds
-	// after its word.
-	replicasEvery = 500 * time.Millisecond
-	// entriesWait is like operatorWait for the entries' own topic.
-	entriesWait = 1500 * time.Millisecond
+	operatorWait = 2 * time.Second
+	// replicasShare is the pause between reads of the replicas' records, of which
+	// there are always new ones, as a part of the time in which a leaving replica must
+	// be left alone: reading, and what is on its way, take some of the rest.
+	replicasShare = 0.35
+	// entriesEvery is the pause between reads of the entries' own topic. Notes come
+	// from peers at once, and are read there if a datagram was lost; what an entry
+	// appends itself it reads back at once.
+	entriesEvery = 1200 * time.Millisecond
 	// afterOutage is how long a replica that fell off the list in an outage may take
 	// to come back: about two seconds of its first chance.
 	afterOutage = 2 * time.Second
@@ -53,6 +54,8 @@
 	next  uint64
 	// known is set once all keys were read, begun once they were for the first time.
 	known, begun bool
+	// poke cuts a pause between reads short; nil for none.
+	poke <-chan struct{}
 	// reached is called after each answer, failed after each call without one.
 	reached func()
 	failed  func()
@@ -119,12 +122,24 @@
 		f.caughtUp()
 	}
 	f.pacer.Answered(ctx, len(page.Records), f.wait, time.Since(began))
-	if f.every > 0 {
-		_ = wait.For(ctx, f.every) // the loop looks at ctx next
-	}
+	f.rest(ctx)
 	return nil
 }
 
+// rest pauses between reads.
+func (f *follower) rest(ctx context.Context) {
+	if f.every <= 0 {
+		return
+	}
+	timer := time.NewTimer(f.every)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.poke:
+	}
+}
+
 func (f *follower) read(ctx context.Context) (fleet.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.wait+callTimeout)
 	defer cancel()
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/rollout"
 	"skylarklead/internal/route"
 	"skylarklead/internal/strictcbor"
 	"skylarklead/internal/wait"
@@ -35,6 +37,11 @@
 	maxWord = 1400
 	// maxWordLoads bounds the replicas in a word so that it fits.
 	maxWordLoads = 48
+	// maxWordNotes bounds the notes in a word likewise.
+	maxWordNotes = 12
+	// peersEvery is the least pause between reads for new peers: at a start all of
+	// them are new.
+	peersEvery = time.Second
 	// helloPause is the pause between tries to tell the others where this entry is.
 	helloPause = time.Second
 )
@@ -45,6 +52,8 @@
 	Epoch uint64     `cbor:"2,keyasint"`
 	Seq   uint64     `cbor:"3,keyasint"`
 	Loads []wordLoad `cbor:"4,keyasint,omitempty"`
+	// Notes are of a rollout; a word with them has no loads, and Seq is 0.
+	Notes []rollout.Note `cbor:"5,keyasint,omitempty"`
 }
 
 type wordLoad struct {
@@ -82,7 +91,7 @@
 // follow keeps the list of the other entries.
 func (p *peers) follow(ctx context.Context) {
 	f := newFollower(p.entry.platform.Store, topicPeers, p.entry.tel.Log)
-	f.keyed, f.wait = true, peersWait
+	f.keyed, f.wait, f.every = true, peersWait, peersEvery
 	f.record = p.take
 	f.whole = func(page fleet.Page) {
 		for _, r := range page.Records {
@@ -127,14 +136,29 @@
 	}
 }
 
+// tell sends notes of a rollout to the others at once. One that is lost is read from
+// the entries' topic.
+func (p *peers) tell(notes []rollout.Note) {
+	for part := range slices.Chunk(notes, maxWordNotes) {
+		p.send(&word{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), Notes: part})
+	}
+}
+
+func (p *peers) send(w *word) {
+	data, err := cbor.Marshal(w)
+	if err != nil {
+		panic(err) // a word is made of plain values
+	}
+	for _, address := range p.addresses() {
+		// A peer that can't be reached is no news here.
+		_, _ = p.conn.WriteToUDPAddrPort(data, address)
+	}
+}
+
 // speak sends this entry's loads to the others until ctx ends.
 func (p *peers) speak(ctx context.Context) {
 	for wait.For(ctx, p.pause()) == nil {
-		data := p.word()
-		for _, address := range p.addresses() {
-			// A peer that can't be reached is no news here.
-			_, _ = p.conn.WriteToUDPAddrPort(data, address)
-		}
+		p.send(p.word())
 	}
 }
 
@@ -154,24 +178,20 @@
 	return max(wordEvery, time.Duration(len(p.known))*time.Second/wordsPerSecond)
 }
 
-func (p *peers) word() []byte {
+func (p *peers) word() *word {
 	s := p.entry.state
 	s.mu.Lock()
 	loads := s.feed.Loads()
 	s.mu.Unlock()
 	p.seq++
-	w := word{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), Seq: p.seq}
+	w := &word{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), Seq: p.seq}
 	for id, l := range loads {
 		if len(w.Loads) == maxWordLoads {
 			break
 		}
 		w.Loads = append(w.Loads, wordLoad{Replica: id, ReadingMs: uint32(l.Reading), Running: uint32(l.Running)})
 	}
-	data, err := cbor.Marshal(w)
-	if err != nil {
-		panic(err) // a word is made of plain values
-	}
-	return data
+	return w
 }
 
 // listen takes the others' words until the socket is closed.
@@ -196,6 +216,10 @@
 		e.tel.Metrics.Count("peer_words_malformed", 1)
 		return
 	}
+	if len(w.Notes) > 0 {
+		e.rollouts.heardNotes(w.Notes)
+		return
+	}
 	loads := make(map[string]route.Load, len(w.Loads))
 	for _, l := range w.Loads {
 		loads[l.Replica] = route.Load{Reading: float64(l.ReadingMs), Running: int(l.Running)}
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -24,7 +24,8 @@
 func (e *Entry) followReplicas(ctx context.Context) {
 	_, topic := e.platform.Records.Topics()
 	f := newFollower(e.platform.Store, topic, e.tel.Log)
-	f.keyed, f.every = true, replicasEvery
+	f.keyed = true
+	f.every = time.Duration(replicasShare * float64(e.settings.Direct.DrainWithin.D()))
 	out := &outage{}
 	f.failed = func() {
 		if !out.now {
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -65,8 +65,10 @@
 // rollouts drives the changes of weights: it follows the entries' topic, and gives
 // the orders while this entry holds the lease.
 type rollouts struct {
-	entry  *Entry
-	wake   chan struct{}
+	entry *Entry
+	wake  chan struct{}
+	// reread has the topic read now.
+	reread chan struct{}
 	follow func(context.Context)
 
 	mu          sync.Mutex
@@ -87,6 +89,7 @@
 	r := &rollouts{
 		entry:  e,
 		wake:   make(chan struct{}, 1),
+		reread: make(chan struct{}, 1),
 		leases: lease.NewLeases(id, wire.Epoch(e.tel.Epoch), leaseParamsFor(e.settings.Direct), rng),
 		cores:  make(map[string]*rollout.Core),
 	}
@@ -95,9 +98,12 @@
 }
 
 // poke has the rollouts looked at now.
-func (r *rollouts) poke() {
+func (r *rollouts) poke() { nudge(r.wake) }
+
+// nudge sends on a channel of one unless something is in it.
+func nudge(c chan struct{}) {
 	select {
-	case r.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -105,7 +111,7 @@
 // followEntries reads the entries' topic. Leases number records from 1.
 func (r *rollouts) followEntries(ctx context.Context) {
 	f := newFollower(r.entry.platform.Store, topicEntries, r.entry.tel.Log)
-	f.wait = entriesWait
+	f.every, f.poke = entriesEvery, r.reread
 	f.record = r.take
 	f.skipped = func(first uint64) {
 		r.mu.Lock()
@@ -138,10 +144,26 @@
 		r.poke()
 		return
 	}
-	if n := envelope.Note; n.Phase == rollout.PhaseOrdered && n.Holder != r.entry.settings.ID {
+	r.hearNote(envelope.Note)
+}
+
+// hearNote takes another entry's note, or reads back one's own. The caller holds mu.
+func (r *rollouts) hearNote(n *rollout.Note) {
+	if n.Phase == rollout.PhaseOrdered && n.Holder != r.entry.settings.ID {
 		r.foreignAt = r.entry.clock.now()
 	}
-	r.takeNote(envelope.Note)
+	r.takeNote(n)
+}
+
+// heardNotes takes notes that a peer sent directly.
+func (r *rollouts) heardNotes(notes []rollout.Note) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range notes {
+		if notes[i].Valid() {
+			r.hearNote(&notes[i])
+		}
+	}
 }
 
 // takeNote applies a note to what is believed of a replica.
@@ -287,6 +309,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
 	_, err := r.entry.platform.Store.Append(ctx, topicEntries, nil, [][]byte{envelope.Encode()})
+	nudge(r.reread)
 	if err == nil {
 		return
 	}
@@ -322,6 +345,7 @@
 		records[i] = envelope.Encode()
 		r.takeNote(&notes[i])
 	}
+	r.entry.peers.tell(notes)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
 	if _, err := r.entry.platform.Store.Append(ctx, topicEntries, nil, records); err != nil {
--- a/internal/rollout/note.go
+++ b/internal/rollout/note.go
@@ -44,6 +44,11 @@
 	AfterMs int64 `cbor:"7,keyasint,omitempty"`
 }
 
+// Valid reports whether a note that was read makes sense.
+func (n *Note) Valid() bool {
+	return n.Phase >= PhaseOrdered && n.Phase < phaseEnd && n.Replica != "" && n.AfterMs >= 0
+}
+
 // Envelope is one record of the entries' common topic: one of its fields is set.
 type Envelope struct {
 	Lease []byte `cbor:"1,keyasint,omitempty"`
@@ -74,7 +79,7 @@
 	if (e.Lease == nil) == (e.Note == nil) {
 		return nil, fmt.Errorf("%w: not one of its kinds", ErrRecord)
 	}
-	if n := e.Note; n != nil && (n.Phase < PhaseOrdered || n.Phase >= phaseEnd || n.Replica == "" || n.AfterMs < 0) {
+	if n := e.Note; n != nil && !n.Valid() {
 		return nil, fmt.Errorf("%w: phase %d of %q", ErrRecord, n.Phase, n.Replica)
 	}
 	return e, nil
