Entries tell each other where prefixes went and which are kept

Cause: with many entries each sees a prefix too seldom to know its holder, and each sent it to the store again, whose room then turned over in seconds.

--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -36,7 +36,14 @@
 	// maxWord bounds a word, in bytes: what a datagram carries without fragments.
 	maxWord = 1400
 	// maxWordLoads bounds the replicas in a word so that it fits.
-	maxWordLoads = 48
+	maxWordLoads = 32
+	// wordRepeats is how many words have a placement, so that one lost datagram
+	// doesn't hide it.
+	wordRepeats = 2
+	// toldFor is how long a placement is in each word, maxWordPlacements how many are
+	// in one.
+	toldFor           = 150 * time.Millisecond
+	maxWordPlacements = 16
 	// maxWordNotes bounds the notes in a word likewise.
 	maxWordNotes = 12
 	// peersEvery is the least pause between reads for new peers: at a start all of
@@ -52,6 +59,8 @@
 	Epoch uint64     `cbor:"2,keyasint"`
 	Seq   uint64     `cbor:"3,keyasint"`
 	Loads []wordLoad `cbor:"4,keyasint,omitempty"`
+	// Placements are the latest; each is in several words, as one may be lost.
+	Placements []wordPlacement `cbor:"6,keyasint,omitempty"`
 	// Notes are of a rollout; a word with them has no loads, and Seq is 0.
 	Notes []rollout.Note `cbor:"5,keyasint,omitempty"`
 }
@@ -63,6 +72,13 @@
 	Running   uint32
 }
 
+type wordPlacement struct {
+	_       struct{} `cbor:",toarray"`
+	Prefix  uint64
+	Replica string
+	Kept    uint64
+}
+
 var wordMode = strictcbor.Decoder(strictcbor.Bounds{MapPairs: 16})
 
 // peers exchanges loads with the other entries over UDP. A lost word costs nothing:
@@ -182,6 +198,7 @@
 	s := p.entry.state
 	s.mu.Lock()
 	loads := s.feed.Loads()
+	placements := s.feed.Placements(p.entry.clock.now() - max(toldFor, wordRepeats*p.pause()))
 	s.mu.Unlock()
 	p.seq++
 	w := &word{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), Seq: p.seq}
@@ -191,6 +208,9 @@
 		}
 		w.Loads = append(w.Loads, wordLoad{Replica: id, ReadingMs: uint32(l.Reading), Running: uint32(l.Running)})
 	}
+	for _, placed := range placements[:min(len(placements), maxWordPlacements)] {
+		w.Placements = append(w.Placements, wordPlacement{Prefix: placed.Prefix, Replica: placed.Replica, Kept: placed.Kept})
+	}
 	return w
 }
 
@@ -224,8 +244,13 @@
 	for _, l := range w.Loads {
 		loads[l.Replica] = route.Load{Reading: float64(l.ReadingMs), Running: int(l.Running)}
 	}
+	placements := make([]route.Placement, len(w.Placements))
+	for i, placed := range w.Placements {
+		placements[i] = route.Placement{Prefix: placed.Prefix, Replica: placed.Replica, Kept: placed.Kept}
+	}
 	e.state.mu.Lock()
 	e.state.feed.Heard(w.From, w.Epoch, w.Seq, loads, e.clock.now())
+	e.state.feed.HeardPlacements(placements, e.clock.now())
 	e.state.mu.Unlock()
 }
 
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -134,20 +134,23 @@
 	params FeedParams
 	loads  map[string]*feedLoad
 	peers  *Peers
-	held   *lru.Cache[string, map[string]time.Duration]
-	// kept has when a prefix was last sent to be kept in the store.
-	kept *lru.Cache[string, time.Duration]
+	// held has where a prefix was sent, by its hash, kept when it was last sent to be
+	// kept in the store, by its hash with its salt. Both have what peers tell, too.
+	held *lru.Cache[uint64, map[string]time.Duration]
+	kept *lru.Cache[uint64, time.Duration]
+	// told are this entry's latest placements, for its peers.
+	told []toldPlacement
 	// tokenMs is the time of an output token, learnt from streams that have ended.
 	tokenMs float64
 }
 
 // NewFeed returns a feed that knows of no load.
 func NewFeed(p FeedParams) *Feed {
-	held, err := lru.New[string, map[string]time.Duration](p.Known)
+	held, err := lru.New[uint64, map[string]time.Duration](p.Known)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	kept, err := lru.New[string, time.Duration](p.Known)
+	kept, err := lru.New[uint64, time.Duration](p.Known)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
@@ -187,10 +190,10 @@
 // that fails costs a millisecond; reading the prefix anew costs fifty.
 func (f *Feed) source(now time.Duration, q *FeedQuery, chosen string, candidates []FeedCandidate) (source string, known bool) {
 	version := versionOf(chosen, candidates)
-	holders, _ := f.held.Peek(q.Prefix)
+	key := xxhash.Sum64String(q.Prefix)
+	holders, _ := f.held.Peek(key)
 	latest := time.Duration(-1)
 	first := ranked{}
-	key := xxhash.Sum64String(q.Prefix)
 	for i := range candidates {
 		c := &candidates[i]
 		if c.ID == chosen || c.Version != version {
@@ -326,7 +329,7 @@
 // missing is how many tokens of the shared prefix a replica is expected to read
 // anew.
 func (f *Feed) missing(now time.Duration, q *FeedQuery, id string, home bool) (int, string) {
-	if holders, ok := f.held.Peek(q.Prefix); ok {
+	if holders, ok := f.held.Peek(xxhash.Sum64String(q.Prefix)); ok {
 		if at, ok := holders[id]; ok && now-at <= f.params.KnownFor {
 			return 0, feedHeld
 		}
@@ -350,12 +353,9 @@
 	if q.Prefix == "" {
 		return
 	}
-	holders, ok := f.held.Get(q.Prefix)
-	if !ok {
-		holders = make(map[string]time.Duration, 1)
-		f.held.Add(q.Prefix, holders)
-	}
-	holders[choice.ID] = now
+	key := xxhash.Sum64String(q.Prefix)
+	f.hold(key, choice.ID, now)
+	f.told = append(f.told, toldPlacement{at: now, Placement: Placement{Prefix: key, Replica: choice.ID}})
 }
 
 func (f *Feed) reading(q *FeedQuery, choice *FeedChoice) float64 {
@@ -406,14 +406,63 @@
 // cache, and notes that it is. With it goes the request's own part, which nobody
 // asks for again: sent each time, those would push all shared parts out.
 func (f *Feed) Keep(now time.Duration, prefix, salt string) bool {
-	key := salt + "|" + prefix
+	key := xxhash.Sum64String(salt + "|" + prefix)
 	if at, ok := f.kept.Get(key); ok && now-at < f.params.KeptFor {
 		return false
 	}
 	f.kept.Add(key, now)
+	f.told = append(f.told, toldPlacement{at: now, Placement: Placement{Kept: key}})
 	return true
 }
 
+// Placement is what an entry tells its peers of a request: where a prefix went, or
+// that one was sent to the store of kept cache. Hashes stand for names.
+type Placement struct {
+	Prefix  uint64
+	Replica string
+	Kept    uint64
+}
+
+type toldPlacement struct {
+	at time.Duration
+	Placement
+}
+
+// Placements returns this entry's placements since a time, and forgets earlier ones.
+func (f *Feed) Placements(since time.Duration) []Placement {
+	kept := f.told[:0]
+	var list []Placement
+	for _, t := range f.told {
+		if t.at >= since {
+			kept = append(kept, t)
+			list = append(list, t.Placement)
+		}
+	}
+	f.told = kept
+	return list
+}
+
+// HeardPlacements takes a peer's placements.
+func (f *Feed) HeardPlacements(list []Placement, now time.Duration) {
+	for _, p := range list {
+		if p.Kept != 0 {
+			f.kept.Add(p.Kept, now)
+		}
+		if p.Replica != "" {
+			f.hold(p.Prefix, p.Replica, now)
+		}
+	}
+}
+
+func (f *Feed) hold(prefix uint64, replica string, now time.Duration) {
+	holders, ok := f.held.Get(prefix)
+	if !ok {
+		holders = make(map[string]time.Duration, 1)
+		f.held.Add(prefix, holders)
+	}
+	holders[replica] = now
+}
+
 // StreamTime is how long a request's output is expected to take.
 func (f *Feed) StreamTime(q *FeedQuery) time.Duration {
 	return time.Duration(float64(q.OutputTokens) * f.tokenMs * float64(time.Millisecond))
