--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -147,9 +147,9 @@
 	return p
 }
 
-// keptTokens is the shared length from which on a prefix is kept in the store: below
-// it reading anew takes less than a fetch.
-const keptTokens = 512
+// keptTokens is the shared length from which on a prefix is fetched or kept: below
+// it reading anew takes less than looking for it.
+const keptTokens = 64
 
 // cacheSource sets where the replica can fetch what it lacks of the prefix. The
 // caller holds the state's lock.
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -76,6 +76,7 @@
 	_       struct{} `cbor:",toarray"`
 	Prefix  uint64
 	Replica string
+	Read    bool
 	Kept    uint64
 }
 
@@ -209,7 +210,7 @@
 		w.Loads = append(w.Loads, wordLoad{Replica: id, ReadingMs: uint32(l.Reading), Running: uint32(l.Running)})
 	}
 	for _, placed := range placements[:min(len(placements), maxWordPlacements)] {
-		w.Placements = append(w.Placements, wordPlacement{Prefix: placed.Prefix, Replica: placed.Replica, Kept: placed.Kept})
+		w.Placements = append(w.Placements, wordPlacement{Prefix: placed.Prefix, Replica: placed.Replica, Read: placed.Read, Kept: placed.Kept})
 	}
 	return w
 }
@@ -246,7 +247,7 @@
 	}
 	placements := make([]route.Placement, len(w.Placements))
 	for i, placed := range w.Placements {
-		placements[i] = route.Placement{Prefix: placed.Prefix, Replica: placed.Replica, Kept: placed.Kept}
+		placements[i] = route.Placement{Prefix: placed.Prefix, Replica: placed.Replica, Read: placed.Read, Kept: placed.Kept}
 	}
 	e.state.mu.Lock()
 	e.state.feed.Heard(w.From, w.Epoch, w.Seq, loads, e.clock.now())
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -136,7 +136,7 @@
 	peers  *Peers
 	// held has where a prefix was sent, by its hash, kept when it was last sent to be
 	// kept in the store, by its hash with its salt. Both have what peers tell, too.
-	held *lru.Cache[uint64, map[string]time.Duration]
+	held *lru.Cache[uint64, map[string]holding]
 	kept *lru.Cache[uint64, time.Duration]
 	// told are this entry's latest placements, for its peers.
 	told []toldPlacement
@@ -146,7 +146,7 @@
 
 // NewFeed returns a feed that knows of no load.
 func NewFeed(p FeedParams) *Feed {
-	held, err := lru.New[uint64, map[string]time.Duration](p.Known)
+	held, err := lru.New[uint64, map[string]holding](p.Known)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
@@ -199,8 +199,8 @@
 		if c.ID == chosen || c.Version != version {
 			continue
 		}
-		if at, ok := holders[c.ID]; ok && now-at <= f.params.KnownFor && at > latest {
-			latest, source = at, c.ID
+		if h, ok := holders[c.ID]; ok && h.read && now-h.at <= f.params.KnownFor && h.at > latest {
+			latest, source = h.at, c.ID
 		}
 		if r := (ranked{c.ID, weight(key, c.ID)}); first.id == "" || compareRanked(r, first) < 0 {
 			first = r
@@ -330,7 +330,7 @@
 // anew.
 func (f *Feed) missing(now time.Duration, q *FeedQuery, id string, home bool) (int, string) {
 	if holders, ok := f.held.Peek(xxhash.Sum64String(q.Prefix)); ok {
-		if at, ok := holders[id]; ok && now-at <= f.params.KnownFor {
+		if h, ok := holders[id]; ok && now-h.at <= f.params.KnownFor {
 			return 0, feedHeld
 		}
 	}
@@ -350,12 +350,7 @@
 	}
 	l.running++
 	l.reading += f.reading(q, choice)
-	if q.Prefix == "" {
-		return
-	}
-	key := xxhash.Sum64String(q.Prefix)
-	f.hold(key, choice.ID, now)
-	f.told = append(f.told, toldPlacement{at: now, Placement: Placement{Prefix: key, Replica: choice.ID}})
+	f.holdOwn(q, choice.ID, false, now)
 }
 
 func (f *Feed) reading(q *FeedQuery, choice *FeedChoice) float64 {
@@ -377,6 +372,7 @@
 		return
 	}
 	f.read(q, choice)
+	f.holdOwn(q, choice.ID, true, now)
 	waited := float64(took-f.OwnTime(q, choice)) / float64(time.Millisecond)
 	before := f.lag(l, now)
 	l.lag = before + f.params.LagLearning*(max(0, waited)-before)
@@ -420,7 +416,9 @@
 type Placement struct {
 	Prefix  uint64
 	Replica string
-	Kept    uint64
+	// Read is set once the replica has read the prefix.
+	Read bool
+	Kept uint64
 }
 
 type toldPlacement struct {
@@ -449,18 +447,35 @@
 			f.kept.Add(p.Kept, now)
 		}
 		if p.Replica != "" {
-			f.hold(p.Prefix, p.Replica, now)
+			f.hold(p.Prefix, p.Replica, p.Read, now)
 		}
 	}
 }
 
-func (f *Feed) hold(prefix uint64, replica string, now time.Duration) {
+// holding is a replica that a prefix was sent to.
+type holding struct {
+	at time.Duration
+	// read is set once the replica has read it, so that others can fetch it there.
+	read bool
+}
+
+func (f *Feed) hold(prefix uint64, replica string, read bool, now time.Duration) {
 	holders, ok := f.held.Get(prefix)
 	if !ok {
-		holders = make(map[string]time.Duration, 1)
+		holders = make(map[string]holding, 1)
 		f.held.Add(prefix, holders)
 	}
-	holders[replica] = now
+	holders[replica] = holding{at: now, read: read || holders[replica].read}
+}
+
+// holdOwn notes what this entry sent, and tells its peers.
+func (f *Feed) holdOwn(q *FeedQuery, replica string, read bool, now time.Duration) {
+	if q.Prefix == "" {
+		return
+	}
+	key := xxhash.Sum64String(q.Prefix)
+	f.hold(key, replica, read, now)
+	f.told = append(f.told, toldPlacement{at: now, Placement: Placement{Prefix: key, Replica: replica, Read: read}})
 }
 
 // StreamTime is how long a request's output is expected to take.
