--- /dev/null
+++ b/internal/admit/line_test.go
@@ -0,0 +1,119 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	"skylarklead/internal/admit"
+)
+
+func ticket(org string, priority int, onTime time.Duration) *admit.Ticket {
+	return &admit.Ticket{Organisation: org, Priority: priority, Work: 100, OnTime: onTime, GiveUp: time.Hour}
+}
+
+// order empties a line as places get free at the times given.
+func order(l *admit.Line, every time.Duration) []*admit.Ticket {
+	var got []*admit.Ticket
+	for now := time.Duration(0); l.Len() > 0; now += every {
+		t := l.Next(now)
+		l.Remove(t)
+		l.Given(t.Organisation, t.Work, now)
+		got = append(got, t)
+	}
+	return got
+}
+
+// Pattern: more arrives than the engines can read, for seconds. Grounds: with an
+// objective of half a second and a place every 100 ms, first come first served has
+// every request from the sixth on late; served by what can still be in time, each
+// place makes one answer that is.
+func TestOverloadServesThoseInTime(t *testing.T) {
+	const every, objective = 100 * time.Millisecond, 500 * time.Millisecond
+	l := admit.NewLine()
+	inTime, now := 0, time.Duration(0)
+	for i := range 60 {
+		// Two arrive for each place.
+		for range 2 {
+			l.Add(ticket("a", 0, now+objective))
+		}
+		next := l.Next(now)
+		l.Remove(next)
+		if now <= next.OnTime {
+			inTime++
+		}
+		now += every
+		_ = i
+	}
+	if inTime < 55 {
+		t.Fatalf("%d of 60 places went to requests that could still be in time", inTime)
+	}
+}
+
+// Pattern: a large organisation's burst of fifty, then one request of a small one.
+// Grounds: a place every 100 ms; in arrival order the small one waits five seconds.
+func TestSmallOneDoesNotFeelTheLargeOnesBurst(t *testing.T) {
+	l := admit.NewLine()
+	for range 50 {
+		l.Add(ticket("large", 0, time.Hour))
+	}
+	first := l.Next(0)
+	l.Remove(first)
+	l.Given("large", first.Work, 0)
+	small := ticket("small", 0, time.Hour)
+	l.Add(small)
+	if l.Next(0) != small {
+		t.Fatal("the small organisation's only request waits behind the large one's burst")
+	}
+}
+
+func TestUrgentFirst(t *testing.T) {
+	l := admit.NewLine()
+	l.Add(ticket("a", 1, time.Hour))
+	urgent := ticket("b", 0, time.Hour)
+	l.Add(urgent)
+	if got := order(l, time.Millisecond); got[0] != urgent {
+		t.Fatal("the less urgent one went first")
+	}
+}
+
+func TestExpiredLeaveTheLine(t *testing.T) {
+	l := admit.NewLine()
+	a, b := ticket("a", 0, 0), ticket("b", 0, 0)
+	a.GiveUp, b.GiveUp = time.Second, 2*time.Second
+	l.Add(a)
+	l.Add(b)
+	if got := l.Expired(time.Second); len(got) != 1 || got[0] != a || l.Len() != 1 {
+		t.Fatalf("expired %v, %d left", got, l.Len())
+	}
+	l.Remove(a) // again
+	if l.Len() != 1 {
+		t.Fatal("removing an expired ticket took another one")
+	}
+}
+
+// Pattern: several entries share engines that can't do what all ask. Grounds: each
+// sees only how long its own requests take to begin; at twice the objective the
+// window has to come down to what is read in time, and to grow again after.
+func TestWindowFollowsTimesToBegin(t *testing.T) {
+	w := admit.NewWindow(admit.DefaultWindowParams)
+	start := w.Size()
+	now := time.Duration(0)
+	for range 40 {
+		now += 200 * time.Millisecond
+		w.Began(100, time.Second, 500*time.Millisecond, now)
+	}
+	low := w.Size()
+	if low > start/4 {
+		t.Fatalf("after eight seconds of lateness the window is %.0f of %.0f ms", low, start)
+	}
+	for range 100 {
+		for w.Open(100) {
+			w.Sent(100)
+		}
+		w.Done(100)
+		w.Began(100, 50*time.Millisecond, 500*time.Millisecond, now)
+	}
+	if w.Size() < 2*low {
+		t.Fatalf("with all in time it stays at %.0f ms", w.Size())
+	}
+}
--- /dev/null
+++ b/internal/member/replicas_test.go
@@ -0,0 +1,115 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"skylarklead/internal/fleet"
+	"skylarklead/internal/member"
+)
+
+func replica(id string) *fleet.Replica {
+	return &fleet.Replica{ID: id, Service: "llm", Address: "10.0.0.1:80"}
+}
+
+func listed(ids ...string) *member.Replicas {
+	v := member.NewReplicas(member.DefaultReplicaParams)
+	for i, id := range ids {
+		v.Put(replica(id), uint64(i), 0)
+	}
+	return v
+}
+
+// Symptom: a leaving replica gets new work again. Sequence: it says that it is
+// draining and leaves the list; the store then serves a read that is seconds old.
+// Cause: an old record taken for news.
+func TestStaleRecordBringsNobodyBack(t *testing.T) {
+	v := member.NewReplicas(member.DefaultReplicaParams)
+	v.Put(replica("a"), 5, 0)
+	leaving := replica("a")
+	leaving.Draining = true
+	v.Put(leaving, 9, 0)
+	v.Put(replica("a"), 5, 0)
+	if h := v.Health("a", 0); h != member.Left {
+		t.Fatalf("after a stale record a draining replica is %v", h)
+	}
+	v.Remove("a", 10, 0)
+	v.Put(replica("a"), 5, 0)
+	if h := v.Health("a", 0); h != member.Left {
+		t.Fatalf("after a stale record a replica that is gone is %v", h)
+	}
+}
+
+// Symptom: after an outage of the store no replica is left, though all run.
+// Sequence: the store is away for longer than records live; they lapse, and the
+// first read after the outage shows them gone. Cause: a lapse taken for leaving.
+func TestLapsedInOutageServesOn(t *testing.T) {
+	v := listed("a")
+	v.Lapse("a", 7, 2*time.Second)
+	if h := v.Health("a", time.Second); h != member.Healthy {
+		t.Fatalf("right after the outage it is %v", h)
+	}
+	v.Put(replica("a"), 8, time.Second)
+	if gone := v.Tick(3 * time.Second); len(gone) != 0 {
+		t.Fatalf("gone though its record is back: %v", gone)
+	}
+	v.Lapse("a", 9, 5*time.Second)
+	if gone := v.Tick(5 * time.Second); len(gone) != 1 {
+		t.Fatalf("not gone though its record didn't come back: %v", gone)
+	}
+}
+
+// Symptom: each request sent to a dark replica waits for a timeout. Sequence: a
+// connection fails; its time out ends; the next request is the one that finds out
+// that it is still dark. Cause: callers' requests used as probes.
+func TestUnreachableUntilProbed(t *testing.T) {
+	v := listed("a")
+	if !v.Unreachable("a", 0) {
+		t.Fatal("the first failure is no news")
+	}
+	if h := v.Health("a", time.Hour); h != member.Down {
+		t.Fatalf("an hour later, with no connection made, it is %v", h)
+	}
+	probes := v.Probes(time.Second)
+	if len(probes) != 1 || len(v.Probes(time.Second)) != 0 {
+		t.Fatalf("probes: %v, then again", probes)
+	}
+	v.Unreachable("a", time.Second)
+	if len(v.Probes(time.Second)) != 0 || len(v.Probes(time.Minute)) != 1 {
+		t.Fatal("a failed probe isn't tried again later")
+	}
+	if !v.Reachable("a") || v.Health("a", time.Minute) != member.Healthy {
+		t.Fatal("not healthy once a connection was made")
+	}
+}
+
+// Symptom: a replica that fails two of five requests with a good health check gets
+// its full share. Cause: only connections count as evidence.
+func TestFaultsMakeDoubtful(t *testing.T) {
+	v := listed("grey", "sound")
+	now := time.Duration(0)
+	for i := range 20 {
+		now += 50 * time.Millisecond
+		if i%5 < 2 {
+			v.Faulty("grey", member.FaultBroken, now)
+		} else {
+			v.Worked("grey", now)
+		}
+		v.Worked("sound", now)
+	}
+	if v.Health("grey", now) != member.Doubtful || v.Health("sound", now) != member.Healthy {
+		t.Fatalf("grey %v, sound %v", v.Health("grey", now), v.Health("sound", now))
+	}
+	if h := v.Health("grey", now+20*time.Second); h != member.Healthy {
+		t.Fatalf("20 s later the grey one is still %v", h)
+	}
+}
+
+func TestReplacedIncarnationIsGoneForGood(t *testing.T) {
+	v := listed("a")
+	v.Replaced("a", 0)
+	v.Put(replica("a"), 1<<40, 0)
+	if h := v.Health("a", 0); h != member.Left {
+		t.Fatalf("a late heartbeat brought a replaced incarnation back: %v", h)
+	}
+}
--- /dev/null
+++ b/internal/rollout/core_test.go
@@ -0,0 +1,186 @@
+package rollout_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"skylarklead/internal/fleet"
+	"skylarklead/internal/rollout"
+)
+
+const model = "m"
+
+func states(versions ...uint64) []rollout.State {
+	list := make([]rollout.State, len(versions))
+	for i, v := range versions {
+		list[i] = rollout.State{
+			Replica:   &fleet.Replica{ID: fmt.Sprintf("r%02d", i), Weights: map[string]uint64{model: v}},
+			Version:   v,
+			Reachable: true,
+		}
+	}
+	return list
+}
+
+func newCore(wanted uint64) *rollout.Core {
+	c := rollout.NewCore(model, "entry-1", rollout.DefaultParams)
+	c.Want(wanted)
+	return c
+}
+
+// ordered returns the replicas that a step announced an order for.
+func ordered(actions []rollout.Action) []string {
+	var ids []string
+	for _, a := range actions {
+		if n, ok := a.(rollout.Announce); ok && n.Note.Phase == rollout.PhaseOrdered {
+			ids = append(ids, n.Note.Replica)
+		}
+	}
+	return ids
+}
+
+func given(actions []rollout.Action) []fleet.Order {
+	var orders []fleet.Order
+	for _, a := range actions {
+		if g, ok := a.(rollout.Give); ok {
+			orders = append(orders, g.Order)
+		}
+	}
+	return orders
+}
+
+// Symptom: a request begins on the first weights long after the second were named,
+// although replicas were loaded all the while. Sequence: versions come in quick
+// succession; each sends replicas that have just loaded round again. Cause: the
+// order of a rollout doesn't look at how old a replica's weights are.
+func TestOldestWeightsFirst(t *testing.T) {
+	got := ordered(newCore(3).Step(0, 1, states(2, 2, 1, 2, 2, 1, 2, 2, 2, 2)))
+	for _, want := range []string{"r02", "r05"} {
+		found := false
+		for _, id := range got {
+			found = found || id == want
+		}
+		if !found {
+			t.Errorf("%s, on the oldest weights, isn't among the first: %v", want, got)
+		}
+	}
+}
+
+// Symptom: the rollout stands still while some replicas are dark. Sequence: dark
+// replicas are taken up first; each of their calls times out, and is tried again.
+// Cause: a replica that doesn't answer keeps its place.
+func TestUnansweringReplicaGivesItsPlaceUp(t *testing.T) {
+	c := newCore(2)
+	all := states(1, 1, 1, 1, 1)
+	first := ordered(c.Step(0, 1, all))
+	now := time.Second
+	c.Step(now, 1, all)
+	released := 0
+	for _, id := range first {
+		for _, a := range c.Replied(id, fleet.ReplyNotSent, now) {
+			if n, ok := a.(rollout.Announce); ok && n.Note.Phase == rollout.PhaseReleased {
+				released++
+			}
+		}
+	}
+	if released != len(first) {
+		t.Errorf("%d of %d released to the other entries", released, len(first))
+	}
+	for _, id := range ordered(c.Step(now, 1, all)) {
+		for _, old := range first {
+			if id == old {
+				t.Errorf("%s was taken up again at once, before others", id)
+			}
+		}
+	}
+}
+
+// Symptom: an order that was thought lost takes effect seconds later and sets a
+// replica back. Sequence: the first order's answer is lost, a second one is given,
+// the first is carried out after it. Cause: both name the same number of orders.
+func TestOrderNamesOrdersAccepted(t *testing.T) {
+	c := newCore(2)
+	all := states(1, 1)
+	id := ordered(c.Step(0, 1, all))[0]
+	now := time.Second
+	if o := given(c.Step(now, 1, all)); len(o) != 1 || o[0].Expected != 0 || o[0].Fence != 1 {
+		t.Fatalf("first order: %+v", o)
+	}
+	c.Replied(id, fleet.ReplyUnknown, now)
+	c.Step(now, 1, all) // asks
+	now += 2 * time.Second
+	c.Reported(id, &fleet.Report{Weights: map[string]uint64{model: 1}, Orders: 1}, now)
+	if o := given(c.Step(now, 1, all)); len(o) != 1 || o[0].Expected != 1 {
+		t.Fatalf("order after a report of one accepted order: %+v", o)
+	}
+}
+
+func TestFencedHolderStops(t *testing.T) {
+	c := newCore(2)
+	all := states(1, 1)
+	id := ordered(c.Step(0, 1, all))[0]
+	c.Step(time.Second, 1, all)
+	c.Replied(id, fleet.ReplyFenced, time.Second)
+	if c.Active() {
+		t.Fatal("orders are under way after another holder's higher fence")
+	}
+}
+
+// However replies and reports fall, no replica has two orders under way, never more
+// than the places are out, and one of several always serves.
+func TestRolloutBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 20).Draw(t, "replicas")
+		versions := make([]uint64, n)
+		for i := range versions {
+			versions[i] = 1
+		}
+		c, now := newCore(2), time.Duration(0)
+		out := map[string]bool{}
+		var asked, open []string
+		note := func(actions []rollout.Action) {
+			for _, a := range actions {
+				switch a := a.(type) {
+				case rollout.Announce:
+					switch a.Note.Phase {
+					case rollout.PhaseOrdered:
+						if out[a.Note.Replica] {
+							t.Fatalf("%s is taken up twice", a.Note.Replica)
+						}
+						out[a.Note.Replica] = true
+					case rollout.PhaseServing, rollout.PhaseReleased:
+						delete(out, a.Note.Replica)
+					}
+				case rollout.Give:
+					open = append(open, a.Order.Replica.ID)
+				case rollout.Ask:
+					asked = append(asked, a.Replica.ID)
+				}
+			}
+			if len(out) >= n {
+				t.Fatalf("all %d replicas are out", n)
+			}
+		}
+		for range 60 {
+			note(c.Step(now, 1, states(versions...)))
+			replies := []fleet.Reply{fleet.ReplyAccepted, fleet.ReplyUnknown, fleet.ReplyConflict, fleet.ReplyNotSent, fleet.ReplyInvalid}
+			for _, id := range open {
+				note(c.Replied(id, rapid.SampledFrom(replies).Draw(t, "reply"), now))
+			}
+			open = nil
+			for _, id := range asked {
+				if rapid.Bool().Draw(t, "reported") {
+					v := uint64(rapid.IntRange(1, 2).Draw(t, "version"))
+					note(c.Reported(id, &fleet.Report{Weights: map[string]uint64{model: v}}, now))
+				} else {
+					note(c.ReportFailed(id, now))
+				}
+			}
+			asked = nil
+			now += time.Duration(rapid.IntRange(10, 900).Draw(t, "ms")) * time.Millisecond
+		}
+	})
+}
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -190,7 +190,7 @@
 // that fails costs a millisecond; reading the prefix anew costs fifty.
 func (f *Feed) source(now time.Duration, q *FeedQuery, chosen string, candidates []FeedCandidate) (source string, known bool) {
 	version := versionOf(chosen, candidates)
-	key := xxhash.Sum64String(q.Prefix)
+	key := PrefixHash(q.Prefix)
 	holders, _ := f.held.Peek(key)
 	latest := time.Duration(-1)
 	first := ranked{}
@@ -236,7 +236,7 @@
 	if q.Prefix == "" {
 		return ""
 	}
-	key := xxhash.Sum64String(q.Prefix)
+	key := PrefixHash(q.Prefix)
 	best := ranked{}
 	for i := range candidates {
 		r := ranked{candidates[i].ID, weight(key, candidates[i].ID)}
@@ -329,7 +329,7 @@
 // missing is how many tokens of the shared prefix a replica is expected to read
 // anew.
 func (f *Feed) missing(now time.Duration, q *FeedQuery, id string, home bool) (int, string) {
-	if holders, ok := f.held.Peek(xxhash.Sum64String(q.Prefix)); ok {
+	if holders, ok := f.held.Peek(PrefixHash(q.Prefix)); ok {
 		if h, ok := holders[id]; ok && now-h.at <= f.params.KnownFor {
 			return 0, feedHeld
 		}
@@ -473,7 +473,7 @@
 	if q.Prefix == "" {
 		return
 	}
-	key := xxhash.Sum64String(q.Prefix)
+	key := PrefixHash(q.Prefix)
 	f.hold(key, replica, read, now)
 	f.told = append(f.told, toldPlacement{at: now, Placement: Placement{Prefix: key, Replica: replica, Read: read}})
 }
@@ -512,3 +512,6 @@
 	}
 	return 0
 }
+
+// PrefixHash is the hash by which entries tell each other of a prefix.
+func PrefixHash(prefix string) uint64 { return xxhash.Sum64String(prefix) }
--- /dev/null
+++ b/internal/route/feed_test.go
@@ -0,0 +1,153 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"skylarklead/internal/route"
+)
+
+func engines(n int, version uint64) []route.FeedCandidate {
+	list := make([]route.FeedCandidate, n)
+	for i := range list {
+		list[i] = route.FeedCandidate{ID: fmt.Sprintf("r%02d", i), Version: version, Slots: 64, Engine: true}
+	}
+	return list
+}
+
+func prompt(prefix string) *route.FeedQuery {
+	return &route.FeedQuery{Prefix: prefix, SharedTokens: 6300, PromptTokens: 9200, OutputTokens: 50}
+}
+
+func pick(t testing.TB, f *route.Feed, now time.Duration, q *route.FeedQuery, c []route.FeedCandidate) route.FeedChoice {
+	t.Helper()
+	choice, ok := f.Pick(now, q, c)
+	if !ok {
+		t.Fatal("no replica picked")
+	}
+	return choice
+}
+
+// Symptom: each entry reads the same instructions at another replica. Cause: a first
+// choice that depends on the entry.
+func TestEntriesAgreeOnAHome(t *testing.T) {
+	a, b := route.NewFeed(route.DefaultFeedParams), route.NewFeed(route.DefaultFeedParams)
+	for i := range 50 {
+		q := prompt(fmt.Sprint("p", i))
+		if x, y := pick(t, a, 0, q, engines(18, 1)), pick(t, b, 0, q, engines(18, 1)); x.ID != y.ID {
+			t.Fatalf("prefix %d: one entry picks %s, another %s", i, x.ID, y.ID)
+		}
+	}
+}
+
+func TestPrefixGoesWhereItIsHeld(t *testing.T) {
+	f := route.NewFeed(route.DefaultFeedParams)
+	q := prompt("p")
+	f.HeardPlacements([]route.Placement{{Prefix: route.PrefixHash("p"), Replica: "r07", Read: true}}, 0)
+	if got := pick(t, f, 0, q, engines(18, 1)); got.ID != "r07" || got.Missed != 0 {
+		t.Fatalf("picked %+v; a peer has just sent it to r07", got)
+	}
+}
+
+// Symptom: shared instructions are read anew at every spill. Cause: the replica isn't
+// told where it can fetch them.
+func TestSpillFetchesFromAHolderOnTheSameWeights(t *testing.T) {
+	f := route.NewFeed(route.DefaultFeedParams)
+	q := prompt("p")
+	c := engines(4, 1)
+	c[0].Version = 2
+	f.HeardPlacements([]route.Placement{
+		{Prefix: route.PrefixHash("p"), Replica: "r00", Read: true},
+		{Prefix: route.PrefixHash("p"), Replica: "r01", Read: true},
+		{Prefix: route.PrefixHash("p"), Replica: "r02"},
+	}, 0)
+	q.Exclude = []string{"r00", "r01", "r02"}
+	got := pick(t, f, 0, q, c)
+	if got.ID != "r03" || got.Source != "r01" || !got.SourceKnown {
+		t.Fatalf("picked %+v; r00 has other weights and r02 is still reading", got)
+	}
+}
+
+// Pattern: many entries, each with little to place. Grounds: 25 entries that know
+// only their own loads send to the same idle replica; with the others' words the
+// next one picks another.
+func TestPeersLoadsCount(t *testing.T) {
+	f := route.NewFeed(route.DefaultFeedParams)
+	q := &route.FeedQuery{PromptTokens: 700}
+	c := engines(2, 1)
+	f.Heard("entry-2", 1, 1, map[string]route.Load{"r00": {Reading: 300, Running: 3}}, 0)
+	if got := pick(t, f, 0, q, c); got.ID != "r01" {
+		t.Fatalf("picked %s, where a peer has 300 ms of reading", got.ID)
+	}
+	f.Heard("entry-2", 1, 0, nil, 0)
+	if got := pick(t, f, 0, q, c); got.ID != "r01" {
+		t.Fatal("an older word of the same peer replaced its latest")
+	}
+	if f.Informed(time.Minute) {
+		t.Fatal("a peer that was silent for a minute still counts")
+	}
+}
+
+func TestLoadBound(t *testing.T) {
+	f := route.NewFeed(route.DefaultFeedParams)
+	q := &route.FeedQuery{PromptTokens: 700, MaxLoad: 200}
+	f.Heard("entry-2", 1, 1, map[string]route.Load{"r00": {Reading: 300}, "r01": {Reading: 300}}, 0)
+	if got, ok := f.Pick(0, q, engines(2, 1)); ok {
+		t.Fatalf("picked %+v beyond the bound", got)
+	}
+	q.MaxLoad = 0
+	pick(t, f, 0, q, engines(2, 1))
+}
+
+// Symptom: a replica stands idle for seconds before its load. Sequence: it is
+// announced as next; streams of seconds are still sent to it. Cause: a choice that
+// doesn't know how long a request stays.
+func TestLongStreamsAvoidReplicasWhoseTurnIsNear(t *testing.T) {
+	f := route.NewFeed(route.DefaultFeedParams)
+	c := engines(2, 1)
+	c[0].Planned, c[0].Turn = true, time.Second
+	long := &route.FeedQuery{PromptTokens: 700, OutputTokens: 400}
+	f.Heard("entry-2", 1, 1, map[string]route.Load{"r01": {Reading: 100}}, 0)
+	if got := pick(t, f, 0, long, c); got.ID != "r01" {
+		t.Fatal("a stream of three seconds went where weights are loaded in one")
+	}
+	short := &route.FeedQuery{PromptTokens: 700, OutputTokens: 50}
+	if got := pick(t, f, 0, short, c); got.ID != "r00" {
+		t.Fatal("a short request avoids a replica that it would leave in time")
+	}
+}
+
+// The work of every request that ended is taken off again, whatever came of it.
+func TestLoadsAreGivenBack(t *testing.T) {
+	f := route.NewFeed(route.DefaultFeedParams)
+	q := prompt("p")
+	for i := range 100 {
+		choice := pick(t, f, 0, q, engines(3, 1))
+		f.Placed(0, q, &choice)
+		began := i%2 == 0
+		if began {
+			f.Began(0, q, &choice, time.Millisecond)
+		}
+		f.Ended(q, &choice, began)
+	}
+	if loads := f.Loads(); len(loads) != 0 {
+		t.Fatalf("left over: %v", loads)
+	}
+}
+
+func BenchmarkFeedPick(b *testing.B) {
+	for _, n := range []int{18, 60} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f, c := route.NewFeed(route.DefaultFeedParams), engines(n, 1)
+			for e := range 25 {
+				f.Heard(fmt.Sprint("entry-", e), 1, 1, map[string]route.Load{"r03": {Reading: 50, Running: 1}}, 0)
+			}
+			q := prompt("p")
+			b.ReportAllocs()
+			for b.Loop() {
+				pick(b, f, 0, q, c)
+			}
+		})
+	}
+}
