--- a/cmd/skylark-measure/main.go
+++ b/cmd/skylark-measure/main.go
@@ -44,7 +44,7 @@
 			&cli.BoolFlag{Name: "append", Usage: "add to the runs that the folder of the results has"},
 			&cli.StringFlag{Name: "out", Value: "docs/measurements", Usage: "folder of the results"},
 		},
-		Commands: []*cli.Command{slopes(), table(), idle()},
+		Commands: []*cli.Command{slopes(), table(), idle(), days()},
 		Action:   run,
 	}
 }
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -20,10 +20,10 @@
 	// operatorWait is how long a read for the operator's changes waits. A connection
 	// that has gone silent is noticed at its end.
 	operatorWait = 2 * time.Second
-	// replicasShare is the pause between reads of the replicas' records, of which
-	// there are always new ones, as a part of the time in which a leaving replica must
-	// be left alone: reading, and what is on its way, take some of the rest.
-	replicasShare = 0.35
+	// replicasWait is like operatorWait for the replicas' records, replicasEvery the
+	// pause between reads: after a crash of many their records come in a burst.
+	replicasWait  = 2 * time.Second
+	replicasEvery = 150 * time.Millisecond
 	// entriesEvery is the pause between reads of the entries' own topic. Notes come
 	// from peers at once, and are read there if a datagram was lost; what an entry
 	// appends itself it reads back at once.
--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -142,7 +142,7 @@
 	j.hands = append(j.hands, hand{
 		replica: choice.ID, reason: choice.Reason, score: choice.Score, load: choice.Load,
 		missed: choice.Missed, of: choice.Of, version: p.version,
-		recordMs: s.replicas.RecordAge(choice.ID, now).Milliseconds(),
+		listAge: now - time.Duration(s.listReadAt.Load()),
 	})
 	return p
 }
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -17,18 +17,19 @@
 
 // hand is one hand-over as the request's log line tells it.
 type hand struct {
-	replica  string
-	reason   string
-	score    float64
-	load     float64
-	missed   int
-	of       int
-	version  uint64
-	recordMs int64
-	outcome  string
-	status   int
-	err      error
-	took     time.Duration
+	replica string
+	reason  string
+	score   float64
+	load    float64
+	missed  int
+	of      int
+	version uint64
+	// listAge is how long ago the list of replicas was read.
+	listAge time.Duration
+	outcome string
+	status  int
+	err     error
+	took    time.Duration
 }
 
 // job is one request of a caller.
@@ -130,7 +131,7 @@
 		slog.Int("of", h.of),
 		slog.Float64("score_ms", round(h.score)),
 		slog.Float64("load_ms", round(h.load)),
-		slog.Int64("record_age_ms", h.recordMs),
+		slog.Int64("list_age_ms", h.listAge.Milliseconds()),
 		slog.String("outcome", h.outcome),
 		slog.Float64("took_ms", ms(h.took)),
 	}
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -24,8 +24,7 @@
 func (e *Entry) followReplicas(ctx context.Context) {
 	_, topic := e.platform.Records.Topics()
 	f := newFollower(e.platform.Store, topic, e.tel.Log)
-	f.keyed = true
-	f.every = time.Duration(replicasShare * float64(e.settings.Direct.DrainWithin.D()))
+	f.keyed, f.wait, f.every = true, replicasWait, replicasEvery
 	out := &outage{}
 	f.failed = func() {
 		if !out.now {
@@ -34,6 +33,7 @@
 		}
 	}
 	f.reached = func() {
+		e.state.listReadAt.Store(int64(e.clock.now()))
 		if out.now {
 			out.now, out.endedAt = false, e.clock.now()
 			e.watch.storeBack()
@@ -76,10 +76,9 @@
 }
 
 func (e *Entry) putReplica(r *fleet.Replica, offset uint64) {
-	now := e.clock.now()
 	e.state.mu.Lock()
 	old := e.state.replicas.Get(r.ID)
-	changed := e.state.replicas.Put(r, offset, now)
+	changed := e.state.replicas.Put(r, offset)
 	for model, version := range r.Weights {
 		if e.state.board.Saw(r.ID, model, version, 0) && old != nil {
 			e.state.feed.Emptied(r.ID)
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -22,6 +22,9 @@
 // guards the rest.
 type state struct {
 	config atomic.Pointer[configuration]
+	// listReadAt is when the store last answered a read of the list of replicas, a
+	// time.Duration on the entry's clock.
+	listReadAt atomic.Int64
 
 	mu       sync.Mutex
 	replicas *member.Replicas
--- a/internal/member/replicas.go
+++ b/internal/member/replicas.go
@@ -97,10 +97,9 @@
 	return &Replicas{params: p, known: map[string]*listed{}, gone: map[string]goneRecord{}}
 }
 
-// Put takes a replica's record and reports whether it changed anything but the
-// record's age. A record older than the newest one taken is ignored: a store that
+// Put takes a replica's record and reports whether it changed anything. A record older than the newest one taken is ignored: a store that
 // serves stale reads for a while would otherwise bring a leaving replica back.
-func (v *Replicas) Put(r *fleet.Replica, offset uint64, now time.Duration) bool {
+func (v *Replicas) Put(r *fleet.Replica, offset uint64) bool {
 	if g, ok := v.gone[r.ID]; ok {
 		if offset <= g.offset {
 			return false
@@ -109,14 +108,14 @@
 	}
 	l, ok := v.known[r.ID]
 	if !ok {
-		v.known[r.ID] = &listed{replica: r, offset: offset, recordAt: now, draining: r.Draining}
+		v.known[r.ID] = &listed{replica: r, offset: offset, draining: r.Draining}
 		return true
 	}
 	if offset < l.offset {
 		return false
 	}
 	changed := !l.replica.Equal(r)
-	l.replica, l.offset, l.recordAt, l.lapsesAt = r, offset, now, 0
+	l.replica, l.offset, l.lapsesAt = r, offset, 0
 	l.draining = l.draining || r.Draining
 	return changed
 }
@@ -181,14 +180,6 @@
 	return l == nil || l.draining
 }
 
-// RecordAge is how long ago a replica's newest record was read.
-func (v *Replicas) RecordAge(id string, now time.Duration) time.Duration {
-	if l := v.known[id]; l != nil {
-		return now - l.recordAt
-	}
-	return 0
-}
-
 // Unreachable says that no connection to a replica could be made. It gets no new
 // work until one is; Probes says when to try. It reports whether that is news.
 func (v *Replicas) Unreachable(id string, now time.Duration) bool {
--- a/internal/member/replicas_test.go
+++ b/internal/member/replicas_test.go
@@ -15,7 +15,7 @@
 func listed(ids ...string) *member.Replicas {
 	v := member.NewReplicas(member.DefaultReplicaParams)
 	for i, id := range ids {
-		v.Put(replica(id), uint64(i), 0)
+		v.Put(replica(id), uint64(i))
 	}
 	return v
 }
@@ -25,16 +25,16 @@
 // Cause: an old record taken for news.
 func TestStaleRecordBringsNobodyBack(t *testing.T) {
 	v := member.NewReplicas(member.DefaultReplicaParams)
-	v.Put(replica("a"), 5, 0)
+	v.Put(replica("a"), 5)
 	leaving := replica("a")
 	leaving.Draining = true
-	v.Put(leaving, 9, 0)
-	v.Put(replica("a"), 5, 0)
+	v.Put(leaving, 9)
+	v.Put(replica("a"), 5)
 	if h := v.Health("a", 0); h != member.Left {
 		t.Fatalf("after a stale record a draining replica is %v", h)
 	}
 	v.Remove("a", 10, 0)
-	v.Put(replica("a"), 5, 0)
+	v.Put(replica("a"), 5)
 	if h := v.Health("a", 0); h != member.Left {
 		t.Fatalf("after a stale record a replica that is gone is %v", h)
 	}
@@ -49,7 +49,7 @@
 	if h := v.Health("a", time.Second); h != member.Healthy {
 		t.Fatalf("right after the outage it is %v", h)
 	}
-	v.Put(replica("a"), 8, time.Second)
+	v.Put(replica("a"), 8)
 	if gone := v.Tick(3 * time.Second); len(gone) != 0 {
 		t.Fatalf("gone though its record is back: %v", gone)
 	}
@@ -108,7 +108,7 @@
 func TestReplacedIncarnationIsGoneForGood(t *testing.T) {
 	v := listed("a")
 	v.Replaced("a", 0)
-	v.Put(replica("a"), 1<<40, 0)
+	v.Put(replica("a"), 1<<40)
 	if h := v.Health("a", 0); h != member.Left {
 		t.Fatalf("a late heartbeat brought a replaced incarnation back: %v", h)
 	}
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -30,9 +30,6 @@
 	// says that replicas refuse an old giver by themselves.
 	Lease         Duration `json:"lease"`
 	FencesChecked bool     `json:"fences_checked"`
-	// DrainWithin is the time from a replica's word that it leaves until it must get no
-	// more work.
-	DrainWithin Duration `json:"drain_within"`
 	// WeightsWithin is the time from the naming of a version of weights until no
 	// request may begin on an older one.
 	WeightsWithin Duration `json:"weights_within"`
@@ -46,7 +43,6 @@
 	DefaultRetryWindow = Duration(10 * time.Second)
 	DefaultLease       = Duration(3 * time.Second)
 	DefaultWeights     = Duration(10 * time.Second)
-	DefaultDrainWithin = Duration(2 * time.Second)
 	DefaultMemory      = 128
 	// minMemory is what an idle entry needs, in MB.
 	minMemory = 32
@@ -57,7 +53,6 @@
 	fill(doc, "direct.retry_share", &d.RetryShare, DefaultRetryShare)
 	fill(doc, "direct.retry_window", &d.RetryWindow, DefaultRetryWindow)
 	fill(doc, "direct.lease", &d.Lease, DefaultLease)
-	fill(doc, "direct.drain_within", &d.DrainWithin, DefaultDrainWithin)
 	fill(doc, "direct.weights_within", &d.WeightsWithin, DefaultWeights)
 	fill(doc, "direct.memory_mb", &d.Memory, DefaultMemory)
 }
@@ -78,7 +73,6 @@
 	c.positive("direct.retry_window", d.RetryWindow)
 	c.positive("direct.lease", d.Lease)
 	c.positive("direct.weights_within", d.WeightsWithin)
-	c.positive("direct.drain_within", d.DrainWithin)
 	c.share("direct.retry_share", d.RetryShare)
 	if !(d.RetryExtra >= 0) {
 		c.doc.Add("direct.retry_extra", fmt.Sprintf("is %v", d.RetryExtra), "0 or more requests")
