--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -50,6 +50,12 @@
 	return &Budget{params: p, tokens: p.Burst, offUntil: make(map[string]time.Duration)}
 }
 
+// Resize changes what can be saved up, as when others that share it come or go.
+func (b *Budget) Resize(burst float64) {
+	b.params.Burst = burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // Request counts one request of a caller.
 func (b *Budget) Request(now time.Duration) {
 	b.refill(now)
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -28,9 +28,6 @@
 	// bodyShare is the part of the memory, as its divisor, that callers' bodies may
 	// take.
 	bodyShare = 4
-	// budgetEntries is how many entries share the budget of extra work. None can
-	// count the others while the store is away, so the share is fixed.
-	budgetEntries = 8
 	// budgetMargin keeps a part of the allowed share free: requests that are counted
 	// here at their arrival are counted by replicas a little later.
 	budgetMargin = 0.75
@@ -81,7 +78,7 @@
 	d := s.Direct
 	budget := attempt.BudgetParams{
 		Share:          d.RetryShare * budgetMargin,
-		Burst:          max(1, d.RetryExtra*budgetMargin/budgetEntries),
+		Burst:          d.RetryExtra * budgetMargin,
 		SaturationHold: 0,
 	}
 	room := int64(d.Memory) << 20 / bodyShare
--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// connectionShare is the part of a replica's connections, as its divisor, that
-	// one entry may open. Entries can't count each other while the store is away.
-	connectionShare = 4
+	// spareEntries is how many entries that aren't known yet a replica's connections
+	// are shared with: those that are just being added.
+	spareEntries = 1
 	// minConnections is what an entry may always open.
 	minConnections = 4
 )
@@ -204,7 +204,10 @@
 
 // connections is this entry's share of a replica's connections.
 func (j *job) connections() int {
-	return max(minConnections, j.service.MaxConnections/connectionShare)
+	s := j.entry.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(minConnections, j.service.MaxConnections/(s.entries+spareEntries))
 }
 
 func (j *job) request(p *placed) *upstream.Request {
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -109,15 +109,26 @@
 func (p *peers) follow(ctx context.Context) {
 	f := newFollower(p.entry.platform.Store, topicPeers, p.entry.tel.Log)
 	f.keyed, f.wait, f.every = true, peersWait, peersEvery
-	f.record = p.take
+	f.record = func(r fleet.Record) {
+		p.take(r)
+		p.entry.state.counted(p.count())
+	}
 	f.whole = func(page fleet.Page) {
 		for _, r := range page.Records {
 			p.take(r)
 		}
+		p.entry.state.counted(p.count())
 	}
 	f.run(ctx)
 }
 
+// count is how many entries there are, this one included.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.known) + 1
+}
+
 func (p *peers) take(r fleet.Record) {
 	if r.Key == p.entry.settings.ID {
 		return
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -37,11 +37,21 @@
 	listed bool
 	// changed is closed, and replaced, when more replicas may be usable.
 	changed chan struct{}
-	budget  attempt.BudgetParams
+	// budget is what all entries together may send a second time to a service; each
+	// takes its share.
+	budget attempt.BudgetParams
+	// entries is how many entries there are, this one included; unknownEntries until
+	// the list of them was read.
+	entries int
 }
 
+// unknownEntries is how many entries are assumed while nobody says how many there
+// are: about the most that feed replicas directly.
+const unknownEntries = 32
+
 func newState(budget attempt.BudgetParams) *state {
 	return &state{
+		entries:  unknownEntries,
 		replicas: member.NewReplicas(member.DefaultReplicaParams),
 		board:    rollout.NewBoard(),
 		feed:     route.NewFeed(route.DefaultFeedParams),
@@ -63,12 +73,33 @@
 func (s *state) budgetOf(service string) *attempt.Budget {
 	b := s.budgets[service]
 	if b == nil {
-		b = attempt.NewBudget(s.budget)
+		b = attempt.NewBudget(s.ownBudget())
 		s.budgets[service] = b
 	}
 	return b
 }
 
+// ownBudget is this entry's share of the budget: of what may be spent whatever the
+// traffic, one part in as many as there are entries. The share by requests counts
+// its own. The caller holds mu.
+func (s *state) ownBudget() attempt.BudgetParams {
+	p := s.budget
+	p.Burst = max(1, p.Burst/float64(s.entries))
+	return p
+}
+
+// counted takes how many entries there are. Those that are gone but still listed
+// count, which only makes the shares smaller.
+func (s *state) counted(entries int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries = entries
+	burst := s.ownBudget().Burst
+	for _, b := range s.budgets {
+		b.Resize(burst)
+	}
+}
+
 // ready reports whether requests can be served: the configuration and the list of
 // replicas are known.
 func (s *state) ready() bool {
