--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -127,6 +127,7 @@
 	s := j.entry.state
 	j.query.Wanted = s.wanted(j.asked.Model)
 	candidates := s.candidates(j.service, j.asked.Model, now)
+	j.query.Sample = s.sample(len(candidates))
 	choice, ok := s.feed.Pick(now, &j.query, candidates)
 	if !ok {
 		// Replicas that refused it once may take it now.
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,7 +55,7 @@
 		entries:  unknownEntries,
 		replicas: member.NewReplicas(member.DefaultReplicaParams),
 		board:    rollout.NewBoard(),
-		feed:     route.NewFeed(route.DefaultFeedParams),
+		feed:     route.NewFeed(route.DefaultFeedParams, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		demands:  make(map[string]*rollout.Demand),
 		budgets:  make(map[string]*attempt.Budget),
 		gates:    make(map[string]*gate),
@@ -111,6 +112,19 @@
 	return s.listed
 }
 
+// sample is how many of n candidates a choice looks at: the fewer the more entries
+// choose at the same time on loads that are equally old. The caller holds mu.
+func (s *state) sample(n int) int {
+	return max(minSample, samplePart*n/(s.entries+1))
+}
+
+const (
+	// samplePart of all candidates in as many as there are entries have them look at
+	// each replica about that many times; minSample gives every choice alternatives.
+	samplePart = 3
+	minSample  = 3
+)
+
 // forget drops what is known of a replica that is gone. The caller holds mu.
 func (s *state) forget(id string) {
 	s.board.Gone(id)
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -77,6 +78,9 @@
 	// MaxLoad is the wait, in milliseconds, beyond which a replica isn't picked while
 	// the others' loads are known; 0 is no bound.
 	MaxLoad float64
+	// Sample is how many replicas are looked at beside the prefix's holders and its
+	// home, 0 for all.
+	Sample int
 	// Exclude names replicas that have had the request.
 	Exclude []string
 }
@@ -132,6 +136,7 @@
 // its own work there and where it has sent which prefixes. It is pure.
 type Feed struct {
 	params FeedParams
+	rng    *rand.Rand
 	loads  map[string]*feedLoad
 	peers  *Peers
 	// held has where a prefix was sent, by its hash, kept when it was last sent to be
@@ -145,7 +150,7 @@
 }
 
 // NewFeed returns a feed that knows of no load.
-func NewFeed(p FeedParams) *Feed {
+func NewFeed(p FeedParams, rng *rand.Rand) *Feed {
 	held, err := lru.New[uint64, map[string]holding](p.Known)
 	if err != nil {
 		panic(err) // the size is a positive constant
@@ -154,7 +159,7 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &Feed{params: p, peers: NewPeers(p.PeerFresh), kept: kept, loads: map[string]*feedLoad{}, held: held, tokenMs: p.OutputTokenMs}
+	return &Feed{params: p, rng: rng, peers: NewPeers(p.PeerFresh), kept: kept, loads: map[string]*feedLoad{}, held: held, tokenMs: p.OutputTokenMs}
 }
 
 // Pick returns the candidate with the lowest cost: what the engine has to read
@@ -163,12 +168,16 @@
 func (f *Feed) Pick(now time.Duration, q *FeedQuery, candidates []FeedCandidate) (FeedChoice, bool) {
 	home := f.home(q, candidates)
 	best, found := FeedChoice{Of: len(candidates)}, false
+	sampled := f.sample(q.Sample, len(candidates))
 	bounded := q.MaxLoad > 0 && f.Informed(now)
 	for i := range candidates {
 		c := &candidates[i]
 		if excluded(q.Exclude, c.ID) {
 			continue
 		}
+		if sampled != nil && !sampled[i] && c.ID != home && !f.holds(now, q, c.ID) {
+			continue
+		}
 		choice := f.cost(now, q, c, c.ID == home)
 		if bounded && choice.Load > q.MaxLoad {
 			continue
@@ -221,6 +230,33 @@
 	return 0
 }
 
+// sample draws n of the candidates, nil for all. What peers tell is some tens of
+// milliseconds old: were all entries to look at all replicas, those that choose
+// meanwhile would all send to the one that was idle.
+func (f *Feed) sample(n, of int) []bool {
+	if n <= 0 || n >= of {
+		return nil
+	}
+	drawn := make([]bool, of)
+	for _, i := range f.rng.Perm(of)[:n] {
+		drawn[i] = true
+	}
+	return drawn
+}
+
+// holds reports whether a replica is believed to hold a query's prefix.
+func (f *Feed) holds(now time.Duration, q *FeedQuery, id string) bool {
+	if q.Prefix == "" {
+		return false
+	}
+	holders, ok := f.held.Peek(PrefixHash(q.Prefix))
+	if !ok {
+		return false
+	}
+	h, ok := holders[id]
+	return ok && now-h.at <= f.params.KnownFor
+}
+
 func excluded(ids []string, id string) bool {
 	for _, e := range ids {
 		if e == id {
@@ -329,10 +365,8 @@
 // missing is how many tokens of the shared prefix a replica is expected to read
 // anew.
 func (f *Feed) missing(now time.Duration, q *FeedQuery, id string, home bool) (int, string) {
-	if holders, ok := f.held.Peek(PrefixHash(q.Prefix)); ok {
-		if h, ok := holders[id]; ok && now-h.at <= f.params.KnownFor {
-			return 0, feedHeld
-		}
+	if f.holds(now, q, id) {
+		return 0, feedHeld
 	}
 	if home {
 		return int(f.params.HomeDoubt * float64(q.SharedTokens)), feedHome
--- a/internal/route/feed_test.go
+++ b/internal/route/feed_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"skylarklead/internal/route"
 )
 
+func newFeed() *route.Feed {
+	return route.NewFeed(route.DefaultFeedParams, rand.New(rand.NewPCG(1, 2)))
+}
+
 func engines(n int, version uint64) []route.FeedCandidate {
 	list := make([]route.FeedCandidate, n)
 	for i := range list {
@@ -32,7 +37,7 @@
 // Symptom: each entry reads the same instructions at another replica. Cause: a first
 // choice that depends on the entry.
 func TestEntriesAgreeOnAHome(t *testing.T) {
-	a, b := route.NewFeed(route.DefaultFeedParams), route.NewFeed(route.DefaultFeedParams)
+	a, b := newFeed(), newFeed()
 	for i := range 50 {
 		q := prompt(fmt.Sprint("p", i))
 		if x, y := pick(t, a, 0, q, engines(18, 1)), pick(t, b, 0, q, engines(18, 1)); x.ID != y.ID {
@@ -42,7 +47,7 @@
 }
 
 func TestPrefixGoesWhereItIsHeld(t *testing.T) {
-	f := route.NewFeed(route.DefaultFeedParams)
+	f := newFeed()
 	q := prompt("p")
 	f.HeardPlacements([]route.Placement{{Prefix: route.PrefixHash("p"), Replica: "r07", Read: true}}, 0)
 	if got := pick(t, f, 0, q, engines(18, 1)); got.ID != "r07" || got.Missed != 0 {
@@ -53,7 +58,7 @@
 // Symptom: shared instructions are read anew at every spill. Cause: the replica isn't
 // told where it can fetch them.
 func TestSpillFetchesFromAHolderOnTheSameWeights(t *testing.T) {
-	f := route.NewFeed(route.DefaultFeedParams)
+	f := newFeed()
 	q := prompt("p")
 	c := engines(4, 1)
 	c[0].Version = 2
@@ -73,7 +78,7 @@
 // only their own loads send to the same idle replica; with the others' words the
 // next one picks another.
 func TestPeersLoadsCount(t *testing.T) {
-	f := route.NewFeed(route.DefaultFeedParams)
+	f := newFeed()
 	q := &route.FeedQuery{PromptTokens: 700}
 	c := engines(2, 1)
 	f.Heard("entry-2", 1, 1, map[string]route.Load{"r00": {Reading: 300, Running: 3}}, 0)
@@ -89,8 +94,30 @@
 	}
 }
 
+// Pattern: 25 entries choose within one datagram's age, of 46 replicas that all look
+// idle but for a hair. Grounds: if all look at all replicas, all send to the same one,
+// where the last waits for 24 others; with four drawn at random no replica may get
+// more than a few.
+func TestEntriesThatChooseTogetherSpread(t *testing.T) {
+	got := map[string]int{}
+	c := engines(46, 1)
+	for e := range 25 {
+		f := route.NewFeed(route.DefaultFeedParams, rand.New(rand.NewPCG(uint64(e), 7)))
+		for i := range c {
+			f.Heard("entry-x", 1, 1, map[string]route.Load{c[i].ID: {Reading: float64(i)}}, 0)
+		}
+		choice := pick(t, f, 0, &route.FeedQuery{PromptTokens: 700, Sample: 4}, c)
+		got[choice.ID]++
+	}
+	for id, n := range got {
+		if n > 5 {
+			t.Errorf("%d of 25 entries chose %s", n, id)
+		}
+	}
+}
+
 func TestLoadBound(t *testing.T) {
-	f := route.NewFeed(route.DefaultFeedParams)
+	f := newFeed()
 	q := &route.FeedQuery{PromptTokens: 700, MaxLoad: 200}
 	f.Heard("entry-2", 1, 1, map[string]route.Load{"r00": {Reading: 300}, "r01": {Reading: 300}}, 0)
 	if got, ok := f.Pick(0, q, engines(2, 1)); ok {
@@ -104,7 +131,7 @@
 // announced as next; streams of seconds are still sent to it. Cause: a choice that
 // doesn't know how long a request stays.
 func TestLongStreamsAvoidReplicasWhoseTurnIsNear(t *testing.T) {
-	f := route.NewFeed(route.DefaultFeedParams)
+	f := newFeed()
 	c := engines(2, 1)
 	c[0].Planned, c[0].Turn = true, time.Second
 	long := &route.FeedQuery{PromptTokens: 700, OutputTokens: 400}
@@ -120,7 +147,7 @@
 
 // The work of every request that ended is taken off again, whatever came of it.
 func TestLoadsAreGivenBack(t *testing.T) {
-	f := route.NewFeed(route.DefaultFeedParams)
+	f := newFeed()
 	q := prompt("p")
 	for i := range 100 {
 		choice := pick(t, f, 0, q, engines(3, 1))
@@ -139,7 +166,7 @@
 func BenchmarkFeedPick(b *testing.B) {
 	for _, n := range []int{18, 60} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			f, c := route.NewFeed(route.DefaultFeedParams), engines(n, 1)
+			f, c := newFeed(), engines(n, 1)
 			for e := range 25 {
 				f.Heard(fmt.Sprint("entry-", e), 1, 1, map[string]route.Load{"r03": {Reading: 50, Running: 1}}, 0)
 			}
