Rollout: running requests go on under the new weights

Cause: a replica that had its order took no new work until its last stream ended, four seconds under load; with a quarter of them out the others were overloaded, so that streams took longer still.

--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -14,8 +14,8 @@
 	// LoadShare is the part of a model's replicas that load at once, 0 to 1: the
 	// store of weights feeds a fifth of them without loads taking longer.
 	LoadShare float64
-	// DrainExtra is, as a part of those, how many more may finish their running
-	// requests meanwhile, so that a place to load is never idle.
+	// DrainExtra is, as a part of those, how many more may be announced meanwhile, so
+	// that a place to load is never idle.
 	DrainExtra float64
 	// Lead is the time from a note's acceptance to the order: the entries' long
 	// polls have brought it by then. NoteWait is how long an order waits for a note
@@ -38,7 +38,7 @@
 
 // DefaultParams suit loads of a second.
 var DefaultParams = Params{
-	LoadShare: 0.2, DrainExtra: 0.5, Pace: 1200 * time.Millisecond, Lead: 20 * time.Millisecond, NoteWait: 400 * time.Millisecond,
+	LoadShare: 0.2, DrainExtra: 0.25, Pace: 1200 * time.Millisecond, Lead: 20 * time.Millisecond, NoteWait: 400 * time.Millisecond,
 	FirstPoll: 700 * time.Millisecond, Poll: 150 * time.Millisecond,
 	Again: 400 * time.Millisecond, GiveUp: 8 * time.Second, Settle: 3 * time.Second,
 }
@@ -229,13 +229,15 @@
 	return nil
 }
 
-// give orders the newest version, which may have been named since the note.
+// give orders the newest version, which may have been named since the note. What runs
+// goes on: waiting for it would leave a loaded replica without work for as long as
+// its longest stream takes, and the others with that much more.
 func (c *Core) give(now time.Duration, fence uint64, t *target, s *State) []Action {
 	t.version = c.wanted
 	t.orders = max(t.orders, s.Orders)
 	t.step, t.since = stepGiven, now
 	return []Action{Give{Order: fleet.Order{
-		Replica: t.replica, Model: c.model, Version: t.version, Mode: fleet.ModeQueue,
+		Replica: t.replica, Model: c.model, Version: t.version, Mode: fleet.ModeRetain,
 		Holder: c.holder, Fence: fence, Expected: t.orders,
 	}}}
 }
