--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -15,6 +15,9 @@
 type FeedParams struct {
 	// PrefillTokensPerMs is how fast an engine reads prompts.
 	PrefillTokensPerMs float64
+	// MissWeight is what a millisecond of reading shared parts anew weighs against one of
+	// waiting: the copy also pushes out of the cache what others will read anew.
+	MissWeight float64
 	// TokenMs is how much one running request slows an engine's others.
 	TokenMs float64
 	// Others is the load of other entries for each unit of one's own: they see the
@@ -56,7 +59,7 @@
 // millisecond, a step of 4 ms that grows by a tenth with each running request, and
 // caches that turn over in ten seconds.
 var DefaultFeedParams = FeedParams{
-	PrefillTokensPerMs: 50, TokenMs: 2, Others: 2, HomeDoubt: 0.3,
+	PrefillTokensPerMs: 50, MissWeight: 2, TokenMs: 2, Others: 2, HomeDoubt: 0.3,
 	PeerFresh: 500 * time.Millisecond, LagHalfLife: 400 * time.Millisecond, LagLearning: 0.4,
 	Outlasts: 0.2, OutputTokenMs: 8, Learning: 0.05, OldWeights: 150, Doubtful: 1000, Crossing: 3, PlainMs: 60,
 	Known: 8192, KnownFor: 10 * time.Second, KeptFor: 10 * time.Second,
@@ -289,7 +292,7 @@
 	out.Score = out.Load
 	if q.Prefix != "" {
 		out.Missed, out.Reason = f.missing(now, q, c.ID, home)
-		out.Score += float64(out.Missed) / f.params.PrefillTokensPerMs
+		out.Score += f.params.MissWeight * float64(out.Missed) / f.params.PrefillTokensPerMs
 	}
 	if q.Wanted != 0 && c.Version < q.Wanted {
 		out.Score += f.params.OldWeights
