--- a/Makefile
+++ b/Makefile
@@ -16,17 +16,18 @@
 	$(GO) build -o $(BIN)/ ./cmd/...
 
 test: build ## unit and property tests, then the process-level proofs
-	$(GO) test ./internal/... ./cmd/...
+	$(GO) test ./internal/... ./cmd/... ./platform/...
 	$(MAKE) prove
 
 prove: build ## process-level proofs with real processes
 	$(GO) test -count=1 ./test/...
 
-soak: build ## the long seeded soak, one verdict line a promise (SOAK=30m SEED=1)
+soak: build ## the long seeded soaks, one verdict line a promise (SOAK=30m SEED=1)
+	$(GO) test -count=1 -v -timeout 24h -run TestSoak ./platform/ -args -soak $(SOAK) -seed $(SEED)
 	$(GO) test -count=1 -v -timeout 24h -run TestSoak ./test/ -args -soak $(SOAK) -seed $(SEED)
 
 fuzz: ## each fuzz target for FUZZTIME (30s)
-	@$(GO) list -f '{{.Dir}}' ./internal/... ./cmd/... | while read -r dir; do \
+	@$(GO) list -f '{{.Dir}}' ./internal/... ./cmd/... ./platform/... | while read -r dir; do \
 		grep -ho '^func Fuzz[A-Za-z0-9]*' "$$dir"/*_test.go 2>/dev/null | sed 's/^func //' | while read -r target; do \
 			echo "$$dir $$target"; \
 			$(GO) test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) -parallel 4 "$$dir" || exit 1; \
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -66,9 +66,12 @@
 	}
 	ready, err := net.Listen("tcp", s.Direct.Ready)
 	if err != nil {
+		front.Close()
 		return fmt.Errorf("direct: readiness: %w", err)
 	}
 	if e.peers, err = newPeers(e); err != nil {
+		front.Close()
+		ready.Close()
 		return err
 	}
 	return e.run(ctx, front, ready)
@@ -201,12 +204,15 @@
 		for _, id := range removed {
 			e.state.forget(id)
 		}
-		gone := make(map[string]bool)
+		e.state.feed.ForgetPeers(now - peerForgotten)
+		known := make(map[string]bool)
+		for _, id := range e.state.replicas.IDs() {
+			known[id] = true
+		}
 		e.state.mu.Unlock()
 		for _, id := range removed {
-			gone[id] = true
 			e.tel.Log.Info("replica gone", "replica", id, "reason", "not back after an outage of the store")
 		}
-		e.pool.Sweep(func(r upstream.Replica) bool { return !gone[r.ID] })
+		e.pool.Sweep(func(r upstream.Replica) bool { return known[r.ID] })
 	}
 }
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -27,8 +27,6 @@
 	// more than wordsPerSecond.
 	wordEvery      = 50 * time.Millisecond
 	wordsPerSecond = 200
-	// peerFresh is how long a peer's word counts.
-	peerFresh = 500 * time.Millisecond
 	// peerForgotten is when a silent peer's word is dropped.
 	peerForgotten = 10 * time.Second
 	// peersWait is how long a read for new peers waits.
--- a/internal/member/replicas.go
+++ b/internal/member/replicas.go
@@ -58,7 +58,6 @@
 type listed struct {
 	replica  *fleet.Replica
 	offset   uint64
-	recordAt time.Duration
 	draining bool
 	failures int
 	// unreachable is set from a failed connection until one is made; probeAt is when
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -529,6 +529,9 @@
 	f.tokenMs += f.params.Learning * (seen - f.tokenMs)
 }
 
+// ForgetPeers drops the words of peers that were last heard before a time.
+func (f *Feed) ForgetPeers(before time.Duration) { f.peers.Forget(before) }
+
 // Gone forgets a replica.
 func (f *Feed) Gone(id string) { delete(f.loads, id) }
 
