--- a/cmd/skylarkd/main.go
+++ b/cmd/skylarkd/main.go
@@ -89,13 +89,14 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := serve(ctx, s); err != nil {
+	source := func() (*settings.Settings, error) { return settings.Load(c.String("config")) }
+	if err := serve(ctx, s, source); err != nil {
 		return fmt.Errorf("%w: %w", errServe, err)
 	}
 	return nil
 }
 
-func serve(ctx context.Context, s *settings.Settings) error {
+func serve(ctx context.Context, s *settings.Settings, source direct.Source) error {
 	lines := telemetry.NewAsyncWriter(os.Stdout)
 	defer lines.Close()
 	tel, err := telemetry.New(s, lines)
@@ -108,7 +109,7 @@
 		return err
 	}
 	tel.Log.Info("starting", "listen", s.Listen, "failure_domain", s.FailureDomain)
-	if err := runRole(ctx, s, tel); err != nil {
+	if err := runRole(ctx, s, source, tel); err != nil {
 		tel.Log.Error("ended", "error", err)
 		return err
 	}
@@ -116,14 +117,35 @@
 	return nil
 }
 
-func runRole(ctx context.Context, s *settings.Settings, tel *telemetry.Telemetry) error {
+func runRole(ctx context.Context, s *settings.Settings, source direct.Source, tel *telemetry.Telemetry) error {
+	if s.Role != settings.RoleDirect {
+		ignoreHangups(ctx, tel)
+	}
 	switch s.Role {
 	case "entry":
 		return entry.Run(ctx, s, tel)
 	case "endpoint":
 		return endpoint.Run(ctx, s, tel)
 	case settings.RoleDirect:
-		return direct.Run(ctx, s, tel, platform.New(s.Direct.Store))
+		return direct.Run(ctx, s, source, tel, platform.New(s.Direct.Store))
 	}
 	return fmt.Errorf("unknown role %q", s.Role)
 }
+
+// ignoreHangups keeps the roles that read their settings at the start only from
+// ending at SIGHUP, which means elsewhere that the settings have changed.
+func ignoreHangups(ctx context.Context, tel *telemetry.Telemetry) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		defer signal.Stop(hangups)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangups:
+				tel.Log.Warn("SIGHUP ignored: this role reads its settings at the start only")
+			}
+		}
+	}()
+}
--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -50,9 +50,10 @@
 	return &Budget{params: p, tokens: p.Burst, offUntil: make(map[string]time.Duration)}
 }
 
-// Resize changes what can be saved up, as when others that share it come or go.
-func (b *Budget) Resize(burst float64) {
-	b.params.Burst = burst
+// Resize changes the share and what can be saved up, as when others that share the
+// budget come or go.
+func (b *Budget) Resize(share, burst float64) {
+	b.params.Share, b.params.Burst = share, burst
 	b.tokens = min(b.tokens, burst)
 }
 
--- a/internal/direct/drain.go
+++ b/internal/direct/drain.go
@@ -107,9 +107,9 @@
 // till then: in a rolling restart all entries may be draining together, and callers
 // would find none that takes a connection.
 func (e *Entry) shutDown(server *http.Server) {
-	e.drain.begin(e.settings.Direct.Grace.D())
+	e.drain.begin(e.direct().Grace.D())
 	began, ends := e.drain.state()
-	e.tel.Log.Info("draining", "grace_ms", e.settings.Direct.Grace.D().Milliseconds())
+	e.tel.Log.Info("draining", "grace_ms", e.direct().Grace.D().Milliseconds())
 	time.Sleep(min(lastConnections, time.Until(ends)))
 	for !e.drain.idle() && time.Now().Before(ends) {
 		time.Sleep(drainPoll)
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -7,12 +7,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
 	"golang.org/x/sync/semaphore"
 
-	"skylarklead/internal/attempt"
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/telemetry"
@@ -44,6 +44,9 @@
 // Entry is a direct entry.
 type Entry struct {
 	settings *settings.Settings
+	// tunable are the settings that may change while it runs, source rereads them.
+	tunable  atomic.Pointer[settings.Direct]
+	source   Source
 	tel      *telemetry.Telemetry
 	platform Platform
 	clock    clock
@@ -58,8 +61,10 @@
 }
 
 // Run serves callers until ctx ends, then drains and returns.
-func Run(ctx context.Context, s *settings.Settings, tel *telemetry.Telemetry, p Platform) error {
+// source rereads the settings, nil for none.
+func Run(ctx context.Context, s *settings.Settings, source Source, tel *telemetry.Telemetry, p Platform) error {
 	e := newEntry(s, tel, p)
+	e.source = source
 	front, err := net.Listen("tcp", s.Direct.Listen)
 	if err != nil {
 		return fmt.Errorf("direct: callers: %w", err)
@@ -79,23 +84,19 @@
 
 func newEntry(s *settings.Settings, tel *telemetry.Telemetry, p Platform) *Entry {
 	d := s.Direct
-	budget := attempt.BudgetParams{
-		Share:          d.RetryShare * budgetMargin,
-		Burst:          d.RetryExtra * budgetMargin,
-		SaturationHold: 0,
-	}
 	room := int64(d.Memory) << 20 / bodyShare
 	e := &Entry{
 		settings: s,
 		tel:      tel,
 		platform: p,
 		clock:    clock{time.Now()},
-		state:    newState(budget),
+		state:    newState(budgetOf(d)),
 		pool:     upstream.NewPool(),
 		bodies:   semaphore.NewWeighted(room),
 		bodyRoom: room,
 		drain:    newDrain(),
 	}
+	e.tunable.Store(d)
 	e.rollouts = newRollouts(e)
 	e.watch = newWatch(e)
 	return e
@@ -104,7 +105,7 @@
 func (e *Entry) run(ctx context.Context, front, ready net.Listener) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep, e.watch.run, e.peers.run} {
+	for _, loop := range []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep, e.watch.run, e.peers.run, e.reload} {
 		loops.Go(func() { loop(background) })
 	}
 	readiness := e.serveReady(ready)
--- a/internal/direct/operator.go
+++ b/internal/direct/operator.go
@@ -77,7 +77,7 @@
 func (e *Entry) namedAt(first bool) time.Duration {
 	now := e.clock.now()
 	if first {
-		return now + startGrace - e.settings.Direct.WeightsWithin.D()
+		return now + startGrace - e.direct().WeightsWithin.D()
 	}
 	return now
 }
@@ -86,7 +86,7 @@
 	e.state.mu.Lock()
 	d := e.state.demands[w.Model]
 	if d == nil {
-		d = rollout.NewDemand(e.settings.Direct.WeightsWithin.D() - weightsMargin)
+		d = rollout.NewDemand(e.direct().WeightsWithin.D() - weightsMargin)
 		e.state.demands[w.Model] = d
 	}
 	before := d.Newest()
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -233,7 +233,7 @@
 		r.holds, r.fence = true, fence
 		r.entry.tel.Log.Info("giving orders", "fence", fence, "foreign_heard_ms_ago", (now - r.foreignAt).Milliseconds())
 	}
-	if r.foreignAt > 0 && now-r.foreignAt < r.entry.settings.Direct.Lease.D()+orderDelay {
+	if r.foreignAt > 0 && now-r.foreignAt < r.entry.direct().Lease.D()+orderDelay {
 		return true
 	}
 	for model, states := range due {
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -89,15 +89,28 @@
 	return p
 }
 
+// rebudget takes another budget.
+func (s *state) rebudget(p attempt.BudgetParams) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget = p
+	s.resize()
+}
+
 // counted takes how many entries there are. Those that are gone but still listed
 // count, which only makes the shares smaller.
 func (s *state) counted(entries int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries = entries
-	burst := s.ownBudget().Burst
+	s.resize()
+}
+
+// resize divides the budget anew. The caller holds mu.
+func (s *state) resize() {
+	own := s.ownBudget()
 	for _, b := range s.budgets {
-		b.Resize(burst)
+		b.Resize(own.Share, own.Burst)
 	}
 }
 
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -147,6 +147,9 @@
 // Continue ends Stop.
 func (p *Process) Continue() { p.signal(syscall.SIGCONT) }
 
+// Hangup says that the settings have changed.
+func (p *Process) Hangup() { p.signal(syscall.SIGHUP) }
+
 // Terminate asks for a graceful stop.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
