--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -21,9 +21,12 @@
 	// that has gone silent is noticed at its end.
 	operatorWait = 2 * time.Second
 	// replicasWait is like operatorWait for the replicas' records, replicasEvery the
-	// pause between reads: after a crash of many their records come in a burst.
+	// least pause between reads: after a crash of many their records come in a burst.
+	// It grows with the entries, as each change wakes them all, up to replicasMost, a
+	// third of the time in which a leaving replica must be left alone.
 	replicasWait  = 2 * time.Second
-	replicasEvery = 150 * time.Millisecond
+	replicasEvery = 40 * time.Millisecond
+	replicasMost  = 700 * time.Millisecond
 	// entriesEvery is the pause between reads of the entries' own topic. Notes come
 	// from peers at once, and are read there if a datagram was lost; what an entry
 	// appends itself it reads back at once.
@@ -54,6 +57,8 @@
 	next  uint64
 	// known is set once all keys were read, begun once they were for the first time.
 	known, begun bool
+	// pause returns the pause between reads where it varies; nil for every.
+	pause func() time.Duration
 	// poke cuts a pause between reads short; nil for none.
 	poke <-chan struct{}
 	// reached is called after each answer, failed after each call without one.
@@ -128,10 +133,14 @@
 
 // rest pauses between reads.
 func (f *follower) rest(ctx context.Context) {
-	if f.every <= 0 {
+	every := f.every
+	if f.pause != nil {
+		every = f.pause()
+	}
+	if every <= 0 {
 		return
 	}
-	timer := time.NewTimer(f.every)
+	timer := time.NewTimer(every)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -24,7 +24,8 @@
 func (e *Entry) followReplicas(ctx context.Context) {
 	_, topic := e.platform.Records.Topics()
 	f := newFollower(e.platform.Store, topic, e.tel.Log)
-	f.keyed, f.wait, f.every = true, replicasWait, replicasEvery
+	f.keyed, f.wait = true, replicasWait
+	f.pause = func() time.Duration { return min(replicasMost, replicasEvery*time.Duration(e.state.count())) }
 	out := &outage{}
 	f.failed = func() {
 		if !out.now {
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -106,6 +106,13 @@
 	s.resize()
 }
 
+// count is how many entries there are.
+func (s *state) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries
+}
+
 // resize divides the budget anew. The caller holds mu.
 func (s *state) resize() {
 	own := s.ownBudget()
