--- a/internal/admit/core.go
+++ b/internal/admit/core.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Reasons of a Start.
@@ -58,7 +58,7 @@
 		return nil
 	}
 	if c.draining {
-		return []Action{Refuse{item.ID, wire.CodeDraining, 0, "this endpoint is leaving"}}
+		return []Action{Refuse{item.ID, protocol.CodeDraining, 0, "this endpoint is leaving"}}
 	}
 	e := c.newEntry(now, item)
 	if refusal := c.overQuota(e); refusal != nil {
@@ -110,7 +110,7 @@
 	var actions []Action
 	for _, e := range c.late(now) {
 		c.drop(e)
-		actions = append(actions, c.refusal(e, wire.CodeDeadline, "deadline passed while waiting"))
+		actions = append(actions, c.refusal(e, protocol.CodeDeadline, "deadline passed while waiting"))
 	}
 	return c.dispatch(now, actions)
 }
@@ -125,7 +125,7 @@
 	for len(c.queue.waiting) > 0 {
 		e := c.queue.waiting[0].queue[0]
 		c.drop(e)
-		actions = append(actions, Refuse{e.item.ID, wire.CodeDraining, 0, "this endpoint is leaving"})
+		actions = append(actions, Refuse{e.item.ID, protocol.CodeDraining, 0, "this endpoint is leaving"})
 	}
 	return actions
 }
--- a/internal/admit/core_test.go
+++ b/internal/admit/core_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 func item(n int, organisation string) Item {
@@ -92,7 +92,7 @@
 		c.Arrive(0, item(n, "large"))
 	}
 	list := refused(c.Arrive(0, item(9, "small")))
-	if len(list) != 1 || list[0].ID != item(4, "").ID || list[0].Code != wire.CodeOverloaded {
+	if len(list) != 1 || list[0].ID != item(4, "").ID || list[0].Code != protocol.CodeOverloaded {
 		t.Fatalf("refused %v, want the large one's newest", list)
 	}
 	if list[0].RetryAfter <= 0 {
@@ -107,7 +107,7 @@
 	late := item(3, "a")
 	late.Deadline = 500 * time.Millisecond
 	list := refused(c.Arrive(0, late))
-	if len(list) != 1 || list[0].Code != wire.CodeDeadline {
+	if len(list) != 1 || list[0].Code != protocol.CodeDeadline {
 		t.Fatalf("refused %v, want the late one", list)
 	}
 }
@@ -137,7 +137,7 @@
 			t.Errorf("%s: refused %v, want %d", test.name, list, test.refused)
 		}
 		for _, r := range list {
-			if r.Code != wire.CodeOverloaded || r.RetryAfter < 10*time.Second {
+			if r.Code != protocol.CodeOverloaded || r.RetryAfter < 10*time.Second {
 				t.Errorf("%s: %+v doesn't tell of 19 items, one of which starts each second or two", test.name, r)
 			}
 		}
@@ -171,7 +171,7 @@
 	c.Arrive(0, item(1, "a"))
 	c.Arrive(0, item(2, "a"))
 	c.Drain()
-	if list := refused(c.Arrive(0, item(3, "a"))); len(list) != 1 || list[0].Code != wire.CodeDraining {
+	if list := refused(c.Arrive(0, item(3, "a"))); len(list) != 1 || list[0].Code != protocol.CodeDraining {
 		t.Fatalf("refused %v", list)
 	}
 	if ids := started(c.Finish(1, item(1, "").ID, Actual{Ran: true})); len(ids) != 1 {
--- a/internal/admit/shed.go
+++ b/internal/admit/shed.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Bounds of Retry-After.
@@ -20,11 +20,11 @@
 	o := e.org
 	limit := e.item.MaxInFlight
 	if limit > 0 && o.running+len(o.queue) >= limit {
-		r := c.refusal(e, wire.CodeOverloaded, "organisation is at its bound of requests in flight")
+		r := c.refusal(e, protocol.CodeOverloaded, "organisation is at its bound of requests in flight")
 		return &r
 	}
 	if len(o.queue) >= c.params.queueShare() {
-		r := c.refusal(e, wire.CodeOverloaded, "organisation has its share of the queue")
+		r := c.refusal(e, protocol.CodeOverloaded, "organisation has its share of the queue")
 		return &r
 	}
 	return nil
@@ -38,22 +38,22 @@
 	wait := c.expectedWait(e)
 	if own := c.ownWait(now, e); own > c.params.FirstTokenTarget/2 {
 		c.drop(e)
-		return append(actions, Refuse{e.item.ID, wire.CodeOverloaded, clampRetryAfter(own), reasonStanding})
+		return append(actions, Refuse{e.item.ID, protocol.CodeOverloaded, clampRetryAfter(own), reasonStanding})
 	}
 	if now+wait+c.backlog(now) > e.latestStart {
 		c.drop(e)
-		return append(actions, c.refusal(e, wire.CodeDeadline, "the queue is longer than its deadline"))
+		return append(actions, c.refusal(e, protocol.CodeDeadline, "the queue is longer than its deadline"))
 	}
 	if wait > c.params.MaxWait {
 		c.drop(e)
-		return append(actions, c.refusal(e, wire.CodeOverloaded, "the queue is longer than the longest wait"))
+		return append(actions, c.refusal(e, protocol.CodeOverloaded, "the queue is longer than the longest wait"))
 	}
 	if c.queue.length <= c.params.MaxQueue {
 		return actions
 	}
 	victim := c.victim()
 	c.drop(victim)
-	return append(actions, c.refusal(victim, wire.CodeOverloaded, "the queue is full; its organisation has most waiting"))
+	return append(actions, c.refusal(victim, protocol.CodeOverloaded, "the queue is full; its organisation has most waiting"))
 }
 
 const (
@@ -141,7 +141,7 @@
 	return duration(ahead / c.speed.rate())
 }
 
-func (c *Core) refusal(e *entry, code wire.Code, reason string) Refuse {
+func (c *Core) refusal(e *entry, code protocol.Code, reason string) Refuse {
 	return Refuse{e.item.ID, code, c.retryAfter(), reason}
 }
 
--- a/internal/admit/types.go
+++ b/internal/admit/types.go
@@ -4,12 +4,12 @@
 	"math"
 	"time"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
-	"skylarklead/internal/wire"
 )
 
 // ID names an item: its attempt.
-type ID = wire.AttemptID
+type ID = protocol.AttemptID
 
 // Item is a request that wants to run.
 type Item struct {
@@ -70,7 +70,7 @@
 // Refuse ends an item that has not run and will not.
 type Refuse struct {
 	ID         ID
-	Code       wire.Code
+	Code       protocol.Code
 	RetryAfter time.Duration
 	Reason     string
 }
--- a/internal/attempt/bench_test.go
+++ b/internal/attempt/bench_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 func benchHeap() uint64 {
@@ -17,7 +17,7 @@
 	return m.HeapAlloc
 }
 
-func benchAttempt(i int) (a wire.AttemptID) {
+func benchAttempt(i int) (a protocol.AttemptID) {
 	binary.LittleEndian.PutUint64(a[:], uint64(i))
 	return a
 }
@@ -35,7 +35,7 @@
 		r := NewRegistry(time.Hour)
 		for i := range attempts {
 			r.Arrive(benchAttempt(i), 0)
-			r.End(benchAttempt(i), wire.Done, 0)
+			r.End(benchAttempt(i), protocol.Done, 0)
 		}
 		bytes = benchHeap() - before
 		runtime.KeepAlive(r)
@@ -53,7 +53,7 @@
 		settles = nil
 		for k := i; k < i+batch; k++ {
 			record.Claims = append(record.Claims, Claim{Key: benchKey(k), Fingerprint: uint64(k) << 40, AgeMs: 40})
-			settles = append(settles, Settle{Key: benchKey(k), Claim: uint64(len(records) + 1), Outcome: wire.Done})
+			settles = append(settles, Settle{Key: benchKey(k), Claim: uint64(len(records) + 1), Outcome: protocol.Done})
 		}
 		data, err := EncodeClaims(record)
 		if err != nil {
--- a/internal/attempt/claims.go
+++ b/internal/attempt/claims.go
@@ -7,8 +7,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/strictcbor"
-	"skylarklead/internal/wire"
 )
 
 // KeyDigest stands for an organisation's idempotency key: the first 16 bytes of
@@ -20,11 +20,11 @@
 //
 // A claim is known by the offset of its record, so a batch has each key once.
 type ClaimBatch struct {
-	Endpoint string     `cbor:"1,keyasint"`
-	Epoch    wire.Epoch `cbor:"2,keyasint"`
-	Settles  []Settle   `cbor:"3,keyasint,omitempty"`
-	Carries  []Carry    `cbor:"4,keyasint,omitempty"`
-	Claims   []Claim    `cbor:"5,keyasint,omitempty"`
+	Endpoint string         `cbor:"1,keyasint"`
+	Epoch    protocol.Epoch `cbor:"2,keyasint"`
+	Settles  []Settle       `cbor:"3,keyasint,omitempty"`
+	Carries  []Carry        `cbor:"4,keyasint,omitempty"`
+	Claims   []Claim        `cbor:"5,keyasint,omitempty"`
 }
 
 // Claim says that the batch's process wants to run a key. The lowest offset
@@ -40,19 +40,19 @@
 // good; NotRun releases the key: the winner has not run it under this claim and
 // never will.
 type Settle struct {
-	Key     KeyDigest    `cbor:"1,keyasint"`
-	Claim   uint64       `cbor:"2,keyasint"`
-	Outcome wire.Outcome `cbor:"3,keyasint"`
+	Key     KeyDigest        `cbor:"1,keyasint"`
+	Claim   uint64           `cbor:"2,keyasint"`
+	Outcome protocol.Outcome `cbor:"3,keyasint"`
 }
 
 // Carry repeats what the log says of an undated key before retention takes the
 // records that say it.
 type Carry struct {
-	Key         KeyDigest  `cbor:"1,keyasint"`
-	Fingerprint uint64     `cbor:"2,keyasint"`
-	Endpoint    string     `cbor:"3,keyasint"`
-	Epoch       wire.Epoch `cbor:"4,keyasint"`
-	Claim       uint64     `cbor:"5,keyasint"`
+	Key         KeyDigest      `cbor:"1,keyasint"`
+	Fingerprint uint64         `cbor:"2,keyasint"`
+	Endpoint    string         `cbor:"3,keyasint"`
+	Epoch       protocol.Epoch `cbor:"4,keyasint"`
+	Claim       uint64         `cbor:"5,keyasint"`
 	// Done is set when the claim was settled as done.
 	Done bool `cbor:"6,keyasint,omitempty"`
 	// AgeMs is how long ago the key was first claimed.
@@ -91,7 +91,7 @@
 
 // KeyedRun is one sending of a request that may run at most once.
 type KeyedRun struct {
-	Attempt     wire.AttemptID
+	Attempt     protocol.AttemptID
 	Key         KeyDigest
 	Fingerprint uint64
 	// Age is the key's age, 0 where it isn't known.
@@ -107,7 +107,7 @@
 	Status      int
 	ContentType string
 	Chunks      [][]byte
-	End         wire.End
+	End         protocol.End
 }
 
 func (r *Result) size() int {
@@ -130,26 +130,26 @@
 
 // Execute hands the attempt to the back end, and then reports Finished.
 type Execute struct {
-	Attempt wire.AttemptID
+	Attempt protocol.AttemptID
 	Key     KeyDigest
 }
 
 // Attach answers Attempt with all of what the running attempt To gets.
 type Attach struct {
-	Attempt wire.AttemptID
-	To      wire.AttemptID
+	Attempt protocol.AttemptID
+	To      protocol.AttemptID
 }
 
 // Replay answers Attempt with a kept result.
 type Replay struct {
-	Attempt wire.AttemptID
+	Attempt protocol.AttemptID
 	Result  *Result
 }
 
 // Answer ends Attempt without running it here. A Redirect lacks its address.
 type Answer struct {
-	Attempt wire.AttemptID
-	End     wire.End
+	Attempt protocol.AttemptID
+	End     protocol.End
 }
 
 func (AppendClaims) onceAction() {}
--- a/internal/attempt/claims_test.go
+++ b/internal/attempt/claims_test.go
@@ -4,14 +4,14 @@
 	"testing"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 func FuzzDecodeClaims(f *testing.F) {
 	seed, err := EncodeClaims(&ClaimBatch{
 		Endpoint: "endpoint-0", Epoch: 1,
 		Claims:  []Claim{{Key: KeyDigest{1}, Fingerprint: 2, AgeMs: 3}},
-		Settles: []Settle{{Key: KeyDigest{1}, Claim: 4, Outcome: wire.Done}},
+		Settles: []Settle{{Key: KeyDigest{1}, Claim: 4, Outcome: protocol.Done}},
 		Carries: []Carry{{Key: KeyDigest{2}, Endpoint: "endpoint-1", Epoch: 5, Claim: 6}},
 	})
 	if err != nil {
--- a/internal/attempt/events.go
+++ b/internal/attempt/events.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Event is what happens to a request at its entry.
@@ -11,52 +11,52 @@
 
 // Asked brings an owner's decision, or one that the entry made by itself with no
 // owner to ask.
-type Asked struct{ Decision *wire.Decision }
+type Asked struct{ Decision *protocol.Decision }
 
 // AskFailed: no owner answered.
 type AskFailed struct{}
 
 // NotSent: no session to the executor could be opened, so that nothing of the
 // attempt was sent and nothing will be.
-type NotSent struct{ Attempt wire.AttemptID }
+type NotSent struct{ Attempt protocol.AttemptID }
 
 // Sent: the attempt's Run is about to be written to a session with this process
 // epoch. It is reported before the write, so that the answer can't overtake it;
 // a write that fails is then a SessionLost, for the executor may have the Run.
 type Sent struct {
-	Attempt wire.AttemptID
-	Epoch   wire.Epoch
+	Attempt protocol.AttemptID
+	Epoch   protocol.Epoch
 }
 
 // Started: the executor's Start came.
-type Started struct{ Attempt wire.AttemptID }
+type Started struct{ Attempt protocol.AttemptID }
 
 // ChunkDelivered: the caller has every piece below Next.
 type ChunkDelivered struct{ Next uint64 }
 
 // Ended: the receiver took the attempt's End, sent by a process of this epoch.
 type Ended struct {
-	Epoch wire.Epoch
-	End   *wire.End
+	Epoch protocol.Epoch
+	End   *protocol.End
 }
 
 // SessionLost: the session with the attempt's executor ended after Sent, or its
 // receiver must resume.
-type SessionLost struct{ Attempt wire.AttemptID }
+type SessionLost struct{ Attempt protocol.AttemptID }
 
 // Resolved brings the executor's answer to Resolve.
 type Resolved struct {
-	Epoch  wire.Epoch
-	Answer *wire.Resolved
+	Epoch  protocol.Epoch
+	Answer *protocol.Resolved
 }
 
 // ResumeOpened: the Resume was sent on a new session.
-type ResumeOpened struct{ Attempt wire.AttemptID }
+type ResumeOpened struct{ Attempt protocol.AttemptID }
 
 // ResumeFailed: the executor couldn't be reached to resume or resolve, or, with
 // EpochGone, a new epoch answers in its place.
 type ResumeFailed struct {
-	Attempt   wire.AttemptID
+	Attempt   protocol.AttemptID
 	EpochGone bool
 }
 
@@ -102,8 +102,8 @@
 // Run sends a new attempt to Target. With FirstSeq above 0 it carries what the
 // caller already has as Partial.
 type Run struct {
-	Attempt    wire.AttemptID
-	Target     wire.Target
+	Attempt    protocol.AttemptID
+	Target     protocol.Target
 	FirstSeq   uint64
 	Suspect    bool
 	Redirected bool
@@ -111,30 +111,30 @@
 
 // Resume asks the executor for the attempt again from Seq, after a wait.
 type Resume struct {
-	Attempt wire.AttemptID
-	Target  wire.Target
+	Attempt protocol.AttemptID
+	Target  protocol.Target
 	Seq     uint64
 	After   time.Duration
 }
 
 // Resolve asks the executor what became of the attempt, after a wait.
 type Resolve struct {
-	Attempt wire.AttemptID
-	Target  wire.Target
+	Attempt protocol.AttemptID
+	Target  protocol.Target
 	After   time.Duration
 }
 
 // Cancel tells the executor that nobody waits for the attempt.
 type Cancel struct {
-	Attempt wire.AttemptID
-	Target  wire.Target
+	Attempt protocol.AttemptID
+	Target  protocol.Target
 }
 
 // Finish is the caller's final answer: Refusal, or the attempt's own end if nil.
 // It is given at once, whatever the caller's deadline.
 type Finish struct {
-	End     *wire.End
-	Refusal *wire.Refusal
+	End     *protocol.End
+	Refusal *protocol.Refusal
 }
 
 func (Ask) action()     {}
--- a/internal/attempt/once.go
+++ b/internal/attempt/once.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // OnceParams time a Once.
@@ -89,7 +89,7 @@
 	releasedAt  uint64
 	mine        mine
 	idleSince   time.Duration
-	attempt     wire.AttemptID
+	attempt     protocol.AttemptID
 	result      *Result
 	claim       claiming
 	doubtAt     time.Duration
@@ -100,7 +100,7 @@
 type winner struct {
 	offset   uint64
 	endpoint string
-	epoch    wire.Epoch
+	epoch    protocol.Epoch
 	done     bool
 }
 
@@ -111,8 +111,8 @@
 
 // peer is what is known of another process that may have claimed keys.
 type peer struct {
-	epoch wire.Epoch
-	past  map[wire.Epoch]bool
+	epoch protocol.Epoch
+	past  map[protocol.Epoch]bool
 	down  bool
 }
 
@@ -125,7 +125,7 @@
 type Once struct {
 	params    OnceParams
 	self      string
-	epoch     wire.Epoch
+	epoch     protocol.Epoch
 	keys      map[KeyDigest]*keyState
 	peers     map[string]*peer
 	deadlines []deadline
@@ -148,7 +148,7 @@
 }
 
 // NewOnce returns the state of a process that has read nothing of the log yet.
-func NewOnce(self string, epoch wire.Epoch, params OnceParams) *Once {
+func NewOnce(self string, epoch protocol.Epoch, params OnceParams) *Once {
 	return &Once{
 		params: params, self: self, epoch: epoch,
 		keys: map[KeyDigest]*keyState{}, peers: map[string]*peer{},
@@ -168,7 +168,7 @@
 func (o *Once) Run(r KeyedRun, now time.Duration) []OnceAction {
 	if r.Age >= o.params.Retention/2 {
 		// Its claim may be gone from the log: that it has not run can't be known.
-		o.answer(r.Attempt, wire.Unknown, wire.CodeKeyTooOld, "the idempotency key is too old", 0)
+		o.answer(r.Attempt, protocol.Unknown, protocol.CodeKeyTooOld, "the idempotency key is too old", 0)
 		return o.take(now)
 	}
 	k := o.key(r.Key, now)
@@ -183,7 +183,7 @@
 }
 
 // Withdraw says that nobody waits for the attempt any more.
-func (o *Once) Withdraw(key KeyDigest, a wire.AttemptID) {
+func (o *Once) Withdraw(key KeyDigest, a protocol.AttemptID) {
 	if k, ok := o.keys[key]; ok {
 		k.dropWaiter(a)
 	}
@@ -191,18 +191,18 @@
 
 // Finished says what came of an executed key. NotRun is for a back end that was
 // never handed the request.
-func (o *Once) Finished(key KeyDigest, ran wire.Outcome, result *Result, now time.Duration) []OnceAction {
+func (o *Once) Finished(key KeyDigest, ran protocol.Outcome, result *Result, now time.Duration) []OnceAction {
 	k, ok := o.keys[key]
 	if !ok || k.mine != mineRunning {
 		return o.take(now)
 	}
 	switch ran {
-	case wire.Done:
+	case protocol.Done:
 		k.mine = mineDone
 		k.winner.done = true
 		o.keep(k, result)
-		o.outbox.settle(k, wire.Done, now)
-	case wire.NotRun:
+		o.outbox.settle(k, protocol.Done, now)
+	case protocol.NotRun:
 		o.rest(k, now)
 	default:
 		k.mine = mineUnknown
@@ -212,7 +212,7 @@
 
 // PeerEpoch says which epoch of an endpoint lives now; what its earlier ones
 // claimed and did not settle has an unknown outcome for good.
-func (o *Once) PeerEpoch(endpoint string, epoch wire.Epoch) {
+func (o *Once) PeerEpoch(endpoint string, epoch protocol.Epoch) {
 	p := o.peer(endpoint)
 	p.down = false
 	if p.epoch != epoch && p.epoch != 0 {
@@ -285,13 +285,13 @@
 func (o *Once) peer(endpoint string) *peer {
 	p, ok := o.peers[endpoint]
 	if !ok {
-		p = &peer{past: map[wire.Epoch]bool{}}
+		p = &peer{past: map[protocol.Epoch]bool{}}
 		o.peers[endpoint] = p
 	}
 	return p
 }
 
-func (k *keyState) waits(a wire.AttemptID) bool {
+func (k *keyState) waits(a protocol.AttemptID) bool {
 	for _, w := range k.waiters {
 		if w.Attempt == a {
 			return true
@@ -300,7 +300,7 @@
 	return false
 }
 
-func (k *keyState) dropWaiter(a wire.AttemptID) bool {
+func (k *keyState) dropWaiter(a protocol.AttemptID) bool {
 	for i, w := range k.waiters {
 		if w.Attempt == a {
 			k.waiters = append(k.waiters[:i:i], k.waiters[i+1:]...)
--- a/internal/attempt/once_bench_test.go
+++ b/internal/attempt/once_bench_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Latencies of the log in the timed model, one way there and back.
@@ -23,7 +23,7 @@
 	offset   uint64
 	due      map[time.Duration][]func() []OnceAction
 	down     func(time.Duration) bool
-	started  map[wire.AttemptID]time.Duration
+	started  map[protocol.AttemptID]time.Duration
 	waits    []time.Duration
 	refused  []time.Duration
 	appends  int
@@ -41,7 +41,7 @@
 			l.append(a)
 		case Execute:
 			l.waits = append(l.waits, l.now-l.started[a.Attempt])
-			l.after(5*time.Millisecond, func() []OnceAction { return l.once.Finished(a.Key, wire.Done, nil, l.now) })
+			l.after(5*time.Millisecond, func() []OnceAction { return l.once.Finished(a.Key, protocol.Done, nil, l.now) })
 		case Answer:
 			l.refused = append(l.refused, l.now)
 		}
@@ -76,8 +76,8 @@
 		if rng.Float64() < rate/1000 {
 			l.sendings++
 			key := benchKey(int(l.sendings))
-			l.started[wire.AttemptID(key)] = l.now
-			l.do(l.once.Run(KeyedRun{Attempt: wire.AttemptID(key), Key: key, Age: time.Millisecond}, l.now))
+			l.started[protocol.AttemptID(key)] = l.now
+			l.do(l.once.Run(KeyedRun{Attempt: protocol.AttemptID(key), Key: key, Age: time.Millisecond}, l.now))
 		}
 		if l.once.Wake(l.now) <= l.now {
 			l.do(l.once.Tick(l.now))
@@ -90,7 +90,7 @@
 	params.Interval = interval
 	return &timedLog{
 		once: NewOnce("endpoint-0", 1, params), down: down,
-		due: map[time.Duration][]func() []OnceAction{}, started: map[wire.AttemptID]time.Duration{},
+		due: map[time.Duration][]func() []OnceAction{}, started: map[protocol.AttemptID]time.Duration{},
 	}
 }
 
--- a/internal/attempt/once_decide.go
+++ b/internal/attempt/once_decide.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // decide answers one sending, or makes it wait.
@@ -14,7 +14,7 @@
 	case !o.caughtUp && !ranHere:
 		k.waiters = append(k.waiters, w)
 	case taken && k.fingerprint != w.Fingerprint:
-		o.answer(w.Attempt, wire.NotRun, wire.CodeKeyConflict, "the idempotency key was used with another request", 0)
+		o.answer(w.Attempt, protocol.NotRun, protocol.CodeKeyConflict, "the idempotency key was used with another request", 0)
 	case k.winner.offset == 0:
 		o.want(k, w)
 	case o.isMine(k):
@@ -27,7 +27,7 @@
 // want queues a claim for a key that nobody has.
 func (o *Once) want(k *keyState, w waiter) {
 	if o.leaving {
-		o.answer(w.Attempt, wire.NotRun, wire.CodeDraining, "the endpoint is leaving", o.params.RetryAfter)
+		o.answer(w.Attempt, protocol.NotRun, protocol.CodeDraining, "the endpoint is leaving", o.params.RetryAfter)
 		return
 	}
 	k.waiters = append(k.waiters, w)
@@ -44,7 +44,7 @@
 	switch k.mine {
 	case mineNotRun:
 		if o.leaving {
-			o.answer(w.Attempt, wire.NotRun, wire.CodeDraining, "the endpoint is leaving", o.params.RetryAfter)
+			o.answer(w.Attempt, protocol.NotRun, protocol.CodeDraining, "the endpoint is leaving", o.params.RetryAfter)
 			return
 		}
 		k.mine, k.attempt = mineRunning, w.Attempt
@@ -60,7 +60,7 @@
 	case mineReleasing:
 		k.waiters = append(k.waiters, w)
 	default:
-		o.answer(w.Attempt, wire.Unknown, wire.CodeUnknownOutcome, "the request may have run", 0)
+		o.answer(w.Attempt, protocol.Unknown, protocol.CodeUnknownOutcome, "the request may have run", 0)
 	}
 }
 
@@ -74,23 +74,23 @@
 	case k.winner.done && (gone || down || w.Redirected):
 		o.answerDone(w.Attempt)
 	case gone:
-		o.answer(w.Attempt, wire.Unknown, wire.CodeUnknownOutcome, "the process that claimed the request is gone", 0)
+		o.answer(w.Attempt, protocol.Unknown, protocol.CodeUnknownOutcome, "the process that claimed the request is gone", 0)
 	case down || w.Redirected:
-		o.answer(w.Attempt, wire.Unknown, wire.CodeUnknownOutcome, "the process that claimed the request can't be reached", o.params.RetryAfter)
+		o.answer(w.Attempt, protocol.Unknown, protocol.CodeUnknownOutcome, "the process that claimed the request can't be reached", o.params.RetryAfter)
 	default:
-		o.out = append(o.out, Answer{Attempt: w.Attempt, End: wire.End{
-			Attempt: w.Attempt, Outcome: wire.Unknown, Message: "claimed by another endpoint",
-			Redirect: &wire.Target{Endpoint: k.winner.endpoint, Epoch: k.winner.epoch},
+		o.out = append(o.out, Answer{Attempt: w.Attempt, End: protocol.End{
+			Attempt: w.Attempt, Outcome: protocol.Unknown, Message: "claimed by another endpoint",
+			Redirect: &protocol.Target{Endpoint: k.winner.endpoint, Epoch: k.winner.epoch},
 		}})
 	}
 }
 
-func (o *Once) answerDone(a wire.AttemptID) {
-	o.answer(a, wire.Done, wire.CodeKeyConflict, "the request has run; its answer is not kept", 0)
+func (o *Once) answerDone(a protocol.AttemptID) {
+	o.answer(a, protocol.Done, protocol.CodeKeyConflict, "the request has run; its answer is not kept", 0)
 }
 
-func (o *Once) answer(a wire.AttemptID, ran wire.Outcome, code wire.Code, message string, after time.Duration) {
-	o.out = append(o.out, Answer{Attempt: a, End: wire.End{
+func (o *Once) answer(a protocol.AttemptID, ran protocol.Outcome, code protocol.Code, message string, after time.Duration) {
+	o.out = append(o.out, Answer{Attempt: a, End: protocol.End{
 		Attempt: a, Outcome: ran, Code: code, Message: message, RetryAfterMs: after.Milliseconds(),
 	}})
 }
--- a/internal/attempt/once_log.go
+++ b/internal/attempt/once_log.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Record takes the next record of the stream. Records come in order of offset,
@@ -62,9 +62,9 @@
 		return
 	}
 	switch s.Outcome {
-	case wire.Done:
+	case protocol.Done:
 		k.winner.done = true
-	case wire.NotRun:
+	case protocol.NotRun:
 		k.winner = winner{}
 		k.releasedAt = offset
 		k.mine = mineNone
--- a/internal/attempt/once_model_test.go
+++ b/internal/attempt/once_model_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 var testOnceParams = OnceParams{
@@ -47,7 +47,7 @@
 type modelAppend struct {
 	AppendClaims
 	proc  int
-	epoch wire.Epoch
+	epoch protocol.Epoch
 }
 
 type modelExecution struct {
@@ -57,7 +57,7 @@
 
 type modelProc struct {
 	once        *Once
-	epoch       wire.Epoch
+	epoch       protocol.Epoch
 	appends     []modelAppend
 	executions  []modelExecution
 	readStarted time.Duration
@@ -69,7 +69,7 @@
 	answered bool
 	ran      bool
 	notRun   bool
-	code     wire.Code
+	code     protocol.Code
 	// until is when it has to be decided or refused.
 	until time.Duration
 }
@@ -84,8 +84,8 @@
 	born     []time.Duration
 	dated    bool
 	runs     map[KeyDigest]int
-	sendings map[wire.AttemptID]*sending
-	epochs   wire.Epoch
+	sendings map[protocol.AttemptID]*sending
+	epochs   protocol.Epoch
 	attempts byte
 	more     byte
 }
@@ -93,7 +93,7 @@
 func newOnceWorld(t *rapid.T, procs, keys int, dated bool) *onceWorld {
 	w := &onceWorld{
 		t: t, now: time.Second, log: &modelLog{oldest: 1, up: true}, dated: dated,
-		runs: map[KeyDigest]int{}, sendings: map[wire.AttemptID]*sending{}, born: make([]time.Duration, keys),
+		runs: map[KeyDigest]int{}, sendings: map[protocol.AttemptID]*sending{}, born: make([]time.Duration, keys),
 	}
 	for i := range procs {
 		w.procs = append(w.procs, &modelProc{})
@@ -119,7 +119,7 @@
 	if w.attempts == 0 {
 		w.more++
 	}
-	a := wire.AttemptID{w.attempts, w.more, 1}
+	a := protocol.AttemptID{w.attempts, w.more, 1}
 	// Without one, at an even attempt, a sending waits for ClaimBound.
 	patience := time.Duration(w.attempts%2) * time.Duration(w.attempts) * 20 * time.Millisecond
 	s := &sending{key: key, proc: proc, until: w.now + testOnceParams.ClaimBound}
@@ -156,7 +156,7 @@
 	}
 }
 
-func (w *onceWorld) answer(a wire.AttemptID) *sending {
+func (w *onceWorld) answer(a protocol.AttemptID) *sending {
 	s := w.sendings[a]
 	if s.answered {
 		w.t.Fatalf("attempt %v answered twice", a)
@@ -169,12 +169,12 @@
 	s := w.answer(a.Attempt)
 	s.code = a.End.Code
 	switch a.End.Outcome {
-	case wire.NotRun:
+	case protocol.NotRun:
 		s.notRun = true
 		if s.ran {
 			w.t.Fatalf("not_run said of a sending that ran")
 		}
-	case wire.Done:
+	case protocol.Done:
 		w.mustHaveRun(s.key)
 	}
 	if a.End.Redirect == nil {
@@ -217,10 +217,10 @@
 	}
 	e := p.executions[0]
 	p.executions = p.executions[1:]
-	outcome := wire.NotRun
+	outcome := protocol.NotRun
 	var result *Result
 	if e.handed {
-		outcome = rapid.SampledFrom([]wire.Outcome{wire.Done, wire.Done, wire.Unknown}).Draw(w.t, "outcome")
+		outcome = rapid.SampledFrom([]protocol.Outcome{protocol.Done, protocol.Done, protocol.Unknown}).Draw(w.t, "outcome")
 		result = &Result{Chunks: [][]byte{make([]byte, 300)}}
 	}
 	w.do(i, p.once.Finished(e.Key, outcome, result, w.now))
--- a/internal/attempt/once_outbox.go
+++ b/internal/attempt/once_outbox.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // outbox gathers what goes to the log, one append at a time, so that what comes
@@ -34,7 +34,7 @@
 	settles  []pendingSettle
 }
 
-func (b *outbox) settle(k *keyState, ran wire.Outcome, now time.Duration) {
+func (b *outbox) settle(k *keyState, ran protocol.Outcome, now time.Duration) {
 	b.settles = append(b.settles, pendingSettle{Settle{Key: k.key, Claim: k.winner.offset, Outcome: ran}, now})
 }
 
@@ -108,7 +108,7 @@
 			continue
 		}
 		inBatch[k.key] = true
-		batch.Settles = append(batch.Settles, Settle{Key: k.key, Claim: k.winner.offset, Outcome: wire.NotRun})
+		batch.Settles = append(batch.Settles, Settle{Key: k.key, Claim: k.winner.offset, Outcome: protocol.NotRun})
 		flight.releases = append(flight.releases, k)
 	}
 	o.outbox.releases = o.outbox.releases[n:]
--- a/internal/attempt/once_test.go
+++ b/internal/attempt/once_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Symptom: a payment is made twice, or one that was made is called not_run.
@@ -47,7 +47,7 @@
 		w.drain()
 		w.mustHaveRun(fresh)
 		for _, s := range w.sendings {
-			if s.code == wire.CodeLogUnavailable {
+			if s.code == protocol.CodeLogUnavailable {
 				t.Fatalf("key %d is refused with the log up", s.key)
 			}
 		}
@@ -90,7 +90,7 @@
 		w := newOnceWorld(t, 2, 1, false)
 		w.drain()
 		w.send(0, 0, false)
-		w.procs[0].once.Withdraw(KeyDigest{0, 1}, wire.AttemptID{1, 0, 1})
+		w.procs[0].once.Withdraw(KeyDigest{0, 1}, protocol.AttemptID{1, 0, 1})
 		w.settleAppend(0, "ok")
 		w.read(0, 1)
 		w.advance(testOnceParams.HoldFor)
@@ -113,17 +113,17 @@
 func TestOnceRefusals(t *testing.T) {
 	o := NewOnce("endpoint-0", 1, testOnceParams)
 	o.CaughtUp(0, 0)
-	old := o.Run(KeyedRun{Attempt: wire.AttemptID{1}, Key: KeyDigest{1}, Age: time.Minute}, 0)
-	if got := old[0].(Answer).End; got.Code != wire.CodeKeyTooOld || got.Outcome != wire.Unknown {
+	old := o.Run(KeyedRun{Attempt: protocol.AttemptID{1}, Key: KeyDigest{1}, Age: time.Minute}, 0)
+	if got := old[0].(Answer).End; got.Code != protocol.CodeKeyTooOld || got.Outcome != protocol.Unknown {
 		t.Errorf("an old key: got %+v", got)
 	}
-	o.Run(KeyedRun{Attempt: wire.AttemptID{2}, Key: KeyDigest{2}, Fingerprint: 7}, 0)
-	other := o.Run(KeyedRun{Attempt: wire.AttemptID{3}, Key: KeyDigest{2}, Fingerprint: 8}, 0)
-	if got := other[0].(Answer).End; got.Code != wire.CodeKeyConflict || got.Outcome != wire.NotRun {
+	o.Run(KeyedRun{Attempt: protocol.AttemptID{2}, Key: KeyDigest{2}, Fingerprint: 7}, 0)
+	other := o.Run(KeyedRun{Attempt: protocol.AttemptID{3}, Key: KeyDigest{2}, Fingerprint: 8}, 0)
+	if got := other[0].(Answer).End; got.Code != protocol.CodeKeyConflict || got.Outcome != protocol.NotRun {
 		t.Errorf("a key with another body: got %+v", got)
 	}
 	late := o.Tick(testOnceParams.ClaimBound)
-	if got := late[0].(Answer).End; got.Code != wire.CodeLogUnavailable || got.Outcome != wire.NotRun || got.RetryAfterMs == 0 {
+	if got := late[0].(Answer).End; got.Code != protocol.CodeLogUnavailable || got.Outcome != protocol.NotRun || got.RetryAfterMs == 0 {
 		t.Errorf("no answer from the log: got %+v", got)
 	}
 }
@@ -148,10 +148,10 @@
 		o := NewOnce("endpoint-0", 1, testOnceParams)
 		o.CaughtUp(c.came, c.came)
 		fail := func(now time.Duration) {
-			batch := o.Run(KeyedRun{Attempt: wire.AttemptID{9}, Key: KeyDigest{9}}, now)[0].(AppendClaims).Batch
+			batch := o.Run(KeyedRun{Attempt: protocol.AttemptID{9}, Key: KeyDigest{9}}, now)[0].(AppendClaims).Batch
 			o.AppendFailed(batch, time.Hour, now)
 		}
-		r := KeyedRun{Attempt: wire.AttemptID{1}, Key: KeyDigest{1}, Patience: c.patience}
+		r := KeyedRun{Attempt: protocol.AttemptID{1}, Key: KeyDigest{1}, Patience: c.patience}
 		if c.fails != 0 && c.fails <= c.came {
 			fail(c.fails)
 			o.Run(r, c.came)
@@ -161,7 +161,7 @@
 		refused := func(now time.Duration) bool {
 			return slices.ContainsFunc(o.Tick(now), func(a OnceAction) bool {
 				answer, ok := a.(Answer)
-				return ok && answer.Attempt == r.Attempt && answer.End.Code == wire.CodeLogUnavailable
+				return ok && answer.Attempt == r.Attempt && answer.End.Code == protocol.CodeLogUnavailable
 			})
 		}
 		if refused(c.refuse - 1) {
--- a/internal/attempt/once_wait.go
+++ b/internal/attempt/once_wait.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // deadline is when a sending that came at since is refused, if its claim isn't
@@ -13,7 +13,7 @@
 type deadline struct {
 	at, since time.Duration
 	key       KeyDigest
-	attempt   wire.AttemptID
+	attempt   protocol.AttemptID
 }
 
 // bound sets how long a sending waits for its claim. It gets half of its caller's
@@ -67,9 +67,9 @@
 // An earlier sending of the key may have run elsewhere unless the log was read to
 // its end shortly before this one came.
 func (o *Once) refuseOutage(d deadline) {
-	ran := wire.NotRun
+	ran := protocol.NotRun
 	if !o.caughtUp || d.since-o.freshAt > o.params.FreshFor {
-		ran = wire.Unknown
+		ran = protocol.Unknown
 	}
-	o.answer(d.attempt, ran, wire.CodeLogUnavailable, "the log is not available; send the same key again", o.params.RetryAfter)
+	o.answer(d.attempt, ran, protocol.CodeLogUnavailable, "the log is not available; send the same key again", o.params.RetryAfter)
 }
--- a/internal/attempt/plan.go
+++ b/internal/attempt/plan.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Spec is what a plan has to know of its request.
@@ -77,8 +77,8 @@
 	budget  *Budget
 	rng     *rand.Rand
 	phase   phase
-	attempt wire.AttemptID
-	target  wire.Target
+	attempt protocol.AttemptID
+	target  protocol.Target
 	sent    bool
 	started bool
 	tainted bool
@@ -112,7 +112,7 @@
 func (p *Plan) Final() bool { return p.phase == phaseFinal }
 
 // Attempt is the live attempt.
-func (p *Plan) Attempt() wire.AttemptID { return p.attempt }
+func (p *Plan) Attempt() protocol.AttemptID { return p.attempt }
 
 // Step takes one event. Events of other attempts than the live one, and those
 // after the final answer, change nothing.
@@ -150,12 +150,12 @@
 	case GraceOver:
 		return p.graceOver()
 	case DeadlinePassed:
-		return p.abandon(wire.CodeDeadline, "the deadline has passed")
+		return p.abandon(protocol.CodeDeadline, "the deadline has passed")
 	}
 	return nil
 }
 
-func (p *Plan) isLive(a wire.AttemptID) bool { return a == p.attempt && p.phase != phaseAsking }
+func (p *Plan) isLive(a protocol.AttemptID) bool { return a == p.attempt && p.phase != phaseAsking }
 
 func (p *Plan) ask(after time.Duration) []Action {
 	p.phase = phaseAsking
@@ -163,13 +163,13 @@
 	return []Action{Ask{Exclude: slices.Clone(p.exclude), Crashed: slices.Clone(p.crashed), After: after}}
 }
 
-func (p *Plan) asked(d *wire.Decision, now time.Duration) []Action {
+func (p *Plan) asked(d *protocol.Decision, now time.Duration) []Action {
 	if p.phase != phaseAsking {
 		return nil
 	}
 	if d.Refusal != nil {
 		p.noteSaturation(d.Refusal.Code, now)
-		if d.Refusal.Code == wire.CodeNoEndpoint && p.asks < p.params.Asks {
+		if d.Refusal.Code == protocol.CodeNoEndpoint && p.asks < p.params.Asks {
 			// In a rolling restart a request can meet each endpoint while that one
 			// is away: one left, the next one leaves, the last has no engine yet.
 			// Its caller would be refused though the first is back. Asking has no
@@ -189,12 +189,12 @@
 		return nil
 	}
 	if p.asks >= p.params.Asks {
-		return p.refuse(wire.CodeNoEndpoint, "no owner answered", p.params.RetryAfter)
+		return p.refuse(protocol.CodeNoEndpoint, "no owner answered", p.params.RetryAfter)
 	}
 	return p.ask(p.wait(p.asks))
 }
 
-func (p *Plan) run(target wire.Target, redirected bool) []Action {
+func (p *Plan) run(target protocol.Target, redirected bool) []Action {
 	p.phase = phaseSending
 	p.attempt = p.newAttempt()
 	p.target = target
@@ -204,8 +204,8 @@
 	return []Action{Run{Attempt: p.attempt, Target: target, FirstSeq: p.next, Suspect: p.suspect, Redirected: redirected}}
 }
 
-func (p *Plan) newAttempt() wire.AttemptID {
-	var a wire.AttemptID
+func (p *Plan) newAttempt() protocol.AttemptID {
+	var a protocol.AttemptID
 	binary.LittleEndian.PutUint64(a[:8], p.rng.Uint64())
 	binary.LittleEndian.PutUint64(a[8:], p.rng.Uint64())
 	return a
@@ -215,7 +215,7 @@
 	if p.phase != phaseSending || e.Attempt != p.attempt {
 		return nil
 	}
-	return p.elsewhere(wire.CodeNoEndpoint, "the executor can't be reached", 0, ExtraResend, now)
+	return p.elsewhere(protocol.CodeNoEndpoint, "the executor can't be reached", 0, ExtraResend, now)
 }
 
 func (p *Plan) noteSent(e Sent) {
@@ -229,7 +229,7 @@
 // elsewhere runs the request at another endpoint if the budget, the bound on
 // attempts and what the caller already has allow it. The live attempt is known
 // not to run, or the request is repeatable.
-func (p *Plan) elsewhere(code wire.Code, message string, retryAfter time.Duration, kind Extra, now time.Duration) []Action {
+func (p *Plan) elsewhere(code protocol.Code, message string, retryAfter time.Duration, kind Extra, now time.Duration) []Action {
 	if p.target.Endpoint != "" && !slices.Contains(p.exclude, p.target.Endpoint) {
 		p.exclude = append(p.exclude, p.target.Endpoint)
 	}
@@ -242,7 +242,7 @@
 }
 
 // abandon ends a request that nobody waits for any more.
-func (p *Plan) abandon(code wire.Code, message string) []Action {
+func (p *Plan) abandon(code protocol.Code, message string) []Action {
 	var actions []Action
 	if p.phase != phaseAsking {
 		// Also while sending: the entry may be just about to write the Run.
@@ -260,33 +260,33 @@
 	if !p.away {
 		return nil
 	}
-	return p.abandon(wire.CodeCanceled, "the caller has gone")
+	return p.abandon(protocol.CodeCanceled, "the caller has gone")
 }
 
 // refuse gives the final answer. It says not_run only if no attempt may have
 // run and the caller has nothing of an answer; done if the answer was lost after
 // an executor had said so.
-func (p *Plan) refuse(code wire.Code, message string, retryAfter time.Duration) []Action {
-	ran := wire.NotRun
+func (p *Plan) refuse(code protocol.Code, message string, retryAfter time.Duration) []Action {
+	ran := protocol.NotRun
 	if p.tainted || p.next > 0 {
-		ran = wire.Unknown
+		ran = protocol.Unknown
 	}
 	if p.ran {
-		ran = wire.Done
+		ran = protocol.Done
 	}
-	if ran != wire.NotRun && code == wire.CodeNotRun {
-		code = wire.CodeUnknownOutcome
+	if ran != protocol.NotRun && code == protocol.CodeNotRun {
+		code = protocol.CodeUnknownOutcome
 	}
-	return p.finish(nil, &wire.Refusal{Code: code, Message: message, Ran: ran, RetryAfterMs: retryAfter.Milliseconds()})
+	return p.finish(nil, &protocol.Refusal{Code: code, Message: message, Ran: ran, RetryAfterMs: retryAfter.Milliseconds()})
 }
 
-func (p *Plan) finish(end *wire.End, refusal *wire.Refusal) []Action {
+func (p *Plan) finish(end *protocol.End, refusal *protocol.Refusal) []Action {
 	p.phase = phaseFinal
 	return []Action{Finish{End: end, Refusal: refusal}}
 }
 
-func (p *Plan) noteSaturation(code wire.Code, now time.Duration) {
-	if code == wire.CodeOverloaded {
+func (p *Plan) noteSaturation(code protocol.Code, now time.Duration) {
+	if code == protocol.CodeOverloaded {
 		p.budget.Saturated(p.spec.Organisation, now)
 	}
 }
--- a/internal/attempt/plan_model_test.go
+++ b/internal/attempt/plan_model_test.go
@@ -7,16 +7,16 @@
 
 	"pgregory.net/rapid"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // modelExecutor is an endpoint process as a plan meets it. Its inbox may be read
 // long after the session that filled it was lost.
 type modelExecutor struct {
-	epoch    wire.Epoch
+	epoch    protocol.Epoch
 	registry *Registry
 	inbox    []Run
-	running  []wire.AttemptID
+	running  []protocol.AttemptID
 	down     bool
 }
 
@@ -28,14 +28,14 @@
 	executors []*modelExecutor
 	todo      []Action
 	events    []Event
-	handed    map[wire.AttemptID]bool
+	handed    map[protocol.AttemptID]bool
 	runs      int
 	finish    *Finish
-	epochs    wire.Epoch
+	epochs    protocol.Epoch
 }
 
 func newPlanWorld(t *rapid.T, spec Spec) *planWorld {
-	w := &planWorld{t: t, now: time.Second, handed: map[wire.AttemptID]bool{}}
+	w := &planWorld{t: t, now: time.Second, handed: map[protocol.AttemptID]bool{}}
 	for range 3 {
 		w.executors = append(w.executors, &modelExecutor{})
 		w.restart(len(w.executors) - 1)
@@ -90,11 +90,11 @@
 			w.event(ResumeOpened{Attempt: a.Attempt})
 			known, ok := e.registry.attempts[a.Attempt]
 			if !ok || known.state != attemptRunning {
-				outcome := wire.Unknown
+				outcome := protocol.Unknown
 				if ok {
 					outcome = known.outcome
 				}
-				w.end(e, wire.End{Attempt: a.Attempt, Outcome: outcome})
+				w.end(e, protocol.End{Attempt: a.Attempt, Outcome: outcome})
 			}
 		})
 	}
@@ -105,14 +105,14 @@
 	case 0:
 		w.event(AskFailed{})
 	case 1:
-		w.event(Asked{Decision: &wire.Decision{Refusal: &wire.Refusal{Code: wire.CodeOverloaded, Ran: wire.NotRun}}})
+		w.event(Asked{Decision: &protocol.Decision{Refusal: &protocol.Refusal{Code: protocol.CodeOverloaded, Ran: protocol.NotRun}}})
 	default:
 		i := rapid.IntRange(0, len(w.executors)-1).Draw(w.t, "executor")
-		w.event(Asked{Decision: &wire.Decision{Executor: wire.Target{Endpoint: fmt.Sprint(i)}}})
+		w.event(Asked{Decision: &protocol.Decision{Executor: protocol.Target{Endpoint: fmt.Sprint(i)}}})
 	}
 }
 
-func (w *planWorld) at(target wire.Target) *modelExecutor {
+func (w *planWorld) at(target protocol.Target) *modelExecutor {
 	var i int
 	fmt.Sscan(target.Endpoint, &i)
 	return w.executors[i]
@@ -136,7 +136,7 @@
 	}
 }
 
-func (w *planWorld) reach(target wire.Target, a wire.AttemptID, luck int, do func(*modelExecutor)) {
+func (w *planWorld) reach(target protocol.Target, a protocol.AttemptID, luck int, do func(*modelExecutor)) {
 	e := w.at(target)
 	switch {
 	case luck <= 1 || e.down:
@@ -161,18 +161,18 @@
 	}
 	switch {
 	case w.plan.spec.Keyed && w.runs > 0: // the claims let one sending run
-		end := wire.End{Attempt: r.Attempt, Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome}
+		end := protocol.End{Attempt: r.Attempt, Outcome: protocol.Unknown, Code: protocol.CodeUnknownOutcome}
 		if luck > 4 {
-			end.Outcome, end.Code = wire.Done, wire.CodeKeyConflict
+			end.Outcome, end.Code = protocol.Done, protocol.CodeKeyConflict
 		}
 		e.registry.End(r.Attempt, end.Outcome, w.now)
 		w.end(e, end)
 	case luck == 0:
-		e.registry.End(r.Attempt, wire.NotRun, w.now)
-		w.end(e, wire.End{Attempt: r.Attempt, Outcome: wire.NotRun, Code: wire.CodeDraining})
+		e.registry.End(r.Attempt, protocol.NotRun, w.now)
+		w.end(e, protocol.End{Attempt: r.Attempt, Outcome: protocol.NotRun, Code: protocol.CodeDraining})
 	case luck == 1 && !r.Redirected:
-		e.registry.End(r.Attempt, wire.NotRun, w.now)
-		w.end(e, wire.End{Attempt: r.Attempt, Outcome: wire.NotRun, Redirect: &wire.Target{Endpoint: fmt.Sprint((i + 1) % 3)}})
+		e.registry.End(r.Attempt, protocol.NotRun, w.now)
+		w.end(e, protocol.End{Attempt: r.Attempt, Outcome: protocol.NotRun, Redirect: &protocol.Target{Endpoint: fmt.Sprint((i + 1) % 3)}})
 	default:
 		w.handed[r.Attempt] = true
 		w.runs++
@@ -181,7 +181,7 @@
 	}
 }
 
-func (w *planWorld) end(e *modelExecutor, end wire.End) {
+func (w *planWorld) end(e *modelExecutor, end protocol.End) {
 	w.events = append(w.events, Ended{Epoch: e.epoch, End: &end})
 }
 
@@ -192,9 +192,9 @@
 	}
 	a := e.running[0]
 	e.running = e.running[1:]
-	end := wire.End{Attempt: a, Outcome: wire.Done}
+	end := protocol.End{Attempt: a, Outcome: protocol.Done}
 	if luck == 0 {
-		end.Outcome, end.EngineCrashed = wire.Unknown, true
+		end.Outcome, end.EngineCrashed = protocol.Unknown, true
 	}
 	e.registry.End(a, end.Outcome, w.now)
 	w.end(e, end)
@@ -251,13 +251,13 @@
 	if w.finish == nil {
 		return
 	}
-	if r := w.finish.Refusal; r != nil && r.Ran == wire.NotRun && w.runs > 0 {
+	if r := w.finish.Refusal; r != nil && r.Ran == protocol.NotRun && w.runs > 0 {
 		w.t.Fatalf("not_run (%s) said of a request that ran %d times", r.Code, w.runs)
 	}
-	if r := w.finish.Refusal; r != nil && r.Ran == wire.Done && w.runs == 0 {
+	if r := w.finish.Refusal; r != nil && r.Ran == protocol.Done && w.runs == 0 {
 		w.t.Fatalf("done (%s) said of a request that did not run", r.Code)
 	}
-	if w.finish.Refusal == nil && w.finish.End.Outcome != wire.Done {
+	if w.finish.Refusal == nil && w.finish.End.Outcome != protocol.Done {
 		w.t.Fatalf("finished by %+v", w.finish.End)
 	}
 }
--- a/internal/attempt/plan_outcome.go
+++ b/internal/attempt/plan_outcome.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // ended takes the live attempt's end.
@@ -13,9 +13,9 @@
 	}
 	p.noteSaturation(e.End.Code, now)
 	switch e.End.Outcome {
-	case wire.Done:
+	case protocol.Done:
 		return p.finish(e.End, nil)
-	case wire.NotRun:
+	case protocol.NotRun:
 		if e.Epoch != p.target.Epoch {
 			// Another epoch speaks for a process that was restarted: it can't know
 			// what its predecessor handed on. Believing it would let a payment run
@@ -29,7 +29,7 @@
 }
 
 // notRun: the executor that would have run the attempt knows that it didn't.
-func (p *Plan) notRun(end *wire.End, now time.Duration) []Action {
+func (p *Plan) notRun(end *protocol.End, now time.Duration) []Action {
 	p.sent = false
 	if end.Redirect != nil {
 		return p.redirect(end)
@@ -42,9 +42,9 @@
 
 // redirect follows an executor's word that another one should run the request,
 // once: two that disagree must not send it to and fro.
-func (p *Plan) redirect(end *wire.End) []Action {
+func (p *Plan) redirect(end *protocol.End) []Action {
 	if p.redirected {
-		return p.refuse(wire.CodeNoEndpoint, "redirected twice", p.params.RetryAfter)
+		return p.refuse(protocol.CodeNoEndpoint, "redirected twice", p.params.RetryAfter)
 	}
 	return p.run(*end.Redirect, true)
 }
@@ -52,16 +52,16 @@
 // final reports whether another endpoint would refuse for the same reason. A
 // request that the module has given up on is answered at once; it must not reach
 // another engine.
-func final(c wire.Code) bool {
+func final(c protocol.Code) bool {
 	switch c {
-	case wire.CodeOverloaded, wire.CodeNoEndpoint, wire.CodeNotRun, wire.CodeDraining, wire.CodeInternal, wire.CodeNone:
+	case protocol.CodeOverloaded, protocol.CodeNoEndpoint, protocol.CodeNotRun, protocol.CodeDraining, protocol.CodeInternal, protocol.CodeNone:
 		return false
 	}
 	return true
 }
 
 // unknown: the attempt ended without an answer and may have run.
-func (p *Plan) unknown(end *wire.End, now time.Duration) []Action {
+func (p *Plan) unknown(end *protocol.End, now time.Duration) []Action {
 	if end.Redirect != nil && !p.redirected {
 		// The idempotency key is claimed by another executor, which may have run
 		// it for an earlier sending. Only that one can say more.
@@ -73,10 +73,10 @@
 	}
 	if len(p.crashed) >= p.params.Crashes {
 		p.tainted = true
-		return p.refuse(wire.CodeGivenUp, "the request crashed the engines that ran it", p.params.GivenUpFor)
+		return p.refuse(protocol.CodeGivenUp, "the request crashed the engines that ran it", p.params.GivenUpFor)
 	}
-	claimsSay := p.spec.Keyed && end.Code == wire.CodeUnknownOutcome
-	if end.Code != wire.CodeNone && final(end.Code) && (end.Code != wire.CodeUnknownOutcome || claimsSay) {
+	claimsSay := p.spec.Keyed && end.Code == protocol.CodeUnknownOutcome
+	if end.Code != protocol.CodeNone && final(end.Code) && (end.Code != protocol.CodeUnknownOutcome || claimsSay) {
 		p.tainted = true
 		return p.refuse(end.Code, end.Message, millis(end.RetryAfterMs))
 	}
@@ -93,9 +93,9 @@
 func (p *Plan) lostSaying(message string, retryAfter time.Duration, now time.Duration) []Action {
 	p.tainted = true
 	if !p.spec.Repeatable && !p.spec.Keyed {
-		return p.refuse(wire.CodeUnknownOutcome, message, retryAfter)
+		return p.refuse(protocol.CodeUnknownOutcome, message, retryAfter)
 	}
-	return p.elsewhere(wire.CodeUnknownOutcome, message, retryAfter, ExtraRetry, now)
+	return p.elsewhere(protocol.CodeUnknownOutcome, message, retryAfter, ExtraRetry, now)
 }
 
 // sessionLost: only the same epoch of the executor can tell what became of the
@@ -125,14 +125,14 @@
 	if e.Epoch != p.target.Epoch {
 		return p.lost(now)
 	}
-	if e.Answer.Running || e.Answer.Outcome == wire.Done {
+	if e.Answer.Running || e.Answer.Outcome == protocol.Done {
 		p.started = true
-		p.ran = e.Answer.Outcome == wire.Done
+		p.ran = e.Answer.Outcome == protocol.Done
 		return p.reach(0)
 	}
-	if e.Answer.Outcome == wire.NotRun {
+	if e.Answer.Outcome == protocol.NotRun {
 		p.sent = false
-		return p.elsewhere(wire.CodeNotRun, "the request did not reach its executor", 0, ExtraResend, now)
+		return p.elsewhere(protocol.CodeNotRun, "the request did not reach its executor", 0, ExtraResend, now)
 	}
 	return p.lost(now)
 }
--- a/internal/attempt/plan_test.go
+++ b/internal/attempt/plan_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Symptom: a payment is made twice; a request that ran is called not_run; a
@@ -41,12 +41,12 @@
 	p.Begin(0)
 	var last []Action
 	for i := range DefaultPlanParams.Crashes {
-		run := p.Step(Asked{Decision: &wire.Decision{Executor: wire.Target{Endpoint: fmt.Sprint(i)}}}, 0)[0].(Run)
+		run := p.Step(Asked{Decision: &protocol.Decision{Executor: protocol.Target{Endpoint: fmt.Sprint(i)}}}, 0)[0].(Run)
 		p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
-		last = p.Step(Ended{Epoch: 1, End: &wire.End{Attempt: run.Attempt, Outcome: wire.Unknown, EngineCrashed: true}}, 0)
+		last = p.Step(Ended{Epoch: 1, End: &protocol.End{Attempt: run.Attempt, Outcome: protocol.Unknown, EngineCrashed: true}}, 0)
 	}
 	finish, ok := last[0].(Finish)
-	if !ok || finish.Refusal.Code != wire.CodeGivenUp || finish.Refusal.RetryAfterMs == 0 || finish.Refusal.Ran != wire.Unknown {
+	if !ok || finish.Refusal.Code != protocol.CodeGivenUp || finish.Refusal.RetryAfterMs == 0 || finish.Refusal.Ran != protocol.Unknown {
 		t.Fatalf("after %d crashes: %+v", DefaultPlanParams.Crashes, last)
 	}
 }
@@ -58,31 +58,31 @@
 func TestPlanSendsAKeyedRequestAgainAfterALoss(t *testing.T) {
 	p := NewPlan(Spec{Keyed: true}, DefaultPlanParams, NewBudget(DefaultBudgetParams), rand.New(rand.NewPCG(1, 1)))
 	p.Begin(0)
-	run := p.Step(Asked{Decision: &wire.Decision{}}, 0)[0].(Run)
+	run := p.Step(Asked{Decision: &protocol.Decision{}}, 0)[0].(Run)
 	p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
 	p.Step(SessionLost{Attempt: run.Attempt}, 0)
 	if _, ok := p.Step(ResumeFailed{Attempt: run.Attempt, EpochGone: true}, 0)[0].(Ask); !ok {
 		t.Fatal("not sent again")
 	}
-	again := p.Step(Asked{Decision: &wire.Decision{}}, 0)[0].(Run)
+	again := p.Step(Asked{Decision: &protocol.Decision{}}, 0)[0].(Run)
 	p.Step(Sent{Attempt: again.Attempt, Epoch: 1}, 0)
-	refused := &wire.End{Attempt: again.Attempt, Outcome: wire.NotRun, Code: wire.CodeLogUnavailable}
-	if f := p.Step(Ended{Epoch: 1, End: refused}, 0)[0].(Finish); f.Refusal.Ran != wire.Unknown {
+	refused := &protocol.End{Attempt: again.Attempt, Outcome: protocol.NotRun, Code: protocol.CodeLogUnavailable}
+	if f := p.Step(Ended{Epoch: 1, End: refused}, 0)[0].(Finish); f.Refusal.Ran != protocol.Unknown {
 		t.Errorf("the first sending may have run, but %s is said", f.Refusal.Ran)
 	}
 }
 
 func TestPlanSaysDoneOfALostAnswerOnlyWhenItWasSaid(t *testing.T) {
 	for _, test := range []struct {
-		answer wire.Resolved
-		want   wire.Outcome
+		answer protocol.Resolved
+		want   protocol.Outcome
 	}{
-		{wire.Resolved{Outcome: wire.Done}, wire.Done},
-		{wire.Resolved{Outcome: wire.Unknown, Running: true}, wire.Unknown},
+		{protocol.Resolved{Outcome: protocol.Done}, protocol.Done},
+		{protocol.Resolved{Outcome: protocol.Unknown, Running: true}, protocol.Unknown},
 	} {
 		p := NewPlan(Spec{}, DefaultPlanParams, NewBudget(DefaultBudgetParams), rand.New(rand.NewPCG(1, 1)))
 		p.Begin(0)
-		run := p.Step(Asked{Decision: &wire.Decision{}}, 0)[0].(Run)
+		run := p.Step(Asked{Decision: &protocol.Decision{}}, 0)[0].(Run)
 		p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
 		p.Step(SessionLost{Attempt: run.Attempt}, 0)
 		test.answer.Attempt = run.Attempt
@@ -99,19 +99,21 @@
 // at the same address says not_run of an attempt that it has never seen.
 // Cause: an end taken without a look at the epoch that speaks.
 func TestPlanDoesNotBelieveAnotherEpoch(t *testing.T) {
-	for name, word := range map[string]func(wire.AttemptID) Event{
-		"an end": func(a wire.AttemptID) Event { return Ended{Epoch: 2, End: &wire.End{Attempt: a, Outcome: wire.NotRun}} },
-		"resolved": func(a wire.AttemptID) Event {
-			return Resolved{Epoch: 2, Answer: &wire.Resolved{Attempt: a, Outcome: wire.NotRun}}
+	for name, word := range map[string]func(protocol.AttemptID) Event{
+		"an end": func(a protocol.AttemptID) Event {
+			return Ended{Epoch: 2, End: &protocol.End{Attempt: a, Outcome: protocol.NotRun}}
+		},
+		"resolved": func(a protocol.AttemptID) Event {
+			return Resolved{Epoch: 2, Answer: &protocol.Resolved{Attempt: a, Outcome: protocol.NotRun}}
 		},
 	} {
 		p := NewPlan(Spec{}, DefaultPlanParams, NewBudget(DefaultBudgetParams), rand.New(rand.NewPCG(1, 1)))
 		p.Begin(0)
-		run := p.Step(Asked{Decision: &wire.Decision{}}, 0)[0].(Run)
+		run := p.Step(Asked{Decision: &protocol.Decision{}}, 0)[0].(Run)
 		p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
 		p.Step(SessionLost{Attempt: run.Attempt}, 0)
 		out := p.Step(word(run.Attempt), 0)
-		if f, ok := out[0].(Finish); !ok || f.Refusal.Ran != wire.Unknown || f.Refusal.Code != wire.CodeUnknownOutcome {
+		if f, ok := out[0].(Finish); !ok || f.Refusal.Ran != protocol.Unknown || f.Refusal.Code != protocol.CodeUnknownOutcome {
 			t.Errorf("%s: got %+v", name, out)
 		}
 	}
@@ -131,7 +133,7 @@
 	} {
 		p := NewPlan(Spec{Repeatable: test.repeatable}, DefaultPlanParams, NewBudget(DefaultBudgetParams), rand.New(rand.NewPCG(1, 1)))
 		p.Begin(0)
-		run := p.Step(Asked{Decision: &wire.Decision{}}, 0)[0].(Run)
+		run := p.Step(Asked{Decision: &protocol.Decision{}}, 0)[0].(Run)
 		p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
 		out := p.Step(SessionLost{Attempt: run.Attempt}, 0)
 		for range test.tries {
@@ -157,12 +159,12 @@
 		if _, ok := out[0].(Ask); !ok {
 			t.Fatalf("got %+v", out)
 		}
-		run := p.Step(Asked{Decision: &wire.Decision{}}, 0)[0].(Run)
+		run := p.Step(Asked{Decision: &protocol.Decision{}}, 0)[0].(Run)
 		runs++
 		p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
-		out = p.Step(Ended{Epoch: 1, End: &wire.End{Attempt: run.Attempt, Outcome: wire.NotRun, Code: wire.CodeDraining}}, 0)
+		out = p.Step(Ended{Epoch: 1, End: &protocol.End{Attempt: run.Attempt, Outcome: protocol.NotRun, Code: protocol.CodeDraining}}, 0)
 	}
-	if runs != DefaultPlanParams.Runs || out[0].(Finish).Refusal.Ran != wire.NotRun {
+	if runs != DefaultPlanParams.Runs || out[0].(Finish).Refusal.Ran != protocol.NotRun {
 		t.Errorf("%d runs, then %+v", runs, out[0])
 	}
 }
@@ -179,7 +181,7 @@
 	} {
 		p := NewPlan(test.spec, DefaultPlanParams, NewBudget(DefaultBudgetParams), rand.New(rand.NewPCG(1, 1)))
 		p.Begin(0)
-		run := p.Step(Asked{Decision: &wire.Decision{Executor: wire.Target{Endpoint: "a"}}}, 0)[0].(Run)
+		run := p.Step(Asked{Decision: &protocol.Decision{Executor: protocol.Target{Endpoint: "a"}}}, 0)[0].(Run)
 		p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
 		p.Step(Started{Attempt: run.Attempt}, 0)
 		p.Step(ChunkDelivered{Next: 7}, 0)
@@ -194,7 +196,7 @@
 		if ask, ok := out[0].(Ask); ok && (len(ask.Exclude) != 1 || ask.Exclude[0] != "a") {
 			t.Errorf("%s: excluded %v", test.name, ask.Exclude)
 		}
-		if again := p.Step(Asked{Decision: &wire.Decision{Executor: wire.Target{Endpoint: "b"}}}, 0); len(again) > 0 && again[0].(Run).FirstSeq != 7 {
+		if again := p.Step(Asked{Decision: &protocol.Decision{Executor: protocol.Target{Endpoint: "b"}}}, 0); len(again) > 0 && again[0].(Run).FirstSeq != 7 {
 			t.Errorf("%s: %+v", test.name, again)
 		}
 	}
--- a/internal/attempt/poison.go
+++ b/internal/attempt/poison.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // PoisonParams bound what one request may do to the engines.
@@ -68,10 +68,10 @@
 }
 
 // Refusal is the final answer to a request that was given up.
-func (v Verdict) Refusal() *wire.Refusal {
-	return &wire.Refusal{
-		Code: wire.CodeGivenUp, Message: "this request crashed the engines that ran it",
-		Ran: wire.NotRun, RetryAfterMs: v.RetryAfter.Milliseconds(),
+func (v Verdict) Refusal() *protocol.Refusal {
+	return &protocol.Refusal{
+		Code: protocol.CodeGivenUp, Message: "this request crashed the engines that ran it",
+		Ran: protocol.NotRun, RetryAfterMs: v.RetryAfter.Milliseconds(),
 	}
 }
 
@@ -229,9 +229,9 @@
 // Crashed says that this process's engine was lost with all that it ran. Only a
 // request that ran alone gets the last strike: one that happened to run beside
 // different culprits must not be given up in their place.
-func (p *Poison) Crashed(now time.Duration) []wire.Strike {
+func (p *Poison) Crashed(now time.Duration) []protocol.Strike {
 	alone := p.total == 1
-	strikes := make([]wire.Strike, 0, len(p.running))
+	strikes := make([]protocol.Strike, 0, len(p.running))
 	for f, n := range p.running {
 		p.lost[f] += n
 		s := p.live(f, now)
@@ -247,6 +247,6 @@
 	}
 	clear(p.running)
 	p.total = 0
-	slices.SortFunc(strikes, func(a, b wire.Strike) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	slices.SortFunc(strikes, func(a, b protocol.Strike) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return strikes
 }
--- a/internal/attempt/poison_strikes.go
+++ b/internal/attempt/poison_strikes.go
@@ -5,11 +5,11 @@
 	"slices"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Heard merges a peer's strikes. Merging is idempotent and in any order.
-func (p *Poison) Heard(strikes []wire.Strike, now time.Duration) {
+func (p *Poison) Heard(strikes []protocol.Strike, now time.Duration) {
 	for _, h := range strikes {
 		struck := now - millis(max(h.AgeMs, 0))
 		if now-struck >= p.params.Memory {
@@ -24,7 +24,7 @@
 	}
 }
 
-func (s *suspicion) merge(h wire.Strike, struck, now time.Duration) {
+func (s *suspicion) merge(h protocol.Strike, struck, now time.Duration) {
 	newer := h.Generation > s.generation || h.Generation == s.generation && h.Count > s.count
 	if newer {
 		s.generation, s.count = h.Generation, h.Count
@@ -38,7 +38,7 @@
 
 // Strikes returns what to put into the next heartbeat: the latest changes first,
 // then the others in turn, so that a peer that missed some gets them again.
-func (p *Poison) Strikes(now time.Duration) []wire.Strike {
+func (p *Poison) Strikes(now time.Duration) []protocol.Strike {
 	p.sweep(now)
 	if len(p.known) == 0 {
 		return nil
@@ -58,15 +58,15 @@
 		p.cursor = rest[len(rest)-1]
 		fingerprints = slices.Concat(fingerprints[:fresh], rest)
 	}
-	strikes := make([]wire.Strike, len(fingerprints))
+	strikes := make([]protocol.Strike, len(fingerprints))
 	for i, f := range fingerprints {
 		strikes[i] = p.known[f].strike(f, now)
 	}
 	return strikes
 }
 
-func (s *suspicion) strike(fingerprint uint64, now time.Duration) wire.Strike {
-	return wire.Strike{
+func (s *suspicion) strike(fingerprint uint64, now time.Duration) protocol.Strike {
+	return protocol.Strike{
 		Fingerprint: fingerprint, Count: s.count, GivenUp: s.givenUp,
 		Generation: s.generation, AgeMs: (now - s.struck).Milliseconds(),
 	}
--- a/internal/attempt/poison_test.go
+++ b/internal/attempt/poison_test.go
@@ -6,7 +6,7 @@
 
 	"pgregory.net/rapid"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Fingerprints of the model: the first two crash every engine that runs them,
@@ -41,7 +41,7 @@
 
 type modelNews struct {
 	to      int
-	strikes []wire.Strike
+	strikes []protocol.Strike
 }
 
 func newPoisonWorld(t *rapid.T, n int) *poisonWorld {
--- a/internal/attempt/receiver.go
+++ b/internal/attempt/receiver.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Drop is why a message was not taken.
@@ -40,14 +40,14 @@
 // pending holds only pieces in (next, next+window), or below credit; a piece of an attempt other
 // than live is never taken.
 type Receiver struct {
-	live    wire.AttemptID
+	live    protocol.AttemptID
 	next    uint64
 	taken   uint64
 	window  uint64
 	credit  uint64
 	pending map[uint64][]byte
-	start   *wire.Start
-	end     *wire.End
+	start   *protocol.Start
+	end     *protocol.End
 	gapAt   time.Duration
 	gap     bool
 	broken  bool
@@ -62,7 +62,7 @@
 
 // Begin makes a the live attempt. Its pieces go on from Next; whatever still
 // comes from an earlier attempt is dropped.
-func (r *Receiver) Begin(a wire.AttemptID) {
+func (r *Receiver) Begin(a protocol.AttemptID) {
 	r.live = a
 	r.start, r.end = nil, nil
 	r.gap, r.broken = false, false
@@ -72,7 +72,7 @@
 
 // BeginAt makes a live from piece seq on, for a caller that comes back with what
 // it has.
-func (r *Receiver) BeginAt(a wire.AttemptID, seq uint64) {
+func (r *Receiver) BeginAt(a protocol.AttemptID, seq uint64) {
 	r.next, r.taken = seq, seq
 	r.Begin(a)
 }
@@ -92,10 +92,10 @@
 func (r *Receiver) Next() uint64 { return r.next }
 
 // Live is the attempt whose messages are taken.
-func (r *Receiver) Live() wire.AttemptID { return r.live }
+func (r *Receiver) Live() protocol.AttemptID { return r.live }
 
 // Start takes the start of the live attempt's answer.
-func (r *Receiver) Start(m *wire.Start) Drop {
+func (r *Receiver) Start(m *protocol.Start) Drop {
 	if m.Attempt != r.live {
 		return r.drop(DropCrossed)
 	}
@@ -107,7 +107,7 @@
 }
 
 // Chunk takes one piece and returns those that are now due, in order.
-func (r *Receiver) Chunk(m *wire.Chunk, now time.Duration) ([][]byte, Drop) {
+func (r *Receiver) Chunk(m *protocol.Chunk, now time.Duration) ([][]byte, Drop) {
 	if d := r.judge(m); d != Taken {
 		return nil, r.drop(d)
 	}
@@ -134,7 +134,7 @@
 	return due, Taken
 }
 
-func (r *Receiver) judge(m *wire.Chunk) Drop {
+func (r *Receiver) judge(m *protocol.Chunk) Drop {
 	if m.Attempt != r.live {
 		return DropCrossed
 	}
@@ -153,14 +153,14 @@
 // End takes the end of the live attempt. complete is set when every piece before
 // it was delivered, or when the attempt failed, so that waiting for its missing
 // pieces is in vain.
-func (r *Receiver) End(m *wire.End, now time.Duration) (complete bool, d Drop) {
+func (r *Receiver) End(m *protocol.End, now time.Duration) (complete bool, d Drop) {
 	if m.Attempt != r.live {
 		return false, r.drop(DropCrossed)
 	}
 	if r.end != nil {
 		return r.Complete(), r.drop(DropDoubled)
 	}
-	if failed := m.Outcome != wire.Done; failed {
+	if failed := m.Outcome != protocol.Done; failed {
 		r.end = m
 		return true, Taken
 	}
@@ -179,11 +179,11 @@
 
 // Complete reports whether the live attempt has ended and all of it is delivered.
 func (r *Receiver) Complete() bool {
-	return r.end != nil && (r.end.Outcome != wire.Done || r.next == r.end.Seq)
+	return r.end != nil && (r.end.Outcome != protocol.Done || r.next == r.end.Seq)
 }
 
 // Ended returns the live attempt's end, nil before it.
-func (r *Receiver) Ended() *wire.End { return r.end }
+func (r *Receiver) Ended() *protocol.End { return r.end }
 
 // MustResume reports whether a piece has been missing for so long, or the end is
 // so wrong, that the attempt has to be asked for again from Next.
@@ -192,7 +192,7 @@
 }
 
 func (r *Receiver) missing() bool {
-	return len(r.pending) > 0 || r.end != nil && r.end.Outcome == wire.Done && r.next < r.end.Seq
+	return len(r.pending) > 0 || r.end != nil && r.end.Outcome == protocol.Done && r.next < r.end.Seq
 }
 
 func (r *Receiver) noteGap(now time.Duration) {
@@ -203,14 +203,14 @@
 
 // Took says that the caller has taken n more pieces. It returns the credit to
 // send when half of the window has been used up since the last one.
-func (r *Receiver) Took(n int) (wire.Credit, bool) {
+func (r *Receiver) Took(n int) (protocol.Credit, bool) {
 	r.taken += uint64(n)
 	due := r.taken + r.window
 	if r.end != nil || due < r.credit+(r.window+1)/2 {
-		return wire.Credit{}, false
+		return protocol.Credit{}, false
 	}
 	r.credit = due
-	return wire.Credit{Attempt: r.live, Seq: due}, true
+	return protocol.Credit{Attempt: r.live, Seq: due}, true
 }
 
 // Dropped returns how many messages were dropped for a reason.
--- a/internal/attempt/registry.go
+++ b/internal/attempt/registry.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Arrival is what an executor may do with a Run.
@@ -29,12 +29,12 @@
 
 type registered struct {
 	state   attemptState
-	outcome wire.Outcome
+	outcome protocol.Outcome
 }
 
 type expiry struct {
 	at      time.Duration
-	attempt wire.AttemptID
+	attempt protocol.AttemptID
 }
 
 // Registry remembers the attempts that an executor has seen, so that a Run that
@@ -44,18 +44,18 @@
 // is remembered.
 type Registry struct {
 	memory   time.Duration
-	attempts map[wire.AttemptID]registered
+	attempts map[protocol.AttemptID]registered
 	expiries []expiry
 }
 
 // NewRegistry remembers ended and fenced attempts for memory, which has to exceed
 // the longest time that a message may be under way.
 func NewRegistry(memory time.Duration) *Registry {
-	return &Registry{memory: memory, attempts: map[wire.AttemptID]registered{}}
+	return &Registry{memory: memory, attempts: map[protocol.AttemptID]registered{}}
 }
 
 // Arrive takes a Run.
-func (r *Registry) Arrive(a wire.AttemptID, now time.Duration) Arrival {
+func (r *Registry) Arrive(a protocol.AttemptID, now time.Duration) Arrival {
 	r.expire(now)
 	if known, ok := r.attempts[a]; ok {
 		if known.state == attemptFenced {
@@ -63,34 +63,34 @@
 		}
 		return ArrivalDoubled
 	}
-	r.attempts[a] = registered{state: attemptRunning, outcome: wire.Unknown}
+	r.attempts[a] = registered{state: attemptRunning, outcome: protocol.Unknown}
 	return ArrivalNew
 }
 
 // End records an attempt's outcome.
-func (r *Registry) End(a wire.AttemptID, outcome wire.Outcome, now time.Duration) {
+func (r *Registry) End(a protocol.AttemptID, outcome protocol.Outcome, now time.Duration) {
 	r.put(a, registered{state: attemptEnded, outcome: outcome}, now)
 }
 
 // Resolve answers what became of an attempt. One not seen is fenced.
-func (r *Registry) Resolve(a wire.AttemptID, now time.Duration) *wire.Resolved {
+func (r *Registry) Resolve(a protocol.AttemptID, now time.Duration) *protocol.Resolved {
 	r.expire(now)
 	known, ok := r.attempts[a]
 	switch {
 	case !ok:
-		r.put(a, registered{state: attemptFenced, outcome: wire.NotRun}, now)
-		return &wire.Resolved{Attempt: a, Outcome: wire.NotRun}
+		r.put(a, registered{state: attemptFenced, outcome: protocol.NotRun}, now)
+		return &protocol.Resolved{Attempt: a, Outcome: protocol.NotRun}
 	case known.state == attemptRunning:
-		return &wire.Resolved{Attempt: a, Outcome: wire.Unknown, Running: true}
+		return &protocol.Resolved{Attempt: a, Outcome: protocol.Unknown, Running: true}
 	default:
-		return &wire.Resolved{Attempt: a, Outcome: known.outcome}
+		return &protocol.Resolved{Attempt: a, Outcome: known.outcome}
 	}
 }
 
 // Len is the number of attempts remembered.
 func (r *Registry) Len() int { return len(r.attempts) }
 
-func (r *Registry) put(a wire.AttemptID, state registered, now time.Duration) {
+func (r *Registry) put(a protocol.AttemptID, state registered, now time.Duration) {
 	r.attempts[a] = state
 	r.expiries = append(r.expiries, expiry{at: now + r.memory, attempt: a})
 }
--- a/internal/attempt/sender.go
+++ b/internal/attempt/sender.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Cut is why an attempt's sender gives up its stream.
@@ -39,7 +39,7 @@
 // session, in order, and whether to cut the stream off (cancel the back end's
 // work and forget the attempt).
 type Output struct {
-	Send []wire.Message
+	Send []protocol.Message
 	Cut  Cut
 }
 
@@ -50,7 +50,7 @@
 // base+len; no piece at or above credit was sent; pieces that the receiver has
 // not taken are never discarded, the stream is cut instead.
 type Sender struct {
-	attempt    wire.AttemptID
+	attempt    protocol.AttemptID
 	limits     SenderLimits
 	window     uint64
 	base       uint64
@@ -58,8 +58,8 @@
 	bytes      int
 	sent       uint64
 	credit     uint64
-	start      *wire.Start
-	end        *wire.End
+	start      *protocol.Start
+	end        *protocol.End
 	attached   bool
 	startSent  bool
 	endSent    bool
@@ -70,7 +70,7 @@
 
 // NewSender returns the sender of an attempt whose first piece is number first,
 // attached to the session that brought the Run.
-func NewSender(a wire.AttemptID, first uint64, window uint32, limits SenderLimits) *Sender {
+func NewSender(a protocol.AttemptID, first uint64, window uint32, limits SenderLimits) *Sender {
 	w := uint64(max(window, 1))
 	return &Sender{attempt: a, limits: limits, window: w, base: first, sent: first, credit: first + w, attached: true}
 }
@@ -86,7 +86,7 @@
 
 // Start says that the back end has begun to answer.
 func (s *Sender) Start(status int, contentType string) Output {
-	s.start = &wire.Start{Attempt: s.attempt, Status: status, ContentType: contentType}
+	s.start = &protocol.Start{Attempt: s.attempt, Status: status, ContentType: contentType}
 	return s.flush(0)
 }
 
@@ -100,7 +100,7 @@
 }
 
 // Finish takes the attempt's end; Attempt and Seq are filled in.
-func (s *Sender) Finish(end wire.End, now time.Duration) Output {
+func (s *Sender) Finish(end protocol.End, now time.Duration) Output {
 	end.Attempt, end.Seq = s.attempt, s.Next()
 	s.end = &end
 	return s.flush(now)
@@ -158,7 +158,7 @@
 		s.startSent = true
 	}
 	for s.sent < s.Next() && s.sent < s.credit {
-		out.Send = append(out.Send, &wire.Chunk{Attempt: s.attempt, Seq: s.sent, Data: s.chunks[s.sent-s.base]})
+		out.Send = append(out.Send, &protocol.Chunk{Attempt: s.attempt, Seq: s.sent, Data: s.chunks[s.sent-s.base]})
 		s.sent++
 	}
 	if s.sent < s.Next() {
--- a/internal/attempt/step_bench_test.go
+++ b/internal/attempt/step_bench_test.go
@@ -5,13 +5,13 @@
 	"testing"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 func BenchmarkReceiverChunk(b *testing.B) {
 	r := NewReceiver(64)
-	r.Begin(wire.AttemptID{1})
-	m := &wire.Chunk{Attempt: wire.AttemptID{1}, Data: []byte("token")}
+	r.Begin(protocol.AttemptID{1})
+	m := &protocol.Chunk{Attempt: protocol.AttemptID{1}, Data: []byte("token")}
 	b.ReportAllocs()
 	for b.Loop() {
 		r.Chunk(m, 0)
@@ -21,7 +21,7 @@
 }
 
 func BenchmarkSenderProduce(b *testing.B) {
-	s := NewSender(wire.AttemptID{1}, 0, 64, DefaultSenderLimits)
+	s := NewSender(protocol.AttemptID{1}, 0, 64, DefaultSenderLimits)
 	data := make([]byte, 200)
 	var seq uint64
 	b.ReportAllocs()
@@ -35,7 +35,7 @@
 func BenchmarkPlanWholeRequest(b *testing.B) {
 	budget := NewBudget(DefaultBudgetParams)
 	rng := rand.New(rand.NewPCG(1, 1))
-	decision := &wire.Decision{Executor: wire.Target{Endpoint: "endpoint-007", Epoch: 1}}
+	decision := &protocol.Decision{Executor: protocol.Target{Endpoint: "endpoint-007", Epoch: 1}}
 	b.ReportAllocs()
 	for b.Loop() {
 		p := NewPlan(Spec{Repeatable: true, Continuable: true}, DefaultPlanParams, budget, rng)
@@ -43,7 +43,7 @@
 		run := p.Step(Asked{Decision: decision}, 0)[0].(Run)
 		p.Step(Sent{Attempt: run.Attempt, Epoch: 1}, 0)
 		p.Step(Started{Attempt: run.Attempt}, 0)
-		p.Step(Ended{Epoch: 1, End: &wire.End{Attempt: run.Attempt, Outcome: wire.Done}}, 0)
+		p.Step(Ended{Epoch: 1, End: &protocol.End{Attempt: run.Attempt, Outcome: protocol.Done}}, 0)
 	}
 }
 
@@ -61,14 +61,14 @@
 		i++
 		key := benchKey(i % 100_000)
 		now := time.Duration(i) * 50 * time.Millisecond
-		for _, a := range o.Run(KeyedRun{Attempt: wire.AttemptID(key), Key: key, Age: time.Millisecond}, now) {
+		for _, a := range o.Run(KeyedRun{Attempt: protocol.AttemptID(key), Key: key, Age: time.Millisecond}, now) {
 			if a, ok := a.(AppendClaims); ok {
 				offset++
 				o.Appended(a.Batch, now)
 				o.Record(offset, a.Data, now)
 			}
 		}
-		o.Finished(key, wire.Done, nil, now)
+		o.Finished(key, protocol.Done, nil, now)
 		o.CaughtUp(now, now)
 		o.Tick(now)
 	}
--- a/internal/attempt/stream_test.go
+++ b/internal/attempt/stream_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // stream is one attempt's sender and receiver with a session between them that
@@ -18,7 +18,7 @@
 	now      time.Duration
 	sender   *Sender
 	receiver *Receiver
-	link     []wire.Message
+	link     []protocol.Message
 	produced int
 	got      []string
 	complete bool
@@ -30,7 +30,7 @@
 
 func newStream(t *rapid.T, first uint64) *stream {
 	window := uint32(rapid.IntRange(1, 8).Draw(t, "window"))
-	a := wire.AttemptID{1}
+	a := protocol.AttemptID{1}
 	s := &stream{t: t, receiver: NewReceiver(window), produced: int(first)}
 	s.receiver.BeginAt(a, first)
 	s.sender = NewSender(a, first, window, SenderLimits{Bytes: 3 * int(window+4), Stall: time.Hour, Grace: time.Hour})
@@ -61,17 +61,17 @@
 	s.arrive(m)
 }
 
-func (s *stream) arrive(m wire.Message) {
+func (s *stream) arrive(m protocol.Message) {
 	switch m := m.(type) {
-	case *wire.Start:
+	case *protocol.Start:
 		s.receiver.Start(m)
-	case *wire.Chunk:
+	case *protocol.Chunk:
 		due, _ := s.receiver.Chunk(m, s.now)
 		for _, data := range due {
 			s.got = append(s.got, string(data))
 			s.untaken++
 		}
-	case *wire.End:
+	case *protocol.End:
 		s.receiver.End(m, s.now)
 	}
 	s.complete = s.receiver.Complete()
@@ -135,7 +135,7 @@
 			s.step(rapid.SampledFrom(kinds).Draw(t, "step"))
 			s.check(first)
 		}
-		s.send(s.sender.Finish(wire.End{Outcome: wire.Done}, s.now))
+		s.send(s.sender.Finish(protocol.End{Outcome: protocol.Done}, s.now))
 		for i := 0; !s.complete; i++ {
 			s.now += 10 * time.Millisecond
 			if s.deliver(0); len(s.link) == 0 || s.receiver.MustResume(s.now) {
@@ -167,34 +167,34 @@
 			s.link = s.link[1:]
 		}
 	case "cross":
-		s.arrive(&wire.Chunk{Attempt: wire.AttemptID{9}, Seq: s.receiver.Next(), Data: []byte("another's")})
-		s.arrive(&wire.End{Attempt: wire.AttemptID{9}, Seq: s.receiver.Next(), Outcome: wire.Done})
+		s.arrive(&protocol.Chunk{Attempt: protocol.AttemptID{9}, Seq: s.receiver.Next(), Data: []byte("another's")})
+		s.arrive(&protocol.End{Attempt: protocol.AttemptID{9}, Seq: s.receiver.Next(), Outcome: protocol.Done})
 	case "take":
 		s.take()
 	case "cut":
 		s.resume()
 	case "end":
 		if !s.sender.Ended() && s.produced > 20 {
-			s.send(s.sender.Finish(wire.End{Outcome: wire.Done}, s.now))
+			s.send(s.sender.Finish(protocol.End{Outcome: protocol.Done}, s.now))
 		}
 	}
 }
 
 func TestReceiverNoticesALastingGap(t *testing.T) {
 	r := NewReceiver(4)
-	r.Begin(wire.AttemptID{1})
-	r.Chunk(&wire.Chunk{Attempt: wire.AttemptID{1}, Seq: 1}, 0)
+	r.Begin(protocol.AttemptID{1})
+	r.Chunk(&protocol.Chunk{Attempt: protocol.AttemptID{1}, Seq: 1}, 0)
 	if r.MustResume(gapPatience - 1) {
 		t.Error("resumes at once")
 	}
 	if !r.MustResume(gapPatience) {
 		t.Error("waits for ever")
 	}
-	r.Chunk(&wire.Chunk{Attempt: wire.AttemptID{1}, Seq: 0}, 0)
+	r.Chunk(&protocol.Chunk{Attempt: protocol.AttemptID{1}, Seq: 0}, 0)
 	if r.MustResume(time.Hour) {
 		t.Error("resumes without a gap")
 	}
-	if _, d := r.End(&wire.End{Attempt: wire.AttemptID{1}, Seq: 1, Outcome: wire.Done}, 0); d != DropContradicting || !r.MustResume(0) {
+	if _, d := r.End(&protocol.End{Attempt: protocol.AttemptID{1}, Seq: 1, Outcome: protocol.Done}, 0); d != DropContradicting || !r.MustResume(0) {
 		t.Errorf("an end before pieces that were delivered: %v", d)
 	}
 }
@@ -205,7 +205,7 @@
 // Cause: a replay buffer without a bound.
 func TestSenderCutsOffWhoDoesNotRead(t *testing.T) {
 	limits := SenderLimits{Bytes: 100, Stall: time.Second, Grace: time.Second}
-	full := NewSender(wire.AttemptID{1}, 0, 2, limits)
+	full := NewSender(protocol.AttemptID{1}, 0, 2, limits)
 	cut := CutNone
 	for i := 0; i < 20 && cut == CutNone; i++ {
 		cut = full.Produce(make([]byte, 10), 0).Cut
@@ -216,7 +216,7 @@
 	if _, ok := full.Resume(0, 2, 0); !ok {
 		t.Error("a piece that was sent and not taken was discarded")
 	}
-	stalled := NewSender(wire.AttemptID{1}, 0, 1, limits)
+	stalled := NewSender(protocol.AttemptID{1}, 0, 1, limits)
 	stalled.Produce([]byte("a"), 0)
 	stalled.Produce([]byte("b"), 0)
 	if got := stalled.Tick(limits.Stall); got != CutStalled {
@@ -230,7 +230,7 @@
 	if got := stalled.Tick(2 * limits.Stall); got != CutAbandoned {
 		t.Errorf("abandoned: %q", got)
 	}
-	long := NewSender(wire.AttemptID{1}, 0, 2, limits)
+	long := NewSender(protocol.AttemptID{1}, 0, 2, limits)
 	for i := range 100 {
 		long.Credit(uint64(i+2), 0)
 		if cut := long.Produce(make([]byte, 10), 0).Cut; cut != CutNone {
--- a/internal/cachemap/roots.go
+++ b/internal/cachemap/roots.go
@@ -4,14 +4,14 @@
 	"container/list"
 
 	"skylarklead/internal/prefix"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Root is a tracked level with its residency. Owner is the rendezvous key of the
 // requests that named it.
 type Root struct {
 	Owner    uint64
-	Resident wire.Resident
+	Resident protocol.Resident
 }
 
 // root is a tracked level.
@@ -98,7 +98,7 @@
 		if version == 0 && tokens == 0 {
 			continue // a full report lists only what is there
 		}
-		changed = append(changed, Root{r.owner, wire.Resident{Hash: r.level.Hash, Tokens: tokens}})
+		changed = append(changed, Root{r.owner, protocol.Resident{Hash: r.level.Hash, Tokens: tokens}})
 	}
 	return changed, p.roots.version
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -17,6 +17,7 @@
 	"skylarklead/internal/config"
 	"skylarklead/internal/follow"
 	"skylarklead/internal/platform"
+	"skylarklead/internal/protocol"
 	standin "skylarklead/internal/standin/platform"
 	"skylarklead/internal/wire"
 	"skylarklead/test/kit"
@@ -190,34 +191,34 @@
 // daemon answers the tool as a daemon would.
 type daemon struct {
 	drained bool
-	state   []byte    // encoded configuration
-	role    wire.Role // an endpoint's if empty
+	state   []byte        // encoded configuration
+	role    protocol.Role // an endpoint's if empty
 }
 
-func (d *daemon) Handle(s *wire.Session, ref uint32, m wire.Message) {
-	var answer wire.Message
+func (d *daemon) Handle(s *wire.Session, ref uint32, m protocol.Message) {
+	var answer protocol.Message
 	switch m := m.(type) {
-	case *wire.StatusRequest:
-		answer = &wire.Status{Identity: d.identity(), Leaving: d.drained, ConfigOffset: 7, ConfigSource: "peer"}
-	case *wire.ExplainRequest:
-		e := &wire.Explanation{}
+	case *protocol.StatusRequest:
+		answer = &protocol.Status{Identity: d.identity(), Leaving: d.drained, ConfigOffset: 7, ConfigSource: "peer"}
+	case *protocol.ExplainRequest:
+		e := &protocol.Explanation{}
 		if m.Request == "r1" {
-			e.Records = []wire.DecisionRecord{{Request: "r1", Kind: "route", Reason: "cached", Candidates: []wire.Candidate{{Endpoint: "ep-2", Excluded: "leaving"}}}}
+			e.Records = []protocol.DecisionRecord{{Request: "r1", Kind: "route", Reason: "cached", Candidates: []protocol.Candidate{{Endpoint: "ep-2", Excluded: "leaving"}}}}
 		}
 		answer = e
-	case *wire.ConfigFetch:
-		answer = &wire.ConfigState{Offset: 3, State: d.state, Parts: 1}
-	case *wire.Drain:
+	case *protocol.ConfigFetch:
+		answer = &protocol.ConfigState{Offset: 3, State: d.state, Parts: 1}
+	case *protocol.Drain:
 		d.drained = true
-		answer = &wire.Drained{Endpoint: m.Endpoint}
+		answer = &protocol.Drained{Endpoint: m.Endpoint}
 	}
 	_ = s.Reply(ref, answer)
 }
 
 func (d *daemon) Closed(*wire.Session, error) {}
 
-func (d *daemon) identity() wire.Identity {
-	return wire.Identity{ID: "ep-1", Role: cmp.Or(d.role, wire.RoleEndpoint), FailureDomain: "hobart-a", Group: "g"}
+func (d *daemon) identity() protocol.Identity {
+	return protocol.Identity{ID: "ep-1", Role: cmp.Or(d.role, protocol.RoleEndpoint), FailureDomain: "hobart-a", Group: "g"}
 }
 
 // serve returns the flag that names the daemon's address.
@@ -270,13 +271,13 @@
 	f.run(ExitUsage, "status", "--fleet-key=xyz", at)
 	f.contains(f.run(ExitUnreachable, "status", "--fleet-key="+strings.Repeat("cd", 32), at), "refused the tool's key; is this the fleet's key?")
 	f.contains(f.run(ExitUsage, "status", "--platform=localhost:7000"), "is no URL")
-	d.role = wire.RoleEntry
+	d.role = protocol.RoleEntry
 	f.contains(f.run(ExitRefused, "drain", at, "ep-1"), "ep-1 is an entry; SIGTERM drains it")
 }
 
 func TestStatusOfASilentInstance(t *testing.T) {
-	up := instanceStatus{ID: "ep-1", Status: &wire.Status{Identity: wire.Identity{ID: "ep-1", Role: wire.RoleEndpoint}}}
-	unready := instanceStatus{ID: "ep-3", Status: &wire.Status{Identity: wire.Identity{ID: "ep-3"}, NotReady: wire.KeyRefused}}
+	up := instanceStatus{ID: "ep-1", Status: &protocol.Status{Identity: protocol.Identity{ID: "ep-1", Role: protocol.RoleEndpoint}}}
+	unready := instanceStatus{ID: "ep-3", Status: &protocol.Status{Identity: protocol.Identity{ID: "ep-3"}, NotReady: wire.KeyRefused}}
 	down := instanceStatus{ID: "ep-2", Error: "unreachable: a long cause that must not widen the columns"}
 	var table strings.Builder
 	statusTable(&table, []instanceStatus{down, up, unready})
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -7,8 +7,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wait"
-	"skylarklead/internal/wire"
 )
 
 func drainCommand() *cli.Command {
@@ -47,12 +47,12 @@
 	}
 }
 
-func (f *fleet) drainOnce(ctx context.Context, address, endpoint string) (*wire.Drained, error) {
-	message, err := f.ask(ctx, address, &wire.Drain{Endpoint: endpoint})
+func (f *fleet) drainOnce(ctx context.Context, address, endpoint string) (*protocol.Drained, error) {
+	message, err := f.ask(ctx, address, &protocol.Drain{Endpoint: endpoint})
 	if err != nil {
 		return nil, err
 	}
-	drained, ok := message.(*wire.Drained)
+	drained, ok := message.(*protocol.Drained)
 	if !ok {
 		return nil, fmt.Errorf("%w: answered with %T", errRefused, message)
 	}
@@ -64,7 +64,7 @@
 func (f *fleet) find(ctx context.Context, endpoint string) (string, error) {
 	for _, p := range f.peers {
 		if p.ID == endpoint {
-			return p.Address, endpointOnly(p.ID, wire.Role(p.Role))
+			return p.Address, endpointOnly(p.ID, protocol.Role(p.Role))
 		}
 	}
 	for _, s := range f.statuses(ctx) {
@@ -75,8 +75,8 @@
 	return "", fmt.Errorf("%w: no instance %s is known", errRefused, endpoint)
 }
 
-func endpointOnly(id string, role wire.Role) error {
-	if role == wire.RoleEntry {
+func endpointOnly(id string, role protocol.Role) error {
+	if role == protocol.RoleEntry {
 		return fmt.Errorf("%w: %s is an entry; SIGTERM drains it", errRefused, id)
 	}
 	return nil
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -8,7 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 func explainCommand() *cli.Command {
@@ -27,10 +27,10 @@
 	}
 	defer f.close()
 	request := c.Args().First()
-	records := []wire.DecisionRecord{}
+	records := []protocol.DecisionRecord{}
 	answered := 0
-	for _, r := range f.askAll(ctx, &wire.ExplainRequest{Request: request}) {
-		if e, ok := r.message.(*wire.Explanation); ok {
+	for _, r := range f.askAll(ctx, &protocol.ExplainRequest{Request: request}) {
+		if e, ok := r.message.(*protocol.Explanation); ok {
 			answered++
 			records = append(records, e.Records...)
 		}
@@ -44,7 +44,7 @@
 	return show(c, records, func(w io.Writer) { explainTable(w, records) })
 }
 
-func explainTable(w io.Writer, records []wire.DecisionRecord) {
+func explainTable(w io.Writer, records []protocol.DecisionRecord) {
 	for _, r := range records {
 		age := time.Duration(r.AgeMs) * time.Millisecond
 		fmt.Fprintf(w, "%s by %s, %v ago: %s\n", r.Kind, r.Process, age, r.Reason)
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"skylarklead/internal/platform"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 )
 
@@ -42,8 +43,8 @@
 // silent handles sessions on which only replies arrive.
 type silent struct{}
 
-func (silent) Handle(*wire.Session, uint32, wire.Message) {}
-func (silent) Closed(*wire.Session, error)                {}
+func (silent) Handle(*wire.Session, uint32, protocol.Message) {}
+func (silent) Closed(*wire.Session, error)                    {}
 
 func openFleet(ctx context.Context, c *cli.Command) (*fleet, error) {
 	key, err := hex.DecodeString(c.String("fleet-key"))
@@ -54,8 +55,8 @@
 	if err != nil {
 		return nil, err
 	}
-	self := wire.Identity{ID: "skylarkctl", Role: wire.RoleTool}
-	pool := wire.NewPool(wire.Options{Key: key, Self: func() wire.Identity { return self }, Handler: silent{}})
+	self := protocol.Identity{ID: "skylarkctl", Role: protocol.RoleTool}
+	pool := wire.NewPool(wire.Options{Key: key, Self: func() protocol.Identity { return self }, Handler: silent{}})
 	return &fleet{pool: pool, peers: peers}, nil
 }
 
@@ -86,12 +87,12 @@
 // reply is one process's answer.
 type reply struct {
 	from    platform.Instance
-	message wire.Message
+	message protocol.Message
 	err     error
 }
 
 // askAll asks every process and returns the answers in order.
-func (f *fleet) askAll(ctx context.Context, m wire.Message) []reply {
+func (f *fleet) askAll(ctx context.Context, m protocol.Message) []reply {
 	replies := make([]reply, len(f.peers))
 	slots := make(chan struct{}, atOnce)
 	var tasks sync.WaitGroup
@@ -108,7 +109,7 @@
 }
 
 // ask returns the process's answer; a Failure becomes an error.
-func (f *fleet) ask(ctx context.Context, address string, m wire.Message) (wire.Message, error) {
+func (f *fleet) ask(ctx context.Context, address string, m protocol.Message) (protocol.Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	session, err := f.pool.Get(ctx, address)
@@ -126,7 +127,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errUnreachable, err)
 	}
-	if failure, ok := message.(*wire.Failure); ok {
+	if failure, ok := message.(*protocol.Failure); ok {
 		return nil, fmt.Errorf("%w: %s", errRefused, failure.Refusal.Message)
 	}
 	return message, nil
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -11,8 +11,8 @@
 	"github.com/urfave/cli/v3"
 
 	"skylarklead/internal/platform"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wait"
-	"skylarklead/internal/wire"
 )
 
 // askTimeout bounds one question to one process.
@@ -29,11 +29,11 @@
 
 // instanceStatus is what status shows of one instance.
 type instanceStatus struct {
-	ID      string       `json:"id"`
-	Address string       `json:"address"`
-	Listed  string       `json:"listed,omitempty"`
-	Status  *wire.Status `json:"status,omitempty"`
-	Error   string       `json:"error,omitempty"`
+	ID      string           `json:"id"`
+	Address string           `json:"address"`
+	Listed  string           `json:"listed,omitempty"`
+	Status  *protocol.Status `json:"status,omitempty"`
+	Error   string           `json:"error,omitempty"`
 }
 
 func status(ctx context.Context, c *cli.Command) error {
@@ -51,9 +51,9 @@
 
 func (f *fleet) statuses(ctx context.Context) []instanceStatus {
 	all := make([]instanceStatus, len(f.peers))
-	for i, r := range f.askAll(ctx, &wire.StatusRequest{}) {
+	for i, r := range f.askAll(ctx, &protocol.StatusRequest{}) {
 		all[i] = instanceStatus{ID: r.from.ID, Address: r.from.Address, Listed: r.from.State}
-		s, ok := r.message.(*wire.Status)
+		s, ok := r.message.(*protocol.Status)
 		switch {
 		case r.err != nil:
 			all[i].Error = r.err.Error()
@@ -104,10 +104,10 @@
 	}
 }
 
-func cells(s *wire.Status) []any {
+func cells(s *protocol.Status) []any {
 	id, load := s.Identity, s.Load
 	running, queued, cache, picture := "-", "-", "-", "-"
-	if id.Role == wire.RoleEndpoint {
+	if id.Role == protocol.RoleEndpoint {
 		running, queued = fmt.Sprint(load.Running), fmt.Sprint(load.Queued)
 		cache = fmt.Sprintf("%d/%d", load.CacheUsed, load.CacheTotal)
 		picture = (time.Duration(load.PictureAgeMs) * time.Millisecond).String()
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -9,9 +9,9 @@
 
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/lease"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/rollout"
 	"skylarklead/internal/settings"
-	"skylarklead/internal/wire"
 )
 
 const (
@@ -90,7 +90,7 @@
 		entry:  e,
 		wake:   make(chan struct{}, 1),
 		reread: make(chan struct{}, 1),
-		leases: lease.NewLeases(id, wire.Epoch(e.tel.Epoch), leaseParamsFor(e.settings.Direct), rng),
+		leases: lease.NewLeases(id, protocol.Epoch(e.tel.Epoch), leaseParamsFor(e.settings.Direct), rng),
 		cores:  make(map[string]*rollout.Core),
 	}
 	r.follow = r.followEntries
--- a/internal/endpoint/account.go
+++ b/internal/endpoint/account.go
@@ -1,17 +1,17 @@
 package endpoint
 
 import (
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/telemetry"
-	"skylarklead/internal/wire"
 )
 
 // account logs and counts how an attempt ended.
-func (e *Endpoint) account(a *execution, end wire.End) {
+func (e *Endpoint) account(a *execution, end protocol.End) {
 	reason := string(end.Code)
-	if end.Code == wire.CodeNone {
+	if end.Code == protocol.CodeNone {
 		reason = string(end.Outcome)
 	}
-	e.tel.Decisions.Record(wire.DecisionRecord{
+	e.tel.Decisions.Record(protocol.DecisionRecord{
 		Request:         a.run.Request,
 		Kind:            telemetry.KindRun,
 		Organisation:    a.run.Organisation,
@@ -22,10 +22,10 @@
 		ActualCached:    end.CachedTokens,
 		Outcome:         end.Outcome,
 	})
-	if end.Code != wire.CodeNone {
+	if end.Code != protocol.CodeNone {
 		e.tel.Metrics.Refused(end.Code)
 	}
-	if end.Outcome != wire.Done {
+	if end.Outcome != protocol.Done {
 		return
 	}
 	e.tel.Metrics.Completed.Mark(1)
--- a/internal/endpoint/admission.go
+++ b/internal/endpoint/admission.go
@@ -7,8 +7,8 @@
 	"skylarklead/internal/admit"
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/route"
-	"skylarklead/internal/wire"
 )
 
 // callCost stands for a plain service's call in the fair queue, in tokens.
@@ -87,8 +87,8 @@
 			a.enginePriority = action.EnginePriority
 			e.held = append(e.held, a)
 		case admit.Refuse:
-			e.end(e.executions[action.ID], wire.End{
-				Outcome:      wire.NotRun,
+			e.end(e.executions[action.ID], protocol.End{
+				Outcome:      protocol.NotRun,
 				Code:         action.Code,
 				Message:      action.Reason,
 				RetryAfterMs: action.RetryAfter.Milliseconds(),
@@ -111,7 +111,7 @@
 			continue
 		}
 		if why := e.notForEngine(a); why != "" {
-			end := wire.End{Outcome: wire.NotRun, Code: wire.CodeNotRun, Message: why}
+			end := protocol.End{Outcome: protocol.NotRun, Code: protocol.CodeNotRun, Message: why}
 			end.Redirect = e.redirect(a.run)
 			e.dismiss(a, end)
 			continue
@@ -128,7 +128,7 @@
 }
 
 // dismiss ends an admitted attempt that was not handed to the back end.
-func (e *Endpoint) dismiss(a *execution, end wire.End) {
+func (e *Endpoint) dismiss(a *execution, end protocol.End) {
 	e.end(a, end)
 	e.perform(e.admission.Finish(e.now(), a.id, admit.Actual{}))
 }
@@ -159,7 +159,7 @@
 }
 
 // finished takes an attempt off the back end.
-func (e *Endpoint) finished(a *execution, end wire.End) {
+func (e *Endpoint) finished(a *execution, end protocol.End) {
 	now := e.now()
 	if a.run.Call == nil {
 		if verdict := e.poison.Judge(a.run.Fingerprint, now); end.EngineCrashed && verdict.Kind == attempt.GivenUp {
@@ -169,8 +169,8 @@
 		e.offEngine(a, end)
 		e.learn(a, end)
 	}
-	ran := end.Outcome != wire.NotRun
-	if a.run.Call == nil && end.Code == wire.CodeNotRun {
+	ran := end.Outcome != protocol.NotRun
+	if a.run.Call == nil && end.Code == protocol.CodeNotRun {
 		end.Redirect = e.redirect(a.run)
 	}
 	actual := admit.Actual{
@@ -183,7 +183,7 @@
 }
 
 // learn corrects the cache picture by an answer's own account.
-func (e *Endpoint) learn(a *execution, end wire.End) {
+func (e *Endpoint) learn(a *execution, end protocol.End) {
 	if end.PromptTokens == 0 {
 		return
 	}
@@ -214,6 +214,6 @@
 	}
 }
 
-func endOf(r *wire.Refusal) wire.End {
-	return wire.End{Outcome: r.Ran, Code: r.Code, Message: r.Message, RetryAfterMs: r.RetryAfterMs}
+func endOf(r *protocol.Refusal) protocol.End {
+	return protocol.End{Outcome: r.Ran, Code: r.Code, Message: r.Message, RetryAfterMs: r.RetryAfterMs}
 }
--- a/internal/endpoint/admission_test.go
+++ b/internal/endpoint/admission_test.go
@@ -8,6 +8,7 @@
 	"skylarklead/internal/follow"
 	"skylarklead/internal/member"
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/route"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
@@ -26,9 +27,9 @@
 	}
 	heard := e.now()
 	e.group.peers = map[string]*peer{
-		"backlog":      {hasLoad: true, loadAt: heard, load: wire.Load{Heavy: []uint64{1, hash}}},
-		"none":         {hasLoad: true, loadAt: heard, load: wire.Load{Heavy: []uint64{1}}},
-		"long silent":  {hasLoad: true, loadAt: heard - 2*suspectAfter, load: wire.Load{Heavy: []uint64{hash}}},
+		"backlog":      {hasLoad: true, loadAt: heard, load: protocol.Load{Heavy: []uint64{1, hash}}},
+		"none":         {hasLoad: true, loadAt: heard, load: protocol.Load{Heavy: []uint64{1}}},
+		"long silent":  {hasLoad: true, loadAt: heard - 2*suspectAfter, load: protocol.Load{Heavy: []uint64{hash}}},
 		"not heard of": {},
 	}
 	if got := e.backlogsElsewhere("large"); got != 1 {
--- a/internal/endpoint/adopt.go
+++ b/internal/endpoint/adopt.go
@@ -8,6 +8,7 @@
 
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/engine"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 )
 
@@ -31,12 +32,12 @@
 }
 
 // mayAdopt reports whether a resume that matches no execution may be of an orphan.
-func (e *Endpoint) mayAdopt(m *wire.Resume) bool {
+func (e *Endpoint) mayAdopt(m *protocol.Resume) bool {
 	return e.executions[m.Attempt] == nil && m.Epoch != e.tel.Epoch && e.service == nil && m.Organisation != ""
 }
 
 // adopt looks for the stream at the engine; it runs beside the loop.
-func (e *Endpoint) adopt(s *wire.Session, m *wire.Resume) {
+func (e *Endpoint) adopt(s *wire.Session, m *protocol.Resume) {
 	o, err := e.findOrphan(m)
 	e.loop.must(func() {
 		if err == nil {
@@ -53,7 +54,7 @@
 // for. The attempt's ID is no permission: it stands in logs, and whoever knows it
 // could read another organisation's answer. The engine knows the salt that the
 // stream was begun with; only the organisation of that salt gets it.
-func (e *Endpoint) findOrphan(m *wire.Resume) (*orphan, error) {
+func (e *Endpoint) findOrphan(m *protocol.Resume) (*orphan, error) {
 	o := &orphan{completion: completion{engine: e.engine, id: m.Attempt.String()}}
 	o.ctx, o.stop = context.WithCancelCause(context.Background())
 	timeout := time.AfterFunc(adoptTimeout, func() { o.stop(context.DeadlineExceeded) })
@@ -98,7 +99,7 @@
 
 // adopted makes an execution of an orphan. It has no place in the admission and no
 // strikes: the engine took it under the earlier epoch, and reports it in its load.
-func (e *Endpoint) adopted(s *wire.Session, m *wire.Resume, o *orphan) error {
+func (e *Endpoint) adopted(s *wire.Session, m *protocol.Resume, o *orphan) error {
 	if e.executions[m.Attempt] != nil { // through another entry meanwhile
 		_ = o.leave(errAdopted)
 		e.onResume(s, m)
@@ -107,7 +108,7 @@
 	if e.registry.Arrive(m.Attempt, e.now()) != attempt.ArrivalNew {
 		return o.leave(errAdopted)
 	}
-	a := e.open(s, &wire.Run{
+	a := e.open(s, &protocol.Run{
 		Attempt:      m.Attempt,
 		Request:      m.Attempt.String(),
 		Organisation: m.Organisation,
--- a/internal/endpoint/adopt_test.go
+++ b/internal/endpoint/adopt_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Symptom: a caller who comes back is told that its stream is lost, while the
@@ -19,7 +19,7 @@
 	run := chat(1)
 	n.send(run)
 	whole, _ := n.answer(0)
-	resume := &wire.Resume{Attempt: run.Attempt, Epoch: first.tel.Epoch, Seq: seen, Window: 4, Organisation: "org"}
+	resume := &protocol.Resume{Attempt: run.Attempt, Epoch: first.tel.Epoch, Seq: seen, Window: 4, Organisation: "org"}
 
 	second := startProcess(t, base, nil)
 	back := second.dial("entry-2")
@@ -33,7 +33,7 @@
 	resume.Seq, resume.Window = seen+4, 64
 	again.send(resume)
 	rest, end := again.answer(resume.Seq)
-	if end.Outcome != wire.Done || end.FinishReason == "" || len(got+rest) >= len(whole) || whole[len(whole)-len(got+rest):] != got+rest {
+	if end.Outcome != protocol.Done || end.FinishReason == "" || len(got+rest) >= len(whole) || whole[len(whole)-len(got+rest):] != got+rest {
 		t.Fatalf("got %q and %q of %q, %+v", got, rest, whole, end)
 	}
 }
@@ -53,7 +53,7 @@
 	n.send(middle)
 	n.answer(3)
 	back := startProcess(t, base, nil).dial("entry-2")
-	for name, resume := range map[string]wire.Resume{
+	for name, resume := range map[string]protocol.Resume{
 		"another organisation": {Attempt: attemptID(1), Organisation: "other"},
 		"no organisation":      {Attempt: attemptID(1)},
 		"a continuation":       {Attempt: attemptID(2), Seq: 4, Organisation: "org"},
@@ -62,14 +62,14 @@
 	} {
 		resume.Epoch, resume.Window = first.tel.Epoch, 64
 		back.send(&resume)
-		if end, ok := back.next().(*wire.End); !ok || end.Outcome != wire.Unknown || end.Code != wire.CodeUnknownOutcome {
+		if end, ok := back.next().(*protocol.End); !ok || end.Outcome != protocol.Unknown || end.Code != protocol.CodeUnknownOutcome {
 			t.Errorf("%s: got %+v", name, end)
 		}
 	}
 	// A refused resume must not end the stream for its own organisation.
-	own := &wire.Resume{Attempt: attemptID(1), Epoch: first.tel.Epoch, Window: 64, Organisation: "org"}
+	own := &protocol.Resume{Attempt: attemptID(1), Epoch: first.tel.Epoch, Window: 64, Organisation: "org"}
 	back.send(own)
-	if _, end := back.answer(0); end.Outcome != wire.Done {
+	if _, end := back.answer(0); end.Outcome != protocol.Done {
 		t.Errorf("its own organisation got %+v", end)
 	}
 }
@@ -78,10 +78,10 @@
 func (n *entry) chunk(seq uint64) string {
 	n.t.Helper()
 	m := n.next()
-	if _, ok := m.(*wire.Start); ok {
+	if _, ok := m.(*protocol.Start); ok {
 		m = n.next()
 	}
-	c, ok := m.(*wire.Chunk)
+	c, ok := m.(*protocol.Chunk)
 	if !ok || c.Seq != seq {
 		n.t.Fatalf("got %+v where chunk %d was due", m, seq)
 	}
--- a/internal/endpoint/ask.go
+++ b/internal/endpoint/ask.go
@@ -4,16 +4,17 @@
 	"slices"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/route"
 	"skylarklead/internal/telemetry"
 	"skylarklead/internal/wire"
 )
 
 // onAsk decides, as an owner, where a request runs.
-func (e *Endpoint) onAsk(s *wire.Session, ref uint32, ask *wire.Ask) {
+func (e *Endpoint) onAsk(s *wire.Session, ref uint32, ask *protocol.Ask) {
 	if ask.Group != e.settings.Endpoint.Group {
-		refusal := wire.Refusal{Code: wire.CodeBadRequest, Message: "not this endpoint's group", Ran: wire.NotRun}
-		e.reply(s, ref, &wire.Failure{Refusal: refusal})
+		refusal := protocol.Refusal{Code: protocol.CodeBadRequest, Message: "not this endpoint's group", Ran: protocol.NotRun}
+		e.reply(s, ref, &protocol.Failure{Refusal: refusal})
 		return
 	}
 	if crashes := len(ask.Crashed); crashes > 0 {
@@ -36,7 +37,7 @@
 }
 
 // decide lets the router choose, under what is held against the request.
-func (e *Endpoint) decide(ask *wire.Ask, endpoints []route.Endpoint) *wire.Decision {
+func (e *Endpoint) decide(ask *protocol.Ask, endpoints []route.Endpoint) *protocol.Decision {
 	now := e.now()
 	verdict := e.poison.Judge(ask.Fingerprint, now)
 	query := &route.Query{
@@ -45,7 +46,7 @@
 		GivenUp: verdict.Kind == attempt.GivenUp || len(ask.Crashed) >= attempt.DefaultPoisonParams.Limit,
 	}
 	result := e.router.Decide(now, e.rng, query, endpoints)
-	decision := &wire.Decision{
+	decision := &protocol.Decision{
 		Request:         ask.Request,
 		Owner:           e.settings.ID,
 		Reason:          result.Reason,
@@ -68,13 +69,13 @@
 	return decision
 }
 
-func (e *Endpoint) recordRoute(ask *wire.Ask, decision *wire.Decision) {
+func (e *Endpoint) recordRoute(ask *protocol.Ask, decision *protocol.Decision) {
 	reason := decision.Reason
 	if decision.Refusal != nil {
 		reason = string(decision.Refusal.Code)
 		e.tel.Metrics.Refused(decision.Refusal.Code)
 	}
-	record := wire.DecisionRecord{
+	record := protocol.DecisionRecord{
 		Request:         ask.Request,
 		Kind:            telemetry.KindRoute,
 		Organisation:    ask.Organisation,
--- a/internal/endpoint/completion.go
+++ b/internal/endpoint/completion.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"skylarklead/internal/engine"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 const (
@@ -43,12 +43,12 @@
 	job
 	engine     *engine.Client
 	id         string
-	end        wire.End
+	end        protocol.End
 	firstToken func()
 }
 
 // runCompletion runs a prompt at the engine and returns how it ended.
-func (e *Endpoint) runCompletion(ctx context.Context, j job) wire.End {
+func (e *Endpoint) runCompletion(ctx context.Context, j job) protocol.End {
 	c := &completion{job: j, engine: e.engine, id: streamName(j.run)}
 	c.firstToken = func() { e.tel.Metrics.FirstToken(j.run.Organisation, time.Since(j.begun)) }
 	st, err := c.engine.Complete(ctx, c.request())
@@ -76,7 +76,7 @@
 // streamName names a run at the engine. One that doesn't begin with its answer's
 // first piece says so: after a restart nothing else here tells the number of a
 // stream's first piece.
-func streamName(run *wire.Run) string {
+func streamName(run *protocol.Run) string {
 	if run.FirstSeq == 0 {
 		return run.Attempt.String()
 	}
@@ -103,13 +103,13 @@
 }
 
 // notRun tells why the engine didn't take a request.
-func (c *completion) notRun(err error) wire.End {
-	end := wire.End{Outcome: wire.NotRun, Code: wire.CodeNotRun, Message: "engine is not ready"}
+func (c *completion) notRun(err error) protocol.End {
+	end := protocol.End{Outcome: protocol.NotRun, Code: protocol.CodeNotRun, Message: "engine is not ready"}
 	var refused *engine.RefusedError
 	if errors.As(err, &refused) {
 		end.RetryAfterMs = refused.RetryAfter.Milliseconds()
 		if refused.Code == engine.CodeBadRequest {
-			end.Code, end.Message = wire.CodeBadRequest, refused.Message
+			end.Code, end.Message = protocol.CodeBadRequest, refused.Message
 		}
 	}
 	return end
@@ -212,22 +212,22 @@
 	return c.stream.add([]byte(event.Text))
 }
 
-func (c *completion) ended(ctx context.Context, err error) wire.End {
+func (c *completion) ended(ctx context.Context, err error) protocol.End {
 	end := c.end
 	if err == nil {
-		end.Outcome = wire.Done
+		end.Outcome = protocol.Done
 		return end
 	}
-	end.Outcome = wire.Unknown
-	end.Code = wire.CodeUnknownOutcome
+	end.Outcome = protocol.Unknown
+	end.Code = protocol.CodeUnknownOutcome
 	switch {
 	case errors.Is(context.Cause(ctx), errFrozen):
 		end.Message = "engine doesn't answer" // it is cancelled once it does
 	case ctx.Err() != nil:
-		end.Code = wire.CodeCanceled
+		end.Code = protocol.CodeCanceled
 		c.cancelAtEngine()
 	case errors.Is(err, errCut):
-		end.Code, end.Message = wire.CodeCanceled, "the caller stopped reading"
+		end.Code, end.Message = protocol.CodeCanceled, "the caller stopped reading"
 		c.cancelAtEngine()
 	case errors.Is(err, errOtherWeights):
 		end.Message = "engine has other weights"
--- a/internal/endpoint/config.go
+++ b/internal/endpoint/config.go
@@ -7,6 +7,7 @@
 	"skylarklead/internal/config"
 	"skylarklead/internal/follow"
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 )
 
@@ -36,13 +37,13 @@
 
 // onConfigFetch answers a peer that is behind. Encoding a large state takes too
 // long for the loop.
-func (e *Endpoint) onConfigFetch(s *wire.Session, ref uint32, m *wire.ConfigFetch) {
+func (e *Endpoint) onConfigFetch(s *wire.Session, ref uint32, m *protocol.ConfigFetch) {
 	go func() {
 		answer, err := e.config.Fetch(m)
 		if err != nil {
 			e.log.Warn("configuration not told to a peer", "peer", s.Peer().ID, "error", err)
-			refusal := wire.Refusal{Code: wire.CodeInternal, Message: err.Error(), Ran: wire.NotRun}
-			e.reply(s, ref, &wire.Failure{Refusal: refusal})
+			refusal := protocol.Refusal{Code: protocol.CodeInternal, Message: err.Error(), Ran: protocol.NotRun}
+			e.reply(s, ref, &protocol.Failure{Refusal: refusal})
 			return
 		}
 		e.reply(s, ref, answer)
@@ -84,7 +85,7 @@
 		return // canceled meanwhile
 	}
 	if e.state().Offset < a.run.ConfigOffset {
-		e.end(a, wire.End{Outcome: wire.NotRun, Code: wire.CodeNotRun, Message: "configuration is behind the entry's"})
+		e.end(a, protocol.End{Outcome: protocol.NotRun, Code: protocol.CodeNotRun, Message: "configuration is behind the entry's"})
 		return
 	}
 	e.prepare(a)
@@ -99,7 +100,7 @@
 }
 
 // prompt puts the organisation's standing instructions before the messages.
-func (e *Endpoint) prompt(run *wire.Run) []prefix.Message {
+func (e *Endpoint) prompt(run *protocol.Run) []prefix.Message {
 	o := e.state().Organisations[run.Organisation]
 	if o == nil || run.Instructions == 0 {
 		return run.Messages
--- a/internal/endpoint/config_test.go
+++ b/internal/endpoint/config_test.go
@@ -6,7 +6,7 @@
 
 	"skylarklead/internal/config"
 	"skylarklead/internal/follow"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 	"skylarklead/test/kit"
 )
 
@@ -42,7 +42,7 @@
 	run.ConfigOffset = state.Offset
 	run.Instructions = state.Organisations["org"].Offset
 	n.send(run)
-	if _, end := n.answer(0); end.Outcome != wire.Done {
+	if _, end := n.answer(0); end.Outcome != protocol.Done {
 		t.Fatalf("got %+v", end)
 	}
 	f.mu.Lock()
@@ -59,7 +59,7 @@
 	run := chat(1)
 	run.ConfigOffset = 9
 	n.send(run)
-	if _, end := n.answer(0); end.Outcome != wire.NotRun || f.ran(run.Attempt) != 0 {
+	if _, end := n.answer(0); end.Outcome != protocol.NotRun || f.ran(run.Attempt) != 0 {
 		t.Fatalf("got %+v", end)
 	}
 }
--- a/internal/endpoint/drain.go
+++ b/internal/endpoint/drain.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 )
 
@@ -20,14 +21,14 @@
 func newDrainState() drainState { return drainState{finished: make(chan struct{})} }
 
 // onDrain takes an operator's order to leave.
-func (e *Endpoint) onDrain(s *wire.Session, ref uint32, m *wire.Drain) {
+func (e *Endpoint) onDrain(s *wire.Session, ref uint32, m *protocol.Drain) {
 	if m.Endpoint != e.settings.ID {
-		refusal := wire.Refusal{Code: wire.CodeBadRequest, Message: "not this endpoint", Ran: wire.NotRun}
-		e.reply(s, ref, &wire.Failure{Refusal: refusal})
+		refusal := protocol.Refusal{Code: protocol.CodeBadRequest, Message: "not this endpoint", Ran: protocol.NotRun}
+		e.reply(s, ref, &protocol.Failure{Refusal: refusal})
 		return
 	}
 	e.leave("order of " + s.Peer().ID)
-	e.reply(s, ref, &wire.Drained{Endpoint: m.Endpoint, InFlight: e.executions.inFlight()})
+	e.reply(s, ref, &protocol.Drained{Endpoint: m.Endpoint, InFlight: e.executions.inFlight()})
 }
 
 // leave stops new work, for good.
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -20,6 +20,7 @@
 	"skylarklead/internal/engine"
 	"skylarklead/internal/follow"
 	"skylarklead/internal/platform"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/route"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/telemetry"
@@ -129,10 +130,10 @@
 func (e *Endpoint) now() time.Duration { return time.Since(e.started) }
 
 // identity is shared: sessions are opened on goroutines of their own.
-func (e *Endpoint) identity() wire.Identity {
-	return wire.Identity{
+func (e *Endpoint) identity() protocol.Identity {
+	return protocol.Identity{
 		ID:            e.settings.ID,
-		Role:          wire.RoleEndpoint,
+		Role:          protocol.RoleEndpoint,
 		Epoch:         e.tel.Epoch,
 		FailureDomain: e.settings.FailureDomain,
 		Group:         e.settings.Endpoint.Group,
--- a/internal/endpoint/enginewatch.go
+++ b/internal/endpoint/enginewatch.go
@@ -8,8 +8,8 @@
 	"skylarklead/internal/cachemap"
 	"skylarklead/internal/engine"
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/route"
-	"skylarklead/internal/wire"
 )
 
 const (
@@ -229,9 +229,9 @@
 }
 
 // load is this endpoint's load summary.
-func (e *Endpoint) load() wire.Load {
+func (e *Endpoint) load() protocol.Load {
 	summary := e.admission.Summary()
-	load := wire.Load{
+	load := protocol.Load{
 		Running:      summary.Running,
 		Queued:       summary.Queued,
 		QueuedTokens: summary.QueuedTokens,
--- a/internal/endpoint/enginewatch_test.go
+++ b/internal/endpoint/enginewatch_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"skylarklead/internal/engine"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 	"skylarklead/test/kit"
 )
 
@@ -62,7 +62,7 @@
 	seq := uint64(0)
 	heard := func() {
 		seq++
-		view.Heard(&wire.Heartbeat{ID: "ep-2", Epoch: 1, Seq: seq}, e.now())
+		view.Heard(&protocol.Heartbeat{ID: "ep-2", Epoch: 1, Seq: seq}, e.now())
 	}
 	heard()
 	e.logPeers()
@@ -111,7 +111,7 @@
 	kit.Until(t, "the engine", func() bool { return n.status().Load.EngineUp })
 	f.Listener.Close()
 	n.send(chat(1))
-	if end := n.end(); end.Outcome != wire.NotRun {
+	if end := n.end(); end.Outcome != protocol.NotRun {
 		t.Fatalf("got %+v", end)
 	}
 	if log := p.log.take(); !strings.Contains(log, "engine down") {
--- a/internal/endpoint/executions.go
+++ b/internal/endpoint/executions.go
@@ -9,6 +9,7 @@
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/cachemap"
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 )
 
@@ -41,21 +42,21 @@
 // execution is an attempt that runs here, or did until its stream's pieces are
 // dropped.
 type execution struct {
-	id    wire.AttemptID
-	run   *wire.Run
+	id    protocol.AttemptID
+	run   *protocol.Run
 	phase phase
 	// session is the one that the attempt was last run or resumed on, nil once
 	// that is lost.
 	session   *wire.Session
 	endedAt   time.Duration
-	outcome   wire.Outcome
+	outcome   protocol.Outcome
 	delivered bool
 	// claimed is set while the attempt runs under an idempotency key; followers
 	// get its answer too.
 	claimed   bool
 	followers []*execution
 	// adoptedFrom is the epoch that the attempt began in, if not in this one.
-	adoptedFrom wire.Epoch
+	adoptedFrom protocol.Epoch
 	stream      *stream
 	stop        context.CancelCauseFunc // ends the back end's work
 	stopPump    context.CancelFunc
@@ -90,7 +91,7 @@
 }
 
 // executionTable has what runs here or can still be resumed.
-type executionTable map[wire.AttemptID]*execution
+type executionTable map[protocol.AttemptID]*execution
 
 func (t executionTable) inFlight() int {
 	n := 0
@@ -166,7 +167,7 @@
 	}
 	a.delivered = true
 	e.drain.lastEnd = e.now()
-	if a.phase == phaseEnded && a.outcome == wire.NotRun {
+	if a.phase == phaseEnded && a.outcome == protocol.NotRun {
 		e.free(a)
 	}
 }
--- a/internal/endpoint/freeze.go
+++ b/internal/endpoint/freeze.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"skylarklead/internal/engine"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // tokenSilence is how long an engine that answers no look at its load may give no
@@ -71,13 +71,13 @@
 // A frozen engine may still have it, and whether it crashes is only seen once it
 // answers again. The attempt counts as running until then: a request that hangs an
 // engine until that is restarted would never get its strike otherwise.
-func (e *Endpoint) offEngine(a *execution, end wire.End) {
+func (e *Endpoint) offEngine(a *execution, end protocol.End) {
 	f := &e.watch.freeze
-	if f.on && end.Outcome == wire.Unknown && !end.EngineCrashed {
+	if f.on && end.Outcome == protocol.Unknown && !end.EngineCrashed {
 		f.left = append(f.left, leftRun{name: streamName(a.run), fingerprint: a.run.Fingerprint})
 		return
 	}
-	e.poison.Ended(a.run.Fingerprint, end.Outcome == wire.Done, e.now())
+	e.poison.Ended(a.run.Fingerprint, end.Outcome == protocol.Done, e.now())
 }
 
 // thawed takes the engine's first answer after a freeze. A crash meanwhile is
--- a/internal/endpoint/freeze_test.go
+++ b/internal/endpoint/freeze_test.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"testing"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
 	standinengine "skylarklead/internal/standin/engine"
-	"skylarklead/internal/wire"
 	"skylarklead/test/kit"
 )
 
@@ -61,14 +61,14 @@
 				kit.Control(t, backend, longFreeze)
 			}
 			end := n.end()
-			if end.Outcome != wire.Unknown || end.Code != wire.CodeUnknownOutcome || end.EngineCrashed {
+			if end.Outcome != protocol.Unknown || end.Code != protocol.CodeUnknownOutcome || end.EngineCrashed {
 				t.Fatalf("got %+v", end)
 			}
 			if up() {
 				t.Error("a frozen engine is told to be up")
 			}
 			n.send(chat(2))
-			if end := n.end(); end.Outcome != wire.NotRun {
+			if end := n.end(); end.Outcome != protocol.NotRun {
 				t.Errorf("new work: got %+v", end)
 			}
 			if suspect() {
@@ -108,16 +108,16 @@
 	}
 	started := 0
 	for started < 2 {
-		if _, ok := n.next().(*wire.Start); ok {
+		if _, ok := n.next().(*protocol.Start); ok {
 			started++
 		}
 	}
 	kit.Control(t, backend, `{"freeze_ms": 5000}`)
-	ends := []*wire.End{n.end(), n.end()}
-	if ends[0].Attempt != attemptID(2) || ends[0].Outcome != wire.Unknown || ends[0].EngineCrashed {
+	ends := []*protocol.End{n.end(), n.end()}
+	if ends[0].Attempt != attemptID(2) || ends[0].Outcome != protocol.Unknown || ends[0].EngineCrashed {
 		t.Errorf("repeatable: got %+v", ends[0])
 	}
-	if ends[1].Attempt != attemptID(1) || ends[1].Outcome != wire.Done {
+	if ends[1].Attempt != attemptID(1) || ends[1].Outcome != protocol.Done {
 		t.Errorf("with a key: got %+v", ends[1])
 	}
 }
--- a/internal/endpoint/group.go
+++ b/internal/endpoint/group.go
@@ -8,8 +8,8 @@
 
 	"skylarklead/internal/member"
 	"skylarklead/internal/platform"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/route"
-	"skylarklead/internal/wire"
 )
 
 // listInterval is how often the platform's instance list is read.
@@ -30,7 +30,7 @@
 
 // peer is what a member's heartbeats told, and what ours have told it.
 type peer struct {
-	load     wire.Load
+	load     protocol.Load
 	loadAt   time.Duration
 	hasLoad  bool
 	sending  bool
@@ -39,7 +39,7 @@
 	silent   []string // members to be named as silent in the next heartbeat
 	probing  bool
 	probedAt time.Duration // when it was last asked for a sign of life; 0 is never
-	epoch    wire.Epoch
+	epoch    protocol.Epoch
 	unsent   map[uint64]int // residents to be told, by hash
 	fullSent time.Duration  // when all residents were last sent; 0 is never
 }
@@ -90,8 +90,8 @@
 }
 
 // epochSeen notes a peer's epoch; what was learnt of an earlier one is void.
-func (e *Endpoint) epochSeen(peer wire.Identity) {
-	if peer.Role != wire.RoleEndpoint || peer.Group != e.settings.Endpoint.Group || peer.ID == e.settings.ID {
+func (e *Endpoint) epochSeen(peer protocol.Identity) {
+	if peer.Role != protocol.RoleEndpoint || peer.Group != e.settings.Endpoint.Group || peer.ID == e.settings.ID {
 		return
 	}
 	if e.group.view.EpochSeen(peer.ID, peer.Epoch, e.now()) {
@@ -158,12 +158,12 @@
 }
 
 // target is where an endpoint of the group takes its Runs.
-func (e *Endpoint) target(id string) wire.Target {
+func (e *Endpoint) target(id string) protocol.Target {
 	if id == e.settings.ID {
-		return wire.Target{Endpoint: id, Address: e.settings.Advertise, Epoch: e.tel.Epoch}
+		return protocol.Target{Endpoint: id, Address: e.settings.Advertise, Epoch: e.tel.Epoch}
 	}
 	m, _ := e.group.view.Get(id, e.now())
-	return wire.Target{Endpoint: id, Address: m.Address, Epoch: m.Epoch}
+	return protocol.Target{Endpoint: id, Address: m.Address, Epoch: m.Epoch}
 }
 
 // unavailable lists who takes no new work, so that entries stop sending to them
--- a/internal/endpoint/group_test.go
+++ b/internal/endpoint/group_test.go
@@ -8,6 +8,7 @@
 
 	"skylarklead/internal/platform"
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
 	"skylarklead/test/kit"
@@ -69,8 +70,8 @@
 	return group
 }
 
-func ask(n byte) *wire.Ask {
-	return &wire.Ask{
+func ask(n byte) *protocol.Ask {
+	return &protocol.Ask{
 		Request: fmt.Sprintf("r%d", n), Organisation: "org", Group: "g", Model: "m", Version: "v1",
 		Levels: []prefix.Level{{Hash: prefix.Hash(n), Tokens: 160}}, PromptTokens: 200, MaxTokens: 16,
 		Fingerprint: uint64(n), Explain: true,
@@ -84,7 +85,7 @@
 func TestLeavingEndpointIsNotChosen(t *testing.T) {
 	group := startGroup(t, newFakeEngine(t, "a"), newFakeEngine(t, "a"))
 	leaving, owner := group[1].dial("entry-1"), group[0].dial("entry-1")
-	leaving.call(&wire.Drain{Endpoint: "ep-2"})
+	leaving.call(&protocol.Drain{Endpoint: "ep-2"})
 	kit.Until(t, "the owner to know", func() bool {
 		d := owner.decision(ask(1))
 		return len(d.Unavailable) == 1 && d.Unavailable[0] == "ep-2"
@@ -98,7 +99,7 @@
 		}
 	}
 	leaving.send(chat(1))
-	if _, end := leaving.answer(0); end.Outcome != wire.NotRun || end.Redirect == nil || end.Redirect.Endpoint != "ep-1" {
+	if _, end := leaving.answer(0); end.Outcome != protocol.NotRun || end.Redirect == nil || end.Redirect.Endpoint != "ep-1" {
 		t.Fatalf("got %+v", end)
 	}
 }
@@ -157,7 +158,7 @@
 				case 1:
 					return d.Suspect && d.Refusal == nil
 				}
-				return d.Refusal != nil && d.Refusal.Code == wire.CodeGivenUp && d.Refusal.RetryAfterMs > 0
+				return d.Refusal != nil && d.Refusal.Code == protocol.CodeGivenUp && d.Refusal.RetryAfterMs > 0
 			})
 		}
 	}
@@ -167,7 +168,7 @@
 	group := startGroup(t, newFakeEngine(t, "a"), newFakeEngine(t, "a"))
 	n := group[0].dial("entry-1")
 	n.call(ask(5))
-	records := n.call(&wire.ExplainRequest{Request: "r5"}).(*wire.Explanation).Records
+	records := n.call(&protocol.ExplainRequest{Request: "r5"}).(*protocol.Explanation).Records
 	if len(records) != 1 || records[0].Owner != "ep-1" || len(records[0].Candidates) != 2 {
 		t.Fatalf("got %+v", records)
 	}
@@ -184,7 +185,7 @@
 	if d := n.decision(question); d.Executor.Endpoint == "" || len(d.Candidates) != 0 {
 		t.Errorf("got %+v, want an executor without candidates", d)
 	}
-	records := n.call(&wire.ExplainRequest{Request: "r6"}).(*wire.Explanation).Records
+	records := n.call(&protocol.ExplainRequest{Request: "r6"}).(*protocol.Explanation).Records
 	if len(records) != 1 || len(records[0].Candidates) != 2 {
 		t.Errorf("the owner remembers %+v, want 2 candidates", records)
 	}
--- a/internal/endpoint/harness_test.go
+++ b/internal/endpoint/harness_test.go
@@ -20,6 +20,7 @@
 	"skylarklead/internal/follow"
 	"skylarklead/internal/platform"
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
 	standin "skylarklead/internal/standin/platform"
 	"skylarklead/internal/telemetry"
@@ -135,7 +136,7 @@
 	return cut
 }
 
-func (f *fakeEngine) ran(id wire.AttemptID) (runs int) {
+func (f *fakeEngine) ran(id protocol.AttemptID) (runs int) {
 	f.change(func() { runs = f.runs[id.String()] })
 	return runs
 }
@@ -307,22 +308,22 @@
 type entry struct {
 	t        *testing.T
 	session  *wire.Session
-	messages chan wire.Message
+	messages chan protocol.Message
 	config   *follow.Follower // answers ConfigFetch, if set
 }
 
 func (p *process) dial(id string) *entry {
 	p.t.Helper()
-	n := &entry{t: p.t, messages: make(chan wire.Message, 1024)}
-	self := func() wire.Identity { return wire.Identity{ID: id, Role: wire.RoleEntry} }
+	n := &entry{t: p.t, messages: make(chan protocol.Message, 1024)}
+	self := func() protocol.Identity { return protocol.Identity{ID: id, Role: protocol.RoleEntry} }
 	s := kit.Must(wire.Dial(context.Background(), p.address, wire.Options{Key: fleetKey, Self: self, Handler: n}))(p.t)
 	n.session = s
 	p.t.Cleanup(func() { s.Close(wire.ErrClosed) })
 	return n
 }
 
-func (n *entry) Handle(s *wire.Session, ref uint32, m wire.Message) {
-	fetch, ok := m.(*wire.ConfigFetch)
+func (n *entry) Handle(s *wire.Session, ref uint32, m protocol.Message) {
+	fetch, ok := m.(*protocol.ConfigFetch)
 	if !ok {
 		n.messages <- m
 		return
@@ -337,12 +338,12 @@
 
 func (n *entry) Closed(*wire.Session, error) { close(n.messages) }
 
-func (n *entry) send(m wire.Message) {
+func (n *entry) send(m protocol.Message) {
 	n.t.Helper()
 	kit.OK(n.t, n.session.Send(m))
 }
 
-func (n *entry) call(m wire.Message) wire.Message {
+func (n *entry) call(m protocol.Message) protocol.Message {
 	n.t.Helper()
 	ctx, stop := context.WithTimeout(context.Background(), kit.Patience)
 	defer stop()
@@ -351,7 +352,7 @@
 }
 
 // next returns the next message that isn't a heartbeat.
-func (n *entry) next() wire.Message {
+func (n *entry) next() protocol.Message {
 	n.t.Helper()
 	select {
 	case m, ok := <-n.messages:
@@ -366,19 +367,19 @@
 }
 
 // answer reads one attempt's chunks up to its End, from seq on.
-func (n *entry) answer(seq uint64) (string, *wire.End) {
+func (n *entry) answer(seq uint64) (string, *protocol.End) {
 	n.t.Helper()
 	text := ""
 	for {
 		switch m := n.next().(type) {
-		case *wire.Start:
-		case *wire.Chunk:
+		case *protocol.Start:
+		case *protocol.Chunk:
 			if m.Seq != seq {
 				n.t.Fatalf("chunk %d where %d was due", m.Seq, seq)
 			}
 			seq++
 			text += string(m.Data)
-		case *wire.End:
+		case *protocol.End:
 			if m.Seq != seq {
 				n.t.Fatalf("end at %d where %d was due", m.Seq, seq)
 			}
@@ -390,7 +391,7 @@
 }
 
 // want reads an answer from seq on, and fails unless it is text and ends as told.
-func (n *entry) want(seq uint64, text string, outcome wire.Outcome) *wire.End {
+func (n *entry) want(seq uint64, text string, outcome protocol.Outcome) *protocol.End {
 	n.t.Helper()
 	got, end := n.answer(seq)
 	if got != text || end.Outcome != outcome {
@@ -400,9 +401,9 @@
 }
 
 // refused reads the end of a Run that must not have run, by code if one is given.
-func (n *entry) refused(code ...wire.Code) *wire.End {
+func (n *entry) refused(code ...protocol.Code) *protocol.End {
 	n.t.Helper()
-	end := n.want(0, "", wire.NotRun)
+	end := n.want(0, "", protocol.NotRun)
 	if len(code) > 0 && end.Code != code[0] {
 		n.t.Fatalf("got %+v, want %s", end, code[0])
 	}
@@ -418,31 +419,31 @@
 }
 
 // decision asks an owner.
-func (n *entry) decision(m *wire.Ask) *wire.Decision {
+func (n *entry) decision(m *protocol.Ask) *protocol.Decision {
 	n.t.Helper()
-	return n.call(m).(*wire.Decision)
+	return n.call(m).(*protocol.Decision)
 }
 
 // status asks a process for its status.
-func (n *entry) status() *wire.Status {
+func (n *entry) status() *protocol.Status {
 	n.t.Helper()
-	return n.call(&wire.StatusRequest{}).(*wire.Status)
+	return n.call(&protocol.StatusRequest{}).(*protocol.Status)
 }
 
 // end reads up to the next End, of whatever attempt.
-func (n *entry) end() *wire.End {
+func (n *entry) end() *protocol.End {
 	n.t.Helper()
 	for {
-		if end, ok := n.next().(*wire.End); ok {
+		if end, ok := n.next().(*protocol.End); ok {
 			return end
 		}
 	}
 }
 
-func attemptID(n byte) wire.AttemptID { return wire.AttemptID{15: n} }
+func attemptID(n byte) protocol.AttemptID { return protocol.AttemptID{15: n} }
 
-func chat(n byte) *wire.Run {
-	return &wire.Run{
+func chat(n byte) *protocol.Run {
+	return &protocol.Run{
 		Attempt: attemptID(n), Request: fmt.Sprintf("r%d", n), Organisation: "org", Group: "g",
 		Model: "m", Version: "v1", Messages: []prefix.Message{{Role: "user", Content: "question"}},
 		MaxTokens: 16, Window: 100, Fingerprint: uint64(n),
--- a/internal/endpoint/heartbeat.go
+++ b/internal/endpoint/heartbeat.go
@@ -10,6 +10,7 @@
 	"skylarklead/internal/cachemap"
 	"skylarklead/internal/member"
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/route"
 	"skylarklead/internal/wire"
 )
@@ -79,7 +80,7 @@
 		}
 		p.sending, p.urgent = true, false
 		e.beatSeq++
-		hb := &wire.Heartbeat{
+		hb := &protocol.Heartbeat{
 			ID:           e.settings.ID,
 			Epoch:        e.tel.Epoch,
 			Seq:          e.beatSeq,
@@ -96,7 +97,7 @@
 	}
 }
 
-func (e *Endpoint) sendBeat(b member.Beat, hb *wire.Heartbeat) {
+func (e *Endpoint) sendBeat(b member.Beat, hb *protocol.Heartbeat) {
 	ctx, stop := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer stop()
 	s, err := e.pool.Get(ctx, b.Address)
@@ -132,7 +133,7 @@
 		return
 	}
 	ids := e.usableIDs()
-	own := make([]wire.Resident, 0, len(changed))
+	own := make([]protocol.Resident, 0, len(changed))
 	for _, root := range changed {
 		own = append(own, root.Resident)
 		for _, id := range owners(root, ids) {
@@ -150,7 +151,7 @@
 }
 
 // residentsFor returns what to tell a peer now, and whether it is all there is.
-func (e *Endpoint) residentsFor(id string, p *peer) (residents []wire.Resident, full bool) {
+func (e *Endpoint) residentsFor(id string, p *peer) (residents []protocol.Resident, full bool) {
 	now := e.now()
 	if p.fullSent == 0 || now-p.fullSent > fullInterval {
 		p.fullSent = now
@@ -161,20 +162,20 @@
 		if len(residents) == maxResidents {
 			break
 		}
-		residents = append(residents, wire.Resident{Hash: prefix.Hash(hash), Tokens: tokens})
+		residents = append(residents, protocol.Resident{Hash: prefix.Hash(hash), Tokens: tokens})
 		delete(p.unsent, hash)
 	}
 	return residents, false
 }
 
-func (e *Endpoint) allResidents(id string) []wire.Resident {
+func (e *Endpoint) allResidents(id string) []protocol.Resident {
 	all, _ := e.picture.RootsSince(0)
 	ids := e.usableIDs()
 	if !slices.Contains(ids, id) {
 		// It isn't usable yet only because its own heartbeat is still to come.
 		ids = append(ids, id)
 	}
-	var residents []wire.Resident
+	var residents []protocol.Resident
 	for _, root := range all {
 		if root.Resident.Tokens > 0 && slices.Contains(owners(root, ids), id) {
 			residents = append(residents, root.Resident)
@@ -184,7 +185,7 @@
 }
 
 // onHeartbeat takes a peer's heartbeat.
-func (e *Endpoint) onHeartbeat(s *wire.Session, hb *wire.Heartbeat) {
+func (e *Endpoint) onHeartbeat(s *wire.Session, hb *protocol.Heartbeat) {
 	from := s.Peer()
 	if hb.ID != from.ID || hb.Epoch != from.Epoch || from.Group != e.settings.Endpoint.Group {
 		e.dropped("heartbeat of another", s, "claimed", hb.ID)
@@ -207,18 +208,18 @@
 
 // noteIncarnation logs which engine a peer stands before, when that is news. From
 // here on this process places nothing there for what an earlier one held.
-func (e *Endpoint) noteIncarnation(hb *wire.Heartbeat, p *peer) {
+func (e *Endpoint) noteIncarnation(hb *protocol.Heartbeat, p *peer) {
 	if after := hb.Load.Incarnation; after != "" && after != p.load.Incarnation {
 		e.log.Info("peer's engine", "peer", hb.ID, "incarnation", after, "before", p.load.Incarnation)
 	}
 }
 
 // heardStrikes takes what a peer holds against requests.
-func (e *Endpoint) heardStrikes(strikes []wire.Strike, from string) {
+func (e *Endpoint) heardStrikes(strikes []protocol.Strike, from string) {
 	now := e.now()
 	for _, s := range strikes {
 		before := e.poison.Judge(s.Fingerprint, now).Kind
-		e.poison.Heard([]wire.Strike{s}, now)
+		e.poison.Heard([]protocol.Strike{s}, now)
 		if kind := e.poison.Judge(s.Fingerprint, now).Kind; kind > before {
 			e.log.Warn("strike heard of", "peer", from, "fingerprint", fmt.Sprintf("%016x", s.Fingerprint), "verdict", kind.String())
 		}
@@ -229,10 +230,10 @@
 // later: without it, a later crash would pass for an earlier one.
 func (e *Endpoint) struck(fingerprint uint64, crashes int) {
 	count := min(crashes, attempt.DefaultPoisonParams.AloneFrom())
-	e.poison.Heard([]wire.Strike{{Fingerprint: fingerprint, Count: count}}, e.now())
+	e.poison.Heard([]protocol.Strike{{Fingerprint: fingerprint, Count: count}}, e.now())
 }
 
-func (e *Endpoint) advertised(id string, epoch wire.Epoch, incarnation, version string, residents []wire.Resident, full bool) {
+func (e *Endpoint) advertised(id string, epoch protocol.Epoch, incarnation, version string, residents []protocol.Resident, full bool) {
 	e.router.Advertised(e.now(), route.Advertised{
 		Endpoint:    id,
 		Epoch:       epoch,
--- a/internal/endpoint/once.go
+++ b/internal/endpoint/once.go
@@ -8,7 +8,7 @@
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/member"
 	"skylarklead/internal/platform"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 const (
@@ -60,7 +60,7 @@
 func (e *Endpoint) claim(a *execution) {
 	key, ok := keyDigest(a.run.Key)
 	if !ok {
-		e.end(a, wire.End{Outcome: wire.NotRun, Code: wire.CodeBadRequest, Message: "malformed key digest"})
+		e.end(a, protocol.End{Outcome: protocol.NotRun, Code: protocol.CodeBadRequest, Message: "malformed key digest"})
 		return
 	}
 	e.performOnce(e.claims.once.Run(attempt.KeyedRun{
@@ -124,7 +124,7 @@
 func (e *Endpoint) execute(action attempt.Execute) {
 	a := e.executions[action.Attempt]
 	if a == nil || a.phase != phaseWaiting {
-		e.performOnce(e.claims.once.Finished(action.Key, wire.NotRun, nil, e.now()))
+		e.performOnce(e.claims.once.Finished(action.Key, protocol.NotRun, nil, e.now()))
 		return
 	}
 	a.claimed = true
@@ -133,7 +133,7 @@
 }
 
 // settleClaim tells the claims what came of an attempt that they let run.
-func (e *Endpoint) settleClaim(a *execution, end wire.End) {
+func (e *Endpoint) settleClaim(a *execution, end protocol.End) {
 	key, _ := keyDigest(a.run.Key)
 	result := a.stream.recorded(end)
 	e.performOnce(e.claims.once.Finished(key, end.Outcome, result, e.now()))
@@ -146,7 +146,7 @@
 		return
 	}
 	if to == nil || !to.stream.follow(a.stream) {
-		e.end(a, wire.End{Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome, Message: "the request runs already"})
+		e.end(a, protocol.End{Outcome: protocol.Unknown, Code: protocol.CodeUnknownOutcome, Message: "the request runs already"})
 		return
 	}
 	a.phase = phaseFollowing
@@ -178,20 +178,20 @@
 	if end.Redirect != nil {
 		end.Redirect = e.sameProcess(end.Redirect)
 	}
-	if end.Outcome == wire.Unknown && end.Redirect == nil && end.Code == wire.CodeNone {
-		end.Code = wire.CodeUnknownOutcome
+	if end.Outcome == protocol.Unknown && end.Redirect == nil && end.Code == protocol.CodeNone {
+		end.Code = protocol.CodeUnknownOutcome
 	}
 	e.end(a, end)
 }
 
 // sameProcess completes the address of a process, or returns nil if that epoch
 // isn't known to live: only the process that claimed a key can answer for it.
-func (e *Endpoint) sameProcess(t *wire.Target) *wire.Target {
+func (e *Endpoint) sameProcess(t *protocol.Target) *protocol.Target {
 	m, ok := e.group.view.Get(t.Endpoint, e.now())
 	if !ok || m.Epoch != t.Epoch || m.Address == "" {
 		return nil
 	}
-	return &wire.Target{Endpoint: t.Endpoint, Address: m.Address, Epoch: t.Epoch}
+	return &protocol.Target{Endpoint: t.Endpoint, Address: m.Address, Epoch: t.Epoch}
 }
 
 // tellClaims tells the claims about the group: whose epochs live, and whether
--- a/internal/endpoint/once_test.go
+++ b/internal/endpoint/once_test.go
@@ -11,8 +11,8 @@
 	"testing"
 
 	"skylarklead/internal/engine"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
-	"skylarklead/internal/wire"
 	"skylarklead/test/kit"
 )
 
@@ -71,10 +71,10 @@
 	return g
 }
 
-func payment(n byte, key byte) *wire.Run {
-	return &wire.Run{
+func payment(n byte, key byte) *protocol.Run {
+	return &protocol.Run{
 		Attempt: attemptID(n), Request: fmt.Sprintf("r%d", n), Organisation: "org", Group: "g",
-		Call:        &wire.Call{Service: "s", Method: http.MethodPost, Path: "/pay", Body: []byte{'k', '0' + key}},
+		Call:        &protocol.Call{Service: "s", Method: http.MethodPost, Path: "/pay", Body: []byte{'k', '0' + key}},
 		Fingerprint: uint64(key), Key: bytes.Repeat([]byte{key}, 32), Window: 100,
 	}
 }
@@ -84,13 +84,13 @@
 	n := g.members[0].dial("entry-1")
 	n.send(payment(1, 1))
 	const first = "k1 run 1 by r1"
-	n.want(0, first, wire.Done)
+	n.want(0, first, protocol.Done)
 	n.send(payment(2, 1))
-	n.want(0, first, wire.Done)
+	n.want(0, first, protocol.Done)
 	conflicting := payment(3, 1)
 	conflicting.Fingerprint = 99
 	n.send(conflicting)
-	if _, end := n.answer(0); end.Code != wire.CodeKeyConflict {
+	if _, end := n.answer(0); end.Code != protocol.CodeKeyConflict {
 		t.Fatalf("got %+v", end)
 	}
 }
@@ -121,12 +121,12 @@
 	one.send(payment(1, 1))
 	kit.Until(t, "the run", func() bool { return g.service.ran("k1") == 1 })
 	two.send(payment(2, 1))
-	resolve := &wire.Resolve{Attempt: attemptID(2), Epoch: g.members[0].tel.Epoch}
-	kit.Until(t, "the second sending", func() bool { return two.call(resolve).(*wire.Resolved).Running })
+	resolve := &protocol.Resolve{Attempt: attemptID(2), Epoch: g.members[0].tel.Epoch}
+	kit.Until(t, "the second sending", func() bool { return two.call(resolve).(*protocol.Resolved).Running })
 	close(g.service.hold)
 	first, _ := one.answer(0)
 	second, end := two.answer(0)
-	if first != second || end.Outcome != wire.Done || g.service.ran("k1") != 1 {
+	if first != second || end.Outcome != protocol.Done || g.service.ran("k1") != 1 {
 		t.Fatalf("got %q and %q, %+v, %d runs", first, second, end, g.service.ran("k1"))
 	}
 }
@@ -149,9 +149,9 @@
 	for _, n := range senders {
 		_, end := n.answer(0)
 		switch {
-		case end.Outcome == wire.Done:
+		case end.Outcome == protocol.Done:
 			done++
-		case end.Outcome == wire.NotRun:
+		case end.Outcome == protocol.NotRun:
 			t.Fatalf("not_run was said of a key that ran: %+v", end)
 		}
 	}
@@ -170,14 +170,14 @@
 	n.answer(0)
 	kit.Control(t, g.platform, `{"log_down": true}`)
 	n.send(payment(2, 2))
-	n.refused(wire.CodeLogUnavailable)
+	n.refused(protocol.CodeLogUnavailable)
 	kit.Control(t, g.platform, `{"log_down": false}`)
 	sending := byte(3)
 	kit.Until(t, "the log", func() bool {
 		n.send(payment(sending, 3))
 		sending++
 		_, end := n.answer(0)
-		return end.Outcome == wire.Done
+		return end.Outcome == protocol.Done
 	})
 	if g.service.ran("k2") != 0 {
 		t.Fatal("a refused call ran")
@@ -197,7 +197,7 @@
 	kit.OK(t, <-g.members[0].ended)
 	again := g.start(0).dial("entry-1")
 	again.send(payment(2, 1))
-	if _, end := again.answer(0); end.Outcome == wire.NotRun || g.service.ran("k1") != 1 {
+	if _, end := again.answer(0); end.Outcome == protocol.NotRun || g.service.ran("k1") != 1 {
 		t.Fatalf("got %+v, %d runs", end, g.service.ran("k1"))
 	}
 }
--- a/internal/endpoint/orders.go
+++ b/internal/endpoint/orders.go
@@ -9,8 +9,8 @@
 	"skylarklead/internal/config"
 	"skylarklead/internal/engine"
 	"skylarklead/internal/lease"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/telemetry"
-	"skylarklead/internal/wire"
 )
 
 const (
@@ -284,7 +284,7 @@
 
 func (e *Endpoint) recordPlacement(action lease.SendOrder, reason string) {
 	o := action.Order
-	e.tel.Decisions.Record(wire.DecisionRecord{
+	e.tel.Decisions.Record(protocol.DecisionRecord{
 		Request:  fmt.Sprintf("%s:%s@%s", o.Op, o.Model, o.Version),
 		Kind:     telemetry.KindPlacement,
 		Executor: e.settings.ID,
--- a/internal/endpoint/orders_test.go
+++ b/internal/endpoint/orders_test.go
@@ -13,8 +13,8 @@
 	"skylarklead/internal/follow"
 	"skylarklead/internal/lease"
 	"skylarklead/internal/platform"
+	"skylarklead/internal/protocol"
 	standinengine "skylarklead/internal/standin/engine"
-	"skylarklead/internal/wire"
 	"skylarklead/test/kit"
 )
 
@@ -77,7 +77,7 @@
 	}
 	other := platform.Instance{ID: "ep-2", Role: platform.RoleEndpoint, Address: "127.0.0.1:1", Group: "g", State: platform.StateLive}
 	beat := func(seq uint64, up bool) {
-		hb := &wire.Heartbeat{ID: "ep-2", Epoch: 1, Seq: seq, Load: wire.Load{EngineUp: up}}
+		hb := &protocol.Heartbeat{ID: "ep-2", Epoch: 1, Seq: seq, Load: protocol.Load{EngineUp: up}}
 		e.group.view.Heard(hb, e.now())
 		peer := e.group.peer("ep-2")
 		peer.load, peer.hasLoad = hb.Load, true
@@ -146,12 +146,12 @@
 	for _, p := range processes {
 		n := p.dial("tool")
 		kit.Until(t, "the decision's record", func() bool {
-			x := n.call(&wire.ExplainRequest{Request: "load_version:m@v2"}).(*wire.Explanation)
-			return slices.ContainsFunc(x.Records, func(r wire.DecisionRecord) bool { return r.Reason == "in_force" })
+			x := n.call(&protocol.ExplainRequest{Request: "load_version:m@v2"}).(*protocol.Explanation)
+			return slices.ContainsFunc(x.Records, func(r protocol.DecisionRecord) bool { return r.Reason == "in_force" })
 		})
 		run := chat(1)
 		n.send(run)
-		if _, end := n.answer(0); end.Outcome != wire.NotRun {
+		if _, end := n.answer(0); end.Outcome != protocol.NotRun {
 			t.Fatalf("a request for v1 ran under v2: %+v", end)
 		}
 	}
--- a/internal/endpoint/parameters_test.go
+++ b/internal/endpoint/parameters_test.go
@@ -3,8 +3,8 @@
 import (
 	"testing"
 
+	"skylarklead/internal/protocol"
 	standinengine "skylarklead/internal/standin/engine"
-	"skylarklead/internal/wire"
 	"skylarklead/test/kit"
 )
 
@@ -17,7 +17,7 @@
 	run := chat(1)
 	run.Parameters = []byte(`{"cache_salt":"other","temperature":0.2,"stop":["x"]}`)
 	n.send(run)
-	if _, end := n.answer(0); end.Outcome != wire.Done {
+	if _, end := n.answer(0); end.Outcome != protocol.Done {
 		t.Fatalf("ended with %+v", end)
 	}
 	got := kit.Get[standinengine.Account](t, base+"/control/account").Requests[run.Attempt.String()]
--- a/internal/endpoint/probe.go
+++ b/internal/endpoint/probe.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 const (
@@ -46,7 +46,7 @@
 	defer stop()
 	s, err := e.pool.Get(ctx, address)
 	if err == nil {
-		_, err = s.Call(ctx, &wire.StatusRequest{})
+		_, err = s.Call(ctx, &protocol.StatusRequest{})
 	}
 	e.loop.must(func() {
 		e.group.peer(id).probing = false
--- a/internal/endpoint/probe_test.go
+++ b/internal/endpoint/probe_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"skylarklead/internal/platform"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
 	"skylarklead/test/kit"
@@ -18,8 +19,8 @@
 // stopped process looks from outside.
 type deaf struct{}
 
-func (deaf) Handle(*wire.Session, uint32, wire.Message) {}
-func (deaf) Closed(*wire.Session, error)                {}
+func (deaf) Handle(*wire.Session, uint32, protocol.Message) {}
+func (deaf) Closed(*wire.Session, error)                    {}
 
 // Symptom: for seconds after a process has stopped, each request sent to it
 // waits until its entry gives it up.
@@ -27,8 +28,8 @@
 // and asks the owner again, with the peer as failed; other entries ask.
 // Cause: only the silence of SuspectAfter took a peer out of the group.
 func TestStoppedPeerIsOutAfterItsFirstFailure(t *testing.T) {
-	peer := wire.Identity{ID: "ep-2", Role: wire.RoleEndpoint, Epoch: 7, Group: "g"}
-	options := wire.Options{Key: fleetKey, Self: func() wire.Identity { return peer }, Handler: deaf{}}
+	peer := protocol.Identity{ID: "ep-2", Role: protocol.RoleEndpoint, Epoch: 7, Group: "g"}
+	options := wire.Options{Key: fleetKey, Self: func() protocol.Identity { return peer }, Handler: deaf{}}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { wire.Accept(w, r, options) }))
 	t.Cleanup(server.Close)
 	list := []platform.Instance{{
@@ -41,10 +42,10 @@
 		s.Endpoint.SuspectAfter = settings.Duration(time.Hour)
 	})
 	session := kit.Must(wire.Dial(context.Background(), p.address, options))(t)
-	load := wire.Load{EngineUp: true, Model: "m", Version: "v1", Incarnation: "i1"}
-	kit.OK(t, session.Send(&wire.Heartbeat{ID: peer.ID, Epoch: peer.Epoch, Seq: 1, Load: load}))
+	load := protocol.Load{EngineUp: true, Model: "m", Version: "v1", Incarnation: "i1"}
+	kit.OK(t, session.Send(&protocol.Heartbeat{ID: peer.ID, Epoch: peer.Epoch, Seq: 1, Load: load}))
 	n := p.dial("entry-1")
-	excluded := func(m *wire.Ask) string {
+	excluded := func(m *protocol.Ask) string {
 		for _, c := range n.decision(m).Candidates {
 			if c.Endpoint == peer.ID {
 				return c.Excluded
--- a/internal/endpoint/recording.go
+++ b/internal/endpoint/recording.go
@@ -4,7 +4,7 @@
 	"bytes"
 
 	"skylarklead/internal/attempt"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // maxRecording bounds in bytes the answer that is kept for an idempotency key.
@@ -53,11 +53,11 @@
 func (r *recording) whole() bool { return r.bytes <= maxRecording }
 
 // recorded returns the whole answer, or nil if it wasn't kept.
-func (st *stream) recorded(end wire.End) *attempt.Result {
+func (st *stream) recorded(end protocol.End) *attempt.Result {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	r := st.recording
-	if r == nil || !r.whole() || end.Outcome != wire.Done {
+	if r == nil || !r.whole() || end.Outcome != protocol.Done {
 		return nil
 	}
 	result := r.result
--- a/internal/endpoint/resume.go
+++ b/internal/endpoint/resume.go
@@ -5,10 +5,11 @@
 	"errors"
 	"log/slog"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 )
 
-func (e *Endpoint) onCredit(s *wire.Session, m *wire.Credit) {
+func (e *Endpoint) onCredit(s *wire.Session, m *protocol.Credit) {
 	a := e.executions[m.Attempt]
 	if a == nil || a.session != s {
 		e.dropped("late credit", s, "attempt", m.Attempt.String())
@@ -19,7 +20,7 @@
 
 // onCancel ends an attempt, on no session but the one that it was last run or
 // resumed on: through another entry the caller may be back.
-func (e *Endpoint) onCancel(s *wire.Session, m *wire.Cancel) {
+func (e *Endpoint) onCancel(s *wire.Session, m *protocol.Cancel) {
 	a := e.executions[m.Attempt]
 	if a == nil || a.session != s {
 		e.dropped("late cancel", s, "attempt", m.Attempt.String())
@@ -31,14 +32,14 @@
 func (e *Endpoint) cancelExecution(a *execution, reason string) {
 	switch a.phase {
 	case phaseFollowing:
-		e.end(a, wire.End{Outcome: wire.Unknown, Code: wire.CodeCanceled, Message: reason})
+		e.end(a, protocol.End{Outcome: protocol.Unknown, Code: protocol.CodeCanceled, Message: reason})
 	case phaseWaiting, phaseHeld:
 		e.withdraw(a)
-		outcome := wire.NotRun
+		outcome := protocol.NotRun
 		if len(a.run.Key) > 0 && !a.claimed {
-			outcome = wire.Unknown // an earlier sending of its key may have run
+			outcome = protocol.Unknown // an earlier sending of its key may have run
 		}
-		e.end(a, wire.End{Outcome: outcome, Code: wire.CodeCanceled, Message: reason})
+		e.end(a, protocol.End{Outcome: outcome, Code: protocol.CodeCanceled, Message: reason})
 	case phaseRunning:
 		if a.claimed {
 			return // it runs once, and its key's next sender wants the answer
@@ -49,7 +50,7 @@
 }
 
 // onResume sends an attempt's chunks again, on this session.
-func (e *Endpoint) onResume(s *wire.Session, m *wire.Resume) {
+func (e *Endpoint) onResume(s *wire.Session, m *protocol.Resume) {
 	a := e.executions[m.Attempt]
 	if e.mayAdopt(m) {
 		go e.adopt(s, m)
@@ -65,21 +66,21 @@
 }
 
 // isOf reports whether an attempt of the asked epoch is the one that runs here.
-func (a *execution) isOf(asked, own wire.Epoch) bool {
+func (a *execution) isOf(asked, own protocol.Epoch) bool {
 	return asked == own || a.adoptedFrom != 0 && asked == a.adoptedFrom
 }
 
-func (e *Endpoint) refuseResume(s *wire.Session, m *wire.Resume) {
+func (e *Endpoint) refuseResume(s *wire.Session, m *protocol.Resume) {
 	e.dropped("resume of an unknown attempt", s, "attempt", m.Attempt.String())
-	end := &wire.End{Attempt: m.Attempt, Seq: m.Seq, Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome}
+	end := &protocol.End{Attempt: m.Attempt, Seq: m.Seq, Outcome: protocol.Unknown, Code: protocol.CodeUnknownOutcome}
 	go s.Send(end) // lost only with the session, which tells as much
 }
 
 // onResolve tells what became of an attempt, and fences an unseen one.
-func (e *Endpoint) onResolve(s *wire.Session, ref uint32, m *wire.Resolve) {
+func (e *Endpoint) onResolve(s *wire.Session, ref uint32, m *protocol.Resolve) {
 	if m.Epoch != e.tel.Epoch {
 		// An earlier epoch may have run it: this one can't know.
-		e.reply(s, ref, &wire.Resolved{Attempt: m.Attempt, Outcome: wire.Unknown})
+		e.reply(s, ref, &protocol.Resolved{Attempt: m.Attempt, Outcome: protocol.Unknown})
 		return
 	}
 	e.reply(s, ref, e.registry.Resolve(m.Attempt, e.now()))
--- a/internal/endpoint/run.go
+++ b/internal/endpoint/run.go
@@ -7,6 +7,7 @@
 
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/route"
 	"skylarklead/internal/wire"
 )
@@ -17,7 +18,7 @@
 var errCanceled = errors.New("endpoint: attempt canceled")
 
 // onRun takes a request that this process is to execute.
-func (e *Endpoint) onRun(s *wire.Session, run *wire.Run) {
+func (e *Endpoint) onRun(s *wire.Session, run *protocol.Run) {
 	switch e.registry.Arrive(run.Attempt, e.now()) {
 	case attempt.ArrivalDoubled:
 		e.dropped("doubled run", s, "attempt", run.Attempt.String())
@@ -39,14 +40,14 @@
 }
 
 // refuseFenced ends a Run whose attempt was answered not_run before it came.
-func (e *Endpoint) refuseFenced(s *wire.Session, run *wire.Run) {
+func (e *Endpoint) refuseFenced(s *wire.Session, run *protocol.Run) {
 	e.dropped("fenced run", s, "attempt", run.Attempt.String())
-	end := &wire.End{Attempt: run.Attempt, Seq: run.FirstSeq, Outcome: wire.NotRun, Code: wire.CodeNotRun}
+	end := &protocol.End{Attempt: run.Attempt, Seq: run.FirstSeq, Outcome: protocol.NotRun, Code: protocol.CodeNotRun}
 	go s.Send(end) // the sender has its answer from Resolve already
 }
 
 // open enters a new attempt in the table and starts to serve its stream.
-func (e *Endpoint) open(s *wire.Session, run *wire.Run) *execution {
+func (e *Endpoint) open(s *wire.Session, run *protocol.Run) *execution {
 	ctx, stopPump := context.WithCancel(context.Background())
 	a := &execution{
 		id:       run.Attempt,
@@ -66,19 +67,19 @@
 }
 
 // refuse returns why a request can't be run here, or nil.
-func (e *Endpoint) refuse(run *wire.Run) *wire.End {
+func (e *Endpoint) refuse(run *protocol.Run) *protocol.End {
 	isCall := run.Call != nil
 	switch {
 	case run.Group != e.settings.Endpoint.Group,
 		isCall != (e.service != nil),
 		isCall == (len(run.Messages) > 0):
-		return &wire.End{Outcome: wire.NotRun, Code: wire.CodeBadRequest, Message: "not for this endpoint"}
+		return &protocol.End{Outcome: protocol.NotRun, Code: protocol.CodeBadRequest, Message: "not for this endpoint"}
 	case e.drain.leaving && len(run.Key) == 0:
 		// A key may have run already, here or elsewhere; only its claim can tell
 		// whether not_run would be true.
-		return &wire.End{
-			Outcome:      wire.NotRun,
-			Code:         wire.CodeDraining,
+		return &protocol.End{
+			Outcome:      protocol.NotRun,
+			Code:         protocol.CodeDraining,
 			RetryAfterMs: drainRetryAfter.Milliseconds(),
 			Redirect:     e.redirect(run),
 		}
@@ -87,12 +88,12 @@
 }
 
 // redirect names another endpoint for a request that was not run here, or nil.
-func (e *Endpoint) redirect(run *wire.Run) *wire.Target {
+func (e *Endpoint) redirect(run *protocol.Run) *protocol.Target {
 	if run.Redirected {
 		return nil
 	}
 	query := &route.Query{
-		Ask: wire.Ask{
+		Ask: protocol.Ask{
 			Request:      run.Request,
 			Organisation: run.Organisation,
 			Group:        run.Group,
@@ -134,7 +135,7 @@
 	go func() {
 		defer stop(nil)
 		imported.await(ctx)
-		var end wire.End
+		var end protocol.End
 		if j.run.Call != nil {
 			end = e.runCall(ctx, j)
 		} else {
@@ -150,7 +151,7 @@
 
 // job is what a run on the back end needs; it is shared with the goroutine.
 type job struct {
-	run         *wire.Run
+	run         *protocol.Run
 	messages    []prefix.Message
 	stream      *stream
 	begun       time.Time
@@ -160,7 +161,7 @@
 }
 
 // end settles an attempt's outcome and sends its End.
-func (e *Endpoint) end(a *execution, end wire.End) {
+func (e *Endpoint) end(a *execution, end protocol.End) {
 	if a.phase == phaseEnded {
 		return
 	}
--- a/internal/endpoint/run_test.go
+++ b/internal/endpoint/run_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/coder/websocket"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
 	"skylarklead/test/kit"
@@ -19,7 +20,7 @@
 func TestRunStreamsTheAnswer(t *testing.T) {
 	_, _, n := beside(t, "one ", "two ", "three")
 	n.send(chat(1))
-	if end := n.want(0, "one two three", wire.Done); end.CachedTokens != 16 {
+	if end := n.want(0, "one two three", protocol.Done); end.CachedTokens != 16 {
 		t.Fatalf("got %+v", end)
 	}
 }
@@ -35,8 +36,8 @@
 	if text, end := n.answer(0); text != "abcd" || end.Attempt != attemptID(2) {
 		t.Fatalf("got %q, %+v", text, end)
 	}
-	n.send(&wire.Credit{Attempt: run.Attempt, Seq: 9})
-	n.want(2, "cd", wire.Done)
+	n.send(&protocol.Credit{Attempt: run.Attempt, Seq: 9})
+	n.want(2, "cd", protocol.Done)
 }
 
 // Symptom: a caller whose entry died gets a cut answer, though its stream lived.
@@ -50,9 +51,9 @@
 	n.skip(2)
 	n.session.Close(wire.ErrClosed)
 	other := p.dial("entry-2")
-	other.send(&wire.Resume{Attempt: attemptID(1), Epoch: p.tel.Epoch, Seq: 1, Window: 10, Organisation: "org"})
+	other.send(&protocol.Resume{Attempt: attemptID(1), Epoch: p.tel.Epoch, Seq: 1, Window: 10, Organisation: "org"})
 	close(f.step)
-	other.want(1, "bcd", wire.Done)
+	other.want(1, "bcd", protocol.Done)
 	f.wantRuns(1, 1)
 }
 
@@ -63,7 +64,7 @@
 	f, _, n := beside(t, "a", "b", "c")
 	f.change(func() { f.cut[attemptID(1).String()] = true })
 	n.send(chat(1))
-	n.want(0, "abc", wire.Done)
+	n.want(0, "abc", protocol.Done)
 	f.wantRuns(1, 1)
 }
 
@@ -74,7 +75,7 @@
 	f, _, n := started(t, "a", "b", "c")
 	f.change(func() { f.cut[attemptID(1).String()], f.incarnation = true, "i2" })
 	close(f.step)
-	if end := n.want(0, "a", wire.Unknown); !end.EngineCrashed {
+	if end := n.want(0, "a", protocol.Unknown); !end.EngineCrashed {
 		t.Fatalf("got %+v", end)
 	}
 }
@@ -85,8 +86,8 @@
 // Cause: what was answered to Resolve wasn't kept.
 func TestResolveFencesAnUnseenAttempt(t *testing.T) {
 	f, p, n := beside(t, "a")
-	resolve := &wire.Resolve{Attempt: attemptID(1), Epoch: p.tel.Epoch}
-	if r := n.call(resolve).(*wire.Resolved); r.Outcome != wire.NotRun || r.Running {
+	resolve := &protocol.Resolve{Attempt: attemptID(1), Epoch: p.tel.Epoch}
+	if r := n.call(resolve).(*protocol.Resolved); r.Outcome != protocol.NotRun || r.Running {
 		t.Fatalf("got %+v", r)
 	}
 	n.send(chat(1))
@@ -96,8 +97,8 @@
 
 func TestResolveOfAnotherEpoch(t *testing.T) {
 	_, p, n := beside(t, "a")
-	r := n.call(&wire.Resolve{Attempt: attemptID(1), Epoch: p.tel.Epoch + 1}).(*wire.Resolved)
-	if r.Outcome != wire.Unknown || r.Running {
+	r := n.call(&protocol.Resolve{Attempt: attemptID(1), Epoch: p.tel.Epoch + 1}).(*protocol.Resolved)
+	if r.Outcome != protocol.Unknown || r.Running {
 		t.Fatalf("got %+v", r)
 	}
 }
@@ -114,9 +115,9 @@
 
 func TestCancelReachesTheEngine(t *testing.T) {
 	f, p, n := started(t, "a", "b")
-	p.dial("entry-2").send(&wire.Cancel{Attempt: attemptID(1)})
-	n.send(&wire.Cancel{Attempt: attemptID(1)})
-	if _, end := n.answer(0); end.Code != wire.CodeCanceled {
+	p.dial("entry-2").send(&protocol.Cancel{Attempt: attemptID(1)})
+	n.send(&protocol.Cancel{Attempt: attemptID(1)})
+	if _, end := n.answer(0); end.Code != protocol.CodeCanceled {
 		t.Fatalf("got %+v", end)
 	}
 	kit.Until(t, "the engine's cancel", func() (canceled bool) {
@@ -133,9 +134,9 @@
 	p.stop()
 	kit.Until(t, "the refusal", func() bool { return n.status().Leaving })
 	n.send(chat(2))
-	n.refused(wire.CodeDraining)
+	n.refused(protocol.CodeDraining)
 	close(f.step)
-	n.want(0, "ab", wire.Done)
+	n.want(0, "ab", protocol.Done)
 	kit.OK(t, <-p.ended)
 }
 
@@ -169,21 +170,21 @@
 // Cause: a process took what it was sent.
 func TestWhatIsNotForThisEndpointIsRefused(t *testing.T) {
 	f, _, n := beside(t, "a")
-	for i, change := range []func(*wire.Run){
-		func(r *wire.Run) { r.Group = "other" },
-		func(r *wire.Run) { r.Call, r.Messages = &wire.Call{Service: "s"}, nil },
-		func(r *wire.Run) { r.Messages = nil },
+	for i, change := range []func(*protocol.Run){
+		func(r *protocol.Run) { r.Group = "other" },
+		func(r *protocol.Run) { r.Call, r.Messages = &protocol.Call{Service: "s"}, nil },
+		func(r *protocol.Run) { r.Messages = nil },
 	} {
 		run := chat(byte(i + 1))
 		change(run)
 		n.send(run)
-		if end := n.end(); end.Outcome != wire.NotRun || end.Code != wire.CodeBadRequest || f.ran(run.Attempt) > 0 {
+		if end := n.end(); end.Outcome != protocol.NotRun || end.Code != protocol.CodeBadRequest || f.ran(run.Attempt) > 0 {
 			t.Errorf("run %d: got %+v, %d runs", i, end, f.ran(run.Attempt))
 		}
 	}
 	question := ask(1)
 	question.Group = "other"
-	if f, ok := n.call(question).(*wire.Failure); !ok || f.Refusal.Code != wire.CodeBadRequest {
+	if f, ok := n.call(question).(*protocol.Failure); !ok || f.Refusal.Code != protocol.CodeBadRequest {
 		t.Errorf("ask: got %+v", f)
 	}
 }
@@ -192,7 +193,7 @@
 	f, _, n := startedWith(t, func(s *settings.Settings) { s.Endpoint.MaxRunning, s.Endpoint.MaxQueue = 1, 1 }, "a")
 	n.send(chat(2))
 	n.send(chat(3))
-	if _, end := n.answer(0); end.Attempt != attemptID(3) || end.Code != wire.CodeOverloaded || end.RetryAfterMs == 0 {
+	if _, end := n.answer(0); end.Attempt != attemptID(3) || end.Code != protocol.CodeOverloaded || end.RetryAfterMs == 0 {
 		t.Fatalf("got %+v", end)
 	}
 	close(f.step)
@@ -204,10 +205,10 @@
 func TestResumeByAnotherOrganisation(t *testing.T) {
 	f, p, n := started(t, "a", "b")
 	other := p.dial("entry-2")
-	other.send(&wire.Resume{Attempt: attemptID(1), Epoch: p.tel.Epoch, Window: 10, Organisation: "other"})
-	other.want(0, "", wire.Unknown)
+	other.send(&protocol.Resume{Attempt: attemptID(1), Epoch: p.tel.Epoch, Window: 10, Organisation: "other"})
+	other.want(0, "", protocol.Unknown)
 	close(f.step)
-	n.want(0, "ab", wire.Done)
+	n.want(0, "ab", protocol.Done)
 }
 
 // Symptom: one bad peer takes down the streams of all.
@@ -216,7 +217,7 @@
 // Cause: a session's failure wasn't kept to it.
 func TestBadPeersHarmNoOther(t *testing.T) {
 	f, p, n := started(t, "a", "b")
-	stranger := wire.Options{Key: []byte("another key"), Self: func() wire.Identity { return wire.Identity{} }, Handler: n}
+	stranger := wire.Options{Key: []byte("another key"), Self: func() protocol.Identity { return protocol.Identity{} }, Handler: n}
 	if _, err := wire.Dial(context.Background(), p.address, stranger); err == nil {
 		t.Fatal("a peer without the key was let in")
 	}
@@ -231,13 +232,13 @@
 		t.Fatal("a peer that sends garbage was not cut off")
 	}
 	odd := p.dial("entry-2")
-	odd.send(&wire.Credit{Attempt: attemptID(1), Seq: 1 << 40})
-	odd.send(&wire.End{Attempt: attemptID(1)})
-	odd.send(&wire.Heartbeat{ID: "ep-9"})
-	odd.send(&wire.Run{Attempt: attemptID(9)})
-	odd.refused(wire.CodeBadRequest)
+	odd.send(&protocol.Credit{Attempt: attemptID(1), Seq: 1 << 40})
+	odd.send(&protocol.End{Attempt: attemptID(1)})
+	odd.send(&protocol.Heartbeat{ID: "ep-9"})
+	odd.send(&protocol.Run{Attempt: attemptID(9)})
+	odd.refused(protocol.CodeBadRequest)
 	close(f.step)
-	n.want(0, "ab", wire.Done)
+	n.want(0, "ab", protocol.Done)
 	if dropped := p.tel.Metrics.Dropped.Count(); dropped != 3 {
 		t.Fatalf("%d messages dropped and counted", dropped)
 	}
@@ -261,14 +262,14 @@
 		run.Key = nil
 		run.Window = 1 << 20
 		n.send(run)
-		if text, end := n.answer(0); len(text) != len(large) || end.Outcome != wire.Done {
+		if text, end := n.answer(0); len(text) != len(large) || end.Outcome != protocol.Done {
 			t.Fatalf("%d bytes, %+v", len(text), end)
 		}
 	}
 	resumable := func(i byte) bool {
-		n.send(&wire.Resume{Attempt: attemptID(i), Epoch: p.tel.Epoch, Window: 1 << 20, Organisation: "org"})
+		n.send(&protocol.Resume{Attempt: attemptID(i), Epoch: p.tel.Epoch, Window: 1 << 20, Organisation: "org"})
 		_, end := n.answer(0)
-		return end.Outcome == wire.Done
+		return end.Outcome == protocol.Done
 	}
 	if !resumable(calls) {
 		t.Fatal("the last answer can't be resumed")
--- a/internal/endpoint/server.go
+++ b/internal/endpoint/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/gorilla/mux"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 )
 
@@ -92,7 +93,7 @@
 type peerHandler struct{ e *Endpoint }
 
 // Handle implements wire.Handler.
-func (h peerHandler) Handle(s *wire.Session, ref uint32, m wire.Message) {
+func (h peerHandler) Handle(s *wire.Session, ref uint32, m protocol.Message) {
 	if !h.e.loop.post(func() { h.e.handle(s, ref, m) }) {
 		// A dropped Run or Resolve would leave its sender waiting; the end of
 		// the session tells it at once.
@@ -105,31 +106,31 @@
 	h.e.loop.must(func() { h.e.sessionLost(s, err) })
 }
 
-func (e *Endpoint) handle(s *wire.Session, ref uint32, m wire.Message) {
+func (e *Endpoint) handle(s *wire.Session, ref uint32, m protocol.Message) {
 	switch m := m.(type) {
-	case *wire.Ask:
+	case *protocol.Ask:
 		e.onAsk(s, ref, m)
-	case *wire.Run:
+	case *protocol.Run:
 		e.onRun(s, m)
-	case *wire.Credit:
+	case *protocol.Credit:
 		e.onCredit(s, m)
-	case *wire.Cancel:
+	case *protocol.Cancel:
 		e.onCancel(s, m)
-	case *wire.Resume:
+	case *protocol.Resume:
 		e.onResume(s, m)
-	case *wire.Resolve:
+	case *protocol.Resolve:
 		e.onResolve(s, ref, m)
-	case *wire.Heartbeat:
+	case *protocol.Heartbeat:
 		e.onHeartbeat(s, m)
-	case *wire.ConfigFetch:
+	case *protocol.ConfigFetch:
 		e.onConfigFetch(s, ref, m)
-	case *wire.StatusRequest:
+	case *protocol.StatusRequest:
 		e.reply(s, ref, e.status())
-	case *wire.ExplainRequest:
-		e.reply(s, ref, &wire.Explanation{Records: e.tel.Decisions.Explain(m.Request)})
-	case *wire.Export:
+	case *protocol.ExplainRequest:
+		e.reply(s, ref, &protocol.Explanation{Records: e.tel.Decisions.Explain(m.Request)})
+	case *protocol.Export:
 		e.onExport(s, ref, m)
-	case *wire.Drain:
+	case *protocol.Drain:
 		e.onDrain(s, ref, m)
 	default:
 		e.dropped("unexpected", s, "type", fmt.Sprintf("%T", m))
@@ -144,7 +145,7 @@
 }
 
 // reply answers off the loop, since a stopped peer holds a write up for seconds.
-func (e *Endpoint) reply(s *wire.Session, ref uint32, m wire.Message) {
+func (e *Endpoint) reply(s *wire.Session, ref uint32, m protocol.Message) {
 	go func() {
 		if err := s.Reply(ref, m); err != nil {
 			e.log.Debug("reply not sent", "peer", s.Peer().ID, "error", err)
--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -8,14 +8,14 @@
 	"io"
 
 	"skylarklead/internal/engine"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // callPiece is the size of the pieces of a service's answer in bytes.
 const callPiece = 16 << 10
 
 // runCall sends a call to the plain service, once, and returns how it ended.
-func (e *Endpoint) runCall(ctx context.Context, j job) wire.End {
+func (e *Endpoint) runCall(ctx context.Context, j job) protocol.End {
 	call := j.run.Call
 	resp, err := e.service.Call(ctx, engine.ServiceRequest{
 		ID:          j.run.Request,
@@ -27,17 +27,17 @@
 	})
 	switch {
 	case errors.Is(err, engine.ErrNotSent):
-		return wire.End{Outcome: wire.NotRun, Code: wire.CodeNotRun, Message: "service is not reachable"}
+		return protocol.End{Outcome: protocol.NotRun, Code: protocol.CodeNotRun, Message: "service is not reachable"}
 	case err != nil:
-		return wire.End{Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome, Message: "service's answer was lost"}
+		return protocol.End{Outcome: protocol.Unknown, Code: protocol.CodeUnknownOutcome, Message: "service's answer was lost"}
 	}
 	defer resp.Body.Close()
 	j.stream.begin(resp.Status, resp.ContentType)
 	if err := copyPieces(ctx, j.stream, resp.Body); err != nil {
 		e.log.Warn("service's answer was cut", "request", j.run.Request, "error", err)
-		return wire.End{Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome, Message: "service's answer was cut"}
+		return protocol.End{Outcome: protocol.Unknown, Code: protocol.CodeUnknownOutcome, Message: "service's answer was cut"}
 	}
-	return wire.End{Outcome: wire.Done}
+	return protocol.End{Outcome: protocol.Done}
 }
 
 func copyPieces(ctx context.Context, st *stream, body io.Reader) error {
--- a/internal/endpoint/status.go
+++ b/internal/endpoint/status.go
@@ -1,11 +1,11 @@
 package endpoint
 
-import "skylarklead/internal/wire"
+import "skylarklead/internal/protocol"
 
 // status is what skylarkctl shows of this process.
-func (e *Endpoint) status() *wire.Status {
+func (e *Endpoint) status() *protocol.Status {
 	now := e.now()
-	status := &wire.Status{
+	status := &protocol.Status{
 		Identity:      e.identity(),
 		Leaving:       e.drain.leaving,
 		ConfigOffset:  e.state().Offset,
@@ -18,7 +18,7 @@
 		NotReady:      e.notReady(),
 	}
 	for _, m := range e.group.view.Members(now) {
-		status.Members = append(status.Members, wire.MemberStatus{
+		status.Members = append(status.Members, protocol.MemberStatus{
 			ID:            m.ID,
 			State:         m.State.String(),
 			AgeMs:         (now - m.Since).Milliseconds(),
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 )
 
@@ -33,7 +34,7 @@
 	session *wire.Session
 	release func()
 	// outbox is what the sender wants sent on session, in order.
-	outbox []wire.Message
+	outbox []protocol.Message
 	// unsent are the bytes produced of pieces numbered unsentFrom and up, which
 	// no session was ever given.
 	unsent     int
@@ -43,7 +44,7 @@
 	recording  *recording    // nil but for an answer under an idempotency key
 }
 
-func newStream(run *wire.Run, s *wire.Session, now func() time.Duration) *stream {
+func newStream(run *protocol.Run, s *wire.Session, now func() time.Duration) *stream {
 	limits := attempt.DefaultSenderLimits
 	if run.Call != nil {
 		limits.Bytes = callBytes
@@ -63,7 +64,7 @@
 func (st *stream) queue(out attempt.Output) {
 	st.outbox = append(st.outbox, out.Send...)
 	for _, m := range out.Send {
-		if chunk, ok := m.(*wire.Chunk); ok && chunk.Seq >= st.unsentFrom {
+		if chunk, ok := m.(*protocol.Chunk); ok && chunk.Seq >= st.unsentFrom {
 			st.unsentFrom = chunk.Seq + 1
 			st.unsent -= len(chunk.Data)
 		}
@@ -132,7 +133,7 @@
 }
 
 // finish sets the explicit end.
-func (st *stream) finish(end wire.End) {
+func (st *stream) finish(end protocol.End) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if !st.sender.Ended() {
@@ -207,13 +208,13 @@
 			st.detach(s)
 			continue
 		}
-		if _, ok := m.(*wire.End); ok {
+		if _, ok := m.(*protocol.End); ok {
 			delivered(s)
 		}
 	}
 }
 
-func (st *stream) take() (*wire.Session, wire.Message) {
+func (st *stream) take() (*wire.Session, protocol.Message) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if st.session == nil || len(st.outbox) == 0 {
--- a/internal/endpoint/transfer.go
+++ b/internal/endpoint/transfer.go
@@ -8,6 +8,7 @@
 
 	"skylarklead/internal/engine"
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/telemetry"
 	"skylarklead/internal/wire"
 )
@@ -41,8 +42,8 @@
 
 // transfer is an import that attempts wait for until done is closed.
 type transfer struct {
-	donor  *wire.Donor
-	run    *wire.Run // the first of them
+	donor  *protocol.Donor
+	run    *protocol.Run // the first of them
 	hashes []prefix.Hash
 	bound  time.Duration
 	done   chan struct{}
@@ -134,7 +135,7 @@
 	})
 	switch {
 	case errors.Is(err, engine.ErrConflict):
-		return string(wire.ExportOtherWeights), 0
+		return string(protocol.ExportOtherWeights), 0
 	case err != nil:
 		e.log.Debug("blocks not imported", "donor", t.donor.Target.Endpoint, "error", err)
 		return importFailed, 0
@@ -142,12 +143,12 @@
 	return importDone, blocks
 }
 
-func (e *Endpoint) askDonor(ctx context.Context, t *transfer) (*wire.Exported, error) {
+func (e *Endpoint) askDonor(ctx context.Context, t *transfer) (*protocol.Exported, error) {
 	s, err := e.pool.Get(ctx, t.donor.Target.Address)
 	if err != nil {
 		return nil, err
 	}
-	reply, err := s.Call(ctx, &wire.Export{
+	reply, err := s.Call(ctx, &protocol.Export{
 		Epoch:       t.donor.Target.Epoch,
 		Incarnation: t.donor.Incarnation,
 		Version:     t.donor.Version,
@@ -156,7 +157,7 @@
 	if err != nil {
 		return nil, err
 	}
-	exported, ok := reply.(*wire.Exported)
+	exported, ok := reply.(*protocol.Exported)
 	if !ok {
 		return nil, errNoExport
 	}
@@ -170,18 +171,18 @@
 // The donor's engine may have crashed, its process restarted or its weights
 // changed since the decision. The answer then has blocks that the owner never
 // decided on: an engine that doesn't check would serve them as this prompt's.
-func (t *transfer) refuse(x *wire.Exported) string {
+func (t *transfer) refuse(x *protocol.Exported) string {
 	switch {
 	case x.Refusal != "":
 		return string(x.Refusal)
 	case x.Epoch != t.donor.Target.Epoch:
-		return string(wire.ExportOtherEpoch)
+		return string(protocol.ExportOtherEpoch)
 	case x.Incarnation != t.donor.Incarnation:
-		return string(wire.ExportOtherIncarnation)
+		return string(protocol.ExportOtherIncarnation)
 	case x.Version != t.donor.Version:
-		return string(wire.ExportOtherWeights)
+		return string(protocol.ExportOtherWeights)
 	case len(x.Hashes) == 0:
-		return string(wire.ExportNothingHeld)
+		return string(protocol.ExportNothingHeld)
 	case len(x.Hashes) > len(t.hashes), !slices.Equal(x.Hashes, t.hashes[:len(x.Hashes)]):
 		return importNotAsked
 	}
@@ -195,7 +196,7 @@
 	} else {
 		e.tel.Metrics.Count("kv_import_"+outcome, 1)
 	}
-	e.tel.Decisions.Record(wire.DecisionRecord{
+	e.tel.Decisions.Record(protocol.DecisionRecord{
 		Request:         t.run.Request,
 		Kind:            telemetry.KindImport,
 		Organisation:    t.run.Organisation,
@@ -209,9 +210,9 @@
 }
 
 // onExport gives blocks of the engine to a peer that imports them.
-func (e *Endpoint) onExport(s *wire.Session, ref uint32, m *wire.Export) {
+func (e *Endpoint) onExport(s *wire.Session, ref uint32, m *protocol.Export) {
 	if why := e.refuseExport(m); why != "" {
-		e.reply(s, ref, &wire.Exported{Refusal: why, Epoch: e.tel.Epoch})
+		e.reply(s, ref, &protocol.Exported{Refusal: why, Epoch: e.tel.Epoch})
 		return
 	}
 	e.transfers.exports++
@@ -226,37 +227,37 @@
 	}()
 }
 
-func (e *Endpoint) refuseExport(m *wire.Export) wire.ExportRefusal {
+func (e *Endpoint) refuseExport(m *protocol.Export) protocol.ExportRefusal {
 	switch {
 	case e.engine == nil, e.transfers.exports >= maxExports:
-		return wire.ExportBusy
+		return protocol.ExportBusy
 	case len(m.Hashes) > maxTransferBlocks:
-		return wire.ExportTooLarge
+		return protocol.ExportTooLarge
 	case m.Epoch != e.tel.Epoch:
-		return wire.ExportOtherEpoch
+		return protocol.ExportOtherEpoch
 	case m.Incarnation != e.watch.incarnation:
-		return wire.ExportOtherIncarnation
+		return protocol.ExportOtherIncarnation
 	case m.Version != e.watch.version:
-		return wire.ExportOtherWeights
+		return protocol.ExportOtherWeights
 	}
 	return ""
 }
 
 // export reads blocks from the engine. What the watch knows of it is a load report
 // old; the answer's own word is of the moment of the export.
-func (e *Endpoint) export(ctx context.Context, m *wire.Export) *wire.Exported {
+func (e *Endpoint) export(ctx context.Context, m *protocol.Export) *protocol.Exported {
 	kv, err := e.engine.ExportKV(ctx, m.Hashes)
-	x := &wire.Exported{Epoch: e.tel.Epoch, Incarnation: kv.Incarnation, Version: kv.Weights, Hashes: kv.Hashes, Blob: kv.Blob}
+	x := &protocol.Exported{Epoch: e.tel.Epoch, Incarnation: kv.Incarnation, Version: kv.Weights, Hashes: kv.Hashes, Blob: kv.Blob}
 	switch {
 	case err != nil:
 		e.log.Debug("engine exported nothing", "error", err)
-		x.Refusal = wire.ExportFailed
+		x.Refusal = protocol.ExportFailed
 	case kv.Incarnation != m.Incarnation:
-		x.Refusal = wire.ExportOtherIncarnation
+		x.Refusal = protocol.ExportOtherIncarnation
 	case kv.Weights != m.Version:
-		x.Refusal = wire.ExportOtherWeights
-	case len(kv.Blob) > wire.MaxExportBytes:
-		x.Refusal = wire.ExportTooLarge
+		x.Refusal = protocol.ExportOtherWeights
+	case len(kv.Blob) > protocol.MaxExportBytes:
+		x.Refusal = protocol.ExportTooLarge
 	}
 	if x.Refusal != "" {
 		x.Hashes, x.Blob = nil, nil
--- a/internal/endpoint/transfer_test.go
+++ b/internal/endpoint/transfer_test.go
@@ -14,6 +14,7 @@
 
 	"skylarklead/internal/engine"
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/telemetry"
 	"skylarklead/internal/wire"
@@ -23,17 +24,17 @@
 // fakeDonor answers each Export with what reply makes of a good answer, or not at
 // all if that is nil.
 type fakeDonor struct {
-	reply func(*wire.Exported) *wire.Exported
+	reply func(*protocol.Exported) *protocol.Exported
 }
 
 func (d fakeDonor) Closed(*wire.Session, error) {}
 
-func (d fakeDonor) Handle(s *wire.Session, ref uint32, m wire.Message) {
-	ask, ok := m.(*wire.Export)
+func (d fakeDonor) Handle(s *wire.Session, ref uint32, m protocol.Message) {
+	ask, ok := m.(*protocol.Export)
 	if !ok {
 		return
 	}
-	good := &wire.Exported{Epoch: ask.Epoch, Incarnation: ask.Incarnation, Version: ask.Version, Hashes: ask.Hashes, Blob: []byte("x")}
+	good := &protocol.Exported{Epoch: ask.Epoch, Incarnation: ask.Incarnation, Version: ask.Version, Hashes: ask.Hashes, Blob: []byte("x")}
 	if x := d.reply(good); x != nil {
 		go s.Reply(ref, x)
 	}
@@ -41,8 +42,8 @@
 
 func startDonor(t *testing.T, d fakeDonor) string {
 	t.Helper()
-	self := wire.Identity{ID: "ep-2", Role: wire.RoleEndpoint, Epoch: 7, Group: "g"}
-	options := wire.Options{Key: fleetKey, Self: func() wire.Identity { return self }, Handler: d}
+	self := protocol.Identity{ID: "ep-2", Role: protocol.RoleEndpoint, Epoch: 7, Group: "g"}
+	options := wire.Options{Key: fleetKey, Self: func() protocol.Identity { return self }, Handler: d}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { wire.Accept(w, r, options) }))
 	t.Cleanup(server.Close)
 	return server.Listener.(*net.TCPListener).Addr().String()
@@ -58,18 +59,18 @@
 		outcome string
 		status  int // of the engine's answer to the import
 		imports int32
-		reply   func(*wire.Exported) *wire.Exported
+		reply   func(*protocol.Exported) *protocol.Exported
 	}{
-		{importDone, 200, 1, func(x *wire.Exported) *wire.Exported { return x }},
-		{importDonorLost, 200, 0, func(*wire.Exported) *wire.Exported { return nil }},
-		{"other_epoch", 200, 0, func(x *wire.Exported) *wire.Exported { x.Epoch++; return x }},
-		{"other_incarnation", 200, 0, func(x *wire.Exported) *wire.Exported { x.Incarnation = "i2"; return x }},
-		{"other_weights", 200, 0, func(x *wire.Exported) *wire.Exported { x.Version = "v2"; return x }},
-		{"other_weights", 409, 1, func(x *wire.Exported) *wire.Exported { return x }},
-		{importFailed, 500, 1, func(x *wire.Exported) *wire.Exported { return x }},
-		{"nothing_held", 200, 0, func(x *wire.Exported) *wire.Exported { x.Hashes = nil; return x }},
-		{importNotAsked, 200, 0, func(x *wire.Exported) *wire.Exported { x.Hashes = x.Hashes[1:]; return x }},
-		{"busy", 200, 0, func(*wire.Exported) *wire.Exported { return &wire.Exported{Refusal: wire.ExportBusy} }},
+		{importDone, 200, 1, func(x *protocol.Exported) *protocol.Exported { return x }},
+		{importDonorLost, 200, 0, func(*protocol.Exported) *protocol.Exported { return nil }},
+		{"other_epoch", 200, 0, func(x *protocol.Exported) *protocol.Exported { x.Epoch++; return x }},
+		{"other_incarnation", 200, 0, func(x *protocol.Exported) *protocol.Exported { x.Incarnation = "i2"; return x }},
+		{"other_weights", 200, 0, func(x *protocol.Exported) *protocol.Exported { x.Version = "v2"; return x }},
+		{"other_weights", 409, 1, func(x *protocol.Exported) *protocol.Exported { return x }},
+		{importFailed, 500, 1, func(x *protocol.Exported) *protocol.Exported { return x }},
+		{"nothing_held", 200, 0, func(x *protocol.Exported) *protocol.Exported { x.Hashes = nil; return x }},
+		{importNotAsked, 200, 0, func(x *protocol.Exported) *protocol.Exported { x.Hashes = x.Hashes[1:]; return x }},
+		{"busy", 200, 0, func(*protocol.Exported) *protocol.Exported { return &protocol.Exported{Refusal: protocol.ExportBusy} }},
 	}
 	for _, test := range tests {
 		f := newFakeEngine(t, "a")
@@ -95,19 +96,19 @@
 		run := chat(1)
 		run.Messages = []prefix.Message{{Role: "system", Content: string(make([]byte, 2*prefix.BlockBytes))}, run.Messages[0]}
 		run.Levels = prefix.Levels(prefix.Salt{Organisation: run.Organisation, Model: run.Model, Weights: run.Version}.Root(), run.Messages)
-		run.Donor = &wire.Donor{
-			Target:      wire.Target{Endpoint: "ep-2", Address: startDonor(t, fakeDonor{test.reply}), Epoch: 7},
+		run.Donor = &protocol.Donor{
+			Target:      protocol.Target{Endpoint: "ep-2", Address: startDonor(t, fakeDonor{test.reply}), Epoch: 7},
 			Incarnation: "i1", Version: "v1", Level: run.Levels[0],
 		}
 		n := p.dial("entry-1")
 		n.send(run)
-		if text, end := n.answer(0); text != "a" || end.Outcome != wire.Done {
+		if text, end := n.answer(0); text != "a" || end.Outcome != protocol.Done {
 			t.Errorf("%s: %q, %+v", test.outcome, text, end)
 		}
 		var got string
 		kit.Until(t, "the import's account", func() bool {
 			records := p.tel.Decisions.Explain(run.Request)
-			i := slices.IndexFunc(records, func(r wire.DecisionRecord) bool { return r.Kind == telemetry.KindImport })
+			i := slices.IndexFunc(records, func(r protocol.DecisionRecord) bool { return r.Kind == telemetry.KindImport })
 			if i >= 0 {
 				got = records[i].Reason
 			}
@@ -125,15 +126,15 @@
 // says so, an Export for what was before arrives.
 // Cause: an export that goes by the load report alone.
 func TestExportGoesByTheEnginesOwnWord(t *testing.T) {
-	asked := &wire.Export{Incarnation: "i1", Version: "v1", Hashes: []prefix.Hash{1}}
+	asked := &protocol.Export{Incarnation: "i1", Version: "v1", Hashes: []prefix.Hash{1}}
 	tests := []struct {
 		kv   engine.KV
-		want wire.ExportRefusal
+		want protocol.ExportRefusal
 	}{
 		{engine.KV{Incarnation: "i1", Weights: "v1", Hashes: engine.Hashes{1}, Blob: []byte("x")}, ""},
-		{engine.KV{Incarnation: "i2", Weights: "v1", Hashes: engine.Hashes{1}, Blob: []byte("x")}, wire.ExportOtherIncarnation},
-		{engine.KV{Incarnation: "i1", Weights: "v2", Hashes: engine.Hashes{1}, Blob: []byte("x")}, wire.ExportOtherWeights},
-		{engine.KV{Incarnation: "i1", Weights: "v1", Hashes: engine.Hashes{1}, Blob: make([]byte, wire.MaxExportBytes+1)}, wire.ExportTooLarge},
+		{engine.KV{Incarnation: "i2", Weights: "v1", Hashes: engine.Hashes{1}, Blob: []byte("x")}, protocol.ExportOtherIncarnation},
+		{engine.KV{Incarnation: "i1", Weights: "v2", Hashes: engine.Hashes{1}, Blob: []byte("x")}, protocol.ExportOtherWeights},
+		{engine.KV{Incarnation: "i1", Weights: "v1", Hashes: engine.Hashes{1}, Blob: make([]byte, protocol.MaxExportBytes+1)}, protocol.ExportTooLarge},
 	}
 	for _, test := range tests {
 		e, log := newTestEndpoint(t)
--- a/internal/endpoint/versions.go
+++ b/internal/endpoint/versions.go
@@ -4,8 +4,8 @@
 	"maps"
 	"slices"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/route"
-	"skylarklead/internal/wire"
 )
 
 // otherVersion returns the version that a request which named none should ask
@@ -16,7 +16,7 @@
 // find no engine, and then crowd on the first few that have it, which shows as
 // refusals and a long time to first token until the last one has loaded. So the
 // old version serves until half of the group has the new one.
-func (e *Endpoint) otherVersion(ask *wire.Ask, endpoints []route.Endpoint) string {
+func (e *Endpoint) otherVersion(ask *protocol.Ask, endpoints []route.Endpoint) string {
 	if !ask.AnyVersion {
 		return ""
 	}
@@ -49,7 +49,7 @@
 }
 
 // mayUse reports whether the configuration lets an organisation use a version.
-func (e *Endpoint) mayUse(ask *wire.Ask, version string) bool {
+func (e *Endpoint) mayUse(ask *protocol.Ask, version string) bool {
 	model := e.state().Models[ask.Model]
 	organisation := e.state().Organisations[ask.Organisation]
 	return model != nil && organisation != nil &&
@@ -58,16 +58,16 @@
 
 // askOther refuses to place a request under the version that it asked for, and
 // names the one to ask for.
-func (e *Endpoint) askOther(ask *wire.Ask, version string) *wire.Decision {
-	return &wire.Decision{
+func (e *Endpoint) askOther(ask *protocol.Ask, version string) *protocol.Decision {
+	return &protocol.Decision{
 		Request: ask.Request,
 		Owner:   e.settings.ID,
 		Reason:  "other_version",
 		Version: version,
-		Refusal: &wire.Refusal{
-			Code:         wire.CodeNoEndpoint,
+		Refusal: &protocol.Refusal{
+			Code:         protocol.CodeNoEndpoint,
 			Message:      "most of the group has version " + version,
-			Ran:          wire.NotRun,
+			Ran:          protocol.NotRun,
 			RetryAfterMs: drainRetryAfter.Milliseconds(),
 		},
 		Unavailable:  e.unavailable(),
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"skylarklead/internal/attempt"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 const (
@@ -38,7 +38,7 @@
 // owner learns of a dead endpoint later than an entry that dials it; if each such
 // decision cost the request an attempt, a rolling restart would use up the retry
 // budget, seen as "not_run" refusals beside endpoints with room.
-func (d *drive) placeReachable() *wire.Decision {
+func (d *drive) placeReachable() *protocol.Decision {
 	for range maxPlacings {
 		d.unchoose()
 		decision := d.place(d.life, d.job)
@@ -57,7 +57,7 @@
 }
 
 // reach opens the session that a Run to target will take.
-func (d *drive) reach(target wire.Target) bool {
+func (d *drive) reach(target protocol.Target) bool {
 	ctx, cancel := context.WithTimeout(d.life, tryTimeout)
 	defer cancel()
 	_, err := d.e.sessionTo(ctx, target)
@@ -76,7 +76,7 @@
 	}
 	d.noteTarget(a)
 	if d.job.full() {
-		d.conclude(&wire.End{Outcome: wire.Done, FinishReason: finishLength})
+		d.conclude(&protocol.End{Outcome: protocol.Done, FinishReason: finishLength})
 		d.left = true
 		return nil
 	}
@@ -146,7 +146,7 @@
 		defer done()
 		session, err := e.sameEpoch(ctx, a.Target)
 		if err == nil {
-			_ = session.Send(&wire.Cancel{Attempt: a.Attempt}) // the executor's own grace ends it
+			_ = session.Send(&protocol.Cancel{Attempt: a.Attempt}) // the executor's own grace ends it
 		}
 	})
 }
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/telemetry"
-	"skylarklead/internal/wire"
 )
 
 // answer is one request's answer on its way to the caller. One goroutine owns it.
@@ -19,7 +19,7 @@
 type taken struct {
 	started bool
 	chunks  int
-	end     *wire.End
+	end     *protocol.End
 }
 
 // take delivers a message's part of the answer. An error is the caller's.
@@ -29,14 +29,14 @@
 	var err error
 	receiver := a.job.receiver
 	switch m := in.message.(type) {
-	case *wire.Start:
+	case *protocol.Start:
 		if dropped = receiver.Start(m); dropped == attempt.Taken {
 			got.started = true
 			err = a.out.start(l.peer.ID, m)
 		}
-	case *wire.Chunk:
+	case *protocol.Chunk:
 		got.chunks, dropped, err = a.deliver(l, m)
-	case *wire.End:
+	case *protocol.End:
 		_, dropped = receiver.End(m, a.e.now())
 	}
 	if dropped != attempt.Taken {
@@ -50,7 +50,7 @@
 }
 
 // deliver writes the chunks that are now due to the caller, in order.
-func (a *answer) deliver(l *link, c *wire.Chunk) (int, attempt.Drop, error) {
+func (a *answer) deliver(l *link, c *protocol.Chunk) (int, attempt.Drop, error) {
 	receiver := a.job.receiver
 	first := receiver.Next()
 	due, dropped := receiver.Chunk(c, a.e.now())
@@ -79,8 +79,8 @@
 }
 
 // conclude gives the caller the end of its answer.
-func (a *answer) conclude(end *wire.End) {
-	if end.Code != wire.CodeNone || end.Outcome != wire.Done {
+func (a *answer) conclude(end *protocol.End) {
+	if end.Code != protocol.CodeNone || end.Outcome != protocol.Done {
 		a.fail(fromEnd(end))
 		return
 	}
@@ -98,7 +98,7 @@
 		m.FirstToken(j.organisation.ID, j.firstToken)
 		m.Prompt(end.PromptTokens, end.CachedTokens, j.decision.PredictedCached)
 	}
-	a.record(j.decision.Reason, end.CachedTokens, wire.Done)
+	a.record(j.decision.Reason, end.CachedTokens, protocol.Done)
 }
 
 // fail ends the answer with an error.
@@ -111,9 +111,9 @@
 }
 
 // record writes the request's one decision line.
-func (a *answer) record(reason string, cached int, outcome wire.Outcome) {
+func (a *answer) record(reason string, cached int, outcome protocol.Outcome) {
 	j := a.job
-	a.e.tel.Decisions.Record(wire.DecisionRecord{
+	a.e.tel.Decisions.Record(protocol.DecisionRecord{
 		Request:         j.id,
 		Kind:            telemetry.KindRequest,
 		Organisation:    j.organisation.ID,
--- a/internal/entry/ask.go
+++ b/internal/entry/ask.go
@@ -8,8 +8,8 @@
 
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/member"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/route"
-	"skylarklead/internal/wire"
 )
 
 const (
@@ -27,7 +27,7 @@
 
 // ask finds an executor for a chat request: by its prefix's owner, or by the
 // baseline policy in force. Nil means that nobody could say.
-func (e *Entry) ask(ctx context.Context, j *job) *wire.Decision {
+func (e *Entry) ask(ctx context.Context, j *job) *protocol.Decision {
 	live := e.directory.live(j.group)
 	if len(live) == 0 {
 		return noEndpoint(j)
@@ -50,11 +50,11 @@
 	return j.anyVersion && version != "" && version != j.version && j.organisation.Allows(j.model, version)
 }
 
-func noEndpoint(j *job) *wire.Decision {
-	return &wire.Decision{Request: j.id, Refusal: &wire.Refusal{
-		Code:         wire.CodeNoEndpoint,
+func noEndpoint(j *job) *protocol.Decision {
+	return &protocol.Decision{Request: j.id, Refusal: &protocol.Refusal{
+		Code:         protocol.CodeNoEndpoint,
 		Message:      fmt.Sprintf("no live endpoint in group %q", j.group),
-		Ran:          wire.NotRun,
+		Ran:          protocol.NotRun,
 		RetryAfterMs: noEndpointRetry.Milliseconds(),
 	}}
 }
@@ -82,7 +82,7 @@
 // askOwners asks the first of order, and the next ones when it is slow, frozen
 // or gone. An Ask has no effect, so the first decision wins and the others are
 // dropped. Nil means that all refused, each for itself alone.
-func (e *Entry) askOwners(ctx context.Context, j *job, order []member.Member) *wire.Decision {
+func (e *Entry) askOwners(ctx context.Context, j *job, order []member.Member) *protocol.Decision {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	q := e.newInquiry(ctx, j, order[:min(maxOwners, len(order))])
@@ -115,10 +115,10 @@
 }
 
 // withoutDecision runs the request at the head of the rendezvous order.
-func withoutDecision(j *job, order []member.Member) *wire.Decision {
-	return &wire.Decision{
+func withoutDecision(j *job, order []member.Member) *protocol.Decision {
+	return &protocol.Decision{
 		Request:  j.id,
-		Executor: wire.Target{Endpoint: order[0].ID, Address: order[0].Address},
+		Executor: protocol.Target{Endpoint: order[0].ID, Address: order[0].Address},
 		Reason:   reasonNoDecision,
 	}
 }
--- a/internal/entry/await.go
+++ b/internal/entry/await.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"skylarklead/internal/attempt"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // await waits for what happens next to the live attempt.
@@ -45,12 +45,12 @@
 // session stays: other streams go over it.
 func (d *drive) overflowed(l *link) []attempt.Action {
 	d.cancel(attempt.Cancel{Attempt: l.id, Target: d.target()})
-	end := &wire.End{Attempt: l.id, Outcome: wire.Unknown, Message: errOverflow.Error()}
+	end := &protocol.End{Attempt: l.id, Outcome: protocol.Unknown, Message: errOverflow.Error()}
 	return d.step(attempt.Ended{Epoch: l.peer.Epoch, End: end})
 }
 
 // target is the very process that the live attempt was sent to.
-func (d *drive) target() wire.Target {
+func (d *drive) target() protocol.Target {
 	target := d.job.decision.Executor
 	target.Epoch = d.live.peer.Epoch
 	return target
@@ -100,7 +100,7 @@
 func (d *drive) undeliverable(err error) []attempt.Action {
 	if errors.Is(err, errTooLong) {
 		d.cancel(attempt.Cancel{Attempt: d.live.id, Target: d.target()})
-		d.fail(&Error{Code: wire.CodeTooLarge, Message: err.Error(), Ran: wire.Unknown})
+		d.fail(&Error{Code: protocol.CodeTooLarge, Message: err.Error(), Ran: protocol.Unknown})
 		d.left = true
 		return nil
 	}
@@ -114,8 +114,8 @@
 	return d.awayFrom(d.live)
 }
 
-func (d *drive) noteEnd(end *wire.End) {
-	if end.Outcome == wire.NotRun && end.Code == wire.CodeDraining {
+func (d *drive) noteEnd(end *protocol.End) {
+	if end.Outcome == protocol.NotRun && end.Code == protocol.CodeDraining {
 		d.e.directory.left(d.live.peer.ID, d.live.peer.Epoch)
 	}
 }
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -11,7 +11,7 @@
 	"skylarklead/internal/config"
 	"skylarklead/internal/parameters"
 	"skylarklead/internal/prefix"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // chat serves POST /v1/chat/completions.
@@ -22,7 +22,7 @@
 	}
 	body, err := parseChat(data)
 	if err != nil {
-		return refuse(wire.CodeBadRequest, "%v", err)
+		return refuse(protocol.CodeBadRequest, "%v", err)
 	}
 	j, refusal := chatJob(req, body)
 	if refusal != nil {
@@ -77,17 +77,17 @@
 func allowedModel(req *request, body *chatBody) (*config.Model, string, *Error) {
 	model := req.state.Models[body.Model]
 	if model == nil {
-		return nil, "", refuse(wire.CodeUnknownModel, "unknown model %q", body.Model)
+		return nil, "", refuse(protocol.CodeUnknownModel, "unknown model %q", body.Model)
 	}
 	version := body.Version
 	if version == "" {
 		version = model.Version
 	}
 	if !slices.Contains(model.Versions, version) && version != model.Version {
-		return nil, "", refuse(wire.CodeUnknownModel, "model %q has no version %q", body.Model, version)
+		return nil, "", refuse(protocol.CodeUnknownModel, "model %q has no version %q", body.Model, version)
 	}
 	if !req.organisation.Allows(model.ID, version) {
-		return nil, "", refuse(wire.CodeForbiddenModel, "organisation may not use %s@%s", model.ID, version)
+		return nil, "", refuse(protocol.CodeForbiddenModel, "organisation may not use %s@%s", model.ID, version)
 	}
 	return model, version, nil
 }
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -5,7 +5,7 @@
 
 	"skylarklead/internal/config"
 	"skylarklead/internal/follow"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // configuration is the part of follow.Follower that an entry uses.
@@ -20,7 +20,7 @@
 	// Heard notes the offset of a peer that can be asked by fetch.
 	Heard(offset uint64, fetch follow.Fetch)
 	// Fetch answers a peer's ConfigFetch.
-	Fetch(m *wire.ConfigFetch) (*wire.ConfigState, error)
+	Fetch(m *protocol.ConfigFetch) (*protocol.ConfigState, error)
 	// Run follows until ctx ends.
 	Run(ctx context.Context) error
 }
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -9,7 +9,7 @@
 
 	"skylarklead/internal/member"
 	"skylarklead/internal/platform"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // directory is the entry's view of the endpoint processes, shared by its
@@ -120,8 +120,8 @@
 }
 
 // seen takes what a session's opening showed.
-func (d *directory) seen(peer wire.Identity) {
-	if peer.Role != wire.RoleEndpoint {
+func (d *directory) seen(peer protocol.Identity) {
+	if peer.Role != protocol.RoleEndpoint {
 		return
 	}
 	d.mu.Lock()
@@ -130,7 +130,7 @@
 }
 
 // left takes an endpoint's own word that it is leaving.
-func (d *directory) left(id string, epoch wire.Epoch) {
+func (d *directory) left(id string, epoch protocol.Epoch) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.view.Left(id, epoch, d.now())
@@ -147,14 +147,14 @@
 }
 
 // status lists what is thought of each endpoint.
-func (d *directory) status() []wire.MemberStatus {
+func (d *directory) status() []protocol.MemberStatus {
 	now := d.now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	members := d.view.Members(now)
-	list := make([]wire.MemberStatus, len(members))
+	list := make([]protocol.MemberStatus, len(members))
 	for i, m := range members {
-		list[i] = wire.MemberStatus{
+		list[i] = protocol.MemberStatus{
 			ID:            m.ID,
 			State:         m.State.String(),
 			AgeMs:         (now - m.Since).Milliseconds(),
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 const (
@@ -35,10 +35,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.refusing {
-		return refuse(wire.CodeDraining, "this entry is shutting down").after(drainRetry)
+		return refuse(protocol.CodeDraining, "this entry is shutting down").after(drainRetry)
 	}
 	if d.inFlight >= maxInFlight {
-		return refuse(wire.CodeOverloaded, "this entry has %d requests in flight", d.inFlight).after(drainRetry)
+		return refuse(protocol.CodeOverloaded, "this entry has %d requests in flight", d.inFlight).after(drainRetry)
 	}
 	d.inFlight++
 	return nil
--- a/internal/entry/drive.go
+++ b/internal/entry/drive.go
@@ -6,11 +6,11 @@
 	"time"
 
 	"skylarklead/internal/attempt"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // placer finds a job's next executor. Nil means that nobody could say.
-type placer func(ctx context.Context, j *job) *wire.Decision
+type placer func(ctx context.Context, j *job) *protocol.Decision
 
 // drive is one request's way from its plan's actions to their effects. One
 // goroutine runs it.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"testing"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
 	"skylarklead/test/kit"
@@ -22,7 +23,7 @@
 // Cause: the server may stop only when the last answer is out.
 func TestDrainCutsNothing(t *testing.T) {
 	goOn := make(chan struct{})
-	x := newExecutor(t, "ep-1", runs(func(_ *executor, s *wire.Session, m *wire.Run) {
+	x := newExecutor(t, "ep-1", runs(func(_ *executor, s *wire.Session, m *protocol.Run) {
 		words(s, m.Attempt, 0, 5, totalWords)
 		<-goOn
 		words(s, m.Attempt, 5, totalWords, totalWords)
@@ -44,7 +45,7 @@
 	w := httptest.NewRecorder()
 	r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", nil)
 	e.callers().ServeHTTP(w, r)
-	if got := readError(t, w.Result()); got.Code != wire.CodeDraining || got.Ran != wire.NotRun || w.Header().Get("Retry-After") == "" {
+	if got := readError(t, w.Result()); got.Code != protocol.CodeDraining || got.Ran != protocol.NotRun || w.Header().Get("Retry-After") == "" {
 		t.Errorf("a new request got %d %+v", w.Code, got)
 	}
 	w = httptest.NewRecorder()
@@ -103,9 +104,9 @@
 // and another entry.
 // Cause: peers know the endpoints as well as the list does.
 func TestEndpointsFromPeers(t *testing.T) {
-	x := newExecutor(t, "ep-1", script{other: func(_ *executor, s *wire.Session, ref uint32, m wire.Message) {
-		if _, ok := m.(*wire.StatusRequest); ok {
-			_ = s.Reply(ref, &wire.Status{Members: []wire.MemberStatus{
+	x := newExecutor(t, "ep-1", script{other: func(_ *executor, s *wire.Session, ref uint32, m protocol.Message) {
+		if _, ok := m.(*protocol.StatusRequest); ok {
+			_ = s.Reply(ref, &protocol.Status{Members: []protocol.MemberStatus{
 				{ID: "ep-2", Address: "127.0.0.1:2", Group: "llm"},
 				{ID: "ep-3"}, // an older peer tells no address
 			}})
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // statusClientClosed is the customary status, never seen by the caller, of a
@@ -17,9 +17,9 @@
 // Error is what a caller is told when a request gets no answer, or only part of
 // one. Ran says whether the request may have run.
 type Error struct {
-	Code       wire.Code
+	Code       protocol.Code
 	Message    string
-	Ran        wire.Outcome
+	Ran        protocol.Outcome
 	RetryAfter time.Duration
 }
 
@@ -29,8 +29,8 @@
 }
 
 // refuse returns an Error for a request that this entry never sent on.
-func refuse(code wire.Code, format string, args ...any) *Error {
-	return &Error{Code: code, Message: fmt.Sprintf(format, args...), Ran: wire.NotRun}
+func refuse(code protocol.Code, format string, args ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, args...), Ran: protocol.NotRun}
 }
 
 // after sets when the caller may come back.
@@ -40,7 +40,7 @@
 }
 
 // fromRefusal turns a peer's refusal into a caller's error.
-func fromRefusal(r *wire.Refusal) *Error {
+func fromRefusal(r *protocol.Refusal) *Error {
 	return &Error{
 		Code:       r.Code,
 		Message:    r.Message,
@@ -51,7 +51,7 @@
 
 // fromEnd turns an attempt's end without success into a caller's error. An
 // outcome without a code gets the code of that outcome.
-func fromEnd(end *wire.End) *Error {
+func fromEnd(end *protocol.End) *Error {
 	e := &Error{
 		Code:       end.Code,
 		Message:    end.Message,
@@ -61,38 +61,38 @@
 	if e.Message == "" {
 		e.Message = "its endpoint gave no reason"
 	}
-	if e.Code != wire.CodeNone {
+	if e.Code != protocol.CodeNone {
 		return e
 	}
 	switch end.Outcome {
-	case wire.NotRun:
-		e.Code = wire.CodeNotRun
-	case wire.Unknown:
-		e.Code = wire.CodeUnknownOutcome
+	case protocol.NotRun:
+		e.Code = protocol.CodeNotRun
+	case protocol.Unknown:
+		e.Code = protocol.CodeUnknownOutcome
 	default:
-		e.Code = wire.CodeInternal
+		e.Code = protocol.CodeInternal
 	}
 	return e
 }
 
-var statusOf = map[wire.Code]int{
-	wire.CodeBadRequest:     http.StatusBadRequest,
-	wire.CodeTooLarge:       http.StatusRequestEntityTooLarge,
-	wire.CodeUnauthorized:   http.StatusUnauthorized,
-	wire.CodeForbiddenModel: http.StatusForbidden,
-	wire.CodeUnknownModel:   http.StatusNotFound,
-	wire.CodeUnknownService: http.StatusNotFound,
-	wire.CodeOverloaded:     http.StatusTooManyRequests,
-	wire.CodeDeadline:       http.StatusGatewayTimeout,
-	wire.CodeNoEndpoint:     http.StatusServiceUnavailable,
-	wire.CodeNotRun:         http.StatusServiceUnavailable,
-	wire.CodeUnknownOutcome: http.StatusBadGateway,
-	wire.CodeGivenUp:        http.StatusServiceUnavailable,
-	wire.CodeKeyConflict:    http.StatusConflict,
-	wire.CodeKeyTooOld:      http.StatusUnprocessableEntity,
-	wire.CodeLogUnavailable: http.StatusServiceUnavailable,
-	wire.CodeDraining:       http.StatusServiceUnavailable,
-	wire.CodeCanceled:       statusClientClosed,
+var statusOf = map[protocol.Code]int{
+	protocol.CodeBadRequest:     http.StatusBadRequest,
+	protocol.CodeTooLarge:       http.StatusRequestEntityTooLarge,
+	protocol.CodeUnauthorized:   http.StatusUnauthorized,
+	protocol.CodeForbiddenModel: http.StatusForbidden,
+	protocol.CodeUnknownModel:   http.StatusNotFound,
+	protocol.CodeUnknownService: http.StatusNotFound,
+	protocol.CodeOverloaded:     http.StatusTooManyRequests,
+	protocol.CodeDeadline:       http.StatusGatewayTimeout,
+	protocol.CodeNoEndpoint:     http.StatusServiceUnavailable,
+	protocol.CodeNotRun:         http.StatusServiceUnavailable,
+	protocol.CodeUnknownOutcome: http.StatusBadGateway,
+	protocol.CodeGivenUp:        http.StatusServiceUnavailable,
+	protocol.CodeKeyConflict:    http.StatusConflict,
+	protocol.CodeKeyTooOld:      http.StatusUnprocessableEntity,
+	protocol.CodeLogUnavailable: http.StatusServiceUnavailable,
+	protocol.CodeDraining:       http.StatusServiceUnavailable,
+	protocol.CodeCanceled:       statusClientClosed,
 }
 
 func (e *Error) status() int {
@@ -108,11 +108,11 @@
 }
 
 type errorFields struct {
-	Code         wire.Code    `json:"code"`
-	Message      string       `json:"message"`
-	Ran          wire.Outcome `json:"ran"`
-	RetryAfterMs int64        `json:"retry_after_ms"`
-	RequestID    string       `json:"request_id"`
+	Code         protocol.Code    `json:"code"`
+	Message      string           `json:"message"`
+	Ran          protocol.Outcome `json:"ran"`
+	RetryAfterMs int64            `json:"retry_after_ms"`
+	RequestID    string           `json:"request_id"`
 }
 
 func (e *Error) body(requestID string) errorBody {
