--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -20,6 +20,7 @@
 	"skylarklead/internal/config"
 	"skylarklead/internal/follow"
 	"skylarklead/internal/platform"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/telemetry"
 	"skylarklead/internal/wire"
@@ -45,8 +46,8 @@
 func (static) LogReachable() bool         { return true }
 func (static) Run(context.Context) error  { return nil }
 func (static) Heard(uint64, follow.Fetch) {}
-func (static) Fetch(*wire.ConfigFetch) (*wire.ConfigState, error) {
-	return &wire.ConfigState{}, nil
+func (static) Fetch(*protocol.ConfigFetch) (*protocol.ConfigState, error) {
+	return &protocol.ConfigState{}, nil
 }
 
 func testState(t *testing.T) *config.State {
@@ -77,17 +78,17 @@
 // executor is an endpoint process with scripted answers.
 type executor struct {
 	id      string
-	epoch   wire.Epoch
+	epoch   protocol.Epoch
 	address string
 	server  *http.Server
 	script  script
 
 	mu       sync.Mutex
-	got      []wire.Message
+	got      []protocol.Message
 	sessions []*wire.Session
 }
 
-func (x *executor) Handle(s *wire.Session, ref uint32, m wire.Message) {
+func (x *executor) Handle(s *wire.Session, ref uint32, m protocol.Message) {
 	x.mu.Lock()
 	x.got = append(x.got, m)
 	x.sessions = append(x.sessions, s)
@@ -99,26 +100,26 @@
 // own. An executor without ask decides for itself; any other message that its
 // script lacks is taken and not answered.
 type script struct {
-	ask    func(x *executor, s *wire.Session, ref uint32, m *wire.Ask)
-	run    func(x *executor, s *wire.Session, m *wire.Run)
-	resume func(x *executor, s *wire.Session, m *wire.Resume)
-	other  func(x *executor, s *wire.Session, ref uint32, m wire.Message)
+	ask    func(x *executor, s *wire.Session, ref uint32, m *protocol.Ask)
+	run    func(x *executor, s *wire.Session, m *protocol.Run)
+	resume func(x *executor, s *wire.Session, m *protocol.Resume)
+	other  func(x *executor, s *wire.Session, ref uint32, m protocol.Message)
 }
 
-func (x *executor) play(s *wire.Session, ref uint32, m wire.Message) {
+func (x *executor) play(s *wire.Session, ref uint32, m protocol.Message) {
 	switch m := m.(type) {
-	case *wire.Ask:
+	case *protocol.Ask:
 		if x.script.ask == nil {
 			x.decide(s, ref, m)
 			return
 		}
 		x.script.ask(x, s, ref, m)
 		return
-	case *wire.Run:
+	case *protocol.Run:
 		if x.script.run != nil {
 			x.script.run(x, s, m)
 		}
-	case *wire.Resume:
+	case *protocol.Resume:
 		if x.script.resume != nil {
 			x.script.resume(x, s, m)
 		}
@@ -129,37 +130,37 @@
 }
 
 // runs scripts an executor that decides for itself and answers each Run by run.
-func runs(run func(x *executor, s *wire.Session, m *wire.Run)) script { return script{run: run} }
+func runs(run func(x *executor, s *wire.Session, m *protocol.Run)) script { return script{run: run} }
 
 // answers is the script of an executor that answers all words at once.
-var answers = runs(func(_ *executor, s *wire.Session, m *wire.Run) {
+var answers = runs(func(_ *executor, s *wire.Session, m *protocol.Run) {
 	words(s, m.Attempt, m.FirstSeq, totalWords, totalWords)
 })
 
 // begins returns the run of an executor that answers the first words only.
-func begins(n uint64) func(*executor, *wire.Session, *wire.Run) {
-	return func(_ *executor, s *wire.Session, m *wire.Run) { words(s, m.Attempt, 0, n, totalWords) }
+func begins(n uint64) func(*executor, *wire.Session, *protocol.Run) {
+	return func(_ *executor, s *wire.Session, m *protocol.Run) { words(s, m.Attempt, 0, n, totalWords) }
 }
 
 // goesOn is the resume of an executor that has the rest of the words.
-func goesOn(_ *executor, s *wire.Session, m *wire.Resume) {
+func goesOn(_ *executor, s *wire.Session, m *protocol.Resume) {
 	words(s, m.Attempt, m.Seq, totalWords, totalWords)
 }
 
 // newPair starts two executors. Both choose the first until it is excluded; it
 // runs as given, and the second answers all words.
-func newPair(t *testing.T, run func(x *executor, s *wire.Session, m *wire.Run)) []*executor {
+func newPair(t *testing.T, run func(x *executor, s *wire.Session, m *protocol.Run)) []*executor {
 	t.Helper()
 	var pair []*executor
 	both := script{
-		ask: func(_ *executor, s *wire.Session, ref uint32, m *wire.Ask) {
+		ask: func(_ *executor, s *wire.Session, ref uint32, m *protocol.Ask) {
 			chosen := pair[0]
 			if slices.Contains(m.Exclude, chosen.id) {
 				chosen = pair[1]
 			}
 			chosen.decide(s, ref, m)
 		},
-		run: func(x *executor, s *wire.Session, m *wire.Run) {
+		run: func(x *executor, s *wire.Session, m *protocol.Run) {
 			if x == pair[0] {
 				run(x, s, m)
 				return
@@ -183,7 +184,7 @@
 }
 
 // count counts the messages of one type.
-func count[M wire.Message](x *executor) int {
+func count[M protocol.Message](x *executor) int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	n := 0
@@ -196,7 +197,7 @@
 }
 
 // last returns the last message of one type.
-func last[M wire.Message](x *executor) (found M) {
+func last[M protocol.Message](x *executor) (found M) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, m := range x.got {
@@ -229,8 +230,8 @@
 	if x.address == "" {
 		x.address = listener.Addr().String()
 	}
-	self := wire.Identity{ID: x.id, Role: wire.RoleEndpoint, Epoch: x.epoch, Address: x.address}
-	options := wire.Options{Key: key, Self: func() wire.Identity { return self }, Handler: x}
+	self := protocol.Identity{ID: x.id, Role: protocol.RoleEndpoint, Epoch: x.epoch, Address: x.address}
+	options := wire.Options{Key: key, Self: func() protocol.Identity { return self }, Handler: x}
 	x.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_ = wire.Accept(w, r, options)
 	})}
@@ -247,28 +248,28 @@
 }
 
 // decide answers an Ask with x itself.
-func (x *executor) decide(s *wire.Session, ref uint32, m *wire.Ask) {
-	_ = s.Reply(ref, &wire.Decision{
+func (x *executor) decide(s *wire.Session, ref uint32, m *protocol.Ask) {
+	_ = s.Reply(ref, &protocol.Decision{
 		Request: m.Request, Owner: x.id, Reason: "test",
-		Executor: wire.Target{Endpoint: x.id, Address: x.address, Epoch: x.epoch},
+		Executor: protocol.Target{Endpoint: x.id, Address: x.address, Epoch: x.epoch},
 	})
 }
 
 // words answers a Run or Resume with the numbered words from first on.
-func words(s *wire.Session, id wire.AttemptID, first, until, total uint64) {
-	_ = s.Send(&wire.Start{Attempt: id, Status: http.StatusOK})
+func words(s *wire.Session, id protocol.AttemptID, first, until, total uint64) {
+	_ = s.Send(&protocol.Start{Attempt: id, Status: http.StatusOK})
 	for seq := first; seq < until; seq++ {
-		_ = s.Send(&wire.Chunk{Attempt: id, Seq: seq, Data: fmt.Appendf(nil, "w%d ", seq)})
+		_ = s.Send(&protocol.Chunk{Attempt: id, Seq: seq, Data: fmt.Appendf(nil, "w%d ", seq)})
 	}
 	if until == total {
-		_ = s.Send(&wire.End{Attempt: id, Seq: total, Outcome: wire.Done, CompletionTokens: int(total)})
+		_ = s.Send(&protocol.End{Attempt: id, Seq: total, Outcome: protocol.Done, CompletionTokens: int(total)})
 	}
 }
 
 // flood sends large chunks from one number to before another.
-func flood(s *wire.Session, id wire.AttemptID, from, to uint64, bytes int) {
+func flood(s *wire.Session, id protocol.AttemptID, from, to uint64, bytes int) {
 	for seq := from; seq < to; seq++ {
-		_ = s.Send(&wire.Chunk{Attempt: id, Seq: seq, Data: []byte(strings.Repeat("x", bytes))})
+		_ = s.Send(&protocol.Chunk{Attempt: id, Seq: seq, Data: []byte(strings.Repeat("x", bytes))})
 	}
 }
 
--- a/internal/entry/hub.go
+++ b/internal/entry/hub.go
@@ -3,8 +3,8 @@
 import (
 	"sync"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/telemetry"
-	"skylarklead/internal/wire"
 )
 
 const (
@@ -17,8 +17,8 @@
 
 // arrival is a message and the epoch of the process that sent it.
 type arrival struct {
-	message wire.Message
-	epoch   wire.Epoch
+	message protocol.Message
+	epoch   protocol.Epoch
 }
 
 // mailbox takes what arrives for one attempt, whichever session brings it. It is
@@ -39,15 +39,15 @@
 	tel *telemetry.Telemetry
 
 	mu        sync.Mutex
-	mailboxes map[wire.AttemptID]*mailbox
+	mailboxes map[protocol.AttemptID]*mailbox
 }
 
 func newHub(tel *telemetry.Telemetry) *hub {
-	return &hub{tel: tel, mailboxes: make(map[wire.AttemptID]*mailbox)}
+	return &hub{tel: tel, mailboxes: make(map[protocol.AttemptID]*mailbox)}
 }
 
 // open makes the attempt's mailbox and supersedes an earlier one.
-func (h *hub) open(id wire.AttemptID) *mailbox {
+func (h *hub) open(id protocol.AttemptID) *mailbox {
 	mb := &mailbox{
 		arrivals:   make(chan arrival, mailboxSize),
 		superseded: make(chan struct{}),
@@ -63,7 +63,7 @@
 }
 
 // close forgets the attempt unless another mailbox has superseded mb.
-func (h *hub) close(id wire.AttemptID, mb *mailbox) {
+func (h *hub) close(id protocol.AttemptID, mb *mailbox) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.mailboxes[id] == mb {
@@ -72,7 +72,7 @@
 }
 
 // deliver never blocks.
-func (h *hub) deliver(id wire.AttemptID, a arrival) {
+func (h *hub) deliver(id protocol.AttemptID, a arrival) {
 	h.mu.Lock()
 	mb := h.mailboxes[id]
 	h.mu.Unlock()
--- a/internal/entry/inquiry.go
+++ b/internal/entry/inquiry.go
@@ -8,13 +8,13 @@
 
 	"skylarklead/internal/follow"
 	"skylarklead/internal/member"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // inquiry is one question to a request's owners, in order. One goroutine owns it.
 type inquiry struct {
 	e        *Entry
-	question *wire.Ask
+	question *protocol.Ask
 	owners   []member.Member
 	replies  chan reply
 	// asked counts the owners that were asked, answered and failed those of them
@@ -25,7 +25,7 @@
 // reply is one owner's answer to an Ask.
 type reply struct {
 	from     member.Member
-	decision *wire.Decision
+	decision *protocol.Decision
 	err      error
 }
 
@@ -70,7 +70,7 @@
 	return false
 }
 
-func (e *Entry) askOne(ctx context.Context, to member.Member, question *wire.Ask, replies chan<- reply) {
+func (e *Entry) askOne(ctx context.Context, to member.Member, question *protocol.Ask, replies chan<- reply) {
 	decision, err := e.askAt(ctx, to, question)
 	if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
 		e.directory.failed(to.ID)
@@ -79,7 +79,7 @@
 	replies <- reply{from: to, decision: decision, err: err}
 }
 
-func (e *Entry) askAt(ctx context.Context, to member.Member, question *wire.Ask) (*wire.Decision, error) {
+func (e *Entry) askAt(ctx context.Context, to member.Member, question *protocol.Ask) (*protocol.Decision, error) {
 	session, err := e.session(ctx, to.Address)
 	if err != nil {
 		return nil, err
@@ -89,11 +89,11 @@
 		return nil, err
 	}
 	switch m := answer.(type) {
-	case *wire.Decision:
+	case *protocol.Decision:
 		e.config.Heard(m.ConfigOffset, follow.SessionFetch(session))
 		return m, nil
-	case *wire.Failure:
-		return &wire.Decision{Request: question.Request, Refusal: &m.Refusal}, nil
+	case *protocol.Failure:
+		return &protocol.Decision{Request: question.Request, Refusal: &m.Refusal}, nil
 	}
 	return nil, fmt.Errorf("entry: %T in answer to an Ask", answer)
 }
@@ -107,7 +107,7 @@
 	}
 	d := r.decision
 	if d.Refusal != nil {
-		if d.Refusal.Code == wire.CodeDraining {
+		if d.Refusal.Code == protocol.CodeDraining {
 			e.directory.left(r.from.ID, r.from.Epoch)
 		}
 		return !ownRefusal(d.Refusal.Code)
@@ -122,9 +122,9 @@
 }
 
 // ownRefusal reports whether a refusal says nothing of other owners.
-func ownRefusal(code wire.Code) bool {
+func ownRefusal(code protocol.Code) bool {
 	switch code {
-	case wire.CodeDraining, wire.CodeNotRun, wire.CodeInternal, wire.CodeBadRequest:
+	case protocol.CodeDraining, protocol.CodeNotRun, protocol.CodeInternal, protocol.CodeBadRequest:
 		return true
 	}
 	return false
--- a/internal/entry/instances.go
+++ b/internal/entry/instances.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"skylarklead/internal/platform"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 const (
@@ -75,14 +75,14 @@
 		return nil
 	}
 	var list []platform.Instance
-	if peer := session.Peer(); peer.Role == wire.RoleEndpoint {
+	if peer := session.Peer(); peer.Role == protocol.RoleEndpoint {
 		list = append(list, endpointInstance(peer.ID, address, peer.Group, peer.FailureDomain))
 	}
-	answer, err := session.Call(ctx, &wire.StatusRequest{})
+	answer, err := session.Call(ctx, &protocol.StatusRequest{})
 	if err != nil {
 		return list
 	}
-	status, ok := answer.(*wire.Status)
+	status, ok := answer.(*protocol.Status)
 	if !ok {
 		return list
 	}
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -5,7 +5,7 @@
 
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/prefix"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // job is one request on its way to an answer. One goroutine owns it.
@@ -17,7 +17,7 @@
 	// anyVersion is set when the caller named no version.
 	anyVersion   bool
 	messages     []prefix.Message
-	call         *wire.Call
+	call         *protocol.Call
 	levels       []prefix.Level
 	promptTokens int
 	maxTokens    int
@@ -48,15 +48,15 @@
 	// one, discarded how many earlier ones aren't part of the answer any more.
 	before, discarded uint64
 	// decision is where the request was last sent, and why.
-	decision   wire.Decision
+	decision   protocol.Decision
 	firstToken time.Duration
 }
 
 // remaining is how long the caller will still wait.
 func (j *job) remaining() time.Duration { return time.Until(j.deadline) }
 
-func (j *job) ask(failureDomain string) *wire.Ask {
-	return &wire.Ask{
+func (j *job) ask(failureDomain string) *protocol.Ask {
+	return &protocol.Ask{
 		Request:       j.id,
 		Organisation:  j.organisation.ID,
 		Group:         j.group,
@@ -103,8 +103,8 @@
 }
 
 // run is the message of a new attempt.
-func (j *job) run(a attempt.Run) *wire.Run {
-	run := &wire.Run{
+func (j *job) run(a attempt.Run) *protocol.Run {
+	run := &protocol.Run{
 		Attempt:      a.Attempt,
 		Request:      j.id,
 		Organisation: j.organisation.ID,
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 )
 
@@ -30,9 +31,9 @@
 
 // link is an attempt's way to its executor.
 type link struct {
-	id      wire.AttemptID
+	id      protocol.AttemptID
 	session *wire.Session
-	peer    wire.Identity
+	peer    protocol.Identity
 	mailbox *mailbox
 	// release ends the hold on the session, which makes it notice a peer that is
 	// half-open.
@@ -41,7 +42,7 @@
 	quiet int
 }
 
-func (e *Entry) openLink(id wire.AttemptID, session *wire.Session) *link {
+func (e *Entry) openLink(id protocol.AttemptID, session *wire.Session) *link {
 	l := &link{id: id, peer: session.Peer(), mailbox: e.hub.open(id), release: func() {}}
 	l.move(session)
 	e.inFlight.begin(l.peer.ID)
@@ -69,7 +70,7 @@
 	e.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), signTimeout)
 		defer cancel()
-		if _, err := session.Call(ctx, &wire.StatusRequest{}); err != nil {
+		if _, err := session.Call(ctx, &protocol.StatusRequest{}); err != nil {
 			session.Close(errSilent)
 			e.directory.failed(session.Peer().ID) // others needn't find out for themselves
 		}
@@ -83,7 +84,7 @@
 }
 
 // sessionTo opens a session to a target and checks that the address is still its.
-func (e *Entry) sessionTo(ctx context.Context, target wire.Target) (*wire.Session, error) {
+func (e *Entry) sessionTo(ctx context.Context, target protocol.Target) (*wire.Session, error) {
 	session, err := e.session(ctx, target.Address)
 	if err != nil {
 		return nil, err
@@ -96,7 +97,7 @@
 
 // sameEpoch opens a session to the very process that a target names; no other
 // one can know its attempts.
-func (e *Entry) sameEpoch(ctx context.Context, target wire.Target) (*wire.Session, error) {
+func (e *Entry) sameEpoch(ctx context.Context, target protocol.Target) (*wire.Session, error) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
 	session, err := e.sessionTo(ctx, target)
@@ -110,18 +111,18 @@
 }
 
 // resolveAt asks an executor what became of an attempt.
-func (e *Entry) resolveAt(ctx context.Context, a attempt.Resolve) (*wire.Resolved, wire.Epoch, error) {
+func (e *Entry) resolveAt(ctx context.Context, a attempt.Resolve) (*protocol.Resolved, protocol.Epoch, error) {
 	session, err := e.sameEpoch(ctx, a.Target)
 	if err != nil {
 		return nil, 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
-	answer, err := session.Call(ctx, &wire.Resolve{Attempt: a.Attempt, Epoch: a.Target.Epoch})
+	answer, err := session.Call(ctx, &protocol.Resolve{Attempt: a.Attempt, Epoch: a.Target.Epoch})
 	if err != nil {
 		return nil, 0, fmt.Errorf("entry: resolve: %w", err)
 	}
-	resolved, ok := answer.(*wire.Resolved)
+	resolved, ok := answer.(*protocol.Resolved)
 	if !ok {
 		return nil, 0, fmt.Errorf("entry: %T in answer to Resolve", answer)
 	}
@@ -130,8 +131,8 @@
 
 // resume makes the message that asks for the attempt's chunks again from the next
 // one on. What the caller has not taken yet counts against the new window.
-func (j *job) resume(id wire.AttemptID, epoch wire.Epoch) *wire.Resume {
-	return &wire.Resume{
+func (j *job) resume(id protocol.AttemptID, epoch protocol.Epoch) *protocol.Resume {
+	return &protocol.Resume{
 		Attempt:      id,
 		Epoch:        epoch,
 		Seq:          j.receiver.Next(),
--- a/internal/entry/link_test.go
+++ b/internal/entry/link_test.go
@@ -5,19 +5,19 @@
 
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/config"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Symptom: an entry's memory grows with each cut of its sessions.
 // Sequence: a caller doesn't read; its stream is resumed again and again.
 // Cause: a whole new window at each resume, on top of the pieces that wait.
 func TestResumeCountsWhatWaits(t *testing.T) {
-	id := wire.AttemptID{1}
+	id := protocol.AttemptID{1}
 	j := &job{request: &request{organisation: &config.Organisation{ID: "foodbank"}}, receiver: attempt.NewReceiver(window)}
 	j.receiver.Begin(id)
 	for round, want := range []uint32{window - 10, window - 20, window - 30} {
 		for range 10 {
-			m := &wire.Chunk{Attempt: id, Seq: j.receiver.Next(), Data: []byte("w")}
+			m := &protocol.Chunk{Attempt: id, Seq: j.receiver.Next(), Data: []byte("w")}
 			if _, dropped := j.receiver.Chunk(m, 0); dropped != attempt.Taken {
 				t.Fatalf("chunk %d dropped: %v", m.Seq, dropped)
 			}
--- a/internal/entry/parameters_test.go
+++ b/internal/entry/parameters_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"skylarklead/internal/parameters"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 	"skylarklead/test/kit"
 )
@@ -20,7 +21,7 @@
 // Cause: the entry read the fields it needs and dropped the others.
 func TestParametersGoWithEveryRun(t *testing.T) {
 	const want = `{"seed":7,"stop":["w7"],"temperature":0.2,"user":"u-1"}`
-	pair := newPair(t, func(x *executor, s *wire.Session, m *wire.Run) {
+	pair := newPair(t, func(x *executor, s *wire.Session, m *protocol.Run) {
 		words(s, m.Attempt, 0, 10, totalWords)
 		x.restart(t)
 	})
@@ -28,7 +29,7 @@
 	if got := c.stream(sampledBody); !got.done {
 		t.Fatalf("got %+v", got)
 	}
-	runs := []*wire.Run{last[*wire.Run](pair[0]), last[*wire.Run](pair[1])}
+	runs := []*protocol.Run{last[*protocol.Run](pair[0]), last[*protocol.Run](pair[1])}
 	for i, run := range runs {
 		if string(run.Parameters) != want {
 			t.Errorf("run %d has %s", i, run.Parameters)
@@ -43,7 +44,7 @@
 // Sequence: the executor of a structured answer restarts in mid-stream.
 // Cause: an engine that goes on from a half begins the asked form anew.
 func TestStructuredAnswerIsNotContinued(t *testing.T) {
-	x := newExecutor(t, "ep-1", runs(func(x *executor, s *wire.Session, m *wire.Run) {
+	x := newExecutor(t, "ep-1", runs(func(x *executor, s *wire.Session, m *protocol.Run) {
 		words(s, m.Attempt, m.FirstSeq, m.FirstSeq+10, totalWords)
 		if m.FirstSeq == 0 {
 			x.restart(t)
@@ -52,8 +53,8 @@
 	_, c := newTestEntry(t, "llm", x)
 	body := strings.Replace(sampledBody, `"seed":7`, `"response_format":{"type":"json_object"}`, 1)
 	got := c.stream(body)
-	if got.done || got.failure == nil || got.failure.Ran != wire.Unknown || count[*wire.Run](x) != 1 {
-		t.Errorf("got %+v, failure %+v, %d runs", got, got.failure, count[*wire.Run](x))
+	if got.done || got.failure == nil || got.failure.Ran != protocol.Unknown || count[*protocol.Run](x) != 1 {
+		t.Errorf("got %+v, failure %+v, %d runs", got, got.failure, count[*protocol.Run](x))
 	}
 }
 
@@ -62,15 +63,15 @@
 // Sequence: the executor of a structured answer restarts after ten pieces.
 // Cause: pieces that only the entry has, taken for pieces that the caller has.
 func TestStructuredWholeAnswerBeginsAgain(t *testing.T) {
-	x := newExecutor(t, "ep-1", runs(func(x *executor, s *wire.Session, m *wire.Run) {
+	x := newExecutor(t, "ep-1", runs(func(x *executor, s *wire.Session, m *protocol.Run) {
 		if m.FirstSeq == 0 {
 			words(s, m.Attempt, 0, 10, totalWords)
 			x.restart(t)
 			return
 		}
-		_ = s.Send(&wire.Chunk{Attempt: m.Attempt, Seq: m.FirstSeq, Data: []byte(`{"a":`)})
-		_ = s.Send(&wire.Chunk{Attempt: m.Attempt, Seq: m.FirstSeq + 1, Data: []byte(`1}`)})
-		_ = s.Send(&wire.End{Attempt: m.Attempt, Seq: m.FirstSeq + 2, Outcome: wire.Done, CompletionTokens: 2})
+		_ = s.Send(&protocol.Chunk{Attempt: m.Attempt, Seq: m.FirstSeq, Data: []byte(`{"a":`)})
+		_ = s.Send(&protocol.Chunk{Attempt: m.Attempt, Seq: m.FirstSeq + 1, Data: []byte(`1}`)})
+		_ = s.Send(&protocol.End{Attempt: m.Attempt, Seq: m.FirstSeq + 2, Outcome: protocol.Done, CompletionTokens: 2})
 	}))
 	_, c := newTestEntry(t, "llm", x)
 	body := strings.Replace(wholeBody, "{", `{"guided_json":{},`, 1)
@@ -82,7 +83,7 @@
 	if text := got.Choices[0].Message.Content; text != `{"a":1}` || got.Usage.CompletionTokens != 2 {
 		t.Errorf("got %q, %+v", text, got.Usage)
 	}
-	if run := last[*wire.Run](x); run.FirstSeq == 0 || run.Partial != "" || run.MaxTokens != 64 {
+	if run := last[*protocol.Run](x); run.FirstSeq == 0 || run.Partial != "" || run.MaxTokens != 64 {
 		t.Errorf("began again by %+v", run)
 	}
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"skylarklead/internal/follow"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 )
 
@@ -17,10 +18,10 @@
 const sweepEvery = 5 * time.Second
 
 // self is what this process says of itself to peers.
-func (e *Entry) self() wire.Identity {
-	id := wire.Identity{
+func (e *Entry) self() protocol.Identity {
+	id := protocol.Identity{
 		ID:            e.settings.ID,
-		Role:          wire.RoleEntry,
+		Role:          protocol.RoleEntry,
 		Epoch:         e.tel.Epoch,
 		FailureDomain: e.settings.FailureDomain,
 		Address:       e.settings.Advertise,
@@ -64,13 +65,13 @@
 }
 
 // Handle implements wire.Handler; it never blocks.
-func (e *Entry) Handle(s *wire.Session, ref uint32, m wire.Message) {
+func (e *Entry) Handle(s *wire.Session, ref uint32, m protocol.Message) {
 	switch m := m.(type) {
-	case *wire.Start:
+	case *protocol.Start:
 		e.hub.deliver(m.Attempt, arrival{m, s.Peer().Epoch})
-	case *wire.Chunk:
+	case *protocol.Chunk:
 		e.hub.deliver(m.Attempt, arrival{m, s.Peer().Epoch})
-	case *wire.End:
+	case *protocol.End:
 		e.hub.deliver(m.Attempt, arrival{m, s.Peer().Epoch})
 	default:
 		// A reply may wait for the peer to read; the session's other messages don't.
@@ -84,7 +85,7 @@
 }
 
 // answer replies to what peers and the tool ask of an entry.
-func (e *Entry) answer(s *wire.Session, ref uint32, m wire.Message) {
+func (e *Entry) answer(s *wire.Session, ref uint32, m protocol.Message) {
 	e.noteSession(s)
 	if ref == 0 {
 		e.tel.Log.Warn("unexpected message", "peer", s.Peer().ID, "type", fmt.Sprintf("%T", m))
@@ -94,32 +95,32 @@
 	_ = s.Reply(ref, e.replyTo(m))
 }
 
-func (e *Entry) replyTo(m wire.Message) wire.Message {
+func (e *Entry) replyTo(m protocol.Message) protocol.Message {
 	switch m := m.(type) {
-	case *wire.StatusRequest:
+	case *protocol.StatusRequest:
 		return e.status()
-	case *wire.ExplainRequest:
-		return &wire.Explanation{Records: e.tel.Decisions.Explain(m.Request)}
-	case *wire.ConfigFetch:
+	case *protocol.ExplainRequest:
+		return &protocol.Explanation{Records: e.tel.Decisions.Explain(m.Request)}
+	case *protocol.ConfigFetch:
 		state, err := e.config.Fetch(m)
 		if err != nil {
-			return failure(wire.CodeInternal, err.Error())
+			return failure(protocol.CodeInternal, err.Error())
 		}
 		return state
 	}
-	return failure(wire.CodeBadRequest, "an entry doesn't serve "+fmt.Sprintf("%T", m))
+	return failure(protocol.CodeBadRequest, "an entry doesn't serve "+fmt.Sprintf("%T", m))
 }
 
-func failure(code wire.Code, message string) *wire.Failure {
-	return &wire.Failure{Refusal: wire.Refusal{Code: code, Message: message, Ran: wire.NotRun}}
+func failure(code protocol.Code, message string) *protocol.Failure {
+	return &protocol.Failure{Refusal: protocol.Refusal{Code: code, Message: message, Ran: protocol.NotRun}}
 }
 
-func (e *Entry) status() *wire.Status {
+func (e *Entry) status() *protocol.Status {
 	unknownSchema := 0
 	if state := e.config.State(); state != nil {
 		unknownSchema = len(state.Opaque)
 	}
-	return &wire.Status{
+	return &protocol.Status{
 		Identity:      e.self(),
 		Leaving:       e.drain.draining(),
 		ConfigOffset:  e.self().ConfigOffset,
--- a/internal/entry/place_test.go
+++ b/internal/entry/place_test.go
@@ -9,6 +9,7 @@
 
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/platform"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/route"
 	"skylarklead/internal/wire"
 )
@@ -24,12 +25,12 @@
 		if e.chooser, err = newChooser(string(policy), e.now); err != nil {
 			t.Fatal(err)
 		}
-		asks := count[*wire.Ask](a) + count[*wire.Ask](b)
+		asks := count[*protocol.Ask](a) + count[*protocol.Ask](b)
 		resp := c.chat(wholeBody)
 		if resp.StatusCode != http.StatusOK {
 			t.Errorf("%s: status %d", policy, resp.StatusCode)
 		}
-		asked := count[*wire.Ask](a)+count[*wire.Ask](b) > asks
+		asked := count[*protocol.Ask](a)+count[*protocol.Ask](b) > asks
 		if want := policy == route.PolicyOwner; asked != want {
 			t.Errorf("%s: an owner was asked: %v", policy, asked)
 		}
@@ -44,24 +45,24 @@
 // Cause: only one redirect may be followed.
 func TestRedirectIsFollowedOnce(t *testing.T) {
 	var executors []*executor
-	script := runs(func(x *executor, s *wire.Session, run *wire.Run) {
+	script := runs(func(x *executor, s *wire.Session, run *protocol.Run) {
 		other := executors[0]
 		if x == other {
 			other = executors[1]
 		}
-		target := &wire.Target{Endpoint: other.id, Address: other.address}
-		_ = s.Send(&wire.End{Attempt: run.Attempt, Outcome: wire.NotRun, Redirect: target})
+		target := &protocol.Target{Endpoint: other.id, Address: other.address}
+		_ = s.Send(&protocol.End{Attempt: run.Attempt, Outcome: protocol.NotRun, Redirect: target})
 	})
 	executors = append(executors, newExecutor(t, "portal-1", script), newExecutor(t, "portal-2", script))
 	_, c := newTestEntry(t, "portal", executors...)
 	got := readError(t, c.post(context.Background(), "/v1/services/portal/pledges", ""))
-	if got.Ran != wire.NotRun {
+	if got.Ran != protocol.NotRun {
 		t.Errorf("got %+v", got)
 	}
-	runs := count[*wire.Run](executors[0]) + count[*wire.Run](executors[1])
+	runs := count[*protocol.Run](executors[0]) + count[*protocol.Run](executors[1])
 	redirected := 0
 	for _, x := range executors {
-		if run := last[*wire.Run](x); run != nil && run.Redirected {
+		if run := last[*protocol.Run](x); run != nil && run.Redirected {
 			redirected++
 		}
 	}
@@ -95,7 +96,7 @@
 // owner has to be told, and that must not take from the budget.
 func TestDeadExecutorCostsNoBudget(t *testing.T) {
 	var dead *executor
-	script := script{run: answers.run, ask: func(x *executor, s *wire.Session, ref uint32, m *wire.Ask) {
+	script := script{run: answers.run, ask: func(x *executor, s *wire.Session, ref uint32, m *protocol.Ask) {
 		if !slices.Contains(m.Exclude, dead.id) {
 			x = dead
 		}
@@ -121,7 +122,7 @@
 		}
 	}
 	// Later requests tell the owner at once.
-	if n := count[*wire.Ask](live); n > 5 {
+	if n := count[*protocol.Ask](live); n > 5 {
 		t.Errorf("%d questions for three requests", n)
 	}
 }
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"skylarklead/internal/member"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/route"
-	"skylarklead/internal/wire"
 )
 
 // chooser places chat requests at the entry itself, by a baseline policy. It is
@@ -34,7 +34,7 @@
 	return &chooser{now: now, policy: p, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}, nil
 }
 
-func (c *chooser) choose(j *job, live []member.Member) *wire.Decision {
+func (c *chooser) choose(j *job, live []member.Member) *protocol.Decision {
 	endpoints := make([]route.Endpoint, len(live))
 	for i, m := range live {
 		endpoints[i] = route.Endpoint{ID: m.ID, FailureDomain: m.FailureDomain, Alive: true}
@@ -46,9 +46,9 @@
 	if at < 0 {
 		return noEndpoint(j)
 	}
-	return &wire.Decision{
+	return &protocol.Decision{
 		Request:         j.id,
-		Executor:        wire.Target{Endpoint: live[at].ID, Address: live[at].Address},
+		Executor:        protocol.Target{Endpoint: live[at].ID, Address: live[at].Address},
 		Reason:          choice.Reason,
 		PredictedCached: choice.PredictedCached,
 	}
--- a/internal/entry/refuse_test.go
+++ b/internal/entry/refuse_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 	"skylarklead/test/kit"
 )
@@ -24,27 +25,27 @@
 		name, path, body string
 		headers          []string
 		status           int
-		code             wire.Code
+		code             protocol.Code
 	}{
-		{"no key", chatPath, wholeBody, []string{"Authorization", ""}, 401, wire.CodeUnauthorized},
-		{"wrong key", chatPath, wholeBody, []string{"Authorization", "Bearer nope"}, 401, wire.CodeUnauthorized},
-		{"bad JSON", chatPath, `{"model":`, nil, 400, wire.CodeBadRequest},
-		{"too large", chatPath, strings.Repeat(" ", 65<<10), nil, 413, wire.CodeTooLarge},
-		{"unknown model", chatPath, strings.ReplaceAll(wholeBody, "ledger-llm", "none"), nil, 404, wire.CodeUnknownModel},
-		{"unknown version", chatPath, strings.ReplaceAll(wholeBody, "ledger-llm", "ledger-llm@v9"), nil, 404, wire.CodeUnknownModel},
-		{"forbidden version", chatPath, strings.ReplaceAll(wholeBody, "ledger-llm", "ledger-llm@v2"), nil, 403, wire.CodeForbiddenModel},
-		{"another's model", chatPath, strings.ReplaceAll(wholeBody, "ledger-llm", "other-llm"), nil, 403, wire.CodeForbiddenModel},
-		{"bad deadline", chatPath, wholeBody, []string{"X-Deadline-Ms", "soon"}, 400, wire.CodeBadRequest},
-		{"another's service", "/v1/services/foreign/a", "", nil, 404, wire.CodeUnknownService},
-		{"no idempotency key", "/v1/services/portal/payments/7", "", nil, 400, wire.CodeBadRequest},
-		{"dotted path", "/v1/services/portal/balance/%2e%2e/payments", "", nil, 400, wire.CodeBadRequest},
-		{"no endpoint", "/v1/services/portal/balance", "", nil, 503, wire.CodeNoEndpoint},
-		{"no such path", "/v2", "", nil, 404, wire.CodeBadRequest},
+		{"no key", chatPath, wholeBody, []string{"Authorization", ""}, 401, protocol.CodeUnauthorized},
+		{"wrong key", chatPath, wholeBody, []string{"Authorization", "Bearer nope"}, 401, protocol.CodeUnauthorized},
+		{"bad JSON", chatPath, `{"model":`, nil, 400, protocol.CodeBadRequest},
+		{"too large", chatPath, strings.Repeat(" ", 65<<10), nil, 413, protocol.CodeTooLarge},
+		{"unknown model", chatPath, strings.ReplaceAll(wholeBody, "ledger-llm", "none"), nil, 404, protocol.CodeUnknownModel},
+		{"unknown version", chatPath, strings.ReplaceAll(wholeBody, "ledger-llm", "ledger-llm@v9"), nil, 404, protocol.CodeUnknownModel},
+		{"forbidden version", chatPath, strings.ReplaceAll(wholeBody, "ledger-llm", "ledger-llm@v2"), nil, 403, protocol.CodeForbiddenModel},
+		{"another's model", chatPath, strings.ReplaceAll(wholeBody, "ledger-llm", "other-llm"), nil, 403, protocol.CodeForbiddenModel},
+		{"bad deadline", chatPath, wholeBody, []string{"X-Deadline-Ms", "soon"}, 400, protocol.CodeBadRequest},
+		{"another's service", "/v1/services/foreign/a", "", nil, 404, protocol.CodeUnknownService},
+		{"no idempotency key", "/v1/services/portal/payments/7", "", nil, 400, protocol.CodeBadRequest},
+		{"dotted path", "/v1/services/portal/balance/%2e%2e/payments", "", nil, 400, protocol.CodeBadRequest},
+		{"no endpoint", "/v1/services/portal/balance", "", nil, 503, protocol.CodeNoEndpoint},
+		{"no such path", "/v2", "", nil, 404, protocol.CodeBadRequest},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			resp := c.post(context.Background(), tt.path, tt.body, tt.headers...)
 			got := readError(t, resp)
-			if resp.StatusCode != tt.status || got.Code != tt.code || got.Ran != wire.NotRun {
+			if resp.StatusCode != tt.status || got.Code != tt.code || got.Ran != protocol.NotRun {
 				t.Errorf("got %d %+v", resp.StatusCode, got)
 			}
 			if got.RequestID == "" || got.RequestID != resp.Header.Get("X-Request-Id") {
@@ -55,7 +56,7 @@
 			}
 		})
 	}
-	if n := count[wire.Message](x); n != 0 {
+	if n := count[protocol.Message](x); n != 0 {
 		t.Errorf("%d messages reached the executor", n)
 	}
 }
@@ -71,12 +72,12 @@
 		}
 	}
 	resp := c.chat(wholeBody)
-	if got := readError(t, resp); got.Code != wire.CodeOverloaded || got.Ran != wire.NotRun {
+	if got := readError(t, resp); got.Code != protocol.CodeOverloaded || got.Ran != protocol.NotRun {
 		t.Errorf("got %+v", got)
 	}
 	e.drain.leave()
 	resp = c.chat(wholeBody)
-	if got := readError(t, resp); got.Code != wire.CodeNoEndpoint {
+	if got := readError(t, resp); got.Code != protocol.CodeNoEndpoint {
 		t.Errorf("with room again: %+v", got)
 	}
 }
@@ -94,7 +95,7 @@
 	if !strings.Contains(string(answer[:n]), "cut off") {
 		t.Errorf("answer %q", answer[:n])
 	}
-	if n := count[wire.Message](x); n != 0 {
+	if n := count[protocol.Message](x); n != 0 {
 		t.Errorf("%d messages reached the executor", n)
 	}
 }
@@ -117,9 +118,9 @@
 // Cause: nothing fails until a write has a bound.
 func TestStalledCallerIsCutOff(t *testing.T) {
 	x := newExecutor(t, "ep-1", script{
-		run: func(_ *executor, s *wire.Session, m *wire.Run) { flood(s, m.Attempt, 0, window, 64<<10) },
-		other: func(_ *executor, s *wire.Session, _ uint32, m wire.Message) {
-			if m, ok := m.(*wire.Credit); ok {
+		run: func(_ *executor, s *wire.Session, m *protocol.Run) { flood(s, m.Attempt, 0, window, 64<<10) },
+		other: func(_ *executor, s *wire.Session, _ uint32, m protocol.Message) {
+			if m, ok := m.(*protocol.Credit); ok {
 				flood(s, m.Attempt, m.Seq-window/2, m.Seq, 64<<10)
 			}
 		},
@@ -127,7 +128,7 @@
 	e, c := newTestEntry(t, "llm", x)
 	e.timeouts.stall = 50 * time.Millisecond
 	resp := c.chat(streamBody)
-	kit.Until(t, "canceled", func() bool { return count[*wire.Cancel](x) > 0 })
+	kit.Until(t, "canceled", func() bool { return count[*protocol.Cancel](x) > 0 })
 	if _, err := io.Copy(io.Discard, resp.Body); err == nil {
 		t.Error("the cut answer looks whole")
 	}
@@ -139,15 +140,15 @@
 // Cause: a call that may not be repeated is sent once, and what only a dead
 // process knew is "unknown".
 func TestCallRunsOnce(t *testing.T) {
-	script := runs(func(x *executor, _ *wire.Session, _ *wire.Run) { x.restart(t) })
+	script := runs(func(x *executor, _ *wire.Session, _ *protocol.Run) { x.restart(t) })
 	x, y := newExecutor(t, "portal-1", script), newExecutor(t, "portal-2", script)
 	_, c := newTestEntry(t, "portal", x, y)
 	resp := c.post(context.Background(), "/v1/services/portal/pledges/7", "pay")
 	got := readError(t, resp)
-	if got.Ran != wire.Unknown || resp.StatusCode != http.StatusBadGateway {
+	if got.Ran != protocol.Unknown || resp.StatusCode != http.StatusBadGateway {
 		t.Errorf("got %d %+v", resp.StatusCode, got)
 	}
-	if n := count[*wire.Run](x) + count[*wire.Run](y); n != 1 {
+	if n := count[*protocol.Run](x) + count[*protocol.Run](y); n != 1 {
 		t.Errorf("%d runs", n)
 	}
 }
@@ -158,7 +159,7 @@
 func TestFrozenOwnerIsHedged(t *testing.T) {
 	var frozen atomic.Value
 	frozen.Store("")
-	script := script{run: answers.run, ask: func(x *executor, s *wire.Session, ref uint32, m *wire.Ask) {
+	script := script{run: answers.run, ask: func(x *executor, s *wire.Session, ref uint32, m *protocol.Ask) {
 		if x.id != frozen.Load() {
 			x.decide(s, ref, m)
 		}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"skylarklead/internal/config"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 const (
@@ -69,12 +69,12 @@
 func authenticate(state *config.State, r *http.Request) (*config.Organisation, *Error) {
 	header := r.Header.Get("Authorization")
 	if len(header) <= len(bearer) || !strings.EqualFold(header[:len(bearer)], bearer) {
-		return nil, refuse(wire.CodeUnauthorized, "header Authorization must be %q and an API key", bearer)
+		return nil, refuse(protocol.CodeUnauthorized, "header Authorization must be %q and an API key", bearer)
 	}
 	digest := sha256.Sum256([]byte(strings.TrimSpace(header[len(bearer):])))
 	organisation := state.OrganisationByKey(hex.EncodeToString(digest[:]))
 	if organisation == nil {
-		return nil, refuse(wire.CodeUnauthorized, "unknown API key")
+		return nil, refuse(protocol.CodeUnauthorized, "unknown API key")
 	}
 	return organisation, nil
 }
@@ -87,7 +87,7 @@
 	}
 	ms, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || ms < 1 || ms > maxDeadline.Milliseconds() {
-		return 0, refuse(wire.CodeBadRequest, "header X-Deadline-Ms must be from 1 to %d", maxDeadline.Milliseconds())
+		return 0, refuse(protocol.CodeBadRequest, "header X-Deadline-Ms must be from 1 to %d", maxDeadline.Milliseconds())
 	}
 	return time.Duration(ms) * time.Millisecond, nil
 }
@@ -101,11 +101,11 @@
 	}
 	key := values[0]
 	if len(values) > 1 || key == "" || len(key) > maxKey {
-		return nil, 0, refuse(wire.CodeBadRequest, "header Idempotency-Key must be given once, with 1 to %d characters", maxKey)
+		return nil, 0, refuse(protocol.CodeBadRequest, "header Idempotency-Key must be given once, with 1 to %d characters", maxKey)
 	}
 	for _, c := range []byte(key) {
 		if c < 0x20 || c > 0x7e {
-			return nil, 0, refuse(wire.CodeBadRequest, "header Idempotency-Key must be printable ASCII")
+			return nil, 0, refuse(protocol.CodeBadRequest, "header Idempotency-Key must be printable ASCII")
 		}
 	}
 	digest := sha256.Sum256([]byte(organisation + "\x00" + key))
--- a/internal/entry/request_test.go
+++ b/internal/entry/request_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 func TestValidRequestID(t *testing.T) {
@@ -79,7 +79,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		id := eventID{
 			executor: rapid.StringMatching(`[a-z0-9.-]{1,20}`).Draw(t, "executor"),
-			epoch:    wire.Epoch(rapid.Uint64().Draw(t, "epoch")),
+			epoch:    protocol.Epoch(rapid.Uint64().Draw(t, "epoch")),
 			seq:      rapid.Uint64().Draw(t, "seq"),
 		}
 		copy(id.attempt[:], rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "attempt"))
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 )
 
@@ -23,20 +24,20 @@
 func (e *Entry) resume(w http.ResponseWriter, r *http.Request, req *request) *Error {
 	at, err := parseEventID(r.Header.Get("Last-Event-ID"))
 	if err != nil {
-		return refuse(wire.CodeBadRequest, "header Last-Event-ID: %v", err)
+		return refuse(protocol.CodeBadRequest, "header Last-Event-ID: %v", err)
 	}
 	executor, ok := e.directory.lookup(at.executor)
 	if !ok {
 		return lostStream("its executor is not known any more")
 	}
-	target := wire.Target{Endpoint: executor.ID, Address: executor.Address, Epoch: at.epoch}
+	target := protocol.Target{Endpoint: executor.ID, Address: executor.Address, Epoch: at.epoch}
 	j := &job{
 		request:  req,
 		group:    executor.Group,
 		resumed:  true,
 		receiver: attempt.NewReceiver(window),
 		attempts: 1,
-		decision: wire.Decision{Executor: target, Reason: reasonResume},
+		decision: protocol.Decision{Executor: target, Reason: reasonResume},
 	}
 	j.receiver.BeginAt(at.attempt, at.seq+1)
 	life := e.newLife(r.Context(), req.deadline, e.settings.Entry.ResumeGrace.D())
@@ -49,12 +50,12 @@
 }
 
 func lostStream(message string) *Error {
-	return &Error{Code: wire.CodeUnknownOutcome, Message: "the stream can't be gone on with: " + message, Ran: wire.Unknown}
+	return &Error{Code: protocol.CodeUnknownOutcome, Message: "the stream can't be gone on with: " + message, Ran: protocol.Unknown}
 }
 
 // supersededError ends a stream whose rest goes to a later resume.
 func supersededError() *Error {
-	return &Error{Code: wire.CodeCanceled, Message: "the stream was taken over by a resume", Ran: wire.Unknown}
+	return &Error{Code: protocol.CodeCanceled, Message: "the stream was taken over by a resume", Ran: protocol.Unknown}
 }
 
 // resumption is a stream that was resumed by its caller. Without the request's
@@ -63,11 +64,11 @@
 type resumption struct {
 	*answer
 	life   *life
-	target wire.Target
+	target protocol.Target
 }
 
 // run takes the stream over, again while sessions break and chunks still come.
-func (s *resumption) run(id wire.AttemptID) {
+func (s *resumption) run(id protocol.AttemptID) {
 	pause := attempt.DefaultPlanParams.Backoff
 	for tries := 0; tries < resumeTries && s.life.Err() == nil; tries++ {
 		session, err := s.reach()
@@ -100,7 +101,7 @@
 
 // takeOver delivers the stream over one session; it returns false if it has to be
 // taken over once more.
-func (s *resumption) takeOver(id wire.AttemptID, session *wire.Session) bool {
+func (s *resumption) takeOver(id protocol.AttemptID, session *wire.Session) bool {
 	l := s.e.openLink(id, session)
 	defer s.e.closeLink(l)
 	// A failed write closes the session, which follow sees.
@@ -144,8 +145,8 @@
 	}
 }
 
-func (s *resumption) ended(l *link, end *wire.End) {
-	if end.Outcome == wire.Unknown && end.Message == "" && l.peer.Epoch != s.target.Epoch {
+func (s *resumption) ended(l *link, end *protocol.End) {
+	if end.Outcome == protocol.Unknown && end.Message == "" && l.peer.Epoch != s.target.Epoch {
 		s.fail(lostStream("its executor was restarted"))
 		return
 	}
@@ -169,7 +170,7 @@
 // abandon cancels a stream that nobody has waited for in time.
 func (s *resumption) abandon(l *link) bool {
 	if !errors.Is(context.Cause(s.life), errStopping) { // the executor counts the grace then
-		_ = l.session.Send(&wire.Cancel{Attempt: l.id}) // a lost session ends it as well
+		_ = l.session.Send(&protocol.Cancel{Attempt: l.id}) // a lost session ends it as well
 	}
 	s.expire()
 	return true
@@ -178,8 +179,8 @@
 // expire tells the caller, if it is still there, why the stream ends.
 func (s *resumption) expire() {
 	if errors.Is(context.Cause(s.life), errDeadline) {
-		s.fail(&Error{Code: wire.CodeDeadline, Message: "the deadline has passed", Ran: wire.Unknown})
+		s.fail(&Error{Code: protocol.CodeDeadline, Message: "the deadline has passed", Ran: protocol.Unknown})
 		return
 	}
-	s.fail(&Error{Code: wire.CodeCanceled, Message: "the caller has gone", Ran: wire.Unknown})
+	s.fail(&Error{Code: protocol.CodeCanceled, Message: "the caller has gone", Ran: protocol.Unknown})
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/gorilla/mux"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 )
 
@@ -72,12 +73,12 @@
 }
 
 func notFound(w http.ResponseWriter, r *http.Request) {
-	e := refuse(wire.CodeBadRequest, "no such path")
+	e := refuse(protocol.CodeBadRequest, "no such path")
 	writeStatus(w, r, http.StatusNotFound, e)
 }
 
 func wrongMethod(w http.ResponseWriter, r *http.Request) {
-	e := refuse(wire.CodeBadRequest, "method %s is not allowed here", r.Method)
+	e := refuse(protocol.CodeBadRequest, "method %s is not allowed here", r.Method)
 	writeStatus(w, r, http.StatusMethodNotAllowed, e)
 }
 
@@ -115,7 +116,7 @@
 func (e *Entry) newRequest(r *http.Request, id string) (*request, *Error) {
 	state := e.config.State()
 	if state == nil {
-		return nil, refuse(wire.CodeNotRun, "no configuration yet").after(drainRetry)
+		return nil, refuse(protocol.CodeNotRun, "no configuration yet").after(drainRetry)
 	}
 	organisation, refusal := authenticate(state, r)
 	if refusal != nil {
@@ -148,19 +149,19 @@
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Error) {
 	rc := http.NewResponseController(w)
 	if err := rc.SetReadDeadline(time.Now().Add(e.timeouts.body)); err != nil {
-		return nil, refuse(wire.CodeInternal, "read deadline: %v", err)
+		return nil, refuse(protocol.CodeInternal, "read deadline: %v", err)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.settings.Entry.MaxBody))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, refuse(wire.CodeTooLarge, "body is over %d bytes", tooLarge.Limit)
+		return nil, refuse(protocol.CodeTooLarge, "body is over %d bytes", tooLarge.Limit)
 	case err != nil:
-		return nil, refuse(wire.CodeBadRequest, "body was cut off after %d bytes: %v", len(body), err)
+		return nil, refuse(protocol.CodeBadRequest, "body was cut off after %d bytes: %v", len(body), err)
 	}
 	// The deadline would otherwise end the connection under a long answer.
 	if err := rc.SetReadDeadline(time.Time{}); err != nil {
-		return nil, refuse(wire.CodeInternal, "read deadline: %v", err)
+		return nil, refuse(protocol.CodeInternal, "read deadline: %v", err)
 	}
 	return body, nil
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -14,8 +14,8 @@
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/config"
 	"skylarklead/internal/member"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/route"
-	"skylarklead/internal/wire"
 )
 
 const (
@@ -34,7 +34,7 @@
 		return refusal
 	}
 	if req.key == nil && underAny(service.KeyRequired, path) {
-		return refuse(wire.CodeBadRequest, "%s needs the header Idempotency-Key", path)
+		return refuse(protocol.CodeBadRequest, "%s needs the header Idempotency-Key", path)
 	}
 	body, refusal := e.readBody(w, r)
 	if refusal != nil {
@@ -48,7 +48,7 @@
 func allowedService(req *request, name string) (*config.Service, *Error) {
 	service := req.state.Services[name]
 	if service == nil || !slices.Contains(req.organisation.Services, name) {
-		return nil, refuse(wire.CodeUnknownService, "unknown service %q", name)
+		return nil, refuse(protocol.CodeUnknownService, "unknown service %q", name)
 	}
 	return service, nil
 }
@@ -60,15 +60,15 @@
 func servicePath(encoded string) (string, *Error) {
 	path, err := url.PathUnescape(encoded)
 	if err != nil {
-		return "", refuse(wire.CodeBadRequest, "path: %v", err)
+		return "", refuse(protocol.CodeBadRequest, "path: %v", err)
 	}
 	if strings.Count(path, "/") != strings.Count(encoded, "/") || strings.ContainsFunc(path, unsafePathRune) {
-		return "", refuse(wire.CodeBadRequest, "path has an encoded separator or a control byte")
+		return "", refuse(protocol.CodeBadRequest, "path has an encoded separator or a control byte")
 	}
 	for i, segment := range strings.Split(path, "/") {
 		last := i == strings.Count(path, "/")
 		if segment == "." || segment == ".." || segment == "" && !last {
-			return "", refuse(wire.CodeBadRequest, "path has an empty or dotted segment")
+			return "", refuse(protocol.CodeBadRequest, "path has an empty or dotted segment")
 		}
 	}
 	return "/" + path, nil
@@ -94,7 +94,7 @@
 	j := &job{
 		request: req,
 		group:   service.Group,
-		call: &wire.Call{
+		call: &protocol.Call{
 			Service:     service.ID,
 			Method:      r.Method,
 			Path:        target,
@@ -119,7 +119,7 @@
 // placeService picks an executor for a call. Calls with one idempotency key go to
 // one endpoint, whichever entry they come through, so that a doubled call usually
 // meets the first one there; others go where this entry has the fewest in flight.
-func (e *Entry) placeService(_ context.Context, j *job) *wire.Decision {
+func (e *Entry) placeService(_ context.Context, j *job) *protocol.Decision {
 	live := e.directory.live(j.group)
 	live = slices.DeleteFunc(live, func(m member.Member) bool { return slices.Contains(j.exclude, m.ID) })
 	if len(live) == 0 {
@@ -129,9 +129,9 @@
 	if j.key != nil {
 		chosen, reason = byKey(j.key, live), reasonIdempotencyKey
 	}
-	return &wire.Decision{
+	return &protocol.Decision{
 		Request:  j.id,
-		Executor: wire.Target{Endpoint: chosen.ID, Address: chosen.Address},
+		Executor: protocol.Target{Endpoint: chosen.ID, Address: chosen.Address},
 		Reason:   reason,
 	}
 }
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/telemetry"
-	"skylarklead/internal/wire"
 )
 
 // sink is a caller's side of an answer. Its methods are called by one goroutine,
@@ -17,11 +17,11 @@
 type sink interface {
 	// start announces an attempt's executor and, for a service, its answer's
 	// status and content type.
-	start(executor string, s *wire.Start) error
+	start(executor string, s *protocol.Start) error
 	// chunk delivers the next piece of the answer.
 	chunk(at eventID, data []byte) error
 	// end completes the answer.
-	end(e *wire.End) error
+	end(e *protocol.End) error
 	// fail ends the answer with an explicit error.
 	fail(e *Error)
 }
@@ -30,8 +30,8 @@
 // from where.
 type eventID struct {
 	executor string
-	epoch    wire.Epoch
-	attempt  wire.AttemptID
+	epoch    protocol.Epoch
+	attempt  protocol.AttemptID
 	seq      uint64
 }
 
@@ -51,8 +51,8 @@
 	if err != nil {
 		return id, errors.New("EPOCH must be a hex number")
 	}
-	id.epoch = wire.Epoch(epoch)
-	if id.attempt, err = wire.ParseAttemptID(parts[2]); err != nil {
+	id.epoch = protocol.Epoch(epoch)
+	if id.attempt, err = protocol.ParseAttemptID(parts[2]); err != nil {
 		return id, errors.New("ATTEMPT must be 32 hex digits")
 	}
 	if id.seq, err = strconv.ParseUint(parts[3], 10, 64); err != nil {
--- a/internal/entry/sse.go
+++ b/internal/entry/sse.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // finishLength is the finish reason of an answer that reached max_tokens.
@@ -33,7 +33,7 @@
 	} `json:"prompt_tokens_details"`
 }
 
-func usageOf(e *wire.End) *usageJSON {
+func usageOf(e *protocol.End) *usageJSON {
 	u := &usageJSON{
 		PromptTokens:     e.PromptTokens,
 		CompletionTokens: e.CompletionTokens,
@@ -84,7 +84,7 @@
 	return &sseSink{writer: w, chatShape: shape, requestID: requestID, usage: usage}
 }
 
-func (s *sseSink) start(executor string, _ *wire.Start) error {
+func (s *sseSink) start(executor string, _ *protocol.Start) error {
 	if s.begun {
 		return nil
 	}
@@ -108,7 +108,7 @@
 	return s.send(at.String(), s.chatShape.event(chunkChoiceJSON{Delta: delta}))
 }
 
-func (s *sseSink) end(e *wire.End) error {
+func (s *sseSink) end(e *protocol.End) error {
 	if err := s.start("", nil); err != nil {
 		return err
 	}
@@ -154,7 +154,7 @@
 	b.WriteString("\n")
 }
 
-func finishReason(e *wire.End) string {
+func finishReason(e *protocol.End) string {
 	if e.FinishReason == "" {
 		return "stop"
 	}
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 	"skylarklead/test/kit"
 )
@@ -22,24 +23,24 @@
 // the caller would get what comes as it comes.
 func TestStreamSurvivesCutSession(t *testing.T) {
 	x := newExecutor(t, "ep-1", script{
-		run: func(x *executor, s *wire.Session, m *wire.Run) {
+		run: func(x *executor, s *wire.Session, m *protocol.Run) {
 			words(s, m.Attempt, 0, 10, totalWords)
 			x.cut()
 		},
-		resume: func(x *executor, s *wire.Session, m *wire.Resume) {
-			_ = s.Send(&wire.Chunk{Attempt: wire.AttemptID{9}, Seq: m.Seq, Data: []byte("crossed")})
-			_ = s.Send(&wire.Chunk{Attempt: m.Attempt, Seq: m.Seq - 1, Data: []byte("doubled")})
+		resume: func(x *executor, s *wire.Session, m *protocol.Resume) {
+			_ = s.Send(&protocol.Chunk{Attempt: protocol.AttemptID{9}, Seq: m.Seq, Data: []byte("crossed")})
+			_ = s.Send(&protocol.Chunk{Attempt: m.Attempt, Seq: m.Seq - 1, Data: []byte("doubled")})
 			goesOn(x, s, m)
 		},
-		other: func(_ *executor, s *wire.Session, ref uint32, m wire.Message) {
-			if m, ok := m.(*wire.Resolve); ok {
-				_ = s.Reply(ref, &wire.Resolved{Attempt: m.Attempt, Running: true})
+		other: func(_ *executor, s *wire.Session, ref uint32, m protocol.Message) {
+			if m, ok := m.(*protocol.Resolve); ok {
+				_ = s.Reply(ref, &protocol.Resolved{Attempt: m.Attempt, Running: true})
 			}
 		},
 	})
 	_, c := newTestEntry(t, "llm", x)
 	wantWhole(t, c.stream(streamBody))
-	if n := count[*wire.Run](x); n != 1 {
+	if n := count[*protocol.Run](x); n != 1 {
 		t.Errorf("%d runs", n)
 	}
 }
@@ -56,7 +57,7 @@
 	first := readEvents(t, lines, 10)
 	pair[0].restart(t)
 	wantWhole(t, first, readEvents(t, lines, 0))
-	if run := last[*wire.Run](pair[1]); run == nil || run.FirstSeq != 10 || run.Partial != first.text || run.MaxTokens != 64-10 {
+	if run := last[*protocol.Run](pair[1]); run == nil || run.FirstSeq != 10 || run.Partial != first.text || run.MaxTokens != 64-10 {
 		t.Errorf("went on by %+v", run)
 	}
 }
@@ -67,7 +68,7 @@
 // Cause: nothing is lost or refused, so only a question that stays unanswered shows
 // that the process is not at work.
 func TestStoppedExecutorIsLeft(t *testing.T) {
-	_, c := newTestEntry(t, "llm", newPair(t, func(*executor, *wire.Session, *wire.Run) {})...)
+	_, c := newTestEntry(t, "llm", newPair(t, func(*executor, *wire.Session, *protocol.Run) {})...)
 	wantWhole(t, c.stream(streamBody))
 }
 
@@ -78,21 +79,21 @@
 func TestQuietExecutorIsWaitedFor(t *testing.T) {
 	asked := make(chan struct{}, 8)
 	x := newExecutor(t, "ep-1", script{
-		run: func(x *executor, s *wire.Session, m *wire.Run) {
+		run: func(x *executor, s *wire.Session, m *protocol.Run) {
 			<-asked
 			<-asked
 			answers.run(x, s, m)
 		},
-		other: func(_ *executor, s *wire.Session, ref uint32, m wire.Message) {
-			if _, ok := m.(*wire.StatusRequest); ok {
-				_ = s.Reply(ref, &wire.Status{})
+		other: func(_ *executor, s *wire.Session, ref uint32, m protocol.Message) {
+			if _, ok := m.(*protocol.StatusRequest); ok {
+				_ = s.Reply(ref, &protocol.Status{})
 				asked <- struct{}{}
 			}
 		},
 	})
 	_, c := newTestEntry(t, "llm", x)
 	wantWhole(t, c.stream(streamBody))
-	if runs, resolves := count[*wire.Run](x), count[*wire.Resolve](x); runs != 1 || resolves != 0 {
+	if runs, resolves := count[*protocol.Run](x), count[*protocol.Resolve](x); runs != 1 || resolves != 0 {
 		t.Errorf("%d runs, %d resolves", runs, resolves)
 	}
 }
@@ -103,12 +104,12 @@
 // Cause: a stream that ends without [DONE] and without an error event can't be
 // told from a whole one by clients that ignore [DONE].
 func TestStreamEndsExplicitly(t *testing.T) {
-	_, c := newTestEntry(t, "llm", newExecutor(t, "ep-1", runs(func(_ *executor, s *wire.Session, m *wire.Run) {
+	_, c := newTestEntry(t, "llm", newExecutor(t, "ep-1", runs(func(_ *executor, s *wire.Session, m *protocol.Run) {
 		words(s, m.Attempt, m.FirstSeq, m.FirstSeq+2, totalWords)
-		_ = s.Send(&wire.End{Attempt: m.Attempt, Seq: m.FirstSeq + 2, Outcome: wire.Unknown})
+		_ = s.Send(&protocol.End{Attempt: m.Attempt, Seq: m.FirstSeq + 2, Outcome: protocol.Unknown})
 	})))
 	got := c.stream(streamBody)
-	if got.done || got.failure == nil || got.failure.Ran != wire.Unknown {
+	if got.done || got.failure == nil || got.failure.Ran != protocol.Unknown {
 		t.Errorf("done %v, failure %+v", got.done, got.failure)
 	}
 	if !strings.HasPrefix(wantWords(totalWords), got.text) {
@@ -129,18 +130,18 @@
 		lines, hangUp := c.open()
 		readEvents(t, lines, 5)
 		hangUp()
-		kit.Until(t, "canceled", func() bool { return count[*wire.Cancel](x) == 1 })
-		if got, want := last[*wire.Cancel](x).Attempt, last[*wire.Run](x).Attempt; got != want {
+		kit.Until(t, "canceled", func() bool { return count[*protocol.Cancel](x) == 1 })
+		if got, want := last[*protocol.Cancel](x).Attempt, last[*protocol.Run](x).Attempt; got != want {
 			t.Errorf("canceled %v, want %v", got, want)
 		}
 	})
 	t.Run("back", func(t *testing.T) {
-		before := count[*wire.Cancel](x)
+		before := count[*protocol.Cancel](x)
 		lines, hangUp := c.open()
 		first := readEvents(t, lines, 5)
 		hangUp()
 		wantWhole(t, first, readSSE(t, c.resume(first.lastID)))
-		if n := count[*wire.Cancel](x) - before; n != 0 {
+		if n := count[*protocol.Cancel](x) - before; n != 0 {
 			t.Errorf("%d cancels of a stream that was resumed", n)
 		}
 	})
@@ -148,15 +149,15 @@
 		lines, _ := c.open()
 		first := readEvents(t, lines, 5)
 		wantWhole(t, first, readSSE(t, c.resume(first.lastID)))
-		if left := readEvents(t, lines, 0); left.done || left.failure == nil || left.failure.Code != wire.CodeCanceled {
+		if left := readEvents(t, lines, 0); left.done || left.failure == nil || left.failure.Code != protocol.CodeCanceled {
 			t.Errorf("the first caller's stream ended with %+v", left)
 		}
 	})
 	t.Run("whole answer", func(t *testing.T) {
-		before, runs := count[*wire.Cancel](x), count[*wire.Run](x)
+		before, runs := count[*protocol.Cancel](x), count[*protocol.Run](x)
 		ctx, hangUp := context.WithCancel(context.Background())
 		go func() {
-			kit.Until(t, "run", func() bool { return count[*wire.Run](x) > runs })
+			kit.Until(t, "run", func() bool { return count[*protocol.Run](x) > runs })
 			hangUp()
 		}()
 		r, _ := http.NewRequestWithContext(ctx, http.MethodPost, c.URL+chatPath, strings.NewReader(wholeBody))
@@ -165,7 +166,7 @@
 			resp.Body.Close()
 			t.Error("answered")
 		}
-		kit.Until(t, "canceled", func() bool { return count[*wire.Cancel](x) > before })
+		kit.Until(t, "canceled", func() bool { return count[*protocol.Cancel](x) > before })
 	})
 }
 
@@ -176,12 +177,12 @@
 // Cause: an entry that asks no process but that of the epoch in Last-Event-ID.
 func TestResumeAtRestartedExecutor(t *testing.T) {
 	for _, adopts := range []bool{true, false} {
-		x := newExecutor(t, "ep-1", script{run: begins(5), resume: func(x *executor, s *wire.Session, m *wire.Resume) {
+		x := newExecutor(t, "ep-1", script{run: begins(5), resume: func(x *executor, s *wire.Session, m *protocol.Resume) {
 			if adopts && m.Epoch == x.epoch-1 && m.Organisation == "foodbank" {
 				goesOn(x, s, m)
 				return
 			}
-			_ = s.Send(&wire.End{Attempt: m.Attempt, Seq: m.Seq, Outcome: wire.Unknown, Code: wire.CodeUnknownOutcome})
+			_ = s.Send(&protocol.End{Attempt: m.Attempt, Seq: m.Seq, Outcome: protocol.Unknown, Code: protocol.CodeUnknownOutcome})
 		}})
 		_, c := newTestEntry(t, "llm", x)
 		lines, hangUp := c.open()
@@ -191,7 +192,7 @@
 		resp := c.resume(first.lastID)
 		if adopts {
 			wantWhole(t, first, readSSE(t, resp))
-		} else if e := readError(t, resp); e.Code != wire.CodeUnknownOutcome || !strings.Contains(e.Message, "restarted") {
+		} else if e := readError(t, resp); e.Code != protocol.CodeUnknownOutcome || !strings.Contains(e.Message, "restarted") {
 			t.Errorf("got %+v", e)
 		}
 	}
@@ -204,7 +205,7 @@
 // a stream over a bad link.
 func TestResumedStreamSurvivesCuts(t *testing.T) {
 	const perSession = 3
-	x := newExecutor(t, "ep-1", script{run: begins(5), resume: func(_ *executor, s *wire.Session, m *wire.Resume) {
+	x := newExecutor(t, "ep-1", script{run: begins(5), resume: func(_ *executor, s *wire.Session, m *protocol.Resume) {
 		words(s, m.Attempt, m.Seq, min(m.Seq+perSession, totalWords), totalWords)
 	}})
 	_, c := newTestEntry(t, "llm", x)
@@ -230,7 +231,7 @@
 // even keep to the window; another one's short answers go over the same session.
 // Cause: a session has one reader; it must never wait for one stream's mailbox.
 func TestSlowCallerStallsNobody(t *testing.T) {
-	_, c := newTestEntry(t, "llm", newExecutor(t, "ep-1", runs(func(x *executor, s *wire.Session, m *wire.Run) {
+	_, c := newTestEntry(t, "llm", newExecutor(t, "ep-1", runs(func(x *executor, s *wire.Session, m *protocol.Run) {
 		if m.MaxTokens == 1 {
 			answers.run(x, s, m)
 			return
--- a/internal/entry/whole.go
+++ b/internal/entry/whole.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"net/http"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // maxAnswer bounds an answer that is put together before it is sent on.
@@ -20,11 +20,11 @@
 	writer
 	requestID string
 	executor  string
-	started   wire.Start
+	started   protocol.Start
 	body      []byte
 }
 
-func (s *wholeSink) start(executor string, start *wire.Start) error {
+func (s *wholeSink) start(executor string, start *protocol.Start) error {
 	s.executor = executor
 	if start != nil {
 		s.started = *start
@@ -84,7 +84,7 @@
 	Usage   *usageJSON         `json:"usage"`
 }
 
-func (s *chatSink) end(e *wire.End) error {
+func (s *chatSink) end(e *protocol.End) error {
 	answer := answerJSON{
 		ID: s.id, Object: "chat.completion", Created: s.created, Model: s.model,
 		Choices: []answerChoiceJSON{{
@@ -107,7 +107,7 @@
 	return &serviceSink{wholeSink{writer: w, requestID: requestID}}
 }
 
-func (s *serviceSink) end(*wire.End) error {
+func (s *serviceSink) end(*protocol.End) error {
 	status := s.started.Status
 	if status < http.StatusOK || status > 599 {
 		status = http.StatusOK
--- a/internal/follow/exchange.go
+++ b/internal/follow/exchange.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"skylarklead/internal/config"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Fetch answers a peer's ConfigFetch: with nothing if it has as much.
-func (f *Follower) Fetch(m *wire.ConfigFetch) (*wire.ConfigState, error) {
+func (f *Follower) Fetch(m *protocol.ConfigFetch) (*protocol.ConfigState, error) {
 	if m.Part > 0 {
 		return f.answers.part(m)
 	}
@@ -23,10 +23,10 @@
 	return answer, nil
 }
 
-func (f *Follower) firstPart(after uint64) (*wire.ConfigState, error) {
+func (f *Follower) firstPart(after uint64) (*protocol.ConfigState, error) {
 	s := f.State()
 	if s == nil || s.Offset <= after {
-		return &wire.ConfigState{}, nil
+		return &protocol.ConfigState{}, nil
 	}
 	a, err := f.answers.since(s, after)
 	if err != nil {
@@ -43,7 +43,7 @@
 
 func (a *answer) parts() int { return (len(a.data) + partBytes - 1) / partBytes }
 
-func (a *answer) part(i int) (*wire.ConfigState, error) {
+func (a *answer) part(i int) (*protocol.ConfigState, error) {
 	parts := a.parts()
 	if parts > maxParts {
 		return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(a.data))
@@ -52,7 +52,7 @@
 		return nil, fmt.Errorf("follow: part %d of %d", i, parts)
 	}
 	data := a.data[i*partBytes : min((i+1)*partBytes, len(a.data))]
-	return &wire.ConfigState{Offset: a.offset, State: data, Parts: parts}, nil
+	return &protocol.ConfigState{Offset: a.offset, State: data, Parts: parts}, nil
 }
 
 // cachedAnswers is enough for peers that are behind by different offsets to get
@@ -93,7 +93,7 @@
 	return nil
 }
 
-func (c *answerCache) part(m *wire.ConfigFetch) (*wire.ConfigState, error) {
+func (c *answerCache) part(m *protocol.ConfigFetch) (*protocol.ConfigState, error) {
 	c.mu.Lock()
 	a := c.find(m.Offset, m.After)
 	c.mu.Unlock()
@@ -115,7 +115,7 @@
 // noting returns a Fetch that takes from answers how long the newest snapshot is
 // young enough.
 func (f *Follower) noting(fetch Fetch) Fetch {
-	return func(ctx context.Context, m *wire.ConfigFetch) (*wire.ConfigState, error) {
+	return func(ctx context.Context, m *protocol.ConfigFetch) (*protocol.ConfigState, error) {
 		answer, err := fetch(ctx, m)
 		if err == nil {
 			f.snapshots.told(time.Duration(answer.SnapshotLeftMs)*time.Millisecond, f.now())
@@ -127,7 +127,7 @@
 // FetchState returns what a peer has in force after an offset, encoded by package
 // config; nothing if it has as much.
 func FetchState(ctx context.Context, fetch Fetch, after uint64) ([]byte, error) {
-	first, err := fetchPart(ctx, fetch, &wire.ConfigFetch{After: after})
+	first, err := fetchPart(ctx, fetch, &protocol.ConfigFetch{After: after})
 	if err != nil {
 		return nil, err
 	}
@@ -136,7 +136,7 @@
 	}
 	data := append([]byte(nil), first.State...)
 	for i := 1; i < first.Parts; i++ {
-		next, err := fetchPart(ctx, fetch, &wire.ConfigFetch{After: after, Part: i, Offset: first.Offset})
+		next, err := fetchPart(ctx, fetch, &protocol.ConfigFetch{After: after, Part: i, Offset: first.Offset})
 		if err != nil {
 			return nil, err
 		}
@@ -148,7 +148,7 @@
 	return data, nil
 }
 
-func fetchPart(ctx context.Context, fetch Fetch, m *wire.ConfigFetch) (*wire.ConfigState, error) {
+func fetchPart(ctx context.Context, fetch Fetch, m *protocol.ConfigFetch) (*protocol.ConfigState, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	return fetch(ctx, m)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -16,8 +16,8 @@
 
 	"skylarklead/internal/config"
 	"skylarklead/internal/platform"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wait"
-	"skylarklead/internal/wire"
 )
 
 const (
@@ -72,7 +72,7 @@
 }
 
 // Fetch asks one peer.
-type Fetch func(ctx context.Context, m *wire.ConfigFetch) (*wire.ConfigState, error)
+type Fetch func(ctx context.Context, m *protocol.ConfigFetch) (*protocol.ConfigState, error)
 
 // Options are what a Follower needs.
 type Options struct {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -17,8 +17,8 @@
 
 	"skylarklead/internal/config"
 	"skylarklead/internal/platform"
+	"skylarklead/internal/protocol"
 	standin "skylarklead/internal/standin/platform"
-	"skylarklead/internal/wire"
 )
 
 const patience = 10 * time.Second
@@ -109,7 +109,7 @@
 
 // from is a peer that answers out of another follower.
 func from(peer *Follower) Fetch {
-	return func(_ context.Context, m *wire.ConfigFetch) (*wire.ConfigState, error) {
+	return func(_ context.Context, m *protocol.ConfigFetch) (*protocol.ConfigState, error) {
 		return peer.Fetch(m)
 	}
 }
@@ -232,7 +232,7 @@
 	second := f.publish(first)
 	f.reaches(peer, second, SourceLog)
 	failed := false
-	busy := func(_ context.Context, m *wire.ConfigFetch) (*wire.ConfigState, error) {
+	busy := func(_ context.Context, m *protocol.ConfigFetch) (*protocol.ConfigState, error) {
 		if !failed {
 			failed = true
 			return nil, errCut
@@ -267,7 +267,7 @@
 	peer := f.follow(Options{})
 	f.reaches(peer, last, SourceLog)
 	parts := 0
-	moving := func(_ context.Context, m *wire.ConfigFetch) (*wire.ConfigState, error) {
+	moving := func(_ context.Context, m *protocol.ConfigFetch) (*protocol.ConfigState, error) {
 		answer, err := peer.Fetch(m)
 		if parts++; parts == 1 {
 			f.reaches(peer, f.publish(0), SourceLog)
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"skylarklead/internal/platform"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
 )
@@ -28,7 +29,7 @@
 
 // PeerFetch returns the Fetch that asks the daemon at address.
 func PeerFetch(pool *wire.Pool, address string) Fetch {
-	return func(ctx context.Context, m *wire.ConfigFetch) (*wire.ConfigState, error) {
+	return func(ctx context.Context, m *protocol.ConfigFetch) (*protocol.ConfigState, error) {
 		session, err := pool.Get(ctx, address)
 		if err != nil {
 			return nil, err
@@ -39,15 +40,15 @@
 
 // SessionFetch returns the Fetch that asks the peer of an open session.
 func SessionFetch(session *wire.Session) Fetch {
-	return func(ctx context.Context, m *wire.ConfigFetch) (*wire.ConfigState, error) {
+	return func(ctx context.Context, m *protocol.ConfigFetch) (*protocol.ConfigState, error) {
 		reply, err := session.Call(ctx, m)
 		if err != nil {
 			return nil, err
 		}
 		switch reply := reply.(type) {
-		case *wire.ConfigState:
+		case *protocol.ConfigState:
 			return reply, nil
-		case *wire.Failure:
+		case *protocol.Failure:
 			return nil, fmt.Errorf("follow: peer %s: %s", session.Peer().ID, reply.Refusal.Message)
 		}
 		return nil, fmt.Errorf("follow: peer %s answered with %T", session.Peer().ID, reply)
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 	"skylarklead/test/kit"
 )
 
@@ -34,7 +34,7 @@
 	up    bool
 	limbo [][]byte
 	procs []*proc
-	epoch wire.Epoch
+	epoch protocol.Epoch
 	// permits is the group's number of permits to load.
 	permits int
 	order   Name
--- a/internal/lease/leases.go
+++ b/internal/lease/leases.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Params time leases.
@@ -76,7 +76,7 @@
 type Leases struct {
 	params   Params
 	self     string
-	epoch    wire.Epoch
+	epoch    protocol.Epoch
 	rng      *rand.Rand
 	table    *Table
 	oldest   uint64
@@ -87,7 +87,7 @@
 }
 
 // NewLeases returns the state of a process that has read nothing of the log yet.
-func NewLeases(self string, epoch wire.Epoch, params Params, rng *rand.Rand) *Leases {
+func NewLeases(self string, epoch protocol.Epoch, params Params, rng *rand.Rand) *Leases {
 	return &Leases{
 		params: params, self: self, epoch: epoch, rng: rng,
 		table: NewTable(), oldest: 1, held: map[Name]*held{},
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -17,8 +17,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/strictcbor"
-	"skylarklead/internal/wire"
 )
 
 // Name is what a lease is for.
@@ -46,10 +46,10 @@
 
 // Record is one record of leases.GROUP.
 type Record struct {
-	Kind   Kind       `cbor:"1,keyasint"`
-	Name   Name       `cbor:"2,keyasint"`
-	Holder string     `cbor:"3,keyasint"`
-	Epoch  wire.Epoch `cbor:"4,keyasint"`
+	Kind   Kind           `cbor:"1,keyasint"`
+	Name   Name           `cbor:"2,keyasint"`
+	Holder string         `cbor:"3,keyasint"`
+	Epoch  protocol.Epoch `cbor:"4,keyasint"`
 	// Supersedes is, in a claim, the offset of the last record of this lease that
 	// the claimant has read, 0 if none.
 	Supersedes uint64 `cbor:"5,keyasint,omitempty"`
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Grant is a valid claim as every reader sees it.
@@ -11,7 +11,7 @@
 	// Fence is the claim's offset: it grows with each grant of any lease.
 	Fence  uint64
 	Holder string
-	Epoch  wire.Epoch
+	Epoch  protocol.Epoch
 }
 
 // entry is one lease as read from the log.
--- a/internal/measure/slopes_session.go
+++ b/internal/measure/slopes_session.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wait"
 	"skylarklead/internal/wire"
 )
@@ -105,8 +106,10 @@
 	for i := range n {
 		id := fmt.Sprintf("entry-of-slopes-%d", i)
 		s, err := wire.Dial(ctx, address, wire.Options{
-			Key:     key,
-			Self:    func() wire.Identity { return wire.Identity{ID: id, Role: wire.RoleEntry, Epoch: wire.Epoch(i + 1)} },
+			Key: key,
+			Self: func() protocol.Identity {
+				return protocol.Identity{ID: id, Role: protocol.RoleEntry, Epoch: protocol.Epoch(i + 1)}
+			},
 			Handler: ignore{},
 		})
 		if err != nil {
--- a/internal/measure/slopes_start.go
+++ b/internal/measure/slopes_start.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"skylarklead/internal/platform"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wait"
 	"skylarklead/internal/wire"
@@ -239,18 +240,18 @@
 	}
 	session, err := wire.Dial(ctx, n.settings.Listen, wire.Options{
 		Key:     key,
-		Self:    func() wire.Identity { return wire.Identity{ID: "slopes", Role: wire.RoleTool} },
+		Self:    func() protocol.Identity { return protocol.Identity{ID: "slopes", Role: protocol.RoleTool} },
 		Handler: ignore{},
 	})
 	if err != nil {
 		return 0
 	}
 	defer session.Close(wire.ErrClosed)
-	answer, err := session.Call(ctx, &wire.StatusRequest{})
+	answer, err := session.Call(ctx, &protocol.StatusRequest{})
 	if err != nil {
 		return 0
 	}
-	status, ok := answer.(*wire.Status)
+	status, ok := answer.(*protocol.Status)
 	if !ok {
 		return 0
 	}
@@ -260,8 +261,8 @@
 // ignore is a peer that only asks.
 type ignore struct{}
 
-func (ignore) Handle(*wire.Session, uint32, wire.Message) {}
-func (ignore) Closed(*wire.Session, error)                {}
+func (ignore) Handle(*wire.Session, uint32, protocol.Message) {}
+func (ignore) Closed(*wire.Session, error)                    {}
 
 func zeroed(sockets map[string]socket) map[string]socket {
 	zero := make(map[string]socket, len(sockets))
--- a/internal/member/bench_test.go
+++ b/internal/member/bench_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 func benchView(members int) (*View, []string) {
@@ -25,7 +25,7 @@
 
 func BenchmarkHeard32(b *testing.B) {
 	v, ids := benchView(32)
-	hb := &wire.Heartbeat{Epoch: 7}
+	hb := &protocol.Heartbeat{Epoch: 7}
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		hb.ID, hb.Seq = ids[i%len(ids)], uint64(i+1)
--- a/internal/member/step_bench_test.go
+++ b/internal/member/step_bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 )
 
@@ -21,7 +22,7 @@
 	}
 	v.Listed(instances, 0)
 	for i := range instances {
-		v.Heard(&wire.Heartbeat{ID: instances[i].ID, Epoch: 1, Seq: 1}, 0)
+		v.Heard(&protocol.Heartbeat{ID: instances[i].ID, Epoch: 1, Seq: 1}, 0)
 	}
 	return v
 }
@@ -48,7 +49,7 @@
 // BenchmarkHeartbeatBytes reports the size of a heartbeat's frame with and
 // without residents and strikes.
 func BenchmarkHeartbeatBytes(b *testing.B) {
-	hb := &wire.Heartbeat{ID: "endpoint-007", Epoch: 1 << 63, Seq: 100_000, ConfigOffset: 4000, Load: wire.Load{
+	hb := &protocol.Heartbeat{ID: "endpoint-007", Epoch: 1 << 63, Seq: 100_000, ConfigOffset: 4000, Load: protocol.Load{
 		Running: 22, Queued: 3, QueuedTokens: 9000, DecodeTokens: 9000, CacheUsed: 300_000, CacheTotal: 400_000,
 		EngineUp: true, Incarnation: "0123456789abcdef", Model: "ledger-large", Version: "v7",
 	}}
@@ -59,7 +60,7 @@
 			b.Fatal(err)
 		}
 	}
-	hb.Strikes = []wire.Strike{{Fingerprint: 1 << 63, Count: 1, AgeMs: 1000}}
+	hb.Strikes = []protocol.Strike{{Fingerprint: 1 << 63, Count: 1, AgeMs: 1000}}
 	full, err := wire.Encode(0, hb)
 	if err != nil {
 		b.Fatal(err)
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // State is what a View thinks of a member.
@@ -60,7 +60,7 @@
 // Member is a View's answer about one instance.
 type Member struct {
 	Instance
-	Epoch wire.Epoch
+	Epoch protocol.Epoch
 	State State
 	Why   Reason
 	// Since is when it was last heard, or when it was first listed.
@@ -115,8 +115,8 @@
 // never become the current one again.
 type record struct {
 	Instance
-	epoch         wire.Epoch
-	past          [2]wire.Epoch
+	epoch         protocol.Epoch
+	past          [2]protocol.Epoch
 	listed        bool
 	known         time.Duration
 	seen          bool
@@ -166,7 +166,7 @@
 
 // Heard takes a peer's heartbeat. It returns false for one of an older epoch or
 // a doubled one, which must not be used.
-func (v *View) Heard(hb *wire.Heartbeat, now time.Duration) bool {
+func (v *View) Heard(hb *protocol.Heartbeat, now time.Duration) bool {
 	r := v.record(hb.ID, now)
 	if r.epoch == hb.Epoch && r.seen && hb.Seq <= r.seq || r.isPast(hb.Epoch) {
 		return false
@@ -188,7 +188,7 @@
 
 // EpochSeen takes the epoch that a session's opening showed. It reports whether
 // the member was restarted, so that what was learnt of it is void.
-func (v *View) EpochSeen(id string, epoch wire.Epoch, now time.Duration) bool {
+func (v *View) EpochSeen(id string, epoch protocol.Epoch, now time.Duration) bool {
 	r := v.record(id, now)
 	if r.isPast(epoch) {
 		return false
@@ -201,7 +201,7 @@
 // EpochTold takes the epoch that another process gave for a member, such as the
 // executor of a decision. It reports the same as EpochSeen, but is no sign that
 // the member can be reached from here.
-func (v *View) EpochTold(id string, epoch wire.Epoch, now time.Duration) bool {
+func (v *View) EpochTold(id string, epoch protocol.Epoch, now time.Duration) bool {
 	r := v.record(id, now)
 	if epoch == 0 || r.isPast(epoch) {
 		return false
@@ -210,7 +210,7 @@
 }
 
 // Left takes a member's own word, given in an epoch, that it is leaving.
-func (v *View) Left(id string, epoch wire.Epoch, now time.Duration) {
+func (v *View) Left(id string, epoch protocol.Epoch, now time.Duration) {
 	r := v.record(id, now)
 	if r.isPast(epoch) {
 		return
@@ -354,13 +354,13 @@
 
 // enter moves a record to an epoch. Whatever was learnt of another one is void:
 // a restarted process has no load, is not leaving and has sent no heartbeat.
-func (r *record) enter(epoch wire.Epoch) bool {
+func (r *record) enter(epoch protocol.Epoch) bool {
 	if epoch == 0 || r.epoch == epoch {
 		return false
 	}
 	changed := r.epoch != 0
 	if changed {
-		r.past = [2]wire.Epoch{r.epoch, r.past[0]}
+		r.past = [2]protocol.Epoch{r.epoch, r.past[0]}
 		r.leaving = false
 		r.seen, r.seq, r.announced = false, 0, 0
 		r.failures, r.downUntil, r.reportedUntil = 0, 0, 0
@@ -371,7 +371,7 @@
 
 // isPast reports whether an epoch is over. A late heartbeat of a process that has
 // been restarted would otherwise undo what its successor said.
-func (r *record) isPast(epoch wire.Epoch) bool {
+func (r *record) isPast(epoch protocol.Epoch) bool {
 	return epoch != 0 && (epoch == r.past[0] || epoch == r.past[1])
 }
 
--- a/internal/member/view_test.go
+++ b/internal/member/view_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 func groupView() *View {
@@ -22,8 +22,8 @@
 	return NewView("self", DefaultParams, rand.New(rand.NewPCG(1, 1)))
 }
 
-func beat(epoch wire.Epoch, seq uint64, leaving bool) *wire.Heartbeat {
-	return &wire.Heartbeat{ID: "a", Epoch: epoch, Seq: seq, Leaving: leaving}
+func beat(epoch protocol.Epoch, seq uint64, leaving bool) *protocol.Heartbeat {
+	return &protocol.Heartbeat{ID: "a", Epoch: epoch, Seq: seq, Leaving: leaving}
 }
 
 func TestStates(t *testing.T) {
@@ -77,8 +77,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		v := groupView()
 		now := time.Second
-		epoch, seq, leaving := wire.Epoch(1), uint64(0), false
-		var late []*wire.Heartbeat
+		epoch, seq, leaving := protocol.Epoch(1), uint64(0), false
+		var late []*protocol.Heartbeat
 		for range 100 {
 			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
 			switch rapid.SampledFrom([]string{"beat", "beat", "leave", "restart", "late", "late", "list", "list", "fail", "report"}).Draw(t, "step") {
@@ -189,7 +189,7 @@
 		sender, hearer := groupView(), groupView()
 		var seq uint64
 		var sent, heard time.Duration
-		period, inFlight := time.Duration(0), []*wire.Heartbeat(nil)
+		period, inFlight := time.Duration(0), []*protocol.Heartbeat(nil)
 		size := rapid.IntRange(1, 120)
 		now := time.Duration(0)
 		resize := func() {
@@ -204,7 +204,7 @@
 			for _, b := range sender.Tick(now) {
 				if b.ID == "b" {
 					seq, sent = seq+1, now
-					inFlight = append(inFlight, &wire.Heartbeat{ID: "a", Epoch: 1, Seq: seq, PeriodMs: sender.Announce("b").Milliseconds()})
+					inFlight = append(inFlight, &protocol.Heartbeat{ID: "a", Epoch: 1, Seq: seq, PeriodMs: sender.Announce("b").Milliseconds()})
 				}
 			}
 			if len(inFlight) > 0 && (now-sent >= transit || rapid.Bool().Draw(t, "arrives")) {
@@ -242,7 +242,7 @@
 		return slices.ContainsFunc(v.Tick(now), func(b Beat) bool { return b.ID == "a" })
 	}
 	const at = 3200 * time.Millisecond
-	v.Heard(&wire.Heartbeat{ID: "a", Epoch: 1, Seq: 1, PeriodMs: 3100}, at)
+	v.Heard(&protocol.Heartbeat{ID: "a", Epoch: 1, Seq: 1, PeriodMs: 3100}, at)
 	if !due(at) {
 		t.Error("a member heard for the first time isn't told at once")
 	}
@@ -252,14 +252,14 @@
 	if !due(failed + DefaultParams.Interval) {
 		t.Error("a failed heartbeat isn't tried again within an interval")
 	}
-	v.Heard(&wire.Heartbeat{ID: "a", Epoch: 1, Seq: 2, PeriodMs: 3100}, failed)
+	v.Heard(&protocol.Heartbeat{ID: "a", Epoch: 1, Seq: 2, PeriodMs: 3100}, failed)
 	v.Reported([]string{"a"}, failed)
 	for now := failed; now < failed+20*time.Second; now += time.Second {
 		if m, _ := v.Get("a", now); m.Usable() {
 			t.Fatalf("usable %v after it was found stopped", now-failed)
 		}
 	}
-	v.Heard(&wire.Heartbeat{ID: "a", Epoch: 1, Seq: 3, PeriodMs: 3100}, failed+time.Second)
+	v.Heard(&protocol.Heartbeat{ID: "a", Epoch: 1, Seq: 3, PeriodMs: 3100}, failed+time.Second)
 	if m, _ := v.Get("a", failed+time.Second); !m.Usable() {
 		t.Error("not usable once heard")
 	}
--- a/internal/wire/configuration.go
+++ b/internal/protocol/configuration.go
@@ -1,4 +1,4 @@
-package wire
+package protocol
 
 // ConfigFetch asks for accepted configuration newer than After.
 type ConfigFetch struct {
--- a/internal/wire/messages.go
+++ b/internal/protocol/messages.go
@@ -1,14 +1,4 @@
-// Package wire is the protocol between the system's own processes: CBOR
-// messages over authenticated WebSocket sessions.
-//
-// The messages are in opening.go (who is at the other end), asking.go (where to
-// run a request), running.go and stream.go (running it and its answer),
-// transfer.go (cache blocks from one engine to another),
-// heartbeat.go, configuration.go and status.go (for the tool); codec.go has
-// their frames, session.go the sessions, pool.go the connections that a process
-// keeps to its peers. No message carries a wall-clock time: durations are
-// relative to its receipt.
-package wire
+package protocol
 
 // Outcome says whether a request ran.
 type Outcome string
@@ -49,7 +39,7 @@
 )
 
 // Message is one of the message types of this package.
-type Message interface{ kind() Kind }
+type Message interface{ Kind() Kind }
 
 // Refusal tells why a request is not run, or not known to have run.
 type Refusal struct {
--- a/internal/wire/opening.go
+++ b/internal/protocol/opening.go
@@ -1,4 +1,4 @@
-package wire
+package protocol
 
 // Role is what a process does.
 type Role string
--- a/internal/wire/status.go
+++ b/internal/protocol/status.go
@@ -1,4 +1,4 @@
-package wire
+package protocol
 
 // StatusRequest asks a process for its Status.
 type StatusRequest struct{}
--- a/internal/wire/stream.go
+++ b/internal/protocol/stream.go
@@ -1,4 +1,4 @@
-package wire
+package protocol
 
 // Start says that the request was handed to the engine or service and that its
 // answer begins.
--- a/internal/wire/transfer.go
+++ b/internal/protocol/transfer.go
@@ -1,4 +1,4 @@
-package wire
+package protocol
 
 import "skylarklead/internal/prefix"
 
--- /dev/null
+++ b/internal/repository/imports_test.go
@@ -0,0 +1,57 @@
+package repository
+
+import (
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// decisions are the packages whose logic is pure: events in, actions out.
+var decisions = []string{"admit", "attempt", "cachemap", "config", "lease", "member", "prefix", "rollout", "route", "fleet", "protocol"}
+
+// barred are what a decision must not be able to reach: the session protocol, the
+// network, the file system, other processes, a goroutine's timers.
+var barred = []string{"skylarklead/internal/wire", "skylarklead/platform", "skylarklead/internal/direct", "net", "net/http", "os", "os/exec", "syscall"}
+
+// Symptom: a decision can't be made where the inner protocol isn't spoken, or its test
+// needs a network. Cause: an import that crept in.
+func TestDecisionsImportNoIO(t *testing.T) {
+	for _, name := range decisions {
+		paths, err := filepath.Glob(filepath.Join("..", name, "*.go"))
+		if err != nil || len(paths) == 0 {
+			t.Fatalf("%s: %v, %d files", name, err, len(paths))
+		}
+		for _, path := range paths {
+			if !strings.HasSuffix(path, "_test.go") {
+				checkImports(t, path)
+			}
+		}
+	}
+}
+
+func checkImports(t *testing.T, path string) {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := parser.ParseFile(token.NewFileSet(), path, data, parser.ImportsOnly)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, spec := range f.Imports {
+		imported, err := strconv.Unquote(spec.Path.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, b := range barred {
+			if imported == b {
+				t.Errorf("%s imports %s", path, b)
+			}
+		}
+	}
+}
--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"skylarklead/internal/prefix"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // rootQuery is a request of one of many prefixes, in three levels.
@@ -87,9 +87,9 @@
 func BenchmarkFullAdvertisement(b *testing.B) {
 	endpoints := group(32)
 	r := filledRouter(1000, endpoints)
-	var residents []wire.Resident
+	var residents []protocol.Resident
 	for i := range 100 {
-		residents = append(residents, wire.Resident{Hash: prefix.Hash(100 + i), Tokens: 4000})
+		residents = append(residents, protocol.Resident{Hash: prefix.Hash(100 + i), Tokens: 4000})
 	}
 	a := Advertised{Endpoint: endpoints[3].ID, Epoch: endpoints[3].Epoch, Residents: residents, Full: true}
 	b.ReportAllocs()
--- a/internal/route/decide_test.go
+++ b/internal/route/decide_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"skylarklead/internal/prefix"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 func group(n int) []Endpoint {
@@ -15,18 +15,18 @@
 	for i := range list {
 		list[i] = Endpoint{
 			ID:            fmt.Sprintf("ledger-llm-%d", i),
-			Epoch:         wire.Epoch(i + 1),
+			Epoch:         protocol.Epoch(i + 1),
 			FailureDomain: "hobart-a",
 			Alive:         true,
 			HasLoad:       true,
-			Load:          wire.Load{EngineUp: true, Incarnation: "i1", Version: "v1", Model: "m"},
+			Load:          protocol.Load{EngineUp: true, Incarnation: "i1", Version: "v1", Model: "m"},
 		}
 	}
 	return list
 }
 
 func query(charter int) *Query {
-	return &Query{Ask: wire.Ask{
+	return &Query{Ask: protocol.Ask{
 		Organisation: "huon",
 		Model:        "m",
 		Version:      "v1",
@@ -72,7 +72,7 @@
 			endpoints, q := group(1), query(1)
 			tt.change(&endpoints[0], q)
 			got := NewRouter(Params{}).Decide(0, newRand(), q, endpoints)
-			if got.Refusal == nil || got.Refusal.Code != wire.CodeNoEndpoint || got.Refusal.Ran != wire.NotRun {
+			if got.Refusal == nil || got.Refusal.Code != protocol.CodeNoEndpoint || got.Refusal.Ran != protocol.NotRun {
 				t.Fatalf("refusal = %+v", got.Refusal)
 			}
 			if got.Candidates[0].Excluded != tt.want {
@@ -144,7 +144,7 @@
 func TestFirstWordOfAnEngineVoidsWhatWasPlacedBefore(t *testing.T) {
 	r, rng, endpoints := NewRouter(Params{}), newRand(), group(1)
 	heard := endpoints[0].Load
-	endpoints[0].Load, endpoints[0].HasLoad = wire.Load{}, false
+	endpoints[0].Load, endpoints[0].HasLoad = protocol.Load{}, false
 	r.Decide(0, rng, query(1), endpoints)
 	if got := r.Decide(time.Second, rng, query(1), endpoints); got.PredictedCached != 4000 {
 		t.Fatalf("%d tokens predicted where the prefix was placed", got.PredictedCached)
--- a/internal/route/donor.go
+++ b/internal/route/donor.go
@@ -5,14 +5,14 @@
 	"time"
 
 	"skylarklead/internal/prefix"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // donor names the endpoint that the chosen one is to import a prefix from, or nil
 // if none holds more of it or computing is cheaper. Only what an engine's own
 // events or answers have confirmed counts as held: a prediction may be of a
 // request that is still being computed, and its blocks not there.
-func (r *Router) donor(now time.Duration, q *Query, chosen int, endpoints []Endpoint) *wire.Donor {
+func (r *Router) donor(now time.Duration, q *Query, chosen int, endpoints []Endpoint) *protocol.Donor {
 	if r.params.TransferTokensPerSecond <= 0 || q.Suspect {
 		return nil
 	}
@@ -34,8 +34,8 @@
 		return nil
 	}
 	e := &endpoints[best]
-	return &wire.Donor{
-		Target:      wire.Target{Endpoint: e.ID, Epoch: e.Epoch},
+	return &protocol.Donor{
+		Target:      protocol.Target{Endpoint: e.ID, Epoch: e.Epoch},
 		Incarnation: e.Load.Incarnation,
 		Version:     e.Load.Version,
 		Level:       level,
--- a/internal/route/explain.go
+++ b/internal/route/explain.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // result explains a decision.
@@ -25,17 +25,17 @@
 
 // explain lists the chosen candidate if there is one, then the others by score,
 // the excluded ones last.
-func (r *Router) explain(chosen int, endpoints []Endpoint) []wire.Candidate {
+func (r *Router) explain(chosen int, endpoints []Endpoint) []protocol.Candidate {
 	rest := r.scratch
 	if chosen >= 0 {
 		rest[0], rest[chosen] = rest[chosen], rest[0]
 		rest = rest[1:]
 	}
 	slices.SortFunc(rest, compareCandidates)
-	list := make([]wire.Candidate, min(len(r.scratch), MaxCandidates))
+	list := make([]protocol.Candidate, min(len(r.scratch), MaxCandidates))
 	for i := range list {
 		c := &r.scratch[i]
-		list[i] = wire.Candidate{
+		list[i] = protocol.Candidate{
 			Endpoint:     endpoints[c.endpoint].ID,
 			Excluded:     c.excluded,
 			Score:        c.score,
@@ -68,10 +68,10 @@
 	return Result{
 		Reason:     "no_endpoint",
 		Candidates: r.explain(-1, endpoints),
-		Refusal: &wire.Refusal{
-			Code:         wire.CodeNoEndpoint,
+		Refusal: &protocol.Refusal{
+			Code:         protocol.CodeNoEndpoint,
 			Message:      why,
-			Ran:          wire.NotRun,
+			Ran:          protocol.NotRun,
 			RetryAfterMs: noEndpointRetryAfter.Milliseconds(),
 		},
 	}
@@ -84,10 +84,10 @@
 func refuseGivenUp() Result {
 	return Result{
 		Reason: "given_up",
-		Refusal: &wire.Refusal{
-			Code:    wire.CodeGivenUp,
+		Refusal: &protocol.Refusal{
+			Code:    protocol.CodeGivenUp,
 			Message: "the request crashed several engines",
-			Ran:     wire.Unknown,
+			Ran:     protocol.Unknown,
 		},
 	}
 }
--- a/internal/route/heat_test.go
+++ b/internal/route/heat_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"skylarklead/internal/prefix"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // load sets the reported queue of the named endpoints. The others have no report,
@@ -198,7 +198,7 @@
 		first := r.Decide(10*time.Second, rng, q, endpoints)
 		report := Advertised{Endpoint: first.Executor, Epoch: first.Epoch, Incarnation: "i1", Full: full}
 		if !full {
-			report.Residents = []wire.Resident{{Hash: q.Levels[0].Hash}, {Hash: q.Levels[1].Hash}}
+			report.Residents = []protocol.Resident{{Hash: q.Levels[0].Hash}, {Hash: q.Levels[1].Hash}}
 		}
 		r.Advertised(10*time.Second+200*time.Millisecond, report)
 		got := r.Decide(10*time.Second+300*time.Millisecond, rng, q, endpoints)
@@ -281,7 +281,7 @@
 	q := query(1)
 	r.Advertised(0, Advertised{
 		Endpoint: endpoints[2].ID, Epoch: endpoints[2].Epoch, Incarnation: "i1", Version: "v1", Full: true,
-		Residents: []wire.Resident{{Hash: q.Levels[0].Hash, Tokens: 2000}, {Hash: q.Levels[1].Hash, Tokens: 4000}},
+		Residents: []protocol.Resident{{Hash: q.Levels[0].Hash, Tokens: 2000}, {Hash: q.Levels[1].Hash, Tokens: 4000}},
 	})
 	if got := r.Decide(time.Second, rng, q, endpoints); got.Executor != endpoints[2].ID || got.PredictedCached != 4000 {
 		t.Fatalf("%s with %d cached", got.Executor, got.PredictedCached)
--- a/internal/route/property_test.go
+++ b/internal/route/property_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"skylarklead/internal/prefix"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 func TestOrderMovesOnlyTheKeysOfWhatLeft(t *testing.T) {
@@ -56,7 +56,7 @@
 func drawQuery(t *rapid.T) *Query {
 	organisation := rapid.IntRange(1, 3).Draw(t, "organisation")
 	charter := rapid.IntRange(0, 5).Draw(t, "charter")
-	q := &Query{Ask: wire.Ask{
+	q := &Query{Ask: protocol.Ask{
 		Organisation: fmt.Sprint("o", organisation),
 		Model:        "m",
 		Version:      "v1",
@@ -122,7 +122,7 @@
 					return
 				}
 				epoch := f.endpoints[slices.IndexFunc(f.endpoints, func(e Endpoint) bool { return e.ID == executor })].Epoch
-				epoch += wire.Epoch(rapid.IntRange(0, 1).Draw(t, "stale"))
+				epoch += protocol.Epoch(rapid.IntRange(0, 1).Draw(t, "stale"))
 				f.router.Finished(f.now, Finished{Endpoint: executor, Epoch: epoch, Organisation: last.Organisation,
 					Levels: last.Levels, PromptTokens: last.PromptTokens, Ran: true})
 				executor = ""
@@ -205,7 +205,7 @@
 	for range rapid.IntRange(0, 4).Draw(t, "residents") {
 		hash := prefix.Hash(rapid.IntRange(1, 3).Draw(t, "level")*100 + rapid.IntRange(0, 5).Draw(t, "charter"))
 		tokens := rapid.SampledFrom([]int{0, 4000}).Draw(t, "tokens")
-		a.Residents = append(a.Residents, wire.Resident{Hash: hash, Tokens: tokens})
+		a.Residents = append(a.Residents, protocol.Resident{Hash: hash, Tokens: tokens})
 		if tokens > 0 {
 			f.held[e.ID][hash] = true
 		}
--- a/internal/route/recovery_test.go
+++ b/internal/route/recovery_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"skylarklead/internal/prefix"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // The figures of a simulated group, in tokens and milliseconds. The engines compute
@@ -135,9 +135,9 @@
 	return total
 }
 
-func (e *simEngine) load(now float64) wire.Load {
+func (e *simEngine) load(now float64) protocol.Load {
 	running := len(e.queue) + len(e.ends)
-	return wire.Load{
+	return protocol.Load{
 		Running: running, DecodeTokens: 30 * running, QueuedTokens: e.queued(), EngineUp: now >= e.downUntil,
 		Incarnation: fmt.Sprint(e.incarnation), Model: "m", Version: "v1",
 		CacheUsed: e.total(), CacheTotal: simCache, OutputShare: 1,
@@ -182,7 +182,7 @@
 	for at := s.rng.ExpFloat64() / rate; at < simUntil; at += s.rng.ExpFloat64() / rate {
 		charter, cas := s.zipf(charters), s.zipf(cases)
 		hash := prefix.Hash(1 + organisation*10000)
-		s.requests = append(s.requests, &simRequest{organisation: organisation, at: at, query: &Query{Ask: wire.Ask{
+		s.requests = append(s.requests, &simRequest{organisation: organisation, at: at, query: &Query{Ask: protocol.Ask{
 			Organisation: fmt.Sprint(organisation), Model: "m", Version: "v1", PromptTokens: simPrompt, MaxTokens: 30,
 			Levels: []prefix.Level{{Hash: hash, Tokens: simRules}, {Hash: hash + prefix.Hash(100*(charter+1)), Tokens: simCharter},
 				{Hash: hash + prefix.Hash(100*(charter+1)+cas+1), Tokens: simCase}},
@@ -202,9 +202,9 @@
 func (s *simulation) tell(i int, now float64) {
 	e := s.engines[i]
 	s.told[i].Load, s.toldAt[i] = e.load(now), now
-	var residents []wire.Resident
+	var residents []protocol.Resident
 	for _, h := range slices.Sorted(maps.Keys(e.news)) {
-		residents = append(residents, wire.Resident{Hash: h, Tokens: e.tokens[h]})
+		residents = append(residents, protocol.Resident{Hash: h, Tokens: e.tokens[h]})
 	}
 	clear(e.news)
 	for _, o := range s.owners {
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Router decides for the prefixes that its process owns.
@@ -59,7 +59,7 @@
 
 // learnOutput takes the mean expected output, and its share of the most allowed,
 // from a load summary.
-func (r *Router) learnOutput(l *wire.Load) {
+func (r *Router) learnOutput(l *protocol.Load) {
 	if l.OutputShare > 0 {
 		learn(&r.outputShare, l.OutputShare)
 	}
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // score sets the expected milliseconds to first token at each candidate, with
@@ -70,7 +70,7 @@
 }
 
 // reported is the work of a load summary, in requests of mean output.
-func (r *Router) reported(l *wire.Load) amount {
+func (r *Router) reported(l *protocol.Load) amount {
 	requests := float64(l.Running + l.Queued)
 	if r.output > 0 {
 		requests = float64(l.DecodeTokens) / r.output
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -6,7 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"skylarklead/internal/prefix"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 const none int32 = -1
@@ -35,7 +35,7 @@
 // slot is one endpoint that the table knows.
 type slot struct {
 	id          string
-	epoch       wire.Epoch
+	epoch       protocol.Epoch
 	incarnation string
 	version     string
 	known       bool
@@ -136,7 +136,7 @@
 // blocks are gone with the engine, or belong to other weights. Without this a
 // restarted engine would keep attracting its old prefixes and recompute them
 // all, which shows as predicted cached tokens far above the actual ones.
-func (t *Table) identify(s uint16, epoch wire.Epoch, incarnation, version string) {
+func (t *Table) identify(s uint16, epoch protocol.Epoch, incarnation, version string) {
 	l := &t.slots[s]
 	// What was placed before the first word of an endpoint may have gone to an
 	// engine that has crashed since, and its first word can't tell. The same
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
-	"skylarklead/internal/wire"
 )
 
 // MaxCandidates bounds the candidates that a Result explains.
@@ -13,7 +13,7 @@
 
 // Query is a request to be placed.
 type Query struct {
-	wire.Ask
+	protocol.Ask
 	// Suspect marks a request that was running when an engine crashed: it is
 	// placed where the least work would be lost with it.
 	Suspect bool
@@ -24,13 +24,13 @@
 // Endpoint is one endpoint as the owner's membership view has it.
 type Endpoint struct {
 	ID            string
-	Epoch         wire.Epoch
+	Epoch         protocol.Epoch
 	FailureDomain string
 	Alive         bool
 	Leaving       bool
 	// Load is the last load summary, LoadAge its age. With HasLoad false there
 	// is none yet and the endpoint counts as idle and its engine as up.
-	Load    wire.Load
+	Load    protocol.Load
 	LoadAge time.Duration
 	HasLoad bool
 }
@@ -38,22 +38,22 @@
 // Result is a decision: an executor, or a refusal when Refusal is set.
 type Result struct {
 	Executor        string
-	Epoch           wire.Epoch
+	Epoch           protocol.Epoch
 	Reason          string
 	PredictedCached int
 	Suspect         bool
 	// Donor is where the executor is to import the prefix from, nil for nowhere.
-	Donor *wire.Donor
+	Donor *protocol.Donor
 	// Candidates has the executor first, then the next best, then some of those
 	// that were filtered out, MaxCandidates at most.
-	Candidates []wire.Candidate
-	Refusal    *wire.Refusal
+	Candidates []protocol.Candidate
+	Refusal    *protocol.Refusal
 }
 
 // Finished tells what became of a decided request at its executor.
 type Finished struct {
 	Endpoint     string
-	Epoch        wire.Epoch
+	Epoch        protocol.Epoch
 	Organisation string
 	Levels       []prefix.Level
 	// CachedTokens and PromptTokens are the engine's own account.
@@ -68,10 +68,10 @@
 // heartbeat that the membership view has accepted.
 type Advertised struct {
 	Endpoint    string
-	Epoch       wire.Epoch
+	Epoch       protocol.Epoch
 	Incarnation string
 	Version     string
-	Residents   []wire.Resident
+	Residents   []protocol.Resident
 	// Full marks that Residents is all there is.
 	Full bool
 }
--- a/internal/telemetry/decisions.go
+++ b/internal/telemetry/decisions.go
@@ -6,14 +6,14 @@
 	"sync"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
-// rememberedDecisions bounds the ring that answers wire.ExplainRequest. At the
+// rememberedDecisions bounds the ring that answers protocol.ExplainRequest. At the
 // target of letter 1 (3 requests a second an entry) it covers some minutes.
 const rememberedDecisions = 1024
 
-// The kinds of decision, as in wire.DecisionRecord.Kind.
+// The kinds of decision, as in protocol.DecisionRecord.Kind.
 const (
 	// KindRoute is an owner's choice of an executor.
 	KindRoute = "route"
@@ -39,7 +39,7 @@
 }
 
 type remembered struct {
-	record wire.DecisionRecord
+	record protocol.DecisionRecord
 	at     time.Time
 }
 
@@ -49,13 +49,13 @@
 }
 
 // Record logs and remembers a decision. Process is filled in.
-func (d *Decisions) Record(rec wire.DecisionRecord) {
+func (d *Decisions) Record(rec protocol.DecisionRecord) {
 	rec.Process = d.process
 	d.remember(rec)
 	d.write(rec)
 }
 
-func (d *Decisions) remember(rec wire.DecisionRecord) {
+func (d *Decisions) remember(rec protocol.DecisionRecord) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	entry := remembered{record: rec, at: time.Now()}
@@ -67,7 +67,7 @@
 	d.next = (d.next + 1) % len(d.ring)
 }
 
-func (d *Decisions) write(rec wire.DecisionRecord) {
+func (d *Decisions) write(rec protocol.DecisionRecord) {
 	attrs := []slog.Attr{
 		slog.String("kind", rec.Kind),
 		slog.String("request", rec.Request),
@@ -92,10 +92,10 @@
 
 // Explain returns the remembered decisions of a request, oldest first, with
 // their ages in milliseconds.
-func (d *Decisions) Explain(request string) []wire.DecisionRecord {
+func (d *Decisions) Explain(request string) []protocol.DecisionRecord {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var found []wire.DecisionRecord
+	var found []protocol.DecisionRecord
 	for i := range d.ring {
 		entry := d.ring[(d.next+i)%len(d.ring)]
 		if entry.record.Request != request {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rcrowley/go-metrics"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 )
 
@@ -86,7 +87,7 @@
 }
 
 // Refused counts a refusal by its code.
-func (m *Metrics) Refused(code wire.Code) {
+func (m *Metrics) Refused(code protocol.Code) {
 	metrics.GetOrRegisterCounter("refused_"+string(code), m.registry).Inc(1)
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -8,8 +8,8 @@
 	"log/slog"
 	"math/rand/v2"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
-	"skylarklead/internal/wire"
 )
 
 // Telemetry bundles what both roles report through.
@@ -18,12 +18,12 @@
 	Decisions *Decisions
 	Metrics   *Metrics
 	// Epoch is this process's; it is drawn once, at the start.
-	Epoch wire.Epoch
+	Epoch protocol.Epoch
 }
 
 // New returns the telemetry of one process; log lines go to w.
 func New(s *settings.Settings, w io.Writer) (*Telemetry, error) {
-	epoch := wire.Epoch(rand.Uint64())
+	epoch := protocol.Epoch(rand.Uint64())
 	log, err := NewLogger(s, epoch, w)
 	if err != nil {
 		return nil, err
@@ -38,7 +38,7 @@
 
 // NewLogger returns a logger of JSON lines with the instance's attributes. An
 // empty level in the settings means "info".
-func NewLogger(s *settings.Settings, epoch wire.Epoch, w io.Writer) (*slog.Logger, error) {
+func NewLogger(s *settings.Settings, epoch protocol.Epoch, w io.Writer) (*slog.Logger, error) {
 	var level slog.Level
 	if s.LogLevel != "" {
 		if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
@@ -54,4 +54,4 @@
 }
 
 // FormatEpoch renders an epoch as 16 hex digits, as it stands in logs.
-func FormatEpoch(epoch wire.Epoch) string { return fmt.Sprintf("%016x", uint64(epoch)) }
+func FormatEpoch(epoch protocol.Epoch) string { return fmt.Sprintf("%016x", uint64(epoch)) }
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -10,15 +10,15 @@
 	"testing"
 	"time"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
-	"skylarklead/internal/wire"
 	"skylarklead/test/kit"
 )
 
 func TestDecisionLineAndExplanation(t *testing.T) {
 	var out bytes.Buffer
 	tel := kit.Must(New(&settings.Settings{ID: "ep-1", Role: "endpoint"}, &out))(t)
-	tel.Decisions.Record(wire.DecisionRecord{
+	tel.Decisions.Record(protocol.DecisionRecord{
 		Request: "r1", Kind: KindRoute, Organisation: "org", Owner: "ep-1", Executor: "ep-2",
 		Reason: "holder", PredictedCached: 160, ActualCached: 144,
 	})
@@ -41,7 +41,7 @@
 func TestExplanationIsBoundedAndOldestFirst(t *testing.T) {
 	tel, _ := New(&settings.Settings{LogLevel: "error"}, &bytes.Buffer{})
 	for i := range rememberedDecisions + 3 {
-		tel.Decisions.Record(wire.DecisionRecord{Request: "r", Reason: fmt.Sprint(i)})
+		tel.Decisions.Record(protocol.DecisionRecord{Request: "r", Reason: fmt.Sprint(i)})
 	}
 	records := tel.Decisions.Explain("r")
 	if len(records) != rememberedDecisions || records[0].Reason != "3" {
@@ -66,7 +66,7 @@
 func TestPage(t *testing.T) {
 	m := NewMetrics()
 	m.FirstToken("org", 12*time.Millisecond)
-	m.Refused(wire.CodeOverloaded)
+	m.Refused(protocol.CodeOverloaded)
 	m.Prompt(100, 75, 80)
 	get := func(path string) string {
 		w := httptest.NewRecorder()
--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -5,40 +5,41 @@
 	"testing"
 
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/protocol"
 )
 
 // benchMessages are messages as they go between processes with names of a usual
 // length; the number is of candidates, changed residents, or bytes of text.
-func benchMessages() map[string]Message {
+func benchMessages() map[string]protocol.Message {
 	const request, owner, address = "req-0123456789abcdef", "ledger-llm-17", "10.20.3.117:7400"
-	messages := map[string]Message{
-		"ask": &Ask{
+	messages := map[string]protocol.Message{
+		"ask": &protocol.Ask{
 			Request: request, Organisation: "derwent-foodbank", Group: "ledger-llm", Model: "ledger-llm", Version: "v1",
 			Levels: benchLevels(4), PromptTokens: 3000, MaxTokens: 256, Fingerprint: 1 << 63, DeadlineMs: 60000, FailureDomain: "huonville-c",
 		},
-		"chunk-1-token": &Chunk{Seq: 300, Data: []byte("word")},
-		"credit":        &Credit{Seq: 300},
-		"end":           &End{Seq: 300, Outcome: Done, PromptTokens: 3000, CachedTokens: 2900, CompletionTokens: 300, FinishReason: "stop"},
-		"run-16KB": &Run{
+		"chunk-1-token": &protocol.Chunk{Seq: 300, Data: []byte("word")},
+		"credit":        &protocol.Credit{Seq: 300},
+		"end":           &protocol.End{Seq: 300, Outcome: protocol.Done, PromptTokens: 3000, CachedTokens: 2900, CompletionTokens: 300, FinishReason: "stop"},
+		"run-16KB": &protocol.Run{
 			Request: request, Organisation: "derwent-foodbank", Group: "ledger-llm", Model: "ledger-llm", Version: "v1",
 			Messages: []prefix.Message{{Role: "user", Content: string(make([]byte, 16<<10))}}, Levels: benchLevels(4),
 			Instructions: 1 << 20, PromptTokens: 4000, MaxTokens: 256, Fingerprint: 1 << 63, DeadlineMs: 60000, Window: 32, Owner: owner, ConfigOffset: 1 << 20,
 		},
 	}
 	for _, n := range []int{0, 2, 8} {
-		d := &Decision{Request: request, Owner: owner, Executor: Target{Endpoint: owner, Address: address, Epoch: 1 << 63}, Reason: "holder", PredictedCached: 2900}
+		d := &protocol.Decision{Request: request, Owner: owner, Executor: protocol.Target{Endpoint: owner, Address: address, Epoch: 1 << 63}, Reason: "holder", PredictedCached: 2900}
 		for i := range n {
-			d.Candidates = append(d.Candidates, Candidate{Endpoint: fmt.Sprintf("ledger-llm-%d", i), Score: 12.3456789, CachedTokens: 2900, WaitMs: 12.3456789})
+			d.Candidates = append(d.Candidates, protocol.Candidate{Endpoint: fmt.Sprintf("ledger-llm-%d", i), Score: 12.3456789, CachedTokens: 2900, WaitMs: 12.3456789})
 		}
 		messages[fmt.Sprintf("decision-%d", n)] = d
 	}
 	for _, n := range []int{0, 8, 64} {
-		hb := &Heartbeat{ID: owner, Epoch: 1 << 63, Seq: 1 << 20, ConfigOffset: 1 << 20, Load: Load{
+		hb := &protocol.Heartbeat{ID: owner, Epoch: 1 << 63, Seq: 1 << 20, ConfigOffset: 1 << 20, Load: protocol.Load{
 			Running: 22, Queued: 3, QueuedTokens: 9000, DecodeTokens: 9000, CacheUsed: 360000, CacheTotal: 368000,
 			EngineUp: true, Incarnation: "0123456789abcdef", Model: "ledger-llm", Version: "v1", PictureAgeMs: 250, Organisations: 3,
 		}}
 		for i := range n {
-			hb.Residents = append(hb.Residents, Resident{Hash: prefix.Hash(uint64(i+1) * 0x9E3779B97F4A7C15), Tokens: 2400})
+			hb.Residents = append(hb.Residents, protocol.Resident{Hash: prefix.Hash(uint64(i+1) * 0x9E3779B97F4A7C15), Tokens: 2400})
 		}
 		messages[fmt.Sprintf("heartbeat-%d", n)] = hb
 	}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -1,3 +1,9 @@
+// Package wire is the protocol between the system's own processes: CBOR
+// messages over authenticated WebSocket sessions.
+//
+// The messages are in package protocol; codec.go has their frames, session.go the
+// sessions, pool.go the connections that a process keeps to its peers. No message
+// carries a wall-clock time: durations are relative to its receipt.
 package wire
 
 import (
@@ -6,107 +12,45 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/strictcbor"
 )
 
-// Kind is the number that stands for a message type on the wire. Numbers are
-// never reused for another type.
-type Kind uint8
-
-// The kinds.
-const (
-	kindChallenge Kind = iota + 1
-	kindHello
-	kindWelcome
-	kindAsk
-	kindDecision
-	kindRun
-	kindStart
-	kindChunk
-	kindEnd
-	kindCredit
-	kindCancel
-	kindResume
-	kindResolve
-	kindResolved
-	kindHeartbeat
-	kindConfigFetch
-	kindConfigState
-	kindStatusRequest
-	kindStatus
-	kindExplainRequest
-	kindExplanation
-	kindDrain
-	kindDrained
-	kindFailure
-	kindExport
-	kindExported
-
-	kindLast = kindExported
-)
-
-func (*Challenge) kind() Kind      { return kindChallenge }
-func (*Hello) kind() Kind          { return kindHello }
-func (*Welcome) kind() Kind        { return kindWelcome }
-func (*Ask) kind() Kind            { return kindAsk }
-func (*Decision) kind() Kind       { return kindDecision }
-func (*Run) kind() Kind            { return kindRun }
-func (*Start) kind() Kind          { return kindStart }
-func (*Chunk) kind() Kind          { return kindChunk }
-func (*End) kind() Kind            { return kindEnd }
-func (*Credit) kind() Kind         { return kindCredit }
-func (*Cancel) kind() Kind         { return kindCancel }
-func (*Resume) kind() Kind         { return kindResume }
-func (*Resolve) kind() Kind        { return kindResolve }
-func (*Resolved) kind() Kind       { return kindResolved }
-func (*Heartbeat) kind() Kind      { return kindHeartbeat }
-func (*ConfigFetch) kind() Kind    { return kindConfigFetch }
-func (*ConfigState) kind() Kind    { return kindConfigState }
-func (*StatusRequest) kind() Kind  { return kindStatusRequest }
-func (*Status) kind() Kind         { return kindStatus }
-func (*ExplainRequest) kind() Kind { return kindExplainRequest }
-func (*Explanation) kind() Kind    { return kindExplanation }
-func (*Drain) kind() Kind          { return kindDrain }
-func (*Drained) kind() Kind        { return kindDrained }
-func (*Failure) kind() Kind        { return kindFailure }
-func (*Export) kind() Kind         { return kindExport }
-func (*Exported) kind() Kind       { return kindExported }
-
 // newMessage has a constructor for each kind.
-var newMessage = map[Kind]func() Message{
-	kindChallenge:      func() Message { return new(Challenge) },
-	kindHello:          func() Message { return new(Hello) },
-	kindWelcome:        func() Message { return new(Welcome) },
-	kindAsk:            func() Message { return new(Ask) },
-	kindDecision:       func() Message { return new(Decision) },
-	kindRun:            func() Message { return new(Run) },
-	kindStart:          func() Message { return new(Start) },
-	kindChunk:          func() Message { return new(Chunk) },
-	kindEnd:            func() Message { return new(End) },
-	kindCredit:         func() Message { return new(Credit) },
-	kindCancel:         func() Message { return new(Cancel) },
-	kindResume:         func() Message { return new(Resume) },
-	kindResolve:        func() Message { return new(Resolve) },
-	kindResolved:       func() Message { return new(Resolved) },
-	kindHeartbeat:      func() Message { return new(Heartbeat) },
-	kindConfigFetch:    func() Message { return new(ConfigFetch) },
-	kindConfigState:    func() Message { return new(ConfigState) },
-	kindStatusRequest:  func() Message { return new(StatusRequest) },
-	kindStatus:         func() Message { return new(Status) },
-	kindExplainRequest: func() Message { return new(ExplainRequest) },
-	kindExplanation:    func() Message { return new(Explanation) },
-	kindDrain:          func() Message { return new(Drain) },
-	kindDrained:        func() Message { return new(Drained) },
-	kindFailure:        func() Message { return new(Failure) },
-	kindExport:         func() Message { return new(Export) },
-	kindExported:       func() Message { return new(Exported) },
+var newMessage = map[protocol.Kind]func() protocol.Message{
+	protocol.KindChallenge:      func() protocol.Message { return new(protocol.Challenge) },
+	protocol.KindHello:          func() protocol.Message { return new(protocol.Hello) },
+	protocol.KindWelcome:        func() protocol.Message { return new(protocol.Welcome) },
+	protocol.KindAsk:            func() protocol.Message { return new(protocol.Ask) },
+	protocol.KindDecision:       func() protocol.Message { return new(protocol.Decision) },
+	protocol.KindRun:            func() protocol.Message { return new(protocol.Run) },
+	protocol.KindStart:          func() protocol.Message { return new(protocol.Start) },
+	protocol.KindChunk:          func() protocol.Message { return new(protocol.Chunk) },
+	protocol.KindEnd:            func() protocol.Message { return new(protocol.End) },
+	protocol.KindCredit:         func() protocol.Message { return new(protocol.Credit) },
+	protocol.KindCancel:         func() protocol.Message { return new(protocol.Cancel) },
+	protocol.KindResume:         func() protocol.Message { return new(protocol.Resume) },
+	protocol.KindResolve:        func() protocol.Message { return new(protocol.Resolve) },
+	protocol.KindResolved:       func() protocol.Message { return new(protocol.Resolved) },
+	protocol.KindHeartbeat:      func() protocol.Message { return new(protocol.Heartbeat) },
+	protocol.KindConfigFetch:    func() protocol.Message { return new(protocol.ConfigFetch) },
+	protocol.KindConfigState:    func() protocol.Message { return new(protocol.ConfigState) },
+	protocol.KindStatusRequest:  func() protocol.Message { return new(protocol.StatusRequest) },
+	protocol.KindStatus:         func() protocol.Message { return new(protocol.Status) },
+	protocol.KindExplainRequest: func() protocol.Message { return new(protocol.ExplainRequest) },
+	protocol.KindExplanation:    func() protocol.Message { return new(protocol.Explanation) },
+	protocol.KindDrain:          func() protocol.Message { return new(protocol.Drain) },
+	protocol.KindDrained:        func() protocol.Message { return new(protocol.Drained) },
+	protocol.KindFailure:        func() protocol.Message { return new(protocol.Failure) },
+	protocol.KindExport:         func() protocol.Message { return new(protocol.Export) },
+	protocol.KindExported:       func() protocol.Message { return new(protocol.Exported) },
 }
 
 // envelope is a frame: a CBOR array of kind, reference and body. Ref pairs a
 // request with its reply; 0 where there is none.
 type envelope struct {
 	_    struct{} `cbor:",toarray"`
-	Kind Kind
+	Kind protocol.Kind
 	Ref  uint32
 	Body cbor.RawMessage
 }
@@ -130,12 +74,12 @@
 })
 
 // Encode returns the frame of a message.
-func Encode(ref uint32, m Message) ([]byte, error) {
+func Encode(ref uint32, m protocol.Message) ([]byte, error) {
 	body, err := cbor.Marshal(m)
 	if err != nil {
 		return nil, fmt.Errorf("wire: encode %T: %w", m, err)
 	}
-	frame, err := cbor.Marshal(envelope{Kind: m.kind(), Ref: ref, Body: body})
+	frame, err := cbor.Marshal(envelope{Kind: m.Kind(), Ref: ref, Body: body})
 	if err != nil {
 		return nil, fmt.Errorf("wire: encode frame of %T: %w", m, err)
 	}
@@ -143,13 +87,13 @@
 }
 
 // Decode reads one frame. Errors wrap ErrMalformed.
-func Decode(frame []byte) (ref uint32, m Message, err error) {
+func Decode(frame []byte) (ref uint32, m protocol.Message, err error) {
 	var env envelope
 	if err := decMode.Unmarshal(frame, &env); err != nil {
 		return 0, nil, fmt.Errorf("%w: frame: %v", ErrMalformed, err)
 	}
 	construct, ok := newMessage[env.Kind]
-	if !ok && env.Kind > kindLast {
+	if !ok && env.Kind > protocol.KindLast {
 		return 0, nil, fmt.Errorf("%w %d", errUnknownKind, env.Kind)
 	}
 	if !ok {
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/protocol"
 	"skylarklead/test/kit"
 )
 
@@ -17,7 +18,7 @@
 	levels = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) prefix.Level {
 		return prefix.Level{Hash: prefix.Hash(rapid.Uint64().Draw(t, "hash")), Tokens: rapid.IntRange(0, 1<<20).Draw(t, "tokens")}
 	}), 1, 8)
-	attempts = rapid.Custom(func(t *rapid.T) (a AttemptID) {
+	attempts = rapid.Custom(func(t *rapid.T) (a protocol.AttemptID) {
 		copy(a[:], rapid.SliceOfN(rapid.Byte(), len(a), len(a)).Draw(t, "attempt"))
 		return a
 	})
@@ -25,25 +26,25 @@
 
 // drawMessage returns a message of any kind; the ones with most fields are drawn
 // in full.
-func drawMessage(t *rapid.T) Message {
-	kind := Kind(rapid.IntRange(int(kindChallenge), int(kindLast)).Draw(t, "kind"))
+func drawMessage(t *rapid.T) protocol.Message {
+	kind := protocol.Kind(rapid.IntRange(int(protocol.KindChallenge), int(protocol.KindLast)).Draw(t, "kind"))
 	m := newMessage[kind]()
 	switch m := m.(type) {
-	case *Ask:
+	case *protocol.Ask:
 		m.Request, m.Organisation, m.Levels = texts.Draw(t, "request"), texts.Draw(t, "org"), levels.Draw(t, "levels")
 		m.Fingerprint, m.DeadlineMs = rapid.Uint64().Draw(t, "fingerprint"), rapid.Int64().Draw(t, "deadline")
 		m.Exclude = rapid.SliceOfN(texts, 1, 4).Draw(t, "exclude")
-	case *Run:
+	case *protocol.Run:
 		m.Attempt, m.Request, m.Partial = attempts.Draw(t, "attempt"), texts.Draw(t, "request"), texts.Draw(t, "partial")
 		m.Messages = []prefix.Message{{Role: texts.Draw(t, "role"), Content: texts.Draw(t, "content")}}
 		m.FirstSeq, m.Window = rapid.Uint64().Draw(t, "seq"), rapid.Uint32().Draw(t, "window")
-	case *Chunk:
+	case *protocol.Chunk:
 		m.Attempt, m.Seq = attempts.Draw(t, "attempt"), rapid.Uint64().Draw(t, "seq")
 		m.Data = rapid.SliceOfN(rapid.Byte(), 1, 100).Draw(t, "data")
-	case *End:
-		m.Attempt, m.Seq, m.Outcome = attempts.Draw(t, "attempt"), rapid.Uint64().Draw(t, "seq"), Unknown
-		m.Message, m.Redirect = texts.Draw(t, "message"), &Target{Endpoint: texts.Draw(t, "id")}
-	case *Exported:
+	case *protocol.End:
+		m.Attempt, m.Seq, m.Outcome = attempts.Draw(t, "attempt"), rapid.Uint64().Draw(t, "seq"), protocol.Unknown
+		m.Message, m.Redirect = texts.Draw(t, "message"), &protocol.Target{Endpoint: texts.Draw(t, "id")}
+	case *protocol.Exported:
 		m.Incarnation, m.Hashes = texts.Draw(t, "incarnation"), []prefix.Hash{prefix.Hash(rapid.Uint64().Draw(t, "hash"))}
 		m.Blob = rapid.SliceOfN(rapid.Byte(), 1, 100).Draw(t, "blob")
 	}
@@ -65,9 +66,9 @@
 }
 
 func TestKindsAreComplete(t *testing.T) {
-	for kind := kindChallenge; kind <= kindLast; kind++ {
-		if m := newMessage[kind](); m.kind() != kind {
-			t.Errorf("kind %d constructs %T of kind %d", kind, m, m.kind())
+	for kind := protocol.KindChallenge; kind <= protocol.KindLast; kind++ {
+		if m := newMessage[kind](); m.Kind() != kind {
+			t.Errorf("kind %d constructs %T of kind %d", kind, m, m.Kind())
 		}
 	}
 }
@@ -98,13 +99,13 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	for kind := kindChallenge; kind <= kindLast; kind++ {
+	for kind := protocol.KindChallenge; kind <= protocol.KindLast; kind++ {
 		frame := kit.Must(Encode(uint32(kind), newMessage[kind]()))(f)
 		f.Add(frame)
 	}
-	full, _ := Encode(1, &Run{
+	full, _ := Encode(1, &protocol.Run{
 		Request: "r", Messages: []prefix.Message{{Role: "user", Content: "c"}},
-		Levels: []prefix.Level{{Hash: 1, Tokens: 16}}, Call: &Call{Method: "POST", Path: "/pay"},
+		Levels: []prefix.Level{{Hash: 1, Tokens: 16}}, Call: &protocol.Call{Method: "POST", Path: "/pay"},
 	})
 	f.Add(full)
 	f.Fuzz(func(t *testing.T, frame []byte) {
--- a/internal/wire/openings.go
+++ b/internal/wire/openings.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"skylarklead/internal/protocol"
 )
 
 const (
@@ -104,8 +106,8 @@
 
 // opened takes an authenticated session. Only daemons count: a tool proves that
 // its operator has the same key, not that the fleet has.
-func (o *Openings) opened(peer Identity, address string) (ended func()) {
-	if o == nil || peer.Role == RoleTool || address == "" {
+func (o *Openings) opened(peer protocol.Identity, address string) (ended func()) {
+	if o == nil || peer.Role == protocol.RoleTool || address == "" {
 		return func() {}
 	}
 	o.mu.Lock()
--- a/internal/wire/openings_test.go
+++ b/internal/wire/openings_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"skylarklead/internal/protocol"
 )
 
 // Symptom: a process says that it is ready and each of its requests fails.
@@ -55,7 +57,7 @@
 }
 
 func TestOpeningsForget(t *testing.T) {
-	o, daemon := NewOpenings(), Identity{Role: RoleEntry}
+	o, daemon := NewOpenings(), protocol.Identity{Role: protocol.RoleEntry}
 	refuse := func() { o.failed("b", errors.Join(ErrUnauthenticated)) }
 	now := time.Now()
 	for _, step := range []struct {
@@ -66,7 +68,7 @@
 	}{
 		{"unreachable", func() { o.failed("b", context.DeadlineExceeded) }, now, 0},
 		{"refused", refuse, now, 1},
-		{"a tool has the same key", func() { o.opened(Identity{Role: RoleTool}, "c") }, now, 1},
+		{"a tool has the same key", func() { o.opened(protocol.Identity{Role: protocol.RoleTool}, "c") }, now, 1},
 		{"a daemon lets it in", func() { defer o.opened(daemon, "a")() }, now, 0},
 		{"another refuses", refuse, now, 0},
 		{"long after its session's end", func() {}, now.Add(openingLife / 2), 0},
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -14,6 +14,8 @@
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
+
+	"skylarklead/internal/protocol"
 )
 
 const (
@@ -41,7 +43,7 @@
 // arrival. Handle must not block: it would hold up every stream of the session.
 type Handler interface {
 	// Handle takes a message; ref is not 0 if a reply is expected.
-	Handle(s *Session, ref uint32, m Message)
+	Handle(s *Session, ref uint32, m protocol.Message)
 	// Closed is called once, after the last Handle.
 	Closed(s *Session, err error)
 }
@@ -54,7 +56,7 @@
 	// can go from one key to another process by process.
 	AlsoAccept [][]byte
 	// Self is called at each opening, since the configuration offset changes.
-	Self func() Identity
+	Self func() protocol.Identity
 	// Handler gets the messages.
 	Handler Handler
 	// Traffic counts the sessions' bytes; nil counts nothing.
@@ -67,7 +69,7 @@
 // goroutine.
 type Session struct {
 	conn    *websocket.Conn
-	peer    Identity
+	peer    protocol.Identity
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	pulse   *pulse
@@ -75,7 +77,7 @@
 
 	mu      sync.Mutex
 	lastRef uint32
-	calls   map[uint32]chan Message
+	calls   map[uint32]chan protocol.Message
 	holds   int
 	used    time.Time
 	// awaitedAt is when the present wait for the peer began; waitBegan wakes
@@ -133,51 +135,51 @@
 	return context.Cause(s.ctx)
 }
 
-func openDialer(ctx context.Context, conn *websocket.Conn, opts Options) (Identity, error) {
-	var ch Challenge
+func openDialer(ctx context.Context, conn *websocket.Conn, opts Options) (protocol.Identity, error) {
+	var ch protocol.Challenge
 	if err := readOpening(ctx, conn, &ch); err != nil {
-		return Identity{}, err
+		return protocol.Identity{}, err
 	}
 	self := opts.Self()
-	hello := &Hello{Identity: self, MAC: identityMAC(opts.Key, ch.Nonce, self)}
+	hello := &protocol.Hello{Identity: self, MAC: identityMAC(opts.Key, ch.Nonce, self)}
 	if err := writeFrame(ctx, conn, 0, hello); err != nil {
-		return Identity{}, err
+		return protocol.Identity{}, err
 	}
-	var welcome Welcome
+	var welcome protocol.Welcome
 	if err := readOpening(ctx, conn, &welcome); err != nil {
-		return Identity{}, err
+		return protocol.Identity{}, err
 	}
 	if !hmac.Equal(welcome.MAC, identityMAC(opts.Key, hello.MAC, ch.Identity)) {
-		return Identity{}, ErrUnauthenticated
+		return protocol.Identity{}, ErrUnauthenticated
 	}
 	return ch.Identity, nil
 }
 
-func openAcceptor(ctx context.Context, conn *websocket.Conn, opts Options) (Identity, error) {
+func openAcceptor(ctx context.Context, conn *websocket.Conn, opts Options) (protocol.Identity, error) {
 	self := opts.Self()
-	ch := &Challenge{Nonce: make([]byte, nonceBytes), Identity: self}
+	ch := &protocol.Challenge{Nonce: make([]byte, nonceBytes), Identity: self}
 	rand.Read(ch.Nonce)
 	if err := writeFrame(ctx, conn, 0, ch); err != nil {
-		return Identity{}, err
+		return protocol.Identity{}, err
 	}
-	var hello Hello
+	var hello protocol.Hello
 	if err := readOpening(ctx, conn, &hello); err != nil {
-		return Identity{}, err
+		return protocol.Identity{}, err
 	}
 	key, ok := opts.proven(&hello, ch.Nonce)
 	if !ok {
 		// An end without a word would look like a crash to the dialer, who may be
 		// gone. A WebSocket close would have us wait for its answer.
-		_ = writeFrame(ctx, conn, 0, &Failure{Refusal: Refusal{Code: CodeUnauthorized, Message: "not the fleet's key", Ran: NotRun}})
-		return Identity{}, ErrUnauthenticated
+		_ = writeFrame(ctx, conn, 0, &protocol.Failure{Refusal: protocol.Refusal{Code: protocol.CodeUnauthorized, Message: "not the fleet's key", Ran: protocol.NotRun}})
+		return protocol.Identity{}, ErrUnauthenticated
 	}
 	// By the dialer's own key: it may not have any other of ours.
-	welcome := &Welcome{MAC: identityMAC(key, hello.MAC, self)}
+	welcome := &protocol.Welcome{MAC: identityMAC(key, hello.MAC, self)}
 	return hello.Identity, writeFrame(ctx, conn, 0, welcome)
 }
 
 // proven returns the accepted key that a Hello was made with.
-func (o *Options) proven(hello *Hello, nonce []byte) ([]byte, bool) {
+func (o *Options) proven(hello *protocol.Hello, nonce []byte) ([]byte, bool) {
 	for _, key := range slices.Concat([][]byte{o.Key}, o.AlsoAccept) {
 		if hmac.Equal(hello.MAC, identityMAC(key, nonce, hello.Identity)) {
 			return key, true
@@ -188,7 +190,7 @@
 
 // identityMAC binds an identity to the other side's fresh bytes, so that an
 // opening can't be replayed.
-func identityMAC(key, fresh []byte, id Identity) []byte {
+func identityMAC(key, fresh []byte, id protocol.Identity) []byte {
 	mac := hmac.New(sha256.New, key)
 	mac.Write(fresh)
 	body, err := cbor.Marshal(id)
@@ -201,7 +203,7 @@
 
 func readOpening[M any, P interface {
 	*M
-	Message
+	protocol.Message
 }](ctx context.Context, conn *websocket.Conn, into P) error {
 	_, frame, err := conn.Read(ctx)
 	if err != nil {
@@ -211,7 +213,7 @@
 	if err != nil {
 		return err
 	}
-	if refused, ok := m.(*Failure); ok && refused.Refusal.Code == CodeUnauthorized {
+	if refused, ok := m.(*protocol.Failure); ok && refused.Refusal.Code == protocol.CodeUnauthorized {
 		return fmt.Errorf("%w: it refused this process's key", ErrUnauthenticated)
 	}
 	got, ok := m.(P)
@@ -222,7 +224,7 @@
 	return nil
 }
 
-func writeFrame(ctx context.Context, conn *websocket.Conn, ref uint32, m Message) error {
+func writeFrame(ctx context.Context, conn *websocket.Conn, ref uint32, m protocol.Message) error {
 	frame, err := Encode(ref, m)
 	if err != nil {
 		return err
@@ -230,7 +232,7 @@
 	return conn.Write(ctx, websocket.MessageBinary, frame)
 }
 
-func start(conn *websocket.Conn, peer Identity, address string, p *pulse, opts Options) *Session {
+func start(conn *websocket.Conn, peer protocol.Identity, address string, p *pulse, opts Options) *Session {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	s := &Session{
 		conn:    conn,
@@ -239,7 +241,7 @@
 		cancel:  cancel,
 		pulse:   p,
 		traffic: opts.Traffic,
-		calls:   make(map[uint32]chan Message),
+		calls:   make(map[uint32]chan protocol.Message),
 		used:    time.Now(),
 
 		waitBegan: make(chan struct{}, 1),
@@ -298,7 +300,7 @@
 
 // deliverReply hands a reply to the call that waits for it. References of the
 // two directions are told apart by the message: only replies match a call.
-func (s *Session) deliverReply(ref uint32, m Message) bool {
+func (s *Session) deliverReply(ref uint32, m protocol.Message) bool {
 	if ref == 0 || !isReply(m) {
 		return false
 	}
@@ -312,9 +314,9 @@
 	return true // a reply that nobody waits for any more is dropped
 }
 
-func isReply(m Message) bool {
+func isReply(m protocol.Message) bool {
 	switch m.(type) {
-	case *Decision, *Resolved, *ConfigState, *Status, *Explanation, *Drained, *Failure, *Exported:
+	case *protocol.Decision, *protocol.Resolved, *protocol.ConfigState, *protocol.Status, *protocol.Explanation, *protocol.Drained, *protocol.Failure, *protocol.Exported:
 		return true
 	}
 	return false
@@ -342,7 +344,7 @@
 }
 
 // Peer returns who is at the other end, as authenticated at the opening.
-func (s *Session) Peer() Identity { return s.peer }
+func (s *Session) Peer() protocol.Identity { return s.peer }
 
 // Done is closed when the session has ended.
 func (s *Session) Done() <-chan struct{} { return s.ctx.Done() }
@@ -355,12 +357,12 @@
 
 // Send writes a message that has no reply. After an error the session is closed
 // and the peer may or may not have got the message.
-func (s *Session) Send(m Message) error { return s.write(0, m) }
+func (s *Session) Send(m protocol.Message) error { return s.write(0, m) }
 
 // Reply answers the message that came with ref.
-func (s *Session) Reply(ref uint32, m Message) error { return s.write(ref, m) }
+func (s *Session) Reply(ref uint32, m protocol.Message) error { return s.write(ref, m) }
 
-func (s *Session) write(ref uint32, m Message) error {
+func (s *Session) write(ref uint32, m protocol.Message) error {
 	if s.ctx.Err() != nil {
 		return context.Cause(s.ctx)
 	}
@@ -383,8 +385,8 @@
 }
 
 // Call sends a request and waits for its reply. A Failure comes back as it is.
-func (s *Session) Call(ctx context.Context, m Message) (Message, error) {
-	ch := make(chan Message, 1)
+func (s *Session) Call(ctx context.Context, m protocol.Message) (protocol.Message, error) {
+	ch := make(chan protocol.Message, 1)
 	s.mu.Lock()
 	s.lastRef++
 	if s.lastRef == 0 {
--- a/internal/wire/session_test.go
+++ b/internal/wire/session_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"skylarklead/internal/faultproxy"
+	"skylarklead/internal/protocol"
 	"skylarklead/test/kit"
 )
 
@@ -34,37 +35,37 @@
 
 	mu       sync.Mutex
 	sessions []*Session
-	got      []Message
+	got      []protocol.Message
 	closed   chan error
 }
 
 func newEnd(id string) *end { return &end{id: id, key: fleetKey, closed: make(chan error, 100)} }
 
 func (e *end) options() Options {
-	return Options{Key: e.key, AlsoAccept: e.also, Self: func() Identity { return Identity{ID: e.id, Role: RoleEndpoint, Epoch: 7} }, Handler: e}
+	return Options{Key: e.key, AlsoAccept: e.also, Self: func() protocol.Identity { return protocol.Identity{ID: e.id, Role: protocol.RoleEndpoint, Epoch: 7} }, Handler: e}
 }
 
-func (e *end) Handle(s *Session, ref uint32, m Message) {
+func (e *end) Handle(s *Session, ref uint32, m protocol.Message) {
 	e.mu.Lock()
 	e.sessions = append(e.sessions, s)
 	e.got = append(e.got, m)
 	e.mu.Unlock()
-	if ask, ok := m.(*Ask); ok {
+	if ask, ok := m.(*protocol.Ask); ok {
 		go func() {
 			if e.hold != nil {
 				<-e.hold
 			}
-			s.Reply(ref, &Decision{Request: ask.Request})
+			s.Reply(ref, &protocol.Decision{Request: ask.Request})
 		}()
 	}
 }
 
 func (e *end) Closed(_ *Session, err error) { e.closed <- err }
 
-func (e *end) received() []Message {
+func (e *end) received() []protocol.Message {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]Message(nil), e.got...)
+	return append([]protocol.Message(nil), e.got...)
 }
 
 func (e *end) serve(t *testing.T) (address string, accepted <-chan error) {
@@ -109,11 +110,11 @@
 func call(s *Session, request string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	m, err := s.Call(ctx, &Ask{Request: request})
+	m, err := s.Call(ctx, &protocol.Ask{Request: request})
 	if err != nil {
 		return "", err
 	}
-	return m.(*Decision).Request, nil
+	return m.(*protocol.Decision).Request, nil
 }
 
 func TestSessionOpens(t *testing.T) {
@@ -217,10 +218,10 @@
 			return
 		}
 		defer conn.CloseNow()
-		writeFrame(r.Context(), conn, 0, &Challenge{Nonce: make([]byte, nonceBytes), Identity: Identity{ID: "b"}})
-		var hello Hello
+		writeFrame(r.Context(), conn, 0, &protocol.Challenge{Nonce: make([]byte, nonceBytes), Identity: protocol.Identity{ID: "b"}})
+		var hello protocol.Hello
 		if readOpening(r.Context(), conn, &hello) == nil {
-			writeFrame(r.Context(), conn, 0, &Welcome{MAC: hello.MAC})
+			writeFrame(r.Context(), conn, 0, &protocol.Welcome{MAC: hello.MAC})
 		}
 	}))
 	defer impostor.Close()
@@ -238,18 +239,18 @@
 	address, accepted := acceptor.serve(t)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	self := Identity{ID: "a"}
-	var old *Hello
+	self := protocol.Identity{ID: "a"}
+	var old *protocol.Hello
 	for range 2 {
 		conn, _, err := websocket.Dial(ctx, "ws://"+address+Path, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer conn.CloseNow()
-		var ch Challenge
+		var ch protocol.Challenge
 		kit.OK(t, readOpening(ctx, conn, &ch))
 		if old == nil {
-			old = &Hello{Identity: self, MAC: identityMAC(fleetKey, ch.Nonce, self)}
+			old = &protocol.Hello{Identity: self, MAC: identityMAC(fleetKey, ch.Nonce, self)}
 			conn.CloseNow()
 			await(t, "end of accept", accepted)
 			continue
@@ -299,10 +300,10 @@
 	address, _ := acceptor.serve(t)
 	s := newEnd("newer").dial(t, address)
 	for name, frame := range map[string][]byte{
-		"unknown kind":                 {0x83, 0x18, byte(kindLast) + 1, 0, 0xa0},
+		"unknown kind":                 {0x83, 0x18, byte(protocol.KindLast) + 1, 0, 0xa0},
 		"unknown kind, reply expected": {0x83, 0x18, 0xff, 1, 0xa1, 0x01, 0x02},
 		"unknown kind, body of no map": {0x83, 0x18, 0xfe, 0, 0xf6},
-		"unknown field":                {0x83, byte(kindCancel), 0, 0xa1, 0x18, 0x63, 0xa1, 0x01, 0x02},
+		"unknown field":                {0x83, byte(protocol.KindCancel), 0, 0xa1, 0x18, 0x63, 0xa1, 0x01, 0x02},
 	} {
 		if err := s.conn.Write(context.Background(), websocket.MessageBinary, frame); err != nil {
 			t.Fatalf("%s: %v", name, err)
@@ -402,11 +403,11 @@
 	acceptor, s := openSession(t)
 	const n = 500
 	for i := range n {
-		kit.OK(t, s.Send(&Chunk{Seq: uint64(i), Data: bytes.Repeat([]byte{byte(i)}, i)}))
+		kit.OK(t, s.Send(&protocol.Chunk{Seq: uint64(i), Data: bytes.Repeat([]byte{byte(i)}, i)}))
 	}
 	kit.Must(call(s, "flush"))(t)
 	for i, m := range acceptor.received()[:n] {
-		if c := m.(*Chunk); c.Seq != uint64(i) || len(c.Data) != i {
+		if c := m.(*protocol.Chunk); c.Seq != uint64(i) || len(c.Data) != i {
 			t.Fatalf("message %d is chunk %d of %d bytes", i, c.Seq, len(c.Data))
 		}
 	}
--- a/internal/wire/traffic.go
+++ b/internal/wire/traffic.go
@@ -1,5 +1,7 @@
 package wire
 
+import "skylarklead/internal/protocol"
+
 import "sync/atomic"
 
 // Traffic counts the bytes of frames on a process's sessions, without those of
@@ -10,7 +12,7 @@
 	DataSent, DataReceived       atomic.Int64
 }
 
-func (t *Traffic) sent(m Message, bytes int) {
+func (t *Traffic) sent(m protocol.Message, bytes int) {
 	if t == nil {
 		return
 	}
@@ -21,7 +23,7 @@
 	t.ControlSent.Add(int64(bytes))
 }
 
-func (t *Traffic) received(m Message, bytes int) {
+func (t *Traffic) received(m protocol.Message, bytes int) {
 	if t == nil {
 		return
 	}
@@ -32,9 +34,9 @@
 	t.ControlReceived.Add(int64(bytes))
 }
 
-func isData(m Message) bool {
+func isData(m protocol.Message) bool {
 	switch m.(type) {
-	case *Run, *Start, *Chunk, *End, *Credit, *Export, *Exported:
+	case *protocol.Run, *protocol.Start, *protocol.Chunk, *protocol.End, *protocol.Credit, *protocol.Export, *protocol.Exported:
 		return true
 	}
 	return false
--- a/test/harness/client.go
+++ b/test/harness/client.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"skylarklead/internal/prefix"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 )
 
 // Caller is a customer's program: it sends requests to one entry and checks what
@@ -72,11 +72,11 @@
 
 // Failure is the error shape of docs/INTERFACE.md, section 1.
 type Failure struct {
-	Code         wire.Code    `json:"code"`
-	Message      string       `json:"message"`
-	Ran          wire.Outcome `json:"ran"`
-	RetryAfterMs int64        `json:"retry_after_ms"`
-	RequestID    string       `json:"request_id"`
+	Code         protocol.Code    `json:"code"`
+	Message      string           `json:"message"`
+	Ran          protocol.Outcome `json:"ran"`
+	RetryAfterMs int64            `json:"retry_after_ms"`
+	RequestID    string           `json:"request_id"`
 }
 
 // String sums the answer up for a failed proof.
--- a/test/harness/extra.go
+++ b/test/harness/extra.go
@@ -15,6 +15,7 @@
 	"skylarklead/internal/config"
 	api "skylarklead/internal/engine"
 	"skylarklead/internal/platform"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
 )
@@ -58,10 +59,10 @@
 }
 
 // Status returns what a daemon says of itself, or nil if it doesn't answer.
-func (c *Cluster) Status(n *Node) *wire.Status {
+func (c *Cluster) Status(n *Node) *protocol.Status {
 	c.t.Helper()
 	var all []struct {
-		Status *wire.Status `json:"status"`
+		Status *protocol.Status `json:"status"`
 	}
 	r := c.Ctl("status", "--address", n.Settings.Listen, "-o", "json")
 	if json.Unmarshal([]byte(r.Out), &all) != nil || len(all) != 1 {
@@ -71,7 +72,7 @@
 }
 
 // AwaitStatus waits until what a daemon says of itself meets a condition.
-func (c *Cluster) AwaitStatus(n *Node, what string, met func(*wire.Status) bool) {
+func (c *Cluster) AwaitStatus(n *Node, what string, met func(*protocol.Status) bool) {
 	c.t.Helper()
 	Await(c.t, n.ID+" "+what, func() bool {
 		s := c.Status(n)
@@ -181,10 +182,10 @@
 // Chats run on it are collected until their End.
 func (c *Cluster) Dial(n *Node) *Peer {
 	c.t.Helper()
-	p := &Peer{ends: make(chan *wire.End, 1)}
+	p := &Peer{ends: make(chan *protocol.End, 1)}
 	s, err := wire.Dial(context.Background(), n.Settings.Listen, wire.Options{
 		Key:     fleetKeyBytes(),
-		Self:    func() wire.Identity { return wire.Identity{ID: "test", Role: wire.RoleEntry, Epoch: 1} },
+		Self:    func() protocol.Identity { return protocol.Identity{ID: "test", Role: protocol.RoleEntry, Epoch: 1} },
 		Handler: p,
 	})
 	if err != nil {
@@ -203,12 +204,12 @@
 // Peer is a session of the test's own to a daemon.
 type Peer struct {
 	*wire.Session
-	ends chan *wire.End
+	ends chan *protocol.End
 }
 
 // Handle implements wire.Handler.
-func (p *Peer) Handle(_ *wire.Session, _ uint32, m wire.Message) {
-	if end, ok := m.(*wire.End); ok {
+func (p *Peer) Handle(_ *wire.Session, _ uint32, m protocol.Message) {
+	if end, ok := m.(*protocol.End); ok {
 		p.ends <- end
 	}
 }
@@ -217,7 +218,7 @@
 func (p *Peer) Closed(*wire.Session, error) { close(p.ends) }
 
 // Run sends a Run and returns its End, nil if the session ended before.
-func (p *Peer) Run(run *wire.Run) *wire.End {
+func (p *Peer) Run(run *protocol.Run) *protocol.End {
 	if p.Send(run) != nil {
 		return nil
 	}
--- a/test/herd_test.go
+++ b/test/herd_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 	"skylarklead/test/harness"
 )
 
@@ -96,8 +96,8 @@
 // claimed in time, with when to come back. Its claim may still take effect, so
 // that it is not always said to have not run.
 func truthfullyRefused(a harness.Answer) bool {
-	return a.Failure != nil && a.Failure.Code == wire.CodeLogUnavailable &&
-		a.Failure.Ran != wire.Done && a.Failure.RetryAfterMs > 0
+	return a.Failure != nil && a.Failure.Code == protocol.CodeLogUnavailable &&
+		a.Failure.Ran != protocol.Done && a.Failure.RetryAfterMs > 0
 }
 
 // keyedKind is the kind of callers whose calls may run at most once.
--- a/test/lease_test.go
+++ b/test/lease_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"skylarklead/internal/lease"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
-	"skylarklead/internal/wire"
 	"skylarklead/test/harness"
 )
 
@@ -81,7 +81,7 @@
 			harness.Await(t, "the holder to find out, or to order", func() bool {
 				return holder.Count("lease lost", "lease", order) > 0 || len(orderLines(t, holder)) > len(orders)
 			})
-			c.AwaitStatus(holder, "to read the engine", func(s *wire.Status) bool { return s.Load.Version == "v3" })
+			c.AwaitStatus(holder, "to read the engine", func(s *protocol.Status) bool { return s.Load.Version == "v3" })
 			account := c.Account(holder.Engine)
 			if account.Totals.StaleOrders != 0 || account.Totals.RefusedOrders != 0 || account.Weights != "v3" {
 				t.Errorf("engine has %s, took %d old orders and refused %d", account.Weights, account.Totals.StaleOrders, account.Totals.RefusedOrders)
--- a/test/poison_test.go
+++ b/test/poison_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
-	"skylarklead/internal/wire"
 	"skylarklead/test/harness"
 )
 
@@ -97,7 +97,7 @@
 // stream whose header was out before the engine crashed.
 func checkGivenUp(t *testing.T, what string, a harness.Answer) {
 	t.Helper()
-	if a.Failure == nil || a.Failure.Code != wire.CodeGivenUp || a.Failure.RetryAfterMs <= 0 {
+	if a.Failure == nil || a.Failure.Code != protocol.CodeGivenUp || a.Failure.RetryAfterMs <= 0 {
 		t.Errorf("%s: %v; want given_up and when to come back", what, a)
 		return
 	}
@@ -110,7 +110,7 @@
 func checkRefused(t *testing.T, what string, a harness.Answer) {
 	t.Helper()
 	checkGivenUp(t, what, a)
-	if a.Status == http.StatusOK || a.Failure != nil && a.Failure.Ran != wire.NotRun {
+	if a.Status == http.StatusOK || a.Failure != nil && a.Failure.Ran != protocol.NotRun {
 		t.Errorf("%s: %v; want a refusal before it ran", what, a)
 	}
 }
@@ -157,7 +157,7 @@
 
 // toldToComeBack reports whether a caller was told to send its request again soon.
 func toldToComeBack(a harness.Answer) bool {
-	return a.Failure != nil && a.Failure.Code != wire.CodeGivenUp && a.Failure.RetryAfterMs > 0
+	return a.Failure != nil && a.Failure.Code != protocol.CodeGivenUp && a.Failure.RetryAfterMs > 0
 }
 
 // sendUntilFinal sends the fatal request, comes back as told while the answer says
--- a/test/promise1_import_test.go
+++ b/test/promise1_import_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
-	"skylarklead/internal/wire"
 	"skylarklead/test/harness"
 )
 
@@ -47,28 +47,28 @@
 }
 
 // run has a node run the request, with a donor or without, and returns its End.
-func (i *importer) run(n *harness.Node, x sharedPrompt, donor *wire.Donor) *wire.End {
+func (i *importer) run(n *harness.Node, x sharedPrompt, donor *protocol.Donor) *protocol.End {
 	i.t.Helper()
-	var id wire.AttemptID
+	var id protocol.AttemptID
 	for b := range id {
 		id[b] = byte(rand.Uint32())
 	}
-	end := i.c.Dial(n).Run(&wire.Run{
+	end := i.c.Dial(n).Run(&protocol.Run{
 		Attempt: id, Request: id.String(), Organisation: x.organisation, Group: harness.Group, Model: harness.Model,
 		Version: x.version, Messages: x.prompt(), Levels: x.levels(), PromptTokens: prefix.Tokens(x.prompt()),
 		MaxTokens: 2, Window: 100, Donor: donor,
 	})
-	if end == nil || end.Outcome != wire.Done {
+	if end == nil || end.Outcome != protocol.Done {
 		i.t.Fatalf("%s at %s: %+v", x.organisation, n.ID, end)
 	}
 	return end
 }
 
 // decided names the donor as an owner would now.
-func (i *importer) decided(x sharedPrompt) *wire.Donor {
+func (i *importer) decided(x sharedPrompt) *protocol.Donor {
 	peer := i.c.Dial(i.donor).Peer()
-	return &wire.Donor{
-		Target:      wire.Target{Endpoint: i.donor.ID, Address: i.donor.Settings.Advertise, Epoch: peer.Epoch},
+	return &protocol.Donor{
+		Target:      protocol.Target{Endpoint: i.donor.ID, Address: i.donor.Settings.Advertise, Epoch: peer.Epoch},
 		Incarnation: i.c.Account(i.donor.Engine).Incarnation,
 		Version:     x.version,
 		Level:       x.levels()[0],
@@ -121,10 +121,10 @@
 	}
 	// The donor's own check: an export that names weights which it has no more.
 	old := i.decided(foodbank("v1", "five"))
-	reply, err := c.Dial(i.donor).Call(t.Context(), &wire.Export{
+	reply, err := c.Dial(i.donor).Call(t.Context(), &protocol.Export{
 		Epoch: old.Target.Epoch, Incarnation: old.Incarnation, Version: old.Version, Hashes: []prefix.Hash{old.Level.Hash},
 	})
-	if x, ok := reply.(*wire.Exported); !ok || x.Refusal != wire.ExportOtherWeights {
+	if x, ok := reply.(*protocol.Exported); !ok || x.Refusal != protocol.ExportOtherWeights {
 		t.Errorf("export of older weights: %+v, %v", reply, err)
 	}
 	if totals := c.Account(i.executor.Engine).Totals; totals.ForeignHits != 0 {
@@ -185,14 +185,14 @@
 
 // seen returns what the executor, as an owner, believes of the donor. The question
 // excludes both, so that it places nothing.
-func (i *importer) seen(x sharedPrompt) wire.Candidate {
+func (i *importer) seen(x sharedPrompt) protocol.Candidate {
 	i.t.Helper()
-	reply, err := i.c.Dial(i.executor).Call(i.t.Context(), &wire.Ask{
+	reply, err := i.c.Dial(i.executor).Call(i.t.Context(), &protocol.Ask{
 		Request: "seen", Organisation: x.organisation, Group: harness.Group, Model: harness.Model,
 		Version: x.version, Levels: x.levels(), PromptTokens: prefix.Tokens(x.prompt()),
 		Exclude: []string{i.donor.ID, i.executor.ID}, Explain: true,
 	})
-	decision, ok := reply.(*wire.Decision)
+	decision, ok := reply.(*protocol.Decision)
 	if !ok {
 		i.t.Fatalf("%T, %v", reply, err)
 	}
@@ -201,5 +201,5 @@
 			return candidate
 		}
 	}
-	return wire.Candidate{Excluded: excludedByAsk}
+	return protocol.Candidate{Excluded: excludedByAsk}
 }
--- a/test/promise2_streams_test.go
+++ b/test/promise2_streams_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"skylarklead/internal/faultproxy"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
-	"skylarklead/internal/wire"
 	"skylarklead/test/harness"
 )
 
@@ -132,7 +132,7 @@
 	<-running
 	c.Publish(charter(1).Record(c.Revisions[harness.Foodbank.ID]))
 	for _, n := range c.Nodes() {
-		c.AwaitStatus(n, "to have the change", func(s *wire.Status) bool { return s.ConfigOffset > c.Revisions[harness.Hospice.ID] })
+		c.AwaitStatus(n, "to have the change", func(s *protocol.Status) bool { return s.ConfigOffset > c.Revisions[harness.Hospice.ID] })
 	}
 	executor.Kill()
 	if err := harness.Foodbank.Whole(chat, <-answer); err != nil {
--- a/test/promise5_not_run_test.go
+++ b/test/promise5_not_run_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"skylarklead/internal/faultproxy"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
-	"skylarklead/internal/wire"
 	"skylarklead/test/harness"
 )
 
@@ -137,7 +137,7 @@
 // may be left without an answer unless entries were killed.
 func checkRuns(t *testing.T, answers map[string]harness.Answer, runs map[string]int, entriesKilled bool) {
 	t.Helper()
-	said := map[wire.Outcome]int{}
+	said := map[protocol.Outcome]int{}
 	for id, a := range answers {
 		ran := runs[id]
 		switch {
@@ -147,13 +147,13 @@
 			t.Errorf("%s got no explicit answer: %v", id, a)
 		case a.Ended && ran != 1:
 			t.Errorf("%s was answered but ran %d times", id, ran)
-		case a.Failure != nil && a.Failure.Ran == wire.NotRun && ran != 0:
+		case a.Failure != nil && a.Failure.Ran == protocol.NotRun && ran != 0:
 			t.Errorf("%s was told not_run but ran: %v", id, a)
 		}
 		if a.Failure != nil {
 			said[a.Failure.Ran]++
 		} else {
-			said[wire.Done]++
+			said[protocol.Done]++
 		}
 	}
 	t.Logf("outcomes told: %v", said)
--- a/test/promise6_once_test.go
+++ b/test/promise6_once_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"skylarklead/internal/faultproxy"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 	"skylarklead/test/harness"
 )
 
@@ -146,12 +146,12 @@
 // answeredOnce reports whether a caller knows that its payment is made: by the
 // answer, or by the word that it has run.
 func answeredOnce(a harness.Answer) bool {
-	return a.Ended || a.Failure != nil && a.Failure.Ran == wire.Done
+	return a.Ended || a.Failure != nil && a.Failure.Ran == protocol.Done
 }
 
 func checkOnce(t *testing.T, told map[string]*keyed, runs map[string]int, answered bool) {
 	t.Helper()
-	refusals := map[wire.Code]int{}
+	refusals := map[protocol.Code]int{}
 	var slowest time.Duration
 	unsettled := 0
 	for id, k := range told {
--- a/test/promise7_leaving_test.go
+++ b/test/promise7_leaving_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"skylarklead/internal/platform"
-	"skylarklead/internal/wire"
+	"skylarklead/internal/protocol"
 	"skylarklead/test/harness"
 )
 
@@ -83,7 +83,7 @@
 		a := c.Caller(entry, harness.Foodbank).Chat(t.Context(), chat)
 		if err := harness.Foodbank.Check(chat, a); err != nil {
 			t.Errorf("%s: %v", entry.ID, err)
-		} else if a.Failure != nil && a.Failure.Ran != wire.NotRun {
+		} else if a.Failure != nil && a.Failure.Ran != protocol.NotRun {
 			t.Errorf("%s: %v", entry.ID, a)
 		}
 	}
--- a/test/promise9_config_test.go
+++ b/test/promise9_config_test.go
@@ -11,8 +11,8 @@
 
 	"skylarklead/internal/config"
 	"skylarklead/internal/ctl"
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
-	"skylarklead/internal/wire"
 	"skylarklead/test/harness"
 )
 
@@ -26,7 +26,7 @@
 // refusesKey reports whether an entry knows no organisation by o's key.
 func refusesKey(c *harness.Cluster, entry *harness.Node, o harness.Organisation) bool {
 	a := c.Caller(entry, o).Chat(context.Background(), harness.Ask("old", 1))
-	return a.Failure != nil && a.Failure.Code == wire.CodeUnauthorized
+	return a.Failure != nil && a.Failure.Code == protocol.CodeUnauthorized
 }
 
 // answersBy reports whether an entry takes o's key and the answer follows o's
@@ -57,7 +57,7 @@
 	t.Helper()
 	began := time.Now()
 	for _, n := range nodes {
-		c.AwaitStatus(n, "to have the offset in force", func(s *wire.Status) bool { return s.ConfigOffset >= offset })
+		c.AwaitStatus(n, "to have the offset in force", func(s *protocol.Status) bool { return s.ConfigOffset >= offset })
 		t.Logf("status of %s: in force within %v", n.ID, time.Since(began).Round(time.Millisecond))
 	}
 }
@@ -71,7 +71,7 @@
 		watchers.Go(func() {
 			for ctx.Err() == nil {
 				a := c.Caller(entry, old).Chat(ctx, harness.Ask("old", 1))
-				if a.Status != 0 && (a.Failure == nil || a.Failure.Code != wire.CodeUnauthorized) {
+				if a.Status != 0 && (a.Failure == nil || a.Failure.Code != protocol.CodeUnauthorized) {
 					t.Errorf("%s went back to the old key: %v", entry.ID, a)
 					return
 				}
@@ -175,7 +175,7 @@
 	cutEntry.Heal()
 	cutEndpoint.Heal()
 	for _, n := range c.Nodes() {
-		c.AwaitStatus(n, "to reach the log", func(s *wire.Status) bool { return s.LogReachable })
+		c.AwaitStatus(n, "to reach the log", func(s *protocol.Status) bool { return s.LogReachable })
 	}
 	awaitInForce(t, c, old, next, c.Entries...)
 }
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
+	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
-	"skylarklead/internal/wire"
 	"skylarklead/test/harness"
 )
 
@@ -43,7 +43,7 @@
 	wrong    []string
 	streams  int
 	whole    int
-	refused  map[wire.Code]int
+	refused  map[protocol.Code]int
 	cut      int
 	payments map[string]harness.Answer
 }
@@ -59,7 +59,7 @@
 	s := &soak{
 		t: t, c: c, done: make(chan struct{}),
 		revision: c.Revisions[harness.Foodbank.ID],
-		refused:  map[wire.Code]int{}, payments: map[string]harness.Answer{},
+		refused:  map[protocol.Code]int{}, payments: map[string]harness.Answer{},
 	}
 	var load sync.WaitGroup
 	for i := range soakStreamers {
@@ -283,7 +283,7 @@
 		if runs[id] > 1 {
 			twice++
 		}
-		if a.Failure != nil && a.Failure.Ran == wire.NotRun && runs[id] > 0 {
+		if a.Failure != nil && a.Failure.Ran == protocol.NotRun && runs[id] > 0 {
 			falseNotRun++
 			t.Errorf("%s was told not_run and ran %d times: %v", id, runs[id], a)
 		}
