--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -18,13 +18,15 @@
 	// that what was missed is known soon after it is back.
 	maxPause = 400 * time.Millisecond
 	// operatorWait is how long a read for the operator's changes waits. A connection
-	// that has gone silent is noticed at its end.
-	operatorWait = 2 * time.Second
+	// that has gone silent is noticed at its end and a call's own time: both together
+	// must be less than the three seconds of calm after which an entry is held to what
+	// the store has acknowledged.
+	operatorWait = 1500 * time.Millisecond
 	// replicasWait is like operatorWait for the replicas' records, replicasEvery the
 	// least pause between reads: after a crash of many their records come in a burst.
 	// It grows with the entries, as each change wakes them all, up to replicasMost, a
 	// third of the time in which a leaving replica must be left alone.
-	replicasWait  = 2 * time.Second
+	replicasWait  = operatorWait
 	replicasEvery = 40 * time.Millisecond
 	replicasMost  = 700 * time.Millisecond
 	// entriesEvery is the pause between reads of the entries' own topic. Notes come
@@ -55,6 +57,8 @@
 	store fleet.Store
 	pacer platform.Pacer
 	next  uint64
+	// failures counts reads without an answer in a row.
+	failures int
 	// known is set once all keys were read, begun once they were for the first time.
 	known, begun bool
 	// pause returns the pause between reads where it varies; nil for every.
@@ -80,7 +84,13 @@
 // run follows until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+		err := f.step(ctx)
+		if err == nil {
+			f.failures = 0
+			continue
+		}
+		if ctx.Err() == nil {
+			f.failures++
 			f.failed()
 			f.pacer.Failed(ctx, err)
 		}
@@ -94,8 +104,19 @@
 	return f.readOn(ctx)
 }
 
+// patience is how long a read may wait for a record, and in all. A call that begins
+// in an outage may hang to its end although the outage is over; so none of those is
+// given long. Their time grows and begins anew, for a store that is only slow.
+func (f *follower) patience() (wait, all time.Duration) {
+	if f.failures == 0 {
+		return f.wait, f.wait + callTimeout
+	}
+	return 0, callTimeout / 2 << ((f.failures - 1) % 3)
+}
+
 func (f *follower) readWhole(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	_, all := f.patience()
+	ctx, cancel := context.WithTimeout(ctx, all)
 	defer cancel()
 	page, err := f.store.Newest(ctx, f.topic)
 	if err != nil {
@@ -126,7 +147,8 @@
 	if f.next >= page.End {
 		f.caughtUp()
 	}
-	f.pacer.Answered(ctx, len(page.Records), f.wait, time.Since(began))
+	waited, _ := f.patience()
+	f.pacer.Answered(ctx, len(page.Records), waited, time.Since(began))
 	f.rest(ctx)
 	return nil
 }
@@ -150,9 +172,10 @@
 }
 
 func (f *follower) read(ctx context.Context) (fleet.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.wait+callTimeout)
+	wait, all := f.patience()
+	ctx, cancel := context.WithTimeout(ctx, all)
 	defer cancel()
-	return f.store.Read(ctx, f.topic, f.next, f.wait)
+	return f.store.Read(ctx, f.topic, f.next, wait)
 }
 
 // restart goes on where records are gone: with all keys, or from the oldest record.
