--- a/internal/member/replicas_test.go
+++ b/internal/member/replicas_test.go
@@ -40,6 +40,22 @@
 	}
 }
 
+// Symptom: requests go to a version of weights that was replaced, or to nobody.
+// Sequence: newer records of a replica are followed by a stale read with older ones.
+// Cause: the last one read taken for the newest.
+func TestStaleRecordChangesNothing(t *testing.T) {
+	v := member.NewReplicas(member.DefaultReplicaParams)
+	newer := replica("a")
+	newer.Weights = map[string]uint64{"m": 2}
+	v.Put(newer, 9)
+	if v.Put(replica("a"), 5) || v.Get("a").Weights["m"] != 2 {
+		t.Fatal("an older record replaced a newer one")
+	}
+	if v.Remove("a", 5, 0) || v.Health("a", 0) != member.Healthy {
+		t.Fatal("an older removal took effect after a newer record")
+	}
+}
+
 // Symptom: after an outage of the store no replica is left, though all run.
 // Sequence: the store is away for longer than records live; they lapse, and the
 // first read after the outage shows them gone. Cause: a lapse taken for leaving.
