Leases: claims of many entries made each other void for ever

Cause: a claim is valid if it names the last record of its lease, and one without effect counts as the last record too. Each process claimed again as soon as it had read its own claim back as void.

Ruled out: an empty log (its first claim is always valid), the store's slowness alone, followers (their pauses bound them to some 10 calls a second).

Change: claims are appended on condition that nothing has landed since the topic was read, so a void claim never lands; after a record without effect the pause grows, up to the lease's duration, which alone suffices where appends have no condition.

--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -81,6 +81,8 @@
 	foreignAt time.Duration
 	fence     uint64
 	holds     bool
+	// next is the offset at which the topic goes on after what was read.
+	next uint64
 }
 
 func newRollouts(e *Entry) *rollouts {
@@ -115,6 +117,7 @@
 	f.record = r.take
 	f.skipped = func(first uint64) {
 		r.mu.Lock()
+		r.next = first
 		r.act(ctx, r.leases.Gap(first+1, bootTime()))
 		r.mu.Unlock()
 	}
@@ -128,14 +131,15 @@
 
 func (r *rollouts) take(record fleet.Record) {
 	e := r.entry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next = record.Offset + 1
 	envelope, err := rollout.Decode(record.Value)
 	if err != nil {
 		e.tel.Metrics.Count("records_malformed", 1)
 		e.tel.Log.Error("entries' record skipped", "offset", record.Offset, "error", err)
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if envelope.Lease != nil {
 		r.act(context.Background(), r.leases.Record(record.Offset+1, envelope.Lease, bootTime()))
 		if grant, held := r.leases.Table().Holder(giverLease); held {
@@ -295,7 +299,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case lease.Append:
-			go r.appendLease(ctx, a)
+			go r.appendLease(ctx, a, r.condition(a))
 		case lease.Granted:
 			r.entry.tel.Log.Info("lease granted", "lease", string(a.Name), "fence", a.Fence)
 		case lease.Lost:
@@ -304,16 +308,31 @@
 	}
 }
 
-func (r *rollouts) appendLease(ctx context.Context, a lease.Append) {
+// condition is where on the topic a record must land, nil for anywhere. A claim that
+// another record came before is void, and makes the others' claims void that are on
+// their way; with many entries none would get the lease. The caller holds mu.
+func (r *rollouts) condition(a lease.Append) *uint64 {
+	if !a.Claim {
+		return nil
+	}
+	at := r.next
+	return &at
+}
+
+func (r *rollouts) appendLease(ctx context.Context, a lease.Append, at *uint64) {
 	envelope := rollout.Envelope{Lease: a.Data}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
-	_, err := r.entry.platform.Store.Append(ctx, topicEntries, nil, [][]byte{envelope.Encode()})
+	_, err := r.entry.platform.Store.Append(ctx, topicEntries, at, [][]byte{envelope.Encode()})
 	nudge(r.reread)
-	if err == nil {
+	switch {
+	case err == nil:
 		return
+	case errors.Is(err, fleet.ErrStoreMoved):
+		r.entry.tel.Log.Info("lease not claimed, another record came first", "seq", a.Seq, "at", *at)
+	default:
+		r.entry.tel.Log.Warn("lease record not written", "seq", a.Seq, "error", err)
 	}
-	r.entry.tel.Log.Warn("lease record not written", "seq", a.Seq, "error", err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.act(ctx, r.leases.Failed(a.Seq, bootTime()))
--- a/internal/lease/leases.go
+++ b/internal/lease/leases.go
@@ -21,8 +21,8 @@
 	// OrderMargin is what has to be left of a lease when it is used: longer than
 	// an order may take to arrive.
 	OrderMargin time.Duration
-	// RetryMin and RetryMax bound the jittered wait after an append without
-	// effect.
+	// RetryMin and RetryMax bound the jittered wait after an append that failed.
+	// After a record without effect it may grow up to Duration.
 	RetryMin time.Duration
 	RetryMax time.Duration
 }
@@ -41,6 +41,10 @@
 type Append struct {
 	Seq  uint64
 	Data []byte
+	// Claim marks a record that has no effect unless it directly follows, among the
+	// records of its lease, the last one read. Where the log takes conditional appends
+	// it is to be appended only if nothing has landed since.
+	Claim bool
 }
 
 // Granted: this process holds the lease. Use it by Check only.
@@ -153,7 +157,8 @@
 		return
 	}
 	if h.pending == r.Seq {
-		h.pending, h.tries = 0, 0
+		h.pending = 0
+		l.landed(h, valid, now)
 	}
 	sentAt, mine := h.sent[r.Seq]
 	delete(h.sent, r.Seq)
@@ -167,6 +172,22 @@
 	}
 }
 
+// landed takes it that the record waited for is on the log.
+//
+// Of many that claim a free lease at once, those that claim again as soon as they
+// have read their claim back as one without effect keep all of them from it: each
+// such record makes the claims void that are on their way. It is seen as claims at
+// the rate that the log can take, with no holder. So the pause after a record without
+// effect grows until few enough are on their way.
+func (l *Leases) landed(h *held, valid bool, now time.Duration) {
+	if valid {
+		h.tries = 0
+		return
+	}
+	h.tries++
+	h.nextTry = now + l.wait(h.tries, l.params.Duration)
+}
+
 // grant takes this process's own valid claim. One that was read back after its
 // end, since the process or the log stood still, is not held.
 func (l *Leases) grant(h *held, r *Record, offset uint64, sentAt, now time.Duration) {
@@ -216,7 +237,7 @@
 		if h.pending == seq {
 			h.pending = 0
 			h.tries++
-			h.nextTry = now + l.wait(h.tries)
+			h.nextTry = now + l.wait(h.tries, l.params.RetryMax)
 		}
 	}
 	return l.Tick(now)
@@ -287,7 +308,7 @@
 	}
 	h.sent[l.seq] = now
 	h.pending = l.seq
-	l.out = append(l.out, Append{Seq: l.seq, Data: data})
+	l.out = append(l.out, Append{Seq: l.seq, Data: data, Claim: r.Kind == KindClaim})
 }
 
 // forgetSent forgets records whose time would be over if they showed up now.
@@ -302,8 +323,9 @@
 	}
 }
 
-func (l *Leases) wait(tries int) time.Duration {
-	d := min(l.params.RetryMin<<min(tries-1, 16), l.params.RetryMax)
+// wait is the jittered pause after so many tries without effect, at most the longest.
+func (l *Leases) wait(tries int, longest time.Duration) time.Duration {
+	d := min(l.params.RetryMin<<min(tries-1, 16), longest)
 	return d/2 + time.Duration(l.rng.Int64N(int64(d/2)+1))
 }
 
