Prefixes are spread over all stores of kept cache

Cause: of several stores of kept cache all entries used the first by name.

Ruled out: affinity (the share of prefixes sent to a holder didn't change), slow transfers (moved bytes cost a hundredth of what reading again does).

Change: rendezvous hashing of the prefix over the stores' addresses.

--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -159,7 +159,7 @@
 		return
 	}
 	s := j.entry.state
-	store := j.config.KeptCache()
+	store := route.KeptAt(j.query.Prefix, j.config.KeptCaches())
 	if store != "" && s.feed.Keep(j.entry.clock.now(), j.query.Prefix, j.salt(p.version)) {
 		p.keep = store
 	}
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -113,16 +114,24 @@
 	Organisations []*Organisation
 	Limits        Limits
 
-	byHost map[string][]*Route
+	byHost     map[string][]*Route
+	keptCaches []string
 }
 
-// Index prepares a configuration for Match. It is called once, by its maker.
+// Index prepares a configuration for Match and KeptCaches. It is called once, by its maker.
 func (c *Configuration) Index() {
 	c.byHost = make(map[string][]*Route)
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
 	}
+	c.keptCaches = nil
+	for _, s := range c.Services {
+		if s.StoreAddress != "" {
+			c.keptCaches = append(c.keptCaches, s.StoreAddress)
+		}
+	}
+	slices.Sort(c.keptCaches)
 }
 
 // Match returns the route of the host whose prefix is the longest that begins the
@@ -140,17 +149,8 @@
 	return best
 }
 
-// KeptCache returns the address of the store of kept KV cache, "" if there is none.
-// Of several it is the first by name, so that all entries use the same one.
-func (c *Configuration) KeptCache() string {
-	name, address := "", ""
-	for _, s := range c.Services {
-		if s.StoreAddress != "" && (name == "" || s.Name < name) {
-			name, address = s.Name, s.StoreAddress
-		}
-	}
-	return address
-}
+// KeptCaches lists the addresses of the stores of kept KV cache, in order.
+func (c *Configuration) KeptCaches() []string { return c.keptCaches }
 
 // Models lists the models of all engines, each once.
 func (c *Configuration) Models() []string {
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -553,5 +553,10 @@
 	return 0
 }
 
+// KeptAt is which of the stores of kept cache has a prefix, "" if there is none. Each
+// prefix is in one of them, the same one for all entries: together they hold as many
+// as they have room for, where copies in each would push others out.
+func KeptAt(prefix string, stores []string) string { return First(PrefixHash(prefix), stores) }
+
 // PrefixHash is the hash by which entries tell each other of a prefix.
 func PrefixHash(prefix string) uint64 { return xxhash.Sum64String(prefix) }
--- a/internal/route/feed_test.go
+++ b/internal/route/feed_test.go
@@ -178,3 +178,37 @@
 		})
 	}
 }
+
+// TestPrefixesAreSpreadOverStoresOfKeptCache
+//
+// Symptom: with three stores of kept cache a third of the shared parts were read
+// again and again although the stores together have room for all.
+//
+// Sequence: more prefixes are in use than one store has room for.
+//
+// Cause: all entries used the same one of the stores.
+func TestPrefixesAreSpreadOverStoresOfKeptCache(t *testing.T) {
+	stores := []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"}
+	const prefixes = 1200
+	in := map[string]int{}
+	moved := 0
+	for i := range prefixes {
+		name := fmt.Sprintf("model//%x", i)
+		at := route.KeptAt(name, stores)
+		in[at]++
+		if at != stores[1] && route.KeptAt(name, []string{stores[2], stores[0]}) != at {
+			moved++
+		}
+	}
+	for _, s := range stores {
+		if in[s] < prefixes/4 || in[s] > prefixes*5/12 {
+			t.Errorf("store %s has %d of %d prefixes", s, in[s], prefixes)
+		}
+	}
+	if moved > 0 {
+		t.Errorf("%d prefixes moved though their store is still there", moved)
+	}
+	if at := route.KeptAt("model//1", nil); at != "" {
+		t.Errorf("without stores: %q", at)
+	}
+}
