Short prefixes don't use the stores of kept cache

Ruled out: replicas' load (the same for both).

Change: below 512 tokens a prefix is fetched from a replica only, and not kept; lines of requests have fetch_from.

--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -142,24 +142,34 @@
 	j.cacheSource(p)
 	j.hands = append(j.hands, hand{
 		replica: choice.ID, reason: choice.Reason, score: choice.Score, load: choice.Load,
-		missed: choice.Missed, of: choice.Of, version: p.version,
+		missed: choice.Missed, source: p.source, of: choice.Of, version: p.version,
 		listAge: now - time.Duration(s.listReadAt.Load()),
 	})
 	return p
 }
 
-// keptTokens is the shared length from which on a prefix is fetched or kept: below
-// it reading anew takes less than looking for it.
-const keptTokens = 64
+const (
+	// fetchedTokens is the shared length from which on a prefix is fetched: below it
+	// reading anew takes less than looking for it.
+	fetchedTokens = 64
+	// keptTokens is the length from which on a prefix is kept in a store and fetched
+	// from there. An engine reads shorter ones in 10 ms; a fetch from a store waits
+	// behind those of long prefixes, at the ninetieth percentile for half a second,
+	// and each save pushes long ones out.
+	keptTokens = 512
+)
 
 // cacheSource sets where the replica can fetch what it lacks of the prefix. The
 // caller holds the state's lock.
 func (j *job) cacheSource(p *placed) {
-	if j.query.SharedTokens < keptTokens {
+	if j.query.SharedTokens < fetchedTokens {
 		return
 	}
 	s := j.entry.state
-	store := route.KeptAt(j.query.Prefix, j.config.KeptCaches())
+	store := ""
+	if j.query.SharedTokens >= keptTokens {
+		store = route.KeptAt(j.query.Prefix, j.config.KeptCaches())
+	}
 	if store != "" && s.feed.Keep(j.entry.clock.now(), j.query.Prefix, j.salt(p.version)) {
 		p.keep = store
 	}
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -22,6 +22,8 @@
 	score   float64
 	load    float64
 	missed  int
+	// source is where the replica was told to fetch missing cached parts from.
+	source  string
 	of      int
 	version uint64
 	// listAge is how long ago the list of replicas was read.
@@ -138,6 +140,9 @@
 	if h.missed > 0 {
 		fields = append(fields, slog.Int("missed_tokens", h.missed))
 	}
+	if h.source != "" {
+		fields = append(fields, slog.String("fetch_from", h.source))
+	}
 	if h.status != 0 {
 		fields = append(fields, slog.Int("status", h.status))
 	}
