--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -148,33 +148,13 @@
 	return p
 }
 
-const (
-	// fetchedTokens is the shared length from which on a prefix is fetched: below it
-	// reading anew takes less than looking for it.
-	fetchedTokens = 64
-	// keptTokens is the length from which on a prefix is kept in a store and fetched
-	// from there. An engine reads shorter ones in 10 ms; a fetch from a store waits
-	// behind those of long prefixes, at the ninetieth percentile for half a second,
-	// and each save pushes long ones out.
-	keptTokens = 512
-)
-
-// cacheSource sets where the replica can fetch what it lacks of the prefix. The
-// caller holds the state's lock.
+// cacheSource sets where the replica can fetch what it lacks of the prefix, and where
+// it is kept. The caller holds the state's lock.
 func (j *job) cacheSource(p *placed) {
-	if j.query.SharedTokens < fetchedTokens {
-		return
-	}
 	s := j.entry.state
-	store := ""
-	if j.query.SharedTokens >= keptTokens {
-		store = route.KeptAt(j.query.Prefix, j.config.KeptCaches())
-	}
-	if store != "" && s.feed.Keep(j.entry.clock.now(), j.query.Prefix, j.salt(p.version)) {
-		p.keep = store
-	}
-	p.source = store
-	if r := s.replicas.Get(p.choice.Source); r != nil && (p.choice.SourceKnown || store == "") {
+	use := s.feed.Cache(j.entry.clock.now(), &j.query, &p.choice, j.salt(p.version), j.config.KeptCaches())
+	p.source, p.keep = use.Store, use.KeepIn
+	if r := s.replicas.Get(use.Holder); r != nil {
 		p.source = r.Address
 	}
 }
--- a/internal/route/feed_test.go
+++ b/internal/route/feed_test.go
@@ -212,3 +212,52 @@
 		t.Errorf("without stores: %q", at)
 	}
 }
+
+// TestShortPrefixesDontWaitForAStore
+//
+// Symptom: requests whose instructions an engine reads in 4 ms began after 683 ms,
+// one in ten, while those that a replica was named for began after 142.
+//
+// Sequence: a short prefix spills; the replica is told to fetch it from the store.
+//
+// Cause: a store sends one prefix after the other, and the long ones before it take
+// 20 to 40 ms each.
+func TestShortPrefixesDontWaitForAStore(t *testing.T) {
+	stores := []string{"10.0.0.1:80", "10.0.0.2:80"}
+	for _, c := range []struct {
+		name   string
+		tokens int
+		choice route.FeedChoice
+		want   route.CacheUse
+	}{
+		{"tiny", 20, route.FeedChoice{Source: "r01", SourceKnown: true}, route.CacheUse{}},
+		{"short, guessed holder", 198, route.FeedChoice{Source: "r01"}, route.CacheUse{Holder: "r01"}},
+		{"short, held", 198, route.FeedChoice{}, route.CacheUse{}},
+		{"long, guessed holder", 6300, route.FeedChoice{Source: "r01"}, route.CacheUse{Store: route.KeptAt("p", stores), KeepIn: route.KeptAt("p", stores)}},
+		{"long, known holder", 6300, route.FeedChoice{Source: "r01", SourceKnown: true}, route.CacheUse{Holder: "r01", KeepIn: route.KeptAt("p", stores)}},
+		{"long, held", 6300, route.FeedChoice{}, route.CacheUse{Store: route.KeptAt("p", stores), KeepIn: route.KeptAt("p", stores)}},
+	} {
+		q := &route.FeedQuery{Prefix: "p", SharedTokens: c.tokens, PromptTokens: c.tokens + 600}
+		if got := newFeed().Cache(0, q, &c.choice, "m@1/", stores); got != c.want {
+			t.Errorf("%s: %+v, want %+v", c.name, got, c.want)
+		}
+	}
+}
+
+// A prefix is sent to its store once in a while, by whichever entry comes first:
+// with it goes the request's own part, which nobody asks for again.
+func TestPrefixIsKeptOnceAmongAllEntries(t *testing.T) {
+	a, b := newFeed(), newFeed()
+	q := prompt("p")
+	stores := []string{"10.0.0.1:80"}
+	if a.Cache(0, q, &route.FeedChoice{}, "m@1/", stores).KeepIn == "" {
+		t.Fatal("not kept at first")
+	}
+	b.HeardPlacements(a.Placements(0), 0)
+	if b.Cache(0, q, &route.FeedChoice{}, "m@1/", stores).KeepIn != "" {
+		t.Fatal("kept again by a peer that was told")
+	}
+	if b.Cache(0, q, &route.FeedChoice{}, "m@2/", stores).KeepIn == "" {
+		t.Fatal("not kept under other weights")
+	}
+}
