--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -21,11 +21,10 @@
 	// Grace is the time from SIGTERM until the process is killed.
 	Grace Duration `json:"grace"`
 	// RetryShare and RetryExtra bound what all entries together send a second time
-	// to one service in any RetryWindow: RetryShare of its requests, 0 to 1, and
-	// RetryExtra beside.
-	RetryShare  float64  `json:"retry_share"`
-	RetryExtra  float64  `json:"retry_extra"`
-	RetryWindow Duration `json:"retry_window"`
+	// to one service over a time of any length: RetryShare of its requests, 0 to 1,
+	// and RetryExtra beside.
+	RetryShare float64 `json:"retry_share"`
+	RetryExtra float64 `json:"retry_extra"`
 	// Lease is for how long two givers of orders must not overlap. FencesChecked
 	// says that replicas refuse an old giver by themselves.
 	Lease         Duration `json:"lease"`
@@ -39,11 +38,10 @@
 
 // What a direct entry's settings that don't say otherwise get.
 const (
-	DefaultGrace       = Duration(8 * time.Second)
-	DefaultRetryWindow = Duration(10 * time.Second)
-	DefaultLease       = Duration(3 * time.Second)
-	DefaultWeights     = Duration(10 * time.Second)
-	DefaultMemory      = 128
+	DefaultGrace   = Duration(8 * time.Second)
+	DefaultLease   = Duration(3 * time.Second)
+	DefaultWeights = Duration(10 * time.Second)
+	DefaultMemory  = 128
 	// minMemory is what an idle entry needs, in MB.
 	minMemory = 32
 )
@@ -51,7 +49,6 @@
 func (d *Direct) fillDefaults(doc *strictjson.Document) {
 	fill(doc, "direct.grace", &d.Grace, DefaultGrace)
 	fill(doc, "direct.retry_share", &d.RetryShare, DefaultRetryShare)
-	fill(doc, "direct.retry_window", &d.RetryWindow, DefaultRetryWindow)
 	fill(doc, "direct.lease", &d.Lease, DefaultLease)
 	fill(doc, "direct.weights_within", &d.WeightsWithin, DefaultWeights)
 	fill(doc, "direct.memory_mb", &d.Memory, DefaultMemory)
@@ -70,7 +67,6 @@
 	c.address("direct.peers", d.Peers)
 	c.address("direct.store", d.Store)
 	c.positive("direct.grace", d.Grace)
-	c.positive("direct.retry_window", d.RetryWindow)
 	c.positive("direct.lease", d.Lease)
 	c.positive("direct.weights_within", d.WeightsWithin)
 	c.share("direct.retry_share", d.RetryShare)
