Direct entries give up requests that crash the replicas that run them

Cause: the memory of such requests was the endpoint process's; a direct entry retried them, and their callers' repeats, for ever.

Change: attempt.Strikes, fed by runs that broke off at a replica that was then lost; shared by datagram and, from the second strike on, by the entries' topic. A broken run has a connection to its replica tried at once.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -110,6 +110,7 @@
 	s := j.entry.state
 	s.mu.Lock()
 	s.replicas.Worked(p.replica.ID, j.entry.clock.now())
+	s.strikes.Worked(j.print, p.replica.ID)
 	s.mu.Unlock()
 }
 
@@ -131,6 +132,7 @@
 	j.hands[len(j.hands)-1].err = err
 	if j.ctx.Err() == nil {
 		j.fault(p, member.FaultBroken)
+		j.broke(p)
 	}
 	return attempt.LossUnknown
 }
--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -40,7 +40,7 @@
 
 // handOn places the request until it has its answer.
 func (j *job) handOn() {
-	for {
+	for !j.givenUp() {
 		p := j.place()
 		if p == nil {
 			j.unplaced()
@@ -66,6 +66,9 @@
 	e := j.entry
 	e.state.mu.Lock()
 	next := j.forward.Lost(loss, e.clock.now())
+	if loss == attempt.LossUnknown && e.state.strikes.Suspect(j.print, e.clock.now()) {
+		next = attempt.Next{Reason: "suspected of crashing replicas"}
+	}
 	e.state.mu.Unlock()
 	if next.Again {
 		e.tel.Metrics.Retries.Inc(1)
@@ -82,7 +85,7 @@
 	case j.failure != nil:
 		j.pass(j.failure)
 	default:
-		j.fail(http.StatusBadGateway, next.Reason)
+		j.fail(http.StatusBadGateway, next.Reason, 0)
 	}
 	return false
 }
@@ -97,7 +100,7 @@
 	case j.failure != nil:
 		j.pass(j.failure)
 	case j.forward.Tainted():
-		j.fail(http.StatusBadGateway, "no replica to try again")
+		j.fail(http.StatusBadGateway, "no replica to try again", 0)
 	default:
 		j.refuse("no replica can take it", comeBack)
 	}
@@ -112,7 +115,7 @@
 	case j.first > 0:
 		j.cut("time over")
 	default:
-		j.fail(http.StatusGatewayTimeout, "time over")
+		j.fail(http.StatusGatewayTimeout, "time over", 0)
 	}
 }
 
@@ -248,5 +251,6 @@
 		return loss
 	}
 	j.fault(p, member.FaultBroken)
+	j.broke(p)
 	return loss
 }
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -53,6 +53,8 @@
 	ends    time.Duration
 	forward *attempt.Forward
 	query   route.FeedQuery
+	// print is the request's fingerprint.
+	print uint64
 	// turn brings the place that the request waits for, nil if there is none in time.
 	turn chan *placed
 	// failure is a replica's own failure, passed on if nothing better comes.
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -12,6 +12,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"skylarklead/internal/attempt"
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/rollout"
 	"skylarklead/internal/route"
@@ -42,8 +43,9 @@
 	// in one.
 	toldFor           = 150 * time.Millisecond
 	maxWordPlacements = 16
-	// maxWordNotes bounds the notes in a word likewise.
-	maxWordNotes = 12
+	// maxWordNotes bounds the notes in a word likewise, maxWordStrikes the strikes.
+	maxWordNotes   = 12
+	maxWordStrikes = 32
 	// peersEvery is the least pause between reads for new peers: at a start all of
 	// them are new.
 	peersEvery = time.Second
@@ -61,6 +63,9 @@
 	Placements []wordPlacement `cbor:"6,keyasint,omitempty"`
 	// Notes are of a rollout; a word with them has no loads, and Seq is 0.
 	Notes []rollout.Note `cbor:"5,keyasint,omitempty"`
+	// Strikes are of requests at replicas that were lost; a word with them has nothing
+	// else.
+	Strikes []attempt.Strike `cbor:"7,keyasint,omitempty"`
 }
 
 type wordLoad struct {
@@ -170,6 +175,13 @@
 	}
 }
 
+// tellStrikes sends strikes to the others at once.
+func (p *peers) tellStrikes(strikes []attempt.Strike) {
+	for part := range slices.Chunk(strikes, maxWordStrikes) {
+		p.send(&word{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), Strikes: part})
+	}
+}
+
 func (p *peers) send(w *word) {
 	data, err := cbor.Marshal(w)
 	if err != nil {
@@ -250,6 +262,10 @@
 		e.rollouts.heardNotes(w.Notes)
 		return
 	}
+	if len(w.Strikes) > 0 {
+		e.heardStrikes(w.Strikes, w.From)
+		return
+	}
 	loads := make(map[string]route.Load, len(w.Loads))
 	for _, l := range w.Loads {
 		loads[l.Replica] = route.Load{Reading: float64(l.ReadingMs), Running: int(l.Running)}
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -148,6 +148,10 @@
 		r.poke()
 		return
 	}
+	if envelope.Strike != nil {
+		r.entry.heardStrike(envelope.Strike, topicEntries)
+		return
+	}
 	r.hearNote(envelope.Note)
 }
 
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -198,6 +198,7 @@
 		Deadline:   j.ends,
 	}, budget)
 	j.query = j.newQuery()
+	j.print = j.fingerprint()
 	j.handOn()
 }
 
@@ -259,10 +260,11 @@
 	return false
 }
 
-// fail ends a request that may have run.
-func (j *job) fail(status int, reason string) {
+// fail ends a request that may have run; after is when it makes sense to come back,
+// 0 for no word on that.
+func (j *job) fail(status int, reason string, after time.Duration) {
 	j.outcome = outcomeFailed
-	j.reply(status, reason, 0)
+	j.reply(status, reason, after)
 }
 
 func (j *job) reply(status int, reason string, after time.Duration) {
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -33,6 +33,7 @@
 	feed     *route.Feed
 	demands  map[string]*rollout.Demand // of each model
 	budgets  map[string]*attempt.Budget
+	strikes  *attempt.Strikes
 	gates    map[string]*gate
 	// listed is set once the list of replicas was read whole.
 	listed bool
@@ -58,6 +59,7 @@
 		feed:     route.NewFeed(route.DefaultFeedParams, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		demands:  make(map[string]*rollout.Demand),
 		budgets:  make(map[string]*attempt.Budget),
+		strikes:  attempt.NewStrikes(attempt.DefaultStrikeParams),
 		gates:    make(map[string]*gate),
 		changed:  make(chan struct{}),
 		budget:   budget,
--- /dev/null
+++ b/internal/direct/strikes.go
@@ -0,0 +1,134 @@
+package direct
+
+import (
+	"context"
+	"encoding/binary"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/rollout"
+)
+
+// recordedStrikes is the number from which on a request's strikes are written to the
+// entries' topic too, so that an entry that starts knows of them. First ones come
+// with every crash, for all that ran there; peers hear of them by datagram.
+const recordedStrikes = 2
+
+// fingerprint stands for the request whenever it comes again: its organisation,
+// method, target and body.
+func (j *job) fingerprint() uint64 {
+	d := xxhash.New()
+	organisation := ""
+	if j.organisation != nil {
+		organisation = j.organisation.Name
+	}
+	var size [8]byte
+	for _, part := range []string{organisation, j.r.Method, j.r.Host, j.r.RequestURI} {
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		_, _ = d.Write(size[:]) // a digest takes all
+		_, _ = d.WriteString(part)
+	}
+	_, _ = d.Write(j.body)
+	return d.Sum64()
+}
+
+// givenUp answers a request that has crashed too many replicas. It reports whether
+// it did.
+func (j *job) givenUp() bool {
+	s := j.entry.state
+	s.mu.Lock()
+	now := j.entry.clock.now()
+	wait, given := s.strikes.GivenUp(j.print, now)
+	s.mu.Unlock()
+	if !given {
+		return false
+	}
+	const reason = "given up: it crashed the replicas that ran it"
+	switch {
+	case j.first > 0:
+		j.cut(reason)
+	case j.forward.Tainted():
+		j.fail(http.StatusBadGateway, reason, wait)
+	default:
+		j.refuse(reason, wait)
+	}
+	return true
+}
+
+// broke says that the request's run broke off at a replica. A connection is tried:
+// if the replica has crashed, nothing else should be sent there, and the request has
+// a strike.
+func (j *job) broke(p *placed) {
+	s := j.entry.state
+	s.mu.Lock()
+	strikes := s.strikes.Broken(j.print, p.replica.ID, p.at, j.entry.clock.now())
+	s.mu.Unlock()
+	j.entry.struck(strikes)
+	go j.entry.watch.probe(context.WithoutCancel(j.ctx), p.replica)
+}
+
+// replicaLost says that a replica is gone, or can't be reached.
+func (e *Entry) replicaLost(id string) {
+	e.state.mu.Lock()
+	strikes := e.state.strikes.Lost(id, e.clock.now())
+	e.state.mu.Unlock()
+	e.struck(strikes)
+}
+
+// struck tells the other entries of strikes.
+func (e *Entry) struck(strikes []attempt.Strike) {
+	if len(strikes) == 0 {
+		return
+	}
+	var records [][]byte
+	for i := range strikes {
+		count := e.logStrike(&strikes[i], e.settings.ID)
+		if count >= recordedStrikes {
+			envelope := rollout.Envelope{Strike: &strikes[i]}
+			records = append(records, envelope.Encode())
+		}
+	}
+	e.peers.tellStrikes(strikes)
+	if len(records) > 0 {
+		go e.recordStrikes(records)
+	}
+}
+
+func (e *Entry) recordStrikes(records [][]byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if _, err := e.platform.Store.Append(ctx, topicEntries, nil, records); err != nil {
+		e.tel.Log.Warn("strikes not written", "strikes", len(records), "error", err)
+	}
+}
+
+// heardStrikes takes strikes that a peer sent directly.
+func (e *Entry) heardStrikes(strikes []attempt.Strike, from string) {
+	for i := range strikes {
+		if strikes[i].Valid() {
+			e.heardStrike(&strikes[i], from)
+		}
+	}
+}
+
+// heardStrike takes another entry's strike.
+func (e *Entry) heardStrike(strike *attempt.Strike, from string) {
+	e.state.mu.Lock()
+	e.state.strikes.Heard(*strike, e.clock.now())
+	e.state.mu.Unlock()
+	e.logStrike(strike, from)
+}
+
+// logStrike writes a strike's line and returns how many the request has.
+func (e *Entry) logStrike(strike *attempt.Strike, from string) int {
+	now := e.clock.now()
+	e.state.mu.Lock()
+	count := e.state.strikes.Count(strike.Fingerprint, now)
+	_, given := e.state.strikes.GivenUp(strike.Fingerprint, now)
+	e.state.mu.Unlock()
+	e.tel.Log.Info("request struck", "fingerprint", strike.Fingerprint, "replica", strike.Replica,
+		"strikes", count, "given_up", given, "from", from)
+	return count
+}
--- a/internal/direct/unheard.go
+++ b/internal/direct/unheard.go
@@ -104,6 +104,7 @@
 		e.state.forget(r.ID)
 		known := e.state.replicas.Get(instance) != nil
 		e.state.mu.Unlock()
+		e.replicaLost(r.ID)
 		e.tel.Log.Info("replica replaced", "replica", r.ID, "address", r.Address, "by", instance)
 		if instance == "" || known || len(r.Weights) == 0 {
 			return
--- a/internal/direct/watch.go
+++ b/internal/direct/watch.go
@@ -145,6 +145,7 @@
 	if !news {
 		return
 	}
+	e.replicaLost(r.ID)
 	taken := e.watch.take(r.ID)
 	e.tel.Log.Warn("replica unreachable", "replica", r.ID, "by", by, "taken_from_it", taken, "error", err)
 }
--- a/internal/rollout/note.go
+++ b/internal/rollout/note.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"skylarklead/internal/attempt"
 	"skylarklead/internal/strictcbor"
 )
 
@@ -53,6 +54,19 @@
 type Envelope struct {
 	Lease []byte `cbor:"1,keyasint,omitempty"`
 	Note  *Note  `cbor:"2,keyasint,omitempty"`
+	// Strike is of a request that was running at a replica that was lost.
+	Strike *attempt.Strike `cbor:"3,keyasint,omitempty"`
+}
+
+// kinds is how many of the fields are set.
+func (e *Envelope) kinds() int {
+	n := 0
+	for _, set := range []bool{e.Lease != nil, e.Note != nil, e.Strike != nil} {
+		if set {
+			n++
+		}
+	}
+	return n
 }
 
 // ErrRecord is wrapped by errors about a record that can't be read.
@@ -76,11 +90,14 @@
 	if err := recordMode.Unmarshal(data, e); err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrRecord, err)
 	}
-	if (e.Lease == nil) == (e.Note == nil) {
+	if e.kinds() != 1 {
 		return nil, fmt.Errorf("%w: not one of its kinds", ErrRecord)
 	}
 	if n := e.Note; n != nil && !n.Valid() {
 		return nil, fmt.Errorf("%w: phase %d of %q", ErrRecord, n.Phase, n.Replica)
 	}
+	if e.Strike != nil && !e.Strike.Valid() {
+		return nil, fmt.Errorf("%w: strike of no replica", ErrRecord)
+	}
 	return e, nil
 }
