--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -129,7 +129,8 @@
 func (j *job) pick(now time.Duration) *placed {
 	s := j.entry.state
 	j.query.Wanted = s.wanted(j.asked.Model)
-	candidates := s.candidates(j.service, j.asked.Model, now)
+	var candidates []route.FeedCandidate
+	candidates, j.excluded = s.candidates(j.service, j.asked.Model, now)
 	j.query.Sample = s.sample(len(candidates))
 	choice, ok := s.feed.Pick(now, &j.query, candidates)
 	if !ok {
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -60,13 +60,15 @@
 	// failure is a replica's own failure, passed on if nothing better comes.
 	failure *wholeAnswer
 
-	hands   []hand
-	waited  time.Duration
-	first   time.Duration
-	status  int
-	outcome string
-	reason  string
-	events  int
+	hands []hand
+	// excluded is of the latest try to place the request.
+	excluded exclusions
+	waited   time.Duration
+	first    time.Duration
+	status   int
+	outcome  string
+	reason   string
+	events   int
 	// lastID is the id of the last event that the caller was sent.
 	lastID  string
 	resumed int
@@ -123,9 +125,18 @@
 	for i := range j.hands {
 		attrs = append(attrs, j.hands[i].attr())
 	}
+	if j.outcome == outcomeRefused && j.service != nil {
+		attrs = append(attrs, j.excluded.attr())
+	}
 	e.tel.Log.LogAttrs(context.Background(), slog.LevelInfo, "request", attrs...)
 }
 
+// attr renders which replicas could not take a request.
+func (x *exclusions) attr() slog.Attr {
+	return slog.Group("replicas", slog.Int("listed", x.listed), slog.Int("left", x.left),
+		slog.Int("down", x.down), slog.Int("ordered", x.ordered), slog.Int("overdue", x.overdue))
+}
+
 // attr renders a hand-over: what it was decided by, how old that was, and what
 // came of it.
 func (h *hand) attr() slog.Attr {
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -162,10 +162,20 @@
 	return 0
 }
 
+// exclusions counts the replicas of a service, and those of them that could not
+// take a request, by why. It is what a refusal's line tells.
+type exclusions struct {
+	listed int
+	// left are draining or gone, down unreachable or just refused something, ordered
+	// about to load weights, overdue on weights that may not be used any more.
+	left, down, ordered, overdue int
+}
+
 // candidates lists the replicas of a service that may take a request for a model
 // ("" for plain services), doubtful ones marked. The caller holds mu.
-func (s *state) candidates(service *fleet.Service, model string, now time.Duration) []route.FeedCandidate {
+func (s *state) candidates(service *fleet.Service, model string, now time.Duration) ([]route.FeedCandidate, exclusions) {
 	var out []route.FeedCandidate
+	var not exclusions
 	var oldest uint64
 	if d := s.demands[model]; d != nil {
 		oldest = d.Oldest(now)
@@ -175,8 +185,14 @@
 		if r.Service != service.Name {
 			continue
 		}
+		not.listed++
 		health := s.replicas.Health(id, now)
-		if health > member.Doubtful {
+		switch health {
+		case member.Left:
+			not.left++
+			continue
+		case member.Down:
+			not.down++
 			continue
 		}
 		c := route.FeedCandidate{
@@ -185,17 +201,19 @@
 		}
 		if model != "" {
 			if s.board.Ordered(id, model, now) {
+				not.ordered++
 				continue
 			}
 			c.Version = s.board.Version(id, model)
 			c.Turn, c.Planned = s.board.Turn(id, model, now)
 			if c.Version < oldest {
+				not.overdue++
 				continue
 			}
 		}
 		out = append(out, c)
 	}
-	return out
+	return out, not
 }
 
 // states lists the replicas of a model for its rollout. The caller holds mu.
