An idle giver stays for its rollout; a new one orders at once after a conflict

The giver had ended at 8.94 s, idle, amid its rollout; the next one's first order came at 12.38 s, and each of its orders took a conflict and 0.75 s more, as it knew no replica's number of orders.

Ruled out: replicas (their loads took what they always take), the store (answering), a contended lease (one claim, granted at once).

Change: the drain of the giver lasts until its rollout is over or its lease must be given back; a report with a higher number than a refused order's has the order given again at once.

--- a/internal/direct/drain.go
+++ b/internal/direct/drain.go
@@ -106,12 +106,17 @@
 // the last of them, or as late as the platform lets it. The listener stays open
 // till then: in a rolling restart all entries may be draining together, and callers
 // would find none that takes a connection.
+//
+// The entry that gives the orders of a rollout stays for them although it is idle:
+// after its end nobody may give one for as long as two holders must be apart, seen as
+// seconds without an order while requests are refused for overdue weights. It gives the
+// lease back lastOrders before the end at the latest.
 func (e *Entry) shutDown(server *http.Server) {
 	e.drain.begin(e.direct().Grace.D())
 	began, ends := e.drain.state()
 	e.tel.Log.Info("draining", "grace_ms", e.direct().Grace.D().Milliseconds())
 	time.Sleep(min(lastConnections, time.Until(ends)))
-	for !e.drain.idle() && time.Now().Before(ends) {
+	for (!e.drain.idle() || e.rollouts.keeps()) && time.Now().Before(ends) {
 		time.Sleep(drainPoll)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), ends)
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -250,6 +250,13 @@
 	return true
 }
 
+// keeps reports whether this entry gives the orders still.
+func (r *rollouts) keeps() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leases.Keeps(giverLease)
+}
+
 // lost forgets what was under way when the lease ended.
 func (r *rollouts) lost() {
 	if !r.holds {
--- a/internal/lease/leases.go
+++ b/internal/lease/leases.go
@@ -135,6 +135,13 @@
 	return h.fence, true
 }
 
+// Keeps reports whether this process has a lease, or has not yet read back that it
+// gave it back. One that ends before leaves the others to wait for the lease's end.
+func (l *Leases) Keeps(n Name) bool {
+	h, known := l.held[n]
+	return known && (h.fence != 0 || h.release != 0)
+}
+
 // Record takes the next record of the stream, in order of offset.
 func (l *Leases) Record(offset uint64, data []byte, now time.Duration) []Action {
 	r, valid := l.table.Apply(offset, data, now)
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -93,6 +93,10 @@
 	replica *fleet.Replica
 	version uint64
 	orders  uint64
+	// tried is the number of orders that the latest one expected, refused says that
+	// it was refused as a conflict.
+	tried   uint64
+	refused bool
 	step    step
 	since   time.Duration
 	next    time.Duration
@@ -233,6 +237,7 @@
 	t.version = c.wanted
 	t.orders = max(t.orders, s.Orders)
 	t.step, t.since = stepGiven, now
+	t.tried, t.refused = t.orders, false
 	return []Action{Give{Order: fleet.Order{
 		Replica: t.replica, Model: c.model, Version: t.version, Mode: fleet.ModeRetain,
 		Holder: c.holder, Fence: fence, Expected: t.orders,
@@ -334,7 +339,10 @@
 	case fleet.ReplyAccepted:
 		t.orders++
 		t.step, t.next, t.asked = stepLoading, now+c.params.FirstPoll, false
-	case fleet.ReplyHolds, fleet.ReplyConflict, fleet.ReplyUnknown:
+	case fleet.ReplyConflict:
+		t.refused = true
+		t.step, t.next, t.asked = stepLoading, now, false
+	case fleet.ReplyHolds, fleet.ReplyUnknown:
 		// Its state tells: it may be loading for an order whose reply was lost.
 		t.step, t.next, t.asked = stepLoading, now, false
 	case fleet.ReplyFenced:
@@ -362,8 +370,11 @@
 		delete(c.targets, id)
 		return []Action{Announce{c.note(id, version, PhaseServing, t.orders)}}
 	}
-	if r.Busy || now-t.since < c.params.FirstPoll {
-		// Not busy soon after the order may be older than the order.
+	// Not busy soon after the order may be older than the order. One that was refused
+	// for its number began nothing: a giver that has just started knows no numbers, and
+	// waiting would leave each replica without work in its turn for nothing.
+	explained := t.refused && r.Orders > t.tried
+	if r.Busy || !explained && now-t.since < c.params.FirstPoll {
 		return nil
 	}
 	t.step, t.next = stepPaused, now
--- a/internal/rollout/core_test.go
+++ b/internal/rollout/core_test.go
@@ -184,3 +184,41 @@
 		}
 	})
 }
+
+// TestRestartedGiverOrdersAtOnce
+//
+// Symptom: after a restart of the entries a rollout takes twice as long; half of the
+// time replicas stand without work and without an order, and requests are refused
+// since the rest has overdue weights.
+//
+// Sequence: the new giver doesn't know how many orders a replica has accepted. Its
+// order is refused as a conflict; the replica reports the number and that it isn't
+// busy.
+//
+// Cause: after an order that a replica may have taken, a report that it isn't busy is
+// distrusted for as long as it may be older than the order. A refused one began
+// nothing, and a number higher than the order's says why it was refused.
+func TestRestartedGiverOrdersAtOnce(t *testing.T) {
+	c := newCore(3)
+	all := states(2, 2, 2, 2, 2)
+	id := ordered(c.Step(0, 1, all))[0]
+	now := rollout.DefaultParams.NoteWait
+	if orders := given(c.Step(now, 1, all)); len(orders) != 1 || orders[0].Expected != 0 {
+		t.Fatalf("given %v", orders)
+	}
+	c.Replied(id, fleet.ReplyConflict, now)
+	c.Step(now, 1, all) // asks
+	c.Reported(id, &fleet.Report{Weights: map[string]uint64{model: 2}, Orders: 1}, now+5*time.Millisecond)
+	orders := given(c.Step(now+30*time.Millisecond, 1, all))
+	if len(orders) != 1 || orders[0].Expected != 1 {
+		t.Fatalf("30 ms after the conflict given %v; want one that expects 1", orders)
+	}
+
+	// A report with the number that was refused is older than what it was refused for.
+	c.Replied(id, fleet.ReplyConflict, now+40*time.Millisecond)
+	c.Step(now+40*time.Millisecond, 1, all)
+	c.Reported(id, &fleet.Report{Weights: map[string]uint64{model: 2}, Orders: 1}, now+45*time.Millisecond)
+	if orders := given(c.Step(now+50*time.Millisecond, 1, all)); len(orders) != 0 {
+		t.Fatalf("given %v on a report that explains nothing", orders)
+	}
+}
