--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -33,6 +33,10 @@
 	// from peers at once, and are read there if a datagram was lost; what an entry
 	// appends itself it reads back at once.
 	entriesEvery = 1200 * time.Millisecond
+	// entriesWait is how long a read of that topic waits for a record while no rollout
+	// is under way, which is most of the time: two calls in three are saved. A silent
+	// connection hides a holder's renewals for as long, which matters to none then.
+	entriesWait = 3 * time.Second
 	// afterOutage is how long a replica that fell off the list in an outage may take
 	// to come back: about two seconds of its first chance.
 	afterOutage = 2 * time.Second
@@ -61,8 +65,10 @@
 	failures int
 	// known is set once all keys were read, begun once they were for the first time.
 	known, begun bool
-	// pause returns the pause between reads where it varies; nil for every.
+	// pause returns the pause between reads where it varies, waits how long they wait;
+	// nil for every and wait.
 	pause func() time.Duration
+	waits func() time.Duration
 	// poke cuts a pause between reads short; nil for none.
 	poke <-chan struct{}
 	// reached is called after each answer, failed after each call without one.
@@ -109,7 +115,11 @@
 // given long. Their time grows and begins anew, for a store that is only slow.
 func (f *follower) patience() (wait, all time.Duration) {
 	if f.failures == 0 {
-		return f.wait, f.wait + callTimeout
+		wait = f.wait
+		if f.waits != nil {
+			wait = f.waits()
+		}
+		return wait, wait + callTimeout
 	}
 	return 0, callTimeout / 2 << ((f.failures - 1) % 3)
 }
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"skylarklead/internal/fleet"
@@ -70,6 +71,8 @@
 	// reread has the topic read now.
 	reread chan struct{}
 	follow func(context.Context)
+	// active is set while something is to be brought up to date.
+	active atomic.Bool
 
 	mu          sync.Mutex
 	leases      *lease.Leases
@@ -114,6 +117,7 @@
 func (r *rollouts) followEntries(ctx context.Context) {
 	f := newFollower(r.entry.platform.Store, topicEntries, r.entry.tel.Log)
 	f.every, f.poke = entriesEvery, r.reread
+	f.waits = r.readWait
 	f.record = r.take
 	f.skipped = func(first uint64) {
 		r.mu.Lock()
@@ -129,6 +133,14 @@
 	f.run(ctx)
 }
 
+// readWait is how long a read of the topic waits for a record.
+func (r *rollouts) readWait() time.Duration {
+	if r.active.Load() {
+		return 0
+	}
+	return entriesWait
+}
+
 func (r *rollouts) take(record fleet.Record) {
 	e := r.entry
 	r.mu.Lock()
@@ -195,7 +207,9 @@
 func (r *rollouts) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := idleTick
-		if r.step(ctx) {
+		active := r.step(ctx)
+		r.active.Store(active)
+		if active {
 			pause = activeTick
 		}
 		timer := time.NewTimer(pause)
