Requests that wait at a draining entry are refused before its end

Ruled out: a cut by the replica (it was never handed on).

Change: those that wait are turned away once the entry ends before they could be served.

--- a/internal/admit/line.go
+++ b/internal/admit/line.go
@@ -135,14 +135,19 @@
 // Expired takes out of the line and returns the tickets for which waiting is
 // pointless.
 func (l *Line) Expired(now time.Duration) []*Ticket {
-	var expired []*Ticket
+	return l.Take(func(t *Ticket) bool { return now >= t.GiveUp })
+}
+
+// Take takes out of the line and returns the tickets that match.
+func (l *Line) Take(match func(*Ticket) bool) []*Ticket {
+	var taken []*Ticket
 	for _, t := range l.tickets {
-		if now >= t.GiveUp {
-			expired = append(expired, t)
+		if match(t) {
+			taken = append(taken, t)
 		}
 	}
-	for _, t := range expired {
+	for _, t := range taken {
 		l.Remove(t)
 	}
-	return expired
+	return taken
 }
--- a/internal/direct/drain.go
+++ b/internal/direct/drain.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"skylarklead/internal/admit"
 )
 
 const (
@@ -90,15 +92,37 @@
 	if began.IsZero() || time.Since(began) < anyRequest {
 		return true
 	}
-	expected := plainTime
-	if j.asked.OutputTokens > 0 {
-		q := j.newQuery()
-		s := j.entry.state
-		s.mu.Lock()
-		expected = streamTime + streamSpread*s.feed.StreamTime(&q)
-		s.mu.Unlock()
+	s := j.entry.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Until(ends) > j.expected()
+}
+
+// expected is how long a request takes that is begun now, at the most as a rule. The
+// caller holds the state's lock.
+func (j *job) expected() time.Duration {
+	if j.asked.OutputTokens <= 0 {
+		return plainTime
+	}
+	q := j.newQuery()
+	return streamTime + streamSpread*j.entry.state.feed.StreamTime(&q)
+}
+
+// refuseWaiting turns away those that wait for a place at an entry that ends before
+// they could be served: their connections would be closed without an answer. The
+// caller holds the state's lock.
+func (e *Entry) refuseWaiting() {
+	began, ends := e.drain.state()
+	if began.IsZero() || time.Since(began) < anyRequest {
+		return
+	}
+	left := time.Until(ends)
+	for _, g := range e.state.gates {
+		late := g.line.Take(func(t *admit.Ticket) bool { return left <= t.Value.(*job).expected() })
+		for _, t := range late {
+			t.Value.(*job).turn <- nil
+		}
 	}
-	return time.Until(ends) > expected
 }
 
 // shutDown ends the server without cutting a request: it says that it isn't ready,
--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -101,6 +101,8 @@
 		j.pass(j.failure)
 	case j.forward.Tainted():
 		j.fail(http.StatusBadGateway, "no replica to try again", 0)
+	case !j.endsInTime():
+		j.refuse(shuttingDown, comeBack)
 	default:
 		j.refuse("no replica can take it", comeBack)
 	}
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -29,6 +29,9 @@
 	comeBack = 300 * time.Millisecond
 )
 
+// shuttingDown is why a draining entry refuses what would outlast it.
+const shuttingDown = "this entry is shutting down"
+
 // Outcomes in logs and metrics.
 const (
 	outcomeServed  = "served"
@@ -83,7 +86,7 @@
 	}
 	j.service = j.config.Services[j.pickService()]
 	if !j.endsInTime() {
-		return j.refuse("this entry is shutting down", comeBack)
+		return j.refuse(shuttingDown, comeBack)
 	}
 	j.bound()
 	return true
--- a/internal/direct/watch.go
+++ b/internal/direct/watch.go
@@ -80,6 +80,7 @@
 		case <-tick.C:
 		}
 		w.entry.state.mu.Lock()
+		w.entry.refuseWaiting()
 		w.entry.state.dispatchAll(w.entry.clock.now())
 		w.entry.state.mu.Unlock()
 		for _, r := range w.due() {
