--- a/internal/direct/strikes.go
+++ b/internal/direct/strikes.go
@@ -45,6 +45,7 @@
 	if !given {
 		return false
 	}
+	j.entry.tel.Metrics.Count("requests_given_up", 1)
 	const reason = "given up: it crashed the replicas that ran it"
 	switch {
 	case j.first > 0:
@@ -128,6 +129,7 @@
 	count := e.state.strikes.Count(strike.Fingerprint, now)
 	_, given := e.state.strikes.GivenUp(strike.Fingerprint, now)
 	e.state.mu.Unlock()
+	e.tel.Metrics.Count("requests_struck", 1)
 	e.tel.Log.Info("request struck", "fingerprint", strike.Fingerprint, "replica", strike.Replica,
 		"strikes", count, "given_up", given, "from", from)
 	return count
