--- a/internal/direct/strikes.go
+++ b/internal/direct/strikes.go
@@ -58,16 +58,20 @@
 	return true
 }
 
-// broke says that the request's run broke off at a replica. A connection is tried:
-// if the replica has crashed, nothing else should be sent there, and the request has
-// a strike.
+// broke says that the request's run broke off at a replica. A connection is tried,
+// once for all that broke off there together: if the replica has crashed, nothing else
+// should be sent there, and the request has a strike.
 func (j *job) broke(p *placed) {
 	s := j.entry.state
 	s.mu.Lock()
-	strikes := s.strikes.Broken(j.print, p.replica.ID, p.at, j.entry.clock.now())
+	now := j.entry.clock.now()
+	strikes := s.strikes.Broken(j.print, p.replica.ID, p.at, now)
+	check := s.replicas.Silent(p.replica.ID, now)
 	s.mu.Unlock()
 	j.entry.struck(strikes)
-	go j.entry.watch.probe(context.WithoutCancel(j.ctx), p.replica)
+	if check {
+		go j.entry.watch.probe(context.WithoutCancel(j.ctx), p.replica)
+	}
 }
 
 // replicaLost says that a replica is gone, or can't be reached.
--- a/internal/member/replicas.go
+++ b/internal/member/replicas.go
@@ -67,7 +67,8 @@
 	probing     bool
 	// busyUntil is how long it is left alone after it refused a request.
 	busyUntil time.Duration
-	// checkedAt is when it was last looked at for being silent.
+	// checkedAt is when it was last looked at for being silent, if it was checked.
+	checked   bool
 	checkedAt time.Duration
 	// lapsesAt is when a replica that fell off the list during an outage of the
 	// store is taken as gone, 0 while it is on it.
@@ -224,10 +225,10 @@
 // whether to try a connection to it, which a dark one won't take.
 func (v *Replicas) Silent(id string, now time.Duration) bool {
 	l := v.known[id]
-	if l == nil || l.unreachable || now < l.checkedAt+v.params.CheckEvery {
+	if l == nil || l.unreachable || l.checked && now < l.checkedAt+v.params.CheckEvery {
 		return false
 	}
-	l.checkedAt = now
+	l.checked, l.checkedAt = true, now
 	return true
 }
 
--- a/internal/member/replicas_test.go
+++ b/internal/member/replicas_test.go
@@ -129,3 +129,19 @@
 		t.Fatalf("a late heartbeat brought a replaced incarnation back: %v", h)
 	}
 }
+
+// Symptom: replicas that were dark when an entry started are found late. Sequence: a
+// request hangs at one within the first half second. Cause: "never looked at" taken for
+// "looked at when the process started".
+func TestSilentReplicaIsLookedAtSoonAfterTheStart(t *testing.T) {
+	v := listed("r")
+	if !v.Silent("r", 100*time.Millisecond) {
+		t.Fatal("not looked at 100 ms after the start")
+	}
+	if v.Silent("r", 300*time.Millisecond) {
+		t.Fatal("looked at again 200 ms later")
+	}
+	if !v.Silent("r", 700*time.Millisecond) {
+		t.Fatal("not looked at again 600 ms later")
+	}
+}
