An incarnation is a replica's name and its start; records of other writers name no replica

Cause: an incarnation was its id, so a replica that starts again under its id kept its predecessor's draining mark, number of orders (each order a conflict, for ever), believed cache, load, faults, strikes and connections. And what a record didn't say was taken for its zero value, any state but draining for ready. Ruled out: telling restarts by lost connections alone (a cut resets none). Change: fleet.Replica.ID is Incarnation(Name, Born); everything that is keyed by it ends with it. member.name keeps the latest incarnation of a name; an older one brings nothing back from the store, a report or a peer. A replica that came back is asked for its state.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -164,8 +164,8 @@
 	switch {
 	case !head.Misdirected:
 		s.replicas.Busy(p.replica.ID, now)
-	case head.Instance != "" && head.Instance != p.replica.ID:
-		e.replaced(p.replica, head.Instance)
+	case head.Instance != "" && head.Instance != p.replica.Name:
+		e.replaced(p.replica, head.Instance, 0)
 	case j.asked.Model != "":
 		s.board.Saw(p.replica.ID, j.asked.Model, p.version+1, 0)
 		s.feed.Emptied(p.replica.ID)
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -58,6 +58,8 @@
 	bodies   *semaphore.Weighted
 	bodyRoom int64
 	drain    *drain
+	// malformed reports records that can't be used.
+	malformed *malformed
 }
 
 // Run serves callers until ctx ends, then drains and returns.
@@ -86,15 +88,16 @@
 	d := s.Direct
 	room := int64(d.Memory) << 20 / bodyShare
 	e := &Entry{
-		settings: s,
-		tel:      tel,
-		platform: p,
-		clock:    clock{time.Now()},
-		state:    newState(budgetOf(d)),
-		pool:     upstream.NewPool(),
-		bodies:   semaphore.NewWeighted(room),
-		bodyRoom: room,
-		drain:    newDrain(),
+		settings:  s,
+		tel:       tel,
+		platform:  p,
+		clock:     clock{time.Now()},
+		state:     newState(budgetOf(d)),
+		pool:      upstream.NewPool(),
+		bodies:    semaphore.NewWeighted(room),
+		bodyRoom:  room,
+		drain:     newDrain(),
+		malformed: newMalformed(tel),
 	}
 	e.tunable.Store(d)
 	e.rollouts = newRollouts(e)
--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -210,7 +210,7 @@
 func (j *job) request(p *placed) *upstream.Request {
 	last := j.lastEvent()
 	over := &fleet.HandOver{
-		Replica:   p.replica.ID,
+		Replica:   p.replica.Name,
 		Deadline:  j.left(),
 		Version:   p.version,
 		Salt:      j.salt(p.version),
--- a/internal/direct/operator.go
+++ b/internal/direct/operator.go
@@ -32,8 +32,7 @@
 	config, wanted, err := e.platform.Records.Operator(r.Key, r.Value)
 	switch {
 	case err != nil:
-		e.tel.Metrics.Count("records_malformed", 1)
-		e.tel.Log.Error("operator's record skipped; the last good one stays in force", "key", r.Key, "offset", r.Offset, "error", err)
+		e.malformed.report("operator's record skipped; the last good one stays in force", r, err)
 	case config != nil:
 		e.takeConfiguration(config, r.Offset)
 	case wanted != nil:
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -145,7 +145,7 @@
 	}
 	address, err := netip.ParseAddrPort(string(r.Value))
 	if err != nil {
-		p.entry.tel.Log.Error("peer's record skipped", "peer", r.Key, "offset", r.Offset, "error", err)
+		p.entry.malformed.report("peer's record skipped", r, err)
 		return
 	}
 	p.known[r.Key] = address
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/member"
 )
 
 // outage notes when the store last failed to answer the reader of replicas.
@@ -56,9 +57,9 @@
 	missing := e.state.replicas.Missing(listed)
 	e.state.listed = true
 	e.state.mu.Unlock()
-	for _, id := range missing {
+	for _, name := range missing {
 		// The next record written comes at the list's end.
-		e.removeReplica(id, max(page.End, 1)-1, out)
+		e.removeReplica(name, max(page.End, 1)-1, out)
 	}
 }
 
@@ -69,54 +70,96 @@
 	}
 	replica, err := e.platform.Records.Replica(r.Key, r.Value)
 	if err != nil {
-		e.tel.Metrics.Count("records_malformed", 1)
-		e.tel.Log.Error("replica's record skipped", "replica", r.Key, "offset", r.Offset, "error", err)
+		e.refuseRecord(r, err)
 		return
 	}
-	e.putReplica(replica, r.Offset)
+	now := e.clock.now()
+	e.state.mu.Lock()
+	known := e.state.replicas.Get(replica.ID) != nil
+	listing := e.state.replicas.Put(replica, r.Offset, now)
+	e.listed(replica, &listing, known)
+	e.state.mu.Unlock()
+	e.followed(replica, &listing)
+	e.logListing(replica, &listing, known, r.Offset)
 }
 
-func (e *Entry) putReplica(r *fleet.Replica, offset uint64) {
+// refuseRecord takes a record that isn't a replica's own: it is of another writer, or
+// can't be read. It names no replica to use, and none that had its key before: an entry
+// that starts now, and finds only this record, knows of none either.
+func (e *Entry) refuseRecord(r fleet.Record, err error) {
+	e.malformed.report("replica's record skipped", r, err)
+	now := e.clock.now()
 	e.state.mu.Lock()
-	old := e.state.replicas.Get(r.ID)
-	changed := e.state.replicas.Put(r, offset)
+	removed := e.state.replicas.Remove(r.Key, r.Offset, now)
+	if removed != "" {
+		e.state.forget(removed)
+	}
+	e.state.mu.Unlock()
+	if removed != "" {
+		e.tel.Log.Info("replica gone", "replica", removed, "offset", r.Offset, "reason", "its key has another's record")
+	}
+}
+
+// listed takes what a replica says of itself; known says that something was known of it
+// before. The caller holds the state's lock.
+func (e *Entry) listed(r *fleet.Replica, listing *member.Listing, known bool) {
+	if listing.Outdated || e.state.replicas.Get(r.ID) == nil {
+		return
+	}
+	if listing.Ended != "" {
+		e.state.forget(listing.Ended)
+	}
 	for model, version := range r.Weights {
-		if e.state.board.Saw(r.ID, model, version, 0) && old != nil {
+		if e.state.board.Saw(r.ID, model, version, 0) && known {
 			e.state.feed.Emptied(r.ID)
-			changed = true
+			listing.Changed = true
 		}
 	}
-	if changed {
+	if listing.Changed {
 		e.state.signal()
 	}
-	e.state.mu.Unlock()
-	if !changed {
+}
+
+// followed ends what was under way at the incarnation that a replica has followed.
+func (e *Entry) followed(r *fleet.Replica, listing *member.Listing) {
+	if listing.Ended == "" {
 		return
 	}
-	e.tel.Log.Info("replica listed", "replica", r.ID, "service", r.Service, "address", r.Address,
-		"failure_domain", r.FailureDomain, "draining", r.Draining, "weights", r.Weights,
-		"new", old == nil, "offset", offset)
+	e.replicaLost(listing.Ended)
+	taken := e.watch.take(listing.Ended)
+	e.rollouts.poke()
+	e.tel.Log.Info("replica restarted", "replica", r.ID, "before", listing.Ended, "taken_from_it", taken)
+}
+
+func (e *Entry) logListing(r *fleet.Replica, listing *member.Listing, known bool, offset uint64) {
+	switch {
+	case listing.Outdated:
+		e.tel.Log.Info("replica's record outdated", "replica", r.ID, "offset", offset)
+	case listing.Changed:
+		e.tel.Log.Info("replica listed", "replica", r.ID, "service", r.Service, "address", r.Address,
+			"failure_domain", r.FailureDomain, "draining", r.Draining, "weights", r.Weights,
+			"new", !known, "offset", offset)
+	}
 }
 
 // removeReplica takes a replica off the list, at once or, where an outage of the
 // store may have made its record lapse, if it isn't back soon.
-func (e *Entry) removeReplica(id string, offset uint64, out *outage) {
+func (e *Entry) removeReplica(name string, offset uint64, out *outage) {
 	now := e.clock.now()
 	e.state.mu.Lock()
 	lapses := out.recent(now)
-	removed := false
+	removed := ""
 	if lapses {
-		e.state.replicas.Lapse(id, offset, now+afterOutage)
-	} else {
-		removed = e.state.replicas.Remove(id, offset, now)
-		e.state.forget(id)
+		e.state.replicas.Lapse(name, offset, now+afterOutage)
+	} else if removed = e.state.replicas.Remove(name, offset, now); removed != "" {
+		e.state.forget(removed)
 	}
 	e.state.mu.Unlock()
 	switch {
 	case lapses:
-		e.tel.Log.Info("replica lapsed during an outage of the store", "replica", id, "offset", offset,
+		e.tel.Log.Info("replica lapsed during an outage of the store", "replica", name, "offset", offset,
 			"gone_in_ms", afterOutage.Milliseconds())
-	case removed:
-		e.tel.Log.Info("replica gone", "replica", id, "offset", offset)
+	case removed != "":
+		e.tel.Log.Info("replica gone", "replica", removed, "offset", offset)
 	}
 }
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -148,8 +148,7 @@
 	r.next = record.Offset + 1
 	envelope, err := rollout.Decode(record.Value)
 	if err != nil {
-		e.tel.Metrics.Count("records_malformed", 1)
-		e.tel.Log.Error("entries' record skipped", "offset", record.Offset, "error", err)
+		e.malformed.report("entries' record skipped", record, err)
 		return
 	}
 	if envelope.Lease != nil {
@@ -454,5 +453,10 @@
 		r.drive(ctx, model, r.cores[model].ReportFailed(replica.ID, e.clock.now()))
 		return
 	}
+	if !replica.Is(report.Born) {
+		e.replaced(replica, replica.Name, report.Born)
+		r.drive(ctx, model, r.cores[model].ReportFailed(replica.ID, e.clock.now()))
+		return
+	}
 	r.drive(ctx, model, r.cores[model].Reported(replica.ID, &report, e.clock.now()))
 }
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,16 @@
 	at time.Duration
 }
 
+// runs reports whether the operator has a service run a model. A record may name a
+// service that nobody has configured; its writer gets no orders.
+func (c *configuration) runs(service, model string) bool {
+	if c == nil {
+		return false
+	}
+	s := c.Services[service]
+	return s != nil && s.Engine != nil && slices.Contains(s.Engine.Models, model)
+}
+
 // state is what an entry believes. The configuration is read without a lock; mu
 // guards the rest.
 type state struct {
@@ -168,7 +179,8 @@
 	listed int
 	// left are draining or gone, down unreachable or just refused something, ordered
 	// about to load weights, overdue on weights that may not be used any more.
-	left, down, ordered, overdue int
+	// unfit don't say that they run the model asked for.
+	left, down, ordered, overdue, unfit int
 }
 
 // candidates lists the replicas of a service that may take a request for a model
@@ -200,6 +212,10 @@
 			Engine: service.Engine != nil, Doubtful: health == member.Doubtful,
 		}
 		if model != "" {
+			if _, runs := r.Weights[model]; !runs {
+				excluded.unfit++
+				continue
+			}
 			if s.board.Ordered(id, model, now) {
 				excluded.ordered++
 				continue
@@ -219,9 +235,10 @@
 // states lists the replicas of a model for its rollout. The caller holds mu.
 func (s *state) states(model string, now time.Duration) []rollout.State {
 	var out []rollout.State
+	config := s.config.Load()
 	for _, id := range s.replicas.IDs() {
 		r := s.replicas.Get(id)
-		if _, serves := r.Weights[model]; !serves || s.replicas.Draining(id) {
+		if _, serves := r.Weights[model]; !serves || s.replicas.Draining(id) || !config.runs(r.Service, model) {
 			continue
 		}
 		turn, planned := s.board.Turn(id, model, now)
--- a/internal/direct/unheard.go
+++ b/internal/direct/unheard.go
@@ -68,8 +68,12 @@
 	var other *fleet.MisdirectedError
 	switch {
 	case errors.As(err, &other):
-		e.replaced(r, other.Instance)
-	case err == nil:
+		e.replaced(r, other.Instance, 0)
+	case err != nil:
+		// The next question comes soon; requests meet what is wrong before.
+	case !r.Is(report.Born):
+		e.replaced(r, r.Name, report.Born)
+	default:
 		e.takeReport(r, &report)
 	}
 }
@@ -94,33 +98,37 @@
 	}
 }
 
-// replaced takes the word of another incarnation at a replica's address: the one
-// that was known is gone for good. The new one is asked what it is, as the list that
-// would tell may be out of reach; an address may also go to another service.
-func (e *Entry) replaced(r *fleet.Replica, instance string) {
+// replaced takes the word of another incarnation at a replica's address, of the name
+// given and, where it says so, of its start: the one that was known is gone for good.
+// The new one is asked what it is, as the list that would tell may be out of reach; an
+// address may also go to another service.
+//
+// A replica that says it started before the one that is known is none to follow: what
+// it said was long under way.
+func (e *Entry) replaced(r *fleet.Replica, name string, born int64) {
+	if name == r.Name && born <= r.Born {
+		return
+	}
 	go func() {
 		e.state.mu.Lock()
 		e.state.replicas.Replaced(r.ID, e.clock.now())
 		e.state.forget(r.ID)
-		known := e.state.replicas.Get(instance) != nil
 		e.state.mu.Unlock()
 		e.replicaLost(r.ID)
-		e.tel.Log.Info("replica replaced", "replica", r.ID, "address", r.Address, "by", instance)
-		if instance == "" || known || len(r.Weights) == 0 {
+		e.tel.Log.Info("replica replaced", "replica", r.ID, "address", r.Address, "by", fleet.Incarnation(name, born))
+		if name == "" || len(r.Weights) == 0 {
 			return
 		}
-		e.adopt(r, instance)
+		e.adopt(r, name)
 	}()
 }
 
 // adopt takes up a restarted replica of a model before the list tells of it, if it
 // serves the same models: their names belong to one service.
-func (e *Entry) adopt(old *fleet.Replica, instance string) {
+func (e *Entry) adopt(old *fleet.Replica, name string) {
 	ctx, cancel := context.WithTimeout(context.Background(), askEvery)
 	defer cancel()
-	fresh := *old
-	fresh.ID, fresh.Draining = instance, false
-	report, err := e.platform.Replicas.Report(ctx, &fresh)
+	report, err := e.platform.Replicas.Report(ctx, old.Restarted(name, 0))
 	if err != nil {
 		return // the list will tell
 	}
@@ -129,6 +137,21 @@
 			return
 		}
 	}
+	born := report.Born
+	if old.Born == 0 {
+		born = 0 // the records here don't say, and would count as outdated
+	}
+	fresh := old.Restarted(name, born)
 	fresh.Weights = report.Weights
-	e.putReplica(&fresh, 0)
+	e.state.mu.Lock()
+	known := e.state.replicas.Get(fresh.ID) != nil
+	if known {
+		e.state.mu.Unlock()
+		return // the list has told
+	}
+	listing := e.state.replicas.Adopt(fresh, e.clock.now())
+	e.listed(fresh, &listing, false)
+	e.state.mu.Unlock()
+	e.followed(fresh, &listing)
+	e.logListing(fresh, &listing, false, 0)
 }
--- a/internal/direct/watch.go
+++ b/internal/direct/watch.go
@@ -133,8 +133,13 @@
 		e.state.signal()
 	}
 	e.state.mu.Unlock()
-	if news {
-		e.tel.Log.Info("replica reachable", "replica", r.ID)
+	if !news {
+		return
+	}
+	e.tel.Log.Info("replica reachable", "replica", r.ID)
+	if len(r.Weights) > 0 {
+		// It may have started again: what it held and how many orders it took is over.
+		w.ask(ctx, r)
 	}
 }
 
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -5,10 +5,17 @@
 	"strconv"
 )
 
-// Replica is one incarnation of a back end, as it registered itself.
+// Replica is one incarnation of an endpoint, as it registered itself.
 type Replica struct {
-	// ID names the incarnation: a restarted back end has another.
-	ID            string
+	// ID is Incarnation(Name, Born): what is known of a replica is known of this ID, and
+	// ends with it.
+	ID string
+	// Name is what it registered under and is addressed by. It may start again under
+	// the same name.
+	Name string
+	// Born is when it started, in Unix milliseconds by its own clock, 0 if it doesn't
+	// say. It tells apart the incarnations of a name and orders them.
+	Born          int64
 	Service       string
 	Address       string
 	FailureDomain string
@@ -19,6 +26,29 @@
 	Weights map[string]uint64
 }
 
+// Incarnation is the ID of the replica that started under a name at a time, 0 if it
+// doesn't say when.
+func Incarnation(name string, born int64) string {
+	if born == 0 {
+		return name
+	}
+	return name + "@" + strconv.FormatInt(born, 10)
+}
+
+// Is reports whether a replica that says that it started at a time, 0 if it doesn't
+// say, can be this one. One whose record doesn't say when it started can't be told from
+// a later one by its reports.
+func (r *Replica) Is(born int64) bool { return born == 0 || r.Born == 0 || born == r.Born }
+
+// Restarted is the incarnation of the same name and address that started at a time.
+// What it serves isn't known yet.
+func (r *Replica) Restarted(name string, born int64) *Replica {
+	fresh := *r
+	fresh.Name, fresh.Born, fresh.ID = name, born, Incarnation(name, born)
+	fresh.Draining = false
+	return &fresh
+}
+
 // Equal reports whether two records say the same.
 func (r *Replica) Equal(o *Replica) bool {
 	return r.ID == o.ID && r.Service == o.Service && r.Address == o.Address &&
@@ -28,7 +58,7 @@
 
 // MisdirectedError says that another incarnation answered at a replica's address.
 type MisdirectedError struct {
-	// Instance is the one that answered, "" if it didn't say.
+	// Instance is the name of the one that answered, "" if it didn't say.
 	Instance string
 }
 
@@ -40,6 +70,8 @@
 // Report is what a replica answers when asked for its state. It is some hundred
 // milliseconds old.
 type Report struct {
+	// Born is when the replica that answered started, as Replica.Born.
+	Born    int64
 	Weights map[string]uint64
 	// Busy is set while an order is carried out.
 	Busy bool
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -51,7 +51,8 @@
 
 // HandOver is what goes to a replica with a request, beside what the caller sent.
 type HandOver struct {
-	// Replica is the incarnation that is to run it; any other refuses.
+	// Replica is the name of the one that is to run it; a replica of another name
+	// refuses.
 	Replica string
 	// Deadline is the time left.
 	Deadline time.Duration
@@ -81,7 +82,7 @@
 	// Misdirected is set when another incarnation, or one with other weights, has
 	// answered.
 	Misdirected bool
-	// Instance is the incarnation that answered, "" if it doesn't say.
+	// Instance is the name of the replica that answered, "" if it doesn't say.
 	Instance string
 	// Sealed is set when the replica vouches for the answer.
 	Sealed bool
--- /dev/null
+++ b/internal/member/name.go
@@ -0,0 +1,45 @@
+package member
+
+import (
+	"time"
+
+	"skylarklead/internal/fleet"
+)
+
+// name is what is known of a name that replicas register under. It outlives them by a
+// tombstone's time: a record of a replica that is gone may be read late, and one of an
+// earlier incarnation may be written after the later one's.
+//
+// Invariant: born never goes back.
+type name struct {
+	// id and born are of the latest incarnation, "" before any.
+	id   string
+	born int64
+	// over is set once that incarnation is known to have ended, whatever its records say.
+	over bool
+	// removed is set once the name was taken off the list, last at removedAt.
+	removed   bool
+	removedAt uint64
+	// heard is when something was last said of it.
+	heard time.Duration
+}
+
+// begin takes a replica as the latest incarnation of its name and returns the one that
+// it follows, "" for none. It reports false where the replica isn't the latest.
+//
+// Symptom without it: a replica that has started again under its name is believed to
+// hold its cache, refuses each order for its number of orders, or gets no work since its
+// predecessor was leaving. A replica that has once said when it started always does, so
+// that a record that doesn't is not its own.
+func (n *name) begin(r *fleet.Replica, now time.Duration) (ended string, ok bool) {
+	if r.Born < n.born || r.ID == n.id && n.over {
+		return "", false
+	}
+	n.heard = now
+	if r.ID == n.id {
+		return "", true
+	}
+	ended = n.id
+	n.id, n.born, n.over = r.ID, r.Born, false
+	return ended, true
+}
--- a/internal/member/replicas.go
+++ b/internal/member/replicas.go
@@ -53,8 +53,8 @@
 
 // listed is what is known of one replica.
 //
-// Invariants: offset is that of the newest record taken; draining is never unset,
-// since an incarnation that leaves doesn't come back.
+// Invariants: it is of one incarnation; offset is that of the newest record taken;
+// draining is never unset, since an incarnation that leaves doesn't come back.
 type listed struct {
 	replica  *fleet.Replica
 	offset   uint64
@@ -80,64 +80,105 @@
 // Replicas is one entry's picture of the replicas. Their own records propose; what
 // the entry's connections meet decides for a while. It is pure and not safe for
 // concurrent use.
+//
+// Invariant: of each name at most the latest incarnation is known.
 type Replicas struct {
 	params ReplicaParams
 	known  map[string]*listed
-	// gone has the offset and time at which a replica was taken off the list.
-	gone map[string]goneRecord
-}
-
-type goneRecord struct {
-	offset uint64
-	at     time.Duration
+	names  map[string]*name
 }
 
 // NewReplicas returns an empty picture.
 func NewReplicas(p ReplicaParams) *Replicas {
-	return &Replicas{params: p, known: map[string]*listed{}, gone: map[string]goneRecord{}}
+	return &Replicas{params: p, known: map[string]*listed{}, names: map[string]*name{}}
 }
 
-// Put takes a replica's record and reports whether it changed anything. A record older than the newest one taken is ignored: a store that
-// serves stale reads for a while would otherwise bring a leaving replica back.
-func (v *Replicas) Put(r *fleet.Replica, offset uint64) bool {
-	if g, ok := v.gone[r.ID]; ok {
-		if offset <= g.offset {
-			return false
-		}
-		delete(v.gone, r.ID)
+// Listing is what a record changed.
+type Listing struct {
+	// Changed is set where the record says something new.
+	Changed bool
+	// Ended is the incarnation that the record's own one has followed, "" for none.
+	Ended string
+	// Outdated is set where the record is of an incarnation that another has followed.
+	Outdated bool
+}
+
+// Put takes a replica's record. One older than the newest one taken is ignored: a
+// store that serves stale reads for a while would otherwise bring a leaving replica
+// back.
+func (v *Replicas) Put(r *fleet.Replica, offset uint64, now time.Duration) Listing {
+	n := v.named(r.Name)
+	if n.removed && offset <= n.removedAt {
+		return Listing{}
 	}
-	l, ok := v.known[r.ID]
+	return v.put(n, r, offset, now)
+}
+
+// Adopt takes a replica's own word that it runs, which no record tells yet.
+func (v *Replicas) Adopt(r *fleet.Replica, now time.Duration) Listing {
+	n := v.named(r.Name)
+	return v.put(n, r, n.removedAt, now)
+}
+
+func (v *Replicas) put(n *name, r *fleet.Replica, offset uint64, now time.Duration) Listing {
+	ended, ok := n.begin(r, now)
 	if !ok {
+		return Listing{Outdated: true}
+	}
+	if ended != "" && v.known[ended] == nil {
+		ended = ""
+	}
+	delete(v.known, ended)
+	l := v.known[r.ID]
+	if l == nil {
 		v.known[r.ID] = &listed{replica: r, offset: offset, draining: r.Draining}
-		return true
+		return Listing{Changed: true, Ended: ended}
 	}
 	if offset < l.offset {
-		return false
+		return Listing{}
 	}
 	changed := !l.replica.Equal(r)
 	l.replica, l.offset, l.lapsesAt = r, offset, 0
 	l.draining = l.draining || r.Draining
-	return changed
+	return Listing{Changed: changed}
 }
 
-// Remove takes a replica off the list and reports whether it was on it.
-func (v *Replicas) Remove(id string, offset uint64, now time.Duration) bool {
-	l, ok := v.known[id]
-	if ok && offset < l.offset {
-		return false
+func (v *Replicas) named(registered string) *name {
+	n := v.names[registered]
+	if n == nil {
+		n = &name{}
+		v.names[registered] = n
 	}
-	v.gone[id] = goneRecord{offset: offset, at: now}
-	delete(v.known, id)
-	return ok
+	return n
 }
 
-// Lapse says that a replica fell off the list in an outage of the store, in which
-// it could not renew its record. It counts as gone at the time given unless its
+// Remove takes the replica of a name off the list. It returns its ID, "" if none was
+// on the list.
+func (v *Replicas) Remove(registered string, offset uint64, now time.Duration) string {
+	n := v.named(registered)
+	l := v.known[n.id]
+	if l != nil && offset < l.offset {
+		return ""
+	}
+	n.removed, n.removedAt, n.heard = true, max(n.removedAt, offset), now
+	if l == nil {
+		return ""
+	}
+	delete(v.known, n.id)
+	return n.id
+}
+
+// Lapse says that the replica of a name fell off the list in an outage of the store, in
+// which it could not renew its record. It counts as gone at the time given unless its
 // record is back by then: without that an outage of seconds would end with no
 // replica left to serve, although all of them run.
-func (v *Replicas) Lapse(id string, offset uint64, until time.Duration) {
-	l, ok := v.known[id]
-	if !ok || offset < l.offset {
+func (v *Replicas) Lapse(registered string, offset uint64, until time.Duration) {
+	n := v.names[registered]
+	if n == nil {
+		return
+	}
+	l := v.known[n.id]
+	if l == nil || offset < l.offset {
 		return
 	}
 	l.offset, l.lapsesAt = offset, until
@@ -146,18 +187,21 @@
 // Replaced says that another incarnation has a replica's address: it is gone for
 // good, whatever its record says.
 func (v *Replicas) Replaced(id string, now time.Duration) {
-	if l := v.known[id]; l != nil {
-		v.gone[id] = goneRecord{offset: math.MaxUint64, at: now}
-		delete(v.known, id)
+	l := v.known[id]
+	if l == nil {
+		return
 	}
+	n := v.named(l.replica.Name)
+	n.over, n.heard = true, now
+	delete(v.known, id)
 }
 
-// Missing lists the known replicas that a full list doesn't have.
-func (v *Replicas) Missing(ids map[string]bool) []string {
+// Missing lists the names of known replicas that a full list doesn't have.
+func (v *Replicas) Missing(names map[string]bool) []string {
 	var missing []string
 	for _, id := range v.IDs() {
-		if !ids[id] {
-			missing = append(missing, id)
+		if name := v.known[id].replica.Name; !names[name] {
+			missing = append(missing, name)
 		}
 	}
 	return missing
@@ -313,14 +357,19 @@
 	var removed []string
 	for _, id := range v.IDs() {
 		if l := v.known[id]; l.lapsesAt != 0 && now >= l.lapsesAt {
-			v.Remove(id, l.offset, now)
+			v.Remove(l.replica.Name, l.offset, now)
 			removed = append(removed, id)
 		}
 	}
-	for id, g := range v.gone {
-		if now-g.at > v.params.Tombstone {
-			delete(v.gone, id)
+	v.forgetNames(now)
+	return removed
+}
+
+// forgetNames drops names of which nothing was heard for as long as a tombstone stands.
+func (v *Replicas) forgetNames(now time.Duration) {
+	for registered, n := range v.names {
+		if v.known[n.id] == nil && now-n.heard > v.params.Tombstone {
+			delete(v.names, registered)
 		}
 	}
-	return removed
 }
--- a/internal/member/replicas_test.go
+++ b/internal/member/replicas_test.go
@@ -9,13 +9,13 @@
 )
 
 func replica(id string) *fleet.Replica {
-	return &fleet.Replica{ID: id, Service: "llm", Address: "10.0.0.1:80"}
+	return &fleet.Replica{ID: id, Name: id, Service: "llm", Address: "10.0.0.1:80"}
 }
 
 func listed(ids ...string) *member.Replicas {
 	v := member.NewReplicas(member.DefaultReplicaParams)
 	for i, id := range ids {
-		v.Put(replica(id), uint64(i))
+		v.Put(replica(id), uint64(i), 0)
 	}
 	return v
 }
@@ -25,16 +25,16 @@
 // Cause: an old record taken for news.
 func TestStaleRecordBringsNobodyBack(t *testing.T) {
 	v := member.NewReplicas(member.DefaultReplicaParams)
-	v.Put(replica("a"), 5)
+	v.Put(replica("a"), 5, 0)
 	leaving := replica("a")
 	leaving.Draining = true
-	v.Put(leaving, 9)
-	v.Put(replica("a"), 5)
+	v.Put(leaving, 9, 0)
+	v.Put(replica("a"), 5, 0)
 	if h := v.Health("a", 0); h != member.Left {
 		t.Fatalf("after a stale record a draining replica is %v", h)
 	}
 	v.Remove("a", 10, 0)
-	v.Put(replica("a"), 5)
+	v.Put(replica("a"), 5, 0)
 	if h := v.Health("a", 0); h != member.Left {
 		t.Fatalf("after a stale record a replica that is gone is %v", h)
 	}
@@ -47,11 +47,11 @@
 	v := member.NewReplicas(member.DefaultReplicaParams)
 	newer := replica("a")
 	newer.Weights = map[string]uint64{"m": 2}
-	v.Put(newer, 9)
-	if v.Put(replica("a"), 5) || v.Get("a").Weights["m"] != 2 {
+	v.Put(newer, 9, 0)
+	if v.Put(replica("a"), 5, 0).Changed || v.Get("a").Weights["m"] != 2 {
 		t.Fatal("an older record replaced a newer one")
 	}
-	if v.Remove("a", 5, 0) || v.Health("a", 0) != member.Healthy {
+	if v.Remove("a", 5, 0) != "" || v.Health("a", 0) != member.Healthy {
 		t.Fatal("an older removal took effect after a newer record")
 	}
 }
@@ -65,7 +65,7 @@
 	if h := v.Health("a", time.Second); h != member.Healthy {
 		t.Fatalf("right after the outage it is %v", h)
 	}
-	v.Put(replica("a"), 8)
+	v.Put(replica("a"), 8, 0)
 	if gone := v.Tick(3 * time.Second); len(gone) != 0 {
 		t.Fatalf("gone though its record is back: %v", gone)
 	}
@@ -124,7 +124,7 @@
 func TestReplacedIncarnationIsGoneForGood(t *testing.T) {
 	v := listed("a")
 	v.Replaced("a", 0)
-	v.Put(replica("a"), 1<<40)
+	v.Put(replica("a"), 1<<40, 0)
 	if h := v.Health("a", 0); h != member.Left {
 		t.Fatalf("a late heartbeat brought a replaced incarnation back: %v", h)
 	}
