Direct entries know nested levels, and how long a cache keeps them

Cause: a prompt was known by its last shared part alone, and believed cached for ten seconds after it was sent. Change: residents keeps each level's holders; a level stays until its replica has taken in as many tokens as running requests leave room for, counted by all entries (peers tell a count that wraps). The source is whoever has read the longest level, named for replicas believed to hold it, too. Words carry keys of replicas: ids with a start don't fit.

--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -34,15 +34,18 @@
 	peersWait = 10 * time.Second
 	// maxWord bounds a word, in bytes: what a datagram carries without fragments.
 	maxWord = 1400
-	// maxWordLoads bounds the replicas in a word so that it fits.
-	maxWordLoads = 32
+	// maxWordLoads bounds the replicas in a word so that it fits with the placements.
+	maxWordLoads = 48
 	// wordRepeats is how many words have a placement, so that one lost datagram
 	// doesn't hide it.
 	wordRepeats = 2
 	// toldFor is how long a placement is in each word, maxWordPlacements how many are
 	// in one.
 	toldFor           = 150 * time.Millisecond
-	maxWordPlacements = 16
+	maxWordPlacements = 12
+	// maxWordLevels bounds the levels of a placement, the longest of them, which fewest
+	// replicas hold.
+	maxWordLevels = 3
 	// maxWordNotes bounds the notes in a word likewise, maxWordStrikes the strikes.
 	maxWordNotes   = 12
 	maxWordStrikes = 32
@@ -68,17 +71,19 @@
 	Strikes []attempt.Strike `cbor:"7,keyasint,omitempty"`
 }
 
+// wordLoad is a route.Load; Replica is its route.ReplicaKey.
 type wordLoad struct {
 	_         struct{} `cbor:",toarray"`
-	Replica   string
+	Replica   uint64
 	ReadingMs uint32
 	Running   uint32
+	Taken     uint16
 }
 
 type wordPlacement struct {
 	_       struct{} `cbor:",toarray"`
-	Prefix  uint64
-	Replica string
+	Levels  []uint64
+	Replica uint64
 	Read    bool
 	Kept    uint64
 }
@@ -228,10 +233,11 @@
 		if len(w.Loads) == maxWordLoads {
 			break
 		}
-		w.Loads = append(w.Loads, wordLoad{Replica: id, ReadingMs: uint32(l.Reading), Running: uint32(l.Running)})
+		w.Loads = append(w.Loads, wordLoad{Replica: id, ReadingMs: uint32(l.Reading), Running: uint32(l.Running), Taken: l.Taken})
 	}
 	for _, placed := range placements[:min(len(placements), maxWordPlacements)] {
-		w.Placements = append(w.Placements, wordPlacement{Prefix: placed.Prefix, Replica: placed.Replica, Read: placed.Read, Kept: placed.Kept})
+		levels := placed.Levels[max(0, len(placed.Levels)-maxWordLevels):]
+		w.Placements = append(w.Placements, wordPlacement{Levels: levels, Replica: placed.Replica, Read: placed.Read, Kept: placed.Kept})
 	}
 	return w
 }
@@ -266,13 +272,13 @@
 		e.heardStrikes(w.Strikes, w.From)
 		return
 	}
-	loads := make(map[string]route.Load, len(w.Loads))
+	loads := make(map[uint64]route.Load, len(w.Loads))
 	for _, l := range w.Loads {
-		loads[l.Replica] = route.Load{Reading: float64(l.ReadingMs), Running: int(l.Running)}
+		loads[l.Replica] = route.Load{Reading: float64(l.ReadingMs), Running: int(l.Running), Taken: l.Taken}
 	}
 	placements := make([]route.Placement, len(w.Placements))
 	for i, placed := range w.Placements {
-		placements[i] = route.Placement{Prefix: placed.Prefix, Replica: placed.Replica, Read: placed.Read, Kept: placed.Kept}
+		placements[i] = route.Placement{Levels: placed.Levels, Replica: placed.Replica, Read: placed.Read, Kept: placed.Kept}
 	}
 	e.state.mu.Lock()
 	e.state.feed.Heard(w.From, w.Epoch, w.Seq, loads, e.clock.now())
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -218,12 +218,21 @@
 	if j.asked.ExpectedOutput > 0 {
 		q.OutputTokens = min(q.OutputTokens, j.asked.ExpectedOutput)
 	}
-	if shared := j.asked.Shared(); len(shared) > 0 {
-		q.Prefix = j.asked.Model + "/" + j.wall() + "/" + shared[len(shared)-1].ID
-	}
+	q.Levels = j.levels()
 	return q
 }
 
+// levels are the nested prefixes that the prompt may share with others.
+func (j *job) levels() []route.FeedLevel {
+	shared := j.asked.Shared()
+	ids := make([]string, len(shared))
+	tokens := make([]int, len(shared))
+	for i, part := range shared {
+		ids[i], tokens[i] = part.ID, part.Tokens
+	}
+	return route.FeedLevels(j.asked.Model+"/"+j.wall(), ids, tokens)
+}
+
 // wall names the organisation if its cached parts must not be shared.
 func (j *job) wall() string {
 	if j.organisation != nil && j.organisation.Isolated {
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -211,6 +211,9 @@
 			ID: id, FailureDomain: r.FailureDomain, Slots: r.Slots,
 			Engine: service.Engine != nil, Doubtful: health == member.Doubtful,
 		}
+		if service.Engine != nil {
+			c.MemoryTokens = service.Engine.MemoryTokens
+		}
 		if model != "" {
 			if _, runs := r.Weights[model]; !runs {
 				excluded.unfit++
--- a/internal/direct/unheard.go
+++ b/internal/direct/unheard.go
@@ -85,7 +85,7 @@
 	defer s.mu.Unlock()
 	for model, version := range report.Weights {
 		if s.board.Saw(r.ID, model, version, report.Orders) {
-			s.feed.Emptied(r.ID)
+			s.feed.Emptied(r.ID, now)
 		}
 		phase := rollout.PhaseReleased
 		if report.Busy {
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -45,8 +45,8 @@
 	Crossing float64
 	// PlainMs is the work of a request at a plain service.
 	PlainMs float64
-	// Known bounds the prefixes remembered, KnownFor how long a cached prefix is
-	// believed to stay.
+	// Known bounds the levels remembered. KnownFor bounds how long one is believed to
+	// stay in a cache where nothing else pushes it out.
 	Known    int
 	KnownFor time.Duration
 	// KeptFor is how long a prefix is believed to be in the store once it was sent.
@@ -54,20 +54,18 @@
 }
 
 // DefaultFeedParams come from the engines' sheets: some 56 prompt tokens a
-// millisecond, a step of 4 ms that grows by a tenth with each running request, and
-// caches that turn over in ten seconds.
+// millisecond and a step of 4 ms that grows by a tenth with each running request.
 var DefaultFeedParams = FeedParams{
 	PrefillTokensPerMs: 50, MissWeight: 2, TokenMs: 2, Others: 2, HomeDoubt: 0.3,
 	PeerFresh: 500 * time.Millisecond, LagHalfLife: 400 * time.Millisecond, LagLearning: 0.4,
 	Outlasts: 0.2, OutputTokenMs: 8, Learning: 0.05, OldWeights: 150, Doubtful: 1000, Crossing: 3, PlainMs: 60,
-	Known: 8192, KnownFor: 10 * time.Second, KeptFor: 10 * time.Second,
+	Known: 8192, KnownFor: 30 * time.Second, KeptFor: 10 * time.Second,
 }
 
 // FeedQuery is a request as far as its place matters.
 type FeedQuery struct {
-	// Prefix names the shared part of the prompt with all that lets it be shared
-	// (model, version, isolation), "" if there is none.
-	Prefix       string
+	// Levels are the nested prefixes that other prompts may share, the shortest first.
+	Levels       []FeedLevel
 	SharedTokens int
 	PromptTokens int
 	// OutputTokens is the expected output.
@@ -92,8 +90,11 @@
 	FailureDomain string
 	Version       uint64
 	Slots         int
-	Engine        bool
-	Doubtful      bool
+	// MemoryTokens is an engine's memory for running requests and cached parts, 0 if it
+	// isn't known.
+	MemoryTokens int
+	Engine       bool
+	Doubtful     bool
 	// Turn is the time until the replica takes no more work to load other weights,
 	// if Planned.
 	Turn    time.Duration
@@ -105,14 +106,14 @@
 	ID    string
 	Score float64
 	Load  float64
-	// Missed is how many shared tokens the replica is expected to lack, Source a
-	// replica on the same weights that is believed to hold them, "" if none.
+	// Missed is how many shared tokens the replica is expected to lack, Source another
+	// replica on the same weights that may hold them, "" if none.
 	Missed int
 	Source string
-	// SourceKnown is set where this entry has sent the prefix to Source itself.
-	SourceKnown bool
-	Reason      string
-	Of          int
+	// SourceTokens is how many shared tokens Source is known to have read, 0 for a guess.
+	SourceTokens int
+	Reason       string
+	Of           int
 }
 
 // Reasons of a feed's pick.
@@ -127,6 +128,8 @@
 type feedLoad struct {
 	reading float64 // ms of prompts being read
 	running int
+	// taken is how many tokens it has sent there to be read and kept.
+	taken float64
 	// lag is by how much, in ms, a request lately began later than its own reading
 	// explains, as of lagAt.
 	lag   float64
@@ -140,10 +143,13 @@
 	rng    *rand.Rand
 	loads  map[string]*feedLoad
 	peers  *Peers
-	// held has where a prefix was sent, by its hash, kept when it was last sent to be
+	// resident has which levels were sent where, kept when a prefix was last sent to be
 	// kept in the store, by its hash with its salt. Both have what peers tell, too.
-	held *lru.Cache[uint64, map[string]holding]
-	kept *lru.Cache[uint64, time.Duration]
+	resident *residents
+	kept     *lru.Cache[uint64, time.Duration]
+	// promptTokens is what a running request takes of a replica's memory, learnt from
+	// those that were placed.
+	promptTokens float64
 	// told are this entry's latest placements, for its peers.
 	told []toldPlacement
 	// tokenMs is the time of an output token, learnt from streams that have ended.
@@ -152,15 +158,14 @@
 
 // NewFeed returns a feed that knows of no load.
 func NewFeed(p FeedParams, rng *rand.Rand) *Feed {
-	held, err := lru.New[uint64, map[string]holding](p.Known)
-	if err != nil {
-		panic(err) // the size is a positive constant
-	}
 	kept, err := lru.New[uint64, time.Duration](p.Known)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &Feed{params: p, rng: rng, peers: NewPeers(p.PeerFresh), kept: kept, loads: map[string]*feedLoad{}, held: held, tokenMs: p.OutputTokenMs}
+	return &Feed{
+		params: p, rng: rng, peers: NewPeers(p.PeerFresh), loads: map[string]*feedLoad{},
+		resident: newResidents(p.Known, p.KnownFor), kept: kept, tokenMs: p.OutputTokenMs,
+	}
 }
 
 // Pick returns the candidate with the lowest cost: what the engine has to read
@@ -168,6 +173,7 @@
 // returns false if all candidates are excluded.
 func (f *Feed) Pick(now time.Duration, q *FeedQuery, candidates []FeedCandidate) (FeedChoice, bool) {
 	home := f.home(q, candidates)
+	holders := f.resident.holders(q.Levels)
 	best, found := FeedChoice{Of: len(candidates)}, false
 	sampled := f.sample(q.Sample, len(candidates))
 	bounded := q.MaxLoad > 0 && f.Informed(now)
@@ -176,10 +182,11 @@
 		if excluded(q.Exclude, c.ID) {
 			continue
 		}
-		if sampled != nil && !sampled[i] && c.ID != home && !f.holds(now, q, c.ID) {
+		held := f.heldTokens(now, q, holders, c, false)
+		if sampled != nil && !sampled[i] && c.ID != home && 2*held <= q.SharedTokens {
 			continue
 		}
-		choice := f.cost(now, q, c, c.ID == home)
+		choice := f.cost(now, q, c, held, c.ID == home)
 		if bounded && choice.Load > q.MaxLoad {
 			continue
 		}
@@ -188,8 +195,8 @@
 			best, found = choice, true
 		}
 	}
-	if found && best.Missed > 0 {
-		best.Source, best.SourceKnown = f.source(now, q, best.ID, candidates)
+	if found && len(q.Levels) > 0 {
+		best.Source, best.SourceTokens = f.source(now, q, holders, best.ID, candidates)
 	}
 	return best, found
 }
@@ -217,12 +224,13 @@
 	return false
 }
 
-func (f *Feed) cost(now time.Duration, q *FeedQuery, c *FeedCandidate, home bool) FeedChoice {
+// cost weighs a candidate that is believed to hold some of the shared tokens.
+func (f *Feed) cost(now time.Duration, q *FeedQuery, c *FeedCandidate, held int, home bool) FeedChoice {
 	out := FeedChoice{ID: c.ID, Reason: feedLeast}
 	out.Load = f.load(now, c)
 	out.Score = out.Load
-	if q.Prefix != "" {
-		out.Missed, out.Reason = f.missing(now, q, c.ID, home)
+	if len(q.Levels) > 0 {
+		out.Missed, out.Reason = f.missing(q, held, home)
 		out.Score += f.params.MissWeight * float64(out.Missed) / f.params.PrefillTokensPerMs
 	}
 	if q.Wanted != 0 && c.Version < q.Wanted {
@@ -267,24 +275,22 @@
 		others := 1 + f.params.Others
 		return Load{Reading: own.Reading * others, Running: int(float64(own.Running) * others)}
 	}
-	sum := f.peers.Load(id, now)
+	sum := f.peers.Load(ReplicaKey(id), now)
 	return Load{Reading: own.Reading + sum.Reading, Running: own.Running + sum.Running}
 }
 
-// Loads is what this entry has at each replica, for its peers.
-func (f *Feed) Loads() map[string]Load {
-	loads := make(map[string]Load, len(f.loads))
+// Loads is what this entry has at each replica, for its peers, by ReplicaKey.
+func (f *Feed) Loads() map[uint64]Load {
+	loads := make(map[uint64]Load, len(f.loads))
 	for id, l := range f.loads {
-		if l.running > 0 {
-			loads[id] = Load{Reading: l.reading, Running: l.running}
-		}
+		loads[ReplicaKey(id)] = Load{Reading: l.reading, Running: l.running, Taken: uint16(uint64(l.taken) / TakenUnit)}
 	}
 	return loads
 }
 
-// Heard takes another entry's word on its loads.
-func (f *Feed) Heard(peer string, epoch, seq uint64, loads map[string]Load, now time.Duration) {
-	f.peers.Take(peer, epoch, seq, loads, now)
+// Heard takes another entry's word on its loads, by ReplicaKey.
+func (f *Feed) Heard(peer string, epoch, seq uint64, loads map[uint64]Load, now time.Duration) {
+	f.peers.Take(peer, epoch, seq, loads, now, f.resident.took)
 }
 
 // lag is the wait that the others' load explains: this entry hears nothing of it
@@ -306,9 +312,22 @@
 	}
 	l.running++
 	l.reading += f.reading(q, choice)
+	f.take(l, q, choice)
 	f.holdOwn(q, choice.ID, false, now)
 }
 
+// take counts the tokens that a request adds to a replica's memory.
+func (f *Feed) take(l *feedLoad, q *FeedQuery, choice *FeedChoice) {
+	if q.PromptTokens == 0 {
+		return
+	}
+	fresh := float64(max(0, q.PromptTokens-q.SharedTokens+choice.Missed) + q.OutputTokens)
+	l.taken += fresh
+	f.resident.took(ReplicaKey(choice.ID), fresh)
+	whole := float64(q.PromptTokens + q.OutputTokens)
+	f.promptTokens += f.params.Learning * (whole - f.promptTokens)
+}
+
 func (f *Feed) reading(q *FeedQuery, choice *FeedChoice) float64 {
 	fresh := q.PromptTokens - q.SharedTokens + choice.Missed
 	return float64(max(0, fresh)) / f.params.PrefillTokensPerMs
@@ -372,7 +391,10 @@
 func (f *Feed) ForgetPeers(before time.Duration) { f.peers.Forget(before) }
 
 // Gone forgets a replica.
-func (f *Feed) Gone(id string) { delete(f.loads, id) }
+func (f *Feed) Gone(id string) {
+	delete(f.loads, id)
+	f.resident.gone(ReplicaKey(id))
+}
 
 // Running is how many requests of this entry are at a replica.
 func (f *Feed) Running(id string) int {
--- a/internal/route/feed_test.go
+++ b/internal/route/feed_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"skylarklead/internal/route"
 )
 
@@ -22,7 +24,30 @@
 }
 
 func prompt(prefix string) *route.FeedQuery {
-	return &route.FeedQuery{Prefix: prefix, SharedTokens: 6300, PromptTokens: 9200, OutputTokens: 50}
+	return &route.FeedQuery{Levels: levelsOf(prefix), SharedTokens: 6300, PromptTokens: 9200, OutputTokens: 50}
+}
+
+// levelsOf is a prompt of a common part and one of its own.
+func levelsOf(prefix string) []route.FeedLevel {
+	return route.FeedLevels("m/", []string{"common", prefix}, []int{2500, 3800})
+}
+
+// placement tells of all levels of a prompt.
+func placement(prefix, replica string, read bool) route.Placement {
+	p := route.Placement{Replica: route.ReplicaKey(replica), Read: read}
+	for _, level := range levelsOf(prefix) {
+		p.Levels = append(p.Levels, level.Key)
+	}
+	return p
+}
+
+// loads are a peer's loads by replica.
+func loads(byID map[string]route.Load) map[uint64]route.Load {
+	out := map[uint64]route.Load{}
+	for id, l := range byID {
+		out[route.ReplicaKey(id)] = l
+	}
+	return out
 }
 
 func pick(t testing.TB, f *route.Feed, now time.Duration, q *route.FeedQuery, c []route.FeedCandidate) route.FeedChoice {
@@ -49,12 +74,90 @@
 func TestPrefixGoesWhereItIsHeld(t *testing.T) {
 	f := newFeed()
 	q := prompt("p")
-	f.HeardPlacements([]route.Placement{{Prefix: route.PrefixHash("p"), Replica: "r07", Read: true}}, 0)
+	f.HeardPlacements([]route.Placement{placement("p", "r07", true)}, 0)
 	if got := pick(t, f, 0, q, engines(18, 1)); got.ID != "r07" || got.Missed != 0 {
 		t.Fatalf("picked %+v; a peer has just sent it to r07", got)
 	}
 }
 
+// Symptom: a part that all prompts share is read anew, or fetched from a store that lacks
+// it, at each spill, though every other replica holds it.
+// Sequence: no replica on the same weights has a prompt's last shared part; all have the
+// first.
+// Cause: prompts known by their last shared part alone.
+func TestTheFirstLevelIsFetchedWhereItIsHeld(t *testing.T) {
+	f := newFeed()
+	f.HeardPlacements([]route.Placement{placement("other", "r01", true)}, 0)
+	q := prompt("p")
+	q.Exclude = []string{"r01"}
+	got := pick(t, f, 0, q, engines(2, 1))
+	if got.ID != "r00" || got.Source != "r01" || got.SourceTokens != 2500 {
+		t.Fatalf("picked %+v; r01 holds the 2500 tokens that all prompts begin with", got)
+	}
+	if use := f.Cache(0, q, &got, "m@1/", []string{"10.0.0.1:80"}); use.Holder != "r01" {
+		t.Errorf("%+v; nobody has sent the prompt to the store", use)
+	}
+	q.Exclude = nil
+	if got := pick(t, f, 0, q, engines(2, 1)); got.ID != "r01" {
+		t.Errorf("picked %+v; r01 lacks 3800 tokens, r00 6300", got)
+	}
+}
+
+// Symptom: requests go where their prefix was pushed out, and it is read anew without a
+// look at where it can be fetched.
+// Pattern: many prompts through one replica within seconds; the same with few. Grounds: an
+// engine drops what was used least lately once its memory is full, 3 s after the last use
+// under load where it was seen, 30 s without.
+func TestPrefixStaysUntilAsMuchWasTakenIn(t *testing.T) {
+	held := func(others int) bool {
+		f := newFeed()
+		c := engines(1, 1)
+		c[0].MemoryTokens = 100_000
+		first := pick(t, f, 0, prompt("p"), c)
+		f.Placed(0, prompt("p"), &first)
+		f.Began(0, prompt("p"), &first, time.Millisecond)
+		f.Ended(prompt("p"), &first, true)
+		for i := range others {
+			q := prompt(fmt.Sprint("other", i))
+			choice := pick(t, f, 0, q, c)
+			f.Placed(0, q, &choice)
+			f.Ended(q, &choice, false)
+		}
+		return pick(t, f, 10*time.Second, prompt("p"), c).Missed == 0
+	}
+	if !held(3) {
+		t.Error("not believed held after three other prompts in a cache for ten")
+	}
+	if held(30) {
+		t.Error("believed held after thirty other prompts in a cache for ten")
+	}
+}
+
+// What peers sent to a replica pushes a prefix out as well as what this entry did.
+func TestPeersTokensPushOut(t *testing.T) {
+	f := newFeed()
+	c := engines(1, 1)
+	c[0].MemoryTokens = 100_000
+	f.HeardPlacements([]route.Placement{placement("p", "r00", true)}, 0)
+	taken := uint16(65_000) // the count wraps around
+	f.Heard("entry-2", 1, 1, loads(map[string]route.Load{"r00": {Taken: taken}}), 0)
+	taken += 120_000 / route.TakenUnit
+	f.Heard("entry-2", 1, 2, loads(map[string]route.Load{"r00": {Taken: taken}}), 0)
+	if got := pick(t, f, time.Second, prompt("p"), c); got.Missed == 0 {
+		t.Error("believed held after a peer sent 120,000 tokens to a cache for 100,000")
+	}
+}
+
+// A replica that has loaded other weights holds nothing of before.
+func TestEmptiedReplicaHoldsNothing(t *testing.T) {
+	f := newFeed()
+	f.HeardPlacements([]route.Placement{placement("p", "r00", true)}, 0)
+	f.Emptied("r00", time.Second)
+	if got := pick(t, f, 2*time.Second, prompt("p"), engines(1, 1)); got.Reason == "prefix_held" {
+		t.Errorf("%+v", got)
+	}
+}
+
 // Symptom: shared instructions are read anew at every spill. Cause: the replica isn't
 // told where it can fetch them.
 func TestSpillFetchesFromAHolderOnTheSameWeights(t *testing.T) {
@@ -63,13 +166,13 @@
 	c := engines(4, 1)
 	c[0].Version = 2
 	f.HeardPlacements([]route.Placement{
-		{Prefix: route.PrefixHash("p"), Replica: "r00", Read: true},
-		{Prefix: route.PrefixHash("p"), Replica: "r01", Read: true},
-		{Prefix: route.PrefixHash("p"), Replica: "r02"},
+		placement("p", "r00", true),
+		placement("p", "r01", true),
+		placement("p", "r02", false),
 	}, 0)
 	q.Exclude = []string{"r00", "r01", "r02"}
 	got := pick(t, f, 0, q, c)
-	if got.ID != "r03" || got.Source != "r01" || !got.SourceKnown {
+	if got.ID != "r03" || got.Source != "r01" || got.SourceTokens != 6300 {
 		t.Fatalf("picked %+v; r00 has other weights and r02 is still reading", got)
 	}
 }
@@ -81,7 +184,7 @@
 	f := newFeed()
 	q := &route.FeedQuery{PromptTokens: 700}
 	c := engines(2, 1)
-	f.Heard("entry-2", 1, 1, map[string]route.Load{"r00": {Reading: 300, Running: 3}}, 0)
+	f.Heard("entry-2", 1, 1, loads(map[string]route.Load{"r00": {Reading: 300, Running: 3}}), 0)
 	if got := pick(t, f, 0, q, c); got.ID != "r01" {
 		t.Fatalf("picked %s, where a peer has 300 ms of reading", got.ID)
 	}
@@ -104,7 +207,7 @@
 	for e := range 25 {
 		f := route.NewFeed(route.DefaultFeedParams, rand.New(rand.NewPCG(uint64(e), 7)))
 		for i := range c {
-			f.Heard("entry-x", 1, 1, map[string]route.Load{c[i].ID: {Reading: float64(i)}}, 0)
+			f.Heard("entry-x", 1, 1, loads(map[string]route.Load{c[i].ID: {Reading: float64(i)}}), 0)
 		}
 		choice := pick(t, f, 0, &route.FeedQuery{PromptTokens: 700, Sample: 4}, c)
 		got[choice.ID]++
@@ -119,7 +222,7 @@
 func TestLoadBound(t *testing.T) {
 	f := newFeed()
 	q := &route.FeedQuery{PromptTokens: 700, MaxLoad: 200}
-	f.Heard("entry-2", 1, 1, map[string]route.Load{"r00": {Reading: 300}, "r01": {Reading: 300}}, 0)
+	f.Heard("entry-2", 1, 1, loads(map[string]route.Load{"r00": {Reading: 300}, "r01": {Reading: 300}}), 0)
 	if got, ok := f.Pick(0, q, engines(2, 1)); ok {
 		t.Fatalf("picked %+v beyond the bound", got)
 	}
@@ -135,7 +238,7 @@
 	c := engines(2, 1)
 	c[0].Planned, c[0].Turn = true, time.Second
 	long := &route.FeedQuery{PromptTokens: 700, OutputTokens: 400}
-	f.Heard("entry-2", 1, 1, map[string]route.Load{"r01": {Reading: 100}}, 0)
+	f.Heard("entry-2", 1, 1, loads(map[string]route.Load{"r01": {Reading: 100}}), 0)
 	if got := pick(t, f, 0, long, c); got.ID != "r01" {
 		t.Fatal("a stream of three seconds went where weights are loaded in one")
 	}
@@ -158,8 +261,10 @@
 		}
 		f.Ended(q, &choice, began)
 	}
-	if loads := f.Loads(); len(loads) != 0 {
-		t.Fatalf("left over: %v", loads)
+	for replica, l := range f.Loads() {
+		if l.Reading != 0 || l.Running != 0 {
+			t.Errorf("left over at %x: %+v", replica, l)
+		}
 	}
 }
 
@@ -168,7 +273,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			f, c := newFeed(), engines(n, 1)
 			for e := range 25 {
-				f.Heard(fmt.Sprint("entry-", e), 1, 1, map[string]route.Load{"r03": {Reading: 50, Running: 1}}, 0)
+				f.Heard(fmt.Sprint("entry-", e), 1, 1, loads(map[string]route.Load{"r03": {Reading: 50, Running: 1}}), 0)
 			}
 			q := prompt("p")
 			b.ReportAllocs()
@@ -193,7 +298,7 @@
 	in := map[string]int{}
 	moved := 0
 	for i := range prefixes {
-		name := fmt.Sprintf("model//%x", i)
+		name := xxhash.Sum64String(fmt.Sprintf("model//%x", i))
 		at := route.KeptAt(name, stores)
 		in[at]++
 		if at != stores[1] && route.KeptAt(name, []string{stores[2], stores[0]}) != at {
@@ -208,7 +313,7 @@
 	if moved > 0 {
 		t.Errorf("%d prefixes moved though their store is still there", moved)
 	}
-	if at := route.KeptAt("model//1", nil); at != "" {
+	if at := route.KeptAt(1, nil); at != "" {
 		t.Errorf("without stores: %q", at)
 	}
 }
@@ -224,20 +329,22 @@
 // 20 to 40 ms each.
 func TestShortPrefixesDontWaitForAStore(t *testing.T) {
 	stores := []string{"10.0.0.1:80", "10.0.0.2:80"}
+	levels := route.FeedLevels("m/", []string{"p"}, []int{6300})
+	kept := route.KeptAt(levels[0].Key, stores)
 	for _, c := range []struct {
 		name   string
 		tokens int
 		choice route.FeedChoice
 		want   route.CacheUse
 	}{
-		{"tiny", 20, route.FeedChoice{Source: "r01", SourceKnown: true}, route.CacheUse{}},
-		{"short, guessed holder", 198, route.FeedChoice{Source: "r01"}, route.CacheUse{Holder: "r01"}},
+		{"tiny", 20, route.FeedChoice{Source: "r01", SourceTokens: 20}, route.CacheUse{}},
+		{"short, guessed holder", 198, route.FeedChoice{Source: "r01", Missed: 198}, route.CacheUse{Holder: "r01"}},
 		{"short, held", 198, route.FeedChoice{}, route.CacheUse{}},
-		{"long, guessed holder", 6300, route.FeedChoice{Source: "r01"}, route.CacheUse{Store: route.KeptAt("p", stores), KeepIn: route.KeptAt("p", stores)}},
-		{"long, known holder", 6300, route.FeedChoice{Source: "r01", SourceKnown: true}, route.CacheUse{Holder: "r01", KeepIn: route.KeptAt("p", stores)}},
-		{"long, held", 6300, route.FeedChoice{}, route.CacheUse{Store: route.KeptAt("p", stores), KeepIn: route.KeptAt("p", stores)}},
+		{"long, guessed holder", 6300, route.FeedChoice{Source: "r01"}, route.CacheUse{Store: kept, KeepIn: kept}},
+		{"long, known holder", 6300, route.FeedChoice{Source: "r01", SourceTokens: 6300}, route.CacheUse{Holder: "r01", KeepIn: kept}},
+		{"long, held", 6300, route.FeedChoice{}, route.CacheUse{Store: kept, KeepIn: kept}},
 	} {
-		q := &route.FeedQuery{Prefix: "p", SharedTokens: c.tokens, PromptTokens: c.tokens + 600}
+		q := &route.FeedQuery{Levels: levels, SharedTokens: c.tokens, PromptTokens: c.tokens + 600}
 		if got := newFeed().Cache(0, q, &c.choice, "m@1/", stores); got != c.want {
 			t.Errorf("%s: %+v, want %+v", c.name, got, c.want)
 		}
--- a/internal/route/feedprefix.go
+++ b/internal/route/feedprefix.go
@@ -1,19 +1,53 @@
 package route
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// source is where a replica that lacks the prefix can fetch it from: the holder
-// that this entry used last, else the replica that comes first, of the others on
-// the same weights, in the order in which all entries look for its home. A guess
-// that fails costs a millisecond; reading the prefix anew costs fifty.
-func (f *Feed) source(now time.Duration, q *FeedQuery, chosen string, candidates []FeedCandidate) (source string, known bool) {
+// FeedLevel is one of the nested prefixes of a prompt.
+type FeedLevel struct {
+	// Key stands for all parts up to the level's end and for whom they may be shared
+	// with: model and isolation. The weights' version isn't in it: a replica that loads
+	// others holds nothing any more.
+	Key uint64
+	// Tokens is the length up to the level's end.
+	Tokens int
+}
+
+// FeedLevels chains the parts of a prompt to levels. scope is what they may be shared in.
+func FeedLevels(scope string, ids []string, tokens []int) []FeedLevel {
+	if len(ids) == 0 {
+		return nil
+	}
+	levels := make([]FeedLevel, len(ids))
+	d := xxhash.New()
+	_, _ = d.WriteString(scope) // a digest takes all
+	total := 0
+	for i, id := range ids {
+		_, _ = d.WriteString("\x00" + id)
+		total += tokens[i]
+		levels[i] = FeedLevel{Key: d.Sum64(), Tokens: total}
+	}
+	return levels
+}
+
+// prefixKey is the key of the longest level.
+func (q *FeedQuery) prefixKey() uint64 { return q.Levels[len(q.Levels)-1].Key }
+
+// source is another replica to fetch shared parts from: the one on the same weights
+// that is known to have read the longest level, the latest of those that have read the
+// same. Where none is known it is the one that comes first in the order in which all
+// entries look for the prefix's home, a guess. One that fails costs a millisecond;
+// reading the prefix anew costs fifty.
+//
+// It is named for a replica that is believed to hold the prefix, too: a cache may have
+// dropped it, which nobody hears of in time.
+func (f *Feed) source(now time.Duration, q *FeedQuery, holders []levelHolders, chosen string, candidates []FeedCandidate) (source string, tokens int) {
 	version := versionOf(chosen, candidates)
-	key := PrefixHash(q.Prefix)
-	holders, _ := f.held.Peek(key)
+	key := q.prefixKey()
 	latest := time.Duration(-1)
 	first := ranked{}
 	for i := range candidates {
@@ -21,17 +55,19 @@
 		if c.ID == chosen || c.Version != version {
 			continue
 		}
-		if h, ok := holders[c.ID]; ok && h.read && now-h.at <= f.params.KnownFor && h.at > latest {
-			latest, source = h.at, c.ID
+		held := f.heldTokens(now, q, holders, c, true)
+		at := holders[len(holders)-1][ReplicaKey(c.ID)].at
+		if held > tokens || held > 0 && held == tokens && at > latest {
+			source, tokens, latest = c.ID, held, at
 		}
 		if r := (ranked{c.ID, weight(key, c.ID)}); first.id == "" || compareRanked(r, first) < 0 {
 			first = r
 		}
 	}
 	if source != "" {
-		return source, true
+		return source, tokens
 	}
-	return first.id, false
+	return first.id, 0
 }
 
 func versionOf(id string, candidates []FeedCandidate) uint64 {
@@ -43,26 +79,43 @@
 	return 0
 }
 
-// holds reports whether a replica is believed to hold a query's prefix.
-func (f *Feed) holds(now time.Duration, q *FeedQuery, id string) bool {
-	if q.Prefix == "" {
-		return false
+// heldTokens is how many shared tokens a replica is believed to hold: a level counts
+// only with all those before it. With read set only what it has read counts, not what is
+// still to come.
+func (f *Feed) heldTokens(now time.Duration, q *FeedQuery, holders []levelHolders, c *FeedCandidate, read bool) int {
+	if len(holders) == 0 {
+		return 0
 	}
-	holders, ok := f.held.Peek(PrefixHash(q.Prefix))
-	if !ok {
-		return false
+	key := ReplicaKey(c.ID)
+	room := f.room(now, c)
+	held := 0
+	for i, at := range holders {
+		h, ok := at[key]
+		if !ok || read && !h.read || !f.resident.stays(now, key, h, room) {
+			break
+		}
+		held = q.Levels[i].Tokens
 	}
-	h, ok := holders[id]
-	return ok && now-h.at <= f.params.KnownFor
+	return held
+}
+
+// room is how much of a replica's memory running requests leave to cached parts, in
+// tokens. Unknown memory is taken for unbounded: then time alone decides.
+func (f *Feed) room(now time.Duration, c *FeedCandidate) float64 {
+	if c.MemoryTokens == 0 {
+		return math.MaxFloat64
+	}
+	running := float64(f.total(now, c.ID).Running)
+	return float64(c.MemoryTokens) - running*f.promptTokens
 }
 
 // home is the replica that all entries send a prefix to when nothing else is
 // known.
 func (f *Feed) home(q *FeedQuery, candidates []FeedCandidate) string {
-	if q.Prefix == "" {
+	if len(q.Levels) == 0 {
 		return ""
 	}
-	key := PrefixHash(q.Prefix)
+	key := q.prefixKey()
 	best := ranked{}
 	for i := range candidates {
 		r := ranked{candidates[i].ID, weight(key, candidates[i].ID)}
@@ -75,21 +128,22 @@
 
 // missing is how many tokens of the shared prefix a replica is expected to read
 // anew.
-func (f *Feed) missing(now time.Duration, q *FeedQuery, id string, home bool) (int, string) {
-	if f.holds(now, q, id) {
+func (f *Feed) missing(q *FeedQuery, held int, home bool) (int, string) {
+	missed := q.SharedTokens - held
+	switch {
+	case missed <= 0:
 		return 0, feedHeld
+	case home:
+		return int(f.params.HomeDoubt * float64(missed)), feedHome
 	}
-	if home {
-		return int(f.params.HomeDoubt * float64(q.SharedTokens)), feedHome
-	}
-	return q.SharedTokens, feedSpill
+	return missed, feedSpill
 }
 
 // keep reports whether a prefix, under a salt, is to be sent to the store of kept
 // cache, and notes that it is. With it goes the request's own part, which nobody
 // asks for again: sent each time, those would push all shared parts out.
-func (f *Feed) keep(now time.Duration, prefix, salt string) bool {
-	key := xxhash.Sum64String(salt + "|" + prefix)
+func (f *Feed) keep(now time.Duration, prefix uint64, salt string) bool {
+	key := f.keptKey(prefix, salt)
 	if at, ok := f.kept.Get(key); ok && now-at < f.params.KeptFor {
 		return false
 	}
@@ -98,6 +152,11 @@
 	return true
 }
 
+// keptKey stands for a prefix under a salt.
+func (f *Feed) keptKey(prefix uint64, salt string) uint64 {
+	return prefix ^ xxhash.Sum64String(salt)
+}
+
 const (
 	// fetchedTokens is the shared length from which on a prefix is fetched: below it
 	// reading anew takes less than looking for it.
@@ -126,28 +185,47 @@
 		return use
 	}
 	if q.SharedTokens >= keptTokens {
-		use.Store = KeptAt(q.Prefix, stores)
+		use.Store = KeptAt(q.prefixKey(), stores)
 	}
-	if use.Store != "" && f.keep(now, q.Prefix, salt) {
-		use.KeepIn = use.Store
+	kept := false
+	if use.Store != "" {
+		_, kept = f.kept.Peek(f.keptKey(q.prefixKey(), salt))
+		if f.keep(now, q.prefixKey(), salt) {
+			use.KeepIn = use.Store
+		}
 	}
-	if choice.Source != "" && (choice.SourceKnown || use.Store == "") {
+	if f.fetchesFromReplica(q, choice, use.Store, kept) {
 		use.Holder, use.Store = choice.Source, ""
 	}
 	return use
 }
 
+// fetchesFromReplica reports whether a replica is the better source than a store. One
+// that has read all is: it sends at once, where a store sends one prefix after the
+// other. One that has read only a part is where the store isn't known to have more.
+func (f *Feed) fetchesFromReplica(q *FeedQuery, choice *FeedChoice, store string, kept bool) bool {
+	switch {
+	case choice.Source == "":
+		return false
+	case choice.SourceTokens >= q.SharedTokens:
+		return true
+	case store != "":
+		return choice.SourceTokens > 0 && !kept
+	}
+	return choice.SourceTokens > 0 || choice.Missed > 0
+}
+
 // KeptAt is which of the stores of kept cache has a prefix, "" if there is none. Each
 // prefix is in one of them, the same one for all entries: together they hold as many
 // as they have room for, where copies in each would push others out.
-func KeptAt(prefix string, stores []string) string { return First(PrefixHash(prefix), stores) }
+func KeptAt(prefix uint64, stores []string) string { return First(prefix, stores) }
 
-// Placement is what an entry tells its peers of a request: where a prefix went, or
-// that one was sent to the store of kept cache. Hashes stand for names.
+// Placement is what an entry tells its peers of a request: which levels went where, or
+// that a prefix was sent to the store of kept cache. Keys stand for names.
 type Placement struct {
-	Prefix  uint64
-	Replica string
-	// Read is set once the replica has read the prefix.
+	Levels  []uint64
+	Replica uint64
+	// Read is set once the replica has read them.
 	Read bool
 	Kept uint64
 }
@@ -177,47 +255,25 @@
 		if p.Kept != 0 {
 			f.kept.Add(p.Kept, now)
 		}
-		if p.Replica != "" {
-			f.hold(p.Prefix, p.Replica, p.Read, now)
+		for _, level := range p.Levels {
+			f.resident.hold(level, p.Replica, p.Read, now)
 		}
 	}
 }
 
-// holding is a replica that a prefix was sent to.
-type holding struct {
-	at time.Duration
-	// read is set once the replica has read it, so that others can fetch it there.
-	read bool
-}
-
-func (f *Feed) hold(prefix uint64, replica string, read bool, now time.Duration) {
-	holders, ok := f.held.Get(prefix)
-	if !ok {
-		holders = make(map[string]holding, 1)
-		f.held.Add(prefix, holders)
-	}
-	holders[replica] = holding{at: now, read: read || holders[replica].read}
-}
-
 // holdOwn notes what this entry sent, and tells its peers.
 func (f *Feed) holdOwn(q *FeedQuery, replica string, read bool, now time.Duration) {
-	if q.Prefix == "" {
+	if len(q.Levels) == 0 {
 		return
 	}
-	key := PrefixHash(q.Prefix)
-	f.hold(key, replica, read, now)
-	f.told = append(f.told, toldPlacement{at: now, Placement: Placement{Prefix: key, Replica: replica, Read: read}})
-}
-
-// Emptied forgets which prefixes a replica held: it was restarted or has loaded
-// other weights.
-func (f *Feed) Emptied(id string) {
-	for _, key := range f.held.Keys() {
-		if holders, ok := f.held.Peek(key); ok {
-			delete(holders, id)
-		}
+	p := Placement{Levels: make([]uint64, len(q.Levels)), Replica: ReplicaKey(replica), Read: read}
+	for i, level := range q.Levels {
+		p.Levels[i] = level.Key
+		f.resident.hold(level.Key, p.Replica, read, now)
 	}
+	f.told = append(f.told, toldPlacement{at: now, Placement: p})
 }
 
-// PrefixHash is the hash by which entries tell each other of a prefix.
-func PrefixHash(prefix string) uint64 { return xxhash.Sum64String(prefix) }
+// Emptied forgets which levels a replica held: it was restarted or has loaded other
+// weights.
+func (f *Feed) Emptied(id string, now time.Duration) { f.resident.empty(ReplicaKey(id), now) }
