As many requests fetch from a store of kept cache as it sends in time, others read

Ruled out: waiting at the entry (0 ms at the median), engines' load (102 ms). Change: the delay of each store is learnt; beyond what a request may wait a part of those that ask reads instead, or fetches what a replica has.

--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -115,6 +115,8 @@
 	Source string
 	// SourceTokens is how many shared tokens Source is known to have read, 0 for a guess.
 	SourceTokens int
+	// Store is the store that the replica was told to fetch from, "" for none.
+	Store string
 	// Ahead is what all entries had there when it was picked.
 	Ahead  Load
 	Reason string
@@ -155,6 +157,8 @@
 	// promptTokens is what a running request takes of a replica's memory, learnt from
 	// those that were placed.
 	promptTokens float64
+	// stores has by how much fetches from stores of kept cache delay requests.
+	stores storeDelays
 	// engines has the speed of each service's engines.
 	engines map[string]*engineSpeed
 	// views are of the candidates of the latest choice, kept for their memory.
@@ -173,6 +177,7 @@
 	}
 	return &Feed{
 		params: p, rng: rng, peers: NewPeers(p.PeerFresh), loads: map[string]*feedLoad{}, engines: map[string]*engineSpeed{},
+		stores:   storeDelays{known: map[string]*storeDelay{}},
 		resident: newResidents(p.Known, p.KnownFor), kept: kept, tokenMs: p.OutputTokenMs,
 	}
 }
@@ -394,6 +399,18 @@
 // Overhead is told in ReadTime.
 func (f *Feed) Overhead(q *FeedQuery) float64 { return f.engineOf(q).overhead() }
 
+// learn takes how long a request took to begin, in milliseconds, as word of its engine's
+// speed or, where most of its prefix came from a store, of the store's delay.
+func (f *Feed) learn(now time.Duration, q *FeedQuery, choice *FeedChoice, took float64) {
+	e := f.engineOf(q)
+	if choice.Store == "" || 2*choice.Missed < q.SharedTokens {
+		e.began(Load{Reading: choice.Ahead.Reading + f.unread(q, choice), Running: choice.Ahead.Running}, took)
+		return
+	}
+	own := Load{Reading: choice.Ahead.Reading + float64(q.PromptTokens-q.SharedTokens), Running: choice.Ahead.Running}
+	f.stores.fetched(choice.Store, took-e.overhead()-e.wait(own), now)
+}
+
 // EngineSpeed is what was learnt of the engines of a service.
 type EngineSpeed struct {
 	// TokensPerMs is how fast they read, RunningMs by how much a running request delays
@@ -423,7 +440,7 @@
 	}
 	f.read(q, choice)
 	f.holdOwn(q, choice.ID, true, now)
-	f.engineOf(q).began(Load{Reading: choice.Ahead.Reading + f.unread(q, choice), Running: choice.Ahead.Running}, ms(took))
+	f.learn(now, q, choice, ms(took))
 	waited := ms(took - f.OwnTime(q, choice))
 	before := f.lag(l, now)
 	l.lag = before + f.params.LagLearning*(max(0, waited)-before)
--- a/internal/route/feedprefix.go
+++ b/internal/route/feedprefix.go
@@ -186,6 +186,13 @@
 	if f.fetchesFromReplica(q, choice, use.Store, kept) {
 		use.Holder, use.Store = choice.Source, ""
 	}
+	if use.Store != "" && !f.stores.bears(use.Store, q.MaxLoad, now, f.rng) {
+		use.Store = ""
+		if choice.SourceTokens > 0 {
+			use.Holder = choice.Source
+		}
+	}
+	choice.Store = use.Store
 	return use
 }
 
