--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -14,7 +14,7 @@
 	// LoadShare is the part of a model's replicas that load at once, 0 to 1, rounded:
 	// what a store of weights feeds without loads taking longer. More would be away for
 	// longer and none be back sooner. Rounded down, nine replicas loaded one by one and
-	// were on weights that had been replaced for 17 s of each change, not 9.
+	// were on weights that had been replaced for 17 s of each change; two by two it is half.
 	LoadShare float64
 	// ReportLag is how long after the end of a load it is heard of: the store stands idle
 	// for as long unless that many more load meanwhile.
--- /dev/null
+++ b/internal/route/feedload.go
@@ -0,0 +1,213 @@
+package route
+
+import (
+	"math"
+	"time"
+)
+
+// feedLoad is what this entry has at a replica.
+type feedLoad struct {
+	reading float64 // tokens of prompts not yet read
+	running int
+	// taken is how many tokens it has sent there to be read and kept.
+	taken float64
+	// lag is by how much, in ms, a request lately began later than its own reading
+	// explains, as of lagAt.
+	lag   float64
+	lagAt time.Duration
+}
+
+// Informed reports whether the others' loads are known.
+func (f *Feed) Informed(now time.Duration) bool { return f.peers.Heard(now) > 0 }
+
+// total is what this entry and its peers have at a replica. Where none is heard the
+// others are taken to have as much there as this one, each.
+func (f *Feed) total(now time.Duration, id string, key uint64, informed bool) Load {
+	var own Load
+	if l := f.loads[id]; l != nil {
+		own = Load{Reading: l.reading, Running: l.running}
+	}
+	if !informed {
+		others := 1 + f.params.Others
+		return Load{Reading: own.Reading * others, Running: int(float64(own.Running) * others)}
+	}
+	sum := f.peers.Load(key, now)
+	return Load{Reading: own.Reading + sum.Reading, Running: own.Running + sum.Running}
+}
+
+// engineOf is what is known of the speed of a request's engines.
+func (f *Feed) engineOf(q *FeedQuery) *engineSpeed {
+	e := f.engines[q.Service]
+	if e == nil {
+		e = newEngineSpeed(f.params)
+		f.engines[q.Service] = e
+	}
+	return e
+}
+
+// Loads is what this entry has at each replica, for its peers, by ReplicaKey.
+func (f *Feed) Loads() map[uint64]Load {
+	loads := make(map[uint64]Load, len(f.loads))
+	for id, l := range f.loads {
+		loads[ReplicaKey(id)] = Load{Reading: l.reading, Running: l.running, Taken: uint16(uint64(l.taken) / TakenUnit)}
+	}
+	return loads
+}
+
+// Heard takes another entry's word on its loads, by ReplicaKey.
+func (f *Feed) Heard(peer string, epoch, seq uint64, loads map[uint64]Load, now time.Duration) {
+	f.peers.Take(peer, epoch, seq, loads, now, f.resident.took)
+}
+
+// lag is the wait that the others' load explains: this entry hears nothing of it
+// but how long its own requests wait.
+func (f *Feed) lag(l *feedLoad, now time.Duration) float64 {
+	if l.lag == 0 {
+		return 0
+	}
+	return l.lag * math.Exp2(-float64(now-l.lagAt)/float64(f.params.LagHalfLife))
+}
+
+// Placed notes that a request goes to a replica. Its end is told by Began and
+// Ended, with the same query and ID.
+func (f *Feed) Placed(now time.Duration, q *FeedQuery, choice *FeedChoice) {
+	l := f.loads[choice.ID]
+	if l == nil {
+		l = &feedLoad{}
+		f.loads[choice.ID] = l
+	}
+	l.running++
+	l.reading += f.unread(q, choice)
+	f.take(l, q, choice)
+	f.holdOwn(q, choice.ID, false, now)
+}
+
+// take counts the tokens that a request adds to a replica's memory.
+func (f *Feed) take(l *feedLoad, q *FeedQuery, choice *FeedChoice) {
+	if q.PromptTokens == 0 {
+		return
+	}
+	fresh := float64(max(0, q.PromptTokens-q.SharedTokens+choice.Missed) + q.OutputTokens)
+	l.taken += fresh
+	f.resident.took(ReplicaKey(choice.ID), fresh)
+	whole := float64(q.PromptTokens + q.OutputTokens)
+	f.promptTokens += f.params.Learning * (whole - f.promptTokens)
+}
+
+// unread is how many tokens of a request's prompt a replica is expected to read.
+func (f *Feed) unread(q *FeedQuery, choice *FeedChoice) float64 {
+	return float64(max(0, q.PromptTokens-q.SharedTokens+choice.Missed))
+}
+
+// OwnTime is how long a replica with nothing else to do takes to read what it is
+// expected to lack of a request's prompt.
+func (f *Feed) OwnTime(q *FeedQuery, choice *FeedChoice) time.Duration {
+	return milliseconds(f.engineOf(q).reading(f.unread(q, choice)))
+}
+
+// ReadTime is how long an engine takes to read tokens, in milliseconds, Overhead the
+// time to a first event beside reading.
+func (f *Feed) ReadTime(q *FeedQuery, tokens int) float64 {
+	return f.engineOf(q).reading(float64(tokens))
+}
+
+// Overhead is told in ReadTime.
+func (f *Feed) Overhead(q *FeedQuery) float64 { return f.engineOf(q).overhead() }
+
+// learn takes how long a request took to begin, in milliseconds, as word of its engine's
+// speed or, where most of its prefix came from a store, of the store's delay.
+func (f *Feed) learn(now time.Duration, q *FeedQuery, choice *FeedChoice, took float64) {
+	e := f.engineOf(q)
+	if choice.Store == "" || 2*choice.Missed < q.SharedTokens {
+		e.began(Load{Reading: choice.Ahead.Reading + f.unread(q, choice), Running: choice.Ahead.Running}, took)
+		return
+	}
+	own := Load{Reading: choice.Ahead.Reading + float64(q.PromptTokens-q.SharedTokens), Running: choice.Ahead.Running}
+	f.stores.fetched(choice.Store, took-e.overhead()-e.wait(own), now)
+}
+
+// EngineSpeed is what was learnt of the engines of a service.
+type EngineSpeed struct {
+	// TokensPerMs is how fast they read, RunningMs by how much a running request delays
+	// the next, OverheadMs the time to a first event beside.
+	TokensPerMs, RunningMs, OverheadMs float64
+}
+
+// Speeds is what was learnt of the engines of each service that was asked for.
+func (f *Feed) Speeds() map[string]EngineSpeed {
+	speeds := make(map[string]EngineSpeed, len(f.engines))
+	for service, e := range f.engines {
+		speeds[service] = EngineSpeed{
+			TokensPerMs: 1 / e.reading(1), RunningMs: e.wait(Load{Running: 1}), OverheadMs: e.overhead(),
+		}
+	}
+	return speeds
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// Began notes that a request's prompt has been read, in the time that it took since
+// it was placed.
+func (f *Feed) Began(now time.Duration, q *FeedQuery, choice *FeedChoice, took time.Duration) {
+	l := f.loads[choice.ID]
+	if l == nil {
+		return
+	}
+	f.read(q, choice)
+	f.holdOwn(q, choice.ID, true, now)
+	f.learn(now, q, choice, ms(took))
+	waited := ms(took - f.OwnTime(q, choice))
+	before := f.lag(l, now)
+	l.lag = before + f.params.LagLearning*(max(0, waited)-before)
+	l.lagAt = now
+}
+
+func (f *Feed) read(q *FeedQuery, choice *FeedChoice) {
+	if l := f.loads[choice.ID]; l != nil {
+		l.reading = max(0, l.reading-f.unread(q, choice))
+	}
+}
+
+// Ended notes that a request is no longer at a replica; began tells whether Began
+// was called for it.
+func (f *Feed) Ended(q *FeedQuery, choice *FeedChoice, began bool) {
+	l := f.loads[choice.ID]
+	if l == nil {
+		return
+	}
+	if !began {
+		f.read(q, choice)
+	}
+	l.running--
+}
+
+// StreamTime is how long a request's output is expected to take.
+func (f *Feed) StreamTime(q *FeedQuery) time.Duration {
+	return time.Duration(float64(q.OutputTokens) * f.tokenMs * float64(time.Millisecond))
+}
+
+// Streamed learns from a stream that took d from its first event to its end.
+func (f *Feed) Streamed(q *FeedQuery, d time.Duration) {
+	if q.OutputTokens <= 0 {
+		return
+	}
+	seen := float64(d) / float64(time.Millisecond) / float64(q.OutputTokens)
+	f.tokenMs += f.params.Learning * (seen - f.tokenMs)
+}
+
+// ForgetPeers drops the words of peers that were last heard before a time.
+func (f *Feed) ForgetPeers(before time.Duration) { f.peers.Forget(before) }
+
+// Gone forgets a replica.
+func (f *Feed) Gone(id string) {
+	delete(f.loads, id)
+	f.resident.gone(ReplicaKey(id))
+}
+
+// Running is how many requests of this entry are at a replica.
+func (f *Feed) Running(id string) int {
+	if l := f.loads[id]; l != nil {
+		return l.running
+	}
+	return 0
+}
--- a/internal/route/feedprefix.go
+++ b/internal/route/feedprefix.go
@@ -69,8 +69,8 @@
 
 // sourceRoom is the part of a cache's room after which a level isn't relied on as a
 // source any more. What a replica took in isn't known to the token; one that turns out to
-// lack a level costs its reading, a store in its place some 50 ms. Worth 0.005 on days
-// with trouble at 120 requests a second on nine replicas (six plays), nothing at lower ones.
+// lack a level costs its reading, a store in its place some 50 ms. Worth 0.005 in
+// the mean of six plays at 120 requests a second on nine replicas, nothing on eighteen.
 const sourceRoom = 0.5
 
 // held is how many shared tokens a replica is believed to hold, and how many of them it
