--- a/internal/direct/naming.go
+++ b/internal/direct/naming.go
@@ -14,9 +14,9 @@
 const namingSpread = 300 * time.Millisecond
 
 // An entry that starts finds a version of weights named and can't tell since when. Taken
-// for overdue, all replicas on the one before are refused: after a loss of power three
-// seconds into a change of weights 34 of 38 replicas were, for eight seconds in which nine
-// of ten requests failed. So who reads a new version writes down when.
+// for overdue, all replicas on the one before are refused: after a loss of power a second
+// into a change of weights 34 of 38 replicas were, in windows of two seconds that earned 0.12
+// to 0.29 of their worth. So who reads a new version writes down when.
 
 // tellNaming writes down when a version was named unless another entry does first.
 func (e *Entry) tellNaming(n rollout.Naming) {
