--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -32,10 +32,11 @@
 	peerForgotten = 10 * time.Second
 	// peersWait is how long a read for new peers waits.
 	peersWait = 10 * time.Second
-	// maxWord bounds a word, in bytes: what a datagram carries without fragments.
-	maxWord = 1400
+	// maxWord bounds a word, in bytes: what a datagram carries without fragments over links
+	// of 1,500 bytes.
+	maxWord = 1472
 	// maxWordLoads bounds the replicas in a word so that it fits with the placements.
-	maxWordLoads = 48
+	maxWordLoads = 47
 	// wordRepeats is how many words have a placement, so that one lost datagram
 	// doesn't hide it.
 	wordRepeats = 2
