--- a/internal/route/storedelay_test.go
+++ b/internal/route/storedelay_test.go
@@ -20,8 +20,9 @@
 }
 
 // The pattern: requests ask a store for as much as it can send, and for a few seconds half
-// as much again. Grounds: 155 fetches a second of 23 ms each from three stores, 900 ms late
-// at the median for as long as the load lasted after such a burst.
+// as much again. Grounds: 155 requests a second with one of three stores as source began after
+// 900 ms at the median for as long as the load lasted after such a burst. How fast those
+// stores sent isn't known; the 23 ms here stand for it.
 func TestAStoreRecoversFromABurst(t *testing.T) {
 	lateAfter := func(most float64) int {
 		s := store{each: 23 * time.Millisecond}
