Lines tell what outage excused a removal, and that a request's replica was off the list

The record of the incident couldn't say when the outage that excused a removal had begun and ended for the entry, nor by what call it was noticed, nor that a request's replica was off the list when it was placed. No change of what is decided.

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -71,9 +71,10 @@
 	waits func() time.Duration
 	// poke cuts a pause between reads short; nil for none.
 	poke <-chan struct{}
-	// reached is called after each answer, failed after each call without one.
+	// reached is called after each answer, failed after each call without one with
+	// when that was made.
 	reached func()
-	failed  func()
+	failed  func(made time.Time)
 }
 
 func newFollower(store fleet.Store, topic string, log *slog.Logger) *follower {
@@ -82,7 +83,8 @@
 		pacer: platform.Pacer{Logger: log, Stream: topic, MaxPause: maxPause},
 	}
 	nothing := func() {}
-	f.caughtUp, f.reached, f.failed = nothing, nothing, nothing
+	f.caughtUp, f.reached = nothing, nothing
+	f.failed = func(time.Time) {}
 	f.skipped = func(uint64) {}
 	return f
 }
@@ -90,6 +92,7 @@
 // run follows until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		made := time.Now()
 		err := f.step(ctx)
 		if err == nil {
 			f.failures = 0
@@ -97,7 +100,7 @@
 		}
 		if ctx.Err() == nil {
 			f.failures++
-			f.failed()
+			f.failed(made)
 			f.pacer.Failed(ctx, err)
 		}
 	}
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -28,6 +28,8 @@
 	version uint64
 	// listAge is how long ago the list of replicas was read.
 	listAge time.Duration
+	// offList is how long ago the replica's record was removed, 0 if it wasn't.
+	offList time.Duration
 	outcome string
 	status  int
 	err     error
@@ -150,6 +152,9 @@
 		slog.String("outcome", h.outcome),
 		slog.Float64("took_ms", ms(h.took)),
 	}
+	if h.offList > 0 {
+		fields = append(fields, slog.Int64("off_list_ms", h.offList.Milliseconds()))
+	}
 	if h.missed > 0 {
 		fields = append(fields, slog.Int("missed_tokens", h.missed))
 	}
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -10,8 +10,10 @@
 
 // outage notes when the store last failed to answer the reader of replicas.
 type outage struct {
-	now      bool
-	beganAt  time.Duration
+	now     bool
+	beganAt time.Duration
+	// missedAt is when the last call without an answer was made.
+	missedAt time.Duration
 	endedAt  time.Duration
 	happened bool
 }
@@ -28,7 +30,8 @@
 	f.keyed, f.wait = true, replicasWait
 	f.pause = func() time.Duration { return min(replicasMost, replicasEvery*time.Duration(e.state.count())) }
 	out := &outage{}
-	f.failed = func() {
+	f.failed = func(made time.Time) {
+		out.missedAt = made.Sub(e.clock.start)
 		if !out.now {
 			out.now, out.happened, out.beganAt = true, true, e.clock.now()
 			e.watch.storeLost(out.beganAt)
@@ -150,7 +153,7 @@
 	lapses := out.recent(now)
 	removed := ""
 	if lapses {
-		e.state.replicas.Lapse(name, offset, now+afterOutage)
+		e.state.replicas.Lapse(name, offset, now, now+afterOutage)
 	} else if removed = e.state.replicas.Remove(name, offset, now); removed != "" {
 		e.state.forget(removed)
 	}
@@ -158,7 +161,8 @@
 	switch {
 	case lapses:
 		e.tel.Log.Info("replica lapsed during an outage of the store", "replica", name, "offset", offset,
-			"gone_in_ms", afterOutage.Milliseconds())
+			"gone_in_ms", afterOutage.Milliseconds(), "outage_began_ms_ago", (now - out.beganAt).Milliseconds(),
+			"last_missed_ms_ago", (now - out.missedAt).Milliseconds(), "outage_ended_ms_ago", (now - out.endedAt).Milliseconds())
 	case removed != "":
 		e.tel.Log.Info("replica gone", "replica", removed, "offset", offset)
 	}
--- a/internal/member/replicas.go
+++ b/internal/member/replicas.go
@@ -71,8 +71,9 @@
 	checked   bool
 	checkedAt time.Duration
 	// lapsesAt is when a replica that fell off the list during an outage of the
-	// store is taken as gone, 0 while it is on it.
+	// store is taken as gone, 0 while it is on it; offAt is when its removal was read.
 	lapsesAt time.Duration
+	offAt    time.Duration
 	faults   float64
 	faultsAt time.Duration
 }
@@ -172,7 +173,7 @@
 // which it could not renew its record. It counts as gone at the time given unless its
 // record is back by then: without that an outage of seconds would end with no
 // replica left to serve, although all of them run.
-func (v *Replicas) Lapse(registered string, offset uint64, until time.Duration) {
+func (v *Replicas) Lapse(registered string, offset uint64, now, until time.Duration) {
 	n := v.names[registered]
 	if n == nil {
 		return
@@ -181,7 +182,16 @@
 	if l == nil || offset < l.offset {
 		return
 	}
-	l.offset, l.lapsesAt = offset, until
+	l.offset, l.offAt, l.lapsesAt = offset, now, until
+}
+
+// OffList returns for how long the record of a replica in use has been known to be
+// removed, 0 while it is on the list.
+func (v *Replicas) OffList(id string, now time.Duration) time.Duration {
+	if l := v.known[id]; l != nil && l.lapsesAt != 0 {
+		return now - l.offAt
+	}
+	return 0
 }
 
 // Replaced says that another incarnation has a replica's address: it is gone for
--- a/internal/member/replicas_test.go
+++ b/internal/member/replicas_test.go
@@ -61,7 +61,7 @@
 // first read after the outage shows them gone. Cause: a lapse taken for leaving.
 func TestLapsedInOutageServesOn(t *testing.T) {
 	v := listed("a")
-	v.Lapse("a", 7, 2*time.Second)
+	v.Lapse("a", 7, 0, 2*time.Second)
 	if h := v.Health("a", time.Second); h != member.Healthy {
 		t.Fatalf("right after the outage it is %v", h)
 	}
@@ -69,7 +69,7 @@
 	if gone := v.Tick(3 * time.Second); len(gone) != 0 {
 		t.Fatalf("gone though its record is back: %v", gone)
 	}
-	v.Lapse("a", 9, 5*time.Second)
+	v.Lapse("a", 9, 3*time.Second, 5*time.Second)
 	if gone := v.Tick(5 * time.Second); len(gone) != 1 {
 		t.Fatalf("not gone though its record didn't come back: %v", gone)
 	}
