An outage excuses a removal by what is known of the store, timed from its return

It thus took its own outage for the store's, and timed by its own reading what the platform counts from the store's return. The class: a bound that runs from an event, timed from when it was learnt.

Change: member.Outage decides. The time runs from the first answer after the outage. Entries' words say for how long the store has answered them: a peer served all along shows that the replicas were too, and the removal is believed at once; peers that were cut off too show an outage of the store. With no word of peers the time is at most 2.8 s from the last call that got no answer, as the store may have been back for as long as that hung.

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -37,11 +37,6 @@
 	// is under way, which is most of the time: one read in 4.2 s in place of 1.2. A silent
 	// connection hides a holder's renewals for as long, which matters to none then.
 	entriesWait = 3 * time.Second
-	// afterOutage is how long a replica that fell off the list in an outage may take
-	// to come back: about two seconds of its first chance.
-	afterOutage = 2 * time.Second
-	// outageMemory is how long after an outage a removal may still be due to it.
-	outageMemory = 1500 * time.Millisecond
 )
 
 // follower keeps up with one topic of the store.
--- a/internal/direct/leaving_test.go
+++ b/internal/direct/leaving_test.go
@@ -17,10 +17,10 @@
 const (
 	listTopic = "replicas"
 	// leftAlone is when a replica that leaves must be left alone, after its record was
-	// removed; heeds is for how long the store must have answered an entry before that
+	// removed; bindsAfter is for how long the store must have answered an entry before that
 	// binds it. Both are the platform's.
-	leftAlone = 2 * time.Second
-	heeds     = 3 * time.Second
+	leftAlone  = 2 * time.Second
+	bindsAfter = 3 * time.Second
 	// answerTakes is how long the store takes to answer.
 	answerTakes = 4 * time.Millisecond
 )
@@ -200,7 +200,7 @@
 		t.Fatal("the replica was never usable")
 	}
 	binds := left.Add(leftAlone)
-	if touch := back.Add(heeds); touch.After(binds) {
+	if touch := back.Add(bindsAfter); touch.After(binds) {
 		binds = touch
 	}
 	if last.After(binds) {
@@ -239,3 +239,81 @@
 		})
 	}
 }
+
+// talk has entries tell each other what their words say of the store, until ctx ends.
+func talk(ctx context.Context, entries ...*lister) {
+	for ; ctx.Err() == nil; time.Sleep(wordEvery) {
+		for _, from := range entries {
+			from.state.mu.Lock()
+			served := from.state.outage.Served(from.clock.now())
+			from.state.mu.Unlock()
+			for _, to := range entries {
+				if to != from {
+					to.state.mu.Lock()
+					to.state.outage.Heard(fmt.Sprintf("%p", from), served, to.clock.now())
+					to.state.mu.Unlock()
+				}
+			}
+		}
+	}
+}
+
+// Symptom: an entry that alone was turned away by the store sends requests to a replica for two
+// more seconds than its peers, or, the other way round, an outage that all met leaves no
+// replica in use until their records are back.
+//
+// Sequence: the store doesn't answer one entry, or neither of two, for some seconds. A replica's
+// record is removed meanwhile; in the second case it lapsed, and is back 1.9 s after
+// the store's return.
+//
+// Cause: an entry takes its own outage for the store's, as it has no other evidence.
+func TestPeersWordsTellWhoseOutageItWas(t *testing.T) {
+	const soon = 50 * time.Millisecond
+	tel := quietTelemetry(t)
+	for _, hangs := range []bool{false, true} {
+		for phase := time.Duration(0); phase < 4500*time.Millisecond; phase += 150 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				back := began.Add(7*time.Second + phase)
+				ready := write{at: began, record: fleet.Record{Offset: 0, Key: "portal-1", Value: []byte("ready")}}
+				removed := write{at: back.Add(-time.Second), record: fleet.Record{Offset: 1, Key: "portal-1"}}
+				again := write{at: back.Add(1900 * time.Millisecond), record: fleet.Record{Offset: 2, Key: "portal-1", Value: []byte("ready")}}
+
+				alone := startLister(t, tel, &listStore{writes: []write{ready, removed}, from: began.Add(time.Second), to: back, hangs: hangs})
+				served := startLister(t, tel, &listStore{writes: []write{ready, removed}})
+				ctx, cancel := context.WithCancel(t.Context())
+				var words sync.WaitGroup
+				words.Go(func() { talk(ctx, alone, served) })
+				last := alone.lastUse(back.Add(6 * time.Second))
+				alone.state.mu.Lock()
+				read := alone.state.outage.Excuse(0).Ended
+				alone.state.mu.Unlock()
+				if late := last.Sub(alone.clock.start) - read; late > soon {
+					t.Errorf("hangs=%v/phase=%v: usable until %v after the removal was read, though a peer was served", hangs, phase, late)
+				}
+				alone.stop()
+				served.stop()
+
+				began = time.Now()
+				back = began.Add(7*time.Second + phase)
+				ready.at, removed.at, again.at = began, back.Add(-time.Second), back.Add(1900*time.Millisecond)
+				both := make([]*lister, 2)
+				for i := range both {
+					both[i] = startLister(t, tel, &listStore{writes: []write{ready, removed, again}, from: began.Add(time.Second), to: back, hangs: hangs})
+				}
+				words.Go(func() { talk(ctx, both...) })
+				time.Sleep(time.Second) // the list is read by then
+				for ; time.Now().Before(back.Add(4 * time.Second)); time.Sleep(5 * time.Millisecond) {
+					if both[0].usable() == 0 {
+						t.Errorf("hangs=%v/phase=%v: not usable %v after the store's return, though its peer was away too", hangs, phase, time.Since(back))
+						break
+					}
+				}
+				cancel()
+				both[0].stop()
+				both[1].stop()
+				words.Wait()
+			})
+		}
+	}
+}
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -36,7 +36,7 @@
 	// of 1,500 bytes.
 	maxWord = 1472
 	// maxWordLoads bounds the replicas in a word so that it fits with the placements.
-	maxWordLoads = 47
+	maxWordLoads = 46
 	// wordRepeats is how many words have a placement, so that one lost datagram
 	// doesn't hide it.
 	wordRepeats = 2
@@ -50,6 +50,9 @@
 	// maxWordNotes bounds the notes in a word likewise, maxWordStrikes the strikes.
 	maxWordNotes   = 12
 	maxWordStrikes = 32
+	// maxWordServed bounds the time for which a word says that the store has answered:
+	// many times the longest outage in which peers' words matter.
+	maxWordServed = time.Hour
 	// peersEvery is the least pause between reads for new peers: at a start all of
 	// them are new.
 	peersEvery = time.Second
@@ -67,6 +70,9 @@
 	Placements []wordPlacement `cbor:"6,keyasint,omitempty"`
 	// Notes are of a rollout; a word with them has no loads, and Seq is 0.
 	Notes []rollout.Note `cbor:"5,keyasint,omitempty"`
+	// Served is for how long the store has answered the reader of the list of replicas
+	// without a break, in milliseconds and one; 1 says that it doesn't, 0 nothing.
+	Served uint32 `cbor:"8,keyasint,omitempty"`
 	// Strikes are of requests at replicas that were lost; a word with them has nothing
 	// else.
 	Strikes []attempt.Strike `cbor:"7,keyasint,omitempty"`
@@ -226,10 +232,12 @@
 	s := p.entry.state
 	s.mu.Lock()
 	loads := s.feed.Loads()
-	placements := s.feed.Placements(p.entry.clock.now() - max(toldFor, wordRepeats*p.pause()))
+	now := p.entry.clock.now()
+	placements := s.feed.Placements(now - max(toldFor, wordRepeats*p.pause()))
+	served := s.outage.Served(now)
 	s.mu.Unlock()
 	p.seq++
-	w := &word{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), Seq: p.seq}
+	w := &word{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), Seq: p.seq, Served: wordServed(served)}
 	for id, l := range loads {
 		if len(w.Loads) == maxWordLoads {
 			break
@@ -243,6 +251,11 @@
 	return w
 }
 
+// wordServed is what a word says of the store.
+func wordServed(served time.Duration) uint32 {
+	return uint32(min(served, maxWordServed).Milliseconds()) + 1
+}
+
 // listen takes the others' words until the socket is closed.
 func (p *peers) listen() {
 	buffer := make([]byte, maxWord)
@@ -281,9 +294,13 @@
 	for i, placed := range w.Placements {
 		placements[i] = route.Placement{Levels: placed.Levels, Replica: placed.Replica, Read: placed.Read, Kept: placed.Kept}
 	}
+	now := e.clock.now()
 	e.state.mu.Lock()
-	e.state.feed.Heard(w.From, w.Epoch, w.Seq, loads, e.clock.now())
-	e.state.feed.HeardPlacements(placements, e.clock.now())
+	e.state.feed.Heard(w.From, w.Epoch, w.Seq, loads, now)
+	e.state.feed.HeardPlacements(placements, now)
+	if w.Served > 0 {
+		e.state.outage.Heard(w.From, time.Duration(w.Served-1)*time.Millisecond, now)
+	}
 	e.state.mu.Unlock()
 }
 
--- a/internal/direct/peers_test.go
+++ b/internal/direct/peers_test.go
@@ -13,7 +13,7 @@
 // placements as it may have, is longer than the reader's buffer.
 // Cause: bounds of the parts that don't add up to the whole.
 func TestTheLongestWordFitsADatagram(t *testing.T) {
-	w := &word{From: strings.Repeat("x", 24), Epoch: math.MaxUint64, Seq: math.MaxUint32}
+	w := &word{From: strings.Repeat("x", 24), Epoch: math.MaxUint64, Seq: math.MaxUint32, Served: math.MaxUint32}
 	for range maxWordLoads {
 		w.Loads = append(w.Loads, wordLoad{Replica: math.MaxUint64, Reading: math.MaxUint32, Running: 200, Taken: math.MaxUint16})
 	}
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -2,26 +2,33 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/member"
 )
 
-// outage notes when the store last failed to answer the reader of replicas.
-type outage struct {
-	now     bool
-	beganAt time.Duration
-	// missedAt is when the last call without an answer was made.
-	missedAt time.Duration
-	endedAt  time.Duration
-	happened bool
-}
+const (
+	// afterOutage is how long a replica that fell off the list in an outage may take
+	// to come back: the platform's two seconds of the store's return.
+	afterOutage = 2 * time.Second
+	// heeds is for how long the store must have answered an entry before that is held to
+	// what was written, by the platform's word; placing is the time that a request needs
+	// from its decision to its replica, many times what links and a busy entry take.
+	heeds   = 3 * time.Second
+	placing = 200 * time.Millisecond
+	// missSeen is within which time the reader notices that the store doesn't answer: a
+	// pause, a read that waits, and the time that its answer may take.
+	missSeen = replicasMost + replicasWait + callTimeout
+	// wordFresh is how old a peer's word may be: at 25 entries eight of them in a row would
+	// have to be lost. Over 200 entries words are rarer than that, and tell nothing here.
+	wordFresh = time.Second
+	// outageShown is for how long after an outage the lines of removals tell of it.
+	outageShown = 10 * time.Second
+)
 
-// recent reports whether a removal read now may be due to an outage.
-func (o *outage) recent(now time.Duration) bool {
-	return o.now || o.happened && now-o.endedAt < outageMemory
-}
+var outageParams = member.OutageParams{Back: afterOutage, Unheeded: heeds - placing, Seen: missSeen, Fresh: wordFresh}
 
 // followReplicas keeps the list of replicas.
 func (e *Entry) followReplicas(ctx context.Context) {
@@ -29,32 +36,42 @@
 	f := newFollower(e.platform.Store, topic, e.tel.Log)
 	f.keyed, f.wait = true, replicasWait
 	f.pause = func() time.Duration { return min(replicasMost, replicasEvery*time.Duration(e.state.count())) }
-	out := &outage{}
-	f.failed = func(made time.Time) {
-		out.missedAt = made.Sub(e.clock.start)
-		if !out.now {
-			out.now, out.happened, out.beganAt = true, true, e.clock.now()
-			e.watch.storeLost(out.beganAt)
-		}
+	f.failed = e.listMissed
+	f.reached = e.listReached
+	f.record = e.takeReplica
+	f.whole = e.takeReplicas
+	f.run(ctx)
+}
+
+// listMissed takes a call for the list that got no answer, with when it was made.
+func (e *Entry) listMissed(made time.Time) {
+	now := e.clock.now()
+	e.state.mu.Lock()
+	begins := e.state.outage.Missed(made.Sub(e.clock.start), now)
+	e.state.mu.Unlock()
+	if begins {
+		e.watch.storeLost(now)
 	}
-	f.reached = func() {
-		e.state.listReadAt.Store(int64(e.clock.now()))
-		if out.now {
-			out.now, out.endedAt = false, e.clock.now()
-			e.watch.storeBack()
-		}
+}
+
+// listReached takes an answer to a call for the list.
+func (e *Entry) listReached() {
+	now := e.clock.now()
+	e.state.listReadAt.Store(int64(now))
+	e.state.mu.Lock()
+	ends := e.state.outage.Answered(now)
+	e.state.mu.Unlock()
+	if ends {
+		e.watch.storeBack()
 	}
-	f.record = func(r fleet.Record) { e.takeReplica(r, out) }
-	f.whole = func(page fleet.Page) { e.takeReplicas(page, out) }
-	f.run(ctx)
 }
 
 // takeReplicas takes the whole list.
-func (e *Entry) takeReplicas(page fleet.Page, out *outage) {
+func (e *Entry) takeReplicas(page fleet.Page) {
 	listed := make(map[string]bool, len(page.Records))
 	for _, r := range page.Records {
 		listed[r.Key] = true
-		e.takeReplica(r, out)
+		e.takeReplica(r)
 	}
 	e.state.mu.Lock()
 	missing := e.state.replicas.Missing(listed)
@@ -62,13 +79,13 @@
 	e.state.mu.Unlock()
 	for _, name := range missing {
 		// The next record written comes at the list's end.
-		e.removeReplica(name, max(page.End, 1)-1, out)
+		e.removeReplica(name, max(page.End, 1)-1)
 	}
 }
 
-func (e *Entry) takeReplica(r fleet.Record, out *outage) {
+func (e *Entry) takeReplica(r fleet.Record) {
 	if r.Value == nil {
-		e.removeReplica(r.Key, r.Offset, out)
+		e.removeReplica(r.Key, r.Offset)
 		return
 	}
 	replica, err := e.platform.Records.Replica(r.Key, r.Value)
@@ -145,24 +162,29 @@
 	}
 }
 
-// removeReplica takes a replica off the list, at once or, where an outage of the
-// store may have made its record lapse, if it isn't back soon.
-func (e *Entry) removeReplica(name string, offset uint64, out *outage) {
+// removeReplica takes a replica off the list, at once or, where its record may have
+// lapsed while the store was away, if it isn't back soon.
+func (e *Entry) removeReplica(name string, offset uint64) {
 	now := e.clock.now()
 	e.state.mu.Lock()
-	lapses := out.recent(now)
+	excuse := e.state.outage.Excuse(now)
 	removed := ""
-	if lapses {
-		e.state.replicas.Lapse(name, offset, now, now+afterOutage)
+	kept := excuse.Until > now
+	if kept {
+		e.state.replicas.Lapse(name, offset, now, excuse.Until)
 	} else if removed = e.state.replicas.Remove(name, offset, now); removed != "" {
 		e.state.forget(removed)
 	}
 	e.state.mu.Unlock()
+	outage := slog.Group("outage", "peers", excuse.Witness.String(), "began_ms_ago", (now - excuse.Began).Milliseconds(),
+		"missed_ms_ago", (now - excuse.Missed).Milliseconds(), "ended_ms_ago", (now - excuse.Ended).Milliseconds())
 	switch {
-	case lapses:
+	case kept:
+		e.tel.Metrics.Count("replicas_lapsed", 1)
 		e.tel.Log.Info("replica lapsed during an outage of the store", "replica", name, "offset", offset,
-			"gone_in_ms", afterOutage.Milliseconds(), "outage_began_ms_ago", (now - out.beganAt).Milliseconds(),
-			"last_missed_ms_ago", (now - out.missedAt).Milliseconds(), "outage_ended_ms_ago", (now - out.endedAt).Milliseconds())
+			"gone_in_ms", (excuse.Until - now).Milliseconds(), outage)
+	case removed != "" && now-excuse.Ended < outageShown:
+		e.tel.Log.Info("replica gone", "replica", removed, "offset", offset, outage)
 	case removed != "":
 		e.tel.Log.Info("replica gone", "replica", removed, "offset", offset)
 	}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -40,12 +40,14 @@
 
 	mu       sync.Mutex
 	replicas *member.Replicas
-	board    *rollout.Board
-	feed     *route.Feed
-	demands  map[string]*rollout.Demand // of each model
-	budgets  map[string]*attempt.Budget
-	strikes  *attempt.Strikes
-	gates    map[string]*gate
+	// outage is the reader's of the list of replicas.
+	outage  *member.Outage
+	board   *rollout.Board
+	feed    *route.Feed
+	demands map[string]*rollout.Demand // of each model
+	budgets map[string]*attempt.Budget
+	strikes *attempt.Strikes
+	gates   map[string]*gate
 	// listed is set once the list of replicas was read whole.
 	listed bool
 	// changed is closed, and replaced, when more replicas may be usable.
@@ -71,6 +73,7 @@
 	return &state{
 		entries:  unknownEntries,
 		replicas: member.NewReplicas(member.DefaultReplicaParams),
+		outage:   member.NewOutage(outageParams),
 		board:    rollout.NewBoard(),
 		feed:     route.NewFeed(route.DefaultFeedParams, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		demands:  make(map[string]*rollout.Demand),
--- /dev/null
+++ b/internal/member/outage_test.go
@@ -0,0 +1,147 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"skylarklead/internal/member"
+)
+
+const (
+	ms = time.Millisecond
+
+	outageBack     = 2 * time.Second
+	outageUnheeded = 2800 * ms
+	outageSeen     = 3200 * ms
+)
+
+func newOutage() *member.Outage {
+	return member.NewOutage(member.OutageParams{Back: outageBack, Unheeded: outageUnheeded, Seen: outageSeen, Fresh: time.Second})
+}
+
+// outageFrom6To12 is the account of a reader whose calls fail from 6 s on. The last of
+// them is made at missed, and the first answer comes at 12 s.
+func outageFrom6To12(missed time.Duration) *member.Outage {
+	o := newOutage()
+	for at := time.Second; at < 6*time.Second; at += time.Second {
+		o.Answered(at)
+	}
+	o.Missed(5500*ms, 6*time.Second)
+	o.Missed(missed, 12*time.Second-ms)
+	o.Answered(12 * time.Second)
+	return o
+}
+
+// Symptom: as in the tests of the entry's reader. Sequence: a removal is read now and
+// again, once a second, after an outage. Cause: the time runs from its reading.
+func TestExcuseRunsFromTheStoresReturn(t *testing.T) {
+	o := outageFrom6To12(11900 * ms)
+	for at := 12 * time.Second; at < 16*time.Second; at += time.Second {
+		if x := o.Excuse(at); x.Until != 14*time.Second {
+			t.Errorf("read at %v a removal is excused until %v", at, x.Until)
+		}
+	}
+	if x := newOutage().Excuse(time.Second); x.Until != 0 {
+		t.Errorf("excused until %v though nothing was amiss", x.Until)
+	}
+}
+
+// Symptom: requests go to a replica that left, as the entry learnt late that the store was
+// back. Sequence: a call hangs for two seconds; the store returns as that begins, and a
+// replica leaves. Cause: the store's return taken for the first answer.
+func TestExcuseEndsWhereTheStoreMayHaveReturnedEarly(t *testing.T) {
+	o := outageFrom6To12(10 * time.Second)
+	if x := o.Excuse(12 * time.Second); x.Until != 12800*ms || x.Witness != member.WitnessNone {
+		t.Errorf("got %+v; want 2.8 s after the last call without an answer", x)
+	}
+}
+
+func TestPeersWordsOnAnOutage(t *testing.T) {
+	const hour = time.Hour
+	cases := []struct {
+		name string
+		// served is what the peer says at heardAt.
+		served, heardAt time.Duration
+		want            member.Witness
+		until           time.Duration
+	}{
+		{"served since long ago", hour, 11900 * ms, member.WitnessServed, 0},
+		{"served since before the outage", 7 * time.Second, 12 * time.Second, member.WitnessServed, 0},
+		{"not served", 0, 12 * time.Second, member.WitnessAway, 14 * time.Second},
+		{"served since the outage's end", 100 * ms, 12 * time.Second, member.WitnessAway, 14 * time.Second},
+		{"served since a moment in the outage", 3 * time.Second, 12 * time.Second, member.WitnessAway, 14 * time.Second},
+		{"a word from the outage's first moments", hour, 6100 * ms, member.WitnessNone, 12800 * ms},
+	}
+	for _, c := range cases {
+		o := outageFrom6To12(10 * time.Second)
+		o.Heard("peer", c.served, c.heardAt)
+		if x := o.Excuse(12 * time.Second); x.Witness != c.want || x.Until != c.until {
+			t.Errorf("%s: %v, excused until %v; want %v, %v", c.name, x.Witness, x.Until, c.want, c.until)
+		}
+	}
+	o := outageFrom6To12(10 * time.Second)
+	o.Heard("away-too", 0, 12*time.Second)
+	o.Heard("served", hour, 12*time.Second)
+	if x := o.Excuse(12 * time.Second); x.Witness != member.WitnessServed {
+		t.Errorf("one peer served, one not: %v", x.Witness)
+	}
+	o.Forget(12*time.Second + ms)
+	if x := o.Excuse(12 * time.Second); x.Witness != member.WitnessNone {
+		t.Errorf("words that were dropped: %v", x.Witness)
+	}
+}
+
+// Symptom: after an outage no replica is left, though all run. Sequence: the store is away;
+// a break of a second goes unnoticed at a peer whose call hangs, and the peer says that it was served
+// all along. Cause: a word that comes before the peer can know.
+func TestShortOutageIsNotToldByPeers(t *testing.T) {
+	o := newOutage()
+	o.Answered(5 * time.Second)
+	o.Missed(6*time.Second, 6*time.Second)
+	o.Answered(7 * time.Second)
+	o.Heard("peer", time.Hour, 7*time.Second)
+	if x := o.Excuse(7 * time.Second); x.Witness != member.WitnessNone || x.Until != 8800*ms {
+		t.Errorf("got %+v", x)
+	}
+}
+
+// Symptom: as above. Sequence: a peer stands still through an outage, goes on after it, and
+// says that the store has answered it since long ago. Cause: no call of it has failed.
+func TestGapIsABreakOfService(t *testing.T) {
+	o := newOutage()
+	if got := o.Served(time.Second); got != 0 {
+		t.Fatalf("served for %v before the first answer", got)
+	}
+	o.Answered(time.Second)
+	o.Answered(4 * time.Second)
+	if got := o.Served(5 * time.Second); got != 4*time.Second {
+		t.Errorf("served for %v; want 4 s", got)
+	}
+	if got := o.Served(4*time.Second + outageSeen + ms); got != 0 {
+		t.Errorf("served for %v though no answer came for long", got)
+	}
+	o.Answered(10 * time.Second)
+	if got := o.Served(11 * time.Second); got != time.Second {
+		t.Errorf("served for %v after a gap; want 1 s", got)
+	}
+	o.Missed(11*time.Second, 12*time.Second)
+	if got := o.Served(12 * time.Second); got != 0 {
+		t.Errorf("served for %v while calls fail", got)
+	}
+}
+
+// Symptom: a replica that has left stays in use until a sweep comes by. Sequence: its time
+// to come back is over. Cause: only the sweep looked at that time.
+func TestLapsedReplicaIsGoneAtItsTime(t *testing.T) {
+	v := listed("a")
+	v.Lapse("a", 7, time.Second, 2*time.Second)
+	if got := v.OffList("a", 1500*ms); got != 500*ms {
+		t.Errorf("off the list for %v; want 500 ms", got)
+	}
+	if h := v.Health("a", 2*time.Second-ms); h != member.Healthy {
+		t.Errorf("before its time it is %v", h)
+	}
+	if h := v.Health("a", 2*time.Second); h != member.Left {
+		t.Errorf("at its time it is %v", h)
+	}
+}
--- a/internal/member/replicas.go
+++ b/internal/member/replicas.go
@@ -347,11 +347,15 @@
 // String names the health as logs have it.
 func (h Health) String() string { return healthNames[h] }
 
+// lapsed reports whether a replica is gone, as its record lapsed and isn't back in time.
+// It counts from that moment, not from when the next sweep removes it.
+func (l *listed) lapsed(now time.Duration) bool { return l.lapsesAt != 0 && now >= l.lapsesAt }
+
 // Health returns what is thought of a replica now.
 func (v *Replicas) Health(id string, now time.Duration) Health {
 	l := v.known[id]
 	switch {
-	case l == nil || l.draining:
+	case l == nil || l.draining || l.lapsed(now):
 		return Left
 	case l.unreachable || now < l.busyUntil:
 		return Down
@@ -366,7 +370,7 @@
 func (v *Replicas) Tick(now time.Duration) []string {
 	var removed []string
 	for _, id := range v.IDs() {
-		if l := v.known[id]; l.lapsesAt != 0 && now >= l.lapsesAt {
+		if l := v.known[id]; l.lapsed(now) {
 			v.Remove(l.replica.Name, l.offset, now)
 			removed = append(removed, id)
 		}
