Weights named while an entry was cut off are overdue by what its peers wrote down

Change: where the operator's topic couldn't be read, the version may have been named at any time since the reading before. Peers' records of when it was named pick the time, as they do for an entry that starts; their clocks' skew counts as earlier. It is overdue at the earliest when the entry is held to what was written.

--- a/internal/direct/leaving_test.go
+++ b/internal/direct/leaving_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -30,6 +31,8 @@
 // until their caller gives up, also where the time is over.
 type listStore struct {
 	fleet.Store
+	// topic is the one that is written, listTopic where it isn't set.
+	topic    string
 	writes   []write
 	from, to time.Time
 	hangs    bool
@@ -40,6 +43,8 @@
 	record fleet.Record
 }
 
+func (s *listStore) has(topic string) bool { return topic == cmp.Or(s.topic, listTopic) }
+
 func (s *listStore) away(at time.Time) bool { return !at.Before(s.from) && at.Before(s.to) }
 
 // missed is how a call ends that meets the time without answers.
@@ -67,7 +72,7 @@
 		return fleet.Page{}, s.missed(ctx)
 	}
 	var page fleet.Page
-	if topic == listTopic {
+	if s.has(topic) {
 		page.Records = s.written(0)
 	}
 	page.Next = uint64(len(page.Records))
@@ -85,7 +90,7 @@
 			return fleet.Page{}, ctx.Err()
 		}
 		var records []fleet.Record
-		if topic == listTopic {
+		if s.has(topic) {
 			records = s.written(from)
 		}
 		if len(records) > 0 || time.Since(began) >= wait {
@@ -95,6 +100,13 @@
 	}
 }
 
+func (s *listStore) Append(ctx context.Context, _ string, _ *uint64, _ [][]byte) (uint64, error) {
+	if s.away(time.Now()) {
+		return 0, s.missed(ctx)
+	}
+	return 0, nil
+}
+
 // listRecords decodes each record as a replica of one service.
 type listRecords struct{ Records }
 
--- a/internal/direct/naming.go
+++ b/internal/direct/naming.go
@@ -79,6 +79,7 @@
 		d.Followed(version, n.Before, overdue)
 		if at, ok := e.namedSince(n); ok {
 			d.NamedSince(version, at)
+			d.NamedBy(version, at)
 		}
 		version = n.Before
 	}
--- a/internal/direct/operator.go
+++ b/internal/direct/operator.go
@@ -13,18 +13,46 @@
 	topic, _ := e.platform.Records.Topics()
 	f := newFollower(e.platform.Store, topic, e.tel.Log)
 	f.keyed, f.wait = true, operatorWait
-	f.record = func(r fleet.Record) { e.takeOperator(r, false) }
+	var gap operatorGap
+	f.failed = func(made time.Time) { gap.missed(made.Sub(e.clock.start)) }
+	f.reached = func() { gap.answered(e.clock.now()) }
+	f.record = func(r fleet.Record) { e.takeOperator(r, namedWhen{gap: gap}) }
 	f.whole = func(page fleet.Page) {
 		for _, r := range page.Records {
-			e.takeOperator(r, !f.begun)
+			e.takeOperator(r, namedWhen{first: !f.begun, gap: gap})
 		}
 	}
 	f.run(ctx)
 }
 
-// takeOperator takes a record of the operator; first says that it was there when the
-// entry first read any.
-func (e *Entry) takeOperator(r fleet.Record, first bool) {
+// operatorGap is the time before an answer of the store in which nothing of the operator's
+// records could be read: it began with the answer before, and lastMissed is when the last
+// call in it was made.
+type operatorGap struct {
+	away              bool
+	since, lastMissed time.Duration
+	answeredAt        time.Duration
+}
+
+func (g *operatorGap) missed(made time.Duration) { g.away, g.lastMissed = true, made }
+
+func (g *operatorGap) answered(now time.Duration) {
+	g.since = now
+	if g.away {
+		g.since = g.answeredAt
+	}
+	g.away, g.answeredAt = false, now
+}
+
+// namedWhen is what is known of when a version was named that is read now.
+type namedWhen struct {
+	// first says that it was there when the entry first read any.
+	first bool
+	gap   operatorGap
+}
+
+// takeOperator takes a record of the operator.
+func (e *Entry) takeOperator(r fleet.Record, when namedWhen) {
 	if r.Value == nil {
 		e.tel.Log.Warn("operator's record removed; what it said stays in force", "key", r.Key, "offset", r.Offset)
 		return
@@ -36,7 +64,7 @@
 	case config != nil:
 		e.takeConfiguration(config, r.Offset)
 	case wanted != nil:
-		e.takeWanted(wanted, r.Offset, first)
+		e.takeWanted(wanted, r.Offset, when)
 	default:
 		e.tel.Log.Info("operator's record of an unknown kind skipped", "key", r.Key, "offset", r.Offset)
 	}
@@ -81,7 +109,15 @@
 	return now
 }
 
-func (e *Entry) takeWanted(w *fleet.Wanted, offset uint64, first bool) {
+// namedEarliest is when a version that is read now can have been named at the earliest:
+// since the answer before. Older weights stay in use, however, for as long as the operator allows
+// after an outage: the entry is held to the naming only once the store has answered it for a while.
+func (e *Entry) namedEarliest(gap operatorGap) time.Duration {
+	inForce := e.direct().WeightsWithin.D() - weightsMargin
+	return max(gap.since, gap.lastMissed+heeds-placing-inForce)
+}
+
+func (e *Entry) takeWanted(w *fleet.Wanted, offset uint64, when namedWhen) {
 	e.state.mu.Lock()
 	d := e.state.demands[w.Model]
 	if d == nil {
@@ -89,13 +125,16 @@
 		e.state.demands[w.Model] = d
 	}
 	before := d.Newest()
-	news := d.Named(w.Version, e.namedAt(first))
+	news := d.Named(w.Version, e.namedAt(when.first))
+	if news && !when.first {
+		d.ReadLate(w.Version, e.namedEarliest(when.gap))
+	}
 	e.applyNamings(w.Model)
 	e.state.mu.Unlock()
 	if !news {
 		return
 	}
-	if !first {
+	if !when.first {
 		go e.tellNaming(rollout.Naming{Model: w.Model, Version: w.Version, Before: before, AtMs: time.Now().UnixMilli()})
 	}
 	e.tel.Log.Info("weights wanted", "model", w.Model, "version", w.Version, "before", before, "offset", offset)
--- a/internal/rollout/board_test.go
+++ b/internal/rollout/board_test.go
@@ -123,3 +123,42 @@
 		t.Errorf("an earlier time replaced a later one: %d", got)
 	}
 }
+
+// Symptom: as in the test of the entry's reader. Sequence: a version is named between 2 s and
+// 12 s, as far as the entry knows, and read at 12 s; words say when. Cause: the reading
+// taken for the naming.
+func TestWordsTellWhenAVersionReadLateWasNamed(t *testing.T) {
+	late := func() *rollout.Demand {
+		d := rollout.NewDemand(10 * time.Second)
+		d.Named(2, 12*time.Second)
+		d.ReadLate(2, 2*time.Second)
+		return d
+	}
+	cases := []struct {
+		name    string
+		words   []time.Duration
+		overdue time.Duration
+	}{
+		{"no word", nil, 22 * time.Second},
+		{"a word", []time.Duration{5 * time.Second}, 15 * time.Second},
+		{"an earlier word follows", []time.Duration{8 * time.Second, 5 * time.Second}, 15 * time.Second},
+		{"a later word follows", []time.Duration{5 * time.Second, 8 * time.Second}, 15 * time.Second},
+		{"a word from before it can have been", []time.Duration{-time.Hour}, 12 * time.Second},
+		{"a word from after the reading", []time.Duration{time.Hour}, 22 * time.Second},
+	}
+	for _, c := range cases {
+		d := late()
+		for _, at := range c.words {
+			d.NamedBy(2, at)
+		}
+		if d.Oldest(c.overdue-time.Millisecond) != 0 || d.Oldest(c.overdue) != 2 {
+			t.Errorf("%s: not overdue at %v", c.name, c.overdue)
+		}
+	}
+	d := rollout.NewDemand(10 * time.Second)
+	d.Named(2, 12*time.Second)
+	d.NamedBy(2, time.Second)
+	if d.Oldest(22*time.Second-time.Millisecond) != 0 {
+		t.Error("a word about a version that was read at once changed when it counts as named")
+	}
+}
--- a/internal/rollout/demand.go
+++ b/internal/rollout/demand.go
@@ -14,6 +14,8 @@
 type naming struct {
 	version uint64
 	at      time.Duration
+	// earliest is when it can have been named at the earliest, at unless it was read late.
+	earliest time.Duration
 }
 
 // NewDemand returns the demand for versions that must be in use within a time.
@@ -25,17 +27,42 @@
 	if version <= d.Newest() {
 		return false
 	}
-	d.named = append(d.named, naming{version, at})
+	d.named = append(d.named, naming{version: version, at: at, earliest: at})
 	return true
 }
 
+// ReadLate says that a version may have been named before it was read, at the earliest at
+// a time: the reader was cut off from the operator's records until then.
+func (d *Demand) ReadLate(version uint64, earliest time.Duration) {
+	for i := range d.named {
+		if n := &d.named[i]; n.version == version {
+			n.earliest = min(n.earliest, earliest)
+		}
+	}
+}
+
+// NamedBy takes word that a version was named at a time or before. It counts for one that
+// was read late.
+//
+// Symptom without it: an entry that was cut off begins requests on weights that were
+// replaced longer ago than allowed, while its peers don't. The time allowed runs from the naming,
+// which the peers have read, and not from the reading at this entry.
+func (d *Demand) NamedBy(version uint64, at time.Duration) {
+	for i := range d.named {
+		if n := &d.named[i]; n.version == version {
+			n.at = min(n.at, max(at, n.earliest))
+		}
+	}
+}
+
 // Followed takes word which version one was named after, and until when that may be used
 // at the latest by what is known: replicas may be on versions before both.
 func (d *Demand) Followed(version, before uint64, at time.Duration) {
 	if before == 0 || before >= version || len(d.named) == 0 || d.named[0].version != version {
 		return
 	}
-	d.named = append([]naming{{before, min(at, d.named[0].at)}}, d.named...)
+	at = min(at, d.named[0].at)
+	d.named = append([]naming{{version: before, at: at, earliest: at}}, d.named...)
 }
 
 // NamedSince takes word that a version was named at a time and no earlier. It counts
