A replica whose record was removed isn't taken up on its own word; one that says it leaves is left alone

An entry that meets another incarnation at an address asks it and takes it up if it runs. It did so also where that one's record had been read as removed. Nothing would take it off again, as the list has no more to say of it. Now the removal stands until a record is back. An entry without the store asks replicas for their state, but didn't decode whether they leave.

--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -183,7 +183,7 @@
 		e.tel.Metrics.Count("replicas_lapsed", 1)
 		e.tel.Log.Info("replica lapsed during an outage of the store", "replica", name, "offset", offset,
 			"gone_in_ms", (excuse.Until - now).Milliseconds(), outage)
-	case removed != "" && now-excuse.Ended < outageShown:
+	case removed != "" && excuse.Known && now-excuse.Ended < outageShown:
 		e.tel.Log.Info("replica gone", "replica", removed, "offset", offset, outage)
 	case removed != "":
 		e.tel.Log.Info("replica gone", "replica", removed, "offset", offset)
--- a/internal/direct/unheard.go
+++ b/internal/direct/unheard.go
@@ -83,6 +83,9 @@
 	s := e.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if report.Draining && s.replicas.Leaving(r.ID) {
+		e.tel.Log.Info("replica is leaving", "replica", r.ID, "by", "its report")
+	}
 	for model, version := range report.Weights {
 		if s.board.Saw(r.ID, model, version, report.Orders) {
 			s.feed.Emptied(r.ID, now)
@@ -129,7 +132,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), askEvery)
 	defer cancel()
 	report, err := e.platform.Replicas.Report(ctx, old.Restarted(name, 0))
-	if err != nil {
+	if err != nil || report.Draining {
 		return // the list will tell
 	}
 	for model := range old.Weights {
@@ -152,6 +155,10 @@
 	listing := e.state.replicas.Adopt(fresh, e.clock.now())
 	e.listed(fresh, &listing, false)
 	e.state.mu.Unlock()
+	if listing.Outdated {
+		e.tel.Log.Info("replica not taken up", "replica", fresh.ID, "address", fresh.Address, "reason", "its record was removed")
+		return
+	}
 	e.followed(fresh, &listing)
 	e.logListing(fresh, &listing, false, 0)
 }
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -73,6 +73,8 @@
 	// Born is when the replica that answered started, as Replica.Born.
 	Born    int64
 	Weights map[string]uint64
+	// Draining is set once it is leaving.
+	Draining bool
 	// Busy is set while an order is carried out.
 	Busy bool
 	// Orders is how many orders it has accepted since its start; an order names it
--- a/internal/member/outage.go
+++ b/internal/member/outage.go
@@ -127,7 +127,8 @@
 	// nothing excuses the removal.
 	Until   time.Duration
 	Witness Witness
-	// Began, Missed and Ended are those of the outage, for the log.
+	// Began, Missed and Ended are those of the outage, for the log, where there was one.
+	Known                bool
 	Began, Missed, Ended time.Duration
 }
 
@@ -136,7 +137,7 @@
 	if !o.known {
 		return Excuse{}
 	}
-	x := Excuse{Witness: o.witness(now), Began: o.beganAt, Missed: o.missedAt, Ended: o.endedAt}
+	x := Excuse{Witness: o.witness(now), Known: true, Began: o.beganAt, Missed: o.missedAt, Ended: o.endedAt}
 	switch x.Witness {
 	case WitnessServed:
 	case WitnessAway:
--- a/internal/member/outage_test.go
+++ b/internal/member/outage_test.go
@@ -145,3 +145,28 @@
 		t.Errorf("at its time it is %v", h)
 	}
 }
+
+// Symptom: a replica that has left is in use again, and nothing takes it off. Sequence: it
+// leaves by having its record removed; a late answer for the one that had its address before names
+// it, and it says that it runs. Cause: its own word goes before the removal, after which
+// the list has nothing more to say of it.
+func TestReplicaThatLeftIsNotAdopted(t *testing.T) {
+	for _, at := range []int64{0, 5} {
+		v := member.NewReplicas(member.DefaultReplicaParams)
+		r := born("a", at)
+		v.Put(r, 1, 0)
+		v.Remove("a", 2, 0)
+		if l := v.Adopt(r, 0); !l.Outdated || v.Get(r.ID) != nil {
+			t.Errorf("born %d: adopted after its record was removed: %+v", at, l)
+		}
+		v.Put(r, 3, 0)
+		if v.Get(r.ID) == nil {
+			t.Errorf("born %d: not back though its record is", at)
+		}
+		unseen := member.NewReplicas(member.DefaultReplicaParams)
+		unseen.Remove("a", 2, 0)
+		if l := unseen.Adopt(r, 0); !l.Outdated {
+			t.Errorf("born %d: adopted though its record was removed unseen", at)
+		}
+	}
+}
--- a/internal/member/replicas.go
+++ b/internal/member/replicas.go
@@ -115,9 +115,14 @@
 	return v.put(n, r, offset, now)
 }
 
-// Adopt takes a replica's own word that it runs, which no record tells yet.
+// Adopt takes a replica's own word that it runs, which no record tells yet. One whose
+// record was removed has left or is taken for gone, and runs on for a while: in use again it would
+// stay so, as the list has nothing more to say of it.
 func (v *Replicas) Adopt(r *fleet.Replica, now time.Duration) Listing {
 	n := v.named(r.Name)
+	if n.removed && (n.id == r.ID || n.id == "") && v.known[r.ID] == nil {
+		return Listing{Outdated: true}
+	}
 	return v.put(n, r, n.removedAt, now)
 }
 
@@ -228,6 +233,16 @@
 	return nil
 }
 
+// Leaving takes a replica's own word that it is leaving. It reports whether that is news.
+func (v *Replicas) Leaving(id string) bool {
+	l := v.known[id]
+	if l == nil || l.draining {
+		return false
+	}
+	l.draining = true
+	return true
+}
+
 // Draining reports whether a replica is leaving or gone.
 func (v *Replicas) Draining(id string) bool {
 	l := v.known[id]
