--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,11 +52,16 @@
 	tel      *telemetry.Telemetry
 	platform Platform
 	clock    clock
+	// boot is bootTime, which counts the time for which the machine was suspended too, or what
+	// stands for it in tests.
+	boot     func() time.Duration
 	state    *state
 	pool     *upstream.Pool
 	rollouts *rollouts
 	watch    *watch
 	peers    *peers
+	// hub is nil where each entry reads the store for itself.
+	hub      *hub
 	bodies   *semaphore.Weighted
 	bodyRoom int64
 	drain    *drain
@@ -82,9 +88,29 @@
 		ready.Close()
 		return err
 	}
+	if s.Direct.StoreReaders == settings.ReadersFew {
+		if err := e.startHub(); err != nil {
+			front.Close()
+			ready.Close()
+			e.peers.conn.Close()
+			return err
+		}
+	}
 	return e.run(ctx, front, ready)
 }
 
+// startHub has this entry take part in passing on what the store says.
+func (e *Entry) startHub() error {
+	l, err := net.Listen("tcp", e.settings.Direct.Peers)
+	if err != nil {
+		return fmt.Errorf("direct: peers: %w", err)
+	}
+	e.hub = newHub(e)
+	e.hub.send = func(w *word, to netip.AddrPort) { e.peers.sendTo(w, to) }
+	e.hub.server = e.hub.serveBulk(l)
+	return nil
+}
+
 func newEntry(s *settings.Settings, tel *telemetry.Telemetry, p Platform) *Entry {
 	d := s.Direct
 	room := int64(d.Memory) << 20 / bodyShare
@@ -93,6 +119,7 @@
 		tel:       tel,
 		platform:  p,
 		clock:     clock{time.Now()},
+		boot:      bootTime,
 		state:     newState(budgetOf(d)),
 		pool:      upstream.NewPool(),
 		bodies:    semaphore.NewWeighted(room),
@@ -110,7 +137,11 @@
 func (e *Entry) run(ctx context.Context, front, ready net.Listener) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep, e.watch.run, e.peers.run, e.reload} {
+	running := []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep, e.watch.run, e.peers.run, e.reload}
+	if e.hub != nil {
+		running = append(running, e.hub.run)
+	}
+	for _, loop := range running {
 		loops.Go(func() { loop(background) })
 	}
 	readiness := e.serveReady(ready)
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"time"
 
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/platform"
+	"skylarklead/internal/spread"
 )
 
 const (
@@ -29,6 +31,10 @@
 	replicasWait  = operatorWait
 	replicasEvery = 40 * time.Millisecond
 	replicasMost  = 700 * time.Millisecond
+	// replicasPause is that pause where few entries read for all: a rollout over hundreds of
+	// replicas changes some thirty records a second, and what must be known sooner comes by
+	// other ways.
+	replicasPause = 150 * time.Millisecond
 	// entriesEvery is the pause between reads of the entries' own topic. Notes come
 	// from peers at once, and are read there if a datagram was lost; what an entry
 	// appends itself it reads back at once.
@@ -39,12 +45,14 @@
 	entriesWait = 3 * time.Second
 )
 
-// follower keeps up with one topic of the store.
+// follower keeps up with one topic: it reads the store and, where entries pass on what
+// that says (hub), takes what peers have read.
 type follower struct {
 	topic string
 	// keyed topics are read whole at the start and wherever records are missing.
 	keyed bool
-	// wait is how long a read waits for a record, every the pause between reads.
+	// wait is how long a read waits for a record, every the pause after one that brought
+	// some.
 	wait, every time.Duration
 	// whole takes all keys at once, record one change, caughtUp the end of a read
 	// that reached the end, skipped the oldest offset where earlier ones are gone.
@@ -55,30 +63,51 @@
 
 	store fleet.Store
 	pacer platform.Pacer
-	next  uint64
+	// boot is bootTime, or what stands for it in tests.
+	boot func() time.Duration
+	// hub is where the entry's topics are passed on, nil where it reads all for itself;
+	// number is the topic's there, limit how old what is known may be.
+	hub    *hub
+	number int
+	limit  time.Duration
+	// wake says that a read may be due.
+	wake chan struct{}
 	// failures counts reads without an answer in a row.
 	failures int
-	// known is set once all keys were read, begun once they were for the first time.
-	known, begun bool
 	// pause returns the pause between reads where it varies, waits how long they wait;
 	// nil for every and wait.
 	pause func() time.Duration
 	waits func() time.Duration
 	// poke cuts a pause between reads short; nil for none.
 	poke <-chan struct{}
-	// reached is called after each answer, failed after each call without one with
-	// when that was made.
-	reached func()
+	// reached is called with each reading that makes what is known younger, failed after
+	// each call without an answer with when that was made, unless peers know meanwhile.
+	reached func(spread.Reading)
 	failed  func(made time.Time)
+
+	// mu guards the rest and is held while records are taken.
+	mu     sync.Mutex
+	belief spread.Belief
+	tail   *spread.Tail
+	// reread is set where a keyed topic must be read whole again; begun once the topic was
+	// read for the first time.
+	reread, begun bool
+}
+
+func (e *Entry) newFollower(topic string) *follower {
+	f := newFollower(e.platform.Store, topic, e.tel.Log)
+	f.hub, f.boot = e.hub, e.boot
+	return f
 }
 
 func newFollower(store fleet.Store, topic string, log *slog.Logger) *follower {
 	f := &follower{
-		store: store, topic: topic,
+		store: store, topic: topic, boot: bootTime, wake: make(chan struct{}, 1),
 		pacer: platform.Pacer{Logger: log, Stream: topic, MaxPause: maxPause},
 	}
 	nothing := func() {}
-	f.caughtUp, f.reached = nothing, nothing
+	f.caughtUp = nothing
+	f.reached = func(spread.Reading) {}
 	f.failed = func(time.Time) {}
 	f.skipped = func(uint64) {}
 	return f
@@ -86,7 +115,14 @@
 
 // run follows until ctx ends.
 func (f *follower) run(ctx context.Context) {
-	for ctx.Err() == nil {
+	f.mu.Lock()
+	f.belief = spread.NewBelief(f.boot())
+	f.tail = spread.NewTail(f.keyed)
+	f.mu.Unlock()
+	if f.hub != nil {
+		f.hub.attach(f)
+	}
+	for f.await(ctx) {
 		made := time.Now()
 		err := f.step(ctx)
 		if err == nil {
@@ -95,14 +131,49 @@
 		}
 		if ctx.Err() == nil {
 			f.failures++
-			f.failed(made)
+			f.missed(made)
 			f.pacer.Failed(ctx, err)
 		}
 	}
 }
 
+// await returns when a read of the store is due; false once ctx has ended.
+func (f *follower) await(ctx context.Context) bool {
+	for f.hub != nil && !f.hub.due(f) {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-f.poke:
+			return true
+		case <-f.wake:
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// missed takes a call without an answer. It says nothing while peers pass on what the
+// store tells them: then it is this entry that the store doesn't answer.
+func (f *follower) missed(made time.Time) {
+	if f.hub != nil {
+		f.hub.missed(f)
+		if f.age() < f.limit {
+			return
+		}
+	}
+	f.failed(made)
+}
+
+func (f *follower) age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.belief.Age(f.boot())
+}
+
 func (f *follower) step(ctx context.Context) error {
-	if f.keyed && !f.known {
+	f.mu.Lock()
+	whole := f.keyed && (f.reread || !f.belief.Known)
+	f.mu.Unlock()
+	if whole {
 		return f.readWhole(ctx)
 	}
 	return f.readOn(ctx)
@@ -117,6 +188,9 @@
 		if f.waits != nil {
 			wait = f.waits()
 		}
+		if f.hub != nil {
+			wait = f.hub.patience(f, wait)
+		}
 		return wait, wait + callTimeout
 	}
 	return 0, callTimeout / 2 << ((f.failures - 1) % 3)
@@ -126,20 +200,29 @@
 	_, all := f.patience()
 	ctx, cancel := context.WithTimeout(ctx, all)
 	defer cancel()
+	made := f.boot()
 	page, err := f.store.Newest(ctx, f.topic)
 	if err != nil {
 		return err
 	}
-	f.reached()
-	f.whole(page)
-	f.next, f.known, f.begun = page.Next, true, true
+	f.takeWhole(page, f.reading(page.Next, made))
 	f.pacer.Answered(ctx, len(page.Records), 0, 0)
 	return nil
 }
 
+// reading is what an answer that has just come to a call of this entry shows.
+func (f *follower) reading(next uint64, made time.Duration) spread.Reading {
+	r := spread.Reading{Next: next, Made: made, Answered: f.boot()}
+	if f.hub != nil {
+		r.Reader = f.hub.served(f)
+	}
+	return r
+}
+
 func (f *follower) readOn(ctx context.Context) error {
-	began := time.Now()
-	page, err := f.read(ctx)
+	began, made := time.Now(), f.boot()
+	waited, _ := f.patience()
+	page, err := f.read(ctx, waited)
 	if errors.Is(err, fleet.ErrStoreExpired) {
 		f.restart(page.First)
 		return nil
@@ -147,17 +230,16 @@
 	if err != nil {
 		return err
 	}
-	f.reached()
-	for _, r := range page.Records {
-		f.record(r)
+	r := f.reading(page.Next, made)
+	if page.Next < page.End {
+		// There is more: nothing is known yet of what was written before the call.
+		r.Made = 0
 	}
-	f.next = page.Next
-	if f.next >= page.End {
-		f.caughtUp()
-	}
-	waited, _ := f.patience()
+	f.take(page.Next-uint64(len(page.Records)), page.Records, r, true)
 	f.pacer.Answered(ctx, len(page.Records), waited, time.Since(began))
-	f.rest(ctx)
+	if f.hub == nil || len(page.Records) > 0 {
+		f.rest(ctx)
+	}
 	return nil
 }
 
@@ -179,18 +261,79 @@
 	}
 }
 
-func (f *follower) read(ctx context.Context) (fleet.Page, error) {
-	wait, all := f.patience()
+func (f *follower) read(ctx context.Context, wait time.Duration) (fleet.Page, error) {
+	_, all := f.patience()
 	ctx, cancel := context.WithTimeout(ctx, all)
 	defer cancel()
-	return f.store.Read(ctx, f.topic, f.next, wait)
+	f.mu.Lock()
+	from := f.belief.Next
+	f.mu.Unlock()
+	return f.store.Read(ctx, f.topic, from, wait)
+}
+
+// takeWhole takes the newest record of all keys, unless more is known already.
+func (f *follower) takeWhole(page fleet.Page, r spread.Reading) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.belief.Known && page.Next < f.belief.Next {
+		return
+	}
+	f.reached(r)
+	f.whole(page)
+	f.tail.Start(page.Records, page.Next)
+	f.belief.Took(page.Next)
+	f.belief.Confirm(r)
+	f.reread, f.begun = false, true
+	if f.hub != nil {
+		f.hub.news(f, page.Next, nil)
+	}
+}
+
+// take takes records that follow each other from an offset on, as far as they are new and
+// leave no gap, and the reading that brought them, of a call of this entry's own or of a
+// peer's; one with Made 0 confirms nothing. It reports whether all that the reading speaks
+// of is known now.
+//
+// A topic without keys begins with a read of this entry's own: what leases it has to heed is
+// in records that a peer may keep no longer.
+func (f *follower) take(from uint64, records []fleet.Record, r spread.Reading, own bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.belief.Known && (f.keyed || !own) {
+		return false
+	}
+	next := f.belief.Next
+	fresh := records[min(uint64(len(records)), max(from, next)-from):]
+	if from > next {
+		fresh = nil
+	}
+	covers := next+uint64(len(fresh)) >= r.Next
+	if own || covers && r.Made > f.belief.Last().Made {
+		f.reached(r)
+	}
+	for _, record := range fresh {
+		f.record(record)
+		f.tail.Add(record)
+	}
+	f.belief.Took(next + uint64(len(fresh)))
+	f.begun = true
+	if f.belief.Confirm(r) {
+		f.caughtUp()
+	}
+	if f.hub != nil && len(fresh) > 0 {
+		f.hub.news(f, next, fresh)
+	}
+	return covers
 }
 
 // restart goes on where records are gone: with all keys, or from the oldest record.
 func (f *follower) restart(first uint64) {
-	f.known = false
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reread = true
 	if !f.keyed {
-		f.next = max(f.next, first)
-		f.skipped(f.next)
+		f.belief.Took(max(f.belief.Next, first))
+		f.tail.Start(nil, f.belief.Next)
+		f.skipped(f.belief.Next)
 	}
 }
--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -149,7 +149,7 @@
 	j.hands = append(j.hands, hand{
 		replica: choice.ID, reason: choice.Reason, score: choice.Score, load: choice.Load,
 		missed: choice.Missed, source: p.source, of: choice.Of, version: p.version,
-		listAge: now - time.Duration(s.listReadAt.Load()), offList: s.replicas.OffList(choice.ID, now),
+		listAge: now - time.Duration(s.listReadAt.Load()), listFrom: s.listFrom(), offList: s.replicas.OffList(choice.ID, now),
 	})
 	return p
 }
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -26,8 +26,10 @@
 	source  string
 	of      int
 	version uint64
-	// listAge is how long ago the list of replicas was read.
-	listAge time.Duration
+	// listAge is how long ago the call was made that showed the list of replicas, listFrom
+	// the entry that made it.
+	listAge  time.Duration
+	listFrom string
 	// offList is how long ago the replica's record was removed, 0 if it wasn't.
 	offList time.Duration
 	outcome string
@@ -148,7 +150,7 @@
 		slog.Int("of", h.of),
 		slog.Float64("score_ms", round(h.score)),
 		slog.Float64("load_ms", round(h.load)),
-		slog.Int64("list_age_ms", h.listAge.Milliseconds()),
+		slog.Int64("list_age_ms", h.listAge.Milliseconds()), slog.String("list_from", h.listFrom),
 		slog.String("outcome", h.outcome),
 		slog.Float64("took_ms", ms(h.took)),
 	}
--- a/internal/direct/leaving_test.go
+++ b/internal/direct/leaving_test.go
@@ -128,6 +128,7 @@
 	t.Helper()
 	s := &settings.Settings{ID: "entry-1", Direct: &settings.Direct{Memory: 16}}
 	e := newEntry(s, tel, Platform{Store: store, Records: listRecords{}})
+	e.boot = e.clock.now
 	ctx, cancel := context.WithCancel(t.Context())
 	l := &lister{Entry: e, store: store, cancel: cancel}
 	l.loops.Go(func() { e.followReplicas(ctx) })
--- a/internal/direct/naming.go
+++ b/internal/direct/naming.go
@@ -13,14 +13,27 @@
 // first does, the others have read it by their turn.
 const namingSpread = 300 * time.Millisecond
 
+// namingHeard is what an entry waits beside that has the version from a peer: the one that
+// has read it has written it down by then, and that was passed on too. namingEach
+// spreads those entries further where it hasn't, as it was lost.
+const (
+	namingHeard = time.Second
+	namingEach  = 50 * time.Millisecond
+)
+
 // An entry that starts finds a version of weights named and can't tell since when. Taken
 // for overdue, all replicas on the one before are refused: after a loss of power a second
 // into a change of weights 34 of 38 replicas were, in windows of two seconds that earned 0.12
 // to 0.29 of their worth. So who reads a new version writes down when.
 
-// tellNaming writes down when a version was named unless another entry does first.
-func (e *Entry) tellNaming(n rollout.Naming) {
-	if wait.For(context.Background(), rand.N(namingSpread)) != nil || e.namingHeard(&n) {
+// tellNaming writes down when a version was named unless another entry does first; relayed
+// says that a peer has read the version.
+func (e *Entry) tellNaming(n rollout.Naming, relayed bool) {
+	pause := rand.N(namingSpread)
+	if relayed {
+		pause = namingHeard + rand.N(namingEach*time.Duration(e.state.count()))
+	}
+	if wait.For(context.Background(), pause) != nil || e.namingKnown(&n) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -33,7 +46,7 @@
 	nudge(e.rollouts.reread)
 }
 
-func (e *Entry) namingHeard(n *rollout.Naming) bool {
+func (e *Entry) namingKnown(n *rollout.Naming) bool {
 	e.state.mu.Lock()
 	defer e.state.mu.Unlock()
 	return e.state.namings[namedVersion{n.Model, n.Version}] != nil
--- a/internal/direct/operator.go
+++ b/internal/direct/operator.go
@@ -2,24 +2,43 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/rollout"
+	"skylarklead/internal/spread"
 )
 
 // followOperator keeps the configuration and the wanted versions of weights.
 func (e *Entry) followOperator(ctx context.Context) {
 	topic, _ := e.platform.Records.Topics()
-	f := newFollower(e.platform.Store, topic, e.tel.Log)
+	f := e.newFollower(topic)
 	f.keyed, f.wait = true, operatorWait
+	f.number = numberOperator
 	var gap operatorGap
-	f.failed = func(made time.Time) { gap.missed(made.Sub(e.clock.start)) }
-	f.reached = func() { gap.answered(e.clock.now()) }
-	f.record = func(r fleet.Record) { e.takeOperator(r, namedWhen{gap: gap}) }
+	var relayed bool
+	var mu sync.Mutex // calls without an answer are told by another goroutine than records
+	f.failed = func(made time.Time) {
+		mu.Lock()
+		defer mu.Unlock()
+		gap.missed(made.Sub(e.clock.start))
+	}
+	f.reached = func(r spread.Reading) {
+		mu.Lock()
+		defer mu.Unlock()
+		relayed = r.Reader != "" && r.Reader != e.settings.ID
+		gap.answered(e.clock.sinceBoot(r.Answered, f.boot()), e.clock.now())
+	}
+	when := func(first bool) namedWhen {
+		mu.Lock()
+		defer mu.Unlock()
+		return namedWhen{first: first, relayed: relayed, gap: gap.at(e.clock.now())}
+	}
+	f.record = func(r fleet.Record) { e.takeOperator(r, when(false)) }
 	f.whole = func(page fleet.Page) {
 		for _, r := range page.Records {
-			e.takeOperator(r, namedWhen{first: !f.begun, gap: gap})
+			e.takeOperator(r, when(!f.begun))
 		}
 	}
 	f.run(ctx)
@@ -27,28 +46,43 @@
 
 // operatorGap is the time before an answer of the store in which nothing of the operator's
 // records could be read: it began with the answer before, and lastMissed is when the last
-// call in it was made.
+// call in it was made. An answer that comes long after the one before ends such a time too:
+// this process stood still, or the peers from which it has its answers were lost.
 type operatorGap struct {
 	away              bool
 	since, lastMissed time.Duration
 	answeredAt        time.Duration
 }
 
+// gapNoticed is from which pause between answers on there was such a time: longer than a read
+// that waits, and its answer, take while all is well.
+const gapNoticed = operatorWait + callTimeout
+
 func (g *operatorGap) missed(made time.Duration) { g.away, g.lastMissed = true, made }
 
-func (g *operatorGap) answered(now time.Duration) {
+// answered takes an answer that came to its reader at a time, and here now.
+func (g *operatorGap) answered(at, now time.Duration) {
 	g.since = now
-	if g.away {
+	if g.away || now-g.answeredAt > gapNoticed {
+		g.since = g.answeredAt
+	}
+	g.away, g.answeredAt = false, at
+}
+
+// at is the gap that a record which is taken now may have been written in.
+func (g operatorGap) at(now time.Duration) operatorGap {
+	if !g.away && now-g.answeredAt > gapNoticed {
 		g.since = g.answeredAt
 	}
-	g.away, g.answeredAt = false, now
+	return g
 }
 
 // namedWhen is what is known of when a version was named that is read now.
 type namedWhen struct {
-	// first says that it was there when the entry first read any.
-	first bool
-	gap   operatorGap
+	// first says that it was there when the entry first read any, relayed that a peer has
+	// read it.
+	first, relayed bool
+	gap            operatorGap
 }
 
 // takeOperator takes a record of the operator.
@@ -135,7 +169,7 @@
 		return
 	}
 	if !when.first {
-		go e.tellNaming(rollout.Naming{Model: w.Model, Version: w.Version, Before: before, AtMs: time.Now().UnixMilli()})
+		go e.tellNaming(rollout.Naming{Model: w.Model, Version: w.Version, Before: before, AtMs: time.Now().UnixMilli()}, when.relayed)
 	}
 	e.tel.Log.Info("weights wanted", "model", w.Model, "version", w.Version, "before", before, "offset", offset)
 	e.rollouts.poke()
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -74,8 +76,15 @@
 	// without a break, in milliseconds and one; 1 says that it doesn't, 0 nothing.
 	Served uint32 `cbor:"8,keyasint,omitempty"`
 	// Strikes are of requests at replicas that were lost; a word with them has nothing
-	// else.
+	// else, nor has one of those that follow.
 	Strikes []attempt.Strike `cbor:"7,keyasint,omitempty"`
+	// Ask and Answer pass on what the store says. Hint says that the store answers the
+	// sender, though it doesn't answer the receiver.
+	Ask    *wordAsk    `cbor:"9,keyasint,omitempty"`
+	Answer *wordAnswer `cbor:"10,keyasint,omitempty"`
+	Hint   bool        `cbor:"11,keyasint,omitempty"`
+	// Reports are what replicas have said of themselves while the store is away.
+	Reports []wordReport `cbor:"12,keyasint,omitempty"`
 }
 
 // wordLoad is a route.Load; Replica is its route.ReplicaKey.
@@ -103,9 +112,21 @@
 	entry *Entry
 	conn  *net.UDPConn
 
+	// read is closed once the list of entries was read; written tells where it has this one.
+	read    chan struct{}
+	written string
+
 	mu    sync.Mutex
-	known map[string]netip.AddrPort
+	known map[string]peerAddress
 	seq   uint64
+	// heardAt is when each peer's last message came, on the entry's clock.
+	heardAt map[string]time.Duration
+}
+
+// peerAddress is where an entry is.
+type peerAddress struct {
+	address netip.AddrPort
+	domain  string
 }
 
 func newPeers(e *Entry) (*peers, error) {
@@ -117,26 +138,45 @@
 	if err != nil {
 		return nil, fmt.Errorf("direct: peers: %w", err)
 	}
-	return &peers{entry: e, conn: conn, known: make(map[string]netip.AddrPort)}, nil
+	return &peers{
+		entry: e, conn: conn, read: make(chan struct{}),
+		known: make(map[string]peerAddress), heardAt: make(map[string]time.Duration),
+	}, nil
 }
 
 // follow keeps the list of the other entries.
 func (p *peers) follow(ctx context.Context) {
-	f := newFollower(p.entry.platform.Store, topicPeers, p.entry.tel.Log)
+	f := p.entry.newFollower(topicPeers)
 	f.keyed, f.wait, f.every = true, peersWait, peersEvery
+	f.number = numberPeers
 	f.record = func(r fleet.Record) {
 		p.take(r)
-		p.entry.state.counted(p.count())
+		p.counted()
 	}
 	f.whole = func(page fleet.Page) {
 		for _, r := range page.Records {
 			p.take(r)
 		}
-		p.entry.state.counted(p.count())
+		p.counted()
+		if !f.begun {
+			close(p.read)
+		}
 	}
 	f.run(ctx)
 }
 
+// counted has the others take how many entries there are, and where.
+func (p *peers) counted() {
+	p.entry.state.counted(p.count())
+	if p.entry.hub == nil {
+		return
+	}
+	p.mu.Lock()
+	known := maps.Clone(p.known)
+	p.mu.Unlock()
+	p.entry.hub.listed(known)
+}
+
 // count is how many entries there are, this one included.
 func (p *peers) count() int {
 	p.mu.Lock()
@@ -145,31 +185,48 @@
 }
 
 func (p *peers) take(r fleet.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if r.Key == p.entry.settings.ID {
+		p.written = string(r.Value)
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if r.Value == nil {
 		delete(p.known, r.Key)
 		p.entry.tel.Log.Info("peer gone", "peer", r.Key, "offset", r.Offset)
 		return
 	}
-	address, err := netip.ParseAddrPort(string(r.Value))
+	// A build that passed nothing on wrote no failure domain.
+	at, domain, _ := strings.Cut(string(r.Value), " ")
+	address, err := netip.ParseAddrPort(at)
 	if err != nil {
 		p.entry.malformed.report("peer's record skipped", r, err)
 		return
 	}
-	p.known[r.Key] = address
-	p.entry.tel.Log.Info("peer listed", "peer", r.Key, "address", address.String(), "offset", r.Offset)
+	p.known[r.Key] = peerAddress{address: address, domain: domain}
+	p.entry.tel.Log.Info("peer listed", "peer", r.Key, "address", address.String(), "failure_domain", domain, "offset", r.Offset)
 }
 
-// hello tells the others where this entry is, until it is written.
+// record is what the others find of this entry.
+func (p *peers) record() string {
+	return p.entry.settings.Direct.Peers + " " + p.entry.settings.FailureDomain
+}
+
+// hello tells the others where this entry is, until it is written. One that started again
+// at its address is written already.
 func (p *peers) hello(ctx context.Context) {
 	e := p.entry
-	for ctx.Err() == nil {
+	select {
+	case <-ctx.Done():
+		return
+	case <-p.read:
+	}
+	p.mu.Lock()
+	written := p.written == p.record()
+	p.mu.Unlock()
+	for !written && ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := e.platform.Store.Put(callCtx, topicPeers, e.settings.ID, []byte(e.settings.Direct.Peers))
+		err := e.platform.Store.Put(callCtx, topicPeers, e.settings.ID, []byte(p.record()))
 		cancel()
 		if err == nil {
 			return
@@ -194,12 +251,14 @@
 	}
 }
 
-func (p *peers) send(w *word) {
+func (p *peers) send(w *word) { p.sendTo(w, p.addresses()...) }
+
+func (p *peers) sendTo(w *word, to ...netip.AddrPort) {
 	data, err := cbor.Marshal(w)
 	if err != nil {
 		panic(err) // a word is made of plain values
 	}
-	for _, address := range p.addresses() {
+	for _, address := range to {
 		// A peer that can't be reached is no news here.
 		_, _ = p.conn.WriteToUDPAddrPort(data, address)
 	}
@@ -217,11 +276,25 @@
 	defer p.mu.Unlock()
 	list := make([]netip.AddrPort, 0, len(p.known))
 	for _, a := range p.known {
-		list = append(list, a)
+		list = append(list, a.address)
 	}
 	return list
 }
 
+// alive lists the peers that were heard of lately.
+func (p *peers) alive(now time.Duration) []string {
+	window := max(aliveFor, aliveWords*p.pause())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []string
+	for id, at := range p.heardAt {
+		if now-at <= window {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func (p *peers) pause() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -260,32 +333,59 @@
 func (p *peers) listen() {
 	buffer := make([]byte, maxWord)
 	for {
-		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := p.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
 			continue // an answer that a peer's port is closed
 		}
-		p.heard(buffer[:n])
+		p.heard(buffer[:n], from)
 	}
 }
 
-func (p *peers) heard(data []byte) {
+func (p *peers) heard(data []byte, from netip.AddrPort) {
 	e := p.entry
 	var w word
 	if err := wordMode.Unmarshal(data, &w); err != nil || w.From == "" {
 		e.tel.Metrics.Count("peer_words_malformed", 1)
 		return
 	}
-	if len(w.Notes) > 0 {
+	p.heardOf(w.From, from)
+	switch {
+	case len(w.Notes) > 0:
 		e.rollouts.heardNotes(w.Notes)
-		return
-	}
-	if len(w.Strikes) > 0 {
+	case len(w.Strikes) > 0:
 		e.heardStrikes(w.Strikes, w.From)
-		return
+	case len(w.Reports) > 0:
+		e.heardReports(w.Reports)
+	case w.Ask != nil || w.Answer != nil || w.Hint:
+		e.hub.heard(&w, from)
+	default:
+		p.heardLoads(&w)
+	}
+}
+
+// heardOf notes that a peer was heard of. One that isn't listed here is known from now on: an
+// entry that the store turns away right after its start would have nobody to ask otherwise,
+// though all the others speak to it.
+func (p *peers) heardOf(id string, from netip.AddrPort) {
+	p.mu.Lock()
+	p.heardAt[id] = p.entry.clock.now()
+	_, known := p.known[id]
+	if !known && id != p.entry.settings.ID {
+		p.known[id] = peerAddress{address: from}
 	}
+	p.mu.Unlock()
+	if !known && id != p.entry.settings.ID {
+		p.entry.tel.Log.Info("peer heard of", "peer", id, "address", from.String())
+		p.counted()
+	}
+}
+
+// heardLoads takes what a peer has at the replicas.
+func (p *peers) heardLoads(w *word) {
+	e := p.entry
 	loads := make(map[uint64]route.Load, len(w.Loads))
 	for _, l := range w.Loads {
 		loads[l.Replica] = route.Load{Reading: float64(l.Reading), Running: int(l.Running), Taken: l.Taken}
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -7,6 +7,7 @@
 
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/member"
+	"skylarklead/internal/spread"
 )
 
 const (
@@ -33,11 +34,14 @@
 // followReplicas keeps the list of replicas.
 func (e *Entry) followReplicas(ctx context.Context) {
 	_, topic := e.platform.Records.Topics()
-	f := newFollower(e.platform.Store, topic, e.tel.Log)
-	f.keyed, f.wait = true, replicasWait
-	f.pause = func() time.Duration { return min(replicasMost, replicasEvery*time.Duration(e.state.count())) }
+	f := e.newFollower(topic)
+	f.keyed, f.wait, f.every = true, replicasWait, replicasPause
+	f.number = numberReplicas
+	if e.hub == nil {
+		f.pause = func() time.Duration { return min(replicasMost, replicasEvery*time.Duration(e.state.count())) }
+	}
 	f.failed = e.listMissed
-	f.reached = e.listReached
+	f.reached = func(r spread.Reading) { e.listReached(r, f.boot()) }
 	f.record = e.takeReplica
 	f.whole = e.takeReplicas
 	f.run(ctx)
@@ -54,12 +58,15 @@
 	}
 }
 
-// listReached takes an answer to a call for the list.
-func (e *Entry) listReached() {
-	now := e.clock.now()
-	e.state.listReadAt.Store(int64(now))
+// listReached takes an answer to a call for the list, of this entry or of the one that the
+// reading names; boot is the time of the readings' clock.
+func (e *Entry) listReached(r spread.Reading, boot time.Duration) {
+	if r.Made > 0 {
+		e.state.listReadAt.Store(int64(e.clock.sinceBoot(r.Made, boot)))
+		e.state.listReader.Store(&r.Reader)
+	}
 	e.state.mu.Lock()
-	ends := e.state.outage.Answered(now)
+	ends := e.state.outage.Answered(e.clock.sinceBoot(r.Answered, boot))
 	e.state.mu.Unlock()
 	if ends {
 		e.watch.storeBack()
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -120,8 +120,9 @@
 
 // followEntries reads the entries' topic. Leases number records from 1.
 func (r *rollouts) followEntries(ctx context.Context) {
-	f := newFollower(r.entry.platform.Store, topicEntries, r.entry.tel.Log)
+	f := r.entry.newFollower(topicEntries)
 	f.every, f.poke = entriesEvery, r.reread
+	f.number = numberEntries
 	f.waits = r.readWait
 	f.record = r.take
 	f.skipped = func(first uint64) {
@@ -140,7 +141,7 @@
 
 // readWait is how long a read of the topic waits for a record.
 func (r *rollouts) readWait() time.Duration {
-	if r.active.Load() {
+	if r.active.Load() && r.entry.hub == nil {
 		return 0
 	}
 	return entriesWait
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -34,9 +34,11 @@
 // guards the rest.
 type state struct {
 	config atomic.Pointer[configuration]
-	// listReadAt is when the store last answered a read of the list of replicas, a
-	// time.Duration on the entry's clock.
+	// listReadAt is as of when the list of replicas is known, a time.Duration on the
+	// entry's clock: when the call was made whose answer showed it. listReader is the entry
+	// that made it.
 	listReadAt atomic.Int64
+	listReader atomic.Pointer[string]
 
 	mu       sync.Mutex
 	replicas *member.Replicas
@@ -87,6 +89,15 @@
 	}
 }
 
+// listFrom is the entry that read the list of replicas that is in force, "" for this one
+// where it reads for itself alone.
+func (s *state) listFrom() string {
+	if from := s.listReader.Load(); from != nil {
+		return *from
+	}
+	return ""
+}
+
 // signal wakes the requests that wait for a replica. The caller holds mu.
 func (s *state) signal() {
 	close(s.changed)
--- a/internal/direct/unheard.go
+++ b/internal/direct/unheard.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/rollout"
+	"skylarklead/internal/spread"
 )
 
 const (
@@ -18,6 +20,17 @@
 	askEvery = 400 * time.Millisecond
 )
 
+// reportsTold is how often what has changed of a replica's word is told to the peers: a
+// datagram may be lost.
+const reportsTold = 2
+
+// aliveFor is the least time for which a peer counts as alive after its last message, and
+// aliveWords how many of its words would have to be lost: with many peers they are rarer.
+const (
+	aliveFor   = 1500 * time.Millisecond
+	aliveWords = 3
+)
+
 // storeLost says that the store doesn't answer, storeBack that it does again.
 func (w *watch) storeLost(at time.Duration) {
 	w.mu.Lock()
@@ -37,28 +50,47 @@
 // requests to replicas that load weights, or expect weights that have been replaced,
 // and each refusal takes from the budget that crashes need. So it asks.
 func (w *watch) unheard() []*fleet.Replica {
-	now := w.entry.clock.now()
+	e := w.entry
+	now := e.clock.now()
+	lost, lostAt := e.unlisted(now)
 	w.mu.Lock()
-	due := w.lost && now-w.lostAt > unheardAfter && now-w.asked > askEvery
+	if e.hub == nil {
+		lost, lostAt = w.lost, w.lostAt
+	}
+	due := lost && now-lostAt > unheardAfter && now-w.asked > askEvery
 	if due {
 		w.asked = now
 	}
+	if !lost {
+		clear(w.told)
+	}
 	w.mu.Unlock()
 	if !due {
 		return nil
 	}
-	s := w.entry.state
+	alive := e.peers.alive(now)
+	s := e.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var replicas []*fleet.Replica
 	for _, id := range s.replicas.IDs() {
-		if r := s.replicas.Get(id); len(r.Weights) > 0 {
+		if r := s.replicas.Get(id); len(r.Weights) > 0 && (e.hub == nil || spread.Asks(e.settings.ID, alive, id)) {
 			replicas = append(replicas, r)
 		}
 	}
 	return replicas
 }
 
+// unlisted reports whether the list of replicas is older than it may be, and since when.
+// Peers that the store answers would pass it on.
+func (e *Entry) unlisted(now time.Duration) (bool, time.Duration) {
+	if e.hub == nil {
+		return false, 0
+	}
+	until := time.Duration(e.state.listReadAt.Load()) + limits(e.direct())[numberReplicas]
+	return now > until, until
+}
+
 // ask takes a replica's own word on its weights.
 func (w *watch) ask(ctx context.Context, r *fleet.Replica) {
 	e := w.entry
@@ -75,6 +107,63 @@
 		e.replaced(r, r.Name, report.Born)
 	default:
 		e.takeReport(r, &report)
+		w.tell(r, &report)
+	}
+}
+
+// wordReport is what a replica has said of itself, which peers that the store doesn't
+// answer needn't ask again.
+type wordReport struct {
+	Replica  string            `cbor:"1,keyasint"`
+	Weights  map[string]uint64 `cbor:"2,keyasint,omitempty"`
+	Draining bool              `cbor:"3,keyasint,omitempty"`
+	Busy     bool              `cbor:"4,keyasint,omitempty"`
+	Orders   uint64            `cbor:"5,keyasint,omitempty"`
+}
+
+func (a *wordReport) equal(b *wordReport) bool {
+	return a.Replica == b.Replica && maps.Equal(a.Weights, b.Weights) &&
+		a.Draining == b.Draining && a.Busy == b.Busy && a.Orders == b.Orders
+}
+
+// toldReport is a report and how often it was told.
+type toldReport struct {
+	wordReport
+	times int
+}
+
+// tell tells the peers of a report that is news. Each replica is asked by few of those that
+// hear each other: all entries asking all replicas would be many more questions than
+// requests.
+func (w *watch) tell(r *fleet.Replica, report *fleet.Report) {
+	if w.entry.hub == nil {
+		return
+	}
+	said := wordReport{Replica: r.ID, Weights: report.Weights, Draining: report.Draining, Busy: report.Busy, Orders: report.Orders}
+	w.mu.Lock()
+	last := w.told[r.ID]
+	if last == nil || !last.equal(&said) {
+		last = &toldReport{wordReport: said}
+		w.told[r.ID] = last
+	}
+	last.times++
+	news := last.times <= reportsTold
+	w.mu.Unlock()
+	if news {
+		w.entry.peers.send(&word{From: w.entry.settings.ID, Epoch: uint64(w.entry.tel.Epoch), Reports: []wordReport{said}})
+	}
+}
+
+// heardReports takes what peers have heard from replicas. The number of orders that a replica
+// has taken says which of two reports is the later one.
+func (e *Entry) heardReports(reports []wordReport) {
+	for _, said := range reports {
+		e.state.mu.Lock()
+		r := e.state.replicas.Get(said.Replica)
+		e.state.mu.Unlock()
+		if r != nil {
+			e.takeReport(r, &fleet.Report{Weights: said.Weights, Draining: said.Draining, Busy: said.Busy, Orders: said.Orders})
+		}
 	}
 }
 
--- a/internal/direct/watch.go
+++ b/internal/direct/watch.go
@@ -43,9 +43,13 @@
 	lost   bool
 	lostAt time.Duration
 	asked  time.Duration
+	// told is what peers were told last of each replica's word.
+	told map[string]*toldReport
 }
 
-func newWatch(e *Entry) *watch { return &watch{entry: e, under: make(map[*exchange]struct{})} }
+func newWatch(e *Entry) *watch {
+	return &watch{entry: e, under: make(map[*exchange]struct{}), told: make(map[string]*toldReport)}
+}
 
 // begin watches a request until the function that it returns is called.
 func (w *watch) begin(r *fleet.Replica, repeatable bool, cancel context.CancelFunc) *exchange {
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -34,6 +34,14 @@
 	WeightsWithin Duration `json:"weights_within"`
 	// ClockSkew is by how much two instances' clocks may differ.
 	ClockSkew Duration `json:"clock_skew"`
+	// ConfigurationWithin is the time from the store's acknowledgement of a configuration
+	// until it must be in force at every entry, LeavingWithin the same until a replica that
+	// leaves must get no request.
+	ConfigurationWithin Duration `json:"configuration_within"`
+	LeavingWithin       Duration `json:"leaving_within"`
+	// StoreReaders says who reads the store: ReadersFew has entries pass on what it says,
+	// ReadersAll has each read for itself.
+	StoreReaders string `json:"store_readers"`
 	// Memory is what the process may use, in MB.
 	Memory int `json:"memory_mb"`
 }
@@ -44,8 +52,13 @@
 	DefaultLease   = Duration(3 * time.Second)
 	DefaultWeights = Duration(10 * time.Second)
 	DefaultMemory  = 128
+	// DefaultWithin is the shortest time that any deployment so far has allowed.
+	DefaultWithin = Duration(2 * time.Second)
 	// DefaultClockSkew covers a clock that has jumped by seconds.
 	DefaultClockSkew = Duration(6 * time.Second)
+	// ReadersFew and ReadersAll are the values of StoreReaders.
+	ReadersFew = "few"
+	ReadersAll = "all"
 	// minMemory is what an idle entry needs, in MB.
 	minMemory = 32
 )
@@ -56,6 +69,9 @@
 	fill(doc, "direct.lease", &d.Lease, DefaultLease)
 	fill(doc, "direct.weights_within", &d.WeightsWithin, DefaultWeights)
 	fill(doc, "direct.clock_skew", &d.ClockSkew, DefaultClockSkew)
+	fill(doc, "direct.configuration_within", &d.ConfigurationWithin, DefaultWithin)
+	fill(doc, "direct.leaving_within", &d.LeavingWithin, DefaultWithin)
+	fill(doc, "direct.store_readers", &d.StoreReaders, ReadersFew)
 	fill(doc, "direct.memory_mb", &d.Memory, DefaultMemory)
 }
 
@@ -75,6 +91,9 @@
 	c.positive("direct.lease", d.Lease)
 	c.positive("direct.weights_within", d.WeightsWithin)
 	c.positive("direct.clock_skew", d.ClockSkew)
+	c.positive("direct.configuration_within", d.ConfigurationWithin)
+	c.positive("direct.leaving_within", d.LeavingWithin)
+	c.oneOf("direct.store_readers", d.StoreReaders, []string{ReadersFew, ReadersAll})
 	c.share("direct.retry_share", d.RetryShare)
 	if !(d.RetryExtra >= 0) {
 		c.doc.Add("direct.retry_extra", fmt.Sprintf("is %v", d.RetryExtra), "0 or more requests")
--- /dev/null
+++ b/internal/spread/order_test.go
@@ -0,0 +1,113 @@
+package spread
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func fleetOf(entries, domains int) []Peer {
+	peers := make([]Peer, entries)
+	for i := range peers {
+		peers[i] = Peer{ID: fmt.Sprintf("entry-%d", i), FailureDomain: fmt.Sprintf("domain-%d", i%domains)}
+	}
+	return peers
+}
+
+func chains(peers []Peer, fanIn int) map[string][]string {
+	all := make(map[string][]string, len(peers))
+	for i, p := range peers {
+		all[p.ID] = Chain(p, slices.Delete(slices.Clone(peers), i, i+1), fanIn)
+	}
+	return all
+}
+
+// Symptom: entries wait for each other and none of them reads the store. Cause: a circle of
+// questions.
+func TestExactlyOneEntryHasNobodyToAskAndNoneAsksInACircle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		peers := fleetOf(rapid.IntRange(1, 120).Draw(t, "entries"), rapid.IntRange(1, 6).Draw(t, "domains"))
+		all := chains(peers, rapid.IntRange(1, 40).Draw(t, "width"))
+		first := 0
+		for id, chain := range all {
+			if len(chain) == 0 {
+				first++
+			}
+			for _, above := range chain {
+				if slices.Contains(all[above], id) {
+					t.Fatalf("%s and %s may ask each other", id, above)
+				}
+			}
+		}
+		if first != 1 {
+			t.Fatalf("%d entries have nobody to ask", first)
+		}
+	})
+}
+
+// Symptom: one entry answers hundreds, or what the store says crosses between failure domains
+// once for each entry.
+func TestQuestionsOfALargeFleetAreSpread(t *testing.T) {
+	for _, entries := range []int{30, 103, 300, 1000} {
+		const domains = 5
+		peers := fleetOf(entries, domains)
+		domain := map[string]string{}
+		for _, p := range peers {
+			domain[p.ID] = p.FailureDomain
+		}
+		asked, crossing := map[string]int{}, 0
+		deepest := 0
+		all := chains(peers, DefaultParams.FanIn)
+		for id, chain := range all {
+			if len(chain) == 0 {
+				continue
+			}
+			asked[chain[0]]++
+			if domain[chain[0]] != domain[id] {
+				crossing++
+			}
+			depth := 0
+			for at := id; len(all[at]) > 0; at = all[at][0] {
+				depth++
+			}
+			deepest = max(deepest, depth)
+		}
+		for id, n := range asked {
+			if n > DefaultParams.FanIn+domains {
+				t.Errorf("%d entries: %s answers %d", entries, id, n)
+			}
+		}
+		if entries > DefaultParams.FanIn && crossing >= domains {
+			t.Errorf("%d entries: %d ask in another failure domain", entries, crossing)
+		}
+		if tiers := Tiers(entries, domains, DefaultParams.FanIn); deepest > tiers {
+			t.Errorf("%d entries: a word is passed on %d times, %d are reckoned with", entries, deepest, tiers)
+		}
+	}
+}
+
+// Symptom: after the loss of an entry that others listened to they all turn to the store.
+// Cause: they don't agree on who comes next.
+func TestEntriesThatLoseTheSameSourceAgreeOnTheNext(t *testing.T) {
+	peers := fleetOf(103, 5)
+	all := chains(peers, DefaultParams.FanIn)
+	next := map[string]map[string]bool{}
+	for _, chain := range all {
+		if len(chain) < 2 {
+			continue
+		}
+		if next[chain[0]] == nil {
+			next[chain[0]] = map[string]bool{}
+		}
+		next[chain[0]][chain[1]] = true
+	}
+	for lost, to := range next {
+		// Its failure domain's others go to one entry, the first ones of the other domains to
+		// at most one each.
+		if len(to) > 5 {
+			t.Errorf("those that asked %s go to %d entries", lost, len(to))
+		}
+	}
+}
--- /dev/null
+++ b/internal/spread/sources.go
@@ -0,0 +1,334 @@
+package spread
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Mode is where an entry has its records from.
+type Mode uint8
+
+// The modes.
+const (
+	// Alone: the peers aren't known yet, or there are none.
+	Alone Mode = iota
+	// Listening: a peer before it in the order tells it what the store says.
+	Listening
+	// Walking: it hasn't heard yet of all that it could ask.
+	Walking
+	// Leading: nobody that it could ask knows better, so it reads the store.
+	Leading
+	// Waiting: as many as are needed to believe it say that the store is away; it tries at
+	// its turn.
+	Waiting
+	// Relieving: as many say so, but the store answers this entry, which tells them.
+	Relieving
+)
+
+var modeNames = [...]string{"alone", "listening", "walking", "leading", "waiting", "relieving"}
+
+// String names the mode as logs have it.
+func (m Mode) String() string { return modeNames[m] }
+
+// Question is a question to a peer.
+type Question struct {
+	Peer string
+	Seq  uint64
+}
+
+// candidate is one that may be asked.
+type candidate struct {
+	// missing counts the questions in a row that it didn't answer.
+	missing   int
+	skipUntil time.Duration
+	// heard is set once it answered, stale if what it told last was too old.
+	heard, stale bool
+}
+
+type question struct {
+	peer string
+	sent time.Duration
+}
+
+// Sources chooses whom an entry asks, and tells when it reads the store itself.
+//
+// Symptoms without its parts: an entry whose source is lost uses a replica that left, or a
+// key that was taken back, since nobody told it (candidates are left after two questions
+// without an answer); a hundred entries call a store at once that is away from all (turns);
+// a few that are cut off make all others believe that it is (hints).
+//
+// Invariants: source is "" or in the chain; questions are only to peers that may be skipped
+// no longer; of each peer at most one is under way.
+type Sources struct {
+	params Params
+	self   Peer
+	rng    *rand.Rand
+	// listed is set once the peers are known; size counts all entries.
+	listed  bool
+	size    int
+	domains int
+	// place spreads what all entries may do at once: it is from 0 to 1.
+	place      float64
+	chain      []string
+	candidates map[string]*candidate
+	under      map[uint64]question
+	seq        uint64
+	source     string
+	roundAt    time.Duration
+	// served is set while the store answers this entry's own calls.
+	served bool
+	// turnAt is when an entry that waits may try, 0 if it has no turn yet.
+	turnAt time.Duration
+	// hint is a peer that the store answers although it comes later in the order.
+	hint      string
+	hintUntil time.Duration
+	hintedAt  time.Duration
+}
+
+// NewSources returns the sources of an entry that knows no peers yet.
+func NewSources(self Peer, p Params, rng *rand.Rand) *Sources {
+	return &Sources{
+		params: p, self: self, rng: rng, size: 1, domains: 1,
+		candidates: make(map[string]*candidate), under: make(map[uint64]question),
+	}
+}
+
+// Peers takes the list of all other entries.
+func (s *Sources) Peers(peers []Peer) {
+	s.listed, s.size = true, len(peers)+1
+	domains := map[string]bool{s.self.FailureDomain: true}
+	for _, p := range peers {
+		domains[p.FailureDomain] = true
+	}
+	s.domains = len(domains)
+	s.chain = Chain(s.self, peers, s.params.FanIn)
+	s.place = place(s.self, peers)
+	in := make(map[string]bool, len(s.chain))
+	for _, id := range s.chain {
+		in[id] = true
+		if s.candidates[id] == nil {
+			s.candidates[id] = &candidate{}
+		}
+	}
+	for id := range s.candidates {
+		if !in[id] {
+			delete(s.candidates, id)
+		}
+	}
+	if !in[s.source] {
+		s.source = ""
+	}
+}
+
+// Tiers is how often a word is passed on at most in this fleet.
+func (s *Sources) Tiers() int { return Tiers(s.size, s.domains, s.params.FanIn) }
+
+// Followed reports whether others come after this entry in the order, so that they would ask
+// it if nobody before it could tell them.
+func (s *Sources) Followed() bool { return s.size > len(s.chain)+1 }
+
+// Tick returns the questions to send now.
+func (s *Sources) Tick(now time.Duration) []Question {
+	s.expire(now)
+	if now < s.roundAt || len(s.chain) == 0 && !s.hinted(now) {
+		return nil
+	}
+	s.roundAt = now + s.params.AskEvery
+	var out []Question
+	asked := 0
+	for _, id := range s.chain {
+		if s.candidates[id].skipUntil > now {
+			continue
+		}
+		out = s.ask(out, id, now)
+		asked++
+		if id == s.source || asked >= s.params.Witnesses {
+			break
+		}
+	}
+	if s.source != "" && asked >= s.params.Witnesses {
+		out = s.ask(out, s.source, now)
+	}
+	if s.hinted(now) {
+		out = s.ask(out, s.hint, now)
+	}
+	return out
+}
+
+func (s *Sources) ask(out []Question, id string, now time.Duration) []Question {
+	for _, q := range s.under {
+		if q.peer == id {
+			return out
+		}
+	}
+	s.seq++
+	s.under[s.seq] = question{peer: id, sent: now}
+	return append(out, Question{Peer: id, Seq: s.seq})
+}
+
+// expire takes questions that weren't answered in time.
+func (s *Sources) expire(now time.Duration) {
+	for seq, q := range s.under {
+		if now-q.sent < s.params.AskTimeout {
+			continue
+		}
+		delete(s.under, seq)
+		c := s.candidates[q.peer]
+		if c == nil {
+			continue
+		}
+		c.missing++
+		if over := c.missing - s.params.Tries; over >= 0 {
+			c.skipUntil = now + min(s.params.SkipMin<<min(over, 8), s.params.SkipMax)
+			c.heard = false
+			s.leave(q.peer, now)
+		}
+	}
+}
+
+// leave ends a source; the next one is asked at once.
+func (s *Sources) leave(id string, now time.Duration) {
+	if s.source == id {
+		s.source, s.roundAt = "", now
+	}
+}
+
+// Sent is when a question was sent that a peer answers; false for an answer that comes too
+// late, or that nobody asked for.
+func (s *Sources) Sent(peer string, seq uint64) (time.Duration, bool) {
+	q, ok := s.under[seq]
+	return q.sent, ok && q.peer == peer
+}
+
+// Answered takes an answer to a question, and whether what it tells is young enough.
+func (s *Sources) Answered(seq uint64, fresh bool, now time.Duration) {
+	q, ok := s.under[seq]
+	if !ok {
+		return
+	}
+	delete(s.under, seq)
+	c := s.candidates[q.peer]
+	if c == nil {
+		return // it was hinted at
+	}
+	c.missing, c.skipUntil, c.heard, c.stale = 0, 0, true, !fresh
+	switch {
+	case !fresh:
+		s.leave(q.peer, now)
+	case s.source == "" || slices.Index(s.chain, q.peer) < slices.Index(s.chain, s.source):
+		s.source = q.peer
+		s.turnAt = 0
+	}
+}
+
+// Served says that the store answered a call of this entry, Missed that it didn't.
+func (s *Sources) Served() { s.served, s.turnAt = true, 0 }
+
+// Missed: see Served.
+func (s *Sources) Missed() { s.served = false }
+
+// Hinted takes a peer's word that the store answers it although it doesn't answer this
+// entry, which comes before it in the order.
+func (s *Sources) Hinted(peer string, now time.Duration) {
+	if s.source != "" {
+		return
+	}
+	s.hint, s.hintUntil, s.roundAt = peer, now+s.params.HintFor, now
+}
+
+func (s *Sources) hinted(now time.Duration) bool { return s.hint != "" && now < s.hintUntil }
+
+// Hints are the peers to tell that the store answers this entry: those before it that it
+// doesn't answer. They would be cut off, and would have all that ask them believe that
+// the store is away.
+func (s *Sources) Hints(now time.Duration) []string {
+	if mode := s.Mode(now); !s.served || mode != Leading && mode != Relieving || now-s.hintedAt < s.params.HintEvery {
+		return nil
+	}
+	s.hintedAt = now
+	var stale []string
+	for _, id := range s.chain {
+		if s.candidates[id].told() {
+			stale = append(stale, id)
+		}
+	}
+	return stale[:min(len(stale), s.params.Witnesses)]
+}
+
+// told reports whether a candidate answers, but knows too little.
+func (c *candidate) told() bool { return c.heard && c.stale }
+
+// Source is the peer that the entry listens to, "" for none.
+func (s *Sources) Source() string { return s.source }
+
+// Mode is where the entry has its records from now.
+func (s *Sources) Mode(now time.Duration) Mode {
+	if !s.listed {
+		return Alone
+	}
+	if s.source != "" {
+		return Listening
+	}
+	told, open := 0, false
+	for _, id := range s.chain {
+		switch c := s.candidates[id]; {
+		case c.told():
+			told++
+		case c.missing < s.params.Tries:
+			open = true
+		}
+	}
+	switch {
+	case told >= s.params.Witnesses && !s.served:
+		return Waiting
+	case told >= s.params.Witnesses:
+		return Relieving
+	case open:
+		return Walking
+	}
+	return Leading
+}
+
+// Due reports whether to read a topic from the store now, whose belief has used up a part of
+// its limit.
+func (s *Sources) Due(part float64, now time.Duration) bool {
+	switch s.Mode(now) {
+	case Leading:
+		return true
+	case Listening:
+		// The source knows, but this topic doesn't reach the entry.
+		return part >= StaleAt+(1-StaleAt)*s.place
+	case Walking:
+		return part >= takeOverAt+(1-takeOverAt)*s.place
+	case Waiting:
+		return part >= StaleAt && s.turn(now)
+	case Relieving:
+		// Those that it tells will read for all in a moment.
+		return part >= relieveAt
+	}
+	return false
+}
+
+// turn reports whether an entry that waits may try. The entries' turns are spread so that
+// all of them together try at a bounded rate: the first ones soon, since the witnesses
+// may just have been cut off themselves.
+func (s *Sources) turn(now time.Duration) bool {
+	all := time.Duration(float64(s.size) / s.params.TriesPerSecond * float64(time.Second))
+	if s.turnAt == 0 {
+		first := float64(s.size) / s.params.FirstTriesPerSecond * float64(time.Second)
+		s.turnAt = now + time.Duration(s.place*first)
+	}
+	if now < s.turnAt {
+		return false
+	}
+	s.turnAt = now + all/2 + time.Duration(s.rng.Float64()*float64(all))
+	return true
+}
+
+// Hurry has a peer asked now that has news which didn't reach the entry whole.
+func (s *Sources) Hurry(peer string, now time.Duration) {
+	if peer == s.source {
+		s.roundAt = now
+	}
+}
--- /dev/null
+++ b/internal/spread/tail.go
@@ -0,0 +1,78 @@
+package spread
+
+import (
+	"maps"
+	"slices"
+
+	"skylarklead/internal/fleet"
+)
+
+const (
+	// maxTailRecords and maxTailBytes bound a topic's latest records that are kept: some
+	// seconds of a busy topic, and one large record of the operator. Who is further behind
+	// takes the whole state.
+	maxTailRecords = 1024
+	maxTailBytes   = 1 << 20
+)
+
+// Tail keeps a topic's latest records to pass on word for word and, of a topic with keys,
+// the newest record of each.
+//
+// Invariant: records are those from first on, without a gap.
+type Tail struct {
+	keyed   bool
+	first   uint64
+	records []fleet.Record
+	bytes   int
+	newest  map[string]fleet.Record
+}
+
+// NewTail returns an empty tail of a topic with keys or without.
+func NewTail(keyed bool) *Tail { return &Tail{keyed: keyed, newest: make(map[string]fleet.Record)} }
+
+// Start begins anew at an offset, with the newest record of each key before it.
+func (t *Tail) Start(newest []fleet.Record, next uint64) {
+	t.first, t.records, t.bytes = next, nil, 0
+	clear(t.newest)
+	for _, r := range newest {
+		t.newest[r.Key] = r
+	}
+}
+
+// Add takes the next record.
+func (t *Tail) Add(r fleet.Record) {
+	if t.keyed && r.Value == nil {
+		delete(t.newest, r.Key)
+	} else if t.keyed {
+		t.newest[r.Key] = r
+	}
+	t.records = append(t.records, r)
+	t.bytes += size(r)
+	drop := 0
+	for len(t.records)-drop > maxTailRecords || t.bytes > maxTailBytes && len(t.records)-drop > 1 {
+		t.bytes -= size(t.records[drop])
+		drop++
+	}
+	t.first += uint64(drop)
+	t.records = slices.Delete(t.records, 0, drop)
+}
+
+// From returns the records from an offset on; false where some of them aren't kept.
+func (t *Tail) From(next uint64) ([]fleet.Record, bool) {
+	if next < t.first || next > t.first+uint64(len(t.records)) {
+		return nil, false
+	}
+	return t.records[next-t.first:], true
+}
+
+// Newest returns the newest record of each key, in the order of their offsets.
+func (t *Tail) Newest() []fleet.Record {
+	return slices.SortedFunc(maps.Values(t.newest), func(a, b fleet.Record) int {
+		if a.Offset < b.Offset {
+			return -1
+		}
+		return 1
+	})
+}
+
+func size(r fleet.Record) int { return len(r.Key) + len(r.Value) }
