Notes of a rollout are written together with the next order's

Ruled out: claims (3 left), starts (two calls an entry). Change: notes that no order waits for are written with the next that one waits for, 250 ms later at the latest; peers have them by datagram as before.

--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -77,6 +77,7 @@
 	// reread has the topic read now.
 	reread chan struct{}
 	follow func(context.Context)
+	notes  noteQueue
 	// active is set while something is to be brought up to date.
 	active atomic.Bool
 
@@ -104,6 +105,7 @@
 		reread: make(chan struct{}, 1),
 		leases: lease.NewLeases(self, protocol.Epoch(e.tel.Epoch), leaseParamsFor(e.settings.Direct), rng),
 		cores:  make(map[string]*rollout.Core),
+		notes:  noteQueue{wake: make(chan struct{}, 1)},
 	}
 	r.follow = r.followEntries
 	return r
@@ -216,6 +218,9 @@
 
 // run looks at the rollouts until ctx ends.
 func (r *rollouts) run(ctx context.Context) {
+	var writer sync.WaitGroup
+	defer writer.Wait()
+	writer.Go(func() { r.writeNotes(ctx) })
 	for ctx.Err() == nil {
 		pause := idleTick
 		active := r.step(ctx)
@@ -388,33 +393,10 @@
 		}
 	}
 	if len(notes) > 0 {
-		go r.announce(ctx, model, notes)
+		go r.announce(notes)
 	}
 }
 
-// announce writes notes; this entry heeds them at once.
-func (r *rollouts) announce(ctx context.Context, model string, notes []rollout.Note) {
-	records := make([][]byte, len(notes))
-	for i := range notes {
-		envelope := rollout.Envelope{Note: &notes[i]}
-		records[i] = envelope.Encode()
-		r.takeNote(&notes[i])
-	}
-	r.entry.peers.tell(notes)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
-	defer cancel()
-	if _, err := r.entry.platform.Store.Append(ctx, topicEntries, nil, records); err != nil {
-		r.entry.tel.Log.Warn("notes not written", "model", model, "notes", len(notes), "error", err)
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for i := range notes {
-		r.cores[model].Announced(notes[i].Replica, r.entry.clock.now())
-	}
-	r.poke()
-}
-
 // errLeaseOver says that the lease ended between a decision and its order.
 var errLeaseOver = errors.New("direct: the lease is over")
 
