A word tells of the replicas at work, and counts of tokens outlast words that don't

Cause: a word has room for 46 loads, in the order of a map; of 160 replicas most of those at work were left out and taken for idle, and what they took in was counted only where two words in a row told of them. Found by reading; tests fail before (0 of 448 tokens; working replicas missing). Not measured by itself yet.

--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -119,6 +120,9 @@
 	mu    sync.Mutex
 	known map[string]peerAddress
 	seq   uint64
+	// toldTaken is the count of tokens taken in that was last told of each replica; only the
+	// loop that speaks uses it.
+	toldTaken map[uint64]uint16
 	// heardAt is when each peer's last message came, on the entry's clock.
 	heardAt map[string]time.Duration
 }
@@ -141,6 +145,7 @@
 	return &peers{
 		entry: e, conn: conn, read: make(chan struct{}),
 		known: make(map[string]peerAddress), heardAt: make(map[string]time.Duration),
+		toldTaken: make(map[uint64]uint16),
 	}, nil
 }
 
@@ -311,12 +316,7 @@
 	s.mu.Unlock()
 	p.seq++
 	w := &word{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), Seq: p.seq, Served: wordServed(served)}
-	for id, l := range loads {
-		if len(w.Loads) == maxWordLoads {
-			break
-		}
-		w.Loads = append(w.Loads, wordLoad{Replica: id, Reading: uint32(l.Reading), Running: uint32(l.Running), Taken: l.Taken})
-	}
+	w.Loads = p.telling(loads)
 	for _, placed := range placements[:min(len(placements), maxWordPlacements)] {
 		levels := placed.Levels[max(0, len(placed.Levels)-maxWordLevels):]
 		w.Placements = append(w.Placements, wordPlacement{Levels: levels, Replica: placed.Replica, Read: placed.Read, Kept: placed.Kept})
@@ -324,6 +324,28 @@
 	return w
 }
 
+// telling are the loads to tell now: of replicas that have work of this entry and then of
+// those that have taken something in since they were told of. Peers know nothing of a load that
+// isn't told, and take the replica for idle: of 160 replicas a word has room for 46, and in
+// the order of a map most of those at work were left out.
+func (p *peers) telling(loads map[uint64]route.Load) []wordLoad {
+	var out []wordLoad
+	for id, l := range loads {
+		news := l.Running > 0 || p.toldTaken[id] != l.Taken
+		if news {
+			out = append(out, wordLoad{Replica: id, Reading: uint32(l.Reading), Running: uint32(l.Running), Taken: l.Taken})
+		}
+	}
+	slices.SortFunc(out, func(a, b wordLoad) int {
+		return cmp.Or(cmp.Compare(b.Reading, a.Reading), cmp.Compare(b.Running, a.Running), cmp.Compare(a.Replica, b.Replica))
+	})
+	out = out[:min(len(out), maxWordLoads)]
+	for _, l := range out {
+		p.toldTaken[l.Replica] = l.Taken
+	}
+	return out
+}
+
 // wordServed is what a word says of the store.
 func wordServed(served time.Duration) uint32 {
 	return uint32(min(served, maxWordServed).Milliseconds()) + 1
--- a/internal/direct/peers_test.go
+++ b/internal/direct/peers_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"skylarklead/internal/route"
 )
 
 // Symptom: an entry hears nothing of a peer, and both send to the same replicas.
@@ -32,3 +34,44 @@
 		t.Errorf("%d bytes; the reader takes %d", len(data), maxWord)
 	}
 }
+
+// Symptom: with 160 replicas entries send to those that are at work as if they were idle: the
+// busiest has 1.4 times the mean.
+//
+// Sequence: an entry has had work at all replicas and has some at ten of them; a word has room
+// for a part of all.
+//
+// Cause: which loads are told is the order of a map.
+func TestAWordTellsOfTheReplicasAtWork(t *testing.T) {
+	const (
+		replicas = 160
+		atWork   = 10
+	)
+	p := &peers{toldTaken: make(map[uint64]uint16)}
+	loads := make(map[uint64]route.Load)
+	for id := range uint64(replicas) {
+		loads[id] = route.Load{Taken: uint16(id + 1)}
+		if id < atWork {
+			loads[id] = route.Load{Running: 1, Reading: 4000, Taken: uint16(id + 1)}
+		}
+	}
+	told := map[uint64]bool{}
+	for words := 0; words*maxWordLoads < replicas+2*maxWordLoads; words++ {
+		working := 0
+		for _, l := range p.telling(loads) {
+			told[l.Replica] = true
+			if l.Running > 0 {
+				working++
+			}
+		}
+		if working != atWork {
+			t.Fatalf("word %d tells of %d replicas at work of %d", words, working, atWork)
+		}
+	}
+	if len(told) != replicas {
+		t.Errorf("%d of %d replicas' counts were told", len(told), replicas)
+	}
+	if again := p.telling(loads); len(again) != atWork {
+		t.Errorf("a word has %d loads though nothing but %d has changed", len(again), atWork)
+	}
+}
--- a/internal/route/peers.go
+++ b/internal/route/peers.go
@@ -46,6 +46,9 @@
 	epoch, seq uint64
 	at         time.Duration
 	loads      map[uint64]Load
+	// taken is the latest count of each replica that any word of the epoch had: a word
+	// tells only of those at which something has changed.
+	taken map[uint64]uint16
 	// counted is set while the word is part of the sums.
 	counted bool
 }
@@ -67,17 +70,22 @@
 	if w != nil && w.epoch == epoch && seq <= w.seq {
 		return false
 	}
+	var taken map[uint64]uint16
 	if w != nil && w.epoch == epoch {
-		for replica, l := range loads {
-			if before, known := w.loads[replica]; known {
-				took(replica, float64(l.Taken-before.Taken)*TakenUnit)
-			}
+		taken = w.taken
+	} else {
+		taken = make(map[uint64]uint16, len(loads))
+	}
+	for replica, l := range loads {
+		if before, known := taken[replica]; known {
+			took(replica, float64(l.Taken-before)*TakenUnit)
 		}
+		taken[replica] = l.Taken
 	}
 	if w != nil {
 		p.discount(w)
 	}
-	w = &peerWord{epoch: epoch, seq: seq, at: now, loads: loads}
+	w = &peerWord{epoch: epoch, seq: seq, at: now, loads: loads, taken: taken}
 	p.known[peer] = w
 	p.count(w)
 	return true
--- /dev/null
+++ b/internal/route/peers_test.go
@@ -0,0 +1,31 @@
+package route_test
+
+import (
+	"testing"
+	"time"
+
+	"skylarklead/internal/route"
+)
+
+// Symptom: prefixes are taken for held that a replica dropped long ago, and are read anew.
+//
+// Sequence: a peer's words tell of a part of the replicas each; one tells of a replica, the next
+// doesn't, a later one does.
+//
+// Cause: what a replica has taken in from the peer is reckoned from the word before only.
+func TestTokensTakenInCountAcrossWordsThatDontTellOfThem(t *testing.T) {
+	p := route.NewPeers(time.Second)
+	var tokens float64
+	took := func(_ uint64, n float64) { tokens += n }
+	words := []map[uint64]route.Load{
+		{1: {Running: 1, Taken: 10}},
+		{2: {Running: 1, Taken: 3}},
+		{1: {Running: 1, Taken: 17}},
+	}
+	for i, loads := range words {
+		p.Take("entry-2", 1, uint64(i+1), loads, time.Duration(i)*time.Millisecond, took)
+	}
+	if want := 7.0 * route.TakenUnit; tokens != want {
+		t.Errorf("%v tokens were counted; the replica took %v", tokens, want)
+	}
+}
