A peer's loads count until its next words would have come

Cause: a word counts for half a second; with 103 peers the next one comes after 0.51 s. Test fails before: a replica that a peer keeps busy is picked. Not measured by itself yet.

--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -176,6 +176,10 @@
 // counted has the others take how many entries there are, and where.
 func (p *peers) counted() {
 	p.entry.state.counted(p.count())
+	pause := p.pause()
+	p.entry.state.mu.Lock()
+	p.entry.state.feed.PeersSpeakEvery(pause)
+	p.entry.state.mu.Unlock()
 	if p.entry.hub == nil {
 		return
 	}
--- a/internal/route/feed_test.go
+++ b/internal/route/feed_test.go
@@ -409,3 +409,19 @@
 		t.Errorf("%d of %d placements were told", len(heard), placed)
 	}
 }
+
+// Symptom: with a hundred peers a replica that they keep busy is taken for idle half of the
+// time. Sequence: each peer's word comes twice a second. Cause: it counts for less than until
+// the next one.
+func TestPeersLoadsCountUntilTheirNextWord(t *testing.T) {
+	const pause = 510 * time.Millisecond
+	f := newFeed()
+	f.PeersSpeakEvery(pause)
+	f.Heard("entry-2", 1, 1, loads(map[string]route.Load{"r00": {Reading: 50_000, Running: 5}}), 0)
+	for now := time.Duration(0); now < 2*pause; now += 50 * time.Millisecond {
+		// The second word is lost.
+		if choice, ok := f.Pick(now, &route.FeedQuery{PromptTokens: 700}, engines(2, 1)); !ok || choice.ID == "r00" {
+			t.Fatalf("%v after the peer's word its load isn't known", now)
+		}
+	}
+}
--- a/internal/route/feedload.go
+++ b/internal/route/feedload.go
@@ -54,6 +54,17 @@
 	return loads
 }
 
+// freshWords is how many words of a peer would have to be lost until what it has at replicas
+// counts no more.
+const freshWords = 3
+
+// PeersSpeakEvery says how long the pause between a peer's words is. A word counts for
+// longer than that: where it doesn't, what most of a hundred peers have at the replicas is
+// missing in the sums at any moment.
+func (f *Feed) PeersSpeakEvery(pause time.Duration) {
+	f.peers.fresh = max(f.params.PeerFresh, freshWords*pause)
+}
+
 // Heard takes another entry's word on its loads, by ReplicaKey.
 func (f *Feed) Heard(peer string, epoch, seq uint64, loads map[uint64]Load, now time.Duration) {
 	f.peers.Take(peer, epoch, seq, loads, now, f.resident.took)
