--- a/internal/direct/bulk.go
+++ b/internal/direct/bulk.go
@@ -60,12 +60,18 @@
 	if err != nil {
 		h.tel.Metrics.Count("records_fetches_failed", 1)
 		h.tel.Log.Info("records not fetched", "stream", f.topic, "from", from.String(), "error", err)
+		if !f.keyed {
+			f.askStore()
+		}
 		return
 	}
 	h.tel.Log.Info("records fetched", "stream", f.topic, "from", from.String(), "whole", t.Whole,
 		"records", len(t.Records), "next", t.Next, "age_ms", t.MadeMs, "took_ms", ms(time.Since(began)))
 	r := t.reading(sent)
 	if !t.Whole {
+		if !f.keyed {
+			f.begin(t.From)
+		}
 		f.take(t.From, t.records(), r, from)
 		return
 	}
@@ -150,6 +156,23 @@
 	_ = out.Close()
 }
 
+// entriesHistory is how far back a peer is given the topic without keys: twice as long as the
+// longest lease. Who begins there lacks no lease that could hold.
+const entriesHistory = 10 * time.Second
+
+// givenFrom gives a peer that knows nothing of a topic without keys all that is kept of it; false
+// where that isn't enough, or where records are missing that it wants: they are at the store.
+// The caller holds mu.
+func (f *follower) givenFrom(t *wordTopic, next uint64) (*wordTopic, bool) {
+	first, records, ok := f.tail.Since(entriesHistory, f.boot())
+	if next > 0 || !ok || t.Next != f.belief.Next {
+		return nil, false
+	}
+	room := maxBulk
+	t.From, t.Records = first, fitting(records, &room)
+	return t, true
+}
+
 // given is what a peer is given that knows a topic up to next less one, 0 for nothing.
 func (f *follower) given(next uint64) (*wordTopic, bool) {
 	unbounded := maxBulk
@@ -163,11 +186,11 @@
 	if t.From+uint64(len(t.Records)) >= t.Next && next > 0 {
 		return &t, true
 	}
-	if !f.keyed {
-		return nil, false // what is missing is at the store, if anywhere
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.keyed {
+		return f.givenFrom(&t, next)
+	}
 	if t.Next != f.belief.Next {
 		return nil, false // it has just gone on; the peer asks again
 	}
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -90,8 +90,8 @@
 	mu     sync.Mutex
 	belief spread.Belief
 	tail   *spread.Tail
-	// reread is set where a keyed topic must be read whole again; begun once the topic was
-	// read for the first time.
+	// reread is set where a keyed topic must be read whole again, and one without keys from
+	// the store since no peer has enough of it; begun once the topic was read for the first time.
 	reread, begun bool
 }
 
@@ -301,15 +301,12 @@
 // leave no gap, and the reading that brought them, from a peer or a call of this entry's
 // own; one with Made 0 confirms nothing. It reports whether all that the reading speaks of is
 // known now.
-//
-// A topic without keys begins with a read of this entry's own: what leases it has to heed is
-// in records that a peer may keep no longer.
 func (f *follower) take(from uint64, records []fleet.Record, r spread.Reading, by netip.AddrPort) bool {
 	own := by == ownCall
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.belief.Known && (f.keyed || !own) {
-		return false
+		return false // it begins with a whole topic, or where a peer's records do
 	}
 	next := f.belief.Next
 	fresh := records[min(uint64(len(records)), max(from, next)-from):]
@@ -322,10 +319,13 @@
 	}
 	for _, record := range fresh {
 		f.record(record)
-		f.tail.Add(record)
+		f.tail.Add(record, f.boot())
 	}
 	f.belief.Took(next + uint64(len(fresh)))
 	f.begun = true
+	if own && !f.keyed {
+		f.reread = false
+	}
 	if f.belief.Confirm(r) {
 		f.caughtUp()
 	}
@@ -335,11 +335,33 @@
 	return covers
 }
 
+// begin has a topic without keys that isn't known begin at an offset, with a peer's records.
+func (f *follower) begin(first uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.belief.Known {
+		return
+	}
+	f.belief.Took(first)
+	f.tail.Start(nil, first)
+	if first > 0 {
+		f.skipped(first)
+	}
+}
+
+// askStore has a topic read from the store since no peer can give it.
+func (f *follower) askStore() {
+	f.mu.Lock()
+	f.reread = true
+	f.mu.Unlock()
+	nudge(f.wake)
+}
+
 // restart goes on where records are gone: with all keys, or from the oldest record.
 func (f *follower) restart(first uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reread = true
+	f.reread = f.keyed
 	if !f.keyed {
 		f.belief.Took(max(f.belief.Next, first))
 		f.tail.Start(nil, f.belief.Next)
--- a/internal/direct/hub.go
+++ b/internal/direct/hub.go
@@ -144,15 +144,12 @@
 	now := h.boot()
 	f.mu.Lock()
 	part := float64(f.belief.Age(now)) / float64(f.limit)
-	first := !f.belief.Known && (f.number == numberPeers || !f.keyed)
+	// Who there is to ask is read from the store.
+	first := !f.belief.Known && f.number == numberPeers || !f.keyed && f.reread
 	f.mu.Unlock()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if first {
-		// Who there is to ask, and which leases hold, is read from the store.
-		return f.number == numberPeers || h.sources.Mode(now) != spread.Alone
-	}
-	return h.sources.Due(part, now)
+	return first || h.sources.Due(part, now)
 }
 
 // patience is how long a read of the store waits, of an entry that others listen to no longer
@@ -467,9 +464,6 @@
 		h.tel.Metrics.Count("records_from_peers", int64(len(t.Records)))
 		return
 	}
-	if !f.keyed && f.nextOf() == 0 {
-		return // it reads the store first
-	}
 	h.mu.Lock()
 	begun := h.fetching[f.number]
 	h.fetching[f.number] = true
--- a/internal/spread/tail.go
+++ b/internal/spread/tail.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"skylarklead/internal/fleet"
 )
@@ -23,7 +24,11 @@
 	keyed   bool
 	first   uint64
 	records []fleet.Record
-	bytes   int
+	// taken is when each of them was.
+	taken []time.Duration
+	bytes int
+	// dropped is set once records that were taken were dropped.
+	dropped bool
 	newest  map[string]fleet.Record
 }
 
@@ -32,7 +37,7 @@
 
 // Start begins anew at an offset, with the newest record of each key before it.
 func (t *Tail) Start(newest []fleet.Record, next uint64) {
-	t.first, t.records, t.bytes = next, nil, 0
+	t.first, t.records, t.taken, t.bytes, t.dropped = next, nil, nil, 0, false
 	clear(t.newest)
 	for _, r := range newest {
 		t.newest[r.Key] = r
@@ -40,13 +45,13 @@
 }
 
 // Add takes the next record.
-func (t *Tail) Add(r fleet.Record) {
+func (t *Tail) Add(r fleet.Record, now time.Duration) {
 	if t.keyed && r.Value == nil {
 		delete(t.newest, r.Key)
 	} else if t.keyed {
 		t.newest[r.Key] = r
 	}
-	t.records = append(t.records, r)
+	t.records, t.taken = append(t.records, r), append(t.taken, now)
 	t.bytes += size(r)
 	drop := 0
 	for len(t.records)-drop > maxTailRecords || t.bytes > maxTailBytes && len(t.records)-drop > 1 {
@@ -54,7 +59,17 @@
 		drop++
 	}
 	t.first += uint64(drop)
-	t.records = slices.Delete(t.records, 0, drop)
+	t.records, t.taken = slices.Delete(t.records, 0, drop), slices.Delete(t.taken, 0, drop)
+	t.dropped = t.dropped || drop > 0
+}
+
+// Since returns all records that are kept and the offset of the first. It reports false where
+// some were dropped that were taken less than a time ago.
+func (t *Tail) Since(ago, now time.Duration) (first uint64, records []fleet.Record, ok bool) {
+	if t.dropped && (len(t.taken) == 0 || now-t.taken[0] < ago) {
+		return 0, nil, false
+	}
+	return t.first, t.records, true
 }
 
 // From returns the records from an offset on; false where some of them aren't kept.
