--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -29,8 +29,6 @@
 	engines map[string]*engineSpeed
 	// views are of the candidates of the latest choice, kept for their memory.
 	views []feedView
-	// open are those of them that may take the request, kept likewise.
-	open []int
 	// told are this entry's latest placements, for its peers.
 	told []toldPlacement
 	// tokenMs is the time of an output token, learnt from streams that have ended.
@@ -53,10 +51,8 @@
 // feedView is what a choice knows of a candidate.
 type feedView struct {
 	key uint64
-	// load is what all entries have there, wait how long a request is expected to wait for it,
-	// in milliseconds.
+	// load is what all entries have there.
 	load Load
-	wait float64
 	// held is how many shared tokens it is believed to hold, read those of them that it
 	// has read already.
 	held, read int
@@ -71,8 +67,20 @@
 	f.look(now, q, candidates)
 	home := f.home(q, candidates)
 	best, at := FeedChoice{Of: len(candidates)}, -1
-	for _, i := range f.sampled(q, home, f.eligible(now, q, candidates)) {
-		choice := f.cost(now, q, &candidates[i], &f.views[i], i == home)
+	sampled := f.sample(q.Sample, len(candidates))
+	bounded := q.MaxLoad > 0 && f.Informed(now)
+	for i := range candidates {
+		c := &candidates[i]
+		if excluded(q.Exclude, c.ID) {
+			continue
+		}
+		if sampled != nil && !sampled[i] && i != home && 2*f.views[i].held <= q.SharedTokens {
+			continue
+		}
+		choice := f.cost(now, q, c, &f.views[i], i == home)
+		if bounded && choice.Load > q.MaxLoad {
+			continue
+		}
 		if at < 0 || choice.Score < best.Score {
 			choice.Of = len(candidates)
 			best, at = choice, i
@@ -101,45 +109,18 @@
 	}
 }
 
-// eligible lists the candidates that may take the request: those that haven't had it, whose load
-// is within its bound.
-func (f *Feed) eligible(now time.Duration, q *FeedQuery, candidates []FeedCandidate) []int {
-	bounded := q.MaxLoad > 0 && f.Informed(now)
-	f.open = f.open[:0]
-	for i := range candidates {
-		c := &candidates[i]
-		if excluded(q.Exclude, c.ID) {
-			continue
-		}
-		v := &f.views[i]
-		if v.wait = f.load(now, q, c, v); bounded && v.wait > q.MaxLoad {
-			continue
-		}
-		f.open = append(f.open, i)
-	}
-	return f.open
-}
-
-// sampled are those of the eligible that are looked at: the home, those that hold most of the
-// prefix, and as many drawn at random as the query says. What peers tell is some tens of
-// milliseconds old: were all entries to look at all replicas, those that choose meanwhile
-// would all send to the one that was idle.
-//
-// They are drawn from those that may take it. Drawn from all, a request waits at its entry where
-// the few that were drawn are busy, however many others are free: with half of 160 replicas
-// at the bound and four drawn, one request in sixteen, and all behind it.
-func (f *Feed) sampled(q *FeedQuery, home int, eligible []int) []int {
-	if q.Sample <= 0 || q.Sample >= len(eligible) {
-		return eligible
-	}
-	f.rng.Shuffle(len(eligible), func(i, j int) { eligible[i], eligible[j] = eligible[j], eligible[i] })
-	looked := eligible[:q.Sample]
-	for _, i := range eligible[q.Sample:] {
-		if i == home || 2*f.views[i].held > q.SharedTokens {
-			looked = append(looked, i)
-		}
-	}
-	return looked
+// sample draws n of the candidates, nil for all. What peers tell is some tens of
+// milliseconds old: were all entries to look at all replicas, those that choose
+// meanwhile would all send to the one that was idle.
+func (f *Feed) sample(n, of int) []bool {
+	if n <= 0 || n >= of {
+		return nil
+	}
+	drawn := make([]bool, of)
+	for _, i := range f.rng.Perm(of)[:n] {
+		drawn[i] = true
+	}
+	return drawn
 }
 
 func excluded(ids []string, id string) bool {
@@ -152,7 +133,8 @@
 }
 
 func (f *Feed) cost(now time.Duration, q *FeedQuery, c *FeedCandidate, v *feedView, home bool) FeedChoice {
-	out := FeedChoice{ID: c.ID, Ahead: v.load, Load: v.wait, Reason: feedLeast}
+	out := FeedChoice{ID: c.ID, Ahead: v.load, Reason: feedLeast}
+	out.Load = f.load(now, q, c, v)
 	out.Score = out.Load
 	if len(q.Levels) > 0 {
 		out.Missed, out.Reason = f.missing(q, v.held, home)
