--- a/internal/direct/hub.go
+++ b/internal/direct/hub.go
@@ -55,8 +55,8 @@
 	tel   *telemetry.Telemetry
 	boot  func() time.Duration
 	self  spread.Peer
-	// send sends a message to an address; nil errors are of no interest, as each question
-	// is asked again.
+	// send sends a message to an address. Errors are of no interest: each question is asked
+	// again.
 	send func(*word, netip.AddrPort)
 	bulk *bulk
 	// server gives peers what doesn't fit into a datagram.
