--- a/internal/direct/hub_test.go
+++ b/internal/direct/hub_test.go
@@ -1,13 +1,16 @@
 package direct
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/settings"
 	"skylarklead/internal/spread"
 )
 
@@ -99,3 +102,48 @@
 		t.Errorf("age %v; the last reading was made 2 s ago", age)
 	}
 }
+
+// Symptom: after an outage of the store an entry of a large fleet uses no replica whose record
+// lapsed until that is back, for up to two seconds, though all run.
+//
+// Sequence: the store refuses all calls for six seconds, in which a replica's record lapses. An
+// entry that peers tell nothing any more waits for its turn to call; its one call so far was
+// refused before what it knows was too old to be used. The store is back, and with the first
+// answer that a peer passes on comes the removal.
+//
+// Cause: an outage is noticed by calls of the entry's own that fail, which are few now, and not by
+// the age of what it knows.
+func TestAnOutageIsNoticedByAnEntryThatMadeNoCall(t *testing.T) {
+	tel := quietTelemetry(t)
+	synctest.Test(t, func(t *testing.T) {
+		s := &settings.Settings{ID: "entry-1", Direct: &settings.Direct{
+			Memory: 16, LeavingWithin: settings.Duration(4 * time.Second), ConfigurationWithin: settings.Duration(4 * time.Second),
+		}}
+		e := newEntry(s, tel, Platform{Records: listRecords{}})
+		e.boot = e.clock.now
+		e.hub = newHub(e)
+		l := &lister{Entry: e}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { e.sweep(ctx); close(done) }()
+		time.Sleep(time.Second)
+		passedOn := func() {
+			e.listReached(spread.Reading{Made: e.clock.now(), Answered: e.clock.now(), Reader: "entry-2"}, e.clock.now())
+		}
+		passedOn()
+		e.takeReplica(fleet.Record{Offset: 0, Key: "portal-1", Value: []byte("ready")})
+		for range 12 {
+			time.Sleep(500 * time.Millisecond)
+			e.state.mu.Lock()
+			e.state.outage.Heard("entry-2", 0, e.clock.now())
+			e.state.mu.Unlock()
+		}
+		passedOn()
+		e.takeReplica(fleet.Record{Offset: 1, Key: "portal-1"})
+		if l.usable() == 0 {
+			t.Error("a replica whose record lapsed in an outage that all met is out of use at once")
+		}
+		cancel()
+		<-done
+	})
+}
