--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -252,7 +252,6 @@
 		case <-tick.C:
 		}
 		now := e.clock.now()
-		e.noticeOutage(now)
 		e.state.mu.Lock()
 		removed := e.state.replicas.Tick(now)
 		for _, id := range removed {
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -58,24 +58,6 @@
 	}
 }
 
-// noticeOutage takes it for an outage that what is known of the list is older than it may be.
-// Calls of the entry's own that fail are few where others read the store, and none may fall
-// into an outage: the first removals after it would be believed then, though they are records
-// that lapsed. Nothing shows that the store was away later than the last answer.
-func (e *Entry) noticeOutage(now time.Duration) {
-	last := time.Duration(e.state.listReadAt.Load())
-	if lost, _ := e.unlisted(now); !lost || last == 0 {
-		return
-	}
-	e.state.mu.Lock()
-	begins := e.state.outage.Missed(last, now)
-	e.state.mu.Unlock()
-	if begins {
-		e.tel.Log.Warn("list of replicas too old", "list_age_ms", (now - last).Milliseconds())
-		e.watch.storeLost(now)
-	}
-}
-
 // listReached takes an answer to a call for the list, of this entry or of the one that the
 // reading names; boot is the time of the readings' clock.
 func (e *Entry) listReached(r spread.Reading, boot time.Duration) {
