--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -252,6 +252,7 @@
 		case <-tick.C:
 		}
 		now := e.clock.now()
+		e.listSilent(now)
 		e.state.mu.Lock()
 		removed := e.state.replicas.Tick(now)
 		for _, id := range removed {
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -58,6 +58,17 @@
 	}
 }
 
+// listSilent looks whether nobody's answer for the list has come for too long.
+func (e *Entry) listSilent(now time.Duration) {
+	e.state.mu.Lock()
+	begins := e.state.outage.Silent(now)
+	e.state.mu.Unlock()
+	if begins {
+		e.tel.Log.Warn("list of replicas not heard of", "list_age_ms", (now - time.Duration(e.state.listReadAt.Load())).Milliseconds())
+		e.watch.storeLost(now)
+	}
+}
+
 // listReached takes an answer to a call for the list, of this entry or of the one that the
 // reading names; boot is the time of the readings' clock.
 func (e *Entry) listReached(r spread.Reading, boot time.Duration) {
--- a/internal/direct/unheard.go
+++ b/internal/direct/unheard.go
@@ -52,16 +52,12 @@
 func (w *watch) unheard() []*fleet.Replica {
 	e := w.entry
 	now := e.clock.now()
-	lost, lostAt := e.unlisted(now)
 	w.mu.Lock()
-	if e.hub == nil {
-		lost, lostAt = w.lost, w.lostAt
-	}
-	due := lost && now-lostAt > unheardAfter && now-w.asked > askEvery
+	due := w.lost && now-w.lostAt > unheardAfter && now-w.asked > askEvery
 	if due {
 		w.asked = now
 	}
-	if !lost {
+	if !w.lost {
 		clear(w.told)
 	}
 	w.mu.Unlock()
@@ -81,16 +77,6 @@
 	return replicas
 }
 
-// unlisted reports whether the list of replicas is older than it may be, and since when.
-// Peers that the store answers would pass it on.
-func (e *Entry) unlisted(now time.Duration) (bool, time.Duration) {
-	if e.hub == nil {
-		return false, 0
-	}
-	until := time.Duration(e.state.listReadAt.Load()) + limits(e.direct())[numberReplicas]
-	return now > until, until
-}
-
 // ask takes a replica's own word on its weights.
 func (w *watch) ask(ctx context.Context, r *fleet.Replica) {
 	e := w.entry
--- a/internal/member/outage.go
+++ b/internal/member/outage.go
@@ -67,6 +67,19 @@
 	return true
 }
 
+// Silent takes it that time goes by, and reports whether an outage begins: nobody's answer has
+// come for longer than a reader may take to notice that the store doesn't answer it. An entry
+// that others tell what the store says calls rarely itself; without this the first removals after
+// an outage would count as replicas that left, though their records had lapsed. A long time since
+// the last answer's call says nothing: a read that waits may be under way. Nothing shows that
+// the store was away later than its last answer, so that alone excuses no removal.
+func (o *Outage) Silent(now time.Duration) bool {
+	if !o.answered || now-o.answeredAt <= o.params.Seen {
+		return false
+	}
+	return o.Missed(o.answeredAt, now)
+}
+
 // Answered takes an answer. It reports whether an outage ends.
 func (o *Outage) Answered(now time.Duration) bool {
 	ended := o.away
--- a/internal/member/outage_test.go
+++ b/internal/member/outage_test.go
@@ -170,3 +170,48 @@
 		}
 	}
 }
+
+// Symptom: an entry that reads the store for itself alone tells its peers that the store is away,
+// though it is served all along; they keep a replica that left. Sequence: its reads wait 1.5 s
+// each, so that what it knows is up to three seconds old. Cause: a limit on the age of what is
+// known, taken for a time without answers.
+func TestReadsThatWaitAreNoOutage(t *testing.T) {
+	o := newOutage()
+	for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
+		if at%(1500*time.Millisecond) == 0 {
+			o.Answered(at)
+		}
+		if o.Silent(at) {
+			t.Fatalf("an outage begins at %v, %v after an answer", at, at%(1500*time.Millisecond))
+		}
+	}
+}
+
+// Symptom: after an outage no replica whose record lapsed is in use, at an entry that others tell
+// what the store says. Sequence: nobody's answer comes for six seconds; the entry makes no call.
+// Cause: an outage is noticed by calls that fail alone. With no peer's word, though, the time
+// without answers excuses nothing: it shows nothing of when the store came back.
+func TestATimeWithoutAnswersIsAnOutage(t *testing.T) {
+	for _, peerAway := range []bool{false, true} {
+		o := newOutage()
+		o.Answered(time.Second)
+		begun := time.Duration(0)
+		for at := time.Second; at < 7*time.Second; at += 100 * time.Millisecond {
+			if o.Silent(at) {
+				begun = at
+			}
+		}
+		if want := time.Second + outageSeen; begun <= want-1 || begun > want+200*time.Millisecond {
+			t.Errorf("the outage begins at %v; the last answer came at 1s", begun)
+		}
+		if peerAway {
+			o.Heard("entry-2", 0, 7*time.Second)
+		}
+		if !o.Answered(7 * time.Second) {
+			t.Error("the outage doesn't end")
+		}
+		if x := o.Excuse(7 * time.Second); (x.Until > 7*time.Second) != peerAway {
+			t.Errorf("a peer was away %v: a removal is excused until %v", peerAway, x.Until)
+		}
+	}
+}
