An age in a peer's message that can't be one is malformed

Symptom: a belief as of a time that lies ahead, held for ever. Cause: an age of more milliseconds than a time can hold turns negative; a datagram that is damaged, or another program's, brings one. What doesn't fit into a datagram is fetched by a function, so that tests of the hub send nothing.

--- a/internal/direct/bulk.go
+++ b/internal/direct/bulk.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	// bulkPath is where an entry gives its peers what doesn't fit into a datagram.
-	bulkPath = "/records/{number}"
+	// bulkPath, with a topic's number, is where an entry gives its peers what doesn't fit
+	// into a datagram.
+	bulkPath = "/records/"
 	// bulkTimeout bounds a fetch: a list of thousands of replicas over a link of 20 Mbit/s
 	// takes some hundred milliseconds.
 	bulkTimeout = 2 * time.Second
@@ -56,7 +57,10 @@
 func (h *hub) fetch(f *follower, from netip.AddrPort) {
 	sent := h.boot()
 	began := time.Now()
-	t, err := h.bulk.get(from, f.number, f.nextOf())
+	t, err := h.get(from, f.number, f.nextOf())
+	if err == nil && !t.possible() {
+		err = fmt.Errorf("%w: an age of %d ms", errBulk, max(t.MadeMs, t.AnsweredMs))
+	}
 	if err != nil {
 		h.tel.Metrics.Count("records_fetches_failed", 1)
 		h.tel.Log.Info("records not fetched", "stream", f.topic, "from", from.String(), "error", err)
@@ -83,7 +87,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), bulkTimeout)
 	defer cancel()
 	address := url.URL{
-		Scheme: "http", Host: from.String(), Path: "/records/" + strconv.Itoa(number),
+		Scheme: "http", Host: from.String(), Path: bulkPath + strconv.Itoa(number),
 		RawQuery: "next=" + strconv.FormatUint(next, 10),
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address.String(), nil)
@@ -115,7 +119,7 @@
 // serveBulk answers peers' fetches on a listener until it is closed.
 func (h *hub) serveBulk(l net.Listener) *http.Server {
 	r := mux.NewRouter()
-	r.HandleFunc(bulkPath, h.give).Methods(http.MethodGet)
+	r.HandleFunc(bulkPath+"{number}", h.give).Methods(http.MethodGet)
 	server := &http.Server{Handler: r, ReadHeaderTimeout: defaultLimits.HeaderTimeout, IdleTimeout: bulkIdle}
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -107,7 +107,12 @@
 	}
 	e.hub = newHub(e)
 	e.hub.send = func(w *word, to netip.AddrPort) { e.peers.sendTo(w, to) }
-	e.hub.server = e.hub.serveBulk(l)
+	bulk, server := newBulk(), e.hub.serveBulk(l)
+	e.hub.get = bulk.get
+	e.hub.close = func() {
+		server.Close()
+		bulk.client.CloseIdleConnections()
+	}
 	return nil
 }
 
--- a/internal/direct/hub.go
+++ b/internal/direct/hub.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -56,9 +55,10 @@
 	// send sends a message to an address. Errors are of no interest: each question is asked
 	// again.
 	send func(*word, netip.AddrPort)
-	bulk *bulk
-	// server gives peers what doesn't fit into a datagram.
-	server *http.Server
+	// get fetches from a peer what doesn't fit into a datagram: of the topic of a number what
+	// follows next less one, or all. close ends that, and what gives peers the same.
+	get   func(from netip.AddrPort, number int, next uint64) (*wordTopic, error)
+	close func()
 
 	mu        sync.Mutex
 	sources   *spread.Sources
@@ -91,7 +91,6 @@
 		sources:   spread.NewSources(self, spread.DefaultParams, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		addresses: make(map[string]netip.AddrPort),
 		askers:    make(map[netip.AddrPort]time.Duration),
-		bulk:      newBulk(),
 	}
 }
 
@@ -214,8 +213,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			h.server.Close()
-			h.bulk.client.CloseIdleConnections()
+			h.close()
 			return
 		case <-tick.C:
 		}
--- a/internal/direct/hubtalk.go
+++ b/internal/direct/hubtalk.go
@@ -132,6 +132,10 @@
 		if f == nil {
 			continue
 		}
+		if !t.possible() {
+			h.tel.Metrics.Count("peer_words_malformed", 1)
+			continue
+		}
 		told[t.Number] = true
 		r := t.reading(sent)
 		old := t.Reader == h.self.ID || float64(now-r.Made) > spread.StaleAt*float64(f.limit)
--- a/internal/direct/hubword.go
+++ b/internal/direct/hubword.go
@@ -40,6 +40,13 @@
 	Whole   bool         `cbor:"8,keyasint,omitempty"`
 }
 
+// maxTold bounds the ages that a message may tell, in milliseconds: an hour, many times what
+// any topic allows. A longer one is no age, and would turn into a time that lies ahead.
+const maxTold = 3_600_000
+
+// possible reports whether the ages are ones that an entry tells.
+func (t *wordTopic) possible() bool { return t.MadeMs <= maxTold && t.AnsweredMs <= maxTold }
+
 // wordRecord is a record as the store has it; Gone says that its key is. Offset is there
 // only in a whole topic.
 type wordRecord struct {
