Peers that were heard of before the list of entries is read aren't all there are

Symptom: the budget of further tries is overspent by entries that start while the store turns them away. Cause: since peers' words make them known, an entry that has heard two takes a third of what all may spend at any time; and the 32 that stand for an unknown number are fewer than there are. Found on reading, not seen in a play; the test fails before. Change: a count counts once the list was read; 512 stand for an unknown number until then.

--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -174,17 +174,22 @@
 		for _, r := range page.Records {
 			p.take(r)
 		}
-		p.counted()
 		if !f.begun {
 			close(p.read)
 		}
+		p.counted()
 	}
 	f.run(ctx)
 }
 
-// counted has the others take how many entries there are, and where.
+// counted has the others take how many entries there are, and where. Those that were heard of
+// before the list of entries was read are not all.
 func (p *peers) counted() {
-	p.entry.state.counted(p.count())
+	select {
+	case <-p.read:
+		p.entry.state.counted(p.count())
+	default:
+	}
 	pause := p.pause()
 	p.entry.state.mu.Lock()
 	p.entry.state.feed.PeersSpeakEvery(pause)
--- a/internal/direct/peers_test.go
+++ b/internal/direct/peers_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"fmt"
 	"math"
 	"strings"
 	"testing"
@@ -8,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"skylarklead/internal/route"
+	"skylarklead/internal/settings"
 )
 
 // Symptom: an entry hears nothing of a peer, and both send to the same replicas.
@@ -85,3 +87,32 @@
 		t.Errorf("a word has %d loads though nothing but %d has changed", len(again), atWork)
 	}
 }
+
+// Symptom: the entries together send more requests a second time than they may.
+//
+// Sequence: all entries start while the store turns some of them away. One of these hears two
+// peers before it has read the list of entries.
+//
+// Cause: it takes those that it has heard for all there are, and a third of what all may spend
+// for its share.
+func TestPeersHeardOfAreNotAllThereAre(t *testing.T) {
+	s := &settings.Settings{ID: "entry-1", Direct: &settings.Direct{Memory: 16, Peers: "127.0.0.1:0"}}
+	e := newEntry(s, quietTelemetry(t), Platform{})
+	p, err := newPeers(e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.conn.Close()
+	e.peers = p
+	for i := range 2 {
+		p.heardOf(fmt.Sprint("peer-", i), somePeer)
+	}
+	if n := e.state.count(); n < unknownEntries {
+		t.Errorf("the budget is shared among %d entries before the list of them was read", n)
+	}
+	close(p.read)
+	p.counted()
+	if n := e.state.count(); n != 3 {
+		t.Errorf("%d entries are counted once the list was read; there are 3", n)
+	}
+}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -67,9 +67,10 @@
 	entries int
 }
 
-// unknownEntries is how many entries are assumed while nobody says how many there
-// are: about the most that feed replicas directly.
-const unknownEntries = 32
+// unknownEntries is how many entries are assumed while nobody says how many there are: a few
+// more than the largest fleet that is built towards has, so that all together spend no more than
+// they may.
+const unknownEntries = 512
 
 func newState(budget attempt.BudgetParams) *state {
 	return &state{
