Notes are written at once again, replicas taken up when a place is free; smaller interface of the hub

The order of entries is worked out once, a read's wait is asked of the sources, what the log tells is one value. A test says what a limit leaves room for.

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -125,7 +125,7 @@
 	}
 	for f.await(ctx) {
 		if f.hub != nil {
-			f.hub.reads(f)
+			f.hub.reads()
 		}
 		made := time.Now()
 		err := f.step(ctx)
@@ -159,7 +159,7 @@
 // store tells them: then it is this entry that the store doesn't answer.
 func (f *follower) missed(made time.Time) {
 	if f.hub != nil {
-		f.hub.missed(f)
+		f.hub.missed()
 		if f.age() < f.limit {
 			return
 		}
@@ -218,7 +218,8 @@
 func (f *follower) reading(next uint64, made time.Duration) spread.Reading {
 	r := spread.Reading{Next: next, Made: made, Answered: f.boot()}
 	if f.hub != nil {
-		r.Reader = f.hub.served(f)
+		f.hub.served()
+		r.Reader = f.hub.self.ID
 	}
 	return r
 }
--- a/internal/direct/hub.go
+++ b/internal/direct/hub.go
@@ -69,11 +69,16 @@
 	peers []spread.Peer
 	// askers is when each address asked last.
 	askers map[netip.AddrPort]time.Duration
-	// mode, source and since are the latest that the log tells of.
-	mode   spread.Mode
-	source string
-	since  time.Duration
-	// lacking is what the latest answer lacked that wasn't young enough.
+	// told is the latest that the log tells of.
+	told sourcing
+}
+
+// sourcing is where the entry has had its records from, since when, and what the latest answer
+// lacked that wasn't young enough.
+type sourcing struct {
+	mode    spread.Mode
+	source  string
+	since   time.Duration
 	lacking lacking
 }
 
@@ -108,6 +113,11 @@
 	}
 }
 
+// tooOld reports whether an age of the topic's belief is too old for a source.
+func (f *follower) tooOld(age time.Duration) bool {
+	return float64(age) > spread.StaleAt*float64(f.limit)
+}
+
 // attach takes part in a topic.
 func (h *hub) attach(f *follower) {
 	h.tel.Metrics.Gauge("known_age_ms_"+topicNames[f.number], func() int64 { return f.age().Milliseconds() })
@@ -118,7 +128,7 @@
 }
 
 // reads counts a read of the store by why it is made.
-func (h *hub) reads(*follower) {
+func (h *hub) reads() {
 	now := h.boot()
 	h.mu.Lock()
 	mode := h.sources.Mode(now)
@@ -161,22 +171,17 @@
 	if f.number == numberEntries && h.entry.rollouts.active.Load() {
 		return min(longest, shortLease)
 	}
-	if !h.sources.Followed() {
-		return longest
-	}
-	p := spread.DefaultParams
-	return min(longest, p.ReadWait(f.limit, f.every, h.sources.Tiers()))
+	return h.sources.ReadWait(f.limit, f.every, longest)
 }
 
-// served says that the store has answered a call for a topic; it returns who that is.
-func (h *hub) served(*follower) string {
+// served says that the store has answered a call of this entry, missed that it hasn't.
+func (h *hub) served() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.sources.Served()
-	return h.self.ID
 }
 
-func (h *hub) missed(*follower) {
+func (h *hub) missed() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.sources.Missed()
@@ -228,39 +233,35 @@
 	h.tellSources()
 	questions := h.sources.Tick(now)
 	hints := h.addressesOf(h.sources.Hints(now))
-	mode, source := h.sources.Mode(now), h.sources.Source()
-	changed := mode != h.mode || source != h.source
-	before, was, lasted := h.mode, h.source, now-h.since
+	was, is := h.told, sourcing{mode: h.sources.Mode(now), source: h.sources.Source(), since: now}
+	changed := is.mode != was.mode || is.source != was.source
 	if changed {
-		h.mode, h.source, h.since = mode, source, now
+		h.told = is
 	}
 	followers := h.followers
-	lacks := h.lacking
-	if changed {
-		h.lacking = lacking{}
-	}
 	h.mu.Unlock()
 	if changed {
-		h.logSource(mode, source, before, was, lasted, lacks)
+		h.logSource(was, is)
 	}
 	h.ask(questions)
 	for _, to := range hints {
 		h.send(&word{From: h.self.ID, Epoch: uint64(h.tel.Epoch), Hint: true}, to)
 	}
 	for _, f := range followers {
-		if f != nil && (mode != spread.Listening || f.age() > time.Duration(spread.StaleAt*float64(f.limit))) {
+		if f != nil && (is.mode != spread.Listening || f.tooOld(f.age())) {
 			nudge(f.wake)
 		}
 	}
 }
 
-func (h *hub) logSource(mode spread.Mode, source string, before spread.Mode, was string, lasted time.Duration, lacks lacking) {
+func (h *hub) logSource(was, is sourcing) {
 	h.tel.Metrics.Count("records_source_changes", 1)
-	if mode == spread.Leading {
+	if is.mode == spread.Leading {
 		h.tel.Metrics.Count("store_taken_over", 1)
 	}
-	h.tel.Log.Info("records' source", "mode", mode.String(), "source", source,
-		"before", before.String(), "source_before", was, "after_ms", lasted.Milliseconds(),
+	lacks := was.lacking
+	h.tel.Log.Info("records' source", "mode", is.mode.String(), "source", is.source,
+		"before", was.mode.String(), "source_before", was.source, "after_ms", (is.since - was.since).Milliseconds(),
 		"list_age_ms", h.ageOf(numberReplicas).Milliseconds(), "operator_age_ms", h.ageOf(numberOperator).Milliseconds(),
 		"old_at", lacks.peer, "old_topic", lacks.topic, "old_ms", lacks.age.Milliseconds(), "old_from", lacks.reader)
 }
--- a/internal/direct/hubtalk.go
+++ b/internal/direct/hubtalk.go
@@ -138,8 +138,7 @@
 		}
 		told[t.Number] = true
 		r := t.reading(sent)
-		old := t.Reader == h.self.ID || float64(now-r.Made) > spread.StaleAt*float64(f.limit)
-		if old && promised(f.number) {
+		if promised(f.number) && (t.Reader == h.self.ID || f.tooOld(now-r.Made)) {
 			lacks = lacking{peer: peer, topic: f.topic, reader: t.Reader, age: now - r.Made}
 		}
 		h.take(f, t, r, from)
@@ -149,7 +148,7 @@
 	}
 	h.mu.Lock()
 	if lacks.peer != "" {
-		h.lacking = lacks
+		h.told.lacking = lacks
 	}
 	h.sources.Answered(a.Seq, lacks.peer == "", now)
 	h.mu.Unlock()
--- a/internal/direct/hubtalk_test.go
+++ b/internal/direct/hubtalk_test.go
@@ -30,7 +30,7 @@
 		Memory: 16, LeavingWithin: settings.Duration(4 * time.Second), ConfigurationWithin: settings.Duration(4 * time.Second),
 	}}
 	// The first in the order is asked by the other one.
-	if s.ID, l.peer = "entry-1", "entry-2"; len(spread.Chain(spread.Peer{ID: s.ID}, []spread.Peer{{ID: l.peer}}, 8)) == 0 {
+	if s.ID, l.peer = "entry-1", "entry-2"; isFirst(s.ID, l.peer) {
 		s.ID, l.peer = l.peer, s.ID
 	}
 	e := newEntry(s, quietTelemetry(t), Platform{Records: listRecords{}})
@@ -50,6 +50,13 @@
 	return l
 }
 
+// isFirst reports whether an entry comes before another in the order that all share.
+func isFirst(id, other string) bool {
+	s := spread.NewSources(spread.Peer{ID: id}, spread.DefaultParams, nil)
+	s.Peers([]spread.Peer{{ID: other}})
+	return s.Mode(0) == spread.Leading
+}
+
 // ask has the entry ask its peer and returns the question's number.
 func (l *listening) ask(t *testing.T) uint64 {
 	t.Helper()
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -77,7 +77,6 @@
 	// reread has the topic read now.
 	reread chan struct{}
 	follow func(context.Context)
-	notes  noteQueue
 	// active is set while something is to be brought up to date.
 	active atomic.Bool
 
@@ -105,7 +104,6 @@
 		reread: make(chan struct{}, 1),
 		leases: lease.NewLeases(self, protocol.Epoch(e.tel.Epoch), leaseParamsFor(e.settings.Direct), rng),
 		cores:  make(map[string]*rollout.Core),
-		notes:  noteQueue{wake: make(chan struct{}, 1)},
 	}
 	r.follow = r.followEntries
 	return r
@@ -218,9 +216,6 @@
 
 // run looks at the rollouts until ctx ends.
 func (r *rollouts) run(ctx context.Context) {
-	var writer sync.WaitGroup
-	defer writer.Wait()
-	writer.Go(func() { r.writeNotes(ctx) })
 	for ctx.Err() == nil {
 		pause := idleTick
 		active := r.step(ctx)
@@ -393,7 +388,7 @@
 		}
 	}
 	if len(notes) > 0 {
-		go r.announce(notes)
+		go r.announce(ctx, model, notes)
 	}
 }
 
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -28,10 +28,6 @@
 	// polls have brought it by then. NoteWait is how long an order waits for a note
 	// that the store doesn't accept: replicas then refuse what entries still send.
 	Lead, NoteWait time.Duration
-	// BeginEvery is the least pause between times at which replicas are taken up: those whose
-	// turn comes meanwhile share one record. Of 160 replicas each would have its own, forty
-	// appends a second, to gain a twentieth of a load's time.
-	BeginEvery time.Duration
 	// FirstPoll and Poll are when a replica that took an order is asked for its
 	// state. What it reports is a few hundred milliseconds old.
 	FirstPoll, Poll time.Duration
@@ -50,7 +46,7 @@
 var DefaultParams = Params{
 	LoadShare: 0.18, ReportLag: 300 * time.Millisecond, LoadTime: 1200 * time.Millisecond,
 	MaxLoadTime: 4 * time.Second, Learning: 0.3, Pace: 1200 * time.Millisecond, Lead: 20 * time.Millisecond, NoteWait: 400 * time.Millisecond,
-	BeginEvery: 100 * time.Millisecond, FirstPoll: 700 * time.Millisecond, Poll: 150 * time.Millisecond,
+	FirstPoll: 700 * time.Millisecond, Poll: 150 * time.Millisecond,
 	Again: 400 * time.Millisecond, GiveUp: 8 * time.Second,
 }
 
@@ -139,8 +135,6 @@
 	away map[string]absence
 	// loadTime is how long loads take, learnt from those that this holder ordered.
 	loadTime time.Duration
-	// beginAt is when replicas are taken up next.
-	beginAt time.Duration
 }
 
 // absence is a replica that an order didn't reach, or that gave no report.
@@ -204,12 +198,9 @@
 	}
 	due := c.due(now, replicas)
 	places := c.places(replicas)
-	free := max(0, min(places-len(c.targets), len(due)))
-	if free > 0 && now >= c.beginAt {
-		c.beginAt = now + c.params.BeginEvery
-		actions = append(actions, c.begin(now, due[:free])...)
-	}
-	return append(actions, c.plan(due[free:], places)...)
+	begun := max(0, min(places-len(c.targets), len(due)))
+	actions = append(actions, c.begin(now, due[:begun])...)
+	return append(actions, c.plan(due[begun:], places)...)
 }
 
 func (c *Core) ids() []string {
--- a/internal/spread/belief_test.go
+++ b/internal/spread/belief_test.go
@@ -39,14 +39,30 @@
 func TestHealthyFleetKeepsBelowTheLimit(t *testing.T) {
 	p := DefaultParams
 	for _, within := range []time.Duration{2 * time.Second, 4 * time.Second, 12 * time.Second} {
-		for tiers := 1; tiers <= 3; tiers++ {
+		for times := 1; times <= 3; times++ {
 			limit := Limit(within)
 			const pause = 150 * time.Millisecond
-			wait := p.ReadWait(limit, pause, tiers)
-			oldest := 2*wait + pause + time.Duration(tiers)*p.AskEvery
+			wait := p.readWait(limit, pause, times)
+			oldest := 2*wait + pause + time.Duration(times)*p.AskEvery
 			if oldest >= time.Duration(StaleAt*float64(limit)) {
-				t.Errorf("within %v, %d tiers: reads of %v leave a belief of %v, which isn't used from %v on", within, tiers, wait, oldest, time.Duration(StaleAt*float64(limit)))
+				t.Errorf("within %v, %d tiers: reads of %v leave a belief of %v, which isn't used from %v on", within, times, wait, oldest, time.Duration(StaleAt*float64(limit)))
 			}
 		}
 	}
 }
+
+// Symptom: an entry that reads for itself at its limit is late with a request. Cause: nothing is
+// kept free for the read and for placing the request.
+func TestALimitLeavesRoomForAReadAndARequest(t *testing.T) {
+	const (
+		// read is many times what the store's answer takes, placed what a request needs from
+		// its decision to its replica.
+		read   = 300 * time.Millisecond
+		placed = 200 * time.Millisecond
+	)
+	for _, within := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 12 * time.Second} {
+		if limit := Limit(within); limit+read+placed > within {
+			t.Errorf("a promise of %v has a limit of %v", within, limit)
+		}
+	}
+}
--- a/internal/spread/order.go
+++ b/internal/spread/order.go
@@ -14,7 +14,7 @@
 	FailureDomain string
 }
 
-// Chain lists whom an entry asks, best first: only entries that come before it in an order
+// chain lists whom the entry at a place in the order of all asks, best first: only entries that come before it in an order
 // that all compute alike, so that questions never go in a circle.
 //
 // In a fleet of up to fanIn others all ask the first one. In a larger one the entries of a
@@ -22,9 +22,8 @@
 // what is passed on crosses between failure domains once for each, and nobody answers more than
 // fanIn entries and the other domains' first ones. Where those above are lost the rest of the
 // domain follows in order, then all others.
-func Chain(self Peer, peers []Peer, fanIn int) []string {
-	ordered := inOrder(append([]Peer{self}, peers...))
-	before := ordered[:slices.Index(ordered, self)]
+func chain(ordered []Peer, at, fanIn int) []string {
+	self, before := ordered[at], ordered[:at]
 	if len(ordered) <= fanIn+1 {
 		return ids(before)
 	}
@@ -37,13 +36,13 @@
 		}
 	}
 	above := ancestors(own, fanIn)
-	chain := slices.Clone(above)
+	list := slices.Clone(above)
 	for _, p := range own {
 		if !slices.Contains(above, p) {
-			chain = append(chain, p)
+			list = append(list, p)
 		}
 	}
-	return ids(append(chain, others...))
+	return ids(append(list, others...))
 }
 
 // inOrder sorts entries by the order that all share.
@@ -77,21 +76,15 @@
 	return list
 }
 
-// Tiers is how many times a word is passed on at most from the entry that reads the store
+// tiers is how many times a word is passed on at most from the entry that reads the store
 // to any other in a fleet of a size, spread evenly over failure domains.
-func Tiers(entries, domains, fanIn int) int {
+func tiers(entries, domains, fanIn int) int {
 	if entries <= fanIn+1 {
 		return 1
 	}
-	tiers := 1 // from the reader to a domain's first entry
-	for at := (entries+domains-1)/max(domains, 1) - 1; at > 0; at = (at - 1) / fanIn {
-		tiers++
+	times := 1 // from the reader to a domain's first entry
+	for at := (entries+domains-1)/domains - 1; at > 0; at = (at - 1) / fanIn {
+		times++
 	}
-	return tiers
-}
-
-// place is where an entry stands in the order of all, from 0 to 1.
-func place(self Peer, peers []Peer) float64 {
-	ordered := inOrder(append([]Peer{self}, peers...))
-	return float64(slices.Index(ordered, self)) / float64(len(ordered))
+	return times
 }
--- a/internal/spread/order_test.go
+++ b/internal/spread/order_test.go
@@ -18,8 +18,8 @@
 
 func chains(peers []Peer, fanIn int) map[string][]string {
 	all := make(map[string][]string, len(peers))
-	for i, p := range peers {
-		all[p.ID] = Chain(p, slices.Delete(slices.Clone(peers), i, i+1), fanIn)
+	for at, p := range inOrder(slices.Clone(peers)) {
+		all[p.ID] = chain(inOrder(slices.Clone(peers)), at, fanIn)
 	}
 	return all
 }
@@ -82,8 +82,8 @@
 		if entries > DefaultParams.FanIn && crossing >= domains {
 			t.Errorf("%d entries: %d ask in another failure domain", entries, crossing)
 		}
-		if tiers := Tiers(entries, domains, DefaultParams.FanIn); deepest > tiers {
-			t.Errorf("%d entries: a word is passed on %d times, %d are reckoned with", entries, deepest, tiers)
+		if most := tiers(entries, domains, DefaultParams.FanIn); deepest > most {
+			t.Errorf("%d entries: a word is passed on %d times, %d are reckoned with", entries, deepest, most)
 		}
 	}
 }
--- a/internal/spread/params.go
+++ b/internal/spread/params.go
@@ -62,10 +62,10 @@
 // within a time.
 func Limit(within time.Duration) time.Duration { return max(minLimit, within-reserve) }
 
-// ReadWait is how long a read of the store waits for a record at most so that nobody's
+// readWait is how long a read of the store waits for a record at most so that nobody's
 // belief gets old while all is well: of two reads in a row, with a pause between, the first
 // is believed until the second is answered, and each tier asks once in AskEvery.
-func (p *Params) ReadWait(limit, pause time.Duration, tiers int) time.Duration {
+func (p *Params) readWait(limit, pause time.Duration, tiers int) time.Duration {
 	passed := time.Duration(tiers) * (p.AskEvery + p.AskTimeout/2)
 	wait := (time.Duration(healthy*float64(limit)) - passed - pause) / 2
 	return max(minWait, wait)
--- a/internal/spread/simulation_test.go
+++ b/internal/spread/simulation_test.go
@@ -161,7 +161,7 @@
 		}
 		e.calling, e.madeAt, e.from, e.wait = true, s.now, e.belief.Next, 0
 		if e.sources.Mode(s.now) == Leading {
-			e.wait = DefaultParams.ReadWait(limit, 0, e.sources.Tiers())
+			e.wait = e.sources.ReadWait(limit, 0, 1500*time.Millisecond)
 		}
 		e.calls++
 		s.counted()
--- a/internal/spread/sources.go
+++ b/internal/spread/sources.go
@@ -11,7 +11,7 @@
 
 // The modes.
 const (
-	// Alone: the peers aren't known yet, or there are none.
+	// Alone: the peers aren't known yet.
 	Alone Mode = iota
 	// Listening: a peer before it in the order tells it what the store says.
 	Listening
@@ -102,8 +102,10 @@
 		domains[p.FailureDomain] = true
 	}
 	s.domains = len(domains)
-	s.chain = Chain(s.self, peers, s.params.FanIn)
-	s.place = place(s.self, peers)
+	ordered := inOrder(append([]Peer{s.self}, peers...))
+	at := slices.Index(ordered, s.self)
+	s.chain = chain(ordered, at, s.params.FanIn)
+	s.place = float64(at) / float64(len(ordered))
 	in := make(map[string]bool, len(s.chain))
 	for _, id := range s.chain {
 		in[id] = true
@@ -121,12 +123,15 @@
 	}
 }
 
-// Tiers is how often a word is passed on at most in this fleet.
-func (s *Sources) Tiers() int { return Tiers(s.size, s.domains, s.params.FanIn) }
-
-// Followed reports whether others come after this entry in the order, so that they would ask
-// it if nobody before it could tell them.
-func (s *Sources) Followed() bool { return s.size > len(s.chain)+1 }
+// ReadWait is how long a read of the store waits for a record of a topic that has a limit, with
+// a pause between reads, and at most. If there are others that would ask this entry it is short
+// enough that their beliefs don't get old while all is well.
+func (s *Sources) ReadWait(limit, pause, longest time.Duration) time.Duration {
+	if s.size <= len(s.chain)+1 {
+		return longest // nobody comes after it in the order
+	}
+	return min(longest, s.params.readWait(limit, pause, tiers(s.size, s.domains, s.params.FanIn)))
+}
 
 // Tick returns the questions to send now.
 func (s *Sources) Tick(now time.Duration) []Question {
