Limits of organisations hold over all direct entries: parts that entries lend each other

Cause: no role knew a limit.

Change: internal/quota (pure) divides each limit into parts of all entries and of its homes; a request takes its units from the own part or borrows them. Units move and are never copied, so the sum holds whatever messages are lost.

--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -60,6 +60,7 @@
 	rollouts *rollouts
 	watch    *watch
 	peers    *peers
+	quotas   *quotas
 	// hub is nil where each entry reads the store for itself.
 	hub      *hub
 	bodies   *semaphore.Weighted
@@ -136,6 +137,7 @@
 	e.state.learns = e.showSpeeds
 	e.rollouts = newRollouts(e)
 	e.watch = newWatch(e)
+	e.quotas = newQuotas(e)
 	return e
 }
 
--- a/internal/direct/gate.go
+++ b/internal/direct/gate.go
@@ -92,6 +92,12 @@
 	s.mu.Unlock()
 	defer func() { j.waited += e.clock.now() - began }()
 	select {
+	case p := <-j.turn:
+		return p
+	default:
+		j.release()
+	}
+	select {
 	case p := <-j.turn:
 		return p
 	case <-j.ctx.Done():
--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -40,16 +40,31 @@
 
 // handOn places the request until it has its answer.
 func (j *job) handOn() {
+	defer j.release()
 	for !j.givenUp() {
+		if !j.reserve() {
+			j.overLimit()
+			return
+		}
 		p := j.place()
 		if p == nil {
 			j.unplaced()
 			return
 		}
+		// Its units were given back if it had to wait.
+		if !j.reserve() {
+			j.unplace(p)
+			j.overLimit()
+			return
+		}
+		j.spend()
 		loss, done := j.handOver(p)
 		if done {
 			return
 		}
+		if loss == attempt.LossNotRun || loss == attempt.LossNotSent {
+			j.unspend()
+		}
 		if j.ctx.Err() != nil {
 			j.ended()
 			return
--- a/internal/direct/hub.go
+++ b/internal/direct/hub.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"skylarklead/internal/quota"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/spread"
 	"skylarklead/internal/telemetry"
@@ -34,10 +35,10 @@
 	// maxAskers bounds those that are told news: many times those that ask one entry.
 	maxAskers = 512
 	// entriesLimit and peersLimit are how old what is known of the entries' own topics may
-	// be. No promise hangs on either: leases are safe whatever is known of them, and peers
-	// that aren't known are asked nothing.
+	// be. Leases are safe whatever is known of them; an entry spends less of organisations'
+	// limits where its list of entries is older.
 	entriesLimit = 10 * time.Second
-	peersLimit   = 30 * time.Second
+	peersLimit   = quota.DefaultJoinedWithin
 	// shortLease is how long a read of the entries' topic waits while a rollout is under
 	// way, so that a silent connection hides renewals for less than a lease lasts.
 	shortLease = entriesEvery
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -68,6 +68,9 @@
 	// excluded is of the latest try to place the request.
 	excluded exclusions
 	waited   time.Duration
+	// charge is what it has taken of its organisation's limit, nil for nothing.
+	charge   *charge
+	charging charging
 	first    time.Duration
 	status   int
 	outcome  string
@@ -113,6 +116,9 @@
 	if j.organisation != nil {
 		attrs = append(attrs, slog.String("organisation", j.organisation.Name))
 	}
+	if j.charging.units > 0 {
+		attrs = append(attrs, j.quotaAttr())
+	}
 	if j.waited > time.Millisecond {
 		attrs = append(attrs, slog.Float64("waited_ms", ms(j.waited)))
 	}
--- a/internal/direct/operator.go
+++ b/internal/direct/operator.go
@@ -112,6 +112,7 @@
 	if old != nil && c.Version <= old.Version {
 		return
 	}
+	e.quotas.limits(c)
 	e.state.config.Store(&configuration{Configuration: c, at: e.clock.now()})
 	e.state.mu.Lock()
 	e.state.signal()
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -19,6 +19,7 @@
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/rollout"
 	"skylarklead/internal/route"
+	"skylarklead/internal/spread"
 	"skylarklead/internal/strictcbor"
 	"skylarklead/internal/wait"
 )
@@ -33,8 +34,8 @@
 	wordsPerSecond = 200
 	// peerForgotten is when a silent peer's word is dropped.
 	peerForgotten = 10 * time.Second
-	// peersWait is how long a read for new peers waits.
-	peersWait = 10 * time.Second
+	// peersWait is how long a read for new peers waits: less than the list may be old.
+	peersWait = 4 * time.Second
 	// maxWord bounds a word, in bytes: what a datagram carries without fragments over links
 	// of 1,500 bytes.
 	maxWord = 1472
@@ -95,6 +96,8 @@
 	Passed string `cbor:"15,keyasint,omitempty"`
 	// Reports are what replicas have said of themselves while the store is away.
 	Reports []wordReport `cbor:"12,keyasint,omitempty"`
+	// Quota is about units of an organisation's limit.
+	Quota *wordQuota `cbor:"16,keyasint,omitempty"`
 }
 
 // wordLoad is a route.Load; Replica is its route.ReplicaKey.
@@ -125,10 +128,14 @@
 	// read is closed once the list of entries was read; written tells where it has this one.
 	read    chan struct{}
 	written string
+	// writtenBefore says that it had this one when it was read first.
+	writtenBefore bool
 
 	mu    sync.Mutex
 	known map[string]peerAddress
-	seq   uint64
+	// listed are the names in the list of entries, this one's among them once it is there.
+	listed map[string]bool
+	seq    uint64
 	// toldTaken is the count of tokens taken in that was last told of each replica; only the
 	// loop that speaks uses it.
 	toldTaken map[uint64]uint16
@@ -154,7 +161,8 @@
 	}
 	p := &peers{
 		entry: e, conn: conn, read: make(chan struct{}),
-		known: make(map[string]peerAddress), heardAt: make(map[string]time.Duration),
+		known: make(map[string]peerAddress), listed: make(map[string]bool),
+		heardAt:   make(map[string]time.Duration),
 		toldTaken: make(map[uint64]uint16),
 	}
 	p.digests = newDigests(p)
@@ -175,10 +183,12 @@
 			p.take(r)
 		}
 		if !f.begun {
+			p.writtenBefore = p.written != ""
 			close(p.read)
 		}
 		p.counted()
 	}
+	f.reached = func(r spread.Reading) { p.entry.quotas.confirmed(r.Made) }
 	f.run(ctx)
 }
 
@@ -188,6 +198,8 @@
 	select {
 	case <-p.read:
 		p.entry.state.counted(p.count())
+		names, self := p.names()
+		p.entry.quotas.listed(names, self, p.writtenBefore)
 	default:
 	}
 	pause := p.pause()
@@ -210,9 +222,29 @@
 	return len(p.known) + 1
 }
 
+// names are the entries listed; self says that this one is.
+func (p *peers) names() (names []string, self bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.listed)), p.listed[p.entry.settings.ID]
+}
+
+// address is where an entry is, false if it isn't known.
+func (p *peers) address(id string) (netip.AddrPort, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a, ok := p.known[id]
+	return a.address, ok
+}
+
 func (p *peers) take(r fleet.Record) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if r.Value == nil {
+		delete(p.listed, r.Key)
+	} else {
+		p.listed[r.Key] = true
+	}
 	if r.Key == p.entry.settings.ID {
 		p.written = string(r.Value)
 		return
@@ -415,6 +447,8 @@
 		e.heardReports(w.Reports)
 	case w.Ask != nil || w.Answer != nil || w.Hint:
 		e.hub.heard(&w, from)
+	case w.Quota != nil:
+		e.quotas.heard(&w, from)
 	case w.Passed != "":
 		p.digests.passed(w.Passed)
 	default:
--- a/internal/direct/reload.go
+++ b/internal/direct/reload.go
@@ -64,6 +64,7 @@
 	if changed {
 		e.tunable.Store(&next)
 		e.state.rebudget(budgetOf(&next))
+		e.quotas.resize(&next)
 	}
 	if by != "" || changed || restart {
 		e.tel.Log.Info("settings reloaded", "by", by, "changed", changed, "wait_for_restart", restart)
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -93,6 +93,32 @@
 	Priority *int
 	// Isolated organisations share no cached part with others.
 	Isolated bool
+	// Quota bounds what it may have run, over all entries together.
+	Quota Quota
+}
+
+// Quota is a limit of an organisation.
+type Quota struct {
+	// Rate is in units a second, 0 for no limit; Burst units may come at once beside.
+	Rate, Burst float64
+	// Tokens says that a unit is a token, of the prompt or of the longest output; else
+	// it is a request. Uncounted is what a request counts that doesn't say.
+	Tokens    bool
+	Uncounted float64
+}
+
+// Limited reports whether there is a limit.
+func (q *Quota) Limited() bool { return q.Rate > 0 }
+
+// Units is what a request counts.
+func (q *Quota) Units(r *Request) float64 {
+	switch {
+	case !q.Tokens:
+		return 1
+	case r.Counted:
+		return float64(r.PromptTokens + r.OutputTokens)
+	}
+	return q.Uncounted
 }
 
 // Limits bound what a caller may send and how long it may take.
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -22,6 +22,8 @@
 	// output.
 	PromptTokens int
 	OutputTokens int
+	// Counted says that the caller gave these two numbers.
+	Counted bool
 	// ExpectedOutput is the caller's guess of the output's length, 0 if none.
 	ExpectedOutput int
 	// Parts make up the prompt, the shared ones first. The last belongs to the
--- /dev/null
+++ b/internal/quota/guards_test.go
@@ -0,0 +1,157 @@
+package quota
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"skylarklead/internal/fleet"
+)
+
+const guardRate = 10_000
+
+// sole is the ledger of the only entry listed, at a time when it has saved up all it may.
+func sole(t *testing.T, known bool) (l *Ledger, most float64, now time.Duration) {
+	t.Helper()
+	l = NewLedger("a", simParams, func(int) int { return 0 })
+	l.Listed([]string{"a"}, 0)
+	l.Limits(map[string]fleet.Quota{"derwent": tokens(guardRate)}, 0)
+	l.Confirmed(time.Hour, 0)
+	l.Joined(known, 0)
+	q := tokens(guardRate)
+	return l, simParams.most(&q), time.Minute
+}
+
+func level(t *testing.T, l *Ledger, now time.Duration) float64 {
+	t.Helper()
+	s, ok := l.State("derwent", now)
+	if !ok {
+		t.Fatal("no account")
+	}
+	return s.Level
+}
+
+func wantLevel(t *testing.T, l *Ledger, now time.Duration, want float64) {
+	t.Helper()
+	if got := level(t, l, now); math.Abs(got-want) > 1e-6 {
+		t.Errorf("%.1f units left, want %.1f", got, want)
+	}
+}
+
+// Guards against units that are saved up without a bound.
+func TestNoMoreIsSavedUpThanTheLimitAllows(t *testing.T) {
+	l, most, now := sole(t, true)
+	level(t, l, time.Second)
+	wantLevel(t, l, now, most)
+	l.Give("derwent", 500, now, now)
+	wantLevel(t, l, now, most)
+}
+
+// Guards against a question that arrives twice and is answered with units twice.
+func TestAQuestionIsAnsweredWithUnitsOnce(t *testing.T) {
+	l, most, now := sole(t, true)
+	id := Loan{"b", 1, 1}
+	if lent := l.Lend("derwent", 1000, id, now); lent.Units != 1000 {
+		t.Errorf("%+v lent of 1,000 units", lent)
+	}
+	if lent := l.Lend("derwent", 1000, id, now); lent.Units != 0 {
+		t.Errorf("%+v lent to the same question again", lent)
+	}
+	wantLevel(t, l, now, most-1000)
+}
+
+// Guards against units that come back twice, late, of nobody's, or more of them than went.
+func TestUnitsComeBackOnceAndInTime(t *testing.T) {
+	l, most, now := sole(t, true)
+	first, second := Loan{"b", 1, 1}, Loan{"b", 1, 2}
+	l.Lend("derwent", 20_000, first, now)
+	l.Lend("derwent", 20_000, second, now)
+	l.Returned("derwent", 20_000, Loan{"b", 1, 3}, now)
+	wantLevel(t, l, now, most-40_000)
+	l.Returned("derwent", 30_000, first, now)
+	wantLevel(t, l, now, most-20_000)
+	l.Returned("derwent", 20_000, first, now)
+	wantLevel(t, l, now, most-20_000)
+	late := now + simParams.SpendWithin + time.Millisecond
+	before := level(t, l, late)
+	l.Returned("derwent", 20_000, second, late)
+	wantLevel(t, l, late, before)
+	if l.Give("derwent", 20_000, now, late) {
+		t.Error("this entry's own units are taken back late")
+	}
+	wantLevel(t, l, late, before)
+}
+
+// Guards against a new entry that spends before all others count it.
+func TestANewEntryWaitsUntilAllOthersKnowOfIt(t *testing.T) {
+	l, _, _ := sole(t, false)
+	if l.Take("derwent", 1, simParams.JoinedWithin-time.Millisecond) {
+		t.Error("it spends before its time")
+	}
+	if !l.Take("derwent", 1, simParams.JoinedWithin+time.Second) {
+		t.Error("it spends nothing after its time")
+	}
+}
+
+// Guards against an entry that goes by an old list of entries and spends its whole part.
+func TestAnOldListHalvesWhatComesIn(t *testing.T) {
+	l, _, _ := sole(t, true)
+	l.Confirmed(2*time.Hour, time.Hour)
+	stale := 2*time.Hour + simParams.JoinedWithin
+	if !l.Take("derwent", level(t, l, stale), stale) {
+		t.Fatal("nothing to take")
+	}
+	q := tokens(guardRate)
+	wantLevel(t, l, stale+time.Second, staleRate*simParams.rate(&q))
+}
+
+// Guards against parts of a limit that sum to more than the whole, whatever the entries.
+func TestPartsSumToTheWhole(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 4, 5, 30, 103, 300} {
+		entries := make([]string, n)
+		for i := range entries {
+			entries[i] = string(rune('a'+i%26)) + string(rune('a'+i/26))
+		}
+		for _, rate := range []float64{1, 1000, 100_000, 10_000_000} {
+			q := tokens(rate)
+			s := divide("derwent", &q, simParams.most(&q), entries)
+			sum := 0.0
+			for _, e := range entries {
+				sum += s.of(e)
+			}
+			if math.Abs(sum-1) > 1e-9 {
+				t.Errorf("%d entries, %.0f a second: parts sum to %v", n, rate, sum)
+			}
+		}
+	}
+}
+
+// Guards against a window that, by the parameters alone, would see more than its bound.
+func TestWhatComesInFitsTheWindow(t *testing.T) {
+	for _, q := range []fleet.Quota{tokens(1000), tokens(1_000_000), {Rate: 100, Burst: 10_000, Tokens: true}, {Rate: 5, Burst: 0}} {
+		p := simParams
+		window := p.rate(&q)*(p.Window+p.SpendWithin).Seconds() + p.most(&q) + begun*p.Slack
+		if most := p.Bound(&q, p.Window); window > most {
+			t.Errorf("%+v: %.0f in a window, %.0f allowed", q, window, most)
+		}
+	}
+}
+
+// Guards against a small limit that is divided until no request fits any part.
+func TestASmallLimitServesARequest(t *testing.T) {
+	for name, q := range map[string]fleet.Quota{
+		"requests":    {Rate: 1, Burst: 1},
+		"no burst":    {Rate: 20},
+		"few tokens":  {Rate: 500, Burst: 2000, Tokens: true},
+		"many tokens": tokens(29_000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			params := simParams
+			params.Window, params.Excess, params.Slack = 0, 0, 0
+			s := newSimulatedWith(1, 30, map[string]fleet.Quota{"derwent": q}, params)
+			if !s.request(s.entries[3], "derwent", min(1, q.Rate)*min(q.Units(&fleet.Request{Counted: true, PromptTokens: 1000}), 2000)) {
+				t.Errorf("%+v: refused", q)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/quota/ledger.go
@@ -0,0 +1,278 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"skylarklead/internal/fleet"
+)
+
+// Ledger is what one entry may spend of organisations' limits, and what it has lent.
+//
+// Invariant: a unit is withdrawn from one bucket only, and is spent or given back within
+// SpendWithin or lost.
+type Ledger struct {
+	self    string
+	params  Params
+	entries []string
+	// active is from when on this entry has its parts; staleAt as of buckets.
+	active, staleAt time.Duration
+	accounts        map[string]*account
+	draw            func(n int) int
+}
+
+// account is an organisation with a limit.
+type account struct {
+	name    string
+	limit   fleet.Quota
+	shares  shares
+	divided bool // shares are of the present list of entries
+	bucket  bucket
+	begun   bool
+	// lent are the withdrawals by others that may still be given back.
+	lent map[Loan]loan
+	// known is what lenders said they have left.
+	known map[string]lender
+	// refused is how much was refused lately, as of refusedAt.
+	refused   float64
+	refusedAt time.Duration
+	// lacking is how much lenders didn't have, believed until lackingUntil.
+	lacking      float64
+	lackingUntil time.Duration
+}
+
+// Loan names a withdrawal by another entry.
+type Loan struct {
+	Entry      string
+	Epoch, Seq uint64
+}
+
+type loan struct {
+	units float64
+	at    time.Duration
+}
+
+// never is a time that no steady clock reaches.
+const never = time.Duration(math.MaxInt64)
+
+// NewLedger returns the ledger of an entry that may spend nothing yet. draw returns a
+// random number below n.
+func NewLedger(self string, p Params, draw func(n int) int) *Ledger {
+	return &Ledger{self: self, params: p, active: never, accounts: make(map[string]*account), draw: draw}
+}
+
+// Resize takes other parameters.
+func (l *Ledger) Resize(p Params, now time.Duration) {
+	l.params = p
+	l.redivide(now)
+}
+
+// Listed takes the names of all entries listed.
+func (l *Ledger) Listed(entries []string, now time.Duration) {
+	l.entries = slices.Sorted(slices.Values(entries))
+	l.redivide(now)
+}
+
+// Joined says that the list of entries has this one. known says that it had when this
+// process read the list first: all others count it then, as it was there before.
+func (l *Ledger) Joined(known bool, now time.Duration) {
+	if l.active != never {
+		return
+	}
+	l.active = now
+	if !known {
+		l.active += l.params.JoinedWithin
+	}
+	l.redivide(now)
+}
+
+// Confirmed says as of when the list of entries is known.
+func (l *Ledger) Confirmed(asOf, now time.Duration) {
+	staleAt := asOf + l.params.JoinedWithin
+	if staleAt <= l.staleAt {
+		return
+	}
+	for _, a := range l.accounts {
+		// A time for which the list was too old keeps its rate.
+		a.settle(now)
+		a.bucket.staleAt = staleAt
+	}
+	l.staleAt = staleAt
+}
+
+// redivide has all shares computed anew, from now on.
+func (l *Ledger) redivide(now time.Duration) {
+	for _, a := range l.accounts {
+		a.settle(now)
+		a.divided = false
+	}
+}
+
+// settle takes in what has come up to now at the rate until now. An account that was not
+// used yet takes it in at its first use.
+func (a *account) settle(now time.Duration) {
+	if a.begun {
+		a.bucket.refill(now)
+	}
+}
+
+// Limits takes the limits in force. Organisations without one aren't among them.
+func (l *Ledger) Limits(limits map[string]fleet.Quota, now time.Duration) {
+	for name := range l.accounts {
+		if _, ok := limits[name]; !ok {
+			delete(l.accounts, name)
+		}
+	}
+	for name, q := range limits {
+		a := l.accounts[name]
+		if a == nil {
+			a = &account{name: name, lent: make(map[Loan]loan), known: make(map[string]lender)}
+			a.bucket.at, a.bucket.staleAt = now, l.staleAt
+			l.accounts[name] = a
+		}
+		if a.limit != q {
+			a.settle(now)
+			a.bucket.at = now
+			a.limit, a.divided = q, false
+			clear(a.known)
+		}
+	}
+}
+
+// account returns an organisation's account with its shares up to date, nil for one
+// without a limit.
+func (l *Ledger) account(organisation string, now time.Duration) *account {
+	a := l.accounts[organisation]
+	if a == nil || a.divided && a.begun {
+		return a
+	}
+	a.divided = true
+	a.shares = divide(a.name, &a.limit, l.params.most(&a.limit), l.entries)
+	if now < l.active {
+		a.divided = false
+		return a
+	}
+	part := a.shares.of(l.self)
+	if !a.begun {
+		// What came in between the beginning of the part and its first use.
+		a.bucket.at = max(a.bucket.at, l.active)
+		a.bucket.rate, a.bucket.most = l.rate(a, part), l.most(a, part)
+		a.bucket.level = min(a.bucket.most, begun*l.params.Slack*part)
+		a.begun = true
+	}
+	a.bucket.resize(l.rate(a, part), l.most(a, part), now)
+	return a
+}
+
+func (l *Ledger) rate(a *account, part float64) float64 {
+	return part * l.params.rate(&a.limit)
+}
+
+func (l *Ledger) most(a *account, part float64) float64 {
+	return part * l.params.most(&a.limit)
+}
+
+// Limited reports whether an organisation has a limit.
+func (l *Ledger) Limited(organisation string) bool { return l.accounts[organisation] != nil }
+
+// Take withdraws units from this entry's own part.
+func (l *Ledger) Take(organisation string, units float64, now time.Duration) bool {
+	a := l.account(organisation, now)
+	return a != nil && a.bucket.take(units, now)
+}
+
+// Give takes back units of this entry's own part that were withdrawn at a time and are
+// not spent. It reports whether they are of use again.
+func (l *Ledger) Give(organisation string, units float64, at, now time.Duration) bool {
+	a := l.account(organisation, now)
+	if a == nil || now-at > l.params.SpendWithin {
+		return false
+	}
+	a.bucket.give(units, now)
+	return true
+}
+
+// Lent is the answer to an entry that asks for units.
+type Lent struct {
+	// Units are lent, 0 for none; Left are left here.
+	Units, Left float64
+}
+
+// Lend withdraws units for another entry: all that it asks for, or, of a request larger
+// than what is saved up here at most, a part.
+func (l *Ledger) Lend(organisation string, units float64, to Loan, now time.Duration) Lent {
+	a := l.account(organisation, now)
+	if a == nil || !(units > 0) {
+		return Lent{}
+	}
+	a.forget(now - l.params.SpendWithin)
+	a.bucket.refill(now)
+	if _, again := a.lent[to]; again {
+		return Lent{Left: a.bucket.level}
+	}
+	lent := min(units, max(a.bucket.level, 0))
+	if lent < min(units, lendAtOnce*a.bucket.most) {
+		return Lent{Left: a.bucket.level}
+	}
+	if !a.bucket.take(lent, now) || lent == 0 {
+		return Lent{Left: a.bucket.level}
+	}
+	a.lent[to] = loan{lent, now}
+	return Lent{Units: lent, Left: a.bucket.level}
+}
+
+// lendAtOnce is the part of what can be saved up that is lent of a larger request.
+const lendAtOnce = 0.5
+
+// Returned takes units back that were lent and not spent.
+func (l *Ledger) Returned(organisation string, units float64, by Loan, now time.Duration) {
+	a := l.account(organisation, now)
+	if a == nil {
+		return
+	}
+	a.forget(now - l.params.SpendWithin)
+	given, ok := a.lent[by]
+	if !ok || !(units > 0) {
+		return
+	}
+	delete(a.lent, by)
+	a.bucket.give(min(units, given.units), now)
+}
+
+// forget drops loans made before a time: they can't be given back any more.
+func (a *account) forget(before time.Duration) {
+	for id, given := range a.lent {
+		if given.at < before {
+			delete(a.lent, id)
+		}
+	}
+}
+
+// State is what an entry tells of a limit.
+type State struct {
+	Rate, Burst float64
+	// Part is this entry's part of the limit, 0 to 1, Level what it has left of it.
+	Part, Level float64
+	// Homes are how many entries hold the undivided part.
+	Homes int
+	// Stale says that the list of entries is too old for the whole rate.
+	Stale bool
+}
+
+// State returns an organisation's state.
+func (l *Ledger) State(organisation string, now time.Duration) (State, bool) {
+	a := l.account(organisation, now)
+	if a == nil {
+		return State{}, false
+	}
+	a.bucket.refill(now)
+	s := State{
+		Rate: a.limit.Rate, Burst: a.limit.Burst, Level: a.bucket.level, Homes: len(a.shares.homes),
+		Stale: now > l.staleAt,
+	}
+	if now >= l.active {
+		s.Part = a.shares.of(l.self)
+	}
+	return s, true
+}
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -42,6 +42,12 @@
 	// StoreReaders says who reads the store: ReadersFew has entries pass on what it says,
 	// ReadersAll has each read for itself.
 	StoreReaders string `json:"store_readers"`
+	// QuotaWindow is the time over which the operator counts what an organisation has had run,
+	// 0 where a limit is exact. Over it a limit may be exceeded by the part QuotaExcess, 0 or
+	// more, and by QuotaSlack in the limit's unit.
+	QuotaWindow Duration `json:"quota_window"`
+	QuotaExcess float64  `json:"quota_excess"`
+	QuotaSlack  float64  `json:"quota_slack"`
 	// Memory is what the process may use, in MB.
 	Memory int `json:"memory_mb"`
 }
@@ -98,6 +104,15 @@
 	if !(d.RetryExtra >= 0) {
 		c.doc.Add("direct.retry_extra", fmt.Sprintf("is %v", d.RetryExtra), "0 or more requests")
 	}
+	if d.QuotaWindow < 0 {
+		c.doc.Add("direct.quota_window", fmt.Sprintf("is %s", d.QuotaWindow.D()), "0 or a time")
+	}
+	if !(d.QuotaExcess >= 0) {
+		c.doc.Add("direct.quota_excess", fmt.Sprintf("is %v", d.QuotaExcess), "0 or more")
+	}
+	if !(d.QuotaSlack >= 0) {
+		c.doc.Add("direct.quota_slack", fmt.Sprintf("is %v", d.QuotaSlack), "0 or more units")
+	}
 	if d.Memory < minMemory {
 		c.doc.Add("direct.memory_mb", fmt.Sprintf("is %d", d.Memory), fmt.Sprintf("%d or more", minMemory))
 	}
