A store that comes back from an older copy: positions order records over eras

Cause: offsets were compared as if they only grew. After a rewind a follower stood beyond the end and passed over what was written until the end had come up to it, beliefs of the older era won over newer ones, fencing numbers were given out again, and replicas that had left came back.

Ruled out: an era of its own in lease records (all readers read the era from its beginning, and agree without it).

In era 0 positions are offsets.

--- a/internal/direct/bulk.go
+++ b/internal/direct/bulk.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -83,6 +85,30 @@
 	f.takeWhole(page, r, from)
 }
 
+// mostBefore is how many peers an entry that starts asks for what the store may have lost.
+const mostBefore = 2
+
+// askBefore asks peers for a topic's records that the store may have lost when it came back from
+// an older copy: an entry that starts then, and reads the store itself, knows only the copy.
+func (h *hub) askBefore(f *follower) {
+	h.mu.Lock()
+	addresses := slices.Collect(maps.Values(h.addresses))
+	h.mu.Unlock()
+	asked := 0
+	for _, address := range addresses {
+		if asked == mostBefore {
+			return
+		}
+		t, err := h.get(address, f.number, 0)
+		if err != nil || !t.Whole {
+			h.tel.Metrics.Count("records_fetches_failed", 1)
+			continue
+		}
+		asked++
+		f.takeBefore(t.records())
+	}
+}
+
 func (b *bulk) get(from netip.AddrPort, number int, next uint64) (*wordTopic, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), bulkTimeout)
 	defer cancel()
@@ -199,7 +225,7 @@
 		return nil, false // it has just gone on; the peer asks again
 	}
 	t.Whole, t.From, t.Records = true, 0, nil
-	for _, r := range f.tail.Newest() {
+	for _, r := range f.tail.Newest(f.boot()) {
 		offset := r.Offset
 		t.Records = append(t.Records, wordRecord{Key: r.Key, Value: r.Value, Offset: &offset})
 	}
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -61,6 +61,9 @@
 	record   func(fleet.Record)
 	caughtUp func()
 	skipped  func(first uint64)
+	// rewound is called, before anything of a new era of the store is taken, with the position
+	// from which on it is read.
+	rewound func(first uint64)
 
 	store fleet.Store
 	pacer platform.Pacer
@@ -111,6 +114,7 @@
 	f.reached = func(spread.Reading) {}
 	f.failed = func(time.Time) {}
 	f.skipped = func(uint64) {}
+	f.rewound = func(uint64) {}
 	return f
 }
 
@@ -209,7 +213,13 @@
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	begins := !f.begun
+	f.mu.Unlock()
 	f.takeWhole(page, f.reading(page.Next, made), ownCall)
+	if begins && f.hub != nil && promised(f.number) && fleet.Era(page.Next) > 0 {
+		go f.hub.askBefore(f)
+	}
 	f.pacer.Answered(ctx, len(page.Records), 0, 0)
 	return nil
 }
@@ -228,7 +238,7 @@
 	began, made := time.Now(), f.boot()
 	waited, _ := f.patience()
 	page, err := f.read(ctx, waited)
-	if errors.Is(err, fleet.ErrStoreExpired) {
+	if errors.Is(err, fleet.ErrStoreExpired) || errors.Is(err, fleet.ErrStoreRewound) {
 		f.restart(page.First)
 		return nil
 	}
@@ -288,6 +298,10 @@
 		return
 	}
 	f.reached(r)
+	if f.belief.Known && fleet.Era(page.Next) > fleet.Era(f.belief.Next) {
+		f.rewound(page.Next)
+		f.tail.Rewound(f.boot())
+	}
 	f.whole(page)
 	f.tail.Start(page.Records, page.Next)
 	f.belief.Took(page.Next)
@@ -298,6 +312,18 @@
 	}
 }
 
+// takeBefore takes records of earlier eras, which the store's copy may lack. They say nothing
+// of how far the topic is known.
+func (f *follower) takeBefore(records []fleet.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, record := range records {
+		if fleet.Era(record.Offset) < fleet.Era(f.belief.Next) {
+			f.record(record)
+		}
+	}
+}
+
 // take takes records that follow each other from an offset on, as far as they are new and
 // leave no gap, and the reading that brought them, from a peer or a call of this entry's
 // own; one with Made 0 confirms nothing. It reports whether all that the reading speaks of is
@@ -309,6 +335,10 @@
 	if !f.belief.Known && (f.keyed || !own) {
 		return false // it begins with a whole topic, or where a peer's records do
 	}
+	if own && !f.begun && f.belief.Next == 0 {
+		f.belief.Took(from) // the beginning of the store's era
+		f.tail.Start(nil, from)
+	}
 	next := f.belief.Next
 	fresh := records[min(uint64(len(records)), max(from, next)-from):]
 	if from > next {
@@ -363,9 +393,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reread = f.keyed
-	if !f.keyed {
-		f.belief.Took(max(f.belief.Next, first))
-		f.tail.Start(nil, f.belief.Next)
+	if f.keyed {
+		return
+	}
+	again := fleet.Era(first) > fleet.Era(f.belief.Next)
+	f.belief.Took(max(f.belief.Next, first))
+	f.tail.Start(nil, f.belief.Next)
+	if again {
+		f.rewound(f.belief.Next)
+	} else {
 		f.skipped(f.belief.Next)
 	}
 }
--- a/internal/direct/naming.go
+++ b/internal/direct/naming.go
@@ -36,9 +36,39 @@
 	if wait.For(context.Background(), pause) != nil || e.namingKnown(&n) {
 		return
 	}
+	e.writeNaming(&n)
+}
+
+// rewriteNamings writes again when the newest versions were named, after the store came back
+// from an older copy that may lack it; the first one to come to its turn does.
+func (e *Entry) rewriteNamings() {
+	e.state.mu.Lock()
+	defer e.state.mu.Unlock()
+	clear(e.state.namingsRead)
+	for model, d := range e.state.demands {
+		if n := e.state.namings[namedVersion{model, d.Newest()}]; n != nil {
+			go e.rewriteNaming(*n)
+		}
+	}
+}
+
+func (e *Entry) rewriteNaming(n rollout.Naming) {
+	pause := namingHeard + rand.N(namingEach*time.Duration(e.state.count()))
+	if wait.For(context.Background(), pause) != nil {
+		return
+	}
+	e.state.mu.Lock()
+	read := e.state.namingsRead[namedVersion{n.Model, n.Version}]
+	e.state.mu.Unlock()
+	if !read {
+		e.writeNaming(&n)
+	}
+}
+
+func (e *Entry) writeNaming(n *rollout.Naming) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	envelope := rollout.Envelope{Named: &n}
+	envelope := rollout.Envelope{Named: n}
 	if _, err := e.platform.Store.Append(ctx, topicEntries, nil, [][]byte{envelope.Encode()}); err != nil {
 		e.tel.Log.Warn("time of a version's naming not written", "model", n.Model, "version", n.Version, "error", err)
 		return
@@ -58,6 +88,7 @@
 	s := e.state
 	s.mu.Lock()
 	key := namedVersion{n.Model, n.Version}
+	s.namingsRead[key] = true
 	known := s.namings[key]
 	news := known == nil || n.AtMs < known.AtMs
 	if news {
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -182,9 +182,13 @@
 		for _, r := range page.Records {
 			p.take(r)
 		}
-		if !f.begun {
+		switch {
+		case !f.begun:
 			p.writtenBefore = p.written != ""
 			close(p.read)
+		case !slices.ContainsFunc(page.Records, func(r fleet.Record) bool { return p.own(r, page.Next) }):
+			// The store came back from a copy that is older than this entry's record.
+			go p.write(ctx)
 		}
 		p.counted()
 	}
@@ -273,7 +277,6 @@
 // hello tells the others where this entry is, until it is written. One that started again
 // at its address is written already.
 func (p *peers) hello(ctx context.Context) {
-	e := p.entry
 	select {
 	case <-ctx.Done():
 		return
@@ -282,7 +285,20 @@
 	p.mu.Lock()
 	written := p.written == p.record()
 	p.mu.Unlock()
-	for !written && ctx.Err() == nil {
+	if !written {
+		p.write(ctx)
+	}
+}
+
+// own reports whether a record is of this entry, and of the store's era at a position.
+func (p *peers) own(r fleet.Record, next uint64) bool {
+	return r.Key == p.entry.settings.ID && fleet.Era(r.Offset) == fleet.Era(next)
+}
+
+// write puts this entry into the list of entries.
+func (p *peers) write(ctx context.Context) {
+	e := p.entry
+	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := e.platform.Store.Put(callCtx, topicPeers, e.settings.ID, []byte(p.record()))
 		cancel()
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -44,6 +44,12 @@
 	f.reached = func(r spread.Reading) { e.listReached(r, f.boot()) }
 	f.record = e.takeReplica
 	f.whole = e.takeReplicas
+	f.rewound = func(first uint64) {
+		e.tel.Log.Warn("store is back from an older copy", "stream", topic, "era", fleet.Era(first))
+		e.state.mu.Lock()
+		e.state.listRewound = e.clock.now()
+		e.state.mu.Unlock()
+	}
 	f.run(ctx)
 }
 
@@ -93,17 +99,18 @@
 	}
 	e.state.mu.Lock()
 	missing := e.state.replicas.Missing(listed)
+	grace := e.state.rewoundUntil()
 	e.state.listed = true
 	e.state.mu.Unlock()
 	for _, name := range missing {
 		// The next record written comes at the list's end.
-		e.removeReplica(name, max(page.End, 1)-1)
+		e.removeReplica(name, max(page.End, 1)-1, grace)
 	}
 }
 
 func (e *Entry) takeReplica(r fleet.Record) {
 	if r.Value == nil {
-		e.removeReplica(r.Key, r.Offset)
+		e.removeReplica(r.Key, r.Offset, 0)
 		return
 	}
 	replica, err := e.platform.Records.Replica(r.Key, r.Value)
@@ -181,15 +188,16 @@
 }
 
 // removeReplica takes a replica off the list, at once or, where its record may have
-// lapsed while the store was away, if it isn't back soon.
-func (e *Entry) removeReplica(name string, offset uint64) {
+// lapsed while the store was away, if it isn't back soon; in any case not before grace.
+func (e *Entry) removeReplica(name string, offset uint64, grace time.Duration) {
 	now := e.clock.now()
 	e.state.mu.Lock()
 	excuse := e.state.outage.Excuse(now)
 	removed := ""
-	kept := excuse.Until > now
+	until := max(excuse.Until, grace)
+	kept := until > now
 	if kept {
-		e.state.replicas.Lapse(name, offset, now, excuse.Until)
+		e.state.replicas.Lapse(name, offset, now, until)
 	} else if removed = e.state.replicas.Remove(name, offset, now); removed != "" {
 		e.state.forget(removed)
 	}
@@ -200,7 +208,7 @@
 	case kept:
 		e.tel.Metrics.Count("replicas_lapsed", 1)
 		e.tel.Log.Info("replica lapsed during an outage of the store", "replica", name, "offset", offset,
-			"gone_in_ms", (excuse.Until - now).Milliseconds(), outage)
+			"gone_in_ms", (until - now).Milliseconds(), outage)
 	case removed != "" && excuse.Known && now-excuse.Ended < outageShown:
 		e.tel.Log.Info("replica gone", "replica", removed, "offset", offset, outage)
 	case removed != "":
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -133,6 +133,14 @@
 		r.act(ctx, r.leases.Gap(first+1, bootTime()))
 		r.mu.Unlock()
 	}
+	f.rewound = func(first uint64) {
+		r.mu.Lock()
+		r.next = first
+		r.act(ctx, r.leases.Rewound(first+1, bootTime()))
+		r.mu.Unlock()
+		r.entry.tel.Log.Warn("store is back from an older copy", "stream", topicEntries, "era", fleet.Era(first))
+		r.entry.rewriteNamings()
+	}
 	f.caughtUp = func() {
 		r.mu.Lock()
 		r.act(ctx, r.leases.CaughtUp(bootTime()))
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -52,11 +52,16 @@
 	gates   map[string]*gate
 	// listed is set once the list of replicas was read whole.
 	listed bool
+	// listRewound is when it was last read from a store that came back from an older copy, 0
+	// for never.
+	listRewound time.Duration
 	// changed is closed, and replaced, when more replicas may be usable.
 	changed chan struct{}
 	// namings is entries' word when versions of weights were named: of a few a day for
 	// each model, as long as this process runs.
 	namings map[namedVersion]*rollout.Naming
+	// namingsRead are those that were read in the store's present era.
+	namingsRead map[namedVersion]bool
 	// learns is called once for each service of engines that requests come for.
 	learns func(service string)
 	// budget is what all entries together may send a second time to a service; each
@@ -86,7 +91,9 @@
 		changed:  make(chan struct{}),
 		budget:   budget,
 		namings:  make(map[namedVersion]*rollout.Naming),
-		learns:   func(string) {},
+
+		namingsRead: make(map[namedVersion]bool),
+		learns:      func(string) {},
 	}
 }
 
@@ -99,6 +106,15 @@
 	return ""
 }
 
+// rewoundUntil is until when a replica that the list lacks may be missing since the store came back
+// from an older copy: replicas write themselves again. The caller holds mu.
+func (s *state) rewoundUntil() time.Duration {
+	if s.listRewound == 0 {
+		return 0
+	}
+	return s.listRewound + afterOutage
+}
+
 // signal wakes the requests that wait for a replica. The caller holds mu.
 func (s *state) signal() {
 	close(s.changed)
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -22,6 +22,8 @@
 	Slots         int
 	// Draining replicas take no new work.
 	Draining bool
+	// Beat numbers what this incarnation has written of itself.
+	Beat uint64
 	// Weights has the version of each model that is loaded.
 	Weights map[string]uint64
 }
--- a/internal/lease/leases.go
+++ b/internal/lease/leases.go
@@ -238,6 +238,20 @@
 	return l.Tick(now)
 }
 
+// Rewound says that the log came back from an older copy and is read anew from oldest on, a
+// greater offset than any before. No lease of before is held any more.
+func (l *Leases) Rewound(oldest uint64, now time.Duration) []Action {
+	l.oldest, l.caughtUp = oldest, false
+	l.table.Rewound(oldest, now)
+	for _, n := range l.names() {
+		h := l.held[n]
+		l.lose(h, n)
+		h.pending = 0
+		clear(h.sent)
+	}
+	return l.Tick(now)
+}
+
 // Oldest tells which record is the oldest that the log still has, as its
 // answers say.
 func (l *Leases) Oldest(offset uint64) { l.oldest = max(l.oldest, offset) }
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -16,8 +16,8 @@
 
 // entry is one lease as read from the log.
 //
-// Invariants: last is the offset of its last record, valid or not; grant is nil
-// when it is free.
+// Invariants: last is the offset of its last record, valid or not, 0 for none since the log
+// came back from an older copy; grant is nil when it is free.
 type entry struct {
 	last     uint64
 	seen     time.Duration
@@ -41,6 +41,16 @@
 // Skip moves on to oldest, where the log no longer has what comes next.
 func (t *Table) Skip(oldest uint64) { t.position = max(t.position, oldest-1) }
 
+// Rewound says that the log came back from an older copy and is read anew from oldest on. All
+// readers do, so that they agree again. Holders may not know yet: whoever was known to hold a
+// lease keeps others from it for the whole duration.
+func (t *Table) Rewound(oldest uint64, now time.Duration) {
+	t.position = max(t.position, oldest-1)
+	for _, e := range t.entries {
+		e.last, e.seen = 0, now
+	}
+}
+
 // Apply takes the next record and returns the lease it concerns, "" if none.
 func (t *Table) Apply(offset uint64, data []byte, now time.Duration) (*Record, bool) {
 	if offset <= t.position {
@@ -56,6 +66,7 @@
 		e = &entry{}
 		t.entries[r.Name] = e
 	}
+	known = known && e.last != 0
 	valid := e.apply(r, offset, known)
 	e.last, e.seen = offset, now
 	return r, valid
--- a/internal/member/name.go
+++ b/internal/member/name.go
@@ -15,6 +15,8 @@
 	// id and born are of the latest incarnation, "" before any.
 	id   string
 	born int64
+	// beat is the highest number of what that incarnation has written.
+	beat uint64
 	// over is set once that incarnation is known to have ended, whatever its records say.
 	over bool
 	// removed is set once the name was taken off the list, last at removedAt.
@@ -37,9 +39,16 @@
 	}
 	n.heard = now
 	if r.ID == n.id {
+		n.beat = max(n.beat, r.Beat)
 		return "", true
 	}
 	ended = n.id
-	n.id, n.born, n.over = r.ID, r.Born, false
+	n.id, n.born, n.beat, n.over = r.ID, r.Born, r.Beat, false
 	return ended, true
 }
+
+// copied reports whether a record is an older one of a replica that was taken off the list since,
+// brought back by a store that came back from an older copy.
+func (n *name) copied(r *fleet.Replica, position uint64) bool {
+	return fleet.Era(position) > fleet.Era(n.removedAt) && r.ID == n.id && r.Beat <= n.beat
+}
--- a/internal/member/replicas.go
+++ b/internal/member/replicas.go
@@ -109,7 +109,7 @@
 // back.
 func (v *Replicas) Put(r *fleet.Replica, offset uint64, now time.Duration) Listing {
 	n := v.named(r.Name)
-	if n.removed && offset <= n.removedAt {
+	if n.removed && (offset <= n.removedAt || n.copied(r, offset)) {
 		return Listing{}
 	}
 	return v.put(n, r, offset, now)
@@ -127,6 +127,8 @@
 }
 
 func (v *Replicas) put(n *name, r *fleet.Replica, offset uint64, now time.Duration) Listing {
+	// Of two eras of the store the numbers tell which record is the later one.
+	later := r.ID == n.id && r.Beat > n.beat && v.known[r.ID] != nil && fleet.Era(offset) < fleet.Era(v.known[r.ID].offset)
 	ended, ok := n.begin(r, now)
 	if !ok {
 		return Listing{Outdated: true}
@@ -140,11 +142,11 @@
 		v.known[r.ID] = &listed{replica: r, offset: offset, draining: r.Draining}
 		return Listing{Changed: true, Ended: ended}
 	}
-	if offset < l.offset {
+	if offset < l.offset && !later {
 		return Listing{}
 	}
 	changed := !l.replica.Equal(r)
-	l.replica, l.offset, l.lapsesAt = r, offset, 0
+	l.replica, l.offset, l.lapsesAt = r, max(l.offset, offset), 0
 	l.draining = l.draining || r.Draining
 	return Listing{Changed: changed}
 }
--- a/internal/spread/tail.go
+++ b/internal/spread/tail.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -30,10 +31,26 @@
 	// dropped is set once records that were taken were dropped.
 	dropped bool
 	newest  map[string]fleet.Record
+	// before are the newest records of keys as they were before the store came back from an
+	// older copy, until the keys are written again, or beforeFor after it came back.
+	before  map[string]fleet.Record
+	rewound time.Duration
 }
 
 // NewTail returns an empty tail of a topic with keys or without.
-func NewTail(keyed bool) *Tail { return &Tail{keyed: keyed, newest: make(map[string]fleet.Record)} }
+func NewTail(keyed bool) *Tail {
+	return &Tail{keyed: keyed, newest: make(map[string]fleet.Record), before: make(map[string]fleet.Record)}
+}
+
+// Rewound says that what follows is of a store that came back from an older copy. The records
+// known until now are passed on beside, since the copy may lack them.
+func (t *Tail) Rewound(now time.Duration) {
+	maps.Copy(t.before, t.newest)
+	t.rewound = now
+}
+
+// beforeFor is how long a key may take to be written again: a replica that hasn't done so is gone.
+const beforeFor = 10 * time.Second
 
 // Start begins anew at an offset, with the newest record of each key before it.
 func (t *Tail) Start(newest []fleet.Record, next uint64) {
@@ -46,6 +63,7 @@
 
 // Add takes the next record.
 func (t *Tail) Add(r fleet.Record, now time.Duration) {
+	delete(t.before, r.Key)
 	if t.keyed && r.Value == nil {
 		delete(t.newest, r.Key)
 	} else if t.keyed {
@@ -80,14 +98,16 @@
 	return t.records[next-t.first:], true
 }
 
-// Newest returns the newest record of each key, in the order of their offsets.
-func (t *Tail) Newest() []fleet.Record {
-	return slices.SortedFunc(maps.Values(t.newest), func(a, b fleet.Record) int {
-		if a.Offset < b.Offset {
-			return -1
-		}
-		return 1
-	})
+// Newest returns the newest record of each key, in the order of their positions, and before them
+// those known before the store came back from an older copy.
+func (t *Tail) Newest(now time.Duration) []fleet.Record {
+	list := slices.Collect(maps.Values(t.newest))
+	if now-t.rewound > beforeFor {
+		clear(t.before)
+	}
+	list = slices.AppendSeq(list, maps.Values(t.before))
+	slices.SortFunc(list, func(a, b fleet.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return list
 }
 
 func size(r fleet.Record) int { return len(r.Key) + len(r.Value) }
