--- a/internal/direct/charge.go
+++ b/internal/direct/charge.go
@@ -27,12 +27,12 @@
 	units  float64
 }
 
-// charging tells of a request's charge in its line.
+// charging is what a request's line tells of its charges: the entries asked for units, those of
+// them that were silent, who lent last, for how long, and how often it was charged.
 type charging struct {
 	units    float64
 	asked    int
 	silent   int
-	refused  bool
 	took     time.Duration
 	lender   string
 	wait     time.Duration
@@ -63,7 +63,6 @@
 	j.charging.took += j.entry.boot() - began
 	if !ok {
 		q.giveBack(j.organisation.Name, c)
-		j.charging.refused = true
 		return false
 	}
 	j.charge = c
@@ -147,7 +146,7 @@
 	}
 }
 
-// attr renders what the request took of its organisation's limit.
+// quotaAttr renders what the request took of its organisation's limit.
 func (j *job) quotaAttr() slog.Attr {
 	c := &j.charging
 	fields := []any{slog.Float64("units", c.units)}
--- a/internal/direct/quotas.go
+++ b/internal/direct/quotas.go
@@ -34,7 +34,6 @@
 // lending is a question to a lender; answer brings the units lent.
 type lending struct {
 	organisation, lender string
-	at                   time.Duration
 	answer               chan float64
 }
 
@@ -166,7 +165,7 @@
 	if !ok {
 		return 0, 0, false
 	}
-	l := &lending{organisation: organisation, lender: lender, at: q.entry.boot(), answer: make(chan float64, 1)}
+	l := &lending{organisation: organisation, lender: lender, answer: make(chan float64, 1)}
 	q.mu.Lock()
 	q.seq++
 	seq = q.seq
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -32,6 +32,8 @@
 	epoch  uint64
 	seq    uint64
 	down   bool
+	// read is how many entries the list had when it was read last.
+	read int
 	// cut entries hear nobody and read no list.
 	cut    bool
 	limits map[string]fleet.Quota
@@ -82,7 +84,7 @@
 	if !known {
 		s.listed = append(s.listed, e.name)
 	}
-	e.ledger = NewLedger(e.name, s.params, s.rand.IntN)
+	e.ledger, e.read = NewLedger(e.name, s.params, s.rand.IntN), 0
 	e.ledger.Limits(e.limits, s.now)
 	if !e.cut {
 		s.read(e)
@@ -92,7 +94,10 @@
 
 // read has an entry read the list of entries.
 func (s *simulated) read(e *simEntry) {
-	e.ledger.Listed(slices.Clone(s.listed), s.now)
+	if e.read != len(s.listed) {
+		e.ledger.Listed(slices.Clone(s.listed), s.now)
+		e.read = len(s.listed)
+	}
 	e.ledger.Confirmed(s.now, s.now)
 }
 
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -66,7 +66,7 @@
 
 // Guards against refusals below a limit for want of units that another entry holds idle.
 func TestLoadBelowALimitIsServed(t *testing.T) {
-	for _, entries := range []int{3, 30, 103} {
+	for _, entries := range []int{3, 30, 103, 300} {
 		for _, rate := range []float64{60_000, 400_000} {
 			for _, users := range []int{1, 3, entries} {
 				t.Run(fmt.Sprintf("%d entries, %.0f a second, from %d", entries, rate, users), func(t *testing.T) {
@@ -89,6 +89,26 @@
 	}
 }
 
+// Guards against units that stay where an organisation's requests came before they moved.
+func TestRequestsThatMoveToOtherEntriesAreServed(t *testing.T) {
+	const rate, entries, users = 300_000, 30, 5
+	limits := map[string]fleet.Quota{"derwent": tokens(rate), "huon": tokens(rate)}
+	s := newSimulated(1, entries, limits)
+	due := 0.0
+	s.run(20*time.Second, func() {
+		// The two swap places every two seconds.
+		swapped := int(s.now/(2*time.Second)) % 2
+		for due += 2 * 0.8 * rate / meanUnits / 1000; due >= 1; due-- {
+			which := s.rand.IntN(2)
+			from := users*((which+swapped)%2) + s.rand.IntN(users)
+			s.request(s.entries[from], []string{"derwent", "huon"}[which], s.units())
+		}
+	})
+	if share := float64(s.refused) / float64(s.asked); share > 0.01 {
+		t.Errorf("%d of %d requests refused", s.refused, s.asked)
+	}
+}
+
 // Guards against a storm of questions when an organisation sends many times its limit.
 func TestAnOrganisationFarBeyondItsLimitAsksLittle(t *testing.T) {
 	const rate = 400_000
