Units are lent across failure domains: who may be asked is not who is heard of

Cause: an entry asked only those that it had heard of lately. Above 32 entries words stay in the failure domain, so homes of a limit in other domains were never asked.

Change: an entry that did not answer is left alone for a second; all others may be asked. TestUnitsAreLentAcrossFailureDomains failed before (10 of 40 entries got nothing), as did TestASilentLenderIsLeftAlone (each request waited for silent ones anew).

--- a/internal/direct/charge.go
+++ b/internal/direct/charge.go
@@ -28,11 +28,13 @@
 }
 
 // charging is what a request's line tells of its charges: the entries asked for units, those of
-// them that were silent, who lent last, for how long, and how often it was charged.
+// them that were silent, whether nobody that might have units is heard, who lent last, for how
+// long, and how often it was charged.
 type charging struct {
 	units    float64
 	asked    int
 	silent   int
+	unheard  bool
 	took     time.Duration
 	lender   string
 	wait     time.Duration
@@ -77,11 +79,14 @@
 		return true
 	}
 	left := c.units
-	for _, lender := range q.lenders(name, left) {
+	lenders, reached := q.lenders(name, left)
+	j.charging.unheard = !reached
+	for _, lender := range lenders {
 		j.charging.asked++
 		seq, lent, answered := q.borrow(j.ctx, name, lender, left)
 		if !answered {
 			j.charging.silent++
+			j.charging.unheard = j.charging.silent == j.charging.asked
 		}
 		if lent > 0 {
 			j.charging.lender = lender
@@ -135,7 +140,7 @@
 		j.pass(j.failure)
 	case j.forward.Tainted():
 		j.fail(http.StatusBadGateway, "organisation's limit", 0)
-	case j.charging.silent > 0 && j.charging.silent == j.charging.asked:
+	case j.charging.unheard:
 		j.entry.tel.Metrics.Count("quota_unheard", 1)
 		j.refuse("no entry that has units of the organisation's limit answers", comeBack)
 	default:
@@ -174,15 +179,14 @@
 	return !q.ledger.Limited(organisation) || q.ledger.Take(organisation, units, q.entry.boot())
 }
 
-// lenders lists the entries to ask for units: those that were heard of lately.
-func (q *quotas) lenders(organisation string, units float64) []string {
-	heard := make(map[string]bool)
-	for _, id := range q.entry.peers.alive(q.entry.clock.now()) {
-		heard[id] = true
-	}
+// lenders lists the entries to ask for units. reached is false if all that might have some are
+// silent.
+func (q *quotas) lenders(organisation string, units float64) (list []string, reached bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.ledger.Lenders(organisation, units, func(id string) bool { return heard[id] }, q.entry.boot())
+	now := q.entry.boot()
+	answers := func(id string) bool { return now >= q.silent[id] }
+	return q.ledger.Lenders(organisation, units, answers, now), q.ledger.Reached(organisation, answers, now)
 }
 
 // giveBack returns the units of a charge that were not spent to where they came from.
--- a/internal/direct/quotas.go
+++ b/internal/direct/quotas.go
@@ -16,6 +16,10 @@
 	// lendTimeout is how long a lender's answer may take, many times a datagram's way within
 	// a region and the lender's turn on its processor.
 	lendTimeout = 60 * time.Millisecond
+	// silentFor is how long an entry that did not answer is asked for nothing: several times
+	// what a start takes. In a large fleet only the own failure domain's entries are heard
+	// of otherwise.
+	silentFor = time.Second
 	// maxUnits bounds what a message may ask for.
 	maxUnits = 1e12
 )
@@ -29,6 +33,8 @@
 	seq    uint64
 	// asked are the questions without an answer so far.
 	asked map[uint64]*lending
+	// silent is until when entries that did not answer are left alone.
+	silent map[string]time.Duration
 }
 
 // lending is a question to a lender; answer brings the units lent.
@@ -60,6 +66,7 @@
 		entry:  e,
 		ledger: quota.NewLedger(e.settings.ID, quotaParams(e.settings.Direct), rand.IntN),
 		asked:  make(map[uint64]*lending),
+		silent: make(map[string]time.Duration),
 	}
 }
 
@@ -145,6 +152,7 @@
 	mine := asked != nil && asked.lender == peer && asked.organisation == m.Organisation
 	if mine {
 		delete(q.asked, m.Seq)
+		delete(q.silent, peer)
 		q.ledger.Heard(m.Organisation, peer, m.Left, q.entry.boot())
 	}
 	q.mu.Unlock()
@@ -182,6 +190,9 @@
 	}
 	q.mu.Lock()
 	delete(q.asked, seq)
+	if ctx.Err() == nil {
+		q.silent[lender] = q.entry.boot() + silentFor
+	}
 	q.mu.Unlock()
 	select {
 	case lent = <-l.answer: // it came meanwhile
--- /dev/null
+++ b/internal/direct/quotas_test.go
@@ -0,0 +1,56 @@
+package direct
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"skylarklead/internal/fleet"
+)
+
+// Guards against an entry of a large fleet that asks only its own failure domain, whose words alone
+// it hears, for units that entries of others hold.
+func TestUnitsAreLentAcrossFailureDomains(t *testing.T) {
+	const entries, each = 40, 1000
+	all := startTalkers(t, entries, 4)
+	names := make([]string, entries)
+	for i, e := range all {
+		names[i] = e.settings.ID
+	}
+	organisation := &fleet.Organisation{Name: "derwent", Quota: fleet.Quota{Rate: 60_000, Burst: 60_000, Tokens: true, Uncounted: each}}
+	for _, e := range all {
+		e.quotas.limits(&fleet.Configuration{Organisations: []*fleet.Organisation{organisation}})
+		e.quotas.listed(names, true, true)
+		e.quotas.confirmed(e.boot())
+	}
+	time.Sleep(1500 * time.Millisecond) // a burst comes in, and words are told
+	refused := 0
+	for _, e := range all {
+		j := &job{entry: e.Entry, ctx: t.Context(), organisation: organisation}
+		if !j.reserve() {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of %d entries got no units of a limit that is not used up", refused, entries)
+	}
+}
+
+// Guards against a request that waits for entries that don't answer, each time anew.
+func TestASilentLenderIsLeftAlone(t *testing.T) {
+	all := newTalkers(t, 3, 1) // nobody listens
+	organisation := &fleet.Organisation{Name: "derwent", Quota: fleet.Quota{Rate: 1000, Burst: 1000}}
+	e := all[0]
+	e.quotas.limits(&fleet.Configuration{Organisations: []*fleet.Organisation{organisation}})
+	e.quotas.listed([]string{"entry-1", "entry-2"}, false, false)
+	for try := range 2 {
+		began := time.Now()
+		j := &job{entry: e.Entry, ctx: context.Background(), organisation: organisation}
+		if j.reserve() || !j.charging.unheard {
+			t.Errorf("try %d: units of nobody, or no word that nobody answers", try)
+		}
+		if took := time.Since(began); try > 0 && took > lendTimeout/2 {
+			t.Errorf("the second request waited %v", took)
+		}
+	}
+}
--- a/internal/quota/lenders.go
+++ b/internal/quota/lenders.go
@@ -48,6 +48,13 @@
 	return append(homes, l.lendersOf(a, []string{other}, a.shares.even, units, usable, now)...)
 }
 
+// Reached reports whether any entry that holds the undivided part of a limit may be asked, this
+// one included.
+func (l *Ledger) Reached(organisation string, usable func(string) bool, now time.Duration) bool {
+	a := l.account(organisation, now)
+	return a == nil || slices.ContainsFunc(a.shares.homes, func(home string) bool { return home == l.self || usable(home) })
+}
+
 // lendersOf are those of some entries, which have equal parts, that may have units, the
 // one with most first.
 func (l *Ledger) lendersOf(a *account, entries []string, part, units float64, usable func(string) bool, now time.Duration) []string {
