--- a/internal/quota/guards_test.go
+++ b/internal/quota/guards_test.go
@@ -102,7 +102,7 @@
 		t.Fatal("nothing to take")
 	}
 	q := tokens(guardRate)
-	wantLevel(t, l, stale+time.Second, staleRate*simParams.rate(&q))
+	wantLevel(t, l, stale+time.Second, simParams.rate(&q)/2)
 }
 
 // Guards against parts of a limit that sum to more than the whole, whatever the entries.
