--- a/internal/direct/digest_test.go
+++ b/internal/direct/digest_test.go
@@ -96,13 +96,7 @@
 	return choice.Missed, choice.Load
 }
 
-// Symptom: in a fleet of more than 32 entries those of one failure domain send to replicas that
-// another domain's keep busy, and read prefixes anew that a replica holds.
-//
-// Sequence: entries of three failure domains tell their own domain what they have; one of them
-// places a request.
-//
-// Cause: what a domain has isn't told to the others, or stays with one of them.
+// Guards against a domain's loads and placements that no other domain, or one entry of it only, is told of.
 func TestOtherDomainsHearOfLoadsAndPlacements(t *testing.T) {
 	const entries, domains = 36, 3
 	all := startTalkers(t, entries, domains)
@@ -126,8 +120,7 @@
 	}
 }
 
-// Symptom: a load counts twice, or its sender's own comes back to it. Cause: a digest that is
-// passed on to those that it sums up.
+// Guards against a load that counts twice, or comes back to its sender.
 func TestADigestIsNotCountedInItsOwnDomain(t *testing.T) {
 	all := startTalkers(t, 36, 3)
 	all[0].place("r1", "charter")
@@ -147,12 +140,7 @@
 	}
 }
 
-// Symptom: an entry of another failure domain than the one whose turn it is passes a digest on,
-// and some pass on several while others have none.
-//
-// Sequence: entries start and tell their first digests.
-//
-// Cause: that nothing was heard of a domain before it was told anything counts as silence.
+// Guards against entries that pass digests on out of turn before anything was heard.
 func TestTheFirstDigestGoesToTheEntryWhoseTurnItIs(t *testing.T) {
 	all := newTalkers(t, 36, 3)
 	byAddress := map[netip.AddrPort]*talker{}
@@ -169,9 +157,7 @@
 	}
 }
 
-// Symptom: of a busy domain's placements the others hear of a part, and read prefixes anew.
-// Sequence: more are placed between two digests than fit into one. Cause: what doesn't fit is
-// dropped.
+// Guards against placements that are dropped where a digest has no room for them.
 func TestPlacementsThatDoNotFitComeWithTheNextDigest(t *testing.T) {
 	const placed = 3 * maxWordPlacements
 	d := newTalkers(t, 36, 3)[0].peers.digests
--- a/internal/direct/hub_test.go
+++ b/internal/direct/hub_test.go
@@ -34,12 +34,7 @@
 	return records
 }
 
-// Symptom: an entry that starts gives orders while another holds the lease.
-//
-// Sequence: it takes the entries' topic from a peer, which has dropped the record of a lease
-// that still holds.
-//
-// Cause: a peer gives what it has as if it were all.
+// Guards against a lease that still holds and is missing from what a peer gives as all.
 func TestAPeerGivesTheLeasesTopicOnlyIfNoLeaseCanBeMissing(t *testing.T) {
 	const size = 4 << 10 // so that the oldest are dropped
 	now := time.Second
@@ -67,11 +62,7 @@
 	}
 }
 
-// Symptom: a change takes effect twice or out of order, or one is passed over.
-//
-// Sequence: news come twice, late and with gaps, from several peers.
-//
-// Cause: records are taken as they come.
+// Guards against records that take effect twice, out of order or not at all, as news come late and with gaps.
 func TestRecordsAreTakenOnceAndInOrder(t *testing.T) {
 	now := time.Second
 	f, taken := testFollower(&now)
@@ -90,8 +81,7 @@
 	}
 }
 
-// Symptom: an entry takes news for a proof that it knows all. Cause: records without a time
-// make a belief young.
+// Guards against news that make what is known look younger than it is.
 func TestNewsProveNothing(t *testing.T) {
 	now := time.Second
 	f, _ := testFollower(&now)
@@ -103,16 +93,7 @@
 	}
 }
 
-// Symptom: after an outage of the store an entry of a large fleet uses no replica whose record
-// lapsed until that is back, for up to two seconds, though all run.
-//
-// Sequence: the store refuses all calls for six seconds, in which a replica's record lapses. An
-// entry that peers tell nothing any more waits for its turn to call; its one call so far was
-// refused before what it knows was too old to be used. The store is back, and with the first
-// answer that a peer passes on comes the removal.
-//
-// Cause: an outage is noticed by calls of the entry's own that fail, which are few now, and not by
-// the age of what it knows.
+// Guards against lapsed replicas that are dropped after an outage by an entry that made no call in it.
 func TestAnOutageIsNoticedByAnEntryThatMadeNoCall(t *testing.T) {
 	tel := quietTelemetry(t)
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/direct/hubtalk_test.go
+++ b/internal/direct/hubtalk_test.go
@@ -79,12 +79,7 @@
 	return a
 }
 
-// Symptom: an entry uses a replica that left, by knowledge that it takes for younger than it is.
-//
-// Sequence: it asks a peer; the answer, which tells of knowledge 700 ms old, is under way for
-// 100 ms.
-//
-// Cause: the age that is told is dropped, or runs from when the answer comes.
+// Guards against knowledge that grows younger by the way of an answer.
 func TestAnAnswersAgeRunsFromItsQuestion(t *testing.T) {
 	const (
 		underWay = 100 * time.Millisecond
@@ -103,8 +98,7 @@
 	}
 }
 
-// Symptom: an entry believes for ever what it knew once. Sequence: an answer tells an age that
-// is longer than a time can be. Cause: it turns into one that lies ahead.
+// Guards against an age too long for a time, which would turn into one that lies ahead.
 func TestAnAgeThatCannotBeIsMalformed(t *testing.T) {
 	for _, age := range []uint64{math.MaxUint64, math.MaxInt64, math.MaxInt64/uint64(time.Millisecond) + 1} {
 		l := startListening(t)
--- a/internal/direct/peers_test.go
+++ b/internal/direct/peers_test.go
@@ -47,13 +47,7 @@
 	}
 }
 
-// Symptom: with 160 replicas entries send to those that are at work as if they were idle: the
-// busiest has 1.4 times the mean.
-//
-// Sequence: an entry has had work at all replicas and has some at ten of them; a word has room
-// for a part of all.
-//
-// Cause: which loads are told is the order of a map.
+// Guards against words that leave out replicas at work, as these don't all fit.
 func TestAWordTellsOfTheReplicasAtWork(t *testing.T) {
 	const (
 		replicas = 160
@@ -88,13 +82,7 @@
 	}
 }
 
-// Symptom: the entries together send more requests a second time than they may.
-//
-// Sequence: all entries start while the store turns some of them away. One of these hears two
-// peers before it has read the list of entries.
-//
-// Cause: it takes those that it has heard for all there are, and a third of what all may spend
-// for its share.
+// Guards against too large a share of the retry budget before the list of entries was read.
 func TestPeersHeardOfAreNotAllThereAre(t *testing.T) {
 	s := &settings.Settings{ID: "entry-1", Direct: &settings.Direct{Memory: 16, Peers: "127.0.0.1:0"}}
 	e := newEntry(s, quietTelemetry(t), Platform{})
--- a/internal/member/outage_test.go
+++ b/internal/member/outage_test.go
@@ -171,10 +171,7 @@
 	}
 }
 
-// Symptom: an entry that reads the store for itself alone tells its peers that the store is away,
-// though it is served all along; they keep a replica that left. Sequence: its reads wait 1.5 s
-// each, so that what it knows is up to three seconds old. Cause: a limit on the age of what is
-// known, taken for a time without answers.
+// Guards against reads that wait long and are taken for an outage of the store.
 func TestReadsThatWaitAreNoOutage(t *testing.T) {
 	o := newOutage()
 	for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
@@ -187,10 +184,7 @@
 	}
 }
 
-// Symptom: after an outage no replica whose record lapsed is in use, at an entry that others tell
-// what the store says. Sequence: nobody's answer comes for six seconds; the entry makes no call.
-// Cause: an outage is noticed by calls that fail alone. With no peer's word, though, the time
-// without answers excuses nothing: it shows nothing of when the store came back.
+// Guards against an outage that goes unnoticed where nobody's answer comes and no call is made.
 func TestATimeWithoutAnswersIsAnOutage(t *testing.T) {
 	for _, peerAway := range []bool{false, true} {
 		o := newOutage()
--- a/internal/rollout/core_test.go
+++ b/internal/rollout/core_test.go
@@ -168,15 +168,7 @@
 	}
 }
 
-// Symptom: at each version but the first one most orders are refused once (235 of 445 in a play of
-// 160 replicas), and each such replica stands idle until it was asked and ordered again.
-//
-// Sequence: a replica takes an order and loads; its record shows the new version before it is
-// asked for its state. The next version is named, and the order names the number of orders
-// that the replica had taken before the first one.
-//
-// Cause: what the holder knows from the reply, that one more was taken, is dropped where the
-// record comes first. With records that came later than the question it went unseen.
+// Guards against an order that is refused for its number, as a record showed the load before the reply was counted.
 func TestLoadSeenByItsRecordCountsItsOrder(t *testing.T) {
 	c := newCore(2)
 	c.Step(0, 1, states(1, 1))
--- a/internal/route/feed_test.go
+++ b/internal/route/feed_test.go
@@ -372,13 +372,7 @@
 	}
 }
 
-// Symptom: of a hundred entries' placements the others hear of a half, and read prefixes anew
-// that a replica holds.
-//
-// Sequence: an entry places fourteen requests between two words, each is read before the next
-// word; a word has room for twelve placements.
-//
-// Cause: words repeat the oldest placements, of which each was told as sent and as read.
+// Guards against placements that are never told, as earlier ones are repeated in their place.
 func TestEachPlacementIsToldThoughWordsAreRare(t *testing.T) {
 	const (
 		between = 14
@@ -410,9 +404,7 @@
 	}
 }
 
-// Symptom: with a hundred peers a replica that they keep busy is taken for idle half of the
-// time. Sequence: each peer's word comes twice a second. Cause: it counts for less than until
-// the next one.
+// Guards against a peer's load that counts no more before its next word comes.
 func TestPeersLoadsCountUntilTheirNextWord(t *testing.T) {
 	const pause = 510 * time.Millisecond
 	f := newFeed()
--- a/internal/route/peers_test.go
+++ b/internal/route/peers_test.go
@@ -7,12 +7,7 @@
 	"skylarklead/internal/route"
 )
 
-// Symptom: prefixes are taken for held that a replica dropped long ago, and are read anew.
-//
-// Sequence: a peer's words tell of a part of the replicas each; one tells of a replica, the next
-// doesn't, a later one does.
-//
-// Cause: what a replica has taken in from the peer is reckoned from the word before only.
+// Guards against tokens taken in that aren't counted where a word in between didn't tell of the replica.
 func TestTokensTakenInCountAcrossWordsThatDontTellOfThem(t *testing.T) {
 	p := route.NewPeers(time.Second)
 	var tokens float64
--- a/internal/spread/belief_test.go
+++ b/internal/spread/belief_test.go
@@ -5,9 +5,7 @@
 	"time"
 )
 
-// Symptom: an entry takes for young what was true long ago. Sequence: the store's answer, or a
-// peer's, was under way for a second, or the process stood still before it read it. Cause: its
-// age runs from when it was learnt.
+// Guards against an age that runs from when an answer was read.
 func TestAgeRunsFromWhenTheCallWasMade(t *testing.T) {
 	b := NewBelief(0)
 	b.Took(5)
@@ -25,8 +23,7 @@
 	}
 }
 
-// Symptom: an entry that nobody answers believes its start's state for ever. Cause: without a
-// reading there is no age.
+// Guards against a belief without a reading that never grows old.
 func TestAgeOfWhatWasNeverReadRunsFromTheStart(t *testing.T) {
 	b := NewBelief(2 * time.Second)
 	if age := b.Age(7 * time.Second); age != 5*time.Second || b.Confirmed() {
@@ -34,8 +31,7 @@
 	}
 }
 
-// Symptom: nobody's promise can be kept though all is well. Cause: reads of the store that wait
-// longer than the limit leaves to two of them and the questions.
+// Guards against reads that wait longer than the limit leaves to two of them and the questions.
 func TestHealthyFleetKeepsBelowTheLimit(t *testing.T) {
 	p := DefaultParams
 	for _, within := range []time.Duration{2 * time.Second, 4 * time.Second, 12 * time.Second} {
@@ -51,8 +47,7 @@
 	}
 }
 
-// Symptom: an entry that reads for itself at its limit is late with a request. Cause: nothing is
-// kept free for the read and for placing the request.
+// Guards against a limit that leaves no time for an own read and for placing a request.
 func TestALimitLeavesRoomForAReadAndARequest(t *testing.T) {
 	const (
 		// read is many times what the store's answer takes, placed what a request needs from
--- a/internal/spread/order_test.go
+++ b/internal/spread/order_test.go
@@ -24,8 +24,7 @@
 	return all
 }
 
-// Symptom: entries wait for each other and none of them reads the store. Cause: a circle of
-// questions.
+// Guards against a circle of questions, in which nobody reads the store.
 func TestExactlyOneEntryHasNobodyToAskAndNoneAsksInACircle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		peers := fleetOf(rapid.IntRange(1, 120).Draw(t, "entries"), rapid.IntRange(1, 6).Draw(t, "domains"))
@@ -47,8 +46,7 @@
 	})
 }
 
-// Symptom: one entry answers hundreds, or what the store says crosses between failure domains
-// once for each entry.
+// Guards against one entry that answers hundreds, and a crossing between domains for each entry.
 func TestQuestionsOfALargeFleetAreSpread(t *testing.T) {
 	for _, entries := range []int{30, 103, 300, 1000} {
 		const domains = 5
@@ -88,8 +86,7 @@
 	}
 }
 
-// Symptom: after the loss of an entry that others listened to they all turn to the store.
-// Cause: they don't agree on who comes next.
+// Guards against entries that turn to the store together after the loss of their source.
 func TestEntriesThatLoseTheSameSourceAgreeOnTheNext(t *testing.T) {
 	peers := fleetOf(103, 5)
 	all := chains(peers, DefaultParams.FanIn)
--- a/internal/spread/simulation_test.go
+++ b/internal/spread/simulation_test.go
@@ -266,14 +266,7 @@
 	}
 }
 
-// Symptom: an entry sends a request to a replica that left, or takes a key that was taken
-// back, later than promised, though nothing happened to it or to the store.
-//
-// Sequence: any of the entries are killed, stand still, are cut off from the store or from
-// their peers, or get answers without the records, again and again; the store is down at
-// times; messages are lost.
-//
-// Cause: an entry goes on with what others knew.
+// Guards against an undisturbed entry that goes by old records, whatever happens to others and to messages.
 func TestWhatTheStoreSaysIsInForceInTimeWhateverHappensToOthers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(rapid.IntRange(1, 40).Draw(t, "entries"), rapid.IntRange(1, 5).Draw(t, "domains"),
@@ -315,7 +308,7 @@
 	}
 }
 
-// Symptom: calls to the store grow with the entries. Cause: each reads for itself.
+// Guards against calls to the store that grow with the entries.
 func TestCallsDoNotGrowWithEntries(t *testing.T) {
 	for _, entries := range []int{3, 30, 103, 300} {
 		s := newSim(entries, 5, 0.01, 7)
@@ -338,9 +331,7 @@
 	return n
 }
 
-// Symptom: a store that is back is called by hundreds of entries at once and is over its limit
-// again. Sequence: it is down for eight seconds. Cause: each entry that knows nothing turns
-// to it, and all noticed at the same time. In no second may a hundred turn to it.
+// Guards against a store that is back and is called by all entries at once.
 func TestAStoreThatIsAwayIsTriedByFew(t *testing.T) {
 	const many = 100
 	for _, entries := range []int{103, 300} {
@@ -357,10 +348,7 @@
 	}
 }
 
-// Symptom: all entries go without news although the store answers most of them.
-// Sequence: the first ones in the order, as many as are believed, are cut off from the store
-// at once. Cause: their word is taken for the store's outage, and nobody who is answered
-// tells them.
+// Guards against an outage that all believe in as the first entries are cut off from a store that answers the others.
 func TestWitnessesThatAreCutOffThemselvesAreTold(t *testing.T) {
 	s := newSim(103, 5, 0, 13)
 	s.run(t, 4*time.Second)
@@ -374,13 +362,7 @@
 	}
 }
 
-// Symptom: after the loss of the entry that reads the store news take more than a second
-// longer, until each entry's knowledge has grown old.
-//
-// Sequence: the first entry in the order is killed for good; two seconds later records are
-// written.
-//
-// Cause: a source that doesn't answer stays one.
+// Guards against a source that is kept although it doesn't answer.
 func TestALostSourceIsLeftAtOnce(t *testing.T) {
 	for _, entries := range []int{3, 30, 103} {
 		s := newSim(entries, 5, 0, 17)
@@ -398,14 +380,7 @@
 	}
 }
 
-// Symptom: an entry in order that the store would answer takes a change 2.2 s after it was
-// acknowledged. Found by drawn cases.
-//
-// Sequence: the first entry is killed twice, the store is away for a moment, then 17 of 22
-// entries are cut off from it, and with them all that the others would listen to.
-//
-// Cause: who believes that the store is away waited for a turn that was spread too wide, or
-// that it had used up at an earlier, short outage.
+// Guards against entries in order that wait too long for their turn while most are cut off from the store.
 func TestFewThatAreAnsweredAreFoundInTime(t *testing.T) {
 	s := newSim(22, 1, 0, 0)
 	s.run(t, 3*time.Second)
--- a/internal/spread/speaker_test.go
+++ b/internal/spread/speaker_test.go
@@ -5,8 +5,7 @@
 	"testing"
 )
 
-// Symptom: one entry of a failure domain tells all others what the domain has, and is the
-// busiest of all; or two domains' speakers never meet.
+// Guards against one entry that tells all other domains, and speakers of two domains that never meet.
 func TestSpeakersOfTwoDomainsMeetAndShareTheWork(t *testing.T) {
 	const each = 20
 	domains := []string{"a", "b", "c", "d", "e"}
@@ -34,8 +33,7 @@
 	}
 }
 
-// Symptom: after the loss of a speaker a domain isn't heard of any more. Cause: its counterpart
-// goes on telling the one that is lost.
+// Guards against a domain that isn't heard of any more after the loss of its speaker.
 func TestEachEntryOfADomainIsTriedAsCounterpart(t *testing.T) {
 	members := []string{"x1", "x2", "x3", "x4"}
 	tried := map[string]bool{}
