--- a/internal/admit/line.go
+++ b/internal/admit/line.go
@@ -27,8 +27,7 @@
 //
 // What entries believe of a replica's load is some ten milliseconds old, and low. After a burst
 // the late ones, one behind the other up to the bound, keep it there, and those that come
-// in time are late behind them. Worth 0.019 in the mean of four plays at 600 requests a second on
-// 38 replicas, -0.001 to 0.006 on five other deployments (30 plays: 15 rose, 9 fell).
+// in time are late behind them.
 const lateShare = 0.1
 
 // Late reports whether a request can't meet its objective any more.
--- a/internal/direct/digest.go
+++ b/internal/direct/digest.go
@@ -18,18 +18,12 @@
 	"skylarklead/internal/wait"
 )
 
-// With a hundred entries that each tell all others what they have at the replicas, a word comes
-// twice a second, and most of what is sent crosses between failure domains. So in a large fleet an
-// entry tells its own failure domain only, five times as often; one entry of each domain sums up
-// what the domain has and tells it to one of each other domain, which passes it on in its own.
-//
-// Symptom without it, at 103 entries and 160 replicas with a quarter of them dark: half of the requests
-// are late for eight seconds. In one play each 0.756 of the day's credit was earned before, 0.868
-// with it, and 0.91 by 18 entries before 25 replicas; 17.9 million tokens were read again, and
-// 14.0 with it; 0.69 GB crossed between failure domains, and 0.28 with it.
+// Words from each entry to all others get rare as a fleet grows, and most of their bytes cross
+// between failure domains. So in a large fleet an entry tells its own failure domain only, more often;
+// one entry of each domain sums up what the domain has and tells it to one of each other domain,
+// which passes it on in its own.
 const (
-	// allHear is up to how many entries all tell all others: with 32 a word is 160 ms old at
-	// the most.
+	// allHear is up to how many entries all tell all others.
 	allHear = 32
 	// digestEvery is the pause between a domain's digests, about that of words in a domain.
 	digestEvery = 100 * time.Millisecond
--- a/internal/direct/naming.go
+++ b/internal/direct/naming.go
@@ -22,9 +22,8 @@
 )
 
 // An entry that starts finds a version of weights named and can't tell since when. Taken
-// for overdue, all replicas on the one before are refused: after a loss of power a second
-// into a change of weights 34 of 38 replicas were, in windows of two seconds that earned 0.12
-// to 0.29 of their worth. So who reads a new version writes down when.
+// for overdue, all replicas on the one before would be refused. So who reads a new version
+// writes down when.
 
 // tellNaming writes down when a version was named unless another entry does first; relayed
 // says that a peer has read the version.
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -406,8 +406,7 @@
 
 // telling are the loads to tell now: of replicas that have work and then of those that have taken
 // something in since they were told of, as toldTaken has it. Peers know nothing of a load that
-// isn't told, and take the replica for idle: a word has no room for 160 replicas, and in
-// the order of a map most of those at work were left out.
+// isn't told, and take the replica for idle, and a word has no room for all of them.
 func telling(loads map[uint64]route.Load, toldTaken map[uint64]uint16, most int) []wordLoad {
 	var out []wordLoad
 	for id, l := range loads {
--- a/internal/route/enginespeed.go
+++ b/internal/route/enginespeed.go
@@ -8,10 +8,7 @@
 //
 // Engines differ fivefold in each. Taken from one deployment's sheet, the figures send
 // requests of a faster engine past replicas that are nearly idle, or let those of a slower
-// one queue until they are late. With the reading speed set right in place of half of it
-// the worth of each of five days rose, by 0.005 to 0.029. Learnt in their place it made 0.005
-// in the mean of 20 plays, and switching it off later nothing that 14 plays could tell; it
-// stays for engines that are further from the start values than those.
+// one queue until they are late.
 //
 // It is recursive least squares with forgetting: the figures follow what is seen over
 // the latest requests, and a start value counts as much as some tens of them.
--- a/internal/route/feedprefix.go
+++ b/internal/route/feedprefix.go
@@ -71,8 +71,7 @@
 
 // sourceRoom is the part of a cache's room after which a level isn't relied on as a
 // source any more. What a replica took in isn't known to the token; one that turns out to
-// lack a level costs its reading, a store in its place some 50 ms. Worth 0.005 in
-// the mean of six plays at 120 requests a second on nine replicas, nothing on eighteen.
+// lack a level costs its reading, a store in its place only a fetch.
 const sourceRoom = 0.5
 
 // held is how many shared tokens a replica is believed to hold, and how many of them it
@@ -197,8 +196,7 @@
 // fetchesFromReplica reports whether a replica is the better source than a store. One
 // that has read all is: it sends at once, where a store sends one prefix after the
 // other. One that has read only a part is not, even where nobody is known to have sent the
-// prefix to the store: asking replicas for parts cost 0.008 and 0.006 of the mean worth of
-// days with trouble on two deployments (16 and 6 plays).
+// prefix to the store.
 func (f *Feed) fetchesFromReplica(q *FeedQuery, choice *FeedChoice, store string) bool {
 	switch {
 	case choice.Source == "":
--- a/internal/route/feedtypes.go
+++ b/internal/route/feedtypes.go
@@ -10,9 +10,7 @@
 	// learnt from requests.
 	PrefillTokensPerMs, TokenMs, OverheadMs float64
 	// MissWeight is what a millisecond of reading shared parts anew weighs against one of
-	// waiting: the copy also pushes out of the cache what others will read anew. At 4.5
-	// 6 and 10 in 100 fewer tokens were read anew than at 2, in two plays of one day on
-	// each of two deployments; the worth of days showed no difference beyond noise.
+	// waiting: the copy also pushes out of the cache what others will read anew.
 	MissWeight float64
 	// Others is the load of other entries for each unit of one's own: they see the
 	// same mix and pick by the same rules, but what they place is not heard of.
--- a/internal/spread/sources.go
+++ b/internal/spread/sources.go
@@ -53,10 +53,9 @@
 
 // Sources chooses whom an entry asks, and tells when it reads the store itself.
 //
-// Symptoms without its parts: an entry whose source is lost uses a replica that left, or a
-// key that was taken back, since nobody told it (candidates are left after two questions
-// without an answer); a hundred entries call a store at once that is away from all (turns);
-// a few that are cut off make all others believe that it is (hints).
+// A source is left after two questions without an answer. Turns keep all entries from calling a
+// store at once that is away from all; hints keep a few that are cut off from making all others
+// believe that it is.
 //
 // Invariants: source is "" or in the chain; questions are only to peers that may be skipped
 // no longer; of each peer at most one is under way.
