--- a/internal/direct/quotas_test.go
+++ b/internal/direct/quotas_test.go
@@ -23,7 +23,17 @@
 		e.quotas.listed(names, true, true)
 		e.quotas.confirmed(e.boot())
 	}
-	time.Sleep(1500 * time.Millisecond) // a burst comes in, and words are told
+	held := func() (units float64) {
+		for _, e := range all {
+			if s, ok := e.quotas.state("derwent"); ok {
+				units += s.Level
+			}
+		}
+		return units
+	}
+	for limit := time.Now().Add(5 * time.Second); held() < organisation.Quota.Burst && time.Now().Before(limit); {
+		time.Sleep(10 * time.Millisecond)
+	}
 	refused := 0
 	for _, e := range all {
 		j := &job{entry: e.Entry, ctx: t.Context(), organisation: organisation}
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -1,13 +1,13 @@
 package quota
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/route"
 )
 
 // shares is how a limit is divided among the entries listed.
@@ -33,7 +33,8 @@
 	count := max(leastHomes, int(math.Ceil(q.Rate/(perHome*large(q)))))
 	// A home that can't save up a large request would be of no use to it.
 	count = min(n, count, max(1, int(most/large(q))))
-	s.homes = highest(organisation, entries, count)
+	// One more entry takes the place of one home at most.
+	s.homes = route.Order(xxhash.Sum64String(organisation), entries)[:count]
 	s.home = (1 - s.even*float64(n)) / float64(count)
 	return s
 }
@@ -45,24 +46,3 @@
 	}
 	return s.even
 }
-
-// highest are the entries with the greatest weight for an organisation (rendezvous
-// hashing): one more entry takes the place of one at most.
-func highest(organisation string, entries []string, count int) []string {
-	type weighted struct {
-		entry  string
-		weight uint64
-	}
-	all := make([]weighted, len(entries))
-	for i, e := range entries {
-		all[i] = weighted{e, xxhash.Sum64String(e + "\x00" + organisation)}
-	}
-	slices.SortFunc(all, func(a, b weighted) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.entry, b.entry))
-	})
-	out := make([]string, count)
-	for i := range out {
-		out[i] = all[i].entry
-	}
-	return out
-}
