--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -5,28 +5,22 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"net"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"skylarklead/internal/attempt"
-	"skylarklead/internal/fleet"
 	"skylarklead/internal/rollout"
 	"skylarklead/internal/route"
-	"skylarklead/internal/spread"
 	"skylarklead/internal/strictcbor"
 	"skylarklead/internal/wait"
 )
 
 const (
-	// topicPeers has a record for each entry: where the others reach it.
-	topicPeers = "keyed.skylark.peers"
 	// wordEvery is the pause between words to each peer: a fraction of the time that
 	// a prompt takes to be read. With many peers it grows, so that an entry sends no
 	// more than wordsPerSecond.
@@ -34,8 +28,6 @@
 	wordsPerSecond = 200
 	// peerForgotten is when a silent peer's word is dropped.
 	peerForgotten = 10 * time.Second
-	// peersWait is how long a read for new peers waits: less than the list may be old.
-	peersWait = 4 * time.Second
 	// maxWord bounds a word, in bytes: what a datagram carries without fragments over links
 	// of 1,500 bytes.
 	maxWord = 1472
@@ -60,11 +52,6 @@
 	// maxWordServed bounds the time for which a word says that the store has answered:
 	// many times the longest outage in which peers' words matter.
 	maxWordServed = time.Hour
-	// peersEvery is the least pause between reads for new peers: at a start all of
-	// them are new.
-	peersEvery = time.Second
-	// helloPause is the pause between tries to tell the others where this entry is.
-	helloPause = time.Second
 )
 
 // word is what an entry tells its peers.
@@ -144,12 +131,6 @@
 	heardAt map[string]time.Duration
 }
 
-// peerAddress is where an entry is.
-type peerAddress struct {
-	address netip.AddrPort
-	domain  string
-}
-
 func newPeers(e *Entry) (*peers, error) {
 	address, err := net.ResolveUDPAddr("udp4", e.settings.Direct.Peers)
 	if err != nil {
@@ -169,147 +150,6 @@
 	return p, nil
 }
 
-// follow keeps the list of the other entries.
-func (p *peers) follow(ctx context.Context) {
-	f := p.entry.newFollower(topicPeers)
-	f.keyed, f.wait, f.every = true, peersWait, peersEvery
-	f.number = numberPeers
-	f.record = func(r fleet.Record) {
-		p.take(r)
-		p.counted()
-	}
-	f.whole = func(page fleet.Page) {
-		for _, r := range page.Records {
-			p.take(r)
-		}
-		switch {
-		case !f.begun:
-			p.writtenBefore = p.written != ""
-			close(p.read)
-		case !slices.ContainsFunc(page.Records, func(r fleet.Record) bool { return p.own(r, page.Next) }):
-			// The store came back from a copy that is older than this entry's record.
-			go p.write(ctx)
-		}
-		p.counted()
-	}
-	f.reached = func(r spread.Reading) { p.entry.quotas.confirmed(r.Made) }
-	f.run(ctx)
-}
-
-// counted has the others take how many entries there are, and where. Those that were heard of
-// before the list of entries was read are not all.
-func (p *peers) counted() {
-	select {
-	case <-p.read:
-		p.entry.state.counted(p.count())
-		names, self := p.names()
-		p.entry.quotas.listed(names, self, p.writtenBefore)
-	default:
-	}
-	pause := p.pause()
-	p.entry.state.mu.Lock()
-	p.entry.state.feed.PeersSpeakEvery(pause)
-	p.entry.state.mu.Unlock()
-	if p.entry.hub == nil {
-		return
-	}
-	p.mu.Lock()
-	known := maps.Clone(p.known)
-	p.mu.Unlock()
-	p.entry.hub.listed(known)
-}
-
-// count is how many entries there are, this one included.
-func (p *peers) count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.known) + 1
-}
-
-// names are the entries listed; self says that this one is.
-func (p *peers) names() (names []string, self bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.Collect(maps.Keys(p.listed)), p.listed[p.entry.settings.ID]
-}
-
-// address is where an entry is, false if it isn't known.
-func (p *peers) address(id string) (netip.AddrPort, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	a, ok := p.known[id]
-	return a.address, ok
-}
-
-func (p *peers) take(r fleet.Record) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if r.Value == nil {
-		delete(p.listed, r.Key)
-	} else {
-		p.listed[r.Key] = true
-	}
-	if r.Key == p.entry.settings.ID {
-		p.written = string(r.Value)
-		return
-	}
-	if r.Value == nil {
-		delete(p.known, r.Key)
-		p.entry.tel.Log.Info("peer gone", "peer", r.Key, "offset", r.Offset)
-		return
-	}
-	// A build that passed nothing on wrote no failure domain.
-	at, domain, _ := strings.Cut(string(r.Value), " ")
-	address, err := netip.ParseAddrPort(at)
-	if err != nil {
-		p.entry.malformed.report("peer's record skipped", r, err)
-		return
-	}
-	p.known[r.Key] = peerAddress{address: address, domain: domain}
-	p.entry.tel.Log.Info("peer listed", "peer", r.Key, "address", address.String(), "failure_domain", domain, "offset", r.Offset)
-}
-
-// record is what the others find of this entry.
-func (p *peers) record() string {
-	return p.entry.settings.Direct.Peers + " " + p.entry.settings.FailureDomain
-}
-
-// hello tells the others where this entry is, until it is written. One that started again
-// at its address is written already.
-func (p *peers) hello(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-p.read:
-	}
-	p.mu.Lock()
-	written := p.written == p.record()
-	p.mu.Unlock()
-	if !written {
-		p.write(ctx)
-	}
-}
-
-// own reports whether a record is of this entry, and of the store's era at a position.
-func (p *peers) own(r fleet.Record, next uint64) bool {
-	return r.Key == p.entry.settings.ID && fleet.Era(r.Offset) == fleet.Era(next)
-}
-
-// write puts this entry into the list of entries.
-func (p *peers) write(ctx context.Context) {
-	e := p.entry
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := e.platform.Store.Put(callCtx, topicPeers, e.settings.ID, []byte(p.record()))
-		cancel()
-		if err == nil {
-			return
-		}
-		e.tel.Log.Warn("address not told to peers", "error", err)
-		_ = wait.For(ctx, helloPause) // the loop looks at ctx next
-	}
-}
-
 // tell sends notes of a rollout to the others at once. One that is lost is read from
 // the entries' topic.
 func (p *peers) tell(notes []rollout.Note) {
