One rendezvous for routing, limits and who asks a replica

internal/spread had a copy of its own, and internal/quota took routing's; it is a package now. Entries of two builds may rank askers of a replica differently while a rolling upgrade lasts.

--- a/internal/endpoint/heartbeat.go
+++ b/internal/endpoint/heartbeat.go
@@ -11,6 +11,7 @@
 	"skylarklead/internal/member"
 	"skylarklead/internal/prefix"
 	"skylarklead/internal/protocol"
+	"skylarklead/internal/rendezvous"
 	"skylarklead/internal/route"
 	"skylarklead/internal/wire"
 )
@@ -146,7 +147,7 @@
 }
 
 func owners(root cachemap.Root, ids []string) []string {
-	order := route.Order(root.Owner, ids)
+	order := rendezvous.Order(root.Owner, ids)
 	return order[:min(ownersTold, len(order))]
 }
 
--- a/internal/entry/ask.go
+++ b/internal/entry/ask.go
@@ -9,6 +9,7 @@
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/member"
 	"skylarklead/internal/protocol"
+	"skylarklead/internal/rendezvous"
 	"skylarklead/internal/route"
 )
 
@@ -69,7 +70,7 @@
 		byID[m.ID] = m
 	}
 	var order, failed []member.Member
-	for _, id := range route.Order(route.OwnerKey(j.organisation.ID, j.model, j.levels), ids) {
+	for _, id := range rendezvous.Order(route.OwnerKey(j.organisation.ID, j.model, j.levels), ids) {
 		if slices.Contains(j.exclude, id) {
 			failed = append(failed, byID[id])
 			continue
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -15,7 +15,7 @@
 	"skylarklead/internal/config"
 	"skylarklead/internal/member"
 	"skylarklead/internal/protocol"
-	"skylarklead/internal/route"
+	"skylarklead/internal/rendezvous"
 )
 
 const (
@@ -141,7 +141,7 @@
 	for i, m := range live {
 		ids[i] = m.ID
 	}
-	first := route.First(xxhash.Sum64(key), ids)
+	first := rendezvous.First(xxhash.Sum64(key), ids)
 	return live[slices.Index(ids, first)]
 }
 
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"skylarklead/internal/fleet"
-	"skylarklead/internal/route"
+	"skylarklead/internal/rendezvous"
 )
 
 // shares is how a limit is divided among the entries listed.
@@ -34,7 +34,7 @@
 	// A home that can't save up a large request would be of no use to it.
 	count = min(n, count, max(1, int(most/large(q))))
 	// One more entry takes the place of one home at most.
-	s.homes = route.Order(xxhash.Sum64String(organisation), entries)[:count]
+	s.homes = rendezvous.Order(xxhash.Sum64String(organisation), entries)[:count]
 	s.home = (1 - s.even*float64(n)) / float64(count)
 	return s
 }
--- a/internal/route/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -1,4 +1,7 @@
-package route
+// Package rendezvous ranks candidates for a key by highest random weight (Thaler and Ravishankar,
+// 1996): all that know the same candidates agree on the order, and one candidate more or less moves
+// only what it is first for.
+package rendezvous
 
 import (
 	"cmp"
@@ -6,8 +9,6 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
-
-	"skylarklead/internal/prefix"
 )
 
 // ranked is one ID with its weight for a key.
@@ -22,7 +23,7 @@
 func Order(key uint64, ids []string) []string {
 	all := make([]ranked, len(ids))
 	for i, id := range ids {
-		all[i] = ranked{id, weight(key, id)}
+		all[i] = ranked{id, Weight(key, id)}
 	}
 	slices.SortFunc(all, compareRanked)
 	order := make([]string, len(all))
@@ -37,7 +38,7 @@
 func First(key uint64, ids []string) string {
 	var best ranked
 	for i, id := range ids {
-		r := ranked{id, weight(key, id)}
+		r := ranked{id, Weight(key, id)}
 		if i == 0 || compareRanked(r, best) < 0 {
 			best = r
 		}
@@ -45,16 +46,6 @@
 	return best.id
 }
 
-// OwnerKey is the rendezvous key of a request. It is the hash of the first
-// level, so that one owner sees all the prefixes nested in it; a request with no
-// level is keyed by its organisation and model.
-func OwnerKey(organisation, model string, levels []prefix.Level) uint64 {
-	if len(levels) > 0 {
-		return uint64(levels[0].Hash)
-	}
-	return xxhash.Sum64String(organisation + "\x00" + model)
-}
-
 // compareRanked sorts by descending weight; IDs break ties so that every process
 // agrees.
 func compareRanked(a, b ranked) int {
@@ -64,7 +55,8 @@
 	return cmp.Compare(a.id, b.id)
 }
 
-func weight(key uint64, id string) uint64 {
+// Weight is a candidate's weight for a key.
+func Weight(key uint64, id string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	var buf [8]byte
--- a/internal/repository/imports_test.go
+++ b/internal/repository/imports_test.go
@@ -11,7 +11,7 @@
 )
 
 // decisions are the packages whose logic is pure: events in, actions out.
-var decisions = []string{"admit", "attempt", "cachemap", "config", "lease", "member", "prefix", "rollout", "route", "fleet", "protocol", "spread", "quota"}
+var decisions = []string{"admit", "attempt", "cachemap", "config", "lease", "member", "prefix", "rollout", "route", "fleet", "protocol", "spread", "quota", "rendezvous"}
 
 // barred are what a decision must not be able to reach: the session protocol, the
 // network, the file system, other processes, a goroutine's timers.
--- a/internal/route/baseline.go
+++ b/internal/route/baseline.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"skylarklead/internal/prefix"
+	"skylarklead/internal/rendezvous"
 )
 
 // Policy names a way to choose an executor, as in settings.Entry.Policy.
@@ -167,7 +168,7 @@
 
 // Choose implements Chooser.
 func (c *wholePrompt) Choose(_ time.Duration, _ *rand.Rand, q *Query, endpoints []Endpoint) Choice {
-	return c.choose(First(q.Fingerprint, ids(usable(q, endpoints))), string(PolicyWholePrompt), 0)
+	return c.choose(rendezvous.First(q.Fingerprint, ids(usable(q, endpoints))), string(PolicyWholePrompt), 0)
 }
 
 // boundFactor is how far over the mean load an endpoint may go before the next
@@ -179,7 +180,7 @@
 // Choose implements Chooser.
 func (c *boundedLoad) Choose(_ time.Duration, _ *rand.Rand, q *Query, endpoints []Endpoint) Choice {
 	list := usable(q, endpoints)
-	order := Order(OwnerKey(q.Organisation, q.Model, q.Levels), ids(list))
+	order := rendezvous.Order(OwnerKey(q.Organisation, q.Model, q.Levels), ids(list))
 	return c.choose(c.withinBound(order, list), string(PolicyBoundedLoad), 0)
 }
 
--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -7,6 +7,7 @@
 
 	"skylarklead/internal/prefix"
 	"skylarklead/internal/protocol"
+	"skylarklead/internal/rendezvous"
 )
 
 // rootQuery is a request of one of many prefixes, in three levels.
@@ -59,7 +60,7 @@
 	list := ids(group(600))
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		First(uint64(i), list)
+		rendezvous.First(uint64(i), list)
 	}
 }
 
--- a/internal/route/decide.go
+++ b/internal/route/decide.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"skylarklead/internal/rendezvous"
 )
 
 // Why a candidate was filtered out, as candidates and logs show it.
@@ -231,7 +233,7 @@
 		c := &r.scratch[i]
 		c.active = c.excluded == "" && c.holder
 		if c.active && spare > 0 {
-			c.rank = weight(key, endpoints[c.endpoint].ID)
+			c.rank = rendezvous.Weight(key, endpoints[c.endpoint].ID)
 		}
 	}
 	for range spare {
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -5,6 +5,8 @@
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+
+	"skylarklead/internal/rendezvous"
 )
 
 // Feed picks replicas for an entry that hands requests to them itself. It knows
@@ -102,7 +104,7 @@
 		v := feedView{key: ReplicaKey(c.ID)}
 		v.load = f.total(now, c.ID, v.key, informed)
 		if len(q.Levels) > 0 {
-			v.weight = weight(q.prefixKey(), c.ID)
+			v.weight = rendezvous.Weight(q.prefixKey(), c.ID)
 			v.held, v.read = f.held(now, q, holders, v.key, f.room(c, v.load))
 		}
 		f.views = append(f.views, v)
--- a/internal/route/feedprefix.go
+++ b/internal/route/feedprefix.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"skylarklead/internal/rendezvous"
 )
 
 // FeedLevel is one of the nested prefixes of a prompt.
@@ -212,7 +214,7 @@
 // KeptAt is which of the stores of kept cache has a prefix, "" if there is none. Each
 // prefix is in one of them, the same one for all entries: together they hold as many
 // as they have room for, where copies in each would push others out.
-func KeptAt(prefix uint64, stores []string) string { return First(prefix, stores) }
+func KeptAt(prefix uint64, stores []string) string { return rendezvous.First(prefix, stores) }
 
 // Placement is what an entry tells its peers of a request: which levels went where, or
 // that a prefix was sent to the store of kept cache. Keys stand for names.
--- a/internal/spread/asks.go
+++ b/internal/spread/asks.go
@@ -1,6 +1,10 @@
 package spread
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"skylarklead/internal/rendezvous"
+)
 
 // askersOf is how many entries ask a replica while the store is away: one may be cut off
 // from it, or lost.
@@ -12,17 +16,13 @@
 	if len(alive) < askersOf {
 		return true
 	}
-	own := weight(self, replica)
+	key := xxhash.Sum64String(replica)
+	own := rendezvous.Weight(key, self)
 	before := 0
 	for _, id := range alive {
-		if id != self && weight(id, replica) > own {
+		if id != self && rendezvous.Weight(key, id) > own {
 			before++
 		}
 	}
 	return before < askersOf
 }
-
-// weight is an entry's in the choice for a replica.
-func weight(entry, replica string) uint64 {
-	return xxhash.Sum64String(entry + "\x00" + replica)
-}
