--- a/internal/direct/charge.go
+++ b/internal/direct/charge.go
@@ -8,6 +8,10 @@
 	"skylarklead/internal/quota"
 )
 
+// keptFor is how long units that a request has withdrawn are kept for it: it takes some of
+// the time within which they must be spent to reach a replica.
+const keptFor = quota.DefaultSpendWithin / 2
+
 // charge is what a request has taken of its organisation's limit.
 type charge struct {
 	units float64
@@ -53,7 +57,7 @@
 		return true
 	}
 	q := j.entry.quotas
-	if c := j.charge; c != nil && !c.spent && j.entry.boot()-c.at <= quota.DefaultSpendWithin/2 {
+	if c := j.charge; c != nil && !c.spent && j.entry.boot()-c.at <= keptFor {
 		return true
 	}
 	j.release()
--- a/internal/direct/digest.go
+++ b/internal/direct/digest.go
@@ -145,20 +145,20 @@
 		return
 	}
 	for _, placed := range list {
-		if known, _ := d.seen.ContainsOrAdd(placed.print(), struct{}{}); !known && len(d.exports) < maxExports {
+		if known, _ := d.seen.ContainsOrAdd(placed.fingerprint(), struct{}{}); !known && len(d.exports) < maxExports {
 			d.exports = append(d.exports, placed)
 		}
 	}
 }
 
-// print tells placements apart.
-func (w *wordPlacement) print() uint64 {
-	print := xxhash.New()
+// fingerprint tells placements apart.
+func (w *wordPlacement) fingerprint() uint64 {
+	d := xxhash.New()
 	for _, n := range append(slices.Clone(w.Levels), w.Replica, w.Kept) {
-		_, _ = print.WriteString(strconv.FormatUint(n, 16) + ",") // a digest takes all
+		_, _ = d.WriteString(strconv.FormatUint(n, 16) + ",") // a digest takes all
 	}
-	_, _ = print.WriteString(strconv.FormatBool(w.Read))
-	return print.Sum64()
+	_, _ = d.WriteString(strconv.FormatBool(w.Read))
+	return d.Sum64()
 }
 
 // take takes at most so many of the placements that are to be told.
--- a/internal/direct/gate.go
+++ b/internal/direct/gate.go
@@ -95,6 +95,7 @@
 	case p := <-j.turn:
 		return p
 	default:
+		// Units of a limit that are kept while it waits would lapse.
 		j.release()
 	}
 	select {
--- a/internal/quota/guards_test.go
+++ b/internal/quota/guards_test.go
@@ -76,9 +76,7 @@
 	before := level(t, l, late)
 	l.Returned("derwent", 20_000, second, late)
 	wantLevel(t, l, late, before)
-	if l.Give("derwent", 20_000, now, late) {
-		t.Error("this entry's own units are taken back late")
-	}
+	l.Give("derwent", 20_000, now, late)
 	wantLevel(t, l, late, before)
 }
 
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -183,14 +183,11 @@
 }
 
 // Give takes back units of this entry's own part that were withdrawn at a time and are
-// not spent. It reports whether they are of use again.
-func (l *Ledger) Give(organisation string, units float64, at, now time.Duration) bool {
-	a := l.account(organisation, now)
-	if a == nil || now-at > l.params.SpendWithin {
-		return false
+// not spent. Those withdrawn longer ago are lost.
+func (l *Ledger) Give(organisation string, units float64, at, now time.Duration) {
+	if a := l.account(organisation, now); a != nil && now-at <= l.params.SpendWithin {
+		a.bucket.give(units, now)
 	}
-	a.bucket.give(units, now)
-	return true
 }
 
 // Lent is the answer to an entry that asks for units.
@@ -254,8 +251,6 @@
 	Rate, Burst float64
 	// Part is this entry's part of the limit, 0 to 1, Level what it has left of it.
 	Part, Level float64
-	// Homes are how many entries hold the undivided part.
-	Homes int
 	// Stale says that the list of entries is too old for the whole rate.
 	Stale bool
 }
@@ -268,7 +263,7 @@
 	}
 	a.bucket.refill(now)
 	s := State{
-		Rate: a.limit.Rate, Burst: a.limit.Burst, Level: a.bucket.level, Homes: len(a.shares.homes),
+		Rate: a.limit.Rate, Burst: a.limit.Burst, Level: a.bucket.level,
 		Stale: now > l.staleAt,
 	}
 	if now >= l.active {
