--- a/internal/direct/quotas_test.go
+++ b/internal/direct/quotas_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"skylarklead/internal/fleet"
 )
 
@@ -64,3 +67,36 @@
 		}
 	}
 }
+
+// Whatever comes by datagram, no more is left of a part than may be saved up, and nothing panics.
+func FuzzQuotaMessage(f *testing.F) {
+	for _, m := range []*wordQuota{
+		{Kind: quotaAsk, Seq: 1, Organisation: "derwent", Units: 500},
+		{Kind: quotaAnswer, Seq: 1, Organisation: "derwent", Units: maxUnits, Left: -1},
+		{Kind: quotaReturn, Seq: 1, Organisation: "derwent", Units: math.MaxFloat64},
+		{Kind: 200, Seq: math.MaxUint64, Units: math.NaN()},
+	} {
+		data, err := cbor.Marshal(&word{From: "entry-1", Quota: m})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	const burst = 1000
+	organisation := &fleet.Organisation{Name: "derwent", Quota: fleet.Quota{Rate: burst, Burst: burst}}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var w word
+		if wordMode.Unmarshal(data, &w) != nil || w.Quota == nil {
+			return
+		}
+		e := newTalkers(t, 1, 1)[0]
+		e.quotas.limits(&fleet.Configuration{Organisations: []*fleet.Organisation{organisation}})
+		e.quotas.listed([]string{e.settings.ID}, true, true)
+		for range 2 {
+			e.quotas.heard(&w, e.address())
+		}
+		if s, ok := e.quotas.state("derwent"); !ok || !(s.Level >= 0 && s.Level <= burst) {
+			t.Errorf("%v units left, of %d at most", s.Level, burst)
+		}
+	})
+}
