Decision lines show the rate limit that a replica's answer names

The three hypotheses of docs/incidents/replica-rate-limit.md couldn't be told apart: no line showed that an answer had named a limit. No decision uses it yet.

--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -32,6 +32,8 @@
 	listFrom string
 	// offList is how long ago the replica's record was removed, 0 if it wasn't.
 	offList time.Duration
+	// notice is what the replica said of itself in the head of its answer.
+	notice  fleet.Notice
 	outcome string
 	status  int
 	err     error
@@ -175,6 +177,9 @@
 	if h.version > 0 {
 		fields = append(fields, slog.Uint64("weights", h.version))
 	}
+	if h.notice.Limited {
+		fields = append(fields, slog.Float64("named_rate_limit", h.notice.Rate))
+	}
 	if h.err != nil {
 		fields = append(fields, slog.String("error", h.err.Error()))
 	}
--- /dev/null
+++ b/internal/fleet/notice.go
@@ -0,0 +1,11 @@
+package fleet
+
+// Notice is what a replica says of itself in the head of an answer, whatever it answers.
+type Notice struct {
+	// Limited says that it takes no more than Rate requests a second from all entries
+	// together, for as long as its answers say so. Rate is 0 or more.
+	Limited bool
+	Rate    float64
+	// Malformed says that the head has something of this kind that can't be read.
+	Malformed bool
+}
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -90,4 +90,5 @@
 	Sealed bool
 	// Version is the weights' version that the answer was begun on, 0 if unknown.
 	Version uint64
+	Notice  Notice
 }
