A replica's rate limit is divided among the entries and kept

Cause: no code read Server-Limit. The class: what a replica says of itself in its answers was dropped in the adapter; reports and orders are answers too and are read now.

No entry hears how much the others send, so each takes a fixed part that follows from the list of entries (internal/ratelimit, pure): one request saved up by each of at most limit + 3 of them, chosen by rendezvous hashing, and the rate divided. In any 4 s that is at most 4 x limit + limit + 3, below the 6 x limit + 5 allowed, in touch or not. Entries without a part learn of the end by words of the others, or by one try after 30 to 60 s without any word.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -30,7 +30,7 @@
 func (j *job) answer(p *placed, x *upstream.Exchange) (loss attempt.Loss, done bool) {
 	head := j.entry.platform.Headers.Answer(x.Status, x.Header)
 	j.noteVersion(p, &head)
-	j.noteNotice(&head.Notice)
+	j.noteNotice(p, &head)
 	if head.NotRun {
 		j.noteRefusal(p, &head)
 		return attempt.LossNotRun, false
@@ -138,14 +138,6 @@
 	return attempt.LossUnknown
 }
 
-// noteNotice takes what a replica says of itself.
-func (j *job) noteNotice(n *fleet.Notice) {
-	j.hands[len(j.hands)-1].notice = *n
-	if n.Malformed {
-		j.entry.tel.Metrics.Count("replica_notices_malformed", 1)
-	}
-}
-
 // noteVersion takes the weights that an answer was begun on.
 func (j *job) noteVersion(p *placed, head *fleet.Answer) {
 	if j.asked.Model == "" || head.Version == 0 {
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -126,7 +126,7 @@
 		platform:  p,
 		clock:     clock{time.Now()},
 		boot:      bootTime,
-		state:     newState(budgetOf(d)),
+		state:     newState(s.ID, budgetOf(d)),
 		pool:      upstream.NewPool(),
 		bodies:    semaphore.NewWeighted(room),
 		bodyRoom:  room,
--- a/internal/direct/entrylist.go
+++ b/internal/direct/entrylist.go
@@ -54,7 +54,10 @@
 		}
 		p.counted()
 	}
-	f.reached = func(r spread.Reading) { p.entry.quotas.confirmed(r.Made) }
+	f.reached = func(r spread.Reading) {
+		p.entry.quotas.confirmed(r.Made)
+		p.entry.limitsConfirmed(p.entry.clock.sinceBoot(r.Made, f.boot()))
+	}
 	f.run(ctx)
 }
 
@@ -66,6 +69,7 @@
 		p.entry.state.counted(p.count())
 		names, self := p.names()
 		p.entry.quotas.listed(names, self, p.writtenBefore)
+		p.entry.limitsListed(names, self, p.writtenBefore)
 	default:
 	}
 	pause := p.pause()
--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -156,6 +156,8 @@
 		return nil
 	}
 	s.feed.Placed(now, &j.query, &choice)
+	limit, _ := s.limits.State(choice.ID, now)
+	s.limits.Take(choice.ID, now)
 	p := &placed{replica: s.replicas.Get(choice.ID), choice: choice, at: now}
 	if j.asked.Model != "" {
 		p.version = s.board.Version(choice.ID, j.asked.Model)
@@ -165,6 +167,7 @@
 		replica: choice.ID, reason: choice.Reason, score: choice.Score, load: choice.Load,
 		missed: choice.Missed, source: p.source, of: choice.Of, version: p.version,
 		listAge: now - time.Duration(s.listReadAt.Load()), listFrom: s.listFrom(), offList: s.replicas.OffList(choice.ID, now),
+		limit: limit,
 	})
 	return p
 }
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -9,6 +9,7 @@
 
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/ratelimit"
 	"skylarklead/internal/route"
 )
 
@@ -32,6 +33,8 @@
 	listFrom string
 	// offList is how long ago the replica's record was removed, 0 if it wasn't.
 	offList time.Duration
+	// limit is what was known of the replica's rate limit, zero for none.
+	limit ratelimit.State
 	// notice is what the replica said of itself in the head of its answer.
 	notice  fleet.Notice
 	outcome string
@@ -146,7 +149,7 @@
 // attr renders which replicas could not take a request.
 func (x *exclusions) attr() slog.Attr {
 	return slog.Group("replicas", slog.Int("listed", x.listed), slog.Int("left", x.left),
-		slog.Int("down", x.down), slog.Int("ordered", x.ordered), slog.Int("overdue", x.overdue), slog.Int("unfit", x.unfit))
+		slog.Int("down", x.down), slog.Int("ordered", x.ordered), slog.Int("overdue", x.overdue), slog.Int("unfit", x.unfit), slog.Int("limited", x.limited))
 }
 
 // attr renders a hand-over: what it was decided by, how old that was, and what
@@ -177,6 +180,10 @@
 	if h.version > 0 {
 		fields = append(fields, slog.Uint64("weights", h.version))
 	}
+	if h.limit.Among > 0 {
+		fields = append(fields, slog.Float64("rate_limit", h.limit.Rate), slog.Float64("rate_part", h.limit.Part),
+			slog.Int64("rate_limit_age_ms", h.limit.Age.Milliseconds()))
+	}
 	if h.notice.Limited {
 		fields = append(fields, slog.Float64("named_rate_limit", h.notice.Rate))
 	}
--- a/internal/direct/ports.go
+++ b/internal/direct/ports.go
@@ -32,10 +32,11 @@
 	Replica(key string, value []byte) (*fleet.Replica, error)
 }
 
-// Replicas calls the replicas of models.
+// Replicas calls the replicas of models. Whatever the answer, the notice is what the replica says
+// of itself in its head.
 type Replicas interface {
-	Order(context.Context, *fleet.Order) (fleet.Reply, error)
-	Report(context.Context, *fleet.Replica) (fleet.Report, error)
+	Order(context.Context, *fleet.Order) (fleet.Reply, fleet.Notice, error)
+	Report(context.Context, *fleet.Replica) (fleet.Report, fleet.Notice, error)
 }
 
 // Platform is what the adapter of a platform gives.
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -407,12 +407,13 @@
 func (r *rollouts) give(ctx context.Context, model string, o fleet.Order) {
 	e := r.entry
 	began := e.clock.now()
-	reply, err := fleet.ReplyNotSent, errLeaseOver
+	reply, notice, err := fleet.ReplyNotSent, fleet.Notice{}, errLeaseOver
 	if r.stillHolds(o.Fence) {
 		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
-		reply, err = e.platform.Replicas.Order(callCtx, &o)
+		reply, notice, err = e.platform.Replicas.Order(callCtx, &o)
 		cancel()
 	}
+	e.noticed(o.Replica.ID, &notice, began, false)
 	now := e.clock.now()
 	attrs := []any{"replica", o.Replica.ID, "model", model, "version", o.Version, "fence", o.Fence,
 		"expected", o.Expected, "reply", reply.String(), "took_ms", ms(now - began)}
@@ -441,8 +442,10 @@
 func (r *rollouts) ask(ctx context.Context, model string, replica *fleet.Replica) {
 	e := r.entry
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
-	report, err := e.platform.Replicas.Report(callCtx, replica)
+	asked := e.clock.now()
+	report, notice, err := e.platform.Replicas.Report(callCtx, replica)
 	cancel()
+	e.noticed(replica.ID, &notice, asked, false)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -10,6 +10,7 @@
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/member"
+	"skylarklead/internal/ratelimit"
 	"skylarklead/internal/rollout"
 	"skylarklead/internal/route"
 )
@@ -50,6 +51,7 @@
 	budgets map[string]*attempt.Budget
 	strikes *attempt.Strikes
 	gates   map[string]*gate
+	limits  *ratelimit.Limits
 	// listed is set once the list of replicas was read whole.
 	listed bool
 	// listRewound is when it was last read from a store that came back from an older copy, 0
@@ -77,7 +79,7 @@
 // they may.
 const unknownEntries = 512
 
-func newState(budget attempt.BudgetParams) *state {
+func newState(self string, budget attempt.BudgetParams) *state {
 	return &state{
 		entries:  unknownEntries,
 		replicas: member.NewReplicas(member.DefaultReplicaParams),
@@ -88,6 +90,7 @@
 		budgets:  make(map[string]*attempt.Budget),
 		strikes:  attempt.NewStrikes(attempt.DefaultStrikeParams),
 		gates:    make(map[string]*gate),
+		limits:   ratelimit.New(self, ratelimit.DefaultParams, rand.Float64),
 		changed:  make(chan struct{}),
 		budget:   budget,
 		namings:  make(map[namedVersion]*rollout.Naming),
@@ -200,6 +203,7 @@
 func (s *state) forget(id string) {
 	s.board.Gone(id)
 	s.feed.Gone(id)
+	s.limits.Forget(id)
 }
 
 // wanted is the version of a model's weights to use, 0 if none was named. The
@@ -218,7 +222,8 @@
 	// left are draining or gone, down unreachable or just refused something, ordered
 	// about to load weights, overdue on weights that may not be used any more.
 	// unfit don't say that they run the model asked for.
-	left, down, ordered, overdue, unfit int
+	// limited have had their part of the rate that they take.
+	left, down, ordered, overdue, unfit, limited int
 }
 
 // candidates lists the replicas of a service that may take a request for a model
@@ -245,6 +250,10 @@
 			excluded.down++
 			continue
 		}
+		if !s.limits.Allows(id, now) {
+			excluded.limited++
+			continue
+		}
 		c := route.FeedCandidate{
 			ID: id, FailureDomain: r.FailureDomain, Slots: r.Slots,
 			Engine: service.Engine != nil, Doubtful: health == member.Doubtful,
--- a/internal/direct/unheard.go
+++ b/internal/direct/unheard.go
@@ -63,7 +63,9 @@
 	defer s.mu.Unlock()
 	var replicas []*fleet.Replica
 	for _, id := range s.replicas.IDs() {
-		if r := s.replicas.Get(id); len(r.Weights) > 0 && (e.hub == nil || spread.Asks(e.settings.ID, alive, id)) {
+		r := s.replicas.Get(id)
+		if len(r.Weights) > 0 && (e.hub == nil || spread.Asks(e.settings.ID, alive, id)) && s.limits.Allows(id, now) {
+			s.limits.Take(id, now)
 			replicas = append(replicas, r)
 		}
 	}
@@ -75,7 +77,9 @@
 	e := w.entry
 	ctx, cancel := context.WithTimeout(ctx, askEvery)
 	defer cancel()
-	report, err := e.platform.Replicas.Report(ctx, r)
+	asked := e.clock.now()
+	report, notice, err := e.platform.Replicas.Report(ctx, r)
+	e.noticed(r.ID, &notice, asked, false)
 	var other *fleet.MisdirectedError
 	switch {
 	case errors.As(err, &other):
@@ -199,7 +203,7 @@
 func (e *Entry) adopt(old *fleet.Replica, name string) {
 	ctx, cancel := context.WithTimeout(context.Background(), askEvery)
 	defer cancel()
-	report, err := e.platform.Replicas.Report(ctx, old.Restarted(name, 0))
+	report, _, err := e.platform.Replicas.Report(ctx, old.Restarted(name, 0))
 	if err != nil || report.Draining {
 		return // the list will tell
 	}
--- /dev/null
+++ b/internal/ratelimit/limits_test.go
@@ -0,0 +1,300 @@
+package ratelimit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against shares that sum to more than a limit, or that leave most of it unused.
+func TestALimitHoldsOverFleetsOfAllSizes(t *testing.T) {
+	for _, entries := range []int{1, 3, 30, 103, 300} {
+		for _, rate := range []float64{0, 0.2, 1.6, 8, 60} {
+			t.Run(fmt.Sprintf("%d entries, %v a second", entries, rate), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(1, entries)
+				f.run(time.Second)
+				f.rate = rate
+				f.run(12 * time.Second)
+				if n := f.most(2*time.Second, window); n > allowed(rate) {
+					t.Errorf("%d requests in %v, %d allowed", n, window, allowed(rate))
+				}
+				span := 8 * time.Second
+				// Each simulated entry has one request under way, of some 80 ms.
+				possible := min(rate, 8*float64(entries))
+				if n := f.count(f.now-span, f.now); float64(n) < 0.7*possible*span.Seconds()-3 {
+					t.Errorf("%d requests in %v at %v a second", n, span, rate)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a bound that holds only while entries hear each other, stay, and keep running.
+func TestALimitHoldsUnderAnyScheduleOfFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 40).Draw(t, "entries"))
+		f.loss = rapid.Float64Range(0, 1).Draw(t, "loss")
+		rate := rapid.Float64Range(0, 12).Draw(t, "rate")
+		f.run(time.Second)
+		f.rate = rate
+		f.run(time.Second)
+		for i := range rapid.IntRange(1, 4).Draw(t, "faults") {
+			e := f.entries[rapid.IntRange(0, len(f.entries)-1).Draw(t, "of")]
+			switch rapid.SampledFrom([]string{"cut", "restart", "replace", "add"}).Draw(t, "fault") {
+			case "cut":
+				e.cut = !e.cut
+			case "restart":
+				f.start(e)
+			case "replace":
+				f.remove(e)
+				f.start(&simEntry{name: fmt.Sprint("replacement-", i)})
+			case "add":
+				f.start(&simEntry{name: fmt.Sprint("added-", i)})
+			}
+			f.run(time.Duration(rapid.IntRange(1, 4).Draw(t, "seconds")) * time.Second)
+		}
+		f.run(2 * time.Second)
+		if n := f.most(2*time.Second, window); n > allowed(rate) {
+			t.Fatalf("%d requests in %v at %v a second, %d allowed", n, window, rate, allowed(rate))
+		}
+	})
+}
+
+// Guards against requests saved up by all entries that go out at the same moment.
+func TestWhatIsSavedUpFitsALimit(t *testing.T) {
+	for _, entries := range []int{3, 30, 300} {
+		for _, rate := range []float64{0.2, 1.6, 20, 200} {
+			t.Run(fmt.Sprintf("%d entries, %v a second", entries, rate), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(1, entries)
+				f.run(time.Second)
+				f.rate = rate
+				f.run(2 * time.Second)
+				f.idle = true
+				f.run(3 * time.Minute)
+				f.idle = false
+				f.run(5 * time.Second)
+				if n := f.most(2*time.Second, window); n > allowed(rate) {
+					t.Errorf("%d requests in %v, %d allowed", n, window, allowed(rate))
+				}
+			})
+		}
+	}
+}
+
+// Guards against entries that divide a limit by an old list while the fleet has grown.
+func TestALimitHoldsWhileAFleetGrowsUnheard(t *testing.T) {
+	const rate = 20
+	f := newFleet(1, 4)
+	f.run(time.Second)
+	f.rate = rate
+	f.run(2 * time.Second)
+	for _, e := range f.entries {
+		e.cut = true
+	}
+	for i := range 12 {
+		f.start(&simEntry{name: fmt.Sprint("added-", i)})
+	}
+	f.run(20 * time.Second)
+	if n := f.most(2*time.Second, window); n > allowed(rate) {
+		t.Errorf("%d requests in %v, %d allowed", n, window, allowed(rate))
+	}
+}
+
+// Guards against a new entry that takes its part before the others have given it up.
+func TestANewEntryHasNoPartAtFirst(t *testing.T) {
+	now := time.Minute
+	l := New("new", DefaultParams, rand.Float64)
+	l.Listed([]string{"a", "new"}, now)
+	l.Confirmed(now, now)
+	l.Joined(false, now)
+	l.Named("r", 10, now)
+	later := now + DefaultParams.ListedWithin
+	l.Confirmed(later, later)
+	if l.Allows("r", later) {
+		t.Error("a new entry sends before all others know of it")
+	}
+	if !l.Allows("r", later+time.Second) {
+		t.Error("a new entry has no part after all others know of it")
+	}
+}
+
+// Guards against a limit that is held on to after its end by entries that send nothing to the
+// replica and so hear no answer of it.
+func TestALimitEndsForAllEntries(t *testing.T) {
+	for _, loss := range []float64{0, 1} {
+		t.Run(fmt.Sprint("loss ", loss), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(1, 30)
+			f.loss = loss
+			f.run(time.Second)
+			f.rate = 1.6
+			f.run(5 * time.Second)
+			f.rate = -1
+			within := 3 * time.Second
+			if loss == 1 {
+				within = 2*DefaultParams.BelievedFor + 2*time.Second
+			}
+			f.run(within)
+			for _, e := range f.entries {
+				if s, limited := e.limits.State(simReplica, f.now); limited {
+					t.Errorf("%s still holds %+v after %v", e.name, s, within)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a flood of trials by entries that nobody tells of a limit that goes on.
+func TestALimitThatGoesOnIsTriedRarely(t *testing.T) {
+	f := newFleet(1, 30)
+	f.loss = 1
+	f.run(time.Second)
+	f.rate = 0
+	f.run(3 * time.Minute)
+	if n := f.most(2*time.Second, window); n > allowed(0)+5 {
+		t.Errorf("%d requests in %v at a limit of 0", n, window)
+	}
+	spoken := newFleet(1, 30)
+	spoken.run(time.Second)
+	spoken.rate = 1.6
+	spoken.run(3 * time.Minute)
+	if n := spoken.most(2*time.Second, window); n > allowed(1.6) {
+		t.Errorf("%d requests in %v at a limit of 1.6", n, window)
+	}
+}
+
+// Guards against a try whose answer is still under way that is followed by more.
+func TestOneTryAtATime(t *testing.T) {
+	l := New("a", DefaultParams, rand.Float64)
+	l.Named("r", 0, time.Second)
+	l.Allows("r", DefaultParams.BelievedFor)
+	now := l.Next("r", time.Second)
+	if l.Allows("r", now-time.Millisecond) || !l.Allows("r", now) {
+		t.Fatal("the time of the next request isn't when it is allowed")
+	}
+	l.Take("r", now)
+	if l.Allows("r", now+time.Second) {
+		t.Error("a second try before the first one's answer")
+	}
+}
+
+// Guards against entries that all try in the same moment if a limit of 0 still holds.
+func TestTriesAreSpreadOut(t *testing.T) {
+	for seed := range uint64(2) {
+		f := newFleet(seed, 300)
+		f.run(time.Second)
+		f.rate = 0
+		f.run(90 * time.Second)
+		if n := f.most(2*time.Second, window); n > allowed(0) {
+			t.Errorf("seed %d: %d requests in %v at a limit of 0", seed, n, window)
+		}
+	}
+}
+
+// Guards against a changed rate that only the entry with the answer hears of.
+func TestAChangedRateIsTold(t *testing.T) {
+	l := New("a", DefaultParams, rand.Float64)
+	now := time.Minute
+	for _, rate := range []float64{2, 20, 0.5} {
+		l.Named("r", rate, now)
+		told := 0
+		for range 10 {
+			now += 50 * time.Millisecond
+			for _, w := range l.Words(now) {
+				if w != (Word{Replica: "r", Rate: rate}) {
+					t.Errorf("told %+v at a rate of %v", w, rate)
+				}
+				told++
+			}
+		}
+		if told != tellings {
+			t.Errorf("a rate of %v was told %d times", rate, told)
+		}
+	}
+}
+
+// Guards against an answer from before the limit that is taken for its end.
+func TestAnAnswerToAnEarlierRequestEndsNoLimit(t *testing.T) {
+	l := New("a", DefaultParams, rand.Float64)
+	l.Named("r", 2, 10*time.Second)
+	if l.Unnamed("r", 9*time.Second) {
+		t.Error("the answer to a request from before the limit has ended it")
+	}
+	if !l.Unnamed("r", 11*time.Second) {
+		t.Error("the answer to a later request has not ended the limit")
+	}
+}
+
+// Guards against others' old words that win over what the replica itself has just said.
+func TestTheReplicasOwnWordGoesFirst(t *testing.T) {
+	l := New("a", DefaultParams, rand.Float64)
+	l.Named("r", 2, 10*time.Second)
+	if l.Heard(Word{Replica: "r", Lifted: true}, 10*time.Second+DefaultParams.OwnFirst/2) {
+		t.Error("another entry's word ended a limit that was just named here")
+	}
+	if !l.Heard(Word{Replica: "r", Lifted: true}, 10*time.Second+2*DefaultParams.OwnFirst) {
+		t.Error("another entry's word of the end isn't taken")
+	}
+	if l.Heard(Word{Replica: "r", Rate: -1}, 20*time.Second) {
+		t.Error("a rate below 0 is taken")
+	}
+}
+
+// Guards against a lowered limit whose larger savings are still spent, and one raised that isn't.
+func TestALimitFollowsTheAnswers(t *testing.T) {
+	now := 10 * time.Second
+	l := New("a", DefaultParams, rand.Float64)
+	l.Listed([]string{"a"}, now)
+	l.Confirmed(now, now)
+	l.Joined(true, now)
+	l.Named("r", 100, now)
+	now += time.Second
+	l.Confirmed(now, now)
+	l.Named("r", 1, now)
+	sent := 0
+	for ; l.Allows("r", now); sent++ {
+		l.Take("r", now)
+	}
+	if sent > 1 {
+		t.Errorf("%d requests sent at once after a limit was lowered to 1 a second", sent)
+	}
+	if next := l.Next("r", now); next <= now || next > now+time.Second {
+		t.Errorf("the next request may go in %v", next-now)
+	}
+	now += 100 * time.Millisecond
+	l.Named("r", 1000, now)
+	now += 100 * time.Millisecond
+	if !l.Allows("r", now) {
+		t.Error("a raised limit allows nothing")
+	}
+}
+
+// Guards against a cost of each request and answer that grows with what is known.
+func BenchmarkAllowsUnlimited(b *testing.B) {
+	l := New("a", DefaultParams, rand.Float64)
+	l.Listed([]string{"a", "b", "c"}, 0)
+	l.Named("other", 2, 0)
+	for b.Loop() {
+		l.Allows("r", time.Second)
+	}
+}
+
+func BenchmarkNamedAgain(b *testing.B) {
+	l := New("a", DefaultParams, rand.Float64)
+	var names []string
+	for i := range 300 {
+		names = append(names, fmt.Sprint("entry-", i))
+	}
+	l.Listed(names, 0)
+	l.Joined(true, 0)
+	now := time.Second
+	for b.Loop() {
+		now += time.Millisecond
+		l.Named("r", 2, now)
+	}
+}
