Requests that limited replicas can't take in time are refused at once

Where all replicas of a service name rate limits, requests waited at the entry for two fifths of their callers' time and were refused then, with a Retry-After of 0.3 s. What is known of each replica (when it takes the next request, how many a second) now bounds the line: those whose turn would come after the caller's patience are refused at once, last in turn first, with the time of the first free place. A service with one replica whose state isn't known waits as before.

--- a/internal/admit/line.go
+++ b/internal/admit/line.go
@@ -127,6 +127,22 @@
 	return a.seq < b.seq
 }
 
+// Trim takes out of the line and returns the tickets beyond the first n, the last one first.
+func (l *Line) Trim(n int, now time.Duration) []*Ticket {
+	var gone []*Ticket
+	for len(l.tickets) > max(n, 0) {
+		last := l.tickets[0]
+		for _, t := range l.tickets[1:] {
+			if l.before(now, last, t) {
+				last = t
+			}
+		}
+		l.Remove(last)
+		gone = append(gone, last)
+	}
+	return gone
+}
+
 // Given notes that an organisation's work goes to a replica.
 func (l *Line) Given(organisation string, work float64, now time.Duration) {
 	u := l.given[organisation]
--- a/internal/direct/handon.go
+++ b/internal/direct/handon.go
@@ -118,6 +118,9 @@
 		j.fail(http.StatusBadGateway, "no replica to try again", 0)
 	case !j.endsInTime():
 		j.refuse(shuttingDown, comeBack)
+	case j.openIn > 0:
+		j.entry.tel.Metrics.Count("refused_replicas_closed", 1)
+		j.refuse("replicas take nothing more for now", j.openIn)
 	default:
 		j.refuse("no replica can take it", comeBack)
 	}
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -69,6 +69,10 @@
 	// failure is a replica's own failure, passed on if nothing better comes.
 	failure *wholeAnswer
 
+	// openIn is the time until replicas that take nothing now have a place again, 0 if that isn't
+	// why there is none.
+	openIn time.Duration
+
 	hands []hand
 	// excluded is of the latest try to place the request.
 	excluded exclusions
