--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -2,6 +2,8 @@
 
 // Notice is what a replica says of itself in the head of an answer, whatever it answers.
 type Notice struct {
+	// Leaving is set once it is leaving.
+	Leaving bool
 	// Limited says that it takes no more than Rate requests a second from all entries
 	// together, for as long as its answers say so. Rate is 0 or more.
 	Limited bool
