A replica that says in any answer that it leaves gets no more requests

Cause: only a replica's record and, for model replicas while the store is silent, its report made it leaving. The class is that of the rate limit: what a replica says of itself in its answers was dropped in the adapter.

The same elsewhere: reports asked for in a rollout were not looked at for it, nor the heads of reports and of answers to orders; a removal and an older record brought a leaving replica back under its incarnation; entries that send little to it weren't told. All are mended: the word is kept with the name as long as that incarnation is its latest, and told to the others twice.

--- a/internal/direct/notices.go
+++ b/internal/direct/notices.go
@@ -8,14 +8,20 @@
 	"skylarklead/internal/ratelimit"
 )
 
-// maxWordLimits bounds the rate limits in a word, with names of replicas of some 50 bytes.
-const maxWordLimits = 20
+const (
+	// maxWordNotices bounds the notices in a word, with names of replicas of some 50 bytes.
+	maxWordNotices = 20
+	// leavingTold is how often it is told that a replica leaves: a datagram may be lost.
+	leavingTold = 2
+)
 
-// wordLimit is a ratelimit.Word.
-type wordLimit struct {
+// wordNotice is what a replica has said of itself to another entry: that it leaves, or else a
+// ratelimit.Word.
+type wordNotice struct {
 	Replica string  `cbor:"1,keyasint"`
 	Rate    float64 `cbor:"2,keyasint,omitempty"`
 	Lifted  bool    `cbor:"3,keyasint,omitempty"`
+	Leaving bool    `cbor:"4,keyasint,omitempty"`
 }
 
 // noteNotice takes what a replica says of itself in the head of an answer.
@@ -38,6 +44,10 @@
 	s := e.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if n.Leaving && s.replicas.Leaving(replica) {
+		s.leavingNews[replica] = leavingTold
+		e.tel.Log.Info("replica is leaving", "replica", replica, "by", "its answer")
+	}
 	switch {
 	case n.Limited:
 		if s.replicas.Get(replica) != nil && s.limits.Named(replica, n.Rate, now) {
@@ -62,36 +72,47 @@
 	e.state.signal()
 }
 
-// tellLimits tells the others of replicas' rate limits, for those that send nothing to these
-// replicas and so get no answer.
-func (e *Entry) tellLimits() {
+// tellNotices tells the others what replicas have said of themselves: an entry that sends nothing
+// to a replica gets no answer of it.
+func (e *Entry) tellNotices() {
 	s := e.state
 	s.mu.Lock()
-	words := s.limits.Words(e.clock.now())
-	s.mu.Unlock()
-	for part := range slices.Chunk(words, maxWordLimits) {
-		w := &word{From: e.settings.ID, Epoch: uint64(e.tel.Epoch)}
-		for _, l := range part {
-			w.Limits = append(w.Limits, wordLimit(l))
+	var notices []wordNotice
+	for _, l := range s.limits.Words(e.clock.now()) {
+		notices = append(notices, wordNotice{Replica: l.Replica, Rate: l.Rate, Lifted: l.Lifted})
+	}
+	for replica, times := range s.leavingNews {
+		notices = append(notices, wordNotice{Replica: replica, Leaving: true})
+		if s.leavingNews[replica] = times - 1; times <= 1 {
+			delete(s.leavingNews, replica)
 		}
-		e.peers.send(w)
+	}
+	s.mu.Unlock()
+	for part := range slices.Chunk(notices, maxWordNotices) {
+		e.peers.send(&word{From: e.settings.ID, Epoch: uint64(e.tel.Epoch), Notices: part})
 	}
 }
 
-// heardLimits takes what another entry tells of replicas' rate limits.
-func (e *Entry) heardLimits(words []wordLimit, from string) {
+// heardNotices takes what replicas have said of themselves to another entry.
+func (e *Entry) heardNotices(notices []wordNotice, from string) {
 	now := e.clock.now()
 	s := e.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, w := range words {
-		if s.replicas.Get(w.Replica) == nil || !s.limits.Heard(ratelimit.Word(w), now) {
+	for _, n := range notices {
+		if s.replicas.Get(n.Replica) == nil {
 			continue
 		}
-		if w.Lifted {
-			e.limitLifted(w.Replica, from)
-		} else {
-			e.limitNamed(w.Replica, from, now)
+		switch {
+		case n.Leaving:
+			if s.replicas.Leaving(n.Replica) {
+				e.tel.Log.Info("replica is leaving", "replica", n.Replica, "by", from)
+			}
+		case !s.limits.Heard(ratelimit.Word{Replica: n.Replica, Rate: n.Rate, Lifted: n.Lifted}, now):
+		case n.Lifted:
+			e.limitLifted(n.Replica, from)
+		default:
+			e.limitNamed(n.Replica, from, now)
 		}
 	}
 }
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -85,8 +85,8 @@
 	Reports []wordReport `cbor:"12,keyasint,omitempty"`
 	// Quota is about units of an organisation's limit.
 	Quota *wordQuota `cbor:"16,keyasint,omitempty"`
-	// Limits are replicas' rate limits that are news; a word with them has nothing else.
-	Limits []wordLimit `cbor:"17,keyasint,omitempty"`
+	// Notices are what replicas have said of themselves; a word with them has nothing else.
+	Notices []wordNotice `cbor:"17,keyasint,omitempty"`
 }
 
 // wordLoad is a route.Load; Replica is its route.ReplicaKey.
@@ -304,8 +304,8 @@
 		e.heardReports(w.Reports)
 	case w.Ask != nil || w.Answer != nil || w.Hint:
 		e.hub.heard(&w, from)
-	case len(w.Limits) > 0:
-		e.heardLimits(w.Limits, w.From)
+	case len(w.Notices) > 0:
+		e.heardNotices(w.Notices, w.From)
 	case w.Quota != nil:
 		e.quotas.heard(&w, from)
 	case w.Passed != "":
--- a/internal/direct/peers_test.go
+++ b/internal/direct/peers_test.go
@@ -36,6 +36,15 @@
 	checkLength(t, w)
 }
 
+// Guards against notices of replicas that don't fit a datagram together.
+func TestTheLongestNoticesFitADatagram(t *testing.T) {
+	w := &word{From: strings.Repeat("x", 24), Epoch: math.MaxUint64}
+	for range maxWordNotices {
+		w.Notices = append(w.Notices, wordNotice{Replica: strings.Repeat("r", 50), Rate: math.MaxFloat64})
+	}
+	checkLength(t, w)
+}
+
 func checkLength(t *testing.T, w *word) {
 	t.Helper()
 	data, err := cbor.Marshal(w)
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -445,6 +445,7 @@
 	asked := e.clock.now()
 	report, notice, err := e.platform.Replicas.Report(callCtx, replica)
 	cancel()
+	notice.Leaving = notice.Leaving || report.Draining
 	e.noticed(replica.ID, &notice, asked, false)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -52,6 +52,9 @@
 	strikes *attempt.Strikes
 	gates   map[string]*gate
 	limits  *ratelimit.Limits
+	// leavingNews are replicas that have said here that they leave, and how often the other
+	// entries are still to be told.
+	leavingNews map[string]int
 	// listed is set once the list of replicas was read whole.
 	listed bool
 	// listRewound is when it was last read from a store that came back from an older copy, 0
@@ -95,6 +98,7 @@
 		budget:   budget,
 		namings:  make(map[namedVersion]*rollout.Naming),
 
+		leavingNews: make(map[string]int),
 		namingsRead: make(map[namedVersion]bool),
 		learns:      func(string) {},
 	}
--- a/internal/direct/unheard.go
+++ b/internal/direct/unheard.go
@@ -203,8 +203,8 @@
 func (e *Entry) adopt(old *fleet.Replica, name string) {
 	ctx, cancel := context.WithTimeout(context.Background(), askEvery)
 	defer cancel()
-	report, _, err := e.platform.Replicas.Report(ctx, old.Restarted(name, 0))
-	if err != nil || report.Draining {
+	report, notice, err := e.platform.Replicas.Report(ctx, old.Restarted(name, 0))
+	if err != nil || report.Draining || notice.Leaving {
 		return // the list will tell
 	}
 	for model := range old.Weights {
--- a/internal/direct/watch.go
+++ b/internal/direct/watch.go
@@ -87,7 +87,7 @@
 		w.entry.refuseWaiting()
 		w.entry.state.dispatchAll(w.entry.clock.now())
 		w.entry.state.mu.Unlock()
-		w.entry.tellLimits()
+		w.entry.tellNotices()
 		for _, r := range w.due() {
 			go w.probe(ctx, r)
 		}
--- a/internal/member/name.go
+++ b/internal/member/name.go
@@ -19,6 +19,9 @@
 	beat uint64
 	// over is set once that incarnation is known to have ended, whatever its records say.
 	over bool
+	// leaving is set once that incarnation has said that it leaves. It outlives its place on the
+	// list: the record from before may be written again.
+	leaving bool
 	// removed is set once the name was taken off the list, last at removedAt.
 	removed   bool
 	removedAt uint64
@@ -43,7 +46,7 @@
 		return "", true
 	}
 	ended = n.id
-	n.id, n.born, n.beat, n.over = r.ID, r.Born, r.Beat, false
+	n.id, n.born, n.beat, n.over, n.leaving = r.ID, r.Born, r.Beat, false, false
 	return ended, true
 }
 
--- a/internal/member/replicas.go
+++ b/internal/member/replicas.go
@@ -137,9 +137,10 @@
 		ended = ""
 	}
 	delete(v.known, ended)
+	n.leaving = n.leaving || r.Draining
 	l := v.known[r.ID]
 	if l == nil {
-		v.known[r.ID] = &listed{replica: r, offset: offset, draining: r.Draining}
+		v.known[r.ID] = &listed{replica: r, offset: offset, draining: n.leaving}
 		return Listing{Changed: true, Ended: ended}
 	}
 	if offset < l.offset && !later {
@@ -147,7 +148,7 @@
 	}
 	changed := !l.replica.Equal(r)
 	l.replica, l.offset, l.lapsesAt = r, max(l.offset, offset), 0
-	l.draining = l.draining || r.Draining
+	l.draining = n.leaving
 	return Listing{Changed: changed}
 }
 
@@ -242,6 +243,7 @@
 		return false
 	}
 	l.draining = true
+	v.named(l.replica.Name).leaving = true
 	return true
 }
 
--- a/internal/member/replicas_test.go
+++ b/internal/member/replicas_test.go
@@ -145,3 +145,26 @@
 		t.Fatal("not looked at again 600 ms later")
 	}
 }
+
+// Guards against a replica that said it leaves and is in use again by its record from before.
+func TestOnlyALaterIncarnationTakesBackThatAReplicaLeaves(t *testing.T) {
+	v := member.NewReplicas(member.DefaultReplicaParams)
+	first := &fleet.Replica{ID: "r-1", Name: "r", Born: 1}
+	v.Put(first, 1, 0)
+	if !v.Leaving("r-1") {
+		t.Fatal("that it leaves is no news")
+	}
+	v.Put(first, 2, time.Second)
+	if !v.Draining("r-1") {
+		t.Error("a record that says nothing of it takes it back")
+	}
+	v.Remove("r", 3, 2*time.Second)
+	v.Put(first, 4, 3*time.Second)
+	if !v.Draining("r-1") {
+		t.Error("a removal and a record of before take it back")
+	}
+	v.Put(&fleet.Replica{ID: "r-2", Name: "r", Born: 2}, 5, 4*time.Second)
+	if v.Draining("r-2") {
+		t.Error("a later incarnation is left alone too")
+	}
+}
