--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -188,6 +188,9 @@
 		fields = append(fields, slog.Float64("rate_limit", h.limit.Rate), slog.Float64("rate_part", h.limit.Part),
 			slog.Int64("rate_limit_age_ms", h.limit.Age.Milliseconds()))
 	}
+	if h.notice.Rest > 0 {
+		fields = append(fields, slog.Int64("asks_rest_ms", h.notice.Rest.Milliseconds()))
+	}
 	if h.notice.Leaving {
 		fields = append(fields, slog.Bool("says_leaving", true))
 	}
--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "time"
+
 // Notice is what a replica says of itself in the head of an answer, whatever it answers.
 type Notice struct {
 	// Leaving is set once it is leaving.
@@ -8,6 +10,9 @@
 	// together, for as long as its answers say so. Rate is 0 or more.
 	Limited bool
 	Rate    float64
+	// Rest is for how long it wants nothing from the entry that it has turned away, 0 if it
+	// doesn't say.
+	Rest time.Duration
 	// Malformed says that the head has something of this kind that can't be read.
 	Malformed bool
 }
