A replica that turns a request away for a time gets none until that is over

Cause: a refusal left its replica alone for a fixed 0.2 s, whatever its Retry-After said (hypothesis 1: the rates of the record are those of a replica that is tried again after 0.2 s; 2 and 3 are ruled out, none of the five gave a good answer, and requests came a second later). Now the time asked for holds, at most ten minutes, for requests, orders and questions for its state; of two such words the one that ends later. Where all replicas of a service rest or are limited, callers are refused at once with the time of the first place, by the same bound as for rate limits.

--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -153,7 +153,7 @@
 // attr renders which replicas could not take a request.
 func (x *exclusions) attr() slog.Attr {
 	return slog.Group("replicas", slog.Int("listed", x.listed), slog.Int("left", x.left),
-		slog.Int("down", x.down), slog.Int("ordered", x.ordered), slog.Int("overdue", x.overdue), slog.Int("unfit", x.unfit), slog.Int("limited", x.limited))
+		slog.Int("down", x.down), slog.Int("ordered", x.ordered), slog.Int("overdue", x.overdue), slog.Int("unfit", x.unfit), slog.Int("limited", x.limited), slog.Int("resting", x.resting))
 }
 
 // attr renders a hand-over: what it was decided by, how old that was, and what
--- a/internal/direct/notices.go
+++ b/internal/direct/notices.go
@@ -48,6 +48,10 @@
 		s.leavingNews[replica] = leavingTold
 		e.tel.Log.Info("replica is leaving", "replica", replica, "by", "its answer")
 	}
+	if n.Rest > 0 && s.replicas.Rest(replica, n.Rest, now) {
+		e.tel.Metrics.Count("replica_rests", 1)
+		e.tel.Log.Info("replica rests", "replica", replica, "rest_ms", n.Rest.Milliseconds())
+	}
 	switch {
 	case n.Limited:
 		if s.replicas.Get(replica) != nil && s.limits.Named(replica, n.Rate, now) {
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -226,8 +226,9 @@
 	// left are draining or gone, down unreachable or just refused something, ordered
 	// about to load weights, overdue on weights that may not be used any more.
 	// unfit don't say that they run the model asked for.
-	// limited have had their part of the rate that they take.
-	left, down, ordered, overdue, unfit, limited int
+	// limited have had their part of the rate that they take, resting have turned the entry away
+	// for a time.
+	left, down, ordered, overdue, unfit, limited, resting int
 }
 
 // candidates lists the replicas of a service that may take a request for a model
@@ -251,7 +252,11 @@
 			excluded.left++
 			continue
 		case member.Down:
-			excluded.down++
+			if now < s.replicas.RestsUntil(id) {
+				excluded.resting++
+			} else {
+				excluded.down++
+			}
 			continue
 		}
 		if !s.limits.Allows(id, now) {
--- a/internal/direct/supply.go
+++ b/internal/direct/supply.go
@@ -31,9 +31,11 @@
 // opening returns when a replica takes something again, false if it isn't known to take nothing
 // now. The caller holds mu.
 func (s *state) opening(id string, now time.Duration) (admit.Opening, bool) {
-	at := s.limits.Next(id, now)
-	limit, _ := s.limits.State(id, now)
-	return admit.Opening{At: at, Rate: limit.Part}, at > now
+	opening := admit.Opening{At: max(s.replicas.RestsUntil(id), s.limits.Next(id, now)), Rate: admit.Unlimited}
+	if limit, limited := s.limits.State(id, now); limited {
+		opening.Rate = limit.Part
+	}
+	return opening, opening.At > now
 }
 
 // refuseBeyond ends the wait of those for whom the replicas will have no place in time, the
--- a/internal/direct/unheard.go
+++ b/internal/direct/unheard.go
@@ -64,7 +64,10 @@
 	var replicas []*fleet.Replica
 	for _, id := range s.replicas.IDs() {
 		r := s.replicas.Get(id)
-		if len(r.Weights) > 0 && (e.hub == nil || spread.Asks(e.settings.ID, alive, id)) && s.limits.Allows(id, now) {
+		if len(r.Weights) == 0 || now < s.replicas.RestsUntil(id) || e.hub != nil && !spread.Asks(e.settings.ID, alive, id) {
+			continue
+		}
+		if s.limits.Allows(id, now) {
 			s.limits.Take(id, now)
 			replicas = append(replicas, r)
 		}
--- a/internal/member/replicas.go
+++ b/internal/member/replicas.go
@@ -19,6 +19,8 @@
 	CheckEvery time.Duration
 	// BusyFor is how long a replica that refused a request gets no other.
 	BusyFor time.Duration
+	// RestMost is the longest rest that a replica is given at its word.
+	RestMost time.Duration
 	// FaultHalfLife is how fast faults are forgotten, in time.
 	FaultHalfLife time.Duration
 	// FaultLimit is the weight of recent faults from which on a replica gets work
@@ -33,7 +35,7 @@
 // as a crash lasts seconds, and take three quick faults for more than chance.
 var DefaultReplicaParams = ReplicaParams{
 	BackoffMin: 200 * time.Millisecond, BackoffMax: 800 * time.Millisecond,
-	CheckEvery: 500 * time.Millisecond, BusyFor: 200 * time.Millisecond,
+	CheckEvery: 500 * time.Millisecond, BusyFor: 200 * time.Millisecond, RestMost: 10 * time.Minute,
 	FaultHalfLife: 2 * time.Second, FaultLimit: 2.5,
 	Tombstone: 2 * time.Minute,
 }
@@ -67,6 +69,8 @@
 	probing     bool
 	// busyUntil is how long it is left alone after it refused a request.
 	busyUntil time.Duration
+	// restUntil is how long it gets nothing, as it has asked.
+	restUntil time.Duration
 	// checkedAt is when it was last looked at for being silent, if it was checked.
 	checked   bool
 	checkedAt time.Duration
@@ -313,6 +317,27 @@
 	}
 }
 
+// Rest says that a replica turned a request away and wants none for a time. It counts as sound. Of
+// two such words the one that ends later holds: an answer may overtake another. It reports whether
+// the rest begins now.
+func (v *Replicas) Rest(id string, d, now time.Duration) (begins bool) {
+	l := v.known[id]
+	if l == nil {
+		return false
+	}
+	begins = l.restUntil <= now
+	l.restUntil = max(l.restUntil, now+min(d, v.params.RestMost))
+	return begins
+}
+
+// RestsUntil returns until when a replica wants nothing, a time that is over if it doesn't rest.
+func (v *Replicas) RestsUntil(id string) time.Duration {
+	if l := v.known[id]; l != nil {
+		return l.restUntil
+	}
+	return 0
+}
+
 // Faulty says that a request met a fault at a replica.
 func (v *Replicas) Faulty(id string, _ Fault, now time.Duration) {
 	l := v.known[id]
@@ -355,7 +380,7 @@
 	Healthy Health = iota
 	// Doubtful replicas get work only where no healthy one can take it.
 	Doubtful
-	// Down replicas can't be reached, or have just refused a request.
+	// Down replicas can't be reached, have just refused a request, or rest.
 	Down
 	// Left replicas are leaving or gone; they get nothing.
 	Left
@@ -376,7 +401,7 @@
 	switch {
 	case l == nil || l.draining || l.lapsed(now):
 		return Left
-	case l.unreachable || now < l.busyUntil:
+	case l.unreachable || now < max(l.busyUntil, l.restUntil):
 		return Down
 	case v.decayed(l, now) >= v.params.FaultLimit:
 		return Doubtful
--- a/internal/member/replicas_test.go
+++ b/internal/member/replicas_test.go
@@ -168,3 +168,22 @@
 		t.Error("a later incarnation is left alone too")
 	}
 }
+
+// Guards against a longer rest that a shorter one ends, and against one that has no end.
+func TestTheRestThatEndsLaterHolds(t *testing.T) {
+	v := member.NewReplicas(member.DefaultReplicaParams)
+	v.Put(&fleet.Replica{ID: "r", Name: "r"}, 1, 0)
+	if !v.Rest("r", 3*time.Second, time.Second) || v.Rest("r", time.Second, 2*time.Second) {
+		t.Error("the rest doesn't begin with the first word of it")
+	}
+	v.Worked("r", 2*time.Second)
+	for at, want := range map[time.Duration]member.Health{3500 * time.Millisecond: member.Down, 4 * time.Second: member.Healthy} {
+		if got := v.Health("r", at); got != want {
+			t.Errorf("at %v it is %v, want %v", at, got, want)
+		}
+	}
+	v.Rest("r", 24*time.Hour, 5*time.Second)
+	if until := v.RestsUntil("r"); until != 5*time.Second+member.DefaultReplicaParams.RestMost {
+		t.Errorf("it rests until %v", until)
+	}
+}
