An engine that refuses a request for a time is handed none until that is over

Now they are dismissed at once, as not run, with another endpoint named and the time that is left, until the rest is over or the engine starts again.

--- a/internal/endpoint/admission.go
+++ b/internal/endpoint/admission.go
@@ -111,7 +111,7 @@
 			continue
 		}
 		if why := e.notForEngine(a); why != "" {
-			end := protocol.End{Outcome: protocol.NotRun, Code: protocol.CodeNotRun, Message: why}
+			end := protocol.End{Outcome: protocol.NotRun, Code: protocol.CodeNotRun, Message: why, RetryAfterMs: e.restLeft().Milliseconds()}
 			end.Redirect = e.redirect(a.run)
 			e.dismiss(a, end)
 			continue
@@ -138,6 +138,8 @@
 	switch {
 	case e.watch.freeze.on:
 		return "engine doesn't answer"
+	case e.restLeft() > 0:
+		return "engine rests"
 	case e.otherWeights(a):
 		return "engine has other weights"
 	}
--- a/internal/endpoint/completion.go
+++ b/internal/endpoint/completion.go
@@ -53,8 +53,12 @@
 	c.firstToken = func() { e.tel.Metrics.FirstToken(j.run.Organisation, time.Since(j.begun)) }
 	st, err := c.engine.Complete(ctx, c.request())
 	if errors.Is(err, engine.ErrNotSent) {
-		if isUnreachable(err) {
+		var refused *engine.RefusedError
+		switch {
+		case !errors.As(err, &refused):
 			e.loop.must(func() { e.engineUnreachable(err) })
+		case refused.Rest() > 0:
+			e.loop.must(func() { e.engineRests(refused.Rest()) })
 		}
 		return c.notRun(err)
 	}
@@ -96,12 +100,6 @@
 	}
 }
 
-// isUnreachable tells an engine that can't be connected to from one that refuses.
-func isUnreachable(err error) bool {
-	var refused *engine.RefusedError
-	return !errors.As(err, &refused)
-}
-
 // notRun tells why the engine didn't take a request.
 func (c *completion) notRun(err error) protocol.End {
 	end := protocol.End{Outcome: protocol.NotRun, Code: protocol.CodeNotRun, Message: "engine is not ready"}
--- a/internal/endpoint/enginewatch.go
+++ b/internal/endpoint/enginewatch.go
@@ -39,6 +39,8 @@
 	// crashes counts the crashes that strikes were given for.
 	crashes int
 	freeze  freeze
+	// restUntil is until when the engine wants nothing, as it has said when it refused a request.
+	restUntil time.Duration
 	// from is where a resync wants the event stream, 0 for none; cancel ends the
 	// present stream.
 	from   uint64
@@ -73,6 +75,22 @@
 	}
 }
 
+// maxRest is the longest rest that an engine is given at its word.
+const maxRest = 10 * time.Minute
+
+// engineRests takes an engine's word that it wants nothing for a time. An engine that goes on being
+// handed work refuses all of it, and its callers get nothing but refusals.
+func (e *Endpoint) engineRests(rest time.Duration) {
+	now := e.now()
+	if e.watch.restUntil <= now {
+		e.log.Info("engine rests", "rest_ms", rest.Milliseconds())
+	}
+	e.watch.restUntil = max(e.watch.restUntil, now+min(rest, maxRest))
+}
+
+// restLeft is for how long the engine wants nothing, 0 if it takes work.
+func (e *Endpoint) restLeft() time.Duration { return max(0, e.watch.restUntil-e.now()) }
+
 // onLoad takes a load report that was asked for at asked. Its age counts from
 // there: on a busy machine an answer takes longer than the report is old, and one
 // from before a change would count as from after it.
@@ -87,6 +105,7 @@
 		return
 	}
 	if w.incarnation != "" && load.Incarnation != w.incarnation {
+		w.restUntil = 0
 		e.engineCrashed(w.incarnation)
 	}
 	if !w.up {
--- a/internal/endpoint/harness_test.go
+++ b/internal/endpoint/harness_test.go
@@ -44,6 +44,9 @@
 	canceled    map[string]bool
 	cut         map[string]bool // streams whose connection is cut after one word
 	bodies      []engine.Completion
+	// rest is the Retry-After with which it refuses requests, "" while it takes them.
+	rest    string
+	refused int
 }
 
 func newFakeEngine(t *testing.T, words ...string) *fakeEngine {
@@ -71,6 +74,13 @@
 	json.NewDecoder(r.Body).Decode(&body)
 	id := r.Header.Get(engine.HeaderRequestID)
 	f.mu.Lock()
+	if f.rest != "" {
+		f.refused++
+		w.Header().Set("Retry-After", f.rest)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		f.mu.Unlock()
+		return
+	}
 	f.runs[id]++
 	f.bodies = append(f.bodies, body)
 	f.mu.Unlock()
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -6,8 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
+
+	"skylarklead/internal/retryafter"
 )
 
 // The errors of this package, for errors.Is.
@@ -50,6 +51,14 @@
 	return fmt.Sprintf("engine: refused with %d %s: %s", e.Status, e.Code, e.Message)
 }
 
+// Rest is for how long the back end wants nothing, 0 if it doesn't say.
+func (e *RefusedError) Rest() time.Duration {
+	if e.Status != http.StatusServiceUnavailable && e.Status != http.StatusTooManyRequests {
+		return 0
+	}
+	return e.RetryAfter
+}
+
 // Is makes every refusal an ErrNotSent, and one for loading an ErrLoading.
 func (e *RefusedError) Is(target error) bool {
 	return target == ErrNotSent || target == ErrLoading && e.Code == CodeLoading
@@ -88,9 +97,6 @@
 }
 
 func retryAfter(resp *http.Response) time.Duration {
-	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return time.Duration(seconds) * time.Second
+	after, _ := retryafter.Parse(resp.Header.Get("Retry-After")) // 0 for none
+	return after
 }
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -17,6 +17,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"skylarklead/internal/retryafter"
 )
 
 const (
@@ -244,12 +246,10 @@
 	return json.Unmarshal(data, into)
 }
 
-// retryAfter reads the header Retry-After, whole seconds in the standard's form;
-// the log's own fractions are taken too.
+// retryAfter is when the log wants the next call.
 func retryAfter(resp *http.Response) time.Duration {
-	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-	if err != nil || seconds < 0 {
-		return defaultRetryAfter
+	if after, ok := retryafter.Parse(resp.Header.Get("Retry-After")); ok {
+		return after
 	}
-	return time.Duration(seconds * float64(time.Second))
+	return defaultRetryAfter
 }
--- /dev/null
+++ b/internal/retryafter/retryafter.go
@@ -0,0 +1,22 @@
+// Package retryafter reads the HTTP header Retry-After.
+package retryafter
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Longest is the longest time that Parse returns.
+const Longest = 24 * time.Hour
+
+// Parse reads a number of seconds, whole as in RFC 9110 or with a fraction, as some servers write.
+// It reports false for anything else; dates are not read.
+func Parse(text string) (time.Duration, bool) {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(seconds) || seconds < 0 {
+		return 0, false
+	}
+	return time.Duration(min(seconds, Longest.Seconds()) * float64(time.Second)), true
+}
