--- /dev/null
+++ b/internal/divide/divide_test.go
@@ -0,0 +1,69 @@
+package divide
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against units that come in twice, or beyond what may be saved up, in any order of use.
+func TestABucketGivesNoMoreThanComesIn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate, most := rapid.Float64Range(0, 50).Draw(t, "rate"), rapid.Float64Range(0, 20).Draw(t, "most")
+		b := Bucket{Rate: rate, Most: most, StaleAt: time.Hour}
+		now, taken := time.Duration(0), 0.0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(-50, 800).Draw(t, "ms")) * time.Millisecond
+			units := rapid.Float64Range(0, 5).Draw(t, "units")
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				if b.Take(units, now) {
+					taken += units
+				}
+			case 1:
+				if taken >= units {
+					b.Give(units, now)
+					taken -= units
+				}
+			case 2:
+				b.Resize(rate, most, now)
+			}
+			if b.Level < -1e-9 || b.Level > most+1e-9 {
+				t.Fatalf("%v saved up, at most %v may be", b.Level, most)
+			}
+			if came := rate * b.At.Seconds(); taken > came+1e-6 {
+				t.Fatalf("%v taken, %v came in", taken, came)
+			}
+		}
+	})
+}
+
+// Guards against the whole rate of an entry whose list of entries is too old.
+func TestABucketFillsSlowerByAnOldList(t *testing.T) {
+	b := Bucket{Rate: 10, Most: 1000, StaleAt: 2 * time.Second}
+	b.Refill(4 * time.Second)
+	if want := 20 + staleRate*20; b.Level != want {
+		t.Errorf("%v came in, want %v", b.Level, want)
+	}
+}
+
+// Guards against a part taken before the others know of an entry, and a list that gets younger by old
+// news.
+func TestEntriesJoinOnceAndAreConfirmedForward(t *testing.T) {
+	const within = 6 * time.Second
+	e := NewEntries("b")
+	e.Listed([]string{"c", "b", "a"})
+	if e.Names[0] != "a" || e.Active <= time.Hour {
+		t.Errorf("%+v before it has joined", e)
+	}
+	if !e.Joined(false, within, time.Second) || e.Active != time.Second+within {
+		t.Errorf("active from %v", e.Active)
+	}
+	if e.Joined(true, within, 2*time.Second) || e.Active != time.Second+within {
+		t.Error("it has joined twice")
+	}
+	if !e.Confirmed(3*time.Second, within) || e.Confirmed(2*time.Second, within) || e.StaleAt != 3*time.Second+within {
+		t.Errorf("the list is too old from %v", e.StaleAt)
+	}
+}
--- a/internal/quota/guards_test.go
+++ b/internal/quota/guards_test.go
@@ -112,7 +112,7 @@
 		}
 		for _, rate := range []float64{1, 1000, 100_000, 10_000_000} {
 			q := tokens(rate)
-			s := divide("derwent", &q, simParams.most(&q), entries)
+			s := sharesOf("derwent", &q, simParams.most(&q), entries)
 			sum := 0.0
 			for _, e := range entries {
 				sum += s.of(e)
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -1,10 +1,9 @@
 package quota
 
 import (
-	"math"
-	"slices"
 	"time"
 
+	"skylarklead/internal/divide"
 	"skylarklead/internal/fleet"
 )
 
@@ -13,13 +12,10 @@
 // Invariant: a unit is withdrawn from one bucket only, and is spent or given back within
 // SpendWithin or lost.
 type Ledger struct {
-	self    string
-	params  Params
-	entries []string
-	// active is from when on this entry has its parts; staleAt as of buckets.
-	active, staleAt time.Duration
-	accounts        map[string]*account
-	draw            func(n int) int
+	params   Params
+	entries  divide.Entries
+	accounts map[string]*account
+	draw     func(n int) int
 }
 
 // account is an organisation with a limit.
@@ -28,7 +24,7 @@
 	limit   fleet.Quota
 	shares  shares
 	divided bool // shares are of the present list of entries
-	bucket  bucket
+	bucket  divide.Bucket
 	begun   bool
 	// lent are the withdrawals by others that may still be given back.
 	lent map[Loan]loan
@@ -53,13 +49,10 @@
 	at    time.Duration
 }
 
-// never is a time that no steady clock reaches.
-const never = time.Duration(math.MaxInt64)
-
 // NewLedger returns the ledger of an entry that may spend nothing yet. draw returns a
 // random number below n.
 func NewLedger(self string, p Params, draw func(n int) int) *Ledger {
-	return &Ledger{self: self, params: p, active: never, accounts: make(map[string]*account), draw: draw}
+	return &Ledger{params: p, entries: divide.NewEntries(self), accounts: make(map[string]*account), draw: draw}
 }
 
 // Resize takes other parameters.
@@ -70,35 +63,28 @@
 
 // Listed takes the names of all entries listed.
 func (l *Ledger) Listed(entries []string, now time.Duration) {
-	l.entries = slices.Sorted(slices.Values(entries))
+	l.entries.Listed(entries)
 	l.redivide(now)
 }
 
 // Joined says that the list of entries has this one. known says that it had when this
 // process read the list first: all others count it then, as it was there before.
 func (l *Ledger) Joined(known bool, now time.Duration) {
-	if l.active != never {
-		return
+	if l.entries.Joined(known, l.params.JoinedWithin, now) {
+		l.redivide(now)
 	}
-	l.active = now
-	if !known {
-		l.active += l.params.JoinedWithin
-	}
-	l.redivide(now)
 }
 
 // Confirmed says as of when the list of entries is known.
 func (l *Ledger) Confirmed(asOf, now time.Duration) {
-	staleAt := asOf + l.params.JoinedWithin
-	if staleAt <= l.staleAt {
+	if !l.entries.Confirmed(asOf, l.params.JoinedWithin) {
 		return
 	}
 	for _, a := range l.accounts {
 		// A time for which the list was too old keeps its rate.
 		a.settle(now)
-		a.bucket.staleAt = staleAt
+		a.bucket.StaleAt = l.entries.StaleAt
 	}
-	l.staleAt = staleAt
 }
 
 // redivide has all shares computed anew, from now on.
@@ -113,7 +99,7 @@
 // used yet takes it in at its first use.
 func (a *account) settle(now time.Duration) {
 	if a.begun {
-		a.bucket.refill(now)
+		a.bucket.Refill(now)
 	}
 }
 
@@ -128,12 +114,12 @@
 		a := l.accounts[name]
 		if a == nil {
 			a = &account{name: name, lent: make(map[Loan]loan), known: make(map[string]lender)}
-			a.bucket.at, a.bucket.staleAt = now, l.staleAt
+			a.bucket.At, a.bucket.StaleAt = now, l.entries.StaleAt
 			l.accounts[name] = a
 		}
 		if a.limit != q {
 			a.settle(now)
-			a.bucket.at = now
+			a.bucket.At = now
 			a.limit, a.divided = q, false
 			clear(a.known)
 		}
@@ -148,20 +134,20 @@
 		return a
 	}
 	a.divided = true
-	a.shares = divide(a.name, &a.limit, l.params.most(&a.limit), l.entries)
-	if now < l.active {
+	a.shares = sharesOf(a.name, &a.limit, l.params.most(&a.limit), l.entries.Names)
+	if now < l.entries.Active {
 		a.divided = false
 		return a
 	}
-	part := a.shares.of(l.self)
+	part := a.shares.of(l.entries.Self)
 	if !a.begun {
 		// What came in between the beginning of the part and its first use.
-		a.bucket.at = max(a.bucket.at, l.active)
-		a.bucket.rate, a.bucket.most = l.rate(a, part), l.most(a, part)
-		a.bucket.level = min(a.bucket.most, begun*l.params.Slack*part)
+		a.bucket.At = max(a.bucket.At, l.entries.Active)
+		a.bucket.Rate, a.bucket.Most = l.rate(a, part), l.most(a, part)
+		a.bucket.Level = min(a.bucket.Most, begun*l.params.Slack*part)
 		a.begun = true
 	}
-	a.bucket.resize(l.rate(a, part), l.most(a, part), now)
+	a.bucket.Resize(l.rate(a, part), l.most(a, part), now)
 	return a
 }
 
@@ -179,14 +165,14 @@
 // Take withdraws units from this entry's own part.
 func (l *Ledger) Take(organisation string, units float64, now time.Duration) bool {
 	a := l.account(organisation, now)
-	return a != nil && a.bucket.take(units, now)
+	return a != nil && a.bucket.Take(units, now)
 }
 
 // Give takes back units of this entry's own part that were withdrawn at a time and are
 // not spent. Those withdrawn longer ago are lost.
 func (l *Ledger) Give(organisation string, units float64, at, now time.Duration) {
 	if a := l.account(organisation, now); a != nil && now-at <= l.params.SpendWithin {
-		a.bucket.give(units, now)
+		a.bucket.Give(units, now)
 	}
 }
 
@@ -204,19 +190,19 @@
 		return Lent{}
 	}
 	a.forget(now - l.params.SpendWithin)
-	a.bucket.refill(now)
+	a.bucket.Refill(now)
 	if _, again := a.lent[to]; again {
-		return Lent{Left: a.bucket.level}
+		return Lent{Left: a.bucket.Level}
 	}
-	lent := min(units, max(a.bucket.level, 0))
-	if lent < min(units, lendAtOnce*a.bucket.most) {
-		return Lent{Left: a.bucket.level}
+	lent := min(units, max(a.bucket.Level, 0))
+	if lent < min(units, lendAtOnce*a.bucket.Most) {
+		return Lent{Left: a.bucket.Level}
 	}
-	if !a.bucket.take(lent, now) || lent == 0 {
-		return Lent{Left: a.bucket.level}
+	if !a.bucket.Take(lent, now) || lent == 0 {
+		return Lent{Left: a.bucket.Level}
 	}
 	a.lent[to] = loan{lent, now}
-	return Lent{Units: lent, Left: a.bucket.level}
+	return Lent{Units: lent, Left: a.bucket.Level}
 }
 
 // lendAtOnce is the part of what can be saved up that is lent of a larger request.
@@ -234,7 +220,7 @@
 		return
 	}
 	delete(a.lent, by)
-	a.bucket.give(min(units, given.units), now)
+	a.bucket.Give(min(units, given.units), now)
 }
 
 // forget drops loans made before a time: they can't be given back any more.
@@ -261,13 +247,13 @@
 	if a == nil {
 		return State{}, false
 	}
-	a.bucket.refill(now)
+	a.bucket.Refill(now)
 	s := State{
-		Rate: a.limit.Rate, Burst: a.limit.Burst, Level: a.bucket.level,
-		Stale: now > l.staleAt,
+		Rate: a.limit.Rate, Burst: a.limit.Burst, Level: a.bucket.Level,
+		Stale: now > l.entries.StaleAt,
 	}
-	if now >= l.active {
-		s.Part = a.shares.of(l.self)
+	if now >= l.entries.Active {
+		s.Part = a.shares.of(l.entries.Self)
 	}
 	return s, true
 }
--- a/internal/quota/lenders.go
+++ b/internal/quota/lenders.go
@@ -41,7 +41,7 @@
 	if a.shares.even == 0 || units > l.most(a, a.shares.even) {
 		return homes
 	}
-	other := l.entries[l.draw(len(l.entries))]
+	other := l.entries.Names[l.draw(len(l.entries.Names))]
 	if slices.Contains(a.shares.homes, other) {
 		return homes
 	}
@@ -52,7 +52,7 @@
 // one included.
 func (l *Ledger) Reached(organisation string, usable func(string) bool, now time.Duration) bool {
 	a := l.account(organisation, now)
-	return a == nil || slices.ContainsFunc(a.shares.homes, func(home string) bool { return home == l.self || usable(home) })
+	return a == nil || slices.ContainsFunc(a.shares.homes, func(home string) bool { return home == l.entries.Self || usable(home) })
 }
 
 // lendersOf are those of some entries, which have equal parts, that may have units, the
@@ -71,7 +71,7 @@
 	}
 	for i := range entries {
 		entry := entries[(first+i)%len(entries)]
-		if entry == l.self || !usable(entry) {
+		if entry == l.entries.Self || !usable(entry) {
 			continue
 		}
 		has := most
@@ -100,7 +100,7 @@
 
 // Heard takes what a lender said it has left.
 func (l *Ledger) Heard(organisation, entry string, left float64, now time.Duration) {
-	if a := l.accounts[organisation]; a != nil && slices.Contains(l.entries, entry) {
+	if a := l.accounts[organisation]; a != nil && slices.Contains(l.entries.Names, entry) {
 		a.known[entry] = lender{left, now}
 	}
 }
@@ -120,7 +120,7 @@
 	a.refused, a.refusedAt = before+units, now
 	alike := float64(len(a.shares.homes))
 	if a.shares.even > 0 {
-		alike = float64(len(l.entries))
+		alike = float64(len(l.entries.Names))
 	}
 	wait := time.Duration((units + alike*before) / a.limit.Rate * float64(time.Second))
 	return min(mostWait, max(leastWait, wait))
--- a/internal/quota/params.go
+++ b/internal/quota/params.go
@@ -51,9 +51,6 @@
 	begun = 0.25
 	// spare is the part of what the window allows that covers entries with different lists.
 	spare = 0.02
-	// staleRate is the part of its rate that an entry keeps while its list is too old:
-	// right as long as the number of entries has not doubled since.
-	staleRate = 0.5
 )
 
 // largeTokens is a large request in tokens: a long prompt. A limit in requests counts one.
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -19,9 +19,9 @@
 	even, home float64
 }
 
-// divide computes the shares of a limit of which at most units may be saved up. All entries
+// sharesOf computes the shares of a limit of which at most units may be saved up. All entries
 // with the same list compute the same, and the parts of all entries sum to at most 1.
-func divide(organisation string, q *fleet.Quota, most float64, entries []string) shares {
+func sharesOf(organisation string, q *fleet.Quota, most float64, entries []string) shares {
 	n := len(entries)
 	if n == 0 {
 		return shares{}
--- a/internal/ratelimit/limits.go
+++ b/internal/ratelimit/limits.go
@@ -2,8 +2,9 @@
 
 import (
 	"math"
-	"slices"
 	"time"
+
+	"skylarklead/internal/divide"
 )
 
 // Params time and size the parts of a limit.
@@ -35,19 +36,13 @@
 const (
 	// tellings is how often news are told: a datagram may be lost.
 	tellings = 2
-	// staleRate is the part of its rate that an entry keeps while its list is too old.
-	staleRate = 0.5
 	// sameRate is the relative change of a rate that is no news to the others.
 	sameRate = 0.1
 )
 
-// never is a time that no steady clock reaches.
-const never = time.Duration(math.MaxInt64)
-
 // limit is what is believed of one replica's rate.
 //
-// Invariant: level is at most the share's depth; a limit that was just named has level 0, as
-// requests under way have used it up.
+// Invariant: a limit that was just named has nothing saved up, as requests under way have used it.
 type limit struct {
 	rate float64
 	// said is when it was last heard of, own when the replica itself named it here last, 0 for
@@ -61,9 +56,9 @@
 	// was last asked if one may.
 	tryAt, asked time.Duration
 
-	share share
-	level float64
-	at    time.Duration
+	// among is how many entries have a part.
+	among int
+	part  divide.Bucket
 }
 
 // Word is what entries tell each other of a replica's limit.
@@ -77,13 +72,9 @@
 // Limits are the limits that replicas have named, as one entry knows them. It isn't safe for
 // concurrent use.
 type Limits struct {
-	self    string
 	params  Params
-	entries []string
-	// active is from when on this entry has its parts, staleAt from when on its list of entries
-	// is too old.
-	active, staleAt time.Duration
-	known           map[string]*limit
+	entries divide.Entries
+	known   map[string]*limit
 	// lifted are the limits whose end is still to be told, and how often.
 	lifted map[string]int
 	// draw returns a random number in [0, 1).
@@ -92,38 +83,33 @@
 
 // New returns an entry's limits. It has no part of any until Joined.
 func New(self string, p Params, draw func() float64) *Limits {
-	return &Limits{self: self, params: p, active: never, known: make(map[string]*limit), lifted: make(map[string]int), draw: draw}
+	return &Limits{params: p, entries: divide.NewEntries(self), known: make(map[string]*limit), lifted: make(map[string]int), draw: draw}
 }
 
 // Listed takes the names of all entries listed.
 func (l *Limits) Listed(entries []string, now time.Duration) {
-	l.entries = slices.Sorted(slices.Values(entries))
+	l.entries.Listed(entries)
 	l.redivide(now)
 }
 
 // Joined says that the list of entries has this one. known says that it had when this process
 // read the list first: all others count it then.
 func (l *Limits) Joined(known bool, now time.Duration) {
-	if l.active != never {
-		return
-	}
-	l.active = now
-	if !known {
-		l.active += l.params.ListedWithin
+	if l.entries.Joined(known, l.params.ListedWithin, now) {
+		l.redivide(now)
 	}
-	l.redivide(now)
 }
 
 // Confirmed says as of when the list of entries is known.
 func (l *Limits) Confirmed(asOf, now time.Duration) {
-	staleAt := asOf + l.params.ListedWithin
-	if staleAt <= l.staleAt {
+	if !l.entries.Confirmed(asOf, l.params.ListedWithin) {
 		return
 	}
 	for _, k := range l.known {
+		// A time for which the list was too old keeps its rate.
 		l.refill(k, now)
+		k.part.StaleAt = l.entries.StaleAt
 	}
-	l.staleAt = staleAt
 }
 
 func (l *Limits) redivide(now time.Duration) {
@@ -132,23 +118,18 @@
 	}
 }
 
-// resize gives a limit its share as of now.
+// resize gives a limit its part as of now.
 func (l *Limits) resize(id string, k *limit, now time.Duration) {
 	l.refill(k, now)
-	k.share = l.params.divide(l.self, id, k.rate, l.entries)
-	k.level = min(k.level, k.share.depth)
+	var rate, depth float64
+	rate, depth, k.among = l.params.part(l.entries.Self, id, k.rate, l.entries.Names)
+	k.part.Resize(rate, depth, now)
 }
 
-// refill adds what has come in up to now.
+// refill adds what has come in up to now. Before the entry has parts nothing does.
 func (l *Limits) refill(k *limit, now time.Duration) {
-	from := max(k.at, l.active)
-	k.at = max(k.at, now)
-	if now <= from {
-		return
-	}
-	fresh := max(0, min(now, l.staleAt)-from)
-	stale := now - from - fresh
-	k.level = min(k.share.depth, k.level+k.share.rate*(fresh.Seconds()+staleRate*stale.Seconds()))
+	k.part.At = max(k.part.At, min(now, l.entries.Active))
+	k.part.Refill(now)
 }
 
 // Named takes an answer of a replica that names a limit. It reports whether that is news: a
@@ -167,7 +148,7 @@
 	delete(l.lifted, id)
 	k = l.known[id]
 	if k == nil {
-		k = &limit{at: now}
+		k = &limit{part: divide.Bucket{At: now, StaleAt: l.entries.StaleAt}}
 		l.known[id] = k
 		news = true
 	}
@@ -235,7 +216,7 @@
 		k.tryAt = now + l.spread()
 	}
 	k.asked = now
-	return k.level >= 1 || now >= k.tryAt
+	return k.part.Level >= 1 || now >= k.tryAt
 }
 
 // Take counts a request that is sent to a replica.
@@ -245,11 +226,9 @@
 		return
 	}
 	l.refill(k, now)
-	if k.level < 1 && now >= k.tryAt {
+	if !k.part.Take(1, now) && now >= k.tryAt {
 		k.tryAt = now + l.params.BelievedFor + l.spread()
-		return
 	}
-	k.level = max(0, k.level-1)
 }
 
 // Next returns when a request may be sent to a replica, as far as is known now.
@@ -260,9 +239,9 @@
 	}
 	l.refill(k, now)
 	next := max(now, k.tryAt)
-	if k.share.rate > 0 && l.active != never {
-		missing := max(0, 1-k.level) / k.share.rate
-		next = min(next, max(now, l.active)+time.Duration(missing*float64(time.Second)))
+	if k.part.Rate > 0 && l.entries.Active-now < l.params.BelievedFor {
+		missing := max(0, 1-k.part.Level) / k.part.Rate
+		next = min(next, max(now, l.entries.Active)+time.Duration(missing*float64(time.Second)))
 	}
 	return next
 }
@@ -312,5 +291,5 @@
 	if k == nil {
 		return State{}, false
 	}
-	return State{Rate: k.rate, Part: k.share.rate, Among: k.share.among, Age: now - k.said, Own: k.own != 0}, true
+	return State{Rate: k.rate, Part: k.part.Rate, Among: k.among, Age: now - k.said, Own: k.own != 0}, true
 }
--- a/internal/ratelimit/limits_test.go
+++ b/internal/ratelimit/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -274,6 +275,32 @@
 	}
 }
 
+// Guards against parts whose rates sum to more or less than what a replica takes.
+func TestPartsSumToTheRate(t *testing.T) {
+	for _, n := range []int{1, 3, 30, 300} {
+		names := make([]string, n)
+		for i := range names {
+			names[i] = fmt.Sprint("entry-", i)
+		}
+		for _, whole := range []float64{0, 0.3, 1.6, 50, 1e9} {
+			sum, with := 0.0, 0
+			for _, name := range names {
+				rate, depth, among := DefaultParams.part(name, "r", whole, names)
+				sum += rate
+				if depth > 0 {
+					with++
+				}
+				if among > n || among < 1 {
+					t.Errorf("%v among %d of %d entries", whole, among, n)
+				}
+			}
+			if math.Abs(sum-whole) > 1e-6*whole || with == 0 {
+				t.Errorf("%d entries: parts of %v sum to %v; %d have one", n, whole, sum, with)
+			}
+		}
+	}
+}
+
 // Guards against a cost of each request and answer that grows with what is known.
 func BenchmarkAllowsUnlimited(b *testing.B) {
 	l := New("a", DefaultParams, rand.Float64)
