ratelimit: probes have slots by rank, so a lull gathers none

Cause: each entry drew the time of its probe by itself and kept it while it had no request. After a lull of 20 to 29 s all entries whose time had passed probed at once: 107 of 5 allowed at 300 entries, a figure in line with the fleet. Weighed: a drawn time that lapses after a second (in touch 3 at 300 entries; out of touch still n / 30 a second); one owner of probes for each replica (an entry that the owner can't reach never learns that a limit has ended); slots by rank in a cycle as long as all entries' slots together (chosen: bounded by itself at any size, in touch or not, needs no message). The rank is counted without sorting the entries, which also makes a new list cheaper. Test: TestProbesDoNotAccumulateInALull, 3 to 300 entries, four limits, three lulls, all updates kept or lost; passes with the package's other tests. Cost: at 300 entries that no update reaches, the end of a limit is noticed after up to 330 s at an entry that has no other word of it (60 s before).

--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -94,7 +94,7 @@
 		retryBudgets:     make(map[string]*attempt.Budget),
 		crashes:          attempt.NewCrashTracker(attempt.DefaultCrashTrackerParams),
 		queues:           make(map[string]*serviceQueue),
-		rateLimits:       ratelimit.New(self, ratelimit.DefaultParams, rand.Float64),
+		rateLimits:       ratelimit.New(self, ratelimit.DefaultParams),
 		changed:          make(chan struct{}),
 		retryBudget:      budget,
 		announcements:    make(map[modelVersion]*rollout.Announcement),
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -66,7 +66,7 @@
 	if !slices.Contains(f.entries, e) {
 		f.entries = append(f.entries, e)
 	}
-	e.limits = New(e.name, DefaultParams, f.rand.Float64)
+	e.limits = New(e.name, DefaultParams)
 	e.epoch++
 	e.underWay, e.informedAt = false, 0
 	f.read(e)
--- a/internal/ratelimit/limits.go
+++ b/internal/ratelimit/limits.go
@@ -13,8 +13,8 @@
 	Burst float64
 	// BurstPeriod is the time for which a share of a large rate may accumulate.
 	BurstPeriod time.Duration
-	// LimitTTL is how long a limit holds after the last answer or update with it. Then one
-	// request probes whether it still holds.
+	// LimitTTL is how long a limit holds after the last answer or update with it. Then single
+	// requests probe whether it still holds.
 	LimitTTL time.Duration
 	// RenewInterval is the pause between updates to the others that a limit still holds.
 	RenewInterval time.Duration
@@ -53,13 +53,11 @@
 	// sendsLeft is how often its current rate has still to be sent.
 	lastAdvertised time.Duration
 	sendsLeft      int
-	// probeAt is when a request may probe whether the limit still holds, lastChecked when
-	// Allows was last called.
-	probeAt, lastChecked time.Duration
+	// probedAt is when this entry last sent a request to probe whether the limit still holds.
+	probedAt time.Duration
 
-	// sharers is how many entries have a share.
-	sharers int
-	bucket  divide.Bucket
+	share  entryShare
+	bucket divide.Bucket
 }
 
 // Update is an entry's message to the others on a replica's limit.
@@ -78,13 +76,11 @@
 	known   map[string]*limit
 	// lifted has the limits whose end has still to be sent, and how often.
 	lifted map[string]int
-	// randFloat returns a random number in [0, 1).
-	randFloat func() float64
 }
 
 // New returns an entry's limits. The entry has no share of any until Joined.
-func New(self string, p Params, randFloat func() float64) *Limits {
-	return &Limits{params: p, entries: divide.NewEntries(self), known: make(map[string]*limit), lifted: make(map[string]int), randFloat: randFloat}
+func New(self string, p Params) *Limits {
+	return &Limits{params: p, entries: divide.NewEntries(self), known: make(map[string]*limit), lifted: make(map[string]int)}
 }
 
 // SetEntries sets the names of all listed entries.
@@ -122,9 +118,8 @@
 // resize sets this entry's share of a limit as of now.
 func (l *Limits) resize(id string, lim *limit, now time.Duration) {
 	l.refill(lim, now)
-	var rate, depth float64
-	rate, depth, lim.sharers = l.params.share(l.entries.Self, id, lim.rate, l.entries.Names)
-	lim.bucket.Resize(rate, depth, now)
+	lim.share = l.params.share(l.entries.Self, id, lim.rate, l.entries.Names)
+	lim.bucket.Resize(lim.share.rate, lim.share.depth, now)
 }
 
 // refill adds what came in up to now. Nothing comes in before the entry's shares begin.
@@ -138,7 +133,7 @@
 func (l *Limits) AnswerWithLimit(id string, rate float64, now time.Duration) bool {
 	lim, changed := l.set(id, rate, now)
 	lim.announcedAt = now
-	l.refreshed(lim, now)
+	lim.lastReceived = now
 	if changed {
 		lim.sendsLeft = sendsPerUpdate
 	}
@@ -162,17 +157,6 @@
 	return lim, changed
 }
 
-// refreshed records that an answer or update confirmed a limit now.
-func (l *Limits) refreshed(lim *limit, now time.Duration) {
-	lim.lastReceived = now
-	lim.probeAt = now + l.params.LimitTTL + l.jitter()
-}
-
-// jitter is a random delay, so that the entries don't all probe at the same time.
-func (l *Limits) jitter() time.Duration {
-	return time.Duration(l.randFloat() * float64(l.params.LimitTTL))
-}
-
 // AnswerWithoutLimit takes a replica's answer without a limit to a request that was sent at a
 // time. It reports whether that ends a limit: if the request was sent before the limit was last
 // confirmed, the answer may be older than the limit.
@@ -201,7 +185,7 @@
 	}
 	lim, changed := l.set(u.Replica, u.Rate, now)
 	lim.lastAdvertised = now
-	l.refreshed(lim, now)
+	lim.lastReceived = now
 	return changed
 }
 
@@ -212,12 +196,7 @@
 		return true
 	}
 	l.refill(lim, now)
-	if now >= lim.probeAt && now-lim.lastChecked > l.params.LimitTTL {
-		// All entries may have had nothing to send for that long.
-		lim.probeAt = now + l.jitter()
-	}
-	lim.lastChecked = now
-	return lim.bucket.Level >= 1 || now >= lim.probeAt
+	return lim.bucket.Level >= 1 || now >= l.nextProbe(lim, now)
 }
 
 // Take counts a request that is sent to a replica.
@@ -227,8 +206,8 @@
 		return
 	}
 	l.refill(lim, now)
-	if !lim.bucket.Take(1, now) && now >= lim.probeAt {
-		lim.probeAt = now + l.params.LimitTTL + l.jitter()
+	if !lim.bucket.Take(1, now) && now >= l.nextProbe(lim, now) {
+		lim.probedAt = now
 	}
 }
 
@@ -239,7 +218,7 @@
 		return now
 	}
 	l.refill(lim, now)
-	next := max(now, lim.probeAt)
+	next := max(now, l.nextProbe(lim, now))
 	if lim.bucket.Rate > 0 && l.entries.ActiveAt-now < l.params.LimitTTL {
 		missing := max(0, 1-lim.bucket.Level) / lim.bucket.Rate
 		next = min(next, max(now, l.entries.ActiveAt)+time.Duration(missing*float64(time.Second)))
@@ -293,5 +272,5 @@
 	if lim == nil {
 		return State{}, false
 	}
-	return State{Rate: lim.rate, Share: lim.bucket.Rate, Sharers: lim.sharers, Age: now - lim.lastReceived, FromReplica: lim.announcedAt != 0}, true
+	return State{Rate: lim.rate, Share: lim.bucket.Rate, Sharers: lim.share.sharers, Age: now - lim.lastReceived, FromReplica: lim.announcedAt != 0}, true
 }
--- a/internal/ratelimit/limits_test.go
+++ b/internal/ratelimit/limits_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -109,7 +108,7 @@
 // Guards against a new entry that uses its share before the others have reduced theirs.
 func TestANewEntryHasNoPartAtFirst(t *testing.T) {
 	now := time.Minute
-	l := New("new", DefaultParams, rand.Float64)
+	l := New("new", DefaultParams)
 	l.SetEntries([]string{"a", "new"}, now)
 	l.ListConfirmed(now, now)
 	l.Joined(false, now)
@@ -171,7 +170,7 @@
 
 // Guards against further probes while one is under way.
 func TestOneTryAtATime(t *testing.T) {
-	l := New("a", DefaultParams, rand.Float64)
+	l := New("a", DefaultParams)
 	l.AnswerWithLimit("r", 0, time.Second)
 	l.Allows("r", DefaultParams.LimitTTL)
 	now := l.Next("r", time.Second)
@@ -197,9 +196,36 @@
 	}
 }
 
+// Guards against probes that were due at each entry during a lull and are all sent at its end.
+func TestProbesDoNotAccumulateInALull(t *testing.T) {
+	for _, entries := range []int{3, 10, 30, 100, 300} {
+		for _, rate := range []float64{0, 0.1, 0.4, 0.5} {
+			for _, loss := range []float64{0, 1} {
+				t.Run(fmt.Sprintf("%d entries, %v a second, loss %v", entries, rate, loss), func(t *testing.T) {
+					t.Parallel()
+					for _, lull := range []time.Duration{15 * time.Second, 20 * time.Second, 29 * time.Second} {
+						f := newFleet(1, entries)
+						f.loss = loss
+						f.run(time.Second)
+						f.rate = rate
+						f.run(26 * time.Second)
+						f.idle = true
+						f.run(lull)
+						f.idle = false
+						f.run(8 * time.Second)
+						if n := f.maxInformed(2*time.Second, window); n > allowed(rate) {
+							t.Errorf("a lull of %v: %d requests in %v, %d allowed", lull, n, window, allowed(rate))
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
 // Guards against a changed rate that is known only to the entry that got the answer.
 func TestAChangedRateIsTold(t *testing.T) {
-	l := New("a", DefaultParams, rand.Float64)
+	l := New("a", DefaultParams)
 	now := time.Minute
 	for _, rate := range []float64{2, 20, 0.5} {
 		l.AnswerWithLimit("r", rate, now)
@@ -221,7 +247,7 @@
 
 // Guards against an answer from before the limit that is taken for its end.
 func TestAnAnswerToAnEarlierRequestEndsNoLimit(t *testing.T) {
-	l := New("a", DefaultParams, rand.Float64)
+	l := New("a", DefaultParams)
 	l.AnswerWithLimit("r", 2, 10*time.Second)
 	if l.AnswerWithoutLimit("r", 9*time.Second) {
 		t.Error("the answer to a request from before the limit has ended it")
@@ -233,7 +259,7 @@
 
 // Guards against outdated updates that override what the replica itself has just announced.
 func TestTheReplicasOwnWordGoesFirst(t *testing.T) {
-	l := New("a", DefaultParams, rand.Float64)
+	l := New("a", DefaultParams)
 	l.AnswerWithLimit("r", 2, 10*time.Second)
 	if l.UpdateReceived(Update{Replica: "r", Lifted: true}, 10*time.Second+DefaultParams.ReplicaPrecedence/2) {
 		t.Error("an update ended a limit that the replica just announced")
@@ -249,7 +275,7 @@
 // Guards against a lowered limit whose accumulated requests are still spent, and a raised one that can't be used.
 func TestALimitFollowsTheAnswers(t *testing.T) {
 	now := 10 * time.Second
-	l := New("a", DefaultParams, rand.Float64)
+	l := New("a", DefaultParams)
 	l.SetEntries([]string{"a"}, now)
 	l.ListConfirmed(now, now)
 	l.Joined(true, now)
@@ -285,13 +311,13 @@
 		for _, whole := range []float64{0, 0.3, 1.6, 50, 1e9} {
 			sum, with := 0.0, 0
 			for _, name := range names {
-				rate, depth, among := DefaultParams.share(name, "r", whole, names)
-				sum += rate
-				if depth > 0 {
+				share := DefaultParams.share(name, "r", whole, names)
+				sum += share.rate
+				if share.depth > 0 {
 					with++
 				}
-				if among > n || among < 1 {
-					t.Errorf("%v is divided among %d of %d entries", whole, among, n)
+				if share.sharers > n || share.sharers < 1 {
+					t.Errorf("%v is divided among %d of %d entries", whole, share.sharers, n)
 				}
 			}
 			if math.Abs(sum-whole) > 1e-6*whole || with == 0 {
@@ -303,7 +329,7 @@
 
 // Guards against a cost per request or answer that grows with the number of known limits and entries.
 func BenchmarkAllowsUnlimited(b *testing.B) {
-	l := New("a", DefaultParams, rand.Float64)
+	l := New("a", DefaultParams)
 	l.SetEntries([]string{"a", "b", "c"}, 0)
 	l.AnswerWithLimit("other", 2, 0)
 	for b.Loop() {
@@ -312,7 +338,7 @@
 }
 
 func BenchmarkNamedAgain(b *testing.B) {
-	l := New("a", DefaultParams, rand.Float64)
+	l := New("a", DefaultParams)
 	var names []string
 	for i := range 300 {
 		names = append(names, fmt.Sprint("entry-", i))
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -45,6 +45,18 @@
 	return best.id
 }
 
+// Rank returns the index of id in Order(key, ids) without allocating; that of its place if ids does
+// not contain it.
+func Rank(key uint64, id string, ids []string) int {
+	self, rank := ranked{id, Weight(key, id)}, 0
+	for _, other := range ids {
+		if compareRanked(ranked{other, Weight(key, other)}, self) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
 // compareRanked orders by descending weight. Ties are broken by ID, so that all processes agree.
 func compareRanked(a, b ranked) int {
 	if c := cmp.Compare(b.weight, a.weight); c != 0 {
