--- a/internal/admit/core.go
+++ b/internal/admit/core.go
@@ -243,13 +243,13 @@
 }
 
 // mayRun reports whether an organisation may take another slot. The last reserved
-// slots are only for organisations within their share. If they were open to all, one
+// slots are only for organisations within their share, or with nothing running. If they were open to all, one
 // organisation's backlog would fill every slot with long answers, and a small
 // organisation's request would have to wait for one of them to end although the queue
 // is fair.
 func (c *Core) mayRun(s *shares, o *organisation) bool {
 	free := c.params.MaxRunning - c.running
-	return free > c.params.reservedSlots() || s.withinShare(o)
+	return free > c.params.reservedSlots() || o.running == 0 || s.withinShare(o)
 }
 
 // pick returns the item to start when o is due: its head or, if that has no KV room,
