--- a/internal/admit/wait_queue.go
+++ b/internal/admit/wait_queue.go
@@ -10,6 +10,9 @@
 	Organisation string
 	// Priority ranks requests; 0 is first.
 	Priority int
+	// Urgent is set for a request that engines start before all that are not urgent, so that it
+	// does not wait for the same capacity.
+	Urgent bool
 	// Work is the expected engine time in milliseconds.
 	Work float64
 	// Arrived is when the caller sent the request. LatestStart is the latest start
@@ -34,13 +37,35 @@
 // Late reports whether a request can't meet its objective any more.
 func (r *QueuedRequest) Late(now time.Duration) bool { return now > r.LatestStart }
 
+// slack says how much of the time that a request may wait, and still be in time, is left.
+type slack uint8
+
+const (
+	slackNone slack = iota // late
+	slackLittle
+	slackAmple
+)
+
+// ampleSlackFraction is the fraction of that time from which on it is ample.
+const ampleSlackFraction = 0.5
+
+func (r *QueuedRequest) slackLeft(now time.Duration) slack {
+	switch {
+	case r.Late(now):
+		return slackNone
+	case float64(r.LatestStart-now) < ampleSlackFraction*float64(r.LatestStart-r.Arrived):
+		return slackLittle
+	}
+	return slackAmple
+}
+
 // LoadBound is the replica load up to which the request may be placed now; bound is
 // the one for requests that can still be in time.
 func (r *QueuedRequest) LoadBound(now time.Duration, bound float64) float64 {
 	if r.Late(now) {
 		return lateLoadFraction * bound
 	}
-	return bound
+	return min(bound, float64(r.LatestStart-now)/float64(time.Millisecond))
 }
 
 // WaitQueue orders the requests that wait at an entry.
@@ -49,7 +74,8 @@
 // makes every request wait until it is late: the queue grows to the callers'
 // deadlines, and no answer is in time although the engines are saturated. So requests
 // that can still be in time go first, by priority; late ones get the remaining
-// capacity. Among requests of equal rank the organisation with the smallest amount of
+// capacity. Urgent requests go before all others, late or not, since engines take
+// them first. Among requests of equal rank the organisation with the smallest amount of
 // recently dispatched work goes first, so that a large organisation's backlog waits behind a
 // small one's single request.
 type WaitQueue struct {
@@ -110,9 +136,19 @@
 
 // Next returns the request to dispatch next, nil if none waits. It stays in the queue.
 func (q *WaitQueue) Next(now time.Duration) *QueuedRequest {
+	return q.first(now, func(*QueuedRequest) bool { return true })
+}
+
+// NextOf returns the next one of the urgent requests, or of the others. Where no replica can take
+// the first of one kind, the other kind need not wait for it.
+func (q *WaitQueue) NextOf(urgent bool, now time.Duration) *QueuedRequest {
+	return q.first(now, func(r *QueuedRequest) bool { return r.Urgent == urgent })
+}
+
+func (q *WaitQueue) first(now time.Duration, among func(*QueuedRequest) bool) *QueuedRequest {
 	var best *QueuedRequest
 	for _, r := range q.requests {
-		if best == nil || q.before(now, r, best) {
+		if among(r) && (best == nil || q.before(now, r, best)) {
 			best = r
 		}
 	}
@@ -120,10 +156,12 @@
 }
 
 func (q *WaitQueue) before(now time.Duration, a, b *QueuedRequest) bool {
-	lateA, lateB := a.Late(now), b.Late(now)
+	slackA, slackB := a.slackLeft(now), b.slackLeft(now)
 	switch {
-	case lateA != lateB:
-		return lateB
+	case a.Urgent != b.Urgent:
+		return a.Urgent
+	case slackA != slackB:
+		return slackA > slackB
 	case a.Priority != b.Priority:
 		return a.Priority < b.Priority
 	case a.Organisation != b.Organisation:
--- a/internal/direct/digest.go
+++ b/internal/direct/digest.go
@@ -30,7 +30,7 @@
 	gatewayCheckInterval = 100 * time.Millisecond
 	// replicasPerDigest is the number of replicas in one part of a digest, which leaves room for
 	// placements.
-	replicasPerDigest = 44
+	replicasPerDigest = 32
 	// digestAckTimeout is how long an acknowledgement may be missing before the digest goes to
 	// another entry of the domain.
 	digestAckTimeout = 500 * time.Millisecond
@@ -235,13 +235,16 @@
 		m := &peerMessage{
 			From: e.settings.ID, Epoch: uint64(e.tel.Epoch), Seq: d.seq, Forward: true,
 			DigestPart: strings.Join([]string{e.settings.FailureDomain, strconv.Itoa(partCount), strconv.Itoa(i)}, digestNameSeparator),
-			Placements: d.dequeue(maxMessagePlacements),
 		}
-		m.Loads = loadsToSend(part, d.advertisedTokens, maxMessageLoads-len(m.Placements)*loadsPerPlacement-digestNameLoads)
+		m.setLoads(part, d.advertisedTokens, maxMessageLoads-digestNameLoads-reservedPlacements*loadsPerPlacement)
+		m.Placements = d.dequeue(min(maxMessagePlacements, (maxMessageLoads-digestNameLoads-len(m.Loads))/loadsPerPlacement))
 		d.peers.sendTo(m, d.relayAddresses(targets, i, now)...)
 	}
 }
 
+// reservedPlacements is the number of placements for which a digest part always has room.
+const reservedPlacements = 4
+
 // digestNameLoads is the room that the name of a digest part takes in a message, in loads.
 const digestNameLoads = 3
 
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -155,6 +155,7 @@
 	candidates, req.excluded = s.candidates(req.service, req.params.Model, now)
 	req.query.Sample = s.sampleSize(len(candidates))
 	choice, ok := s.picker.Pick(now, &req.query, candidates)
+	req.excluded.overBound, req.excluded.leastWaitMs = choice.OverBound, choice.LeastWaitMs
 	if !ok {
 		// Replicas that refused the request before may be tried again at the next pick.
 		req.query.Exclude = nil
@@ -199,6 +200,7 @@
 		record.took = e.clock.now() - began
 		e.state.mu.Lock()
 		e.state.picker.Finished(&req.query, &p.choice, !hadFirstByte && req.firstByte > 0)
+		req.observeNoStart(p)
 		p.endWork()
 		e.state.mu.Unlock()
 	}()
@@ -222,6 +224,19 @@
 	return failure, done
 }
 
+// observeNoStart has the window shrink for a request that ended without a first event though its
+// objective had passed: the one that began late at a slow replica would, and those that give up
+// must count as well. The caller holds the state's lock.
+func (req *request) observeNoStart(p *placement) {
+	if p.window == nil || req.firstByte > 0 {
+		return
+	}
+	now := req.entry.clock.now()
+	if took := now - p.pickedAt; took > req.route.LatencyTarget {
+		p.window.ObserveStart(p.work, took, req.route.LatencyTarget, now)
+	}
+}
+
 // connectionLimit is this entry's share of a replica's connections.
 func (req *request) connectionLimit() int {
 	s := req.entry.state
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -33,7 +33,7 @@
 	maxMessageBytes = 1472
 	// maxMessageLoads bounds the loads in a message without placements. Each placement takes the
 	// room of loadsPerPlacement loads.
-	maxMessageLoads   = 70
+	maxMessageLoads   = 56
 	loadsPerPlacement = 2
 	// placementRepeats is how many messages carry each placement, so that the loss of one datagram
 	// does not hide it.
@@ -61,6 +61,9 @@
 	Epoch uint64     `cbor:"2,keyasint"`
 	Seq   uint64     `cbor:"3,keyasint"`
 	Loads []peerLoad `cbor:"4,keyasint,omitempty"`
+	// UrgentTokens has, for each of Loads in order, how many of its PrefillTokens are of urgent
+	// requests; zeros at the end are left out. Entries of older builds send none.
+	UrgentTokens []uint32 `cbor:"18,keyasint,omitempty"`
 	// Placements are the most recent ones. Each is repeated in several messages, because one may be
 	// lost.
 	Placements []peerPlacement `cbor:"6,keyasint,omitempty"`
@@ -258,7 +261,7 @@
 	s.mu.Unlock()
 	p.seq++
 	m := &peerMessage{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), Seq: p.seq, StoreReachable: encodeStoreReachable(served)}
-	m.Loads = loadsToSend(loads, p.advertisedTokens, maxMessageLoads-len(placements)*loadsPerPlacement)
+	m.setLoads(loads, p.advertisedTokens, maxMessageLoads-len(placements)*loadsPerPlacement)
 	for _, placement := range placements {
 		levels := placement.Levels[max(0, len(placement.Levels)-maxPlacementLevels):]
 		m.Placements = append(m.Placements, peerPlacement{Levels: levels, Replica: placement.Replica, Prefilled: placement.Prefilled, Saved: placement.Saved})
@@ -287,6 +290,30 @@
 	return out
 }
 
+// setLoads sets the loads of a message to at most limit loads.
+func (m *peerMessage) setLoads(loads map[uint64]route.Load, advertisedTokens map[uint64]uint16, limit int) {
+	m.Loads = loadsToSend(loads, advertisedTokens, limit)
+	for i, l := range m.Loads {
+		if urgent := uint32(loads[l.Replica].UrgentTokens); urgent > 0 {
+			m.UrgentTokens = append(m.UrgentTokens, make([]uint32, i+1-len(m.UrgentTokens))...)
+			m.UrgentTokens[i] = urgent
+		}
+	}
+}
+
+// loads returns the loads of a message by replica.
+func (m *peerMessage) loads() map[uint64]route.Load {
+	loads := make(map[uint64]route.Load, len(m.Loads))
+	for i, l := range m.Loads {
+		load := route.Load{PrefillTokens: float64(l.PrefillTokens), Running: int(l.Running), AddedTokens: l.AddedTokens}
+		if i < len(m.UrgentTokens) {
+			load.UrgentTokens = min(float64(m.UrgentTokens[i]), load.PrefillTokens)
+		}
+		loads[l.Replica] = load
+	}
+	return loads
+}
+
 // encodeStoreReachable returns the value of peerMessage.StoreReachable.
 func encodeStoreReachable(served time.Duration) uint32 {
 	return uint32(min(served, maxStoreReachable).Milliseconds()) + 1
@@ -355,10 +382,7 @@
 // handleLoads applies the loads and placements of a peer or of another failure domain.
 func (p *peers) handleLoads(m *peerMessage, from netip.AddrPort) {
 	e := p.entry
-	loads := make(map[uint64]route.Load, len(m.Loads))
-	for _, l := range m.Loads {
-		loads[l.Replica] = route.Load{PrefillTokens: float64(l.PrefillTokens), Running: int(l.Running), AddedTokens: l.AddedTokens}
-	}
+	loads := m.loads()
 	placements := make([]route.Placement, len(m.Placements))
 	for i, placement := range m.Placements {
 		placements[i] = route.Placement{Levels: placement.Levels, Replica: placement.Replica, Prefilled: placement.Prefilled, Saved: placement.Saved}
--- a/internal/direct/peers_test.go
+++ b/internal/direct/peers_test.go
@@ -27,11 +27,19 @@
 	for range maxMessagePlacements {
 		m.Placements = append(m.Placements, peerPlacement{Levels: levels, Replica: math.MaxUint64, Prefilled: true})
 	}
+	urgent := func() {
+		m.UrgentTokens = nil
+		for range m.Loads {
+			m.UrgentTokens = append(m.UrgentTokens, math.MaxUint32)
+		}
+	}
+	urgent()
 	checkLength(t, m)
 	for range maxMessagePlacements * loadsPerPlacement {
 		m.Loads = append(m.Loads, m.Loads[0])
 	}
 	m.Placements = nil
+	urgent()
 	checkLength(t, m)
 }
 
--- a/internal/direct/queue.go
+++ b/internal/direct/queue.go
@@ -12,7 +12,8 @@
 	// waiting would outlast any caller.
 	maxQueued = 2048
 	// waitDivisor is the divisor of a request's remaining time that gives how long it may wait
-	// for a placement. The rest is for running, and for the caller to retry after a refusal.
+	// for a placement, before its deadline or the end of its caller's patience. The rest is for
+	// running, and for the caller to retry after a refusal.
 	waitDivisor = 2.5
 	// resumedPriority puts streams that resume at another replica first: their callers have
 	// part of the answer.
@@ -45,8 +46,15 @@
 
 // placeQueued assigns replicas to waiting requests, in the queue's order. The caller holds mu.
 func (s *state) placeQueued(q *serviceQueue, now time.Duration) {
+	s.placeQueuedOf(true, q, now)
+	s.placeQueuedOf(false, q, now)
+}
+
+// placeQueuedOf assigns replicas to the urgent requests that wait, or to the others. The caller
+// holds mu.
+func (s *state) placeQueuedOf(urgent bool, q *serviceQueue, now time.Duration) {
 	for {
-		queued := q.waiting.Next(now)
+		queued := q.waiting.NextOf(urgent, now)
 		if queued == nil || q.window != nil && !s.picker.PeerLoadsKnown(now) && !q.window.Fits(queued.Work) {
 			return
 		}
@@ -140,16 +148,26 @@
 	}
 }
 
+// patienceLeft is the time for which the caller still waits for the next byte of its answer.
+func (req *request) patienceLeft(now time.Duration) time.Duration {
+	left := req.deadline - now
+	if req.route.Patience > 0 && req.firstByte == 0 {
+		left = min(left, req.started+req.route.Patience-now)
+	}
+	return left
+}
+
 // newQueuedRequest returns the request's entry in the queue. The caller holds the state's lock.
 func (req *request) newQueuedRequest(now time.Duration) *admit.QueuedRequest {
 	picker := req.entry.state.picker
 	work := picker.PrefillMs(&req.query, req.query.PromptTokens-req.query.SharedTokens)
 	queued := &admit.QueuedRequest{
 		Priority:    req.priority(),
+		Urgent:      req.query.Urgent,
 		Work:        work,
 		Arrived:     req.started,
 		LatestStart: req.deadline,
-		ExpiresAt:   now + time.Duration(float64(req.timeLeft())/waitDivisor),
+		ExpiresAt:   now + time.Duration(float64(req.patienceLeft(now))/waitDivisor),
 		Value:       req,
 	}
 	if began, _ := req.entry.drain.window(); !began.IsZero() && time.Since(began) > unrestrictedPeriod {
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -162,7 +162,8 @@
 // attr is the log attribute of the replicas that could not take a request.
 func (x *exclusions) attr() slog.Attr {
 	return slog.Group("replicas", slog.Int("listed", x.listed), slog.Int("left", x.leaving),
-		slog.Int("down", x.down), slog.Int("ordered", x.ordered), slog.Int("overdue", x.overdue), slog.Int("unfit", x.otherModel), slog.Int("limited", x.limited), slog.Int("resting", x.backingOff))
+		slog.Int("down", x.down), slog.Int("ordered", x.ordered), slog.Int("overdue", x.overdue), slog.Int("unfit", x.otherModel), slog.Int("limited", x.limited), slog.Int("resting", x.backingOff),
+		slog.Int("over_bound", x.overBound), slog.Float64("least_wait_ms", x.leastWaitMs))
 }
 
 // attr is the log attribute of a dispatch: what the decision was based on, how old that was, and the
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -24,6 +24,11 @@
 	defaultTimeout = 30 * time.Second
 	// maxLoadFraction is the fraction of its route's objective that a request may wait at a replica.
 	maxLoadFraction = 0.4
+	// urgentLoadFraction is the same for urgent requests. What they wait for at a replica would
+	// delay them as much at any other place.
+	urgentLoadFraction = 0.8
+	// urgentPriority is the highest priority that engines know.
+	urgentPriority = 0
 	// defaultRetryAfter is the Retry-After of a refusal: by then a load of weights or a restart
 	// has freed capacity.
 	defaultRetryAfter = 300 * time.Millisecond
@@ -213,6 +218,7 @@
 		PromptTokens:  req.params.PromptTokens,
 		OutputTokens:  req.params.OutputTokens,
 		FailureDomain: req.entry.settings.FailureDomain,
+		Urgent:        req.priority() <= urgentPriority,
 	}
 	if req.params.ExpectedOutput > 0 {
 		q.OutputTokens = min(q.OutputTokens, req.params.ExpectedOutput)
@@ -227,7 +233,11 @@
 	if req.service.Engine == nil {
 		return 0
 	}
-	return maxLoadFraction * float64(req.route.LatencyTarget.Milliseconds())
+	target := float64(req.route.LatencyTarget.Milliseconds())
+	if req.query.Urgent {
+		return urgentLoadFraction * target
+	}
+	return maxLoadFraction * target
 }
 
 // prefixLevels are the nested prefixes that the prompt may share with other prompts.
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -230,6 +230,10 @@
 	// list the requested model. limited have no room in this entry's share of their rate
 	// limit; backingOff asked for no requests for a time.
 	leaving, down, ordered, overdue, otherModel, limited, backingOff int
+	// overBound is how many of those that were looked at have a longer wait than the request
+	// may have there, leastWaitMs the shortest of these waits.
+	overBound   int
+	leastWaitMs float64
 }
 
 // candidates lists the replicas of a service that may take a request for a model ("" for plain
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -43,6 +43,9 @@
 	LatencyTarget time.Duration
 	// MaxEventGap is the operator's target for the longest time between a stream's events.
 	MaxEventGap time.Duration
+	// Patience is how long callers wait for the first event of a stream, or the next one, before
+	// they leave; 0 if that isn't known.
+	Patience time.Duration
 	// Priority is the rank among routes; 0 is the highest.
 	Priority int
 	Targets  []Target
--- a/internal/route/peers.go
+++ b/internal/route/peers.go
@@ -8,8 +8,9 @@
 
 // Load is the load of one or more entries at a replica.
 type Load struct {
-	// PrefillTokens is the number of prompt tokens not yet prefilled.
-	PrefillTokens float64
+	// PrefillTokens is the number of prompt tokens not yet prefilled, UrgentTokens those among them
+	// of urgent requests (see PickQuery.Urgent).
+	PrefillTokens, UrgentTokens float64
 	// Running is the number of requests in flight.
 	Running int
 	// AddedTokens counts the tokens added to the replica's cache, in AddedTokensUnit; it wraps
@@ -17,6 +18,40 @@
 	AddedTokens uint16
 }
 
+// plus returns the sum of two loads, AddedTokens left out.
+func (l Load) plus(other Load) Load {
+	return Load{
+		PrefillTokens: l.PrefillTokens + other.PrefillTokens, UrgentTokens: l.UrgentTokens + other.UrgentTokens,
+		Running: l.Running + other.Running,
+	}
+}
+
+// minus returns the load without another one that is part of it, up to rounding errors.
+func (l Load) minus(other Load) Load {
+	return Load{
+		PrefillTokens: max(0, l.PrefillTokens-other.PrefillTokens), UrgentTokens: max(0, l.UrgentTokens-other.UrgentTokens),
+		Running: l.Running - other.Running,
+	}
+}
+
+// ahead returns the load that delays the start of a request at an engine with a number of slots. An
+// urgent request waits for urgent prompts only, and for running requests if there is no free slot.
+// Beside many prompts that are not urgent the observed times say nothing on how fast urgent ones
+// are read, so few of these count as none.
+func (l Load) ahead(urgent bool, slots int) Load {
+	if !urgent {
+		return Load{PrefillTokens: l.PrefillTokens, Running: l.Running}
+	}
+	ahead := Load{Running: max(0, l.Running-slots)}
+	if l.UrgentTokens > urgentShare*l.PrefillTokens {
+		ahead.PrefillTokens = l.UrgentTokens
+	}
+	return ahead
+}
+
+// urgentShare is the fraction of a replica's prompt tokens from which on the urgent ones count.
+const urgentShare = 0.5
+
 // AddedTokensUnit is the unit of Load.AddedTokens, in tokens: small compared with a prompt, and
 // large enough that the count of a replica takes minutes to wrap around.
 const AddedTokensUnit = 64
@@ -84,8 +119,7 @@
 			continue
 		}
 		for replica, l := range report.loads {
-			sum := sums[replica]
-			sums[replica] = Load{PrefillTokens: sum.PrefillTokens + l.PrefillTokens, Running: sum.Running + l.Running}
+			sums[replica] = sums[replica].plus(l)
 		}
 	}
 	return sums
@@ -121,8 +155,7 @@
 
 func (p *PeerLoads) include(report *peerReport) {
 	for replica, l := range report.loads {
-		sum := p.sums[replica]
-		p.sums[replica] = Load{PrefillTokens: sum.PrefillTokens + l.PrefillTokens, Running: sum.Running + l.Running}
+		p.sums[replica] = p.sums[replica].plus(l)
 	}
 	report.included = true
 	p.freshCount++
@@ -135,9 +168,7 @@
 	report.included = false
 	p.freshCount--
 	for replica, l := range report.loads {
-		sum := p.sums[replica]
-		sum.Running -= l.Running
-		sum.PrefillTokens = max(0, sum.PrefillTokens-l.PrefillTokens)
+		sum := p.sums[replica].minus(l)
 		if sum.Running <= 0 {
 			delete(p.sums, replica) // nothing is in flight there; the remainder is a rounding error
 			continue
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -29,8 +29,8 @@
 	meanRequestTokens float64
 	// stores tracks by how much fetches from each KV store delay requests.
 	stores storeDelays
-	// engines has the learnt speed of each service's engines.
-	engines map[string]*engineSpeed
+	// engines has the learnt speed of each service's engines, for urgent and other requests.
+	engines map[engineClass]*engineSpeed
 	// views describe the candidates of the latest pick; the slice is reused.
 	views []candidateView
 	// outbox has this entry's latest placements, to be sent to its peers.
@@ -46,7 +46,7 @@
 		panic(err) // the size is a positive constant
 	}
 	return &Picker{
-		params: p, rng: rng, peers: NewPeerLoads(p.PeerTTL), loads: map[string]*ownLoad{}, domainAddedTokens: map[uint64]float64{}, engines: map[string]*engineSpeed{},
+		params: p, rng: rng, peers: NewPeerLoads(p.PeerTTL), loads: map[string]*ownLoad{}, domainAddedTokens: map[uint64]float64{}, engines: map[engineClass]*engineSpeed{},
 		stores:    storeDelays{byStore: map[string]*storeDelay{}},
 		residency: newPrefixResidency(p.MaxLevels, p.LevelTTL), saved: saved, tokenMs: p.OutputTokenMs,
 	}
@@ -66,7 +66,7 @@
 
 // Pick returns the candidate with the lowest score: the expected wait, the prefill of missing
 // shared tokens, and penalties. It returns false if all candidates are excluded, or if peers'
-// loads are known and each wait exceeds q.MaxWaitMs.
+// loads are known and each wait exceeds q.MaxWaitMs; the result then tells how many did.
 func (p *Picker) Pick(now time.Duration, q *PickQuery, candidates []PickCandidate) (PickResult, bool) {
 	p.fillViews(now, q, candidates)
 	owner := p.ownerIndex(q, candidates)
@@ -83,10 +83,12 @@
 		}
 		choice := p.score(now, q, c, &p.views[i], i == owner)
 		if bounded && choice.WaitMs > q.MaxWaitMs {
+			best.OverBound++
+			best.LeastWaitMs = leastWait(best, choice.WaitMs)
 			continue
 		}
 		if bestIndex < 0 || choice.Score < best.Score {
-			choice.CandidateCount = len(candidates)
+			choice.CandidateCount, choice.OverBound, choice.LeastWaitMs = len(candidates), best.OverBound, best.LeastWaitMs
 			best, bestIndex = choice, i
 		}
 	}
@@ -96,6 +98,14 @@
 	return best, bestIndex >= 0
 }
 
+// leastWait returns the least wait of the candidates over the bound, given the next one's.
+func leastWait(result PickResult, waitMs float64) float64 {
+	if result.OverBound == 1 {
+		return waitMs
+	}
+	return min(result.LeastWaitMs, waitMs)
+}
+
 // fillViews computes the views of all candidates.
 func (p *Picker) fillViews(now time.Duration, q *PickQuery, candidates []PickCandidate) {
 	p.views = p.views[:0]
@@ -137,9 +147,13 @@
 }
 
 func (p *Picker) score(now time.Duration, q *PickQuery, c *PickCandidate, v *candidateView, isOwner bool) PickResult {
-	result := PickResult{ID: c.ID, LoadAtPick: v.load, Reason: pickLeastLoaded}
+	result := PickResult{ID: c.ID, Reason: pickLeastLoaded}
+	result.Ahead = v.load.ahead(q.Urgent, c.Slots)
 	result.WaitMs = p.expectedWaitMs(now, q, c, v)
 	result.Score = result.WaitMs
+	if q.Urgent && c.Engine {
+		result.Score += p.params.SlowdownMs*float64(v.load.Running) + p.delayMs(now, q, c)
+	}
 	if len(q.Levels) > 0 {
 		result.MissingTokens, result.Reason = p.missingTokens(q, v.heldTokens, isOwner)
 		result.Score += p.params.MissWeight * p.engineFor(q).prefillMs(float64(result.MissingTokens))
@@ -165,9 +179,18 @@
 	if !c.Engine {
 		return float64(v.load.Running) * p.params.PlainServiceMs / float64(max(1, c.Slots))
 	}
-	delayMs := 0.0
+	wait := p.engineFor(q).waitMs(v.load.ahead(q.Urgent, c.Slots))
+	if q.Urgent {
+		// What delays urgent requests besides urgent ones would delay them anywhere.
+		return wait
+	}
+	return wait + p.delayMs(now, q, c)
+}
+
+// delayMs is the extra wait that requests like q have recently met at a replica, in milliseconds.
+func (p *Picker) delayMs(now time.Duration, q *PickQuery, c *PickCandidate) float64 {
 	if l := p.loads[c.ID]; l != nil {
-		delayMs = p.queueDelay(l, now)
+		return p.queueDelay(l.delayOf(q.Urgent), now)
 	}
-	return p.engineFor(q).waitMs(v.load) + delayMs
+	return 0
 }
--- a/internal/route/pickerload.go
+++ b/internal/route/pickerload.go
@@ -8,14 +8,33 @@
 
 // ownLoad is the load of this entry at a replica.
 type ownLoad struct {
-	prefillTokens float64 // prompt tokens not yet prefilled
-	running       int
-	// addedTokens counts the tokens that its requests have added to the replica's cache.
+	// current leaves AddedTokens out: addedTokens counts the tokens that its requests have added to
+	// the replica's cache.
+	current     Load
 	addedTokens float64
-	// queueDelayMs is by how much requests have recently started later than their own prefill
-	// explains, as of queueDelayAt.
-	queueDelayMs float64
-	queueDelayAt time.Duration
+	// delays are those of other requests and of urgent ones.
+	delays [2]startDelay
+}
+
+// startDelay is by how much requests have recently started later than their own prefill explains,
+// as of at.
+type startDelay struct {
+	ms float64
+	at time.Duration
+}
+
+func (l *ownLoad) delayOf(urgent bool) *startDelay {
+	if urgent {
+		return &l.delays[1]
+	}
+	return &l.delays[0]
+}
+
+// engineClass identifies a learnt speed. Urgent requests don't wait for what is not urgent, so one
+// estimate for both would hold neither.
+type engineClass struct {
+	service string
+	urgent  bool
 }
 
 // PeerLoadsKnown reports whether a peer's load report has arrived within its TTL.
@@ -26,22 +45,22 @@
 func (p *Picker) totalLoad(now time.Duration, id string, key uint64, peersKnown bool) Load {
 	var own Load
 	if l := p.loads[id]; l != nil {
-		own = Load{PrefillTokens: l.prefillTokens, Running: l.running}
+		own = l.current
 	}
 	if !peersKnown {
 		others := 1 + p.params.PeerLoadFactor
-		return Load{PrefillTokens: own.PrefillTokens * others, Running: int(float64(own.Running) * others)}
+		return Load{PrefillTokens: own.PrefillTokens * others, UrgentTokens: own.UrgentTokens * others, Running: int(float64(own.Running) * others)}
 	}
-	sum := p.peers.Load(key, now)
-	return Load{PrefillTokens: own.PrefillTokens + sum.PrefillTokens, Running: own.Running + sum.Running}
+	return own.plus(p.peers.Load(key, now))
 }
 
 // engineFor returns the learnt speed of the engines of q's service.
 func (p *Picker) engineFor(q *PickQuery) *engineSpeed {
-	e := p.engines[q.Service]
+	class := engineClass{q.Service, q.Urgent}
+	e := p.engines[class]
 	if e == nil {
 		e = newEngineSpeed(p.params)
-		p.engines[q.Service] = e
+		p.engines[class] = e
 	}
 	return e
 }
@@ -50,7 +69,9 @@
 func (p *Picker) Loads() map[uint64]Load {
 	loads := make(map[uint64]Load, len(p.loads))
 	for id, l := range p.loads {
-		loads[ReplicaKey(id)] = Load{PrefillTokens: l.prefillTokens, Running: l.running, AddedTokens: uint16(uint64(l.addedTokens) / AddedTokensUnit)}
+		load := l.current
+		load.AddedTokens = uint16(uint64(l.addedTokens) / AddedTokensUnit)
+		loads[ReplicaKey(id)] = load
 	}
 	return loads
 }
@@ -87,8 +108,7 @@
 	added := maps.Clone(p.domainAddedTokens)
 	for id, l := range p.loads {
 		key := ReplicaKey(id)
-		sum := sums[key]
-		sums[key] = Load{PrefillTokens: sum.PrefillTokens + l.prefillTokens, Running: sum.Running + l.running}
+		sums[key] = sums[key].plus(l.current)
 		added[key] += l.addedTokens
 	}
 	for key, tokens := range added {
@@ -101,11 +121,11 @@
 
 // queueDelay is the decayed extra wait, in milliseconds, that this entry's requests have met at a
 // replica. It covers load of others that no report contains.
-func (p *Picker) queueDelay(l *ownLoad, now time.Duration) float64 {
-	if l.queueDelayMs == 0 {
+func (p *Picker) queueDelay(d *startDelay, now time.Duration) float64 {
+	if d.ms == 0 {
 		return 0
 	}
-	return l.queueDelayMs * math.Exp2(-float64(now-l.queueDelayAt)/float64(p.params.QueueDelayHalfLife))
+	return d.ms * math.Exp2(-float64(now-d.at)/float64(p.params.QueueDelayHalfLife))
 }
 
 // Dispatched records that a request is sent to a replica. Finished must follow, before it
@@ -116,8 +136,7 @@
 		l = &ownLoad{}
 		p.loads[choice.ID] = l
 	}
-	l.running++
-	l.prefillTokens += p.uncachedTokens(q, choice)
+	l.current = l.current.plus(p.requestLoad(q, choice))
 	p.countAddedTokens(l, q, choice)
 	p.recordPlacement(q, choice.ID, false, now)
 }
@@ -139,6 +158,15 @@
 	return float64(max(0, q.PromptTokens-q.SharedTokens+choice.MissingTokens))
 }
 
+// requestLoad is the load of a request until its prompt is prefilled.
+func (p *Picker) requestLoad(q *PickQuery, choice *PickResult) Load {
+	load := Load{PrefillTokens: p.uncachedTokens(q, choice), Running: 1}
+	if q.Urgent {
+		load.UrgentTokens = load.PrefillTokens
+	}
+	return load
+}
+
 // PrefillTime is how long an otherwise idle replica takes to prefill the part of a prompt that it
 // is expected to lack.
 func (p *Picker) PrefillTime(q *PickQuery, choice *PickResult) time.Duration {
@@ -157,12 +185,14 @@
 // its prefix came from a KV store, that store's delay.
 func (p *Picker) learnDelay(now time.Duration, q *PickQuery, choice *PickResult, elapsedMs float64) {
 	e := p.engineFor(q)
+	ahead := choice.Ahead
 	if choice.Store == "" || 2*choice.MissingTokens < q.SharedTokens {
-		e.observe(Load{PrefillTokens: choice.LoadAtPick.PrefillTokens + p.uncachedTokens(q, choice), Running: choice.LoadAtPick.Running}, elapsedMs)
+		ahead.PrefillTokens += p.uncachedTokens(q, choice)
+		e.observe(ahead, elapsedMs)
 		return
 	}
-	own := Load{PrefillTokens: choice.LoadAtPick.PrefillTokens + float64(q.PromptTokens-q.SharedTokens), Running: choice.LoadAtPick.Running}
-	p.stores.observe(choice.Store, elapsedMs-e.overheadMs()-e.waitMs(own), now)
+	ahead.PrefillTokens += float64(q.PromptTokens - q.SharedTokens)
+	p.stores.observe(choice.Store, elapsedMs-e.overheadMs()-e.waitMs(ahead), now)
 }
 
 // EngineSpeed is the learnt speed of a service's engines.
@@ -172,11 +202,15 @@
 	TokensPerMs, RunningMs, OverheadMs float64
 }
 
-// EngineSpeeds returns the learnt speeds by service, for each service with a request so far.
+// EngineSpeeds returns the learnt speeds by service for requests that are not urgent, for each
+// service with such a request so far.
 func (p *Picker) EngineSpeeds() map[string]EngineSpeed {
 	speeds := make(map[string]EngineSpeed, len(p.engines))
-	for service, speed := range p.engines {
-		speeds[service] = EngineSpeed{
+	for class, speed := range p.engines {
+		if class.urgent {
+			continue
+		}
+		speeds[class.service] = EngineSpeed{
 			TokensPerMs: 1 / speed.prefillMs(1), RunningMs: speed.waitMs(Load{Running: 1}), OverheadMs: speed.overheadMs(),
 		}
 	}
@@ -195,14 +229,16 @@
 	p.recordPlacement(q, choice.ID, true, now)
 	p.learnDelay(now, q, choice, ms(elapsed))
 	waitedMs := ms(elapsed - p.PrefillTime(q, choice))
-	previousMs := p.queueDelay(l, now)
-	l.queueDelayMs = previousMs + p.params.QueueDelayLearningRate*(max(0, waitedMs)-previousMs)
-	l.queueDelayAt = now
+	delay := l.delayOf(q.Urgent)
+	previousMs := p.queueDelay(delay, now)
+	*delay = startDelay{ms: previousMs + p.params.QueueDelayLearningRate*(max(0, waitedMs)-previousMs), at: now}
 }
 
 func (p *Picker) prefillDone(q *PickQuery, choice *PickResult) {
 	if l := p.loads[choice.ID]; l != nil {
-		l.prefillTokens = max(0, l.prefillTokens-p.uncachedTokens(q, choice))
+		done := p.requestLoad(q, choice)
+		done.Running = 0
+		l.current = l.current.minus(done)
 	}
 }
 
@@ -216,7 +252,7 @@
 	if !firstEventSeen {
 		p.prefillDone(q, choice)
 	}
-	l.running--
+	l.current.Running--
 }
 
 // ExpectedStreamTime is how long a request's output is expected to take.
@@ -247,7 +283,7 @@
 // Running is the number of this entry's requests in flight at a replica.
 func (p *Picker) Running(id string) int {
 	if l := p.loads[id]; l != nil {
-		return l.running
+		return l.current.Running
 	}
 	return 0
 }
--- a/internal/route/pickertypes.go
+++ b/internal/route/pickertypes.go
@@ -37,6 +37,9 @@
 	RecentFaultsCost float64
 	// CrossDomainCost is the cost of dispatching to another failure domain.
 	CrossDomainCost float64
+	// SlowdownMs is the cost to an urgent request of each one that runs beside it: its output takes
+	// longer in a larger batch.
+	SlowdownMs float64
 	// PlainServiceMs is the work of a request at a replica without an engine.
 	PlainServiceMs float64
 	// MaxLevels bounds the levels remembered. LevelTTL bounds how long one is expected to stay in
@@ -52,7 +55,7 @@
 var DefaultPickerParams = PickerParams{
 	PrefillTokensPerMs: 50, MissWeight: 4.5, RunningMs: 2, OverheadMs: 40, PeerLoadFactor: 2, OwnerMissShare: 0.3,
 	PeerTTL: 500 * time.Millisecond, QueueDelayHalfLife: 400 * time.Millisecond, QueueDelayLearningRate: 0.4,
-	OverrunCost: 0.2, OutputTokenMs: 8, LearningRate: 0.05, OldWeightsCost: 150, RecentFaultsCost: 1000, CrossDomainCost: 3, PlainServiceMs: 60,
+	OverrunCost: 0.2, OutputTokenMs: 8, LearningRate: 0.05, OldWeightsCost: 150, RecentFaultsCost: 1000, CrossDomainCost: 3, SlowdownMs: 2, PlainServiceMs: 60,
 	MaxLevels: 8192, LevelTTL: 30 * time.Second, SavedTTL: 10 * time.Second,
 }
 
@@ -66,6 +69,9 @@
 	PromptTokens int
 	// OutputTokens is the expected output length.
 	OutputTokens int
+	// Urgent is set for a request of the highest priority: engines start it before all that is
+	// not urgent, and preempt that for it.
+	Urgent bool
 	// FailureDomain is the entry's own.
 	FailureDomain string
 	// DesiredVersion is the preferred weights version, 0 for any.
@@ -85,7 +91,7 @@
 	ID            string
 	FailureDomain string
 	Version       uint64
-	// Slots is how many requests the replica runs at once; it counts only for a plain replica.
+	// Slots is how many requests the replica runs at once.
 	Slots int
 	// MemoryTokens is an engine's memory for running requests and cached prefixes, 0 if it isn't
 	// known.
@@ -113,10 +119,14 @@
 	DonorTokens int
 	// Store is the KV store that the replica was told to fetch from, "" for none.
 	Store string
-	// LoadAtPick is the load of all entries there at the time of the pick.
-	LoadAtPick     Load
+	// Ahead is the load of all entries that was to delay the request, at the time of the pick.
+	Ahead          Load
 	Reason         string
 	CandidateCount int
+	// OverBound is how many of the candidates that were looked at have a longer wait than allowed,
+	// LeastWaitMs the shortest of these waits.
+	OverBound   int
+	LeastWaitMs float64
 }
 
 // Reasons of a pick.
