--- a/internal/route/overload_test.go
+++ b/internal/route/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -95,8 +96,8 @@
 		for _, e := range s.entries {
 			s.place(e)
 		}
-		for _, engine := range s.engines {
-			s.step(engine)
+		for _, c := range s.candidates {
+			s.step(s.engines[c.ID])
 		}
 	}
 }
@@ -222,6 +223,29 @@
 	}
 }
 
+// bySchedule is how many long prompts the engines begin to answer in time by a schedule that knows
+// all: each reads one at a time, without a pause, beside the urgent requests.
+func bySchedule(classes []*overloadClass) float64 {
+	urgent, long := classes[0], classes[1]
+	steps := math.Ceil(float64(long.prompt) / chunkTokens)
+	running := urgent.rate / overloadReplicas * 0.5 // half a second each
+	perPrompt := float64(long.prompt)/prefillPerMs + steps*(3.5+0.05*running)
+	busy := urgent.rate / overloadReplicas * float64(urgent.prompt) / prefillPerMs / 1000
+	return overloadReplicas * (1 - busy) * ms(overloadLength) / perPrompt
+}
+
+// Guards against goodput that falls past the capacity, as each long prompt waits until it is late.
+func TestLongPromptsAreInTimePastTheCapacity(t *testing.T) {
+	for _, multiple := range []float64{1.5, 2.5} {
+		classes := overloadClasses(multiple)
+		s := newOverloadSim(1, overloadReplicas)
+		s.run(classes)
+		if best := bySchedule(classes); float64(s.inTime[false]) < 0.8*best {
+			t.Errorf("%.1f of the capacity: %d prompts in time, %.0f by a schedule that knows all", multiple, s.inTime[false], best)
+		}
+	}
+}
+
 // Guards against urgent requests that wait at the entries behind prompts which engines would put
 // last: those that are not urgent fill each replica up to their larger bound, and urgent ones that
 // are late for it are never placed. The load is that of a burst of long prompts.
