--- a/internal/direct/peers_test.go
+++ b/internal/direct/peers_test.go
@@ -43,6 +43,35 @@
 	checkLength(t, m)
 }
 
+// Guards against urgent work that other entries take for work that may be put last, and against
+// messages of entries of older builds, which don't tell it apart.
+func TestUrgentTokensReachOtherEntries(t *testing.T) {
+	loads := map[uint64]route.Load{
+		1: {PrefillTokens: 9000, Running: 2},
+		2: {PrefillTokens: 800, UrgentTokens: 700, Running: 1},
+		3: {PrefillTokens: 100, Running: 1},
+	}
+	var m peerMessage
+	m.setLoads(loads, make(map[uint64]uint16), maxMessageLoads)
+	data, err := cbor.Marshal(&m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got peerMessage
+	if err := messageDecoder.Unmarshal(data, &got); err != nil {
+		t.Fatal(err)
+	}
+	for replica, want := range loads {
+		if l := got.loads()[replica]; l != want {
+			t.Errorf("replica %d: %+v, want %+v", replica, l, want)
+		}
+	}
+	got.UrgentTokens = nil
+	if l := got.loads()[2]; l.PrefillTokens != 800 || l.UrgentTokens != 0 {
+		t.Errorf("%+v from an entry of an older build", l)
+	}
+}
+
 // The longest message with replicas' notices must fit in a datagram.
 func TestTheLongestNoticesFitADatagram(t *testing.T) {
 	m := &peerMessage{From: strings.Repeat("x", 24), Epoch: math.MaxUint64}
