--- a/internal/admit/wait_queue.go
+++ b/internal/admit/wait_queue.go
@@ -37,7 +37,10 @@
 // Late reports whether a request can't meet its objective any more.
 func (r *QueuedRequest) Late(now time.Duration) bool { return now > r.LatestStart }
 
-// slack says how much of the time that a request may wait, and still be in time, is left.
+// slack is how much of the time is left for which a request may wait and still be in time.
+//
+// Under overload, first come first served would start every request when it is about to be late,
+// and the wait at the replica would make it late.
 type slack uint8
 
 const (
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -224,9 +224,9 @@
 	return failure, done
 }
 
-// observeNoStart has the window shrink for a request that ended without a first event though its
-// objective had passed: the one that began late at a slow replica would, and those that give up
-// must count as well. The caller holds the state's lock.
+// observeNoStart counts a request that ended without a first event, after its objective had passed,
+// as one that began late. Otherwise replicas that answer nothing would leave the window as it is.
+// The caller holds the state's lock.
 func (req *request) observeNoStart(p *placement) {
 	if p.window == nil || req.firstByte > 0 {
 		return
--- a/internal/route/pickerload.go
+++ b/internal/route/pickerload.go
@@ -8,11 +8,11 @@
 
 // ownLoad is the load of this entry at a replica.
 type ownLoad struct {
-	// current leaves AddedTokens out: addedTokens counts the tokens that its requests have added to
-	// the replica's cache.
-	current     Load
+	// current is what its requests add to the replica's load now; AddedTokens is not set.
+	current Load
+	// addedTokens counts the tokens that its requests have added to the replica's cache.
 	addedTokens float64
-	// delays are those of other requests and of urgent ones.
+	// delays has the delay of requests that are not urgent and that of urgent ones; see delayOf.
 	delays [2]startDelay
 }
 
@@ -31,7 +31,7 @@
 }
 
 // engineClass identifies a learnt speed. Urgent requests don't wait for what is not urgent, so one
-// estimate for both would hold neither.
+// estimate would fit neither kind.
 type engineClass struct {
 	service string
 	urgent  bool
