spread: first reads after a start as they were

Ruled out: relays and the order of requests make no calls. Its two tests of the spreading and the short backoff go with what they tested. Measured: unit tests of spread and direct.

--- a/internal/direct/hub.go
+++ b/internal/direct/hub.go
@@ -157,11 +157,10 @@
 	ageFraction := float64(f.watermark.Age(now)) / float64(f.maxAge)
 	// The list of peers to query comes from the store.
 	required := !f.watermark.Known && f.topicID == peersTopicID || !f.keyed && f.reload
-	known := f.watermark.Known
 	f.mu.Unlock()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return required || h.upstreams.ReadDue(ageFraction, known, now)
+	return required || h.upstreams.ReadDue(ageFraction, now)
 }
 
 // readWait returns how long a read of the store may wait for a record. A read by an entry that
--- a/internal/spread/params.go
+++ b/internal/spread/params.go
@@ -13,8 +13,6 @@
 	MaxUnanswered int
 	// BackoffMin and BackoffMax bound for how long a peer that doesn't answer isn't queried.
 	BackoffMin, BackoffMax time.Duration
-	// StartBackoff takes the place of BackoffMin while there was no upstream yet.
-	StartBackoff time.Duration
 	// OutageQuorum is how many peers without fresh data make an entry assume that the
 	// store is unavailable to all, so that it waits for its slot to try the store.
 	OutageQuorum int
@@ -33,7 +31,7 @@
 // tenth of a core, which may need some ten milliseconds to answer.
 var DefaultParams = Params{
 	QueryInterval: 150 * time.Millisecond, QueryTimeout: 120 * time.Millisecond, MaxUnanswered: 2,
-	BackoffMin: 3 * time.Second, BackoffMax: time.Minute, StartBackoff: 300 * time.Millisecond,
+	BackoffMin: 3 * time.Second, BackoffMax: time.Minute,
 	OutageQuorum: 3, FanIn: 64, FirstProbesPerSecond: 50, ProbesPerSecond: 20,
 	HintInterval: time.Second, HintTTL: 3 * time.Second,
 }
@@ -48,9 +46,6 @@
 	// between this and the limit. Between StaleFraction and this one it queries others:
 	// they have newer data, or report that the store is unavailable.
 	takeOverFraction = 0.875
-	// firstReadFraction is the fraction up to which entries that have just started are spread with
-	// their first reads, the first in the order at once.
-	firstReadFraction = 0.5
 	// readForPeersFraction is the fraction from which on an entry that the store answers reads
 	// again while the entries that should read for it are cut off.
 	readForPeersFraction = 0.4
--- a/internal/spread/simulation_test.go
+++ b/internal/spread/simulation_test.go
@@ -177,7 +177,7 @@
 	limit := MaxAge(simWithin)
 	if !e.calling {
 		fraction := float64(e.watermark.Age(s.now)) / float64(limit)
-		if s.now < e.retryAt || !e.upstreams.ReadDue(fraction, e.watermark.Confirmed(), s.now) {
+		if s.now < e.retryAt || !e.upstreams.ReadDue(fraction, s.now) {
 			return
 		}
 		e.calling, e.calledAt, e.from, e.wait = true, s.now, e.watermark.Next, 0
--- a/internal/spread/start_test.go
+++ b/internal/spread/start_test.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -47,54 +46,3 @@
 		}
 	}
 }
-
-// startedLast returns the selector of the last entry in the order of a fleet, which has just
-// started, and its queries.
-func startedLast(t *testing.T) *UpstreamSelector {
-	t.Helper()
-	peers := fleetOf(40, 1)
-	ordered := sharedOrder(slices.Clone(peers))
-	self := ordered[len(ordered)-1]
-	s := NewUpstreamSelector(self, DefaultParams, rand.New(rand.NewPCG(1, 1)))
-	s.SetPeers(slices.DeleteFunc(peers, func(p Peer) bool { return p == self }))
-	return s
-}
-
-// Guards against an entry that reads everything from the store right after a start of all, as the
-// entries before it don't answer yet.
-func TestFirstReadsAreSpreadOverTheEntries(t *testing.T) {
-	s := startedLast(t)
-	now := time.Duration(0)
-	for ; s.Mode(now) != ReadingStore; now += 50 * time.Millisecond {
-		if now > time.Minute {
-			t.Fatal("the entry never finds that no peer answers")
-		}
-		s.DueQueries(now)
-	}
-	if s.ReadDue(firstReadFraction/2, false, now) {
-		t.Error("the last of 40 entries reads a topic for the first time as early as the others")
-	}
-	if !s.ReadDue(firstReadFraction, false, now) || !s.ReadDue(0, true, now) {
-		t.Error("an entry that nobody answers doesn't read the store")
-	}
-}
-
-// Guards against entries that started together and leave each other alone for seconds, because the
-// first queries came before the others were up.
-func TestPeersThatAreNotUpYetAreQueriedAgainSoon(t *testing.T) {
-	s := startedLast(t)
-	p := DefaultParams
-	first := s.DueQueries(0)[0].Peer
-	queried := 0
-	const end = 1500 * time.Millisecond
-	for now := 10 * time.Millisecond; now < end; now += 10 * time.Millisecond {
-		for _, q := range s.DueQueries(now) {
-			if q.Peer == first {
-				queried++
-			}
-		}
-	}
-	if queried <= p.MaxUnanswered {
-		t.Errorf("%d further queries in %v to the first entry, which doesn't answer yet", queried, end)
-	}
-}
--- a/internal/spread/upstream.go
+++ b/internal/spread/upstream.go
@@ -77,9 +77,7 @@
 	pending    map[uint64]pendingQuery
 	seq        uint64
 	upstream   string
-	// followed is set once there was an upstream.
-	followed  bool
-	nextRound time.Duration
+	nextRound  time.Duration
 	// storeAnswers is set while the store answers this entry's own calls.
 	storeAnswers bool
 	// slotAt is when an entry in AwaitingSlot may try the store, 0 if that isn't scheduled.
@@ -189,24 +187,13 @@
 		}
 		c.unanswered++
 		if over := c.unanswered - s.params.MaxUnanswered; over >= 0 {
-			c.backoffUntil = now + s.backoff(over)
+			c.backoffUntil = now + min(s.params.BackoffMin<<min(over, 8), s.params.BackoffMax)
 			c.answered = false
 			s.dropUpstream(q.peer, now)
 		}
 	}
 }
 
-// backoff returns for how long a peer isn't queried after a number of further queries without an
-// answer. An entry that has had no upstream yet may have started with all others, and tries soon
-// again.
-func (s *UpstreamSelector) backoff(failures int) time.Duration {
-	shortest := s.params.BackoffMin
-	if !s.followed {
-		shortest = s.params.StartBackoff
-	}
-	return min(shortest<<min(failures, 8), s.params.BackoffMax)
-}
-
 // dropUpstream drops an upstream; the next candidate is queried at once.
 func (s *UpstreamSelector) dropUpstream(id string, now time.Duration) {
 	if s.upstream == id {
@@ -237,7 +224,7 @@
 	case !fresh:
 		s.dropUpstream(q.peer, now)
 	case s.upstream == "" || slices.Index(s.preference, q.peer) < slices.Index(s.preference, s.upstream):
-		s.upstream, s.followed = q.peer, true
+		s.upstream = q.peer
 		s.slotAt = 0
 	}
 }
@@ -311,13 +298,11 @@
 }
 
 // ReadDue reports whether to read a topic from the store now, given the fraction of its age
-// limit that is used up, and whether the topic was ever read. The age of one that wasn't counts
-// from the start.
-func (s *UpstreamSelector) ReadDue(fraction float64, known bool, now time.Duration) bool {
+// limit that is used up.
+func (s *UpstreamSelector) ReadDue(fraction float64, now time.Duration) bool {
 	switch s.Mode(now) {
 	case ReadingStore:
-		// After a start of all entries those that come earlier in the order are starting too.
-		return known || fraction >= firstReadFraction*s.position
+		return true
 	case Following:
 		// The upstream has fresh data, but this topic's records don't reach the entry.
 		return fraction >= StaleFraction+(1-StaleFraction)*s.position
