--- a/internal/admit/core_test.go
+++ b/internal/admit/core_test.go
@@ -37,6 +37,23 @@
 	return list
 }
 
+// Guards against a reserved slot that stays empty while an organisation with nothing running waits,
+// because the mean of its past use is above its share.
+func TestAnOrganisationWithNothingRunningMayUseTheReserve(t *testing.T) {
+	c := NewCore(Params{MaxRunning: 4, SmallReserve: 0.25, MaxQueue: 100})
+	for n := range 3 {
+		c.Arrive(0, item(n, "large"))
+	}
+	now := time.Minute
+	for n := range 3 {
+		c.Finish(now, item(n, "").ID, Actual{Ran: true})
+		c.Arrive(now, item(10+n, []string{"first", "second", "third"}[n]))
+	}
+	if ids := started(c.Arrive(now, item(20, "large"))); len(ids) != 1 {
+		t.Errorf("%+v, and the only item of an organisation waits", c.Summary())
+	}
+}
+
 // Guards against a small organisation's request that waits behind a large one's
 // backlog: the large one fills every slot and the queue, then the small one sends one
 // request.
--- a/internal/admit/window.go
+++ b/internal/admit/window.go
@@ -21,8 +21,7 @@
 	MinDecreaseInterval time.Duration
 }
 
-// DefaultWindowParams starts with some hundred milliseconds of prefill at each of a
-// dozen replicas, and leaves a third of the objective for variation.
+// DefaultWindowParams leave a part of the objective for variation.
 var DefaultWindowParams = WindowParams{
 	Initial: 2000, Min: 100, Max: 20000, TargetFraction: 0.7, IncreaseFactor: 0.5, DecreaseFactor: 0.85, MinDecreaseInterval: 150 * time.Millisecond,
 }
--- a/internal/direct/digest.go
+++ b/internal/direct/digest.go
@@ -25,9 +25,6 @@
 const (
 	// fullMeshLimit is the largest number of entries at which each sends to all others.
 	fullMeshLimit = 32
-	// gatewayCheckInterval is the pause after which an entry that sends no digest looks again
-	// whether it has to.
-	gatewayCheckInterval = 100 * time.Millisecond
 	// replicasPerDigest is the number of replicas in one part of a digest, which leaves room for
 	// placements.
 	replicasPerDigest = 32
@@ -111,9 +108,9 @@
 // run sends digests while this entry is the one that sends them to some other domain, until ctx
 // ends.
 func (d *digests) run(ctx context.Context) {
-	pause := gatewayCheckInterval
+	pause := spread.MinDigestInterval
 	for wait.For(ctx, pause) == nil {
-		pause = gatewayCheckInterval
+		pause = spread.MinDigestInterval
 		targets := d.targets(d.peers.entry.clock.now())
 		if len(targets) == 0 {
 			d.dequeue(maxPendingPlacements) // another entry sends these placements
--- a/internal/direct/digest_test.go
+++ b/internal/direct/digest_test.go
@@ -163,6 +163,37 @@
 	}
 }
 
+// Guards against the loss of one part of a digest for as long as its relay is gone, while the other
+// parts are acknowledged, and against acknowledgements that count for another part.
+func TestARelayThatDoesNotAcknowledgeIsReplaced(t *testing.T) {
+	all := newPeerNodes(t, 36, 3)
+	var d *digests
+	for _, e := range all {
+		if len(e.peers.digests.targets(time.Hour)) > 0 {
+			d = e.peers.digests
+			break
+		}
+	}
+	targets := d.targets(time.Hour)[:1]
+	domain := targets[0].domain
+	sent := time.Duration(0)
+	relay := func(part int) netip.AddrPort { return d.relayAddresses(targets, part, sent)[0] }
+	first, second := relay(0), relay(1)
+	d.handleAck(domain + digestNameSeparator + "1")
+	d.handleAck(domain + digestNameSeparator + "none")
+	if acked := d.acks[relayedPart{domain, 1}].ackedAt; acked == 0 || d.acks[relayedPart{domain, 0}].ackedAt != 0 {
+		t.Fatalf("acknowledged at %v and, for the other part, %v", acked, d.acks[relayedPart{domain, 0}].ackedAt)
+	}
+	sent = digestAckTimeout + time.Nanosecond
+	if relay(0) == first || relay(1) != second {
+		t.Error("the relay that didn't acknowledge is kept, or the one that did is replaced")
+	}
+	d.handleAck(domain) // an older build, which acknowledges the first part only
+	if d.acks[relayedPart{domain, 0}].ackedAt == 0 {
+		t.Error("an acknowledgement of an older build doesn't count")
+	}
+}
+
 // Placements that do not fit in one digest must be sent with the next ones.
 func TestPlacementsThatDoNotFitComeWithTheNextDigest(t *testing.T) {
 	const placed = 3 * maxMessagePlacements
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -170,6 +170,22 @@
 	}
 }
 
+// Guards against a part of the slack with each start of an entry that is alone and restarts often.
+func TestASoleEntryThatRestartsOftenStaysWithinAWindow(t *testing.T) {
+	const rate = 5_000
+	q := tokens(rate)
+	s := newSimulated(1, 1, map[string]fleet.Quota{"derwent": q})
+	for range 12 {
+		s.run(2*time.Second, func() { s.request(s.entries[0], "derwent", 200) })
+		s.start(s.entries[0])
+	}
+	for _, window := range []time.Duration{s.params.Window, 2 * s.params.Window} {
+		if got, most := s.maxSpent("derwent", window), s.params.Bound(&q, window); got > most {
+			t.Errorf("%.0f units in %v, %.0f allowed", got, window, most)
+		}
+	}
+}
+
 // Guards against a wait that the quota doesn't need, and one that is too short for the quota.
 func TestWaitGrowsWithWhatWasRefused(t *testing.T) {
 	s := newSimulated(1, 30, map[string]fleet.Quota{"derwent": tokens(29_000)})
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -70,7 +71,8 @@
 func (p *Picker) Pick(now time.Duration, q *PickQuery, candidates []PickCandidate) (PickResult, bool) {
 	p.fillViews(now, q, candidates)
 	owner := p.ownerIndex(q, candidates)
-	best, bestIndex := PickResult{CandidateCount: len(candidates)}, -1
+	best, bestIndex := PickResult{}, -1
+	overBound, leastWaitMs := 0, math.Inf(1)
 	sampled := p.sample(q.Sample, len(candidates))
 	bounded := q.MaxWaitMs > 0 && p.PeerLoadsKnown(now)
 	for i := range candidates {
@@ -83,29 +85,24 @@
 		}
 		choice := p.score(now, q, c, &p.views[i], i == owner)
 		if bounded && choice.WaitMs > q.MaxWaitMs {
-			best.OverBound++
-			best.LeastWaitMs = leastWait(best, choice.WaitMs)
+			overBound++
+			leastWaitMs = min(leastWaitMs, choice.WaitMs)
 			continue
 		}
 		if bestIndex < 0 || choice.Score < best.Score {
-			choice.CandidateCount, choice.OverBound, choice.LeastWaitMs = len(candidates), best.OverBound, best.LeastWaitMs
 			best, bestIndex = choice, i
 		}
 	}
+	best.CandidateCount, best.OverBound = len(candidates), overBound
+	if overBound > 0 {
+		best.LeastWaitMs = leastWaitMs
+	}
 	if bestIndex >= 0 && len(q.Levels) > 0 {
 		best.Donor, best.DonorTokens = p.donor(q, bestIndex, candidates)
 	}
 	return best, bestIndex >= 0
 }
 
-// leastWait returns the least wait of the candidates over the bound, given the next one's.
-func leastWait(result PickResult, waitMs float64) float64 {
-	if result.OverBound == 1 {
-		return waitMs
-	}
-	return min(result.LeastWaitMs, waitMs)
-}
-
 // fillViews computes the views of all candidates.
 func (p *Picker) fillViews(now time.Duration, q *PickQuery, candidates []PickCandidate) {
 	p.views = p.views[:0]
@@ -148,8 +145,8 @@
 
 func (p *Picker) score(now time.Duration, q *PickQuery, c *PickCandidate, v *candidateView, isOwner bool) PickResult {
 	result := PickResult{ID: c.ID, Reason: pickLeastLoaded}
-	result.Ahead = v.load.ahead(q.Urgent, c.Slots)
-	result.WaitMs = p.expectedWaitMs(now, q, c, v)
+	result.Ahead = v.load.ahead(q.Urgent && c.Engine, c.Slots)
+	result.WaitMs = p.expectedWaitMs(now, q, c, result.Ahead)
 	result.Score = result.WaitMs
 	if q.Urgent && c.Engine {
 		result.Score += p.params.SlowdownMs*float64(v.load.Running) + p.delayMs(now, q, c)
@@ -174,12 +171,12 @@
 	return result
 }
 
-// expectedWaitMs is the expected wait at a replica, in milliseconds.
-func (p *Picker) expectedWaitMs(now time.Duration, q *PickQuery, c *PickCandidate, v *candidateView) float64 {
+// expectedWaitMs is the expected wait at a replica with a load ahead, in milliseconds.
+func (p *Picker) expectedWaitMs(now time.Duration, q *PickQuery, c *PickCandidate, ahead Load) float64 {
 	if !c.Engine {
-		return float64(v.load.Running) * p.params.PlainServiceMs / float64(max(1, c.Slots))
+		return float64(ahead.Running) * p.params.PlainServiceMs / float64(max(1, c.Slots))
 	}
-	wait := p.engineFor(q).waitMs(v.load.ahead(q.Urgent, c.Slots))
+	wait := p.engineFor(q).waitMs(ahead)
 	if q.Urgent {
 		// What delays urgent requests besides urgent ones would delay them anywhere.
 		return wait
--- a/internal/route/pickertypes.go
+++ b/internal/route/pickertypes.go
@@ -50,8 +50,7 @@
 	SavedTTL time.Duration
 }
 
-// DefaultPickerParams follow the engines' data sheets: some 56 prompt tokens per millisecond, and
-// a decode step of 4 ms that grows by a tenth with each running request.
+// DefaultPickerParams are start values for what is learnt, and costs that hold for any engine.
 var DefaultPickerParams = PickerParams{
 	PrefillTokensPerMs: 50, MissWeight: 4.5, RunningMs: 2, OverheadMs: 40, PeerLoadFactor: 2, OwnerMissShare: 0.3,
 	PeerTTL: 500 * time.Millisecond, QueueDelayHalfLife: 400 * time.Millisecond, QueueDelayLearningRate: 0.4,
--- a/internal/spread/gateway.go
+++ b/internal/spread/gateway.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// minDigestInterval is the least pause between a domain's digests, about that of load messages
+	// MinDigestInterval is the least pause between a domain's digests, about that of load messages
 	// within a domain.
-	minDigestInterval = 100 * time.Millisecond
+	MinDigestInterval = 100 * time.Millisecond
 	// maxForwardsPerSecond bounds the datagrams that a relay forwards for one part of a digest.
 	maxForwardsPerSecond = 400
 )
@@ -48,7 +48,7 @@
 
 // Interval is the pause between digests, which grows with the number of entries to forward to.
 func (r Relays) Interval() time.Duration {
-	return max(minDigestInterval, time.Duration(len(r.ordered))*time.Second/maxForwardsPerSecond)
+	return max(MinDigestInterval, time.Duration(len(r.ordered))*time.Second/maxForwardsPerSecond)
 }
 
 // DigestParts returns the number of parts of a digest of some replicas' loads, a power of two:
