fleet, platform: calls and headers for runs that change replicas

Cause: replicas of the users' platform can copy a run's memory to another replica on request and keep backups of it; a direct entry can say neither. Change: types of a move, its outcome and a copy; the engine's offer in the configuration; the adapter's calls and headers. Nothing uses them yet. Conclusion: the interface for the parts that do.

--- a/internal/direct/ports.go
+++ b/internal/direct/ports.go
@@ -36,6 +36,10 @@
 type Replicas interface {
 	Order(context.Context, *fleet.Order) (fleet.Reply, fleet.Notice, error)
 	Report(context.Context, *fleet.Replica) (fleet.Report, fleet.Notice, error)
+	// Move copies a run to another replica, and returns once the copy is complete.
+	Move(context.Context, *fleet.Move) (fleet.MoveReply, error)
+	// ReleaseCopy frees a copy that isn't used any more.
+	ReleaseCopy(context.Context, fleet.RunCopy) error
 }
 
 // Platform is what the adapter of a platform provides.
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -71,7 +71,9 @@
 	// MemoryTokens is the KV memory of a replica in tokens, shared by running requests and
 	// cached parts.
 	MemoryTokens int
-	Models       []string
+	// Transfer is what the replicas offer for runs that change replicas.
+	Transfer RunTransfer
+	Models   []string
 }
 
 // Service is a set of replicas.
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -74,6 +74,10 @@
 	SaveTo string
 	// LastEvent resumes a stream after this event, "" from its start.
 	LastEvent string
+	// BackupTo is the address of the replica that keeps a backup of the run, "" for none.
+	BackupTo string
+	// ContinueFrom is the copy that the run goes on from; zero for none.
+	ContinueFrom RunCopy
 }
 
 // Answer is what the headers of a replica's answer say.
