Overload: ranks by organisation and route, bound by the tightest target, memory counts

Cause: an organisation's priority replaced its route's. Of the organisations of all sites nearly every one has priority 1, so routes' priorities counted for nothing: long prompts (target 600 ms) filled each replica up to 0.4 of their own target, short requests (250 ms, best rank) may be placed up to 0.4 of theirs and never were. Ruled out: loads that stay counted after a crash (sums of the entries' own loads and of what the others believe agree within a report's age; requests in flight and load kept for them agree); entries that don't hear the others (all 21 fresh all the while); too few candidates in the sample. Change: order at entries by rank (organisation, then route), then time left; a replica's bound is 0.4 of the shortest target of the same or a better rank; nothing that brings running requests over 0.8 of an engine's memory, which loads carry. The class of urgent requests with its speeds, delays and tokens is gone: it applied to priority 0 only.

--- a/internal/admit/wait_queue.go
+++ b/internal/admit/wait_queue.go
@@ -10,9 +10,6 @@
 	Organisation string
 	// Priority ranks requests; 0 is first.
 	Priority int
-	// Urgent is set for a request that engines start before all that are not urgent, so that it
-	// does not wait for the same capacity.
-	Urgent bool
 	// Work is the expected engine time in milliseconds.
 	Work float64
 	// Arrived is when the caller sent the request. LatestStart is the latest start
@@ -75,12 +72,11 @@
 //
 // Under a load that exceeds the capacity of the replicas, first come, first served
 // makes every request wait until it is late: the queue grows to the callers'
-// deadlines, and no answer is in time although the engines are saturated. So requests
-// that can still be in time go first, by priority; late ones get the remaining
-// capacity. Urgent requests go before all others, late or not, since engines take
-// them first. Among requests of equal rank the organisation with the smallest amount of
-// recently dispatched work goes first, so that a large organisation's backlog waits behind a
-// small one's single request.
+// deadlines, and no answer is in time although the engines are saturated. So requests go by
+// priority, and among those of one priority the ones that can still be in time go first; late
+// ones get the remaining capacity. Among requests of equal rank the organisation with the
+// smallest amount of recently dispatched work goes first, so that a large organisation's backlog
+// waits behind a small one's single request.
 type WaitQueue struct {
 	requests   []*QueuedRequest
 	seq        uint64
@@ -139,19 +135,9 @@
 
 // Next returns the request to dispatch next, nil if none waits. It stays in the queue.
 func (q *WaitQueue) Next(now time.Duration) *QueuedRequest {
-	return q.first(now, func(*QueuedRequest) bool { return true })
-}
-
-// NextOf returns the next one of the urgent requests, or of the others. Where no replica can take
-// the first of one kind, the other kind need not wait for it.
-func (q *WaitQueue) NextOf(urgent bool, now time.Duration) *QueuedRequest {
-	return q.first(now, func(r *QueuedRequest) bool { return r.Urgent == urgent })
-}
-
-func (q *WaitQueue) first(now time.Duration, among func(*QueuedRequest) bool) *QueuedRequest {
 	var best *QueuedRequest
 	for _, r := range q.requests {
-		if among(r) && (best == nil || q.before(now, r, best)) {
+		if best == nil || q.before(now, r, best) {
 			best = r
 		}
 	}
@@ -161,12 +147,10 @@
 func (q *WaitQueue) before(now time.Duration, a, b *QueuedRequest) bool {
 	slackA, slackB := a.slackLeft(now), b.slackLeft(now)
 	switch {
-	case a.Urgent != b.Urgent:
-		return a.Urgent
-	case slackA != slackB:
-		return slackA > slackB
 	case a.Priority != b.Priority:
 		return a.Priority < b.Priority
+	case slackA != slackB:
+		return slackA > slackB
 	case a.Organisation != b.Organisation:
 		return q.recentWork(a.Organisation, now) < q.recentWork(b.Organisation, now)
 	}
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"slices"
@@ -61,9 +62,9 @@
 	Epoch uint64     `cbor:"2,keyasint"`
 	Seq   uint64     `cbor:"3,keyasint"`
 	Loads []peerLoad `cbor:"4,keyasint,omitempty"`
-	// UrgentTokens has, for each of Loads in order, how many of its PrefillTokens are of urgent
-	// requests; zeros at the end are left out. Entries of older builds send none.
-	UrgentTokens []uint32 `cbor:"18,keyasint,omitempty"`
+	// MemoryTokens has, for each of Loads in order, its route.Load.MemoryTokens in memoryUnit; zeros at
+	// the end are left out. Entries of older builds send none, and 18 with another meaning.
+	MemoryTokens []uint16 `cbor:"19,keyasint,omitempty"`
 	// Placements are the most recent ones. Each is repeated in several messages, because one may be
 	// lost.
 	Placements []peerPlacement `cbor:"6,keyasint,omitempty"`
@@ -294,9 +295,9 @@
 func (m *peerMessage) setLoads(loads map[uint64]route.Load, advertisedTokens map[uint64]uint16, limit int) {
 	m.Loads = loadsToSend(loads, advertisedTokens, limit)
 	for i, l := range m.Loads {
-		if urgent := uint32(loads[l.Replica].UrgentTokens); urgent > 0 {
-			m.UrgentTokens = append(m.UrgentTokens, make([]uint32, i+1-len(m.UrgentTokens))...)
-			m.UrgentTokens[i] = urgent
+		if units := encodeMemory(loads[l.Replica].MemoryTokens); units > 0 {
+			m.MemoryTokens = append(m.MemoryTokens, make([]uint16, i+1-len(m.MemoryTokens))...)
+			m.MemoryTokens[i] = units
 		}
 	}
 }
@@ -306,14 +307,22 @@
 	loads := make(map[uint64]route.Load, len(m.Loads))
 	for i, l := range m.Loads {
 		load := route.Load{PrefillTokens: float64(l.PrefillTokens), Running: int(l.Running), AddedTokens: l.AddedTokens}
-		if i < len(m.UrgentTokens) {
-			load.UrgentTokens = min(float64(m.UrgentTokens[i]), load.PrefillTokens)
+		if i < len(m.MemoryTokens) {
+			load.MemoryTokens = float64(m.MemoryTokens[i]) * memoryUnit
 		}
 		loads[l.Replica] = load
 	}
 	return loads
 }
 
+// memoryUnit is the unit of peerMessage.MemoryTokens, in tokens: a fraction of a request's memory.
+const memoryUnit = 64
+
+// encodeMemory returns tokens in memoryUnit, rounded up.
+func encodeMemory(tokens float64) uint16 {
+	return uint16(min(math.Ceil(tokens/memoryUnit), math.MaxUint16))
+}
+
 // encodeStoreReachable returns the value of peerMessage.StoreReachable.
 func encodeStoreReachable(served time.Duration) uint32 {
 	return uint32(min(served, maxStoreReachable).Milliseconds()) + 1
--- a/internal/direct/queue.go
+++ b/internal/direct/queue.go
@@ -22,7 +22,7 @@
 
 // serviceQueue holds the requests for one service that wait for a placement.
 type serviceQueue struct {
-	// waiting orders requests that can still be in time first, by priority and then by fairness
+	// waiting orders requests by rank, those that can still be in time first, then by fairness
 	// between organisations.
 	waiting *admit.WaitQueue
 	// window bounds the work that is sent but not yet being answered. It is nil for plain
@@ -44,34 +44,33 @@
 	return q
 }
 
-// placeQueued assigns replicas to waiting requests, in the queue's order. The caller holds mu.
+// placeQueued assigns replicas to waiting requests, in the queue's order. Where no replica can take
+// the first one, those behind it wait too: otherwise the larger ones of worse ranks would keep every
+// replica above the load up to which it may be placed. The caller holds mu.
 func (s *state) placeQueued(q *serviceQueue, now time.Duration) {
-	s.placeQueuedOf(true, q, now)
-	s.placeQueuedOf(false, q, now)
+	for queued := q.waiting.Next(now); queued != nil && s.placeNext(q, queued, now); queued = q.waiting.Next(now) {
+	}
 }
 
-// placeQueuedOf assigns replicas to the urgent requests that wait, or to the others. The caller
-// holds mu.
-func (s *state) placeQueuedOf(urgent bool, q *serviceQueue, now time.Duration) {
-	for {
-		queued := q.waiting.NextOf(urgent, now)
-		if queued == nil || q.window != nil && !s.picker.PeerLoadsKnown(now) && !q.window.Fits(queued.Work) {
-			return
-		}
-		req := queued.Value.(*request)
-		req.query.MaxWaitMs = queued.LoadBound(now, req.maxLoad())
-		p := req.pickReplica(now)
-		if p == nil {
-			return
-		}
-		q.waiting.Remove(queued)
-		q.waiting.RecordDispatch(queued.Organisation, queued.Work, now)
-		if q.window != nil {
-			p.window, p.work = q.window, queued.Work
-			q.window.Sent(queued.Work)
-		}
-		req.placed <- p
+// placeNext assigns a replica to a waiting request, if one can take it. The caller holds mu.
+func (s *state) placeNext(q *serviceQueue, queued *admit.QueuedRequest, now time.Duration) bool {
+	if q.window != nil && !s.picker.PeerLoadsKnown(now) && !q.window.Fits(queued.Work) {
+		return false
+	}
+	req := queued.Value.(*request)
+	req.query.MaxWaitMs = queued.LoadBound(now, req.maxLoad())
+	p := req.pickReplica(now)
+	if p == nil {
+		return false
+	}
+	q.waiting.Remove(queued)
+	q.waiting.RecordDispatch(queued.Organisation, queued.Work, now)
+	if q.window != nil {
+		p.window, p.work = q.window, queued.Work
+		q.window.Sent(queued.Work)
 	}
+	req.placed <- p
+	return true
 }
 
 // placeAllQueued refuses expired requests and places waiting ones, for all services. The caller
@@ -162,8 +161,7 @@
 	picker := req.entry.state.picker
 	work := picker.PrefillMs(&req.query, req.query.PromptTokens-req.query.SharedTokens)
 	queued := &admit.QueuedRequest{
-		Priority:    req.priority(),
-		Urgent:      req.query.Urgent,
+		Priority:    req.rank(),
 		Work:        work,
 		Arrived:     req.started,
 		LatestStart: req.deadline,
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -22,13 +22,9 @@
 	unknownBodySize = 256 << 10
 	// defaultTimeout applies if neither the caller nor the route sets a timeout.
 	defaultTimeout = 30 * time.Second
-	// maxLoadFraction is the fraction of its route's objective that a request may wait at a replica.
+	// maxLoadFraction is the fraction of its route's queue target that a request may wait at a
+	// replica.
 	maxLoadFraction = 0.4
-	// urgentLoadFraction is the same for urgent requests. What they wait for at a replica would
-	// delay them as much at any other place.
-	urgentLoadFraction = 0.8
-	// urgentPriority is the highest priority that engines know.
-	urgentPriority = 0
 	// defaultRetryAfter is the Retry-After of a refusal: by then a load of weights or a restart
 	// has freed capacity.
 	defaultRetryAfter = 300 * time.Millisecond
@@ -218,7 +214,6 @@
 		PromptTokens:  req.params.PromptTokens,
 		OutputTokens:  req.params.OutputTokens,
 		FailureDomain: req.entry.settings.FailureDomain,
-		Urgent:        req.priority() <= urgentPriority,
 	}
 	if req.params.ExpectedOutput > 0 {
 		q.OutputTokens = min(q.OutputTokens, req.params.ExpectedOutput)
@@ -233,11 +228,7 @@
 	if req.service.Engine == nil {
 		return 0
 	}
-	target := float64(req.route.LatencyTarget.Milliseconds())
-	if req.query.Urgent {
-		return urgentLoadFraction * target
-	}
-	return maxLoadFraction * target
+	return maxLoadFraction * float64(req.config.QueueTarget(req.route, req.service.Name).Milliseconds())
 }
 
 // prefixLevels are the nested prefixes that the prompt may share with other prompts.
@@ -276,6 +267,9 @@
 	return req.route.Priority
 }
 
+// rank orders the request among those that wait at this entry.
+func (req *request) rank() int { return req.config.Rank(req.organisation, req.route) }
+
 // deny answers a request that is invalid or not authorised. It always returns false.
 func (req *request) deny(status int, reason string) bool {
 	req.outcome = outcomeDenied
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -148,6 +148,10 @@
 
 	byHost   map[string][]*Route
 	kvStores []string
+	// queueTargets holds the result of QueueTarget.
+	queueTargets map[queueTargetKey]time.Duration
+	// routePriorities is one more than the highest route priority.
+	routePriorities int
 }
 
 // Index prepares a configuration for Match and KVStores. It is called once, before the
@@ -165,6 +169,7 @@
 		}
 	}
 	slices.Sort(c.kvStores)
+	c.indexPriorities()
 }
 
 // Match returns the route of the host with the longest prefix of the path, nil if there is none.
--- a/internal/route/peers.go
+++ b/internal/route/peers.go
@@ -8,9 +8,10 @@
 
 // Load is the load of one or more entries at a replica.
 type Load struct {
-	// PrefillTokens is the number of prompt tokens not yet prefilled, UrgentTokens those among them
-	// of urgent requests (see PickQuery.Urgent).
-	PrefillTokens, UrgentTokens float64
+	// PrefillTokens is the number of prompt tokens not yet prefilled.
+	PrefillTokens float64
+	// MemoryTokens is the KV memory that the requests in flight need until they end, in tokens.
+	MemoryTokens float64
 	// Running is the number of requests in flight.
 	Running int
 	// AddedTokens counts the tokens added to the replica's cache, in AddedTokensUnit; it wraps
@@ -21,7 +22,7 @@
 // plus returns the sum of two loads, AddedTokens left out.
 func (l Load) plus(other Load) Load {
 	return Load{
-		PrefillTokens: l.PrefillTokens + other.PrefillTokens, UrgentTokens: l.UrgentTokens + other.UrgentTokens,
+		PrefillTokens: l.PrefillTokens + other.PrefillTokens, MemoryTokens: l.MemoryTokens + other.MemoryTokens,
 		Running: l.Running + other.Running,
 	}
 }
@@ -29,29 +30,11 @@
 // minus returns the load without another one that is part of it, up to rounding errors.
 func (l Load) minus(other Load) Load {
 	return Load{
-		PrefillTokens: max(0, l.PrefillTokens-other.PrefillTokens), UrgentTokens: max(0, l.UrgentTokens-other.UrgentTokens),
+		PrefillTokens: max(0, l.PrefillTokens-other.PrefillTokens), MemoryTokens: max(0, l.MemoryTokens-other.MemoryTokens),
 		Running: l.Running - other.Running,
 	}
 }
 
-// ahead returns the load that delays the start of a request at an engine with a number of slots. An
-// urgent request waits for urgent prompts only, and for running requests if there is no free slot.
-// Beside many prompts that are not urgent the observed times say nothing on how fast urgent ones
-// are read, so few of these count as none.
-func (l Load) ahead(urgent bool, slots int) Load {
-	if !urgent {
-		return Load{PrefillTokens: l.PrefillTokens, Running: l.Running}
-	}
-	ahead := Load{Running: max(0, l.Running-slots)}
-	if l.UrgentTokens > urgentShare*l.PrefillTokens {
-		ahead.PrefillTokens = l.UrgentTokens
-	}
-	return ahead
-}
-
-// urgentShare is the fraction of a replica's prompt tokens from which on the urgent ones count.
-const urgentShare = 0.5
-
 // AddedTokensUnit is the unit of Load.AddedTokens, in tokens: small compared with a prompt, and
 // large enough that the count of a replica takes minutes to wrap around.
 const AddedTokensUnit = 64
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -30,8 +30,8 @@
 	meanRequestTokens float64
 	// stores tracks by how much fetches from each KV store delay requests.
 	stores storeDelays
-	// engines has the learnt speed of each service's engines, for urgent and other requests.
-	engines map[engineClass]*engineSpeed
+	// engines has the learnt speed of each service's engines.
+	engines map[string]*engineSpeed
 	// views describe the candidates of the latest pick; the slice is reused.
 	views []candidateView
 	// outbox has this entry's latest placements, to be sent to its peers.
@@ -47,7 +47,7 @@
 		panic(err) // the size is a positive constant
 	}
 	return &Picker{
-		params: p, rng: rng, peers: NewPeerLoads(p.PeerTTL), loads: map[string]*ownLoad{}, domainAddedTokens: map[uint64]float64{}, engines: map[engineClass]*engineSpeed{},
+		params: p, rng: rng, peers: NewPeerLoads(p.PeerTTL), loads: map[string]*ownLoad{}, domainAddedTokens: map[uint64]float64{}, engines: map[string]*engineSpeed{},
 		stores:    storeDelays{byStore: map[string]*storeDelay{}},
 		residency: newPrefixResidency(p.MaxLevels, p.LevelTTL), saved: saved, tokenMs: p.OutputTokenMs,
 	}
@@ -67,7 +67,8 @@
 
 // Pick returns the candidate with the lowest score: the expected wait, the prefill of missing
 // shared tokens, and penalties. It returns false if all candidates are excluded, or if peers'
-// loads are known and each wait exceeds q.MaxWaitMs; the result then tells how many did.
+// loads are known and each wait exceeds q.MaxWaitMs or each memory is full; the result then tells how
+// many were.
 func (p *Picker) Pick(now time.Duration, q *PickQuery, candidates []PickCandidate) (PickResult, bool) {
 	p.fillViews(now, q, candidates)
 	owner := p.ownerIndex(q, candidates)
@@ -84,7 +85,7 @@
 			continue
 		}
 		choice := p.score(now, q, c, &p.views[i], i == owner)
-		if bounded && choice.WaitMs > q.MaxWaitMs {
+		if bounded && (choice.WaitMs > q.MaxWaitMs || !fitsMemory(q, c, p.views[i].load)) {
 			overBound++
 			leastWaitMs = min(leastWaitMs, choice.WaitMs)
 			continue
@@ -145,12 +146,9 @@
 
 func (p *Picker) score(now time.Duration, q *PickQuery, c *PickCandidate, v *candidateView, isOwner bool) PickResult {
 	result := PickResult{ID: c.ID, Reason: pickLeastLoaded}
-	result.Ahead = v.load.ahead(q.Urgent && c.Engine, c.Slots)
+	result.Ahead = Load{PrefillTokens: v.load.PrefillTokens, Running: v.load.Running}
 	result.WaitMs = p.expectedWaitMs(now, q, c, result.Ahead)
 	result.Score = result.WaitMs
-	if q.Urgent && c.Engine {
-		result.Score += p.params.SlowdownMs*float64(v.load.Running) + p.delayMs(now, q, c)
-	}
 	if len(q.Levels) > 0 {
 		result.MissingTokens, result.Reason = p.missingTokens(q, v.heldTokens, isOwner)
 		result.Score += p.params.MissWeight * p.engineFor(q).prefillMs(float64(result.MissingTokens))
@@ -176,18 +174,13 @@
 	if !c.Engine {
 		return float64(ahead.Running) * p.params.PlainServiceMs / float64(max(1, c.Slots))
 	}
-	wait := p.engineFor(q).waitMs(ahead)
-	if q.Urgent {
-		// What delays urgent requests besides urgent ones would delay them anywhere.
-		return wait
-	}
-	return wait + p.delayMs(now, q, c)
+	return p.engineFor(q).waitMs(ahead) + p.delayMs(now, c)
 }
 
-// delayMs is the extra wait that requests like q have recently met at a replica, in milliseconds.
-func (p *Picker) delayMs(now time.Duration, q *PickQuery, c *PickCandidate) float64 {
+// delayMs is the extra wait that requests have recently met at a replica, in milliseconds.
+func (p *Picker) delayMs(now time.Duration, c *PickCandidate) float64 {
 	if l := p.loads[c.ID]; l != nil {
-		return p.queueDelay(l.delayOf(q.Urgent), now)
+		return p.queueDelay(l, now)
 	}
 	return 0
 }
--- a/internal/route/pickerload.go
+++ b/internal/route/pickerload.go
@@ -12,29 +12,10 @@
 	current Load
 	// addedTokens counts the tokens that its requests have added to the replica's cache.
 	addedTokens float64
-	// delays has the delay of requests that are not urgent and that of urgent ones; see delayOf.
-	delays [2]startDelay
-}
-
-// startDelay is by how much requests have recently started later than their own prefill explains,
-// as of at.
-type startDelay struct {
-	ms float64
-	at time.Duration
-}
-
-func (l *ownLoad) delayOf(urgent bool) *startDelay {
-	if urgent {
-		return &l.delays[1]
-	}
-	return &l.delays[0]
-}
-
-// engineClass identifies a learnt speed. Urgent requests don't wait for what is not urgent, so one
-// estimate would fit neither kind.
-type engineClass struct {
-	service string
-	urgent  bool
+	// queueDelayMs is by how much requests have recently started later than their own prefill
+	// explains, as of queueDelayAt.
+	queueDelayMs float64
+	queueDelayAt time.Duration
 }
 
 // PeerLoadsKnown reports whether a peer's load report has arrived within its TTL.
@@ -49,18 +30,17 @@
 	}
 	if !peersKnown {
 		others := 1 + p.params.PeerLoadFactor
-		return Load{PrefillTokens: own.PrefillTokens * others, UrgentTokens: own.UrgentTokens * others, Running: int(float64(own.Running) * others)}
+		return Load{PrefillTokens: own.PrefillTokens * others, MemoryTokens: own.MemoryTokens * others, Running: int(float64(own.Running) * others)}
 	}
 	return own.plus(p.peers.Load(key, now))
 }
 
 // engineFor returns the learnt speed of the engines of q's service.
 func (p *Picker) engineFor(q *PickQuery) *engineSpeed {
-	class := engineClass{q.Service, q.Urgent}
-	e := p.engines[class]
+	e := p.engines[q.Service]
 	if e == nil {
 		e = newEngineSpeed(p.params)
-		p.engines[class] = e
+		p.engines[q.Service] = e
 	}
 	return e
 }
@@ -121,11 +101,11 @@
 
 // queueDelay is the decayed extra wait, in milliseconds, that this entry's requests have met at a
 // replica. It covers load of others that no report contains.
-func (p *Picker) queueDelay(d *startDelay, now time.Duration) float64 {
-	if d.ms == 0 {
+func (p *Picker) queueDelay(l *ownLoad, now time.Duration) float64 {
+	if l.queueDelayMs == 0 {
 		return 0
 	}
-	return d.ms * math.Exp2(-float64(now-d.at)/float64(p.params.QueueDelayHalfLife))
+	return l.queueDelayMs * math.Exp2(-float64(now-l.queueDelayAt)/float64(p.params.QueueDelayHalfLife))
 }
 
 // Dispatched records that a request is sent to a replica. Finished must follow, before it
@@ -158,13 +138,10 @@
 	return float64(max(0, q.PromptTokens-q.SharedTokens+choice.MissingTokens))
 }
 
-// requestLoad is the load of a request until its prompt is prefilled.
+// requestLoad is the load of a request until its prompt is prefilled. Afterwards its PrefillTokens
+// are gone.
 func (p *Picker) requestLoad(q *PickQuery, choice *PickResult) Load {
-	load := Load{PrefillTokens: p.uncachedTokens(q, choice), Running: 1}
-	if q.Urgent {
-		load.UrgentTokens = load.PrefillTokens
-	}
-	return load
+	return Load{PrefillTokens: p.uncachedTokens(q, choice), MemoryTokens: q.memoryTokens(), Running: 1}
 }
 
 // PrefillTime is how long an otherwise idle replica takes to prefill the part of a prompt that it
@@ -202,15 +179,11 @@
 	TokensPerMs, RunningMs, OverheadMs float64
 }
 
-// EngineSpeeds returns the learnt speeds by service for requests that are not urgent, for each
-// service with such a request so far.
+// EngineSpeeds returns the learnt speeds by service, for each service with a request so far.
 func (p *Picker) EngineSpeeds() map[string]EngineSpeed {
 	speeds := make(map[string]EngineSpeed, len(p.engines))
-	for class, speed := range p.engines {
-		if class.urgent {
-			continue
-		}
-		speeds[class.service] = EngineSpeed{
+	for service, speed := range p.engines {
+		speeds[service] = EngineSpeed{
 			TokensPerMs: 1 / speed.prefillMs(1), RunningMs: speed.waitMs(Load{Running: 1}), OverheadMs: speed.overheadMs(),
 		}
 	}
@@ -229,15 +202,15 @@
 	p.recordPlacement(q, choice.ID, true, now)
 	p.learnDelay(now, q, choice, ms(elapsed))
 	waitedMs := ms(elapsed - p.PrefillTime(q, choice))
-	delay := l.delayOf(q.Urgent)
-	previousMs := p.queueDelay(delay, now)
-	*delay = startDelay{ms: previousMs + p.params.QueueDelayLearningRate*(max(0, waitedMs)-previousMs), at: now}
+	previousMs := p.queueDelay(l, now)
+	l.queueDelayMs = previousMs + p.params.QueueDelayLearningRate*(max(0, waitedMs)-previousMs)
+	l.queueDelayAt = now
 }
 
 func (p *Picker) prefillDone(q *PickQuery, choice *PickResult) {
 	if l := p.loads[choice.ID]; l != nil {
 		done := p.requestLoad(q, choice)
-		done.Running = 0
+		done.Running, done.MemoryTokens = 0, 0
 		l.current = l.current.minus(done)
 	}
 }
@@ -252,7 +225,7 @@
 	if !firstEventSeen {
 		p.prefillDone(q, choice)
 	}
-	l.current.Running--
+	l.current = l.current.minus(Load{Running: 1, MemoryTokens: q.memoryTokens()})
 }
 
 // ExpectedStreamTime is how long a request's output is expected to take.
--- a/internal/route/pickertypes.go
+++ b/internal/route/pickertypes.go
@@ -37,9 +37,6 @@
 	RecentFaultsCost float64
 	// CrossDomainCost is the cost of dispatching to another failure domain.
 	CrossDomainCost float64
-	// SlowdownMs is the cost to an urgent request of each one that runs beside it: its output takes
-	// longer in a larger batch.
-	SlowdownMs float64
 	// PlainServiceMs is the work of a request at a replica without an engine.
 	PlainServiceMs float64
 	// MaxLevels bounds the levels remembered. LevelTTL bounds how long one is expected to stay in
@@ -54,7 +51,7 @@
 var DefaultPickerParams = PickerParams{
 	PrefillTokensPerMs: 50, MissWeight: 4.5, RunningMs: 2, OverheadMs: 40, PeerLoadFactor: 2, OwnerMissShare: 0.3,
 	PeerTTL: 500 * time.Millisecond, QueueDelayHalfLife: 400 * time.Millisecond, QueueDelayLearningRate: 0.4,
-	OverrunCost: 0.2, OutputTokenMs: 8, LearningRate: 0.05, OldWeightsCost: 150, RecentFaultsCost: 1000, CrossDomainCost: 3, SlowdownMs: 2, PlainServiceMs: 60,
+	OverrunCost: 0.2, OutputTokenMs: 8, LearningRate: 0.05, OldWeightsCost: 150, RecentFaultsCost: 1000, CrossDomainCost: 3, PlainServiceMs: 60,
 	MaxLevels: 8192, LevelTTL: 30 * time.Second, SavedTTL: 10 * time.Second,
 }
 
@@ -68,9 +65,6 @@
 	PromptTokens int
 	// OutputTokens is the expected output length.
 	OutputTokens int
-	// Urgent is set for a request of the highest priority: engines start it before all that is
-	// not urgent, and preempt that for it.
-	Urgent bool
 	// FailureDomain is the entry's own.
 	FailureDomain string
 	// DesiredVersion is the preferred weights version, 0 for any.
