Requests whose turn would come too late are refused at once, and told when there is room

Ruled out: by the replicas' loads alone; they bound what is placed, not how fast the queue moves. Change: admit.Outlook counts placements of each rank while others wait; what comes after twice as many as fit into the time is refused, and each further caller is told a later time. Setting refuse_by_forecast.

--- a/internal/admit/wait_queue.go
+++ b/internal/admit/wait_queue.go
@@ -173,6 +173,40 @@
 	return removed
 }
 
+// Backlog describes the waiting requests of one priority.
+type Backlog struct {
+	Count int
+	// LastExpiry is the time from which waiting is pointless for all of them.
+	LastExpiry time.Duration
+}
+
+// Backlogs returns the backlog of each priority that has one.
+func (q *WaitQueue) Backlogs() map[int]Backlog {
+	backlogs := make(map[int]Backlog)
+	for _, r := range q.requests {
+		b := backlogs[r.Priority]
+		backlogs[r.Priority] = Backlog{b.Count + 1, max(b.LastExpiry, r.ExpiresAt)}
+	}
+	return backlogs
+}
+
+// TrimPriority removes and returns the requests of a priority beyond the first n of it, the last one
+// first.
+func (q *WaitQueue) TrimPriority(priority, n int, now time.Duration) []*QueuedRequest {
+	var removed []*QueuedRequest
+	for excess := q.Backlogs()[priority].Count - max(n, 0); excess > 0; excess-- {
+		var last *QueuedRequest
+		for _, r := range q.requests {
+			if r.Priority == priority && (last == nil || q.before(now, last, r)) {
+				last = r
+			}
+		}
+		q.Remove(last)
+		removed = append(removed, last)
+	}
+	return removed
+}
+
 // RecordDispatch records that an organisation's work goes to a replica.
 func (q *WaitQueue) RecordDispatch(organisation string, work float64, now time.Duration) {
 	u := q.dispatched[organisation]
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -122,6 +122,9 @@
 	case req.capacityIn > 0:
 		req.entry.tel.Metrics.Count("refused_replicas_closed", 1)
 		req.refuse("all replicas are rate limited or asked for a backoff", req.capacityIn)
+	case req.roomIn > 0:
+		req.entry.tel.Metrics.Count("refused_by_forecast", 1)
+		req.refuse("its turn would come too late", req.roomIn)
 	default:
 		req.refuse("no replica can take the request", defaultRetryAfter)
 	}
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -135,6 +135,7 @@
 		drain:        newDrain(),
 		malformed:    newMalformedRecords(tel),
 	}
+	e.state.refuseByForecast = d.RefuseByForecast
 	e.reloadable.Store(d)
 	e.state.onNewEngineService = e.exportEngineSpeeds
 	e.rollouts = newRollouts(e)
--- a/internal/direct/queue.go
+++ b/internal/direct/queue.go
@@ -28,13 +28,15 @@
 	// window bounds the work that is sent but not yet being answered. It is nil for plain
 	// services: their replicas answer or refuse at once.
 	window *admit.CongestionWindow
+	// outlook forecasts when waiting requests are placed.
+	outlook *admit.Outlook
 }
 
 // queueOf returns a service's queue. The caller holds mu.
 func (s *state) queueOf(service *fleet.Service) *serviceQueue {
 	q := s.queues[service.Name]
 	if q == nil {
-		q = &serviceQueue{waiting: admit.NewWaitQueue()}
+		q = &serviceQueue{waiting: admit.NewWaitQueue(), outlook: admit.NewOutlook()}
 		if service.Engine != nil {
 			s.onNewEngineService(service.Name)
 			q.window = admit.NewCongestionWindow(admit.DefaultWindowParams)
@@ -65,6 +67,7 @@
 	}
 	q.waiting.Remove(queued)
 	q.waiting.RecordDispatch(queued.Organisation, queued.Work, now)
+	q.outlook.Placed(queued.Priority, now)
 	if q.window != nil {
 		p.window, p.work = q.window, queued.Work
 		q.window.Sent(queued.Work)
@@ -82,6 +85,7 @@
 		}
 		s.placeQueued(q, now)
 		s.rejectBeyondCapacity(q, now)
+		s.rejectBeyondOutlook(q, now)
 	}
 }
 
@@ -101,6 +105,7 @@
 	q.waiting.Add(queued)
 	s.placeQueued(q, began)
 	s.rejectBeyondCapacity(q, began)
+	s.rejectBeyondOutlook(q, began)
 	s.mu.Unlock()
 	defer func() { req.waited += e.clock.now() - began }()
 	select {
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -78,6 +78,11 @@
 	// request has no placement for another reason.
 	capacityIn time.Duration
 
+	// roomIn is the time until there is room for a request that was refused by forecast, outlook
+	// what that rests on.
+	roomIn  time.Duration
+	outlook outlookStats
+
 	dispatches []dispatchRecord
 	// excluded is from the latest attempt to place the request.
 	excluded exclusions
@@ -155,6 +160,9 @@
 	}
 	if req.outcome == outcomeRefused && req.service != nil {
 		attrs = append(attrs, req.excluded.attr())
+		if req.outlook.known {
+			attrs = append(attrs, req.outlook.attr())
+		}
 	}
 	e.tel.Log.LogAttrs(context.Background(), slog.LevelInfo, "request", attrs...)
 }
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -73,6 +73,9 @@
 	// retryBudget is what all entries together may send a second time to a service; each
 	// entry takes its share.
 	retryBudget attempt.BudgetParams
+	// refuseByForecast says that requests whose turn would come too late are refused before their
+	// time is over.
+	refuseByForecast bool
 	// entries is the number of entries, this one included; assumedEntries until the list of
 	// entries was read.
 	entries int
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -51,6 +51,9 @@
 	QuotaWindow Duration `json:"quota_window"`
 	QuotaExcess float64  `json:"quota_excess"`
 	QuotaSlack  float64  `json:"quota_slack"`
+	// RefuseByForecast says that a waiting request is refused as soon as its turn is expected only
+	// after its time, and told when there will be room; otherwise it waits until its time is over.
+	RefuseByForecast bool `json:"refuse_by_forecast"`
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int `json:"memory_mb"`
 }
