A restarted replica is asked for its name before it is used again

Ruled out: weights that the entries believed wrong; the answers name another instance. Change: the name is asked for by a health check, which carries it, before the replica is adopted.

--- a/internal/direct/poll.go
+++ b/internal/direct/poll.go
@@ -91,7 +91,7 @@
 	case err != nil:
 		// The next poll follows soon, and requests detect a failure earlier.
 	case !r.Matches(report.StartedAtMs):
-		e.handleReplaced(r, r.Name, report.StartedAtMs)
+		e.handleRestarted(r, report.StartedAtMs)
 	default:
 		e.applyReport(r, &report)
 		m.sendReport(r, &report)
@@ -177,6 +177,30 @@
 	}
 }
 
+// handleRestarted handles a report that a replica has started anew at a time.
+func (e *Entry) handleRestarted(r *fleet.Replica, startedAtMs int64) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), pollInterval)
+		defer cancel()
+		e.handleReplaced(r, e.restartedName(ctx, r), startedAtMs)
+	}()
+}
+
+// restartedName returns the name under which a replica has restarted. Requests for its former name
+// would be refused, each at the cost of a retry.
+func (e *Entry) restartedName(ctx context.Context, r *fleet.Replica) string {
+	config := e.state.config.Load()
+	if config == nil || config.Services[r.Service] == nil || config.Services[r.Service].HealthPath == "" {
+		return r.Name
+	}
+	name, err := e.platform.Replicas.Identity(ctx, r, config.Services[r.Service].HealthPath)
+	if err != nil {
+		e.tel.Log.Info("restarted replica not identified", "replica", r.ID, "address", r.Address, "error", err)
+		return r.Name
+	}
+	return name
+}
+
 // handleReplaced handles an answer from another incarnation at a replica's address, with its name
 // and, if known, its start time. The known incarnation is gone for good. The new one is asked for
 // its state, because the list of replicas may be out of reach; the address may also belong to
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -463,7 +463,7 @@
 		return
 	}
 	if !replica.Matches(report.StartedAtMs) {
-		e.handleReplaced(replica, replica.Name, report.StartedAtMs)
+		e.handleRestarted(replica, report.StartedAtMs)
 		r.applyActions(ctx, model, r.cores[model].QueryFailed(replica.ID, e.clock.now()))
 		return
 	}
