One refusal tells all entries that a replica has newer weights

Change: an entry that learns newer weights from a refusal sends its peers a report; reports' weights are logged.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -169,7 +169,6 @@
 	case head.Instance != "" && head.Instance != p.replica.Name:
 		e.handleReplaced(p.replica, head.Instance, 0)
 	case req.params.Model != "":
-		s.versionTracker.ObserveVersion(p.replica.ID, req.params.Model, p.version+1, 0)
-		s.picker.CacheCleared(p.replica.ID, now)
+		e.observeNewerWeights(p.replica.ID, req.params.Model, max(p.version+1, head.Version))
 	}
 }
--- a/internal/direct/poll.go
+++ b/internal/direct/poll.go
@@ -141,6 +141,21 @@
 	}
 }
 
+// observeNewerWeights records that a replica has newer weights than was known, as its refusal says, and
+// tells the peers: otherwise each entry would lose a request's try there. The caller holds the
+// state's lock.
+func (e *Entry) observeNewerWeights(id, model string, version uint64) {
+	if !e.state.versionTracker.ObserveVersion(id, model, version, 0) {
+		return
+	}
+	e.state.picker.CacheCleared(id, e.clock.now())
+	if e.hub == nil {
+		return
+	}
+	report := replicaReport{Replica: id, Weights: map[string]uint64{model: version}}
+	go e.peers.broadcast(&peerMessage{From: e.settings.ID, Epoch: uint64(e.tel.Epoch), Reports: []replicaReport{report}})
+}
+
 // handleReports applies reports that peers received from replicas. The count of orders that a
 // replica has accepted tells which of two reports is newer.
 func (e *Entry) handleReports(reports []replicaReport) {
@@ -164,6 +179,7 @@
 	}
 	for model, version := range report.Weights {
 		if s.versionTracker.ObserveVersion(r.ID, model, version, report.AcceptedOrders) {
+			e.tel.Log.Info("replica has newer weights", "replica", r.ID, "model", model, "version", version)
 			s.picker.CacheCleared(r.ID, now)
 		}
 		phase := rollout.PhaseReleased
