--- a/internal/attempt/forward.go
+++ b/internal/attempt/forward.go
@@ -53,6 +53,7 @@
 	runs       int
 	dispatches int
 	mayHaveRun bool
+	continued  bool
 }
 
 // NewDispatchPlan returns the plan of a request, charged to the budget of its service.
@@ -77,6 +78,7 @@
 	reasonDispatches    = "placements_used"
 	reasonBudget        = "budget_spent"
 	reasonDeadline      = "deadline"
+	reasonContinued     = "continued_before"
 )
 
 // RecordDispatch counts a dispatch that is about to be written.
@@ -104,6 +106,25 @@
 	return RetryDecision{Retry: true}
 }
 
+// Continue decides whether a run whose replica was lost may go on from a copy of its memory, and
+// returns why not, "" if it may. It is the same run, so at-most-once doesn't forbid it, but
+// one more arrival at the service, so it draws on the retry budget. A run continues once.
+func (p *DispatchPlan) Continue(now time.Duration) string {
+	p.mayHaveRun = true
+	switch {
+	case p.continued:
+		return reasonContinued
+	case p.dispatches >= p.spec.MaxDispatches:
+		return reasonDispatches
+	case p.spec.Deadline != 0 && now >= p.spec.Deadline:
+		return reasonDeadline
+	case !p.budget.Allow(ExtraRetry, p.spec.Organisation, now):
+		return reasonBudget
+	}
+	p.continued = true
+	return ""
+}
+
 // exhausted returns why the request must not be dispatched again whatever the budget,
 // or "".
 func (p *DispatchPlan) exhausted(failure DispatchFailure, now time.Duration) string {
--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -42,6 +42,10 @@
 	if success && strings.HasPrefix(x.Header.Get("Content-Type"), eventStreamType) {
 		return req.forwardStream(p, x)
 	}
+	if req.firstByte > 0 {
+		// Nothing but events can follow the events that the caller has.
+		return attempt.FailureErrorResponse, false
+	}
 	answer, err := bufferAnswer(x)
 	if err != nil {
 		return req.handleBrokenAnswer(p, err), false
@@ -164,6 +168,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
+	case !head.Misdirected && p.continuation != nil:
+		// It has no copy of the run, which says nothing about its load.
 	case !head.Misdirected:
 		s.replicas.MarkBusy(p.replica.ID, now)
 	case head.Instance != "" && head.Instance != p.replica.Name:
--- /dev/null
+++ b/internal/direct/backups.go
@@ -0,0 +1,281 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/fleet"
+	"skylarklead/internal/member"
+	"skylarklead/internal/route"
+	"skylarklead/internal/runcopy"
+	"skylarklead/internal/upstream"
+)
+
+const (
+	// sourceCheckTimeout bounds one query of a replica whose stream broke off. It is the
+	// timeout of a connection, which it includes.
+	sourceCheckTimeout = upstream.DialTimeout
+	// lostDials is how many connections in a row must time out before a replica counts as lost:
+	// a single one may have lost a packet.
+	lostDials = 2
+	// pickContinued is the reason of a dispatch that goes on from a backup.
+	pickContinued = "backup"
+)
+
+// runBackup is the backup of a placement's run.
+type runBackup struct {
+	target *fleet.Replica
+	tokens int
+	// sourceChanged is set once the stream has shown that its replica loaded other weights.
+	sourceChanged bool
+}
+
+// runContinuation is set for a placement whose run goes on from a backup.
+type runContinuation struct {
+	from *fleet.Replica
+	copy fleet.RunCopy
+	join *runcopy.Join
+}
+
+// backupStats is what the request's log line says of its backup.
+type backupStats struct {
+	// target keeps the backup; "" for none.
+	target string
+	// source is the replica that was lost, events how many events the caller had by then.
+	source string
+	state  runcopy.SourceState
+	events int
+	// took is the time from the break to the decision, reason why the run didn't go on.
+	took   time.Duration
+	reason string
+}
+
+// setBackup chooses the replica that keeps a backup of the run, if it gets one. The caller holds the
+// state's lock.
+func (req *request) setBackup(p *placement, candidates []route.PickCandidate, now time.Duration) {
+	e, s := req.entry, req.entry.state
+	if !e.directSettings().RunBackups || req.service.Engine == nil || !req.service.Engine.Transfer.Backups ||
+		req.route.Kind != fleet.Streaming || p.version == 0 {
+		return
+	}
+	run := &runcopy.Run{
+		RequestID: xxhash.Sum64String(req.params.ID), Repeatable: req.route.Repeatable(),
+		Tokens:       req.query.PromptTokens + req.query.OutputTokens,
+		ExpectedTime: s.picker.ExpectedStreamTime(&req.query),
+		Version:      p.version,
+		Source:       runcopy.Place{ID: p.replica.ID, Address: p.replica.Address, FailureDomain: p.replica.FailureDomain},
+	}
+	targets := s.backupCandidates(candidates, now)
+	i, skipped := runcopy.Choose(run, targets, s.backups, s.entries, now)
+	if skipped != "" {
+		e.tel.Metrics.Count("backups_skipped_"+string(skipped), 1)
+		return
+	}
+	p.backup = &runBackup{target: s.replicas.Get(targets[i].ID), tokens: run.Tokens}
+	s.backups.Begin(targets[i].ID, run.Tokens)
+	e.tel.Metrics.Count("backups_started", 1)
+	req.backupStats.target = targets[i].ID
+}
+
+// backupCandidates describes the replicas that may take a request as targets of backups. The caller
+// holds mu.
+func (s *state) backupCandidates(candidates []route.PickCandidate, now time.Duration) []runcopy.Candidate {
+	s.backupTargets = s.backupTargets[:0]
+	for i := range candidates {
+		c := &candidates[i]
+		s.backupTargets = append(s.backupTargets, runcopy.Candidate{
+			Place:   runcopy.Place{ID: c.ID, Address: s.replicas.Get(c.ID).Address, FailureDomain: c.FailureDomain},
+			Version: c.Version, FreeTokens: s.picker.FreeTokens(now, c), Faulty: c.RecentFaults,
+			LoadIn: c.RolloutIn, LoadPlanned: c.RolloutPlanned,
+		})
+	}
+	return s.backupTargets
+}
+
+// endBackup ends the count of a placement's backup. Unless the run was complete, the replica keeps the
+// copy for a time. The caller holds the state's lock.
+func (req *request) endBackup(p *placement, complete bool) {
+	if p.backup == nil {
+		return
+	}
+	at := req.entry.clock.now()
+	if !complete {
+		at += req.service.Engine.Transfer.CopyLifetime
+	}
+	req.entry.state.backups.End(p.backup.target.ID, p.backup.tokens, at)
+}
+
+// setBackupHeaders sets what a dispatch says of backups.
+func (p *placement) setBackupHeaders(dispatch *fleet.DispatchHeaders) {
+	if p.backup != nil {
+		dispatch.BackupTo = p.backup.target.Address
+	}
+	if p.continuation != nil {
+		dispatch.ContinueFrom = p.continuation.copy
+	}
+}
+
+// checkEvent says what to do with an event, and looks for signs that the copy of the run's memory is
+// not of one version of the weights.
+func (req *request) checkEvent(p *placement, in *sseReader) runcopy.Verdict {
+	if p.backup != nil && !p.backup.sourceChanged {
+		version := req.entry.platform.Headers.EventVersion(in.raw)
+		p.backup.sourceChanged = version != 0 && version != p.version
+	}
+	if p.continuation == nil {
+		return runcopy.Forward
+	}
+	return p.continuation.join.Next(in.id)
+}
+
+// errEventsDontJoin reports a continued stream that doesn't follow what the caller has.
+var errEventsDontJoin = errors.New("direct: the continued stream does not follow the events sent before")
+
+// continueRun goes on with a run whose replica was lost, at the replica that has its backup. It
+// reports whether the request was answered. If not, it counts as broken off, as without a backup.
+func (req *request) continueRun(p *placement, failure attempt.DispatchFailure) (done bool) {
+	if p.backup == nil || failure != attempt.FailureUnknown || req.ctx.Err() != nil {
+		return false
+	}
+	stats := &req.backupStats
+	stats.source, stats.events = p.replica.ID, req.eventCount
+	began := req.entry.clock.now()
+	stats.state = req.checkSource(p)
+	next, reason := req.placeContinuation(p, began)
+	stats.took = req.entry.clock.now() - began
+	if next != nil {
+		failure, done = req.forward(next)
+		if !done {
+			reason = string(runcopy.StopTargetFailed)
+		}
+		if failure == attempt.FailureNotRun {
+			reason = string(runcopy.StopNoCopy)
+		}
+	}
+	if !done {
+		stats.reason = reason
+		req.entry.tel.Metrics.Count("runs_not_continued_"+reason, 1)
+		return false
+	}
+	req.entry.tel.Metrics.Count("runs_continued", 1)
+	return true
+}
+
+// checkSource finds out what became of the replica whose stream broke off.
+func (req *request) checkSource(p *placement) runcopy.SourceState {
+	e := req.entry
+	if e.monitor.isLost(p.inFlight) {
+		return runcopy.SourceLost
+	}
+	replica := upstream.Replica{ID: p.replica.ID, Address: p.replica.Address}
+	for range lostDials {
+		ctx, cancel := context.WithTimeout(req.ctx, sourceCheckTimeout)
+		err := e.pool.Probe(ctx, replica)
+		cancel()
+		switch {
+		case err == nil:
+			return req.checkIncarnation(p.replica)
+		case req.ctx.Err() != nil:
+			return runcopy.SourceUnknown
+		}
+		e.markUnreachable(p.replica, "backup of request "+req.params.ID, err)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return runcopy.SourceGone
+		}
+	}
+	return runcopy.SourceLost
+}
+
+// checkIncarnation finds out whether the incarnation that ran the request still answers at its address.
+func (req *request) checkIncarnation(source *fleet.Replica) runcopy.SourceState {
+	e := req.entry
+	ctx, cancel := context.WithTimeout(req.ctx, sourceCheckTimeout)
+	defer cancel()
+	report, _, err := e.platform.Replicas.Report(ctx, source)
+	var misdirected *fleet.MisdirectedError
+	switch {
+	case errors.As(err, &misdirected), err == nil && !source.Matches(report.StartedAtMs):
+		e.recordReplicaLoss(source.ID)
+		return runcopy.SourceGone
+	case err != nil:
+		return runcopy.SourceUnknown
+	}
+	return runcopy.SourceAlive
+}
+
+// placeContinuation decides whether a run that broke off goes on from its backup, and returns the
+// placement, or nil and the reason.
+func (req *request) placeContinuation(p *placement, brokenAt time.Duration) (*placement, string) {
+	s := req.entry.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := req.entry.clock.now()
+	if reason := runcopy.Decide(req.situation(p, brokenAt, now)); reason != "" {
+		return nil, string(reason)
+	}
+	if reason := req.plan.Continue(now); reason != "" {
+		return nil, reason
+	}
+	target := p.backup.target
+	next := &placement{
+		replica: target, version: p.version, pickedAt: now,
+		choice: route.PickResult{ID: target.ID, Reason: pickContinued},
+		continuation: &runContinuation{
+			from: p.replica,
+			copy: fleet.RunCopy{Source: target.Address, Handle: req.params.ID},
+			join: runcopy.NewJoin(req.params.LastEvent, req.lastEventID, req.eventCount),
+		},
+	}
+	// The copy has the prompt: the run adds nothing to prefill, and no prefix to the cache.
+	req.query.Levels, req.query.SharedTokens, req.query.PromptTokens = nil, 0, 0
+	s.picker.Dispatched(now, &req.query, &next.choice)
+	s.rateLimits.Take(target.ID, now)
+	req.dispatches = append(req.dispatches, dispatchRecord{replica: target.ID, reason: pickContinued, candidateCount: 1, version: p.version})
+	return next, ""
+}
+
+// situation is what the decision to continue a run depends on. The caller holds the state's lock.
+func (req *request) situation(p *placement, brokenAt, now time.Duration) *runcopy.Situation {
+	s, model, source, target := req.entry.state, req.params.Model, p.replica.ID, p.backup.target.ID
+	sourceVersion := s.versionTracker.Version(source, model)
+	health := s.replicas.Health(target, now)
+	return &runcopy.Situation{
+		Source:  req.backupStats.state,
+		Suspect: s.crashes.Suspect(req.fingerprint, now),
+		Version: p.version,
+		SourceChanged: p.backup.sourceChanged || s.versionTracker.Ordered(source, model, now) ||
+			sourceVersion != 0 && sourceVersion != p.version,
+		TargetUsable:  health != member.Left && health != member.Down && s.rateLimits.Allows(target, now),
+		TargetVersion: s.versionTracker.Version(target, model),
+		TargetOrdered: s.versionTracker.Ordered(target, model, now),
+		PatienceLeft:  req.eventPatienceLeft(brokenAt, now),
+	}
+}
+
+// eventPatienceLeft is the time for which the caller still waits for the next event of a stream that
+// broke off at brokenAt.
+func (req *request) eventPatienceLeft(brokenAt, now time.Duration) time.Duration {
+	if req.firstByte == 0 || req.route.Patience == 0 {
+		return req.patienceLeft(now)
+	}
+	return min(req.deadline-now, brokenAt+req.route.Patience-now)
+}
+
+// attr is the log attribute of a request's backup.
+func (b *backupStats) attr() slog.Attr {
+	fields := []any{slog.String("replica", b.target)}
+	if b.source != "" {
+		fields = append(fields, slog.String("continued_from", b.source), slog.String("source", b.state.String()),
+			slog.Int("events_at_break", b.events), slog.Float64("decided_ms", ms(b.took)))
+	}
+	if b.reason != "" {
+		fields = append(fields, slog.String("not_continued", b.reason))
+	}
+	return slog.Group("backup", fields...)
+}
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -36,6 +36,10 @@
 	// window counts work until the answer begins; nil afterwards and for plain services.
 	window *admit.CongestionWindow
 	work   float64
+	// backup is set if another replica keeps a backup of the run, continuation if the run goes on
+	// from one.
+	backup       *runBackup
+	continuation *runContinuation
 }
 
 // dispatch places the request and forwards it, and retries after a failed dispatch, until the
@@ -60,7 +64,7 @@
 		}
 		req.spendQuota()
 		failure, done := req.forward(p)
-		if done {
+		if done || req.continueRun(p, failure) {
 			return
 		}
 		if failure == attempt.FailureNotRun || failure == attempt.FailureNotSent {
@@ -169,6 +173,7 @@
 		p.version = s.versionTracker.Version(choice.ID, req.params.Model)
 	}
 	req.setCacheSource(p)
+	req.setBackup(p, candidates, now)
 	req.dispatches = append(req.dispatches, dispatchRecord{
 		replica: choice.ID, reason: choice.Reason, score: choice.Score, load: choice.WaitMs,
 		missedTokens: choice.MissingTokens, fetchFrom: p.fetchFrom, candidateCount: choice.CandidateCount, version: p.version,
@@ -202,12 +207,13 @@
 		e.state.picker.Finished(&req.query, &p.choice, !hadFirstByte && req.firstByte > 0)
 		req.observeNoStart(p)
 		p.endWork()
+		req.endBackup(p, done)
 		e.state.mu.Unlock()
 	}()
 	req.plan.RecordDispatch()
 	ctx, cancel := context.WithCancel(req.ctx)
 	defer cancel()
-	p.inFlight = e.monitor.begin(p.replica, req.route.Repeatable(), cancel)
+	p.inFlight = e.monitor.begin(p.replica, req.route.Repeatable(), p.backup != nil, cancel)
 	defer e.monitor.end(p.inFlight)
 	x, err := e.pool.Do(ctx, upstream.Replica{ID: p.replica.ID, Address: p.replica.Address},
 		req.connectionLimit(), req.upstreamRequest(p), req.matchesRequestID)
@@ -257,6 +263,7 @@
 		SaveTo:    p.saveTo,
 		LastEvent: lastEvent,
 	}
+	p.setBackupHeaders(dispatch)
 	if req.organisation != nil {
 		dispatch.Organisation = req.organisation.Name
 	}
--- a/internal/direct/monitor.go
+++ b/internal/direct/monitor.go
@@ -24,7 +24,9 @@
 	// lastReceived is when the replica last sent something for the request.
 	lastReceived time.Time
 	repeatable   bool
-	cancel       context.CancelFunc
+	// backedUp is set if the run can go on from a backup, lost once it was cancelled for that.
+	backedUp, lost bool
+	cancel         context.CancelFunc
 }
 
 // replicaMonitor detects replicas that have stopped responding.
@@ -52,8 +54,8 @@
 }
 
 // begin watches a request until it is passed to end.
-func (m *replicaMonitor) begin(r *fleet.Replica, repeatable bool, cancel context.CancelFunc) *inFlightRequest {
-	x := &inFlightRequest{replica: r, lastReceived: time.Now(), repeatable: repeatable, cancel: cancel}
+func (m *replicaMonitor) begin(r *fleet.Replica, repeatable, backedUp bool, cancel context.CancelFunc) *inFlightRequest {
+	x := &inFlightRequest{replica: r, lastReceived: time.Now(), repeatable: repeatable, backedUp: backedUp, cancel: cancel}
 	m.mu.Lock()
 	m.inFlight[x] = struct{}{}
 	m.mu.Unlock()
@@ -87,6 +89,7 @@
 		m.entry.refuseLateQueued()
 		m.entry.state.placeAllQueued(m.entry.clock.now())
 		m.entry.state.mu.Unlock()
+		m.cancelLost()
 		m.entry.sendNotices()
 		for _, r := range m.replicasToProbe() {
 			go m.probe(ctx, r)
--- a/internal/direct/ports.go
+++ b/internal/direct/ports.go
@@ -15,6 +15,9 @@
 	ToReplica(http.Header, *fleet.DispatchHeaders) http.Header
 	// Answer decodes the status and headers of a replica's response.
 	Answer(status int, h http.Header) fleet.Answer
+	// EventVersion returns the version of the weights that an event of a stream says it changed to, 0
+	// if it says nothing.
+	EventVersion(event []byte) uint64
 	// ToCaller returns the headers of a response to a caller.
 	ToCaller(http.Header) http.Header
 	// Refusal sets the headers of a response that the entry itself generates.
--- a/internal/direct/queue.go
+++ b/internal/direct/queue.go
@@ -138,6 +138,7 @@
 	defer s.mu.Unlock()
 	s.picker.Finished(&req.query, &p.choice, false)
 	p.endWork()
+	req.endBackup(p, true)
 }
 
 // endWork removes the request's work from the window, once. The caller holds the state's lock.
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -176,6 +176,7 @@
 	}
 	e.recordReplicaLoss(update.SupersededID)
 	cancelled := e.monitor.cancelRepeatable(update.SupersededID)
+	e.monitor.cancelBackedUp(update.SupersededID)
 	e.rollouts.trigger()
 	e.tel.Log.Info("replica restarted", "replica", r.ID, "before", update.SupersededID, "taken_from_it", cancelled)
 }
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -96,6 +96,7 @@
 	// lastEventID is the ID of the last event that the caller was sent.
 	lastEventID string
 	resumed     int
+	backupStats backupStats
 }
 
 // timeLeft is the time until the final answer is due.
@@ -150,6 +151,9 @@
 	if req.resumed > 0 {
 		attrs = append(attrs, slog.Int("resumed", req.resumed))
 	}
+	if req.backupStats.target != "" {
+		attrs = append(attrs, req.backupStats.attr())
+	}
 	for i := range req.dispatches {
 		attrs = append(attrs, req.dispatches[i].attr())
 	}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -13,6 +13,7 @@
 	"skylarklead/internal/ratelimit"
 	"skylarklead/internal/rollout"
 	"skylarklead/internal/route"
+	"skylarklead/internal/runcopy"
 )
 
 // configuration is the configuration in force; appliedAt is when it was put in force.
@@ -51,7 +52,10 @@
 	retryBudgets     map[string]*attempt.Budget         // by service
 	crashes          *attempt.CrashTracker              // crash counts of requests
 	queues           map[string]*serviceQueue           // by service
-	rateLimits       *ratelimit.Limits
+	backups          *runcopy.Ledger                    // memory that this entry's backups take, by replica
+	// backupTargets is the buffer of backupCandidates.
+	backupTargets []runcopy.Candidate
+	rateLimits    *ratelimit.Limits
 	// leavingToSend is, for each replica that announced to this entry that it leaves, how many
 	// more times the other entries are to be notified.
 	leavingToSend map[string]int
@@ -94,6 +98,7 @@
 		retryBudgets:     make(map[string]*attempt.Budget),
 		crashes:          attempt.NewCrashTracker(attempt.DefaultCrashTrackerParams),
 		queues:           make(map[string]*serviceQueue),
+		backups:          runcopy.NewLedger(),
 		rateLimits:       ratelimit.New(self, ratelimit.DefaultParams),
 		changed:          make(chan struct{}),
 		retryBudget:      budget,
@@ -210,6 +215,7 @@
 	s.versionTracker.Forget(id)
 	s.picker.RemoveReplica(id)
 	s.rateLimits.Forget(id)
+	s.backups.Forget(id)
 }
 
 // desiredVersion is the version of a model's weights to use; 0 if none was announced. The caller
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/runcopy"
 	"skylarklead/internal/upstream"
 )
 
@@ -95,6 +96,12 @@
 			return req.handleBrokenAnswer(p, err), false
 		}
 		req.entry.monitor.received(p.inFlight)
+		switch req.checkEvent(p, in) {
+		case runcopy.Drop:
+			continue
+		case runcopy.BreakOff:
+			return req.handleBrokenAnswer(p, errEventsDontJoin), false
+		}
 		req.startStream(p, x)
 		if _, err := req.w.Write(in.raw); err != nil {
 			return req.callerDisconnected(err)
@@ -125,7 +132,9 @@
 	s := req.entry.state
 	s.mu.Lock()
 	now := req.entry.clock.now()
-	s.picker.FirstEvent(now, &req.query, &p.choice, now-p.pickedAt)
+	if p.continuation == nil {
+		s.picker.FirstEvent(now, &req.query, &p.choice, now-p.pickedAt)
+	}
 	if p.window != nil {
 		own := s.picker.PrefillTime(&req.query, &p.choice)
 		p.window.ObserveStart(p.work, now-p.pickedAt-own, req.route.LatencyTarget-own, now)
@@ -148,7 +157,9 @@
 	req.recordSuccess(p)
 	s := req.entry.state
 	s.mu.Lock()
-	s.picker.ObserveStream(&req.query, req.entry.clock.now()-req.started-req.firstByte)
+	if p.continuation == nil {
+		s.picker.ObserveStream(&req.query, req.entry.clock.now()-req.started-req.firstByte)
+	}
 	s.mu.Unlock()
 	return 0, true
 }
--- /dev/null
+++ b/internal/runcopy/choose.go
@@ -0,0 +1,133 @@
+package runcopy
+
+import (
+	"net"
+	"time"
+
+	"skylarklead/internal/rendezvous"
+)
+
+const (
+	// MinRunTime is the expected time of a run from which on it gets a backup. Copies are sent a
+	// few times a second, so a shorter run ends before a copy of it is of use.
+	MinRunTime = 250 * time.Millisecond
+	// maxMemoryShare is the part of the memory that running requests leave at a replica that
+	// backups may take. The rest is for cached prefixes and for requests on their way.
+	maxMemoryShare = 0.5
+	// loadMargin is by how much a planned load of weights at the target must come later than the
+	// run's expected end, as a multiple of the run's time: the load discards the copy, and
+	// lengths are estimates.
+	loadMargin = 2
+)
+
+// Run is a run that may get a backup.
+type Run struct {
+	// RequestID identifies the run; it also spreads equal choices over the candidates.
+	RequestID uint64
+	// Repeatable runs may start again elsewhere and need no backup.
+	Repeatable bool
+	// Tokens is the memory that the run takes at its end.
+	Tokens int
+	// ExpectedTime is how long it is expected to run.
+	ExpectedTime time.Duration
+	// Version is the version of the weights that it runs on.
+	Version uint64
+	// Source is the replica that runs it.
+	Source Place
+}
+
+// Place says where a replica is.
+type Place struct {
+	ID string
+	// Address is "ip:port".
+	Address       string
+	FailureDomain string
+}
+
+// Candidate is a replica of the run's service and model that takes requests.
+type Candidate struct {
+	Place
+	Version uint64
+	// FreeTokens is the memory that running requests are expected to leave.
+	FreeTokens float64
+	// Faulty is set after recent faults.
+	Faulty bool
+	// LoadIn is the time until it is to load other weights, valid if LoadPlanned.
+	LoadIn      time.Duration
+	LoadPlanned bool
+}
+
+// SkipReason says why a run gets no backup; "" if it gets one.
+type SkipReason string
+
+// Values of SkipReason.
+const (
+	SkipRepeatable SkipReason = "repeatable"
+	SkipShort      SkipReason = "short"
+	SkipNoTarget   SkipReason = "no_target"
+)
+
+// Choose returns the index of the candidate that is to keep the run's backup. Of those with room it
+// takes one in the source's failure domain if there is one, as links between domains cost more, and
+// of these the one with the fewest of this entry's backups. sharers is how many entries keep
+// backups at the candidates; the others are assumed to keep as many as this one.
+func Choose(run *Run, candidates []Candidate, ledger *Ledger, sharers int, now time.Duration) (int, SkipReason) {
+	switch {
+	case run.Repeatable:
+		return -1, SkipRepeatable
+	case run.ExpectedTime < MinRunTime:
+		return -1, SkipShort
+	}
+	best, bestRank := -1, rank{}
+	for i := range candidates {
+		c := &candidates[i]
+		if !suits(run, c) {
+			continue
+		}
+		held := ledger.Held(c.ID, now)
+		if float64(held*sharers+run.Tokens) > maxMemoryShare*c.FreeTokens {
+			continue
+		}
+		r := rank{c.FailureDomain != run.Source.FailureDomain, held, rendezvous.Weight(run.RequestID, c.ID)}
+		if best < 0 || r.before(bestRank) {
+			best, bestRank = i, r
+		}
+	}
+	if best < 0 {
+		return -1, SkipNoTarget
+	}
+	return best, ""
+}
+
+// suits reports whether a candidate may keep the run's backup, but for its memory.
+func suits(run *Run, c *Candidate) bool {
+	if c.ID == run.Source.ID || c.Version != run.Version || c.Faulty || sameMachine(c.Address, run.Source.Address) {
+		return false
+	}
+	return !c.LoadPlanned || c.LoadIn > loadMargin*run.ExpectedTime
+}
+
+// sameMachine reports whether two addresses have the same host: a crash of the machine would take
+// the run and its backup.
+func sameMachine(a, b string) bool {
+	hostA, _, errA := net.SplitHostPort(a)
+	hostB, _, errB := net.SplitHostPort(b)
+	return errA != nil || errB != nil || hostA == hostB
+}
+
+// rank orders candidates, the best first.
+type rank struct {
+	otherDomain bool
+	held        int
+	weight      uint64
+}
+
+func (r rank) before(o rank) bool {
+	if r.otherDomain != o.otherDomain {
+		return o.otherDomain
+	}
+	if r.held != o.held {
+		return r.held < o.held
+	}
+	return r.weight > o.weight
+}
--- /dev/null
+++ b/internal/runcopy/continuation.go
@@ -0,0 +1,81 @@
+package runcopy
+
+import "time"
+
+// SourceState is what is known of the replica whose stream broke off.
+type SourceState uint8
+
+const (
+	// SourceUnknown: not found out in time.
+	SourceUnknown SourceState = iota
+	// SourceAlive: the same incarnation answers; it may still work on the run.
+	SourceAlive
+	// SourceGone: nothing listens at its address, or another incarnation does.
+	SourceGone
+	// SourceLost: neither the run's connection nor several new ones got an answer.
+	SourceLost
+)
+
+var sourceStateNames = [...]string{"unknown", "alive", "gone", "lost"}
+
+// String returns the name of the state in logs.
+func (s SourceState) String() string { return sourceStateNames[s] }
+
+// Situation is what a decision to continue depends on, at the time of the decision.
+type Situation struct {
+	Source SourceState
+	// Suspect is set if the request is suspected of crashing replicas.
+	Suspect bool
+	// Version is the version of the weights that the run began on. SourceChanged is set if the
+	// source was about to load other ones, or has, while it ran.
+	Version       uint64
+	SourceChanged bool
+	// TargetUsable is set if the replica with the backup is the same incarnation, reachable and not
+	// leaving. TargetVersion is the version that it serves, and TargetOrdered is set while it is
+	// about to load another one.
+	TargetUsable  bool
+	TargetVersion uint64
+	TargetOrdered bool
+	// PatienceLeft is the time until the caller stops waiting for the next event.
+	PatienceLeft time.Duration
+}
+
+// StopReason says why a run isn't continued from its backup; "" if it is.
+type StopReason string
+
+// Values of StopReason. StopNoCopy and StopTargetFailed are found out only at the target.
+const (
+	StopSuspect        StopReason = "suspect"
+	StopSourceAlive    StopReason = "source_alive"
+	StopSourceUnknown  StopReason = "source_unknown"
+	StopWeightsChanged StopReason = "weights_changed"
+	StopTargetUnusable StopReason = "target_unusable"
+	StopTooLate        StopReason = "too_late"
+	StopNoCopy         StopReason = "no_copy"
+	StopTargetFailed   StopReason = "target_failed"
+)
+
+// Decide says whether a run that broke off goes on from its backup.
+//
+// A source that is alive may still work on the run: closing the connection tells it to stop, but not
+// every replica does, and the run must not go on twice. A copy made on other weights would be read by
+// weights that it doesn't fit. A request that crashes replicas would crash the target too.
+func Decide(s *Situation) StopReason {
+	switch {
+	case s.Suspect:
+		return StopSuspect
+	case s.Source == SourceAlive:
+		return StopSourceAlive
+	case s.Source == SourceUnknown:
+		return StopSourceUnknown
+	case s.SourceChanged:
+		return StopWeightsChanged
+	case !s.TargetUsable:
+		return StopTargetUnusable
+	case s.TargetVersion != s.Version || s.TargetOrdered:
+		return StopWeightsChanged
+	case s.PatienceLeft <= 0:
+		return StopTooLate
+	}
+	return ""
+}
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -51,6 +51,9 @@
 	QuotaWindow Duration `json:"quota_window"`
 	QuotaExcess float64  `json:"quota_excess"`
 	QuotaSlack  float64  `json:"quota_slack"`
+	// RunBackups makes engines that offer it keep backups of the runs of streams that
+	// may run only once, from which they go on after the loss of their replica.
+	RunBackups bool `json:"run_backups"`
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int `json:"memory_mb"`
 }
