--- a/internal/direct/backups.go
+++ b/internal/direct/backups.go
@@ -45,8 +45,9 @@
 
 // backupStats is what the request's log line says of its backup.
 type backupStats struct {
-	// target keeps the backup; "" for none.
-	target string
+	// target keeps the backup; "" for none, and skipped says why.
+	target  string
+	skipped runcopy.SkipReason
 	// source is the replica that was lost, events how many events the caller had by then.
 	source string
 	state  runcopy.SourceState
@@ -73,6 +74,7 @@
 	}
 	targets := s.backupCandidates(candidates, now)
 	i, skipped := runcopy.Choose(run, targets, s.backups, s.entries, now)
+	req.backupStats.target, req.backupStats.skipped = "", skipped
 	if skipped != "" {
 		e.tel.Metrics.Count("backups_skipped_"+string(skipped), 1)
 		return
@@ -270,6 +272,9 @@
 // attr is the log attribute of a request's backup.
 func (b *backupStats) attr() slog.Attr {
 	fields := []any{slog.String("replica", b.target)}
+	if b.skipped != "" {
+		fields = append(fields, slog.String("skipped", string(b.skipped)))
+	}
 	if b.source != "" {
 		fields = append(fields, slog.String("continued_from", b.source), slog.String("source", b.state.String()),
 			slog.Int("events_at_break", b.events), slog.Float64("decided_ms", ms(b.took)))
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -151,7 +151,7 @@
 	if req.resumed > 0 {
 		attrs = append(attrs, slog.Int("resumed", req.resumed))
 	}
-	if req.backupStats.target != "" {
+	if req.backupStats.target != "" || req.outcome == outcomeCut && req.backupStats.skipped != "" {
 		attrs = append(attrs, req.backupStats.attr())
 	}
 	for i := range req.dispatches {
--- a/internal/runcopy/choose.go
+++ b/internal/runcopy/choose.go
@@ -14,10 +14,6 @@
 	// maxMemoryShare is the part of the memory that running requests leave at a replica that
 	// backups may take. The rest is for cached prefixes and for requests on their way.
 	maxMemoryShare = 0.5
-	// loadMargin is by how much a planned load of weights at the target must come later than the
-	// run's expected end, as a multiple of the run's time: the load discards the copy, and
-	// lengths are estimates.
-	loadMargin = 2
 )
 
 // Run is a run that may get a backup.
@@ -68,9 +64,10 @@
 )
 
 // Choose returns the index of the candidate that is to keep the run's backup. Of those with room it
-// takes one in the source's failure domain if there is one, as links between domains cost more, and
-// of these the one with the fewest of this entry's backups. sharers is how many entries keep
-// backups at the candidates; the others are assumed to keep as many as this one.
+// takes one that doesn't load other weights before the run's expected end if there is one, as the load
+// discards the copy; then one in the source's failure domain, as links between domains cost more; then
+// the one with the fewest of this entry's backups. sharers is how many entries keep backups at the
+// candidates; the others are assumed to keep as many as this one.
 func Choose(run *Run, candidates []Candidate, ledger *Ledger, sharers int, now time.Duration) (int, SkipReason) {
 	switch {
 	case run.Repeatable:
@@ -88,7 +85,7 @@
 		if float64(held*sharers+run.Tokens) > maxMemoryShare*c.FreeTokens {
 			continue
 		}
-		r := rank{c.FailureDomain != run.Source.FailureDomain, held, rendezvous.Weight(run.RequestID, c.ID)}
+		r := rank{c.LoadPlanned && c.LoadIn <= run.ExpectedTime, c.FailureDomain != run.Source.FailureDomain, held, rendezvous.Weight(run.RequestID, c.ID)}
 		if best < 0 || r.before(bestRank) {
 			best, bestRank = i, r
 		}
@@ -104,7 +101,7 @@
 	if c.ID == run.Source.ID || c.Version != run.Version || c.Faulty || sameMachine(c.Address, run.Source.Address) {
 		return false
 	}
-	return !c.LoadPlanned || c.LoadIn > loadMargin*run.ExpectedTime
+	return !c.LoadPlanned || c.LoadIn >= MinRunTime
 }
 
 // sameMachine reports whether two addresses have the same host: a crash of the machine would take
@@ -117,12 +114,16 @@
 
 // rank orders candidates, the best first.
 type rank struct {
+	loadsFirst  bool
 	otherDomain bool
 	held        int
 	weight      uint64
 }
 
 func (r rank) before(o rank) bool {
+	if r.loadsFirst != o.loadsFirst {
+		return o.loadsFirst
+	}
 	if r.otherDomain != o.otherDomain {
 		return o.otherDomain
 	}
--- a/internal/runcopy/continuation.go
+++ b/internal/runcopy/continuation.go
@@ -43,12 +43,14 @@
 // StopReason says why a run isn't continued from its backup; "" if it is.
 type StopReason string
 
-// Values of StopReason. StopNoCopy and StopTargetFailed are found out only at the target.
+// Values of StopReason. The target says StopNoCopy if it has no copy of the run or other weights;
+// StopTargetFailed is any other failure there.
 const (
 	StopSuspect        StopReason = "suspect"
 	StopSourceAlive    StopReason = "source_alive"
 	StopSourceUnknown  StopReason = "source_unknown"
-	StopWeightsChanged StopReason = "weights_changed"
+	StopSourceChanged  StopReason = "source_weights_changed"
+	StopTargetChanged  StopReason = "target_weights_changed"
 	StopTargetUnusable StopReason = "target_unusable"
 	StopTooLate        StopReason = "too_late"
 	StopNoCopy         StopReason = "no_copy"
@@ -69,11 +71,11 @@
 	case s.Source == SourceUnknown:
 		return StopSourceUnknown
 	case s.SourceChanged:
-		return StopWeightsChanged
+		return StopSourceChanged
 	case !s.TargetUsable:
 		return StopTargetUnusable
 	case s.TargetVersion != s.Version || s.TargetOrdered:
-		return StopWeightsChanged
+		return StopTargetChanged
 	case s.PatienceLeft <= 0:
 		return StopTooLate
 	}
