--- a/internal/attempt/budget_test.go
+++ b/internal/attempt/budget_test.go
@@ -61,3 +61,38 @@
 		t.Error("the large one is refused retries for ever")
 	}
 }
+
+// Guards against runs that are lost together with their replicas under a steady load and find no
+// budget, although retries have left their share unused; against a share that is kept for longer
+// than the operator's window; and against retries that use it up.
+func TestUnusedShareIsKeptForContinuations(t *testing.T) {
+	p := BudgetParams{Share: 0.2, Burst: 2, CarryOver: 3 * time.Second}
+	const perSecond = 50
+	steady := func() (*Budget, time.Duration) {
+		b := NewBudget(p)
+		var now time.Duration
+		for range 20 * perSecond {
+			now += time.Second / perSecond
+			b.RecordRequest(now)
+		}
+		return b, now
+	}
+	allowed := func(b *Budget, kind ExtraKind, now time.Duration) (n int) {
+		for b.Allow(kind, "", now) {
+			n++
+		}
+		return n
+	}
+	b, now := steady()
+	if n := allowed(b, ExtraRetry, now); n > int(p.Burst) {
+		t.Errorf("%d retries at once; want %v", n, p.Burst)
+	}
+	kept := p.Share * perSecond * p.CarryOver.Seconds()
+	if n := allowed(b, ExtraContinuation, now); float64(n) > kept+1 || float64(n) < 0.9*kept {
+		t.Errorf("%d continuations at once; want about %v", n, kept)
+	}
+	b, now = steady()
+	if n := allowed(b, ExtraContinuation, now+5*p.CarryOver); float64(n) > p.Burst {
+		t.Errorf("%d continuations long after the last request; want %v", n, p.Burst)
+	}
+}
--- a/internal/attempt/forward.go
+++ b/internal/attempt/forward.go
@@ -118,7 +118,7 @@
 		return reasonDispatches
 	case p.spec.Deadline != 0 && now >= p.spec.Deadline:
 		return reasonDeadline
-	case !p.budget.Allow(ExtraRetry, p.spec.Organisation, now):
+	case !p.budget.Allow(ExtraContinuation, p.spec.Organisation, now):
 		return reasonBudget
 	}
 	p.continued = true
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -34,6 +34,10 @@
 	// retryBudgetMargin scales down the allowed retry budget: a request counts here when it
 	// arrives but at replicas a little later, so their count of requests lags.
 	retryBudgetMargin = 0.75
+	// carryOverDivisor is the divisor of the window over which retries are counted that gives for
+	// how long their unused share is kept for continuations. With the margin above, the share of
+	// a window and what it got from the one before make up the whole share: 0.75 x (1 + 1/3).
+	carryOverDivisor = 3
 )
 
 // defaultLimits apply until the first configuration is known.
--- a/internal/direct/reload.go
+++ b/internal/direct/reload.go
@@ -73,5 +73,8 @@
 
 // retryBudgetParams returns the retry budget that all entries together have for a service.
 func retryBudgetParams(d *settings.Direct) attempt.BudgetParams {
-	return attempt.BudgetParams{Share: d.RetryShare * retryBudgetMargin, Burst: d.RetryExtra * retryBudgetMargin}
+	return attempt.BudgetParams{
+		Share: d.RetryShare * retryBudgetMargin, Burst: d.RetryExtra * retryBudgetMargin,
+		CarryOver: d.RetryWindow.D() / carryOverDivisor,
+	}
 }
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -182,7 +182,7 @@
 func (s *state) resizeRetryBudgets() {
 	own := s.retryBudgetShare()
 	for _, b := range s.retryBudgets {
-		b.Resize(own.Share, own.Burst)
+		b.Resize(own.Share, own.Burst, own.CarryOver)
 	}
 }
 
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -25,6 +25,9 @@
 	// plus RetryExtra requests.
 	RetryShare float64 `json:"retry_share"`
 	RetryExtra float64 `json:"retry_extra"`
+	// RetryWindow is the period over which the operator counts retries, 0 if the bound
+	// holds over a period of any length. The requests of the period before may count.
+	RetryWindow Duration `json:"retry_window"`
 	// Lease is the time by which the orders of two successive lease holders must be
 	// apart, so that their terms never overlap. FencesChecked says that replicas
 	// themselves refuse the orders of a former holder.
@@ -111,6 +114,9 @@
 	if !(d.RetryExtra >= 0) {
 		c.doc.Add("direct.retry_extra", fmt.Sprintf("is %v", d.RetryExtra), "0 or more requests")
 	}
+	if d.RetryWindow < 0 {
+		c.doc.Add("direct.retry_window", fmt.Sprintf("is %s", d.RetryWindow.D()), "0 or a time")
+	}
 	if d.QuotaWindow < 0 {
 		c.doc.Add("direct.quota_window", fmt.Sprintf("is %s", d.QuotaWindow.D()), "0 or a time")
 	}
