--- a/internal/direct/backups.go
+++ b/internal/direct/backups.go
@@ -69,10 +69,11 @@
 		RequestID: xxhash.Sum64String(req.params.ID), Repeatable: req.route.Repeatable(),
 		Tokens:       req.query.PromptTokens + req.query.OutputTokens,
 		ExpectedTime: s.picker.ExpectedStreamTime(&req.query),
+		Objective:    req.route.LatencyTarget,
 		Version:      p.version,
 		Source:       runcopy.Place{ID: p.replica.ID, Address: p.replica.Address, FailureDomain: p.replica.FailureDomain},
 	}
-	targets := s.backupCandidates(candidates, now)
+	targets := s.backupCandidates(&req.query, candidates, now)
 	i, skipped := runcopy.Choose(run, targets, s.backups, s.entries, now)
 	req.backupStats.target, req.backupStats.skipped = "", skipped
 	if skipped != "" {
@@ -87,13 +88,14 @@
 
 // backupCandidates describes the replicas that may take a request as targets of backups. The caller
 // holds mu.
-func (s *state) backupCandidates(candidates []route.PickCandidate, now time.Duration) []runcopy.Candidate {
+func (s *state) backupCandidates(q *route.PickQuery, candidates []route.PickCandidate, now time.Duration) []runcopy.Candidate {
 	s.backupTargets = s.backupTargets[:0]
 	for i := range candidates {
 		c := &candidates[i]
+		free, backlog := s.picker.Spare(now, q, c)
 		s.backupTargets = append(s.backupTargets, runcopy.Candidate{
 			Place:   runcopy.Place{ID: c.ID, Address: s.replicas.Get(c.ID).Address, FailureDomain: c.FailureDomain},
-			Version: c.Version, FreeTokens: s.picker.FreeTokens(now, c), Faulty: c.RecentFaults,
+			Version: c.Version, FreeTokens: free, Backlog: backlog, Faulty: c.RecentFaults,
 			LoadIn: c.RolloutIn, LoadPlanned: c.RolloutPlanned,
 		})
 	}
--- a/internal/runcopy/choose.go
+++ b/internal/runcopy/choose.go
@@ -12,8 +12,12 @@
 	// few times a second, so a shorter run ends before a copy of it is of use.
 	MinRunTime = 250 * time.Millisecond
 	// maxMemoryShare is the part of the memory that running requests leave at a replica that
-	// backups may take. The rest is for cached prefixes and for requests on their way.
-	maxMemoryShare = 0.5
+	// backups may take. The rest is for cached prefixes: what they lose is prefilled again.
+	maxMemoryShare = 0.05
+	// maxBacklogShare is the part of a run's objective that the prompts ahead at its replica, or at
+	// the target, may take. Copies share links and memory with the requests of a replica that is
+	// behind, and slow down all of them for the sake of a few.
+	maxBacklogShare = 0.1
 )
 
 // Run is a run that may get a backup.
@@ -26,6 +30,8 @@
 	Tokens int
 	// ExpectedTime is how long it is expected to run.
 	ExpectedTime time.Duration
+	// Objective is the time to the first event that its caller expects.
+	Objective time.Duration
 	// Version is the version of the weights that it runs on.
 	Version uint64
 	// Source is the replica that runs it.
@@ -44,8 +50,10 @@
 type Candidate struct {
 	Place
 	Version uint64
-	// FreeTokens is the memory that running requests are expected to leave.
+	// FreeTokens is the memory that running requests are expected to leave, Backlog the time until
+	// the prompts that were sent there are prefilled.
 	FreeTokens float64
+	Backlog    time.Duration
 	// Faulty is set after recent faults.
 	Faulty bool
 	// LoadIn is the time until it is to load other weights, valid if LoadPlanned.
@@ -60,10 +68,12 @@
 const (
 	SkipRepeatable SkipReason = "repeatable"
 	SkipShort      SkipReason = "short"
+	SkipBusy       SkipReason = "busy"
 	SkipNoTarget   SkipReason = "no_target"
 )
 
-// Choose returns the index of the candidate that is to keep the run's backup. Of those with room it
+// Choose returns the index of the candidate that is to keep the run's backup; the source is among the
+// candidates. Of those with room it
 // takes one that doesn't load other weights before the run's expected end if there is one, as the load
 // discards the copy; then one in the source's failure domain, as links between domains cost more; then
 // the one with the fewest of this entry's backups. sharers is how many entries keep backups at the
@@ -75,14 +85,19 @@
 	case run.ExpectedTime < MinRunTime:
 		return -1, SkipShort
 	}
+	maxBacklog := time.Duration(maxBacklogShare * float64(run.Objective))
+	mean := ledger.Total(now) / max(1, len(candidates))
 	best, bestRank := -1, rank{}
 	for i := range candidates {
 		c := &candidates[i]
-		if !suits(run, c) {
+		if c.ID == run.Source.ID && c.Backlog > maxBacklog {
+			return -1, SkipBusy
+		}
+		if !suits(run, c) || c.Backlog > maxBacklog {
 			continue
 		}
 		held := ledger.Held(c.ID, now)
-		if float64(held*sharers+run.Tokens) > maxMemoryShare*c.FreeTokens {
+		if float64(max(held, mean)*sharers+run.Tokens) > maxMemoryShare*c.FreeTokens {
 			continue
 		}
 		r := rank{c.LoadPlanned && c.LoadIn <= run.ExpectedTime, c.FailureDomain != run.Source.FailureDomain, held, rendezvous.Weight(run.RequestID, c.ID)}
--- a/internal/runcopy/ledger.go
+++ b/internal/runcopy/ledger.go
@@ -58,5 +58,14 @@
 	return max(0, h.tokens)
 }
 
+// Total is the memory that backups take at all replicas now.
+func (l *Ledger) Total(now time.Duration) int {
+	total := 0
+	for target := range l.targets {
+		total += l.Held(target, now)
+	}
+	return total
+}
+
 // Forget drops what is known of a replica that is gone, with its copies.
 func (l *Ledger) Forget(target string) { delete(l.targets, target) }
--- a/internal/runcopy/runcopy_test.go
+++ b/internal/runcopy/runcopy_test.go
@@ -13,13 +13,13 @@
 }
 
 func testRun() *Run {
-	return &Run{RequestID: 7, Tokens: 900, ExpectedTime: time.Second, Version: 3, Source: place("source", "10.0.0.1", "a")}
+	return &Run{RequestID: 7, Tokens: 900, ExpectedTime: time.Second, Objective: time.Second, Version: 3, Source: place("source", "10.0.0.1", "a")}
 }
 
 // Guards against a backup that can't serve: on the source's machine, on other weights, at a replica
 // that soon loads weights, has recent faults or has no room.
 func TestChooseLeavesOutReplicasThatCannotServe(t *testing.T) {
-	good := Candidate{Place: place("good", "10.0.0.2", "a"), Version: 3, FreeTokens: 10_000}
+	good := Candidate{Place: place("good", "10.0.0.2", "a"), Version: 3, FreeTokens: 100_000}
 	for name, change := range map[string]func(*Candidate){
 		"the source":      func(c *Candidate) { c.ID = "source" },
 		"same machine":    func(c *Candidate) { c.Address = "10.0.0.1:9000" },
@@ -27,7 +27,8 @@
 		"newer weights":   func(c *Candidate) { c.Version = 4 },
 		"loads weights":   func(c *Candidate) { c.LoadPlanned, c.LoadIn = true, MinRunTime-1 },
 		"recent faults":   func(c *Candidate) { c.Faulty = true },
-		"no room":         func(c *Candidate) { c.FreeTokens = 1500 },
+		"no room":         func(c *Candidate) { c.FreeTokens = 15_000 },
+		"prompts ahead":   func(c *Candidate) { c.Backlog = 101 * time.Millisecond },
 		"running is full": func(c *Candidate) { c.FreeTokens = -1 },
 	} {
 		bad := good
@@ -44,7 +45,7 @@
 // Guards against copies that a planned load of weights discards before the run ends, while another
 // replica, even in another failure domain, keeps its weights.
 func TestChoosePrefersReplicasThatKeepTheirWeights(t *testing.T) {
-	soon := Candidate{Place: place("soon", "10.0.0.2", "a"), Version: 3, FreeTokens: 10_000, LoadPlanned: true, LoadIn: 900 * time.Millisecond}
+	soon := Candidate{Place: place("soon", "10.0.0.2", "a"), Version: 3, FreeTokens: 100_000, LoadPlanned: true, LoadIn: 900 * time.Millisecond}
 	later := soon
 	later.Place, later.LoadIn = place("later", "10.0.0.3", "b"), 1100*time.Millisecond
 	if i, _ := Choose(testRun(), []Candidate{soon, later}, NewLedger(), 1, 0); i != 1 {
@@ -57,7 +58,7 @@
 
 // Guards against copies that cost links and memory and are of no use.
 func TestRunsThatNeedNoBackup(t *testing.T) {
-	target := []Candidate{{Place: place("b", "10.0.0.2", "a"), Version: 3, FreeTokens: 10_000}}
+	target := []Candidate{{Place: place("b", "10.0.0.2", "a"), Version: 3, FreeTokens: 100_000}}
 	repeatable, short := testRun(), testRun()
 	repeatable.Repeatable, short.ExpectedTime = true, MinRunTime-1
 	for run, want := range map[*Run]SkipReason{repeatable: SkipRepeatable, short: SkipShort, testRun(): ""} {
@@ -67,6 +68,15 @@
 	}
 }
 
+// Guards against copies that slow down a replica whose prompts already wait, as in a burst.
+func TestRunsOfABusyReplicaGetNoBackup(t *testing.T) {
+	source := Candidate{Place: testRun().Source, Version: 3, FreeTokens: 100_000, Backlog: 101 * time.Millisecond}
+	idle := Candidate{Place: place("b", "10.0.0.2", "a"), Version: 3, FreeTokens: 100_000}
+	if _, skip := Choose(testRun(), []Candidate{idle, source}, NewLedger(), 1, 0); skip != SkipBusy {
+		t.Errorf("%q", skip)
+	}
+}
+
 // Guards against backups in one heap, and across failure domains without need, under a steady load of
 // streams that may run only once: the load is spread, and no replica's memory is overbooked by all
 // entries together.
@@ -93,6 +103,9 @@
 			if all := float64((held-run.Tokens)*sharers + run.Tokens); all > maxMemoryShare*free {
 				t.Fatalf("%v tokens of backups at %s", all, c.ID)
 			}
+			if all := float64(ledger.Total(0)-run.Tokens) * float64(sharers); all > maxMemoryShare*free*float64(n) {
+				t.Fatalf("%v tokens of backups at %d replicas", all, n)
+			}
 			for _, o := range candidates {
 				if o.FailureDomain == c.FailureDomain && ledger.Held(o.ID, 0) < held-run.Tokens {
 					t.Fatalf("%s got one more than %s", c.ID, o.ID)
