--- a/internal/direct/backups.go
+++ b/internal/direct/backups.go
@@ -38,7 +38,6 @@
 
 // runContinuation is set for a placement whose run goes on from a backup.
 type runContinuation struct {
-	from *fleet.Replica
 	copy fleet.RunCopy
 	join *runcopy.Join
 }
@@ -73,17 +72,28 @@
 		Version:      p.version,
 		Source:       runcopy.Place{ID: p.replica.ID, Address: p.replica.Address, FailureDomain: p.replica.FailureDomain},
 	}
-	targets := s.backupCandidates(&req.query, candidates, now)
-	i, skipped := runcopy.Choose(run, targets, s.backups, s.entries, now)
-	req.backupStats.target, req.backupStats.skipped = "", skipped
+	target, skipped := s.chooseBackup(run, &req.query, candidates, now)
+	req.backupStats.target, req.backupStats.skipped = target, skipped
 	if skipped != "" {
 		e.tel.Metrics.Count("backups_skipped_"+string(skipped), 1)
 		return
 	}
-	p.backup = &runBackup{target: s.replicas.Get(targets[i].ID), tokens: run.Tokens}
-	s.backups.Begin(targets[i].ID, run.Tokens)
+	p.backup = &runBackup{target: s.replicas.Get(target), tokens: run.Tokens}
+	s.backups.Begin(target, run.Tokens)
 	e.tel.Metrics.Count("backups_started", 1)
-	req.backupStats.target = targets[i].ID
+}
+
+// chooseBackup returns the ID of the replica that is to keep a run's backup. The caller holds mu.
+func (s *state) chooseBackup(run *runcopy.Run, q *route.PickQuery, candidates []route.PickCandidate, now time.Duration) (string, runcopy.SkipReason) {
+	if skipped := runcopy.Wanted(run); skipped != "" {
+		return "", skipped
+	}
+	targets := s.backupCandidates(q, candidates, now)
+	i, skipped := runcopy.Choose(run, targets, s.backups, s.entries, now)
+	if skipped != "" {
+		return "", skipped
+	}
+	return targets[i].ID, ""
 }
 
 // backupCandidates describes the replicas that may take a request as targets of backups. The caller
@@ -102,14 +112,14 @@
 	return s.backupTargets
 }
 
-// endBackup ends the count of a placement's backup. Unless the run was complete, the replica keeps the
-// copy for a time. The caller holds the state's lock.
-func (req *request) endBackup(p *placement, complete bool) {
+// endBackup ends the count of a placement's backup. Unless the run was complete or never began, the
+// replica keeps the copy for a time. The caller holds the state's lock.
+func (req *request) endBackup(p *placement, noCopy bool) {
 	if p.backup == nil {
 		return
 	}
 	at := req.entry.clock.now()
-	if !complete {
+	if !noCopy {
 		at += req.service.Engine.Transfer.CopyLifetime
 	}
 	req.entry.state.backups.End(p.backup.target.ID, p.backup.tokens, at)
@@ -231,7 +241,6 @@
 		replica: target, version: p.version, pickedAt: now,
 		choice: route.PickResult{ID: target.ID, Reason: pickContinued},
 		continuation: &runContinuation{
-			from: p.replica,
 			copy: fleet.RunCopy{Source: target.Address, Handle: req.params.ID},
 			join: runcopy.NewJoin(req.params.LastEvent, req.lastEventID, req.eventCount),
 		},
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -207,7 +207,7 @@
 		e.state.picker.Finished(&req.query, &p.choice, !hadFirstByte && req.firstByte > 0)
 		req.observeNoStart(p)
 		p.endWork()
-		req.endBackup(p, done)
+		req.endBackup(p, done || failure == attempt.FailureNotRun)
 		e.state.mu.Unlock()
 	}()
 	req.plan.RecordDispatch()
--- a/internal/runcopy/choose.go
+++ b/internal/runcopy/choose.go
@@ -72,19 +72,24 @@
 	SkipNoTarget   SkipReason = "no_target"
 )
 
-// Choose returns the index of the candidate that is to keep the run's backup; the source is among the
+// Wanted says why a run gets no backup whatever the replicas, "" if it gets one.
+func Wanted(run *Run) SkipReason {
+	switch {
+	case run.Repeatable:
+		return SkipRepeatable
+	case run.ExpectedTime < MinRunTime:
+		return SkipShort
+	}
+	return ""
+}
+
+// Choose returns the index of the candidate that is to keep the backup of a run that wants one; the source is among the
 // candidates. Of those with room it
 // takes one that doesn't load other weights before the run's expected end if there is one, as the load
 // discards the copy; then one in the source's failure domain, as links between domains cost more; then
 // the one with the fewest of this entry's backups. sharers is how many entries keep backups at the
 // candidates; the others are assumed to keep as many as this one.
 func Choose(run *Run, candidates []Candidate, ledger *Ledger, sharers int, now time.Duration) (int, SkipReason) {
-	switch {
-	case run.Repeatable:
-		return -1, SkipRepeatable
-	case run.ExpectedTime < MinRunTime:
-		return -1, SkipShort
-	}
 	maxBacklog := time.Duration(maxBacklogShare * float64(run.Objective))
 	mean := ledger.Total(now) / max(1, len(candidates))
 	best, bestRank := -1, rank{}
--- a/internal/runcopy/runcopy_test.go
+++ b/internal/runcopy/runcopy_test.go
@@ -58,11 +58,10 @@
 
 // Guards against copies that cost links and memory and are of no use.
 func TestRunsThatNeedNoBackup(t *testing.T) {
-	target := []Candidate{{Place: place("b", "10.0.0.2", "a"), Version: 3, FreeTokens: 100_000}}
 	repeatable, short := testRun(), testRun()
 	repeatable.Repeatable, short.ExpectedTime = true, MinRunTime-1
 	for run, want := range map[*Run]SkipReason{repeatable: SkipRepeatable, short: SkipShort, testRun(): ""} {
-		if _, skip := Choose(run, target, NewLedger(), 1, 0); skip != want {
+		if skip := Wanted(run); skip != want {
 			t.Errorf("%+v: %q; want %q", run, skip, want)
 		}
 	}
