--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -101,6 +101,7 @@
 	// lastEventID is the ID of the last event that the caller was sent.
 	lastEventID string
 	resumed     int
+	backupStats backupStats
 }
 
 // timeLeft is the time until the final answer is due.
@@ -155,6 +156,9 @@
 	if req.resumed > 0 {
 		attrs = append(attrs, slog.Int("resumed", req.resumed))
 	}
+	if req.backupStats.target != "" || req.outcome == outcomeCut && req.backupStats.skipped != "" {
+		attrs = append(attrs, req.backupStats.attr())
+	}
 	for i := range req.dispatches {
 		attrs = append(attrs, req.dispatches[i].attr())
 	}
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -25,6 +25,9 @@
 	// plus RetryExtra requests.
 	RetryShare float64 `json:"retry_share"`
 	RetryExtra float64 `json:"retry_extra"`
+	// RetryWindow is the period over which the operator counts retries, 0 if the bound
+	// holds over a period of any length. The requests of the period before may count.
+	RetryWindow Duration `json:"retry_window"`
 	// Lease is the time by which the orders of two successive lease holders must be
 	// apart, so that their terms never overlap. FencesChecked says that replicas
 	// themselves refuse the orders of a former holder.
@@ -54,6 +57,9 @@
 	// RefuseByForecast says that a waiting request is refused as soon as its turn is expected only
 	// after its time, and told when there will be room; otherwise it waits until its time is over.
 	RefuseByForecast bool `json:"refuse_by_forecast"`
+	// RunBackups makes engines that offer it keep backups of the runs of streams that
+	// may run only once, from which they go on after the loss of their replica.
+	RunBackups bool `json:"run_backups"`
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int `json:"memory_mb"`
 }
@@ -111,6 +117,9 @@
 	if !(d.RetryExtra >= 0) {
 		c.doc.Add("direct.retry_extra", fmt.Sprintf("is %v", d.RetryExtra), "0 or more requests")
 	}
+	if d.RetryWindow < 0 {
+		c.doc.Add("direct.retry_window", fmt.Sprintf("is %s", d.RetryWindow.D()), "0 or a time")
+	}
 	if d.QuotaWindow < 0 {
 		c.doc.Add("direct.quota_window", fmt.Sprintf("is %s", d.QuotaWindow.D()), "0 or a time")
 	}
