--- a/internal/runcopy/choose.go
+++ b/internal/runcopy/choose.go
@@ -13,11 +13,11 @@
 	MinRunTime = 250 * time.Millisecond
 	// maxMemoryShare is the part of the memory that running requests leave at a replica that
 	// backups may take. The rest is for cached prefixes: what they lose is prefilled again.
-	maxMemoryShare = 0.05
+	maxMemoryShare = 0.15
 	// maxBacklogShare is the part of a run's objective that the prompts ahead at its replica, or at
 	// the target, may take. Copies share links and memory with the requests of a replica that is
 	// behind, and slow down all of them for the sake of a few.
-	maxBacklogShare = 0.1
+	maxBacklogShare = 1.0
 )
 
 // Run is a run that may get a backup.
