--- a/internal/direct/ports.go
+++ b/internal/direct/ports.go
@@ -41,10 +41,6 @@
 	Report(context.Context, *fleet.Replica) (fleet.Report, fleet.Notice, error)
 	// Identity returns the name of the replica that answers health checks at a replica's address.
 	Identity(ctx context.Context, r *fleet.Replica, healthPath string) (string, error)
-	// Move copies a run to another replica, and returns once the copy is complete.
-	Move(context.Context, *fleet.Move) (fleet.MoveReply, error)
-	// ReleaseCopy frees a copy that isn't used any more.
-	ReleaseCopy(context.Context, fleet.RunCopy) error
 }
 
 // Platform is what the adapter of a platform provides.
