--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -35,8 +35,8 @@
 	// arrives but at replicas a little later, so their count of requests lags.
 	retryBudgetMargin = 0.75
 	// carryOverDivisor is the divisor of the window over which retries are counted that gives for
-	// how long their unused share is kept for continuations. With the margin above, the share of
-	// a window and what it got from the one before make up the whole share: 0.75 x (1 + 1/3).
+	// how long their unused share is kept for continuations: the share of a window and what is left of
+	// the one before must not exceed the operator's, of which retryBudgetMargin is in use.
 	carryOverDivisor = 3
 )
 
