--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -240,7 +240,7 @@
 	// limit; backingOff asked for no requests for a time.
 	leaving, down, ordered, overdue, otherModel, limited, backingOff int
 	// overBound is how many of those that were looked at have a longer wait than the request
-	// may have there, leastWaitMs the shortest of these waits.
+	// may have there or no memory for it, leastWaitMs the shortest of these waits.
 	overBound   int
 	leastWaitMs float64
 }
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -67,8 +67,8 @@
 
 // Pick returns the candidate with the lowest score: the expected wait, the prefill of missing
 // shared tokens, and penalties. It returns false if all candidates are excluded, or if peers'
-// loads are known and each wait exceeds q.MaxWaitMs or each memory is full; the result then tells how
-// many were.
+// loads are known and no candidate has both a wait within q.MaxWaitMs and memory for the request; the
+// result then tells how many were looked at.
 func (p *Picker) Pick(now time.Duration, q *PickQuery, candidates []PickCandidate) (PickResult, bool) {
 	p.fillViews(now, q, candidates)
 	owner := p.ownerIndex(q, candidates)
--- a/internal/route/pickertypes.go
+++ b/internal/route/pickertypes.go
@@ -120,8 +120,8 @@
 	Ahead          Load
 	Reason         string
 	CandidateCount int
-	// OverBound is how many of the candidates that were looked at have a longer wait than allowed,
-	// LeastWaitMs the shortest of these waits.
+	// OverBound is how many of the candidates that were looked at have a longer wait than allowed or
+	// no memory for the request, LeastWaitMs the shortest of these waits.
 	OverBound   int
 	LeastWaitMs float64
 }
