Review, case 3: an order of a former holder arrives after its successor's

Promise: ONE, "a lower fencing token after a higher one where replicas don't check it".

Order of events: a replica leaves orders unanswered. The holder A sends its order again every second, without a new record of it. A gets SIGTERM and releases the lease while the last of these orders is under way. B claims it at once, and does not wait, since the record of A's order is over 3.3 s old. A packet of A's last order is lost and sent again after 0.2 s: the order arrives after B's, with the lower token.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec bash "$(dirname "$0")/../run-case.sh" 3
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -99,15 +100,23 @@
 	lastExit string
 }
 
+// The ports of daemons are below those that the system gives to outgoing connections: a daemon must
+// find its ports free again when it restarts.
+const (
+	firstPort = 18000
+	ports     = 12000
+)
+
 // freePort returns a port that was free a moment ago, for TCP and UDP.
 func freePort() (int, error) {
-	for range 50 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 100 {
+		port := firstPort + rand.IntN(ports)
+		at := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", at)
 		if err != nil {
-			return 0, err
+			continue
 		}
-		port := l.Addr().(*net.TCPAddr).Port
-		udp, err := net.ListenPacket("udp", l.Addr().String())
+		udp, err := net.ListenPacket("udp", at)
 		l.Close()
 		if err == nil {
 			udp.Close()
@@ -222,6 +231,8 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
+	log, _ := os.ReadFile(filepath.Join(d.site.dir, d.Name+".log"))
+	d.site.Record.Line("%s is not ready; the end of its log:\n%s", d.Name, log[max(0, len(log)-2000):])
 	return fmt.Errorf("%w: %s", ErrNotReady, d.Name)
 }
 
