Log the software version of replicas and which attempt a caller takes up

Also counted now: resumed, which the line had but nothing set. Only lines change; a replica that is known by its own report alone has no known software until its record is read.

--- a/internal/direct/backups.go
+++ b/internal/direct/backups.go
@@ -249,7 +249,7 @@
 	req.query.Levels, req.query.SharedTokens, req.query.PromptTokens = nil, 0, 0
 	s.picker.Dispatched(now, &req.query, &next.choice)
 	s.rateLimits.Take(target.ID, now)
-	req.dispatches = append(req.dispatches, dispatchRecord{replica: target.ID, reason: pickContinued, candidateCount: 1, version: p.version})
+	req.dispatches = append(req.dispatches, dispatchRecord{replica: target.ID, reason: pickContinued, candidateCount: 1, version: p.version, software: target.Software})
 	return next, ""
 }
 
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -94,6 +94,9 @@
 	e.state.mu.Unlock()
 	if decision.Retry {
 		e.tel.Metrics.Retries.Inc(1)
+		if req.firstByte > 0 {
+			req.resumed++
+		}
 		req.query.Exclude = append(req.query.Exclude, p.replica.ID)
 		return true
 	}
@@ -181,7 +184,7 @@
 	req.setBackup(p, candidates, now)
 	req.dispatches = append(req.dispatches, dispatchRecord{
 		replica: choice.ID, reason: choice.Reason, score: choice.Score, load: choice.WaitMs,
-		missedTokens: choice.MissingTokens, fetchFrom: p.fetchFrom, fetchTokens: p.fetchTokens, candidateCount: choice.CandidateCount, version: p.version,
+		missedTokens: choice.MissingTokens, fetchFrom: p.fetchFrom, fetchTokens: p.fetchTokens, candidateCount: choice.CandidateCount, version: p.version, software: p.replica.Software,
 		listAge: now - time.Duration(s.listReadAt.Load()), listReader: s.replicaListReader(), offListFor: s.replicas.UnlistedFor(choice.ID, now),
 		rateLimit: rateLimit,
 	})
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -187,7 +187,7 @@
 		e.tel.Log.Info("replica's record outdated", "replica", r.ID, "offset", offset)
 	case update.Changed:
 		e.tel.Log.Info("replica listed", "replica", r.ID, "service", r.Service, "address", r.Address,
-			"failure_domain", r.FailureDomain, "draining", r.Draining, "weights", r.Weights,
+			"failure_domain", r.FailureDomain, "draining", r.Draining, "software", r.Software, "weights", r.Weights,
 			"new", !known, "offset", offset)
 	}
 }
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -32,6 +32,8 @@
 	fetchTokens    int
 	candidateCount int
 	version        uint64
+	// software is the version of the replica's software, "" if unknown.
+	software string
 	// listAge is how long ago the call was made that returned the replica list, listReader
 	// the entry that made it.
 	listAge    time.Duration
@@ -156,6 +158,9 @@
 	if req.eventCount > 0 {
 		attrs = append(attrs, slog.Int("events", req.eventCount))
 	}
+	if req.params.LastEvent != "" {
+		attrs = append(attrs, slog.String("after_event", req.params.LastEvent), slog.String("takes_up", req.params.Resumes))
+	}
 	if req.resumed > 0 {
 		attrs = append(attrs, slog.Int("resumed", req.resumed))
 	}
@@ -209,6 +214,9 @@
 	if d.status != 0 {
 		fields = append(fields, slog.Int("status", d.status))
 	}
+	if d.software != "" {
+		fields = append(fields, slog.String("software", d.software))
+	}
 	if d.version > 0 {
 		fields = append(fields, slog.Uint64("weights", d.version))
 	}
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -15,7 +15,10 @@
 	Name string
 	// StartedAtMs is when it started, in Unix milliseconds by its own clock, 0 if unknown. It
 	// distinguishes and orders the incarnations of a name.
-	StartedAtMs   int64
+	StartedAtMs int64
+	// Software is the version of the replica's software, "" if unknown. It says nothing of the
+	// weights.
+	Software      string
 	Service       string
 	Address       string
 	FailureDomain string
@@ -42,17 +45,17 @@
 func (r *Replica) Matches(at int64) bool { return at == 0 || r.StartedAtMs == 0 || at == r.StartedAtMs }
 
 // Restarted returns the incarnation of the same address that started under a name at a time.
-// The weights that it serves are not known yet.
+// Its software and the weights that it serves are not known yet.
 func (r *Replica) Restarted(name string, startedAtMs int64) *Replica {
 	fresh := *r
 	fresh.Name, fresh.StartedAtMs, fresh.ID = name, startedAtMs, IncarnationID(name, startedAtMs)
-	fresh.Draining = false
+	fresh.Draining, fresh.Software = false, ""
 	return &fresh
 }
 
 // Equal reports whether two registrations say the same, apart from HeartbeatSeq.
 func (r *Replica) Equal(o *Replica) bool {
-	return r.ID == o.ID && r.Service == o.Service && r.Address == o.Address &&
+	return r.ID == o.ID && r.Software == o.Software && r.Service == o.Service && r.Address == o.Address &&
 		r.FailureDomain == o.FailureDomain && r.Slots == o.Slots &&
 		r.Draining == o.Draining && maps.Equal(r.Weights, o.Weights)
 }
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -32,6 +32,9 @@
 	// LastEvent is the id of the last event that the caller has of a stream, "" at a fresh
 	// start.
 	LastEvent string
+	// Resumes is the ID of the attempt that brought the first event of a stream that the caller
+	// takes up again, "" if it doesn't say.
+	Resumes string
 }
 
 // SharedParts returns the parts that other requests may have in common with it.
