Streams go on at the software version that began them

Cause: a stream's place was taken to be any replica that serves the model; the software that wrote its first events wasn't part of what must match.

The request keeps the replica of its first event, and only replicas known to run the same software are candidates from then on. A name may have been taken over by a later incarnation with other software: then the version counts as unknown and the stream ends. Such streams wait in a queue of their own: otherwise one whose replicas are down would hold up all requests behind it. If no replica of the version is left, the stream is broken off at once.

--- a/internal/admit/wait_queue.go
+++ b/internal/admit/wait_queue.go
@@ -144,6 +144,18 @@
 	return best
 }
 
+// Ordered returns the waiting requests, the one to dispatch next first.
+func (q *WaitQueue) Ordered(now time.Duration) []*QueuedRequest {
+	ordered := slices.Clone(q.requests)
+	slices.SortFunc(ordered, func(a, b *QueuedRequest) int {
+		if q.before(now, a, b) {
+			return -1
+		}
+		return 1
+	})
+	return ordered
+}
+
 func (q *WaitQueue) before(now time.Duration, a, b *QueuedRequest) bool {
 	slackA, slackB := a.slackLeft(now), b.slackLeft(now)
 	switch {
--- a/internal/direct/capacity.go
+++ b/internal/direct/capacity.go
@@ -8,14 +8,14 @@
 	"skylarklead/internal/member"
 )
 
-// upcomingCapacity returns when the replicas of a service that serve a model ("" for any) accept
-// requests again. It returns false if any replica of the service is not known to refuse requests
-// now, or if none serves the model. The caller holds mu.
-func (s *state) upcomingCapacity(service *fleet.Service, model string, now time.Duration) (admit.UpcomingCapacity, bool) {
+// upcomingCapacity returns when the replicas of a service that serve a model ("" for any) and run the
+// required software accept requests again. It returns false if any of the service with that software
+// is not known to refuse requests now, or if none serves the model. The caller holds mu.
+func (s *state) upcomingCapacity(service *fleet.Service, model string, required requiredSoftware, now time.Duration) (admit.UpcomingCapacity, bool) {
 	var capacity admit.UpcomingCapacity
 	for _, id := range s.replicas.IDs() {
 		r := s.replicas.Get(id)
-		if r.Service != service.Name || s.replicas.Health(id, now) == member.Left {
+		if r.Service != service.Name || s.replicas.Health(id, now) == member.Left || !required.meets(r) {
 			continue
 		}
 		reopening, closed := s.reopening(id, now)
@@ -47,7 +47,7 @@
 		return
 	}
 	req := queued.Value.(*request)
-	capacity, closed := s.upcomingCapacity(req.service, req.params.Model, now)
+	capacity, closed := s.upcomingCapacity(req.service, req.params.Model, requiredSoftware{}, now)
 	if !closed {
 		return
 	}
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -121,7 +121,7 @@
 	case req.ctx.Err() != nil:
 		req.answerEnded()
 	case req.firstByte > 0:
-		req.abort("no replica can resume the stream")
+		req.abort("no replica of the software that began the stream can resume it")
 	case req.fallbackAnswer != nil:
 		req.writeAnswer(req.fallbackAnswer)
 	case req.plan.MayHaveRun():
@@ -164,7 +164,7 @@
 	s := req.entry.state
 	req.query.DesiredVersion = s.desiredVersion(req.params.Model)
 	var candidates []route.PickCandidate
-	candidates, req.excluded = s.candidates(req.service, req.params.Model, now)
+	candidates, req.excluded = s.candidates(req.service, req.params.Model, req.requiredSoftware(), now)
 	req.query.Sample = s.sampleSize(len(candidates))
 	choice, ok := s.picker.Pick(now, &req.query, candidates)
 	req.excluded.overBound, req.excluded.leastWaitMs = choice.OverBound, choice.LeastWaitMs
--- a/internal/direct/leaving_test.go
+++ b/internal/direct/leaving_test.go
@@ -145,7 +145,7 @@
 func (l *listEntry) usableReplicas() int {
 	l.state.mu.Lock()
 	defer l.state.mu.Unlock()
-	candidates, _ := l.state.candidates(&fleet.Service{Name: "portal"}, "", l.clock.now())
+	candidates, _ := l.state.candidates(&fleet.Service{Name: "portal"}, "", requiredSoftware{}, l.clock.now())
 	return len(candidates)
 }
 
--- a/internal/direct/outlook.go
+++ b/internal/direct/outlook.go
@@ -28,7 +28,7 @@
 	q.outlook.ObserveBacklogs(backlogs, now)
 	for rank, backlog := range backlogs {
 		n, known := q.outlook.PlacedWithin(rank, backlog.LastExpiry-now, now)
-		if !known || rank == resumedPriority || backlog.Count <= n {
+		if !known || backlog.Count <= n {
 			continue
 		}
 		rate, _ := q.outlook.Rate(rank, now)
--- a/internal/direct/queue.go
+++ b/internal/direct/queue.go
@@ -25,6 +25,9 @@
 	// waiting orders requests by rank, those that can still be in time first, then by fairness
 	// between organisations.
 	waiting *admit.WaitQueue
+	// resuming holds the streams that go on at replicas of one software version. They are placed
+	// before the others and, as other requests may be placed where they can't, don't block them.
+	resuming *admit.WaitQueue
 	// window bounds the work that is sent but not yet being answered. It is nil for plain
 	// services: their replicas answer or refuse at once.
 	window *admit.CongestionWindow
@@ -36,7 +39,7 @@
 func (s *state) queueOf(service *fleet.Service) *serviceQueue {
 	q := s.queues[service.Name]
 	if q == nil {
-		q = &serviceQueue{waiting: admit.NewWaitQueue(), outlook: admit.NewOutlook()}
+		q = &serviceQueue{waiting: admit.NewWaitQueue(), resuming: admit.NewWaitQueue(), outlook: admit.NewOutlook()}
 		if service.Engine != nil {
 			s.onNewEngineService(service.Name)
 			q.window = admit.NewCongestionWindow(admit.DefaultWindowParams)
@@ -50,12 +53,16 @@
 // the first one, those behind it wait too: otherwise the larger ones of worse ranks would keep every
 // replica above the load up to which it may be placed. The caller holds mu.
 func (s *state) placeQueued(q *serviceQueue, now time.Duration) {
-	for queued := q.waiting.Next(now); queued != nil && s.placeNext(q, queued, now); queued = q.waiting.Next(now) {
+	for _, queued := range q.resuming.Ordered(now) {
+		s.placeNext(q, q.resuming, queued, now)
+	}
+	for queued := q.waiting.Next(now); queued != nil && s.placeNext(q, q.waiting, queued, now); queued = q.waiting.Next(now) {
 	}
 }
 
-// placeNext assigns a replica to a waiting request, if one can take it. The caller holds mu.
-func (s *state) placeNext(q *serviceQueue, queued *admit.QueuedRequest, now time.Duration) bool {
+// placeNext assigns a replica to a request that waits in one of the service's queues, if one can take
+// it. The caller holds mu.
+func (s *state) placeNext(q *serviceQueue, from *admit.WaitQueue, queued *admit.QueuedRequest, now time.Duration) bool {
 	if q.window != nil && !s.picker.PeerLoadsKnown(now) && !q.window.Fits(queued.Work) {
 		return false
 	}
@@ -65,7 +72,7 @@
 	if p == nil {
 		return false
 	}
-	q.waiting.Remove(queued)
+	from.Remove(queued)
 	q.waiting.RecordDispatch(queued.Organisation, queued.Work, now)
 	q.outlook.Placed(queued.Priority, now)
 	if q.window != nil {
@@ -80,15 +87,22 @@
 // holds mu.
 func (s *state) placeAllQueued(now time.Duration) {
 	for _, q := range s.queues {
-		for _, queued := range q.waiting.RemoveExpired(now) {
+		for _, queued := range append(q.waiting.RemoveExpired(now), q.resuming.RemoveExpired(now)...) {
 			queued.Value.(*request).placed <- nil
 		}
-		s.placeQueued(q, now)
-		s.rejectBeyondCapacity(q, now)
-		s.rejectBeyondOutlook(q, now)
+		s.placeAndReject(q, now)
 	}
 }
 
+// placeAndReject assigns replicas to waiting requests and rejects those that can't be placed in time.
+// The caller holds mu.
+func (s *state) placeAndReject(q *serviceQueue, now time.Duration) {
+	s.placeQueued(q, now)
+	s.rejectUnresumable(q, now)
+	s.rejectBeyondCapacity(q, now)
+	s.rejectBeyondOutlook(q, now)
+}
+
 // awaitPlacement waits for a placement. It returns nil if there is none in time.
 func (req *request) awaitPlacement() *placement {
 	e := req.entry
@@ -98,14 +112,16 @@
 	s.mu.Lock()
 	queued := req.newQueuedRequest(began)
 	q := s.queueOf(req.service)
-	if q.waiting.Len() >= maxQueued {
+	waiting := q.waiting
+	if req.requiredSoftware().bound {
+		waiting = q.resuming
+	}
+	if waiting.Len() >= maxQueued {
 		s.mu.Unlock()
 		return nil
 	}
-	q.waiting.Add(queued)
-	s.placeQueued(q, began)
-	s.rejectBeyondCapacity(q, began)
-	s.rejectBeyondOutlook(q, began)
+	waiting.Add(queued)
+	s.placeAndReject(q, began)
 	s.mu.Unlock()
 	defer func() { req.waited += e.clock.now() - began }()
 	select {
@@ -121,7 +137,7 @@
 	case <-req.ctx.Done():
 	}
 	s.mu.Lock()
-	q.waiting.Remove(queued)
+	waiting.Remove(queued)
 	s.mu.Unlock()
 	select {
 	case p := <-req.placed:
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -105,6 +105,9 @@
 	eventCount int
 	// lastEventID is the ID of the last event that the caller was sent.
 	lastEventID string
+	// begunAt is the replica that brought the first event, as registered when the request was sent
+	// to it.
+	begunAt     *fleet.Replica
 	resumed     int
 	backupStats backupStats
 }
@@ -182,7 +185,7 @@
 // attr is the log attribute of the replicas that could not take a request.
 func (x *exclusions) attr() slog.Attr {
 	return slog.Group("replicas", slog.Int("listed", x.listed), slog.Int("left", x.leaving),
-		slog.Int("down", x.down), slog.Int("ordered", x.ordered), slog.Int("overdue", x.overdue), slog.Int("unfit", x.otherModel), slog.Int("limited", x.limited), slog.Int("resting", x.backingOff),
+		slog.Int("down", x.down), slog.Int("ordered", x.ordered), slog.Int("overdue", x.overdue), slog.Int("unfit", x.otherModel), slog.Int("other_software", x.otherSoftware), slog.Int("limited", x.limited), slog.Int("resting", x.backingOff),
 		slog.Int("over_bound", x.overBound), slog.Float64("least_wait_ms", x.leastWaitMs))
 }
 
--- /dev/null
+++ b/internal/direct/software_test.go
@@ -0,0 +1,91 @@
+package direct
+
+import (
+	"testing"
+	"time"
+
+	"skylarklead/internal/fleet"
+)
+
+// newStreamRequest is a request that was begun at a replica and waits for another one.
+func newStreamRequest(e *Entry, service *fleet.Service, begunAt *fleet.Replica) *request {
+	now := e.clock.now()
+	config := &configuration{Configuration: &fleet.Configuration{}}
+	config.Index()
+	return &request{
+		entry: e, config: config, service: service, begunAt: begunAt, firstByte: time.Millisecond,
+		started: now, deadline: now + 4*time.Second, placed: make(chan *placement, 1),
+		route: &fleet.Route{Kind: fleet.Streaming, Resumable: true},
+	}
+}
+
+// Guards against the software of an incarnation that answered under the name of the one that the entry
+// believed to address: it isn't known then which of the two wrote.
+func TestSoftwareOfAReplicaThatMayHaveBeenAnother(t *testing.T) {
+	begun := &fleet.Replica{ID: "a@1", Name: "a", StartedAtMs: 1, Software: "v1"}
+	for name, c := range map[string]struct {
+		begun, latest *fleet.Replica
+		want          string
+	}{
+		"gone":                      {begun, nil, "v1"},
+		"same incarnation":          {begun, begun, "v1"},
+		"registered since":          {&fleet.Replica{ID: "a@1", Name: "a", StartedAtMs: 1}, begun, "v1"},
+		"restarted, same software":  {begun, &fleet.Replica{ID: "a@2", Name: "a", StartedAtMs: 2, Software: "v1"}, "v1"},
+		"restarted, other software": {begun, &fleet.Replica{ID: "a@2", Name: "a", StartedAtMs: 2, Software: "v2"}, ""},
+		"restarted, not known":      {begun, &fleet.Replica{ID: "a@2", Name: "a", StartedAtMs: 2}, ""},
+		"other software, one name":  {&fleet.Replica{ID: "a", Name: "a", Software: "v1"}, &fleet.Replica{ID: "a", Name: "a", Software: "v2"}, ""},
+	} {
+		s := newState("entry-1", newQueueEntry(t).state.retryBudget)
+		if c.latest != nil {
+			s.replicas.Put(c.latest, 1, 0)
+		}
+		if got := s.softwareAt(c.begun); got != c.want {
+			t.Errorf("%s: %q, want %q", name, got, c.want)
+		}
+	}
+}
+
+// Guards against a stream that waits for replicas of its software and holds up all requests behind it,
+// and against one that waits although none is left.
+func TestStreamThatCantResumeHoldsUpNothing(t *testing.T) {
+	e := newQueueEntry(t)
+	s := e.state
+	service := &fleet.Service{Name: "s"}
+	s.replicas.Put(&fleet.Replica{ID: "a", Name: "a", Service: "s", Software: "v1", Slots: 1}, 1, 0)
+	s.replicas.Put(&fleet.Replica{ID: "b", Name: "b", Service: "s", Software: "v2", Slots: 1}, 2, 0)
+	s.replicas.MarkUnreachable("a", e.clock.now())
+	place := func(req *request) {
+		queued := req.newQueuedRequest(e.clock.now())
+		q := s.queueOf(service)
+		if req.requiredSoftware().bound {
+			q.resuming.Add(queued)
+		} else {
+			q.waiting.Add(queued)
+		}
+		s.placeAndReject(q, e.clock.now())
+	}
+	bound := newStreamRequest(e, service, &fleet.Replica{ID: "c", Name: "c", Software: "v1"})
+	place(bound)
+	fresh := newStreamRequest(e, service, nil)
+	place(fresh)
+	if p := <-fresh.placed; p == nil || p.replica.ID != "b" {
+		t.Fatalf("a new stream was placed at %+v", p)
+	}
+	select {
+	case p := <-bound.placed:
+		t.Fatalf("a stream of v1 was answered with %+v while a replica of v1 is down", p)
+	default:
+	}
+	s.mu.Lock()
+	s.replicas.Remove("a", 3, e.clock.now())
+	s.placeAllQueued(e.clock.now())
+	s.mu.Unlock()
+	select {
+	case p := <-bound.placed:
+		if p != nil {
+			t.Fatalf("placed at %+v", p.replica)
+		}
+	default:
+		t.Fatal("waits although no replica of v1 is left")
+	}
+}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -238,7 +238,8 @@
 	// about to load weights, overdue on weights that may no longer be used. otherModel don't
 	// list the requested model. limited have no room in this entry's share of their rate
 	// limit; backingOff asked for no requests for a time.
-	leaving, down, ordered, overdue, otherModel, limited, backingOff int
+	// otherSoftware don't run the software that began the stream.
+	leaving, down, ordered, overdue, otherModel, limited, backingOff, otherSoftware int
 	// overBound is how many of those that were looked at have a longer wait than the request
 	// may have there or no memory for it, leastWaitMs the shortest of these waits.
 	overBound   int
@@ -246,8 +247,8 @@
 }
 
 // candidates lists the replicas of a service that may take a request for a model ("" for plain
-// services), with stale ones marked. The caller holds mu.
-func (s *state) candidates(service *fleet.Service, model string, now time.Duration) ([]route.PickCandidate, exclusions) {
+// services) and run the required software, with stale ones marked. The caller holds mu.
+func (s *state) candidates(service *fleet.Service, model string, required requiredSoftware, now time.Duration) ([]route.PickCandidate, exclusions) {
 	var out []route.PickCandidate
 	var excluded exclusions
 	var oldest uint64
@@ -260,6 +261,10 @@
 			continue
 		}
 		excluded.listed++
+		if !required.meets(r) {
+			excluded.otherSoftware++
+			continue
+		}
 		health := s.replicas.Health(id, now)
 		switch health {
 		case member.Left:
--- a/internal/member/replicas.go
+++ b/internal/member/replicas.go
@@ -241,6 +241,14 @@
 	return nil
 }
 
+// Latest returns the latest incarnation registered under a name, nil if it is gone.
+func (v *Replicas) Latest(name string) *fleet.Replica {
+	if reg := v.registrations[name]; reg != nil {
+		return v.Get(reg.id)
+	}
+	return nil
+}
+
 // MarkLeaving records a replica's announcement that it leaves. It reports whether that is new.
 func (v *Replicas) MarkLeaving(id string) bool {
 	s := v.states[id]
