Backups are kept at replicas of the run's software version

A candidate must be known to run the source's software, and before a run goes on both are compared once more, by the incarnations as they are known then.

--- a/internal/direct/backups.go
+++ b/internal/direct/backups.go
@@ -70,6 +70,7 @@
 		ExpectedTime: s.picker.ExpectedStreamTime(&req.query),
 		Objective:    req.route.LatencyTarget,
 		Version:      p.version,
+		Software:     p.replica.Software,
 		Source:       runcopy.Place{ID: p.replica.ID, Address: p.replica.Address, FailureDomain: p.replica.FailureDomain},
 	}
 	target, skipped := s.chooseBackup(run, &req.query, candidates, now)
@@ -103,9 +104,10 @@
 	for i := range candidates {
 		c := &candidates[i]
 		free, backlog := s.picker.Spare(now, q, c)
+		r := s.replicas.Get(c.ID)
 		s.backupTargets = append(s.backupTargets, runcopy.Candidate{
-			Place:   runcopy.Place{ID: c.ID, Address: s.replicas.Get(c.ID).Address, FailureDomain: c.FailureDomain},
-			Version: c.Version, FreeTokens: free, Backlog: backlog, Faulty: c.RecentFaults,
+			Place:   runcopy.Place{ID: c.ID, Address: r.Address, FailureDomain: c.FailureDomain},
+			Version: c.Version, Software: r.Software, FreeTokens: free, Backlog: backlog, Faulty: c.RecentFaults,
 			LoadIn: c.RolloutIn, LoadPlanned: c.RolloutPlanned,
 		})
 	}
@@ -258,16 +260,18 @@
 	s, model, source, target := req.entry.state, req.params.Model, p.replica.ID, p.backup.target.ID
 	sourceVersion := s.versionTracker.Version(source, model)
 	health := s.replicas.Health(target, now)
+	software := s.softwareAt(p.replica)
 	return &runcopy.Situation{
 		Source:  req.backupStats.state,
 		Suspect: s.crashes.Suspect(req.fingerprint, now),
 		Version: p.version,
 		SourceChanged: p.backup.sourceChanged || s.versionTracker.Ordered(source, model, now) ||
 			sourceVersion != 0 && sourceVersion != p.version,
-		TargetUsable:  health != member.Left && health != member.Down && s.rateLimits.Allows(target, now),
-		TargetVersion: s.versionTracker.Version(target, model),
-		TargetOrdered: s.versionTracker.Ordered(target, model, now),
-		PatienceLeft:  req.eventPatienceLeft(brokenAt, now),
+		TargetUsable:    health != member.Left && health != member.Down && s.rateLimits.Allows(target, now),
+		TargetVersion:   s.versionTracker.Version(target, model),
+		TargetOrdered:   s.versionTracker.Ordered(target, model, now),
+		SoftwareDiffers: software == "" || software != s.softwareAt(p.backup.target),
+		PatienceLeft:    req.eventPatienceLeft(brokenAt, now),
 	}
 }
 
--- a/internal/runcopy/choose.go
+++ b/internal/runcopy/choose.go
@@ -34,6 +34,8 @@
 	Objective time.Duration
 	// Version is the version of the weights that it runs on.
 	Version uint64
+	// Software is the version of its replica's software, "" if unknown: then it gets no backup.
+	Software string
 	// Source is the replica that runs it.
 	Source Place
 }
@@ -50,6 +52,8 @@
 type Candidate struct {
 	Place
 	Version uint64
+	// Software is the version of its software, "" if unknown.
+	Software string
 	// FreeTokens is the memory that running requests are expected to leave, Backlog the time until
 	// the prompts that were sent there are prefilled.
 	FreeTokens float64
@@ -121,6 +125,9 @@
 	if c.ID == run.Source.ID || c.Version != run.Version || c.Faulty || sameMachine(c.Address, run.Source.Address) {
 		return false
 	}
+	if c.Software == "" || c.Software != run.Software {
+		return false
+	}
 	return !c.LoadPlanned || c.LoadIn >= MinRunTime
 }
 
--- a/internal/runcopy/continuation.go
+++ b/internal/runcopy/continuation.go
@@ -36,6 +36,9 @@
 	TargetUsable  bool
 	TargetVersion uint64
 	TargetOrdered bool
+	// SoftwareDiffers is set unless both replicas are known to run the same software: what two versions
+	// write doesn't fit into one stream.
+	SoftwareDiffers bool
 	// PatienceLeft is the time until the caller stops waiting for the next event.
 	PatienceLeft time.Duration
 }
@@ -51,6 +54,7 @@
 	StopSourceUnknown  StopReason = "source_unknown"
 	StopSourceChanged  StopReason = "source_weights_changed"
 	StopTargetChanged  StopReason = "target_weights_changed"
+	StopSoftware       StopReason = "other_software"
 	StopTargetUnusable StopReason = "target_unusable"
 	StopTooLate        StopReason = "too_late"
 	StopNoCopy         StopReason = "no_copy"
@@ -74,6 +78,8 @@
 		return StopSourceChanged
 	case !s.TargetUsable:
 		return StopTargetUnusable
+	case s.SoftwareDiffers:
+		return StopSoftware
 	case s.TargetVersion != s.Version || s.TargetOrdered:
 		return StopTargetChanged
 	case s.PatienceLeft <= 0:
--- a/internal/runcopy/runcopy_test.go
+++ b/internal/runcopy/runcopy_test.go
@@ -13,7 +13,7 @@
 }
 
 func testRun() *Run {
-	return &Run{RequestID: 7, Tokens: 900, ExpectedTime: time.Second, Objective: time.Second, Version: 3, Source: place("source", "10.0.0.1", "a")}
+	return &Run{RequestID: 7, Tokens: 900, ExpectedTime: time.Second, Objective: time.Second, Version: 3, Software: "v1", Source: place("source", "10.0.0.1", "a")}
 }
 
 // tooLong is a backlog at which a replica keeps no backups of a run like testRun's.
@@ -24,17 +24,19 @@
 // Guards against a backup that can't serve: on the source's machine, on other weights, at a replica
 // that soon loads weights, has recent faults or has no room.
 func TestChooseLeavesOutReplicasThatCannotServe(t *testing.T) {
-	good := Candidate{Place: place("good", "10.0.0.2", "a"), Version: 3, FreeTokens: 100_000}
+	good := Candidate{Place: place("good", "10.0.0.2", "a"), Version: 3, Software: "v1", FreeTokens: 100_000}
 	for name, change := range map[string]func(*Candidate){
-		"the source":      func(c *Candidate) { c.ID = "source" },
-		"same machine":    func(c *Candidate) { c.Address = "10.0.0.1:9000" },
-		"older weights":   func(c *Candidate) { c.Version = 2 },
-		"newer weights":   func(c *Candidate) { c.Version = 4 },
-		"loads weights":   func(c *Candidate) { c.LoadPlanned, c.LoadIn = true, MinRunTime-1 },
-		"recent faults":   func(c *Candidate) { c.Faulty = true },
-		"no room":         func(c *Candidate) { c.FreeTokens = float64(testRun().Tokens)/maxMemoryShare - 1 },
-		"prompts ahead":   func(c *Candidate) { c.Backlog = tooLong() },
-		"running is full": func(c *Candidate) { c.FreeTokens = -1 },
+		"the source":       func(c *Candidate) { c.ID = "source" },
+		"same machine":     func(c *Candidate) { c.Address = "10.0.0.1:9000" },
+		"older weights":    func(c *Candidate) { c.Version = 2 },
+		"other software":   func(c *Candidate) { c.Software = "v2" },
+		"unknown software": func(c *Candidate) { c.Software = "" },
+		"newer weights":    func(c *Candidate) { c.Version = 4 },
+		"loads weights":    func(c *Candidate) { c.LoadPlanned, c.LoadIn = true, MinRunTime-1 },
+		"recent faults":    func(c *Candidate) { c.Faulty = true },
+		"no room":          func(c *Candidate) { c.FreeTokens = float64(testRun().Tokens)/maxMemoryShare - 1 },
+		"prompts ahead":    func(c *Candidate) { c.Backlog = tooLong() },
+		"running is full":  func(c *Candidate) { c.FreeTokens = -1 },
 	} {
 		bad := good
 		change(&bad)
@@ -50,7 +52,7 @@
 // Guards against copies that a planned load of weights discards before the run ends, while another
 // replica, even in another failure domain, keeps its weights.
 func TestChoosePrefersReplicasThatKeepTheirWeights(t *testing.T) {
-	soon := Candidate{Place: place("soon", "10.0.0.2", "a"), Version: 3, FreeTokens: 100_000, LoadPlanned: true, LoadIn: 900 * time.Millisecond}
+	soon := Candidate{Place: place("soon", "10.0.0.2", "a"), Version: 3, Software: "v1", FreeTokens: 100_000, LoadPlanned: true, LoadIn: 900 * time.Millisecond}
 	later := soon
 	later.Place, later.LoadIn = place("later", "10.0.0.3", "b"), 1100*time.Millisecond
 	if i, _ := Choose(testRun(), []Candidate{soon, later}, NewLedger(), 1, 0); i != 1 {
@@ -74,8 +76,8 @@
 
 // Guards against copies that slow down a replica whose prompts already wait, as in a burst.
 func TestRunsOfABusyReplicaGetNoBackup(t *testing.T) {
-	source := Candidate{Place: testRun().Source, Version: 3, FreeTokens: 100_000, Backlog: tooLong()}
-	idle := Candidate{Place: place("b", "10.0.0.2", "a"), Version: 3, FreeTokens: 100_000}
+	source := Candidate{Place: testRun().Source, Version: 3, Software: "v1", FreeTokens: 100_000, Backlog: tooLong()}
+	idle := Candidate{Place: place("b", "10.0.0.2", "a"), Version: 3, Software: "v1", FreeTokens: 100_000}
 	if _, skip := Choose(testRun(), []Candidate{idle, source}, NewLedger(), 1, 0); skip != SkipBusy {
 		t.Errorf("%q", skip)
 	}
@@ -91,7 +93,7 @@
 		candidates := make([]Candidate, n)
 		for i := range candidates {
 			id := strconv.Itoa(i)
-			candidates[i] = Candidate{Place: place(id, "10.0.1."+id, string(rune('a'+i%2))), Version: 3, FreeTokens: free}
+			candidates[i] = Candidate{Place: place(id, "10.0.1."+id, string(rune('a'+i%2))), Version: 3, Software: "v1", FreeTokens: free}
 		}
 		ledger := NewLedger()
 		for i := range rapid.IntRange(1, 200).Draw(t, "runs") {
@@ -151,6 +153,7 @@
 		StopSourceUnknown:  func(s *Situation) { s.Source = SourceUnknown },
 		StopSourceChanged:  func(s *Situation) { s.SourceChanged = true },
 		StopTargetUnusable: func(s *Situation) { s.TargetUsable = false },
+		StopSoftware:       func(s *Situation) { s.SoftwareDiffers = true },
 		StopTooLate:        func(s *Situation) { s.PatienceLeft = 0 },
 	} {
 		s := good
