A stream taken up at any entry goes on at the software that began it

Callers whose entry ended, or whose stream was cut, took it up at another entry and got events of another software version: Resumes wasn't read, and no entry knew what had begun a stream elsewhere.

Cause: the identity of a stream was its last event's id; who wrote it wasn't known past the entry that served it.

internal/origin (pure) records which version began which stream; an entry tells up to three others, chosen by rendezvous of the attempt's ID, before the caller has the first event, and asks the same ones for a stream that it doesn't know. A stream of unknown software is refused at once as not run: no guess, even with one version listed.

--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -121,7 +121,7 @@
 	case req.ctx.Err() != nil:
 		req.answerEnded()
 	case req.firstByte > 0:
-		req.abort("no replica of the software that began the stream can resume it")
+		req.abortUnresumable()
 	case req.fallbackAnswer != nil:
 		req.writeAnswer(req.fallbackAnswer)
 	case req.plan.MayHaveRun():
@@ -131,6 +131,8 @@
 	case req.capacityIn > 0:
 		req.entry.tel.Metrics.Count("refused_replicas_closed", 1)
 		req.refuse("all replicas are rate limited or asked for a backoff", req.capacityIn)
+	case req.takesUp():
+		req.refuseTakeUp()
 	case req.roomIn > 0:
 		req.entry.tel.Metrics.Count("refused_by_forecast", 1)
 		req.refuse("its turn would come too late", req.roomIn)
--- /dev/null
+++ b/internal/direct/origins.go
@@ -0,0 +1,200 @@
+package direct
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"skylarklead/internal/origin"
+)
+
+const (
+	// originTimeout is how long a request waits for other entries to say which software began its
+	// stream: several round trips between failure domains.
+	originTimeout = 250 * time.Millisecond
+	// originRepeat is the pause until the entries that haven't answered are asked again: the datagram
+	// or the answer may be lost.
+	originRepeat = 60 * time.Millisecond
+	// maxMessageStreams bounds the streams of each kind that a message is read for.
+	maxMessageStreams = 64
+)
+
+// streamsMessage says or asks which software began streams.
+type streamsMessage struct {
+	Begun []begunStream `cbor:"1,keyasint,omitempty"`
+	// Asked are streams that the sender wants to know, Unknown those that it was asked for and
+	// doesn't know.
+	Asked   []uint64 `cbor:"2,keyasint,omitempty"`
+	Unknown []uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// begunStream is an origin.Stream with the origin.Software that began it. The fields are encoded as an
+// array, in this order.
+type begunStream struct {
+	_        struct{} `cbor:",toarray"`
+	Stream   uint64
+	Software uint64
+}
+
+// origins knows which software began which streams, as far as this entry was told, and asks others.
+type origins struct {
+	peers *peers
+
+	mu      sync.Mutex
+	table   *origin.Table
+	queries map[origin.Stream]*originQuery
+}
+
+// originQuery is a question that other entries were asked.
+type originQuery struct {
+	// pending are the entries that haven't answered; waiters the requests that wait.
+	pending map[string]netip.AddrPort
+	waiters int
+	// answered is closed once one of them knew the stream, or none of them does.
+	answered chan struct{}
+	closed   bool
+}
+
+func newOrigins(p *peers) *origins {
+	return &origins{peers: p, table: origin.NewTable(origin.DefaultSize, origin.DefaultTTL), queries: make(map[origin.Stream]*originQuery)}
+}
+
+// announce records the software that began a stream, here and at its holders.
+func (o *origins) announce(s origin.Stream, software origin.Software) {
+	now := o.peers.entry.clock.now()
+	o.mu.Lock()
+	o.table.Record(s, software, now)
+	o.mu.Unlock()
+	to := make([]netip.AddrPort, 0, origin.HolderCount)
+	for _, address := range o.holders(s) {
+		to = append(to, address)
+	}
+	o.send(&streamsMessage{Begun: []begunStream{{Stream: uint64(s), Software: uint64(software)}}}, to...)
+}
+
+// resolve returns the software that began a stream, Unknown if it can't be told.
+func (o *origins) resolve(ctx context.Context, s origin.Stream) origin.Software {
+	if software, ok := o.lookup(s); ok {
+		return software
+	}
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	q := o.begin(s)
+	defer o.end(s, q)
+	repeat := time.NewTicker(originRepeat)
+	defer repeat.Stop()
+	for {
+		o.send(&streamsMessage{Asked: []uint64{uint64(s)}}, o.pending(q)...)
+		select {
+		case <-q.answered:
+		case <-ctx.Done():
+		case <-repeat.C:
+			continue
+		}
+		software, _ := o.lookup(s)
+		return software
+	}
+}
+
+func (o *origins) lookup(s origin.Stream) (origin.Software, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Lookup(s, o.peers.entry.clock.now())
+}
+
+// holders returns the addresses of the other entries that are told of a stream.
+func (o *origins) holders(s origin.Stream) map[string]netip.AddrPort {
+	self := o.peers.entry.settings.ID
+	o.peers.mu.Lock()
+	defer o.peers.mu.Unlock()
+	all := make([]string, 0, len(o.peers.known)+1)
+	all = append(all, self)
+	for id := range o.peers.known {
+		all = append(all, id)
+	}
+	addresses := make(map[string]netip.AddrPort, origin.HolderCount)
+	for _, id := range origin.Holders(s, self, all) {
+		addresses[id] = o.peers.known[id].address
+	}
+	return addresses
+}
+
+// begin joins the query for a stream, or begins one.
+func (o *origins) begin(s origin.Stream) *originQuery {
+	holders := o.holders(s)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	q := o.queries[s]
+	if q == nil {
+		q = &originQuery{pending: holders, answered: make(chan struct{})}
+		o.queries[s] = q
+		q.closeIf(len(holders) == 0)
+	}
+	q.waiters++
+	return q
+}
+
+func (o *origins) end(s origin.Stream, q *originQuery) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if q.waiters--; q.waiters == 0 {
+		delete(o.queries, s)
+	}
+}
+
+func (o *origins) pending(q *originQuery) []netip.AddrPort {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	list := make([]netip.AddrPort, 0, len(q.pending))
+	for _, address := range q.pending {
+		list = append(list, address)
+	}
+	return list
+}
+
+// closeIf ends the query if done is set. The caller holds mu.
+func (q *originQuery) closeIf(done bool) {
+	if done && !q.closed {
+		q.closed = true
+		close(q.answered)
+	}
+}
+
+// receive handles a message of another entry.
+func (o *origins) receive(m *streamsMessage, id string, from netip.AddrPort) {
+	now := o.peers.entry.clock.now()
+	var answer streamsMessage
+	o.mu.Lock()
+	for _, b := range m.Begun[:min(len(m.Begun), maxMessageStreams)] {
+		s := origin.Stream(b.Stream)
+		o.table.Record(s, origin.Software(b.Software), now)
+		if q := o.queries[s]; q != nil {
+			q.closeIf(true)
+		}
+	}
+	for _, asked := range m.Asked[:min(len(m.Asked), maxMessageStreams)] {
+		if software, ok := o.table.Lookup(origin.Stream(asked), now); ok {
+			answer.Begun = append(answer.Begun, begunStream{Stream: asked, Software: uint64(software)})
+		} else {
+			answer.Unknown = append(answer.Unknown, asked)
+		}
+	}
+	for _, unknown := range m.Unknown[:min(len(m.Unknown), maxMessageStreams)] {
+		if q := o.queries[origin.Stream(unknown)]; q != nil {
+			delete(q.pending, id)
+			q.closeIf(len(q.pending) == 0)
+		}
+	}
+	o.mu.Unlock()
+	if len(m.Asked) > 0 {
+		o.send(&answer, from)
+	}
+}
+
+func (o *origins) send(m *streamsMessage, to ...netip.AddrPort) {
+	e := o.peers.entry
+	if len(to) > 0 {
+		o.peers.sendTo(&peerMessage{From: e.settings.ID, Epoch: uint64(e.tel.Epoch), Streams: m}, to...)
+	}
+}
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -97,6 +97,8 @@
 	Quota *quotaMessage `cbor:"16,keyasint,omitempty"`
 	// Notices are what replicas announced about themselves in answers.
 	Notices []noticeMessage `cbor:"17,keyasint,omitempty"`
+	// Streams says or asks which software began streams.
+	Streams *streamsMessage `cbor:"20,keyasint,omitempty"`
 }
 
 // peerLoad is the load of an entry or of a failure domain at a replica. The fields are encoded as
@@ -152,6 +154,7 @@
 	// sendLoads uses it.
 	advertisedTokens map[uint64]uint16
 	digests          *digests
+	origins          *origins
 	// receivedAt is the time of each peer's last message, on the entry's clock.
 	receivedAt map[string]time.Duration
 }
@@ -172,6 +175,7 @@
 		advertisedTokens: make(map[uint64]uint16),
 	}
 	p.digests = newDigests(p)
+	p.origins = newOrigins(p)
 	return p, nil
 }
 
@@ -362,6 +366,8 @@
 		e.hub.handle(&m, from)
 	case len(m.Notices) > 0:
 		e.receiveNotices(m.Notices, m.From)
+	case m.Streams != nil:
+		p.origins.receive(m.Streams, m.From, from)
 	case m.Quota != nil:
 		e.quotas.receive(&m, from)
 	case m.DigestAck != "":
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -9,6 +9,7 @@
 
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/origin"
 	"skylarklead/internal/ratelimit"
 	"skylarklead/internal/route"
 )
@@ -107,7 +108,9 @@
 	lastEventID string
 	// begunAt is the replica that brought the first event, as registered when the request was sent
 	// to it.
-	begunAt     *fleet.Replica
+	begunAt *fleet.Replica
+	// takenUp is the software that began the stream which the request takes up.
+	takenUp     origin.Software
 	resumed     int
 	backupStats backupStats
 }
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -204,6 +204,7 @@
 	}, budget)
 	req.query = req.newQuery()
 	req.fingerprint = req.computeFingerprint()
+	req.resolveOrigin()
 	req.dispatch()
 }
 
--- a/internal/direct/software.go
+++ b/internal/direct/software.go
@@ -6,35 +6,95 @@
 	"skylarklead/internal/admit"
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/member"
+	"skylarklead/internal/origin"
 )
 
+// resumedSoftwareRetryAfter is the Retry-After of a caller that takes up a stream whose software no
+// replica runs now: one that has crashed is back after some seconds.
+const resumedSoftwareRetryAfter = 2 * time.Second
+
 // requiredSoftware is the software version that a replica must run to take a request. What two
 // versions write into one stream doesn't fit together, and replicas don't check who began it. The zero
 // value requires nothing.
 type requiredSoftware struct {
 	// bound is set if a version is required.
 	bound bool
-	// version is the required one, "" if it isn't known: then no replica meets the requirement.
-	version string
+	// version is the required one. No replica is known to run the unknown one.
+	version origin.Software
 }
 
 // meets reports whether a replica is known to run the required software.
 func (q requiredSoftware) meets(r *fleet.Replica) bool {
-	return !q.bound || q.version != "" && r.Software == q.version
+	return !q.bound || q.version != origin.Unknown && origin.SoftwareOf(r.Software) == q.version
 }
 
 // mayMeet is meets, except that a replica of unknown software counts: its record may be on its way.
 func (q requiredSoftware) mayMeet(r *fleet.Replica) bool {
-	return q.meets(r) || q.version != "" && r.Software == ""
+	return q.meets(r) || q.version != origin.Unknown && r.Software == ""
+}
+
+// takesUp reports whether the request goes on with a stream that an earlier attempt began.
+func (req *request) takesUp() bool {
+	return req.route.Kind == fleet.Streaming && req.params.LastEvent != ""
+}
+
+// resolveOrigin finds out which software began the stream that the request takes up.
+func (req *request) resolveOrigin() {
+	if !req.takesUp() || req.params.Resumes == "" {
+		return
+	}
+	req.takenUp = req.entry.peers.origins.resolve(req.ctx, origin.StreamOf(req.params.Resumes))
 }
 
 // requiredSoftware returns what the stream's first event requires of the replica that goes on with it.
 // The caller holds the state's lock.
 func (req *request) requiredSoftware() requiredSoftware {
-	if req.begunAt == nil {
-		return requiredSoftware{}
+	switch {
+	case req.takesUp():
+		return requiredSoftware{bound: true, version: req.takenUp}
+	case req.begunAt != nil:
+		return requiredSoftware{bound: true, version: origin.SoftwareOf(req.entry.state.softwareAt(req.begunAt))}
+	}
+	return requiredSoftware{}
+}
+
+// announceOrigin tells other entries which software began the stream, before the caller has its first
+// event. Streams that can't be taken up need no announcement.
+func (req *request) announceOrigin() {
+	if !req.route.Resumable || req.route.Kind != fleet.Streaming {
+		return
+	}
+	s := req.entry.state
+	s.mu.Lock()
+	version := req.requiredSoftware().version
+	s.mu.Unlock()
+	if version != origin.Unknown {
+		req.entry.peers.origins.announce(origin.StreamOf(req.params.ID), version)
+	}
+}
+
+// abortUnresumable breaks off a stream that no replica can go on with. If its software can't be told
+// any more, what was announced of it doesn't hold either.
+func (req *request) abortUnresumable() {
+	s := req.entry.state
+	s.mu.Lock()
+	version := req.requiredSoftware().version
+	s.mu.Unlock()
+	if version == origin.Unknown && req.route.Resumable {
+		req.entry.peers.origins.announce(origin.StreamOf(req.params.ID), origin.Unknown)
+	}
+	req.abort("no replica of the software that began the stream can resume it")
+}
+
+// refuseTakeUp refuses a request that takes up a stream which no replica can go on with.
+func (req *request) refuseTakeUp() {
+	if req.takenUp == origin.Unknown {
+		req.entry.tel.Metrics.Count("refused_unknown_software", 1)
+		req.refuse("it is not known which software began the stream", defaultRetryAfter)
+		return
 	}
-	return requiredSoftware{bound: true, version: req.entry.state.softwareAt(req.begunAt)}
+	req.entry.tel.Metrics.Count("refused_other_software", 1)
+	req.refuse("no replica of the software that began the stream can take the request", resumedSoftwareRetryAfter)
 }
 
 // softwareAt returns the software that a replica ran when a request was sent to it, "" if unknown; r is
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -127,6 +127,7 @@
 	}
 	req.firstByte = max(1, req.entry.clock.now()-req.started)
 	req.begunAt = p.replica
+	req.announceOrigin()
 	req.status = x.Status
 	req.copyHeaders(x.Header)
 	req.w.WriteHeader(x.Status)
