Callers that name no attempt go on where only one software version was seen

With one version listed in the last minute nothing else can have begun their streams, as far as the entry has followed the list; with two they are refused. An attempt that is named and not known is refused as before.

--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/origin"
 	"skylarklead/internal/route"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/telemetry"
@@ -279,6 +280,8 @@
 		known := make(map[string]bool)
 		for _, id := range e.state.replicas.IDs() {
 			known[id] = true
+			r := e.state.replicas.Get(id)
+			e.state.softwareSeen.Observe(r.Service, origin.SoftwareOf(r.Software), now)
 		}
 		e.state.mu.Unlock()
 		for _, id := range removed {
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -7,6 +7,7 @@
 
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/member"
+	"skylarklead/internal/origin"
 	"skylarklead/internal/spread"
 )
 
@@ -155,6 +156,7 @@
 	if update.Outdated || e.state.replicas.Get(r.ID) == nil {
 		return
 	}
+	e.state.softwareSeen.Observe(r.Service, origin.SoftwareOf(r.Software), e.clock.now())
 	if update.SupersededID != "" {
 		e.state.forgetReplica(update.SupersededID)
 	}
--- a/internal/direct/software.go
+++ b/internal/direct/software.go
@@ -38,9 +38,17 @@
 	return req.route.Kind == fleet.Streaming && req.params.LastEvent != ""
 }
 
-// resolveOrigin finds out which software began the stream that the request takes up.
+// resolveOrigin finds out which software began the stream that the request takes up. Of a caller that
+// doesn't name the attempt that began it, as older ones don't, it is the only one seen.
 func (req *request) resolveOrigin() {
-	if !req.takesUp() || req.params.Resumes == "" {
+	if !req.takesUp() {
+		return
+	}
+	if req.params.Resumes == "" {
+		s := req.entry.state
+		s.mu.Lock()
+		req.takenUp = s.softwareSeen.Only(req.service.Name, req.entry.clock.now())
+		s.mu.Unlock()
 		return
 	}
 	req.takenUp = req.entry.peers.origins.resolve(req.ctx, origin.StreamOf(req.params.Resumes))
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -10,6 +10,7 @@
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/member"
+	"skylarklead/internal/origin"
 	"skylarklead/internal/ratelimit"
 	"skylarklead/internal/rollout"
 	"skylarklead/internal/route"
@@ -59,6 +60,8 @@
 	// leavingToSend is, for each replica that announced to this entry that it leaves, how many
 	// more times the other entries are to be notified.
 	leavingToSend map[string]int
+	// softwareSeen has the software versions that replicas of each service were listed with.
+	softwareSeen *origin.Seen
 	// listRead is set once the whole replica list has been read.
 	listRead bool
 	// listRestoredAt is when the list was last read from a store that had been restored from an
@@ -107,6 +110,7 @@
 		retryBudget:      budget,
 		announcements:    make(map[modelVersion]*rollout.Announcement),
 
+		softwareSeen:       origin.NewSeen(origin.DefaultTTL),
 		leavingToSend:      make(map[string]int),
 		announcementsRead:  make(map[modelVersion]bool),
 		onNewEngineService: func(string) {},
