--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -14,6 +14,9 @@
 	"skylarklead/internal/route"
 )
 
+// maxLoggedParts bounds the parts of a prompt that a request's line names.
+const maxLoggedParts = 4
+
 // errTimeout is the cause with which a request's context ends at its deadline.
 var errTimeout = errors.New("direct: request deadline exceeded")
 
@@ -173,6 +176,9 @@
 	if req.backupStats.target != "" || req.outcome == outcomeCut && req.backupStats.skipped != "" {
 		attrs = append(attrs, req.backupStats.attr())
 	}
+	if req.outcome != outcomeServed {
+		attrs = append(attrs, req.partsAttr())
+	}
 	for i := range req.dispatches {
 		attrs = append(attrs, req.dispatches[i].attr())
 	}
@@ -185,6 +191,16 @@
 	e.tel.Log.LogAttrs(context.Background(), slog.LevelInfo, "request", attrs...)
 }
 
+// partsAttr is the log attribute of the prompt's shared parts, the first maxLoggedParts of them.
+func (req *request) partsAttr() slog.Attr {
+	shared := req.params.SharedParts()
+	ids := make([]string, 0, maxLoggedParts)
+	for _, part := range shared[:min(len(shared), maxLoggedParts)] {
+		ids = append(ids, part.ID)
+	}
+	return slog.Any("parts", ids)
+}
+
 // attr is the log attribute of the replicas that could not take a request.
 func (x *exclusions) attr() slog.Attr {
 	return slog.Group("replicas", slog.Int("listed", x.listed), slog.Int("left", x.leaving),
