A part of a prompt that crashes replicas is given up, not only whole requests

Crash counts were kept by a hash of all of a request's bytes; no two of these are alike, so the lines show counts of one (156) and two (14), never three.

Cause: the identity that was counted was wider than what crashes the replica. And each crash counted against all that ran beside it, while a good answer cleared it at one entry only: sound requests with equal bytes were given up.

Counted now are keys: each shared part, and the whole request. The key that explains most crashes is given up, of equal ones the narrowest without a recent good answer; crashes that it explains count for no other. Good answers clear keys at all entries. A run with half a second of events doesn't count for its parts. One entry tries again after 1, 3 and 7 minutes. Waiting requests are refused too.

--- a/internal/attempt/crash_tracker.go
+++ b/internal/attempt/crash_tracker.go
@@ -9,71 +9,111 @@
 
 // CrashTrackerParams configures a CrashTracker.
 type CrashTrackerParams struct {
-	// MaxCrashes is the number of crashes after which a request is given up.
-	MaxCrashes int
-	// TTL is how long the crashes of a request are remembered after the last one.
+	// MaxCrashes is the number of crashes after which a key is given up, MaxCrashesSound that of a
+	// key with which a good answer was given within SoundWindow.
+	MaxCrashes, MaxCrashesSound int
+	SoundWindow                 time.Duration
+	// MaxChildren is the number of keys given up below a key after which it is given up itself,
+	// MaxChildrenSound that of a key with a good answer within SoundWindow.
+	MaxChildren, MaxChildrenSound int
+	// TTL is how long the crashes of a key are remembered after the last one.
 	TTL time.Duration
+	// TrialAfter is how long after a key was given up one request with it may run to find out
+	// whether that still holds. The time doubles with each trial, of which there are MaxTrials.
+	TrialAfter time.Duration
+	MaxTrials  int
 	// CorrelationWindow is how far apart the broken run and the loss of its replica
 	// may be detected and still count as one crash.
 	CorrelationWindow time.Duration
-	// MaxEntries bounds the requests remembered, and the replicas.
+	// MaxEntries bounds the keys remembered, and the replicas.
 	MaxEntries int
 }
 
-// DefaultCrashTrackerParams gives a request up after three crashes. A crash resets
+// DefaultCrashTrackerParams gives a key up after three crashes. A crash resets
 // connections at once, while the loss of a whole machine is detected within a second.
-var DefaultCrashTrackerParams = CrashTrackerParams{MaxCrashes: 3, TTL: time.Hour, CorrelationWindow: 2 * time.Second, MaxEntries: 4096}
+var DefaultCrashTrackerParams = CrashTrackerParams{
+	MaxCrashes: 3, MaxCrashesSound: 5, SoundWindow: time.Minute,
+	MaxChildren: 2, MaxChildrenSound: 4,
+	TTL: time.Hour, TrialAfter: time.Minute, MaxTrials: 3,
+	CorrelationWindow: 2 * time.Second, MaxEntries: 4096,
+}
+
+// RequestKeys identify what may be the cause of a crash in a request.
+type RequestKeys struct {
+	// Parts are the shared parts of its prompt, the first one first.
+	Parts []uint64
+	// Fingerprint identifies the whole request, regardless of how and how often it arrives.
+	Fingerprint uint64
+}
+
+// all returns the keys, the widest first.
+func (k RequestKeys) all() []uint64 {
+	return append(slices.Clone(k.Parts), k.Fingerprint)
+}
 
 // CrashReport says that a replica was lost while it ran a request.
 type CrashReport struct {
-	// Fingerprint identifies the request, regardless of how and how often it arrives.
+	// Fingerprint identifies the request.
 	Fingerprint uint64 `cbor:"1,keyasint"`
 	// Replica is the incarnation that was lost.
 	Replica string `cbor:"2,keyasint"`
+	// Parts are the shared parts of the request's prompt that may be the cause.
+	Parts []uint64 `cbor:"3,keyasint,omitempty"`
+	// RanMs is for how long the request had run, in milliseconds, at least 1; 0 if unknown.
+	RanMs uint32 `cbor:"4,keyasint,omitempty"`
+	// GivenUp is set if the key in Fingerprint, of a request or a part, is given up.
+	GivenUp bool `cbor:"5,keyasint,omitempty"`
 }
 
+// maxReportParts bounds the parts of a report.
+const maxReportParts = 8
+
 // Valid reports whether a decoded report is complete.
-func (r *CrashReport) Valid() bool { return r.Replica != "" }
-
-// CrashTracker detects poison requests among those that entries dispatch directly: it
-// remembers which requests were running at replicas that were lost, and gives up
-// requests for which that happened too often. A request that crashes whatever runs it
-// arrives again with its caller's retries, at any entry, and would take down one
-// replica after another; it shows as replicas that restart in turn without another
-// cause.
+func (r *CrashReport) Valid() bool { return r.Replica != "" && len(r.Parts) <= maxReportParts }
+
+func (r *CrashReport) keys() RequestKeys {
+	return RequestKeys{Parts: r.Parts, Fingerprint: r.Fingerprint}
+}
+
+// CrashTracker finds what crashes replicas among the requests that entries dispatch directly: it
+// remembers which requests were running at replicas that were lost, and gives up a whole request, or a
+// part of a prompt, with which that happened too often. What crashes whatever runs it arrives again, by
+// its caller's retries or in other requests, at any entry, and would take down one replica after
+// another; it shows as replicas that restart in turn without another cause.
 //
-// Many replicas lost at the same moment are no evidence against a request that ran at
-// several of them. So a crash counts only for a run that began after the previous
-// crash, and a good answer clears all of them. CrashTracker is pure.
+// A run that merely was beside the cause is told from it in three ways. Replicas lost at the same
+// moment are one crash: a crash counts for a key only if the run began after the key's crash before. A
+// good answer clears all keys of its request, at all entries. And crashes of runs with a key that is
+// given up count for that key alone, also those before. CrashTracker is pure.
 //
-// Invariant: a replica counts once for a request, regardless of who reports it and how
-// often.
+// Invariant: a replica counts once for a key, regardless of who reports it and how often.
 type CrashTracker struct {
-	params  CrashTrackerParams
-	crashes *lru.Cache[uint64, *requestCrashes]
+	params CrashTrackerParams
+	keys   *lru.Cache[uint64, *keyCrashes]
+	// sound has when the latest good answer with a key was given.
+	sound *lru.Cache[uint64, time.Duration]
+	// crashes has the keys that each lost replica counts for.
+	crashes *lru.Cache[string, *replicaCrash]
 	// brokenRuns holds the runs that broke off recently, lostReplicas when replicas
 	// were lost. Both are keyed by replica.
 	brokenRuns   *lru.Cache[string, []brokenRun]
 	lostReplicas *lru.Cache[string, time.Duration]
 }
 
-type requestCrashes struct {
-	replicas  map[string]bool
-	lastCrash time.Duration
-}
-
 type brokenRun struct {
-	fingerprint      uint64
+	keys             RequestKeys
 	started, endedAt time.Duration
 }
 
 // NewCrashTracker returns an empty tracker.
 func NewCrashTracker(p CrashTrackerParams) *CrashTracker {
 	t := &CrashTracker{params: p}
-	var errs [3]error
-	t.crashes, errs[0] = lru.New[uint64, *requestCrashes](p.MaxEntries)
-	t.brokenRuns, errs[1] = lru.New[string, []brokenRun](p.MaxEntries)
-	t.lostReplicas, errs[2] = lru.New[string, time.Duration](p.MaxEntries)
+	var errs [5]error
+	t.keys, errs[0] = lru.New[uint64, *keyCrashes](p.MaxEntries)
+	t.sound, errs[1] = lru.New[uint64, time.Duration](p.MaxEntries)
+	t.crashes, errs[2] = lru.New[string, *replicaCrash](p.MaxEntries)
+	t.brokenRuns, errs[3] = lru.New[string, []brokenRun](p.MaxEntries)
+	t.lostReplicas, errs[4] = lru.New[string, time.Duration](p.MaxEntries)
 	for _, err := range errs {
 		if err != nil {
 			panic(err) // the size is a positive constant
@@ -83,11 +123,11 @@
 }
 
 // RecordBrokenRun records that a run that started at began broke off at a replica. It
-// returns a report if the replica is known to be lost.
-func (t *CrashTracker) RecordBrokenRun(fingerprint uint64, replica string, began, now time.Duration) []CrashReport {
-	run := brokenRun{fingerprint, began, now}
+// returns reports if the replica is known to be lost.
+func (t *CrashTracker) RecordBrokenRun(keys RequestKeys, replica string, began, now time.Duration) []CrashReport {
+	run := brokenRun{keys, began, now}
 	if at, lost := t.lostReplicas.Peek(replica); lost && now-at <= t.params.CorrelationWindow {
-		return t.countCrash(nil, run, replica, now)
+		return t.appendGivenUp(t.countCrash(nil, run, replica), replica, now)
 	}
 	runs, _ := t.brokenRuns.Peek(replica)
 	// A replica that breaks off every run and is never lost would fill the memory.
@@ -105,72 +145,50 @@
 	var reports []CrashReport
 	for _, run := range runs {
 		if now-run.endedAt <= t.params.CorrelationWindow {
-			reports = t.countCrash(reports, run, replica, now)
+			reports = t.countCrash(reports, run, replica)
 		}
 	}
-	return reports
+	return t.appendGivenUp(reports, replica, now)
 }
 
-// countCrash counts a run that was lost with its replica and appends the report to
-// list, unless the run began before the last crash that was counted.
-func (t *CrashTracker) countCrash(list []CrashReport, run brokenRun, replica string, now time.Duration) []CrashReport {
-	if r := t.recent(run.fingerprint, now); r != nil && (run.started <= r.lastCrash || r.replicas[replica]) {
-		return list
-	}
-	report := CrashReport{Fingerprint: run.fingerprint, Replica: replica}
+// countCrash counts a run that was lost with its replica and appends the report to list, unless it
+// counts for no key.
+func (t *CrashTracker) countCrash(list []CrashReport, run brokenRun, replica string) []CrashReport {
+	report := CrashReport{Fingerprint: run.keys.Fingerprint, Replica: replica, Parts: run.keys.Parts}
+	report.Parts = report.Parts[:min(len(report.Parts), maxReportParts)]
+	ran := max(time.Millisecond, run.endedAt-run.started)
+	report.RanMs = uint32(ran.Milliseconds())
 	// The crash counts as of the end of the run, so that a run that began between the
 	// break and its detection counts as later.
-	t.Merge(report, run.endedAt)
+	if !t.count(report.keys().all(), replica, run.started, run.endedAt) {
+		return list
+	}
 	return append(list, report)
 }
 
-// Merge counts a report of this entry or of another one.
-func (t *CrashTracker) Merge(report CrashReport, now time.Duration) {
-	r := t.recent(report.Fingerprint, now)
-	if r == nil {
-		r = &requestCrashes{replicas: make(map[string]bool)}
-		t.crashes.Add(report.Fingerprint, r)
-	}
-	if !r.replicas[report.Replica] {
-		r.replicas[report.Replica], r.lastCrash = true, now
+// appendGivenUp appends to reports of the loss of a replica what is given up by it.
+func (t *CrashTracker) appendGivenUp(list []CrashReport, replica string, now time.Duration) []CrashReport {
+	if len(list) == 0 {
+		return nil
 	}
-}
-
-// RecordSuccess records that a replica gave a good answer to a request: the replica
-// isn't lost, and the request isn't the cause of crashes.
-func (t *CrashTracker) RecordSuccess(fingerprint uint64, replica string) {
-	t.crashes.Remove(fingerprint)
-	t.brokenRuns.Remove(replica)
-}
-
-// CrashCount is the number of crashes counted for a request.
-func (t *CrashTracker) CrashCount(fingerprint uint64, now time.Duration) int {
-	if r := t.recent(fingerprint, now); r != nil {
-		return len(r.replicas)
+	for _, key := range t.Judge(replica, now) {
+		list = append(list, CrashReport{Fingerprint: key, Replica: replica, GivenUp: true})
 	}
-	return 0
-}
-
-// Suspect reports whether one more crash causes the request to be given up. After a
-// run of a suspect has broken off, the request isn't run again until it is known
-// whether that was a crash.
-func (t *CrashTracker) Suspect(fingerprint uint64, now time.Duration) bool {
-	return t.CrashCount(fingerprint, now) >= t.params.MaxCrashes-1
+	return list
 }
 
-// GivenUp reports whether a request isn't run any more, and for how long.
-func (t *CrashTracker) GivenUp(fingerprint uint64, now time.Duration) (time.Duration, bool) {
-	r := t.recent(fingerprint, now)
-	if r == nil || len(r.replicas) < t.params.MaxCrashes {
-		return 0, false
+// Merge counts a report of another entry, or of this one that is read again. Judge says what follows
+// once all reports at hand of the loss of a replica are merged.
+func (t *CrashTracker) Merge(report CrashReport, now time.Duration) {
+	if report.GivenUp {
+		t.adopt(report.Fingerprint, report.Replica, now)
+		return
 	}
-	return r.lastCrash + t.params.TTL - now, true
-}
-
-func (t *CrashTracker) recent(fingerprint uint64, now time.Duration) *requestCrashes {
-	r, ok := t.crashes.Get(fingerprint)
-	if !ok || now-r.lastCrash > t.params.TTL {
-		return nil
+	began := now
+	if report.RanMs > 0 {
+		began = now - time.Duration(report.RanMs)*time.Millisecond
+	} else {
+		began = now + 1 // older entries don't say how long it ran
 	}
-	return r
+	t.count(report.keys().all(), report.Replica, began, now)
 }
--- a/internal/attempt/crash_tracker_test.go
+++ b/internal/attempt/crash_tracker_test.go
@@ -10,9 +10,12 @@
 
 const culprit = uint64(7)
 
+// request returns the keys of a request without shared parts.
+func request(fingerprint uint64) RequestKeys { return RequestKeys{Fingerprint: fingerprint} }
+
 // crashAt records a run that broke off and, 100 ms later, the loss of its replica.
 func crashAt(s *CrashTracker, replica string, began, at time.Duration) []CrashReport {
-	s.RecordBrokenRun(culprit, replica, began, at)
+	s.RecordBrokenRun(request(culprit), replica, began, at)
 	return s.RecordLostReplica(replica, at+100*time.Millisecond)
 }
 
@@ -21,19 +24,19 @@
 func TestThirdCrashGivesARequestUp(t *testing.T) {
 	s := NewCrashTracker(DefaultCrashTrackerParams)
 	for i := range 3 {
-		if _, given := s.GivenUp(culprit, time.Duration(i)*time.Second); given {
+		if _, _, given := s.GivenUp(request(culprit), time.Duration(i)*time.Second); given {
 			t.Fatalf("given up after %d crashes", i)
 		}
 		began := time.Duration(i) * time.Second
-		if got := crashAt(s, fmt.Sprint("r", i), began, began+500*time.Millisecond); len(got) != 1 {
-			t.Fatalf("crash %d: reports %v", i, got)
+		if got := crashAt(s, fmt.Sprint("r", i), began, began+500*time.Millisecond); len(got) != 1+i/2 || got[0].GivenUp || i == 2 && !got[1].GivenUp {
+			t.Fatalf("crash %d: reports %v; want one, and with the third that it is given up", i, got)
 		}
 	}
-	wait, given := s.GivenUp(culprit, 3*time.Second)
+	_, wait, given := s.GivenUp(request(culprit), 3*time.Second)
 	if !given || wait <= 0 || wait > DefaultCrashTrackerParams.TTL {
 		t.Fatalf("given up: %v, for %v", given, wait)
 	}
-	if _, given := s.GivenUp(culprit, 2*time.Hour); given {
+	if _, _, given := s.GivenUp(request(culprit), 2*time.Hour); given {
 		t.Fatal("still given up after the TTL")
 	}
 }
@@ -53,20 +56,20 @@
 
 func TestStrikesNeedALostReplica(t *testing.T) {
 	s := NewCrashTracker(DefaultCrashTrackerParams)
-	s.RecordBrokenRun(culprit, "r1", 0, time.Second)
-	s.RecordSuccess(8, "r1") // it answers another request, so it is alive
+	s.RecordBrokenRun(request(culprit), "r1", 0, time.Second)
+	s.RecordSuccess(request(8), "r1", time.Second) // it answers another request, so it is alive
 	if got := s.RecordLostReplica("r1", 2*time.Second); len(got) != 0 {
 		t.Errorf("a replica that continued after the break: %v", got)
 	}
-	s.RecordBrokenRun(culprit, "r2", 0, time.Second)
+	s.RecordBrokenRun(request(culprit), "r2", 0, time.Second)
 	if got := s.RecordLostReplica("r2", 10*time.Second); len(got) != 0 {
 		t.Errorf("a replica lost nine seconds later: %v", got)
 	}
 	s.RecordLostReplica("r3", 11*time.Second)
-	if got := s.RecordBrokenRun(culprit, "r3", 10*time.Second, 12*time.Second); len(got) != 1 {
+	if got := s.RecordBrokenRun(request(culprit), "r3", 10*time.Second, 12*time.Second); len(got) != 1 {
 		t.Errorf("a break detected after the loss: %v", got)
 	}
-	s.RecordSuccess(culprit, "r4")
+	s.RecordSuccess(request(culprit), "r4", 13*time.Second)
 	if n := s.CrashCount(culprit, 13*time.Second); n != 0 {
 		t.Errorf("%d crashes after a good answer", n)
 	}
@@ -80,10 +83,14 @@
 			return CrashReport{Fingerprint: rapid.Uint64Range(1, 3).Draw(t, "fingerprint"), Replica: rapid.StringMatching("r[0-4]").Draw(t, "replica")}
 		}), 0, 20).Draw(t, "strikes")
 		a, b := NewCrashTracker(DefaultCrashTrackerParams), NewCrashTracker(DefaultCrashTrackerParams)
-		distinct := map[CrashReport]bool{}
+		type crash struct {
+			fingerprint uint64
+			replica     string
+		}
+		distinct := map[crash]bool{}
 		for _, s := range reports {
 			a.Merge(s, time.Second)
-			distinct[s] = true
+			distinct[crash{s.Fingerprint, s.Replica}] = true
 		}
 		for _, s := range rapid.Permutation(reports).Draw(t, "order") {
 			b.Merge(s, time.Second)
@@ -92,7 +99,7 @@
 		for f := uint64(1); f <= 3; f++ {
 			want := 0
 			for s := range distinct {
-				if s.Fingerprint == f {
+				if s.fingerprint == f {
 					want++
 				}
 			}
@@ -109,7 +116,7 @@
 func TestBrokenRunsAreForgotten(t *testing.T) {
 	s := NewCrashTracker(DefaultCrashTrackerParams)
 	for i := range 10_000 {
-		s.RecordBrokenRun(uint64(i), "r", 0, time.Duration(i)*100*time.Millisecond)
+		s.RecordBrokenRun(request(uint64(i)), "r", 0, time.Duration(i)*100*time.Millisecond)
 	}
 	if runs, _ := s.brokenRuns.Peek("r"); len(runs) > 25 {
 		t.Fatalf("%d broken runs kept; 21 are within two seconds of the last", len(runs))
--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -114,8 +114,9 @@
 func (req *request) recordSuccess(p *placement) {
 	s := req.entry.state
 	s.mu.Lock()
-	s.replicas.RecordSuccess(p.replica.ID, req.entry.clock.now())
-	s.crashes.RecordSuccess(req.fingerprint, p.replica.ID)
+	now := req.entry.clock.now()
+	s.replicas.RecordSuccess(p.replica.ID, now)
+	s.recordGoodAnswer(req.keys, p.replica.ID, now)
 	s.mu.Unlock()
 }
 
--- a/internal/direct/backups.go
+++ b/internal/direct/backups.go
@@ -263,7 +263,7 @@
 	software := s.softwareAt(p.replica)
 	return &runcopy.Situation{
 		Source:  req.backupStats.state,
-		Suspect: s.crashes.Suspect(req.fingerprint, now),
+		Suspect: s.crashes.Suspect(req.keys, now),
 		Version: p.version,
 		SourceChanged: p.backup.sourceChanged || s.versionTracker.Ordered(source, model, now) ||
 			sourceVersion != 0 && sourceVersion != p.version,
--- a/internal/direct/crashes.go
+++ b/internal/direct/crashes.go
@@ -3,49 +3,162 @@
 import (
 	"context"
 	"encoding/binary"
+	"log/slog"
+	"math/rand/v2"
 	"net/http"
+	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/rendezvous"
 	"skylarklead/internal/rollout"
 )
 
-// minStoredCrashes is the crash count from which on a request's crashes are also written to the
-// entries' topic, so that entries that start later know them. Every crash gives a count of one to all
-// requests that were running at the replica; peers receive these by datagram only.
-const minStoredCrashes = 2
+const (
+	// minStoredCrashes is the crash count from which on a request's crashes are also written to the
+	// entries' topic, so that entries that start later know them. Every crash gives a count of one to all
+	// requests that were running at the replica; peers receive these by datagram only.
+	minStoredCrashes = 2
+	// writingProvesSound is for how long a stream's events arrive until its prompt's parts aren't taken
+	// for the cause of a crash: what crashes a replica by its prompt does so when the answer begins.
+	writingProvesSound = 500 * time.Millisecond
+	// maxMessageSound bounds the keys in a message that clears them; soundSenders is about how many
+	// entries send each, where all of them know it.
+	maxMessageSound = 64
+	soundSenders    = 4
+	// givenUpRepeat is how long after other entries were last told of a key that is given up they are
+	// told again, while requests with it arrive; the entries' topic keeps records for longer. The pause
+	// of each entry is longer by up to givenUpSpread.
+	givenUpRepeat = 8 * time.Second
+	givenUpSpread = 4 * time.Second
+	// maxAnnounced bounds the keys for which that time is kept.
+	maxAnnounced = 1024
+)
 
-// computeFingerprint identifies repetitions of the request: it hashes the organisation, method, host,
-// target and body.
-func (req *request) computeFingerprint() uint64 {
-	d := xxhash.New()
-	organisation := ""
-	if req.organisation != nil {
-		organisation = req.organisation.Name
+// Reasons of answers to requests that are given up.
+const (
+	reasonRequestGivenUp = "request rejected: it crashed the replicas that ran it"
+	reasonPartGivenUp    = "request rejected: a part of its prompt crashed the replicas that ran it"
+)
+
+// soundKey says that a good answer with a key was given some time ago. The fields are encoded as an
+// array, in this order.
+type soundKey struct {
+	_     struct{} `cbor:",toarray"`
+	Key   uint64
+	AgeMs uint32
+}
+
+// crashNews is what the other entries are to be told about keys. The state's lock guards it.
+type crashNews struct {
+	// sound are keys against which crashes were counted though good answers with them were given.
+	sound map[uint64]bool
+	// announced has when the entries were last told that a key is given up.
+	announced *lru.Cache[uint64, time.Duration]
+}
+
+func newCrashNews() *crashNews {
+	announced, err := lru.New[uint64, time.Duration](maxAnnounced)
+	if err != nil {
+		panic(err) // the size is a positive constant
 	}
+	return &crashNews{sound: make(map[uint64]bool), announced: announced}
+}
+
+// hashFields hashes fields so that no two lists of them have the same bytes.
+func hashFields(fields ...string) *xxhash.Digest {
+	d := xxhash.New()
 	var size [8]byte
-	for _, field := range []string{organisation, req.httpRequest.Method, req.httpRequest.Host, req.httpRequest.RequestURI} {
+	for _, field := range fields {
 		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
 		_, _ = d.Write(size[:]) // a digest takes all
 		_, _ = d.WriteString(field)
 	}
+	return d
+}
+
+// crashKeys returns the keys that identify what in the request may crash replicas: repetitions of it by
+// its organisation, method, host, target and body, and each shared part of its prompt.
+func (req *request) crashKeys() attempt.RequestKeys {
+	organisation := ""
+	if req.organisation != nil {
+		organisation = req.organisation.Name
+	}
+	d := hashFields(organisation, req.httpRequest.Method, req.httpRequest.Host, req.httpRequest.RequestURI)
 	_, _ = d.Write(req.body)
-	return d.Sum64()
+	keys := attempt.RequestKeys{Fingerprint: d.Sum64()}
+	for _, part := range req.params.SharedParts() {
+		keys.Parts = append(keys.Parts, hashFields(req.service.Name, req.params.Model, part.ID).Sum64())
+	}
+	return keys
 }
 
-// answerIfPoison answers a poison request, which crashed too many replicas. It reports whether it did.
+// givenUpPart returns the ID of the part that a key identifies, "" if it is the whole request.
+func (req *request) givenUpPart(key uint64) string {
+	for i, part := range req.keys.Parts {
+		if part == key {
+			return req.params.Parts[i].ID
+		}
+	}
+	return ""
+}
+
+// answerIfPoison answers a poison request: it, or a part of its prompt, crashed too many replicas. It
+// reports whether it did.
 func (req *request) answerIfPoison() bool {
+	key, wait, rejected := req.givenUp()
+	if !rejected || req.beginTrial(key) {
+		return false
+	}
+	req.answerGivenUp(key, wait)
+	return true
+}
+
+// rejectPlaced answers a request that was given up while it waited for its placement. It reports
+// whether it did.
+func (req *request) rejectPlaced(p *placement) bool {
+	key, wait, rejected := req.givenUp()
+	if !rejected {
+		return false
+	}
+	req.cancelPlacement(p)
+	req.answerGivenUp(key, wait)
+	return true
+}
+
+// givenUp returns the key for which the request may not run, and for how long; false if it may.
+func (req *request) givenUp() (key uint64, wait time.Duration, rejected bool) {
 	s := req.entry.state
 	s.mu.Lock()
-	now := req.entry.clock.now()
-	wait, rejected := s.crashes.GivenUp(req.fingerprint, now)
-	s.mu.Unlock()
-	if !rejected {
+	defer s.mu.Unlock()
+	key, wait, rejected = s.crashes.GivenUp(req.keys, req.entry.clock.now())
+	return key, wait, rejected && !req.trial
+}
+
+// beginTrial reports whether the request is to find out whether a key is given up rightly. Of all
+// entries one lets requests with a key run for that.
+func (req *request) beginTrial(key uint64) bool {
+	e := req.entry
+	if e.peers == nil || rendezvous.First(key, e.peers.allIDs()) != e.settings.ID {
 		return false
 	}
+	e.state.mu.Lock()
+	req.trial = e.state.crashes.BeginTrial(key, e.clock.now())
+	e.state.mu.Unlock()
+	return req.trial
+}
+
+// answerGivenUp answers a request that may not run for a key.
+func (req *request) answerGivenUp(key uint64, wait time.Duration) {
 	req.entry.tel.Metrics.Count("requests_given_up", 1)
-	const reason = "request rejected: it crashed the replicas that ran it"
+	req.entry.repeatGivenUp(key)
+	reason := reasonRequestGivenUp
+	if req.givenUpBy = req.givenUpPart(key); req.givenUpBy != "" {
+		reason = reasonPartGivenUp
+	}
 	switch {
 	case req.firstByte > 0:
 		req.abort(reason)
@@ -54,7 +167,6 @@
 	default:
 		req.refuse(reason, wait)
 	}
-	return true
 }
 
 // recordBrokenRun records that the request's run broke off at a replica. It starts one probe of the
@@ -64,7 +176,11 @@
 	s := req.entry.state
 	s.mu.Lock()
 	now := req.entry.clock.now()
-	crashes := s.crashes.RecordBrokenRun(req.fingerprint, p.replica.ID, p.pickedAt, now)
+	keys := req.keys
+	if p.firstEventAt > 0 && now-p.firstEventAt > writingProvesSound {
+		keys.Parts = nil
+	}
+	crashes := s.crashes.RecordBrokenRun(keys, p.replica.ID, p.pickedAt, now)
 	probe := s.replicas.CheckSilent(p.replica.ID, now)
 	s.mu.Unlock()
 	req.entry.publishCrashes(crashes)
@@ -90,7 +206,7 @@
 	var records [][]byte
 	for i := range crashes {
 		count := e.logCrash(&crashes[i], e.settings.ID)
-		if count >= minStoredCrashes {
+		if crashes[i].GivenUp || count >= minStoredCrashes {
 			envelope := rollout.Envelope{Crash: &crashes[i]}
 			records = append(records, envelope.Encode())
 		}
@@ -109,32 +225,118 @@
 	}
 }
 
-// receiveCrashes counts crashes that a peer sent in a message.
+// repeatGivenUp tells the other entries again that a key is given up, if they haven't been told for a
+// time: those that have started since may have no record of it.
+func (e *Entry) repeatGivenUp(key uint64) {
+	pause := givenUpRepeat + time.Duration(hashFields(e.settings.ID).Sum64()%uint64(givenUpSpread))
+	e.state.mu.Lock()
+	now := e.clock.now()
+	at, known := e.state.crashNews.announced.Peek(key)
+	due := !known || now-at > pause
+	if due {
+		e.state.crashNews.announced.Add(key, now)
+	}
+	e.state.mu.Unlock()
+	if due && known {
+		e.publishCrashes([]attempt.CrashReport{{Fingerprint: key, Replica: e.settings.ID, GivenUp: true}})
+	}
+}
+
+// receiveCrashes counts crashes that other entries have seen. If good answers with their keys were given
+// here, the other entries are told.
 func (e *Entry) receiveCrashes(crashes []attempt.CrashReport, from string) {
+	crashes = slices.DeleteFunc(crashes, func(c attempt.CrashReport) bool { return !c.Valid() })
+	e.state.mu.Lock()
+	now := e.clock.now()
+	for i := range crashes {
+		e.state.crashes.Merge(crashes[i], now)
+		e.state.noteSound(append(slices.Clone(crashes[i].Parts), crashes[i].Fingerprint), now)
+	}
+	for i := range crashes {
+		// Who counted the last crash tells the others what is given up.
+		e.state.crashes.Judge(crashes[i].Replica, now)
+	}
+	e.state.mu.Unlock()
 	for i := range crashes {
-		if crashes[i].Valid() {
-			e.receiveCrash(&crashes[i], from)
+		e.logCrash(&crashes[i], from)
+	}
+}
+
+// noteSound notes the keys with which good answers were given here. The caller holds mu.
+func (s *state) noteSound(keys []uint64, now time.Duration) {
+	for _, key := range keys {
+		if _, sound := s.crashes.SoundAt(key, now); sound {
+			s.crashNews.sound[key] = true
 		}
 	}
 }
 
-// receiveCrash counts a crash that another entry has seen.
-func (e *Entry) receiveCrash(crash *attempt.CrashReport, from string) {
+// recordGoodAnswer clears the request's keys. The caller holds mu.
+func (s *state) recordGoodAnswer(keys attempt.RequestKeys, replica string, now time.Duration) {
+	s.noteSound(s.crashes.RecordSuccess(keys, replica, now), now)
+}
+
+// sendSound tells the other entries of keys with which good answers were given. Where many entries know
+// the same, about soundSenders of them send it.
+func (e *Entry) sendSound() {
 	e.state.mu.Lock()
-	e.state.crashes.Merge(*crash, e.clock.now())
+	now := e.clock.now()
+	var list []soundKey
+	for key := range e.state.crashNews.sound {
+		if rand.IntN(max(1, e.state.entries)) >= soundSenders {
+			continue
+		}
+		delete(e.state.crashNews.sound, key)
+		if at, sound := e.state.crashes.SoundAt(key, now); sound && len(list) < maxMessageSound {
+			list = append(list, soundKey{Key: key, AgeMs: uint32((now - at).Milliseconds())})
+		}
+	}
 	e.state.mu.Unlock()
-	e.logCrash(crash, from)
+	if len(list) > 0 {
+		e.peers.broadcast(&peerMessage{From: e.settings.ID, Epoch: uint64(e.tel.Epoch), Sound: list})
+	}
 }
 
-// logCrash logs a crash and returns the request's crash count.
+// receiveSound clears keys with which another entry saw good answers.
+func (e *Entry) receiveSound(list []soundKey) {
+	e.state.mu.Lock()
+	defer e.state.mu.Unlock()
+	now := e.clock.now()
+	for _, sound := range list[:min(len(list), maxMessageSound)] {
+		at := now - time.Duration(sound.AgeMs)*time.Millisecond
+		if own, known := e.state.crashes.SoundAt(sound.Key, now); !known || own <= at {
+			delete(e.state.crashNews.sound, sound.Key)
+		}
+		e.state.crashes.MergeSound(sound.Key, at)
+	}
+}
+
+// logCrash logs a crash and returns the highest crash count among its keys.
 func (e *Entry) logCrash(crash *attempt.CrashReport, from string) int {
 	now := e.clock.now()
+	keys := attempt.RequestKeys{Parts: crash.Parts, Fingerprint: crash.Fingerprint}
 	e.state.mu.Lock()
 	count := e.state.crashes.CrashCount(crash.Fingerprint, now)
-	_, rejected := e.state.crashes.GivenUp(crash.Fingerprint, now)
+	partCounts := make([]int, len(crash.Parts))
+	for i, part := range crash.Parts {
+		partCounts[i] = e.state.crashes.CrashCount(part, now)
+	}
+	givenUp, _, rejected := e.state.crashes.GivenUp(keys, now)
+	if crash.GivenUp {
+		e.state.crashNews.announced.Add(crash.Fingerprint, now)
+	}
 	e.state.mu.Unlock()
+	if crash.GivenUp {
+		e.tel.Metrics.Count("crash_keys_given_up", 1)
+		e.tel.Log.Warn("given up: requests with this key crash replicas", "key", givenUp, "replica", crash.Replica, "from", from)
+		return count
+	}
 	e.tel.Metrics.Count("requests_struck", 1)
-	e.tel.Log.Info("crash counted against a request", "fingerprint", crash.Fingerprint, "replica", crash.Replica,
-		"strikes", count, "given_up", rejected, "from", from)
+	e.tel.Log.LogAttrs(context.Background(), slog.LevelInfo, "crash counted against a request",
+		slog.Uint64("fingerprint", crash.Fingerprint), slog.String("replica", crash.Replica), slog.Int("strikes", count),
+		slog.Any("part_keys", crash.Parts), slog.Any("part_strikes", partCounts), slog.Bool("given_up", rejected), slog.String("from", from))
+	for _, n := range partCounts {
+		count = max(count, n)
+	}
 	return count
 }
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -42,6 +42,8 @@
 	// from one.
 	backup       *runBackup
 	continuation *runContinuation
+	// firstEventAt is when the replica's first event arrived, 0 before.
+	firstEventAt time.Duration
 }
 
 // dispatch places the request and forwards it, and retries after a failed dispatch, until the
@@ -58,6 +60,9 @@
 			req.answerUnplaced()
 			return
 		}
+		if req.rejectPlaced(p) {
+			return
+		}
 		// awaitPlacement returned the units if the request had to wait.
 		if !req.reserveQuota() {
 			req.cancelPlacement(p)
@@ -88,7 +93,7 @@
 	e := req.entry
 	e.state.mu.Lock()
 	decision := req.plan.RecordFailure(failure, e.clock.now())
-	if failure == attempt.FailureUnknown && e.state.crashes.Suspect(req.fingerprint, e.clock.now()) {
+	if failure == attempt.FailureUnknown && e.state.crashes.Suspect(req.keys, e.clock.now()) {
 		decision = attempt.RetryDecision{Reason: "not retried: suspected of crashing replicas"}
 	}
 	e.state.mu.Unlock()
--- a/internal/direct/monitor.go
+++ b/internal/direct/monitor.go
@@ -91,6 +91,7 @@
 		m.entry.state.mu.Unlock()
 		m.cancelLost()
 		m.entry.sendNotices()
+		m.entry.sendSound()
 		for _, r := range m.replicasToProbe() {
 			go m.probe(ctx, r)
 		}
--- a/internal/direct/origins.go
+++ b/internal/direct/origins.go
@@ -105,17 +105,11 @@
 
 // holders returns the addresses of the other entries that are told of a stream.
 func (o *origins) holders(s origin.Stream) map[string]netip.AddrPort {
-	self := o.peers.entry.settings.ID
-	o.peers.mu.Lock()
-	defer o.peers.mu.Unlock()
-	all := make([]string, 0, len(o.peers.known)+1)
-	all = append(all, self)
-	for id := range o.peers.known {
-		all = append(all, id)
-	}
 	addresses := make(map[string]netip.AddrPort, origin.HolderCount)
-	for _, id := range origin.Holders(s, self, all) {
-		addresses[id] = o.peers.known[id].address
+	for _, id := range origin.Holders(s, o.peers.entry.settings.ID, o.peers.allIDs()) {
+		if address, known := o.peers.address(id); known {
+			addresses[id] = address
+		}
 	}
 	return addresses
 }
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -97,6 +97,8 @@
 	Quota *quotaMessage `cbor:"16,keyasint,omitempty"`
 	// Notices are what replicas announced about themselves in answers.
 	Notices []noticeMessage `cbor:"17,keyasint,omitempty"`
+	// Sound are keys that didn't cause the crashes counted against them.
+	Sound []soundKey `cbor:"21,keyasint,omitempty"`
 	// Streams says or asks which software began streams.
 	Streams *streamsMessage `cbor:"20,keyasint,omitempty"`
 }
@@ -216,6 +218,18 @@
 	}
 }
 
+// allIDs returns the IDs of all entries, this one included.
+func (p *peers) allIDs() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]string, 0, len(p.known)+1)
+	all = append(all, p.entry.settings.ID)
+	for id := range p.known {
+		all = append(all, id)
+	}
+	return all
+}
+
 func (p *peers) addresses() []netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -366,6 +380,8 @@
 		e.hub.handle(&m, from)
 	case len(m.Notices) > 0:
 		e.receiveNotices(m.Notices, m.From)
+	case len(m.Sound) > 0:
+		e.receiveSound(m.Sound)
 	case m.Streams != nil:
 		p.origins.receive(m.Streams, m.From, from)
 	case m.Quota != nil:
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -76,8 +76,12 @@
 	// plan decides whether the request may be sent again after a failed dispatch.
 	plan  *attempt.DispatchPlan
 	query route.PickQuery
-	// fingerprint identifies repetitions of the request; see computeFingerprint.
-	fingerprint uint64
+	// keys identify what in the request may crash replicas.
+	keys attempt.RequestKeys
+	// trial is set if the request runs though one of its keys is given up; givenUpBy is the ID of the
+	// part of its prompt for which it doesn't run, "" for none.
+	trial     bool
+	givenUpBy string
 	// placed delivers the placement that the request waits for; nil if there is none in time.
 	placed chan *placement
 	// fallbackAnswer is a replica's error answer, forwarded if no retry brings a better one.
@@ -176,6 +180,12 @@
 	if req.backupStats.target != "" || req.outcome == outcomeCut && req.backupStats.skipped != "" {
 		attrs = append(attrs, req.backupStats.attr())
 	}
+	if req.givenUpBy != "" {
+		attrs = append(attrs, slog.String("given_up_part", req.givenUpBy))
+	}
+	if req.trial {
+		attrs = append(attrs, slog.Bool("trial", true))
+	}
 	if req.outcome != outcomeServed {
 		attrs = append(attrs, req.partsAttr())
 	}
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"skylarklead/internal/attempt"
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/lease"
 	"skylarklead/internal/protocol"
@@ -187,7 +188,7 @@
 		return
 	}
 	if envelope.Crash != nil {
-		r.entry.receiveCrash(envelope.Crash, topicEntries)
+		r.entry.receiveCrashes([]attempt.CrashReport{*envelope.Crash}, topicEntries)
 		return
 	}
 	r.receiveRecord(envelope.Rollout)
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -203,7 +203,7 @@
 		Deadline:      req.deadline,
 	}, budget)
 	req.query = req.newQuery()
-	req.fingerprint = req.computeFingerprint()
+	req.keys = req.crashKeys()
 	req.resolveOrigin()
 	req.dispatch()
 }
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -51,7 +51,8 @@
 	picker           *route.Picker                      // loads, cached prefixes and engine speeds, to choose replicas by
 	versionHistories map[string]*rollout.VersionHistory // desired versions of weights, by model
 	retryBudgets     map[string]*attempt.Budget         // by service
-	crashes          *attempt.CrashTracker              // crash counts of requests
+	crashes          *attempt.CrashTracker              // crash counts of requests and parts of prompts
+	crashNews        *crashNews                         // what other entries are to be told about them
 	queues           map[string]*serviceQueue           // by service
 	backups          *runcopy.Ledger                    // memory that this entry's backups take, by replica
 	// backupTargets is the buffer of backupCandidates.
@@ -103,6 +104,7 @@
 		versionHistories: make(map[string]*rollout.VersionHistory),
 		retryBudgets:     make(map[string]*attempt.Budget),
 		crashes:          attempt.NewCrashTracker(attempt.DefaultCrashTrackerParams),
+		crashNews:        newCrashNews(),
 		queues:           make(map[string]*serviceQueue),
 		backups:          runcopy.NewLedger(),
 		rateLimits:       ratelimit.New(self, ratelimit.DefaultParams),
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -96,6 +96,9 @@
 			return req.handleBrokenAnswer(p, err), false
 		}
 		req.entry.monitor.received(p.inFlight)
+		if p.firstEventAt == 0 {
+			p.firstEventAt = req.entry.clock.now()
+		}
 		switch req.checkEvent(p, in) {
 		case runcopy.Drop:
 			continue
