--- a/internal/attempt/crash_keys_test.go
+++ b/internal/attempt/crash_keys_test.go
@@ -28,11 +28,11 @@
 	nextID   uint64
 	inFlight []func()
 
-	crashes                 []time.Duration // by the deadly part
-	deadlyRuns              []time.Duration
-	soundAsked, soundBegun  int // with the shared key, while it is judged
-	judgeFrom               time.Duration
-	deadlyFirst, deadlyOnce bool
+	crashes                []time.Duration // by the deadly part
+	deadlyRuns             []time.Duration
+	soundAsked, soundBegun int // with the shared key, while it is judged
+	judgeFrom              time.Duration
+	deadlyFirst            bool
 }
 
 type worldRun struct {
