Runs go on from a backup only once an event of theirs has come

Its replica had sent nothing; one to three seconds later that crashed, and the entry sent the run to the replica of its backup, which was faulty and ran it instead of refusing: there was no copy.

Cause: that a copy exists was left to the target to check. The entry knows whether an event has come; without one nothing shows that the run got far enough for a copy to be made. Decide needs one now (no_events).

--- a/internal/direct/backups.go
+++ b/internal/direct/backups.go
@@ -263,6 +263,7 @@
 	software := s.softwareAt(p.replica)
 	return &runcopy.Situation{
 		Source:  req.backupStats.state,
+		Events:  p.events,
 		Suspect: s.crashes.Suspect(req.keys, now),
 		Version: p.version,
 		SourceChanged: p.backup.sourceChanged || s.versionTracker.Ordered(source, model, now) ||
--- a/internal/direct/crashes.go
+++ b/internal/direct/crashes.go
@@ -177,7 +177,7 @@
 	s.mu.Lock()
 	now := req.entry.clock.now()
 	keys := req.keys
-	if p.firstEventAt > 0 && now-p.firstEventAt > writingProvesSound {
+	if p.events > 0 && now-p.firstEventAt > writingProvesSound {
 		keys.Parts = nil
 	}
 	crashes := s.crashes.RecordBrokenRun(keys, p.replica.ID, p.pickedAt, now)
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -42,7 +42,8 @@
 	// from one.
 	backup       *runBackup
 	continuation *runContinuation
-	// firstEventAt is when the replica's first event arrived, 0 before.
+	// events is how many events came from the replica, firstEventAt when the first one did.
+	events       int
 	firstEventAt time.Duration
 }
 
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -96,7 +96,7 @@
 			return req.handleBrokenAnswer(p, err), false
 		}
 		req.entry.monitor.received(p.inFlight)
-		if p.firstEventAt == 0 {
+		if p.events++; p.events == 1 {
 			p.firstEventAt = req.entry.clock.now()
 		}
 		switch req.checkEvent(p, in) {
--- a/internal/runcopy/continuation.go
+++ b/internal/runcopy/continuation.go
@@ -24,6 +24,9 @@
 // Situation is what a decision to continue depends on, at the time of the decision.
 type Situation struct {
 	Source SourceState
+	// Events is how many events of the run came from the source. Without one nothing shows that a copy
+	// of its memory was made.
+	Events int
 	// Suspect is set if the request is suspected of crashing replicas.
 	Suspect bool
 	// Version is the version of the weights that the run began on. SourceChanged is set if the
@@ -50,6 +53,7 @@
 // StopTargetFailed is any other failure there.
 const (
 	StopSuspect        StopReason = "suspect"
+	StopNoEvents       StopReason = "no_events"
 	StopSourceAlive    StopReason = "source_alive"
 	StopSourceUnknown  StopReason = "source_unknown"
 	StopSourceChanged  StopReason = "source_weights_changed"
@@ -65,11 +69,14 @@
 //
 // A source that is alive may still work on the run: closing the connection tells it to stop, but not
 // every replica does, and the run must not go on twice. A copy made on other weights would be read by
-// weights that it doesn't fit. A request that crashes replicas would crash the target too.
+// weights that it doesn't fit. Where there may be no copy, only the target's refusal would keep the run
+// from beginning anew there, and a faulty target doesn't refuse. A request that crashes replicas would crash the target too.
 func Decide(s *Situation) StopReason {
 	switch {
 	case s.Suspect:
 		return StopSuspect
+	case s.Events == 0:
+		return StopNoEvents
 	case s.Source == SourceAlive:
 		return StopSourceAlive
 	case s.Source == SourceUnknown:
--- a/internal/runcopy/runcopy_test.go
+++ b/internal/runcopy/runcopy_test.go
@@ -145,7 +145,7 @@
 // Guards against going on where the run may go on twice, on memory of other weights, at a replica that
 // can't, for a request that crashes replicas, or for a caller that has left.
 func TestDecide(t *testing.T) {
-	good := Situation{Source: SourceGone, Version: 3, TargetUsable: true, TargetVersion: 3, PatienceLeft: 1}
+	good := Situation{Source: SourceGone, Events: 1, Version: 3, TargetUsable: true, TargetVersion: 3, PatienceLeft: 1}
 	for want, change := range map[StopReason]func(*Situation){
 		"":                 func(s *Situation) { s.Source = SourceLost },
 		StopSuspect:        func(s *Situation) { s.Suspect = true },
@@ -153,6 +153,7 @@
 		StopSourceUnknown:  func(s *Situation) { s.Source = SourceUnknown },
 		StopSourceChanged:  func(s *Situation) { s.SourceChanged = true },
 		StopTargetUnusable: func(s *Situation) { s.TargetUsable = false },
+		StopNoEvents:       func(s *Situation) { s.Events = 0 },
 		StopSoftware:       func(s *Situation) { s.SoftwareDiffers = true },
 		StopTooLate:        func(s *Situation) { s.PatienceLeft = 0 },
 	} {
