Orders that are sent again leave a record, and the lease waits for it

Cause: a new holder waits for the lease's time after the last order record of another one, but an order without a reply was sent again, up to 8 s long, without a record; and a holder that stops gave the lease back while records were still being appended.

Each order that is sent again is published (phase resent, which changes nothing else at entries), and the lease is returned when no append is under way. TestOrderSentAgainIsPublishedAgain failed before ('order 2 after 1 records'). The other role's engines get orders from the process beside them only.

--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -97,6 +97,8 @@
 	// issues orders.
 	fence   uint64
 	issuing bool
+	// publishing is how many appends of rollout records are under way.
+	publishing int
 	// nextOffset is the offset after the last record read from the topic.
 	nextOffset uint64
 }
@@ -196,7 +198,7 @@
 
 // receiveRecord applies a rollout record, of another entry or read back. The caller holds mu.
 func (r *rollouts) receiveRecord(record *rollout.Record) {
-	if record.Phase == rollout.PhaseOrdered && record.Holder != r.entry.settings.ID {
+	if (record.Phase == rollout.PhaseOrdered || record.Phase == rollout.PhaseResent) && record.Holder != r.entry.settings.ID {
 		r.foreignOrderAt = r.entry.clock.now()
 	}
 	r.applyRecord(record)
@@ -257,7 +259,7 @@
 	due := r.dueStates(now)
 	if len(due) == 0 {
 		r.claimAt = 0
-		r.applyLeaseActions(ctx, r.leases.Release(orderLease, bootTime()))
+		r.release(ctx)
 		return false
 	}
 	if r.claimAt == 0 {
@@ -268,7 +270,7 @@
 	}
 	if r.entry.drain.endsWithin(leaseReturnMargin) {
 		r.stopIssuing()
-		r.applyLeaseActions(ctx, r.leases.Release(orderLease, bootTime()))
+		r.release(ctx)
 		return true
 	}
 	r.applyLeaseActions(ctx, r.leases.Acquire(orderLease, bootTime()))
@@ -291,6 +293,14 @@
 	return true
 }
 
+// release returns the lease once all records of orders are in the topic: the next holder waits for the
+// orders that it knows of. The caller holds mu.
+func (r *rollouts) release(ctx context.Context) {
+	if r.publishing == 0 {
+		r.applyLeaseActions(ctx, r.leases.Release(orderLease, bootTime()))
+	}
+}
+
 // keepsLease reports whether this entry holds the lease for orders or has not yet read back its
 // release.
 func (r *rollouts) keepsLease() bool {
@@ -405,7 +415,14 @@
 		}
 	}
 	if len(records) > 0 {
-		go r.publish(ctx, model, records)
+		r.publishing++
+		go func() {
+			r.publish(ctx, model, records)
+			r.mu.Lock()
+			r.publishing--
+			r.mu.Unlock()
+			r.trigger()
+		}()
 	}
 }
 
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -234,8 +234,12 @@
 		return nil
 	}
 	switch o.step {
-	case stepPublished, stepPaused:
+	case stepPublished:
 		return c.sendOrder(now, fence, o, s)
+	case stepPaused:
+		// A new holder waits until an order of another one can't arrive any more: it has to know of each.
+		resent := Publish{c.record(o.replica.ID, c.desired, PhaseResent, o.acceptedOrders)}
+		return append([]Action{resent}, c.sendOrder(now, fence, o, s)...)
 	case stepLoading:
 		if o.querying {
 			return nil
--- a/internal/rollout/core_test.go
+++ b/internal/rollout/core_test.go
@@ -286,3 +286,37 @@
 		t.Fatalf("sent orders %v on a report that doesn't explain the conflict", orders)
 	}
 }
+
+// Guards against an order that is sent again without a record: a holder that gives its lease up then has
+// an order under way of which the next holder doesn't know, so that it doesn't wait.
+func TestOrderSentAgainIsPublishedAgain(t *testing.T) {
+	c := newCore(2)
+	all := states(1, 1)
+	now := time.Duration(0)
+	id := ordered(c.Step(now, 1, all))[0]
+	published, sent := 1, 0
+	for range 20 {
+		now += time.Second
+		for _, a := range c.Step(now, 1, all) {
+			switch a := a.(type) {
+			case rollout.Publish:
+				if a.Record.Replica == id && (a.Record.Phase == rollout.PhaseOrdered || a.Record.Phase == rollout.PhaseResent) {
+					published++
+				}
+			case rollout.SendOrder:
+				if a.Order.Replica.ID != id {
+					continue
+				}
+				if sent++; sent > published {
+					t.Fatalf("order %d after %d records", sent, published)
+				}
+				c.OrderReplied(id, fleet.ReplyUnknown, now)
+			case rollout.QueryState:
+				c.StateReported(a.Replica.ID, &fleet.Report{Weights: map[string]uint64{model: 1}}, now)
+			}
+		}
+	}
+	if sent < 2 {
+		t.Fatalf("sent %d times", sent)
+	}
+}
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -23,10 +23,12 @@
 	// PhasePlanned: the replica's slot starts in AfterMs. Until then it gets work that is
 	// expected to end before.
 	PhasePlanned
+	// PhaseResent: the order in progress is sent again. Nothing else changes.
+	PhaseResent
 	phaseEnd
 )
 
-var phaseNames = [...]string{"", "ordered", "serving", "released", "planned"}
+var phaseNames = [...]string{"", "ordered", "serving", "released", "planned", "resent"}
 
 // String returns the name of the phase in logs.
 func (p Phase) String() string { return phaseNames[p] }
