A peer that is reported before it is listed is probed once its address is known

Seen by its callers: requests go to a stopped endpoint process until it is suspected for its silence. Traced on a scratch copy with prints (load 11 to 15, 5 of 12 processes failed): in each failure the probe was left out, as the peer was known by its heartbeats only and had no address yet.

Cause: a report causes one probe, and one that can't be made was forgotten. It is kept now until the list has the address.

--- a/internal/endpoint/group.go
+++ b/internal/endpoint/group.go
@@ -40,6 +40,8 @@
 	silentPeers      []string // members to be reported as silent in the next heartbeat
 	probing          bool
 	probedAt         time.Duration // when it was last probed; 0 is never
+	probeDue         bool          // to be probed once the list has its address
+	probeReport      bool          // the group is to be informed of that probe
 	epoch            protocol.Epoch
 	pendingResidents map[uint64]int // tokens of the residents to be sent, by hash
 	fullSentAt       time.Duration  // when all residents were last sent; 0 is never
@@ -88,6 +90,7 @@
 		}
 	}
 	e.group.view.InstancesListed(listed, e.now())
+	e.probeListed()
 }
 
 // observeEpoch records a peer's epoch. What was learnt of an earlier one is dropped.
--- a/internal/endpoint/probe.go
+++ b/internal/endpoint/probe.go
@@ -29,10 +29,15 @@
 	now := e.now()
 	for _, id := range slices.Compact(slices.Sorted(slices.Values(ids))) {
 		m, ok := e.group.view.Get(id, now)
-		if !ok || !m.Usable() || m.Address == "" {
+		if !ok || !m.Usable() {
 			continue
 		}
 		p := e.group.peer(id)
+		if m.Address == "" {
+			// Its heartbeats came before the list; nobody may report it again.
+			p.probeDue, p.probeReport = true, p.probeReport || report
+			continue
+		}
 		if p.probing || p.probedAt > 0 && now-p.probedAt < probeInterval {
 			continue
 		}
@@ -41,6 +46,18 @@
 	}
 }
 
+// probeListed probes the peers that couldn't be probed because their addresses weren't known.
+func (e *Endpoint) probeListed() {
+	now := e.now()
+	for id, p := range e.group.peers {
+		if m, ok := e.group.view.Get(id, now); p.probeDue && ok && m.Address != "" {
+			report := p.probeReport
+			p.probeDue, p.probeReport = false, false
+			e.probe([]string{id}, report)
+		}
+	}
+}
+
 func (e *Endpoint) probeOne(id, address string, report bool) {
 	ctx, stop := context.WithTimeout(context.Background(), probeTimeout)
 	defer stop()
--- a/internal/endpoint/probe_test.go
+++ b/internal/endpoint/probe_test.go
@@ -5,12 +5,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"skylarklead/internal/platform"
 	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
+	standin "skylarklead/internal/standin/platform"
 	"skylarklead/internal/wire"
 	"skylarklead/test/kit"
 )
@@ -27,6 +29,21 @@
 // gives up on it and asks the owner again, with the peer as failed. Other entries that
 // ask must not wait for SuspectAfter until the peer is out.
 func TestStoppedPeerIsOutAfterItsFirstFailure(t *testing.T) {
+	var listed atomic.Bool
+	listed.Store(true)
+	checkStoppedPeerIsOut(t, &listed)
+}
+
+// Guards against a report that is lost since it came before the list with the peer's address: the peer
+// was known by its heartbeats only, and nobody may report it again.
+func TestPeerReportedBeforeItIsListedIsProbed(t *testing.T) {
+	checkStoppedPeerIsOut(t, &atomic.Bool{})
+}
+
+// checkStoppedPeerIsOut reports a peer that has stopped, and waits until it gets no requests. The list
+// is served once listed is set, at the latest after the report.
+func checkStoppedPeerIsOut(t *testing.T, listed *atomic.Bool) {
+	t.Helper()
 	peer := protocol.Identity{ID: "ep-2", Role: protocol.RoleEndpoint, Epoch: 7, Group: "g"}
 	options := wire.Options{Key: fleetKey, Self: func() protocol.Identity { return peer }, Handler: unresponsivePeer{}}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { wire.Accept(w, r, options) }))
@@ -37,7 +54,16 @@
 	}}
 	f := newFakeEngine(t, "a")
 	p := startProcess(t, f.URL, func(s *settings.Settings) {
-		s.Platform.Instances = platformOf(t, list).Instances
+		instances := standin.New(standin.Options{Control: standin.DefaultControl(), Instances: list})
+		gate := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !listed.Load() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			instances.ServeHTTP(w, r)
+		}))
+		t.Cleanup(gate.Close)
+		s.Platform.Instances = gate.URL
 		s.Endpoint.SuspectAfter = settings.Duration(time.Hour)
 	})
 	session := kit.Must(wire.Dial(context.Background(), p.address, options))(t)
@@ -56,5 +82,6 @@
 	again := ask(2)
 	again.Exclude = []string{peer.ID}
 	n.call(again)
+	listed.Store(true)
 	kit.Until(t, "the peer to be out for others", func() bool { return excluded(ask(3)) == "dead" })
 }
