A stream that is taken up goes to the service that began it

A route may have several services, and each request draws one. A stream of one could be taken up at another whose replicas state the same version. The identity of a software version has its service now, and a stream that is taken up goes to the one that began it. TestStreamIsTakenUpAtTheServiceThatBeganIt; found by reading.

--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -279,7 +279,7 @@
 		for _, id := range e.state.replicas.IDs() {
 			known[id] = true
 			r := e.state.replicas.Get(id)
-			e.state.softwareSeen.Observe(r.Service, origin.SoftwareOf(r.Software), now)
+			e.state.softwareSeen.Observe(r.Service, origin.SoftwareOf(r.Service, r.Software), now)
 		}
 		e.state.mu.Unlock()
 		for _, id := range removed {
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -156,7 +156,7 @@
 	if update.Outdated || e.state.replicas.Get(r.ID) == nil {
 		return
 	}
-	e.state.softwareSeen.Observe(r.Service, origin.SoftwareOf(r.Software), e.clock.now())
+	e.state.softwareSeen.Observe(r.Service, origin.SoftwareOf(r.Service, r.Software), e.clock.now())
 	if update.SupersededID != "" {
 		e.state.forgetReplica(update.SupersededID)
 	}
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -180,6 +180,7 @@
 // run dispatches the request to replicas until one has answered.
 func (req *request) run() {
 	e := req.entry
+	req.resolveOrigin()
 	repeatable := req.route.Repeatable()
 	e.state.mu.Lock()
 	budget := e.state.retryBudgetOf(req.service.Name)
@@ -193,7 +194,6 @@
 	}, budget)
 	req.query = req.newQuery()
 	req.keys = req.crashKeys()
-	req.resolveOrigin()
 	req.dispatch()
 }
 
--- a/internal/direct/software.go
+++ b/internal/direct/software.go
@@ -25,7 +25,7 @@
 
 // meets reports whether a replica is known to run the required software.
 func (q requiredSoftware) meets(r *fleet.Replica) bool {
-	return !q.bound || q.version != origin.Unknown && origin.SoftwareOf(r.Software) == q.version
+	return !q.bound || q.version != origin.Unknown && origin.SoftwareOf(r.Service, r.Software) == q.version
 }
 
 // mayMeet is meets, except that a replica of unknown software counts: its record may be on its way.
@@ -52,6 +52,24 @@
 		return
 	}
 	req.takenUp = req.entry.peers.origins.resolve(req.ctx, origin.StreamOf(req.params.Resumes))
+	req.selectOriginService()
+}
+
+// selectOriginService selects, of a route's services, the one whose software began the stream.
+func (req *request) selectOriginService() {
+	s := req.entry.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	required := requiredSoftware{bound: true, version: req.takenUp}
+	for _, target := range req.route.Targets {
+		service := req.config.Services[target.Service]
+		for _, id := range s.replicas.IDs() {
+			if r := s.replicas.Get(id); service != nil && r.Service == service.Name && required.meets(r) {
+				req.service = service
+				return
+			}
+		}
+	}
 }
 
 // requiredSoftware returns what the stream's first event requires of the replica that goes on with it.
@@ -61,7 +79,7 @@
 	case req.takesUp():
 		return requiredSoftware{bound: true, version: req.takenUp}
 	case req.begunAt != nil:
-		return requiredSoftware{bound: true, version: origin.SoftwareOf(req.entry.state.softwareAt(req.begunAt))}
+		return requiredSoftware{bound: true, version: origin.SoftwareOf(req.begunAt.Service, req.entry.state.softwareAt(req.begunAt))}
 	}
 	return requiredSoftware{}
 }
--- a/internal/direct/software_test.go
+++ b/internal/direct/software_test.go
@@ -1,10 +1,12 @@
 package direct
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/origin"
 )
 
 // newStreamRequest is a request that was begun at a replica and waits for another one.
@@ -64,7 +66,7 @@
 		}
 		s.placeAndReject(q, e.clock.now())
 	}
-	bound := newStreamRequest(e, service, &fleet.Replica{ID: "c", Name: "c", Software: "v1"})
+	bound := newStreamRequest(e, service, &fleet.Replica{ID: "c", Name: "c", Service: "s", Software: "v1"})
 	place(bound)
 	fresh := newStreamRequest(e, service, nil)
 	place(fresh)
@@ -89,3 +91,20 @@
 		t.Fatal("waits although no replica of v1 is left")
 	}
 }
+
+// Guards against a stream of one of a route's services that is taken up at another one.
+func TestStreamIsTakenUpAtTheServiceThatBeganIt(t *testing.T) {
+	e := newQueueEntry(t)
+	config := &configuration{Configuration: &fleet.Configuration{Services: map[string]*fleet.Service{"a": {Name: "a"}, "b": {Name: "b"}}}}
+	for name := range config.Services {
+		e.state.replicas.Put(&fleet.Replica{ID: name, Name: name, Service: name, Software: "v1", Slots: 1}, 1, 0)
+	}
+	route := &fleet.Route{Kind: fleet.Streaming, Targets: []fleet.Target{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
+	for began, selected := range map[string]string{"a": "b", "b": "a", "c": "a"} {
+		req := &request{entry: e, config: config, route: route, service: config.Services[selected], takenUp: origin.SoftwareOf(began, "v1")}
+		req.selectOriginService()
+		if want := cmp.Or(map[string]string{"c": selected}[began], began); req.service.Name != want {
+			t.Errorf("a stream of %s goes on at %s", began, req.service.Name)
+		}
+	}
+}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -35,12 +35,13 @@
 // Unknown stands for a version that isn't known, or was said to be two different ones.
 const Unknown Software = 0
 
-// SoftwareOf returns the identity of a version as registered, Unknown for "".
-func SoftwareOf(version string) Software {
+// SoftwareOf returns the identity of a version of a service's software, as registered; Unknown for "".
+// Versions of two services have nothing in common but their names.
+func SoftwareOf(service, version string) Software {
 	if version == "" {
 		return Unknown
 	}
-	return Software(max(1, xxhash.Sum64String(version)))
+	return Software(max(1, xxhash.Sum64String(service+"\x00"+version)))
 }
 
 // Holders returns the entries, of all including self, that are told of a stream and asked about it,
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -79,7 +79,7 @@
 	if _, ok := table.Lookup(2, 2*time.Second); ok {
 		t.Error("a stream is kept beyond its time")
 	}
-	if SoftwareOf("") != Unknown || SoftwareOf("v1") == SoftwareOf("v1.1") {
+	if SoftwareOf("s", "") != Unknown || SoftwareOf("s", "v1") == SoftwareOf("s", "v1.1") || SoftwareOf("s", "v1") == SoftwareOf("t", "v1") {
 		t.Error("versions aren't told apart")
 	}
 }
