--- a/internal/attempt/crash_keys.go
+++ b/internal/attempt/crash_keys.go
@@ -73,107 +73,6 @@
 	return counted
 }
 
-// Judge finds out whether the loss of a replica causes a key to be given up, and returns the keys that
-// are: the one that explains the most crashes of those that ran there, and wider ones of its run below
-// which too many are.
-func (t *CrashTracker) Judge(replica string, now time.Duration) []uint64 {
-	crash, known := t.crashes.Get(replica)
-	if !known || crash.explained {
-		return nil
-	}
-	suspects := make(map[uint64]*suspect)
-	for _, run := range crash.runs {
-		t.addSuspects(suspects, run, replica, now)
-	}
-	var wider []uint64
-	for _, run := range crash.runs {
-		wider = appendWider(wider, suspects, run.keys)
-	}
-	for _, key := range wider {
-		if len(suspects) > 1 {
-			delete(suspects, key)
-		}
-	}
-	var worst *suspect
-	for _, s := range suspects {
-		if worst == nil || s.before(worst) {
-			worst = s
-		}
-	}
-	if worst == nil {
-		return nil
-	}
-	return t.giveUp(worst.key, worst.run, now)
-}
-
-// suspect is a key that may be given up, with what ranks it among others.
-type suspect struct {
-	key     uint64
-	crashes int
-	// sound is set if a good answer with it was given recently.
-	sound bool
-	// ran is the shortest time that a run with it, run, took until the crash.
-	ran time.Duration
-	run []uint64
-}
-
-// compare is below 0 if a key is more likely the cause than another one, going by what all runs have in
-// common: it has more crashes, or of equally many no recent good answer.
-func (s *suspect) compare(o *suspect) int {
-	if s.crashes != o.crashes {
-		return o.crashes - s.crashes
-	}
-	if s.sound != o.sound {
-		if o.sound {
-			return -1
-		}
-		return 1
-	}
-	return 0
-}
-
-// before completes compare by what the runs at one crash say: replicas crash when an answer begins.
-func (s *suspect) before(o *suspect) bool {
-	if c := s.compare(o); c != 0 {
-		return c < 0
-	}
-	if s.ran != o.ran {
-		return s.ran < o.ran
-	}
-	return s.key < o.key
-}
-
-// addSuspects adds the keys of a run that crashed too many replicas.
-func (t *CrashTracker) addSuspects(suspects map[uint64]*suspect, run lostRun, replica string, now time.Duration) {
-	for _, key := range run.keys {
-		k := t.recent(key, now)
-		if k == nil || !k.replicas[replica] || len(k.replicas) < t.limit(key, t.params.MaxCrashes, t.params.MaxCrashesSound, now) {
-			continue
-		}
-		if s := suspects[key]; s == nil || run.ran < s.ran || run.ran == s.ran && slices.Compare(run.keys, s.run) < 0 {
-			suspects[key] = &suspect{key: key, crashes: len(k.replicas), sound: t.recentlySound(key, now), ran: run.ran, run: run.keys}
-		}
-	}
-}
-
-// appendWider appends the suspects of a run, widest first, that explain no more than a narrower one of
-// it: all crashes of that one had them too.
-func appendWider(list []uint64, suspects map[uint64]*suspect, keys []uint64) []uint64 {
-	var narrower *suspect
-	for _, key := range slices.Backward(keys) {
-		s := suspects[key]
-		if s == nil {
-			continue
-		}
-		if narrower != nil && narrower.compare(s) == 0 {
-			list = append(list, key)
-			continue
-		}
-		narrower = s
-	}
-	return list
-}
-
 // add counts the loss of a replica for one key, unless the run began before the key's last crash.
 func (t *CrashTracker) add(key uint64, replica string, began, now time.Duration) bool {
 	k := t.recent(key, now)
@@ -187,20 +86,6 @@
 	return true
 }
 
-// limit is one of two bounds for a key: of one without, or with a recent good answer.
-func (t *CrashTracker) limit(key uint64, unknown, sound int, now time.Duration) int {
-	if t.recentlySound(key, now) {
-		return sound
-	}
-	return unknown
-}
-
-// recentlySound reports whether a good answer with a key was given within the window.
-func (t *CrashTracker) recentlySound(key uint64, now time.Duration) bool {
-	at, ok := t.sound.Peek(key)
-	return ok && now-at <= t.params.SoundWindow
-}
-
 // giveUp gives a key up, and the wider ones of the same run below which too many are. It returns all of
 // them.
 func (t *CrashTracker) giveUp(key uint64, keys []uint64, now time.Duration) []uint64 {
--- a/internal/attempt/crash_keys_test.go
+++ b/internal/attempt/crash_keys_test.go
@@ -266,3 +266,19 @@
 		t.Error("nothing is given up after three crashes")
 	}
 }
+
+// Guards against a part that sound requests share and that is given up for two deadly ones which come with
+// it: it has the crashes of both.
+func TestSharedPartOfTwoDeadlyOnesIsNotGivenUp(t *testing.T) {
+	tracker := NewCrashTracker(DefaultCrashTrackerParams)
+	tracker.RecordSuccess(RequestKeys{Parts: []uint64{sharedKey}, Fingerprint: 99}, "r", time.Second)
+	var givenUp []uint64
+	for i := range uint64(6) {
+		replica := fmt.Sprint("r", i)
+		tracker.Merge(CrashReport{Replica: replica, Fingerprint: 100 + i, Parts: []uint64{sharedKey, 10 + i%2}}, 2*time.Second)
+		givenUp = append(givenUp, tracker.Judge(replica, 2*time.Second)...)
+	}
+	if !slices.Equal(givenUp, []uint64{10, 11}) {
+		t.Errorf("gave up %v; want the two deadly parts", givenUp)
+	}
+}
