Crashes count whichever loss is found first

Runs with a key count as one crash if they overlap in time, in whatever order their losses are found. Reports give the time in whole milliseconds, 0 for less.

--- a/internal/attempt/crash_judge.go
+++ b/internal/attempt/crash_judge.go
@@ -77,7 +77,7 @@
 func (t *CrashTracker) addSuspects(suspects map[uint64]*suspect, run lostRun, replica string, now time.Duration) {
 	for _, key := range run.keys {
 		k := t.recent(key, now)
-		if k == nil || !k.replicas[replica] || len(k.replicas) < t.limit(key, t.params.MaxCrashes, t.params.MaxCrashesSound, now) {
+		if k == nil || !k.countsFor(replica) || len(k.replicas) < t.limit(key, t.params.MaxCrashes, t.params.MaxCrashesSound, now) {
 			continue
 		}
 		if s := suspects[key]; s == nil || run.ran < s.ran || run.ran == s.ran && slices.Compare(run.keys, s.run) < 0 {
--- a/internal/attempt/crash_keys.go
+++ b/internal/attempt/crash_keys.go
@@ -7,7 +7,8 @@
 
 // keyCrashes is what counts against a key: a whole request, or a part of prompts.
 type keyCrashes struct {
-	replicas  map[string]bool
+	// replicas has the lost replicas that count, with the run that counts.
+	replicas  map[string]span
 	lastCrash time.Duration
 	// children is how many keys of requests with this one, each narrower than it, were given up
 	// since the last good answer.
@@ -19,6 +20,26 @@
 	nextTrial time.Duration
 }
 
+// span is the time of a run that was lost with its replica.
+type span struct{ began, ended time.Duration }
+
+// overlaps reports whether two runs were at the same time, whichever loss was found first.
+func (s span) overlaps(o span) bool { return s.began <= o.ended && o.began <= s.ended }
+
+func (k *keyCrashes) overlaps(run span) bool {
+	for _, counted := range k.replicas {
+		if counted.overlaps(run) {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *keyCrashes) countsFor(replica string) bool {
+	_, counted := k.replicas[replica]
+	return counted
+}
+
 // replicaCrash is the loss of a replica.
 type replicaCrash struct {
 	// runs are those that it counts for.
@@ -65,7 +86,7 @@
 	for _, key := range keys {
 		counted = t.add(key, replica, began, now) || counted
 		k := t.recent(key, now)
-		ofReplica = ofReplica || k != nil && k.replicas[replica]
+		ofReplica = ofReplica || k != nil && k.countsFor(replica)
 	}
 	if ofReplica && len(crash.runs) < maxLostRuns {
 		crash.runs = append(crash.runs, lostRun{keys, now - began})
@@ -73,16 +94,17 @@
 	return counted
 }
 
-// add counts the loss of a replica for one key, unless the run began before the key's last crash.
+// add counts the loss of a replica for one key, unless one counts already of a run at the same time.
 func (t *CrashTracker) add(key uint64, replica string, began, now time.Duration) bool {
+	run := span{began, now}
 	k := t.recent(key, now)
 	if k == nil {
-		k = &keyCrashes{replicas: make(map[string]bool)}
+		k = &keyCrashes{replicas: make(map[string]span)}
 		t.keys.Add(key, k)
-	} else if k.replicas[replica] || len(k.replicas) > 0 && began <= k.lastCrash {
+	} else if k.countsFor(replica) || k.overlaps(run) {
 		return false
 	}
-	k.replicas[replica], k.lastCrash = true, now
+	k.replicas[replica], k.lastCrash = run, max(k.lastCrash, now)
 	return true
 }
 
@@ -94,7 +116,7 @@
 	for _, wider := range keys[:slices.Index(keys, key)] {
 		k := t.recent(wider, now)
 		if k == nil {
-			k = &keyCrashes{replicas: make(map[string]bool), lastCrash: now}
+			k = &keyCrashes{replicas: make(map[string]span), lastCrash: now}
 			t.keys.Add(wider, k)
 		}
 		k.children++
@@ -110,11 +132,11 @@
 func (t *CrashTracker) adopt(key uint64, replica string, now time.Duration) {
 	k := t.recent(key, now)
 	if k == nil {
-		k = &keyCrashes{replicas: make(map[string]bool)}
+		k = &keyCrashes{replicas: make(map[string]span)}
 		t.keys.Add(key, k)
 	}
-	if replica != "" && !k.replicas[replica] {
-		k.replicas[replica], k.lastCrash = true, now
+	if replica != "" && !k.countsFor(replica) {
+		k.replicas[replica], k.lastCrash = span{now, now}, now
 	}
 	if !k.givenUp {
 		k.givenUp, k.nextTrial = true, now+t.params.TrialAfter
--- a/internal/attempt/crash_keys_test.go
+++ b/internal/attempt/crash_keys_test.go
@@ -282,3 +282,16 @@
 		t.Errorf("gave up %v; want the two deadly parts", givenUp)
 	}
 }
+
+// Guards against a crash that isn't counted since the loss of its replica is found after that of the
+// replica to which the request was sent next.
+func TestLossesFoundInTheOtherOrderCount(t *testing.T) {
+	tracker := NewCrashTracker(DefaultCrashTrackerParams)
+	tracker.RecordBrokenRun(request(culprit), "r1", 0, 500*time.Microsecond)
+	tracker.RecordBrokenRun(request(culprit), "r2", 600*time.Microsecond, time.Millisecond)
+	tracker.RecordLostReplica("r2", 2*time.Millisecond)
+	tracker.RecordLostReplica("r1", 3*time.Millisecond)
+	if n := tracker.CrashCount(culprit, time.Second); n != 2 {
+		t.Errorf("%d crashes; want 2", n)
+	}
+}
--- a/internal/attempt/crash_tracker.go
+++ b/internal/attempt/crash_tracker.go
@@ -59,7 +59,7 @@
 	Replica string `cbor:"2,keyasint"`
 	// Parts are the shared parts of the request's prompt that may be the cause.
 	Parts []uint64 `cbor:"3,keyasint,omitempty"`
-	// RanMs is for how long the request had run, in milliseconds, at least 1; 0 if unknown.
+	// RanMs is for how long the request had run, in whole milliseconds; 0 for less, or if unknown.
 	RanMs uint32 `cbor:"4,keyasint,omitempty"`
 	// GivenUp is set if the key in Fingerprint, of a request or a part, is given up.
 	GivenUp bool `cbor:"5,keyasint,omitempty"`
@@ -82,7 +82,7 @@
 // another; it shows as replicas that restart in turn without another cause.
 //
 // A run that merely was beside the cause is told from it in three ways. Replicas lost at the same
-// moment are one crash: a crash counts for a key only if the run began after the key's crash before. A
+// moment are one crash: of runs with a key that overlap in time one counts. A
 // good answer clears all keys of its request, at all entries. And crashes of runs with a key that is
 // given up count for that key alone, also those before. CrashTracker is pure.
 //
@@ -156,8 +156,7 @@
 func (t *CrashTracker) countCrash(list []CrashReport, run brokenRun, replica string) []CrashReport {
 	report := CrashReport{Fingerprint: run.keys.Fingerprint, Replica: replica, Parts: run.keys.Parts}
 	report.Parts = report.Parts[:min(len(report.Parts), maxReportParts)]
-	ran := max(time.Millisecond, run.endedAt-run.started)
-	report.RanMs = uint32(ran.Milliseconds())
+	report.RanMs = uint32(max(0, run.endedAt-run.started).Milliseconds())
 	// The crash counts as of the end of the run, so that a run that began between the
 	// break and its detection counts as later.
 	if !t.count(report.keys().all(), replica, run.started, run.endedAt) {
@@ -188,7 +187,7 @@
 	if report.RanMs > 0 {
 		began = now - time.Duration(report.RanMs)*time.Millisecond
 	} else {
-		began = now + 1 // older entries don't say how long it ran
+		began = now + 1 // too short to overlap with another run
 	}
 	t.count(report.keys().all(), report.Replica, began, now)
 }
