A part with good answers a moment ago isn't given up

All prompts were refused for a minute, until the first trial ended the verdict.

A key with a good answer isn't given up within three seconds of it: what sound requests share has good answers between crashes, a deadly part has none. TestPartWithGoodAnswersAMomentAgoIsNotGivenUp gave the part up before.

--- a/internal/attempt/crash_judge.go
+++ b/internal/attempt/crash_judge.go
@@ -76,6 +76,9 @@
 // addSuspects adds the keys of a run that crashed too many replicas.
 func (t *CrashTracker) addSuspects(suspects map[uint64]*suspect, run lostRun, replica string, now time.Duration) {
 	for _, key := range run.keys {
+		if at, sound := t.SoundAt(key, now); sound && now-at < t.params.SoundQuiet {
+			continue
+		}
 		k := t.recent(key, now)
 		if k == nil || !k.countsFor(replica) || len(k.replicas) < t.limit(key, t.params.MaxCrashes, t.params.MaxCrashesSound, now) {
 			continue
--- a/internal/attempt/crash_keys_test.go
+++ b/internal/attempt/crash_keys_test.go
@@ -295,3 +295,22 @@
 		t.Errorf("%d crashes; want 2", n)
 	}
 }
+
+// Guards against a part of nearly all requests that is given up since several replicas are lost within a
+// second, though good answers with it were given until then.
+func TestPartWithGoodAnswersAMomentAgoIsNotGivenUp(t *testing.T) {
+	for answered, want := range map[time.Duration]int{time.Second: 0, 10 * time.Second: 1} {
+		tracker := NewCrashTracker(DefaultCrashTrackerParams)
+		now := 20 * time.Second
+		tracker.RecordSuccess(RequestKeys{Parts: []uint64{sharedKey}, Fingerprint: 99}, "r", now-answered)
+		givenUp := 0
+		for i := range uint64(6) {
+			replica := fmt.Sprint("r", i)
+			tracker.Merge(CrashReport{Replica: replica, Fingerprint: 100 + i, Parts: []uint64{sharedKey, 10 + i}}, now)
+			givenUp += len(tracker.Judge(replica, now))
+		}
+		if givenUp != want {
+			t.Errorf("%d given up %v after a good answer; want %d", givenUp, answered, want)
+		}
+	}
+}
--- a/internal/attempt/crash_tracker.go
+++ b/internal/attempt/crash_tracker.go
@@ -13,6 +13,9 @@
 	// key with which a good answer was given within SoundWindow.
 	MaxCrashes, MaxCrashesSound int
 	SoundWindow                 time.Duration
+	// SoundQuiet is how long after a good answer with a key it isn't given up: what sound requests
+	// share has good answers between crashes.
+	SoundQuiet time.Duration
 	// MaxChildren is the number of keys given up below a key after which it is given up itself,
 	// MaxChildrenSound that of a key with a good answer within SoundWindow.
 	MaxChildren, MaxChildrenSound int
@@ -32,7 +35,7 @@
 // DefaultCrashTrackerParams gives a key up after three crashes. A crash resets
 // connections at once, while the loss of a whole machine is detected within a second.
 var DefaultCrashTrackerParams = CrashTrackerParams{
-	MaxCrashes: 3, MaxCrashesSound: 5, SoundWindow: time.Minute,
+	MaxCrashes: 3, MaxCrashesSound: 5, SoundWindow: time.Minute, SoundQuiet: 3 * time.Second,
 	MaxChildren: 2, MaxChildrenSound: 4,
 	TTL: time.Hour, TrialAfter: time.Minute, MaxTrials: 3,
 	CorrelationWindow: 2 * time.Second, MaxEntries: 4096,
