One place says where a request waits

TestStreamThatCantResumeHoldsUpNothing chose the queue by a copy of the product's rule, and passed with that rule taken out of awaitPlacement. queueFor is the rule now, and the test goes by it.

--- a/internal/direct/queue.go
+++ b/internal/direct/queue.go
@@ -35,6 +35,14 @@
 	outlook *admit.Outlook
 }
 
+// queueFor returns the queue in which a request waits. The caller holds the state's lock.
+func (q *serviceQueue) queueFor(req *request) *admit.WaitQueue {
+	if req.requiredSoftware().bound {
+		return q.resuming
+	}
+	return q.waiting
+}
+
 // queueOf returns a service's queue. The caller holds mu.
 func (s *state) queueOf(service *fleet.Service) *serviceQueue {
 	q := s.queues[service.Name]
@@ -112,10 +120,7 @@
 	s.mu.Lock()
 	queued := req.newQueuedRequest(began)
 	q := s.queueOf(req.service)
-	waiting := q.waiting
-	if req.requiredSoftware().bound {
-		waiting = q.resuming
-	}
+	waiting := q.queueFor(req)
 	if waiting.Len() >= maxQueued {
 		s.mu.Unlock()
 		return nil
--- a/internal/direct/software_test.go
+++ b/internal/direct/software_test.go
@@ -57,13 +57,8 @@
 	s.replicas.Put(&fleet.Replica{ID: "b", Name: "b", Service: "s", Software: "v2", Slots: 1}, 2, 0)
 	s.replicas.MarkUnreachable("a", e.clock.now())
 	place := func(req *request) {
-		queued := req.newQueuedRequest(e.clock.now())
 		q := s.queueOf(service)
-		if req.requiredSoftware().bound {
-			q.resuming.Add(queued)
-		} else {
-			q.waiting.Add(queued)
-		}
+		q.queueFor(req).Add(req.newQueuedRequest(e.clock.now()))
 		s.placeAndReject(q, e.clock.now())
 	}
 	bound := newStreamRequest(e, service, &fleet.Replica{ID: "c", Name: "c", Service: "s", Software: "v1"})
