Verdicts told again name a replica that counted; good answers beyond a message's bound are kept

Three small faults found by reading. A verdict that is told again named the entry as the lost replica, which then counted as one more crash at all entries. Keys of good answers beyond the 64 of a message were dropped without being sent. And an entry that had reached a verdict by itself, without hearing it, told it 8 to 12 s late. recentlySound was SoundAt once more.

--- a/internal/attempt/crash_judge.go
+++ b/internal/attempt/crash_judge.go
@@ -76,7 +76,8 @@
 // addSuspects adds the keys of a run that crashed too many replicas.
 func (t *CrashTracker) addSuspects(suspects map[uint64]*suspect, run lostRun, replica string, now time.Duration) {
 	for _, key := range run.keys {
-		if at, sound := t.SoundAt(key, now); sound && now-at < t.params.SoundQuiet {
+		at, sound := t.SoundAt(key, now)
+		if sound && now-at < t.params.SoundQuiet {
 			continue
 		}
 		k := t.recent(key, now)
@@ -84,7 +85,7 @@
 			continue
 		}
 		if s := suspects[key]; s == nil || run.ran < s.ran || run.ran == s.ran && slices.Compare(run.keys, s.run) < 0 {
-			suspects[key] = &suspect{key: key, crashes: len(k.replicas), sound: t.recentlySound(key, now), ran: run.ran, run: run.keys}
+			suspects[key] = &suspect{key: key, crashes: len(k.replicas), sound: sound, ran: run.ran, run: run.keys}
 		}
 	}
 }
@@ -109,14 +110,8 @@
 
 // limit is one of two bounds for a key: of one without, or with a recent good answer.
 func (t *CrashTracker) limit(key uint64, unknown, sound int, now time.Duration) int {
-	if t.recentlySound(key, now) {
+	if _, recent := t.SoundAt(key, now); recent {
 		return sound
 	}
 	return unknown
 }
-
-// recentlySound reports whether a good answer with a key was given within the window.
-func (t *CrashTracker) recentlySound(key uint64, now time.Duration) bool {
-	at, ok := t.sound.Peek(key)
-	return ok && now-at <= t.params.SoundWindow
-}
--- a/internal/attempt/crash_keys.go
+++ b/internal/attempt/crash_keys.go
@@ -10,6 +10,8 @@
 	// replicas has the lost replicas that count, with the run that counts.
 	replicas  map[string]span
 	lastCrash time.Duration
+	// lastReplica is the one that counted last.
+	lastReplica string
 	// children is how many keys of requests with this one, each narrower than it, were given up
 	// since the last good answer.
 	children int
@@ -104,7 +106,7 @@
 	} else if k.countsFor(replica) || k.overlaps(run) {
 		return false
 	}
-	k.replicas[replica], k.lastCrash = run, max(k.lastCrash, now)
+	k.replicas[replica], k.lastCrash, k.lastReplica = run, max(k.lastCrash, now), replica
 	return true
 }
 
@@ -136,7 +138,7 @@
 		t.keys.Add(key, k)
 	}
 	if replica != "" && !k.countsFor(replica) {
-		k.replicas[replica], k.lastCrash = span{now, now}, now
+		k.replicas[replica], k.lastCrash, k.lastReplica = span{now, now}, now, replica
 	}
 	if !k.givenUp {
 		k.givenUp, k.nextTrial = true, now+t.params.TrialAfter
@@ -223,6 +225,15 @@
 	return 0, 0, false
 }
 
+// Verdict returns the report that a key is given up; false if it isn't.
+func (t *CrashTracker) Verdict(key uint64, now time.Duration) (CrashReport, bool) {
+	k := t.recent(key, now)
+	if k == nil || !k.givenUp {
+		return CrashReport{}, false
+	}
+	return CrashReport{Fingerprint: key, Replica: k.lastReplica, GivenUp: true}, true
+}
+
 // BeginTrial reports whether a request with a key that was given up may run now to find out whether
 // that still holds, and counts it. Only one entry may ask for a key.
 func (t *CrashTracker) BeginTrial(key uint64, now time.Duration) bool {
--- a/internal/direct/crashes.go
+++ b/internal/direct/crashes.go
@@ -231,16 +231,18 @@
 // time: those that have started since may have no record of it.
 func (e *Entry) repeatGivenUp(key uint64) {
 	pause := givenUpRepeat + time.Duration(hashFields(e.settings.ID).Sum64()%uint64(givenUpSpread))
-	e.state.mu.Lock()
+	s := e.state
+	s.mu.Lock()
 	now := e.clock.now()
-	at, known := e.state.crashNews.announced.Peek(key)
-	due := !known || now-at > pause
+	at, told := s.crashNews.announced.Peek(key)
+	verdict, givenUp := s.crashes.Verdict(key, now)
+	due := givenUp && (!told || now-at > pause)
 	if due {
-		e.state.crashNews.announced.Add(key, now)
+		s.crashNews.announced.Add(key, now)
 	}
-	e.state.mu.Unlock()
-	if due && known {
-		e.publishCrashes([]attempt.CrashReport{{Fingerprint: key, Replica: e.settings.ID, GivenUp: true}})
+	s.mu.Unlock()
+	if due {
+		e.publishCrashes([]attempt.CrashReport{verdict})
 	}
 }
 
@@ -285,11 +287,14 @@
 	now := e.clock.now()
 	var list []soundKey
 	for key := range e.state.crashNews.sound {
+		if len(list) == maxMessageSound {
+			break
+		}
 		if rand.IntN(max(1, e.state.entries)) >= soundSenders {
 			continue
 		}
 		delete(e.state.crashNews.sound, key)
-		if at, sound := e.state.crashes.SoundAt(key, now); sound && len(list) < maxMessageSound {
+		if at, sound := e.state.crashes.SoundAt(key, now); sound {
 			list = append(list, soundKey{Key: key, AgeMs: uint32((now - at).Milliseconds())})
 		}
 	}
