A good answer elsewhere clears the crashes before it, also when it is heard of late

Taking the mechanism out showed that no test needed the messages by which entries clear keys for one another. The crashes until the answer are dropped now, and a verdict that rests on them ends. The simulated fleet's deadly key is the larger one now: with the smaller one a tie went its way by chance.

--- a/internal/attempt/crash_keys.go
+++ b/internal/attempt/crash_keys.go
@@ -179,14 +179,26 @@
 	return cleared
 }
 
-// MergeSound records that another entry saw a good answer with a key at a time. What was counted
-// against the key before is cleared.
+// MergeSound records that another entry saw a good answer with a key at a time. The crashes until then
+// don't count against the key any more, and a verdict that rests on them ends.
 func (t *CrashTracker) MergeSound(key uint64, at time.Duration) {
 	if known, ok := t.sound.Peek(key); !ok || known < at {
 		t.sound.Add(key, at)
 	}
-	if k, ok := t.keys.Peek(key); ok && k.lastCrash < at {
+	k, ok := t.keys.Peek(key)
+	if !ok {
+		return
+	}
+	for replica, run := range k.replicas {
+		if run.ended < at {
+			delete(k.replicas, replica)
+		}
+	}
+	switch {
+	case k.lastCrash < at:
 		t.keys.Remove(key)
+	case len(k.replicas) < t.params.MaxCrashes:
+		k.givenUp, k.children = false, 0
 	}
 }
 
--- a/internal/attempt/crash_keys_test.go
+++ b/internal/attempt/crash_keys_test.go
@@ -10,9 +10,10 @@
 	"pgregory.net/rapid"
 )
 
-// Keys of the simulation: the deadly part, and one that sound requests share with those that have it.
+// Keys of the simulation: the deadly part, and one that sound requests share with those that have it. The
+// deadly one is the larger, as equal suspects go by their keys in the end.
 const (
-	deadlyKey = uint64(1)
+	deadlyKey = uint64(1) << 40
 	sharedKey = uint64(2)
 )
 
@@ -314,3 +315,64 @@
 		}
 	}
 }
+
+// Guards against a part that one entry sees crash, and others see end well: what the others saw has to
+// clear it there.
+func TestGoodAnswersElsewhereClearAKey(t *testing.T) {
+	tracker := NewCrashTracker(DefaultCrashTrackerParams)
+	for i := range 9 {
+		now := time.Duration(i+1) * 10 * time.Second
+		crashAt(tracker, fmt.Sprint("r", i), now, now+time.Second)
+		tracker.MergeSound(culprit, now+2*time.Second)
+	}
+	if n := tracker.CrashCount(culprit, 100*time.Second); n != 0 {
+		t.Errorf("%d crashes count against a key after good answers elsewhere", n)
+	}
+}
+
+// Guards against a part of sound requests that is given up for crashes which a deadly part explains,
+// with one more of another cause.
+func TestExplainedCrashesCountForNothingElse(t *testing.T) {
+	const beside = uint64(500)
+	tracker := NewCrashTracker(DefaultCrashTrackerParams)
+	for i := range uint64(3) {
+		replica, now := fmt.Sprint("r", i), time.Duration(i+1)*time.Second
+		tracker.Merge(CrashReport{Replica: replica, Fingerprint: 100 + i, Parts: []uint64{deadlyKey}, RanMs: 10}, now)
+		tracker.Merge(CrashReport{Replica: replica, Fingerprint: 200 + i, Parts: []uint64{beside}, RanMs: 20}, now)
+		tracker.Judge(replica, now)
+	}
+	if n := tracker.CrashCount(beside, 4*time.Second); n != 0 {
+		t.Errorf("%d crashes count against what ran beside the cause", n)
+	}
+	if _, _, givenUp := tracker.GivenUp(RequestKeys{Parts: []uint64{deadlyKey}}, 4*time.Second); !givenUp {
+		t.Error("the cause isn't given up")
+	}
+}
+
+// Guards against a good answer that is heard of after the next crash and clears nothing: a part that is
+// sound would be given up where crashes come faster than news of it.
+func TestGoodAnswerHeardAfterTheNextCrashClearsThoseBefore(t *testing.T) {
+	tracker := NewCrashTracker(DefaultCrashTrackerParams)
+	for i := range 6 {
+		now := time.Duration(i+1) * 100 * time.Millisecond
+		tracker.Merge(CrashReport{Replica: fmt.Sprint("r", i), Fingerprint: uint64(100 + i), Parts: []uint64{sharedKey}}, now)
+		tracker.Judge(fmt.Sprint("r", i), now)
+		tracker.MergeSound(sharedKey, now-10*time.Millisecond)
+		if n := tracker.CrashCount(sharedKey, now); n != 1 {
+			t.Fatalf("%d crashes count after a good answer before the last one", n)
+		}
+	}
+	keys := RequestKeys{Parts: []uint64{culprit}, Fingerprint: 9}
+	for i := range 3 {
+		now := time.Duration(i+1) * time.Second
+		tracker.Merge(CrashReport{Replica: fmt.Sprint("s", i), Fingerprint: uint64(200 + i), Parts: []uint64{culprit}}, now)
+		tracker.Judge(fmt.Sprint("s", i), now)
+	}
+	if _, _, givenUp := tracker.GivenUp(keys, 4*time.Second); !givenUp {
+		t.Fatal("not given up after three crashes")
+	}
+	tracker.MergeSound(culprit, 2500*time.Millisecond)
+	if _, _, givenUp := tracker.GivenUp(keys, 4*time.Second); givenUp {
+		t.Error("given up for one crash since a good answer")
+	}
+}
