A replica's error answer doesn't clear a part that crashes replicas

A replica's 500 to a request was taken for a good answer and cleared all its keys. Only a complete success clears, of a stream one with an event; that a replica answered at all is recorded apart.

--- a/internal/attempt/crash_keys.go
+++ b/internal/attempt/crash_keys.go
@@ -164,11 +164,13 @@
 	crash.explained, crash.cause, crash.runs = true, cause, nil
 }
 
-// RecordSuccess records that a replica gave a good answer to a request: the replica isn't lost, and
-// neither the request nor a part of its prompt is the cause of crashes. It returns the keys that
-// crashes had counted against, of which the other entries are to be told.
-func (t *CrashTracker) RecordSuccess(keys RequestKeys, replica string, now time.Duration) []uint64 {
-	t.brokenRuns.Remove(replica)
+// RecordAnswered records that a replica answered a request: it isn't lost.
+func (t *CrashTracker) RecordAnswered(replica string) { t.brokenRuns.Remove(replica) }
+
+// RecordSuccess records a good answer to a request: neither the request nor a part of its prompt is the
+// cause of crashes. It returns the keys that crashes had counted against, of which the other entries
+// are to be told.
+func (t *CrashTracker) RecordSuccess(keys RequestKeys, now time.Duration) []uint64 {
 	var cleared []uint64
 	for _, key := range keys.all() {
 		t.sound.Add(key, now)
--- a/internal/attempt/crash_keys_test.go
+++ b/internal/attempt/crash_keys_test.go
@@ -128,7 +128,8 @@
 		}
 		w.running = slices.DeleteFunc(w.running, func(o *worldRun) bool { return o == r })
 		e := w.entries[r.entry]
-		w.tellSound(e, e.RecordSuccess(r.keys, w.replicaID(r.replica), w.now))
+		e.RecordAnswered(w.replicaID(r.replica))
+		w.tellSound(e, e.RecordSuccess(r.keys, w.now))
 	}
 }
 
@@ -243,7 +244,7 @@
 	if trials != DefaultCrashTrackerParams.MaxTrials {
 		t.Errorf("%d trials", trials)
 	}
-	if cleared := tracker.RecordSuccess(keys, "r2", 59*time.Minute); !slices.Contains(cleared, deadlyKey) {
+	if cleared := tracker.RecordSuccess(keys, 59*time.Minute); !slices.Contains(cleared, deadlyKey) {
 		t.Errorf("cleared %v", cleared)
 	}
 	if _, _, givenUp := tracker.GivenUp(keys, 59*time.Minute); givenUp {
@@ -272,7 +273,7 @@
 // it: it has the crashes of both.
 func TestSharedPartOfTwoDeadlyOnesIsNotGivenUp(t *testing.T) {
 	tracker := NewCrashTracker(DefaultCrashTrackerParams)
-	tracker.RecordSuccess(RequestKeys{Parts: []uint64{sharedKey}, Fingerprint: 99}, "r", time.Second)
+	tracker.RecordSuccess(RequestKeys{Parts: []uint64{sharedKey}, Fingerprint: 99}, time.Second)
 	var givenUp []uint64
 	for i := range uint64(6) {
 		replica := fmt.Sprint("r", i)
@@ -303,7 +304,7 @@
 	for answered, want := range map[time.Duration]int{time.Second: 0, 10 * time.Second: 1} {
 		tracker := NewCrashTracker(DefaultCrashTrackerParams)
 		now := 20 * time.Second
-		tracker.RecordSuccess(RequestKeys{Parts: []uint64{sharedKey}, Fingerprint: 99}, "r", now-answered)
+		tracker.RecordSuccess(RequestKeys{Parts: []uint64{sharedKey}, Fingerprint: 99}, now-answered)
 		givenUp := 0
 		for i := range uint64(6) {
 			replica := fmt.Sprint("r", i)
--- a/internal/attempt/crash_tracker_test.go
+++ b/internal/attempt/crash_tracker_test.go
@@ -57,7 +57,7 @@
 func TestStrikesNeedALostReplica(t *testing.T) {
 	s := NewCrashTracker(DefaultCrashTrackerParams)
 	s.RecordBrokenRun(request(culprit), "r1", 0, time.Second)
-	s.RecordSuccess(request(8), "r1", time.Second) // it answers another request, so it is alive
+	s.RecordAnswered("r1") // it answers another request, so it is alive
 	if got := s.RecordLostReplica("r1", 2*time.Second); len(got) != 0 {
 		t.Errorf("a replica that continued after the break: %v", got)
 	}
@@ -69,7 +69,7 @@
 	if got := s.RecordBrokenRun(request(culprit), "r3", 10*time.Second, 12*time.Second); len(got) != 1 {
 		t.Errorf("a break detected after the loss: %v", got)
 	}
-	s.RecordSuccess(request(culprit), "r4", 13*time.Second)
+	s.RecordSuccess(request(culprit), 13*time.Second)
 	if n := s.CrashCount(culprit, 13*time.Second); n != 0 {
 		t.Errorf("%d crashes after a good answer", n)
 	}
--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -51,13 +51,17 @@
 		return req.handleBrokenAnswer(p, err), false
 	}
 	if x.Status >= http.StatusInternalServerError || impliesNotRun(x.Status) {
-		req.recordSuccess(p)
+		req.recordAnswered(p)
 		if head.Sealed && !impliesNotRun(x.Status) {
 			req.fallbackAnswer = answer
 		}
 		return attempt.FailureErrorResponse, false
 	}
-	req.recordSuccess(p)
+	if success {
+		req.recordSuccess(p)
+	} else {
+		req.recordAnswered(p)
+	}
 	req.writeAnswer(answer)
 	return 0, true
 }
@@ -110,13 +114,22 @@
 	}
 }
 
-// recordSuccess records a good answer of the replica to the request.
+// recordAnswered records that the replica answered the request, whatever it said.
+func (req *request) recordAnswered(p *placement) {
+	s := req.entry.state
+	s.mu.Lock()
+	s.replicas.RecordSuccess(p.replica.ID, req.entry.clock.now())
+	s.crashes.RecordAnswered(p.replica.ID)
+	s.mu.Unlock()
+}
+
+// recordSuccess records a good answer of the replica to the request. Only that shows that the request
+// doesn't crash replicas: one that answers with an error may not have begun to work on it.
 func (req *request) recordSuccess(p *placement) {
+	req.recordAnswered(p)
 	s := req.entry.state
 	s.mu.Lock()
-	now := req.entry.clock.now()
-	s.replicas.RecordSuccess(p.replica.ID, now)
-	s.recordGoodAnswer(req.keys, p.replica.ID, now)
+	s.recordGoodAnswer(req.keys, req.entry.clock.now())
 	s.mu.Unlock()
 }
 
--- a/internal/direct/crashes.go
+++ b/internal/direct/crashes.go
@@ -276,8 +276,8 @@
 }
 
 // recordGoodAnswer clears the request's keys. The caller holds mu.
-func (s *state) recordGoodAnswer(keys attempt.RequestKeys, replica string, now time.Duration) {
-	s.noteSound(s.crashes.RecordSuccess(keys, replica, now), now)
+func (s *state) recordGoodAnswer(keys attempt.RequestKeys, now time.Duration) {
+	s.noteSound(s.crashes.RecordSuccess(keys, now), now)
 }
 
 // sendSound tells the other entries of keys with which good answers were given. Where many entries know
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -159,7 +159,11 @@
 		req.w.WriteHeader(x.Status)
 	}
 	req.outcome = outcomeServed
-	req.recordSuccess(p)
+	if p.events > 0 {
+		req.recordSuccess(p)
+	} else {
+		req.recordAnswered(p)
+	}
 	s := req.entry.state
 	s.mu.Lock()
 	if p.continuation == nil {
