--- /dev/null
+++ b/internal/direct/crashes_test.go
@@ -0,0 +1,61 @@
+package direct
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/fleet"
+)
+
+// plainHeaders sets no headers of its own.
+type plainHeaders struct{ Headers }
+
+func (plainHeaders) Refusal(http.Header, string) {}
+
+// newPoisonRequest is a request with a part in its prompt, and the placement that it got.
+func newPoisonRequest(e *Entry) (*request, *placement, *httptest.ResponseRecorder) {
+	w := httptest.NewRecorder()
+	req := newStreamRequest(e, &fleet.Service{Name: "s"}, nil)
+	req.w, req.firstByte = w, 0
+	req.params.Parts = []fleet.PromptPart{{ID: "dead", Tokens: 100}, {ID: "own", Tokens: 10}}
+	req.keys = attempt.RequestKeys{Parts: []uint64{7}, Fingerprint: 8}
+	req.plan = attempt.NewDispatchPlan(attempt.DispatchSpec{MaxRuns: 1, MaxDispatches: 1, Deadline: req.deadline}, attempt.NewBudget(attempt.BudgetParams{}))
+	return req, &placement{replica: &fleet.Replica{ID: "a", Name: "a"}, pickedAt: e.clock.now()}, w
+}
+
+// Guards against a request that reaches a replica since it waited in the queue when what it has in its
+// prompt was given up.
+func TestWaitingRequestIsGivenUpToo(t *testing.T) {
+	e := newQueueEntry(t)
+	e.platform.Headers = plainHeaders{}
+	req, p, w := newPoisonRequest(e)
+	if req.rejectPlaced(p) {
+		t.Fatal("rejected before anything was given up")
+	}
+	now := e.clock.now()
+	e.state.crashes.Merge(attempt.CrashReport{Fingerprint: req.keys.Parts[0], Replica: "r", GivenUp: true}, now)
+	e.state.crashNews.announced.Add(req.keys.Parts[0], now)
+	if !req.rejectPlaced(p) || w.Code != http.StatusServiceUnavailable || req.givenUpBy != "dead" {
+		t.Errorf("rejected with %d for part %q", w.Code, req.givenUpBy)
+	}
+}
+
+// Guards against blaming the prompts of streams that ran for long when their replica was lost: what
+// crashes replicas by its prompt does so when the answer begins.
+func TestLongStreamIsNoEvidenceAgainstItsPrompt(t *testing.T) {
+	for written, parts := range map[time.Duration]int{0: 1, writingProvesSound / 2: 1, 2 * writingProvesSound: 0} {
+		e := newQueueEntry(t)
+		req, p, _ := newPoisonRequest(e)
+		if written > 0 {
+			p.events, p.firstEventAt = 1, e.clock.now()-written
+		}
+		req.recordBrokenRun(p)
+		reports := e.state.crashes.RecordLostReplica(p.replica.ID, e.clock.now())
+		if len(reports) != 1 || reports[0].Fingerprint != req.keys.Fingerprint || len(reports[0].Parts) != parts {
+			t.Errorf("%v after the first event: reports %+v; want one with %d parts", written, reports, parts)
+		}
+	}
+}
