Leases: what was read before a gap in the log doesn't hold after it

Two processes could hold it, and send orders to replicas that check no fencing numbers.

Cause: a reader that missed records (the log had dropped them) kept its table and its leases. It judged the next record by the last one that it knew, took a held lease for free if it had just started, and a holder went on renewing what others had been granted in the gap. A process that starts on a log restored from an older copy took the copy's last holder for the last one.

Why it works: after a gap a process gives its leases up and forgets its claims under way, so that none is granted to it by a wrong judgement; it claims only after the duration and margin of any lease, so that a holder whose records it lacks has lost it or has renewed it, which it reads; and a grant of which records are missing only blocks claims.

--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -171,6 +171,9 @@
 	e := r.entry
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.nextOffset == 0 && fleet.Era(record.Offset) > 0 {
+		r.leases.HistoryDoubtful(bootTime())
+	}
 	r.nextOffset = record.Offset + 1
 	envelope, err := rollout.Decode(record.Value)
 	if err != nil {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -39,15 +39,22 @@
 	permits int
 	order   Name
 	orders  []uint64
+	params  Params
+	// oldest is the offset of the oldest record that the log still has.
+	oldest uint64
 }
 
 func newSimulation(t *rapid.T, n, permits int) *simulation {
-	s := &simulation{t: t, now: time.Minute, up: true, permits: permits, order: OrderName("endpoint-0")}
+	s := &simulation{t: t, now: time.Minute, up: true, permits: permits, order: OrderName("endpoint-0"), params: DefaultParams, oldest: 1}
+	s.addProcesses(n)
+	return s
+}
+
+func (s *simulation) addProcesses(n int) {
 	for i := range n {
 		s.procs = append(s.procs, &proc{})
 		s.restart(i)
 	}
-	return s
 }
 
 func (s *simulation) restart(i int) {
@@ -56,7 +63,7 @@
 		s.delayed = append(s.delayed, a.Data)
 	}
 	rng := rand.New(rand.NewPCG(uint64(s.epoch), 7))
-	l := NewLeases(fmt.Sprintf("endpoint-%d", i), s.epoch, DefaultParams, rng)
+	l := NewLeases(fmt.Sprintf("endpoint-%d", i), s.epoch, s.params, rng)
 	*s.procs[i] = proc{
 		leases: l, permit: NewPermit(l, s.permits, rng),
 		base: time.Duration(rapid.IntRange(0, 1000).Draw(s.t, "base")) * time.Second,
@@ -104,6 +111,10 @@
 	}
 	for range limit {
 		at := p.leases.Table().Position()
+		if at+1 < s.oldest {
+			s.perform(i, p.leases.Truncated(s.oldest, s.clock(i)))
+			continue
+		}
 		if at == uint64(len(s.log)) {
 			s.perform(i, p.leases.CaughtUp(s.clock(i)))
 			return
@@ -169,7 +180,7 @@
 func (s *simulation) run() {
 	kinds := []string{
 		"nothing", "order", "order", "permit", "permit", "done", "drop", "append", "append", "append", "append", "read", "read",
-		"read", "all", "all", "all", "land", "log", "up", "up", "pause", "go on", "go on", "restart", "time", "time", "time",
+		"read", "all", "all", "all", "land", "log", "up", "up", "pause", "go on", "go on", "restart", "trim", "time", "time", "time",
 	}
 	for range simulationSteps {
 		i := rapid.IntRange(0, len(s.procs)-1).Draw(s.t, "proc")
@@ -203,6 +214,8 @@
 		}
 	case "log":
 		s.up = false
+	case "trim":
+		s.trim()
 	case "up":
 		s.up = true
 	case "pause":
@@ -218,6 +231,13 @@
 	}
 }
 
+// trim removes records from the beginning of the log.
+func (s *simulation) trim() {
+	if end := uint64(len(s.log)); s.oldest < end {
+		s.oldest = rapid.Uint64Range(s.oldest, end).Draw(s.t, "oldest")
+	}
+}
+
 func (s *simulation) stepAll() {
 	for i := range s.procs {
 		s.tick(i)
--- a/internal/lease/leases.go
+++ b/internal/lease/leases.go
@@ -80,6 +80,8 @@
 	attempts     int
 	nextAttempt  time.Duration
 	releaseFence uint64
+	// keptUntil is when the lease would have expired that was lost because the log was restored.
+	keptUntil time.Duration
 }
 
 // Leases claims, renews and releases one process's leases of a group.
@@ -93,14 +95,18 @@
 	caughtUp     bool
 	seq          uint64
 	states       map[Name]*leaseState
-	actions      []Action
+	// settledAt is when no holder can be at work any more whose records this process couldn't read;
+	// doubtful is set if the log was, or may have been, restored from an older copy.
+	settledAt time.Duration
+	doubtful  bool
+	actions   []Action
 }
 
 // NewLeases returns the leases of a process that has not read any of the log yet.
 func NewLeases(self string, epoch protocol.Epoch, params Params, rng *rand.Rand) *Leases {
 	return &Leases{
 		params: params, self: self, epoch: epoch, rng: rng,
-		table: NewTable(), oldestOffset: 1, states: map[Name]*leaseState{},
+		table: newTable(params.Duration), oldestOffset: 1, states: map[Name]*leaseState{},
 	}
 }
 
@@ -116,8 +122,7 @@
 	return l.Tick(now)
 }
 
-// Release stops claiming or renewing a lease and releases it. Check fails for it from
-// now on.
+// Release stops claiming or renewing a lease, and releases it. Check fails for it from now on.
 func (l *Leases) Release(n Name, now time.Duration) []Action {
 	s, ok := l.states[n]
 	if !ok {
@@ -234,11 +239,14 @@
 }
 
 // Truncated reports that the oldest record of the log is now at oldest, beyond the next
-// one to read, or, at the start, that reading begins there.
+// one to read, or, at the start, that reading begins there. All leases of this process are lost: the
+// records that it could not read may have granted them to others.
 func (l *Leases) Truncated(oldest uint64, now time.Duration) []Action {
-	l.oldestOffset = oldest
-	l.table.SkipTo(oldest)
-	l.caughtUp = false
+	l.oldestOffset, l.caughtUp = oldest, false
+	if oldest > l.table.Position()+1 {
+		l.table.SkipGap(oldest, now)
+		l.forget(now)
+	}
 	return l.Tick(now)
 }
 
@@ -247,13 +255,37 @@
 func (l *Leases) LogRestored(oldest uint64, now time.Duration) []Action {
 	l.oldestOffset, l.caughtUp = oldest, false
 	l.table.LogRestored(oldest, now)
+	for _, s := range l.states {
+		if s.fence != 0 {
+			s.keptUntil = s.expiresAt
+		}
+	}
+	l.HistoryDoubtful(now)
+	l.forget(now)
+	return l.Tick(now)
+}
+
+// HistoryDoubtful reports that the log may have been restored from an older copy before this process
+// read it: the last holder in it need not be the last one.
+func (l *Leases) HistoryDoubtful(now time.Duration) {
+	l.doubtful = true
+	l.settle(now)
+}
+
+// settle keeps this process from claiming leases until a holder that it can't know of has lost its lease.
+func (l *Leases) settle(now time.Duration) {
+	l.settledAt = now + l.params.Duration + l.params.Margin
+}
+
+// forget gives up what depends on records that this process can't read any more.
+func (l *Leases) forget(now time.Duration) {
+	l.settle(now)
 	for _, n := range l.sortedNames() {
 		s := l.states[n]
 		l.markLost(s, n)
 		s.pendingSeq = 0
 		clear(s.sentAt)
 	}
-	return l.Tick(now)
 }
 
 // SetOldest sets the offset of the oldest record that the log still has, as reported
@@ -323,10 +355,22 @@
 // claimable reports whether a lease may be claimed now. A process need not wait for the
 // expiry of a lease that it held itself, since it knows that it no longer uses it, nor,
 // with RestartReclaims, of one that its predecessor of the same name held.
+//
+// A process that can't have read all records waits until any holder has lost its lease.
 func (l *Leases) claimable(n Name, now time.Duration) bool {
+	s, known := l.states[n]
+	kept := known && now < s.keptUntil
+	if l.heldBySelf(n) && (kept || !l.doubtful) {
+		return true
+	}
+	return now >= max(l.settledAt, l.table.ClaimableAt(n, l.params.Margin))
+}
+
+// heldBySelf reports whether the log has a lease as this process's, or as its predecessor's with
+// RestartReclaims.
+func (l *Leases) heldBySelf(n Name) bool {
 	grant, ok := l.table.Holder(n)
-	own := ok && grant.Holder == l.self && (grant.Epoch == l.epoch || l.params.RestartReclaims)
-	return own || now >= l.table.ClaimableAt(n, l.params.Margin)
+	return ok && grant.Holder == l.self && (grant.Epoch == l.epoch || l.params.RestartReclaims) && l.table.certain(n)
 }
 
 func (l *Leases) send(s *leaseState, r *Record, now time.Duration) {
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -17,13 +17,15 @@
 
 // tableEntry is one lease as read from the log.
 //
-// Invariants: lastOffset is the offset of its last record, valid or not, 0 if there is none
-// since the log was restored from an older copy; grant is nil while the lease is free.
+// Invariants: lastOffset is the offset of its last record, valid or not, 0 if none was read
+// since records were missed; grant is nil while the lease is free.
 type tableEntry struct {
 	lastOffset uint64
 	lastSeen   time.Duration
 	duration   time.Duration
 	grant      *Grant
+	// certain is set if all readers agree on the grant: what it depends on was read.
+	certain bool
 }
 
 // Table is the state of all leases of a group as read from the log. It is the same at
@@ -31,24 +33,42 @@
 type Table struct {
 	position uint64
 	entries  map[Name]*tableEntry
+	// assumed is the duration of a grant whose records couldn't be read.
+	assumed time.Duration
+	// complete is set while no record of the log was missed.
+	complete bool
 }
 
 // NewTable returns the table of a reader before the first record.
-func NewTable() *Table { return &Table{entries: map[Name]*tableEntry{}} }
+func NewTable() *Table { return newTable(DefaultParams.Duration) }
+
+func newTable(assumed time.Duration) *Table {
+	return &Table{entries: map[Name]*tableEntry{}, assumed: assumed, complete: true}
+}
 
 // Position is the offset of the last record applied.
 func (t *Table) Position() uint64 { return t.position }
 
-// SkipTo continues at oldest because the log no longer has the records before.
-func (t *Table) SkipTo(oldest uint64) { t.position = max(t.position, oldest-1) }
+// SkipTo begins at oldest because the log no longer has the records before.
+func (t *Table) SkipTo(oldest uint64) {
+	if oldest > t.position+1 {
+		t.position, t.complete = oldest-1, false
+	}
+}
 
-// LogRestored handles a log that was restored from an older copy and is read again from oldest
-// on. All readers do so and then agree again. A holder may not know of it yet, so each known
-// grant blocks claims by others for its whole duration from now.
+// LogRestored handles a log that was restored from an older copy and is read again from oldest on, its
+// first record. All readers do so and then agree again.
 func (t *Table) LogRestored(oldest uint64, now time.Duration) {
-	t.position = max(t.position, oldest-1)
+	t.SkipGap(oldest, now)
+	t.complete = true
+}
+
+// SkipGap continues at oldest: the records before it can't be read. What they said of a lease is unknown until its next record, so each known
+// grant blocks claims by others for its whole duration from now.
+func (t *Table) SkipGap(oldest uint64, now time.Duration) {
+	t.SkipTo(oldest)
 	for _, e := range t.entries {
-		e.lastOffset, e.lastSeen = 0, now
+		e.lastOffset, e.lastSeen, e.certain = 0, now, false
 	}
 }
 
@@ -65,11 +85,14 @@
 	}
 	e, known := t.entries[r.Name]
 	if !known {
-		e = &tableEntry{}
+		e = &tableEntry{duration: t.assumed}
 		t.entries[r.Name] = e
 	}
 	known = known && e.lastOffset != 0
 	valid := e.apply(r, offset, known)
+	if valid && r.Kind == KindClaim {
+		e.certain = known || t.complete
+	}
 	e.lastOffset, e.lastSeen = offset, now
 	return r, valid
 }
@@ -95,6 +118,10 @@
 			return false
 		}
 		e.grant = nil
+		if !known {
+			// It may have been appended late, after another process's claim: that is seen from its renewals.
+			e.grant = &Grant{Fence: r.Fence, Holder: r.Holder, Epoch: r.Epoch}
+		}
 	}
 	return true
 }
@@ -124,6 +151,12 @@
 	return *e.grant, true
 }
 
+// certain reports whether all readers agree on the last grant of a lease.
+func (t *Table) certain(n Name) bool {
+	e, ok := t.entries[n]
+	return ok && e.certain
+}
+
 // holdsEarlierPermit reports whether a process has a permit that was granted before fence.
 func (t *Table) holdsEarlierPermit(holder string, fence uint64) bool {
 	for name, e := range t.entries {
