The lease for orders says when its last order ended

Cause of what was left: a next holder waited from the last order of which it had heard, for lease + 0.3 s. A record that isn't appended and whose datagram is lost isn't heard of; an order whose packets are lost arrives later than that; and the margins of a lease that expires allowed for no time on the way.

Change: the lease counts its uses. It is returned once no order is under way, and the release states for how long others must leave it unused. Margins contain the time that an order may take. A restarted holder lets its predecessor's order arrive; nothing is sent under a new number while an order under the old one is under way. Calls to replicas that are given up discard what wasn't acknowledged. A holder that was refused returns the lease as any other does.

Why it works: the next holder needs to hear of nothing but the release, without which it can't have the lease before it expires; both ways leave lease_ms between the end of the last order and the first one of the next holder.

--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -36,33 +36,33 @@
 	// entries. It claims it if all are shutting down: a rolling restart of all entries takes
 	// longer than a change of weights may.
 	shutdownClaimDelay = 700 * time.Millisecond
-	// leaseReturnMargin is how long before it exits such an entry returns the lease, so that
-	// the reply to its last order arrives.
-	leaseReturnMargin = 1200 * time.Millisecond
+	// leaseReturnMargin is how long before it exits such an entry sends no more orders, so that the
+	// calls of the last ones end and the store accepts the lease's return.
+	leaseReturnMargin = callTimeout + 500*time.Millisecond
 	// maxOrderDelay is the usual maximum time from a rollout record to its order.
 	maxOrderDelay = 300 * time.Millisecond
 	// previousHolderExpiry is how long a holder counts as the previous one.
 	previousHolderExpiry = time.Minute
 )
 
-// leaseParams apply if replicas check fencing numbers: they refuse a former holder's orders, so that
-// a short lease is safe.
-var leaseParams = lease.Params{
-	Duration: 2 * time.Second, Margin: 300 * time.Millisecond, RenewBefore: 1200 * time.Millisecond,
-	OrderMargin: 400 * time.Millisecond, RetryMin: 50 * time.Millisecond, RetryMax: 400 * time.Millisecond,
-	RestartReclaims: true,
-}
+// clockReserve is added to the time between the orders of two holders, for clocks of different speed.
+const clockReserve = 100 * time.Millisecond
 
-// leaseParamsFor returns parameters that, if replicas don't check fencing numbers, keep the orders of
+// leaseParamsFor returns the parameters of the lease for orders. Where replicas check fencing numbers they
+// refuse a former holder's orders, so that a short lease is safe; else the lease itself keeps the orders of
 // two holders apart by the time that the platform sets.
 func leaseParamsFor(d *settings.Direct) lease.Params {
-	p := leaseParams
+	p := lease.Params{
+		Duration: 2 * time.Second, Margin: 300 * time.Millisecond, RenewBefore: 1200 * time.Millisecond,
+		OrderMargin: 400 * time.Millisecond, RetryMin: 50 * time.Millisecond, RetryMax: 400 * time.Millisecond,
+		RestartReclaims: true, Apart: d.Lease.D() + clockReserve,
+	}
 	if d.FencesChecked {
 		return p
 	}
-	apart := d.Lease.D()
-	p.Margin = apart / 3
-	p.OrderMargin = apart - p.Margin
+	p.MaxUse = callTimeout
+	p.Margin = d.Lease.D() / 3
+	p.OrderMargin = p.Apart + p.MaxUse - p.Margin
 	p.Duration = p.OrderMargin + 2*time.Second
 	p.RenewBefore = p.Duration - 700*time.Millisecond
 	return p
@@ -97,6 +97,9 @@
 	// issues orders.
 	fence   uint64
 	issuing bool
+	// refusedFence is the highest fencing number under which an order was refused, since another holder
+	// has a higher one.
+	refusedFence uint64
 	// publishing is how many appends of rollout records are under way.
 	publishing int
 	// nextOffset is the offset after the last record read from the topic.
@@ -282,6 +285,11 @@
 		r.stopIssuing()
 		return true
 	}
+	if fence <= r.refusedFence {
+		r.stopIssuing()
+		r.release(ctx)
+		return true
+	}
 	if !r.issuing || fence != r.fence {
 		r.stopIssuing()
 		r.issuing, r.fence = true, fence
@@ -296,8 +304,8 @@
 	return true
 }
 
-// release returns the lease once all records of orders are in the topic: the next holder waits for the
-// orders that it knows of. The caller holds mu.
+// release returns the lease once all records of orders are in the topic, so that the next holder knows
+// what the replicas were ordered to do. The caller holds mu.
 func (r *rollouts) release(ctx context.Context) {
 	if r.publishing == 0 {
 		r.applyLeaseActions(ctx, r.leases.Release(orderLease, bootTime()))
@@ -367,7 +375,7 @@
 		case lease.Append:
 			go r.appendLease(ctx, a, r.claimOffset(a))
 		case lease.Granted:
-			r.entry.tel.Log.Info("lease granted", "lease", string(a.Name), "fence", a.Fence)
+			r.entry.tel.Log.Info("lease granted", "lease", string(a.Name), "fence", a.Fence, "usable_in_ms", a.Wait.Milliseconds())
 		case lease.Lost:
 			r.entry.tel.Log.Warn("lease lost", "lease", string(a.Name))
 		}
@@ -437,10 +445,11 @@
 	e := r.entry
 	began := e.clock.now()
 	reply, notice, err := fleet.ReplyNotSent, fleet.Notice{}, errLeaseLost
-	if r.holdsLease(o.Fence) {
+	if r.beginOrder(o.Fence) {
 		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 		reply, notice, err = e.platform.Replicas.Order(callCtx, &o)
 		cancel()
+		r.endOrder(ctx)
 	}
 	e.applyNotice(o.Replica.ID, &notice, began, false)
 	now := e.clock.now()
@@ -454,17 +463,24 @@
 	defer r.mu.Unlock()
 	r.applyActions(ctx, model, r.cores[model].OrderReplied(o.Replica.ID, reply, now))
 	if reply == fleet.ReplyFenced {
-		r.foreignOrderAt = now
-		r.applyLeaseActions(ctx, r.leases.Release(orderLease, bootTime()))
+		r.foreignOrderAt, r.refusedFence = now, max(r.refusedFence, o.Fence)
 	}
 	r.trigger()
 }
 
-func (r *rollouts) holdsLease(fence uint64) bool {
+// beginOrder reports whether an order may be sent under a fencing number now. If so, the lease isn't
+// returned until endOrder.
+func (r *rollouts) beginOrder(fence uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leases.Begin(orderLease, fence, bootTime())
+}
+
+// endOrder ends what beginOrder began: the order was answered or abandoned, and can't arrive any more.
+func (r *rollouts) endOrder(ctx context.Context) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	held, ok := r.leases.Check(orderLease, bootTime())
-	return ok && held == fence
+	r.applyLeaseActions(ctx, r.leases.End(orderLease, bootTime()))
 }
 
 // requestReport asks a replica for its state on behalf of a model's rollout.
--- a/internal/direct/rollouts_test.go
+++ b/internal/direct/rollouts_test.go
@@ -7,6 +7,7 @@
 
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/lease"
+	"skylarklead/internal/rollout"
 	"skylarklead/internal/settings"
 )
 
@@ -54,3 +55,33 @@
 		t.Error("the lease isn't returned")
 	}
 }
+
+// Guards against a next holder that doesn't wait for an order that another holder sent again.
+func TestNextHolderCountsOrdersSentAgain(t *testing.T) {
+	for _, phase := range []rollout.Phase{rollout.PhaseOrdered, rollout.PhaseResent} {
+		s := &settings.Settings{ID: "entry-1", Direct: &settings.Direct{MemoryMB: 16, FencesChecked: true}}
+		e := newEntry(s, quietTelemetry(t), Platform{Store: &appendStore{appended: make(chan []byte, 8)}})
+		e.rollouts.receiveRecords([]rollout.Record{{Holder: "entry-2", Replica: "llm-1", Model: "m", Version: 2, Phase: phase}})
+		if e.rollouts.foreignOrderAt == 0 {
+			t.Errorf("a record of phase %s of another holder isn't counted as an order", phase)
+		}
+	}
+}
+
+// Guards against orders of two holders that come too close to each other where replicas check no fencing numbers,
+// because the lease of a holder that is killed can be claimed too early.
+func TestAnExpiredLeaseKeepsHoldersApart(t *testing.T) {
+	d := &settings.Direct{Lease: settings.DefaultLease}
+	p := leaseParamsFor(d)
+	// The holder's last order is sent OrderMargin before its lease expires and arrives within MaxUse, the
+	// next holder's Margin after.
+	if apart := p.OrderMargin + p.Margin - p.MaxUse; apart < d.Lease.D() {
+		t.Errorf("orders of two holders may come %v apart; want %v", apart, d.Lease.D())
+	}
+	if p.Apart < d.Lease.D() || p.MaxUse < callTimeout {
+		t.Errorf("a lease that is returned, or reclaimed after a restart, doesn't keep orders apart: %+v", p)
+	}
+	if p.RenewBefore <= p.OrderMargin {
+		t.Error("the lease is renewed only once it can't be used any more")
+	}
+}
--- a/internal/lease/gaps_test.go
+++ b/internal/lease/gaps_test.go
@@ -76,3 +76,26 @@
 		t.Error("the lease is held though a record was missed")
 	}
 }
+
+// Guards against a reader that takes a lease for free after a release that was appended late, behind the claim of
+// the present holder, which it couldn't read.
+func TestALateReleaseAfterAGapFreesNothing(t *testing.T) {
+	l := NewLeases("a", 1, DefaultParams, rand.New(rand.NewPCG(1, 1)))
+	record := func(r *Record) []byte {
+		r.Name, r.Epoch, r.DurationMs = "x", 1, DefaultParams.Duration.Milliseconds()
+		data, err := Encode(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	l.Truncated(50, 0)
+	l.ApplyRecord(50, record(&Record{Kind: KindRelease, Holder: "b", Fence: 40}), 0)
+	l.CaughtUp(0)
+	l.Acquire("x", 0)
+	for offset, now := uint64(51), time.Second; now < time.Minute; offset, now = offset+1, now+4*time.Second {
+		if appended(l.ApplyRecord(offset, record(&Record{Kind: KindRenew, Holder: "c", Fence: 45}), now)) != nil {
+			t.Fatalf("claimed after %v though another process renews the lease", now)
+		}
+	}
+}
--- a/internal/lease/leases.go
+++ b/internal/lease/leases.go
@@ -21,6 +21,12 @@
 	// OrderMargin is the time to expiry that a lease must still have when it is used.
 	// It is longer than an order may take to arrive.
 	OrderMargin time.Duration
+	// Apart is the least time from the end of one process's last use of a lease to the
+	// first use by another, 0 for none. A release states what is left of it.
+	Apart time.Duration
+	// MaxUse is how long after Begin a use may take effect at the latest, for instance an
+	// order whose packets were lost. A restarted holder lets its predecessor's uses end.
+	MaxUse time.Duration
 	// RestartReclaims lets a process claim at once a lease that an earlier process of
 	// the same name holds, without waiting for its expiry. Without it, after a power
 	// loss at all processes nobody can send orders for a full lease duration after the
@@ -53,10 +59,12 @@
 	Claim bool
 }
 
-// Granted says that this process holds the lease. Call Leases.Check before each use.
+// Granted says that this process holds the lease. Call Leases.Check before each use. Wait is how long
+// it can't be used yet, since orders of an earlier holder must be that far in the past.
 type Granted struct {
 	Name  Name
 	Fence uint64
+	Wait  time.Duration
 }
 
 // Lost says that this process no longer holds the lease. Operations under it that have
@@ -80,6 +88,8 @@
 	attempts     int
 	nextAttempt  time.Duration
 	releaseFence uint64
+	// inherits is set if the latest claim follows a grant of this process's predecessor.
+	inherits bool
 	// keptUntil is when the lease would have expired that was lost because the log was restored.
 	keptUntil time.Duration
 }
@@ -95,6 +105,10 @@
 	caughtUp     bool
 	seq          uint64
 	states       map[Name]*leaseState
+	uses         map[Name]*leaseUse
+	// started is the time of the first event, once running is set.
+	started time.Duration
+	running bool
 	// settledAt is when no holder can be at work any more whose records this process couldn't read;
 	// doubtful is set if the log was, or may have been, restored from an older copy.
 	settledAt time.Duration
@@ -106,7 +120,7 @@
 func NewLeases(self string, epoch protocol.Epoch, params Params, rng *rand.Rand) *Leases {
 	return &Leases{
 		params: params, self: self, epoch: epoch, rng: rng,
-		table: newTable(params.Duration), oldestOffset: 1, states: map[Name]*leaseState{},
+		table: newTable(params.Duration), oldestOffset: 1, states: map[Name]*leaseState{}, uses: map[Name]*leaseUse{},
 	}
 }
 
@@ -122,7 +136,8 @@
 	return l.Tick(now)
 }
 
-// Release stops claiming or renewing a lease, and releases it. Check fails for it from now on.
+// Release stops claiming or renewing a lease, and releases it once no use of it is under
+// way. Check fails for it from now on.
 func (l *Leases) Release(n Name, now time.Duration) []Action {
 	s, ok := l.states[n]
 	if !ok {
@@ -141,7 +156,7 @@
 // expiry of its lease sends nothing.
 func (l *Leases) Check(n Name, now time.Duration) (fence uint64, ok bool) {
 	s, known := l.states[n]
-	if !known || s.fence == 0 || now+l.params.OrderMargin >= s.expiresAt {
+	if !known || s.fence == 0 || now+l.params.OrderMargin >= s.expiresAt || now < l.usableAt(n) {
 		return 0, false
 	}
 	return s.fence, true
@@ -157,10 +172,12 @@
 
 // ApplyRecord applies the next record of the stream. Records come in offset order.
 func (l *Leases) ApplyRecord(offset uint64, data []byte, now time.Duration) []Action {
+	l.noteStart(now)
 	r, valid := l.table.Apply(offset, data, now)
 	if r == nil {
 		return l.Tick(now)
 	}
+	l.noteRelease(r, now)
 	s, known := l.states[r.Name]
 	if known {
 		l.applyToState(s, r, offset, valid, now)
@@ -212,6 +229,9 @@
 // expiry, because the process or the log was stalled, does not grant the lease.
 func (l *Leases) grant(s *leaseState, r *Record, offset uint64, sentAt, now time.Duration) {
 	until := sentAt + r.duration()
+	if s.inherits {
+		l.inheritUse(r.Name)
+	}
 	if !s.wanted {
 		s.releaseFence = offset
 		return
@@ -220,7 +240,7 @@
 		return
 	}
 	s.fence, s.expiresAt = offset, until
-	l.actions = append(l.actions, Granted{Name: r.Name, Fence: offset})
+	l.actions = append(l.actions, Granted{Name: r.Name, Fence: offset, Wait: max(0, l.usableAt(r.Name)-now)})
 }
 
 func (l *Leases) markLost(s *leaseState, n Name) {
@@ -307,6 +327,7 @@
 
 // Tick claims, renews, releases and expires leases that are due at now.
 func (l *Leases) Tick(now time.Duration) []Action {
+	l.noteStart(now)
 	for _, n := range l.sortedNames() {
 		s := l.states[n]
 		if s.fence != 0 && now >= s.expiresAt {
@@ -330,7 +351,9 @@
 	}
 	switch {
 	case s.releaseFence != 0:
-		l.sendRelease(n, s, now)
+		if !l.inUse(n) {
+			l.sendRelease(n, s, now)
+		}
 	case s.fence != 0 && now >= s.expiresAt-l.params.RenewBefore:
 		l.send(s, &Record{Kind: KindRenew, Name: n, Fence: s.fence}, now)
 	case s.fence == 0 && s.wanted && l.caughtUp && l.claimable(n, now):
@@ -338,6 +361,8 @@
 		if claim.Supersedes < l.oldestOffset {
 			claim.Supersedes, claim.Oldest = 0, l.oldestOffset
 		}
+		grant, _ := l.table.Holder(n)
+		s.inherits = l.heldBySelf(n) && grant.Epoch != l.epoch
 		l.send(s, claim, now)
 	}
 }
@@ -349,7 +374,8 @@
 		s.releaseFence = 0
 		return
 	}
-	l.send(s, &Record{Kind: KindRelease, Name: n, Fence: s.releaseFence}, now)
+	rest := l.restAfterUse(n, now)
+	l.send(s, &Record{Kind: KindRelease, Name: n, Fence: s.releaseFence, DurationMs: rest.Milliseconds()}, now)
 }
 
 // claimable reports whether a lease may be claimed now. A process need not wait for the
@@ -376,7 +402,9 @@
 func (l *Leases) send(s *leaseState, r *Record, now time.Duration) {
 	l.seq++
 	r.Holder, r.Epoch, r.Seq = l.self, l.epoch, l.seq
-	r.DurationMs = l.params.Duration.Milliseconds()
+	if r.Kind != KindRelease {
+		r.DurationMs = l.params.Duration.Milliseconds()
+	}
 	data, err := Encode(r)
 	if err != nil {
 		panic(err) // cannot fail: a record has only plain values
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -58,7 +58,8 @@
 	Oldest uint64 `cbor:"6,keyasint,omitempty"`
 	// Fence is set in a renewal or release: the offset of the holder's grant.
 	Fence uint64 `cbor:"7,keyasint,omitempty"`
-	// DurationMs is the lease duration, counted from before the append was sent.
+	// DurationMs is the lease duration, counted from before the append was sent. In a release
+	// it is for how long other processes must not use the lease yet.
 	DurationMs int64 `cbor:"8,keyasint,omitempty"`
 	// Seq numbers the records of a process and thereby identifies when each was sent:
 	// an earlier renewal that is appended late must not be counted from the time of a
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -52,6 +53,24 @@
 	}
 }
 
+// DiscardingDialer returns a Dialer whose connections discard unsent data when they are closed, so that
+// a call that was given up can't arrive later.
+func DiscardingDialer() *net.Dialer {
+	d := Dialer()
+	d.Control = func(network, address string, raw syscall.RawConn) error {
+		return errors.Join(setUserTimeout(network, address, raw), setDiscardOnClose(raw))
+	}
+	return d
+}
+
+func setDiscardOnClose(raw syscall.RawConn) error {
+	var optErr error
+	err := raw.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
+	return errors.Join(err, optErr)
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
