Streams that may run once stay at a replica that can't be reached

Beside a second replica that doesn't refuse what it should, a request that may run once would have run twice; and streams were cut that would have gone on.

Cause: a replica that sends nothing and that two connections didn't reach was taken for stopped, and its run sent to the replica of its backup. It may be out of this entry's reach only, end the run well, and have the copy dropped; then only the second replica's refusal keeps the run from beginning again.

Change: such runs aren't taken from their replica, and don't go on elsewhere when their connection ends.

Why it works: a run goes on only where its source is known to have ended, within 0.3 s of its last event, so that it can't have ended the run and had the copy dropped.

--- a/internal/direct/lostruns.go
+++ b/internal/direct/lostruns.go
@@ -1,31 +1,6 @@
 package direct
 
-import (
-	"time"
-
-	"skylarklead/internal/runcopy"
-)
-
-// minLostDials is how many connections in a row a replica must have failed to accept before a run
-// with a backup that receives nothing from it is taken from it.
-const minLostDials = 2
-
-// cancelLost ends the runs with a backup whose replica sends nothing and can't be reached again and
-// again, so that they go on from their backup. A run of a replica that is merely slow must not be
-// ended: it may not start again.
-func (m *replicaMonitor) cancelLost() {
-	s := m.entry.state
-	before := time.Now().Add(-silenceTimeout)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for x := range m.inFlight {
-		if x.backedUp && x.takenAs == runcopy.SourceUnknown && x.lastReceived.Before(before) && s.replicas.FailedDials(x.replica.ID) >= minLostDials {
-			x.takeAway(runcopy.SourceLost)
-		}
-	}
-}
+import "skylarklead/internal/runcopy"
 
 // cancelBackedUp ends the runs with a backup at an incarnation that is known to have ended.
 func (m *replicaMonitor) cancelBackedUp(id string) {
--- a/internal/direct/monitor.go
+++ b/internal/direct/monitor.go
@@ -132,20 +132,24 @@
 			return
 		case <-tick.C:
 		}
-		m.entry.state.mu.Lock()
-		m.entry.refuseLateQueued()
-		m.entry.state.placeAllQueued(m.entry.clock.now())
-		m.entry.state.mu.Unlock()
-		m.countUnanswered()
-		m.cancelLost()
-		m.entry.sendNotices()
-		m.entry.sendSound()
-		for _, r := range m.replicasToProbe() {
-			go m.probe(ctx, r)
-		}
-		for _, r := range m.replicasToPoll() {
-			go m.poll(ctx, r)
-		}
+		m.check(ctx)
+	}
+}
+
+// check does what is due now.
+func (m *replicaMonitor) check(ctx context.Context) {
+	m.entry.state.mu.Lock()
+	m.entry.refuseLateQueued()
+	m.entry.state.placeAllQueued(m.entry.clock.now())
+	m.entry.state.mu.Unlock()
+	m.countUnanswered()
+	m.entry.sendNotices()
+	m.entry.sendSound()
+	for _, r := range m.replicasToProbe() {
+		go m.probe(ctx, r)
+	}
+	for _, r := range m.replicasToPoll() {
+		go m.poll(ctx, r)
 	}
 }
 
--- a/internal/member/replicas.go
+++ b/internal/member/replicas.go
@@ -298,14 +298,6 @@
 	return changed
 }
 
-// FailedDials is how many connections to a replica have failed since the last that succeeded.
-func (v *Replicas) FailedDials(id string) int {
-	if s := v.states[id]; s != nil && s.unreachable {
-		return s.failures
-	}
-	return 0
-}
-
 // DueProbes returns the unreachable replicas to which a connection is to be tried now.
 // Using callers' requests as probes would delay each of them by a timeout.
 func (v *Replicas) DueProbes(now time.Duration) []*fleet.Replica {
--- a/internal/runcopy/continuation.go
+++ b/internal/runcopy/continuation.go
@@ -11,8 +11,8 @@
 	// have been free before its report.
 	roomMargin = 0.5
 	// maxSilence is the longest time from the last event to the break after which a source that is gone
-	// is taken to have stopped in the middle of the run. After a longer one its connection may have gone
-	// silent before: the run may be complete, and the target has dropped the copy.
+	// is taken to have stopped in the middle of the run. After a longer one the path to it may have been
+	// lost before: the run may be complete, and the target has dropped the copy.
 	maxSilence = 300 * time.Millisecond
 )
 
@@ -26,7 +26,8 @@
 	SourceAlive
 	// SourceGone: nothing listens at its address, or another incarnation does.
 	SourceGone
-	// SourceLost: neither the run's connection nor several new ones got an answer.
+	// SourceLost: neither the run's connection nor several new ones got an answer. It may still work on
+	// the run, or have ended it.
 	SourceLost
 )
 
@@ -98,8 +99,8 @@
 
 // Decide says whether a run that broke off goes on from its backup.
 //
-// A source that is alive may still work on the run: closing the connection tells it to stop, but not
-// every replica does, and the run must not go on twice. A copy made on other weights would be read by
+// A source that is alive, or that can't be reached, may still work on the run: closing the connection tells
+// it to stop, but not every replica does, and the run must not go on twice. A copy made on other weights would be read by
 // weights that it doesn't fit. Without a copy only the target's refusal would keep the run from beginning
 // anew there, and a faulty target may run it instead. So the source must have been at work for as long
 // as a copy takes to be made, and the target must have had room for it and still keep it, which it
@@ -118,7 +119,7 @@
 		return StopSourceAlive
 	case s.Source == SourceUnknown:
 		return StopSourceUnknown
-	case s.Source == SourceGone && s.Silence > maxSilence:
+	case s.Source == SourceLost || s.Silence > maxSilence:
 		return StopSourceSilent
 	case s.SourceChanged:
 		return StopSourceChanged
