Test: a follower's first read is seen before the next record is published

TestStartReadsTheLogFromThePeersState failed once beside other load ("the first read is from offset 3, want 2"). It published the next record at once, so that the peer could have it before it was asked; it then rightly tells a later offset. It asks for the same two things: the first read's offset, and that the next record is reached.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -202,10 +202,11 @@
 	f.waitForOffset(peer, first, SourceLog)
 	log := offsetRecorder{f.log, make(chan uint64, 1000)}
 	started := f.follow(Options{Log: log, Peers: func(context.Context) []FetchFunc { return []FetchFunc{fetchFrom(peer)} }})
-	f.waitForOffset(started, f.publish(first), SourceLog)
+	// Published after the first read: a peer that has the record before it is asked tells a later offset.
 	if got := <-log.offsets; got != first+1 {
 		t.Errorf("the first read is from offset %d, want %d", got, first+1)
 	}
+	f.waitForOffset(started, f.publish(first), SourceLog)
 }
 
 // Guards against an entry that accepts a revoked key after a failure of a whole site: the log is
