Runs that can't go on in any case are cut before their replicas are checked

What callers saw: a stream that may run once broke off, and its caller was told so only after its replica had been checked, up to 0.8 s later where that can't be reached, though no answer could have let the run go on.

Cause: the decision was one step, after the checks.

Change: what doesn't depend on the checks (no event, too short at work, silent for too long, suspected of crashing replicas, a copy that may be dropped) is decided first. The source is still checked, for other requests, while the caller has its answer.

TestRunsThatCannotGoOnAreCutAtOnce doesn't build without it.

--- a/internal/direct/backups.go
+++ b/internal/direct/backups.go
@@ -174,6 +174,11 @@
 		req.entry.tel.Metrics.Count("runs_not_continued_"+stats.reason, 1)
 		return false
 	}
+	if reason := req.precludeContinuation(p, began); reason != "" {
+		stats.state, stats.reason = runcopy.SourceUnchecked, reason
+		req.entry.tel.Metrics.Count("runs_not_continued_"+reason, 1)
+		return false
+	}
 	report := req.checkReplicas(p)
 	next, reason := req.placeContinuation(p, report, began)
 	stats.took = req.entry.clock.now() - began
@@ -195,13 +200,26 @@
 	return true
 }
 
+// precludeContinuation returns why a run doesn't go on whatever its replicas report; "" if that decides. What
+// became of its source is then found out for other requests only, while the caller has its answer.
+func (req *request) precludeContinuation(p *placement, brokenAt time.Duration) string {
+	s := req.entry.state
+	s.mu.Lock()
+	reason := runcopy.Preclude(req.situation(p, nil, brokenAt, req.entry.clock.now()))
+	s.mu.Unlock()
+	if reason != "" {
+		go req.checkSource(context.WithoutCancel(req.ctx), p)
+	}
+	return string(reason)
+}
+
 // checkReplicas finds out, at the same time, what became of the replica whose stream broke off, and what
 // the one with the backup reports, nil if it doesn't.
 func (req *request) checkReplicas(p *placement) *fleet.Report {
 	var report *fleet.Report
 	var queried sync.WaitGroup
 	queried.Go(func() { report = req.queryTarget(p.backup.target) })
-	req.backupStats.state = req.checkSource(p)
+	req.backupStats.state = req.checkSource(req.ctx, p)
 	queried.Wait()
 	return report
 }
@@ -219,20 +237,20 @@
 }
 
 // checkSource finds out what became of the replica whose stream broke off.
-func (req *request) checkSource(p *placement) runcopy.SourceState {
+func (req *request) checkSource(ctx context.Context, p *placement) runcopy.SourceState {
 	e := req.entry
 	if state := e.monitor.takenAs(p.inFlight); state != runcopy.SourceUnknown {
 		return state
 	}
 	replica := upstream.Replica{ID: p.replica.ID, Address: p.replica.Address}
 	for range lostDials {
-		ctx, cancel := context.WithTimeout(req.ctx, sourceCheckTimeout)
-		err := e.pool.Probe(ctx, replica)
+		probeCtx, cancel := context.WithTimeout(ctx, sourceCheckTimeout)
+		err := e.pool.Probe(probeCtx, replica)
 		cancel()
 		switch {
 		case err == nil:
-			return req.checkIncarnation(p.replica)
-		case req.ctx.Err() != nil:
+			return req.checkIncarnation(ctx, p.replica)
+		case ctx.Err() != nil:
 			return runcopy.SourceUnknown
 		}
 		e.markUnreachable(p.replica, "backup of request "+req.params.ID, err)
@@ -244,9 +262,9 @@
 }
 
 // checkIncarnation finds out whether the incarnation that ran the request still answers at its address.
-func (req *request) checkIncarnation(source *fleet.Replica) runcopy.SourceState {
+func (req *request) checkIncarnation(ctx context.Context, source *fleet.Replica) runcopy.SourceState {
 	e := req.entry
-	ctx, cancel := context.WithTimeout(req.ctx, sourceCheckTimeout)
+	ctx, cancel := context.WithTimeout(ctx, sourceCheckTimeout)
 	defer cancel()
 	report, _, err := e.platform.Replicas.Report(ctx, source)
 	var misdirected *fleet.MisdirectedError
--- a/internal/runcopy/continuation.go
+++ b/internal/runcopy/continuation.go
@@ -29,9 +29,11 @@
 	// SourceLost: neither the run's connection nor several new ones got an answer. It may still work on
 	// the run, or have ended it.
 	SourceLost
+	// SourceUnchecked: the run doesn't go on whatever became of the source.
+	SourceUnchecked
 )
 
-var sourceStateNames = [...]string{"unknown", "alive", "gone", "lost"}
+var sourceStateNames = [...]string{"unknown", "alive", "gone", "lost", "unchecked"}
 
 // String returns the name of the state in logs.
 func (s SourceState) String() string { return sourceStateNames[s] }
@@ -97,6 +99,23 @@
 	StopTargetFailed   StopReason = "target_failed"
 )
 
+// Preclude says why a run doesn't go on whatever its source and the target report, "" if that decides.
+func Preclude(s *Situation) StopReason {
+	switch {
+	case s.Suspect:
+		return StopSuspect
+	case s.Events == 0:
+		return StopNoEvents
+	case s.Worked < MinWork(s.Transfer.CopyInterval):
+		return StopNoCopyYet
+	case s.copyExpired():
+		return StopCopyExpired
+	case s.Silence > maxSilence:
+		return StopSourceSilent
+	}
+	return ""
+}
+
 // Decide says whether a run that broke off goes on from its backup.
 //
 // A source that is alive, or that can't be reached, may still work on the run: closing the connection tells
@@ -106,20 +125,15 @@
 // as a copy takes to be made, and the target must have had room for it and still keep it, which it
 // doesn't once the run has ended well. A request that crashes replicas would crash the target too.
 func Decide(s *Situation) StopReason {
+	if reason := Preclude(s); reason != "" {
+		return reason
+	}
 	switch {
-	case s.Suspect:
-		return StopSuspect
-	case s.Events == 0:
-		return StopNoEvents
-	case s.Worked < MinWork(s.Transfer.CopyInterval):
-		return StopNoCopyYet
-	case s.copyExpired():
-		return StopCopyExpired
 	case s.Source == SourceAlive:
 		return StopSourceAlive
-	case s.Source == SourceUnknown:
+	case s.Source == SourceUnknown, s.Source == SourceUnchecked:
 		return StopSourceUnknown
-	case s.Source == SourceLost || s.Silence > maxSilence:
+	case s.Source == SourceLost:
 		return StopSourceSilent
 	case s.SourceChanged:
 		return StopSourceChanged
--- a/internal/runcopy/runcopy_test.go
+++ b/internal/runcopy/runcopy_test.go
@@ -244,3 +244,26 @@
 		}
 	}
 }
+
+// Guards against callers that wait for checks of replicas, up to a second, though their run can't go on.
+func TestRunsThatCannotGoOnAreCutAtOnce(t *testing.T) {
+	const lifetime = 5 * time.Second
+	good := Situation{
+		Events: 2, Worked: MinWork(testInterval), Silence: maxSilence, SinceEvent: lifetime - testInterval - 1,
+		Transfer: fleet.RunTransfer{CopyInterval: testInterval, CopyLifetime: lifetime},
+	}
+	for want, change := range map[StopReason]func(*Situation){
+		"":               func(*Situation) {},
+		StopSuspect:      func(s *Situation) { s.Suspect = true },
+		StopNoEvents:     func(s *Situation) { s.Events = 0 },
+		StopNoCopyYet:    func(s *Situation) { s.Worked-- },
+		StopCopyExpired:  func(s *Situation) { s.SinceEvent++ },
+		StopSourceSilent: func(s *Situation) { s.Silence++ },
+	} {
+		s := good
+		change(&s)
+		if got := Preclude(&s); got != want {
+			t.Errorf("%+v: %q; want %q", s, got, want)
+		}
+	}
+}
