--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -41,6 +41,9 @@
 	clientFrozen func(client string) bool
 	refuse       bool
 	closed       bool
+	// isolated is set between Isolate and Reconnect, fillers are the connections that fill the backlog then.
+	isolated bool
+	fillers  []net.Conn
 	drop         [directions]bool
 	delay        [directions]time.Duration
 	// repliesToLose is how many replies, to requests that contain loseMatch, are still
@@ -169,7 +172,10 @@
 
 // Close stops the proxy, resets its connections and waits for its goroutines.
 func (p *Proxy) Close() {
-	p.set(func() { p.closed = true })
+	p.set(func() {
+		p.closed = true
+		p.closeFillers()
+	})
 	p.listener.Close()
 	p.ResetConnections()
 	p.goroutines.Wait()
@@ -192,6 +198,7 @@
 		if err != nil {
 			return
 		}
+		p.awaitReconnect()
 		p.goroutines.Add(1)
 		go p.connect(conn.(*net.TCPConn))
 	}
--- a/internal/faultproxy/faultproxy_test.go
+++ b/internal/faultproxy/faultproxy_test.go
@@ -161,3 +161,31 @@
 	p.Thaw()
 	wantLine(t, other, otherR, "TWO")
 }
+
+// Guards against a lost path that new connections don't show: a listener that doesn't accept still has its
+// connections opened by the kernel.
+func TestIsolateHasConnectionsTimeOut(t *testing.T) {
+	p, conn, r, lines := startProxy(t)
+	if err := p.Isolate(); err != nil {
+		t.Fatal(err)
+	}
+	if late, err := net.DialTimeout("tcp", p.Address(), 200*time.Millisecond); err == nil {
+		late.Close()
+		t.Error("a connection is opened while the proxy is isolated")
+	}
+	if _, err := conn.Write([]byte("held back\n")); err != nil {
+		t.Fatal(err)
+	}
+	wantNoData(t, conn, r)
+	if err := p.Reconnect(); err != nil {
+		t.Fatal(err)
+	}
+	if line := <-lines; line != "held back" {
+		t.Errorf("the target got %q", line)
+	}
+	again, err := net.DialTimeout("tcp", p.Address(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again.Close()
+}
