A process that is cut off from the platform asks the peers of the last list

What callers saw: TestPromise9OutageAfterAcceptance failed in a run of all tests beside other load: an entry that was cut off before a change was accepted didn't have it after 45 s, so a revoked key would still have been accepted there.

Cause: while the log can't be read a process asks a peer each second, and took the peers from the platform's instance list. That can't be read either then, and the fixed peers remained, of which there need be none. What is left are messages of sessions that happen to be open; beside load the entry had none with a process that had heard of the change.

Evidence: three failures in some 25 runs beside load; the entry's log shows "log not read", "instance list can't be read" every two seconds, and not one attempt to ask a peer. TestPeersOfTheLastListAreAsked failed before: 1 peer, want the 3 that are known.

Change: while the list can't be read, the last one stays in use, as for requests.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -426,3 +426,23 @@
 		t.Error("didn't use the snapshot that the log continues")
 	}
 }
+
+// Guards against a process that is cut off from the platform and never asks a peer: it needs the instance list to know
+// any, and the list can't be read either.
+func TestPeersOfTheLastListAreAsked(t *testing.T) {
+	down := false
+	list := func(context.Context) ([]platform.Instance, error) {
+		if down {
+			return nil, platform.ErrUnavailable
+		}
+		return []platform.Instance{{Address: "a:1", FailureDomain: "x"}, {Address: "b:1", FailureDomain: "y"}, {Address: "self:1"}}, nil
+	}
+	peers := PeersNearestFirst(nil, []string{"fixed:1"}, list, "x", "self:1")
+	if got := len(peers(t.Context())); got != 3 {
+		t.Fatalf("%d peers; want 3", got)
+	}
+	down = true
+	if got := len(peers(t.Context())); got != 3 {
+		t.Errorf("%d peers while the list can't be read; want the 3 that are known", got)
+	}
+}
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -162,17 +162,22 @@
 
 // PeersNearestFirst returns a Peers function over fixed addresses and the instance list: the
 // fixed peers and those of the same failure domain first, each group in random order so that many
-// restarted processes don't ask the same few.
+// restarted processes don't ask the same few. While the list can't be read, the last one stays in use: a
+// process that is cut off from the platform can still ask those that it knows.
 func PeersNearestFirst(pool *wire.Pool, fixed []string, list func(context.Context) ([]platform.Instance, error), domain, self string) func(context.Context) []FetchFunc {
+	var mu sync.Mutex
+	var known []platform.Instance
 	return func(ctx context.Context) []FetchFunc {
 		near, far := append([]string(nil), fixed...), []string(nil)
 		listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		instances, err := list(listCtx)
 		cancel()
+		mu.Lock()
 		if err != nil {
-			// The fixed peers remain.
-			instances = nil
+			instances = known
 		}
+		known = instances
+		mu.Unlock()
 		for _, i := range instances {
 			switch {
 			case i.Address == self:
