--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -41,11 +41,12 @@
 	clientFrozen func(client string) bool
 	refuse       bool
 	closed       bool
-	// isolated is set between Isolate and Reconnect, fillers are the connections that fill the backlog then.
-	isolated bool
+	// isolated is how many calls of Isolate are without their Reconnect, fillers are the connections that fill
+	// the backlog then.
+	isolated int
 	fillers  []net.Conn
-	drop         [directions]bool
-	delay        [directions]time.Duration
+	drop     [directions]bool
+	delay    [directions]time.Duration
 	// repliesToLose is how many replies, to requests that contain loseMatch, are still
 	// to be discarded.
 	repliesToLose int
--- a/internal/faultproxy/isolate.go
+++ b/internal/faultproxy/isolate.go
@@ -18,9 +18,18 @@
 )
 
 // Isolate holds back all data in both directions and has new connections time out, until Reconnect: as when
-// the path to the target is lost. The target runs on. It returns once new connections time out.
+// the path to the target is lost. The target runs on. It returns once new connections time out. Calls
+// nest: each needs one Reconnect.
 func (p *Proxy) Isolate() error {
-	p.set(func() { p.frozen, p.isolated = true, true })
+	first := false
+	p.set(func() {
+		p.isolated++
+		first = p.isolated == 1
+		p.frozen = true
+	})
+	if !first {
+		return nil
+	}
 	if err := p.setBacklog(0); err != nil {
 		return err
 	}
@@ -42,10 +51,18 @@
 
 // Reconnect ends Isolate; the data held back is delivered.
 func (p *Proxy) Reconnect() error {
+	last := false
+	p.set(func() {
+		p.isolated--
+		last = p.isolated == 0
+	})
+	if !last {
+		return nil
+	}
 	err := p.setBacklog(usualBacklog)
 	p.set(func() {
 		p.closeFillers()
-		p.frozen, p.isolated = false, false
+		p.frozen = false
 	})
 	return err
 }
@@ -77,7 +94,7 @@
 func (p *Proxy) awaitReconnect() {
 	for {
 		p.mu.Lock()
-		waits, changed := p.isolated && !p.closed, p.changed
+		waits, changed := p.isolated > 0 && !p.closed, p.changed
 		p.mu.Unlock()
 		if !waits {
 			return
