--- a/internal/lease/leases.go
+++ b/internal/lease/leases.go
@@ -106,9 +106,9 @@
 	seq          uint64
 	states       map[Name]*leaseState
 	uses         map[Name]*leaseUse
-	// started is the time of the first event, once running is set.
-	started time.Duration
-	running bool
+	// started is the time of the first event, once hasStarted is set.
+	started    time.Duration
+	hasStarted bool
 	// settledAt is when no holder can be at work any more whose records this process couldn't read;
 	// doubtful is set if the log was, or may have been, restored from an older copy.
 	settledAt time.Duration
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -63,8 +63,8 @@
 	t.complete = true
 }
 
-// SkipGap continues at oldest: the records before it can't be read. What they said of a lease is unknown until its next record, so each known
-// grant blocks claims by others for its whole duration from now.
+// SkipGap continues at oldest: the records before it can't be read. What they said of a lease is unknown
+// until its next record, so each known grant blocks claims by others for its whole duration from now.
 func (t *Table) SkipGap(oldest uint64, now time.Duration) {
 	t.SkipTo(oldest)
 	for _, e := range t.entries {
--- a/internal/lease/uses.go
+++ b/internal/lease/uses.go
@@ -84,8 +84,8 @@
 
 // noteStart notes the time of the first event.
 func (l *Leases) noteStart(now time.Duration) {
-	if !l.running {
-		l.running, l.started = true, now
+	if !l.hasStarted {
+		l.hasStarted, l.started = true, now
 	}
 }
 
