An entry that starts in a restored store doubts its log also where it is empty

What callers saw: nothing; read in the review of the change of the lease.

Cause: whether the log may be an older copy was asked at its first record. A copy from before any record of the topic has none, and the entry claimed the lease at once, beside a holder of the time before the restore that hadn't read of it yet.

Evidence: TestNoClaimAtOnceInARestoredStore failed ("era 1: claims at once true; want false").

Change: it is asked when the topic was read to its end for the first time, before which nothing is claimed.

--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -153,8 +153,13 @@
 		r.entry.tel.Log.Warn("store restored from an older copy", "stream", topicEntries, "era", fleet.Era(first))
 		r.entry.rewriteAnnouncements()
 	}
+	began := false
 	f.onCaughtUp = func() {
 		r.mu.Lock()
+		if !began && fleet.Era(f.watermark.Next) > 0 {
+			r.leases.HistoryDoubtful(bootTime())
+		}
+		began = true
 		r.applyLeaseActions(ctx, r.leases.CaughtUp(bootTime()))
 		r.mu.Unlock()
 	}
@@ -174,9 +179,6 @@
 	e := r.entry
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.nextOffset == 0 && fleet.Era(record.Offset) > 0 {
-		r.leases.HistoryDoubtful(bootTime())
-	}
 	r.nextOffset = record.Offset + 1
 	envelope, err := rollout.Decode(record.Value)
 	if err != nil {
