--- a/internal/direct/ports.go
+++ b/internal/direct/ports.go
@@ -37,6 +37,7 @@
 // Replicas calls the replicas of models. The notice is what the replica announces about itself in the
 // headers of its response, and is valid whatever the outcome of the call.
 type Replicas interface {
+	// Order sends an order. None arrives after Order has returned: what was sent last must arrive last.
 	Order(context.Context, *fleet.Order) (fleet.Reply, fleet.Notice, error)
 	Report(context.Context, *fleet.Replica) (fleet.Report, fleet.Notice, error)
 	// Identity returns the name of the replica that answers health checks at a replica's address.
--- a/internal/direct/rollouts_test.go
+++ b/internal/direct/rollouts_test.go
@@ -81,6 +81,10 @@
 	if p.Apart < d.Lease.D() || p.MaxUse < callTimeout {
 		t.Errorf("a lease that is returned, or reclaimed after a restart, doesn't keep orders apart: %+v", p)
 	}
+	checked := leaseParamsFor(&settings.Direct{Lease: settings.DefaultLease, FencesChecked: true})
+	if checked.Apart < d.Lease.D() {
+		t.Errorf("a returned lease keeps holders %v apart where fencing numbers are checked; want %v", checked.Apart, d.Lease.D())
+	}
 	if p.RenewBefore <= p.OrderMargin {
 		t.Error("the lease is renewed only once it can't be used any more")
 	}
