--- a/internal/direct/backups.go
+++ b/internal/direct/backups.go
@@ -239,8 +239,8 @@
 // checkSource finds out what became of the replica whose stream broke off.
 func (req *request) checkSource(ctx context.Context, p *placement) runcopy.SourceState {
 	e := req.entry
-	if state := e.monitor.takenAs(p.inFlight); state != runcopy.SourceUnknown {
-		return state
+	if e.monitor.replicaEnded(p.inFlight) {
+		return runcopy.SourceGone
 	}
 	replica := upstream.Replica{ID: p.replica.ID, Address: p.replica.Address}
 	for range lostDials {
--- a/internal/direct/lostruns_test.go
+++ b/internal/direct/lostruns_test.go
@@ -8,7 +8,6 @@
 
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/fleet"
-	"skylarklead/internal/runcopy"
 	"skylarklead/internal/settings"
 )
 
@@ -49,8 +48,8 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			cancel()
 			m.check(ctx)
-			if taken := m.takenAs(x); cancelled != c.cancel || taken != runcopy.SourceUnknown {
-				t.Errorf("cancelled %v, taken as %v; want %v", cancelled, taken, c.cancel)
+			if ended := m.replicaEnded(x); cancelled != c.cancel || ended {
+				t.Errorf("cancelled %v, taken for ended %v; want %v, false", cancelled, ended, c.cancel)
 			}
 		})
 	}
--- a/internal/direct/monitor.go
+++ b/internal/direct/monitor.go
@@ -7,7 +7,6 @@
 
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/member"
-	"skylarklead/internal/runcopy"
 	"skylarklead/internal/upstream"
 )
 
@@ -38,11 +37,9 @@
 	lastReceived         time.Time
 	answered, unanswered bool
 	repeatable           bool
-	// backedUp is set if the run can go on from a backup. takenAs is what was known of the replica when
-	// the run was cancelled for that, SourceUnknown before.
-	backedUp bool
-	takenAs  runcopy.SourceState
-	cancel   context.CancelFunc
+	// backedUp is set if the run can go on from a backup, replicaEnded once it was cancelled for that.
+	backedUp, replicaEnded bool
+	cancel                 context.CancelFunc
 }
 
 // replicaMonitor detects replicas that have stopped responding.
