--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -24,6 +24,7 @@
 var scenarios = map[string]scenario{
 	"drain":    {setUpDrain, playDrain},
 	"nameless": {setUpNameless, playNameless},
+	"attempts": {setUpAttempts, playAttempts},
 }
 
 func main() { os.Exit(execute()) }
--- a/review/harness-2/nameless.go
+++ b/review/harness-2/nameless.go
@@ -27,13 +27,7 @@
 		if faulty++; faulty > faultyReplicas {
 			return
 		}
-		answers := 0
-		r.lateAnswer = func(string, int, []byte) []byte {
-			if answers++; answers%lateEvery != 0 || !s.troubled.Load() {
-				return nil
-			}
-			return namelessBytes
-		}
+		r.lateAnswer = s.everyFortieth(namelessBytes)
 	})
 	if err != nil {
 		return err
--- a/review/harness-2/replica.go
+++ b/review/harness-2/replica.go
@@ -32,7 +32,9 @@
 	// lateAnswer returns what the replica sends again, or in addition, after an answer: late, at the point
 	// where the next answer on the connection is due; nil for nothing.
 	lateAnswer func(id string, status int, answer []byte) []byte
-	log        *record
+	// fails says which requests the replica runs and answers with a 500; nil for none.
+	fails func(id string) bool
+	log   *record
 
 	address  string
 	listener net.Listener
@@ -162,6 +164,9 @@
 		return nil, false
 	}
 	r.end(run)
+	if r.fails != nil && r.fails(id) {
+		return r.answer(x, id, 500, seal, "")
+	}
 	return r.answer(x, id, 200, seal, "done "+id+"\n")
 }
 
--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -23,6 +23,7 @@
 	host       = "jepu9.example"
 	streamPath = "/lepu270/2f"
 	payPath    = "/fiti832/ti23/2f"
+	lookPath   = "/filo73/de11/2f"
 	llm        = "huvo11a"
 	portal     = "kafi81c"
 	model      = "daka510000"
@@ -84,6 +85,8 @@
 				"service": llm, "attempts": 1, "public": false, "sticky": true, "can_resume": false, "gap_target_ms": 500},
 			map[string]any{"name": "r-27eya6u", "host": host, "path_prefix": "/fiti832/", "kind": "mutating", "timeout_ms": 2000, "slo_ms": 300, "prio": 2,
 				"service": portal, "attempts": 1, "public": false},
+			map[string]any{"name": "r-filo73", "host": host, "path_prefix": "/filo73/", "kind": "idempotent", "timeout_ms": 2000, "slo_ms": 300, "prio": 2,
+				"service": portal, "attempts": lookAttempts, "public": false},
 		},
 		"services": []any{
 			map[string]any{"name": llm, "health_path": healthPath, "max_conns": 360, "proto": "h1", "tls": false,
