--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -24,7 +24,7 @@
 var scenarios = map[string]scenario{
 	"drain":    {setUpDrain, playDrain},
 	"nameless": {setUpNameless, playNameless},
-	"attempts": {setUpAttempts, playAttempts},
+	"poison":   {setUpPoison, playPoison},
 }
 
 func main() { os.Exit(execute()) }
--- a/review/harness-2/nameless.go
+++ b/review/harness-2/nameless.go
@@ -35,6 +35,20 @@
 	return s.addEntries(3)
 }
 
+// everyFortieth returns what sends bytes after every lateEvery-th answer while the site is troubled.
+func (s *site) everyFortieth(bytes []byte) func(string, int, []byte) []byte {
+	var mu sync.Mutex
+	answers := 0
+	return func(string, int, []byte) []byte {
+		mu.Lock()
+		defer mu.Unlock()
+		if answers++; answers%lateEvery != 0 || !s.troubled.Load() {
+			return nil
+		}
+		return bytes
+	}
+}
+
 // playNameless sends payments while one replica sends further bytes after some of its answers.
 func playNameless(s *site, trouble bool) ([]string, error) {
 	s.troubled.Store(trouble)
--- a/review/harness-2/replica.go
+++ b/review/harness-2/replica.go
@@ -13,11 +13,17 @@
 	"time"
 )
 
-const healthPath = "/healthz"
+const (
+	healthPath = "/healthz"
+	// crashBody in a request's body crashes the replica that runs it, crashAfter it has begun to.
+	crashBody  = "crash"
+	crashAfter = 20 * time.Millisecond
+)
 
 // run is a request that a replica began to work on.
 type run struct {
 	id, replica string
+	crash       bool
 	at          time.Time
 	// ended is when the work was complete, zero if it was dropped since its connection was closed.
 	ended time.Time
@@ -32,9 +38,10 @@
 	// lateAnswer returns what the replica sends again, or in addition, after an answer: late, at the point
 	// where the next answer on the connection is due; nil for nothing.
 	lateAnswer func(id string, status int, answer []byte) []byte
-	// fails says which requests the replica runs and answers with a 500; nil for none.
-	fails func(id string) bool
-	log   *record
+	log        *record
+
+	// crashed is called with the id of the incarnation that has crashed, back once the next one serves.
+	crashed, back func(id string)
 
 	address  string
 	listener net.Listener
@@ -47,6 +54,10 @@
 	answers int
 	late    int
 	beats   uint64
+	// conns are the open connections, down is set from a crash until the next start.
+	conns  map[net.Conn]bool
+	down   bool
+	starts int
 }
 
 func (r *replica) start() error {
@@ -54,17 +65,67 @@
 	if err != nil {
 		return err
 	}
-	r.listener, r.address, r.freed = l, l.Addr().String(), make(chan struct{})
+	r.address, r.freed, r.conns = l.Addr().String(), make(chan struct{}), make(map[net.Conn]bool)
+	r.listen(l)
+	return nil
+}
+
+func (r *replica) listen(l net.Listener) {
+	r.mu.Lock()
+	r.listener, r.down = l, false
+	r.mu.Unlock()
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go r.serve(c)
+			r.mu.Lock()
+			r.conns[c] = true
+			r.mu.Unlock()
+			go func() {
+				r.serve(c)
+				r.mu.Lock()
+				delete(r.conns, c)
+				r.mu.Unlock()
+			}()
 		}
 	}()
-	return nil
+}
+
+// downtime is how long a replica is away after a crash.
+const downtime = 1500 * time.Millisecond
+
+// crash ends the replica: its connections are reset, and it starts again at its address under a new id.
+func (r *replica) crash() {
+	r.mu.Lock()
+	if r.down {
+		r.mu.Unlock()
+		return
+	}
+	r.down = true
+	former := r.id
+	r.listener.Close()
+	for c := range r.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	r.starts++
+	name, _, _ := strings.Cut(former, ".")
+	r.id = fmt.Sprintf("%s.%d", name, r.starts)
+	r.mu.Unlock()
+	r.log.add("crashed    %s", former)
+	r.crashed(former)
+	time.AfterFunc(downtime, func() {
+		l, err := net.Listen("tcp", r.address)
+		if err != nil {
+			r.log.add("not back   %s: %v", r.id, err)
+			return
+		}
+		r.listen(l)
+		r.log.add("started    %s", r.id)
+		r.back(r.id)
+	})
 }
 
 // entry is the replica's entry in the list of replicas.
@@ -133,12 +194,15 @@
 // handle answers a request. It returns what follows late, and false if the connection is to be closed.
 func (r *replica) handle(x *exchange) (late []byte, ok bool) {
 	id := x.req.Header.Get("Skylarklead-Request-Id")
-	if want := x.req.Header.Get("Skylarklead-Expect-Instance"); want != "" && want != r.id {
-		return nil, x.reply(421, id, "Skylarklead-Instance-Id: "+r.id+"\r\n", "")
+	r.mu.Lock()
+	own := r.id
+	r.mu.Unlock()
+	if want := x.req.Header.Get("Skylarklead-Expect-Instance"); want != "" && want != own {
+		return nil, x.reply(421, id, "Skylarklead-Instance-Id: "+own+"\r\n", "")
 	}
 	switch x.req.URL.Path {
 	case healthPath:
-		return nil, x.reply(200, id, "Skylarklead-Instance-Id: "+r.id+"\r\n", "")
+		return nil, x.reply(200, id, "Skylarklead-Instance-Id: "+own+"\r\n", "")
 	case "/-/report":
 		report, _ := json.Marshal(map[string]any{
 			"stage": "mixed", "models": r.models(), "busy": false, "seq": 0, "queued": 0, "active": 0,
@@ -150,12 +214,17 @@
 		return r.answer(x, id, 503, "Skylarklead-Not-Executed: 1\r\n", "")
 	}
 	defer r.release()
-	run := &run{id: id, replica: r.id, at: time.Now()}
+	run := &run{id: id, replica: own, crash: strings.Contains(x.body, crashBody), at: time.Now()}
 	r.mu.Lock()
 	r.runs = append(r.runs, run)
 	r.mu.Unlock()
-	r.log.add("run        %s at %s (%s)", id, r.id, strings.TrimSpace(x.body))
-	seal := "Skylarklead-Response-Seal: " + r.id + "." + id + "\r\n"
+	r.log.add("run        %s at %s (%s)", id, own, strings.TrimSpace(x.body))
+	seal := "Skylarklead-Response-Seal: " + own + "." + id + "\r\n"
+	if strings.Contains(x.body, crashBody) {
+		time.Sleep(crashAfter)
+		r.crash()
+		return nil, false
+	}
 	if events := x.number("events"); events > 0 {
 		return nil, r.stream(x, run, seal, events)
 	}
@@ -164,9 +233,6 @@
 		return nil, false
 	}
 	r.end(run)
-	if r.fails != nil && r.fails(id) {
-		return r.answer(x, id, 500, seal, "")
-	}
 	return r.answer(x, id, 200, seal, "done "+id+"\n")
 }
 
--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -40,8 +40,11 @@
 // entry is a process of the project, started with the deploy file's command.
 type entry struct {
 	name, front, ready string
-	cmd                *exec.Cmd
-	exited             chan struct{}
+	// words are the command, settings and log the paths of its files.
+	words         []string
+	settings, log string
+	cmd           *exec.Cmd
+	exited        chan struct{}
 }
 
 // site is a small deployment: a store, replicas and one entry in each zone.
@@ -86,7 +89,7 @@
 			map[string]any{"name": "r-27eya6u", "host": host, "path_prefix": "/fiti832/", "kind": "mutating", "timeout_ms": 2000, "slo_ms": 300, "prio": 2,
 				"service": portal, "attempts": 1, "public": false},
 			map[string]any{"name": "r-filo73", "host": host, "path_prefix": "/filo73/", "kind": "idempotent", "timeout_ms": 2000, "slo_ms": 300, "prio": 2,
-				"service": portal, "attempts": lookAttempts, "public": false},
+				"service": portal, "attempts": 2, "public": false},
 		},
 		"services": []any{
 			map[string]any{"name": llm, "health_path": healthPath, "max_conns": 360, "proto": "h1", "tls": false,
@@ -106,6 +109,10 @@
 		return err
 	}
 	s.replicas = append(s.replicas, r)
+	r.crashed = func(id string) {
+		time.AfterFunc(3*heartbeat, func() { s.store.Put("keyed.servers", id, nil) })
+	}
+	r.back = func(id string) { s.store.Put("keyed.servers", id, r.entry()) }
 	s.store.Put("keyed.servers", r.id, r.entry())
 	s.loops.Go(func() {
 		tick := time.NewTicker(heartbeat)
@@ -115,7 +122,12 @@
 			case <-s.stop:
 				return
 			case <-tick.C:
-				s.store.Put("keyed.servers", r.id, r.entry())
+				r.mu.Lock()
+				id, down := r.id, r.down
+				r.mu.Unlock()
+				if !down {
+					s.store.Put("keyed.servers", id, r.entry())
+				}
 			}
 		}
 	})
@@ -165,7 +177,7 @@
 		return nil, err
 	}
 	zone := zones[len(s.entries)%len(zones)]
-	e := &entry{name: "edge-" + zone + "-1", exited: make(chan struct{})}
+	e := &entry{name: "edge-" + zone + "-1"}
 	fields, err := s.fields(e, zone)
 	if err != nil {
 		return nil, err
@@ -178,24 +190,34 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
-	words := strings.Fields(strings.ReplaceAll(string(runLine[1]), "/etc/skylarklead/boot.toml", path))
-	e.cmd = exec.Command(words[0], words[1:]...)
-	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "SKYLARKLEAD_SETTINGS=" + path}
-	out, err := os.Create(filepath.Join(s.dir, e.name+".log"))
-	if err != nil {
+	e.words = strings.Fields(strings.ReplaceAll(string(runLine[1]), "/etc/skylarklead/boot.toml", path))
+	e.settings, e.log = path, filepath.Join(s.dir, e.name+".log")
+	if err := e.start(); err != nil {
 		return nil, err
 	}
-	e.cmd.Stdout, e.cmd.Stderr = out, out
-	if err := e.cmd.Start(); err != nil {
-		return nil, err
+	s.entries = append(s.entries, e)
+	return e, s.awaitReady(e)
+}
+
+// start starts the entry's process, at first or again.
+func (e *entry) start() error {
+	cmd, exited := exec.Command(e.words[0], e.words[1:]...), make(chan struct{})
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "SKYLARKLEAD_SETTINGS=" + e.settings}
+	out, err := os.OpenFile(e.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return err
 	}
+	e.cmd, e.exited = cmd, exited
 	go func() {
-		_ = e.cmd.Wait()
+		_ = cmd.Wait()
 		out.Close()
-		close(e.exited)
+		close(exited)
 	}()
-	s.entries = append(s.entries, e)
-	return e, s.awaitReady(e)
+	return nil
 }
 
 // fields returns the settings that the platform has for an entry, on a loopback address of its own.
