Review, case 5: spells of 5 s, and only machines in touch

The first form of the script sent the further bytes for 60 s without a pause, though the site's garble lasts 5 s at a time, and counted requests of the first 3 s, when no machine is in touch: stricter than the rule. Now nine spells of 5 s, one answer in 34 (x is 0.03), traffic from 4 s on.

--- a/review/harness-2/nameless.go
+++ b/review/harness-2/nameless.go
@@ -7,12 +7,14 @@
 )
 
 const (
-	// faultyReplicas of the three hand out further bytes after every lateEvery-th of their answers: share
-	// and x of the site's largest "garble" are 0.6 and 0.03.
+	// faultyReplicas of the three hand out further bytes after every lateEvery-th of their answers, for
+	// spell at a time with spellPause between: share, x and for_s of the site's "garble" ("extra late")
+	// are 0.6, 0.03 and 5.
 	faultyReplicas = 1
-	lateEvery      = 40
-	// namelessLength is how long the case lasts.
-	namelessLength = 60 * time.Second
+	lateEvery      = 34
+	spell          = 5 * time.Second
+	spellPause     = 2 * time.Second
+	spells         = 9
 	// deniedExtra and deniedShare are the rule's bound: more than 5 + one in 500 of all requests.
 	deniedExtra = 5
 	deniedShare = 500
@@ -27,7 +29,7 @@
 		if faulty++; faulty > faultyReplicas {
 			return
 		}
-		r.lateAnswer = s.everyFortieth(namelessBytes)
+		r.lateAnswer = s.everyNth(namelessBytes)
 	})
 	if err != nil {
 		return err
@@ -35,14 +37,17 @@
 	return s.addEntries(3)
 }
 
-// everyFortieth returns what sends bytes after every lateEvery-th answer while the site is troubled.
-func (s *site) everyFortieth(bytes []byte) func(string, int, []byte) []byte {
+// everyNth returns what sends bytes after every lateEvery-th answer while the site is troubled.
+func (s *site) everyNth(bytes []byte) func(string, int, []byte) []byte {
 	var mu sync.Mutex
 	answers := 0
 	return func(string, int, []byte) []byte {
 		mu.Lock()
 		defer mu.Unlock()
-		if answers++; answers%lateEvery != 0 || !s.troubled.Load() {
+		if !s.troubled.Load() {
+			return nil
+		}
+		if answers++; answers%lateEvery != 0 {
 			return nil
 		}
 		return bytes
@@ -51,7 +56,7 @@
 
 // playNameless sends payments while one replica sends further bytes after some of its answers.
 func playNameless(s *site, trouble bool) ([]string, error) {
-	s.troubled.Store(trouble)
+	time.Sleep(stableTime + time.Second) // until the machines are in touch
 	t := &traffic{log: s.log}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
@@ -77,7 +82,12 @@
 			})
 		}
 	}
-	time.Sleep(namelessLength)
+	for range spells {
+		time.Sleep(spellPause)
+		s.troubled.Store(trouble)
+		time.Sleep(spell)
+		s.troubled.Store(false)
+	}
 	close(stop)
 	clients.Wait()
 	all := t.count()
