Log how long a draining entry still lives, at arrival and at each dispatch

Callers: eight payments of review/4, sent 5.6 to 6.3 s after SIGTERM on kept connections, were run and got no answer. The entry's lines call them caller_left, 'caller closed the connection', though the entry closed it.

The lines couldn't tell three hypotheses apart: (1) the entry accepts what may outlast it; (2) it accepts while it has time, and the request waits for its body, its place or another try and is sent to the replica too late; (3) the request would have ended in time and the entry ends too soon.

drain_left_ms on the request's line and in each dispatch.

--- a/internal/direct/backups.go
+++ b/internal/direct/backups.go
@@ -304,7 +304,7 @@
 	req.query.Levels, req.query.SharedTokens, req.query.PromptTokens = nil, 0, 0
 	s.picker.Dispatched(now, &req.query, &next.choice)
 	s.rateLimits.Take(target.ID, now)
-	req.dispatches = append(req.dispatches, dispatchRecord{replica: target.ID, reason: pickContinued, candidateCount: 1, version: p.version, software: target.Software})
+	req.dispatches = append(req.dispatches, dispatchRecord{replica: target.ID, reason: pickContinued, candidateCount: 1, version: p.version, software: target.Software, drainLeft: req.entry.drain.left()})
 	return next, ""
 }
 
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -210,7 +210,7 @@
 		replica: choice.ID, reason: choice.Reason, score: choice.Score, load: choice.WaitMs,
 		missedTokens: choice.MissingTokens, fetchFrom: p.fetchFrom, fetchTokens: p.fetchTokens, candidateCount: choice.CandidateCount, version: p.version, software: p.replica.Software,
 		listAge: now - time.Duration(s.listReadAt.Load()), listReader: s.replicaListReader(), offListFor: s.replicas.UnlistedFor(choice.ID, now),
-		rateLimit: rateLimit,
+		rateLimit: rateLimit, drainLeft: req.entry.drain.left(),
 	})
 	return p
 }
--- a/internal/direct/drain.go
+++ b/internal/direct/drain.go
@@ -74,6 +74,15 @@
 	return d.began, d.ends
 }
 
+// left is how much longer the entry lives at most, 0 if it isn't draining.
+func (d *drain) left() time.Duration {
+	_, ends := d.window()
+	if ends.IsZero() {
+		return 0
+	}
+	return max(1, time.Until(ends))
+}
+
 // endsWithin reports whether the entry is draining and exits within t.
 func (d *drain) endsWithin(t time.Duration) bool {
 	_, ends := d.window()
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -44,6 +44,8 @@
 	listReader string
 	// offListFor is how long ago the replica's record was removed; 0 if it wasn't.
 	offListFor time.Duration
+	// drainLeft is how much longer the draining entry lives, 0 if it isn't draining.
+	drainLeft time.Duration
 	// rateLimit is what was known of the replica's rate limit; zero for none.
 	rateLimit ratelimit.State
 	// notice is what the replica announced of itself in the head of its answer.
@@ -73,6 +75,9 @@
 	started time.Duration
 	// deadline is when the final answer is due.
 	deadline time.Duration
+	// drainLeft is how much longer the draining entry lives when the request arrives, 0 if it isn't
+	// draining.
+	drainLeft time.Duration
 	// plan decides whether the request may be sent again after a failed dispatch.
 	plan  *attempt.DispatchPlan
 	query route.PickQuery
@@ -167,6 +172,9 @@
 	if req.quotaStats.units > 0 {
 		attrs = append(attrs, req.quotaAttr())
 	}
+	if req.drainLeft > 0 {
+		attrs = append(attrs, slog.Float64("drain_left_ms", ms(req.drainLeft)))
+	}
 	if req.waited > time.Millisecond {
 		attrs = append(attrs, slog.Float64("waited_ms", ms(req.waited)))
 	}
@@ -243,6 +251,9 @@
 	if d.offListFor > 0 {
 		fields = append(fields, slog.Int64("off_list_ms", d.offListFor.Milliseconds()))
 	}
+	if d.drainLeft > 0 {
+		fields = append(fields, slog.Float64("drain_left_ms", ms(d.drainLeft)))
+	}
 	if d.missedTokens > 0 {
 		fields = append(fields, slog.Int("missed_tokens", d.missedTokens))
 	}
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -45,7 +45,7 @@
 func (e *Entry) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	req := &request{entry: e, w: w, httpRequest: r, started: e.clock.now()}
 	defer req.log()
-	if e.draining() {
+	if req.drainLeft = e.drain.left(); req.drainLeft > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	e.drain.requestStarted()
