A draining entry answers what it has accepted, and accepts only what ends in time

Cause: what an entry accepted late went by an estimate (1 s for a plain request, the caller's hint for a stream), and at its end all connections were closed, whatever had been sent to replicas. The question was asked at arrival only, not after the body or at the dispatch.

Change: the contexts of all requests end with the entry, and what is left is answered: 504 where a replica may have run it, 503 where not; only streams of which the caller has a part are cut. admit.Shutdown decides what is accepted: what has its deadline before the end, and, as before, plain requests that may be repeated if a second is left. It is asked at arrival, after the body, at each placement and while a request waits. Refusals say Retry-After 0.02 in place of 0.3, as the next try meets another entry.

Why it works: the entry enforces both bounds itself, the deadline and its end, so that neither rests on replicas or hints.

--- /dev/null
+++ b/internal/admit/shutdown.go
@@ -0,0 +1,37 @@
+package admit
+
+import "time"
+
+// Shutdown is the time for which a process that shuts down still serves.
+type Shutdown struct {
+	// RestrictedFrom is from when on requests are accepted only if they end in time.
+	RestrictedFrom time.Duration
+	// Ends is when the process answers or cuts off what is left.
+	Ends time.Duration
+}
+
+// LateRequest is a request at a process that shuts down. Its times are on the clock of the Shutdown.
+type LateRequest struct {
+	Arrived time.Duration
+	// Deadline is when the process itself ends the request, whatever its replica does.
+	Deadline time.Duration
+	// Usual is the usual maximum duration of the request if it is started now.
+	Usual time.Duration
+	// Streaming answers can't be completed once they have begun.
+	Streaming bool
+	// Repeatable requests may run again after an unknown outcome.
+	Repeatable bool
+}
+
+// Accepts reports whether a request may be started now. An estimate of its duration counts only where the
+// request, if it is cut off, still gets an answer after which its caller may repeat it, or where it
+// arrived while requests were accepted without restriction.
+func (s Shutdown) Accepts(r LateRequest, now time.Duration) bool {
+	switch {
+	case now < s.RestrictedFrom, r.Deadline <= s.Ends:
+		return true
+	case r.Streaming && r.Arrived < s.RestrictedFrom, !r.Streaming && r.Repeatable:
+		return now+r.Usual < s.Ends
+	}
+	return false
+}
--- /dev/null
+++ b/internal/admit/shutdown_test.go
@@ -0,0 +1,54 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against requests that are accepted on an estimate and then cut off without a final answer.
+func TestShutdownAccepts(t *testing.T) {
+	s := Shutdown{RestrictedFrom: 2800 * time.Millisecond, Ends: 7500 * time.Millisecond}
+	const short, long = time.Second, 10 * time.Second
+	for _, c := range []struct {
+		name    string
+		now     time.Duration
+		request LateRequest
+		want    bool
+	}{
+		{"before the restriction", 2 * time.Second, LateRequest{Arrived: 2 * time.Second, Deadline: 2*time.Second + long, Usual: long}, true},
+		{"payment whose deadline fits", 5 * time.Second, LateRequest{Arrived: 5 * time.Second, Deadline: 7 * time.Second, Usual: short}, true},
+		{"payment whose deadline doesn't fit", 6 * time.Second, LateRequest{Arrived: 6 * time.Second, Deadline: 8 * time.Second, Usual: short}, false},
+		{"payment that arrived early and waited", 6 * time.Second, LateRequest{Arrived: 2 * time.Second, Deadline: 8 * time.Second, Usual: short}, false},
+		{"lookup that usually fits", 6 * time.Second, LateRequest{Arrived: 6 * time.Second, Deadline: 8 * time.Second, Usual: short, Repeatable: true}, true},
+		{"lookup that is dispatched too late", 7 * time.Second, LateRequest{Arrived: 4 * time.Second, Deadline: 8 * time.Second, Usual: short, Repeatable: true}, false},
+		{"short stream", 3 * time.Second, LateRequest{Arrived: 3 * time.Second, Deadline: 18 * time.Second, Usual: short, Streaming: true, Repeatable: true}, false},
+		{"stream that arrived early and waited", 3 * time.Second, LateRequest{Arrived: 2 * time.Second, Deadline: 18 * time.Second, Usual: short, Streaming: true}, true},
+		{"stream that arrived early and waited long", 7 * time.Second, LateRequest{Arrived: 2 * time.Second, Deadline: 18 * time.Second, Usual: short, Streaming: true}, false},
+		{"stream whose deadline fits", 6 * time.Second, LateRequest{Arrived: 6 * time.Second, Deadline: 7 * time.Second, Usual: long, Streaming: true}, true},
+	} {
+		if got := s.Accepts(c.request, c.now); got != c.want {
+			t.Errorf("%s: got %t", c.name, got)
+		}
+	}
+}
+
+// Guards against a request that arrives late, may not be repeated or can't be completed, and outlasts the
+// process, however long its replica takes.
+func TestWhatShutdownAcceptsLateEndsInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		at := func(name string, most int) time.Duration {
+			return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Millisecond
+		}
+		s := Shutdown{RestrictedFrom: at("restricted", 3000)}
+		s.Ends = s.RestrictedFrom + at("then", 6000)
+		r := LateRequest{Arrived: s.RestrictedFrom + at("arrived", 9000), Usual: at("usual", 9000), Streaming: rapid.Bool().Draw(t, "streaming")}
+		r.Deadline = r.Arrived + at("timeout", 20000)
+		r.Repeatable = r.Streaming && rapid.Bool().Draw(t, "repeatable")
+		now := r.Arrived + at("waited", 9000)
+		if s.Accepts(r, now) && r.Deadline > s.Ends {
+			t.Fatalf("%+v accepts %+v at %v", s, r, now)
+		}
+	})
+}
--- a/internal/attempt/forward.go
+++ b/internal/attempt/forward.go
@@ -23,6 +23,11 @@
 // String returns the failure's name in logs.
 func (f DispatchFailure) String() string { return failureNames[f] }
 
+// MayHaveRun reports whether the request may have run in spite of the failure.
+func (f DispatchFailure) MayHaveRun() bool {
+	return f == FailureUnknown || f == FailureErrorResponse
+}
+
 // DispatchSpec determines how often a request may be dispatched.
 type DispatchSpec struct {
 	Organisation string
@@ -91,7 +96,7 @@
 // next.
 func (p *DispatchPlan) RecordFailure(failure DispatchFailure, now time.Duration) RetryDecision {
 	kind := ExtraResend
-	if failure == FailureUnknown || failure == FailureErrorResponse {
+	if failure.MayHaveRun() {
 		p.mayHaveRun = true
 		p.runs++
 		kind = ExtraRetry
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -64,6 +64,10 @@
 			return
 		}
 		p := req.awaitPlacement()
+		if p != nil && req.firstByte == 0 && !req.canFinish() {
+			req.cancelPlacement(p)
+			p = nil
+		}
 		if p == nil {
 			req.answerUnplaced()
 			return
@@ -92,7 +96,7 @@
 			req.unspendQuota()
 		}
 		if req.ctx.Err() != nil {
-			req.answerEnded()
+			req.answerEnded(failure.MayHaveRun())
 			return
 		}
 		if !req.handleFailure(p, failure) {
@@ -141,7 +145,7 @@
 func (req *request) answerUnplaced() {
 	switch {
 	case req.ctx.Err() != nil:
-		req.answerEnded()
+		req.answerEnded(false)
 	case req.firstByte > 0:
 		req.abortUnresumable()
 	case req.fallbackAnswer != nil:
@@ -149,7 +153,7 @@
 	case req.plan.MayHaveRun():
 		req.fail(http.StatusBadGateway, "no replica available for a retry", 0)
 	case !req.canFinish():
-		req.refuse(reasonShuttingDown, defaultRetryAfter)
+		req.refuse(reasonShuttingDown, shutdownRetryAfter)
 	case req.capacityIn > 0:
 		req.entry.tel.Metrics.Count("refused_replicas_closed", 1)
 		req.refuse("all replicas are rate limited or asked for a backoff", req.capacityIn)
@@ -163,12 +167,15 @@
 	}
 }
 
-// answerEnded answers a request whose deadline has passed or whose caller has left.
-func (req *request) answerEnded() {
+// answerEnded answers a request whose deadline has passed, whose caller has left or whose entry ends.
+// mayHaveRun is set if its last dispatch may have run.
+func (req *request) answerEnded(mayHaveRun bool) {
 	switch {
 	case req.callerLeft():
 		req.outcome, req.reason = outcomeCallerLeft, "caller closed the connection"
 		panic(http.ErrAbortHandler)
+	case req.entryEnded():
+		req.answerEntryEnded(mayHaveRun)
 	case req.firstByte > 0:
 		req.abort("deadline exceeded")
 	default:
@@ -176,6 +183,23 @@
 	}
 }
 
+// answerEntryEnded answers a request that is left when a draining entry ends.
+func (req *request) answerEntryEnded(mayHaveRun bool) {
+	drain := req.entry.drain
+	switch {
+	case req.firstByte > 0:
+		drain.cut.Add(1)
+		req.abort(reasonEntryEnded)
+	case req.fallbackAnswer != nil:
+		req.writeAnswer(req.fallbackAnswer)
+	case mayHaveRun || req.plan.MayHaveRun():
+		drain.failed.Add(1)
+		req.fail(http.StatusGatewayTimeout, reasonEntryEnded, 0)
+	default:
+		req.refuse(reasonShuttingDown, shutdownRetryAfter)
+	}
+}
+
 // abort breaks off the answer by closing the connection, so that it doesn't look complete.
 func (req *request) abort(reason string) {
 	req.outcome, req.reason = outcomeCut, reason
--- a/internal/direct/drain.go
+++ b/internal/direct/drain.go
@@ -2,19 +2,21 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"skylarklead/internal/admit"
+	"skylarklead/internal/fleet"
 )
 
 const (
 	// notReadyDelay is how long after SIGTERM new connections still arrive as before: the
 	// platform probes readiness once a second and stops routing after the second failure.
 	notReadyDelay = 2500 * time.Millisecond
-	// unrestrictedPeriod is how long after SIGTERM any request is accepted; later, only
-	// requests that are expected to finish in time are.
+	// unrestrictedPeriod is how long after SIGTERM any request is accepted.
 	unrestrictedPeriod = 2800 * time.Millisecond
 	// stopMargin is reserved before the process is killed.
 	stopMargin = 500 * time.Millisecond
@@ -26,20 +28,40 @@
 	plainRequestTime = time.Second
 	streamStartTime  = 2500 * time.Millisecond
 	streamTimeFactor = 3
+	// finalAnswerTime is the time, after the drain, in which the last answers are written.
+	finalAnswerTime = 200 * time.Millisecond
+	// shutdownRetryAfter is the Retry-After of requests that this entry has no time for: their callers meet
+	// another entry at once.
+	shutdownRetryAfter = 20 * time.Millisecond
 	// drainQueueWait bounds the wait for a placement after unrestrictedPeriod.
 	drainQueueWait = 200 * time.Millisecond
 )
 
+// errEntryEnds is the cause with which a request's context ends when its entry does.
+var errEntryEnds = errors.New("direct: the entry ends")
+
 // drain counts requests in flight and knows when a draining entry exits.
 type drain struct {
+	clock clock
+	// requests is the context of all requests. It ends, with errEntryEnds, when a draining entry does.
+	requests context.Context
+	cancel   context.CancelCauseFunc
+	// cut and failed count the requests whose answer was broken off at the end, and those that got an answer
+	// of the entry's own though they may have run.
+	cut, failed atomic.Int64
+
 	mu       sync.Mutex
 	inFlight int
-	// began and ends are zero unless the entry is draining.
-	began time.Time
-	ends  time.Time
+	// began and ends are when the entry began to drain and when it ends; draining is set if it does.
+	draining    bool
+	began, ends time.Duration
 }
 
-func newDrain() *drain { return &drain{} }
+func newDrain(c clock) *drain {
+	d := &drain{clock: c}
+	d.requests, d.cancel = context.WithCancelCause(context.Background())
+	return d
+}
 
 func (d *drain) requestStarted() {
 	d.mu.Lock()
@@ -53,11 +75,14 @@
 	d.mu.Unlock()
 }
 
+// begin starts the drain of an entry that is killed after the time grace.
 func (d *drain) begin(grace time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.began = time.Now()
-	d.ends = d.began.Add(grace - stopMargin)
+	d.draining = true
+	d.began = d.clock.now()
+	d.ends = d.began + grace - stopMargin
+	time.AfterFunc(grace-stopMargin, func() { d.cancel(errEntryEnds) })
 }
 
 // idle reports whether no request is in flight.
@@ -67,68 +92,78 @@
 	return d.inFlight == 0
 }
 
-// window returns when the drain began and when it ends; both are zero if the entry isn't draining.
-func (d *drain) window() (began, ends time.Time) {
+// window returns the time for which the entry still serves; false if it isn't draining.
+func (d *drain) window() (admit.Shutdown, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.began, d.ends
+	return admit.Shutdown{RestrictedFrom: d.began + unrestrictedPeriod, Ends: d.ends}, d.draining
 }
 
 // left is how much longer the entry lives at most, 0 if it isn't draining.
 func (d *drain) left() time.Duration {
-	_, ends := d.window()
-	if ends.IsZero() {
+	window, draining := d.window()
+	if !draining {
 		return 0
 	}
-	return max(1, time.Until(ends))
+	return max(1, window.Ends-d.clock.now())
 }
 
 // endsWithin reports whether the entry is draining and exits within t.
 func (d *drain) endsWithin(t time.Duration) bool {
-	_, ends := d.window()
-	return !ends.IsZero() && time.Until(ends) < t
+	left := d.left()
+	return left > 0 && left < t
 }
 
 // draining reports whether the entry is draining.
-func (e *Entry) draining() bool {
-	began, _ := e.drain.window()
-	return !began.IsZero()
-}
+func (e *Entry) draining() bool { return e.drain.left() > 0 }
 
-// canFinish reports whether a request may be started. In the last seconds of a draining entry it may
-// only if it is expected to end before the entry exits; its answer would be cut off otherwise.
+// canFinish reports whether a request may be started. In the last seconds of a draining entry that is so
+// only for requests that end before the entry exits.
 func (req *request) canFinish() bool {
-	began, ends := req.entry.drain.window()
-	if began.IsZero() || time.Since(began) < unrestrictedPeriod {
+	window, draining := req.entry.drain.window()
+	if !draining {
 		return true
 	}
 	s := req.entry.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Until(ends) > req.expectedDuration()
+	return req.acceptedIn(window)
+}
+
+// acceptedIn is canFinish at a draining entry. The caller holds the state's lock.
+func (req *request) acceptedIn(window admit.Shutdown) bool {
+	return window.Accepts(admit.LateRequest{
+		Arrived:    req.started,
+		Deadline:   req.deadline,
+		Usual:      req.expectedDuration(),
+		Streaming:  req.route.Kind == fleet.Streaming,
+		Repeatable: req.route.Repeatable(),
+	}, req.entry.clock.now())
 }
 
 // expectedDuration is the usual maximum duration of the request if it is started now. The caller
 // holds the state's lock.
 func (req *request) expectedDuration() time.Duration {
-	if req.params.OutputTokens <= 0 {
+	if req.route.Kind != fleet.Streaming {
 		return plainRequestTime
 	}
 	q := req.newQuery()
 	return streamStartTime + streamTimeFactor*req.entry.state.picker.ExpectedStreamTime(&q)
 }
 
-// refuseLateQueued refuses waiting requests that can't finish before this draining entry exits: their
-// connections would be closed without an answer. The caller holds the state's lock.
+// refuseLateQueued refuses waiting requests that can't finish before this draining entry exits. Streams
+// whose callers have a part go on while they can. The caller holds the state's lock.
 func (e *Entry) refuseLateQueued() {
-	began, ends := e.drain.window()
-	if began.IsZero() || time.Since(began) < unrestrictedPeriod {
+	window, draining := e.drain.window()
+	if !draining {
 		return
 	}
-	remaining := time.Until(ends)
+	late := func(queued *admit.QueuedRequest) bool {
+		req := queued.Value.(*request)
+		return req.firstByte == 0 && !req.acceptedIn(window)
+	}
 	for _, q := range e.state.queues {
-		late := q.waiting.RemoveMatching(func(queued *admit.QueuedRequest) bool { return remaining <= queued.Value.(*request).expectedDuration() })
-		for _, queued := range late {
+		for _, queued := range append(q.waiting.RemoveMatching(late), q.resuming.RemoveMatching(late)...) {
 			queued.Value.(*request).placed <- nil
 		}
 	}
@@ -136,7 +171,8 @@
 
 // shutDown stops the server without cutting off requests. It reports that it isn't ready, serves
 // requests that arrive and can finish in time, and returns after the last of them, or at the latest
-// time that the platform allows. The listener stays open until then: in a rolling restart all entries
+// time that the platform allows. Requests that are left then get an answer of the entry's own; only
+// streams of which the caller has a part are cut. The listener stays open until then: in a rolling restart all entries
 // may be draining at once, and callers would find none that accepts a connection.
 //
 // An idle entry that holds the lease for orders stays as long as a rollout needs it: after it
@@ -145,17 +181,24 @@
 // it exits at the latest.
 func (e *Entry) shutDown(server *http.Server) {
 	e.drain.begin(e.directSettings().Grace.D())
-	began, ends := e.drain.window()
+	began := time.Now()
 	e.tel.Log.Info("draining", "grace_ms", e.directSettings().Grace.D().Milliseconds())
-	time.Sleep(min(notReadyDelay, time.Until(ends)))
-	for (!e.drain.idle() || e.rollouts.keepsLease()) && time.Now().Before(ends) {
-		time.Sleep(drainPollInterval)
+	ended := e.drain.requests.Done()
+	select {
+	case <-time.After(notReadyDelay):
+	case <-ended:
+	}
+	for (!e.drain.idle() || e.rollouts.keepsLease()) && e.drain.requests.Err() == nil {
+		select {
+		case <-time.After(drainPollInterval):
+		case <-ended:
+		}
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), ends)
+	ctx, cancel := context.WithTimeout(context.Background(), e.drain.left()+finalAnswerTime)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
-		e.tel.Log.Warn("requests cut off at the end of the drain period", "error", err)
+		e.tel.Log.Warn("connections closed at the end of the drain period", "error", err)
 		server.Close()
 	}
-	e.tel.Log.Info("drained", "took_ms", time.Since(began).Milliseconds())
+	e.tel.Log.Info("drained", "took_ms", time.Since(began).Milliseconds(), "streams_cut", e.drain.cut.Load(), "failed", e.drain.failed.Load())
 }
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -127,16 +127,17 @@
 func newEntry(s *settings.Settings, tel *telemetry.Telemetry, p Platform) *Entry {
 	d := s.Direct
 	capacity := int64(d.MemoryMB) << 20 / bodyMemoryDivisor
+	clock := clock{time.Now()}
 	e := &Entry{
 		settings:   s,
 		tel:        tel,
 		platform:   p,
-		clock:      clock{time.Now()},
+		clock:      clock,
 		bootClock:  bootTime,
 		state:      newState(s.ID, retryBudgetParams(d)),
 		pool:       upstream.NewPool(),
 		bodyMemory: newBodyMemory(capacity, func() { tel.Metrics.Count("bodies_dropped", 1) }),
-		drain:      newDrain(),
+		drain:      newDrain(clock),
 		malformed:  newMalformedRecords(tel),
 	}
 	e.state.refuseByForecast = d.RefuseByForecast
@@ -216,6 +217,7 @@
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return e.drain.requests },
 	}
 }
 
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -133,14 +133,25 @@
 	backupStats backupStats
 }
 
-// timeLeft is the time until the final answer is due.
-func (req *request) timeLeft() time.Duration { return req.deadline - req.entry.clock.now() }
+// timeLeft is the time until the final answer is due, or until this entry ends.
+func (req *request) timeLeft() time.Duration {
+	left := req.deadline - req.entry.clock.now()
+	if ends := req.entry.drain.left(); ends > 0 {
+		left = min(left, ends)
+	}
+	return left
+}
 
 // timedOut reports whether the deadline has passed.
 func (req *request) timedOut() bool { return errors.Is(context.Cause(req.ctx), errTimeout) }
 
+// entryEnded reports whether the request ends because this entry does.
+func (req *request) entryEnded() bool { return errors.Is(context.Cause(req.ctx), errEntryEnds) }
+
 // callerLeft reports whether the caller has disconnected.
-func (req *request) callerLeft() bool { return req.ctx.Err() != nil && !req.timedOut() }
+func (req *request) callerLeft() bool {
+	return req.ctx.Err() != nil && !req.timedOut() && !req.entryEnded()
+}
 
 // log writes the request's log line and metrics.
 func (req *request) log() {
--- a/internal/direct/reservation.go
+++ b/internal/direct/reservation.go
@@ -137,7 +137,7 @@
 func (req *request) answerOverQuota() {
 	switch {
 	case req.ctx.Err() != nil:
-		req.answerEnded()
+		req.answerEnded(false)
 	case req.firstByte > 0:
 		req.abort("organisation's quota exceeded")
 	case req.fallbackAnswer != nil:
--- a/internal/direct/restricted.go
+++ b/internal/direct/restricted.go
@@ -57,7 +57,7 @@
 		pause.Stop()
 		req.heldBack += e.clock.now() - began
 		if req.ctx.Err() != nil {
-			req.answerEnded()
+			req.answerEnded(false)
 			return false
 		}
 		if req.answerIfPoison() {
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -28,8 +28,12 @@
 	defaultRetryAfter = 300 * time.Millisecond
 )
 
-// reasonShuttingDown refuses requests that can't finish before a draining entry exits.
-const reasonShuttingDown = "this entry is shutting down"
+const (
+	// reasonShuttingDown refuses requests that can't finish before a draining entry exits.
+	reasonShuttingDown = "this entry is shutting down"
+	// reasonEntryEnded is why a request that may have run got no answer of its replica.
+	reasonEntryEnded = "this entry shut down before the replica answered"
+)
 
 // Outcomes of requests, as logs and metrics name them.
 const (
@@ -85,10 +89,12 @@
 		}
 	}
 	req.service = req.config.Services[req.selectService()]
+	timeout := req.timeout()
+	req.deadline = req.started + timeout
 	if !req.canFinish() {
-		return req.refuse(reasonShuttingDown, defaultRetryAfter)
+		return req.refuse(reasonShuttingDown, shutdownRetryAfter)
 	}
-	req.setDeadline()
+	req.limitTime(timeout)
 	return true
 }
 
@@ -125,8 +131,8 @@
 	return targets[0].Service
 }
 
-// setDeadline sets the request's deadline from the caller and the route, and its context's.
-func (req *request) setDeadline() {
+// timeout is the time that the caller and the route give the request.
+func (req *request) timeout() time.Duration {
 	timeout := defaultTimeout
 	if req.route.Timeout > 0 {
 		timeout = req.route.Timeout
@@ -134,7 +140,11 @@
 	if req.params.Deadline > 0 {
 		timeout = min(timeout, req.params.Deadline)
 	}
-	req.deadline = req.started + timeout
+	return timeout
+}
+
+// limitTime ends the request's context, and writes to its caller, after the timeout.
+func (req *request) limitTime(timeout time.Duration) {
 	// A caller that stops reading must not hold the memory of its answer for ever.
 	// An error means that the connection has no deadlines, as in tests; it is ignored.
 	_ = http.NewResponseController(req.w).SetWriteDeadline(time.Now().Add(timeout + writeMargin))
@@ -155,8 +165,12 @@
 		return true
 	}
 	control := http.NewResponseController(req.w)
+	mayTake := bodyTimeout
+	if left := e.drain.left(); left > 0 {
+		mayTake = min(mayTake, left)
+	}
 	// An error means that the connection has no deadlines, as in tests; it is ignored.
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(mayTake))
 	wait := min(maxBodyWait, req.patienceLeft(e.clock.now())/bodyWaitDivisor)
 	err := req.body.read(req.ctx, http.MaxBytesReader(req.w, req.httpRequest.Body, limit), length, e.bodyMemory, wait)
 	_ = control.SetReadDeadline(time.Time{})
@@ -167,6 +181,8 @@
 	var tooLong *http.MaxBytesError
 	var timedOut net.Error
 	switch {
+	case !req.canFinish():
+		return req.refuse(reasonShuttingDown, shutdownRetryAfter)
 	case errors.Is(err, errNoBodyMemory):
 		return req.refuse("no memory for the request body", defaultRetryAfter)
 	case errors.As(err, &tooLong):
@@ -285,6 +301,9 @@
 func (req *request) reply(status int, reason string, after time.Duration) {
 	req.status, req.reason = status, reason
 	h := req.w.Header()
+	if req.entry.draining() {
+		h.Set("Connection", "close")
+	}
 	req.entry.platform.Headers.Refusal(h, req.params.ID)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if after > 0 {
