Role entry: what is left when the process is killed gets an answer

Callers: an entry in this role waits for its last answer however long it takes; the platform kills it at the end of its grace, and callers of what is left get a closed connection.

Change: entry.grace, 0 by default (as before). Half a second before its end a request that hasn't run gets 503 draining, one that may have 502 unknown_outcome. Streams get an error event and aren't cancelled, so that their callers can resume them through another entry. The plan has an event for it (EntryEnds), which joins the random schedules of its property test.

--- a/internal/attempt/events.go
+++ b/internal/attempt/events.go
@@ -74,6 +74,9 @@
 // DeadlinePassed reports that the caller's deadline has passed.
 type DeadlinePassed struct{}
 
+// EntryEnds reports that the entry's process is about to end.
+type EntryEnds struct{}
+
 func (DecisionReceived) event() {}
 func (AskFailed) event()        {}
 func (NotSent) event()          {}
@@ -89,6 +92,7 @@
 func (CallerBack) event()       {}
 func (GraceExpired) event()     {}
 func (DeadlinePassed) event()   {}
+func (EntryEnds) event()        {}
 
 // Action is an instruction from a Plan to its entry. Actions are carried out in order.
 type Action interface{ action() }
--- a/internal/attempt/plan.go
+++ b/internal/attempt/plan.go
@@ -153,6 +153,8 @@
 		return p.graceExpired()
 	case DeadlinePassed:
 		return p.abandon(protocol.CodeDeadline, "the deadline has passed")
+	case EntryEnds:
+		return p.entryEnds()
 	}
 	return nil
 }
@@ -266,6 +268,14 @@
 	return p.abandon(protocol.CodeCanceled, "the caller disconnected")
 }
 
+// entryEnds gives the answer of a request that is left when the entry ends.
+func (p *Plan) entryEnds() []Action {
+	if p.phase == phaseAsking && !p.mayHaveRun && p.next == 0 {
+		return p.refuse(protocol.CodeDraining, "this entry is shutting down", p.params.RetryAfter)
+	}
+	return p.abandon(protocol.CodeUnknownOutcome, "this entry shut down before the answer was complete")
+}
+
 // refuse gives the final answer. It says not_run only if no attempt may have run and
 // the caller has received no part of an answer, and done if an executor had reported
 // that before the answer was lost.
--- a/internal/attempt/plan_model_test.go
+++ b/internal/attempt/plan_model_test.go
@@ -236,6 +236,10 @@
 		if draw == 0 {
 			w.apply(DeadlinePassed{})
 		}
+	case "entry ends":
+		if draw == 0 {
+			w.apply(EntryEnds{})
+		}
 	case "hang up":
 		if draw == 0 {
 			w.apply(CallerGone{})
--- a/internal/attempt/plan_test.go
+++ b/internal/attempt/plan_test.go
@@ -18,7 +18,7 @@
 func TestPlanOutcomesAreTrue(t *testing.T) {
 	kinds := []string{
 		"nothing", "act", "act", "act", "news", "news", "lost news", "double news", "receive", "receive", "receive",
-		"complete", "complete", "restart", "cut", "down", "deadline", "hang up",
+		"complete", "complete", "restart", "cut", "down", "deadline", "hang up", "entry ends",
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		spec := rapid.SampledFrom([]PlanSpec{{Continuable: true}, {Repeatable: true, Continuable: true}, {Keyed: true}}).Draw(t, "spec")
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"skylarklead/internal/protocol"
+	"skylarklead/internal/settings"
 )
 
 const (
@@ -17,6 +18,8 @@
 	// entry drains or is full. It is short because the load balancer will pick
 	// another entry.
 	drainRetryAfter = time.Second
+	// finalAnswerTime is the time in which the last answers are written.
+	finalAnswerTime = settings.EntryStopMargin / 2
 )
 
 // drain counts the requests in flight and refuses new ones once the process shuts
@@ -94,8 +97,11 @@
 
 // shutDown stops a server without aborting requests: it reports not ready, waits
 // for the load balancer to react, refuses requests that still arrive, and returns
-// when the last answer is complete.
+// when the last answer is complete. If the settings say when the process is killed,
+// requests that are left before that get an answer that says so.
 func (e *Entry) shutDown(server *http.Server) {
+	ctx, end := e.limitDrain()
+	defer end()
 	e.drain.announceLeaving()
 	server.SetKeepAlivesEnabled(false)
 	e.tel.Log.Info("draining", "in_flight", e.drain.count())
@@ -104,11 +110,29 @@
 	// Streams whose callers are gone are left to their executors, which end them
 	// after the grace period.
 	close(e.stopping)
-	// This closes the listener and waits for answers however long they take:
-	// aborting one would be worse than exiting late.
-	if err := server.Shutdown(context.Background()); err != nil {
-		e.tel.Log.Warn("closing the callers' listener failed", "error", err)
+	// This closes the listener and waits for the answers.
+	if err := server.Shutdown(ctx); err != nil {
+		e.tel.Log.Warn("callers' connections not closed in time", "error", err)
+	}
+	select {
+	case <-e.drain.idle:
+		e.tel.Log.Info("drained")
+	case <-ctx.Done():
+		e.tel.Log.Warn("drained with requests in flight", "in_flight", e.drain.count())
+	}
+}
+
+// limitDrain has what is in flight answered settings.EntryStopMargin before the
+// process is killed, if that is known. The context ends when the process must.
+func (e *Entry) limitDrain() (ctx context.Context, end func()) {
+	grace := e.settings.Entry.Grace.D()
+	if grace == 0 {
+		return context.Background(), func() {}
+	}
+	ending := time.AfterFunc(grace-settings.EntryStopMargin, func() { close(e.ending) })
+	ctx, cancel := context.WithTimeout(context.Background(), grace-settings.EntryStopMargin+finalAnswerTime)
+	return ctx, func() {
+		ending.Stop()
+		cancel()
 	}
-	<-e.drain.idle
-	e.tel.Log.Info("drained")
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,6 +41,8 @@
 	timeouts  timeouts
 	// stopping is closed when this entry begins to refuse new requests.
 	stopping   chan struct{}
+	// ending is closed when what is left has to be answered, before this entry is killed.
+	ending chan struct{}
 	background sync.WaitGroup
 
 	// budgetMu guards budget, which the plans of all requests share.
@@ -70,6 +72,7 @@
 		drain:     newDrain(),
 		timeouts:  defaultTimeouts,
 		stopping:  make(chan struct{}),
+		ending:    make(chan struct{}),
 	}
 	var err error
 	if e.chooser, err = newChooser(s.Entry.Policy, e.now); err != nil {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
@@ -61,6 +62,40 @@
 	<-drained
 }
 
+// Guards against answers that an entry leaves out when the platform kills it at the end of its
+// grace: those of a payment and a stream whose executor needs longer.
+func TestEntryAnswersWhatIsLeftBeforeItIsKilled(t *testing.T) {
+	const grace = 800 * time.Millisecond
+	portal := newExecutor(t, "portal-1", onRun(func(*executor, *wire.Session, *protocol.Run) {}))
+	e, c := newTestEntry(t, "portal", portal)
+	e.settings.Entry.Grace = settings.Duration(grace)
+	paid := make(chan *http.Response, 1)
+	go func() { paid <- c.post(context.Background(), "/v1/services/portal/pledges/7", "pay") }()
+	kit.Until(t, "the payment runs", func() bool { return countMessages[*protocol.Run](portal) == 1 })
+	began := time.Now()
+	e.shutDown(c.Config)
+	if took := time.Since(began); took >= grace {
+		t.Errorf("shut down in %v of %v", took, grace)
+	}
+	resp := <-paid
+	if got := readError(t, resp); resp.StatusCode != http.StatusBadGateway || got.Ran != protocol.Unknown {
+		t.Errorf("the payment got %d %+v", resp.StatusCode, got)
+	}
+
+	model := newExecutor(t, "ep-1", script{run: sendsFirst(5)})
+	e, c = newTestEntry(t, "llm", model)
+	e.settings.Entry.Grace = settings.Duration(grace)
+	lines, _ := c.openStream()
+	readEvents(t, lines, 5)
+	e.shutDown(c.Config)
+	if got := readEvents(t, lines, 0); got.done || got.failure == nil || got.failure.Ran != protocol.Unknown {
+		t.Errorf("the stream ended with done %v, failure %+v", got.done, got.failure)
+	}
+	if n := countMessages[*protocol.Cancel](model); n != 0 {
+		t.Errorf("%d cancels: the stream can't be resumed through another entry", n)
+	}
+}
+
 // An entry that can serve no caller must not report that it is ready. With a wrong
 // key it still reads its configuration from the log, so readiness must depend on
 // whether peers accept its key, too.
--- a/internal/entry/plandriver.go
+++ b/internal/entry/plandriver.go
@@ -109,6 +109,13 @@
 		// period.
 		d.done = true
 		return nil
+	case errors.Is(cause, errEnding) && d.job.streamed && d.conn != nil:
+		// The executor keeps the stream: its caller may resume it through another entry.
+		d.fail(entryEndedError())
+		d.done = true
+		return nil
+	case errors.Is(cause, errEnding):
+		return d.step(attempt.EntryEnds{})
 	}
 	d.step(attempt.CallerGone{})
 	return d.step(attempt.GraceExpired{})
--- a/internal/entry/requestcontext.go
+++ b/internal/entry/requestcontext.go
@@ -10,10 +10,11 @@
 	errDeadline = errors.New("deadline passed")
 	errCaller   = errors.New("caller disconnected")
 	errStopping = errors.New("entry is stopping")
+	errEnding   = errors.New("entry ends")
 )
 
-// requestContext bounds the work for one request. It ends at the deadline, or when
-// the caller has been gone for the grace period. Its cause is one of the errors
+// requestContext bounds the work for one request. It ends at the deadline, when the
+// entry does, or when the caller has been gone for the grace period. Its cause is one of the errors
 // above.
 type requestContext struct {
 	context.Context
@@ -29,11 +30,11 @@
 func (e *Entry) newRequestContext(caller context.Context, deadline time.Time, grace time.Duration) *requestContext {
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(caller))
 	c := &requestContext{Context: ctx, cancel: cancel, callerGone: make(chan struct{}), grace: grace}
-	go c.watch(caller, time.Until(deadline)+deadlineGrace, e.stopping)
+	go c.watch(caller, time.Until(deadline)+deadlineGrace, e.stopping, e.ending)
 	return c
 }
 
-func (c *requestContext) watch(caller context.Context, timeout time.Duration, stopping <-chan struct{}) {
+func (c *requestContext) watch(caller context.Context, timeout time.Duration, stopping, ending <-chan struct{}) {
 	deadline := time.NewTimer(timeout)
 	defer deadline.Stop()
 	select {
@@ -42,6 +43,9 @@
 	case <-deadline.C:
 		c.cancel(errDeadline)
 		return
+	case <-ending:
+		c.cancel(errEnding)
+		return
 	case <-caller.Done():
 	}
 	close(c.callerGone)
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -53,6 +53,11 @@
 	return &Error{Code: protocol.CodeUnknownOutcome, Message: "the stream can't be resumed: " + message, Ran: protocol.Unknown}
 }
 
+// entryEndedError is the error of a stream that this entry can't bring to its end. Its executor goes on.
+func entryEndedError() *Error {
+	return &Error{Code: protocol.CodeUnknownOutcome, Message: "this entry shut down; resume the stream through another one", Ran: protocol.Unknown}
+}
+
 // supersededError is the error of a stream whose remainder goes to a later resume.
 func supersededError() *Error {
 	return &Error{Code: protocol.CodeCanceled, Message: "the stream was taken over by a resume", Ran: protocol.Unknown}
@@ -174,7 +179,7 @@
 func (s *resumedStream) abandon(conn *attemptConn) bool {
 	// When this entry is stopping, and when the session is lost, the executor ends the
 	// stream itself after the grace period.
-	if !errors.Is(context.Cause(s.ctx), errStopping) {
+	if cause := context.Cause(s.ctx); !errors.Is(cause, errStopping) && !errors.Is(cause, errEnding) {
 		_ = conn.session.Send(&protocol.Cancel{Attempt: conn.id})
 	}
 	s.failExpired()
@@ -183,9 +188,13 @@
 
 // failExpired ends the stream with the reason why its context ended.
 func (s *resumedStream) failExpired() {
-	if errors.Is(context.Cause(s.ctx), errDeadline) {
+	switch cause := context.Cause(s.ctx); {
+	case errors.Is(cause, errDeadline):
 		s.fail(&Error{Code: protocol.CodeDeadline, Message: "the deadline has passed", Ran: protocol.Unknown})
 		return
+	case errors.Is(cause, errEnding):
+		s.fail(entryEndedError())
+		return
 	}
 	s.fail(&Error{Code: protocol.CodeCanceled, Message: "the caller disconnected", Ran: protocol.Unknown})
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -112,6 +112,9 @@
 	}
 	c.positive("entry.hedge_after", e.HedgeAfter)
 	c.positive("entry.request_timeout", e.RequestTimeout)
+	if e.Grace != 0 && e.Grace.D() <= e.DrainDelay.D()+EntryStopMargin {
+		c.doc.Add("entry.grace", fmt.Sprintf("is %v", e.Grace.D()), fmt.Sprintf("0, or more than drain_delay and %v", EntryStopMargin))
+	}
 	c.fraction("entry.retry_share", e.RetryShare)
 	c.oneOf("entry.policy", e.Policy, policies)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -77,8 +77,13 @@
 	// DrainDelay is how long after SIGTERM the listener stays open while the
 	// readiness check fails, so that the load balancer stops sending first.
 	DrainDelay Duration `json:"drain_delay"`
+	// Grace is the time from SIGTERM until the process is killed; 0 if it isn't.
+	Grace Duration `json:"grace"`
 }
 
+// EntryStopMargin is how long before the end of Entry.Grace an entry answers what is left.
+const EntryStopMargin = 500 * time.Millisecond
+
 // TLS has the paths of PEM files.
 type TLS struct {
 	Certificate string `json:"certificate"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -126,6 +126,7 @@
 		{"twice", [2]string{`"id"`, `"id": "x", "id"`}, `settings.json:2: id: given twice`},
 		{"peer twice", [2]string{`["127.0.0.1:7002"]`, `["127.0.0.1:7002", "127.0.0.1:7002"]`}, `bootstrap.peers[1]: "127.0.0.1:7002" is a duplicate`},
 		{"policy", [2]string{`8080"`, `8080", "policy": "onwer"`}, `entry.policy: "onwer" is not known; want "owner" or "random"`},
+		{"grace", [2]string{`8080"`, `8080", "drain_delay": "2s", "grace": "2.2s"`}, `entry.grace: is 2.2s; want 0, or more than drain_delay and 500ms`},
 		{"reserve", endpoint(`, "small_reserve": -0.1`), `endpoint.small_reserve: is -0.1; want a share from 0 to 1`},
 		{"keep serving", endpoint(`, "keep_serving": 2`), `endpoint.keep_serving: is 2; want a share from 0 to 1`},
 		{"transfer", endpoint(`, "transfer_tokens_per_second": -1`), `endpoint.transfer_tokens_per_second: is -1; want 0 for no import`},
