An error answer of a replica is delivered at the deadline

Callers: an idempotent request whose first replica answered 500 and whose second one has no answer at the deadline got the entry's own 504 in place of the replica's sealed answer.

Cause: answerEnded went by the deadline alone; the answer at hand was used only if no further try was possible.

Change: it is written at the deadline, as at the end of the entry. TestAnErrorAnswerIsDeliveredAtTheDeadline: 504 six times of six before, the replica's 500 with its seal now.

--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -178,6 +178,8 @@
 		req.answerEntryEnded(mayHaveRun)
 	case req.firstByte > 0:
 		req.abort("deadline exceeded")
+	case req.fallbackAnswer != nil:
+		req.writeAnswer(req.fallbackAnswer)
 	default:
 		req.fail(http.StatusGatewayTimeout, "deadline exceeded", 0)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,9 +40,9 @@
 	pool      *wire.Pool
 	timeouts  timeouts
 	// stopping is closed when this entry begins to refuse new requests.
-	stopping   chan struct{}
+	stopping chan struct{}
 	// ending is closed when what is left has to be answered, before this entry is killed.
-	ending chan struct{}
+	ending     chan struct{}
 	background sync.WaitGroup
 
 	// budgetMu guards budget, which the plans of all requests share.
