An answer counts only if it names the request

Cause: matchesRequestID took an answer without an id for that to the request under way.

Change: such answers are skipped like those to another request. The exception for refusals of requests that may run once goes: one rule for all.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -37,9 +36,6 @@
 	head := req.entry.platform.Headers.Answer(x.Status, x.Header)
 	req.updateVersion(p, &head)
 	req.handleNotice(p, &head)
-	if head.NotRun && head.RequestID == "" && !req.route.Repeatable() {
-		return req.handleUnnamedRefusal(p), false
-	}
 	if head.NotRun {
 		req.handleNotRun(p, &head)
 		return attempt.FailureNotRun, false
@@ -158,17 +154,6 @@
 	return attempt.FailureUnknown
 }
 
-// errUnnamedRefusal reports a refusal that may belong to another request.
-var errUnnamedRefusal = errors.New("direct: the refusal names no request")
-
-// handleUnnamedRefusal handles a refusal that doesn't say which request it is for. Replicas may send a
-// second answer where that to the next request is due, so it proves nothing about this one.
-func (req *request) handleUnnamedRefusal(p *placement) attempt.DispatchFailure {
-	req.dispatches[len(req.dispatches)-1].err = errUnnamedRefusal
-	req.recordFault(p, member.FaultMalformedAnswer)
-	return attempt.FailureUnknown
-}
-
 // handleBrokenAnswer handles an answer that broke off.
 func (req *request) handleBrokenAnswer(p *placement, err error) attempt.DispatchFailure {
 	req.dispatches[len(req.dispatches)-1].err = err
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -281,7 +281,7 @@
 		return req.handleSendError(p, record, err), false
 	}
 	defer x.Close()
-	record.status = x.Status
+	record.status, record.skipped = x.Status, x.StrayResponses
 	failure, done = req.forwardAnswer(p, x)
 	record.outcome = failure.String()
 	if done {
@@ -336,10 +336,14 @@
 	}
 }
 
-// matchesRequestID reports whether an answer belongs to this request. Replicas may leave out the ID.
+// matchesRequestID reports whether an answer belongs to this request. One that names no request belongs to
+// none: replicas may send further bytes where the next answer is due.
 func (req *request) matchesRequestID(h http.Header) bool {
 	id := req.entry.platform.Headers.Answer(http.StatusOK, h).RequestID
-	return id == "" || id == req.params.ID
+	if id == "" {
+		req.entry.tel.Metrics.Count("answers_unnamed", 1)
+	}
+	return id == req.params.ID
 }
 
 // handleSendError classifies an exchange that ended without an answer, and records it against the
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -54,6 +54,8 @@
 	status  int
 	err     error
 	took    time.Duration
+	// skipped is how many answers that belong to no request or to another one came before.
+	skipped int
 }
 
 // request is one request of a caller, from its arrival to the answer.
@@ -277,6 +279,9 @@
 	if d.status != 0 {
 		fields = append(fields, slog.Int("status", d.status))
 	}
+	if d.skipped > 0 {
+		fields = append(fields, slog.Int("skipped_answers", d.skipped))
+	}
 	if d.software != "" {
 		fields = append(fields, slog.String("software", d.software))
 	}
