What is given up outlives its entries and the store's history

Cause: the only record of a verdict that outlives the entries is in a topic whose records expire.

Change: the keyed topic keyed.skylark.verdicts. Who gives a key up writes it, entries that repeat the verdict write it if they don't know it to be stored, who sees a good answer deletes it. Entries read it at their start, when records of their own topic are gone and after a restore.

Open: keys under which replicas were lost but that aren't given up; the role endpoint, if all processes of a group go at once.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -135,8 +135,9 @@
 	req.recordAnswered(p)
 	s := req.entry.state
 	s.mu.Lock()
-	s.recordGoodAnswer(req.keys, req.entry.clock.now())
+	lifted := s.recordGoodAnswer(req.keys, req.entry.clock.now())
 	s.mu.Unlock()
+	req.entry.verdicts.remove(lifted)
 	req.liftRestriction(append(slices.Clone(req.keys.Parts), req.keys.Fingerprint))
 }
 
--- a/internal/direct/crashes.go
+++ b/internal/direct/crashes.go
@@ -214,11 +214,23 @@
 		}
 	}
 	e.peers.sendCrashes(crashes)
+	e.verdicts.write(crashes)
 	if len(records) > 0 {
 		go e.storeCrashes(records)
 	}
 }
 
+// publishRepeated sends a verdict once more. It isn't written again where the store has it.
+func (e *Entry) publishRepeated(verdict attempt.CrashReport) {
+	e.logCrash(&verdict, e.settings.ID)
+	e.peers.sendCrashes([]attempt.CrashReport{verdict})
+	if !e.verdicts.isStored(verdict.Fingerprint) {
+		e.verdicts.write([]attempt.CrashReport{verdict})
+	}
+	envelope := rollout.Envelope{Crash: &verdict}
+	go e.storeCrashes([][]byte{envelope.Encode()})
+}
+
 func (e *Entry) storeCrashes(records [][]byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
@@ -242,7 +254,7 @@
 	}
 	s.mu.Unlock()
 	if due {
-		e.publishCrashes([]attempt.CrashReport{verdict})
+		e.publishRepeated(verdict)
 	}
 }
 
@@ -276,9 +288,12 @@
 	}
 }
 
-// recordGoodAnswer clears the request's keys. The caller holds mu.
-func (s *state) recordGoodAnswer(keys attempt.RequestKeys, now time.Duration) {
-	s.noteSound(s.crashes.RecordSuccess(keys, now), now)
+// recordGoodAnswer clears the request's keys, and returns those that aren't given up any more. The caller
+// holds mu.
+func (s *state) recordGoodAnswer(keys attempt.RequestKeys, now time.Duration) (lifted []uint64) {
+	return s.liftedBy(keys, now, func() {
+		s.noteSound(s.crashes.RecordSuccess(keys, now), now)
+	})
 }
 
 // sendSound tells the other entries of keys with which good answers were given. Where many entries know
@@ -316,6 +331,7 @@
 			delete(e.state.crashNews.sound, sound.Key)
 		}
 		e.state.crashes.MergeSound(sound.Key, at)
+		e.verdicts.markStored(sound.Key, false)
 	}
 	e.wakeRestricted()
 }
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -68,6 +68,7 @@
 	monitor   *replicaMonitor
 	peers     *peers
 	quotas    *quotas
+	verdicts  *verdicts
 	// hub is nil if every entry reads the store for itself.
 	hub *hub
 	// bodyMemory limits the bytes of request bodies held at once.
@@ -147,13 +148,14 @@
 	e.rollouts = newRollouts(e)
 	e.monitor = newReplicaMonitor(e)
 	e.quotas = newQuotas(e)
+	e.verdicts = newVerdicts(e)
 	return e
 }
 
 func (e *Entry) run(ctx context.Context, callers, ready net.Listener) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var loops sync.WaitGroup
-	loopFuncs := []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep, e.monitor.run, e.peers.run, e.reload}
+	loopFuncs := []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep, e.monitor.run, e.peers.run, e.reload, e.verdicts.run}
 	if e.hub != nil {
 		loopFuncs = append(loopFuncs, e.hub.run)
 	}
--- a/internal/direct/restricted.go
+++ b/internal/direct/restricted.go
@@ -123,8 +123,10 @@
 	req.writing = true
 	s := req.entry.state
 	s.mu.Lock()
-	s.crashes.RecordSound(req.keys.Parts, req.entry.clock.now())
+	now := req.entry.clock.now()
+	lifted := s.liftedBy(attempt.RequestKeys{Parts: req.keys.Parts}, now, func() { s.crashes.RecordSound(req.keys.Parts, now) })
 	s.mu.Unlock()
+	req.entry.verdicts.remove(lifted)
 	req.liftRestriction(req.keys.Parts)
 }
 
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -144,6 +144,7 @@
 		r.nextOffset = first
 		r.applyLeaseActions(ctx, r.leases.Truncated(first+1, bootTime()))
 		r.mu.Unlock()
+		r.entry.verdicts.readAgain()
 	}
 	f.onRestore = func(first uint64) {
 		r.mu.Lock()
@@ -152,6 +153,8 @@
 		r.mu.Unlock()
 		r.entry.tel.Log.Warn("store restored from an older copy", "stream", topicEntries, "era", fleet.Era(first))
 		r.entry.rewriteAnnouncements()
+		r.entry.verdicts.forgetStored()
+		r.entry.verdicts.readAgain()
 	}
 	began := false
 	f.onCaughtUp = func() {
