Endpoint: what is left of a canceled answer goes, also with a closed window

Cause: an answer is kept for a resume until its End is delivered, or 30 s. An entry that cancels grants no more credit; with chunks left in a closed window the End is never written, and every such answer is kept.

Change: a canceled attempt goes once its End was written, or 250 ms after it ended.

Why it works: only the entry on whose session the attempt runs can cancel it, and it has given its caller the final answer then.

--- a/internal/endpoint/executions.go
+++ b/internal/endpoint/executions.go
@@ -20,6 +20,9 @@
 	// Large answers of a plain service would otherwise fill memory at a few dozen
 	// calls a second.
 	maxReplayBytes = 32 << 20
+	// canceledRetention is how long a canceled attempt waits for its End to be written: its
+	// window may be closed for good.
+	canceledRetention = 250 * time.Millisecond
 	// outcomeRetention is how long an attempt's outcome is kept, far longer than any
 	// entry waits for one. If it were dropped sooner, an attempt that ran would look
 	// unseen to a Resolve, which would falsely answer not_run.
@@ -51,6 +54,8 @@
 	endedAt   time.Duration
 	outcome   protocol.Outcome
 	delivered bool
+	// canceled is set once its entry has given it up: nobody resumes it.
+	canceled bool
 	// claimed is set while the attempt runs under an idempotency key; followers get
 	// its answer too.
 	claimed   bool
@@ -114,12 +119,20 @@
 		switch {
 		case reason != attempt.AbortNone:
 			e.abort(a, reason)
-		case a.phase == phaseEnded && now-a.endedAt > replayRetention:
+		case a.phase == phaseEnded && now-a.endedAt > a.retention():
 			e.removeExecution(a)
 		}
 	}
 }
 
+// retention is how long the attempt's chunks are kept once it has ended.
+func (a *execution) retention() time.Duration {
+	if a.canceled {
+		return canceledRetention
+	}
+	return replayRetention
+}
+
 // trimReplays drops the chunks of the oldest delivered attempts until the rest is
 // within maxReplayBytes.
 func (e *Endpoint) trimReplays() {
@@ -167,7 +180,7 @@
 	}
 	a.delivered = true
 	e.drain.lastEnd = e.now()
-	if a.phase == phaseEnded && a.outcome == protocol.NotRun {
+	if a.phase == phaseEnded && (a.outcome == protocol.NotRun || a.canceled) {
 		e.removeExecution(a)
 	}
 }
--- a/internal/endpoint/resume.go
+++ b/internal/endpoint/resume.go
@@ -26,6 +26,7 @@
 		e.recordDropped("late cancel", s, "attempt", m.Attempt.String())
 		return
 	}
+	a.canceled = true
 	e.cancelExecution(a, "canceled by the entry")
 }
 
--- a/internal/endpoint/run_test.go
+++ b/internal/endpoint/run_test.go
@@ -123,6 +123,23 @@
 	})
 }
 
+// Guards against an answer that is kept, and a graceful stop that waits, for an entry that has canceled it and
+// takes none of it any more.
+func TestCanceledAnswerIsForgotten(t *testing.T) {
+	f, p, n := startWithEngine(t, "a", "b", "c", "d")
+	run := chat(1)
+	run.Window = 1
+	n.send(run)
+	kit.Until(t, "the answer is made", func() bool { return f.ran(run.Attempt) == 1 && n.status().Load.Running == 0 })
+	n.send(&protocol.Cancel{Attempt: run.Attempt})
+	began := time.Now()
+	p.stop()
+	kit.OK(t, <-p.ended)
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("stopped after %v", took)
+	}
+}
+
 // Guards against a rolling restart that cuts answers: SIGTERM arrives while an answer is
 // being generated, and the process must end with its last stream, not with its context.
 func TestDrainCutsNothing(t *testing.T) {
