Role entry: whole answers have a bound over all calls, the longest one is dropped

Cause: each whole answer may take 16 MiB, with no bound over all of them, and a body that grows by copying takes a multiple.

Change: answerMemory, 32 MiB over all; where a piece has no room the longest answer is dropped, so that short answers beside endless ones are served. Bodies are held in the pieces in which they came.

--- a/internal/entry/await.go
+++ b/internal/entry/await.go
@@ -102,7 +102,7 @@
 func (d *planDriver) onWriteError(err error) []attempt.Action {
 	if errors.Is(err, errAnswerTooLong) {
 		d.cancel(attempt.Cancel{Attempt: d.conn.id, Target: d.target()})
-		d.fail(&Error{Code: protocol.CodeTooLarge, Message: err.Error(), Ran: protocol.Unknown})
+		d.fail(tooLongError(err))
 		d.done = true
 		return nil
 	}
--- a/internal/entry/buffered.go
+++ b/internal/entry/buffered.go
@@ -2,20 +2,14 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"slices"
 
 	"skylarklead/internal/protocol"
 )
 
-// maxBufferedAnswer bounds an answer that is buffered before it is sent to the
-// caller.
-const maxBufferedAnswer = 16 << 20
-
-// errAnswerTooLong ends an attempt whose answer exceeds maxBufferedAnswer.
-var errAnswerTooLong = errors.New("answer is too long to be buffered")
-
 // bufferedSink buffers an answer, so that its caller gets either all of it or an
 // error.
 type bufferedSink struct {
@@ -23,7 +17,11 @@
 	requestID    string
 	executor     string
 	startMessage protocol.Start
-	body         []byte
+	answer       *bufferedAnswer
+}
+
+func newBufferedSink(w writer, requestID string, memory *answerMemory) bufferedSink {
+	return bufferedSink{writer: w, requestID: requestID, answer: &bufferedAnswer{memory: memory}}
 }
 
 func (s *bufferedSink) start(executor string, start *protocol.Start) error {
@@ -36,28 +34,43 @@
 
 func (s *bufferedSink) chunk(id eventID, data []byte) error {
 	s.executor = id.executor
-	if len(s.body)+len(data) > maxBufferedAnswer {
-		return fmt.Errorf("%w: over %d bytes", errAnswerTooLong, maxBufferedAnswer)
-	}
-	s.body = append(s.body, data...)
-	return nil
+	return s.answer.append(data)
 }
 
 // discarder is a sink that has sent nothing of the answer to its caller yet.
 type discarder interface{ discard() }
 
-func (s *bufferedSink) discard() { s.body = nil }
+func (s *bufferedSink) discard() { s.answer.discard() }
 
 func (s *bufferedSink) fail(e *Error) { e.write(s.w, s.requestID) }
 
-func (s *bufferedSink) respond(status int, contentType string, body []byte) error {
+// complete returns the whole answer. If that was dropped, it fails the request.
+func (s *bufferedSink) complete() (net.Buffers, error) {
+	body, err := s.answer.complete()
+	if err != nil {
+		s.fail(tooLongError(err))
+	}
+	return body, err
+}
+
+// tooLongError is the error of a request whose answer can't be buffered.
+func tooLongError(cause error) *Error {
+	return &Error{Code: protocol.CodeTooLarge, Message: cause.Error(), Ran: protocol.Unknown}
+}
+
+func (s *bufferedSink) respond(status int, contentType string, body ...[]byte) error {
 	h := s.w.Header()
 	if contentType != "" {
 		h.Set("Content-Type", contentType)
 	}
 	h.Set("X-Executor", s.executor)
 	s.w.WriteHeader(status)
-	return s.flush(body)
+	for _, piece := range body {
+		if err := s.flush(piece); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // chatSink answers a chat request that isn't streamed.
@@ -66,8 +79,8 @@
 	chatMeta
 }
 
-func newChatSink(w writer, meta chatMeta, requestID string) *chatSink {
-	return &chatSink{bufferedSink: bufferedSink{writer: w, requestID: requestID}, chatMeta: meta}
+func newChatSink(w writer, meta chatMeta, requestID string, memory *answerMemory) *chatSink {
+	return &chatSink{bufferedSink: newBufferedSink(w, requestID, memory), chatMeta: meta}
 }
 
 type completionChoiceJSON struct {
@@ -87,10 +100,14 @@
 }
 
 func (s *chatSink) end(e *protocol.End) error {
+	text, err := s.complete()
+	if err != nil {
+		return err
+	}
 	answer := completionJSON{
 		ID: s.id, Object: "chat.completion", Created: s.created, Model: s.model,
 		Choices: []completionChoiceJSON{{
-			Message:      deltaJSON{Role: "assistant", Content: string(s.body)},
+			Message:      deltaJSON{Role: "assistant", Content: string(slices.Concat(text...))},
 			FinishReason: finishReason(e),
 		}},
 		Usage: usageOf(e),
@@ -105,14 +122,18 @@
 // serviceSink answers a call to a plain service with the service's status and body.
 type serviceSink struct{ bufferedSink }
 
-func newServiceSink(w writer, requestID string) *serviceSink {
-	return &serviceSink{bufferedSink{writer: w, requestID: requestID}}
+func newServiceSink(w writer, requestID string, memory *answerMemory) *serviceSink {
+	return &serviceSink{newBufferedSink(w, requestID, memory)}
 }
 
 func (s *serviceSink) end(*protocol.End) error {
+	body, err := s.complete()
+	if err != nil {
+		return err
+	}
 	status := s.startMessage.Status
 	if status < http.StatusOK || status > 599 {
 		status = http.StatusOK
 	}
-	return s.respond(status, s.startMessage.ContentType, s.body)
+	return s.respond(status, s.startMessage.ContentType, body...)
 }
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -28,16 +28,16 @@
 	if refusal != nil {
 		return refusal
 	}
-	e.execute(r.Context(), j, e.placeChat, newAnswerSink(e.newWriter(w), req, body))
+	e.execute(r.Context(), j, e.placeChat, e.newAnswerSink(w, req, body))
 	return nil
 }
 
-func newAnswerSink(w writer, req *request, body *chatBody) sink {
+func (e *Entry) newAnswerSink(w http.ResponseWriter, req *request, body *chatBody) sink {
 	meta := newChatMeta(req.id, body.Model)
 	if body.Stream {
-		return newSSESink(w, meta, req.id, body.IncludeUsage)
+		return newSSESink(e.newWriter(w), meta, req.id, body.IncludeUsage)
 	}
-	return newChatSink(w, meta, req.id)
+	return newChatSink(e.newWriter(w), meta, req.id, e.answers)
 }
 
 // newChatJob checks a chat request against the configuration and makes a job of it.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,6 +41,8 @@
 	timeouts  timeouts
 	// stopping is closed when this entry begins to refuse new requests.
 	stopping chan struct{}
+	// answers is the memory for answers that are buffered.
+	answers *answerMemory
 	// ending is closed when what is left has to be answered, before this entry is killed.
 	ending     chan struct{}
 	background sync.WaitGroup
@@ -73,6 +75,7 @@
 		timeouts:  defaultTimeouts,
 		stopping:  make(chan struct{}),
 		ending:    make(chan struct{}),
+		answers:   newAnswerMemory(maxBufferedAnswers),
 	}
 	var err error
 	if e.chooser, err = newChooser(s.Entry.Policy, e.now); err != nil {
--- a/internal/entry/plandriver.go
+++ b/internal/entry/plandriver.go
@@ -46,6 +46,9 @@
 	}
 	d.plan = attempt.NewPlan(spec, attempt.DefaultPlanParams, e.budget, newAttemptSource())
 	defer d.release()
+	if buffered, ok := out.(discarder); ok {
+		defer buffered.discard()
+	}
 	defer d.notifyChooser()
 	d.perform(d.begin())
 	for !d.plan.Final() && !d.done {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -41,7 +41,7 @@
 		return refusal
 	}
 	j := newServiceJob(req, service, r, path, body)
-	e.execute(r.Context(), j, e.placeService, newServiceSink(e.newWriter(w), req.id))
+	e.execute(r.Context(), j, e.placeService, newServiceSink(e.newWriter(w), req.id, e.answers))
 	return nil
 }
 
