--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -64,6 +64,7 @@
 			return
 		}
 		p := req.awaitPlacement()
+		// The body or the placement may have taken most of the time that a draining entry has left.
 		if p != nil && req.firstByte == 0 && !req.canFinish() {
 			req.cancelPlacement(p)
 			p = nil
--- a/internal/direct/drain.go
+++ b/internal/direct/drain.go
@@ -40,7 +40,7 @@
 // errEntryEnds is the cause with which a request's context ends when its entry does.
 var errEntryEnds = errors.New("direct: the entry ends")
 
-// drain counts requests in flight and knows when a draining entry exits.
+// drain counts requests in flight, knows when a draining entry exits, and ends what is left then.
 type drain struct {
 	clock clock
 	// requests is the context of all requests. It ends, with errEntryEnds, when a draining entry does.
--- a/internal/direct/verdicts.go
+++ b/internal/direct/verdicts.go
@@ -69,7 +69,8 @@
 func verdictKey(key uint64) string { return strconv.FormatUint(key, 16) }
 
 // verdicts keeps what is given up in the store, so that entries which start, or have missed records, know
-// it though no other entry is left that could tell them.
+// it though no other entry is left that could tell them. A write or a deletion that fails isn't repeated at
+// once: verdicts are told again while their requests come, and an entry lets one request try now and then.
 type verdicts struct {
 	entry *Entry
 	// reread triggers a read.
--- a/internal/entry/requestcontext.go
+++ b/internal/entry/requestcontext.go
@@ -9,13 +9,15 @@
 var (
 	errDeadline = errors.New("deadline passed")
 	errCaller   = errors.New("caller disconnected")
+	// errStopping ends streams whose callers are away when the entry begins to stop, errEnding
+	// all requests just before its process is killed.
 	errStopping = errors.New("entry is stopping")
 	errEnding   = errors.New("entry ends")
 )
 
 // requestContext bounds the work for one request. It ends at the deadline, when the
-// entry does, or when the caller has been gone for the grace period. Its cause is one of the errors
-// above.
+// entry does, or when the caller has been gone for the grace period. Its cause is one of
+// the errors above.
 type requestContext struct {
 	context.Context
 	cancel context.CancelCauseFunc
