Role entry: an answer that is being sent is neither dropped nor given more time

What a reading of the change found: an answer that was handed over for sending could still be dropped, so that its memory counted as free while it was in use; and its pieces were written with a deadline each, in place of one for the whole, which lets a slow caller hold 16 MiB for longer.

A complete answer takes its memory until it is discarded and isn't dropped any more; its pieces are written and flushed as one. TestAnswerThatIsSentIsNotDropped: the second complete gave an error before.

--- a/internal/entry/answermemory.go
+++ b/internal/entry/answermemory.go
@@ -24,7 +24,8 @@
 type answerMemory struct {
 	mu       sync.Mutex
 	capacity int
-	// used is the length of all bodies in held.
+	// used is the length of all bodies, held the answers that may be dropped: those that
+	// aren't being sent yet.
 	used int
 	held map[*bufferedAnswer]struct{}
 }
@@ -97,13 +98,15 @@
 	delete(m.held, a)
 }
 
-// complete returns the whole body in pieces, which stay held until they are discarded.
+// complete returns the whole body in pieces. They take their memory until the answer is
+// discarded, and it isn't dropped any more.
 func (a *bufferedAnswer) complete() (net.Buffers, error) {
 	a.memory.mu.Lock()
 	defer a.memory.mu.Unlock()
 	if a.dropped {
 		return nil, a.droppedError()
 	}
+	delete(a.memory.held, a)
 	return a.pieces, nil
 }
 
--- a/internal/entry/answermemory_test.go
+++ b/internal/entry/answermemory_test.go
@@ -41,7 +41,30 @@
 	}
 }
 
-// Guards against memory that is counted wrongly: whatever answers do, what is held is within the bound, and
+// Guards against an answer that is dropped while it is sent: its memory stays taken until it is discarded, and what
+// has no room beside it is dropped.
+func TestAnswerThatIsSentIsNotDropped(t *testing.T) {
+	m := newAnswerMemory(100)
+	sent, growing := &bufferedAnswer{memory: m}, &bufferedAnswer{memory: m}
+	if err := sent.append(make([]byte, 80)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := sent.complete(); err != nil {
+		t.Fatal(err)
+	}
+	if err := growing.append(make([]byte, 21)); !errors.Is(err, errAnswerTooLong) {
+		t.Errorf("the answer without room: %v", err)
+	}
+	if pieces, err := sent.complete(); err != nil || len(slices.Concat(pieces...)) != 80 {
+		t.Errorf("the answer that is sent: %v", err)
+	}
+	sent.discard()
+	if err := (&bufferedAnswer{memory: m}).append(make([]byte, 100)); err != nil {
+		t.Errorf("after it was discarded: %v", err)
+	}
+}
+
+// Guards against memory that is counted wrongly: whatever answers do, what they take is within the bound, and
 // a complete answer has each byte that it was given.
 func TestAnswersStayWithinTheirMemory(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -52,26 +75,26 @@
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			i := rapid.IntRange(0, 3).Draw(t, "answer")
-			if rapid.IntRange(0, 9).Draw(t, "step") == 0 {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
 				answers[i].discard()
 				want[i] = nil
-				continue
-			}
-			data := rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "data")
-			if answers[i].append(data) == nil {
-				want[i] = append(want[i], data...)
-			}
-			held := 0
-			for j, a := range answers {
-				pieces, err := a.complete()
-				body := slices.Concat(pieces...)
-				if err == nil && !bytes.Equal(body, want[j]) {
-					t.Fatalf("answer %d has %d bytes, want %d", j, len(body), len(want[j]))
+			case 1:
+				if pieces, err := answers[i].complete(); err == nil && !bytes.Equal(slices.Concat(pieces...), want[i]) {
+					t.Fatalf("answer %d has %d pieces, want %d bytes", i, len(pieces), len(want[i]))
+				}
+			default:
+				data := rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "data")
+				if answers[i].append(data) == nil {
+					want[i] = append(want[i], data...)
 				}
-				held += len(body)
 			}
-			if held != m.used || held > m.capacity {
-				t.Fatalf("%d bytes held, %d counted, %d allowed", held, m.used, m.capacity)
+			taken := 0
+			for _, a := range answers {
+				taken += a.length
+			}
+			if taken != m.used || taken > m.capacity {
+				t.Fatalf("%d bytes taken, %d counted, %d allowed", taken, m.used, m.capacity)
 			}
 		}
 	})
--- a/internal/entry/buffered.go
+++ b/internal/entry/buffered.go
@@ -65,12 +65,7 @@
 	}
 	h.Set("X-Executor", s.executor)
 	s.w.WriteHeader(status)
-	for _, piece := range body {
-		if err := s.flush(piece); err != nil {
-			return err
-		}
-	}
-	return nil
+	return s.flush(body...)
 }
 
 // chatSink answers a chat request that isn't streamed.
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -72,13 +72,15 @@
 	return writer{w: w, rc: http.NewResponseController(w), stall: e.timeouts.stall}
 }
 
-// flush writes data and flushes it to the caller.
-func (w writer) flush(data []byte) error {
+// flush writes pieces of data and flushes them to the caller.
+func (w writer) flush(pieces ...[]byte) error {
 	if err := w.rc.SetWriteDeadline(time.Now().Add(w.stall)); err != nil {
 		return fmt.Errorf("%w: %v", errCaller, err)
 	}
-	if _, err := w.w.Write(data); err != nil {
-		return fmt.Errorf("%w: %v", errCaller, err)
+	for _, piece := range pieces {
+		if _, err := w.w.Write(piece); err != nil {
+			return fmt.Errorf("%w: %v", errCaller, err)
+		}
 	}
 	if err := w.rc.Flush(); err != nil {
 		return fmt.Errorf("%w: %v", errCaller, err)
