--- a/internal/direct/drain.go
+++ b/internal/direct/drain.go
@@ -99,6 +99,12 @@
 	return admit.Shutdown{RestrictedFrom: d.began + unrestrictedPeriod, Ends: d.ends}, d.draining
 }
 
+// restriction is window once requests are accepted only if they end in time; false before.
+func (d *drain) restriction() (admit.Shutdown, bool) {
+	window, draining := d.window()
+	return window, draining && d.clock.now() >= window.RestrictedFrom
+}
+
 // left is how much longer the entry lives at most, 0 if it isn't draining.
 func (d *drain) left() time.Duration {
 	window, draining := d.window()
@@ -120,8 +126,8 @@
 // canFinish reports whether a request may be started. In the last seconds of a draining entry that is so
 // only for requests that end before the entry exits.
 func (req *request) canFinish() bool {
-	window, draining := req.entry.drain.window()
-	if !draining {
+	window, restricted := req.entry.drain.restriction()
+	if !restricted {
 		return true
 	}
 	s := req.entry.state
@@ -130,7 +136,7 @@
 	return req.acceptedIn(window)
 }
 
-// acceptedIn is canFinish at a draining entry. The caller holds the state's lock.
+// acceptedIn is canFinish at an entry that restricts what it accepts. The caller holds the state's lock.
 func (req *request) acceptedIn(window admit.Shutdown) bool {
 	return window.Accepts(admit.LateRequest{
 		Arrived:    req.started,
@@ -154,8 +160,8 @@
 // refuseLateQueued refuses waiting requests that can't finish before this draining entry exits. Streams
 // whose callers have a part go on while they can. The caller holds the state's lock.
 func (e *Entry) refuseLateQueued() {
-	window, draining := e.drain.window()
-	if !draining {
+	window, restricted := e.drain.restriction()
+	if !restricted {
 		return
 	}
 	late := func(queued *admit.QueuedRequest) bool {
--- a/internal/direct/queue.go
+++ b/internal/direct/queue.go
@@ -195,7 +195,7 @@
 		ExpiresAt:   now + time.Duration(float64(req.patienceLeft(now))/waitDivisor),
 		Value:       req,
 	}
-	if window, draining := req.entry.drain.window(); draining && now > window.RestrictedFrom {
+	if _, restricted := req.entry.drain.restriction(); restricted {
 		queued.ExpiresAt = min(queued.ExpiresAt, now+drainQueueWait)
 	}
 	if req.organisation != nil {
