A verdict that a good answer ended doesn't come back from the store

What a reading of the change found: where the store was away when a good answer ended a verdict, its record stays; an entry that misses records of its own topic reads the verdicts again and gave the key up once more, for a minute at least.

A record that is older than a good answer known here is deleted, not taken over. TestVerdictThatAGoodAnswerEndedStaysEnded fails without that. Repeated verdicts go through the same function as new ones.

--- a/internal/direct/crashes.go
+++ b/internal/direct/crashes.go
@@ -200,11 +200,17 @@
 	e.publishCrashes(crashes)
 }
 
-// publishCrashes sends crashes counted here to the other entries.
+// publishCrashes sends crashes counted here to the other entries, and keeps what is given up for them.
 func (e *Entry) publishCrashes(crashes []attempt.CrashReport) {
 	if len(crashes) == 0 {
 		return
 	}
+	e.sendCrashes(crashes)
+	e.verdicts.write(crashes)
+}
+
+// sendCrashes sends crashes to the other entries.
+func (e *Entry) sendCrashes(crashes []attempt.CrashReport) {
 	var records [][]byte
 	for i := range crashes {
 		lost := e.logCrash(&crashes[i], e.settings.ID)
@@ -214,23 +220,11 @@
 		}
 	}
 	e.peers.sendCrashes(crashes)
-	e.verdicts.write(crashes)
 	if len(records) > 0 {
 		go e.storeCrashes(records)
 	}
 }
 
-// publishRepeated sends a verdict once more. It isn't written again where the store has it.
-func (e *Entry) publishRepeated(verdict attempt.CrashReport) {
-	e.logCrash(&verdict, e.settings.ID)
-	e.peers.sendCrashes([]attempt.CrashReport{verdict})
-	if !e.verdicts.isStored(verdict.Fingerprint) {
-		e.verdicts.write([]attempt.CrashReport{verdict})
-	}
-	envelope := rollout.Envelope{Crash: &verdict}
-	go e.storeCrashes([][]byte{envelope.Encode()})
-}
-
 func (e *Entry) storeCrashes(records [][]byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
@@ -254,7 +248,8 @@
 	}
 	s.mu.Unlock()
 	if due {
-		e.publishRepeated(verdict)
+		e.sendCrashes([]attempt.CrashReport{verdict})
+		e.verdicts.writeMissing(verdict)
 	}
 }
 
--- a/internal/direct/verdicts.go
+++ b/internal/direct/verdicts.go
@@ -140,7 +140,8 @@
 	return nil
 }
 
-// selectRecent returns the newest verdicts that hold, and the keys of those that don't any more.
+// selectRecent returns the newest verdicts that hold, and the keys of those that don't any more: their time is
+// over, or a good answer came since and the deletion was lost.
 func (v *verdicts) selectRecent(records []fleet.Record, now time.Time) (reports []attempt.CrashReport, expired []string) {
 	slices.SortFunc(records, func(a, b fleet.Record) int { return cmp.Compare(b.Offset, a.Offset) })
 	for _, record := range records {
@@ -151,7 +152,7 @@
 		}
 		age := now.Sub(time.UnixMilli(verdict.AtMs))
 		switch {
-		case age > attempt.DefaultCrashTrackerParams.TTL:
+		case age > attempt.DefaultCrashTrackerParams.TTL, v.entry.knownSound(verdict.Report.Fingerprint, age):
 			expired = append(expired, record.Key)
 		case len(reports) < maxVerdicts:
 			reports = append(reports, verdict.Report)
@@ -161,6 +162,15 @@
 	return reports, expired
 }
 
+// knownSound reports whether a good answer with a key is known that is no older than an age.
+func (e *Entry) knownSound(key uint64, age time.Duration) bool {
+	e.state.mu.Lock()
+	defer e.state.mu.Unlock()
+	now := e.clock.now()
+	at, sound := e.state.crashes.SoundAt(key, now)
+	return sound && now-at <= age
+}
+
 func (v *verdicts) markStored(key uint64, stored bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -178,10 +188,14 @@
 	v.stored.Purge()
 }
 
-func (v *verdicts) isStored(key uint64) bool {
+// writeMissing stores a verdict unless it is known to be there.
+func (v *verdicts) writeMissing(verdict attempt.CrashReport) {
 	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.stored.Contains(key)
+	stored := v.stored.Contains(verdict.Fingerprint)
+	v.mu.Unlock()
+	if !stored {
+		v.write([]attempt.CrashReport{verdict})
+	}
 }
 
 // write stores the verdicts among some reports, in the background.
--- a/internal/direct/verdicts_test.go
+++ b/internal/direct/verdicts_test.go
@@ -78,6 +78,25 @@
 	kit.Until(t, "the verdict is deleted", func() bool { return store.count() == 0 })
 }
 
+// Guards against a verdict that comes back to an entry which knows better: a good answer ended it while the store
+// couldn't delete it, and the entry reads it again.
+func TestVerdictThatAGoodAnswerEndedStaysEnded(t *testing.T) {
+	store := &verdictStore{values: map[string][]byte{}}
+	e := newVerdictEntry(t, store)
+	req, p, _ := newPoisonRequest(e)
+	e.state.crashes.Merge(attempt.CrashReport{Fingerprint: req.keys.Fingerprint, Replica: "r", GivenUp: true}, e.clock.now())
+	req.recordSuccess(p)
+	old := storedVerdict{Report: attempt.CrashReport{Fingerprint: req.keys.Fingerprint, Replica: "r", GivenUp: true}, AtMs: time.Now().Add(-time.Minute).UnixMilli()}
+	kit.OK(t, store.Put(t.Context(), topicVerdicts, verdictKey(req.keys.Fingerprint), old.encode()))
+	kit.OK(t, e.verdicts.read(t.Context()))
+	if req.rejectPlaced(p) {
+		t.Error("given up again by the record of a verdict that had ended")
+	}
+	if store.count() != 0 {
+		t.Error("the record is kept")
+	}
+}
+
 // Guards against records that are malformed or out of date and count, or hide the others.
 func TestVerdictsThatDontHoldAreSkipped(t *testing.T) {
 	record := func(key uint64, age time.Duration, givenUp bool) []byte {
