Callers' connections are closed once they have their answers

What callers saw: an answer without its end, or none, from an entry that counts it as served. The entry drains, its last handler returns, and it closes the connection while a request is unread on it: the kernel resets the connection and drops what the caller hasn't taken yet.

Cause: that a handler has returned was taken to mean that its answer is delivered. Outside a drain the same holds for each answer with `Connection: close`, and where a process's network namespace ends with it, without unread input too.

Change: internal/delivery delays a close until the peer's kernel has acknowledged the output (SIOCOUTQ), unless it takes nothing for 5 s or has gone; the peer sees the end of the output at once, as before. A process that drains waits for these, within its bound. `drained` says how many were left (`undelivered`). Both roles that have callers.

--- /dev/null
+++ b/internal/delivery/conn.go
@@ -0,0 +1,112 @@
+package delivery
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// conn is a connection whose output is delivered before it is closed.
+type conn struct {
+	*net.TCPConn
+	listener *Listener
+	closed   atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.TCPConn.Read(p)
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.TCPConn.Write(p)
+}
+
+// ReadFrom implements io.ReaderFrom.
+func (c *conn) ReadFrom(r io.Reader) (int64, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.TCPConn.ReadFrom(r)
+}
+
+// Close implements net.Conn. It returns at once and ends pending reads and writes. The peer sees the end of
+// the output at once, too; the connection is closed once the peer has everything.
+func (c *conn) Close() error {
+	if c.closed.Swap(true) {
+		return net.ErrClosed
+	}
+	if c.pending() == 0 {
+		return c.TCPConn.Close()
+	}
+	c.listener.closeDelayed()
+	// Errors mean that the connection is broken, which the wait finds out.
+	_ = c.SetDeadline(time.Unix(1, 0))
+	_ = c.CloseWrite()
+	go func() {
+		defer c.listener.closeDone()
+		c.awaitDelivery()
+		c.TCPConn.Close()
+	}()
+	return nil
+}
+
+// awaitDelivery returns once nothing more can be delivered, or the peer has taken nothing for the listener's
+// limit.
+func (c *conn) awaitDelivery() {
+	limit := time.NewTimer(c.listener.limit)
+	defer limit.Stop()
+	tick := time.NewTicker(checkInterval)
+	defer tick.Stop()
+	for before := 0; ; {
+		pending := c.pending()
+		if pending == 0 {
+			return
+		}
+		if pending < before {
+			limit.Reset(c.listener.limit)
+		}
+		before = pending
+		select {
+		case <-limit.C:
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// pending returns how many bytes of output the peer's kernel hasn't acknowledged. It returns 0 once the
+// connection has ended, and where the kernel can't tell.
+func (c *conn) pending() int {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	if err := raw.Control(func(fd uintptr) { n = pendingOutput(int(fd)) }); err != nil {
+		return 0
+	}
+	return n
+}
+
+func pendingOutput(fd int) int {
+	n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+	if err != nil || n == 0 {
+		return 0
+	}
+	// A reset connection keeps its count.
+	if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.State == unix.BPF_TCP_CLOSE {
+		return 0
+	}
+	return n
+}
--- a/internal/direct/drain.go
+++ b/internal/direct/drain.go
@@ -176,8 +176,8 @@
 }
 
 // shutDown stops the server without cutting off requests. It reports that it isn't ready, serves
-// requests that arrive and can finish in time, and returns after the last of them, or at the latest
-// time that the platform allows. Requests that are left then get an answer of the entry's own; only
+// requests that arrive and can finish in time, and returns once the callers have the last answers, or at the
+// latest time that the platform allows. Requests that are left then get an answer of the entry's own; only
 // streams of which the caller has a part are cut. The listener stays open until then: in a rolling restart all entries
 // may be draining at once, and callers would find none that accepts a connection.
 //
@@ -206,5 +206,6 @@
 		e.tel.Log.Warn("connections closed at the end of the drain period", "error", err)
 		server.Close()
 	}
-	e.tel.Log.Info("drained", "took_ms", time.Since(began).Milliseconds(), "streams_cut", e.drain.cut.Load(), "failed", e.drain.failed.Load())
+	undelivered := e.callers.Wait(ctx)
+	e.tel.Log.Info("drained", "took_ms", time.Since(began).Milliseconds(), "streams_cut", e.drain.cut.Load(), "failed", e.drain.failed.Load(), "undelivered", undelivered)
 }
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/gorilla/mux"
 
+	"skylarklead/internal/delivery"
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/origin"
 	"skylarklead/internal/route"
@@ -74,6 +75,8 @@
 	// bodyMemory limits the bytes of request bodies held at once.
 	bodyMemory *bodyMemory
 	drain      *drain
+	// callers accepts the callers' connections.
+	callers *delivery.Listener
 	// malformed reports records that can't be decoded.
 	malformed *malformedRecords
 }
@@ -87,6 +90,7 @@
 	if err != nil {
 		return fmt.Errorf("direct: callers: %w", err)
 	}
+	e.callers = delivery.NewListener(callers, delivery.DefaultLimit)
 	ready, err := net.Listen("tcp", s.Direct.Ready)
 	if err != nil {
 		callers.Close()
@@ -105,7 +109,7 @@
 			return err
 		}
 	}
-	return e.run(ctx, callers, ready)
+	return e.run(ctx, ready)
 }
 
 // startHub makes this entry take part in relaying what a few entries read from the store.
@@ -152,7 +156,7 @@
 	return e
 }
 
-func (e *Entry) run(ctx context.Context, callers, ready net.Listener) error {
+func (e *Entry) run(ctx context.Context, ready net.Listener) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var loops sync.WaitGroup
 	loopFuncs := []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep, e.monitor.run, e.peers.run, e.reload, e.verdicts.run}
@@ -166,7 +170,7 @@
 	e.awaitConfiguration(ctx)
 	server := e.newServer()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(callers) }()
+	go func() { failed <- server.Serve(e.callers) }()
 	var err error
 	select {
 	case err = <-failed:
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"skylarklead/internal/delivery"
 	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
 )
@@ -99,7 +100,7 @@
 // for the load balancer to react, refuses requests that still arrive, and returns
 // when the last answer is complete. If the settings say when the process is killed,
 // requests that are left before that get an answer that says so.
-func (e *Entry) shutDown(server *http.Server) {
+func (e *Entry) shutDown(server *http.Server, callers *delivery.Listener) {
 	ctx, end := e.limitDrain()
 	defer end()
 	e.drain.announceLeaving()
@@ -114,6 +115,9 @@
 	if err := server.Shutdown(ctx); err != nil {
 		e.tel.Log.Warn("callers' connections not closed in time", "error", err)
 	}
+	if n := callers.Wait(ctx); n > 0 {
+		e.tel.Log.Warn("answers not delivered in time", "connections", n)
+	}
 	select {
 	case <-e.drain.idle:
 		e.tel.Log.Info("drained")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/delivery"
 	"skylarklead/internal/follow"
 	"skylarklead/internal/platform"
 	"skylarklead/internal/settings"
@@ -126,16 +127,16 @@
 	go e.serve(server, callers)
 	e.tel.Log.Info("serving", "listen", callers.Addr().String(), "config_offset", e.config.State().Offset)
 	<-ctx.Done()
-	e.shutDown(server)
+	e.shutDown(server, callers)
 	return nil
 }
 
-func (e *Entry) listenCallers() (net.Listener, error) {
+func (e *Entry) listenCallers() (*delivery.Listener, error) {
 	listener, err := net.Listen("tcp", e.settings.Entry.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("entry: listen for callers: %w", err)
 	}
-	return listener, nil
+	return delivery.NewListener(listener, delivery.DefaultLimit), nil
 }
 
 func (e *Entry) serve(server *http.Server, listener net.Listener) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"skylarklead/internal/delivery"
 	"skylarklead/internal/protocol"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
@@ -35,7 +36,7 @@
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
-		e.shutDown(c.Config)
+		e.shutDown(c.Config, delivery.NewListener(c.Listener, delivery.DefaultLimit))
 	}()
 	kit.Until(t, "refusing", func() bool {
 		e.drain.mu.Lock()
@@ -73,7 +74,7 @@
 	go func() { paid <- c.post(context.Background(), "/v1/services/portal/pledges/7", "pay") }()
 	kit.Until(t, "the payment runs", func() bool { return countMessages[*protocol.Run](portal) == 1 })
 	began := time.Now()
-	e.shutDown(c.Config)
+	e.shutDown(c.Config, delivery.NewListener(c.Listener, delivery.DefaultLimit))
 	if took := time.Since(began); took >= grace {
 		t.Errorf("shut down in %v of %v", took, grace)
 	}
@@ -87,7 +88,7 @@
 	e.settings.Entry.Grace = settings.Duration(grace)
 	lines, _ := c.openStream()
 	readEvents(t, lines, 5)
-	e.shutDown(c.Config)
+	e.shutDown(c.Config, delivery.NewListener(c.Listener, delivery.DefaultLimit))
 	if got := readEvents(t, lines, 0); got.done || got.failure == nil || got.failure.Ran != protocol.Unknown {
 		t.Errorf("the stream ended with done %v, failure %+v", got.done, got.failure)
 	}
