--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -224,6 +225,7 @@
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return e.drain.requests },
+		ErrorLog:          slog.NewLogLogger(e.tel.Log.Handler(), slog.LevelWarn),
 	}
 }
 
