An answer that stops halfway counts as a lost connection, not as malformed bytes

Seen: a replica that ended its connection in the middle of an answer's head (or in a chunk's size or a trailer) was recorded as one that sends bytes which are no answer: FaultMalformedAnswer, answers_malformed, and no broken run. A replica that a request crashes while it writes its head wasn't counted against that request. Callers got no wrong answer.

Cause: net/http parses the part of a line before the end of a connection and reports that part as malformed; the end itself stays unsaid.

Evidence: TestAnswersThatStopHalfway sends each part of an answer in 22 forms (lengths, chunks, trailers, folded and bare lines, HTTP/1.0, after informational answers, after an answer to another request, faulty ones), closed and reset.

The connection's error is kept and returned again, since the kernel reports an orderly end after a reset. Bytes that don't begin as an answer are still malformed, wherever they end.

--- /dev/null
+++ b/internal/standin/halfway/halfway.go
@@ -0,0 +1,180 @@
+// Package halfway is a server that stops in the middle of its answers, for tests.
+package halfway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+)
+
+// Form is one way to encode an answer.
+type Form struct {
+	Name string
+	// Bytes is the whole answer, Body its body.
+	Bytes, Body string
+	// HeadEnd is the offset at which the body begins, if only the end of the connection ends it; 0 for
+	// other forms.
+	HeadEnd int
+	// Faulty is set if not even the whole answer is one in the protocol.
+	Faulty bool
+}
+
+// WholeAt returns the body that a reader may take for whole when the answer stops after n bytes and the
+// connection ends as given; ok is false if there is none.
+func (f Form) WholeAt(n int, ending Ending) (body string, ok bool) {
+	switch {
+	case f.Faulty:
+		return "", false
+	case f.HeadEnd > 0 && n >= f.HeadEnd && ending == Closed:
+		return f.Bytes[f.HeadEnd:n], true
+	case f.HeadEnd > 0:
+		return "", false
+	}
+	return f.Body, n == len(f.Bytes)
+}
+
+// Forms returns an answer in each form. The header consists of whole lines.
+func Forms(status int, header, body string) []Form {
+	begin := fmt.Sprintf("HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	oldBegin := strings.Replace(begin, "HTTP/1.1", "HTTP/1.0", 1)
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	half := len(body) / 2
+	chunks := fmt.Sprintf("%x\r\n%s\r\n%x;of=2\r\n%s\r\n0\r\n", half, body[:half], len(body)-half, body[half:])
+	framed := func(name, bytes string) Form { return Form{Name: name, Bytes: bytes, Body: body} }
+	open := func(name, head string) Form {
+		return Form{Name: name, Bytes: head + body, Body: body, HeadEnd: len(head)}
+	}
+	faulty := func(name, bytes string) Form { return Form{Name: name, Bytes: bytes, Faulty: true} }
+	return []Form{
+		framed("length last", begin+header+length+"\r\n"+body),
+		framed("length first", begin+length+header+"\r\n"+body),
+		framed("length twice", begin+length+header+length+"\r\n"+body),
+		framed("length, connection closed", begin+header+length+"Connection: close\r\n\r\n"+body),
+		framed("chunks", begin+header+chunked+"\r\n"+chunks+"\r\n"),
+		framed("chunks and trailer", begin+header+chunked+"Trailer: X-Sum\r\n\r\n"+chunks+"X-Sum: 1\r\n\r\n"),
+		framed("folded line", begin+header+"X-Note: a\r\n b\r\n"+length+"\r\n"+body),
+		framed("bare line feeds", strings.ReplaceAll(begin+header+length+"\r\n", "\r\n", "\n")+body),
+		framed("HTTP/1.0, length", oldBegin+header+length+"\r\n"+body),
+		framed("after an informational answer", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"+begin+header+length+"\r\n"+body),
+		framed("after two informational answers, chunks", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"+begin+header+chunked+"\r\n"+chunks+"\r\n"),
+		open("no length", begin+header+"\r\n"),
+		open("no length, HTTP/1.0", oldBegin+header+"\r\n"),
+		faulty("two lengths", begin+header+length+"Content-Length: 1\r\n\r\n"+body),
+		faulty("length too large", begin+header+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)+1)+body),
+		faulty("length without a number", begin+header+"Content-Length: \r\n\r\n"+body),
+		faulty("unknown transfer encoding", begin+header+"Transfer-Encoding: zipped\r\n\r\n"+body),
+		faulty("head without end", begin+header+length),
+		faulty("line without end", begin+header+"X-Note: "),
+		faulty("chunks without a last one", begin+header+chunked+"\r\n"+strings.TrimSuffix(chunks, "0\r\n")),
+		faulty("switched protocol", "HTTP/1.1 101 Switching Protocols\r\n"+header+"Upgrade: x\r\nConnection: Upgrade\r\n\r\n"+body),
+		faulty("only an informational answer", "HTTP/1.1 103 Early Hints\r\n"+header+length+"\r\n"),
+	}
+}
+
+// Ending is how the server ends the connection after the part that it sends.
+type Ending int
+
+const (
+	Closed Ending = iota
+	ResetConnection
+)
+
+// Endings are all endings.
+var Endings = []Ending{Closed, ResetConnection}
+
+// String returns the ending's name in the names of tests.
+func (e Ending) String() string {
+	if e == ResetConnection {
+		return "reset"
+	}
+	return "closed"
+}
+
+// Server answers each connection's first request with a part of an answer, and then ends the connection.
+type Server struct {
+	// Address is "ip:port".
+	Address  string
+	listener net.Listener
+	requests atomic.Int64
+
+	mu     sync.Mutex
+	part   string
+	ending Ending
+	// other serves requests in place of the part where it returns an answer.
+	other func(*http.Request) string
+}
+
+// Start starts a server on a loopback address.
+func Start() (*Server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{Address: l.Addr().String(), listener: l}
+	go s.accept()
+	return s, nil
+}
+
+// Close ends the server.
+func (s *Server) Close() { _ = s.listener.Close() }
+
+// Send sets the part that is sent from now on.
+func (s *Server) Send(part string, ending Ending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.part, s.ending = part, ending
+}
+
+// SendElse has the server answer with what other returns, where that isn't "". Connections are kept after it.
+func (s *Server) SendElse(other func(*http.Request) string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.other = other
+}
+
+// Requests is how many requests were answered in part.
+func (s *Server) Requests() int64 { return s.requests.Load() }
+
+func (s *Server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c.(*net.TCPConn))
+	}
+}
+
+func (s *Server) serve(c *net.TCPConn) {
+	defer c.Close()
+	for in := bufio.NewReader(c); ; {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		s.mu.Lock()
+		part, ending, other := s.part, s.ending, s.other
+		s.mu.Unlock()
+		if other != nil {
+			if answer := other(req); answer != "" {
+				_, _ = io.WriteString(c, answer)
+				continue
+			}
+		}
+		s.requests.Add(1)
+		_, _ = io.WriteString(c, part) // a reader may have left
+		if ending == ResetConnection {
+			_ = c.SetLinger(0)
+		}
+		return
+	}
+}
--- a/internal/upstream/bounded.go
+++ b/internal/upstream/bounded.go
@@ -29,21 +29,42 @@
 	// left is how many bytes may still be read if bounded is set.
 	left    int
 	bounded bool
+	// ended is the error with which the connection ended, nil before that.
+	ended error
 }
 
 // Read implements io.Reader.
 func (b *boundedReader) Read(p []byte) (int, error) {
-	if !b.bounded {
-		return b.conn.Read(p)
+	if b.ended != nil {
+		// After a reset the kernel reports an orderly end.
+		return 0, b.ended
 	}
-	if b.left == 0 {
-		return 0, ErrHeadTooLong
+	if b.bounded {
+		if b.left == 0 {
+			return 0, ErrHeadTooLong
+		}
+		p = p[:min(len(p), b.left)]
 	}
-	n, err := b.conn.Read(p[:min(len(p), b.left)])
-	b.left -= n
+	n, err := b.conn.Read(p)
+	if b.bounded {
+		b.left -= n
+	}
+	b.ended = err
 	return n, err
 }
 
+// explain returns what an error of reading an answer means. A parser reports the part of a line before the
+// connection's end as malformed, although only the rest of the answer is lost.
+func (b *boundedReader) explain(err error) error {
+	switch {
+	case err == nil, err == io.EOF, b.ended == nil:
+		return markMalformed(err)
+	case b.ended == io.EOF:
+		return io.ErrUnexpectedEOF
+	}
+	return b.ended
+}
+
 // markMalformed makes an error of parsing an ErrMalformed. Errors of the connection stay as they are.
 func markMalformed(err error) error {
 	var netErr net.Error
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 )
 
 // Request is a request to a replica. Its body is complete, so that its length is
@@ -150,9 +151,9 @@
 	input.bounded, input.left = true, MaxHeadBytes
 	defer func() { input.bounded = false }()
 	for {
-		resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: req.Method})
+		resp, err := e.readResponse(req.Method)
 		if err != nil {
-			return markMalformed(err)
+			return err
 		}
 		if resp.StatusCode < http.StatusOK {
 			if resp.StatusCode == http.StatusSwitchingProtocols {
@@ -169,11 +170,25 @@
 		}
 		input.left += maxStrayBytes
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return markMalformed(err)
+			return input.explain(err)
 		}
 	}
 }
 
+// protocolName begins every answer.
+const protocolName = "HTTP/"
+
+// readResponse reads the head of one answer.
+func (e *Exchange) readResponse(method string) (*http.Response, error) {
+	begin, _ := e.conn.reader.Peek(len(protocolName)) // an error comes again when the head is read
+	isAnswer := strings.HasPrefix(protocolName, string(begin))
+	resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: method})
+	if err != nil && !isAnswer {
+		return nil, markMalformed(err)
+	}
+	return resp, e.conn.input.explain(err)
+}
+
 func (e *Exchange) setResponse(resp *http.Response) {
 	e.resp = resp
 	e.Status = resp.StatusCode
@@ -200,7 +215,7 @@
 	if err == io.EOF {
 		b.exchange.ended = true
 	}
-	return n, markMalformed(err)
+	return n, b.exchange.conn.input.explain(err)
 }
 
 // Close ends the exchange. The connection is kept only if the answer was read
--- /dev/null
+++ b/internal/upstream/halfway_test.go
@@ -0,0 +1,59 @@
+package upstream_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"skylarklead/internal/standin/halfway"
+	"skylarklead/internal/upstream"
+)
+
+// forms returns an answer to the request "1" in each form, also after an answer to another request.
+func forms() []halfway.Form {
+	forms := halfway.Forms(200, "Id: 1\r\nSeal: abc\r\n", "the whole body")
+	for _, f := range forms {
+		stray := answer("other", "stray")
+		f.Name, f.Bytes = "after a stray answer: "+f.Name, stray+f.Bytes
+		if f.HeadEnd > 0 {
+			f.HeadEnd += len(stray)
+		}
+		forms = append(forms, f)
+	}
+	return forms
+}
+
+// Guards against a part of an answer that is taken for the whole one, and against one that is taken for bytes
+// which are no answer.
+func TestAnswersThatStopHalfway(t *testing.T) {
+	server, err := halfway.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	r := upstream.Replica{ID: "r", Address: server.Address}
+	for _, form := range forms() {
+		for _, ending := range halfway.Endings {
+			t.Run(fmt.Sprint(form.Name, "/", ending), func(t *testing.T) {
+				pool := upstream.NewPool()
+				for n := range len(form.Bytes) + 1 {
+					server.Send(form.Bytes[:n], ending)
+					body, err := do(t, pool, r, "1")
+					want, whole := form.WholeAt(n, ending)
+					switch {
+					case whole && ending == halfway.Closed && (err != nil || body != want):
+						t.Errorf("whole after %d bytes: %q, %v", n, body, err)
+					case err == nil && (!whole || body != want):
+						t.Errorf("stopped after %d bytes, %q: taken for the answer %q", n, form.Bytes[:n], body)
+					case err != nil && !form.Faulty && errors.Is(err, upstream.ErrMalformed):
+						t.Errorf("stopped after %d bytes, %q: %v; the connection was lost", n, form.Bytes[:n], err)
+					}
+				}
+				pool.Close()
+				if open := pool.Stats().Open; open != 0 {
+					t.Errorf("%d connections left open", open)
+				}
+			})
+		}
+	}
+}
