--- a/internal/entry/buffered.go
+++ b/internal/entry/buffered.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -114,6 +115,12 @@
 	return s.respond(http.StatusOK, "application/json", body)
 }
 
+// maxStatus is the highest status that an answer can have.
+const maxStatus = 599
+
+// errStatus reports an answer of a service without a valid status.
+var errStatus = errors.New("entry: status of the service's response")
+
 // serviceSink answers a call to a plain service with the service's status and body.
 type serviceSink struct{ bufferedSink }
 
@@ -127,8 +134,9 @@
 		return err
 	}
 	status := s.startMessage.Status
-	if status < http.StatusOK || status > 599 {
-		status = http.StatusOK
+	if status < http.StatusOK || status > maxStatus {
+		s.fail(&Error{Code: protocol.CodeUnknownOutcome, Message: "the service's response has no valid status", Ran: protocol.Unknown})
+		return fmt.Errorf("%w: %d", errStatus, status)
 	}
 	return s.respond(status, s.startMessage.ContentType, body...)
 }
--- a/internal/entry/refuse_test.go
+++ b/internal/entry/refuse_test.go
@@ -171,3 +171,23 @@
 		t.Errorf("%d hedges, want one, for the owner", n)
 	}
 }
+
+// Guards against a success made from an answer whose status is none, such as that of a service that switched its
+// protocol and closed: it may have run, and there is no answer.
+func TestCallWithoutAStatusIsNoSuccess(t *testing.T) {
+	for _, status := range []int{0, http.StatusSwitchingProtocols, 999} {
+		x := newExecutor(t, "portal-1", onRun(func(_ *executor, s *wire.Session, m *protocol.Run) {
+			_ = s.Send(&protocol.Start{Attempt: m.Attempt, Status: status})
+			_ = s.Send(&protocol.End{Attempt: m.Attempt, Outcome: protocol.Done})
+		}))
+		_, c := newTestEntry(t, "portal", x)
+		resp := c.post(context.Background(), "/v1/services/portal/pledges/7", "pay")
+		if resp.StatusCode != http.StatusBadGateway {
+			t.Errorf("status %d of the service: the caller got %d", status, resp.StatusCode)
+			continue
+		}
+		if got := readError(t, resp); got.Ran != protocol.Unknown || got.Code != protocol.CodeUnknownOutcome {
+			t.Errorf("status %d of the service: got %+v", status, got)
+		}
+	}
+}
