Endpoint: a stream whose connection is cut within a line goes on

Seen by callers: unknown_outcome, "engine's answer is malformed", for a stream that the engine still had, and the endpoint cancelled it there. It happened where the connection to the engine ended after "id", "id:" or "id: " of an event; at every other byte the stream was taken up again.

Cause: bufio.ScanLines gives the part of a line before the end of the input as a line. An id without a number is malformed, and malformed streams aren't reopened. The class: the end of the input stands for the end of an item.

Result: only lines with an end are read.

--- a/internal/endpoint/harness_test.go
+++ b/internal/endpoint/harness_test.go
@@ -43,6 +43,7 @@
 	runs        map[string]int
 	canceled    map[string]bool
 	cutStreams  map[string]bool // streams whose connection is cut after one word
+	cutPart     string          // what is sent of the next event before that
 	bodies      []engine.Completion
 	// retryAfter is the Retry-After with which it refuses requests, "" to accept them.
 	retryAfter string
@@ -129,6 +130,8 @@
 		fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", i, f.words[i])
 		w.(http.Flusher).Flush()
 		if f.shouldCut(id) {
+			io.WriteString(w, f.cutPart)
+			w.(http.Flusher).Flush()
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/internal/endpoint/run_test.go
+++ b/internal/endpoint/run_test.go
@@ -66,6 +66,19 @@
 	f.wantRuns(1, 1)
 }
 
+// Guards against a stream that ends although its engine still has it, since the connection is cut within an event: the
+// part of a line is taken for a malformed one.
+func TestEngineConnectionLostWithinAnEvent(t *testing.T) {
+	const event = "id: 1\ndata: {\"choices\":[{\"delta\":{\"content\":\"b\"}}]}\n"
+	for n := range len(event) + 1 {
+		f, _, e := startWithEngine(t, "a", "b", "c")
+		f.withLock(func() { f.cutStreams[attemptID(1).String()], f.cutPart = true, event[:n] })
+		e.send(chat(1))
+		e.want(0, "abc", protocol.Done)
+		f.wantRuns(1, 1)
+	}
+}
+
 // Guards against reporting done, or waiting for ever, after the engine died. It dies
 // after a word and comes back as another incarnation, to which the stream doesn't
 // belong.
--- a/internal/engine/halfway_test.go
+++ b/internal/engine/halfway_test.go
@@ -1,10 +1,13 @@
 package engine
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"reflect"
+	"strings"
 	"testing"
 
 	"skylarklead/internal/standin/halfway"
@@ -49,3 +52,77 @@
 		}
 	})
 }
+
+// Guards against a part of an engine's stream that is taken for the whole one, and an event that is taken from a
+// part of it.
+func TestStreamsThatStopHalfway(t *testing.T) {
+	eachPart(t, "Content-Type: text/event-stream\r\n", first+second+usage+end, func(t *testing.T, base, where, want string, _, complete bool) {
+		stream, err := NewClient(base).Complete(testContext(t), Request{ID: "r"})
+		if err != nil {
+			if complete || !errors.Is(err, ErrOutcomeUnknown) {
+				t.Errorf("%s: %v", where, err)
+			}
+			return
+		}
+		defer stream.Close()
+		text := ""
+		for err == nil {
+			var event Event
+			event, err = stream.Next()
+			text += event.Text
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			if text != "a b " || stream.NextSeq() != 3 {
+				t.Errorf("%s: taken for the whole stream %q", where, text)
+			}
+		case !errors.Is(err, ErrOutcomeUnknown):
+			t.Errorf("%s: %v; the engine may still have the stream", where, err)
+		case complete && strings.HasSuffix(want, end):
+			t.Errorf("%s: %v; the stream is whole", where, err)
+		case text != "" && text != "a " && text != "a b ":
+			t.Errorf("%s: text %q from a part of an event", where, text)
+		}
+	})
+}
+
+// Guards against a cache event that is taken from a part of it, or a stream of them that ends without an error.
+func TestCacheEventsThatStopHalfway(t *testing.T) {
+	const event = `data: {"seq":12,"incarnation":"i1","type":"cleared","hashes":[]}` + "\n\n"
+	eachPart(t, "Content-Type: text/event-stream\r\n", event, func(t *testing.T, base, where, _ string, _, _ bool) {
+		client := NewClient(base)
+		defer client.Close()
+		err := client.Events(testContext(t), 1, func(e CacheEvent) error {
+			if e.Seq != 12 || e.Type != CacheCleared {
+				t.Errorf("%s: taken for %+v", where, e)
+			}
+			return nil
+		})
+		if err == nil {
+			t.Errorf("%s: ended without an error", where)
+		}
+	})
+}
+
+// Guards against text of a part of an event, and an end without the engine's explicit one, whatever the bytes are.
+func FuzzStreamIsWholeOrAnError(f *testing.F) {
+	f.Add([]byte(first+second+usage+end), uint16(40))
+	f.Add([]byte("id: 0\r\ndata: {}\r\n\r\ndata: [DONE]\r\n\r\n"), uint16(9))
+	f.Fuzz(func(t *testing.T, data []byte, cut uint16) {
+		read := func(data []byte) (events []sseEvent, err error) {
+			r := newSSEReader(bytes.NewReader(data), maxAnswerLine)
+			for {
+				event, err := r.next()
+				if err != nil {
+					return events, err
+				}
+				events = append(events, event)
+			}
+		}
+		all, _ := read(data)
+		part, err := read(data[:min(int(cut), len(data))])
+		if err == nil || len(part) > len(all) || len(part) > 0 && !reflect.DeepEqual(part, all[:len(part)]) {
+			t.Errorf("a part gives %+v, %v; the whole gives %+v", part, err, all)
+		}
+	})
+}
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -30,6 +30,7 @@
 func newSSEReader(r io.Reader, maxLine int) *sseReader {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(make([]byte, 0, 4<<10), maxLine)
+	lines.Split(scanWholeLines)
 	return &sseReader{lines: lines}
 }
 
@@ -69,3 +70,11 @@
 	}
 	return event, io.EOF
 }
+
+// scanWholeLines is bufio.ScanLines without the part of a line at the end: a field of it would be another one.
+func scanWholeLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if atEOF && len(data) > 0 && bytes.IndexByte(data, '\n') < 0 {
+		return 0, nil, io.ErrUnexpectedEOF
+	}
+	return bufio.ScanLines(data, atEOF)
+}
