Endpoint: an engine's control answer counts only once it has come to its end

Seen: the state in an answer to an order, a load report and an export were taken from answers that broke off or were reset after the JSON value: before a line feed, the last chunk or the trailer. Whatever followed the value was ignored. No wrong state was seen, since a JSON object shows its own end; an order whose answer was cut counted as answered.

Cause: json.Decoder stops at the end of the value.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -39,12 +39,22 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, limit)).Decode(out); err != nil {
-		return fmt.Errorf("%w: %s %s: %w", ErrOutcomeUnknown, method, path, noEOF(err))
+	if err := decodeWhole(resp.Body, limit, out); err != nil {
+		return fmt.Errorf("%w: %s %s: %w", ErrOutcomeUnknown, method, path, err)
 	}
 	return nil
 }
 
+// decodeWhole decodes a body of at most limit bytes. Its value counts only if the body has come to its end and has nothing
+// else.
+func decodeWhole(body io.Reader, limit int64, into any) error {
+	data, err := io.ReadAll(io.LimitReader(body, limit))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, into)
+}
+
 func newCall(method, url string, in any) (*http.Request, error) {
 	if in == nil {
 		return newRequest(method, url, nil)
@@ -77,7 +87,7 @@
 		return fmt.Errorf("%w: %w", ErrWeightsMismatch, refusal(resp))
 	}
 	var stale StaleFence
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBody)).Decode(&stale); err != nil {
+	if err := decodeWhole(resp.Body, maxErrorBody, &stale); err != nil {
 		return fmt.Errorf("%w: 409 answer to an order: %w", ErrMalformed, err)
 	}
 	return &StaleFenceError{Fence: stale.Fence}
--- a/internal/engine/halfway_test.go
+++ b/internal/engine/halfway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"strings"
 	"testing"
 
+	"skylarklead/internal/prefix"
 	"skylarklead/internal/standin/halfway"
 	"skylarklead/test/kit"
 )
@@ -86,6 +88,37 @@
 	})
 }
 
+// Guards against an engine's state that is taken from a part of an answer.
+func TestControlAnswersThatStopHalfway(t *testing.T) {
+	for _, c := range []struct {
+		name, body string
+		call       func(ctx context.Context, c *Client) (any, error)
+		want       any
+	}{
+		{"load", `{"incarnation":"i1","running":12}` + "\n", func(ctx context.Context, c *Client) (any, error) { return c.Load(ctx) }, Load{Incarnation: "i1", Running: 12}},
+		{"order", `{"fence":12,"model":"m"}` + "\n", func(ctx context.Context, c *Client) (any, error) { return c.SendOrder(ctx, Order{Fence: 12}) }, State{Fence: 12, Model: "m"}},
+		{"export", `{"incarnation":"i1","blob":"YWJj"}` + "\n", func(ctx context.Context, c *Client) (any, error) {
+			return c.ExportKV(ctx, []prefix.Hash{1})
+		}, KV{Incarnation: "i1", Blob: []byte("abc")}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			eachPart(t, "Content-Type: application/json\r\n", c.body, func(t *testing.T, base, where, want string, whole, complete bool) {
+				client := NewClient(base)
+				defer client.Close()
+				got, err := c.call(testContext(t), client)
+				// Only the line feed at the end may be missing where the end of the connection ends the body.
+				whole = whole && len(want) >= len(c.body)-1
+				switch {
+				case complete && whole && (err != nil || !reflect.DeepEqual(got, c.want)):
+					t.Errorf("%s: %+v, %v; want %+v", where, got, err, c.want)
+				case err == nil && !whole:
+					t.Errorf("%s: taken for %+v", where, got)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a cache event that is taken from a part of it, or a stream of them that ends without an error.
 func TestCacheEventsThatStopHalfway(t *testing.T) {
 	const event = `data: {"seq":12,"incarnation":"i1","type":"cleared","hashes":[]}` + "\n\n"
