Role direct: a stream that breaks off doesn't look complete to an HTTP/1.0 caller

Seen by callers: a caller of HTTP/1.0, for whom the end of the connection ends the answer, got the first events of a stream and an orderly end, where the replica had stopped in the middle of an event; so it would be at a deadline and at the end of a drain. Callers of HTTP/1.1 get chunks without a last one, as before.

Cause: http.ErrAbortHandler closes the connection in order. The class: an abort that only one framing shows.

Evidence: TestBrokenStreamLooksIncompleteToEveryCaller: "200, two events, no error" before for HTTP/1.0; a reset now.

--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -206,9 +207,24 @@
 // abort breaks off the answer by closing the connection, so that it doesn't look complete.
 func (req *request) abort(reason string) {
 	req.outcome, req.reason = outcomeCut, reason
+	if !req.httpRequest.ProtoAtLeast(1, 1) {
+		req.resetConnection()
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetConnection resets the caller's connection. Without chunks an orderly end of it would end the answer, too.
+func (req *request) resetConnection() {
+	conn, _, err := http.NewResponseController(req.w).Hijack()
+	if err != nil {
+		return // a test's response has no connection
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // pickReplica picks a replica now; nil if none can take the request. The caller holds the state's
 // lock.
 func (req *request) pickReplica(now time.Duration) *placement {
