Role direct: a stream of nothing but a head isn't complete at the end of its connection

Seen by callers: 200 with an empty body, framed as whole. A replica that sends the head of a stream without a length and stops, in order, ended the stream as complete before its first event; where a stream went on at such a replica, it ended as complete before its last event. Nothing was sent to another replica, and the request counted as a good answer.

Cause: a stream without events was complete whatever ended it. Only a length or chunks can say so.

Evidence: TestCallersGetNoPartOfAnAnswerAsAWholeOne (9,470 parts of answers: 7 forms, closed and reset, every byte, routes of three kinds; one part was taken) and TestStreamThatStopsAgainAfterItsHead fail before and pass now. TestStreamsThatStopGoOnAtAWholeEvent (14 cases, 896 calls) found nothing.

Result: it counts as a connection that was lost; the request is sent again where its route allows it, else the caller gets 502 or, after events, a broken connection. What remains: a stream without a length that ends in order between two events can't be told from a whole one.

--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -27,6 +28,10 @@
 // errEventTooLong reports an event beyond maxEventSize.
 var errEventTooLong = fmt.Errorf("%w: event of more than %d bytes", upstream.ErrMalformed, maxEventSize)
 
+// errNoEvents reports a stream of which nothing but its head came before the end of its connection. A replica that stops
+// after the head looks like this; one that has nothing to send can say so with a length or chunks.
+var errNoEvents = errors.New("direct: the connection ended before the first event of its stream")
+
 // sseReader reads whole server-sent events. A replica may stop in the middle of an event; if half of
 // it were forwarded, followed by the next event of another replica, the caller would see an event
 // that no replica sent.
@@ -90,6 +95,9 @@
 	in := newSSEReader(x.Body)
 	for {
 		err := in.next()
+		if err == io.EOF && p.events == 0 && x.CloseDelimited() {
+			err = errNoEvents
+		}
 		if err == io.EOF {
 			return req.finishStream(p, x)
 		}
--- a/internal/standin/halfway/halfway.go
+++ b/internal/standin/halfway/halfway.go
@@ -162,7 +162,7 @@
 			return
 		}
 		s.mu.Lock()
-		part, ending, other := s.part, s.ending, s.other
+		other := s.other
 		s.mu.Unlock()
 		if other != nil {
 			if answer := other(req); answer != "" {
@@ -170,6 +170,9 @@
 				continue
 			}
 		}
+		s.mu.Lock()
+		part, ending := s.part, s.ending
+		s.mu.Unlock()
 		s.requests.Add(1)
 		_, _ = io.WriteString(c, part) // a reader may have left
 		if ending == ResetConnection {
