--- /dev/null
+++ b/internal/direct/halfway_test.go
@@ -0,0 +1,66 @@
+package direct
+
+import (
+	"bytes"
+	"compress/flate"
+	"net/http"
+	"net/netip"
+	"reflect"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"skylarklead/internal/attempt"
+	"skylarklead/internal/standin/halfway"
+	"skylarklead/test/kit"
+)
+
+// Guards against records of a peer that are taken from a part of its answer.
+func TestRecordsOfAPeerThatStopHalfway(t *testing.T) {
+	t.Parallel()
+	sent := topicState{TopicID: 1, Next: 7, From: 5, Records: []topicRecord{{Key: "a", Value: []byte("value of a")}, {Key: "b"}}}
+	var body bytes.Buffer
+	out := kit.Must(flate.NewWriter(&body, flate.BestSpeed))(t)
+	kit.OK(t, cbor.NewEncoder(out).Encode(&sent))
+	kit.OK(t, out.Close())
+	server := kit.Must(halfway.Start())(t)
+	defer server.Close()
+	for _, form := range halfway.Forms(http.StatusOK, "", body.String()) {
+		for _, ending := range halfway.Endings {
+			for n := range len(form.Bytes) + 1 {
+				server.Send(form.Bytes[:n], ending)
+				got, err := newBulk().fetch(netip.MustParseAddrPort(server.Address), 1, 5)
+				_, whole := form.WholeAt(n, ending)
+				// The compressed records show their own end.
+				if err == nil && !reflect.DeepEqual(got, &sent) {
+					t.Errorf("%s, %v after %d bytes: got %+v", form.Name, ending, n, got)
+				}
+				if err != nil && whole && n == len(form.Bytes) && ending == halfway.Closed {
+					t.Errorf("%s: %v", form.Name, err)
+				}
+			}
+		}
+	}
+}
+
+// Guards against a part of a peer's datagram that is decoded as a shorter message.
+func TestPartsOfDatagramsAreMalformed(t *testing.T) {
+	message := &peerMessage{
+		From: "entry-1", Epoch: 7,
+		Reports: []replicaReport{{Replica: "r", Weights: map[string]uint64{"m": 2}, Orders: 3}},
+		Crashes: []attempt.CrashReport{{Fingerprint: 1, Replica: "r", GivenUp: true}},
+	}
+	data := kit.Must(cbor.Marshal(message))(t)
+	for n := range data {
+		var m peerMessage
+		if err := messageDecoder.Unmarshal(data[:n], &m); err == nil {
+			t.Errorf("%d of %d bytes: decoded as %+v", n, len(data), m)
+		}
+	}
+	verdict := storedVerdict{Report: attempt.CrashReport{Fingerprint: 1, Replica: "r", GivenUp: true}, AtMs: 1}
+	for n := range verdict.encode() {
+		if v, err := decodeVerdict(verdict.encode()[:n]); err == nil {
+			t.Errorf("%d bytes of a verdict: decoded as %+v", n, v)
+		}
+	}
+}
