--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -14,6 +14,14 @@
 	*net.TCPConn
 	listener *Listener
 	closed   atomic.Bool
+	// discards is set if the close drops what is undelivered and resets the connection.
+	discards atomic.Bool
+}
+
+// SetLinger is TCPConn.SetLinger. With 0 seconds the close isn't delayed, and resets the connection.
+func (c *conn) SetLinger(seconds int) error {
+	c.discards.Store(seconds == 0)
+	return c.TCPConn.SetLinger(seconds)
 }
 
 // Read implements net.Conn.
@@ -46,7 +54,7 @@
 	if c.closed.Swap(true) {
 		return net.ErrClosed
 	}
-	if c.pending() == 0 {
+	if c.discards.Load() || c.pending() == 0 {
 		return c.TCPConn.Close()
 	}
 	c.listener.closeDelayed()
--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -106,3 +106,18 @@
 		t.Errorf("second close: %v", err)
 	}
 }
+
+// Guards against an answer that was broken off and looks complete to a peer for whom the end of the connection
+// ends it.
+func TestAConnectionThatDiscardsItsOutputIsReset(t *testing.T) {
+	l, server, peer := pair(t, DefaultLimit)
+	write(t, server, answer)
+	_ = server.(*conn).SetLinger(0)
+	server.Close()
+	if n := l.Closing(); n > 0 {
+		t.Errorf("the close of %d connections is delayed", n)
+	}
+	if _, err := io.Copy(io.Discard, peer); err == nil {
+		t.Error("the peer saw an orderly end")
+	}
+}
