A heartbeat that failed doesn't take out a peer that was heard since

What callers saw: a process of a group that had just started was left out of decisions for up to a quarter of a second, though it was up: no new work, and it didn't count when a group changes to a new version. With two of three members counted, half of them is one engine, which then gets all requests.

Cause: a heartbeat that met the peer before it listened fails, and its failure, read after the peer's own first heartbeat, was taken for the newer evidence. The peer then got no heartbeat of ours before the next interval, since the one that its first heartbeat asks for was skipped while the failing one was under way.

HeartbeatFailed compares the beginning of the attempt with the last heartbeat. If that is younger the peer stays up and the heartbeat is due again at once, as often as heartbeats come. The cases of TestStates and TestAFailedHeartbeatIsSentAgainToAPeerThatWasHeardSince fail without the comparison: dead (connection_failed), want alive (heard); no heartbeat is due.

--- a/internal/endpoint/heartbeat.go
+++ b/internal/endpoint/heartbeat.go
@@ -103,6 +103,7 @@
 func (e *Endpoint) sendHeartbeat(to member.Peer, hb *protocol.Heartbeat) {
 	ctx, stop := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer stop()
+	began := e.now()
 	s, err := e.pool.Get(ctx, to.Address)
 	if err == nil && s.Peer().ID != to.ID {
 		err = fmt.Errorf("endpoint: %s now belongs to %s", to.Address, s.Peer().ID)
@@ -114,7 +115,7 @@
 		e.group.peer(to.ID).sending = false
 		if err != nil {
 			e.group.peer(to.ID).fullSentAt = 0
-			e.group.view.ConnectionFailed(to.ID, e.now())
+			e.group.view.HeartbeatFailed(to.ID, began, e.now())
 			return
 		}
 		e.observeEpoch(s.Peer())
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -233,6 +233,16 @@
 	r.nextHeartbeat = min(r.nextHeartbeat, now+v.params.Interval)
 }
 
+// HeartbeatFailed is ConnectionFailed for a heartbeat whose sending began at a time. A peer that was heard
+// since stays up, and the heartbeat is due again: the attempt may have met it before it listened.
+func (v *View) HeartbeatFailed(id string, began, now time.Duration) {
+	if r := v.record(id, now); r.hasHeartbeat && r.lastHeartbeat >= began {
+		r.nextHeartbeat = min(r.nextHeartbeat, now)
+		return
+	}
+	v.ConnectionFailed(id, now)
+}
+
 // UnavailableReported takes an owner's list of members that are dead or leaving. It holds
 // for a limited time: the owner may be wrong or out of date. In a group it holds until the
 // member sends a heartbeat or is suspected for its silence; otherwise a stopped process
--- a/internal/member/view_test.go
+++ b/internal/member/view_test.go
@@ -49,6 +49,8 @@
 		{"connection failed", entryView(), func(v *View) { v.InstancesListed(up, 0); v.ConnectionFailed("a", s) }, s, Dead, ReasonConnectionFailed},
 		{"connection failed, after the backoff", entryView(), func(v *View) { v.InstancesListed(up, 0); v.ConnectionFailed("a", s) }, 2 * s, Unknown, ReasonListed},
 		{"heartbeat after a failed connection", groupView(), func(v *View) { v.ConnectionFailed("a", s); v.HeartbeatReceived(beat(1, 1, false), s) }, s, Alive, ReasonReachable},
+		{"heard while a heartbeat to it failed", groupView(), func(v *View) { v.HeartbeatReceived(beat(1, 1, false), s); v.HeartbeatFailed("a", s, s) }, s, Alive, ReasonReachable},
+		{"heard before a heartbeat to it failed", groupView(), func(v *View) { v.HeartbeatReceived(beat(1, 1, false), s-1); v.HeartbeatFailed("a", s, s) }, s, Dead, ReasonConnectionFailed},
 		{"reported by an owner", entryView(), func(v *View) { v.InstancesListed(up, 0); v.UnavailableReported([]string{"a", "self"}, s) }, 2 * s, Suspect, ReasonReportedUnavailable},
 		{"a report expires", entryView(), func(v *View) { v.InstancesListed(up, 0); v.UnavailableReported([]string{"a"}, s) }, 5 * s, Unknown, ReasonListed},
 		{"leaving by its announcement, stale list", groupView(), func(v *View) { v.HeartbeatReceived(beat(1, 1, true), 0); v.InstancesListed(up, s) }, s, Leaving, ReasonAnnouncedLeaving},
@@ -264,6 +266,25 @@
 	}
 }
 
+// Guards against a peer that gets no heartbeat for a period since the one that was under way when it started
+// failed.
+func TestAFailedHeartbeatIsSentAgainToAPeerThatWasHeardSince(t *testing.T) {
+	v := groupView()
+	listPeers(v, "a", 1, 0)
+	const s = time.Second
+	v.Tick(s)
+	v.HeartbeatReceived(beat(1, 1, false), s)
+	v.Tick(s) // skipped by the caller while the failing one is under way
+	v.HeartbeatFailed("a", s, s)
+	if len(v.Tick(s)) != 1 {
+		t.Error("no heartbeat is due")
+	}
+	v.HeartbeatFailed("a", s+1, s+1)
+	if len(v.Tick(s+1)) != 0 {
+		t.Error("a heartbeat is due at once to a peer that wasn't heard since")
+	}
+}
+
 func TestUnlistedMembersAreForgotten(t *testing.T) {
 	v := groupView()
 	v.HeartbeatReceived(beat(1, 1, true), 0)
