A lender whose answer came late is asked again

Cause: an entry that didn't answer within 60 ms isn't asked for a second, and nothing ended that: its answer, some milliseconds late, had its units returned and was no sign of life. A pause of one process of more than 60 ms (no CPU, a throttled container) did so for all its lenders, and all requests that needed units of them were refused for the rest of that second.

TestALateAnswerShowsThatALenderAnswers failed: no units of a lender that answers, on a clock on which no rest ends.

An answer that comes late ends the rest, if the one before wasn't late as well: a lender that always takes longer would hold up each request for 60 ms. Questions under way together count as one. quota.Silence has the rule, without a clock.

--- a/internal/direct/quotas.go
+++ b/internal/direct/quotas.go
@@ -16,10 +16,6 @@
 	// borrowTimeout bounds the wait for a lender's answer: many times a datagram's transit within
 	// a region plus the time until the lender gets to run.
 	borrowTimeout = 60 * time.Millisecond
-	// unresponsiveFor is how long an entry that did not answer isn't asked again: several times as
-	// long as an entry takes to start. In a large fleet, nothing else shows that an entry of
-	// another failure domain is back, as only those of the own domain send messages regularly.
-	unresponsiveFor = time.Second
 	// maxUnits bounds the units in a message.
 	maxUnits = 1e12
 )
@@ -34,8 +30,7 @@
 	seq uint64
 	// pending are requests to lenders that are unanswered, by their number.
 	pending map[uint64]*pendingBorrow
-	// unresponsiveUntil is until when entries that did not answer aren't asked again.
-	unresponsiveUntil map[string]time.Duration
+	silence quota.Silence
 }
 
 // pendingBorrow is a request to a lender; granted delivers the units lent.
@@ -64,10 +59,9 @@
 
 func newQuotas(e *Entry) *quotas {
 	return &quotas{
-		entry:             e,
-		ledger:            quota.NewLedger(e.settings.ID, quotaParams(e.settings.Direct), rand.IntN),
-		pending:           make(map[uint64]*pendingBorrow),
-		unresponsiveUntil: make(map[string]time.Duration),
+		entry:   e,
+		ledger:  quota.NewLedger(e.settings.ID, quotaParams(e.settings.Direct), rand.IntN),
+		pending: make(map[uint64]*pendingBorrow),
 	}
 }
 
@@ -153,8 +147,10 @@
 	awaited := borrow != nil && borrow.lender == peer && borrow.organisation == m.Organisation
 	if awaited {
 		delete(q.pending, m.Seq)
-		delete(q.unresponsiveUntil, peer)
+		q.silence.Answered(peer)
 		q.ledger.LenderReported(m.Organisation, peer, m.Left, q.entry.bootClock())
+	} else {
+		q.silence.AnsweredLate(peer)
 	}
 	q.mu.Unlock()
 	if awaited {
@@ -192,7 +188,7 @@
 	q.mu.Lock()
 	delete(q.pending, seq)
 	if ctx.Err() == nil {
-		q.unresponsiveUntil[lender] = q.entry.bootClock() + unresponsiveFor
+		q.silence.Missed(lender, q.entry.bootClock())
 	}
 	q.mu.Unlock()
 	select {
--- a/internal/direct/quotas_test.go
+++ b/internal/direct/quotas_test.go
@@ -68,6 +68,33 @@
 	}
 }
 
+// Guards against a lender that isn't asked for a second though its answer came a moment late.
+func TestALateAnswerShowsThatALenderAnswers(t *testing.T) {
+	all := newPeerNodes(t, 2, 1)
+	borrower, lender := all[0], all[1]
+	organisation := &fleet.Organisation{Name: "derwent", Quota: fleet.Quota{Rate: 1000, Burst: 1000, DefaultUnits: 1}}
+	stopped := borrower.bootClock()
+	borrower.bootClock = func() time.Duration { return stopped } // no rest ends by its time
+	for _, e := range all {
+		e.quotas.setQuotas(&fleet.Configuration{Organisations: []*fleet.Organisation{organisation}})
+		e.quotas.setEntries([]string{"entry-0", "entry-1"}, true, true)
+		e.quotas.entriesConfirmed(e.bootClock())
+	}
+	reserve := func() bool {
+		return (&request{entry: borrower.Entry, ctx: t.Context(), organisation: organisation}).reserveQuota()
+	}
+	go borrower.peers.receive()
+	if reserve() {
+		t.Fatal("got units before the lender read the question")
+	}
+	go lender.peers.receive()
+	for limit := time.Now().Add(5 * time.Second); !reserve(); time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("no units of a lender that answers")
+		}
+	}
+}
+
 // Whatever datagrams arrive, a share never holds more than its maximum, and nothing panics.
 func FuzzQuotaMessage(f *testing.F) {
 	for _, m := range []*quotaMessage{
--- a/internal/direct/reservation.go
+++ b/internal/direct/reservation.go
@@ -189,7 +189,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.entry.bootClock()
-	answers := func(id string) bool { return now >= q.unresponsiveUntil[id] }
+	answers := func(id string) bool { return q.silence.Usable(id, now) }
 	return q.ledger.Lenders(organisation, units, answers, now), q.ledger.OwnerReachable(organisation, answers, now)
 }
 
