Time in which an entry is held up isn't the time that a lender took

Cause: the wait for an answer was one timer of 60 ms. After a pause of the process that timer and the answer in its socket are both due; which is read first is chance, and the lender counted as silent.

The wait looks at the clock six times, and of what is longer than the pause between two looks the process was held up (wait.Answer; TestTimeHeldUpIsNoWait). So units may be older than 0.3 s when they arrive, which only chance had prevented before: these are returned and withdrawn anew. TestUnitsThatTookTooLongAreNotSpent fails without that: holds units withdrawn 600ms ago.

--- a/internal/direct/quotas.go
+++ b/internal/direct/quotas.go
@@ -10,10 +10,11 @@
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/quota"
 	"skylarklead/internal/settings"
+	"skylarklead/internal/wait"
 )
 
 const (
-	// borrowTimeout bounds the wait for a lender's answer: many times a datagram's transit within
+	// borrowTimeout bounds the wait for a lender's answer, in time in which this process runs: many times a datagram's transit within
 	// a region plus the time until the lender gets to run.
 	borrowTimeout = 60 * time.Millisecond
 	// maxUnits bounds the units in a message.
@@ -177,13 +178,8 @@
 	q.pending[seq] = pending
 	q.mu.Unlock()
 	q.send(&quotaMessage{Kind: quotaBorrow, Seq: seq, Organisation: organisation, Units: units}, to)
-	timeout := time.NewTimer(borrowTimeout)
-	defer timeout.Stop()
-	select {
-	case lent = <-pending.granted:
+	if lent, answered = wait.Answer(ctx, pending.granted, borrowTimeout); answered {
 		return seq, lent, true
-	case <-timeout.C:
-	case <-ctx.Done():
 	}
 	q.mu.Lock()
 	delete(q.pending, seq)
--- a/internal/direct/quotas_test.go
+++ b/internal/direct/quotas_test.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/quota"
 )
 
 // Guards against an entry of a large fleet that borrows only from its own failure domain, the only one
@@ -49,6 +50,29 @@
 	}
 }
 
+// Guards against units that are spent later than they may be held, as the process was held up meanwhile.
+func TestUnitsThatTookTooLongAreNotSpent(t *testing.T) {
+	e := newPeerNodes(t, 1, 1)[0]
+	organisation := &fleet.Organisation{Name: "derwent", Quota: fleet.Quota{Rate: 1000, Burst: 1000, DefaultUnits: 1}}
+	now, jump := e.bootClock(), 2*quota.DefaultSpendWithin
+	looks := 0
+	e.quotas.setQuotas(&fleet.Configuration{Organisations: []*fleet.Organisation{organisation}})
+	e.quotas.setEntries([]string{"entry-0"}, true, true)
+	e.bootClock = func() time.Duration {
+		if looks++; looks == 3 { // after the units were withdrawn
+			now += jump
+		}
+		return now + time.Second
+	}
+	req := &request{entry: e.Entry, ctx: t.Context(), organisation: organisation}
+	if !req.reserveQuota() {
+		t.Fatal("no units")
+	}
+	if age := e.bootClock() - req.reservation.reservedAt; age > quota.DefaultSpendWithin {
+		t.Errorf("holds units withdrawn %v ago", age)
+	}
+}
+
 // Guards against requests that each wait anew for entries that don't answer.
 func TestASilentLenderIsLeftAlone(t *testing.T) {
 	all := newPeerNodes(t, 3, 1) // nobody listens
--- a/internal/direct/reservation.go
+++ b/internal/direct/reservation.go
@@ -56,23 +56,35 @@
 	if !req.hasQuota() {
 		return true
 	}
-	q := req.entry.quotas
 	if reservation := req.reservation; reservation != nil && !reservation.spent && req.entry.bootClock()-reservation.reservedAt <= reservationLifetime {
 		return true
 	}
 	req.releaseQuota()
+	for {
+		ok, expired := req.withdrawReservation()
+		if !expired || req.ctx.Err() != nil {
+			return ok
+		}
+	}
+}
+
+// withdrawReservation makes a reservation of the request's units. expired is set if that took longer than units
+// may be held.
+func (req *request) withdrawReservation() (ok, expired bool) {
 	began := req.entry.bootClock()
 	reservation := &quotaReservation{units: req.organisation.Quota.Units(&req.params), reservedAt: began}
-	ok := req.withdrawQuota(reservation)
+	ok = req.withdrawQuota(reservation)
+	took := req.entry.bootClock() - began
 	req.quotaStats.units = reservation.units
 	req.quotaStats.reservations++
-	req.quotaStats.took += req.entry.bootClock() - began
-	if !ok {
-		q.returnUnits(req.organisation.Name, reservation)
-		return false
+	req.quotaStats.took += took
+	expired = ok && took > quota.DefaultSpendWithin
+	if !ok || expired {
+		req.entry.quotas.returnUnits(req.organisation.Name, reservation)
+		return false, expired
 	}
 	req.reservation = reservation
-	return true
+	return true, false
 }
 
 // withdrawQuota takes units from this entry's share, or else from other entries'.
