Units that a lender's answer brings at the last moment aren't lost

Read while tracing the two faults before, not seen: an answer that is taken up just when its question times out was delivered after the last look, so that its units were lost for both entries, and the lender counted as silent although it had answered. No test fails without this; the two steps can't be held apart from outside.

Under the lock a question is either unanswered, and then its later answer has the units returned, or its answer is on its way to the caller, who waits for it.

--- a/internal/direct/quotas.go
+++ b/internal/direct/quotas.go
@@ -182,15 +182,14 @@
 		return seq, lent, true
 	}
 	q.mu.Lock()
+	_, unanswered := q.pending[seq]
 	delete(q.pending, seq)
-	if ctx.Err() == nil {
+	if unanswered && ctx.Err() == nil {
 		q.silence.Missed(lender, q.entry.bootClock())
 	}
 	q.mu.Unlock()
-	select {
-	case lent = <-pending.granted: // it arrived after the timeout
-		return seq, lent, true
-	default:
+	if unanswered {
 		return seq, 0, false
 	}
+	return seq, <-pending.granted, true // handleAnswer delivers it
 }
