An owner that has no configuration yet keeps the old version

What callers saw: while a group changes to a new version, an endpoint process that had just started sent requests that name no version to the few engines which had the new one, or refused them where none had it, until it had read its configuration.

Cause: the versions that a request may run under were taken from the owner's configuration alone. Without one no version counted, and nothing is half of nothing.

The entry checks a suggested version anyway, by its own configuration, for the organisation; now also that the model has it. So before its first configuration the owner leaves that to the entry.

--- a/internal/endpoint/group_test.go
+++ b/internal/endpoint/group_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"strings"
 	"testing"
 	"time"
 
+	"skylarklead/internal/follow"
 	"skylarklead/internal/platform"
 	"skylarklead/internal/prefix"
 	"skylarklead/internal/protocol"
+	"skylarklead/internal/route"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wire"
 	"skylarklead/test/kit"
@@ -212,6 +215,29 @@
 	})
 }
 
+// Guards against requests that all go to the few engines with the new version while their owner has just
+// started and has no configuration yet.
+func TestOwnerWithoutAConfigurationKeepsTheOldVersion(t *testing.T) {
+	e, _ := newTestEndpoint(t)
+	e.config = follow.New(follow.Options{Logger: slog.New(slog.DiscardHandler)})
+	group := make([]route.Endpoint, 3)
+	load := func(i int, version string) {
+		group[i] = route.Endpoint{Alive: true, HasLoad: true, Load: protocol.Load{EngineUp: true, Model: "m", Version: version}}
+	}
+	for i, version := range []string{"v1", "v1", "v2"} {
+		load(i, version)
+	}
+	anyVersion := ask(1)
+	anyVersion.Version, anyVersion.AnyVersion = "v2", true
+	if got := e.fallbackVersion(anyVersion, group); got != "v1" {
+		t.Errorf("one of three has the new version: got %q, want v1", got)
+	}
+	load(1, "v2")
+	if got := e.fallbackVersion(anyVersion, group); got != "" {
+		t.Errorf("two of three have the new version: got %q, want the configured one", got)
+	}
+}
+
 // Guards against an endpoint with a wrong fleet key that reports ready and serves
 // nobody. It starts beside two others and reads its configuration from the log;
 // readiness must depend on whether its peers accept it.
--- a/internal/endpoint/versions.go
+++ b/internal/endpoint/versions.go
@@ -48,8 +48,12 @@
 	return e.Load.Version
 }
 
-// mayUseVersion reports whether the configuration lets an organisation use a version.
+// mayUseVersion reports whether the configuration lets an organisation use a version. Before the first
+// configuration it is left to the entry, which checks it too.
 func (e *Endpoint) mayUseVersion(ask *protocol.Ask, version string) bool {
+	if e.config.State() == nil {
+		return true
+	}
 	model := e.state().Models[ask.Model]
 	organisation := e.state().Organisations[ask.Organisation]
 	return model != nil && organisation != nil &&
--- a/internal/entry/ask.go
+++ b/internal/entry/ask.go
@@ -49,7 +49,11 @@
 
 // mayUseVersion reports whether the request may run under another version.
 func (j *job) mayUseVersion(version string) bool {
-	return j.anyVersion && version != "" && version != j.version && j.organisation.Allows(j.model, version)
+	if !j.anyVersion || version == "" || version == j.version {
+		return false
+	}
+	model := j.state.Models[j.model]
+	return model != nil && slices.Contains(model.Versions, version) && j.organisation.Allows(j.model, version)
 }
 
 func noEndpoint(j *job) *protocol.Decision {
