The test of a group that changes versions waits for a decision with all members live

TestOldVersionServesUntilHalfHaveTheNewOne took for granted that no heartbeat of its three processes had failed: with one of them counted as dead, one of the two others is half of the group, and the new version is right.

It waits for a decision that names no member as unavailable, and checks the same of that one decision.

--- a/internal/endpoint/group_test.go
+++ b/internal/endpoint/group_test.go
@@ -205,7 +205,12 @@
 	kit.Until(t, "the first new engine", func() bool {
 		return owner.decision(pinned).Executor.Endpoint == "ep-3"
 	})
-	if d := owner.decision(anyVersion); d.Version != "v1" || d.Refusal == nil {
+	var d *protocol.Decision
+	kit.Until(t, "a decision while all three are live", func() bool {
+		d = owner.decision(anyVersion)
+		return len(d.Unavailable) == 0
+	})
+	if d.Version != "v1" || d.Refusal == nil {
 		t.Fatalf("got %+v", d)
 	}
 	loadNewVersion(engines[1])
