--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -40,7 +40,9 @@
 	// nil freezes none.
 	clientFrozen func(client string) bool
 	refuse       bool
-	closed       bool
+	// refuseAfter is how long a connection that is refused stays open.
+	refuseAfter time.Duration
+	closed      bool
 	// isolated is how many calls of Isolate are without their Reconnect, fillers are the connections that fill
 	// the backlog then.
 	isolated int
@@ -130,6 +132,10 @@
 // Refuse resets new connections while on is set. Open ones aren't affected.
 func (p *Proxy) Refuse(on bool) { p.set(func() { p.refuse = on }) }
 
+// RefuseAfter has Refuse reset connections a time after they were accepted, so that a request may be written on
+// them.
+func (p *Proxy) RefuseAfter(d time.Duration) { p.set(func() { p.refuseAfter = d }) }
+
 // Drop discards the data of a direction while on is set, which makes connections
 // half-open. When it is switched off, connections that have lost data are reset,
 // since no network delivers a TCP stream with a gap.
@@ -237,9 +243,10 @@
 func (p *Proxy) connect(client *net.TCPConn) {
 	defer p.goroutines.Done()
 	p.mu.Lock()
-	refuse := p.refuse || p.closed
+	refuse, after := p.refuse || p.closed, p.refuseAfter
 	p.mu.Unlock()
 	if refuse {
+		time.Sleep(after)
 		reset(client)
 		return
 	}
