Drains: entries tell each other that they drain

Cause: while all entries are restarted in turn, a caller that one draining entry refuses comes back after 20 ms and meets another one that refuses it. Most clients retry once. An entry that had just got its stop signal left rotation at once, so that the balancer spread callers over all entries, and two of three refused them.

Change: load messages say how much longer a draining entry accepts any request and how much longer it lives; one that ends says so. Retry-After is 20 ms while another entry accepts any request, else the time until the first of them is in rotation again, if the caller honors that much. A draining entry goes on saying that it is ready, up to 1.5 s after SIGTERM, while all others drain and none is in rotation: it is the one with the most time left. Entries of older builds ignore the field and count as not draining.

--- /dev/null
+++ b/internal/admit/peerdrains.go
@@ -0,0 +1,112 @@
+package admit
+
+import "time"
+
+const (
+	// restartTime is the usual time from the end of a process until its successor serves.
+	restartTime = 700 * time.Millisecond
+	// rotationTime is how long a process has to serve until a balancer that probes it once a second sends it
+	// new connections.
+	rotationTime = time.Second
+	// retryAtOnce is the Retry-After of a refusal whose caller should try again at once.
+	retryAtOnce = 20 * time.Millisecond
+	// honoredPart is the part of the time left for which callers honor a Retry-After at most.
+	honoredPart = 3
+)
+
+// DrainNotice is what a process that shuts down tells its peers.
+type DrainNotice struct {
+	// Unrestricted is how much longer it accepts any request, Left how much longer it lives at most; 0 says
+	// that it ends now.
+	Unrestricted, Left time.Duration
+}
+
+// PeerDrains knows which of the other processes that callers may reach shut down, from their messages. Its
+// times are on one clock of the process.
+type PeerDrains struct {
+	peers map[string]*peerDrain
+}
+
+// peerDrain is one peer. A peer that isn't draining has zero times.
+type peerDrain struct {
+	epoch, seq        uint64
+	firstHeard, heard time.Duration
+	draining, ended   bool
+	unrestricted      time.Duration
+	ends              time.Duration
+}
+
+// PeerOutlook is which other processes a refused caller can turn to.
+type PeerOutlook struct {
+	// Steady is set if one is in rotation and doesn't shut down, Open if one accepts any request.
+	Steady, Open bool
+	// Draining is set if one shuts down or has just ended.
+	Draining bool
+	// BackAt is when the first of those that shut down is in rotation again.
+	BackAt time.Duration
+}
+
+func NewPeerDrains() *PeerDrains { return &PeerDrains{peers: make(map[string]*peerDrain)} }
+
+// Heard records a message with a peer's notice, nil if the peer isn't draining. Messages of one epoch are
+// ordered by seq; one that says that the peer ends is its epoch's last.
+func (d *PeerDrains) Heard(peer string, epoch, seq uint64, notice *DrainNotice, now time.Duration) {
+	p := d.peers[peer]
+	if p == nil || p.epoch != epoch {
+		p = &peerDrain{epoch: epoch, firstHeard: now}
+		d.peers[peer] = p
+	}
+	ends := notice != nil && notice.Left == 0
+	if p.ended || seq <= p.seq && !ends {
+		return
+	}
+	p.seq, p.heard, p.ended, p.draining = max(p.seq, seq), now, ends, notice != nil
+	p.unrestricted, p.ends = 0, 0
+	if notice != nil {
+		p.unrestricted, p.ends = now+notice.Unrestricted, now+notice.Left
+	}
+}
+
+// Outlook returns which peers callers can turn to. A peer counts as alive for a time after its last message.
+func (d *PeerDrains) Outlook(now, aliveFor time.Duration) PeerOutlook {
+	var o PeerOutlook
+	for id, p := range d.peers {
+		back := p.ends + restartTime + rotationTime
+		alive := now-p.heard <= aliveFor
+		switch {
+		case p.draining && now < back:
+			o.Draining = true
+			o.Open = o.Open || alive && now < p.unrestricted
+			o.backAt(back)
+		case !alive:
+			delete(d.peers, id)
+		case p.draining:
+		case now < p.firstHeard+rotationTime:
+			o.backAt(p.firstHeard + rotationTime)
+		default:
+			o.Steady, o.Open = true, true
+		}
+	}
+	return o
+}
+
+// backAt records that a peer is in rotation from a time on.
+func (o *PeerOutlook) backAt(t time.Duration) {
+	if o.BackAt == 0 || t < o.BackAt {
+		o.BackAt = t
+	}
+}
+
+// RetryAfter is when a caller that is refused by a process that ends at a time, and has a time left, should try
+// again: at once if another process accepts it, else when the first one that shuts down is back, if its caller waits that long.
+// A caller that doesn't may find one that has more time left than this one.
+func (o PeerOutlook) RetryAfter(now, ends, callerLeft time.Duration) time.Duration {
+	if o.Open || !o.Draining && o.BackAt == 0 {
+		return retryAtOnce
+	}
+	o.backAt(ends + restartTime + rotationTime)
+	if wait := o.BackAt - now; wait <= callerLeft/honoredPart {
+		return max(wait, retryAtOnce)
+	}
+	return retryAtOnce
+}
--- /dev/null
+++ b/internal/admit/peerdrains_test.go
@@ -0,0 +1,112 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	testAlive = 1500 * time.Millisecond
+	testEnd   = 10 * time.Second
+)
+
+func notice(unrestricted, left time.Duration) *DrainNotice {
+	return &DrainNotice{Unrestricted: unrestricted, Left: left}
+}
+
+// Guards against refused callers that are sent to processes that refuse them as well.
+func TestRetryAfterOfAProcessThatShutsDown(t *testing.T) {
+	const now, patient, hurried = 5 * time.Second, 15 * time.Second, 3 * time.Second
+	for _, c := range []struct {
+		name  string
+		hears func(d *PeerDrains)
+		left  time.Duration
+		want  time.Duration
+	}{
+		{"no other process is known", func(*PeerDrains) {}, patient, retryAtOnce},
+		{"one isn't draining", func(d *PeerDrains) {
+			d.Heard("a", 1, 1, notice(0, time.Second), now)
+			d.Heard("b", 1, 1, nil, 0)
+			d.Heard("b", 1, 2, nil, now)
+		}, patient, retryAtOnce},
+		{"one drains and accepts anything", func(d *PeerDrains) { d.Heard("a", 1, 1, notice(time.Second, 4*time.Second), now) }, patient, retryAtOnce},
+		{"the first of two is back in time", func(d *PeerDrains) {
+			d.Heard("a", 1, 1, notice(0, 2*time.Second), now)
+			d.Heard("b", 1, 1, notice(0, time.Second), now)
+		}, patient, time.Second + restartTime + rotationTime},
+		{"this one is back first", func(d *PeerDrains) { d.Heard("a", 1, 1, notice(0, 6*time.Second), now) }, 3 * patient, testEnd - now + restartTime + rotationTime},
+		{"the caller doesn't wait that long", func(d *PeerDrains) { d.Heard("a", 1, 1, notice(0, time.Second), now) }, hurried, retryAtOnce},
+		{"one has just ended", func(d *PeerDrains) { d.Heard("a", 1, 0, notice(0, 0), now-time.Second) }, patient, restartTime + rotationTime - time.Second},
+		{"one has just started", func(d *PeerDrains) {
+			d.Heard("a", 1, 9, notice(0, time.Second), now-time.Second)
+			d.Heard("a", 2, 1, nil, now-100*time.Millisecond)
+		}, patient, rotationTime - 100*time.Millisecond},
+		{"a message of before the end comes late", func(d *PeerDrains) {
+			d.Heard("a", 1, 0, notice(0, 0), now)
+			d.Heard("a", 1, 7, nil, now)
+		}, patient, restartTime + rotationTime},
+		{"messages overtake each other", func(d *PeerDrains) {
+			d.Heard("a", 1, 1, nil, 0)
+			d.Heard("a", 1, 5, notice(0, time.Second), now)
+			d.Heard("a", 1, 4, nil, now)
+		}, patient, time.Second + restartTime + rotationTime},
+		{"one was killed long ago", func(d *PeerDrains) {
+			d.Heard("a", 1, 1, nil, 0)
+			d.Heard("b", 1, 1, notice(0, time.Second), now)
+		}, patient, time.Second + restartTime + rotationTime},
+	} {
+		d := NewPeerDrains()
+		c.hears(d)
+		if got := d.Outlook(now, testAlive).RetryAfter(now, testEnd, c.left); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against callers that come back when no process accepts them, though they would have waited for one,
+// in restarts of any number of processes at any times.
+func TestCallersComeBackWhenOneAccepts(t *testing.T) {
+	const step, life, unrestricted, patience = 50 * time.Millisecond, 7500 * time.Millisecond, 2800 * time.Millisecond, 15 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		stops := rapid.SliceOfN(rapid.IntRange(0, 100), 2, 6).Draw(t, "stopped at, in steps")
+		stopped := func(i int) time.Duration { return testAlive + time.Duration(stops[i])*step }
+		// in reports whether a process accepts any request and, unless it drains, is in rotation.
+		in := func(i int, at time.Duration) bool {
+			return at < stopped(i)+unrestricted || at >= stopped(i)+life+restartTime+rotationTime
+		}
+		d, seq := NewPeerDrains(), uint64(0)
+		for now := time.Duration(0); now < stopped(0)+life; now += step {
+			seq++
+			for i := 1; i < len(stops); i++ {
+				since := now - stopped(i)
+				switch {
+				case since < 0:
+					d.Heard(string(rune('a'+i)), 1, seq, nil, now)
+				case since < life:
+					d.Heard(string(rune('a'+i)), 1, seq, notice(max(0, unrestricted-since), life-since), now)
+				case since >= life+restartTime:
+					d.Heard(string(rune('a'+i)), 2, seq, nil, now)
+				}
+			}
+			if now < stopped(0)+unrestricted {
+				continue
+			}
+			wait := d.Outlook(now, testAlive).RetryAfter(now, stopped(0)+life, patience)
+			if wait > patience/honoredPart {
+				t.Fatalf("at %v: %v is longer than callers wait", now, wait)
+			}
+			open, first := false, stopped(0)+life+restartTime+rotationTime
+			for i := range stops {
+				open = open || in(i, now+wait)
+				if i > 0 && !in(i, now) {
+					first = min(first, stopped(i)+life+restartTime+rotationTime)
+				}
+			}
+			if !open && first-now <= patience/honoredPart {
+				t.Fatalf("at %v: after %v nobody accepts, from %v on one does", now, wait, first)
+			}
+		}
+	})
+}
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -154,7 +154,7 @@
 	case req.plan.MayHaveRun():
 		req.fail(http.StatusBadGateway, "no replica available for a retry", 0)
 	case !req.canFinish():
-		req.refuse(reasonShuttingDown, shutdownRetryAfter)
+		req.refuseLate()
 	case req.capacityIn > 0:
 		req.entry.tel.Metrics.Count("refused_replicas_closed", 1)
 		req.refuse("all replicas are rate limited or asked for a backoff", req.capacityIn)
@@ -199,7 +199,7 @@
 		drain.failed.Add(1)
 		req.fail(http.StatusGatewayTimeout, reasonEntryEnded, 0)
 	default:
-		req.refuse(reasonShuttingDown, shutdownRetryAfter)
+		req.refuseLate()
 	}
 }
 
--- a/internal/direct/drain.go
+++ b/internal/direct/drain.go
@@ -18,6 +18,9 @@
 	notReadyDelay = 2500 * time.Millisecond
 	// unrestrictedPeriod is how long after SIGTERM any request is accepted.
 	unrestrictedPeriod = 2800 * time.Millisecond
+	// stayInRotation is how long after SIGTERM an entry says that it is ready while no other one takes new
+	// connections. Two failures later, and before 4 s, the platform stops routing to it.
+	stayInRotation = 1500 * time.Millisecond
 	// stopMargin is reserved before the process is killed.
 	stopMargin = 500 * time.Millisecond
 	// drainPollInterval is the pause between checks whether the last request has ended.
@@ -30,9 +33,6 @@
 	streamTimeFactor = 3
 	// finalAnswerTime is the time, after the drain, in which the last answers are written.
 	finalAnswerTime = 200 * time.Millisecond
-	// shutdownRetryAfter is the Retry-After of requests that this entry has no time for: their callers meet
-	// another entry at once.
-	shutdownRetryAfter = 20 * time.Millisecond
 	// drainQueueWait bounds the wait for a placement after unrestrictedPeriod.
 	drainQueueWait = 200 * time.Millisecond
 )
@@ -55,6 +55,8 @@
 	// began and ends are when the entry began to drain and when it ends; draining is set if it does.
 	draining    bool
 	began, ends time.Duration
+	// saidReady is when the draining entry last said that it is ready, 0 if it didn't.
+	saidReady time.Duration
 }
 
 func newDrain(c clock) *drain {
@@ -120,6 +122,51 @@
 	return left > 0 && left < t
 }
 
+// notice is what peers are told; nil if the entry isn't draining.
+func (d *drain) notice() *admit.DrainNotice {
+	window, draining := d.window()
+	if !draining {
+		return nil
+	}
+	now := d.clock.now()
+	// A notice without time left would say that the entry has ended.
+	return &admit.DrainNotice{Unrestricted: max(0, window.RestrictedFrom-now), Left: max(time.Millisecond, window.Ends-now)}
+}
+
+// staysInRotation reports whether this draining entry still says that it is ready. While all entries shut
+// down, callers would else meet those that have no time left as often as those that accept any request.
+func (e *Entry) staysInRotation() bool {
+	outlook := e.peers.outlook()
+	return outlook.Draining && !outlook.Steady && e.drain.sayReady()
+}
+
+// sayReady reports whether a draining entry may say that it is ready.
+func (d *drain) sayReady() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.now()
+	if now >= d.began+stayInRotation {
+		return false
+	}
+	d.saidReady = now
+	return true
+}
+
+// inRotation reports whether new connections still arrive as before.
+func (d *drain) inRotation() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.clock.now() < max(d.began, d.saidReady)+notReadyDelay
+}
+
+// refuseLate refuses a request that this draining entry has no time for. It always returns false.
+func (req *request) refuseLate() bool {
+	e := req.entry
+	now := e.clock.now()
+	window, _ := e.drain.window()
+	return req.refuse(reasonShuttingDown, e.peers.outlook().RetryAfter(now, window.Ends, req.deadline-now))
+}
+
 // draining reports whether the entry is draining.
 func (e *Entry) draining() bool { return e.drain.left() > 0 }
 
@@ -194,7 +241,7 @@
 	case <-time.After(notReadyDelay):
 	case <-ended:
 	}
-	for (!e.drain.idle() || e.rollouts.keepsLease()) && e.drain.requests.Err() == nil {
+	for (!e.drain.idle() || e.drain.inRotation() || e.rollouts.keepsLease()) && e.drain.requests.Err() == nil {
 		select {
 		case <-time.After(drainPollInterval):
 		case <-ended:
@@ -206,5 +253,6 @@
 		e.tel.Log.Warn("connections closed at the end of the drain period", "error", err)
 		server.Close()
 	}
+	e.peers.sendEnd()
 	e.tel.Log.Info("drained", "took_ms", time.Since(began).Milliseconds(), "streams_cut", e.drain.cut.Load(), "failed", e.drain.failed.Load())
 }
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -241,7 +241,7 @@
 }
 
 func (e *Entry) ready() bool {
-	return !e.draining() && e.state.ready()
+	return e.state.ready() && (!e.draining() || e.staysInRotation())
 }
 
 // exportEngineSpeeds registers gauges for the measured speed of a service's engines, in
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -14,6 +14,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"skylarklead/internal/admit"
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/rollout"
 	"skylarklead/internal/route"
@@ -103,6 +104,14 @@
 	Streams *streamsMessage `cbor:"20,keyasint,omitempty"`
 	// Grant asks for a run with a key, answers that, or returns a grant.
 	Grant *grantMessage `cbor:"22,keyasint,omitempty"`
+	// Drain is set if the sender shuts down. It comes with its own loads, or alone when it ends.
+	Drain *peerDrain `cbor:"23,keyasint,omitempty"`
+}
+
+// peerDrain is an admit.DrainNotice in milliseconds. The fields are encoded as an array, in this order.
+type peerDrain struct {
+	_                  struct{} `cbor:",toarray"`
+	Unrestricted, Left uint32
 }
 
 // peerLoad is the load of an entry or of a failure domain at a replica. The fields are encoded as
@@ -162,6 +171,8 @@
 	grants           *runGrants
 	// receivedAt is the time of each peer's last message, on the entry's clock.
 	receivedAt map[string]time.Duration
+	// drains knows which peers shut down.
+	drains *admit.PeerDrains
 }
 
 func newPeers(e *Entry) (*peers, error) {
@@ -177,6 +188,7 @@
 		entry: e, conn: conn, listRead: make(chan struct{}),
 		known: make(map[string]peerAddress), listed: make(map[string]bool),
 		receivedAt:       make(map[string]time.Duration),
+		drains:           admit.NewPeerDrains(),
 		advertisedTokens: make(map[uint64]uint16),
 	}
 	p.digests = newDigests(p)
@@ -283,7 +295,7 @@
 	served := s.outage.ServedFor(now)
 	s.mu.Unlock()
 	p.seq++
-	m := &peerMessage{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), Seq: p.seq, StoreReachable: encodeStoreReachable(served)}
+	m := &peerMessage{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), Seq: p.seq, StoreReachable: encodeStoreReachable(served), Drain: encodeDrain(p.entry.drain.notice())}
 	m.setLoads(loads, p.advertisedTokens, maxMessageLoads-len(placements)*loadsPerPlacement)
 	for _, placement := range placements {
 		levels := placement.Levels[max(0, len(placement.Levels)-maxPlacementLevels):]
@@ -392,6 +404,8 @@
 		p.grants.receive(m.Grant, m.From, from)
 	case m.Quota != nil:
 		e.quotas.receive(&m, from)
+	case m.Drain != nil && m.Seq == 0:
+		p.heardDrain(&m)
 	case m.DigestAck != "":
 		p.digests.handleAck(m.DigestAck)
 	default:
@@ -426,6 +440,7 @@
 	}
 	if m.DigestPart == "" {
 		p.digests.enqueue(m.Placements)
+		p.heardDrain(m)
 	} else {
 		p.digests.forward(m, from)
 	}
@@ -443,6 +458,38 @@
 	e.state.mu.Unlock()
 }
 
+// encodeDrain returns the value of peerMessage.Drain.
+func encodeDrain(n *admit.DrainNotice) *peerDrain {
+	if n == nil {
+		return nil
+	}
+	return &peerDrain{Unrestricted: uint32(n.Unrestricted.Milliseconds()), Left: uint32(n.Left.Milliseconds())}
+}
+
+// heardDrain records whether the sender of a message shuts down.
+func (p *peers) heardDrain(m *peerMessage) {
+	var notice *admit.DrainNotice
+	if m.Drain != nil {
+		notice = &admit.DrainNotice{Unrestricted: time.Duration(m.Drain.Unrestricted) * time.Millisecond, Left: time.Duration(m.Drain.Left) * time.Millisecond}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drains.Heard(m.From, m.Epoch, m.Seq, notice, p.entry.clock.now())
+}
+
+// outlook returns which peers a caller that is refused can turn to.
+func (p *peers) outlook() admit.PeerOutlook {
+	window := p.aliveWindow()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.drains.Outlook(p.entry.clock.now(), window)
+}
+
+// sendEnd tells the direct peers that this entry ends now.
+func (p *peers) sendEnd() {
+	p.sendTo(&peerMessage{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), Drain: &peerDrain{}}, p.directPeers()...)
+}
+
 // run exchanges messages until ctx ends.
 func (p *peers) run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -92,7 +92,7 @@
 	timeout := req.timeout()
 	req.deadline = req.started + timeout
 	if !req.canFinish() {
-		return req.refuse(reasonShuttingDown, shutdownRetryAfter)
+		return req.refuseLate()
 	}
 	req.limitTime(timeout)
 	return true
@@ -182,7 +182,7 @@
 	var timedOut net.Error
 	switch {
 	case !req.canFinish():
-		return req.refuse(reasonShuttingDown, shutdownRetryAfter)
+		return req.refuseLate()
 	case errors.Is(err, errNoBodyMemory):
 		return req.refuse("no memory for the request body", defaultRetryAfter)
 	case errors.As(err, &tooLong):
