Drains: streams that no other entry accepts are held back until they are complete

Cause: from 2.8 s after SIGTERM on a draining entry refuses every stream whose deadline is after its end, as it would have to be cut, also where all other entries refuse it too. Streams of 0.1 to 2 s were refused with 4 s left.

Change: where no other entry accepts any request, a stream that usually ends in time (its route's objective + twice the time that its caller's estimate stands for; before its caller gives up, too) is accepted, and its events are held back until it is complete. Of a stream that takes longer the caller has no part: it gets 504 at the entry's end, 502 if the stream broke off. The bound stays: what can't be accepted so is refused as before. `drained` counts what was held back and what was refused.

--- a/internal/admit/shutdown.go
+++ b/internal/admit/shutdown.go
@@ -15,8 +15,12 @@
 	Arrived time.Duration
 	// Deadline is when the process itself ends the request, whatever its replica does.
 	Deadline time.Duration
+	// GivesUp is until when the caller waits for the first part of the answer.
+	GivesUp time.Duration
 	// Usual is the usual maximum duration of the request if it is started now.
 	Usual time.Duration
+	// UsualWhole is the usual maximum duration of a stream of which the caller gets nothing before it is complete.
+	UsualWhole time.Duration
 	// Streaming answers can't be completed once they have begun.
 	Streaming bool
 	// Repeatable requests may run again after an unknown outcome.
@@ -35,3 +39,9 @@
 	}
 	return false
 }
+
+// Holds reports whether a stream may be started now if its answer is held back until it is complete. If it
+// isn't when the process ends, its caller, which has no part of it, gets a failure as its complete answer.
+func (s Shutdown) Holds(r LateRequest, now time.Duration) bool {
+	return r.Streaming && now+r.UsualWhole < min(s.Ends, r.GivesUp)
+}
--- a/internal/admit/shutdown_test.go
+++ b/internal/admit/shutdown_test.go
@@ -52,3 +52,67 @@
 		}
 	})
 }
+
+// Guards against streams that are held back though they wouldn't be complete before the process ends or before
+// their caller gives up.
+func TestShutdownHolds(t *testing.T) {
+	s := Shutdown{RestrictedFrom: 2800 * time.Millisecond, Ends: 7500 * time.Millisecond}
+	stream := LateRequest{Arrived: 3 * time.Second, Deadline: 18 * time.Second, GivesUp: 7 * time.Second, UsualWhole: time.Second, Streaming: true}
+	with := func(change func(r *LateRequest)) LateRequest {
+		r := stream
+		change(&r)
+		return r
+	}
+	for _, c := range []struct {
+		name    string
+		now     time.Duration
+		request LateRequest
+		want    bool
+	}{
+		{"short stream", 3 * time.Second, stream, true},
+		{"short stream that waited", 6500 * time.Millisecond, stream, false},
+		{"caller gives up before it is complete", 6200 * time.Millisecond, stream, false},
+		{"long stream", 3 * time.Second, with(func(r *LateRequest) { r.UsualWhole = 5 * time.Second }), false},
+		{"payment", 3 * time.Second, with(func(r *LateRequest) { r.Streaming = false }), false},
+	} {
+		if got := s.Holds(c.request, c.now); got != c.want {
+			t.Errorf("%s: got %t", c.name, got)
+		}
+	}
+}
+
+// Guards against accepted requests that are left without a complete answer, whatever their replicas take, in any
+// order of arrivals, waits and tries. A process answers at its end what has no part of its answer yet.
+func TestNothingThatShutdownAcceptsIsCut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		at := func(name string, most int) time.Duration {
+			return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Millisecond
+		}
+		s := Shutdown{RestrictedFrom: at("restricted", 3000)}
+		s.Ends = s.RestrictedFrom + at("then", 6000)
+		for range rapid.IntRange(1, 20).Draw(t, "requests") {
+			r := LateRequest{
+				Arrived: at("arrived", 9000), Usual: at("usual", 9000), UsualWhole: at("whole", 9000),
+				Streaming: rapid.Bool().Draw(t, "streaming"), Repeatable: rapid.Bool().Draw(t, "repeatable"),
+			}
+			r.Deadline = r.Arrived + at("timeout", 20000)
+			r.GivesUp = r.Arrived + at("patience", 4000)
+			now, held := r.Arrived+at("waited", 9000), false
+			for range rapid.IntRange(1, 3).Draw(t, "tries") {
+				accepted := s.Accepts(r, now)
+				held = held || !accepted && s.Holds(r, now)
+				if !accepted && !held {
+					break
+				}
+				begun, ends := now+at("first event", 5000), now+at("runs", 20000)
+				partial := r.Streaming && !held && begun < s.Ends && min(ends, r.Deadline) > s.Ends
+				if excused := r.Arrived < s.RestrictedFrom; partial && !excused {
+					t.Fatalf("%+v cuts %+v, sent at %v", s, r, now)
+				}
+				if now = ends; now >= s.Ends {
+					break
+				}
+			}
+		}
+	})
+}
--- a/internal/direct/bodymemory.go
+++ b/internal/direct/bodymemory.go
@@ -66,6 +66,12 @@
 	return m.free.Acquire(ctx, size) == nil
 }
 
+// reserve reserves memory for an answer that is held back. It reports false if there is none now.
+func (m *bodyMemory) reserve(size int64) bool { return m.free.TryAcquire(size) }
+
+// giveBack gives back what reserve reserved.
+func (m *bodyMemory) giveBack(size int64) { m.free.Release(size) }
+
 // offer says that a body is needed only if its answer breaks off.
 func (m *bodyMemory) offer(b *requestBody) {
 	m.mu.Lock()
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -65,7 +65,8 @@
 		}
 		p := req.awaitPlacement()
 		// The body or the placement may have taken most of the time that a draining entry has left.
-		if p != nil && req.firstByte == 0 && !req.canFinish() {
+		if p != nil && req.firstByte == 0 && !req.startLate() {
+			req.unstarted = true
 			req.cancelPlacement(p)
 			p = nil
 		}
@@ -153,7 +154,7 @@
 		req.writeAnswer(req.fallbackAnswer)
 	case req.plan.MayHaveRun():
 		req.fail(http.StatusBadGateway, "no replica available for a retry", 0)
-	case !req.canFinish():
+	case req.unstarted || !req.canFinish():
 		req.refuseLate()
 	case req.capacityIn > 0:
 		req.entry.tel.Metrics.Count("refused_replicas_closed", 1)
@@ -171,10 +172,12 @@
 // answerEnded answers a request whose deadline has passed, whose caller has left or whose entry ends.
 // mayHaveRun is set if its last dispatch may have run.
 func (req *request) answerEnded(mayHaveRun bool) {
-	switch {
-	case req.callerLeft():
+	if req.callerLeft() {
 		req.outcome, req.reason = outcomeCallerLeft, "caller closed the connection"
 		panic(http.ErrAbortHandler)
+	}
+	req.dropHeld()
+	switch {
 	case req.entryEnded():
 		req.answerEntryEnded(mayHaveRun)
 	case req.firstByte > 0:
@@ -203,8 +206,14 @@
 	}
 }
 
-// abort breaks off the answer by closing the connection, so that it doesn't look complete.
+// abort breaks off the answer by closing the connection, so that it doesn't look complete. If the caller has no part
+// of it yet, it gets a failure.
 func (req *request) abort(reason string) {
+	if req.held != nil {
+		req.dropHeld()
+		req.fail(http.StatusBadGateway, reason, 0)
+		return
+	}
 	req.outcome, req.reason = outcomeCut, reason
 	panic(http.ErrAbortHandler)
 }
--- a/internal/direct/drain.go
+++ b/internal/direct/drain.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -31,6 +32,9 @@
 	plainRequestTime = time.Second
 	streamStartTime  = 2500 * time.Millisecond
 	streamTimeFactor = 3
+	// heldTimeFactor is the factor by which the rest of a stream that is held back usually exceeds its expected
+	// duration at most: none is cut if it takes longer.
+	heldTimeFactor = 2
 	// finalAnswerTime is the time, after the drain, in which the last answers are written.
 	finalAnswerTime = 200 * time.Millisecond
 	// drainQueueWait bounds the wait for a placement after unrestrictedPeriod.
@@ -49,6 +53,9 @@
 	// cut and failed count the requests whose answer was broken off at the end, and those that got an answer
 	// of the entry's own though they may have run.
 	cut, failed atomic.Int64
+	// held counts the streams that were held back until they were complete, refused the requests that the
+	// draining entry had no time for.
+	held, refused atomic.Int64
 
 	mu       sync.Mutex
 	inFlight int
@@ -164,6 +171,7 @@
 	e := req.entry
 	now := e.clock.now()
 	window, _ := e.drain.window()
+	e.drain.refused.Add(1)
 	return req.refuse(reasonShuttingDown, e.peers.outlook().RetryAfter(now, window.Ends, req.deadline-now))
 }
 
@@ -185,13 +193,51 @@
 
 // acceptedIn is canFinish at an entry that restricts what it accepts. The caller holds the state's lock.
 func (req *request) acceptedIn(window admit.Shutdown) bool {
-	return window.Accepts(admit.LateRequest{
+	late, now := req.late(), req.entry.clock.now()
+	return window.Accepts(late, now) || req.mayBeHeld(window, late, now)
+}
+
+// startLate is canFinish for a request that is sent to a replica now. At an entry that restricts what it
+// accepts, it has the answer held back where the request may outlast the entry.
+func (req *request) startLate() bool {
+	window, restricted := req.entry.drain.restriction()
+	if !restricted {
+		return true
+	}
+	s := req.entry.state
+	s.mu.Lock()
+	late, now := req.late(), req.entry.clock.now()
+	s.mu.Unlock()
+	return window.Accepts(late, now) || req.mayBeHeld(window, late, now) && req.hold()
+}
+
+// late is the request as it is judged at an entry that restricts what it accepts. The caller holds the state's lock.
+func (req *request) late() admit.LateRequest {
+	return admit.LateRequest{
 		Arrived:    req.started,
 		Deadline:   req.deadline,
+		GivesUp:    req.started + req.patienceLeft(req.started),
 		Usual:      req.expectedDuration(),
+		UsualWhole: req.expectedWhole(),
 		Streaming:  req.route.Kind == fleet.Streaming,
 		Repeatable: req.route.Repeatable(),
-	}, req.entry.clock.now())
+	}
+}
+
+// mayBeHeld reports whether the request is accepted with its answer held back: no other entry accepts it.
+func (req *request) mayBeHeld(window admit.Shutdown, late admit.LateRequest, now time.Duration) bool {
+	return window.Holds(late, now) && !req.entry.peers.outlook().Open
+}
+
+// expectedWhole is the usual maximum duration of the request, if it is a stream that is started now, until it
+// is complete. The caller holds the state's lock.
+func (req *request) expectedWhole() time.Duration {
+	if req.route.Kind != fleet.Streaming {
+		return 0
+	}
+	q := req.newQuery()
+	start := cmp.Or(req.route.LatencyTarget, streamStartTime)
+	return start + heldTimeFactor*req.entry.state.picker.ExpectedStreamTime(&q)
 }
 
 // expectedDuration is the usual maximum duration of the request if it is started now. The caller
@@ -254,5 +300,6 @@
 		server.Close()
 	}
 	e.peers.sendEnd()
-	e.tel.Log.Info("drained", "took_ms", time.Since(began).Milliseconds(), "streams_cut", e.drain.cut.Load(), "failed", e.drain.failed.Load())
+	e.tel.Log.Info("drained", "took_ms", time.Since(began).Milliseconds(), "streams_cut", e.drain.cut.Load(), "failed", e.drain.failed.Load(),
+		"held", e.drain.held.Load(), "refused", e.drain.refused.Load())
 }
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -122,6 +122,12 @@
 	status    int
 	outcome   string
 	reason    string
+	// held is set if the answer is held back until it is complete, heldFor the time from its first event to
+	// its end.
+	held    *heldAnswer
+	heldFor time.Duration
+	// unstarted is set if a draining entry had no time or no memory for the request when it was placed.
+	unstarted bool
 	// eventCount is the number of events sent to the caller.
 	eventCount int
 	// lastEventID is the ID of the last event that the caller was sent.
@@ -195,6 +201,9 @@
 		attrs = append(attrs, slog.Float64("first_ms", ms(req.firstByte)))
 		e.tel.Metrics.FirstToken(req.route.Name, req.firstByte)
 	}
+	if req.heldFor > 0 {
+		attrs = append(attrs, slog.Float64("held_ms", ms(req.heldFor)))
+	}
 	if req.eventCount > 0 {
 		attrs = append(attrs, slog.Int("events", req.eventCount))
 	}
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -211,7 +211,9 @@
 	}, budget)
 	req.query = req.newQuery()
 	req.keys = req.crashKeys()
+	defer req.freeHeld()
 	req.dispatch()
+	req.releaseHeld()
 }
 
 func (req *request) newQuery() route.PickQuery {
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -193,6 +194,10 @@
 
 // callerDisconnected ends a stream whose caller can't be written to.
 func (req *request) callerDisconnected(err error) (attempt.DispatchFailure, bool) {
+	if errors.Is(err, errHeldTooLong) {
+		req.abort(err.Error())
+		return 0, true
+	}
 	req.outcome, req.reason = outcomeCallerLeft, err.Error()
 	panic(http.ErrAbortHandler)
 }
