Drains: payments that no other entry accepts are accepted by how long they took lately

Cause: a draining entry refuses a request that may run once if its deadline is after its end: payments of 60 ms with timeouts of 2 s from 5.5 s after SIGTERM on. While all entries drain, the others refuse them too, and a caller that waits a third of its time doesn't find one that is back.

One that isn't answered in time all the same gets 504, as at its route's timeout: its caller must not repeat it. That is why nothing is accepted on a guess here, and why a refusal, after which a caller may repeat it, stays the answer as soon as one request of the route was long.

--- a/internal/admit/shutdown.go
+++ b/internal/admit/shutdown.go
@@ -21,6 +21,8 @@
 	Usual time.Duration
 	// UsualWhole is the usual maximum duration of a stream of which the caller gets nothing before it is complete.
 	UsualWhole time.Duration
+	// Longest is the longest recent duration of plain requests of the same kind, 0 if it isn't known.
+	Longest time.Duration
 	// Streaming answers can't be completed once they have begun.
 	Streaming bool
 	// Repeatable requests may run again after an unknown outcome.
@@ -40,6 +42,16 @@
 	return false
 }
 
+// longestFactor is the factor by which a request may exceed the longest recent one.
+const longestFactor = 2
+
+// AcceptsMeasured reports whether a plain request that may not be repeated, and that no other process accepts, may
+// be started now. One that outlasts the process gets a failure that leaves its caller without its outcome, so that
+// only those are accepted whose kind was measured and never took half of what is left.
+func (s Shutdown) AcceptsMeasured(r LateRequest, now time.Duration) bool {
+	return !r.Streaming && r.Longest > 0 && now+longestFactor*r.Longest < s.Ends
+}
+
 // Holds reports whether a stream may be started now if its answer is held back until it is complete. If it
 // isn't when the process ends, its caller, which has no part of it, gets a failure as its complete answer.
 func (s Shutdown) Holds(r LateRequest, now time.Duration) bool {
--- a/internal/admit/shutdown_test.go
+++ b/internal/admit/shutdown_test.go
@@ -116,3 +116,25 @@
 		}
 	})
 }
+
+// Guards against payments that a process accepts just before it ends without knowing that they are short.
+func TestShutdownAcceptsMeasured(t *testing.T) {
+	s := Shutdown{RestrictedFrom: 2800 * time.Millisecond, Ends: 7500 * time.Millisecond}
+	for _, c := range []struct {
+		name    string
+		now     time.Duration
+		longest time.Duration
+		stream  bool
+		want    bool
+	}{
+		{"never took half of what is left", 6 * time.Second, 700 * time.Millisecond, false, true},
+		{"took more than half of what is left", 6 * time.Second, 800 * time.Millisecond, false, false},
+		{"isn't known", 3 * time.Second, 0, false, false},
+		{"stream", 3 * time.Second, 700 * time.Millisecond, true, false},
+	} {
+		r := LateRequest{Arrived: c.now, Deadline: c.now + 5*time.Second, Longest: c.longest, Streaming: c.stream}
+		if got := s.AcceptsMeasured(r, c.now); got != c.want {
+			t.Errorf("%s: got %t", c.name, got)
+		}
+	}
+}
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -276,6 +276,7 @@
 		e.state.mu.Lock()
 		e.state.picker.Finished(&req.query, &p.choice, !hadFirstByte && req.firstByte > 0)
 		req.observeNoStart(p)
+		req.recordDuration(p, failure, done)
 		p.endWork()
 		req.endBackup(p, done || failure == attempt.FailureNotRun)
 		e.state.mu.Unlock()
--- a/internal/direct/drain.go
+++ b/internal/direct/drain.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"skylarklead/internal/admit"
+	"skylarklead/internal/attempt"
 	"skylarklead/internal/fleet"
 )
 
@@ -194,7 +195,7 @@
 // acceptedIn is canFinish at an entry that restricts what it accepts. The caller holds the state's lock.
 func (req *request) acceptedIn(window admit.Shutdown) bool {
 	late, now := req.late(), req.entry.clock.now()
-	return window.Accepts(late, now) || req.mayBeHeld(window, late, now)
+	return window.Accepts(late, now) || req.acceptedLast(window, late, now)
 }
 
 // startLate is canFinish for a request that is sent to a replica now. At an entry that restricts what it
@@ -208,7 +209,10 @@
 	s.mu.Lock()
 	late, now := req.late(), req.entry.clock.now()
 	s.mu.Unlock()
-	return window.Accepts(late, now) || req.mayBeHeld(window, late, now) && req.hold()
+	if window.Accepts(late, now) {
+		return true
+	}
+	return req.acceptedLast(window, late, now) && (!late.Streaming || req.hold())
 }
 
 // late is the request as it is judged at an entry that restricts what it accepts. The caller holds the state's lock.
@@ -219,14 +223,16 @@
 		GivesUp:    req.started + req.patienceLeft(req.started),
 		Usual:      req.expectedDuration(),
 		UsualWhole: req.expectedWhole(),
+		Longest:    req.longestRecent(),
 		Streaming:  req.route.Kind == fleet.Streaming,
 		Repeatable: req.route.Repeatable(),
 	}
 }
 
-// mayBeHeld reports whether the request is accepted with its answer held back: no other entry accepts it.
-func (req *request) mayBeHeld(window admit.Shutdown, late admit.LateRequest, now time.Duration) bool {
-	return window.Holds(late, now) && !req.entry.peers.outlook().Open
+// acceptedLast reports whether the request is accepted since no other entry accepts it; a stream with its
+// answer held back.
+func (req *request) acceptedLast(window admit.Shutdown, late admit.LateRequest, now time.Duration) bool {
+	return (window.Holds(late, now) || window.AcceptsMeasured(late, now)) && !req.entry.peers.outlook().Open
 }
 
 // expectedWhole is the usual maximum duration of the request, if it is a stream that is started now, until it
@@ -240,6 +246,31 @@
 	return start + heldTimeFactor*req.entry.state.picker.ExpectedStreamTime(&q)
 }
 
+// longestRecent is the longest recent duration of requests on the route, 0 if it isn't known. The caller holds the
+// state's lock.
+func (req *request) longestRecent() time.Duration {
+	d := req.entry.state.durations[req.route.Name]
+	if d == nil {
+		return 0
+	}
+	return d.Longest(req.entry.clock.now())
+}
+
+// recordDuration records how long a replica took for a request that may run once. The caller holds the
+// state's lock.
+func (req *request) recordDuration(p *placement, failure attempt.DispatchFailure, done bool) {
+	if req.route.Kind != fleet.Mutating || !done && !failure.MayHaveRun() {
+		return
+	}
+	s, now := req.entry.state, req.entry.clock.now()
+	d := s.durations[req.route.Name]
+	if d == nil {
+		d = new(admit.Durations)
+		s.durations[req.route.Name] = d
+	}
+	d.Record(now-p.sentAt, done, now)
+}
+
 // expectedDuration is the usual maximum duration of the request if it is started now. The caller
 // holds the state's lock.
 func (req *request) expectedDuration() time.Duration {
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"skylarklead/internal/admit"
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/member"
@@ -55,6 +56,7 @@
 	crashNews        *crashNews                         // what other entries are to be told about them
 	queues           map[string]*serviceQueue           // by service
 	backups          *runcopy.Ledger                    // memory that this entry's backups take, by replica
+	durations        map[string]*admit.Durations        // of requests that may run once, by route
 	// backupTargets is the buffer of backupCandidates.
 	backupTargets []runcopy.Candidate
 	rateLimits    *ratelimit.Limits
@@ -106,6 +108,7 @@
 		crashes:          attempt.NewCrashTracker(attempt.DefaultCrashTrackerParams, hashFields(self).Sum64()),
 		crashNews:        newCrashNews(),
 		queues:           make(map[string]*serviceQueue),
+		durations:        make(map[string]*admit.Durations),
 		backups:          runcopy.NewLedger(),
 		rateLimits:       ratelimit.New(self, ratelimit.DefaultParams),
 		changed:          make(chan struct{}),
