Drains: an entry that nobody reaches isn't open, and none stays for streams that it holds back

Change: what peers are told is how much longer an entry is in rotation and accepts any request: until two seconds after it last said that it is ready. Streams are held back only while requests run that were accepted before the restriction; from then on the entry is expected to end within a second, and peers and refused callers are told so.

--- a/internal/admit/peerdrains.go
+++ b/internal/admit/peerdrains.go
@@ -16,9 +16,9 @@
 
 // DrainNotice is what a process that shuts down tells its peers.
 type DrainNotice struct {
-	// Unrestricted is how much longer it accepts any request, Left how much longer it lives at most; 0 says
-	// that it ends now.
-	Unrestricted, Left time.Duration
+	// Open is how much longer it is in rotation and accepts any request, Left how much longer it is expected to
+	// live; 0 says that it ends now.
+	Open, Left time.Duration
 }
 
 // PeerDrains knows which of the other processes that callers may reach shut down, from their messages. Its
@@ -32,13 +32,12 @@
 	epoch, seq        uint64
 	firstHeard, heard time.Duration
 	draining, ended   bool
-	unrestricted      time.Duration
-	ends              time.Duration
+	open, ends        time.Duration
 }
 
 // PeerOutlook is which other processes a refused caller can turn to.
 type PeerOutlook struct {
-	// Steady is set if one is in rotation and doesn't shut down, Open if one accepts any request.
+	// Steady is set if one is in rotation and doesn't shut down, Open if one is in rotation and accepts any request.
 	Steady, Open bool
 	// Draining is set if one shuts down or has just ended.
 	Draining bool
@@ -61,9 +60,9 @@
 		return
 	}
 	p.seq, p.heard, p.ended, p.draining = max(p.seq, seq), now, ends, notice != nil
-	p.unrestricted, p.ends = 0, 0
+	p.open, p.ends = 0, 0
 	if notice != nil {
-		p.unrestricted, p.ends = now+notice.Unrestricted, now+notice.Left
+		p.open, p.ends = now+notice.Open, now+notice.Left
 	}
 }
 
@@ -76,7 +75,7 @@
 		switch {
 		case p.draining && now < back:
 			o.Draining = true
-			o.Open = o.Open || alive && now < p.unrestricted
+			o.Open = o.Open || alive && now < p.open
 			o.backAt(back)
 		case !alive:
 			delete(d.peers, id)
@@ -97,7 +96,7 @@
 	}
 }
 
-// RetryAfter is when a caller that is refused by a process that ends at a time, and has a time left, should try
+// RetryAfter is when a caller that is refused by a process that is expected to end at a time, and has a time left, should try
 // again: at once if another process accepts it, else when the first one that shuts down is back, if its caller waits that long.
 // A caller that doesn't may find one that has more time left than this one.
 func (o PeerOutlook) RetryAfter(now, ends, callerLeft time.Duration) time.Duration {
--- a/internal/admit/peerdrains_test.go
+++ b/internal/admit/peerdrains_test.go
@@ -12,8 +12,8 @@
 	testEnd   = 10 * time.Second
 )
 
-func notice(unrestricted, left time.Duration) *DrainNotice {
-	return &DrainNotice{Unrestricted: unrestricted, Left: left}
+func notice(open, left time.Duration) *DrainNotice {
+	return &DrainNotice{Open: open, Left: left}
 }
 
 // Guards against refused callers that are sent to processes that refuse them as well.
--- a/internal/direct/drain.go
+++ b/internal/direct/drain.go
@@ -23,6 +23,10 @@
 	// stayInRotation is how long after SIGTERM an entry says that it is ready while no other one takes new
 	// connections. Two failures later, and before 4 s, the platform stops routing to it.
 	stayInRotation = 1500 * time.Millisecond
+	// rotationAfterReady is how long after it last said that it is ready an entry is in rotation, leastRotation how
+	// long it is after SIGTERM at least.
+	rotationAfterReady = 2 * time.Second
+	leastRotation      = time.Second
 	// stopMargin is reserved before the process is killed.
 	stopMargin = 500 * time.Millisecond
 	// drainPollInterval is the pause between checks whether the last request has ended.
@@ -60,6 +64,8 @@
 
 	mu       sync.Mutex
 	inFlight int
+	// early counts those of inFlight that were accepted without restriction.
+	early int
 	// began and ends are when the entry began to drain and when it ends; draining is set if it does.
 	draining    bool
 	began, ends time.Duration
@@ -73,16 +79,38 @@
 	return d
 }
 
-func (d *drain) requestStarted() {
+// requestStarted counts a request and returns the function to call when it has ended.
+func (d *drain) requestStarted() (ended func()) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
+	early := 0
+	if !d.draining || d.clock.now() < d.began+unrestrictedPeriod {
+		early = 1
+	}
 	d.inFlight++
-	d.mu.Unlock()
+	d.early += early
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.inFlight--
+		d.early -= early
+	}
 }
 
-func (d *drain) requestEnded() {
+// expectedEnd is when the draining entry ends: soon, once what it accepted without restriction has. The caller holds mu.
+func (d *drain) expectedEnd() time.Duration {
+	if now := d.clock.now(); d.early == 0 && now >= d.began+unrestrictedPeriod {
+		return min(d.ends, now+plainRequestTime)
+	}
+	return d.ends
+}
+
+// ending returns expectedEnd, and whether the entry stays for nothing but what it accepted since requests are
+// restricted.
+func (d *drain) ending() (end time.Duration, soon bool) {
 	d.mu.Lock()
-	d.inFlight--
-	d.mu.Unlock()
+	defer d.mu.Unlock()
+	return d.expectedEnd(), d.early == 0
 }
 
 // begin starts the drain of an entry that is killed after the time grace.
@@ -132,13 +160,15 @@
 
 // notice is what peers are told; nil if the entry isn't draining.
 func (d *drain) notice() *admit.DrainNotice {
-	window, draining := d.window()
-	if !draining {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.draining {
 		return nil
 	}
 	now := d.clock.now()
+	open := min(d.began+unrestrictedPeriod, max(d.began+leastRotation, d.saidReady+rotationAfterReady))
 	// A notice without time left would say that the entry has ended.
-	return &admit.DrainNotice{Unrestricted: max(0, window.RestrictedFrom-now), Left: max(time.Millisecond, window.Ends-now)}
+	return &admit.DrainNotice{Open: max(0, open-now), Left: max(time.Millisecond, d.expectedEnd()-now)}
 }
 
 // staysInRotation reports whether this draining entry still says that it is ready. While all entries shut
@@ -171,9 +201,9 @@
 func (req *request) refuseLate() bool {
 	e := req.entry
 	now := e.clock.now()
-	window, _ := e.drain.window()
+	end, _ := e.drain.ending()
 	e.drain.refused.Add(1)
-	return req.refuse(reasonShuttingDown, e.peers.outlook().RetryAfter(now, window.Ends, req.deadline-now))
+	return req.refuse(reasonShuttingDown, e.peers.outlook().RetryAfter(now, end, req.deadline-now))
 }
 
 // draining reports whether the entry is draining.
@@ -230,9 +260,14 @@
 }
 
 // acceptedLast reports whether the request is accepted since no other entry accepts it; a stream with its
-// answer held back.
+// answer held back. An entry doesn't stay for streams alone: the sooner it ends, the sooner it is back and sends them
+// on as they come.
 func (req *request) acceptedLast(window admit.Shutdown, late admit.LateRequest, now time.Duration) bool {
-	return (window.Holds(late, now) || window.AcceptsMeasured(late, now)) && !req.entry.peers.outlook().Open
+	if req.entry.peers.outlook().Open {
+		return false
+	}
+	_, soon := req.entry.drain.ending()
+	return window.Holds(late, now) && !soon || window.AcceptsMeasured(late, now)
 }
 
 // expectedWhole is the usual maximum duration of the request, if it is a stream that is started now, until it
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -110,8 +110,8 @@
 
 // peerDrain is an admit.DrainNotice in milliseconds. The fields are encoded as an array, in this order.
 type peerDrain struct {
-	_                  struct{} `cbor:",toarray"`
-	Unrestricted, Left uint32
+	_          struct{} `cbor:",toarray"`
+	Open, Left uint32
 }
 
 // peerLoad is the load of an entry or of a failure domain at a replica. The fields are encoded as
@@ -463,14 +463,14 @@
 	if n == nil {
 		return nil
 	}
-	return &peerDrain{Unrestricted: uint32(n.Unrestricted.Milliseconds()), Left: uint32(n.Left.Milliseconds())}
+	return &peerDrain{Open: uint32(n.Open.Milliseconds()), Left: uint32(n.Left.Milliseconds())}
 }
 
 // heardDrain records whether the sender of a message shuts down.
 func (p *peers) heardDrain(m *peerMessage) {
 	var notice *admit.DrainNotice
 	if m.Drain != nil {
-		notice = &admit.DrainNotice{Unrestricted: time.Duration(m.Drain.Unrestricted) * time.Millisecond, Left: time.Duration(m.Drain.Left) * time.Millisecond}
+		notice = &admit.DrainNotice{Open: time.Duration(m.Drain.Open) * time.Millisecond, Left: time.Duration(m.Drain.Left) * time.Millisecond}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/direct/peers_test.go
+++ b/internal/direct/peers_test.go
@@ -16,7 +16,7 @@
 // with loads and placements; if the separate bounds exceed the receiver's buffer together, peers
 // lose the message and send to the same replicas.
 func TestTheLongestWordFitsADatagram(t *testing.T) {
-	m := &peerMessage{From: strings.Repeat("x", 24), Epoch: math.MaxUint64, Seq: math.MaxUint32, StoreReachable: math.MaxUint32, Drain: &peerDrain{Unrestricted: math.MaxUint32, Left: math.MaxUint32}}
+	m := &peerMessage{From: strings.Repeat("x", 24), Epoch: math.MaxUint64, Seq: math.MaxUint32, StoreReachable: math.MaxUint32, Drain: &peerDrain{Open: math.MaxUint32, Left: math.MaxUint32}}
 	for range maxMessageLoads - maxMessagePlacements*loadsPerPlacement {
 		m.Loads = append(m.Loads, peerLoad{Replica: math.MaxUint64, PrefillTokens: math.MaxUint32, Running: 200, AddedTokens: math.MaxUint16})
 	}
@@ -154,7 +154,7 @@
 
 // Guards against entries of older builds that drop the loads of a draining entry, since they don't know that it says so.
 func TestOlderEntriesReadTheLoadsOfADrainingOne(t *testing.T) {
-	m := peerMessage{From: "entry-1", Epoch: 7, Seq: 3, Loads: []peerLoad{{Replica: 1, Running: 2}}, Drain: &peerDrain{Unrestricted: 100, Left: 4800}}
+	m := peerMessage{From: "entry-1", Epoch: 7, Seq: 3, Loads: []peerLoad{{Replica: 1, Running: 2}}, Drain: &peerDrain{Open: 100, Left: 4800}}
 	data, err := cbor.Marshal(&m)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -52,8 +52,7 @@
 	if req.drainLeft = e.drain.left(); req.drainLeft > 0 {
 		w.Header().Set("Connection", "close")
 	}
-	e.drain.requestStarted()
-	defer e.drain.requestEnded()
+	defer e.drain.requestStarted()()
 	if !req.admit() {
 		return
 	}
