Drains: streams that are expected to be cut are refused from SIGTERM on

Cause: for 2.8 s after SIGTERM an entry accepted any stream, also one that was expected to last longer than the entry.

Change: a stream whose objective + expected time is more than what is left is refused at once, with when to come back.

--- a/internal/admit/shutdown.go
+++ b/internal/admit/shutdown.go
@@ -17,6 +17,8 @@
 	Deadline time.Duration
 	// GivesUp is until when the caller waits for the first part of the answer.
 	GivesUp time.Duration
+	// Expected is the expected duration of a stream if it is started now.
+	Expected time.Duration
 	// Usual is the usual maximum duration of the request if it is started now.
 	Usual time.Duration
 	// UsualWhole is the usual maximum duration of a stream of which the caller gets nothing before it is complete.
@@ -29,13 +31,16 @@
 	Repeatable bool
 }
 
-// Accepts reports whether a request may be started now. An estimate of its duration counts only where the
+// Accepts reports whether a request may be started now. An estimate of its duration counts for it only where the
 // request, if it is cut off, still gets an answer after which its caller may repeat it, or where it
-// arrived while requests were accepted without restriction.
+// arrived while requests were accepted without restriction. Then too, a stream isn't accepted that is more likely cut
+// than not.
 func (s Shutdown) Accepts(r LateRequest, now time.Duration) bool {
 	switch {
-	case now < s.RestrictedFrom, r.Deadline <= s.Ends:
+	case r.Deadline <= s.Ends:
 		return true
+	case now < s.RestrictedFrom:
+		return !r.Streaming || now+r.Expected < s.Ends
 	case r.Streaming && r.Arrived < s.RestrictedFrom, !r.Streaming && r.Repeatable:
 		return now+r.Usual < s.Ends
 	}
--- a/internal/admit/shutdown_test.go
+++ b/internal/admit/shutdown_test.go
@@ -18,6 +18,8 @@
 		want    bool
 	}{
 		{"before the restriction", 2 * time.Second, LateRequest{Arrived: 2 * time.Second, Deadline: 2*time.Second + long, Usual: long}, true},
+		{"stream that is expected to outlast the process", 2 * time.Second, LateRequest{Arrived: 2 * time.Second, Deadline: 2*time.Second + long, Expected: 6 * time.Second, Streaming: true}, false},
+		{"stream that is expected to end in time", 2 * time.Second, LateRequest{Arrived: 2 * time.Second, Deadline: 2*time.Second + long, Expected: 5 * time.Second, Streaming: true}, true},
 		{"payment whose deadline fits", 5 * time.Second, LateRequest{Arrived: 5 * time.Second, Deadline: 7 * time.Second, Usual: short}, true},
 		{"payment whose deadline doesn't fit", 6 * time.Second, LateRequest{Arrived: 6 * time.Second, Deadline: 8 * time.Second, Usual: short}, false},
 		{"payment that arrived early and waited", 6 * time.Second, LateRequest{Arrived: 2 * time.Second, Deadline: 8 * time.Second, Usual: short}, false},
--- a/internal/direct/drain.go
+++ b/internal/direct/drain.go
@@ -212,8 +212,8 @@
 // canFinish reports whether a request may be started. In the last seconds of a draining entry that is so
 // only for requests that end before the entry exits.
 func (req *request) canFinish() bool {
-	window, restricted := req.entry.drain.restriction()
-	if !restricted {
+	window, draining := req.entry.drain.window()
+	if !draining {
 		return true
 	}
 	s := req.entry.state
@@ -231,8 +231,8 @@
 // startLate is canFinish for a request that is sent to a replica now. At an entry that restricts what it
 // accepts, it has the answer held back where the request may outlast the entry.
 func (req *request) startLate() bool {
-	window, restricted := req.entry.drain.restriction()
-	if !restricted {
+	window, draining := req.entry.drain.window()
+	if !draining {
 		return true
 	}
 	s := req.entry.state
@@ -252,7 +252,8 @@
 		Deadline:   req.deadline,
 		GivesUp:    req.started + req.patienceLeft(req.started),
 		Usual:      req.expectedDuration(),
-		UsualWhole: req.expectedWhole(),
+		Expected:   req.streamTime(1),
+		UsualWhole: req.streamTime(heldTimeFactor),
 		Longest:    req.longestRecent(),
 		Streaming:  req.route.Kind == fleet.Streaming,
 		Repeatable: req.route.Repeatable(),
@@ -270,15 +271,15 @@
 	return window.Holds(late, now) && !soon || window.AcceptsMeasured(late, now)
 }
 
-// expectedWhole is the usual maximum duration of the request, if it is a stream that is started now, until it
-// is complete. The caller holds the state's lock.
-func (req *request) expectedWhole() time.Duration {
+// streamTime is the duration of the request, if it is a stream that is started now and takes a factor of what is
+// expected from its first event on. The caller holds the state's lock.
+func (req *request) streamTime(factor int) time.Duration {
 	if req.route.Kind != fleet.Streaming {
 		return 0
 	}
 	q := req.newQuery()
 	start := cmp.Or(req.route.LatencyTarget, streamStartTime)
-	return start + heldTimeFactor*req.entry.state.picker.ExpectedStreamTime(&q)
+	return start + time.Duration(factor)*req.entry.state.picker.ExpectedStreamTime(&q)
 }
 
 // longestRecent is the longest recent duration of requests on the route, 0 if it isn't known. The caller holds the
