--- a/internal/direct/drain.go
+++ b/internal/direct/drain.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -9,6 +10,7 @@
 	"time"
 
 	"skylarklead/internal/admit"
+	"skylarklead/internal/attempt"
 	"skylarklead/internal/fleet"
 )
 
@@ -18,6 +20,13 @@
 	notReadyDelay = 2500 * time.Millisecond
 	// unrestrictedPeriod is how long after SIGTERM any request is accepted.
 	unrestrictedPeriod = 2800 * time.Millisecond
+	// stayInRotation is how long after SIGTERM an entry says that it is ready while no other one takes new
+	// connections. Two failures later, and before 4 s, the platform stops routing to it.
+	stayInRotation = 1500 * time.Millisecond
+	// rotationAfterReady is how long after it last said that it is ready an entry is in rotation, leastRotation how
+	// long it is after SIGTERM at least.
+	rotationAfterReady = 2 * time.Second
+	leastRotation      = time.Second
 	// stopMargin is reserved before the process is killed.
 	stopMargin = 500 * time.Millisecond
 	// drainPollInterval is the pause between checks whether the last request has ended.
@@ -28,11 +37,11 @@
 	plainRequestTime = time.Second
 	streamStartTime  = 2500 * time.Millisecond
 	streamTimeFactor = 3
+	// heldTimeFactor is the factor by which the rest of a stream that is held back usually exceeds its expected
+	// duration at most: none is cut if it takes longer.
+	heldTimeFactor = 2
 	// finalAnswerTime is the time, after the drain, in which the last answers are written.
 	finalAnswerTime = 200 * time.Millisecond
-	// shutdownRetryAfter is the Retry-After of requests that this entry has no time for: their callers meet
-	// another entry at once.
-	shutdownRetryAfter = 20 * time.Millisecond
 	// drainQueueWait bounds the wait for a placement after unrestrictedPeriod.
 	drainQueueWait = 200 * time.Millisecond
 )
@@ -49,12 +58,19 @@
 	// cut and failed count the requests whose answer was broken off at the end, and those that got an answer
 	// of the entry's own though they may have run.
 	cut, failed atomic.Int64
+	// held counts the streams that were held back until they were complete, refused the requests that the
+	// draining entry had no time for.
+	held, refused atomic.Int64
 
 	mu       sync.Mutex
 	inFlight int
+	// early counts those of inFlight that were accepted without restriction.
+	early int
 	// began and ends are when the entry began to drain and when it ends; draining is set if it does.
 	draining    bool
 	began, ends time.Duration
+	// saidReady is when the draining entry last said that it is ready, 0 if it didn't.
+	saidReady time.Duration
 }
 
 func newDrain(c clock) *drain {
@@ -63,16 +79,38 @@
 	return d
 }
 
-func (d *drain) requestStarted() {
+// requestStarted counts a request and returns the function to call when it has ended.
+func (d *drain) requestStarted() (ended func()) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
+	early := 0
+	if !d.draining || d.clock.now() < d.began+unrestrictedPeriod {
+		early = 1
+	}
 	d.inFlight++
-	d.mu.Unlock()
+	d.early += early
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.inFlight--
+		d.early -= early
+	}
+}
+
+// expectedEnd is when the draining entry ends: soon, once what it accepted without restriction has. The caller holds mu.
+func (d *drain) expectedEnd() time.Duration {
+	if now := d.clock.now(); d.early == 0 && now >= d.began+unrestrictedPeriod {
+		return min(d.ends, now+plainRequestTime)
+	}
+	return d.ends
 }
 
-func (d *drain) requestEnded() {
+// ending returns expectedEnd, and whether the entry stays for nothing but what it accepted since requests are
+// restricted.
+func (d *drain) ending() (end time.Duration, soon bool) {
 	d.mu.Lock()
-	d.inFlight--
-	d.mu.Unlock()
+	defer d.mu.Unlock()
+	return d.expectedEnd(), d.early == 0
 }
 
 // begin starts the drain of an entry that is killed after the time grace.
@@ -120,14 +158,62 @@
 	return left > 0 && left < t
 }
 
+// notice is what peers are told; nil if the entry isn't draining.
+func (d *drain) notice() *admit.DrainNotice {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.draining {
+		return nil
+	}
+	now := d.clock.now()
+	open := min(d.began+unrestrictedPeriod, max(d.began+leastRotation, d.saidReady+rotationAfterReady))
+	// A notice without time left would say that the entry has ended.
+	return &admit.DrainNotice{Open: max(0, open-now), Left: max(time.Millisecond, d.expectedEnd()-now)}
+}
+
+// staysInRotation reports whether this draining entry still says that it is ready. While all entries shut
+// down, callers would else meet those that have no time left as often as those that accept any request.
+func (e *Entry) staysInRotation() bool {
+	outlook := e.peers.outlook()
+	return outlook.Draining && !outlook.Steady && e.drain.sayReady()
+}
+
+// sayReady reports whether a draining entry may say that it is ready.
+func (d *drain) sayReady() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.now()
+	if now >= d.began+stayInRotation {
+		return false
+	}
+	d.saidReady = now
+	return true
+}
+
+// inRotation reports whether new connections still arrive as before.
+func (d *drain) inRotation() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.clock.now() < max(d.began, d.saidReady)+notReadyDelay
+}
+
+// refuseLate refuses a request that this draining entry has no time for. It always returns false.
+func (req *request) refuseLate() bool {
+	e := req.entry
+	now := e.clock.now()
+	end, _ := e.drain.ending()
+	e.drain.refused.Add(1)
+	return req.refuse(reasonShuttingDown, e.peers.outlook().RetryAfter(now, end, req.deadline-now))
+}
+
 // draining reports whether the entry is draining.
 func (e *Entry) draining() bool { return e.drain.left() > 0 }
 
 // canFinish reports whether a request may be started. In the last seconds of a draining entry that is so
 // only for requests that end before the entry exits.
 func (req *request) canFinish() bool {
-	window, restricted := req.entry.drain.restriction()
-	if !restricted {
+	window, draining := req.entry.drain.window()
+	if !draining {
 		return true
 	}
 	s := req.entry.state
@@ -138,13 +224,87 @@
 
 // acceptedIn is canFinish at an entry that restricts what it accepts. The caller holds the state's lock.
 func (req *request) acceptedIn(window admit.Shutdown) bool {
-	return window.Accepts(admit.LateRequest{
+	late, now := req.late(), req.entry.clock.now()
+	return window.Accepts(late, now) || req.acceptedLast(window, late, now)
+}
+
+// startLate is canFinish for a request that is sent to a replica now. At an entry that restricts what it
+// accepts, it has the answer held back where the request may outlast the entry.
+func (req *request) startLate() bool {
+	window, draining := req.entry.drain.window()
+	if !draining {
+		return true
+	}
+	s := req.entry.state
+	s.mu.Lock()
+	late, now := req.late(), req.entry.clock.now()
+	s.mu.Unlock()
+	if window.Accepts(late, now) {
+		return true
+	}
+	return req.acceptedLast(window, late, now) && (!late.Streaming || req.hold())
+}
+
+// late is the request as it is judged at an entry that restricts what it accepts. The caller holds the state's lock.
+func (req *request) late() admit.LateRequest {
+	return admit.LateRequest{
 		Arrived:    req.started,
 		Deadline:   req.deadline,
+		GivesUp:    req.started + req.patienceLeft(req.started),
 		Usual:      req.expectedDuration(),
+		Expected:   req.streamTime(1),
+		UsualWhole: req.streamTime(heldTimeFactor),
+		Longest:    req.longestRecent(),
 		Streaming:  req.route.Kind == fleet.Streaming,
 		Repeatable: req.route.Repeatable(),
-	}, req.entry.clock.now())
+	}
+}
+
+// acceptedLast reports whether the request is accepted since no other entry accepts it; a stream with its
+// answer held back. An entry doesn't stay for streams alone: the sooner it ends, the sooner it is back and sends them
+// on as they come.
+func (req *request) acceptedLast(window admit.Shutdown, late admit.LateRequest, now time.Duration) bool {
+	if req.entry.peers.outlook().Open {
+		return false
+	}
+	_, soon := req.entry.drain.ending()
+	return window.Holds(late, now) && !soon || window.AcceptsMeasured(late, now)
+}
+
+// streamTime is the duration of the request, if it is a stream that is started now and takes a factor of what is
+// expected from its first event on. The caller holds the state's lock.
+func (req *request) streamTime(factor int) time.Duration {
+	if req.route.Kind != fleet.Streaming {
+		return 0
+	}
+	q := req.newQuery()
+	start := cmp.Or(req.route.LatencyTarget, streamStartTime)
+	return start + time.Duration(factor)*req.entry.state.picker.ExpectedStreamTime(&q)
+}
+
+// longestRecent is the longest recent duration of requests on the route, 0 if it isn't known. The caller holds the
+// state's lock.
+func (req *request) longestRecent() time.Duration {
+	d := req.entry.state.durations[req.route.Name]
+	if d == nil {
+		return 0
+	}
+	return d.Longest(req.entry.clock.now())
+}
+
+// recordDuration records how long a replica took for a request that may run once. The caller holds the
+// state's lock.
+func (req *request) recordDuration(p *placement, failure attempt.DispatchFailure, done bool) {
+	if req.route.Kind != fleet.Mutating || !done && !failure.MayHaveRun() {
+		return
+	}
+	s, now := req.entry.state, req.entry.clock.now()
+	d := s.durations[req.route.Name]
+	if d == nil {
+		d = new(admit.Durations)
+		s.durations[req.route.Name] = d
+	}
+	d.Record(now-p.sentAt, done, now)
 }
 
 // expectedDuration is the usual maximum duration of the request if it is started now. The caller
@@ -194,7 +354,7 @@
 	case <-time.After(notReadyDelay):
 	case <-ended:
 	}
-	for (!e.drain.idle() || e.rollouts.keepsLease()) && e.drain.requests.Err() == nil {
+	for (!e.drain.idle() || e.drain.inRotation() || e.rollouts.keepsLease()) && e.drain.requests.Err() == nil {
 		select {
 		case <-time.After(drainPollInterval):
 		case <-ended:
@@ -207,5 +367,7 @@
 		server.Close()
 	}
 	undelivered := e.callers.Wait(ctx)
-	e.tel.Log.Info("drained", "took_ms", time.Since(began).Milliseconds(), "streams_cut", e.drain.cut.Load(), "failed", e.drain.failed.Load(), "undelivered", undelivered)
+	e.peers.sendEnd()
+	e.tel.Log.Info("drained", "took_ms", time.Since(began).Milliseconds(), "streams_cut", e.drain.cut.Load(), "failed", e.drain.failed.Load(),
+		"held", e.drain.held.Load(), "refused", e.drain.refused.Load(), "undelivered", undelivered)
 }
--- a/internal/direct/panic.go
+++ b/internal/direct/panic.go
@@ -23,6 +23,7 @@
 	e.tel.Log.Error("request handler panicked", "request", req.params.ID, "panic", v, "stack", string(debug.Stack()))
 	if req.firstByte > 0 {
 		req.abort(reasonPanic)
+		return
 	}
 	req.fail(http.StatusInternalServerError, reasonPanic, 0)
 }
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -53,8 +53,7 @@
 	if req.drainLeft = e.drain.left(); req.drainLeft > 0 {
 		w.Header().Set("Connection", "close")
 	}
-	e.drain.requestStarted()
-	defer e.drain.requestEnded()
+	defer e.drain.requestStarted()()
 	if !req.admit() {
 		return
 	}
@@ -93,7 +92,7 @@
 	timeout := req.timeout()
 	req.deadline = req.started + timeout
 	if !req.canFinish() {
-		return req.refuse(reasonShuttingDown, shutdownRetryAfter)
+		return req.refuseLate()
 	}
 	req.limitTime(timeout)
 	return true
@@ -183,7 +182,7 @@
 	var timedOut net.Error
 	switch {
 	case !req.canFinish():
-		return req.refuse(reasonShuttingDown, shutdownRetryAfter)
+		return req.refuseLate()
 	case errors.Is(err, errNoBodyMemory):
 		return req.refuse("no memory for the request body", defaultRetryAfter)
 	case errors.As(err, &tooLong):
@@ -212,7 +211,9 @@
 	}, budget)
 	req.query = req.newQuery()
 	req.keys = req.crashKeys()
+	defer req.freeHeld()
 	req.dispatch()
+	req.releaseHeld()
 }
 
 func (req *request) newQuery() route.PickQuery {
