Streams: versions are in the store before streams begin at them

Callers that name their attempt were refused after the loss of all holders, even with one version in service all the while.

Cause: origin.Seen took the versions seen since the entry's start for all that were. The class: what a process has seen since its start stands for all that was. An entry's own list is no evidence either: it may be older than the caller's stream.

Now a version that serves a model has a record in a keyed topic before the first stream begins there, and until no stream that began there can be taken up. An entry is ready once the listed versions are recorded, after a second at most; an entry that the store rejects asks others.

Right after the release all are refused now.

TestOnlyVersionOfAService went with origin.Seen.

--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -69,6 +70,7 @@
 	peers     *peers
 	quotas    *quotas
 	verdicts  *verdicts
+	uses      *softwareUses
 	// hub is nil if every entry reads the store for itself.
 	hub *hub
 	// bodyMemory limits the bytes of request bodies held at once.
@@ -149,13 +151,20 @@
 	e.monitor = newReplicaMonitor(e)
 	e.quotas = newQuotas(e)
 	e.verdicts = newVerdicts(e)
+	e.uses = newSoftwareUses(e)
+	e.state.uses = origin.NewLedger(e.streamLifetime(), clock.now())
 	return e
 }
 
+// streamLifetime is how long after its beginning a stream may be taken up.
+func (e *Entry) streamLifetime() time.Duration {
+	return cmp.Or(e.settings.Direct.StreamLifetime.D(), origin.DefaultLifetime)
+}
+
 func (e *Entry) run(ctx context.Context, callers, ready net.Listener) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var loops sync.WaitGroup
-	loopFuncs := []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep, e.monitor.run, e.peers.run, e.reload, e.verdicts.run}
+	loopFuncs := []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep, e.monitor.run, e.peers.run, e.reload, e.verdicts.run, e.uses.run}
 	if e.hub != nil {
 		loopFuncs = append(loopFuncs, e.hub.run)
 	}
@@ -241,7 +250,7 @@
 }
 
 func (e *Entry) ready() bool {
-	return !e.draining() && e.state.ready()
+	return !e.draining() && e.state.ready() && e.uses.settled.Load()
 }
 
 // exportEngineSpeeds registers gauges for the measured speed of a service's engines, in
@@ -284,7 +293,7 @@
 		for _, id := range e.state.replicas.IDs() {
 			known[id] = true
 			r := e.state.replicas.Get(id)
-			e.state.softwareSeen.Observe(r.Service, origin.SoftwareOf(r.Service, r.Software), now)
+			e.state.listUses(r, now)
 		}
 		e.state.mu.Unlock()
 		for _, id := range removed {
--- a/internal/direct/entrylist.go
+++ b/internal/direct/entrylist.go
@@ -142,9 +142,14 @@
 	return p.entry.settings.Direct.Peers + " " + p.entry.settings.FailureDomain
 }
 
-// register registers this entry's address. An entry that restarted at the same address is already
+// register registers this entry's address, once it has read what entries that ran before have recorded. An entry that restarted at the same address is already
 // registered.
 func (p *peers) register(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-p.entry.uses.begun:
+	}
 	select {
 	case <-ctx.Done():
 		return
--- a/internal/direct/origins.go
+++ b/internal/direct/origins.go
@@ -27,6 +27,11 @@
 	// doesn't know.
 	Asked   []uint64 `cbor:"2,keyasint,omitempty"`
 	Unknown []uint64 `cbor:"3,keyasint,omitempty"`
+	// Written are uses that were written to the store in an era, AskedUses those that the sender wants to
+	// know about.
+	Written   []writtenUse `cbor:"4,keyasint,omitempty"`
+	Era       uint64       `cbor:"5,keyasint,omitempty"`
+	AskedUses []writtenUse `cbor:"6,keyasint,omitempty"`
 }
 
 // begunStream is an origin.Stream with the origin.Software that began it. The fields are encoded as an
@@ -57,7 +62,7 @@
 }
 
 func newOrigins(p *peers) *origins {
-	return &origins{peers: p, table: origin.NewTable(origin.DefaultSize, origin.DefaultTTL), queries: make(map[origin.Stream]*originQuery)}
+	return &origins{peers: p, table: origin.NewTable(origin.DefaultSize, p.entry.streamLifetime()), queries: make(map[origin.Stream]*originQuery)}
 }
 
 // announce records the software that began a stream, here and at its holders.
@@ -73,10 +78,11 @@
 	o.send(&streamsMessage{Begun: []begunStream{{Stream: uint64(s), Software: uint64(software)}}}, to...)
 }
 
-// resolve returns the software that began a stream, Unknown if it can't be told.
-func (o *origins) resolve(ctx context.Context, s origin.Stream) origin.Software {
+// resolve returns the software that began a stream. It reports false if no entry that was asked knows the
+// stream; one whose software can't be told is Unknown.
+func (o *origins) resolve(ctx context.Context, s origin.Stream) (origin.Software, bool) {
 	if software, ok := o.lookup(s); ok {
-		return software
+		return software, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
@@ -92,8 +98,7 @@
 		case <-repeat.C:
 			continue
 		}
-		software, _ := o.lookup(s)
-		return software
+		return o.lookup(s)
 	}
 }
 
@@ -157,6 +162,7 @@
 
 // receive handles a message of another entry.
 func (o *origins) receive(m *streamsMessage, id string, from netip.AddrPort) {
+	o.peers.entry.uses.receive(m, from)
 	now := o.peers.entry.clock.now()
 	var answer streamsMessage
 	o.mu.Lock()
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -7,7 +7,6 @@
 
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/member"
-	"skylarklead/internal/origin"
 	"skylarklead/internal/spread"
 )
 
@@ -50,6 +49,7 @@
 		e.tel.Log.Warn("store restored from an older copy", "stream", topic, "era", fleet.Era(first))
 		e.state.mu.Lock()
 		e.state.listRestoredAt = e.clock.now()
+		e.state.uses.EraBegan(fleet.Era(first), e.clock.now())
 		e.state.mu.Unlock()
 	}
 	f.run(ctx)
@@ -105,7 +105,9 @@
 	missing := e.state.replicas.Missing(listed)
 	restoreGrace := e.state.restoreGraceEnd()
 	e.state.listRead = true
+	e.state.uses.Missed(e.clock.now())
 	e.state.mu.Unlock()
+	trySignal(e.uses.wake)
 	for _, name := range missing {
 		// The list doesn't tell the removal's offset. The next record will be at page.End.
 		e.removeReplica(name, max(page.End, 1)-1, restoreGrace)
@@ -156,7 +158,9 @@
 	if update.Outdated || e.state.replicas.Get(r.ID) == nil {
 		return
 	}
-	e.state.softwareSeen.Observe(r.Service, origin.SoftwareOf(r.Service, r.Software), e.clock.now())
+	if e.state.listUses(r, e.clock.now()) {
+		trySignal(e.uses.wake)
+	}
 	if update.SupersededID != "" {
 		e.state.forgetReplica(update.SupersededID)
 	}
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -244,7 +244,7 @@
 // attr is the log attribute of the replicas that could not take a request.
 func (x *exclusions) attr() slog.Attr {
 	return slog.Group("replicas", slog.Int("listed", x.listed), slog.Int("left", x.leaving),
-		slog.Int("down", x.down), slog.Int("ordered", x.ordered), slog.Int("overdue", x.overdue), slog.Int("unfit", x.otherModel), slog.Int("other_software", x.otherSoftware), slog.Int("limited", x.limited), slog.Int("resting", x.backingOff),
+		slog.Int("down", x.down), slog.Int("ordered", x.ordered), slog.Int("overdue", x.overdue), slog.Int("unfit", x.otherModel), slog.Int("other_software", x.otherSoftware), slog.Int("unrecorded", x.unrecorded), slog.Int("limited", x.limited), slog.Int("resting", x.backingOff),
 		slog.Int("over_bound", x.overBound), slog.Float64("least_wait_ms", x.leastWaitMs))
 }
 
--- a/internal/direct/software.go
+++ b/internal/direct/software.go
@@ -21,6 +21,8 @@
 	bound bool
 	// version is the required one. No replica is known to run the unknown one.
 	version origin.Software
+	// recorded is set if streams must be known to have begun at the version, should this one begin there.
+	recorded bool
 }
 
 // meets reports whether a replica is known to run the required software.
@@ -38,20 +40,19 @@
 	return req.route.Kind == fleet.Streaming && req.params.LastEvent != ""
 }
 
-// resolveOrigin finds out which software began the stream that the request takes up. Of a caller that
-// doesn't name the attempt that began it, as older ones don't, it is the only one seen.
+// resolveOrigin finds out which software began the stream that the request takes up. If the caller doesn't
+// name the attempt that began it, or no entry is left that knows, it is the only one that can have.
 func (req *request) resolveOrigin() {
 	if !req.takesUp() {
 		return
 	}
-	if req.params.Resumes == "" {
-		s := req.entry.state
-		s.mu.Lock()
-		req.takenUp = s.softwareSeen.Only(req.service.Name, req.entry.clock.now())
-		s.mu.Unlock()
-		return
+	known := false
+	if req.params.Resumes != "" {
+		req.takenUp, known = req.entry.peers.origins.resolve(req.ctx, origin.StreamOf(req.params.Resumes))
+	}
+	if !known {
+		req.takenUp = req.entry.uses.only(req.ctx, req.params.Model)
 	}
-	req.takenUp = req.entry.peers.origins.resolve(req.ctx, origin.StreamOf(req.params.Resumes))
 	req.selectOriginService()
 }
 
@@ -81,7 +82,7 @@
 	case req.begunAt != nil:
 		return requiredSoftware{bound: true, version: origin.SoftwareOf(req.begunAt.Service, req.entry.state.softwareAt(req.begunAt))}
 	}
-	return requiredSoftware{}
+	return requiredSoftware{recorded: req.route.Kind == fleet.Streaming}
 }
 
 // announceOrigin tells other entries which software began the stream, before the caller has its first
--- a/internal/direct/software_test.go
+++ b/internal/direct/software_test.go
@@ -56,6 +56,7 @@
 	s.replicas.Put(&fleet.Replica{ID: "a", Name: "a", Service: "s", Software: "v1", Slots: 1}, 1, 0)
 	s.replicas.Put(&fleet.Replica{ID: "b", Name: "b", Service: "s", Software: "v2", Slots: 1}, 2, 0)
 	s.replicas.MarkUnreachable("a", e.clock.now())
+	s.uses.Written(origin.UseName{Service: "s", Version: "v2"}.Use(), 0, e.clock.now())
 	place := func(req *request) {
 		q := s.queueOf(service)
 		q.queueFor(req).Add(req.newQueuedRequest(e.clock.now()))
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -61,8 +61,8 @@
 	// leavingToSend is, for each replica that announced to this entry that it leaves, how many
 	// more times the other entries are to be notified.
 	leavingToSend map[string]int
-	// softwareSeen has the software versions that replicas of each service were listed with.
-	softwareSeen *origin.Seen
+	// uses says at which software versions streams may begin.
+	uses *origin.Ledger
 	// listRead is set once the whole replica list has been read.
 	listRead bool
 	// listRestoredAt is when the list was last read from a store that had been restored from an
@@ -112,7 +112,7 @@
 		retryBudget:      budget,
 		announcements:    make(map[modelVersion]*rollout.Announcement),
 
-		softwareSeen:       origin.NewSeen(origin.DefaultTTL),
+		uses:               origin.NewLedger(origin.DefaultLifetime, 0),
 		leavingToSend:      make(map[string]int),
 		announcementsRead:  make(map[modelVersion]bool),
 		onNewEngineService: func(string) {},
@@ -195,14 +195,19 @@
 	}
 }
 
+// listKnown reports whether the whole replica list has been read.
+func (s *state) listKnown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listRead
+}
+
 // ready reports whether requests can be served: the configuration and the replica list are known.
 func (s *state) ready() bool {
 	if s.config.Load() == nil {
 		return false
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.listRead
+	return s.listKnown()
 }
 
 // sampleSize is how many of n candidates a choice considers. It shrinks with the number of entries,
@@ -244,8 +249,9 @@
 	// about to load weights, overdue on weights that may no longer be used. otherModel don't
 	// list the requested model. limited have no room in this entry's share of their rate
 	// limit; backingOff asked for no requests for a time.
-	// otherSoftware don't run the software that began the stream.
-	leaving, down, ordered, overdue, otherModel, limited, backingOff, otherSoftware int
+	// otherSoftware don't run the software that began the stream, unrecorded run one that isn't in the
+	// store yet.
+	leaving, down, ordered, overdue, otherModel, limited, backingOff, otherSoftware, unrecorded int
 	// overBound is how many of those that were looked at have a longer wait than the request
 	// may have there or no memory for it, leastWaitMs the shortest of these waits.
 	overBound   int
@@ -311,6 +317,10 @@
 				continue
 			}
 		}
+		if required.recorded && !s.mayBegin(r, model) {
+			excluded.unrecorded++
+			continue
+		}
 		out = append(out, c)
 	}
 	return out, excluded
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -51,6 +51,9 @@
 	Read(ctx context.Context, topic string, from uint64, wait time.Duration) (Page, error)
 	// Put writes the newest record of a key of a keyed topic; a nil value deletes the key.
 	Put(ctx context.Context, topic, key string, value []byte) error
+	// PutAll writes the newest records of several keys of a keyed topic, all or none, and returns the
+	// position of the first one. If at is set, it has an effect only if the topic ends there.
+	PutAll(ctx context.Context, topic string, at *uint64, records []Record) (uint64, error)
 	// Append appends records to a topic, all or none, and returns the position of the first
 	// one. If at is set, it has an effect only if the topic ends there.
 	Append(ctx context.Context, topic string, at *uint64, records [][]byte) (uint64, error)
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -17,8 +17,8 @@
 	// HolderCount is how many entries know a stream beside the one that began it, so that it is known
 	// after most of them were lost.
 	HolderCount = 3
-	// DefaultTTL is how long a stream is known: longer than a caller keeps trying.
-	DefaultTTL = time.Minute
+	// DefaultLifetime is how long after its beginning a stream is known: longer than a caller keeps trying.
+	DefaultLifetime = time.Minute
 	// DefaultSize bounds the streams known to an entry; each takes about 100 bytes.
 	DefaultSize = 16 << 10
 )
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -83,24 +83,3 @@
 		t.Error("versions aren't told apart")
 	}
 }
-
-// Guards against a version that counts as the only one while another was there a moment ago.
-func TestOnlyVersionOfAService(t *testing.T) {
-	seen := NewSeen(time.Minute)
-	if got := seen.Only("s", 0); got != Unknown {
-		t.Errorf("%v of a service without replicas", got)
-	}
-	seen.Observe("s", 1, 0)
-	seen.Observe("s", Unknown, 0)
-	seen.Observe("other", 2, 0)
-	if got := seen.Only("s", 0); got != 1 {
-		t.Errorf("%v; want the only version", got)
-	}
-	seen.Observe("s", 2, 30*time.Second)
-	if got := seen.Only("s", 59*time.Second); got != Unknown {
-		t.Errorf("%v while two were seen", got)
-	}
-	if got := seen.Only("s", 61*time.Second); got != 2 {
-		t.Errorf("%v after the first one has left", got)
-	}
-}
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -64,6 +64,8 @@
 	// RunBackups makes engines that offer it keep backups of the runs of streams that
 	// may run only once, from which they go on after the loss of their replica.
 	RunBackups bool `json:"run_backups"`
+	// StreamLifetime is how long after its beginning callers may still take a stream up.
+	StreamLifetime Duration `json:"stream_lifetime"`
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int `json:"memory_mb"`
 }
@@ -79,6 +81,8 @@
 	DefaultPropagationTime = Duration(2 * time.Second)
 	// DefaultClockSkew covers clocks that jump by several seconds.
 	DefaultClockSkew = Duration(6 * time.Second)
+	// DefaultStreamLifetime is longer than callers keep trying.
+	DefaultStreamLifetime = Duration(time.Minute)
 	// StoreReadersFew and StoreReadersAll are the values of StoreReaders.
 	StoreReadersFew = "few"
 	StoreReadersAll = "all"
@@ -99,6 +103,7 @@
 	setDefault(doc, "direct.leaving_within", &d.LeavingWithin, DefaultPropagationTime)
 	setDefault(doc, "direct.store_readers", &d.StoreReaders, StoreReadersFew)
 	setDefault(doc, "direct.prefix_donors", &d.PrefixDonors, PrefixDonorsFirst)
+	setDefault(doc, "direct.stream_lifetime", &d.StreamLifetime, DefaultStreamLifetime)
 	setDefault(doc, "direct.memory_mb", &d.MemoryMB, DefaultMemoryMB)
 }
 
@@ -120,6 +125,7 @@
 	c.positive("direct.clock_skew", d.ClockSkew)
 	c.positive("direct.configuration_within", d.ConfigurationWithin)
 	c.positive("direct.leaving_within", d.LeavingWithin)
+	c.positive("direct.stream_lifetime", d.StreamLifetime)
 	c.oneOf("direct.store_readers", d.StoreReaders, []string{StoreReadersFew, StoreReadersAll})
 	c.oneOf("direct.prefix_donors", d.PrefixDonors, []string{PrefixDonorsFirst, PrefixDonorsRanked})
 	c.fraction("direct.retry_share", d.RetryShare)
