Retry budgets begin empty after a restart

What callers saw: nothing; the operator's bound on what is sent a second time could be exceeded. Found in the survey of memories that begin anew with a process.

Cause: an entry begins with its whole share of what may be sent a second time in a window.

An entry that finds its own record in the list of entries at the start ran before, and begins with nothing; each request earns its share as ever. Quotas and rate limits do the same.

--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -61,6 +61,9 @@
 	return &Budget{params: p, tokens: p.Burst, suspendedUntil: make(map[string]time.Duration)}
 }
 
+// Empty takes what has accumulated: a process that restarts doesn't know what was spent before.
+func (b *Budget) Empty() { b.tokens, b.carried = 0, 0 }
+
 // Resize changes the bounds, for example when the number of processes
 // that share the budget changes.
 func (b *Budget) Resize(share, burst float64, carryOver time.Duration) {
--- a/internal/direct/entrylist.go
+++ b/internal/direct/entrylist.go
@@ -68,6 +68,9 @@
 func (p *peers) applyList() {
 	select {
 	case <-p.listRead:
+		if p.listedAtStart {
+			p.entry.state.setRestarted()
+		}
 		p.entry.state.setEntryCount(p.count())
 		names, self := p.listedIDs()
 		p.entry.quotas.setEntries(names, self, p.listedAtStart)
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -84,6 +84,9 @@
 	// refuseByForecast says that requests whose turn would come too late are refused before their
 	// time is over.
 	refuseByForecast bool
+	// restarted is set if another process of this entry ran before, so that its share of the retry budget may
+	// be spent.
+	restarted bool
 	// entries is the number of entries, this one included; assumedEntries until the list of
 	// entries was read.
 	entries int
@@ -149,6 +152,9 @@
 	b := s.retryBudgets[service]
 	if b == nil {
 		b = attempt.NewBudget(s.retryBudgetShare())
+		if s.restarted {
+			b.Empty()
+		}
 		s.retryBudgets[service] = b
 	}
 	return b
@@ -171,6 +177,19 @@
 	s.resizeRetryBudgets()
 }
 
+// setRestarted empties the retry budgets, those of services yet to be used too.
+func (s *state) setRestarted() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.restarted {
+		return
+	}
+	s.restarted = true
+	for _, b := range s.retryBudgets {
+		b.Empty()
+	}
+}
+
 // setEntryCount sets the number of entries. Entries that are gone but still listed count, which only
 // makes the shares smaller.
 func (s *state) setEntryCount(entries int) {
