--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -71,6 +72,7 @@
 	peers     *peers
 	quotas    *quotas
 	verdicts  *verdicts
+	uses      *softwareUses
 	// hub is nil if every entry reads the store for itself.
 	hub *hub
 	// bodyMemory limits the bytes of request bodies held at once.
@@ -154,13 +156,20 @@
 	e.monitor = newReplicaMonitor(e)
 	e.quotas = newQuotas(e)
 	e.verdicts = newVerdicts(e)
+	e.uses = newSoftwareUses(e)
+	e.state.uses = origin.NewLedger(e.streamLifetime(), clock.now())
 	return e
 }
 
+// streamLifetime is how long after its beginning a stream may be taken up.
+func (e *Entry) streamLifetime() time.Duration {
+	return cmp.Or(e.settings.Direct.StreamLifetime.D(), origin.DefaultLifetime)
+}
+
 func (e *Entry) run(ctx context.Context, ready net.Listener) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var loops sync.WaitGroup
-	loopFuncs := []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep, e.monitor.run, e.peers.run, e.reload, e.verdicts.run}
+	loopFuncs := []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep, e.monitor.run, e.peers.run, e.reload, e.verdicts.run, e.uses.run}
 	if e.hub != nil {
 		loopFuncs = append(loopFuncs, e.hub.run)
 	}
@@ -247,7 +256,7 @@
 }
 
 func (e *Entry) ready() bool {
-	return e.state.ready() && (!e.draining() || e.staysInRotation())
+	return e.state.ready() && e.uses.settled.Load() && (!e.draining() || e.staysInRotation())
 }
 
 // exportEngineSpeeds registers gauges for the measured speed of a service's engines, in
@@ -290,7 +299,7 @@
 		for _, id := range e.state.replicas.IDs() {
 			known[id] = true
 			r := e.state.replicas.Get(id)
-			e.state.softwareSeen.Observe(r.Service, origin.SoftwareOf(r.Service, r.Software), now)
+			e.state.listUses(r, now)
 		}
 		e.state.mu.Unlock()
 		for _, id := range removed {
