SIGHUP is handled from the start of a process to its end

What callers saw: a SIGHUP after SIGTERM ended processes of the roles entry and endpoint at once; all streams and payments in flight there were cut (LOST). Found by a reviewer ("signal: hangup" in a test of the handler).

Cause: the handler of these roles called signal.Stop when its context ended, which is SIGTERM, and the signal's default action came back for the whole drain. In the same way a SIGHUP ended a process of any role before its role ran; the role direct registers its handler in a goroutine.

The handler is registered before the settings are read and stays until the process ends. The role direct has its own beside it. Of a SIGHUP that comes before that one, the check of the settings file every five seconds takes over.

Tests: TestPromise8SIGHUPDuringADrainCutsNothing (both roles, a stream through both) failed before: 12 events, no end, both processes ended with code -1. TestSIGHUPAtTheStartDoesNotEndTheProcess failed before with "signal: hangup". TestExitCodes and TestChangedSettingsCutNothing pass.

--- a/cmd/skylarkd/main.go
+++ b/cmd/skylarkd/main.go
@@ -84,6 +84,10 @@
 	if c.String("config") == "" {
 		return errors.New("--config FILE is missing; examples/ has settings to begin with")
 	}
+	// The handler stays until the process ends: signal.Stop would bring back the default action, and a SIGHUP
+	// during a drain would cut what is in flight.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	s, err := settings.Load(c.String("config"))
 	if err != nil {
 		return err
@@ -95,13 +99,13 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	loadSettings := func() (*settings.Settings, error) { return settings.Load(c.String("config")) }
-	if err := serve(ctx, s, loadSettings); err != nil {
+	if err := serve(ctx, s, loadSettings, hangups); err != nil {
 		return fmt.Errorf("%w: %w", errAfterStart, err)
 	}
 	return nil
 }
 
-func serve(ctx context.Context, s *settings.Settings, loadSettings direct.SettingsLoader) error {
+func serve(ctx context.Context, s *settings.Settings, loadSettings direct.SettingsLoader, hangups <-chan os.Signal) error {
 	logWriter := telemetry.NewAsyncWriter(os.Stdout)
 	defer logWriter.Close()
 	tel, err := telemetry.New(s, logWriter)
@@ -114,7 +118,7 @@
 		return err
 	}
 	tel.Log.Info("starting", "listen", s.Listen, "failure_domain", s.FailureDomain)
-	if err := runRole(ctx, s, loadSettings, tel); err != nil {
+	if err := runRole(ctx, s, loadSettings, hangups, tel); err != nil {
 		tel.Log.Error("ended", "error", err)
 		return err
 	}
@@ -122,9 +126,9 @@
 	return nil
 }
 
-func runRole(ctx context.Context, s *settings.Settings, loadSettings direct.SettingsLoader, tel *telemetry.Telemetry) error {
+func runRole(ctx context.Context, s *settings.Settings, loadSettings direct.SettingsLoader, hangups <-chan os.Signal, tel *telemetry.Telemetry) error {
 	if s.Role != settings.RoleDirect {
-		ignoreSIGHUP(ctx, tel)
+		go logSIGHUP(hangups, tel)
 	}
 	switch s.Role {
 	case "entry":
@@ -138,21 +142,10 @@
 	return fmt.Errorf("unknown role %q", s.Role)
 }
 
-// ignoreSIGHUP keeps the process running at SIGHUP, for the roles that read their
-// settings only at the start. To the role direct, SIGHUP means that the settings have
-// changed.
-func ignoreSIGHUP(ctx context.Context, tel *telemetry.Telemetry) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	go func() {
-		defer signal.Stop(signals)
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-signals:
-				tel.Log.Warn("SIGHUP ignored: this role reads its settings only at the start")
-			}
-		}
-	}()
+// logSIGHUP logs each SIGHUP, for the roles that read their settings only at the start. To the role direct, which
+// has a handler of its own, SIGHUP means that the settings have changed.
+func logSIGHUP(hangups <-chan os.Signal, tel *telemetry.Telemetry) {
+	for range hangups {
+		tel.Log.Warn("SIGHUP ignored: this role reads its settings only at the start")
+	}
 }
--- a/cmd/skylarkd/main_test.go
+++ b/cmd/skylarkd/main_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"io"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"skylarklead/test/kit"
@@ -71,3 +75,25 @@
 		})
 	}
 }
+
+// settingsPipe is the environment variable that has TestSIGHUPAtTheStartDoesNotEndTheProcess run the daemon.
+const settingsPipe = "SKYLARKD_TEST_SETTINGS_PIPE"
+
+// Guards against a SIGHUP that ends a process of any role before the role runs.
+func TestSIGHUPAtTheStartDoesNotEndTheProcess(t *testing.T) {
+	if path := os.Getenv(settingsPipe); path != "" {
+		os.Exit(execute(t.Context(), []string{"skylarkd", "--config", path}, io.Discard, io.Discard))
+	}
+	path := filepath.Join(t.TempDir(), "settings.json")
+	kit.OK(t, syscall.Mkfifo(path, 0o600))
+	daemon := exec.Command(os.Args[0], "-test.run=^TestSIGHUPAtTheStartDoesNotEndTheProcess$")
+	daemon.Env = append(os.Environ(), settingsPipe+"="+path)
+	kit.OK(t, daemon.Start())
+	settings := kit.Must(os.OpenFile(path, os.O_WRONLY, 0))(t) // waits until the daemon reads its settings
+	kit.OK(t, daemon.Process.Signal(syscall.SIGHUP))
+	_, err := settings.WriteString("no settings")
+	kit.OK(t, errors.Join(err, settings.Close()))
+	if err := daemon.Wait(); daemon.ProcessState.ExitCode() != exitUsage {
+		t.Errorf("the process ended with %v, want exit code %d", err, exitUsage)
+	}
+}
--- a/test/promise8_shutdown_test.go
+++ b/test/promise8_shutdown_test.go
@@ -53,6 +53,32 @@
 	t.Logf("%d requests during the rolling restart", total)
 }
 
+// Guards against a SIGHUP that ends a draining entry or endpoint and cuts the stream that runs through both.
+func TestPromise8SIGHUPDuringADrainCutsNothing(t *testing.T) {
+	t.Parallel()
+	c := harness.Start(t, harness.Options{Engines: 1, Entries: 1})
+	chat := harness.NewChat("open", 3*rollingTokens)
+	started := chat.NotifyAtEvent(1)
+	open := make(chan harness.Answer, 1)
+	go func() { open <- c.Caller(c.Entries[0], harness.Foodbank).Chat(t.Context(), chat) }()
+	<-started
+	nodes := []*harness.Node{c.Entries[0], c.Endpoints[0]}
+	for _, n := range nodes {
+		n.Terminate()
+		harness.Await(t, n.ID+" drains", func() bool { return n.CountLog("draining")+n.CountLog("leaving") == 1 })
+		n.Hangup()
+	}
+	if err := harness.Foodbank.CheckComplete(chat, <-open); err != nil {
+		t.Errorf("the open stream: %v", err)
+	}
+	for _, n := range nodes {
+		n.AwaitEnd()
+		if code := n.ExitCode(); code != 0 {
+			t.Errorf("%s ended with code %d", n.ID, code)
+		}
+	}
+}
+
 // engineRuns returns the number of runs of the engines of these endpoints, or of all
 // if none is given, by the engines' own accounts.
 func engineRuns(c *harness.Cluster, endpoints ...*harness.Node) int {
