Held answers take the memory that is reserved for them

What callers saw: nothing; an entry that holds answers back during its drain takes more memory than it reserves. Found by a reviewer.

The answer is a list of pieces of heldPiece, the unit that is reserved, as bodies are.

--- a/internal/direct/held.go
+++ b/internal/direct/held.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"bytes"
 	"errors"
 	"maps"
 	"net/http"
@@ -26,7 +25,9 @@
 	reserved int
 	header   http.Header
 	status   int
-	body     bytes.Buffer
+	// pieces is what was written, in pieces of heldPiece: a buffer that grows by copying takes more memory than
+	// is reserved. Only the last piece isn't full.
+	pieces [][]byte
 }
 
 // newHeldAnswer returns nil if there is no memory.
@@ -54,10 +55,30 @@
 func (h *heldAnswer) WriteHeader(status int) { h.status = status }
 
 func (h *heldAnswer) Write(p []byte) (int, error) {
-	if !h.reserve(h.body.Len() + len(p)) {
+	if !h.reserve(h.length() + len(p)) {
 		return 0, errHeldTooLong
 	}
-	return h.body.Write(p)
+	written := len(p)
+	for len(p) > 0 {
+		last := len(h.pieces) - 1
+		if last < 0 || len(h.pieces[last]) == heldPiece {
+			h.pieces = append(h.pieces, make([]byte, 0, heldPiece))
+			last++
+		}
+		n := min(len(p), heldPiece-len(h.pieces[last]))
+		h.pieces[last] = append(h.pieces[last], p[:n]...)
+		p = p[n:]
+	}
+	return written, nil
+}
+
+// length is how many bytes were written.
+func (h *heldAnswer) length() int {
+	n := len(h.pieces)
+	if n == 0 {
+		return 0
+	}
+	return (n-1)*heldPiece + len(h.pieces[n-1])
 }
 
 // Flush keeps what was written: the answer isn't complete.
@@ -90,7 +111,11 @@
 	}
 	maps.Copy(h.w.Header(), h.header)
 	h.w.WriteHeader(h.status)
-	_, _ = h.w.Write(h.body.Bytes()) // the caller may have gone
+	for _, piece := range h.pieces {
+		if _, err := h.w.Write(piece); err != nil {
+			return // the caller has gone
+		}
+	}
 }
 
 // freeHeld gives back the memory of an answer that was held back.
