Late messages of a peer's earlier epochs don't make it count as ended

What callers saw: refused callers could be told to come back later although a peer served. Found by a reviewer: a datagram that says that a process ends, and that arrives after the first ones of its successor, made the successor count as ended; its next message made it count as just started, for a second.

Cause: PeerDrains took each message whose epoch wasn't the last one's for a new process. Epochs are random and have no order.

The epochs of a peer are remembered, each with its seq and whether it ended, eight of a peer and for a minute of silence. Messages of one that ended, and repeated ones, are ignored. The end of an epoch that isn't the current one only marks that epoch.

Left: a late message, not the end, of an epoch that wasn't heard to end, with a seq that wasn't heard, counts until the peer's next message (50 ms later with few peers), as there is no order to tell it by. PeerLoads in internal/route takes epochs the same way (read, not tested).

Tests: TestLateMessagesOfEarlierEpochs and TestLateMessageOfAnUnknownEpochCountsUntilTheNext failed before. TestRetryAfterOfAProcessThatShutsDown has a case more, which held before: a peer that is heard again after a silence has just started.

--- a/internal/admit/peerdrains.go
+++ b/internal/admit/peerdrains.go
@@ -12,6 +12,10 @@
 	retryAtOnce = 20 * time.Millisecond
 	// honoredPart is the part of the time left for which callers honor a Retry-After at most.
 	honoredPart = 3
+	// rememberedFor is how long a silent peer's epochs are remembered, far longer than a datagram is under way.
+	rememberedFor = time.Minute
+	// maxEpochs bounds the epochs that are remembered of a peer.
+	maxEpochs = 8
 )
 
 // DrainNotice is what a process that shuts down tells its peers.
@@ -29,10 +33,22 @@
 
 // peerDrain is one peer. A peer that isn't draining has zero times.
 type peerDrain struct {
-	epoch, seq        uint64
-	firstHeard, heard time.Duration
-	draining, ended   bool
-	open, ends        time.Duration
+	// current is the epoch of the last message, one of epochs. Epochs are random: their order is only known from
+	// the messages.
+	current *peerEpoch
+	epochs  map[uint64]*peerEpoch
+	heard   time.Duration
+	// silent is set once the peer doesn't count as alive any more.
+	silent     bool
+	draining   bool
+	open, ends time.Duration
+}
+
+// peerEpoch is one run of a peer's process.
+type peerEpoch struct {
+	seq        uint64
+	firstHeard time.Duration
+	ended      bool
 }
 
 // PeerOutlook is which other processes a refused caller can turn to.
@@ -51,21 +67,49 @@
 // ordered by seq; one that says that the peer ends is its epoch's last.
 func (d *PeerDrains) Heard(peer string, epoch, seq uint64, notice *DrainNotice, now time.Duration) {
 	p := d.peers[peer]
-	if p == nil || p.epoch != epoch {
-		p = &peerDrain{epoch: epoch, firstHeard: now}
+	if p == nil {
+		p = &peerDrain{epochs: make(map[uint64]*peerEpoch)}
 		d.peers[peer] = p
 	}
+	e := p.epochs[epoch]
+	if e == nil {
+		e = p.add(epoch, now)
+	}
 	ends := notice != nil && notice.Left == 0
-	if p.ended || seq <= p.seq && !ends {
+	if e.ended || seq <= e.seq && !ends {
 		return
 	}
-	p.seq, p.heard, p.ended, p.draining = max(p.seq, seq), now, ends, notice != nil
+	e.seq, e.ended = max(e.seq, seq), ends
+	if ends && p.current != nil && p.current != e {
+		return // the end of another epoch says nothing about the current one
+	}
+	if p.silent {
+		p.silent, e.firstHeard = false, now
+	}
+	p.current, p.heard, p.draining = e, now, notice != nil
 	p.open, p.ends = 0, 0
 	if notice != nil {
 		p.open, p.ends = now+notice.Open, now+notice.Left
 	}
 }
 
+// add adds an epoch, in place of the one that was first heard the longest ago if there are too many.
+func (p *peerDrain) add(epoch uint64, now time.Duration) *peerEpoch {
+	if len(p.epochs) >= maxEpochs {
+		var oldest uint64
+		var first *peerEpoch
+		for id, e := range p.epochs {
+			if e != p.current && (first == nil || e.firstHeard < first.firstHeard) {
+				oldest, first = id, e
+			}
+		}
+		delete(p.epochs, oldest)
+	}
+	e := &peerEpoch{firstHeard: now}
+	p.epochs[epoch] = e
+	return e
+}
+
 // Outlook returns which peers callers can turn to. A peer counts as alive for a time after its last message.
 func (d *PeerDrains) Outlook(now, aliveFor time.Duration) PeerOutlook {
 	var o PeerOutlook
@@ -78,10 +122,13 @@
 			o.Open = o.Open || alive && now < p.open
 			o.backAt(back)
 		case !alive:
-			delete(d.peers, id)
+			p.silent = true
+			if now-p.heard > rememberedFor {
+				delete(d.peers, id)
+			}
 		case p.draining:
-		case now < p.firstHeard+rotationTime:
-			o.backAt(p.firstHeard + rotationTime)
+		case now < p.current.firstHeard+rotationTime:
+			o.backAt(p.current.firstHeard + rotationTime)
 		default:
 			o.Steady, o.Open = true, true
 		}
--- a/internal/admit/peerdrains_test.go
+++ b/internal/admit/peerdrains_test.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -43,6 +44,11 @@
 			d.Heard("a", 1, 9, notice(0, time.Second), now-time.Second)
 			d.Heard("a", 2, 1, nil, now-100*time.Millisecond)
 		}, patient, rotationTime - 100*time.Millisecond},
+		{"one is heard again after a silence", func(d *PeerDrains) {
+			d.Heard("a", 1, 1, nil, 0)
+			d.Outlook(now-100*time.Millisecond, testAlive)
+			d.Heard("a", 1, 2, nil, now-100*time.Millisecond)
+		}, patient, rotationTime - 100*time.Millisecond},
 		{"a message of before the end comes late", func(d *PeerDrains) {
 			d.Heard("a", 1, 0, notice(0, 0), now)
 			d.Heard("a", 1, 7, nil, now)
@@ -65,6 +71,69 @@
 	}
 }
 
+// Guards against a peer that serves and counts as ended because of late messages of its earlier epochs.
+func TestLateMessagesOfEarlierEpochs(t *testing.T) {
+	const interval, messages = 50 * time.Millisecond, 40
+	type message struct {
+		epoch, seq uint64
+		notice     *DrainNotice
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		epochs := rapid.SliceOfNDistinct(rapid.Uint64Range(0, math.MaxUint64/2), 2, 2*maxEpochs, rapid.ID).Draw(t, "epochs")
+		d, now := NewPeerDrains(), time.Minute
+		var earlier []message
+		// steady checks the peer, whose current epoch began at a time.
+		steady := func(began time.Duration) {
+			if o := d.Outlook(now, testAlive); o.Draining || o.Steady != (now-began >= rotationTime) {
+				t.Fatalf("%v after the peer's start: %+v", now-began, o)
+			}
+		}
+		for i, epoch := range epochs {
+			began := now
+			for seq := uint64(1); seq <= messages; seq++ {
+				d.Heard("a", epoch, seq, nil, now)
+				steady(began)
+				for _, late := range rapid.SliceOfN(rapid.IntRange(0, 10), 0, 2).Draw(t, "late") {
+					if late < len(earlier) {
+						m := earlier[late]
+						d.Heard("a", m.epoch, m.seq, m.notice, now)
+						steady(began)
+					}
+				}
+				now += interval
+			}
+			d.Heard("a", epoch, messages+1, notice(time.Second, interval), now)
+			if rapid.Bool().Draw(t, "its end is heard") {
+				d.Heard("a", epoch, 0, notice(0, 0), now)
+			}
+			// The last message is of an epoch of which nothing else was heard.
+			earlier = []message{{epoch, messages - 1, nil}, {epoch, messages + 1, notice(time.Second, interval)}, {epoch, 0, notice(0, 0)}, {^epoch, 0, notice(0, 0)}}
+			now += rapid.SampledFrom([]time.Duration{restartTime, 2 * time.Second, 2*rememberedFor - time.Duration(i)*time.Second}).Draw(t, "stopped for")
+			if now-began > rememberedFor {
+				earlier = nil // nothing is under way that long
+			}
+			if rapid.Bool().Draw(t, "asked while it is down") {
+				d.Outlook(now, testAlive)
+			}
+		}
+	})
+}
+
+// Guards against a peer that is taken for gone for good by a late message of an epoch that was never heard.
+func TestLateMessageOfAnUnknownEpochCountsUntilTheNext(t *testing.T) {
+	d, now := NewPeerDrains(), time.Minute
+	for seq := uint64(1); seq < 40; seq++ {
+		d.Heard("a", 2, seq, nil, now)
+		now += 50 * time.Millisecond
+	}
+	d.Heard("a", 1, 90, notice(0, time.Second), now)
+	d.Heard("a", 1, 0, notice(0, 0), now)
+	d.Heard("a", 2, 40, nil, now)
+	if o := d.Outlook(now, testAlive); !o.Steady || o.Draining {
+		t.Errorf("after its next message: %+v", o)
+	}
+}
+
 // Guards against callers that come back when no process accepts them, though they would have waited for one,
 // in restarts of any number of processes at any times.
 func TestCallersComeBackWhenOneAccepts(t *testing.T) {
