A slow HTTP/1.0 caller sees that its stream was cut

What callers saw: a caller of HTTP/1.0 that reads too slowly until its deadline got a part of the stream and then the orderly end of its connection, which without chunks ends the answer, too. Found by a reviewer.

Cause: callerDisconnected, where a write to the caller fails, closed the connection without the reset that abort sends such callers.

Both now end in breakOff, which resets connections of HTTP/1.0.

Test: TestSlowHTTP10CallerSeesThatItsStreamWasCut failed before: 4,020,649 of 15,277,790 bytes and an orderly end; four of four passed after. The reviewer's took any error for a cut, also a timeout of the test's own; this one wants a reset. Its first draft, with a receive buffer of 4 KB, passed on the code before for that reason. All of internal/direct passes, and -run 'Slow|HTTP10|CallersGet' of platform.

--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -215,6 +215,11 @@
 		return
 	}
 	req.outcome, req.reason = outcomeCut, reason
+	req.breakOff()
+}
+
+// breakOff closes the connection in a way that doesn't look like the end of the answer. It doesn't return.
+func (req *request) breakOff() {
 	if !req.httpRequest.ProtoAtLeast(1, 1) {
 		req.resetConnection()
 	}
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -206,5 +206,6 @@
 		return 0, true
 	}
 	req.outcome, req.reason = outcomeCallerLeft, err.Error()
-	panic(http.ErrAbortHandler)
+	req.breakOff()
+	return 0, true
 }
