Test: a use comes back while its record is removed

A fixed schedule for the closing step of a removal. It fails if Tidy removes a record at once (a stream may begin at v1, and the records name v2 alone), and passes with the two steps.

--- a/internal/origin/ledger_test.go
+++ b/internal/origin/ledger_test.go
@@ -394,3 +394,40 @@
 		t.Fatalf("the store has %+v", evidence)
 	}
 }
+
+// Guards against a stream at a use that came back, whose record is removed just after it was read.
+func TestUseComesBackWhileItsRecordIsRemoved(t *testing.T) {
+	const L = modelLifetime
+	v1, v2 := UseName{"s", "v1", "m"}, UseName{"s", "v2", "m"}
+	store := map[Use]Recorded{v1.Use(): {Name: v1}, v2.Use(): {Name: v2}}
+	page := func() *Evidence {
+		e := &Evidence{Complete: true, Uses: map[Use]Recorded{}}
+		for u, r := range store {
+			e.Uses[u] = r
+		}
+		return e
+	}
+	remover := NewLedger(L, 0)
+	now := time.Duration(0)
+	for ; now < 2*L; now += time.Second {
+		remover.Listed(v2, now)
+	}
+	e := page()
+	remover.Read(e, now, now)
+	change := remover.Tidy(e, now) // decided; takes effect after the other one's read
+	other := NewLedger(L, now)
+	other.Listed(v2, now)
+	other.Listed(v1, now)
+	other.Read(page(), now, now)
+	for _, u := range change.Close {
+		r := store[u]
+		r.Closing = true
+		store[u] = r
+	}
+	for _, u := range change.Remove {
+		delete(store, u)
+	}
+	if got := page().Only("m"); got == v2.Use().Software && other.May(v1.Use().Software, "m") {
+		t.Errorf("a stream may begin at v1, and the records name v2 alone")
+	}
+}
