Resumable streams begin at replicas of recorded software only

Once all entries were killed, take-ups read complete records that name v1 alone, and went on at v1.

Cause: mayBegin let streams begin where the software is unknown, on the ground that the record is about to come. announceOrigin announced nothing for them.

Now a resumable stream waits until the replica's record is read, unless the store is down for all readers that this entry hears of: no record comes then. Such streams are announced as of unknown software, so that a take-up that names one is refused; one that names none may still be decided by v1's record alone, if it comes once the store is back and before v2 is recorded: open.

Streams that may run once aren't held back any more, neither at adopted replicas nor at versions yet to be recorded; so the records don't cover them, and a take-up on such a route (Last-Event-Id without can_resume) gets 503, not run, where it could go on at the only version before.

The four new tests in softwareuses_test.go failed before.

--- a/internal/direct/poll.go
+++ b/internal/direct/poll.go
@@ -29,12 +29,14 @@
 func (m *replicaMonitor) markStoreDown(at time.Duration) {
 	m.mu.Lock()
 	m.storeDown, m.storeDownSince = true, at
+	m.entry.state.storeDown.Store(true)
 	m.mu.Unlock()
 }
 
 func (m *replicaMonitor) markStoreUp() {
 	m.mu.Lock()
 	m.storeDown = false
+	m.entry.state.storeDown.Store(false)
 	m.mu.Unlock()
 }
 
--- a/internal/direct/software.go
+++ b/internal/direct/software.go
@@ -46,6 +46,11 @@
 	if !req.takesUp() {
 		return
 	}
+	if !req.route.Resumable {
+		// Such streams begin at versions that aren't recorded too.
+		req.takenUp = origin.Unknown
+		return
+	}
 	known := false
 	if req.params.Resumes != "" {
 		req.takenUp, known = req.entry.peers.origins.resolve(req.ctx, origin.StreamOf(req.params.Resumes))
@@ -82,7 +87,7 @@
 	case req.begunAt != nil:
 		return requiredSoftware{bound: true, version: origin.SoftwareOf(req.begunAt.Service, req.entry.state.softwareAt(req.begunAt))}
 	}
-	return requiredSoftware{recorded: req.route.Kind == fleet.Streaming}
+	return requiredSoftware{recorded: req.route.Kind == fleet.Streaming && req.route.Resumable}
 }
 
 // announceOrigin tells other entries which software began the stream, before the caller has its first
@@ -95,9 +100,8 @@
 	s.mu.Lock()
 	version := req.requiredSoftware().version
 	s.mu.Unlock()
-	if version != origin.Unknown {
-		req.entry.peers.origins.announce(origin.StreamOf(req.params.ID), version)
-	}
+	// A stream of unknown software is announced too, so that the records don't decide it.
+	req.entry.peers.origins.announce(origin.StreamOf(req.params.ID), version)
 }
 
 // abortUnresumable breaks off a stream that no replica can go on with. If its software can't be told
--- a/internal/direct/softwareuses.go
+++ b/internal/direct/softwareuses.go
@@ -116,10 +116,14 @@
 	return waits
 }
 
-// mayBegin reports whether a stream of a model may begin at a replica. One whose software isn't known is
-// about to be listed with it. The caller holds mu.
+// mayBegin reports whether a stream of a model may begin at a replica. One that was adopted may run any
+// software until its record is read. While the store is down no record comes, and streams are served there all
+// the same; they are announced as of unknown software. The caller holds mu.
 func (s *state) mayBegin(r *fleet.Replica, model string) bool {
-	return r.Software == "" || s.uses.May(origin.SoftwareOf(r.Service, r.Software), model)
+	if r.Software == "" {
+		return s.storeDown.Load()
+	}
+	return s.uses.May(origin.SoftwareOf(r.Service, r.Software), model)
 }
 
 // softwareUses keeps in the store at which software versions streams may have begun. So an entry that has
--- a/internal/direct/softwareuses_test.go
+++ b/internal/direct/softwareuses_test.go
@@ -127,6 +127,85 @@
 	}
 }
 
+// Guards against a stream that begins, while the store answers, at a replica known by its report alone.
+func TestNoStreamBeginsAtAnAdoptedReplica(t *testing.T) {
+	e := newQueueEntry(t)
+	e.platform.Store = nil
+	old := &fleet.Replica{ID: "a@1", Name: "a", StartedAtMs: 1, Service: "s", Software: "v1", Slots: 1, Weights: map[string]uint64{"m": 1}}
+	e.state.replicas.Put(old, 1, 0)
+	e.uses.applyWritten([]origin.Use{useV1.Use()}, 0)
+	now := e.clock.now()
+	e.state.replicas.Replaced(old.ID, now)
+	fresh := old.Restarted("b", 2)
+	fresh.Weights = old.Weights
+	update := e.state.replicas.Adopt(fresh, now)
+	e.applyReplicaUpdate(fresh, &update, false)
+	req := newStreamRequest(e, &fleet.Service{Name: "s"}, nil)
+	got, excluded := e.state.candidates(req.service, "m", req.requiredSoftware(), now)
+	for _, c := range got {
+		t.Errorf("a stream may begin at %s, whose software %q isn't recorded", c.ID, e.state.replicas.Get(c.ID).Software)
+	}
+	if excluded.unrecorded != 1 {
+		t.Errorf("excluded %+v, want one whose software isn't recorded", excluded)
+	}
+	e.monitor.markStoreDown(now)
+	if got, excluded = e.state.candidates(req.service, "m", req.requiredSoftware(), now); len(got) != 1 {
+		t.Errorf("no stream is served while the store is down, excluded %+v", excluded)
+	}
+}
+
+// Guards against plain requests, and streams that can't be taken up, that wait until a version is recorded.
+func TestOnlyResumableStreamsWaitForTheRecord(t *testing.T) {
+	e := newQueueEntry(t)
+	for id, software := range map[string]string{"adopted": "", "listed": "v1"} {
+		e.state.replicas.Put(&fleet.Replica{ID: id, Name: id, Service: "s", Software: software, Slots: 1, Weights: map[string]uint64{"m": 1}}, 1, 0)
+	}
+	for _, kind := range []fleet.Kind{fleet.Idempotent, fleet.Streaming} {
+		req := newStreamRequest(e, &fleet.Service{Name: "s"}, nil)
+		req.route = &fleet.Route{Kind: kind}
+		if got, excluded := e.state.candidates(req.service, "m", req.requiredSoftware(), e.clock.now()); len(got) != 2 {
+			t.Errorf("kind %v: %d of 2 replicas may take it, excluded %+v", kind, len(got), excluded)
+		}
+	}
+}
+
+// Guards against a take-up on a route whose streams may have begun at versions that aren't recorded.
+func TestStreamThatMayRunOnceIsNotTakenUp(t *testing.T) {
+	store := &usesStore{}
+	store.set(nil, useV1)
+	e := newQueueEntry(t)
+	e.platform.Store = store
+	req := newStreamRequest(e, &fleet.Service{Name: "s"}, nil)
+	req.ctx, req.params.Model, req.params.LastEvent = t.Context(), "m", "3"
+	req.resolveOrigin()
+	if req.takenUp != useV1.Use().Software {
+		t.Errorf("%v of a resumable stream, want the only version", req.takenUp)
+	}
+	req.route = &fleet.Route{Kind: fleet.Streaming}
+	req.resolveOrigin()
+	if req.takenUp != origin.Unknown {
+		t.Errorf("%v of a stream that may run once", req.takenUp)
+	}
+}
+
+// Guards against a take-up by the records of a stream whose entry couldn't tell its software.
+func TestStreamOfUnknownSoftwareIsAnnounced(t *testing.T) {
+	e := newQueueEntry(t)
+	e.settings.Direct.Peers = "127.0.0.1:0"
+	peers, err := newPeers(e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { peers.conn.Close() })
+	e.peers = peers
+	req := newStreamRequest(e, &fleet.Service{Name: "s"}, &fleet.Replica{ID: "a@1", Name: "a", Service: "s"})
+	req.params.ID = "attempt"
+	req.announceOrigin()
+	if software, known := e.peers.origins.lookup(origin.StreamOf("attempt")); !known || software != origin.Unknown {
+		t.Errorf("%v, known: %v", software, known)
+	}
+}
+
 // Guards against records of another era, of other writers and of names that don't fit their keys.
 func TestEvidenceOfOtherRecords(t *testing.T) {
 	good := encodeUseRecord(useV1, false)
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -65,6 +65,8 @@
 	leavingToSend map[string]int
 	// uses says at which software versions streams may begin.
 	uses *origin.Ledger
+	// storeDown is set while the store doesn't answer this entry, and read without a lock.
+	storeDown atomic.Bool
 	// listRead is set once the whole replica list has been read.
 	listRead bool
 	// listRestoredAt is when the list was last read from a store that had been restored from an
