Entries that the store rejects from their start on get ready

Callers saw: one entry is killed, its link to the store alone is cut, and it starts: not ready in 12 s, 0 of 10 streams served, though its peers have all records.

Cause: run looped in begin, before it could ask peers or set settled.

begin and the first read run beside the loop now. The loop asks peers as soon as the list is known, and settles at the latest a second later. Registration waits for begin as before; so do this entry's writes, so that begin finds none of them.

--- a/internal/direct/softwareuses.go
+++ b/internal/direct/softwareuses.go
@@ -32,6 +32,8 @@
 	// settleTimeout is how long an entry that starts may take to have the listed versions recorded before
 	// it is ready: for requests other than streams, and streams at those that are.
 	settleTimeout = time.Second
+	// startPause is the pause of an entry that starts until it looks again whether the versions are recorded.
+	startPause = 50 * time.Millisecond
 	// refusalReuse is how long after a read streams are refused by it, without another one.
 	refusalReuse = time.Second
 	// maxAskedPeers is how many peers are asked whether a use is recorded.
@@ -134,6 +136,8 @@
 	wake chan struct{}
 	// begun is closed once the records have been read, and begun if no entry has ever run before.
 	begun chan struct{}
+	// started is set once the records have been read after the list. Nothing is written before.
+	started atomic.Bool
 	// settled is set once streams may begin at all versions that were listed at the start, or after
 	// settleTimeout. The entry isn't ready before.
 	settled atomic.Bool
@@ -166,27 +170,27 @@
 
 // run records and removes uses until ctx ends.
 func (u *softwareUses) run(ctx context.Context) {
-	for u.begin(ctx) != nil {
-		if wait.For(ctx, verdictReadPause) != nil {
-			return
-		}
-	}
-	close(u.begun)
-	// What is read before the list counts for none of its uses.
+	var start sync.WaitGroup
+	defer start.Wait()
+	start.Go(func() { u.start(ctx) })
 	listedAt := time.Duration(0)
-	for known := false; ; {
-		now := u.entry.clock.now()
-		listed := u.entry.state.listKnown()
-		if listed && listedAt == 0 {
-			listedAt = now
-		}
+	for {
 		in := sweepInterval
-		if listed && !known {
-			known = u.read(ctx).err == nil
+		if u.entry.state.listKnown() {
+			now := u.entry.clock.now()
+			if listedAt == 0 {
+				listedAt = now
+			}
+			if u.started.Load() {
+				in = u.step(ctx)
+			} else if names := u.unrecorded(); len(names) > 0 {
+				// The store may not answer, or only after its timeout.
+				u.ask(names)
+			}
+			u.settled.Store(u.settled.Load() || len(u.unrecorded()) == 0 || u.entry.clock.now()-listedAt > settleTimeout)
 		}
-		if listed {
-			in = u.step(ctx)
-			u.settled.Store(u.settled.Load() || u.allRecorded() || now-listedAt > settleTimeout)
+		if !u.settled.Load() {
+			in = min(in, startPause)
 		}
 		select {
 		case <-ctx.Done():
@@ -197,12 +201,30 @@
 	}
 }
 
-// allRecorded reports whether streams may begin at all versions that are listed.
-func (u *softwareUses) allRecorded() bool {
+// start begins the records and reads them for the versions that are listed at the start: what is read before
+// the list counts for none of its uses. Only then are records written, so that begin finds none of this entry.
+func (u *softwareUses) start(ctx context.Context) {
+	for u.begin(ctx) != nil {
+		if wait.For(ctx, verdictReadPause) != nil {
+			return
+		}
+	}
+	close(u.begun)
+	for !u.entry.state.listKnown() || u.read(ctx).err != nil {
+		if wait.For(ctx, startPause) != nil {
+			return
+		}
+	}
+	u.started.Store(true)
+	trySignal(u.wake)
+}
+
+// unrecorded returns the listed uses at which streams may not begin.
+func (u *softwareUses) unrecorded() []origin.UseName {
 	e := u.entry
 	e.state.mu.Lock()
 	defer e.state.mu.Unlock()
-	return e.state.uses.AllRecorded()
+	return e.state.uses.Unrecorded()
 }
 
 // begin reads the records. If the store has none, and no entry has ever registered, they are complete: no
--- a/internal/origin/ledger.go
+++ b/internal/origin/ledger.go
@@ -180,14 +180,15 @@
 // Era returns the store's era as far as it is known.
 func (l *Ledger) Era() uint64 { return l.era }
 
-// AllRecorded reports whether streams may begin at all uses that were listed.
-func (l *Ledger) AllRecorded() bool {
+// Unrecorded returns the uses that were listed and at which streams may not begin.
+func (l *Ledger) Unrecorded() []UseName {
+	var names []UseName
 	for _, s := range l.uses {
 		if s.listed && !s.recorded {
-			return false
+			names = append(names, s.name)
 		}
 	}
-	return true
+	return names
 }
 
 // Missed records that changes of the list may have been missed.
