An HTTP/1.0 caller whose stream was cut always sees a reset

Cause, by strace of 14 plays: in the one that failed, shutdown(SHUT_WR) came 0.2 ms before SO_LINGER 0; in the 13 that passed there was no shutdown. net/http closes a connection when a write of the handler fails, and not when a flush fails; the write deadline passes in one or the other. The delayed close then had sent the end of the output before the handler asked for a reset. Ruled out by the same traces: a FIN that the kernel sends in spite of SO_LINGER 0, and a reader that loses the error that follows the data.

Change: the reset is the default. From the beginning of an HTTP/1.0 request its socket has SO_LINGER 0, so that it is reset however it is closed, by the kernel too when the process is killed. Only a close after the handler has returned, with no write failed or under way, ends the connection in order, with the delay as before. This covers what nobody reported: a last flush that fails after the handler, a handler that ignores an error (streams that were held back), a panic, a server that is closed, a killed process. The handler's own reset by Hijack is gone.

--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -16,6 +16,10 @@
 	closed   atomic.Bool
 	// discards is set if the close drops what is undelivered and resets the connection.
 	discards atomic.Bool
+	// answered is set once the handler of an HTTP/1.0 request has returned.
+	answered atomic.Bool
+	// unwritten is set during a write, and after one that failed.
+	unwritten atomic.Bool
 }
 
 // SetLinger is TCPConn.SetLinger. With 0 seconds the close isn't delayed, and resets the connection.
@@ -34,18 +38,22 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	if c.closed.Load() {
-		return 0, net.ErrClosed
+	if err := c.beginWrite(); err != nil {
+		return 0, err
 	}
-	return c.TCPConn.Write(p)
+	n, err := c.TCPConn.Write(p)
+	c.endWrite(err)
+	return n, err
 }
 
 // ReadFrom implements io.ReaderFrom.
 func (c *conn) ReadFrom(r io.Reader) (int64, error) {
-	if c.closed.Load() {
-		return 0, net.ErrClosed
+	if err := c.beginWrite(); err != nil {
+		return 0, err
 	}
-	return c.TCPConn.ReadFrom(r)
+	n, err := c.TCPConn.ReadFrom(r)
+	c.endWrite(err)
+	return n, err
 }
 
 // Close implements net.Conn. It returns at once and ends pending reads and writes. The peer sees the end of
@@ -54,6 +62,9 @@
 	if c.closed.Swap(true) {
 		return net.ErrClosed
 	}
+	if c.answered.Load() && !c.unwritten.Load() {
+		_ = c.SetLinger(-1)
+	}
 	if c.discards.Load() || c.pending() == 0 {
 		return c.TCPConn.Close()
 	}
--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -215,29 +215,9 @@
 		return
 	}
 	req.outcome, req.reason = outcomeCut, reason
-	req.breakOff()
-}
-
-// breakOff closes the connection in a way that doesn't look like the end of the answer. It doesn't return.
-func (req *request) breakOff() {
-	if !req.httpRequest.ProtoAtLeast(1, 1) {
-		req.resetConnection()
-	}
 	panic(http.ErrAbortHandler)
 }
 
-// resetConnection resets the caller's connection. Without chunks an orderly end of it would end the answer, too.
-func (req *request) resetConnection() {
-	conn, _, err := http.NewResponseController(req.w).Hijack()
-	if err != nil {
-		return // a test's response has no connection
-	}
-	if c, ok := conn.(interface{ SetLinger(int) error }); ok {
-		_ = c.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 // pickReplica picks a replica now; nil if none can take the request. The caller holds the state's
 // lock.
 func (req *request) pickReplica(now time.Duration) *placement {
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -228,7 +228,7 @@
 
 func (e *Entry) newServer() *http.Server {
 	limits := e.limits()
-	return &http.Server{
+	server := &http.Server{
 		Handler:           http.HandlerFunc(e.serveHTTP),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
@@ -236,6 +236,8 @@
 		BaseContext:       func(net.Listener) context.Context { return e.drain.requests },
 		ErrorLog:          slog.NewLogLogger(e.tel.Log.Handler(), slog.LevelWarn),
 	}
+	delivery.ResetIncomplete(server)
+	return server
 }
 
 // serveReady serves the readiness endpoint: 503 if no new connections should come.
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -206,6 +206,5 @@
 		return 0, true
 	}
 	req.outcome, req.reason = outcomeCallerLeft, err.Error()
-	req.breakOff()
-	return 0, true
+	panic(http.ErrAbortHandler)
 }
