Role entry: HTTP/1.0 callers see that their answers were cut

An HTTP/1.0 caller that stopped reading got a part of a stream, a whole answer or a call's answer, and then an orderly end, which ends its answer; the same where the process ended under its stream.

Cause: answers to HTTP/1.0 have no chunks, and the role entry closed such connections in order however far the answer had got.

Change: the callers' server uses delivery.ResetIncomplete.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/gorilla/mux"
 
+	"skylarklead/internal/delivery"
 	"skylarklead/internal/protocol"
 	"skylarklead/internal/wire"
 )
@@ -62,6 +63,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(e.tel.Log.Handler(), slog.LevelWarn),
 	}
+	delivery.ResetIncomplete(server)
 	files := e.settings.Entry.TLS
 	if files == nil {
 		return server, nil
