Answers whose end net/http looks for elsewhere are malformed

Callers would have got a 200 whose body has the framing of chunks in it, or is a part of the answer: where a replica or service answers HTTP/1.0 and names Transfer-Encoding, and (found here) where it puts a space before the colon of Transfer-Encoding or Content-Length, under HTTP/1.1 too. Control calls took such answers as well (an order "accepted").

Cause: net/http drops the transfer coding of an HTTP/1.0 answer from the header without a word, and keeps a name with a space as a field of another name. The end of the connection then ends the body. RFC 9112 (5.1, 6.1) has such framing as faulty.

Change: package framing. At internal/upstream a head of an old version is looked at before it is parsed; clients of net/http (engines and services, control calls to replicas, the store, the platform) have transports whose connections follow the heads. Such an answer is an ErrMalformed at replicas, an unknown outcome at services and engines. Connections of HTTP/1.0 to replicas aren't kept.

--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"time"
+
+	"skylarklead/internal/framing"
 )
 
 // Timeouts of the connections to a back end, which is co-located with this process.
@@ -33,13 +35,13 @@
 // too, so redirects are not followed.
 func singleUseClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: framing.Transport(&http.Transport{
 			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 
 			MaxResponseHeaderBytes: maxHeadBytes,
-		},
+		}),
 		CheckRedirect: noRedirect,
 	}
 }
@@ -47,14 +49,14 @@
 // keepAliveClient returns a client for requests that may be repeated.
 func keepAliveClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: framing.Transport(&http.Transport{
 			DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			IdleConnTimeout:       idleTimeout,
 			ResponseHeaderTimeout: headerTimeout,
 			DisableCompression:    true,
 
 			MaxResponseHeaderBytes: maxHeadBytes,
-		},
+		}),
 		CheckRedirect: noRedirect,
 	}
 }
--- /dev/null
+++ b/internal/framing/framing.go
@@ -0,0 +1,74 @@
+// Package framing rejects answers whose end net/http looks for elsewhere than their sender put it.
+//
+// net/http ignores the transfer coding of an answer of a version before HTTP/1.1, and a length or coding whose name is followed by
+// a space. Such an answer would be taken for one that the end of its connection ends, with the chunks' framing as its body.
+package framing
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+)
+
+// ErrFaulty reports an answer whose end can't be told.
+var ErrFaulty = errors.New("framing: the end of the answer can't be told")
+
+const transferEncoding = "Transfer-Encoding"
+
+// oldVersions begin the heads of the versions that have none.
+var oldVersions = []string{"HTTP/1.0", "HTTP/0."}
+
+// IsOld reports whether the beginning of a head is that of a version without transfer codings.
+func IsOld(head []byte) bool {
+	return slices.ContainsFunc(oldVersions, func(v string) bool { return bytes.HasPrefix(head, []byte(v)) })
+}
+
+// CheckHeader checks the header of an answer that net/http has read.
+func CheckHeader(h http.Header) error {
+	for name := range h {
+		if trimmed := strings.TrimSpace(name); trimmed != name && (strings.EqualFold(trimmed, transferEncoding) || strings.EqualFold(trimmed, "Content-Length")) {
+			return ErrFaulty
+		}
+	}
+	return nil
+}
+
+// CheckHead checks the bytes of a head for what net/http leaves out of the header.
+func CheckHead(head []byte) error {
+	if !IsOld(head) {
+		return nil
+	}
+	for line := range bytes.Lines(head) {
+		if namesCoding(line) {
+			return ErrFaulty
+		}
+	}
+	return nil
+}
+
+// namesCoding reports whether a line of a head is a transfer coding.
+func namesCoding(line []byte) bool {
+	name, _, ok := bytes.Cut(line, []byte(":"))
+	return ok && strings.EqualFold(string(bytes.TrimRight(name, " ")), transferEncoding)
+}
+
+// ReadHead reads a head up to and with the empty line that ends it, or the part before an error.
+func ReadHead(r *bufio.Reader) (head []byte, err error) {
+	for begin := 0; ; {
+		part, err := r.ReadSlice('\n')
+		head = append(head, part...)
+		switch {
+		case err == bufio.ErrBufferFull:
+			continue
+		case err != nil || isEmpty(head[begin:]):
+			return head, err
+		}
+		begin = len(head)
+	}
+}
+
+// isEmpty reports whether a line is the one that ends a head.
+func isEmpty(line []byte) bool { return string(line) == "\r\n" || string(line) == "\n" }
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"skylarklead/internal/framing"
 	"skylarklead/internal/retryafter"
 )
 
@@ -80,14 +81,14 @@
 // a second from the whole fleet, so that the handshakes cost little.
 func newAppendClient() *http.Client {
 	return &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
+		Transport:     framing.Transport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}),
 		CheckRedirect: refuseRedirect,
 	}
 }
 
 func newReadClient() *http.Client {
 	return &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes},
+		Transport:     framing.Transport(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}),
 		CheckRedirect: refuseRedirect,
 	}
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -9,6 +10,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"skylarklead/internal/framing"
 )
 
 // Request is a request to a replica. Its body is complete, so that its length is
@@ -178,17 +181,46 @@
 // protocolName begins every answer.
 const protocolName = "HTTP/"
 
+// versionLength is the length of the version that begins an answer.
+const versionLength = len(protocolName + "1.1")
+
 // readResponse reads the head of one answer.
 func (e *Exchange) readResponse(method string) (*http.Response, error) {
-	begin, _ := e.conn.reader.Peek(len(protocolName)) // an error comes again when the head is read
-	isAnswer := strings.HasPrefix(protocolName, string(begin))
-	resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: method})
+	begin, _ := e.conn.reader.Peek(versionLength) // an error comes again when the head is read
+	isAnswer := strings.HasPrefix(protocolName, string(begin[:min(len(begin), len(protocolName))]))
+	read := readHead
+	if framing.IsOld(begin) {
+		read = readOldHead
+	}
+	resp, err := read(e.conn.reader, &http.Request{Method: method})
 	if err != nil && !isAnswer {
 		return nil, markMalformed(err)
 	}
 	return resp, e.conn.input.explain(err)
 }
 
+func readHead(r *bufio.Reader, req *http.Request) (*http.Response, error) {
+	resp, err := http.ReadResponse(r, req)
+	if err != nil {
+		return nil, err
+	}
+	return resp, framing.CheckHeader(resp.Header)
+}
+
+// readOldHead reads a head of a version before HTTP/1.1. Its connection isn't kept, as bytes that follow the answer are read
+// ahead elsewhere.
+func readOldHead(r *bufio.Reader, req *http.Request) (*http.Response, error) {
+	head, _ := framing.ReadHead(r) // an error comes again when the head is parsed
+	if err := framing.CheckHead(head); err != nil {
+		return nil, err
+	}
+	resp, err := readHead(bufio.NewReader(io.MultiReader(bytes.NewReader(head), r)), req)
+	if err == nil {
+		resp.Close = true
+	}
+	return resp, err
+}
+
 func (e *Exchange) setResponse(resp *http.Response) {
 	e.resp = resp
 	e.Status = resp.StatusCode
