Role entry closes idle connections only once it refuses requests

Callers saw connections closed without an answer at SIGTERM, among them a few whose payment had run. The entry called SetKeepAlivesEnabled(false) when its drain began. That closes idle connections while requests are still accepted; a connection counts as idle until the head of its next request was parsed, and the request then went to an executor though its connection was closed.

The role direct isn't affected: there only Shutdown closes idle connections, after which the server drops a request that it has just read.

Answers of a draining entry say Connection: close instead; idle connections are closed by Shutdown.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -104,7 +104,6 @@
 	ctx, end := e.limitDrain()
 	defer end()
 	e.drain.announceLeaving()
-	server.SetKeepAlivesEnabled(false)
 	e.tel.Log.Info("draining", "in_flight", e.drain.count())
 	time.Sleep(e.settings.Entry.DrainDelay.D())
 	e.drain.refuseNew()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,9 +1,13 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -63,6 +67,36 @@
 	<-drained
 }
 
+// Guards against requests that run, and whose connections are closed without an answer as they were idle when the
+// drain began.
+func TestKeptConnectionsAreServedWhileADrainAccepts(t *testing.T) {
+	portal := newExecutor(t, "portal-1", onRun(func(_ *executor, s *wire.Session, m *protocol.Run) { sendWords(s, m.Attempt, 0, 1, 1) }))
+	e, c := newTestEntry(t, "portal", portal)
+	e.settings.Entry.DrainDelay = settings.Duration(500 * time.Millisecond)
+	conn := kit.Must(net.Dial("tcp", c.Listener.Addr().String()))(t)
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	call := func() *http.Response {
+		kit.Must(fmt.Fprintf(conn, "POST /v1/services/portal/pledges/7 HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer %s\r\nContent-Length: 3\r\n\r\npay", testKey))(t)
+		resp := kit.Must(http.ReadResponse(in, nil))(t)
+		kit.Must(io.Copy(io.Discard, resp.Body))(t)
+		return resp
+	}
+	if resp := call(); resp.StatusCode != http.StatusOK || resp.Close {
+		t.Fatalf("before the drain: status %d, close %v", resp.StatusCode, resp.Close)
+	}
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		e.shutDown(c.Config, delivery.NewListener(c.Listener, delivery.DefaultLimit))
+	}()
+	kit.Until(t, "draining", e.drain.draining)
+	if resp := call(); resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("during the drain: status %d, close %v", resp.StatusCode, resp.Close)
+	}
+	<-drained
+}
+
 // Guards against answers that an entry leaves out when the platform kills it at the end of its
 // grace: those of a payment and a stream whose executor needs longer.
 func TestEntryAnswersWhatIsLeftBeforeItIsKilled(t *testing.T) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -100,6 +100,10 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := requestID(r)
 		w.Header().Set("X-Request-Id", id)
+		if e.drain.draining() {
+			// Idle connections stay open until requests are refused: one that crosses a close could run and get no answer.
+			w.Header().Set("Connection", "close")
+		}
 		if refusal := e.drain.requestStarted(); refusal != nil {
 			e.writeRefusal(w, r, id, refusal)
 			return
