A drain waits for answers on connections that are kept

A caller that took its answer steadily, on a connection that is kept and with no request in flight, had part of it when the entry ended: a drain waited only for connections that it had closed, and for a second after Shutdown closed the others. Where a process ends together with its network, the rest is lost.

Evidence: 79 kB taken at 17 kB a second from SIGTERM on.

--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -16,6 +16,11 @@
 	closed   atomic.Bool
 	// discards is set if the close drops what is undelivered and resets the connection.
 	discards atomic.Bool
+
+	// left is the output that the peer hadn't taken at the last look, since when it is that much. The listener's
+	// lock guards both.
+	left  int
+	since time.Time
 }
 
 // SetLinger is TCPConn.SetLinger. With 0 seconds the close isn't delayed, and resets the connection.
@@ -55,9 +60,10 @@
 		return net.ErrClosed
 	}
 	if c.discards.Load() || c.pending() == 0 {
+		c.listener.closed(c)
 		return c.TCPConn.Close()
 	}
-	c.listener.closeDelayed()
+	c.listener.closeDelayed(c)
 	// Errors mean that the connection is broken, which the wait finds out.
 	_ = c.SetDeadline(time.Unix(1, 0))
 	_ = c.CloseWrite()
@@ -94,6 +100,15 @@
 	}
 }
 
+// takesOutput reports whether there is output that the peer hasn't taken, and that it has taken some within the
+// listener's limit.
+func (c *conn) takesOutput(now time.Time) bool {
+	if pending := c.pending(); pending != c.left {
+		c.left, c.since = pending, now
+	}
+	return c.left > 0 && now.Sub(c.since) < c.listener.limit
+}
+
 // pending returns how many bytes of output the peer's kernel hasn't acknowledged. It returns 0 once the
 // connection has ended, and where the kernel can't tell.
 func (c *conn) pending() int {
--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -121,3 +121,41 @@
 		t.Error("the peer saw an orderly end")
 	}
 }
+
+// Guards against a process that takes an answer on a connection that it keeps for delivered, or waits for a peer that takes
+// nothing.
+func TestOutputOnOpenConnectionsIsUndelivered(t *testing.T) {
+	const limit = 50 * time.Millisecond
+	l, server, peer := pair(t, limit)
+	if n := l.Undelivered(); n != 0 {
+		t.Errorf("%d connections without output are undelivered", n)
+	}
+	const answers = 3
+	for range answers {
+		write(t, server, answer)
+	}
+	if n := l.Undelivered(); n != 1 {
+		t.Errorf("%d connections are undelivered; want 1", n)
+	}
+	time.Sleep(limit)
+	if n := l.Undelivered(); n != 0 {
+		t.Errorf("%d connections whose peers take nothing are undelivered", n)
+	}
+	got := make([]byte, len(answer))
+	if _, err := io.ReadFull(peer, got); err != nil {
+		t.Fatal(err)
+	}
+	if n := l.Undelivered(); n != 1 {
+		t.Errorf("%d connections whose peers take output again are undelivered; want 1", n)
+	}
+	server.Close()
+	if n := l.Undelivered(); n != 1 {
+		t.Errorf("%d connections are undelivered after the close; want 1", n)
+	}
+	peer.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), DefaultLimit)
+	defer cancel()
+	if l.Wait(ctx) > 0 || l.Undelivered() > 0 {
+		t.Error("the connection is left")
+	}
+}
--- a/internal/delivery/listener.go
+++ b/internal/delivery/listener.go
@@ -29,6 +29,8 @@
 	limit time.Duration
 
 	mu sync.Mutex
+	// open are the connections that were accepted and aren't closed yet.
+	open map[*conn]struct{}
 	// closing is the number of connections whose close is delayed; none is closed when it falls to 0.
 	closing int
 	none    chan struct{}
@@ -36,7 +38,7 @@
 
 // NewListener wraps a TCP listener.
 func NewListener(l net.Listener, limit time.Duration) *Listener {
-	return &Listener{Listener: l, limit: limit}
+	return &Listener{Listener: l, limit: limit, open: make(map[*conn]struct{})}
 }
 
 // Accept implements net.Listener.
@@ -49,7 +51,11 @@
 	if !ok {
 		return c, nil
 	}
-	return &conn{TCPConn: tcp, listener: l}, nil
+	wrapped := &conn{TCPConn: tcp, listener: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[wrapped] = struct{}{}
+	return wrapped, nil
 }
 
 // Closing returns the number of connections whose close is delayed.
@@ -59,6 +65,19 @@
 	return l.closing
 }
 
+// Undelivered returns the number of connections, of those that are open too, whose peers still take output.
+func (l *Listener) Undelivered() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n, now := l.closing, time.Now()
+	for c := range l.open {
+		if c.takesOutput(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // Wait waits until no close is delayed, or ctx ends. It returns the number of those that are left.
 func (l *Listener) Wait(ctx context.Context) int {
 	l.mu.Lock()
@@ -74,9 +93,16 @@
 	return l.Closing()
 }
 
-func (l *Listener) closeDelayed() {
+func (l *Listener) closed(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
+
+func (l *Listener) closeDelayed(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	delete(l.open, c)
 	if l.closing == 0 {
 		l.none = make(chan struct{})
 	}
--- a/internal/direct/drain.go
+++ b/internal/direct/drain.go
@@ -207,7 +207,7 @@
 	case <-time.After(notReadyDelay):
 	case <-ended:
 	}
-	for (!e.drain.idle() || e.drain.inRotation() || e.rollouts.keepsLease() || e.callers.Closing() > 0) && e.drain.requests.Err() == nil {
+	for (!e.drain.idle() || e.drain.inRotation() || e.rollouts.keepsLease() || e.callers.Undelivered() > 0) && e.drain.requests.Err() == nil {
 		select {
 		case <-time.After(drainPollInterval):
 		case <-ended:
