Direct entries: an event is sent on before the next one is whole

Callers saw: a stream that broke off without its last event, though the entry had it; where the replica pauses in the middle of an event, nothing of the one before it, nor the head, until the pause ends or the deadline passes.

Cause: written events were flushed only with an empty read buffer. With a part of the next event in the buffer the entry waited for its rest, and a break there dropped what wasn't flushed.

Ruled out: a reset connection (the end was an orderly one).

Change: events are flushed unless the buffer holds the next one whole; each by itself in a run that goes on elsewhere, which may break off at any.

What more flushes cost wasn't measured.

--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -64,6 +64,21 @@
 	}
 }
 
+// holdsEvent reports whether the next event can be read without waiting for the replica.
+func (s *sseReader) holdsEvent() bool {
+	buffered, _ := s.r.Peek(s.r.Buffered())
+	for {
+		line, rest, whole := bytes.Cut(buffered, []byte("\n"))
+		if !whole {
+			return false
+		}
+		if len(bytes.TrimRight(line, "\r")) == 0 {
+			return true
+		}
+		buffered = rest
+	}
+}
+
 // readLine appends one line to raw.
 func (s *sseReader) readLine() error {
 	for {
@@ -90,10 +105,21 @@
 
 // forwardStream forwards a replica's events as they arrive. Its head is sent with the first event:
 // before that, the request can still be retried at another replica or be answered with a failure.
+//
+// What was written is flushed before a read that may wait: with a part of the next event in the buffer the caller
+// would wait for that one, too, and lose both if it never comes.
 func (req *request) forwardStream(p *placement, x *upstream.Exchange) (attempt.DispatchFailure, bool) {
 	control := http.NewResponseController(req.w)
 	in := newSSEReader(x.Body)
+	unflushed := false
 	for {
+		// A continued stream may break off at any event.
+		if unflushed && (p.continuation != nil || !in.holdsEvent()) {
+			if err := control.Flush(); err != nil {
+				return req.callerDisconnected(err)
+			}
+			unflushed = false
+		}
 		err := in.next()
 		if err == io.EOF && p.events == 0 && x.CloseDelimited() {
 			err = errNoEvents
@@ -125,12 +151,7 @@
 		if in.id != "" {
 			req.lastEventID = in.id
 		}
-		if in.r.Buffered() > 0 {
-			continue
-		}
-		if err := control.Flush(); err != nil {
-			return req.callerDisconnected(err)
-		}
+		unflushed = true
 	}
 }
 
