Streams begun without a record in an outage aren't taken up by the records

Callers saw: streams joined from two versions. Replicas restarted in place with other software while the store was down and were adopted, as there is no other way to serve there. A stream that began at one and broke off was taken up, when the store was back and before the new version was recorded, at the former one: by callers that name no attempt, or any once the holders were lost.

Cause: the invariant of the records has an exception for the time in which the store is down, and nothing told those who decide by the records that it had been used. Ruled out: wrong answers of holders (none joined while one lives that is asked).

Change: origin.Doubt. An entry at which a stream begins without a record tells all others before the first event; nobody who was told decides by the records for a lifetime and an eighth; the first of them in the rendezvous order writes a record when the store is back, which is one more version to older builds. Who saw the outage waits 2 s after it. An entry that starts asks others first; if all have just started and the store didn't answer one of them, all is in doubt.

Honest take-ups that nobody knows are refused with the others meanwhile.

--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -167,6 +167,7 @@
 }
 
 func (e *Entry) run(ctx context.Context, ready net.Listener) error {
+	e.uses.uninformed.Store(true)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var loops sync.WaitGroup
 	loopFuncs := []func(context.Context){e.followOperator, e.followReplicas, e.rollouts.follow, e.rollouts.run, e.sweep, e.monitor.run, e.peers.run, e.reload, e.verdicts.run, e.uses.run}
--- a/internal/direct/origins.go
+++ b/internal/direct/origins.go
@@ -32,6 +32,11 @@
 	Written   []writtenUse `cbor:"4,keyasint,omitempty"`
 	Era       uint64       `cbor:"5,keyasint,omitempty"`
 	AskedUses []writtenUse `cbor:"6,keyasint,omitempty"`
+	// Doubts are what the sender knows of streams that began at software without a record. AskedDoubts
+	// asks for them; Knows is in the answer. Entries of older builds send none of these and answer nothing.
+	Doubts      []doubtMessage `cbor:"7,keyasint,omitempty"`
+	AskedDoubts bool           `cbor:"8,keyasint,omitempty"`
+	Knows       doubtKnowledge `cbor:"9,keyasint,omitempty"`
 }
 
 // begunStream is an origin.Stream with the origin.Software that began it. The fields are encoded as an
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -60,6 +60,7 @@
 	now := e.clock.now()
 	e.state.mu.Lock()
 	begins := e.state.outage.CallFailed(made.Sub(e.clock.start), now)
+	e.state.uses.StoreFailed()
 	e.state.mu.Unlock()
 	if begins {
 		e.tel.Log.Warn("replica list is stale: the store does not answer", "list_age_ms", (now - time.Duration(e.state.listReadAt.Load())).Milliseconds())
@@ -72,6 +73,9 @@
 func (e *Entry) checkListSilence(now time.Duration) {
 	e.state.mu.Lock()
 	begins := e.state.outage.CheckSilence(now)
+	if begins {
+		e.state.uses.StoreFailed()
+	}
 	e.state.mu.Unlock()
 	if begins {
 		e.tel.Log.Warn("replica list is stale: no answer from any reader", "list_age_ms", (now - time.Duration(e.state.listReadAt.Load())).Milliseconds())
@@ -88,6 +92,9 @@
 	}
 	e.state.mu.Lock()
 	ends := e.state.outage.CallAnswered(e.clock.fromBoot(r.AnsweredAt, boot))
+	if ends {
+		e.state.uses.StoreReturned(e.clock.now())
+	}
 	e.state.mu.Unlock()
 	if ends {
 		e.monitor.markStoreUp()
--- a/internal/direct/software.go
+++ b/internal/direct/software.go
@@ -99,7 +99,14 @@
 	s := req.entry.state
 	s.mu.Lock()
 	version := req.requiredSoftware().version
+	var doubts []origin.Doubt
+	if version == origin.Unknown && req.begunAt != nil && !req.takesUp() {
+		if now := req.entry.clock.now(); s.uses.BeganUnrecorded(req.begunAt.Service, req.params.Model, now) {
+			doubts = s.uses.Doubts(now)
+		}
+	}
 	s.mu.Unlock()
+	req.entry.uses.tell(doubts)
 	// A stream of unknown software is announced too, so that the records don't decide it.
 	req.entry.peers.origins.announce(origin.StreamOf(req.params.ID), version)
 }
--- a/internal/direct/softwarepeers.go
+++ b/internal/direct/softwarepeers.go
@@ -51,6 +51,7 @@
 	if len(uses) > 0 {
 		u.applyWritten(uses, m.Era)
 	}
+	u.receiveDoubts(m, from)
 	if len(m.AskedUses) == 0 {
 		return
 	}
--- a/internal/direct/softwarereads.go
+++ b/internal/direct/softwarereads.go
@@ -65,6 +65,9 @@
 // can't be told. It reads the store after it was called: any stream that the caller has had a part of began
 // at a version that had been recorded by then.
 func (u *softwareUses) only(ctx context.Context, model string) origin.Software {
+	if u.doubtful(model) {
+		return origin.Unknown
+	}
 	r := u.join(model)
 	if r == nil {
 		return origin.Unknown
@@ -76,7 +79,7 @@
 	case <-ctx.Done():
 		return origin.Unknown
 	}
-	if r.err != nil {
+	if r.err != nil || u.doubtful(model) {
 		return origin.Unknown
 	}
 	return r.evidence.Only(model)
--- a/internal/direct/softwarerecords.go
+++ b/internal/direct/softwarerecords.go
@@ -59,7 +59,7 @@
 		case u.Version == "" || name.Use().Key() != record.Key:
 			malformed = fmt.Errorf("%w: %q names %q", errMalformedUse, record.Key, name)
 		default:
-			e.Uses[name.Use()] = origin.Recorded{Name: name, Closing: u.Closing}
+			e.Uses[name.Use()] = origin.Recorded{Name: name, Closing: u.Closing, At: record.Offset + 1}
 		}
 	}
 	e.Complete = e.Complete && malformed == nil
--- a/internal/direct/softwareuses.go
+++ b/internal/direct/softwareuses.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,11 @@
 	// settled is set once streams may begin at all versions that were listed at the start, or after
 	// settleTimeout. The entry isn't ready before.
 	settled atomic.Bool
+	// uninformed is set until other entries have said what began before this one started, or none can;
+	// startedInOutage if the store didn't answer then, here or at another entry that has just started.
+	uninformed, startedInOutage atomic.Bool
+	// aloneSince is when this entry went on though no other one could say what had begun; 0 for never.
+	aloneSince atomic.Int64
 	// failing is set while reads fail, so that they are logged once.
 	failing atomic.Bool
 	// pending is a read after which records may be removed; nil if there is none.
@@ -75,6 +81,7 @@
 	var start sync.WaitGroup
 	defer start.Wait()
 	start.Go(func() { u.start(ctx) })
+	start.Go(func() { u.inform(ctx) })
 	listedAt := time.Duration(0)
 	for {
 		in := sweepInterval
@@ -106,7 +113,11 @@
 // start begins the records and reads them for the versions that are listed at the start: what is read before
 // the list counts for none of its uses. Only then are records written, so that begin finds none of this entry.
 func (u *softwareUses) start(ctx context.Context) {
-	for u.begin(ctx) != nil {
+	for err := u.begin(ctx); err != nil; err = u.begin(ctx) {
+		// A conflict is another entry's write.
+		if !errors.Is(err, fleet.ErrStoreConflict) {
+			u.startedInOutage.Store(true)
+		}
 		if wait.For(ctx, verdictReadPause) != nil {
 			return
 		}
@@ -145,6 +156,7 @@
 	if _, err := u.entry.platform.Store.PutAll(callCtx, topicSoftware, &r.end, []fleet.Record{encodeCompleteRecord(0)}); err != nil {
 		return err
 	}
+	u.startedInOutage.Store(false)
 	u.entry.tel.Log.Info("records of software versions begun")
 	return nil
 }
@@ -158,6 +170,7 @@
 	e.state.mu.Lock()
 	due := e.state.uses.Due(asOf, now, func(key uint64) int { return rendezvous.Rank(key, e.settings.ID, all) })
 	e.state.mu.Unlock()
+	u.tell(due.Tell)
 	if len(due.Ask) > 0 {
 		u.ask(due.Ask)
 	}
--- a/internal/origin/ledger.go
+++ b/internal/origin/ledger.go
@@ -52,6 +52,8 @@
 	// Closing is set if the record is about to be removed: no stream may begin at the use until it is
 	// written again.
 	Closing bool
+	// At tells one write of the record from another.
+	At uint64
 }
 
 // Only returns the version that began all streams of a model ("" for any) which can be taken up, Unknown if
@@ -61,9 +63,12 @@
 	if !e.Complete {
 		return Unknown
 	}
-	for use := range e.Uses {
+	for use, record := range e.Uses {
 		switch {
-		case model != "" && use.Model != modelOf(model) || use.Software == only:
+		case model != "" && use.Model != modelOf(model):
+		case record.Name.isUnrecorded():
+			return Unknown
+		case use.Software == only:
 		case only != Unknown:
 			return Unknown
 		default:
@@ -100,6 +105,11 @@
 	complete      bool
 	// tidyAt is when a removal may be tried next.
 	tidyAt time.Duration
+	// doubts are by the uses whose records stand for them.
+	doubts map[Use]*doubt
+	// storeDown is set while the store doesn't answer, returnedAt when it last answered again, 0 for never.
+	storeDown  bool
+	returnedAt time.Duration
 }
 
 type useState struct {
@@ -115,12 +125,14 @@
 	stored, exists bool
 	// waitsSince is since when it waits to be stored, writeAt when a write may be tried next.
 	waitsSince, writeAt time.Duration
+	// seenAt is the Recorded.At of the last record that stands for a doubt.
+	seenAt uint64
 }
 
 // NewLedger returns an empty ledger of an entry that begins to follow the list now. Streams may be taken up
 // for lifetime after they began.
 func NewLedger(lifetime, now time.Duration) *Ledger {
-	return &Ledger{lifetime: lifetime, uses: make(map[Use]*useState), followedSince: now}
+	return &Ledger{lifetime: lifetime, uses: make(map[Use]*useState), doubts: make(map[Use]*doubt), followedSince: now}
 }
 
 // forgetAfter is how long a use may be unlisted until it has to be recorded again: less than removeAfter by
@@ -154,6 +166,9 @@
 		}
 	}
 	s.name, s.listed, s.listedAt = name, true, now
+	if !name.isUnrecorded() {
+		l.doubtListed(name, now)
+	}
 	return !s.recorded
 }
 
@@ -184,7 +199,7 @@
 func (l *Ledger) Unrecorded() []UseName {
 	var names []UseName
 	for _, s := range l.uses {
-		if s.listed && !s.recorded {
+		if s.listed && !s.recorded && !s.name.isUnrecorded() {
 			names = append(names, s.name)
 		}
 	}
@@ -229,6 +244,7 @@
 	for use, record := range e.Uses {
 		s := l.state(use)
 		s.exists = true
+		s.seen(record, now)
 		switch {
 		case record.Closing && s.writtenAt < began:
 			s.stored = false
@@ -252,6 +268,8 @@
 type Due struct {
 	// Write are the uses to record, Ask those that other entries may know to be recorded.
 	Write, Ask []UseName
+	// Tell are the doubts that the other entries are to be told of.
+	Tell []Doubt
 	// Tidy is set if Tidy may have something to do.
 	Tidy bool
 	// In is how long until more may be due, 0 for no time.
@@ -261,9 +279,9 @@
 // Due returns what is due for an entry whose rank among all for a key is given by rank and whose list is as
 // of a time.
 func (l *Ledger) Due(asOf, now time.Duration, rank func(key uint64) int) Due {
-	var due Due
+	due := Due{Tell: l.dueDoubts(now, rank)}
 	for use, s := range l.uses {
-		if s.stored || !s.listed || now-s.listedAt > l.forgetAfter() {
+		if s.stored || !s.listed || now-s.listedAt > l.forgetAfter() || s.name.isUnrecorded() && l.storeDown {
 			continue
 		}
 		at := max(s.writeAt, s.waitsSince+writeSpread*time.Duration(min(rank(uint64(use.Software)), maxWriteRank)))
@@ -274,7 +292,7 @@
 		case due.In == 0 || at-now < due.In:
 			due.In = at - now
 		}
-		if !s.recorded && now-s.waitsSince > ledgerRetry {
+		if !s.recorded && now-s.waitsSince > ledgerRetry && !s.name.isUnrecorded() {
 			due.Ask = append(due.Ask, s.name)
 		}
 	}
--- a/internal/origin/ledger_test.go
+++ b/internal/origin/ledger_test.go
@@ -58,6 +58,10 @@
 	changes []listChange
 	entries []*entryModel
 	begun   []streamModel
+	// informed has an entry that restarted learn what others know; nil if it learns nothing.
+	informed func(i int)
+	// calls does a write of uses.
+	calls func(write func() bool) bool
 }
 
 type listChange struct {
@@ -78,6 +82,9 @@
 			m.entries[i].ledger.Listed(name, m.now)
 		}
 	}
+	if m.informed != nil {
+		m.informed(i)
+	}
 }
 
 // follow has an entry read all changes of the list.
@@ -117,11 +124,15 @@
 func (m *ledgerModel) write(i int) {
 	e := m.entries[i]
 	due := e.ledger.Due(e.asOf, m.now, func(uint64) int { return 0 })
-	for _, name := range modelNames {
+	for _, name := range append(modelNames[:len(modelNames):len(modelNames)], unrecordedUse("s", "m"), unrecordedUse("t", "m")) {
 		if !slices.Contains(due.Write, name) {
 			continue
 		}
-		if !m.call(func() bool { m.store.uses[name.Use()] = Recorded{Name: name}; m.store.writes++; return true }) {
+		if !m.calls(func() bool {
+			m.store.writes++
+			m.store.uses[name.Use()] = Recorded{Name: name, At: uint64(m.store.writes)}
+			return true
+		}) {
 			continue
 		}
 		e.ledger.EraBegan(m.store.era, m.now)
@@ -330,6 +341,7 @@
 			// Entries that recorded nothing ran until now.
 			m.begun = append(m.begun, streamModel{m.now, modelNames[1].Use().Software})
 		}
+		m.calls = m.call
 		for i := range m.entries {
 			m.restart(i)
 		}
