origin: a test holds that the followed time starts anew with an era

With that line taken out of Ledger.EraBegan all tests passed: the model of the schedules restores the records, not the list of replicas. A restore also loses the list's newest changes, so a version may have begun streams at another entry that this one never saw listed. TestRecordsAreCompleteALifetimeAfterARestore fails without the line (complete 1 s after the stream began) and passes with it.

--- a/internal/origin/ledger_test.go
+++ b/internal/origin/ledger_test.go
@@ -443,3 +443,39 @@
 		t.Errorf("a stream may begin at v1, and the records name v2 alone")
 	}
 }
+
+// Guards against records that count as complete right after the store was restored: a version that came after this
+// entry's last read of the list, and began streams at another entry, may be lost with the list's newest changes.
+func TestRecordsAreCompleteALifetimeAfterARestore(t *testing.T) {
+	const L = modelLifetime
+	v1, v2 := UseName{"s", "v1", "m"}, UseName{"s", "v2", "m"}
+	older := map[Use]Recorded{v1.Use(): {Name: v1}}
+	l, other := NewLedger(L, 0), NewLedger(L, 0)
+	now := time.Duration(0)
+	for ; now <= 2*L; now += time.Second {
+		l.Listed(v1, now)
+		other.Listed(v1, now)
+	}
+	l.Read(&Evidence{Complete: true, Uses: older}, now, now)
+	other.Listed(v2, now)
+	other.Written(v2.Use(), 0, now)
+	if !other.May(v2.Use().Software, "m") {
+		t.Fatal("no stream begins at the version that came")
+	}
+	began := now
+	restored := &Evidence{Era: 1, Uses: older}
+	for now += time.Second; now-began <= L; now += time.Second {
+		l.Listed(v1, now)
+		l.Read(restored, now, now)
+		if change := l.Tidy(restored, now); change.Complete {
+			t.Fatalf("complete %v after a stream began at a version without a record", now-began)
+		}
+	}
+	for ; !l.Tidy(restored, now).Complete; now += time.Second {
+		l.Listed(v1, now)
+		l.Read(restored, now, now)
+		if now-began > 3*L {
+			t.Fatal("never complete again")
+		}
+	}
+}
