An entry that starts while the store is down asks any peer

Callers saw: after a rolling restart of all entries while the store was down, the second and the third answered 503 to everything until it was back.

Cause: an entry queries only those before it in the order that all share, the first one none, as it reads the store. It never learned what peers know, and the next one asked an entry that knew nothing. Ruled out by the logs: that no peer has a list (entry 0 had fetched one), and that an old one isn't passed on (entry 0 got it 4.2 s old).

Change: a read of a topic that fails while nothing is known of it is followed by a fetch from any peer. Ages are passed on as they are.

--- a/internal/direct/bulk.go
+++ b/internal/direct/bulk.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -92,6 +93,21 @@
 	f.applySnapshot(page, r, from)
 }
 
+// fetchFromAny fetches a topic of which nothing is known from any peer, since the store doesn't answer. An entry
+// queries only those before it in the shared order, and the first one none: after a rolling restart during an
+// outage they may know nothing either. What a peer serves by, an entry that starts may serve by too.
+func (h *hub) fetchFromAny(f *follower) {
+	if f.queryPosition() > 0 {
+		return
+	}
+	h.mu.Lock()
+	addresses := slices.Collect(maps.Values(h.addresses))
+	h.mu.Unlock()
+	if len(addresses) > 0 {
+		h.startFetch(f, addresses[rand.IntN(len(addresses))])
+	}
+}
+
 // maxPreRestorePeers is how many peers a starting entry asks for records that the store may have
 // lost.
 const maxPreRestorePeers = 2
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -168,6 +168,7 @@
 func (f *follower) handleReadFailure(made time.Time) {
 	if f.hub != nil {
 		f.hub.storeFailed()
+		f.hub.fetchFromAny(f)
 		if f.age() < f.maxAge {
 			return
 		}
--- a/internal/direct/hubexchange.go
+++ b/internal/direct/hubexchange.go
@@ -193,6 +193,11 @@
 		h.tel.Metrics.Count("records_from_peers", int64(len(t.Records)))
 		return
 	}
+	h.startFetch(f, from)
+}
+
+// startFetch fetches a topic from a peer unless a fetch of it is under way.
+func (h *hub) startFetch(f *follower, from netip.AddrPort) {
 	h.mu.Lock()
 	inProgress := h.fetching[f.topicID]
 	h.fetching[f.topicID] = true
