--- a/internal/origin/ledger_test.go
+++ b/internal/origin/ledger_test.go
@@ -58,6 +58,10 @@
 	changes []listChange
 	entries []*entryModel
 	begun   []streamModel
+	// informed has an entry that restarted learn what others know; nil if it learns nothing.
+	informed func(i int)
+	// calls does a write of uses.
+	calls func(write func() bool) bool
 }
 
 type listChange struct {
@@ -78,6 +82,9 @@
 			m.entries[i].ledger.Listed(name, m.now)
 		}
 	}
+	if m.informed != nil {
+		m.informed(i)
+	}
 }
 
 // follow has an entry read all changes of the list.
@@ -117,11 +124,15 @@
 func (m *ledgerModel) write(i int) {
 	e := m.entries[i]
 	due := e.ledger.Due(e.asOf, m.now, func(uint64) int { return 0 })
-	for _, name := range modelNames {
+	for _, name := range append(modelNames[:len(modelNames):len(modelNames)], unrecordedUse("s", "m"), unrecordedUse("t", "m")) {
 		if !slices.Contains(due.Write, name) {
 			continue
 		}
-		if !m.call(func() bool { m.store.uses[name.Use()] = Recorded{Name: name}; m.store.writes++; return true }) {
+		if !m.calls(func() bool {
+			m.store.writes++
+			m.store.uses[name.Use()] = Recorded{Name: name, At: uint64(m.store.writes)}
+			return true
+		}) {
 			continue
 		}
 		e.ledger.EraBegan(m.store.era, m.now)
@@ -330,6 +341,7 @@
 			// Entries that recorded nothing ran until now.
 			m.begun = append(m.begun, streamModel{m.now, modelNames[1].Use().Software})
 		}
+		m.calls = m.call
 		for i := range m.entries {
 			m.restart(i)
 		}
@@ -431,3 +443,39 @@
 		t.Errorf("a stream may begin at v1, and the records name v2 alone")
 	}
 }
+
+// Guards against records that count as complete right after the store was restored: a version that came after this
+// entry's last read of the list, and began streams at another entry, may be lost with the list's newest changes.
+func TestRecordsAreCompleteALifetimeAfterARestore(t *testing.T) {
+	const L = modelLifetime
+	v1, v2 := UseName{"s", "v1", "m"}, UseName{"s", "v2", "m"}
+	older := map[Use]Recorded{v1.Use(): {Name: v1}}
+	l, other := NewLedger(L, 0), NewLedger(L, 0)
+	now := time.Duration(0)
+	for ; now <= 2*L; now += time.Second {
+		l.Listed(v1, now)
+		other.Listed(v1, now)
+	}
+	l.Read(&Evidence{Complete: true, Uses: older}, now, now)
+	other.Listed(v2, now)
+	other.Written(v2.Use(), 0, now)
+	if !other.May(v2.Use().Software, "m") {
+		t.Fatal("no stream begins at the version that came")
+	}
+	began := now
+	restored := &Evidence{Era: 1, Uses: older}
+	for now += time.Second; now-began <= L; now += time.Second {
+		l.Listed(v1, now)
+		l.Read(restored, now, now)
+		if change := l.Tidy(restored, now); change.Complete {
+			t.Fatalf("complete %v after a stream began at a version without a record", now-began)
+		}
+	}
+	for ; !l.Tidy(restored, now).Complete; now += time.Second {
+		l.Listed(v1, now)
+		l.Read(restored, now, now)
+		if now-began > 3*L {
+			t.Fatal("never complete again")
+		}
+	}
+}
