An entry that starts gives nothing up for losses from before its start alone

Cause: what counts against a key is kept in the entries' topic; what clears it, a good answer, is told by datagram and kept in memory. An entry that starts reads the losses of several outages, each cleared long before, and judges them as three crashes. It also takes verdicts from there that good answers had ended. The class: a log that has what was done and not what undid it.

TestEntryThatStartsGivesNothingUpForOldRecords fails 3 of 3 times if old records are taken for new ones.

Records that are read before the end of the topic is reached for the first time count as past: beside later losses, and for the restriction to one run at a time, but they aren't judged. Verdicts are taken from the keyed topic, where a good answer deletes them. A verdict that reports cause here has a line of its own; it had none.

--- a/internal/attempt/crash_judge.go
+++ b/internal/attempt/crash_judge.go
@@ -10,7 +10,7 @@
 // which too many are.
 func (t *CrashTracker) Judge(replica string, now time.Duration) []uint64 {
 	crash, known := t.crashes.Get(replica)
-	if !known || crash.explained {
+	if !known || crash.explained || crash.past {
 		return nil
 	}
 	suspects := make(map[uint64]*suspect)
--- a/internal/attempt/crash_keys.go
+++ b/internal/attempt/crash_keys.go
@@ -94,6 +94,8 @@
 	// explained is set once it counts for a key that is given up, cause, and no other.
 	explained bool
 	cause     uint64
+	// past is set if the loss was first heard of by MergePast.
+	past bool
 }
 
 // lostRun is a run that was lost with its replica: its keys, the widest first, and for how long it ran.
--- a/internal/attempt/crash_tracker.go
+++ b/internal/attempt/crash_tracker.go
@@ -177,6 +177,7 @@
 	if !t.count(report.keys().all(), replica, lossSpan{span: span{run.started, run.endedAt}, reporter: t.self}) {
 		return list
 	}
+	t.crashOf(replica).past = false
 	report.Together = !t.countedFor(report.keys().all(), replica)
 	return append(list, report)
 }
@@ -199,11 +200,24 @@
 		t.adopt(report.Fingerprint, report.Replica, now)
 		return
 	}
-	began := now
-	if report.RanMs > 0 {
-		began = now - time.Duration(report.RanMs)*time.Millisecond
-	} else {
-		began = now + 1 // too short to overlap with another run
+	t.count(report.keys().all(), report.Replica, report.span(now))
+}
+
+// MergePast counts a report of a loss from before this entry knew of good answers: it is evidence beside later
+// losses, and restricts runs, but gives nothing up by itself. A verdict counts as the loss that it names.
+func (t *CrashTracker) MergePast(report CrashReport, now time.Duration) {
+	if !t.crashes.Contains(report.Replica) {
+		t.crashOf(report.Replica).past = true
+	}
+	report.GivenUp = false
+	t.Merge(report, now)
+}
+
+// span is the time of the run that a report tells of.
+func (r *CrashReport) span(now time.Duration) lossSpan {
+	began := now + 1 // too short to overlap with another run
+	if r.RanMs > 0 {
+		began = now - time.Duration(r.RanMs)*time.Millisecond
 	}
-	t.count(report.keys().all(), report.Replica, lossSpan{span{began, now}, report.Together, report.Reporter})
+	return lossSpan{span{began, now}, r.Together, r.Reporter}
 }
--- a/internal/direct/crashes.go
+++ b/internal/direct/crashes.go
@@ -263,15 +263,32 @@
 		e.state.crashes.Merge(crashes[i], now)
 		e.state.noteSound(append(slices.Clone(crashes[i].Parts), crashes[i].Fingerprint), now)
 	}
+	var judged []attempt.CrashReport
 	for i := range crashes {
 		// Who counted the last crash tells the others what is given up.
-		e.state.crashes.Judge(crashes[i].Replica, now)
+		for _, key := range e.state.crashes.Judge(crashes[i].Replica, now) {
+			judged = append(judged, attempt.CrashReport{Fingerprint: key, Replica: crashes[i].Replica})
+		}
 	}
 	e.state.mu.Unlock()
 	e.wakeRestricted()
 	for i := range crashes {
 		e.logCrash(&crashes[i], from)
 	}
+	for i := range judged {
+		e.logJudged(&judged[i], from)
+	}
+}
+
+// receivePastCrash counts a crash of which a record is read that is from before this entry knew of good answers.
+// What is given up is in topicVerdicts.
+func (e *Entry) receivePastCrash(crash attempt.CrashReport) {
+	e.state.mu.Lock()
+	e.state.crashes.MergePast(crash, e.clock.now())
+	e.state.mu.Unlock()
+	if !crash.GivenUp {
+		e.logCrash(&crash, "past record of "+topicEntries)
+	}
 }
 
 // noteSound notes the keys with which good answers were given here. The caller holds mu.
@@ -338,6 +355,16 @@
 	}
 }
 
+// logJudged logs that reports of other entries cause a key to be given up here.
+func (e *Entry) logJudged(judged *attempt.CrashReport, from string) {
+	e.state.mu.Lock()
+	now := e.clock.now()
+	count := e.state.crashes.CrashCount(judged.Fingerprint, now)
+	lost := e.state.crashes.LostReplicas(judged.Fingerprint, now)
+	e.state.mu.Unlock()
+	e.tel.Log.Warn("given up by reports of other entries", "key", judged.Fingerprint, "replica", judged.Replica, "strikes", count, "lost_replicas", lost, "from", from)
+}
+
 // logCrash logs a crash and returns the highest number of lost replicas among its keys.
 func (e *Entry) logCrash(crash *attempt.CrashReport, from string) int {
 	now := e.clock.now()
--- a/internal/direct/crashes_test.go
+++ b/internal/direct/crashes_test.go
@@ -8,6 +8,7 @@
 
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/rollout"
 )
 
 // plainHeaders sets no headers of its own.
@@ -59,3 +60,29 @@
 		}
 	}
 }
+
+// Guards against sound requests that are refused after all entries have started again: the topic has the losses of
+// several outages, and not the good answers between them.
+func TestEntryThatStartsGivesNothingUpForOldRecords(t *testing.T) {
+	e := newQueueEntry(t)
+	r := newRollouts(e)
+	part := uint64(7)
+	records := func(replicas ...string) {
+		for i, replica := range replicas {
+			report := attempt.CrashReport{Fingerprint: uint64(100 + i), Parts: []uint64{part}, Replica: replica, Reporter: uint64(i + 1)}
+			envelope := rollout.Envelope{Crash: &report}
+			r.applyStoreRecord(fleet.Record{Offset: uint64(i), Value: envelope.Encode()})
+		}
+	}
+	lifted := rollout.Envelope{Crash: &attempt.CrashReport{Fingerprint: part, Replica: "r0", GivenUp: true}}
+	r.applyStoreRecord(fleet.Record{Value: lifted.Encode()})
+	records("r1", "r2", "r3")
+	if e.state.isGivenUp(part, e.clock.now()) {
+		t.Error("given up for losses from before the start")
+	}
+	r.caughtUp = true
+	records("r4")
+	if !e.state.isGivenUp(part, e.clock.now()) {
+		t.Error("not given up after one more loss")
+	}
+}
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -104,6 +104,8 @@
 	publishing int
 	// nextOffset is the offset after the last record read from the topic.
 	nextOffset uint64
+	// caughtUp is set once the end of the topic was reached for the first time.
+	caughtUp bool
 }
 
 func newRollouts(e *Entry) *rollouts {
@@ -156,13 +158,12 @@
 		r.entry.verdicts.forgetStored()
 		r.entry.verdicts.readAgain()
 	}
-	began := false
 	f.onCaughtUp = func() {
 		r.mu.Lock()
-		if !began && fleet.Era(f.watermark.Next) > 0 {
+		if !r.caughtUp && fleet.Era(f.watermark.Next) > 0 {
 			r.leases.HistoryDoubtful(bootTime())
 		}
-		began = true
+		r.caughtUp = true
 		r.applyLeaseActions(ctx, r.leases.CaughtUp(bootTime()))
 		r.mu.Unlock()
 	}
@@ -200,6 +201,10 @@
 		r.entry.applyAnnouncement(envelope.Announcement)
 		return
 	}
+	if envelope.Crash != nil && !r.caughtUp {
+		r.entry.receivePastCrash(*envelope.Crash)
+		return
+	}
 	if envelope.Crash != nil {
 		r.entry.receiveCrashes([]attempt.CrashReport{*envelope.Crash}, topicEntries)
 		return
