A loss counts as of the end of its run, and a verdict as of its last crash

Cause: a report didn't say how long ago its run had ended. Another entry took the time of hearing for it, the reader of a record that of reading: up to two seconds late. So runs of one outage didn't overlap there, and a good answer between the end and the hearing cleared nothing; a record that was read back counted a loss again which a good answer had cleared. A reporter counted, and told, a loss against parts with which it had given good answers since. A verdict that was told again began its hour anew, and came back after the good answer that had ended it.

Reports have the age of the run's end, and records the time of writing, bounded by the time since the topic's end was last read, as clocks of machines differ. Keys with a later good answer aren't counted, and not told. Entries of older builds ignore both fields; their reports count from when they are heard, as before.

--- a/internal/attempt/crash_keys.go
+++ b/internal/attempt/crash_keys.go
@@ -83,8 +83,8 @@
 	k.lastCrash = max(k.lastCrash, at)
 }
 
-func newKeyCrashes() *keyCrashes {
-	return &keyCrashes{replicas: make(map[string]lossSpan), lost: make(map[string]time.Duration)}
+func newKeyCrashes(lastCrash time.Duration) *keyCrashes {
+	return &keyCrashes{replicas: make(map[string]lossSpan), lost: make(map[string]time.Duration), lastCrash: lastCrash}
 }
 
 // replicaCrash is the loss of a replica.
@@ -117,9 +117,13 @@
 }
 
 // count counts the loss of a replica for the keys of a run, widest first, that began at a time. It
-// reports whether that is new for any of them. If one of them is given up, it explains the loss.
+// reports whether that is new for any of them. If one of them is given up, it explains the loss. Keys with a
+// good answer since aren't counted.
 func (t *CrashTracker) count(keys []uint64, replica string, run lossSpan) bool {
 	now := run.ended
+	if keys = t.withoutSound(keys, run.ended); len(keys) == 0 {
+		return false
+	}
 	crash := t.crashOf(replica)
 	if !crash.explained {
 		for _, key := range keys {
@@ -144,6 +148,16 @@
 	return isNew
 }
 
+// withoutSound returns those of some keys with which no good answer is known that is later than a time.
+func (t *CrashTracker) withoutSound(keys []uint64, ended time.Duration) []uint64 {
+	return slices.DeleteFunc(slices.Clone(keys), func(key uint64) bool { return t.soundSince(key, ended) })
+}
+
+func (t *CrashTracker) soundSince(key uint64, at time.Duration) bool {
+	answered, known := t.sound.Peek(key)
+	return known && answered > at
+}
+
 // countExplained counts the loss of a replica that a key explains for that key alone, and records it for the
 // others: the verdict may be wrong, and then they begin to be counted again.
 func (t *CrashTracker) countExplained(keys []uint64, replica string, run lossSpan, cause uint64) bool {
@@ -162,7 +176,7 @@
 func (t *CrashTracker) add(key uint64, replica string, run lossSpan) bool {
 	k := t.recent(key, run.ended)
 	if k == nil {
-		k = newKeyCrashes()
+		k = newKeyCrashes(run.ended)
 		t.keys.Add(key, k)
 	}
 	if k.knows(replica) {
@@ -186,34 +200,42 @@
 // giveUp gives a key up, and the wider ones of the same run below which too many are. It returns all of
 // them.
 func (t *CrashTracker) giveUp(key uint64, keys []uint64, now time.Duration) []uint64 {
-	t.adopt(key, "", now)
+	t.adopt(key, t.recent(key, now), now)
 	list := []uint64{key}
 	for _, wider := range keys[:slices.Index(keys, key)] {
 		k := t.recent(wider, now)
 		if k == nil {
-			k = newKeyCrashes()
-			k.lastCrash = now
+			k = newKeyCrashes(now)
 			t.keys.Add(wider, k)
 		}
 		k.children++
 		if !k.givenUp && k.children >= t.limit(wider, t.params.MaxChildren, t.params.MaxChildrenSound, now) {
-			t.adopt(wider, "", now)
+			t.adopt(wider, k, now)
 			list = append(list, wider)
 		}
 	}
 	return list
 }
 
-// adopt gives a key up; replica is one that counts for it, "" for those counted so far.
-func (t *CrashTracker) adopt(key uint64, replica string, now time.Duration) {
+// adoptTold gives a key up as another entry tells, for a loss at a time, unless a good answer came since.
+func (t *CrashTracker) adoptTold(key uint64, replica string, lostAt, now time.Duration) {
+	if t.soundSince(key, lostAt) {
+		return
+	}
 	k := t.recent(key, now)
 	if k == nil {
-		k = newKeyCrashes()
+		k = newKeyCrashes(lostAt)
 		t.keys.Add(key, k)
 	}
-	if replica != "" && !k.countsFor(replica) {
-		k.replicas[replica], k.lastCrash, k.lastReplica = lossSpan{span: span{now, now}}, now, replica
+	if !k.countsFor(replica) {
+		k.replicas[replica], k.lastReplica = lossSpan{span: span{lostAt, lostAt}}, replica
 	}
+	k.lastCrash = max(k.lastCrash, lostAt)
+	t.adopt(key, k, now)
+}
+
+// adopt gives a key up for the losses counted so far.
+func (t *CrashTracker) adopt(key uint64, k *keyCrashes, now time.Duration) {
 	if !k.givenUp {
 		k.givenUp, k.nextTrial, k.lateRuns = true, now+t.params.TrialAfter, t.lateLosses(k)
 	}
@@ -365,7 +387,7 @@
 	if k == nil || !k.givenUp {
 		return CrashReport{}, false
 	}
-	return CrashReport{Fingerprint: key, Replica: k.lastReplica, GivenUp: true}, true
+	return CrashReport{Fingerprint: key, Replica: k.lastReplica, GivenUp: true, AgeMs: wholeMs(now - k.lastCrash)}, true
 }
 
 // BeginTrial reports whether a request with a key that was given up may run now to find out whether
--- a/internal/attempt/crash_tracker.go
+++ b/internal/attempt/crash_tracker.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -76,6 +77,9 @@
 	// it. Which runs of one entry overlapped is known to that entry alone, as reports take a time to
 	// arrive.
 	Reporter uint64 `cbor:"7,keyasint,omitempty"`
+	// AgeMs is how long ago the run ended or, if GivenUp is set, the last run that counts, when the report was made,
+	// in whole milliseconds. Entries of older builds don't send it.
+	AgeMs uint32 `cbor:"8,keyasint,omitempty"`
 }
 
 // maxReportParts bounds the parts of a report.
@@ -84,6 +88,18 @@
 // Valid reports whether a decoded report is complete.
 func (r *CrashReport) Valid() bool { return r.Replica != "" && len(r.Parts) <= maxReportParts }
 
+// Aged returns the report as it is some time after it was made.
+func (r CrashReport) Aged(by time.Duration) CrashReport {
+	r.AgeMs = wholeMs(time.Duration(r.AgeMs)*time.Millisecond + by)
+	return r
+}
+
+// Age is how long ago the run ended, as far as the report says.
+func (r *CrashReport) Age() time.Duration { return time.Duration(r.AgeMs) * time.Millisecond }
+
+// wholeMs returns a time in whole milliseconds, 0 for one below 0.
+func wholeMs(d time.Duration) uint32 { return uint32(min(max(0, d.Milliseconds()), math.MaxUint32)) }
+
 func (r *CrashReport) keys() RequestKeys {
 	return RequestKeys{Parts: r.Parts, Fingerprint: r.Fingerprint}
 }
@@ -142,7 +158,7 @@
 func (t *CrashTracker) RecordBrokenRun(keys RequestKeys, replica string, began, now time.Duration) []CrashReport {
 	run := brokenRun{keys, began, now}
 	if at, lost := t.lostReplicas.Peek(replica); lost && now-at <= t.params.CorrelationWindow {
-		return t.appendGivenUp(t.countCrash(nil, run, replica), replica, now)
+		return t.appendGivenUp(t.countCrash(nil, run, replica, now), replica, now)
 	}
 	runs, _ := t.brokenRuns.Peek(replica)
 	// A replica that breaks off every run and is never lost would fill the memory.
@@ -160,18 +176,18 @@
 	var reports []CrashReport
 	for _, run := range runs {
 		if now-run.endedAt <= t.params.CorrelationWindow {
-			reports = t.countCrash(reports, run, replica)
+			reports = t.countCrash(reports, run, replica, now)
 		}
 	}
 	return t.appendGivenUp(reports, replica, now)
 }
 
 // countCrash counts a run that was lost with its replica and appends the report to list, unless it
-// says nothing new of any key.
-func (t *CrashTracker) countCrash(list []CrashReport, run brokenRun, replica string) []CrashReport {
-	report := CrashReport{Fingerprint: run.keys.Fingerprint, Replica: replica, Parts: run.keys.Parts, Reporter: t.self}
-	report.Parts = report.Parts[:min(len(report.Parts), maxReportParts)]
-	report.RanMs = uint32(max(0, run.endedAt-run.started).Milliseconds())
+// says nothing new of any key. Parts with a good answer since are no cause.
+func (t *CrashTracker) countCrash(list []CrashReport, run brokenRun, replica string, now time.Duration) []CrashReport {
+	parts := t.withoutSound(run.keys.Parts, run.endedAt)
+	report := CrashReport{Fingerprint: run.keys.Fingerprint, Replica: replica, Parts: parts[:min(len(parts), maxReportParts)], Reporter: t.self}
+	report.RanMs, report.AgeMs = wholeMs(run.endedAt-run.started), wholeMs(now-run.endedAt)
 	// The crash counts as of the end of the run, so that a run that began between the
 	// break and its detection counts as later.
 	if !t.count(report.keys().all(), replica, lossSpan{span: span{run.started, run.endedAt}, reporter: t.self}) {
@@ -188,7 +204,10 @@
 		return nil
 	}
 	for _, key := range t.Judge(replica, now) {
-		list = append(list, CrashReport{Fingerprint: key, Replica: replica, GivenUp: true})
+		if verdict, given := t.Verdict(key, now); given {
+			verdict.Replica = replica
+			list = append(list, verdict)
+		}
 	}
 	return list
 }
@@ -196,8 +215,11 @@
 // Merge counts a report of another entry, or of this one that is read again. Judge says what follows
 // once all reports at hand of the loss of a replica are merged.
 func (t *CrashTracker) Merge(report CrashReport, now time.Duration) {
+	if report.Age() > t.params.TTL {
+		return
+	}
 	if report.GivenUp {
-		t.adopt(report.Fingerprint, report.Replica, now)
+		t.adoptTold(report.Fingerprint, report.Replica, now-report.Age(), now)
 		return
 	}
 	t.count(report.keys().all(), report.Replica, report.span(now))
@@ -215,9 +237,10 @@
 
 // span is the time of the run that a report tells of.
 func (r *CrashReport) span(now time.Duration) lossSpan {
-	began := now + 1 // too short to overlap with another run
+	ended := now - r.Age()
+	began := ended + 1 // too short to overlap with another run
 	if r.RanMs > 0 {
-		began = now - time.Duration(r.RanMs)*time.Millisecond
+		began = ended - time.Duration(r.RanMs)*time.Millisecond
 	}
-	return lossSpan{span{began, now}, r.Together, r.Reporter}
+	return lossSpan{span{began, ended}, r.Together, r.Reporter}
 }
--- a/internal/direct/crashes.go
+++ b/internal/direct/crashes.go
@@ -215,7 +215,7 @@
 	for i := range crashes {
 		lost := e.logCrash(&crashes[i], e.settings.ID)
 		if crashes[i].GivenUp || lost >= minStoredCrashes {
-			envelope := rollout.Envelope{Crash: &crashes[i]}
+			envelope := rollout.Envelope{Crash: &crashes[i], AtMs: time.Now().UnixMilli()}
 			records = append(records, envelope.Encode())
 		}
 	}
@@ -378,10 +378,14 @@
 		partLost[i] = e.state.crashes.LostReplicas(part, now)
 	}
 	givenUp, _, rejected := e.state.crashes.GivenUp(keys, now)
-	if crash.GivenUp {
+	if crash.GivenUp && rejected {
 		e.state.crashNews.announced.Add(crash.Fingerprint, now)
 	}
 	e.state.mu.Unlock()
+	if crash.GivenUp && !rejected {
+		e.tel.Log.Info("verdict of another entry has ended", "key", crash.Fingerprint, "replica", crash.Replica, "ended_ms_ago", crash.AgeMs, "from", from)
+		return count
+	}
 	if crash.GivenUp {
 		e.tel.Metrics.Count("crash_keys_given_up", 1)
 		e.tel.Log.Warn("given up: requests with this key crash replicas", "key", givenUp, "replica", crash.Replica, "from", from)
@@ -391,6 +395,6 @@
 	e.tel.Log.LogAttrs(context.Background(), slog.LevelInfo, "crash counted against a request",
 		slog.Uint64("fingerprint", crash.Fingerprint), slog.String("replica", crash.Replica), slog.Int("strikes", count), slog.Int("lost_replicas", lost),
 		slog.Any("part_keys", crash.Parts), slog.Any("part_strikes", partCounts), slog.Any("part_lost_replicas", partLost),
-		slog.Int64("ran_ms", int64(crash.RanMs)), slog.Bool("given_up", rejected), slog.String("from", from))
+		slog.Int64("ran_ms", int64(crash.RanMs)), slog.Int64("ended_ms_ago", int64(crash.AgeMs)), slog.Bool("given_up", rejected), slog.String("from", from))
 	return max(lost, slices.Max(append(partLost, 0)))
 }
--- a/internal/direct/crashes_test.go
+++ b/internal/direct/crashes_test.go
@@ -86,3 +86,34 @@
 		t.Error("not given up after one more loss")
 	}
 }
+
+// Guards against losses that an entry takes for new ones since it reads of them late, and against those that it
+// forgets since the clocks of two machines differ.
+func TestRecordOfACrashIsAsOldAsItsRun(t *testing.T) {
+	for _, c := range []struct {
+		what     string
+		written  time.Duration // ago, by the clock of the entry that reads
+		caughtUp bool
+		want     int
+	}{
+		{"before the start", 10 * time.Minute, false, 1},
+		{"too old", 2 * attempt.DefaultCrashTrackerParams.TTL, false, 0},
+		{"by a clock that is behind", 2 * attempt.DefaultCrashTrackerParams.TTL, true, 1},
+		{"by a clock that is ahead", -time.Hour, true, 1},
+	} {
+		e := newQueueEntry(t)
+		r := newRollouts(e)
+		r.caughtUp, r.caughtUpAt = c.caughtUp, e.clock.now()
+		envelope := rollout.Envelope{Crash: &attempt.CrashReport{Fingerprint: 5, Replica: "r", AgeMs: 100}, AtMs: time.Now().Add(-c.written).UnixMilli()}
+		r.applyStoreRecord(fleet.Record{Value: envelope.Encode()})
+		if got := e.state.crashes.CrashCount(5, e.clock.now()); got != c.want {
+			t.Errorf("%s: %d crashes, want %d", c.what, got, c.want)
+		}
+	}
+	e := newQueueEntry(t)
+	e.state.crashes.RecordSuccess(attempt.RequestKeys{Parts: []uint64{5}}, e.clock.now())
+	e.receiveCrashes([]attempt.CrashReport{{Fingerprint: 4, Parts: []uint64{5}, Replica: "r", AgeMs: 1000}}, "peer")
+	if n := e.state.crashes.CrashCount(5, e.clock.now()); n != 0 {
+		t.Errorf("%d crashes count that ended before a good answer", n)
+	}
+}
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -106,6 +106,8 @@
 	nextOffset uint64
 	// caughtUp is set once the end of the topic was reached for the first time.
 	caughtUp bool
+	// caughtUpAt is when it was reached last.
+	caughtUpAt time.Duration
 }
 
 func newRollouts(e *Entry) *rollouts {
@@ -163,7 +165,7 @@
 		if !r.caughtUp && fleet.Era(f.watermark.Next) > 0 {
 			r.leases.HistoryDoubtful(bootTime())
 		}
-		r.caughtUp = true
+		r.caughtUp, r.caughtUpAt = true, r.entry.clock.now()
 		r.applyLeaseActions(ctx, r.leases.CaughtUp(bootTime()))
 		r.mu.Unlock()
 	}
@@ -201,17 +203,25 @@
 		r.entry.applyAnnouncement(envelope.Announcement)
 		return
 	}
-	if envelope.Crash != nil && !r.caughtUp {
-		r.entry.receivePastCrash(*envelope.Crash)
-		return
-	}
 	if envelope.Crash != nil {
-		r.entry.receiveCrashes([]attempt.CrashReport{*envelope.Crash}, topicEntries)
+		r.receiveCrash(envelope)
 		return
 	}
 	r.receiveRecord(envelope.Rollout)
 }
 
+// receiveCrash counts a crash of the topic. The caller holds mu.
+func (r *rollouts) receiveCrash(envelope *rollout.Envelope) {
+	now, ago := r.entry.clock.now(), envelope.WrittenAgo(time.Now())
+	if !r.caughtUp {
+		r.entry.receivePastCrash(envelope.Crash.Aged(ago))
+		return
+	}
+	// What the last read didn't have was written since, whatever the clocks of the machines say.
+	ago = min(ago, now-r.caughtUpAt)
+	r.entry.receiveCrashes([]attempt.CrashReport{envelope.Crash.Aged(ago)}, topicEntries)
+}
+
 // receiveRecord applies a rollout record, of another entry or read back. The caller holds mu.
 func (r *rollouts) receiveRecord(record *rollout.Record) {
 	if (record.Phase == rollout.PhaseOrdered || record.Phase == rollout.PhaseResent) && record.Holder != r.entry.settings.ID {
--- a/internal/direct/verdicts.go
+++ b/internal/direct/verdicts.go
@@ -155,7 +155,7 @@
 		case age > attempt.DefaultCrashTrackerParams.TTL, v.entry.knownSound(verdict.Report.Fingerprint, age):
 			expired = append(expired, record.Key)
 		case len(reports) < maxVerdicts:
-			reports = append(reports, verdict.Report)
+			reports = append(reports, verdict.Report.Aged(max(0, age)))
 			v.markStored(verdict.Report.Fingerprint, true)
 		}
 	}
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -51,7 +52,7 @@
 	return r.Phase >= PhaseOrdered && r.Phase < phaseEnd && r.Replica != "" && r.AfterMs >= 0
 }
 
-// Envelope is one record of the entries' shared topic. Exactly one of its fields is set.
+// Envelope is one record of the entries' shared topic. Exactly one of its fields is set, but for AtMs.
 type Envelope struct {
 	Lease   []byte  `cbor:"1,keyasint,omitempty"`
 	Rollout *Record `cbor:"2,keyasint,omitempty"`
@@ -59,6 +60,16 @@
 	Crash *attempt.CrashReport `cbor:"3,keyasint,omitempty"`
 	// Announcement says when a version of the weights was announced.
 	Announcement *Announcement `cbor:"4,keyasint,omitempty"`
+	// AtMs is when a crash was written, in Unix milliseconds; 0 if unknown: entries of older builds don't write it.
+	AtMs int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// WrittenAgo is how long before a time a crash was written, 0 if unknown.
+func (e *Envelope) WrittenAgo(now time.Time) time.Duration {
+	if e.AtMs <= 0 {
+		return 0
+	}
+	return max(0, now.Sub(time.UnixMilli(e.AtMs)))
 }
 
 // Announcement says when the operator announced a version of a model's weights, by the clock
