--- a/internal/direct/crashes.go
+++ b/internal/direct/crashes.go
@@ -215,7 +215,7 @@
 	for i := range crashes {
 		lost := e.logCrash(&crashes[i], e.settings.ID)
 		if crashes[i].GivenUp || lost >= minStoredCrashes {
-			envelope := rollout.Envelope{Crash: &crashes[i]}
+			envelope := rollout.Envelope{Crash: &crashes[i], AtMs: time.Now().UnixMilli()}
 			records = append(records, envelope.Encode())
 		}
 	}
@@ -263,15 +263,32 @@
 		e.state.crashes.Merge(crashes[i], now)
 		e.state.noteSound(append(slices.Clone(crashes[i].Parts), crashes[i].Fingerprint), now)
 	}
+	var judged []attempt.CrashReport
 	for i := range crashes {
 		// Who counted the last crash tells the others what is given up.
-		e.state.crashes.Judge(crashes[i].Replica, now)
+		for _, key := range e.state.crashes.Judge(crashes[i].Replica, now) {
+			judged = append(judged, attempt.CrashReport{Fingerprint: key, Replica: crashes[i].Replica})
+		}
 	}
 	e.state.mu.Unlock()
 	e.wakeRestricted()
 	for i := range crashes {
 		e.logCrash(&crashes[i], from)
 	}
+	for i := range judged {
+		e.logJudged(&judged[i], from)
+	}
+}
+
+// receivePastCrash counts a crash of which a record is read that is from before this entry knew of good answers.
+// What is given up is in topicVerdicts.
+func (e *Entry) receivePastCrash(crash attempt.CrashReport) {
+	e.state.mu.Lock()
+	e.state.crashes.MergePast(crash, e.clock.now())
+	e.state.mu.Unlock()
+	if !crash.GivenUp {
+		e.logCrash(&crash, "past record of "+topicEntries)
+	}
 }
 
 // noteSound notes the keys with which good answers were given here. The caller holds mu.
@@ -338,6 +355,16 @@
 	}
 }
 
+// logJudged logs that reports of other entries cause a key to be given up here.
+func (e *Entry) logJudged(judged *attempt.CrashReport, from string) {
+	e.state.mu.Lock()
+	now := e.clock.now()
+	count := e.state.crashes.CrashCount(judged.Fingerprint, now)
+	lost := e.state.crashes.LostReplicas(judged.Fingerprint, now)
+	e.state.mu.Unlock()
+	e.tel.Log.Warn("given up by reports of other entries", "key", judged.Fingerprint, "replica", judged.Replica, "strikes", count, "lost_replicas", lost, "from", from)
+}
+
 // logCrash logs a crash and returns the highest number of lost replicas among its keys.
 func (e *Entry) logCrash(crash *attempt.CrashReport, from string) int {
 	now := e.clock.now()
@@ -351,10 +378,14 @@
 		partLost[i] = e.state.crashes.LostReplicas(part, now)
 	}
 	givenUp, _, rejected := e.state.crashes.GivenUp(keys, now)
-	if crash.GivenUp {
+	if crash.GivenUp && rejected {
 		e.state.crashNews.announced.Add(crash.Fingerprint, now)
 	}
 	e.state.mu.Unlock()
+	if crash.GivenUp && !rejected {
+		e.tel.Log.Info("verdict of another entry has ended", "key", crash.Fingerprint, "replica", crash.Replica, "ended_ms_ago", crash.AgeMs, "from", from)
+		return count
+	}
 	if crash.GivenUp {
 		e.tel.Metrics.Count("crash_keys_given_up", 1)
 		e.tel.Log.Warn("given up: requests with this key crash replicas", "key", givenUp, "replica", crash.Replica, "from", from)
@@ -364,6 +395,6 @@
 	e.tel.Log.LogAttrs(context.Background(), slog.LevelInfo, "crash counted against a request",
 		slog.Uint64("fingerprint", crash.Fingerprint), slog.String("replica", crash.Replica), slog.Int("strikes", count), slog.Int("lost_replicas", lost),
 		slog.Any("part_keys", crash.Parts), slog.Any("part_strikes", partCounts), slog.Any("part_lost_replicas", partLost),
-		slog.Int64("ran_ms", int64(crash.RanMs)), slog.Bool("given_up", rejected), slog.String("from", from))
+		slog.Int64("ran_ms", int64(crash.RanMs)), slog.Int64("ended_ms_ago", int64(crash.AgeMs)), slog.Bool("given_up", rejected), slog.String("from", from))
 	return max(lost, slices.Max(append(partLost, 0)))
 }
--- a/internal/direct/crashes_test.go
+++ b/internal/direct/crashes_test.go
@@ -8,6 +8,7 @@
 
 	"skylarklead/internal/attempt"
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/rollout"
 )
 
 // plainHeaders sets no headers of its own.
@@ -59,3 +60,60 @@
 		}
 	}
 }
+
+// Guards against sound requests that are refused after all entries have started again: the topic has the losses of
+// several outages, and not the good answers between them.
+func TestEntryThatStartsGivesNothingUpForOldRecords(t *testing.T) {
+	e := newQueueEntry(t)
+	r := newRollouts(e)
+	part := uint64(7)
+	records := func(replicas ...string) {
+		for i, replica := range replicas {
+			report := attempt.CrashReport{Fingerprint: uint64(100 + i), Parts: []uint64{part}, Replica: replica, Reporter: uint64(i + 1)}
+			envelope := rollout.Envelope{Crash: &report}
+			r.applyStoreRecord(fleet.Record{Offset: uint64(i), Value: envelope.Encode()})
+		}
+	}
+	lifted := rollout.Envelope{Crash: &attempt.CrashReport{Fingerprint: part, Replica: "r0", GivenUp: true}}
+	r.applyStoreRecord(fleet.Record{Value: lifted.Encode()})
+	records("r1", "r2", "r3")
+	if e.state.isGivenUp(part, e.clock.now()) {
+		t.Error("given up for losses from before the start")
+	}
+	r.caughtUp = true
+	records("r4")
+	if !e.state.isGivenUp(part, e.clock.now()) {
+		t.Error("not given up after one more loss")
+	}
+}
+
+// Guards against losses that an entry takes for new ones since it reads of them late, and against those that it
+// forgets since the clocks of two machines differ.
+func TestRecordOfACrashIsAsOldAsItsRun(t *testing.T) {
+	for _, c := range []struct {
+		what     string
+		written  time.Duration // ago, by the clock of the entry that reads
+		caughtUp bool
+		want     int
+	}{
+		{"before the start", 10 * time.Minute, false, 1},
+		{"too old", 2 * attempt.DefaultCrashTrackerParams.TTL, false, 0},
+		{"by a clock that is behind", 2 * attempt.DefaultCrashTrackerParams.TTL, true, 1},
+		{"by a clock that is ahead", -time.Hour, true, 1},
+	} {
+		e := newQueueEntry(t)
+		r := newRollouts(e)
+		r.caughtUp, r.caughtUpAt = c.caughtUp, e.clock.now()
+		envelope := rollout.Envelope{Crash: &attempt.CrashReport{Fingerprint: 5, Replica: "r", AgeMs: 100}, AtMs: time.Now().Add(-c.written).UnixMilli()}
+		r.applyStoreRecord(fleet.Record{Value: envelope.Encode()})
+		if got := e.state.crashes.CrashCount(5, e.clock.now()); got != c.want {
+			t.Errorf("%s: %d crashes, want %d", c.what, got, c.want)
+		}
+	}
+	e := newQueueEntry(t)
+	e.state.crashes.RecordSuccess(attempt.RequestKeys{Parts: []uint64{5}}, e.clock.now())
+	e.receiveCrashes([]attempt.CrashReport{{Fingerprint: 4, Parts: []uint64{5}, Replica: "r", AgeMs: 1000}}, "peer")
+	if n := e.state.crashes.CrashCount(5, e.clock.now()); n != 0 {
+		t.Errorf("%d crashes count that ended before a good answer", n)
+	}
+}
