Direct entries: a read of the software versions is kept before its streams go on

Callers saw: nothing wrong. A stream that was taken up just as a read ended, which said that the version can't be told, had another read made in place of being refused by that one: more reads of the store than its pause is for.

Cause: the read's end was told to those that wait before the read was kept as the last one. A stream in between didn't find it.

Change: the read is kept, and then its end told.

--- a/internal/direct/softwarereads.go
+++ b/internal/direct/softwarereads.go
@@ -18,7 +18,7 @@
 )
 
 // usesRead is a read of the records: when it began and ended, the position that it ended at, and what it
-// returned, once done is closed.
+// returned, once done is closed; that is nil if no stream waits for it.
 type usesRead struct {
 	done         chan struct{}
 	began, ended time.Duration
@@ -29,7 +29,7 @@
 
 // read reads the records and applies them.
 func (u *softwareUses) read(ctx context.Context) *usesRead {
-	r := &usesRead{done: make(chan struct{})}
+	r := &usesRead{}
 	u.readInto(ctx, r)
 	return r
 }
@@ -38,7 +38,6 @@
 	e := u.entry
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	defer close(r.done)
 	r.began = e.clock.now()
 	page, err := e.platform.Store.Newest(callCtx, topicSoftware)
 	r.ended, r.end = e.clock.now(), page.Next
@@ -113,6 +112,7 @@
 		u.mu.Lock()
 		u.last = r
 		u.mu.Unlock()
+		close(r.done) // only now, so that a stream that follows finds the read
 	})
 	return r
 }
