Direct entries: an answer that is ready late is delivered

Callers saw: EOF in place of an answer, at an entry that was held up until more than half a second after the request's deadline; the entry's line says that it had answered.

Cause: the time until which an answer may be written was set when the request came. If it had passed, the first write failed and the connection was closed.

Change: an answer that begins after the deadline has the usual 500 ms from then on.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -105,6 +105,7 @@
 	req.firstByte = req.entry.clock.now() - req.started
 	req.copyHeaders(a.header)
 	req.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	req.allowWriting()
 	req.w.WriteHeader(a.status)
 	_, _ = req.w.Write(a.body) // the caller may have gone
 }
--- a/internal/direct/held.go
+++ b/internal/direct/held.go
@@ -109,6 +109,7 @@
 		req.heldFor, req.firstByte = now-req.firstByte, now
 		req.entry.drain.held.Add(1)
 	}
+	req.allowWriting()
 	maps.Copy(h.w.Header(), h.header)
 	h.w.WriteHeader(h.status)
 	for _, piece := range h.pieces {
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -152,6 +152,15 @@
 	req.ctx, req.cancel = context.WithTimeoutCause(req.httpRequest.Context(), timeout, errTimeout)
 }
 
+// allowWriting gives an answer time to be written also if it begins late: an entry may have been held up until after
+// the request's deadline.
+func (req *request) allowWriting() {
+	if req.deadline == 0 || req.entry.clock.now() < req.deadline {
+		return
+	}
+	_ = http.NewResponseController(req.w).SetWriteDeadline(time.Now().Add(writeMargin)) // as in limitTime
+}
+
 // readBody reads the whole body, so that the request can be sent again to another replica, and
 // so that a later refusal can truthfully say that the request has not run. The memory that the body
 // takes is reserved before it is allocated.
@@ -312,6 +321,7 @@
 	if after > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
+	req.allowWriting()
 	req.w.WriteHeader(status)
 	_, _ = io.WriteString(req.w, reason+"\n") // the caller may have gone
 }
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -20,8 +20,8 @@
 	// maxEventSize bounds one event, in bytes: it has a few tokens, and all connections to a replica may
 	// carry a stream.
 	maxEventSize = 128 << 10
-	// writeMargin is how long after the request's deadline a write to a slow caller may still
-	// block.
+	// writeMargin is how long after the request's deadline, or after the beginning of an answer that is
+	// later, a write to a slow caller may still block.
 	writeMargin = 500 * time.Millisecond
 )
 
