--- a/internal/direct/bulk.go
+++ b/internal/direct/bulk.go
@@ -20,6 +20,7 @@
 	"github.com/gorilla/mux"
 
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/strictcbor"
 	"skylarklead/internal/upstream"
 )
@@ -67,7 +68,7 @@
 	sent := h.boot()
 	began := time.Now()
 	t, err := h.fetchTopic(from, f.topicID, f.queryPosition())
-	if err == nil && !t.valid() {
+	if err == nil && !t.Valid() {
 		err = fmt.Errorf("%w: reported age of %d ms is out of range", errBulk, max(t.CallAgeMs, t.ResponseAgeMs))
 	}
 	if err != nil {
@@ -80,15 +81,15 @@
 	}
 	h.tel.Log.Info("records fetched", "stream", f.topic, "from", from.String(), "whole", t.Snapshot,
 		"records", len(t.Records), "next", t.Next, "age_ms", t.CallAgeMs, "took_ms", ms(time.Since(began)))
-	r := t.read(sent)
+	r := readOf(t, sent)
 	if !t.Snapshot {
 		if !f.keyed {
 			f.startAt(t.From)
 		}
-		f.applyRecords(t.From, t.records(), r, from)
+		f.applyRecords(t.From, t.StoreRecords(), r, from)
 		return
 	}
-	page := fleet.Page{Records: t.records(), Next: t.Next, End: t.Next}
+	page := fleet.Page{Records: t.StoreRecords(), Next: t.Next, End: t.Next}
 	f.applySnapshot(page, r, from)
 }
 
@@ -114,11 +115,11 @@
 			continue
 		}
 		fetched++
-		f.applyPreRestore(t.records())
+		f.applyPreRestore(t.StoreRecords())
 	}
 }
 
-func (b *bulkClient) fetch(from netip.AddrPort, topicID int, next uint64) (*topicState, error) {
+func (b *bulkClient) fetch(from netip.AddrPort, topicID int, next uint64) (*peermessage.TopicState, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), bulkTimeout)
 	defer cancel()
 	address := url.URL{
@@ -146,7 +147,7 @@
 	if len(data) > maxBulkBytes {
 		return nil, fmt.Errorf("%w: response exceeds %d bytes", errBulk, maxBulkBytes)
 	}
-	var t topicState
+	var t peermessage.TopicState
 	if err := bulkDecoder.Unmarshal(data, &t); err != nil {
 		return nil, fmt.Errorf("%w: %w", errBulk, err)
 	}
@@ -204,7 +205,7 @@
 // unkeyedBulk returns all records kept of a topic without keys, for a peer that knows nothing of
 // it. It returns false if the history is too short or if the peer lacks records that are no longer
 // kept; those must be read from the store. The caller holds mu.
-func (f *follower) unkeyedBulk(t *topicState, next uint64) (*topicState, bool) {
+func (f *follower) unkeyedBulk(t *peermessage.TopicState, next uint64) (*peermessage.TopicState, bool) {
 	first, records, ok := f.tail.Since(unkeyedHistory, f.boot())
 	if next > 0 || !ok || t.Next != f.watermark.Next {
 		return nil, false
@@ -214,9 +215,9 @@
 	return t, true
 }
 
-// bulkState returns the state of the topic for a peer at a position (see topicsQuery.Next; 0 if it
+// bulkState returns the state of the topic for a peer at a position (see peermessage.TopicsQuery.Next; 0 if it
 // knows nothing), as a snapshot if the records after it are not kept.
-func (f *follower) bulkState(next uint64) (*topicState, bool) {
+func (f *follower) bulkState(next uint64) (*peermessage.TopicState, bool) {
 	room := maxBulkBytes
 	f.mu.Lock()
 	reloading := f.reload && f.keyed
@@ -239,7 +240,7 @@
 	t.Snapshot, t.From, t.Records = true, 0, nil
 	for _, r := range f.tail.Newest(f.boot()) {
 		offset := r.Offset
-		t.Records = append(t.Records, topicRecord{Key: r.Key, Value: r.Value, Offset: &offset})
+		t.Records = append(t.Records, peermessage.TopicRecord{Key: r.Key, Value: r.Value, Offset: &offset})
 	}
 	return &t, true
 }
--- a/internal/direct/crashes.go
+++ b/internal/direct/crashes.go
@@ -13,6 +13,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/rendezvous"
 	"skylarklead/internal/rollout"
 )
@@ -44,14 +45,6 @@
 	reasonPartGivenUp    = "request rejected: a part of its prompt crashed the replicas that ran it"
 )
 
-// soundKey says that a good answer with a key was given some time ago. The fields are encoded as an
-// array, in this order.
-type soundKey struct {
-	_     struct{} `cbor:",toarray"`
-	Key   uint64
-	AgeMs uint32
-}
-
 // crashNews is what the other entries are to be told about keys. The state's lock guards it.
 type crashNews struct {
 	// sound are keys against which crashes were counted though good answers with them were given.
@@ -296,7 +289,7 @@
 func (e *Entry) sendSound() {
 	e.state.mu.Lock()
 	now := e.clock.now()
-	var list []soundKey
+	var list peermessage.Sound
 	for key := range e.state.crashNews.sound {
 		if len(list) == maxMessageSound {
 			break
@@ -306,17 +299,17 @@
 		}
 		delete(e.state.crashNews.sound, key)
 		if at, sound := e.state.crashes.SoundAt(key, now); sound {
-			list = append(list, soundKey{Key: key, AgeMs: uint32((now - at).Milliseconds())})
+			list = append(list, peermessage.SoundKey{Key: key, AgeMs: uint32((now - at).Milliseconds())})
 		}
 	}
 	e.state.mu.Unlock()
 	if len(list) > 0 {
-		e.peers.broadcast(&peerMessage{From: e.settings.ID, Epoch: uint64(e.tel.Epoch), Sound: list})
+		e.peers.broadcast(list)
 	}
 }
 
 // receiveSound clears keys with which another entry saw good answers.
-func (e *Entry) receiveSound(list []soundKey) {
+func (e *Entry) receiveSound(list []peermessage.SoundKey) {
 	e.state.mu.Lock()
 	defer e.state.mu.Unlock()
 	now := e.clock.now()
--- a/internal/direct/digest.go
+++ b/internal/direct/digest.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/route"
 	"skylarklead/internal/spread"
 	"skylarklead/internal/wait"
@@ -46,7 +47,7 @@
 	peers *peers
 	// pending holds placements of this domain for the next digest. The peers' mu guards it, as well
 	// as acks.
-	pending []peerPlacement
+	pending []peermessage.Placement
 	// repeats are placements that went with one digest and go with a later one, the oldest first.
 	repeats []sentPlacement
 	seen    *lru.Cache[uint64, struct{}]
@@ -58,7 +59,7 @@
 
 // sentPlacement is a placement that went with the digest with this number.
 type sentPlacement struct {
-	peerPlacement
+	peermessage.Placement
 	digest uint64
 }
 
@@ -186,21 +187,21 @@
 }
 
 // enqueue adds placements of this domain that have not been queued before.
-func (d *digests) enqueue(list []peerPlacement) {
+func (d *digests) enqueue(list []peermessage.Placement) {
 	d.peers.mu.Lock()
 	defer d.peers.mu.Unlock()
 	if !d.peers.hierarchical() {
 		return
 	}
 	for _, placement := range list {
-		if known, _ := d.seen.ContainsOrAdd(placement.fingerprint(), struct{}{}); !known && len(d.pending) < maxPendingPlacements {
+		if known, _ := d.seen.ContainsOrAdd(fingerprintOf(&placement), struct{}{}); !known && len(d.pending) < maxPendingPlacements {
 			d.pending = append(d.pending, placement)
 		}
 	}
 }
 
-// fingerprint identifies a placement.
-func (p *peerPlacement) fingerprint() uint64 {
+// fingerprintOf identifies a placement.
+func fingerprintOf(p *peermessage.Placement) uint64 {
 	d := xxhash.New()
 	for _, n := range append(slices.Clone(p.Levels), p.Replica, p.Saved) {
 		_, _ = d.WriteString(strconv.FormatUint(n, 16) + ",") // writing to a hash never fails
@@ -212,14 +213,14 @@
 // dequeue returns at most limit placements for a part of the digest with the number seq: pending ones, and
 // in the room that they leave those which went with an earlier digest. So each placement is sent twice
 // unless there are too many, and the loss of one datagram doesn't hide it.
-func (d *digests) dequeue(limit int) []peerPlacement {
+func (d *digests) dequeue(limit int) []peermessage.Placement {
 	d.peers.mu.Lock()
 	defer d.peers.mu.Unlock()
 	first := min(limit, len(d.pending))
 	out := slices.Clone(d.pending[:first])
 	d.pending = slices.Delete(d.pending, 0, first)
 	for len(out) < limit && len(d.repeats) > 0 && d.repeats[0].digest < d.seq {
-		out = append(out, d.repeats[0].peerPlacement)
+		out = append(out, d.repeats[0].Placement)
 		d.repeats = slices.Delete(d.repeats, 0, 1)
 	}
 	for _, placement := range out[:first] {
@@ -254,11 +255,11 @@
 	}
 	d.seq++
 	for i, part := range parts {
-		m := &peerMessage{
-			From: e.settings.ID, Epoch: uint64(e.tel.Epoch), Seq: d.seq, Forward: true,
+		m := &peermessage.Loads{
+			Seq: d.seq, Forward: true,
 			DigestPart: strings.Join([]string{e.settings.FailureDomain, strconv.Itoa(partCount), strconv.Itoa(i)}, digestNameSeparator),
 		}
-		m.setLoads(part, d.advertisedTokens, maxMessageLoads-digestNameLoads-reservedPlacements*loadsPerPlacement)
+		m.SetLoads(loadsToSend(part, d.advertisedTokens, maxMessageLoads-digestNameLoads-reservedPlacements*loadsPerPlacement), part)
 		m.Placements = d.dequeue(min(maxMessagePlacements, (maxMessageLoads-digestNameLoads-len(m.Loads))/loadsPerPlacement))
 		d.peers.sendTo(m, d.relayAddresses(targets, i, now)...)
 	}
@@ -288,16 +289,17 @@
 }
 
 // forward forwards a part of a digest that came from another domain within this one and
-// acknowledges it. A sender without an acknowledgement tries another entry.
-func (d *digests) forward(m *peerMessage, from netip.AddrPort) {
+// acknowledges it. A sender without an acknowledgement tries another entry. The epoch stays that of the
+// digest's sender, who numbers its parts.
+func (d *digests) forward(epoch uint64, m *peermessage.Loads, from netip.AddrPort) {
 	p := d.peers
 	if !m.Forward {
 		return
 	}
 	part := m.DigestPart[strings.LastIndex(m.DigestPart, digestNameSeparator)+1:]
 	ack := p.entry.settings.FailureDomain + digestNameSeparator + part
-	p.sendTo(&peerMessage{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), DigestAck: ack}, from)
+	p.sendTo(peermessage.DigestAck(ack), from)
 	forwarded := *m
-	forwarded.From, forwarded.Forward = p.entry.settings.ID, false
-	p.sendTo(&forwarded, p.directPeers()...)
+	forwarded.Forward = false
+	p.sendOf(epoch, &forwarded, p.directPeers()...)
 }
--- a/internal/direct/digest_test.go
+++ b/internal/direct/digest_test.go
@@ -5,9 +5,11 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/route"
 	"skylarklead/internal/settings"
 )
@@ -197,7 +199,7 @@
 // digestsOf returns how many placements each digest has that the entry received, in order, before a pause.
 func (e *peerNode) digestsOf(t *testing.T) (placements []int) {
 	t.Helper()
-	buffer := make([]byte, maxMessageBytes)
+	buffer := make([]byte, peermessage.MaxBytes)
 	for {
 		if err := e.peers.conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond)); err != nil {
 			t.Fatal(err)
@@ -206,11 +208,11 @@
 		if err != nil {
 			return placements
 		}
-		var m peerMessage
-		if err := messageDecoder.Unmarshal(buffer[:n], &m); err != nil {
+		_, m, err := peermessage.Decode(buffer[:n])
+		if err != nil {
 			t.Fatal(err)
 		}
-		placements = append(placements, len(m.Placements))
+		placements = append(placements, len(m.(*peermessage.Loads).Placements))
 	}
 }
 
@@ -223,7 +225,7 @@
 	}
 	sender := all[slices.IndexFunc(all, func(e *peerNode) bool { return len(e.peers.digests.targets(time.Hour)) > 0 })]
 	d := sender.peers.digests
-	d.enqueue([]peerPlacement{{Levels: []uint64{7}, Replica: 1}})
+	d.enqueue([]peermessage.Placement{{Levels: []uint64{7}, Replica: 1}})
 	relays := sender.firstParts()
 	for range 3 {
 		d.send(d.targets(time.Hour))
@@ -240,7 +242,7 @@
 	const placed = 3 * maxMessagePlacements
 	d := newPeerNodes(t, 36, 3)[0].peers.digests
 	for i := range placed {
-		d.enqueue([]peerPlacement{{Levels: []uint64{uint64(i)}, Replica: 1, Prefilled: true}})
+		d.enqueue([]peermessage.Placement{{Levels: []uint64{uint64(i)}, Replica: 1, Prefilled: true}})
 	}
 	dequeued := 0
 	for range 3 {
@@ -250,3 +252,28 @@
 		t.Errorf("%d of %d placements were dequeued", dequeued, placed)
 	}
 }
+
+// Guards against a forwarded digest whose numbers are taken for those of the entry that forwards it.
+func TestAForwardedDigestKeepsTheEpochOfItsSender(t *testing.T) {
+	const epoch = 99
+	all := newPeerNodes(t, 36, 3)
+	relay := all[0]
+	receiver := all[slices.IndexFunc(all, func(e *peerNode) bool { return e != relay && e.domain == relay.domain })]
+	part := &peermessage.Loads{Seq: 5, DigestPart: strings.Join([]string{"domain-1", "1", "0"}, digestNameSeparator), Forward: true}
+	relay.peers.handle(peermessage.Encode(peermessage.Sender{ID: "entry-1", Epoch: epoch}, part), somePeer)
+	if err := receiver.peers.conn.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	buffer := make([]byte, peermessage.MaxBytes)
+	n, _, err := receiver.peers.conn.ReadFromUDPAddrPort(buffer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sender, m, err := peermessage.Decode(buffer[:n])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := m.(*peermessage.Loads); sender.ID != relay.settings.ID || sender.Epoch != epoch || got.Seq != part.Seq || got.Forward {
+		t.Errorf("forwarded %+v as of %+v", got, sender)
+	}
+}
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -18,6 +18,7 @@
 	"skylarklead/internal/delivery"
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/origin"
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/route"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/telemetry"
@@ -122,7 +123,7 @@
 		return fmt.Errorf("direct: peers: %w", err)
 	}
 	e.hub = newHub(e)
-	e.hub.send = func(m *peerMessage, to netip.AddrPort) { e.peers.sendTo(m, to) }
+	e.hub.send = func(m peermessage.Message, to netip.AddrPort) { e.peers.sendTo(m, to) }
 	bulk, server := newBulk(), e.hub.serveBulk(l)
 	e.hub.fetchTopic = bulk.fetch
 	e.hub.close = func() {
--- a/internal/direct/halfway_test.go
+++ b/internal/direct/halfway_test.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/standin/halfway"
 	"skylarklead/test/kit"
 )
@@ -18,7 +19,7 @@
 // Guards against records of a peer that are taken from a part of its answer.
 func TestRecordsOfAPeerThatStopHalfway(t *testing.T) {
 	t.Parallel()
-	sent := topicState{TopicID: 1, Next: 7, From: 5, Records: []topicRecord{{Key: "a", Value: []byte("value of a")}, {Key: "b"}}}
+	sent := peermessage.TopicState{TopicID: 1, Next: 7, From: 5, Records: []peermessage.TopicRecord{{Key: "a", Value: []byte("value of a")}, {Key: "b"}}}
 	var body bytes.Buffer
 	out := kit.Must(flate.NewWriter(&body, flate.BestSpeed))(t)
 	kit.OK(t, cbor.NewEncoder(out).Encode(&sent))
@@ -43,20 +44,8 @@
 	}
 }
 
-// Guards against a part of a peer's datagram that is decoded as a shorter message.
-func TestPartsOfDatagramsAreMalformed(t *testing.T) {
-	message := &peerMessage{
-		From: "entry-1", Epoch: 7,
-		Reports: []replicaReport{{Replica: "r", Weights: map[string]uint64{"m": 2}, Orders: 3}},
-		Crashes: []attempt.CrashReport{{Fingerprint: 1, Replica: "r", GivenUp: true}},
-	}
-	data := kit.Must(cbor.Marshal(message))(t)
-	for n := range data {
-		var m peerMessage
-		if err := messageDecoder.Unmarshal(data[:n], &m); err == nil {
-			t.Errorf("%d of %d bytes: decoded as %+v", n, len(data), m)
-		}
-	}
+// Guards against a part of a stored verdict that is decoded as a shorter one.
+func TestPartsOfVerdictsAreMalformed(t *testing.T) {
 	verdict := storedVerdict{Report: attempt.CrashReport{Fingerprint: 1, Replica: "r", GivenUp: true}, AtMs: 1}
 	for n := range verdict.encode() {
 		if v, err := decodeVerdict(verdict.encode()[:n]); err == nil {
--- a/internal/direct/hub.go
+++ b/internal/direct/hub.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/quota"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/spread"
@@ -56,11 +57,11 @@
 	boot  func() time.Duration
 	self  spread.Peer
 	// send sends a message to an address. It reports no errors, because every query is repeated.
-	send func(*peerMessage, netip.AddrPort)
+	send func(peermessage.Message, netip.AddrPort)
 	// fetchTopic fetches over HTTP what does not fit in a datagram: the records of a topic from
 	// offset next-1 on, or the whole topic. close stops these fetches and the server that answers
 	// those of peers.
-	fetchTopic func(from netip.AddrPort, topicID int, next uint64) (*topicState, error)
+	fetchTopic func(from netip.AddrPort, topicID int, next uint64) (*peermessage.TopicState, error)
 	close      func()
 
 	mu        sync.Mutex
@@ -250,7 +251,7 @@
 	}
 	h.sendQueries(queries)
 	for _, to := range hints {
-		h.send(&peerMessage{From: h.self.ID, Epoch: uint64(h.tel.Epoch), Hint: true}, to)
+		h.send(peermessage.StoreHint{}, to)
 	}
 	for _, f := range followers {
 		if f != nil && (current.mode != spread.Following || f.tooStale(f.age())) {
--- a/internal/direct/hub_test.go
+++ b/internal/direct/hub_test.go
@@ -58,7 +58,7 @@
 	skipped := uint64(0)
 	receiver.onGap = func(first uint64) { skipped = first }
 	receiver.startAt(served.From)
-	receiver.applyRecords(served.From, served.records(), served.read(now), somePeer)
+	receiver.applyRecords(served.From, served.StoreRecords(), readOf(served, now), somePeer)
 	if skipped != served.From || len(*applied) != len(served.Records) || receiver.watermark.Next != 500 {
 		t.Errorf("begins at %d with %d records, known up to %d", skipped, len(*applied), receiver.watermark.Next)
 	}
--- a/internal/direct/hubexchange.go
+++ b/internal/direct/hubexchange.go
@@ -6,9 +6,18 @@
 	"time"
 
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/spread"
 )
 
+const (
+	// messageOverhead is the maximum size in bytes of a message without its records: the sender and
+	// four topics with their numbers and readers. recordOverhead is the maximum size of a record
+	// without its key and value.
+	messageOverhead = 360
+	recordOverhead  = 12
+)
+
 func (h *hub) sendQueries(queries []spread.Query) {
 	for _, q := range queries {
 		h.mu.Lock()
@@ -18,12 +27,12 @@
 		if !ok {
 			continue
 		}
-		query := &topicsQuery{Seq: q.Seq}
+		query := &peermessage.TopicsQuery{Seq: q.Seq}
 		for _, f := range followers {
 			query.Next = append(query.Next, f.queryPosition())
 		}
 		h.tel.Metrics.Count("records_asked", 1)
-		h.send(&peerMessage{From: h.self.ID, Epoch: uint64(h.tel.Epoch), Query: query}, to)
+		h.send(query, to)
 	}
 }
 
@@ -42,7 +51,7 @@
 }
 
 // handleQuery answers a peer's query and subscribes the peer to updates.
-func (h *hub) handleQuery(query *topicsQuery, from netip.AddrPort) {
+func (h *hub) handleQuery(query *peermessage.TopicsQuery, from netip.AddrPort) {
 	now := h.boot()
 	h.mu.Lock()
 	if _, known := h.subscribers[from]; known || len(h.subscribers) < maxSubscribers {
@@ -50,8 +59,8 @@
 	}
 	followers := h.followers
 	h.mu.Unlock()
-	response := &topicsResponse{Seq: query.Seq}
-	room := maxMessageBytes - messageOverhead
+	response := &peermessage.TopicsResponse{Seq: query.Seq}
+	room := peermessage.MaxBytes - messageOverhead
 	for i, f := range followers {
 		if f == nil || i >= len(query.Next) {
 			continue
@@ -63,20 +72,20 @@
 		}
 	}
 	h.tel.Metrics.Count("records_answered", 1)
-	h.send(&peerMessage{From: h.self.ID, Epoch: uint64(h.tel.Epoch), Response: response}, from)
+	h.send(response, from)
 }
 
-// stateSince returns the state of the topic for a peer at a position (see topicsQuery.Next; 0 if it
+// stateSince returns the state of the topic for a peer at a position (see peermessage.TopicsQuery.Next; 0 if it
 // knows nothing): the known offset, its time, and as many of the records that the peer lacks as
 // there is room for. It returns false if no read has confirmed the topic yet.
-func (f *follower) stateSince(next uint64, now time.Duration, room *int) (topicState, bool) {
+func (f *follower) stateSince(next uint64, now time.Duration, room *int) (peermessage.TopicState, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.watermark.Confirmed() {
-		return topicState{}, false
+		return peermessage.TopicState{}, false
 	}
 	last := f.watermark.LastRead()
-	t := topicState{
+	t := peermessage.TopicState{
 		Next: f.watermark.Next, Reader: last.Reader,
 		CallAgeMs: ageMs(now - last.CalledAt), ResponseAgeMs: ageMs(now - last.AnsweredAt),
 	}
@@ -93,15 +102,15 @@
 
 // fitRecords returns the longest prefix of records that fits in room, and subtracts its size from
 // room.
-func fitRecords(records []fleet.Record, room *int) []topicRecord {
-	var out []topicRecord
+func fitRecords(records []fleet.Record, room *int) []peermessage.TopicRecord {
+	var out []peermessage.TopicRecord
 	for _, r := range records {
 		takes := len(r.Key) + len(r.Value) + recordOverhead
 		if takes > *room {
 			break
 		}
 		*room -= takes
-		out = append(out, topicRecord{Key: r.Key, Value: r.Value, Deleted: r.Value == nil})
+		out = append(out, peermessage.TopicRecord{Key: r.Key, Value: r.Value, Deleted: r.Value == nil})
 	}
 	return out
 }
@@ -112,7 +121,7 @@
 }
 
 // handleResponse processes a peer's answer, or an update that was not asked for (Seq 0).
-func (h *hub) handleResponse(peer string, response *topicsResponse, from netip.AddrPort) {
+func (h *hub) handleResponse(peer string, response *peermessage.TopicsResponse, from netip.AddrPort) {
 	now := h.boot()
 	if response.Seq == 0 {
 		h.handleUpdate(peer, response, from)
@@ -133,12 +142,12 @@
 		if f == nil {
 			continue
 		}
-		if !t.valid() {
+		if !t.Valid() {
 			h.tel.Metrics.Count("peer_words_malformed", 1)
 			continue
 		}
 		reported[t.TopicID] = true
-		r := t.read(sent)
+		r := readOf(t, sent)
 		if mustBeFresh(f.topicID) && (t.Reader == h.self.ID || f.tooStale(now-r.CalledAt)) {
 			stale = staleResponse{peer: peer, topic: f.topic, reader: t.Reader, age: now - r.CalledAt}
 		}
@@ -156,10 +165,10 @@
 	h.step()
 }
 
-// read converts the state in an answer into a read, given the time at which the query was sent.
+// readOf converts the state in an answer into a read, given the time at which the query was sent.
 // Ages count back from that time, so that neither a slow answer nor a pause of this process makes
 // the data look younger than it is.
-func (t *topicState) read(sent time.Duration) spread.Read {
+func readOf(t *peermessage.TopicState, sent time.Duration) spread.Read {
 	return spread.Read{
 		Next: t.Next, Reader: t.Reader,
 		CalledAt:   sent - time.Duration(t.CallAgeMs)*time.Millisecond,
@@ -169,12 +178,12 @@
 
 // handleUpdate applies records that a peer has just read. It does not matter which peer sent them:
 // a record is the same whoever forwards it.
-func (h *hub) handleUpdate(peer string, update *topicsResponse, from netip.AddrPort) {
+func (h *hub) handleUpdate(peer string, update *peermessage.TopicsResponse, from netip.AddrPort) {
 	behind := false
 	for i := range update.Topics {
 		t := &update.Topics[i]
 		if f := h.followerOf(int(t.TopicID)); f != nil {
-			behind = !f.applyRecords(t.From, t.records(), spread.Read{Next: t.Next}, from) || behind
+			behind = !f.applyRecords(t.From, t.StoreRecords(), spread.Read{Next: t.Next}, from) || behind
 		}
 	}
 	if !behind {
@@ -188,8 +197,8 @@
 
 // applyState applies the state of a topic from a peer, and fetches the records that did not fit in
 // the message.
-func (h *hub) applyState(f *follower, t *topicState, r spread.Read, from netip.AddrPort) {
-	if f.applyRecords(t.From, t.records(), r, from) {
+func (h *hub) applyState(f *follower, t *peermessage.TopicState, r spread.Read, from netip.AddrPort) {
+	if f.applyRecords(t.From, t.StoreRecords(), r, from) {
 		h.tel.Metrics.Count("records_from_peers", int64(len(t.Records)))
 		return
 	}
@@ -210,15 +219,17 @@
 
 // handle dispatches a message between hubs. An entry that reads every topic from the store itself
 // has no hub and ignores it.
-func (h *hub) handle(m *peerMessage, from netip.AddrPort) {
-	switch {
-	case h == nil:
-	case m.Query != nil:
-		h.handleQuery(m.Query, from)
-	case m.Response != nil:
-		h.handleResponse(m.From, m.Response, from)
-	case m.Hint:
-		h.handleHint(m.From)
+func (h *hub) handle(sender string, m peermessage.Message, from netip.AddrPort) {
+	if h == nil {
+		return
+	}
+	switch m := m.(type) {
+	case *peermessage.TopicsQuery:
+		h.handleQuery(m, from)
+	case *peermessage.TopicsResponse:
+		h.handleResponse(sender, m, from)
+	case peermessage.StoreHint:
+		h.handleHint(sender)
 	}
 }
 
@@ -255,13 +266,13 @@
 		return
 	}
 	for first := true; first || len(records) > 0; first = false {
-		room := maxMessageBytes - messageOverhead
+		room := peermessage.MaxBytes - messageOverhead
 		batch := fitRecords(records, &room)
-		t := topicState{TopicID: uint8(f.topicID), From: from, Next: from + uint64(len(batch)), Records: batch}
+		t := peermessage.TopicState{TopicID: uint8(f.topicID), From: from, Next: from + uint64(len(batch)), Records: batch}
 		if len(batch) == 0 {
 			t.Next = from + uint64(len(records))
 		}
-		m := &peerMessage{From: h.self.ID, Epoch: uint64(h.tel.Epoch), Response: &topicsResponse{Topics: []topicState{t}}}
+		m := &peermessage.TopicsResponse{Topics: []peermessage.TopicState{t}}
 		for _, address := range to {
 			h.send(m, address)
 		}
--- a/internal/direct/hubexchange_test.go
+++ b/internal/direct/hubexchange_test.go
@@ -6,9 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/spread"
 )
@@ -19,7 +18,7 @@
 	*hub
 	now  time.Duration
 	peer string
-	sent []*peerMessage
+	sent []peermessage.Message
 }
 
 // startTestNode returns an entry that knows all topics up to offset 2, as of 1 s.
@@ -36,8 +35,8 @@
 	e := newEntry(s, quietTelemetry(t), Platform{Records: listRecords{}})
 	e.bootClock = func() time.Duration { return n.now }
 	n.hub = newHub(e)
-	n.hub.send = func(m *peerMessage, _ netip.AddrPort) { n.sent = append(n.sent, m) }
-	n.hub.fetchTopic = func(netip.AddrPort, int, uint64) (*topicState, error) { return nil, errBulk }
+	n.hub.send = func(m peermessage.Message, _ netip.AddrPort) { n.sent = append(n.sent, m) }
+	n.hub.fetchTopic = func(netip.AddrPort, int, uint64) (*peermessage.TopicState, error) { return nil, errBulk }
 	for topicID := range topicCount {
 		f := e.newFollower(topicNames[topicID])
 		f.hub, f.topicID, f.keyed = n.hub, topicID, true
@@ -62,8 +61,8 @@
 	t.Helper()
 	n.step()
 	for _, m := range n.sent {
-		if m.Query != nil {
-			return m.Query.Seq
+		if query, ok := m.(*peermessage.TopicsQuery); ok {
+			return query.Seq
 		}
 	}
 	t.Fatal("the peer receives no query")
@@ -71,10 +70,10 @@
 }
 
 // fullResponse returns a response with the state of all topics, at offset 2 and with a given age.
-func fullResponse(seq, ageMs uint64) *topicsResponse {
-	response := &topicsResponse{Seq: seq}
+func fullResponse(seq, ageMs uint64) *peermessage.TopicsResponse {
+	response := &peermessage.TopicsResponse{Seq: seq}
 	for topicID := range topicCount {
-		response.Topics = append(response.Topics, topicState{TopicID: uint8(topicID), Next: 2, From: 2, CallAgeMs: ageMs, ResponseAgeMs: ageMs, Reader: "entry-3"})
+		response.Topics = append(response.Topics, peermessage.TopicState{TopicID: uint8(topicID), Next: 2, From: 2, CallAgeMs: ageMs, ResponseAgeMs: ageMs, Reader: "entry-3"})
 	}
 	return response
 }
@@ -117,27 +116,20 @@
 
 // Whatever message arrives, no topic gets fresher than the time of the query, and nothing panics.
 func FuzzHubMessage(f *testing.F) {
-	for _, response := range []*topicsResponse{fullResponse(1, 0), fullResponse(1, math.MaxUint64), {Seq: 0, Topics: []topicState{{TopicID: 255, From: math.MaxUint64, Next: 1}}}} {
-		data, err := cbor.Marshal(&peerMessage{From: "entry-1", Response: response})
-		if err != nil {
-			f.Fatal(err)
-		}
-		f.Add(data)
+	sender := peermessage.Sender{ID: "entry-1"}
+	for _, response := range []*peermessage.TopicsResponse{fullResponse(1, 0), fullResponse(1, math.MaxUint64), {Seq: 0, Topics: []peermessage.TopicState{{TopicID: 255, From: math.MaxUint64, Next: 1}}}} {
+		f.Add(peermessage.Encode(sender, response))
 	}
-	data, err := cbor.Marshal(&peerMessage{From: "entry-1", Query: &topicsQuery{Seq: 1, Next: []uint64{0, 1, 2, 3, math.MaxUint64}}})
-	if err != nil {
-		f.Fatal(err)
-	}
-	f.Add(data)
+	f.Add(peermessage.Encode(sender, &peermessage.TopicsQuery{Seq: 1, Next: []uint64{0, 1, 2, 3, math.MaxUint64}}))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		var m peerMessage
-		if messageDecoder.Unmarshal(data, &m) != nil {
+		from, m, err := peermessage.Decode(data)
+		if err != nil {
 			return
 		}
 		n := startTestNode(t)
 		n.now += 5 * time.Second
 		n.sendQuery(t)
-		n.handle(&m, somePeer)
+		n.handle(from.ID, m, somePeer)
 		for topicID := range topicCount {
 			if age := n.ageOf(topicID); age < 0 {
 				t.Errorf("topic %d is known as of %v in the future", topicID, -age)
--- a/internal/direct/notices.go
+++ b/internal/direct/notices.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/ratelimit"
 )
 
@@ -15,15 +16,6 @@
 	leavingSends = 2
 )
 
-// noticeMessage is what a replica has announced to another entry: that it leaves, or else a rate
-// limit or its end.
-type noticeMessage struct {
-	Replica string  `cbor:"1,keyasint"`
-	Rate    float64 `cbor:"2,keyasint,omitempty"`
-	Lifted  bool    `cbor:"3,keyasint,omitempty"`
-	Leaving bool    `cbor:"4,keyasint,omitempty"`
-}
-
 // handleNotice handles what a replica announces of itself in the head of an answer.
 func (req *request) handleNotice(p *placement, head *fleet.Answer) {
 	req.dispatches[len(req.dispatches)-1].notice = head.Notice
@@ -82,24 +74,24 @@
 func (e *Entry) sendNotices() {
 	s := e.state
 	s.mu.Lock()
-	var notices []noticeMessage
+	var notices peermessage.Notices
 	for _, l := range s.rateLimits.DueUpdates(e.clock.now()) {
-		notices = append(notices, noticeMessage{Replica: l.Replica, Rate: l.Rate, Lifted: l.Lifted})
+		notices = append(notices, peermessage.Notice{Replica: l.Replica, Rate: l.Rate, Lifted: l.Lifted})
 	}
 	for replica, times := range s.leavingToSend {
-		notices = append(notices, noticeMessage{Replica: replica, Leaving: true})
+		notices = append(notices, peermessage.Notice{Replica: replica, Leaving: true})
 		if s.leavingToSend[replica] = times - 1; times <= 1 {
 			delete(s.leavingToSend, replica)
 		}
 	}
 	s.mu.Unlock()
 	for chunk := range slices.Chunk(notices, maxMessageNotices) {
-		e.peers.broadcast(&peerMessage{From: e.settings.ID, Epoch: uint64(e.tel.Epoch), Notices: chunk})
+		e.peers.broadcast(chunk)
 	}
 }
 
 // receiveNotices applies what replicas announced to another entry.
-func (e *Entry) receiveNotices(notices []noticeMessage, from string) {
+func (e *Entry) receiveNotices(notices []peermessage.Notice, from string) {
 	now := e.clock.now()
 	s := e.state
 	s.mu.Lock()
--- a/internal/direct/notices_test.go
+++ b/internal/direct/notices_test.go
@@ -4,38 +4,34 @@
 	"math"
 	"testing"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/peermessage"
 )
 
 // Guards against notices from peers that name unknown replicas or impossible rates.
 func FuzzNotices(f *testing.F) {
 	const known = "r-1"
-	for _, list := range [][]noticeMessage{
+	for _, list := range []peermessage.Notices{
 		{{Replica: known, Rate: 1.5}, {Replica: known, Lifted: true}, {Replica: known, Leaving: true}},
 		{{Replica: known, Rate: -1}, {Replica: known, Rate: math.Inf(1)}, {Replica: known, Rate: math.NaN()}},
 		{{Replica: "r-2", Rate: 3}, {}},
 	} {
-		data, err := cbor.Marshal(&peerMessage{From: "entry-1", Notices: list})
-		if err != nil {
-			f.Fatal(err)
-		}
-		f.Add(data)
+		f.Add(peermessage.Encode(peermessage.Sender{ID: "entry-1"}, list))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		var m peerMessage
-		if messageDecoder.Unmarshal(data, &m) != nil || len(m.Notices) == 0 {
+		sender, m, err := peermessage.Decode(data)
+		notices, ok := m.(peermessage.Notices)
+		if err != nil || !ok {
 			return
 		}
 		e := newPeerNodes(t, 1, 1)[0]
 		e.state.replicas.Put(&fleet.Replica{ID: known, Name: known}, 1, 0)
-		e.receiveNotices(m.Notices, m.From)
+		e.receiveNotices(notices, sender.ID)
 		now := e.clock.now()
 		if s, limited := e.state.rateLimits.State(known, now); limited && !(s.Rate >= 0 && s.Rate <= math.MaxFloat64) {
 			t.Errorf("accepted a rate of %v", s.Rate)
 		}
-		for _, n := range m.Notices {
+		for _, n := range notices {
 			if _, limited := e.state.rateLimits.State(n.Replica, now); limited && n.Replica != known {
 				t.Errorf("accepted a rate limit of the unknown replica %q", n.Replica)
 			}
--- a/internal/direct/origins.go
+++ b/internal/direct/origins.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"skylarklead/internal/origin"
+	"skylarklead/internal/peermessage"
 )
 
 const (
@@ -20,28 +21,6 @@
 	maxMessageStreams = 64
 )
 
-// streamsMessage says or asks which software began streams.
-type streamsMessage struct {
-	Begun []begunStream `cbor:"1,keyasint,omitempty"`
-	// Asked are streams that the sender wants to know, Unknown those that it was asked for and
-	// doesn't know.
-	Asked   []uint64 `cbor:"2,keyasint,omitempty"`
-	Unknown []uint64 `cbor:"3,keyasint,omitempty"`
-	// Written are uses that were written to the store in an era, AskedUses those that the sender wants to
-	// know about.
-	Written   []writtenUse `cbor:"4,keyasint,omitempty"`
-	Era       uint64       `cbor:"5,keyasint,omitempty"`
-	AskedUses []writtenUse `cbor:"6,keyasint,omitempty"`
-}
-
-// begunStream is an origin.Stream with the origin.Software that began it. The fields are encoded as an
-// array, in this order.
-type begunStream struct {
-	_        struct{} `cbor:",toarray"`
-	Stream   uint64
-	Software uint64
-}
-
 // origins knows which software began which streams, as far as this entry was told, and asks others.
 type origins struct {
 	peers *peers
@@ -75,7 +54,7 @@
 	for _, address := range o.holders(s) {
 		to = append(to, address)
 	}
-	o.send(&streamsMessage{Begun: []begunStream{{Stream: uint64(s), Software: uint64(software)}}}, to...)
+	o.send(&peermessage.Streams{Begun: []peermessage.BegunStream{{Stream: uint64(s), Software: uint64(software)}}}, to...)
 }
 
 // resolve returns the software that began a stream. It reports false if no entry that was asked knows the
@@ -91,7 +70,7 @@
 	repeat := time.NewTicker(originRepeat)
 	defer repeat.Stop()
 	for {
-		o.send(&streamsMessage{Asked: []uint64{uint64(s)}}, o.pending(q)...)
+		o.send(&peermessage.Streams{Asked: []uint64{uint64(s)}}, o.pending(q)...)
 		select {
 		case <-q.answered:
 		case <-ctx.Done():
@@ -161,10 +140,10 @@
 }
 
 // receive handles a message of another entry.
-func (o *origins) receive(m *streamsMessage, id string, from netip.AddrPort) {
+func (o *origins) receive(m *peermessage.Streams, id string, from netip.AddrPort) {
 	o.peers.entry.uses.receive(m, from)
 	now := o.peers.entry.clock.now()
-	var answer streamsMessage
+	var answer peermessage.Streams
 	o.mu.Lock()
 	for _, b := range m.Begun[:min(len(m.Begun), maxMessageStreams)] {
 		s := origin.Stream(b.Stream)
@@ -175,7 +154,7 @@
 	}
 	for _, asked := range m.Asked[:min(len(m.Asked), maxMessageStreams)] {
 		if software, ok := o.table.Lookup(origin.Stream(asked), now); ok {
-			answer.Begun = append(answer.Begun, begunStream{Stream: asked, Software: uint64(software)})
+			answer.Begun = append(answer.Begun, peermessage.BegunStream{Stream: asked, Software: uint64(software)})
 		} else {
 			answer.Unknown = append(answer.Unknown, asked)
 		}
@@ -192,9 +171,8 @@
 	}
 }
 
-func (o *origins) send(m *streamsMessage, to ...netip.AddrPort) {
-	e := o.peers.entry
+func (o *origins) send(m *peermessage.Streams, to ...netip.AddrPort) {
 	if len(to) > 0 {
-		o.peers.sendTo(&peerMessage{From: e.settings.ID, Epoch: uint64(e.tel.Epoch), Streams: m}, to...)
+		o.peers.sendTo(m, to...)
 	}
 }
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -5,20 +5,17 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"net"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"skylarklead/internal/admit"
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/rollout"
 	"skylarklead/internal/route"
-	"skylarklead/internal/strictcbor"
 	"skylarklead/internal/wait"
 )
 
@@ -30,9 +27,6 @@
 	maxMessagesPerSecond = 200
 	// peerExpiry is how long the data of a silent peer is kept.
 	peerExpiry = 10 * time.Second
-	// maxMessageBytes bounds a message: what a datagram carries without fragmentation over links
-	// with an MTU of 1,500 bytes.
-	maxMessageBytes = 1472
 	// maxMessageLoads bounds the loads in a message without placements. Each placement takes the
 	// room of loadsPerPlacement loads.
 	maxMessageLoads   = 56
@@ -52,96 +46,8 @@
 	// reports, so that each kind fits in a datagram.
 	maxMessageRolloutRecords = 12
 	maxMessageCrashes        = 32
-	// maxStoreReachable bounds the advertised time for which the store has answered: many times the
-	// longest outage in which this evidence from peers matters.
-	maxStoreReachable = time.Hour
 )
 
-// peerMessage is a datagram between entries.
-type peerMessage struct {
-	From  string     `cbor:"1,keyasint"`
-	Epoch uint64     `cbor:"2,keyasint"`
-	Seq   uint64     `cbor:"3,keyasint"`
-	Loads []peerLoad `cbor:"4,keyasint,omitempty"`
-	// MemoryTokens has, for each of Loads in order, its route.Load.MemoryTokens in memoryUnit; zeros at
-	// the end are left out. Entries of older builds send none, and 18 with another meaning.
-	MemoryTokens []uint16 `cbor:"19,keyasint,omitempty"`
-	// Placements are the most recent ones. Each is repeated in several messages, because one may be
-	// lost.
-	Placements []peerPlacement `cbor:"6,keyasint,omitempty"`
-	// RolloutRecords are sent without loads and with Seq 0.
-	RolloutRecords []rollout.Record `cbor:"5,keyasint,omitempty"`
-	// StoreReachable is the time for which the store has answered the reader of the list of
-	// replicas without interruption, in milliseconds plus one; 1 means that it does not answer now,
-	// 0 that the message says nothing about it.
-	StoreReachable uint32 `cbor:"8,keyasint,omitempty"`
-	// Crashes are crashes of replicas that are counted against requests. A message with these
-	// carries nothing else. The same holds for the fields below, except that DigestPart and Forward
-	// come with loads and placements.
-	Crashes []attempt.CrashReport `cbor:"7,keyasint,omitempty"`
-	// Query and Response distribute the topics of the store. Hint tells a peer that the store
-	// answers the sender although it does not answer the receiver.
-	Query    *topicsQuery    `cbor:"9,keyasint,omitempty"`
-	Response *topicsResponse `cbor:"10,keyasint,omitempty"`
-	Hint     bool            `cbor:"11,keyasint,omitempty"`
-	// DigestPart names the part of a failure domain's digest that Loads and Placements belong to;
-	// "" if they are the sender's own. Forward asks the receiver to forward the part within its own
-	// domain.
-	DigestPart string `cbor:"13,keyasint,omitempty"`
-	Forward    bool   `cbor:"14,keyasint,omitempty"`
-	// DigestAck acknowledges a part of a digest: it names the sender's failure domain, in which the
-	// sender forwards the part, and the part's index, separated by digestNameSeparator.
-	DigestAck string `cbor:"15,keyasint,omitempty"`
-	// Reports are states that replicas reported while the store was unavailable.
-	Reports []replicaReport `cbor:"12,keyasint,omitempty"`
-	// Quota lends, borrows or returns units of an organisation's quota.
-	Quota *quotaMessage `cbor:"16,keyasint,omitempty"`
-	// Notices are what replicas announced about themselves in answers.
-	Notices []noticeMessage `cbor:"17,keyasint,omitempty"`
-	// Sound are keys that didn't cause the crashes counted against them.
-	Sound []soundKey `cbor:"21,keyasint,omitempty"`
-	// Streams says or asks which software began streams.
-	Streams *streamsMessage `cbor:"20,keyasint,omitempty"`
-	// Grant asks for a run with a key, answers that, or returns a grant.
-	Grant *grantMessage `cbor:"22,keyasint,omitempty"`
-	// Drain is set if the sender shuts down. It comes with its own loads, or alone when it ends.
-	Drain *peerDrain `cbor:"23,keyasint,omitempty"`
-}
-
-// peerDrain is an admit.DrainNotice in milliseconds. The fields are encoded as an array, in this order.
-type peerDrain struct {
-	_          struct{} `cbor:",toarray"`
-	Open, Left uint32
-}
-
-// peerLoad is the load of an entry or of a failure domain at a replica. The fields are encoded as
-// an array, in this order.
-type peerLoad struct {
-	_ struct{} `cbor:",toarray"`
-	// Replica is the hash of the replica's ID.
-	Replica uint64
-	// PrefillTokens is the number of prompt tokens that are not prefilled yet, Running the number
-	// of requests in flight.
-	PrefillTokens uint32
-	Running       uint32
-	// AddedTokens counts the prompt tokens sent to the replica, in route.AddedTokensUnit; it wraps
-	// around.
-	AddedTokens uint16
-}
-
-// peerPlacement is a route.Placement: the prefix levels that were sent to a replica, or saved to a
-// store (Saved). Prefilled is set once the replica has prefilled them. The fields are encoded as an
-// array, in this order.
-type peerPlacement struct {
-	_         struct{} `cbor:",toarray"`
-	Levels    []uint64
-	Replica   uint64
-	Prefilled bool
-	Saved     uint64
-}
-
-var messageDecoder = strictcbor.Decoder(strictcbor.Bounds{MapPairs: 16})
-
 // peers exchanges messages with the other entries over UDP and keeps the list of entries. A lost
 // load message is harmless, because the next one repeats the loads.
 type peers struct {
@@ -173,6 +79,8 @@
 	receivedAt map[string]time.Duration
 	// drains knows which peers shut down.
 	drains *admit.PeerDrains
+	// sentKinds and receivedKinds count messages.
+	sentKinds, receivedKinds kindCounters
 }
 
 func newPeers(e *Entry) (*peers, error) {
@@ -190,6 +98,8 @@
 		receivedAt:       make(map[string]time.Duration),
 		drains:           admit.NewPeerDrains(),
 		advertisedTokens: make(map[uint64]uint16),
+		sentKinds:        newKindCounters("peer_messages_sent_"),
+		receivedKinds:    newKindCounters("peer_messages_received_"),
 	}
 	p.digests = newDigests(p)
 	p.origins = newOrigins(p)
@@ -201,24 +111,27 @@
 // reads the records from the entries' topic.
 func (p *peers) sendRolloutRecords(records []rollout.Record) {
 	for batch := range slices.Chunk(records, maxMessageRolloutRecords) {
-		p.broadcast(&peerMessage{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), RolloutRecords: batch})
+		p.broadcast(peermessage.RolloutRecords(batch))
 	}
 }
 
 // sendCrashes sends crashes that are counted against requests to all peers at once.
 func (p *peers) sendCrashes(crashes []attempt.CrashReport) {
 	for batch := range slices.Chunk(crashes, maxMessageCrashes) {
-		p.broadcast(&peerMessage{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), Crashes: batch})
+		p.broadcast(peermessage.Crashes(batch))
 	}
 }
 
-func (p *peers) broadcast(m *peerMessage) { p.sendTo(m, p.addresses()...) }
+func (p *peers) broadcast(m peermessage.Message) { p.sendTo(m, p.addresses()...) }
 
-func (p *peers) sendTo(m *peerMessage, to ...netip.AddrPort) {
-	data, err := cbor.Marshal(m)
-	if err != nil {
-		panic(err) // the message consists of plain values
-	}
+func (p *peers) sendTo(m peermessage.Message, to ...netip.AddrPort) {
+	p.sendOf(uint64(p.entry.tel.Epoch), m, to...)
+}
+
+// sendOf sends a message whose numbers are those of an epoch.
+func (p *peers) sendOf(epoch uint64, m peermessage.Message, to ...netip.AddrPort) {
+	data := peermessage.Encode(peermessage.Sender{ID: p.entry.settings.ID, Epoch: epoch}, m)
+	p.sentKinds.count(p.entry.tel, m.Kind(), len(to))
 	for _, address := range to {
 		// Unreachable peers are noticed by the lack of messages from them.
 		_, _ = p.conn.WriteToUDPAddrPort(data, address)
@@ -286,7 +199,7 @@
 	aliveMessages  = 3
 )
 
-func (p *peers) loadMessage() *peerMessage {
+func (p *peers) loadMessage() *peermessage.Loads {
 	s := p.entry.state
 	s.mu.Lock()
 	loads := s.picker.Loads()
@@ -295,11 +208,13 @@
 	served := s.outage.ServedFor(now)
 	s.mu.Unlock()
 	p.seq++
-	m := &peerMessage{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), Seq: p.seq, StoreReachable: encodeStoreReachable(served), Drain: encodeDrain(p.entry.drain.notice())}
-	m.setLoads(loads, p.advertisedTokens, maxMessageLoads-len(placements)*loadsPerPlacement)
+	m := &peermessage.Loads{Seq: p.seq}
+	m.SetStoreServed(served)
+	m.SetDrain(p.entry.drain.notice())
+	m.SetLoads(loadsToSend(loads, p.advertisedTokens, maxMessageLoads-len(placements)*loadsPerPlacement), loads)
 	for _, placement := range placements {
 		levels := placement.Levels[max(0, len(placement.Levels)-maxPlacementLevels):]
-		m.Placements = append(m.Placements, peerPlacement{Levels: levels, Replica: placement.Replica, Prefilled: placement.Prefilled, Saved: placement.Saved})
+		m.Placements = append(m.Placements, peermessage.Placement{Levels: levels, Replica: placement.Replica, Prefilled: placement.Prefilled, Saved: placement.Saved})
 	}
 	return m
 }
@@ -307,15 +222,15 @@
 // loadsToSend returns at most limit loads to advertise: those of replicas with running requests
 // first, then those whose AddedTokens differs from advertisedTokens. Peers assume that a replica
 // without an advertised load is idle, and a message has no room for all loads.
-func loadsToSend(loads map[uint64]route.Load, advertisedTokens map[uint64]uint16, limit int) []peerLoad {
-	var out []peerLoad
+func loadsToSend(loads map[uint64]route.Load, advertisedTokens map[uint64]uint16, limit int) []peermessage.Load {
+	var out []peermessage.Load
 	for id, l := range loads {
 		changed := l.Running > 0 || advertisedTokens[id] != l.AddedTokens
 		if changed {
-			out = append(out, peerLoad{Replica: id, PrefillTokens: uint32(l.PrefillTokens), Running: uint32(l.Running), AddedTokens: l.AddedTokens})
+			out = append(out, peermessage.Load{Replica: id, PrefillTokens: uint32(l.PrefillTokens), Running: uint32(l.Running), AddedTokens: l.AddedTokens})
 		}
 	}
-	slices.SortFunc(out, func(a, b peerLoad) int {
+	slices.SortFunc(out, func(a, b peermessage.Load) int {
 		return cmp.Or(cmp.Compare(b.PrefillTokens, a.PrefillTokens), cmp.Compare(b.Running, a.Running), cmp.Compare(a.Replica, b.Replica))
 	})
 	out = out[:min(len(out), limit)]
@@ -325,46 +240,9 @@
 	return out
 }
 
-// setLoads sets the loads of a message to at most limit loads.
-func (m *peerMessage) setLoads(loads map[uint64]route.Load, advertisedTokens map[uint64]uint16, limit int) {
-	m.Loads = loadsToSend(loads, advertisedTokens, limit)
-	for i, l := range m.Loads {
-		if units := encodeMemory(loads[l.Replica].MemoryTokens); units > 0 {
-			m.MemoryTokens = append(m.MemoryTokens, make([]uint16, i+1-len(m.MemoryTokens))...)
-			m.MemoryTokens[i] = units
-		}
-	}
-}
-
-// loads returns the loads of a message by replica.
-func (m *peerMessage) loads() map[uint64]route.Load {
-	loads := make(map[uint64]route.Load, len(m.Loads))
-	for i, l := range m.Loads {
-		load := route.Load{PrefillTokens: float64(l.PrefillTokens), Running: int(l.Running), AddedTokens: l.AddedTokens}
-		if i < len(m.MemoryTokens) {
-			load.MemoryTokens = float64(m.MemoryTokens[i]) * memoryUnit
-		}
-		loads[l.Replica] = load
-	}
-	return loads
-}
-
-// memoryUnit is the unit of peerMessage.MemoryTokens, in tokens: a fraction of a request's memory.
-const memoryUnit = 64
-
-// encodeMemory returns tokens in memoryUnit, rounded up.
-func encodeMemory(tokens float64) uint16 {
-	return uint16(min(math.Ceil(tokens/memoryUnit), math.MaxUint16))
-}
-
-// encodeStoreReachable returns the value of peerMessage.StoreReachable.
-func encodeStoreReachable(served time.Duration) uint32 {
-	return uint32(min(served, maxStoreReachable).Milliseconds()) + 1
-}
-
 // receive handles messages from peers until the socket is closed.
 func (p *peers) receive() {
-	buffer := make([]byte, maxMessageBytes)
+	buffer := make([]byte, peermessage.MaxBytes)
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -378,38 +256,48 @@
 }
 
 func (p *peers) handle(data []byte, from netip.AddrPort) {
-	e := p.entry
-	var m peerMessage
-	if err := messageDecoder.Unmarshal(data, &m); err != nil || m.From == "" {
-		e.tel.Metrics.Count("peer_words_malformed", 1)
+	sender, message, err := peermessage.Decode(data)
+	switch {
+	case errors.Is(err, peermessage.ErrUnknownKind):
+		p.markReceived(sender.ID, from)
+		p.entry.tel.Metrics.Count("peer_messages_unknown", 1)
+		return
+	case err != nil:
+		p.entry.tel.Metrics.Count("peer_words_malformed", 1)
 		return
 	}
-	p.markReceived(m.From, from)
-	switch {
-	case len(m.RolloutRecords) > 0:
-		e.rollouts.receiveRecords(m.RolloutRecords)
-	case len(m.Crashes) > 0:
-		e.receiveCrashes(m.Crashes, m.From)
-	case len(m.Reports) > 0:
-		e.handleReports(m.Reports)
-	case m.Query != nil || m.Response != nil || m.Hint:
-		e.hub.handle(&m, from)
-	case len(m.Notices) > 0:
-		e.receiveNotices(m.Notices, m.From)
-	case len(m.Sound) > 0:
-		e.receiveSound(m.Sound)
-	case m.Streams != nil:
-		p.origins.receive(m.Streams, m.From, from)
-	case m.Grant != nil:
-		p.grants.receive(m.Grant, m.From, from)
-	case m.Quota != nil:
-		e.quotas.receive(&m, from)
-	case m.Drain != nil && m.Seq == 0:
-		p.heardDrain(&m)
-	case m.DigestAck != "":
-		p.digests.handleAck(m.DigestAck)
+	p.receivedKinds.count(p.entry.tel, message.Kind(), 1)
+	p.markReceived(sender.ID, from)
+	p.dispatch(sender, message, from)
+}
+
+func (p *peers) dispatch(sender peermessage.Sender, message peermessage.Message, from netip.AddrPort) {
+	e := p.entry
+	switch m := message.(type) {
+	case *peermessage.Loads:
+		p.handleLoads(sender, m, from)
+	case peermessage.End:
+		p.heardDrain(sender, 0, &admit.DrainNotice{})
+	case peermessage.DigestAck:
+		p.digests.handleAck(string(m))
+	case peermessage.RolloutRecords:
+		e.rollouts.receiveRecords(m)
+	case peermessage.Crashes:
+		e.receiveCrashes(m, sender.ID)
+	case peermessage.Sound:
+		e.receiveSound(m)
+	case *peermessage.Grant:
+		p.grants.receive(m, sender.ID, from)
+	case peermessage.Reports:
+		e.handleReports(m)
+	case peermessage.Notices:
+		e.receiveNotices(m, sender.ID)
+	case *peermessage.Streams:
+		p.origins.receive(m, sender.ID, from)
+	case *peermessage.Quota:
+		e.quotas.receive(sender, m, from)
 	default:
-		p.handleLoads(&m, from)
+		e.hub.handle(sender.ID, message, from)
 	}
 }
 
@@ -431,50 +319,38 @@
 }
 
 // handleLoads applies the loads and placements of a peer or of another failure domain.
-func (p *peers) handleLoads(m *peerMessage, from netip.AddrPort) {
+func (p *peers) handleLoads(sender peermessage.Sender, m *peermessage.Loads, from netip.AddrPort) {
 	e := p.entry
-	loads := m.loads()
+	loads := m.ByReplica()
 	placements := make([]route.Placement, len(m.Placements))
 	for i, placement := range m.Placements {
 		placements[i] = route.Placement{Levels: placement.Levels, Replica: placement.Replica, Prefilled: placement.Prefilled, Saved: placement.Saved}
 	}
 	if m.DigestPart == "" {
 		p.digests.enqueue(m.Placements)
-		p.heardDrain(m)
+		p.heardDrain(sender, m.Seq, m.DrainNotice())
 	} else {
-		p.digests.forward(m, from)
+		p.digests.forward(sender.Epoch, m, from)
 	}
 	now := e.clock.now()
 	e.state.mu.Lock()
 	if m.DigestPart == "" {
-		e.state.picker.UpdatePeerLoads(m.From, m.Epoch, m.Seq, loads, now)
+		e.state.picker.UpdatePeerLoads(sender.ID, sender.Epoch, m.Seq, loads, now)
 	} else {
-		e.state.picker.UpdateDomainLoads(m.DigestPart, m.Epoch, m.Seq, loads, now)
+		e.state.picker.UpdateDomainLoads(m.DigestPart, sender.Epoch, m.Seq, loads, now)
 	}
 	e.state.picker.ApplyPlacements(placements, now)
-	if m.StoreReachable > 0 {
-		e.state.outage.PeerReported(m.From, time.Duration(m.StoreReachable-1)*time.Millisecond, now)
+	if served, told := m.StoreServed(); told {
+		e.state.outage.PeerReported(sender.ID, served, now)
 	}
 	e.state.mu.Unlock()
 }
 
-// encodeDrain returns the value of peerMessage.Drain.
-func encodeDrain(n *admit.DrainNotice) *peerDrain {
-	if n == nil {
-		return nil
-	}
-	return &peerDrain{Open: uint32(n.Open.Milliseconds()), Left: uint32(n.Left.Milliseconds())}
-}
-
-// heardDrain records whether the sender of a message shuts down.
-func (p *peers) heardDrain(m *peerMessage) {
-	var notice *admit.DrainNotice
-	if m.Drain != nil {
-		notice = &admit.DrainNotice{Open: time.Duration(m.Drain.Open) * time.Millisecond, Left: time.Duration(m.Drain.Left) * time.Millisecond}
-	}
+// heardDrain records whether the sender of a message shuts down: notice is nil if it doesn't.
+func (p *peers) heardDrain(sender peermessage.Sender, seq uint64, notice *admit.DrainNotice) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.drains.Heard(m.From, m.Epoch, m.Seq, notice, p.entry.clock.now())
+	p.drains.Heard(sender.ID, sender.Epoch, seq, notice, p.entry.clock.now())
 }
 
 // outlook returns which peers a caller that is refused can turn to.
@@ -487,7 +363,7 @@
 
 // sendEnd tells the direct peers that this entry ends now.
 func (p *peers) sendEnd() {
-	p.sendTo(&peerMessage{From: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch), Drain: &peerDrain{}}, p.directPeers()...)
+	p.sendTo(peermessage.End{}, p.directPeers()...)
 }
 
 // run exchanges messages until ctx ends.
--- a/internal/direct/peers_test.go
+++ b/internal/direct/peers_test.go
@@ -6,8 +6,7 @@
 	"strings"
 	"testing"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/route"
 	"skylarklead/internal/settings"
 )
@@ -16,16 +15,16 @@
 // with loads and placements; if the separate bounds exceed the receiver's buffer together, peers
 // lose the message and send to the same replicas.
 func TestTheLongestWordFitsADatagram(t *testing.T) {
-	m := &peerMessage{From: strings.Repeat("x", 24), Epoch: math.MaxUint64, Seq: math.MaxUint32, StoreReachable: math.MaxUint32, Drain: &peerDrain{Open: math.MaxUint32, Left: math.MaxUint32}}
+	m := &peermessage.Loads{Seq: math.MaxUint32, StoreReachable: math.MaxUint32, Drain: &peermessage.Drain{Open: math.MaxUint32, Left: math.MaxUint32}}
 	for range maxMessageLoads - maxMessagePlacements*loadsPerPlacement {
-		m.Loads = append(m.Loads, peerLoad{Replica: math.MaxUint64, PrefillTokens: math.MaxUint32, Running: 200, AddedTokens: math.MaxUint16})
+		m.Loads = append(m.Loads, peermessage.Load{Replica: math.MaxUint64, PrefillTokens: math.MaxUint32, Running: 200, AddedTokens: math.MaxUint16})
 	}
 	levels := make([]uint64, maxPlacementLevels)
 	for i := range levels {
 		levels[i] = math.MaxUint64
 	}
 	for range maxMessagePlacements {
-		m.Placements = append(m.Placements, peerPlacement{Levels: levels, Replica: math.MaxUint64, Prefilled: true})
+		m.Placements = append(m.Placements, peermessage.Placement{Levels: levels, Replica: math.MaxUint64, Prefilled: true})
 	}
 	memory := func() {
 		m.MemoryTokens = nil
@@ -48,47 +47,41 @@
 func TestMemoryInUseReachesOtherEntries(t *testing.T) {
 	loads := map[uint64]route.Load{
 		1: {PrefillTokens: 9000, Running: 2},
-		2: {PrefillTokens: 800, MemoryTokens: 11 * memoryUnit, Running: 1},
+		2: {PrefillTokens: 800, MemoryTokens: 11 * 64, Running: 1},
 		3: {PrefillTokens: 100, Running: 1},
 	}
-	var m peerMessage
-	m.setLoads(loads, make(map[uint64]uint16), maxMessageLoads)
-	data, err := cbor.Marshal(&m)
+	m := &peermessage.Loads{Seq: 1}
+	m.SetLoads(loadsToSend(loads, make(map[uint64]uint16), maxMessageLoads), loads)
+	_, decoded, err := peermessage.Decode(peermessage.Encode(peermessage.Sender{ID: "entry-1"}, m))
 	if err != nil {
 		t.Fatal(err)
 	}
-	var got peerMessage
-	if err := messageDecoder.Unmarshal(data, &got); err != nil {
-		t.Fatal(err)
-	}
+	got := decoded.(*peermessage.Loads)
 	for replica, want := range loads {
-		if l := got.loads()[replica]; l != want {
+		if l := got.ByReplica()[replica]; l != want {
 			t.Errorf("replica %d: %+v, want %+v", replica, l, want)
 		}
 	}
 	got.MemoryTokens = nil
-	if l := got.loads()[2]; l.PrefillTokens != 800 || l.MemoryTokens != 0 {
+	if l := got.ByReplica()[2]; l.PrefillTokens != 800 || l.MemoryTokens != 0 {
 		t.Errorf("%+v from an entry of an older build", l)
 	}
 }
 
 // The longest message with replicas' notices must fit in a datagram.
 func TestTheLongestNoticesFitADatagram(t *testing.T) {
-	m := &peerMessage{From: strings.Repeat("x", 24), Epoch: math.MaxUint64}
+	var m peermessage.Notices
 	for range maxMessageNotices {
-		m.Notices = append(m.Notices, noticeMessage{Replica: strings.Repeat("r", 50), Rate: math.MaxFloat64})
+		m = append(m, peermessage.Notice{Replica: strings.Repeat("r", 50), Rate: math.MaxFloat64})
 	}
 	checkLength(t, m)
 }
 
-func checkLength(t *testing.T, m *peerMessage) {
+func checkLength(t *testing.T, m peermessage.Message) {
 	t.Helper()
-	data, err := cbor.Marshal(m)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if len(data) > maxMessageBytes {
-		t.Errorf("%d bytes; the receive buffer has %d", len(data), maxMessageBytes)
+	data := peermessage.Encode(peermessage.Sender{ID: strings.Repeat("x", 24), Epoch: math.MaxUint64}, m)
+	if len(data) > peermessage.MaxBytes {
+		t.Errorf("%d bytes; the receive buffer has %d", len(data), peermessage.MaxBytes)
 	}
 }
 
@@ -151,20 +144,3 @@
 		t.Errorf("%d entries are counted once the list was read; there are 3", n)
 	}
 }
-
-// Guards against entries of older builds that drop the loads of a draining entry, since they don't know that it says so.
-func TestOlderEntriesReadTheLoadsOfADrainingOne(t *testing.T) {
-	m := peerMessage{From: "entry-1", Epoch: 7, Seq: 3, Loads: []peerLoad{{Replica: 1, Running: 2}}, Drain: &peerDrain{Open: 100, Left: 4800}}
-	data, err := cbor.Marshal(&m)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var older struct {
-		From  string     `cbor:"1,keyasint"`
-		Seq   uint64     `cbor:"3,keyasint"`
-		Loads []peerLoad `cbor:"4,keyasint,omitempty"`
-	}
-	if err := messageDecoder.Unmarshal(data, &older); err != nil || older.From != "entry-1" || older.Seq != 3 || len(older.Loads) != 1 {
-		t.Errorf("%+v, %v", older, err)
-	}
-}
--- a/internal/direct/poll.go
+++ b/internal/direct/poll.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"time"
 
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/rollout"
 	"skylarklead/internal/spread"
 )
@@ -100,24 +100,9 @@
 	}
 }
 
-// replicaReport is a replica's report, sent to peers that the store does not answer either, so that
-// they need not poll the replica.
-type replicaReport struct {
-	Replica  string            `cbor:"1,keyasint"`
-	Weights  map[string]uint64 `cbor:"2,keyasint,omitempty"`
-	Draining bool              `cbor:"3,keyasint,omitempty"`
-	Busy     bool              `cbor:"4,keyasint,omitempty"`
-	Orders   uint64            `cbor:"5,keyasint,omitempty"`
-}
-
-func (r *replicaReport) equal(b *replicaReport) bool {
-	return r.Replica == b.Replica && maps.Equal(r.Weights, b.Weights) &&
-		r.Draining == b.Draining && r.Busy == b.Busy && r.Orders == b.Orders
-}
-
 // sentReport is a report and how many times it was sent.
 type sentReport struct {
-	replicaReport
+	peermessage.ReplicaReport
 	sendCount int
 }
 
@@ -128,18 +113,18 @@
 	if m.entry.hub == nil {
 		return
 	}
-	current := replicaReport{Replica: r.ID, Weights: report.Weights, Draining: report.Draining, Busy: report.Busy, Orders: report.AcceptedOrders}
+	current := peermessage.ReplicaReport{Replica: r.ID, Weights: report.Weights, Draining: report.Draining, Busy: report.Busy, Orders: report.AcceptedOrders}
 	m.mu.Lock()
 	last := m.sentReports[r.ID]
-	if last == nil || !last.equal(&current) {
-		last = &sentReport{replicaReport: current}
+	if last == nil || !last.Equal(&current) {
+		last = &sentReport{ReplicaReport: current}
 		m.sentReports[r.ID] = last
 	}
 	last.sendCount++
 	due := last.sendCount <= reportRepeats
 	m.mu.Unlock()
 	if due {
-		m.entry.peers.broadcast(&peerMessage{From: m.entry.settings.ID, Epoch: uint64(m.entry.tel.Epoch), Reports: []replicaReport{current}})
+		m.entry.peers.broadcast(peermessage.Reports{current})
 	}
 }
 
@@ -154,13 +139,13 @@
 	if e.hub == nil {
 		return
 	}
-	report := replicaReport{Replica: id, Weights: map[string]uint64{model: version}}
-	go e.peers.broadcast(&peerMessage{From: e.settings.ID, Epoch: uint64(e.tel.Epoch), Reports: []replicaReport{report}})
+	report := peermessage.ReplicaReport{Replica: id, Weights: map[string]uint64{model: version}}
+	go e.peers.broadcast(peermessage.Reports{report})
 }
 
 // handleReports applies reports that peers received from replicas. The count of orders that a
 // replica has accepted tells which of two reports is newer.
-func (e *Entry) handleReports(reports []replicaReport) {
+func (e *Entry) handleReports(reports []peermessage.ReplicaReport) {
 	for _, received := range reports {
 		e.state.mu.Lock()
 		r := e.state.replicas.Get(received.Replica)
--- a/internal/direct/quotas.go
+++ b/internal/direct/quotas.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/quota"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/wait"
@@ -40,24 +41,6 @@
 	granted              chan float64
 }
 
-// quotaMessage is a peer message about units of a quota: a request to lend, its answer, or a return
-// of units.
-type quotaMessage struct {
-	Kind         uint8   `cbor:"1,keyasint"`
-	Seq          uint64  `cbor:"2,keyasint"`
-	Organisation string  `cbor:"3,keyasint"`
-	Units        float64 `cbor:"4,keyasint,omitempty"`
-	// Left, in an answer, is what remains of the lender's share.
-	Left float64 `cbor:"5,keyasint,omitempty"`
-}
-
-// The kinds of quotaMessage.
-const (
-	quotaBorrow uint8 = iota
-	quotaAnswer
-	quotaReturn
-)
-
 func newQuotas(e *Entry) *quotas {
 	return &quotas{
 		entry:   e,
@@ -114,25 +97,24 @@
 }
 
 // receive handles a quota message from a peer.
-func (q *quotas) receive(msg *peerMessage, from netip.AddrPort) {
-	m := msg.Quota
+func (q *quotas) receive(sender peermessage.Sender, m *peermessage.Quota, from netip.AddrPort) {
 	if !(m.Units >= 0 && m.Units <= maxUnits && m.Left >= 0 && m.Left <= maxUnits) {
 		q.entry.tel.Metrics.Count("peer_words_malformed", 1)
 		return
 	}
-	loan := quota.LoanID{Entry: msg.From, Epoch: msg.Epoch, Seq: m.Seq}
-	switch m.Kind {
-	case quotaBorrow:
+	loan := quota.LoanID{Entry: sender.ID, Epoch: sender.Epoch, Seq: m.Seq}
+	switch m.Step {
+	case peermessage.QuotaBorrow:
 		q.mu.Lock()
 		lent := q.ledger.Lend(m.Organisation, m.Units, loan, q.entry.bootClock())
 		q.mu.Unlock()
 		if lent.Units > 0 {
 			q.entry.tel.Metrics.Count("quota_lent", 1)
 		}
-		q.send(&quotaMessage{Kind: quotaAnswer, Seq: m.Seq, Organisation: m.Organisation, Units: lent.Units, Left: max(0, lent.Remaining)}, from)
-	case quotaAnswer:
-		q.handleAnswer(m, msg.From, from)
-	case quotaReturn:
+		q.send(&peermessage.Quota{Step: peermessage.QuotaAnswer, Seq: m.Seq, Organisation: m.Organisation, Units: lent.Units, Left: max(0, lent.Remaining)}, from)
+	case peermessage.QuotaAnswer:
+		q.handleAnswer(m, sender.ID, from)
+	case peermessage.QuotaReturn:
 		q.mu.Lock()
 		q.ledger.LoanReturned(m.Organisation, m.Units, loan, q.entry.bootClock())
 		q.mu.Unlock()
@@ -142,7 +124,7 @@
 }
 
 // handleAnswer handles a lender's answer. Units that no request waits for any more are returned.
-func (q *quotas) handleAnswer(m *quotaMessage, peer string, from netip.AddrPort) {
+func (q *quotas) handleAnswer(m *peermessage.Quota, peer string, from netip.AddrPort) {
 	q.mu.Lock()
 	borrow := q.pending[m.Seq]
 	awaited := borrow != nil && borrow.lender == peer && borrow.organisation == m.Organisation
@@ -157,12 +139,12 @@
 	if awaited {
 		borrow.granted <- m.Units
 	} else if m.Units > 0 {
-		q.send(&quotaMessage{Kind: quotaReturn, Seq: m.Seq, Organisation: m.Organisation, Units: m.Units}, from)
+		q.send(&peermessage.Quota{Step: peermessage.QuotaReturn, Seq: m.Seq, Organisation: m.Organisation, Units: m.Units}, from)
 	}
 }
 
-func (q *quotas) send(m *quotaMessage, to netip.AddrPort) {
-	q.entry.peers.sendTo(&peerMessage{From: q.entry.settings.ID, Epoch: uint64(q.entry.tel.Epoch), Quota: m}, to)
+func (q *quotas) send(m *peermessage.Quota, to netip.AddrPort) {
+	q.entry.peers.sendTo(m, to)
 }
 
 // borrow requests units from a lender. answered is false if no answer came in time.
@@ -177,7 +159,7 @@
 	seq = q.seq
 	q.pending[seq] = pending
 	q.mu.Unlock()
-	q.send(&quotaMessage{Kind: quotaBorrow, Seq: seq, Organisation: organisation, Units: units}, to)
+	q.send(&peermessage.Quota{Step: peermessage.QuotaBorrow, Seq: seq, Organisation: organisation, Units: units}, to)
 	if lent, answered = wait.Answer(ctx, pending.granted, borrowTimeout); answered {
 		return seq, lent, true
 	}
--- a/internal/direct/quotas_test.go
+++ b/internal/direct/quotas_test.go
@@ -6,9 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"skylarklead/internal/fleet"
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/quota"
 )
 
@@ -121,30 +120,27 @@
 
 // Whatever datagrams arrive, a share never holds more than its maximum, and nothing panics.
 func FuzzQuotaMessage(f *testing.F) {
-	for _, m := range []*quotaMessage{
-		{Kind: quotaBorrow, Seq: 1, Organisation: "derwent", Units: 500},
-		{Kind: quotaAnswer, Seq: 1, Organisation: "derwent", Units: maxUnits, Left: -1},
-		{Kind: quotaReturn, Seq: 1, Organisation: "derwent", Units: math.MaxFloat64},
-		{Kind: 200, Seq: math.MaxUint64, Units: math.NaN()},
+	for _, m := range []*peermessage.Quota{
+		{Step: peermessage.QuotaBorrow, Seq: 1, Organisation: "derwent", Units: 500},
+		{Step: peermessage.QuotaAnswer, Seq: 1, Organisation: "derwent", Units: maxUnits, Left: -1},
+		{Step: peermessage.QuotaReturn, Seq: 1, Organisation: "derwent", Units: math.MaxFloat64},
+		{Step: 200, Seq: math.MaxUint64, Units: math.NaN()},
 	} {
-		data, err := cbor.Marshal(&peerMessage{From: "entry-1", Quota: m})
-		if err != nil {
-			f.Fatal(err)
-		}
-		f.Add(data)
+		f.Add(peermessage.Encode(peermessage.Sender{ID: "entry-1"}, m))
 	}
 	const burst = 1000
 	organisation := &fleet.Organisation{Name: "derwent", Quota: fleet.Quota{Rate: burst, Burst: burst}}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		var msg peerMessage
-		if messageDecoder.Unmarshal(data, &msg) != nil || msg.Quota == nil {
+		sender, m, err := peermessage.Decode(data)
+		loan, ok := m.(*peermessage.Quota)
+		if err != nil || !ok {
 			return
 		}
 		e := newPeerNodes(t, 1, 1)[0]
 		e.quotas.setQuotas(&fleet.Configuration{Organisations: []*fleet.Organisation{organisation}})
 		e.quotas.setEntries([]string{e.settings.ID}, true, true)
 		for range 2 {
-			e.quotas.receive(&msg, e.address())
+			e.quotas.receive(sender, loan, e.address())
 		}
 		if s, ok := e.quotas.state("derwent"); !ok || !(s.Level >= 0 && s.Level <= burst) {
 			t.Errorf("%v units left, of %d at most", s.Level, burst)
--- a/internal/direct/reservation.go
+++ b/internal/direct/reservation.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/quota"
 )
 
@@ -214,7 +215,7 @@
 	}
 	for _, loan := range reservation.borrowed {
 		if to, ok := q.entry.peers.address(loan.lender); ok {
-			q.send(&quotaMessage{Kind: quotaReturn, Seq: loan.seq, Organisation: organisation, Units: loan.units}, to)
+			q.send(&peermessage.Quota{Step: peermessage.QuotaReturn, Seq: loan.seq, Organisation: organisation, Units: loan.units}, to)
 		}
 	}
 	reservation.own, reservation.borrowed = 0, nil
--- a/internal/direct/restricted.go
+++ b/internal/direct/restricted.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/peermessage"
 )
 
 const (
@@ -104,12 +105,12 @@
 	if len(req.grants) == 0 {
 		return
 	}
-	sound := make([]soundKey, len(keys))
+	sound := make(peermessage.Sound, len(keys))
 	for i, key := range keys {
 		sound[i].Key = key
 	}
 	for batch := range slices.Chunk(sound, maxMessageSound) {
-		e.peers.broadcast(&peerMessage{From: e.settings.ID, Epoch: uint64(e.tel.Epoch), Sound: batch})
+		e.peers.broadcast(batch)
 	}
 	e.peers.grants.wake()
 }
--- a/internal/direct/rungrants.go
+++ b/internal/direct/rungrants.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/rendezvous"
 )
 
@@ -33,26 +34,6 @@
 	maxGrants = 4096
 )
 
-// grantKind is what a grantMessage says.
-type grantKind uint8
-
-const (
-	grantAsked grantKind = iota + 1
-	grantGiven
-	grantDenied
-	grantReturned
-)
-
-// grantMessage asks the owner of a key for a run, answers that, or returns a grant.
-type grantMessage struct {
-	Kind grantKind `cbor:"1,keyasint"`
-	Key  uint64    `cbor:"2,keyasint"`
-	// Number identifies the run among those of the entry that asks.
-	Number uint64 `cbor:"3,keyasint"`
-	// SettleMs is for how long a returned key isn't granted again, in milliseconds.
-	SettleMs uint32 `cbor:"4,keyasint,omitempty"`
-}
-
 // runGrants lets one request at a time run with a key under which replicas were lost, over all entries.
 // Each key has an owner, the entry that comes first in the key's rendezvous order. An entry that reaches
 // no owner decides for itself.
@@ -195,7 +176,7 @@
 	repeat := time.NewTicker(grantRepeat)
 	defer repeat.Stop()
 	for {
-		g.send(&grantMessage{Kind: grantAsked, Key: grant.key, Number: grant.number}, address)
+		g.send(&peermessage.Grant{Step: peermessage.GrantAsked, Key: grant.key, Number: grant.number}, address)
 		select {
 		case given = <-answer:
 			return given, true
@@ -215,36 +196,35 @@
 		g.mu.Unlock()
 	} else if address, known := g.peers.address(grant.owner); known {
 		// A message that is lost leaves the key granted until the end of the lease.
-		g.send(&grantMessage{Kind: grantReturned, Key: grant.key, Number: grant.number, SettleMs: uint32(settle.Milliseconds())}, address)
+		g.send(&peermessage.Grant{Step: peermessage.GrantReturned, Key: grant.key, Number: grant.number, SettleMs: uint32(settle.Milliseconds())}, address)
 	}
 	g.setIdle(grant.key)
 }
 
 // receive handles a message of another entry.
-func (g *runGrants) receive(m *grantMessage, id string, from netip.AddrPort) {
+func (g *runGrants) receive(m *peermessage.Grant, id string, from netip.AddrPort) {
 	holder, now := attempt.GrantHolder{Entry: id, Number: m.Number}, g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	switch m.Kind {
-	case grantAsked:
-		kind := grantDenied
+	switch m.Step {
+	case peermessage.GrantAsked:
+		step := peermessage.GrantDenied
 		if g.table.Ask(m.Key, holder, grantLease, now) {
-			kind = grantGiven
+			step = peermessage.GrantGiven
 		}
-		g.send(&grantMessage{Kind: kind, Key: m.Key, Number: m.Number}, from)
-	case grantGiven, grantDenied:
+		g.send(&peermessage.Grant{Step: step, Key: m.Key, Number: m.Number}, from)
+	case peermessage.GrantGiven, peermessage.GrantDenied:
 		if answer := g.asked[m.Number]; answer != nil {
 			select {
-			case answer <- m.Kind == grantGiven:
+			case answer <- m.Step == peermessage.GrantGiven:
 			default: // the answer to a question that was sent twice
 			}
 		}
-	case grantReturned:
+	case peermessage.GrantReturned:
 		g.table.Return(m.Key, holder, min(time.Duration(m.SettleMs)*time.Millisecond, grantLease), now)
 	}
 }
 
-func (g *runGrants) send(m *grantMessage, to netip.AddrPort) {
-	e := g.peers.entry
-	g.peers.sendTo(&peerMessage{From: e.settings.ID, Epoch: uint64(e.tel.Epoch), Grant: m}, to)
+func (g *runGrants) send(m *peermessage.Grant, to netip.AddrPort) {
+	g.peers.sendTo(m, to)
 }
--- a/internal/direct/softwareuses.go
+++ b/internal/direct/softwareuses.go
@@ -15,6 +15,7 @@
 
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/origin"
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/rendezvous"
 	"skylarklead/internal/strictcbor"
 	"skylarklead/internal/wait"
@@ -448,20 +449,13 @@
 	return r
 }
 
-// writtenUse is an origin.Use. The fields are encoded as an array, in this order.
-type writtenUse struct {
-	_        struct{} `cbor:",toarray"`
-	Software uint64
-	Model    uint64
-}
-
 // usesMessages returns messages that uses were written in an era.
-func usesMessages(uses []origin.Use, era uint64) []*streamsMessage {
-	var messages []*streamsMessage
+func usesMessages(uses []origin.Use, era uint64) []*peermessage.Streams {
+	var messages []*peermessage.Streams
 	for batch := range slices.Chunk(uses, maxMessageStreams/2) {
-		m := &streamsMessage{Era: era}
+		m := &peermessage.Streams{Era: era}
 		for _, use := range batch {
-			m.Written = append(m.Written, writtenUse{Software: uint64(use.Software), Model: use.Model})
+			m.Written = append(m.Written, peermessage.WrittenUse{Software: uint64(use.Software), Model: use.Model})
 		}
 		messages = append(messages, m)
 	}
@@ -470,9 +464,9 @@
 
 // ask asks some peers whether uses are recorded, for an entry whose own writes fail.
 func (u *softwareUses) ask(names []origin.UseName) {
-	m := &streamsMessage{}
+	m := &peermessage.Streams{}
 	for _, name := range names[:min(len(names), maxMessageStreams/2)] {
-		m.AskedUses = append(m.AskedUses, writtenUse{Software: uint64(name.Use().Software), Model: name.Use().Model})
+		m.AskedUses = append(m.AskedUses, peermessage.WrittenUse{Software: uint64(name.Use().Software), Model: name.Use().Model})
 	}
 	to := u.entry.peers.addresses()
 	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
@@ -480,7 +474,7 @@
 }
 
 // receive handles what a message of another entry says of uses.
-func (u *softwareUses) receive(m *streamsMessage, from netip.AddrPort) {
+func (u *softwareUses) receive(m *peermessage.Streams, from netip.AddrPort) {
 	var uses []origin.Use
 	for _, w := range m.Written[:min(len(m.Written), maxMessageStreams)] {
 		uses = append(uses, origin.Use{Software: origin.Software(w.Software), Model: w.Model})
--- /dev/null
+++ b/internal/peermessage/crashes.go
@@ -0,0 +1,51 @@
+package peermessage
+
+import "skylarklead/internal/attempt"
+
+// Crashes are crashes of replicas that are counted against requests.
+type Crashes []attempt.CrashReport
+
+// Sound are keys that didn't cause the crashes counted against them.
+type Sound []SoundKey
+
+// SoundKey says that a good answer with a key was given some time ago. The fields are encoded as an
+// array, in this order.
+type SoundKey struct {
+	_     struct{} `cbor:",toarray"`
+	Key   uint64
+	AgeMs uint32
+}
+
+// GrantStep is what a Grant says.
+type GrantStep uint8
+
+// The steps of a grant. Others are those of newer builds.
+const (
+	GrantAsked GrantStep = iota + 1
+	GrantGiven
+	GrantDenied
+	GrantReturned
+)
+
+// Grant asks the owner of a key for a run, answers that, or returns a grant.
+type Grant struct {
+	Step GrantStep `cbor:"1,keyasint"`
+	Key  uint64    `cbor:"2,keyasint"`
+	// Number identifies the run among those of the entry that asks.
+	Number uint64 `cbor:"3,keyasint"`
+	// SettleMs is for how long a returned key isn't granted again, in milliseconds.
+	SettleMs uint32 `cbor:"4,keyasint,omitempty"`
+}
+
+// Kind implements Message.
+func (Crashes) Kind() Kind { return KindCrashes }
+
+// Kind implements Message.
+func (Sound) Kind() Kind { return KindSound }
+
+// Kind implements Message.
+func (*Grant) Kind() Kind { return KindGrant }
+
+func (m Crashes) put(d *datagram) { d.Crashes = m }
+func (m Sound) put(d *datagram)   { d.Sound = m }
+func (m *Grant) put(d *datagram)  { d.Grant = m }
--- a/internal/repository/imports_test.go
+++ b/internal/repository/imports_test.go
@@ -11,7 +11,7 @@
 )
 
 // purePackages are the packages whose logic is pure: events in, actions out.
-var purePackages = []string{"admit", "attempt", "cachemap", "config", "lease", "member", "prefix", "rollout", "route", "fleet", "protocol", "spread", "quota", "rendezvous"}
+var purePackages = []string{"admit", "attempt", "cachemap", "config", "lease", "member", "prefix", "rollout", "route", "fleet", "protocol", "spread", "quota", "rendezvous", "peermessage"}
 
 // forbiddenImports are packages that pure packages must not use: the session protocol, the network, the
 // file system, other processes and system calls.
