--- a/internal/direct/softwaredoubts_test.go
+++ b/internal/direct/softwaredoubts_test.go
@@ -7,6 +7,7 @@
 
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/origin"
+	"skylarklead/internal/peermessage"
 )
 
 // newPeersEntry is newQueueEntry with a socket for messages and a store.
@@ -54,7 +55,7 @@
 	store.set(nil, useV1)
 	e := newPeersEntry(t, store)
 	u := e.uses
-	expect := func(what string, want doubtKnowledge, wantOnly origin.Software) {
+	expect := func(what string, want peermessage.DoubtKnowledge, wantOnly origin.Software) {
 		t.Helper()
 		if got := u.knowledge(e.clock.now()).Knows; got != want {
 			t.Errorf("%s: it knows %d, want %d", what, got, want)
@@ -65,17 +66,17 @@
 	}
 	v1 := useV1.Use().Software
 	u.uninformed.Store(true)
-	expect("just started", knowsNothing, origin.Unknown)
-	u.receive(&streamsMessage{Knows: knowsNothing}, fromStore)
-	expect("another one has just started", knowsNothing, origin.Unknown)
-	u.receive(&streamsMessage{Knows: knowsOutage}, fromStore)
-	expect("another one started in an outage", knowsOutage, origin.Unknown)
-	u.receive(&streamsMessage{Knows: knowsDoubts}, fromStore)
-	expect("another one knows", knowsDoubts, v1)
+	expect("just started", peermessage.KnowsNothing, origin.Unknown)
+	u.receive(&peermessage.Streams{Knows: peermessage.KnowsNothing}, fromStore)
+	expect("another one has just started", peermessage.KnowsNothing, origin.Unknown)
+	u.receive(&peermessage.Streams{Knows: peermessage.KnowsOutage}, fromStore)
+	expect("another one started in an outage", peermessage.KnowsOutage, origin.Unknown)
+	u.receive(&peermessage.Streams{Knows: peermessage.KnowsDoubts}, fromStore)
+	expect("another one knows", peermessage.KnowsDoubts, v1)
 	u.aloneSince.Store(int64(e.clock.now()))
-	expect("no other one knew", knowsNothing, v1)
+	expect("no other one knew", peermessage.KnowsNothing, v1)
 	u.aloneSince.Store(int64(e.clock.now() - e.streamLifetime()))
-	expect("no other one knew a lifetime ago", knowsDoubts, v1)
+	expect("no other one knew a lifetime ago", peermessage.KnowsDoubts, v1)
 }
 
 // Guards against an entry that never decides since no other one answers, and against one that started in an outage
