Direct entries: a state that was left locked ends the process in order

Cause: critical sections of handlers don't unlock when they panic, and the deferred calls of the same request lock again, so that not even the panic was answered or logged.

Change: the lock counts how often it is unlocked. One that is found held, and not unlocked meanwhile, at 20 checks in a row 0.1 s apart is lost: it is unlocked, a line with all stacks is written, and the entry drains as at SIGTERM and returns an error (exit code 1), so that the platform starts it again. What was in flight is answered. Ending at once would cut it; going on would keep a state that may be half changed.

--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -82,6 +82,8 @@
 	callers *delivery.Listener
 	// malformed reports records that can't be decoded.
 	malformed *malformedRecords
+	// lockLost gets an error once the state was left locked.
+	lockLost chan error
 }
 
 // Run serves callers until ctx ends, then drains and returns.
@@ -147,6 +149,7 @@
 		bodyMemory: newBodyMemory(capacity, func() { tel.Metrics.Count("bodies_dropped", 1) }),
 		drain:      newDrain(clock),
 		malformed:  newMalformedRecords(tel),
+		lockLost:   make(chan error, 1),
 	}
 	e.state.refuseByForecast = d.RefuseByForecast
 	e.reloadable.Store(d)
@@ -176,6 +179,12 @@
 	for _, loop := range loopFuncs {
 		loops.Go(func() { loop(background) })
 	}
+	// The loops may wait for the lock when they are to end.
+	watching, endWatch := context.WithCancel(context.WithoutCancel(ctx))
+	var watch sync.WaitGroup
+	watch.Go(func() { e.watchLock(watching) })
+	defer watch.Wait()
+	defer endWatch()
 	readiness := e.serveReady(ready)
 	e.awaitConfiguration(ctx)
 	server := e.newServer()
@@ -184,6 +193,8 @@
 	var err error
 	select {
 	case err = <-failed:
+	case err = <-e.lockLost:
+		e.shutDown(server)
 	case <-ctx.Done():
 		e.shutDown(server)
 	}
--- a/internal/direct/state.go
+++ b/internal/direct/state.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,7 +43,7 @@
 	listReadAt atomic.Int64
 	listReader atomic.Pointer[string]
 
-	mu       sync.Mutex
+	mu       stateLock
 	replicas *member.Replicas
 	// outage tracks outages of the store as the reader of the replica list sees them.
 	outage           *member.Outage
