A refusal doesn't wait for a body that doesn't come

A caller whose request was refused on its head (no such route, unknown key, no configuration) got no answer until it had sent its whole body, however long that took: the server reads the rest of the body before it sends the answer, and no deadline bounded that. The request had left the drain's count by then, so that after SIGTERM the entry closed its port at 2.5 s and waited in Shutdown for the caller until the end.

Evidence: a caller that sends a head and no body had no 404 after 10 s, and the entry ended 7.7 s after SIGTERM, two times of two; the role entry sent no 401 in 10 s, one of one.

Refusals of both roles bound the wait to 0.1 s; then the connection is closed behind the answer.

--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -77,6 +77,8 @@
 	started time.Duration
 	// received is when its body was complete, 0 before.
 	received time.Duration
+	// bodyUnread is set until the body is complete, if there is one.
+	bodyUnread bool
 	// deadline is when the final answer is due.
 	deadline time.Duration
 	// drainLeft is how much longer the draining entry lives when the request arrives, 0 if it isn't
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -18,6 +18,9 @@
 const (
 	// bodyTimeout bounds how long a caller may take to send its body.
 	bodyTimeout = 5 * time.Second
+	// unreadBodyTime bounds how long the server waits for a body that the answer doesn't depend on. It reads the
+	// body before it sends the answer, so that the connection can be kept.
+	unreadBodyTime = 100 * time.Millisecond
 	// defaultTimeout applies if neither the caller nor the route sets a timeout.
 	defaultTimeout = 30 * time.Second
 	// maxLoadFraction is the fraction of its route's queue target that a request may wait at a
@@ -47,7 +50,7 @@
 
 // serveHTTP handles one request of a caller.
 func (e *Entry) serveHTTP(w http.ResponseWriter, r *http.Request) {
-	req := &request{entry: e, w: w, httpRequest: r, started: e.clock.now()}
+	req := &request{entry: e, w: w, httpRequest: r, started: e.clock.now(), bodyUnread: r.ContentLength != 0}
 	defer req.log()
 	defer req.recoverPanic()
 	if req.drainLeft = e.drain.left(); req.drainLeft > 0 {
@@ -62,7 +65,7 @@
 		return
 	}
 	defer e.bodyMemory.release(&req.body)
-	req.received = e.clock.now()
+	req.received, req.bodyUnread = e.clock.now(), false
 	req.run()
 }
 
@@ -309,6 +312,10 @@
 	}
 	req.entry.platform.Headers.Refusal(h, req.params.ID)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if req.bodyUnread {
+		// An error means that the connection has no deadlines, as in tests; it is ignored.
+		_ = http.NewResponseController(req.w).SetReadDeadline(time.Now().Add(unreadBodyTime))
+	}
 	if after > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -97,6 +97,22 @@
 	<-drained
 }
 
+// Guards against refusals that a caller gets only once it has sent its body.
+func TestRefusalsDoNotWaitForBodies(t *testing.T) {
+	_, c := newTestEntry(t, "portal")
+	for _, path := range []string{paymentsPath, "/unknown"} {
+		conn := kit.Must(net.Dial("tcp", c.Listener.Addr().String()))(t)
+		defer conn.Close()
+		conn.SetReadDeadline(time.Now().Add(kit.Timeout))
+		kit.Must(fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: e\r\nContent-Length: 3\r\n\r\n", path))(t)
+		sent := time.Now()
+		resp := kit.Must(http.ReadResponse(bufio.NewReader(conn), nil))(t)
+		if took := time.Since(sent); resp.StatusCode/100 != 4 || took > 10*unreadBodyTime {
+			t.Errorf("%s: status %d after %v", path, resp.StatusCode, took)
+		}
+	}
+}
+
 // Guards against answers that an entry leaves out when the platform kills it at the end of its
 // grace: those of a payment and a stream whose executor needs longer.
 func TestEntryAnswersWhatIsLeftBeforeItIsKilled(t *testing.T) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -21,6 +21,9 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
+	// unreadBodyTime bounds how long the server waits for the body of a refused request. It reads the body before it
+	// sends the refusal, so that the connection can be kept.
+	unreadBodyTime = 100 * time.Millisecond
 	// deadlineGrace is how long after its deadline a request waits for the
 	// executor's own outcome, which may be a definite "not_run".
 	deadlineGrace = 250 * time.Millisecond
@@ -87,9 +90,18 @@
 func writeStatus(w http.ResponseWriter, r *http.Request, status int, e *Error) {
 	id := requestID(r)
 	w.Header().Set("X-Request-Id", id)
+	boundUnreadBody(w, r)
 	e.writeAs(w, status, id)
 }
 
+// boundUnreadBody bounds the time for which the server waits for the rest of the request's body.
+func boundUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		// An error means that the connection has no deadlines, as in tests; it is ignored.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTime))
+	}
+}
+
 // handler serves an authenticated request. If it returns an error, the error is
 // written as the answer.
 type handler func(w http.ResponseWriter, r *http.Request, req *request) *Error
@@ -149,6 +161,7 @@
 	e.tel.Metrics.Refused(err.Code)
 	e.tel.Log.Info("request refused", "request", id, "remote", r.RemoteAddr,
 		"path", r.URL.Path, "code", err.Code, "ran", err.Ran, "cause", err.Message)
+	boundUnreadBody(w, r)
 	err.write(w, id)
 }
 
