A drain doesn't wait for connections without a request

A caller that had connected and sent nothing kept a draining entry for seconds with its port closed: Shutdown closes the port first, and waits for connections without a request until they are 5 s old or their head is overdue. While all entries drain, callers find a closed port in place of an entry that serves.

Connections on which no request has come are closed as soon as the server is in Shutdown, which drops what it reads on them in any case.

--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -228,7 +228,9 @@
 
 func (e *Entry) newServer() *http.Server {
 	limits := e.limits()
-	return &http.Server{
+	unused := new(unusedConns)
+	server := &http.Server{
+		ConnState:         unused.track,
 		Handler:           http.HandlerFunc(e.serveHTTP),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
@@ -236,6 +238,8 @@
 		BaseContext:       func(net.Listener) context.Context { return e.drain.requests },
 		ErrorLog:          slog.NewLogLogger(e.tel.Log.Handler(), slog.LevelWarn),
 	}
+	server.RegisterOnShutdown(unused.closeAll)
+	return server
 }
 
 // serveReady serves the readiness endpoint: 503 if no new connections should come.
