--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -241,7 +241,9 @@
 
 func (e *Entry) newServer() *http.Server {
 	limits := e.limits()
+	unused := new(unusedConns)
 	server := &http.Server{
+		ConnState:         unused.track,
 		Handler:           http.HandlerFunc(e.serveHTTP),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
@@ -250,6 +252,7 @@
 		ErrorLog:          slog.NewLogLogger(e.tel.Log.Handler(), slog.LevelWarn),
 	}
 	delivery.ResetIncomplete(server)
+	server.RegisterOnShutdown(unused.closeAll)
 	return server
 }
 
