An entry cut off from all begins no resumable streams

What could be seen: an entry that is cut off from the store and from all others goes on with versions that the others no longer list. They remove the record one and a half lifetimes after that, and a stream that began at the cut-off entry later than half a lifetime after its list's time is then taken up at another version.

Cause: the invariant of the records holds for lists of at most half a lifetime, and nothing held the entry to that. Where the store is down for all, nobody removes records, so hearing of another entry is enough to go on; so is being the only one.

Evidence: TestEntryCutOffFromAllBeginsNoStreams fails without the rule (a stream may begin after half a lifetime cut off). Not played with processes: the harness has no way to cut entries off from each other.

--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -83,6 +83,22 @@
 	}
 }
 
+// checkIsolation has no resumable stream begin while neither the store nor another entry was heard of for too
+// long. Without other entries nobody removes the records that this one relies on.
+func (e *Entry) checkIsolation(now time.Duration) {
+	heard := len(e.peers.addresses()) == 0 || len(e.peers.alive(now)) > 0
+	e.state.mu.Lock()
+	defer e.state.mu.Unlock()
+	was := e.state.uses.Isolated()
+	if e.state.uses.Heard(time.Duration(e.state.listReadAt.Load()), heard, now) {
+		e.state.notifyChanged()
+		e.state.placeAllQueued(now)
+	}
+	if is := e.state.uses.Isolated(); is != was {
+		e.tel.Log.Warn("cut off from the store and from all other entries", "streams_refused", is)
+	}
+}
+
 // listAnswered handles an answer to a call for the replica list, made by this entry or by the read's
 // Reader. boot is the current time of the read's clock.
 func (e *Entry) listAnswered(r spread.Read, boot time.Duration) {
--- a/internal/direct/softwaredoubts_test.go
+++ b/internal/direct/softwaredoubts_test.go
@@ -125,3 +125,43 @@
 		t.Errorf("%+v, %v", e, err)
 	}
 }
+
+// Guards against streams that begin, at an entry cut off from the store and from all others, at a version that the others
+// no longer list and whose record they remove.
+func TestEntryCutOffFromAllBeginsNoStreams(t *testing.T) {
+	e := newPeersEntry(t, &usesStore{})
+	r := &fleet.Replica{ID: "a", Name: "a", Service: "s", Software: "v1", Slots: 1, Weights: map[string]uint64{"m": 1}}
+	e.state.replicas.Put(r, 1, 0)
+	e.uses.applyWritten([]origin.Use{useV1.Use()}, 0)
+	old := e.clock.now() - e.streamLifetime()/2 - time.Second
+	fresh := old + 2*time.Second
+	for what, c := range map[string]struct {
+		asOf         time.Duration
+		known, heard bool
+		want         bool
+	}{
+		"the list is fresh":               {fresh, true, false, true},
+		"cut off for half a lifetime":     {old, true, false, false},
+		"the store is down for all":       {old, true, true, true},
+		"the only entry, without a store": {old, false, false, true},
+	} {
+		e.state.listReadAt.Store(int64(c.asOf))
+		clear(e.peers.known)
+		clear(e.peers.receivedAt)
+		if c.known {
+			e.peers.known["other"] = peerAddress{}
+		}
+		if c.heard {
+			e.peers.receivedAt["other"] = e.clock.now()
+		}
+		e.checkIsolation(e.clock.now())
+		for _, resumable := range []bool{true, false} {
+			req := newStreamRequest(e, &fleet.Service{Name: "s"}, nil)
+			req.route.Resumable = resumable
+			got, _ := e.state.candidates(req.service, "m", req.requiredSoftware(), e.clock.now())
+			if want := c.want || !resumable; len(got) == 1 != want {
+				t.Errorf("%s: a stream (resumable: %t) may begin at %d replicas, want one: %t", what, resumable, len(got), want)
+			}
+		}
+	}
+}
--- a/internal/direct/softwareuses.go
+++ b/internal/direct/softwareuses.go
@@ -36,7 +36,7 @@
 // the same; they are announced as of unknown software. The caller holds mu.
 func (s *state) mayBegin(r *fleet.Replica, model string) bool {
 	if r.Software == "" {
-		return s.storeDown.Load()
+		return s.storeDown.Load() && !s.uses.Isolated()
 	}
 	return s.uses.May(origin.SoftwareOf(r.Service, r.Software), model)
 }
@@ -85,6 +85,7 @@
 	listedAt := time.Duration(0)
 	for {
 		in := sweepInterval
+		u.entry.checkIsolation(u.entry.clock.now())
 		if u.entry.state.listKnown() {
 			now := u.entry.clock.now()
 			if listedAt == 0 {
--- a/internal/origin/ledger.go
+++ b/internal/origin/ledger.go
@@ -110,6 +110,8 @@
 	// storeDown is set while the store doesn't answer, returnedAt when it last answered again, 0 for never.
 	storeDown  bool
 	returnedAt time.Duration
+	// isolated is set while the records of uses that are listed here may be gone.
+	isolated bool
 }
 
 type useState struct {
@@ -172,8 +174,23 @@
 	return !s.recorded
 }
 
+// Heard records as of when the list is known, and whether another entry, if there is one, was heard of
+// lately. An entry that is cut off from the store and from all others goes on with versions that the others
+// no longer list, and whose records they remove. It reports whether streams may begin again.
+func (l *Ledger) Heard(asOf time.Duration, ofOthers bool, now time.Duration) bool {
+	was := l.isolated
+	l.isolated = !ofOthers && now-asOf > l.forgetAfter()
+	return was && !l.isolated
+}
+
+// Isolated reports whether no resumable stream may begin at all.
+func (l *Ledger) Isolated() bool { return l.isolated }
+
 // May reports whether streams of a model ("" for any) may begin at a version.
 func (l *Ledger) May(software Software, model string) bool {
+	if l.isolated {
+		return false
+	}
 	if model != "" {
 		s := l.uses[Use{software, modelOf(model)}]
 		return s != nil && s.recorded
