Take-ups are counted by how their origin was found out, and by outcome

Change: metrics take_ups_ORIGIN_OUTCOME and the log attribute origin_by: the attempt is known, its holders were lost, the caller names none, or the route's streams aren't taken up; by went on, unknown origin, refused, cut, failed, caller left.

--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -138,7 +138,9 @@
 	// to it.
 	begunAt *fleet.Replica
 	// takenUp is the software that began the stream which the request takes up.
-	takenUp     origin.Software
+	takenUp origin.Software
+	// originBy says how that was found out.
+	originBy    originSource
 	resumed     int
 	backupStats backupStats
 }
@@ -210,7 +212,8 @@
 		attrs = append(attrs, slog.Int("events", req.eventCount))
 	}
 	if req.params.LastEvent != "" {
-		attrs = append(attrs, slog.String("after_event", req.params.LastEvent), slog.String("takes_up", req.params.Resumes))
+		attrs = append(attrs, slog.String("after_event", req.params.LastEvent), slog.String("takes_up", req.params.Resumes), slog.String("origin_by", string(req.originBy)))
+		req.countTakeUp()
 	}
 	if req.resumed > 0 {
 		attrs = append(attrs, slog.Int("resumed", req.resumed))
--- a/internal/direct/software.go
+++ b/internal/direct/software.go
@@ -48,14 +48,18 @@
 	}
 	if !req.route.Resumable {
 		// Such streams begin at versions that aren't recorded too.
-		req.takenUp = origin.Unknown
+		req.takenUp, req.originBy = origin.Unknown, originOnce
 		return
 	}
-	known := false
+	req.originBy = originUnnamed
 	if req.params.Resumes != "" {
-		req.takenUp, known = req.entry.peers.origins.resolve(req.ctx, origin.StreamOf(req.params.Resumes))
+		known := false
+		req.originBy = originHoldersLost
+		if req.takenUp, known = req.entry.peers.origins.resolve(req.ctx, origin.StreamOf(req.params.Resumes)); known {
+			req.originBy = originKnown
+		}
 	}
-	if !known {
+	if req.originBy != originKnown {
 		req.takenUp = req.entry.uses.only(req.ctx, req.params.Model)
 	}
 	req.selectOriginService()
