Losses from before an entry's start are one crash beside later ones

What callers would see: an entry that starts amid outages refuses prompts with a part that nearly all share, for one more replica lost before it has given a good answer with it.

Cause: losses read at a start gave nothing up by themselves, but counted in full with the first one after it, as the good answers between them aren't known.

Past losses under a key are one crash in all, aren't late ones, and the key isn't given up for three seconds (SoundQuiet), as after a good answer that isn't known. They restrict runs to one at a time as before, so a key that does crash replicas has two more runs.

--- a/internal/attempt/crash_keys.go
+++ b/internal/attempt/crash_keys.go
@@ -20,7 +20,9 @@
 	// children is how many keys of requests with this one, each narrower than it, were given up
 	// since the last good answer.
 	children int
-	givenUp  bool
+	// quietUntil is until when it isn't given up since a good answer before the start may be unknown.
+	quietUntil time.Duration
+	givenUp    bool
 	// lateRuns is how many late runs with the key were lost before it was given up, trials how many
 	// requests with it were let through since, nextTrial when the next one may be.
 	lateRuns  int
@@ -351,12 +353,19 @@
 	return list
 }
 
-// lateLosses is how many replicas were lost under a key later than LateAfter after the MaxCrashes-th.
+// lateLosses is how many replicas were lost under a key later than LateAfter after the MaxCrashes-th, but for
+// those of MergePast.
 func (t *CrashTracker) lateLosses(k *keyCrashes) int {
-	if len(k.lost) <= t.params.MaxCrashes {
+	var times []time.Duration
+	for replica, at := range k.lost {
+		if !t.isPast(replica) {
+			times = append(times, at)
+		}
+	}
+	if len(times) <= t.params.MaxCrashes {
 		return 0
 	}
-	times := slices.Sorted(maps.Values(k.lost))
+	slices.Sort(times)
 	late, _ := slices.BinarySearch(times, times[t.params.MaxCrashes-1]+t.params.LateAfter+1)
 	return len(times) - late
 }
