--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -18,6 +18,7 @@
 	"skylarklead/internal/delivery"
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/origin"
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/route"
 	"skylarklead/internal/settings"
 	"skylarklead/internal/telemetry"
@@ -82,6 +83,8 @@
 	callers *delivery.Listener
 	// malformed reports records that can't be decoded.
 	malformed *malformedRecords
+	// lockLost gets an error once the state was left locked.
+	lockLost chan error
 }
 
 // Run serves callers until ctx ends, then drains and returns.
@@ -122,7 +125,7 @@
 		return fmt.Errorf("direct: peers: %w", err)
 	}
 	e.hub = newHub(e)
-	e.hub.send = func(m *peerMessage, to netip.AddrPort) { e.peers.sendTo(m, to) }
+	e.hub.send = func(m peermessage.Message, to netip.AddrPort) { e.peers.sendTo(m, to) }
 	bulk, server := newBulk(), e.hub.serveBulk(l)
 	e.hub.fetchTopic = bulk.fetch
 	e.hub.close = func() {
@@ -147,6 +150,7 @@
 		bodyMemory: newBodyMemory(capacity, func() { tel.Metrics.Count("bodies_dropped", 1) }),
 		drain:      newDrain(clock),
 		malformed:  newMalformedRecords(tel),
+		lockLost:   make(chan error, 1),
 	}
 	e.state.refuseByForecast = d.RefuseByForecast
 	e.reloadable.Store(d)
@@ -177,6 +181,12 @@
 	for _, loop := range loopFuncs {
 		loops.Go(func() { loop(background) })
 	}
+	// The loops may wait for the lock when they are to end.
+	watching, endWatch := context.WithCancel(context.WithoutCancel(ctx))
+	var watch sync.WaitGroup
+	watch.Go(func() { e.watchLock(watching) })
+	defer watch.Wait()
+	defer endWatch()
 	readiness := e.serveReady(ready)
 	e.awaitConfiguration(ctx)
 	server := e.newServer()
@@ -185,6 +195,8 @@
 	var err error
 	select {
 	case err = <-failed:
+	case err = <-e.lockLost:
+		e.shutDown(server)
 	case <-ctx.Done():
 		e.shutDown(server)
 	}
@@ -229,7 +241,9 @@
 
 func (e *Entry) newServer() *http.Server {
 	limits := e.limits()
+	unused := new(unusedConns)
 	server := &http.Server{
+		ConnState:         unused.track,
 		Handler:           http.HandlerFunc(e.serveHTTP),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
@@ -238,6 +252,7 @@
 		ErrorLog:          slog.NewLogLogger(e.tel.Log.Handler(), slog.LevelWarn),
 	}
 	delivery.ResetIncomplete(server)
+	server.RegisterOnShutdown(unused.closeAll)
 	return server
 }
 
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -77,6 +77,8 @@
 	started time.Duration
 	// received is when its body was complete, 0 before.
 	received time.Duration
+	// bodyUnread is set until the body is complete, if there is one.
+	bodyUnread bool
 	// deadline is when the final answer is due.
 	deadline time.Duration
 	// drainLeft is how much longer the draining entry lives when the request arrives, 0 if it isn't
@@ -138,7 +140,9 @@
 	// to it.
 	begunAt *fleet.Replica
 	// takenUp is the software that began the stream which the request takes up.
-	takenUp     origin.Software
+	takenUp origin.Software
+	// originBy says how that was found out.
+	originBy    originSource
 	resumed     int
 	backupStats backupStats
 }
@@ -210,7 +214,8 @@
 		attrs = append(attrs, slog.Int("events", req.eventCount))
 	}
 	if req.params.LastEvent != "" {
-		attrs = append(attrs, slog.String("after_event", req.params.LastEvent), slog.String("takes_up", req.params.Resumes))
+		attrs = append(attrs, slog.String("after_event", req.params.LastEvent), slog.String("takes_up", req.params.Resumes), slog.String("origin_by", string(req.originBy)))
+		req.countTakeUp()
 	}
 	if req.resumed > 0 {
 		attrs = append(attrs, slog.Int("resumed", req.resumed))
--- a/internal/direct/softwaredoubts.go
+++ b/internal/direct/softwaredoubts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"skylarklead/internal/origin"
+	"skylarklead/internal/peermessage"
 	"skylarklead/internal/wait"
 )
 
@@ -18,25 +19,6 @@
 	maxMessageDoubts = 16
 )
 
-// doubtMessage is an origin.Doubt. The fields are encoded as an array, in this order.
-type doubtMessage struct {
-	_              struct{} `cbor:",toarray"`
-	Service, Model string
-	LeftMs         uint32
-}
-
-// doubtKnowledge says what the sender of an answer knows of streams that began before it started.
-type doubtKnowledge uint8
-
-const (
-	_ doubtKnowledge = iota
-	// knowsNothing is of an entry that knows only what was said since it started, knowsOutage of one that
-	// has just started while the store didn't answer, knowsDoubts of one that knows all.
-	knowsNothing
-	knowsOutage
-	knowsDoubts
-)
-
 // doubtful reports whether the records can't tell where streams of a model began.
 func (u *softwareUses) doubtful(model string) bool {
 	if u.uninformed.Load() {
@@ -65,16 +47,16 @@
 	}
 }
 
-func doubtsMessage(doubts []origin.Doubt) *streamsMessage {
-	m := &streamsMessage{}
+func doubtsMessage(doubts []origin.Doubt) *peermessage.Streams {
+	m := &peermessage.Streams{}
 	for _, d := range doubts[:min(len(doubts), maxMessageDoubts)] {
-		m.Doubts = append(m.Doubts, doubtMessage{Service: d.Service, Model: d.Model, LeftMs: uint32(d.Left.Milliseconds())})
+		m.Doubts = append(m.Doubts, peermessage.Doubt{Service: d.Service, Model: d.Model, LeftMs: uint32(d.Left.Milliseconds())})
 	}
 	return m
 }
 
 // receiveDoubts handles what a message of another entry says of doubts.
-func (u *softwareUses) receiveDoubts(m *streamsMessage, from netip.AddrPort) {
+func (u *softwareUses) receiveDoubts(m *peermessage.Streams, from netip.AddrPort) {
 	e := u.entry
 	now := e.clock.now()
 	if len(m.Doubts) > 0 {
@@ -86,9 +68,9 @@
 		trySignal(u.wake)
 	}
 	switch m.Knows {
-	case knowsOutage:
+	case peermessage.KnowsOutage:
 		u.startedInOutage.Store(true)
-	case knowsDoubts:
+	case peermessage.KnowsDoubts:
 		u.uninformed.Store(false)
 	}
 	if m.AskedDoubts {
@@ -97,18 +79,18 @@
 }
 
 // knowledge returns the answer to an entry that has just started.
-func (u *softwareUses) knowledge(now time.Duration) *streamsMessage {
+func (u *softwareUses) knowledge(now time.Duration) *peermessage.Streams {
 	u.entry.state.mu.Lock()
 	m := doubtsMessage(u.entry.state.uses.Doubts(now))
 	u.entry.state.mu.Unlock()
 	alone := time.Duration(u.aloneSince.Load())
 	switch {
 	case u.uninformed.Load() && u.startedInOutage.Load():
-		m.Knows = knowsOutage
+		m.Knows = peermessage.KnowsOutage
 	case u.uninformed.Load() || alone > 0 && now-alone < u.entry.streamLifetime():
-		m.Knows = knowsNothing
+		m.Knows = peermessage.KnowsNothing
 	default:
-		m.Knows = knowsDoubts
+		m.Knows = peermessage.KnowsDoubts
 	}
 	return m
 }
@@ -128,7 +110,7 @@
 			break
 		}
 		rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
-		e.peers.origins.send(&streamsMessage{AskedDoubts: true}, to[:min(len(to), maxAskedPeers)]...)
+		e.peers.origins.send(&peermessage.Streams{AskedDoubts: true}, to[:min(len(to), maxAskedPeers)]...)
 		if wait.For(ctx, startPause) != nil {
 			return
 		}
--- a/internal/direct/softwaredoubts_test.go
+++ b/internal/direct/softwaredoubts_test.go
@@ -7,6 +7,7 @@
 
 	"skylarklead/internal/fleet"
 	"skylarklead/internal/origin"
+	"skylarklead/internal/peermessage"
 )
 
 // newPeersEntry is newQueueEntry with a socket for messages and a store.
@@ -54,7 +55,7 @@
 	store.set(nil, useV1)
 	e := newPeersEntry(t, store)
 	u := e.uses
-	expect := func(what string, want doubtKnowledge, wantOnly origin.Software) {
+	expect := func(what string, want peermessage.DoubtKnowledge, wantOnly origin.Software) {
 		t.Helper()
 		if got := u.knowledge(e.clock.now()).Knows; got != want {
 			t.Errorf("%s: it knows %d, want %d", what, got, want)
@@ -65,17 +66,17 @@
 	}
 	v1 := useV1.Use().Software
 	u.uninformed.Store(true)
-	expect("just started", knowsNothing, origin.Unknown)
-	u.receive(&streamsMessage{Knows: knowsNothing}, fromStore)
-	expect("another one has just started", knowsNothing, origin.Unknown)
-	u.receive(&streamsMessage{Knows: knowsOutage}, fromStore)
-	expect("another one started in an outage", knowsOutage, origin.Unknown)
-	u.receive(&streamsMessage{Knows: knowsDoubts}, fromStore)
-	expect("another one knows", knowsDoubts, v1)
+	expect("just started", peermessage.KnowsNothing, origin.Unknown)
+	u.receive(&peermessage.Streams{Knows: peermessage.KnowsNothing}, fromStore)
+	expect("another one has just started", peermessage.KnowsNothing, origin.Unknown)
+	u.receive(&peermessage.Streams{Knows: peermessage.KnowsOutage}, fromStore)
+	expect("another one started in an outage", peermessage.KnowsOutage, origin.Unknown)
+	u.receive(&peermessage.Streams{Knows: peermessage.KnowsDoubts}, fromStore)
+	expect("another one knows", peermessage.KnowsDoubts, v1)
 	u.aloneSince.Store(int64(e.clock.now()))
-	expect("no other one knew", knowsNothing, v1)
+	expect("no other one knew", peermessage.KnowsNothing, v1)
 	u.aloneSince.Store(int64(e.clock.now() - e.streamLifetime()))
-	expect("no other one knew a lifetime ago", knowsDoubts, v1)
+	expect("no other one knew a lifetime ago", peermessage.KnowsDoubts, v1)
 }
 
 // Guards against an entry that never decides since no other one answers, and against one that started in an outage
@@ -125,3 +126,43 @@
 		t.Errorf("%+v, %v", e, err)
 	}
 }
+
+// Guards against streams that begin, at an entry cut off from the store and from all others, at a version that the others
+// no longer list and whose record they remove.
+func TestEntryCutOffFromAllBeginsNoStreams(t *testing.T) {
+	e := newPeersEntry(t, &usesStore{})
+	r := &fleet.Replica{ID: "a", Name: "a", Service: "s", Software: "v1", Slots: 1, Weights: map[string]uint64{"m": 1}}
+	e.state.replicas.Put(r, 1, 0)
+	e.uses.applyWritten([]origin.Use{useV1.Use()}, 0)
+	old := e.clock.now() - e.streamLifetime()/2 - time.Second
+	fresh := old + 2*time.Second
+	for what, c := range map[string]struct {
+		asOf         time.Duration
+		known, heard bool
+		want         bool
+	}{
+		"the list is fresh":               {fresh, true, false, true},
+		"cut off for half a lifetime":     {old, true, false, false},
+		"the store is down for all":       {old, true, true, true},
+		"the only entry, without a store": {old, false, false, true},
+	} {
+		e.state.listReadAt.Store(int64(c.asOf))
+		clear(e.peers.known)
+		clear(e.peers.receivedAt)
+		if c.known {
+			e.peers.known["other"] = peerAddress{}
+		}
+		if c.heard {
+			e.peers.receivedAt["other"] = e.clock.now()
+		}
+		e.checkIsolation(e.clock.now())
+		for _, resumable := range []bool{true, false} {
+			req := newStreamRequest(e, &fleet.Service{Name: "s"}, nil)
+			req.route.Resumable = resumable
+			got, _ := e.state.candidates(req.service, "m", req.requiredSoftware(), e.clock.now())
+			if want := c.want || !resumable; len(got) == 1 != want {
+				t.Errorf("%s: a stream (resumable: %t) may begin at %d replicas, want one: %t", what, resumable, len(got), want)
+			}
+		}
+	}
+}
