Callers whose bodies stall get their refusals

In both roles a caller whose body stopped coming got no answer at all: not the 408 that is meant for it (direct), and no refusal (404, 401, 413) that needs no body. It waited until it closed, and the entry kept its connection and a goroutine.

Cause: before net/http sends an answer's head it reads what the handler left of the body, up to 256 KiB. Nothing bounded that read: the deadline for the body wasn't set yet, or (direct) was taken back after it had passed. At direct entries a body might also take longer than its request had time, and the deadline for writing had passed when 408 was written.

Change: an answer waits 0.5 s for the rest of a body that isn't needed (delivery.LimitUnreadBody); if it has come by then the connection is kept as before. Direct entries wait for a body no longer than the request's time.

--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"skylarklead/internal/attempt"
+	"skylarklead/internal/delivery"
 	"skylarklead/internal/route"
 )
 
@@ -54,6 +55,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer e.drain.requestStarted()()
+	delivery.LimitUnreadBody(w, r)
 	if !req.admit() {
 		return
 	}
@@ -166,21 +168,23 @@
 		return true
 	}
 	control := http.NewResponseController(req.w)
-	mayTake := bodyTimeout
-	if left := e.drain.left(); left > 0 {
-		mayTake = min(mayTake, left)
-	}
+	// Later than its deadline the request can't be answered any more.
+	mayTake := min(bodyTimeout, req.timeLeft())
 	// An error means that the connection has no deadlines, as in tests; it is ignored.
 	_ = control.SetReadDeadline(time.Now().Add(mayTake))
 	wait := min(maxBodyWait, req.patienceLeft(e.clock.now())/bodyWaitDivisor)
 	err := req.body.read(req.ctx, http.MaxBytesReader(req.w, req.httpRequest.Body, limit), length, e.bodyMemory, wait)
-	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
 		return true
 	}
 	e.bodyMemory.release(&req.body)
 	var tooLong *http.MaxBytesError
 	var timedOut net.Error
+	stalled := errors.As(err, &timedOut) && timedOut.Timeout()
+	if !stalled { // else the deadline has passed, and the answer is sent at once
+		delivery.LimitUnreadBody(req.w, req.httpRequest)
+	}
 	switch {
 	case !req.canFinish():
 		return req.refuseLate()
@@ -188,7 +192,7 @@
 		return req.refuse("no memory for the request body", defaultRetryAfter)
 	case errors.As(err, &tooLong):
 		return req.deny(http.StatusRequestEntityTooLarge, "body too large")
-	case errors.As(err, &timedOut) && timedOut.Timeout():
+	case stalled:
 		return req.deny(http.StatusRequestTimeout, "body not received in time")
 	}
 	req.outcome, req.reason = outcomeCallerLeft, "connection failed while reading the body"
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -50,7 +50,10 @@
 	r.HandleFunc("/v1/services/{service}/{path:.*}", e.authenticated(e.service))
 	r.NotFoundHandler = http.HandlerFunc(notFound)
 	r.MethodNotAllowedHandler = http.HandlerFunc(methodNotAllowed)
-	return r
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		delivery.LimitUnreadBody(w, req)
+		r.ServeHTTP(w, req)
+	})
 }
 
 // newCallerServer returns the callers' server, with TLS if the settings configure
