An answer from before an outage doesn't end it

What could be seen: an entry that hears of the store by peers noticed the same outage again and again. If the store's first real answer came in between, the outage's end counted as earlier than it was: records that expired in it got no grace period, and in between no stream began at adopted replicas.

Cause: an answer that a peer passes on has the time at which it came, and ended the outage however long ago that was. The silence began it again at the next check.

Change: an answer that came before the last failed call was made, or longer ago than a silence that counts as an outage, says nothing while one goes on.

--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -106,10 +106,12 @@
 		e.state.listReadAt.Store(int64(e.clock.fromBoot(r.CalledAt, boot)))
 		e.state.listReader.Store(&r.Reader)
 	}
+	now := e.clock.now()
+	answeredAt := e.clock.fromBoot(r.AnsweredAt, boot)
 	e.state.mu.Lock()
-	ends := e.state.outage.CallAnswered(e.clock.fromBoot(r.AnsweredAt, boot))
+	ends := !e.state.outage.SaysNothing(answeredAt, now) && e.state.outage.CallAnswered(answeredAt)
 	if ends {
-		e.state.uses.StoreReturned(e.clock.now())
+		e.state.uses.StoreReturned(now)
 	}
 	e.state.mu.Unlock()
 	if ends {
--- a/internal/member/outage.go
+++ b/internal/member/outage.go
@@ -83,6 +83,12 @@
 	return o.CallFailed(o.answeredAt, now)
 }
 
+// SaysNothing reports whether an answer that came at a time, and was passed on since, leaves open whether an
+// outage goes on: a call that was made later has failed, or the store has been silent since for too long.
+func (o *Outage) SaysNothing(answeredAt, now time.Duration) bool {
+	return o.ongoing && (answeredAt <= o.lastFailedCall || now-answeredAt > o.params.DetectWithin)
+}
+
 // CallAnswered records an answer. It reports whether an outage ends.
 func (o *Outage) CallAnswered(now time.Duration) bool {
 	ended := o.ongoing
--- a/internal/member/outage_test.go
+++ b/internal/member/outage_test.go
@@ -209,3 +209,33 @@
 		}
 	}
 }
+
+// Guards against an outage that ends by an answer from before it, which a peer passes on late: the real end then counts for
+// none, and records that expired meanwhile get no grace period.
+func TestOldAnswerEndsNoOutage(t *testing.T) {
+	p := member.OutageParams{ReregisterWithin: 2 * time.Second, ActWithin: 3 * time.Second, DetectWithin: 3 * time.Second, ReportTTL: time.Second}
+	for name, c := range map[string]struct {
+		silent          bool
+		answeredAt, now time.Duration
+		want            bool
+	}{
+		"before the failed call":   {false, 9 * time.Second, 11 * time.Second, true},
+		"after the failed call":    {false, 10500 * time.Millisecond, 11 * time.Second, false},
+		"too long ago":             {true, 6 * time.Second, 11 * time.Second, true},
+		"lately, after a silence":  {true, 10 * time.Second, 11 * time.Second, false},
+		"old, and no outage known": {false, 5 * time.Second, 9 * time.Second, false},
+	} {
+		o := member.NewOutage(p)
+		o.CallAnswered(5 * time.Second)
+		switch {
+		case c.now < 10*time.Second:
+		case c.silent:
+			o.CheckSilence(10 * time.Second)
+		default:
+			o.CallFailed(10*time.Second, 10200*time.Millisecond)
+		}
+		if got := o.SaysNothing(c.answeredAt, c.now); got != c.want {
+			t.Errorf("%s: it says nothing: %t, want %t", name, got, c.want)
+		}
+	}
+}
