Good answers that clear stored losses are stored as well

What callers would see: an entry that starts amid outages refuses prompts with a part that nearly all share, for one more replica lost before it has given a good answer with it.

An entry that has stored losses under a key stores the first good answer since, in one record for up to 64 keys, at most each 300 ms, again if the store refuses it. What an entry reads then counts in full, but still gives nothing up without a later loss. A stored good answer doesn't end a verdict with a later crash. Older builds skip such records.

The tests of internal/attempt, internal/direct and internal/rollout pass.

--- a/internal/attempt/crash_judge.go
+++ b/internal/attempt/crash_judge.go
@@ -81,35 +81,18 @@
 			continue
 		}
 		k := t.recent(key, now)
-		if k == nil || now < k.quietUntil || !k.countsFor(replica) || !t.tooMany(key, k, now) {
+		if k == nil || !k.countsFor(replica) || !t.tooMany(key, k, now) {
 			continue
 		}
 		if s := suspects[key]; s == nil || run.ran < s.ran || run.ran == s.ran && slices.Compare(run.keys, s.run) < 0 {
-			suspects[key] = &suspect{key: key, crashes: t.evidence(k), sound: sound, ran: run.ran, run: run.keys}
+			suspects[key] = &suspect{key: key, crashes: len(k.replicas), sound: sound, ran: run.ran, run: run.keys}
 		}
 	}
 }
 
 // tooMany reports whether a key has so many crashes that it may be given up.
 func (t *CrashTracker) tooMany(key uint64, k *keyCrashes, now time.Duration) bool {
-	return t.evidence(k) >= t.limit(key, t.params.MaxCrashes, t.params.MaxCrashesSound, now) || t.lateLosses(k) >= t.params.MaxLateRuns
-}
-
-// evidence is the number of crashes by which a key is judged. Those of MergePast are one in all: good answers between
-// them may be unknown.
-func (t *CrashTracker) evidence(k *keyCrashes) int {
-	past := 0
-	for replica := range k.replicas {
-		if t.isPast(replica) {
-			past++
-		}
-	}
-	return len(k.replicas) - past + min(past, 1)
-}
-
-func (t *CrashTracker) isPast(replica string) bool {
-	crash, known := t.crashes.Peek(replica)
-	return known && crash.past
+	return len(k.replicas) >= t.limit(key, t.params.MaxCrashes, t.params.MaxCrashesSound, now) || t.lateLosses(k) >= t.params.MaxLateRuns
 }
 
 // appendWider appends the suspects of a run, widest first, that explain no more than a narrower one of
--- a/internal/attempt/crash_keys.go
+++ b/internal/attempt/crash_keys.go
@@ -20,9 +20,7 @@
 	// children is how many keys of requests with this one, each narrower than it, were given up
 	// since the last good answer.
 	children int
-	// quietUntil is until when it isn't given up since a good answer before the start may be unknown.
-	quietUntil time.Duration
-	givenUp    bool
+	givenUp  bool
 	// lateRuns is how many late runs with the key were lost before it was given up, trials how many
 	// requests with it were let through since, nextTrial when the next one may be.
 	lateRuns  int
@@ -310,6 +308,15 @@
 	}
 }
 
+// MergeStoredSound is MergeSound for a good answer that is read from the store. A verdict with a later crash
+// stays: it rests on losses that aren't all known here.
+func (t *CrashTracker) MergeStoredSound(key uint64, at time.Duration) {
+	if k, ok := t.keys.Peek(key); ok && k.givenUp && at <= k.lastCrash {
+		return
+	}
+	t.MergeSound(key, at)
+}
+
 // SoundAt returns when the latest good answer with a key was given; false if none is known that is
 // recent.
 func (t *CrashTracker) SoundAt(key uint64, now time.Duration) (time.Duration, bool) {
@@ -353,19 +360,12 @@
 	return list
 }
 
-// lateLosses is how many replicas were lost under a key later than LateAfter after the MaxCrashes-th, but for
-// those of MergePast.
+// lateLosses is how many replicas were lost under a key later than LateAfter after the MaxCrashes-th.
 func (t *CrashTracker) lateLosses(k *keyCrashes) int {
-	var times []time.Duration
-	for replica, at := range k.lost {
-		if !t.isPast(replica) {
-			times = append(times, at)
-		}
-	}
-	if len(times) <= t.params.MaxCrashes {
+	if len(k.lost) <= t.params.MaxCrashes {
 		return 0
 	}
-	slices.Sort(times)
+	times := slices.Sorted(maps.Values(k.lost))
 	late, _ := slices.BinarySearch(times, times[t.params.MaxCrashes-1]+t.params.LateAfter+1)
 	return len(times) - late
 }
--- a/internal/attempt/crash_past_test.go
+++ b/internal/attempt/crash_past_test.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// Guards against a part that crashes replicas and begins again at zero when all entries start: two more losses
-// give it up, found here or told by another entry.
+// Guards against a part that crashes replicas and begins again at zero when all entries start: one more loss
+// gives it up, and so does the next one of an entry that tells it.
 func TestLossesReadAtAStartCountWithTheNext(t *testing.T) {
 	for _, own := range []bool{true, false} {
 		s := NewCrashTracker(DefaultCrashTrackerParams, 9)
@@ -60,20 +60,64 @@
 				s.MergePast(r, time.Second)
 			}
 		}
+		now := 3 * time.Second
 		keys := RequestKeys{Parts: []uint64{sharedKey}, Fingerprint: 300}
-		for i, want := range []bool{false, true} {
-			now := time.Duration(i+3) * time.Second
-			replica := fmt.Sprint("next", i)
-			if own {
-				s.RecordBrokenRun(keys, replica, now-100*time.Millisecond, now)
-				s.RecordLostReplica(replica, now)
-			} else {
-				s.Merge(CrashReport{Fingerprint: 300, Parts: keys.Parts, Replica: replica, RanMs: 100, Reporter: 3}, now)
-				s.Judge(replica, now)
-			}
-			if _, _, givenUp := s.GivenUp(keys, now); givenUp != want {
-				t.Errorf("own losses %t: given up %t after %d more", own, givenUp, i+1)
-			}
+		if own {
+			s.RecordBrokenRun(keys, "next", now-100*time.Millisecond, now)
+			s.RecordLostReplica("next", now)
+		} else {
+			s.Merge(CrashReport{Fingerprint: 300, Parts: keys.Parts, Replica: "next", RanMs: 100, Reporter: 3}, now)
+			s.Judge("next", now)
+		}
+		if _, _, givenUp := s.GivenUp(keys, now); !givenUp {
+			t.Errorf("own loss %t: not given up", own)
 		}
 	}
 }
+
+// Guards against runs of sound requests that wait at a start for losses which good answers had cleared, and against a
+// verdict that a good answer before its last crash ends.
+func TestGoodAnswersReadAtAStartClearLossesBefore(t *testing.T) {
+	s := NewCrashTracker(DefaultCrashTrackerParams, 9)
+	for _, reports := range lossesInWaves(2) {
+		for _, r := range reports {
+			s.MergePast(r.Aged(10*time.Second), 20*time.Second)
+		}
+	}
+	keys := RequestKeys{Parts: []uint64{sharedKey}}
+	s.MergeStoredSound(sharedKey, 11*time.Second)
+	if got := s.Restricted(keys, 20*time.Second); len(got) != 0 {
+		t.Errorf("restricted: %v", got)
+	}
+	s.Merge(CrashReport{Fingerprint: sharedKey, Replica: "r", GivenUp: true, AgeMs: 5000}, 20*time.Second)
+	s.MergeStoredSound(sharedKey, 14*time.Second)
+	if _, _, givenUp := s.GivenUp(keys, 20*time.Second); !givenUp {
+		t.Error("a good answer before the last crash ended the verdict")
+	}
+	s.MergeStoredSound(sharedKey, 16*time.Second)
+	if _, _, givenUp := s.GivenUp(keys, 20*time.Second); givenUp {
+		t.Error("given up after a good answer")
+	}
+}
+
+// Guards against good answers that clear stored losses and aren't stored, or are stored again and again.
+func TestGoodAnswersAreStoredOnceForStoredLosses(t *testing.T) {
+	tracker, stored := NewCrashTracker(DefaultCrashTrackerParams, 9), NewStoredLosses(10)
+	stored.Add(&CrashReport{Fingerprint: 8, Parts: []uint64{sharedKey}, Replica: "r", AgeMs: 500}, 2*time.Second)
+	tracker.RecordSound([]uint64{sharedKey, 5}, time.Second)
+	if got := stored.TakeCleared(tracker, 10, 3*time.Second); len(got) != 0 {
+		t.Errorf("%v from before the loss", got)
+	}
+	tracker.RecordSound([]uint64{sharedKey, 5}, 2500*time.Millisecond)
+	got := stored.TakeCleared(tracker, 10, 3*time.Second)
+	if len(got) != 1 || got[0].Key != sharedKey || got[0].Age() != 500*time.Millisecond {
+		t.Errorf("%v; want the part, 500 ms ago", got)
+	}
+	if again := stored.TakeCleared(tracker, 10, 3*time.Second); len(again) != 0 {
+		t.Errorf("again: %v", again)
+	}
+	stored.Return(got, 3*time.Second)
+	if again := stored.TakeCleared(tracker, 10, 4*time.Second); len(again) != 1 {
+		t.Errorf("after the store refused them: %v", again)
+	}
+}
--- a/internal/attempt/crash_tracker.go
+++ b/internal/attempt/crash_tracker.go
@@ -225,20 +225,14 @@
 	t.count(report.keys().all(), report.Replica, report.span(now))
 }
 
-// MergePast counts a report of a loss from before this entry knew of good answers: it restricts runs, but gives
-// nothing up by itself, and all such losses under a key are one crash beside later ones. As after a good answer, which
-// isn't known, the key isn't given up for SoundQuiet. A verdict counts as the loss that it names.
+// MergePast counts a report of a loss from before this entry knew of good answers: it is evidence beside later
+// losses, and restricts runs, but gives nothing up by itself. A verdict counts as the loss that it names.
 func (t *CrashTracker) MergePast(report CrashReport, now time.Duration) {
 	if !t.crashes.Contains(report.Replica) {
 		t.crashOf(report.Replica).past = true
 	}
 	report.GivenUp = false
 	t.Merge(report, now)
-	for _, key := range report.keys().all() {
-		if k := t.recent(key, now); k != nil && k.quietUntil == 0 {
-			k.quietUntil = now + t.params.SoundQuiet
-		}
-	}
 }
 
 // span is the time of the run that a report tells of.
--- a/internal/attempt/crash_waves_test.go
+++ b/internal/attempt/crash_waves_test.go
@@ -15,6 +15,7 @@
 	*crashWorld
 	due    []worldEvent
 	stored []storedReport
+	losses []*StoredLosses
 }
 
 type worldEvent struct {
@@ -24,6 +25,7 @@
 
 type storedReport struct {
 	report CrashReport
+	sound  []SoundKey
 	at     time.Duration
 }
 
@@ -56,13 +58,23 @@
 	}
 }
 
+// storeSound has entries store the good answers that clear what they have stored.
+func (w *outageWorld) storeSound() {
+	for i, e := range w.entries {
+		if list := w.losses[i].TakeCleared(e, 64, w.now); len(list) > 0 {
+			w.stored = append(w.stored, storedReport{sound: list, at: w.now})
+		}
+	}
+}
+
 func (w *outageWorld) find(i int, e *CrashTracker, replica string) {
 	if w.entries[i] != e {
 		return // it has started again
 	}
 	reports := e.RecordLostReplica(replica, w.now)
 	for _, r := range reports {
-		w.stored = append(w.stored, storedReport{r, w.now})
+		w.stored = append(w.stored, storedReport{report: r, at: w.now})
+		w.losses[i].Add(&r, w.now)
 	}
 	w.tell(i, func(o *CrashTracker) { w.merge(o, reports) })
 }
@@ -71,8 +83,14 @@
 func (w *outageWorld) restart() {
 	w.inFlight, w.running = nil, nil
 	for i := range w.entries {
-		w.entries[i] = NewCrashTracker(DefaultCrashTrackerParams, uint64(i+1))
+		w.entries[i], w.losses[i] = NewCrashTracker(DefaultCrashTrackerParams, uint64(i+1)), NewStoredLosses(1000)
 		for _, s := range w.stored {
+			if s.sound != nil {
+				for _, key := range s.sound {
+					w.entries[i].MergeStoredSound(key.Key, s.at-key.Age())
+				}
+				continue
+			}
 			w.entries[i].MergePast(s.report.Aged(w.now-s.at), w.now)
 			w.entries[i].Judge(s.report.Replica, w.now)
 		}
@@ -87,6 +105,7 @@
 		w := &outageWorld{crashWorld: &crashWorld{rng: rand.New(rand.NewPCG(seed, 2)), started: make([]int, 12), lost: rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "lost")}}
 		for i := range rapid.IntRange(1, 8).Draw(t, "entries") {
 			w.entries = append(w.entries, NewCrashTracker(DefaultCrashTrackerParams, uint64(i+1)))
+			w.losses = append(w.losses, NewStoredLosses(1000))
 		}
 		every := time.Duration(rapid.IntRange(25, 200).Draw(t, "every")) * worldStep
 		restartAt := time.Duration(rapid.IntRange(400, 900).Draw(t, "restart")) * worldStep
@@ -97,6 +116,9 @@
 			if w.now%every == 0 && w.now < 16*time.Second {
 				w.wave(w.rng.Perm(len(w.started))[:4]...)
 			}
+			if w.now%(15*worldStep) == 0 {
+				w.storeSound()
+			}
 			if w.now == restartAt {
 				w.restart()
 			}
--- a/internal/direct/crashes.go
+++ b/internal/direct/crashes.go
@@ -44,20 +44,15 @@
 	reasonPartGivenUp    = "request rejected: a part of its prompt crashed the replicas that ran it"
 )
 
-// soundKey says that a good answer with a key was given some time ago. The fields are encoded as an
-// array, in this order.
-type soundKey struct {
-	_     struct{} `cbor:",toarray"`
-	Key   uint64
-	AgeMs uint32
-}
-
 // crashNews is what the other entries are to be told about keys. The state's lock guards it.
 type crashNews struct {
 	// sound are keys against which crashes were counted though good answers with them were given.
 	sound map[uint64]bool
 	// announced has when the entries were last told that a key is given up.
 	announced *lru.Cache[uint64, time.Duration]
+	// stored are the keys whose losses were stored here, soundStoredAt is when good answers with them last were.
+	stored        *attempt.StoredLosses
+	soundStoredAt time.Duration
 }
 
 func newCrashNews() *crashNews {
@@ -65,7 +60,7 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &crashNews{sound: make(map[uint64]bool), announced: announced}
+	return &crashNews{sound: make(map[uint64]bool), announced: announced, stored: attempt.NewStoredLosses(maxStoredLosses)}
 }
 
 // hashFields hashes fields so that no two lists of them have the same bytes.
@@ -217,6 +212,7 @@
 		if crashes[i].GivenUp || lost >= minStoredCrashes {
 			envelope := rollout.Envelope{Crash: &crashes[i], AtMs: time.Now().UnixMilli()}
 			records = append(records, envelope.Encode())
+			e.noteStored(&crashes[i])
 		}
 	}
 	e.peers.sendCrashes(crashes)
@@ -225,14 +221,6 @@
 	}
 }
 
-func (e *Entry) storeCrashes(records [][]byte) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	if _, err := e.platform.Store.Append(ctx, topicEntries, nil, records); err != nil {
-		e.tel.Log.Warn("crash counts not written to the store", "strikes", len(records), "error", err)
-	}
-}
-
 // repeatGivenUp tells the other entries again that a key is given up, if they haven't been told for a
 // time: those that have started since may have no record of it.
 func (e *Entry) repeatGivenUp(key uint64) {
@@ -313,7 +301,7 @@
 func (e *Entry) sendSound() {
 	e.state.mu.Lock()
 	now := e.clock.now()
-	var list []soundKey
+	var list []attempt.SoundKey
 	for key := range e.state.crashNews.sound {
 		if len(list) == maxMessageSound {
 			break
@@ -323,7 +311,7 @@
 		}
 		delete(e.state.crashNews.sound, key)
 		if at, sound := e.state.crashes.SoundAt(key, now); sound {
-			list = append(list, soundKey{Key: key, AgeMs: uint32((now - at).Milliseconds())})
+			list = append(list, attempt.SoundKey{Key: key, AgeMs: uint32((now - at).Milliseconds())})
 		}
 	}
 	e.state.mu.Unlock()
@@ -333,12 +321,12 @@
 }
 
 // receiveSound clears keys with which another entry saw good answers.
-func (e *Entry) receiveSound(list []soundKey) {
+func (e *Entry) receiveSound(list []attempt.SoundKey) {
 	e.state.mu.Lock()
 	defer e.state.mu.Unlock()
 	now := e.clock.now()
 	for _, sound := range list[:min(len(list), maxMessageSound)] {
-		at := now - time.Duration(sound.AgeMs)*time.Millisecond
+		at := now - sound.Age()
 		if own, known := e.state.crashes.SoundAt(sound.Key, now); !known || own <= at {
 			delete(e.state.crashNews.sound, sound.Key)
 		}
--- a/internal/direct/crashes_test.go
+++ b/internal/direct/crashes_test.go
@@ -80,11 +80,10 @@
 	if e.state.isGivenUp(part, e.clock.now()) {
 		t.Error("given up for losses from before the start")
 	}
-	r.caughtUp, r.caughtUpAt = true, e.clock.now()
-	e.clock.start = e.clock.start.Add(-time.Minute)
-	records("r4", "r5")
+	r.caughtUp = true
+	records("r4")
 	if !e.state.isGivenUp(part, e.clock.now()) {
-		t.Error("not given up after two more losses")
+		t.Error("not given up after one more loss")
 	}
 }
 
--- a/internal/direct/monitor.go
+++ b/internal/direct/monitor.go
@@ -142,6 +142,7 @@
 	m.countUnanswered()
 	m.entry.sendNotices()
 	m.entry.sendSound()
+	m.entry.storeSound()
 	for _, r := range m.replicasToProbe() {
 		go m.probe(ctx, r)
 	}
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -99,7 +99,7 @@
 	// Notices are what replicas announced about themselves in answers.
 	Notices []noticeMessage `cbor:"17,keyasint,omitempty"`
 	// Sound are keys that didn't cause the crashes counted against them.
-	Sound []soundKey `cbor:"21,keyasint,omitempty"`
+	Sound []attempt.SoundKey `cbor:"21,keyasint,omitempty"`
 	// Streams says or asks which software began streams.
 	Streams *streamsMessage `cbor:"20,keyasint,omitempty"`
 	// Grant asks for a run with a key, answers that, or returns a grant.
--- a/internal/direct/restricted.go
+++ b/internal/direct/restricted.go
@@ -104,7 +104,7 @@
 	if len(req.grants) == 0 {
 		return
 	}
-	sound := make([]soundKey, len(keys))
+	sound := make([]attempt.SoundKey, len(keys))
 	for i, key := range keys {
 		sound[i].Key = key
 	}
--- a/internal/direct/rollouts.go
+++ b/internal/direct/rollouts.go
@@ -203,23 +203,28 @@
 		r.entry.applyAnnouncement(envelope.Announcement)
 		return
 	}
-	if envelope.Crash != nil {
+	if envelope.Crash != nil || envelope.Sound != nil {
 		r.receiveCrash(envelope)
 		return
 	}
 	r.receiveRecord(envelope.Rollout)
 }
 
-// receiveCrash counts a crash of the topic. The caller holds mu.
+// receiveCrash counts a crash of the topic, or clears keys. The caller holds mu.
 func (r *rollouts) receiveCrash(envelope *rollout.Envelope) {
-	now, ago := r.entry.clock.now(), envelope.WrittenAgo(time.Now())
-	if !r.caughtUp {
+	ago := envelope.WrittenAgo(time.Now())
+	if r.caughtUp {
+		// What the last read didn't have was written since, whatever the clocks of the machines say.
+		ago = min(ago, r.entry.clock.now()-r.caughtUpAt)
+	}
+	switch {
+	case envelope.Sound != nil:
+		r.entry.receiveStoredSound(envelope.Sound, ago)
+	case r.caughtUp:
+		r.entry.receiveCrashes([]attempt.CrashReport{envelope.Crash.Aged(ago)}, topicEntries)
+	default:
 		r.entry.receivePastCrash(envelope.Crash.Aged(ago))
-		return
 	}
-	// What the last read didn't have was written since, whatever the clocks of the machines say.
-	ago = min(ago, now-r.caughtUpAt)
-	r.entry.receiveCrashes([]attempt.CrashReport{envelope.Crash.Aged(ago)}, topicEntries)
 }
 
 // receiveRecord applies a rollout record, of another entry or read back. The caller holds mu.
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -52,6 +52,9 @@
 	return r.Phase >= PhaseOrdered && r.Phase < phaseEnd && r.Replica != "" && r.AfterMs >= 0
 }
 
+// MaxSound bounds Envelope.Sound.
+const MaxSound = 64
+
 // Envelope is one record of the entries' shared topic. Exactly one of its fields is set, but for AtMs.
 type Envelope struct {
 	Lease   []byte  `cbor:"1,keyasint,omitempty"`
@@ -60,11 +63,13 @@
 	Crash *attempt.CrashReport `cbor:"3,keyasint,omitempty"`
 	// Announcement says when a version of the weights was announced.
 	Announcement *Announcement `cbor:"4,keyasint,omitempty"`
-	// AtMs is when a crash was written, in Unix milliseconds; 0 if unknown: entries of older builds don't write it.
+	// Sound are keys of crashes with which good answers were given since. Older builds skip such a record.
+	Sound []attempt.SoundKey `cbor:"6,keyasint,omitempty"`
+	// AtMs is when a crash or Sound was written, in Unix milliseconds; 0 if unknown: entries of older builds don't write it.
 	AtMs int64 `cbor:"5,keyasint,omitempty"`
 }
 
-// WrittenAgo is how long before a time a crash was written, 0 if unknown.
+// WrittenAgo is how long before a time a crash or Sound was written, 0 if unknown.
 func (e *Envelope) WrittenAgo(now time.Time) time.Duration {
 	if e.AtMs <= 0 {
 		return 0
@@ -89,7 +94,7 @@
 // countFields returns how many of the fields are set.
 func (e *Envelope) countFields() int {
 	n := 0
-	for _, set := range []bool{e.Lease != nil, e.Rollout != nil, e.Crash != nil, e.Announcement != nil} {
+	for _, set := range []bool{e.Lease != nil, e.Rollout != nil, e.Crash != nil, e.Announcement != nil, len(e.Sound) > 0} {
 		if set {
 			n++
 		}
@@ -128,6 +133,9 @@
 	if e.Announcement != nil && !e.Announcement.Valid() {
 		return nil, fmt.Errorf("%w: invalid version announcement", ErrMalformedRecord)
 	}
+	if len(e.Sound) > MaxSound {
+		return nil, fmt.Errorf("%w: %d sound keys", ErrMalformedRecord, len(e.Sound))
+	}
 	if e.Crash != nil && !e.Crash.Valid() {
 		return nil, fmt.Errorf("%w: invalid crash report", ErrMalformedRecord)
 	}
