Reports of a busy replica's crash fit datagrams

Entries didn't hear, but for the store's records, under which requests a replica was lost that ran some twenty or more of them: 32 reports went into one datagram, and receivers read 1,472 bytes of it, so that it was malformed. What others know of crashes came late, or not at all where the store was away.

Reports are split by their encoded size.

--- a/internal/direct/digest.go
+++ b/internal/direct/digest.go
@@ -301,5 +301,5 @@
 	p.sendTo(peermessage.DigestAck(ack), from)
 	forwarded := *m
 	forwarded.Forward = false
-	p.sendOf(epoch, &forwarded, p.directPeers()...)
+	p.sendAs(peermessage.Sender{ID: p.entry.settings.ID, Epoch: epoch}, &forwarded, p.directPeers()...)
 }
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -42,10 +42,8 @@
 	// maxPlacementLevels bounds the prefix levels of a placement. The longest levels are kept,
 	// since the fewest replicas hold them.
 	maxPlacementLevels = 3
-	// maxMessageRolloutRecords bounds the rollout records in a message, maxMessageCrashes the crash
-	// reports, so that each kind fits in a datagram.
+	// maxMessageRolloutRecords bounds the rollout records in a message, so that it fits in a datagram.
 	maxMessageRolloutRecords = 12
-	maxMessageCrashes        = 32
 )
 
 // peers exchanges messages with the other entries over UDP and keeps the list of entries. A lost
@@ -117,20 +115,25 @@
 
 // sendCrashes sends crashes that are counted against requests to all peers at once.
 func (p *peers) sendCrashes(crashes []attempt.CrashReport) {
-	for batch := range slices.Chunk(crashes, maxMessageCrashes) {
-		p.broadcast(peermessage.Crashes(batch))
+	for _, batch := range peermessage.Crashes(crashes).Batches(p.sender()) {
+		p.broadcast(batch)
 	}
 }
 
 func (p *peers) broadcast(m peermessage.Message) { p.sendTo(m, p.addresses()...) }
 
 func (p *peers) sendTo(m peermessage.Message, to ...netip.AddrPort) {
-	p.sendOf(uint64(p.entry.tel.Epoch), m, to...)
+	p.sendAs(p.sender(), m, to...)
 }
 
-// sendOf sends a message whose numbers are those of an epoch.
-func (p *peers) sendOf(epoch uint64, m peermessage.Message, to ...netip.AddrPort) {
-	data := peermessage.Encode(peermessage.Sender{ID: p.entry.settings.ID, Epoch: epoch}, m)
+// sender identifies this process.
+func (p *peers) sender() peermessage.Sender {
+	return peermessage.Sender{ID: p.entry.settings.ID, Epoch: uint64(p.entry.tel.Epoch)}
+}
+
+// sendAs sends a message with a sender's numbers.
+func (p *peers) sendAs(from peermessage.Sender, m peermessage.Message, to ...netip.AddrPort) {
+	data := peermessage.Encode(from, m)
 	p.sentKinds.count(p.entry.tel, m.Kind(), len(to))
 	for _, address := range to {
 		// Unreachable peers are noticed by the lack of messages from them.
--- a/internal/direct/peers_test.go
+++ b/internal/direct/peers_test.go
@@ -5,7 +5,9 @@
 	"math"
 	"strings"
 	"testing"
+	"time"
 
+	"skylarklead/internal/attempt"
 	"skylarklead/internal/peermessage"
 	"skylarklead/internal/route"
 	"skylarklead/internal/settings"
@@ -77,6 +79,36 @@
 	checkLength(t, m)
 }
 
+// Guards against reports of crashes that no entry can read: those of all runs of a busy replica don't fit in one
+// datagram.
+func TestReportsOfABusyReplicaFitDatagrams(t *testing.T) {
+	all := newPeerNodes(t, 2, 1)
+	const runs = 64
+	var reports []attempt.CrashReport
+	for i := range runs {
+		reports = append(reports, attempt.CrashReport{
+			Fingerprint: math.MaxUint64 - uint64(i), Replica: strings.Repeat("r", 50), Parts: []uint64{math.MaxUint64, math.MaxUint64, math.MaxUint64},
+			RanMs: math.MaxUint32, Reporter: math.MaxUint64, AgeMs: math.MaxUint32,
+		})
+	}
+	all[0].peers.sendCrashes(reports)
+	buffer := make([]byte, peermessage.MaxBytes)
+	for got := 0; got < runs; {
+		if err := all[1].peers.conn.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		n, _, err := all[1].peers.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, m, err := peermessage.Decode(buffer[:n])
+		if err != nil {
+			t.Fatalf("after %d reports: %v", got, err)
+		}
+		got += len(m.(peermessage.Crashes))
+	}
+}
+
 func checkLength(t *testing.T, m peermessage.Message) {
 	t.Helper()
 	data := peermessage.Encode(peermessage.Sender{ID: strings.Repeat("x", 24), Epoch: math.MaxUint64}, m)
--- a/internal/peermessage/crashes.go
+++ b/internal/peermessage/crashes.go
@@ -1,10 +1,26 @@
 package peermessage
 
-import "skylarklead/internal/attempt"
+import (
+	"sort"
+
+	"skylarklead/internal/attempt"
+)
 
 // Crashes are crashes of replicas that are counted against requests.
 type Crashes []attempt.CrashReport
 
+// Batches splits reports so that each batch fits in a datagram of the sender.
+func (m Crashes) Batches(from Sender) []Crashes {
+	var batches []Crashes
+	for len(m) > 0 {
+		tooLong := sort.Search(len(m), func(n int) bool { return len(Encode(from, m[:n+1])) > MaxBytes })
+		n := max(1, tooLong)
+		batches = append(batches, m[:n])
+		m = m[n:]
+	}
+	return batches
+}
+
 // Sound are keys that didn't cause the crashes counted against them.
 type Sound []attempt.SoundKey
 
