--- a/internal/direct/crashes_test.go
+++ b/internal/direct/crashes_test.go
@@ -44,6 +44,27 @@
 	}
 }
 
+// Guards against a crash that isn't counted: the replica accepts connections again, under another name, before
+// the entry has tried one, and its record is removed.
+func TestARunLostWithItsNameIsCounted(t *testing.T) {
+	e := newPeerNodes(t, 1, 1)[0].Entry
+	req, p, _ := newPoisonRequest(e)
+	list := func(r *fleet.Replica, offset uint64) {
+		e.state.mu.Lock()
+		update := e.state.replicas.Put(r, offset, e.clock.now())
+		e.applyReplicaUpdate(r, &update, false)
+		e.state.mu.Unlock()
+		e.endPredecessor(r, &update)
+	}
+	p.replica = &fleet.Replica{ID: "old", Name: "old", Address: "10.0.0.1:80", StartedAtMs: 1}
+	list(p.replica, 1)
+	e.state.crashes.RecordBrokenRun(req.keys, p.replica.ID, p.sentAt, e.clock.now())
+	list(&fleet.Replica{ID: "new", Name: "new", Address: "10.0.0.1:80", StartedAtMs: 2}, 2)
+	if lost := e.state.crashes.LostReplicas(req.keys.Fingerprint, e.clock.now()); lost != 1 {
+		t.Errorf("%d lost replicas counted, want 1", lost)
+	}
+}
+
 // Guards against blaming the prompts of streams that ran for long when their replica was lost: what
 // crashes replicas by its prompt does so when the answer begins.
 func TestLongStreamIsNoEvidenceAgainstItsPrompt(t *testing.T) {
--- a/internal/direct/replicas.go
+++ b/internal/direct/replicas.go
@@ -175,8 +175,13 @@
 	}
 }
 
-// endPredecessor ends the requests in flight at the incarnation that a replica supersedes.
+// endPredecessor ends the requests in flight at the incarnation that a replica supersedes, and counts the loss
+// of one that was at its address.
 func (e *Entry) endPredecessor(r *fleet.Replica, update *member.UpdateResult) {
+	if update.DisplacedID != "" {
+		e.recordReplicaLoss(update.DisplacedID)
+		e.tel.Log.Info("replica displaced", "replica", r.ID, "before", update.DisplacedID, "address", r.Address)
+	}
 	if update.SupersededID == "" {
 		return
 	}
--- a/internal/member/registration.go
+++ b/internal/member/registration.go
@@ -56,3 +56,23 @@
 func (reg *registration) isStaleCopy(r *fleet.Replica, offset uint64) bool {
 	return fleet.Era(offset) > fleet.Era(reg.removedAt) && r.ID == reg.id && r.HeartbeatSeq <= reg.heartbeatSeq
 }
+
+// occupant is the incarnation that was last listed at an address.
+type occupant struct {
+	id, name    string
+	startedAtMs int64
+}
+
+// occupy records that an incarnation is listed at its address, and returns the one of another name that was
+// there before. A record of one that started earlier is a late one.
+func (v *Replicas) occupy(r *fleet.Replica) (displaced string) {
+	before := v.occupants[r.Address]
+	if r.StartedAtMs < before.startedAtMs {
+		return ""
+	}
+	v.occupants[r.Address] = occupant{r.ID, r.Name, r.StartedAtMs}
+	if before.name == r.Name {
+		return ""
+	}
+	return before.id
+}
--- a/internal/member/replicas.go
+++ b/internal/member/replicas.go
@@ -94,11 +94,13 @@
 	params        ReplicaParams
 	states        map[string]*replicaState
 	registrations map[string]*registration
+	// occupants are the incarnations that were last listed at an address.
+	occupants map[string]occupant
 }
 
 // NewReplicas returns an empty view.
 func NewReplicas(p ReplicaParams) *Replicas {
-	return &Replicas{params: p, states: map[string]*replicaState{}, registrations: map[string]*registration{}}
+	return &Replicas{params: p, states: map[string]*replicaState{}, registrations: map[string]*registration{}, occupants: map[string]occupant{}}
 }
 
 // UpdateResult is the effect of a record or report.
@@ -107,6 +109,9 @@
 	Changed bool
 	// SupersededID is the incarnation that this one supersedes, "" for none.
 	SupersededID string
+	// DisplacedID is the incarnation of another name that was listed at this one's address before, and so has
+	// ended; "" for none.
+	DisplacedID string
 	// Outdated is set if the incarnation was superseded or has ended, or if a replica reports
 	// itself after its record was removed.
 	Outdated bool
@@ -149,7 +154,7 @@
 	s := v.states[r.ID]
 	if s == nil {
 		v.states[r.ID] = &replicaState{replica: r, offset: offset, draining: reg.leaving}
-		return UpdateResult{Changed: true, SupersededID: ended}
+		return UpdateResult{Changed: true, SupersededID: ended, DisplacedID: v.occupy(r)}
 	}
 	if offset < s.offset && !later {
 		return UpdateResult{}
@@ -452,4 +457,5 @@
 			delete(v.registrations, name)
 		}
 	}
+	maps.DeleteFunc(v.occupants, func(_ string, o occupant) bool { return v.registrations[o.name] == nil })
 }
--- a/internal/member/replicas_test.go
+++ b/internal/member/replicas_test.go
@@ -54,6 +54,35 @@
 	}
 }
 
+// Guards against a crashed replica that counts as sound since it restarted under another name before its
+// connections were tried.
+func TestANewNameAtAnAddressEndsTheOneBefore(t *testing.T) {
+	v := member.NewReplicas(member.DefaultReplicaParams)
+	put := func(name, address string, startedAtMs int64) string {
+		return v.Put(&fleet.Replica{ID: name, Name: name, Address: address, StartedAtMs: startedAtMs}, 0, 0).DisplacedID
+	}
+	for _, step := range []struct {
+		what, name, address string
+		startedAtMs         int64
+		want                string
+	}{
+		{"the first one", "a", "x", 1, ""},
+		{"its record again", "a", "x", 1, ""},
+		{"another address", "b", "y", 2, ""},
+		{"another name", "c", "x", 3, "a"},
+		{"a late record of an earlier start", "d", "x", 2, ""},
+		{"after the late record", "e", "x", 4, "c"},
+	} {
+		if got := put(step.name, step.address, step.startedAtMs); got != step.want {
+			t.Errorf("%s: displaced %q, want %q", step.what, got, step.want)
+		}
+	}
+	v.Remove("e", 1, 0)
+	if got := put("f", "x", 5); got != "e" {
+		t.Errorf("after its record was removed: displaced %q, want e", got)
+	}
+}
+
 // Guards against the loss of all replicas after an outage of the store: it lasts longer
 // than records live without renewal, so the first read after it shows all records removed.
 func TestLapsedInOutageServesOn(t *testing.T) {
