HTTP/1.0 streams are reset from their head on until they are complete

Cause: net/http closes a connection itself when the write of a buffered chunk fails. Whether the write fails there or in the flush is chance.

The connection is set to reset when the head of such a stream is sent, whoever closes it, and set back once the stream is complete; nothing is hijacked any more.

--- a/internal/direct/dispatch.go
+++ b/internal/direct/dispatch.go
@@ -219,23 +219,23 @@
 }
 
 // breakOff closes the connection in a way that doesn't look like the end of the answer. It doesn't return.
-func (req *request) breakOff() {
-	if !req.httpRequest.ProtoAtLeast(1, 1) {
-		req.resetConnection()
-	}
-	panic(http.ErrAbortHandler)
-}
+func (req *request) breakOff() { panic(http.ErrAbortHandler) }
 
-// resetConnection resets the caller's connection. Without chunks an orderly end of it would end the answer, too.
-func (req *request) resetConnection() {
-	conn, _, err := http.NewResponseController(req.w).Hijack()
-	if err != nil {
-		return // a test's response has no connection
+// connKey is the key of a caller's connection in the contexts of its requests.
+type connKey struct{}
+
+// setIncomplete says whether the answer isn't complete. Without chunks an orderly end of the connection would end it,
+// too: until it is complete any close resets the connection, also that of the server after a failed write.
+func (req *request) setIncomplete(incomplete bool) {
+	c, ok := req.httpRequest.Context().Value(connKey{}).(interface{ SetLinger(int) error })
+	if !ok || req.httpRequest.ProtoAtLeast(1, 1) {
+		return
 	}
-	if c, ok := conn.(interface{ SetLinger(int) error }); ok {
-		_ = c.SetLinger(0)
+	linger := -1
+	if incomplete {
+		linger = 0
 	}
-	_ = conn.Close()
+	_ = c.SetLinger(linger) // fails if the connection has ended
 }
 
 // pickReplica picks a replica now; nil if none can take the request. The caller holds the state's
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -231,6 +231,7 @@
 	unused := new(unusedConns)
 	server := &http.Server{
 		ConnState:         unused.track,
+		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		Handler:           http.HandlerFunc(e.serveHTTP),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
--- a/internal/direct/held.go
+++ b/internal/direct/held.go
@@ -110,12 +110,16 @@
 		req.entry.drain.held.Add(1)
 	}
 	maps.Copy(h.w.Header(), h.header)
+	req.setIncomplete(true)
 	h.w.WriteHeader(h.status)
 	for _, piece := range h.pieces {
 		if _, err := h.w.Write(piece); err != nil {
 			return // the caller has gone
 		}
 	}
+	if http.NewResponseController(h.w).Flush() == nil {
+		req.setIncomplete(false)
+	}
 }
 
 // freeHeld gives back the memory of an answer that was held back.
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -145,6 +145,7 @@
 	req.announceOrigin()
 	req.status = x.Status
 	req.copyHeaders(x.Header)
+	req.setIncomplete(true)
 	req.w.WriteHeader(x.Status)
 	s := req.entry.state
 	s.mu.Lock()
@@ -184,6 +185,7 @@
 		req.copyHeaders(x.Header)
 		req.w.WriteHeader(x.Status)
 	}
+	req.setIncomplete(false)
 	req.outcome = outcomeServed
 	if p.events > 0 {
 		req.recordSuccess(p)
