Direct entries: waiting requests are placed before expired ones are refused

Callers saw: 503 `no replica can take the request` at an entry that was held up while the request waited, though replicas were free by then and most of the request's time was left.

Cause: at each check requests whose wait was over were refused first, and replicas looked for afterwards. An entry that was held up beyond the end of a wait never looked.

Change: if a wait is over, waiting requests are placed in their order first. At checks in time there is nothing more to place than at the event before.

--- a/internal/admit/wait_queue.go
+++ b/internal/admit/wait_queue.go
@@ -244,9 +244,17 @@
 	return w.work * decayFactor(now-w.at, halfLife)
 }
 
+// expired reports whether waiting is pointless for the request.
+func (r *QueuedRequest) expired(now time.Duration) bool { return now >= r.ExpiresAt }
+
+// HasExpired reports whether waiting is pointless for one of the requests.
+func (q *WaitQueue) HasExpired(now time.Duration) bool {
+	return slices.ContainsFunc(q.requests, func(r *QueuedRequest) bool { return r.expired(now) })
+}
+
 // RemoveExpired removes and returns the requests for which waiting is pointless.
 func (q *WaitQueue) RemoveExpired(now time.Duration) []*QueuedRequest {
-	return q.RemoveMatching(func(r *QueuedRequest) bool { return now >= r.ExpiresAt })
+	return q.RemoveMatching(func(r *QueuedRequest) bool { return r.expired(now) })
 }
 
 // RemoveMatching removes and returns the requests for which match returns true.
--- a/internal/direct/queue.go
+++ b/internal/direct/queue.go
@@ -91,10 +91,11 @@
 	return true
 }
 
-// placeAllQueued refuses expired requests and places waiting ones, for all services. The caller
+// placeAllQueued places waiting requests and refuses expired ones, for all services. The caller
 // holds mu.
 func (s *state) placeAllQueued(now time.Duration) {
 	for _, q := range s.queues {
+		s.placeExpired(q, now)
 		for _, queued := range append(q.waiting.RemoveExpired(now), q.resuming.RemoveExpired(now)...) {
 			queued.Value.(*request).placed <- nil
 		}
@@ -102,6 +103,14 @@
 	}
 }
 
+// placeExpired places waiting requests before expired ones among them are refused: an entry that was held up finds
+// some that a replica can take by now. The caller holds mu.
+func (s *state) placeExpired(q *serviceQueue, now time.Duration) {
+	if q.waiting.HasExpired(now) || q.resuming.HasExpired(now) {
+		s.placeQueued(q, now)
+	}
+}
+
 // placeAndReject assigns replicas to waiting requests and rejects those that can't be placed in time.
 // The caller holds mu.
 func (s *state) placeAndReject(q *serviceQueue, now time.Duration) {
