--- a/internal/delivery/body.go
+++ b/internal/delivery/body.go
@@ -7,7 +7,7 @@
 
 // unreadBodyTimeout bounds how long an answer waits for the rest of a body that the handler doesn't read. A body that
 // is under way arrives meanwhile, and the connection is kept.
-const unreadBodyTimeout = 500 * time.Millisecond
+const unreadBodyTimeout = 200 * time.Millisecond
 
 // LimitUnreadBody bounds the time for which the server waits for what the handler leaves unread of a request's body. Before it
 // sends an answer's head it reads the rest, and the caller may never send that. A handler that does read the body
