--- a/internal/attempt/crash_order_test.go
+++ b/internal/attempt/crash_order_test.go
@@ -11,8 +11,12 @@
 	const all, deadly, usual = uint64(1), uint64(2), uint64(3)
 	ms := func(n int) time.Duration { return time.Second + time.Duration(n)*time.Millisecond }
 	s := NewCrashTracker(DefaultCrashTrackerParams, 1)
-	dead := func(fingerprint uint64) RequestKeys { return RequestKeys{Fingerprint: fingerprint, Parts: []uint64{all, deadly}} }
-	sound := func(fingerprint uint64) RequestKeys { return RequestKeys{Fingerprint: fingerprint, Parts: []uint64{all, usual}} }
+	dead := func(fingerprint uint64) RequestKeys {
+		return RequestKeys{Fingerprint: fingerprint, Parts: []uint64{all, deadly}}
+	}
+	sound := func(fingerprint uint64) RequestKeys {
+		return RequestKeys{Fingerprint: fingerprint, Parts: []uint64{all, usual}}
+	}
 	s.RecordBrokenRun(dead(11), "r2", ms(0), ms(143))
 	s.RecordLostReplica("r2", ms(144))
 	s.RecordBrokenRun(dead(12), "r1", ms(145), ms(179))
