A reset during a request makes an answer without a length incomplete

Cause: the kernel reports a connection's failure to one call only. The request is written while its answer is read. If the write receives ECONNRESET (or ETIMEDOUT), the next read reports an orderly end, which completes such an answer. net/http has the same race, so that the clients of the role endpoint and of the platform have it too.

Change: framing.ResetConn keeps what a write received; a read that reports the end ends the write under way, waits for it and then reports its error. EPIPE isn't kept, since it follows an end that reads report by themselves. internal/upstream and framing.Transport use it, which are all clients that send bodies.

--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -18,7 +18,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c}, nil
+		return &conn{Conn: NewResetConn(c)}, nil
 	}
 	return transport{t}
 }
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -1,4 +1,5 @@
-// Package framing rejects answers whose end net/http looks for elsewhere than their sender put it.
+// Package framing rejects answers whose end net/http looks for elsewhere than their sender put it, and tells the orderly end of a
+// connection from its failure.
 //
 // net/http ignores the transfer coding of an answer of a version before HTTP/1.1, and a length or coding whose name is followed by
 // a space. Such an answer would be taken for one that the end of its connection ends, with the chunks' framing as its body.
--- a/internal/standin/halfway/halfway.go
+++ b/internal/standin/halfway/halfway.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Form is one way to encode an answer.
@@ -111,6 +112,8 @@
 	mu     sync.Mutex
 	part   string
 	ending Ending
+	// early is set if the part is sent before the request's body is read.
+	early bool
 	// other serves requests in place of the part where it returns an answer.
 	other func(*http.Request) string
 }
@@ -133,7 +136,15 @@
 func (s *Server) Send(part string, ending Ending) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.part, s.ending = part, ending
+	s.part, s.ending, s.early = part, ending, false
+}
+
+// SendEarly sets the part that is sent from now on once the head of a request was read. The connection ends while the
+// request's body, which isn't read, is on its way.
+func (s *Server) SendEarly(part string, ending Ending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.part, s.ending, s.early = part, ending, true
 }
 
 // SendElse has the server answer with what other returns, where that isn't "". Connections are kept after it.
@@ -156,13 +167,44 @@
 	}
 }
 
+const (
+	// earlyPause is the time between a part that is sent early and the end of its connection.
+	earlyPause = 2 * time.Millisecond
+	// readBuffer is the kernel's buffer for what wasn't read of a request, in bytes.
+	readBuffer = 64 << 10
+)
+
+// answerEarly sends the part if it is due before the request's body.
+func (s *Server) answerEarly(c *net.TCPConn) bool {
+	s.mu.Lock()
+	part, ending, early := s.part, s.ending, s.early
+	s.mu.Unlock()
+	if !early {
+		return false
+	}
+	s.requests.Add(1)
+	_, _ = io.WriteString(c, part) // a reader may have left
+	time.Sleep(earlyPause)
+	if ending == ResetConnection {
+		_ = c.SetLinger(0)
+	} else {
+		_ = c.CloseWrite()
+		time.Sleep(earlyPause) // a close with unread bytes resets the connection
+	}
+	return true
+}
+
 func (s *Server) serve(c *net.TCPConn) {
 	defer c.Close()
+	_ = c.SetReadBuffer(readBuffer) // unread bodies then wait in their sender
 	for in := bufio.NewReader(c); ; {
 		req, err := http.ReadRequest(in)
 		if err != nil {
 			return
 		}
+		if s.answerEarly(c) {
+			return
+		}
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"skylarklead/internal/framing"
 )
 
 const (
@@ -84,7 +86,7 @@
 
 // conn is one connection to a replica.
 type conn struct {
-	net.Conn
+	*framing.ResetConn
 	reader *bufio.Reader
 	// input is what reader reads from.
 	input *boundedReader
@@ -101,8 +103,9 @@
 	if err != nil {
 		return nil, err
 	}
-	input := &boundedReader{conn: c}
-	return &conn{Conn: c, input: input, reader: bufio.NewReaderSize(input, readBuffer), idleTimeout: defaultIdleTimeout}, nil
+	stream := framing.NewResetConn(c)
+	input := &boundedReader{conn: stream}
+	return &conn{ResetConn: stream, input: input, reader: bufio.NewReaderSize(input, readBuffer), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // usable reports whether an idle connection can carry another request: it isn't
@@ -115,11 +118,7 @@
 // hasNoInput peeks at the socket without consuming data. It returns false if there
 // is data to read or if the peer has closed the connection.
 func (c *conn) hasNoInput() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -128,8 +128,7 @@
 	e.written = make(chan error, 1)
 	go func() {
 		// The pieces aren't copied: long bodies are most of an entry's memory.
-		message := append(net.Buffers{head}, req.Body...)
-		_, err := message.WriteTo(e.conn.Conn)
+		_, err := e.conn.WriteBuffers(append(net.Buffers{head}, req.Body...))
 		e.written <- err
 	}()
 	return e.readHead(req, matches)
--- a/internal/upstream/halfway_test.go
+++ b/internal/upstream/halfway_test.go
@@ -23,14 +23,20 @@
 	return forms
 }
 
-// Guards against a part of an answer that is taken for the whole one, and against one that is taken for bytes
-// which are no answer.
-func TestAnswersThatStopHalfway(t *testing.T) {
+func startHalfway(t *testing.T) *halfway.Server {
+	t.Helper()
 	server, err := halfway.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer server.Close()
+	t.Cleanup(server.Close)
+	return server
+}
+
+// Guards against a part of an answer that is taken for the whole one, and against one that is taken for bytes
+// which are no answer.
+func TestAnswersThatStopHalfway(t *testing.T) {
+	server := startHalfway(t)
 	r := upstream.Replica{ID: "r", Address: server.Address}
 	for _, form := range forms() {
 		for _, ending := range halfway.Endings {
