An answer without a valid status is malformed

Callers of direct entries could get an answer that isn't the replica's: after a head with the status 000, whatever followed on the connection was taken for the answer. Where nothing followed, the request waited until its deadline. A status over 599 was passed on as it was.

Cause: net/http accepts each three digits as a status, and internal/upstream took all below 200 for informational answers.

Change: framing.Check allows 100 to 599, at replicas (ErrMalformed) and in the transport of all other clients. An answer that fails it is a fault of the replica; the request is repeated only where it may be.

--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -23,7 +23,7 @@
 	return transport{t}
 }
 
-// transport checks the headers of answers; its connections check the bytes of their heads.
+// transport checks the answers; its connections check the bytes of their heads.
 type transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
@@ -32,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckHeader(resp.Header); err != nil {
+	if err := Check(resp); err != nil {
 		resp.Body.Close()
 		return nil, err
 	}
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -1,21 +1,31 @@
-// Package framing rejects answers whose end net/http looks for elsewhere than their sender put it, and tells the orderly end of a
-// connection from its failure.
+// Package framing rejects answers that net/http accepts although they aren't answers in the protocol, or whose end it looks for
+// elsewhere than their sender put it. It tells the orderly end of a connection from its failure.
 //
-// net/http ignores the transfer coding of an answer of a version before HTTP/1.1, and a length or coding whose name is followed by
-// a space. Such an answer would be taken for one that the end of its connection ends, with the chunks' framing as its body.
+// net/http accepts each three digits as a status. It ignores the transfer coding of an answer of a version before HTTP/1.1, and a
+// length or coding whose name is followed by a space. Such an answer would be taken for one that the end of its connection
+// ends, with the chunks' framing as its body.
 package framing
 
 import (
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
 )
 
-// ErrFaulty reports an answer whose end can't be told.
-var ErrFaulty = errors.New("framing: the end of the answer can't be told")
+// ErrFaulty reports an answer that isn't one in the protocol. Errors of this package wrap it.
+var ErrFaulty = errors.New("framing: faulty answer")
+
+var (
+	errEnd    = fmt.Errorf("%w: its end can't be told", ErrFaulty)
+	errStatus = fmt.Errorf("%w: its status isn't one", ErrFaulty)
+)
+
+// minStatus and maxStatus are the lowest and the highest status that an answer can have.
+const minStatus, maxStatus = 100, 599
 
 const transferEncoding = "Transfer-Encoding"
 
@@ -27,11 +37,18 @@
 	return slices.ContainsFunc(oldVersions, func(v string) bool { return bytes.HasPrefix(head, []byte(v)) })
 }
 
-// CheckHeader checks the header of an answer that net/http has read.
-func CheckHeader(h http.Header) error {
+// Check checks an answer whose head net/http has read.
+func Check(resp *http.Response) error {
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+		return fmt.Errorf("%w: %03d", errStatus, resp.StatusCode)
+	}
+	return checkHeader(resp.Header)
+}
+
+func checkHeader(h http.Header) error {
 	for name := range h {
 		if trimmed := strings.TrimSpace(name); trimmed != name && (strings.EqualFold(trimmed, transferEncoding) || strings.EqualFold(trimmed, "Content-Length")) {
-			return ErrFaulty
+			return errEnd
 		}
 	}
 	return nil
@@ -44,7 +61,7 @@
 	}
 	for line := range bytes.Lines(head) {
 		if namesCoding(line) {
-			return ErrFaulty
+			return errEnd
 		}
 	}
 	return nil
--- a/internal/framing/scanner.go
+++ b/internal/framing/scanner.go
@@ -65,7 +65,7 @@
 	case isEmpty(line):
 		s.inHead, s.head = s.head.informational, headState{}
 	case s.head.old && namesCoding(line):
-		return ErrFaulty
+		return errEnd
 	}
 	return nil
 }
--- a/internal/standin/halfway/halfway.go
+++ b/internal/standin/halfway/halfway.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,7 @@
 	oldBegin := strings.Replace(begin, "HTTP/1.1", "HTTP/1.0", 1)
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	const chunked = "Transfer-Encoding: chunked\r\n"
+	code := strconv.Itoa(status)
 	half := len(body) / 2
 	chunks := fmt.Sprintf("%x\r\n%s\r\n%x;of=2\r\n%s\r\n0\r\n", half, body[:half], len(body)-half, body[half:])
 	framed := func(name, bytes string) Form { return Form{Name: name, Bytes: bytes, Body: body} }
@@ -79,6 +81,11 @@
 		faulty("line without end", begin+header+"X-Note: "),
 		faulty("chunks without a last one", begin+header+chunked+"\r\n"+strings.TrimSuffix(chunks, "0\r\n")),
 		faulty("switched protocol", "HTTP/1.1 101 Switching Protocols\r\n"+header+"Upgrade: x\r\nConnection: Upgrade\r\n\r\n"+body),
+		faulty("status 000", strings.Replace(begin, code, "000", 1)+header+length+"\r\n"+body),
+		faulty("status 000, no length", strings.Replace(begin, code, "000", 1)+header+"\r\n"+body),
+		faulty("status 000 before an answer", "HTTP/1.1 000 None\r\n"+header+"\r\n"+begin+header+length+"\r\n"+body),
+		faulty("status 099", strings.Replace(begin, code, "099", 1)+header+length+"\r\n"+body),
+		faulty("status 600", strings.Replace(begin, code, "600", 1)+header+length+"\r\n"+body),
 		faulty("only an informational answer", "HTTP/1.1 103 Early Hints\r\n"+header+length+"\r\n"),
 	}
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -203,7 +203,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return resp, framing.CheckHeader(resp.Header)
+	return resp, framing.Check(resp)
 }
 
 // readOldHead reads a head of a version before HTTP/1.1. Its connection isn't kept, as bytes that follow the answer are read
--- a/internal/upstream/halfway_test.go
+++ b/internal/upstream/halfway_test.go
@@ -1,9 +1,14 @@
 package upstream_test
 
 import (
+	"bufio"
+	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"testing"
+	"time"
 
 	"skylarklead/internal/standin/halfway"
 	"skylarklead/internal/upstream"
@@ -63,3 +68,23 @@
 		}
 	}
 }
+
+// Guards against an answer without a valid status that is taken for an informational one, so that its request waits until
+// its deadline for another answer.
+func TestAnswerWithoutAValidStatusIsMalformed(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999"} {
+		r := replica(t, func(_ int, c net.Conn, in *bufio.Reader) {
+			readRequest(in)
+			io.WriteString(c, "HTTP/1.1 "+status+" None\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+			readRequest(in) // until the caller has left
+		})
+		pool := upstream.NewPool()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		_, err := pool.Do(ctx, r, 0, request("1", 1), matchesID("1"))
+		if !errors.Is(err, upstream.ErrMalformed) {
+			t.Errorf("status %s: %v", status, err)
+		}
+		cancel()
+		pool.Close()
+	}
+}
