An answer with a blank in the name of a field is malformed

Callers got answers in whose head the name of a field held a blank: with that line left out, or, where it was meant to be the length or the transfer coding ("Content Length", "Transfer -Encoding"), with a body that isn't the replica's, chunks' framing included.

Cause: net/http accepts blanks in names. Only a blank before the colon of a length or coding was rejected.

Change: framing.Check rejects names that aren't tokens (RFC 9110, 5.6.2), at replicas, services, engines, the store, the platform and control calls.

Evidence: eleven forms added to standin/halfway. Handled before by net/http: a control byte, a tab or a carriage return in a name, and a blank before the first one.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -1,9 +1,9 @@
 // Package framing rejects answers that net/http accepts although they aren't answers in the protocol, or whose end it looks for
 // elsewhere than their sender put it. It tells the orderly end of a connection from its failure.
 //
-// net/http accepts each three digits as a status. It ignores the transfer coding of an answer of a version before HTTP/1.1, and a
-// length or coding whose name is followed by a space. Such an answer would be taken for one that the end of its connection
-// ends, with the chunks' framing as its body.
+// net/http accepts each three digits as a status, and blanks in the names of fields. It ignores the transfer coding of an answer
+// of a version before HTTP/1.1, and a length or coding with a blank in its name. Such an answer would be taken for one that the
+// end of its connection ends, with the chunks' framing as its body.
 package framing
 
 import (
@@ -22,6 +22,7 @@
 var (
 	errEnd    = fmt.Errorf("%w: its end can't be told", ErrFaulty)
 	errStatus = fmt.Errorf("%w: its status isn't one", ErrFaulty)
+	errName   = fmt.Errorf("%w: the name of a field isn't one", ErrFaulty)
 )
 
 // minStatus and maxStatus are the lowest and the highest status that an answer can have.
@@ -45,15 +46,26 @@
 	return checkHeader(resp.Header)
 }
 
+// checkHeader rejects names that aren't tokens. Such a line may have been meant for another field, one that frames the body
+// included.
 func checkHeader(h http.Header) error {
 	for name := range h {
-		if trimmed := strings.TrimSpace(name); trimmed != name && (strings.EqualFold(trimmed, transferEncoding) || strings.EqualFold(trimmed, "Content-Length")) {
-			return errEnd
+		if strings.ContainsFunc(name, isNoTokenByte) {
+			return fmt.Errorf("%w: %.40q", errName, name)
 		}
 	}
 	return nil
 }
 
+// isNoTokenByte reports whether a character can't be part of a token (RFC 9110, 5.6.2).
+func isNoTokenByte(c rune) bool {
+	switch {
+	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
+		return false
+	}
+	return !strings.ContainsRune("!#$%&'*+-.^_`|~", c)
+}
+
 // CheckHead checks the bytes of a head for what net/http leaves out of the header.
 func CheckHead(head []byte) error {
 	if !IsOld(head) {
--- a/internal/standin/halfway/halfway.go
+++ b/internal/standin/halfway/halfway.go
@@ -86,6 +86,17 @@
 		faulty("status 000 before an answer", "HTTP/1.1 000 None\r\n"+header+"\r\n"+begin+header+length+"\r\n"+body),
 		faulty("status 099", strings.Replace(begin, code, "099", 1)+header+length+"\r\n"+body),
 		faulty("status 600", strings.Replace(begin, code, "600", 1)+header+length+"\r\n"+body),
+		faulty("blank in a name", begin+"X Note: a\r\n"+header+length+"\r\n"+body),
+		faulty("blank before a colon", begin+header+length+"X-Note : a\r\n\r\n"+body),
+		faulty("blank in the name of the length", begin+header+"Content Length: 3\r\n\r\n"+body),
+		faulty("blank in the name of the coding", begin+header+"Transfer -Encoding: chunked\r\n\r\n"+chunks+"\r\n"),
+		faulty("blank before the first name", begin+" X-Note: a\r\n"+header+length+"\r\n"+body),
+		faulty("tab in a name", begin+header+"X\tNote: a\r\n"+length+"\r\n"+body),
+		faulty("control byte in a name", begin+header+"X\x01Note: a\r\n"+length+"\r\n"+body),
+		faulty("control byte in the name of the coding", begin+header+"Transfer-Encoding\x0b: chunked\r\n\r\n"+chunks+"\r\n"),
+		faulty("carriage return in a name", begin+header+"X\rNote: a\r\n"+length+"\r\n"+body),
+		faulty("blank in a name, HTTP/1.0", oldBegin+header+"X Note: a\r\n"+length+"\r\n"+body),
+		faulty("control byte in a name, HTTP/1.0", oldBegin+header+"X\x7fNote: a\r\n"+length+"\r\n"+body),
 		faulty("only an informational answer", "HTTP/1.1 103 Early Hints\r\n"+header+length+"\r\n"),
 	}
 }
