Folded lines and malformed informational heads make an answer malformed

Callers got answers whose head had a line that begins with a blank: joined with the line before, which changed that field (a content type became "text/plain X-Note: a"; the seal likewise), and with the chunks' framing as the body where the line named the coding. Heads of informational answers weren't checked at all by the clients of net/http.

Cause: net/http joins folded lines, which RFC 9112 (5.2) forbids senders to send and lets a gateway answer with 502; and what was checked was the header as parsed.

Change: one place decides for all readers, line by line: internal/framing/head.go. internal/upstream checks a head before it is parsed (CheckHead), without waiting beyond a faulty line; the transports' connections follow the heads as they are read, from where a request begins (GotConn): a write under way no longer starts a head within a body.

"No name" and "no colon" were handled before.

--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -4,9 +4,10 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
-// Transport makes a transport that isn't used yet check the framing of answers. Faulty ones fail with ErrFaulty, as any
+// Transport makes a transport that isn't used yet check the heads of answers. Faulty ones fail with ErrFaulty, as any
 // failure after the request was sent.
 func Transport(t *http.Transport) http.RoundTripper {
 	dial := t.DialContext
@@ -23,34 +24,26 @@
 	return transport{t}
 }
 
-// transport checks the answers; its connections check the bytes of their heads.
+// transport tells its connections where requests begin. An answer may come before its request is written, so that the writes
+// don't show it.
 type transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
 func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(r)
-	if err != nil {
-		return nil, err
-	}
-	if err := Check(resp); err != nil {
-		resp.Body.Close()
-		return nil, err
-	}
-	return resp, nil
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*conn); ok && info.Reused {
+			c.heads.requestBegins()
+		}
+	}}
+	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 }
 
-// conn checks the heads of answers as they are read. A read that would complete a faulty one fails.
+// conn checks the heads of answers as they are read. A read that would complete a faulty line fails.
 type conn struct {
 	net.Conn
 	heads scanner
 }
 
-// Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
-	c.heads.requestWritten()
-	return c.Conn.Write(p)
-}
-
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/framing/scanner.go
+++ b/internal/framing/scanner.go
@@ -5,46 +5,35 @@
 	"sync"
 )
 
-const (
-	// protocolName begins every head.
-	protocolName = "HTTP/"
-	// maxLine bounds what is kept of a line, in bytes. Heads may be as long as the transports' limit, which is lower.
-	maxLine = 1 << 20
-)
+// maxLine bounds what is kept of a line, in bytes. Heads may be as long as the transports' limit, which is lower.
+const maxLine = 1 << 20
 
-// scanner follows the bytes of a connection to the end of each answer's last head. An http.Transport writes a request only
-// once it has read the answer before.
+// scanner follows the bytes of a connection to the end of each answer's last head.
 type scanner struct {
 	mu sync.Mutex
-	// inHead is set from a request on until the end of its answer's last head.
-	inHead bool
-	head   headState
+	// past is set once the last head of the answer has ended.
+	past bool
+	head head
 	// line is what was read of a line that hasn't ended.
 	line []byte
 }
 
-// headState is what the lines of a head that were read say.
-type headState struct{ begun, old, informational bool }
-
-// requestWritten is called before bytes of a request are written. If its answer's head has come before the rest of the request was
-// written, what is read next is no head and passes.
-func (s *scanner) requestWritten() {
+// requestBegins is called before the first byte of a request but the first one is written. The answer before it was read.
+func (s *scanner) requestBegins() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.inHead {
-		s.inHead, s.head, s.line = true, headState{}, nil
-	}
+	s.past, s.head, s.line = false, head{}, nil
 }
 
 // read is called with bytes of an answer.
 func (s *scanner) read(p []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for s.inHead && len(p) > 0 {
+	for !s.past && len(p) > 0 {
 		n := bytes.IndexByte(p, '\n') + 1
 		if n == 0 {
 			s.line = append(s.line, p...)
-			s.inHead = len(s.line) <= maxLine
+			s.past = len(s.line) > maxLine
 			return nil
 		}
 		line := append(s.line, p[:n]...)
@@ -56,22 +45,17 @@
 	return nil
 }
 
-// endLine follows one line of a head.
+// endLine follows one line of a head. Bytes that begin no head are left to net/http.
 func (s *scanner) endLine(line []byte) error {
-	switch {
-	case !s.head.begun:
-		s.head = headState{begun: true, old: IsOld(line), informational: isInformational(line)}
-		s.inHead = bytes.HasPrefix(line, []byte(protocolName))
-	case isEmpty(line):
-		s.inHead, s.head = s.head.informational, headState{}
-	case s.head.old && namesCoding(line):
-		return errEnd
+	if !s.head.begun && !mayBegin(line) {
+		s.past = true
+		return nil
+	}
+	if err := s.head.checkLine(line); err != nil {
+		return err
+	}
+	if s.head.ended {
+		s.past, s.head = !s.head.informational, head{}
 	}
 	return nil
 }
-
-// isInformational reports whether another head follows the one that a line begins.
-func isInformational(line []byte) bool {
-	_, status, _ := bytes.Cut(line, []byte(" "))
-	return bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101"))
-}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -4,12 +4,12 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"skylarklead/internal/framing"
 )
@@ -177,43 +177,32 @@
 	}
 }
 
-// protocolName begins every answer.
-const protocolName = "HTTP/"
-
-// versionLength is the length of the version that begins an answer.
-const versionLength = len(protocolName + "1.1")
-
 // readResponse reads the head of one answer.
 func (e *Exchange) readResponse(method string) (*http.Response, error) {
-	begin, _ := e.conn.reader.Peek(versionLength) // an error comes again when the head is read
-	isAnswer := strings.HasPrefix(protocolName, string(begin[:min(len(begin), len(protocolName))]))
-	read := readHead
-	if framing.IsOld(begin) {
-		read = readOldHead
+	whole, err := framing.CheckHead(e.conn.reader)
+	if err != nil {
+		return nil, markMalformed(err)
+	}
+	read := http.ReadResponse
+	if !whole {
+		read = readLongHead
 	}
 	resp, err := read(e.conn.reader, &http.Request{Method: method})
-	if err != nil && !isAnswer {
+	if errors.Is(err, framing.ErrFaulty) {
 		return nil, markMalformed(err)
 	}
 	return resp, e.conn.input.explain(err)
 }
 
-func readHead(r *bufio.Reader, req *http.Request) (*http.Response, error) {
-	resp, err := http.ReadResponse(r, req)
-	if err != nil {
-		return nil, err
-	}
-	return resp, framing.Check(resp)
-}
-
-// readOldHead reads a head of a version before HTTP/1.1. Its connection isn't kept, as bytes that follow the answer are read
-// ahead elsewhere.
-func readOldHead(r *bufio.Reader, req *http.Request) (*http.Response, error) {
-	head, _ := framing.ReadHead(r) // an error comes again when the head is parsed
-	if err := framing.CheckHead(head); err != nil {
+// readLongHead reads a head that is longer than the buffer of its connection, or that is cut. The connection isn't kept, as bytes
+// that follow the answer are read ahead elsewhere.
+func readLongHead(r *bufio.Reader, req *http.Request) (*http.Response, error) {
+	head, err := framing.ReadHead(r)
+	if errors.Is(err, framing.ErrFaulty) {
 		return nil, err
 	}
-	resp, err := readHead(bufio.NewReader(io.MultiReader(bytes.NewReader(head), r)), req)
+	// Another error comes again when the head is parsed.
+	resp, err := http.ReadResponse(bufio.NewReader(io.MultiReader(bytes.NewReader(head), r)), req)
 	if err == nil {
 		resp.Close = true
 	}
--- a/internal/upstream/halfway_test.go
+++ b/internal/upstream/halfway_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -88,3 +89,19 @@
 		pool.Close()
 	}
 }
+
+// Guards against a head longer than the connection's buffer that isn't checked, or whose answer isn't taken.
+func TestLongHeads(t *testing.T) {
+	server := startHalfway(t)
+	r := upstream.Replica{ID: "r", Address: server.Address}
+	pool := upstream.NewPool()
+	defer pool.Close()
+	header := "Id: 1\r\nX-Long: " + strings.Repeat("x", 6<<10) + "\r\n"
+	for _, form := range halfway.Forms(200, header, "the whole body") {
+		server.Send(form.Bytes, halfway.Closed)
+		body, err := do(t, pool, r, "1")
+		if (err != nil) != form.Faulty || err == nil && body != form.Body {
+			t.Errorf("%s: %q, %v", form.Name, body, err)
+		}
+	}
+}
