--- a/internal/framing/scanner.go
+++ b/internal/framing/scanner.go
@@ -18,7 +18,7 @@
 	line []byte
 }
 
-// requestBegins is called before the first byte of a request but the first one is written. The answer before it was read.
+// requestBegins is called before each request on a reused connection is written. The answer before it was read.
 func (s *scanner) requestBegins() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
