Tests of early answers: the order of reset and read is certain

Over net/http the order can't be had from a real socket, as it closes a connection after a failed write: TestTransportReportsWhatAWriteReceived gives the transport a connection whose write reports what it received only after the answer was read.

--- a/internal/direct/halfway_test.go
+++ b/internal/direct/halfway_test.go
@@ -24,8 +24,7 @@
 	out := kit.Must(flate.NewWriter(&body, flate.BestSpeed))(t)
 	kit.OK(t, cbor.NewEncoder(out).Encode(&sent))
 	kit.OK(t, out.Close())
-	server := kit.Must(halfway.Start())(t)
-	defer server.Close()
+	server := halfway.StartFor(t)
 	for _, form := range halfway.Forms(http.StatusOK, "", body.String()) {
 		for _, ending := range halfway.Endings {
 			for n := range len(form.Bytes) + 1 {
--- a/internal/engine/halfway_test.go
+++ b/internal/engine/halfway_test.go
@@ -13,14 +13,12 @@
 
 	"skylarklead/internal/prefix"
 	"skylarklead/internal/standin/halfway"
-	"skylarklead/test/kit"
 )
 
 // eachPart calls fn for each part of each form of an answer, closed and reset.
 func eachPart(t *testing.T, header, body string, fn func(t *testing.T, base, where, want string, whole, complete bool)) {
 	t.Helper()
-	server := kit.Must(halfway.Start())(t)
-	t.Cleanup(server.Close)
+	server := halfway.StartFor(t)
 	for _, form := range halfway.Forms(http.StatusOK, header, body) {
 		for _, ending := range halfway.Endings {
 			t.Run(fmt.Sprint(form.Name, "/", ending), func(t *testing.T) {
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -18,16 +19,6 @@
 // old is the head of an answer whose chunks net/http doesn't read.
 const old = "HTTP/1.0 200 OK\r\nA: b\r\nTransfer-encoding : chunked\r\n\r\n"
 
-func startHalfway(t *testing.T) *halfway.Server {
-	t.Helper()
-	server, err := halfway.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(server.Close)
-	return server
-}
-
 // Guards against a body that consists of chunks, whatever answers and requests go before it, and however its bytes arrive.
 func TestScannerFindsFaultyHeads(t *testing.T) {
 	const informational, whole = "HTTP/1.1 103 Early Hints\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
@@ -67,17 +58,17 @@
 // Guards against an answer that fails, or a head that isn't checked, since the answer begins before its request is written.
 func TestTransportOfAnAnswerBeforeTheRequestIsWritten(t *testing.T) {
 	const body = "HTTP/1.0 200 OK\nTransfer-Encoding: x\nno field\n"
-	server := startHalfway(t)
+	server := halfway.StartFor(t)
 	client := &http.Client{Transport: Transport(&http.Transport{})}
 	defer client.CloseIdleConnections()
 	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*len(body))
 	for range earlyRounds {
 		server.SendEarlyInParts(halfway.Closed, "HTTP/1.1 200 OK\r\n", length, body, body)
-		if got, err := postEarly(client, server.Address, 0); err != nil || got != body+body {
+		if got, err := postEarly(client, server.Address); err != nil || got != body+body {
 			t.Fatalf("%q, %v", got, err)
 		}
 		server.SendEarlyInParts(halfway.Closed, "HTTP/1.1 200 OK\r\nA", " : b\r\n"+length, body, body)
-		if got, err := postEarly(client, server.Address, 0); err == nil {
+		if got, err := postEarly(client, server.Address); err == nil {
 			t.Fatalf("a faulty head: %q, %v", got, err)
 		}
 	}
@@ -114,7 +105,7 @@
 
 // Guards against a transport that passes faulty answers on, or fails those that are sound.
 func TestTransport(t *testing.T) {
-	server := startHalfway(t)
+	server := halfway.StartFor(t)
 	client := &http.Client{Transport: Transport(&http.Transport{})}
 	defer client.CloseIdleConnections()
 	for _, form := range halfway.Forms(http.StatusOK, "", "the body") {
@@ -159,3 +150,30 @@
 		t.Errorf("%d connections", len(remotes))
 	}
 }
+
+// Guards against an answer that isn't checked because another one came on its connection before.
+func TestTransportChecksEachAnswerOfAConnection(t *testing.T) {
+	server := halfway.StartFor(t)
+	client := &http.Client{Transport: Transport(&http.Transport{})}
+	defer client.CloseIdleConnections()
+	for i, begin := range []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nA B: c\r\n"} {
+		server.SendElse(func(*http.Request) string { return begin + "Content-Length: 4\r\n\r\nbody" })
+		reused := false
+		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }}
+		req, err := http.NewRequestWithContext(httptrace.WithClientTrace(t.Context(), trace), http.MethodPost, "http://"+server.Address, strings.NewReader("x"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := client.Do(req)
+		if reused != (i > 0) {
+			t.Fatalf("answer %d: connection reused %v", i, reused)
+		}
+		if faulty := i == 2; faulty != errors.Is(err, ErrFaulty) {
+			t.Errorf("answer %d: %v", i, err)
+		}
+		if err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+	}
+}
--- a/internal/framing/resetconn_test.go
+++ b/internal/framing/resetconn_test.go
@@ -1,6 +1,7 @@
 package framing
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -20,18 +21,15 @@
 	longBody = 32 << 20
 	// earlyAnswer is ended by its connection.
 	earlyAnswer = "HTTP/1.1 200 OK\r\n\r\npart"
-	// writeFails is longer than a write under way takes to notice the connection's end.
-	writeFails = 10 * time.Millisecond
 )
 
-// postEarly sends a long request and reads its answer after a pause.
-func postEarly(client *http.Client, address string, pause time.Duration) (string, error) {
+// postEarly sends a long request and reads its answer.
+func postEarly(client *http.Client, address string) (string, error) {
 	resp, err := client.Post("http://"+address, "text/plain", strings.NewReader(strings.Repeat(".", longBody)))
 	if err != nil {
 		return "", err
 	}
 	defer resp.Body.Close()
-	time.Sleep(pause)
 	body, err := io.ReadAll(resp.Body)
 	return string(body), err
 }
@@ -39,62 +37,112 @@
 // Guards against a part of an answer without a length that is taken for the whole one: the server resets the connection
 // while the request is still written, and the write receives the error of the reset in place of the read.
 func TestTransportReportsAResetDuringTheRequest(t *testing.T) {
-	server := startHalfway(t)
+	server := halfway.StartFor(t)
 	server.SendEarly(earlyAnswer, halfway.ResetConnection)
 	client := &http.Client{Transport: Transport(&http.Transport{})}
 	defer client.CloseIdleConnections()
-	for _, pause := range []time.Duration{0, writeFails} {
-		taken := 0
-		for range earlyRounds {
-			if _, err := postEarly(client, server.Address, pause); err == nil {
-				taken++
-			}
+	taken := 0
+	for range earlyRounds {
+		if _, err := postEarly(client, server.Address); err == nil {
+			taken++
 		}
-		if taken > 0 {
-			t.Errorf("read after %v: %d of %d parts taken for whole answers", pause, taken, earlyRounds)
+	}
+	if taken > 0 {
+		t.Errorf("%d of %d parts taken for whole answers", taken, earlyRounds)
+	}
+}
+
+// Guards against a whole answer that is refused because its request is still written when the server ends the answer with its
+// side of the connection.
+func TestTransportTakesAnEarlyAnswerThatEnds(t *testing.T) {
+	server := halfway.StartFor(t)
+	server.SendEarly(earlyAnswer, halfway.HalfClosed)
+	client := &http.Client{Transport: Transport(&http.Transport{})}
+	defer client.CloseIdleConnections()
+	for range earlyRounds {
+		if body, err := postEarly(client, server.Address); err != nil || body != "part" {
+			t.Fatalf("%q, %v", body, err)
 		}
 	}
 }
 
-// endedConn is a connection that its peer has ended. A write waits for its deadline, as one that notices the end late.
+// endedConn is a connection that its peer has ended after an answer. A write notices that late: at its deadline, or when
+// the connection is closed.
 type endedConn struct {
 	net.Conn
+	answer   io.Reader
+	writing  chan struct{}
+	ended    context.Context
+	end      context.CancelFunc
 	writeErr error
-	deadline chan struct{}
 }
 
-func (c *endedConn) Read([]byte) (int, error) { return 0, io.EOF }
+func newEndedConn(answer string, writeErr error) *endedConn {
+	c := &endedConn{answer: strings.NewReader(answer), writing: make(chan struct{}, 1), writeErr: &net.OpError{Op: "write", Err: writeErr}}
+	c.ended, c.end = context.WithCancel(context.Background())
+	return c
+}
+
+// Read returns the answer once a write is under way, and then the end.
+func (c *endedConn) Read(p []byte) (int, error) {
+	select {
+	case <-c.writing:
+		c.writing <- struct{}{}
+	case <-c.ended.Done():
+	}
+	return c.answer.Read(p)
+}
 
 func (c *endedConn) Write([]byte) (int, error) {
-	<-c.deadline
+	c.writing <- struct{}{}
+	<-c.ended.Done()
 	return 0, c.writeErr
 }
 
 func (c *endedConn) SetWriteDeadline(time.Time) error {
-	close(c.deadline)
+	c.end()
 	return nil
 }
 
+func (c *endedConn) Close() error {
+	c.end()
+	return nil
+}
+
+// ends has what a write received, and what is read then.
+var ends = []struct{ writeErr, read error }{
+	{syscall.ECONNRESET, syscall.ECONNRESET},
+	{syscall.ETIMEDOUT, syscall.ETIMEDOUT},
+	{syscall.EPIPE, io.EOF},
+	{net.ErrClosed, io.EOF},
+}
+
 // Guards against a failure of the connection that is lost, and against an orderly end that is taken for one.
 func TestReadReportsWhatAWriteReceived(t *testing.T) {
-	for _, c := range []struct{ writeErr, want error }{
-		{syscall.ECONNRESET, syscall.ECONNRESET},
-		{syscall.ETIMEDOUT, syscall.ETIMEDOUT},
-		{syscall.EPIPE, io.EOF},
-		{net.ErrClosed, io.EOF},
-	} {
-		conn := NewResetConn(&endedConn{writeErr: &net.OpError{Op: "write", Err: c.writeErr}, deadline: make(chan struct{})})
-		begun := make(chan struct{})
-		go func() {
-			close(begun)
-			_, _ = conn.Write([]byte("x"))
-		}()
-		<-begun
-		for conn.writing.TryLock() { // until the write is under way
-			conn.writing.Unlock()
-		}
-		if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, c.want) {
+	for _, c := range ends {
+		conn := NewResetConn(newEndedConn("", c.writeErr))
+		go func() { _, _ = conn.Write([]byte("x")) }()
+		if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, c.read) {
 			t.Errorf("a write received %v: read reports %v", c.writeErr, err)
 		}
 	}
 }
+
+// Guards against the same in an answer of the transport. The write receives the error, and its caller learns of it only
+// after the answer has been read.
+func TestTransportReportsWhatAWriteReceived(t *testing.T) {
+	for _, c := range ends {
+		client := &http.Client{Transport: Transport(&http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+			return newEndedConn(earlyAnswer, c.writeErr), nil
+		}})}
+		resp, err := client.Post("http://127.0.0.1", "text/plain", strings.NewReader("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if whole := c.read == io.EOF; string(body) != "part" || (err == nil) != whole || !whole && !errors.Is(err, c.read) {
+			t.Errorf("a write received %v: read %q, %v", c.writeErr, body, err)
+		}
+	}
+}
--- a/internal/platform/halfway_test.go
+++ b/internal/platform/halfway_test.go
@@ -8,7 +8,6 @@
 
 	"skylarklead/internal/platform"
 	"skylarklead/internal/standin/halfway"
-	"skylarklead/test/kit"
 )
 
 // Guards against an offset, a record or an instance that is taken from a part of an answer.
@@ -48,8 +47,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			server := kit.Must(halfway.Start())(t)
-			defer server.Close()
+			server := halfway.StartFor(t)
 			for _, form := range halfway.Forms(http.StatusOK, "Content-Type: application/json\r\n", c.body) {
 				for _, ending := range halfway.Endings {
 					for n := range len(form.Bytes) + 1 {
--- a/internal/platform/oddlist_test.go
+++ b/internal/platform/oddlist_test.go
@@ -71,6 +71,7 @@
 	for _, body := range []string{
 		"", "[]", `{"instances":{}}`, `{"instances":[` + sound, `{"instances":[` + sound + `]`, `{"instances":[` + sound + `]}}`,
 		`{"instances":[` + sound + `,]}`, `{"instances":[` + sound + `}]}`, `{"instances":[` + strings.Repeat("[", 1<<20),
+		`{"instances":[` + strings.Repeat("[", 1<<20+1) + strings.Repeat("]", 1<<20+1) + `]}`,
 	} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
 		instances := platform.NewInstances(server.URL)
--- a/internal/standin/halfway/halfway.go
+++ b/internal/standin/halfway/halfway.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 )
 
@@ -114,17 +115,18 @@
 const (
 	Closed Ending = iota
 	ResetConnection
+	// HalfClosed ends the server's side and reads on until the client has ended its own.
+	HalfClosed
+	// Stalled ends the server's side, and neither reads on nor closes until the server ends.
+	Stalled
 )
 
-// Endings are all endings.
+// Endings are the endings of answers that stop halfway.
 var Endings = []Ending{Closed, ResetConnection}
 
 // String returns the ending's name in the names of tests.
 func (e Ending) String() string {
-	if e == ResetConnection {
-		return "reset"
-	}
-	return "closed"
+	return [...]string{Closed: "closed", ResetConnection: "reset", HalfClosed: "half-closed", Stalled: "stalled"}[e]
 }
 
 // Server answers each connection's first request with a part of an answer, and then ends the connection.
@@ -133,6 +135,8 @@
 	Address  string
 	listener net.Listener
 	requests atomic.Int64
+	// closed is closed when the server ends.
+	closed chan struct{}
 
 	mu     sync.Mutex
 	part   string
@@ -149,13 +153,27 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{Address: l.Addr().String(), listener: l}
+	s := &Server{Address: l.Addr().String(), listener: l, closed: make(chan struct{})}
 	go s.accept()
 	return s, nil
 }
 
+// StartFor starts a server that ends with a test.
+func StartFor(t testing.TB) *Server {
+	t.Helper()
+	s, err := Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
 // Close ends the server.
-func (s *Server) Close() { _ = s.listener.Close() }
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	close(s.closed)
+}
 
 // Send sets the part that is sent from now on.
 func (s *Server) Send(part string, ending Ending) {
@@ -215,11 +233,18 @@
 		_, _ = io.WriteString(c, part) // a reader may have left
 		time.Sleep(earlyPause)
 	}
-	if ending == ResetConnection {
+	switch ending {
+	case ResetConnection:
 		_ = c.SetLinger(0)
-	} else {
+	case Closed:
 		_ = c.CloseWrite()
 		time.Sleep(earlyPause) // a close with unread bytes resets the connection
+	case HalfClosed:
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+	case Stalled:
+		_ = c.CloseWrite()
+		<-s.closed
 	}
 	return true
 }
--- a/internal/upstream/halfway_test.go
+++ b/internal/upstream/halfway_test.go
@@ -29,20 +29,10 @@
 	return forms
 }
 
-func startHalfway(t *testing.T) *halfway.Server {
-	t.Helper()
-	server, err := halfway.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(server.Close)
-	return server
-}
-
 // Guards against a part of an answer that is taken for the whole one, and against one that is taken for bytes
 // which are no answer.
 func TestAnswersThatStopHalfway(t *testing.T) {
-	server := startHalfway(t)
+	server := halfway.StartFor(t)
 	r := upstream.Replica{ID: "r", Address: server.Address}
 	for _, form := range forms() {
 		for _, ending := range halfway.Endings {
@@ -70,20 +60,37 @@
 	}
 }
 
-// Guards against an answer without a valid status that is taken for an informational one, so that its request waits until
-// its deadline for another answer.
-func TestAnswerWithoutAValidStatusIsMalformed(t *testing.T) {
-	for _, status := range []string{"000", "001", "099", "600", "999"} {
+// Guards against a request that waits until its deadline though its answer has begun in a way that no answer can: with a status
+// that is taken for an informational one, or with a head that doesn't end.
+func TestFaultyHeadsAreMalformedAtOnce(t *testing.T) {
+	for _, sent := range []string{
+		"HTTP/1.1 000 None\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 001 None\r\n",
+		"HTTP/1.1 099 None\r\n",
+		"HTTP/1.1 600 None\r\n",
+		"HTTP/1.1 999 None\r\n",
+		"HTTP/1.1 20 OK\r\n",
+		"HTTP/1.1 +20 OK\r\n",
+		"HTTP/1.1 200OK\r\n",
+		"HTTP/1.1\r\n",
+		"HTTP/1.1 200 OK\r\nA B: c\r\n",
+		"HTTP/1.1 200 OK\r\nA: b\r\n c\r\n",
+		"HTTP/1.1 103 Early Hints\r\nA B: c\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+		"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("b", 6<<10) + "\r\nA B: c\r\n",
+		"no answer",
+		"\r\nHTTP/1.1 200 OK\r\n",
+	} {
 		r := replica(t, func(_ int, c net.Conn, in *bufio.Reader) {
 			readRequest(in)
-			io.WriteString(c, "HTTP/1.1 "+status+" None\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+			io.WriteString(c, sent)
 			readRequest(in) // until the caller has left
 		})
 		pool := upstream.NewPool()
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 		_, err := pool.Do(ctx, r, 0, request("1", 1), matchesID("1"))
 		if !errors.Is(err, upstream.ErrMalformed) {
-			t.Errorf("status %s: %v", status, err)
+			t.Errorf("%.60q: %v", sent, err)
 		}
 		cancel()
 		pool.Close()
@@ -92,7 +99,7 @@
 
 // Guards against a head longer than the connection's buffer that isn't checked, or whose answer isn't taken.
 func TestLongHeads(t *testing.T) {
-	server := startHalfway(t)
+	server := halfway.StartFor(t)
 	r := upstream.Replica{ID: "r", Address: server.Address}
 	pool := upstream.NewPool()
 	defer pool.Close()
