--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -22,8 +22,6 @@
 	headerTimeout = 2 * time.Second
 	// maxHeadBytes bounds the head of an answer, informational answers included.
 	maxHeadBytes = 64 << 10
-	// maxStatus is the highest status that an answer can have.
-	maxStatus = 599
 )
 
 // singleUseClient returns a client that sends a request at most once.
@@ -75,7 +73,8 @@
 	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
 	req.GetBody = nil
 	resp, err := client.Do(req)
-	if err == nil && !isFinal(resp.StatusCode) {
+	// net/http also returns 101, with whatever follows as the body.
+	if err == nil && resp.StatusCode < http.StatusOK {
 		resp.Body.Close()
 		err = fmt.Errorf("%w: status %d", ErrMalformed, resp.StatusCode)
 	}
@@ -87,6 +86,3 @@
 	}
 	return nil, fmt.Errorf("%w: %w", ErrNotRun, err)
 }
-
-// isFinal reports whether a status is that of an answer. net/http also returns 101, with whatever follows as the body.
-func isFinal(status int) bool { return status >= http.StatusOK && status <= maxStatus }
